--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Thin front to CMake.  BUILD names the build folder, SANITIZE=OFF a plain one.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SOURCES = $(wildcard src/*.[ch] test/*.[ch] api_test/*.[ch] bench/*.[ch])
+
+all: $(BUILD)/Makefile
+	@$(MAKE) --no-print-directory -C $(BUILD) -j$(JOBS)
+
+$(BUILD)/Makefile: CMakeLists.txt
+	@cmake -S . -B $(BUILD) $(CMAKE_FLAGS) > /dev/null
+
+deps:
+	@sh .ci/deps
+
+# Test builds run under ASan and UBSan.
+check:
+	@$(MAKE) --no-print-directory all BUILD=$(BUILD)-san \
+	  CMAKE_FLAGS="-DMARJORAM_SANITIZE=ON"
+	@sh test/check.sh $(BUILD)-san
+
+demo: deps all
+	@sh test/demo.sh $(BUILD)
+
+bench: all
+	@sh bench/run.sh $(BUILD)
+
+format:
+	@clang-format -i $(SOURCES)
+
+format-check:
+	@clang-format --dry-run --Werror $(SOURCES)
+
+lint: $(BUILD)/Makefile
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 2 \
+	  clang-tidy --quiet -p $(BUILD) 2>/dev/null
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-san
+
+.PHONY: all deps check demo bench format format-check lint clean
--- /dev/null
+++ b/src/clock.h
@@ -0,0 +1,30 @@
+/* The clock as an interface.  Decision modules never read it: their callers
+   pass the time in, as int64_t milliseconds.  */
+#ifndef MARJORAM_CLOCK_H
+#define MARJORAM_CLOCK_H
+
+#include <stdint.h>
+#include <time.h>
+
+struct marjoram_clock;
+
+struct marjoram_clock_ops
+{
+  struct timespec (*monotonic) (struct marjoram_clock *clock);
+  struct timespec (*wall) (struct marjoram_clock *clock);
+};
+
+struct marjoram_clock
+{
+  const struct marjoram_clock_ops *ops;
+};
+
+/* The machine's clock; not to be freed.  */
+struct marjoram_clock *marjoram_clock_system (void);
+
+/* Milliseconds of the monotonic clock: for timeouts and leases.  */
+int64_t marjoram_clock_now (struct marjoram_clock *clock);
+/* Milliseconds since the epoch: for the age of request keys only.  */
+int64_t marjoram_clock_wall (struct marjoram_clock *clock);
+
+#endif
--- /dev/null
+++ b/src/counter.h
@@ -0,0 +1,51 @@
+/* Counters: one for each thing counted, one for each refusal and retry reason.
+   All are listed in counter.c with the text that the metrics page shows.  */
+#ifndef MARJORAM_COUNTER_H
+#define MARJORAM_COUNTER_H
+
+#include "reason.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum marjoram_counter
+{
+  MARJORAM_COUNTER_REQUESTS,
+  MARJORAM_COUNTER_DONE,
+  MARJORAM_COUNTER_NOT_RUN,
+  MARJORAM_COUNTER_UNKNOWN,
+  MARJORAM_COUNTER_FORWARDED_OUT,
+  MARJORAM_COUNTER_FORWARDED_IN,
+  MARJORAM_COUNTER_REPLAYED,
+  MARJORAM_COUNTER_CANCELLED,
+  MARJORAM_COUNTER_PEER_CONNECTS,
+  MARJORAM_COUNTER_PEER_LOSSES,
+  MARJORAM_COUNTER_PEER_BYTES_IN,
+  MARJORAM_COUNTER_PEER_BYTES_OUT,
+  MARJORAM_COUNTER_BAD_FRAMES,
+  MARJORAM_COUNTER_BAD_SECRET,
+  MARJORAM_COUNTER_BAD_HTTP,
+  MARJORAM_COUNTER_ANNOUNCES,
+  MARJORAM_COUNTER_UPSTREAMS_EXPIRED,
+  MARJORAM_COUNTER_CONFIG_APPLIED,
+  MARJORAM_COUNTER_CONFIG_REFUSED,
+  MARJORAM_COUNTER_COUNT
+};
+
+typedef struct marjoram_counters marjoram_counters;
+
+marjoram_counters *marjoram_counters_create (void);
+void marjoram_counters_destroy (marjoram_counters *counters);
+void marjoram_counters_add (marjoram_counters *counters,
+                            enum marjoram_counter which, uint64_t amount);
+/* A request was refused, or an attempt was retried, for REASON.  */
+void marjoram_counters_refused (marjoram_counters *counters,
+                                enum marjoram_reason reason);
+void marjoram_counters_retried (marjoram_counters *counters,
+                                enum marjoram_reason reason);
+uint64_t marjoram_counters_get (const marjoram_counters *counters,
+                                enum marjoram_counter which);
+/* The usual text format of metrics pages, as malloc'd text.  */
+char *marjoram_counters_text (const marjoram_counters *counters);
+
+#endif
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,57 @@
+/* One daemon's own settings, from an INI file: who it is, where it listens,
+   which roles it has.  All else comes with the configuration.  */
+#ifndef MARJORAM_SETTINGS_H
+#define MARJORAM_SETTINGS_H
+
+#include "error.h"
+#include "log.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct marjoram_seed
+{
+  char *slot;
+  char *address; /* IP:port; goes before the configuration's address */
+};
+
+struct marjoram_settings
+{
+  /* [host] */
+  char *slot;
+  char *zone;
+  char *cluster;
+  char *secret_file;
+  char *secret; /* read from secret_file, at least 32 bytes */
+  bool keeper;
+  char *data_folder; /* null unless keeper */
+  /* [listen], each IP:port */
+  char *entry_address;
+  char *peer_address;
+  char *control_address;
+  /* [log] */
+  enum marjoram_log_level log_level;
+  /* [limits] */
+  size_t max_body;    /* bytes */
+  size_t max_headers; /* bytes */
+  int64_t read_timeout_ms;
+  int64_t drain_limit_ms;
+  int64_t claim_retention_ms;
+  size_t max_requests; /* in progress at once */
+  /* [peers]: slot = IP:port, hosts to ask for the first configuration */
+  struct marjoram_seed *seeds;
+  size_t seed_count;
+  /* [keepers]: first = slot, slot, slot; used on a keeper's empty store */
+  char **first_keepers;
+  size_t first_keeper_count;
+};
+
+/* Null on failure, ERR names the first fault; FAULTS, unless null, becomes
+   malloc'd text with a line for each fault: file, line, fault, remedy.  */
+struct marjoram_settings *marjoram_settings_load (const char *path,
+                                                  char **faults,
+                                                  struct marjoram_error *err);
+void marjoram_settings_destroy (struct marjoram_settings *settings);
+
+#endif
--- /dev/null
+++ b/src/wire.c
@@ -0,0 +1,410 @@
+#include "wire.h"
+
+#include "cleanup.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+static void pack_struct (msgpack_packer *packer,
+                         const struct marjoram_layout *layout,
+                         const char *base);
+
+static void
+require_limit (size_t size, size_t limit)
+{
+  if (size > limit)
+    abort ();
+}
+
+static void
+pack_string (msgpack_packer *packer, const char *text, size_t limit)
+{
+  size_t size;
+
+  if (!text)
+    {
+      msgpack_pack_nil (packer);
+      return;
+    }
+  size = strlen (text);
+  require_limit (size, limit);
+  msgpack_pack_str (packer, size);
+  msgpack_pack_str_body (packer, text, size);
+}
+
+static void
+pack_bytes (msgpack_packer *packer, const marjoram_bytes *bytes, size_t limit)
+{
+  size_t size = marjoram_bytes_size (bytes);
+
+  if (!bytes)
+    {
+      msgpack_pack_nil (packer);
+      return;
+    }
+  require_limit (size, limit);
+  msgpack_pack_bin (packer, size);
+  msgpack_pack_bin_body (packer, marjoram_bytes_data (bytes), size);
+}
+
+static void
+pack_array (msgpack_packer *packer, const struct marjoram_array *array,
+            const struct marjoram_field *field)
+{
+  const char *item = array->items;
+
+  require_limit (array->count, field->limit);
+  msgpack_pack_array (packer, array->count);
+  for (size_t i = 0; i < array->count; i++, item += field->layout->size)
+    pack_struct (packer, field->layout, item);
+}
+
+static void
+pack_field (msgpack_packer *packer, const struct marjoram_field *field,
+            const char *place)
+{
+  switch (field->kind)
+    {
+    case MARJORAM_FIELD_UINT:
+      msgpack_pack_uint64 (packer, *(const uint64_t *)place);
+      break;
+    case MARJORAM_FIELD_INT:
+      msgpack_pack_int64 (packer, *(const int64_t *)place);
+      break;
+    case MARJORAM_FIELD_BOOL:
+      if (*(const bool *)place)
+        msgpack_pack_true (packer);
+      else
+        msgpack_pack_false (packer);
+      break;
+    case MARJORAM_FIELD_STRING:
+      pack_string (packer, *(char *const *)place, field->limit);
+      break;
+    case MARJORAM_FIELD_BYTES:
+      pack_bytes (packer, *(marjoram_bytes *const *)place, field->limit);
+      break;
+    case MARJORAM_FIELD_ARRAY:
+      pack_array (packer, (const struct marjoram_array *)place, field);
+      break;
+    }
+}
+
+static void
+pack_struct (msgpack_packer *packer, const struct marjoram_layout *layout,
+             const char *base)
+{
+  msgpack_pack_array (packer, layout->field_count);
+  for (size_t i = 0; i < layout->field_count; i++)
+    pack_field (packer, &layout->fields[i], base + layout->fields[i].offset);
+}
+
+marjoram_bytes *
+marjoram_wire_pack (const struct marjoram_layout *layout, const void *message)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  marjoram_bytes *bytes;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  pack_struct (&packer, layout, message);
+  bytes = marjoram_bytes_create (buffer.data, buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
+  return bytes;
+}
+
+static bool unpack_struct (const struct marjoram_layout *layout, char *base,
+                           const msgpack_object *object,
+                           struct marjoram_error *err);
+
+static bool
+wrong (const char *what, struct marjoram_error *err)
+{
+  return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                             "message field has the wrong %s; check that all "
+                             "hosts run the same release",
+                             what);
+}
+
+static bool
+unpack_string (const struct marjoram_field *field, char *place,
+               const msgpack_object *object, struct marjoram_error *err)
+{
+  char *text;
+
+  if (object->type == MSGPACK_OBJECT_NIL)
+    return true;
+  if (object->type != MSGPACK_OBJECT_STR)
+    return wrong ("type", err);
+  if (object->via.str.size > field->limit)
+    return wrong ("size", err);
+  /* A NUL inside would make the text read shorter than it was sent.  */
+  if (memchr (object->via.str.ptr, 0, object->via.str.size))
+    return wrong ("characters", err);
+  text = marjoram_alloc (object->via.str.size + 1);
+  memcpy (text, object->via.str.ptr, object->via.str.size);
+  *(char **)place = text;
+  return true;
+}
+
+static bool
+unpack_bytes (const struct marjoram_field *field, char *place,
+              const msgpack_object *object, struct marjoram_error *err)
+{
+  if (object->type == MSGPACK_OBJECT_NIL)
+    return true;
+  if (object->type != MSGPACK_OBJECT_BIN)
+    return wrong ("type", err);
+  if (object->via.bin.size > field->limit)
+    return wrong ("size", err);
+  *(marjoram_bytes **)place
+      = marjoram_bytes_create (object->via.bin.ptr, object->via.bin.size);
+  return true;
+}
+
+static bool
+unpack_array (const struct marjoram_field *field, char *place,
+              const msgpack_object *object, struct marjoram_error *err)
+{
+  struct marjoram_array *array = (struct marjoram_array *)place;
+  char *item;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY)
+    return wrong ("type", err);
+  if (object->via.array.size > field->limit)
+    return wrong ("size", err);
+  if (object->via.array.size == 0)
+    return true;
+  array->items = marjoram_alloc (object->via.array.size * field->layout->size);
+  array->count = object->via.array.size;
+  item = array->items;
+  for (size_t i = 0; i < array->count; i++, item += field->layout->size)
+    if (!unpack_struct (field->layout, item, &object->via.array.ptr[i], err))
+      return false;
+  return true;
+}
+
+static bool
+unpack_field (const struct marjoram_field *field, char *place,
+              const msgpack_object *object, struct marjoram_error *err)
+{
+  switch (field->kind)
+    {
+    case MARJORAM_FIELD_UINT:
+      if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+        return wrong ("type", err);
+      *(uint64_t *)place = object->via.u64;
+      return true;
+    case MARJORAM_FIELD_INT:
+      if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER
+          && object->type != MSGPACK_OBJECT_NEGATIVE_INTEGER)
+        return wrong ("type", err);
+      if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+          && object->via.u64 > INT64_MAX)
+        return wrong ("size", err);
+      *(int64_t *)place = object->via.i64;
+      return true;
+    case MARJORAM_FIELD_BOOL:
+      if (object->type != MSGPACK_OBJECT_BOOLEAN)
+        return wrong ("type", err);
+      *(bool *)place = object->via.boolean;
+      return true;
+    case MARJORAM_FIELD_STRING:
+      return unpack_string (field, place, object, err);
+    case MARJORAM_FIELD_BYTES:
+      return unpack_bytes (field, place, object, err);
+    case MARJORAM_FIELD_ARRAY:
+      return unpack_array (field, place, object, err);
+    }
+  return wrong ("kind", err);
+}
+
+static bool
+unpack_struct (const struct marjoram_layout *layout, char *base,
+               const msgpack_object *object, struct marjoram_error *err)
+{
+  size_t count;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY)
+    return wrong ("type", err);
+  count = object->via.array.size;
+  if (count > layout->field_count)
+    count = layout->field_count;
+  for (size_t i = 0; i < count; i++)
+    if (!unpack_field (&layout->fields[i], base + layout->fields[i].offset,
+                       &object->via.array.ptr[i], err))
+      return false;
+  return true;
+}
+
+/* What stands at the start of a msgpack item: SIZE bytes of header and content
+   that hold no further items, then ITEMS further items.  */
+struct item_extent
+{
+  uint64_t size;
+  uint64_t items;
+};
+
+static uint64_t
+read_big_endian (const uint8_t *data, size_t count)
+{
+  uint64_t value = 0;
+
+  for (size_t i = 0; i < count; i++)
+    value = value << 8 | data[i];
+  return value;
+}
+
+/* Types 0xc4 to 0xc6 (bin), 0xc7 to 0xc9 (ext) and 0xd9 to 0xdf (str, array,
+   map) carry a length of WIDTH bytes after the first byte.  */
+static size_t
+length_width (uint8_t first)
+{
+  if (first >= 0xc4 && first <= 0xc9)
+    return (size_t)1 << ((first - 0xc4) % 3);
+  if (first >= 0xd9 && first <= 0xdb)
+    return (size_t)1 << (first - 0xd9);
+  if (first >= 0xdc && first <= 0xdf)
+    return (size_t)2 << ((first - 0xdc) % 2);
+  return 0;
+}
+
+static struct item_extent
+fixed_extent (uint8_t first)
+{
+  static const uint8_t number_sizes[] = { 5, 9, 2, 3, 5, 9, 2, 3, 5, 9 };
+  static const uint8_t ext_sizes[] = { 3, 4, 6, 10, 18 };
+
+  if (first >= 0x80 && first <= 0x8f)
+    return (struct item_extent){ 1, 2 * (uint64_t)(first & 0x0f) };
+  if (first >= 0x90 && first <= 0x9f)
+    return (struct item_extent){ 1, first & 0x0f };
+  if (first >= 0xa0 && first <= 0xbf)
+    return (struct item_extent){ 1 + (uint64_t)(first & 0x1f), 0 };
+  if (first >= 0xca && first <= 0xd3)
+    return (struct item_extent){ number_sizes[first - 0xca], 0 };
+  if (first >= 0xd4 && first <= 0xd8)
+    return (struct item_extent){ ext_sizes[first - 0xd4], 0 };
+  return (struct item_extent){ 1, 0 };
+}
+
+static struct item_extent
+extent (const uint8_t *data, size_t size)
+{
+  size_t width = length_width (data[0]);
+  uint64_t length;
+
+  if (width == 0)
+    return fixed_extent (data[0]);
+  if (size < 1 + width)
+    return (struct item_extent){ UINT64_MAX, 0 };
+  length = read_big_endian (data + 1, width);
+  if (data[0] >= 0xde)
+    return (struct item_extent){ 1 + width, 2 * length };
+  if (data[0] >= 0xdc)
+    return (struct item_extent){ 1 + width, length };
+  if (data[0] >= 0xc7 && data[0] <= 0xc9)
+    length++;
+  return (struct item_extent){ 1 + width + length, 0 };
+}
+
+/* Stops a length bomb: msgpack-c allocates for as many items as a header
+   promises before it sees them, so that five bytes ask for gigabytes and end
+   the process.  Every item takes at least one byte, so a promise of more items
+   than bytes that follow is refused first.  */
+static bool
+promises_hold (const uint8_t *data, size_t size)
+{
+  uint64_t pending = 1;
+
+  while (pending > 0 && size > 0)
+    {
+      struct item_extent item = extent (data, size);
+
+      if (item.size > size)
+        return false;
+      data += item.size;
+      size -= item.size;
+      pending += item.items - 1;
+      if (pending > size)
+        return false;
+    }
+  return pending == 0 && size == 0;
+}
+
+void *
+marjoram_wire_unpack (const struct marjoram_layout *layout, const void *data,
+                      size_t size, struct marjoram_error *err)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  void *message = NULL;
+
+  msgpack_unpacked_init (&unpacked);
+  if (promises_hold (data, size)
+      && msgpack_unpack_next (&unpacked, data, size, &offset)
+             == MSGPACK_UNPACK_SUCCESS
+      && offset == size)
+    {
+      message = marjoram_alloc (layout->size);
+      if (!unpack_struct (layout, message, &unpacked.data, err))
+        {
+          marjoram_wire_destroy (layout, message);
+          message = NULL;
+        }
+    }
+  else
+    marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                        "not one whole msgpack message of type %s; check "
+                        "that all hosts run the same release",
+                        layout->name);
+  msgpack_unpacked_destroy (&unpacked);
+  return message;
+}
+
+static void
+clear_field (const struct marjoram_field *field, char *place)
+{
+  struct marjoram_array *array;
+  char *item;
+
+  switch (field->kind)
+    {
+    case MARJORAM_FIELD_STRING:
+      free (*(char **)place);
+      *(char **)place = NULL;
+      break;
+    case MARJORAM_FIELD_BYTES:
+      marjoram_bytes_release (*(marjoram_bytes **)place);
+      *(marjoram_bytes **)place = NULL;
+      break;
+    case MARJORAM_FIELD_ARRAY:
+      array = (struct marjoram_array *)place;
+      item = array->items;
+      for (size_t i = 0; i < array->count; i++, item += field->layout->size)
+        marjoram_wire_clear (field->layout, item);
+      free (array->items);
+      array->items = NULL;
+      array->count = 0;
+      break;
+    default:
+      break;
+    }
+}
+
+void
+marjoram_wire_clear (const struct marjoram_layout *layout, void *message)
+{
+  for (size_t i = 0; i < layout->field_count; i++)
+    clear_field (&layout->fields[i],
+                 (char *)message + layout->fields[i].offset);
+}
+
+void
+marjoram_wire_destroy (const struct marjoram_layout *layout, void *message)
+{
+  if (!message)
+    return;
+  marjoram_wire_clear (layout, message);
+  free (message);
+}
--- /dev/null
+++ b/test/test_wire.c
@@ -0,0 +1,110 @@
+/* Packing and unpacking of typed messages, foreign input included.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "wire.h"
+
+#include <string.h>
+
+struct item
+{
+  uint64_t number;
+};
+
+static const struct marjoram_field item_fields[]
+    = { { MARJORAM_WIRE_UINT (struct item, number) } };
+static const struct marjoram_layout item_layout
+    = { "item", sizeof (struct item), item_fields, 1 };
+
+struct sample
+{
+  char *name;
+  int64_t change;
+  bool good;
+  marjoram_bytes *body;
+  struct marjoram_array items;
+};
+
+static const struct marjoram_field sample_fields[] = {
+  { MARJORAM_WIRE_STRING (struct sample, name, 8) },
+  { MARJORAM_WIRE_INT (struct sample, change) },
+  { MARJORAM_WIRE_BOOL (struct sample, good) },
+  { MARJORAM_WIRE_BYTES (struct sample, body, 16) },
+  { MARJORAM_WIRE_ARRAY (struct sample, items, 2, &item_layout) },
+};
+static const struct marjoram_layout sample_layout
+    = { "sample", sizeof (struct sample), sample_fields, 5 };
+
+START_TEST (returns_what_was_packed)
+{
+  struct item items[2] = { { 7 }, { UINT64_MAX } };
+  struct sample sample = {
+    (char *)"name", -5, true, marjoram_bytes_create ("a\0b", 3), { items, 2 }
+  };
+  marjoram_bytes *packed = marjoram_wire_pack (&sample_layout, &sample);
+  struct sample *read
+      = marjoram_wire_unpack (&sample_layout, marjoram_bytes_data (packed),
+                              marjoram_bytes_size (packed), NULL);
+
+  ck_assert_ptr_nonnull (read);
+  ck_assert_str_eq (read->name, "name");
+  ck_assert_int_eq (read->change, -5);
+  ck_assert (read->good);
+  ck_assert_uint_eq (marjoram_bytes_size (read->body), 3);
+  ck_assert_uint_eq (read->items.count, 2);
+  ck_assert (((struct item *)read->items.items)[1].number == UINT64_MAX);
+  marjoram_wire_destroy (&sample_layout, read);
+  marjoram_bytes_release (packed);
+  marjoram_bytes_release (sample.body);
+}
+END_TEST
+
+/* A peer sends an array header that promises 2^32-1 elements in five bytes.
+   Taking the promise would end the process for lack of memory; the message
+   has to be refused and the process to live on.  */
+START_TEST (refuses_length_bomb)
+{
+  const uint8_t bomb[] = { 0xdd, 0xff, 0xff, 0xff, 0xff };
+  struct marjoram_error err = { 0 };
+
+  ck_assert_ptr_null (
+      marjoram_wire_unpack (&sample_layout, bomb, sizeof bomb, &err));
+  ck_assert_int_eq (err.kind, MARJORAM_ERROR_INVALID);
+}
+END_TEST
+
+START_TEST (refuses_deep_nesting)
+{
+  uint8_t deep[4096];
+
+  memset (deep, 0x91, sizeof deep);
+  ck_assert_ptr_null (
+      marjoram_wire_unpack (&sample_layout, deep, sizeof deep, NULL));
+}
+END_TEST
+
+START_TEST (refuses_string_over_its_limit)
+{
+  const uint8_t data[] = "\x91\xa9"
+                         "ninebytes";
+  struct marjoram_error err = { 0 };
+
+  ck_assert_ptr_null (
+      marjoram_wire_unpack (&sample_layout, data, sizeof data - 1, &err));
+  ck_assert_ptr_nonnull (strstr (err.message, "size"));
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("wire");
+  TCase *c = tcase_create ("wire");
+
+  tcase_add_test (c, returns_what_was_packed);
+  tcase_add_test (c, refuses_length_bomb);
+  tcase_add_test (c, refuses_deep_nesting);
+  tcase_add_test (c, refuses_string_over_its_limit);
+  suite_add_tcase (s, c);
+  return s;
+}
