--- a/src/state.h
+++ b/src/state.h
@@ -5,6 +5,8 @@
 
 #include "wire.h"
 
+#include <stdbool.h>
+
 enum
 {
   MARJORAM_NAME_MAX = 64,
@@ -71,6 +73,32 @@
 /* Null if there is none.  */
 const struct marjoram_file *
 marjoram_state_file (const struct marjoram_state *state, const char *name);
+/* The kept result of the change ID; null if there is none.  */
+const struct marjoram_change *
+marjoram_state_change (const struct marjoram_state *state, const char *id);
+/* Puts a copy of FILE in place of the one of its name, if any.  */
+void marjoram_state_set_file (struct marjoram_state *state,
+                              const struct marjoram_file *file);
+/* Adds a copy of CHANGE; the oldest is dropped once there are
+   MARJORAM_CHANGES_KEPT.  */
+void marjoram_state_add_change (struct marjoram_state *state,
+                                const struct marjoram_change *change);
+/* For use with marjoram_auto ().  */
+void marjoram_state_cleanup (struct marjoram_state **state);
+
+/* Lists of struct marjoram_keeper_member, at most one for a slot.  */
+void marjoram_voters_add (struct marjoram_array *members, const char *slot,
+                          const char *store_id);
+/* Null if there is none.  */
+struct marjoram_keeper_member *
+marjoram_voters_find (const struct marjoram_array *members, const char *slot);
+/* Whether SLOT is a member with just this store.  */
+bool marjoram_voters_hold (const struct marjoram_array *members,
+                           const char *slot, const char *store_id);
+void marjoram_voters_copy (struct marjoram_array *target,
+                           const struct marjoram_array *source);
+void marjoram_voters_clear (struct marjoram_array *members);
+
 /* SHA-256 in hex, malloc'd.  */
 char *marjoram_digest (const void *data, size_t size);
 
