--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: $(BUILD)/Makefile
-	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 2 \
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 1 \
 	  clang-tidy --quiet -p $(BUILD) 2>/dev/null
 
 clean:
