Settings of the daemon, owner's secret, INI files with line numbers

Settings are read by inih through a table of typed keys; every fault of a file is listed with file, line and remedy. inih (Debian's build) passes no line number, says nothing of empty sections, cuts section names at 49 bytes and reports the first bad line only, so a line reader in front of it counts lines, marks where a section begins and refuses what would be cut. Ruled out: a parser of our own; a handler with a line number, which needs another build of the library.

Relative paths count from the settings file's folder.

--- /dev/null
+++ b/src/ini_file.c
@@ -0,0 +1,306 @@
+#include "ini_file.h"
+
+#include "cleanup.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <ini.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Stands in for the name of a key, which may not begin with a bracket, on the
+   line that the reader adds after each section's.  */
+static const char section_mark[] = "]section";
+static const char mark_line[] = "]section=1\n";
+static const char unread_header[] = "[]\n";
+
+struct reader
+{
+  struct marjoram_ini_file *file;
+  marjoram_faults *faults;
+  const char *next;
+  const char *end;
+  int line;
+  bool mark_due;  /* a section's line was handed out last */
+  bool entry_due; /* a key's line was, and inih hasn't returned it yet */
+  bool skipping;  /* within a section whose line was refused */
+};
+
+static void
+fault (struct reader *r, const char *what)
+{
+  marjoram_faults_add (r->faults, r->file->path, r->line, "%s", what);
+}
+
+static struct marjoram_ini_section *
+add_section (struct marjoram_ini_file *file)
+{
+  size_t n = file->section_count++;
+
+  file->sections = realloc (file->sections, (n + 1) * sizeof *file->sections);
+  if (!file->sections)
+    abort ();
+  memset (&file->sections[n], 0, sizeof file->sections[n]);
+  return &file->sections[n];
+}
+
+static struct marjoram_ini_entry *
+add_entry (struct marjoram_ini_section *section)
+{
+  size_t n = section->entry_count++;
+
+  section->entries
+      = realloc (section->entries, (n + 1) * sizeof *section->entries);
+  if (!section->entries)
+    abort ();
+  return &section->entries[n];
+}
+
+static void
+begin_section (struct reader *r, const char *text)
+{
+  struct marjoram_ini_section *section = add_section (r->file);
+  const char *kind = text + strspn (text, " \t");
+  size_t length = strcspn (kind, " \t");
+  const char *name = kind + length + strspn (kind + length, " \t");
+  size_t name_length = strlen (name);
+
+  while (name_length && isspace ((unsigned char)name[name_length - 1]))
+    name_length--;
+  section->kind = strndup (kind, length);
+  section->name = strndup (name, name_length);
+  section->line = r->line;
+  if (!section->kind || !section->name)
+    abort ();
+}
+
+static int
+handle (void *user, const char *section, const char *key, const char *value)
+{
+  struct reader *r = user;
+  struct marjoram_ini_entry *entry;
+
+  r->entry_due = false;
+  if (r->skipping)
+    return 1;
+  if (strcmp (key, section_mark) == 0)
+    {
+      begin_section (r, section);
+      return 1;
+    }
+  if (r->file->section_count == 0)
+    {
+      fault (r, "a key before the first section; put a [section] line above");
+      return 1;
+    }
+  entry = add_entry (&r->file->sections[r->file->section_count - 1]);
+  entry->key = marjoram_strdup (key);
+  entry->value = marjoram_strdup (value ? value : "");
+  entry->line = r->line;
+  return 1;
+}
+
+static char *
+hand_out (char *buffer, int size, const char *text, size_t length)
+{
+  if (length >= (size_t)size)
+    length = (size_t)size - 1;
+  memcpy (buffer, text, length);
+  buffer[length] = 0;
+  return buffer;
+}
+
+static const char *
+header_fault (const char *line, size_t length)
+{
+  const char *close = memchr (line, ']', length);
+
+  if (!close)
+    return "a section line without its closing bracket; write [NAME]";
+  if (close - line - 1 > MARJORAM_INI_WORD_MAX)
+    return "the text in brackets has over 48 characters; shorten the name";
+  for (const char *p = close + 1; p < line + length; p++)
+    {
+      if (*p == ';')
+        break;
+      if (!isspace ((unsigned char)*p))
+        return "text after the closing bracket; begin a new line for it";
+    }
+  return NULL;
+}
+
+static const char *
+entry_fault (const char *line, size_t length)
+{
+  size_t key = 0;
+
+  while (key < length && line[key] != '=' && line[key] != ':')
+    key++;
+  if (key > MARJORAM_INI_WORD_MAX)
+    return "the key has over 48 characters; only the documented keys are "
+           "allowed";
+  if (line[0] == ']')
+    return "a key that begins with a bracket; write KEY = VALUE";
+  return NULL;
+}
+
+/* Moves to the next line that is neither blank nor a comment, and returns it
+   without leading blanks, or null at the end.  */
+static const char *
+next_line (struct reader *r, size_t *length)
+{
+  while (r->next < r->end)
+    {
+      const char *line = r->next;
+      const char *stop = memchr (line, '\n', (size_t)(r->end - line));
+
+      if (!stop)
+        stop = r->end;
+      r->next = stop < r->end ? stop + 1 : stop;
+      r->line++;
+      while (line < stop && isspace ((unsigned char)*line))
+        line++;
+      *length = (size_t)(stop - line);
+      if (*length > 0 && *line != ';' && *line != '#')
+        return line;
+    }
+  return NULL;
+}
+
+/* One line for inih, as fgets () would give it.  */
+static char *
+read_line (char *buffer, int size, void *stream)
+{
+  struct reader *r = stream;
+  const char *line;
+  const char *what = NULL;
+  size_t length;
+
+  if (r->mark_due)
+    {
+      r->mark_due = false;
+      return hand_out (buffer, size, mark_line, strlen (mark_line));
+    }
+  if (r->entry_due && !r->skipping)
+    fault (r, "neither a [section], a KEY = VALUE nor a comment; mend or "
+              "remove the line");
+  r->entry_due = false;
+  line = next_line (r, &length);
+  if (!line)
+    return NULL;
+  if (length >= (size_t)size || length > MARJORAM_INI_LINE_MAX)
+    what = "the line has over 8000 characters; shorten it";
+  else if (memchr (line, 0, length))
+    what = "a NUL character; write the file as plain text";
+  else if (*line == '[')
+    what = header_fault (line, length);
+  else
+    what = entry_fault (line, length);
+  if (what)
+    fault (r, what);
+  if (*line == '[')
+    {
+      r->skipping = what != NULL;
+      r->mark_due = !what;
+    }
+  else
+    r->entry_due = !what;
+  if (what)
+    return hand_out (buffer, size, *line == '[' ? unread_header : "\n",
+                     strlen (*line == '[' ? unread_header : "\n"));
+  return hand_out (buffer, size, line, length);
+}
+
+struct marjoram_ini_file *
+marjoram_ini_parse (const char *path, const char *text, size_t size,
+                    marjoram_faults *faults)
+{
+  struct marjoram_ini_file *file = marjoram_alloc (sizeof *file);
+  struct reader r
+      = { .file = file, .faults = faults, .next = text, .end = text + size };
+
+  file->path = marjoram_strdup (path);
+  ini_max_line = MARJORAM_INI_LINE_MAX + 3;
+  ini_parse_stream (read_line, &r, handle, &r);
+  return file;
+}
+
+void
+marjoram_ini_destroy (struct marjoram_ini_file *file)
+{
+  if (!file)
+    return;
+  for (size_t i = 0; i < file->section_count; i++)
+    {
+      struct marjoram_ini_section *section = &file->sections[i];
+
+      for (size_t k = 0; k < section->entry_count; k++)
+        {
+          free (section->entries[k].key);
+          free (section->entries[k].value);
+        }
+      free (section->entries);
+      free (section->kind);
+      free (section->name);
+    }
+  free (file->sections);
+  free (file->path);
+  free (file);
+}
+
+void
+marjoram_ini_cleanup (struct marjoram_ini_file **file)
+{
+  marjoram_ini_destroy (*file);
+}
+
+const struct marjoram_ini_entry *
+marjoram_ini_find (const struct marjoram_ini_section *section, const char *key)
+{
+  for (size_t i = 0; i < section->entry_count; i++)
+    if (strcmp (section->entries[i].key, key) == 0)
+      return &section->entries[i];
+  return NULL;
+}
+
+int
+marjoram_ini_line (const struct marjoram_ini_section *section, const char *key)
+{
+  const struct marjoram_ini_entry *entry = marjoram_ini_find (section, key);
+
+  return entry ? entry->line : section->line;
+}
+
+char *
+marjoram_file_read (const char *path, size_t limit, size_t *size,
+                    struct marjoram_error *err)
+{
+  FILE *in = fopen (path, "re");
+  char *data;
+
+  if (!in)
+    {
+      marjoram_error_set (err, MARJORAM_ERROR_IO,
+                          "can't open %s: %s; check the path and its rights",
+                          path, strerror (errno));
+      return NULL;
+    }
+  data = marjoram_alloc (limit + 2);
+  *size = fread (data, 1, limit + 1, in);
+  data[*size] = 0;
+  if (ferror (in))
+    marjoram_error_set (err, MARJORAM_ERROR_IO,
+                        "can't read %s: %s; check that it is a file", path,
+                        strerror (errno));
+  else if (*size > limit)
+    marjoram_error_set (err, MARJORAM_ERROR_LIMIT,
+                        "%s has over %zu bytes; make it smaller", path, limit);
+  else
+    {
+      fclose (in);
+      return data;
+    }
+  fclose (in);
+  free (data);
+  return NULL;
+}
--- /dev/null
+++ b/src/ini_key.c
@@ -0,0 +1,389 @@
+#include "ini_key.h"
+
+#include "cleanup.h"
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <errno.h>
+#include <event2/util.h>
+#include <math.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  ADDRESS_TEXT_MAX = INET6_ADDRSTRLEN + sizeof "[]:65535"
+};
+
+bool
+marjoram_name_valid (const char *text, bool dots)
+{
+  size_t length = strlen (text);
+
+  if (length == 0 || length > MARJORAM_INI_WORD_MAX
+      || !isalnum ((unsigned char)text[0]))
+    return false;
+  for (size_t i = 0; i < length; i++)
+    if (!isalnum ((unsigned char)text[i]) && text[i] != '-' && text[i] != '_'
+        && !(dots && text[i] == '.'))
+      return false;
+  return true;
+}
+
+char *
+marjoram_address_parse (const char *text)
+{
+  struct sockaddr_storage storage = { 0 };
+  int size = sizeof storage;
+  char ip[INET6_ADDRSTRLEN];
+  char whole[ADDRESS_TEXT_MAX];
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *)&storage;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)&storage;
+
+  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&storage, &size))
+    return NULL;
+  if (storage.ss_family == AF_INET && v4->sin_port)
+    snprintf (whole, sizeof whole, "%s:%u",
+              inet_ntop (AF_INET, &v4->sin_addr, ip, sizeof ip),
+              ntohs (v4->sin_port));
+  else if (storage.ss_family == AF_INET6 && v6->sin6_port)
+    snprintf (whole, sizeof whole, "[%s]:%u",
+              inet_ntop (AF_INET6, &v6->sin6_addr, ip, sizeof ip),
+              ntohs (v6->sin6_port));
+  else
+    return NULL;
+  return marjoram_strdup (whole);
+}
+
+struct marjoram_names
+marjoram_names_parse (const char *text)
+{
+  struct marjoram_names names = { NULL, 0 };
+
+  while (*text)
+    {
+      size_t length = strcspn (text, ",");
+      size_t start = strspn (text, " \t");
+      size_t stop = length;
+
+      while (stop > start && isspace ((unsigned char)text[stop - 1]))
+        stop--;
+      names.items
+          = realloc (names.items, (names.count + 2) * sizeof *names.items);
+      if (!names.items)
+        abort ();
+      names.items[names.count]
+          = start < stop ? strndup (text + start, stop - start) : strdup ("");
+      if (!names.items[names.count])
+        abort ();
+      names.items[++names.count] = NULL;
+      text += length;
+      if (*text == ',')
+        text++;
+    }
+  return names;
+}
+
+void
+marjoram_names_clear (struct marjoram_names *names)
+{
+  for (size_t i = 0; i < names->count; i++)
+    free (names->items[i]);
+  free (names->items);
+  names->items = NULL;
+  names->count = 0;
+}
+
+bool
+marjoram_names_all (const struct marjoram_names *names)
+{
+  return names->count == 1 && strcmp (names->items[0], "all") == 0;
+}
+
+/* One value that is being read, with what its faults need.  */
+struct reading
+{
+  const struct marjoram_ini_file *file;
+  const struct marjoram_ini_key *key;
+  const char *value;
+  int line;
+  marjoram_faults *faults;
+};
+
+static void
+refuse (const struct reading *r, const char *remedy)
+{
+  marjoram_faults_add (r->faults, r->file->path, r->line,
+                       "%s can't be \"%.80s\"; %s", r->key->name, r->value,
+                       remedy);
+}
+
+static void
+set_text (char **place, char *text)
+{
+  free (*place);
+  *place = text;
+}
+
+static void
+read_text (const struct reading *r, char **place)
+{
+  char remedy[128];
+  size_t length = strlen (r->value);
+
+  if (r->key->high > 0
+      && ((double)length < r->key->low || (double)length > r->key->high))
+    {
+      snprintf (remedy, sizeof remedy, "it needs %g to %g characters",
+                r->key->low, r->key->high);
+      refuse (r, remedy);
+      return;
+    }
+  set_text (place, marjoram_strdup (r->value));
+}
+
+static void
+read_name (const struct reading *r, char **place)
+{
+  bool dots = r->key->type == MARJORAM_INI_NAME;
+
+  if (marjoram_name_valid (r->value, dots))
+    set_text (place, marjoram_strdup (r->value));
+  else
+    refuse (r, dots ? "use letters, digits and ._-, at most 48"
+                    : "use letters, digits, _ and -, at most 48");
+}
+
+static void
+read_address (const struct reading *r, char **place)
+{
+  char *address = marjoram_address_parse (r->value);
+
+  if (address)
+    set_text (place, address);
+  else
+    refuse (r, "write an IP number and a port, for example 10.0.0.1:8080 or "
+               "[fd00::1]:8080");
+}
+
+static void
+read_bool (const struct reading *r, bool *place)
+{
+  if (strcmp (r->value, "yes") == 0)
+    *place = true;
+  else if (strcmp (r->value, "no") == 0)
+    *place = false;
+  else
+    refuse (r, "write yes or no");
+}
+
+/* Reads a number within the key's range.  */
+static bool
+read_number (const struct reading *r, bool whole, bool suffix, double *number)
+{
+  char remedy[128];
+  char *end;
+  double factor = 1;
+
+  errno = 0;
+  *number = strtod (r->value, &end);
+  if (suffix && end > r->value && (*end == 'k' || *end == 'M'))
+    factor = *end++ == 'k' ? 1024 : 1024 * 1024;
+  *number *= factor;
+  if (isdigit ((unsigned char)r->value[0]) && !strpbrk (r->value, "xXpPeE")
+      && *end == 0 && errno == 0 && isfinite (*number)
+      && *number >= r->key->low && *number <= r->key->high
+      && (!whole || *number == floor (*number)))
+    return true;
+  snprintf (remedy, sizeof remedy, "write a %s from %.15g to %.15g%s",
+            whole ? "whole number" : "number", r->key->low, r->key->high,
+            suffix ? ", with k or M if you like" : "");
+  refuse (r, remedy);
+  return false;
+}
+
+static void
+read_word (const struct reading *r, int *place)
+{
+  char remedy[128] = "write one of:";
+
+  for (int i = 0; r->key->words[i]; i++)
+    {
+      size_t used = strlen (remedy);
+
+      if (strcmp (r->value, r->key->words[i]) == 0)
+        {
+          *place = i;
+          return;
+        }
+      snprintf (remedy + used, sizeof remedy - used, " %s", r->key->words[i]);
+    }
+  refuse (r, remedy);
+}
+
+static void
+read_names (const struct reading *r, struct marjoram_names *place)
+{
+  struct marjoram_names names = marjoram_names_parse (r->value);
+
+  for (size_t i = 0; i < names.count; i++)
+    for (size_t k = 0; k <= i; k++)
+      if (k == i ? !marjoram_name_valid (names.items[i], true)
+                 : strcmp (names.items[k], names.items[i]) == 0)
+        {
+          refuse (r, "write different names separated by commas");
+          marjoram_names_clear (&names);
+          return;
+        }
+  if (names.count == 0)
+    {
+      refuse (r, "write at least one name");
+      return;
+    }
+  marjoram_names_clear (place);
+  *place = names;
+}
+
+static void
+read_value (const struct reading *r, char *place)
+{
+  double number;
+
+  switch (r->key->type)
+    {
+    case MARJORAM_INI_NAME:
+    case MARJORAM_INI_LABEL:
+      read_name (r, (char **)place);
+      break;
+    case MARJORAM_INI_TEXT:
+      read_text (r, (char **)place);
+      break;
+    case MARJORAM_INI_ADDRESS:
+      read_address (r, (char **)place);
+      break;
+    case MARJORAM_INI_BOOL:
+      read_bool (r, (bool *)place);
+      break;
+    case MARJORAM_INI_SIZE:
+      if (read_number (r, true, true, &number))
+        *(size_t *)place = (size_t)number;
+      break;
+    case MARJORAM_INI_WHOLE:
+      if (read_number (r, true, false, &number))
+        *(int64_t *)place = (int64_t)number;
+      break;
+    case MARJORAM_INI_REAL:
+      if (read_number (r, false, false, &number))
+        *(double *)place = number;
+      break;
+    case MARJORAM_INI_WORD:
+      read_word (r, (int *)place);
+      break;
+    case MARJORAM_INI_NAMES:
+      read_names (r, (struct marjoram_names *)place);
+      break;
+    }
+}
+
+static const struct marjoram_ini_key *
+find_key (const struct marjoram_ini_key *keys, size_t count, const char *name)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (keys[i].name, name) == 0)
+      return &keys[i];
+  return NULL;
+}
+
+static void
+refuse_unknown (const struct marjoram_ini_file *file,
+                const struct marjoram_ini_section *section,
+                const struct marjoram_ini_entry *entry,
+                const struct marjoram_ini_key *keys, size_t count,
+                marjoram_faults *faults)
+{
+  char known[256] = "";
+
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t used = strlen (known);
+
+      snprintf (known + used, sizeof known - used, " %s", keys[i].name);
+    }
+  marjoram_faults_add (
+      faults, file->path, entry->line, "[%s] has no key \"%.48s\"; %s%s",
+      section->kind, entry->key,
+      count ? "remove it or use one of:" : "this section has no keys", known);
+}
+
+static void
+check_entries (const struct marjoram_ini_file *file,
+               const struct marjoram_ini_section *section,
+               const struct marjoram_ini_key *keys, size_t count,
+               marjoram_faults *faults)
+{
+  for (size_t i = 0; i < section->entry_count; i++)
+    {
+      const struct marjoram_ini_entry *entry = &section->entries[i];
+      const struct marjoram_ini_entry *first
+          = marjoram_ini_find (section, entry->key);
+
+      if (!find_key (keys, count, entry->key))
+        refuse_unknown (file, section, entry, keys, count, faults);
+      else if (first != entry)
+        marjoram_faults_add (faults, file->path, entry->line,
+                             "%s was set on line %d already; keep one of them",
+                             entry->key, first->line);
+    }
+}
+
+void
+marjoram_ini_read (const struct marjoram_ini_file *file,
+                   const struct marjoram_ini_section *section,
+                   const struct marjoram_ini_key *keys, size_t key_count,
+                   void *target, marjoram_faults *faults)
+{
+  check_entries (file, section, keys, key_count, faults);
+  for (size_t i = 0; i < key_count; i++)
+    {
+      const struct marjoram_ini_entry *entry
+          = marjoram_ini_find (section, keys[i].name);
+      struct reading r = { file, &keys[i], keys[i].fallback,
+                           marjoram_ini_line (section, keys[i].name), faults };
+
+      if (entry)
+        r.value = entry->value;
+      if (!r.value)
+        marjoram_faults_add (faults, file->path, section->line,
+                             "[%s%s%s] needs %s; add a line \"%s = ...\"",
+                             section->kind, *section->name ? " " : "",
+                             section->name, keys[i].name, keys[i].name);
+      else if (entry || *r.value)
+        read_value (&r, (char *)target + keys[i].offset);
+    }
+}
+
+void
+marjoram_ini_clear (const struct marjoram_ini_key *keys, size_t key_count,
+                    void *target)
+{
+  for (size_t i = 0; i < key_count; i++)
+    {
+      char *place = (char *)target + keys[i].offset;
+
+      switch (keys[i].type)
+        {
+        case MARJORAM_INI_NAME:
+        case MARJORAM_INI_LABEL:
+        case MARJORAM_INI_TEXT:
+        case MARJORAM_INI_ADDRESS:
+          set_text ((char **)place, NULL);
+          break;
+        case MARJORAM_INI_NAMES:
+          marjoram_names_clear ((struct marjoram_names *)place);
+          break;
+        default:
+          break;
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,364 @@
+#include "settings.h"
+
+#include "cleanup.h"
+#include "ini_key.h"
+#include "secret.h"
+#include "state.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  SETTINGS_FILE_MAX = 256 * 1024,
+  PATH_TEXT_MAX = 4096,
+  REQUESTS_MAX = 1000 * 1000,
+  HEADERS_BYTES_MAX = 256 * 1024,
+  BODY_BYTES_MAX = 16 * 1024 * 1024,
+  SECOND_MS = 1000,
+  MINUTE_MS = 60 * SECOND_MS,
+  HOUR_MS = 60 * MINUTE_MS
+};
+
+/* What the tables below fill.  */
+struct values
+{
+  struct marjoram_settings plain;
+  struct marjoram_names first;
+  int level;
+};
+
+#define PLAIN(member) offsetof (struct values, plain.member)
+
+static const char *const levels[]
+    = { "error", "warning", "notice", "info", "debug", NULL };
+
+static const struct marjoram_ini_key host_keys[] = {
+  { "slot", MARJORAM_INI_LABEL, PLAIN (slot), NULL, 0, 0, NULL },
+  { "zone", MARJORAM_INI_LABEL, PLAIN (zone), NULL, 0, 0, NULL },
+  { "cluster", MARJORAM_INI_NAME, PLAIN (cluster), NULL, 0, 0, NULL },
+  { "secret_file", MARJORAM_INI_TEXT, PLAIN (secret_file), NULL, 1,
+    PATH_TEXT_MAX, NULL },
+  { "role_keeper", MARJORAM_INI_BOOL, PLAIN (keeper), "no", 0, 0, NULL },
+  { "data_folder", MARJORAM_INI_TEXT, PLAIN (data_folder), "", 1,
+    PATH_TEXT_MAX, NULL },
+};
+
+static const struct marjoram_ini_key listen_keys[] = {
+  { "entry", MARJORAM_INI_ADDRESS, PLAIN (entry_address), NULL, 0, 0, NULL },
+  { "peer", MARJORAM_INI_ADDRESS, PLAIN (peer_address), NULL, 0, 0, NULL },
+  { "control", MARJORAM_INI_ADDRESS, PLAIN (control_address), NULL, 0, 0,
+    NULL },
+};
+
+static const struct marjoram_ini_key log_keys[] = {
+  { "level", MARJORAM_INI_WORD, offsetof (struct values, level), "info", 0, 0,
+    levels },
+};
+
+static const struct marjoram_ini_key limit_keys[] = {
+  { "max_body", MARJORAM_INI_SIZE, PLAIN (max_body), "4M", 1024,
+    BODY_BYTES_MAX, NULL },
+  { "max_headers", MARJORAM_INI_SIZE, PLAIN (max_headers), "16k", 1024,
+    HEADERS_BYTES_MAX, NULL },
+  { "read_timeout_ms", MARJORAM_INI_WHOLE, PLAIN (read_timeout_ms), "10000",
+    100, 10 * MINUTE_MS, NULL },
+  { "drain_limit_ms", MARJORAM_INI_WHOLE, PLAIN (drain_limit_ms), "300000",
+    SECOND_MS, 24 * HOUR_MS, NULL },
+  { "claim_retention_ms", MARJORAM_INI_WHOLE, PLAIN (claim_retention_ms),
+    "86400000", MINUTE_MS, 7 * 24 * HOUR_MS, NULL },
+  { "max_requests", MARJORAM_INI_SIZE, PLAIN (max_requests), "4096", 1,
+    REQUESTS_MAX, NULL },
+};
+
+static const struct marjoram_ini_key keeper_keys[] = {
+  { "first", MARJORAM_INI_NAMES, offsetof (struct values, first), NULL, 0, 0,
+    NULL },
+};
+
+#define COUNT(array) (sizeof (array) / sizeof *(array))
+
+/* [peers] has the slots' names as keys and no table.  */
+static const struct section_kind
+{
+  const char *name;
+  const struct marjoram_ini_key *keys;
+  size_t key_count;
+  bool required;
+} kinds[] = {
+  { "host", host_keys, COUNT (host_keys), true },
+  { "listen", listen_keys, COUNT (listen_keys), true },
+  { "log", log_keys, COUNT (log_keys), false },
+  { "limits", limit_keys, COUNT (limit_keys), false },
+  { "peers", NULL, 0, false },
+  { "keepers", keeper_keys, COUNT (keeper_keys), false },
+};
+
+static const struct marjoram_ini_section *
+find_section (const struct marjoram_ini_file *file, const char *kind)
+{
+  for (size_t i = 0; i < file->section_count; i++)
+    if (strcmp (file->sections[i].kind, kind) == 0)
+      return &file->sections[i];
+  return NULL;
+}
+
+static bool
+known_kind (const char *name)
+{
+  for (size_t i = 0; i < COUNT (kinds); i++)
+    if (strcmp (kinds[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+static void
+check_sections (const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  for (size_t i = 0; i < file->section_count; i++)
+    {
+      const struct marjoram_ini_section *section = &file->sections[i];
+      const struct marjoram_ini_section *first
+          = find_section (file, section->kind);
+
+      if (!known_kind (section->kind) || *section->name)
+        marjoram_faults_add (faults, file->path, section->line,
+                             "unknown section [%s%s%s]; remove it or use one "
+                             "of: host listen log limits peers keepers",
+                             section->kind, *section->name ? " " : "",
+                             section->name);
+      else if (first != section)
+        marjoram_faults_add (faults, file->path, section->line,
+                             "section [%s] stands on line %d already; join "
+                             "them",
+                             section->kind, first->line);
+    }
+}
+
+static void
+read_seed (struct marjoram_settings *settings,
+           const struct marjoram_ini_file *file,
+           const struct marjoram_ini_section *section,
+           const struct marjoram_ini_entry *entry, marjoram_faults *faults)
+{
+  char *address = marjoram_address_parse (entry->value);
+  struct marjoram_seed *seed;
+
+  if (!marjoram_name_valid (entry->key, false))
+    marjoram_faults_add (faults, file->path, entry->line,
+                         "\"%s\" is no slot's name; use letters, digits, _ "
+                         "and -",
+                         entry->key);
+  else if (marjoram_ini_find (section, entry->key) != entry)
+    marjoram_faults_add (faults, file->path, entry->line,
+                         "slot %s was given on line %d already; keep one of "
+                         "them",
+                         entry->key, marjoram_ini_line (section, entry->key));
+  else if (!address)
+    marjoram_faults_add (faults, file->path, entry->line,
+                         "\"%.80s\" is no address; write an IP number and a "
+                         "port, for example 10.0.0.1:7000",
+                         entry->value);
+  else
+    {
+      seed = &settings->seeds[settings->seed_count++];
+      seed->slot = marjoram_strdup (entry->key);
+      seed->address = address;
+      return;
+    }
+  free (address);
+}
+
+static void
+read_seeds (struct marjoram_settings *settings,
+            const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  const struct marjoram_ini_section *section = find_section (file, "peers");
+
+  if (!section)
+    return;
+  settings->seeds
+      = marjoram_alloc (section->entry_count * sizeof *settings->seeds);
+  for (size_t i = 0; i < section->entry_count; i++)
+    read_seed (settings, file, section, &section->entries[i], faults);
+}
+
+static void
+read_sections (struct values *values, const struct marjoram_ini_file *file,
+               marjoram_faults *faults)
+{
+  static struct marjoram_ini_section absent;
+
+  for (size_t i = 0; i < COUNT (kinds); i++)
+    {
+      const struct marjoram_ini_section *section
+          = find_section (file, kinds[i].name);
+
+      if (!kinds[i].keys)
+        continue;
+      if (!section && kinds[i].required)
+        marjoram_faults_add (faults, file->path, 0,
+                             "section [%s] is missing; add it", kinds[i].name);
+      else if (section || strcmp (kinds[i].name, "keepers") != 0)
+        marjoram_ini_read (file, section ? section : &absent, kinds[i].keys,
+                           kinds[i].key_count, values, faults);
+    }
+}
+
+static void
+check_addresses (const struct marjoram_settings *settings,
+                 const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  const struct marjoram_ini_section *section = find_section (file, "listen");
+  const char *const addresses[]
+      = { settings->entry_address, settings->peer_address,
+          settings->control_address };
+
+  for (size_t i = 1; i < COUNT (addresses); i++)
+    for (size_t k = 0; k < i; k++)
+      if (addresses[i] && addresses[k]
+          && strcmp (addresses[i], addresses[k]) == 0)
+        marjoram_faults_add (
+            faults, file->path,
+            marjoram_ini_line (section, listen_keys[i].name),
+            "%s and %s are both %s; give each a port of its own",
+            listen_keys[k].name, listen_keys[i].name, addresses[i]);
+}
+
+static void
+check_keeper (const struct marjoram_settings *settings,
+              const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  const struct marjoram_ini_section *host = find_section (file, "host");
+  const struct marjoram_ini_section *keepers = find_section (file, "keepers");
+
+  if (!host)
+    return;
+  if (settings->keeper && !marjoram_ini_find (host, "data_folder"))
+    marjoram_faults_add (faults, file->path, host->line,
+                         "a keeper needs a disk; add data_folder or set "
+                         "role_keeper = no");
+  if (!settings->keeper && settings->data_folder)
+    marjoram_faults_add (faults, file->path,
+                         marjoram_ini_line (host, "data_folder"),
+                         "only a keeper has a data_folder; remove it or set "
+                         "role_keeper = yes");
+  if (settings->keeper && !keepers)
+    marjoram_faults_add (faults, file->path, host->line,
+                         "a keeper must know the first keepers; add a section "
+                         "[keepers] with first = SLOT, SLOT, SLOT");
+  if (settings->first_keeper_count > MARJORAM_KEEPERS_MAX)
+    marjoram_faults_add (faults, file->path,
+                         marjoram_ini_line (keepers, "first"),
+                         "%zu keepers; name at most %d",
+                         settings->first_keeper_count, MARJORAM_KEEPERS_MAX);
+}
+
+/* A path that isn't absolute is taken from the settings file's folder, so that
+   the daemon may be started from anywhere.  */
+static void
+resolve (char **place, const char *settings_path)
+{
+  const char *slash = strrchr (settings_path, '/');
+  char *whole = NULL;
+
+  if (!*place || **place == '/' || !slash)
+    return;
+  if (asprintf (&whole, "%.*s/%s", (int)(slash - settings_path), settings_path,
+                *place)
+      < 0)
+    abort ();
+  free (*place);
+  *place = whole;
+}
+
+static void
+read_secret (struct marjoram_settings *settings,
+             const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  struct marjoram_error err;
+
+  if (!settings->secret_file)
+    return;
+  settings->secret = marjoram_secret_read (settings->secret_file, &err);
+  if (!settings->secret)
+    marjoram_faults_add (
+        faults, file->path,
+        marjoram_ini_line (find_section (file, "host"), "secret_file"), "%s",
+        err.message);
+}
+
+static void
+fill (struct marjoram_settings *settings, const struct marjoram_ini_file *file,
+      marjoram_faults *faults)
+{
+  struct values values = { 0 };
+
+  check_sections (file, faults);
+  read_sections (&values, file, faults);
+  *settings = values.plain;
+  settings->log_level = MARJORAM_LOG_ERROR + values.level;
+  settings->first_keepers = values.first.items;
+  settings->first_keeper_count = values.first.count;
+  read_seeds (settings, file, faults);
+  check_addresses (settings, file, faults);
+  check_keeper (settings, file, faults);
+  resolve (&settings->secret_file, file->path);
+  resolve (&settings->data_folder, file->path);
+  read_secret (settings, file, faults);
+}
+
+struct marjoram_settings *
+marjoram_settings_load (const char *path, char **faults,
+                        struct marjoram_error *err)
+{
+  marjoram_auto (marjoram_faults_cleanup) marjoram_faults *found
+      = marjoram_faults_create ();
+  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file = NULL;
+  struct marjoram_settings *settings = marjoram_alloc (sizeof *settings);
+  struct marjoram_error reading;
+  size_t size;
+  marjoram_auto_free char *text
+      = marjoram_file_read (path, SETTINGS_FILE_MAX, &size, &reading);
+
+  if (text)
+    {
+      file = marjoram_ini_parse (path, text, size, found);
+      fill (settings, file, found);
+    }
+  else
+    marjoram_faults_add (found, path, 0, "%s", reading.message);
+  if (marjoram_faults_report (found, faults, err))
+    return settings;
+  marjoram_settings_destroy (settings);
+  return NULL;
+}
+
+void
+marjoram_settings_destroy (struct marjoram_settings *settings)
+{
+  if (!settings)
+    return;
+  for (size_t i = 0; i < settings->seed_count; i++)
+    {
+      free (settings->seeds[i].slot);
+      free (settings->seeds[i].address);
+    }
+  free (settings->seeds);
+  for (size_t i = 0; i < settings->first_keeper_count; i++)
+    free (settings->first_keepers[i]);
+  free (settings->first_keepers);
+  if (settings->secret)
+    sodium_memzero (settings->secret, strlen (settings->secret));
+  free (settings->secret);
+  free (settings->slot);
+  free (settings->zone);
+  free (settings->cluster);
+  free (settings->secret_file);
+  free (settings->data_folder);
+  free (settings->entry_address);
+  free (settings->peer_address);
+  free (settings->control_address);
+  free (settings);
+}
