Stand-in model engine and plain service for tests

One program announces itself, batches, caches prefixes, resumes answers and keeps a history line for each start and end of a run, with faults switched on by option or by request. Its answers are worked out from the request, so that a caller can tell its own whole answer.

--- /dev/null
+++ b/test/fake_engine.c
@@ -0,0 +1,444 @@
+/* Stands in for a model engine or, with --service, for a plain service.  It
+   batches continuously, answers what lib_answer.h says, keeps a small prefix
+   cache, can be asked for an answer again, and writes a line for each start
+   and end of a run, so that a test can count them.  Faults are switched on by
+   --fault or by POST /fake/fault.  */
+#include "cleanup.h"
+#include "clock.h"
+#include "lib_engine.h"
+
+#include <event2/buffer.h>
+#include <fcntl.h>
+#include <getopt.h>
+#include <signal.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  MAX_BODY = 64 * 1024 * 1024
+};
+
+static const char *
+header (struct evhttp_request *request, const char *name)
+{
+  const char *value
+      = evhttp_find_header (evhttp_request_get_input_headers (request), name);
+
+  return value ? value : "";
+}
+
+static void
+refuse (struct evhttp_request *request, int status, bool not_run)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+
+  if (not_run)
+    evhttp_add_header (headers, "Marjoram-Not-Run", "yes");
+  evhttp_send_reply (request, status, NULL, NULL);
+}
+
+/* Requests.  */
+
+static char *
+body_text (struct evhttp_request *request)
+{
+  struct evbuffer *buffer = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (buffer);
+  char *text = marjoram_alloc (size + 1);
+
+  evbuffer_copyout (buffer, text, size);
+  text[size] = 0;
+  return text;
+}
+
+static const char *
+prompt_of (json_t *body)
+{
+  json_t *message = json_array_get (json_object_get (body, "messages"), 0);
+  const char *prompt = json_string_value (json_object_get (body, "prompt"));
+
+  if (!prompt)
+    prompt = json_string_value (json_object_get (message, "content"));
+  return prompt ? prompt : "";
+}
+
+static const char *
+method_of (struct evhttp_request *request)
+{
+  switch (evhttp_request_get_command (request))
+    {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      return "OTHER";
+    }
+}
+
+static void
+describe_run (struct run *run, struct evhttp_request *request,
+              const char *text)
+{
+  struct engine *engine = run->engine;
+  json_t *body = json_loads (text, 0, NULL);
+  json_t *tokens = json_object_get (body, "max_tokens");
+
+  snprintf (run->id, NAME_SIZE, "%s", header (request, "Marjoram-Request"));
+  snprintf (run->key, NAME_SIZE, "%s", header (request, "Idempotency-Key"));
+  stand_in_digest (run->digest, method_of (request),
+                   evhttp_request_get_uri (request), text, strlen (text));
+  run->priority = atoi (header (request, "Marjoram-Priority"));
+  run->tokens = json_is_integer (tokens) ? (int)json_integer_value (tokens)
+                                         : STAND_IN_TOKENS;
+  run->stream = json_is_true (json_object_get (body, "stream"));
+  if (engine->options.service)
+    {
+      run->tokens = SERVICE_TOKENS;
+      run->stream = false;
+      run->prefill_us = (int64_t)engine->options.work_ms * 1000;
+    }
+  else if (!engine_cache_use (engine, prompt_of (body)))
+    run->prefill_us = (int64_t)(strlen (text) / BYTES_PER_TOKEN)
+                      * engine->options.prefill_us;
+  run->answer = stand_in_answer (run->digest, run->tokens, run->stream);
+  run->size = strlen (run->answer);
+  json_decref (body);
+}
+
+static bool
+is_barred (struct engine *engine, const char *id)
+{
+  return *id && json_object_get (engine->barred, id);
+}
+
+static void
+work (struct evhttp_request *request, void *context)
+{
+  struct engine *engine = context;
+  marjoram_auto_free char *text = body_text (request);
+  enum fault fault = engine_pick_fault (engine, text);
+  struct run *run;
+
+  if (engine->stopping || fault == FAULT_REFUSE_NOT_RUN
+      || is_barred (engine, header (request, "Marjoram-Request")))
+    {
+      refuse (request, HTTP_SERVUNAVAIL, true);
+      return;
+    }
+  if (fault == FAULT_REFUSE)
+    {
+      refuse (request, HTTP_SERVUNAVAIL, false);
+      return;
+    }
+  run = marjoram_alloc (sizeof *run);
+  *run = (struct run){ .engine = engine, .fault = fault };
+  describe_run (run, request, text);
+  engine_add (run, request);
+}
+
+/* GET /v1/requests/ID: the rest of an answer, never a second run.  */
+static void
+resume (struct engine *engine, struct evhttp_request *request, const char *id)
+{
+  size_t offset = strtoul (header (request, "Marjoram-Offset"), NULL, 10);
+  struct run *found = engine_find (engine, id);
+
+  if (!engine->options.resume)
+    {
+      refuse (request, HTTP_NOTIMPLEMENTED, false);
+      return;
+    }
+  if (!found || (found->state == RUN_ENDED && !found->produced))
+    {
+      json_object_set_new (engine->barred, id, json_true ());
+      engine_record (engine, "barred", id, "", "", 0);
+      refuse (request, HTTP_NOTFOUND, true);
+      return;
+    }
+  if (found->state == RUN_ENDED || offset > found->ready)
+    {
+      refuse (request, HTTP_INTERNAL, false);
+      return;
+    }
+  engine_record_run (found, "resume");
+  engine_attach (found, request, offset);
+  engine_deliver (found);
+}
+
+static void
+order (struct engine *engine, struct evhttp_request *request)
+{
+  marjoram_auto_free char *text = body_text (request);
+  json_t *body = json_loads (text, 0, NULL);
+  json_int_t fence = json_integer_value (json_object_get (body, "fence"));
+  const char *word = json_string_value (json_object_get (body, "order"));
+  const char *model = json_string_value (json_object_get (body, "model"));
+  bool old = (uint64_t)fence < engine->fence;
+
+  engine_record (engine,
+                 old && engine->options.fences ? "order-refused" : "order",
+                 word ? word : "", model ? model : "", "", fence);
+  if (!old)
+    engine->fence = (uint64_t)fence;
+  json_decref (body);
+  evhttp_send_reply (request, old && engine->options.fences ? 409 : HTTP_OK,
+                     NULL, NULL);
+}
+
+/* POST /fake/fault {"fault": NAME, "count": N, "match": TEXT}.  */
+static void
+change_fault (struct engine *engine, struct evhttp_request *request)
+{
+  marjoram_auto_free char *text = body_text (request);
+  json_t *body = json_loads (text, 0, NULL);
+  json_t *count = json_object_get (body, "count");
+
+  engine_set_fault (engine,
+                    json_string_value (json_object_get (body, "fault")),
+                    count ? (int)json_integer_value (count) : -1,
+                    json_string_value (json_object_get (body, "match")));
+  json_decref (body);
+  evhttp_send_reply (request, HTTP_OK, NULL, NULL);
+}
+
+static void
+handle (struct evhttp_request *request, void *context)
+{
+  static const char requests[] = "/v1/requests/";
+  struct engine *engine = context;
+  const char *uri = evhttp_request_get_uri (request);
+
+  if (strcmp (uri, "/fake/fault") == 0)
+    change_fault (engine, request);
+  else if (!engine->options.service && strcmp (uri, "/v1/orders") == 0)
+    order (engine, request);
+  else if (!engine->options.service
+           && strncmp (uri, requests, sizeof requests - 1) == 0)
+    resume (engine, request, uri + sizeof requests - 1);
+  else
+    work (request, engine);
+}
+
+/* Announcing.  */
+
+static json_t *
+describe (void *context)
+{
+  struct engine *engine = context;
+  struct options *options = &engine->options;
+  marjoram_auto_free char *list = marjoram_strdup (options->works);
+  json_t *works = json_array ();
+  char *rest = list;
+  char *name;
+
+  while ((name = strsep (&rest, ",")))
+    json_array_append_new (works, json_string (name));
+  if (!options->lag_ms)
+    {
+      engine->reported_running = engine->running;
+      engine->reported_waiting = engine->waiting;
+    }
+  return json_pack (
+      "{ss sI ss ss ss sb so si si si si}", "name", options->name,
+      "incarnation", (json_int_t)engine->incarnation, "zone", options->zone,
+      "address", options->address, "kind",
+      options->service ? "service" : "engine", "fences", options->fences,
+      "works", works, "slots", options->slots, "lease_ms", options->lease_ms,
+      "running", engine->reported_running, "waiting",
+      engine->reported_waiting);
+}
+
+static void
+look_at_load (evutil_socket_t fd, short what, void *context)
+{
+  struct engine *engine = context;
+
+  (void)fd;
+  (void)what;
+  engine->reported_running = engine->running;
+  engine->reported_waiting = engine->waiting;
+}
+
+static void
+stop (evutil_socket_t fd, short what, void *context)
+{
+  struct engine *engine = context;
+
+  (void)fd;
+  (void)what;
+  if (engine->stopping)
+    return;
+  engine->stopping = true;
+  announcer_leave (engine->announcer);
+}
+
+static struct event *
+every (struct engine *engine, int ms, event_callback_fn callback)
+{
+  struct event *event
+      = event_new (engine->base, -1, EV_PERSIST, callback, engine);
+  struct timeval period = { ms / 1000, ms % 1000 * 1000L };
+
+  if (ms)
+    event_add (event, &period);
+  return event;
+}
+
+static bool
+start (struct engine *engine)
+{
+  struct options *options = &engine->options;
+  marjoram_auto_free char *address = marjoram_strdup (options->listen);
+  char *colon = strchr (address, ':');
+
+  engine->base = event_base_new ();
+  engine->http = evhttp_new (engine->base);
+  evhttp_set_max_body_size (engine->http, MAX_BODY);
+  evhttp_set_gencb (engine->http, handle, engine);
+  *colon = 0;
+  if (evhttp_bind_socket (engine->http, address,
+                          (uint16_t)strtoul (colon + 1, NULL, 10)))
+    return false;
+  engine->announcer = announcer_create (engine->base, options->entries,
+                                        options->lease_ms, describe, engine);
+  engine->step = every (engine, options->token_ms, engine_step);
+  engine->lag = every (engine, options->lag_ms, look_at_load);
+  engine->cache_event = every (engine, options->cache_ms, engine_cache_tell);
+  event_add (evsignal_new (engine->base, SIGTERM, stop, engine), NULL);
+  return true;
+}
+
+enum option_kind
+{
+  OPTION_TEXT,
+  OPTION_NUMBER,
+  OPTION_YES,
+  OPTION_FLAG
+};
+
+struct option_place
+{
+  const char *name;
+  enum option_kind kind;
+  size_t offset;
+};
+
+#define PLACE(name, kind, member)                                             \
+  {                                                                           \
+    name, kind, offsetof (struct options, member)                             \
+  }
+
+static const struct option_place places[]
+    = { PLACE ("name", OPTION_TEXT, name),
+        PLACE ("zone", OPTION_TEXT, zone),
+        PLACE ("listen", OPTION_TEXT, listen),
+        PLACE ("address", OPTION_TEXT, address),
+        PLACE ("entry", OPTION_TEXT, entries),
+        PLACE ("works", OPTION_TEXT, works),
+        PLACE ("history", OPTION_TEXT, history),
+        PLACE ("crash-on", OPTION_TEXT, crash_on),
+        PLACE ("fault", OPTION_TEXT, fault),
+        PLACE ("service", OPTION_FLAG, service),
+        PLACE ("fences", OPTION_YES, fences),
+        PLACE ("resume", OPTION_YES, resume),
+        PLACE ("slots", OPTION_NUMBER, slots),
+        PLACE ("lease-ms", OPTION_NUMBER, lease_ms),
+        PLACE ("token-ms", OPTION_NUMBER, token_ms),
+        PLACE ("prefill-us", OPTION_NUMBER, prefill_us),
+        PLACE ("work-ms", OPTION_NUMBER, work_ms),
+        PLACE ("linger-ms", OPTION_NUMBER, linger_ms),
+        PLACE ("lag-ms", OPTION_NUMBER, lag_ms),
+        PLACE ("cache", OPTION_NUMBER, cache_size),
+        PLACE ("cache-ms", OPTION_NUMBER, cache_ms),
+        PLACE ("cache-gap", OPTION_NUMBER, cache_gap) };
+
+enum
+{
+  PLACE_COUNT = sizeof places / sizeof places[0]
+};
+
+static void
+take (struct options *options, const struct option_place *place,
+      const char *value)
+{
+  char *member = (char *)options + place->offset;
+
+  if (place->kind == OPTION_TEXT)
+    *(const char **)member = value;
+  else if (place->kind == OPTION_NUMBER)
+    *(int *)member = (int)strtol (value, NULL, 10);
+  else
+    *(bool *)member = !value || strcmp (value, "yes") == 0;
+}
+
+static bool
+read_options (struct options *options, int argc, char **argv)
+{
+  struct option table[PLACE_COUNT + 1] = { { 0 } };
+  int index;
+  int option;
+
+  for (int i = 0; i < PLACE_COUNT; i++)
+    table[i] = (struct option){
+      places[i].name,
+      places[i].kind == OPTION_FLAG ? no_argument : required_argument, NULL, 0
+    };
+  while ((option = getopt_long (argc, argv, "", table, &index)) != -1)
+    if (option == 0)
+      take (options, &places[index], optarg);
+    else
+      return false;
+  if (!options->address)
+    options->address = options->listen;
+  return options->listen && strchr (options->listen, ':')
+         && options->token_ms > 0 && options->cache_size <= CACHE_MAX;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct engine engine = { .options = { .name = "upstream",
+                                        .zone = "",
+                                        .entries = "",
+                                        .works = "model",
+                                        .fences = true,
+                                        .resume = true,
+                                        .slots = 8,
+                                        .lease_ms = 3000,
+                                        .token_ms = 5,
+                                        .linger_ms = 2000 },
+                           .history_fd = -1,
+                           .cache_added = json_array (),
+                           .cache_removed = json_array (),
+                           .barred = json_object () };
+
+  TAILQ_INIT (&engine.active);
+  STAILQ_INIT (&engine.kept);
+  signal (SIGPIPE, SIG_IGN);
+  if (!read_options (&engine.options, argc, argv))
+    {
+      fprintf (stderr, "usage: fake_engine --listen IP:PORT [--entry LIST] "
+                       "..., see test/fake_engine.c\n");
+      return EXIT_FAILURE;
+    }
+  if (engine.options.history)
+    engine.history_fd = open (engine.options.history,
+                              O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  engine.incarnation = marjoram_clock_wall (marjoram_clock_system ());
+  engine_set_fault (&engine, engine.options.fault, -1, NULL);
+  if (!start (&engine))
+    {
+      fprintf (stderr, "can't listen on %s\n", engine.options.listen);
+      return EXIT_FAILURE;
+    }
+  event_base_dispatch (engine.base);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/lib_answer.c
@@ -0,0 +1,104 @@
+#include "lib_answer.h"
+
+#include "cleanup.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  PIECE_SIZE = 18, /* sixteen hex digits, a space, the final NUL */
+  EVENT_SIZE = 256,
+  STREAM_EPOCH = 1000000 /* keeps all events of a stream at one size */
+};
+
+static const char stream_end[] = "data: [DONE]\n\n";
+
+void
+stand_in_digest (char *digest, const char *method, const char *path,
+                 const void *body, size_t size)
+{
+  XXH3_state_t *state = XXH3_createState ();
+  XXH128_hash_t hash;
+
+  XXH3_128bits_reset (state);
+  XXH3_128bits_update (state, method, strlen (method) + 1);
+  XXH3_128bits_update (state, path, strlen (path) + 1);
+  if (size)
+    XXH3_128bits_update (state, body, size);
+  hash = XXH3_128bits_digest (state);
+  XXH3_freeState (state);
+  snprintf (digest, STAND_IN_DIGEST_SIZE, "%016" PRIx64 "%016" PRIx64,
+            (uint64_t)hash.high64, (uint64_t)hash.low64);
+}
+
+static void
+piece (char *text, const char *digest, int index)
+{
+  snprintf (text, PIECE_SIZE, "%016" PRIx64 " ",
+            (uint64_t)XXH64 (digest, strlen (digest), (XXH64_hash_t)index));
+}
+
+static size_t
+event (char *text, const char *digest, int index)
+{
+  char content[PIECE_SIZE];
+
+  piece (content, digest, index);
+  return (size_t)snprintf (text, EVENT_SIZE,
+                           "data: {\"id\":\"%s\",\"created\":%d,\"choices\":"
+                           "[{\"index\":0,\"delta\":{\"content\":\"%s\"}}]}"
+                           "\n\n",
+                           digest, STREAM_EPOCH + index, content);
+}
+
+size_t
+stand_in_stream_size (const char *digest, int count)
+{
+  char text[EVENT_SIZE];
+
+  return (size_t)count * event (text, digest, 0);
+}
+
+static char *
+stream_answer (const char *digest, int tokens)
+{
+  size_t size = stand_in_stream_size (digest, tokens);
+  char *answer = marjoram_alloc (size + EVENT_SIZE);
+  char *end = answer;
+
+  for (int i = 0; i < tokens; i++)
+    end += event (end, digest, i);
+  memcpy (end, stream_end, sizeof stream_end);
+  return answer;
+}
+
+static char *
+whole_answer (const char *digest, int tokens)
+{
+  size_t size = (size_t)tokens * PIECE_SIZE + EVENT_SIZE;
+  char *answer = marjoram_alloc (size);
+  char *end = answer;
+
+  end += snprintf (answer, size,
+                   "{\"id\":\"%s\",\"choices\":[{\"index\":0,\"message\":"
+                   "{\"role\":\"assistant\",\"content\":\"",
+                   digest);
+  for (int i = 0; i < tokens; i++)
+    {
+      piece (end, digest, i);
+      end += PIECE_SIZE - 1;
+    }
+  snprintf (end, size - (size_t)(end - answer),
+            "\"}}],\"usage\":{\"completion_tokens\":%d}}", tokens);
+  return answer;
+}
+
+char *
+stand_in_answer (const char *digest, int tokens, bool stream)
+{
+  return stream ? stream_answer (digest, tokens)
+                : whole_answer (digest, tokens);
+}
