--- /dev/null
+++ b/src/store.c
@@ -0,0 +1,420 @@
+#include "store.h"
+
+#include "cleanup.h"
+#include "wire.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+enum
+{
+  STORE_ID_BYTES = 16,
+  STORE_ID_MAX = 2 * STORE_ID_BYTES,
+  KIND_MAX = 32,
+  RECORD_MAX = 64 * 1024 * 1024,
+  ENVELOPE_MAX = RECORD_MAX + 4096,
+  COUNTER_SHIFT = 32
+};
+
+static const char store_kind[] = "marjoram store 1";
+static const char store_name[] = "store";
+static const char fresh_name[] = "store.new";
+/* Says that a store was made here, should the store itself be deleted.  */
+static const char marker_name[] = "in-use";
+static const char repair[]
+    = "this keeper's copy can't be trusted: move the folder away, start the "
+      "keeper empty and admit it with \"marjoramctl replace SLOT SLOT\"";
+
+/* The file: a checksum over the packed content, then the content.  */
+struct envelope
+{
+  char *kind;
+  marjoram_bytes *checksum;
+  marjoram_bytes *content;
+};
+
+struct content
+{
+  char *store_id;
+  uint64_t incarnation;
+  marjoram_bytes *record;
+};
+
+#define COUNT(array) (sizeof (array) / sizeof *(array))
+
+static const struct marjoram_field envelope_fields[] = {
+  { MARJORAM_WIRE_STRING (struct envelope, kind, KIND_MAX) },
+  { MARJORAM_WIRE_BYTES (struct envelope, checksum,
+                         sizeof (XXH128_canonical_t)) },
+  { MARJORAM_WIRE_BYTES (struct envelope, content, ENVELOPE_MAX) },
+};
+static const struct marjoram_layout envelope_layout
+    = { "store", sizeof (struct envelope), envelope_fields,
+        COUNT (envelope_fields) };
+
+static const struct marjoram_field content_fields[] = {
+  { MARJORAM_WIRE_STRING (struct content, store_id, STORE_ID_MAX) },
+  { MARJORAM_WIRE_UINT (struct content, incarnation) },
+  { MARJORAM_WIRE_BYTES (struct content, record, RECORD_MAX) },
+};
+static const struct marjoram_layout content_layout
+    = { "store content", sizeof (struct content), content_fields,
+        COUNT (content_fields) };
+
+struct marjoram_store
+{
+  char *folder;
+  int folder_fd;
+  struct content content;
+};
+
+static void
+close_file (int *fd)
+{
+  if (*fd >= 0)
+    close (*fd);
+}
+
+#define auto_file marjoram_auto (close_file)
+
+static bool
+io_error (const marjoram_store *store, const char *what, const char *name,
+          struct marjoram_error *err)
+{
+  return marjoram_error_set (err, MARJORAM_ERROR_IO,
+                             "can't %s %s/%s: %s; check the disk and its "
+                             "space, then restart this keeper",
+                             what, store->folder, name, strerror (errno));
+}
+
+static bool
+corrupt (const marjoram_store *store, const char *name, const char *fault,
+         struct marjoram_error *err)
+{
+  return marjoram_error_set (err, MARJORAM_ERROR_CORRUPT, "%s/%s %s; %s",
+                             store->folder, name, fault, repair);
+}
+
+static marjoram_bytes *
+checksum (const marjoram_bytes *content)
+{
+  XXH128_canonical_t canonical;
+
+  XXH128_canonicalFromHash (&canonical,
+                            XXH3_128bits (marjoram_bytes_data (content),
+                                          marjoram_bytes_size (content)));
+  return marjoram_bytes_create (&canonical, sizeof canonical);
+}
+
+static bool
+equal (const marjoram_bytes *a, const marjoram_bytes *b)
+{
+  size_t size = marjoram_bytes_size (a);
+
+  return size == marjoram_bytes_size (b)
+         && memcmp (marjoram_bytes_data (a), marjoram_bytes_data (b), size)
+                == 0;
+}
+
+static bool
+write_all (int fd, const uint8_t *data, size_t size)
+{
+  while (size > 0)
+    {
+      ssize_t done = write (fd, data, size);
+
+      if (done < 0 && errno == EINTR)
+        continue;
+      if (done <= 0)
+        return false;
+      data += done;
+      size -= (size_t)done;
+    }
+  return true;
+}
+
+/* A crash at any step leaves either the whole earlier file or the whole new
+   one under the name: the new one is synced before it takes the name, and the
+   folder after.  */
+static bool
+replace_file (marjoram_store *store, const marjoram_bytes *data,
+              struct marjoram_error *err)
+{
+  auto_file int fd = openat (store->folder_fd, fresh_name,
+                             O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+
+  if (fd < 0)
+    return io_error (store, "create", fresh_name, err);
+  if (!write_all (fd, marjoram_bytes_data (data), marjoram_bytes_size (data)))
+    return io_error (store, "write", fresh_name, err);
+  if (fdatasync (fd) != 0)
+    return io_error (store, "sync", fresh_name, err);
+  if (renameat (store->folder_fd, fresh_name, store->folder_fd, store_name)
+      != 0)
+    return io_error (store, "rename", fresh_name, err);
+  if (fsync (store->folder_fd) != 0)
+    return io_error (store, "sync the folder of", store_name, err);
+  return true;
+}
+
+static bool
+save (marjoram_store *store, const struct content *content,
+      struct marjoram_error *err)
+{
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *inner
+      = marjoram_wire_pack (&content_layout, content);
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *sum
+      = checksum (inner);
+  struct envelope envelope = { (char *)store_kind, sum, inner };
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *outer
+      = marjoram_wire_pack (&envelope_layout, &envelope);
+
+  return replace_file (store, outer, err);
+}
+
+static marjoram_bytes *
+read_all (const marjoram_store *store, int fd, struct marjoram_error *err)
+{
+  struct stat status;
+  marjoram_auto_free uint8_t *data = NULL;
+  size_t size = 0;
+
+  if (fstat (fd, &status) != 0)
+    {
+      io_error (store, "read", store_name, err);
+      return NULL;
+    }
+  if (status.st_size > ENVELOPE_MAX)
+    {
+      corrupt (store, store_name, "is larger than any record", err);
+      return NULL;
+    }
+  data = marjoram_alloc ((size_t)status.st_size);
+  while (size < (size_t)status.st_size)
+    {
+      ssize_t done = read (fd, data + size, (size_t)status.st_size - size);
+
+      if (done < 0 && errno == EINTR)
+        continue;
+      if (done < 0)
+        {
+          io_error (store, "read", store_name, err);
+          return NULL;
+        }
+      if (done == 0)
+        break;
+      size += (size_t)done;
+    }
+  return marjoram_bytes_create (data, size);
+}
+
+static bool
+open_envelope (marjoram_store *store, const struct envelope *envelope,
+               struct marjoram_error *err)
+{
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *sum
+      = checksum (envelope->content);
+  struct content *content;
+
+  if (!envelope->kind || strcmp (envelope->kind, store_kind) != 0)
+    return corrupt (store, store_name, "is not a store of this release", err);
+  if (!equal (sum, envelope->checksum))
+    return corrupt (store, store_name, "fails its checksum", err);
+  content = marjoram_wire_unpack (
+      &content_layout, marjoram_bytes_data (envelope->content),
+      marjoram_bytes_size (envelope->content), NULL);
+  if (!content || !content->store_id)
+    {
+      marjoram_wire_destroy (&content_layout, content);
+      return corrupt (store, store_name, "can't be read", err);
+    }
+  store->content = *content;
+  free (content);
+  return true;
+}
+
+static bool
+load (marjoram_store *store, int fd, struct marjoram_error *err)
+{
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *data
+      = read_all (store, fd, err);
+  struct envelope *envelope;
+  bool ok;
+
+  if (!data)
+    return false;
+  envelope
+      = marjoram_wire_unpack (&envelope_layout, marjoram_bytes_data (data),
+                              marjoram_bytes_size (data), NULL);
+  if (!envelope)
+    return corrupt (store, store_name, "is torn or damaged", err);
+  ok = open_envelope (store, envelope, err);
+  marjoram_wire_destroy (&envelope_layout, envelope);
+  return ok;
+}
+
+static bool
+exists (const marjoram_store *store, const char *name)
+{
+  return faccessat (store->folder_fd, name, F_OK, 0) == 0;
+}
+
+static void
+make_store_id (marjoram_store *store)
+{
+  unsigned char random[STORE_ID_BYTES];
+
+  randombytes_buf (random, sizeof random);
+  store->content.store_id = marjoram_alloc (STORE_ID_MAX + 1);
+  sodium_bin2hex (store->content.store_id, STORE_ID_MAX + 1, random,
+                  sizeof random);
+}
+
+/* A store that vanished while its marker stayed was not empty: to make a new
+   one would let a keeper forget what it has promised.  */
+static bool
+load_or_make (marjoram_store *store, struct marjoram_error *err)
+{
+  auto_file int fd
+      = openat (store->folder_fd, store_name, O_RDONLY | O_CLOEXEC);
+
+  if (fd >= 0)
+    return load (store, fd, err);
+  if (errno != ENOENT)
+    return io_error (store, "open", store_name, err);
+  if (exists (store, marker_name))
+    return corrupt (store, store_name, "is missing from a folder in use", err);
+  make_store_id (store);
+  return true;
+}
+
+/* The upper half counts openings; the lower one is random, so that two lives
+   which start from the same restored copy still differ.  */
+static uint64_t
+next_incarnation (uint64_t last)
+{
+  return ((last >> COUNTER_SHIFT) + 1) << COUNTER_SHIFT
+         | randombytes_random ();
+}
+
+static bool
+make_marker (marjoram_store *store, struct marjoram_error *err)
+{
+  auto_file int fd = openat (store->folder_fd, marker_name,
+                             O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+
+  if (fd < 0)
+    return io_error (store, "create", marker_name, err);
+  if (fsync (fd) != 0 || fsync (store->folder_fd) != 0)
+    return io_error (store, "sync", marker_name, err);
+  return true;
+}
+
+static bool
+sync_parent (const marjoram_store *store, struct marjoram_error *err)
+{
+  auto_file int fd
+      = openat (store->folder_fd, "..", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+
+  if (fd < 0 || fsync (fd) != 0)
+    return io_error (store, "sync the folder above", "", err);
+  return true;
+}
+
+static bool
+open_folder (marjoram_store *store, struct marjoram_error *err)
+{
+  bool made = mkdir (store->folder, 0700) == 0;
+
+  if (!made && errno != EEXIST)
+    return io_error (store, "make", "", err);
+  store->folder_fd = open (store->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (store->folder_fd < 0)
+    return io_error (store, "open", "", err);
+  if (flock (store->folder_fd, LOCK_EX | LOCK_NB) != 0)
+    return marjoram_error_set (err, MARJORAM_ERROR_REFUSED,
+                               "%s is in use by another process; give each "
+                               "keeper a data folder of its own",
+                               store->folder);
+  return !made || sync_parent (store, err);
+}
+
+static bool
+start (marjoram_store *store, struct marjoram_error *err)
+{
+  if (!open_folder (store, err) || !load_or_make (store, err))
+    return false;
+  store->content.incarnation = next_incarnation (store->content.incarnation);
+  return save (store, &store->content, err) && make_marker (store, err);
+}
+
+marjoram_store *
+marjoram_store_open (const char *folder, struct marjoram_error *err)
+{
+  marjoram_store *store = marjoram_alloc (sizeof *store);
+
+  store->folder = marjoram_strdup (folder);
+  store->folder_fd = -1;
+  if (!start (store, err))
+    {
+      marjoram_store_close (store);
+      return NULL;
+    }
+  return store;
+}
+
+void
+marjoram_store_close (marjoram_store *store)
+{
+  if (!store)
+    return;
+  close_file (&store->folder_fd);
+  marjoram_wire_clear (&content_layout, &store->content);
+  free (store->folder);
+  free (store);
+}
+
+const char *
+marjoram_store_id (const marjoram_store *store)
+{
+  return store->content.store_id;
+}
+
+uint64_t
+marjoram_store_incarnation (const marjoram_store *store)
+{
+  return store->content.incarnation;
+}
+
+marjoram_bytes *
+marjoram_store_read (marjoram_store *store, struct marjoram_error *err)
+{
+  (void)err;
+  return marjoram_bytes_retain (store->content.record);
+}
+
+bool
+marjoram_store_write (marjoram_store *store, const marjoram_bytes *record,
+                      struct marjoram_error *err)
+{
+  struct content next = store->content;
+
+  if (marjoram_bytes_size (record) > RECORD_MAX)
+    return marjoram_error_set (err, MARJORAM_ERROR_LIMIT,
+                               "a record of %zu bytes is over the limit; make "
+                               "the operators' files smaller",
+                               marjoram_bytes_size (record));
+  next.record = (marjoram_bytes *)record;
+  if (!save (store, &next, err))
+    return false;
+  marjoram_bytes_release (store->content.record);
+  store->content.record = marjoram_bytes_retain (next.record);
+  return true;
+}
