Members of a zone, caller limits, choice, offers, retry budget: first whole cut

Leases run by each host's own clock; incarnation and sequence order what arrives; a leave holds for its whole incarnation; what a host passes on carries only the rest of the lease.

--- a/src/member.h
+++ b/src/member.h
@@ -12,7 +12,12 @@
 
 enum
 {
-  MARJORAM_UPSTREAM_WORKS_MAX = 32
+  MARJORAM_UPSTREAM_WORKS_MAX = 32,
+  MARJORAM_MEMBER_SLOTS_MAX = 64,
+  MARJORAM_LEASE_MIN_MS = 1000,
+  MARJORAM_LEASE_MAX_MS = 60000,
+  /* A host whose heartbeats stop is taken as gone after this time.  */
+  MARJORAM_HOST_SILENT_MS = 2000
 };
 
 /* What an upstream says of itself, and what hosts tell each other of it.  */
@@ -49,8 +54,8 @@
   MARJORAM_ANNOUNCE_WRONG_ZONE /* not this host's zone */
 };
 
-/* An upstream as known here.  The pointer is valid until the next call that
-   changes the members.  */
+/* An upstream as known here.  The pointer stays valid as long as
+   marjoram_members_generation is the same.  */
 struct marjoram_upstream
 {
   const struct marjoram_announcement *announcement;
@@ -58,12 +63,19 @@
   int64_t since;      /* when it was first heard of */
   int64_t reported;   /* when its load was last reported */
   unsigned in_flight; /* requests of this host there */
+  unsigned started;   /* of this host since the last report */
+  unsigned finished;  /* of this host since the last report */
   unsigned failures;  /* in a row */
+  unsigned ejections; /* since it last worked well */
   int64_t ejected_until;
+  bool dead; /* found dead, and not heard of since */
 };
 
 marjoram_members *marjoram_members_create (const char *zone, int self);
 void marjoram_members_destroy (marjoram_members *members);
+/* The ordinal and the zone that it was created with.  */
+int marjoram_members_self (const marjoram_members *members);
+const char *marjoram_members_zone (const marjoram_members *members);
 
 /* From the upstream itself or, if LEARNT, from another host of the zone.  The
    lease runs from NOW by this host's clock.  */
@@ -71,10 +83,22 @@
 marjoram_members_announce (marjoram_members *members, int64_t now,
                            const struct marjoram_announcement *announcement,
                            bool learnt);
-/* Known, but neither leaving nor expired; null if not.  */
+/* Known, but neither leaving, expired nor found dead; null if not.  */
 const struct marjoram_upstream *
 marjoram_members_find (const marjoram_members *members, int64_t now,
                        const char *name);
+/* What to tell another host of the zone: OUT borrows the announcement's
+   strings and carries only the rest of the lease, so that passing it on never
+   prolongs it.  False if nothing is to be told of INDEX: expired, and not
+   leaving.  */
+bool marjoram_members_relay (const marjoram_members *members, int64_t now,
+                             size_t index, struct marjoram_announcement *out);
+/* Whether UPSTREAM may get new work.  */
+bool marjoram_upstream_usable (const struct marjoram_upstream *upstream,
+                               int64_t now);
+/* Grows whenever an index of marjoram_members_at or a list of works changes;
+   for those who keep an index of their own.  */
+uint64_t marjoram_members_generation (const marjoram_members *members);
 /* All known ones, leaving and expired ones too until they are dropped.  */
 size_t marjoram_members_count (const marjoram_members *members);
 const struct marjoram_upstream *
@@ -83,6 +107,12 @@
 void marjoram_members_started (marjoram_members *members, const char *name);
 void marjoram_members_ended (marjoram_members *members, int64_t now,
                              const char *name, bool failed);
+/* Takes the upstream out for a time that doubles with each repetition.  False,
+   and nothing done, if too many of those that share a work are out already:
+   a slow replica is better than none, and a fault that shows at all of them is
+   not theirs.  */
+bool marjoram_members_eject (marjoram_members *members, int64_t now,
+                             const char *name);
 /* The upstream was found dead: no new work until it announces itself with a
    newer incarnation or a later sequence.  */
 void marjoram_members_died (marjoram_members *members, int64_t now,
@@ -93,6 +123,9 @@
                             void (*expired) (void *context, const char *name),
                             void *context);
 
+/* Entry hosts of the zone, this one included, that are heard and not
+   draining.  */
+int marjoram_members_hosts (const marjoram_members *members, int64_t now);
 /* Entry hosts of the zone: a heartbeat was heard.  */
 void marjoram_members_heard (marjoram_members *members, int64_t now,
                              int ordinal, uint64_t incarnation, bool draining);
--- /dev/null
+++ b/src/retry.c
@@ -0,0 +1,29 @@
+#include "retry.h"
+
+#define RETRY_PART 0.1
+/* Saved up at most, so that a quiet hour buys no storm; also what a host
+   starts with, so that its first failures can be retried.  */
+#define SAVED_MAX 10.0
+
+void
+marjoram_retry_budget_init (struct marjoram_retry_budget *budget)
+{
+  budget->tokens = SAVED_MAX;
+}
+
+void
+marjoram_retry_budget_earn (struct marjoram_retry_budget *budget)
+{
+  budget->tokens += RETRY_PART;
+  if (budget->tokens > SAVED_MAX)
+    budget->tokens = SAVED_MAX;
+}
+
+bool
+marjoram_retry_budget_spend (struct marjoram_retry_budget *budget)
+{
+  if (budget->tokens < 1)
+    return false;
+  budget->tokens -= 1;
+  return true;
+}
--- a/src/route.h
+++ b/src/route.h
@@ -5,43 +5,16 @@
 #define MARJORAM_ROUTE_H
 
 #include "config.h"
+#include "limit.h"
 #include "member.h"
+#include "offer.h"
+#include "query.h"
 #include "random.h"
 #include "reason.h"
 #include "suspect.h"
 
 typedef struct marjoram_router marjoram_router;
 
-enum marjoram_class
-{
-  MARJORAM_CLASS_INTERACTIVE,
-  MARJORAM_CLASS_OVERNIGHT
-};
-
-enum
-{
-  MARJORAM_TRIED_MAX = 8
-};
-
-/* One request, as far as its routing goes.  */
-struct marjoram_query
-{
-  int caller; /* index in the configuration */
-  int work;   /* index in the configuration */
-  enum marjoram_class class;
-  int64_t deadline; /* by this host's clock */
-  uint64_t prompt_tokens;
-  uint64_t answer_tokens; /* expected */
-  uint64_t prefix_hash;   /* of the prompt's start; 0 if none */
-  const char *digest;     /* for suspects */
-  bool forwarded;         /* came from another zone: may not go on */
-  bool bound;             /* must run in this zone */
-  int tried_count;        /* upstreams not to be tried again */
-  const char *tried[MARJORAM_TRIED_MAX];
-  int zones_tried_count; /* zones that refused it */
-  int zones_tried[MARJORAM_TRIED_MAX];
-};
-
 enum marjoram_verdict
 {
   MARJORAM_VERDICT_LOCAL,   /* run at UPSTREAM */
@@ -59,21 +32,14 @@
   int64_t expected_ms; /* estimated time to the end */
 };
 
-/* What one zone tells the others about one model or service: room that it
-   lends to the zone that is told, until the offer expires.  */
-struct marjoram_offer
-{
-  char *work;
-  uint64_t room;   /* requests that it lends */
-  int64_t wait_ms; /* estimated */
-  uint64_t upstreams;
-};
-
+/* Offers and use of one zone, as one of its hosts tells them.  */
 struct marjoram_offers
 {
   char *zone;
   uint64_t config_number;
   struct marjoram_array offers; /* of struct marjoram_offer */
+  uint64_t ordinal;             /* of the host that sends it, in its zone */
+  struct marjoram_array usages; /* of struct marjoram_usage */
 };
 extern const struct marjoram_layout marjoram_offers_layout;
 
@@ -113,7 +79,10 @@
 void marjoram_router_learn (marjoram_router *router, int64_t now,
                             const struct marjoram_offers *offers,
                             int64_t link_ms);
-/* What this zone offers to ZONE now; to be cleared with the layout.  */
+/* What this zone offers to a host of ZONE now, to be sent every second; to be
+   cleared with the layout.  To the other hosts of the own zone it carries no
+   offers but what callers use here: without it a caller's limit is split
+   equally between the zone's hosts.  */
 void marjoram_router_offer (marjoram_router *router, int64_t now, int zone,
                             struct marjoram_offers *offers);
 /* How CHOICE came about, one line for each candidate, malloc'd.  */
