Scenario runner: Lua verbs over processes, relays and HTTP calls

Relays stand between every pair of processes: held back, refused, silenced, dropped or delayed. A dead process's relays refuse connections, as its machine would. Every scenario ends with a check of the whole history.

--- /dev/null
+++ b/test/lib_relay.c
@@ -0,0 +1,369 @@
+#include "lib_relay.h"
+
+#include "cleanup.h"
+#include "clock.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+enum
+{
+  BACKLOG = 1024
+};
+
+struct pair;
+
+struct side
+{
+  struct pair *pair;
+  struct bufferevent *stream;
+};
+
+/* Bytes, or the end of a side if there are none, on their way.  */
+struct parcel
+{
+  STAILQ_ENTRY (parcel) entries;
+  int64_t due;
+  struct side *to;
+  struct evbuffer *bytes;
+};
+
+struct pair
+{
+  LIST_ENTRY (pair) entries;
+  struct relay *relay;
+  struct side side[2]; /* the one that connected, the target */
+  STAILQ_HEAD (parcels, parcel) parcels;
+  struct event *timer;
+  bool connected; /* to the target, or connecting */
+  bool silent;
+  bool closing;
+};
+
+struct relay
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  struct sockaddr_storage address;
+  struct sockaddr_storage target;
+  int address_size;
+  int target_size;
+  enum relay_mode mode;
+  int64_t delay_ms;
+  uint64_t connections;
+  uint64_t bytes;
+  LIST_HEAD (pairs, pair) pairs;
+};
+
+static int64_t
+now_ms (void)
+{
+  return marjoram_clock_now (marjoram_clock_system ());
+}
+
+static void
+pair_destroy (struct pair *pair)
+{
+  struct parcel *parcel;
+
+  while ((parcel = STAILQ_FIRST (&pair->parcels)))
+    {
+      STAILQ_REMOVE_HEAD (&pair->parcels, entries);
+      if (parcel->bytes)
+        evbuffer_free (parcel->bytes);
+      free (parcel);
+    }
+  LIST_REMOVE (pair, entries);
+  event_free (pair->timer);
+  bufferevent_free (pair->side[0].stream);
+  bufferevent_free (pair->side[1].stream);
+  free (pair);
+}
+
+static struct side *
+other (struct side *side)
+{
+  struct pair *pair = side->pair;
+
+  return side == &pair->side[0] ? &pair->side[1] : &pair->side[0];
+}
+
+/* Closes both sides once what was said is written.  */
+static void
+finish (struct side *to)
+{
+  struct evbuffer *output = bufferevent_get_output (to->stream);
+
+  to->pair->closing = true;
+  bufferevent_disable (to->stream, EV_READ);
+  bufferevent_disable (other (to)->stream, EV_READ | EV_WRITE);
+  if (!evbuffer_get_length (output))
+    pair_destroy (to->pair);
+}
+
+static void
+arm (struct pair *pair)
+{
+  struct parcel *first = STAILQ_FIRST (&pair->parcels);
+  int64_t wait;
+
+  if (!first)
+    return;
+  wait = first->due - now_ms ();
+  if (wait < 0)
+    wait = 0;
+  event_add (pair->timer,
+             &(struct timeval){ wait / 1000, wait % 1000 * 1000L });
+}
+
+static void
+deliver (evutil_socket_t fd, short what, void *context)
+{
+  struct pair *pair = context;
+  struct parcel *parcel;
+
+  (void)fd;
+  (void)what;
+  if (pair->silent || pair->relay->mode == RELAY_HOLD)
+    return;
+  while ((parcel = STAILQ_FIRST (&pair->parcels)) && parcel->due <= now_ms ())
+    {
+      struct side *to = parcel->to;
+      struct evbuffer *bytes = parcel->bytes;
+
+      STAILQ_REMOVE_HEAD (&pair->parcels, entries);
+      free (parcel);
+      if (!bytes)
+        {
+          finish (to);
+          return;
+        }
+      bufferevent_write_buffer (to->stream, bytes);
+      evbuffer_free (bytes);
+    }
+  arm (pair);
+}
+
+/* Takes all of FROM's input, or its end, on its way to the other side.  */
+static void
+take (struct side *from, bool end)
+{
+  struct pair *pair = from->pair;
+  struct parcel *parcel = marjoram_alloc (sizeof *parcel);
+
+  *parcel = (struct parcel){ .due = now_ms () + pair->relay->delay_ms,
+                             .to = other (from) };
+  if (!end)
+    {
+      parcel->bytes = evbuffer_new ();
+      evbuffer_add_buffer (parcel->bytes,
+                           bufferevent_get_input (from->stream));
+      pair->relay->bytes += evbuffer_get_length (parcel->bytes);
+    }
+  STAILQ_INSERT_TAIL (&pair->parcels, parcel, entries);
+  if (!pair->relay->delay_ms && STAILQ_FIRST (&pair->parcels) == parcel)
+    deliver (-1, 0, pair);
+  else
+    arm (pair);
+}
+
+static void
+readable (struct bufferevent *stream, void *context)
+{
+  struct side *side = context;
+
+  (void)stream;
+  take (side, false);
+}
+
+static void
+written (struct bufferevent *stream, void *context)
+{
+  struct side *side = context;
+
+  (void)stream;
+  if (side->pair->closing)
+    pair_destroy (side->pair);
+}
+
+static void
+ended (struct bufferevent *stream, short what, void *context)
+{
+  struct side *side = context;
+
+  (void)stream;
+  if (what & BEV_EVENT_CONNECTED)
+    return;
+  if (side->pair->closing || (what & BEV_EVENT_ERROR))
+    pair_destroy (side->pair);
+  else
+    take (side, true);
+}
+
+static void
+pair_connect (struct pair *pair)
+{
+  pair->connected = true;
+  bufferevent_enable (pair->side[0].stream, EV_READ);
+  bufferevent_enable (pair->side[1].stream, EV_READ);
+  if (bufferevent_socket_connect (pair->side[1].stream,
+                                  (struct sockaddr *)&pair->relay->target,
+                                  pair->relay->target_size))
+    pair_destroy (pair);
+}
+
+static void
+accepted (struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *address, int size, void *context)
+{
+  struct relay *relay = context;
+  struct pair *pair = marjoram_alloc (sizeof *pair);
+  int fds[2] = { fd, -1 };
+
+  (void)listener;
+  (void)address;
+  (void)size;
+  *pair = (struct pair){ .relay = relay };
+  STAILQ_INIT (&pair->parcels);
+  pair->timer = event_new (relay->base, -1, 0, deliver, pair);
+  for (int i = 0; i < 2; i++)
+    {
+      pair->side[i].pair = pair;
+      pair->side[i].stream = bufferevent_socket_new (
+          relay->base, fds[i],
+          BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+      bufferevent_setcb (pair->side[i].stream, readable, written, ended,
+                         &pair->side[i]);
+    }
+  LIST_INSERT_HEAD (&relay->pairs, pair, entries);
+  relay->connections++;
+  if (relay->mode == RELAY_PASS)
+    pair_connect (pair);
+}
+
+static bool
+start_listening (struct relay *relay)
+{
+  if (!relay->listener)
+    relay->listener = evconnlistener_new_bind (
+        relay->base, accepted, relay,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        BACKLOG, (struct sockaddr *)&relay->address, relay->address_size);
+  return relay->listener;
+}
+
+struct relay *
+relay_create (struct event_base *base, const char *address, const char *target)
+{
+  struct relay *relay = marjoram_alloc (sizeof *relay);
+
+  *relay = (struct relay){ .base = base,
+                           .address_size = sizeof relay->address,
+                           .target_size = sizeof relay->target };
+  LIST_INIT (&relay->pairs);
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&relay->address,
+                                  &relay->address_size)
+      || evutil_parse_sockaddr_port (target, (struct sockaddr *)&relay->target,
+                                     &relay->target_size)
+      || !start_listening (relay))
+    {
+      free (relay);
+      return NULL;
+    }
+  return relay;
+}
+
+static void
+each_pair (struct relay *relay, void (*change) (struct pair *))
+{
+  struct pair *pair;
+  struct pair *next;
+
+  for (pair = LIST_FIRST (&relay->pairs); pair; pair = next)
+    {
+      next = LIST_NEXT (pair, entries);
+      change (pair);
+    }
+}
+
+static void
+hold (struct pair *pair)
+{
+  if (pair->closing)
+    return;
+  bufferevent_disable (pair->side[0].stream, EV_READ);
+  bufferevent_disable (pair->side[1].stream, EV_READ);
+}
+
+static void
+silence (struct pair *pair)
+{
+  pair->silent = true;
+  hold (pair);
+  bufferevent_disable (pair->side[0].stream, EV_WRITE);
+  bufferevent_disable (pair->side[1].stream, EV_WRITE);
+}
+
+static void
+let_go (struct pair *pair)
+{
+  if (pair->silent || pair->closing)
+    return;
+  if (!pair->connected)
+    {
+      pair_connect (pair);
+      return;
+    }
+  bufferevent_enable (pair->side[0].stream, EV_READ);
+  bufferevent_enable (pair->side[1].stream, EV_READ);
+  arm (pair);
+}
+
+bool
+relay_set_mode (struct relay *relay, enum relay_mode mode)
+{
+  relay->mode = mode;
+  if (mode == RELAY_REFUSE)
+    {
+      if (relay->listener)
+        evconnlistener_free (relay->listener);
+      relay->listener = NULL;
+      return true;
+    }
+  each_pair (relay, mode == RELAY_HOLD ? hold : let_go);
+  return start_listening (relay);
+}
+
+void
+relay_set_delay (struct relay *relay, int64_t ms)
+{
+  relay->delay_ms = ms;
+}
+
+void
+relay_silence (struct relay *relay)
+{
+  each_pair (relay, silence);
+}
+
+void
+relay_drop (struct relay *relay)
+{
+  each_pair (relay, pair_destroy);
+}
+
+uint64_t
+relay_connections (const struct relay *relay)
+{
+  return relay->connections;
+}
+
+uint64_t
+relay_bytes (const struct relay *relay)
+{
+  return relay->bytes;
+}
--- /dev/null
+++ b/test/scenarios/ending.lua
@@ -0,0 +1,1 @@
+check_history ()
--- /dev/null
+++ b/test/scenarios/prelude.lua
@@ -0,0 +1,648 @@
+-- The verbs of the scenarios, built on the table "system" of tool_scenario.c.
+-- A site is described by zones, models, services, callers and upstreams; every
+-- connection between two of its processes runs through a relay of its own.
+
+hosts, upstreams, zones, attempts, extra_logs = {}, {}, {}, {}, {}
+local links, next_port, made, history, history_read = {}, 20000, 0, {}, 0
+local folder = system.folder
+local history_file = folder .. "/history"
+local FIRST_LIMIT = 20000
+
+local function address ()
+  next_port = next_port + 1
+  return system.address .. ":" .. next_port
+end
+
+local function write (path, text)
+  local file = assert (io.open (path, "w"))
+  file:write (text)
+  file:close ()
+end
+
+local function read (path)
+  local file = io.open (path)
+  local text = file and file:read ("a") or ""
+  if file then file:close () end
+  return text
+end
+
+-- Keys in order, so that a seed repeats a run.
+function sorted (set)
+  local keys = {}
+  for key in pairs (set) do keys[#keys + 1] = key end
+  table.sort (keys)
+  return keys
+end
+
+function log (...)
+  io.stderr:write (string.format (...), "\n")
+end
+
+-- Time ---------------------------------------------------------------------
+
+function wait_until (condition, what, limit)
+  local last = system.now () + (limit or FIRST_LIMIT)
+  while true do
+    local value = condition ()
+    if value then return value end
+    if system.now () > last then
+      error ("waited in vain for " .. (what or "a condition"), 2)
+    end
+    system.turn (20)
+  end
+end
+
+-- Lets the site work on; never a verdict.
+function pause (ms)
+  local last = system.now () + ms
+  while system.now () < last do system.turn (last - system.now ()) end
+end
+
+-- Processes ----------------------------------------------------------------
+
+local function machine (name)
+  return hosts[name] or upstreams[name] or error ("no machine " .. name, 3)
+end
+
+local function each_link_to (name, change)
+  for _, link in pairs (links) do
+    if link.to == name then change (link) end
+  end
+end
+
+local function refresh (link)
+  local gone = not machine (link.to).pid
+  system.relay_set (link.relay, gone and "refuse"
+                    or link.held and "hold" or "pass")
+end
+
+function start (name)
+  local it = machine (name)
+  it.pid = system.spawn (it.arguments, it.log)
+  it.frozen = false
+  each_link_to (name, refresh)
+end
+
+local function gone (it)
+  it.status = it.pid and system.ended (it.pid) or it.status
+  if it.pid and it.status then
+    it.pid = nil
+    each_link_to (it.name, refresh)
+  end
+  return not it.pid
+end
+
+-- The machine is lost at once.
+function kill (name)
+  local it = machine (name)
+  it.killed = true
+  system.signal (it.pid, "kill")
+  wait_until (function () return gone (it) end, name .. " to die")
+end
+
+-- Asks it to stop when all is done.
+function stop (name)
+  system.signal (machine (name).pid, "terminate")
+end
+
+function stopped (name, limit)
+  local it = machine (name)
+  wait_until (function () return gone (it) end, name .. " to stop", limit)
+  return it.status
+end
+
+function freeze (name)
+  machine (name).frozen = true
+  system.signal (machine (name).pid, "stop")
+end
+
+function thaw (name)
+  machine (name).frozen = false
+  system.signal (machine (name).pid, "continue")
+end
+
+-- Whether a machine died that was not told to.
+function died (name)
+  return gone (machine (name))
+end
+
+-- Links --------------------------------------------------------------------
+
+local function relay (from, to, target)
+  local link = { from = from, to = to, address = address () }
+  link.relay = assert (system.relay (link.address, target))
+  links[from .. ">" .. to] = link
+  return link.address
+end
+
+-- The machines that NAME means: a machine's own, or a zone's hosts.
+local function members (name)
+  if name == "caller" or hosts[name] or upstreams[name] then
+    return { [name] = true }
+  end
+  local set = {}
+  for _, host in ipairs (zones[name] or error ("no place " .. name, 3)) do
+    set[host.name] = true
+  end
+  return set
+end
+
+local function between (a, b, change)
+  local left, right = members (a), members (b)
+  for _, key in ipairs (sorted (links)) do
+    local link = links[key]
+    if left[link.from] and right[link.to] or right[link.from] and left[link.to]
+      or (link.from == "host" and (right[link.to] and not upstreams[a]
+                                   or left[link.to] and not upstreams[b])) then
+      change (link)
+    end
+  end
+end
+
+-- A partition: bytes wait, nobody is told.
+function cut (a, b)
+  between (a, b, function (link) link.held = true refresh (link) end)
+end
+
+function heal (a, b)
+  between (a, b, function (link) link.held = false refresh (link) end)
+end
+
+-- The present connections carry nothing any more; new ones work.
+function silence (a, b)
+  between (a, b, function (link) system.relay_set (link.relay, "silence") end)
+end
+
+function drop (a, b)
+  between (a, b, function (link) system.relay_set (link.relay, "drop") end)
+end
+
+function delay (a, b, ms)
+  between (a, b, function (link)
+    system.relay_set (link.relay, "delay", ms)
+  end)
+end
+
+-- The site -----------------------------------------------------------------
+
+local function host_settings (host, secret, first)
+  local lines = {
+    "[host]", "slot = " .. host.name, "zone = " .. host.zone,
+    "cluster = proof", "secret_file = " .. secret,
+    "role_keeper = " .. (host.keeper and "yes" or "no"),
+    host.keeper and "data_folder = " .. folder .. "/data-" .. host.name or "",
+    "[listen]", "entry = " .. host.entry, "peer = " .. host.peer,
+    "control = " .. host.control, "[log]", "level = debug", "[peers]" }
+  for _, name in ipairs (sorted (hosts)) do
+    if name ~= host.name then
+      lines[#lines + 1] = name .. " = " .. links[host.name .. ">" .. name].address
+    end
+  end
+  lines[#lines + 1] = "[keepers]\nfirst = " .. first
+  for _, line in ipairs (host.settings or {}) do lines[#lines + 1] = line end
+  return table.concat (lines, "\n") .. "\n"
+end
+
+local function add_host (zone, region, index)
+  local name = zone .. "-" .. string.char (96 + index)
+  local host = { name = name, zone = zone, region = region,
+                 entry = address (), peer = address (), control = address (),
+                 log = folder .. "/log-" .. name }
+  hosts[name] = host
+  zones[zone][index] = host
+end
+
+-- Keepers are spread over the zones.
+local function choose_keepers (count)
+  local names, ordinal = {}, 1
+  while #names < count do
+    local before = #names
+    for _, zone in ipairs (sorted (zones)) do
+      local host = zones[zone][ordinal]
+      if host and #names < count then
+        host.keeper = true
+        names[#names + 1] = host.name
+      end
+    end
+    ordinal = ordinal + 1
+    if #names == before then break end
+  end
+  return table.concat (names, ", ")
+end
+
+local function list (value, default)
+  if type (value) == "table" then return table.concat (value, ", ") end
+  return value or default
+end
+
+local function add_upstream (up)
+  local entries = {}
+  upstreams[up.name] = up
+  up.listen = address ()
+  up.log = folder .. "/log-" .. up.name
+  up.address = relay ("host", up.name, up.listen)
+  for i, host in ipairs (zones[up.zone]) do
+    entries[i] = relay (up.name, host.name, host.entry)
+  end
+  up.arguments = { system.programs .. "/fake_engine", "--name", up.name,
+    "--zone", up.zone, "--listen", up.listen, "--address", up.address,
+    "--entry", table.concat (entries, ","), "--works", list (up.works),
+    "--history", history_file }
+  for _, option in ipairs { "slots", "token-ms", "prefill-us", "work-ms",
+                            "lease-ms", "fault", "crash-on", "fences",
+                            "resume", "linger-ms", "lag-ms", "cache",
+                            "cache-ms", "cache-gap" } do
+    local value = up[option:gsub ("-", "_")]
+    if value then
+      up.arguments[#up.arguments + 1] = "--" .. option
+      up.arguments[#up.arguments + 1] = tostring (value)
+    end
+  end
+  if up.service then up.arguments[#up.arguments + 1] = "--service" end
+end
+
+function regions ()
+  local set = {}
+  for _, host in pairs (hosts) do set[host.region] = true end
+  return sorted (set)
+end
+
+-- The operators' file that describes the site as it is now.
+function operators_file (version)
+  local all = table.concat (regions (), ", ")
+  local lines = { "[file]\nname = site\nversion = " .. version,
+                  "[cluster]\nid = proof" }
+  local function add (...) lines[#lines + 1] = string.format (...) end
+  for _, region in ipairs (regions ()) do add ("[region %s]", region) end
+  for _, zone in ipairs (sorted (zones)) do
+    add ("[zone %s]\nregion = %s", zone, zones[zone][1].region)
+    for _, host in ipairs (zones[zone]) do
+      add ("[slot %s]\nzone = %s\npeer = %s\nentry = %s\nkeeper = %s",
+           host.name, zone, host.peer, host.entry, host.keeper and "yes"
+           or "no")
+    end
+  end
+  for _, kind in ipairs { "model", "service" } do
+    for _, name in ipairs (sorted (site_of[kind .. "s"] or {})) do
+      local work = site_of[kind .. "s"][name]
+      add ("[%s %s]\nregions = %s\ndeadline_ms = %d", kind, name,
+           list (work.regions, all), work.deadline or 30000)
+      for _, line in ipairs (work) do add ("%s", line) end
+    end
+  end
+  for _, name in ipairs (sorted (site_of.callers)) do
+    local caller = site_of.callers[name]
+    add ("[caller %s]\ntoken = %s\nhome = %s\nregions = %s\nrate = %g\n"
+         .. "burst = %g\nweight = 1", name, "token-of-" .. name, caller.home,
+         list (caller.regions, all), caller.rate or 100000,
+         caller.burst or 100000)
+  end
+  return table.concat (lines, "\n") .. "\n"
+end
+
+-- site {zones = {{region, zone, hosts}, ...}, models, services, callers,
+-- upstreams, keepers, settings}
+function site (description)
+  site_of = description
+  site_of.callers = site_of.callers
+    or { desk = { home = site_of.zones[1][1] } }
+  for _, row in ipairs (site_of.zones) do
+    zones[row[2]] = {}
+    for index = 1, row[3] do add_host (row[2], row[1], index) end
+  end
+  local first = choose_keepers (site_of.keepers or 3)
+  local secret = folder .. "/secret"
+  write (secret, string.rep ("a secret of this run ", 3) .. "\n")
+  system.make_private (secret)
+  for _, a in ipairs (sorted (hosts)) do
+    hosts[a].caller = relay ("caller", a, hosts[a].entry)
+    for _, b in ipairs (sorted (hosts)) do
+      if a ~= b then relay (a, b, hosts[b].peer) end
+    end
+  end
+  for _, name in ipairs (sorted (hosts)) do
+    local host = hosts[name]
+    local path = folder .. "/settings-" .. name
+    host.settings = site_of.settings
+    write (path, host_settings (host, secret, first))
+    host.arguments = { system.programs .. "/marjoramd", "--settings", path }
+  end
+  for _, up in ipairs (site_of.upstreams or {}) do add_upstream (up) end
+end
+
+-- Runs marjoramctl against HOST; its exit status and output.
+function ctl (host, ...)
+  made = made + 1
+  local output = folder .. "/ctl-" .. made
+  local pid = system.spawn ({ system.programs .. "/marjoramctl", "--host",
+    hosts[host].control, "--secret-file", folder .. "/secret", ... }, output)
+  local status = wait_until (function () return system.ended (pid) end,
+                             "marjoramctl " .. table.concat ({ ... }, " "))
+  return status, read (output)
+end
+
+local applied = 0
+
+-- Applies the site's file, or TEXT, at HOST.
+function apply (host, text)
+  applied = applied + 1
+  local path = folder .. "/site-" .. applied .. ".ini"
+  write (path, text or operators_file (applied))
+  return ctl (host or sorted (hosts)[1], "apply", path)
+end
+
+-- One answer of HOST, waited for: status and body.
+function get (host, path)
+  local call = system.call { address = hosts[host].entry, method = "GET",
+                             path = path, timeout = 5000 }
+  wait_until (function () return system.answer (call) ~= nil end, path)
+  local _, status, body = system.answer (call)
+  system.hang_up (call)
+  return status, body
+end
+
+function ready (host)
+  return get (host, "/readyz") == 200
+end
+
+-- Starts all hosts, applies the configuration, starts all upstreams and waits
+-- until every host can use its zone's upstreams.
+function open_site (description)
+  site (description)
+  for _, name in ipairs (sorted (hosts)) do start (name) end
+  wait_until (function () return apply () == 0 end, "the first apply")
+  for _, name in ipairs (sorted (hosts)) do
+    wait_until (function () return ready (name) end, name .. " to be ready")
+  end
+  for _, name in ipairs (sorted (upstreams)) do start (name) end
+  wait_until (settled, "upstreams to be known")
+end
+
+-- Whether every running host knows the running upstreams of its zone.
+function settled ()
+  for _, name in ipairs (sorted (hosts)) do
+    local host, known = hosts[name], {}
+    if host.pid and not host.frozen then
+      local status, output = ctl (name, "--json", "upstreams")
+      local value = status == 0 and system.json (output)
+      if not value then return false end
+      for _, up in ipairs (value.upstreams or value) do
+        known[up.name] = not up.leaving
+      end
+      for _, up in pairs (upstreams) do
+        if up.zone == host.zone and up.pid and not known[up.name] then
+          return false
+        end
+      end
+    end
+  end
+  return true
+end
+
+-- Switches a fault of an upstream on for the next COUNT runs with MATCH.
+function fault (name, word, count, match)
+  local body = string.format ('{"fault":"%s","count":%d,"match":"%s"}', word,
+                              count or -1, match or "")
+  local call = system.call { address = upstreams[name].listen, timeout = 5000,
+                             method = "POST", path = "/fake/fault",
+                             body = body }
+  wait_until (function () return system.answer (call) ~= nil end, word)
+  system.hang_up (call)
+end
+
+-- Requests -----------------------------------------------------------------
+
+-- The key's prefix as HOST gives it out, and a part of its own.
+function new_key (host)
+  local _, body = get (host, "/v1/entries")
+  made = made + 1
+  return system.json (body).key_prefix .. "k" .. made .. "-" .. system.seed
+end
+
+local function transmit (attempt)
+  local request = attempt.request
+  local headers = { Authorization = "Bearer token-of-" .. request.caller,
+                    ["Content-Type"] = "application/json",
+                    ["Idempotency-Key"] = request.key,
+                    ["Marjoram-Class"] = request.class }
+  if request.idempotent == false then headers["Marjoram-Idempotent"] = "no" end
+  if request.deadline then
+    headers["Marjoram-Deadline-Ms"] = tostring (request.deadline)
+  end
+  attempt.call = system.call { address = hosts[attempt.host].caller,
+    method = request.method, path = request.path, headers = headers,
+    body = request.body, timeout = request.timeout or 40000 }
+  attempts[#attempts + 1] = attempt
+  return attempt
+end
+
+-- send {to, model or service, stream, tokens, key, idempotent, class,
+-- deadline, text, caller}: an attempt, answered later.
+function send (request)
+  made = made + 1
+  request.caller = request.caller or sorted (site_of.callers)[1]
+  request.text = request.text or "request " .. made .. " " .. system.seed
+  request.method = "POST"
+  if request.service then
+    request.tokens = 4
+    request.path = "/v1/services/" .. request.service .. "/do"
+    request.body = request.body or '{"text":"' .. request.text .. '"}'
+  else
+    request.model = request.model or sorted (site_of.models)[1]
+    request.tokens = request.tokens or 16
+    request.path = "/v1/chat/completions"
+    request.body = request.body or string.format (
+      '{"model":"%s","max_tokens":%d,"stream":%s,"messages":[{"role":"user",'
+      .. '"content":"%s"}]}', request.model, request.tokens,
+      tostring (request.stream or false), request.text)
+  end
+  request.digest = system.digest (request.method, request.service and "/do"
+                                  or request.path, request.body)
+  if request.idempotent == false and not request.key then
+    request.key = new_key (request.to)
+  end
+  return transmit { request = request, host = request.to }
+end
+
+-- The same request again, at another entry host or the same.
+function resend (attempt, host)
+  return transmit { request = attempt.request, host = host or attempt.host }
+end
+
+-- The caller goes away.
+function hang_up (attempt)
+  system.hang_up (attempt.call)
+  attempt.call = nil
+  attempt.abandoned = true
+end
+
+-- Looks whether an answer is there and takes it down.
+function answered (attempt)
+  if attempt.done or not attempt.call then return attempt.done end
+  local whole, status, body = system.answer (attempt.call)
+  if whole == nil then return false end
+  local function header (name) return system.header (attempt.call, name) end
+  attempt.done, attempt.whole, attempt.status = true, whole, status
+  attempt.body, attempt.at = body, system.now ()
+  attempt.outcome = whole and header ("Marjoram-Outcome") or "broken"
+  attempt.reason = header ("Marjoram-Reason")
+  attempt.id = header ("Marjoram-Request")
+  attempt.upstream = header ("Marjoram-Upstream")
+  attempt.zone = header ("Marjoram-Zone")
+  attempt.replayed = header ("Marjoram-Replayed") == "yes"
+  attempt.retry_after = header ("Retry-After")
+  system.hang_up (attempt.call)
+  attempt.call = nil
+  return true
+end
+
+function wait_for (attempt, limit)
+  wait_until (function () return answered (attempt) end,
+              "the answer to " .. attempt.request.text, limit)
+  return attempt
+end
+
+function received (attempt)
+  return attempt.call and system.received (attempt.call) or #attempt.body
+end
+
+-- Waits for the answer and compares what WANTED names: outcome, reason, zone,
+-- upstream, status, replayed.  A value may be a list of allowed ones.
+function expect (attempt, wanted, limit)
+  wait_for (attempt, limit)
+  for _, name in ipairs (sorted (wanted)) do
+    local value, allowed = attempt[name], wanted[name]
+    local good = value == allowed
+    for _, one in ipairs (type (allowed) == "table" and allowed or {}) do
+      good = good or value == one
+    end
+    if not good then
+      error (string.format ("%s of '%s' at %s: %s, wanted %s (%s %s %s)", name,
+        attempt.request.text, attempt.host, tostring (value),
+        list (type (allowed) == "table" and allowed or tostring (allowed)),
+        attempt.status, attempt.outcome, attempt.reason), 2)
+    end
+  end
+  return attempt
+end
+
+function check (condition, ...)
+  if not condition then error (string.format (...), 2) end
+end
+
+-- History ------------------------------------------------------------------
+
+-- All lines that the stand-ins have written so far.
+function events ()
+  local file = io.open (history_file)
+  if not file then return history end
+  file:seek ("set", history_read)
+  for line in file:lines ("L") do
+    if line:sub (-1) ~= "\n" then break end
+    history[#history + 1] = system.json (line)
+    history_read = history_read + #line
+  end
+  file:close ()
+  return history
+end
+
+-- How many events match WANTED, a table of fields.
+function count (wanted)
+  local total = 0
+  for _, event in ipairs (events ()) do
+    local good = true
+    for name, value in pairs (wanted) do good = good and event[name] == value end
+    if good then total = total + 1 end
+  end
+  return total
+end
+
+function runs (attempt)
+  return count { event = "start", digest = attempt.request.digest }
+end
+
+local function check_answer (attempt)
+  local request = attempt.request
+  local known = { done = true, ["not-run"] = true, unknown = true,
+                  broken = true }
+  check (known[attempt.outcome], "'%s' at %s: status %s without an outcome",
+         request.text, attempt.host, attempt.status)
+  if attempt.outcome == "done" then
+    check (attempt.body == system.right_answer (request.digest, request.tokens,
+                                                request.stream == true),
+           "'%s' at %s: a wrong answer: %s", request.text, attempt.host,
+           attempt.body)
+  end
+end
+
+-- What was said to be not run has no run before the word was given.
+local function check_not_run (attempt)
+  for _, event in ipairs (events ()) do
+    if event.event == "start" then
+      check (event.request ~= attempt.id or not attempt.id,
+             "'%s' at %s: told not-run (%s), but ran at %s",
+             attempt.request.text, attempt.host, attempt.reason,
+             event.upstream)
+      check (attempt.request.idempotent ~= false
+             or event.digest ~= attempt.request.digest
+             or event.ms > attempt.at,
+             "'%s' at %s: told not-run (%s), but its key ran at %s before",
+             attempt.request.text, attempt.host, attempt.reason,
+             event.upstream)
+    end
+  end
+end
+
+local function allowed (request, region)
+  local work = request.service and site_of.services[request.service]
+    or site_of.models[request.model]
+  local caller = site_of.callers[request.caller]
+  local function has (set)
+    if not set then return true end
+    for word in list (set):gmatch ("[^, ]+") do
+      if word == region then return true end
+    end
+    return false
+  end
+  return has (work.regions) and has (caller.regions)
+end
+
+local function check_runs (request)
+  local starts = 0
+  for _, event in ipairs (events ()) do
+    if event.event == "start" and event.digest == request.digest then
+      starts = starts + 1
+      check (allowed (request, zones[event.zone][1].region),
+             "'%s' ran at %s of %s, where it may not", request.text,
+             event.upstream, event.zone)
+    end
+  end
+  check (request.idempotent ~= false or starts <= 1,
+         "'%s' may run at most once, and ran %d times", request.text, starts)
+end
+
+-- Each forwarded request crosses once: a host says so in its log lines.
+local function check_logs ()
+  for _, name in ipairs (sorted (hosts)) do
+    local text = read (hosts[name].log)
+    local fault = text:match ("[^\n]*Sanitizer[^\n]*")
+      or text:match ("[^\n]*runtime error[^\n]*")
+    check (not fault, "%s: %s", name, fault)
+    check (not gone (hosts[name]) or hosts[name].killed
+           or hosts[name].status == 0, "%s ended with status %s", name,
+           hosts[name].status)
+  end
+end
+
+-- Runs by itself at the end of every scenario.
+function check_history ()
+  for _, attempt in ipairs (attempts) do
+    if not attempt.abandoned then wait_for (attempt) end
+    if attempt.done then
+      check_answer (attempt)
+      if attempt.outcome == "not-run" then check_not_run (attempt) end
+    end
+    check_runs (attempt.request)
+  end
+  check_logs ()
+end
--- /dev/null
+++ b/test/tool_scenario.c
@@ -0,0 +1,553 @@
+/* Runs one scenario: a Lua script that starts our programs, stands between
+   them with relays, sends requests and looks at the answers.  This file gives
+   Lua the verbs that need the system; test/scenarios/prelude.lua builds the
+   verbs of the scenarios on them.  All that was started is ended by process
+   id at the end, whatever happened.  */
+#include "cleanup.h"
+#include "clock.h"
+#include "lib_answer.h"
+#include "lib_call.h"
+#include "lib_process.h"
+#include "lib_relay.h"
+#include "random.h"
+
+#include <event2/event.h>
+#include <ftw.h>
+#include <getopt.h>
+#include <jansson.h>
+#include <lauxlib.h>
+#include <libgen.h>
+#include <lualib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+enum
+{
+  PATH_SIZE = 4096,
+  ARGUMENTS_MAX = 64,
+  HEADERS_MAX = 32,
+  CALL_TIMEOUT_MS = 30000,
+  LIMIT_MS = 120000, /* no scenario may take longer */
+  NETWORK = 20       /* relays and programs use 127.20.0.0/16 */
+};
+
+static struct event_base *base;
+static marjoram_random *source;
+static int64_t limit_ms;
+static struct event *pause_end;
+
+static int64_t
+now_ms (void)
+{
+  return marjoram_clock_now (marjoram_clock_system ());
+}
+
+/* Processes.  */
+
+/* spawn (arguments, log): process id.  */
+static int
+verb_spawn (lua_State *lua)
+{
+  char *argv[ARGUMENTS_MAX + 1] = { NULL };
+  lua_Integer count = luaL_len (lua, 1);
+  pid_t pid;
+
+  luaL_argcheck (lua, count > 0 && count <= ARGUMENTS_MAX, 1, "length");
+  for (lua_Integer i = 0; i < count; i++)
+    {
+      lua_geti (lua, 1, i + 1);
+      argv[i] = (char *)luaL_tolstring (lua, -1, NULL);
+    }
+  pid = process_start (argv, luaL_checkstring (lua, 2));
+  if (pid < 0)
+    return luaL_error (lua, "can't start %s", argv[0]);
+  lua_pushinteger (lua, pid);
+  return 1;
+}
+
+static int
+signal_number (const char *name)
+{
+  static const struct
+  {
+    const char *name;
+    int number;
+  } signals[] = { { "kill", SIGKILL },
+                  { "stop", SIGSTOP },
+                  { "continue", SIGCONT },
+                  { "terminate", SIGTERM },
+                  { "hangup", SIGHUP } };
+
+  for (size_t i = 0; i < sizeof signals / sizeof signals[0]; i++)
+    if (strcmp (signals[i].name, name) == 0)
+      return signals[i].number;
+  return 0;
+}
+
+/* signal (pid, name).  */
+static int
+verb_signal (lua_State *lua)
+{
+  pid_t pid = (pid_t)luaL_checkinteger (lua, 1);
+  int status;
+
+  if (!process_ended (pid, &status))
+    kill (pid, signal_number (luaL_checkstring (lua, 2)));
+  return 0;
+}
+
+/* ended (pid): exit status, or nil while it runs.  */
+static int
+verb_ended (lua_State *lua)
+{
+  int status;
+
+  if (process_ended ((pid_t)luaL_checkinteger (lua, 1), &status))
+    lua_pushinteger (lua, status);
+  else
+    lua_pushnil (lua);
+  return 1;
+}
+
+/* Relays.  */
+
+/* relay (address, target): relay, or nil if the address is taken.  */
+static int
+verb_relay (lua_State *lua)
+{
+  struct relay *made = relay_create (base, luaL_checkstring (lua, 1),
+                                     luaL_checkstring (lua, 2));
+
+  if (made)
+    lua_pushlightuserdata (lua, made);
+  else
+    lua_pushnil (lua);
+  return 1;
+}
+
+/* relay_set (relay, word, milliseconds).  */
+static int
+verb_relay_set (lua_State *lua)
+{
+  static const char *const words[]
+      = { "pass", "hold", "refuse", "silence", "drop", "delay", NULL };
+  struct relay *changed = lua_touserdata (lua, 1);
+  int word = luaL_checkoption (lua, 2, NULL, words);
+
+  if (word == 3)
+    relay_silence (changed);
+  else if (word == 4)
+    relay_drop (changed);
+  else if (word == 5)
+    relay_set_delay (changed, luaL_checkinteger (lua, 3));
+  else if (!relay_set_mode (changed, (enum relay_mode)word))
+    return luaL_error (lua, "a relay can't listen any more");
+  return 0;
+}
+
+/* relay_counts (relay): connections ever made, bytes carried.  */
+static int
+verb_relay_counts (lua_State *lua)
+{
+  const struct relay *asked = lua_touserdata (lua, 1);
+
+  lua_pushinteger (lua, (lua_Integer)relay_connections (asked));
+  lua_pushinteger (lua, (lua_Integer)relay_bytes (asked));
+  return 2;
+}
+
+/* Calls.  */
+
+static const char *
+text_field (lua_State *lua, const char *name, size_t *size)
+{
+  const char *text;
+
+  lua_getfield (lua, 1, name); /* the table keeps it alive */
+  text = lua_tolstring (lua, -1, size);
+  lua_pop (lua, 1);
+  return text;
+}
+
+static size_t
+read_headers (lua_State *lua, struct call_header *headers)
+{
+  size_t count = 0;
+
+  lua_getfield (lua, 1, "headers");
+  if (lua_istable (lua, -1))
+    for (lua_pushnil (lua); lua_next (lua, -2) && count < HEADERS_MAX;
+         lua_pop (lua, 1))
+      headers[count++] = (struct call_header){ lua_tostring (lua, -2),
+                                               lua_tostring (lua, -1) };
+  return count;
+}
+
+/* call {address, method, path, headers, body, timeout}: call; without a
+   method, BODY is sent as it is.  */
+static int
+verb_call (lua_State *lua)
+{
+  struct call_header headers[HEADERS_MAX];
+  struct call_request request = { .headers = headers };
+
+  request.address = text_field (lua, "address", NULL);
+  request.method = text_field (lua, "method", NULL);
+  request.path = text_field (lua, "path", NULL);
+  request.body = text_field (lua, "body", &request.size);
+  luaL_argcheck (lua, request.address, 1, "no address");
+  lua_getfield (lua, 1, "timeout");
+  request.timeout_ms = luaL_optinteger (lua, -1, CALL_TIMEOUT_MS);
+  request.header_count = read_headers (lua, headers);
+  lua_pushlightuserdata (lua, call_start (base, &request));
+  return 1;
+}
+
+/* answer (call): nil while it is open; else whole, status, body.  */
+static int
+verb_answer (lua_State *lua)
+{
+  struct call *asked = lua_touserdata (lua, 1);
+  const char *body;
+  size_t size;
+
+  if (!call_done (asked))
+    return 0;
+  body = call_body (asked, &size);
+  lua_pushboolean (lua, call_whole (asked));
+  lua_pushinteger (lua, call_status (asked));
+  lua_pushlstring (lua, body ? body : "", size);
+  return 3;
+}
+
+/* header (call, name).  */
+static int
+verb_header (lua_State *lua)
+{
+  lua_pushstring (lua, call_header_value (lua_touserdata (lua, 1),
+                                          luaL_checkstring (lua, 2)));
+  return 1;
+}
+
+/* received (call): bytes of the body that have come so far.  */
+static int
+verb_received (lua_State *lua)
+{
+  size_t size;
+
+  call_body (lua_touserdata (lua, 1), &size);
+  lua_pushinteger (lua, (lua_Integer)size);
+  return 1;
+}
+
+/* hang_up (call).  */
+static int
+verb_hang_up (lua_State *lua)
+{
+  call_destroy (lua_touserdata (lua, 1));
+  return 0;
+}
+
+/* Texts.  */
+
+/* digest (method, path, body): what a stand-in calls this request.  */
+static int
+verb_digest (lua_State *lua)
+{
+  char digest[STAND_IN_DIGEST_SIZE];
+  size_t size;
+  const char *body = luaL_checklstring (lua, 3, &size);
+
+  stand_in_digest (digest, luaL_checkstring (lua, 1),
+                   luaL_checkstring (lua, 2), body, size);
+  lua_pushstring (lua, digest);
+  return 1;
+}
+
+/* right_answer (digest, tokens, stream).  */
+static int
+verb_right_answer (lua_State *lua)
+{
+  marjoram_auto_free char *text = stand_in_answer (
+      luaL_checkstring (lua, 1), (int)luaL_checkinteger (lua, 2),
+      lua_toboolean (lua, 3));
+
+  lua_pushstring (lua, text);
+  return 1;
+}
+
+static void push_json (lua_State *lua, json_t *value);
+
+static void
+push_members (lua_State *lua, json_t *value)
+{
+  const char *name;
+  json_t *member;
+  size_t index;
+
+  lua_newtable (lua);
+  json_object_foreach (value, name, member)
+  {
+    push_json (lua, member);
+    lua_setfield (lua, -2, name);
+  }
+  json_array_foreach (value, index, member)
+  {
+    push_json (lua, member);
+    lua_seti (lua, -2, (lua_Integer)index + 1);
+  }
+}
+
+static void
+push_json (lua_State *lua, json_t *value)
+{
+  if (json_is_object (value) || json_is_array (value))
+    push_members (lua, value);
+  else if (json_is_string (value))
+    lua_pushstring (lua, json_string_value (value));
+  else if (json_is_integer (value))
+    lua_pushinteger (lua, json_integer_value (value));
+  else if (json_is_real (value))
+    lua_pushnumber (lua, json_real_value (value));
+  else if (json_is_boolean (value))
+    lua_pushboolean (lua, json_is_true (value));
+  else
+    lua_pushnil (lua);
+}
+
+/* json (text): its value, nil if it is none.  */
+static int
+verb_json (lua_State *lua)
+{
+  json_t *value
+      = json_loads (luaL_checkstring (lua, 1), JSON_DECODE_ANY, NULL);
+
+  push_json (lua, value);
+  json_decref (value);
+  return 1;
+}
+
+/* Time and chance.  */
+
+/* now (): milliseconds.  */
+static int
+verb_now (lua_State *lua)
+{
+  lua_pushinteger (lua, now_ms ());
+  return 1;
+}
+
+static void
+nothing (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  (void)context;
+}
+
+/* turn (milliseconds): lets events happen, one round of them or that long.  */
+static int
+verb_turn (lua_State *lua)
+{
+  int64_t ms = luaL_checkinteger (lua, 1);
+  struct timeval wait = { ms / 1000, ms % 1000 * 1000L };
+
+  event_add (pause_end, &wait);
+  event_base_loop (base, EVLOOP_ONCE);
+  if (now_ms () > limit_ms)
+    return luaL_error (lua, "the scenario took longer than %d s",
+                       LIMIT_MS / 1000);
+  return 0;
+}
+
+/* random (n): 1 to n.  */
+static int
+verb_random (lua_State *lua)
+{
+  lua_pushinteger (lua, 1
+                            + (lua_Integer)marjoram_random_below (
+                                source, (uint32_t)luaL_checkinteger (lua, 1)));
+  return 1;
+}
+
+/* Files.  */
+
+/* make_folder (path).  */
+static int
+verb_make_folder (lua_State *lua)
+{
+  if (mkdir (luaL_checkstring (lua, 1), 0700))
+    return luaL_error (lua, "can't make %s", lua_tostring (lua, 1));
+  return 0;
+}
+
+/* make_private (path): readable by its owner only.  */
+static int
+verb_make_private (lua_State *lua)
+{
+  if (chmod (luaL_checkstring (lua, 1), 0600))
+    return luaL_error (lua, "can't change %s", lua_tostring (lua, 1));
+  return 0;
+}
+
+static int
+remove_one (const char *path, const struct stat *stat, int kind,
+            struct FTW *where)
+{
+  (void)stat;
+  (void)kind;
+  (void)where;
+  return remove (path);
+}
+
+/* remove_all (path): a folder with all that is in it.  */
+static int
+verb_remove_all (lua_State *lua)
+{
+  nftw (luaL_checkstring (lua, 1), remove_one, 16, FTW_DEPTH | FTW_PHYS);
+  return 0;
+}
+
+static const luaL_Reg verbs[] = { { "spawn", verb_spawn },
+                                  { "signal", verb_signal },
+                                  { "ended", verb_ended },
+                                  { "relay", verb_relay },
+                                  { "relay_set", verb_relay_set },
+                                  { "relay_counts", verb_relay_counts },
+                                  { "call", verb_call },
+                                  { "answer", verb_answer },
+                                  { "header", verb_header },
+                                  { "received", verb_received },
+                                  { "hang_up", verb_hang_up },
+                                  { "digest", verb_digest },
+                                  { "right_answer", verb_right_answer },
+                                  { "json", verb_json },
+                                  { "now", verb_now },
+                                  { "turn", verb_turn },
+                                  { "random", verb_random },
+                                  { "make_folder", verb_make_folder },
+                                  { "make_private", verb_make_private },
+                                  { "remove_all", verb_remove_all },
+                                  { NULL, NULL } };
+
+static void
+set_text (lua_State *lua, const char *name, const char *value)
+{
+  lua_pushstring (lua, value);
+  lua_setfield (lua, -2, name);
+}
+
+/* Puts the verbs and what the script has to know into the table "system".  */
+static void
+open_system (lua_State *lua, const char *programs, const char *folder,
+             uint64_t seed)
+{
+  char network[PATH_SIZE];
+  int pid = (int)getpid ();
+
+  /* Each runner has an address of its own, so that any number of them can
+     use the same ports side by side.  */
+  snprintf (network, sizeof network, "127.%d.%d.%d", NETWORK, pid / 250 % 250,
+            1 + pid % 250);
+  luaL_newlib (lua, verbs);
+  set_text (lua, "programs", programs);
+  set_text (lua, "folder", folder);
+  set_text (lua, "address", network);
+  lua_pushinteger (lua, (lua_Integer)seed);
+  lua_setfield (lua, -2, "seed");
+  lua_setglobal (lua, "system");
+}
+
+static int
+with_trace (lua_State *lua)
+{
+  luaL_traceback (lua, lua, lua_tostring (lua, 1), 1);
+  return 1;
+}
+
+static bool
+run_file (lua_State *lua, const char *path)
+{
+  bool good;
+
+  lua_pushcfunction (lua, with_trace);
+  good = luaL_loadfile (lua, path) == LUA_OK
+         && lua_pcall (lua, 0, 0, -2) == LUA_OK;
+  if (!good)
+    fprintf (stderr, "%s\n", lua_tostring (lua, -1));
+  lua_settop (lua, 0);
+  return good;
+}
+
+static bool
+run_scenario (const char *path, const char *programs, const char *folder,
+              uint64_t seed)
+{
+  lua_State *lua = luaL_newstate ();
+  marjoram_auto_free char *copy = marjoram_strdup (path);
+  char prelude[PATH_SIZE];
+  char ending[PATH_SIZE];
+  bool good;
+
+  snprintf (prelude, sizeof prelude, "%s/prelude.lua", dirname (copy));
+  snprintf (ending, sizeof ending, "%s/ending.lua", copy);
+  luaL_openlibs (lua);
+  open_system (lua, programs, folder, seed);
+  good = run_file (lua, prelude) && run_file (lua, path)
+         && run_file (lua, ending);
+  process_kill_all ();
+  lua_close (lua);
+  return good;
+}
+
+static void
+show_logs (const char *folder)
+{
+  fprintf (stderr, "all files of this run: %s\n", folder);
+}
+
+static const struct option long_options[]
+    = { { "seed", required_argument, NULL, 's' },
+        { "keep", no_argument, NULL, 'k' },
+        { NULL, 0, NULL, 0 } };
+
+int
+main (int argc, char **argv)
+{
+  char folder[] = "/tmp/marjoram-scenario-XXXXXX";
+  char programs[PATH_SIZE] = "";
+  uint64_t seed = 1;
+  bool keep = false;
+  bool good;
+  int option;
+
+  while ((option = getopt_long (argc, argv, "", long_options, NULL)) != -1)
+    if (option == 's')
+      seed = strtoull (optarg, NULL, 10);
+    else if (option == 'k')
+      keep = true;
+    else
+      return EXIT_FAILURE;
+  if (optind + 1 != argc || !realpath (argv[0], programs) || !mkdtemp (folder))
+    {
+      fprintf (stderr, "usage: tool_scenario [--seed N] [--keep] FILE\n");
+      return EXIT_FAILURE;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  base = event_base_new ();
+  pause_end = event_new (base, -1, 0, nothing, NULL);
+  source = marjoram_random_create (seed);
+  limit_ms = now_ms () + LIMIT_MS;
+  good = run_scenario (argv[optind], dirname (programs), folder, seed);
+  if (!good || keep)
+    show_logs (folder);
+  else
+    nftw (folder, remove_one, 16, FTW_DEPTH | FTW_PHYS);
+  printf ("%s %s seed %llu\n", good ? "PASS" : "FAIL", argv[optind],
+          (unsigned long long)seed);
+  return good ? EXIT_SUCCESS : EXIT_FAILURE;
+}
