--- a/src/config.h
+++ b/src/config.h
@@ -12,7 +12,13 @@
 
 enum
 {
-  MARJORAM_REGIONS_MAX = 64 /* a set of regions is one bit each */
+  MARJORAM_REGIONS_MAX = 64, /* a set of regions is one bit each */
+  MARJORAM_ZONES_MAX = 256,
+  MARJORAM_SLOTS_MAX = 2048,
+  MARJORAM_WORKS_MAX = 512,
+  MARJORAM_CLASSES_MAX = 64,
+  MARJORAM_CALLERS_MAX = 20000,
+  MARJORAM_RULES_MAX = 64
 };
 
 struct marjoram_region
@@ -58,6 +64,21 @@
   int copies;          /* replicas wanted in each zone */
 };
 
+enum marjoram_class_kind
+{
+  MARJORAM_CLASS_SERVICE,
+  MARJORAM_CLASS_ENGINE
+};
+
+/* What the operators say of the upstreams that run certain works.  */
+struct marjoram_upstream_class
+{
+  char *name;
+  int kind;      /* enum marjoram_class_kind */
+  bool fences;   /* its engines may be trusted to refuse old fences */
+  int max_slots; /* most requests given to one at once; 0: as announced */
+};
+
 struct marjoram_caller
 {
   char *name;
@@ -97,6 +118,12 @@
 int marjoram_config_caller_count (const marjoram_config *config);
 const struct marjoram_caller *
 marjoram_config_caller (const marjoram_config *config, int index);
+/* The class of the upstreams that run WORK, or null.  */
+const struct marjoram_upstream_class *
+marjoram_config_work_class (const marjoram_config *config, int work);
+/* Whether engines that run WORK may be trusted to refuse orders with an old
+   fencing number; they must announce it too.  */
+bool marjoram_config_fences (const marjoram_config *config, int work);
 
 /* Indexes by name (or token), -1 where there is none.  Hashed: they are on
    every request's path.  */
@@ -116,5 +143,7 @@
 /* The regions, a bit each, where CALLER's request for WORK may run.  */
 uint64_t marjoram_config_allowed (const marjoram_config *config, int caller,
                                   int work);
+/* Bytes held, for the page on capacity.  */
+size_t marjoram_config_memory (const marjoram_config *config);
 
 #endif
--- a/src/ini_key.c
+++ b/src/ini_key.c
@@ -273,6 +273,10 @@
       if (read_number (r, true, false, &number))
         *(int64_t *)place = (int64_t)number;
       break;
+    case MARJORAM_INI_COUNT:
+      if (read_number (r, true, false, &number))
+        *(int *)place = (int)number;
+      break;
     case MARJORAM_INI_REAL:
       if (read_number (r, false, false, &number))
         *(double *)place = number;
--- a/src/ini_key.h
+++ b/src/ini_key.h
@@ -17,6 +17,7 @@
   MARJORAM_INI_BOOL,    /* bool, yes or no */
   MARJORAM_INI_SIZE,    /* size_t, suffix k or M */
   MARJORAM_INI_WHOLE,   /* int64_t */
+  MARJORAM_INI_COUNT,   /* int */
   MARJORAM_INI_REAL,    /* double */
   MARJORAM_INI_WORD,    /* int, the index in WORDS */
   MARJORAM_INI_NAMES    /* struct marjoram_names, separated by commas */
