Control task, its client and the operators' tool

Every call is signed with the owner's secret over method, target, slot, time, nonce and body digest; answers are signed over slot, nonce, status and body. The tool asks the host first for its slot and time, so that an operator's wrong clock and a tunnel's address don't matter. Ruled out: signing the Host header (fails through tunnels); the operator's own clock (needs synchronised clocks).

Failures that the guards stop, each tried with the guard off: a recorded drain sent again is taken (replay memory), taken again after a restart (calls from before the start are refused), taken by another host (slot in the proof), and a change whose caller went away is answered into a freed request (close callback).

The control operations have one addition: unproved, for counting.

--- a/src/config_draft.c
+++ b/src/config_draft.c
@@ -1,6 +1,7 @@
 #include "config_draft.h"
 
 #include "cleanup.h"
+#include "config_file.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -14,7 +15,6 @@
 #define DAY_MS 86400000
 #define RATE_MAX 1e9
 #define COPIES_MAX 4096
-#define VERSION_MAX 1e15
 
 static const struct marjoram_ini_key zone_keys[] = {
   { "region", MARJORAM_INI_LABEL, KEY (zone, region), NULL, 0, 0, NULL },
@@ -80,20 +80,6 @@
   { "regions", MARJORAM_INI_NAMES, KEY (rule, regions), NULL, 0, 0, NULL },
 };
 
-/* What stands in the [file] section.  */
-struct file_head
-{
-  char *name;
-  int64_t version;
-};
-
-static const struct marjoram_ini_key file_keys[] = {
-  { "name", MARJORAM_INI_NAME, offsetof (struct file_head, name), NULL, 0, 0,
-    NULL },
-  { "version", MARJORAM_INI_WHOLE, offsetof (struct file_head, version), NULL,
-    1, VERSION_MAX, NULL },
-};
-
 /* Names of regions, zones and slots have no dots, since request keys join them
    with dots to other parts.  */
 static const struct section_kind
@@ -224,30 +210,22 @@
                  const struct marjoram_file *source, marjoram_faults *faults)
 {
   const struct marjoram_ini_section *section = file->sections;
-  struct file_head head = { 0 };
+  marjoram_auto_free char *name = NULL;
+  uint64_t version;
 
-  if (file->section_count == 0 || strcmp (section->kind, "file") != 0)
-    {
-      marjoram_faults_add (faults, file->path, 0,
-                           "doesn't begin with [file]; begin with a section "
-                           "[file] with name and version");
-      return;
-    }
-  marjoram_ini_read (file, section, file_keys, COUNT (file_keys), &head,
-                     faults);
-  if (head.name && strcmp (head.name, source->name) != 0)
+  marjoram_config_file_head (file, &name, &version, faults);
+  if (name && strcmp (name, source->name) != 0)
     marjoram_faults_add (faults, file->path,
                          marjoram_ini_line (section, "name"),
                          "the file says it is \"%s\" but was given as \"%s\"; "
                          "give it under its own name",
-                         head.name, source->name);
-  if (head.version && (uint64_t)head.version != source->version)
+                         name, source->name);
+  if (version && version != source->version)
     marjoram_faults_add (
         faults, file->path, marjoram_ini_line (section, "version"),
-        "the file says version %" PRId64 " but was given as %" PRIu64
+        "the file says version %" PRIu64 " but was given as %" PRIu64
         "; give it with its own version",
-        head.version, source->version);
-  free (head.name);
+        version, source->version);
 }
 
 static void
--- a/src/control.h
+++ b/src/control.h
@@ -42,6 +42,8 @@
   void (*replace) (void *context, uint64_t request, const char *change_id,
                    const char *old, const char *new);
   void (*drain) (void *context);
+  /* A call without a good proof was refused, for counting; may be null.  */
+  void (*unproved) (void *context);
 };
 
 /* Listens on SETTINGS' control address; null with ERR set if it can't.  */
--- /dev/null
+++ b/src/control_proof.h
@@ -0,0 +1,53 @@
+/* Proofs of control calls and their answers by the owner's secret, the same
+   for the daemon and the operators' tool.  */
+#ifndef MARJORAM_CONTROL_PROOF_H
+#define MARJORAM_CONTROL_PROOF_H
+
+#include "replay.h"
+#include "secret.h"
+
+#include <stdbool.h>
+
+#define MARJORAM_CONTROL_TIME "Marjoram-Time"
+#define MARJORAM_CONTROL_NONCE "Marjoram-Nonce"
+#define MARJORAM_CONTROL_PROOF "Marjoram-Proof"
+#define MARJORAM_CONTROL_HELLO "/control/hello"
+
+enum
+{
+  MARJORAM_PROOF_TEXT = 2 * MARJORAM_PROOF_SIZE /* hex digits */
+};
+
+struct marjoram_control_call
+{
+  const char *method;
+  const char *target; /* path and query, as sent */
+  const char *slot;   /* of the host that is called: no other takes it */
+  int64_t sent;       /* by that host's wall clock, milliseconds */
+  const char *nonce;
+  const void *body;
+  size_t size;
+};
+
+struct marjoram_control_reply
+{
+  const char *slot;
+  const char *nonce; /* of the call that it answers */
+  int status;        /* HTTP */
+  const void *body;
+  size_t size;
+};
+
+/* PROOF gets MARJORAM_PROOF_TEXT digits and a NUL.  */
+void marjoram_control_call_prove (const char *secret,
+                                  const struct marjoram_control_call *call,
+                                  char proof[MARJORAM_PROOF_TEXT + 1]);
+void marjoram_control_reply_prove (const char *secret,
+                                   const struct marjoram_control_reply *reply,
+                                   char proof[MARJORAM_PROOF_TEXT + 1]);
+/* Compares two proofs in constant time; GIVEN may be null or malformed.  */
+bool marjoram_control_proof_equal (const char *given, const char *expected);
+bool marjoram_control_nonce_valid (const char *nonce);
+void marjoram_control_nonce_make (char nonce[MARJORAM_NONCE_TEXT + 1]);
+
+#endif
--- /dev/null
+++ b/src/version.c
@@ -0,0 +1,7 @@
+#include "marjoram.h"
+
+const char *
+marjoram_version (void)
+{
+  return MARJORAM_VERSION;
+}
--- /dev/null
+++ b/test/test_control.c
@@ -0,0 +1,605 @@
+/* The operators' interface: the tool's commands against a daemon's control
+   task whose host is a fake, and calls that have to be refused.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "config_file.h"
+#include "control.h"
+#include "control_proof.h"
+#include "ctl.h"
+
+#include <arpa/inet.h>
+#include <event2/thread.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define ADDRESS "127.4.0.9:7901"
+#define SECRET "0123456789abcdef0123456789abcdef"
+
+enum
+{
+  PORT = 7901,
+  START_WALL = 1000000
+};
+
+/* The host behind the control task.  */
+static struct
+{
+  struct marjoram_clock clock;
+  int64_t wall;
+  struct event_base *base;
+  marjoram_control *control;
+  pthread_t thread;
+  struct marjoram_state *state;
+  int applies;
+  int drains;
+  int unproved;
+  uint64_t silent; /* the request that is not answered yet */
+  char seen[256];  /* what the last operation got */
+} host;
+
+static struct timespec
+fake_time (struct marjoram_clock *clock)
+{
+  (void)clock;
+  return (struct timespec){ .tv_sec = host.wall / 1000,
+                            .tv_nsec = host.wall % 1000 * 1000000 };
+}
+
+static json_t *
+fake_status (void *context)
+{
+  (void)context;
+  return json_pack ("{sssIs[{sssb}{sssb}]}", "slot", "ba-1-a", "config_number",
+                    (json_int_t)7, "hosts", "slot", "ba-1-b", "alive", 1,
+                    "slot", "ba-1-c", "alive", 0);
+}
+
+static json_t *
+fake_upstreams (void *context)
+{
+  (void)context;
+  return json_pack ("{s[{sss[ss]}]}", "upstreams", "name", "lm-1", "works",
+                    "chat", "sum");
+}
+
+static json_t *
+fake_explain (void *context, const struct marjoram_explain_query *query)
+{
+  (void)context;
+  snprintf (host.seen, sizeof host.seen, "%s %s %s %" PRId64 " %" PRIu64,
+            query->caller, query->work, query->class, query->deadline_ms,
+            query->prompt_tokens);
+  return json_pack ("{ss}", "choice", host.seen);
+}
+
+static const struct marjoram_state *
+fake_state (void *context)
+{
+  (void)context;
+  return host.state;
+}
+
+static char *
+fake_counters (void *context)
+{
+  (void)context;
+  return marjoram_strdup ("marjoram_requests_total 5\n");
+}
+
+/* The change's id says how it ends.  */
+static void
+end_change (uint64_t request, const char *id)
+{
+  static const char *const words[]
+      = { "accepted", "same", "conflict", "stale", "invalid" };
+  struct marjoram_apply_answer answer
+      = { .number = 8, .version = 3, .digest = "d1", .message = "as told" };
+
+  if (strcmp (id, "silent") == 0)
+    {
+      host.silent = request;
+      return;
+    }
+  answer.outcome = strcmp (id, "unknown") == 0   ? MARJORAM_APPLY_UNKNOWN
+                   : strcmp (id, "not-run") == 0 ? MARJORAM_APPLY_NOT_RUN
+                                                 : MARJORAM_APPLY_DECIDED;
+  for (int i = 0; i < 5; i++)
+    if (strcmp (id, words[i]) == 0)
+      answer.result = (enum marjoram_change_result)i;
+  marjoram_control_answer (host.control, request, &answer);
+}
+
+static void
+fake_apply (void *context, uint64_t request, const char *change_id,
+            const struct marjoram_file *file)
+{
+  (void)context;
+  host.applies++;
+  snprintf (host.seen, sizeof host.seen, "%s %s %" PRIu64 " %s", change_id,
+            file->name, file->version, file->digest);
+  end_change (request, change_id);
+}
+
+static void
+fake_replace (void *context, uint64_t request, const char *change_id,
+              const char *old, const char *new)
+{
+  (void)context;
+  snprintf (host.seen, sizeof host.seen, "%s %s %s", change_id, old, new);
+  end_change (request, change_id);
+}
+
+static void
+fake_drain (void *context)
+{
+  (void)context;
+  host.drains++;
+}
+
+static void
+fake_unproved (void *context)
+{
+  (void)context;
+  host.unproved++;
+}
+
+static const struct marjoram_control_ops ops
+    = { fake_status, fake_upstreams, fake_explain, fake_state,   fake_counters,
+        fake_apply,  fake_replace,   fake_drain,   fake_unproved };
+
+static void *
+run_host (void *base)
+{
+  event_base_loop (base, EVLOOP_NO_EXIT_ON_EMPTY);
+  return NULL;
+}
+
+static void
+start_host (void)
+{
+  static const struct marjoram_clock_ops clock_ops = { fake_time, fake_time };
+  static char slot[] = "ba-1-a";
+  static char secret[] = SECRET;
+  static char address[] = ADDRESS;
+  struct marjoram_settings settings
+      = { .slot = slot, .secret = secret, .control_address = address };
+  struct marjoram_error err = { 0 };
+
+  host.clock.ops = &clock_ops;
+  host.base = event_base_new ();
+  host.control = marjoram_control_create (host.base, &host.clock, &settings,
+                                          &ops, NULL, &err);
+  ck_assert_msg (host.control != NULL, "%s", err.message);
+  pthread_create (&host.thread, NULL, run_host, host.base);
+}
+
+static void
+stop_host (void)
+{
+  event_base_loopexit (host.base, NULL);
+  pthread_join (host.thread, NULL);
+  marjoram_control_destroy (host.control);
+  event_base_free (host.base);
+}
+
+#define SITES                                                                 \
+  "[file]\nname = sites\nversion = 2\n[cluster t]\n[region r]\n[zone z]\n"    \
+  "region = r\n[slot z-a]\nzone = z\npeer = 127.4.0.1:1\n"                    \
+  "entry = 127.4.0.1:2\n"
+
+static char folder[64];
+static char secret_path[96];
+static char other_secret[96];
+static char good_path[96];
+static char bad_path[96];
+
+static void
+write_file (char path[96], const char *name, const char *text)
+{
+  FILE *out;
+
+  snprintf (path, 96, "%s/%s", folder, name);
+  out = fopen (path, "w");
+  ck_assert_ptr_nonnull (out);
+  fputs (text, out);
+  fclose (out);
+}
+
+static void
+setup (void)
+{
+  struct marjoram_file file = { 0 };
+
+  evthread_use_pthreads ();
+  marjoram_log_set_level (MARJORAM_LOG_ERROR);
+  memset (&host, 0, sizeof host);
+  host.wall = START_WALL;
+  host.state = marjoram_state_copy (NULL);
+  ck_assert (
+      marjoram_config_file_parse ("", SITES, strlen (SITES), &file, NULL));
+  marjoram_state_set_file (host.state, &file);
+  marjoram_wire_clear (&marjoram_file_layout, &file);
+  snprintf (folder, sizeof folder, "/tmp/marjoram-control-XXXXXX");
+  ck_assert_ptr_nonnull (mkdtemp (folder));
+  umask (077);
+  write_file (secret_path, "secret", SECRET "\n");
+  write_file (other_secret, "other", "another secret of thirty-two bytes\n");
+  write_file (good_path, "callers.ini",
+              "[file]\nname = callers\nversion = 3\n[caller x]\n"
+              "token = 0123456789abcdef\nhome = r\nrate = 1\n");
+  write_file (bad_path, "bad.ini",
+              "[file]\nname = callers\nversion = 4\n[caller x]\n"
+              "token = 0123456789abcdef\nhome = nowhere\nrate = 1\n");
+  start_host ();
+}
+
+static void
+teardown (void)
+{
+  const char *const paths[]
+      = { secret_path, other_secret, good_path, bad_path };
+
+  stop_host ();
+  marjoram_state_destroy (host.state);
+  for (size_t i = 0; i < sizeof paths / sizeof *paths; i++)
+    unlink (paths[i]);
+  rmdir (folder);
+}
+
+static struct marjoram_ctl_options
+default_options (void)
+{
+  return (struct marjoram_ctl_options){ .hosts = { ADDRESS },
+                                        .host_count = 1,
+                                        .secret_file = secret_path,
+                                        .timeout_ms = 20000,
+                                        .class = "interactive",
+                                        .deadline_ms = "500",
+                                        .prompt_tokens = "9",
+                                        .caller = "a b&c",
+                                        .work = "chat" };
+}
+
+/* Runs one command of at most two operands; TEXT gets what it printed.  */
+static enum marjoram_ctl_status
+run_command (const struct marjoram_ctl_options *options, const char *command,
+             const char *first, const char *second, char **text)
+{
+  char *args[] = { (char *)command, (char *)first, (char *)second, NULL };
+  size_t size;
+  FILE *out = open_memstream (text, &size);
+  enum marjoram_ctl_status status = marjoram_ctl_run (
+      options, 1 + (first != NULL) + (second != NULL), args, out, out);
+
+  fclose (out);
+  return status;
+}
+
+static const struct
+{
+  const char *command;
+  const char *operand; /* "good" and "bad" stand for the files */
+  const char *second;
+  const char *change_id;
+  enum marjoram_ctl_status status;
+  const char *words;
+  const char *seen;
+} runs[] = {
+  { "status", 0, 0, 0, 0, "hosts:\n  slot    alive\n  ba-1-b  yes\n", 0 },
+  { "upstreams", 0, 0, 0, 0, "lm-1  chat,sum", 0 },
+  { "counters", 0, 0, 0, 0, "marjoram_requests_total 5\n", 0 },
+  { "explain", 0, 0, 0, 0, "choice: a b&c chat",
+    "a b&c chat interactive 500 9" },
+  { "drain", 0, 0, 0, 0, "draining: yes", 0 },
+  { "diff", "good", 0, 0, 0, "+   token = (not shown)\n+   home = r", 0 },
+  { "diff", "bad", 0, 0, MARJORAM_CTL_REFUSED, "callers:4: home of \"x\"", 0 },
+  { "apply", "good", 0, "accepted", 0, "result: accepted",
+    "accepted callers 3" },
+  { "apply", "good", 0, "same", 0, "result: same", 0 },
+  { "apply", "good", 0, "conflict", MARJORAM_CTL_REFUSED, "digest: d1", 0 },
+  { "apply", "good", 0, "stale", MARJORAM_CTL_REFUSED, "stale", 0 },
+  { "apply", "bad", 0, "invalid", MARJORAM_CTL_REFUSED, "callers:4: home of",
+    0 },
+  { "apply", "good", 0, "not-run", MARJORAM_CTL_NOT_RUN, "not-run", 0 },
+  { "apply", "good", 0, "unknown", MARJORAM_CTL_UNKNOWN,
+    "again with --change-id unknown", 0 },
+  { "replace-keeper", "ba-1-a", "ba-1-b", "accepted", 0, "accepted",
+    "accepted ba-1-a ba-1-b" },
+  { "replace-keeper", "ba 1", "b", 0, MARJORAM_CTL_USAGE, "two slots", 0 },
+  { "check", "good", 0, 0, MARJORAM_CTL_REFUSED,
+    "/callers.ini:4: home of \"x\" names region \"r\"", 0 },
+  { "check", "none", 0, 0, MARJORAM_CTL_REFUSED, "can't open none", 0 },
+  { "apply", "none", 0, 0, MARJORAM_CTL_REFUSED, "can't open none", 0 },
+  { "apply", 0, 0, 0, MARJORAM_CTL_USAGE, "usage: marjoramctl", 0 },
+  { "dance", 0, 0, 0, MARJORAM_CTL_USAGE, "no such command", 0 },
+};
+
+START_TEST (runs_commands)
+{
+  struct marjoram_ctl_options options = default_options ();
+  const char *operand = runs[_i].operand;
+  marjoram_auto_free char *text = NULL;
+  enum marjoram_ctl_status status;
+
+  if (operand && strcmp (operand, "good") == 0)
+    operand = good_path;
+  else if (operand && strcmp (operand, "bad") == 0)
+    operand = bad_path;
+  options.change_id = runs[_i].change_id;
+  status = run_command (&options, runs[_i].command, operand, runs[_i].second,
+                        &text);
+  ck_assert_msg (status == runs[_i].status, "status %d: %s", (int)status,
+                 text);
+  ck_assert_msg (strstr (text, runs[_i].words) != NULL, "got %s", text);
+  if (runs[_i].seen)
+    ck_assert_int_eq (
+        strncmp (host.seen, runs[_i].seen, strlen (runs[_i].seen)), 0);
+}
+END_TEST
+
+START_TEST (prints_json_and_makes_ids)
+{
+  struct marjoram_ctl_options options = default_options ();
+  marjoram_auto_free char *text = NULL;
+  marjoram_auto_free char *again = NULL;
+  json_t *object;
+
+  options.json = true;
+  ck_assert_int_eq (run_command (&options, "status", NULL, NULL, &text), 0);
+  object = json_loads (text, 0, NULL);
+  ck_assert_int_eq (
+      json_integer_value (json_object_get (object, "config_number")), 7);
+  json_decref (object);
+  ck_assert_int_eq (run_command (&options, "apply", good_path, NULL, &again),
+                    0);
+  ck_assert_int_eq (strncmp (again, "change id: ", 11), 0);
+  ck_assert_int_eq (strncmp (again + 11, host.seen, MARJORAM_NONCE_TEXT), 0);
+}
+END_TEST
+
+/* Only a host that was surely not asked may be followed by the next: a second
+   host asked after a lost answer could run the command twice.  */
+START_TEST (tries_next_host_only_if_none_was_asked)
+{
+  struct marjoram_ctl_options options = default_options ();
+  marjoram_auto_free char *text = NULL;
+  marjoram_auto_free char *lost = NULL;
+  marjoram_auto_free char *none = NULL;
+
+  options.host_count = 2;
+  options.hosts[0] = "127.4.0.9:7999";
+  options.hosts[1] = ADDRESS;
+  options.change_id = "accepted";
+  ck_assert_int_eq (run_command (&options, "apply", good_path, NULL, &text),
+                    MARJORAM_CTL_DONE);
+  ck_assert_ptr_nonnull (strstr (text, "no answer from 127.4.0.9:7999"));
+  options.hosts[0] = ADDRESS;
+  options.change_id = "silent";
+  options.timeout_ms = 300;
+  host.applies = 0;
+  ck_assert_int_eq (run_command (&options, "apply", good_path, NULL, &lost),
+                    MARJORAM_CTL_UNKNOWN);
+  ck_assert_ptr_nonnull (strstr (lost, "again with --change-id silent"));
+  ck_assert_int_eq (host.applies, 1);
+  options.host_count = 1;
+  options.hosts[0] = "127.4.0.9:7999";
+  ck_assert_int_eq (run_command (&options, "apply", good_path, NULL, &none),
+                    MARJORAM_CTL_UNREACHABLE);
+}
+END_TEST
+
+START_TEST (refuses_another_secret)
+{
+  struct marjoram_ctl_options options = default_options ();
+  marjoram_auto_free char *text = NULL;
+
+  options.secret_file = other_secret;
+  ck_assert_int_eq (run_command (&options, "drain", NULL, NULL, &text),
+                    MARJORAM_CTL_UNREACHABLE);
+  ck_assert_ptr_nonnull (strstr (text, "doesn't prove"));
+  ck_assert_int_eq (host.drains, 0);
+}
+END_TEST
+
+/* Sends TEXT as it is and returns the status of the answer, 0 if none.  */
+static int
+send_raw (const char *text, bool wait)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET,
+          .sin_port = htons (PORT),
+          .sin_addr = { .s_addr = inet_addr ("127.4.0.9") } };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  char answer[512] = "";
+  int status = 0;
+
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&address, sizeof address),
+                    0);
+  ck_assert_int_eq (send (fd, text, strlen (text), 0), (ssize_t)strlen (text));
+  if (wait && recv (fd, answer, sizeof answer - 1, 0) > 0)
+    sscanf (answer, "HTTP/1.1 %d", &status);
+  close (fd);
+  return status;
+}
+
+/* A drain signed for SLOT at TIME, as it goes over the wire.  */
+static void
+sign_drain (char text[512], const char *slot, int64_t time, const char *nonce)
+{
+  struct marjoram_control_call call = { .method = "POST",
+                                        .target = "/control/drain",
+                                        .slot = slot,
+                                        .sent = time,
+                                        .nonce = nonce,
+                                        .body = "" };
+  char proof[MARJORAM_PROOF_TEXT + 1];
+
+  marjoram_control_call_prove (SECRET, &call, proof);
+  snprintf (text, 512,
+            "POST /control/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+            "Marjoram-Time: %" PRId64 "\r\nMarjoram-Nonce: %s\r\n"
+            "Marjoram-Proof: %s\r\n\r\n",
+            time, nonce, proof);
+}
+
+#define NONCE "00112233445566778899aabbccddee0"
+
+/* Someone on the path records a drain and sends it again, at once, to another
+   host, or after the host was restarted: it would be stopped again, and again.
+   Without a proof at all, anyone who reaches the port would stop it.  */
+START_TEST (runs_no_recorded_or_unsigned_call)
+{
+  char text[512];
+
+  ck_assert_int_eq (send_raw ("POST /control/drain HTTP/1.1\r\nHost: x\r\n"
+                              "Content-Length: 0\r\nMarjoram-Nonce: " NONCE
+                              "0\r\nMarjoram-Time: 1000000\r\n\r\n",
+                              true),
+                    401);
+  ck_assert_int_eq (host.unproved, 1);
+  sign_drain (text, "ba-1-b", START_WALL, NONCE "1");
+  ck_assert_int_eq (send_raw (text, true), 401);
+  sign_drain (text, "ba-1-a", START_WALL, NONCE "2");
+  ck_assert_int_eq (host.drains, 0);
+  ck_assert_int_eq (send_raw (text, true), 200);
+  ck_assert_int_eq (send_raw (text, true), 401);
+  ck_assert_int_eq (host.drains, 1);
+  stop_host ();
+  host.wall += 1;
+  start_host ();
+  ck_assert_int_eq (send_raw (text, true), 401);
+  sign_drain (text, "ba-1-a", host.wall, NONCE "3");
+  host.wall += MARJORAM_REPLAY_WINDOW_MS + 1;
+  ck_assert_int_eq (send_raw (text, true), 401);
+  ck_assert_int_eq (host.drains, 1);
+}
+END_TEST
+
+START_TEST (answers_bad_calls)
+{
+  static const struct
+  {
+    const char *text;
+    int status;
+  } calls[] = {
+    { "GET /control/status HTTP/1.1\r\nHost: x\r\n\r\n", 400 },
+    { "GET /control/nothing HTTP/1.1\r\nHost: x\r\nMarjoram-Nonce: " NONCE
+      "0\r\n\r\n",
+      404 },
+    { "GET /control/status?%zz HTTP/1.1\r\nHost: x\r\nMarjoram-Nonce: " NONCE
+      "0\r\n\r\n",
+      401 },
+    { "PUT /control/status HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n",
+      501 },
+    { "nonsense\r\n\r\n", 400 },
+  };
+
+  for (size_t i = 0; i < sizeof calls / sizeof *calls; i++)
+    {
+      int status = send_raw (calls[i].text, true);
+
+      ck_assert_msg (status == calls[i].status, "%s got %d", calls[i].text,
+                     status);
+    }
+}
+END_TEST
+
+/* An operator gives up on an apply (the terminal is closed) and the answer
+   comes afterwards: the daemon may not answer into a connection that is gone.
+ */
+START_TEST (survives_a_caller_that_went_away)
+{
+  struct marjoram_ctl_options options = default_options ();
+  marjoram_auto_free char *lost = NULL;
+  marjoram_auto_free char *text = NULL;
+
+  options.change_id = "silent";
+  options.timeout_ms = 200;
+  ck_assert_int_eq (run_command (&options, "apply", good_path, NULL, &lost),
+                    MARJORAM_CTL_UNKNOWN);
+  stop_host ();
+  start_host ();
+  ck_assert_int_eq (run_command (&options, "apply", good_path, NULL, &text),
+                    MARJORAM_CTL_UNKNOWN);
+  event_base_loopexit (host.base, NULL);
+  pthread_join (host.thread, NULL);
+  end_change (host.silent, "accepted");
+  end_change (host.silent, "accepted");
+  pthread_create (&host.thread, NULL, run_host, host.base);
+  free (text);
+  options.timeout_ms = 20000;
+  ck_assert_int_eq (run_command (&options, "status", NULL, NULL, &text), 0);
+}
+END_TEST
+
+START_TEST (takes_each_call_once)
+{
+  marjoram_replays *replays = marjoram_replays_create (START_WALL);
+  const int64_t window = MARJORAM_REPLAY_WINDOW_MS;
+  const struct
+  {
+    int64_t wall;
+    int64_t sent;
+    const char *nonce;
+    enum marjoram_replay_verdict verdict;
+  } calls[] = {
+    { 0, -1, NONCE "0", MARJORAM_REPLAY_OLD },
+    { 0, window + 1, NONCE "0", MARJORAM_REPLAY_EARLY },
+    { 0, window, NONCE "0", MARJORAM_REPLAY_FRESH },
+    { 0, window, NONCE "0", MARJORAM_REPLAY_AGAIN },
+    { 2 * window, window, NONCE "0", MARJORAM_REPLAY_AGAIN },
+    { 2 * window + 1, window, NONCE "0", MARJORAM_REPLAY_OLD },
+    { 2 * window + 1, window + 1, NONCE "1", MARJORAM_REPLAY_FRESH },
+    /* The clock is set back: what was forgotten must not be fresh again.  */
+    { 0, window, NONCE "0", MARJORAM_REPLAY_OLD },
+  };
+
+  for (size_t i = 0; i < sizeof calls / sizeof *calls; i++)
+    ck_assert_msg (marjoram_replays_take (replays, START_WALL + calls[i].wall,
+                                          START_WALL + calls[i].sent,
+                                          calls[i].nonce)
+                       == calls[i].verdict,
+                   "call %zu", i);
+  ck_assert_uint_eq (marjoram_replays_count (replays), 1);
+  marjoram_replays_destroy (replays);
+}
+END_TEST
+
+START_TEST (shows_differences_without_tokens)
+{
+  marjoram_auto_free char *text = marjoram_config_file_diff (
+      "[caller x]\ntoken = old\nrate = 1\n[caller y]\nrate = 2\n",
+      "[region r]\n[caller x]\nrate = 3\ntoken = new\nburst = 4\n");
+
+  ck_assert_str_eq (text, "  [caller x]\n-   token = (not shown)\n"
+                          "-   rate = 1\n+   rate = 3\n"
+                          "+   token = (not shown)\n+   burst = 4\n"
+                          "- [caller y]\n-   rate = 2\n+ [region r]\n");
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("control");
+  TCase *c = tcase_create ("control");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_loop_test (c, runs_commands, 0, sizeof runs / sizeof *runs);
+  tcase_add_test (c, prints_json_and_makes_ids);
+  tcase_add_test (c, tries_next_host_only_if_none_was_asked);
+  tcase_add_test (c, refuses_another_secret);
+  tcase_add_test (c, runs_no_recorded_or_unsigned_call);
+  tcase_add_test (c, answers_bad_calls);
+  tcase_add_test (c, survives_a_caller_that_went_away);
+  tcase_add_test (c, takes_each_call_once);
+  tcase_add_test (c, shows_differences_without_tokens);
+  suite_add_tcase (s, c);
+  return s;
+}
