Both deployments in examples/ at their sizes, public header and its test

The examples are loaded through the public header and the tool's check: nine slots, three keepers, nine and twelve model replicas, three service replicas, and a bound caller that may not run where its rule forbids.

--- /dev/null
+++ b/api_test/api_test_marjoram.c
@@ -0,0 +1,190 @@
+/* The public header, through the deployments in examples/: their settings and
+   files load, and have the sizes that they are meant to have.  */
+#include "suite.h"
+
+#include "marjoram.h"
+
+#include "cleanup.h"
+
+#include <string.h>
+#include <unistd.h>
+
+static const struct
+{
+  const char *folder;
+  const char *host;
+  const char *model;
+  int model_replicas;
+  const char *service;
+  int service_replicas;
+  const char *bound_caller;
+  const char *bound_work;
+  const char *forbidden;
+} deployments[] = {
+  { "examples/tatranska", "ba-1-a", "izba-lm", 9, "board", 3, "board-kosice",
+    "board", "bratislava" },
+  { "examples/huon", "hba-1-a", "recipe-lm", 12, "panel", 3, "panels-hobart",
+    "panel", "melbourne" },
+};
+
+static const char *const file_names[] = { "sites", "works", "callers" };
+
+enum
+{
+  FILE_COUNT = 3
+};
+
+static struct marjoram_state *
+load_state (const char *folder)
+{
+  struct marjoram_state *state = marjoram_state_copy (NULL);
+
+  for (int i = 0; i < FILE_COUNT; i++)
+    {
+      char path[128];
+      struct marjoram_file file = { 0 };
+      struct marjoram_error err = { 0 };
+
+      snprintf (path, sizeof path, "%s/%s.ini", folder, file_names[i]);
+      ck_assert_msg (marjoram_config_file_load (path, &file, &err), "%s",
+                     err.message);
+      ck_assert_str_eq (file.name, file_names[i]);
+      marjoram_state_set_file (state, &file);
+      marjoram_wire_clear (&marjoram_file_layout, &file);
+    }
+  return state;
+}
+
+START_TEST (example_files_have_their_sizes)
+{
+  struct marjoram_state *state = load_state (deployments[_i].folder);
+  struct marjoram_error err = { 0 };
+  marjoram_config *config = marjoram_config_create (state, NULL, &err);
+  int keepers = 0;
+  int model;
+  int service;
+
+  ck_assert_msg (config != NULL, "%s", err.message);
+  ck_assert_int_eq (marjoram_config_region_count (config), 3);
+  ck_assert_int_eq (marjoram_config_zone_count (config), 3);
+  ck_assert_int_eq (marjoram_config_slot_count (config), 9);
+  for (int i = 0; i < 9; i++)
+    keepers += marjoram_config_slot (config, i)->keeper;
+  ck_assert_int_eq (keepers, 3);
+  model = marjoram_config_find_work (config, deployments[_i].model);
+  service = marjoram_config_find_work (config, deployments[_i].service);
+  ck_assert_int_eq (3 * marjoram_config_work (config, model)->copies,
+                    deployments[_i].model_replicas);
+  ck_assert_int_eq (3 * marjoram_config_work (config, service)->copies,
+                    deployments[_i].service_replicas);
+  ck_assert_uint_eq (
+      marjoram_config_allowed (
+          config,
+          marjoram_config_find_caller_name (config,
+                                            deployments[_i].bound_caller),
+          marjoram_config_find_work (config, deployments[_i].bound_work))
+              >> marjoram_config_find_region (config,
+                                              deployments[_i].forbidden)
+          & 1,
+      0);
+  marjoram_config_release (config);
+  marjoram_state_destroy (state);
+}
+END_TEST
+
+START_TEST (example_files_pass_the_tool)
+{
+  const struct marjoram_ctl_options options = { 0 };
+  char paths[FILE_COUNT][128];
+  char *args[1 + FILE_COUNT] = { (char *)"check" };
+  char *text = NULL;
+  size_t size;
+  FILE *out = open_memstream (&text, &size);
+
+  for (int i = 0; i < FILE_COUNT; i++)
+    {
+      snprintf (paths[i], sizeof paths[i], "%s/%s.ini", deployments[_i].folder,
+                file_names[i]);
+      args[i + 1] = paths[i];
+    }
+  ck_assert_int_eq (
+      marjoram_ctl_run (&options, 1 + FILE_COUNT, args, out, out),
+      MARJORAM_CTL_DONE);
+  fclose (out);
+  ck_assert_ptr_nonnull (strstr (text, "valid: yes"));
+  ck_assert_ptr_nonnull (strstr (text, "slots: 9"));
+  free (text);
+}
+END_TEST
+
+/* Copies PATH to COPY with the secret's place changed, as each installation
+   does.  */
+static void
+install_settings (const char *path, const char *copy, const char *secret)
+{
+  FILE *in = fopen (path, "r");
+  FILE *out = fopen (copy, "w");
+  char line[256];
+
+  ck_assert_ptr_nonnull (in);
+  ck_assert_ptr_nonnull (out);
+  while (fgets (line, sizeof line, in))
+    if (strncmp (line, "secret_file", 11) == 0)
+      fprintf (out, "secret_file = %s\n", secret);
+    else
+      fputs (line, out);
+  fclose (in);
+  fclose (out);
+}
+
+START_TEST (example_settings_load)
+{
+  char folder[64] = "/tmp/marjoram-api-XXXXXX";
+  char path[128];
+  char copy[128];
+  char secret[128];
+  char *args[] = { (char *)"new-secret", secret };
+  const struct marjoram_ctl_options options = { 0 };
+  marjoram_auto_free char *faults = NULL;
+  struct marjoram_settings *settings;
+  FILE *out = fopen ("/dev/null", "w");
+
+  ck_assert_ptr_nonnull (mkdtemp (folder));
+  snprintf (path, sizeof path, "%s/%s.ini", deployments[_i].folder,
+            deployments[_i].host);
+  snprintf (copy, sizeof copy, "%s/host.ini", folder);
+  snprintf (secret, sizeof secret, "%s/secret", folder);
+  ck_assert_int_eq (marjoram_ctl_run (&options, 2, args, out, out), 0);
+  fclose (out);
+  install_settings (path, copy, secret);
+  settings = marjoram_settings_load (copy, &faults, NULL);
+  ck_assert_msg (settings != NULL, "%s", faults);
+  ck_assert_str_eq (settings->slot, deployments[_i].host);
+  ck_assert (settings->keeper);
+  ck_assert_uint_eq (settings->first_keeper_count, 3);
+  marjoram_settings_destroy (settings);
+  unlink (copy);
+  unlink (secret);
+  rmdir (folder);
+}
+END_TEST
+
+START_TEST (tells_its_version)
+{
+  ck_assert_str_eq (marjoram_version (), MARJORAM_VERSION);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("marjoram");
+  TCase *c = tcase_create ("marjoram");
+
+  tcase_add_loop_test (c, example_files_have_their_sizes, 0, 2);
+  tcase_add_loop_test (c, example_files_pass_the_tool, 0, 2);
+  tcase_add_loop_test (c, example_settings_load, 0, 2);
+  tcase_add_test (c, tells_its_version);
+  suite_add_tcase (s, c);
+  return s;
+}
