Wire: read empty strings without touching a null pointer

Cause: msgpack-c returns a null pointer for a string of length 0, which went to memchr and memcpy; undefined, and UBSan ends the process. Ruled out the packing side, which packs an empty string rightly.

--- a/src/wire.c
+++ b/src/wire.c
@@ -138,11 +138,16 @@
     return wrong ("type", err);
   if (object->via.str.size > field->limit)
     return wrong ("size", err);
-  /* A NUL inside would make the text read shorter than it was sent.  */
-  if (memchr (object->via.str.ptr, 0, object->via.str.size))
-    return wrong ("characters", err);
   text = marjoram_alloc (object->via.str.size + 1);
-  memcpy (text, object->via.str.ptr, object->via.str.size);
+  /* msgpack-c gives an empty string a null pointer.  */
+  if (object->via.str.size)
+    memcpy (text, object->via.str.ptr, object->via.str.size);
+  /* A NUL inside would make the text read shorter than it was sent.  */
+  if (strlen (text) != object->via.str.size)
+    {
+      free (text);
+      return wrong ("characters", err);
+    }
   *(char **)place = text;
   return true;
 }
