--- a/test/test_claim.c
+++ b/test/test_claim.c
@@ -15,6 +15,7 @@
   BAG_MAX = 4096,
   ATTEMPTS_MAX = 64,
   KEYS = 2,
+  SEEDS = 200,
   TIMEOUT_MS = 1000,
   REPLAY_MS = 60000,
   RETENTION_MS = 24 * 3600 * 1000,
@@ -350,6 +351,155 @@
 }
 END_TEST
 
+/* What a seeded schedule may do.  */
+struct schedule
+{
+  int hosts;
+  int attempts;
+  int restarts;
+  int steps;
+  int withdrawals; /* in percent of the chances */
+};
+
+static int
+pick (marjoram_random *random, int limit)
+{
+  return (int)marjoram_random_below (random, (uint32_t)limit);
+}
+
+static void
+random_letter (struct zone *zone, marjoram_random *random)
+{
+  int fate = pick (random, 100);
+  int index;
+
+  if (zone->letters == 0)
+    return;
+  index = pick (random, zone->letters);
+  if (fate < 8)
+    take_out (zone, index);
+  else if (fate < 25)
+    show (zone, index);
+  else
+    deliver (zone, index);
+}
+
+static void
+random_event (struct zone *zone, marjoram_random *random,
+              const struct schedule *schedule, int *restarts)
+{
+  int chance = pick (random, 100);
+  int host = pick (random, zone->count);
+
+  if (chance < 62)
+    random_letter (zone, random);
+  else if (chance < 74)
+    tick (zone, host);
+  else if (chance < 80)
+    zone->now += pick (random, 100);
+  else if (chance < 88 && zone->attempt_count < schedule->attempts)
+    acquire (zone, host, pick (random, KEYS));
+  else if (chance < 92 && *restarts < schedule->restarts)
+    {
+      ++*restarts;
+      restart (zone, host);
+    }
+  else if (zone->attempt_count > 0)
+    {
+      int number = pick (random, zone->attempt_count);
+
+      if (pick (random, 100) < schedule->withdrawals)
+        withdraw (zone, number);
+      else if (pick (random, 2) == 0)
+        act (zone, number);
+      else
+        finish (zone, number, pick (random, 4) > 0);
+    }
+}
+
+static void
+check_history (const struct zone *zone, uint64_t seed)
+{
+  for (int i = 0; i < zone->attempt_count; i++)
+    {
+      const struct attempt *attempt = &zone->attempts[i];
+      int answered = -1;
+
+      ck_assert_msg (attempt->verdict != UNDECIDED || attempt->withdrawn
+                         || !host_lives (zone, attempt),
+                     "seed %d: attempt %d is left undecided", (int)seed, i);
+      if (attempt->verdict != MARJORAM_CLAIM_REPLAY)
+        continue;
+      sscanf (attempt->replayed, "answer of %d", &answered);
+      ck_assert_msg (answered >= 0 && zone->attempts[answered].acted
+                         && zone->attempts[answered].key == attempt->key,
+                     "seed %d: attempt %d got a foreign answer", (int)seed, i);
+    }
+  for (int i = 0; i < KEYS; i++)
+    ck_assert_msg (zone->runs[i] <= 1, "seed %d: key %d ran %d times",
+                   (int)seed, i, zone->runs[i]);
+}
+
+/* After all, a new key must find the zone in working order.  */
+static void
+check_service (struct zone *zone, uint64_t seed)
+{
+  int number;
+
+  for (int i = 0; i < zone->attempt_count; i++)
+    {
+      act (zone, i);
+      finish (zone, i, true);
+    }
+  run_for (zone, LEAD_MS, 0);
+  zone->issued[0]
+      = marjoram_claims_issue_time (zone->hosts[0].claims, wall (zone, 0));
+  zone->runs[0] = 0;
+  number = acquire (zone, (int)(seed % zone->count), 0);
+  run_for (zone, TIMEOUT_MS, 0);
+  ck_assert_msg (verdict (zone, number) == MARJORAM_CLAIM_RUN,
+                 "seed %d: a new key got verdict %d", (int)seed,
+                 verdict (zone, number));
+}
+
+static void
+run_schedule (const struct schedule *schedule, uint64_t seed)
+{
+  marjoram_random *random = marjoram_random_create (seed);
+  struct zone zone;
+  int restarts = 0;
+
+  open_zone (&zone, schedule->hosts);
+  for (int i = 0; i < zone.count; i++)
+    zone.hosts[i].skew = pick (random, 500);
+  for (int i = 0; i < schedule->steps; i++)
+    random_event (&zone, random, schedule, &restarts);
+  run_for (&zone, 3 * TIMEOUT_MS, 0);
+  for (int i = 0; i < zone.attempt_count; i++)
+    act (&zone, i);
+  check_history (&zone, seed);
+  check_service (&zone, seed);
+  close_zone (&zone);
+  marjoram_random_destroy (random);
+}
+
+/* Callers resend one key to several hosts while links lose, repeat and
+   reorder, hosts restart empty and attempts give up.  What a user would see
+   without the rules: a room flip done twice, or a key that is never answered.
+   Each seed is one such schedule.  */
+START_TEST (runs_at_most_once_in_random_schedules)
+{
+  static const struct schedule schedules[] = {
+    { 3, 4, 1, 150, 20 },  { 3, 8, 2, 300, 40 },  { 3, 6, 0, 200, 60 },
+    { 3, 12, 6, 500, 20 }, { 2, 6, 2, 200, 30 },  { 1, 6, 2, 100, 30 },
+    { 4, 8, 2, 300, 30 },  { 5, 10, 3, 400, 30 },
+  };
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    run_schedule (&schedules[_i], seed);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -357,6 +507,7 @@
   TCase *c = tcase_create ("claim");
 
   tcase_add_test (c, grants_one_and_replays_it);
+  tcase_add_loop_test (c, runs_at_most_once_in_random_schedules, 0, 8);
   suite_add_tcase (s, c);
   return s;
 }
