--- a/test/test_claim.c
+++ b/test/test_claim.c
@@ -17,6 +17,7 @@
   KEYS = 2,
   SEEDS = 200,
   TIMEOUT_MS = 1000,
+  QUIET_MS = 3000,
   REPLAY_MS = 60000,
   RETENTION_MS = 24 * 3600 * 1000,
   START_WALL = 1000000000,
@@ -474,7 +475,7 @@
     zone.hosts[i].skew = pick (random, 500);
   for (int i = 0; i < schedule->steps; i++)
     random_event (&zone, random, schedule, &restarts);
-  run_for (&zone, 3 * TIMEOUT_MS, 0);
+  run_for (&zone, QUIET_MS, 0);
   for (int i = 0; i < zone.attempt_count; i++)
     act (&zone, i);
   check_history (&zone, seed);
