Keepers under seeded schedules; two faults they found

A message told a store what was seen of another store in its slot, so that a new store was barred as an older copy of the lost one: it now names the store.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -195,7 +195,7 @@
       return;
     }
   marjoram_keeper_requests_add_file (&keeper->requests, request, change_id,
-                                     file, now + MARJORAM_KEEPER_APPLY_MS);
+                                     file, now);
   marjoram_keeper_answer_decided (keeper);
   settle (keeper);
 }
@@ -229,8 +229,8 @@
       return;
     }
   marjoram_keeper_requests_add_replace (&keeper->requests, request, change_id,
-                                        old, new,
-                                        now + MARJORAM_KEEPER_REPLACE_MS);
+                                        old, new, now);
+  marjoram_keeper_greet (keeper, new, NULL);
   marjoram_keeper_answer_decided (keeper);
   settle (keeper);
 }
@@ -254,6 +254,27 @@
   return marjoram_value_unpack (packed, NULL);
 }
 
+static bool
+is_about_us (const marjoram_keeper *keeper,
+             const struct marjoram_keeper_message *message)
+{
+  return message->seen_store_id
+         && strcmp (message->seen_store_id, keeper->store_id) == 0;
+}
+
+static void
+check_rolled_back (marjoram_keeper *keeper,
+                   const struct marjoram_keeper_message *message)
+{
+  if (keeper->barred
+      || !marjoram_keeper_rolled_back (keeper->incarnation, keeper->base,
+                                       message->seen_incarnation,
+                                       message->seen_writes))
+    return;
+  keeper->barred = true;
+  keeper->sequence++;
+}
+
 static bool
 takes_part (marjoram_keeper *keeper, const char *from,
             const struct marjoram_keeper_message *message)
@@ -261,14 +282,8 @@
   struct marjoram_keeper_peer *peer = marjoram_keeper_peers_hear (
       &keeper->peers, keeper->now, from, message);
 
-  if (marjoram_keeper_rolled_back (keeper->incarnation, keeper->base,
-                                   message->seen_incarnation,
-                                   message->seen_writes)
-      && !keeper->barred)
-    {
-      keeper->barred = true;
-      keeper->sequence++;
-    }
+  if (is_about_us (keeper, message))
+    check_rolled_back (keeper, message);
   if (!peer)
     {
       /* Tells that store what was seen of it.  */
@@ -278,7 +293,8 @@
                                                    NULL, NULL, NULL));
       return false;
     }
-  if (message->seen_incarnation == keeper->incarnation)
+  if (is_about_us (keeper, message)
+      && message->seen_incarnation == keeper->incarnation)
     peer->knows_us = true;
   marjoram_keeper_check_met (keeper);
   return true;
@@ -442,7 +458,7 @@
   keeper->now = now;
   marjoram_keeper_check_met (keeper);
   if (now >= keeper->greet_at)
-    marjoram_keeper_greet (keeper);
+    marjoram_keeper_greet_all (keeper);
   expire_requests (keeper);
   advance_attempt (keeper);
   settle (keeper);
--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -198,9 +198,7 @@
     }
   /* The value itself was lost on its way: telling what is known here brings
      it.  */
-  marjoram_keeper_post (keeper, marjoram_keeper_envelope_create (
-                                    envelope->slot, envelope->store_id,
-                                    MARJORAM_KEEPER_GREET, NULL, NULL, NULL));
+  marjoram_keeper_greet (keeper, envelope->slot, envelope->store_id);
 }
 
 static bool
--- a/src/keeper_mail.c
+++ b/src/keeper_mail.c
@@ -57,6 +57,7 @@
     .base = keeper->base,
     .writes = keeper->durable,
     .number = marjoram_value_number (keeper->announced),
+    .echo = envelope->echo,
     .ballot = envelope->ballot,
     .accepted = envelope->accepted,
     .value = envelope->value ? marjoram_value_packed (envelope->value) : NULL,
@@ -68,6 +69,7 @@
 
   if (peer)
     {
+      message.seen_store_id = peer->seen.store_id;
       message.seen_incarnation = peer->seen.incarnation;
       message.seen_writes = peer->seen.writes;
     }
@@ -156,19 +158,34 @@
   return count;
 }
 
+static void
+send_greeting (marjoram_keeper *keeper, const char *slot, const char *store_id,
+               uint64_t kind, int64_t echo)
+{
+  struct marjoram_keeper_envelope *envelope = marjoram_keeper_envelope_create (
+      slot, store_id, kind, NULL, NULL, NULL);
+
+  envelope->echo = echo;
+  marjoram_keeper_post (keeper, envelope);
+}
+
+void
+marjoram_keeper_greet (marjoram_keeper *keeper, const char *slot,
+                       const char *store_id)
+{
+  if (strcmp (slot, keeper->slot) != 0)
+    send_greeting (keeper, slot, store_id, MARJORAM_KEEPER_GREET, keeper->now);
+}
+
 void
-marjoram_keeper_greet (marjoram_keeper *keeper)
+marjoram_keeper_greet_all (marjoram_keeper *keeper)
 {
   const char *targets[MARJORAM_KEEPER_TARGETS_MAX];
   size_t count = marjoram_keeper_targets (keeper, targets);
 
   keeper->greet_at = keeper->now + MARJORAM_KEEPER_GREET_MS;
   for (size_t i = 0; i < count; i++)
-    if (strcmp (targets[i], keeper->slot) != 0)
-      marjoram_keeper_post (
-          keeper, marjoram_keeper_envelope_create (targets[i], NULL,
-                                                   MARJORAM_KEEPER_GREET, NULL,
-                                                   NULL, NULL));
+    marjoram_keeper_greet (keeper, targets[i], NULL);
 }
 
 static void
@@ -193,10 +210,10 @@
       = marjoram_keeper_peers_find (&keeper->peers, envelope->store_id);
 
   if (envelope->kind == MARJORAM_KEEPER_GREET)
-    marjoram_keeper_post (keeper,
-                          marjoram_keeper_envelope_create (
-                              envelope->slot, envelope->store_id,
-                              MARJORAM_KEEPER_GREETED, NULL, NULL, NULL));
+    send_greeting (keeper, envelope->slot, envelope->store_id,
+                   MARJORAM_KEEPER_GREETED, envelope->echo);
+  else if (peer && peer->knows_us && envelope->echo > peer->echo)
+    peer->echo = envelope->echo;
   if (peer && peer->number > 0)
     keeper->formed = true;
   if (peer)
--- a/src/keeper_message.h
+++ b/src/keeper_message.h
@@ -26,11 +26,13 @@
   uint64_t kind; /* enum marjoram_keeper_kind */
   char *store_id;
   uint64_t incarnation;
-  uint64_t base;             /* writes on disk when this life began */
-  uint64_t writes;           /* on disk now */
-  uint64_t seen_incarnation; /* of the receiver's store; 0: none */
+  uint64_t base;       /* writes on disk when this life began */
+  uint64_t writes;     /* on disk now */
+  char *seen_store_id; /* last heard of in the receiver's slot; may be null */
+  uint64_t seen_incarnation;
   uint64_t seen_writes;
   uint64_t number; /* the highest that the sender knows chosen */
+  int64_t echo;    /* GREET: the sender's clock; GREETED gives it back */
   struct marjoram_ballot ballot;
   struct marjoram_ballot accepted;
   marjoram_bytes *value; /* marjoram_state_layout */
--- a/src/keeper_peer.c
+++ b/src/keeper_peer.c
@@ -29,6 +29,19 @@
   return last;
 }
 
+struct marjoram_keeper_peer *
+marjoram_keeper_peers_answered (const struct marjoram_keeper_peers *peers,
+                                const char *slot, int64_t since)
+{
+  struct marjoram_keeper_peer *peer, *last = NULL;
+
+  TAILQ_FOREACH (peer, peers, link)
+  if (peer->slot && strcmp (peer->slot, slot) == 0 && peer->echo >= since
+      && (!last || peer->echo > last->echo))
+    last = peer;
+  return last;
+}
+
 static void
 destroy_peer (struct marjoram_keeper_peers *peers,
               struct marjoram_keeper_peer *peer)
@@ -61,6 +74,7 @@
   peer = marjoram_alloc (sizeof *peer);
   peer->seen.store_id = marjoram_strdup (store_id);
   peer->heard_at = INT64_MIN;
+  peer->echo = INT64_MIN;
   peer->learned_at = INT64_MIN;
   TAILQ_INSERT_TAIL (peers, peer, link);
   return peer;
@@ -84,6 +98,7 @@
     {
       peer->seen.incarnation = message->incarnation;
       peer->knows_us = false;
+      peer->echo = INT64_MIN;
       peer->number = 0;
     }
   if (message->writes > peer->seen.writes)
--- a/src/keeper_peer.h
+++ b/src/keeper_peer.h
@@ -13,6 +13,7 @@
   struct marjoram_keeper_seen seen;
   char *slot;         /* null until heard in this life of ours */
   int64_t heard_at;   /* time of the last message */
+  int64_t echo;       /* our time of the last greeting that it answered */
   int64_t learned_at; /* time when it was last sent a state; INT64_MIN */
   uint64_t number;    /* the highest that it knows chosen */
   bool knows_us;      /* it has met this life of our store */
@@ -35,6 +36,11 @@
 struct marjoram_keeper_peer *
 marjoram_keeper_peers_slot (const struct marjoram_keeper_peers *peers,
                             const char *slot, int64_t since);
+/* The store that last answered a greeting sent to SLOT at SINCE or later; null
+   if none did.  */
+struct marjoram_keeper_peer *
+marjoram_keeper_peers_answered (const struct marjoram_keeper_peers *peers,
+                                const char *slot, int64_t since);
 /* Puts the stores seen into RECORD, to be cleared with it, and takes them in
    again.  */
 void marjoram_keeper_peers_save (const struct marjoram_keeper_peers *peers,
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -22,8 +22,6 @@
   MARJORAM_KEEPER_BACKOFF_DOUBLINGS = 6,
   MARJORAM_KEEPER_SETTLE_MS = 1000,
   MARJORAM_KEEPER_SETTLE_SPREAD_MS = 2000,
-  MARJORAM_KEEPER_APPLY_MS = 10000,
-  MARJORAM_KEEPER_REPLACE_MS = 20000,
   MARJORAM_KEEPER_BATCH_MAX = 64,
   MARJORAM_KEEPER_TARGETS_MAX = 64
 };
@@ -36,6 +34,7 @@
   char *slot;     /* of the other side */
   char *store_id; /* of the other side, null if unknown */
   uint64_t kind;
+  int64_t echo;
   struct marjoram_ballot ballot;
   struct marjoram_ballot accepted;
   marjoram_value *value;
@@ -102,7 +101,10 @@
 /* Fills TARGETS with all slots that may be keepers, this one included.  */
 size_t marjoram_keeper_targets (const marjoram_keeper *keeper,
                                 const char **targets);
-void marjoram_keeper_greet (marjoram_keeper *keeper);
+/* STORE_ID is the receiver's, null if unknown.  */
+void marjoram_keeper_greet (marjoram_keeper *keeper, const char *slot,
+                            const char *store_id);
+void marjoram_keeper_greet_all (marjoram_keeper *keeper);
 
 /* The value whose members this keeper goes by, null before any.  */
 marjoram_value *marjoram_keeper_current (const marjoram_keeper *keeper);
@@ -124,8 +126,9 @@
 void marjoram_keeper_fail_attempt (marjoram_keeper *keeper);
 /* Asks each target that has not answered in this phase.  */
 void marjoram_keeper_ask_phase (marjoram_keeper *keeper);
-/* The store that REQUEST would admit: heard lately and holding all that is
-   known chosen.  Null if it is not ready.  */
+/* The store that REQUEST would admit: it answered a greeting sent since the
+   request came, and holds all that is known chosen.  Null if it is not
+   ready.  */
 const char *
 marjoram_keeper_ready_store (const marjoram_keeper *keeper,
                              const struct marjoram_keeper_request *request);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -78,8 +78,10 @@
     return NULL;
   if (strcmp (request->new, keeper->slot) == 0)
     return keeper->announced == keeper->chosen ? keeper->store_id : NULL;
-  peer = marjoram_keeper_peers_slot (&keeper->peers, request->new,
-                                     keeper->now - MARJORAM_KEEPER_ALIVE_MS);
+  /* A store last heard before the request may be the very one that was
+     lost.  */
+  peer = marjoram_keeper_peers_answered (&keeper->peers, request->new,
+                                         request->received_at);
   if (!peer || peer->number < marjoram_value_number (keeper->chosen))
     return NULL;
   return peer->seen.store_id;
@@ -187,6 +189,8 @@
   keeper->retry_at = keeper->now + MARJORAM_KEEPER_BACKOFF_MS;
 }
 
+/* The others are told first: they are named by values that learning may
+   release.  */
 static void
 finish_write (marjoram_keeper *keeper)
 {
@@ -195,15 +199,15 @@
   struct marjoram_ballot ballot = keeper->attempt.ballot;
   marjoram_value *value = marjoram_value_retain (keeper->attempt.proposed);
 
-  marjoram_attempt_stop (&keeper->attempt);
-  keeper->failures = 0;
-  marjoram_keeper_learn (keeper, &ballot, value);
   for (size_t i = 0; i < count; i++)
     if (strcmp (targets[i], keeper->slot) != 0)
       marjoram_keeper_post (
           keeper, marjoram_keeper_envelope_create (targets[i], NULL,
                                                    MARJORAM_KEEPER_CHOSEN,
                                                    &ballot, NULL, NULL));
+  marjoram_attempt_stop (&keeper->attempt);
+  keeper->failures = 0;
+  marjoram_keeper_learn (keeper, &ballot, value);
   marjoram_value_release (value);
 }
 
--- a/src/keeper_request.c
+++ b/src/keeper_request.c
@@ -7,13 +7,13 @@
 
 static struct marjoram_keeper_request *
 add (struct marjoram_keeper_requests *requests, uint64_t id,
-     const char *change_id, int64_t deadline)
+     const char *change_id, int64_t now)
 {
   struct marjoram_keeper_request *request = marjoram_alloc (sizeof *request);
 
   request->request = id;
   request->change_id = marjoram_strdup (change_id);
-  request->deadline = deadline;
+  request->received_at = now;
   TAILQ_INSERT_TAIL (requests, request, link);
   return request;
 }
@@ -22,11 +22,11 @@
 marjoram_keeper_requests_add_file (struct marjoram_keeper_requests *requests,
                                    uint64_t id, const char *change_id,
                                    const struct marjoram_file *file,
-                                   int64_t deadline)
+                                   int64_t now)
 {
-  struct marjoram_keeper_request *request
-      = add (requests, id, change_id, deadline);
+  struct marjoram_keeper_request *request = add (requests, id, change_id, now);
 
+  request->deadline = now + MARJORAM_KEEPER_APPLY_MS;
   request->file.name = marjoram_strdup (file->name);
   request->file.version = file->version;
   request->file.text = marjoram_strdup (file->text);
@@ -36,11 +36,11 @@
 void
 marjoram_keeper_requests_add_replace (
     struct marjoram_keeper_requests *requests, uint64_t id,
-    const char *change_id, const char *old, const char *new, int64_t deadline)
+    const char *change_id, const char *old, const char *new, int64_t now)
 {
-  struct marjoram_keeper_request *request
-      = add (requests, id, change_id, deadline);
+  struct marjoram_keeper_request *request = add (requests, id, change_id, now);
 
+  request->deadline = now + MARJORAM_KEEPER_REPLACE_MS;
   request->old = marjoram_strdup (old);
   request->new = marjoram_strdup (new);
 }
--- a/src/keeper_request.h
+++ b/src/keeper_request.h
@@ -9,7 +9,9 @@
 
 enum
 {
-  MARJORAM_ANSWER_TEXT_MAX = 512
+  MARJORAM_ANSWER_TEXT_MAX = 512,
+  MARJORAM_KEEPER_APPLY_MS = 10000,
+  MARJORAM_KEEPER_REPLACE_MS = 20000
 };
 
 struct marjoram_keeper_request
@@ -20,6 +22,7 @@
   struct marjoram_file file; /* no name: replaces a keeper */
   char *old;
   char *new;
+  int64_t received_at;
   int64_t deadline;
   bool sent; /* part of a value that was sent out: may be chosen yet */
 };
@@ -29,10 +32,10 @@
 /* FILE passed its check; it is copied, with its digest.  */
 void marjoram_keeper_requests_add_file (
     struct marjoram_keeper_requests *requests, uint64_t request,
-    const char *change_id, const struct marjoram_file *file, int64_t deadline);
+    const char *change_id, const struct marjoram_file *file, int64_t now);
 void marjoram_keeper_requests_add_replace (
     struct marjoram_keeper_requests *requests, uint64_t request,
-    const char *change_id, const char *old, const char *new, int64_t deadline);
+    const char *change_id, const char *old, const char *new, int64_t now);
 void
 marjoram_keeper_requests_remove (struct marjoram_keeper_requests *requests,
                                  struct marjoram_keeper_request *request);
--- /dev/null
+++ b/test/lib_keepers.c
@@ -0,0 +1,746 @@
+#include "lib_keepers.h"
+
+#include "cleanup.h"
+#include "keeper_message.h"
+#include "lib_keepers_check.h"
+#include "random.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum
+{
+  TICK_MS = 100,
+  CHAOS_MS = 14000,
+  HEALED_MS = 60000,
+  QUIET_MS = 3500,
+  FAULT_EVERY_MS = 700,
+  CHANGE_EVERY_MS = 500,
+  REPAIR_EVERY_MS = 1200,
+  TEXT_MAX = 64,
+  COUNTER_SHIFT = 32,
+  REPAIR_REQUEST = 1 << 20
+};
+
+enum event_kind
+{
+  EVENT_TICK,
+  EVENT_MESSAGE,
+  EVENT_WRITTEN,
+  EVENT_RESTART,
+  EVENT_HEAL_CUT,
+  EVENT_FAULT,
+  EVENT_CHANGE,
+  EVENT_REPAIR
+};
+
+struct event
+{
+  TAILQ_ENTRY (event) link;
+  int64_t at;
+  enum event_kind kind;
+  int node;
+  int from;
+  int life;
+  uint64_t ticket;
+  marjoram_bytes *bytes; /* of a message or a record */
+};
+
+TAILQ_HEAD (event_list, event);
+
+struct node
+{
+  struct sim *sim;
+  int index;
+  char slot[16];
+  char store_id[32];
+  uint64_t counter;
+  marjoram_keeper *keeper;
+  marjoram_random *random;
+  marjoram_bytes *record;
+  marjoram_bytes *writing;
+  marjoram_bytes *older;
+  int life;
+  int64_t frozen_until;
+  uint64_t reader; /* the highest number read from this disk's keeper */
+};
+
+struct sim
+{
+  struct event_list events;
+  int64_t now;
+  marjoram_random *random;
+  struct node nodes[SIM_KEEPERS];
+  bool cut[SIM_KEEPERS][SIM_KEEPERS];
+  int loss; /* percent */
+  int stores;
+  bool healed;
+  int lost; /* node whose disk is to be replaced, or -1 */
+  char lost_slot[16];
+  char repair_id[24];
+  int repairs;
+  uint64_t refused_number; /* of the last refused repair, or 0 */
+  int rolled_back;         /* node that must not vote, or -1 */
+  struct checks *checks;
+  struct sim_counts counts;
+};
+
+static int
+below (struct sim *sim, int limit)
+{
+  return (int)marjoram_random_below (sim->random, (uint32_t)limit);
+}
+
+static bool
+chance (struct sim *sim, int percent)
+{
+  return below (sim, 100) < percent;
+}
+
+static struct event *
+schedule (struct sim *sim, int64_t delay, enum event_kind kind, int node)
+{
+  struct event *event = marjoram_alloc (sizeof *event);
+  struct event *place;
+
+  event->at = sim->now + delay;
+  event->kind = kind;
+  event->node = node;
+  if (node >= 0)
+    event->life = sim->nodes[node].life;
+  TAILQ_FOREACH_REVERSE (place, &sim->events, event_list, link)
+  if (place->at <= event->at)
+    break;
+  if (place)
+    TAILQ_INSERT_AFTER (&sim->events, place, event, link);
+  else
+    TAILQ_INSERT_HEAD (&sim->events, event, link);
+  return event;
+}
+
+static void
+destroy_event (struct event *event)
+{
+  marjoram_bytes_release (event->bytes);
+  free (event);
+}
+
+static int
+find_node (const struct sim *sim, const char *slot)
+{
+  for (int i = 0; i < SIM_KEEPERS; i++)
+    if (strcmp (sim->nodes[i].slot, slot) == 0)
+      return i;
+  return -1;
+}
+
+static int64_t
+travel_ms (struct sim *sim)
+{
+  if (!sim->healed && chance (sim, 3))
+    return 1 + below (sim, 4000);
+  return 1 + below (sim, 60);
+}
+
+static void
+on_send (void *context, const char *slot,
+         const struct marjoram_keeper_message *message)
+{
+  struct node *node = context;
+  struct sim *sim = node->sim;
+  int to = find_node (sim, slot);
+  int copies = chance (sim, sim->loss) ? 0 : chance (sim, sim->loss) ? 2 : 1;
+
+  if (to < 0 || sim->cut[node->index][to])
+    return;
+  for (int i = 0; i < copies; i++)
+    {
+      struct event *event = schedule (sim, travel_ms (sim), EVENT_MESSAGE, to);
+
+      event->from = node->index;
+      event->bytes = marjoram_wire_pack (&marjoram_keeper_layout, message);
+    }
+}
+
+static void
+on_persist (void *context, uint64_t ticket, marjoram_bytes *record)
+{
+  struct node *node = context;
+  struct sim *sim = node->sim;
+  int64_t delay = !sim->healed && chance (sim, 2) ? 2500 : below (sim, 20);
+  struct event *event = schedule (sim, delay, EVENT_WRITTEN, node->index);
+
+  event->ticket = ticket;
+  marjoram_bytes_release (node->writing);
+  node->writing = record;
+}
+
+static void
+on_chosen (void *context, const struct marjoram_state *state)
+{
+  struct node *node = context;
+
+  checks_chosen (node->sim->checks, state);
+}
+
+static void
+on_answered (void *context, uint64_t request,
+             const struct marjoram_apply_answer *answer)
+{
+  struct node *node = context;
+  struct sim *sim = node->sim;
+
+  if (request < REPAIR_REQUEST)
+    {
+      checks_answered (sim->checks, request, answer, &sim->counts);
+      return;
+    }
+  if (sim->lost < 0 || answer->outcome != MARJORAM_APPLY_DECIDED
+      || request != (uint64_t)(REPAIR_REQUEST + sim->repairs))
+    return;
+  if (answer->result == MARJORAM_CHANGE_INVALID)
+    {
+      sim->refused_number = answer->number;
+      sim->repairs++; /* the next attempt needs an id of its own */
+    }
+  else
+    {
+      sim->counts.repairs++;
+      sim->lost = -1;
+    }
+}
+
+static bool
+on_valid (void *context, const struct marjoram_state *state,
+          struct marjoram_error *err)
+{
+  const struct marjoram_file *files = state->files.items;
+
+  (void)context;
+  (void)err;
+  for (size_t i = 0; i < state->files.count; i++)
+    if (strstr (files[i].text, "bad"))
+      return false;
+  return true;
+}
+
+static const struct marjoram_keeper_ops ops
+    = { on_send, on_persist, on_chosen, on_answered, on_valid };
+
+static void
+start_node (struct sim *sim, struct node *node)
+{
+  static const char *const first[SIM_FIRST] = { "k0", "k1", "k2" };
+  struct marjoram_keeper_options options = {
+    .slot = node->slot,
+    .store_id = node->store_id,
+    .first = first,
+    .first_count = SIM_FIRST,
+    .record = node->record,
+  };
+
+  node->counter++;
+  node->life++;
+  options.incarnation
+      = node->counter << COUNTER_SHIFT | (uint64_t)below (sim, 1 << 30);
+  node->keeper
+      = marjoram_keeper_create (&options, &ops, node, node->random, NULL);
+  node->frozen_until = 0;
+  schedule (sim, below (sim, TICK_MS), EVENT_TICK, node->index);
+}
+
+static void
+stop_node (struct sim *sim, struct node *node)
+{
+  if (!node->keeper)
+    return;
+  sim->counts.crashes++;
+  if (node->writing)
+    sim->counts.torn++;
+  /* A write under way either took effect whole or not at all.  */
+  if (node->writing && chance (sim, 50))
+    {
+      marjoram_bytes_release (node->record);
+      node->record = marjoram_bytes_retain (node->writing);
+    }
+  marjoram_bytes_release (node->writing);
+  node->writing = NULL;
+  marjoram_keeper_destroy (node->keeper);
+  node->keeper = NULL;
+  node->life++;
+}
+
+static void
+restart_later (struct sim *sim, struct node *node)
+{
+  schedule (sim, 50 + below (sim, 2500), EVENT_RESTART, node->index);
+}
+
+static void
+new_store (struct sim *sim, struct node *node)
+{
+  marjoram_bytes_release (node->record);
+  marjoram_bytes_release (node->older);
+  node->record = NULL;
+  node->older = NULL;
+  node->counter = 0;
+  node->reader = 0;
+  snprintf (node->store_id, sizeof node->store_id, "store-%d-%d", node->index,
+            sim->stores++);
+}
+
+static void
+lose_disk (struct sim *sim, struct node *node)
+{
+  stop_node (sim, node);
+  new_store (sim, node);
+  restart_later (sim, node);
+  sim->lost = node->index;
+  sim->refused_number = 0;
+  sim->repairs++;
+  strcpy (sim->lost_slot, node->slot);
+}
+
+static uint64_t
+record_writes (const marjoram_bytes *packed, const char *store_id)
+{
+  struct marjoram_keeper_record *record = marjoram_wire_unpack (
+      &marjoram_keeper_record_layout, marjoram_bytes_data (packed),
+      marjoram_bytes_size (packed), NULL);
+  uint64_t writes = 0;
+
+  if (!record)
+    return 0;
+  if (!store_id)
+    writes = record->writes;
+  for (size_t i = 0; store_id && i < record->seen.count; i++)
+    {
+      const struct marjoram_keeper_seen *seen = record->seen.items;
+
+      if (strcmp (seen[i].store_id, store_id) == 0)
+        writes = seen[i].writes;
+    }
+  marjoram_wire_destroy (&marjoram_keeper_record_layout, record);
+  return writes;
+}
+
+/* An older copy can be told from a good one only by keepers that remember a
+   later write, here all of them; otherwise this would lose more than the one
+   disk that the rules allow for.  */
+static bool
+others_would_tell (const struct sim *sim, const struct node *node)
+{
+  uint64_t writes = record_writes (node->older, NULL);
+
+  for (int i = 0; i < SIM_KEEPERS; i++)
+    if (i != node->index
+        && record_writes (sim->nodes[i].record, node->store_id) <= writes)
+      return false;
+  return true;
+}
+
+static void
+restore_older_disk (struct sim *sim, struct node *node)
+{
+  if (!node->older || !others_would_tell (sim, node))
+    return;
+  stop_node (sim, node);
+  marjoram_bytes_release (node->record);
+  node->record = node->older;
+  node->older = NULL;
+  node->reader = 0;
+  sim->counts.older_disks++;
+  sim->rolled_back = node->index;
+  schedule (sim, 10, EVENT_RESTART, node->index);
+}
+
+static void
+cut_links (struct sim *sim)
+{
+  int side = 1 + below (sim, (1 << SIM_KEEPERS) - 2);
+  bool one_way = chance (sim, 25);
+
+  sim->counts.cuts++;
+  for (int i = 0; i < SIM_KEEPERS; i++)
+    for (int j = 0; j < SIM_KEEPERS; j++)
+      sim->cut[i][j] = (side >> i & 1) > (side >> j & 1)
+                       || (!one_way && (side >> i & 1) != (side >> j & 1));
+  schedule (sim, 500 + below (sim, 4000), EVENT_HEAL_CUT, -1);
+}
+
+static void
+freeze (struct sim *sim, struct node *node)
+{
+  sim->counts.freezes++;
+  node->frozen_until = sim->now + 300 + below (sim, 6000);
+}
+
+static void
+crash_all (struct sim *sim)
+{
+  for (int i = 0; i < SIM_KEEPERS; i++)
+    if (sim->nodes[i].keeper)
+      {
+        stop_node (sim, &sim->nodes[i]);
+        restart_later (sim, &sim->nodes[i]);
+      }
+}
+
+static void
+strike (struct sim *sim)
+{
+  struct node *node = &sim->nodes[below (sim, SIM_KEEPERS)];
+  int kind = below (sim, 100);
+
+  if (sim->rolled_back >= 0 || !node->keeper)
+    return;
+  if (kind < 35)
+    {
+      stop_node (sim, node);
+      restart_later (sim, node);
+    }
+  else if (kind < 55)
+    freeze (sim, node);
+  else if (kind < 70)
+    cut_links (sim);
+  else if (kind < 75)
+    crash_all (sim);
+  else if (sim->lost >= 0)
+    return;
+  else if (kind < 92)
+    {
+      sim->counts.lost_disks++;
+      lose_disk (sim, node);
+    }
+  else
+    restore_older_disk (sim, node);
+}
+
+/* The copy was started from and two seconds have passed, all being well since
+   then but for lost messages; a vote now would be one too many.  */
+static void
+check_rolled_back (struct sim *sim)
+{
+  struct node *node = &sim->nodes[sim->rolled_back];
+
+  if (marjoram_keeper_votes (node->keeper))
+    checks_breach (sim->checks, "%s votes on an older copy of its disk",
+                   node->slot);
+  if (!marjoram_keeper_trouble (node->keeper))
+    checks_breach (sim->checks, "%s does not say what is wrong", node->slot);
+  sim->rolled_back = -1;
+  lose_disk (sim, node);
+}
+
+static struct node *
+running_node (struct sim *sim)
+{
+  for (int tries = 0; tries < 20; tries++)
+    {
+      struct node *node = &sim->nodes[below (sim, SIM_KEEPERS)];
+
+      if (node->keeper && node->frozen_until <= sim->now)
+        return node;
+    }
+  return NULL;
+}
+
+static void
+make_change (struct sim *sim)
+{
+  struct node *node = running_node (sim);
+  bool again = chance (sim, 35);
+  struct marjoram_file file;
+  uint64_t request;
+  const char *id;
+
+  if (!node)
+    return;
+  request = checks_pick_change (sim->checks, sim->random, again, &file, &id);
+  sim->counts.resent += again;
+  marjoram_keeper_apply (node->keeper, sim->now, request, id, &file);
+}
+
+static void
+ask_repair (struct sim *sim)
+{
+  struct node *node = running_node (sim);
+  const char *new = sim->nodes[sim->lost].slot;
+
+  if (sim->refused_number
+      && checks_is_gone (sim->checks, sim->refused_number, sim->lost_slot))
+    sim->lost = -1; /* it was no keeper */
+  if (!node || sim->lost < 0)
+    return;
+  if (sim->repairs % 2)
+    for (int i = 0; i < SIM_KEEPERS; i++)
+      if (!checks_is_member (sim->checks, sim->nodes[i].slot))
+        new = sim->nodes[i].slot;
+  snprintf (sim->repair_id, sizeof sim->repair_id, "repair-%d", sim->repairs);
+  marjoram_keeper_replace (node->keeper, sim->now,
+                           (uint64_t)(REPAIR_REQUEST + sim->repairs),
+                           sim->repair_id, sim->lost_slot, new);
+}
+
+static void
+tick (struct sim *sim, struct node *node)
+{
+  const struct marjoram_state *state;
+
+  marjoram_keeper_tick (node->keeper, sim->now);
+  schedule (sim, TICK_MS, EVENT_TICK, node->index);
+  state = marjoram_keeper_state (node->keeper);
+  if (!state)
+    return;
+  if (state->number < node->reader)
+    checks_breach (sim->checks, "%s went back from %llu to %llu", node->slot,
+                   (unsigned long long)node->reader,
+                   (unsigned long long)state->number);
+  node->reader = state->number;
+}
+
+static void
+deliver (struct sim *sim, struct node *node, const struct event *event)
+{
+  struct marjoram_keeper_message *message = marjoram_wire_unpack (
+      &marjoram_keeper_layout, marjoram_bytes_data (event->bytes),
+      marjoram_bytes_size (event->bytes), NULL);
+
+  marjoram_keeper_receive (node->keeper, sim->now,
+                           sim->nodes[event->from].slot, message);
+  marjoram_wire_destroy (&marjoram_keeper_layout, message);
+}
+
+static void
+finish_write (struct sim *sim, struct node *node, const struct event *event)
+{
+  if (node->record && chance (sim, 20))
+    {
+      marjoram_bytes_release (node->older);
+      node->older = marjoram_bytes_retain (node->record);
+    }
+  marjoram_bytes_release (node->record);
+  node->record = node->writing;
+  node->writing = NULL;
+  marjoram_keeper_persisted (node->keeper, sim->now, event->ticket, true);
+}
+
+/* Returns whether the event is used up; a frozen process takes it later.  */
+static bool
+run_node_event (struct sim *sim, struct event *event)
+{
+  struct node *node = &sim->nodes[event->node];
+
+  if (event->kind == EVENT_RESTART)
+    {
+      if (!node->keeper)
+        start_node (sim, node);
+      return true;
+    }
+  if (!node->keeper
+      || (event->kind != EVENT_MESSAGE && event->life != node->life))
+    return true;
+  if (node->frozen_until > sim->now)
+    {
+      event->at = node->frozen_until;
+      return false;
+    }
+  if (event->kind == EVENT_TICK)
+    tick (sim, node);
+  else if (event->kind == EVENT_MESSAGE)
+    deliver (sim, node, event);
+  else
+    finish_write (sim, node, event);
+  return true;
+}
+
+static void
+run_sim_event (struct sim *sim, const struct event *event)
+{
+  switch (event->kind)
+    {
+    case EVENT_HEAL_CUT:
+      memset (sim->cut, 0, sizeof sim->cut);
+      break;
+    case EVENT_FAULT:
+      if (sim->healed)
+        break;
+      strike (sim);
+      schedule (sim, below (sim, 2 * FAULT_EVERY_MS), EVENT_FAULT, -1);
+      break;
+    case EVENT_CHANGE:
+      if (sim->healed)
+        break;
+      make_change (sim);
+      schedule (sim, below (sim, 2 * CHANGE_EVERY_MS), EVENT_CHANGE, -1);
+      break;
+    default:
+      if (sim->rolled_back >= 0 && sim->nodes[sim->rolled_back].keeper)
+        check_rolled_back (sim);
+      else if (sim->lost >= 0)
+        ask_repair (sim);
+      schedule (sim, REPAIR_EVERY_MS, EVENT_REPAIR, -1);
+      break;
+    }
+}
+
+static void
+put_back (struct sim *sim, struct event *event)
+{
+  struct event *place;
+
+  TAILQ_FOREACH (place, &sim->events, link)
+  if (place->at > event->at)
+    break;
+  if (place)
+    TAILQ_INSERT_BEFORE (place, event, link);
+  else
+    TAILQ_INSERT_TAIL (&sim->events, event, link);
+}
+
+static void
+run_until (struct sim *sim, int64_t end)
+{
+  struct event *event;
+
+  while ((event = TAILQ_FIRST (&sim->events)) != NULL && event->at <= end
+         && !sim_breach (sim)[0])
+    {
+      bool done = true;
+
+      TAILQ_REMOVE (&sim->events, event, link);
+      sim->now = event->at;
+      if (event->node >= 0)
+        done = run_node_event (sim, event);
+      else
+        run_sim_event (sim, event);
+      if (done)
+        destroy_event (event);
+      else
+        put_back (sim, event);
+    }
+  sim->now = end;
+}
+
+static void
+heal (struct sim *sim)
+{
+  sim->healed = true;
+  sim->loss = 0;
+  memset (sim->cut, 0, sizeof sim->cut);
+  for (int i = 0; i < SIM_KEEPERS; i++)
+    sim->nodes[i].frozen_until = 0;
+}
+
+/* A last change, sent again until its outcome is known.  */
+static void
+run_last_change (struct sim *sim)
+{
+  int64_t end = sim->now + HEALED_MS;
+  struct marjoram_file file;
+  const char *id;
+  uint64_t request
+      = checks_pick_change (sim->checks, sim->random, false, &file, &id);
+
+  while (sim->now < end && !sim_breach (sim)[0]
+         && (!checks_is_decided (sim->checks, request) || sim->lost >= 0))
+    {
+      struct node *node = running_node (sim);
+
+      if (node && !checks_is_decided (sim->checks, request))
+        marjoram_keeper_apply (node->keeper, sim->now, request, id, &file);
+      run_until (sim, sim->now + QUIET_MS);
+    }
+  if (!checks_is_decided (sim->checks, request))
+    checks_breach (sim->checks, "no change can be made after all is healed");
+  if (sim->lost >= 0)
+    checks_breach (sim->checks, "the repair did not end after all is healed");
+}
+
+static void
+check_end (struct sim *sim)
+{
+  for (int i = 0; i < SIM_KEEPERS; i++)
+    checks_end (sim->checks, sim->nodes[i].slot,
+                sim->nodes[i].keeper
+                    ? marjoram_keeper_state (sim->nodes[i].keeper)
+                    : NULL);
+}
+
+void
+sim_run (struct sim *sim)
+{
+  run_until (sim, CHAOS_MS);
+  heal (sim);
+  run_until (sim, sim->now + QUIET_MS);
+  run_last_change (sim);
+  run_until (sim, sim->now + QUIET_MS);
+  if (!sim_breach (sim)[0])
+    check_end (sim);
+}
+
+struct sim *
+sim_create (uint64_t seed)
+{
+  struct sim *sim = marjoram_alloc (sizeof *sim);
+
+  TAILQ_INIT (&sim->events);
+  sim->random = marjoram_random_create (seed);
+  sim->checks = checks_create ();
+  sim->loss = below (sim, 3) * 8;
+  sim->lost = -1;
+  sim->rolled_back = -1;
+  for (int i = 0; i < SIM_KEEPERS; i++)
+    {
+      struct node *node = &sim->nodes[i];
+
+      node->sim = sim;
+      node->index = i;
+      snprintf (node->slot, sizeof node->slot, "k%d", i);
+      node->random = marjoram_random_create (seed * SIM_KEEPERS + (uint64_t)i);
+      new_store (sim, node);
+      start_node (sim, node);
+    }
+  schedule (sim, 2000, EVENT_FAULT, -1);
+  schedule (sim, 1000, EVENT_CHANGE, -1);
+  schedule (sim, REPAIR_EVERY_MS, EVENT_REPAIR, -1);
+  return sim;
+}
+
+void
+sim_destroy (struct sim *sim)
+{
+  struct event *event;
+
+  while ((event = TAILQ_FIRST (&sim->events)) != NULL)
+    {
+      TAILQ_REMOVE (&sim->events, event, link);
+      destroy_event (event);
+    }
+  for (int i = 0; i < SIM_KEEPERS; i++)
+    {
+      struct node *node = &sim->nodes[i];
+
+      marjoram_keeper_destroy (node->keeper);
+      marjoram_random_destroy (node->random);
+      marjoram_bytes_release (node->record);
+      marjoram_bytes_release (node->writing);
+      marjoram_bytes_release (node->older);
+    }
+  checks_destroy (sim->checks);
+  marjoram_random_destroy (sim->random);
+  free (sim);
+}
+
+const char *
+sim_breach (const struct sim *sim)
+{
+  return checks_text (sim->checks);
+}
+
+const struct sim_counts *
+sim_counts (const struct sim *sim)
+{
+  return &sim->counts;
+}
--- /dev/null
+++ b/test/test_keeper.c
@@ -0,0 +1,101 @@
+/* The agreement among keepers, under seeded schedules of faults.  SEEDS and
+   FIRST_SEED in the environment set how many and from which on; a soak run is
+   SEEDS=200000.  */
+#include "suite.h"
+
+#include "lib_keepers.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  SEEDS = 2000,
+  DECIMAL = 10,
+  TIMEOUT_S = 7200
+};
+
+static uint64_t
+setting (const char *name, uint64_t otherwise)
+{
+  const char *text = getenv (name);
+
+  return text ? strtoull (text, NULL, DECIMAL) : otherwise;
+}
+
+static void
+add_counts (struct sim_counts *sum, const struct sim_counts *counts)
+{
+  uint64_t *to = (uint64_t *)sum;
+  const uint64_t *from = (const uint64_t *)counts;
+
+  for (size_t i = 0; i < sizeof *sum / sizeof *to; i++)
+    to[i] += from[i];
+}
+
+static void
+print_counts (uint64_t seeds, const struct sim_counts *sum)
+{
+  printf ("%llu seeds: %llu accepted, %llu refused, %llu not run, "
+          "%llu unknown, %llu sent again; %llu crashes, %llu within a write, "
+          "%llu freezes, %llu cuts, %llu lost disks, %llu older disks, "
+          "%llu repairs\n",
+          (unsigned long long)seeds, (unsigned long long)sum->accepted,
+          (unsigned long long)sum->refused, (unsigned long long)sum->not_run,
+          (unsigned long long)sum->unknown, (unsigned long long)sum->resent,
+          (unsigned long long)sum->crashes, (unsigned long long)sum->torn,
+          (unsigned long long)sum->freezes, (unsigned long long)sum->cuts,
+          (unsigned long long)sum->lost_disks,
+          (unsigned long long)sum->older_disks,
+          (unsigned long long)sum->repairs);
+}
+
+/* Operators race with equal versions and send changes again after their
+   confirmations were lost, while keepers crash between write and sync, freeze,
+   are cut off, lose their disks one after the other, each right after the
+   repair before was reported finished, and now and then start from an older
+   copy.  No accepted change may be lost, no refused one appear, no reader see
+   a number go down, and once all is healed a change must go through.  */
+START_TEST (holds_under_faults)
+{
+  uint64_t first = setting ("FIRST_SEED", 1);
+  uint64_t count = setting ("SEEDS", SEEDS);
+  struct sim_counts sum = { 0 };
+  int failed = 0;
+
+  for (uint64_t seed = first; seed < first + count; seed++)
+    {
+      struct sim *sim = sim_create (seed);
+
+      sim_run (sim);
+      if (sim_breach (sim)[0])
+        {
+          printf ("seed %llu: %s\n", (unsigned long long)seed,
+                  sim_breach (sim));
+          failed++;
+        }
+      add_counts (&sum, sim_counts (sim));
+      sim_destroy (sim);
+    }
+  print_counts (count, &sum);
+  ck_assert_msg (failed == 0, "%d of %llu seeds failed", failed,
+                 (unsigned long long)count);
+  if (count < SEEDS)
+    return;
+  ck_assert (sum.accepted > count && sum.refused > count);
+  ck_assert (sum.torn > 0 && sum.unknown > 0 && sum.not_run > 0);
+  ck_assert (sum.older_disks > 0 && sum.repairs > count / 10);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("keeper");
+  TCase *c = tcase_create ("keeper");
+
+  tcase_set_timeout (c, TIMEOUT_S);
+  tcase_add_test (c, holds_under_faults);
+  suite_add_tcase (s, c);
+  return s;
+}
