--- a/src/keeper.c
+++ b/src/keeper.c
@@ -4,6 +4,11 @@
 
 #include <string.h>
 
+enum
+{
+  HELD_VALUES = 3
+};
+
 static void
 answer (marjoram_keeper *keeper, struct marjoram_keeper_request *request,
         const struct marjoram_apply_answer *what)
@@ -115,7 +120,7 @@
 static char **
 copy_slots (const char *const *slots, size_t count)
 {
-  char **copy = marjoram_alloc (count * sizeof *copy);
+  char **copy = marjoram_alloc (count * sizeof (char *));
 
   for (size_t i = 0; i < count; i++)
     copy[i] = marjoram_strdup (slots[i]);
@@ -240,11 +245,11 @@
 static marjoram_value *
 read_value (const marjoram_keeper *keeper, marjoram_bytes *packed)
 {
-  marjoram_value *const held[]
+  marjoram_value *const held[HELD_VALUES]
       = { keeper->acceptor.value, keeper->chosen, keeper->attempt.best };
   size_t size = marjoram_bytes_size (packed);
 
-  for (size_t i = 0; i < sizeof held / sizeof *held; i++)
+  for (size_t i = 0; i < HELD_VALUES; i++)
     if (held[i]
         && marjoram_bytes_size (marjoram_value_packed (held[i])) == size
         && memcmp (marjoram_bytes_data (marjoram_value_packed (held[i])),
--- a/src/keeper_message.c
+++ b/src/keeper_message.c
@@ -3,12 +3,16 @@
 #include "frame.h"
 
 #define COUNT(array) (sizeof (array) / sizeof *(array))
-#define BALLOT(type, member)                                                  \
-  { MARJORAM_WIRE_UINT (type, member.round) },                                \
-      { MARJORAM_WIRE_UINT (type, member.incarnation) },                      \
+/* The three fields of a ballot that lies in MEMBER of a TYPE.  */
+#define BALLOT_PART(type, member, part)                                       \
   {                                                                           \
-    MARJORAM_WIRE_UINT (type, member.proposer)                                \
+    MARJORAM_FIELD_UINT,                                                      \
+        offsetof (type, member) + offsetof (struct marjoram_ballot, part), 0, \
+        NULL                                                                  \
   }
+#define BALLOT(type, member)                                                  \
+  BALLOT_PART (type, member, round), BALLOT_PART (type, member, incarnation), \
+      BALLOT_PART (type, member, proposer)
 
 static const struct marjoram_field message_fields[] = {
   { MARJORAM_WIRE_UINT (struct marjoram_keeper_message, kind) },
--- a/src/keeper_peer.c
+++ b/src/keeper_peer.c
@@ -43,10 +43,8 @@
 }
 
 static void
-destroy_peer (struct marjoram_keeper_peers *peers,
-              struct marjoram_keeper_peer *peer)
+free_peer (struct marjoram_keeper_peer *peer)
 {
-  TAILQ_REMOVE (peers, peer, link);
   free (peer->seen.store_id);
   free (peer->slot);
   free (peer);
@@ -56,13 +54,16 @@
 static void
 drop_oldest (struct marjoram_keeper_peers *peers)
 {
+  struct marjoram_keeper_peer *oldest = TAILQ_FIRST (peers);
   struct marjoram_keeper_peer *peer;
   size_t count = 0;
 
   TAILQ_FOREACH (peer, peers, link)
   count++;
-  if (count >= MARJORAM_KEEPER_SEEN_MAX)
-    destroy_peer (peers, TAILQ_FIRST (peers));
+  if (count < MARJORAM_KEEPER_SEEN_MAX)
+    return;
+  TAILQ_REMOVE (peers, oldest, link);
+  free_peer (oldest);
 }
 
 static struct marjoram_keeper_peer *
@@ -168,8 +169,16 @@
 void
 marjoram_keeper_peers_clear (struct marjoram_keeper_peers *peers)
 {
-  while (!TAILQ_EMPTY (peers))
-    destroy_peer (peers, TAILQ_FIRST (peers));
+  struct marjoram_keeper_peer *peer = TAILQ_FIRST (peers);
+
+  while (peer)
+    {
+      struct marjoram_keeper_peer *next = TAILQ_NEXT (peer, link);
+
+      free_peer (peer);
+      peer = next;
+    }
+  TAILQ_INIT (peers);
 }
 
 bool
--- a/src/keeper_request.c
+++ b/src/keeper_request.c
@@ -45,11 +45,9 @@
   request->new = marjoram_strdup (new);
 }
 
-void
-marjoram_keeper_requests_remove (struct marjoram_keeper_requests *requests,
-                                 struct marjoram_keeper_request *request)
+static void
+free_request (struct marjoram_keeper_request *request)
 {
-  TAILQ_REMOVE (requests, request, link);
   marjoram_wire_clear (&marjoram_file_layout, &request->file);
   free (request->change_id);
   free (request->old);
@@ -57,11 +55,27 @@
   free (request);
 }
 
+void
+marjoram_keeper_requests_remove (struct marjoram_keeper_requests *requests,
+                                 struct marjoram_keeper_request *request)
+{
+  TAILQ_REMOVE (requests, request, link);
+  free_request (request);
+}
+
 void
 marjoram_keeper_requests_clear (struct marjoram_keeper_requests *requests)
 {
-  while (!TAILQ_EMPTY (requests))
-    marjoram_keeper_requests_remove (requests, TAILQ_FIRST (requests));
+  struct marjoram_keeper_request *request = TAILQ_FIRST (requests);
+
+  while (request)
+    {
+      struct marjoram_keeper_request *next = TAILQ_NEXT (request, link);
+
+      free_request (request);
+      request = next;
+    }
+  TAILQ_INIT (requests);
 }
 
 static bool
