--- a/src/config.h
+++ b/src/config.h
@@ -74,9 +74,8 @@
 struct marjoram_upstream_class
 {
   char *name;
-  int kind;      /* enum marjoram_class_kind */
-  bool fences;   /* its engines may be trusted to refuse old fences */
-  int max_slots; /* most requests given to one at once; 0: as announced */
+  int kind;    /* enum marjoram_class_kind */
+  bool fences; /* its engines may be trusted to refuse old fences */
 };
 
 struct marjoram_caller
--- a/src/config_draft.c
+++ b/src/config_draft.c
@@ -57,8 +57,6 @@
   { "kind", MARJORAM_INI_WORD, KEY (class, it.kind), NULL, 0, 0, class_words },
   { "works", MARJORAM_INI_NAMES, KEY (class, works), NULL, 0, 0, NULL },
   { "fences", MARJORAM_INI_BOOL, KEY (class, it.fences), "no", 0, 0, NULL },
-  { "max_slots", MARJORAM_INI_COUNT, KEY (class, it.max_slots), "0", 0,
-    COPIES_MAX, NULL },
 };
 
 static const struct marjoram_ini_key caller_keys[] = {
