--- /dev/null
+++ b/test/test_fuzz_input.c
@@ -0,0 +1,529 @@
+/* Mutated input of all that a daemon reads from outside: settings, operators'
+   files, and messages from peers.  Each is refused with a fault or read; the
+   process lives on.  Seeds are fixed; a failure names its own.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "config.h"
+#include "config_file.h"
+#include "frame.h"
+#include "ini_file.h"
+#include "random.h"
+#include "secret.h"
+#include "settings.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  TEXT_SEEDS = 1500,
+  FRAME_SEEDS = 400,
+  INPUT_MAX = 64 * 1024,
+  GROWTH_MAX = 300,
+  STRING_MAX = 40,
+  ITEMS_MAX = 3,
+  MUTATIONS_MAX = 6
+};
+
+/* What is mutated.  */
+struct input
+{
+  marjoram_random *random;
+  size_t size;
+  uint8_t data[INPUT_MAX];
+};
+
+static size_t
+below (struct input *in, size_t limit)
+{
+  return marjoram_random_below (in->random, (uint32_t)limit);
+}
+
+static void
+insert (struct input *in, size_t at, const void *data, size_t size)
+{
+  if (in->size + size > INPUT_MAX)
+    return;
+  memmove (in->data + at + size, in->data + at, in->size - at);
+  memcpy (in->data + at, data, size);
+  in->size += size;
+}
+
+static void
+cut (struct input *in, size_t at, size_t size)
+{
+  if (size > in->size - at)
+    size = in->size - at;
+  memmove (in->data + at, in->data + at + size, in->size - at - size);
+  in->size -= size;
+}
+
+/* Bytes that begin msgpack items, large and small, and those that matter in
+   INI files.  */
+static const uint8_t special[]
+    = { 0x00, 0xff, 0x7f, 0x80, 0x8f, 0x90, 0x9f, 0xa0, 0xbf, 0xc0, 0xc1,
+        0xc4, 0xc6, 0xc9, 0xca, 0xcf, 0xd3, 0xd8, 0xd9, 0xdb, 0xdc, 0xdd,
+        0xde, 0xdf, '[',  ']',  '=',  ';',  '\n', '\r', ' ',  ',',  ':' };
+
+static void
+mutate_bytes (struct input *in)
+{
+  size_t at = below (in, in->size + 1);
+  uint8_t copy[GROWTH_MAX];
+  size_t size = 1 + below (in, GROWTH_MAX);
+
+  switch (below (in, 6))
+    {
+    case 0:
+      if (at < in->size)
+        in->data[at] ^= (uint8_t)(1U << below (in, 8));
+      break;
+    case 1:
+      if (at < in->size)
+        in->data[at] = special[below (in, sizeof special)];
+      break;
+    case 2:
+      insert (in, at, &special[below (in, sizeof special)], 1);
+      break;
+    case 3:
+      cut (in, at, 1 + below (in, 8));
+      break;
+    case 4:
+      in->size = at;
+      break;
+    default:
+      if (size > in->size - at)
+        size = in->size - at;
+      memcpy (copy, in->data + at, size);
+      insert (in, below (in, in->size + 1), copy, size);
+      break;
+    }
+}
+
+/* The line that a random byte is in, its end included.  */
+static size_t
+random_line (struct input *in, size_t *start)
+{
+  size_t at = in->size ? below (in, in->size) : 0;
+  size_t stop = at;
+
+  while (at > 0 && in->data[at - 1] != '\n')
+    at--;
+  while (stop < in->size && in->data[stop] != '\n')
+    stop++;
+  *start = at;
+  return stop - at + (stop < in->size);
+}
+
+static void
+mutate_lines (struct input *in)
+{
+  static const char *const values[]
+      = { "= -1\n",       "= 99999999999999999999\n",
+          "= nan\n",      "= all\n",
+          "= ,,,\n",      "= 1.2.3.4:99999\n",
+          "= [::1]:1\n",  "[caller]\n",
+          "[zone x y]\n", "=\n" };
+  const char *value = values[below (in, sizeof values / sizeof *values)];
+  uint8_t line[GROWTH_MAX];
+  size_t from;
+  size_t to;
+  size_t size = random_line (in, &from);
+
+  if (size > sizeof line)
+    return;
+  memcpy (line, in->data + from, size);
+  random_line (in, &to);
+  switch (below (in, 4))
+    {
+    case 0:
+      cut (in, from, size);
+      break;
+    case 1:
+      insert (in, to, line, size);
+      break;
+    case 2:
+      cut (in, from, size);
+      insert (in, to < in->size ? to : in->size, line, size);
+      break;
+    default:
+      insert (in, from + below (in, size + 1), value, strlen (value));
+      break;
+    }
+}
+
+static void
+mutate_text (struct input *in)
+{
+  for (size_t n = 1 + below (in, MUTATIONS_MAX); n > 0; n--)
+    if (below (in, 3))
+      mutate_lines (in);
+    else
+      mutate_bytes (in);
+}
+
+static void
+load_input (struct input *in, const char *path)
+{
+  size_t size;
+  marjoram_auto_free char *text
+      = marjoram_file_read (path, INPUT_MAX / 2, &size, NULL);
+
+  ck_assert_msg (text != NULL, "%s", path);
+  memcpy (in->data, text, size);
+  in->size = size;
+}
+
+/* A fault names its file and ends with a remedy after a semicolon.  */
+static void
+check_faults (const char *faults, int seed)
+{
+  ck_assert_msg (faults && *faults && strchr (faults, ';'), "seed %d: %s",
+                 seed, faults ? faults : "no fault");
+}
+
+/* Points the example's settings to the secret in their own folder.  */
+static void
+move_secret (struct input *in)
+{
+  static const char folder[] = "/etc/marjoram/";
+  const uint8_t *place = memmem (in->data, in->size, folder, strlen (folder));
+
+  ck_assert_ptr_nonnull (place);
+  cut (in, (size_t)(place - in->data), strlen (folder));
+}
+
+START_TEST (settings_are_read_or_refused)
+{
+  static struct input in;
+  char secret[96];
+  char folder[64] = "/tmp/marjoram-fuzz-XXXXXX";
+  char path[96];
+  int read = 0;
+
+  ck_assert_ptr_nonnull (mkdtemp (folder));
+  snprintf (path, sizeof path, "%s/host.ini", folder);
+  snprintf (secret, sizeof secret, "%s/secret", folder);
+  ck_assert (marjoram_secret_create (secret, NULL));
+  for (int seed = 0; seed < TEXT_SEEDS; seed++)
+    {
+      marjoram_auto_free char *faults = NULL;
+      struct marjoram_settings *settings;
+      FILE *out = fopen (path, "w");
+
+      in.random = marjoram_random_create ((uint64_t)seed);
+      load_input (&in, "examples/tatranska/ba-1-a.ini");
+      move_secret (&in);
+      mutate_text (&in);
+      fwrite (in.data, 1, in.size, out);
+      fclose (out);
+      settings = marjoram_settings_load (path, &faults, NULL);
+      if (settings)
+        read++;
+      else
+        check_faults (faults, seed);
+      marjoram_settings_destroy (settings);
+      marjoram_random_destroy (in.random);
+    }
+  unlink (path);
+  unlink (secret);
+  rmdir (folder);
+  ck_assert_int_gt (read, 0);
+  ck_assert_int_lt (read, TEXT_SEEDS);
+}
+END_TEST
+
+/* Whatever was accepted must hold together.  */
+static void
+check_config (const marjoram_config *config, int seed)
+{
+  int slots = 0;
+
+  for (int z = 0; z < marjoram_config_zone_count (config); z++)
+    {
+      const struct marjoram_zone *zone = marjoram_config_zone (config, z);
+
+      ck_assert_msg (zone->region >= 0
+                         && zone->region
+                                < marjoram_config_region_count (config)
+                         && zone->slot_count > 0,
+                     "seed %d", seed);
+      for (int i = 0; i < zone->slot_count; i++, slots++)
+        {
+          const struct marjoram_slot *slot
+              = marjoram_config_slot (config, zone->first_slot + i);
+
+          ck_assert_msg (slot->zone == z && slot->ordinal == i
+                             && slot->peer_address && slot->entry_address,
+                         "seed %d", seed);
+        }
+    }
+  ck_assert_int_eq (slots, marjoram_config_slot_count (config));
+  for (int c = 0; c < marjoram_config_caller_count (config); c++)
+    {
+      const struct marjoram_caller *caller
+          = marjoram_config_caller (config, c);
+
+      ck_assert_msg (caller->allowed >> caller->home & 1, "seed %d", seed);
+      ck_assert_int_eq (marjoram_config_find_caller (config, caller->token),
+                        c);
+    }
+}
+
+START_TEST (configurations_are_read_or_refused)
+{
+  static const char *const names[] = { "sites", "works", "callers" };
+  static struct input in;
+  int read = 0;
+
+  for (int seed = 0; seed < TEXT_SEEDS; seed++)
+    {
+      struct marjoram_state *state = marjoram_state_copy (NULL);
+      marjoram_auto_free char *faults = NULL;
+      marjoram_config *config;
+
+      in.random = marjoram_random_create ((uint64_t)seed);
+      for (int i = 0; i < 3; i++)
+        {
+          char path[64];
+          struct marjoram_file file = { (char *)names[i], 1, NULL, NULL };
+
+          snprintf (path, sizeof path, "examples/huon/%s.ini", names[i]);
+          load_input (&in, path);
+          if (seed % 3 == i)
+            mutate_text (&in);
+          in.data[in.size] = 0;
+          file.text = (char *)in.data;
+          marjoram_state_set_file (state, &file);
+        }
+      config = marjoram_config_create (state, &faults, NULL);
+      if (config)
+        {
+          read++;
+          check_config (config, seed);
+        }
+      else
+        check_faults (faults, seed);
+      marjoram_config_release (config);
+      marjoram_state_destroy (state);
+      marjoram_random_destroy (in.random);
+    }
+  ck_assert_int_gt (read, 0);
+  ck_assert_int_lt (read, TEXT_SEEDS);
+}
+END_TEST
+
+static void fill_message (struct input *in,
+                          const struct marjoram_layout *layout, char *base);
+
+static char *
+random_string (struct input *in, size_t limit)
+{
+  size_t size = below (in, (limit < STRING_MAX ? limit : STRING_MAX) + 1);
+  char *text = marjoram_alloc (size + 1);
+
+  for (size_t i = 0; i < size; i++)
+    text[i] = (char)('a' + below (in, 26));
+  return text;
+}
+
+static uint64_t
+random_number (struct input *in)
+{
+  uint64_t number = below (in, UINT32_MAX);
+
+  return number << below (in, 33) >> below (in, 33);
+}
+
+static void
+fill_array (struct input *in, const struct marjoram_field *field,
+            struct marjoram_array *array)
+{
+  size_t most = field->limit < ITEMS_MAX ? field->limit : ITEMS_MAX;
+
+  array->count = below (in, most + 1);
+  array->items = marjoram_alloc (array->count * field->layout->size);
+  for (size_t i = 0; i < array->count; i++)
+    fill_message (in, field->layout,
+                  (char *)array->items + i * field->layout->size);
+}
+
+static void
+fill_message (struct input *in, const struct marjoram_layout *layout,
+              char *base)
+{
+  for (size_t i = 0; i < layout->field_count; i++)
+    {
+      const struct marjoram_field *field = &layout->fields[i];
+      char *place = base + field->offset;
+      marjoram_auto_free char *text = NULL;
+
+      switch (field->kind)
+        {
+        case MARJORAM_FIELD_UINT:
+          *(uint64_t *)place = random_number (in);
+          break;
+        case MARJORAM_FIELD_INT:
+          *(int64_t *)place = -(int64_t)(random_number (in) / 2);
+          break;
+        case MARJORAM_FIELD_BOOL:
+          *(bool *)place = below (in, 2) != 0;
+          break;
+        case MARJORAM_FIELD_STRING:
+          if (below (in, 4))
+            *(char **)place = random_string (in, field->limit);
+          break;
+        case MARJORAM_FIELD_BYTES:
+          text = random_string (in, field->limit);
+          if (below (in, 4))
+            *(marjoram_bytes **)place
+                = marjoram_bytes_create (text, strlen (text));
+          break;
+        case MARJORAM_FIELD_ARRAY:
+          fill_array (in, field, (struct marjoram_array *)place);
+          break;
+        }
+    }
+}
+
+/* Reads IN as a message.  What is read has to come out of a second packing and
+   reading the same.  */
+static bool
+read_message (const struct marjoram_layout *layout, const struct input *in)
+{
+  struct marjoram_error err = { 0 };
+  void *message = marjoram_wire_unpack (layout, in->data, in->size, &err);
+  marjoram_bytes *packed;
+  marjoram_bytes *again;
+  void *second;
+
+  if (!message)
+    {
+      ck_assert_int_eq (err.kind, MARJORAM_ERROR_INVALID);
+      return false;
+    }
+  packed = marjoram_wire_pack (layout, message);
+  second = marjoram_wire_unpack (layout, marjoram_bytes_data (packed),
+                                 marjoram_bytes_size (packed), NULL);
+  ck_assert_msg (second != NULL, "%s", layout->name);
+  again = marjoram_wire_pack (layout, second);
+  ck_assert_uint_eq (marjoram_bytes_size (again),
+                     marjoram_bytes_size (packed));
+  ck_assert_mem_eq (marjoram_bytes_data (again), marjoram_bytes_data (packed),
+                    marjoram_bytes_size (packed));
+  marjoram_wire_destroy (layout, message);
+  marjoram_wire_destroy (layout, second);
+  marjoram_bytes_release (packed);
+  marjoram_bytes_release (again);
+  return true;
+}
+
+static void
+pack_random (struct input *in, const struct marjoram_layout *layout)
+{
+  void *message = marjoram_alloc (layout->size);
+  marjoram_bytes *packed;
+
+  fill_message (in, layout, message);
+  packed = marjoram_wire_pack (layout, message);
+  in->size = marjoram_bytes_size (packed);
+  ck_assert_uint_le (in->size, INPUT_MAX);
+  memcpy (in->data, marjoram_bytes_data (packed), in->size);
+  marjoram_bytes_release (packed);
+  marjoram_wire_destroy (layout, message);
+}
+
+START_TEST (frames_are_read_or_refused)
+{
+  const struct marjoram_layout *layout
+      = marjoram_frame_layout ((enum marjoram_frame_type)_i);
+  static struct input in;
+  int refused = 0;
+
+  for (int seed = 0; seed < FRAME_SEEDS; seed++)
+    {
+      in.random = marjoram_random_create ((uint64_t)seed);
+      pack_random (&in, layout);
+      ck_assert_msg (read_message (layout, &in), "%s, seed %d", layout->name,
+                     seed);
+      for (size_t n = 1 + below (&in, MUTATIONS_MAX); n > 0; n--)
+        {
+          mutate_bytes (&in);
+          refused += !read_message (layout, &in);
+        }
+      marjoram_random_destroy (in.random);
+    }
+  ck_assert_int_gt (refused, 0);
+}
+END_TEST
+
+/* Each passes for a hello in all but one point.  A name with a NUL inside
+   would be one name to the check and another to the log.  */
+START_TEST (known_bad_hellos_are_refused)
+{
+  static const struct
+  {
+    const char *data;
+    size_t size;
+  } hellos[] = {
+    { "\x92\x01\xa3"
+      "a\0b",
+      6 }, /* a NUL in a string */
+    { "\x92\x01\xa2"
+      "ab\xc0",
+      6 }, /* more after the end */
+    { "\x92\x01\xa3"
+      "ab",
+      5 }, /* cut off */
+    { "\x92\xff\xa2"
+      "ab",
+      5 }, /* a negative number */
+    { "\x92\x01\xc4\x01"
+      "a",
+      5 }, /* bytes for a string */
+    { "\x92\x01\x91\xa1"
+      "a",
+      5 }, /* an array for a string */
+    { "\x82\x01\xa1"
+      "a\x01\xc0",
+      6 },                         /* a map */
+    { "\xdd\xff\xff\xff\xff", 5 }, /* a length bomb */
+    { "", 0 },
+  };
+  const struct marjoram_layout *layout
+      = marjoram_frame_layout (MARJORAM_FRAME_HELLO);
+  void *good = marjoram_wire_unpack (layout,
+                                     "\x92\x01\xa2"
+                                     "ab",
+                                     5, NULL);
+
+  ck_assert_ptr_nonnull (good);
+  marjoram_wire_destroy (layout, good);
+  for (size_t i = 0; i < sizeof hellos / sizeof *hellos; i++)
+    {
+      struct marjoram_error err = { 0 };
+
+      ck_assert_msg (
+          !marjoram_wire_unpack (layout, hellos[i].data, hellos[i].size, &err),
+          "hello %zu", i);
+      ck_assert_int_eq (err.kind, MARJORAM_ERROR_INVALID);
+    }
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("fuzz_input");
+  TCase *c = tcase_create ("fuzz_input");
+
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, settings_are_read_or_refused);
+  tcase_add_test (c, configurations_are_read_or_refused);
+  tcase_add_test (c, known_bad_hellos_are_refused);
+  tcase_add_loop_test (c, frames_are_read_or_refused, 0, MARJORAM_FRAME_COUNT);
+  suite_add_tcase (s, c);
+  return s;
+}
