--- /dev/null
+++ b/src/agree.c
@@ -0,0 +1,172 @@
+#include "host_state.h"
+
+#include "cleanup.h"
+#include "log.h"
+
+#include <string.h>
+
+/* ---- Configuration.  ---- */
+
+/* Where this host stands in the configuration.  Claims and orders are made
+   when it first has a slot; a later change of the number of its zone's slots
+   is taken up by restarting the zone's hosts one by one.  */
+static void
+find_self (marjoram_host *host)
+{
+  int index = marjoram_config_find_slot (host->config, host->settings->slot);
+
+  host->zone = marjoram_config_find_zone (host->config, host->settings->zone);
+  host->self = -1;
+  if (index < 0 || host->zone < 0
+      || marjoram_config_slot (host->config, index)->zone != host->zone)
+    {
+      marjoram_log (MARJORAM_LOG_WARNING,
+                    "configuration %llu has no slot %s in zone %s; add it to "
+                    "the operators' files or mend [host]",
+                    (unsigned long long)marjoram_config_number (host->config),
+                    host->settings->slot, host->settings->zone);
+      host->zone = -1;
+      return;
+    }
+  host->self = marjoram_config_slot (host->config, index)->ordinal;
+  if (!host->claims)
+    marjoram_host_create_zone (host);
+}
+
+static void
+adopt (marjoram_host *host, int64_t now, const struct marjoram_state *state)
+{
+  struct marjoram_error err = { 0 };
+  marjoram_config *config;
+
+  if (state->files.count == 0
+      || (host->config
+          && state->number <= marjoram_config_number (host->config)))
+    return;
+  config = marjoram_config_create (state, NULL, &err);
+  if (!config)
+    {
+      marjoram_log (MARJORAM_LOG_ERROR, "configuration %llu not taken: %s",
+                    (unsigned long long)state->number, err.message);
+      return;
+    }
+  marjoram_config_release (host->config);
+  host->config = config;
+  marjoram_counters_add (host->counters, MARJORAM_COUNTER_CONFIG_APPLIED, 1);
+  marjoram_log (MARJORAM_LOG_NOTICE, "configuration %llu is in force",
+                (unsigned long long)state->number);
+  find_self (host);
+  marjoram_router_configure (host->router, now, config);
+  marjoram_links_plan (host);
+  marjoram_links_tell (host, now);
+}
+
+static void
+spread_ask (void *context, const char *slot,
+            const struct marjoram_config_ask *ask)
+{
+  marjoram_host *host = context;
+
+  marjoram_link_send_any (host, slot, MARJORAM_FRAME_CONFIG_ASK, ask);
+}
+
+static void
+spread_give (void *context, const char *slot,
+             const struct marjoram_config_give *give)
+{
+  marjoram_host *host = context;
+
+  marjoram_link_send_any (host, slot, MARJORAM_FRAME_CONFIG_GIVE, give);
+}
+
+static void
+spread_adopted (void *context, const struct marjoram_state *state)
+{
+  marjoram_host *host = context;
+
+  adopt (host, host->now, state);
+}
+
+static const struct marjoram_spread_ops spread_ops
+    = { spread_ask, spread_give, spread_adopted };
+
+marjoram_spread *
+marjoram_host_create_spread (marjoram_host *host, int64_t now)
+{
+  const struct marjoram_settings *settings = host->settings;
+  struct marjoram_spread_options options;
+
+  options.keepers = (const char *const *)settings->first_keepers;
+  options.keeper_count = settings->first_keeper_count;
+  return marjoram_spread_create (&options, &spread_ops, host, now);
+}
+
+/* ---- Keeper.  ---- */
+
+static void
+keeper_send (void *context, const char *slot,
+             const struct marjoram_keeper_message *message)
+{
+  marjoram_host *host = context;
+
+  host->ops->send (host->context, slot, MARJORAM_FRAME_KEEPER, message);
+}
+
+static void
+keeper_persist (void *context, uint64_t ticket, marjoram_bytes *record)
+{
+  marjoram_host *host = context;
+
+  host->ops->persist (host->context, ticket, record);
+}
+
+static void
+keeper_chosen (void *context, const struct marjoram_state *state)
+{
+  marjoram_host *host = context;
+
+  marjoram_spread_local (host->spread, host->now, state);
+}
+
+static void
+keeper_answered (void *context, uint64_t request,
+                 const struct marjoram_apply_answer *answer)
+{
+  marjoram_apply_answered (context, request, answer);
+}
+
+static bool
+keeper_valid (void *context, const struct marjoram_state *state,
+              struct marjoram_error *err)
+{
+  marjoram_config *config = marjoram_config_create (state, NULL, err);
+
+  (void)context;
+  if (!config)
+    return false;
+  marjoram_config_release (config);
+  return true;
+}
+
+static const struct marjoram_keeper_ops keeper_ops
+    = { keeper_send, keeper_persist, keeper_chosen, keeper_answered,
+        keeper_valid };
+
+bool
+marjoram_host_create_keeper (marjoram_host *host,
+                             const struct marjoram_host_options *options,
+                             struct marjoram_error *err)
+{
+  const struct marjoram_settings *settings = options->settings;
+  struct marjoram_keeper_options keeper = { 0 };
+
+  keeper.slot = settings->slot;
+  keeper.store_id = options->store_id;
+  keeper.first = (const char *const *)settings->first_keepers;
+  keeper.first_count = settings->first_keeper_count;
+  keeper.incarnation = options->store_incarnation;
+  keeper.record = options->record;
+  host->keeper
+      = marjoram_keeper_create (&keeper, &keeper_ops, host, host->random, err);
+  return host->keeper != NULL;
+}
--- /dev/null
+++ b/src/answer.c
@@ -0,0 +1,222 @@
+#include "request.h"
+
+#include "cleanup.h"
+#include "host_state.h"
+
+#include <string.h>
+#include <strings.h>
+
+enum
+{
+  /* An answer larger than this is not kept for replay.  */
+  REPLAY_BODY_MAX = 256 * 1024
+};
+
+static void
+pieces_clear (struct marjoram_request *request)
+{
+  struct marjoram_piece *piece;
+
+  while ((piece = STAILQ_FIRST (&request->pieces)))
+    {
+      STAILQ_REMOVE_HEAD (&request->pieces, next);
+      marjoram_bytes_release (piece->bytes);
+      free (piece);
+    }
+  request->pieces_size = 0;
+}
+
+static void
+pieces_add (struct marjoram_request *request, marjoram_bytes *bytes)
+{
+  struct marjoram_piece *piece = marjoram_alloc (sizeof *piece);
+
+  piece->bytes = marjoram_bytes_retain (bytes);
+  STAILQ_INSERT_TAIL (&request->pieces, piece, next);
+  request->pieces_size += marjoram_bytes_size (bytes);
+}
+
+static marjoram_bytes *
+pieces_join (const struct marjoram_request *request)
+{
+  marjoram_auto_free uint8_t *whole = marjoram_alloc (request->pieces_size);
+  const struct marjoram_piece *piece;
+  size_t size = 0;
+
+  STAILQ_FOREACH (piece, &request->pieces, next)
+  {
+    memcpy (whole + size, marjoram_bytes_data (piece->bytes),
+            marjoram_bytes_size (piece->bytes));
+    size += marjoram_bytes_size (piece->bytes);
+  }
+  return marjoram_bytes_create (whole, size);
+}
+
+static void
+head_clear (struct marjoram_request *request)
+{
+  marjoram_wire_clear (marjoram_frame_layout (MARJORAM_FRAME_HEAD),
+                       &request->head);
+  memset (&request->head, 0, sizeof request->head);
+  request->has_head = false;
+}
+
+void
+marjoram_answer_clear (struct marjoram_request *request)
+{
+  head_clear (request);
+  pieces_clear (request);
+}
+
+void
+marjoram_request_copy_head (struct marjoram_head *copy,
+                            const struct marjoram_head *head)
+{
+  const struct marjoram_header *from = head->headers.items;
+  struct marjoram_header *to
+      = marjoram_alloc (head->headers.count * sizeof *to);
+
+  *copy = *head;
+  copy->headers.items = to;
+  copy->upstream = head->upstream ? marjoram_strdup (head->upstream) : NULL;
+  for (size_t i = 0; i < head->headers.count; i++)
+    {
+      to[i].name = marjoram_strdup (from[i].name);
+      to[i].value = marjoram_strdup (from[i].value);
+    }
+}
+
+/* An answer is passed on as it comes if the caller asked for a stream, else
+   once it is whole, so that a broken one can be retried unseen.  */
+static bool
+passes_through (const struct marjoram_request *request)
+{
+  return request->call->stream;
+}
+
+static void
+pass_head (marjoram_host *host, struct marjoram_request *request,
+           int64_t length)
+{
+  request->head_passed = true;
+  if (!request->gone)
+    request->origin->head (host, request, &request->head, length);
+}
+
+static void
+pass_bytes (marjoram_host *host, struct marjoram_request *request,
+            marjoram_bytes *bytes)
+{
+  request->passed += marjoram_bytes_size (bytes);
+  if (!request->gone)
+    request->origin->data (host, request, bytes);
+}
+
+void
+marjoram_request_head (marjoram_host *host, int64_t now,
+                       struct marjoram_request *request,
+                       const struct marjoram_head *head)
+{
+  request->progress = now;
+  request->resuming = false;
+  if (request->has_head)
+    return;
+  if (!request->first_byte)
+    request->first_byte = now;
+  marjoram_request_copy_head (&request->head, head);
+  if (!request->head.upstream)
+    request->head.upstream = marjoram_strdup (request->upstream);
+  request->has_head = true;
+  if (passes_through (request) && !request->head_passed)
+    pass_head (host, request, -1);
+}
+
+/* Pieces are kept while they may be needed again: until the answer is whole,
+   for replay, or for a sender that asks again over a new link.  */
+static bool
+keeps_pieces (const struct marjoram_request *request)
+{
+  return !passes_through (request) || request->granted || request->peer;
+}
+
+void
+marjoram_request_data (marjoram_host *host, int64_t now,
+                       struct marjoram_request *request, marjoram_bytes *bytes)
+{
+  request->progress = now;
+  request->received += marjoram_bytes_size (bytes);
+  if (keeps_pieces (request))
+    pieces_add (request, bytes);
+  if (passes_through (request))
+    pass_bytes (host, request, bytes);
+}
+
+static const char *
+content_type (const struct marjoram_head *head)
+{
+  const struct marjoram_header *header = head->headers.items;
+
+  for (size_t i = 0; i < head->headers.count; i++)
+    if (strcasecmp (header[i].name, "Content-Type") == 0)
+      return header[i].value;
+  return NULL;
+}
+
+static void
+finish_claim (marjoram_host *host, int64_t now,
+              struct marjoram_request *request)
+{
+  struct marjoram_kept_answer kept = { 0 };
+
+  if (request->pieces_size > REPLAY_BODY_MAX)
+    {
+      marjoram_claims_finish (host->claims, now, request->claim, NULL);
+      return;
+    }
+  kept.status = request->head.status;
+  kept.content_type = (char *)content_type (&request->head);
+  kept.body = pieces_join (request);
+  marjoram_claims_finish (host->claims, now, request->claim, &kept);
+  marjoram_bytes_release (kept.body);
+}
+
+static void
+measure (marjoram_host *host, int64_t now,
+         const struct marjoram_request *request)
+{
+  struct marjoram_query query;
+
+  if (!request->attempt || request->state != MARJORAM_REQUEST_LOCAL)
+    return;
+  marjoram_attempt_query (host, request, &query);
+  if (query.caller >= 0 && query.work >= 0)
+    marjoram_router_measured (host->router, now, request->upstream, &query,
+                              request->first_byte - request->attempt_started,
+                              now - request->attempt_started,
+                              request->call->answer_tokens);
+}
+
+void
+marjoram_request_done (marjoram_host *host, int64_t now,
+                       struct marjoram_request *request)
+{
+  struct marjoram_piece *piece;
+
+  measure (host, now, request);
+  marjoram_suspects_cleared (host->suspects, now, request->digest);
+  marjoram_attempt_release (host, now, request, false);
+  request->outcome = MARJORAM_OUTCOME_DONE;
+  request->reason = MARJORAM_REASON_NONE;
+  if (request->granted)
+    finish_claim (host, now, request);
+  if (!passes_through (request))
+    {
+      pass_head (host, request, (int64_t)request->received);
+      STAILQ_FOREACH (piece, &request->pieces, next)
+      pass_bytes (host, request, piece->bytes);
+    }
+  marjoram_request_count_outcome (host, request, MARJORAM_OUTCOME_DONE);
+  if (!request->gone)
+    request->origin->end (host, request);
+  marjoram_request_settle (host, now, request);
+}
--- /dev/null
+++ b/src/attempt.c
@@ -0,0 +1,208 @@
+#include "request.h"
+
+#include "cleanup.h"
+#include "host_state.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+void
+marjoram_attempt_release (marjoram_host *host, int64_t now,
+                          struct marjoram_request *request, bool failed)
+{
+  if (!request->attempt)
+    return;
+  HASH_DELETE (by_attempt, host->requests->by_attempt, request);
+  request->attempt = 0;
+  if (request->state == MARJORAM_REQUEST_REMOTE)
+    marjoram_router_returned (host->router, now, request->remote_zone,
+                              request->work, failed);
+  else
+    {
+      marjoram_members_ended (host->members, now, request->upstream, failed);
+      marjoram_suspects_ended (host->suspects, now, request->upstream,
+                               request->digest);
+    }
+}
+
+void
+marjoram_attempt_begin (marjoram_host *host, int64_t now,
+                        struct marjoram_request *request)
+{
+  request->attempt = host->requests->next_attempt++;
+  request->attempt_started = now;
+  request->progress = now;
+  request->first_byte = 0;
+  request->resuming = false;
+  request->revoking = false;
+  request->received = 0;
+  marjoram_answer_clear (request);
+  HASH_ADD (by_attempt, host->requests->by_attempt, attempt,
+            sizeof request->attempt, request);
+}
+
+static void
+run_locally (marjoram_host *host, int64_t now,
+             struct marjoram_request *request,
+             const struct marjoram_choice *choice)
+{
+  const struct marjoram_upstream *upstream
+      = marjoram_members_find (host->members, now, choice->upstream);
+  const struct marjoram_call *call = request->call;
+  struct marjoram_run run = { 0 };
+
+  marjoram_attempt_begin (host, now, request);
+  request->state = MARJORAM_REQUEST_LOCAL;
+  snprintf (request->upstream, sizeof request->upstream, "%s",
+            choice->upstream);
+  marjoram_members_started (host->members, request->upstream);
+  marjoram_suspects_started (host->suspects, now, request->upstream,
+                             request->digest);
+  snprintf (request->address, sizeof request->address, "%s",
+            upstream->announcement->address);
+  run.address = request->address;
+  run.id = request->id;
+  run.method = call->method;
+  run.path = call->path;
+  run.headers = &call->headers;
+  run.body = call->body;
+  run.key = call->idempotent ? NULL : call->key;
+  run.class = call->class;
+  run.fresh = !call->idempotent;
+  marjoram_log (MARJORAM_LOG_DEBUG, "%s: to upstream %s", request->id,
+                request->upstream);
+  host->ops->run (host->context, request->attempt, &run);
+}
+
+void
+marjoram_attempt_query (const marjoram_host *host,
+                        const struct marjoram_request *request,
+                        struct marjoram_query *q)
+{
+  const struct marjoram_call *call = request->call;
+
+  memset (q, 0, sizeof *q);
+  q->caller = marjoram_config_find_caller_name (host->config, request->caller);
+  q->work = marjoram_config_find_work (host->config, call->work);
+  q->class = call->class;
+  q->deadline = request->deadline;
+  q->prompt_tokens = call->prompt_tokens;
+  q->answer_tokens = call->answer_tokens;
+  q->prefix_hash = call->prefix_hash;
+  q->digest = request->digest;
+  q->forwarded = request->peer != NULL;
+  q->tried_count = request->tried_count;
+  for (int i = 0; i < request->tried_count; i++)
+    q->tried[i] = request->tried[i];
+  q->zones_tried_count = request->zones_tried_count;
+  memcpy (q->zones_tried, request->zones_tried, sizeof q->zones_tried);
+}
+
+void
+marjoram_attempt_dispatch (marjoram_host *host, int64_t now,
+                           struct marjoram_request *request)
+{
+  struct marjoram_choice choice = { 0 };
+  struct marjoram_query query;
+
+  marjoram_attempt_query (host, request, &query);
+  if (query.caller < 0 || query.work < 0)
+    {
+      marjoram_request_refuse (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+                               MARJORAM_REASON_CONFIG_CHANGED, 0);
+      return;
+    }
+  request->work = query.work;
+  marjoram_router_choose (host->router, now, &query, &choice);
+  switch (choice.verdict)
+    {
+    case MARJORAM_VERDICT_LOCAL:
+      run_locally (host, now, request, &choice);
+      return;
+    case MARJORAM_VERDICT_FORWARD:
+      marjoram_forward_send (host, now, request, choice.zone, false);
+      return;
+    case MARJORAM_VERDICT_REFUSE:
+      break;
+    }
+  if (request->reason == MARJORAM_REASON_NONE
+      || choice.reason == MARJORAM_REASON_CONVICTED)
+    request->reason = choice.reason;
+  marjoram_request_refuse (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+                           request->reason, choice.retry_ms);
+}
+
+static void
+remember_tried (struct marjoram_request *request)
+{
+  if (request->state == MARJORAM_REQUEST_REMOTE)
+    {
+      if (request->zones_tried_count < MARJORAM_TRIED_MAX)
+        request->zones_tried[request->zones_tried_count++]
+            = request->remote_zone;
+    }
+  else if (request->tried_count < MARJORAM_TRIED_MAX)
+    memcpy (request->tried[request->tried_count++], request->upstream,
+            sizeof request->upstream);
+}
+
+/* Only the first host retries, so that attempts never multiply on a path.  A
+   retry needs proof that the attempt did not run, or idempotent work; and
+   nothing may have been passed on, as an answer never mixes two upstreams'
+   output.  */
+static bool
+may_retry (marjoram_host *host, int64_t now,
+           const struct marjoram_request *request,
+           enum marjoram_outcome outcome)
+{
+  if (request->peer || request->gone || request->head_passed)
+    return false;
+  if (outcome != MARJORAM_OUTCOME_NOT_RUN && !request->call->idempotent)
+    return false;
+  if (now >= request->deadline
+      || request->tried_count + request->zones_tried_count
+             >= MARJORAM_TRIED_MAX)
+    return false;
+  return marjoram_router_retry (host->router, now);
+}
+
+void
+marjoram_request_failed (marjoram_host *host, int64_t now,
+                         struct marjoram_request *request,
+                         enum marjoram_outcome outcome,
+                         enum marjoram_reason reason, int64_t retry_ms,
+                         bool final)
+{
+  bool answered_late = request->head_passed;
+
+  remember_tried (request);
+  marjoram_attempt_release (host, now, request, true);
+  if (outcome != MARJORAM_OUTCOME_NOT_RUN)
+    request->maybe_ran = true;
+  if (!final && may_retry (host, now, request, outcome))
+    {
+      marjoram_counters_retried (host->counters, reason);
+      marjoram_log (MARJORAM_LOG_INFO, "%s: again after %s", request->id,
+                    marjoram_reason_name (reason));
+      request->reason = reason;
+      marjoram_attempt_dispatch (host, now, request);
+      return;
+    }
+  marjoram_request_refuse (host, now, request,
+                           answered_late ? MARJORAM_OUTCOME_UNKNOWN : outcome,
+                           reason, retry_ms);
+}
+
+void
+marjoram_attempt_cancel (marjoram_host *host, int64_t now,
+                         struct marjoram_request *request)
+{
+  if (!request->attempt)
+    return;
+  if (request->state == MARJORAM_REQUEST_REMOTE)
+    marjoram_forward_cancel (host, request);
+  else
+    host->ops->cancel (host->context, request->attempt);
+  marjoram_attempt_release (host, now, request, false);
+}
--- a/src/clock.c
+++ b/src/clock.c
@@ -3,6 +3,7 @@
 enum
 {
   MSEC_PER_SEC = 1000,
+  USEC_PER_MSEC = 1000,
   NSEC_PER_MSEC = 1000000
 };
 
@@ -32,6 +33,16 @@
   return (int64_t)ts.tv_sec * MSEC_PER_SEC + ts.tv_nsec / NSEC_PER_MSEC;
 }
 
+struct timeval
+marjoram_clock_timeval (int64_t msec)
+{
+  struct timeval tv;
+
+  tv.tv_sec = (time_t)(msec / MSEC_PER_SEC);
+  tv.tv_usec = (suseconds_t)(msec % MSEC_PER_SEC) * USEC_PER_MSEC;
+  return tv;
+}
+
 struct marjoram_clock *
 marjoram_clock_system (void)
 {
--- a/src/clock.h
+++ b/src/clock.h
@@ -4,6 +4,7 @@
 #define MARJORAM_CLOCK_H
 
 #include <stdint.h>
+#include <sys/time.h>
 #include <time.h>
 
 struct marjoram_clock;
@@ -22,6 +23,8 @@
 /* The machine's clock; not to be freed.  */
 struct marjoram_clock *marjoram_clock_system (void);
 
+/* For timers.  */
+struct timeval marjoram_clock_timeval (int64_t msec);
 /* Milliseconds of the monotonic clock: for timeouts and leases.  */
 int64_t marjoram_clock_now (struct marjoram_clock *clock);
 /* Milliseconds since the epoch: for the age of request keys only.  */
--- /dev/null
+++ b/src/daemon.c
@@ -0,0 +1,507 @@
+#include "daemon.h"
+
+#include "cleanup.h"
+#include "control.h"
+#include "inbox.h"
+#include "log.h"
+#include "report.h"
+
+#include <event2/thread.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  TICK_MSEC = 50,
+  /* After the last request, for answers to leave the sockets.  */
+  LINGER_MSEC = 300
+};
+
+struct marjoram_daemon
+{
+  const struct marjoram_settings *settings;
+  char *settings_path;
+  struct event_base *base;
+  struct marjoram_clock *clock;
+  marjoram_counters *counters;
+  marjoram_random *random;
+  marjoram_inbox *inbox;
+  marjoram_host *host;
+  marjoram_disk *disk;
+  marjoram_peer *peer;
+  marjoram_upstreams *upstreams;
+  marjoram_front *front;
+  marjoram_control *control;
+  struct event *tick;
+  struct event *term;
+  struct event *interrupt;
+  struct event *hangup;
+  bool stopping;
+  bool cut;
+};
+
+/* ---- The host's operations.  ---- */
+
+static void
+op_reply_head (void *context, uint64_t call, const struct marjoram_head *head,
+               const struct marjoram_answer_info *info, int64_t length)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_front_head (daemon->front, call, head, info, length);
+}
+
+static void
+op_reply_data (void *context, uint64_t call, marjoram_bytes *bytes)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_front_data (daemon->front, call, bytes);
+}
+
+static void
+op_reply_end (void *context, uint64_t call)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_front_end (daemon->front, call);
+}
+
+static void
+op_reply_cut (void *context, uint64_t call)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_front_cut (daemon->front, call);
+}
+
+static void
+op_reply_refusal (void *context, uint64_t call,
+                  const struct marjoram_refusal *refusal)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_front_refuse (daemon->front, call, refusal);
+}
+
+static void
+op_run (void *context, uint64_t attempt, const struct marjoram_run *run)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_upstreams_run (daemon->upstreams, attempt, run);
+}
+
+static void
+op_resume (void *context, uint64_t attempt, const char *address,
+           const char *id, uint64_t offset)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_upstreams_resume (daemon->upstreams, attempt, address, id, offset);
+}
+
+static void
+op_cancel (void *context, uint64_t attempt)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_upstreams_cancel (daemon->upstreams, attempt);
+}
+
+static void
+op_probe (void *context, const char *upstream, const char *address)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_upstreams_probe (daemon->upstreams, upstream, address);
+}
+
+static void
+op_connect (void *context, const char *slot, const char *address, bool wanted)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_peer_connect (daemon->peer, slot, address, wanted);
+}
+
+static void
+op_send (void *context, const char *slot, enum marjoram_frame_type type,
+         const void *message)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_peer_send (daemon->peer, slot, type, message);
+}
+
+static void
+op_reply (void *context, const char *slot, uint64_t session,
+          enum marjoram_frame_type type, const void *message)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_peer_reply (daemon->peer, slot, session, type, message);
+}
+
+static void
+op_hang_up (void *context, const char *slot)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_peer_hang_up (daemon->peer, slot);
+}
+
+static void
+op_persist (void *context, uint64_t ticket, marjoram_bytes *record)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_disk_write (daemon->disk, ticket, marjoram_bytes_retain (record));
+}
+
+static void
+op_applied (void *context, uint64_t request,
+            const struct marjoram_apply_answer *answer)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_control_answer (daemon->control, request, answer);
+}
+
+static void
+stop_later (marjoram_daemon *daemon)
+{
+  struct timeval delay = marjoram_clock_timeval (LINGER_MSEC);
+
+  event_base_loopexit (daemon->base, &delay);
+}
+
+static void
+op_drained (void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  daemon->cut = marjoram_host_request_count (daemon->host) > 0;
+  marjoram_front_stop_listening (daemon->front);
+  if (daemon->stopping)
+    stop_later (daemon);
+}
+
+static const struct marjoram_host_ops host_ops = {
+  .reply_head = op_reply_head,
+  .reply_data = op_reply_data,
+  .reply_end = op_reply_end,
+  .reply_cut = op_reply_cut,
+  .reply_refusal = op_reply_refusal,
+  .run = op_run,
+  .resume = op_resume,
+  .cancel = op_cancel,
+  .probe = op_probe,
+  .connect = op_connect,
+  .send = op_send,
+  .reply = op_reply,
+  .hang_up = op_hang_up,
+  .persist = op_persist,
+  .applied = op_applied,
+  .drained = op_drained,
+};
+
+/* ---- The operators' task.  ---- */
+
+static json_t *
+control_status (void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  return marjoram_report_status (daemon->host,
+                                 marjoram_clock_now (daemon->clock));
+}
+
+static json_t *
+control_upstreams (void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  return marjoram_report_upstreams (daemon->host,
+                                    marjoram_clock_now (daemon->clock));
+}
+
+static json_t *
+control_explain (void *context, const struct marjoram_explain_query *query)
+{
+  marjoram_daemon *daemon = context;
+
+  return marjoram_report_explain (daemon->host,
+                                  marjoram_clock_now (daemon->clock), query);
+}
+
+static const struct marjoram_state *
+control_state (void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  return marjoram_host_state (daemon->host);
+}
+
+static char *
+control_counters (void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  return marjoram_counters_text (daemon->counters);
+}
+
+static void
+control_apply (void *context, uint64_t request, const char *change_id,
+               const struct marjoram_file *file)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_host_apply (daemon->host, marjoram_clock_now (daemon->clock),
+                       request, change_id, file);
+}
+
+static void
+control_replace (void *context, uint64_t request, const char *change_id,
+                 const char *old, const char *new)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_host_replace (daemon->host, marjoram_clock_now (daemon->clock),
+                         request, change_id, old, new);
+}
+
+static void
+control_drain (void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_host_drain (daemon->host, marjoram_clock_now (daemon->clock));
+}
+
+static const struct marjoram_control_ops control_ops = {
+  .status = control_status,
+  .upstreams = control_upstreams,
+  .explain = control_explain,
+  .state = control_state,
+  .counters = control_counters,
+  .apply = control_apply,
+  .replace = control_replace,
+  .drain = control_drain,
+};
+
+/* ---- Timer and signals.  ---- */
+
+static void
+on_tick (evutil_socket_t fd, short what, void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  (void)fd;
+  (void)what;
+  marjoram_host_tick (daemon->host, marjoram_clock_now (daemon->clock),
+                      marjoram_clock_wall (daemon->clock));
+}
+
+static void
+on_stop (evutil_socket_t signal_number, short what, void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  (void)signal_number;
+  (void)what;
+  if (daemon->stopping)
+    {
+      daemon->cut = marjoram_host_request_count (daemon->host) > 0;
+      marjoram_log (MARJORAM_LOG_WARNING,
+                    "second signal, %zu requests are cut",
+                    marjoram_host_request_count (daemon->host));
+      event_base_loopbreak (daemon->base);
+      return;
+    }
+  daemon->stopping = true;
+  marjoram_host_drain (daemon->host, marjoram_clock_now (daemon->clock));
+}
+
+static void
+on_hangup (evutil_socket_t signal_number, short what, void *context)
+{
+  marjoram_daemon *daemon = context;
+  struct marjoram_error err = { 0 };
+  struct marjoram_settings *settings
+      = marjoram_settings_load (daemon->settings_path, NULL, &err);
+
+  (void)signal_number;
+  (void)what;
+  if (!settings)
+    {
+      marjoram_log (MARJORAM_LOG_ERROR, "settings not read again: %s",
+                    err.message);
+      return;
+    }
+  marjoram_log_set_level (settings->log_level);
+  marjoram_log (MARJORAM_LOG_NOTICE, "log level read again");
+  marjoram_settings_destroy (settings);
+}
+
+static struct event *
+signal_event (marjoram_daemon *daemon, int number, event_callback_fn callback)
+{
+  struct event *event = evsignal_new (daemon->base, number, callback, daemon);
+
+  event_add (event, NULL);
+  return event;
+}
+
+/* ---- Life.  ---- */
+
+/* Grows with each start, also on hosts without a disk: the wall clock at the
+   start.  A clock set back between two starts makes the host's peers refuse
+   it until the time has passed again, which their log lines say.  */
+static uint64_t
+new_incarnation (struct marjoram_clock *clock)
+{
+  return (uint64_t)marjoram_clock_wall (clock);
+}
+
+static bool
+create_tasks (marjoram_daemon *daemon, uint64_t incarnation,
+              struct marjoram_error *err)
+{
+  const struct marjoram_settings *settings = daemon->settings;
+
+  if (settings->keeper)
+    {
+      daemon->disk = marjoram_disk_create (daemon->base, settings->data_folder,
+                                           &marjoram_inbox_disk_ops,
+                                           daemon->inbox, err);
+      if (!daemon->disk)
+        return false;
+    }
+  daemon->peer = marjoram_peer_create (
+      daemon->base, settings, incarnation, daemon->counters,
+      &marjoram_inbox_peer_ops, daemon->inbox, err);
+  if (!daemon->peer)
+    return false;
+  daemon->upstreams = marjoram_upstreams_create (
+      daemon->base, &marjoram_inbox_upstreams_ops, daemon->inbox);
+  daemon->front
+      = marjoram_front_create (daemon->base, settings, daemon->counters,
+                               &marjoram_inbox_front_ops, daemon->inbox, err);
+  if (!daemon->front)
+    return false;
+  daemon->control = marjoram_control_create (
+      daemon->base, daemon->clock, settings, &control_ops, daemon, err);
+  return daemon->control != NULL;
+}
+
+static bool
+create_host (marjoram_daemon *daemon, uint64_t incarnation,
+             struct marjoram_error *err)
+{
+  struct marjoram_host_options options = { 0 };
+
+  options.settings = daemon->settings;
+  options.incarnation = incarnation;
+  options.counters = daemon->counters;
+  options.random = daemon->random;
+  if (daemon->disk)
+    {
+      options.store_id = marjoram_disk_id (daemon->disk);
+      options.store_incarnation = marjoram_disk_incarnation (daemon->disk);
+      options.record = marjoram_disk_read (daemon->disk);
+    }
+  daemon->host = marjoram_host_create (
+      &options, &host_ops, daemon, marjoram_clock_now (daemon->clock),
+      marjoram_clock_wall (daemon->clock), err);
+  marjoram_bytes_release (options.record);
+  marjoram_inbox_set_host (daemon->inbox, daemon->host);
+  return daemon->host != NULL;
+}
+
+static void
+create_events (marjoram_daemon *daemon)
+{
+  struct timeval period = marjoram_clock_timeval (TICK_MSEC);
+
+  daemon->tick = event_new (daemon->base, -1, EV_PERSIST, on_tick, daemon);
+  event_add (daemon->tick, &period);
+  daemon->term = signal_event (daemon, SIGTERM, on_stop);
+  daemon->interrupt = signal_event (daemon, SIGINT, on_stop);
+  daemon->hangup = signal_event (daemon, SIGHUP, on_hangup);
+}
+
+marjoram_daemon *
+marjoram_daemon_create (const struct marjoram_settings *settings,
+                        const char *settings_path, struct marjoram_error *err)
+{
+  marjoram_daemon *daemon = marjoram_alloc (sizeof *daemon);
+  uint64_t incarnation;
+  uint64_t seed;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (sodium_init () < 0 || evthread_use_pthreads () != 0)
+    abort ();
+  randombytes_buf (&seed, sizeof seed);
+  daemon->settings = settings;
+  daemon->settings_path = marjoram_strdup (settings_path);
+  daemon->base = event_base_new ();
+  daemon->clock = marjoram_clock_system ();
+  daemon->counters = marjoram_counters_create ();
+  daemon->random = marjoram_random_create (seed);
+  daemon->inbox = marjoram_inbox_create (daemon->base, daemon->clock);
+  incarnation = new_incarnation (daemon->clock);
+  if (create_tasks (daemon, incarnation, err)
+      && create_host (daemon, incarnation, err))
+    {
+      create_events (daemon);
+      return daemon;
+    }
+  marjoram_daemon_destroy (daemon);
+  return NULL;
+}
+
+static void
+event_destroy (struct event *event)
+{
+  if (event)
+    event_free (event);
+}
+
+void
+marjoram_daemon_destroy (marjoram_daemon *daemon)
+{
+  if (!daemon)
+    return;
+  event_destroy (daemon->tick);
+  event_destroy (daemon->term);
+  event_destroy (daemon->interrupt);
+  event_destroy (daemon->hangup);
+  marjoram_host_destroy (daemon->host);
+  marjoram_control_destroy (daemon->control);
+  marjoram_front_destroy (daemon->front);
+  marjoram_upstreams_destroy (daemon->upstreams);
+  marjoram_peer_destroy (daemon->peer);
+  if (daemon->disk)
+    marjoram_disk_destroy (daemon->disk);
+  marjoram_inbox_destroy (daemon->inbox);
+  marjoram_random_destroy (daemon->random);
+  marjoram_counters_destroy (daemon->counters);
+  event_base_free (daemon->base);
+  free (daemon->settings_path);
+  free (daemon);
+}
+
+bool
+marjoram_daemon_run (marjoram_daemon *daemon)
+{
+  marjoram_log (MARJORAM_LOG_NOTICE, "slot %s in zone %s: entry %s, peer %s",
+                daemon->settings->slot, daemon->settings->zone,
+                daemon->settings->entry_address,
+                daemon->settings->peer_address);
+  event_base_dispatch (daemon->base);
+  marjoram_log (MARJORAM_LOG_NOTICE, "stopped");
+  return !daemon->cut;
+}
--- /dev/null
+++ b/src/daemon.h
@@ -0,0 +1,19 @@
+/* The daemon: one host with its tasks on one event loop.  */
+#ifndef MARJORAM_DAEMON_H
+#define MARJORAM_DAEMON_H
+
+#include "settings.h"
+
+typedef struct marjoram_daemon marjoram_daemon;
+
+/* SETTINGS must outlive the daemon; SETTINGS_PATH is read again on SIGHUP, for
+   the log level.  Null with ERR set on failure.  */
+marjoram_daemon *
+marjoram_daemon_create (const struct marjoram_settings *settings,
+                        const char *settings_path, struct marjoram_error *err);
+void marjoram_daemon_destroy (marjoram_daemon *daemon);
+/* Until it is drained after SIGTERM or SIGINT, or on the second of them.
+   Returns whether all requests in progress were finished.  */
+bool marjoram_daemon_run (marjoram_daemon *daemon);
+
+#endif
--- /dev/null
+++ b/src/forward.c
@@ -0,0 +1,278 @@
+#include "request.h"
+
+#include "cleanup.h"
+#include "host_state.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static void
+fill_forward (const marjoram_host *host, int64_t now,
+              const struct marjoram_request *request, bool claim_there,
+              struct marjoram_forward *f)
+{
+  struct marjoram_call *call = request->call;
+
+  memset (f, 0, sizeof *f);
+  f->request = request->attempt;
+  f->id = (char *)request->id;
+  f->caller = request->caller;
+  f->work = call->work;
+  f->method = call->method;
+  f->path = call->path;
+  f->headers = call->headers;
+  f->body = call->body;
+  f->digest = (char *)request->digest;
+  f->key = call->idempotent ? NULL : call->key;
+  f->budget_ms = request->deadline - now;
+  f->class = call->class;
+  f->prompt_tokens = call->prompt_tokens;
+  f->answer_tokens = call->answer_tokens;
+  f->prefix_hash = call->prefix_hash;
+  f->config_number = marjoram_config_number (host->config);
+  f->suspicion = marjoram_suspects_get (host->suspects, now, request->digest);
+  f->stream = call->stream;
+  f->claim_here = claim_there;
+}
+
+/* Whether the request may run in ZONE by the configuration in force.  */
+static bool
+zone_allowed (const marjoram_host *host,
+              const struct marjoram_request *request, int zone)
+{
+  int caller
+      = marjoram_config_find_caller_name (host->config, request->caller);
+  int work = marjoram_config_find_work (host->config, request->call->work);
+  int region = marjoram_config_zone (host->config, zone)->region;
+
+  return caller >= 0 && work >= 0
+         && (marjoram_config_allowed (host->config, caller, work) >> region
+             & 1);
+}
+
+void
+marjoram_forward_send (marjoram_host *host, int64_t now,
+                       struct marjoram_request *request, int zone,
+                       bool claim_there)
+{
+  struct marjoram_link *link = marjoram_link_to_zone (host, zone);
+  struct marjoram_forward forward;
+
+  /* Residency is checked again here, at the last step before the request
+     leaves, whatever chose the zone.  */
+  if (!zone_allowed (host, request, zone))
+    {
+      marjoram_request_refuse (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+                               MARJORAM_REASON_RESIDENCY, 0);
+      return;
+    }
+  if (!link)
+    {
+      marjoram_request_refuse (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+                               MARJORAM_REASON_LINK_DOWN,
+                               MARJORAM_RETRY_AFTER_MS);
+      return;
+    }
+  marjoram_attempt_begin (host, now, request);
+  request->state = MARJORAM_REQUEST_REMOTE;
+  request->remote_zone = zone;
+  free (request->remote_slot);
+  request->remote_slot = marjoram_strdup (link->slot);
+  fill_forward (host, now, request, claim_there, &forward);
+  marjoram_router_sent (host->router, now, zone, request->work);
+  marjoram_counters_add (host->counters, MARJORAM_COUNTER_FORWARDED_OUT, 1);
+  marjoram_log (MARJORAM_LOG_DEBUG, "%s: to host %s", request->id, link->slot);
+  host->ops->send (host->context, link->slot, MARJORAM_FRAME_FORWARD,
+                   &forward);
+}
+
+void
+marjoram_forward_cancel (marjoram_host *host, struct marjoram_request *request)
+{
+  struct marjoram_cancel cancel = { request->attempt };
+
+  host->ops->send (host->context, request->remote_slot, MARJORAM_FRAME_CANCEL,
+                   &cancel);
+}
+
+/* The link to the host that has the request is lost or silent.  Work that may
+   be repeated goes elsewhere at once; other work, and an answer that has
+   begun, waits for a new link and is asked for by its number.  */
+static void
+link_lost (marjoram_host *host, int64_t now, struct marjoram_request *request)
+{
+  if (request->call->idempotent && !request->head_passed)
+    marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                             MARJORAM_REASON_LINK_DOWN,
+                             MARJORAM_RETRY_AFTER_MS, false);
+  else
+    request->revoking = true;
+}
+
+static void
+send_revoke (marjoram_host *host, struct marjoram_request *request)
+{
+  struct marjoram_revoke revoke = { request->attempt, request->received };
+
+  host->ops->send (host->context, request->remote_slot, MARJORAM_FRAME_REVOKE,
+                   &revoke);
+}
+
+void
+marjoram_forward_link_up (marjoram_host *host, int64_t now, const char *slot)
+{
+  struct marjoram_request *request;
+
+  (void)now;
+  TAILQ_FOREACH (request, &host->requests->all, all)
+  {
+    if (request->attempt && request->state == MARJORAM_REQUEST_REMOTE
+        && request->revoking && strcmp (request->remote_slot, slot) == 0)
+      send_revoke (host, request);
+  }
+}
+
+void
+marjoram_forward_tick (marjoram_host *host, int64_t now,
+                       struct marjoram_request *request)
+{
+  const struct marjoram_link *link
+      = marjoram_link_find (host, request->remote_slot);
+
+  if (!request->attempt)
+    return;
+  if (!request->revoking
+      && (!link || !link->up || link->up_since > request->attempt_started))
+    {
+      link_lost (host, now, request);
+      if (marjoram_request_by_attempt (host, request->attempt) == request
+          && request->revoking && link && link->up)
+        send_revoke (host, request);
+    }
+}
+
+static void
+take_data (marjoram_host *host, int64_t now, struct marjoram_request *request,
+           const struct marjoram_data *data)
+{
+  /* Data that came before over an earlier link is passed over; a gap can't be
+     filled, so that the answer is no longer whole.  */
+  if (data->offset < request->received)
+    return;
+  if (data->offset > request->received)
+    {
+      marjoram_forward_cancel (host, request);
+      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                               MARJORAM_REASON_UPSTREAM_FAILED, 0, false);
+      return;
+    }
+  marjoram_request_data (host, now, request, data->bytes);
+}
+
+static bool
+is_final (enum marjoram_reason reason)
+{
+  return reason == MARJORAM_REASON_CONVICTED
+         || reason == MARJORAM_REASON_CLAIM_BUSY
+         || reason == MARJORAM_REASON_CLAIM_MISMATCH
+         || reason == MARJORAM_REASON_CLAIM_NO_QUORUM
+         || reason == MARJORAM_REASON_KEY_EXPIRED
+         || reason == MARJORAM_REASON_KEY_MISSING
+         || reason == MARJORAM_REASON_BAD_REQUEST;
+}
+
+static void
+learn_deaths (marjoram_host *host, int64_t now,
+              const struct marjoram_request *request,
+              const struct marjoram_end *end)
+{
+  struct marjoram_suspect_message news = { 0 };
+
+  if (end->deaths == 0)
+    return;
+  news.digest = (char *)request->digest;
+  news.deaths = end->deaths;
+  news.suspicion = end->reason == MARJORAM_REASON_CONVICTED
+                       ? MARJORAM_SUSPICION_CONVICTED
+                       : MARJORAM_SUSPICION_SUSPECT;
+  marjoram_host_learn_suspect (host, now, request->remote_slot, &news);
+}
+
+static void
+take_end (marjoram_host *host, int64_t now, struct marjoram_request *request,
+          const struct marjoram_end *end)
+{
+  enum marjoram_reason reason = (enum marjoram_reason)end->reason;
+
+  learn_deaths (host, now, request, end);
+  if (end->outcome == MARJORAM_OUTCOME_DONE)
+    {
+      if (request->has_head && end->length == request->received)
+        marjoram_request_done (host, now, request);
+      else
+        marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                                 MARJORAM_REASON_UPSTREAM_FAILED, 0, false);
+      return;
+    }
+  if (end->outcome > MARJORAM_OUTCOME_UNKNOWN
+      || end->reason >= MARJORAM_REASON_COUNT)
+    reason = MARJORAM_REASON_UPSTREAM_FAILED;
+  marjoram_request_failed (host, now, request,
+                           end->outcome == MARJORAM_OUTCOME_NOT_RUN
+                               ? MARJORAM_OUTCOME_NOT_RUN
+                               : MARJORAM_OUTCOME_UNKNOWN,
+                           reason, end->retry_ms, is_final (reason));
+}
+
+static void
+take_revoked (marjoram_host *host, int64_t now,
+              struct marjoram_request *request,
+              const struct marjoram_revoked *revoked)
+{
+  if (!request->revoking)
+    return;
+  request->revoking = false;
+  request->attempt_started = now;
+  request->progress = now;
+  if (revoked->never_started)
+    marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+                             MARJORAM_REASON_LINK_DOWN,
+                             MARJORAM_RETRY_AFTER_MS, false);
+  else if (!revoked->known)
+    marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                             MARJORAM_REASON_LINK_DOWN, 0, true);
+}
+
+/* An answer frame belongs to the attempt whose number it carries, and only if
+   it comes from the host that the attempt was sent to.  */
+void
+marjoram_forward_answer (marjoram_host *host, int64_t now, const char *slot,
+                         enum marjoram_frame_type type, const void *message)
+{
+  uint64_t number = *(const uint64_t *)message;
+  struct marjoram_request *request
+      = marjoram_request_by_attempt (host, number);
+
+  if (!request || request->state != MARJORAM_REQUEST_REMOTE
+      || strcmp (request->remote_slot, slot) != 0)
+    return;
+  request->progress = now;
+  switch (type)
+    {
+    case MARJORAM_FRAME_HEAD:
+      marjoram_request_head (host, now, request, message);
+      break;
+    case MARJORAM_FRAME_DATA:
+      take_data (host, now, request, message);
+      break;
+    case MARJORAM_FRAME_END:
+      take_end (host, now, request, message);
+      break;
+    case MARJORAM_FRAME_REVOKED:
+      take_revoked (host, now, request, message);
+      break;
+    default:
+      break;
+    }
+}
--- a/src/frame.c
+++ b/src/frame.c
@@ -109,14 +109,21 @@
 };
 LAYOUT (end_layout, marjoram_end, end_fields);
 
-static const struct marjoram_field request_number_fields[] = {
-  { MARJORAM_WIRE_UINT (struct marjoram_request_number, request) },
+static const struct marjoram_field cancel_fields[] = {
+  { MARJORAM_WIRE_UINT (struct marjoram_cancel, request) },
 };
-LAYOUT (request_number_layout, marjoram_request_number, request_number_fields);
+LAYOUT (cancel_layout, marjoram_cancel, cancel_fields);
+
+static const struct marjoram_field revoke_fields[] = {
+  { MARJORAM_WIRE_UINT (struct marjoram_revoke, request) },
+  { MARJORAM_WIRE_UINT (struct marjoram_revoke, offset) },
+};
+LAYOUT (revoke_layout, marjoram_revoke, revoke_fields);
 
 static const struct marjoram_field revoked_fields[] = {
   { MARJORAM_WIRE_UINT (struct marjoram_revoked, request) },
   { MARJORAM_WIRE_BOOL (struct marjoram_revoked, never_started) },
+  { MARJORAM_WIRE_BOOL (struct marjoram_revoked, known) },
 };
 LAYOUT (revoked_layout, marjoram_revoked, revoked_fields);
 
@@ -164,8 +171,8 @@
   [MARJORAM_FRAME_HEAD] = &head_layout,
   [MARJORAM_FRAME_DATA] = &data_layout,
   [MARJORAM_FRAME_END] = &end_layout,
-  [MARJORAM_FRAME_CANCEL] = &request_number_layout,
-  [MARJORAM_FRAME_REVOKE] = &request_number_layout,
+  [MARJORAM_FRAME_CANCEL] = &cancel_layout,
+  [MARJORAM_FRAME_REVOKE] = &revoke_layout,
   [MARJORAM_FRAME_REVOKED] = &revoked_layout,
   [MARJORAM_FRAME_CLAIM] = &marjoram_claim_layout,
   [MARJORAM_FRAME_KEEPER] = &marjoram_keeper_layout,
--- a/src/frame.h
+++ b/src/frame.h
@@ -121,17 +121,25 @@
   uint64_t deaths; /* upstreams that died while running it */
 };
 
-/* CANCEL, REVOKE: the first host no longer wants it.  */
-struct marjoram_request_number
+/* CANCEL: the first host no longer wants it.  */
+struct marjoram_cancel
 {
   uint64_t request;
 };
 
-/* Answers REVOKE.  */
+/* Sent over a new session after the one that carried a FORWARD broke: bars the
+   request if it never started, else asks for the rest of its answer.  */
+struct marjoram_revoke
+{
+  uint64_t request;
+  uint64_t offset; /* body bytes that have come */
+};
+
 struct marjoram_revoked
 {
   uint64_t request;
   bool never_started; /* and barred from now on */
+  bool known;         /* started, and the rest of its answer follows */
 };
 
 struct marjoram_config_ask
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,600 @@
+#include "front.h"
+
+#include "cleanup.h"
+#include "clock.h"
+#include "intake.h"
+#include "log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <uthash.h>
+
+enum
+{
+  /* How often held requests are checked for callers that went away: evhttp
+     does not tell, as it reads nothing meanwhile.  */
+  WATCH_MSEC = 250,
+  /* What may wait for a caller that reads nothing.  */
+  OUTPUT_MAX = 32 * 1024 * 1024,
+  MSEC_PER_SEC = 1000
+};
+
+/* A request whose answer is not complete yet.  */
+struct pending
+{
+  marjoram_front *front;
+  uint64_t number;
+  struct evhttp_request *request;
+  bool started; /* the head has gone out */
+  UT_hash_handle hh;
+};
+
+struct marjoram_front
+{
+  struct event_base *base;
+  const struct marjoram_settings *settings;
+  marjoram_counters *counters;
+  const struct marjoram_front_ops *ops;
+  void *context;
+  struct evhttp *http;
+  struct evhttp_bound_socket *socket;
+  struct event *watch;
+  struct pending *pending;
+  uint64_t next_number;
+};
+
+static struct pending *
+find_pending (marjoram_front *front, uint64_t number)
+{
+  struct pending *pending;
+
+  HASH_FIND (hh, front->pending, &number, sizeof number, pending);
+  return pending;
+}
+
+static void
+pending_destroy (struct pending *pending)
+{
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (pending->request);
+
+  if (connection)
+    evhttp_connection_set_closecb (connection, NULL, NULL);
+  HASH_DEL (pending->front->pending, pending);
+  free (pending);
+}
+
+static struct evkeyvalq *
+headers_of (const struct pending *pending)
+{
+  return evhttp_request_get_output_headers (pending->request);
+}
+
+static void
+add_number (struct evkeyvalq *headers, const char *name, int64_t number)
+{
+  char text[32];
+
+  snprintf (text, sizeof text, "%lld", (long long)number);
+  evhttp_add_header (headers, name, text);
+}
+
+static void
+add_retry_after (struct evkeyvalq *headers, int64_t retry_ms)
+{
+  if (retry_ms > 0)
+    add_number (headers, "Retry-After",
+                (retry_ms + MSEC_PER_SEC - 1) / MSEC_PER_SEC);
+}
+
+static void
+reply_json (struct evhttp_request *request, int status, json_t *body)
+{
+  struct evbuffer *buffer = evbuffer_new ();
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  evbuffer_add_printf (buffer, "%s\n", text);
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type", "application/json");
+  evhttp_send_reply (request, status, NULL, buffer);
+  evbuffer_free (buffer);
+  free (text);
+  json_decref (body);
+}
+
+/* A refusal with MESSAGE in place of the reason's usual remedy.  */
+static void
+reply_refusal (struct evhttp_request *request,
+               const struct marjoram_refusal *refusal, const char *message)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  const char *reason = marjoram_reason_name (refusal->reason);
+  const char *outcome = marjoram_outcome_name (refusal->outcome);
+
+  evhttp_add_header (headers, "Marjoram-Outcome", outcome);
+  evhttp_add_header (headers, "Marjoram-Reason", reason);
+  if (refusal->id)
+    evhttp_add_header (headers, "Marjoram-Request", refusal->id);
+  add_retry_after (headers, refusal->retry_ms);
+  reply_json (request, marjoram_reason_status (refusal->reason),
+              json_pack ("{s:{s:s, s:s, s:s}}", "error", "reason", reason,
+                         "message", message, "outcome", outcome));
+}
+
+/* Refuses what can't be read, and closes the connection: what follows on it
+   may be a part of the same request.  */
+static void
+refuse_input (marjoram_front *front, struct evhttp_request *request,
+              enum marjoram_reason reason, const char *message)
+{
+  struct marjoram_refusal refusal
+      = { NULL, MARJORAM_OUTCOME_NOT_RUN, reason, 0 };
+
+  marjoram_counters_add (front->counters, MARJORAM_COUNTER_BAD_HTTP, 1);
+  marjoram_counters_refused (front->counters, reason);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Connection",
+                     "close");
+  reply_refusal (request, &refusal, message);
+}
+
+/* ---- Requests for work.  ---- */
+
+static void
+on_connection_closed (struct evhttp_connection *connection, void *context)
+{
+  struct pending *pending = context;
+  marjoram_front *front = pending->front;
+  uint64_t number = pending->number;
+
+  (void)connection;
+  HASH_DEL (front->pending, pending);
+  free (pending);
+  front->ops->gone (front->context, number);
+}
+
+static bool
+is_http_1_1 (struct evhttp_request *request)
+{
+  return request->major == 1 && request->minor >= 1;
+}
+
+static void
+take_call (marjoram_front *front, struct evhttp_request *request)
+{
+  struct marjoram_error err = { 0 };
+  enum marjoram_reason reason = MARJORAM_REASON_BAD_REQUEST;
+  struct marjoram_call *call;
+  struct pending *pending;
+
+  /* A HTTP/1.0 caller could not tell a cut answer from a whole one.  */
+  if (!is_http_1_1 (request))
+    {
+      refuse_input (front, request, reason, "use HTTP/1.1");
+      return;
+    }
+  call = marjoram_intake_call (request, &reason, &err);
+  if (!call)
+    {
+      refuse_input (front, request, reason, err.message);
+      return;
+    }
+  if (marjoram_bytes_size (call->body) > front->settings->max_body)
+    {
+      marjoram_call_destroy (call);
+      refuse_input (front, request, MARJORAM_REASON_TOO_LARGE,
+                    marjoram_reason_remedy (MARJORAM_REASON_TOO_LARGE));
+      return;
+    }
+  pending = marjoram_alloc (sizeof *pending);
+  pending->front = front;
+  pending->number = ++front->next_number;
+  pending->request = request;
+  HASH_ADD (hh, front->pending, number, sizeof pending->number, pending);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request),
+                                 on_connection_closed, pending);
+  call->number = pending->number;
+  front->ops->call (front->context, call);
+}
+
+/* ---- Answers.  ---- */
+
+static void
+add_answer_headers (struct pending *pending, const struct marjoram_head *head,
+                    const struct marjoram_answer_info *info)
+{
+  struct evkeyvalq *headers = headers_of (pending);
+  const struct marjoram_header *header = head->headers.items;
+
+  for (size_t i = 0; i < head->headers.count; i++)
+    evhttp_add_header (headers, header[i].name, header[i].value);
+  evhttp_add_header (headers, "Marjoram-Outcome", "done");
+  evhttp_add_header (headers, "Marjoram-Reason", "none");
+  evhttp_add_header (headers, "Marjoram-Request", info->id);
+  evhttp_add_header (headers, "Marjoram-Zone", info->zone);
+  if (info->upstream)
+    evhttp_add_header (headers, "Marjoram-Upstream", info->upstream);
+  if (info->replayed)
+    evhttp_add_header (headers, "Marjoram-Replayed", "yes");
+}
+
+void
+marjoram_front_head (marjoram_front *front, uint64_t call,
+                     const struct marjoram_head *head,
+                     const struct marjoram_answer_info *info, int64_t length)
+{
+  struct pending *pending = find_pending (front, call);
+
+  if (!pending)
+    return;
+  add_answer_headers (pending, head, info);
+  if (length >= 0)
+    add_number (headers_of (pending), "Content-Length", length);
+  pending->started = true;
+  evhttp_send_reply_start (pending->request, (int)head->status, NULL);
+}
+
+/* Ends the connection in the middle of an answer, without the final chunk, so
+   that the caller sees that it is not whole.  */
+static void
+cut (struct pending *pending)
+{
+  struct evhttp_connection *connection
+      = evhttp_request_get_connection (pending->request);
+
+  pending_destroy (pending);
+  evhttp_connection_free (connection);
+}
+
+void
+marjoram_front_cut (marjoram_front *front, uint64_t call)
+{
+  struct pending *pending = find_pending (front, call);
+
+  if (pending)
+    cut (pending);
+}
+
+static size_t
+output_size (const struct pending *pending)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (
+      evhttp_request_get_connection (pending->request));
+
+  return evbuffer_get_length (bufferevent_get_output (bev));
+}
+
+static void
+bytes_unreferenced (const void *data, size_t size, void *context)
+{
+  (void)data;
+  (void)size;
+  marjoram_bytes_release (context);
+}
+
+void
+marjoram_front_data (marjoram_front *front, uint64_t call,
+                     marjoram_bytes *bytes)
+{
+  struct pending *pending = find_pending (front, call);
+  struct evbuffer *buffer;
+
+  if (!pending || marjoram_bytes_size (bytes) == 0)
+    return;
+  buffer = evbuffer_new ();
+  evbuffer_add_reference (buffer, marjoram_bytes_data (bytes),
+                          marjoram_bytes_size (bytes), bytes_unreferenced,
+                          marjoram_bytes_retain (bytes));
+  evhttp_send_reply_chunk (pending->request, buffer);
+  evbuffer_free (buffer);
+  if (output_size (pending) > OUTPUT_MAX)
+    {
+      cut (pending);
+      front->ops->gone (front->context, call);
+    }
+}
+
+void
+marjoram_front_end (marjoram_front *front, uint64_t call)
+{
+  struct pending *pending = find_pending (front, call);
+  struct evhttp_request *request;
+
+  if (!pending)
+    return;
+  request = pending->request;
+  pending_destroy (pending);
+  evhttp_send_reply_end (request);
+}
+
+void
+marjoram_front_refuse (marjoram_front *front, uint64_t call,
+                       const struct marjoram_refusal *refusal)
+{
+  struct pending *pending = find_pending (front, call);
+  struct evhttp_request *request;
+
+  if (!pending)
+    return;
+  request = pending->request;
+  pending_destroy (pending);
+  reply_refusal (request, refusal, marjoram_reason_remedy (refusal->reason));
+}
+
+/* ---- Upstreams.  ---- */
+
+static const char *
+announce_result_name (enum marjoram_announce_result result)
+{
+  static const char *const names[]
+      = { "new", "renewed", "stale", "wrong-zone" };
+
+  return names[result];
+}
+
+static int
+announce_status (enum marjoram_announce_result result)
+{
+  static const int statuses[] = { HTTP_OK, HTTP_OK, 409, 421 };
+
+  return statuses[result];
+}
+
+static const char *
+announce_message (enum marjoram_announce_result result)
+{
+  static const char *const messages[]
+      = { "", "",
+          "a newer incarnation or sequence is known; take a higher one",
+          "announce to an entry host of your own availability zone" };
+
+  return messages[result];
+}
+
+static void
+take_announcement (marjoram_front *front, struct evhttp_request *request,
+                   bool leaving)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_announcement *a
+      = marjoram_intake_announcement (request, &err);
+  enum marjoram_announce_result result;
+  json_t *body;
+
+  if (!a)
+    {
+      refuse_input (front, request, MARJORAM_REASON_BAD_REQUEST, err.message);
+      return;
+    }
+  if (!front->ops->ready (front->context))
+    {
+      marjoram_wire_destroy (&marjoram_announcement_layout, a);
+      refuse_input (front, request, MARJORAM_REASON_NO_CONFIG,
+                    "this host has no configuration yet; try another");
+      return;
+    }
+  a->leaving = leaving;
+  result = front->ops->announce (front->context, a);
+  marjoram_wire_destroy (&marjoram_announcement_layout, a);
+  body = front->ops->entries (front->context);
+  json_object_set_new (body, "result",
+                       json_string (announce_result_name (result)));
+  json_object_set_new (body, "message",
+                       json_string (announce_message (result)));
+  reply_json (request, announce_status (result), body);
+}
+
+/* ---- Pages.  ---- */
+
+static void
+reply_word (struct evhttp_request *request, bool good, const char *yes,
+            const char *no)
+{
+  struct evbuffer *buffer = evbuffer_new ();
+
+  evbuffer_add_printf (buffer, "%s\n", good ? yes : no);
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type", "text/plain");
+  evhttp_send_reply (request, good ? HTTP_OK : HTTP_SERVUNAVAIL, NULL, buffer);
+  evbuffer_free (buffer);
+}
+
+static void
+reply_metrics (marjoram_front *front, struct evhttp_request *request)
+{
+  struct evbuffer *buffer = evbuffer_new ();
+  marjoram_auto_free char *text = marjoram_counters_text (front->counters);
+
+  evbuffer_add (buffer, text, strlen (text));
+  evbuffer_add_printf (
+      buffer,
+      "# TYPE marjoram_pending gauge\n"
+      "marjoram_pending %u\n"
+      "# TYPE marjoram_config_number gauge\n"
+      "marjoram_config_number %llu\n",
+      HASH_COUNT (front->pending),
+      (unsigned long long)front->ops->config_number (front->context));
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type", "text/plain; version=0.0.4");
+  evhttp_send_reply (request, HTTP_OK, NULL, buffer);
+  evbuffer_free (buffer);
+}
+
+static bool
+is_at (const char *uri, const char *path)
+{
+  size_t length = strlen (path);
+
+  return strncmp (uri, path, length) == 0
+         && (uri[length] == 0 || uri[length] == '?');
+}
+
+static bool
+is_work (const char *uri)
+{
+  return is_at (uri, "/v1/chat/completions") || is_at (uri, "/v1/completions")
+         || strncmp (uri, "/v1/services/", strlen ("/v1/services/")) == 0;
+}
+
+static void
+on_request (struct evhttp_request *request, void *context)
+{
+  marjoram_front *front = context;
+  const char *uri = evhttp_request_get_uri (request);
+  struct marjoram_error err = { 0 };
+
+  if (!marjoram_intake_framing (request, &err))
+    refuse_input (front, request, MARJORAM_REASON_BAD_REQUEST, err.message);
+  else if (is_work (uri))
+    take_call (front, request);
+  else if (is_at (uri, "/v1/entries"))
+    reply_json (request, HTTP_OK, front->ops->entries (front->context));
+  else if (is_at (uri, "/v1/upstreams/announce"))
+    take_announcement (front, request, false);
+  else if (is_at (uri, "/v1/upstreams/leave"))
+    take_announcement (front, request, true);
+  else if (is_at (uri, "/healthz"))
+    reply_word (request, true, "ok", "");
+  else if (is_at (uri, "/readyz"))
+    reply_word (request, front->ops->ready (front->context), "ready",
+                "not ready");
+  else if (is_at (uri, "/metrics"))
+    reply_metrics (front, request);
+  else
+    refuse_input (front, request, MARJORAM_REASON_UNKNOWN_MODEL,
+                  "no such path; see docs/CALLERS.md");
+}
+
+/* ---- Callers that went away.  ---- */
+
+static bool
+is_closed (const struct pending *pending)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (
+      evhttp_request_get_connection (pending->request));
+  char byte;
+
+  return recv (bufferevent_getfd (bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+         == 0;
+}
+
+static void
+on_watch (evutil_socket_t fd, short what, void *context)
+{
+  marjoram_front *front = context;
+  struct pending *pending;
+  struct pending *next;
+
+  (void)fd;
+  (void)what;
+  HASH_ITER (hh, front->pending, pending, next)
+  {
+    uint64_t number = pending->number;
+
+    if (!is_closed (pending))
+      continue;
+    cut (pending);
+    front->ops->gone (front->context, number);
+  }
+}
+
+/* ---- The task.  ---- */
+
+static bool
+listen_on (marjoram_front *front, const char *text)
+{
+  struct sockaddr_storage address;
+  struct sockaddr_in *in = (struct sockaddr_in *)&address;
+  struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&address;
+  int size = sizeof address;
+  char host[INET6_ADDRSTRLEN];
+  uint16_t port;
+
+  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&address, &size)
+      != 0)
+    return false;
+  if (address.ss_family == AF_INET)
+    {
+      inet_ntop (AF_INET, &in->sin_addr, host, sizeof host);
+      port = ntohs (in->sin_port);
+    }
+  else
+    {
+      inet_ntop (AF_INET6, &in6->sin6_addr, host, sizeof host);
+      port = ntohs (in6->sin6_port);
+    }
+  front->socket = evhttp_bind_socket_with_handle (front->http, host, port);
+  return front->socket != NULL;
+}
+
+marjoram_front *
+marjoram_front_create (struct event_base *base,
+                       const struct marjoram_settings *settings,
+                       marjoram_counters *counters,
+                       const struct marjoram_front_ops *ops, void *context,
+                       struct marjoram_error *err)
+{
+  marjoram_front *front = marjoram_alloc (sizeof *front);
+  struct timeval period = marjoram_clock_timeval (WATCH_MSEC);
+
+  front->base = base;
+  front->settings = settings;
+  front->counters = counters;
+  front->ops = ops;
+  front->context = context;
+  front->http = evhttp_new (base);
+  evhttp_set_max_headers_size (front->http, (ev_ssize_t)settings->max_headers);
+  evhttp_set_max_body_size (front->http, (ev_ssize_t)settings->max_body);
+  evhttp_set_timeout (front->http,
+                      (int)(settings->read_timeout_ms / MSEC_PER_SEC) + 1);
+  evhttp_set_allowed_methods (front->http,
+                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
+                                  | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD
+                                  | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+  evhttp_set_gencb (front->http, on_request, front);
+  front->watch = event_new (base, -1, EV_PERSIST, on_watch, front);
+  event_add (front->watch, &period);
+  if (listen_on (front, settings->entry_address))
+    return front;
+  marjoram_error_set (err, MARJORAM_ERROR_IO,
+                      "can't listen on [listen] entry = %s: %s; free the "
+                      "address or change it",
+                      settings->entry_address, strerror (errno));
+  marjoram_front_destroy (front);
+  return NULL;
+}
+
+void
+marjoram_front_destroy (marjoram_front *front)
+{
+  struct pending *pending;
+  struct pending *next;
+
+  if (!front)
+    return;
+  HASH_ITER (hh, front->pending, pending, next) { cut (pending); }
+  event_free (front->watch);
+  evhttp_free (front->http);
+  free (front);
+}
+
+void
+marjoram_front_stop_listening (marjoram_front *front)
+{
+  if (front->socket)
+    evhttp_del_accept_socket (front->http, front->socket);
+  front->socket = NULL;
+}
+
+size_t
+marjoram_front_pending (const marjoram_front *front)
+{
+  return HASH_COUNT (front->pending);
+}
--- /dev/null
+++ b/src/host.c
@@ -0,0 +1,249 @@
+#include "host_state.h"
+
+#include "cleanup.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  SUSPECT_KEEP_MS = 3600000,
+  OFFERS_MS = 1000
+};
+
+/* ---- Life.  ---- */
+
+marjoram_host *
+marjoram_host_create (const struct marjoram_host_options *options,
+                      const struct marjoram_host_ops *ops, void *context,
+                      int64_t now, int64_t wall, struct marjoram_error *err)
+{
+  marjoram_host *host = marjoram_alloc (sizeof *host);
+  const struct marjoram_settings *settings = options->settings;
+
+  host->ops = ops;
+  host->context = context;
+  host->settings = settings;
+  host->counters = options->counters;
+  host->random = options->random;
+  host->incarnation = options->incarnation;
+  host->now = now;
+  host->wall_offset = wall - now;
+  host->zone = -1;
+  host->self = -1;
+  STAILQ_INIT (&host->claim_results);
+  host->requests = marjoram_requests_create ();
+  host->members = marjoram_members_create (settings->zone, 0);
+  host->suspects = marjoram_suspects_create (SUSPECT_KEEP_MS);
+  marjoram_suspects_set_report (host->suspects, marjoram_host_report_suspect,
+                                host);
+  host->router = marjoram_router_create (settings->zone, host->members,
+                                         host->suspects, host->random);
+  host->spread = marjoram_host_create_spread (host, now);
+  if (settings->keeper && !marjoram_host_create_keeper (host, options, err))
+    {
+      marjoram_host_destroy (host);
+      return NULL;
+    }
+  marjoram_links_plan (host);
+  return host;
+}
+
+void
+marjoram_host_destroy (marjoram_host *host)
+{
+  struct marjoram_claim_result *result;
+
+  if (!host)
+    return;
+  marjoram_requests_destroy (host);
+  marjoram_senders_destroy (host);
+  marjoram_links_destroy (host);
+  marjoram_applies_destroy (host);
+  while ((result = STAILQ_FIRST (&host->claim_results)))
+    {
+      STAILQ_REMOVE_HEAD (&host->claim_results, next);
+      marjoram_claim_result_destroy (result);
+    }
+  marjoram_router_destroy (host->router);
+  marjoram_claims_destroy (host->claims);
+  marjoram_orders_destroy (host->orders);
+  marjoram_keeper_destroy (host->keeper);
+  marjoram_spread_destroy (host->spread);
+  marjoram_suspects_destroy (host->suspects);
+  marjoram_members_destroy (host->members);
+  marjoram_config_release (host->config);
+  free (host);
+}
+
+/* ---- Time.  ---- */
+
+static void
+upstream_expired (void *context, const char *name)
+{
+  marjoram_host *host = context;
+
+  marjoram_counters_add (host->counters, MARJORAM_COUNTER_UPSTREAMS_EXPIRED,
+                         1);
+  marjoram_log (MARJORAM_LOG_NOTICE, "upstream %s: lease expired", name);
+}
+
+/* To each host of another zone that this host has a session to: what this zone
+   lends to that one.  */
+static void
+send_offers (marjoram_host *host, int64_t now)
+{
+  struct marjoram_link *link;
+  struct marjoram_link *next;
+
+  if (!host->config || host->zone < 0 || host->draining
+      || now - host->offered < OFFERS_MS)
+    return;
+  host->offered = now;
+  HASH_ITER (hh, host->links, link, next)
+  {
+    int slot = marjoram_config_find_slot (host->config, link->slot);
+    struct marjoram_offers offers = { 0 };
+    int zone;
+
+    if (slot < 0 || !link->up)
+      continue;
+    zone = marjoram_config_slot (host->config, slot)->zone;
+    if (zone == host->zone)
+      continue;
+    marjoram_router_offer (host->router, now, zone, &offers);
+    host->ops->send (host->context, link->slot, MARJORAM_FRAME_OFFERS,
+                     &offers);
+    marjoram_wire_clear (&marjoram_offers_layout, &offers);
+  }
+}
+
+static void
+check_drained (marjoram_host *host, int64_t now)
+{
+  bool late = now >= host->drain_limit;
+
+  if (!host->draining || host->drained)
+    return;
+  if (marjoram_host_request_count (host) > 0 && !late)
+    return;
+  host->drained = true;
+  if (late)
+    marjoram_log (MARJORAM_LOG_WARNING,
+                  "drain limit passed, %zu requests are cut",
+                  marjoram_host_request_count (host));
+  host->ops->drained (host->context);
+}
+
+void
+marjoram_host_tick (marjoram_host *host, int64_t now, int64_t wall)
+{
+  host->now = now;
+  host->wall_offset = wall - now;
+  marjoram_members_tick (host->members, now, upstream_expired, host);
+  marjoram_suspects_tick (host->suspects, now);
+  if (host->claims)
+    {
+      marjoram_claims_tick (host->claims, now, wall);
+      marjoram_orders_tick (host->orders, now);
+    }
+  marjoram_host_settle (host, now);
+  if (host->keeper)
+    marjoram_keeper_tick (host->keeper, now);
+  marjoram_spread_tick (host->spread, now);
+  marjoram_links_tick (host, now);
+  send_offers (host, now);
+  marjoram_applies_tick (host, now);
+  marjoram_requests_tick (host, now);
+  marjoram_host_settle (host, now);
+  check_drained (host, now);
+}
+
+void
+marjoram_host_drain (marjoram_host *host, int64_t now)
+{
+  if (host->draining)
+    return;
+  marjoram_log (MARJORAM_LOG_NOTICE, "draining");
+  host->draining = true;
+  host->drain_limit = now + host->settings->drain_limit_ms;
+}
+
+/* ---- Queries.  ---- */
+
+bool
+marjoram_host_ready (const marjoram_host *host)
+{
+  return host->config && host->zone >= 0
+         && marjoram_spread_ready (host->spread);
+}
+
+bool
+marjoram_host_draining (const marjoram_host *host)
+{
+  return host->draining;
+}
+
+const char *
+marjoram_host_zone (const marjoram_host *host)
+{
+  return host->settings->zone;
+}
+
+marjoram_config *
+marjoram_host_config (const marjoram_host *host)
+{
+  return host->config;
+}
+
+const struct marjoram_state *
+marjoram_host_state (const marjoram_host *host)
+{
+  return marjoram_spread_state (host->spread);
+}
+
+const marjoram_members *
+marjoram_host_members (const marjoram_host *host)
+{
+  return host->members;
+}
+
+/* Requests that still need an answer, or whose answer is still to be kept.  */
+size_t
+marjoram_host_request_count (const marjoram_host *host)
+{
+  const struct marjoram_request *request;
+  size_t count = 0;
+
+  TAILQ_FOREACH (request, &host->requests->all, all)
+  {
+    count += !request->answered;
+  }
+  return count;
+}
+
+void
+marjoram_host_view (const marjoram_host *host, int64_t now, const char *slot,
+                    struct marjoram_host_view *view)
+{
+  const struct marjoram_link *link = marjoram_link_find (host, slot);
+
+  memset (view, 0, sizeof *view);
+  view->round_trip_ms = -1;
+  if (!link)
+    return;
+  view->alive = link->up && now - link->heard < MARJORAM_LINK_SILENT_MS;
+  view->draining = link->draining;
+  view->incarnation = link->incarnation;
+  view->config_number = link->config_number;
+  view->round_trip_ms = link->round_trip_ms;
+}
+
+char *
+marjoram_host_explain (marjoram_host *host, int64_t now,
+                       struct marjoram_query *query,
+                       struct marjoram_choice *choice)
+{
+  return marjoram_router_explain (host->router, now, query, choice);
+}
--- /dev/null
+++ b/src/host_peer.c
@@ -0,0 +1,161 @@
+#include "host_state.h"
+
+#include "cleanup.h"
+#include "log.h"
+
+void
+marjoram_host_link_up (marjoram_host *host, int64_t now, const char *slot)
+{
+  struct marjoram_link *link = marjoram_link_find (host, slot);
+
+  host->now = now;
+  if (!link)
+    return;
+  link->up = true;
+  link->up_since = now;
+  link->heard = now;
+  link->sent = now - MARJORAM_HEARTBEAT_MS;
+  marjoram_counters_add (host->counters, MARJORAM_COUNTER_PEER_CONNECTS, 1);
+  marjoram_forward_link_up (host, now, slot);
+  marjoram_links_tick (host, now);
+}
+
+void
+marjoram_host_link_down (marjoram_host *host, int64_t now, const char *slot)
+{
+  struct marjoram_link *link = marjoram_link_find (host, slot);
+
+  host->now = now;
+  if (link)
+    link->up = false;
+}
+
+void
+marjoram_host_session_closed (marjoram_host *host, int64_t now,
+                              const char *slot, uint64_t session)
+{
+  host->now = now;
+  marjoram_relay_session_closed (host, now, slot, session);
+}
+
+static void
+take_heartbeat (marjoram_host *host, int64_t now, const char *slot,
+                uint64_t session, const struct marjoram_heartbeat *heartbeat)
+{
+  int ordinal = marjoram_host_ordinal (host, slot);
+
+  marjoram_link_heartbeat (host, now, slot, session, heartbeat);
+  if (ordinal >= 0)
+    marjoram_members_heard (host->members, now, ordinal,
+                            heartbeat->incarnation, heartbeat->draining);
+  marjoram_spread_heard (host->spread, now, slot, heartbeat->config_number);
+}
+
+/* Frames that only hosts of the same zone may send.  */
+static void
+zone_frame (marjoram_host *host, int64_t now, const char *slot,
+            enum marjoram_frame_type type, const void *message)
+{
+  int ordinal = marjoram_host_ordinal (host, slot);
+
+  if (ordinal < 0 || ordinal == host->self)
+    return;
+  switch (type)
+    {
+    case MARJORAM_FRAME_UPSTREAM:
+      marjoram_host_check_restarted (host, now, message);
+      marjoram_members_announce (host->members, now, message, true);
+      break;
+    case MARJORAM_FRAME_CLAIM:
+      marjoram_claims_receive (host->claims, now, ordinal, message);
+      break;
+    case MARJORAM_FRAME_ORDER:
+      marjoram_orders_receive (host->orders, now, ordinal, message);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+take_offers (marjoram_host *host, int64_t now, const char *slot,
+             const struct marjoram_offers *offers)
+{
+  const struct marjoram_link *link = marjoram_link_find (host, slot);
+  int64_t round_trip = link ? link->round_trip_ms : -1;
+
+  marjoram_router_learn (host->router, now, offers,
+                         round_trip < 0 ? 0 : round_trip / 2);
+}
+
+void
+marjoram_host_frame (marjoram_host *host, int64_t now, const char *slot,
+                     uint64_t session, uint64_t incarnation,
+                     enum marjoram_frame_type type, const void *message)
+{
+  host->now = now;
+  if (session)
+    marjoram_sender_of (host, slot, incarnation)->session = session;
+  switch (type)
+    {
+    case MARJORAM_FRAME_HEARTBEAT:
+      take_heartbeat (host, now, slot, session, message);
+      break;
+    case MARJORAM_FRAME_FORWARD:
+      marjoram_relay_take (host, now, slot, session, incarnation, message);
+      break;
+    case MARJORAM_FRAME_CANCEL:
+      marjoram_relay_cancel (host, now, slot, incarnation, message);
+      break;
+    case MARJORAM_FRAME_REVOKE:
+      marjoram_relay_revoke (host, slot, session, incarnation, message);
+      break;
+    case MARJORAM_FRAME_HEAD:
+    case MARJORAM_FRAME_DATA:
+    case MARJORAM_FRAME_END:
+    case MARJORAM_FRAME_REVOKED:
+      /* Answers come over this host's own session only.  */
+      if (session == 0)
+        marjoram_forward_answer (host, now, slot, type, message);
+      break;
+    case MARJORAM_FRAME_UPSTREAM:
+    case MARJORAM_FRAME_CLAIM:
+    case MARJORAM_FRAME_ORDER:
+      zone_frame (host, now, slot, type, message);
+      break;
+    case MARJORAM_FRAME_KEEPER:
+      if (host->keeper)
+        marjoram_keeper_receive (host->keeper, now, slot, message);
+      break;
+    case MARJORAM_FRAME_SUSPECT:
+      marjoram_host_learn_suspect (host, now, slot, message);
+      break;
+    case MARJORAM_FRAME_OFFERS:
+      take_offers (host, now, slot, message);
+      break;
+    case MARJORAM_FRAME_CONFIG_ASK:
+      marjoram_spread_receive_ask (host->spread, now, slot, message);
+      break;
+    case MARJORAM_FRAME_CONFIG_GIVE:
+      marjoram_spread_receive_give (host->spread, now, slot, message);
+      break;
+    case MARJORAM_FRAME_APPLY:
+      marjoram_apply_frame (host, now, slot, session, message);
+      break;
+    case MARJORAM_FRAME_APPLIED:
+      marjoram_applied_frame (host, message);
+      break;
+    default:
+      break;
+    }
+  marjoram_host_settle (host, now);
+}
+
+void
+marjoram_host_persisted (marjoram_host *host, int64_t now, uint64_t ticket,
+                         bool ok)
+{
+  host->now = now;
+  if (host->keeper)
+    marjoram_keeper_persisted (host->keeper, now, ticket, ok);
+}
--- /dev/null
+++ b/src/host_upstream.c
@@ -0,0 +1,198 @@
+#include "host_state.h"
+
+#include "cleanup.h"
+#include "log.h"
+
+#include <string.h>
+
+/* Where a suspect runs is of use in its zone only.  That it is one, or is
+   convicted, has to be known in all zones: its caller may send it there
+   next.  */
+void
+marjoram_host_report_suspect (void *context,
+                              const struct marjoram_suspect_message *message)
+{
+  marjoram_host *host = context;
+
+  if (message->upstream)
+    marjoram_host_send_zone (host, MARJORAM_FRAME_SUSPECT, message);
+  else
+    marjoram_links_send (host, MARJORAM_FRAME_SUSPECT, message);
+}
+
+/* News from another zone came to this host only, if hosts link to one host of
+   each other zone; it is passed on in this zone, once.  */
+void
+marjoram_host_learn_suspect (marjoram_host *host, int64_t now,
+                             const char *slot,
+                             const struct marjoram_suspect_message *message)
+{
+  enum marjoram_suspicion before;
+
+  if (!message->digest)
+    return;
+  before = marjoram_suspects_get (host->suspects, now, message->digest);
+  marjoram_suspects_learn (host->suspects, now, message);
+  if (marjoram_host_ordinal (host, slot) < 0
+      && marjoram_suspects_get (host->suspects, now, message->digest)
+             != before)
+    marjoram_host_send_zone (host, MARJORAM_FRAME_SUSPECT, message);
+}
+
+void
+marjoram_host_upstream_died (marjoram_host *host, int64_t now,
+                             const char *upstream)
+{
+  marjoram_log (MARJORAM_LOG_WARNING, "upstream %s died", upstream);
+  marjoram_members_died (host->members, now, upstream);
+  marjoram_suspects_died (host->suspects, now, upstream,
+                          marjoram_host_report_suspect, host);
+}
+
+void
+marjoram_host_check_restarted (
+    marjoram_host *host, int64_t now,
+    const struct marjoram_announcement *announcement)
+{
+  const struct marjoram_upstream *known
+      = marjoram_members_find (host->members, now, announcement->name);
+
+  if (known && known->in_flight > 0
+      && announcement->incarnation > known->announcement->incarnation)
+    marjoram_host_upstream_died (host, now, announcement->name);
+}
+
+enum marjoram_announce_result
+marjoram_host_announce (marjoram_host *host, int64_t now,
+                        const struct marjoram_announcement *announcement)
+{
+  enum marjoram_announce_result result;
+
+  host->now = now;
+  marjoram_counters_add (host->counters, MARJORAM_COUNTER_ANNOUNCES, 1);
+  marjoram_host_check_restarted (host, now, announcement);
+  result = marjoram_members_announce (host->members, now, announcement, false);
+  if (result == MARJORAM_ANNOUNCE_NEW || result == MARJORAM_ANNOUNCE_RENEWED)
+    marjoram_host_send_zone (host, MARJORAM_FRAME_UPSTREAM, announcement);
+  marjoram_host_settle (host, now);
+  return result;
+}
+
+static struct marjoram_request *
+local_attempt (marjoram_host *host, int64_t now, uint64_t attempt)
+{
+  struct marjoram_request *request
+      = marjoram_request_by_attempt (host, attempt);
+
+  host->now = now;
+  return request && request->state == MARJORAM_REQUEST_LOCAL ? request : NULL;
+}
+
+void
+marjoram_host_run_head (marjoram_host *host, int64_t now, uint64_t attempt,
+                        const struct marjoram_head *head)
+{
+  struct marjoram_request *request = local_attempt (host, now, attempt);
+
+  if (request)
+    marjoram_request_head (host, now, request, head);
+}
+
+void
+marjoram_host_run_data (marjoram_host *host, int64_t now, uint64_t attempt,
+                        marjoram_bytes *bytes)
+{
+  struct marjoram_request *request = local_attempt (host, now, attempt);
+
+  if (request)
+    marjoram_request_data (host, now, request, bytes);
+}
+
+void
+marjoram_host_run_end (marjoram_host *host, int64_t now, uint64_t attempt)
+{
+  struct marjoram_request *request = local_attempt (host, now, attempt);
+
+  if (request)
+    marjoram_request_done (host, now, request);
+  marjoram_host_settle (host, now);
+}
+
+/* The connection broke after the request was sent.  Whether the upstream died
+   decides if the request is suspect, so that is asked before any retry.  */
+static void
+run_broken (marjoram_host *host, int64_t now, struct marjoram_request *request)
+{
+  request->state = MARJORAM_REQUEST_PROBING;
+  request->progress = now;
+  host->ops->probe (host->context, request->upstream, request->address);
+}
+
+void
+marjoram_host_run_failed (marjoram_host *host, int64_t now, uint64_t attempt,
+                          enum marjoram_run_failure failure)
+{
+  struct marjoram_request *request = local_attempt (host, now, attempt);
+
+  if (!request)
+    return;
+  switch (failure)
+    {
+    case MARJORAM_RUN_UNSENT:
+      marjoram_members_died (host->members, now, request->upstream);
+      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+                               MARJORAM_REASON_UPSTREAM_FAILED, 0, false);
+      break;
+    case MARJORAM_RUN_BROKEN:
+      run_broken (host, now, request);
+      break;
+    case MARJORAM_RUN_UNAVAILABLE:
+      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                               MARJORAM_REASON_UPSTREAM_REFUSED,
+                               MARJORAM_RETRY_AFTER_MS, false);
+      break;
+    case MARJORAM_RUN_UNFRAMED:
+      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                               MARJORAM_REASON_UPSTREAM_FAILED, 0, false);
+      break;
+    case MARJORAM_RUN_REFUSED:
+      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+                               MARJORAM_REASON_UPSTREAM_REFUSED,
+                               MARJORAM_RETRY_AFTER_MS, false);
+      break;
+    case MARJORAM_RUN_NO_RESUME:
+      /* It answered on a new connection, so it is alive; the deadline
+         bounds the wait for the first one.  */
+      request->resuming = false;
+      request->progress = now;
+      break;
+    case MARJORAM_RUN_NEVER:
+      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+                               MARJORAM_REASON_UPSTREAM_SILENT, 0, false);
+      break;
+    }
+  marjoram_host_settle (host, now);
+}
+
+void
+marjoram_host_probed (marjoram_host *host, int64_t now, const char *upstream,
+                      bool alive)
+{
+  struct marjoram_request *request;
+  struct marjoram_request *next;
+
+  host->now = now;
+  if (!alive)
+    marjoram_host_upstream_died (host, now, upstream);
+  for (request = TAILQ_FIRST (&host->requests->all); request; request = next)
+    {
+      next = TAILQ_NEXT (request, all);
+      if (request->state != MARJORAM_REQUEST_PROBING || !request->attempt
+          || strcmp (request->upstream, upstream) != 0)
+        continue;
+      request->deaths += !alive;
+      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                               MARJORAM_REASON_UPSTREAM_FAILED, 0, false);
+    }
+  marjoram_host_settle (host, now);
+}
--- /dev/null
+++ b/src/inbox.c
@@ -0,0 +1,308 @@
+#include "inbox.h"
+
+#include "cleanup.h"
+#include "message.h"
+#include "report.h"
+#include "request.h"
+
+#include <string.h>
+
+struct marjoram_inbox
+{
+  marjoram_mailbox *mailbox;
+  struct marjoram_clock *clock;
+  marjoram_host *host;
+};
+
+/* What any event may carry.  */
+struct event_message
+{
+  struct marjoram_message base;
+  char *name; /* of a slot or an upstream */
+  uint64_t number;
+  uint64_t incarnation;
+  int value;
+  enum marjoram_frame_type type;
+  void *frame;
+  struct marjoram_call *call;
+  marjoram_bytes *bytes;
+  struct marjoram_head head;
+};
+
+marjoram_inbox *
+marjoram_inbox_create (struct event_base *base, struct marjoram_clock *clock)
+{
+  marjoram_inbox *inbox = marjoram_alloc (sizeof *inbox);
+
+  inbox->mailbox = marjoram_mailbox_create (base, inbox);
+  inbox->clock = clock;
+  return inbox;
+}
+
+void
+marjoram_inbox_destroy (marjoram_inbox *inbox)
+{
+  if (!inbox)
+    return;
+  marjoram_mailbox_destroy (inbox->mailbox);
+  free (inbox);
+}
+
+void
+marjoram_inbox_set_host (marjoram_inbox *inbox, marjoram_host *host)
+{
+  inbox->host = host;
+}
+
+marjoram_host *
+marjoram_inbox_host (const marjoram_inbox *inbox)
+{
+  return inbox->host;
+}
+
+int64_t
+marjoram_inbox_now (const marjoram_inbox *inbox)
+{
+  return marjoram_clock_now (inbox->clock);
+}
+
+int64_t
+marjoram_inbox_wall (const marjoram_inbox *inbox)
+{
+  return marjoram_clock_wall (inbox->clock);
+}
+
+static void
+event_destroy (struct marjoram_message *message)
+{
+  struct event_message *event = (struct event_message *)message;
+
+  if (event->frame)
+    marjoram_wire_destroy (marjoram_frame_layout (event->type), event->frame);
+  if (event->call)
+    marjoram_call_destroy (event->call);
+  marjoram_bytes_release (event->bytes);
+  marjoram_wire_clear (marjoram_frame_layout (MARJORAM_FRAME_HEAD),
+                       &event->head);
+  free (event->name);
+  free (event);
+}
+
+/* A new event, already posted: it is delivered after the caller returns.  */
+static struct event_message *
+post (void *context, const struct marjoram_message_ops *ops)
+{
+  marjoram_inbox *inbox = context;
+  struct event_message *event = marjoram_alloc (sizeof *event);
+
+  event->base.ops = ops;
+  marjoram_mailbox_post (inbox->mailbox, &event->base);
+  return event;
+}
+
+/* Defines deliver_NAME, which runs BODY with HOST, NOW and EVENT, and the
+   operations NAME_message.  */
+#define DELIVER(name, body)                                                   \
+  static void deliver_##name (struct marjoram_message *message,               \
+                              void *context)                                  \
+  {                                                                           \
+    struct event_message *event = (struct event_message *)message;            \
+    const marjoram_inbox *inbox = context;                                    \
+    marjoram_host *host = inbox->host;                                        \
+    int64_t now = marjoram_inbox_now (inbox);                                 \
+                                                                              \
+    body;                                                                     \
+  }                                                                           \
+  static const struct marjoram_message_ops name##_message                     \
+      = { deliver_##name, event_destroy }
+
+/* ---- Callers.  ---- */
+
+DELIVER (call, {
+  struct marjoram_call *call = event->call;
+
+  event->call = NULL;
+  marjoram_host_call (host, now, call);
+});
+
+static void
+post_call (void *context, struct marjoram_call *call)
+{
+  post (context, &call_message)->call = call;
+}
+
+DELIVER (gone, marjoram_host_caller_gone (host, now, event->number));
+
+static void
+post_gone (void *context, uint64_t call)
+{
+  post (context, &gone_message)->number = call;
+}
+
+static enum marjoram_announce_result
+announce (void *context, const struct marjoram_announcement *announcement)
+{
+  const marjoram_inbox *inbox = context;
+
+  return marjoram_host_announce (inbox->host, marjoram_inbox_now (inbox),
+                                 announcement);
+}
+
+static json_t *
+entries (void *context)
+{
+  const marjoram_inbox *inbox = context;
+
+  return marjoram_report_entries (inbox->host, marjoram_inbox_now (inbox),
+                                  marjoram_inbox_wall (inbox));
+}
+
+static bool
+ready (void *context)
+{
+  const marjoram_inbox *inbox = context;
+
+  return marjoram_host_ready (inbox->host)
+         && !marjoram_host_draining (inbox->host);
+}
+
+static uint64_t
+config_number (void *context)
+{
+  const marjoram_inbox *inbox = context;
+  const marjoram_config *config = marjoram_host_config (inbox->host);
+
+  return config ? marjoram_config_number (config) : 0;
+}
+
+const struct marjoram_front_ops marjoram_inbox_front_ops
+    = { post_call, post_gone, announce, entries, ready, config_number };
+
+/* ---- Upstreams.  ---- */
+
+DELIVER (head,
+         marjoram_host_run_head (host, now, event->number, &event->head));
+
+static void
+post_head (void *context, uint64_t attempt, const struct marjoram_head *head)
+{
+  struct event_message *event = post (context, &head_message);
+
+  event->number = attempt;
+  marjoram_request_copy_head (&event->head, head);
+}
+
+DELIVER (data,
+         marjoram_host_run_data (host, now, event->number, event->bytes));
+
+static void
+post_data (void *context, uint64_t attempt, marjoram_bytes *bytes)
+{
+  struct event_message *event = post (context, &data_message);
+
+  event->number = attempt;
+  event->bytes = marjoram_bytes_retain (bytes);
+}
+
+DELIVER (end, marjoram_host_run_end (host, now, event->number));
+
+static void
+post_end (void *context, uint64_t attempt)
+{
+  post (context, &end_message)->number = attempt;
+}
+
+DELIVER (failed,
+         marjoram_host_run_failed (host, now, event->number,
+                                   (enum marjoram_run_failure)event->value));
+
+static void
+post_failed (void *context, uint64_t attempt,
+             enum marjoram_run_failure failure)
+{
+  struct event_message *event = post (context, &failed_message);
+
+  event->number = attempt;
+  event->value = failure;
+}
+
+DELIVER (probed,
+         marjoram_host_probed (host, now, event->name, event->value != 0));
+
+static void
+post_probed (void *context, const char *upstream, bool alive)
+{
+  struct event_message *event = post (context, &probed_message);
+
+  event->name = marjoram_strdup (upstream);
+  event->value = alive;
+}
+
+const struct marjoram_upstreams_ops marjoram_inbox_upstreams_ops
+    = { post_head, post_data, post_end, post_failed, post_probed };
+
+/* ---- Other hosts.  ---- */
+
+DELIVER (link_up, marjoram_host_link_up (host, now, event->name));
+
+static void
+post_link_up (void *context, const char *slot)
+{
+  post (context, &link_up_message)->name = marjoram_strdup (slot);
+}
+
+DELIVER (link_down, marjoram_host_link_down (host, now, event->name));
+
+static void
+post_link_down (void *context, const char *slot)
+{
+  post (context, &link_down_message)->name = marjoram_strdup (slot);
+}
+
+DELIVER (closed,
+         marjoram_host_session_closed (host, now, event->name, event->number));
+
+static void
+post_closed (void *context, const char *slot, uint64_t session)
+{
+  struct event_message *event = post (context, &closed_message);
+
+  event->name = marjoram_strdup (slot);
+  event->number = session;
+}
+
+DELIVER (frame,
+         marjoram_host_frame (host, now, event->name, event->number,
+                              event->incarnation, event->type, event->frame));
+
+static void
+post_frame (void *context, const char *slot, uint64_t session,
+            uint64_t incarnation, enum marjoram_frame_type type, void *message)
+{
+  struct event_message *event = post (context, &frame_message);
+
+  event->name = marjoram_strdup (slot);
+  event->number = session;
+  event->incarnation = incarnation;
+  event->type = type;
+  event->frame = message;
+}
+
+const struct marjoram_peer_ops marjoram_inbox_peer_ops
+    = { post_link_up, post_link_down, post_closed, post_frame };
+
+/* ---- The disk.  ---- */
+
+DELIVER (persisted, marjoram_host_persisted (host, now, event->number,
+                                             event->value != 0));
+
+static void
+post_persisted (void *context, uint64_t ticket, bool ok)
+{
+  struct event_message *event = post (context, &persisted_message);
+
+  event->number = ticket;
+  event->value = ok;
+}
+
+const struct marjoram_disk_ops marjoram_inbox_disk_ops = { post_persisted };
--- /dev/null
+++ b/src/intake.c
@@ -0,0 +1,508 @@
+#include "intake.h"
+
+#include "cleanup.h"
+
+#include <ctype.h>
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+#include <xxhash.h>
+
+enum
+{
+  HEADER_VALUE_MAX = 8192,
+  PATH_LENGTH_MAX = 2048,
+  DEADLINE_MAX_MS = 24 * 3600 * 1000,
+  PREFIX_BYTES = 256,
+  BYTES_PER_TOKEN = 4, /* of prompt text, for estimates */
+  DEFAULT_ANSWER_TOKENS = 128,
+  SLOTS_MAX = 100000
+};
+
+static const char service_path[] = "/v1/services/";
+
+static bool
+bad (struct marjoram_error *err, const char *message)
+{
+  return marjoram_error_set (err, MARJORAM_ERROR_INVALID, "%s", message);
+}
+
+static const char *
+find (struct evhttp_request *request, const char *name)
+{
+  return evhttp_find_header (evhttp_request_get_input_headers (request), name);
+}
+
+static size_t
+count (struct evhttp_request *request, const char *name)
+{
+  const struct evkeyval *header;
+  size_t found = 0;
+
+  TAILQ_FOREACH (header, evhttp_request_get_input_headers (request), next)
+  {
+    found += strcasecmp (header->key, name) == 0;
+  }
+  return found;
+}
+
+bool
+marjoram_intake_framing (struct evhttp_request *request,
+                         struct marjoram_error *err)
+{
+  size_t lengths = count (request, "Content-Length");
+  size_t codings = count (request, "Transfer-Encoding");
+  const char *coding = find (request, "Transfer-Encoding");
+  const char *length = find (request, "Content-Length");
+
+  /* evhttp takes the first of two lengths and runs a cut body.  */
+  if (lengths + codings > 1)
+    return bad (err, "more than one Content-Length or Transfer-Encoding; "
+                     "send exactly one");
+  if (coding && strcasecmp (coding, "chunked") != 0)
+    return bad (err, "Transfer-Encoding is not chunked; send chunked or a "
+                     "Content-Length");
+  if (length && strspn (length, "0123456789") != strlen (length))
+    return bad (err, "Content-Length is not a plain number; send digits only");
+  if (count (request, "Host") != 1)
+    return bad (err, "no Host header, or more than one; send exactly one");
+  return true;
+}
+
+static bool
+is_passed_on (const char *name)
+{
+  static const char *const own[] = { "Connection",
+                                     "Transfer-Encoding",
+                                     "Content-Length",
+                                     "Keep-Alive",
+                                     "Host",
+                                     "Upgrade",
+                                     "Trailer",
+                                     "TE",
+                                     "Proxy-Connection",
+                                     "Authorization",
+                                     "Idempotency-Key",
+                                     "Expect" };
+
+  for (size_t i = 0; i < sizeof own / sizeof *own; i++)
+    if (strcasecmp (name, own[i]) == 0)
+      return false;
+  return strncasecmp (name, "Marjoram-", strlen ("Marjoram-")) != 0;
+}
+
+static bool
+take_headers (struct evhttp_request *request, struct marjoram_call *call,
+              struct marjoram_error *err)
+{
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  struct marjoram_header *items
+      = marjoram_alloc (MARJORAM_HEADERS_MAX * sizeof *items);
+  struct evkeyval *header;
+
+  call->headers.items = items;
+  TAILQ_FOREACH (header, headers, next)
+  {
+    if (!is_passed_on (header->key))
+      continue;
+    if (call->headers.count == MARJORAM_HEADERS_MAX
+        || strlen (header->key) > MARJORAM_NAME_MAX
+        || strlen (header->value) > HEADER_VALUE_MAX)
+      return bad (err, "too many headers, or one too long; send at most 64, "
+                       "names up to 64 and values up to 8192 characters");
+    items[call->headers.count].name = marjoram_strdup (header->key);
+    items[call->headers.count].value = marjoram_strdup (header->value);
+    call->headers.count++;
+  }
+  return true;
+}
+
+static const char *
+method_name (struct evhttp_request *request)
+{
+  switch (evhttp_request_get_command (request))
+    {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    default:
+      return "POST";
+    }
+}
+
+static bool
+is_key (const char *key)
+{
+  size_t length = strlen (key);
+
+  return length > 0 && length <= MARJORAM_KEY_MAX
+         && strspn (key, "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                         "0123456789._-")
+                == length;
+}
+
+/* A word that must be YES or NO; FALLBACK if the header is not there.  */
+static bool
+take_yes_no (struct evhttp_request *request, const char *name, bool fallback,
+             bool *value, struct marjoram_error *err)
+{
+  const char *word = find (request, name);
+
+  *value = fallback;
+  if (!word)
+    return true;
+  *value = strcasecmp (word, "yes") == 0;
+  if (*value || strcasecmp (word, "no") == 0)
+    return true;
+  return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                             "%s is neither yes nor no; send one of them",
+                             name);
+}
+
+static bool
+take_deadline (struct evhttp_request *request, struct marjoram_call *call,
+               struct marjoram_error *err)
+{
+  const char *text = find (request, "Marjoram-Deadline-Ms");
+  char *end;
+
+  if (!text)
+    return true;
+  call->deadline_ms = strtoll (text, &end, 10);
+  if (*text && !*end && call->deadline_ms > 0
+      && call->deadline_ms <= DEADLINE_MAX_MS)
+    return true;
+  return bad (err, "Marjoram-Deadline-Ms is not a number from 1 to 86400000");
+}
+
+static bool
+take_class (struct evhttp_request *request, struct marjoram_call *call,
+            struct marjoram_error *err)
+{
+  const char *word = find (request, "Marjoram-Class");
+
+  if (!word || strcmp (word, "interactive") == 0)
+    return true;
+  call->class = MARJORAM_CLASS_OVERNIGHT;
+  if (strcmp (word, "overnight") == 0)
+    return true;
+  return bad (err, "Marjoram-Class is neither interactive nor overnight");
+}
+
+static bool
+take_words (struct evhttp_request *request, struct marjoram_call *call,
+            struct marjoram_error *err)
+{
+  const char *key = find (request, "Idempotency-Key");
+  bool resend;
+
+  if (count (request, "Idempotency-Key") > 1 || (key && !is_key (key)))
+    return bad (err, "Idempotency-Key is not one key of at most 128 of "
+                     "A-Za-z0-9._-; take its prefix from GET /v1/entries");
+  if (key)
+    call->key = marjoram_strdup (key);
+  if (!take_yes_no (request, "Marjoram-Idempotent", true, &call->idempotent,
+                    err)
+      || !take_yes_no (request, "Marjoram-Resend", true, &resend, err))
+    return false;
+  call->first_sending = !resend;
+  return take_class (request, call, err) && take_deadline (request, call, err);
+}
+
+static void
+take_token (struct evhttp_request *request, struct marjoram_call *call)
+{
+  static const char scheme[] = "Bearer ";
+  const char *value = find (request, "Authorization");
+
+  if (value && strncasecmp (value, scheme, strlen (scheme)) == 0)
+    value += strlen (scheme);
+  else
+    value = "";
+  call->token = marjoram_strdup (value);
+}
+
+/* ---- Model requests.  ---- */
+
+/* The prompt's start, and its whole size: of a text, or of the contents of
+   messages.  */
+struct prompt
+{
+  char start[PREFIX_BYTES];
+  size_t start_size;
+  size_t size;
+};
+
+static void
+prompt_add (struct prompt *prompt, json_t *text)
+{
+  size_t size = json_string_length (text);
+  size_t room = PREFIX_BYTES - prompt->start_size;
+  size_t part = size < room ? size : room;
+
+  if (!json_is_string (text))
+    return;
+  memcpy (prompt->start + prompt->start_size, json_string_value (text), part);
+  prompt->start_size += part;
+  prompt->size += size;
+}
+
+static void
+read_prompt (json_t *root, struct prompt *prompt)
+{
+  json_t *messages = json_object_get (root, "messages");
+  json_t *message;
+  size_t i;
+
+  prompt_add (prompt, json_object_get (root, "prompt"));
+  json_array_foreach (messages, i, message)
+  {
+    prompt_add (prompt, json_object_get (message, "content"));
+  }
+}
+
+static bool
+take_model (struct marjoram_call *call, struct marjoram_error *err)
+{
+  json_error_t fault;
+  json_t *root = json_loadb ((const char *)marjoram_bytes_data (call->body),
+                             marjoram_bytes_size (call->body), 0, &fault);
+  json_t *model = json_object_get (root, "model");
+  json_t *tokens = json_object_get (root, "max_tokens");
+  struct prompt prompt = { 0 };
+  bool ok = json_is_string (model)
+            && json_string_length (model) <= MARJORAM_NAME_MAX;
+
+  if (!root)
+    marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                        "the body is not JSON (%s, line %d); send a JSON "
+                        "object",
+                        fault.text, fault.line);
+  else if (!ok)
+    bad (err, "the body names no model; send {\"model\": \"NAME\", ...}");
+  if (ok)
+    {
+      call->work = marjoram_strdup (json_string_value (model));
+      call->stream = json_is_true (json_object_get (root, "stream"));
+      read_prompt (root, &prompt);
+      call->prompt_tokens = prompt.size / BYTES_PER_TOKEN;
+      call->answer_tokens = json_integer_value (tokens) > 0
+                                ? (uint64_t)json_integer_value (tokens)
+                                : DEFAULT_ANSWER_TOKENS;
+      if (prompt.start_size == PREFIX_BYTES)
+        call->prefix_hash = XXH64 (prompt.start, PREFIX_BYTES, 0);
+    }
+  json_decref (root);
+  return ok;
+}
+
+/* ---- Service requests.  ---- */
+
+static bool
+take_service (const char *uri, struct marjoram_call *call,
+              struct marjoram_error *err)
+{
+  const char *name = uri + strlen (service_path);
+  size_t length = strcspn (name, "/?");
+
+  if (length == 0 || length > MARJORAM_NAME_MAX)
+    return bad (err, "the path names no service; use /v1/services/NAME/...");
+  call->work = strndup (name, length);
+  if (name[length] == '/')
+    call->path = marjoram_strdup (name + length);
+  else
+    {
+      call->path = marjoram_alloc (strlen (name + length) + 2);
+      sprintf (call->path, "/%s", name + length);
+    }
+  return true;
+}
+
+static void
+take_body (struct evhttp_request *request, struct marjoram_call *call)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (input);
+
+  call->body = marjoram_bytes_create (
+      size ? evbuffer_pullup (input, -1) : NULL, size);
+}
+
+static bool
+take_target (struct evhttp_request *request, struct marjoram_call *call,
+             struct marjoram_error *err)
+{
+  const char *uri = evhttp_request_get_uri (request);
+
+  if (strlen (uri) > PATH_LENGTH_MAX)
+    return bad (err, "the path is over 2048 characters; shorten it");
+  if (strncmp (uri, service_path, strlen (service_path)) == 0)
+    return take_service (uri, call, err);
+  call->path = marjoram_strdup (uri);
+  return take_model (call, err);
+}
+
+struct marjoram_call *
+marjoram_intake_call (struct evhttp_request *request,
+                      enum marjoram_reason *reason, struct marjoram_error *err)
+{
+  struct marjoram_call *call = marjoram_alloc (sizeof *call);
+
+  *reason = MARJORAM_REASON_BAD_REQUEST;
+  call->method = marjoram_strdup (method_name (request));
+  take_token (request, call);
+  take_body (request, call);
+  if (marjoram_bytes_size (call->body) > MARJORAM_BODY_MAX)
+    {
+      *reason = MARJORAM_REASON_TOO_LARGE;
+      bad (err, "the body is over 16 MiB; send a smaller one");
+    }
+  else if (take_headers (request, call, err) && take_words (request, call, err)
+           && take_target (request, call, err))
+    return call;
+  marjoram_call_destroy (call);
+  return NULL;
+}
+
+/* ---- Announcements.  ---- */
+
+static bool
+text_member (json_t *root, const char *name, char **text,
+             struct marjoram_error *err)
+{
+  json_t *value = json_object_get (root, name);
+
+  if (!json_is_string (value) || json_string_length (value) == 0
+      || json_string_length (value) > MARJORAM_NAME_MAX)
+    return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                               "\"%s\" is missing or no text of 1 to 64 "
+                               "characters; see docs/UPSTREAMS.md",
+                               name);
+  *text = marjoram_strdup (json_string_value (value));
+  return true;
+}
+
+static bool
+number_member (json_t *root, const char *name, int64_t least, int64_t most,
+               uint64_t *number, struct marjoram_error *err)
+{
+  json_t *value = json_object_get (root, name);
+  json_int_t n = json_integer_value (value);
+
+  if (!json_is_integer (value) || n < least || n > most)
+    return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                               "\"%s\" is missing or no whole number from "
+                               "%lld to %lld; see docs/UPSTREAMS.md",
+                               name, (long long)least, (long long)most);
+  *number = (uint64_t)n;
+  return true;
+}
+
+static bool
+take_works (json_t *root, struct marjoram_announcement *a,
+            struct marjoram_error *err)
+{
+  json_t *works = json_object_get (root, "works");
+  struct marjoram_work_name *items;
+  json_t *work;
+  size_t i;
+
+  if (!json_is_array (works) || json_array_size (works) == 0
+      || json_array_size (works) > MARJORAM_UPSTREAM_WORKS_MAX)
+    return bad (err, "\"works\" is not a list of 1 to 32 names; see "
+                     "docs/UPSTREAMS.md");
+  items = marjoram_alloc (json_array_size (works) * sizeof *items);
+  a->works.items = items;
+  json_array_foreach (works, i, work)
+  {
+    if (!json_is_string (work)
+        || json_string_length (work) > MARJORAM_NAME_MAX)
+      return bad (err, "\"works\" holds something that is no name; see "
+                       "docs/UPSTREAMS.md");
+    items[i].name = marjoram_strdup (json_string_value (work));
+    a->works.count++;
+  }
+  return true;
+}
+
+static bool
+take_kind (json_t *root, struct marjoram_announcement *a,
+           struct marjoram_error *err)
+{
+  const char *kind = json_string_value (json_object_get (root, "kind"));
+
+  a->engine = kind && strcmp (kind, "engine") == 0;
+  a->fences = json_is_true (json_object_get (root, "fences"));
+  if (a->engine || (kind && strcmp (kind, "service") == 0))
+    return true;
+  return bad (err, "\"kind\" is neither engine nor service; see "
+                   "docs/UPSTREAMS.md");
+}
+
+static bool
+take_address (json_t *root, struct marjoram_announcement *a,
+              struct marjoram_error *err)
+{
+  struct sockaddr_storage address;
+  int size = sizeof address;
+
+  if (!text_member (root, "address", &a->address, err))
+    return false;
+  if (evutil_parse_sockaddr_port (a->address, (struct sockaddr *)&address,
+                                  &size)
+          == 0
+      && strchr (a->address, ':'))
+    return true;
+  return bad (err, "\"address\" is no IP:port; names are not looked up");
+}
+
+static bool
+take_announcement (json_t *root, struct marjoram_announcement *a,
+                   struct marjoram_error *err)
+{
+  return text_member (root, "name", &a->name, err)
+         && text_member (root, "zone", &a->zone, err)
+         && take_address (root, a, err) && take_kind (root, a, err)
+         && take_works (root, a, err)
+         && number_member (root, "incarnation", 0, INT64_MAX, &a->incarnation,
+                           err)
+         && number_member (root, "sequence", 0, INT64_MAX, &a->sequence, err)
+         && number_member (root, "slots", 1, SLOTS_MAX, &a->slots, err)
+         && number_member (root, "lease_ms", MARJORAM_LEASE_MIN_MS,
+                           MARJORAM_LEASE_MAX_MS, &a->lease_ms, err)
+         && number_member (root, "running", 0, INT32_MAX, &a->running, err)
+         && number_member (root, "waiting", 0, INT32_MAX, &a->waiting, err);
+}
+
+struct marjoram_announcement *
+marjoram_intake_announcement (struct evhttp_request *request,
+                              struct marjoram_error *err)
+{
+  struct marjoram_announcement *a = marjoram_alloc (sizeof *a);
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (input);
+  json_t *root = size ? json_loadb ((const char *)evbuffer_pullup (input, -1),
+                                    size, 0, NULL)
+                      : NULL;
+  bool ok = root ? take_announcement (root, a, err)
+                 : bad (err, "the body is not JSON; see docs/UPSTREAMS.md");
+
+  json_decref (root);
+  if (ok)
+    return a;
+  marjoram_wire_destroy (&marjoram_announcement_layout, a);
+  return NULL;
+}
--- a/src/offer.c
+++ b/src/offer.c
@@ -7,6 +7,7 @@
 
 enum
 {
+  RAMP_START = 2,
   BACKOFF_MS = 500,
   BACKOFF_DOUBLINGS = 4
 };
@@ -29,8 +30,9 @@
 struct entry
 {
   uint64_t room;
-  uint64_t ramp; /* most that is used of the room */
-  uint64_t sent; /* since the offer */
+  uint64_t ramp; /* most that is under way at once */
+  uint64_t under_way;
+  int64_t taken; /* started since the offer, less ended ones */
   int64_t wait_ms;
   int64_t link_ms;
   int64_t expires; /* 0 if never heard */
@@ -115,15 +117,16 @@
 learn_one (struct entry *entry, int64_t now,
            const struct marjoram_offer *offer, int64_t link_ms)
 {
-  /* Stops the stampede after a link heals: a zone that was silent gets one
-     request at first, and twice as many with each offer that follows.  */
+  /* Stops the stampede after a link heals: a zone that was silent gets a few
+     requests at once at first, and twice as many with each offer that follows
+     and each few that end well.  */
   if (now >= entry->expires)
-    entry->ramp = 1;
+    entry->ramp = RAMP_START;
   else if (entry->ramp < offer->room)
     entry->ramp *= 2;
   /* What was sent within the last round trip is not yet seen in the offer.  */
   if (now >= entry->last_sent + 2 * link_ms)
-    entry->sent = 0;
+    entry->taken = 0;
   entry->room = offer->room;
   entry->wait_ms = offer->wait_ms > 0 ? offer->wait_ms : 0;
   entry->link_ms = link_ms > 0 ? link_ms : 0;
@@ -157,10 +160,9 @@
 static bool
 lends (const struct entry *entry, int64_t now)
 {
-  uint64_t room = entry->room < entry->ramp ? entry->room : entry->ramp;
-
   return now < entry->expires && now >= entry->barred_until
-         && entry->sent < room;
+         && entry->under_way < entry->ramp
+         && entry->taken < (int64_t)entry->room;
 }
 
 static bool
@@ -227,7 +229,8 @@
 {
   struct entry *entry = entry_of (loans, zone, work);
 
-  entry->sent++;
+  entry->taken++;
+  entry->under_way++;
   entry->last_sent = now;
 }
 
@@ -242,16 +245,19 @@
                                                            : BACKOFF_DOUBLINGS;
   uint32_t span = (uint32_t)BACKOFF_MS << doublings;
 
+  entry->taken--;
+  entry->under_way -= entry->under_way > 0;
   if (!failed)
     {
       entry->failures = 0;
+      entry->ramp++;
       return;
     }
   /* Requests that were under way together fail together.  */
   if (now < entry->barred_until)
     return;
   entry->failures++;
-  entry->ramp = 1;
+  entry->ramp = RAMP_START;
   entry->barred_until
       = now + span + marjoram_random_below (loans->random, span);
 }
--- /dev/null
+++ b/src/request.c
@@ -0,0 +1,313 @@
+#include "request.h"
+
+#include "cleanup.h"
+#include "host_state.h"
+#include "log.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  DIGEST_BYTES = 16
+};
+
+struct marjoram_requests *
+marjoram_requests_create (void)
+{
+  struct marjoram_requests *requests = marjoram_alloc (sizeof *requests);
+
+  TAILQ_INIT (&requests->all);
+  requests->next_attempt = 1;
+  return requests;
+}
+
+static void
+request_destroy (marjoram_host *host, struct marjoram_request *request)
+{
+  struct marjoram_requests *requests = host->requests;
+
+  TAILQ_REMOVE (&requests->all, request, all);
+  requests->count--;
+  if (!request->peer)
+    HASH_DELETE (by_call, requests->by_call, request);
+  if (request->attempt)
+    HASH_DELETE (by_attempt, requests->by_attempt, request);
+  if (request->claim)
+    HASH_DELETE (by_claim, requests->by_claim, request);
+  marjoram_answer_clear (request);
+  marjoram_call_destroy (request->call);
+  free (request->caller);
+  free (request->peer);
+  free (request->remote_slot);
+  free (request);
+}
+
+void
+marjoram_requests_destroy (marjoram_host *host)
+{
+  struct marjoram_request *request;
+
+  while ((request = TAILQ_FIRST (&host->requests->all)))
+    request_destroy (host, request);
+  free (host->requests);
+}
+
+/* The request as its sender means it: the same digest on a resend.  */
+static void
+digest_call (const struct marjoram_request *request, char *digest)
+{
+  const struct marjoram_call *call = request->call;
+  const char *const texts[] = { call->work, call->method, call->path };
+  crypto_generichash_state hash;
+  uint8_t code[DIGEST_BYTES];
+
+  crypto_generichash_init (&hash, NULL, 0, sizeof code);
+  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
+    crypto_generichash_update (&hash, (const uint8_t *)texts[i],
+                               strlen (texts[i]) + 1);
+  crypto_generichash_update (&hash, marjoram_bytes_data (call->body),
+                             marjoram_bytes_size (call->body));
+  crypto_generichash_final (&hash, code, sizeof code);
+  sodium_bin2hex (digest, 2 * DIGEST_BYTES + 1, code, sizeof code);
+}
+
+struct marjoram_request *
+marjoram_request_create (marjoram_host *host, int64_t now,
+                         const struct marjoram_origin_ops *origin,
+                         struct marjoram_call *call)
+{
+  struct marjoram_request *request = marjoram_alloc (sizeof *request);
+
+  request->origin = origin;
+  request->call = call;
+  request->arrived = now;
+  request->remote_zone = -1;
+  STAILQ_INIT (&request->pieces);
+  digest_call (request, request->digest);
+  TAILQ_INSERT_TAIL (&host->requests->all, request, all);
+  host->requests->count++;
+  return request;
+}
+
+struct marjoram_request *
+marjoram_request_by_attempt (const marjoram_host *host, uint64_t attempt)
+{
+  struct marjoram_request *request;
+
+  HASH_FIND (by_attempt, host->requests->by_attempt, &attempt, sizeof attempt,
+             request);
+  return request;
+}
+
+/* Whether the first refusal of this request proves that it did not run: an
+   earlier sending of the same key may have, until the claim shows that none
+   has.  */
+static bool
+refusal_is_proof (const struct marjoram_request *request)
+{
+  return request->call->idempotent || request->call->first_sending
+         || request->granted;
+}
+
+void
+marjoram_request_count_outcome (marjoram_host *host,
+                                const struct marjoram_request *request,
+                                enum marjoram_outcome outcome)
+{
+  static const enum marjoram_counter counters[]
+      = { MARJORAM_COUNTER_DONE, MARJORAM_COUNTER_NOT_RUN,
+          MARJORAM_COUNTER_UNKNOWN };
+
+  marjoram_counters_add (host->counters, counters[outcome], 1);
+  if (outcome != MARJORAM_OUTCOME_DONE)
+    marjoram_counters_refused (host->counters, request->reason);
+}
+
+/* The request needs nothing more here.  One of another host is kept a while,
+   for its sender to ask for the answer over a new link.  */
+void
+marjoram_request_settle (marjoram_host *host, int64_t now,
+                         struct marjoram_request *request)
+{
+  request->answered = true;
+  if (request->peer && !request->gone)
+    request->orphaned = now;
+  else
+    request_destroy (host, request);
+}
+
+/* The claim of a request that ends without an answer.  */
+static void
+settle_claim (marjoram_host *host, int64_t now,
+              const struct marjoram_request *request)
+{
+  bool undecided
+      = request->claim && request->state == MARJORAM_REQUEST_CLAIMING;
+  bool not_run = request->outcome == MARJORAM_OUTCOME_NOT_RUN;
+
+  if (undecided || (request->granted && not_run))
+    marjoram_claims_withdraw (host->claims, now, request->claim);
+  else if (request->granted)
+    marjoram_claims_finish (host->claims, now, request->claim, NULL);
+}
+
+void
+marjoram_request_refuse (marjoram_host *host, int64_t now,
+                         struct marjoram_request *request,
+                         enum marjoram_outcome outcome,
+                         enum marjoram_reason reason, int64_t retry_ms)
+{
+  marjoram_attempt_release (host, now, request, true);
+  if (outcome == MARJORAM_OUTCOME_NOT_RUN && request->maybe_ran)
+    outcome = MARJORAM_OUTCOME_UNKNOWN;
+  if (outcome == MARJORAM_OUTCOME_NOT_RUN && !refusal_is_proof (request))
+    outcome = MARJORAM_OUTCOME_UNKNOWN;
+  request->outcome = outcome;
+  request->reason = reason;
+  settle_claim (host, now, request);
+  marjoram_request_count_outcome (host, request, outcome);
+  marjoram_log (MARJORAM_LOG_INFO, "%s: %s, %s", request->id,
+                marjoram_outcome_name (outcome),
+                marjoram_reason_name (reason));
+  if (!request->gone)
+    request->origin->fail (host, request, retry_ms);
+  marjoram_request_settle (host, now, request);
+}
+
+void
+marjoram_request_abandon (marjoram_host *host, int64_t now,
+                          struct marjoram_request *request)
+{
+  request->gone = true;
+  if (request->answered)
+    {
+      request_destroy (host, request);
+      return;
+    }
+  /* Non-idempotent work that may have started runs on: its answer is kept, as
+     its caller may ask for it again by the key.  */
+  if (!request->call->idempotent
+      && (request->granted || request->claim
+          || request->state == MARJORAM_REQUEST_REMOTE || request->peer))
+    return;
+  marjoram_counters_add (host->counters, MARJORAM_COUNTER_CANCELLED, 1);
+  marjoram_attempt_cancel (host, now, request);
+  request_destroy (host, request);
+}
+
+/* The deadline passed before an answer began.  The caller hears so at once;
+   what may still run does so unheard if it may not be repeated.  */
+static void
+pass_deadline (marjoram_host *host, int64_t now,
+               struct marjoram_request *request)
+{
+  bool running = request->state != MARJORAM_REQUEST_CLAIMING;
+
+  if (request->call->idempotent || !running)
+    {
+      marjoram_attempt_cancel (host, now, request);
+      marjoram_request_refuse (host, now, request,
+                               running ? MARJORAM_OUTCOME_UNKNOWN
+                                       : MARJORAM_OUTCOME_NOT_RUN,
+                               MARJORAM_REASON_DEADLINE, 0);
+      return;
+    }
+  request->outcome = MARJORAM_OUTCOME_UNKNOWN;
+  request->reason = MARJORAM_REASON_DEADLINE;
+  marjoram_request_count_outcome (host, request, MARJORAM_OUTCOME_UNKNOWN);
+  request->origin->fail (host, request, MARJORAM_RETRY_AFTER_MS);
+  request->gone = true;
+}
+
+/* An upstream that sends nothing: its connection may have gone silent while
+   the request runs on.  Sending the request again could run it twice; asking
+   for it by its id on a new connection can't.  */
+static void
+watch_silence (marjoram_host *host, int64_t now,
+               struct marjoram_request *request)
+{
+  int64_t silent = now - request->progress;
+
+  if (request->resuming && silent >= MARJORAM_RESUME_SILENT_MS)
+    {
+      host->ops->cancel (host->context, request->attempt);
+      marjoram_members_died (host->members, now, request->upstream);
+      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                               MARJORAM_REASON_UPSTREAM_SILENT,
+                               MARJORAM_RETRY_AFTER_MS, false);
+    }
+  else if (!request->resuming && silent >= MARJORAM_UPSTREAM_SILENT_MS)
+    {
+      request->resuming = true;
+      host->ops->resume (host->context, request->attempt, request->address,
+                         request->id, request->received);
+    }
+}
+
+/* A request of another host, whose link broke and did not come back.  */
+static bool
+is_orphan (const struct marjoram_request *request, int64_t now)
+{
+  return request->peer && !request->peer_session && !request->gone
+         && now - request->orphaned >= MARJORAM_ORPHAN_MS;
+}
+
+/* A request that nobody waits for, at a host that can't be reached.  */
+static bool
+is_out_of_reach (const struct marjoram_request *request, int64_t now)
+{
+  return request->gone && request->revoking
+         && request->state == MARJORAM_REQUEST_REMOTE
+         && now - request->deadline >= MARJORAM_ORPHAN_MS;
+}
+
+static void
+tick_one (marjoram_host *host, int64_t now, struct marjoram_request *request)
+{
+  if (request->answered)
+    {
+      if (now - request->orphaned >= MARJORAM_ORPHAN_MS)
+        request_destroy (host, request);
+      return;
+    }
+  if (is_orphan (request, now))
+    {
+      marjoram_request_abandon (host, now, request);
+      return;
+    }
+  if (is_out_of_reach (request, now))
+    {
+      marjoram_request_refuse (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                               MARJORAM_REASON_LINK_DOWN, 0);
+      return;
+    }
+  if (now >= request->deadline && !request->gone && !request->head_passed
+      && !(request->peer && request->has_head))
+    {
+      pass_deadline (host, now, request);
+      return;
+    }
+  if (request->state == MARJORAM_REQUEST_LOCAL && request->attempt)
+    watch_silence (host, now, request);
+  else if (request->state == MARJORAM_REQUEST_REMOTE)
+    marjoram_forward_tick (host, now, request);
+  else if (request->state == MARJORAM_REQUEST_PROBING
+           && now - request->progress >= MARJORAM_PROBE_MS)
+    marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                             MARJORAM_REASON_UPSTREAM_FAILED, 0, false);
+}
+
+void
+marjoram_requests_tick (marjoram_host *host, int64_t now)
+{
+  struct marjoram_request *request = TAILQ_FIRST (&host->requests->all);
+  struct marjoram_request *next;
+
+  for (; request; request = next)
+    {
+      next = TAILQ_NEXT (request, all);
+      tick_one (host, now, request);
+    }
+}
--- /dev/null
+++ b/src/upstream.c
@@ -0,0 +1,772 @@
+#include "upstream.h"
+
+#include "cleanup.h"
+#include "clock.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+enum
+{
+  /* evhttp's own limit is no guard here: the host watches progress.  */
+  CONNECTION_TIMEOUT_SEC = 3600,
+  PROBE_TIMEOUT_MSEC = 500,
+  /* An idle connection is used again for a short time only, as it may have
+     gone silent.  */
+  IDLE_SEC = 2,
+  IDLE_MAX = 256,
+  HEADERS_BYTES_MAX = 64 * 1024,
+  ADDRESS_MAX = 64,
+  STATUS_TOO_MANY = 429,
+  HTTP_BADGATEWAY = 502,
+  HTTP_GATEWAYTIMEOUT = 504
+};
+
+struct attempt;
+
+/* A connection and the request on it.  */
+struct exchange
+{
+  struct attempt *attempt; /* null once it is of no interest */
+  struct evhttp_connection *connection;
+  struct evhttp_request *request; /* owned by the connection */
+  char address[ADDRESS_MAX];
+  bool resume;
+  bool sent;        /* a byte of the request has gone to the socket */
+  bool framed;      /* its answer's end can be told */
+  bool unframed;    /* its answer's head says that it can't */
+  bool refused;     /* the answer says that the request was not run */
+  bool unavailable; /* it says that the upstream can't serve it now */
+  bool reused;      /* the connection carried another request before */
+  bool reusable;
+  char id[MARJORAM_KEY_MAX + 1];
+};
+
+struct attempt
+{
+  marjoram_upstreams *upstreams;
+  uint64_t number;
+  struct exchange *first;
+  struct exchange *resumed; /* asks for the same answer */
+  UT_hash_handle hh;
+};
+
+struct idle
+{
+  marjoram_upstreams *upstreams;
+  struct evhttp_connection *connection;
+  char address[ADDRESS_MAX];
+  struct event *timer;
+  TAILQ_ENTRY (idle) next;
+};
+
+struct probe
+{
+  marjoram_upstreams *upstreams;
+  struct evhttp_connection *connection;
+  char *name;
+  bool timed_out;
+  TAILQ_ENTRY (probe) next;
+};
+
+struct marjoram_upstreams
+{
+  struct event_base *base;
+  const struct marjoram_upstreams_ops *ops;
+  void *context;
+  struct attempt *attempts;
+  TAILQ_HEAD (, idle) idles;
+  size_t idle_count;
+  TAILQ_HEAD (, probe) probes;
+};
+
+/* ---- Idle connections.  ---- */
+
+static void
+idle_destroy (struct idle *idle, bool close)
+{
+  marjoram_upstreams *upstreams = idle->upstreams;
+
+  TAILQ_REMOVE (&upstreams->idles, idle, next);
+  upstreams->idle_count--;
+  evhttp_connection_set_closecb (idle->connection, NULL, NULL);
+  event_free (idle->timer);
+  if (close)
+    evhttp_connection_free (idle->connection);
+  free (idle);
+}
+
+static void
+on_idle_timeout (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  idle_destroy (context, true);
+}
+
+static void
+on_idle_closed (struct evhttp_connection *connection, void *context)
+{
+  struct idle *idle = context;
+  struct timeval at_once = { 0, 0 };
+
+  /* evhttp still uses the connection: it is freed from the loop.  */
+  (void)connection;
+  evtimer_add (idle->timer, &at_once);
+}
+
+static void
+idle_create (marjoram_upstreams *upstreams,
+             struct evhttp_connection *connection, const char *address)
+{
+  struct idle *idle = marjoram_alloc (sizeof *idle);
+  struct timeval limit = { IDLE_SEC, 0 };
+
+  idle->upstreams = upstreams;
+  idle->connection = connection;
+  snprintf (idle->address, sizeof idle->address, "%s", address);
+  idle->timer = evtimer_new (upstreams->base, on_idle_timeout, idle);
+  evtimer_add (idle->timer, &limit);
+  evhttp_connection_set_closecb (connection, on_idle_closed, idle);
+  TAILQ_INSERT_HEAD (&upstreams->idles, idle, next);
+  upstreams->idle_count++;
+}
+
+static struct evhttp_connection *
+take_idle (marjoram_upstreams *upstreams, const char *address)
+{
+  struct idle *idle;
+
+  TAILQ_FOREACH (idle, &upstreams->idles, next)
+  {
+    struct evhttp_connection *connection = idle->connection;
+
+    if (strcmp (idle->address, address) != 0
+        || event_pending (idle->timer, EV_TIMEOUT, NULL) == 0)
+      continue;
+    idle_destroy (idle, false);
+    return connection;
+  }
+  return NULL;
+}
+
+static struct evhttp_connection *
+connect_to (marjoram_upstreams *upstreams, const char *address)
+{
+  char host[ADDRESS_MAX];
+  char *colon;
+  struct evhttp_connection *connection;
+
+  snprintf (host, sizeof host, "%s", address);
+  colon = strrchr (host, ':');
+  if (!colon)
+    return NULL;
+  *colon = 0;
+  connection = evhttp_connection_base_new (
+      upstreams->base, NULL, host,
+      (unsigned short)strtoul (colon + 1, NULL, 10));
+  if (!connection)
+    return NULL;
+  evhttp_connection_set_timeout (connection, CONNECTION_TIMEOUT_SEC);
+  evhttp_connection_set_max_headers_size (connection, HEADERS_BYTES_MAX);
+  evhttp_connection_set_max_body_size (connection, MARJORAM_BODY_MAX);
+  return connection;
+}
+
+/* ---- Exchanges.  ---- */
+
+static void
+on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+           void *context)
+{
+  struct exchange *exchange = context;
+
+  (void)buffer;
+  if (info->n_deleted > 0)
+    exchange->sent = true;
+}
+
+static void
+free_later (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  evhttp_connection_free (context);
+}
+
+/* Ends EXCHANGE.  The connection is freed from the loop, as this may be called
+   from within one of its callbacks.  */
+static void
+exchange_destroy (marjoram_upstreams *upstreams, struct exchange *exchange,
+                  bool keep)
+{
+  struct evbuffer *output = bufferevent_get_output (
+      evhttp_connection_get_bufferevent (exchange->connection));
+  struct timeval at_once = { 0, 0 };
+
+  evbuffer_remove_cb (output, on_output, exchange);
+  if (keep && upstreams->idle_count < IDLE_MAX)
+    idle_create (upstreams, exchange->connection, exchange->address);
+  else
+    event_base_once (upstreams->base, -1, EV_TIMEOUT, free_later,
+                     exchange->connection, &at_once);
+  free (exchange);
+}
+
+/* Stops listening to EXCHANGE while its request is still on the connection. */
+static void
+exchange_cancel (marjoram_upstreams *upstreams, struct exchange *exchange)
+{
+  struct timeval at_once = { 0, 0 };
+  struct evbuffer *output = bufferevent_get_output (
+      evhttp_connection_get_bufferevent (exchange->connection));
+
+  evbuffer_remove_cb (output, on_output, exchange);
+  if (exchange->request)
+    evhttp_cancel_request (exchange->request);
+  /* Cancelling the request in progress frees nothing of the connection; the
+     upstream sees it closed.  */
+  event_base_once (upstreams->base, -1, EV_TIMEOUT, free_later,
+                   exchange->connection, &at_once);
+  free (exchange);
+}
+
+static void
+attempt_destroy (struct attempt *attempt)
+{
+  HASH_DEL (attempt->upstreams->attempts, attempt);
+  free (attempt);
+}
+
+static void
+attempt_cancel (struct attempt *attempt)
+{
+  if (attempt->first)
+    exchange_cancel (attempt->upstreams, attempt->first);
+  if (attempt->resumed)
+    exchange_cancel (attempt->upstreams, attempt->resumed);
+  attempt_destroy (attempt);
+}
+
+static size_t
+count_header (const struct evkeyvalq *headers, const char *name,
+              const char **value)
+{
+  const struct evkeyval *header;
+  size_t count = 0;
+
+  TAILQ_FOREACH (header, headers, next)
+  {
+    if (strcasecmp (header->key, name) != 0)
+      continue;
+    count++;
+    *value = header->value;
+  }
+  return count;
+}
+
+/* An answer without a declared length or chunks ends when its connection does,
+   so that one cut in the middle looks whole; and two framings at once can be
+   read in two ways.  Neither can be passed on as the whole answer.  */
+static bool
+is_framed (struct evhttp_request *request)
+{
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+  int status = evhttp_request_get_response_code (request);
+  const char *value = NULL;
+  size_t lengths = count_header (headers, "Content-Length", &value);
+  size_t codings = count_header (headers, "Transfer-Encoding", &value);
+
+  if (lengths + codings > 1)
+    return false;
+  if (codings == 1)
+    return strcasecmp (value, "chunked") == 0;
+  return lengths == 1 || status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED
+         || evhttp_request_get_command (request) == EVHTTP_REQ_HEAD;
+}
+
+static bool
+is_passed_on (const char *name)
+{
+  static const char *const own[] = { "Connection",
+                                     "Transfer-Encoding",
+                                     "Content-Length",
+                                     "Keep-Alive",
+                                     "Date",
+                                     "Server",
+                                     "Upgrade",
+                                     "Trailer",
+                                     "TE",
+                                     "Proxy-Connection" };
+
+  for (size_t i = 0; i < sizeof own / sizeof *own; i++)
+    if (strcasecmp (name, own[i]) == 0)
+      return false;
+  return strncasecmp (name, "Marjoram-", strlen ("Marjoram-")) != 0;
+}
+
+static void
+report_head (struct attempt *attempt, struct evhttp_request *request)
+{
+  struct marjoram_header items[MARJORAM_HEADERS_MAX];
+  struct marjoram_head head = { 0 };
+  struct evkeyval *header;
+
+  head.status = (uint64_t)evhttp_request_get_response_code (request);
+  head.headers.items = items;
+  TAILQ_FOREACH (header, evhttp_request_get_input_headers (request), next)
+  {
+    if (head.headers.count == MARJORAM_HEADERS_MAX
+        || strlen (header->key) > MARJORAM_NAME_MAX
+        || !is_passed_on (header->key))
+      continue;
+    items[head.headers.count].name = header->key;
+    items[head.headers.count].value = header->value;
+    head.headers.count++;
+  }
+  attempt->upstreams->ops->head (attempt->upstreams->context, attempt->number,
+                                 &head);
+}
+
+/* The statuses by which an upstream says that it is unable to serve the
+   request now; they are no answer to it.  */
+static bool
+is_unavailable (int status)
+{
+  return status == HTTP_SERVUNAVAIL || status == STATUS_TOO_MANY
+         || status == HTTP_BADGATEWAY || status == HTTP_GATEWAYTIMEOUT;
+}
+
+static bool
+says_not_run (struct evhttp_request *request)
+{
+  int status = evhttp_request_get_response_code (request);
+  const char *word = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "Marjoram-Not-Run");
+
+  return (status == HTTP_SERVUNAVAIL || status == STATUS_TOO_MANY) && word
+         && strcasecmp (word, "yes") == 0;
+}
+
+/* The resumed exchange has begun to answer: the first one is dropped, so that
+   the answer's bytes come from one connection only.  */
+static void
+switch_to_resumed (struct attempt *attempt)
+{
+  if (attempt->first)
+    exchange_cancel (attempt->upstreams, attempt->first);
+  attempt->first = attempt->resumed;
+  attempt->resumed = NULL;
+}
+
+/* Whether the answer names the request that was sent.  An upstream that sends
+   an answer twice leaves the second copy on the connection, where it would be
+   taken for the answer to the next request, by order alone.  So a connection
+   is used again only for upstreams that name the request, and the name must
+   match.  */
+static bool
+check_name (struct exchange *exchange, struct evhttp_request *request)
+{
+  const char *name = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "Marjoram-Request");
+
+  if (!name)
+    {
+      exchange->reusable = false;
+      return !exchange->reused;
+    }
+  return strcmp (name, exchange->id) == 0;
+}
+
+static int
+on_header (struct evhttp_request *request, void *context)
+{
+  struct exchange *exchange = context;
+  struct attempt *attempt = exchange->attempt;
+
+  if (exchange->resume
+      && evhttp_request_get_response_code (request) != HTTP_OK)
+    return 0;
+  exchange->refused = says_not_run (request);
+  exchange->unavailable
+      = is_unavailable (evhttp_request_get_response_code (request));
+  exchange->framed = is_framed (request) && check_name (exchange, request);
+  exchange->unframed = !exchange->framed;
+  if (exchange->refused || exchange->unavailable || exchange->unframed)
+    return 0;
+  if (exchange->resume && attempt->resumed == exchange)
+    switch_to_resumed (attempt);
+  report_head (attempt, request);
+  return 0;
+}
+
+static void
+on_chunk (struct evhttp_request *request, void *context)
+{
+  struct exchange *exchange = context;
+  struct attempt *attempt = exchange->attempt;
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (input);
+  marjoram_bytes *bytes;
+
+  if (!exchange->framed || exchange->refused || exchange->unavailable
+      || attempt->first != exchange || size == 0)
+    return;
+  bytes = marjoram_bytes_create (evbuffer_pullup (input, -1), size);
+  attempt->upstreams->ops->data (attempt->upstreams->context, attempt->number,
+                                 bytes);
+  marjoram_bytes_release (bytes);
+}
+
+static void
+fail (struct attempt *attempt, struct exchange *exchange,
+      enum marjoram_run_failure failure)
+{
+  marjoram_upstreams *upstreams = attempt->upstreams;
+  uint64_t number = attempt->number;
+
+  if (attempt->resumed && attempt->resumed != exchange)
+    exchange_cancel (upstreams, attempt->resumed);
+  if (attempt->first && attempt->first != exchange)
+    exchange_cancel (upstreams, attempt->first);
+  exchange_destroy (upstreams, exchange, false);
+  attempt_destroy (attempt);
+  upstreams->ops->failed (upstreams->context, number, failure);
+}
+
+/* The request for the rest of an answer ended without one.  Only "never
+   started" settles the attempt; else the first connection may still
+   answer.  */
+static void
+resume_done (struct attempt *attempt, struct exchange *exchange,
+             struct evhttp_request *request)
+{
+  marjoram_upstreams *upstreams = attempt->upstreams;
+  int status = request ? evhttp_request_get_response_code (request) : 0;
+
+  if (status == HTTP_NOTFOUND)
+    {
+      fail (attempt, exchange, MARJORAM_RUN_NEVER);
+      return;
+    }
+  attempt->resumed = NULL;
+  exchange_destroy (upstreams, exchange, false);
+  if (status > 0)
+    upstreams->ops->failed (upstreams->context, attempt->number,
+                            MARJORAM_RUN_NO_RESUME);
+}
+
+static void
+on_done (struct evhttp_request *request, void *context)
+{
+  struct exchange *exchange = context;
+  struct attempt *attempt = exchange->attempt;
+  marjoram_upstreams *upstreams = attempt->upstreams;
+  int status = request ? evhttp_request_get_response_code (request) : 0;
+  uint64_t number = attempt->number;
+
+  exchange->request = NULL;
+  if (attempt->resumed == exchange)
+    resume_done (attempt, exchange, request);
+  else if (exchange->refused)
+    fail (attempt, exchange, MARJORAM_RUN_REFUSED);
+  else if (exchange->unavailable)
+    fail (attempt, exchange, MARJORAM_RUN_UNAVAILABLE);
+  else if (exchange->unframed)
+    fail (attempt, exchange, MARJORAM_RUN_UNFRAMED);
+  else if (status == 0)
+    fail (attempt, exchange,
+          exchange->sent ? MARJORAM_RUN_BROKEN : MARJORAM_RUN_UNSENT);
+  else
+    {
+      struct bufferevent *bev
+          = evhttp_connection_get_bufferevent (exchange->connection);
+      bool keep = exchange->reusable && !exchange->resume
+                  && evbuffer_get_length (bufferevent_get_input (bev)) == 0;
+
+      if (attempt->resumed)
+        exchange_cancel (upstreams, attempt->resumed);
+      exchange_destroy (upstreams, exchange, keep);
+      attempt_destroy (attempt);
+      upstreams->ops->end (upstreams->context, number);
+    }
+}
+
+static enum evhttp_cmd_type
+command_of (const char *method)
+{
+  static const struct
+  {
+    const char *name;
+    enum evhttp_cmd_type command;
+  } commands[] = {
+    { "GET", EVHTTP_REQ_GET },         { "POST", EVHTTP_REQ_POST },
+    { "PUT", EVHTTP_REQ_PUT },         { "DELETE", EVHTTP_REQ_DELETE },
+    { "HEAD", EVHTTP_REQ_HEAD },       { "PATCH", EVHTTP_REQ_PATCH },
+    { "OPTIONS", EVHTTP_REQ_OPTIONS },
+  };
+
+  for (size_t i = 0; i < sizeof commands / sizeof *commands; i++)
+    if (strcmp (method, commands[i].name) == 0)
+      return commands[i].command;
+  return EVHTTP_REQ_POST;
+}
+
+static void
+add_headers (struct evhttp_request *request, const struct marjoram_run *run)
+{
+  struct evkeyvalq *to = evhttp_request_get_output_headers (request);
+  const struct marjoram_header *from = run->headers->items;
+
+  evhttp_add_header (to, "Host", run->address);
+  for (size_t i = 0; i < run->headers->count; i++)
+    evhttp_add_header (to, from[i].name, from[i].value);
+  evhttp_add_header (to, "Marjoram-Request", run->id);
+  evhttp_add_header (to, "Marjoram-Priority",
+                     run->class == MARJORAM_CLASS_INTERACTIVE ? "0" : "1");
+  if (run->key)
+    evhttp_add_header (to, "Idempotency-Key", run->key);
+}
+
+static struct exchange *
+exchange_create (struct attempt *attempt, struct evhttp_connection *connection,
+                 const char *address, const char *id)
+{
+  struct exchange *exchange = marjoram_alloc (sizeof *exchange);
+
+  exchange->attempt = attempt;
+  exchange->connection = connection;
+  snprintf (exchange->address, sizeof exchange->address, "%s", address);
+  snprintf (exchange->id, sizeof exchange->id, "%s", id);
+  evbuffer_add_cb (
+      bufferevent_get_output (evhttp_connection_get_bufferevent (connection)),
+      on_output, exchange);
+  exchange->request = evhttp_request_new (on_done, exchange);
+  evhttp_request_set_header_cb (exchange->request, on_header);
+  evhttp_request_set_chunked_cb (exchange->request, on_chunk);
+  return exchange;
+}
+
+static void
+no_delay (struct evhttp_connection *connection)
+{
+  evutil_socket_t fd
+      = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  int one = 1;
+
+  if (fd >= 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+static struct attempt *
+find_attempt (marjoram_upstreams *upstreams, uint64_t number)
+{
+  struct attempt *attempt;
+
+  HASH_FIND (hh, upstreams->attempts, &number, sizeof number, attempt);
+  return attempt;
+}
+
+void
+marjoram_upstreams_run (marjoram_upstreams *upstreams, uint64_t number,
+                        const struct marjoram_run *run)
+{
+  struct attempt *attempt = marjoram_alloc (sizeof *attempt);
+  struct evhttp_connection *connection
+      = run->fresh ? NULL : take_idle (upstreams, run->address);
+  bool reused = connection != NULL;
+  struct exchange *exchange;
+
+  attempt->upstreams = upstreams;
+  attempt->number = number;
+  HASH_ADD (hh, upstreams->attempts, number, sizeof number, attempt);
+  if (!connection)
+    connection = connect_to (upstreams, run->address);
+  if (!connection)
+    {
+      attempt_destroy (attempt);
+      upstreams->ops->failed (upstreams->context, number, MARJORAM_RUN_UNSENT);
+      return;
+    }
+  exchange = exchange_create (attempt, connection, run->address, run->id);
+  exchange->reusable = !run->fresh;
+  exchange->reused = reused;
+  attempt->first = exchange;
+  add_headers (exchange->request, run);
+  evbuffer_add (evhttp_request_get_output_buffer (exchange->request),
+                marjoram_bytes_data (run->body),
+                marjoram_bytes_size (run->body));
+  no_delay (connection);
+  /* On a failure at once evhttp has freed the request without a callback.  */
+  if (evhttp_make_request (connection, exchange->request,
+                           command_of (run->method), run->path)
+          != 0
+      && find_attempt (upstreams, number) == attempt)
+    fail (attempt, exchange, MARJORAM_RUN_UNSENT);
+}
+
+void
+marjoram_upstreams_resume (marjoram_upstreams *upstreams, uint64_t number,
+                           const char *address, const char *id,
+                           uint64_t offset)
+{
+  struct attempt *attempt = find_attempt (upstreams, number);
+  struct evhttp_connection *connection;
+  struct evkeyvalq *headers;
+  char text[MARJORAM_KEY_MAX + 32];
+
+  if (!attempt || attempt->resumed)
+    return;
+  connection = connect_to (upstreams, address);
+  if (!connection)
+    return;
+  attempt->resumed = exchange_create (attempt, connection, address, id);
+  attempt->resumed->resume = true;
+  headers = evhttp_request_get_output_headers (attempt->resumed->request);
+  evhttp_add_header (headers, "Host", address);
+  snprintf (text, sizeof text, "%llu", (unsigned long long)offset);
+  evhttp_add_header (headers, "Marjoram-Offset", text);
+  snprintf (text, sizeof text, "/v1/requests/%s", id);
+  evhttp_make_request (connection, attempt->resumed->request, EVHTTP_REQ_GET,
+                       text);
+}
+
+void
+marjoram_upstreams_cancel (marjoram_upstreams *upstreams, uint64_t number)
+{
+  struct attempt *attempt = find_attempt (upstreams, number);
+
+  if (attempt)
+    attempt_cancel (attempt);
+}
+
+/* ---- Probes: does anything answer there?  ---- */
+
+static void
+probe_destroy (struct probe *probe)
+{
+  TAILQ_REMOVE (&probe->upstreams->probes, probe, next);
+  free (probe->name);
+  free (probe);
+}
+
+static void
+on_probe_error (enum evhttp_request_error error, void *context)
+{
+  struct probe *probe = context;
+
+  probe->timed_out = error == EVREQ_HTTP_TIMEOUT;
+}
+
+/* Any answer shows that the process lives.  A connection that is refused, or
+   closed without an answer, shows that it is gone; silence may be the
+   network's.  */
+static void
+on_probe_done (struct evhttp_request *request, void *context)
+{
+  struct probe *probe = context;
+  marjoram_upstreams *upstreams = probe->upstreams;
+  bool answered = request && evhttp_request_get_response_code (request) != 0;
+  struct timeval at_once = { 0, 0 };
+
+  upstreams->ops->probed (upstreams->context, probe->name,
+                          answered || probe->timed_out);
+  event_base_once (upstreams->base, -1, EV_TIMEOUT, free_later,
+                   probe->connection, &at_once);
+  probe_destroy (probe);
+}
+
+static struct probe *
+find_probe (const marjoram_upstreams *upstreams, const char *name)
+{
+  struct probe *probe;
+
+  TAILQ_FOREACH (probe, &upstreams->probes, next)
+  {
+    if (strcmp (probe->name, name) == 0)
+      return probe;
+  }
+  return NULL;
+}
+
+void
+marjoram_upstreams_probe (marjoram_upstreams *upstreams, const char *name,
+                          const char *address)
+{
+  struct timeval limit = marjoram_clock_timeval (PROBE_TIMEOUT_MSEC);
+  struct evhttp_connection *connection;
+  struct evhttp_request *request;
+  struct probe *probe;
+
+  if (find_probe (upstreams, name))
+    return;
+  connection = connect_to (upstreams, address);
+  if (!connection)
+    return;
+  evhttp_connection_set_timeout_tv (connection, &limit);
+  probe = marjoram_alloc (sizeof *probe);
+  probe->upstreams = upstreams;
+  probe->name = marjoram_strdup (name);
+  probe->connection = connection;
+  TAILQ_INSERT_TAIL (&upstreams->probes, probe, next);
+  request = evhttp_request_new (on_probe_done, probe);
+  evhttp_request_set_error_cb (request, on_probe_error);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
+                     address);
+  if (evhttp_make_request (connection, request, EVHTTP_REQ_GET,
+                           "/v1/requests/probe")
+          != 0
+      && find_probe (upstreams, name) == probe)
+    on_probe_done (NULL, probe);
+}
+
+/* ---- The task.  ---- */
+
+marjoram_upstreams *
+marjoram_upstreams_create (struct event_base *base,
+                           const struct marjoram_upstreams_ops *ops,
+                           void *context)
+{
+  marjoram_upstreams *upstreams = marjoram_alloc (sizeof *upstreams);
+
+  upstreams->base = base;
+  upstreams->ops = ops;
+  upstreams->context = context;
+  TAILQ_INIT (&upstreams->idles);
+  TAILQ_INIT (&upstreams->probes);
+  return upstreams;
+}
+
+void
+marjoram_upstreams_destroy (marjoram_upstreams *upstreams)
+{
+  struct attempt *attempt;
+  struct attempt *next;
+  struct idle *idle;
+  struct probe *probe;
+
+  if (!upstreams)
+    return;
+  HASH_ITER (hh, upstreams->attempts, attempt, next)
+  {
+    attempt_cancel (attempt);
+  }
+  while ((idle = TAILQ_FIRST (&upstreams->idles)))
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-unix.*) */
+    idle_destroy (idle, true);
+  while ((probe = TAILQ_FIRST (&upstreams->probes)))
+    {
+      /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-unix.*) */
+      evhttp_connection_free (probe->connection);
+      probe_destroy (probe);
+    }
+  free (upstreams);
+}
--- /dev/null
+++ b/src/upstream.h
@@ -0,0 +1,40 @@
+/* The task of the connections to upstreams: an HTTP client by evhttp.  Each
+   attempt is one request on one connection; what the connection proves of its
+   fate is told to the host.  */
+#ifndef MARJORAM_UPSTREAM_H
+#define MARJORAM_UPSTREAM_H
+
+#include "host.h"
+
+#include <event2/event.h>
+
+typedef struct marjoram_upstreams marjoram_upstreams;
+
+struct marjoram_upstreams_ops
+{
+  void (*head) (void *context, uint64_t attempt,
+                const struct marjoram_head *head);
+  void (*data) (void *context, uint64_t attempt, marjoram_bytes *bytes);
+  void (*end) (void *context, uint64_t attempt);
+  void (*failed) (void *context, uint64_t attempt,
+                  enum marjoram_run_failure failure);
+  void (*probed) (void *context, const char *upstream, bool alive);
+};
+
+marjoram_upstreams *
+marjoram_upstreams_create (struct event_base *base,
+                           const struct marjoram_upstreams_ops *ops,
+                           void *context);
+void marjoram_upstreams_destroy (marjoram_upstreams *upstreams);
+void marjoram_upstreams_run (marjoram_upstreams *upstreams, uint64_t attempt,
+                             const struct marjoram_run *run);
+void marjoram_upstreams_resume (marjoram_upstreams *upstreams,
+                                uint64_t attempt, const char *address,
+                                const char *id, uint64_t offset);
+/* Nothing more is told of ATTEMPT.  */
+void marjoram_upstreams_cancel (marjoram_upstreams *upstreams,
+                                uint64_t attempt);
+void marjoram_upstreams_probe (marjoram_upstreams *upstreams,
+                               const char *upstream, const char *address);
+
+#endif
--- /dev/null
+++ b/test/lib_hosts.c
@@ -0,0 +1,691 @@
+#include "lib_hosts.h"
+
+#include "cleanup.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum
+{
+  STEP_MS = 50,
+  START_MS = 1000000
+};
+
+static const char *const slots[HOSTS_MAX]
+    = { "a-1", "a-2", "a-3", "b-1", "b-2", "b-3" };
+
+struct frame
+{
+  int from;
+  int to;
+  uint64_t incarnation;
+  uint64_t session; /* of the sender's, if this is an answer over it */
+  enum marjoram_frame_type type;
+  marjoram_bytes *packed;
+  TAILQ_ENTRY (frame) next;
+};
+
+struct node
+{
+  struct test_hosts *hosts;
+  int index;
+  marjoram_host *host;
+  struct marjoram_settings settings;
+  marjoram_counters *counters;
+  marjoram_random *random;
+  uint64_t incarnation;
+  bool wanted[HOSTS_MAX];
+  uint64_t session[HOSTS_MAX]; /* own session to each; 0 if down */
+};
+
+struct test_hosts
+{
+  int64_t now;
+  int count;
+  struct node nodes[HOSTS_MAX];
+  bool cut[HOSTS_MAX][HOSTS_MAX];
+  TAILQ_HEAD (, frame) bag;
+  uint64_t next_session;
+  uint64_t next_call;
+  uint64_t sequence;
+  struct test_run runs[RUNS_MAX];
+  int run_count;
+  struct test_reply replies[REPLIES_MAX];
+};
+
+static int
+slot_index (const char *slot)
+{
+  for (int i = 0; i < HOSTS_MAX; i++)
+    if (strcmp (slots[i], slot) == 0)
+      return i;
+  return -1;
+}
+
+/* ---- Operations.  ---- */
+
+static struct test_reply *
+reply_of (void *context, uint64_t call)
+{
+  const struct node *node = context;
+
+  return &node->hosts->replies[call % REPLIES_MAX];
+}
+
+static void
+op_head (void *context, uint64_t call, const struct marjoram_head *head,
+         const struct marjoram_answer_info *info, int64_t length)
+{
+  struct test_reply *reply = reply_of (context, call);
+
+  (void)length;
+  reply->status = (int)head->status;
+  reply->replayed = info->replayed;
+  snprintf (reply->zone, sizeof reply->zone, "%s", info->zone);
+}
+
+static void
+op_data (void *context, uint64_t call, marjoram_bytes *bytes)
+{
+  struct test_reply *reply = reply_of (context, call);
+
+  strncat (reply->body, (const char *)marjoram_bytes_data (bytes),
+           marjoram_bytes_size (bytes));
+}
+
+static void
+op_end (void *context, uint64_t call)
+{
+  struct test_reply *reply = reply_of (context, call);
+
+  reply->ended = true;
+  reply->outcome = MARJORAM_OUTCOME_DONE;
+}
+
+static void
+op_cut (void *context, uint64_t call)
+{
+  reply_of (context, call)->cut = true;
+}
+
+static void
+op_refusal (void *context, uint64_t call,
+            const struct marjoram_refusal *refusal)
+{
+  struct test_reply *reply = reply_of (context, call);
+
+  reply->refused = true;
+  reply->outcome = refusal->outcome;
+  reply->reason = refusal->reason;
+  reply->retry_ms = refusal->retry_ms;
+}
+
+static void
+op_run (void *context, uint64_t attempt, const struct marjoram_run *run)
+{
+  const struct node *node = context;
+  struct test_hosts *hosts = node->hosts;
+  struct test_run *made = &hosts->runs[hosts->run_count++ % RUNS_MAX];
+
+  memset (made, 0, sizeof *made);
+  made->host = node->index;
+  made->attempt = attempt;
+  made->open = true;
+  snprintf (made->address, sizeof made->address, "%s", run->address);
+  snprintf (made->id, sizeof made->id, "%s", run->id);
+  snprintf (made->key, sizeof made->key, "%s", run->key ? run->key : "");
+  snprintf (made->body, sizeof made->body, "%.*s",
+            (int)marjoram_bytes_size (run->body),
+            (const char *)marjoram_bytes_data (run->body));
+}
+
+static struct test_run *
+find_run (void *context, uint64_t attempt)
+{
+  const struct node *node = context;
+  struct test_hosts *hosts = node->hosts;
+
+  for (int i = 0; i < hosts->run_count && i < RUNS_MAX; i++)
+    if (hosts->runs[i].host == node->index && hosts->runs[i].attempt == attempt
+        && hosts->runs[i].open)
+      return &hosts->runs[i];
+  return NULL;
+}
+
+static void
+op_resume (void *context, uint64_t attempt, const char *address,
+           const char *id, uint64_t offset)
+{
+  struct test_run *run = find_run (context, attempt);
+
+  (void)address;
+  (void)id;
+  (void)offset;
+  if (run)
+    run->resumes++;
+}
+
+static void
+op_cancel (void *context, uint64_t attempt)
+{
+  struct test_run *run = find_run (context, attempt);
+
+  if (!run)
+    return;
+  run->open = false;
+  run->cancelled = true;
+}
+
+static void
+op_probe (void *context, const char *upstream, const char *address)
+{
+  (void)context;
+  (void)upstream;
+  (void)address;
+}
+
+static void
+op_connect (void *context, const char *slot, const char *address, bool wanted)
+{
+  struct node *node = context;
+  int index = slot_index (slot);
+
+  (void)address;
+  if (index >= 0)
+    node->wanted[index] = wanted;
+}
+
+static void
+bag_add (struct test_hosts *hosts, int from, int to, uint64_t session,
+         enum marjoram_frame_type type, const void *message)
+{
+  struct frame *frame = marjoram_alloc (sizeof *frame);
+
+  frame->from = from;
+  frame->to = to;
+  frame->session = session;
+  frame->incarnation = hosts->nodes[from].incarnation;
+  frame->type = type;
+  frame->packed = marjoram_wire_pack (marjoram_frame_layout (type), message);
+  TAILQ_INSERT_TAIL (&hosts->bag, frame, next);
+}
+
+static void
+op_send (void *context, const char *slot, enum marjoram_frame_type type,
+         const void *message)
+{
+  const struct node *node = context;
+  int to = slot_index (slot);
+
+  if (to >= 0 && to < node->hosts->count && node->session[to])
+    bag_add (node->hosts, node->index, to, node->session[to], type, message);
+}
+
+static void
+op_reply (void *context, const char *slot, uint64_t session,
+          enum marjoram_frame_type type, const void *message)
+{
+  const struct node *node = context;
+  int to = slot_index (slot);
+
+  if (to >= 0 && to < node->hosts->count
+      && node->hosts->nodes[to].session[node->index] == session)
+    bag_add (node->hosts, node->index, to, 0, type, message);
+}
+
+static void
+break_session (struct test_hosts *hosts, int from, int to)
+{
+  struct node *node = &hosts->nodes[from];
+  uint64_t session = node->session[to];
+
+  if (!session)
+    return;
+  node->session[to] = 0;
+  marjoram_host_link_down (node->host, hosts->now, slots[to]);
+  marjoram_host_session_closed (hosts->nodes[to].host, hosts->now, slots[from],
+                                session);
+}
+
+/* Frames of a session that is gone are lost with it.  */
+static void
+op_hang_up (void *context, const char *slot)
+{
+  struct node *node = context;
+  int to = slot_index (slot);
+
+  if (to >= 0)
+    node->session[to] = 0;
+}
+
+static void
+op_persist (void *context, uint64_t ticket, marjoram_bytes *record)
+{
+  (void)context;
+  (void)ticket;
+  (void)record;
+}
+
+static void
+op_applied (void *context, uint64_t request,
+            const struct marjoram_apply_answer *answer)
+{
+  (void)context;
+  (void)request;
+  (void)answer;
+}
+
+static void
+op_drained (void *context)
+{
+  (void)context;
+}
+
+static const struct marjoram_host_ops ops = {
+  .reply_head = op_head,
+  .reply_data = op_data,
+  .reply_end = op_end,
+  .reply_cut = op_cut,
+  .reply_refusal = op_refusal,
+  .run = op_run,
+  .resume = op_resume,
+  .cancel = op_cancel,
+  .probe = op_probe,
+  .connect = op_connect,
+  .send = op_send,
+  .reply = op_reply,
+  .hang_up = op_hang_up,
+  .persist = op_persist,
+  .applied = op_applied,
+  .drained = op_drained,
+};
+
+/* ---- Life.  ---- */
+
+static int64_t
+wall (const struct test_hosts *hosts)
+{
+  return hosts->now + TEST_WALL_OFFSET;
+}
+
+static void
+node_start (struct node *node)
+{
+  struct marjoram_host_options options = { 0 };
+
+  node->incarnation++;
+  options.settings = &node->settings;
+  options.incarnation = node->incarnation;
+  options.counters = node->counters;
+  options.random = node->random;
+  node->host = marjoram_host_create (&options, &ops, node, node->hosts->now,
+                                     wall (node->hosts), NULL);
+}
+
+static void
+node_create (struct test_hosts *hosts, int index, uint64_t seed)
+{
+  struct node *node = &hosts->nodes[index];
+
+  node->hosts = hosts;
+  node->index = index;
+  node->counters = marjoram_counters_create ();
+  node->random
+      = marjoram_random_create (seed * HOSTS_MAX + (uint64_t)index + 1);
+  node->settings.slot = (char *)slots[index];
+  node->settings.zone = (char *)(index < 3 ? "a" : "b");
+  node->settings.cluster = (char *)"t";
+  node->settings.max_requests = 1000;
+  node->settings.drain_limit_ms = 60000;
+  node->settings.claim_retention_ms = 3600000;
+  node_start (node);
+}
+
+struct test_hosts *
+test_hosts_create (int count, uint64_t seed)
+{
+  struct test_hosts *hosts = marjoram_alloc (sizeof *hosts);
+
+  hosts->now = START_MS;
+  hosts->count = count;
+  TAILQ_INIT (&hosts->bag);
+  for (int i = 0; i < count; i++)
+    node_create (hosts, i, seed);
+  return hosts;
+}
+
+static void
+frame_destroy (struct test_hosts *hosts, struct frame *frame)
+{
+  TAILQ_REMOVE (&hosts->bag, frame, next);
+  marjoram_bytes_release (frame->packed);
+  free (frame);
+}
+
+void
+test_hosts_destroy (struct test_hosts *hosts)
+{
+  struct frame *frame;
+
+  for (int i = 0; i < hosts->count; i++)
+    {
+      marjoram_host_destroy (hosts->nodes[i].host);
+      marjoram_counters_destroy (hosts->nodes[i].counters);
+      marjoram_random_destroy (hosts->nodes[i].random);
+    }
+  while ((frame = TAILQ_FIRST (&hosts->bag)))
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-unix.*) */
+    frame_destroy (hosts, frame);
+  free (hosts);
+}
+
+marjoram_host *
+test_host (struct test_hosts *hosts, int index)
+{
+  return hosts->nodes[index].host;
+}
+
+int64_t
+test_now (const struct test_hosts *hosts)
+{
+  return hosts->now;
+}
+
+/* ---- Links and time.  ---- */
+
+static void
+open_sessions (struct test_hosts *hosts)
+{
+  for (int from = 0; from < hosts->count; from++)
+    for (int to = 0; to < hosts->count; to++)
+      {
+        struct node *node = &hosts->nodes[from];
+
+        if (!node->wanted[to] || node->session[to] || hosts->cut[from][to])
+          continue;
+        node->session[to] = ++hosts->next_session;
+        marjoram_host_link_up (node->host, hosts->now, slots[to]);
+      }
+}
+
+static void
+deliver_one (struct test_hosts *hosts, const struct frame *frame)
+{
+  const struct marjoram_layout *layout = marjoram_frame_layout (frame->type);
+  void *message
+      = marjoram_wire_unpack (layout, marjoram_bytes_data (frame->packed),
+                              marjoram_bytes_size (frame->packed), NULL);
+
+  marjoram_host_frame (hosts->nodes[frame->to].host, hosts->now,
+                       slots[frame->from], frame->session, frame->incarnation,
+                       frame->type, message);
+  marjoram_wire_destroy (layout, message);
+}
+
+static bool
+is_carried (const struct test_hosts *hosts, const struct frame *frame)
+{
+  const struct node *sender = &hosts->nodes[frame->from];
+
+  if (hosts->cut[frame->from][frame->to])
+    return false;
+  if (frame->incarnation != sender->incarnation)
+    return false;
+  return frame->session == 0 || sender->session[frame->to] == frame->session;
+}
+
+void
+test_deliver (struct test_hosts *hosts)
+{
+  struct frame *frame;
+
+  open_sessions (hosts);
+  while ((frame = TAILQ_FIRST (&hosts->bag)))
+    {
+      /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-unix.*) */
+      if (is_carried (hosts, frame))
+        deliver_one (hosts, frame);
+      frame_destroy (hosts, frame);
+      open_sessions (hosts);
+    }
+}
+
+void
+test_pass (struct test_hosts *hosts, int64_t msec)
+{
+  for (int64_t end = hosts->now + msec; hosts->now < end;)
+    {
+      hosts->now += STEP_MS;
+      for (int i = 0; i < hosts->count; i++)
+        marjoram_host_tick (hosts->nodes[i].host, hosts->now, wall (hosts));
+      test_deliver (hosts);
+    }
+}
+
+void
+test_cut (struct test_hosts *hosts, int a, int b, bool cut)
+{
+  hosts->cut[a][b] = cut;
+  hosts->cut[b][a] = cut;
+  if (!cut)
+    return;
+  break_session (hosts, a, b);
+  break_session (hosts, b, a);
+}
+
+void
+test_drop (struct test_hosts *hosts, int a, int b)
+{
+  struct frame *frame;
+  struct frame *next;
+
+  for (frame = TAILQ_FIRST (&hosts->bag); frame; frame = next)
+    {
+      next = TAILQ_NEXT (frame, next);
+      if (frame->from == a && frame->to == b)
+        frame_destroy (hosts, frame);
+    }
+}
+
+void
+test_restart (struct test_hosts *hosts, int host)
+{
+  struct node *node = &hosts->nodes[host];
+
+  for (int i = 0; i < hosts->count; i++)
+    if (i != host)
+      {
+        node->session[i] = 0;
+        break_session (hosts, i, host);
+      }
+  marjoram_host_destroy (node->host);
+  memset (node->wanted, 0, sizeof node->wanted);
+  node_start (node);
+}
+
+void
+test_forge (struct test_hosts *hosts, int host, const char *slot,
+            uint64_t session, enum marjoram_frame_type type,
+            const void *message)
+{
+  marjoram_host_frame (hosts->nodes[host].host, hosts->now, slot, session, 1,
+                       type, message);
+}
+
+/* ---- Configuration.  ---- */
+
+static void
+add_file (struct marjoram_state *state, const char *name, uint64_t version,
+          const char *body)
+{
+  struct marjoram_file *files = state->files.items;
+  struct marjoram_file *file = &files[state->files.count++];
+  char text[4096];
+
+  snprintf (text, sizeof text, "[file]\nname = %s\nversion = %llu\n%s", name,
+            (unsigned long long)version, body);
+  file->name = marjoram_strdup (name);
+  file->version = version;
+  file->text = marjoram_strdup (text);
+  file->digest = marjoram_digest (text, strlen (text));
+}
+
+static void
+sites_text (char *text, size_t size)
+{
+  size_t used = (size_t)snprintf (
+      text, size,
+      "[cluster t]\n[region ra]\n[region rb]\n[zone a]\nregion = ra\n"
+      "[zone b]\nregion = rb\n");
+
+  for (int i = 0; i < HOSTS_MAX; i++)
+    used += (size_t)snprintf (text + used, size - used,
+                              "[slot %s]\nzone = %c\npeer = 127.9.1.%d:7000\n"
+                              "entry = 127.9.1.%d:8080\nkeeper = %s\n",
+                              slots[i], slots[i][0], i + 1, i + 1,
+                              i == 0 ? "yes" : "no");
+}
+
+static const char default_callers[]
+    = "[caller free]\ntoken = free-0123456789abcdef\nhome = ra\n"
+      "rate = 100000\nburst = 100000\n"
+      "[caller bound]\ntoken = bound-0123456789abcdef\nhome = ra\n"
+      "regions = ra\nrate = 100000\nburst = 100000\n";
+
+static const char works[]
+    = "[model m]\ndeadline_ms = 30000\n[service s]\ndeadline_ms = 30000\n";
+
+void
+test_configure (struct test_hosts *hosts, uint64_t number, const char *callers)
+{
+  struct marjoram_state *state = marjoram_state_copy (NULL);
+  struct marjoram_config_give give;
+  char text[4096];
+
+  state->number = number;
+  state->files.items = marjoram_alloc (3 * sizeof (struct marjoram_file));
+  sites_text (text, sizeof text);
+  add_file (state, "sites", 1, text);
+  add_file (state, "works", 1, works);
+  add_file (state, "callers", number, callers ? callers : default_callers);
+  give.state = marjoram_wire_pack (&marjoram_state_layout, state);
+  for (int i = 0; i < hosts->count; i++)
+    test_forge (hosts, i, "b-9", 1, MARJORAM_FRAME_CONFIG_GIVE, &give);
+  marjoram_bytes_release (give.state);
+  marjoram_state_destroy (state);
+}
+
+void
+test_announce (struct test_hosts *hosts, int host, const char *name,
+               const char *zone, int port, uint64_t incarnation, bool leaving)
+{
+  struct marjoram_work_name names[2] = { { (char *)"m" }, { (char *)"s" } };
+  struct marjoram_announcement a = { 0 };
+  char address[32];
+
+  snprintf (address, sizeof address, "127.9.0.1:%d", port);
+  a.name = (char *)name;
+  a.zone = (char *)zone;
+  a.address = address;
+  a.incarnation = incarnation;
+  a.sequence = ++hosts->sequence;
+  a.engine = true;
+  a.leaving = leaving;
+  a.slots = 8;
+  a.lease_ms = 60000;
+  a.works.items = names;
+  a.works.count = 2;
+  marjoram_host_announce (hosts->nodes[host].host, hosts->now, &a);
+}
+
+/* ---- Requests and runs.  ---- */
+
+uint64_t
+test_send (struct test_hosts *hosts, int host, const char *caller,
+           const char *body, const char *key, bool stream, int64_t deadline_ms)
+{
+  struct marjoram_call *call = marjoram_alloc (sizeof *call);
+  char token[64];
+
+  snprintf (token, sizeof token, "%s-0123456789abcdef", caller);
+  call->number = ++hosts->next_call;
+  call->token = marjoram_strdup (token);
+  call->work = marjoram_strdup ("m");
+  call->method = marjoram_strdup ("POST");
+  call->path = marjoram_strdup ("/v1/completions");
+  call->body = marjoram_bytes_create (body, strlen (body));
+  call->key = key ? marjoram_strdup (key) : NULL;
+  call->idempotent = key == NULL;
+  call->stream = stream;
+  call->deadline_ms = deadline_ms;
+  call->answer_tokens = 1;
+  memset (&hosts->replies[call->number % REPLIES_MAX], 0,
+          sizeof hosts->replies[0]);
+  marjoram_host_call (hosts->nodes[host].host, hosts->now, call);
+  return hosts->next_call;
+}
+
+struct test_reply *
+test_reply (struct test_hosts *hosts, uint64_t call)
+{
+  return &hosts->replies[call % REPLIES_MAX];
+}
+
+int
+test_runs (const struct test_hosts *hosts)
+{
+  return hosts->run_count;
+}
+
+struct test_run *
+test_run (struct test_hosts *hosts, int index)
+{
+  return &hosts->runs[index % RUNS_MAX];
+}
+
+void
+test_head (struct test_hosts *hosts, struct test_run *run)
+{
+  struct marjoram_header type = { (char *)"Content-Type", (char *)"text/x" };
+  struct marjoram_head head = { 0, 200, { &type, 1 }, NULL };
+
+  marjoram_host_run_head (hosts->nodes[run->host].host, hosts->now,
+                          run->attempt, &head);
+}
+
+void
+test_data (struct test_hosts *hosts, struct test_run *run, const char *body)
+{
+  marjoram_bytes *bytes = marjoram_bytes_create (body, strlen (body));
+
+  marjoram_host_run_data (hosts->nodes[run->host].host, hosts->now,
+                          run->attempt, bytes);
+  marjoram_bytes_release (bytes);
+}
+
+void
+test_answer (struct test_hosts *hosts, struct test_run *run, const char *body)
+{
+  run->open = false;
+  test_head (hosts, run);
+  test_data (hosts, run, body);
+  marjoram_host_run_end (hosts->nodes[run->host].host, hosts->now,
+                         run->attempt);
+}
+
+void
+test_fail (struct test_hosts *hosts, struct test_run *run,
+           enum marjoram_run_failure failure)
+{
+  run->open = false;
+  marjoram_host_run_failed (hosts->nodes[run->host].host, hosts->now,
+                            run->attempt, failure);
+}
+
+void
+test_probed (struct test_hosts *hosts, int host, const char *upstream,
+             bool alive)
+{
+  marjoram_host_probed (hosts->nodes[host].host, hosts->now, upstream, alive);
+}
