--- a/test/test_fuzz_input.c
+++ b/test/test_fuzz_input.c
@@ -1,14 +1,12 @@
 /* Mutated input of all that a daemon reads from outside: settings, operators'
    files, and messages from peers.  Each is refused with a fault or read; the
    process lives on.  Seeds are fixed; a failure names its own.  */
+#include "fuzz.h"
 #include "suite.h"
 
-#include "cleanup.h"
 #include "config.h"
 #include "config_file.h"
 #include "frame.h"
-#include "ini_file.h"
-#include "random.h"
 #include "secret.h"
 #include "settings.h"
 
@@ -20,27 +18,10 @@
 {
   TEXT_SEEDS = 1500,
   FRAME_SEEDS = 400,
-  INPUT_MAX = 64 * 1024,
   GROWTH_MAX = 300,
-  STRING_MAX = 40,
-  ITEMS_MAX = 3,
   MUTATIONS_MAX = 6
 };
 
-/* What is mutated.  */
-struct input
-{
-  marjoram_random *random;
-  size_t size;
-  uint8_t data[INPUT_MAX];
-};
-
-static size_t
-below (struct input *in, size_t limit)
-{
-  return marjoram_random_below (in->random, (uint32_t)limit);
-}
-
 static void
 insert (struct input *in, size_t at, const void *data, size_t size)
 {
@@ -164,18 +145,6 @@
       mutate_bytes (in);
 }
 
-static void
-load_input (struct input *in, const char *path)
-{
-  size_t size;
-  marjoram_auto_free char *text
-      = marjoram_file_read (path, INPUT_MAX / 2, &size, NULL);
-
-  ck_assert_msg (text != NULL, "%s", path);
-  memcpy (in->data, text, size);
-  in->size = size;
-}
-
 /* A fault names its file and ends with a remedy after a semicolon.  */
 static void
 check_faults (const char *faults, int seed)
@@ -315,79 +284,6 @@
 }
 END_TEST
 
-static void fill_message (struct input *in,
-                          const struct marjoram_layout *layout, char *base);
-
-static char *
-random_string (struct input *in, size_t limit)
-{
-  size_t size = below (in, (limit < STRING_MAX ? limit : STRING_MAX) + 1);
-  char *text = marjoram_alloc (size + 1);
-
-  for (size_t i = 0; i < size; i++)
-    text[i] = (char)('a' + below (in, 26));
-  return text;
-}
-
-static uint64_t
-random_number (struct input *in)
-{
-  uint64_t number = below (in, UINT32_MAX);
-
-  return number << below (in, 33) >> below (in, 33);
-}
-
-static void
-fill_array (struct input *in, const struct marjoram_field *field,
-            struct marjoram_array *array)
-{
-  size_t most = field->limit < ITEMS_MAX ? field->limit : ITEMS_MAX;
-
-  array->count = below (in, most + 1);
-  array->items = marjoram_alloc (array->count * field->layout->size);
-  for (size_t i = 0; i < array->count; i++)
-    fill_message (in, field->layout,
-                  (char *)array->items + i * field->layout->size);
-}
-
-static void
-fill_message (struct input *in, const struct marjoram_layout *layout,
-              char *base)
-{
-  for (size_t i = 0; i < layout->field_count; i++)
-    {
-      const struct marjoram_field *field = &layout->fields[i];
-      char *place = base + field->offset;
-      marjoram_auto_free char *text = NULL;
-
-      switch (field->kind)
-        {
-        case MARJORAM_FIELD_UINT:
-          *(uint64_t *)place = random_number (in);
-          break;
-        case MARJORAM_FIELD_INT:
-          *(int64_t *)place = -(int64_t)(random_number (in) / 2);
-          break;
-        case MARJORAM_FIELD_BOOL:
-          *(bool *)place = below (in, 2) != 0;
-          break;
-        case MARJORAM_FIELD_STRING:
-          if (below (in, 4))
-            *(char **)place = random_string (in, field->limit);
-          break;
-        case MARJORAM_FIELD_BYTES:
-          text = random_string (in, field->limit);
-          if (below (in, 4))
-            *(marjoram_bytes **)place
-                = marjoram_bytes_create (text, strlen (text));
-          break;
-        case MARJORAM_FIELD_ARRAY:
-          fill_array (in, field, (struct marjoram_array *)place);
-          break;
-        }
-    }
-}
-
 /* Reads IN as a message.  What is read has to come out of a second packing and
    reading the same.  */
 static bool
