--- /dev/null
+++ b/bench/bench_policy.c
@@ -0,0 +1,455 @@
+/* Measures the routing policy against plain ones in virtual time: the same
+   requests go to each, and each line names the best plain policy of the run.
+   Usage: bench_policy [--seed N] [--verbose] [WORKLOAD...]  */
+#include "cleanup.h"
+#include "lib_world.h"
+
+#include <getopt.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  SECOND = 1000000,
+  WARM_S = 60,
+  REQUESTS_MAX = 400000,
+  SEEDS = 3,
+  POLICIES_MAX = 8,
+  HOTELS = 120,
+  CALLERS = 40,
+  OBEDIENT_RESENDS = 50, /* of callers that come when they are told to */
+  GREEDY = 1, /* index of the caller that asks too much */
+  RATE_MAX = 1000,
+  AFTER_S = 120, /* for the last requests to end */
+  FAR_DEADLINE_MS = 100000000
+};
+
+/* What each request of one kind is like.  */
+struct kind
+{
+  double share; /* of the requests */
+  enum marjoram_class class;
+  int prompt;
+  int prefix_tokens;
+  int prefixes; /* different ones in each region */
+  int answer;
+  int deadline_ms;
+};
+
+struct policy
+{
+  const char *name;
+  enum world_policy policy;
+  bool no_spill;
+  bool no_limits;
+  bool free_retries;
+};
+
+static const struct policy policies[] = {
+  { "router", WORLD_ROUTER, false, false, false },
+  { "router-no-spill", WORLD_ROUTER, true, false, false },
+  { "round-robin", WORLD_ROUND_ROBIN, false, false, true },
+  { "least-in-flight", WORLD_LEAST_IN_ZONE, false, false, true },
+  { "least-anywhere", WORLD_LEAST_ANYWHERE, false, false, true },
+};
+enum
+{
+  POLICIES = sizeof policies / sizeof *policies
+};
+
+struct workload
+{
+  const char *name;
+  const struct kind *kinds;
+  int kind_count;
+  int regions;
+  int engines[WORLD_ZONES_MAX];
+  int duration_s;
+  int attempt_ms;
+  int resends;
+  double load[WORLD_ZONES_MAX]; /* of the zone's capacity */
+  void (*change) (struct world *world);
+  /* Caller 1 asks so much more, in parts of its limit.  */
+  double greedy;
+};
+
+/* What one run gave.  */
+struct result
+{
+  double p50_ms;
+  double p99_ms; /* interactive; unanswered ones count as their deadline */
+  double answered; /* part of the interactive requests */
+  double goodput;  /* answers in time, a second */
+  double tokens;   /* the same in answer tokens */
+  double outside;  /* part of the answers that ran outside the home zone */
+  double prefill;  /* prefill tokens computed for each answer */
+  double retries;  /* of hosts, for each request */
+  double attempts; /* of callers, for each request */
+  double crossed;
+  double overnight; /* answers a second */
+  int64_t limited;
+};
+
+static const struct kind tatranska[] = {
+  { 0.75, MARJORAM_CLASS_INTERACTIVE, 900, 600, HOTELS, 60, 30000 },
+  { 0.25, MARJORAM_CLASS_INTERACTIVE, 5000, 4000, HOTELS, 250, 60000 },
+};
+static const struct kind huon[] = {
+  { 0.6, MARJORAM_CLASS_OVERNIGHT, 8000, 3000, 60, 400, 600000 },
+  { 0.4, MARJORAM_CLASS_INTERACTIVE, 1200, 800, 60, 40, 10000 },
+};
+
+static const struct batch_options engine = {
+  .slots = 16,
+  .step_ms = 25,
+  .stream_ms = 0.8,
+  .prefill_rate = 8000,
+  .chunk = 512,
+  .cache_tokens = 150000,
+  .slowness = 1,
+};
+
+static uint64_t
+zipf (marjoram_random *random, int count)
+{
+  /* Continuous approximation of weights 1/n.  */
+  return (uint64_t)(pow (count + 1, marjoram_random_unit (random)) - 1);
+}
+
+static struct world_request
+draw_request (const struct workload *workload, marjoram_random *random,
+              int64_t at_us, int zone, int caller)
+{
+  double pick = marjoram_random_unit (random);
+  const struct kind *kind = workload->kinds;
+  int index = 0;
+
+  while (index + 1 < workload->kind_count && pick >= kind->share)
+    {
+      pick -= kind->share;
+      kind++;
+      index++;
+    }
+  return (struct world_request){
+    .at_us = at_us,
+    .zone = zone,
+    .caller = caller,
+    .class = kind->class,
+    .prompt = kind->prefix_tokens
+              + (int)marjoram_random_below (
+                  random,
+                  2 * (uint32_t)(kind->prompt - kind->prefix_tokens)),
+    .prefix = 1 + zipf (random, kind->prefixes)
+              + (uint64_t)index * 1000 + (uint64_t)zone * 100000,
+    .prefix_tokens = kind->prefix_tokens,
+    .answer = kind->answer / 2
+              + (int)marjoram_random_below (random, (uint32_t)kind->answer),
+    .deadline_ms = kind->deadline_ms,
+  };
+}
+
+static int
+compare_requests (const void *a, const void *b)
+{
+  const struct world_request *x = a;
+  const struct world_request *y = b;
+
+  return x->at_us < y->at_us ? -1 : x->at_us > y->at_us;
+}
+
+/* Poisson arrivals; CAPACITY is that of one engine, requests a second.  */
+static size_t
+make_requests (const struct workload *workload, double capacity, uint64_t seed,
+               struct world_request *requests)
+{
+  marjoram_random *random = marjoram_random_create (seed * 77 + 5);
+  size_t count = 0;
+
+  for (int zone = 0; zone < workload->regions; zone++)
+    for (int caller = zone == 0 ? 1 : 2; caller >= 0; caller -= 2)
+      {
+        double rate
+            = capacity * workload->load[zone] * workload->engines[zone];
+        double at = 0;
+
+        (void)caller;
+        while (rate > 0 && count < REQUESTS_MAX)
+          {
+            at -= log (1 - marjoram_random_unit (random)) / rate;
+            if (at > workload->duration_s)
+              break;
+            requests[count++] = draw_request (
+                workload, random, (int64_t)(at * SECOND), zone,
+                2 + (int)marjoram_random_below (random, 8) * 3 + zone);
+          }
+        break;
+      }
+  marjoram_random_destroy (random);
+  qsort (requests, count, sizeof *requests, compare_requests);
+  return count;
+}
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+static void
+summarize (const struct workload *workload,
+           const struct world_request *requests, size_t count,
+           struct result *result)
+{
+  double *times = marjoram_alloc ((count + 1) * sizeof *times);
+  size_t interactive = 0;
+  size_t all = 0;
+  size_t done = 0;
+  size_t answered = 0;
+
+  *result = (struct result){ 0 };
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct world_request *r = &requests[i];
+
+      if (r->at_us < (int64_t)WARM_S * SECOND)
+        continue;
+      all++;
+      result->retries += r->retries;
+      result->attempts += r->attempts;
+      result->crossed += r->crossed;
+      if (r->done_us)
+        {
+          done++;
+          result->tokens += r->answer;
+          result->outside += r->ran_zone != r->zone;
+          result->overnight += r->class == MARJORAM_CLASS_OVERNIGHT;
+        }
+      if (r->class != MARJORAM_CLASS_INTERACTIVE)
+        continue;
+      answered += r->done_us != 0;
+      times[interactive++]
+          = r->done_us ? (double)(r->done_us - r->at_us) / 1000
+                       : r->deadline_ms;
+    }
+  qsort (times, interactive, sizeof *times, compare_doubles);
+  if (interactive > 0)
+    {
+      result->p50_ms = times[interactive / 2];
+      result->p99_ms = times[interactive * 99 / 100];
+      result->answered = (double)answered / (double)interactive;
+    }
+  result->goodput = (double)done / (workload->duration_s - WARM_S);
+  result->tokens /= workload->duration_s - WARM_S;
+  result->overnight /= workload->duration_s - WARM_S;
+  result->outside /= fmax (1, (double)done);
+  result->retries /= fmax (1, (double)all);
+  result->attempts /= fmax (1, (double)all);
+  result->crossed /= fmax (1, (double)all);
+  free (times);
+}
+
+static struct world *
+make_world (const struct workload *workload, const struct policy *policy,
+            uint64_t seed)
+{
+  struct world_options options = {
+    .spec = { .regions = workload->regions,
+              .zones = 1,
+              .slots = 3,
+              .works = 1,
+              .callers = CALLERS,
+              .home = -1,
+              .rate = RATE_MAX,
+              .burst = RATE_MAX,
+              .prefill_rate = engine.prefill_rate,
+              .decode_rate = 1000 / (engine.step_ms + engine.stream_ms) },
+    .batch = engine,
+    .report_ms = 1000,
+    .report_lag_ms = 500,
+    .link_near_us = 1500,
+    .link_far_us = 52000,
+    .policy = policy->policy,
+    .no_spill = policy->no_spill,
+    .no_limits = policy->no_limits,
+    .free_retries = policy->free_retries,
+    .attempt_ms = workload->attempt_ms,
+    .resends = workload->attempt_ms ? workload->resends : OBEDIENT_RESENDS,
+    .seed = seed,
+  };
+
+  memcpy (options.engines, workload->engines, sizeof options.engines);
+  return world_create (&options);
+}
+
+static void
+run (const struct workload *workload, const struct policy *policy,
+     uint64_t seed, const struct world_request *requests, size_t count,
+     struct result *result)
+{
+  struct world_request *copies = marjoram_alloc ((count + 1) * sizeof *copies);
+  struct world *world = make_world (workload, policy, seed);
+
+  memcpy (copies, requests, count * sizeof *copies);
+  if (workload->change)
+    workload->change (world);
+  world_run (world, copies, count,
+             (int64_t)(workload->duration_s + AFTER_S) * SECOND);
+  summarize (workload, copies, count, result);
+  result->prefill = (double)world_prefilled (world)
+                    / fmax (1, result->goodput * workload->duration_s);
+  result->limited = world_limited (world, GREEDY);
+  world_destroy (world);
+  free (copies);
+}
+
+/* Answers a second of one engine that always has work, under least in flight:
+   what 100 per cent means in a workload.  */
+static double
+capacity_of (const struct workload *workload, uint64_t seed,
+             struct world_request *requests)
+{
+  static const struct policy least
+      = { "least", WORLD_LEAST_IN_ZONE, false, false, true };
+  struct workload full = *workload;
+  struct world *world;
+  size_t count;
+  int done = 0;
+
+  full.attempt_ms = 0;
+  full.regions = 1;
+  full.load[0] = 1;
+  full.engines[0] = 3;
+  full.duration_s = 180;
+  count = make_requests (&full, 10, seed, requests);
+  for (size_t i = 0; i < count; i++)
+    {
+      requests[i].deadline_ms = FAR_DEADLINE_MS;
+      requests[i].class = MARJORAM_CLASS_INTERACTIVE;
+    }
+  world = make_world (&full, &least, seed);
+  world_run (world, requests, count, (int64_t)full.duration_s * SECOND);
+  for (size_t i = 0; i < count; i++)
+    done += requests[i].done_us > (int64_t)WARM_S * SECOND;
+  world_destroy (world);
+  return (double)done / (full.duration_s - WARM_S) / 3;
+}
+
+static void
+lose_one (struct world *world)
+{
+  world_kill_engine (world, (int64_t)120 * SECOND, 0, 0);
+}
+
+static const struct workload workloads[] = {
+  { .name = "morning-peak",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 3, 3, 3 },
+    .duration_s = 360,
+    .load = { 0.9, 0.9, 0.9 } },
+  { .name = "loss-of-a-third",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 3, 3, 3 },
+    .duration_s = 360,
+    .load = { 0.9, 0.6, 0.6 },
+    .change = lose_one },
+  { .name = "twice-the-capacity",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 3, 3, 3 },
+    .duration_s = 300,
+    .attempt_ms = 15000,
+    .resends = 5,
+    .load = { 2, 2, 2 } },
+  { .name = "overnight",
+    .kinds = huon,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 4, 4, 4 },
+    .duration_s = 360,
+    .load = { 0.9, 0.9, 0.9 } },
+  { .name = "region-at-a-tenth",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 1, 10, 10 },
+    .duration_s = 300,
+    .load = { 1.5, 0.7, 0.7 } },
+};
+
+static void
+show (const char *policy, const struct result *r)
+{
+  printf ("  %-16s p50 %7.0f p99 %7.0f ms answered %.4f goodput %6.2f/s "
+          "%.0f tokens/s outside %.4f prefill %7.1f overnight %.2f retries %.4f attempts "
+          "%.3f crossed %.3f\n",
+          policy, r->p50_ms, r->p99_ms, r->answered, r->goodput, r->tokens, r->outside,
+          r->prefill, r->overnight, r->retries, r->attempts, r->crossed);
+}
+
+static void
+measure (const struct workload *workload, uint64_t seed, bool verbose,
+         struct world_request *requests)
+{
+  double capacity = capacity_of (workload, seed, requests);
+  size_t count = make_requests (workload, capacity, seed, requests);
+  struct result results[POLICIES];
+
+  for (int i = 0; i < POLICIES; i++)
+    {
+      run (workload, &policies[i], seed, requests, count, &results[i]);
+      if (verbose && i == 0)
+        printf ("%s seed %d capacity %.3f/s an engine, %zu requests\n",
+                workload->name, (int)seed, capacity, count);
+      if (verbose)
+        show (policies[i].name, &results[i]);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct option options[]
+      = { { "seed", required_argument, NULL, 's' },
+          { "verbose", no_argument, NULL, 'v' },
+          { NULL, 0, NULL, 0 } };
+  struct world_request *requests
+      = marjoram_alloc (REQUESTS_MAX * sizeof *requests);
+  uint64_t first = 1;
+  int seeds = SEEDS;
+  bool verbose = false;
+  int c;
+
+  while ((c = getopt_long (argc, argv, "", options, NULL)) != -1)
+    {
+      if (c == 's')
+        {
+          first = strtoull (optarg, NULL, 10);
+          seeds = 1;
+        }
+      else if (c == 'v')
+        verbose = true;
+      else
+        return EXIT_FAILURE;
+    }
+  for (size_t i = 0; i < sizeof workloads / sizeof *workloads; i++)
+    for (int j = 0; j < seeds; j++)
+      {
+        bool wanted = optind == argc;
+
+        for (int k = optind; k < argc; k++)
+          wanted |= strcmp (argv[k], workloads[i].name) == 0;
+        if (wanted)
+          measure (&workloads[i], first + (uint64_t)j, verbose, requests);
+      }
+  free (requests);
+  return EXIT_SUCCESS;
+}
--- a/test/lib_world.c
+++ b/test/lib_world.c
@@ -110,8 +110,8 @@
   if (world->event_count > world->event_capacity)
     {
       world->event_capacity = world->event_capacity * 2 + 1024;
-      world->events = realloc (world->events, world->event_capacity
-                                                  * sizeof *world->events);
+      world->events = realloc (world->events,
+                               world->event_capacity * sizeof *world->events);
       if (!world->events)
         abort ();
     }
@@ -195,8 +195,7 @@
 static void
 refuse (world *world, struct world_request *request, int64_t retry_ms)
 {
-  schedule (world, world->now_us + CALLER_US, refused, request,
-            (int)retry_ms);
+  schedule (world, world->now_us + CALLER_US, refused, request, (int)retry_ms);
 }
 
 static void step (world *world, void *object, int number);
@@ -350,8 +349,8 @@
   int64_t now = now_ms (world);
 
   query->forwarded = false;
-  marjoram_router_returned (attempt->first->router, now, number,
-                            query->work, true);
+  marjoram_router_returned (attempt->first->router, now, number, query->work,
+                            true);
   if (query->zones_tried_count == MARJORAM_TRIED_MAX
       || !marjoram_router_retry (attempt->first->router, now))
     {
@@ -367,9 +366,8 @@
 forwarded (world *world, void *object, int number)
 {
   struct attempt *attempt = object;
-  struct host *host
-      = &world->hosts[number][marjoram_random_below (
-          world->random, (uint32_t)world->slots)];
+  struct host *host = &world->hosts[number][marjoram_random_below (
+      world->random, (uint32_t)world->slots)];
 
   attempt->query.forwarded = true;
   choose (world, attempt, host);
@@ -469,9 +467,8 @@
     best = in_turn (host, now);
   else
     best = least (world, host, now);
-  for (int i = 0; world->options.policy == WORLD_LEAST_ANYWHERE
-                  && i < world->zones;
-       i++)
+  for (int i = 0;
+       world->options.policy == WORLD_LEAST_ANYWHERE && i < world->zones; i++)
     {
       struct host *other = &world->hosts[i][0];
       const struct marjoram_upstream *upstream = least (world, other, now);
@@ -511,8 +508,7 @@
   (void)number;
   if (request->done_us || request->attempts != attempt->number)
     return;
-  if (attempt->engine
-      && batch_cancel (attempt->engine->batch, &attempt->job))
+  if (attempt->engine && batch_cancel (attempt->engine->batch, &attempt->job))
     marjoram_members_ended (attempt->last->members, now_ms (world),
                             attempt->engine->name, false);
   resend (world, request, 0);
@@ -537,9 +533,8 @@
   request->attempts++;
   attempt->request = request;
   attempt->number = request->attempts;
-  attempt->first
-      = &world->hosts[request->zone][marjoram_random_below (
-          world->random, (uint32_t)world->slots)];
+  attempt->first = &world->hosts[request->zone][marjoram_random_below (
+      world->random, (uint32_t)world->slots)];
   attempt->job = (struct batch_job){
     .priority = request->class == MARJORAM_CLASS_OVERNIGHT,
     .prompt = request->prompt,
@@ -611,7 +606,7 @@
     return;
   report = marjoram_alloc (sizeof *report);
   works = marjoram_alloc (sizeof *works);
-  works->name = marjoram_strdup ("w0");
+  works->name = marjoram_strdup ("w00");
   report->engine = engine;
   report->zone = engine->zone;
   report->first = engine->index % world->slots;
@@ -628,9 +623,8 @@
     .waiting = (uint64_t)batch_waiting (engine->batch),
     .works = { works, 1 },
   };
-  schedule (world,
-            world->now_us + (int64_t)world->options.report_lag_ms * US, hear,
-            report, 0);
+  schedule (world, world->now_us + (int64_t)world->options.report_lag_ms * US,
+            hear, report, 0);
   schedule (world, world->now_us + (int64_t)world->options.report_ms * US,
             report_load, engine, number);
 }
@@ -650,9 +644,8 @@
   struct told *told = object;
 
   (void)number;
-  marjoram_router_learn (
-      told->to->router, now_ms (world), &told->offers,
-      link_us (world, told->from, told->to->zone) / US);
+  marjoram_router_learn (told->to->router, now_ms (world), &told->offers,
+                         link_us (world, told->from, told->to->zone) / US);
   marjoram_wire_clear (&marjoram_offers_layout, &told->offers);
   free (told);
 }
@@ -704,8 +697,7 @@
   /* The connections break: each host fails what it has there.  */
   for (struct attempt *a = world->made; a; a = a->next_made)
     if (a->engine == engine && a->request->attempts == a->number
-        && !a->request->done_us && a->job.arrived_us
-        && a->job.decode_left > 0)
+        && !a->request->done_us && a->job.arrived_us && a->job.decode_left > 0)
       failed (world, a);
 }
 
--- a/test/lib_world.h
+++ b/test/lib_world.h
@@ -1,8 +1,8 @@
 /* A system in virtual time for measuring policies: zones with entry hosts that
    run the real router, links with delays, stand-in engines that report their
-   load late, and callers that wait, resend or give up.  Plain policies take the
-   router's place for comparison.  It answers questions about load only; faults
-   of hosts and messages belong to the scenarios.  */
+   load late, and callers that wait, resend or give up.  Plain policies take
+   the router's place for comparison.  It answers questions about load only;
+   faults of hosts and messages belong to the scenarios.  */
 #ifndef MARJORAM_TEST_LIB_WORLD_H
 #define MARJORAM_TEST_LIB_WORLD_H
 
@@ -29,15 +29,15 @@
   struct config_spec spec;
   int engines[WORLD_ZONES_MAX]; /* in each zone */
   struct batch_options batch;
-  int report_ms;       /* between two load reports */
-  int report_lag_ms;   /* age of a report when it arrives */
-  int link_near_us;    /* one way, zones of one region */
-  int link_far_us;     /* one way, between regions */
-  bool no_spill;       /* offers are not delivered */
-  bool no_limits;      /* callers' limits are not asked */
-  bool free_retries;   /* no retry budget; callers don't obey Retry-After */
-  int attempt_ms;      /* a caller gives up and resends; 0 for never */
-  int resends;         /* at most */
+  int report_ms;     /* between two load reports */
+  int report_lag_ms; /* age of a report when it arrives */
+  int link_near_us;  /* one way, zones of one region */
+  int link_far_us;   /* one way, between regions */
+  bool no_spill;     /* offers are not delivered */
+  bool no_limits;    /* callers' limits are not asked */
+  bool free_retries; /* no retry budget; callers don't obey Retry-After */
+  int attempt_ms;    /* a caller gives up and resends; 0 for never */
+  int resends;       /* at most */
   enum world_policy policy;
   uint64_t seed;
 };
