--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -12,8 +12,8 @@
 enum
 {
   SECOND = 1000000,
-  WARM_S = 60,
-  REQUESTS_MAX = 400000,
+  WARM_S = 180,
+  REQUESTS_MAX = 1000000,
   SEEDS = 3,
   POLICIES_MAX = 8,
   HOTELS = 120,
@@ -79,6 +79,7 @@
 {
   double p50_ms;
   double p99_ms; /* interactive; unanswered ones count as their deadline */
+  double first99_ms; /* the same of the first token */
   double answered; /* part of the interactive requests */
   double goodput;  /* answers in time, a second */
   double tokens;   /* the same in answer tokens */
@@ -96,7 +97,7 @@
   { 0.25, MARJORAM_CLASS_INTERACTIVE, 5000, 4000, HOTELS, 250, 60000 },
 };
 static const struct kind huon[] = {
-  { 0.6, MARJORAM_CLASS_OVERNIGHT, 8000, 3000, 60, 400, 600000 },
+  { 0.6, MARJORAM_CLASS_OVERNIGHT, 8000, 6000, 60, 400, 600000 },
   { 0.4, MARJORAM_CLASS_INTERACTIVE, 1200, 800, 60, 40, 10000 },
 };
 
@@ -205,6 +206,7 @@
            struct result *result)
 {
   double *times = marjoram_alloc ((count + 1) * sizeof *times);
+  double *firsts = marjoram_alloc ((count + 1) * sizeof *firsts);
   size_t interactive = 0;
   size_t all = 0;
   size_t done = 0;
@@ -231,15 +233,18 @@
       if (r->class != MARJORAM_CLASS_INTERACTIVE)
         continue;
       answered += r->done_us != 0;
+      firsts[interactive] = r->done_us ? (double)(r->first_us - r->at_us) / 1000 : r->deadline_ms;
       times[interactive++]
           = r->done_us ? (double)(r->done_us - r->at_us) / 1000
                        : r->deadline_ms;
     }
+  qsort (firsts, interactive, sizeof *firsts, compare_doubles);
   qsort (times, interactive, sizeof *times, compare_doubles);
   if (interactive > 0)
     {
       result->p50_ms = times[interactive / 2];
       result->p99_ms = times[interactive * 99 / 100];
+      result->first99_ms = firsts[interactive * 99 / 100];
       result->answered = (double)answered / (double)interactive;
     }
   result->goodput = (double)done / (workload->duration_s - WARM_S);
@@ -249,6 +254,7 @@
   result->retries /= fmax (1, (double)all);
   result->attempts /= fmax (1, (double)all);
   result->crossed /= fmax (1, (double)all);
+  free (firsts);
   free (times);
 }
 
@@ -323,7 +329,7 @@
   full.regions = 1;
   full.load[0] = 1;
   full.engines[0] = 3;
-  full.duration_s = 180;
+  full.duration_s = 480;
   count = make_requests (&full, 10, seed, requests);
   for (size_t i = 0; i < count; i++)
     {
@@ -341,7 +347,7 @@
 static void
 lose_one (struct world *world)
 {
-  world_kill_engine (world, (int64_t)120 * SECOND, 0, 0);
+  world_kill_engine (world, (int64_t)240 * SECOND, 0, 0);
 }
 
 static const struct workload workloads[] = {
@@ -350,14 +356,14 @@
     .kind_count = 2,
     .regions = 3,
     .engines = { 3, 3, 3 },
-    .duration_s = 360,
+    .duration_s = 900,
     .load = { 0.9, 0.9, 0.9 } },
   { .name = "loss-of-a-third",
     .kinds = tatranska,
     .kind_count = 2,
     .regions = 3,
     .engines = { 3, 3, 3 },
-    .duration_s = 360,
+    .duration_s = 900,
     .load = { 0.9, 0.6, 0.6 },
     .change = lose_one },
   { .name = "twice-the-capacity",
@@ -365,7 +371,7 @@
     .kind_count = 2,
     .regions = 3,
     .engines = { 3, 3, 3 },
-    .duration_s = 300,
+    .duration_s = 900,
     .attempt_ms = 15000,
     .resends = 5,
     .load = { 2, 2, 2 } },
@@ -374,24 +380,24 @@
     .kind_count = 2,
     .regions = 3,
     .engines = { 4, 4, 4 },
-    .duration_s = 360,
+    .duration_s = 900,
     .load = { 0.9, 0.9, 0.9 } },
   { .name = "region-at-a-tenth",
     .kinds = tatranska,
     .kind_count = 2,
     .regions = 3,
     .engines = { 1, 10, 10 },
-    .duration_s = 300,
+    .duration_s = 900,
     .load = { 1.5, 0.7, 0.7 } },
 };
 
 static void
 show (const char *policy, const struct result *r)
 {
-  printf ("  %-16s p50 %7.0f p99 %7.0f ms answered %.4f goodput %6.2f/s "
+  printf ("  %-16s p50 %7.0f p99 %7.0f first %7.0f ms answered %.4f goodput %6.2f/s "
           "%.0f tokens/s outside %.4f prefill %7.1f overnight %.2f retries %.4f attempts "
           "%.3f crossed %.3f\n",
-          policy, r->p50_ms, r->p99_ms, r->answered, r->goodput, r->tokens, r->outside,
+          policy, r->p50_ms, r->p99_ms, r->first99_ms, r->answered, r->goodput, r->tokens, r->outside,
           r->prefill, r->overnight, r->retries, r->attempts, r->crossed);
 }
 
--- a/src/choose.c
+++ b/src/choose.c
@@ -1,5 +1,6 @@
 #include "choose.h"
 
+#include "cache_index.h"
 #include "cleanup.h"
 
 #include <math.h>
@@ -10,24 +11,28 @@
 enum
 {
   RING_POINTS = 16, /* of each upstream */
-  PREFERRED = 2,    /* replicas that share a prefix */
+  PREFIXES = 16384, /* remembered */
   DRAWN = 2,        /* candidates at random */
   DRAWN_MORE = 6,   /* if those would make it wait */
   SLOW_START_MS = 10000,
   ROOM_AGE_MS = 50,
+  OTHERS_AGE_MS = 1000,
   SLOW_SAMPLES = 8,
   SLOW_CHECK = 16 /* measurements between two looks at one upstream */
 };
 
 /* How much slower a full batch decodes than a single stream.  */
 #define BATCH_SLOWDOWN 0.5
-/* Part of the prompt that a cached prefix is first taken to spare.  */
-#define CACHED_PART 0.5
+/* Part of the prompt that a cached prefix is taken to spare.  */
+#define CACHED_PART 0.6
+/* Prefill holds up the decoding of the whole batch: how much its time counts
+   for each request there.  */
+#define PREFILL_WEIGHT 4.0
+/* What one request of this host stands for where there are other hosts.  */
+#define OTHERS 2.0
 #define SERVICE_MS 20.0
 #define EWMA 0.1
 #define SLOW_FACTOR 3.0
-/* Overnight work leaves this part of an upstream's slots to others.  */
-#define OVERNIGHT_PART 0.85
 
 /* What was measured of one upstream.  */
 struct speed
@@ -42,6 +47,7 @@
 {
   const struct marjoram_upstream *upstream;
   struct speed *speed;
+  uint64_t key; /* of its name; the group is sorted by it */
 };
 
 struct ring_point
@@ -73,6 +79,9 @@
   int group_count;
   uint64_t generation;
   struct speed *speeds;
+  marjoram_cache_index *cache;
+  double others; /* what one request of this host stands for */
+  int64_t others_at;
 };
 
 marjoram_chooser *
@@ -84,6 +93,7 @@
   chooser->members = members;
   chooser->suspects = suspects;
   chooser->random = random;
+  chooser->cache = marjoram_cache_index_create (PREFIXES);
   return chooser;
 }
 
@@ -115,6 +125,7 @@
       free (speed->name);
       free (speed);
     }
+  marjoram_cache_index_destroy (chooser->cache);
   marjoram_config_release (chooser->config);
   free (chooser);
 }
@@ -205,9 +216,21 @@
   return x->hash < y->hash ? -1 : x->hash > y->hash;
 }
 
+static int
+compare_candidates (const void *a, const void *b)
+{
+  const struct candidate *x = a;
+  const struct candidate *y = b;
+
+  return x->key < y->key ? -1 : x->key > y->key;
+}
+
 static void
 build_ring (struct group *group)
 {
+  if (group->count > 0)
+    qsort (group->candidates, (size_t)group->count, sizeof *group->candidates,
+           compare_candidates);
   group->ring = marjoram_alloc (((size_t)group->count * RING_POINTS + 1)
                                 * sizeof *group->ring);
   group->ring_count = 0;
@@ -224,6 +247,14 @@
          compare_points);
 }
 
+static uint64_t
+key_of (const struct marjoram_upstream *upstream)
+{
+  const char *name = upstream->announcement->name;
+
+  return XXH64 (name, strlen (name), 0);
+}
+
 static void
 add_candidate (marjoram_chooser *chooser, struct group *group,
                const struct marjoram_upstream *upstream)
@@ -282,16 +313,19 @@
   return &chooser->groups[work];
 }
 
-/* Requests there now: the report is old, so what this host started and ended
-   since is added; what other hosts did is not known.  */
+/* Requests there now.  The report is old, so what this host started and ended
+   since is added, and more than once if the zone has other hosts: they have
+   the same old report and will have chosen alike, which would overload the
+   upstream that looked free in it.  */
 static double
-load_of (const struct marjoram_upstream *upstream)
+load_of (const marjoram_chooser *chooser,
+         const struct marjoram_upstream *upstream)
 {
+  double since = (double)upstream->started - (double)upstream->finished;
   double reported = (double)(upstream->announcement->running
-                             + upstream->announcement->waiting)
-                    + upstream->started - (double)upstream->finished;
+                             + upstream->announcement->waiting);
 
-  return fmax (reported, upstream->in_flight);
+  return fmax (reported + since * chooser->others, upstream->in_flight);
 }
 
 static double
@@ -316,12 +350,11 @@
 }
 
 static double
-prefill_ms (const struct marjoram_work *work, const struct group *group,
+prefill_ms (const struct marjoram_work *work,
             const struct marjoram_query *query, bool cached)
 {
   double tokens = (double)query->prompt_tokens;
 
-  (void)group;
   if (work->prefill_rate <= 0)
     return 0;
   return tokens * (cached ? 1 - CACHED_PART : 1) / work->prefill_rate * 1000;
@@ -345,7 +378,7 @@
 
   if (work->kind == MARJORAM_WORK_SERVICE)
     return group->service_ms;
-  return prefill_ms (work, group, query, cached) + decode_ms (work, query);
+  return prefill_ms (work, query, cached) + decode_ms (work, query);
 }
 
 double
@@ -362,8 +395,10 @@
           struct marjoram_pick *pick)
 {
   const struct marjoram_upstream *upstream = candidate->upstream;
+  const struct marjoram_work *work
+      = marjoram_config_work (chooser->config, query->work);
   double slots = slots_of (upstream);
-  double load = load_of (upstream);
+  double load = load_of (chooser, upstream);
   double fill = fmin (1, load / slots);
   double factor = candidate->speed->factor;
 
@@ -375,6 +410,9 @@
   pick->total_ms = pick->wait_ms
                    + alone_ms (chooser, group, query, cached)
                          * (1 + BATCH_SLOWDOWN * fill) * factor;
+  pick->cost = pick->total_ms
+               + PREFILL_WEIGHT * fmin (load, slots)
+                     * prefill_ms (work, query, cached);
 }
 
 static bool
@@ -412,6 +450,23 @@
                                          search->query->digest);
 }
 
+/* Overnight work may only fill free slots, so one that has some goes first;
+   interactive work may also wait a little for the replica that has its
+   prefix.  */
+static bool
+is_better (const struct search *search, const struct marjoram_pick *pick,
+           double cost)
+{
+  const struct marjoram_pick *best = search->best;
+
+  if (!best->upstream)
+    return true;
+  if (search->query->class == MARJORAM_CLASS_OVERNIGHT
+      && best->room != pick->room)
+    return pick->room;
+  return cost < search->best_cost;
+}
+
 static void
 consider (struct search *search, int index, bool cached)
 {
@@ -423,21 +478,15 @@
     return;
   estimate (search->chooser, search->group, candidate, search->query, cached,
             &pick);
-  if (search->query->class == MARJORAM_CLASS_OVERNIGHT
-      && load_of (candidate->upstream)
-             >= slots_of (candidate->upstream) * OVERNIGHT_PART)
-    pick.room = false;
-  cost = pick.total_ms * (1 + slow_start (candidate->upstream, search->now));
-  if (search->best->upstream
-      && (search->best->room > pick.room
-          || (search->best->room == pick.room && search->best_cost <= cost)))
+  cost = pick.cost * (1 + slow_start (candidate->upstream, search->now));
+  if (!is_better (search, &pick, cost))
     return;
   search->best_cost = cost;
   *search->best = pick;
 }
 
-/* All hosts find the same replicas for a prefix, without a word between
-   them.  */
+/* All hosts find the same replica for a prefix, without a word between
+   them: the first on a ring of hashes.  */
 static void
 consider_preferred (struct search *search)
 {
@@ -445,7 +494,6 @@
   uint64_t hash = search->query->prefix_hash;
   int low = 0;
   int high = group->ring_count;
-  int last = -1;
 
   while (low < high)
     {
@@ -456,15 +504,49 @@
       else
         high = middle;
     }
-  for (int i = 0, found = 0; i < group->ring_count && found < PREFERRED; i++)
+  consider (search, group->ring[low % group->ring_count].candidate, true);
+}
+
+static uint64_t
+cache_key (const struct marjoram_query *query)
+{
+  return query->prefix_hash + (uint64_t)query->work;
+}
+
+/* Index of the candidate with KEY, or -1.  */
+static int
+find_candidate (const struct group *group, uint64_t key)
+{
+  int low = 0;
+  int high = group->count;
+
+  while (low < high)
+    {
+      int middle = (low + high) / 2;
+
+      if (group->candidates[middle].key < key)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low < group->count && group->candidates[low].key == key ? low : -1;
+}
+
+/* An upstream that came back since has an empty cache.  */
+static void
+consider_holders (struct search *search)
+{
+  const struct group *group = search->group;
+  const struct marjoram_cache_holder *holders = marjoram_cache_index_find (
+      search->chooser->cache, search->now, cache_key (search->query));
+
+  for (int i = 0; holders && i < MARJORAM_CACHE_HOLDERS; i++)
     {
-      int index = group->ring[(low + i) % group->ring_count].candidate;
+      int index = find_candidate (group, holders[i].holder);
 
-      if (index == last)
-        continue;
-      last = index;
-      found++;
-      consider (search, index, true);
+      if (index >= 0
+          && holders[i].seen >= group->candidates[index].upstream->since)
+        consider (search, index, true);
     }
 }
 
@@ -490,6 +572,27 @@
               false);
 }
 
+/* The other hosts are counted now and then only: it takes longer than the
+   rest of a choice.  */
+static void
+count_others (marjoram_chooser *chooser, int64_t now)
+{
+  if (now < chooser->others_at + OTHERS_AGE_MS && chooser->others > 0)
+    return;
+  chooser->others_at = now;
+  chooser->others
+      = marjoram_members_hosts (chooser->members, now) > 1 ? OTHERS : 1;
+}
+
+static bool
+is_suspect (const marjoram_chooser *chooser, int64_t now,
+            const struct marjoram_query *query)
+{
+  return query->digest && chooser->suspects
+         && marjoram_suspects_get (chooser->suspects, now, query->digest)
+                != MARJORAM_SUSPICION_NONE;
+}
+
 void
 marjoram_chooser_pick (marjoram_chooser *chooser, int64_t now,
                        const struct marjoram_query *query,
@@ -505,17 +608,24 @@
                        : alone;
   if (group->count == 0)
     return;
+  count_others (chooser, now);
   search.suspect
       = query->digest && chooser->suspects
         && marjoram_suspects_get (chooser->suspects, now, query->digest)
                != MARJORAM_SUSPICION_NONE;
   if (query->prefix_hash)
-    consider_preferred (&search);
+    {
+      consider_holders (&search);
+      consider_preferred (&search);
+    }
   draw (&search, DRAWN);
   if (!pick->upstream || !pick->room)
     draw (&search, DRAWN_MORE);
   if (!pick->upstream)
     consider_all (&search);
+  if (pick->upstream && query->prefix_hash)
+    marjoram_cache_index_add (chooser->cache, now, cache_key (query),
+                              key_of (pick->upstream));
 }
 
 const struct marjoram_room *
@@ -533,11 +643,12 @@
     {
       const struct candidate *candidate = &group->candidates[i];
       double slots = slots_of (candidate->upstream);
-      double load = load_of (candidate->upstream);
+      double load = load_of (chooser, candidate->upstream);
 
       if (!marjoram_upstream_usable (candidate->upstream, now))
         continue;
       room->upstreams++;
+      room->factor += candidate->speed->factor;
       room->slots += slots;
       room->load += load;
       room->free += fmax (0, slots - load);
@@ -545,6 +656,7 @@
                                                * group->mean_ms
                                                * candidate->speed->factor);
     }
+  room->factor = room->upstreams ? room->factor / room->upstreams : 1;
   return room;
 }
 
--- a/src/choose.h
+++ b/src/choose.h
@@ -19,6 +19,7 @@
   const struct marjoram_upstream *upstream; /* null if none may be used */
   double wait_ms;
   double total_ms; /* the wait included */
+  double cost;     /* to be compared: others' delay included */
   bool cached;     /* the prompt's prefix is thought to be there */
   bool room;       /* it would start at once */
 };
@@ -30,6 +31,7 @@
   double slots;
   double load;    /* requests there */
   double free;    /* requests that would start at once */
+  double factor;  /* mean of measured by estimated time */
   double wait_ms; /* at the least loaded one that was seen */
 };
 
--- a/src/route.c
+++ b/src/route.c
@@ -19,6 +19,11 @@
 
 /* Another zone of the region must win by this part of the time here.  */
 #define NEAR_GAIN 0.2
+/* And another region by this part, if the request would wait here.  */
+#define FAR_GAIN 0.3
+/* Overnight work leaves the region if this many times its expected time there
+   would pass the deadline.  */
+#define URGENT 3
 /* Part of the slots that is never lent.  */
 #define KEPT_PART 0.1
 
@@ -177,7 +182,9 @@
       = marjoram_config_allowed (router->config, query->caller, query->work);
   view->here = region_allowed (router, view->allowed, router->zone);
   view->slack_ms = (double)(query->deadline - now);
-  view->alone_ms = marjoram_chooser_alone_ms (router->chooser, query);
+  view->alone_ms
+      = marjoram_chooser_alone_ms (router->chooser, query)
+        * marjoram_chooser_room (router->chooser, now, query->work)->factor;
   view->near_by = none;
   view->far_away = none;
   if (view->here)
@@ -253,6 +260,25 @@
   return (int64_t)fmin (fmax (retry, RETRY_MIN_MS), RETRY_MAX_MS);
 }
 
+/* Another region has a cold cache and a slow link, and the caller's home is
+   here.  Interactive work goes there if it would wait much longer here;
+   overnight work only if it would else miss its deadline, as the cost of a
+   cold cache is all that counts for it.  */
+static bool
+pays_far_away (const struct view *view, const struct marjoram_query *query,
+               bool home)
+{
+  double there = view->far_away.total_ms;
+
+  if (view->far_away.zone < 0 || there > view->slack_ms)
+    return false;
+  if (query->class == MARJORAM_CLASS_OVERNIGHT)
+    return !home && there * URGENT > view->slack_ms;
+  return !home
+         || (!view->pick.room
+             && there < view->pick.total_ms * (1 - FAR_GAIN));
+}
+
 static void
 decide (marjoram_router *router, int64_t now,
         const struct marjoram_query *query, const struct view *view,
@@ -267,14 +293,14 @@
       go_on (&view->near_by, choice);
       return;
     }
-  if (home)
+  if (pays_far_away (view, query, home))
     {
-      stay (router, &view->pick, choice);
+      go_on (&view->far_away, choice);
       return;
     }
-  if (view->far_away.zone >= 0 && view->far_away.total_ms <= view->slack_ms)
+  if (home)
     {
-      go_on (&view->far_away, choice);
+      stay (router, &view->pick, choice);
       return;
     }
   choice->reason = refusal (router, now, query, view);
--- a/test/lib_world.c
+++ b/test/lib_world.c
@@ -212,6 +212,10 @@
       || world->now_us > limit)
     return;
   request->done_us = world->now_us;
+  request->first_us
+      = attempt->job.first_us
+        + link_us (world, attempt->first->zone, attempt->last->zone)
+        + CALLER_US;
   request->ran_zone = attempt->engine->zone;
 }
 
--- a/test/lib_world.h
+++ b/test/lib_world.h
@@ -56,7 +56,8 @@
   int answer;
   int deadline_ms;
 
-  int64_t done_us; /* 0 if it was not answered in time */
+  int64_t first_us; /* first token at the caller */
+  int64_t done_us;  /* 0 if it was not answered in time */
   int ran_zone;
   int attempts; /* of the caller */
   int refusals;
