--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -19,7 +19,7 @@
   HOTELS = 120,
   CALLERS = 40,
   OBEDIENT_RESENDS = 50, /* of callers that come when they are told to */
-  GREEDY = 1, /* index of the caller that asks too much */
+  GREEDY = 1,            /* index of the caller that asks too much */
   RATE_MAX = 1000,
   AFTER_S = 120, /* for the last requests to end */
   FAR_DEADLINE_MS = 100000000
@@ -78,15 +78,15 @@
 struct result
 {
   double p50_ms;
-  double p99_ms; /* interactive; unanswered ones count as their deadline */
+  double p99_ms;     /* interactive; unanswered ones count as their deadline */
   double first99_ms; /* the same of the first token */
-  double answered; /* part of the interactive requests */
-  double goodput;  /* answers in time, a second */
-  double tokens;   /* the same in answer tokens */
-  double outside;  /* part of the answers that ran outside the home zone */
-  double prefill;  /* prefill tokens computed for each answer */
-  double retries;  /* of hosts, for each request */
-  double attempts; /* of callers, for each request */
+  double answered;   /* part of the interactive requests */
+  double goodput;    /* answers in time, a second */
+  double tokens;     /* the same in answer tokens */
+  double outside;    /* part of the answers that ran outside the home zone */
+  double prefill;    /* prefill tokens computed for each answer */
+  double retries;    /* of hosts, for each request */
+  double attempts;   /* of callers, for each request */
   double crossed;
   double overnight; /* answers a second */
   int64_t limited;
@@ -139,10 +139,9 @@
     .class = kind->class,
     .prompt = kind->prefix_tokens
               + (int)marjoram_random_below (
-                  random,
-                  2 * (uint32_t)(kind->prompt - kind->prefix_tokens)),
-    .prefix = 1 + zipf (random, kind->prefixes)
-              + (uint64_t)index * 1000 + (uint64_t)zone * 100000,
+                  random, 2 * (uint32_t)(kind->prompt - kind->prefix_tokens)),
+    .prefix = 1 + zipf (random, kind->prefixes) + (uint64_t)index * 1000
+              + (uint64_t)zone * 100000,
     .prefix_tokens = kind->prefix_tokens,
     .answer = kind->answer / 2
               + (int)marjoram_random_below (random, (uint32_t)kind->answer),
@@ -233,10 +232,12 @@
       if (r->class != MARJORAM_CLASS_INTERACTIVE)
         continue;
       answered += r->done_us != 0;
-      firsts[interactive] = r->done_us ? (double)(r->first_us - r->at_us) / 1000 : r->deadline_ms;
-      times[interactive++]
-          = r->done_us ? (double)(r->done_us - r->at_us) / 1000
-                       : r->deadline_ms;
+      firsts[interactive] = r->done_us
+                                ? (double)(r->first_us - r->at_us) / 1000
+                                : r->deadline_ms;
+      times[interactive++] = r->done_us
+                                 ? (double)(r->done_us - r->at_us) / 1000
+                                 : r->deadline_ms;
     }
   qsort (firsts, interactive, sizeof *firsts, compare_doubles);
   qsort (times, interactive, sizeof *times, compare_doubles);
@@ -394,11 +395,14 @@
 static void
 show (const char *policy, const struct result *r)
 {
-  printf ("  %-16s p50 %7.0f p99 %7.0f first %7.0f ms answered %.4f goodput %6.2f/s "
-          "%.0f tokens/s outside %.4f prefill %7.1f overnight %.2f retries %.4f attempts "
+  printf ("  %-16s p50 %7.0f p99 %7.0f first %7.0f ms answered %.4f goodput "
+          "%6.2f/s "
+          "%.0f tokens/s outside %.4f prefill %7.1f overnight %.2f retries "
+          "%.4f attempts "
           "%.3f crossed %.3f\n",
-          policy, r->p50_ms, r->p99_ms, r->first99_ms, r->answered, r->goodput, r->tokens, r->outside,
-          r->prefill, r->overnight, r->retries, r->attempts, r->crossed);
+          policy, r->p50_ms, r->p99_ms, r->first99_ms, r->answered, r->goodput,
+          r->tokens, r->outside, r->prefill, r->overnight, r->retries,
+          r->attempts, r->crossed);
 }
 
 static void
--- a/src/choose.h
+++ b/src/choose.h
@@ -7,6 +7,7 @@
 
 #include "config.h"
 #include "member.h"
+#include "pool.h"
 #include "query.h"
 #include "random.h"
 #include "suspect.h"
@@ -24,17 +25,6 @@
   bool room;       /* it would start at once */
 };
 
-/* All upstreams of one work together.  */
-struct marjoram_room
-{
-  unsigned upstreams; /* that may be used */
-  double slots;
-  double load;    /* requests there */
-  double free;    /* requests that would start at once */
-  double factor;  /* mean of measured by estimated time */
-  double wait_ms; /* at the least loaded one that was seen */
-};
-
 marjoram_chooser *marjoram_chooser_create (marjoram_members *members,
                                            marjoram_suspects *suspects,
                                            marjoram_random *random);
--- a/src/route.c
+++ b/src/route.c
@@ -275,8 +275,7 @@
   if (query->class == MARJORAM_CLASS_OVERNIGHT)
     return !home && there * URGENT > view->slack_ms;
   return !home
-         || (!view->pick.room
-             && there < view->pick.total_ms * (1 - FAR_GAIN));
+         || (!view->pick.room && there < view->pick.total_ms * (1 - FAR_GAIN));
 }
 
 static void
--- a/test/lib_world.h
+++ b/test/lib_world.h
@@ -65,24 +65,26 @@
   int crossed;
 };
 
-typedef struct world world;
+struct world;
 
-world *world_create (const struct world_options *options);
-void world_destroy (world *world);
+struct world *world_create (const struct world_options *options);
+void world_destroy (struct world *world);
 /* Runs REQUESTS, in the order of their times, and all that follows of them
    until END_US.  */
-void world_run (world *world, struct world_request *requests, size_t count,
-                int64_t end_us);
+void world_run (struct world *world, struct world_request *requests,
+                size_t count, int64_t end_us);
 /* Changes at a time, before the run.  */
-void world_kill_engine (world *world, int64_t at_us, int zone, int engine);
-void world_start_engine (world *world, int64_t at_us, int zone, int engine);
-void world_slow_engine (world *world, int64_t at_us, int zone, int engine,
-                        double slowness);
-void world_cut (world *world, int64_t at_us, int zone, bool cut);
+void world_kill_engine (struct world *world, int64_t at_us, int zone,
+                        int engine);
+void world_start_engine (struct world *world, int64_t at_us, int zone,
+                         int engine);
+void world_slow_engine (struct world *world, int64_t at_us, int zone,
+                        int engine, double slowness);
+void world_cut (struct world *world, int64_t at_us, int zone, bool cut);
 /* All prefill tokens computed, and lookups of limits refused.  */
-int64_t world_prefilled (const world *world);
-int64_t world_limited (const world *world, int caller);
+int64_t world_prefilled (const struct world *world);
+int64_t world_limited (const struct world *world, int caller);
 /* The most requests that one engine held.  */
-int world_peak (const world *world, int zone, int engine);
+int world_peak (const struct world *world, int zone, int engine);
 
 #endif
