--- a/test/test_limit.c
+++ b/test/test_limit.c
@@ -220,7 +220,8 @@
       admitted += marjoram_limits_admit (limits, now, 0, HOSTS, &retry)
                   == MARJORAM_REASON_NONE;
     }
-  ck_assert_int_le (admitted, RATE * 10 + BURST);
+  /* Its zone's part is 0.8 while it hears no other, its own a third of it.  */
+  ck_assert_int_le (admitted, (RATE * 10 + BURST) * 3 / 10);
   free_site (&site);
 }
 END_TEST
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -105,6 +105,8 @@
     announce (now, 1, 1);
   ck_assert (usable (members, LEASE_MS - 1, "lm-1"));
   ck_assert (!usable (members, LEASE_MS, "lm-1"));
+  ck_assert (
+      !marjoram_upstream_usable (marjoram_members_at (members, 0), LEASE_MS));
 }
 END_TEST
 
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -289,9 +289,9 @@
 
   for (int i = 0; i < 6; i++)
     full[i] = add_node (i / 3, i % 3, (uint64_t)_i * 10 + (uint64_t)i);
-  announce (idle, 0, "lm-1", 1, 0);
-  announce (idle, 0, "lm-2", 1, 0);
-  announce (idle, 0, "lm-3", 1, 0);
+  announce (idle, 59000, "lm-1", 1, 0);
+  announce (idle, 59000, "lm-2", 1, 0);
+  announce (idle, 59000, "lm-3", 1, 0);
   /* The link was up before: ramps had grown.  */
   for (int64_t now = 0; now < 5000; now += 1000)
     for (int i = 0; i < 6; i++)
@@ -398,8 +398,8 @@
 END_TEST
 
 /* Three hosts hold the same old report: one engine of six is idle, the others
-   half full.  If each sent its requests to the one that looks best, it would get
-   nearly all of them until the next report.  */
+   half full.  If each sent its requests to the one that looks best, it would
+   get nearly all of them until the next report.  */
 START_TEST (old_report_draws_no_herd)
 {
   int there = 0;
@@ -432,7 +432,7 @@
           marjoram_members_started (node->members, choice.upstream);
         }
     }
-  ck_assert_int_le (there, SEEDS * 5);
+  ck_assert_int_le (there, SEEDS * 9 / 2);
 }
 END_TEST
 
