--- a/src/attempt.c
+++ b/src/attempt.c
@@ -199,6 +199,18 @@
   return marjoram_router_retry (host->router, now);
 }
 
+/* Non-idempotent work whose key another zone guards has no claim here: if that
+   zone refused it, a choice made here would run it without one, and a resend
+   would run it twice.  It goes to that zone again.  */
+static void
+try_again (marjoram_host *host, int64_t now, struct marjoram_request *request)
+{
+  if (request->call->idempotent || request->granted)
+    marjoram_attempt_dispatch (host, now, request);
+  else
+    marjoram_request_start (host, now, request);
+}
+
 void
 marjoram_request_failed (marjoram_host *host, int64_t now,
                          struct marjoram_request *request,
@@ -218,7 +230,7 @@
       marjoram_log (MARJORAM_LOG_INFO, "%s: again after %s", request->id,
                     marjoram_reason_name (reason));
       request->reason = reason;
-      marjoram_attempt_dispatch (host, now, request);
+      try_again (host, now, request);
       return;
     }
   marjoram_request_refuse (host, now, request,
--- a/src/forward.c
+++ b/src/forward.c
@@ -79,6 +79,8 @@
   request->remote_zone = zone;
   free (request->remote_slot);
   request->remote_slot = marjoram_strdup (link->slot);
+  request->remote_incarnation = link->incarnation;
+  request->remote_session = link->session;
   fill_forward (host, now, request, claim_there, &forward);
   marjoram_router_sent (host->router, now, zone, request->work);
   marjoram_counters_add (host->counters, MARJORAM_COUNTER_FORWARDED_OUT, 1);
@@ -97,26 +99,45 @@
 }
 
 static void
-send_revoke (marjoram_host *host, struct marjoram_request *request)
+send_revoke (marjoram_host *host, struct marjoram_request *request,
+             const struct marjoram_link *link)
 {
   struct marjoram_revoke revoke = { request->attempt, request->received };
 
+  request->remote_session = link->session;
   host->ops->send (host->context, request->remote_slot, MARJORAM_FRAME_REVOKE,
                    &revoke);
 }
 
+/* The link to the host that has the request is up again.  If that host has
+   restarted since, it remembers nothing: its "never started" would be no
+   proof, so it is not asked, and the outcome is open.  */
+static void
+ask_again (marjoram_host *host, int64_t now, struct marjoram_request *request,
+           const struct marjoram_link *link)
+{
+  if (link->incarnation == request->remote_incarnation)
+    send_revoke (host, request, link);
+  else
+    marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                             MARJORAM_REASON_LINK_DOWN,
+                             MARJORAM_RETRY_AFTER_MS, false);
+}
+
 void
 marjoram_forward_link_up (marjoram_host *host, int64_t now, const char *slot)
 {
-  struct marjoram_request *request;
+  const struct marjoram_link *link = marjoram_link_find (host, slot);
+  struct marjoram_request *request = TAILQ_FIRST (&host->requests->all);
+  struct marjoram_request *next;
 
-  (void)now;
-  TAILQ_FOREACH (request, &host->requests->all, all)
-  {
-    if (request->attempt && request->state == MARJORAM_REQUEST_REMOTE
-        && request->revoking && strcmp (request->remote_slot, slot) == 0)
-      send_revoke (host, request);
-  }
+  for (; request; request = next)
+    {
+      next = TAILQ_NEXT (request, all);
+      if (request->attempt && request->state == MARJORAM_REQUEST_REMOTE
+          && request->revoking && strcmp (request->remote_slot, slot) == 0)
+        ask_again (host, now, request, link);
+    }
 }
 
 /* The link to the host that has the request is lost, or was replaced.  The
@@ -126,14 +147,14 @@
 {
   const struct marjoram_link *link
       = marjoram_link_find (host, request->remote_slot);
-  bool lost = !link || !link->up || link->up_since > request->attempt_started;
+  bool lost = !link || !link->up || link->session != request->remote_session;
 
   if (!lost)
     return;
   request->revoking = true;
   request->progress = now;
   if (link && link->up)
-    send_revoke (host, request);
+    ask_again (host, now, request, link);
 }
 
 void
@@ -233,7 +254,6 @@
   if (!request->revoking)
     return;
   request->revoking = false;
-  request->attempt_started = now;
   request->progress = now;
   if (revoked->never_started)
     marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
--- a/src/host.h
+++ b/src/host.h
@@ -166,8 +166,8 @@
 
 /* Events of other hosts.  Up and down are of this host's own session to
    SLOT; closed is of a session that SLOT opened.  */
-void marjoram_host_link_up (marjoram_host *host, int64_t now,
-                            const char *slot);
+void marjoram_host_link_up (marjoram_host *host, int64_t now, const char *slot,
+                            uint64_t incarnation);
 void marjoram_host_link_down (marjoram_host *host, int64_t now,
                               const char *slot);
 void marjoram_host_session_closed (marjoram_host *host, int64_t now,
--- a/src/host_peer.c
+++ b/src/host_peer.c
@@ -4,7 +4,8 @@
 #include "log.h"
 
 void
-marjoram_host_link_up (marjoram_host *host, int64_t now, const char *slot)
+marjoram_host_link_up (marjoram_host *host, int64_t now, const char *slot,
+                       uint64_t incarnation)
 {
   struct marjoram_link *link = marjoram_link_find (host, slot);
 
@@ -12,7 +13,8 @@
   if (!link)
     return;
   link->up = true;
-  link->up_since = now;
+  link->session++;
+  link->incarnation = incarnation;
   link->heard = now;
   link->sent = now - MARJORAM_HEARTBEAT_MS;
   marjoram_counters_add (host->counters, MARJORAM_COUNTER_PEER_CONNECTS, 1);
--- a/src/host_state.h
+++ b/src/host_state.h
@@ -53,7 +53,7 @@
   char *address;
   bool wanted;
   bool up;
-  int64_t up_since;
+  uint64_t session;      /* counts this host's sessions to the slot */
   int64_t heard;         /* last echo */
   int64_t sent;          /* last heartbeat */
   uint64_t sequence;     /* of that heartbeat */
--- a/src/inbox.c
+++ b/src/inbox.c
@@ -243,12 +243,16 @@
 
 /* ---- Other hosts.  ---- */
 
-DELIVER (link_up, marjoram_host_link_up (host, now, event->name));
+DELIVER (link_up,
+         marjoram_host_link_up (host, now, event->name, event->incarnation));
 
 static void
-post_link_up (void *context, const char *slot)
+post_link_up (void *context, const char *slot, uint64_t incarnation)
 {
-  post (context, &link_up_message)->name = marjoram_strdup (slot);
+  struct event_message *event = post (context, &link_up_message);
+
+  event->name = marjoram_strdup (slot);
+  event->incarnation = incarnation;
 }
 
 DELIVER (link_down, marjoram_host_link_down (host, now, event->name));
--- a/src/link.c
+++ b/src/link.c
@@ -218,7 +218,6 @@
   link->heard = now;
   link->config_number = heartbeat->config_number;
   link->draining = heartbeat->draining;
-  link->incarnation = heartbeat->incarnation;
   if (heartbeat->echo != link->sequence || sample < 0)
     return;
   if (link->round_trip_ms < 0)
--- a/src/peer.c
+++ b/src/peer.c
@@ -283,7 +283,7 @@
   if (session->dial)
     {
       send_proof (session);
-      peer->ops->link_up (peer->context, session->slot);
+      peer->ops->link_up (peer->context, session->slot, session->incarnation);
     }
   return true;
 }
--- a/src/peer.h
+++ b/src/peer.h
@@ -16,7 +16,7 @@
 struct marjoram_peer_ops
 {
   /* This host's own session to SLOT.  */
-  void (*link_up) (void *context, const char *slot);
+  void (*link_up) (void *context, const char *slot, uint64_t incarnation);
   void (*link_down) (void *context, const char *slot);
   /* A session that SLOT opened has ended.  */
   void (*closed) (void *context, const char *slot, uint64_t session);
--- a/src/request.h
+++ b/src/request.h
@@ -65,6 +65,8 @@
   char upstream[MARJORAM_NAME_MAX + 1];
   char address[MARJORAM_NAME_MAX + 1]; /* the upstream's */
   char *remote_slot;
+  uint64_t remote_incarnation;
+  uint64_t remote_session; /* of the link, as the request was sent */
   int remote_zone;
   int work; /* index, as the attempt was chosen */
   int tried_count;
--- a/test/lib_hosts.h
+++ b/test/lib_hosts.h
@@ -26,6 +26,7 @@
   char body[64];
   bool open; /* not answered, failed or cancelled */
   bool cancelled;
+  bool refused; /* not run, as the test told the host */
   int resumes;
 };
 
@@ -39,6 +40,7 @@
   enum marjoram_outcome outcome;
   enum marjoram_reason reason;
   int64_t retry_ms;
+  int runs_before; /* runs of all requests when it was refused */
   int status;
   char body[256];
   char zone[MARJORAM_NAME_MAX + 1];
