--- a/src/daemon.c
+++ b/src/daemon.c
@@ -158,7 +158,7 @@
 {
   marjoram_daemon *daemon = context;
 
-  marjoram_disk_write (daemon->disk, ticket, marjoram_bytes_retain (record));
+  marjoram_disk_write (daemon->disk, ticket, record);
 }
 
 static void
--- a/src/host.h
+++ b/src/host.h
@@ -112,7 +112,7 @@
   void (*reply) (void *context, const char *slot, uint64_t session,
                  enum marjoram_frame_type type, const void *message);
   void (*hang_up) (void *context, const char *slot);
-  /* A keeper's disk; answered by marjoram_host_persisted.  */
+  /* A keeper's disk; takes RECORD; answered by marjoram_host_persisted.  */
   void (*persist) (void *context, uint64_t ticket, marjoram_bytes *record);
   /* Operators: answers one apply or replacement.  */
   void (*applied) (void *context, uint64_t request,
--- a/test/test_mix.c
+++ b/test/test_mix.c
@@ -84,7 +84,7 @@
             key < 0 ? mix->sending_count : key);
   sending->call = test_send (
       mix->hosts, host, sending->bound ? "bound" : "free", sending->body,
-      key < 0 ? NULL : mix->keys[key], false, DEADLINE_MS);
+      key < 0 ? NULL : mix->keys[key], below (mix, 3) == 0, DEADLINE_MS);
   mix->sending_count++;
 }
 
