--- a/test/test_host.c
+++ b/test/test_host.c
@@ -184,6 +184,58 @@
 }
 END_TEST
 
+/* An upstream of the other zone refuses a forwarded request though a second
+   one there is free.  Only the first host may try again: if each host on the
+   path did, attempts would multiply.  */
+START_TEST (receiver_does_not_retry)
+{
+  uint64_t call;
+
+  upstream (3, "u", 9000);
+  upstream (3, "v", 9001);
+  call = ask (0, "free", NULL, false);
+  ck_assert_int_eq (test_runs (hosts), 1);
+  test_fail (hosts, last_run (), MARJORAM_RUN_REFUSED);
+  ck_assert_int_eq (test_runs (hosts), 1);
+  test_deliver (hosts);
+  ck_assert (test_reply (hosts, call)->refused);
+  ck_assert_int_eq (test_reply (hosts, call)->outcome,
+                    MARJORAM_OUTCOME_NOT_RUN);
+}
+END_TEST
+
+/* Frames of another zone's answer in which a piece is missing, at the end or
+   in the middle.  The caller must not get the rest as if it were the whole. */
+START_TEST (answer_with_a_missing_piece_is_not_whole)
+{
+  static const struct
+  {
+    uint64_t offset;
+    uint64_t length;
+  } cases[] = { { 0, 9 }, { 3, 4 } };
+
+  upstream (3, "u", 9000);
+  for (uint64_t i = 0; i < 2; i++)
+    {
+      uint64_t number = i + 1;
+      uint64_t call = ask (0, "free", NULL, false);
+      char slot[] = { 'b', '-', (char)('1' + last_run ()->host - 3), 0 };
+      struct marjoram_head head = { number, 200, { NULL, 0 }, NULL };
+      struct marjoram_data data = { number, cases[i].offset, NULL };
+      struct marjoram_end end
+          = { .request = number, .length = cases[i].length };
+
+      data.bytes = marjoram_bytes_create ("half", 4);
+      test_forge (hosts, 0, slot, 0, MARJORAM_FRAME_HEAD, &head);
+      test_forge (hosts, 0, slot, 0, MARJORAM_FRAME_DATA, &data);
+      test_forge (hosts, 0, slot, 0, MARJORAM_FRAME_END, &end);
+      marjoram_bytes_release (data.bytes);
+      ck_assert (test_reply (hosts, call)->refused);
+      test_pass (hosts, 3000);
+    }
+}
+END_TEST
+
 /* Region ra is cut off from region rb: its callers are served, idempotent and
    not.  */
 START_TEST (region_cut_off_serves_its_own_callers)
@@ -536,6 +588,8 @@
   tcase_add_test (c, residency_holds_when_only_the_forbidden_region_has_room);
   tcase_add_test (c, residency_is_checked_at_receipt);
   tcase_add_test (c, forwarded_request_never_goes_on);
+  tcase_add_test (c, receiver_does_not_retry);
+  tcase_add_test (c, answer_with_a_missing_piece_is_not_whole);
   tcase_add_test (c, region_cut_off_serves_its_own_callers);
   tcase_add_test (c, broken_answer_is_retried_unseen);
   tcase_add_test (c, broken_stream_is_cut);
