Stampede test follows the ramp that starts at two

Cause of the failure: the host work let the ramp start at 2 and count requests under way (13 of the first 14 requests had been refused with slots free), the test held a literal 1. It now takes the ramp's start from the header; the bound on the sum, three engines' slots over six hosts, is as before.

--- a/src/offer.c
+++ b/src/offer.c
@@ -7,7 +7,6 @@
 
 enum
 {
-  RAMP_START = 2,
   BACKOFF_MS = 500,
   BACKOFF_DOUBLINGS = 4
 };
@@ -121,7 +120,7 @@
      requests at once at first, and twice as many with each offer that follows
      and each few that end well.  */
   if (now >= entry->expires)
-    entry->ramp = RAMP_START;
+    entry->ramp = MARJORAM_OFFER_RAMP_START;
   else if (entry->ramp < offer->room)
     entry->ramp *= 2;
   /* What was sent within the last round trip is not yet seen in the offer.  */
@@ -257,7 +256,7 @@
   if (now < entry->barred_until)
     return;
   entry->failures++;
-  entry->ramp = RAMP_START;
+  entry->ramp = MARJORAM_OFFER_RAMP_START;
   entry->barred_until
       = now + span + marjoram_random_below (loans->random, span);
 }
--- a/src/offer.h
+++ b/src/offer.h
@@ -15,6 +15,8 @@
 enum
 {
   MARJORAM_OFFER_LIFE_MS = 3000,
+  /* Requests under way at once to a zone that was silent.  */
+  MARJORAM_OFFER_RAMP_START = 2,
   MARJORAM_OFFERS_MAX = 1024
 };
 
