Addresses in one module; pages after a trial of the daemon

Found and not mended here, in daemon.c: after a drain by command the first SIGTERM does not end the process.

--- a/src/control.c
+++ b/src/control.c
@@ -1,5 +1,6 @@
 #include "control.h"
 
+#include "address.h"
 #include "cleanup.h"
 #include "config.h"
 #include "config_file.h"
@@ -472,19 +473,15 @@
     }
 }
 
-/* Splits IP:port as settings have it.  */
 static bool
 bind_address (struct evhttp *http, const char *address,
               struct marjoram_error *err)
 {
-  char ip[64];
-  const char *colon = strrchr (address, ':');
-  const char *start = address + (*address == '[');
+  char ip[MARJORAM_IP_MAX];
+  uint16_t port;
 
-  snprintf (ip, sizeof ip, "%.*s",
-            (int)(colon - start - (*address == '[' ? 1 : 0)), start);
-  if (evhttp_bind_socket_with_handle (http, ip,
-                                      (uint16_t)strtoul (colon + 1, NULL, 10)))
+  if (marjoram_address_split (address, ip, &port)
+      && evhttp_bind_socket_with_handle (http, ip, port))
     return true;
   return marjoram_error_set (err, MARJORAM_ERROR_IO,
                              "can't listen on control address %s: %s; see "
--- a/src/control_client.c
+++ b/src/control_client.c
@@ -1,5 +1,6 @@
 #include "control_client.h"
 
+#include "address.h"
 #include "cleanup.h"
 #include "control_proof.h"
 
@@ -68,14 +69,11 @@
 static struct evhttp_connection *
 connect_to (struct event_base *base, const char *address)
 {
-  char ip[64];
-  bool v6 = *address == '[';
-  const char *colon = strrchr (address, ':');
-  const char *start = address + v6;
-
-  snprintf (ip, sizeof ip, "%.*s", (int)(colon - start - v6), start);
-  return evhttp_connection_base_new (base, NULL, ip,
-                                     (uint16_t)strtoul (colon + 1, NULL, 10));
+  char ip[MARJORAM_IP_MAX] = "";
+  uint16_t port = 0;
+
+  marjoram_address_split (address, ip, &port);
+  return evhttp_connection_base_new (base, NULL, ip, port);
 }
 
 /* CALL's proof goes along unless it is null.  */
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -1,5 +1,6 @@
 #include "ctl.h"
 
+#include "address.h"
 #include "cleanup.h"
 #include "config.h"
 #include "config_file.h"
@@ -448,7 +449,7 @@
   { "counters", 0, 0, true, run_counters,
     "counters               the host's counters" },
   { "drain", 0, 0, true, run_drain,
-    "drain                  finish all requests in progress, then exit" },
+    "drain                  take no new requests, finish those in progress" },
   { "replace-keeper", 2, 2, true, run_replace,
     "replace-keeper OLD NEW keeper of slot NEW in place of OLD" },
   { "new-secret", 1, 1, false, run_new_secret,
--- a/src/ctl_print.c
+++ b/src/ctl_print.c
@@ -28,7 +28,7 @@
     {
       size_t used = 0;
 
-      text[0] = 0;
+      snprintf (text, CELL_MAX, "%s", json_array_size (value) ? "" : "none");
       for (size_t i = 0; i < json_array_size (value) && used < CELL_MAX; i++)
         {
           const char *item = json_string_value (json_array_get (value, i));
@@ -108,6 +108,9 @@
 static void
 print_text (FILE *out, const char *name, const char *text)
 {
+  /* What is empty has no news for people.  */
+  if (!*text)
+    return;
   if (!strchr (text, '\n'))
     {
       fprintf (out, "%s: %s\n", name, text);
--- a/src/ini_key.c
+++ b/src/ini_key.c
@@ -1,21 +1,14 @@
 #include "ini_key.h"
 
+#include "address.h"
 #include "cleanup.h"
 
-#include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
-#include <event2/util.h>
 #include <math.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
 
-enum
-{
-  ADDRESS_TEXT_MAX = INET6_ADDRSTRLEN + sizeof "[]:65535"
-};
-
 bool
 marjoram_name_valid (const char *text, bool dots)
 {
@@ -31,31 +24,6 @@
   return true;
 }
 
-char *
-marjoram_address_parse (const char *text)
-{
-  struct sockaddr_storage storage = { 0 };
-  int size = sizeof storage;
-  char ip[INET6_ADDRSTRLEN];
-  char whole[ADDRESS_TEXT_MAX];
-  const struct sockaddr_in *v4 = (const struct sockaddr_in *)&storage;
-  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)&storage;
-
-  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&storage, &size))
-    return NULL;
-  if (storage.ss_family == AF_INET && v4->sin_port)
-    snprintf (whole, sizeof whole, "%s:%u",
-              inet_ntop (AF_INET, &v4->sin_addr, ip, sizeof ip),
-              ntohs (v4->sin_port));
-  else if (storage.ss_family == AF_INET6 && v6->sin6_port)
-    snprintf (whole, sizeof whole, "[%s]:%u",
-              inet_ntop (AF_INET6, &v6->sin6_addr, ip, sizeof ip),
-              ntohs (v6->sin6_port));
-  else
-    return NULL;
-  return marjoram_strdup (whole);
-}
-
 struct marjoram_names
 marjoram_names_parse (const char *text)
 {
--- a/src/ini_key.h
+++ b/src/ini_key.h
@@ -53,8 +53,6 @@
 
 /* Whether TEXT is a name that may stand in settings and configuration.  */
 bool marjoram_name_valid (const char *text, bool dots);
-/* IP:port in its usual form, malloc'd; null if TEXT isn't one.  */
-char *marjoram_address_parse (const char *text);
 struct marjoram_names marjoram_names_parse (const char *text);
 void marjoram_names_clear (struct marjoram_names *names);
 /* Whether the list is the one word "all".  */
--- a/src/settings.c
+++ b/src/settings.c
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include "address.h"
 #include "cleanup.h"
 #include "ini_key.h"
 #include "secret.h"
