--- a/src/ctl.c
+++ b/src/ctl.c
@@ -17,7 +17,8 @@
 {
   STATUS_OK = 200,
   PATH_TEXT_MAX = 1024,
-  ADDRESS_TEXT_MAX = 64
+  ADDRESS_TEXT_MAX = 64,
+  OPERANDS_MAX = MARJORAM_FILES_MAX
 };
 
 /* One run of a command.  */
@@ -32,6 +33,7 @@
   const char *hosts[MARJORAM_CTL_HOSTS_MAX];
   size_t host_count;
   char address[ADDRESS_TEXT_MAX]; /* from the settings */
+  char *names[OPERANDS_MAX];      /* of the operands' files */
 };
 
 static enum marjoram_ctl_status
@@ -57,28 +59,24 @@
 
 /* The path of the operand that holds the file NAME.  */
 static const char *
-path_of (const struct marjoram_state *state, const char *name, size_t length,
-         char *const *paths)
+path_of (struct run *run, const char *name, size_t length)
 {
-  const struct marjoram_file *files = state->files.items;
-
-  for (size_t i = 0; i < state->files.count; i++)
-    if (strlen (files[i].name) == length
-        && strncmp (files[i].name, name, length) == 0)
-      return paths[i];
+  for (int i = 0; i < run->arg_count; i++)
+    if (run->names[i] && strlen (run->names[i]) == length
+        && strncmp (run->names[i], name, length) == 0)
+      return run->args[i];
   return NULL;
 }
 
 /* Faults name the file as it calls itself; people look for its path.  */
 static void
-print_faults (struct run *run, const struct marjoram_state *state,
-              const char *faults)
+print_faults (struct run *run, const char *faults)
 {
   while (*faults)
     {
       size_t length = strcspn (faults, "\n");
       size_t name = strcspn (faults, ":\n");
-      const char *path = path_of (state, faults, name, run->args);
+      const char *path = path_of (run, faults, name);
 
       if (path)
         fprintf (run->errors, "%s%.*s\n", path, (int)(length - name),
@@ -89,6 +87,32 @@
     }
 }
 
+/* Prints an answer that may hold faults: those go where errors go, unless JSON
+   is wanted.  Takes over OBJECT.  */
+static void
+print_answer (struct run *run, json_t *object)
+{
+  const char *faults = json_string_value (json_object_get (object, "faults"));
+
+  if (faults && !run->options->json)
+    {
+      print_faults (run, faults);
+      json_object_del (object, "faults");
+    }
+  print_object (run, object);
+}
+
+/* Loads operand INDEX and notes the name that faults will give it.  */
+static bool
+load_operand (struct run *run, int index, struct marjoram_file *file,
+              struct marjoram_error *err)
+{
+  if (!marjoram_config_file_load (run->args[index], file, err))
+    return false;
+  run->names[index] = marjoram_strdup (file->name);
+  return true;
+}
+
 /* Reads the operands as one state.  */
 static bool
 load_files (struct run *run, struct marjoram_state *state)
@@ -100,7 +124,7 @@
     {
       struct marjoram_file file = { 0 };
 
-      if (!marjoram_config_file_load (run->args[i], &file, &err))
+      if (!load_operand (run, i, &file, &err))
         {
           fprintf (run->errors, "%s\n", err.message);
           good = false;
@@ -133,7 +157,7 @@
   config = marjoram_config_create (state, &faults, NULL);
   if (!config)
     {
-      print_faults (run, state, faults);
+      print_faults (run, faults);
       return MARJORAM_CTL_REFUSED;
     }
   print_object (run, json_pack ("{sbsssisisisisi}", "valid", 1, "cluster",
@@ -274,7 +298,7 @@
   enum marjoram_ctl_status status = MARJORAM_CTL_DONE;
   json_t *object;
 
-  if (!marjoram_config_file_load (run->args[0], &file, &err))
+  if (!load_operand (run, 0, &file, &err))
     return complain (run, MARJORAM_CTL_REFUSED, err.message);
   result = ask (run, "POST", "/control/diff", file.text, &answer, &err);
   marjoram_wire_clear (&marjoram_file_layout, &file);
@@ -289,7 +313,7 @@
       object = json_loadb (answer.body, answer.size, 0, NULL);
       if (!json_is_true (json_object_get (object, "valid")))
         status = MARJORAM_CTL_REFUSED;
-      print_object (run, object);
+      print_answer (run, object);
     }
   marjoram_control_answer_clear (&answer);
   return status;
@@ -359,7 +383,7 @@
       object = json_loadb (answer.body, answer.size, 0, NULL);
       status = change_status (object);
       json_object_set_new (object, "change_id", json_string (id));
-      print_object (run, object);
+      print_answer (run, object);
     }
   if (status == MARJORAM_CTL_UNKNOWN)
     tell_resend (run, id);
@@ -374,7 +398,7 @@
   struct marjoram_error err;
   enum marjoram_ctl_status status;
 
-  if (!marjoram_config_file_load (run->args[0], &file, &err))
+  if (!load_operand (run, 0, &file, &err))
     return complain (run, MARJORAM_CTL_REFUSED, err.message);
   status = change (run, "/control/apply", file.text);
   marjoram_wire_clear (&marjoram_file_layout, &file);
@@ -420,11 +444,6 @@
   return status;
 }
 
-enum
-{
-  ANY = 64
-};
-
 static const struct command
 {
   const char *name;
@@ -434,7 +453,7 @@
   enum marjoram_ctl_status (*run) (struct run *run);
   const char *usage;
 } commands[] = {
-  { "check", 1, ANY, false, run_check,
+  { "check", 1, OPERANDS_MAX, false, run_check,
     "check FILE...          check the whole set of files, offline" },
   { "diff", 1, 1, true, run_diff,
     "diff FILE              show what applying FILE would change" },
@@ -552,6 +571,7 @@
                      .out = out,
                      .errors = errors };
   const struct command *command;
+  enum marjoram_ctl_status status;
 
   if (arg_count < 1)
     return complain (&run, MARJORAM_CTL_USAGE, "no command; see --help");
@@ -563,5 +583,8 @@
       fprintf (errors, "usage: marjoramctl [OPTION]... %s\n", command->usage);
       return MARJORAM_CTL_USAGE;
     }
-  return command->online ? run_online (&run, command) : command->run (&run);
+  status = command->online ? run_online (&run, command) : command->run (&run);
+  for (int i = 0; i < run.arg_count; i++)
+    free (run.names[i]);
+  return status;
 }
