--- a/src/agree.c
+++ b/src/agree.c
@@ -29,6 +29,7 @@
       return;
     }
   host->self = marjoram_config_slot (host->config, index)->ordinal;
+  marjoram_members_set_self (host->members, host->self);
   if (!host->claims)
     marjoram_host_create_zone (host);
 }
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -281,6 +281,14 @@
   marjoram_host_drain (daemon->host, marjoram_clock_now (daemon->clock));
 }
 
+static void
+control_unproved (void *context)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_counters_add (daemon->counters, MARJORAM_COUNTER_BAD_SECRET, 1);
+}
+
 static const struct marjoram_control_ops control_ops = {
   .status = control_status,
   .upstreams = control_upstreams,
@@ -290,6 +298,7 @@
   .apply = control_apply,
   .replace = control_replace,
   .drain = control_drain,
+  .unproved = control_unproved,
 };
 
 /* ---- Timer and signals.  ---- */
--- a/src/host.c
+++ b/src/host.c
@@ -34,7 +34,7 @@
   host->self = -1;
   STAILQ_INIT (&host->claim_results);
   host->requests = marjoram_requests_create ();
-  host->members = marjoram_members_create (settings->zone, 0);
+  host->members = marjoram_members_create (settings->zone, -1);
   host->suspects = marjoram_suspects_create (SUSPECT_KEEP_MS);
   marjoram_suspects_set_report (host->suspects, marjoram_host_report_suspect,
                                 host);
@@ -89,8 +89,8 @@
   marjoram_log (MARJORAM_LOG_NOTICE, "upstream %s: lease expired", name);
 }
 
-/* To each host of another zone that this host has a session to: what this zone
-   lends to that one.  */
+/* To each host that this one has a session to: what this zone lends to the
+   other's, and how much each caller uses here.  */
 static void
 send_offers (marjoram_host *host, int64_t now)
 {
@@ -110,8 +110,6 @@
     if (slot < 0 || !link->up)
       continue;
     zone = marjoram_config_slot (host->config, slot)->zone;
-    if (zone == host->zone)
-      continue;
     marjoram_router_offer (host->router, now, zone, &offers);
     host->ops->send (host->context, link->slot, MARJORAM_FRAME_OFFERS,
                      &offers);
--- a/src/host_peer.c
+++ b/src/host_peer.c
@@ -3,6 +3,21 @@
 #include "cleanup.h"
 #include "log.h"
 
+/* A host of this zone that was away, or has just started, hears of the
+   upstreams that announced themselves meanwhile.  */
+static void
+tell_upstreams (marjoram_host *host, int64_t now, const char *slot)
+{
+  struct marjoram_announcement announcement;
+
+  if (marjoram_host_ordinal (host, slot) < 0)
+    return;
+  for (size_t i = 0; i < marjoram_members_count (host->members); i++)
+    if (marjoram_members_relay (host->members, now, i, &announcement))
+      host->ops->send (host->context, slot, MARJORAM_FRAME_UPSTREAM,
+                       &announcement);
+}
+
 void
 marjoram_host_link_up (marjoram_host *host, int64_t now, const char *slot,
                        uint64_t incarnation)
@@ -19,6 +34,7 @@
   link->sent = now - MARJORAM_HEARTBEAT_MS;
   marjoram_counters_add (host->counters, MARJORAM_COUNTER_PEER_CONNECTS, 1);
   marjoram_forward_link_up (host, now, slot);
+  tell_upstreams (host, now, slot);
   marjoram_links_tick (host, now);
 }
 
@@ -51,6 +67,8 @@
     marjoram_members_heard (host->members, now, ordinal,
                             heartbeat->incarnation, heartbeat->draining);
   marjoram_spread_heard (host->spread, now, slot, heartbeat->config_number);
+  if (host->keeper && heartbeat->config_number > 0)
+    marjoram_keeper_heard (host->keeper, heartbeat->config_number);
 }
 
 /* Frames that only hosts of the same zone may send.  */
--- a/src/limit.c
+++ b/src/limit.c
@@ -75,6 +75,12 @@
   return limits;
 }
 
+void
+marjoram_limits_set_self (marjoram_limits *limits, int self)
+{
+  limits->self = self;
+}
+
 static void
 forget_sources (marjoram_limits *limits)
 {
--- a/src/limit.h
+++ b/src/limit.h
@@ -25,6 +25,8 @@
 extern const struct marjoram_layout marjoram_usage_layout;
 
 marjoram_limits *marjoram_limits_create (int self);
+/* Once the configuration tells this host's ordinal.  */
+void marjoram_limits_set_self (marjoram_limits *limits, int self);
 void marjoram_limits_destroy (marjoram_limits *limits);
 /* ZONE is this host's.  Retains CONFIG; what callers have used stays.  */
 void marjoram_limits_configure (marjoram_limits *limits, int64_t now,
--- a/src/member.c
+++ b/src/member.c
@@ -115,6 +115,12 @@
   free (members);
 }
 
+void
+marjoram_members_set_self (marjoram_members *members, int self)
+{
+  members->self = self;
+}
+
 int
 marjoram_members_self (const marjoram_members *members)
 {
--- a/src/member.h
+++ b/src/member.h
@@ -73,7 +73,9 @@
 
 marjoram_members *marjoram_members_create (const char *zone, int self);
 void marjoram_members_destroy (marjoram_members *members);
-/* The ordinal and the zone that it was created with.  */
+/* Once the configuration tells this host's ordinal; -1 before.  */
+void marjoram_members_set_self (marjoram_members *members, int self);
+/* The ordinal, and the zone that it was created with.  */
 int marjoram_members_self (const marjoram_members *members);
 const char *marjoram_members_zone (const marjoram_members *members);
 
--- a/src/report.c
+++ b/src/report.c
@@ -126,15 +126,16 @@
           && marjoram_link_find (host, slot->name))
         json_array_append_new (hosts, host_report (host, now, slot));
     }
-  return json_pack ("{s:s, s:s, s:I, s:b, s:b, s:I, s:b, s:b, s:I, s:o, s:o}",
-                    "slot", settings->slot, "zone", settings->zone,
-                    "incarnation", (json_int_t)host->incarnation, "draining",
-                    host->draining, "ready", marjoram_host_ready (host),
-                    "config_number", (json_int_t)number, "keeper",
-                    host->keeper != NULL, "votes",
-                    host->keeper && marjoram_keeper_votes (host->keeper),
-                    "requests", (json_int_t)marjoram_host_request_count (host),
-                    "files", files_in_force (host), "hosts", hosts);
+  return json_pack (
+      "{s:s, s:s, s:I, s:b, s:b, s:I, s:b, s:b, s:s?, s:I, s:o, s:o}", "slot",
+      settings->slot, "zone", settings->zone, "incarnation",
+      (json_int_t)host->incarnation, "draining", host->draining, "ready",
+      marjoram_host_ready (host), "config_number", (json_int_t)number,
+      "keeper", host->keeper != NULL, "votes",
+      host->keeper && marjoram_keeper_votes (host->keeper), "trouble",
+      host->keeper ? marjoram_keeper_trouble (host->keeper) : NULL, "requests",
+      (json_int_t)marjoram_host_request_count (host), "files",
+      files_in_force (host), "hosts", hosts);
 }
 
 static json_t *
--- a/src/route.c
+++ b/src/route.c
@@ -95,6 +95,8 @@
   router->zone = marjoram_config_find_zone (config, router->zone_name);
   if (router->zone < 0)
     return;
+  marjoram_limits_set_self (router->limits,
+                            marjoram_members_self (router->members));
   marjoram_limits_configure (router->limits, now, config, router->zone);
   marjoram_chooser_configure (router->chooser, config);
   marjoram_loans_configure (router->loans, config, router->zone);
