Claims: a host that still recovers calls no key expired

Ruled out: the clock and the key's prefix (same host). Now it gives no vote until it has recovered, and is asked again. test_host: fails before, passes now.

--- a/src/claim_attempt.c
+++ b/src/claim_attempt.c
@@ -319,8 +319,10 @@
   const struct marjoram_claim_record *record
       = marjoram_claim_records_find (claims->records, entry->key);
 
+  /* While its peers still have to give back what it knew, this host can't say
+     that the key is lost: its asker asks again.  */
   if (key_blocked (claims, entry->issued))
-    return MARJORAM_VOTE_BLOCKED;
+    return claims->recovery.done ? MARJORAM_VOTE_BLOCKED : MARJORAM_VOTE_NONE;
   for (; record; record = record->next)
     {
       struct marjoram_claim_entry held;
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -382,6 +382,26 @@
 }
 END_TEST
 
+/* A neighbour has just restarted and still asks its peers for what it knew,
+   when a new key needs its vote.  The key must not be called expired for that.
+ */
+START_TEST (recovering_neighbour_calls_no_key_expired)
+{
+  char key[MARJORAM_KEY_MAX];
+  uint64_t call;
+
+  upstream (0, "u", 9000);
+  test_cut (hosts, 0, 2, true);
+  test_cut (hosts, 1, 2, true);
+  new_key (key, 0, 9);
+  test_restart (hosts, 1);
+  call = ask (0, "free", key, false);
+  test_pass (hosts, 3000);
+  ck_assert_int_ne (test_reply (hosts, call)->reason,
+                    MARJORAM_REASON_KEY_EXPIRED);
+}
+END_TEST
+
 /* The first host dies after the answer; the caller, who has not got it, asks
    another host of the zone by the key.  */
 START_TEST (answer_survives_its_host)
@@ -596,6 +616,7 @@
   tcase_add_test (c, late_answer_of_an_earlier_attempt_is_dropped);
   tcase_add_test (c, non_idempotent_request_is_not_retried);
   tcase_add_test (c, resent_request_runs_once);
+  tcase_add_test (c, recovering_neighbour_calls_no_key_expired);
   tcase_add_test (c, answer_survives_its_host);
   tcase_add_test (c, request_survives_a_broken_link);
   tcase_add_test (c, lost_forward_is_proved_not_run);
