--- a/src/keeper.c
+++ b/src/keeper.c
@@ -394,7 +394,7 @@
 }
 
 static bool
-can_form (const marjoram_keeper *keeper)
+hears_first (const marjoram_keeper *keeper)
 {
   bool ours = false;
 
@@ -407,7 +407,21 @@
                                                 - MARJORAM_KEEPER_ALIVE_MS))
         return false;
     }
-  return ours && !keeper->formed;
+  return ours;
+}
+
+/* Not while a peer knows of a state that was not learned yet: it may be more
+   than a founding one.  */
+bool
+marjoram_keeper_may_form (const marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_peer *peer;
+
+  TAILQ_FOREACH (peer, &keeper->peers, link)
+  if (peer->heard_at >= keeper->now - MARJORAM_KEEPER_ALIVE_MS
+      && peer->number > marjoram_value_number (keeper->chosen))
+    return false;
+  return !keeper->formed;
 }
 
 /* What nobody else may finish: a first state, a value that a majority may have
@@ -416,13 +430,16 @@
 static bool
 unsettled (const marjoram_keeper *keeper)
 {
+  const marjoram_value *current;
+
   if (!marjoram_keeper_may_vote (keeper))
     return false;
-  if (!marjoram_keeper_current (keeper))
-    return can_form (keeper);
-  if (!marjoram_value_equal (keeper->acceptor.value, keeper->chosen))
-    return true;
-  return marjoram_value_state (keeper->chosen)->next_members.count > 0;
+  current = marjoram_keeper_current (keeper);
+  if (current && marjoram_value_equal (keeper->acceptor.value, keeper->chosen))
+    return marjoram_value_state (current)->next_members.count > 0;
+  if (!current || marjoram_value_is_founding (current))
+    return hears_first (keeper) && marjoram_keeper_may_form (keeper);
+  return true;
 }
 
 /* Waits a random while, so that one keeper does it and not all at once.  */
--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -108,7 +108,8 @@
                        const struct marjoram_ballot *ballot,
                        marjoram_value *value)
 {
-  keeper->formed = true;
+  if (!marjoram_value_is_founding (value))
+    keeper->formed = true;
   if (marjoram_acceptor_learn (&keeper->acceptor, ballot, value))
     keeper->sequence++;
   if (marjoram_value_number (value) <= marjoram_value_number (keeper->chosen))
@@ -227,7 +228,10 @@
     return false;
   if (record->value_is_chosen)
     keeper->chosen = marjoram_value_retain (keeper->acceptor.value);
-  keeper->formed = keeper->chosen || keeper->acceptor.value;
+  keeper->formed
+      = (keeper->acceptor.value
+         && !marjoram_value_is_founding (keeper->acceptor.value))
+        || (keeper->chosen && !marjoram_value_is_founding (keeper->chosen));
   keeper->round = record->promised.round;
   return true;
 }
--- a/src/keeper_mail.c
+++ b/src/keeper_mail.c
@@ -214,8 +214,6 @@
                    MARJORAM_KEEPER_GREETED, envelope->echo);
   else if (peer && peer->knows_us && envelope->echo > peer->echo)
     peer->echo = envelope->echo;
-  if (peer && peer->number > 0)
-    keeper->formed = true;
   if (peer)
     offer_state (keeper, peer);
 }
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -67,7 +67,7 @@
   bool broken; /* a write failed: memory is ahead of the disk */
   bool barred; /* the store was restored from an older copy */
   bool met;    /* a majority knows this life of the store */
-  bool formed; /* somewhere a state was chosen */
+  bool formed; /* somewhere a change was chosen */
 
   struct marjoram_keeper_peers peers;
   struct marjoram_keeper_requests requests;
@@ -120,6 +120,8 @@
 bool marjoram_keeper_load (marjoram_keeper *keeper,
                            const marjoram_bytes *packed,
                            struct marjoram_error *err);
+/* Whether a first state may be formed, as far as this keeper knows.  */
+bool marjoram_keeper_may_form (const marjoram_keeper *keeper);
 void marjoram_keeper_answer_decided (marjoram_keeper *keeper);
 
 void marjoram_keeper_start_attempt (marjoram_keeper *keeper);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -52,18 +52,31 @@
                                  MARJORAM_KEEPER_BACKOFF_MS << doublings);
 }
 
-static struct marjoram_state *
-first_state (const marjoram_keeper *keeper)
+/* The stores that answered are the first members; a founding value that names
+   just these is proposed again.  */
+static marjoram_value *
+founding_value (const marjoram_keeper *keeper)
 {
+  const struct marjoram_attempt *attempt = &keeper->attempt;
   struct marjoram_state *state = marjoram_state_copy (NULL);
+  bool known = attempt->best != NULL;
 
-  state->number = 1;
+  state->number = marjoram_value_number (attempt->best) + 1;
   for (size_t i = 0; i < keeper->first_count; i++)
-    marjoram_voters_add (
-        &state->members, keeper->first[i],
-        marjoram_voters_find (&keeper->attempt.votes, keeper->first[i])
-            ->store_id);
-  return state;
+    {
+      const struct marjoram_keeper_member *vote
+          = marjoram_voters_find (&attempt->votes, keeper->first[i]);
+
+      marjoram_voters_add (&state->members, vote->slot, vote->store_id);
+      known = known
+              && marjoram_voters_hold (
+                  &marjoram_value_state (attempt->best)->members, vote->slot,
+                  vote->store_id);
+    }
+  if (!known)
+    return marjoram_value_create (state);
+  marjoram_state_destroy (state);
+  return marjoram_value_retain (attempt->best);
 }
 
 /* The store to admit: heard lately and holding all that is known chosen.
@@ -170,12 +183,12 @@
   struct marjoram_attempt *attempt = &keeper->attempt;
   marjoram_value *value;
 
-  if (!marjoram_attempt_read (attempt))
+  if (!marjoram_attempt_read (attempt, keeper->chosen))
     {
-      if (!keeper->formed
+      if (marjoram_keeper_may_form (keeper)
           && marjoram_attempt_may_form (attempt, keeper->first,
                                         keeper->first_count))
-        propose (keeper, marjoram_value_create (first_state (keeper)));
+        propose (keeper, founding_value (keeper));
       return;
     }
   value = next_value (keeper, attempt->best);
--- a/src/register.c
+++ b/src/register.c
@@ -133,6 +133,12 @@
   return value ? value->state->number : 0;
 }
 
+bool
+marjoram_value_is_founding (const marjoram_value *value)
+{
+  return value->state->changes.count == 0;
+}
+
 static void
 hold (struct marjoram_acceptor *acceptor, const struct marjoram_ballot *ballot,
       marjoram_value *value)
@@ -255,17 +261,25 @@
 }
 
 bool
-marjoram_attempt_read (const struct marjoram_attempt *attempt)
+marjoram_attempt_read (const struct marjoram_attempt *attempt,
+                       const marjoram_value *chosen)
 {
-  return attempt->best
-         && marjoram_quorum (&attempt->votes, attempt->best->state);
+  const marjoram_value *best = attempt->best;
+
+  if (!best)
+    return false;
+  if (marjoram_value_is_founding (best)
+      && !marjoram_value_equal (best, chosen))
+    return false;
+  return marjoram_quorum (&attempt->votes, best->state);
 }
 
 bool
 marjoram_attempt_may_form (const struct marjoram_attempt *attempt,
                            char *const *first, size_t count)
 {
-  if (attempt->best || count == 0)
+  if (count == 0
+      || (attempt->best && !marjoram_value_is_founding (attempt->best)))
     return false;
   for (size_t i = 0; i < count; i++)
     if (!marjoram_voters_find (&attempt->votes, first[i]))
@@ -305,7 +319,7 @@
 {
   const struct marjoram_state *state = attempt->proposed->state;
 
-  if (!attempt->best)
+  if (marjoram_value_is_founding (attempt->proposed))
     return all (&attempt->votes, &state->members);
   return marjoram_quorum (&attempt->votes, attempt->best->state)
          && marjoram_quorum (&attempt->votes, state);
--- a/src/register.h
+++ b/src/register.h
@@ -39,6 +39,13 @@
 /* 0 for null.  */
 uint64_t marjoram_value_number (const marjoram_value *value);
 
+/* Whether VALUE has no changes yet, only the stores of the first keepers.  A
+   disk may be lost before or after such a value was accepted there, and comes
+   back as another store; counted by majorities, two founding values could both
+   win with its help.  So each needs all keepers, in both phases, and until one
+   is chosen a later one may take its place.  */
+bool marjoram_value_is_founding (const marjoram_value *value);
+
 /* What one keeper has promised and accepted; durable before it is told.  */
 struct marjoram_acceptor
 {
@@ -91,11 +98,13 @@
                                 const char *slot, const char *store_id,
                                 const struct marjoram_ballot *accepted,
                                 marjoram_value *value);
-/* Whether the read is whole: a quorum of the highest value that was found.  */
-bool marjoram_attempt_read (const struct marjoram_attempt *attempt);
-/* Whether each slot of FIRST promised and none holds a value: only then may a
-   first value be formed, so that emptied disks can't form a second one beside
-   a keeper that remembers the first.  */
+/* Whether the read is whole: a quorum of the highest value that was found.  A
+   founding value is built upon only if it is CHOSEN, the one known to be.  */
+bool marjoram_attempt_read (const struct marjoram_attempt *attempt,
+                            const marjoram_value *chosen);
+/* Whether each slot of FIRST promised and none holds more than a founding
+   value: only then may one be formed, so that emptied disks can't form a
+   second one beside a keeper that remembers what the first became.  */
 bool marjoram_attempt_may_form (const struct marjoram_attempt *attempt,
                                 char *const *first, size_t count);
 void marjoram_attempt_propose (struct marjoram_attempt *attempt,
@@ -103,7 +112,7 @@
 void marjoram_attempt_accepted (struct marjoram_attempt *attempt,
                                 const char *slot, const char *store_id);
 /* Whether the proposed value is chosen: accepted by a quorum of its own
-   members and of those of the value before it; the first value by all.  */
+   members and of those of the value before it; a founding value by all.  */
 bool marjoram_attempt_chosen (const struct marjoram_attempt *attempt);
 
 #endif
--- a/test/test_register.c
+++ b/test/test_register.c
@@ -22,9 +22,11 @@
 state_of (const char *members, const char *next)
 {
   struct marjoram_state *state = marjoram_state_copy (NULL);
+  const struct marjoram_change change = { .id = (char *)"earlier" };
   char name[2] = "";
 
   state->number = 1;
+  marjoram_state_add_change (state, &change);
   for (; *members; members++)
     {
       name[0] = *members;
@@ -122,6 +124,41 @@
 }
 END_TEST
 
+/* Two of three keepers took up a first state that the third had not seen; then
+   one lost its disk, came back empty and helped the third to take up another.
+   Both had majorities.  A first state needs all keepers, and nothing is built
+   on one that is not known chosen.  */
+START_TEST (founding_value_needs_all)
+{
+  static char *const first[] = { (char *)"a", (char *)"b", (char *)"c" };
+  struct marjoram_attempt attempt = { .phase = MARJORAM_PHASE_IDLE };
+  const struct marjoram_ballot ballot = { 2, 1, 1 };
+  const struct marjoram_ballot before = { 1, 1, 1 };
+  struct marjoram_state *state = marjoram_state_copy (NULL);
+  marjoram_value *founding;
+
+  for (int i = 0; i < FIRST; i++)
+    marjoram_voters_add (&state->members, first[i], first[i]);
+  founding = marjoram_value_create (state);
+  marjoram_attempt_start (&attempt, &ballot);
+  marjoram_attempt_promised (&attempt, "a", "a", &before, founding);
+  marjoram_attempt_promised (&attempt, "b", "b", &before, founding);
+  ck_assert (!marjoram_attempt_read (&attempt, NULL));
+  ck_assert (marjoram_attempt_read (&attempt, founding));
+  ck_assert (!marjoram_attempt_may_form (&attempt, first, FIRST));
+  marjoram_attempt_promised (&attempt, "c", "c", &before, NULL);
+  ck_assert (marjoram_attempt_may_form (&attempt, first, FIRST));
+  marjoram_attempt_propose (&attempt, founding);
+  marjoram_attempt_accepted (&attempt, "a", "a");
+  marjoram_attempt_accepted (&attempt, "b", "b");
+  ck_assert (!marjoram_attempt_chosen (&attempt));
+  marjoram_attempt_accepted (&attempt, "c", "c");
+  ck_assert (marjoram_attempt_chosen (&attempt));
+  marjoram_attempt_stop (&attempt);
+  marjoram_value_release (founding);
+}
+END_TEST
+
 START_TEST (replacement_keeps_old_members_beside_new_ones)
 {
   struct marjoram_state *state = state_of ("abc", "");
@@ -400,6 +437,8 @@
   net->passes = NULL;
   net->accepts = 0;
   run (net, 10000);
+  ck_assert_int_gt (net->accepts, 1);
+  ck_assert (net->first_accept_has_next);
   ck_assert (marjoram_voters_find (
       &marjoram_keeper_state (net->peers[1].keeper)->members, "k3"));
   ck_assert_uint_eq (
@@ -560,6 +599,7 @@
   tcase_add_test (c, quorum_needs_majorities_of_old_and_new);
   tcase_add_test (c, emptied_disk_does_not_count);
   tcase_add_test (c, dropping_old_members_needs_them_too);
+  tcase_add_test (c, founding_value_needs_all);
   tcase_add_test (c, replacement_keeps_old_members_beside_new_ones);
   tcase_add_test (c, old_members_stay_until_the_step_is_known_chosen);
   tcase_add_test (c, ballots_are_used_once);
