A restarted keeper votes after a while though its known members are gone

Soak came to a halt: two disks were lost, each repaired or under repair; the one keeper that knew the last change of members needed the vote of one whose disk still named the members before, and which waited for a majority of those for ever. After ten seconds any keeper that knows this life will do; an older copy is still found by that one.

--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -65,26 +65,49 @@
   return 2 * count > keeper->first_count;
 }
 
-/* After a start no vote is given before a majority has met this life of the
-   store: had the disk been restored from an older copy, one of them would
-   remember writes that it lacks.  */
-void
-marjoram_keeper_check_met (marjoram_keeper *keeper)
+static bool
+met_majority (const marjoram_keeper *keeper)
 {
   struct marjoram_array met = { NULL, 0 };
+  const marjoram_value *value = marjoram_keeper_current (keeper);
   struct marjoram_keeper_peer *peer;
+  bool majority;
 
-  if (keeper->met)
-    return;
   marjoram_voters_add (&met, keeper->slot, keeper->store_id);
   TAILQ_FOREACH (peer, &keeper->peers, link)
   if (peer->knows_us && !marjoram_voters_find (&met, peer->slot))
     marjoram_voters_add (&met, peer->slot, peer->seen.store_id);
-  keeper->met
-      = marjoram_keeper_current (keeper) ? marjoram_quorum (
-            &met, marjoram_value_state (marjoram_keeper_current (keeper)))
-                                         : met_first (keeper, &met);
+  majority = value ? marjoram_quorum (&met, marjoram_value_state (value))
+                   : met_first (keeper, &met);
   marjoram_voters_clear (&met);
+  return majority;
+}
+
+static bool
+met_any (const marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_peer *peer;
+
+  TAILQ_FOREACH (peer, &keeper->peers, link)
+  if (peer->knows_us)
+    return true;
+  return false;
+}
+
+/* After a start no vote is given before a majority has met this life of the
+   store: had the disk been restored from an older copy, one of them would
+   remember writes that it lacks.  The members that this disk names may have
+   been replaced since, so that waiting for them could last for ever; after a
+   while any keeper will do.  */
+void
+marjoram_keeper_check_met (marjoram_keeper *keeper)
+{
+  if (keeper->met)
+    return;
+  if (keeper->met_by == 0)
+    keeper->met_by = keeper->now + MARJORAM_KEEPER_MEET_MS;
+  keeper->met = met_majority (keeper)
+                || (keeper->now >= keeper->met_by && met_any (keeper));
 }
 
 /* Given to the owner once it is on disk, so that no restart can bring back an
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -12,6 +12,7 @@
 enum
 {
   MARJORAM_KEEPER_GREET_MS = 1000,
+  MARJORAM_KEEPER_MEET_MS = 10000,
   /* A peer silent for longer is not counted on for a first start, or as the
      new keeper of a replacement.  */
   MARJORAM_KEEPER_ALIVE_MS = 3500,
@@ -64,10 +65,11 @@
   uint64_t sequence; /* of the last change in memory */
   uint64_t durable;  /* of the last change on disk */
   bool writing;
-  bool broken; /* a write failed: memory is ahead of the disk */
-  bool barred; /* the store was restored from an older copy */
-  bool met;    /* a majority knows this life of the store */
-  bool formed; /* somewhere a change was chosen */
+  bool broken;    /* a write failed: memory is ahead of the disk */
+  bool barred;    /* the store was restored from an older copy */
+  bool met;       /* a majority knows this life of the store */
+  int64_t met_by; /* when fewer will do; 0 before the first event */
+  bool formed;    /* somewhere a change was chosen */
 
   struct marjoram_keeper_peers peers;
   struct marjoram_keeper_requests requests;
--- a/test/lib_keepers.c
+++ b/test/lib_keepers.c
@@ -725,6 +725,20 @@
                     : NULL);
 }
 
+/* Requests from before the end may be decided yet.  */
+static void
+run_until_quiet (struct sim *sim)
+{
+  uint64_t number;
+
+  do
+    {
+      number = checks_number (sim->checks);
+      run_until (sim, sim->now + QUIET_MS);
+    }
+  while (number < checks_number (sim->checks) && !sim_breach (sim)[0]);
+}
+
 void
 sim_run (struct sim *sim)
 {
@@ -732,7 +746,7 @@
   heal (sim);
   run_until (sim, sim->now + QUIET_MS);
   run_last_change (sim);
-  run_until (sim, sim->now + QUIET_MS);
+  run_until_quiet (sim);
   if (!sim_breach (sim)[0])
     check_end (sim);
 }
--- a/test/lib_keepers_check.c
+++ b/test/lib_keepers_check.c
@@ -245,6 +245,12 @@
          && !marjoram_voters_find (&checks->latest->next_members, slot);
 }
 
+uint64_t
+checks_number (const struct checks *checks)
+{
+  return checks->latest ? checks->latest->number : 0;
+}
+
 bool
 checks_is_member (const struct checks *checks, const char *slot)
 {
--- a/test/lib_keepers_check.h
+++ b/test/lib_keepers_check.h
@@ -29,6 +29,8 @@
 /* Whether a state of at least NUMBER is known, and SLOT is no keeper in it. */
 bool checks_is_gone (const struct checks *checks, uint64_t number,
                      const char *slot);
+/* Of the latest state.  */
+uint64_t checks_number (const struct checks *checks);
 /* By the latest state.  */
 bool checks_is_member (const struct checks *checks, const char *slot);
 /* All is healed: SLOT must hold the latest state, which must keep all
