--- a/src/attempt.c
+++ b/src/attempt.c
@@ -131,6 +131,49 @@
   memcpy (q->zones_tried, request->zones_tried, sizeof q->zones_tried);
 }
 
+static bool
+was_tried (const struct marjoram_request *request, const char *upstream)
+{
+  for (int i = 0; i < request->tried_count; i++)
+    if (strcmp (request->tried[i], upstream) == 0)
+      return true;
+  return false;
+}
+
+static bool
+runs_work (const struct marjoram_announcement *announcement, const char *name)
+{
+  const struct marjoram_work_name *work = announcement->works.items;
+
+  for (size_t i = 0; i < announcement->works.count; i++)
+    if (strcmp (work[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+/* Whether the request is a suspect that only other suspects keep from its
+   upstreams.  It ran beside the one that kills them, most likely, and must not
+   be given up for that: its turn comes when they have ended.  */
+static bool
+waits_for_suspects (const marjoram_host *host, int64_t now,
+                    const struct marjoram_request *request)
+{
+  if (marjoram_suspects_get (host->suspects, now, request->digest)
+      != MARJORAM_SUSPICION_SUSPECT)
+    return false;
+  for (size_t i = 0; i < marjoram_members_count (host->members); i++)
+    {
+      const struct marjoram_upstream *upstream
+          = marjoram_members_at (host->members, i);
+
+      if (marjoram_upstream_usable (upstream, now)
+          && runs_work (upstream->announcement, request->call->work)
+          && !was_tried (request, upstream->announcement->name))
+        return true;
+    }
+  return false;
+}
+
 void
 marjoram_attempt_dispatch (marjoram_host *host, int64_t now,
                            struct marjoram_request *request)
@@ -158,6 +201,13 @@
     case MARJORAM_VERDICT_REFUSE:
       break;
     }
+  if (choice.reason != MARJORAM_REASON_CONVICTED
+      && waits_for_suspects (host, now, request))
+    {
+      request->state = MARJORAM_REQUEST_WAITING;
+      request->progress = now;
+      return;
+    }
   if (request->reason == MARJORAM_REASON_NONE
       || choice.reason == MARJORAM_REASON_CONVICTED)
     request->reason = choice.reason;
--- a/src/request.c
+++ b/src/request.c
@@ -204,6 +204,7 @@
                struct marjoram_request *request)
 {
   bool running = request->state != MARJORAM_REQUEST_CLAIMING
+                 && request->state != MARJORAM_REQUEST_WAITING
                  && request->state != MARJORAM_REQUEST_RESERVING;
 
   if (request->call->idempotent || !running)
@@ -295,6 +296,9 @@
   else if (request->state == MARJORAM_REQUEST_RESERVING && request->attempt
            && now - request->progress >= MARJORAM_RESERVE_MS)
     marjoram_attempt_reserved (host, now, request);
+  else if (request->state == MARJORAM_REQUEST_WAITING
+           && now - request->progress >= MARJORAM_RESERVE_MS)
+    marjoram_attempt_dispatch (host, now, request);
   else if (request->state == MARJORAM_REQUEST_REMOTE)
     marjoram_forward_tick (host, now, request);
   else if (request->state == MARJORAM_REQUEST_PROBING
--- a/src/request.h
+++ b/src/request.h
@@ -12,6 +12,7 @@
 enum marjoram_request_state
 {
   MARJORAM_REQUEST_CLAIMING,  /* waits for the claim's verdict */
+  MARJORAM_REQUEST_WAITING,   /* a suspect, waits for a place to be free */
   MARJORAM_REQUEST_RESERVING, /* a suspect, waits to be alone at its place */
   MARJORAM_REQUEST_LOCAL,     /* runs at an upstream of this zone */
   MARJORAM_REQUEST_REMOTE,    /* sent to a host of another zone */
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -280,6 +280,34 @@
 }
 END_TEST
 
+/* Two requests run at an upstream when it dies, so that each may be the one
+   that killed it.  They take turns at the only one that is left; the second is
+   not given up while it waits, and both are answered.  */
+START_TEST (suspects_take_turns)
+{
+  uint64_t calls[2];
+
+  upstream (0, "u", 9000);
+  for (int i = 0; i < 2; i++)
+    calls[i] = test_send (hosts, 0, "free", i ? "one" : "two", NULL, false,
+                          DEADLINE_MS);
+  test_announce (hosts, 0, "v", "a", 9001, 1, false);
+  test_deliver (hosts);
+  ck_assert_int_eq (test_runs (hosts), 2);
+  for (int i = 0; i < 2; i++)
+    test_fail (hosts, test_run (hosts, i), MARJORAM_RUN_BROKEN);
+  test_probed (hosts, 0, "u", false);
+  test_pass (hosts, 1000);
+  ck_assert_int_eq (test_runs (hosts), 3);
+  test_answer (hosts, last_run (), "first");
+  test_pass (hosts, 1000);
+  ck_assert_int_eq (test_runs (hosts), 4);
+  test_answer (hosts, last_run (), "second");
+  for (int i = 0; i < 2; i++)
+    ck_assert (test_reply (hosts, calls[i])->ended);
+}
+END_TEST
+
 /* The same in the middle of a stream: what was passed on can't be taken back,
    so the stream is cut, never continued by another upstream.  */
 START_TEST (broken_stream_is_cut)
@@ -612,6 +640,7 @@
   tcase_add_test (c, answer_with_a_missing_piece_is_not_whole);
   tcase_add_test (c, region_cut_off_serves_its_own_callers);
   tcase_add_test (c, broken_answer_is_retried_unseen);
+  tcase_add_test (c, suspects_take_turns);
   tcase_add_test (c, broken_stream_is_cut);
   tcase_add_test (c, late_answer_of_an_earlier_attempt_is_dropped);
   tcase_add_test (c, non_idempotent_request_is_not_retried);
