--- a/src/attempt.c
+++ b/src/attempt.c
@@ -42,6 +42,11 @@
             sizeof request->attempt, request);
 }
 
+enum
+{
+  RESERVE_SPREAD_MS = 500
+};
+
 static void
 run_at_upstream (marjoram_host *host, int64_t now,
                  struct marjoram_request *request)
@@ -103,8 +108,12 @@
       run_at_upstream (host, now, request);
       return;
     }
+  /* Of several that met here each waits a time of its own, so that they don't
+     meet again.  */
   marjoram_attempt_release (host, now, request, false);
-  marjoram_attempt_dispatch (host, now, request);
+  request->state = MARJORAM_REQUEST_WAITING;
+  request->progress
+      = now + marjoram_random_below (host->random, RESERVE_SPREAD_MS);
 }
 
 void
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -308,6 +308,39 @@
 }
 END_TEST
 
+/* The same, but the two are requests of two hosts, which hear of the death at
+   the same moment and know nothing of each other's.  They must not meet at the
+   upstream that is left: its death would convict neither.  */
+START_TEST (suspects_of_two_hosts_do_not_meet)
+{
+  uint64_t calls[2];
+  int open = 0;
+
+  upstream (0, "u", 9000);
+  for (int i = 0; i < 2; i++)
+    calls[i] = test_send (hosts, i, "free", i ? "one" : "two", NULL, false,
+                          DEADLINE_MS);
+  test_announce (hosts, 0, "v", "a", 9001, 1, false);
+  test_deliver (hosts);
+  for (int i = 0; i < 2; i++)
+    test_fail (hosts, test_run (hosts, i), MARJORAM_RUN_BROKEN);
+  for (int i = 0; i < 2; i++)
+    test_probed (hosts, i, "u", false);
+  for (int step = 0; step < 100; step++)
+    {
+      test_pass (hosts, 50);
+      open = 0;
+      for (int i = 2; i < test_runs (hosts); i++)
+        open += test_run (hosts, i)->open;
+      ck_assert_int_le (open, 1);
+      if (step % 10 == 9 && open == 1)
+        test_answer (hosts, last_run (), "turn");
+    }
+  for (int i = 0; i < 2; i++)
+    ck_assert (test_reply (hosts, calls[i])->ended);
+}
+END_TEST
+
 /* The same in the middle of a stream: what was passed on can't be taken back,
    so the stream is cut, never continued by another upstream.  */
 START_TEST (broken_stream_is_cut)
@@ -641,6 +674,7 @@
   tcase_add_test (c, region_cut_off_serves_its_own_callers);
   tcase_add_test (c, broken_answer_is_retried_unseen);
   tcase_add_test (c, suspects_take_turns);
+  tcase_add_test (c, suspects_of_two_hosts_do_not_meet);
   tcase_add_test (c, broken_stream_is_cut);
   tcase_add_test (c, late_answer_of_an_earlier_attempt_is_dropped);
   tcase_add_test (c, non_idempotent_request_is_not_retried);
