--- a/test/fake_engine.c
+++ b/test/fake_engine.c
@@ -169,7 +169,7 @@
       return;
     }
   engine_record_run (found, "resume");
-  engine_attach (found, request, offset);
+  engine_attach (found, request, offset, true);
   engine_deliver (found);
 }
 
@@ -209,6 +209,16 @@
   evhttp_send_reply (request, HTTP_OK, NULL, NULL);
 }
 
+/* POST /fake/leave: says that it leaves, and still takes what comes, so that
+   new work shows.  */
+static void
+leave (struct engine *engine, struct evhttp_request *request)
+{
+  announcer_leave (engine->announcer);
+  engine_record (engine, "leave", "", "", "", 0);
+  evhttp_send_reply (request, HTTP_OK, NULL, NULL);
+}
+
 static void
 handle (struct evhttp_request *request, void *context)
 {
@@ -218,6 +228,8 @@
 
   if (strcmp (uri, "/fake/fault") == 0)
     change_fault (engine, request);
+  else if (strcmp (uri, "/fake/leave") == 0)
+    leave (engine, request);
   else if (!engine->options.service && strcmp (uri, "/v1/orders") == 0)
     order (engine, request);
   else if (!engine->options.service
--- a/test/lib_engine.c
+++ b/test/lib_engine.c
@@ -101,12 +101,12 @@
 bool
 engine_cache_use (struct engine *engine, const char *prompt)
 {
-  size_t size = strnlen (prompt, PREFIX_BYTES);
-  uint64_t hash = XXH64 (prompt, size, 0);
+  uint64_t hash;
   bool found = false;
 
-  if (!engine->options.cache_size)
+  if (!engine->options.cache_size || strlen (prompt) < PREFIX_BYTES)
     return false;
+  hash = XXH64 (prompt, PREFIX_BYTES, 0);
   for (int i = 0; i < engine->cached && !found; i++)
     if (engine->cache[i] == hash)
       {
@@ -179,9 +179,11 @@
 }
 
 void
-engine_attach (struct run *run, struct evhttp_request *request, size_t offset)
+engine_attach (struct run *run, struct evhttp_request *request, size_t offset,
+               bool chunked)
 {
   detach (run);
+  run->chunked = chunked;
   run->reader = request;
   run->offset = offset;
   run->gone_ms = 0;
@@ -245,6 +247,12 @@
   char chunk[32];
 
   engine_record_run (run, "broken");
+  finish (run, RUN_ENDED);
+  if (run->replied)
+    {
+      evhttp_connection_free (evhttp_request_get_connection (run->reader));
+      return;
+    }
   if (run->fault == FAULT_CUT_LENGTH)
     snprintf (head, sizeof head,
               "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", run->size);
@@ -268,7 +276,6 @@
                 half, chunk);
     }
   send_raw (run, head, run->answer, half, true);
-  finish (run, RUN_ENDED);
 }
 
 static void
@@ -293,7 +300,7 @@
                      "Content-Type",
                      run->stream ? "text/event-stream" : "application/json");
   run->replied = true;
-  if (run->stream)
+  if (run->chunked)
     evhttp_send_reply_start (run->reader, HTTP_OK, NULL);
 }
 
@@ -305,7 +312,7 @@
   struct evhttp_request *request = run->reader;
 
   if (!request || run->fault == FAULT_SILENT
-      || (!run->stream && run->state != RUN_DONE))
+      || (!run->chunked && run->state != RUN_DONE))
     return;
   if (run->fault == FAULT_DOUBLE && run->state == RUN_DONE)
     {
@@ -317,7 +324,7 @@
   buffer = evbuffer_new ();
   evbuffer_add (buffer, run->answer + run->offset, run->ready - run->offset);
   run->offset = run->ready;
-  if (!run->stream)
+  if (!run->chunked)
     {
       detach (run);
       evhttp_send_reply (request, HTTP_OK, NULL, buffer);
@@ -364,15 +371,17 @@
     run->prefill_us = step_us * SLOW_FACTOR;
   run->produced
       = run->engine->options.service ? run->tokens : run->produced + 1;
+  if (run->fault >= FAULT_CUT_LENGTH && run->fault <= FAULT_TWO_LENGTHS
+      && 2 * run->produced >= run->tokens && run->reader)
+    {
+      answer_wrongly (run);
+      return;
+    }
   if (run->produced >= run->tokens)
     complete (run);
   else if (run->stream)
     run->ready = stand_in_stream_size (run->digest, run->produced);
-  if (run->fault >= FAULT_CUT_LENGTH && run->fault <= FAULT_TWO_LENGTHS
-      && 2 * run->produced >= run->tokens && run->reader)
-    answer_wrongly (run);
-  else
-    engine_deliver (run);
+  engine_deliver (run);
 }
 
 /* Whether the reader closed its side, which evhttp does not look for while a
@@ -476,7 +485,7 @@
 {
   TAILQ_INSERT_TAIL (&run->engine->active, run, active);
   run->engine->waiting++;
-  engine_attach (run, reader, 0);
+  engine_attach (run, reader, 0, run->stream);
 }
 
 struct run *
--- a/test/lib_engine.h
+++ b/test/lib_engine.h
@@ -64,6 +64,7 @@
   size_t size;
   size_t ready; /* bytes of the answer that are there */
   bool stream;
+  bool chunked; /* to the present reader */
   bool replied; /* the reader has got its head */
   int priority;
   int tokens;
@@ -156,9 +157,9 @@
 
 /* Queues RUN, which owns its memory from now on.  */
 void engine_add (struct run *run, struct evhttp_request *reader);
-/* REQUEST gets the answer from byte OFFSET on.  */
+/* REQUEST gets the answer from byte OFFSET on, in chunks or in one piece.  */
 void engine_attach (struct run *run, struct evhttp_request *request,
-                    size_t offset);
+                    size_t offset, bool chunked);
 void engine_deliver (struct run *run);
 struct run *engine_find (struct engine *engine, const char *id);
 /* One token for each running request and each token time that has passed, so
--- a/test/scenarios/prelude.lua
+++ b/test/scenarios/prelude.lua
@@ -406,17 +406,25 @@
   return true
 end
 
--- Switches a fault of an upstream on for the next COUNT runs with MATCH.
-function fault (name, word, count, match)
-  local body = string.format ('{"fault":"%s","count":%d,"match":"%s"}', word,
-                              count or -1, match or "")
+local function tell_upstream (name, path, body)
   local call = system.call { address = upstreams[name].listen, timeout = 5000,
-                             method = "POST", path = "/fake/fault",
-                             body = body }
-  wait_until (function () return system.answer (call) ~= nil end, word)
+                             method = "POST", path = path, body = body }
+  wait_until (function () return system.answer (call) ~= nil end, path)
   system.hang_up (call)
 end
 
+-- Switches a fault of an upstream on for the next COUNT runs with MATCH.
+function fault (name, word, count, match)
+  tell_upstream (name, "/fake/fault", string.format (
+    '{"fault":"%s","count":%d,"match":"%s"}', word, count or -1, match or ""))
+end
+
+-- It says that it leaves, and goes on taking what comes.
+function leave (name)
+  tell_upstream (name, "/fake/leave", "{}")
+  upstreams[name].left = system.now ()
+end
+
 -- Requests -----------------------------------------------------------------
 
 -- The key's prefix as HOST gives it out, and a part of its own.
@@ -433,6 +441,9 @@
                     ["Idempotency-Key"] = request.key,
                     ["Marjoram-Class"] = request.class }
   if request.idempotent == false then headers["Marjoram-Idempotent"] = "no" end
+  if request.key and not attempt.again then
+    headers["Marjoram-Resend"] = "no"
+  end
   if request.deadline then
     headers["Marjoram-Deadline-Ms"] = tostring (request.deadline)
   end
@@ -473,7 +484,8 @@
 
 -- The same request again, at another entry host or the same.
 function resend (attempt, host)
-  return transmit { request = attempt.request, host = host or attempt.host }
+  return transmit { request = attempt.request, host = host or attempt.host,
+                    again = true }
 end
 
 -- The caller goes away.
@@ -509,6 +521,34 @@
   return attempt
 end
 
+-- Sends a request made by MAKE each EVERY milliseconds until CONDITION holds
+-- or MS have passed; all attempts.
+function keep_sending (every, make, ms, condition)
+  local sent, last = {}, system.now () + ms
+  while system.now () < last and not (condition and condition ()) do
+    sent[#sent + 1] = make (#sent + 1)
+    pause (every)
+  end
+  return sent
+end
+
+function all_answered (list, wanted)
+  for _, attempt in ipairs (list) do expect (attempt, wanted or {}) end
+end
+
+-- A caller as docs/CALLERS.md wants it: when a host refuses, or can't be
+-- reached, it asks the next one.  The last attempt.
+function persist (attempt, order, limit)
+  for _, host in ipairs (order) do
+    wait_for (attempt, limit)
+    if attempt.outcome == "done" then return attempt end
+    if attempt.outcome ~= "not-run" and attempt.request.idempotent == false
+      and not attempt.request.key then return attempt end
+    attempt = resend (attempt, host)
+  end
+  return wait_for (attempt, limit)
+end
+
 function received (attempt)
   return attempt.call and system.received (attempt.call) or #attempt.body
 end
