--- a/test/scenarios/prelude.lua
+++ b/test/scenarios/prelude.lua
@@ -368,6 +368,17 @@
   return status, body
 end
 
+-- The value of a line of HOST's metrics page whose name holds NAME.
+function counter (host, name)
+  local _, body = get (host, "/metrics")
+  for line in body:gmatch ("[^\n]+") do
+    if not line:match ("^#") and line:find (name, 1, true) then
+      return tonumber (line:match ("(%S+)$"))
+    end
+  end
+  error ("no counter " .. name, 2)
+end
+
 function ready (host)
   return get (host, "/readyz") == 200
 end
