--- a/test/scenarios/prelude.lua
+++ b/test/scenarios/prelude.lua
@@ -128,7 +128,9 @@
 
 -- Links --------------------------------------------------------------------
 
+-- With "direct" in the site's description, nothing stands between.
 local function relay (from, to, target)
+  if site_of.direct then return target end
   local link = { from = from, to = to, address = address () }
   link.relay = assert (system.relay (link.address, target))
   links[from .. ">" .. to] = link
@@ -195,7 +197,7 @@
     "control = " .. host.control, "[log]", "level = debug", "[peers]" }
   for _, name in ipairs (sorted (hosts)) do
     if name ~= host.name then
-      lines[#lines + 1] = name .. " = " .. links[host.name .. ">" .. name].address
+      lines[#lines + 1] = name .. " = " .. host.peers[name]
     end
   end
   lines[#lines + 1] = "[keepers]\nfirst = " .. first
@@ -322,9 +324,10 @@
   write (secret, string.rep ("a secret of this run ", 3) .. "\n")
   system.make_private (secret)
   for _, a in ipairs (sorted (hosts)) do
+    hosts[a].peers = {}
     hosts[a].caller = relay ("caller", a, hosts[a].entry)
     for _, b in ipairs (sorted (hosts)) do
-      if a ~= b then relay (a, b, hosts[b].peer) end
+      if a ~= b then hosts[a].peers[b] = relay (a, b, hosts[b].peer) end
     end
   end
   for _, name in ipairs (sorted (hosts)) do
--- /dev/null
+++ b/test/tool_relay.c
@@ -0,0 +1,68 @@
+/* Carries TCP connections for the demonstration: each argument is
+   LISTEN=TARGET, both IP:port.  SIGUSR1 cuts all of them, as a network
+   partition does, and SIGUSR2 lets them through again.  */
+#include "lib_relay.h"
+
+#include <event2/event.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RELAYS_MAX = 256,
+  ADDRESS_SIZE = 64
+};
+
+static struct relay *relays[RELAYS_MAX];
+static int relay_count;
+
+static bool
+add (struct event_base *base, const char *pair)
+{
+  char listen[ADDRESS_SIZE];
+  const char *sign = strchr (pair, '=');
+
+  if (!sign || sign - pair >= ADDRESS_SIZE || relay_count == RELAYS_MAX)
+    return false;
+  snprintf (listen, sizeof listen, "%.*s", (int)(sign - pair), pair);
+  relays[relay_count] = relay_create (base, listen, sign + 1);
+  return relays[relay_count++];
+}
+
+static void
+change (evutil_socket_t number, short what, void *context)
+{
+  (void)what;
+  (void)context;
+  for (int i = 0; i < relay_count; i++)
+    relay_set_mode (relays[i], number == SIGUSR1 ? RELAY_HOLD : RELAY_PASS);
+}
+
+static void
+stop (evutil_socket_t number, short what, void *base)
+{
+  (void)number;
+  (void)what;
+  event_base_loopexit (base, NULL);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct event_base *base = event_base_new ();
+
+  signal (SIGPIPE, SIG_IGN);
+  for (int i = 1; i < argc; i++)
+    if (!add (base, argv[i]))
+      {
+        fprintf (stderr, "tool_relay: can't relay %s\n", argv[i]);
+        return EXIT_FAILURE;
+      }
+  event_add (evsignal_new (base, SIGUSR1, change, NULL), NULL);
+  event_add (evsignal_new (base, SIGUSR2, change, NULL), NULL);
+  event_add (evsignal_new (base, SIGTERM, stop, base), NULL);
+  event_base_dispatch (base);
+  return EXIT_SUCCESS;
+}
--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -483,18 +483,18 @@
   return good;
 }
 
+/* Runs PATH between prelude.lua and ending.lua of the folder VERBS.  */
 static bool
-run_scenario (const char *path, const char *programs, const char *folder,
-              uint64_t seed)
+run_scenario (const char *path, const char *verbs_folder, const char *programs,
+              const char *folder, uint64_t seed)
 {
   lua_State *lua = luaL_newstate ();
-  marjoram_auto_free char *copy = marjoram_strdup (path);
   char prelude[PATH_SIZE];
   char ending[PATH_SIZE];
   bool good;
 
-  snprintf (prelude, sizeof prelude, "%s/prelude.lua", dirname (copy));
-  snprintf (ending, sizeof ending, "%s/ending.lua", copy);
+  snprintf (prelude, sizeof prelude, "%s/prelude.lua", verbs_folder);
+  snprintf (ending, sizeof ending, "%s/ending.lua", verbs_folder);
   luaL_openlibs (lua);
   open_system (lua, programs, folder, seed);
   good = run_file (lua, prelude) && run_file (lua, path)
@@ -513,6 +513,7 @@
 static const struct option long_options[]
     = { { "seed", required_argument, NULL, 's' },
         { "keep", no_argument, NULL, 'k' },
+        { "prelude", required_argument, NULL, 'p' },
         { NULL, 0, NULL, 0 } };
 
 int
@@ -520,6 +521,8 @@
 {
   char folder[] = "/tmp/marjoram-scenario-XXXXXX";
   char programs[PATH_SIZE] = "";
+  marjoram_auto_free char *copy = NULL;
+  const char *verbs_folder = NULL;
   uint64_t seed = 1;
   bool keep = false;
   bool good;
@@ -530,11 +533,14 @@
       seed = strtoull (optarg, NULL, 10);
     else if (option == 'k')
       keep = true;
+    else if (option == 'p')
+      verbs_folder = optarg;
     else
       return EXIT_FAILURE;
   if (optind + 1 != argc || !realpath (argv[0], programs) || !mkdtemp (folder))
     {
-      fprintf (stderr, "usage: tool_scenario [--seed N] [--keep] FILE\n");
+      fprintf (stderr, "usage: tool_scenario [--seed N] [--keep] [--prelude "
+                       "FOLDER] FILE\n");
       return EXIT_FAILURE;
     }
   signal (SIGPIPE, SIG_IGN);
@@ -542,7 +548,10 @@
   pause_end = event_new (base, -1, 0, nothing, NULL);
   source = marjoram_random_create (seed);
   limit_ms = now_ms () + LIMIT_MS;
-  good = run_scenario (argv[optind], dirname (programs), folder, seed);
+  copy = marjoram_strdup (argv[optind]);
+  good = run_scenario (argv[optind],
+                       verbs_folder ? verbs_folder : dirname (copy),
+                       dirname (programs), folder, seed);
   if (!good || keep)
     show_logs (folder);
   else
