Spread: asks again by itself, waits a bounded time, gives no change results

Before, an ask within half a second of the last one was put off though that one had been answered (500 ms), and a lost answer waited for the next heartbeat (2.5 s once). Ruled out: asking several neighbours at once, which fetches each change more than once. A host that heard of a number that nobody can give served never; it now does after ten seconds. The keepers counted are the state's, so that settings which name replaced ones do no harm.

--- a/src/spread.c
+++ b/src/spread.c
@@ -11,16 +11,19 @@
   /* A host that is cut off at its start serves by the highest state that it
      has found after this time.  */
   START_WAIT_MS = 3000,
+  /* It waits longer for a state that it has heard of: whoever told of it may
+     be gone, but usually others have it.  */
+  HEARD_WAIT_MS = 10000,
   /* One ask at a time, so that a change is not fetched from every neighbour
      at once.  */
   ASK_AGAIN_MS = 500
 };
 
-/* A keeper, and whether this host has heard of it since its start.  */
-struct keeper
+/* A host that was heard since this one's start.  */
+struct heard
 {
-  char *slot;
-  bool heard;
+  UT_hash_handle hh;
+  char slot[MARJORAM_NAME_MAX + 1];
 };
 
 struct marjoram_spread
@@ -28,11 +31,14 @@
   const struct marjoram_spread_ops *ops;
   void *context;
   struct marjoram_state *state;
-  struct keeper *keepers;
+  char **keepers; /* of the settings */
   size_t keeper_count;
+  struct heard *heard;
   uint64_t highest_heard;
+  char teller[MARJORAM_NAME_MAX + 1]; /* who told of it last */
   int64_t started;
   int64_t asked;
+  uint64_t asked_for; /* the number that was last asked for */
   bool ready;
 };
 
@@ -48,20 +54,30 @@
   spread->started = now;
   spread->asked = now - ASK_AGAIN_MS;
   spread->keeper_count = options->keeper_count;
-  spread->keepers
-      = marjoram_alloc (options->keeper_count * sizeof *spread->keepers);
+  spread->keepers = marjoram_alloc (options->keeper_count * sizeof (char *));
   for (size_t i = 0; i < options->keeper_count; i++)
-    spread->keepers[i].slot = marjoram_strdup (options->keepers[i]);
+    spread->keepers[i] = marjoram_strdup (options->keepers[i]);
   return spread;
 }
 
 void
 marjoram_spread_destroy (marjoram_spread *spread)
 {
+  struct heard *heard;
+
   if (!spread)
     return;
+  heard = spread->heard;
+  HASH_CLEAR (hh, spread->heard);
+  while (heard)
+    {
+      struct heard *next = heard->hh.next;
+
+      free (heard);
+      heard = next;
+    }
   for (size_t i = 0; i < spread->keeper_count; i++)
-    free (spread->keepers[i].slot);
+    free (spread->keepers[i]);
   free (spread->keepers);
   marjoram_state_destroy (spread->state);
   free (spread);
@@ -73,26 +89,65 @@
   return spread->state ? spread->state->number : 0;
 }
 
-static size_t
-keepers_heard (const marjoram_spread *spread)
+static bool
+was_heard (const marjoram_spread *spread, const char *slot)
+{
+  struct heard *heard;
+
+  HASH_FIND_STR (spread->heard, slot, heard);
+  return heard != NULL;
+}
+
+static void
+note_heard (marjoram_spread *spread, const char *slot)
+{
+  struct heard *heard;
+
+  if (was_heard (spread, slot) || strlen (slot) > MARJORAM_NAME_MAX)
+    return;
+  heard = marjoram_alloc (sizeof *heard);
+  memcpy (heard->slot, slot, strlen (slot) + 1);
+  HASH_ADD_STR (spread->heard, slot, heard);
+}
+
+/* The keepers are those of the state, or, before any, of the settings, which
+   may name some that were replaced long ago.  */
+static bool
+heard_majority (const marjoram_spread *spread)
 {
-  size_t heard = 0;
+  const struct marjoram_keeper_member *members;
+  size_t count = 0;
 
+  if (spread->state && spread->state->members.count > 0)
+    {
+      members = spread->state->members.items;
+      for (size_t i = 0; i < spread->state->members.count; i++)
+        count += was_heard (spread, members[i].slot);
+      return 2 * count > spread->state->members.count;
+    }
   for (size_t i = 0; i < spread->keeper_count; i++)
-    heard += spread->keepers[i].heard;
-  return heard;
+    count += was_heard (spread, spread->keepers[i]);
+  return 2 * count > spread->keeper_count;
 }
 
 static void
 check_ready (marjoram_spread *spread, int64_t now)
 {
-  bool majority = 2 * keepers_heard (spread) > spread->keeper_count;
-  bool waited = now - spread->started >= START_WAIT_MS;
+  int64_t waited = now - spread->started;
 
-  if (spread->ready || !spread->state
-      || own_number (spread) < spread->highest_heard)
+  if (spread->ready || !spread->state)
+    return;
+  if (own_number (spread) < spread->highest_heard && waited < HEARD_WAIT_MS)
     return;
-  spread->ready = majority || waited;
+  spread->ready = waited >= START_WAIT_MS || heard_majority (spread);
+}
+
+/* Whether no answer is awaited.  */
+static bool
+may_ask (const marjoram_spread *spread, int64_t now)
+{
+  return own_number (spread) >= spread->asked_for
+         || now - spread->asked >= ASK_AGAIN_MS;
 }
 
 static void
@@ -115,6 +170,7 @@
         }
     }
   spread->asked = now;
+  spread->asked_for = spread->highest_heard;
   spread->ops->send_ask (spread->context, slot, &ask);
 }
 
@@ -122,12 +178,13 @@
 marjoram_spread_heard (marjoram_spread *spread, int64_t now, const char *slot,
                        uint64_t number)
 {
-  for (size_t i = 0; i < spread->keeper_count; i++)
-    if (strcmp (spread->keepers[i].slot, slot) == 0)
-      spread->keepers[i].heard = true;
-  if (number > spread->highest_heard)
-    spread->highest_heard = number;
-  if (number > own_number (spread) && now - spread->asked >= ASK_AGAIN_MS)
+  note_heard (spread, slot);
+  if (number >= spread->highest_heard && strlen (slot) <= MARJORAM_NAME_MAX)
+    {
+      spread->highest_heard = number;
+      memcpy (spread->teller, slot, strlen (slot) + 1);
+    }
+  if (number > own_number (spread) && may_ask (spread, now))
     send_ask (spread, now, slot);
   check_ready (spread, now);
 }
@@ -158,7 +215,10 @@
   (void)now;
   if (!spread->state)
     return;
+  /* The results of changes are the keepers' alone, and larger than most
+     files.  */
   copy = marjoram_state_copy (spread->state);
+  marjoram_state_forget_changes (copy);
   file = copy->files.items;
   for (size_t i = 0; i < copy->files.count; i++)
     if (has_file (ask, &file[i]))
@@ -241,6 +301,9 @@
 void
 marjoram_spread_tick (marjoram_spread *spread, int64_t now)
 {
+  /* The ask or its answer was lost.  */
+  if (spread->highest_heard > own_number (spread) && may_ask (spread, now))
+    send_ask (spread, now, spread->teller);
   check_ready (spread, now);
 }
 
--- a/src/spread.h
+++ b/src/spread.h
@@ -22,7 +22,8 @@
 
 struct marjoram_spread_options
 {
-  const char *const *keepers; /* slots, as the settings name them */
+  const char *const *
+      keepers; /* slots, as the settings name them: until a state names them */
   size_t keeper_count;
 };
 
@@ -47,9 +48,9 @@
 void marjoram_spread_tick (marjoram_spread *spread, int64_t now);
 
 /* Whether this host may serve by what it has: it has heard a majority of the
-   keepers, one of which knows each accepted change, or it has waited for them
-   long enough to count itself as cut off; and it lacks nothing that it has
-   heard of.  Stays true once it is.  */
+   keepers, or it has waited for them long enough to count itself as cut off;
+   and it lacks nothing that it has heard of, unless nobody gave that for a
+   longer while.  Stays true once it is.  */
 bool marjoram_spread_ready (const marjoram_spread *spread);
 /* Null before any.  */
 const struct marjoram_state *
--- a/src/state.c
+++ b/src/state.c
@@ -188,6 +188,17 @@
   place->digest = copy_string (change->digest);
 }
 
+void
+marjoram_state_forget_changes (struct marjoram_state *state)
+{
+  struct marjoram_change *changes = state->changes.items;
+
+  for (size_t i = 0; i < state->changes.count; i++)
+    marjoram_wire_clear (&change_layout, &changes[i]);
+  free (changes);
+  state->changes = (struct marjoram_array){ NULL, 0 };
+}
+
 void
 marjoram_voters_add (struct marjoram_array *members, const char *slot,
                      const char *store_id)
--- a/src/state.h
+++ b/src/state.h
@@ -83,6 +83,8 @@
    MARJORAM_CHANGES_KEPT.  */
 void marjoram_state_add_change (struct marjoram_state *state,
                                 const struct marjoram_change *change);
+/* Drops the results of changes, which only keepers need.  */
+void marjoram_state_forget_changes (struct marjoram_state *state);
 /* For use with marjoram_auto ().  */
 void marjoram_state_cleanup (struct marjoram_state **state);
 
--- /dev/null
+++ b/test/test_spread.c
@@ -0,0 +1,468 @@
+/* How a state reaches every host: many hosts in zones, with links inside a
+   zone and to one host of each other zone, lost messages and restarts.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "random.h"
+#include "spread.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  ZONES = 6,
+  ZONE_HOSTS = 12,
+  HOSTS = ZONES * ZONE_HOSTS,
+  FLIGHTS_MAX = 1 << 15,
+  STEP_MS = 5,
+  NEAR_MS = 5,
+  FAR_MS = 50,
+  HEARTBEAT_MS = 1000,
+  SEEDS = 9
+};
+
+enum flight_kind
+{
+  FLIGHT_NUMBER,
+  FLIGHT_ASK,
+  FLIGHT_GIVE
+};
+
+struct flight
+{
+  int64_t at;
+  uint64_t number;
+  marjoram_bytes *bytes;
+  enum flight_kind kind;
+  int from, to;
+};
+
+struct world;
+
+struct host
+{
+  struct world *world;
+  int index;
+  char slot[16];
+  marjoram_spread *spread;
+  int64_t heartbeat_at;
+  uint64_t reader;
+  bool cut;
+};
+
+struct world
+{
+  struct host hosts[HOSTS];
+  struct flight flights[FLIGHTS_MAX];
+  size_t flight_count;
+  int64_t now;
+  uint32_t loss; /* percent */
+  marjoram_random *random;
+  size_t gives;
+  size_t give_bytes;
+};
+
+static bool
+linked (const struct host *a, const struct host *b)
+{
+  if (a->index / ZONE_HOSTS == b->index / ZONE_HOSTS)
+    return a != b;
+  return a->index % ZONE_HOSTS == b->index % ZONE_HOSTS;
+}
+
+static void
+send (struct host *from, struct host *to, struct flight flight)
+{
+  struct world *world = from->world;
+  bool near = from->index / ZONE_HOSTS == to->index / ZONE_HOSTS;
+
+  if (!linked (from, to) || (!near && (from->cut || to->cut))
+      || marjoram_random_below (world->random, 100) < world->loss)
+    {
+      marjoram_bytes_release (flight.bytes);
+      return;
+    }
+  flight.at = world->now + (near ? NEAR_MS : FAR_MS);
+  flight.from = from->index;
+  flight.to = to->index;
+  ck_assert_uint_lt (world->flight_count, FLIGHTS_MAX);
+  world->flights[world->flight_count++] = flight;
+}
+
+static struct host *
+find (struct host *host, const char *slot)
+{
+  for (int i = 0; i < HOSTS; i++)
+    if (strcmp (host->world->hosts[i].slot, slot) == 0)
+      return &host->world->hosts[i];
+  return NULL;
+}
+
+static void
+tell (struct host *host)
+{
+  const struct marjoram_state *state = marjoram_spread_state (host->spread);
+
+  for (int i = 0; i < HOSTS; i++)
+    send (host, &host->world->hosts[i],
+          (struct flight){ .kind = FLIGHT_NUMBER,
+                           .number = state ? state->number : 0 });
+}
+
+static void
+on_ask (void *context, const char *slot, const struct marjoram_config_ask *ask)
+{
+  struct host *host = context;
+
+  (void)ask;
+  send (host, find (host, slot), (struct flight){ .kind = FLIGHT_ASK });
+}
+
+static void
+on_give (void *context, const char *slot,
+         const struct marjoram_config_give *give)
+{
+  struct host *host = context;
+
+  host->world->gives++;
+  host->world->give_bytes += marjoram_bytes_size (give->state);
+  send (host, find (host, slot),
+        (struct flight){ .kind = FLIGHT_GIVE,
+                         .bytes = marjoram_bytes_retain (give->state) });
+}
+
+static void
+on_adopted (void *context, const struct marjoram_state *state)
+{
+  struct host *host = context;
+
+  ck_assert_uint_gt (state->number, host->reader);
+  host->reader = state->number;
+  tell (host);
+}
+
+static const struct marjoram_spread_ops ops = { on_ask, on_give, on_adopted };
+
+static void
+start (struct host *host)
+{
+  static const char *const keepers[] = { "h0", "h12", "h24" };
+  const struct marjoram_spread_options options = { keepers, 3 };
+
+  host->spread
+      = marjoram_spread_create (&options, &ops, host, host->world->now);
+  host->reader = 0;
+}
+
+static void
+deliver (struct world *world, struct flight *flight)
+{
+  struct host *host = &world->hosts[flight->to];
+  const char *from = world->hosts[flight->from].slot;
+  struct marjoram_config_give give = { flight->bytes };
+  struct marjoram_config_ask ask = { { NULL, 0 } };
+
+  if (flight->kind == FLIGHT_NUMBER)
+    marjoram_spread_heard (host->spread, world->now, from, flight->number);
+  else if (flight->kind == FLIGHT_GIVE)
+    marjoram_spread_receive_give (host->spread, world->now, from, &give);
+  else
+    marjoram_spread_receive_ask (host->spread, world->now, from, &ask);
+  marjoram_bytes_release (flight->bytes);
+}
+
+static void
+deliver_due (struct world *world)
+{
+  size_t kept = 0, count = world->flight_count;
+  static struct flight due[FLIGHTS_MAX];
+  size_t due_count = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (world->flights[i].at <= world->now)
+      due[due_count++] = world->flights[i];
+    else
+      world->flights[kept++] = world->flights[i];
+  world->flight_count = kept;
+  for (size_t i = 0; i < due_count; i++)
+    deliver (world, &due[i]);
+}
+
+static void
+run (struct world *world, int64_t ms)
+{
+  for (int64_t end = world->now + ms; world->now < end; world->now += STEP_MS)
+    {
+      deliver_due (world);
+      for (int i = 0; i < HOSTS; i++)
+        {
+          struct host *host = &world->hosts[i];
+
+          marjoram_spread_tick (host->spread, world->now);
+          if (world->now < host->heartbeat_at)
+            continue;
+          host->heartbeat_at = world->now + HEARTBEAT_MS;
+          tell (host);
+        }
+    }
+}
+
+static struct world *
+make_world (uint64_t seed, uint32_t loss)
+{
+  struct world *world = marjoram_alloc (sizeof *world);
+
+  world->random = marjoram_random_create (seed);
+  world->loss = loss;
+  for (int i = 0; i < HOSTS; i++)
+    {
+      struct host *host = &world->hosts[i];
+
+      host->world = world;
+      host->index = i;
+      host->heartbeat_at = marjoram_random_below (world->random, HEARTBEAT_MS);
+      snprintf (host->slot, sizeof host->slot, "h%d", i);
+      start (host);
+    }
+  return world;
+}
+
+static void
+destroy_world (struct world *world)
+{
+  for (size_t i = 0; i < world->flight_count; i++)
+    marjoram_bytes_release (world->flights[i].bytes);
+  for (int i = 0; i < HOSTS; i++)
+    marjoram_spread_destroy (world->hosts[i].spread);
+  marjoram_random_destroy (world->random);
+  free (world);
+}
+
+static struct marjoram_state *
+make_state (uint64_t number)
+{
+  const char *const texts[] = { "same in all", "changes" };
+  struct marjoram_state *state = marjoram_state_copy (NULL);
+  struct marjoram_change change = { .id = (char *)"id", .number = number };
+
+  state->number = number;
+  for (int i = 0; i < 2; i++)
+    {
+      char name[16], text[64];
+      struct marjoram_file file = { name, number, NULL, text };
+
+      snprintf (name, sizeof name, "%d.ini", i);
+      snprintf (text, sizeof text, "%s %d", texts[i], i ? (int)number : 0);
+      file.digest = marjoram_digest (text, strlen (text));
+      marjoram_state_set_file (state, &file);
+      free (file.digest);
+    }
+  marjoram_state_add_change (state, &change);
+  marjoram_voters_add (&state->members, "h0", "s0");
+  marjoram_voters_add (&state->members, "h12", "s12");
+  marjoram_voters_add (&state->members, "h24", "s24");
+  return state;
+}
+
+static void
+choose (struct world *world, int index, uint64_t number)
+{
+  struct marjoram_state *state = make_state (number);
+
+  marjoram_spread_local (world->hosts[index].spread, world->now, state);
+  marjoram_state_destroy (state);
+}
+
+static int
+count_at (const struct world *world, uint64_t number)
+{
+  int count = 0;
+
+  for (int i = 0; i < HOSTS; i++)
+    count += world->hosts[i].reader == number;
+  return count;
+}
+
+/* One keeper knows a new state.  Without losses all 72 hosts have it after a
+   few link times; where every tenth message is lost, after a second for each
+   loss on the way, three at the most.  Each host fetches it once or little
+   more, and none ever takes a lower number, which the reader in each one
+   checks.  */
+START_TEST (reaches_all_hosts)
+{
+  uint32_t loss = _i == 0 ? 0 : 10;
+  int64_t limit_ms = _i == 0 ? 250 : 3000;
+  struct world *world = make_world ((uint64_t)_i + 1, loss);
+  int64_t start_ms;
+
+  choose (world, 0, 1);
+  run (world, 5000);
+  for (uint64_t number = 2; number <= 5; number++)
+    {
+      world->gives = 0;
+      choose (world, (int)(number % 3) * ZONE_HOSTS, number);
+      start_ms = world->now;
+      while (count_at (world, number) < HOSTS && world->now < start_ms + 10000)
+        run (world, STEP_MS);
+      printf ("seed %d: %d hosts after %lld ms, %zu gives, %zu bytes\n", _i,
+              count_at (world, number), (long long)(world->now - start_ms),
+              world->gives, world->give_bytes);
+      ck_assert_int_eq (count_at (world, number), HOSTS);
+      ck_assert_int_le (world->now - start_ms, limit_ms);
+      ck_assert_uint_lt (world->gives, (size_t)2 * HOSTS);
+    }
+  destroy_world (world);
+}
+END_TEST
+
+/* A host restarts empty while its zone is in force with the newest state.  It
+   must not serve before it has that one, whatever it hears first.  */
+START_TEST (restarted_host_serves_only_by_the_highest)
+{
+  struct world *world = make_world (3, 10);
+  struct host *host = &world->hosts[HOSTS - 1];
+
+  choose (world, 0, 7);
+  run (world, 5000);
+  marjoram_spread_destroy (host->spread);
+  start (host);
+  marjoram_spread_heard (host->spread, world->now, "h60", 6);
+  for (int ms = 0; ms < 5000; ms += STEP_MS)
+    {
+      run (world, STEP_MS);
+      ck_assert (!marjoram_spread_ready (host->spread) || host->reader == 7);
+    }
+  ck_assert (marjoram_spread_ready (host->spread));
+  destroy_world (world);
+}
+END_TEST
+
+/* A zone is cut off, misses a change, and one of its hosts restarts there.
+   That host serves by what its zone has after a few seconds, and the zone
+   catches up once the cut is over.  */
+START_TEST (cut_off_zone_serves_and_catches_up)
+{
+  struct world *world = make_world (4, 0);
+  struct host *host = &world->hosts[HOSTS - 1];
+
+  choose (world, 0, 1);
+  run (world, 5000);
+  for (int i = HOSTS - ZONE_HOSTS; i < HOSTS; i++)
+    world->hosts[i].cut = true;
+  choose (world, 0, 2);
+  run (world, 2000);
+  ck_assert_int_eq (count_at (world, 2), HOSTS - ZONE_HOSTS);
+  marjoram_spread_destroy (host->spread);
+  start (host);
+  run (world, 1000);
+  ck_assert (!marjoram_spread_ready (host->spread));
+  run (world, 3000);
+  ck_assert (marjoram_spread_ready (host->spread));
+  ck_assert_uint_eq (host->reader, 1);
+  for (int i = 0; i < HOSTS; i++)
+    world->hosts[i].cut = false;
+  run (world, 2000);
+  ck_assert_int_eq (count_at (world, 2), HOSTS);
+  destroy_world (world);
+}
+END_TEST
+
+struct answer
+{
+  marjoram_bytes *state;
+  uint64_t adopted;
+};
+
+static void
+keep_ask (void *context, const char *slot,
+          const struct marjoram_config_ask *ask)
+{
+  (void)context;
+  (void)slot;
+  (void)ask;
+}
+
+static void
+keep_give (void *context, const char *slot,
+           const struct marjoram_config_give *give)
+{
+  struct answer *answer = context;
+
+  (void)slot;
+  answer->state = marjoram_bytes_retain (give->state);
+}
+
+static void
+keep_adopted (void *context, const struct marjoram_state *state)
+{
+  struct answer *answer = context;
+
+  answer->adopted = state->number;
+}
+
+/* Only what the asker lacks travels, and no results of changes; a text that
+   does not fit its digest, or that neither side has, is not taken.  */
+START_TEST (gives_what_is_lacking_and_checks_it)
+{
+  static const struct marjoram_spread_ops kept
+      = { keep_ask, keep_give, keep_adopted };
+  const struct marjoram_spread_options options = { NULL, 0 };
+  struct answer answer = { 0 };
+  struct marjoram_state *old = make_state (1), *new = make_state (2);
+  struct marjoram_config_ask ask = { old->files };
+  struct marjoram_config_give give;
+  struct marjoram_file *files;
+  marjoram_spread *a = marjoram_spread_create (&options, &kept, &answer, 0);
+  marjoram_spread *b;
+
+  marjoram_spread_local (a, 0, new);
+  marjoram_spread_receive_ask (a, 0, "b", &ask);
+  marjoram_state_destroy (new);
+  new = marjoram_wire_unpack (&marjoram_state_layout,
+                              marjoram_bytes_data (answer.state),
+                              marjoram_bytes_size (answer.state), NULL);
+  files = new->files.items;
+  ck_assert_ptr_null (files[0].text);
+  ck_assert_ptr_nonnull (files[1].text);
+  ck_assert_uint_eq (new->changes.count, 0);
+
+  give.state = answer.state;
+  answer.adopted = 0;
+  b = marjoram_spread_create (&options, &kept, &answer, 0);
+  marjoram_spread_receive_give (b, 0, "a", &give);
+  ck_assert_uint_eq (answer.adopted, 0); /* lacks a text */
+  marjoram_spread_local (b, 0, old);
+  marjoram_spread_receive_give (b, 0, "a", &give);
+  ck_assert_uint_eq (answer.adopted, 2);
+
+  marjoram_spread_destroy (b);
+  b = marjoram_spread_create (&options, &kept, &answer, 0);
+  marjoram_spread_local (b, 0, old);
+  files[1].text[0] ^= 1;
+  give.state = marjoram_wire_pack (&marjoram_state_layout, new);
+  marjoram_spread_receive_give (b, 0, "a", &give);
+  ck_assert_uint_eq (answer.adopted, 1);
+  marjoram_bytes_release (give.state);
+  marjoram_bytes_release (answer.state);
+  marjoram_spread_destroy (a);
+  marjoram_spread_destroy (b);
+  marjoram_state_destroy (old);
+  marjoram_state_destroy (new);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("spread");
+  TCase *c = tcase_create ("spread");
+
+  tcase_set_timeout (c, 60);
+  tcase_add_loop_test (c, reaches_all_hosts, 0, SEEDS);
+  tcase_add_test (c, restarted_host_serves_only_by_the_highest);
+  tcase_add_test (c, cut_off_zone_serves_and_catches_up);
+  tcase_add_test (c, gives_what_is_lacking_and_checks_it);
+  suite_add_tcase (s, c);
+  return s;
+}
