--- a/src/daemon.c
+++ b/src/daemon.c
@@ -119,6 +119,14 @@
   marjoram_upstreams_probe (daemon->upstreams, upstream, address);
 }
 
+static void
+op_order (void *context, const struct marjoram_order *order)
+{
+  marjoram_daemon *daemon = context;
+
+  marjoram_upstreams_order (daemon->upstreams, order);
+}
+
 static void
 op_connect (void *context, const char *slot, const char *address, bool wanted)
 {
@@ -199,6 +207,7 @@
   .resume = op_resume,
   .cancel = op_cancel,
   .probe = op_probe,
+  .order = op_order,
   .connect = op_connect,
   .send = op_send,
   .reply = op_reply,
--- a/src/host.h
+++ b/src/host.h
@@ -9,6 +9,7 @@
 #include "frame.h"
 #include "keeper.h"
 #include "member.h"
+#include "place.h"
 #include "random.h"
 #include "route.h"
 #include "settings.h"
@@ -100,6 +101,8 @@
   void (*resume) (void *context, uint64_t attempt, const char *address,
                   const char *id, uint64_t offset);
   void (*cancel) (void *context, uint64_t attempt);
+  /* An order to an engine; answered by marjoram_host_ordered.  */
+  void (*order) (void *context, const struct marjoram_order *order);
   /* Answered by marjoram_host_probed.  */
   void (*probe) (void *context, const char *upstream, const char *address);
   /* Other hosts.  Connect keeps a session to SLOT open, or no longer.  Send
@@ -161,6 +164,10 @@
 void marjoram_host_run_failed (marjoram_host *host, int64_t now,
                                uint64_t attempt,
                                enum marjoram_run_failure failure);
+/* STATUS is the HTTP status, 0 if there was no answer; RETRY_MS is what its
+   Retry-After says, or 0.  */
+void marjoram_host_ordered (marjoram_host *host, int64_t now, uint64_t number,
+                            int status, int64_t retry_ms);
 void marjoram_host_probed (marjoram_host *host, int64_t now,
                            const char *upstream, bool alive);
 
--- a/src/host_state.h
+++ b/src/host_state.h
@@ -5,6 +5,7 @@
 
 #include "host.h"
 #include "order.h"
+#include "place.h"
 #include "request.h"
 #include "spread.h"
 #include "suspect.h"
@@ -99,6 +100,7 @@
   marjoram_router *router;
   marjoram_claims *claims;
   marjoram_orders *orders;
+  marjoram_place *place;
   marjoram_spread *spread;
   marjoram_keeper *keeper;
 
--- a/src/host_upstream.c
+++ b/src/host_upstream.c
@@ -196,3 +196,12 @@
     }
   marjoram_host_settle (host, now);
 }
+
+void
+marjoram_host_ordered (marjoram_host *host, int64_t now, uint64_t number,
+                       int status, int64_t retry_ms)
+{
+  host->now = now;
+  if (host->place)
+    marjoram_place_answered (host->place, now, number, status, retry_ms);
+}
--- a/src/inbox.c
+++ b/src/inbox.c
@@ -22,6 +22,7 @@
   uint64_t number;
   uint64_t incarnation;
   int value;
+  int64_t retry_ms;
   enum marjoram_frame_type type;
   void *frame;
   struct marjoram_call *call;
@@ -238,8 +239,22 @@
   event->value = alive;
 }
 
-const struct marjoram_upstreams_ops marjoram_inbox_upstreams_ops
-    = { post_head, post_data, post_end, post_failed, post_probed };
+DELIVER (ordered, marjoram_host_ordered (host, now, event->number,
+                                         event->value, event->retry_ms));
+
+static void
+post_ordered (void *context, uint64_t number, int status, int64_t retry_ms)
+{
+  struct event_message *event = post (context, &ordered_message);
+
+  event->number = number;
+  event->value = status;
+  event->retry_ms = retry_ms;
+}
+
+const struct marjoram_upstreams_ops marjoram_inbox_upstreams_ops = {
+  post_head, post_data, post_end, post_failed, post_probed, post_ordered
+};
 
 /* ---- Other hosts.  ---- */
 
--- a/src/intake.c
+++ b/src/intake.c
@@ -411,33 +411,49 @@
   return true;
 }
 
+/* A list of names under MEMBER; an empty or missing one only if OPTIONAL.  */
 static bool
-take_works (json_t *root, struct marjoram_announcement *a,
-            struct marjoram_error *err)
+take_names (json_t *root, const char *member, bool optional,
+            struct marjoram_array *names, struct marjoram_error *err)
 {
-  json_t *works = json_object_get (root, "works");
+  json_t *list = json_object_get (root, member);
   struct marjoram_work_name *items;
-  json_t *work;
+  json_t *name;
   size_t i;
 
-  if (!json_is_array (works) || json_array_size (works) == 0
-      || json_array_size (works) > MARJORAM_UPSTREAM_WORKS_MAX)
-    return bad (err, "\"works\" is not a list of 1 to 32 names; see "
-                     "docs/UPSTREAMS.md");
-  items = marjoram_alloc (json_array_size (works) * sizeof *items);
-  a->works.items = items;
-  json_array_foreach (works, i, work)
+  if (!list && optional)
+    return true;
+  if (!json_is_array (list) || (json_array_size (list) == 0 && !optional)
+      || json_array_size (list) > MARJORAM_UPSTREAM_WORKS_MAX)
+    return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                               "\"%s\" is not a list of at most 32 names; "
+                               "see docs/UPSTREAMS.md",
+                               member);
+  items = marjoram_alloc (json_array_size (list) * sizeof *items);
+  names->items = items;
+  json_array_foreach (list, i, name)
   {
-    if (!json_is_string (work)
-        || json_string_length (work) > MARJORAM_NAME_MAX)
-      return bad (err, "\"works\" holds something that is no name; see "
-                       "docs/UPSTREAMS.md");
-    items[i].name = marjoram_strdup (json_string_value (work));
-    a->works.count++;
+    if (!json_is_string (name)
+        || json_string_length (name) > MARJORAM_NAME_MAX)
+      return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                                 "\"%s\" holds something that is no name; "
+                                 "see docs/UPSTREAMS.md",
+                                 member);
+    items[i].name = marjoram_strdup (json_string_value (name));
+    names->count++;
   }
   return true;
 }
 
+/* An engine that has nothing loaded yet may have no works.  */
+static bool
+take_works (json_t *root, struct marjoram_announcement *a,
+            struct marjoram_error *err)
+{
+  return take_names (root, "loadable", true, &a->loadable, err)
+         && take_names (root, "works", a->loadable.count > 0, &a->works, err);
+}
+
 static bool
 take_kind (json_t *root, struct marjoram_announcement *a,
            struct marjoram_error *err)
--- a/src/member.c
+++ b/src/member.c
@@ -45,6 +45,8 @@
   { MARJORAM_WIRE_ARRAY (struct marjoram_announcement, works,
                          MARJORAM_UPSTREAM_WORKS_MAX, &work_name_layout) },
   { MARJORAM_WIRE_UINT (struct marjoram_announcement, heard_by) },
+  { MARJORAM_WIRE_ARRAY (struct marjoram_announcement, loadable,
+                         MARJORAM_UPSTREAM_WORKS_MAX, &work_name_layout) },
 };
 const struct marjoram_layout marjoram_announcement_layout
     = { "announcement", sizeof (struct marjoram_announcement),
@@ -142,21 +144,29 @@
   return member;
 }
 
+static void
+copy_names (struct marjoram_array *to, const struct marjoram_array *from)
+{
+  const struct marjoram_work_name *names = from->items;
+  struct marjoram_work_name *copies
+      = marjoram_alloc ((from->count + 1) * sizeof *copies);
+
+  for (size_t i = 0; i < from->count; i++)
+    copies[i].name = names[i].name ? marjoram_strdup (names[i].name) : NULL;
+  to->items = copies;
+  to->count = from->count;
+}
+
 static void
 copy_announcement (struct marjoram_announcement *to,
                    const struct marjoram_announcement *from)
 {
-  const struct marjoram_work_name *works = from->works.items;
-  struct marjoram_work_name *copies;
-
   *to = *from;
   to->name = marjoram_strdup (from->name);
   to->zone = marjoram_strdup (from->zone);
   to->address = from->address ? marjoram_strdup (from->address) : NULL;
-  copies = marjoram_alloc ((from->works.count + 1) * sizeof *copies);
-  for (size_t i = 0; i < from->works.count; i++)
-    copies[i].name = works[i].name ? marjoram_strdup (works[i].name) : NULL;
-  to->works.items = copies;
+  copy_names (&to->works, &from->works);
+  copy_names (&to->loadable, &from->loadable);
 }
 
 static bool
--- a/src/member.h
+++ b/src/member.h
@@ -37,6 +37,8 @@
   uint64_t waiting;
   struct marjoram_array works; /* of struct marjoram_work_name */
   uint64_t heard_by;           /* ordinal of the host that it announced to */
+  struct marjoram_array loadable; /* of struct marjoram_work_name: models that
+                                     it could load on order */
 };
 
 struct marjoram_work_name
--- /dev/null
+++ b/src/outcall.c
@@ -0,0 +1,184 @@
+#include "outcall.h"
+
+#include "cleanup.h"
+#include "clock.h"
+
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum
+{
+  ADDRESS_SIZE = 64,
+  MSEC_PER_SEC = 1000
+};
+
+struct outcall
+{
+  marjoram_outcalls *calls;
+  struct evhttp_connection *connection;
+  marjoram_outcall_done *done;
+  void *context;
+  bool timed_out;
+  bool starting; /* evhttp may fail before it returns */
+  TAILQ_ENTRY (outcall) next;
+};
+
+struct marjoram_outcalls
+{
+  struct event_base *base;
+  TAILQ_HEAD (, outcall) all;
+};
+
+struct evhttp_connection *
+marjoram_outcall_connect (struct event_base *base, const char *address)
+{
+  char host[ADDRESS_SIZE];
+  char *colon;
+
+  snprintf (host, sizeof host, "%s", address);
+  colon = strrchr (host, ':');
+  if (!colon)
+    return NULL;
+  *colon = 0;
+  return evhttp_connection_base_new (
+      base, NULL, host, (unsigned short)strtoul (colon + 1, NULL, 10));
+}
+
+static void
+free_connection (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  evhttp_connection_free (context);
+}
+
+void
+marjoram_outcall_free_later (struct event_base *base,
+                             struct evhttp_connection *connection)
+{
+  struct timeval at_once = { 0, 0 };
+
+  event_base_once (base, -1, EV_TIMEOUT, free_connection, connection,
+                   &at_once);
+}
+
+marjoram_outcalls *
+marjoram_outcalls_create (struct event_base *base)
+{
+  marjoram_outcalls *calls = marjoram_alloc (sizeof *calls);
+
+  calls->base = base;
+  TAILQ_INIT (&calls->all);
+  return calls;
+}
+
+static void
+outcall_destroy (struct outcall *call)
+{
+  TAILQ_REMOVE (&call->calls->all, call, next);
+  free (call);
+}
+
+void
+marjoram_outcalls_destroy (marjoram_outcalls *calls,
+                           void (*forget) (void *context))
+{
+  struct outcall *call;
+
+  if (!calls)
+    return;
+  while ((call = TAILQ_FIRST (&calls->all)))
+    {
+      /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-unix.*) */
+      forget (call->context);
+      evhttp_connection_free (call->connection);
+      outcall_destroy (call);
+    }
+  free (calls);
+}
+
+static void
+on_error (enum evhttp_request_error error, void *context)
+{
+  struct outcall *call = context;
+
+  call->timed_out = error == EVREQ_HTTP_TIMEOUT;
+}
+
+static int64_t
+retry_after (struct evhttp_request *request)
+{
+  const char *text = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "Retry-After");
+
+  return text ? strtoll (text, NULL, 10) * MSEC_PER_SEC : 0;
+}
+
+static void
+on_done (struct evhttp_request *request, void *context)
+{
+  struct outcall *call = context;
+  int status = request ? evhttp_request_get_response_code (request) : 0;
+
+  if (call->starting)
+    return;
+  call->done (call->context, status, call->timed_out,
+              status ? retry_after (request) : 0);
+  marjoram_outcall_free_later (call->calls->base, call->connection);
+  outcall_destroy (call);
+}
+
+static struct outcall *
+outcall_create (marjoram_outcalls *calls, struct evhttp_connection *connection,
+                int64_t timeout_ms, marjoram_outcall_done *done, void *context)
+{
+  struct outcall *call = marjoram_alloc (sizeof *call);
+  struct timeval limit = marjoram_clock_timeval (timeout_ms);
+
+  call->calls = calls;
+  call->connection = connection;
+  call->done = done;
+  call->context = context;
+  evhttp_connection_set_timeout_tv (connection, &limit);
+  TAILQ_INSERT_TAIL (&calls->all, call, next);
+  return call;
+}
+
+bool
+marjoram_outcall (marjoram_outcalls *calls, const char *address,
+                  const char *path, const char *body, int64_t timeout_ms,
+                  marjoram_outcall_done *done, void *context)
+{
+  struct evhttp_connection *connection
+      = marjoram_outcall_connect (calls->base, address);
+  struct evhttp_request *request;
+  struct outcall *call;
+  bool good;
+
+  if (!connection)
+    return false;
+  call = outcall_create (calls, connection, timeout_ms, done, context);
+  request = evhttp_request_new (on_done, call);
+  evhttp_request_set_error_cb (request, on_error);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
+                     address);
+  if (body)
+    {
+      evhttp_add_header (evhttp_request_get_output_headers (request),
+                         "Content-Type", "application/json");
+      evbuffer_add (evhttp_request_get_output_buffer (request), body,
+                    strlen (body));
+    }
+  call->starting = true;
+  good = evhttp_make_request (connection, request,
+                              body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, path)
+         == 0;
+  call->starting = false;
+  if (good)
+    return true;
+  evhttp_connection_free (connection);
+  outcall_destroy (call);
+  return false;
+}
--- /dev/null
+++ b/src/place.c
@@ -0,0 +1,331 @@
+#include "place.h"
+
+#include "cleanup.h"
+#include "log.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <uthash.h>
+
+enum
+{
+  /* The weight store is rate-limited and shared: a zone asks it for few models
+     at once.  */
+  LOADS_MAX = 2,
+  RETRY_MIN_MS = 1000,
+  RETRY_MAX_MS = 60000,
+  /* An order that was accepted but shows no effect is given again after twice
+     the model's load time and this.  */
+  LOAD_SLACK_MS = 10000,
+  DOUBLINGS_MAX = 6,
+  STATUS_OK = 200,
+  STATUS_ACCEPTED = 202,
+  KEY_SIZE = 2 * MARJORAM_NAME_MAX + 2
+};
+
+/* An engine and a model that it was ordered to load.  */
+struct load
+{
+  char key[KEY_SIZE]; /* "ENGINE/MODEL" */
+  size_t engine_length;
+  uint64_t number;    /* of the order under way; 0 if none */
+  int64_t until;      /* when that order is given up */
+  int64_t not_before; /* when the next may be given */
+  uint32_t failures;
+  UT_hash_handle hh;
+};
+
+struct marjoram_place
+{
+  const struct marjoram_place_ops *ops;
+  void *context;
+  marjoram_random *random;
+  struct load *loads;
+  uint64_t next_number;
+};
+
+marjoram_place *
+marjoram_place_create (const struct marjoram_place_ops *ops, void *context,
+                       marjoram_random *random)
+{
+  marjoram_place *place = marjoram_alloc (sizeof *place);
+
+  place->ops = ops;
+  place->context = context;
+  place->random = random;
+  return place;
+}
+
+static void
+load_destroy (marjoram_place *place, struct load *load)
+{
+  /* The table's macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+  HASH_DEL (place->loads, load);
+  free (load);
+}
+
+void
+marjoram_place_destroy (marjoram_place *place)
+{
+  struct load *load;
+  struct load *next;
+
+  if (!place)
+    return;
+  HASH_ITER (hh, place->loads, load, next) { load_destroy (place, load); }
+  free (place);
+}
+
+static void
+make_key (char key[KEY_SIZE], const char *engine, const char *model)
+{
+  snprintf (key, KEY_SIZE, "%s/%s", engine, model);
+}
+
+static struct load *
+find_load (const marjoram_place *place, const char *engine, const char *model)
+{
+  char key[KEY_SIZE];
+  struct load *load;
+
+  make_key (key, engine, model);
+  HASH_FIND_STR (place->loads, key, load);
+  return load;
+}
+
+static struct load *
+load_of (marjoram_place *place, const char *engine, const char *model)
+{
+  struct load *load = find_load (place, engine, model);
+
+  if (load)
+    return load;
+  load = marjoram_alloc (sizeof *load);
+  make_key (load->key, engine, model);
+  load->engine_length = strlen (engine);
+  HASH_ADD_STR (place->loads, key, load);
+  return load;
+}
+
+static bool
+lists (const struct marjoram_array *names, const char *model)
+{
+  const struct marjoram_work_name *name = names->items;
+
+  for (size_t i = 0; i < names->count; i++)
+    if (name[i].name && strcmp (name[i].name, model) == 0)
+      return true;
+  return false;
+}
+
+/* Whether the engine announces that it has the model now.  */
+static bool
+is_loaded (const struct load *load, int64_t now,
+           const marjoram_members *members)
+{
+  char engine[KEY_SIZE];
+  const struct marjoram_upstream *upstream;
+
+  snprintf (engine, sizeof engine, "%.*s", (int)load->engine_length,
+            load->key);
+  upstream = marjoram_members_find (members, now, engine);
+  return upstream
+         && lists (&upstream->announcement->works,
+                   load->key + load->engine_length + 1);
+}
+
+/* Forgets orders that are done, gives up those that show no effect, and counts
+   the others.  */
+static int
+tidy (marjoram_place *place, int64_t now, const marjoram_members *members)
+{
+  struct load *load;
+  struct load *next;
+  int under_way = 0;
+
+  HASH_ITER (hh, place->loads, load, next)
+  {
+    bool over = !load->number && now >= load->not_before + RETRY_MAX_MS;
+
+    if (over || is_loaded (load, now, members))
+      {
+        load_destroy (place, load);
+        continue;
+      }
+    if (load->number && now >= load->until)
+      load->number = 0;
+    under_way += load->number != 0;
+  }
+  return under_way;
+}
+
+/* Engines that have the model, or were ordered to load it.  */
+static int
+copies_there (const marjoram_place *place, int64_t now,
+              const marjoram_members *members, const char *model)
+{
+  int copies = 0;
+
+  for (size_t i = 0; i < marjoram_members_count (members); i++)
+    {
+      const struct marjoram_upstream *upstream
+          = marjoram_members_at (members, i);
+      const struct marjoram_announcement *a = upstream->announcement;
+      const struct load *load = find_load (place, a->name, model);
+
+      if (marjoram_upstream_usable (upstream, now)
+          && (lists (&a->works, model) || (load && load->number)))
+        copies++;
+    }
+  return copies;
+}
+
+/* An engine loads one model at a time.  */
+static bool
+is_loading (const marjoram_place *place, const char *engine)
+{
+  size_t length = strlen (engine);
+  struct load *load;
+  struct load *next;
+
+  HASH_ITER (hh, place->loads, load, next)
+  {
+    if (load->number && load->engine_length == length
+        && strncmp (load->key, engine, length) == 0)
+      return true;
+  }
+  return false;
+}
+
+static bool
+may_load (marjoram_place *place, int64_t now,
+          const struct marjoram_upstream *upstream, const char *model)
+{
+  const struct marjoram_announcement *a = upstream->announcement;
+  const struct load *load = find_load (place, a->name, model);
+
+  return a->engine && marjoram_upstream_usable (upstream, now)
+         && !lists (&a->works, model) && lists (&a->loadable, model)
+         && !is_loading (place, a->name) && (!load || now >= load->not_before);
+}
+
+/* The engine with the fewest models loaded, and of those the one with the
+   least work; null if none can load MODEL now.  */
+static const struct marjoram_announcement *
+choose_engine (marjoram_place *place, int64_t now,
+               const marjoram_members *members, const char *model)
+{
+  const struct marjoram_announcement *best = NULL;
+
+  for (size_t i = 0; i < marjoram_members_count (members); i++)
+    {
+      const struct marjoram_upstream *upstream
+          = marjoram_members_at (members, i);
+      const struct marjoram_announcement *a = upstream->announcement;
+
+      if (!may_load (place, now, upstream, model))
+        continue;
+      if (!best || a->works.count < best->works.count
+          || (a->works.count == best->works.count
+              && a->running + a->waiting < best->running + best->waiting))
+        best = a;
+    }
+  return best;
+}
+
+/* An engine counts as one that refuses old fences by itself only if both it
+   and the operators say so.  */
+static uint64_t
+fence_for (const marjoram_config *config, const marjoram_orders *orders,
+           int64_t now, int work, const struct marjoram_announcement *engine)
+{
+  bool honoured = engine->fences && marjoram_config_fences (config, work);
+
+  return marjoram_orders_fence (orders, now, honoured);
+}
+
+static void
+give (marjoram_place *place, int64_t now, uint64_t fence,
+      const struct marjoram_announcement *engine,
+      const struct marjoram_work *model)
+{
+  struct load *load = load_of (place, engine->name, model->name);
+  struct marjoram_order order
+      = { ++place->next_number, engine->address, fence, model->name };
+
+  load->number = order.number;
+  load->until = now + 2 * model->load_ms + LOAD_SLACK_MS;
+  marjoram_log (MARJORAM_LOG_NOTICE, "orders %s to load %s, fence %llu",
+                engine->name, model->name, (unsigned long long)fence);
+  place->ops->give (place->context, &order);
+}
+
+static void
+tend (marjoram_place *place, int64_t now, const marjoram_config *config,
+      const marjoram_members *members, const marjoram_orders *orders, int work)
+{
+  const struct marjoram_work *model = marjoram_config_work (config, work);
+  const struct marjoram_announcement *engine;
+  uint64_t fence;
+
+  if (model->kind != MARJORAM_WORK_MODEL
+      || copies_there (place, now, members, model->name) >= model->copies)
+    return;
+  engine = choose_engine (place, now, members, model->name);
+  if (!engine)
+    return;
+  fence = fence_for (config, orders, now, work, engine);
+  if (fence)
+    give (place, now, fence, engine, model);
+}
+
+void
+marjoram_place_tick (marjoram_place *place, int64_t now,
+                     const marjoram_config *config,
+                     const marjoram_members *members,
+                     const marjoram_orders *orders)
+{
+  int works = marjoram_config_work_count (config);
+
+  if (!marjoram_orders_fence (orders, now, true))
+    return;
+  for (int i = 0; i < works && tidy (place, now, members) < LOADS_MAX; i++)
+    tend (place, now, config, members, orders, i);
+}
+
+static struct load *
+load_by_number (const marjoram_place *place, uint64_t number)
+{
+  struct load *load;
+  struct load *next;
+
+  HASH_ITER (hh, place->loads, load, next)
+  {
+    if (load->number == number)
+      return load;
+  }
+  return NULL;
+}
+
+void
+marjoram_place_answered (marjoram_place *place, int64_t now, uint64_t number,
+                         int status, int64_t retry_ms)
+{
+  struct load *load = load_by_number (place, number);
+  int64_t wait;
+
+  if (!load || status == STATUS_OK || status == STATUS_ACCEPTED)
+    return;
+  /* Waits that double, each a little different, keep the zones' loads from
+     meeting at the weight store again and again.  */
+  if (load->failures < DOUBLINGS_MAX)
+    load->failures++;
+  wait = (int64_t)RETRY_MIN_MS << (load->failures - 1);
+  wait += marjoram_random_below (place->random, (uint32_t)wait);
+  if (wait < retry_ms)
+    wait = retry_ms + marjoram_random_below (place->random, RETRY_MIN_MS);
+  if (wait > RETRY_MAX_MS)
+    wait = RETRY_MAX_MS;
+  load->number = 0;
+  load->not_before = now + wait;
+}
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -1,12 +1,14 @@
 #include "upstream.h"
 
 #include "cleanup.h"
-#include "clock.h"
+#include "outcall.h"
+#include "keepalive.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <jansson.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
@@ -19,10 +21,7 @@
   /* evhttp's own limit is no guard here: the host watches progress.  */
   CONNECTION_TIMEOUT_SEC = 3600,
   PROBE_TIMEOUT_MSEC = 500,
-  /* An idle connection is used again for a short time only, as it may have
-     gone silent.  */
-  IDLE_SEC = 2,
-  IDLE_MAX = 256,
+  ORDER_TIMEOUT_MSEC = 5000,
   HEADERS_BYTES_MAX = 64 * 1024,
   ADDRESS_MAX = 64,
   STATUS_TOO_MANY = 429,
@@ -31,6 +30,7 @@
 };
 
 struct attempt;
+struct errand;
 
 /* A connection and the request on it.  */
 struct exchange
@@ -59,120 +59,23 @@
   UT_hash_handle hh;
 };
 
-struct idle
-{
-  marjoram_upstreams *upstreams;
-  struct evhttp_connection *connection;
-  char address[ADDRESS_MAX];
-  struct event *timer;
-  TAILQ_ENTRY (idle) next;
-};
-
-struct probe
-{
-  marjoram_upstreams *upstreams;
-  struct evhttp_connection *connection;
-  char *name;
-  bool timed_out;
-  TAILQ_ENTRY (probe) next;
-};
-
 struct marjoram_upstreams
 {
   struct event_base *base;
   const struct marjoram_upstreams_ops *ops;
   void *context;
   struct attempt *attempts;
-  TAILQ_HEAD (, idle) idles;
-  size_t idle_count;
-  TAILQ_HEAD (, probe) probes;
+  marjoram_keepalive *keepalive;
+  marjoram_outcalls *calls;
+  TAILQ_HEAD (, errand) errands;
 };
 
-/* ---- Idle connections.  ---- */
-
-static void
-idle_destroy (struct idle *idle, bool close)
-{
-  marjoram_upstreams *upstreams = idle->upstreams;
-
-  TAILQ_REMOVE (&upstreams->idles, idle, next);
-  upstreams->idle_count--;
-  evhttp_connection_set_closecb (idle->connection, NULL, NULL);
-  event_free (idle->timer);
-  if (close)
-    evhttp_connection_free (idle->connection);
-  free (idle);
-}
-
-static void
-on_idle_timeout (evutil_socket_t fd, short what, void *context)
-{
-  (void)fd;
-  (void)what;
-  idle_destroy (context, true);
-}
-
-static void
-on_idle_closed (struct evhttp_connection *connection, void *context)
-{
-  struct idle *idle = context;
-  struct timeval at_once = { 0, 0 };
-
-  /* evhttp still uses the connection: it is freed from the loop.  */
-  (void)connection;
-  evtimer_add (idle->timer, &at_once);
-}
-
-static void
-idle_create (marjoram_upstreams *upstreams,
-             struct evhttp_connection *connection, const char *address)
-{
-  struct idle *idle = marjoram_alloc (sizeof *idle);
-  struct timeval limit = { IDLE_SEC, 0 };
-
-  idle->upstreams = upstreams;
-  idle->connection = connection;
-  snprintf (idle->address, sizeof idle->address, "%s", address);
-  idle->timer = evtimer_new (upstreams->base, on_idle_timeout, idle);
-  evtimer_add (idle->timer, &limit);
-  evhttp_connection_set_closecb (connection, on_idle_closed, idle);
-  TAILQ_INSERT_HEAD (&upstreams->idles, idle, next);
-  upstreams->idle_count++;
-}
-
-static struct evhttp_connection *
-take_idle (marjoram_upstreams *upstreams, const char *address)
-{
-  struct idle *idle;
-
-  TAILQ_FOREACH (idle, &upstreams->idles, next)
-  {
-    struct evhttp_connection *connection = idle->connection;
-
-    if (strcmp (idle->address, address) != 0
-        || event_pending (idle->timer, EV_TIMEOUT, NULL) == 0)
-      continue;
-    idle_destroy (idle, false);
-    return connection;
-  }
-  return NULL;
-}
-
 static struct evhttp_connection *
 connect_to (marjoram_upstreams *upstreams, const char *address)
 {
-  char host[ADDRESS_MAX];
-  char *colon;
-  struct evhttp_connection *connection;
+  struct evhttp_connection *connection
+      = marjoram_outcall_connect (upstreams->base, address);
 
-  snprintf (host, sizeof host, "%s", address);
-  colon = strrchr (host, ':');
-  if (!colon)
-    return NULL;
-  *colon = 0;
-  connection = evhttp_connection_base_new (
-      upstreams->base, NULL, host,
-      (unsigned short)strtoul (colon + 1, NULL, 10));
   if (!connection)
     return NULL;
   evhttp_connection_set_timeout (connection, CONNECTION_TIMEOUT_SEC);
@@ -194,14 +97,6 @@
     exchange->sent = true;
 }
 
-static void
-free_later (evutil_socket_t fd, short what, void *context)
-{
-  (void)fd;
-  (void)what;
-  evhttp_connection_free (context);
-}
-
 /* Ends EXCHANGE.  The connection is freed from the loop, as this may be called
    from within one of its callbacks.  */
 static void
@@ -210,14 +105,13 @@
 {
   struct evbuffer *output = bufferevent_get_output (
       evhttp_connection_get_bufferevent (exchange->connection));
-  struct timeval at_once = { 0, 0 };
 
   evbuffer_remove_cb (output, on_output, exchange);
-  if (keep && upstreams->idle_count < IDLE_MAX)
-    idle_create (upstreams, exchange->connection, exchange->address);
+  if (keep)
+    marjoram_keepalive_put (upstreams->keepalive, exchange->connection,
+                            exchange->address);
   else
-    event_base_once (upstreams->base, -1, EV_TIMEOUT, free_later,
-                     exchange->connection, &at_once);
+    marjoram_outcall_free_later (upstreams->base, exchange->connection);
   free (exchange);
 }
 
@@ -225,7 +119,6 @@
 static void
 exchange_cancel (marjoram_upstreams *upstreams, struct exchange *exchange)
 {
-  struct timeval at_once = { 0, 0 };
   struct evbuffer *output = bufferevent_get_output (
       evhttp_connection_get_bufferevent (exchange->connection));
 
@@ -234,8 +127,7 @@
     evhttp_cancel_request (exchange->request);
   /* Cancelling the request in progress frees nothing of the connection; the
      upstream sees it closed.  */
-  event_base_once (upstreams->base, -1, EV_TIMEOUT, free_later,
-                   exchange->connection, &at_once);
+  marjoram_outcall_free_later (upstreams->base, exchange->connection);
   free (exchange);
 }
 
@@ -581,7 +473,9 @@
 {
   struct attempt *attempt = marjoram_alloc (sizeof *attempt);
   struct evhttp_connection *connection
-      = run->fresh ? NULL : take_idle (upstreams, run->address);
+      = run->fresh
+            ? NULL
+            : marjoram_keepalive_take (upstreams->keepalive, run->address);
   bool reused = connection != NULL;
   struct exchange *exchange;
 
@@ -648,84 +542,108 @@
     attempt_cancel (attempt);
 }
 
-/* ---- Probes: does anything answer there?  ---- */
+/* ---- Probes and orders.  ---- */
+
+/* What a short call is for.  */
+struct errand
+{
+  marjoram_upstreams *upstreams;
+  char *name;      /* of the upstream probed; null for an order */
+  uint64_t number; /* of the order */
+  TAILQ_ENTRY (errand) next;
+};
 
 static void
-probe_destroy (struct probe *probe)
+errand_destroy (void *context)
 {
-  TAILQ_REMOVE (&probe->upstreams->probes, probe, next);
-  free (probe->name);
-  free (probe);
+  struct errand *errand = context;
+
+  TAILQ_REMOVE (&errand->upstreams->errands, errand, next);
+  free (errand->name);
+  free (errand);
 }
 
-static void
-on_probe_error (enum evhttp_request_error error, void *context)
+static struct errand *
+errand_create (marjoram_upstreams *upstreams, const char *name,
+               uint64_t number)
 {
-  struct probe *probe = context;
+  struct errand *errand = marjoram_alloc (sizeof *errand);
 
-  probe->timed_out = error == EVREQ_HTTP_TIMEOUT;
+  errand->upstreams = upstreams;
+  errand->name = name ? marjoram_strdup (name) : NULL;
+  errand->number = number;
+  TAILQ_INSERT_TAIL (&upstreams->errands, errand, next);
+  return errand;
 }
 
 /* Any answer shows that the process lives.  A connection that is refused, or
    closed without an answer, shows that it is gone; silence may be the
    network's.  */
 static void
-on_probe_done (struct evhttp_request *request, void *context)
+on_probed (void *context, int status, bool timed_out, int64_t retry_ms)
 {
-  struct probe *probe = context;
-  marjoram_upstreams *upstreams = probe->upstreams;
-  bool answered = request && evhttp_request_get_response_code (request) != 0;
-  struct timeval at_once = { 0, 0 };
+  struct errand *errand = context;
+  marjoram_upstreams *upstreams = errand->upstreams;
 
-  upstreams->ops->probed (upstreams->context, probe->name,
-                          answered || probe->timed_out);
-  event_base_once (upstreams->base, -1, EV_TIMEOUT, free_later,
-                   probe->connection, &at_once);
-  probe_destroy (probe);
+  (void)retry_ms;
+  upstreams->ops->probed (upstreams->context, errand->name,
+                          status != 0 || timed_out);
+  errand_destroy (errand);
 }
 
-static struct probe *
-find_probe (const marjoram_upstreams *upstreams, const char *name)
+static bool
+is_probed (const marjoram_upstreams *upstreams, const char *name)
 {
-  struct probe *probe;
+  const struct errand *errand;
 
-  TAILQ_FOREACH (probe, &upstreams->probes, next)
+  TAILQ_FOREACH (errand, &upstreams->errands, next)
   {
-    if (strcmp (probe->name, name) == 0)
-      return probe;
+    if (errand->name && strcmp (errand->name, name) == 0)
+      return true;
   }
-  return NULL;
+  return false;
 }
 
 void
 marjoram_upstreams_probe (marjoram_upstreams *upstreams, const char *name,
                           const char *address)
 {
-  struct timeval limit = marjoram_clock_timeval (PROBE_TIMEOUT_MSEC);
-  struct evhttp_connection *connection;
-  struct evhttp_request *request;
-  struct probe *probe;
+  struct errand *errand;
 
-  if (find_probe (upstreams, name))
+  if (is_probed (upstreams, name))
     return;
-  connection = connect_to (upstreams, address);
-  if (!connection)
-    return;
-  evhttp_connection_set_timeout_tv (connection, &limit);
-  probe = marjoram_alloc (sizeof *probe);
-  probe->upstreams = upstreams;
-  probe->name = marjoram_strdup (name);
-  probe->connection = connection;
-  TAILQ_INSERT_TAIL (&upstreams->probes, probe, next);
-  request = evhttp_request_new (on_probe_done, probe);
-  evhttp_request_set_error_cb (request, on_probe_error);
-  evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
-                     address);
-  if (evhttp_make_request (connection, request, EVHTTP_REQ_GET,
-                           "/v1/requests/probe")
-          != 0
-      && find_probe (upstreams, name) == probe)
-    on_probe_done (NULL, probe);
+  errand = errand_create (upstreams, name, 0);
+  if (!marjoram_outcall (upstreams->calls, address, "/v1/requests/probe", NULL,
+                         PROBE_TIMEOUT_MSEC, on_probed, errand))
+    on_probed (errand, 0, false, 0);
+}
+
+static void
+on_ordered (void *context, int status, bool timed_out, int64_t retry_ms)
+{
+  struct errand *errand = context;
+  marjoram_upstreams *upstreams = errand->upstreams;
+
+  (void)timed_out;
+  upstreams->ops->ordered (upstreams->context, errand->number, status,
+                           retry_ms);
+  errand_destroy (errand);
+}
+
+void
+marjoram_upstreams_order (marjoram_upstreams *upstreams,
+                          const struct marjoram_order *order)
+{
+  json_t *json
+      = json_pack ("{s:I, s:s, s:s}", "fence", (json_int_t)order->fence,
+                   "order", "load", "model", order->model);
+  marjoram_auto_free char *body = json_dumps (json, JSON_COMPACT);
+  struct errand *errand = errand_create (upstreams, NULL, order->number);
+
+  json_decref (json);
+  if (!marjoram_outcall (upstreams->calls, order->address, "/v1/orders", body,
+                         ORDER_TIMEOUT_MSEC, on_ordered, errand))
+    on_ordered (errand, 0, false, 0);
 }
 
 /* ---- The task.  ---- */
@@ -740,8 +658,9 @@
   upstreams->base = base;
   upstreams->ops = ops;
   upstreams->context = context;
-  TAILQ_INIT (&upstreams->idles);
-  TAILQ_INIT (&upstreams->probes);
+  upstreams->keepalive = marjoram_keepalive_create (base);
+  TAILQ_INIT (&upstreams->errands);
+  upstreams->calls = marjoram_outcalls_create (base);
   return upstreams;
 }
 
@@ -750,8 +669,6 @@
 {
   struct attempt *attempt;
   struct attempt *next;
-  struct idle *idle;
-  struct probe *probe;
 
   if (!upstreams)
     return;
@@ -759,14 +676,7 @@
   {
     attempt_cancel (attempt);
   }
-  while ((idle = TAILQ_FIRST (&upstreams->idles)))
-    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-unix.*) */
-    idle_destroy (idle, true);
-  while ((probe = TAILQ_FIRST (&upstreams->probes)))
-    {
-      /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-unix.*) */
-      evhttp_connection_free (probe->connection);
-      probe_destroy (probe);
-    }
+  marjoram_keepalive_destroy (upstreams->keepalive);
+  marjoram_outcalls_destroy (upstreams->calls, errand_destroy);
   free (upstreams);
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -19,6 +19,8 @@
   void (*failed) (void *context, uint64_t attempt,
                   enum marjoram_run_failure failure);
   void (*probed) (void *context, const char *upstream, bool alive);
+  void (*ordered) (void *context, uint64_t number, int status,
+                   int64_t retry_ms);
 };
 
 marjoram_upstreams *
@@ -34,6 +36,8 @@
 /* Nothing more is told of ATTEMPT.  */
 void marjoram_upstreams_cancel (marjoram_upstreams *upstreams,
                                 uint64_t attempt);
+void marjoram_upstreams_order (marjoram_upstreams *upstreams,
+                               const struct marjoram_order *order);
 void marjoram_upstreams_probe (marjoram_upstreams *upstreams,
                                const char *upstream, const char *address);
 
--- a/src/zone.c
+++ b/src/zone.c
@@ -133,6 +133,16 @@
                 (unsigned long long)fence);
 }
 
+static void
+place_give (void *context, const struct marjoram_order *order)
+{
+  marjoram_host *host = context;
+
+  host->ops->order (host->context, order);
+}
+
+static const struct marjoram_place_ops place_ops = { place_give };
+
 static const struct marjoram_orders_ops orders_ops
     = { order_send, order_lease };
 
@@ -158,4 +168,5 @@
   orders.lease_ms = ORDER_LEASE_MS;
   orders.longest_order_ms = LONGEST_ORDER_MS;
   host->orders = marjoram_orders_create (&orders, &orders_ops, host);
+  host->place = marjoram_place_create (&place_ops, host, host->random);
 }
--- a/test/lib_hosts.c
+++ b/test/lib_hosts.c
@@ -191,6 +191,13 @@
   (void)address;
 }
 
+static void
+op_order (void *context, const struct marjoram_order *order)
+{
+  (void)context;
+  (void)order;
+}
+
 static void
 op_connect (void *context, const char *slot, const char *address, bool wanted)
 {
@@ -298,6 +305,7 @@
   .resume = op_resume,
   .cancel = op_cancel,
   .probe = op_probe,
+  .order = op_order,
   .connect = op_connect,
   .send = op_send,
   .reply = op_reply,
--- /dev/null
+++ b/test/test_place.c
@@ -0,0 +1,241 @@
+/* Orders to load models: how many, to whom, how often, and by whom.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "log.h"
+#include "place.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  ENGINES = 4,
+  ORDERS_MAX = 64,
+  STEP_MS = 250,
+  /* A first holder waits out the lease of one that it may have forgotten.  */
+  LEASE_WAIT_MS = 60000
+};
+
+/* An order as it was given.  */
+struct given
+{
+  uint64_t number;
+  uint64_t fence;
+  int engine;
+  char model[8];
+};
+
+static struct given given[ORDERS_MAX];
+static int given_count;
+static marjoram_config *config;
+static marjoram_members *members;
+static marjoram_orders *orders;
+static marjoram_place *place;
+static marjoram_random *source;
+static int64_t now;
+
+static void
+on_give (void *context, const struct marjoram_order *order)
+{
+  struct given *copy = &given[given_count++ % ORDERS_MAX];
+
+  (void)context;
+  copy->number = order->number;
+  copy->fence = order->fence;
+  copy->engine = order->address[strlen (order->address) - 1] - '0';
+  snprintf (copy->model, sizeof copy->model, "%s", order->model);
+}
+
+static const struct marjoram_place_ops place_ops = { on_give };
+
+static void
+on_send (void *context, int ordinal,
+         const struct marjoram_order_message *message)
+{
+  (void)context;
+  (void)ordinal;
+  (void)message;
+}
+
+static void
+on_lease (void *context, uint64_t fence)
+{
+  (void)context;
+  (void)fence;
+}
+
+static const struct marjoram_orders_ops orders_ops = { on_send, on_lease };
+
+static marjoram_config *
+make_config (void)
+{
+  static const char text[]
+      = "[file]\nname = all\nversion = 1\n[cluster t]\n[region r]\n"
+        "[zone z]\nregion = r\n[slot z-1]\nzone = z\npeer = 127.9.2.1:7000\n"
+        "entry = 127.9.2.1:8080\nkeeper = yes\n"
+        "[model m]\ncopies = 2\nload_ms = 1000\n"
+        "[model n]\ncopies = 3\nload_ms = 1000\n";
+  struct marjoram_state *state = marjoram_state_copy (NULL);
+  struct marjoram_file *file = marjoram_alloc (sizeof *file);
+  marjoram_config *made;
+
+  state->number = 1;
+  state->files.items = file;
+  state->files.count = 1;
+  file->name = marjoram_strdup ("all");
+  file->version = 1;
+  file->text = marjoram_strdup (text);
+  file->digest = marjoram_digest (text, strlen (text));
+  made = marjoram_config_create (state, NULL, NULL);
+  marjoram_state_destroy (state);
+  return made;
+}
+
+/* Engine INDEX announces that it has LOADED (null: nothing) and could load m
+   and n.  */
+static void
+announce (int index, const char *loaded)
+{
+  static uint64_t sequence;
+  struct marjoram_work_name works[1] = { { (char *)loaded } };
+  struct marjoram_work_name loadable[2] = { { (char *)"m" }, { (char *)"n" } };
+  struct marjoram_announcement a = { 0 };
+  char name[16];
+  char address[32];
+
+  snprintf (name, sizeof name, "e%d", index);
+  snprintf (address, sizeof address, "127.9.2.9:%d", 9000 + index);
+  a.name = name;
+  a.zone = (char *)"z";
+  a.address = address;
+  a.incarnation = 1;
+  a.sequence = ++sequence;
+  a.engine = true;
+  a.slots = 4;
+  a.lease_ms = 60000;
+  a.works.items = works;
+  a.works.count = loaded != NULL;
+  a.loadable.items = loadable;
+  a.loadable.count = 2;
+  marjoram_members_announce (members, now, &a, false);
+}
+
+static void
+pass (int64_t msec)
+{
+  for (int64_t end = now + msec; now < end;)
+    {
+      now += STEP_MS;
+      marjoram_orders_tick (orders, now);
+      marjoram_place_tick (place, now, config, members, orders);
+    }
+}
+
+static void
+setup (void)
+{
+  struct marjoram_orders_options options = { .slot_count = 1,
+                                             .incarnation = 1000,
+                                             .lease_ms = 10000,
+                                             .longest_order_ms = 1000 };
+
+  now = 1000000;
+  given_count = 0;
+  config = make_config ();
+  ck_assert_ptr_nonnull (config);
+  members = marjoram_members_create ("z", 0);
+  source = marjoram_random_create (1);
+  orders = marjoram_orders_create (&options, &orders_ops, NULL);
+  place = marjoram_place_create (&place_ops, NULL, source);
+  for (int i = 0; i < ENGINES; i++)
+    announce (i, NULL);
+}
+
+static void
+teardown (void)
+{
+  marjoram_place_destroy (place);
+  marjoram_orders_destroy (orders);
+  marjoram_random_destroy (source);
+  marjoram_members_destroy (members);
+  marjoram_config_release (config);
+}
+
+/* All engines come up empty.  Models are loaded two at a time, so that the
+   weight store isn't stormed, until each has its copies; then orders end.  */
+START_TEST (loads_the_wanted_copies_two_at_a_time)
+{
+  int done = 0;
+
+  while (given_count == 0)
+    pass (STEP_MS);
+  for (int round = 0; round < 40; round++)
+    {
+      pass (STEP_MS);
+      ck_assert_int_le (given_count - done, 2);
+      for (; done < given_count && round % 4 == 3; done++)
+        {
+          marjoram_place_answered (place, now, given[done].number, 200, 0);
+          announce (given[done].engine, given[done].model);
+        }
+    }
+  /* Five loads for four engines: one of them gets both models.  */
+  ck_assert_int_ge (given_count, ENGINES);
+  for (int i = 0; i < given_count; i++)
+    ck_assert (given[i].fence > 0);
+}
+END_TEST
+
+/* The weight store refuses each load (429).  Orders come ever more slowly, not
+   at each tick.  */
+START_TEST (refused_loads_spread_out)
+{
+  int answered = 0;
+
+  for (int i = 0; i < 480; i++)
+    {
+      pass (STEP_MS);
+      for (; answered < given_count; answered++)
+        marjoram_place_answered (place, now, given[answered].number, 429, 0);
+    }
+  ck_assert_int_lt (given_count, 60);
+  ck_assert_int_gt (given_count, 4);
+}
+END_TEST
+
+/* The holder is frozen beyond its lease and thawed.  Its next tick shows the
+   time that has passed, and it gives no order before it holds a lease anew. */
+START_TEST (thawed_holder_gives_no_order_on_its_old_lease)
+{
+  uint64_t before;
+
+  pass (LEASE_WAIT_MS);
+  ck_assert_int_gt (given_count, 0);
+  before = given[given_count - 1].fence;
+  given_count = 0;
+  now += 60000;
+  marjoram_place_tick (place, now, config, members, orders);
+  ck_assert_int_eq (given_count, 0);
+  for (int i = 0; i < ENGINES; i++)
+    announce (i, NULL);
+  pass (LEASE_WAIT_MS);
+  ck_assert_int_gt (given_count, 0);
+  ck_assert_uint_ge (given[0].fence, before);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("place");
+  TCase *c = tcase_create ("place");
+
+  marjoram_log_open ("test", MARJORAM_LOG_ERROR);
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, loads_the_wanted_copies_two_at_a_time);
+  tcase_add_test (c, refused_loads_spread_out);
+  tcase_add_test (c, thawed_holder_gives_no_order_on_its_old_lease);
+  suite_add_tcase (s, c);
+  return s;
+}
