--- a/test/demo.sh
+++ b/test/demo.sh
@@ -122,7 +122,6 @@
 for address in 127.5.1.1 127.5.1.2 127.5.1.3 127.5.2.1 127.5.2.2 127.5.2.3; do
   until_true ready $address
 done
-ctl status
 
 desk=front-desk-0123456789
 bakery=bakery-0123456789
@@ -133,6 +132,8 @@
 until_true known $desk 127.5.1.1 $chat "$summary"
 until_true known $bakery 127.5.2.3 $chat "$summary"
 
+ctl status
+
 say "an idempotent request"
 ask $desk 127.5.1.1 $chat "$summary"
 say "a streamed request"
