--- a/src/front.c
+++ b/src/front.c
@@ -373,7 +373,8 @@
       refuse_input (front, request, MARJORAM_REASON_BAD_REQUEST, err.message);
       return;
     }
-  if (!front->ops->ready (front->context))
+  /* A draining host still hears upstreams: its neighbours learn of them.  */
+  if (front->ops->config_number (front->context) == 0)
     {
       marjoram_wire_destroy (&marjoram_announcement_layout, a);
       refuse_input (front, request, MARJORAM_REASON_NO_CONFIG,
