--- a/src/keeper.c
+++ b/src/keeper.c
@@ -532,14 +532,16 @@
            "restart this host";
   if (keeper->barred)
     return "the data folder was restored from an older copy: no vote; empty "
-           "it, restart this host and run \"marjoramctl replace SLOT SLOT\"";
+           "it, restart this host and run \"marjoramctl replace-keeper SLOT "
+           "SLOT\"";
   if (!marjoram_keeper_current (keeper))
     return keeper->formed
                ? "this disk is empty while others have a state: no vote; run "
-                 "\"marjoramctl replace SLOT SLOT\""
+                 "\"marjoramctl replace-keeper SLOT SLOT\""
                : "no first state yet: all first keepers have to be up";
   if (!is_member (keeper))
-    return "this store is no keeper: no vote; run \"marjoramctl replace OLD "
+    return "this store is no keeper: no vote; run \"marjoramctl "
+           "replace-keeper OLD "
            "SLOT\" if it should be one";
   if (!keeper->met)
     return "no majority of the keepers was heard since the start: no vote yet";
--- a/src/store.c
+++ b/src/store.c
@@ -30,7 +30,8 @@
 static const char marker_name[] = "in-use";
 static const char repair[]
     = "this keeper's copy can't be trusted: move the folder away, start the "
-      "keeper empty and admit it with \"marjoramctl replace SLOT SLOT\"";
+      "keeper empty and admit it with \"marjoramctl replace-keeper SLOT "
+      "SLOT\"";
 
 /* The file: a checksum over the packed content, then the content.  */
 struct envelope
