--- a/src/claim_message.c
+++ b/src/claim_message.c
@@ -88,28 +88,28 @@
   return true;
 }
 
-/* Zone names may hold dots themselves, so the last two dots count.  */
+enum
+{
+  TIME_DIGITS_MAX = 15
+};
+
 bool
 marjoram_key_parse (const char *key, char *zone, int64_t *issued_ms)
 {
-  const char *last = strrchr (key, '.');
-  const char *time = last;
-  char *end;
-  uint64_t value;
+  size_t zone_size = strcspn (key, ".");
+  const char *time = key + zone_size + 1;
+  size_t digits;
 
-  if (strlen (key) > MARJORAM_KEY_MAX || !key_characters (key) || !last)
-    return false;
-  while (time > key && time[-1] != '.')
-    time--;
-  if (time <= key + 1 || last[1] == '\0' || last - time > 15
-      || !isxdigit ((unsigned char)*time))
+  if (strlen (key) > MARJORAM_KEY_MAX || !key_characters (key)
+      || zone_size == 0 || key[zone_size] == '\0')
     return false;
-  value = strtoull (time, &end, 16);
-  if (end != last)
+  digits = strspn (time, "0123456789abcdefABCDEF");
+  if (digits == 0 || digits > TIME_DIGITS_MAX || time[digits] != '.'
+      || time[digits + 1] == '\0')
     return false;
-  memcpy (zone, key, time - key - 1);
-  zone[time - key - 1] = '\0';
-  *issued_ms = (int64_t)value;
+  memcpy (zone, key, zone_size);
+  zone[zone_size] = '\0';
+  *issued_ms = (int64_t)strtoull (time, NULL, 16);
   return true;
 }
 
--- a/test/test_claim.c
+++ b/test/test_claim.c
@@ -501,6 +501,407 @@
 }
 END_TEST
 
+/* Acquires at HOST and lets the zone work until it is decided.  */
+static int
+ask (struct zone *zone, int host, int key, unsigned dead)
+{
+  int number = acquire (zone, host, key);
+
+  run_for (zone, TIMEOUT_MS + 200, dead);
+  return verdict (zone, number);
+}
+
+static int
+run_one (struct zone *zone, int host, int key)
+{
+  int number = acquire (zone, host, key);
+
+  run_for (zone, 100, 0);
+  ck_assert_int_eq (verdict (zone, number), MARJORAM_CLAIM_RUN);
+  act (zone, number);
+  return number;
+}
+
+/* Five hosts; attempt A of host 4 has the votes of 4 and 0, when 0 restarts
+   and gets its state back from 1, 2 and 3, none of which knows A yet.  B of
+   host 1 then runs by 1, 2 and 0; at last 3 votes for A.  Counting host 0's
+   vote from before its restart, A has three as well and the request runs
+   twice.  */
+START_TEST (vote_of_a_restarted_host_does_not_count)
+{
+  struct zone zone;
+  int a, b;
+
+  open_zone (&zone, 5);
+  a = acquire (&zone, 4, 0);
+  lose (&zone, MARJORAM_CLAIM_ASK, 4, 1);
+  lose (&zone, MARJORAM_CLAIM_ASK, 4, 2);
+  pass (&zone, MARJORAM_CLAIM_ASK, 4, 0);
+  restart (&zone, 0);
+  lose (&zone, MARJORAM_CLAIM_RECOVER, 0, 4);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, ANY, ANY);
+  pass (&zone, MARJORAM_CLAIM_STATE, ANY, ANY);
+  b = acquire (&zone, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, 1, 2);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, ANY, 1);
+  ck_assert_int_eq (verdict (&zone, b), MARJORAM_CLAIM_RUN);
+  pass (&zone, MARJORAM_CLAIM_ASK, 4, 3);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, 0, 4);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, 3, 4);
+  run_for (&zone, TIMEOUT_MS + 200, 0);
+  ck_assert_int_eq (verdict (&zone, a), MARJORAM_CLAIM_RUNNING);
+  close_zone (&zone);
+}
+END_TEST
+
+/* Host 0 voted for what host 1 runs, restarts, and hears only host 2, which
+   knows nothing of it.  If that were enough, 0 and 2 would let the caller's
+   second attempt run.  */
+START_TEST (recovery_needs_more_than_one_peer)
+{
+  struct zone zone;
+  int a, b;
+
+  open_zone (&zone, 3);
+  a = acquire (&zone, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, 0, 1);
+  ck_assert_int_eq (verdict (&zone, a), MARJORAM_CLAIM_RUN);
+  lose (&zone, ANY, 1, ANY);
+  restart (&zone, 0);
+  b = acquire (&zone, 2, 0);
+  run_for (&zone, TIMEOUT_MS + 200, 1U << 1);
+  ck_assert_int_eq (verdict (&zone, b), MARJORAM_CLAIM_EXPIRED);
+  close_zone (&zone);
+}
+END_TEST
+
+/* Host 0 answered host 2's request for state, restarted and voted since; its
+   first answer arrives only now.  Taken as its present state it hides the
+   vote.  */
+START_TEST (answer_of_a_former_incarnation_is_void)
+{
+  struct zone zone;
+
+  open_zone (&zone, 3);
+  restart (&zone, 2);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, 2, 0);
+  restart (&zone, 2);
+  lose (&zone, MARJORAM_CLAIM_RECOVER, ANY, ANY);
+  run_one (&zone, 0, 0);
+  pass (&zone, MARJORAM_CLAIM_STATE, ANY, 2);
+  ck_assert (!marjoram_claims_ready (zone.hosts[2].claims)
+             || zone.now > LEAD_MS);
+  ck_assert_int_ne (ask (&zone, 2, 0, 1U << 0), MARJORAM_CLAIM_RUN);
+  close_zone (&zone);
+}
+END_TEST
+
+/* The caller of A goes away before A is decided; A's last vote is still on its
+   way when B of another host gets the majority.  */
+START_TEST (late_vote_for_a_withdrawn_attempt_is_void)
+{
+  struct zone zone;
+  int a, b;
+
+  open_zone (&zone, 3);
+  a = acquire (&zone, 0, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, 0, 1);
+  lose (&zone, MARJORAM_CLAIM_ASK, 0, 2);
+  withdraw (&zone, a);
+  pass (&zone, MARJORAM_CLAIM_WITHDRAW, 0, 1);
+  b = acquire (&zone, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, 1, 2);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, 2, 1);
+  ck_assert_int_eq (verdict (&zone, b), MARJORAM_CLAIM_RUN);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, 1, 0);
+  ck_assert_int_eq (verdict (&zone, a), UNDECIDED);
+  close_zone (&zone);
+}
+END_TEST
+
+/* The withdrawal of an attempt is lost on its way to the others, which keep
+   its votes: without asking its owner they would refuse the key for a day.  */
+START_TEST (lost_withdrawal_does_not_block_the_key)
+{
+  struct zone zone;
+  int a;
+
+  open_zone (&zone, 3);
+  a = acquire (&zone, 0, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, ANY, ANY);
+  withdraw (&zone, a);
+  lose (&zone, ANY, ANY, ANY);
+  ck_assert_int_eq (ask (&zone, 1, 0, 0), MARJORAM_CLAIM_RUN);
+  close_zone (&zone);
+}
+END_TEST
+
+/* Two callers' sends reach two hosts at once, the third host is dead: each has
+   its own vote only.  One has to give way, and only one.  */
+START_TEST (racing_hosts_do_not_block_each_other)
+{
+  struct zone zone;
+  int a, b;
+
+  open_zone (&zone, 3);
+  b = acquire (&zone, 1, 0);
+  a = acquire (&zone, 0, 0);
+  run_for (&zone, TIMEOUT_MS / 2, 1U << 2);
+  ck_assert_int_eq (verdict (&zone, a), MARJORAM_CLAIM_RUN);
+  ck_assert_int_eq (verdict (&zone, b), MARJORAM_CLAIM_RUNNING);
+  close_zone (&zone);
+}
+END_TEST
+
+START_TEST (same_host_runs_a_key_once)
+{
+  struct zone zone;
+  int a, b;
+
+  open_zone (&zone, 3);
+  a = acquire (&zone, 0, 0);
+  b = acquire (&zone, 0, 0);
+  ck_assert_int_eq (verdict (&zone, b), MARJORAM_CLAIM_RUNNING);
+  run_for (&zone, 100, 0);
+  ck_assert_int_eq (verdict (&zone, a), MARJORAM_CLAIM_RUN);
+  act (&zone, a);
+  finish (&zone, a, true);
+  ck_assert_int_eq (ask (&zone, 0, 0, 0), MARJORAM_CLAIM_REPLAY);
+  close_zone (&zone);
+}
+END_TEST
+
+START_TEST (other_body_is_refused)
+{
+  struct zone zone;
+
+  open_zone (&zone, 3);
+  run_one (&zone, 0, 0);
+  for (int host = 0; host < 3; host++)
+    {
+      int number = acquire_body (&zone, host, 0, "other");
+
+      run_for (&zone, 200, 0);
+      ck_assert_int_eq (verdict (&zone, number), MARJORAM_CLAIM_MISMATCH);
+    }
+  close_zone (&zone);
+}
+END_TEST
+
+/* The host that ran the request dies, and its caller asks another one: it gets
+   the answer if that was known, else it is told that the outcome is open; in
+   no case does it run again.  */
+START_TEST (outcome_survives_its_host)
+{
+  struct zone zone;
+  int first;
+
+  open_zone (&zone, 3);
+  first = run_one (&zone, 0, 0);
+  finish (&zone, first, true);
+  run_for (&zone, 100, 0);
+  run_one (&zone, 0, 1);
+  ck_assert_int_eq (ask (&zone, 1, 0, 1U << 0), MARJORAM_CLAIM_REPLAY);
+  ck_assert_int_eq (ask (&zone, 2, 0, 1U << 0), MARJORAM_CLAIM_REPLAY);
+  ck_assert_int_eq (ask (&zone, 1, 1, 1U << 0), MARJORAM_CLAIM_LOST);
+  restart (&zone, 0);
+  ck_assert_int_eq (ask (&zone, 2, 1, 0), MARJORAM_CLAIM_LOST);
+  ck_assert_int_eq (ask (&zone, 0, 1, 0), MARJORAM_CLAIM_LOST);
+  ck_assert_int_eq (ask (&zone, 0, 0, 0), MARJORAM_CLAIM_REPLAY);
+  close_zone (&zone);
+}
+END_TEST
+
+/* All hosts are restarted one by one, as for a new release: what they knew
+   has to pass from one to the next.  */
+START_TEST (outcome_survives_restarts_one_by_one)
+{
+  struct zone zone;
+  int first;
+
+  open_zone (&zone, 3);
+  first = run_one (&zone, 0, 0);
+  finish (&zone, first, true);
+  run_for (&zone, 100, 0);
+  for (int host = 0; host < 3; host++)
+    {
+      restart (&zone, host);
+      run_for (&zone, 300, 0);
+      ck_assert (marjoram_claims_ready (zone.hosts[host].claims));
+    }
+  for (int host = 0; host < 3; host++)
+    ck_assert_int_eq (ask (&zone, host, 0, 0), MARJORAM_CLAIM_REPLAY);
+  close_zone (&zone);
+}
+END_TEST
+
+/* The zone loses power, and one of its hosts does not come back.  What ran
+   before is not known any more: old keys are refused, new ones work.  */
+START_TEST (restarted_zone_refuses_old_keys_only)
+{
+  static const struct
+  {
+    int hosts;
+    unsigned dead;
+  } cases[] = { { 1, 0 }, { 2, 0 }, { 3, 0 }, { 3, 1U << 2 }, { 5, 3U << 3 } };
+  struct zone zone;
+  int host = 1;
+
+  open_zone (&zone, cases[_i].hosts);
+  run_one (&zone, 0, 0);
+  for (int i = 0; i < zone.count; i++)
+    restart (&zone, i);
+  lose (&zone, ANY, ANY, ANY);
+  if (zone.count == 1)
+    host = 0;
+  ck_assert_int_eq (ask (&zone, host, 0, cases[_i].dead),
+                    MARJORAM_CLAIM_EXPIRED);
+  ck_assert (marjoram_claims_ready (zone.hosts[host].claims));
+  zone.issued[1] = marjoram_claims_issue_time (zone.hosts[host].claims,
+                                               wall (&zone, host));
+  ck_assert_int_eq (ask (&zone, host, 1, cases[_i].dead), MARJORAM_CLAIM_RUN);
+  close_zone (&zone);
+}
+END_TEST
+
+/* A caller makes up a key whose time lies a minute ahead.  A host that voted
+   for it and restarted would take it for a new key, and let it run again.  */
+START_TEST (key_from_the_future_is_not_run)
+{
+  struct zone zone;
+
+  open_zone (&zone, 3);
+  zone.issued[0] += 60000;
+  ck_assert_int_eq (ask (&zone, 0, 0, 0), MARJORAM_CLAIM_NO_QUORUM);
+  close_zone (&zone);
+}
+END_TEST
+
+START_TEST (without_majority_nothing_runs)
+{
+  struct zone zone;
+
+  open_zone (&zone, 3);
+  ck_assert_int_eq (ask (&zone, 0, 0, 6), MARJORAM_CLAIM_NO_QUORUM);
+  ck_assert_int_eq (ask (&zone, 1, 0, 0), MARJORAM_CLAIM_RUN);
+  close_zone (&zone);
+  open_zone (&zone, 2);
+  ck_assert_int_eq (ask (&zone, 0, 0, 2), MARJORAM_CLAIM_NO_QUORUM);
+  ck_assert_int_eq (ask (&zone, 0, 0, 0), MARJORAM_CLAIM_RUN);
+  close_zone (&zone);
+}
+END_TEST
+
+START_TEST (answers_and_claims_are_kept_for_a_time)
+{
+  struct zone zone;
+  int first;
+
+  open_zone (&zone, 3);
+  first = run_one (&zone, 0, 0);
+  finish (&zone, first, true);
+  run_for (&zone, 500, 0);
+  ck_assert_int_eq (ask (&zone, 1, 0, 0), MARJORAM_CLAIM_REPLAY);
+  zone.now += REPLAY_MS;
+  run_for (&zone, 100, 0);
+  ck_assert_int_eq (ask (&zone, 1, 0, 0), MARJORAM_CLAIM_LOST);
+  zone.now += RETENTION_MS - REPLAY_MS - LEAD_MS;
+  run_for (&zone, 100, 0);
+  ck_assert_int_eq (ask (&zone, 1, 0, 0), MARJORAM_CLAIM_LOST);
+  zone.now += LEAD_MS;
+  ck_assert_int_eq (ask (&zone, 1, 0, 0), MARJORAM_CLAIM_EXPIRED);
+  zone.now += 2 * LEAD_MS;
+  run_for (&zone, 100, 0);
+  for (int host = 0; host < 3; host++)
+    ck_assert_uint_eq (marjoram_claims_count (zone.hosts[host].claims), 0);
+  close_zone (&zone);
+}
+END_TEST
+
+static void
+ignore_verdict (void *context, uint64_t attempt,
+                enum marjoram_claim_verdict given,
+                const struct marjoram_kept_answer *kept)
+{
+  (void)context;
+  (void)attempt;
+  (void)given;
+  (void)kept;
+}
+
+/* More claims than one message holds.  */
+START_TEST (large_state_comes_back_in_parts)
+{
+  enum
+  {
+    CLAIMS = 3 * MARJORAM_CLAIM_ENTRIES_MAX + 7
+  };
+  static const struct marjoram_claims_ops ops = { post, ignore_verdict };
+  struct marjoram_claims_options options
+      = { 3, 1, 9, RETENTION_MS, REPLAY_MS, TIMEOUT_MS };
+  struct zone zone;
+  char key[MARJORAM_KEY_MAX];
+
+  open_zone (&zone, 3);
+  marjoram_claims_destroy (zone.hosts[1].claims);
+  zone.hosts[1].incarnation = 9;
+  zone.hosts[1].claims
+      = marjoram_claims_create (&options, &ops, &zone.hosts[1]);
+  run_for (&zone, 300, 0);
+  for (int i = 0; i < CLAIMS; i++)
+    {
+      snprintf (key, sizeof key, "z.%llx.r%d",
+                (unsigned long long)zone.issued[0], i);
+      marjoram_claims_acquire (zone.hosts[1].claims, zone.now, wall (&zone, 1),
+                               1000 + i, key, zone.issued[0], "body");
+      pass (&zone, ANY, ANY, ANY);
+      pass (&zone, ANY, ANY, ANY);
+    }
+  restart (&zone, 0);
+  run_for (&zone, 1000, 0);
+  ck_assert_uint_eq (marjoram_claims_count (zone.hosts[0].claims), CLAIMS);
+  close_zone (&zone);
+}
+END_TEST
+
+START_TEST (reads_keys)
+{
+  static const struct
+  {
+    const char *key;
+    const char *zone;
+    int64_t issued;
+  } good[] = { { "ba-1.19a2f3c4d5e.x", "ba-1", 0x19a2f3c4d5e },
+               { "a.ff.r.-_9", "a", 0xff } };
+  static const char *const bad[]
+      = { "",          "x",         "ba-1.12",
+          "ba-1..x",   "ba-1.12.",  ".12.x",
+          "ba-1.zz.x", "ba-1.-1.x", "ba-1.0x12.x",
+          "b 1.12.x",  "b.12.x/",   "b.1234567890123456.x" };
+  char zone[MARJORAM_KEY_MAX];
+  char prefix[MARJORAM_KEY_MAX];
+  char long_key[MARJORAM_KEY_MAX + 2];
+  int64_t issued;
+
+  for (size_t i = 0; i < sizeof good / sizeof *good; i++)
+    {
+      ck_assert (marjoram_key_parse (good[i].key, zone, &issued));
+      ck_assert_str_eq (zone, good[i].zone);
+      ck_assert_int_eq (issued, good[i].issued);
+    }
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    ck_assert_msg (!marjoram_key_parse (bad[i], zone, &issued), "%s", bad[i]);
+  memset (long_key, 'a', sizeof long_key - 1);
+  long_key[sizeof long_key - 1] = '\0';
+  memcpy (long_key, "z.12.", 5);
+  ck_assert (!marjoram_key_parse (long_key, zone, &issued));
+  marjoram_key_prefix (prefix, sizeof prefix, "ba-1", 0x19a2f3c4d5e);
+  ck_assert_str_eq (prefix, "ba-1.19a2f3c4d5e.");
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -508,6 +909,22 @@
   TCase *c = tcase_create ("claim");
 
   tcase_add_test (c, grants_one_and_replays_it);
+  tcase_add_test (c, vote_of_a_restarted_host_does_not_count);
+  tcase_add_test (c, recovery_needs_more_than_one_peer);
+  tcase_add_test (c, answer_of_a_former_incarnation_is_void);
+  tcase_add_test (c, late_vote_for_a_withdrawn_attempt_is_void);
+  tcase_add_test (c, lost_withdrawal_does_not_block_the_key);
+  tcase_add_test (c, racing_hosts_do_not_block_each_other);
+  tcase_add_test (c, same_host_runs_a_key_once);
+  tcase_add_test (c, other_body_is_refused);
+  tcase_add_test (c, outcome_survives_its_host);
+  tcase_add_test (c, outcome_survives_restarts_one_by_one);
+  tcase_add_loop_test (c, restarted_zone_refuses_old_keys_only, 0, 5);
+  tcase_add_test (c, key_from_the_future_is_not_run);
+  tcase_add_test (c, without_majority_nothing_runs);
+  tcase_add_test (c, answers_and_claims_are_kept_for_a_time);
+  tcase_add_test (c, large_state_comes_back_in_parts);
+  tcase_add_test (c, reads_keys);
   tcase_add_loop_test (c, runs_at_most_once_in_random_schedules, 0, 8);
   suite_add_tcase (s, c);
   return s;
