--- a/test/test_claim.c
+++ b/test/test_claim.c
@@ -577,23 +577,88 @@
 }
 END_TEST
 
-/* Host 0 answered host 2's request for state, restarted and voted since; its
-   first answer arrives only now.  Taken as its present state it hides the
-   vote.  */
-START_TEST (answer_of_a_former_incarnation_is_void)
+/* Host 0 recovers, votes for A of host 1, and restarts again.  The state that
+   host 1 gave for its first recovery comes a second time.  Taken for the
+   second one it hides A, and B runs as well.  */
+START_TEST (state_for_a_former_incarnation_is_void)
 {
   struct zone zone;
+  int a;
 
   open_zone (&zone, 3);
-  restart (&zone, 2);
-  pass (&zone, MARJORAM_CLAIM_RECOVER, 2, 0);
-  restart (&zone, 2);
-  lose (&zone, MARJORAM_CLAIM_RECOVER, ANY, ANY);
-  run_one (&zone, 0, 0);
-  pass (&zone, MARJORAM_CLAIM_STATE, ANY, 2);
-  ck_assert (!marjoram_claims_ready (zone.hosts[2].claims)
-             || zone.now > LEAD_MS);
-  ck_assert_int_ne (ask (&zone, 2, 0, 1U << 0), MARJORAM_CLAIM_RUN);
+  restart (&zone, 0);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, 0, ANY);
+  for (int i = 0; i < zone.letters; i++)
+    if (matches (&zone.bag[i], MARJORAM_CLAIM_STATE, 1, 0))
+      show (&zone, i);
+  pass (&zone, MARJORAM_CLAIM_STATE, 2, 0);
+  a = acquire (&zone, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, 0, 1);
+  ck_assert_int_eq (verdict (&zone, a), MARJORAM_CLAIM_RUN);
+  restart (&zone, 0);
+  pass (&zone, MARJORAM_CLAIM_STATE, 1, 0);
+  ck_assert_int_ne (ask (&zone, 2, 0, 1U << 1), MARJORAM_CLAIM_RUN);
+  close_zone (&zone);
+}
+END_TEST
+
+/* Host 3 gave its state to host 0, restarted and then voted for A, whose third
+   vote came from host 0 before its own restart.  Host 0 must not rely on what
+   3 said before: 2 and 4, which know of 3's restart, know nothing of A.  */
+START_TEST (state_from_before_a_restart_does_not_count)
+{
+  struct zone zone;
+  int a;
+
+  open_zone (&zone, 5);
+  a = acquire (&zone, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, 1, 0);
+  restart (&zone, 0);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, 0, 3);
+  restart (&zone, 3);
+  lose (&zone, MARJORAM_CLAIM_RECOVER, 3, 0);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, 3, ANY);
+  pass (&zone, MARJORAM_CLAIM_STATE, ANY, 3);
+  pass (&zone, MARJORAM_CLAIM_ASK, 1, 3);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, ANY, 1);
+  ck_assert_int_eq (verdict (&zone, a), MARJORAM_CLAIM_RUN);
+  pass (&zone, MARJORAM_CLAIM_STATE, 3, 0);
+  lose (&zone, ANY, ANY, 1);
+  lose (&zone, ANY, 1, ANY);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, 0, 2);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, 0, 4);
+  pass (&zone, MARJORAM_CLAIM_STATE, 2, 0);
+  pass (&zone, MARJORAM_CLAIM_STATE, 4, 0);
+  ck_assert_int_ne (ask (&zone, 2, 0, 1U << 1 | 1U << 3), MARJORAM_CLAIM_RUN);
+  close_zone (&zone);
+}
+END_TEST
+
+/* B of host 2 ran by the votes of 2 and 0; host 0 restarts and hears of A from
+   host 1 and of B from host 2.  It has to keep both: when A withdraws, the key
+   is not free.  */
+START_TEST (recovery_keeps_every_attempt)
+{
+  struct zone zone;
+  int a, b;
+
+  open_zone (&zone, 3);
+  b = acquire (&zone, 2, 0);
+  pass (&zone, MARJORAM_CLAIM_ASK, 2, 0);
+  pass (&zone, MARJORAM_CLAIM_ANSWER, 0, 2);
+  ck_assert_int_eq (verdict (&zone, b), MARJORAM_CLAIM_RUN);
+  lose (&zone, ANY, ANY, ANY);
+  a = acquire (&zone, 1, 0);
+  lose (&zone, ANY, ANY, ANY);
+  restart (&zone, 0);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, 0, 1);
+  pass (&zone, MARJORAM_CLAIM_STATE, 1, 0);
+  pass (&zone, MARJORAM_CLAIM_RECOVER, 0, 2);
+  pass (&zone, MARJORAM_CLAIM_STATE, 2, 0);
+  withdraw (&zone, a);
+  run_for (&zone, 50, 1U << 2);
+  ck_assert_int_eq (ask (&zone, 1, 0, 1U << 2), MARJORAM_CLAIM_LOST);
   close_zone (&zone);
 }
 END_TEST
@@ -911,7 +976,9 @@
   tcase_add_test (c, grants_one_and_replays_it);
   tcase_add_test (c, vote_of_a_restarted_host_does_not_count);
   tcase_add_test (c, recovery_needs_more_than_one_peer);
-  tcase_add_test (c, answer_of_a_former_incarnation_is_void);
+  tcase_add_test (c, state_for_a_former_incarnation_is_void);
+  tcase_add_test (c, state_from_before_a_restart_does_not_count);
+  tcase_add_test (c, recovery_keeps_every_attempt);
   tcase_add_test (c, late_vote_for_a_withdrawn_attempt_is_void);
   tcase_add_test (c, lost_withdrawal_does_not_block_the_key);
   tcase_add_test (c, racing_hosts_do_not_block_each_other);
