--- a/src/order.c
+++ b/src/order.c
@@ -39,6 +39,13 @@
     = { "marjoram_order_message", sizeof (struct marjoram_order_message),
         order_fields, sizeof order_fields / sizeof *order_fields };
 
+static void
+raise_to (uint64_t *number, uint64_t value)
+{
+  if (value > *number)
+    *number = value;
+}
+
 /* What this host promised as a voter.  */
 struct promise
 {
@@ -125,9 +132,12 @@
 static void
 send_kind (marjoram_orders *orders, int to, enum kind kind, uint64_t fence)
 {
-  struct marjoram_order_message message = {
-    .kind = kind, .incarnation = orders->options.incarnation, .fence = fence
-  };
+  struct marjoram_order_message message
+      = { .kind = kind,
+          .incarnation = orders->options.incarnation,
+          .fence = fence,
+          .round = orders->bid.round,
+          .held = orders->bid.held };
 
   orders->ops.send (orders->context, to, &message);
 }
@@ -191,6 +201,7 @@
   if (bid->held)
     return;
   bid->held = true;
+  raise_to (&orders->relay_floor, bid->fence);
   bid->unfenced = bid->asked + settle_time (orders);
   orders->ops.lease (orders->context, bid->fence);
 }
@@ -261,13 +272,6 @@
     give_back (orders, now);
 }
 
-static void
-raise_to (uint64_t *number, uint64_t value)
-{
-  if (value > *number)
-    *number = value;
-}
-
 static void
 hear_ask (marjoram_orders *orders, int64_t now, int from,
           const struct marjoram_order_message *message)
--- a/src/suspect.c
+++ b/src/suspect.c
@@ -22,6 +22,8 @@
   { MARJORAM_WIRE_STRING (struct marjoram_suspect_message, upstream,
                           MARJORAM_NAME_MAX) },
   { MARJORAM_WIRE_BOOL (struct marjoram_suspect_message, running) },
+  { MARJORAM_WIRE_STRING (struct marjoram_suspect_message, died,
+                          MARJORAM_NAME_MAX) },
 };
 const struct marjoram_layout marjoram_suspect_layout
     = { "marjoram_suspect_message", sizeof (struct marjoram_suspect_message),
@@ -34,6 +36,8 @@
   enum marjoram_suspicion suspicion;
   uint64_t deaths;
   int64_t expires;
+  char died[MARJORAM_NAME_MAX + 1]; /* whose death made it a suspect */
+  uint64_t since;                   /* number of the event that made it one */
   UT_hash_handle hh;
   TAILQ_ENTRY (entry) link; /* oldest news first */
 };
@@ -43,9 +47,11 @@
 struct run
 {
   char digest[DIGEST_MAX + 1];
-  unsigned here; /* how often this host has started it */
-  unsigned elsewhere;
-  int64_t expires; /* of ELSEWHERE: the other host may have died */
+  unsigned here;      /* how often this host has started it */
+  unsigned elsewhere; /* at how many other hosts it is a suspect */
+  bool reported;      /* the other hosts know that it runs here */
+  uint64_t since;     /* number of the event that started it */
+  int64_t expires;    /* of ELSEWHERE: the other host may have died */
   TAILQ_ENTRY (run) link;
 };
 
@@ -63,6 +69,7 @@
   TAILQ_HEAD (, entry) list;
   struct place *places;
   size_t run_count;
+  uint64_t events; /* starts and suspicions so far */
   marjoram_suspects_report *report;
   void *context;
 };
@@ -105,18 +112,19 @@
   free (place);
 }
 
+/* Frees PLACE, which is not in the table any more.  */
 static void
-drop_place (marjoram_suspects *suspects, struct place *place)
+drop_runs (marjoram_suspects *suspects, struct place *place)
 {
-  struct run *run = TAILQ_FIRST (&place->runs);
+  struct run *run, *next;
 
-  while (run)
+  for (run = TAILQ_FIRST (&place->runs); run; run = next)
     {
-      struct run *next = TAILQ_NEXT (run, link);
-
-      drop_run (suspects, place, run);
-      run = next;
+      next = TAILQ_NEXT (run, link);
+      suspects->run_count--;
+      free (run);
     }
+  free (place);
 }
 
 static void
@@ -142,7 +150,8 @@
   for (place = suspects->places; place; place = next)
     {
       next = place->hh.next;
-      drop_place (suspects, place);
+      HASH_DEL (suspects->places, place);
+      drop_runs (suspects, place);
     }
   drop_old_entries (suspects, INT64_MAX);
   free (suspects);
@@ -237,33 +246,62 @@
     return run;
   run = marjoram_alloc (sizeof *run);
   copy_text (run->digest, digest, sizeof run->digest);
+  run->since = ++suspects->events;
   TAILQ_INSERT_TAIL (&place->runs, run, link);
   suspects->run_count++;
   return run;
 }
 
+/* Tells the other hosts once that a suspect runs here, and once that it does
+   not any more, as they count.  */
 static void
 report_run (marjoram_suspects *suspects, int64_t now, const char *upstream,
-            const char *digest, bool running)
+            struct run *run)
 {
-  const struct entry *entry = find_entry (suspects, digest);
-  struct marjoram_suspect_message message = { .digest = (char *)digest,
+  const struct entry *entry = find_entry (suspects, run->digest);
+  struct marjoram_suspect_message message = { .digest = run->digest,
                                               .upstream = (char *)upstream,
-                                              .running = running };
+                                              .running = run->here > 0 };
 
-  if (!suspects->report || !entry || entry->expires <= now)
+  if (entry && entry->expires > now)
+    {
+      message.suspicion = entry->suspicion;
+      message.deaths = entry->deaths;
+      message.died = (char *)entry->died;
+    }
+  if (run->reported == message.running
+      || (message.running && message.suspicion == MARJORAM_SUSPICION_NONE))
     return;
-  message.suspicion = entry->suspicion;
-  message.deaths = entry->deaths;
-  suspects->report (suspects->context, &message);
+  run->reported = message.running;
+  if (suspects->report)
+    suspects->report (suspects->context, &message);
+}
+
+/* A request has just become a suspect by the death of DIED: the other hosts do
+   not know yet where else it is running.  */
+static void
+report_runs (marjoram_suspects *suspects, int64_t now, const char *digest,
+             const char *died)
+{
+  const struct place *place;
+
+  for (place = suspects->places; place; place = place->hh.next)
+    {
+      struct run *run = find_run (place, digest);
+
+      if (run && run->here > 0 && strcmp (place->upstream, died) != 0)
+        report_run (suspects, now, place->upstream, run);
+    }
 }
 
 void
 marjoram_suspects_started (marjoram_suspects *suspects, int64_t now,
                            const char *upstream, const char *digest)
 {
-  make_run (suspects, upstream, digest)->here++;
-  report_run (suspects, now, upstream, digest, true);
+  struct run *run = make_run (suspects, upstream, digest);
+
+  run->here++;
+  report_run (suspects, now, upstream, run);
 }
 
 void
@@ -278,22 +316,35 @@
   run->here--;
   if (run->here > 0)
     return;
-  report_run (suspects, now, upstream, digest, false);
+  report_run (suspects, now, upstream, run);
   if (run->elsewhere == 0)
     drop_run (suspects, place, run);
 }
 
 /* A conviction stands: a crash needs not happen at every run.  */
+static bool
+clear (marjoram_suspects *suspects, int64_t now, const char *digest)
+{
+  struct entry *entry = find_entry (suspects, digest);
+
+  if (!entry
+      || (entry->suspicion == MARJORAM_SUSPICION_CONVICTED
+          && entry->expires > now))
+    return false;
+  drop_entry (suspects, entry);
+  return true;
+}
+
+/* The other hosts are told, as each start of what they still suspect would
+   make it a suspect here again, perhaps beside the one that crashes.  */
 void
 marjoram_suspects_cleared (marjoram_suspects *suspects, int64_t now,
                            const char *digest)
 {
-  struct entry *entry = find_entry (suspects, digest);
+  struct marjoram_suspect_message message = { .digest = (char *)digest };
 
-  if (entry
-      && (entry->suspicion != MARJORAM_SUSPICION_CONVICTED
-          || entry->expires <= now))
-    drop_entry (suspects, entry);
+  if (clear (suspects, now, digest) && suspects->report)
+    suspects->report (suspects->context, &message);
 }
 
 static bool
@@ -349,6 +400,20 @@
   return true;
 }
 
+/* Hosts notice one death one after the other.  A run that is suspect only by
+   another host's news of this same death was no suspect when it started.  */
+static bool
+was_suspect (const marjoram_suspects *suspects, int64_t now,
+             const struct place *place, const struct run *run)
+{
+  const struct entry *entry = find_entry (suspects, run->digest);
+
+  if (!entry || entry->expires <= now || !runs_now (run, now))
+    return false;
+  return run->since > entry->since
+         || strcmp (entry->died, place->upstream) != 0;
+}
+
 static int
 count_suspects (const marjoram_suspects *suspects, int64_t now,
                 const struct place *place)
@@ -357,37 +422,49 @@
   int count = 0;
 
   TAILQ_FOREACH (run, &place->runs, link)
-  if (runs_now (run, now)
-      && marjoram_suspects_get (suspects, now, run->digest)
-             != MARJORAM_SUSPICION_NONE)
+  if (was_suspect (suspects, now, place, run))
     count++;
   return count;
 }
 
+static void
+become_suspect (marjoram_suspects *suspects, struct entry *entry,
+                const char *died)
+{
+  entry->suspicion = MARJORAM_SUSPICION_SUSPECT;
+  entry->deaths = 0;
+  entry->since = ++suspects->events;
+  copy_text (entry->died, died, sizeof entry->died);
+}
+
 /* Stops the conviction of an innocent batch-mate: a death convicts only a
    request that was a suspect before it and the only one there.  Two hosts that
    started one each at the same moment leave two suspects at the death; then
    neither is convicted.  */
 static void
-suspect_run (marjoram_suspects *suspects, int64_t now, const char *digest,
-             bool alone, marjoram_suspects_report *report, void *context)
+suspect_run (marjoram_suspects *suspects, int64_t now,
+             const struct place *place, const struct run *run, bool alone,
+             marjoram_suspects_report *report, void *context)
 {
   enum marjoram_suspicion before
-      = marjoram_suspects_get (suspects, now, digest);
-  struct entry *entry = touch_entry (suspects, now, digest);
-  struct marjoram_suspect_message message = { .digest = entry->digest };
+      = marjoram_suspects_get (suspects, now, run->digest);
+  bool suspect = was_suspect (suspects, now, place, run);
+  struct entry *entry = touch_entry (suspects, now, run->digest);
+  struct marjoram_suspect_message message
+      = { .digest = entry->digest, .died = (char *)place->upstream };
 
   if (before == MARJORAM_SUSPICION_NONE)
-    entry->deaths = 0;
-  entry->deaths++;
-  entry->suspicion = MARJORAM_SUSPICION_SUSPECT;
-  if (before == MARJORAM_SUSPICION_CONVICTED
-      || (before == MARJORAM_SUSPICION_SUSPECT && alone))
+    become_suspect (suspects, entry, place->upstream);
+  if (before == MARJORAM_SUSPICION_NONE || suspect)
+    entry->deaths++;
+  if (suspect && alone)
     entry->suspicion = MARJORAM_SUSPICION_CONVICTED;
   message.suspicion = entry->suspicion;
   message.deaths = entry->deaths;
   if (report && entry->suspicion != before)
     report (context, &message);
+  if (before == MARJORAM_SUSPICION_NONE)
+    report_runs (suspects, now, entry->digest, entry->died);
 }
 
 void
@@ -401,11 +478,12 @@
 
   if (!place)
     return;
+  HASH_DEL (suspects->places, place);
   alone = count_suspects (suspects, now, place) == 1;
   TAILQ_FOREACH (run, &place->runs, link)
   if (run->here > 0)
-    suspect_run (suspects, now, run->digest, alone, report, context);
-  drop_place (suspects, place);
+    suspect_run (suspects, now, place, run, alone, report, context);
+  drop_runs (suspects, place);
 }
 
 static void
@@ -415,37 +493,50 @@
   struct place *place = find_place (suspects, message->upstream);
   struct run *run = place ? find_run (place, message->digest) : NULL;
 
-  if (!run && !message->running)
+  if (message->running)
+    {
+      run = make_run (suspects, message->upstream, message->digest);
+      run->elsewhere++;
+      run->expires = now + suspects->keep_ms;
+      return;
+    }
+  if (!run || run->elsewhere == 0)
     return;
-  if (!run)
-    run = make_run (suspects, message->upstream, message->digest);
-  run->elsewhere = message->running;
-  run->expires = now + suspects->keep_ms;
+  run->elsewhere--;
   if (run->here == 0 && run->elsewhere == 0)
     drop_run (suspects, place, run);
 }
 
-void
-marjoram_suspects_learn (marjoram_suspects *suspects, int64_t now,
-                         const struct marjoram_suspect_message *message)
+static void
+learn_suspicion (marjoram_suspects *suspects, int64_t now,
+                 const struct marjoram_suspect_message *message)
 {
-  enum marjoram_suspicion before;
-  struct entry *entry;
+  enum marjoram_suspicion before
+      = marjoram_suspects_get (suspects, now, message->digest);
+  struct entry *entry = touch_entry (suspects, now, message->digest);
 
-  if (!message->digest || message->suspicion == MARJORAM_SUSPICION_NONE
-      || message->suspicion > MARJORAM_SUSPICION_CONVICTED)
-    return;
-  before = marjoram_suspects_get (suspects, now, message->digest);
-  entry = touch_entry (suspects, now, message->digest);
   if (before == MARJORAM_SUSPICION_NONE)
-    entry->deaths = 0;
-  entry->suspicion = before;
-  if (before < message->suspicion)
+    become_suspect (suspects, entry, message->died ? message->died : "");
+  if (entry->suspicion < message->suspicion)
     entry->suspicion = message->suspicion;
   if (entry->deaths < message->deaths)
     entry->deaths = message->deaths;
+  if (before == MARJORAM_SUSPICION_NONE)
+    report_runs (suspects, now, entry->digest, entry->died);
+}
+
+void
+marjoram_suspects_learn (marjoram_suspects *suspects, int64_t now,
+                         const struct marjoram_suspect_message *message)
+{
+  if (!message->digest || message->suspicion > MARJORAM_SUSPICION_CONVICTED)
+    return;
   if (message->upstream)
     learn_run (suspects, now, message);
+  if (message->suspicion != MARJORAM_SUSPICION_NONE)
+    learn_suspicion (suspects, now, message);
+  else if (!message->upstream)
+    clear (suspects, now, message->digest);
 }
 
 static void
--- a/src/suspect.h
+++ b/src/suspect.h
@@ -25,6 +25,7 @@
   uint64_t deaths;
   char *upstream; /* where a suspect starts or ends; null for other news */
   bool running;   /* it runs there now */
+  char *died;     /* the upstream whose death made it a suspect */
 };
 extern const struct marjoram_layout marjoram_suspect_layout;
 
@@ -38,8 +39,9 @@
 enum marjoram_suspicion
 marjoram_suspects_get (const marjoram_suspects *suspects, int64_t now,
                        const char *digest);
-/* REPORT is called when a suspect starts or ends somewhere, for sending to the
-   zone's other hosts, so that none of them starts another suspect there.  */
+/* REPORT is called when a suspect starts, ends or is cleared, for sending to
+   the zone's other hosts, so that none of them starts another suspect beside
+   it.  */
 void marjoram_suspects_set_report (marjoram_suspects *suspects,
                                    marjoram_suspects_report *report,
                                    void *context);
@@ -60,7 +62,8 @@
 void marjoram_suspects_died (marjoram_suspects *suspects, int64_t now,
                              const char *upstream,
                              marjoram_suspects_report *report, void *context);
-/* News from another host: the worse of both holds.  */
+/* News from another host: the worse of both holds, but that a suspect was
+   answered in full (suspicion none, no upstream) clears it.  */
 void marjoram_suspects_learn (marjoram_suspects *suspects, int64_t now,
                               const struct marjoram_suspect_message *message);
 void marjoram_suspects_tick (marjoram_suspects *suspects, int64_t now);
--- /dev/null
+++ b/test/test_suspect.c
@@ -0,0 +1,332 @@
+/* Requests that crash upstreams: who is suspected, isolated and convicted.  */
+#include "suite.h"
+
+#include "random.h"
+#include "suspect.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  KEEP_MS = 60000,
+  HOSTS = 3,
+  UPSTREAMS = 6,
+  DIGESTS = 8,
+  KILLER = 0,
+  STEPS = 400,
+  SEEDS = 300
+};
+
+struct cluster
+{
+  int64_t now;
+  marjoram_suspects *hosts[HOSTS];
+  int runs[HOSTS][UPSTREAMS][DIGESTS];
+  int killers; /* runs of the killer now */
+  int deaths;
+  int reports;
+};
+
+/* What one host reports.  */
+struct link
+{
+  struct cluster *cluster;
+  int host;
+};
+
+static void
+spread (void *context, const struct marjoram_suspect_message *message)
+{
+  const struct link *link = context;
+
+  link->cluster->reports++;
+  for (int i = 0; i < HOSTS; i++)
+    if (i != link->host)
+      marjoram_suspects_learn (link->cluster->hosts[i], link->cluster->now,
+                               message);
+}
+
+static void
+open_cluster (struct cluster *cluster, struct link *links)
+{
+  memset (cluster, 0, sizeof *cluster);
+  cluster->now = 1;
+  for (int i = 0; i < HOSTS; i++)
+    {
+      links[i] = (struct link){ cluster, i };
+      cluster->hosts[i] = marjoram_suspects_create (KEEP_MS);
+      marjoram_suspects_set_report (cluster->hosts[i], spread, &links[i]);
+    }
+}
+
+static void
+close_cluster (struct cluster *cluster)
+{
+  for (int i = 0; i < HOSTS; i++)
+    marjoram_suspects_destroy (cluster->hosts[i]);
+}
+
+static int
+convicted (const struct cluster *cluster, int host, const char *digest)
+{
+  return marjoram_suspects_get (cluster->hosts[host], cluster->now, digest)
+         == MARJORAM_SUSPICION_CONVICTED;
+}
+
+static bool
+may (const struct cluster *cluster, int host, const char *upstream,
+     const char *digest)
+{
+  return marjoram_suspects_may_start (cluster->hosts[host], cluster->now,
+                                      upstream, digest);
+}
+
+static void
+start (struct cluster *cluster, int host, const char *upstream,
+       const char *digest)
+{
+  marjoram_suspects_started (cluster->hosts[host], cluster->now, upstream,
+                             digest);
+}
+
+static void
+end (struct cluster *cluster, int host, const char *upstream,
+     const char *digest)
+{
+  marjoram_suspects_ended (cluster->hosts[host], cluster->now, upstream,
+                           digest);
+}
+
+static void
+die (struct cluster *cluster, struct link *links, const char *upstream)
+{
+  cluster->deaths++;
+  for (int i = 0; i < HOSTS; i++)
+    marjoram_suspects_died (cluster->hosts[i], cluster->now, upstream, spread,
+                            &links[i]);
+}
+
+/* K crashes u1, where A and B run as well; their callers send all three again,
+   to other hosts.  K crashes a second upstream, alone there; only K is refused
+   from then on, everywhere, and A and B are answered.  */
+START_TEST (second_death_convicts_exactly_one)
+{
+  struct cluster c;
+  struct link links[HOSTS];
+
+  open_cluster (&c, links);
+  start (&c, 0, "u1", "K");
+  start (&c, 0, "u1", "A");
+  start (&c, 1, "u1", "B");
+  die (&c, links, "u1");
+  ck_assert_int_eq (c.reports, 3);
+  for (int i = 0; i < HOSTS; i++)
+    ck_assert_int_eq (marjoram_suspects_get (c.hosts[i], c.now, "B"),
+                      MARJORAM_SUSPICION_SUSPECT);
+  ck_assert (may (&c, 1, "u2", "A"));
+  start (&c, 1, "u2", "A");
+  ck_assert (!may (&c, 1, "u2", "K"));
+  ck_assert (!may (&c, 2, "u2", "K"));
+  ck_assert (may (&c, 2, "u2", "N"));
+  ck_assert (may (&c, 2, "u3", "K"));
+  start (&c, 2, "u3", "K");
+  start (&c, 0, "u3", "N");
+  ck_assert (!may (&c, 0, "u4", "K"));
+  die (&c, links, "u3");
+  end (&c, 1, "u2", "A");
+  marjoram_suspects_cleared (c.hosts[1], c.now, "A");
+  for (int i = 0; i < HOSTS; i++)
+    {
+      ck_assert (convicted (&c, i, "K"));
+      ck_assert (!may (&c, i, "u5", "K"));
+      ck_assert (!convicted (&c, i, "A") && !convicted (&c, i, "B"));
+      ck_assert_int_eq (marjoram_suspects_get (c.hosts[i], c.now, "N"),
+                        MARJORAM_SUSPICION_SUSPECT);
+      marjoram_suspects_cleared (c.hosts[i], c.now, "K");
+      ck_assert (convicted (&c, i, "K"));
+    }
+  ck_assert_int_eq (marjoram_suspects_get (c.hosts[1], c.now, "A"),
+                    MARJORAM_SUSPICION_NONE);
+  close_cluster (&c);
+}
+END_TEST
+
+/* Two hosts start one suspect each at the same upstream before they hear of
+   each other.  It dies: nobody knows by which, so neither is refused for
+   ever.  */
+START_TEST (two_suspects_at_one_death_are_not_convicted)
+{
+  struct cluster c;
+  struct link links[HOSTS];
+
+  open_cluster (&c, links);
+  start (&c, 0, "u1", "K");
+  start (&c, 1, "u1", "A");
+  die (&c, links, "u1");
+  start (&c, 0, "u2", "K");
+  start (&c, 1, "u2", "A");
+  die (&c, links, "u2");
+  for (int i = 0; i < HOSTS; i++)
+    ck_assert (!convicted (&c, i, "K") && !convicted (&c, i, "A"));
+  close_cluster (&c);
+}
+END_TEST
+
+START_TEST (learns_the_worse_and_forgets_in_time)
+{
+  struct cluster c;
+  struct link links[HOSTS];
+  struct marjoram_suspect_message message
+      = { .digest = (char *)"K", .suspicion = MARJORAM_SUSPICION_CONVICTED };
+
+  open_cluster (&c, links);
+  marjoram_suspects_learn (c.hosts[0], c.now, &message);
+  message.suspicion = MARJORAM_SUSPICION_SUSPECT;
+  marjoram_suspects_learn (c.hosts[0], c.now, &message);
+  ck_assert (convicted (&c, 0, "K"));
+  message.suspicion = MARJORAM_SUSPICION_NONE;
+  message.digest = (char *)"N";
+  marjoram_suspects_learn (c.hosts[0], c.now, &message);
+  start (&c, 0, "u1", "A");
+  end (&c, 0, "u1", "A");
+  end (&c, 0, "u1", "A");
+  ck_assert_uint_eq (marjoram_suspects_count (c.hosts[0]), 1);
+  c.now += KEEP_MS;
+  ck_assert (!convicted (&c, 0, "K"));
+  marjoram_suspects_tick (c.hosts[0], c.now);
+  ck_assert_uint_eq (marjoram_suspects_count (c.hosts[0]), 0);
+  close_cluster (&c);
+}
+END_TEST
+
+/* Upstreams die all day and each takes new requests with it.  */
+START_TEST (memory_is_bounded)
+{
+  marjoram_suspects *suspects = marjoram_suspects_create (KEEP_MS);
+  char digest[16];
+
+  for (int i = 0; i < 30000; i++)
+    {
+      snprintf (digest, sizeof digest, "d%d", i);
+      marjoram_suspects_started (suspects, 1, "u", digest);
+      marjoram_suspects_died (suspects, 1, "u", NULL, NULL);
+    }
+  ck_assert_uint_eq (marjoram_suspects_count (suspects), 10000);
+  ck_assert_int_eq (marjoram_suspects_get (suspects, 2, digest),
+                    MARJORAM_SUSPICION_SUSPECT);
+  marjoram_suspects_destroy (suspects);
+}
+END_TEST
+
+static void
+try_start (struct cluster *c, int host, int upstream, int digest)
+{
+  char u[8], d[8];
+
+  snprintf (u, sizeof u, "u%d", upstream);
+  snprintf (d, sizeof d, "d%d", digest);
+  /* The killer's caller sends it again after it failed, not before.  */
+  if ((digest == KILLER && c->killers > 0) || !may (c, host, u, d))
+    return;
+  start (c, host, u, d);
+  c->runs[host][upstream][digest]++;
+  c->killers += digest == KILLER;
+}
+
+static void
+try_end (struct cluster *c, int host, int upstream, int digest)
+{
+  char u[8], d[8];
+
+  snprintf (u, sizeof u, "u%d", upstream);
+  snprintf (d, sizeof d, "d%d", digest);
+  if (digest == KILLER || c->runs[host][upstream][digest] == 0)
+    return;
+  c->runs[host][upstream][digest]--;
+  end (c, host, u, d);
+  marjoram_suspects_cleared (c->hosts[host], c->now, d);
+}
+
+static void
+try_death (struct cluster *c, struct link *links, int upstream)
+{
+  char u[8];
+  int killers = 0;
+
+  for (int i = 0; i < HOSTS; i++)
+    killers += c->runs[i][upstream][KILLER];
+  if (killers == 0)
+    return;
+  snprintf (u, sizeof u, "u%d", upstream);
+  die (c, links, u);
+  c->killers -= killers;
+  for (int i = 0; i < HOSTS; i++)
+    memset (c->runs[i][upstream], 0, sizeof c->runs[i][upstream]);
+}
+
+/* Many callers send the same few requests to all hosts, also at once, and one
+   of these requests kills each upstream that runs it.  Whatever the order, two
+   upstreams die at most, and no other request is refused for ever.  */
+START_TEST (killer_is_found_in_two_deaths)
+{
+  for (int seed = 1; seed <= SEEDS; seed++)
+    {
+      marjoram_random *random = marjoram_random_create (seed);
+      struct cluster c;
+      struct link links[HOSTS];
+
+      open_cluster (&c, links);
+      for (int i = 0; i < STEPS; i++)
+        {
+          int host = (int)marjoram_random_below (random, HOSTS);
+          int upstream = (int)marjoram_random_below (random, UPSTREAMS);
+          int digest = (int)marjoram_random_below (random, DIGESTS);
+
+          c.now++;
+          switch (marjoram_random_below (random, 5))
+            {
+            case 0:
+            case 1:
+              try_start (&c, host, upstream, digest);
+              break;
+            case 2:
+            case 3:
+              try_end (&c, host, upstream, digest);
+              break;
+            default:
+              try_death (&c, links, upstream);
+              break;
+            }
+        }
+      ck_assert_msg (c.deaths <= 2, "seed %d: %d deaths", seed, c.deaths);
+      for (int i = 0; i < HOSTS; i++)
+        for (int j = 0; j < DIGESTS; j++)
+          {
+            char d[8];
+
+            snprintf (d, sizeof d, "d%d", j);
+            ck_assert_msg (
+                convicted (&c, i, d) == (j == KILLER && c.deaths == 2),
+                "seed %d: host %d, %s after %d deaths", seed, i, d, c.deaths);
+          }
+      close_cluster (&c);
+      marjoram_random_destroy (random);
+    }
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("suspect");
+  TCase *c = tcase_create ("suspect");
+
+  tcase_add_test (c, second_death_convicts_exactly_one);
+  tcase_add_test (c, two_suspects_at_one_death_are_not_convicted);
+  tcase_add_test (c, learns_the_worse_and_forgets_in_time);
+  tcase_add_test (c, memory_is_bounded);
+  tcase_add_test (c, killer_is_found_in_two_deaths);
+  suite_add_tcase (s, c);
+  return s;
+}
