Claims: a peer's horizon is no measure for keys ahead of the clock

Found by random schedules with skewed clocks: a key issued at a peer's horizon was voted for, the voter restarted within the skew, and its new horizon did not cover the key, so that it voted again and the key ran twice.

--- a/src/claim.c
+++ b/src/claim.c
@@ -20,6 +20,7 @@
   claims->started = true;
   claims->started_at = now;
   claims->horizon = wall + LEAD_MS + STEP_BACK_MS;
+  claims->own_horizon = claims->horizon;
   claims->issue_floor = claims->horizon;
 }
 
--- a/src/claim_attempt.c
+++ b/src/claim_attempt.c
@@ -297,10 +297,13 @@
          || marjoram_claims_key_expired (claims, issued);
 }
 
+/* Stops a vote that the horizon of this host's next incarnation would not
+   cover, which could vote once more.  A horizon taken over from a peer is no
+   measure: that peer's clock may be ahead.  */
 static bool
 key_too_early (const marjoram_claims *claims, int64_t issued)
 {
-  return issued > wall_now (claims) + LEAD_MS && issued > claims->horizon;
+  return issued > wall_now (claims) + LEAD_MS && issued > claims->own_horizon;
 }
 
 void
--- a/src/claim_attempt.h
+++ b/src/claim_attempt.h
@@ -79,6 +79,7 @@
   int64_t wall_offset; /* wall clock less NOW */
   int64_t wall_max;    /* highest wall clock seen */
   int64_t horizon;     /* keys issued before it are refused */
+  int64_t own_horizon; /* the one set when this host started */
   int64_t issue_floor; /* highest horizon heard of in the zone */
   struct marjoram_attempt *by_number;
   struct marjoram_attempt *by_key;
--- a/test/test_claim.c
+++ b/test/test_claim.c
@@ -14,7 +14,8 @@
   HOSTS_MAX = 5,
   BAG_MAX = 4096,
   ATTEMPTS_MAX = 64,
-  KEYS = 2,
+  OLD_KEYS = 2, /* issued when the zone opens, the others during a test */
+  KEYS = 5,
   SEEDS = 200,
   TIMEOUT_MS = 1000,
   QUIET_MS = 3000,
@@ -127,6 +128,7 @@
       = { zone->count,  ordinal,   ++host->incarnation,
           RETENTION_MS, REPLAY_MS, TIMEOUT_MS };
 
+  zone->now++;
   marjoram_claims_destroy (host->claims);
   host->zone = zone;
   host->ordinal = ordinal;
@@ -236,7 +238,7 @@
   run_for (zone, 200, 0);
   zone->now += LEAD_MS;
   run_for (zone, 100, 0);
-  for (int i = 0; i < KEYS; i++)
+  for (int i = 0; i < OLD_KEYS; i++)
     zone->issued[i] = wall (zone, 0);
   lose (zone, ANY, ANY, ANY);
 }
@@ -256,6 +258,9 @@
   char name[MARJORAM_KEY_MAX];
 
   ck_assert_int_lt (number, ATTEMPTS_MAX);
+  if (zone->issued[key] == 0)
+    zone->issued[key] = marjoram_claims_issue_time (zone->hosts[host].claims,
+                                                    wall (zone, host));
   zone->attempts[number]
       = (struct attempt){ .host = host,
                           .key = key,
--- a/test/test_order.c
+++ b/test/test_order.c
@@ -17,6 +17,7 @@
   WHILE_MS = 2 * LEASE_MS,
   SETTLE_MS = LEASE_MS + LONGEST_MS,
   STEP_MS = 50,
+  SKEW_MS = 2000, /* between one host's wall clock and the next one's */
   START_WALL = 1000000,
   STEPS = 4000,
   SEEDS = 60
@@ -80,7 +81,8 @@
 {
   static const struct marjoram_orders_ops ops = { post, lease };
   struct marjoram_orders_options options
-      = { HOSTS, ordinal, START_WALL + zone->now, LEASE_MS, LONGEST_MS };
+      = { HOSTS, ordinal, START_WALL + ordinal * SKEW_MS + zone->now, LEASE_MS,
+          LONGEST_MS };
   struct host *host = &zone->hosts[ordinal];
 
   marjoram_orders_destroy (host->orders);
@@ -245,6 +247,41 @@
 }
 END_TEST
 
+/* The holder's renewal is granted by one voter, but the grant is delayed; of
+   the next renewal nothing arrives.  Taking the late grant for the latter, the
+   holder would go on for longer than that voter has promised, beside the next
+   holder.  */
+START_TEST (late_grant_does_not_prolong_the_lease)
+{
+  struct zone zone;
+  struct letter late;
+  int first, voter;
+
+  open_zone (&zone);
+  run_for (&zone, SETTLE_MS + WHILE_MS);
+  first = holder (&zone);
+  voter = (first + 1) % HOSTS;
+  zone.now += LEASE_MS / 4;
+  marjoram_orders_tick (zone.hosts[first].orders, zone.now);
+  while (zone.bag[0].to != voter)
+    marjoram_bytes_release (take (&zone, 0).bytes);
+  deliver (&zone, 0);
+  late = take (&zone, zone.letters - 1);
+  ck_assert_int_eq (late.from, voter);
+  zone.now += LEASE_MS / 4;
+  marjoram_orders_tick (zone.hosts[first].orders, zone.now);
+  while (zone.letters > 0)
+    marjoram_bytes_release (take (&zone, 0).bytes);
+  zone.bag[zone.letters++] = late;
+  deliver (&zone, 0);
+  zone.hosts[first].frozen = true;
+  while (holder (&zone) == -1)
+    run_for (&zone, STEP_MS);
+  ck_assert_uint_eq (fence (&zone, first, true), 0);
+  close_zone (&zone);
+}
+END_TEST
+
 static void
 order (struct zone *zone, int host, bool honoured)
 {
@@ -336,6 +373,7 @@
 
   tcase_add_test (c, thawed_holder_gives_no_order);
   tcase_add_test (c, restarted_voter_waits);
+  tcase_add_test (c, late_grant_does_not_prolong_the_lease);
   tcase_add_test (c, one_holder_in_random_schedules);
   suite_add_tcase (s, c);
   return s;
