--- a/src/order.c
+++ b/src/order.c
@@ -108,14 +108,10 @@
 
 /* Stops a restarted host from helping a second holder while the first one's
    lease, which it granted before and has forgotten, still runs: it stays
-   silent until that lease and its last order must have ended.  Its numbers
-   then start from its wall clock, which is past any number granted before the
-   restart, as those came from earlier wall clocks.  */
+   silent until that lease and its last order must have ended.  */
 static void
 wake_up (marjoram_orders *orders, int64_t now)
 {
-  uint64_t floor;
-
   if (!orders->started)
     {
       orders->started = true;
@@ -124,9 +120,6 @@
   if (orders->awake || now < orders->started_at + settle_time (orders))
     return;
   orders->awake = true;
-  floor = orders->options.incarnation + (now - orders->started_at);
-  if (orders->highest < floor)
-    orders->highest = floor;
 }
 
 static void
@@ -242,6 +235,9 @@
       = now + orders->options.lease_ms / RENEWALS_PER_LEASE + turn (orders);
 }
 
+/* Numbers are at least the asker's wall clock.  If all voters that could know
+   the last number have restarted, they were silent for so long that the clock
+   is past it.  */
 static void
 bid_anew (marjoram_orders *orders, int64_t now)
 {
