--- a/src/claim.c
+++ b/src/claim.c
@@ -186,6 +186,7 @@
 {
   answers->yes &= ~mask;
   answers->blocked &= ~mask;
+  answers->unsure &= ~mask;
   answers->held &= ~mask;
   answers->rival &= ~mask;
   answers->lost &= ~mask;
@@ -214,7 +215,7 @@
   if (m->vote == MARJORAM_VOTE_YES)
     attempt->answers.yes |= marjoram_claims_bit (from);
   else if (m->vote == MARJORAM_VOTE_BLOCKED)
-    attempt->answers.blocked |= marjoram_claims_bit (from);
+    marjoram_claims_note_blocked (&attempt->answers, from, m->recovered);
   for (size_t i = 1; i < m->entries.count; i++)
     {
       settle (claims, from, &entries[i]);
--- a/src/claim_attempt.c
+++ b/src/claim_attempt.c
@@ -274,7 +274,8 @@
 {
   const struct marjoram_claim_answers *answers = &attempt->answers;
 
-  if (answers->done || answers->lost || (answers->held && !answers->rival))
+  if (answers->done || answers->lost || answers->unsure
+      || (answers->held && !answers->rival))
     decide (claims, attempt, MARJORAM_CLAIM_LOST, NULL);
   else if (answers->rival)
     decide (claims, attempt, MARJORAM_CLAIM_RUNNING, NULL);
@@ -322,10 +323,8 @@
   const struct marjoram_claim_record *record
       = marjoram_claim_records_find (claims->records, entry->key);
 
-  /* While its peers still have to give back what it knew, this host can't say
-     that the key is lost: its asker asks again.  */
   if (key_blocked (claims, entry->issued))
-    return claims->recovery.done ? MARJORAM_VOTE_BLOCKED : MARJORAM_VOTE_NONE;
+    return MARJORAM_VOTE_BLOCKED;
   for (; record; record = record->next)
     {
       struct marjoram_claim_entry held;
@@ -391,6 +390,19 @@
                             &held[i]);
 }
 
+/* A host that still recovers may yet vote when its peers have given back what
+   it knew, so that its refusal decides only when the time is up.  Then it
+   does: an attempt from before the restart may have run.  */
+void
+marjoram_claims_note_blocked (struct marjoram_claim_answers *answers, int from,
+                              bool recovered)
+{
+  if (recovered)
+    answers->blocked |= marjoram_claims_bit (from);
+  else
+    answers->unsure |= marjoram_claims_bit (from);
+}
+
 /* Looks at this host's own records for ATTEMPT, and votes if it may.  */
 void
 marjoram_claims_consult (marjoram_claims *claims,
@@ -403,6 +415,7 @@
 
   answers->heard |= self;
   answers->blocked &= ~self;
+  answers->unsure &= ~self;
   answers->held &= ~self;
   answers->lost &= ~self;
   answers->done &= ~self;
@@ -419,7 +432,8 @@
       attempt->phase = MARJORAM_ATTEMPT_ASKING;
       break;
     case MARJORAM_VOTE_BLOCKED:
-      answers->blocked |= self;
+      marjoram_claims_note_blocked (answers, claims->options.self,
+                                    claims->recovery.done);
       attempt->phase = MARJORAM_ATTEMPT_ASKING;
       break;
     default:
--- a/src/claim_attempt.h
+++ b/src/claim_attempt.h
@@ -34,11 +34,12 @@
 {
   uint64_t heard;
   uint64_t yes;
-  uint64_t blocked;
-  uint64_t held;  /* by an attempt that may be alive */
-  uint64_t rival; /* by a living attempt of its own */
-  uint64_t lost;  /* by one whose owner has restarted */
-  uint64_t done;  /* by one that ran, its answer no longer kept */
+  uint64_t blocked; /* by its horizon */
+  uint64_t unsure;  /* likewise, but it is still recovering */
+  uint64_t held;    /* by an attempt that may be alive */
+  uint64_t rival;   /* by a living attempt of its own */
+  uint64_t lost;    /* by one whose owner has restarted */
+  uint64_t done;    /* by one that ran, its answer no longer kept */
 };
 
 struct marjoram_attempt
@@ -138,6 +139,8 @@
                                    const struct marjoram_claim_entry *entry,
                                    const struct marjoram_claim_entry *held,
                                    size_t count);
+void marjoram_claims_note_blocked (struct marjoram_claim_answers *answers,
+                                   int from, bool recovered);
 void marjoram_claims_consult (marjoram_claims *claims,
                               struct marjoram_attempt *attempt);
 void marjoram_claims_ask (marjoram_claims *claims,
