--- a/test/lib_relay.c
+++ b/test/lib_relay.c
@@ -44,6 +44,7 @@
   struct event *timer;
   bool connected; /* to the target, or connecting */
   bool silent;
+  bool stalled;
   bool closing;
 };
 
@@ -194,7 +195,7 @@
 
   (void)fd;
   (void)what;
-  if (pair->silent || pair->relay->mode == RELAY_HOLD)
+  if (pair->silent || pair->stalled || pair->relay->mode == RELAY_HOLD)
     return;
   while ((parcel = STAILQ_FIRST (&pair->parcels)) && parcel->due <= now_ms ())
     {
@@ -381,7 +382,7 @@
 static void
 let_go (struct pair *pair)
 {
-  if (pair->silent || pair->closing)
+  if (pair->silent || pair->stalled || pair->closing)
     return;
   if (!pair->connected)
     {
@@ -419,6 +420,32 @@
   each_pair (relay, silence);
 }
 
+static void
+stall (struct pair *pair)
+{
+  pair->stalled = true;
+  hold (pair);
+}
+
+static void
+release (struct pair *pair)
+{
+  pair->stalled = false;
+  let_go (pair);
+}
+
+void
+relay_stall (struct relay *relay)
+{
+  each_pair (relay, stall);
+}
+
+void
+relay_release (struct relay *relay)
+{
+  each_pair (relay, release);
+}
+
 void
 relay_drop (struct relay *relay)
 {
--- a/test/lib_relay.h
+++ b/test/lib_relay.h
@@ -27,6 +27,10 @@
 void relay_set_delay (struct relay *relay, int64_t ms);
 /* The present connections stay open and carry nothing, for good.  */
 void relay_silence (struct relay *relay);
+/* The present connections carry nothing until they are released; then they
+   deliver late what was sent meanwhile.  */
+void relay_stall (struct relay *relay);
+void relay_release (struct relay *relay);
 /* The present connections are closed.  */
 void relay_drop (struct relay *relay);
 /* Connections that were ever made, and bytes carried.  */
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -28,10 +28,10 @@
     (cd "$scratch" && "build-san/$1")
   else
     seed=$(echo "$1" | sed -n 's/.*-\([0-9][0-9]*\)$/\1/p')
-    name=$1
-    [ -f "test/scenarios/$name.scn" ] || name=${1%-*}
+    scenario=$1
+    [ -f "test/scenarios/$scenario.scn" ] || scenario=${1%-*}
     (cd "$scratch" && build-san/tool_scenario --seed "${seed:-1}" \
-      "test/scenarios/$name.scn")
+      "test/scenarios/$scenario.scn")
   fi > "$scratch/run.log" 2>&1
 }
 
--- a/test/scenarios/prelude.lua
+++ b/test/scenarios/prelude.lua
@@ -6,7 +6,7 @@
 local links, next_port, made, history, history_read = {}, 20000, 0, {}, 0
 local folder = system.folder
 local history_file = folder .. "/history"
-local FIRST_LIMIT, DEFAULT_SLOTS = 20000, 64
+local FIRST_LIMIT, DEFAULT_SLOTS, READING_MS = 20000, 64, 200
 
 local function address ()
   next_port = next_port + 1
@@ -40,6 +40,41 @@
 
 -- Time ---------------------------------------------------------------------
 
+-- The number of the configuration that a host has in force never goes down,
+-- across restarts too; none in force is 0.
+local function take_number (host, body)
+  local number = tonumber (body:match ("\nmarjoram_config_number (%d+)")) or 0
+  if number > 0 and number < host.number then
+    error (string.format ("%s went back from configuration %d to %d",
+                          host.name, host.number, number), 0)
+  end
+  host.number = math.max (host.number, number)
+end
+
+-- A reader of each host's metrics page, beside whatever the scenario does.
+local function watch_numbers ()
+  local now = system.now ()
+  for _, host in pairs (hosts) do
+    if host.reader then
+      local whole, _, body = system.answer (host.reader)
+      if whole ~= nil then
+        if whole then take_number (host, body) end
+        system.hang_up (host.reader)
+        host.reader = nil
+      end
+    elseif host.pid and now >= host.next_reading then
+      host.next_reading = now + READING_MS
+      host.reader = system.call { address = host.entry, method = "GET",
+                                  path = "/metrics", timeout = 5000 }
+    end
+  end
+end
+
+local function turn (ms)
+  system.turn (ms)
+  watch_numbers ()
+end
+
 function wait_until (condition, what, limit)
   local last = system.now () + (limit or FIRST_LIMIT)
   while true do
@@ -48,14 +83,14 @@
     if system.now () > last then
       error ("waited in vain for " .. (what or "a condition"), 2)
     end
-    system.turn (20)
+    turn (20)
   end
 end
 
 -- Lets the site work on; never a verdict.
 function pause (ms)
   local last = system.now () + ms
-  while system.now () < last do system.turn (last - system.now ()) end
+  while system.now () < last do turn (last - system.now ()) end
 end
 
 -- Processes ----------------------------------------------------------------
@@ -175,6 +210,16 @@
   between (a, b, function (link) system.relay_set (link.relay, "silence") end)
 end
 
+-- The present connections carry nothing until they are released, and then
+-- deliver late what was sent meanwhile; new ones work.
+function stall (a, b)
+  between (a, b, function (link) system.relay_set (link.relay, "stall") end)
+end
+
+function release (a, b)
+  between (a, b, function (link) system.relay_set (link.relay, "release") end)
+end
+
 function drop (a, b)
   between (a, b, function (link) system.relay_set (link.relay, "drop") end)
 end
@@ -209,6 +254,7 @@
   local name = zone .. "-" .. string.char (96 + index)
   local host = { name = name, zone = zone, region = region,
                  entry = address (), peer = address (), control = address (),
+                 number = 0, next_reading = 0,
                  log = folder .. "/log-" .. name }
   hosts[name] = host
   zones[zone][index] = host
--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -134,18 +134,19 @@
 verb_relay_set (lua_State *lua)
 {
   static const char *const words[]
-      = { "pass", "hold", "refuse", "silence", "drop", "delay", NULL };
+      = { "pass",  "hold",    "refuse", "delay", "silence",
+          "stall", "release", "drop",   NULL };
+  static void (*const changes[]) (struct relay *)
+      = { relay_silence, relay_stall, relay_release, relay_drop };
   struct relay *changed = lua_touserdata (lua, 1);
   int word = luaL_checkoption (lua, 2, NULL, words);
 
-  if (word == 3)
-    relay_silence (changed);
-  else if (word == 4)
-    relay_drop (changed);
-  else if (word == 5)
+  if (word <= RELAY_REFUSE)
+    relay_set_mode (changed, (enum relay_mode)word);
+  else if (word == RELAY_REFUSE + 1)
     relay_set_delay (changed, luaL_checkinteger (lua, 3));
   else
-    relay_set_mode (changed, (enum relay_mode)word);
+    changes[word - RELAY_REFUSE - 2](changed);
   return 0;
 }
 
