--- a/src/attempt.c
+++ b/src/attempt.c
@@ -133,6 +133,7 @@
   q->prefix_hash = call->prefix_hash;
   q->digest = request->digest;
   q->forwarded = request->peer != NULL;
+  q->homeless = request->homeless;
   q->tried_count = request->tried_count;
   for (int i = 0; i < request->tried_count; i++)
     q->tried[i] = request->tried[i];
@@ -205,6 +206,7 @@
       run_locally (host, now, request, &choice);
       return;
     case MARJORAM_VERDICT_FORWARD:
+      request->homeless = choice.homeless;
       marjoram_forward_send (host, now, request, choice.zone, false);
       return;
     case MARJORAM_VERDICT_REFUSE:
--- a/src/forward.c
+++ b/src/forward.c
@@ -34,6 +34,7 @@
   f->suspicion = marjoram_suspects_get (host->suspects, now, request->digest);
   f->stream = call->stream;
   f->claim_here = claim_there;
+  f->homeless = request->homeless;
 }
 
 /* Whether the request may run in ZONE by the configuration in force.  */
--- a/src/frame.c
+++ b/src/frame.c
@@ -80,6 +80,7 @@
   { MARJORAM_WIRE_UINT (struct marjoram_forward, suspicion) },
   { MARJORAM_WIRE_BOOL (struct marjoram_forward, stream) },
   { MARJORAM_WIRE_BOOL (struct marjoram_forward, claim_here) },
+  { MARJORAM_WIRE_BOOL (struct marjoram_forward, homeless) },
 };
 LAYOUT (forward_layout, marjoram_forward, forward_fields);
 
--- a/src/frame.h
+++ b/src/frame.h
@@ -93,6 +93,7 @@
   uint64_t suspicion; /* enum marjoram_suspicion */
   bool stream;
   bool claim_here; /* the receiver's zone guards the key */
+  bool homeless;   /* the sender's zone has no upstream for it */
 };
 
 struct marjoram_head
--- a/src/offer.c
+++ b/src/offer.c
@@ -156,12 +156,27 @@
   return regions >> marjoram_config_zone (loans->config, zone)->region & 1;
 }
 
+/* Whether one more may be sent there.  Work that has no other place may wait
+   beyond the room that is lent; the ramp holds for it too.  */
 static bool
-lends (const struct entry *entry, int64_t now)
+lends (const struct entry *entry, int64_t now, bool homeless)
 {
+  bool room
+      = homeless ? entry->upstreams > 0 : entry->taken < (int64_t)entry->room;
+
   return now < entry->expires && now >= entry->barred_until
-         && entry->under_way < entry->ramp
-         && entry->taken < (int64_t)entry->room;
+         && entry->under_way < entry->ramp && room;
+}
+
+/* The wait that requests of this host beyond the lent room add.  */
+static double
+own_queue_ms (const struct entry *entry, double alone_ms)
+{
+  int64_t over = entry->taken - (int64_t)entry->room;
+
+  return over > 0 && entry->upstreams > 0
+             ? alone_ms * (double)over / entry->upstreams
+             : 0;
 }
 
 static bool
@@ -176,7 +191,8 @@
 void
 marjoram_loans_best (marjoram_loans *loans, int64_t now,
                      const struct marjoram_query *query, uint64_t regions,
-                     double alone_ms, struct marjoram_loan *best)
+                     double alone_ms, bool homeless,
+                     struct marjoram_loan *best)
 {
   int start = (int)marjoram_random_below (
       loans->random, (uint32_t)(loans->zone_count ? loans->zone_count : 1));
@@ -189,9 +205,10 @@
       double total;
 
       if (zone == loans->zone || !in_regions (loans, zone, regions)
-          || zone_tried (query, zone) || !lends (entry, now))
+          || zone_tried (query, zone) || !lends (entry, now, homeless))
         continue;
-      total = 2 * (double)entry->link_ms + (double)entry->wait_ms + alone_ms;
+      total = 2 * (double)entry->link_ms + (double)entry->wait_ms + alone_ms
+              + own_queue_ms (entry, alone_ms);
       if (total < best->total_ms)
         *best = (struct marjoram_loan){ zone, total };
     }
@@ -218,7 +235,7 @@
 {
   for (int i = 0; i < loans->zone_count; i++)
     if (i != loans->zone && in_regions (loans, i, regions)
-        && lends (entry_of (loans, i, work), now))
+        && lends (entry_of (loans, i, work), now, false))
       return true;
   return false;
 }
--- a/src/offer.h
+++ b/src/offer.h
@@ -47,10 +47,12 @@
                            const struct marjoram_array *offers,
                            int64_t link_ms);
 /* The best zone in REGIONS, a bit each, for a request that takes ALONE_MS
-   without load or cache.  */
+   without load or cache.  A HOMELESS one may wait there beyond the room that
+   is lent, as it can run nowhere else.  */
 void marjoram_loans_best (marjoram_loans *loans, int64_t now,
                           const struct marjoram_query *query, uint64_t regions,
-                          double alone_ms, struct marjoram_loan *best);
+                          double alone_ms, bool homeless,
+                          struct marjoram_loan *best);
 /* Whether any zone in REGIONS has upstreams for WORK, or lends room.  */
 bool marjoram_loans_known (const marjoram_loans *loans, int64_t now, int work,
                            uint64_t regions);
--- a/src/request.h
+++ b/src/request.h
@@ -95,6 +95,7 @@
   bool gone;       /* nobody waits for the answer any more */
   bool answered;   /* nothing more is due */
   bool claim_here; /* its key is guarded by this zone */
+  bool homeless;   /* its first zone has no upstream for it */
   bool granted;    /* its claim says run */
   bool maybe_ran;  /* an attempt may have run it */
   bool resuming;   /* the upstream was asked for the answer by its id */
--- a/src/route.c
+++ b/src/route.c
@@ -148,6 +148,7 @@
 {
   uint64_t allowed; /* regions */
   bool here;        /* this zone is allowed */
+  bool homeless;    /* no upstream of this zone runs the work */
   double slack_ms;  /* until the deadline */
   double alone_ms;
   struct marjoram_pick pick;
@@ -164,9 +165,11 @@
     return false;
   if (pick->room)
     return true;
-  /* A zone lends free slots, not places in a queue; and overnight work takes
-     only what interactive work leaves.  */
-  if (query->forwarded || query->class == MARJORAM_CLASS_OVERNIGHT)
+  /* A zone lends free slots, not places in a queue, but to work that has no
+     other place; and overnight work takes only what interactive work leaves.
+   */
+  if ((query->forwarded && !query->homeless)
+      || query->class == MARJORAM_CLASS_OVERNIGHT)
     return false;
   return pick->total_ms <= view->slack_ms;
 }
@@ -191,22 +194,28 @@
   view->far_away = none;
   if (view->here)
     marjoram_chooser_pick (router->chooser, now, query, &view->pick);
+  view->homeless
+      = !view->here
+        || marjoram_chooser_room (router->chooser, now, query->work)->upstreams
+               == 0;
   /* Stops loops: a request that has crossed once is run here or refused back
      to the first host, which alone decides what next.  */
   if (query->forwarded || query->bound)
     return;
   marjoram_loans_best (router->loans, now, query,
                        view->allowed & own_region (router), view->alone_ms,
-                       &view->near_by);
+                       view->homeless, &view->near_by);
   marjoram_loans_best (router->loans, now, query,
                        view->allowed & ~own_region (router), view->alone_ms,
-                       &view->far_away);
+                       view->homeless, &view->far_away);
 }
 
 static void
-go_on (const struct marjoram_loan *loan, struct marjoram_choice *choice)
+go_on (const struct marjoram_loan *loan, bool homeless,
+       struct marjoram_choice *choice)
 {
   choice->verdict = MARJORAM_VERDICT_FORWARD;
+  choice->homeless = homeless;
   choice->zone = loan->zone;
   choice->expected_ms = (int64_t)loan->total_ms;
 }
@@ -291,12 +300,12 @@
       && (!home
           || view->near_by.total_ms < view->pick.total_ms * (1 - NEAR_GAIN)))
     {
-      go_on (&view->near_by, choice);
+      go_on (&view->near_by, view->homeless, choice);
       return;
     }
   if (pays_far_away (view, query, home))
     {
-      go_on (&view->far_away, choice);
+      go_on (&view->far_away, view->homeless, choice);
       return;
     }
   if (home)
--- a/src/route.h
+++ b/src/route.h
@@ -27,6 +27,7 @@
   enum marjoram_verdict verdict;
   char upstream[MARJORAM_NAME_MAX + 1];
   int zone;
+  bool homeless; /* to be told to ZONE, see struct marjoram_query */
   enum marjoram_reason reason;
   int64_t retry_ms;
   int64_t expected_ms; /* estimated time to the end */
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -186,6 +186,33 @@
 }
 END_TEST
 
+/* A model that only another zone runs.  Its callers here have no other place,
+   so what goes beyond the room that is lent may wait there: at half of the
+   other zone's capacity a quarter of them had been refused.  */
+START_TEST (work_without_a_home_may_wait_elsewhere)
+{
+  enum
+  {
+    WARM_UP = 30,
+    AT_ONCE = 14 /* the upstream has 8 slots */
+  };
+
+  upstream (3, "u", 9000);
+  for (int i = 0; i < WARM_UP; i++)
+    {
+      uint64_t call = ask (0, "free", NULL, false);
+
+      test_answer (hosts, last_run (), "warm");
+      test_deliver (hosts);
+      expect_done (call, "warm");
+      test_pass (hosts, 100);
+    }
+  for (int i = 0; i < AT_ONCE; i++)
+    ask (0, "free", NULL, false);
+  ck_assert_int_eq (test_runs (hosts), WARM_UP + AT_ONCE);
+}
+END_TEST
+
 /* An upstream of the other zone refuses a forwarded request though a second
    one there is free.  Only the first host may try again: if each host on the
    path did, attempts would multiply.  */
@@ -674,6 +701,7 @@
   tcase_add_test (c, residency_holds_when_only_the_forbidden_region_has_room);
   tcase_add_test (c, residency_is_checked_at_receipt);
   tcase_add_test (c, forwarded_request_never_goes_on);
+  tcase_add_test (c, work_without_a_home_may_wait_elsewhere);
   tcase_add_test (c, receiver_does_not_retry);
   tcase_add_test (c, answer_with_a_missing_piece_is_not_whole);
   tcase_add_test (c, region_cut_off_serves_its_own_callers);
