--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,13 @@
 demo: deps all
 	@sh test/demo.sh $(BUILD)
 
+# BENCH names single ones; the raw lines stay in bench/raw.
 bench: all
-	@sh bench/run.sh $(BUILD)
+	@sh bench/run.sh $(BUILD) $(BENCH)
+
+# docs/MEASUREMENTS.md and its plots, from the raw lines.
+report:
+	@sh bench/report.sh
 
 format:
 	@clang-format -i $(SOURCES)
@@ -47,4 +52,4 @@
 clean:
 	rm -rf $(BUILD) $(BUILD)-san
 
-.PHONY: all deps check mutants soak demo bench format format-check lint clean
+.PHONY: report all deps check mutants soak demo bench format format-check lint clean
