--- a/test/test_spread.c
+++ b/test/test_spread.c
@@ -435,6 +435,10 @@
   marjoram_spread_local (b, 0, old);
   marjoram_spread_receive_give (b, 0, "a", &give);
   ck_assert_uint_eq (answer.adopted, 2);
+  give.state = marjoram_wire_pack (&marjoram_state_layout, old);
+  marjoram_spread_receive_give (b, 0, "late", &give); /* and lower */
+  ck_assert_uint_eq (marjoram_spread_state (b)->number, 2);
+  marjoram_bytes_release (give.state);
 
   marjoram_spread_destroy (b);
   b = marjoram_spread_create (&options, &kept, &answer, 0);
@@ -452,6 +456,33 @@
 }
 END_TEST
 
+/* A host starts, is given a state and hears all keepers, and one neighbour
+   tells of a higher number.  Serving at once, it would go back; if nobody can
+   give the higher one, it serves after ten seconds all the same.  */
+START_TEST (waits_for_what_it_has_heard_of)
+{
+  static const struct marjoram_spread_ops kept
+      = { keep_ask, keep_give, keep_adopted };
+  static const char *const keepers[] = { "h0", "h12", "h24" };
+  const struct marjoram_spread_options options = { keepers, 3 };
+  struct answer answer = { 0 };
+  struct marjoram_state *state = make_state (1);
+  marjoram_spread *a = marjoram_spread_create (&options, &kept, &answer, 0);
+
+  marjoram_spread_heard (a, 10, "neighbour", 2);
+  marjoram_spread_local (a, 20, state);
+  for (int i = 0; i < 3; i++)
+    marjoram_spread_heard (a, 30, keepers[i], 1);
+  ck_assert (!marjoram_spread_ready (a));
+  marjoram_spread_tick (a, 9000);
+  ck_assert (!marjoram_spread_ready (a));
+  marjoram_spread_tick (a, 10000);
+  ck_assert (marjoram_spread_ready (a));
+  marjoram_spread_destroy (a);
+  marjoram_state_destroy (state);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -462,6 +493,7 @@
   tcase_add_loop_test (c, reaches_all_hosts, 0, SEEDS);
   tcase_add_test (c, restarted_host_serves_only_by_the_highest);
   tcase_add_test (c, cut_off_zone_serves_and_catches_up);
+  tcase_add_test (c, waits_for_what_it_has_heard_of);
   tcase_add_test (c, gives_what_is_lacking_and_checks_it);
   suite_add_tcase (s, c);
   return s;
