--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -6,6 +6,7 @@
 
 #include <getopt.h>
 #include <math.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -18,9 +19,13 @@
   POLICIES_MAX = 8,
   HOTELS = 120,
   CALLERS = 40,
+  OTHERS = 12,           /* callers of each zone */
   OBEDIENT_RESENDS = 50, /* of callers that come when they are told to */
   GREEDY = 1,            /* index of the caller that asks too much */
   RATE_MAX = 1000,
+  LOSS_S = 240,
+  RETURN_S = 420,
+  SLOWNESS = 5,
   AFTER_S = 120, /* for the last requests to end */
   FAR_DEADLINE_MS = 100000000
 };
@@ -41,17 +46,15 @@
 {
   const char *name;
   enum world_policy policy;
-  bool no_spill;
-  bool no_limits;
   bool free_retries;
 };
 
+/* The router first, the plain ones after it.  */
 static const struct policy policies[] = {
-  { "router", WORLD_ROUTER, false, false, false },
-  { "router-no-spill", WORLD_ROUTER, true, false, false },
-  { "round-robin", WORLD_ROUND_ROBIN, false, false, true },
-  { "least-in-flight", WORLD_LEAST_IN_ZONE, false, false, true },
-  { "least-anywhere", WORLD_LEAST_ANYWHERE, false, false, true },
+  { "router", WORLD_ROUTER, false },
+  { "round-robin", WORLD_ROUND_ROBIN, true },
+  { "least-in-flight", WORLD_LEAST_IN_ZONE, true },
+  { "least-anywhere", WORLD_LEAST_ANYWHERE, true },
 };
 enum
 {
@@ -62,16 +65,17 @@
 {
   const char *name;
   const struct kind *kinds;
+  void (*change) (struct world *world);
+  double load[WORLD_ZONES_MAX]; /* of the zone's capacity */
+  double rate_part; /* a caller's limit, of the whole capacity; 0 for none */
+  double greedy;    /* how many times its limit one caller asks */
+  int engines[WORLD_ZONES_MAX];
   int kind_count;
   int regions;
-  int engines[WORLD_ZONES_MAX];
   int duration_s;
-  int attempt_ms;
+  int attempt_ms; /* patience of a caller; 0 for the deadline */
   int resends;
-  double load[WORLD_ZONES_MAX]; /* of the zone's capacity */
-  void (*change) (struct world *world);
-  /* Caller 1 asks so much more, in parts of its limit.  */
-  double greedy;
+  bool no_limits; /* not asked all the same */
 };
 
 /* What one run gave.  */
@@ -158,7 +162,42 @@
   return x->at_us < y->at_us ? -1 : x->at_us > y->at_us;
 }
 
-/* Poisson arrivals; CAPACITY is that of one engine, requests a second.  */
+static double
+limit_of (const struct workload *workload, double capacity)
+{
+  int engines = 0;
+
+  for (int i = 0; i < workload->regions; i++)
+    engines += workload->engines[i];
+  return workload->rate_part * capacity * engines;
+}
+
+/* Poisson arrivals of one caller, or of the others in turn if CALLER is
+   negative.  */
+static size_t
+add_stream (const struct workload *workload, marjoram_random *random, int zone,
+            double rate, int caller, struct world_request *requests,
+            size_t count)
+{
+  double at = 0;
+
+  while (rate > 0 && count < REQUESTS_MAX)
+    {
+      int who
+          = caller >= 0
+                ? caller
+                : 3 + (int)marjoram_random_below (random, OTHERS) * 3 + zone;
+
+      at -= log (1 - marjoram_random_unit (random)) / rate;
+      if (at > workload->duration_s)
+        break;
+      requests[count++]
+          = draw_request (workload, random, (int64_t)(at * SECOND), zone, who);
+    }
+  return count;
+}
+
+/* CAPACITY is that of one engine, requests a second.  */
 static size_t
 make_requests (const struct workload *workload, double capacity, uint64_t seed,
                struct world_request *requests)
@@ -167,24 +206,16 @@
   size_t count = 0;
 
   for (int zone = 0; zone < workload->regions; zone++)
-    for (int caller = zone == 0 ? 1 : 2; caller >= 0; caller -= 2)
-      {
-        double rate
-            = capacity * workload->load[zone] * workload->engines[zone];
-        double at = 0;
-
-        (void)caller;
-        while (rate > 0 && count < REQUESTS_MAX)
-          {
-            at -= log (1 - marjoram_random_unit (random)) / rate;
-            if (at > workload->duration_s)
-              break;
-            requests[count++] = draw_request (
-                workload, random, (int64_t)(at * SECOND), zone,
-                2 + (int)marjoram_random_below (random, 8) * 3 + zone);
-          }
-        break;
-      }
+    {
+      double rate = capacity * workload->load[zone] * workload->engines[zone];
+
+      count = add_stream (workload, random, zone, rate, -1, requests, count);
+    }
+  for (int zone = 0; workload->greedy > 0 && zone < workload->regions; zone++)
+    count = add_stream (workload, random, zone,
+                        limit_of (workload, capacity) * workload->greedy
+                            / workload->regions,
+                        GREEDY, requests, count);
   marjoram_random_destroy (random);
   qsort (requests, count, sizeof *requests, compare_requests);
   return count;
@@ -216,7 +247,7 @@
     {
       const struct world_request *r = &requests[i];
 
-      if (r->at_us < (int64_t)WARM_S * SECOND)
+      if (r->at_us < (int64_t)WARM_S * SECOND || r->caller == GREEDY)
         continue;
       all++;
       result->retries += r->retries;
@@ -261,8 +292,10 @@
 
 static struct world *
 make_world (const struct workload *workload, const struct policy *policy,
-            uint64_t seed)
+            double capacity, uint64_t seed)
 {
+  double rate
+      = workload->rate_part > 0 ? limit_of (workload, capacity) : RATE_MAX;
   struct world_options options = {
     .spec = { .regions = workload->regions,
               .zones = 1,
@@ -270,8 +303,8 @@
               .works = 1,
               .callers = CALLERS,
               .home = -1,
-              .rate = RATE_MAX,
-              .burst = RATE_MAX,
+              .rate = rate,
+              .burst = fmax (10, rate),
               .prefill_rate = engine.prefill_rate,
               .decode_rate = 1000 / (engine.step_ms + engine.stream_ms) },
     .batch = engine,
@@ -280,8 +313,7 @@
     .link_near_us = 1500,
     .link_far_us = 52000,
     .policy = policy->policy,
-    .no_spill = policy->no_spill,
-    .no_limits = policy->no_limits,
+    .no_limits = workload->rate_part <= 0 || workload->no_limits,
     .free_retries = policy->free_retries,
     .attempt_ms = workload->attempt_ms,
     .resends = workload->attempt_ms ? workload->resends : OBEDIENT_RESENDS,
@@ -294,11 +326,11 @@
 
 static void
 run (const struct workload *workload, const struct policy *policy,
-     uint64_t seed, const struct world_request *requests, size_t count,
-     struct result *result)
+     double capacity, uint64_t seed, const struct world_request *requests,
+     size_t count, struct result *result)
 {
   struct world_request *copies = marjoram_alloc ((count + 1) * sizeof *copies);
-  struct world *world = make_world (workload, policy, seed);
+  struct world *world = make_world (workload, policy, capacity, seed);
 
   memcpy (copies, requests, count * sizeof *copies);
   if (workload->change)
@@ -319,14 +351,15 @@
 capacity_of (const struct workload *workload, uint64_t seed,
              struct world_request *requests)
 {
-  static const struct policy least
-      = { "least", WORLD_LEAST_IN_ZONE, false, false, true };
+  static const struct policy least = { "least", WORLD_LEAST_IN_ZONE, true };
   struct workload full = *workload;
   struct world *world;
   size_t count;
   int done = 0;
 
   full.attempt_ms = 0;
+  full.rate_part = 0;
+  full.greedy = 0;
   full.regions = 1;
   full.load[0] = 1;
   full.engines[0] = 3;
@@ -337,7 +370,7 @@
       requests[i].deadline_ms = FAR_DEADLINE_MS;
       requests[i].class = MARJORAM_CLASS_INTERACTIVE;
     }
-  world = make_world (&full, &least, seed);
+  world = make_world (&full, &least, 1, seed);
   world_run (world, requests, count, (int64_t)full.duration_s * SECOND);
   for (size_t i = 0; i < count; i++)
     done += requests[i].done_us > (int64_t)WARM_S * SECOND;
@@ -348,7 +381,27 @@
 static void
 lose_one (struct world *world)
 {
-  world_kill_engine (world, (int64_t)240 * SECOND, 0, 0);
+  world_kill_engine (world, (int64_t)LOSS_S * SECOND, 0, 0);
+}
+
+static void
+lose_and_return (struct world *world)
+{
+  lose_one (world);
+  world_start_engine (world, (int64_t)RETURN_S * SECOND, 0, 0);
+}
+
+static void
+slow_one (struct world *world)
+{
+  world_slow_engine (world, (int64_t)LOSS_S * SECOND, 0, 0, SLOWNESS);
+}
+
+static void
+cut_and_heal (struct world *world)
+{
+  world_cut (world, (int64_t)LOSS_S * SECOND, 0, true);
+  world_cut (world, (int64_t)RETURN_S * SECOND, 0, false);
 }
 
 static const struct workload workloads[] = {
@@ -390,21 +443,150 @@
     .engines = { 1, 10, 10 },
     .duration_s = 900,
     .load = { 1.5, 0.7, 0.7 } },
+  { .name = "return-with-cold-cache",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 3, 3, 3 },
+    .duration_s = 600,
+    .load = { 0.8, 0.6, 0.6 },
+    .change = lose_and_return },
+  { .name = "slow-replica",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 4, 4, 4 },
+    .duration_s = 600,
+    .load = { 0.6, 0.6, 0.6 },
+    .change = slow_one },
+  { .name = "link-heals",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 3, 3, 3 },
+    .duration_s = 600,
+    .load = { 1.3, 0.6, 0.6 },
+    .change = cut_and_heal },
+  { .name = "greedy-caller",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 3, 3, 3 },
+    .duration_s = 900,
+    .load = { 0.7, 0.7, 0.7 },
+    .rate_part = 0.05,
+    .greedy = 20 },
+  { .name = "greedy-without-limits",
+    .kinds = tatranska,
+    .kind_count = 2,
+    .regions = 3,
+    .engines = { 3, 3, 3 },
+    .duration_s = 900,
+    .load = { 0.7, 0.7, 0.7 },
+    .rate_part = 0.05,
+    .no_limits = true,
+    .greedy = 20 },
 };
 
 static void
 show (const char *policy, const struct result *r)
 {
-  printf ("  %-16s p50 %7.0f p99 %7.0f first %7.0f ms answered %.4f goodput "
-          "%6.2f/s "
-          "%.0f tokens/s outside %.4f prefill %7.1f overnight %.2f retries "
-          "%.4f attempts "
-          "%.3f crossed %.3f\n",
+  printf ("# %-16s p50 %.0f ms p99 %.0f ms first99 %.0f ms answered %.4f "
+          "goodput %.2f/s %.0f tokens/s outside %.4f prefill %.0f "
+          "overnight %.2f/s retries %.4f attempts %.3f crossed %.3f\n",
           policy, r->p50_ms, r->p99_ms, r->first99_ms, r->answered, r->goodput,
           r->tokens, r->outside, r->prefill, r->overnight, r->retries,
           r->attempts, r->crossed);
 }
 
+/* One line: the router against the best plain policy.  */
+static void
+compare (const struct workload *workload, uint64_t seed, const char *what,
+         const char *unit, size_t offset, bool more_is_better,
+         const struct result *results)
+{
+  double value = *(const double *)((const char *)&results[0] + offset);
+  double best = 0;
+  int which = -1;
+
+  for (int i = 1; i < POLICIES; i++)
+    {
+      double other = *(const double *)((const char *)&results[i] + offset);
+
+      if (which >= 0 && (more_is_better ? other <= best : other >= best))
+        continue;
+      best = other;
+      which = i;
+    }
+  printf ("metric=%s.%s value=%.4f unit=%s baseline=%.4f baseline_name=%s "
+          "seed=%d\n",
+          workload->name, what, value, unit, best, policies[which].name,
+          (int)seed);
+}
+
+/* The same measure of the router against a policy that leaves home too.  */
+static void
+compare_outside (const struct workload *workload, uint64_t seed,
+                 const struct result *results)
+{
+  printf ("metric=%s.outside_home value=%.4f unit=part baseline=%.4f "
+          "baseline_name=%s seed=%d\n",
+          workload->name, results[0].outside, results[POLICIES - 1].outside,
+          policies[POLICIES - 1].name, (int)seed);
+}
+
+static void
+compare_runs (const struct workload *workload, uint64_t seed, const char *what,
+              const char *unit, double value, double baseline,
+              const char *name)
+{
+  printf ("metric=%s.%s value=%.4f unit=%s baseline=%.4f baseline_name=%s "
+          "seed=%d\n",
+          workload->name, what, value, unit, baseline, name, (int)seed);
+}
+
+/* Overload against the same callers at capacity.  */
+static void
+compare_with_capacity (const struct workload *workload, double capacity,
+                       uint64_t seed, struct world_request *requests,
+                       const struct result *twice)
+{
+  struct workload once = *workload;
+  struct result result;
+  size_t count;
+
+  for (int i = 0; i < once.regions; i++)
+    once.load[i] = 1;
+  count = make_requests (&once, capacity, seed, requests);
+  run (&once, &policies[0], capacity, seed, requests, count, &result);
+  compare_runs (workload, seed, "goodput_tokens_of_capacity", "tokens/s",
+                twice->tokens, result.tokens, "router-at-capacity");
+  compare_runs (workload, seed, "goodput_of_capacity", "answers/s",
+                twice->goodput, result.goodput, "router-at-capacity");
+  compare_runs (workload, seed, "host_retries", "per_request", twice->retries,
+                0.1, "budget");
+}
+
+/* Well-behaved callers beside the greedy one against themselves alone.  */
+static void
+compare_without_greedy (const struct workload *workload, double capacity,
+                        uint64_t seed, struct world_request *requests,
+                        const struct result *beside)
+{
+  struct workload alone = *workload;
+  struct result result;
+  size_t count;
+
+  alone.greedy = 0;
+  count = make_requests (&alone, capacity, seed, requests);
+  run (&alone, &policies[0], capacity, seed, requests, count, &result);
+  compare_runs (workload, seed, "p99_beside_greedy", "ms", beside->p99_ms,
+                result.p99_ms, "router-without-greedy");
+  compare_runs (workload, seed, "first99_beside_greedy", "ms",
+                beside->first99_ms, result.first99_ms,
+                "router-without-greedy");
+}
+
 static void
 measure (const struct workload *workload, uint64_t seed, bool verbose,
          struct world_request *requests)
@@ -415,13 +597,28 @@
 
   for (int i = 0; i < POLICIES; i++)
     {
-      run (workload, &policies[i], seed, requests, count, &results[i]);
+      run (workload, &policies[i], capacity, seed, requests, count,
+           &results[i]);
       if (verbose && i == 0)
-        printf ("%s seed %d capacity %.3f/s an engine, %zu requests\n",
+        printf ("# %s seed %d: capacity %.3f/s an engine, %zu requests\n",
                 workload->name, (int)seed, capacity, count);
       if (verbose)
         show (policies[i].name, &results[i]);
     }
+  compare (workload, seed, "p99", "ms", offsetof (struct result, p99_ms),
+           false, results);
+  compare (workload, seed, "first99", "ms",
+           offsetof (struct result, first99_ms), false, results);
+  compare (workload, seed, "prefill_tokens", "per_answer",
+           offsetof (struct result, prefill), false, results);
+  compare (workload, seed, "goodput", "answers/s",
+           offsetof (struct result, goodput), true, results);
+  compare_outside (workload, seed, results);
+  if (workload->attempt_ms)
+    compare_with_capacity (workload, capacity, seed, requests, &results[0]);
+  if (workload->greedy > 0)
+    compare_without_greedy (workload, capacity, seed, requests, &results[0]);
+  fflush (stdout);
 }
 
 int
--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -318,15 +318,9 @@
         for (int k = 0; k < 500 * callers[i]; k++)
           marjoram_router_admit (node.router, 1, k % callers[i], &retry_ms);
         marjoram_router_offer (node.router, 1, 1, &offers);
-        printf ("metric=bytes_offers_works_%d_callers_%d value=%zu unit=B\n",
-                works[j], callers[i], ({
-                  marjoram_bytes *frame
-                      = marjoram_frame_pack (MARJORAM_FRAME_OFFERS, &offers);
-                  size_t size = marjoram_bytes_size (frame);
-
-                  marjoram_bytes_release (frame);
-                  size;
-                }));
+        snprintf (name, sizeof name, "bytes_offers_works_%d_callers",
+                  works[j]);
+        print_size (name, callers[i], MARJORAM_FRAME_OFFERS, &offers);
         marjoram_wire_clear (&marjoram_offers_layout, &offers);
         free_node (&node);
       }
--- a/src/route.c
+++ b/src/route.c
@@ -2,6 +2,7 @@
 
 #include "choose.h"
 #include "cleanup.h"
+#include "fair.h"
 #include "retry.h"
 
 #include <math.h>
@@ -51,6 +52,7 @@
   marjoram_limits *limits;
   marjoram_chooser *chooser;
   marjoram_loans *loans;
+  marjoram_fair *fair;
   struct marjoram_retry_budget budget;
 };
 
@@ -68,6 +70,7 @@
   router->limits = marjoram_limits_create (marjoram_members_self (members));
   router->chooser = marjoram_chooser_create (members, suspects, random);
   router->loans = marjoram_loans_create (random);
+  router->fair = marjoram_fair_create ();
   marjoram_retry_budget_init (&router->budget);
   return router;
 }
@@ -80,6 +83,7 @@
   marjoram_limits_destroy (router->limits);
   marjoram_chooser_destroy (router->chooser);
   marjoram_loans_destroy (router->loans);
+  marjoram_fair_destroy (router->fair);
   marjoram_config_release (router->config);
   free (router->zone_name);
   free (router);
@@ -100,6 +104,7 @@
   marjoram_limits_configure (router->limits, now, config, router->zone);
   marjoram_chooser_configure (router->chooser, config);
   marjoram_loans_configure (router->loans, config, router->zone);
+  marjoram_fair_configure (router->fair, config);
 }
 
 static bool
@@ -150,6 +155,7 @@
   bool here;        /* this zone is allowed */
   bool homeless;    /* no upstream of this zone runs the work */
   double slack_ms;  /* until the deadline */
+  double excess;    /* the caller's use by its fair share, at least 1 */
   double alone_ms;
   struct marjoram_pick pick;
   struct marjoram_loan near_by;  /* another zone of this region */
@@ -171,7 +177,10 @@
   if ((query->forwarded && !query->homeless)
       || query->class == MARJORAM_CLASS_OVERNIGHT)
     return false;
-  return pick->total_ms <= view->slack_ms;
+  /* Stops a caller that asks for much from filling the queue and thereby
+     having the others refused, too: the more it is over its share, the less it
+     may wait.  */
+  return pick->total_ms * view->excess <= view->slack_ms;
 }
 
 /* Residency is read from the configuration in force at every choice, so that
@@ -190,6 +199,7 @@
   view->alone_ms
       = marjoram_chooser_alone_ms (router->chooser, query)
         * marjoram_chooser_room (router->chooser, now, query->work)->factor;
+  view->excess = marjoram_fair_excess (router->fair, now, query->caller);
   view->near_by = none;
   view->far_away = none;
   if (view->here)
@@ -261,7 +271,7 @@
 
   if (view->pick.upstream)
     {
-      retry = view->pick.total_ms - view->slack_ms;
+      retry = view->pick.total_ms * view->excess - view->slack_ms;
       if (query->forwarded || query->class == MARJORAM_CLASS_OVERNIGHT
           || retry <= 0)
         retry = fmax (view->pick.wait_ms, RETRY_UNKNOWN_MS);
@@ -356,6 +366,8 @@
     return false;
   look (router, now, query, view);
   decide (router, now, query, view, choice);
+  if (choice->verdict != MARJORAM_VERDICT_REFUSE)
+    marjoram_fair_used (router->fair, now, query->caller, view->alone_ms);
   return true;
 }
 
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -11,6 +11,7 @@
 {
   SLOTS = 4,
   QUEUE = 5 * SLOTS,
+  SHORT_QUEUE = 2 * SLOTS,
   IDLE = 9, /* engines */
   IDLE_SLOTS = IDLE * SLOTS,
   LINK_MS = 52,
@@ -384,6 +385,30 @@
 }
 END_TEST
 
+/* One caller asks twenty times as much as another, both within their limits,
+   and the queue grows.  Without fair shares it is the greedy one that fills
+   the queue, and the other is refused as often.  */
+START_TEST (overload_refuses_the_greedy_first)
+{
+  struct node *node = add_node (0, 0, (uint64_t)_i);
+  struct marjoram_query q;
+
+  announce (node, 0, "lm-1", 1, 0);
+  for (int64_t now = 0; now < 5000; now += 10)
+    {
+      q = query (now + 30000);
+      q.caller = now % 200 == 0 ? 1 : 0;
+      choose (node, now, &q);
+    }
+  announce (node, 5000, "lm-1", 2, SHORT_QUEUE);
+  q = query (5000 + 8000);
+  q.caller = 0;
+  assert_refused (choose (node, 5000, &q), MARJORAM_REASON_OVERLOAD);
+  q.caller = 1;
+  ck_assert_int_eq (choose (node, 5000, &q).verdict, MARJORAM_VERDICT_LOCAL);
+}
+END_TEST
+
 /* All slots are taken.  A desk clerk's question may wait its turn; a review
    that has all night is told to come later and leaves the turn to it.  */
 START_TEST (overnight_gives_way)
@@ -644,6 +669,7 @@
   tcase_add_test (c, offers_expire);
   tcase_add_loop_test (c, gone_upstream_gets_nothing, 1, 10);
   tcase_add_loop_test (c, retry_after_is_honest, 1, 10);
+  tcase_add_loop_test (c, overload_refuses_the_greedy_first, 1, 10);
   tcase_add_loop_test (c, overnight_gives_way, 1, 10);
   tcase_add_test (c, old_report_draws_no_herd);
   tcase_add_loop_test (c, prefix_finds_one_replica, 1, SEEDS);
