--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -326,6 +326,58 @@
       }
 }
 
+/* The agreed state as keepers store it and as a host that starts gets it:
+   CALLERS callers in one file, and the results of CHANGES changes.  */
+static void
+measure_state (void)
+{
+  static const int callers[] = { 260, 1300, 2600 };
+  static const int changes[] = { 0, 256, 1024 };
+
+  for (int i = 0; i < 3; i++)
+    {
+      struct config_spec spec = target_spec ();
+      struct marjoram_state *state = marjoram_state_copy (NULL);
+      struct marjoram_file *file = marjoram_alloc (sizeof *file);
+      struct marjoram_change *kept
+          = marjoram_alloc ((size_t)(changes[i] + 1) * sizeof *kept);
+      marjoram_bytes *packed;
+      size_t size;
+      FILE *out = open_memstream (&file->text, &size);
+
+      spec.callers = callers[i];
+      print_spec_callers (out, &spec);
+      fclose (out);
+      print ("bytes_callers_text", callers[i], (double)size, "B");
+      file->name = marjoram_strdup ("callers");
+      file->digest = marjoram_digest (file->text, size);
+      state->files.items = file;
+      state->files.count = 1;
+      packed = marjoram_wire_pack (&marjoram_state_layout, state);
+      print ("bytes_state_callers", callers[i],
+             (double)marjoram_bytes_size (packed), "B");
+      marjoram_bytes_release (packed);
+      for (int j = 0; j < changes[i]; j++)
+        {
+          char id[NAME_SIZE];
+
+          snprintf (id, sizeof id, "change-of-operator-%06d", j);
+          kept[j].id = marjoram_strdup (id);
+          kept[j].file = marjoram_strdup ("callers");
+          kept[j].digest = marjoram_strdup (file->digest);
+          kept[j].number = (uint64_t)j + 30000;
+          kept[j].version = (uint64_t)j + 30000;
+        }
+      state->changes.items = kept;
+      state->changes.count = (size_t)changes[i];
+      packed = marjoram_wire_pack (&marjoram_state_layout, state);
+      print ("bytes_state_with_text_changes", changes[i],
+             (double)marjoram_bytes_size (packed), "B");
+      marjoram_bytes_release (packed);
+      marjoram_state_destroy (state);
+    }
+}
+
 static void
 measure_offer_time (void)
 {
@@ -363,6 +415,7 @@
   print_size ("bytes_heartbeat", 1, MARJORAM_FRAME_HEARTBEAT, &heartbeat);
   measure_announcements ();
   measure_offers ();
+  measure_state ();
   measure_offer_time ();
   return EXIT_SUCCESS;
 }
