--- a/src/place.h
+++ b/src/place.h
@@ -11,6 +11,13 @@
 
 typedef struct marjoram_place marjoram_place;
 
+enum
+{
+  /* An order that has no answer by then is given up, so that none is under way
+     longer.  */
+  MARJORAM_ORDER_MS = 3000
+};
+
 /* One order to an engine, as POST /v1/orders takes it.  */
 struct marjoram_order
 {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -21,7 +21,6 @@
   /* evhttp's own limit is no guard here: the host watches progress.  */
   CONNECTION_TIMEOUT_SEC = 3600,
   PROBE_TIMEOUT_MSEC = 500,
-  ORDER_TIMEOUT_MSEC = 5000,
   HEADERS_BYTES_MAX = 64 * 1024,
   ADDRESS_MAX = 64,
   STATUS_TOO_MANY = 429,
@@ -642,7 +641,7 @@
 
   json_decref (json);
   if (!marjoram_outcall (upstreams->calls, order->address, "/v1/orders", body,
-                         ORDER_TIMEOUT_MSEC, on_ordered, errand))
+                         MARJORAM_ORDER_MS, on_ordered, errand))
     on_ordered (errand, 0, false, 0);
 }
 
--- a/test/fake_engine.c
+++ b/test/fake_engine.c
@@ -174,9 +174,46 @@
   engine_deliver (found);
 }
 
+static void
+end_loading (evutil_socket_t fd, short what, void *context)
+{
+  struct engine *engine = context;
+  size_t used = strlen (engine->loaded);
+
+  (void)fd;
+  (void)what;
+  snprintf (engine->loaded + used, sizeof engine->loaded - used, ",%s",
+            engine->loading);
+  engine_record (engine, "loaded", engine->loading, "", "", 0);
+}
+
+/* The weight store stands behind the engine: while it is busy, so is the
+   engine.  */
+static int
+begin_loading (struct engine *engine, struct evhttp_request *request,
+               const char *model)
+{
+  struct timeval time = marjoram_clock_timeval (engine->options.load_ms);
+
+  if (engine->options.store_busy > 0)
+    {
+      engine->options.store_busy--;
+      evhttp_add_header (evhttp_request_get_output_headers (request),
+                         "Retry-After", "1");
+      return 429;
+    }
+  snprintf (engine->loading, sizeof engine->loading, "%s", model);
+  if (!engine->load_end)
+    engine->load_end = evtimer_new (engine->base, end_loading, engine);
+  evtimer_add (engine->load_end, &time);
+  return HTTP_OK;
+}
+
 static void
 order (struct engine *engine, struct evhttp_request *request)
 {
+  int status = HTTP_OK;
+
   marjoram_auto_free char *text = body_text (request);
   json_t *body = json_loads (text, 0, NULL);
   json_int_t fence = json_integer_value (json_object_get (body, "fence"));
@@ -189,9 +226,12 @@
                  word ? word : "", model ? model : "", "", fence);
   if (!old)
     engine->fence = (uint64_t)fence;
+  if (old && engine->options.fences)
+    status = 409;
+  else if (word && model && strcmp (word, "load") == 0)
+    status = begin_loading (engine, request, model);
   json_decref (body);
-  evhttp_send_reply (request, old && engine->options.fences ? 409 : HTTP_OK,
-                     NULL, NULL);
+  evhttp_send_reply (request, status, NULL, NULL);
 }
 
 /* POST /fake/fault {"fault": NAME, "count": N, "match": TEXT}.  */
@@ -242,31 +282,42 @@
 
 /* Announcing.  */
 
+static void
+append_names (json_t *array, const char *names)
+{
+  marjoram_auto_free char *list = marjoram_strdup (names);
+  char *rest = list;
+  char *name;
+
+  while ((name = strsep (&rest, ",")))
+    if (*name)
+      json_array_append_new (array, json_string (name));
+}
+
 static json_t *
 describe (void *context)
 {
   struct engine *engine = context;
   struct options *options = &engine->options;
-  marjoram_auto_free char *list = marjoram_strdup (options->works);
   json_t *works = json_array ();
-  char *rest = list;
-  char *name;
+  json_t *loadable = json_array ();
 
-  while ((name = strsep (&rest, ",")))
-    json_array_append_new (works, json_string (name));
+  append_names (works, options->works);
+  append_names (works, engine->loaded);
+  append_names (loadable, options->loadable);
   if (!options->lag_ms)
     {
       engine->reported_running = engine->running;
       engine->reported_waiting = engine->waiting;
     }
   return json_pack (
-      "{ss sI ss ss ss sb so si si si si}", "name", options->name,
+      "{ss sI ss ss ss sb so so si si si si}", "name", options->name,
       "incarnation", (json_int_t)engine->incarnation, "zone", options->zone,
       "address", options->address, "kind",
       options->service ? "service" : "engine", "fences", options->fences,
-      "works", works, "slots", options->slots, "lease_ms", options->lease_ms,
-      "running", engine->reported_running, "waiting",
-      engine->reported_waiting);
+      "works", works, "loadable", loadable, "slots", options->slots,
+      "lease_ms", options->lease_ms, "running", engine->reported_running,
+      "waiting", engine->reported_waiting);
 }
 
 static void
@@ -374,7 +425,10 @@
         PLACE ("lag-ms", OPTION_NUMBER, lag_ms),
         PLACE ("cache", OPTION_NUMBER, cache_size),
         PLACE ("cache-ms", OPTION_NUMBER, cache_ms),
-        PLACE ("cache-gap", OPTION_NUMBER, cache_gap) };
+        PLACE ("cache-gap", OPTION_NUMBER, cache_gap),
+        PLACE ("loadable", OPTION_TEXT, loadable),
+        PLACE ("load-ms", OPTION_NUMBER, load_ms),
+        PLACE ("store-busy", OPTION_NUMBER, store_busy) };
 
 enum
 {
@@ -425,6 +479,8 @@
                                         .zone = "",
                                         .entries = "",
                                         .works = "model",
+                                        .loadable = "",
+                                        .load_ms = 200,
                                         .fences = true,
                                         .resume = true,
                                         .slots = 8,
--- a/test/lib_engine.h
+++ b/test/lib_engine.h
@@ -87,6 +87,7 @@
   const char *address; /* that is announced */
   const char *entries;
   const char *works;
+  const char *loadable; /* models that it loads on order */
   const char *history;
   const char *crash_on;
   const char *fault;
@@ -103,6 +104,8 @@
   int cache_size;
   int cache_ms;  /* between cache events */
   int cache_gap; /* each so manieth event is lost */
+  int load_ms;
+  int store_busy; /* so many orders are answered 429 */
 };
 
 struct engine
@@ -120,6 +123,9 @@
   int running, waiting;
   int reported_running, reported_waiting;
   uint64_t fence;
+  char loading[NAME_SIZE];    /* the model that is being loaded */
+  char loaded[4 * NAME_SIZE]; /* those loaded on order, each with a comma */
+  struct event *load_end;
   int history_fd;
   int64_t stepped_ms; /* steps are done up to this time */
   bool stopping;
--- a/test/scenarios/prelude.lua
+++ b/test/scenarios/prelude.lua
@@ -300,7 +300,8 @@
   for _, option in ipairs { "slots", "token-ms", "prefill-us", "work-ms",
                             "lease-ms", "fault", "crash-on", "fences",
                             "resume", "linger-ms", "lag-ms", "cache",
-                            "cache-ms", "cache-gap" } do
+                            "cache-ms", "cache-gap", "loadable", "load-ms",
+                            "store-busy" } do
     local value = up[option:gsub ("-", "_")]
     if value then
       up.arguments[#up.arguments + 1] = "--" .. option
