--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -287,6 +287,29 @@
     }
 }
 
+static void
+measure_renewals (void)
+{
+  static const int sizes[] = { 2, 11, 44 };
+  struct marjoram_renewal items[44];
+  char name[] = "engine-001";
+
+  for (int i = 0; i < 44; i++)
+    items[i] = (struct marjoram_renewal){ .name = name,
+                                          .incarnation = 1764000000000,
+                                          .sequence = 100000,
+                                          .lease_ms = 2500,
+                                          .running = 9,
+                                          .waiting = 0 };
+  for (int i = 0; i < 3; i++)
+    {
+      struct marjoram_renewals renewals = { { items, (size_t)sizes[i] } };
+
+      print_size ("bytes_renewals", sizes[i], MARJORAM_FRAME_RENEWALS,
+                  &renewals);
+    }
+}
+
 static void
 measure_offers (void)
 {
@@ -414,6 +437,7 @@
   measure_memory ();
   print_size ("bytes_heartbeat", 1, MARJORAM_FRAME_HEARTBEAT, &heartbeat);
   measure_announcements ();
+  measure_renewals ();
   measure_offers ();
   measure_state ();
   measure_offer_time ();
