Control test: an address of its own for each process

Cause: test_control was flaky, 2 of 80 runs (and one before) failed with "Address already in use": checks of several checkouts run at once on one machine and bound the same address. Ruled out: a socket left by the run before (evhttp sets SO_REUSEADDR, and the failures fell on random cases).

--- a/test/test_control.c
+++ b/test/test_control.c
@@ -18,9 +18,13 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#define ADDRESS "127.4.0.9:7901"
 #define SECRET "0123456789abcdef0123456789abcdef"
 
+/* The host's control address, another for each process: tests of several
+   checkouts may run at once on one machine.  */
+static char ip[32];
+static char address[48];
+
 enum
 {
   PORT = 7901,
@@ -160,13 +164,21 @@
   return NULL;
 }
 
+static void
+choose_address (void)
+{
+  unsigned pid = (unsigned)getpid ();
+
+  snprintf (ip, sizeof ip, "127.4.%u.%u", pid >> 8 & 0xff, pid & 0xff);
+  snprintf (address, sizeof address, "%s:%d", ip, PORT);
+}
+
 static void
 start_host (void)
 {
   static const struct marjoram_clock_ops clock_ops = { fake_time, fake_time };
   static char slot[] = "ba-1-a";
   static char secret[] = SECRET;
-  static char address[] = ADDRESS;
   struct marjoram_settings settings
       = { .slot = slot, .secret = secret, .control_address = address };
   struct marjoram_error err = { 0 };
@@ -228,6 +240,7 @@
   snprintf (folder, sizeof folder, "/tmp/marjoram-control-XXXXXX");
   ck_assert_ptr_nonnull (mkdtemp (folder));
   umask (077);
+  choose_address ();
   write_file (secret_path, "secret", SECRET "\n");
   write_file (other_secret, "other", "another secret of thirty-two bytes\n");
   write_file (good_path, "callers.ini",
@@ -255,7 +268,7 @@
 static struct marjoram_ctl_options
 default_options (void)
 {
-  return (struct marjoram_ctl_options){ .hosts = { ADDRESS },
+  return (struct marjoram_ctl_options){ .hosts = { address },
                                         .host_count = 1,
                                         .secret_file = secret_path,
                                         .timeout_ms = 20000,
@@ -375,12 +388,12 @@
 
   options.host_count = 2;
   options.hosts[0] = "127.4.0.9:7999";
-  options.hosts[1] = ADDRESS;
+  options.hosts[1] = address;
   options.change_id = "accepted";
   ck_assert_int_eq (run_command (&options, "apply", good_path, NULL, &text),
                     MARJORAM_CTL_DONE);
   ck_assert_ptr_nonnull (strstr (text, "no answer from 127.4.0.9:7999"));
-  options.hosts[0] = ADDRESS;
+  options.hosts[0] = address;
   options.change_id = "silent";
   options.timeout_ms = 300;
   host.applies = 0;
@@ -412,16 +425,14 @@
 static int
 send_raw (const char *text, bool wait)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET,
-          .sin_port = htons (PORT),
-          .sin_addr = { .s_addr = inet_addr ("127.4.0.9") } };
+  struct sockaddr_in place = { .sin_family = AF_INET,
+                               .sin_port = htons (PORT),
+                               .sin_addr = { .s_addr = inet_addr (ip) } };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   char answer[512] = "";
   int status = 0;
 
-  ck_assert_int_eq (connect (fd, (struct sockaddr *)&address, sizeof address),
-                    0);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&place, sizeof place), 0);
   ck_assert_int_eq (send (fd, text, strlen (text), 0), (ssize_t)strlen (text));
   if (wait && recv (fd, answer, sizeof answer - 1, 0) > 0)
     sscanf (answer, "HTTP/1.1 %d", &status);
