Suspects: the mark of a dead host's run expires in ten minutes

It stayed as long as suspicions are kept (an hour in the daemon), and kept other suspects from that upstream.

--- a/src/suspect.c
+++ b/src/suspect.c
@@ -11,7 +11,10 @@
 {
   DIGEST_MAX = 64,
   /* More suspicions than this are not kept; the oldest go first.  */
-  ENTRIES_MAX = 10000
+  ENTRIES_MAX = 10000,
+  /* For so long a suspect counts as running at another host that does not say
+     that it ended: that host may have died.  */
+  ELSEWHERE_MS = 10 * 60 * 1000
 };
 
 static const struct marjoram_field suspect_fields[] = {
@@ -497,7 +500,7 @@
     {
       run = make_run (suspects, message->upstream, message->digest);
       run->elsewhere++;
-      run->expires = now + suspects->keep_ms;
+      run->expires = now + ELSEWHERE_MS;
       return;
     }
   if (!run || run->elsewhere == 0)
--- a/test/test_suspect.c
+++ b/test/test_suspect.c
@@ -11,6 +11,8 @@
 {
   TEST_SECONDS = 60, /* a busy machine is no failure */
   KEEP_MS = 60000,
+  HOUR_MS = 3600000,
+  DAY_MS = 24 * HOUR_MS,
   HOSTS = 3,
   UPSTREAMS = 6,
   DIGESTS = 8,
@@ -201,6 +203,25 @@
 }
 END_TEST
 
+/* A host dies while a suspect of its runs, so that nobody says when it ends.
+   Its mark must not keep other suspects from that upstream for good.  */
+START_TEST (mark_of_a_dead_host_expires)
+{
+  marjoram_suspects *suspects = marjoram_suspects_create (DAY_MS);
+  struct marjoram_suspect_message message
+      = { .digest = (char *)"K", .suspicion = MARJORAM_SUSPICION_SUSPECT };
+
+  marjoram_suspects_learn (suspects, 1, &message);
+  message.digest = (char *)"A";
+  message.upstream = (char *)"u";
+  message.running = true;
+  marjoram_suspects_learn (suspects, 1, &message);
+  ck_assert (!marjoram_suspects_may_start (suspects, 2, "u", "K"));
+  ck_assert (marjoram_suspects_may_start (suspects, HOUR_MS, "u", "K"));
+  marjoram_suspects_destroy (suspects);
+}
+END_TEST
+
 /* Upstreams die all day and each takes new requests with it.  */
 START_TEST (memory_is_bounded)
 {
@@ -326,6 +347,7 @@
   tcase_add_test (c, second_death_convicts_exactly_one);
   tcase_add_test (c, two_suspects_at_one_death_are_not_convicted);
   tcase_add_test (c, learns_the_worse_and_forgets_in_time);
+  tcase_add_test (c, mark_of_a_dead_host_expires);
   tcase_add_test (c, memory_is_bounded);
   tcase_add_test (c, killer_is_found_in_two_deaths);
   tcase_set_timeout (c, TEST_SECONDS);
