A host that an operator has drained ends at the first signal

Cause: the drained callback had fired before SIGTERM came, and nothing waited for it any more; a second signal was needed. drain.scn ends with that case now.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -39,6 +39,7 @@
   struct event *interrupt;
   struct event *hangup;
   bool stopping;
+  bool drained;
   bool cut;
 };
 
@@ -191,6 +192,7 @@
 {
   marjoram_daemon *daemon = context;
 
+  daemon->drained = true;
   daemon->cut = marjoram_host_request_count (daemon->host) > 0;
   marjoram_front_stop_listening (daemon->front);
   if (daemon->stopping)
@@ -340,6 +342,9 @@
       return;
     }
   daemon->stopping = true;
+  /* An operator may have drained it before.  */
+  if (daemon->drained)
+    stop_later (daemon);
   marjoram_host_drain (daemon->host, marjoram_clock_now (daemon->clock));
 }
 
