Only engines are asked for an answer again

A host asked any upstream that was silent for two seconds GET /v1/requests/ID. Ruled out: mixing of answers by number; the history shows a run with that digest and without request id. The kind of the upstream is now kept with the attempt, as it may have left or expired when the question comes up. The runner no longer takes a restarted machine for dead by its old exit status, which hid this.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -88,6 +88,7 @@
             choice->upstream);
   snprintf (request->address, sizeof request->address, "%s",
             upstream->announcement->address);
+  request->can_resume = upstream->announcement->engine;
   marjoram_members_started (host->members, request->upstream);
   marjoram_suspects_started (host->suspects, now, request->upstream,
                              request->digest);
--- a/src/request.c
+++ b/src/request.c
@@ -240,7 +240,8 @@
                                MARJORAM_REASON_UPSTREAM_SILENT,
                                MARJORAM_RETRY_AFTER_MS, false);
     }
-  else if (!request->resuming && silent >= MARJORAM_UPSTREAM_SILENT_MS)
+  else if (request->can_resume && !request->resuming
+           && silent >= MARJORAM_UPSTREAM_SILENT_MS)
     {
       request->resuming = true;
       host->ops->resume (host->context, request->attempt, request->address,
--- a/src/request.h
+++ b/src/request.h
@@ -65,6 +65,10 @@
   uint64_t attempt; /* number of the one in progress; 0 if none */
   char upstream[MARJORAM_NAME_MAX + 1];
   char address[MARJORAM_NAME_MAX + 1]; /* the upstream's */
+  /* The upstream is an engine, which can be asked for an answer again.  A
+     plain service would take the question for a request of its own, and its
+     answer to that would pass for the caller's.  */
+  bool can_resume;
   char *remote_slot;
   uint64_t remote_incarnation;
   uint64_t remote_session; /* of the link, as the request was sent */
--- a/test/scenarios/prelude.lua
+++ b/test/scenarios/prelude.lua
@@ -114,6 +114,7 @@
 function start (name)
   local it = machine (name)
   it.pid = system.spawn (it.arguments, it.log)
+  it.status = nil
   it.frozen = false
   each_link_to (name, refresh)
 end
