A broken upstream is asked for its health only; a silent service is given up

The probe after a broken connection was GET /v1/requests/probe, which a plain service would take for a request of its own: it is GET /healthz now.

--- a/src/request.c
+++ b/src/request.c
@@ -223,25 +223,54 @@
   request->gone = true;
 }
 
+/* Whether the upstream no longer renews its lease.  One that leaves by its own
+   word still finishes what it has.  */
+static bool
+is_lease_over (const marjoram_host *host, int64_t now, const char *name)
+{
+  for (size_t i = 0; i < marjoram_members_count (host->members); i++)
+    {
+      const struct marjoram_upstream *upstream
+          = marjoram_members_at (host->members, i);
+
+      if (strcmp (upstream->announcement->name, name) == 0)
+        return !upstream->announcement->leaving && now >= upstream->expires;
+    }
+  return true;
+}
+
+static void
+give_up_silent (marjoram_host *host, int64_t now,
+                struct marjoram_request *request)
+{
+  host->ops->cancel (host->context, request->attempt);
+  marjoram_members_died (host->members, now, request->upstream);
+  marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
+                           MARJORAM_REASON_UPSTREAM_SILENT,
+                           MARJORAM_RETRY_AFTER_MS, false);
+}
+
 /* An upstream that sends nothing: its connection may have gone silent while
    the request runs on.  Sending the request again could run it twice; asking
-   for it by its id on a new connection can't.  */
+   an engine for it by its id on a new connection can't.  A plain service can't
+   be asked: it is given up when its lease has run out too.  */
 static void
 watch_silence (marjoram_host *host, int64_t now,
                struct marjoram_request *request)
 {
   int64_t silent = now - request->progress;
+  bool long_silent = silent >= MARJORAM_RESUME_SILENT_MS;
 
-  if (request->resuming && silent >= MARJORAM_RESUME_SILENT_MS)
+  if (long_silent
+      && (request->resuming
+          || (!request->can_resume
+              && is_lease_over (host, now, request->upstream))))
     {
-      host->ops->cancel (host->context, request->attempt);
-      marjoram_members_died (host->members, now, request->upstream);
-      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_UNKNOWN,
-                               MARJORAM_REASON_UPSTREAM_SILENT,
-                               MARJORAM_RETRY_AFTER_MS, false);
+      give_up_silent (host, now, request);
+      return;
     }
-  else if (request->can_resume && !request->resuming
-           && silent >= MARJORAM_UPSTREAM_SILENT_MS)
+  if (request->can_resume && !request->resuming
+      && silent >= MARJORAM_UPSTREAM_SILENT_MS)
     {
       request->resuming = true;
       host->ops->resume (host->context, request->attempt, request->address,
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -612,7 +612,7 @@
   if (is_probed (upstreams, name))
     return;
   errand = errand_create (upstreams, name, 0);
-  if (!marjoram_outcall (upstreams->calls, address, "/v1/requests/probe", NULL,
+  if (!marjoram_outcall (upstreams->calls, address, "/healthz", NULL,
                          PROBE_TIMEOUT_MSEC, on_probed, errand))
     on_probed (errand, 0, false, 0);
 }
--- a/test/fake_engine.c
+++ b/test/fake_engine.c
@@ -267,7 +267,9 @@
   struct engine *engine = context;
   const char *uri = evhttp_request_get_uri (request);
 
-  if (strcmp (uri, "/fake/fault") == 0)
+  if (strcmp (uri, "/healthz") == 0)
+    evhttp_send_reply (request, HTTP_OK, NULL, NULL);
+  else if (strcmp (uri, "/fake/fault") == 0)
     change_fault (engine, request);
   else if (strcmp (uri, "/fake/leave") == 0)
     leave (engine, request);
