Slow streams are asked for less often; headers and states that fit no frame

The wait doubles now up to eight seconds while the engine says that it still works. Cause 2 (found by reading): an answer's header over 8 KiB, or files over 24 MiB together, would abort the process that packs them into a frame. Both are refused with a remedy now (test_header). Logic that stood twice (header lists, address splitting) stands once.

--- a/src/agree.c
+++ b/src/agree.c
@@ -136,13 +136,35 @@
   marjoram_apply_answered (context, request, answer);
 }
 
+/* A state that does not fit into one frame could be agreed on, but not be
+   given to any host.  */
+static bool
+fits_frame (const struct marjoram_state *state, struct marjoram_error *err)
+{
+  const struct marjoram_file *file = state->files.items;
+  size_t size = 0;
+
+  for (size_t i = 0; i < state->files.count; i++)
+    size += strlen (file[i].text);
+  if (size <= MARJORAM_STATE_MAX)
+    return true;
+  return marjoram_error_set (err, MARJORAM_ERROR_LIMIT,
+                             "the files together have %zu bytes, over the "
+                             "16 MiB that hosts can hand on; make them "
+                             "smaller",
+                             size);
+}
+
 static bool
 keeper_valid (void *context, const struct marjoram_state *state,
               struct marjoram_error *err)
 {
-  marjoram_config *config = marjoram_config_create (state, NULL, err);
+  marjoram_config *config;
 
   (void)context;
+  if (!fits_frame (state, err))
+    return false;
+  config = marjoram_config_create (state, NULL, err);
   if (!config)
     return false;
   marjoram_config_release (config);
--- a/src/answer.c
+++ b/src/answer.c
@@ -144,6 +144,7 @@
                        struct marjoram_request *request, marjoram_bytes *bytes)
 {
   request->progress = now;
+  request->patience = MARJORAM_UPSTREAM_SILENT_MS;
   request->received += marjoram_bytes_size (bytes);
   if (keeps_pieces (request))
     pieces_add (request, bytes);
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -34,6 +34,7 @@
   request->attempt_started = now;
   request->progress = now;
   request->first_byte = 0;
+  request->patience = MARJORAM_UPSTREAM_SILENT_MS;
   request->resuming = false;
   request->revoking = false;
   request->received = 0;
--- a/src/frame.c
+++ b/src/frame.c
@@ -16,7 +16,6 @@
   ADDRESS_MAX = 64,
   DIGEST_MAX = 64,
   NONCE_MAX = 64,
-  HEADER_VALUE_MAX = 8192,
   PATH_MAX_BYTES = 2048,
   MESSAGE_MAX = 512
 };
@@ -69,7 +68,8 @@
 
 static const struct marjoram_field header_fields[] = {
   { MARJORAM_WIRE_STRING (struct marjoram_header, name, MARJORAM_NAME_MAX) },
-  { MARJORAM_WIRE_STRING (struct marjoram_header, value, HEADER_VALUE_MAX) },
+  { MARJORAM_WIRE_STRING (struct marjoram_header, value,
+                          MARJORAM_HEADER_VALUE_MAX) },
 };
 LAYOUT (header_layout, marjoram_header, header_fields);
 
--- a/src/frame.h
+++ b/src/frame.h
@@ -37,7 +37,10 @@
   MARJORAM_FRAME_MAX = 24 * 1024 * 1024,
   MARJORAM_BODY_MAX = 16 * 1024 * 1024,
   MARJORAM_RENEWALS_MAX = 1024,
-  MARJORAM_HEADERS_MAX = 64
+  MARJORAM_HEADERS_MAX = 64,
+  MARJORAM_HEADER_VALUE_MAX = 8192, /* bytes */
+  /* Of the operators' files together, to be given to a host in one frame.  */
+  MARJORAM_STATE_MAX = 16 * 1024 * 1024
 };
 
 struct marjoram_hello
--- a/src/front.c
+++ b/src/front.c
@@ -1,11 +1,11 @@
 #include "front.h"
 
+#include "address.h"
 #include "cleanup.h"
 #include "clock.h"
 #include "intake.h"
 #include "log.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -509,29 +509,14 @@
 /* ---- The task.  ---- */
 
 static bool
-listen_on (marjoram_front *front, const char *text)
+listen_on (marjoram_front *front, const char *address)
 {
-  struct sockaddr_storage address;
-  struct sockaddr_in *in = (struct sockaddr_in *)&address;
-  struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&address;
-  int size = sizeof address;
-  char host[INET6_ADDRSTRLEN];
+  char ip[MARJORAM_IP_MAX];
   uint16_t port;
 
-  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&address, &size)
-      != 0)
+  if (!marjoram_address_split (address, ip, &port))
     return false;
-  if (address.ss_family == AF_INET)
-    {
-      inet_ntop (AF_INET, &in->sin_addr, host, sizeof host);
-      port = ntohs (in->sin_port);
-    }
-  else
-    {
-      inet_ntop (AF_INET6, &in6->sin6_addr, host, sizeof host);
-      port = ntohs (in6->sin6_port);
-    }
-  front->socket = evhttp_bind_socket_with_handle (front->http, host, port);
+  front->socket = evhttp_bind_socket_with_handle (front->http, ip, port);
   return front->socket != NULL;
 }
 
--- /dev/null
+++ b/src/header.c
@@ -0,0 +1,68 @@
+#include "header.h"
+
+#include "frame.h"
+#include "state.h"
+
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+
+bool
+marjoram_header_is_passed_on (const char *name)
+{
+  static const char *const own[] = { "Connection",
+                                     "Transfer-Encoding",
+                                     "Content-Length",
+                                     "Keep-Alive",
+                                     "Proxy-Connection",
+                                     "Upgrade",
+                                     "Trailer",
+                                     "TE",
+                                     "Date",
+                                     "Server",
+                                     "Host",
+                                     "Expect",
+                                     "Authorization",
+                                     "Idempotency-Key" };
+
+  for (size_t i = 0; i < sizeof own / sizeof *own; i++)
+    if (strcasecmp (name, own[i]) == 0)
+      return false;
+  return strncasecmp (name, "Marjoram-", strlen ("Marjoram-")) != 0;
+}
+
+size_t
+marjoram_header_count (const struct evkeyvalq *headers, const char *name,
+                       const char **value)
+{
+  const struct evkeyval *header;
+  size_t count = 0;
+
+  TAILQ_FOREACH (header, headers, next)
+  {
+    if (strcasecmp (header->key, name) != 0)
+      continue;
+    count++;
+    if (value)
+      *value = header->value;
+  }
+  return count;
+}
+
+bool
+marjoram_header_fits (const struct evkeyvalq *headers)
+{
+  const struct evkeyval *header;
+  size_t count = 0;
+
+  TAILQ_FOREACH (header, headers, next)
+  {
+    if (!marjoram_header_is_passed_on (header->key))
+      continue;
+    if (++count > MARJORAM_HEADERS_MAX
+        || strlen (header->key) > MARJORAM_NAME_MAX
+        || strlen (header->value) > MARJORAM_HEADER_VALUE_MAX)
+      return false;
+  }
+  return true;
+}
--- a/src/host_state.h
+++ b/src/host_state.h
@@ -22,7 +22,9 @@
   /* An upstream that sent nothing for this long is asked on a new connection
      whether it still has the request, and given up if that is silent too.  */
   MARJORAM_UPSTREAM_SILENT_MS = 2000,
-  MARJORAM_RESUME_SILENT_MS = 4000, /* both */
+  MARJORAM_RESUME_WAIT_MS = 2000,
+  MARJORAM_PATIENCE_MAX_MS = 8000,
+  MARJORAM_SERVICE_SILENT_MS = 4000,
   MARJORAM_PROBE_MS = 1000,
   /* Long enough for the zone's hosts to hear of each other's suspects.  */
   MARJORAM_RESERVE_MS = 100,
--- a/src/intake.c
+++ b/src/intake.c
@@ -1,6 +1,7 @@
 #include "intake.h"
 
 #include "cleanup.h"
+#include "header.h"
 
 #include <ctype.h>
 #include <event2/buffer.h>
@@ -14,7 +15,6 @@
 
 enum
 {
-  HEADER_VALUE_MAX = 8192,
   PATH_LENGTH_MAX = 2048,
   DEADLINE_MAX_MS = 24 * 3600 * 1000,
   PREFIX_BYTES = 256,
@@ -40,14 +40,8 @@
 static size_t
 count (struct evhttp_request *request, const char *name)
 {
-  const struct evkeyval *header;
-  size_t found = 0;
-
-  TAILQ_FOREACH (header, evhttp_request_get_input_headers (request), next)
-  {
-    found += strcasecmp (header->key, name) == 0;
-  }
-  return found;
+  return marjoram_header_count (evhttp_request_get_input_headers (request),
+                                name, NULL);
 }
 
 bool
@@ -73,28 +67,6 @@
   return true;
 }
 
-static bool
-is_passed_on (const char *name)
-{
-  static const char *const own[] = { "Connection",
-                                     "Transfer-Encoding",
-                                     "Content-Length",
-                                     "Keep-Alive",
-                                     "Host",
-                                     "Upgrade",
-                                     "Trailer",
-                                     "TE",
-                                     "Proxy-Connection",
-                                     "Authorization",
-                                     "Idempotency-Key",
-                                     "Expect" };
-
-  for (size_t i = 0; i < sizeof own / sizeof *own; i++)
-    if (strcasecmp (name, own[i]) == 0)
-      return false;
-  return strncasecmp (name, "Marjoram-", strlen ("Marjoram-")) != 0;
-}
-
 static bool
 take_headers (struct evhttp_request *request, struct marjoram_call *call,
               struct marjoram_error *err)
@@ -105,15 +77,13 @@
   struct evkeyval *header;
 
   call->headers.items = items;
+  if (!marjoram_header_fits (headers))
+    return bad (err, "too many headers, or one too long; send at most 64, "
+                     "names up to 64 and values up to 8192 characters");
   TAILQ_FOREACH (header, headers, next)
   {
-    if (!is_passed_on (header->key))
+    if (!marjoram_header_is_passed_on (header->key))
       continue;
-    if (call->headers.count == MARJORAM_HEADERS_MAX
-        || strlen (header->key) > MARJORAM_NAME_MAX
-        || strlen (header->value) > HEADER_VALUE_MAX)
-      return bad (err, "too many headers, or one too long; send at most 64, "
-                       "names up to 64 and values up to 8192 characters");
     items[call->headers.count].name = marjoram_strdup (header->key);
     items[call->headers.count].value = marjoram_strdup (header->value);
     call->headers.count++;
--- a/src/outcall.c
+++ b/src/outcall.c
@@ -1,16 +1,16 @@
 #include "outcall.h"
 
+#include "address.h"
 #include "cleanup.h"
 #include "clock.h"
 
 #include <event2/buffer.h>
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
 
 enum
 {
-  ADDRESS_SIZE = 64,
   MSEC_PER_SEC = 1000
 };
 
@@ -34,16 +34,12 @@
 struct evhttp_connection *
 marjoram_outcall_connect (struct event_base *base, const char *address)
 {
-  char host[ADDRESS_SIZE];
-  char *colon;
+  char ip[MARJORAM_IP_MAX];
+  uint16_t port;
 
-  snprintf (host, sizeof host, "%s", address);
-  colon = strrchr (host, ':');
-  if (!colon)
+  if (!marjoram_address_split (address, ip, &port))
     return NULL;
-  *colon = 0;
-  return evhttp_connection_base_new (
-      base, NULL, host, (unsigned short)strtoul (colon + 1, NULL, 10));
+  return evhttp_connection_base_new (base, NULL, ip, port);
 }
 
 static void
--- a/src/request.c
+++ b/src/request.c
@@ -250,6 +250,19 @@
                            MARJORAM_RETRY_AFTER_MS, false);
 }
 
+static void
+ask_again (marjoram_host *host, int64_t now, struct marjoram_request *request)
+{
+  request->resuming = true;
+  request->progress = now;
+  /* An engine that says that it still works is asked less often then:
+     thousands of slow streams would else keep it busy answering.  */
+  if (request->patience < MARJORAM_PATIENCE_MAX_MS)
+    request->patience *= 2;
+  host->ops->resume (host->context, request->attempt, request->address,
+                     request->id, request->received);
+}
+
 /* An upstream that sends nothing: its connection may have gone silent while
    the request runs on.  Sending the request again could run it twice; asking
    an engine for it by its id on a new connection can't.  A plain service can't
@@ -259,23 +272,15 @@
                struct marjoram_request *request)
 {
   int64_t silent = now - request->progress;
-  bool long_silent = silent >= MARJORAM_RESUME_SILENT_MS;
 
-  if (long_silent
-      && (request->resuming
-          || (!request->can_resume
-              && is_lease_over (host, now, request->upstream))))
-    {
-      give_up_silent (host, now, request);
-      return;
-    }
-  if (request->can_resume && !request->resuming
-      && silent >= MARJORAM_UPSTREAM_SILENT_MS)
-    {
-      request->resuming = true;
-      host->ops->resume (host->context, request->attempt, request->address,
-                         request->id, request->received);
-    }
+  if (request->resuming && silent >= MARJORAM_RESUME_WAIT_MS)
+    give_up_silent (host, now, request);
+  else if (!request->can_resume && silent >= MARJORAM_SERVICE_SILENT_MS
+           && is_lease_over (host, now, request->upstream))
+    give_up_silent (host, now, request);
+  else if (request->can_resume && !request->resuming
+           && silent >= request->patience)
+    ask_again (host, now, request);
 }
 
 /* A request of another host, whose link broke and did not come back.  */
--- a/src/request.h
+++ b/src/request.h
@@ -88,6 +88,7 @@
   int64_t attempt_started;
   int64_t first_byte;
   int64_t progress; /* last byte or attempt */
+  int64_t patience; /* without a byte, before the upstream is asked */
 
   /* Answer.  */
   struct marjoram_head head;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -1,6 +1,7 @@
 #include "upstream.h"
 
 #include "cleanup.h"
+#include "header.h"
 #include "outcall.h"
 #include "keepalive.h"
 
@@ -147,23 +148,6 @@
   attempt_destroy (attempt);
 }
 
-static size_t
-count_header (const struct evkeyvalq *headers, const char *name,
-              const char **value)
-{
-  const struct evkeyval *header;
-  size_t count = 0;
-
-  TAILQ_FOREACH (header, headers, next)
-  {
-    if (strcasecmp (header->key, name) != 0)
-      continue;
-    count++;
-    *value = header->value;
-  }
-  return count;
-}
-
 /* An answer without a declared length or chunks ends when its connection does,
    so that one cut in the middle looks whole; and two framings at once can be
    read in two ways.  Neither can be passed on as the whole answer.  */
@@ -173,10 +157,12 @@
   struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
   int status = evhttp_request_get_response_code (request);
   const char *value = NULL;
-  size_t lengths = count_header (headers, "Content-Length", &value);
-  size_t codings = count_header (headers, "Transfer-Encoding", &value);
+  size_t lengths = marjoram_header_count (headers, "Content-Length", &value);
+  size_t codings
+      = marjoram_header_count (headers, "Transfer-Encoding", &value);
 
-  if (lengths + codings > 1)
+  /* Headers that can't cross to another host make it no answer either.  */
+  if (lengths + codings > 1 || !marjoram_header_fits (headers))
     return false;
   if (codings == 1)
     return strcasecmp (value, "chunked") == 0;
@@ -184,26 +170,6 @@
          || evhttp_request_get_command (request) == EVHTTP_REQ_HEAD;
 }
 
-static bool
-is_passed_on (const char *name)
-{
-  static const char *const own[] = { "Connection",
-                                     "Transfer-Encoding",
-                                     "Content-Length",
-                                     "Keep-Alive",
-                                     "Date",
-                                     "Server",
-                                     "Upgrade",
-                                     "Trailer",
-                                     "TE",
-                                     "Proxy-Connection" };
-
-  for (size_t i = 0; i < sizeof own / sizeof *own; i++)
-    if (strcasecmp (name, own[i]) == 0)
-      return false;
-  return strncasecmp (name, "Marjoram-", strlen ("Marjoram-")) != 0;
-}
-
 static void
 report_head (struct attempt *attempt, struct evhttp_request *request)
 {
@@ -215,9 +181,7 @@
   head.headers.items = items;
   TAILQ_FOREACH (header, evhttp_request_get_input_headers (request), next)
   {
-    if (head.headers.count == MARJORAM_HEADERS_MAX
-        || strlen (header->key) > MARJORAM_NAME_MAX
-        || !is_passed_on (header->key))
+    if (!marjoram_header_is_passed_on (header->key))
       continue;
     items[head.headers.count].name = header->key;
     items[head.headers.count].value = header->value;
--- a/test/lib_engine.c
+++ b/test/lib_engine.c
@@ -299,6 +299,9 @@
   evhttp_add_header (evhttp_request_get_output_headers (run->reader),
                      "Content-Type",
                      run->stream ? "text/event-stream" : "application/json");
+  if (run->id[0])
+    evhttp_add_header (evhttp_request_get_output_headers (run->reader),
+                       "Marjoram-Request", run->id);
   run->replied = true;
   if (run->chunked)
     evhttp_send_reply_start (run->reader, HTTP_OK, NULL);
--- /dev/null
+++ b/test/test_header.c
@@ -0,0 +1,87 @@
+/* Which headers are passed on, and which fit.  */
+#include "suite.h"
+
+#include "frame.h"
+#include "header.h"
+
+#include <event2/http.h>
+#include <string.h>
+#include <sys/queue.h>
+
+static struct evkeyvalq headers;
+
+static void
+setup (void)
+{
+  TAILQ_INIT (&headers);
+}
+
+static void
+teardown (void)
+{
+  evhttp_clear_headers (&headers);
+}
+
+/* The hosts' own headers, and a caller's secrets, must reach no upstream; what
+   the caller's connection needs is no business of the next one.  */
+START_TEST (own_headers_stay)
+{
+  static const char *const stay[] = { "authorization",
+                                      "Marjoram-Priority",
+                                      "marjoram-outcome",
+                                      "Transfer-Encoding",
+                                      "Content-Length",
+                                      "Idempotency-Key",
+                                      "Host" };
+
+  for (size_t i = 0; i < sizeof stay / sizeof *stay; i++)
+    ck_assert (!marjoram_header_is_passed_on (stay[i]));
+  ck_assert (marjoram_header_is_passed_on ("Content-Type"));
+  ck_assert (marjoram_header_is_passed_on ("X-Marjoram"));
+}
+END_TEST
+
+/* An upstream answers with a header of 9,000 bytes.  Passed to a host of
+   another zone it would be over the limit of a frame, which ends the process
+   that packs it: every request there would be cut.  Such an answer is refused
+   instead.  */
+START_TEST (oversized_header_does_not_fit)
+{
+  char value[MARJORAM_HEADER_VALUE_MAX + 2];
+
+  memset (value, 'x', sizeof value);
+  value[MARJORAM_HEADER_VALUE_MAX] = 0;
+  evhttp_add_header (&headers, "Fits", value);
+  ck_assert (marjoram_header_fits (&headers));
+  value[MARJORAM_HEADER_VALUE_MAX] = 'x';
+  value[MARJORAM_HEADER_VALUE_MAX + 1] = 0;
+  evhttp_add_header (&headers, "Too-Long", value);
+  ck_assert (!marjoram_header_fits (&headers));
+}
+END_TEST
+
+START_TEST (too_many_headers_do_not_fit)
+{
+  for (int i = 0; i < MARJORAM_HEADERS_MAX; i++)
+    evhttp_add_header (&headers, "One", "more");
+  ck_assert (marjoram_header_fits (&headers));
+  ck_assert_uint_eq (marjoram_header_count (&headers, "one", NULL),
+                     MARJORAM_HEADERS_MAX);
+  evhttp_add_header (&headers, "One", "more");
+  ck_assert (!marjoram_header_fits (&headers));
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("header");
+  TCase *c = tcase_create ("header");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, own_headers_stay);
+  tcase_add_test (c, oversized_header_does_not_fit);
+  tcase_add_test (c, too_many_headers_do_not_fit);
+  suite_add_tcase (s, c);
+  return s;
+}
