--- a/src/request.c
+++ b/src/request.c
@@ -272,11 +272,12 @@
                struct marjoram_request *request)
 {
   int64_t silent = now - request->progress;
+  bool gives_up = request->can_resume
+                      ? request->resuming && silent >= MARJORAM_RESUME_WAIT_MS
+                      : silent >= MARJORAM_SERVICE_SILENT_MS
+                            && is_lease_over (host, now, request->upstream);
 
-  if (request->resuming && silent >= MARJORAM_RESUME_WAIT_MS)
-    give_up_silent (host, now, request);
-  else if (!request->can_resume && silent >= MARJORAM_SERVICE_SILENT_MS
-           && is_lease_over (host, now, request->upstream))
+  if (gives_up)
     give_up_silent (host, now, request);
   else if (request->can_resume && !request->resuming
            && silent >= request->patience)
