--- a/src/host_state.h
+++ b/src/host_state.h
@@ -92,6 +92,7 @@
   int64_t now;         /* of the event in progress */
   int64_t wall_offset; /* wall clock less monotonic clock */
   int64_t offered;     /* when offers were last sent */
+  int64_t planned;     /* when links were last planned */
   struct marjoram_claim_results claim_results; /* see zone.c */
 
   marjoram_config *config;
--- a/src/link.c
+++ b/src/link.c
@@ -10,6 +10,8 @@
   /* Up to this many hosts all link to all; beyond it each host links to its
      own zone, to one host of each other zone and to keepers.  */
   FULL_MESH_MAX = 32,
+  /* How often hosts that are down are replaced by others to link to.  */
+  REPLAN_MS = 3000,
   /* Smoothing of round trips: new = old + (sample - old) / ROUND_TRIP_PART. */
   ROUND_TRIP_PART = 8
 };
@@ -96,11 +98,13 @@
 }
 
 /* One host of ZONE: hosts of this zone take different ones, so that each host
-   there hears of few, and the next one if the link to the first stays down. */
+   there hears of few, and the next one while the link to the first is down.  A
+   link that is up is kept, as answers may be under way over it.  */
 static void
 want_one_of (marjoram_host *host, const struct marjoram_zone *zone)
 {
   unsigned first = host->self < 0 ? 0 : (unsigned)host->self;
+  bool found = false;
 
   for (int i = 0; i < zone->slot_count; i++)
     {
@@ -108,29 +112,50 @@
                   + (int)((first + (unsigned)i) % (unsigned)zone->slot_count);
       const char *name = marjoram_config_slot (host->config, index)->name;
       const struct marjoram_link *link = marjoram_link_find (host, name);
+      bool up = link && link->up;
 
-      want_slot (host, index);
-      if (!link || link->up)
-        return;
+      if (!found || up)
+        want_slot (host, index);
+      /* One that was not dialled before gets its time to come up.  */
+      found = found || up || !link;
     }
 }
 
+/* The keeper that a host without one in its reach links to: hosts take
+   different ones, so that no keeper is dialled by all.  */
+static int
+own_keeper (const marjoram_host *host)
+{
+  int slots = marjoram_config_slot_count (host->config);
+  int own = marjoram_config_find_slot (host->config, host->settings->slot);
+  int keepers = 0;
+  int wanted;
+
+  for (int i = 0; i < slots; i++)
+    keepers += marjoram_config_slot (host->config, i)->keeper;
+  if (keepers == 0 || own < 0)
+    return -1;
+  wanted = own % keepers;
+  for (int i = 0; i < slots; i++)
+    if (marjoram_config_slot (host->config, i)->keeper && wanted-- == 0)
+      return i;
+  return -1;
+}
+
 static void
 plan_by_config (marjoram_host *host)
 {
   int slots = marjoram_config_slot_count (host->config);
   bool full = slots <= FULL_MESH_MAX;
-  bool keeper = host->settings->keeper;
-  int keepers = 0;
+  int keeper = own_keeper (host);
 
   for (int i = 0; i < slots; i++)
     {
       const struct marjoram_slot *slot
           = marjoram_config_slot (host->config, i);
-      bool first_keeper = slot->keeper && keepers++ == 0;
 
-      if (full || slot->zone == host->zone
-          || (slot->keeper && (keeper || first_keeper)))
+      if (full || slot->zone == host->zone || i == keeper
+          || (slot->keeper && host->settings->keeper))
         want_slot (host, i);
     }
   for (int i = 0; !full && i < marjoram_config_zone_count (host->config); i++)
@@ -199,6 +224,11 @@
   struct marjoram_link *link;
   struct marjoram_link *next;
 
+  if (now - host->planned >= REPLAN_MS)
+    {
+      host->planned = now;
+      marjoram_links_plan (host);
+    }
   HASH_ITER (hh, host->links, link, next)
   {
     if (!link->up)
