--- a/src/host.c
+++ b/src/host.c
@@ -155,6 +155,7 @@
   if (host->keeper)
     marjoram_keeper_tick (host->keeper, now);
   marjoram_spread_tick (host->spread, now);
+  marjoram_links_replan (host, now);
   marjoram_links_tick (host, now);
   marjoram_renewals_tick (host, now);
   send_offers (host, now);
--- a/src/host_state.h
+++ b/src/host_state.h
@@ -170,6 +170,8 @@
 /* Wants links to all that this host has to hear of under the configuration
    in force and its settings.  */
 void marjoram_links_plan (marjoram_host *host);
+/* The same from time to time, as hosts go down and come back.  */
+void marjoram_links_replan (marjoram_host *host, int64_t now);
 void marjoram_links_tick (marjoram_host *host, int64_t now);
 void marjoram_links_destroy (marjoram_host *host);
 void marjoram_senders_destroy (marjoram_host *host);
--- a/src/link.c
+++ b/src/link.c
@@ -186,6 +186,15 @@
   }
 }
 
+void
+marjoram_links_replan (marjoram_host *host, int64_t now)
+{
+  if (now - host->planned < REPLAN_MS)
+    return;
+  host->planned = now;
+  marjoram_links_plan (host);
+}
+
 static void
 send_heartbeat (marjoram_host *host, int64_t now, struct marjoram_link *link)
 {
@@ -224,11 +233,6 @@
   struct marjoram_link *link;
   struct marjoram_link *next;
 
-  if (now - host->planned >= REPLAN_MS)
-    {
-      host->planned = now;
-      marjoram_links_plan (host);
-    }
   HASH_ITER (hh, host->links, link, next)
   {
     if (!link->up)
