A zone that is removed under a request; a restarted host proves nothing

Cause 1 (found by reading): the head of an answer from another zone named the zone by its index, which a newer configuration may not have: a read beyond the array.

--- a/src/forward.c
+++ b/src/forward.c
@@ -78,6 +78,8 @@
   marjoram_attempt_begin (host, now, request);
   request->state = MARJORAM_REQUEST_REMOTE;
   request->remote_zone = zone;
+  snprintf (request->remote_name, sizeof request->remote_name, "%s",
+            marjoram_config_zone (host->config, zone)->name);
   free (request->remote_slot);
   request->remote_slot = marjoram_strdup (link->slot);
   request->remote_incarnation = link->incarnation;
--- a/src/host_caller.c
+++ b/src/host_caller.c
@@ -14,10 +14,9 @@
 
   info.id = request->id;
   info.upstream = head->upstream;
-  info.zone = host->settings->zone;
-  if (request->state == MARJORAM_REQUEST_REMOTE)
-    info.zone
-        = marjoram_config_zone (host->config, request->remote_zone)->name;
+  /* By name: a newer configuration may have no zone of that index.  */
+  info.zone = request->state == MARJORAM_REQUEST_REMOTE ? request->remote_name
+                                                        : host->settings->zone;
   info.replayed
       = head->upstream && strcmp (head->upstream, MARJORAM_REPLAYED) == 0;
   host->ops->reply_head (host->context, request->call->number, head, &info,
--- a/src/request.h
+++ b/src/request.h
@@ -72,7 +72,8 @@
   char *remote_slot;
   uint64_t remote_incarnation;
   uint64_t remote_session; /* of the link, as the request was sent */
-  int remote_zone;
+  int remote_zone; /* index as the request was sent, see also its name */
+  char remote_name[MARJORAM_NAME_MAX + 1];
   int work; /* index, as the attempt was chosen */
   int tried_count;
   char tried[MARJORAM_TRIED_MAX][MARJORAM_NAME_MAX + 1];
--- a/test/lib_hosts.c
+++ b/test/lib_hosts.c
@@ -556,14 +556,14 @@
 }
 
 static void
-sites_text (char *text, size_t size)
+sites_text (char *text, size_t size, int slot_count)
 {
   size_t used = (size_t)snprintf (
       text, size,
-      "[cluster t]\n[region ra]\n[region rb]\n[zone a]\nregion = ra\n"
-      "[zone b]\nregion = rb\n");
+      "[cluster t]\n[region ra]\n[region rb]\n[zone a]\nregion = ra\n%s",
+      slot_count > 3 ? "[zone b]\nregion = rb\n" : "");
 
-  for (int i = 0; i < HOSTS_MAX; i++)
+  for (int i = 0; i < slot_count; i++)
     used += (size_t)snprintf (text + used, size - used,
                               "[slot %s]\nzone = %c\npeer = 127.9.1.%d:7000\n"
                               "entry = 127.9.1.%d:8080\nkeeper = %s\n",
@@ -580,8 +580,9 @@
 static const char works[]
     = "[model m]\ndeadline_ms = 30000\n[service s]\ndeadline_ms = 30000\n";
 
-void
-test_configure (struct test_hosts *hosts, uint64_t number, const char *callers)
+static void
+configure (struct test_hosts *hosts, uint64_t number, const char *callers,
+           int slot_count)
 {
   struct marjoram_state *state = marjoram_state_copy (NULL);
   struct marjoram_config_give give;
@@ -589,10 +590,10 @@
 
   state->number = number;
   state->files.items = marjoram_alloc (3 * sizeof (struct marjoram_file));
-  sites_text (text, sizeof text);
+  sites_text (text, sizeof text, slot_count);
   add_file (state, "sites", 1, text);
   add_file (state, "works", 1, works);
-  add_file (state, "callers", number, callers ? callers : default_callers);
+  add_file (state, "callers", number, callers);
   give.state = marjoram_wire_pack (&marjoram_state_layout, state);
   for (int i = 0; i < hosts->count; i++)
     test_forge (hosts, i, "b-9", 1, MARJORAM_FRAME_CONFIG_GIVE, &give);
@@ -600,6 +601,18 @@
   marjoram_state_destroy (state);
 }
 
+void
+test_configure (struct test_hosts *hosts, uint64_t number, const char *callers)
+{
+  configure (hosts, number, callers ? callers : default_callers, HOSTS_MAX);
+}
+
+void
+test_remove_zone (struct test_hosts *hosts, uint64_t number)
+{
+  configure (hosts, number, default_callers, HOSTS_MAX / 2);
+}
+
 void
 test_announce (struct test_hosts *hosts, int host, const char *name,
                const char *zone, int port, uint64_t incarnation, bool leaving)
--- a/test/lib_hosts.h
+++ b/test/lib_hosts.h
@@ -59,6 +59,8 @@
    callers file.  */
 void test_configure (struct test_hosts *hosts, uint64_t number,
                      const char *callers);
+/* The same without zone b.  */
+void test_remove_zone (struct test_hosts *hosts, uint64_t number);
 /* An upstream announces itself to HOST: 127.9.0.1:PORT runs m and s.  */
 void test_announce (struct test_hosts *hosts, int host, const char *name,
                     const char *zone, int port, uint64_t incarnation,
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -611,6 +611,24 @@
 }
 END_TEST
 
+/* The other zone's host ran a request, and restarted before it answered. Asked
+   over the new link it remembers nothing; its "never started" would be told to
+   the caller as not-run, falsely.  */
+START_TEST (restarted_host_proves_nothing)
+{
+  uint64_t call;
+
+  upstream (3, "u", 9000);
+  call = ask (0, "free", NULL, false);
+  ck_assert_int_eq (test_runs (hosts), 1);
+  test_restart (hosts, last_run ()->host);
+  test_pass (hosts, 5000);
+  ck_assert (test_reply (hosts, call)->refused);
+  ck_assert_int_eq (test_reply (hosts, call)->outcome,
+                    MARJORAM_OUTCOME_UNKNOWN);
+}
+END_TEST
+
 /* A FORWARD arrives after its sender asked about it and was told "never
    started".  It must not start then.  */
 START_TEST (barred_forward_does_not_start_late)
@@ -686,6 +704,29 @@
 }
 END_TEST
 
+/* A newer configuration has no zone b any more, while a request is on its way
+   there.  The answer that comes before the link is closed is passed on;
+   another request ends in a stated outcome, and no host stumbles over the old
+   index.  */
+START_TEST (zone_removed_under_a_request)
+{
+  uint64_t first;
+  uint64_t second;
+
+  upstream (3, "u", 9000);
+  first = ask (0, "free", NULL, false);
+  second = ask (0, "free", NULL, false);
+  test_answer (hosts, test_run (hosts, 0), "in time");
+  test_remove_zone (hosts, 2);
+  test_pass (hosts, DEADLINE_MS + 2000);
+  ck_assert (test_reply (hosts, first)->ended
+             || test_reply (hosts, first)->refused);
+  ck_assert (test_reply (hosts, second)->refused);
+  ck_assert_int_eq (test_reply (hosts, second)->outcome,
+                    MARJORAM_OUTCOME_UNKNOWN);
+}
+END_TEST
+
 /* A host that has no configuration yet can't know where requests may go: it
    serves nobody.  */
 START_TEST (host_without_configuration_serves_nobody)
@@ -748,10 +789,12 @@
   tcase_add_test (c, request_survives_a_broken_link);
   tcase_add_test (c, lost_forward_is_proved_not_run);
   tcase_add_test (c, refused_claim_is_not_run_elsewhere);
+  tcase_add_test (c, restarted_host_proves_nothing);
   tcase_add_test (c, barred_forward_does_not_start_late);
   tcase_add_test (c, deadline_leaves_non_idempotent_work_running);
   tcase_add_test (c, silent_connection_is_resumed_by_id);
   tcase_add_test (c, newer_residency_rule_binds_at_the_next_step);
+  tcase_add_test (c, zone_removed_under_a_request);
   tcase_add_test (c, host_without_configuration_serves_nobody);
   tcase_add_test (c, draining_host_finishes_its_requests);
   suite_add_tcase (s, c);
