Frames with empty fields do no harm

Cause (found by empty_frames_do_no_harm, sanitizer build): an announcement without a name from another host ended the process in the table's lookup; header texts that were left out would have done so too. Both are taken as missing now.

--- a/src/answer.c
+++ b/src/answer.c
@@ -68,6 +68,13 @@
   pieces_clear (request);
 }
 
+/* A broken peer may leave texts out.  */
+static char *
+copy_text (const char *text)
+{
+  return marjoram_strdup (text ? text : "");
+}
+
 void
 marjoram_request_copy_head (struct marjoram_head *copy,
                             const struct marjoram_head *head)
@@ -81,8 +88,8 @@
   copy->upstream = head->upstream ? marjoram_strdup (head->upstream) : NULL;
   for (size_t i = 0; i < head->headers.count; i++)
     {
-      to[i].name = marjoram_strdup (from[i].name);
-      to[i].value = marjoram_strdup (from[i].value);
+      to[i].name = copy_text (from[i].name);
+      to[i].value = copy_text (from[i].value);
     }
 }
 
--- a/src/member.c
+++ b/src/member.c
@@ -140,6 +140,9 @@
 {
   struct member *member;
 
+  /* Names come from other hosts, too.  */
+  if (!name)
+    return NULL;
   HASH_FIND_STR (members->by_name, name, member);
   return member;
 }
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -727,6 +727,40 @@
 }
 END_TEST
 
+/* A host with the owner's secret but of a broken build sends frames whose
+   fields are all empty, and arrays of empty items.  The receiver must live on.
+ */
+START_TEST (empty_frames_do_no_harm)
+{
+  static const char *const slots[] = { "a-2", "b-1", "nobody" };
+  enum marjoram_frame_type type = (enum marjoram_frame_type)_i;
+  const struct marjoram_layout *layout = marjoram_frame_layout (type);
+  char *message = calloc (1, layout->size);
+  uint64_t call;
+
+  upstream (1, "u", 9000);
+  for (size_t i = 0; i < layout->field_count; i++)
+    {
+      const struct marjoram_field *field = &layout->fields[i];
+      struct marjoram_array *array
+          = (struct marjoram_array *)(message + field->offset);
+
+      if (field->kind != MARJORAM_FIELD_ARRAY)
+        continue;
+      array->items = calloc (2, field->layout->size);
+      array->count = 2;
+    }
+  for (size_t i = 0; i < 3; i++)
+    for (uint64_t session = 0; session < 2; session++)
+      test_forge (hosts, 0, slots[i], session, type, message);
+  marjoram_wire_destroy (layout, message);
+  test_pass (hosts, 2000);
+  call = ask (0, "free", NULL, false);
+  test_answer (hosts, last_run (), "alive");
+  expect_done (call, "alive");
+}
+END_TEST
+
 /* A host that has no configuration yet can't know where requests may go: it
    serves nobody.  */
 START_TEST (host_without_configuration_serves_nobody)
@@ -794,6 +828,7 @@
   tcase_add_test (c, deadline_leaves_non_idempotent_work_running);
   tcase_add_test (c, silent_connection_is_resumed_by_id);
   tcase_add_test (c, newer_residency_rule_binds_at_the_next_step);
+  tcase_add_loop_test (c, empty_frames_do_no_harm, 0, MARJORAM_FRAME_COUNT);
   tcase_add_test (c, zone_removed_under_a_request);
   tcase_add_test (c, host_without_configuration_serves_nobody);
   tcase_add_test (c, draining_host_finishes_its_requests);
