--- a/bench/report.sh
+++ b/bench/report.sh
@@ -26,7 +26,8 @@
   name=$(basename "$plot" .gp)
   [ -f "bench/raw/$name.txt" ] || continue
   awk '/^metric=/ { for (i = 1; i <= NF; i++) { split($i, f, "="); v[f[1]] = f[2] }
-       print v["metric"], v["hosts"], v["value"] }' "bench/raw/$name.txt" \
+       print v["metric"], v["hosts"] == "" ? "-" : v["hosts"], v["value"],
+         v["baseline"] + 0 == 0 ? 0 : v["value"] / v["baseline"], v["seed"] }' "bench/raw/$name.txt" \
     > /tmp/plot-$$.txt
   gnuplot -e "data='/tmp/plot-$$.txt'; out='docs/plots/$name.svg'" "$plot"
   rm -f /tmp/plot-$$.txt
--- a/bench/table.awk
+++ b/bench/table.awk
@@ -22,9 +22,13 @@
         && name != "baseline" && name != "baseline_name" && name != "seed")
       rest = rest (rest == "" ? "" : ", ") name " " value
   }
-  key = field["metric"] SUBSEP rest SUBSEP field["baseline_name"]
+  key = field["metric"] SUBSEP rest
   if (!(key in count)) { order[++rows] = key; label[key] = field["metric"]
-    more[key] = rest; unit[key] = field["unit"]; base[key] = field["baseline_name"] }
+    more[key] = rest; unit[key] = field["unit"]; }
+  if (("baseline_name" in field) && !((key, field["baseline_name"]) in known)) {
+    known[key, field["baseline_name"]] = 1
+    base[key] = base[key] (base[key] == "" ? "" : " or ") field["baseline_name"]
+  }
   n = ++count[key]
   values[key, n] = field["value"] + 0
   if ("baseline" in field) {
