A key is its caller's own

Cause (found by reading, then shown by keys_of_two_callers_are_two, which failed: 1 run instead of 2): claims hashed the key alone, so that another caller with the same key and body was given the first one's kept answer.

--- a/src/claimed.c
+++ b/src/claimed.c
@@ -3,18 +3,25 @@
 #include "cleanup.h"
 #include "host_state.h"
 
+#include <stdio.h>
+
 /* Attempt numbers are used for claims too, so that both are unique.  */
 static void
 claim (marjoram_host *host, int64_t now, struct marjoram_request *request,
        int64_t issued)
 {
+  char scoped[MARJORAM_NAME_MAX + MARJORAM_KEY_MAX + 2];
+
+  /* A key is its caller's own: another caller that sends the same one must not
+     be given this one's answer.  */
+  snprintf (scoped, sizeof scoped, "%s %s", request->caller,
+            request->call->key);
   request->state = MARJORAM_REQUEST_CLAIMING;
   request->claim = host->requests->next_attempt++;
   HASH_ADD (by_claim, host->requests->by_claim, claim, sizeof request->claim,
             request);
   marjoram_claims_acquire (host->claims, now, marjoram_host_wall (host, now),
-                           request->claim, request->call->key, issued,
-                           request->digest);
+                           request->claim, scoped, issued, request->digest);
 }
 
 static void
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -522,6 +522,26 @@
 }
 END_TEST
 
+/* Two callers send the same key and the same body.  Each is answered for its
+   own request; the second must not get the first one's kept answer.  */
+START_TEST (keys_of_two_callers_are_two)
+{
+  char key[MARJORAM_KEY_MAX];
+  uint64_t call;
+
+  upstream (0, "u", 9000);
+  new_key (key, 0, 10);
+  call = ask (0, "free", key, false);
+  test_answer (hosts, last_run (), "free's");
+  expect_done (call, "free's");
+  test_deliver (hosts);
+  call = ask (1, "bound", key, false);
+  ck_assert_int_eq (test_runs (hosts), 2);
+  test_answer (hosts, last_run (), "bound's");
+  expect_done (call, "bound's");
+}
+END_TEST
+
 /* The first host dies after the answer; the caller, who has not got it, asks
    another host of the zone by the key.  */
 START_TEST (answer_survives_its_host)
@@ -819,6 +839,7 @@
   tcase_add_test (c, non_idempotent_request_is_not_retried);
   tcase_add_test (c, resent_request_runs_once);
   tcase_add_test (c, recovering_neighbour_calls_no_key_expired);
+  tcase_add_test (c, keys_of_two_callers_are_two);
   tcase_add_test (c, answer_survives_its_host);
   tcase_add_test (c, request_survives_a_broken_link);
   tcase_add_test (c, lost_forward_is_proved_not_run);
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -174,6 +174,8 @@
     {
       pass (STEP_MS);
       ck_assert_int_le (given_count - done, 2);
+      if (given_count - done == 2)
+        ck_assert_int_ne (given[done].engine, given[done + 1].engine);
       for (; done < given_count && round % 4 == 3; done++)
         {
           marjoram_place_answered (place, now, given[done].number, 200, 0);
