--- a/src/host.c
+++ b/src/host.c
@@ -91,13 +91,34 @@
   marjoram_log (MARJORAM_LOG_NOTICE, "upstream %s: lease expired", name);
 }
 
-/* To each host that this one has a session to: what this zone lends to the
-   other's, and how much each caller uses here.  */
+/* What this zone lends to the zone of SLOT, and how much each caller uses
+   here. Over this host's own session, or back over the one that SLOT opened.
+ */
+static void
+send_offer (marjoram_host *host, int64_t now, const char *slot)
+{
+  int index = marjoram_config_find_slot (host->config, slot);
+  struct marjoram_offers offers = { 0 };
+
+  if (index < 0)
+    return;
+  marjoram_router_offer (host->router, now,
+                         marjoram_config_slot (host->config, index)->zone,
+                         &offers);
+  marjoram_link_send_any (host, slot, MARJORAM_FRAME_OFFERS, &offers);
+  marjoram_wire_clear (&marjoram_offers_layout, &offers);
+}
+
+/* To each host that this one dials, and to those that dial it: a host whose
+   partner here has died dials another, and hears from no one else of this
+   zone.  */
 static void
 send_offers (marjoram_host *host, int64_t now)
 {
   struct marjoram_link *link;
   struct marjoram_link *next;
+  struct marjoram_sender *sender;
+  struct marjoram_sender *next_sender;
 
   if (!host->config || host->zone < 0 || host->draining
       || now - host->offered < OFFERS_MS)
@@ -105,17 +126,14 @@
   host->offered = now;
   HASH_ITER (hh, host->links, link, next)
   {
-    int slot = marjoram_config_find_slot (host->config, link->slot);
-    struct marjoram_offers offers = { 0 };
-    int zone;
-
-    if (slot < 0 || !link->up)
-      continue;
-    zone = marjoram_config_slot (host->config, slot)->zone;
-    marjoram_router_offer (host->router, now, zone, &offers);
-    host->ops->send (host->context, link->slot, MARJORAM_FRAME_OFFERS,
-                     &offers);
-    marjoram_wire_clear (&marjoram_offers_layout, &offers);
+    if (link->up)
+      send_offer (host, now, link->slot);
+  }
+  HASH_ITER (hh, host->senders, sender, next_sender)
+  {
+    link = marjoram_link_find (host, sender->slot);
+    if (sender->session && !(link && link->up))
+      send_offer (host, now, sender->slot);
   }
 }
 
--- a/src/host_peer.c
+++ b/src/host_peer.c
@@ -52,7 +52,12 @@
 marjoram_host_session_closed (marjoram_host *host, int64_t now,
                               const char *slot, uint64_t session)
 {
+  struct marjoram_sender *sender;
+
   host->now = now;
+  HASH_FIND_STR (host->senders, slot, sender);
+  if (sender && sender->session == session)
+    sender->session = 0;
   marjoram_relay_session_closed (host, now, slot, session);
 }
 
--- a/src/link.c
+++ b/src/link.c
@@ -97,9 +97,25 @@
   want (host, slot->name, slot->peer_address);
 }
 
+/* Whether answers are under way over the link to SLOT.  */
+static bool
+is_in_use (const marjoram_host *host, const char *slot)
+{
+  const struct marjoram_request *request;
+
+  TAILQ_FOREACH (request, &host->requests->all, all)
+  {
+    if (request->attempt && request->state == MARJORAM_REQUEST_REMOTE
+        && strcmp (request->remote_slot, slot) == 0)
+      return true;
+  }
+  return false;
+}
+
 /* One host of ZONE: hosts of this zone take different ones, so that each host
-   there hears of few, and the next one while the link to the first is down.  A
-   link that is up is kept, as answers may be under way over it.  */
+   there hears of few, and the next one while the link to the first is down.
+   Other links, as those to the settings' seeds, end once nothing is under way
+   over them.  */
 static void
 want_one_of (marjoram_host *host, const struct marjoram_zone *zone)
 {
@@ -114,7 +130,7 @@
       const struct marjoram_link *link = marjoram_link_find (host, name);
       bool up = link && link->up;
 
-      if (!found || up)
+      if (!found || (up && is_in_use (host, name)))
         want_slot (host, index);
       /* One that was not dialled before gets its time to come up.  */
       found = found || up || !link;
