--- a/src/claim.h
+++ b/src/claim.h
@@ -1,7 +1,7 @@
 /* Claims of one availability zone: of all attempts that carry one request key,
    at most one runs.  Pure decisions: messages and the time go in, messages and
    verdicts come out.  The hosts of a zone keep claims in memory only; see
-   docs/DESIGN.md for why a restarted host may not answer at once.  */
+   docs/DESIGN-claims.md for why a restarted host may not answer at once.  */
 #ifndef MARJORAM_CLAIM_H
 #define MARJORAM_CLAIM_H
 
@@ -23,7 +23,9 @@
   MARJORAM_CLAIM_RUNNING,   /* another attempt holds it; outcome still open */
   MARJORAM_CLAIM_LOST,      /* it may have run; its outcome is not known */
   MARJORAM_CLAIM_MISMATCH,  /* the key came before with another body */
-  MARJORAM_CLAIM_NO_QUORUM, /* proven not run: too few hosts answered */
+  MARJORAM_CLAIM_NO_QUORUM, /* this attempt is proven not run: too few hosts
+                               answered.  Says nothing of an earlier attempt
+                               with the key, so a resend is not proven.  */
   MARJORAM_CLAIM_EXPIRED    /* key older than claims are kept, or than the
                                zone's horizon after a restart of all hosts */
 };
@@ -45,7 +47,9 @@
      the zone's slot ORDINAL; it may be lost.  */
   void (*send) (void *context, int ordinal,
                 const struct marjoram_claim_message *message);
-  /* Answers one acquire, once.  KEPT is null but for a replay.  */
+  /* Answers one acquire, once; may be called before the acquire returns, and
+     may call back.  KEPT is null but for a replay, and valid until the
+     return.  */
   void (*decided) (void *context, uint64_t attempt,
                    enum marjoram_claim_verdict verdict,
                    const struct marjoram_kept_answer *kept);
@@ -87,6 +91,10 @@
                               const struct marjoram_claim_message *message);
 /* At least every 100 ms: resends, timeouts, expiry.  */
 void marjoram_claims_tick (marjoram_claims *claims, int64_t now, int64_t wall);
+/* The time to put into key prefixes handed out now: WALL, or later after a
+   restart of all hosts, as older keys are refused then.  */
+int64_t marjoram_claims_issue_time (const marjoram_claims *claims,
+                                    int64_t wall);
 size_t marjoram_claims_count (const marjoram_claims *claims);
 size_t marjoram_claims_memory (const marjoram_claims *claims);
 
--- a/src/order.h
+++ b/src/order.h
@@ -27,7 +27,8 @@
 {
   int slot_count;
   int self;
-  uint64_t incarnation;
+  uint64_t incarnation; /* wall clock of the start, in milliseconds: fences
+                           grow from it, also if all hosts restart */
   int64_t lease_ms;
   int64_t longest_order_ms;
 };
--- /dev/null
+++ b/src/suspect.c
@@ -0,0 +1,485 @@
+#include "suspect.h"
+
+#include "cleanup.h"
+#include "state.h"
+
+#include <string.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+enum
+{
+  DIGEST_MAX = 64,
+  /* More suspicions than this are not kept; the oldest go first.  */
+  ENTRIES_MAX = 10000
+};
+
+static const struct marjoram_field suspect_fields[] = {
+  { MARJORAM_WIRE_STRING (struct marjoram_suspect_message, digest,
+                          DIGEST_MAX) },
+  { MARJORAM_WIRE_UINT (struct marjoram_suspect_message, suspicion) },
+  { MARJORAM_WIRE_UINT (struct marjoram_suspect_message, deaths) },
+  { MARJORAM_WIRE_STRING (struct marjoram_suspect_message, upstream,
+                          MARJORAM_NAME_MAX) },
+  { MARJORAM_WIRE_BOOL (struct marjoram_suspect_message, running) },
+};
+const struct marjoram_layout marjoram_suspect_layout
+    = { "marjoram_suspect_message", sizeof (struct marjoram_suspect_message),
+        suspect_fields, sizeof suspect_fields / sizeof *suspect_fields };
+
+/* One suspicion.  */
+struct entry
+{
+  char digest[DIGEST_MAX + 1];
+  enum marjoram_suspicion suspicion;
+  uint64_t deaths;
+  int64_t expires;
+  UT_hash_handle hh;
+  TAILQ_ENTRY (entry) link; /* oldest news first */
+};
+
+/* One digest at one upstream, started by this host or, if it is a suspect, by
+   another one.  */
+struct run
+{
+  char digest[DIGEST_MAX + 1];
+  unsigned here; /* how often this host has started it */
+  unsigned elsewhere;
+  int64_t expires; /* of ELSEWHERE: the other host may have died */
+  TAILQ_ENTRY (run) link;
+};
+
+struct place
+{
+  char upstream[MARJORAM_NAME_MAX + 1];
+  TAILQ_HEAD (, run) runs;
+  UT_hash_handle hh;
+};
+
+struct marjoram_suspects
+{
+  int64_t keep_ms;
+  struct entry *table;
+  TAILQ_HEAD (, entry) list;
+  struct place *places;
+  size_t run_count;
+  marjoram_suspects_report *report;
+  void *context;
+};
+
+marjoram_suspects *
+marjoram_suspects_create (int64_t keep_ms)
+{
+  marjoram_suspects *suspects = marjoram_alloc (sizeof *suspects);
+
+  suspects->keep_ms = keep_ms;
+  TAILQ_INIT (&suspects->list);
+  return suspects;
+}
+
+void
+marjoram_suspects_set_report (marjoram_suspects *suspects,
+                              marjoram_suspects_report *report, void *context)
+{
+  suspects->report = report;
+  suspects->context = context;
+}
+
+static void
+drop_entry (marjoram_suspects *suspects, struct entry *entry)
+{
+  HASH_DEL (suspects->table, entry); /* NOLINT(clang-analyzer-*) */
+  TAILQ_REMOVE (&suspects->list, entry, link);
+  free (entry);
+}
+
+static void
+drop_run (marjoram_suspects *suspects, struct place *place, struct run *run)
+{
+  TAILQ_REMOVE (&place->runs, run, link);
+  suspects->run_count--;
+  free (run);
+  if (!TAILQ_EMPTY (&place->runs))
+    return;
+  HASH_DEL (suspects->places, place);
+  free (place);
+}
+
+static void
+drop_place (marjoram_suspects *suspects, struct place *place)
+{
+  struct run *run = TAILQ_FIRST (&place->runs);
+
+  while (run)
+    {
+      struct run *next = TAILQ_NEXT (run, link);
+
+      drop_run (suspects, place, run);
+      run = next;
+    }
+}
+
+static void
+drop_old_entries (marjoram_suspects *suspects, int64_t now)
+{
+  struct entry *entry, *next;
+
+  for (entry = TAILQ_FIRST (&suspects->list); entry && entry->expires <= now;
+       entry = next)
+    {
+      next = TAILQ_NEXT (entry, link);
+      drop_entry (suspects, entry);
+    }
+}
+
+void
+marjoram_suspects_destroy (marjoram_suspects *suspects)
+{
+  struct place *place, *next;
+
+  if (!suspects)
+    return;
+  for (place = suspects->places; place; place = next)
+    {
+      next = place->hh.next;
+      drop_place (suspects, place);
+    }
+  drop_old_entries (suspects, INT64_MAX);
+  free (suspects);
+}
+
+static void
+copy_text (char *copy, const char *text, size_t size)
+{
+  size_t length = strnlen (text, size - 1);
+
+  memcpy (copy, text, length);
+  copy[length] = '\0';
+}
+
+static struct entry *
+find_entry (const marjoram_suspects *suspects, const char *digest)
+{
+  struct entry *entry;
+
+  HASH_FIND_STR (suspects->table, digest, entry);
+  return entry;
+}
+
+/* The entry of DIGEST, made if need be, as the newest one.  */
+static struct entry *
+touch_entry (marjoram_suspects *suspects, int64_t now, const char *digest)
+{
+  struct entry *entry = find_entry (suspects, digest);
+
+  if (entry)
+    TAILQ_REMOVE (&suspects->list, entry, link);
+  else
+    {
+      if (HASH_COUNT (suspects->table) >= ENTRIES_MAX)
+        drop_entry (suspects, TAILQ_FIRST (&suspects->list));
+      entry = marjoram_alloc (sizeof *entry);
+      copy_text (entry->digest, digest, sizeof entry->digest);
+      HASH_ADD_STR (suspects->table, digest, entry);
+    }
+  entry->expires = now + suspects->keep_ms;
+  TAILQ_INSERT_TAIL (&suspects->list, entry, link);
+  return entry;
+}
+
+enum marjoram_suspicion
+marjoram_suspects_get (const marjoram_suspects *suspects, int64_t now,
+                       const char *digest)
+{
+  const struct entry *entry = find_entry (suspects, digest);
+
+  if (!entry || entry->expires <= now)
+    return MARJORAM_SUSPICION_NONE;
+  return entry->suspicion;
+}
+
+static struct place *
+find_place (const marjoram_suspects *suspects, const char *upstream)
+{
+  struct place *place;
+
+  HASH_FIND_STR (suspects->places, upstream, place);
+  return place;
+}
+
+static struct run *
+find_run (const struct place *place, const char *digest)
+{
+  struct run *run;
+
+  TAILQ_FOREACH (run, &place->runs, link)
+  if (strcmp (run->digest, digest) == 0)
+    return run;
+  return NULL;
+}
+
+static struct run *
+make_run (marjoram_suspects *suspects, const char *upstream,
+          const char *digest)
+{
+  struct place *place = find_place (suspects, upstream);
+  struct run *run;
+
+  if (!place)
+    {
+      place = marjoram_alloc (sizeof *place);
+      copy_text (place->upstream, upstream, sizeof place->upstream);
+      TAILQ_INIT (&place->runs);
+      HASH_ADD_STR (suspects->places, upstream, place);
+    }
+  run = find_run (place, digest);
+  if (run)
+    return run;
+  run = marjoram_alloc (sizeof *run);
+  copy_text (run->digest, digest, sizeof run->digest);
+  TAILQ_INSERT_TAIL (&place->runs, run, link);
+  suspects->run_count++;
+  return run;
+}
+
+static void
+report_run (marjoram_suspects *suspects, int64_t now, const char *upstream,
+            const char *digest, bool running)
+{
+  const struct entry *entry = find_entry (suspects, digest);
+  struct marjoram_suspect_message message = { .digest = (char *)digest,
+                                              .upstream = (char *)upstream,
+                                              .running = running };
+
+  if (!suspects->report || !entry || entry->expires <= now)
+    return;
+  message.suspicion = entry->suspicion;
+  message.deaths = entry->deaths;
+  suspects->report (suspects->context, &message);
+}
+
+void
+marjoram_suspects_started (marjoram_suspects *suspects, int64_t now,
+                           const char *upstream, const char *digest)
+{
+  make_run (suspects, upstream, digest)->here++;
+  report_run (suspects, now, upstream, digest, true);
+}
+
+void
+marjoram_suspects_ended (marjoram_suspects *suspects, int64_t now,
+                         const char *upstream, const char *digest)
+{
+  struct place *place = find_place (suspects, upstream);
+  struct run *run = place ? find_run (place, digest) : NULL;
+
+  if (!run || run->here == 0)
+    return;
+  run->here--;
+  if (run->here > 0)
+    return;
+  report_run (suspects, now, upstream, digest, false);
+  if (run->elsewhere == 0)
+    drop_run (suspects, place, run);
+}
+
+/* A conviction stands: a crash needs not happen at every run.  */
+void
+marjoram_suspects_cleared (marjoram_suspects *suspects, int64_t now,
+                           const char *digest)
+{
+  struct entry *entry = find_entry (suspects, digest);
+
+  if (entry
+      && (entry->suspicion != MARJORAM_SUSPICION_CONVICTED
+          || entry->expires <= now))
+    drop_entry (suspects, entry);
+}
+
+static bool
+runs_now (const struct run *run, int64_t now)
+{
+  return run->here > 0 || (run->elsewhere > 0 && run->expires > now);
+}
+
+/* Stops a third death: a suspect that runs at two upstreams at once may kill
+   both, which with the first one makes three.  */
+static bool
+runs_somewhere_else (const marjoram_suspects *suspects, int64_t now,
+                     const char *upstream, const char *digest)
+{
+  const struct place *place;
+
+  for (place = suspects->places; place; place = place->hh.next)
+    {
+      const struct run *run = find_run (place, digest);
+
+      if (run && runs_now (run, now)
+          && strcmp (place->upstream, upstream) != 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+marjoram_suspects_may_start (const marjoram_suspects *suspects, int64_t now,
+                             const char *upstream, const char *digest)
+{
+  const struct place *place = find_place (suspects, upstream);
+  const struct run *run;
+
+  switch (marjoram_suspects_get (suspects, now, digest))
+    {
+    case MARJORAM_SUSPICION_NONE:
+      return true;
+    case MARJORAM_SUSPICION_CONVICTED:
+      return false;
+    case MARJORAM_SUSPICION_SUSPECT:
+      break;
+    }
+  if (runs_somewhere_else (suspects, now, upstream, digest))
+    return false;
+  if (!place)
+    return true;
+  TAILQ_FOREACH (run, &place->runs, link)
+  if (strcmp (run->digest, digest) != 0 && runs_now (run, now)
+      && marjoram_suspects_get (suspects, now, run->digest)
+             != MARJORAM_SUSPICION_NONE)
+    return false;
+  return true;
+}
+
+static int
+count_suspects (const marjoram_suspects *suspects, int64_t now,
+                const struct place *place)
+{
+  const struct run *run;
+  int count = 0;
+
+  TAILQ_FOREACH (run, &place->runs, link)
+  if (runs_now (run, now)
+      && marjoram_suspects_get (suspects, now, run->digest)
+             != MARJORAM_SUSPICION_NONE)
+    count++;
+  return count;
+}
+
+/* Stops the conviction of an innocent batch-mate: a death convicts only a
+   request that was a suspect before it and the only one there.  Two hosts that
+   started one each at the same moment leave two suspects at the death; then
+   neither is convicted.  */
+static void
+suspect_run (marjoram_suspects *suspects, int64_t now, const char *digest,
+             bool alone, marjoram_suspects_report *report, void *context)
+{
+  enum marjoram_suspicion before
+      = marjoram_suspects_get (suspects, now, digest);
+  struct entry *entry = touch_entry (suspects, now, digest);
+  struct marjoram_suspect_message message = { .digest = entry->digest };
+
+  if (before == MARJORAM_SUSPICION_NONE)
+    entry->deaths = 0;
+  entry->deaths++;
+  entry->suspicion = MARJORAM_SUSPICION_SUSPECT;
+  if (before == MARJORAM_SUSPICION_CONVICTED
+      || (before == MARJORAM_SUSPICION_SUSPECT && alone))
+    entry->suspicion = MARJORAM_SUSPICION_CONVICTED;
+  message.suspicion = entry->suspicion;
+  message.deaths = entry->deaths;
+  if (report && entry->suspicion != before)
+    report (context, &message);
+}
+
+void
+marjoram_suspects_died (marjoram_suspects *suspects, int64_t now,
+                        const char *upstream, marjoram_suspects_report *report,
+                        void *context)
+{
+  struct place *place = find_place (suspects, upstream);
+  const struct run *run;
+  bool alone;
+
+  if (!place)
+    return;
+  alone = count_suspects (suspects, now, place) == 1;
+  TAILQ_FOREACH (run, &place->runs, link)
+  if (run->here > 0)
+    suspect_run (suspects, now, run->digest, alone, report, context);
+  drop_place (suspects, place);
+}
+
+static void
+learn_run (marjoram_suspects *suspects, int64_t now,
+           const struct marjoram_suspect_message *message)
+{
+  struct place *place = find_place (suspects, message->upstream);
+  struct run *run = place ? find_run (place, message->digest) : NULL;
+
+  if (!run && !message->running)
+    return;
+  if (!run)
+    run = make_run (suspects, message->upstream, message->digest);
+  run->elsewhere = message->running;
+  run->expires = now + suspects->keep_ms;
+  if (run->here == 0 && run->elsewhere == 0)
+    drop_run (suspects, place, run);
+}
+
+void
+marjoram_suspects_learn (marjoram_suspects *suspects, int64_t now,
+                         const struct marjoram_suspect_message *message)
+{
+  enum marjoram_suspicion before;
+  struct entry *entry;
+
+  if (!message->digest || message->suspicion == MARJORAM_SUSPICION_NONE
+      || message->suspicion > MARJORAM_SUSPICION_CONVICTED)
+    return;
+  before = marjoram_suspects_get (suspects, now, message->digest);
+  entry = touch_entry (suspects, now, message->digest);
+  if (before == MARJORAM_SUSPICION_NONE)
+    entry->deaths = 0;
+  entry->suspicion = before;
+  if (before < message->suspicion)
+    entry->suspicion = message->suspicion;
+  if (entry->deaths < message->deaths)
+    entry->deaths = message->deaths;
+  if (message->upstream)
+    learn_run (suspects, now, message);
+}
+
+static void
+expire_runs (marjoram_suspects *suspects, struct place *place, int64_t now)
+{
+  struct run *run = TAILQ_FIRST (&place->runs);
+
+  while (run)
+    {
+      struct run *next = TAILQ_NEXT (run, link);
+
+      if (!runs_now (run, now))
+        drop_run (suspects, place, run);
+      run = next;
+    }
+}
+
+void
+marjoram_suspects_tick (marjoram_suspects *suspects, int64_t now)
+{
+  struct place *place = suspects->places;
+
+  drop_old_entries (suspects, now);
+  while (place)
+    {
+      struct place *next = place->hh.next;
+
+      expire_runs (suspects, place, now);
+      place = next;
+    }
+}
+
+size_t
+marjoram_suspects_count (const marjoram_suspects *suspects)
+{
+  return HASH_COUNT (suspects->table) + suspects->run_count;
+}
--- a/src/suspect.h
+++ b/src/suspect.h
@@ -23,14 +23,26 @@
   char *digest; /* the request's, in hex */
   uint64_t suspicion;
   uint64_t deaths;
+  char *upstream; /* where a suspect starts or ends; null for other news */
+  bool running;   /* it runs there now */
 };
 extern const struct marjoram_layout marjoram_suspect_layout;
 
+typedef void
+marjoram_suspects_report (void *context,
+                          const struct marjoram_suspect_message *message);
+
+/* Suspicions are kept for KEEP_MS after their last news.  */
 marjoram_suspects *marjoram_suspects_create (int64_t keep_ms);
 void marjoram_suspects_destroy (marjoram_suspects *suspects);
 enum marjoram_suspicion
 marjoram_suspects_get (const marjoram_suspects *suspects, int64_t now,
                        const char *digest);
+/* REPORT is called when a suspect starts or ends somewhere, for sending to the
+   zone's other hosts, so that none of them starts another suspect there.  */
+void marjoram_suspects_set_report (marjoram_suspects *suspects,
+                                   marjoram_suspects_report *report,
+                                   void *context);
 /* A request starts at, or leaves, an upstream.  */
 void marjoram_suspects_started (marjoram_suspects *suspects, int64_t now,
                                 const char *upstream, const char *digest);
@@ -45,13 +57,14 @@
                                   const char *digest);
 /* UPSTREAM died.  Calls REPORT for each request whose suspicion changed, for
    sending to the zone's other hosts.  */
-void marjoram_suspects_died (
-    marjoram_suspects *suspects, int64_t now, const char *upstream,
-    void (*report) (void *context, const struct marjoram_suspect_message *),
-    void *context);
+void marjoram_suspects_died (marjoram_suspects *suspects, int64_t now,
+                             const char *upstream,
+                             marjoram_suspects_report *report, void *context);
 /* News from another host: the worse of both holds.  */
 void marjoram_suspects_learn (marjoram_suspects *suspects, int64_t now,
                               const struct marjoram_suspect_message *message);
 void marjoram_suspects_tick (marjoram_suspects *suspects, int64_t now);
+/* Suspicions and runs held.  */
+size_t marjoram_suspects_count (const marjoram_suspects *suspects);
 
 #endif
