--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Thin front to CMake.  BUILD names the build folder, SANITIZE=OFF a plain one.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-SOURCES = $(wildcard src/*.[ch] test/*.[ch] api_test/*.[ch] bench/*.[ch])
+SOURCES = $(wildcard src/*.[ch] platform/*.[ch] test/*.[ch] api_test/*.[ch] bench/*.[ch])
 
 all: $(BUILD)/Makefile
 	@$(MAKE) --no-print-directory -C $(BUILD) -j$(JOBS)
--- /dev/null
+++ b/src/agreed.c
@@ -0,0 +1,70 @@
+#include "agreed.h"
+
+#include "cleanup.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* The list that has no zones, as names can't be "none".  */
+#define NO_ZONES ""
+
+struct marjoram_names
+marjoram_agreed_evacuations (const struct marjoram_state *state)
+{
+  const struct marjoram_file *file
+      = state ? marjoram_state_file (state, MARJORAM_FILE_EVACUATIONS) : NULL;
+
+  return marjoram_names_parse (file && file->text ? file->text : NO_ZONES);
+}
+
+bool
+marjoram_agreed_is_evacuated (const struct marjoram_names *zones,
+                              const char *zone)
+{
+  for (size_t i = 0; i < zones->count; i++)
+    if (strcmp (zones->items[i], zone) == 0)
+      return true;
+  return false;
+}
+
+void
+marjoram_agreed_evacuate (const struct marjoram_state *state, const char *zone,
+                          bool evacuated, struct marjoram_file *file)
+{
+  const struct marjoram_file *held
+      = state ? marjoram_state_file (state, MARJORAM_FILE_EVACUATIONS) : NULL;
+  struct marjoram_names zones = marjoram_agreed_evacuations (state);
+  size_t size = 0;
+  FILE *out;
+  const char *comma = "";
+
+  memset (file, 0, sizeof *file);
+  file->name = marjoram_strdup (MARJORAM_FILE_EVACUATIONS);
+  file->version = held ? held->version + 1 : 1;
+  out = open_memstream (&file->text, &size);
+  if (!out)
+    abort ();
+  for (size_t i = 0; i < zones.count; i++)
+    if (strcmp (zones.items[i], zone) != 0)
+      {
+        fprintf (out, "%s%s", comma, zones.items[i]);
+        comma = ",";
+      }
+  if (evacuated)
+    fprintf (out, "%s%s", comma, zone);
+  fclose (out);
+  marjoram_names_clear (&zones);
+}
+
+struct marjoram_route_table *
+marjoram_agreed_routes (const struct marjoram_state *state,
+                        const struct marjoram_dialect *dialect,
+                        struct marjoram_error *err)
+{
+  const struct marjoram_file *file
+      = state ? marjoram_state_file (state, MARJORAM_FILE_ROUTES) : NULL;
+
+  if (!file || !file->text)
+    return NULL;
+  return dialect->ops->read_config (file->text, strlen (file->text), err);
+}
--- a/src/clock.c
+++ b/src/clock.c
@@ -17,6 +17,16 @@
   return ts;
 }
 
+static struct timespec
+boot_monotonic (struct marjoram_clock *clock)
+{
+  struct timespec ts;
+
+  (void)clock;
+  clock_gettime (CLOCK_BOOTTIME, &ts);
+  return ts;
+}
+
 static struct timespec
 system_wall (struct marjoram_clock *clock)
 {
@@ -53,6 +63,16 @@
   return &clock;
 }
 
+struct marjoram_clock *
+marjoram_clock_boot (void)
+{
+  static const struct marjoram_clock_ops ops
+      = { .monotonic = boot_monotonic, .wall = system_wall };
+  static struct marjoram_clock clock = { &ops };
+
+  return &clock;
+}
+
 int64_t
 marjoram_clock_now (struct marjoram_clock *clock)
 {
--- a/src/clock.h
+++ b/src/clock.h
@@ -23,6 +23,11 @@
 /* The machine's clock; not to be freed.  */
 struct marjoram_clock *marjoram_clock_system (void);
 
+/* The machine's clock, whose monotonic time goes on while the machine is
+   suspended, so that what was believed before is known to be old after; not to
+   be freed.  */
+struct marjoram_clock *marjoram_clock_boot (void);
+
 /* For timers.  */
 struct timeval marjoram_clock_timeval (int64_t msec);
 /* Milliseconds of the monotonic clock: for timeouts and leases.  */
--- /dev/null
+++ b/src/event_stream.c
@@ -0,0 +1,132 @@
+#include "event_stream.h"
+
+#include "cleanup.h"
+#include "dialect.h"
+
+#include <stdio.h>
+#include <string.h>
+
+struct marjoram_event_stream
+{
+  struct evbuffer *torn; /* of the event that is not whole yet */
+  char last[MARJORAM_ID_MAX];
+  bool resumed;
+};
+
+marjoram_event_stream *
+marjoram_event_stream_create (void)
+{
+  marjoram_event_stream *stream = marjoram_alloc (sizeof *stream);
+
+  stream->torn = evbuffer_new ();
+  return stream;
+}
+
+void
+marjoram_event_stream_destroy (marjoram_event_stream *stream)
+{
+  if (!stream)
+    return;
+  evbuffer_free (stream->torn);
+  free (stream);
+}
+
+/* Bytes of the first whole event, its empty line included; 0 if none.  */
+static size_t
+event_size (struct evbuffer *buffer)
+{
+  struct evbuffer_ptr lines = evbuffer_search (buffer, "\n\n", 2, NULL);
+  struct evbuffer_ptr both = evbuffer_search (buffer, "\r\n\r\n", 4, NULL);
+
+  if (both.pos >= 0 && (lines.pos < 0 || both.pos < lines.pos))
+    return (size_t)both.pos + 4;
+  return lines.pos >= 0 ? (size_t)lines.pos + 2 : 0;
+}
+
+/* The value of the event's id line; "" if it has none.  */
+static void
+read_id (const char *event, size_t size, char id[MARJORAM_ID_MAX])
+{
+  const char *end = event + size;
+
+  id[0] = '\0';
+  while (event < end)
+    {
+      const char *line_end = memchr (event, '\n', (size_t)(end - event));
+      size_t length = (size_t)((line_end ? line_end : end) - event);
+
+      if (length > 3 && memcmp (event, "id:", 3) == 0)
+        {
+          const char *value = event + 3;
+          size_t value_size = length - 3;
+
+          while (value_size > 0 && *value == ' ')
+            {
+              value++;
+              value_size--;
+            }
+          while (value_size > 0 && value[value_size - 1] == '\r')
+            value_size--;
+          if (value_size < MARJORAM_ID_MAX)
+            snprintf (id, MARJORAM_ID_MAX, "%.*s", (int)value_size, value);
+        }
+      event = line_end ? line_end + 1 : end;
+    }
+}
+
+/* Ids grow; one that doesn't, after another upstream took over, was passed on
+   before.  */
+static bool
+is_repeated (const marjoram_event_stream *stream, const char *id)
+{
+  return stream->resumed && *id && *stream->last
+         && strtoll (id, NULL, 10) <= strtoll (stream->last, NULL, 10);
+}
+
+size_t
+marjoram_event_stream_feed (marjoram_event_stream *stream, const void *data,
+                            size_t size, struct evbuffer *out)
+{
+  size_t events = 0;
+  size_t length;
+
+  evbuffer_add (stream->torn, data, size);
+  while ((length = event_size (stream->torn)) > 0)
+    {
+      char id[MARJORAM_ID_MAX];
+
+      read_id (
+          (const char *)evbuffer_pullup (stream->torn, (ev_ssize_t)length),
+          length, id);
+      if (is_repeated (stream, id))
+        {
+          evbuffer_drain (stream->torn, length);
+          continue;
+        }
+      evbuffer_remove_buffer (stream->torn, out, length);
+      if (*id)
+        snprintf (stream->last, sizeof stream->last, "%s", id);
+      events++;
+    }
+  return events;
+}
+
+void
+marjoram_event_stream_finish (marjoram_event_stream *stream,
+                              struct evbuffer *out)
+{
+  evbuffer_add_buffer (out, stream->torn);
+}
+
+void
+marjoram_event_stream_resume (marjoram_event_stream *stream)
+{
+  evbuffer_drain (stream->torn, evbuffer_get_length (stream->torn));
+  stream->resumed = true;
+}
+
+const char *
+marjoram_event_stream_last (const marjoram_event_stream *stream)
+{
+  return *stream->last ? stream->last : NULL;
+}
--- a/src/frame.c
+++ b/src/frame.c
@@ -1,5 +1,7 @@
 #include "frame.h"
 
+#include "gateway_message.h"
+
 #include "claim.h"
 #include "cleanup.h"
 #include "keeper.h"
@@ -201,6 +203,11 @@
   [MARJORAM_FRAME_APPLY] = &apply_layout,
   [MARJORAM_FRAME_APPLIED] = &applied_layout,
   [MARJORAM_FRAME_RENEWALS] = &renewals_layout,
+  [MARJORAM_FRAME_HOST_BEAT] = &marjoram_host_beat_layout,
+  [MARJORAM_FRAME_HOST_LIST] = &marjoram_host_beats_layout,
+  [MARJORAM_FRAME_NEWS] = &marjoram_news_batch_layout,
+  [MARJORAM_FRAME_NEWS_SEEN] = &marjoram_news_seen_layout,
+  [MARJORAM_FRAME_LOADS] = &marjoram_load_report_layout,
 };
 
 const struct marjoram_layout *
--- /dev/null
+++ b/src/gateway.c
@@ -0,0 +1,312 @@
+#include "gateway_private.h"
+
+#include "cleanup.h"
+#include "event_log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  STATUS_BAD_REQUEST = 400,
+  STATUS_NOT_FOUND = 404,
+  STATUS_BAD_GATEWAY = 502,
+  STATUS_UNAVAILABLE = 503,
+  STATUS_GATEWAY_TIMEOUT = 504,
+  /* A host that has no configuration yet gets one within a few round trips. */
+  NO_CONFIG_RETRY_MS = 300,
+  /* An answer is handed to the caller by then, ahead of its own deadline.  */
+  DEADLINE_MARGIN_MS = 20
+};
+
+marjoram_gateway *
+marjoram_gateway_create (const struct marjoram_gateway_options *options,
+                         const struct marjoram_gateway_ops *ops, void *context)
+{
+  marjoram_gateway *gateway = marjoram_alloc (sizeof *gateway);
+
+  gateway->options = *options;
+  gateway->ops = ops;
+  gateway->context = context;
+  gateway->placement = marjoram_placement_create (&options->place);
+  gateway->budget = marjoram_repeat_budget_create (&options->repeats);
+  return gateway;
+}
+
+marjoram_placement *
+marjoram_gateway_placement (marjoram_gateway *gateway)
+{
+  return gateway->placement;
+}
+
+marjoram_repeat_budget *
+marjoram_gateway_budget (marjoram_gateway *gateway)
+{
+  return gateway->budget;
+}
+
+void
+marjoram_gateway_set_table (marjoram_gateway *gateway,
+                            const struct marjoram_route_table *table)
+{
+  gateway->table = table;
+}
+
+size_t
+marjoram_gateway_open (const marjoram_gateway *gateway)
+{
+  return HASH_CNT (by_call, gateway->by_call);
+}
+
+/* ---- Ends.  ---- */
+
+static void
+destroy (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
+{
+  HASH_DELETE (by_call, gateway->by_call, exchange);
+  marjoram_http_request_destroy (exchange->request);
+  marjoram_header_list_clear (&exchange->headers);
+  marjoram_event_stream_destroy (exchange->events);
+  evbuffer_free (exchange->body);
+  free (exchange);
+}
+
+void
+marjoram_gateway_destroy (marjoram_gateway *gateway)
+{
+  struct marjoram_exchange *exchange;
+  struct marjoram_exchange *next;
+
+  if (!gateway)
+    return;
+  HASH_ITER (by_call, gateway->by_call, exchange, next)
+  {
+    if (exchange->attempt)
+      HASH_DELETE (by_attempt, gateway->by_attempt, exchange);
+    destroy (gateway, exchange);
+  }
+  marjoram_placement_destroy (gateway->placement);
+  marjoram_repeat_budget_destroy (gateway->budget);
+  free (gateway);
+}
+
+static void
+log_end (const struct marjoram_exchange *exchange, int64_t now,
+         const char *outcome, const char *reason, int status)
+{
+  int64_t first_ms
+      = exchange->first_at ? exchange->first_at - exchange->received_at : -1;
+
+  marjoram_event (
+      MARJORAM_EVENT_REQUEST,
+      "id=%s outcome=%s reason=%s status=%d ms=%" PRId64 " first_ms=%" PRId64
+      " estimate_ms=%" PRId64 " route=%s service=%s config=%" PRIu64
+      " upstream=%s host=%s arrivals=%d unreached=%d forwarded=%d",
+      *exchange->facts.id ? exchange->facts.id : "-", outcome, reason, status,
+      now - exchange->received_at, first_ms, exchange->waited_ms,
+      *exchange->route ? exchange->route : "-",
+      *exchange->service ? exchange->service : "-", exchange->config,
+      *exchange->upstream ? exchange->upstream : "-",
+      *exchange->host ? exchange->host : "-", exchange->arrivals,
+      exchange->unreached, exchange->forwarded);
+}
+
+void
+marjoram_exchange_refuse (marjoram_gateway *gateway,
+                          struct marjoram_exchange *exchange, int64_t now,
+                          const struct marjoram_no_answer *why)
+{
+  marjoram_metrics *metrics = gateway->options.metrics;
+  uint64_t call = exchange->call;
+
+  marjoram_exchange_drop_attempt (gateway, exchange, now,
+                                  MARJORAM_ATTEMPT_CANCELLED);
+  marjoram_metrics_add (metrics,
+                        why->outcome == MARJORAM_OUTCOME_NOT_RUN
+                            ? MARJORAM_METRIC_NOT_RUN
+                            : MARJORAM_METRIC_UNKNOWN,
+                        1);
+  marjoram_metrics_refused (metrics, why->reason);
+  log_end (exchange, now, marjoram_outcome_name (why->outcome),
+           marjoram_reason_name (why->reason), why->status);
+  if (exchange->state == MARJORAM_EXCHANGE_STREAMS)
+    gateway->ops->reply_cut (gateway->context, call);
+  else
+    gateway->ops->reply_none (gateway->context, call, why);
+  destroy (gateway, exchange);
+}
+
+void
+marjoram_exchange_finish (marjoram_gateway *gateway,
+                          struct marjoram_exchange *exchange, int64_t now,
+                          bool whole)
+{
+  marjoram_metrics *metrics = gateway->options.metrics;
+
+  marjoram_metrics_add (
+      metrics, whole ? MARJORAM_METRIC_ANSWERED : MARJORAM_METRIC_UNKNOWN, 1);
+  marjoram_metrics_time (metrics, MARJORAM_TIMING_WHOLE,
+                         now - exchange->received_at);
+  log_end (exchange, now, whole ? "done" : "cut", "none", exchange->status);
+  destroy (gateway, exchange);
+}
+
+static struct marjoram_exchange *
+find_call (marjoram_gateway *gateway, uint64_t call)
+{
+  struct marjoram_exchange *exchange;
+
+  HASH_FIND (by_call, gateway->by_call, &call, sizeof call, exchange);
+  return exchange;
+}
+
+/* The upstream is told by the close of its connection, so that it stops work
+   that nobody waits for.  */
+void
+marjoram_gateway_gone (marjoram_gateway *gateway, int64_t now, uint64_t call)
+{
+  struct marjoram_exchange *exchange = find_call (gateway, call);
+
+  if (!exchange)
+    return;
+  marjoram_exchange_drop_attempt (gateway, exchange, now,
+                                  MARJORAM_ATTEMPT_CANCELLED);
+  marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_CALLER_LEFT,
+                        1);
+  log_end (exchange, now, "caller-left", "none", exchange->status);
+  destroy (gateway, exchange);
+}
+
+/* ---- Arrival.  ---- */
+
+static void
+refuse_at_once (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+                int64_t now, enum marjoram_reason reason, int status,
+                int64_t retry_ms)
+{
+  const struct marjoram_no_answer why
+      = { MARJORAM_OUTCOME_NOT_RUN, reason, status, retry_ms };
+
+  marjoram_exchange_refuse (gateway, exchange, now, &why);
+}
+
+static void
+set_times (struct marjoram_exchange *exchange,
+           const struct marjoram_route_rule *route)
+{
+  int64_t patience = exchange->facts.patience_ms;
+
+  exchange->due_at = exchange->received_at + route->timeout_ms;
+  if (patience > 0
+      && exchange->received_at + patience - DEADLINE_MARGIN_MS
+             < exchange->due_at)
+    exchange->due_at = exchange->received_at + patience - DEADLINE_MARGIN_MS;
+}
+
+void
+marjoram_gateway_receive (marjoram_gateway *gateway, int64_t now,
+                          uint64_t call, struct marjoram_http_request *request,
+                          bool forwarded, int64_t patience_ms)
+{
+  struct marjoram_exchange *exchange = marjoram_alloc (sizeof *exchange);
+  const char *host = marjoram_header_list_get (&request->headers, "Host");
+  const struct marjoram_route_rule *route;
+
+  exchange->call = call;
+  exchange->request = request;
+  exchange->forwarded = forwarded;
+  exchange->received_at = now;
+  exchange->silent_at = INT64_MAX;
+  exchange->body = evbuffer_new ();
+  gateway->options.dialect->ops->read_call (&request->headers,
+                                            &exchange->facts);
+  if (patience_ms > 0)
+    exchange->facts.patience_ms = patience_ms;
+  HASH_ADD (by_call, gateway->by_call, call, sizeof exchange->call, exchange);
+  marjoram_metrics_add (
+      gateway->options.metrics,
+      forwarded ? MARJORAM_METRIC_FORWARDED_IN : MARJORAM_METRIC_REQUESTS, 1);
+  if (!gateway->table)
+    {
+      refuse_at_once (gateway, exchange, now, MARJORAM_REASON_NO_CONFIG,
+                      STATUS_UNAVAILABLE, NO_CONFIG_RETRY_MS);
+      return;
+    }
+  route = marjoram_route_table_find (gateway->table, host ? host : "",
+                                     request->target);
+  if (!route)
+    {
+      refuse_at_once (gateway, exchange, now, MARJORAM_REASON_UNKNOWN_MODEL,
+                      STATUS_NOT_FOUND, 0);
+      return;
+    }
+  if (!*exchange->facts.id)
+    {
+      refuse_at_once (gateway, exchange, now, MARJORAM_REASON_BAD_REQUEST,
+                      STATUS_BAD_REQUEST, 0);
+      return;
+    }
+  set_times (exchange, route);
+  if (!forwarded)
+    marjoram_repeat_budget_request (
+        gateway->budget, now,
+        marjoram_route_pick_service (route, exchange->facts.id));
+  marjoram_exchange_send (gateway, exchange, now);
+}
+
+/* ---- Time.  ---- */
+
+static void
+time_out (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+          int64_t now)
+{
+  bool ran = exchange->runs > 0;
+  const struct marjoram_no_answer why
+      = { ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
+          MARJORAM_REASON_DEADLINE,
+          ran ? STATUS_GATEWAY_TIMEOUT : STATUS_UNAVAILABLE, 0 };
+
+  marjoram_exchange_refuse (gateway, exchange, now, &why);
+}
+
+static void
+give_up_silent (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+                int64_t now)
+{
+  marjoram_exchange_drop_attempt (gateway, exchange, now,
+                                  MARJORAM_ATTEMPT_SILENT);
+  marjoram_exchange_retry (gateway, exchange, now,
+                           MARJORAM_REASON_UPSTREAM_SILENT, false);
+}
+
+void
+marjoram_gateway_tick (marjoram_gateway *gateway, int64_t now)
+{
+  struct marjoram_exchange *exchange;
+  struct marjoram_exchange *next;
+
+  HASH_ITER (by_call, gateway->by_call, exchange, next)
+  {
+    if (now >= exchange->due_at)
+      time_out (gateway, exchange, now);
+    else if (exchange->attempt && now >= exchange->silent_at)
+      give_up_silent (gateway, exchange, now);
+  }
+  marjoram_placement_tick (gateway->placement, now);
+}
+
+void
+marjoram_gateway_link_lost (marjoram_gateway *gateway, int64_t now,
+                            const char *host)
+{
+  struct marjoram_exchange *exchange;
+  struct marjoram_exchange *next;
+
+  HASH_ITER (by_call, gateway->by_call, exchange, next)
+  {
+    if (exchange->attempt && strcmp (exchange->host, host) == 0)
+      marjoram_gateway_end (gateway, now, exchange->attempt,
+                            MARJORAM_HTTP_BROKEN);
+  }
+}
--- /dev/null
+++ b/src/gateway_answer.c
@@ -0,0 +1,416 @@
+#include "gateway_private.h"
+
+#include "cleanup.h"
+#include "event_log.h"
+
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  STATUS_BAD_GATEWAY = 502,
+  STATUS_UNAVAILABLE = 503,
+  STATUS_SERVER_ERROR = 500,
+  SUCCESS = 2, /* hundreds of a status */
+  REFUSED_RETRY_MS = 250,
+  /* Least time left for which another attempt is worth its arrival.  */
+  RETRY_TIME_MIN_MS = 30,
+  /* Sendings of one request beyond the upstreams that may run it: to those
+     that refuse because they are full or not the ones that were meant.  */
+  EXTRA_ARRIVALS = 2,
+  /* A stream's upstream that sends no event for this long is taken for dead
+     where another may go on; above any pause of a busy engine, and below the
+     two seconds after which callers give up.  */
+  STREAM_SILENT_MS = 1500
+};
+
+static struct marjoram_exchange *
+find_attempt (marjoram_gateway *gateway, uint64_t attempt)
+{
+  struct marjoram_exchange *exchange;
+
+  HASH_FIND (by_attempt, gateway->by_attempt, &attempt, sizeof attempt,
+             exchange);
+  return exchange;
+}
+
+static bool
+is_success (const struct marjoram_exchange *exchange)
+{
+  return exchange->status / 100 == SUCCESS;
+}
+
+/* ---- Another attempt.  ---- */
+
+static const char *
+may_not_retry (marjoram_gateway *gateway,
+               const struct marjoram_exchange *exchange, int64_t now,
+               bool not_run)
+{
+  if (!not_run && !exchange->repeatable)
+    return "may-have-run";
+  /* Its first host alone decides that, so that attempts don't multiply.  */
+  if (!not_run && exchange->forwarded)
+    return "first-host-decides";
+  if (exchange->due_at - now < RETRY_TIME_MIN_MS)
+    return "no-time";
+  if (exchange->runs >= exchange->max_upstreams
+      || exchange->arrivals >= exchange->max_upstreams + EXTRA_ARRIVALS)
+    return "upstreams-used";
+  if (!marjoram_repeat_budget_take (
+          gateway->budget, now, exchange->service,
+          marjoram_host_list_entries (gateway->options.place.hosts)))
+    return "budget-used";
+  return NULL;
+}
+
+static void
+log_attempt (const struct marjoram_exchange *exchange,
+             enum marjoram_reason reason, const char *refused)
+{
+  marjoram_event (MARJORAM_EVENT_ATTEMPT,
+                  "id=%s failed=%s retry=%s service=%s upstream=%s host=%s "
+                  "status=%d arrivals=%d runs=%d",
+                  exchange->facts.id, marjoram_reason_name (reason),
+                  refused ? refused : "yes", exchange->service,
+                  *exchange->upstream ? exchange->upstream : "-",
+                  *exchange->host ? exchange->host : "-", exchange->status,
+                  exchange->arrivals, exchange->runs);
+}
+
+static void
+reset_answer (struct marjoram_exchange *exchange)
+{
+  exchange->status = 0;
+  exchange->refused = false;
+  exchange->is_signed = false;
+  marjoram_header_list_clear (&exchange->headers);
+  evbuffer_drain (exchange->body, evbuffer_get_length (exchange->body));
+  if (exchange->events)
+    marjoram_event_stream_resume (exchange->events);
+  if (exchange->state == MARJORAM_EXCHANGE_HEAD)
+    exchange->state = MARJORAM_EXCHANGE_OPEN;
+}
+
+static void
+send_again (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now, enum marjoram_reason reason)
+{
+  log_attempt (exchange, reason, NULL);
+  marjoram_metrics_add (gateway->options.metrics,
+                        exchange->state == MARJORAM_EXCHANGE_STREAMS
+                            ? MARJORAM_METRIC_RESUMED
+                            : MARJORAM_METRIC_REPEATS,
+                        1);
+  reset_answer (exchange);
+  marjoram_exchange_send (gateway, exchange, now);
+}
+
+static void
+give_up (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+         int64_t now, enum marjoram_reason reason)
+{
+  bool ran = exchange->runs > 0;
+  const struct marjoram_no_answer why
+      = { ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN, reason,
+          ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
+          ran ? 0 : REFUSED_RETRY_MS };
+
+  marjoram_exchange_refuse (gateway, exchange, now, &why);
+}
+
+void
+marjoram_exchange_retry (marjoram_gateway *gateway,
+                         struct marjoram_exchange *exchange, int64_t now,
+                         enum marjoram_reason reason, bool not_run)
+{
+  const char *refused = may_not_retry (gateway, exchange, now, not_run);
+
+  if (!refused)
+    {
+      send_again (gateway, exchange, now, reason);
+      return;
+    }
+  log_attempt (exchange, reason, refused);
+  give_up (gateway, exchange, now, reason);
+}
+
+/* ---- An answer as it comes.  ---- */
+
+static void
+keep_headers (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+              const struct marjoram_header_list *headers)
+{
+  const struct marjoram_dialect_ops *dialect = gateway->options.dialect->ops;
+
+  marjoram_header_list_clear (&exchange->headers);
+  for (size_t i = 0; i < headers->count; i++)
+    if (!marjoram_header_list_is_hop (headers, headers->items[i].name)
+        && dialect->passes_to_caller (headers->items[i].name))
+      marjoram_header_list_add (&exchange->headers, headers->items[i].name,
+                                headers->items[i].value);
+}
+
+/* An answer that names another request is a late one of that request, and one
+   of success that names none can't be proved to be this one's.  */
+static bool
+is_ours (const struct marjoram_exchange *exchange, int status,
+         const struct marjoram_answer_facts *facts)
+{
+  if (*facts->id)
+    return strcmp (facts->id, exchange->facts.id) == 0;
+  return status / 100 != SUCCESS;
+}
+
+static void
+note_first (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now)
+{
+  int64_t error;
+
+  marjoram_placement_answering (gateway->placement, now, exchange->attempt);
+  if (exchange->first_at)
+    return;
+  exchange->first_at = now;
+  error = now - exchange->received_at - exchange->waited_ms;
+  marjoram_metrics_time (gateway->options.metrics, MARJORAM_TIMING_FIRST,
+                         now - exchange->received_at);
+  marjoram_metrics_time (gateway->options.metrics, MARJORAM_TIMING_ESTIMATE,
+                         error < 0 ? -error : error);
+}
+
+bool
+marjoram_gateway_head (marjoram_gateway *gateway, int64_t now,
+                       uint64_t attempt, int status,
+                       struct marjoram_header_list *headers)
+{
+  struct marjoram_exchange *exchange = find_attempt (gateway, attempt);
+  struct marjoram_answer_facts facts;
+
+  if (!exchange)
+    return false;
+  gateway->options.dialect->ops->read_answer (status, headers, &facts);
+  if (!is_ours (exchange, status, &facts))
+    {
+      marjoram_metrics_add (gateway->options.metrics,
+                            MARJORAM_METRIC_STRAY_ANSWERS, 1);
+      return false;
+    }
+  if (facts.cold_ms > 0 && *exchange->upstream)
+    marjoram_placement_cold (gateway->placement, now, exchange->upstream,
+                             facts.cold_ms);
+  exchange->status = status;
+  exchange->is_signed = facts.signed_by_upstream;
+  exchange->refused = facts.not_run;
+  exchange->wrong_upstream = facts.wrong_upstream;
+  if (exchange->state == MARJORAM_EXCHANGE_STREAMS)
+    return true;
+  keep_headers (gateway, exchange, headers);
+  if (exchange->stream && is_success (exchange))
+    {
+      exchange->state = MARJORAM_EXCHANGE_HEAD;
+      if (!exchange->events)
+        exchange->events = marjoram_event_stream_create ();
+    }
+  else
+    note_first (gateway, exchange, now);
+  return true;
+}
+
+static void
+flush_stream (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
+{
+  size_t size = evbuffer_get_length (exchange->body);
+
+  if (exchange->state != MARJORAM_EXCHANGE_STREAMS)
+    {
+      exchange->state = MARJORAM_EXCHANGE_STREAMS;
+      gateway->ops->reply_head (gateway->context, exchange->call,
+                                exchange->status, &exchange->headers, -1);
+    }
+  if (size == 0)
+    return;
+  gateway->ops->reply_data (gateway->context, exchange->call,
+                            evbuffer_pullup (exchange->body, -1), size);
+  evbuffer_drain (exchange->body, size);
+}
+
+void
+marjoram_gateway_data (marjoram_gateway *gateway, int64_t now,
+                       uint64_t attempt, const void *data, size_t size)
+{
+  struct marjoram_exchange *exchange = find_attempt (gateway, attempt);
+  size_t events;
+
+  if (!exchange || exchange->refused)
+    return;
+  if (!exchange->stream || !is_success (exchange))
+    {
+      evbuffer_add (exchange->body, data, size);
+      return;
+    }
+  events = marjoram_event_stream_feed (exchange->events, data, size,
+                                       exchange->body);
+  if (events == 0)
+    return;
+  note_first (gateway, exchange, now);
+  if (exchange->repeatable)
+    exchange->silent_at = now + STREAM_SILENT_MS;
+  flush_stream (gateway, exchange);
+}
+
+/* ---- Its end.  ---- */
+
+static void
+deliver (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+         int64_t now)
+{
+  size_t size = evbuffer_get_length (exchange->body);
+
+  gateway->ops->reply_head (gateway->context, exchange->call, exchange->status,
+                            &exchange->headers, (int64_t)size);
+  gateway->ops->reply_data (gateway->context, exchange->call,
+                            evbuffer_pullup (exchange->body, -1), size);
+  gateway->ops->reply_end (gateway->context, exchange->call);
+  marjoram_exchange_finish (gateway, exchange, now, true);
+}
+
+static void
+end_stream (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now)
+{
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 MARJORAM_ATTEMPT_SERVED);
+  marjoram_event_stream_finish (exchange->events, exchange->body);
+  flush_stream (gateway, exchange);
+  gateway->ops->reply_end (gateway->context, exchange->call);
+  marjoram_exchange_finish (gateway, exchange, now, true);
+}
+
+static void
+end_refused (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+             int64_t now)
+{
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 exchange->wrong_upstream
+                                     ? MARJORAM_ATTEMPT_WRONG
+                                     : MARJORAM_ATTEMPT_REFUSED);
+  exchange->runs--;
+  marjoram_exchange_retry (gateway, exchange, now,
+                           MARJORAM_REASON_UPSTREAM_REFUSED, true);
+}
+
+/* A failure that the upstream itself reports: another one may do better, and
+   if none may be asked, the report goes to the caller as it is.  */
+static void
+end_failed (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now)
+{
+  const char *refused;
+
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 MARJORAM_ATTEMPT_FAILED);
+  refused = may_not_retry (gateway, exchange, now, false);
+  if (!refused)
+    send_again (gateway, exchange, now, MARJORAM_REASON_UPSTREAM_FAILED);
+  else if (exchange->state == MARJORAM_EXCHANGE_STREAMS)
+    give_up (gateway, exchange, now, MARJORAM_REASON_UPSTREAM_FAILED);
+  else
+    deliver (gateway, exchange, now);
+}
+
+static void
+end_broken (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now)
+{
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 MARJORAM_ATTEMPT_BROKEN);
+  exchange->crossed = false;
+  marjoram_exchange_retry (gateway, exchange, now,
+                           MARJORAM_REASON_UPSTREAM_FAILED, false);
+}
+
+static void
+end_complete (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+              int64_t now)
+{
+  if (exchange->refused)
+    end_refused (gateway, exchange, now);
+  else if (exchange->status >= STATUS_SERVER_ERROR
+           || (exchange->state == MARJORAM_EXCHANGE_STREAMS
+               && !is_success (exchange)))
+    end_failed (gateway, exchange, now);
+  /* Without the upstream's signature a success can't be told from a stray
+     answer.  */
+  else if (is_success (exchange) && !exchange->is_signed)
+    end_broken (gateway, exchange, now);
+  else if (exchange->stream && is_success (exchange))
+    end_stream (gateway, exchange, now);
+  else
+    {
+      marjoram_exchange_end_attempt (gateway, exchange, now,
+                                     MARJORAM_ATTEMPT_SERVED);
+      deliver (gateway, exchange, now);
+    }
+}
+
+static void
+end_unsent (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now)
+{
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 MARJORAM_ATTEMPT_UNREACHED);
+  exchange->runs--;
+  exchange->arrivals--;
+  exchange->unreached++;
+  log_attempt (exchange, MARJORAM_REASON_NO_UPSTREAM, NULL);
+  marjoram_exchange_send (gateway, exchange, now);
+}
+
+void
+marjoram_gateway_end (marjoram_gateway *gateway, int64_t now, uint64_t attempt,
+                      enum marjoram_http_end how)
+{
+  struct marjoram_exchange *exchange = find_attempt (gateway, attempt);
+
+  if (!exchange)
+    return;
+  switch (how)
+    {
+    case MARJORAM_HTTP_COMPLETE:
+      end_complete (gateway, exchange, now);
+      break;
+    case MARJORAM_HTTP_UNSENT:
+      end_unsent (gateway, exchange, now);
+      break;
+    case MARJORAM_HTTP_BROKEN:
+      end_broken (gateway, exchange, now);
+      break;
+    }
+}
+
+void
+marjoram_gateway_forward_refused (marjoram_gateway *gateway, int64_t now,
+                                  uint64_t attempt,
+                                  const struct marjoram_no_answer *why)
+{
+  struct marjoram_exchange *exchange = find_attempt (gateway, attempt);
+  struct marjoram_no_answer answer = *why;
+
+  if (!exchange)
+    return;
+  if (why->outcome != MARJORAM_OUTCOME_NOT_RUN)
+    {
+      end_broken (gateway, exchange, now);
+      return;
+    }
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 MARJORAM_ATTEMPT_REFUSED);
+  exchange->runs--;
+  exchange->arrivals--;
+  answer.outcome = exchange->runs > 0 ? MARJORAM_OUTCOME_UNKNOWN
+                                      : MARJORAM_OUTCOME_NOT_RUN;
+  answer.status = exchange->runs > 0 ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE;
+  marjoram_exchange_refuse (gateway, exchange, now, &answer);
+}
--- /dev/null
+++ b/src/gateway_daemon.c
@@ -0,0 +1,369 @@
+#include "gateway_daemon.h"
+
+#include "cleanup.h"
+#include "event_log.h"
+#include "role.h"
+
+#include <event2/thread.h>
+#include <inttypes.h>
+#include <malloc.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+
+enum
+{
+  TICK_MS = 25,
+  /* How often the settings file is looked at; it may change without a
+     signal.  */
+  SETTINGS_LOOK_MS = 1000,
+  /* Before the platform's own limit, for answers to leave the sockets.  */
+  EXIT_MARGIN_MS = 400,
+  STATUS_OK = 200
+};
+
+#define METRICS_PATH "/metrics"
+#define METRICS_TYPE "text/plain; version=0.0.4"
+
+struct marjoram_gateway_daemon
+{
+  char *settings_path;
+  struct marjoram_gateway_settings *settings;
+  struct stat settings_stat;
+  int64_t settings_looked_at;
+  struct event_base *base;
+  struct marjoram_clock *clock;
+  marjoram_metrics *metrics;
+  marjoram_host_list *hosts;
+  marjoram_host_links *links;
+  marjoram_ask_server *asks;
+  struct marjoram_role_parts parts;
+  struct marjoram_role *role;
+  struct event *tick;
+  struct event *signals[3];
+  int64_t stopping_at; /* 0 until the first signal */
+  bool cut;
+};
+
+static int64_t
+now_of (const marjoram_gateway_daemon *daemon)
+{
+  return marjoram_clock_now (daemon->clock);
+}
+
+/* ---- What the links tell, for the role.  ---- */
+
+static void
+on_frame (void *context, const char *host, uint64_t session,
+          enum marjoram_frame_type type, void *message)
+{
+  marjoram_gateway_daemon *daemon = context;
+
+  if (daemon->role)
+    daemon->role->ops->frame (daemon->role, host, session, type, message);
+  else
+    marjoram_wire_destroy (marjoram_frame_layout (type), message);
+}
+
+static void
+on_beat (void *context, const char *host, uint64_t session, bool first,
+         const struct marjoram_host_beat *beat)
+{
+  marjoram_gateway_daemon *daemon = context;
+
+  if (daemon->role)
+    daemon->role->ops->beat (daemon->role, host, session, first, beat);
+}
+
+static void
+on_session_closed (void *context, const char *host, uint64_t session)
+{
+  marjoram_gateway_daemon *daemon = context;
+
+  if (daemon->role)
+    daemon->role->ops->session_closed (daemon->role, host, session);
+}
+
+static void
+on_link_lost (void *context, const char *host)
+{
+  marjoram_gateway_daemon *daemon = context;
+
+  marjoram_metrics_add (daemon->metrics, MARJORAM_METRIC_LINKS_LOST, 1);
+  if (daemon->role)
+    daemon->role->ops->link_lost (daemon->role, host);
+}
+
+static void
+fill_beat (void *context, struct marjoram_host_beat *beat)
+{
+  marjoram_gateway_daemon *daemon = context;
+
+  if (daemon->role)
+    daemon->role->ops->fill_beat (daemon->role, beat);
+}
+
+static const struct marjoram_host_links_ops links_ops = {
+  .frame = on_frame,
+  .beat = on_beat,
+  .session_closed = on_session_closed,
+  .link_lost = on_link_lost,
+  .fill_beat = fill_beat,
+};
+
+/* ---- Calls.  ---- */
+
+static void
+on_ask (void *context, uint64_t ask, const char *method, const char *target,
+        const char *body, size_t size)
+{
+  marjoram_gateway_daemon *daemon = context;
+  marjoram_auto_free char *text = NULL;
+
+  if (strcmp (target, METRICS_PATH) != 0)
+    {
+      daemon->role->ops->ask (daemon->role, ask, method, target, body, size);
+      return;
+    }
+  text = marjoram_metrics_text (daemon->metrics);
+  marjoram_ask_server_answer (daemon->asks, ask, STATUS_OK, METRICS_TYPE, text,
+                              strlen (text));
+}
+
+static const struct marjoram_ask_server_ops ask_ops = { .receive = on_ask };
+
+/* ---- Settings.  ---- */
+
+static void
+reload (marjoram_gateway_daemon *daemon, const char *cause)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_gateway_settings *settings
+      = marjoram_gateway_settings_load (daemon->settings_path, NULL, &err);
+  struct marjoram_gateway_settings *old = daemon->settings;
+
+  stat (daemon->settings_path, &daemon->settings_stat);
+  if (!settings)
+    {
+      marjoram_event (MARJORAM_EVENT_PROCESS,
+                      "state=reload cause=%s taken=no why=\"%s\"", cause,
+                      err.message);
+      return;
+    }
+  daemon->settings = settings;
+  daemon->parts.settings = settings;
+  marjoram_host_links_set_seeds (daemon->links, settings);
+  daemon->role->ops->reload (daemon->role);
+  marjoram_event (MARJORAM_EVENT_PROCESS,
+                  "state=reload cause=%s taken=yes seeds=%zu", cause,
+                  settings->seed_count);
+  marjoram_gateway_settings_destroy (old);
+}
+
+static void
+look_at_settings (marjoram_gateway_daemon *daemon, int64_t now)
+{
+  struct stat is;
+  const struct stat *was = &daemon->settings_stat;
+
+  if (now < daemon->settings_looked_at + SETTINGS_LOOK_MS)
+    return;
+  daemon->settings_looked_at = now;
+  if (stat (daemon->settings_path, &is) == 0
+      && (is.st_mtim.tv_sec != was->st_mtim.tv_sec
+          || is.st_mtim.tv_nsec != was->st_mtim.tv_nsec
+          || is.st_size != was->st_size || is.st_ino != was->st_ino))
+    reload (daemon, "changed");
+}
+
+/* ---- The course.  ---- */
+
+static void
+check_stopped (marjoram_gateway_daemon *daemon, int64_t now)
+{
+  int64_t limit = daemon->settings->drain_limit_ms - EXIT_MARGIN_MS;
+
+  if (daemon->stopping_at == 0)
+    return;
+  daemon->cut = !daemon->role->ops->finished (daemon->role, now);
+  if (!daemon->cut || now >= daemon->stopping_at + limit)
+    event_base_loopbreak (daemon->base);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *context)
+{
+  marjoram_gateway_daemon *daemon = context;
+  int64_t now = now_of (daemon);
+
+  (void)fd;
+  (void)what;
+  marjoram_host_links_tick (daemon->links, now);
+  daemon->role->ops->tick (daemon->role, now);
+  look_at_settings (daemon, now);
+  check_stopped (daemon, now);
+  marjoram_event_log_flush ();
+}
+
+static void
+on_signal (evutil_socket_t number, short what, void *context)
+{
+  marjoram_gateway_daemon *daemon = context;
+  int64_t now = now_of (daemon);
+
+  (void)what;
+  if (number == SIGHUP)
+    {
+      reload (daemon, "signal");
+      return;
+    }
+  if (daemon->stopping_at)
+    return;
+  daemon->stopping_at = now;
+  marjoram_event (MARJORAM_EVENT_PROCESS, "state=stopping signal=%d",
+                  (int)number);
+  daemon->role->ops->stop (daemon->role, now);
+  marjoram_host_links_beat (daemon->links, now);
+}
+
+/* Later starts have a higher number; two within a ms are told apart by their
+   hosts.  */
+static uint64_t
+new_incarnation (struct marjoram_clock *clock)
+{
+  return (uint64_t)marjoram_clock_wall (clock);
+}
+
+static bool
+listen_all (marjoram_gateway_daemon *daemon, struct marjoram_error *err)
+{
+  const struct marjoram_gateway_settings *settings = daemon->settings;
+  const char *const addresses[]
+      = { settings->ready_address, settings->control_address,
+          settings->lookup_address, settings->metrics_address };
+
+  for (size_t i = 0; i < sizeof addresses / sizeof *addresses; i++)
+    if (addresses[i]
+        && !marjoram_ask_server_listen (daemon->asks, addresses[i], err))
+      return false;
+  return true;
+}
+
+static bool
+create_role (marjoram_gateway_daemon *daemon,
+             const struct marjoram_dialect *dialect,
+             struct marjoram_error *err)
+{
+  daemon->parts = (struct marjoram_role_parts){
+    .base = daemon->base,
+    .clock = daemon->clock,
+    .dialect = dialect,
+    .settings = daemon->settings,
+    .metrics = daemon->metrics,
+    .hosts = daemon->hosts,
+    .links = daemon->links,
+    .asks = daemon->asks,
+    .incarnation = new_incarnation (daemon->clock),
+  };
+  daemon->role = daemon->settings->role == MARJORAM_ROLE_ENTRY
+                     ? marjoram_entry_role_create (&daemon->parts, err)
+                     : marjoram_keeper_role_create (&daemon->parts, err);
+  return daemon->role != NULL;
+}
+
+static void
+create_events (marjoram_gateway_daemon *daemon)
+{
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+  struct timeval period = marjoram_clock_timeval (TICK_MS);
+
+  daemon->tick = event_new (daemon->base, -1, EV_PERSIST, on_tick, daemon);
+  event_add (daemon->tick, &period);
+  for (size_t i = 0; i < sizeof numbers / sizeof *numbers; i++)
+    {
+      daemon->signals[i]
+          = evsignal_new (daemon->base, numbers[i], on_signal, daemon);
+      event_add (daemon->signals[i], NULL);
+    }
+}
+
+marjoram_gateway_daemon *
+marjoram_gateway_daemon_create (struct marjoram_gateway_settings *settings,
+                                const char *settings_path,
+                                const struct marjoram_dialect *dialect,
+                                struct marjoram_error *err)
+{
+  marjoram_gateway_daemon *daemon = marjoram_alloc (sizeof *daemon);
+
+  signal (SIGPIPE, SIG_IGN);
+  if (sodium_init () < 0 || evthread_use_pthreads () != 0)
+    abort ();
+  daemon->settings = settings;
+  daemon->settings_path = marjoram_strdup (settings_path);
+  stat (settings_path, &daemon->settings_stat);
+  daemon->base = event_base_new ();
+  daemon->clock = marjoram_clock_boot ();
+  marjoram_event_log_open (settings->name, daemon->clock);
+  daemon->metrics = marjoram_metrics_create ();
+  daemon->hosts = marjoram_host_list_create ();
+  daemon->asks = marjoram_ask_server_create (daemon->base, &ask_ops, daemon);
+  daemon->links = marjoram_host_links_create (
+      daemon->base, daemon->clock, settings, new_incarnation (daemon->clock),
+      daemon->hosts, &links_ops, daemon, err);
+  if (daemon->links && create_role (daemon, dialect, err)
+      && listen_all (daemon, err))
+    {
+      create_events (daemon);
+      return daemon;
+    }
+  marjoram_gateway_daemon_destroy (daemon);
+  return NULL;
+}
+
+void
+marjoram_gateway_daemon_destroy (marjoram_gateway_daemon *daemon)
+{
+  struct marjoram_role *role;
+
+  if (!daemon)
+    return;
+  for (size_t i = 0; i < sizeof daemon->signals / sizeof *daemon->signals; i++)
+    if (daemon->signals[i])
+      event_free (daemon->signals[i]);
+  if (daemon->tick)
+    event_free (daemon->tick);
+  /* What the links tell while they end is of no use to anybody.  */
+  role = daemon->role;
+  daemon->role = NULL;
+  marjoram_host_links_destroy (daemon->links);
+  if (role)
+    role->ops->destroy (role);
+  marjoram_ask_server_destroy (daemon->asks);
+  marjoram_host_list_destroy (daemon->hosts);
+  marjoram_metrics_destroy (daemon->metrics);
+  event_base_free (daemon->base);
+  marjoram_gateway_settings_destroy (daemon->settings);
+  free (daemon->settings_path);
+  free (daemon);
+}
+
+bool
+marjoram_gateway_daemon_run (marjoram_gateway_daemon *daemon)
+{
+  const struct marjoram_gateway_settings *settings = daemon->settings;
+
+  marjoram_event (MARJORAM_EVENT_PROCESS,
+                  "state=start role=%s zone=%s region=%s ip=%s seeds=%zu "
+                  "first_start=%d links_authenticated=no incarnation=%" PRIu64,
+                  settings->role == MARJORAM_ROLE_ENTRY ? "entry" : "keeper",
+                  settings->zone, settings->region, settings->ip,
+                  settings->seed_count, settings->first_start,
+                  daemon->parts.incarnation);
+  marjoram_event_log_flush ();
+  event_base_dispatch (daemon->base);
+  marjoram_event (MARJORAM_EVENT_PROCESS, "state=stop cut=%d", daemon->cut);
+  marjoram_event_log_flush ();
+  return !daemon->cut;
+}
--- /dev/null
+++ b/src/gateway_message.c
@@ -0,0 +1,103 @@
+#include "gateway_message.h"
+
+#include "dialect.h"
+
+#define LAYOUT(variable, type, fields)                                        \
+  const struct marjoram_layout variable                                       \
+      = { #type, sizeof (struct type), fields,                                \
+          sizeof (fields) / sizeof *(fields) }
+
+#define TEXT(type, member)                                                    \
+  {                                                                           \
+    MARJORAM_WIRE_STRING (struct type, member, MARJORAM_ID_MAX)               \
+  }
+#define COUNT(type, member)                                                   \
+  {                                                                           \
+    MARJORAM_WIRE_UINT (struct type, member)                                  \
+  }
+#define SPAN(type, member)                                                    \
+  {                                                                           \
+    MARJORAM_WIRE_INT (struct type, member)                                   \
+  }
+#define FLAG(type, member)                                                    \
+  {                                                                           \
+    MARJORAM_WIRE_BOOL (struct type, member)                                  \
+  }
+
+static const struct marjoram_field host_offer_fields[] = {
+  TEXT (marjoram_host_offer, service),
+  COUNT (marjoram_host_offer, upstreams),
+  COUNT (marjoram_host_offer, wait_ms),
+};
+static LAYOUT (host_offer_layout, marjoram_host_offer, host_offer_fields);
+
+static const struct marjoram_field host_beat_fields[] = {
+  TEXT (marjoram_host_beat, name),
+  TEXT (marjoram_host_beat, zone),
+  TEXT (marjoram_host_beat, region),
+  TEXT (marjoram_host_beat, entry),
+  FLAG (marjoram_host_beat, keeper),
+  FLAG (marjoram_host_beat, ready),
+  FLAG (marjoram_host_beat, leaving),
+  COUNT (marjoram_host_beat, incarnation),
+  COUNT (marjoram_host_beat, sequence),
+  COUNT (marjoram_host_beat, config_number),
+  COUNT (marjoram_host_beat, age_ms),
+  { MARJORAM_WIRE_ARRAY (struct marjoram_host_beat, offers,
+                         MARJORAM_HOST_OFFERS_MAX, &host_offer_layout) },
+};
+LAYOUT (marjoram_host_beat_layout, marjoram_host_beat, host_beat_fields);
+
+static const struct marjoram_field host_beats_fields[] = {
+  { MARJORAM_WIRE_ARRAY (struct marjoram_host_beats, items,
+                         MARJORAM_HOST_BEATS_MAX,
+                         &marjoram_host_beat_layout) },
+};
+LAYOUT (marjoram_host_beats_layout, marjoram_host_beats, host_beats_fields);
+
+static const struct marjoram_field news_item_fields[] = {
+  TEXT (marjoram_news_item, id),       TEXT (marjoram_news_item, service),
+  TEXT (marjoram_news_item, address),  TEXT (marjoram_news_item, zone),
+  COUNT (marjoram_news_item, state),   SPAN (marjoram_news_item, born),
+  SPAN (marjoram_news_item, sequence), SPAN (marjoram_news_item, cold_ms),
+  SPAN (marjoram_news_item, ends_ms),  SPAN (marjoram_news_item, age_ms),
+  SPAN (marjoram_news_item, slots),
+};
+static LAYOUT (news_item_layout, marjoram_news_item, news_item_fields);
+
+static const struct marjoram_field news_batch_fields[] = {
+  COUNT (marjoram_news_batch, ticket),
+  { MARJORAM_WIRE_ARRAY (struct marjoram_news_batch, items, MARJORAM_NEWS_MAX,
+                         &news_item_layout) },
+};
+LAYOUT (marjoram_news_batch_layout, marjoram_news_batch, news_batch_fields);
+
+static const struct marjoram_field news_seen_fields[] = {
+  COUNT (marjoram_news_seen, ticket),
+};
+LAYOUT (marjoram_news_seen_layout, marjoram_news_seen, news_seen_fields);
+
+static const struct marjoram_field load_item_fields[] = {
+  TEXT (marjoram_load_item, upstream),
+  COUNT (marjoram_load_item, running),
+  COUNT (marjoram_load_item, unread_tokens),
+  COUNT (marjoram_load_item, urgent_tokens),
+  COUNT (marjoram_load_item, held_tokens),
+  FLAG (marjoram_load_item, lost),
+};
+static LAYOUT (load_item_layout, marjoram_load_item, load_item_fields);
+
+static const struct marjoram_field placed_part_fields[] = {
+  COUNT (marjoram_placed_part, part),
+  COUNT (marjoram_placed_part, tokens),
+  COUNT (marjoram_placed_part, upstream),
+};
+static LAYOUT (placed_part_layout, marjoram_placed_part, placed_part_fields);
+
+static const struct marjoram_field load_report_fields[] = {
+  { MARJORAM_WIRE_ARRAY (struct marjoram_load_report, items,
+                         MARJORAM_LOADS_MAX, &load_item_layout) },
+  { MARJORAM_WIRE_ARRAY (struct marjoram_load_report, placed,
+                         MARJORAM_PLACED_MAX, &placed_part_layout) },
+};
+LAYOUT (marjoram_load_report_layout, marjoram_load_report, load_report_fields);
--- /dev/null
+++ b/src/gateway_message.h
@@ -0,0 +1,105 @@
+/* What hosts in the roles entry and keeper tell one another.  */
+#ifndef MARJORAM_GATEWAY_MESSAGE_H
+#define MARJORAM_GATEWAY_MESSAGE_H
+
+#include "wire.h"
+
+enum
+{
+  MARJORAM_HOST_BEATS_MAX = 1024,
+  MARJORAM_HOST_OFFERS_MAX = 64,
+  MARJORAM_NEWS_MAX = 4096,
+  MARJORAM_LOADS_MAX = 4096,
+  MARJORAM_PLACED_MAX = 4096
+};
+
+/* What a host's region can do for requests of other regions.  */
+struct marjoram_host_offer
+{
+  char *service;
+  uint64_t upstreams; /* warm ones */
+  uint64_t wait_ms;   /* at the least loaded, before its own prompt */
+};
+
+/* A host's own word of itself, and as others pass it on.  */
+struct marjoram_host_beat
+{
+  char *name; /* its IP number */
+  char *zone;
+  char *region;
+  char *entry; /* IP:port for callers; "" for a host without that role */
+  bool keeper;
+  bool ready; /* takes callers' requests */
+  bool leaving;
+  uint64_t incarnation; /* grows with each start */
+  uint64_t sequence;
+  uint64_t config_number;       /* of the state that it has in force */
+  uint64_t age_ms;              /* since the sender heard it; 0 from itself */
+  struct marjoram_array offers; /* of struct marjoram_host_offer */
+};
+
+struct marjoram_host_beats
+{
+  struct marjoram_array items; /* of struct marjoram_host_beat */
+};
+
+/* One upstream as a keeper heard it; times are told as spans, since clocks of
+   two hosts may differ.  */
+struct marjoram_news_item
+{
+  char *id;
+  char *service;
+  char *address;
+  char *zone;
+  uint64_t state; /* enum marjoram_news_state */
+  int64_t born;
+  int64_t sequence;
+  int64_t cold_ms; /* left when this was sent */
+  int64_t ends_ms; /* left; -1 if it is not known to end */
+  int64_t age_ms;  /* since a keeper heard it */
+  int64_t slots;
+};
+
+struct marjoram_news_batch
+{
+  uint64_t ticket;             /* to be confirmed by NEWS_SEEN; 0: no need */
+  struct marjoram_array items; /* of struct marjoram_news_item */
+};
+
+struct marjoram_news_seen
+{
+  uint64_t ticket;
+};
+
+/* What one host has running at one upstream.  */
+struct marjoram_load_item
+{
+  char *upstream;
+  uint64_t running;
+  uint64_t unread_tokens; /* of prompts before their first event */
+  uint64_t urgent_tokens; /* the part of these at the most urgent priority */
+  uint64_t held_tokens;   /* of running requests, in the engine's memory */
+  bool lost;              /* its connections broke: it may have restarted */
+};
+
+/* A part of a prompt that was just sent to an upstream.  */
+struct marjoram_placed_part
+{
+  uint64_t part;
+  uint64_t tokens;
+  uint64_t upstream; /* index in the report's items */
+};
+
+struct marjoram_load_report
+{
+  struct marjoram_array items;  /* of struct marjoram_load_item */
+  struct marjoram_array placed; /* of struct marjoram_placed_part */
+};
+
+extern const struct marjoram_layout marjoram_host_beat_layout;
+extern const struct marjoram_layout marjoram_host_beats_layout;
+extern const struct marjoram_layout marjoram_news_batch_layout;
+extern const struct marjoram_layout marjoram_news_seen_layout;
+extern const struct marjoram_layout marjoram_load_report_layout;
+
+#endif
--- /dev/null
+++ b/src/gateway_private.h
@@ -0,0 +1,118 @@
+/* The parts of a gateway, shared by gateway.c (requests and their ends),
+   gateway_send.c (choice and sending) and gateway_answer.c (answers).  */
+#ifndef MARJORAM_GATEWAY_PRIVATE_H
+#define MARJORAM_GATEWAY_PRIVATE_H
+
+#include "event_stream.h"
+#include "gateway.h"
+
+#include <sys/queue.h>
+#include <uthash.h>
+
+enum
+{
+  MARJORAM_HOST_NAME_MAX = 64
+};
+
+enum marjoram_exchange_state
+{
+  MARJORAM_EXCHANGE_OPEN,    /* nothing was told to the caller yet */
+  MARJORAM_EXCHANGE_HEAD,    /* a stream's head has come, no event yet */
+  MARJORAM_EXCHANGE_STREAMS, /* head and events go to the caller */
+};
+
+/* One request of a caller.  */
+struct marjoram_exchange
+{
+  uint64_t call;
+  struct marjoram_http_request *request;
+  struct marjoram_call_facts facts;
+  bool forwarded;
+  enum marjoram_exchange_state state;
+  int64_t received_at;
+  int64_t due_at;    /* the route's timeout, or the caller's patience */
+  int64_t useful_by; /* for the first event or the answer */
+  int64_t first_at;  /* 0 until the first event or the answer's head */
+  int64_t waited_ms; /* as estimated when it was sent last */
+
+  /* Of its route, as it was when it was sent last.  */
+  bool stream;
+  bool repeatable;
+  int priority;
+  int max_upstreams;
+  int64_t objective_ms;
+  char route[MARJORAM_ID_MAX];
+  char service[MARJORAM_ID_MAX];
+  uint64_t config;
+
+  /* The attempt that is under way.  */
+  uint64_t attempt; /* 0 if none */
+  char upstream[MARJORAM_ID_MAX];
+  char host[MARJORAM_HOST_NAME_MAX]; /* forwarded there; "" if not */
+  int64_t silent_at; /* when its silence ends it; INT64_MAX: never */
+  int status;
+  struct marjoram_header_list headers; /* of the answer */
+  bool is_signed;                      /* by the upstream */
+  bool refused;                        /* the upstream did not run it */
+  bool wrong_upstream;
+  struct evbuffer *body; /* of the answer, or whole events */
+  marjoram_event_stream *events;
+
+  /* Of all attempts.  */
+  char tried[MARJORAM_TRIED_MAX][MARJORAM_ID_MAX];
+  size_t tried_count;
+  int arrivals;  /* attempts that may have reached an upstream */
+  int runs;      /* attempts that may have run, or still run */
+  int unreached; /* attempts that reached nobody */
+  bool crossed;  /* it was forwarded */
+  UT_hash_handle by_call;
+  UT_hash_handle by_attempt;
+};
+
+struct marjoram_gateway
+{
+  struct marjoram_gateway_options options;
+  const struct marjoram_gateway_ops *ops;
+  void *context;
+  const struct marjoram_route_table *table;
+  marjoram_placement *placement;
+  marjoram_repeat_budget *budget;
+  struct marjoram_exchange *by_call;
+  struct marjoram_exchange *by_attempt;
+  uint64_t next_attempt;
+};
+
+/* gateway.c */
+/* Ends the exchange without an answer, truthfully.  */
+void marjoram_exchange_refuse (marjoram_gateway *gateway,
+                               struct marjoram_exchange *exchange, int64_t now,
+                               const struct marjoram_no_answer *why);
+/* The answer is whole with the caller (or was cut, WHOLE false).  */
+void marjoram_exchange_finish (marjoram_gateway *gateway,
+                               struct marjoram_exchange *exchange, int64_t now,
+                               bool whole);
+
+/* gateway_send.c */
+/* Sends the exchange to an upstream or another region, or refuses it.  */
+void marjoram_exchange_send (marjoram_gateway *gateway,
+                             struct marjoram_exchange *exchange, int64_t now);
+/* Stops the attempt that is under way; HOW goes to the placement.  */
+void marjoram_exchange_drop_attempt (marjoram_gateway *gateway,
+                                     struct marjoram_exchange *exchange,
+                                     int64_t now,
+                                     enum marjoram_attempt_end how);
+/* The attempt is over: forgets it.  */
+void marjoram_exchange_end_attempt (marjoram_gateway *gateway,
+                                    struct marjoram_exchange *exchange,
+                                    int64_t now,
+                                    enum marjoram_attempt_end how);
+
+/* gateway_answer.c */
+/* After an attempt that failed: sends again where that is allowed, else ends
+   the exchange.  REASON tells what was wrong with the attempt, NOT_RUN that it
+   surely did not run.  */
+void marjoram_exchange_retry (marjoram_gateway *gateway,
+                              struct marjoram_exchange *exchange, int64_t now,
+                              enum marjoram_reason reason, bool not_run);
+
+#endif
--- /dev/null
+++ b/src/gateway_send.c
@@ -0,0 +1,396 @@
+#include "gateway_private.h"
+
+#include "cleanup.h"
+#include "event_log.h"
+
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+enum
+{
+  STATUS_NOT_FOUND = 404,
+  STATUS_UNAVAILABLE = 503,
+  /* There and back between two regions, with a margin for the hosts.  */
+  CROSSING_MS = 130,
+  /* How much less another region must have to wait for a request to leave its
+     own, where its prompt may be kept.  */
+  CROSSING_GAIN_MS = 100,
+  /* An upstream that gives no sign for this long beyond its estimated wait is
+     taken for dead, where another may go on.  */
+  SILENT_MS = 900,
+  SILENT_FACTOR = 3,
+  /* Least time left for which an upstream is given a request.  */
+  USEFUL_MIN_MS = 5,
+  UNREACHED_MAX = 4, /* attempts that reach nobody */
+  REFUSED_RETRY_MS = 250,
+  URGENCY_MAX = 9
+};
+
+/* ---- Attempts.  ---- */
+
+static void
+start_attempt (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
+{
+  exchange->attempt = ++gateway->next_attempt;
+  HASH_ADD (by_attempt, gateway->by_attempt, attempt, sizeof exchange->attempt,
+            exchange);
+  marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_ATTEMPTS, 1);
+}
+
+void
+marjoram_exchange_end_attempt (marjoram_gateway *gateway,
+                               struct marjoram_exchange *exchange, int64_t now,
+                               enum marjoram_attempt_end how)
+{
+  if (!exchange->attempt)
+    return;
+  marjoram_placement_ended (gateway->placement, now, exchange->attempt, how);
+  HASH_DELETE (by_attempt, gateway->by_attempt, exchange);
+  exchange->attempt = 0;
+  exchange->silent_at = INT64_MAX;
+}
+
+void
+marjoram_exchange_drop_attempt (marjoram_gateway *gateway,
+                                struct marjoram_exchange *exchange,
+                                int64_t now, enum marjoram_attempt_end how)
+{
+  uint64_t attempt = exchange->attempt;
+
+  if (!attempt)
+    return;
+  marjoram_exchange_end_attempt (gateway, exchange, now, how);
+  if (*exchange->host)
+    gateway->ops->cancel_forward (gateway->context, exchange->host, attempt);
+  else
+    gateway->ops->cancel (gateway->context, attempt);
+}
+
+/* ---- The message.  ---- */
+
+static int64_t
+patience_left (const struct marjoram_exchange *exchange, int64_t now)
+{
+  return exchange->due_at - now;
+}
+
+static void
+write_headers (marjoram_gateway *gateway,
+               const struct marjoram_exchange *exchange, int64_t now,
+               struct marjoram_header_list *headers)
+{
+  const struct marjoram_dialect_ops *dialect = gateway->options.dialect->ops;
+  const struct marjoram_http_request *request = exchange->request;
+  const char *last = exchange->events
+                         ? marjoram_event_stream_last (exchange->events)
+                         : NULL;
+  const struct marjoram_run_facts facts = {
+    .patience_ms = patience_left (exchange, now),
+    .upstream = exchange->upstream,
+    .last_event = last,
+    .urgency = !exchange->stream                  ? -1
+               : exchange->priority < URGENCY_MAX ? exchange->priority
+                                                  : URGENCY_MAX,
+  };
+
+  for (size_t i = 0; i < request->headers.count; i++)
+    {
+      const struct marjoram_header *header = &request->headers.items[i];
+
+      if (!marjoram_header_list_is_hop (&request->headers, header->name)
+          && dialect->passes_to_upstream (header->name))
+        marjoram_header_list_add (headers, header->name, header->value);
+    }
+  dialect->write_run (&facts, headers);
+}
+
+static marjoram_bytes *
+write_message (marjoram_gateway *gateway,
+               const struct marjoram_exchange *exchange, int64_t now)
+{
+  const struct marjoram_http_request *request = exchange->request;
+  struct marjoram_header_list headers = { 0 };
+  struct evbuffer *buffer = evbuffer_new ();
+  marjoram_bytes *message;
+
+  write_headers (gateway, exchange, now, &headers);
+  evbuffer_add_printf (buffer, "%s %s HTTP/1.1\r\n", request->method,
+                       request->target);
+  for (size_t i = 0; i < headers.count; i++)
+    evbuffer_add_printf (buffer, "%s: %s\r\n", headers.items[i].name,
+                         headers.items[i].value);
+  if (request->has_body)
+    evbuffer_add_printf (buffer, "Content-Length: %zu\r\n",
+                         marjoram_bytes_size (request->body));
+  evbuffer_add (buffer, "\r\n", 2);
+  evbuffer_add (buffer, marjoram_bytes_data (request->body),
+                marjoram_bytes_size (request->body));
+  message = marjoram_bytes_create (evbuffer_pullup (buffer, -1),
+                                   evbuffer_get_length (buffer));
+  marjoram_header_list_clear (&headers);
+  evbuffer_free (buffer);
+  return message;
+}
+
+/* ---- To an upstream of this region.  ---- */
+
+static void
+remember_tried (struct marjoram_exchange *exchange, const char *upstream)
+{
+  if (exchange->tried_count == MARJORAM_TRIED_MAX)
+    return;
+  snprintf (exchange->tried[exchange->tried_count++], MARJORAM_ID_MAX, "%s",
+            upstream);
+}
+
+static void
+make_query (const struct marjoram_exchange *exchange,
+            const struct marjoram_service_rule *service, int64_t now,
+            struct marjoram_place_query *query)
+{
+  memset (query, 0, sizeof *query);
+  query->service = service;
+  query->facts = &exchange->facts;
+  query->priority = exchange->priority;
+  query->useful_ms = exchange->useful_by - now;
+  if (query->useful_ms < USEFUL_MIN_MS)
+    query->useful_ms = patience_left (exchange, now);
+  query->again = true;
+  for (size_t i = 0; i < exchange->tried_count; i++)
+    query->tried[query->tried_count++] = exchange->tried[i];
+}
+
+static void
+send_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+         int64_t now, const struct marjoram_place *place,
+         const struct marjoram_place_query *query)
+{
+  struct marjoram_http_send send = { 0 };
+
+  snprintf (exchange->upstream, sizeof exchange->upstream, "%s",
+            place->upstream->news.id);
+  exchange->host[0] = '\0';
+  exchange->waited_ms = place->wait_ms;
+  start_attempt (gateway, exchange);
+  marjoram_placement_started (gateway->placement, now, exchange->attempt,
+                              exchange->upstream, query);
+  remember_tried (exchange, exchange->upstream);
+  exchange->arrivals++;
+  exchange->runs++;
+  if (exchange->repeatable)
+    exchange->silent_at = now + SILENT_MS + SILENT_FACTOR * place->wait_ms;
+  send.attempt = exchange->attempt;
+  send.address = place->upstream->news.address;
+  send.message = write_message (gateway, exchange, now);
+  send.head_only = strcmp (exchange->request->method, "HEAD") == 0;
+  send.careful = !exchange->repeatable;
+  gateway->ops->send (gateway->context, &send);
+  marjoram_bytes_release (send.message);
+}
+
+/* ---- To a host of another region.  ---- */
+
+static bool
+forward_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now, const char *host)
+{
+  struct marjoram_http_request *request = exchange->request;
+  struct marjoram_forward forward = { 0 };
+  struct marjoram_header_list headers = { 0 };
+
+  for (size_t i = 0; i < request->headers.count; i++)
+    if (!marjoram_header_list_is_hop (&request->headers,
+                                      request->headers.items[i].name))
+      marjoram_header_list_add (&headers, request->headers.items[i].name,
+                                request->headers.items[i].value);
+  if (headers.count > MARJORAM_HEADERS_MAX)
+    {
+      marjoram_header_list_clear (&headers);
+      return false;
+    }
+  start_attempt (gateway, exchange);
+  forward.request = exchange->attempt;
+  forward.id = exchange->facts.id;
+  forward.method = request->method;
+  forward.path = request->target;
+  forward.headers.items = headers.items;
+  forward.headers.count = headers.count;
+  forward.body = request->body;
+  forward.budget_ms = patience_left (exchange, now);
+  forward.config_number = exchange->config;
+  forward.stream = request->has_body;
+  if (gateway->ops->forward (gateway->context, host, &forward))
+    {
+      snprintf (exchange->host, sizeof exchange->host, "%s", host);
+      exchange->upstream[0] = '\0';
+      exchange->crossed = true;
+      exchange->arrivals++;
+      exchange->runs++;
+      marjoram_metrics_add (gateway->options.metrics,
+                            MARJORAM_METRIC_FORWARDED_OUT, 1);
+      marjoram_header_list_clear (&headers);
+      return true;
+    }
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 MARJORAM_ATTEMPT_CANCELLED);
+  marjoram_header_list_clear (&headers);
+  return false;
+}
+
+/* The host to cross to: of a region that may run the request, with the least
+   wait; among equals the one that keeps to its prompt's last shared part.  */
+static const struct marjoram_listed_host *
+choose_far (marjoram_gateway *gateway,
+            const struct marjoram_exchange *exchange,
+            const struct marjoram_route_rule *route, int64_t now,
+            int64_t *wait_ms)
+{
+  const struct marjoram_placement_options *options = &gateway->options.place;
+  const struct marjoram_listed_host *host;
+  const struct marjoram_listed_host *best = NULL;
+  int64_t best_cost = INT64_MAX;
+
+  TAILQ_FOREACH (host, marjoram_host_list_all (options->hosts), link)
+  {
+    const struct marjoram_host_offer *offer
+        = marjoram_listed_host_offer (host, exchange->service);
+    int64_t cost;
+
+    if (!offer || !marjoram_host_list_serves (host, now)
+        || strcmp (host->beat.region, options->region) == 0
+        || !marjoram_route_allows (route, host->beat.region))
+      continue;
+    /* Within a gain worth crossing for, spread over hosts by the request.  */
+    cost = (int64_t)offer->wait_ms
+           + (int64_t)((exchange->call * 2654435761U + strlen (host->beat.name)
+                        + (uint64_t)host->beat.incarnation)
+                       % CROSSING_GAIN_MS);
+    if (cost >= best_cost)
+      continue;
+    best = host;
+    best_cost = cost;
+    *wait_ms = (int64_t)offer->wait_ms;
+  }
+  return best;
+}
+
+/* Whether it was forwarded, as no place here is in time.  */
+static bool
+cross (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+       const struct marjoram_route_rule *route, int64_t now,
+       int64_t most_wait_ms)
+{
+  const struct marjoram_listed_host *host;
+  int64_t wait_ms = 0;
+
+  if (exchange->forwarded || exchange->crossed)
+    return false;
+  host = choose_far (gateway, exchange, route, now, &wait_ms);
+  if (!host || wait_ms + CROSSING_MS > most_wait_ms)
+    return false;
+  exchange->waited_ms = wait_ms + CROSSING_MS;
+  return forward_to (gateway, exchange, now, host->beat.name);
+}
+
+/* ---- The choice.  ---- */
+
+static void
+refuse (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+        int64_t now, enum marjoram_reason reason, int64_t retry_ms)
+{
+  const bool ran = exchange->runs > 0;
+  const struct marjoram_no_answer why
+      = { ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN, reason,
+          ran ? 502 : STATUS_UNAVAILABLE, retry_ms };
+
+  marjoram_exchange_refuse (gateway, exchange, now, &why);
+}
+
+static void
+take_terms (struct marjoram_exchange *exchange,
+            const struct marjoram_route_table *table,
+            const struct marjoram_route_rule *route, const char *service)
+{
+  exchange->stream = route->stream;
+  exchange->repeatable = marjoram_route_may_repeat (route);
+  exchange->priority = route->priority;
+  exchange->max_upstreams = route->max_upstreams;
+  exchange->objective_ms = route->objective_ms;
+  exchange->config = table->version;
+  exchange->useful_by
+      = exchange->received_at
+        + (route->objective_ms > 0 ? route->objective_ms : route->timeout_ms);
+  snprintf (exchange->route, sizeof exchange->route, "%s", route->name);
+  snprintf (exchange->service, sizeof exchange->service, "%s", service);
+}
+
+static void
+place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+       const struct marjoram_route_rule *route,
+       const struct marjoram_service_rule *service, int64_t now)
+{
+  struct marjoram_place_query query;
+  struct marjoram_place chosen;
+
+  make_query (exchange, service, now, &query);
+  if (!marjoram_route_allows (route, gateway->options.place.region))
+    {
+      if (!cross (gateway, exchange, route, now,
+                  patience_left (exchange, now)))
+        refuse (gateway, exchange, now, MARJORAM_REASON_RESIDENCY,
+                REFUSED_RETRY_MS);
+      return;
+    }
+  marjoram_placement_choose (gateway->placement, now, &query, &chosen);
+  if (chosen.outcome == MARJORAM_PLACE_FOUND)
+    send_to (gateway, exchange, now, &chosen, &query);
+  else if (!cross (gateway, exchange, route, now,
+                   chosen.outcome == MARJORAM_PLACE_NONE
+                       ? patience_left (exchange, now)
+                       : query.useful_ms))
+    refuse (gateway, exchange, now,
+            chosen.outcome == MARJORAM_PLACE_NONE ? MARJORAM_REASON_NO_UPSTREAM
+                                                  : MARJORAM_REASON_OVERLOAD,
+            chosen.retry_ms);
+}
+
+/* The route is looked up at each sending, so that a request that is sent again
+   goes by the configuration that is in force then.  */
+void
+marjoram_exchange_send (marjoram_gateway *gateway,
+                        struct marjoram_exchange *exchange, int64_t now)
+{
+  const struct marjoram_route_table *table = gateway->table;
+  const char *host
+      = marjoram_header_list_get (&exchange->request->headers, "Host");
+  const struct marjoram_route_rule *route = marjoram_route_table_find (
+      table, host ? host : "", exchange->request->target);
+  const char *service;
+  const struct marjoram_service_rule *rule;
+
+  service
+      = route ? marjoram_route_pick_service (route, exchange->facts.id) : NULL;
+  rule = service ? marjoram_route_table_service (table, service) : NULL;
+  if (!rule)
+    {
+      const struct marjoram_no_answer why
+          = { exchange->runs > 0 ? MARJORAM_OUTCOME_UNKNOWN
+                                 : MARJORAM_OUTCOME_NOT_RUN,
+              MARJORAM_REASON_CONFIG_CHANGED,
+              exchange->runs > 0 ? 502 : STATUS_NOT_FOUND, 0 };
+
+      marjoram_exchange_refuse (gateway, exchange, now, &why);
+      return;
+    }
+  take_terms (exchange, table, route, service);
+  if (exchange->unreached >= UNREACHED_MAX)
+    {
+      refuse (gateway, exchange, now, MARJORAM_REASON_NO_UPSTREAM,
+              REFUSED_RETRY_MS);
+      return;
+    }
+  place (gateway, exchange, route, rule, now);
+}
--- /dev/null
+++ b/src/gateway_settings.c
@@ -0,0 +1,299 @@
+#include "gateway_settings.h"
+
+#include "address.h"
+#include "cleanup.h"
+#include "ini_key.h"
+
+#include <string.h>
+
+enum
+{
+  SETTINGS_FILE_MAX = 256 * 1024, /* bytes */
+  PATH_TEXT_MAX = 4096,
+  MINUTE_MS = 60 * 1000,
+  HOUR_MS = 60 * MINUTE_MS,
+  ALLOWANCE_MAX = 1000 * 1000,
+  LOOKUP_VALID_MAX_S = 3600
+};
+
+#define PLACE(member) offsetof (struct marjoram_gateway_settings, member)
+
+static const char *const roles[] = { "entry", "keeper", NULL };
+
+static const struct marjoram_ini_key gateway_keys[] = {
+  { "role", MARJORAM_INI_WORD, PLACE (role), NULL, 0, 0, roles },
+  { "name", MARJORAM_INI_NAME, PLACE (name), NULL, 0, 0, NULL },
+  { "ip", MARJORAM_INI_NAME, PLACE (ip), NULL, 0, 0, NULL },
+  { "zone", MARJORAM_INI_LABEL, PLACE (zone), NULL, 0, 0, NULL },
+  { "region", MARJORAM_INI_LABEL, PLACE (region), NULL, 0, 0, NULL },
+  { "data_folder", MARJORAM_INI_TEXT, PLACE (data_folder), "", 1,
+    PATH_TEXT_MAX, NULL },
+  { "first_start", MARJORAM_INI_BOOL, PLACE (first_start), "no", 0, 0, NULL },
+};
+
+static const struct marjoram_ini_key listen_keys[] = {
+  { "link", MARJORAM_INI_ADDRESS, PLACE (link_address), NULL, 0, 0, NULL },
+  { "metrics", MARJORAM_INI_ADDRESS, PLACE (metrics_address), "", 0, 0, NULL },
+  { "entry", MARJORAM_INI_ADDRESS, PLACE (entry_address), "", 0, 0, NULL },
+  { "ready", MARJORAM_INI_ADDRESS, PLACE (ready_address), "", 0, 0, NULL },
+  { "control", MARJORAM_INI_ADDRESS, PLACE (control_address), "", 0, 0, NULL },
+  { "lookup", MARJORAM_INI_ADDRESS, PLACE (lookup_address), "", 0, 0, NULL },
+};
+
+/* Defaults: a fifth of the requests and ten more in ten seconds.  */
+static const struct marjoram_ini_key limit_keys[] = {
+  { "repeat_ratio", MARJORAM_INI_REAL, PLACE (repeat_ratio), "0.2", 0, 1,
+    NULL },
+  { "repeat_allowance", MARJORAM_INI_REAL, PLACE (repeat_allowance), "10", 0,
+    ALLOWANCE_MAX, NULL },
+  { "repeat_window_ms", MARJORAM_INI_WHOLE, PLACE (repeat_window_ms), "10000",
+    100, HOUR_MS, NULL },
+  { "drain_limit_ms", MARJORAM_INI_WHOLE, PLACE (drain_limit_ms), "8000", 1000,
+    HOUR_MS, NULL },
+  { "lookup_valid_s", MARJORAM_INI_WHOLE, PLACE (lookup_valid_s), "2", 1,
+    LOOKUP_VALID_MAX_S, NULL },
+};
+
+#define COUNT(array) (sizeof (array) / sizeof *(array))
+
+static const struct section_kind
+{
+  const char *name;
+  const struct marjoram_ini_key *keys; /* null: a list */
+  size_t key_count;
+} kinds[] = {
+  { "gateway", gateway_keys, COUNT (gateway_keys) },
+  { "listen", listen_keys, COUNT (listen_keys) },
+  { "limits", limit_keys, COUNT (limit_keys) },
+  { "seeds", NULL, 0 },
+  { "zones", NULL, 0 },
+};
+
+static const struct marjoram_ini_section *
+find_section (const struct marjoram_ini_file *file, const char *kind)
+{
+  for (size_t i = 0; i < file->section_count; i++)
+    if (strcmp (file->sections[i].kind, kind) == 0)
+      return &file->sections[i];
+  return NULL;
+}
+
+static bool
+known_kind (const char *name)
+{
+  for (size_t i = 0; i < COUNT (kinds); i++)
+    if (strcmp (kinds[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+static void
+check_sections (const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  for (size_t i = 0; i < file->section_count; i++)
+    if (!known_kind (file->sections[i].kind))
+      marjoram_faults_add (faults, file->path, file->sections[i].line,
+                           "unknown section [%s]; remove it or use one of: "
+                           "gateway listen limits seeds zones",
+                           file->sections[i].kind);
+}
+
+/* keepers = IP:port, IP:port; only the IP numbers count, since the link port
+   is the same on all hosts.  */
+static void
+read_seeds (struct marjoram_gateway_settings *settings,
+            const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  const struct marjoram_ini_section *section = find_section (file, "seeds");
+  const struct marjoram_ini_entry *entry
+      = section ? marjoram_ini_find (section, "keepers") : NULL;
+  struct marjoram_names names;
+
+  if (!entry)
+    {
+      marjoram_faults_add (faults, file->path, section ? section->line : 0,
+                           "no seeds; add a section [seeds] with keepers = "
+                           "IP:port, IP:port");
+      return;
+    }
+  names = marjoram_names_parse (entry->value);
+  settings->seeds = marjoram_alloc ((names.count + 1) * sizeof (char *));
+  for (size_t i = 0; i < names.count; i++)
+    {
+      char ip[MARJORAM_IP_MAX];
+      uint16_t port;
+
+      if (marjoram_address_split (names.items[i], ip, &port))
+        settings->seeds[settings->seed_count++] = marjoram_strdup (ip);
+      else
+        marjoram_faults_add (faults, file->path, entry->line,
+                             "\"%.80s\" is no address; write IP:port",
+                             names.items[i]);
+    }
+  marjoram_names_clear (&names);
+}
+
+static void
+read_zones (struct marjoram_gateway_settings *settings,
+            const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  const struct marjoram_ini_section *section = find_section (file, "zones");
+
+  if (!section)
+    {
+      marjoram_faults_add (faults, file->path, 0,
+                           "no zones; add a section [zones] with a line "
+                           "ZONE = REGION for each");
+      return;
+    }
+  settings->zones
+      = marjoram_alloc (section->entry_count * sizeof *settings->zones);
+  for (size_t i = 0; i < section->entry_count; i++)
+    {
+      struct marjoram_zone_setting *zone
+          = &settings->zones[settings->zone_count++];
+
+      zone->zone = marjoram_strdup (section->entries[i].key);
+      zone->region = marjoram_strdup (section->entries[i].value);
+    }
+}
+
+static void
+require (const struct marjoram_ini_file *file, marjoram_faults *faults,
+         const char *role, const char *key, const char *value)
+{
+  const struct marjoram_ini_section *section = find_section (file, "listen");
+
+  if (!value)
+    marjoram_faults_add (faults, file->path, section ? section->line : 0,
+                         "role %s needs an address for %s; add %s = IP:port",
+                         role, key, key);
+}
+
+static void
+check_role (const struct marjoram_gateway_settings *settings,
+            const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  if (settings->role == MARJORAM_ROLE_ENTRY)
+    {
+      require (file, faults, "entry", "entry", settings->entry_address);
+      require (file, faults, "entry", "ready", settings->ready_address);
+      return;
+    }
+  require (file, faults, "keeper", "control", settings->control_address);
+  require (file, faults, "keeper", "lookup", settings->lookup_address);
+  if (!settings->data_folder)
+    marjoram_faults_add (faults, file->path, 0,
+                         "a keeper needs a disk; add data_folder to "
+                         "[gateway]");
+}
+
+static void
+check_zone (const struct marjoram_gateway_settings *settings,
+            const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  const char *region
+      = settings->zone
+            ? marjoram_gateway_settings_region (settings, settings->zone)
+            : NULL;
+
+  if (settings->zone && settings->region
+      && (!region || strcmp (region, settings->region) != 0))
+    marjoram_faults_add (faults, file->path, 0,
+                         "[zones] does not say that %s is in %s; add it",
+                         settings->zone, settings->region);
+}
+
+static void
+fill (struct marjoram_gateway_settings *settings,
+      const struct marjoram_ini_file *file, marjoram_faults *faults)
+{
+  static struct marjoram_ini_section absent;
+
+  check_sections (file, faults);
+  for (size_t i = 0; i < COUNT (kinds); i++)
+    {
+      const struct marjoram_ini_section *section
+          = find_section (file, kinds[i].name);
+
+      if (kinds[i].keys)
+        marjoram_ini_read (file, section ? section : &absent, kinds[i].keys,
+                           kinds[i].key_count, settings, faults);
+    }
+  read_seeds (settings, file, faults);
+  read_zones (settings, file, faults);
+  check_role (settings, file, faults);
+  check_zone (settings, file, faults);
+}
+
+struct marjoram_gateway_settings *
+marjoram_gateway_settings_load (const char *path, char **faults,
+                                struct marjoram_error *err)
+{
+  marjoram_auto (marjoram_faults_cleanup) marjoram_faults *found
+      = marjoram_faults_create ();
+  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file = NULL;
+  struct marjoram_gateway_settings *settings
+      = marjoram_alloc (sizeof *settings);
+  struct marjoram_error reading;
+  size_t size;
+  marjoram_auto_free char *text
+      = marjoram_file_read (path, SETTINGS_FILE_MAX, &size, &reading);
+
+  if (text)
+    {
+      file = marjoram_ini_parse (path, text, size, found);
+      fill (settings, file, found);
+    }
+  else
+    marjoram_faults_add (found, path, 0, "%s", reading.message);
+  if (marjoram_faults_report (found, faults, err))
+    return settings;
+  marjoram_gateway_settings_destroy (settings);
+  return NULL;
+}
+
+void
+marjoram_gateway_settings_destroy (struct marjoram_gateway_settings *settings)
+{
+  if (!settings)
+    return;
+  marjoram_ini_clear (gateway_keys, COUNT (gateway_keys), settings);
+  marjoram_ini_clear (listen_keys, COUNT (listen_keys), settings);
+  for (size_t i = 0; i < settings->seed_count; i++)
+    free (settings->seeds[i]);
+  for (size_t i = 0; i < settings->zone_count; i++)
+    {
+      free (settings->zones[i].zone);
+      free (settings->zones[i].region);
+    }
+  free (settings->seeds);
+  free (settings->zones);
+  free (settings);
+}
+
+bool
+marjoram_gateway_settings_is (const char *path)
+{
+  marjoram_auto (marjoram_faults_cleanup) marjoram_faults *ignored
+      = marjoram_faults_create ();
+  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file = NULL;
+  size_t size;
+  marjoram_auto_free char *text
+      = marjoram_file_read (path, SETTINGS_FILE_MAX, &size, NULL);
+
+  if (!text)
+    return false;
+  file = marjoram_ini_parse (path, text, size, ignored);
+  return find_section (file, "gateway") != NULL;
+}
+
+const char *
+marjoram_gateway_settings_region (
+    const struct marjoram_gateway_settings *settings, const char *zone)
+{
+  for (size_t i = 0; i < settings->zone_count; i++)
+    if (strcmp (settings->zones[i].zone, zone) == 0)
+      return settings->zones[i].region;
+  return NULL;
+}
--- /dev/null
+++ b/src/host_links.c
@@ -0,0 +1,557 @@
+#include "host_links.h"
+
+#include "address.h"
+#include "cleanup.h"
+#include "event_log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <xxhash.h>
+
+enum
+{
+  BEAT_MS = 300,     /* host_list.c counts on it */
+  BEAT_FAR_MS = 600, /* to entry hosts of other regions */
+  /* Five beats and a round trip between regions without a sign.  */
+  SILENT_MS = 1500,
+  PLAN_MS = 500,
+  LIST_MS = 1000, /* how often a keeper tells of all hosts */
+  /* Links of one host to entry hosts of each other region.  */
+  FAR_LINKS = 4
+};
+
+/* Links between hosts of one owner on a closed network are not authenticated:
+   the settings hold no secret.  */
+static const char no_secret[] = "links-are-not-authenticated-here";
+
+/* A host that this one dials.  */
+struct link
+{
+  TAILQ_ENTRY (link) next;
+  char *host;
+  bool up;
+  bool seed;
+  bool wanted;
+  int64_t heard_at;
+  int64_t sent_at;
+};
+
+/* A host that dialled this one.  */
+struct session
+{
+  TAILQ_ENTRY (session) next;
+  char *host;
+  uint64_t number;
+};
+
+struct marjoram_host_links
+{
+  const struct marjoram_gateway_settings *settings;
+  struct marjoram_settings peer_settings;
+  struct marjoram_clock *clock;
+  marjoram_counters *counters;
+  marjoram_peer *peer;
+  marjoram_host_list *hosts;
+  const struct marjoram_host_links_ops *ops;
+  void *context;
+  uint64_t incarnation;
+  uint64_t sequence;
+  uint16_t port;
+  TAILQ_HEAD (, link) links;
+  TAILQ_HEAD (, session) sessions;
+  int64_t planned_at;
+  int64_t listed_at;
+};
+
+static struct link *
+find_link (marjoram_host_links *links, const char *host)
+{
+  struct link *link;
+
+  TAILQ_FOREACH (link, &links->links, next)
+  if (strcmp (link->host, host) == 0)
+    return link;
+  return NULL;
+}
+
+static struct session *
+find_session (marjoram_host_links *links, const char *host)
+{
+  struct session *session;
+
+  TAILQ_FOREACH (session, &links->sessions, next)
+  if (strcmp (session->host, host) == 0)
+    return session;
+  return NULL;
+}
+
+static int64_t
+now_of (const marjoram_host_links *links)
+{
+  return marjoram_clock_now (links->clock);
+}
+
+/* ---- Beats.  ---- */
+
+static void
+make_beat (marjoram_host_links *links, struct marjoram_host_beat *beat)
+{
+  const struct marjoram_gateway_settings *settings = links->settings;
+
+  *beat = (struct marjoram_host_beat){
+    .name = settings->ip,
+    .zone = settings->zone,
+    .region = settings->region,
+    .entry = settings->role == MARJORAM_ROLE_ENTRY ? settings->entry_address
+                                                   : (char *)"",
+    .keeper = settings->role == MARJORAM_ROLE_KEEPER,
+    .incarnation = links->incarnation,
+    .sequence = ++links->sequence,
+  };
+  links->ops->fill_beat (links->context, beat);
+}
+
+static bool
+is_far (marjoram_host_links *links, const char *name)
+{
+  const struct marjoram_listed_host *host
+      = marjoram_host_list_find (links->hosts, name);
+
+  return host && !host->beat.keeper
+         && strcmp (host->beat.region, links->settings->region) != 0;
+}
+
+static void
+send_beats (marjoram_host_links *links, int64_t now, bool all)
+{
+  struct marjoram_host_beat beat;
+  struct link *link;
+  bool made = false;
+
+  TAILQ_FOREACH (link, &links->links, next)
+  {
+    int64_t every = is_far (links, link->host) ? BEAT_FAR_MS : BEAT_MS;
+
+    if (!link->up || (!all && now < link->sent_at + every))
+      continue;
+    if (!made)
+      make_beat (links, &beat);
+    made = true;
+    link->sent_at = now;
+    marjoram_peer_send (links->peer, link->host, MARJORAM_FRAME_HOST_BEAT,
+                        &beat);
+  }
+}
+
+void
+marjoram_host_links_beat (marjoram_host_links *links, int64_t now)
+{
+  send_beats (links, now, true);
+}
+
+static void
+log_host (const struct marjoram_host_beat *beat)
+{
+  marjoram_event (MARJORAM_EVENT_HOST,
+                  "name=%s zone=%s ready=%d leaving=%d keeper=%d "
+                  "incarnation=%" PRIu64 " config=%" PRIu64 " age_ms=%" PRIu64,
+                  beat->name, beat->zone, beat->ready, beat->leaving,
+                  beat->keeper, beat->incarnation, beat->config_number,
+                  beat->age_ms);
+}
+
+static void
+hear_beat (marjoram_host_links *links, const char *host, uint64_t number,
+           struct marjoram_host_beat *beat)
+{
+  const struct marjoram_heartbeat echo = { .sequence = beat->sequence };
+  struct session *session = find_session (links, host);
+  bool first = !session || session->number != number;
+
+  if (!beat->name || strcmp (beat->name, host) != 0)
+    return;
+  if (!session)
+    {
+      session = marjoram_alloc (sizeof *session);
+      session->host = marjoram_strdup (host);
+      TAILQ_INSERT_TAIL (&links->sessions, session, next);
+    }
+  session->number = number;
+  beat->age_ms = 0;
+  if (marjoram_host_list_hear (links->hosts, now_of (links), beat, true))
+    log_host (beat);
+  marjoram_peer_reply (links->peer, host, number, MARJORAM_FRAME_HEARTBEAT,
+                       &echo);
+  links->ops->beat (links->context, host, number, first, beat);
+}
+
+static void
+hear_list (marjoram_host_links *links, const struct marjoram_host_beats *list)
+{
+  const struct marjoram_host_beat *items = list->items.items;
+
+  for (size_t i = 0; i < list->items.count; i++)
+    if (items[i].name && strcmp (items[i].name, links->settings->ip) != 0
+        && marjoram_host_list_hear (links->hosts, now_of (links), &items[i],
+                                    false))
+      log_host (&items[i]);
+}
+
+static void
+tell_list (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_listed_hosts *all = marjoram_host_list_all (links->hosts);
+  const struct marjoram_listed_host *host;
+  struct marjoram_host_beat *items;
+  struct marjoram_host_beats list = { { NULL, 0 } };
+  size_t count = 0;
+
+  links->listed_at = now;
+  TAILQ_FOREACH (host, all, link)
+  count++;
+  list.items.items = items = marjoram_alloc (count * sizeof *items);
+  TAILQ_FOREACH (host, all, link)
+  if (host->direct && list.items.count < MARJORAM_HOST_BEATS_MAX)
+    {
+      items[list.items.count] = host->beat;
+      /* Offers are told by their host itself.  */
+      items[list.items.count].offers = (struct marjoram_array){ NULL, 0 };
+      items[list.items.count++].age_ms = (uint64_t)(now - host->heard_at);
+    }
+  marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
+  free (items);
+}
+
+/* ---- What the peer task tells.  ---- */
+
+static void
+on_link_up (void *context, const char *host, uint64_t incarnation)
+{
+  marjoram_host_links *links = context;
+  struct link *link = find_link (links, host);
+  int64_t now = now_of (links);
+
+  (void)incarnation;
+  if (!link)
+    return;
+  link->up = true;
+  link->heard_at = now;
+  link->sent_at = 0;
+  marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=up", host);
+  send_beats (links, now, false);
+}
+
+static void
+on_link_down (void *context, const char *host)
+{
+  marjoram_host_links *links = context;
+  struct link *link = find_link (links, host);
+
+  if (!link || !link->up)
+    return;
+  link->up = false;
+  marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=lost silent_ms=%" PRId64,
+                  host, now_of (links) - link->heard_at);
+  links->ops->link_lost (links->context, host);
+}
+
+static void
+on_closed (void *context, const char *host, uint64_t number)
+{
+  marjoram_host_links *links = context;
+  struct session *session = find_session (links, host);
+
+  links->ops->session_closed (links->context, host, number);
+  if (!session || session->number != number)
+    return;
+  TAILQ_REMOVE (&links->sessions, session, next);
+  free (session->host);
+  free (session);
+}
+
+static void
+on_frame (void *context, const char *host, uint64_t session,
+          uint64_t incarnation, enum marjoram_frame_type type, void *message)
+{
+  marjoram_host_links *links = context;
+  struct link *link = session == 0 ? find_link (links, host) : NULL;
+
+  (void)incarnation;
+  if (link)
+    link->heard_at = now_of (links);
+  if (type == MARJORAM_FRAME_HOST_BEAT && session != 0)
+    hear_beat (links, host, session, message);
+  else if (type == MARJORAM_FRAME_HOST_LIST)
+    hear_list (links, message);
+  else if (type != MARJORAM_FRAME_HEARTBEAT
+           && type != MARJORAM_FRAME_HOST_BEAT)
+    {
+      links->ops->frame (links->context, host, session, type, message);
+      return;
+    }
+  marjoram_wire_destroy (marjoram_frame_layout (type), message);
+}
+
+static const struct marjoram_peer_ops peer_ops = { .link_up = on_link_up,
+                                                   .link_down = on_link_down,
+                                                   .closed = on_closed,
+                                                   .frame = on_frame };
+
+/* ---- Which links.  ---- */
+
+static void
+want (marjoram_host_links *links, const char *host, bool seed)
+{
+  struct link *link = find_link (links, host);
+  char address[MARJORAM_IP_MAX + 8];
+
+  if (strcmp (host, links->settings->ip) == 0)
+    return;
+  if (!link)
+    {
+      link = marjoram_alloc (sizeof *link);
+      link->host = marjoram_strdup (host);
+      TAILQ_INSERT_TAIL (&links->links, link, next);
+      snprintf (address, sizeof address, "%s:%u", host, links->port);
+      marjoram_peer_connect (links->peer, host, address, true);
+    }
+  link->wanted = true;
+  link->seed = link->seed || seed;
+}
+
+static void
+drop (marjoram_host_links *links, struct link *link)
+{
+  TAILQ_REMOVE (&links->links, link, next);
+  marjoram_peer_connect (links->peer, link->host, NULL, false);
+  free (link->host);
+  free (link);
+}
+
+/* Of the entry hosts of another region this one links to a few, other hosts to
+   others: those with the highest claims by rendezvous hashing.  */
+static bool
+is_among_far (marjoram_host_links *links,
+              const struct marjoram_listed_host *candidate, int64_t now)
+{
+  const char *own = links->settings->ip;
+  const struct marjoram_listed_host *host;
+  uint64_t claim = XXH3_64bits_withSeed (
+      own, strlen (own),
+      XXH3_64bits (candidate->beat.name, strlen (candidate->beat.name)));
+  int better = 0;
+
+  TAILQ_FOREACH (host, marjoram_host_list_all (links->hosts), link)
+  if (host != candidate && marjoram_host_list_serves (host, now)
+      && strcmp (host->beat.region, candidate->beat.region) == 0
+      && XXH3_64bits_withSeed (
+             own, strlen (own),
+             XXH3_64bits (host->beat.name, strlen (host->beat.name)))
+             > claim)
+    better++;
+  return better < FAR_LINKS;
+}
+
+static bool
+is_needed (marjoram_host_links *links, const struct marjoram_listed_host *host,
+           int64_t now)
+{
+  if (host->beat.keeper)
+    return true;
+  if (links->settings->role == MARJORAM_ROLE_KEEPER)
+    return false;
+  if (strcmp (host->beat.region, links->settings->region) == 0)
+    return true;
+  return marjoram_host_list_serves (host, now)
+         && is_among_far (links, host, now);
+}
+
+static void
+plan (marjoram_host_links *links, int64_t now)
+{
+  const struct marjoram_listed_host *host;
+  struct link *link;
+  struct link *next;
+
+  links->planned_at = now;
+  TAILQ_FOREACH (link, &links->links, next)
+  link->wanted = link->seed;
+  TAILQ_FOREACH (host, marjoram_host_list_all (links->hosts), link)
+  if (is_needed (links, host, now))
+    want (links, host->beat.name, false);
+  for (link = TAILQ_FIRST (&links->links); link; link = next)
+    {
+      next = TAILQ_NEXT (link, next);
+      /* One that works stays: requests may be under way there.  */
+      if (!link->wanted && !link->up)
+        drop (links, link);
+    }
+}
+
+/* Something between two hosts may lose track of an open connection while new
+   ones work: only silence shows it.  */
+static void
+hang_up_silent (marjoram_host_links *links, int64_t now)
+{
+  struct link *link;
+
+  TAILQ_FOREACH (link, &links->links, next)
+  if (link->up && now - link->heard_at > SILENT_MS)
+    marjoram_peer_hang_up (links->peer, link->host);
+}
+
+void
+marjoram_host_links_tick (marjoram_host_links *links, int64_t now)
+{
+  hang_up_silent (links, now);
+  send_beats (links, now, false);
+  if (now >= links->planned_at + PLAN_MS)
+    plan (links, now);
+  if (links->settings->role == MARJORAM_ROLE_KEEPER
+      && now >= links->listed_at + LIST_MS)
+    tell_list (links, now);
+  marjoram_host_list_tick (links->hosts, now);
+}
+
+/* ---- Sending.  ---- */
+
+bool
+marjoram_host_links_send (marjoram_host_links *links, const char *host,
+                          enum marjoram_frame_type type, const void *message)
+{
+  struct link *link = find_link (links, host);
+
+  if (!link || !link->up)
+    return false;
+  marjoram_peer_send (links->peer, host, type, message);
+  return true;
+}
+
+void
+marjoram_host_links_reply (marjoram_host_links *links, const char *host,
+                           uint64_t session, enum marjoram_frame_type type,
+                           const void *message)
+{
+  if (session == 0)
+    marjoram_peer_send (links->peer, host, type, message);
+  else
+    marjoram_peer_reply (links->peer, host, session, type, message);
+}
+
+size_t
+marjoram_host_links_tell (marjoram_host_links *links,
+                          enum marjoram_frame_type type, const void *message)
+{
+  struct session *session;
+  size_t count = 0;
+
+  TAILQ_FOREACH (session, &links->sessions, next)
+  {
+    marjoram_peer_reply (links->peer, session->host, session->number, type,
+                         message);
+    count++;
+  }
+  return count;
+}
+
+void
+marjoram_host_links_tell_region (marjoram_host_links *links,
+                                 enum marjoram_frame_type type,
+                                 const void *message)
+{
+  const char *region = links->settings->region;
+  struct link *link;
+
+  TAILQ_FOREACH (link, &links->links, next)
+  {
+    const struct marjoram_listed_host *host
+        = marjoram_host_list_find (links->hosts, link->host);
+
+    if (link->up && host && host->beat.entry[0]
+        && strcmp (host->beat.region, region) == 0)
+      marjoram_peer_send (links->peer, link->host, type, message);
+  }
+}
+
+/* ---- The task.  ---- */
+
+void
+marjoram_host_links_set_seeds (
+    marjoram_host_links *links,
+    const struct marjoram_gateway_settings *settings)
+{
+  struct link *link;
+
+  links->settings = settings;
+  TAILQ_FOREACH (link, &links->links, next)
+  link->seed = false;
+  for (size_t i = 0; i < settings->seed_count; i++)
+    want (links, settings->seeds[i], true);
+}
+
+marjoram_host_links *
+marjoram_host_links_create (struct event_base *base,
+                            struct marjoram_clock *clock,
+                            const struct marjoram_gateway_settings *settings,
+                            uint64_t incarnation, marjoram_host_list *hosts,
+                            const struct marjoram_host_links_ops *ops,
+                            void *context, struct marjoram_error *err)
+{
+  marjoram_host_links *links = marjoram_alloc (sizeof *links);
+  char ip[MARJORAM_IP_MAX];
+
+  links->settings = settings;
+  links->clock = clock;
+  links->hosts = hosts;
+  links->ops = ops;
+  links->context = context;
+  links->incarnation = incarnation;
+  links->counters = marjoram_counters_create ();
+  TAILQ_INIT (&links->links);
+  TAILQ_INIT (&links->sessions);
+  marjoram_address_split (settings->link_address, ip, &links->port);
+  links->peer_settings = (struct marjoram_settings){
+    .slot = settings->ip,
+    .zone = settings->zone,
+    .cluster = (char *)"gateway",
+    .secret = (char *)no_secret,
+    .peer_address = settings->link_address,
+  };
+  links->peer = marjoram_peer_create (base, &links->peer_settings, incarnation,
+                                      links->counters, &peer_ops, links, err);
+  if (!links->peer)
+    {
+      marjoram_counters_destroy (links->counters);
+      free (links);
+      return NULL;
+    }
+  marjoram_host_links_set_seeds (links, settings);
+  return links;
+}
+
+void
+marjoram_host_links_destroy (marjoram_host_links *links)
+{
+  struct link *link;
+  struct session *session;
+
+  if (!links)
+    return;
+  marjoram_peer_destroy (links->peer);
+  while ((link = TAILQ_FIRST (&links->links)))
+    {
+      TAILQ_REMOVE (&links->links, link, next);
+      free (link->host);
+      free (link);
+    }
+  while ((session = TAILQ_FIRST (&links->sessions)))
+    {
+      TAILQ_REMOVE (&links->sessions, session, next);
+      free (session->host);
+      free (session);
+    }
+  marjoram_counters_destroy (links->counters);
+  free (links);
+}
--- /dev/null
+++ b/src/host_list.h
@@ -0,0 +1,63 @@
+/* The hosts that are heard of: which live, which take callers, which of them
+   owns a task.  Pure decisions.  */
+#ifndef MARJORAM_HOST_LIST_H
+#define MARJORAM_HOST_LIST_H
+
+#include "gateway_message.h"
+
+#include <stdbool.h>
+#include <sys/queue.h>
+
+typedef struct marjoram_host_list marjoram_host_list;
+
+struct marjoram_listed_host
+{
+  TAILQ_ENTRY (marjoram_listed_host) link;
+  struct marjoram_host_beat beat; /* owns its texts */
+  int64_t heard_at;
+  bool direct; /* its own beats come here, not only others' word of it */
+};
+
+TAILQ_HEAD (marjoram_listed_hosts, marjoram_listed_host);
+
+enum
+{
+  MARJORAM_LOOKUP_MAX = 64 /* addresses in one answer; callers take no more */
+};
+
+marjoram_host_list *marjoram_host_list_create (void);
+void marjoram_host_list_destroy (marjoram_host_list *list);
+/* A beat from its host itself (DIRECT) or as passed on.  Returns whether it
+   told anything new but that the host lives.  */
+bool marjoram_host_list_hear (marjoram_host_list *list, int64_t now,
+                              const struct marjoram_host_beat *beat,
+                              bool direct);
+struct marjoram_listed_hosts *
+marjoram_host_list_all (marjoram_host_list *list);
+/* Null if NAME is not known.  */
+const struct marjoram_listed_host *
+marjoram_host_list_find (const marjoram_host_list *list, const char *name);
+bool marjoram_host_list_alive (const struct marjoram_listed_host *host,
+                               int64_t now);
+/* Whether callers and hosts of other regions may send it requests.  */
+bool marjoram_host_list_serves (const struct marjoram_listed_host *host,
+                                int64_t now);
+/* The hosts that a caller of ZONE in REGION may connect to: of its zone, else
+   of its region, else all.  Borrowed.  */
+size_t marjoram_host_list_lookup (marjoram_host_list *list, int64_t now,
+                                  const char *zone, const char *region,
+                                  const char *addresses[MARJORAM_LOOKUP_MAX]);
+/* The serving host of REGION that has the highest claim to KEY by rendezvous
+   hashing; null if there is none.  */
+const char *marjoram_host_list_owner (marjoram_host_list *list, int64_t now,
+                                      const char *region, const char *key);
+/* What HOST's region offers for SERVICE; null if nothing.  */
+const struct marjoram_host_offer *
+marjoram_listed_host_offer (const struct marjoram_listed_host *host,
+                            const char *service);
+/* Entry hosts that were heard of lately, alive or not.  */
+size_t marjoram_host_list_entries (marjoram_host_list *list);
+/* Forgets those that were silent for long.  */
+void marjoram_host_list_tick (marjoram_host_list *list, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,478 @@
+#include "http_client.h"
+
+#include "cleanup.h"
+#include "http_reader.h"
+#include "socket_option.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+enum
+{
+  /* To an upstream of the own region; many times its round trip, and short
+     enough to try another one inside an objective of some hundred ms.  */
+  CONNECT_TIMEOUT_MS = 600,
+  /* How long a connection stays unused if the upstream names no time, and how
+     long before the named time it is given up: the upstream's close may be on
+     its way while a request is sent.  */
+  UNUSED_DEFAULT_MS = 4000,
+  UNUSED_MARGIN_MS = 400,
+  /* What can't be sent twice takes only connections used this lately.  */
+  CAREFUL_UNUSED_MS = 1000,
+  SECOND_MS = 1000
+};
+
+struct connection
+{
+  TAILQ_ENTRY (connection) link; /* of the pool, while unused */
+  marjoram_http_client *client;
+  struct pool *pool;
+  struct bufferevent *bev;
+  marjoram_http_reader *reader;
+  uint64_t attempt;        /* 0 while unused */
+  marjoram_bytes *message; /* until connected */
+  int64_t unused_since;
+  int64_t unused_limit;
+  int64_t connect_by; /* 0 once connected */
+  bool head_only;
+  bool skipping; /* the answer that comes belongs to another request */
+  bool interim;  /* a 1xx answer comes */
+  bool complete; /* the answer that was read last is whole */
+  bool ends_with_stream;
+  bool reusable;
+  UT_hash_handle hh; /* by attempt */
+};
+
+TAILQ_HEAD (connection_list, connection);
+
+struct pool
+{
+  char *address;
+  struct connection_list unused; /* the one used last comes first */
+  UT_hash_handle hh;
+};
+
+struct marjoram_http_client
+{
+  struct event_base *base;
+  struct marjoram_clock *clock;
+  const struct marjoram_http_client_ops *ops;
+  void *context;
+  struct pool *pools;
+  struct connection *busy;
+};
+
+static struct pool *
+find_pool (marjoram_http_client *client, const char *address)
+{
+  struct pool *pool;
+
+  HASH_FIND_STR (client->pools, address, pool);
+  if (pool)
+    return pool;
+  pool = marjoram_alloc (sizeof *pool);
+  pool->address = marjoram_strdup (address);
+  TAILQ_INIT (&pool->unused);
+  HASH_ADD_KEYPTR (hh, client->pools, pool->address, strlen (pool->address),
+                   pool);
+  return pool;
+}
+
+static void
+destroy (struct connection *connection)
+{
+  if (connection->attempt)
+    HASH_DELETE (hh, connection->client->busy, connection);
+  else
+    TAILQ_REMOVE (&connection->pool->unused, connection, link);
+  bufferevent_free (connection->bev);
+  marjoram_http_reader_destroy (connection->reader);
+  marjoram_bytes_release (connection->message);
+  free (connection);
+}
+
+static void
+fail (struct connection *connection, enum marjoram_http_end how)
+{
+  marjoram_http_client *client = connection->client;
+  char *address = marjoram_strdup (connection->pool->address);
+  uint64_t attempt = connection->attempt;
+
+  destroy (connection);
+  client->ops->lost (client->context, address);
+  if (attempt)
+    client->ops->end (client->context, attempt, how);
+  free (address);
+}
+
+/* ---- Reading an answer.  ---- */
+
+static int64_t
+unused_limit (const struct marjoram_header_list *headers)
+{
+  const char *text = marjoram_header_list_get (headers, "Keep-Alive");
+  const char *timeout = text ? strstr (text, "timeout=") : NULL;
+  long seconds;
+
+  if (!timeout)
+    return UNUSED_DEFAULT_MS;
+  seconds = strtol (timeout + strlen ("timeout="), NULL, 10);
+  return seconds * SECOND_MS - UNUSED_MARGIN_MS;
+}
+
+static bool
+on_head (void *context, bool *skip_body)
+{
+  struct connection *connection = context;
+  marjoram_http_client *client = connection->client;
+  const struct http_parser *parser
+      = marjoram_http_reader_parser (connection->reader);
+  struct marjoram_header_list *headers
+      = marjoram_http_reader_headers (connection->reader);
+
+  connection->interim = parser->status_code / 100 == 1;
+  connection->skipping = false;
+  connection->ends_with_stream
+      = marjoram_http_reader_ends_with_stream (connection->reader);
+  if (connection->interim)
+    return true;
+  if (!connection->attempt)
+    return false;
+  connection->reusable
+      = http_should_keep_alive (parser) && !connection->ends_with_stream;
+  connection->unused_limit = unused_limit (headers);
+  *skip_body = connection->head_only;
+  connection->skipping = !client->ops->head (
+      client->context, connection->attempt, (int)parser->status_code, headers);
+  return true;
+}
+
+static bool
+on_body (void *context, const char *data, size_t size)
+{
+  struct connection *connection = context;
+  marjoram_http_client *client = connection->client;
+
+  if (!connection->attempt)
+    return false;
+  if (!connection->skipping && !connection->interim)
+    client->ops->data (client->context, connection->attempt, data, size);
+  /* The owner may have cancelled this attempt by now.  */
+  return connection->attempt != 0;
+}
+
+static bool
+on_complete (void *context)
+{
+  struct connection *connection = context;
+
+  if (!connection->attempt)
+    return false;
+  if (connection->interim || connection->skipping)
+    return !connection->ends_with_stream;
+  connection->complete = true;
+  return false;
+}
+
+static const struct marjoram_http_reader_ops reader_ops
+    = { .head = on_head, .body = on_body, .complete = on_complete };
+
+/* ---- A connection's course.  ---- */
+
+/* Bytes after a whole answer belong to no request, and what is left of our
+   message would stand where the next one begins.  */
+static bool
+is_clean (const struct connection *connection)
+{
+  return evbuffer_get_length (bufferevent_get_input (connection->bev)) == 0
+         && evbuffer_get_length (bufferevent_get_output (connection->bev))
+                == 0;
+}
+
+static void
+finish (struct connection *connection)
+{
+  marjoram_http_client *client = connection->client;
+  uint64_t attempt = connection->attempt;
+
+  HASH_DELETE (hh, client->busy, connection);
+  connection->attempt = 0;
+  connection->complete = false;
+  connection->unused_since = marjoram_clock_now (client->clock);
+  TAILQ_INSERT_HEAD (&connection->pool->unused, connection, link);
+  if (!connection->reusable || connection->unused_limit <= 0
+      || !is_clean (connection))
+    destroy (connection);
+  client->ops->end (client->context, attempt, MARJORAM_HTTP_COMPLETE);
+}
+
+static void
+on_read (struct bufferevent *bev, void *context)
+{
+  struct connection *connection = context;
+  enum marjoram_http_fault fault;
+
+  if (!connection->attempt)
+    {
+      destroy (connection);
+      return;
+    }
+  fault = marjoram_http_reader_feed (connection->reader,
+                                     bufferevent_get_input (bev));
+  if (connection->complete)
+    finish (connection);
+  else if (!connection->attempt)
+    destroy (connection);
+  else if (fault != MARJORAM_HTTP_FINE)
+    fail (connection, MARJORAM_HTTP_BROKEN);
+}
+
+static void
+on_connected (struct connection *connection)
+{
+  marjoram_http_client *client = connection->client;
+
+  connection->connect_by = 0;
+  marjoram_socket_tune (bufferevent_getfd (connection->bev));
+  bufferevent_write (connection->bev,
+                     marjoram_bytes_data (connection->message),
+                     marjoram_bytes_size (connection->message));
+  marjoram_bytes_release (connection->message);
+  connection->message = NULL;
+  client->ops->connected (client->context, connection->pool->address);
+}
+
+/* An answer without a length is whole if its connection was closed in order,
+   and not if it was reset.  */
+static void
+on_closed (struct connection *connection)
+{
+  if (connection->attempt && connection->ends_with_stream
+      && !connection->skipping && !connection->interim)
+    marjoram_http_reader_finish (connection->reader);
+  if (connection->complete)
+    {
+      connection->reusable = false;
+      finish (connection);
+    }
+  else if (!connection->attempt)
+    destroy (connection);
+  else
+    fail (connection, MARJORAM_HTTP_BROKEN);
+}
+
+static void
+on_event (struct bufferevent *bev, short events, void *context)
+{
+  struct connection *connection = context;
+
+  (void)bev;
+  if (events & BEV_EVENT_CONNECTED)
+    on_connected (connection);
+  else if (connection->connect_by != 0)
+    fail (connection, MARJORAM_HTTP_UNSENT);
+  else if (events & BEV_EVENT_EOF)
+    on_closed (connection);
+  else if (connection->attempt)
+    fail (connection, MARJORAM_HTTP_BROKEN);
+  else
+    fail (connection, MARJORAM_HTTP_UNSENT);
+}
+
+static void
+begin (struct connection *connection, const struct marjoram_http_send *send)
+{
+  connection->attempt = send->attempt;
+  connection->head_only = send->head_only;
+  connection->complete = false;
+  connection->skipping = false;
+  connection->interim = false;
+  connection->ends_with_stream = false;
+  HASH_ADD (hh, connection->client->busy, attempt, sizeof connection->attempt,
+            connection);
+}
+
+static struct connection *
+connection_create (marjoram_http_client *client, struct pool *pool)
+{
+  struct connection *connection = marjoram_alloc (sizeof *connection);
+
+  connection->client = client;
+  connection->pool = pool;
+  connection->reader
+      = marjoram_http_reader_create (HTTP_RESPONSE, &reader_ops, connection);
+  connection->bev
+      = bufferevent_socket_new (client->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (connection->bev, on_read, NULL, on_event, connection);
+  bufferevent_enable (connection->bev, EV_READ | EV_WRITE);
+  return connection;
+}
+
+/* A refusal that the system tells at once comes as a deferred event, as all
+   others do: the owner is never entered while it sends.  */
+static void
+connect_and_send (marjoram_http_client *client, struct pool *pool,
+                  const struct marjoram_http_send *send)
+{
+  struct connection *connection = connection_create (client, pool);
+  struct sockaddr_storage where;
+  int size = sizeof where;
+
+  connection->message = marjoram_bytes_retain (send->message);
+  connection->connect_by
+      = marjoram_clock_now (client->clock) + CONNECT_TIMEOUT_MS;
+  begin (connection, send);
+  if (evutil_parse_sockaddr_port (pool->address, (struct sockaddr *)&where,
+                                  &size)
+          != 0
+      || bufferevent_socket_connect (connection->bev,
+                                     (struct sockaddr *)&where, size)
+             != 0)
+    bufferevent_trigger_event (connection->bev, BEV_EVENT_ERROR,
+                               BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static bool
+is_fresh (const struct connection *connection, int64_t now, bool careful)
+{
+  int64_t limit = connection->unused_limit;
+
+  if (careful && limit > CAREFUL_UNUSED_MS)
+    limit = CAREFUL_UNUSED_MS;
+  return now - connection->unused_since < limit;
+}
+
+void
+marjoram_http_client_send (marjoram_http_client *client,
+                           const struct marjoram_http_send *send)
+{
+  struct pool *pool = find_pool (client, send->address);
+  struct connection *connection = TAILQ_FIRST (&pool->unused);
+  int64_t now = marjoram_clock_now (client->clock);
+
+  if (!connection || !is_fresh (connection, now, send->careful)
+      || !is_clean (connection))
+    {
+      connect_and_send (client, pool, send);
+      return;
+    }
+  TAILQ_REMOVE (&pool->unused, connection, link);
+  begin (connection, send);
+  bufferevent_write (connection->bev, marjoram_bytes_data (send->message),
+                     marjoram_bytes_size (send->message));
+}
+
+void
+marjoram_http_client_cancel (marjoram_http_client *client, uint64_t attempt)
+{
+  struct connection *connection;
+
+  HASH_FIND (hh, client->busy, &attempt, sizeof attempt, connection);
+  if (!connection)
+    return;
+  /* The reader may be at work on this connection: it is closed by the event,
+     once that has returned.  */
+  HASH_DELETE (hh, client->busy, connection);
+  connection->attempt = 0;
+  connection->complete = false;
+  connection->connect_by = 0;
+  connection->unused_since = 0;
+  connection->unused_limit = 0;
+  TAILQ_INSERT_TAIL (&connection->pool->unused, connection, link);
+  bufferevent_trigger_event (connection->bev, BEV_EVENT_EOF,
+                             BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void
+marjoram_http_client_forget (marjoram_http_client *client, const char *address)
+{
+  struct pool *pool;
+  struct connection *connection;
+
+  HASH_FIND_STR (client->pools, address, pool);
+  while (pool && (connection = TAILQ_FIRST (&pool->unused)))
+    destroy (connection);
+}
+
+static void
+close_unused (struct pool *pool, int64_t now)
+{
+  struct connection *connection;
+  struct connection *next;
+
+  for (connection = TAILQ_FIRST (&pool->unused); connection; connection = next)
+    {
+      next = TAILQ_NEXT (connection, link);
+      if (!is_fresh (connection, now, false))
+        destroy (connection);
+    }
+}
+
+static void
+give_up_connecting (marjoram_http_client *client, int64_t now)
+{
+  struct connection *connection;
+  struct connection *next;
+
+  HASH_ITER (hh, client->busy, connection, next)
+  {
+    if (connection->connect_by != 0 && now >= connection->connect_by)
+      bufferevent_trigger_event (connection->bev, BEV_EVENT_TIMEOUT,
+                                 BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
+void
+marjoram_http_client_tick (marjoram_http_client *client)
+{
+  int64_t now = marjoram_clock_now (client->clock);
+  struct pool *pool;
+  struct pool *next;
+
+  give_up_connecting (client, now);
+  HASH_ITER (hh, client->pools, pool, next) { close_unused (pool, now); }
+}
+
+marjoram_http_client *
+marjoram_http_client_create (struct event_base *base,
+                             struct marjoram_clock *clock,
+                             const struct marjoram_http_client_ops *ops,
+                             void *context)
+{
+  marjoram_http_client *client = marjoram_alloc (sizeof *client);
+
+  client->base = base;
+  client->clock = clock;
+  client->ops = ops;
+  client->context = context;
+  return client;
+}
+
+void
+marjoram_http_client_destroy (marjoram_http_client *client)
+{
+  struct connection *connection;
+  struct connection *next_connection;
+  struct pool *pool;
+  struct pool *next_pool;
+
+  if (!client)
+    return;
+  HASH_ITER (hh, client->busy, connection, next_connection)
+  {
+    destroy (connection);
+  }
+  HASH_ITER (hh, client->pools, pool, next_pool)
+  {
+    while ((connection = TAILQ_FIRST (&pool->unused)))
+      destroy (connection);
+    HASH_DELETE (hh, client->pools, pool);
+    free (pool->address);
+    free (pool);
+  }
+  free (client);
+}
--- /dev/null
+++ b/src/http_server.c
@@ -0,0 +1,603 @@
+#include "http_server.h"
+
+#include "cleanup.h"
+#include "http_reader.h"
+#include "socket_option.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <uthash.h>
+
+enum
+{
+  BACKLOG = 1024, /* connections; a full queue costs its caller seconds */
+  /* Bytes kept of what a caller sends ahead of its answer.  */
+  READ_AHEAD = 64 * 1024,
+  /* Bytes that may wait for a caller that reads slowly.  */
+  OUTPUT_MAX = 16 * 1024 * 1024,
+  /* After our last byte, for the caller to read it: closing with unread bytes
+     resets the connection and may take the answer away.  */
+  LINGER_MS = 1000,
+  DEFAULT_HEAD_BYTES = 16 * 1024,
+  DEFAULT_BODY_BYTES = 4 * 1024 * 1024,
+  DEFAULT_HEAD_TIMEOUT_MS = 3000,
+  DEFAULT_IDLE_TIMEOUT_MS = 15000
+};
+
+enum state
+{
+  STATE_IDLE,    /* waits for a request's first byte */
+  STATE_READING, /* has part of a request */
+  STATE_BUSY,    /* a request waits for its answer */
+  STATE_CLOSING, /* the last answer is on its way out */
+  STATE_LINGER   /* our side is shut; waits for the caller to close */
+};
+
+struct connection
+{
+  TAILQ_ENTRY (connection) link;
+  marjoram_http_server *server;
+  struct bufferevent *bev;
+  marjoram_http_reader *reader;
+  enum state state;
+  int64_t since; /* when STATE began */
+  struct evbuffer *body;
+  struct marjoram_http_request *whole; /* read, not yet handed out */
+  int reject;                          /* status; 0 if none */
+  const char *reject_why;
+  uint64_t call; /* 0 unless busy */
+  bool keep_alive;
+  bool chunked_allowed;
+  bool head_only;
+  bool answer_chunked;
+  bool feeding;
+  UT_hash_handle hh;
+};
+
+struct marjoram_http_server
+{
+  struct event_base *base;
+  struct marjoram_clock *clock;
+  const struct marjoram_http_server_ops *ops;
+  void *context;
+  struct evconnlistener *listener;
+  struct marjoram_http_limits limits;
+  TAILQ_HEAD (, connection) connections;
+  size_t connection_count;
+  struct connection *busy; /* by call */
+  uint64_t next_call;
+  bool draining;
+};
+
+void
+marjoram_http_request_destroy (struct marjoram_http_request *request)
+{
+  if (!request)
+    return;
+  free (request->method);
+  free (request->target);
+  marjoram_header_list_clear (&request->headers);
+  marjoram_bytes_release (request->body);
+  free (request);
+}
+
+static void
+set_state (struct connection *connection, enum state state)
+{
+  connection->state = state;
+  connection->since = marjoram_clock_now (connection->server->clock);
+}
+
+static void
+forget_call (struct connection *connection)
+{
+  if (!connection->call)
+    return;
+  HASH_DELETE (hh, connection->server->busy, connection);
+  connection->call = 0;
+}
+
+static void
+destroy (struct connection *connection)
+{
+  marjoram_http_server *server = connection->server;
+  uint64_t call = connection->call;
+
+  forget_call (connection);
+  TAILQ_REMOVE (&server->connections, connection, link);
+  server->connection_count--;
+  bufferevent_free (connection->bev);
+  marjoram_http_reader_destroy (connection->reader);
+  marjoram_http_request_destroy (connection->whole);
+  evbuffer_free (connection->body);
+  free (connection);
+  if (call)
+    server->ops->gone (server->context, call);
+}
+
+/* ---- Reading a request.  ---- */
+
+static bool
+reject (struct connection *connection, int status, const char *why)
+{
+  connection->reject = status;
+  connection->reject_why = why;
+  return false;
+}
+
+/* A second length, or a length beside chunks, makes two readers see two
+   different requests: the second one would be smuggled past this host.  */
+static bool
+framing_is_plain (const struct marjoram_header_list *headers)
+{
+  size_t lengths = marjoram_header_list_times (headers, "Content-Length");
+  size_t codings = marjoram_header_list_times (headers, "Transfer-Encoding");
+  const char *coding = marjoram_header_list_get (headers, "Transfer-Encoding");
+
+  if (lengths + codings > 1)
+    return false;
+  return !coding || strcasecmp (coding, "chunked") == 0;
+}
+
+static bool
+on_head (void *context, bool *skip_body)
+{
+  struct connection *connection = context;
+  const struct http_parser *parser
+      = marjoram_http_reader_parser (connection->reader);
+  const struct marjoram_header_list *headers
+      = marjoram_http_reader_headers (connection->reader);
+
+  (void)skip_body;
+  if (parser->upgrade || parser->method == HTTP_CONNECT)
+    return reject (connection, 400, "upgrade");
+  if (!framing_is_plain (headers))
+    return reject (connection, 400, "framing");
+  if (parser->http_major != 1
+      || marjoram_header_list_times (headers, "Host") != 1)
+    return reject (connection, 400, "host");
+  if (parser->content_length != UINT64_MAX
+      && parser->content_length > connection->server->limits.body_bytes)
+    return reject (connection, 413, "body-size");
+  if (marjoram_header_list_has_word (headers, "Expect", "100-continue"))
+    evbuffer_add_printf (bufferevent_get_output (connection->bev),
+                         "HTTP/1.1 100 Continue\r\n\r\n");
+  return true;
+}
+
+static bool
+on_body (void *context, const char *data, size_t size)
+{
+  struct connection *connection = context;
+
+  if (evbuffer_get_length (connection->body) + size
+      > connection->server->limits.body_bytes)
+    return reject (connection, 413, "body-size");
+  evbuffer_add (connection->body, data, size);
+  return true;
+}
+
+static marjoram_bytes *
+take_body (struct connection *connection)
+{
+  size_t size = evbuffer_get_length (connection->body);
+  marjoram_bytes *body;
+
+  if (size == 0)
+    return NULL;
+  body = marjoram_bytes_create (evbuffer_pullup (connection->body, -1), size);
+  evbuffer_drain (connection->body, size);
+  return body;
+}
+
+static bool
+on_complete (void *context)
+{
+  struct connection *connection = context;
+  const struct http_parser *parser
+      = marjoram_http_reader_parser (connection->reader);
+  struct marjoram_http_request *request = marjoram_alloc (sizeof *request);
+
+  request->method
+      = marjoram_strdup (http_method_str ((enum http_method)parser->method));
+  request->target
+      = marjoram_strdup (marjoram_http_reader_target (connection->reader));
+  marjoram_header_list_move (
+      &request->headers, marjoram_http_reader_headers (connection->reader));
+  request->body = take_body (connection);
+  request->has_body
+      = marjoram_header_list_get (&request->headers, "Content-Length")
+        || marjoram_header_list_get (&request->headers, "Transfer-Encoding");
+  connection->keep_alive = http_should_keep_alive (parser);
+  connection->chunked_allowed = parser->http_minor >= 1;
+  connection->head_only = parser->method == HTTP_HEAD;
+  connection->whole = request;
+  return false;
+}
+
+static const struct marjoram_http_reader_ops reader_ops
+    = { .head = on_head, .body = on_body, .complete = on_complete };
+
+/* ---- Writing an answer.  ---- */
+
+static struct connection *
+find (marjoram_http_server *server, uint64_t call)
+{
+  struct connection *connection;
+
+  HASH_FIND (hh, server->busy, &call, sizeof call, connection);
+  return connection;
+}
+
+static const char *
+status_text (int status)
+{
+  const char *text = http_status_str ((enum http_status)status);
+
+  return strcmp (text, "<unknown>") == 0 ? "Answer" : text;
+}
+
+static bool
+has_no_body (const struct connection *connection, int status)
+{
+  return connection->head_only || status / 100 == 1 || status == 204
+         || status == 304;
+}
+
+static void
+write_framing (struct connection *connection, struct evbuffer *output,
+               int status, int64_t length)
+{
+  if (length >= 0)
+    evbuffer_add_printf (output, "Content-Length: %lld\r\n",
+                         (long long)length);
+  else if (has_no_body (connection, status))
+    return;
+  else if (connection->chunked_allowed)
+    {
+      evbuffer_add_printf (output, "Transfer-Encoding: chunked\r\n");
+      connection->answer_chunked = true;
+    }
+  else
+    connection->keep_alive = false;
+}
+
+void
+marjoram_http_server_head (marjoram_http_server *server, uint64_t call,
+                           int status,
+                           const struct marjoram_header_list *headers,
+                           int64_t length)
+{
+  struct connection *connection = find (server, call);
+  struct evbuffer *output;
+
+  if (!connection)
+    return;
+  output = bufferevent_get_output (connection->bev);
+  connection->answer_chunked = false;
+  evbuffer_add_printf (output, "HTTP/1.1 %d %s\r\n", status,
+                       status_text (status));
+  for (size_t i = 0; i < headers->count; i++)
+    evbuffer_add_printf (output, "%s: %s\r\n", headers->items[i].name,
+                         headers->items[i].value);
+  if (server->draining)
+    connection->keep_alive = false;
+  write_framing (connection, output, status, length);
+  if (!connection->keep_alive)
+    evbuffer_add_printf (output, "Connection: close\r\n");
+  evbuffer_add (output, "\r\n", 2);
+}
+
+void
+marjoram_http_server_data (marjoram_http_server *server, uint64_t call,
+                           const void *data, size_t size)
+{
+  struct connection *connection = find (server, call);
+  struct evbuffer *output;
+
+  if (!connection || size == 0 || connection->head_only)
+    return;
+  output = bufferevent_get_output (connection->bev);
+  if (connection->answer_chunked)
+    evbuffer_add_printf (output, "%zx\r\n", size);
+  evbuffer_add (output, data, size);
+  if (connection->answer_chunked)
+    evbuffer_add (output, "\r\n", 2);
+  if (evbuffer_get_length (output) > OUTPUT_MAX)
+    bufferevent_trigger_event (connection->bev, BEV_EVENT_ERROR,
+                               BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static void
+start_linger (struct connection *connection)
+{
+  shutdown (bufferevent_getfd (connection->bev), SHUT_WR);
+  set_state (connection, STATE_LINGER);
+}
+
+static void
+close_when_written (struct connection *connection)
+{
+  set_state (connection, STATE_CLOSING);
+  if (evbuffer_get_length (bufferevent_get_output (connection->bev)) == 0)
+    start_linger (connection);
+}
+
+static void process (struct connection *connection);
+
+static void
+next_request (struct connection *connection)
+{
+  set_state (connection, STATE_IDLE);
+  if (evbuffer_get_length (bufferevent_get_input (connection->bev)) > 0)
+    bufferevent_trigger (connection->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void
+marjoram_http_server_end (marjoram_http_server *server, uint64_t call)
+{
+  struct connection *connection = find (server, call);
+
+  if (!connection)
+    return;
+  if (connection->answer_chunked)
+    evbuffer_add (bufferevent_get_output (connection->bev), "0\r\n\r\n", 5);
+  forget_call (connection);
+  if (connection->keep_alive)
+    next_request (connection);
+  else
+    close_when_written (connection);
+}
+
+void
+marjoram_http_server_cut (marjoram_http_server *server, uint64_t call)
+{
+  struct connection *connection = find (server, call);
+
+  if (!connection)
+    return;
+  forget_call (connection);
+  /* What was passed on already is still delivered; the missing end tells the
+     caller that the answer is not whole.  */
+  close_when_written (connection);
+}
+
+/* ---- A connection's course.  ---- */
+
+static void
+write_rejection (struct connection *connection)
+{
+  marjoram_http_server *server = connection->server;
+  struct evbuffer *output = bufferevent_get_output (connection->bev);
+
+  evbuffer_add_printf (output,
+                       "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+                       "Connection: close\r\n\r\n",
+                       connection->reject, status_text (connection->reject));
+  server->ops->rejected (server->context, connection->reject,
+                         connection->reject_why);
+  close_when_written (connection);
+}
+
+static void
+hand_out (struct connection *connection)
+{
+  marjoram_http_server *server = connection->server;
+  struct marjoram_http_request *request = connection->whole;
+
+  connection->whole = NULL;
+  connection->call = ++server->next_call;
+  HASH_ADD (hh, server->busy, call, sizeof connection->call, connection);
+  set_state (connection, STATE_BUSY);
+  server->ops->request (server->context, connection->call, request);
+}
+
+static int
+rejection_status (enum marjoram_http_fault fault)
+{
+  return fault == MARJORAM_HTTP_HEAD_TOO_LARGE ? 431 : 400;
+}
+
+static void
+process (struct connection *connection)
+{
+  struct evbuffer *input = bufferevent_get_input (connection->bev);
+  enum marjoram_http_fault fault;
+
+  if (connection->state == STATE_LINGER || connection->state == STATE_CLOSING)
+    {
+      evbuffer_drain (input, evbuffer_get_length (input));
+      return;
+    }
+  if (connection->state == STATE_BUSY || evbuffer_get_length (input) == 0)
+    return;
+  if (connection->state == STATE_IDLE)
+    set_state (connection, STATE_READING);
+  fault = marjoram_http_reader_feed (connection->reader, input);
+  if (connection->whole)
+    hand_out (connection);
+  else if (connection->reject != 0)
+    write_rejection (connection);
+  else if (fault != MARJORAM_HTTP_FINE)
+    {
+      reject (connection, rejection_status (fault), "malformed");
+      write_rejection (connection);
+    }
+}
+
+static void
+on_read (struct bufferevent *bev, void *context)
+{
+  (void)bev;
+  process (context);
+}
+
+static void
+on_written (struct bufferevent *bev, void *context)
+{
+  struct connection *connection = context;
+
+  (void)bev;
+  if (connection->state == STATE_CLOSING)
+    start_linger (connection);
+}
+
+static void
+on_event (struct bufferevent *bev, short events, void *context)
+{
+  (void)bev;
+  if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    destroy (context);
+}
+
+static void
+on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+           struct sockaddr *address, int size, void *context)
+{
+  marjoram_http_server *server = context;
+  struct connection *connection = marjoram_alloc (sizeof *connection);
+
+  (void)listener;
+  (void)address;
+  (void)size;
+  marjoram_socket_tune (fd);
+  connection->server = server;
+  connection->body = evbuffer_new ();
+  connection->reader
+      = marjoram_http_reader_create (HTTP_REQUEST, &reader_ops, connection);
+  marjoram_http_reader_set_limit (connection->reader,
+                                  server->limits.head_bytes);
+  connection->bev
+      = bufferevent_socket_new (server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (connection->bev, on_read, on_written, on_event,
+                     connection);
+  bufferevent_setwatermark (connection->bev, EV_READ, 0, READ_AHEAD);
+  bufferevent_enable (connection->bev, EV_READ | EV_WRITE);
+  set_state (connection, STATE_IDLE);
+  TAILQ_INSERT_TAIL (&server->connections, connection, link);
+  server->connection_count++;
+}
+
+/* ---- The task.  ---- */
+
+marjoram_http_server *
+marjoram_http_server_create (struct event_base *base,
+                             struct marjoram_clock *clock, const char *address,
+                             const struct marjoram_http_server_ops *ops,
+                             void *context, struct marjoram_error *err)
+{
+  marjoram_http_server *server = marjoram_alloc (sizeof *server);
+
+  server->base = base;
+  server->clock = clock;
+  server->ops = ops;
+  server->context = context;
+  server->limits
+      = (struct marjoram_http_limits){ DEFAULT_HEAD_BYTES, DEFAULT_BODY_BYTES,
+                                       DEFAULT_HEAD_TIMEOUT_MS,
+                                       DEFAULT_IDLE_TIMEOUT_MS };
+  TAILQ_INIT (&server->connections);
+  server->listener = marjoram_socket_listen (base, address, BACKLOG, on_accept,
+                                             server, err);
+  if (server->listener)
+    return server;
+  free (server);
+  return NULL;
+}
+
+void
+marjoram_http_server_destroy (marjoram_http_server *server)
+{
+  struct connection *connection;
+
+  if (!server)
+    return;
+  while ((connection = TAILQ_FIRST (&server->connections)))
+    {
+      forget_call (connection);
+      destroy (connection);
+    }
+  if (server->listener)
+    evconnlistener_free (server->listener);
+  free (server);
+}
+
+void
+marjoram_http_server_set_limits (marjoram_http_server *server,
+                                 const struct marjoram_http_limits *limits)
+{
+  struct connection *connection;
+
+  server->limits = *limits;
+  TAILQ_FOREACH (connection, &server->connections, link)
+  marjoram_http_reader_set_limit (connection->reader, limits->head_bytes);
+}
+
+void
+marjoram_http_server_drain (marjoram_http_server *server)
+{
+  server->draining = true;
+}
+
+void
+marjoram_http_server_close_idle (marjoram_http_server *server)
+{
+  struct connection *connection;
+  struct connection *next;
+
+  if (server->listener)
+    evconnlistener_free (server->listener);
+  server->listener = NULL;
+  for (connection = TAILQ_FIRST (&server->connections); connection;
+       connection = next)
+    {
+      next = TAILQ_NEXT (connection, link);
+      if (connection->state == STATE_IDLE)
+        close_when_written (connection);
+    }
+}
+
+static void
+check_time (struct connection *connection, int64_t now)
+{
+  const struct marjoram_http_limits *limits = &connection->server->limits;
+  int64_t age = now - connection->since;
+
+  if (connection->state == STATE_READING && age > limits->head_timeout_ms)
+    {
+      reject (connection, 408, "slow-sender");
+      write_rejection (connection);
+    }
+  else if (connection->state == STATE_IDLE && age > limits->idle_timeout_ms)
+    close_when_written (connection);
+  else if ((connection->state == STATE_LINGER
+            || connection->state == STATE_CLOSING)
+           && age > LINGER_MS)
+    destroy (connection);
+}
+
+void
+marjoram_http_server_tick (marjoram_http_server *server)
+{
+  int64_t now = marjoram_clock_now (server->clock);
+  struct connection *connection;
+  struct connection *next;
+
+  for (connection = TAILQ_FIRST (&server->connections); connection;
+       connection = next)
+    {
+      next = TAILQ_NEXT (connection, link);
+      check_time (connection, now);
+    }
+}
+
+size_t
+marjoram_http_server_connections (const marjoram_http_server *server)
+{
+  return server->connection_count;
+}
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -35,6 +35,23 @@
     }
 }
 
+void
+marjoram_keeper_answer_reads (marjoram_keeper *keeper)
+{
+  const struct marjoram_apply_answer what
+      = { .outcome = MARJORAM_APPLY_DECIDED, .message = "confirmed" };
+  struct marjoram_keeper_request *request = TAILQ_FIRST (&keeper->requests);
+
+  while (request)
+    {
+      struct marjoram_keeper_request *next = TAILQ_NEXT (request, link);
+
+      if (request->read && request->asked)
+        answer (keeper, request, &what);
+      request = next;
+    }
+}
+
 static void
 handle (marjoram_keeper *keeper,
         const struct marjoram_keeper_envelope *envelope)
@@ -80,7 +97,8 @@
   const struct marjoram_keeper_request *request;
 
   TAILQ_FOREACH (request, &keeper->requests, link)
-  if (request->file.name || marjoram_keeper_ready_store (keeper, request)
+  if (request->read || request->file.name
+      || marjoram_keeper_ready_store (keeper, request)
       || (keeper->chosen
           && marjoram_value_state (keeper->chosen)->next_members.count > 0))
     return true;
@@ -240,6 +258,14 @@
   settle (keeper);
 }
 
+void
+marjoram_keeper_read (marjoram_keeper *keeper, int64_t now, uint64_t request)
+{
+  keeper->now = now;
+  marjoram_keeper_requests_add_read (&keeper->requests, request, now);
+  settle (keeper);
+}
+
 /* States are large and come several times; one that is held is not unpacked
    again.  */
 static marjoram_value *
@@ -342,10 +368,15 @@
   keeper->now = now;
   keeper->writing = false;
   if (ok)
-    keeper->durable = ticket;
+    {
+      /* The record holds all of the memory, what failed before included.  */
+      keeper->durable = ticket;
+      keeper->broken = false;
+    }
   else
     {
       keeper->broken = true;
+      keeper->rewrite_at = now + MARJORAM_KEEPER_REWRITE_MS;
       marjoram_keeper_envelopes_clear (&keeper->replies);
     }
   while (!STAILQ_EMPTY (&keeper->replies)
@@ -504,6 +535,25 @@
   return NULL;
 }
 
+const struct marjoram_state *
+marjoram_keeper_chosen (const marjoram_keeper *keeper)
+{
+  return keeper->chosen ? marjoram_value_state (keeper->chosen) : NULL;
+}
+
+const char *
+marjoram_keeper_heard_store (const marjoram_keeper *keeper, const char *slot,
+                             int64_t age_ms)
+{
+  const struct marjoram_keeper_peer *peer;
+
+  if (strcmp (slot, keeper->slot) == 0)
+    return keeper->store_id;
+  peer = marjoram_keeper_peers_slot (&keeper->peers, slot,
+                                     keeper->now - age_ms);
+  return peer ? peer->seen.store_id : NULL;
+}
+
 static bool
 is_member (const marjoram_keeper *keeper)
 {
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -77,6 +77,10 @@
 void marjoram_keeper_replace (marjoram_keeper *keeper, int64_t now,
                               uint64_t request, const char *change_id,
                               const char *old, const char *new);
+/* Answered DECIDED once a majority has confirmed, after this call, that
+   marjoram_keeper_chosen is the newest state; NOT_RUN if none did in time.  */
+void marjoram_keeper_read (marjoram_keeper *keeper, int64_t now,
+                           uint64_t request);
 void marjoram_keeper_receive (marjoram_keeper *keeper, int64_t now,
                               const char *from,
                               const struct marjoram_keeper_message *message);
@@ -90,6 +94,14 @@
 /* The highest state known to be chosen and on this disk; null before any.  */
 const struct marjoram_state *
 marjoram_keeper_state (const marjoram_keeper *keeper);
+/* The highest state known to be chosen, on this disk or not; null before
+   any.  */
+const struct marjoram_state *
+marjoram_keeper_chosen (const marjoram_keeper *keeper);
+/* The id of the store that was heard in SLOT in the last AGE_MS; null if none
+   was.  */
+const char *marjoram_keeper_heard_store (const marjoram_keeper *keeper,
+                                         const char *slot, int64_t age_ms);
 /* Whether this keeper's store is a member with a vote, for status.  */
 bool marjoram_keeper_votes (const marjoram_keeper *keeper);
 /* Why it has no vote, and the remedy, for status; null if it has one.  */
--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -34,7 +34,8 @@
 void
 marjoram_keeper_flush (marjoram_keeper *keeper)
 {
-  if (keeper->writing || keeper->broken || keeper->sequence == keeper->durable)
+  if (keeper->writing || keeper->sequence == keeper->durable
+      || (keeper->broken && keeper->now < keeper->rewrite_at))
     return;
   keeper->writing = true;
   keeper->ops->persist (keeper->context, keeper->sequence,
--- /dev/null
+++ b/src/keeper_care.h
@@ -0,0 +1,28 @@
+/* Keeps the keepers whole without an operator: a member whose disk was lost
+   gets its new store admitted, a member that stays silent is replaced by a
+   keeper that is no member.  Decides only when to ask for a replacement; the
+   register's rules decide whether it is safe.  */
+#ifndef MARJORAM_KEEPER_CARE_H
+#define MARJORAM_KEEPER_CARE_H
+
+#include "host_list.h"
+#include "keeper.h"
+
+typedef struct marjoram_keeper_care marjoram_keeper_care;
+
+struct marjoram_keeper_change
+{
+  char change_id[MARJORAM_NAME_MAX];
+  char old[MARJORAM_NAME_MAX];
+  char new[MARJORAM_NAME_MAX];
+};
+
+marjoram_keeper_care *marjoram_keeper_care_create (const char *slot);
+void marjoram_keeper_care_destroy (marjoram_keeper_care *care);
+/* Whether CHANGE is to be asked for now.  At least every 200 ms.  */
+bool marjoram_keeper_care_tick (marjoram_keeper_care *care, int64_t now,
+                                const marjoram_keeper *keeper,
+                                marjoram_host_list *hosts,
+                                struct marjoram_keeper_change *change);
+
+#endif
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -24,6 +24,8 @@
   MARJORAM_KEEPER_SETTLE_MS = 1000,
   MARJORAM_KEEPER_SETTLE_SPREAD_MS = 2000,
   MARJORAM_KEEPER_BATCH_MAX = 64,
+  /* A disk that was full, or refused a write, may take the next one.  */
+  MARJORAM_KEEPER_REWRITE_MS = 500,
   MARJORAM_KEEPER_TARGETS_MAX = 64
 };
 
@@ -65,11 +67,12 @@
   uint64_t sequence; /* of the last change in memory */
   uint64_t durable;  /* of the last change on disk */
   bool writing;
-  bool broken;    /* a write failed: memory is ahead of the disk */
-  bool barred;    /* the store was restored from an older copy */
-  bool met;       /* a majority knows this life of the store */
-  int64_t met_by; /* when fewer will do; 0 before the first event */
-  bool formed;    /* somewhere a change was chosen */
+  bool broken;        /* a write failed: memory is ahead of the disk */
+  int64_t rewrite_at; /* when the failed write is tried again */
+  bool barred;        /* the store was restored from an older copy */
+  bool met;           /* a majority knows this life of the store */
+  int64_t met_by;     /* when fewer will do; 0 before the first event */
+  bool formed;        /* somewhere a change was chosen */
 
   struct marjoram_keeper_peers peers;
   struct marjoram_keeper_requests requests;
@@ -126,6 +129,9 @@
 bool marjoram_keeper_may_form (const marjoram_keeper *keeper);
 void marjoram_keeper_answer_decided (marjoram_keeper *keeper);
 
+/* A majority has confirmed the chosen state: answers the reads that came
+   before the attempt that did so.  */
+void marjoram_keeper_answer_reads (marjoram_keeper *keeper);
 void marjoram_keeper_start_attempt (marjoram_keeper *keeper);
 void marjoram_keeper_fail_attempt (marjoram_keeper *keeper);
 /* Asks each target that has not answered in this phase.  */
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -32,8 +32,12 @@
       = { ++keeper->round, keeper->incarnation,
           XXH3_64bits (keeper->store_id, strlen (keeper->store_id)) };
 
+  struct marjoram_keeper_request *request;
+
   marjoram_attempt_start (&keeper->attempt, &ballot);
   keeper->started_at = keeper->now;
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  request->asked = request->read;
   marjoram_keeper_ask_phase (keeper);
 }
 
@@ -127,6 +131,8 @@
   {
     const char *store_id = NULL;
 
+    if (request->read)
+      continue;
     if (!request->file.name)
       {
         if (count > 0)
@@ -200,6 +206,7 @@
   marjoram_value_release (value);
   marjoram_attempt_stop (attempt);
   keeper->retry_at = keeper->now + MARJORAM_KEEPER_BACKOFF_MS;
+  marjoram_keeper_answer_reads (keeper);
 }
 
 /* The others are told first: they are named by values that learning may
@@ -222,6 +229,7 @@
   keeper->failures = 0;
   marjoram_keeper_learn (keeper, &ballot, value);
   marjoram_value_release (value);
+  marjoram_keeper_answer_reads (keeper);
 }
 
 static bool
--- a/src/keeper_request.c
+++ b/src/keeper_request.c
@@ -45,6 +45,16 @@
   request->new = marjoram_strdup (new);
 }
 
+void
+marjoram_keeper_requests_add_read (struct marjoram_keeper_requests *requests,
+                                   uint64_t id, int64_t now)
+{
+  struct marjoram_keeper_request *request = add (requests, id, "", now);
+
+  request->deadline = now + MARJORAM_KEEPER_READ_MS;
+  request->read = true;
+}
+
 static void
 free_request (struct marjoram_keeper_request *request)
 {
@@ -129,7 +139,7 @@
   const struct marjoram_change *change
       = marjoram_state_change (state, request->change_id);
 
-  if (!change)
+  if (!change || request->read)
     return false;
   if (!request->file.name && state->next_members.count > 0)
     return false;
--- a/src/keeper_request.h
+++ b/src/keeper_request.h
@@ -11,6 +11,8 @@
 {
   MARJORAM_ANSWER_TEXT_MAX = 512,
   MARJORAM_KEEPER_APPLY_MS = 10000,
+  /* Two rounds through the farthest keepers, and a disk's sync in each.  */
+  MARJORAM_KEEPER_READ_MS = 900,
   MARJORAM_KEEPER_REPLACE_MS = 20000
 };
 
@@ -24,7 +26,9 @@
   char *new;
   int64_t received_at;
   int64_t deadline;
-  bool sent; /* part of a value that was sent out: may be chosen yet */
+  bool sent;  /* part of a value that was sent out: may be chosen yet */
+  bool read;  /* asks for the newest state; no file, no replacement */
+  bool asked; /* READ: the attempt under way began after it came */
 };
 
 TAILQ_HEAD (marjoram_keeper_requests, marjoram_keeper_request);
@@ -33,6 +37,9 @@
 void marjoram_keeper_requests_add_file (
     struct marjoram_keeper_requests *requests, uint64_t request,
     const char *change_id, const struct marjoram_file *file, int64_t now);
+void
+marjoram_keeper_requests_add_read (struct marjoram_keeper_requests *requests,
+                                   uint64_t request, int64_t now);
 void marjoram_keeper_requests_add_replace (
     struct marjoram_keeper_requests *requests, uint64_t request,
     const char *change_id, const char *old, const char *new, int64_t now);
--- /dev/null
+++ b/src/keeper_role.c
@@ -0,0 +1,474 @@
+/* The role of a keeper: agrees on the configuration with the other keepers,
+   hears upstreams and operators, tells all hosts.  */
+#include "role.h"
+
+#include "cleanup.h"
+#include "disk.h"
+#include "event_log.h"
+#include "keeper_care.h"
+#include "registrar.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <string.h>
+
+enum
+{
+  /* A host that says it lacks the state is sent it again after this long.  */
+  GIVE_AGAIN_MS = 1000,
+  CARE_EVERY_MS = 200,
+  TICK_KEEPER_MS = 100,
+  /* After the signal to stop, for answers to leave the sockets.  */
+  LINGER_MS = 300,
+  STATUS_OK = 200,
+  STATUS_UNAVAILABLE = 503
+};
+
+/* Requests of the caretaker have numbers that the registrar never uses.  */
+#define CARE_REQUEST UINT64_MAX
+
+struct keeper_role
+{
+  struct marjoram_role role;
+  const struct marjoram_role_parts *parts;
+  marjoram_registry *registry;
+  marjoram_registrar *registrar;
+  marjoram_random *random;
+  marjoram_disk *disk;
+  marjoram_keeper *keeper;
+  marjoram_keeper_care *care;
+  int64_t cared_at;
+  int64_t ticked_at;
+  int64_t given_at;
+  int64_t stopped_at;
+};
+
+static int64_t
+now_of (const struct keeper_role *self)
+{
+  return marjoram_clock_now (self->parts->clock);
+}
+
+/* ---- The keeper's operations.  ---- */
+
+static void
+op_send (void *context, const char *slot,
+         const struct marjoram_keeper_message *message)
+{
+  struct keeper_role *self = context;
+
+  marjoram_host_links_send (self->parts->links, slot, MARJORAM_FRAME_KEEPER,
+                            message);
+}
+
+static void
+op_persist (void *context, uint64_t ticket, marjoram_bytes *record)
+{
+  struct keeper_role *self = context;
+
+  marjoram_disk_write (self->disk, ticket, record);
+}
+
+static marjoram_bytes *
+pack_state (const struct marjoram_state *state)
+{
+  struct marjoram_state *copy = marjoram_state_copy (state);
+  marjoram_bytes *packed;
+
+  marjoram_state_forget_changes (copy);
+  packed = marjoram_wire_pack (&marjoram_state_layout, copy);
+  marjoram_state_destroy (copy);
+  return packed;
+}
+
+static void
+op_chosen (void *context, const struct marjoram_state *state)
+{
+  struct keeper_role *self = context;
+  struct marjoram_config_give give = { pack_state (state) };
+  const struct marjoram_file *routes
+      = marjoram_state_file (state, MARJORAM_FILE_ROUTES);
+
+  marjoram_event (MARJORAM_EVENT_CONFIG,
+                  "state=chosen number=%" PRIu64 " version=%" PRIu64
+                  " members=%zu changing=%d",
+                  state->number, routes ? routes->version : 0,
+                  state->members.count, state->next_members.count > 0);
+  marjoram_host_links_tell (self->parts->links, MARJORAM_FRAME_CONFIG_GIVE,
+                            &give);
+  marjoram_bytes_release (give.state);
+}
+
+static void
+op_answered (void *context, uint64_t request,
+             const struct marjoram_apply_answer *answer)
+{
+  struct keeper_role *self = context;
+
+  if (request != CARE_REQUEST)
+    {
+      marjoram_registrar_decided (self->registrar, now_of (self), request,
+                                  answer);
+      return;
+    }
+  marjoram_event (MARJORAM_EVENT_KEEPER,
+                  "state=replaced outcome=%d result=%d why=\"%s\"",
+                  (int)answer->outcome, (int)answer->result,
+                  answer->message ? answer->message : "");
+}
+
+/* What operators send is checked before it is proposed.  */
+static bool
+op_valid (void *context, const struct marjoram_state *state,
+          struct marjoram_error *err)
+{
+  (void)context;
+  (void)state;
+  (void)err;
+  return true;
+}
+
+static const struct marjoram_keeper_ops keeper_ops = {
+  .send = op_send,
+  .persist = op_persist,
+  .chosen = op_chosen,
+  .answered = op_answered,
+  .valid = op_valid,
+};
+
+static void
+on_written (void *context, uint64_t ticket, bool ok)
+{
+  struct keeper_role *self = context;
+
+  if (!ok)
+    marjoram_event (MARJORAM_EVENT_KEEPER, "state=disk-failed ticket=%" PRIu64,
+                    ticket);
+  marjoram_keeper_persisted (self->keeper, now_of (self), ticket, ok);
+}
+
+static const struct marjoram_disk_ops disk_ops = { .written = on_written };
+
+/* ---- The registrar's operations.  ---- */
+
+static void
+reg_answer (void *context, uint64_t ask, int status, const char *body,
+            size_t size)
+{
+  struct keeper_role *self = context;
+
+  marjoram_ask_server_answer (self->parts->asks, ask, status,
+                              "application/json", body, size);
+}
+
+static size_t
+reg_tell (void *context, const struct marjoram_news_batch *batch)
+{
+  struct keeper_role *self = context;
+
+  return marjoram_host_links_tell (self->parts->links, MARJORAM_FRAME_NEWS,
+                                   batch);
+}
+
+static void
+reg_apply (void *context, uint64_t request, const char *change_id,
+           const struct marjoram_file *file)
+{
+  struct keeper_role *self = context;
+
+  marjoram_keeper_apply (self->keeper, now_of (self), request, change_id,
+                         file);
+}
+
+static void
+reg_read (void *context, uint64_t request)
+{
+  struct keeper_role *self = context;
+
+  marjoram_keeper_read (self->keeper, now_of (self), request);
+}
+
+static const struct marjoram_state *
+reg_state (void *context)
+{
+  struct keeper_role *self = context;
+
+  return marjoram_keeper_chosen (self->keeper);
+}
+
+static const struct marjoram_registrar_ops registrar_ops = {
+  .answer = reg_answer,
+  .tell = reg_tell,
+  .apply = reg_apply,
+  .read = reg_read,
+  .state = reg_state,
+};
+
+static bool
+knows_zone (void *context, const char *zone)
+{
+  struct keeper_role *self = context;
+
+  return marjoram_gateway_settings_region (self->parts->settings, zone)
+         != NULL;
+}
+
+/* ---- The role's operations.  ---- */
+
+static struct keeper_role *
+self_of (struct marjoram_role *role)
+{
+  return (struct keeper_role *)role;
+}
+
+static void
+give_state (struct keeper_role *self, const char *host, uint64_t session)
+{
+  const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
+  struct marjoram_config_give give;
+
+  if (!state)
+    return;
+  give.state = pack_state (state);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_CONFIG_GIVE, &give);
+  marjoram_bytes_release (give.state);
+}
+
+static void
+give_news (struct keeper_role *self, const char *host, uint64_t session)
+{
+  struct marjoram_news_batch batch;
+
+  marjoram_registrar_all (self->registrar, now_of (self), &batch);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_NEWS, &batch);
+  free (batch.items.items);
+}
+
+static void
+role_beat (struct marjoram_role *role, const char *host, uint64_t session,
+           bool first, const struct marjoram_host_beat *beat)
+{
+  struct keeper_role *self = self_of (role);
+  const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
+  int64_t now = now_of (self);
+
+  if (beat->config_number > 0)
+    marjoram_keeper_heard (self->keeper, beat->config_number);
+  if (first)
+    give_news (self, host, session);
+  if (beat->keeper || !state || beat->config_number >= state->number)
+    return;
+  if (!first && now < self->given_at + GIVE_AGAIN_MS)
+    return;
+  self->given_at = now;
+  give_state (self, host, session);
+}
+
+static void
+role_frame (struct marjoram_role *role, const char *host, uint64_t session,
+            enum marjoram_frame_type type, void *message)
+{
+  struct keeper_role *self = self_of (role);
+  const struct marjoram_news_batch *batch = message;
+  const struct marjoram_news_seen *seen = message;
+  int64_t now = now_of (self);
+
+  if (type == MARJORAM_FRAME_KEEPER)
+    marjoram_keeper_receive (self->keeper, now, host, message);
+  else if (type == MARJORAM_FRAME_NEWS)
+    {
+      marjoram_registrar_hear (self->registrar, now, batch);
+      if (batch->ticket)
+        {
+          const struct marjoram_news_seen reply = { batch->ticket };
+
+          marjoram_host_links_reply (self->parts->links, host, session,
+                                     MARJORAM_FRAME_NEWS_SEEN, &reply);
+        }
+    }
+  else if (type == MARJORAM_FRAME_NEWS_SEEN)
+    marjoram_registrar_seen (self->registrar, seen->ticket);
+  marjoram_wire_destroy (marjoram_frame_layout (type), message);
+}
+
+static void
+role_session_closed (struct marjoram_role *role, const char *host,
+                     uint64_t session)
+{
+  (void)role;
+  (void)host;
+  (void)session;
+}
+
+static void
+role_link_lost (struct marjoram_role *role, const char *host)
+{
+  (void)role;
+  (void)host;
+}
+
+static void
+role_fill_beat (struct marjoram_role *role, struct marjoram_host_beat *beat)
+{
+  struct keeper_role *self = self_of (role);
+  const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
+
+  beat->ready = self->stopped_at == 0;
+  beat->leaving = self->stopped_at != 0;
+  beat->config_number = state ? state->number : 0;
+}
+
+static void
+role_ask (struct marjoram_role *role, uint64_t ask, const char *method,
+          const char *target, const char *body, size_t size)
+{
+  struct keeper_role *self = self_of (role);
+
+  if (self->stopped_at)
+    reg_answer (self, ask, STATUS_UNAVAILABLE, NULL, 0);
+  else
+    marjoram_registrar_receive (self->registrar, now_of (self), ask, method,
+                                target, body, size);
+}
+
+static void
+role_reload (struct marjoram_role *role)
+{
+  (void)role;
+}
+
+static void
+take_care (struct keeper_role *self, int64_t now)
+{
+  struct marjoram_keeper_change change;
+
+  if (now < self->cared_at + CARE_EVERY_MS)
+    return;
+  self->cared_at = now;
+  if (!marjoram_keeper_care_tick (self->care, now, self->keeper,
+                                  self->parts->hosts, &change))
+    return;
+  marjoram_event (MARJORAM_EVENT_KEEPER, "state=replacing old=%s new=%s id=%s",
+                  change.old, change.new, change.change_id);
+  marjoram_keeper_replace (self->keeper, now, CARE_REQUEST, change.change_id,
+                           change.old, change.new);
+}
+
+static void
+role_tick (struct marjoram_role *role, int64_t now)
+{
+  struct keeper_role *self = self_of (role);
+
+  if (now < self->ticked_at + TICK_KEEPER_MS / 2)
+    return;
+  self->ticked_at = now;
+  marjoram_keeper_tick (self->keeper, now);
+  marjoram_registrar_tick (self->registrar, now);
+  marjoram_registry_tick (self->registry, now);
+  take_care (self, now);
+}
+
+static void
+role_stop (struct marjoram_role *role, int64_t now)
+{
+  self_of (role)->stopped_at = now;
+}
+
+static bool
+role_finished (struct marjoram_role *role, int64_t now)
+{
+  return now >= self_of (role)->stopped_at + LINGER_MS;
+}
+
+static void
+role_destroy (struct marjoram_role *role)
+{
+  struct keeper_role *self = self_of (role);
+
+  marjoram_keeper_destroy (self->keeper);
+  marjoram_disk_destroy (self->disk);
+  marjoram_registrar_destroy (self->registrar);
+  marjoram_registry_destroy (self->registry);
+  marjoram_keeper_care_destroy (self->care);
+  marjoram_random_destroy (self->random);
+  free (self);
+}
+
+static const struct marjoram_role_ops role_ops = {
+  .frame = role_frame,
+  .beat = role_beat,
+  .session_closed = role_session_closed,
+  .link_lost = role_link_lost,
+  .fill_beat = role_fill_beat,
+  .ask = role_ask,
+  .reload = role_reload,
+  .tick = role_tick,
+  .stop = role_stop,
+  .finished = role_finished,
+  .destroy = role_destroy,
+};
+
+static bool
+create_keeper (struct keeper_role *self, struct marjoram_error *err)
+{
+  const struct marjoram_gateway_settings *settings = self->parts->settings;
+  struct marjoram_keeper_options options = { 0 };
+
+  self->disk = marjoram_disk_create (self->parts->base, settings->data_folder,
+                                     &disk_ops, self, err);
+  if (!self->disk)
+    return false;
+  options.slot = settings->ip;
+  options.store_id = marjoram_disk_id (self->disk);
+  options.incarnation = marjoram_disk_incarnation (self->disk);
+  options.record = marjoram_disk_read (self->disk);
+  /* A keeper that starts empty later on must not help to form a second first
+     state beside the one that the others hold.  */
+  if (settings->first_start)
+    {
+      options.first = (const char *const *)settings->seeds;
+      options.first_count = settings->seed_count;
+    }
+  self->keeper = marjoram_keeper_create (&options, &keeper_ops, self,
+                                         self->random, err);
+  marjoram_bytes_release (options.record);
+  return self->keeper != NULL;
+}
+
+static void
+create_registrar (struct keeper_role *self)
+{
+  const struct marjoram_registrar_options options = {
+    .dialect = self->parts->dialect,
+    .registry = self->registry,
+    .hosts = self->parts->hosts,
+    .metrics = self->parts->metrics,
+    .lookup_valid_s = self->parts->settings->lookup_valid_s,
+    .knows_zone = knows_zone,
+    .context = self,
+  };
+
+  self->registrar = marjoram_registrar_create (&options, &registrar_ops, self);
+}
+
+struct marjoram_role *
+marjoram_keeper_role_create (const struct marjoram_role_parts *parts,
+                             struct marjoram_error *err)
+{
+  struct keeper_role *self = marjoram_alloc (sizeof *self);
+  uint64_t seed;
+
+  randombytes_buf (&seed, sizeof seed);
+  self->role.ops = &role_ops;
+  self->parts = parts;
+  self->random = marjoram_random_create (seed);
+  self->registry = marjoram_registry_create ();
+  self->care = marjoram_keeper_care_create (parts->settings->ip);
+  create_registrar (self);
+  if (create_keeper (self, err))
+    return &self->role;
+  role_destroy (&self->role);
+  return NULL;
+}
--- a/src/main_marjoramd.c
+++ b/src/main_marjoramd.c
@@ -1,5 +1,7 @@
 /* marjoramd: options only; the work is the library's.  */
 #include "daemon.h"
+#include "gateway_daemon.h"
+#include "platform.h"
 
 #include <getopt.h>
 #include <stdio.h>
@@ -46,6 +48,46 @@
   return finished ? EXIT_DONE : EXIT_CUT;
 }
 
+static int
+run_gateway (struct marjoram_gateway_settings *settings, const char *path)
+{
+  struct marjoram_error err = { 0 };
+  marjoram_gateway_daemon *daemon = marjoram_gateway_daemon_create (
+      settings, path, marjoram_platform_dialect (), &err);
+  bool finished;
+
+  if (!daemon)
+    {
+      fprintf (stderr, "marjoramd: %s\n", err.message);
+      return EXIT_REFUSED;
+    }
+  finished = marjoram_gateway_daemon_run (daemon);
+  marjoram_gateway_daemon_destroy (daemon);
+  return finished ? EXIT_DONE : EXIT_CUT;
+}
+
+/* The roles entry and keeper of the gateway have settings of their own.  */
+static int
+load_gateway (const char *path, bool check_only)
+{
+  struct marjoram_error err = { 0 };
+  char *faults = NULL;
+  struct marjoram_gateway_settings *settings
+      = marjoram_gateway_settings_load (path, &faults, &err);
+
+  if (!settings)
+    {
+      fprintf (stderr, "%s\n", faults ? faults : err.message);
+      free (faults);
+      return EXIT_REFUSED;
+    }
+  if (!check_only)
+    return run_gateway (settings, path);
+  printf ("%s: no fault found\n", path);
+  marjoram_gateway_settings_destroy (settings);
+  return EXIT_DONE;
+}
+
 static int
 load_and_run (const char *path, bool check_only)
 {
@@ -106,5 +148,7 @@
       fputs (usage, stderr);
       return EXIT_USAGE;
     }
+  if (marjoram_gateway_settings_is (path))
+    return load_gateway (path, check_only);
   return load_and_run (path, check_only);
 }
--- /dev/null
+++ b/src/metrics.c
@@ -0,0 +1,152 @@
+#include "metrics.h"
+
+#include "cleanup.h"
+
+#include <gsl/gsl_histogram.h>
+#include <inttypes.h>
+#include <stdio.h>
+
+/* Upper limits of the buckets, ms: a factor of about 1.5 apart from below the
+   shortest objective in use to above the longest deadline.  */
+static const double limits[]
+    = { 0,   1,   2,    5,    10,   20,   50,   75,   100,   150,   200, 300,
+        500, 750, 1000, 1500, 2000, 3000, 5000, 7500, 10000, 15000, 1e9 };
+
+enum
+{
+  LIMITS = sizeof limits / sizeof *limits
+};
+
+struct marjoram_metrics
+{
+  uint64_t values[MARJORAM_METRIC_COUNT];
+  uint64_t refused[MARJORAM_REASON_COUNT];
+  gsl_histogram *times[MARJORAM_TIMING_COUNT];
+  double sums[MARJORAM_TIMING_COUNT];
+};
+
+static const char *const names[MARJORAM_METRIC_COUNT] = {
+  [MARJORAM_METRIC_REQUESTS] = "gateway_requests",
+  [MARJORAM_METRIC_ANSWERED] = "gateway_answered",
+  [MARJORAM_METRIC_NOT_RUN] = "gateway_not_run",
+  [MARJORAM_METRIC_UNKNOWN] = "gateway_unknown",
+  [MARJORAM_METRIC_CALLER_LEFT] = "gateway_caller_left",
+  [MARJORAM_METRIC_ATTEMPTS] = "gateway_attempts",
+  [MARJORAM_METRIC_REPEATS] = "gateway_repeats",
+  [MARJORAM_METRIC_RESUMED] = "gateway_resumed",
+  [MARJORAM_METRIC_FORWARDED_OUT] = "gateway_forwarded_out",
+  [MARJORAM_METRIC_FORWARDED_IN] = "gateway_forwarded_in",
+  [MARJORAM_METRIC_STRAY_ANSWERS] = "gateway_stray_answers",
+  [MARJORAM_METRIC_REJECTED_INPUT] = "rejected_input",
+  [MARJORAM_METRIC_NEWS] = "upstream_news",
+  [MARJORAM_METRIC_NEWS_STALE] = "upstream_news_stale",
+  [MARJORAM_METRIC_LOOKUPS] = "lookups",
+  [MARJORAM_METRIC_CONFIGS] = "configs",
+  [MARJORAM_METRIC_EVACUATIONS] = "evacuations",
+  [MARJORAM_METRIC_UPSTREAMS_LOST] = "upstreams_lost",
+  [MARJORAM_METRIC_LINKS_LOST] = "links_lost",
+};
+
+static const char *const timing_names[MARJORAM_TIMING_COUNT] = {
+  [MARJORAM_TIMING_FIRST] = "first_answer_ms",
+  [MARJORAM_TIMING_WHOLE] = "whole_answer_ms",
+  [MARJORAM_TIMING_ESTIMATE] = "estimate_error_ms",
+};
+
+marjoram_metrics *
+marjoram_metrics_create (void)
+{
+  marjoram_metrics *metrics = marjoram_alloc (sizeof *metrics);
+
+  for (int i = 0; i < MARJORAM_TIMING_COUNT; i++)
+    {
+      metrics->times[i] = gsl_histogram_alloc (LIMITS - 1);
+      gsl_histogram_set_ranges (metrics->times[i], limits, LIMITS);
+    }
+  return metrics;
+}
+
+void
+marjoram_metrics_destroy (marjoram_metrics *metrics)
+{
+  if (!metrics)
+    return;
+  for (int i = 0; i < MARJORAM_TIMING_COUNT; i++)
+    gsl_histogram_free (metrics->times[i]);
+  free (metrics);
+}
+
+void
+marjoram_metrics_add (marjoram_metrics *metrics, enum marjoram_metric metric,
+                      uint64_t amount)
+{
+  metrics->values[metric] += amount;
+}
+
+void
+marjoram_metrics_refused (marjoram_metrics *metrics,
+                          enum marjoram_reason reason)
+{
+  metrics->refused[reason]++;
+}
+
+void
+marjoram_metrics_time (marjoram_metrics *metrics, enum marjoram_timing timing,
+                       int64_t msec)
+{
+  gsl_histogram_increment (metrics->times[timing], (double)msec);
+  metrics->sums[timing] += (double)msec;
+}
+
+uint64_t
+marjoram_metrics_get (const marjoram_metrics *metrics,
+                      enum marjoram_metric metric)
+{
+  return metrics->values[metric];
+}
+
+static void
+print_timing (FILE *out, const marjoram_metrics *metrics, int timing)
+{
+  const gsl_histogram *times = metrics->times[timing];
+  const char *name = timing_names[timing];
+  double sum = 0;
+
+  fprintf (out, "# TYPE marjoram_%s histogram\n", name);
+  for (int i = 0; i < LIMITS - 1; i++)
+    {
+      sum += gsl_histogram_get (times, (size_t)i);
+      if (i < LIMITS - 2)
+        fprintf (out, "marjoram_%s_bucket{le=\"%.0f\"} %.0f\n", name,
+                 limits[i + 1], sum);
+      else
+        fprintf (out, "marjoram_%s_bucket{le=\"+Inf\"} %.0f\n", name, sum);
+    }
+  fprintf (out, "marjoram_%s_sum %.0f\nmarjoram_%s_count %.0f\n", name,
+           metrics->sums[timing], name, sum);
+}
+
+char *
+marjoram_metrics_text (const marjoram_metrics *metrics)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+
+  if (!out)
+    abort ();
+  for (int i = 0; i < MARJORAM_METRIC_COUNT; i++)
+    fprintf (out,
+             "# TYPE marjoram_%s_total counter\nmarjoram_%s_total %" PRIu64
+             "\n",
+             names[i], names[i], metrics->values[i]);
+  fprintf (out, "# TYPE marjoram_gateway_refused_total counter\n");
+  for (int i = 1; i < MARJORAM_REASON_COUNT; i++)
+    fprintf (
+        out, "marjoram_gateway_refused_total{reason=\"%s\"} %" PRIu64 "\n",
+        marjoram_reason_name ((enum marjoram_reason)i), metrics->refused[i]);
+  for (int i = 0; i < MARJORAM_TIMING_COUNT; i++)
+    print_timing (out, metrics, i);
+  fclose (out);
+  return text;
+}
--- /dev/null
+++ b/src/metrics.h
@@ -0,0 +1,58 @@
+/* Counters and latency histograms of an entry host or a keeper, as the usual
+   text of metrics pages.  */
+#ifndef MARJORAM_METRICS_H
+#define MARJORAM_METRICS_H
+
+#include "reason.h"
+
+#include <stdint.h>
+
+typedef struct marjoram_metrics marjoram_metrics;
+
+enum marjoram_metric
+{
+  MARJORAM_METRIC_REQUESTS,
+  MARJORAM_METRIC_ANSWERED,
+  MARJORAM_METRIC_NOT_RUN,
+  MARJORAM_METRIC_UNKNOWN,
+  MARJORAM_METRIC_CALLER_LEFT,
+  MARJORAM_METRIC_ATTEMPTS,
+  MARJORAM_METRIC_REPEATS,
+  MARJORAM_METRIC_RESUMED,
+  MARJORAM_METRIC_FORWARDED_OUT,
+  MARJORAM_METRIC_FORWARDED_IN,
+  MARJORAM_METRIC_STRAY_ANSWERS,
+  MARJORAM_METRIC_REJECTED_INPUT,
+  MARJORAM_METRIC_NEWS,
+  MARJORAM_METRIC_NEWS_STALE,
+  MARJORAM_METRIC_LOOKUPS,
+  MARJORAM_METRIC_CONFIGS,
+  MARJORAM_METRIC_EVACUATIONS,
+  MARJORAM_METRIC_UPSTREAMS_LOST,
+  MARJORAM_METRIC_LINKS_LOST,
+  MARJORAM_METRIC_COUNT
+};
+
+enum marjoram_timing
+{
+  MARJORAM_TIMING_FIRST,    /* to the first event or the answer, ms */
+  MARJORAM_TIMING_WHOLE,    /* to the end, ms */
+  MARJORAM_TIMING_ESTIMATE, /* size of the error of the estimated wait, ms */
+  MARJORAM_TIMING_COUNT
+};
+
+marjoram_metrics *marjoram_metrics_create (void);
+void marjoram_metrics_destroy (marjoram_metrics *metrics);
+void marjoram_metrics_add (marjoram_metrics *metrics,
+                           enum marjoram_metric metric, uint64_t amount);
+/* A request got no answer, for REASON.  */
+void marjoram_metrics_refused (marjoram_metrics *metrics,
+                               enum marjoram_reason reason);
+void marjoram_metrics_time (marjoram_metrics *metrics,
+                            enum marjoram_timing timing, int64_t msec);
+uint64_t marjoram_metrics_get (const marjoram_metrics *metrics,
+                               enum marjoram_metric metric);
+/* malloc'd.  */
+char *marjoram_metrics_text (const marjoram_metrics *metrics);
+
+#endif
--- /dev/null
+++ b/src/placement.h
@@ -0,0 +1,120 @@
+/* Which upstream of the own region gets a request, and which request none can
+   serve in time.  Pure decisions, by what this host has running, what the
+   other hosts of the region tell, and a model of each engine's memory.
+
+   A model engine reads prompts at some speed and answers in batches.  Parts of
+   prompts that it keeps need not be read again, so a request goes where the
+   work still to be read, its own unread parts included, is least.  */
+#ifndef MARJORAM_PLACEMENT_H
+#define MARJORAM_PLACEMENT_H
+
+#include "gateway_message.h"
+#include "host_list.h"
+#include "registry.h"
+#include "route_table.h"
+
+typedef struct marjoram_placement marjoram_placement;
+
+struct marjoram_placement_options
+{
+  marjoram_registry *registry; /* borrowed */
+  marjoram_host_list *hosts;   /* borrowed */
+  const char *host;            /* this host's name */
+  const char *region;
+  /* Region of a zone; null if the zone is unknown.  */
+  const char *(*region_of) (void *context, const char *zone);
+  bool (*is_evacuated) (void *context, const char *zone);
+  void *context;
+};
+
+enum
+{
+  MARJORAM_TRIED_MAX = 8 /* upstreams that one request may be kept from */
+};
+
+struct marjoram_place_query
+{
+  const struct marjoram_service_rule *service;
+  const struct marjoram_call_facts *facts;
+  int priority;
+  /* When the first event, or the whole answer, is of use at the latest; a wait
+     beyond it is refused.  */
+  int64_t useful_ms;
+  const char *tried[MARJORAM_TRIED_MAX];
+  size_t tried_count;
+  bool again; /* an upstream that was tried is better than none */
+};
+
+enum marjoram_place_outcome
+{
+  MARJORAM_PLACE_FOUND,
+  MARJORAM_PLACE_NONE, /* no upstream that may be used */
+  MARJORAM_PLACE_BUSY  /* all would answer too late */
+};
+
+struct marjoram_place
+{
+  enum marjoram_place_outcome outcome;
+  const struct marjoram_registered *upstream; /* FOUND */
+  int64_t wait_ms;  /* FOUND: to the first event, as estimated */
+  int64_t retry_ms; /* else: when it is worth to come again */
+};
+
+marjoram_placement *
+marjoram_placement_create (const struct marjoram_placement_options *options);
+void marjoram_placement_destroy (marjoram_placement *placement);
+
+void marjoram_placement_choose (marjoram_placement *placement, int64_t now,
+                                const struct marjoram_place_query *query,
+                                struct marjoram_place *place);
+
+/* What this region could do for another: how many warm upstreams of SERVICE,
+   and how long a request waits at the least loaded.  Borrows texts.  */
+void marjoram_placement_offer (marjoram_placement *placement, int64_t now,
+                               const struct marjoram_service_rule *service,
+                               struct marjoram_host_offer *offer);
+
+/* The course of one attempt at UPSTREAM; each attempt is started and ended
+   once.  */
+void marjoram_placement_started (marjoram_placement *placement, int64_t now,
+                                 uint64_t attempt, const char *upstream,
+                                 const struct marjoram_place_query *query);
+/* Its first event came, or its answer's head.  */
+void marjoram_placement_answering (marjoram_placement *placement, int64_t now,
+                                   uint64_t attempt);
+enum marjoram_attempt_end
+{
+  MARJORAM_ATTEMPT_SERVED,
+  MARJORAM_ATTEMPT_CANCELLED,
+  MARJORAM_ATTEMPT_REFUSED,   /* full: not run */
+  MARJORAM_ATTEMPT_WRONG,     /* another upstream has the address */
+  MARJORAM_ATTEMPT_FAILED,    /* answered with a failure of its own */
+  MARJORAM_ATTEMPT_UNREACHED, /* no connection: not run */
+  MARJORAM_ATTEMPT_BROKEN,    /* broke off: may have run */
+  MARJORAM_ATTEMPT_SILENT     /* gave no sign in time */
+};
+void marjoram_placement_ended (marjoram_placement *placement, int64_t now,
+                               uint64_t attempt,
+                               enum marjoram_attempt_end how);
+/* Connections to ADDRESS broke: who is there may have started anew, empty and
+   cold.  */
+void marjoram_placement_lost (marjoram_placement *placement, int64_t now,
+                              const char *address);
+/* The answer of an upstream says that it stays cold for COLD_MS.  */
+void marjoram_placement_cold (marjoram_placement *placement, int64_t now,
+                              const char *upstream, int64_t cold_ms);
+/* An evacuation of ZONE has ended: its upstreams may be cold.  */
+void marjoram_placement_restored (marjoram_placement *placement, int64_t now,
+                                  const char *zone,
+                                  const struct marjoram_route_table *table);
+
+/* For the other hosts of the region: what runs from here, and what was placed
+   since the last report.  To be cleared by the caller.  */
+void marjoram_placement_report (marjoram_placement *placement, int64_t now,
+                                struct marjoram_load_report *report);
+void marjoram_placement_hear (marjoram_placement *placement, int64_t now,
+                              const char *host,
+                              const struct marjoram_load_report *report);
+void marjoram_placement_tick (marjoram_placement *placement, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/registrar.c
@@ -0,0 +1,594 @@
+#include "registrar.h"
+
+#include "cleanup.h"
+#include "event_log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+enum
+{
+  STATUS_OK = 200,
+  STATUS_BAD_REQUEST = 400,
+  STATUS_NOT_FOUND = 404,
+  STATUS_UNAVAILABLE = 503,
+  /* Callers of a keeper go on to another one after a second.  */
+  ANSWER_WITHIN_MS = 900,
+  /* A leave is confirmed by all hosts in reach, or not waited for any longer:
+     a host that is frozen or cut off hears it when it is back.  */
+  CONFIRM_WITHIN_MS = 600,
+  /* Renewals wait this long for others, to go out together.  */
+  GATHER_MS = 200,
+  EVACUATE_TRIES = 8 /* lost races against other operators */
+};
+
+enum wait_kind
+{
+  WAIT_LEAVE,
+  WAIT_CONFIG,
+  WAIT_READ,
+  WAIT_EVACUATION
+};
+
+/* A call that waits for other hosts.  Calls and what answers them share one
+   row of numbers.  */
+struct waiting
+{
+  uint64_t number; /* the ticket or the register's request */
+  uint64_t ask;
+  enum wait_kind kind;
+  int64_t deadline;
+  size_t missing; /* LEAVE: hosts that have not confirmed */
+  char zone[MARJORAM_ID_MAX];
+  bool evacuated;
+  int tries;
+  uint64_t version;
+  UT_hash_handle hh;
+};
+
+struct marjoram_registrar
+{
+  struct marjoram_registrar_options options;
+  const struct marjoram_registrar_ops *ops;
+  void *context;
+  struct waiting *waiting;
+  uint64_t next_number;
+  int64_t gathered_at; /* 0 if nothing waits to be told */
+};
+
+marjoram_registrar *
+marjoram_registrar_create (const struct marjoram_registrar_options *options,
+                           const struct marjoram_registrar_ops *ops,
+                           void *context)
+{
+  marjoram_registrar *registrar = marjoram_alloc (sizeof *registrar);
+
+  registrar->options = *options;
+  registrar->ops = ops;
+  registrar->context = context;
+  return registrar;
+}
+
+static void
+forget (marjoram_registrar *registrar, struct waiting *waiting)
+{
+  HASH_DELETE (hh, registrar->waiting, waiting);
+  free (waiting);
+}
+
+void
+marjoram_registrar_destroy (marjoram_registrar *registrar)
+{
+  struct waiting *waiting;
+  struct waiting *next;
+
+  if (!registrar)
+    return;
+  HASH_ITER (hh, registrar->waiting, waiting, next)
+  {
+    forget (registrar, waiting);
+  }
+  free (registrar);
+}
+
+static void
+answer (marjoram_registrar *registrar, uint64_t ask, int status,
+        const char *body)
+{
+  registrar->ops->answer (registrar->context, ask, status, body,
+                          body ? strlen (body) : 0);
+}
+
+static struct waiting *
+wait_for (marjoram_registrar *registrar, int64_t now, uint64_t ask,
+          enum wait_kind kind, int64_t within_ms)
+{
+  struct waiting *waiting = marjoram_alloc (sizeof *waiting);
+
+  waiting->number = ++registrar->next_number;
+  waiting->ask = ask;
+  waiting->kind = kind;
+  waiting->deadline = now + within_ms;
+  HASH_ADD (hh, registrar->waiting, number, sizeof waiting->number, waiting);
+  return waiting;
+}
+
+static struct waiting *
+find (marjoram_registrar *registrar, uint64_t number)
+{
+  struct waiting *waiting;
+
+  HASH_FIND (hh, registrar->waiting, &number, sizeof number, waiting);
+  return waiting;
+}
+
+/* ---- News of upstreams.  ---- */
+
+static const char *const state_names[] = { "ready", "leaving", "gone" };
+
+static void
+log_news (const struct marjoram_upstream_news *news,
+          enum marjoram_hearing hearing)
+{
+  if (hearing == MARJORAM_HEARING_RENEWED)
+    return;
+  marjoram_event (
+      MARJORAM_EVENT_UPSTREAM,
+      "id=%s state=%s taken=%s service=%s address=%s zone=%s "
+      "born=%" PRId64 " seq=%" PRId64 " cold_ms=%" PRId64 " ends_ms=%" PRId64,
+      news->id, state_names[news->state],
+      hearing == MARJORAM_HEARING_STALE ? "no" : "yes",
+      *news->service ? news->service : "-",
+      *news->address ? news->address : "-", *news->zone ? news->zone : "-",
+      news->born, news->sequence, news->cold_ms, news->ends_ms);
+}
+
+static size_t
+tell_one (marjoram_registrar *registrar, int64_t now, const char *id,
+          uint64_t ticket)
+{
+  const struct marjoram_registered *upstream
+      = marjoram_registry_find (registrar->options.registry, id);
+  struct marjoram_news_item item;
+  struct marjoram_news_batch batch = { ticket, { &item, 1 } };
+
+  if (!upstream)
+    return 0;
+  marjoram_registry_pack (upstream, now, &item);
+  return registrar->ops->tell (registrar->context, &batch);
+}
+
+/* Hosts must send nothing more to a leaving upstream some seconds after the
+   answer, even if this keeper dies right after it: so all that are in reach
+   confirm first.  */
+static void
+confirm_leave (marjoram_registrar *registrar, int64_t now, uint64_t ask,
+               const char *id)
+{
+  struct waiting *waiting
+      = wait_for (registrar, now, ask, WAIT_LEAVE, CONFIRM_WITHIN_MS);
+
+  waiting->missing = tell_one (registrar, now, id, waiting->number);
+  if (waiting->missing > 0)
+    return;
+  forget (registrar, waiting);
+  answer (registrar, ask, STATUS_OK, "{}");
+}
+
+static bool
+check_news (const marjoram_registrar *registrar,
+            const struct marjoram_upstream_news *news,
+            struct marjoram_error *err)
+{
+  if (news->state == MARJORAM_NEWS_GONE
+      || registrar->options.knows_zone (registrar->options.context,
+                                        news->zone))
+    return true;
+  return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                             "unknown zone \"%s\"; name one of the settings",
+                             news->zone);
+}
+
+static void
+reject (marjoram_registrar *registrar, uint64_t ask, const char *target,
+        const struct marjoram_error *err)
+{
+  marjoram_metrics_add (registrar->options.metrics,
+                        MARJORAM_METRIC_REJECTED_INPUT, 1);
+  marjoram_event (MARJORAM_EVENT_REJECT, "call=%.80s status=%d why=\"%s\"",
+                  target, STATUS_BAD_REQUEST, err->message);
+  answer (registrar, ask, STATUS_BAD_REQUEST, err->message);
+}
+
+static void
+take_news (marjoram_registrar *registrar, int64_t now, uint64_t ask,
+           const struct marjoram_upstream_news *news)
+{
+  enum marjoram_hearing hearing
+      = marjoram_registry_hear (registrar->options.registry, now, news, 0);
+
+  log_news (news, hearing);
+  marjoram_metrics_add (registrar->options.metrics,
+                        hearing == MARJORAM_HEARING_STALE
+                            ? MARJORAM_METRIC_NEWS_STALE
+                            : MARJORAM_METRIC_NEWS,
+                        1);
+  if (news->state != MARJORAM_NEWS_READY)
+    {
+      confirm_leave (registrar, now, ask, news->id);
+      return;
+    }
+  if (hearing == MARJORAM_HEARING_CHANGED)
+    tell_one (registrar, now, news->id, 0);
+  else if (hearing == MARJORAM_HEARING_RENEWED && !registrar->gathered_at)
+    registrar->gathered_at = now;
+  answer (registrar, ask, STATUS_OK, "{}");
+}
+
+void
+marjoram_registrar_hear (marjoram_registrar *registrar, int64_t now,
+                         const struct marjoram_news_batch *batch)
+{
+  const struct marjoram_news_item *items = batch->items.items;
+
+  for (size_t i = 0; i < batch->items.count; i++)
+    {
+      struct marjoram_upstream_news news;
+
+      if (marjoram_registry_unpack (&items[i], &news))
+        marjoram_registry_hear (registrar->options.registry, now, &news,
+                                items[i].age_ms);
+    }
+}
+
+static void
+pack_since (marjoram_registrar *registrar, int64_t now, int64_t since,
+            struct marjoram_news_batch *batch)
+{
+  struct marjoram_registered_list *all
+      = marjoram_registry_all (registrar->options.registry);
+  const struct marjoram_registered *upstream;
+  struct marjoram_news_item *items;
+  size_t count = 0;
+
+  TAILQ_FOREACH (upstream, all, link)
+  count++;
+  batch->ticket = 0;
+  batch->items.items = items = marjoram_alloc (count * sizeof *items);
+  batch->items.count = 0;
+  TAILQ_FOREACH (upstream, all, link)
+  if (upstream->heard_at >= since && batch->items.count < MARJORAM_NEWS_MAX)
+    marjoram_registry_pack (upstream, now, &items[batch->items.count++]);
+}
+
+void
+marjoram_registrar_all (marjoram_registrar *registrar, int64_t now,
+                        struct marjoram_news_batch *batch)
+{
+  pack_since (registrar, now, INT64_MIN, batch);
+}
+
+static void
+tell_gathered (marjoram_registrar *registrar, int64_t now)
+{
+  struct marjoram_news_batch batch;
+
+  if (!registrar->gathered_at || now < registrar->gathered_at + GATHER_MS)
+    return;
+  pack_since (registrar, now, registrar->gathered_at, &batch);
+  registrar->gathered_at = 0;
+  registrar->ops->tell (registrar->context, &batch);
+  free (batch.items.items);
+}
+
+void
+marjoram_registrar_seen (marjoram_registrar *registrar, uint64_t ticket)
+{
+  struct waiting *waiting = find (registrar, ticket);
+
+  if (!waiting || waiting->kind != WAIT_LEAVE || --waiting->missing > 0)
+    return;
+  answer (registrar, waiting->ask, STATUS_OK, "{}");
+  forget (registrar, waiting);
+}
+
+/* ---- Operators.  ---- */
+
+static uint64_t
+held_version (const struct marjoram_state *state, const char *name)
+{
+  const struct marjoram_file *file
+      = state ? marjoram_state_file (state, name) : NULL;
+
+  return file ? file->version : 0;
+}
+
+/* The register answers a change id that it has seen before; a resend, to any
+   keeper, has the same.  */
+static void
+change_id (const struct marjoram_file *file, char id[MARJORAM_NAME_MAX])
+{
+  marjoram_auto_free char *digest
+      = marjoram_digest (file->text, strlen (file->text));
+
+  snprintf (id, MARJORAM_NAME_MAX, "%.8s-%" PRIu64 "-%.24s", file->name,
+            file->version, digest);
+}
+
+static void
+apply (marjoram_registrar *registrar, const struct waiting *waiting,
+       const struct marjoram_file *file)
+{
+  char id[MARJORAM_NAME_MAX];
+
+  change_id (file, id);
+  registrar->ops->apply (registrar->context, waiting->number, id, file);
+}
+
+/* A version that is not above the one held changes nothing, and is
+   acknowledged: it holds, or was overtaken.  */
+static void
+set_config (marjoram_registrar *registrar, int64_t now, uint64_t ask,
+            const char *body, size_t size)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_route_table *table
+      = registrar->options.dialect->ops->read_config (body, size, &err);
+  bool valid = table && marjoram_route_table_check (table, &err);
+  uint64_t version = table ? table->version : 0;
+  struct marjoram_file file
+      = { (char *)MARJORAM_FILE_ROUTES, version, NULL, (char *)body };
+  struct waiting *waiting;
+
+  marjoram_route_table_destroy (table);
+  if (!valid)
+    {
+      reject (registrar, ask, "configuration", &err);
+      return;
+    }
+  if (version <= held_version (registrar->ops->state (registrar->context),
+                               MARJORAM_FILE_ROUTES))
+    {
+      marjoram_event (MARJORAM_EVENT_CONFIG,
+                      "version=%" PRIu64 " taken=no reason=not-above-held",
+                      version);
+      answer (registrar, ask, STATUS_OK, "{}");
+      return;
+    }
+  waiting = wait_for (registrar, now, ask, WAIT_CONFIG, ANSWER_WITHIN_MS);
+  waiting->version = version;
+  apply (registrar, waiting, &file);
+}
+
+static bool
+is_evacuated (const struct marjoram_state *state, const char *zone)
+{
+  struct marjoram_names zones = marjoram_agreed_evacuations (state);
+  bool found = marjoram_agreed_is_evacuated (&zones, zone);
+
+  marjoram_names_clear (&zones);
+  return found;
+}
+
+static void
+try_evacuate (marjoram_registrar *registrar, struct waiting *waiting)
+{
+  struct marjoram_file file;
+
+  waiting->tries++;
+  marjoram_agreed_evacuate (registrar->ops->state (registrar->context),
+                            waiting->zone, waiting->evacuated, &file);
+  apply (registrar, waiting, &file);
+  marjoram_wire_clear (&marjoram_file_layout, &file);
+}
+
+/* The state is confirmed first: a keeper that lags might hold the order for
+   obeyed by a state that another order has changed since.  */
+static void
+evacuate (marjoram_registrar *registrar, int64_t now, uint64_t ask,
+          const struct marjoram_ask *what)
+{
+  struct waiting *waiting;
+
+  if (!registrar->options.knows_zone (registrar->options.context, what->zone))
+    {
+      struct marjoram_error err;
+
+      marjoram_error_set (&err, MARJORAM_ERROR_INVALID,
+                          "unknown zone \"%s\"; name one of the settings",
+                          what->zone);
+      reject (registrar, ask, "evacuation", &err);
+      return;
+    }
+  waiting = wait_for (registrar, now, ask, WAIT_EVACUATION, ANSWER_WITHIN_MS);
+  snprintf (waiting->zone, sizeof waiting->zone, "%s", what->zone);
+  waiting->evacuated = what->kind == MARJORAM_ASK_EVACUATE;
+  registrar->ops->read (registrar->context, waiting->number);
+}
+
+static void
+end_evacuation (marjoram_registrar *registrar, struct waiting *waiting,
+                int status)
+{
+  marjoram_event (MARJORAM_EVENT_CONFIG,
+                  "zone=%s evacuated=%d status=%d tries=%d", waiting->zone,
+                  waiting->evacuated, status, waiting->tries);
+  marjoram_metrics_add (registrar->options.metrics,
+                        MARJORAM_METRIC_EVACUATIONS, status == STATUS_OK);
+  answer (registrar, waiting->ask, status, "{}");
+  forget (registrar, waiting);
+}
+
+static void
+go_on_evacuating (marjoram_registrar *registrar, struct waiting *waiting,
+                  const struct marjoram_apply_answer *what)
+{
+  const struct marjoram_state *state
+      = registrar->ops->state (registrar->context);
+
+  if (what->outcome != MARJORAM_APPLY_DECIDED || !state)
+    end_evacuation (registrar, waiting, STATUS_UNAVAILABLE);
+  else if (is_evacuated (state, waiting->zone) == waiting->evacuated)
+    end_evacuation (registrar, waiting, STATUS_OK);
+  else if (waiting->tries >= EVACUATE_TRIES)
+    end_evacuation (registrar, waiting, STATUS_UNAVAILABLE);
+  else
+    try_evacuate (registrar, waiting);
+}
+
+static void
+end_config (marjoram_registrar *registrar, struct waiting *waiting,
+            const struct marjoram_apply_answer *what)
+{
+  int status = STATUS_OK;
+
+  if (what->outcome != MARJORAM_APPLY_DECIDED)
+    status = STATUS_UNAVAILABLE;
+  else if (what->result == MARJORAM_CHANGE_INVALID)
+    status = STATUS_BAD_REQUEST;
+  marjoram_event (MARJORAM_EVENT_CONFIG,
+                  "version=%" PRIu64 " taken=%s status=%d number=%" PRIu64
+                  " held=%" PRIu64 " why=\"%s\"",
+                  waiting->version,
+                  what->result == MARJORAM_CHANGE_ACCEPTED ? "yes" : "no",
+                  status, what->number, what->version,
+                  what->message ? what->message : "");
+  marjoram_metrics_add (registrar->options.metrics, MARJORAM_METRIC_CONFIGS,
+                        status == STATUS_OK);
+  answer (registrar, waiting->ask, status, "{}");
+  forget (registrar, waiting);
+}
+
+static void
+end_read (marjoram_registrar *registrar, struct waiting *waiting,
+          const struct marjoram_apply_answer *what)
+{
+  const struct marjoram_state *state
+      = registrar->ops->state (registrar->context);
+  const struct marjoram_file *file
+      = state ? marjoram_state_file (state, MARJORAM_FILE_ROUTES) : NULL;
+
+  if (what->outcome == MARJORAM_APPLY_DECIDED && file)
+    answer (registrar, waiting->ask, STATUS_OK, file->text);
+  else
+    answer (registrar, waiting->ask, STATUS_UNAVAILABLE, "{}");
+  forget (registrar, waiting);
+}
+
+void
+marjoram_registrar_decided (marjoram_registrar *registrar, int64_t now,
+                            uint64_t request,
+                            const struct marjoram_apply_answer *what)
+{
+  struct waiting *waiting = find (registrar, request);
+
+  (void)now;
+  if (!waiting)
+    return;
+  switch (waiting->kind)
+    {
+    case WAIT_CONFIG:
+      end_config (registrar, waiting, what);
+      break;
+    case WAIT_READ:
+      end_read (registrar, waiting, what);
+      break;
+    case WAIT_EVACUATION:
+      go_on_evacuating (registrar, waiting, what);
+      break;
+    case WAIT_LEAVE:
+      break;
+    }
+}
+
+/* ---- Calls.  ---- */
+
+static void
+look_up (marjoram_registrar *registrar, int64_t now, uint64_t ask,
+         const struct marjoram_ask *what)
+{
+  const char *addresses[MARJORAM_LOOKUP_MAX];
+  size_t count = marjoram_host_list_lookup (
+      registrar->options.hosts, now, what->zone, what->region, addresses);
+  marjoram_auto_free char *body = NULL;
+
+  marjoram_metrics_add (registrar->options.metrics, MARJORAM_METRIC_LOOKUPS,
+                        1);
+  if (count == 0)
+    {
+      answer (registrar, ask, STATUS_UNAVAILABLE, NULL);
+      return;
+    }
+  body = registrar->options.dialect->ops->write_lookup (
+      addresses, count, registrar->options.lookup_valid_s);
+  answer (registrar, ask, STATUS_OK, body);
+}
+
+void
+marjoram_registrar_receive (marjoram_registrar *registrar, int64_t now,
+                            uint64_t ask, const char *method,
+                            const char *target, const char *body, size_t size)
+{
+  struct marjoram_ask what;
+  struct marjoram_error err = { 0 };
+
+  if (!registrar->options.dialect->ops->read_ask (method, target, body, size,
+                                                  &what, &err)
+      || (what.kind == MARJORAM_ASK_NEWS
+          && !check_news (registrar, &what.news, &err)))
+    {
+      reject (registrar, ask, target, &err);
+      return;
+    }
+  switch (what.kind)
+    {
+    case MARJORAM_ASK_LOOKUP:
+      look_up (registrar, now, ask, &what);
+      break;
+    case MARJORAM_ASK_NEWS:
+      take_news (registrar, now, ask, &what.news);
+      break;
+    case MARJORAM_ASK_CONFIG_SET:
+      set_config (registrar, now, ask, body, size);
+      break;
+    case MARJORAM_ASK_CONFIG_GET:
+      registrar->ops->read (
+          registrar->context,
+          wait_for (registrar, now, ask, WAIT_READ, ANSWER_WITHIN_MS)->number);
+      break;
+    case MARJORAM_ASK_EVACUATE:
+    case MARJORAM_ASK_RESTORE:
+      evacuate (registrar, now, ask, &what);
+      break;
+    case MARJORAM_ASK_READY:
+      answer (registrar, ask, STATUS_OK, NULL);
+      break;
+    case MARJORAM_ASK_UNKNOWN:
+      answer (registrar, ask, STATUS_NOT_FOUND, NULL);
+      break;
+    }
+}
+
+/* A leave that not all confirmed in time is answered all the same: who did not
+   is out of touch.  Orders are not: they may yet be decided, and are sent
+   again.  */
+void
+marjoram_registrar_tick (marjoram_registrar *registrar, int64_t now)
+{
+  struct waiting *waiting;
+  struct waiting *next;
+
+  tell_gathered (registrar, now);
+  HASH_ITER (hh, registrar->waiting, waiting, next)
+  {
+    if (now < waiting->deadline)
+      continue;
+    answer (registrar, waiting->ask,
+            waiting->kind == WAIT_LEAVE ? STATUS_OK : STATUS_UNAVAILABLE,
+            "{}");
+    forget (registrar, waiting);
+  }
+}
