--- /dev/null
+++ b/src/registry.c
@@ -0,0 +1,260 @@
+#include "registry.h"
+
+#include "cleanup.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  /* Five heartbeats of 1.2 s: two may be lost and one a second late before a
+     live upstream would be passed over.  */
+  SILENT_MS = 6000,
+  /* Heartbeats may be late by seconds; one of a former life must still find
+     what it is compared with.  */
+  FORGET_MS = 60000
+};
+
+struct marjoram_registry
+{
+  struct marjoram_registered_list list;
+  struct marjoram_registered *by_id;
+  int64_t heard_at; /* the latest of all */
+};
+
+marjoram_registry *
+marjoram_registry_create (void)
+{
+  marjoram_registry *registry = marjoram_alloc (sizeof *registry);
+
+  TAILQ_INIT (&registry->list);
+  registry->heard_at = INT64_MIN / 2;
+  return registry;
+}
+
+static void
+forget (marjoram_registry *registry, struct marjoram_registered *upstream)
+{
+  HASH_DELETE (hh, registry->by_id, upstream);
+  TAILQ_REMOVE (&registry->list, upstream, link);
+  free (upstream);
+}
+
+void
+marjoram_registry_destroy (marjoram_registry *registry)
+{
+  if (!registry)
+    return;
+  while (!TAILQ_EMPTY (&registry->list))
+    forget (registry, TAILQ_FIRST (&registry->list));
+  free (registry);
+}
+
+struct marjoram_registered *
+marjoram_registry_find (const marjoram_registry *registry, const char *id)
+{
+  struct marjoram_registered *upstream;
+
+  HASH_FIND_STR (registry->by_id, id, upstream);
+  return upstream;
+}
+
+struct marjoram_registered_list *
+marjoram_registry_all (marjoram_registry *registry)
+{
+  return &registry->list;
+}
+
+static void
+take (struct marjoram_registered *upstream, int64_t now,
+      const struct marjoram_upstream_news *news, int64_t age_ms)
+{
+  int64_t heard_at = now - age_ms;
+
+  upstream->news = *news;
+  upstream->heard_at = heard_at;
+  upstream->cold_until = news->cold_ms > 0 ? heard_at + news->cold_ms : 0;
+  upstream->ends_at
+      = news->ends_ms >= 0 ? heard_at + news->ends_ms : INT64_MAX;
+}
+
+/* A heartbeat that was held up may name an address that a later start has
+   taken over since: the later start has it.  */
+static bool
+wins_address (marjoram_registry *registry,
+              const struct marjoram_upstream_news *news)
+{
+  struct marjoram_registered *other;
+
+  TAILQ_FOREACH (other, &registry->list, link)
+  {
+    if (other->news.state == MARJORAM_NEWS_GONE
+        || strcmp (other->news.address, news->address) != 0
+        || strcmp (other->news.id, news->id) == 0)
+      continue;
+    if (news->born < other->news.born)
+      return false;
+    if (news->born > other->news.born)
+      other->news.state = MARJORAM_NEWS_GONE;
+  }
+  return true;
+}
+
+static enum marjoram_hearing
+add (marjoram_registry *registry, int64_t now,
+     const struct marjoram_upstream_news *news, int64_t age_ms)
+{
+  struct marjoram_registered *upstream;
+
+  /* A leave of an unknown one is kept too: its last heartbeats may follow.  */
+  if (news->state != MARJORAM_NEWS_GONE && !wins_address (registry, news))
+    return MARJORAM_HEARING_STALE;
+  upstream = marjoram_alloc (sizeof *upstream);
+  take (upstream, now, news, age_ms);
+  TAILQ_INSERT_TAIL (&registry->list, upstream, link);
+  HASH_ADD_STR (registry->by_id, news.id, upstream);
+  return MARJORAM_HEARING_CHANGED;
+}
+
+static enum marjoram_hearing
+leave (struct marjoram_registered *upstream,
+       const struct marjoram_upstream_news *news)
+{
+  if (upstream->news.state == MARJORAM_NEWS_GONE
+      || (news->born != 0 && news->born < upstream->news.born))
+    return MARJORAM_HEARING_STALE;
+  upstream->news.state = MARJORAM_NEWS_GONE;
+  return MARJORAM_HEARING_CHANGED;
+}
+
+/* Within one life a state only goes forward, so that heartbeats which overtake
+   each other don't take a leave back.  */
+static enum marjoram_hearing
+renew (struct marjoram_registered *upstream, int64_t now,
+       const struct marjoram_upstream_news *news, int64_t age_ms)
+{
+  enum marjoram_news_state before = upstream->news.state;
+  bool moved = strcmp (upstream->news.address, news->address) != 0
+               || strcmp (upstream->news.service, news->service) != 0;
+
+  if (before == MARJORAM_NEWS_GONE
+      || news->sequence <= upstream->news.sequence)
+    return MARJORAM_HEARING_STALE;
+  take (upstream, now, news, age_ms);
+  if (upstream->news.state < before)
+    upstream->news.state = before;
+  return upstream->news.state != before || moved || news->cold_ms > 0
+             ? MARJORAM_HEARING_CHANGED
+             : MARJORAM_HEARING_RENEWED;
+}
+
+enum marjoram_hearing
+marjoram_registry_hear (marjoram_registry *registry, int64_t now,
+                        const struct marjoram_upstream_news *news,
+                        int64_t age_ms)
+{
+  struct marjoram_registered *upstream
+      = marjoram_registry_find (registry, news->id);
+
+  if (now - age_ms > registry->heard_at)
+    registry->heard_at = now - age_ms;
+  if (!upstream)
+    return add (registry, now, news, age_ms);
+  if (news->state == MARJORAM_NEWS_GONE)
+    return leave (upstream, news);
+  if (news->born < upstream->news.born)
+    return MARJORAM_HEARING_STALE;
+  if (news->born > upstream->news.born)
+    {
+      if (!wins_address (registry, news))
+        return MARJORAM_HEARING_STALE;
+      take (upstream, now, news, age_ms);
+      return MARJORAM_HEARING_CHANGED;
+    }
+  return renew (upstream, now, news, age_ms);
+}
+
+/* An upstream is passed over as silent only if others were heard meanwhile: a
+   host that is cut off from the keepers hears of none and serves on.  */
+bool
+marjoram_registry_usable (const marjoram_registry *registry,
+                          const struct marjoram_registered *upstream,
+                          int64_t now)
+{
+  return upstream->news.state == MARJORAM_NEWS_READY
+         && upstream->ends_at == INT64_MAX
+         && upstream->heard_at > registry->heard_at - SILENT_MS
+         && now - upstream->heard_at < FORGET_MS;
+}
+
+void
+marjoram_registry_tick (marjoram_registry *registry, int64_t now)
+{
+  struct marjoram_registered *upstream = TAILQ_FIRST (&registry->list);
+
+  while (upstream)
+    {
+      struct marjoram_registered *next = TAILQ_NEXT (upstream, link);
+
+      if (now - upstream->heard_at > FORGET_MS
+          && registry->heard_at - upstream->heard_at > SILENT_MS)
+        forget (registry, upstream);
+      upstream = next;
+    }
+}
+
+static int64_t
+left (int64_t until, int64_t now)
+{
+  return until > now ? until - now : 0;
+}
+
+void
+marjoram_registry_pack (const struct marjoram_registered *upstream,
+                        int64_t now, struct marjoram_news_item *item)
+{
+  const struct marjoram_upstream_news *news = &upstream->news;
+
+  *item = (struct marjoram_news_item){
+    .id = (char *)news->id,
+    .service = (char *)news->service,
+    .address = (char *)news->address,
+    .zone = (char *)news->zone,
+    .state = news->state,
+    .born = news->born,
+    .sequence = news->sequence,
+    .cold_ms = left (upstream->cold_until, now),
+    .ends_ms
+    = upstream->ends_at == INT64_MAX ? -1 : left (upstream->ends_at, now),
+    .age_ms = now - upstream->heard_at,
+    .slots = news->slots,
+  };
+}
+
+static bool
+copy (char target[MARJORAM_ID_MAX], const char *text)
+{
+  if (!text || strlen (text) >= MARJORAM_ID_MAX)
+    return false;
+  snprintf (target, MARJORAM_ID_MAX, "%s", text);
+  return true;
+}
+
+bool
+marjoram_registry_unpack (const struct marjoram_news_item *item,
+                          struct marjoram_upstream_news *news)
+{
+  memset (news, 0, sizeof *news);
+  if (!copy (news->id, item->id) || !copy (news->service, item->service)
+      || !copy (news->address, item->address) || !copy (news->zone, item->zone)
+      || item->state > MARJORAM_NEWS_GONE || item->age_ms < 0)
+    return false;
+  news->state = (enum marjoram_news_state)item->state;
+  news->born = item->born;
+  news->sequence = item->sequence;
+  /* Both were what is left at sending; records count from the hearing.  */
+  news->cold_ms = item->cold_ms > 0 ? item->cold_ms + item->age_ms : 0;
+  news->ends_ms = item->ends_ms >= 0 ? item->ends_ms + item->age_ms : -1;
+  news->slots = item->slots;
+  return true;
+}
--- /dev/null
+++ b/src/role.h
@@ -0,0 +1,64 @@
+/* What a daemon does in one role, as an interface, and what all roles share.
+ */
+#ifndef MARJORAM_ROLE_H
+#define MARJORAM_ROLE_H
+
+#include "ask_server.h"
+#include "dialect.h"
+#include "gateway_settings.h"
+#include "host_links.h"
+#include "metrics.h"
+
+struct marjoram_role;
+
+struct marjoram_role_ops
+{
+  void (*frame) (struct marjoram_role *role, const char *host,
+                 uint64_t session, enum marjoram_frame_type type,
+                 void *message);
+  void (*beat) (struct marjoram_role *role, const char *host, uint64_t session,
+                bool first, const struct marjoram_host_beat *beat);
+  void (*session_closed) (struct marjoram_role *role, const char *host,
+                          uint64_t session);
+  void (*link_lost) (struct marjoram_role *role, const char *host);
+  void (*fill_beat) (struct marjoram_role *role,
+                     struct marjoram_host_beat *beat);
+  /* A call to the host's own interface, other than for metrics.  */
+  void (*ask) (struct marjoram_role *role, uint64_t ask, const char *method,
+               const char *target, const char *body, size_t size);
+  void (*reload) (struct marjoram_role *role);
+  void (*tick) (struct marjoram_role *role, int64_t now);
+  /* The first signal to stop: no new work.  */
+  void (*stop) (struct marjoram_role *role, int64_t now);
+  bool (*finished) (struct marjoram_role *role, int64_t now);
+  void (*destroy) (struct marjoram_role *role);
+};
+
+struct marjoram_role
+{
+  const struct marjoram_role_ops *ops;
+};
+
+/* Shared by the daemon and its role; all borrowed.  */
+struct marjoram_role_parts
+{
+  struct event_base *base;
+  struct marjoram_clock *clock;
+  const struct marjoram_dialect *dialect;
+  const struct marjoram_gateway_settings *settings; /* changes on a reload */
+  marjoram_metrics *metrics;
+  marjoram_host_list *hosts;
+  marjoram_host_links *links;
+  marjoram_ask_server *asks;
+  uint64_t incarnation;
+};
+
+/* Each returns null with ERR set on failure.  */
+struct marjoram_role *
+marjoram_entry_role_create (const struct marjoram_role_parts *parts,
+                            struct marjoram_error *err);
+struct marjoram_role *
+marjoram_keeper_role_create (const struct marjoram_role_parts *parts,
+                             struct marjoram_error *err);
+
+#endif
--- /dev/null
+++ b/src/route_table.c
@@ -0,0 +1,202 @@
+#include "route_table.h"
+
+#include "cleanup.h"
+
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+#define ROUTES(table)                                                         \
+  ((const struct marjoram_route_rule *)(table)->routes.items)
+#define SERVICES(table)                                                       \
+  ((const struct marjoram_service_rule *)(table)->services.items)
+#define TARGETS(route)                                                        \
+  ((const struct marjoram_route_target *)(route)->targets.items)
+
+static void
+clear_route (struct marjoram_route_rule *route)
+{
+  struct marjoram_route_target *targets = route->targets.items;
+
+  for (size_t i = 0; i < route->targets.count; i++)
+    free (targets[i].service);
+  free (targets);
+  free (route->name);
+  free (route->host);
+  free (route->prefix);
+  marjoram_names_clear (&route->homes);
+}
+
+void
+marjoram_route_table_destroy (struct marjoram_route_table *table)
+{
+  struct marjoram_route_rule *routes;
+  struct marjoram_service_rule *services;
+
+  if (!table)
+    return;
+  routes = table->routes.items;
+  services = table->services.items;
+  for (size_t i = 0; i < table->routes.count; i++)
+    clear_route (&routes[i]);
+  for (size_t i = 0; i < table->services.count; i++)
+    {
+      free (services[i].name);
+      free (services[i].health_path);
+    }
+  free (routes);
+  free (services);
+  free (table);
+}
+
+const struct marjoram_service_rule *
+marjoram_route_table_service (const struct marjoram_route_table *table,
+                              const char *name)
+{
+  for (size_t i = 0; i < table->services.count; i++)
+    if (strcmp (SERVICES (table)[i].name, name) == 0)
+      return &SERVICES (table)[i];
+  return NULL;
+}
+
+static bool
+check_targets (const struct marjoram_route_table *table,
+               const struct marjoram_route_rule *route,
+               struct marjoram_error *err)
+{
+  int64_t sum = 0;
+
+  for (size_t i = 0; i < route->targets.count; i++)
+    {
+      const struct marjoram_route_target *target = &TARGETS (route)[i];
+
+      if (!marjoram_route_table_service (table, target->service))
+        return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                                   "route %s names the unknown service %s; "
+                                   "add the service or name another",
+                                   route->name, target->service);
+      if (target->weight < 0)
+        return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                                   "route %s has a weight below 0; raise it",
+                                   route->name);
+      sum += target->weight;
+    }
+  if (sum > 0)
+    return true;
+  return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                             "the weights of route %s add up to 0; give one "
+                             "of its services a weight",
+                             route->name);
+}
+
+static bool
+check_place (const struct marjoram_route_table *table, size_t index,
+             struct marjoram_error *err)
+{
+  const struct marjoram_route_rule *route = &ROUTES (table)[index];
+  size_t length = strlen (route->prefix);
+
+  if (length == 0 || route->prefix[0] != '/'
+      || route->prefix[length - 1] != '/')
+    return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                               "the prefix of route %s must begin and end "
+                               "with a slash; mend it",
+                               route->name);
+  for (size_t i = 0; i < index; i++)
+    if (strcasecmp (ROUTES (table)[i].host, route->host) == 0
+        && strcmp (ROUTES (table)[i].prefix, route->prefix) == 0)
+      return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                                 "routes %s and %s have the same host and "
+                                 "prefix; remove one",
+                                 ROUTES (table)[i].name, route->name);
+  return true;
+}
+
+bool
+marjoram_route_table_check (const struct marjoram_route_table *table,
+                            struct marjoram_error *err)
+{
+  for (size_t i = 0; i < table->routes.count; i++)
+    {
+      const struct marjoram_route_rule *route = &ROUTES (table)[i];
+
+      if (route->timeout_ms <= 0)
+        return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                                   "route %s has no timeout; give it one "
+                                   "above 0 ms",
+                                   route->name);
+      if (!check_place (table, i, err) || !check_targets (table, route, err))
+        return false;
+    }
+  return true;
+}
+
+static bool
+same_host (const char *configured, const char *asked)
+{
+  size_t length = strcspn (asked, ":");
+
+  return strlen (configured) == length
+         && strncasecmp (configured, asked, length) == 0;
+}
+
+const struct marjoram_route_rule *
+marjoram_route_table_find (const struct marjoram_route_table *table,
+                           const char *host, const char *target)
+{
+  const struct marjoram_route_rule *best = NULL;
+  size_t path_size = strcspn (target, "?#");
+  size_t best_size = 0;
+
+  for (size_t i = 0; i < table->routes.count; i++)
+    {
+      const struct marjoram_route_rule *route = &ROUTES (table)[i];
+      size_t size = strlen (route->prefix);
+
+      if (size > best_size && size <= path_size
+          && strncmp (route->prefix, target, size) == 0
+          && same_host (route->host, host))
+        {
+          best = route;
+          best_size = size;
+        }
+    }
+  return best;
+}
+
+const char *
+marjoram_route_pick_service (const struct marjoram_route_rule *route,
+                             const char *key)
+{
+  int64_t sum = 0;
+  int64_t point;
+
+  for (size_t i = 0; i < route->targets.count; i++)
+    sum += TARGETS (route)[i].weight;
+  if (sum <= 0)
+    return NULL;
+  point = (int64_t)(XXH3_64bits (key, strlen (key)) % (uint64_t)sum);
+  for (size_t i = 0; i < route->targets.count; i++)
+    {
+      point -= TARGETS (route)[i].weight;
+      if (point < 0)
+        return TARGETS (route)[i].service;
+    }
+  return NULL;
+}
+
+bool
+marjoram_route_allows (const struct marjoram_route_rule *route,
+                       const char *region)
+{
+  for (size_t i = 0; i < route->homes.count; i++)
+    if (strcmp (route->homes.items[i], region) == 0)
+      return true;
+  return route->homes.count == 0;
+}
+
+bool
+marjoram_route_may_repeat (const struct marjoram_route_rule *route)
+{
+  return route->stream ? route->resumable : route->idempotent;
+}
--- /dev/null
+++ b/src/socket_option.c
@@ -0,0 +1,62 @@
+#include "socket_option.h"
+
+#include <event2/util.h>
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+enum
+{
+  /* Bytes sent that stay unacknowledged for this long end a connection.  Well
+     above the longest round trip between regions (some 110 ms) with a few
+     packets lost.  */
+  UNACKNOWLEDGED_MS = 3000,
+  /* An idle connection is probed after this long, and given up after as many
+     silent probes, a second apart.  */
+  PROBE_AFTER_S = 2,
+  PROBE_EVERY_S = 1,
+  PROBES = 3
+};
+
+void
+marjoram_socket_tune (evutil_socket_t fd)
+{
+  int on = 1;
+  int unacknowledged = UNACKNOWLEDGED_MS;
+  int after = PROBE_AFTER_S;
+  int every = PROBE_EVERY_S;
+  int probes = PROBES;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+              sizeof unacknowledged);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &after, sizeof after);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
+struct evconnlistener *
+marjoram_socket_listen (struct event_base *base, const char *address,
+                        int backlog, evconnlistener_cb on_accept,
+                        void *context, struct marjoram_error *err)
+{
+  struct sockaddr_storage where;
+  int size = sizeof where;
+  struct evconnlistener *listener = NULL;
+
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&where, &size)
+      == 0)
+    listener = evconnlistener_new_bind (
+        base, on_accept, context,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        backlog, (struct sockaddr *)&where, size);
+  if (!listener)
+    marjoram_error_set (
+        err, MARJORAM_ERROR_IO,
+        "can't listen on %s: %s; free the address or change it in [listen]",
+        address, strerror (errno));
+  return listener;
+}
