--- a/src/keeper.c
+++ b/src/keeper.c
@@ -397,7 +397,7 @@
   if (!keeper->chosen)
     return "no first state was formed yet (all first keepers have to be up "
            "together once)";
-  if (!request->file.name && !request->sent
+  if (!request->file.name && !request->read && !request->sent
       && !marjoram_keeper_ready_store (keeper, request))
     return "the new keeper was not heard from, or does not hold the state yet";
   return "no majority of the keepers answered in time";
