--- a/src/gateway.c
+++ b/src/gateway.c
@@ -27,6 +27,7 @@
   marjoram_gateway *gateway = marjoram_alloc (sizeof *gateway);
 
   gateway->options = *options;
+  gateway->region = marjoram_strdup (options->place.region);
   gateway->ops = ops;
   gateway->context = context;
   gateway->placement = marjoram_placement_create (&options->place);
@@ -88,6 +89,7 @@
   }
   marjoram_placement_destroy (gateway->placement);
   marjoram_repeat_budget_destroy (gateway->budget);
+  free (gateway->region);
   free (gateway);
 }
 
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -72,6 +72,7 @@
 struct marjoram_gateway
 {
   struct marjoram_gateway_options options;
+  char *region; /* outlives the settings that OPTIONS came from */
   const struct marjoram_gateway_ops *ops;
   void *context;
   const struct marjoram_route_table *table;
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -260,7 +260,7 @@
     int64_t cost;
 
     if (!offer || !marjoram_host_list_serves (host, now)
-        || strcmp (host->beat.region, options->region) == 0
+        || strcmp (host->beat.region, gateway->region) == 0
         || !marjoram_route_allows (route, host->beat.region))
       continue;
     /* Within a gain worth crossing for, spread over hosts by the request.  */
@@ -336,7 +336,7 @@
   struct marjoram_place chosen;
 
   make_query (exchange, service, now, &query);
-  if (!marjoram_route_allows (route, gateway->options.place.region))
+  if (!marjoram_route_allows (route, gateway->region))
     {
       if (!cross (gateway, exchange, route, now,
                   patience_left (exchange, now)))
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -491,6 +491,16 @@
     want (links, settings->seeds[i], true);
 }
 
+/* The peer task keeps these for its life, while SETTINGS of the links may be
+   replaced by a reload.  */
+static void
+clear_settings (marjoram_host_links *links)
+{
+  free (links->peer_settings.slot);
+  free (links->peer_settings.zone);
+  free (links->peer_settings.peer_address);
+}
+
 marjoram_host_links *
 marjoram_host_links_create (struct event_base *base,
                             struct marjoram_clock *clock,
@@ -513,16 +523,17 @@
   TAILQ_INIT (&links->sessions);
   marjoram_address_split (settings->link_address, ip, &links->port);
   links->peer_settings = (struct marjoram_settings){
-    .slot = settings->ip,
-    .zone = settings->zone,
+    .slot = marjoram_strdup (settings->ip),
+    .zone = marjoram_strdup (settings->zone),
     .cluster = (char *)"gateway",
     .secret = (char *)no_secret,
-    .peer_address = settings->link_address,
+    .peer_address = marjoram_strdup (settings->link_address),
   };
   links->peer = marjoram_peer_create (base, &links->peer_settings, incarnation,
                                       links->counters, &peer_ops, links, err);
   if (!links->peer)
     {
+      clear_settings (links);
       marjoram_counters_destroy (links->counters);
       free (links);
       return NULL;
@@ -552,6 +563,7 @@
       free (session->host);
       free (session);
     }
+  clear_settings (links);
   marjoram_counters_destroy (links->counters);
   free (links);
 }
--- a/src/keeper_care.c
+++ b/src/keeper_care.c
@@ -136,7 +136,7 @@
     return false;
   care->asked_at = now;
   /* A change id is decided once; the state's number makes it a new one.  */
-  snprintf (change->change_id, sizeof change->change_id, "care-%" PRIu64 "-%.32s",
-            state->number, change->new);
+  snprintf (change->change_id, sizeof change->change_id,
+            "care-%" PRIu64 "-%.32s", state->number, change->new);
   return true;
 }
--- a/src/placement.c
+++ b/src/placement.c
@@ -120,6 +120,8 @@
 struct marjoram_placement
 {
   struct marjoram_placement_options options;
+  char *host; /* this host's name; outlives the settings */
+  char *region;
   struct spot *spots;
   struct attempt *attempts;
   struct service_speed *speeds;
@@ -132,6 +134,8 @@
   marjoram_placement *placement = marjoram_alloc (sizeof *placement);
 
   placement->options = *options;
+  placement->host = marjoram_strdup (options->host);
+  placement->region = marjoram_strdup (options->region);
   STAILQ_INIT (&placement->placed);
   return placement;
 }
@@ -221,6 +225,8 @@
     free (speed);
   }
   forget_placed (placement);
+  free (placement->host);
+  free (placement->region);
   free (placement);
 }
 
@@ -302,11 +308,11 @@
 may_feed (marjoram_placement *placement, const struct spot *spot,
           const struct marjoram_service_rule *service, int64_t now)
 {
-  const char *owner = marjoram_host_list_owner (
-      placement->options.hosts, now, placement->options.region, spot->id);
+  const char *owner = marjoram_host_list_owner (placement->options.hosts, now,
+                                                placement->region, spot->id);
   int64_t pause = (int64_t)(MSEC_PER_SEC / service->cold_per_s) + 1;
 
-  return owner && strcmp (owner, placement->options.host) == 0
+  return owner && strcmp (owner, placement->host) == 0
          && (spot->cold_sent_at == 0 || now - spot->cold_sent_at >= pause);
 }
 
@@ -331,7 +337,7 @@
       || !marjoram_registry_usable (options->registry, upstream, now))
     return false;
   region = options->region_of (options->context, upstream->news.zone);
-  return region && strcmp (region, options->region) == 0
+  return region && strcmp (region, placement->region) == 0
          && !options->is_evacuated (options->context, upstream->news.zone);
 }
 
@@ -632,7 +638,7 @@
 }
 
 static void
-pause (struct spot *spot, int64_t until)
+pause_spot (struct spot *spot, int64_t until)
 {
   if (until > spot->paused_until)
     spot->paused_until = until;
@@ -644,20 +650,20 @@
   switch (how)
     {
     case MARJORAM_ATTEMPT_REFUSED:
-      pause (spot, now + FULL_PAUSE_MS);
+      pause_spot (spot, now + FULL_PAUSE_MS);
       break;
     case MARJORAM_ATTEMPT_WRONG:
       spot->wrong_at = now;
       break;
     case MARJORAM_ATTEMPT_UNREACHED:
-      pause (spot, now + (UNREACHED_PAUSE_MS << spot->unreached));
+      pause_spot (spot, now + (UNREACHED_PAUSE_MS << spot->unreached));
       if (spot->unreached < UNREACHED_DOUBLINGS)
         spot->unreached++;
       break;
     case MARJORAM_ATTEMPT_BROKEN:
     case MARJORAM_ATTEMPT_SILENT:
       if (++spot->broken >= BROKEN_IN_ROW)
-        pause (spot, now + BROKEN_PAUSE_MS);
+        pause_spot (spot, now + BROKEN_PAUSE_MS);
       break;
     default:
       break;
