--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -15,9 +15,12 @@
 enum
 {
   REPORT_MS = 100, /* loads to the other hosts of the region */
-  /* How long new connections are still taken after the signal to stop: callers
-     keep an address for some seconds.  */
-  CLOSE_AFTER_MS = 3000,
+  /* How long requests are still taken after the signal to stop: callers keep
+     an address for two seconds, and what is taken must end before the limit
+     of the drain.  */
+  CLOSE_AFTER_MS = 2000,
+  /* When a refused caller may come again: at once, to another host.  */
+  DRAINING_RETRY_MS = 20,
   CLIENT_TICK_MS = 100,
   STATUS_OK = 200,
   STATUS_NOT_FOUND = 404,
@@ -263,9 +266,20 @@
                 struct marjoram_http_request *request)
 {
   struct entry_role *self = context;
+  const struct marjoram_no_answer why
+      = { MARJORAM_OUTCOME_NOT_RUN, MARJORAM_REASON_DRAINING,
+          STATUS_UNAVAILABLE, DRAINING_RETRY_MS };
 
-  marjoram_gateway_receive (self->gateway, now_of (self), call, request, false,
-                            0);
+  if (!self->closed)
+    {
+      marjoram_gateway_receive (self->gateway, now_of (self), call, request,
+                                false, 0);
+      return;
+    }
+  /* Taken now, a long answer would be cut when the drain reaches its limit.  */
+  marjoram_http_request_destroy (request);
+  marjoram_metrics_refused (self->parts->metrics, MARJORAM_REASON_DRAINING);
+  answer_refusal (self, call, &why);
 }
 
 static void
