Prompts ahead at one engine are kept below 100 ms of reading

Cause: chunks of prompts are read between the tokens of all running requests: a step with a chunk takes some 92 ms against 4, so a queue of prompts makes every stream of that engine late, and answers run into their deadline. Ruled out: the wait to the first event (it was within the objective).

--- a/src/placement.c
+++ b/src/placement.c
@@ -41,6 +41,7 @@
      and tells whether its sender is cold.  */
   NEWS_DELAY_MS = 300,
   COLD_COST_MS = 100,
+  BACKLOG_MAX_MS = 100,
   /* A report of a host that is silent for longer counts no more.  */
   REPORT_VALID_MS = 2000,
   RETRY_SOON_MS = 250,
@@ -379,8 +380,9 @@
 
 struct estimate
 {
-  double wait_ms; /* to the first event or the answer */
-  double cost_ms; /* WAIT_MS and what the choice costs others */
+  double wait_ms;    /* to the first event or the answer */
+  double cost_ms;    /* WAIT_MS and what the choice costs others */
+  double backlog_ms; /* of prompts to read, this one included */
 };
 
 /* Above its slots an engine, or a plain upstream, takes one request for each
@@ -404,6 +406,7 @@
   struct estimate estimate;
 
   spot->capacity = query->service->engine.kv_capacity;
+  estimate.backlog_ms = (double)load.unread / speed->tokens_per_ms;
   estimate.wait_ms
       = (ahead + unread) / speed->tokens_per_ms
         + queue_ms (&load, query->service->engine.slots, speed->request_ms);
@@ -420,7 +423,7 @@
   struct service_speed *speed = find_speed (placement, query->service->name);
   struct load load = whole_load (spot, now);
   int64_t slots = upstream->news.slots > 0 ? upstream->news.slots : 1;
-  struct estimate estimate;
+  struct estimate estimate = { 0, 0, 0 };
 
   estimate.wait_ms
       = queue_ms (&load, slots, speed->request_ms) + speed->request_ms;
@@ -467,7 +470,7 @@
                            struct marjoram_place *place)
 {
   struct marjoram_registered *upstream;
-  struct estimate best = { 0, 0 };
+  struct estimate best = { 0, 0, 0 };
   bool any = false;
 
   memset (place, 0, sizeof *place);
@@ -497,10 +500,12 @@
   if (!any)
     return;
   place->wait_ms = (int64_t)best.wait_ms;
-  place->outcome = place->wait_ms <= query->useful_ms ? MARJORAM_PLACE_FOUND
-                                                      : MARJORAM_PLACE_BUSY;
+  place->outcome = place->wait_ms <= query->useful_ms
+                           && best.backlog_ms <= BACKLOG_MAX_MS
+                       ? MARJORAM_PLACE_FOUND
+                       : MARJORAM_PLACE_BUSY;
   if (place->outcome == MARJORAM_PLACE_BUSY)
-    place->retry_ms = place->wait_ms - query->useful_ms + RETRY_SOON_MS;
+    place->retry_ms = place->wait_ms + RETRY_SOON_MS;
 }
 
 static void
