--- a/src/dialect.h
+++ b/src/dialect.h
@@ -93,6 +93,7 @@
   enum marjoram_ask_kind kind;
   char zone[MARJORAM_ID_MAX];   /* EVACUATE, RESTORE, LOOKUP */
   char region[MARJORAM_ID_MAX]; /* LOOKUP */
+  char host[MARJORAM_ID_MAX];   /* LOOKUP: whose routes are asked for */
   struct marjoram_upstream_news news;
 };
 
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -276,7 +276,7 @@
                                 false, 0);
       return;
     }
-  /* Taken now, a long answer would be cut when the drain reaches its limit.  */
+  /* Taken now, a long answer would be cut when the drain reaches its limit. */
   marjoram_http_request_destroy (request);
   marjoram_metrics_refused (self->parts->metrics, MARJORAM_REASON_DRAINING);
   answer_refusal (self, call, &why);
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -159,33 +159,56 @@
          && marjoram_host_list_alive (host, now);
 }
 
-/* ZONE and REGION may be null: any.  */
+/* Which hosts are asked for; null: any.  */
+struct wish
+{
+  const char *zone;
+  const char *region;
+  marjoram_region_allowed allowed;
+  void *context;
+};
+
+static bool
+fits (const struct marjoram_listed_host *host, const struct wish *wish)
+{
+  if (wish->zone && strcmp (host->beat.zone, wish->zone) != 0)
+    return false;
+  if (wish->region && strcmp (host->beat.region, wish->region) != 0)
+    return false;
+  return !wish->allowed || wish->allowed (wish->context, host->beat.region);
+}
+
 static size_t
-collect (marjoram_host_list *list, int64_t now, const char *zone,
-         const char *region, const char *addresses[MARJORAM_LOOKUP_MAX])
+collect (marjoram_host_list *list, int64_t now, const struct wish *wish,
+         const char *addresses[MARJORAM_LOOKUP_MAX])
 {
   const struct marjoram_listed_host *host;
   size_t count = 0;
 
   TAILQ_FOREACH (host, &list->hosts, link)
   if (count < MARJORAM_LOOKUP_MAX && marjoram_host_list_serves (host, now)
-      && (!zone || strcmp (host->beat.zone, zone) == 0)
-      && (!region || strcmp (host->beat.region, region) == 0))
+      && fits (host, wish))
     addresses[count++] = host->beat.entry;
   return count;
 }
 
+/* While all hosts of a region are restarted in turn, its callers go where
+   their requests may run, before they go where those would only be passed on.
+ */
 size_t
 marjoram_host_list_lookup (marjoram_host_list *list, int64_t now,
                            const char *zone, const char *region,
+                           marjoram_region_allowed allowed, void *context,
                            const char *addresses[MARJORAM_LOOKUP_MAX])
 {
-  size_t count = collect (list, now, zone, NULL, addresses);
+  const struct wish wishes[] = { { .zone = zone },
+                                 { .region = region },
+                                 { .allowed = allowed, .context = context },
+                                 { NULL, NULL, NULL, NULL } };
+  size_t count = 0;
 
-  if (count == 0)
-    count = collect (list, now, NULL, region, addresses);
-  if (count == 0)
-    count = collect (list, now, NULL, NULL, addresses);
+  for (size_t i = 0; count == 0 && i < sizeof wishes / sizeof *wishes; i++)
+    count = collect (list, now, &wishes[i], addresses);
   return count;
 }
 
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -42,10 +42,15 @@
 /* Whether callers and hosts of other regions may send it requests.  */
 bool marjoram_host_list_serves (const struct marjoram_listed_host *host,
                                 int64_t now);
+/* Whether a caller of another region may be sent to REGION.  */
+typedef bool (*marjoram_region_allowed) (void *context, const char *region);
+
 /* The hosts that a caller of ZONE in REGION may connect to: of its zone, else
-   of its region, else all.  Borrowed.  */
+   of its region, else of the regions that are ALLOWED, else all.  Borrowed. */
 size_t marjoram_host_list_lookup (marjoram_host_list *list, int64_t now,
                                   const char *zone, const char *region,
+                                  marjoram_region_allowed allowed,
+                                  void *context,
                                   const char *addresses[MARJORAM_LOOKUP_MAX]);
 /* The serving host of REGION that has the highest claim to KEY by rendezvous
    hashing; null if there is none.  */
--- a/src/placement.c
+++ b/src/placement.c
@@ -500,10 +500,10 @@
   if (!any)
     return;
   place->wait_ms = (int64_t)best.wait_ms;
-  place->outcome = place->wait_ms <= query->useful_ms
-                           && best.backlog_ms <= BACKLOG_MAX_MS
-                       ? MARJORAM_PLACE_FOUND
-                       : MARJORAM_PLACE_BUSY;
+  place->outcome
+      = place->wait_ms <= query->useful_ms && best.backlog_ms <= BACKLOG_MAX_MS
+            ? MARJORAM_PLACE_FOUND
+            : MARJORAM_PLACE_BUSY;
   if (place->outcome == MARJORAM_PLACE_BUSY)
     place->retry_ms = place->wait_ms + RETRY_SOON_MS;
 }
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -56,7 +56,9 @@
   void *context;
   struct waiting *waiting;
   uint64_t next_number;
-  int64_t gathered_at; /* 0 if nothing waits to be told */
+  int64_t gathered_at;                /* 0 if nothing waits to be told */
+  struct marjoram_route_table *table; /* of the state TABLE_NUMBER */
+  uint64_t table_number;
 };
 
 marjoram_registrar *
@@ -91,6 +93,7 @@
   {
     forget (registrar, waiting);
   }
+  marjoram_route_table_destroy (registrar->table);
   free (registrar);
 }
 
@@ -506,13 +509,45 @@
 
 /* ---- Calls.  ---- */
 
+static const struct marjoram_route_table *
+table_in_force (marjoram_registrar *registrar)
+{
+  const struct marjoram_state *state
+      = registrar->ops->state (registrar->context);
+
+  if (!state || state->number == registrar->table_number)
+    return registrar->table;
+  marjoram_route_table_destroy (registrar->table);
+  registrar->table
+      = marjoram_agreed_routes (state, registrar->options.dialect, NULL);
+  registrar->table_number = state->number;
+  return registrar->table;
+}
+
+struct lookup
+{
+  const struct marjoram_route_table *table;
+  const char *host;
+};
+
+static bool
+is_allowed (void *context, const char *region)
+{
+  const struct lookup *lookup = context;
+
+  return lookup->table
+         && marjoram_route_table_allows (lookup->table, lookup->host, region);
+}
+
 static void
 look_up (marjoram_registrar *registrar, int64_t now, uint64_t ask,
          const struct marjoram_ask *what)
 {
   const char *addresses[MARJORAM_LOOKUP_MAX];
-  size_t count = marjoram_host_list_lookup (
-      registrar->options.hosts, now, what->zone, what->region, addresses);
+  struct lookup lookup = { table_in_force (registrar), what->host };
+  size_t count = marjoram_host_list_lookup (registrar->options.hosts, now,
+                                            what->zone, what->region,
+                                            is_allowed, &lookup, addresses);
   marjoram_auto_free char *body = NULL;
 
   marjoram_metrics_add (registrar->options.metrics, MARJORAM_METRIC_LOOKUPS,
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -195,6 +195,17 @@
   return route->homes.count == 0;
 }
 
+bool
+marjoram_route_table_allows (const struct marjoram_route_table *table,
+                             const char *host, const char *region)
+{
+  for (size_t i = 0; i < table->routes.count; i++)
+    if (same_host (ROUTES (table)[i].host, host)
+        && !marjoram_route_allows (&ROUTES (table)[i], region))
+      return false;
+  return true;
+}
+
 bool
 marjoram_route_may_repeat (const struct marjoram_route_rule *route)
 {
