--- a/src/placement.c
+++ b/src/placement.c
@@ -41,7 +41,7 @@
      and tells whether its sender is cold.  */
   NEWS_DELAY_MS = 300,
   COLD_COST_MS = 100,
-  BACKLOG_MAX_MS = 100,
+  BACKLOG_MAX_MS = 80,
   /* A report of a host that is silent for longer counts no more.  */
   REPORT_VALID_MS = 2000,
   RETRY_SOON_MS = 250,
@@ -406,7 +406,7 @@
   struct estimate estimate;
 
   spot->capacity = query->service->engine.kv_capacity;
-  estimate.backlog_ms = (double)load.unread / speed->tokens_per_ms;
+  estimate.backlog_ms = ahead / speed->tokens_per_ms;
   estimate.wait_ms
       = (ahead + unread) / speed->tokens_per_ms
         + queue_ms (&load, query->service->engine.slots, speed->request_ms);
