--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -83,6 +83,7 @@
 static void
 forget_inbound (struct entry_role *self, struct inbound *inbound)
 {
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, self->inbound, inbound);
   free (inbound->host);
   free (inbound);
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -15,6 +15,7 @@
 
 enum
 {
+  SIGNALS = 3, /* SIGTERM, SIGINT, SIGHUP */
   TICK_MS = 25,
   /* How often the settings file is looked at; it may change without a
      signal.  */
@@ -42,7 +43,7 @@
   struct marjoram_role_parts parts;
   struct marjoram_role *role;
   struct event *tick;
-  struct event *signals[3];
+  struct event *signals[SIGNALS];
   int64_t stopping_at; /* 0 until the first signal */
   bool cut;
 };
@@ -276,12 +277,12 @@
 static void
 create_events (marjoram_gateway_daemon *daemon)
 {
-  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+  static const int numbers[SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
   struct timeval period = marjoram_clock_timeval (TICK_MS);
 
   daemon->tick = event_new (daemon->base, -1, EV_PERSIST, on_tick, daemon);
   event_add (daemon->tick, &period);
-  for (size_t i = 0; i < sizeof numbers / sizeof *numbers; i++)
+  for (size_t i = 0; i < SIGNALS; i++)
     {
       daemon->signals[i]
           = evsignal_new (daemon->base, numbers[i], on_signal, daemon);
@@ -329,7 +330,7 @@
 
   if (!daemon)
     return;
-  for (size_t i = 0; i < sizeof daemon->signals / sizeof *daemon->signals; i++)
+  for (size_t i = 0; i < SIGNALS; i++)
     if (daemon->signals[i])
       event_free (daemon->signals[i]);
   if (daemon->tick)
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -49,6 +49,7 @@
   if (!list)
     return;
   while (!TAILQ_EMPTY (&list->hosts))
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
     forget (list, TAILQ_FIRST (&list->hosts));
   free (list);
 }
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -273,14 +273,11 @@
   (void)bev;
   if (events & BEV_EVENT_CONNECTED)
     on_connected (connection);
-  else if (connection->connect_by != 0)
-    fail (connection, MARJORAM_HTTP_UNSENT);
-  else if (events & BEV_EVENT_EOF)
+  else if ((events & BEV_EVENT_EOF) && connection->connect_by == 0)
     on_closed (connection);
-  else if (connection->attempt)
-    fail (connection, MARJORAM_HTTP_BROKEN);
   else
-    fail (connection, MARJORAM_HTTP_UNSENT);
+    fail (connection, connection->connect_by != 0 ? MARJORAM_HTTP_UNSENT
+                                                  : MARJORAM_HTTP_BROKEN);
 }
 
 static void
@@ -469,7 +466,9 @@
   HASH_ITER (hh, client->pools, pool, next_pool)
   {
     while ((connection = TAILQ_FIRST (&pool->unused)))
+      /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
       destroy (connection);
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
     HASH_DELETE (hh, client->pools, pool);
     free (pool->address);
     free (pool);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -519,6 +519,7 @@
     return;
   while ((connection = TAILQ_FIRST (&server->connections)))
     {
+      /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
       forget_call (connection);
       destroy (connection);
     }
--- a/src/placement.c
+++ b/src/placement.c
@@ -62,6 +62,7 @@
   spot = marjoram_alloc (sizeof *spot);
   spot->id = marjoram_strdup (id);
   spot->memory = marjoram_engine_memory_create ();
+  spot->born = MARJORAM_BORN_UNKNOWN;
   TAILQ_INIT (&spot->told);
   HASH_ADD_KEYPTR (hh, placement->spots, spot->id, strlen (spot->id), spot);
   return spot;
@@ -79,8 +80,10 @@
 static void
 forget_spot (marjoram_placement *placement, struct marjoram_spot *spot)
 {
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, placement->spots, spot);
   while (!TAILQ_EMPTY (&spot->told))
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
     marjoram_spot_forget_told (spot, TAILQ_FIRST (&spot->told));
   marjoram_engine_memory_destroy (spot->memory);
   free (spot->id);
@@ -131,6 +134,7 @@
   }
   HASH_ITER (hh, placement->speeds, speed, next_speed)
   {
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
     HASH_DELETE (hh, placement->speeds, speed);
     free (speed->service);
     free (speed);
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -40,6 +40,9 @@
      0.10 lower on six days, with 300 ms 0.04, with 60 to 150 ms it was the
      same.  */
   BACKLOG_MAX_MS = 150,
+  /* What one in time may cost more than the cheapest that is late; 50 was the
+     same.  */
+  SECOND_BEST_MS = 100,
   RETRY_SOON_MS = 250,
   MSEC_PER_SEC = 1000
 };
@@ -53,7 +56,9 @@
 {
   if (spot->born == upstream->news.born)
     return;
-  marjoram_engine_memory_clear (spot->memory);
+  /* What other hosts placed may be heard of before its own news.  */
+  if (spot->born != MARJORAM_BORN_UNKNOWN)
+    marjoram_engine_memory_clear (spot->memory);
   spot->born = upstream->news.born;
   spot->paused_until = 0;
   spot->unreached = 0;
@@ -241,18 +246,44 @@
          || may_feed (placement, spot, query->service, now);
 }
 
-void
-marjoram_placement_choose (marjoram_placement *placement, int64_t now,
-                           const struct marjoram_place_query *query,
-                           struct marjoram_place *place)
+/* Whether an upstream would serve QUERY in time, without a queue that slows
+   down all its answers.  */
+static bool
+is_in_time (const struct estimate *estimate,
+            const struct marjoram_place_query *query)
+{
+  return estimate->wait_ms <= (double)query->useful_ms
+         && estimate->backlog_ms <= BACKLOG_MAX_MS;
+}
+
+struct choice
+{
+  const struct marjoram_registered *upstream; /* null if none */
+  struct estimate estimate;
+};
+
+static void
+take_cheaper (struct choice *choice,
+              const struct marjoram_registered *upstream,
+              const struct estimate *estimate)
+{
+  if (choice->upstream && estimate->cost_ms >= choice->estimate.cost_ms)
+    return;
+  choice->upstream = upstream;
+  choice->estimate = *estimate;
+}
+
+/* Where the cheapest is late, one in time takes the request if it costs little
+   more.  At a greater cost it would read again what the cheapest keeps, and
+   drop other parts for it: with any that is in time the mean worth of what
+   callers got was 0.06 lower on six days.  */
+static void
+choose_both (marjoram_placement *placement, int64_t now,
+             const struct marjoram_place_query *query, struct choice *cheapest,
+             struct choice *in_time)
 {
   struct marjoram_registered *upstream;
-  struct estimate best = { 0, 0, 0 };
-  bool any = false;
 
-  memset (place, 0, sizeof *place);
-  place->outcome = MARJORAM_PLACE_NONE;
-  place->retry_ms = RETRY_SOON_MS;
   TAILQ_FOREACH (upstream, marjoram_registry_all (placement->options.registry),
                  link)
   {
@@ -268,19 +299,35 @@
     estimate = estimate_spot (placement, spot, upstream, query, now);
     if (was_tried (query, spot->id))
       estimate.cost_ms += (double)query->useful_ms;
-    if (any && estimate.cost_ms >= best.cost_ms)
-      continue;
-    any = true;
-    best = estimate;
-    place->upstream = upstream;
+    take_cheaper (cheapest, upstream, &estimate);
+    if (estimate.backlog_ms <= SECOND_BEST_MS && is_in_time (&estimate, query))
+      take_cheaper (in_time, upstream, &estimate);
   }
-  if (!any)
+}
+
+void
+marjoram_placement_choose (marjoram_placement *placement, int64_t now,
+                           const struct marjoram_place_query *query,
+                           struct marjoram_place *place)
+{
+  struct choice cheapest = { NULL, { 0, 0, 0 } };
+  struct choice in_time = { NULL, { 0, 0, 0 } };
+  const struct choice *taken = &cheapest;
+
+  memset (place, 0, sizeof *place);
+  place->outcome = MARJORAM_PLACE_NONE;
+  place->retry_ms = RETRY_SOON_MS;
+  choose_both (placement, now, query, &cheapest, &in_time);
+  if (!cheapest.upstream)
     return;
-  place->wait_ms = (int64_t)best.wait_ms;
-  place->outcome
-      = place->wait_ms <= query->useful_ms && best.backlog_ms <= BACKLOG_MAX_MS
-            ? MARJORAM_PLACE_FOUND
-            : MARJORAM_PLACE_BUSY;
+  if (in_time.upstream
+      && in_time.estimate.cost_ms
+             <= cheapest.estimate.cost_ms + SECOND_BEST_MS)
+    taken = &in_time;
+  place->upstream = taken->upstream;
+  place->wait_ms = (int64_t)taken->estimate.wait_ms;
+  place->outcome = is_in_time (&taken->estimate, query) ? MARJORAM_PLACE_FOUND
+                                                        : MARJORAM_PLACE_BUSY;
   if (place->outcome == MARJORAM_PLACE_BUSY)
     place->retry_ms = place->wait_ms + RETRY_SOON_MS;
 }
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -28,6 +28,9 @@
   struct marjoram_spot_load_sum load;
 };
 
+/* Of a spot that was told of before its upstream's own news came.  */
+#define MARJORAM_BORN_UNKNOWN INT64_MIN
+
 /* What is known of one upstream beside the registry.  */
 struct marjoram_spot
 {
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -117,6 +117,17 @@
   }
 }
 
+static void
+hear_placed (struct marjoram_spot *spot,
+             const struct marjoram_placed_part *placed)
+{
+  /* Until this host has sent there itself, it does not know the size.  */
+  int64_t capacity = spot->capacity > 0 ? spot->capacity : INT64_MAX;
+
+  marjoram_engine_memory_use (spot->memory, placed->part,
+                              (int64_t)placed->tokens, capacity);
+}
+
 void
 marjoram_placement_hear (marjoram_placement *placement, int64_t now,
                          const char *host,
@@ -134,10 +145,7 @@
   for (size_t i = 0; i < report->placed.count; i++)
     if (placed[i].upstream < report->items.count
         && items[placed[i].upstream].upstream)
-      marjoram_engine_memory_use (
-          marjoram_spot_find (placement, items[placed[i].upstream].upstream)
-              ->memory,
-          placed[i].part, (int64_t)placed[i].tokens,
-          marjoram_spot_find (placement, items[placed[i].upstream].upstream)
-              ->capacity);
+      hear_placed (
+          marjoram_spot_find (placement, items[placed[i].upstream].upstream),
+          &placed[i]);
 }
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -77,6 +77,7 @@
 static void
 forget (marjoram_registrar *registrar, struct waiting *waiting)
 {
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registrar->waiting, waiting);
   free (waiting);
 }
@@ -432,14 +433,14 @@
   const struct marjoram_state *state
       = registrar->ops->state (registrar->context);
 
-  if (what->outcome != MARJORAM_APPLY_DECIDED || !state)
-    end_evacuation (registrar, waiting, STATUS_UNAVAILABLE);
-  else if (is_evacuated (state, waiting->zone) == waiting->evacuated)
+  const bool known = what->outcome == MARJORAM_APPLY_DECIDED && state;
+
+  if (known && is_evacuated (state, waiting->zone) == waiting->evacuated)
     end_evacuation (registrar, waiting, STATUS_OK);
-  else if (waiting->tries >= EVACUATE_TRIES)
-    end_evacuation (registrar, waiting, STATUS_UNAVAILABLE);
-  else
+  else if (known && waiting->tries < EVACUATE_TRIES)
     try_evacuate (registrar, waiting);
+  else
+    end_evacuation (registrar, waiting, STATUS_UNAVAILABLE);
 }
 
 static void
--- a/src/registry.c
+++ b/src/registry.c
@@ -35,6 +35,7 @@
 static void
 forget (marjoram_registry *registry, struct marjoram_registered *upstream)
 {
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registry->by_id, upstream);
   TAILQ_REMOVE (&registry->list, upstream, link);
   free (upstream);
--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -46,6 +46,7 @@
     return;
   HASH_ITER (hh, budget->accounts, account, next)
   {
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
     HASH_DELETE (hh, budget->accounts, account);
     free (account->service);
     free (account);
--- /dev/null
+++ b/test/test_event_stream.c
@@ -0,0 +1,91 @@
+/* The events of streamed answers.  */
+#include "suite.h"
+
+#include "event_stream.h"
+
+#include <string.h>
+
+static marjoram_event_stream *stream;
+static struct evbuffer *out;
+
+static void
+setup (void)
+{
+  stream = marjoram_event_stream_create ();
+  out = evbuffer_new ();
+}
+
+static void
+teardown (void)
+{
+  marjoram_event_stream_destroy (stream);
+  evbuffer_free (out);
+}
+
+static size_t
+feed (const char *text)
+{
+  return marjoram_event_stream_feed (stream, text, strlen (text), out);
+}
+
+static void
+expect (const char *text)
+{
+  size_t size = evbuffer_get_length (out);
+
+  ck_assert_uint_eq (size, strlen (text));
+  ck_assert_mem_eq (evbuffer_pullup (out, -1), text, size);
+}
+
+START_TEST (only_whole_events_pass)
+{
+  ck_assert_uint_eq (feed ("id: 1\ndata: a\n"), 0);
+  expect ("");
+  ck_assert_uint_eq (feed ("\nid: 2\nda"), 1);
+  expect ("id: 1\ndata: a\n\n");
+  ck_assert_str_eq (marjoram_event_stream_last (stream), "1");
+  ck_assert_uint_eq (feed ("ta: b\n\nid: 3\ndata: c\n\n"), 2);
+  ck_assert_str_eq (marjoram_event_stream_last (stream), "3");
+}
+END_TEST
+
+/* An upstream dies in the middle of its second event and another goes on after
+   the first.  The caller must see each event once and no torn one.  */
+START_TEST (another_upstream_goes_on)
+{
+  feed ("id: 1\ndata: a\n\nid: 2\nda");
+  marjoram_event_stream_resume (stream);
+  feed ("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  expect ("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+END_TEST
+
+START_TEST (lines_may_end_with_both_characters)
+{
+  ck_assert_uint_eq (feed ("id: 7\r\ndata: a\r\n\r\nid: 8\r\n"), 1);
+  ck_assert_str_eq (marjoram_event_stream_last (stream), "7");
+}
+END_TEST
+
+START_TEST (what_is_left_at_the_end_passes)
+{
+  feed ("id: 1\ndata: a\n\ndata: last");
+  marjoram_event_stream_finish (stream, out);
+  expect ("id: 1\ndata: a\n\ndata: last");
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("event_stream");
+  TCase *c = tcase_create ("event_stream");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, only_whole_events_pass);
+  tcase_add_test (c, another_upstream_goes_on);
+  tcase_add_test (c, lines_may_end_with_both_characters);
+  tcase_add_test (c, what_is_left_at_the_end_passes);
+  suite_add_tcase (s, c);
+  return s;
+}
--- /dev/null
+++ b/test/test_host_list.c
@@ -0,0 +1,161 @@
+/* Which hosts live, take callers, and own a task.  */
+#include "suite.h"
+
+#include "host_list.h"
+
+#include <string.h>
+
+static marjoram_host_list *list;
+static const char *found[MARJORAM_LOOKUP_MAX];
+
+static void
+setup (void)
+{
+  list = marjoram_host_list_create ();
+}
+
+static void
+teardown (void)
+{
+  marjoram_host_list_destroy (list);
+}
+
+static struct marjoram_host_beat
+beat (const char *name, const char *zone, const char *region,
+      uint64_t sequence)
+{
+  struct marjoram_host_beat made = { .name = (char *)name,
+                                     .zone = (char *)zone,
+                                     .region = (char *)region,
+                                     .entry = (char *)name,
+                                     .ready = true,
+                                     .incarnation = 1,
+                                     .sequence = sequence };
+
+  return made;
+}
+
+static void
+hear (int64_t now, const char *name, const char *zone, const char *region)
+{
+  struct marjoram_host_beat made
+      = beat (name, zone, region, (uint64_t)now + 1);
+
+  marjoram_host_list_hear (list, now, &made, true);
+}
+
+static bool
+is_home (void *context, const char *region)
+{
+  return strcmp (context, region) == 0;
+}
+
+static size_t
+look_up (int64_t now, const char *zone, const char *region)
+{
+  return marjoram_host_list_lookup (list, now, zone, region, is_home,
+                                    (void *)"r2", found);
+}
+
+START_TEST (own_zone_first_then_region_then_home)
+{
+  hear (0, "h1", "z1", "r1");
+  hear (0, "h2", "z2", "r1");
+  hear (0, "h3", "z3", "r2");
+  hear (0, "h4", "z4", "r3");
+  ck_assert_uint_eq (look_up (100, "z1", "r1"), 1);
+  ck_assert_str_eq (found[0], "h1");
+  ck_assert_uint_eq (look_up (100, "z9", "r1"), 2);
+  ck_assert_uint_eq (look_up (100, "z9", "r9"), 1);
+  ck_assert_str_eq (found[0], "h3");
+}
+END_TEST
+
+/* A host is killed.  Callers that look up two seconds later must not be sent
+   to it.  */
+START_TEST (dead_host_is_left_out_in_time)
+{
+  hear (0, "h1", "z1", "r1");
+  hear (0, "h2", "z1", "r1");
+  for (int64_t now = 300; now <= 1800; now += 300)
+    hear (now, "h2", "z1", "r1");
+  ck_assert_uint_eq (look_up (1900, "z1", "r1"), 1);
+  ck_assert_str_eq (found[0], "h2");
+}
+END_TEST
+
+/* A host is stopped in order.  It says so in its next beat, and is left out at
+   once, though it lives on for seconds.  */
+START_TEST (leaving_host_is_left_out_at_once)
+{
+  struct marjoram_host_beat made = beat ("h1", "z1", "r1", 2);
+
+  hear (0, "h1", "z1", "r1");
+  made.ready = false;
+  made.leaving = true;
+  ck_assert (marjoram_host_list_hear (list, 10, &made, true));
+  ck_assert_uint_eq (look_up (20, "z1", "r1"), 0);
+}
+END_TEST
+
+/* A host restarts; the word of another host about its former life comes
+   late.  */
+START_TEST (older_beats_are_ignored)
+{
+  struct marjoram_host_beat old = beat ("h1", "z1", "r1", 500);
+  struct marjoram_host_beat new = beat ("h1", "z1", "r1", 1);
+
+  old.leaving = true;
+  new.incarnation = 2;
+  marjoram_host_list_hear (list, 0, &new, true);
+  ck_assert (!marjoram_host_list_hear (list, 10, &old, false));
+  ck_assert_uint_eq (look_up (20, "z1", "r1"), 1);
+}
+END_TEST
+
+START_TEST (one_owner_among_the_living_of_a_region)
+{
+  const char *owner;
+
+  hear (0, "h1", "z1", "r1");
+  hear (0, "h2", "z1", "r1");
+  hear (0, "h3", "z3", "r2");
+  owner = marjoram_host_list_owner (list, 10, "r1", "upstream-7");
+  ck_assert (strcmp (owner, "h1") == 0 || strcmp (owner, "h2") == 0);
+  ck_assert_ptr_null (marjoram_host_list_owner (list, 9000, "r1", "a"));
+  /* The other one takes over.  */
+  hear (9000, strcmp (owner, "h1") == 0 ? "h2" : "h1", "z1", "r1");
+  ck_assert_str_ne (marjoram_host_list_owner (list, 9000, "r1", "upstream-7"),
+                    owner);
+}
+END_TEST
+
+/* The budget of repeats is split by the number of hosts; a dead one may come
+   back, so it counts for a while.  */
+START_TEST (dead_entries_count_for_a_while)
+{
+  hear (0, "h1", "z1", "r1");
+  hear (0, "h2", "z1", "r1");
+  marjoram_host_list_tick (list, 5000);
+  ck_assert_uint_eq (marjoram_host_list_entries (list), 2);
+  marjoram_host_list_tick (list, 90000);
+  ck_assert_uint_eq (marjoram_host_list_entries (list), 0);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("host_list");
+  TCase *c = tcase_create ("host_list");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, own_zone_first_then_region_then_home);
+  tcase_add_test (c, dead_host_is_left_out_in_time);
+  tcase_add_test (c, leaving_host_is_left_out_at_once);
+  tcase_add_test (c, older_beats_are_ignored);
+  tcase_add_test (c, one_owner_among_the_living_of_a_region);
+  tcase_add_test (c, dead_entries_count_for_a_while);
+  suite_add_tcase (s, c);
+  return s;
+}
--- /dev/null
+++ b/test/test_placement.c
@@ -0,0 +1,424 @@
+/* Which upstream gets a request, and which request none can serve in time.  */
+#include "suite.h"
+
+#include "placement.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static marjoram_registry *registry;
+static marjoram_host_list *hosts;
+static marjoram_placement *placement;
+static const char *evacuated;
+static uint64_t next_attempt;
+
+static const struct marjoram_service_rule engine = {
+  .name = (char *)"lm",
+  .cold_ms = 3000,
+  .cold_per_s = 2,
+  .has_engine = true,
+  .engine = { .slots = 64, .kv_capacity = 250000 },
+};
+static const struct marjoram_service_rule plain = { .name = (char *)"app" };
+
+static const char *
+region_of (void *context, const char *zone)
+{
+  (void)context;
+  return strcmp (zone, "far") == 0 ? "r2" : "r1";
+}
+
+static bool
+is_evacuated (void *context, const char *zone)
+{
+  (void)context;
+  return evacuated && strcmp (zone, evacuated) == 0;
+}
+
+static marjoram_placement *
+create (const char *host)
+{
+  const struct marjoram_placement_options options = {
+    .registry = registry,
+    .hosts = hosts,
+    .host = host,
+    .region = "r1",
+    .region_of = region_of,
+    .is_evacuated = is_evacuated,
+  };
+
+  return marjoram_placement_create (&options);
+}
+
+static void
+hear_host (int64_t now, const char *name)
+{
+  struct marjoram_host_beat beat = { .name = (char *)name,
+                                     .zone = (char *)"za",
+                                     .region = (char *)"r1",
+                                     .entry = (char *)name,
+                                     .ready = true,
+                                     .incarnation = 1,
+                                     .sequence = (uint64_t)now + 1 };
+
+  marjoram_host_list_hear (hosts, now, &beat, true);
+}
+
+static void
+setup (void)
+{
+  evacuated = NULL;
+  next_attempt = 0;
+  registry = marjoram_registry_create ();
+  hosts = marjoram_host_list_create ();
+  placement = create ("h1");
+  hear_host (0, "h1");
+}
+
+static void
+teardown (void)
+{
+  marjoram_placement_destroy (placement);
+  marjoram_registry_destroy (registry);
+  marjoram_host_list_destroy (hosts);
+}
+
+static void
+hear_full (int64_t now, const char *service, const char *id, const char *zone,
+           int64_t cold_ms, int64_t sequence)
+{
+  struct marjoram_upstream_news news = { .born = 1,
+                                         .sequence = sequence,
+                                         .cold_ms = cold_ms,
+                                         .ends_ms = -1,
+                                         .slots = 4 };
+
+  snprintf (news.id, sizeof news.id, "%s", id);
+  snprintf (news.service, sizeof news.service, "%s", service);
+  snprintf (news.address, sizeof news.address, "10.0.0.%s:80", id);
+  snprintf (news.zone, sizeof news.zone, "%s", zone);
+  marjoram_registry_hear (registry, now, &news, 0);
+}
+
+static void
+hear (int64_t now, const char *id)
+{
+  hear_full (now, "lm", id, "za", 0, now + 1);
+}
+
+/* A prompt of a shared part and one of its own.  */
+static struct marjoram_call_facts
+prompt (uint64_t shared, int64_t shared_tokens, uint64_t own,
+        int64_t own_tokens)
+{
+  struct marjoram_call_facts facts
+      = { .prompt_tokens = shared_tokens + own_tokens,
+          .answer_tokens_hint = 50,
+          .parts = { { shared, shared_tokens }, { own, own_tokens } },
+          .part_count = 2 };
+
+  snprintf (facts.id, sizeof facts.id, "%llu", (unsigned long long)own);
+  return facts;
+}
+
+static struct marjoram_place_query
+ask_for (const struct marjoram_call_facts *facts, int priority)
+{
+  struct marjoram_place_query query = {
+    .service = &engine, .facts = facts, .priority = priority, .useful_ms = 1000
+  };
+
+  return query;
+}
+
+/* Chooses and, if there is a place, starts the attempt there.  */
+static struct marjoram_place
+place (int64_t now, const struct marjoram_place_query *query)
+{
+  struct marjoram_place chosen;
+
+  marjoram_placement_choose (placement, now, query, &chosen);
+  if (chosen.outcome == MARJORAM_PLACE_FOUND)
+    marjoram_placement_started (placement, now, ++next_attempt,
+                                chosen.upstream->news.id, query);
+  return chosen;
+}
+
+START_TEST (prompt_goes_where_its_part_is_kept)
+{
+  struct marjoram_call_facts first = prompt (7, 4000, 100, 500);
+  struct marjoram_place_query query = ask_for (&first, 1);
+  char where[MARJORAM_ID_MAX];
+
+  for (int i = 1; i <= 4; i++)
+    hear (0, (const char *[]){ "", "1", "2", "3", "4" }[i]);
+  snprintf (where, sizeof where, "%s", place (0, &query).upstream->news.id);
+  marjoram_placement_answering (placement, 100, 1);
+  marjoram_placement_ended (placement, 200, 1, MARJORAM_ATTEMPT_SERVED);
+  for (uint64_t i = 0; i < 5; i++)
+    {
+      struct marjoram_call_facts next = prompt (7, 4000, 200 + i, 500);
+      struct marjoram_place chosen;
+
+      query = ask_for (&next, 1);
+      chosen = place (300 + (int64_t)i * 200, &query);
+      ck_assert_str_eq (chosen.upstream->news.id, where);
+      ck_assert_int_lt (chosen.wait_ms, 20);
+      marjoram_placement_ended (placement, 400 + (int64_t)i * 200,
+                                next_attempt, MARJORAM_ATTEMPT_SERVED);
+    }
+}
+END_TEST
+
+/* All prompts of a burst share one part.  Sent to the one engine that keeps it
+   they would wait behind each other while three engines idle.  */
+START_TEST (a_hot_part_does_not_pile_up)
+{
+  int at[5] = { 0 };
+
+  for (int i = 1; i <= 4; i++)
+    hear (0, (const char *[]){ "", "1", "2", "3", "4" }[i]);
+  for (uint64_t i = 0; i < 12; i++)
+    {
+      struct marjoram_call_facts facts = prompt (7, 4000, 100 + i, 3000);
+      struct marjoram_place_query query = ask_for (&facts, 1);
+      struct marjoram_place chosen = place (0, &query);
+
+      if (chosen.outcome == MARJORAM_PLACE_FOUND)
+        at[atoi (chosen.upstream->news.id)]++;
+    }
+  for (int i = 1; i <= 4; i++)
+    ck_assert_int_ge (at[i], 1);
+}
+END_TEST
+
+/* Long prompts come faster than the engines read them.  Queued, they would
+   make every answer slow; those that are too many are refused at once, with a
+   time to come back.  */
+START_TEST (queue_of_prompts_is_bounded)
+{
+  struct marjoram_place chosen = { 0 };
+  int taken = 0;
+
+  hear (0, "1");
+  for (uint64_t i = 0; i < 20; i++)
+    {
+      struct marjoram_call_facts facts = prompt (100 + i, 4000, 500 + i, 3000);
+      struct marjoram_place_query query = ask_for (&facts, 1);
+
+      chosen = place (0, &query);
+      taken += chosen.outcome == MARJORAM_PLACE_FOUND;
+    }
+  ck_assert_int_ge (taken, 1);
+  ck_assert_int_le (taken, 3);
+  ck_assert_int_eq (chosen.outcome, MARJORAM_PLACE_BUSY);
+  ck_assert_int_gt (chosen.retry_ms, 0);
+}
+END_TEST
+
+/* The same queue of long prompts, and a short urgent one: engines admit it
+   before those that wait, so it is not refused for them.  */
+START_TEST (urgent_requests_pass_the_queue)
+{
+  struct marjoram_call_facts urgent = prompt (9, 100, 10, 600);
+  struct marjoram_place_query query;
+
+  hear (0, "1");
+  for (uint64_t i = 0; i < 20; i++)
+    {
+      struct marjoram_call_facts facts = prompt (100 + i, 4000, 500 + i, 3000);
+
+      query = ask_for (&facts, 1);
+      place (0, &query);
+    }
+  query = ask_for (&urgent, 0);
+  ck_assert_int_eq (place (0, &query).outcome, MARJORAM_PLACE_FOUND);
+}
+END_TEST
+
+/* Upstreams come back cold: together all hosts may send each of them only so
+   many requests a second, or it crashes.  Two hosts see each other, a third is
+   out of touch with both.  */
+START_TEST (cold_upstream_is_fed_by_one_host)
+{
+  marjoram_placement *others[2] = { create ("h2"), create ("h3") };
+  int sent = 0;
+
+  hear_host (0, "h2");
+  hear_host (0, "h3");
+  hear_full (0, "lm", "1", "za", 3000, 1);
+  for (int64_t now = 1; now < 1000; now += 10)
+    for (int i = 0; i < 3; i++)
+      {
+        struct marjoram_call_facts facts
+            = prompt (7, 10, (uint64_t)now * 3 + (uint64_t)i, 10);
+        struct marjoram_place_query query = ask_for (&facts, 1);
+        marjoram_placement *by = i == 0 ? placement : others[i - 1];
+        struct marjoram_place chosen;
+
+        marjoram_placement_choose (by, now, &query, &chosen);
+        if (chosen.outcome != MARJORAM_PLACE_FOUND)
+          continue;
+        sent++;
+        marjoram_placement_started (by, now, ++next_attempt, "1", &query);
+        marjoram_placement_ended (by, now, next_attempt,
+                                  MARJORAM_ATTEMPT_SERVED);
+      }
+  ck_assert_int_ge (sent, 1);
+  ck_assert_int_le (sent, 2);
+  marjoram_placement_destroy (others[0]);
+  marjoram_placement_destroy (others[1]);
+}
+END_TEST
+
+/* An upstream crashes and starts again at once under its old id.  Its next
+   heartbeat, which says that it is cold, comes a second later; until then the
+   broken connections are all that tells.  */
+START_TEST (broken_connections_mean_cold_until_news)
+{
+  int sent = 0;
+
+  hear (0, "1");
+  marjoram_placement_lost (placement, 100, "10.0.0.1:80");
+  for (int64_t now = 110; now < 1110; now += 20)
+    {
+      struct marjoram_call_facts facts = prompt (7, 10, (uint64_t)now, 10);
+      struct marjoram_place_query query = ask_for (&facts, 1);
+
+      if (place (now, &query).outcome != MARJORAM_PLACE_FOUND)
+        continue;
+      sent++;
+      marjoram_placement_ended (placement, now, next_attempt,
+                                MARJORAM_ATTEMPT_SERVED);
+    }
+  ck_assert_int_le (sent, 2);
+  hear_host (1200, "h1");
+  hear (1200, "1");
+  sent = 0;
+  for (int64_t now = 1210; now < 1410; now += 20)
+    {
+      struct marjoram_call_facts facts = prompt (7, 10, (uint64_t)now, 10);
+      struct marjoram_place_query query = ask_for (&facts, 1);
+
+      sent += place (now, &query).outcome == MARJORAM_PLACE_FOUND;
+    }
+  ck_assert_int_eq (sent, 10);
+}
+END_TEST
+
+/* A zone that was evacuated is taken back; what it has may have become cold
+   meanwhile, without a heartbeat that says so yet.  */
+START_TEST (restored_zone_is_cold_at_first)
+{
+  struct marjoram_service_rule services[] = { engine };
+  struct marjoram_route_table table = { .services = { services, 1 } };
+  struct marjoram_call_facts facts = prompt (7, 10, 8, 10);
+  struct marjoram_place_query query = ask_for (&facts, 1);
+
+  hear (0, "1");
+  evacuated = "za";
+  ck_assert_int_eq (place (0, &query).outcome, MARJORAM_PLACE_NONE);
+  evacuated = NULL;
+  marjoram_placement_restored (placement, 10, "za", &table);
+  ck_assert_int_eq (place (20, &query).outcome, MARJORAM_PLACE_FOUND);
+  ck_assert_int_eq (place (40, &query).outcome, MARJORAM_PLACE_NONE);
+}
+END_TEST
+
+START_TEST (only_the_own_region)
+{
+  struct marjoram_call_facts facts = prompt (7, 10, 8, 10);
+  struct marjoram_place_query query = ask_for (&facts, 1);
+
+  hear_full (0, "lm", "1", "far", 0, 1);
+  ck_assert_int_eq (place (0, &query).outcome, MARJORAM_PLACE_NONE);
+}
+END_TEST
+
+START_TEST (unreached_and_wrong_ones_are_left_alone)
+{
+  struct marjoram_call_facts facts = prompt (7, 10, 8, 10);
+  struct marjoram_place_query query = ask_for (&facts, 1);
+
+  hear (0, "1");
+  place (0, &query);
+  marjoram_placement_ended (placement, 10, next_attempt,
+                            MARJORAM_ATTEMPT_UNREACHED);
+  ck_assert_int_eq (place (20, &query).outcome, MARJORAM_PLACE_NONE);
+  ck_assert_int_eq (place (400, &query).outcome, MARJORAM_PLACE_FOUND);
+  /* Another upstream has its address: only its own news bring it back.  */
+  marjoram_placement_ended (placement, 410, next_attempt,
+                            MARJORAM_ATTEMPT_WRONG);
+  ck_assert_int_eq (place (5000, &query).outcome, MARJORAM_PLACE_NONE);
+  hear (5100, "1");
+  ck_assert_int_eq (place (5200, &query).outcome, MARJORAM_PLACE_FOUND);
+}
+END_TEST
+
+START_TEST (plain_requests_go_to_the_least_loaded)
+{
+  struct marjoram_call_facts facts = { 0 };
+  struct marjoram_place_query query
+      = { .service = &plain, .facts = &facts, .useful_ms = 300 };
+  int at[3] = { 0 };
+
+  hear_full (0, "app", "1", "za", 0, 1);
+  hear_full (0, "app", "2", "za", 0, 1);
+  for (int i = 0; i < 8; i++)
+    {
+      snprintf (facts.id, sizeof facts.id, "%d", i);
+      at[atoi (place (0, &query).upstream->news.id)]++;
+    }
+  ck_assert_int_eq (at[1], 4);
+  ck_assert_int_eq (at[2], 4);
+}
+END_TEST
+
+/* Two hosts of a region place at the same time.  What one has sent to an
+   engine must count at the other, and stop counting when it falls silent.  */
+START_TEST (other_hosts_loads_count)
+{
+  marjoram_placement *other = create ("h2");
+  struct marjoram_load_report report;
+  struct marjoram_call_facts facts = prompt (7, 4000, 8, 4000);
+  struct marjoram_place_query query = ask_for (&facts, 1);
+  struct marjoram_place chosen;
+
+  hear (0, "1");
+  place (0, &query);
+  marjoram_placement_report (placement, 10, &report);
+  marjoram_placement_hear (other, 10, "h1", &report);
+  marjoram_wire_clear (&marjoram_load_report_layout, &report);
+  marjoram_placement_choose (other, 20, &query, &chosen);
+  ck_assert_int_eq (chosen.outcome, MARJORAM_PLACE_BUSY);
+  marjoram_placement_choose (other, 5000, &query, &chosen);
+  ck_assert_int_eq (chosen.outcome, MARJORAM_PLACE_FOUND);
+  /* What the first one placed is known to be kept there.  */
+  ck_assert_int_lt (chosen.wait_ms, 20);
+  marjoram_placement_destroy (other);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("placement");
+  TCase *c = tcase_create ("placement");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, prompt_goes_where_its_part_is_kept);
+  tcase_add_test (c, a_hot_part_does_not_pile_up);
+  tcase_add_test (c, queue_of_prompts_is_bounded);
+  tcase_add_test (c, urgent_requests_pass_the_queue);
+  tcase_add_test (c, cold_upstream_is_fed_by_one_host);
+  tcase_add_test (c, broken_connections_mean_cold_until_news);
+  tcase_add_test (c, restored_zone_is_cold_at_first);
+  tcase_add_test (c, only_the_own_region);
+  tcase_add_test (c, unreached_and_wrong_ones_are_left_alone);
+  tcase_add_test (c, plain_requests_go_to_the_least_loaded);
+  tcase_add_test (c, other_hosts_loads_count);
+  suite_add_tcase (s, c);
+  return s;
+}
--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,447 @@
+/* The platform's way of speaking, read into the product's types and back.  */
+#include "suite.h"
+
+#include "platform.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const struct marjoram_dialect_ops *dialect;
+
+static void
+setup (void)
+{
+  dialect = marjoram_platform_dialect ()->ops;
+}
+
+/* ---- Headers.  ---- */
+
+START_TEST (call_is_read)
+{
+  struct marjoram_header_list headers = { 0 };
+  struct marjoram_call_facts facts;
+
+  marjoram_header_list_add (&headers, "marjoramproxy-attempt-id", "9c41d0");
+  marjoram_header_list_add (&headers, "Marjoramproxy-Deadline-Ms", "4000");
+  marjoram_header_list_add (&headers, "Marjoramproxy-Token-Usage", "1460,80");
+  marjoram_header_list_add (&headers, "Marjoramproxy-Prompt-Prefix",
+                            "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  marjoram_header_list_add (&headers, "Marjoramproxy-Length-Hint", "50");
+  marjoram_header_list_add (&headers, "Last-Event-Id", "12");
+  dialect->read_call (&headers, &facts);
+  ck_assert_str_eq (facts.id, "9c41d0");
+  ck_assert_int_eq (facts.patience_ms, 4000);
+  ck_assert_int_eq (facts.prompt_tokens, 1460);
+  ck_assert_int_eq (facts.answer_tokens_max, 80);
+  ck_assert_int_eq (facts.answer_tokens_hint, 50);
+  ck_assert_uint_eq (facts.part_count, 3);
+  ck_assert_uint_eq (facts.parts[1].id, 0x91bd3f06);
+  ck_assert_int_eq (facts.parts[1].tokens, 410);
+  ck_assert_str_eq (facts.last_event, "12");
+  marjoram_header_list_clear (&headers);
+}
+END_TEST
+
+START_TEST (malformed_call_headers_say_nothing)
+{
+  static const char *const prompts[] = { "", ":", "x:1", "1:", "1:-5", "1;2" };
+  static const char *const usages[] = { "", "a,b", "5", ",", "5," };
+
+  for (size_t i = 0; i < sizeof prompts / sizeof *prompts; i++)
+    {
+      struct marjoram_header_list headers = { 0 };
+      struct marjoram_call_facts facts;
+
+      marjoram_header_list_add (&headers, "Marjoramproxy-Prompt-Prefix",
+                                prompts[i]);
+      marjoram_header_list_add (&headers, "Marjoramproxy-Token-Usage",
+                                usages[i % 5]);
+      marjoram_header_list_add (&headers, "Marjoramproxy-Deadline-Ms", "-3");
+      dialect->read_call (&headers, &facts);
+      ck_assert_uint_eq (facts.part_count, 0);
+      ck_assert_int_eq (facts.prompt_tokens, 0);
+      ck_assert_int_eq (facts.patience_ms, 0);
+      marjoram_header_list_clear (&headers);
+    }
+}
+END_TEST
+
+/* A caller sets headers that are ours to set: to reserve memory at an engine,
+   or to read another request's.  They must not reach an upstream.  */
+START_TEST (callers_cannot_set_what_is_ours)
+{
+  ck_assert (!dialect->passes_to_upstream ("Marjoramproxy-Hold"));
+  ck_assert (!dialect->passes_to_upstream ("marjoramproxy-pin-ms"));
+  ck_assert (!dialect->passes_to_upstream ("Marjoramproxy-Kv-Backup"));
+  ck_assert (!dialect->passes_to_upstream ("kv-from"));
+  ck_assert (!dialect->passes_to_upstream ("Marjoramproxy-Target-Instance"));
+  ck_assert (dialect->passes_to_upstream ("Marjoramproxy-Model"));
+  ck_assert (dialect->passes_to_upstream ("Marjoramproxy-Attempt-Id"));
+  ck_assert (dialect->passes_to_upstream ("X-Anything"));
+}
+END_TEST
+
+START_TEST (run_is_written)
+{
+  const struct marjoram_run_facts facts = { 1500, "i-7", "12", 0 };
+  struct marjoram_header_list headers = { 0 };
+
+  marjoram_header_list_add (&headers, "Last-Event-Id", "3");
+  dialect->write_run (&facts, &headers);
+  ck_assert_str_eq (
+      marjoram_header_list_get (&headers, "Marjoramproxy-Deadline-Ms"),
+      "1500");
+  ck_assert_str_eq (
+      marjoram_header_list_get (&headers, "Marjoramproxy-Target-Instance"),
+      "i-7");
+  ck_assert_str_eq (
+      marjoram_header_list_get (&headers, "Marjoramproxy-Request-Urgency"),
+      "0");
+  ck_assert_uint_eq (marjoram_header_list_times (&headers, "Last-Event-Id"),
+                     1);
+  ck_assert_str_eq (marjoram_header_list_get (&headers, "Last-Event-Id"),
+                    "12");
+  marjoram_header_list_clear (&headers);
+}
+END_TEST
+
+START_TEST (answer_is_read)
+{
+  struct marjoram_header_list headers = { 0 };
+  struct marjoram_answer_facts facts;
+
+  dialect->read_answer (421, &headers, &facts);
+  ck_assert (facts.not_run && facts.wrong_upstream);
+  ck_assert_int_eq (facts.cold_ms, -1);
+  dialect->read_answer (503, &headers, &facts);
+  ck_assert (!facts.not_run && !facts.signed_by_upstream);
+  marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
+  marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "x");
+  marjoram_header_list_add (&headers, "Marjoramproxy-Cold-Ms", "700");
+  dialect->read_answer (503, &headers, &facts);
+  ck_assert (facts.not_run && facts.signed_by_upstream);
+  ck_assert_int_eq (facts.cold_ms, 700);
+  marjoram_header_list_clear (&headers);
+}
+END_TEST
+
+/* ---- Calls.  ---- */
+
+static bool
+ask (const char *method, const char *target, const char *body,
+     struct marjoram_ask *what)
+{
+  struct marjoram_error err = { 0 };
+  bool ok
+      = dialect->read_ask (method, target, body, strlen (body), what, &err);
+
+  ck_assert (ok || err.message[0]);
+  return ok;
+}
+
+#define BEAT                                                                  \
+  "{\"service\":\"lm\",\"address\":\"10.0.0.9:8080\",\"zone\":\"za\","        \
+  "\"state\":\"%s\",\"slots\":64,\"cold_remaining_ms\":250,\"seq\":4,"        \
+  "\"born\":1700000000123,\"version\":\"v1\",\"new\":[1]}"
+
+START_TEST (heartbeat_is_read)
+{
+  struct marjoram_ask what;
+  char body[512];
+
+  snprintf (body, sizeof body, BEAT, "ready");
+  ck_assert (ask ("POST", "/-/instances/i-7f/heartbeat", body, &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_NEWS);
+  ck_assert_str_eq (what.news.id, "i-7f");
+  ck_assert_str_eq (what.news.address, "10.0.0.9:8080");
+  ck_assert_int_eq (what.news.state, MARJORAM_NEWS_READY);
+  ck_assert_int_eq (what.news.born, 1700000000123);
+  ck_assert_int_eq (what.news.sequence, 4);
+  ck_assert_int_eq (what.news.cold_ms, 250);
+  ck_assert_int_eq (what.news.ends_ms, -1);
+  snprintf (body, sizeof body, BEAT, "draining");
+  ck_assert (ask ("POST", "/-/instances/i-7f/heartbeat", body, &what));
+  ck_assert_int_eq (what.news.state, MARJORAM_NEWS_LEAVING);
+}
+END_TEST
+
+/* Another writer sends entries that it should not: fields missing or of other
+   types, unknown states, bytes that can't be read.  None may name an upstream
+   to use.  */
+START_TEST (malformed_heartbeats_are_refused)
+{
+  static const char *const bodies[] = {
+    "",
+    "{",
+    "[]",
+    "7",
+    "null",
+    "{}",
+    "{\"service\":\"lm\",\"address\":\"10.0.0.9:80\",\"zone\":\"za\","
+    "\"state\":\"asleep\",\"seq\":1}",
+    "{\"service\":\"lm\",\"address\":\"10.0.0.9:80\",\"zone\":\"za\","
+    "\"state\":1,\"seq\":1}",
+    "{\"service\":\"lm\",\"address\":\"10.0.0.9\",\"zone\":\"za\","
+    "\"state\":\"ready\",\"seq\":1}",
+    "{\"service\":\"lm\",\"address\":\"a.example:80\",\"zone\":\"za\","
+    "\"state\":\"ready\",\"seq\":1}",
+    "{\"service\":[],\"address\":\"10.0.0.9:80\",\"zone\":\"za\","
+    "\"state\":\"ready\",\"seq\":1}",
+    "{\"service\":\"lm\",\"address\":\"10.0.0.9:80\",\"zone\":\"za\","
+    "\"state\":\"ready\",\"seq\":\"1\"}",
+    "{\"service\":\"lm\",\"address\":\"10.0.0.9:80\",\"zone\":\"za\","
+    "\"state\":\"ready\",\"seq\":1,\"cold_remaining_ms\":\"x\"}",
+    "{\"service\":\"lm\",\"address\":\"10.0.0.9:80\",\"zone\":\"za\","
+    "\"state\":\"ready\",\"seq\":1e300}",
+    "\xff\xfe",
+  };
+  struct marjoram_ask what;
+
+  for (size_t i = 0; i < sizeof bodies / sizeof *bodies; i++)
+    ck_assert_msg (
+        !ask ("POST", "/-/instances/i-7f/heartbeat", bodies[i], &what),
+        "accepted: %s", bodies[i]);
+}
+END_TEST
+
+START_TEST (leave_needs_no_body)
+{
+  struct marjoram_ask what;
+
+  ck_assert (ask ("POST", "/-/instances/i-7f/deregister", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_NEWS);
+  ck_assert_int_eq (what.news.state, MARJORAM_NEWS_GONE);
+  ck_assert (
+      ask ("POST", "/-/instances/i-7f/deregister", "{\"born\":5}", &what));
+  ck_assert_int_eq (what.news.born, 5);
+}
+END_TEST
+
+START_TEST (other_calls_are_read)
+{
+  struct marjoram_ask what;
+
+  ck_assert (
+      ask ("GET", "/-/resolve?name=a.example&region=r1&zone=z1", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_LOOKUP);
+  ck_assert_str_eq (what.host, "a.example");
+  ck_assert_str_eq (what.region, "r1");
+  ck_assert_str_eq (what.zone, "z1");
+  ck_assert (ask ("POST", "/-/evacuations/hob-a/begin", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_EVACUATE);
+  ck_assert_str_eq (what.zone, "hob-a");
+  ck_assert (ask ("POST", "/-/evacuations/hob-a/finish", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_RESTORE);
+  ck_assert (ask ("GET", "/-/config/read", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_CONFIG_GET);
+  ck_assert (ask ("POST", "/-/config/replace", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_CONFIG_SET);
+  ck_assert (ask ("GET", "/-/ready", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_READY);
+  ck_assert (ask ("GET", "/-/evacuations/a/b/begin", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_UNKNOWN);
+  ck_assert (ask ("POST", "/-/evacuations//begin", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_UNKNOWN);
+  ck_assert (ask ("PUT", "/-/config/replace", "", &what));
+  ck_assert_int_eq (what.kind, MARJORAM_ASK_UNKNOWN);
+}
+END_TEST
+
+START_TEST (lookup_is_written)
+{
+  static const char *const addresses[] = { "10.0.0.1:80", "10.0.0.2:80" };
+  char *text = dialect->write_lookup (addresses, 2, 2);
+
+  ck_assert_str_eq (
+      text, "{\"addresses\":[\"10.0.0.1:80\",\"10.0.0.2:80\"],\"ttl_s\":2}");
+  free (text);
+}
+END_TEST
+
+/* ---- Configuration.  ---- */
+
+#define CONFIG(routes, services)                                              \
+  "{\"version\":7,\"routes\":[" routes "],\"services\":[" services "],"       \
+  "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"        \
+  "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}"
+#define ROUTE(name, prefix, rest)                                             \
+  "{\"name\":\"" name "\",\"host\":\"a.example\",\"path_prefix\":\"" prefix   \
+  "\",\"kind\":\"streaming\",\"target_latency_ms\":1500,\"priority\":1,"      \
+  "\"max_attempts\":2,\"resumable\":true,\"target_gap_ms\":600,"              \
+  "\"home_regions\":[\"r1\",\"r2\"]," rest "}"
+#define LM                                                                    \
+  "{\"name\":\"lm\",\"health_path\":\"/health\",\"max_connections\":370,"     \
+  "\"cold_start_s\":3.0,\"cold_per_s\":2.6,"                                  \
+  "\"engine\":{\"slots\":64,\"kv_capacity\":232342}}"
+#define APP                                                                   \
+  "{\"name\":\"app\",\"health_path\":\"/health\",\"max_connections\":110}"
+
+static struct marjoram_route_table *
+read_config (const char *text, struct marjoram_error *err)
+{
+  struct marjoram_route_table *table
+      = dialect->read_config (text, strlen (text), err);
+
+  if (table && !marjoram_route_table_check (table, err))
+    {
+      marjoram_route_table_destroy (table);
+      return NULL;
+    }
+  return table;
+}
+
+START_TEST (configuration_is_read)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_route_table *table = read_config (
+      CONFIG (ROUTE ("r", "/a/",
+                     "\"timeout_ms\":4000,\"weighted_clusters\":"
+                     "[{\"service\":\"lm\",\"weight\":90},"
+                     "{\"service\":\"app\",\"weight\":10}]"),
+              LM "," APP),
+      &err);
+  const struct marjoram_route_rule *route;
+  const struct marjoram_service_rule *service;
+
+  ck_assert_msg (table != NULL, "%s", err.message);
+  ck_assert_uint_eq (table->version, 7);
+  ck_assert_int_eq (table->callers.idle_timeout_ms, 15000);
+  route = marjoram_route_table_find (table, "A.example:80", "/a/b?c=/d/");
+  ck_assert_ptr_nonnull (route);
+  ck_assert (route->stream && route->resumable);
+  ck_assert_int_eq (route->timeout_ms, 4000);
+  ck_assert_int_eq (route->objective_ms, 1500);
+  ck_assert_uint_eq (route->targets.count, 2);
+  ck_assert (marjoram_route_allows (route, "r2"));
+  ck_assert (!marjoram_route_allows (route, "r3"));
+  ck_assert (!marjoram_route_table_allows (table, "a.example", "r3"));
+  ck_assert (marjoram_route_table_allows (table, "b.example", "r3"));
+  ck_assert (marjoram_route_may_repeat (route));
+  service = marjoram_route_table_service (table, "lm");
+  ck_assert (service->has_engine);
+  ck_assert_int_eq (service->cold_ms, 3000);
+  ck_assert_int_eq (service->engine.kv_capacity, 232342);
+  marjoram_route_table_destroy (table);
+}
+END_TEST
+
+START_TEST (longest_prefix_wins)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_route_table *table = read_config (
+      CONFIG (
+          ROUTE (
+              "short", "/a/",
+              "\"timeout_ms\":1,\"service\":\"lm\"") "," ROUTE ("long",
+                                                                "/a/b/",
+                                                                "\"timeout_"
+                                                                "ms\":1,"
+                                                                "\"service\":"
+                                                                "\"lm\""),
+          LM),
+      &err);
+
+  ck_assert_str_eq (
+      marjoram_route_table_find (table, "a.example", "/a/b/c")->name, "long");
+  ck_assert_str_eq (
+      marjoram_route_table_find (table, "a.example", "/a/bc")->name, "short");
+  ck_assert_ptr_null (marjoram_route_table_find (table, "a.example", "/a"));
+  ck_assert_ptr_null (marjoram_route_table_find (table, "b.example", "/a/"));
+  ck_assert_ptr_null (
+      marjoram_route_table_find (table, "a.example", "/x?/a/b/"));
+  marjoram_route_table_destroy (table);
+}
+END_TEST
+
+START_TEST (weights_split_keys)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_route_table *table
+      = read_config (CONFIG (ROUTE ("r", "/a/",
+                                    "\"timeout_ms\":1,\"weighted_clusters\":"
+                                    "[{\"service\":\"lm\",\"weight\":90},"
+                                    "{\"service\":\"app\",\"weight\":10}]"),
+                             LM "," APP),
+                     &err);
+  const struct marjoram_route_rule *route
+      = marjoram_route_table_find (table, "a.example", "/a/");
+  int lm = 0;
+
+  for (int i = 0; i < 10000; i++)
+    {
+      char key[16];
+
+      snprintf (key, sizeof key, "%d", i);
+      lm += strcmp (marjoram_route_pick_service (route, key), "lm") == 0;
+    }
+  ck_assert_int_gt (lm, 8800);
+  ck_assert_int_lt (lm, 9200);
+  marjoram_route_table_destroy (table);
+}
+END_TEST
+
+START_TEST (faulty_configurations_are_refused)
+{
+  static const char *const texts[] = {
+    "",
+    "{\"version\":7,\"routes\":[{\"name\":",
+    "{\"version\":7}",
+    CONFIG (ROUTE ("r", "/a/", "\"timeout_ms\":0,\"service\":\"lm\""), LM),
+    CONFIG (ROUTE ("r", "/a/", "\"service\":\"lm\""), LM),
+    CONFIG (ROUTE ("r", "/a/", "\"timeout_ms\":1,\"service\":\"none\""), LM),
+    CONFIG (ROUTE ("r", "/a/", "\"timeout_ms\":1"), LM),
+    CONFIG (ROUTE ("r", "/a", "\"timeout_ms\":1,\"service\":\"lm\""), LM),
+    CONFIG (
+        ROUTE ("r", "/a/", "\"timeout_ms\":1,\"service\":\"lm\"") "," ROUTE (
+            "s", "/a/", "\"timeout_ms\":1,\"service\":\"lm\""),
+        LM),
+    CONFIG (ROUTE ("r", "/a/",
+                   "\"timeout_ms\":1,\"weighted_clusters\":"
+                   "[{\"service\":\"lm\",\"weight\":0}]"),
+            LM),
+    CONFIG (ROUTE ("r", "/a/", "\"timeout_ms\":1,\"weighted_clusters\":[]"),
+            LM),
+    CONFIG (ROUTE ("r", "/a/",
+                   "\"timeout_ms\":1,\"weighted_clusters\":"
+                   "[{\"service\":\"lm\",\"weight\":2},"
+                   "{\"service\":\"lm\",\"weight\":-1}]"),
+            LM),
+    CONFIG ("7", LM),
+    CONFIG ("", "{\"name\":1}"),
+  };
+
+  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
+    {
+      struct marjoram_error err = { 0 };
+
+      ck_assert_msg (!read_config (texts[i], &err), "accepted: %s", texts[i]);
+      ck_assert (err.message[0]);
+    }
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("platform");
+  TCase *c = tcase_create ("platform");
+
+  tcase_add_checked_fixture (c, setup, NULL);
+  tcase_add_test (c, call_is_read);
+  tcase_add_test (c, malformed_call_headers_say_nothing);
+  tcase_add_test (c, callers_cannot_set_what_is_ours);
+  tcase_add_test (c, run_is_written);
+  tcase_add_test (c, answer_is_read);
+  tcase_add_test (c, heartbeat_is_read);
+  tcase_add_test (c, malformed_heartbeats_are_refused);
+  tcase_add_test (c, leave_needs_no_body);
+  tcase_add_test (c, other_calls_are_read);
+  tcase_add_test (c, lookup_is_written);
+  tcase_add_test (c, configuration_is_read);
+  tcase_add_test (c, longest_prefix_wins);
+  tcase_add_test (c, weights_split_keys);
+  tcase_add_test (c, faulty_configurations_are_refused);
+  suite_add_tcase (s, c);
+  return s;
+}
--- /dev/null
+++ b/test/test_registry.c
@@ -0,0 +1,201 @@
+/* What is believed of upstreams from what they say of themselves.  */
+#include "suite.h"
+
+#include "registry.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static marjoram_registry *registry;
+
+static void
+setup (void)
+{
+  registry = marjoram_registry_create ();
+}
+
+static void
+teardown (void)
+{
+  marjoram_registry_destroy (registry);
+}
+
+static struct marjoram_upstream_news
+news (const char *id, int64_t born, int64_t sequence,
+      enum marjoram_news_state state)
+{
+  struct marjoram_upstream_news made = { .state = state,
+                                         .born = born,
+                                         .sequence = sequence,
+                                         .ends_ms = -1,
+                                         .slots = 4 };
+
+  snprintf (made.id, sizeof made.id, "%s", id);
+  snprintf (made.service, sizeof made.service, "lm");
+  snprintf (made.address, sizeof made.address, "10.0.0.9:80");
+  snprintf (made.zone, sizeof made.zone, "za");
+  return made;
+}
+
+static enum marjoram_hearing
+hear (int64_t now, const char *id, int64_t born, int64_t sequence,
+      enum marjoram_news_state state)
+{
+  struct marjoram_upstream_news made = news (id, born, sequence, state);
+
+  return marjoram_registry_hear (registry, now, &made, 0);
+}
+
+static bool
+usable (const char *id, int64_t now)
+{
+  return marjoram_registry_usable (registry,
+                                   marjoram_registry_find (registry, id), now);
+}
+
+START_TEST (heartbeats_renew)
+{
+  ck_assert_int_eq (hear (0, "a", 1, 1, MARJORAM_NEWS_READY),
+                    MARJORAM_HEARING_CHANGED);
+  ck_assert_int_eq (hear (1200, "a", 1, 2, MARJORAM_NEWS_READY),
+                    MARJORAM_HEARING_RENEWED);
+  ck_assert (usable ("a", 1300));
+}
+END_TEST
+
+/* An upstream says that it leaves; a heartbeat that it sent before is held up
+   on its way and comes after.  Taken for news, it would get requests until it
+   is gone, and these would be lost.  */
+START_TEST (late_heartbeat_does_not_undo_leaving)
+{
+  hear (0, "a", 1, 1, MARJORAM_NEWS_READY);
+  hear (100, "a", 1, 3, MARJORAM_NEWS_LEAVING);
+  ck_assert_int_eq (hear (200, "a", 1, 2, MARJORAM_NEWS_READY),
+                    MARJORAM_HEARING_STALE);
+  ck_assert (!usable ("a", 300));
+  hear (300, "a", 1, 4, MARJORAM_NEWS_READY);
+  ck_assert (!usable ("a", 400));
+}
+END_TEST
+
+/* An upstream leaves and its last heartbeat is held up for seconds.  It must
+   not be believed to be there again.  */
+START_TEST (gone_stays_gone)
+{
+  hear (0, "a", 1, 1, MARJORAM_NEWS_READY);
+  ck_assert_int_eq (hear (100, "a", 0, 0, MARJORAM_NEWS_GONE),
+                    MARJORAM_HEARING_CHANGED);
+  ck_assert_int_eq (hear (4000, "a", 1, 9, MARJORAM_NEWS_READY),
+                    MARJORAM_HEARING_STALE);
+  ck_assert (!usable ("a", 4100));
+}
+END_TEST
+
+/* An upstream starts anew under its old id; its counts begin at 1 again.  The
+   new start counts, and a heartbeat of the former one does not.  */
+START_TEST (same_id_starts_again)
+{
+  hear (0, "a", 1000, 50, MARJORAM_NEWS_READY);
+  ck_assert_int_eq (hear (5000, "a", 6000, 1, MARJORAM_NEWS_READY),
+                    MARJORAM_HEARING_CHANGED);
+  ck_assert_int_eq (hear (5100, "a", 1000, 51, MARJORAM_NEWS_LEAVING),
+                    MARJORAM_HEARING_STALE);
+  ck_assert (usable ("a", 5200));
+}
+END_TEST
+
+/* An upstream crashes, another starts at its address, and a heartbeat of the
+   first, delayed by a partition, comes last.  Believed, requests for one
+   service would go to another.  */
+START_TEST (address_goes_to_the_later_start)
+{
+  hear (0, "old", 1000, 5, MARJORAM_NEWS_READY);
+  hear (4000, "new", 3000, 1, MARJORAM_NEWS_READY);
+  ck_assert (!usable ("old", 4100));
+  ck_assert_int_eq (hear (5000, "old2", 900, 1, MARJORAM_NEWS_READY),
+                    MARJORAM_HEARING_STALE);
+  ck_assert (usable ("new", 5000));
+}
+END_TEST
+
+/* A host that is cut off from all keepers hears no heartbeats; it must go on
+   using the upstreams that it knows.  One that is silent while others are
+   heard is passed over.  */
+START_TEST (silence_counts_only_beside_others)
+{
+  struct marjoram_upstream_news other = news ("b", 1, 1, MARJORAM_NEWS_READY);
+
+  snprintf (other.address, sizeof other.address, "10.0.0.8:80");
+  hear (0, "a", 1, 1, MARJORAM_NEWS_READY);
+  marjoram_registry_hear (registry, 0, &other, 0);
+  ck_assert (usable ("a", 20000));
+  other.sequence = 2;
+  marjoram_registry_hear (registry, 20000, &other, 0);
+  ck_assert (!usable ("a", 20000));
+  ck_assert (usable ("b", 20000));
+}
+END_TEST
+
+START_TEST (one_that_will_end_gets_nothing_new)
+{
+  struct marjoram_upstream_news made = news ("a", 1, 1, MARJORAM_NEWS_LEAVING);
+
+  made.ends_ms = 2000;
+  marjoram_registry_hear (registry, 0, &made, 0);
+  ck_assert (!usable ("a", 10));
+  ck_assert_int_eq (marjoram_registry_find (registry, "a")->ends_at, 2000);
+}
+END_TEST
+
+/* Spans are told as what is left, so that clocks may differ; packing and
+   unpacking at another host must not shift them.  */
+START_TEST (spans_survive_the_way)
+{
+  struct marjoram_upstream_news made = news ("a", 1, 1, MARJORAM_NEWS_READY);
+  struct marjoram_upstream_news read;
+  struct marjoram_news_item item;
+  marjoram_registry *other = marjoram_registry_create ();
+
+  made.cold_ms = 3000;
+  marjoram_registry_hear (registry, 1000, &made, 0);
+  marjoram_registry_pack (marjoram_registry_find (registry, "a"), 2000, &item);
+  ck_assert (marjoram_registry_unpack (&item, &read));
+  marjoram_registry_hear (other, 500000, &read, item.age_ms);
+  ck_assert_int_eq (marjoram_registry_find (other, "a")->cold_until, 502000);
+  ck_assert_int_eq (marjoram_registry_find (other, "a")->heard_at, 499000);
+  marjoram_registry_destroy (other);
+}
+END_TEST
+
+START_TEST (what_is_long_gone_is_forgotten)
+{
+  struct marjoram_upstream_news other = news ("b", 1, 1, MARJORAM_NEWS_READY);
+
+  snprintf (other.address, sizeof other.address, "10.0.0.8:80");
+  hear (0, "a", 1, 1, MARJORAM_NEWS_GONE);
+  marjoram_registry_hear (registry, 90000, &other, 0);
+  marjoram_registry_tick (registry, 90000);
+  ck_assert_ptr_null (marjoram_registry_find (registry, "a"));
+  ck_assert_ptr_nonnull (marjoram_registry_find (registry, "b"));
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("registry");
+  TCase *c = tcase_create ("registry");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, heartbeats_renew);
+  tcase_add_test (c, late_heartbeat_does_not_undo_leaving);
+  tcase_add_test (c, gone_stays_gone);
+  tcase_add_test (c, same_id_starts_again);
+  tcase_add_test (c, address_goes_to_the_later_start);
+  tcase_add_test (c, silence_counts_only_beside_others);
+  tcase_add_test (c, one_that_will_end_gets_nothing_new);
+  tcase_add_test (c, spans_survive_the_way);
+  tcase_add_test (c, what_is_long_gone_is_forgotten);
+  suite_add_tcase (s, c);
+  return s;
+}
