--- /dev/null
+++ b/test/lib_gateway.c
@@ -0,0 +1,311 @@
+#include "lib_gateway.h"
+
+#include "cleanup.h"
+#include "platform.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ROUTE(name, kind, service, rest)                                      \
+  "{\"name\":\"" name "\",\"host\":\"a.example\",\"path_prefix\":\"/" name    \
+  "/\",\"kind\":\"" kind "\",\"service\":\"" service "\"," rest "}"
+
+static const char config[] = "{\"version\":3,\"routes\":[" ROUTE (
+    "flip", "non_idempotent", "app",
+    "\"timeout_ms\":1500,\"target_latency_ms\":300,"
+    "\"max_attempts\":1") "," ROUTE ("get", "idempotent", "app",
+                                     "\"timeout_ms\":1500,\"target_latency_"
+                                     "ms\":300,"
+                                     "\"max_attempts\":2") "," ROUTE ("ask",
+                                                                      "streami"
+                                                                      "ng",
+                                                                      "lm",
+                                                                      "\"timeo"
+                                                                      "ut_"
+                                                                      "ms\":"
+                                                                      "8000,"
+                                                                      "\"targe"
+                                                                      "t_"
+                                                                      "latency"
+                                                                      "_ms\":"
+                                                                      "800,"
+                                                                      "\"max_"
+                                                                      "attempt"
+                                                                      "s\":2,"
+                                                                      "\"resum"
+                                                                      "able\":"
+                                                                      "true") "," ROUTE ("digest",
+                                                                                         "streaming",
+                                                                                         "lm",
+                                                                                         "\"timeout_ms\":5000,\"target_latency_ms\":1000,"
+                                                                                         "\"max_attempts\":1,\"resumable\":false") "," ROUTE ("home",
+                                                                                                                                              "streaming",
+                                                                                                                                              "lm",
+                                                                                                                                              "\"timeout_ms\":5000,\"target_latency_ms\":1000,"
+                                                                                                                                              "\"max_attempts\":2,\"resumable\":true,"
+                                                                                                                                              "\"home_regions\":[\"r2\"]") "],\"services\":[{\"name\":\"lm\",\"health_path\":\"/h\","
+                                                                                                                                                                           "\"engine\":{\"slots\":64,\"kv_capacity\":250000}},"
+                                                                                                                                                                           "{\"name\":\"app\",\"health_path\":\"/h\"}],"
+                                                                                                                                                                           "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+                                                                                                                                                                           "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+
+static void
+op_head (void *context, uint64_t call, int status,
+         const struct marjoram_header_list *headers, int64_t length)
+{
+  struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
+
+  (void)call;
+  (void)headers;
+  seen->heads++;
+  seen->status = status;
+  seen->length = length;
+}
+
+static void
+op_data (void *context, uint64_t call, const void *data, size_t size)
+{
+  struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
+
+  (void)call;
+  strncat (seen->body, data,
+           size < sizeof seen->body - 1 - strlen (seen->body)
+               ? size
+               : sizeof seen->body - 1 - strlen (seen->body));
+}
+
+static void
+op_end (void *context, uint64_t call)
+{
+  (void)call;
+  ((struct gateway_fixture *)context)->seen.ends++;
+}
+
+static void
+op_cut (void *context, uint64_t call)
+{
+  (void)call;
+  ((struct gateway_fixture *)context)->seen.cuts++;
+}
+
+static void
+op_none (void *context, uint64_t call, const struct marjoram_no_answer *why)
+{
+  struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
+
+  (void)call;
+  seen->refusals++;
+  seen->why = *why;
+}
+
+static void
+op_send (void *context, const struct marjoram_http_send *send)
+{
+  struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
+
+  seen->sends++;
+  seen->attempt = send->attempt;
+  seen->careful = send->careful;
+  snprintf (seen->address, sizeof seen->address, "%s", send->address);
+  snprintf (seen->message, sizeof seen->message, "%.*s",
+            (int)marjoram_bytes_size (send->message),
+            (const char *)marjoram_bytes_data (send->message));
+}
+
+static void
+op_cancel (void *context, uint64_t attempt)
+{
+  (void)attempt;
+  ((struct gateway_fixture *)context)->seen.cancels++;
+}
+
+static bool
+op_forward (void *context, const char *host,
+            const struct marjoram_forward *forward)
+{
+  struct gateway_fixture *f = context;
+
+  if (!f->link_up)
+    return false;
+  f->seen.forwards++;
+  f->seen.attempt = forward->request;
+  f->seen.budget_ms = forward->budget_ms;
+  snprintf (f->seen.host, sizeof f->seen.host, "%s", host);
+  return true;
+}
+
+static void
+op_cancel_forward (void *context, const char *host, uint64_t attempt)
+{
+  (void)host;
+  op_cancel (context, attempt);
+}
+
+static const struct marjoram_gateway_ops ops = {
+  .reply_head = op_head,
+  .reply_data = op_data,
+  .reply_end = op_end,
+  .reply_cut = op_cut,
+  .reply_none = op_none,
+  .send = op_send,
+  .cancel = op_cancel,
+  .forward = op_forward,
+  .cancel_forward = op_cancel_forward,
+};
+
+static const char *
+region_of (void *context, const char *zone)
+{
+  (void)context;
+  return strcmp (zone, "z1") == 0 ? "r1" : "r2";
+}
+
+static bool
+is_evacuated (void *context, const char *zone)
+{
+  (void)context;
+  (void)zone;
+  return false;
+}
+
+static void
+add_upstream (struct gateway_fixture *f, const char *id, const char *service,
+              const char *address)
+{
+  struct marjoram_upstream_news news
+      = { .born = 1, .sequence = 1, .ends_ms = -1, .slots = 4 };
+
+  snprintf (news.id, sizeof news.id, "%s", id);
+  snprintf (news.service, sizeof news.service, "%s", service);
+  snprintf (news.address, sizeof news.address, "%s", address);
+  snprintf (news.zone, sizeof news.zone, "z1");
+  marjoram_registry_hear (f->registry, 0, &news, 0);
+}
+
+static void
+add_host (struct gateway_fixture *f, const char *name, const char *region)
+{
+  struct marjoram_host_offer offers[]
+      = { { (char *)"lm", 2, 5 }, { (char *)"app", 1, 5 } };
+  struct marjoram_host_beat beat = { .name = (char *)name,
+                                     .zone = (char *)region,
+                                     .region = (char *)region,
+                                     .entry = (char *)name,
+                                     .ready = true,
+                                     .incarnation = 1,
+                                     .sequence = 1,
+                                     .offers = { offers, 2 } };
+
+  marjoram_host_list_hear (f->hosts, 0, &beat, true);
+}
+
+void
+gateway_fixture_open (struct gateway_fixture *f)
+{
+  struct marjoram_gateway_options options = {
+    .dialect = marjoram_platform_dialect (),
+    .repeats = { 0.2, 10, 10000 },
+  };
+
+  memset (f, 0, sizeof *f);
+  f->registry = marjoram_registry_create ();
+  f->hosts = marjoram_host_list_create ();
+  f->metrics = marjoram_metrics_create ();
+  f->link_up = true;
+  options.metrics = f->metrics;
+  options.place = (struct marjoram_placement_options){
+    .registry = f->registry,
+    .hosts = f->hosts,
+    .host = "h1",
+    .region = "r1",
+    .region_of = region_of,
+    .is_evacuated = is_evacuated,
+  };
+  f->gateway = marjoram_gateway_create (&options, &ops, f);
+  add_upstream (f, "u1", "lm", "10.0.0.1:80");
+  add_upstream (f, "u2", "lm", "10.0.0.2:80");
+  add_upstream (f, "p1", "app", "10.0.0.3:80");
+  add_host (f, "h1", "r1");
+  add_host (f, "far1", "r2");
+}
+
+void
+gateway_fixture_close (struct gateway_fixture *f)
+{
+  marjoram_gateway_destroy (f->gateway);
+  marjoram_registry_destroy (f->registry);
+  marjoram_host_list_destroy (f->hosts);
+  marjoram_metrics_destroy (f->metrics);
+  marjoram_route_table_destroy (f->table);
+}
+
+void
+gateway_fixture_configure (struct gateway_fixture *f)
+{
+  struct marjoram_error err = { 0 };
+
+  f->table = marjoram_platform_dialect ()->ops->read_config (
+      config, strlen (config), &err);
+  if (!f->table)
+    {
+      fprintf (stderr, "%s\n", err.message);
+      abort ();
+    }
+  marjoram_gateway_set_table (f->gateway, f->table);
+}
+
+uint64_t
+gateway_fixture_call (struct gateway_fixture *f, int64_t now, const char *path)
+{
+  struct marjoram_http_request *request = marjoram_alloc (sizeof *request);
+  char id[32];
+
+  snprintf (id, sizeof id, "id-%llu", (unsigned long long)++f->calls);
+  request->method = marjoram_strdup ("POST");
+  request->target = marjoram_strdup (path);
+  request->has_body = true;
+  request->body = marjoram_bytes_create ("hello", 5);
+  marjoram_header_list_add (&request->headers, "Host", "a.example");
+  marjoram_header_list_add (&request->headers, "Marjoramproxy-Attempt-Id", id);
+  marjoram_header_list_add (&request->headers, "Marjoramproxy-Deadline-Ms",
+                            "3000");
+  marjoram_header_list_add (&request->headers, "Marjoramproxy-Hold", "x");
+  marjoram_gateway_receive (f->gateway, now, f->calls, request, false, 0);
+  return f->calls;
+}
+
+bool
+gateway_fixture_head (struct gateway_fixture *f, int64_t now, int status,
+                      const char *id, bool is_signed, bool not_run)
+{
+  struct marjoram_header_list headers = { 0 };
+  char own[32];
+  bool taken;
+
+  snprintf (own, sizeof own, "id-%llu", (unsigned long long)f->calls);
+  marjoram_header_list_add (&headers, "Marjoramproxy-Attempt-Id",
+                            id ? id : own);
+  if (is_signed)
+    marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "s");
+  if (not_run)
+    marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
+  taken = marjoram_gateway_head (f->gateway, now, f->seen.attempt, status,
+                                 &headers);
+  marjoram_header_list_clear (&headers);
+  return taken;
+}
+
+void
+gateway_fixture_data (struct gateway_fixture *f, int64_t now, const char *text)
+{
+  marjoram_gateway_data (f->gateway, now, f->seen.attempt, text,
+                         strlen (text));
+}
+
+void
+gateway_fixture_end (struct gateway_fixture *f, int64_t now,
+                     enum marjoram_http_end how)
+{
+  marjoram_gateway_end (f->gateway, now, f->seen.attempt, how);
+}
--- /dev/null
+++ b/test/lib_gateway.h
@@ -0,0 +1,62 @@
+/* A gateway with operations that write down what it does, for tests: one
+   upstream for each service and region, a clock that the test sets.  */
+#ifndef MARJORAM_TEST_LIB_GATEWAY_H
+#define MARJORAM_TEST_LIB_GATEWAY_H
+
+#include "gateway.h"
+
+/* What the last operations were.  */
+struct gateway_seen
+{
+  int sends;
+  uint64_t attempt; /* of the last sending, or forward */
+  char address[MARJORAM_ID_MAX];
+  char message[4096];
+  bool careful;
+  int cancels;
+  int forwards;
+  char host[64];
+  int64_t budget_ms;
+  int heads;
+  int status;
+  int64_t length;
+  char body[4096];
+  int ends;
+  int cuts;
+  int refusals;
+  struct marjoram_no_answer why;
+};
+
+struct gateway_fixture
+{
+  marjoram_gateway *gateway;
+  marjoram_registry *registry;
+  marjoram_host_list *hosts;
+  marjoram_metrics *metrics;
+  struct marjoram_route_table *table;
+  struct gateway_seen seen;
+  bool link_up; /* to hosts of other regions */
+  uint64_t calls;
+};
+
+/* Region r1, with upstreams u1 (lm, 10.0.0.1:80), u2 (lm, 10.0.0.2:80) and p1
+   (app, 10.0.0.3:80), and host far1 in region r2.  Routes: /flip/ and /get/ to
+   app, /ask/ (resumable) and /digest/ to lm, /home/ to lm in r2 only.  */
+void gateway_fixture_open (struct gateway_fixture *f);
+void gateway_fixture_close (struct gateway_fixture *f);
+/* Puts the routes in force; until then there are none.  */
+void gateway_fixture_configure (struct gateway_fixture *f);
+/* A caller's request for PATH at NOW; returns its number.  Its id is
+   "id-NUMBER".  */
+uint64_t gateway_fixture_call (struct gateway_fixture *f, int64_t now,
+                               const char *path);
+/* Answers the last sending: the head, the body, the end.  ID null: the last
+   call's.  */
+bool gateway_fixture_head (struct gateway_fixture *f, int64_t now, int status,
+                           const char *id, bool is_signed, bool not_run);
+void gateway_fixture_data (struct gateway_fixture *f, int64_t now,
+                           const char *text);
+void gateway_fixture_end (struct gateway_fixture *f, int64_t now,
+                          enum marjoram_http_end how);
+
+#endif
--- /dev/null
+++ b/test/test_gateway.c
@@ -0,0 +1,356 @@
+/* The course of requests through an entry host.  */
+#include "suite.h"
+
+#include "lib_gateway.h"
+
+#include <string.h>
+
+static struct gateway_fixture f;
+
+static void
+setup (void)
+{
+  gateway_fixture_open (&f);
+  gateway_fixture_configure (&f);
+}
+
+static void
+teardown (void)
+{
+  gateway_fixture_close (&f);
+}
+
+static bool
+sent (const char *text)
+{
+  return strstr (f.seen.message, text) != NULL;
+}
+
+static void
+serve (int64_t now, const char *body)
+{
+  ck_assert (gateway_fixture_head (&f, now, 200, NULL, true, false));
+  gateway_fixture_data (&f, now, body);
+  gateway_fixture_end (&f, now, MARJORAM_HTTP_COMPLETE);
+}
+
+START_TEST (request_is_served)
+{
+  gateway_fixture_call (&f, 0, "/get/x?y=1");
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_str_eq (f.seen.address, "10.0.0.3:80");
+  ck_assert (sent ("POST /get/x?y=1 HTTP/1.1\r\n"));
+  ck_assert (sent ("Marjoramproxy-Attempt-Id: id-1\r\n"));
+  ck_assert (sent ("Marjoramproxy-Target-Instance: p1\r\n"));
+  ck_assert (sent ("Content-Length: 5\r\n\r\nhello"));
+  ck_assert (!sent ("Marjoramproxy-Hold"));
+  /* The route's timeout is shorter than the caller's patience.  */
+  ck_assert (sent ("Marjoramproxy-Deadline-Ms: 1500\r\n"));
+  serve (10, "answer");
+  ck_assert_int_eq (f.seen.status, 200);
+  ck_assert_int_eq (f.seen.length, 6);
+  ck_assert_str_eq (f.seen.body, "answer");
+  ck_assert_int_eq (f.seen.ends, 1);
+  ck_assert_uint_eq (marjoram_gateway_open (f.gateway), 0);
+}
+END_TEST
+
+START_TEST (nothing_is_known_yet)
+{
+  gateway_fixture_close (&f);
+  gateway_fixture_open (&f);
+  gateway_fixture_call (&f, 0, "/get/x");
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.status, 503);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_gt (f.seen.why.retry_ms, 0);
+}
+END_TEST
+
+START_TEST (no_route)
+{
+  gateway_fixture_call (&f, 0, "/none/x");
+  ck_assert_int_eq (f.seen.why.status, 404);
+}
+END_TEST
+
+/* A room is marked clean; the upstream breaks off without an answer.  It may
+   have run: sent again, two housekeepers would walk into the same room.  */
+START_TEST (what_may_not_repeat_is_not_sent_again)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  ck_assert (f.seen.careful);
+  gateway_fixture_end (&f, 10, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_int_eq (f.seen.why.status, 502);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_UNKNOWN);
+}
+END_TEST
+
+/* The same, but the upstream says that it did not run it, or was never
+   reached: then it goes again, and a refusal may say not-run.  */
+START_TEST (what_did_not_run_is_sent_again)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  ck_assert (gateway_fixture_head (&f, 10, 503, NULL, false, true));
+  gateway_fixture_end (&f, 10, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.forwards, 1);
+  serve (120, "there");
+  ck_assert_str_eq (f.seen.body, "there");
+  f.link_up = false;
+  gateway_fixture_call (&f, 200, "/flip/x");
+  ck_assert (gateway_fixture_head (&f, 210, 503, NULL, false, true));
+  gateway_fixture_end (&f, 210, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  gateway_fixture_call (&f, 1000, "/digest/x");
+  gateway_fixture_end (&f, 1010, MARJORAM_HTTP_UNSENT);
+  ck_assert_int_eq (f.seen.sends, 4);
+  serve (1020, "id: 1\ndata: a\n\n");
+  ck_assert_int_eq (f.seen.ends, 2);
+}
+END_TEST
+
+START_TEST (idempotent_request_is_sent_again_once)
+{
+  gateway_fixture_call (&f, 0, "/get/x");
+  gateway_fixture_end (&f, 10, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 2);
+  gateway_fixture_end (&f, 20, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 2);
+  ck_assert_int_eq (f.seen.why.status, 502);
+}
+END_TEST
+
+/* An upstream's own failure is repeated where that is allowed, and its report
+   passed on as it is where it is not.  */
+START_TEST (upstreams_failure)
+{
+  gateway_fixture_call (&f, 0, "/get/x");
+  gateway_fixture_head (&f, 10, 500, NULL, true, false);
+  gateway_fixture_end (&f, 10, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.sends, 2);
+  serve (20, "good");
+  ck_assert_str_eq (f.seen.body, "good");
+  gateway_fixture_call (&f, 100, "/flip/x");
+  gateway_fixture_head (&f, 110, 500, NULL, true, false);
+  gateway_fixture_data (&f, 110, "!");
+  gateway_fixture_end (&f, 110, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.status, 500);
+  ck_assert_str_eq (f.seen.body, "good!");
+  ck_assert_int_eq (f.seen.refusals, 0);
+}
+END_TEST
+
+/* A late second answer of an earlier request stands where the next is due.  It
+   must not reach this caller.  */
+START_TEST (another_requests_answer_is_skipped)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  ck_assert (!gateway_fixture_head (&f, 10, 200, "id-other", true, false));
+  ck_assert_int_eq (f.seen.heads, 0);
+  serve (20, "mine");
+  ck_assert_str_eq (f.seen.body, "mine");
+}
+END_TEST
+
+START_TEST (unsigned_success_is_not_passed_on)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  gateway_fixture_head (&f, 10, 200, NULL, false, false);
+  gateway_fixture_data (&f, 10, "what?");
+  gateway_fixture_end (&f, 10, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.heads, 0);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_UNKNOWN);
+}
+END_TEST
+
+/* An upstream dies in the middle of a stream's second event.  Another one goes
+   on after the first; the caller sees one head and each event once.  */
+START_TEST (stream_goes_on_elsewhere)
+{
+  char first[MARJORAM_ID_MAX];
+
+  gateway_fixture_call (&f, 0, "/ask/x");
+  memcpy (first, f.seen.address, sizeof first);
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\nid: 2\nda");
+  ck_assert_str_eq (f.seen.body, "id: 1\ndata: a\n\n");
+  gateway_fixture_end (&f, 20, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 2);
+  ck_assert_str_ne (f.seen.address, first);
+  ck_assert (sent ("Last-Event-Id: 1\r\n"));
+  gateway_fixture_head (&f, 30, 200, NULL, true, false);
+  gateway_fixture_data (&f, 30, "id: 2\ndata: b\n\n");
+  gateway_fixture_end (&f, 40, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.heads, 1);
+  ck_assert_str_eq (f.seen.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  ck_assert_int_eq (f.seen.ends, 1);
+}
+END_TEST
+
+START_TEST (stream_that_cannot_go_on_is_cut)
+{
+  gateway_fixture_call (&f, 0, "/digest/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\nid: 2\nda");
+  gateway_fixture_end (&f, 20, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_int_eq (f.seen.cuts, 1);
+  ck_assert_int_eq (f.seen.ends, 0);
+}
+END_TEST
+
+/* An upstream falls silent under a resumable stream: no close, no event.  */
+START_TEST (silent_upstream_is_left)
+{
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  marjoram_gateway_tick (f.gateway, 1400);
+  ck_assert_int_eq (f.seen.sends, 1);
+  marjoram_gateway_tick (f.gateway, 1600);
+  ck_assert_int_eq (f.seen.cancels, 1);
+  ck_assert_int_eq (f.seen.sends, 2);
+}
+END_TEST
+
+/* A request that can't be repeated is never given up for silence: its answer
+   may yet come, and is delivered up to the timeout.  */
+START_TEST (silence_ends_nothing_that_may_not_repeat)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  marjoram_gateway_tick (f.gateway, 1400);
+  ck_assert_int_eq (f.seen.cancels, 0);
+  serve (1450, "late");
+  ck_assert_str_eq (f.seen.body, "late");
+}
+END_TEST
+
+START_TEST (timeout_is_answered_on_time)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  marjoram_gateway_tick (f.gateway, 1510);
+  ck_assert_int_eq (f.seen.cancels, 1);
+  ck_assert_int_eq (f.seen.why.status, 504);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_UNKNOWN);
+}
+END_TEST
+
+START_TEST (caller_that_leaves_ends_the_work)
+{
+  uint64_t call = gateway_fixture_call (&f, 0, "/ask/x");
+
+  marjoram_gateway_gone (f.gateway, 10, call);
+  ck_assert_int_eq (f.seen.cancels, 1);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  ck_assert_uint_eq (marjoram_gateway_open (f.gateway), 0);
+}
+END_TEST
+
+/* A route may run only in another region: its request crosses, once, with the
+   time that is left.  */
+START_TEST (residency_sends_it_across)
+{
+  gateway_fixture_call (&f, 0, "/home/x");
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.forwards, 1);
+  ck_assert_str_eq (f.seen.host, "far1");
+  ck_assert_int_le (f.seen.budget_ms, 3000);
+  gateway_fixture_head (&f, 120, 200, NULL, true, false);
+  gateway_fixture_data (&f, 120, "id: 1\ndata: a\n\n");
+  gateway_fixture_end (&f, 130, MARJORAM_HTTP_COMPLETE);
+  ck_assert_str_eq (f.seen.body, "id: 1\ndata: a\n\n");
+  f.link_up = false;
+  gateway_fixture_call (&f, 200, "/home/x");
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+}
+END_TEST
+
+START_TEST (refusal_of_the_other_region_is_passed_on)
+{
+  const struct marjoram_no_answer why
+      = { MARJORAM_OUTCOME_NOT_RUN, MARJORAM_REASON_OVERLOAD, 503, 400 };
+
+  gateway_fixture_call (&f, 0, "/home/x");
+  marjoram_gateway_forward_refused (f.gateway, 110, f.seen.attempt, &why);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_OVERLOAD);
+  ck_assert_int_eq (f.seen.why.retry_ms, 400);
+}
+END_TEST
+
+/* A host of another region forwards a request here.  It runs here or is
+   refused, and is not sent on: no loops.  */
+START_TEST (forwarded_request_does_not_cross_again)
+{
+  struct marjoram_http_request *request
+      = calloc (1, sizeof (struct marjoram_http_request));
+
+  request->method = strdup ("GET");
+  request->target = strdup ("/home/x");
+  marjoram_header_list_add (&request->headers, "Host", "a.example");
+  marjoram_header_list_add (&request->headers, "Marjoramproxy-Attempt-Id",
+                            "id-f");
+  marjoram_gateway_receive (f.gateway, 0, 77, request, true, 500);
+  ck_assert_int_eq (f.seen.forwards, 0);
+  ck_assert_int_eq (f.seen.refusals, 1);
+}
+END_TEST
+
+START_TEST (lost_link_is_no_refusal)
+{
+  gateway_fixture_call (&f, 0, "/home/x");
+  f.link_up = false;
+  marjoram_gateway_link_lost (f.gateway, 50, "far1");
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_UNKNOWN);
+}
+END_TEST
+
+/* An upstream fails everything.  Sent again without a bound, the requests
+   would double the load just when it is highest.  */
+START_TEST (repeats_stay_within_the_budget)
+{
+  for (int i = 0; i < 100; i++)
+    {
+      gateway_fixture_call (&f, i, "/get/x");
+      gateway_fixture_end (&f, i, MARJORAM_HTTP_BROKEN);
+      if (marjoram_gateway_open (f.gateway) > 0)
+        gateway_fixture_end (&f, i, MARJORAM_HTTP_BROKEN);
+    }
+  /* A fifth, and this host's half of the allowance of ten.  */
+  ck_assert_int_le (f.seen.sends, 100 + 20 + 5);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("gateway");
+  TCase *c = tcase_create ("gateway");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, request_is_served);
+  tcase_add_test (c, nothing_is_known_yet);
+  tcase_add_test (c, no_route);
+  tcase_add_test (c, what_may_not_repeat_is_not_sent_again);
+  tcase_add_test (c, what_did_not_run_is_sent_again);
+  tcase_add_test (c, idempotent_request_is_sent_again_once);
+  tcase_add_test (c, upstreams_failure);
+  tcase_add_test (c, another_requests_answer_is_skipped);
+  tcase_add_test (c, unsigned_success_is_not_passed_on);
+  tcase_add_test (c, stream_goes_on_elsewhere);
+  tcase_add_test (c, stream_that_cannot_go_on_is_cut);
+  tcase_add_test (c, silent_upstream_is_left);
+  tcase_add_test (c, silence_ends_nothing_that_may_not_repeat);
+  tcase_add_test (c, timeout_is_answered_on_time);
+  tcase_add_test (c, caller_that_leaves_ends_the_work);
+  tcase_add_test (c, residency_sends_it_across);
+  tcase_add_test (c, refusal_of_the_other_region_is_passed_on);
+  tcase_add_test (c, forwarded_request_does_not_cross_again);
+  tcase_add_test (c, lost_link_is_no_refusal);
+  tcase_add_test (c, repeats_stay_within_the_budget);
+  suite_add_tcase (s, c);
+  return s;
+}
--- /dev/null
+++ b/test/test_registrar.c
@@ -0,0 +1,376 @@
+/* A keeper's side of the gateway: upstreams' news, operators' orders,
+   look-ups.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "platform.h"
+#include "registrar.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  NONE = -1
+};
+
+#define CONFIG(version, service)                                              \
+  "{\"version\":" version ",\"routes\":[{\"name\":\"r\",\"host\":\"a\","      \
+  "\"path_prefix\":\"/\",\"kind\":\"idempotent\",\"timeout_ms\":9,"           \
+  "\"service\":\"" service "\"}],\"services\":[{\"name\":\"app\","            \
+  "\"health_path\":\"/h\"}],\"limits\":{\"max_header_bytes\":1,"              \
+  "\"max_body_bytes\":1,\"header_timeout_ms\":1,\"idle_timeout_ms\":1}}"
+
+static marjoram_registry *registry;
+static marjoram_host_list *hosts;
+static marjoram_metrics *metrics;
+static marjoram_registrar *registrar;
+static struct marjoram_state *state;
+static uint64_t asks;
+static int status;       /* of the last answer */
+static char body[2048];  /* of the last answer */
+static size_t told;      /* batches */
+static uint64_t ticket;  /* of the last batch */
+static size_t in_reach;  /* hosts */
+static uint64_t request; /* of the last apply or read */
+static int reads;
+static char change_id[MARJORAM_NAME_MAX + 1];
+static struct marjoram_file applied;
+
+static void
+op_answer (void *context, uint64_t ask, int code, const char *text,
+           size_t size)
+{
+  (void)context;
+  ck_assert_uint_eq (ask, asks);
+  ck_assert_msg (status == NONE, "answered twice");
+  status = code;
+  snprintf (body, sizeof body, "%.*s", (int)size, text ? text : "");
+}
+
+static size_t
+op_tell (void *context, const struct marjoram_news_batch *batch)
+{
+  (void)context;
+  told++;
+  ticket = batch->ticket;
+  return in_reach;
+}
+
+static void
+op_apply (void *context, uint64_t number, const char *id,
+          const struct marjoram_file *file)
+{
+  (void)context;
+  request = number;
+  snprintf (change_id, sizeof change_id, "%s", id);
+  marjoram_wire_clear (&marjoram_file_layout, &applied);
+  applied.name = marjoram_strdup (file->name);
+  applied.version = file->version;
+  applied.text = marjoram_strdup (file->text);
+}
+
+static void
+op_read (void *context, uint64_t number)
+{
+  (void)context;
+  request = number;
+  reads++;
+}
+
+static const struct marjoram_state *
+op_state (void *context)
+{
+  (void)context;
+  return state;
+}
+
+static const struct marjoram_registrar_ops ops = { .answer = op_answer,
+                                                   .tell = op_tell,
+                                                   .apply = op_apply,
+                                                   .read = op_read,
+                                                   .state = op_state };
+
+static bool
+knows_zone (void *context, const char *zone)
+{
+  (void)context;
+  return strcmp (zone, "za") == 0 || strcmp (zone, "zb") == 0;
+}
+
+static void
+setup (void)
+{
+  struct marjoram_registrar_options options
+      = { .dialect = marjoram_platform_dialect (),
+          .lookup_valid_s = 2,
+          .knows_zone = knows_zone };
+
+  options.registry = registry = marjoram_registry_create ();
+  options.hosts = hosts = marjoram_host_list_create ();
+  options.metrics = metrics = marjoram_metrics_create ();
+  registrar = marjoram_registrar_create (&options, &ops, NULL);
+  state = NULL;
+  asks = 0;
+  told = 0;
+  ticket = 0;
+  reads = 0;
+  in_reach = 0;
+}
+
+static void
+teardown (void)
+{
+  marjoram_registrar_destroy (registrar);
+  marjoram_registry_destroy (registry);
+  marjoram_host_list_destroy (hosts);
+  marjoram_metrics_destroy (metrics);
+  marjoram_state_destroy (state);
+  marjoram_wire_clear (&marjoram_file_layout, &applied);
+}
+
+static void
+ask (int64_t now, const char *method, const char *target, const char *text)
+{
+  status = NONE;
+  asks++;
+  marjoram_registrar_receive (registrar, now, asks, method, target, text,
+                              strlen (text));
+}
+
+static void
+beat (int64_t now, const char *state_name, int sequence)
+{
+  char text[512];
+
+  snprintf (text, sizeof text,
+            "{\"service\":\"app\",\"address\":\"10.0.0.9:80\","
+            "\"zone\":\"za\",\"state\":\"%s\",\"seq\":%d}",
+            state_name, sequence);
+  ask (now, "POST", "/-/instances/u1/heartbeat", text);
+}
+
+/* What the register answers to an apply: the applied file is in force.  */
+static void
+decide (int64_t now, enum marjoram_apply_outcome outcome,
+        enum marjoram_change_result result)
+{
+  const struct marjoram_apply_answer what
+      = { .outcome = outcome, .result = result };
+
+  if (outcome == MARJORAM_APPLY_DECIDED && applied.name
+      && result == MARJORAM_CHANGE_ACCEPTED)
+    {
+      if (!state)
+        state = marjoram_state_copy (NULL);
+      state->number++;
+      marjoram_state_set_file (state, &applied);
+    }
+  marjoram_registrar_decided (registrar, now, request, &what);
+}
+
+START_TEST (heartbeat_is_taken_and_told)
+{
+  beat (0, "ready", 1);
+  ck_assert_int_eq (status, 200);
+  ck_assert_uint_eq (told, 1);
+  ck_assert_ptr_nonnull (marjoram_registry_find (registry, "u1"));
+  beat (1200, "ready", 2);
+  ck_assert_int_eq (status, 200);
+  ck_assert_uint_eq (told, 1);
+  marjoram_registrar_tick (registrar, 1500);
+  ck_assert_uint_eq (told, 2);
+}
+END_TEST
+
+START_TEST (malformed_news_name_nobody)
+{
+  ask (0, "POST", "/-/instances/u1/heartbeat", "{\"service\":1}");
+  ck_assert_int_eq (status, 400);
+  ask (0, "POST", "/-/instances/u1/heartbeat",
+       "{\"service\":\"app\",\"address\":\"10.0.0.9:80\","
+       "\"zone\":\"nowhere\",\"state\":\"ready\",\"seq\":1}");
+  ck_assert_int_eq (status, 400);
+  ck_assert_ptr_null (marjoram_registry_find (registry, "u1"));
+  ck_assert_uint_eq (told, 0);
+  ck_assert_uint_eq (
+      marjoram_metrics_get (metrics, MARJORAM_METRIC_REJECTED_INPUT), 2);
+}
+END_TEST
+
+/* An upstream says that it leaves, and the keeper that heard it dies right
+   after its answer.  So all hosts in reach know before the answer.  */
+START_TEST (leave_is_confirmed_before_it_is_answered)
+{
+  in_reach = 2;
+  beat (0, "ready", 1);
+  beat (100, "draining", 2);
+  ck_assert_int_eq (status, NONE);
+  marjoram_registrar_seen (registrar, ticket);
+  ck_assert_int_eq (status, NONE);
+  marjoram_registrar_seen (registrar, ticket);
+  ck_assert_int_eq (status, 200);
+}
+END_TEST
+
+/* One host is frozen and confirms nothing; the upstream, which asks another
+   keeper after a second, is answered before.  */
+START_TEST (leave_does_not_wait_for_a_frozen_host)
+{
+  in_reach = 1;
+  ask (100, "POST", "/-/instances/u1/deregister", "");
+  ck_assert_int_eq (status, NONE);
+  marjoram_registrar_tick (registrar, 750);
+  ck_assert_int_eq (status, 200);
+  marjoram_registrar_seen (registrar, ticket);
+}
+END_TEST
+
+START_TEST (configuration_is_answered_once_it_is_decided)
+{
+  ask (0, "POST", "/-/config/replace", CONFIG ("7", "app"));
+  ck_assert_int_eq (status, NONE);
+  ck_assert_str_eq (applied.text, CONFIG ("7", "app"));
+  decide (100, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  ck_assert_int_eq (status, 200);
+}
+END_TEST
+
+/* The answer to an order was lost, and it is sent again, to any keeper, also
+   after a later version.  It is acknowledged and changes nothing.  */
+START_TEST (versions_not_above_the_held_change_nothing)
+{
+  ask (0, "POST", "/-/config/replace", CONFIG ("7", "app"));
+  decide (100, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  request = 0;
+  ask (200, "POST", "/-/config/replace", CONFIG ("7", "app"));
+  ck_assert_int_eq (status, 200);
+  ask (300, "POST", "/-/config/replace", CONFIG ("6", "app"));
+  ck_assert_int_eq (status, 200);
+  ck_assert_uint_eq (request, 0);
+  /* Another keeper was faster, which this one learns from the register.  */
+  ask (400, "POST", "/-/config/replace", CONFIG ("8", "app"));
+  decide (500, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_CONFLICT);
+  ck_assert_int_eq (status, 200);
+}
+END_TEST
+
+START_TEST (faulty_configuration_is_refused)
+{
+  ask (0, "POST", "/-/config/replace", CONFIG ("7", "none"));
+  ck_assert_int_eq (status, 400);
+  ck_assert (strstr (body, "unknown service none"));
+  ask (0, "POST", "/-/config/replace", "{\"version\":7,\"rou");
+  ck_assert_int_eq (status, 400);
+}
+END_TEST
+
+/* No majority answers.  Whether the order will take effect is open, so it is
+   neither acknowledged nor refused.  */
+START_TEST (undecided_order_is_unavailable)
+{
+  ask (0, "POST", "/-/config/replace", CONFIG ("7", "app"));
+  marjoram_registrar_tick (registrar, 950);
+  ck_assert_int_eq (status, 503);
+  /* What comes after that answers nobody.  */
+  decide (2000, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+}
+END_TEST
+
+START_TEST (read_needs_a_majority)
+{
+  ask (0, "GET", "/-/config/read", "");
+  decide (50, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_SAME);
+  ck_assert_int_eq (status, 503);
+  ask (100, "POST", "/-/config/replace", CONFIG ("7", "app"));
+  decide (200, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  ask (300, "GET", "/-/config/read", "");
+  ck_assert_int_eq (status, NONE);
+  decide (400, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_SAME);
+  ck_assert_int_eq (status, 200);
+  ck_assert_str_eq (body, CONFIG ("7", "app"));
+  ask (500, "GET", "/-/config/read", "");
+  decide (600, MARJORAM_APPLY_NOT_RUN, MARJORAM_CHANGE_SAME);
+  ck_assert_int_eq (status, 503);
+}
+END_TEST
+
+/* Two operators empty two zones at once: the second finds that the list has
+   changed, and adds its zone to the new one.  */
+START_TEST (evacuations_race)
+{
+  struct marjoram_names zones;
+
+  state = marjoram_state_copy (NULL);
+  ask (0, "POST", "/-/evacuations/za/begin", "");
+  ck_assert_int_eq (reads, 1);
+  decide (10, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_SAME);
+  ck_assert_str_eq (applied.text, "za");
+  /* Another keeper's order comes first.  */
+  free (applied.text);
+  applied.text = marjoram_strdup ("zb");
+  marjoram_state_set_file (state, &applied);
+  decide (20, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_CONFLICT);
+  ck_assert_int_eq (status, NONE);
+  ck_assert_str_eq (applied.text, "zb,za");
+  decide (30, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  ck_assert_int_eq (status, 200);
+  zones = marjoram_agreed_evacuations (state);
+  ck_assert (marjoram_agreed_is_evacuated (&zones, "za"));
+  ck_assert (marjoram_agreed_is_evacuated (&zones, "zb"));
+  marjoram_names_clear (&zones);
+  ask (40, "POST", "/-/evacuations/za/finish", "");
+  decide (50, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_SAME);
+  decide (60, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  ck_assert_int_eq (status, 200);
+  zones = marjoram_agreed_evacuations (state);
+  ck_assert (!marjoram_agreed_is_evacuated (&zones, "za"));
+  marjoram_names_clear (&zones);
+  ask (70, "POST", "/-/evacuations/nowhere/begin", "");
+  ck_assert_int_eq (status, 400);
+}
+END_TEST
+
+START_TEST (lookups)
+{
+  struct marjoram_host_beat host = { .name = (char *)"10.0.0.1",
+                                     .zone = (char *)"za",
+                                     .region = (char *)"r1",
+                                     .entry = (char *)"10.0.0.1:80",
+                                     .ready = true,
+                                     .incarnation = 1,
+                                     .sequence = 1 };
+
+  ask (0, "GET", "/-/resolve?name=a&region=r1&zone=za", "");
+  ck_assert_int_eq (status, 503);
+  marjoram_host_list_hear (hosts, 0, &host, true);
+  ask (10, "GET", "/-/resolve?name=a&region=r1&zone=za", "");
+  ck_assert_int_eq (status, 200);
+  ck_assert_str_eq (body, "{\"addresses\":[\"10.0.0.1:80\"],\"ttl_s\":2}");
+  ask (20, "GET", "/-/nothing", "");
+  ck_assert_int_eq (status, 404);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("registrar");
+  TCase *c = tcase_create ("registrar");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, heartbeat_is_taken_and_told);
+  tcase_add_test (c, malformed_news_name_nobody);
+  tcase_add_test (c, leave_is_confirmed_before_it_is_answered);
+  tcase_add_test (c, leave_does_not_wait_for_a_frozen_host);
+  tcase_add_test (c, configuration_is_answered_once_it_is_decided);
+  tcase_add_test (c, versions_not_above_the_held_change_nothing);
+  tcase_add_test (c, faulty_configuration_is_refused);
+  tcase_add_test (c, undecided_order_is_unavailable);
+  tcase_add_test (c, read_needs_a_majority);
+  tcase_add_test (c, evacuations_race);
+  tcase_add_test (c, lookups);
+  suite_add_tcase (s, c);
+  return s;
+}
