--- a/test/lib_keepers.c
+++ b/test/lib_keepers.c
@@ -18,10 +18,13 @@
   FAULT_EVERY_MS = 450,
   CHANGE_EVERY_MS = 330,
   REPAIR_EVERY_MS = 900,
+  READ_EVERY_MS = 150,
+  READS_KEPT = 4096, /* under way at once, at most */
   TEXT_MAX = 64,
   COUNTER_SHIFT = 32,
   TELL_MS = 12000,
-  REPAIR_REQUEST = 1 << 20
+  REPAIR_REQUEST = 1 << 20,
+  READ_REQUEST = 1 << 24
 };
 
 enum event_kind
@@ -33,7 +36,8 @@
   EVENT_HEAL_CUT,
   EVENT_FAULT,
   EVENT_CHANGE,
-  EVENT_REPAIR
+  EVENT_REPAIR,
+  EVENT_READ
 };
 
 struct event
@@ -87,6 +91,8 @@
   int rolled_back;         /* node that must not vote, or -1 */
   int64_t rolled_back_at;
   struct checks *checks;
+  uint64_t reads;                  /* asked for */
+  uint64_t read_floor[READS_KEPT]; /* answered before each was asked for */
   struct sim_counts counts;
 };
 
@@ -227,6 +233,27 @@
   return REPAIR_REQUEST + (uint64_t)sim->repairs;
 }
 
+/* A confirmed read shows at least what any operator was answered about before
+   it was asked for.  */
+static void
+on_read (struct node *node, uint64_t request,
+         const struct marjoram_apply_answer *answer)
+{
+  struct sim *sim = node->sim;
+  const struct marjoram_state *state = marjoram_keeper_chosen (node->keeper);
+  uint64_t floor = sim->read_floor[request % READS_KEPT];
+
+  if (answer->outcome != MARJORAM_APPLY_DECIDED)
+    {
+      sim->counts.unread++;
+      return;
+    }
+  sim->counts.reads++;
+  if ((state ? state->number : 0) < floor)
+    checks_breach (sim->checks, "%s read a state older than %llu", node->slot,
+                   (unsigned long long)floor);
+}
+
 static void
 on_answered (void *context, uint64_t request,
              const struct marjoram_apply_answer *answer)
@@ -234,6 +261,11 @@
   struct node *node = context;
   struct sim *sim = node->sim;
 
+  if (request >= READ_REQUEST)
+    {
+      on_read (node, request, answer);
+      return;
+    }
   if (request < REPAIR_REQUEST)
     {
       checks_answered (sim->checks, request, answer, &sim->counts);
@@ -512,6 +544,18 @@
   marjoram_keeper_apply (node->keeper, sim->now, request, id, &file);
 }
 
+static void
+make_read (struct sim *sim)
+{
+  struct node *node = running_node (sim);
+  uint64_t request = READ_REQUEST + ++sim->reads;
+
+  if (!node)
+    return;
+  sim->read_floor[request % READS_KEPT] = checks_answered_number (sim->checks);
+  marjoram_keeper_read (node->keeper, sim->now, request);
+}
+
 /* An id always asks for the same change, so the new slot is picked once.  */
 static void
 pick_repair (struct sim *sim)
@@ -622,6 +666,10 @@
       make_change (sim);
       schedule (sim, below (sim, 2 * CHANGE_EVERY_MS), EVENT_CHANGE, -1);
       break;
+    case EVENT_READ:
+      make_read (sim);
+      schedule (sim, READ_EVERY_MS, EVENT_READ, -1);
+      break;
     default:
       if (sim->rolled_back >= 0 && sim->nodes[sim->rolled_back].keeper)
         check_rolled_back (sim);
@@ -780,6 +828,12 @@
   return sim;
 }
 
+void
+sim_read_too (struct sim *sim)
+{
+  schedule (sim, READ_EVERY_MS, EVENT_READ, -1);
+}
+
 void
 sim_destroy (struct sim *sim)
 {
--- a/test/lib_keepers.h
+++ b/test/lib_keepers.h
@@ -19,6 +19,9 @@
 
 struct sim *sim_create (uint64_t seed);
 void sim_destroy (struct sim *sim);
+/* Also asks keepers for the newest state now and then; other runs of a seed
+   are not what they were without.  */
+void sim_read_too (struct sim *sim);
 /* Runs to a fixed end with faults on, heals all, and runs on until a last
    change has to be accepted and all keepers agree.  */
 void sim_run (struct sim *sim);
@@ -40,6 +43,8 @@
   uint64_t lost_disks;
   uint64_t older_disks;
   uint64_t repairs;
+  uint64_t reads;  /* confirmed */
+  uint64_t unread; /* not confirmed in time */
 };
 
 const struct sim_counts *sim_counts (const struct sim *sim);
--- a/test/lib_keepers_check.c
+++ b/test/lib_keepers_check.c
@@ -38,6 +38,7 @@
   uint64_t versions[FILES];
   marjoram_bytes *chain[CHAIN_MAX]; /* packed states by number */
   struct marjoram_state *latest;
+  uint64_t answered_number; /* the highest in an operator's answer */
 };
 
 static const char *const file_names[FILES] = { "a.ini", "b.ini" };
@@ -220,6 +221,8 @@
       else
         counts->refused++;
       note_decided (checks, change, answer);
+      if (answer->number > checks->answered_number)
+        checks->answered_number = answer->number;
       break;
     case MARJORAM_APPLY_NOT_RUN:
       counts->not_run++;
@@ -251,6 +254,12 @@
   return checks->latest ? checks->latest->number : 0;
 }
 
+uint64_t
+checks_answered_number (const struct checks *checks)
+{
+  return checks->answered_number;
+}
+
 bool
 checks_is_member (const struct checks *checks, const char *slot)
 {
--- a/test/lib_keepers_check.h
+++ b/test/lib_keepers_check.h
@@ -31,6 +31,8 @@
                      const char *slot);
 /* Of the latest state.  */
 uint64_t checks_number (const struct checks *checks);
+/* Of the latest state that any operator was answered about.  */
+uint64_t checks_answered_number (const struct checks *checks);
 /* By the latest state.  */
 bool checks_is_member (const struct checks *checks, const char *slot);
 /* All is healed: SLOT must hold the latest state, which must keep all
--- a/test/test_keeper.c
+++ b/test/test_keeper.c
@@ -11,6 +11,7 @@
 enum
 {
   SEEDS = 2000,
+  READ_SEEDS = 300,
   DECIMAL = 10,
   TIMEOUT_S = 7200
 };
@@ -99,6 +100,32 @@
 }
 END_TEST
 
+/* Operators read the configuration at any keeper, also at one that was cut off
+   and believes that it knows the newest.  A read that is answered shows all
+   that was acknowledged before it was asked for; one that can't be sure ends
+   unanswered, in time, and breaks nothing.  */
+START_TEST (confirmed_reads_are_not_older_than_what_was_answered)
+{
+  struct sim_counts sum = { 0 };
+  uint64_t count = setting ("READ_SEEDS", READ_SEEDS);
+
+  for (uint64_t seed = 1; seed <= count; seed++)
+    {
+      struct sim *sim = sim_create (seed);
+
+      sim_read_too (sim);
+      sim_run (sim);
+      ck_assert_msg (!sim_breach (sim)[0], "seed %llu: %s",
+                     (unsigned long long)seed, sim_breach (sim));
+      add_counts (&sum, sim_counts (sim));
+      sim_destroy (sim);
+    }
+  printf ("%llu reads confirmed, %llu not\n", (unsigned long long)sum.reads,
+          (unsigned long long)sum.unread);
+  ck_assert (sum.reads > 10 * count && sum.unread > count);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -107,6 +134,7 @@
 
   tcase_set_timeout (c, TIMEOUT_S);
   tcase_add_test (c, holds_under_faults);
+  tcase_add_test (c, confirmed_reads_are_not_older_than_what_was_answered);
   suite_add_tcase (s, c);
   return s;
 }
