Keepers meet a new one that nobody named

Cause: a keeper that replaces another at a new address knew of no member, and no member greeted it, so it never became one (found by the test, which fails without meet_new): after the next loss no majority would be left.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -258,6 +258,13 @@
   settle (keeper);
 }
 
+void
+marjoram_keeper_meet (marjoram_keeper *keeper, int64_t now, const char *slot)
+{
+  keeper->now = now;
+  marjoram_keeper_greet (keeper, slot, NULL);
+}
+
 void
 marjoram_keeper_read (marjoram_keeper *keeper, int64_t now, uint64_t request)
 {
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -77,6 +77,9 @@
 void marjoram_keeper_replace (marjoram_keeper *keeper, int64_t now,
                               uint64_t request, const char *change_id,
                               const char *old, const char *new);
+/* Greets the keeper in SLOT, that neither the state nor the settings name.  */
+void marjoram_keeper_meet (marjoram_keeper *keeper, int64_t now,
+                           const char *slot);
 /* Answered DECIDED once a majority has confirmed, after this call, that
    marjoram_keeper_chosen is the newest state; NOT_RUN if none did in time.  */
 void marjoram_keeper_read (marjoram_keeper *keeper, int64_t now,
--- a/src/keeper_care.c
+++ b/src/keeper_care.c
@@ -98,6 +98,19 @@
   return false;
 }
 
+/* A keeper that starts empty at a new address knows of no other one, and none
+   of it: each would wait for the other's greeting.  */
+static void
+meet_new (marjoram_keeper *keeper, int64_t now, marjoram_host_list *hosts)
+{
+  const struct marjoram_listed_host *host;
+
+  TAILQ_FOREACH (host, marjoram_host_list_all (hosts), link)
+  if (host->beat.keeper && marjoram_host_list_alive (host, now)
+      && !marjoram_keeper_heard_store (keeper, host->beat.name, HEARD_MS))
+    marjoram_keeper_meet (keeper, now, host->beat.name);
+}
+
 static int64_t
 turn (const struct marjoram_keeper_care *care,
       const struct marjoram_state *state)
@@ -112,12 +125,12 @@
 
 bool
 marjoram_keeper_care_tick (marjoram_keeper_care *care, int64_t now,
-                           const marjoram_keeper *keeper,
-                           marjoram_host_list *hosts,
+                           marjoram_keeper *keeper, marjoram_host_list *hosts,
                            struct marjoram_keeper_change *change)
 {
   const struct marjoram_state *state = marjoram_keeper_chosen (keeper);
 
+  meet_new (keeper, now, hosts);
   if (!state || state->next_members.count > 0
       || !marjoram_keeper_votes (keeper)
       || !find_change (keeper, state, hosts, change))
--- a/src/keeper_care.h
+++ b/src/keeper_care.h
@@ -19,9 +19,10 @@
 
 marjoram_keeper_care *marjoram_keeper_care_create (const char *slot);
 void marjoram_keeper_care_destroy (marjoram_keeper_care *care);
-/* Whether CHANGE is to be asked for now.  At least every 200 ms.  */
+/* Meets keepers among HOSTS that are not known yet, and tells whether CHANGE
+   is to be asked for now.  At least every 200 ms.  */
 bool marjoram_keeper_care_tick (marjoram_keeper_care *care, int64_t now,
-                                const marjoram_keeper *keeper,
+                                marjoram_keeper *keeper,
                                 marjoram_host_list *hosts,
                                 struct marjoram_keeper_change *change);
 
--- /dev/null
+++ b/test/test_keeper_care.c
@@ -0,0 +1,367 @@
+/* Keepers that keep themselves whole: lost disks, machines gone for good.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "keeper_care.h"
+#include "keeper_message.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum
+{
+  NODES = 4,
+  FIRST = 3,
+  TICK_MS = 50
+};
+
+struct letter
+{
+  STAILQ_ENTRY (letter) link;
+  int from;
+  int to;
+  struct marjoram_keeper_message *message;
+};
+
+struct node
+{
+  char slot[16];
+  char store[16];
+  int stores;
+  marjoram_keeper *keeper; /* null while its machine is off */
+  marjoram_keeper_care *care;
+  marjoram_host_list *hosts;
+  marjoram_random *random;
+  marjoram_bytes *record;
+  uint64_t incarnation;
+};
+
+static struct node nodes[NODES];
+static STAILQ_HEAD (, letter) mail = STAILQ_HEAD_INITIALIZER (mail);
+static int64_t now;
+static int decided;
+static uint64_t tickets[NODES];
+
+static int
+index_of (const char *slot)
+{
+  for (int i = 0; i < NODES; i++)
+    if (strcmp (nodes[i].slot, slot) == 0)
+      return i;
+  return -1;
+}
+
+static void
+on_send (void *context, const char *slot,
+         const struct marjoram_keeper_message *message)
+{
+  const struct node *node = context;
+  marjoram_bytes *packed
+      = marjoram_wire_pack (&marjoram_keeper_layout, message);
+  struct letter *letter = marjoram_alloc (sizeof *letter);
+
+  letter->from = (int)(node - nodes);
+  letter->to = index_of (slot);
+  letter->message = marjoram_wire_unpack (&marjoram_keeper_layout,
+                                          marjoram_bytes_data (packed),
+                                          marjoram_bytes_size (packed), NULL);
+  marjoram_bytes_release (packed);
+  STAILQ_INSERT_TAIL (&mail, letter, link);
+}
+
+static void
+on_persist (void *context, uint64_t ticket, marjoram_bytes *record)
+{
+  struct node *node = context;
+
+  marjoram_bytes_release (node->record);
+  node->record = record;
+  tickets[node - nodes] = ticket;
+}
+
+static void
+on_chosen (void *context, const struct marjoram_state *state)
+{
+  (void)context;
+  (void)state;
+}
+
+static void
+on_answered (void *context, uint64_t request,
+             const struct marjoram_apply_answer *answer)
+{
+  (void)context;
+  (void)request;
+  decided += answer->outcome == MARJORAM_APPLY_DECIDED;
+}
+
+static bool
+on_valid (void *context, const struct marjoram_state *state,
+          struct marjoram_error *err)
+{
+  (void)context;
+  (void)state;
+  (void)err;
+  return true;
+}
+
+static const struct marjoram_keeper_ops ops
+    = { on_send, on_persist, on_chosen, on_answered, on_valid };
+
+/* Starts the machine; FIRST_START only when the whole system is new.  */
+static void
+start (int index, bool first_start, bool empty_disk)
+{
+  static const char *const first[FIRST] = { "k0", "k1", "k2" };
+  struct node *node = &nodes[index];
+  struct marjoram_keeper_options options = { .slot = node->slot };
+
+  if (empty_disk)
+    {
+      marjoram_bytes_release (node->record);
+      node->record = NULL;
+      snprintf (node->store, sizeof node->store, "k%d-%d", index,
+                node->stores++);
+    }
+  options.store_id = node->store;
+  options.incarnation = ++node->incarnation;
+  options.record = node->record;
+  options.first = first;
+  options.first_count = first_start ? FIRST : 0;
+  tickets[index] = 0;
+  node->keeper
+      = marjoram_keeper_create (&options, &ops, node, node->random, NULL);
+  node->care = marjoram_keeper_care_create (node->slot);
+}
+
+static void
+stop (int index)
+{
+  marjoram_keeper_destroy (nodes[index].keeper);
+  marjoram_keeper_care_destroy (nodes[index].care);
+  nodes[index].keeper = NULL;
+  nodes[index].care = NULL;
+}
+
+static void
+setup (void)
+{
+  now = 1000;
+  decided = 0;
+  for (int i = 0; i < NODES; i++)
+    {
+      memset (&nodes[i], 0, sizeof nodes[i]);
+      snprintf (nodes[i].slot, sizeof nodes[i].slot, "k%d", i);
+      nodes[i].random = marjoram_random_create ((uint64_t)i + 1);
+      nodes[i].hosts = marjoram_host_list_create ();
+    }
+}
+
+static void
+teardown (void)
+{
+  struct letter *letter;
+
+  while ((letter = STAILQ_FIRST (&mail)))
+    {
+      STAILQ_REMOVE_HEAD (&mail, link);
+      marjoram_wire_destroy (&marjoram_keeper_layout, letter->message);
+      free (letter);
+    }
+  for (int i = 0; i < NODES; i++)
+    {
+      stop (i);
+      marjoram_host_list_destroy (nodes[i].hosts);
+      marjoram_random_destroy (nodes[i].random);
+      marjoram_bytes_release (nodes[i].record);
+    }
+}
+
+static void
+write_disks (void)
+{
+  for (int i = 0; i < NODES; i++)
+    if (nodes[i].keeper && tickets[i])
+      {
+        uint64_t ticket = tickets[i];
+
+        tickets[i] = 0;
+        marjoram_keeper_persisted (nodes[i].keeper, now, ticket, true);
+      }
+}
+
+static void
+deliver (void)
+{
+  struct letter *letter;
+
+  write_disks ();
+  while ((letter = STAILQ_FIRST (&mail)))
+    {
+      STAILQ_REMOVE_HEAD (&mail, link);
+      if (letter->to >= 0 && nodes[letter->to].keeper)
+        marjoram_keeper_receive (nodes[letter->to].keeper, now,
+                                 nodes[letter->from].slot, letter->message);
+      marjoram_wire_destroy (&marjoram_keeper_layout, letter->message);
+      free (letter);
+      write_disks ();
+    }
+}
+
+static void
+hear_keepers (marjoram_host_list *hosts)
+{
+  for (int i = 0; i < NODES; i++)
+    {
+      struct marjoram_host_beat beat = { .name = nodes[i].slot,
+                                         .zone = (char *)"z",
+                                         .region = (char *)"r",
+                                         .entry = (char *)"",
+                                         .keeper = true,
+                                         .incarnation = 1,
+                                         .sequence = (uint64_t)now };
+
+      if (nodes[i].keeper)
+        marjoram_host_list_hear (hosts, now, &beat, true);
+    }
+}
+
+static void
+run (int64_t msec)
+{
+  for (int64_t end = now + msec; now < end; now += TICK_MS)
+    for (int i = 0; i < NODES; i++)
+      {
+        struct marjoram_keeper_change change;
+
+        if (!nodes[i].keeper)
+          continue;
+        hear_keepers (nodes[i].hosts);
+        marjoram_keeper_tick (nodes[i].keeper, now);
+        if (marjoram_keeper_care_tick (nodes[i].care, now, nodes[i].keeper,
+                                       nodes[i].hosts, &change))
+          marjoram_keeper_replace (nodes[i].keeper, now, 1, change.change_id,
+                                   change.old, change.new);
+        deliver ();
+      }
+}
+
+static void
+apply (int index, uint64_t version)
+{
+  struct marjoram_file file
+      = { .name = (char *)"routes", .version = version, .text = (char *)"x" };
+  char id[16];
+
+  snprintf (id, sizeof id, "change-%u", (unsigned int)version);
+  decided = 0;
+  marjoram_keeper_apply (nodes[index].keeper, now, 2, id, &file);
+  run (1000);
+}
+
+static bool
+is_member (int observer, const char *slot, const char *store)
+{
+  const struct marjoram_state *state
+      = marjoram_keeper_chosen (nodes[observer].keeper);
+
+  return state && state->next_members.count == 0
+         && marjoram_voters_hold (&state->members, slot, store);
+}
+
+static void
+form (void)
+{
+  for (int i = 0; i < FIRST; i++)
+    start (i, true, true);
+  run (6000);
+  apply (0, 1);
+  ck_assert_int_ge (decided, 1);
+}
+
+/* A keeper's disk is lost and it comes back empty at its old address.  Four
+   seconds later another one's is lost.  What was acknowledged must be there
+   still, though no operator did anything.  */
+START_TEST (two_disks_lost_one_after_the_other)
+{
+  form ();
+  stop (0);
+  start (0, false, true);
+  run (4000);
+  ck_assert (is_member (1, "k0", "k0-1"));
+  stop (1);
+  start (1, false, true);
+  run (4000);
+  ck_assert (is_member (2, "k1", "k1-1"));
+  stop (2);
+  start (2, false, true);
+  run (4000);
+  ck_assert (is_member (0, "k2", "k2-1"));
+  for (int i = 0; i < FIRST; i++)
+    ck_assert_ptr_nonnull (marjoram_state_file (
+        marjoram_keeper_chosen (nodes[i].keeper), "routes"));
+  apply (2, 2);
+  ck_assert_int_ge (decided, 1);
+}
+END_TEST
+
+/* A keeper's machine is gone for good, and an empty one comes at another
+   address.  It becomes a member by itself, within the time after which another
+   loss must be survived.  */
+START_TEST (machine_is_replaced_at_another_address)
+{
+  form ();
+  stop (0);
+  run (1000);
+  start (3, false, true);
+  run (4000);
+  ck_assert (is_member (1, "k3", "k3-0"));
+  ck_assert (!is_member (1, "k0", "k0-0"));
+  stop (1);
+  apply (2, 2);
+  ck_assert_int_ge (decided, 1);
+}
+END_TEST
+
+/* A keeper is only restarted; nothing is to be repaired.  */
+START_TEST (restart_changes_no_member)
+{
+  form ();
+  stop (0);
+  run (1500);
+  start (0, false, false);
+  run (3000);
+  ck_assert (is_member (1, "k0", "k0-0"));
+}
+END_TEST
+
+/* The whole system has lost power, and all come back with their disks.  */
+START_TEST (all_restart)
+{
+  form ();
+  for (int i = 0; i < FIRST; i++)
+    stop (i);
+  for (int i = 0; i < FIRST; i++)
+    start (i, false, false);
+  run (4000);
+  apply (1, 2);
+  ck_assert_int_ge (decided, 1);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("keeper_care");
+  TCase *c = tcase_create ("keeper_care");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, two_disks_lost_one_after_the_other);
+  tcase_add_test (c, machine_is_replaced_at_another_address);
+  tcase_add_test (c, restart_changes_no_member);
+  tcase_add_test (c, all_restart);
+  suite_add_tcase (s, c);
+  return s;
+}
