--- a/src/host_list.c
+++ b/src/host_list.c
@@ -200,16 +200,21 @@
 marjoram_host_list_lookup (marjoram_host_list *list, int64_t now,
                            const char *zone, const char *region,
                            marjoram_region_allowed allowed, void *context,
-                           const char *addresses[MARJORAM_LOOKUP_MAX])
+                           const char *addresses[MARJORAM_LOOKUP_MAX],
+                           enum marjoram_lookup_reach *reach)
 {
-  const struct wish wishes[] = { { .zone = zone },
-                                 { .region = region },
-                                 { .allowed = allowed, .context = context },
-                                 { NULL, NULL, NULL, NULL } };
+  const struct wish wishes[MARJORAM_REACH_COUNT] = {
+    [MARJORAM_REACH_ZONE] = { .zone = zone },
+    [MARJORAM_REACH_REGION] = { .region = region },
+    [MARJORAM_REACH_ALLOWED] = { .allowed = allowed, .context = context },
+  };
   size_t count = 0;
 
-  for (size_t i = 0; count == 0 && i < sizeof wishes / sizeof *wishes; i++)
-    count = collect (list, now, &wishes[i], addresses);
+  for (int i = 0; count == 0 && i < MARJORAM_REACH_COUNT; i++)
+    {
+      *reach = (enum marjoram_lookup_reach)i;
+      count = collect (list, now, &wishes[i], addresses);
+    }
   return count;
 }
 
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -45,13 +45,25 @@
 /* Whether a caller of another region may be sent to REGION.  */
 typedef bool (*marjoram_region_allowed) (void *context, const char *region);
 
+/* Which hosts a look-up found.  */
+enum marjoram_lookup_reach
+{
+  MARJORAM_REACH_ZONE,
+  MARJORAM_REACH_REGION,
+  MARJORAM_REACH_ALLOWED,
+  MARJORAM_REACH_ALL,
+  MARJORAM_REACH_COUNT
+};
+
 /* The hosts that a caller of ZONE in REGION may connect to: of its zone, else
-   of its region, else of the regions that are ALLOWED, else all.  Borrowed. */
+   of its region, else of the regions that are ALLOWED, else all; REACH tells
+   which.  Borrowed.  */
 size_t marjoram_host_list_lookup (marjoram_host_list *list, int64_t now,
                                   const char *zone, const char *region,
                                   marjoram_region_allowed allowed,
                                   void *context,
-                                  const char *addresses[MARJORAM_LOOKUP_MAX]);
+                                  const char *addresses[MARJORAM_LOOKUP_MAX],
+                                  enum marjoram_lookup_reach *reach);
 /* The serving host of REGION that has the highest claim to KEY by rendezvous
    hashing; null if there is none.  */
 const char *marjoram_host_list_owner (marjoram_host_list *list, int64_t now,
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -525,19 +525,49 @@
   return registrar->table;
 }
 
+static const char *const reach_names[MARJORAM_REACH_COUNT]
+    = { "zone", "region", "allowed", "all" };
+
 struct lookup
 {
-  const struct marjoram_route_table *table;
+  const struct marjoram_route_table *table; /* null before any */
   const char *host;
+  size_t most_homes; /* of the routes of HOST, in one region */
 };
 
+static size_t
+homes_in (const struct lookup *lookup, const char *region)
+{
+  return lookup->table
+             ? marjoram_route_table_homes (lookup->table, lookup->host, region)
+             : 0;
+}
+
+/* Routes of one host may have different homes, and a look-up does not tell
+   which route it is for: the regions that most of them call home.  */
 static bool
-is_allowed (void *context, const char *region)
+is_home_of_most (void *context, const char *region)
 {
   const struct lookup *lookup = context;
 
-  return lookup->table
-         && marjoram_route_table_allows (lookup->table, lookup->host, region);
+  return lookup->most_homes > 0
+         && homes_in (lookup, region) == lookup->most_homes;
+}
+
+static void
+find_most_homes (marjoram_registrar *registrar, int64_t now,
+                 struct lookup *lookup)
+{
+  const struct marjoram_listed_host *host;
+
+  TAILQ_FOREACH (host, marjoram_host_list_all (registrar->options.hosts), link)
+  if (marjoram_host_list_serves (host, now))
+    {
+      size_t homes = homes_in (lookup, host->beat.region);
+
+      if (homes > lookup->most_homes)
+        lookup->most_homes = homes;
+    }
 }
 
 static void
@@ -545,14 +575,23 @@
          const struct marjoram_ask *what)
 {
   const char *addresses[MARJORAM_LOOKUP_MAX];
-  struct lookup lookup = { table_in_force (registrar), what->host };
-  size_t count = marjoram_host_list_lookup (registrar->options.hosts, now,
-                                            what->zone, what->region,
-                                            is_allowed, &lookup, addresses);
+  struct lookup lookup = { table_in_force (registrar), what->host, 0 };
+  enum marjoram_lookup_reach reach;
+  size_t count;
   marjoram_auto_free char *body = NULL;
 
+  find_most_homes (registrar, now, &lookup);
+  count = marjoram_host_list_lookup (registrar->options.hosts, now, what->zone,
+                                     what->region, is_home_of_most, &lookup,
+                                     addresses, &reach);
   marjoram_metrics_add (registrar->options.metrics, MARJORAM_METRIC_LOOKUPS,
                         1);
+  if (reach != MARJORAM_REACH_ZONE)
+    marjoram_event (MARJORAM_EVENT_HOST,
+                    "lookup=%s zone=%s region=%s reach=%s hosts=%zu "
+                    "config=%" PRIu64,
+                    what->host, what->zone, what->region, reach_names[reach],
+                    count, lookup.table ? lookup.table->version : 0);
   if (count == 0)
     {
       answer (registrar, ask, STATUS_UNAVAILABLE, NULL);
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -195,15 +195,18 @@
   return route->homes.count == 0;
 }
 
-bool
-marjoram_route_table_allows (const struct marjoram_route_table *table,
-                             const char *host, const char *region)
+size_t
+marjoram_route_table_homes (const struct marjoram_route_table *table,
+                            const char *host, const char *region)
 {
+  size_t count = 0;
+
   for (size_t i = 0; i < table->routes.count; i++)
-    if (same_host (ROUTES (table)[i].host, host)
-        && !marjoram_route_allows (&ROUTES (table)[i], region))
-      return false;
-  return true;
+    if (ROUTES (table)[i].homes.count > 0
+        && same_host (ROUTES (table)[i].host, host)
+        && marjoram_route_allows (&ROUTES (table)[i], region))
+      count++;
+  return count;
 }
 
 bool
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -93,9 +93,9 @@
 /* Whether REGION may run a request of ROUTE.  */
 bool marjoram_route_allows (const struct marjoram_route_rule *route,
                             const char *region);
-/* Whether REGION may run the requests of all routes of HOST.  */
-bool marjoram_route_table_allows (const struct marjoram_route_table *table,
-                                  const char *host, const char *region);
+/* How many routes of HOST that are bound to homes have REGION among them.  */
+size_t marjoram_route_table_homes (const struct marjoram_route_table *table,
+                                   const char *host, const char *region);
 /* Whether a second upstream may run it after a first one may have.  */
 bool marjoram_route_may_repeat (const struct marjoram_route_rule *route);
 
--- a/test/test_host_list.c
+++ b/test/test_host_list.c
@@ -7,6 +7,7 @@
 
 static marjoram_host_list *list;
 static const char *found[MARJORAM_LOOKUP_MAX];
+static enum marjoram_lookup_reach reach;
 
 static void
 setup (void)
@@ -54,7 +55,7 @@
 look_up (int64_t now, const char *zone, const char *region)
 {
   return marjoram_host_list_lookup (list, now, zone, region, is_home,
-                                    (void *)"r2", found);
+                                    (void *)"r2", found, &reach);
 }
 
 START_TEST (own_zone_first_then_region_then_home)
@@ -65,9 +66,12 @@
   hear (0, "h4", "z4", "r3");
   ck_assert_uint_eq (look_up (100, "z1", "r1"), 1);
   ck_assert_str_eq (found[0], "h1");
+  ck_assert_int_eq (reach, MARJORAM_REACH_ZONE);
   ck_assert_uint_eq (look_up (100, "z9", "r1"), 2);
+  ck_assert_int_eq (reach, MARJORAM_REACH_REGION);
   ck_assert_uint_eq (look_up (100, "z9", "r9"), 1);
   ck_assert_str_eq (found[0], "h3");
+  ck_assert_int_eq (reach, MARJORAM_REACH_ALLOWED);
 }
 END_TEST
 
--- a/test/test_registrar.c
+++ b/test/test_registrar.c
@@ -353,6 +353,47 @@
 }
 END_TEST
 
+/* All hosts of a region are restarted in turn.  Its callers must be sent where
+   the requests of their host may run: elsewhere these would only be passed on,
+   by a region that is none of their homes.  Routes of one host may have
+   different homes.  */
+START_TEST (lookup_without_own_region_names_homes)
+{
+  static const char routes[]
+      = "{\"version\":1,\"routes\":["
+        "{\"name\":\"r\",\"host\":\"a\",\"path_prefix\":\"/r/\",\"kind\":"
+        "\"idempotent\",\"timeout_ms\":9,\"service\":\"app\","
+        "\"home_regions\":[\"r2\",\"r1\"]},"
+        "{\"name\":\"s\",\"host\":\"a\",\"path_prefix\":\"/s/\",\"kind\":"
+        "\"idempotent\",\"timeout_ms\":9,\"service\":\"app\","
+        "\"home_regions\":[\"r2\"]},"
+        "{\"name\":\"t\",\"host\":\"a\",\"path_prefix\":\"/t/\",\"kind\":"
+        "\"idempotent\",\"timeout_ms\":9,\"service\":\"app\"}],"
+        "\"services\":[{\"name\":\"app\",\"health_path\":\"/h\"}],"
+        "\"limits\":{\"max_header_bytes\":1,\"max_body_bytes\":1,"
+        "\"header_timeout_ms\":1,\"idle_timeout_ms\":1}}";
+  static const char *const regions[] = { "r3", "r2", "r3" };
+  static const char *const names[] = { "10.0.0.3", "10.0.0.2", "10.0.0.4" };
+
+  ask (0, "POST", "/-/config/replace", routes);
+  decide (1, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  for (size_t i = 0; i < 3; i++)
+    {
+      struct marjoram_host_beat host = { .name = (char *)names[i],
+                                         .zone = (char *)regions[i],
+                                         .region = (char *)regions[i],
+                                         .entry = (char *)names[i],
+                                         .ready = true,
+                                         .incarnation = 1,
+                                         .sequence = 1 };
+
+      marjoram_host_list_hear (hosts, 0, &host, true);
+    }
+  ask (10, "GET", "/-/resolve?name=a&region=r1&zone=za", "");
+  ck_assert_str_eq (body, "{\"addresses\":[\"10.0.0.2\"],\"ttl_s\":2}");
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -371,6 +412,7 @@
   tcase_add_test (c, read_needs_a_majority);
   tcase_add_test (c, evacuations_race);
   tcase_add_test (c, lookups);
+  tcase_add_test (c, lookup_without_own_region_names_homes);
   suite_add_tcase (s, c);
   return s;
 }
