Scenarios of the gateway with real processes; a far stream goes on after its last event

Causes found by them, each with a test: a forwarded stream that was resumed began anew (no last event was sent along); an upstream whose answers broke three times in a row was passed over even where it is the only one.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -52,6 +52,7 @@
   marjoram_http_server *server;
   marjoram_http_client *client;
   struct marjoram_route_table *table;
+  struct marjoram_route_table *former; /* the gateway's */
   struct marjoram_names evacuated;
   uint64_t config_number;
   struct inbound *inbound;
@@ -390,10 +391,11 @@
 static void
 set_table (struct entry_role *self, struct marjoram_route_table *table)
 {
-  struct marjoram_route_table *old = self->table;
+  struct marjoram_route_table *old = self->former;
 
+  self->former = self->table;
   self->table = table;
-  marjoram_gateway_set_table (self->gateway, table);
+  marjoram_gateway_set_table (self->gateway, now_of (self), table);
   marjoram_route_table_destroy (old);
   set_limits (self);
 }
@@ -776,6 +778,7 @@
   marjoram_http_client_destroy (self->client);
   marjoram_http_server_destroy (self->server);
   marjoram_route_table_destroy (self->table);
+  marjoram_route_table_destroy (self->former);
   marjoram_names_clear (&self->evacuated);
   marjoram_registry_destroy (self->registry);
   free (self->offers.items);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -17,7 +17,10 @@
   /* A host that has no configuration yet gets one within a few round trips. */
   NO_CONFIG_RETRY_MS = 300,
   /* An answer is handed to the caller by then, ahead of its own deadline.  */
-  DEADLINE_MARGIN_MS = 20
+  DEADLINE_MARGIN_MS = 20,
+  /* How long after a change the former timeouts count too: well within the
+     three seconds in which a change must be in force.  */
+  CHANGE_MS = 2000
 };
 
 marjoram_gateway *
@@ -48,10 +51,12 @@
 }
 
 void
-marjoram_gateway_set_table (marjoram_gateway *gateway,
+marjoram_gateway_set_table (marjoram_gateway *gateway, int64_t now,
                             const struct marjoram_route_table *table)
 {
+  gateway->former = gateway->table;
   gateway->table = table;
+  gateway->table_since = now;
 }
 
 size_t
@@ -193,13 +198,31 @@
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
 
+/* A configuration may shorten a timeout while operators still wait for its
+   acknowledgement, and hosts put it in force at slightly different times.  An
+   answer cut by the new timeout would be lost by the change itself, so for a
+   short while the longer of the two counts.  */
+static int64_t
+timeout_of (const marjoram_gateway *gateway, const char *host,
+            const struct marjoram_exchange *exchange,
+            const struct marjoram_route_rule *route)
+{
+  const struct marjoram_route_rule *before = NULL;
+
+  if (gateway->former
+      && exchange->received_at < gateway->table_since + CHANGE_MS)
+    before = marjoram_route_table_find (gateway->former, host,
+                                        exchange->request->target);
+  return before && before->timeout_ms > route->timeout_ms ? before->timeout_ms
+                                                          : route->timeout_ms;
+}
+
 static void
-set_times (struct marjoram_exchange *exchange,
-           const struct marjoram_route_rule *route)
+set_times (struct marjoram_exchange *exchange, int64_t timeout_ms)
 {
   int64_t patience = exchange->facts.patience_ms;
 
-  exchange->due_at = exchange->received_at + route->timeout_ms;
+  exchange->due_at = exchange->received_at + timeout_ms;
   if (patience > 0
       && exchange->received_at + patience - DEADLINE_MARGIN_MS
              < exchange->due_at)
@@ -249,7 +272,7 @@
                       STATUS_BAD_REQUEST, 0);
       return;
     }
-  set_times (exchange, route);
+  set_times (exchange, timeout_of (gateway, host, exchange, route));
   if (!forwarded)
     marjoram_repeat_budget_request (
         gateway->budget, now,
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -60,8 +60,9 @@
 void marjoram_gateway_destroy (marjoram_gateway *gateway);
 marjoram_placement *marjoram_gateway_placement (marjoram_gateway *gateway);
 marjoram_repeat_budget *marjoram_gateway_budget (marjoram_gateway *gateway);
-/* Puts TABLE in force, which stays the caller's until another one is.  */
-void marjoram_gateway_set_table (marjoram_gateway *gateway,
+/* Puts TABLE in force, which stays the caller's until another one is, and as
+   the former one until the one after that.  */
+void marjoram_gateway_set_table (marjoram_gateway *gateway, int64_t now,
                                  const struct marjoram_route_table *table);
 
 /* Takes REQUEST.  FORWARDED: it comes from a host of another region, and
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -76,6 +76,8 @@
   const struct marjoram_gateway_ops *ops;
   void *context;
   const struct marjoram_route_table *table;
+  const struct marjoram_route_table *former; /* null if none */
+  int64_t table_since;
   marjoram_placement *placement;
   marjoram_repeat_budget *budget;
   struct marjoram_exchange *by_call;
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -77,6 +77,14 @@
   return exchange->due_at - now;
 }
 
+/* After which event the next upstream goes on; null: as the caller said.  */
+static const char *
+last_event (const struct marjoram_exchange *exchange)
+{
+  return exchange->events ? marjoram_event_stream_last (exchange->events)
+                          : NULL;
+}
+
 static void
 write_headers (marjoram_gateway *gateway,
                const struct marjoram_exchange *exchange, int64_t now,
@@ -84,13 +92,10 @@
 {
   const struct marjoram_dialect_ops *dialect = gateway->options.dialect->ops;
   const struct marjoram_http_request *request = exchange->request;
-  const char *last = exchange->events
-                         ? marjoram_event_stream_last (exchange->events)
-                         : NULL;
   const struct marjoram_run_facts facts = {
     .patience_ms = patience_left (exchange, now),
     .upstream = exchange->upstream,
-    .last_event = last,
+    .last_event = last_event (exchange),
     .urgency = !exchange->stream                  ? -1
                : exchange->priority < URGENCY_MAX ? exchange->priority
                                                   : URGENCY_MAX,
@@ -198,6 +203,8 @@
             int64_t now, const char *host)
 {
   struct marjoram_http_request *request = exchange->request;
+  const struct marjoram_run_facts facts
+      = { .last_event = last_event (exchange), .urgency = -1 };
   struct marjoram_forward forward = { 0 };
   struct marjoram_header_list headers = { 0 };
 
@@ -206,6 +213,7 @@
                                       request->headers.items[i].name))
       marjoram_header_list_add (&headers, request->headers.items[i].name,
                                 request->headers.items[i].value);
+  gateway->options.dialect->ops->write_run (&facts, &headers);
   if (headers.count > MARJORAM_HEADERS_MAX)
     {
       marjoram_header_list_clear (&headers);
--- a/src/placement.c
+++ b/src/placement.c
@@ -26,7 +26,7 @@
   UNREACHED_DOUBLINGS = 4,
   /* Broken answers in a row, above which it is not one request's fault.  */
   BROKEN_IN_ROW = 3,
-  BROKEN_PAUSE_MS = 500,
+  DOUBT_MS = 500,
   /* Span of the mean of prompts read: some requests' length.  */
   READ_MEAN_MS = 2000,
   /* A report of a host that is silent for longer counts no more; twenty
@@ -356,7 +356,7 @@
     case MARJORAM_ATTEMPT_BROKEN:
     case MARJORAM_ATTEMPT_SILENT:
       if (++spot->broken >= BROKEN_IN_ROW)
-        pause_spot (spot, now + BROKEN_PAUSE_MS);
+        spot->doubted_until = now + DOUBT_MS;
       break;
     default:
       break;
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -34,6 +34,9 @@
   NEWS_DELAY_MS = 300,
   /* What a warm upstream must have to wait for a cold one to be chosen.  */
   COLD_COST_MS = 100,
+  /* The same of one whose answers broke several times in a row: any other
+     comes first, but it is better than none.  */
+  DOUBT_COST_MS = 1000,
   /* Most prompts ahead of a request, as time to read them.  With a longer
      queue every answer of the engine slows down and its pauses pass what
      callers accept: without a bound the mean worth of what callers got was
@@ -229,6 +232,8 @@
   estimate.cost_ms += (double)spread (spot, query->facts);
   if (is_cold (spot, upstream, query->service, now))
     estimate.cost_ms += COLD_COST_MS;
+  if (now < spot->doubted_until)
+    estimate.cost_ms += DOUBT_COST_MS;
   return estimate;
 }
 
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -41,8 +41,9 @@
   int64_t capacity; /* tokens, of the engine's memory; 0 until it is known */
   int64_t born;     /* of the life that MEMORY is of */
   int64_t paused_until;
-  int64_t lost_at;  /* 0 if its connections never broke */
-  int64_t wrong_at; /* another one had its address */
+  int64_t doubted_until; /* used only where there is no other */
+  int64_t lost_at;       /* 0 if its connections never broke */
+  int64_t wrong_at;      /* another one had its address */
   int64_t cold_until;
   int64_t cold_sent_at;
   double read_sum; /* tokens of prompts sent there, fading */
--- /dev/null
+++ b/test/fake_replica.c
@@ -0,0 +1,389 @@
+/* Stands in for an upstream of the platform: heartbeats to a keeper, health,
+   plain answers and streams, and the faults that a path names.  Writes a line
+   for each run, so that a test can count them.  On SIGTERM it says that it
+   leaves, serves on until that was acknowledged and a while longer, and says
+   that it is gone.  */
+#include "cleanup.h"
+#include "clock.h"
+#include "http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <fcntl.h>
+#include <getopt.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  BEAT_MS = 300,
+  EVENT_MS = 20,
+  EVENTS = 5,
+  CALL_TIMEOUT_S = 1,
+  SERVE_ON_MS = 500, /* after a leave was acknowledged */
+  ADDRESS_MAX = 64,
+  PATH_MAX_BYTES = 256,
+  KEEPERS_MAX = 8,
+  MSEC_PER_SEC = 1000
+};
+
+struct replica
+{
+  struct event_base *base;
+  struct marjoram_clock *clock;
+  marjoram_http_server *server;
+  const char *id;
+  const char *service;
+  const char *zone;
+  const char *address;
+  char *keepers[KEEPERS_MAX];
+  int keeper_count;
+  int keeper; /* the one that is called next */
+  int sequence;
+  int64_t born;
+  bool leaving;
+  bool acknowledged;
+  int log;
+  struct event *beat;
+};
+
+/* One stream that is under way.  */
+struct stream
+{
+  struct replica *replica;
+  uint64_t call;
+  int next;
+  int last;
+  bool cut; /* in the middle of its third event */
+  struct event *timer;
+};
+
+static void
+note (struct replica *replica, const char *what, const char *id)
+{
+  char line[256];
+  int size = snprintf (line, sizeof line, "%s replica=%s id=%s\n", what,
+                       replica->id, id ? id : "-");
+
+  if (write (replica->log, line, (size_t)size) < 0)
+    abort ();
+}
+
+/* ---- Heartbeats.  ---- */
+
+static void
+on_answer (struct evhttp_request *answer, void *context)
+{
+  struct replica *replica = context;
+
+  if (!answer || evhttp_request_get_response_code (answer) / 100 != 2)
+    replica->keeper = (replica->keeper + 1) % replica->keeper_count;
+  else if (replica->leaving)
+    replica->acknowledged = true;
+}
+
+static void
+call_keeper (struct replica *replica, const char *what)
+{
+  char ip[ADDRESS_MAX];
+  unsigned int port;
+  char path[PATH_MAX_BYTES];
+  struct evhttp_connection *connection;
+  struct evhttp_request *request = evhttp_request_new (on_answer, replica);
+
+  if (sscanf (replica->keepers[replica->keeper], "%63[^:]:%u", ip, &port) != 2)
+    abort ();
+  connection = evhttp_connection_base_new (replica->base, NULL, ip,
+                                           (unsigned short)port);
+  evhttp_connection_set_timeout (connection, CALL_TIMEOUT_S);
+  evhttp_connection_free_on_completion (connection);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Host", ip);
+  evbuffer_add_printf (
+      evhttp_request_get_output_buffer (request),
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+      "\"cold_remaining_ms\":0,\"seq\":%d,\"born\":%" PRId64 "}",
+      replica->service, replica->address, replica->zone,
+      replica->leaving ? "draining" : "ready", ++replica->sequence,
+      replica->born);
+  snprintf (path, sizeof path, "/-/instances/%s/%s", replica->id, what);
+  evhttp_make_request (connection, request, EVHTTP_REQ_POST, path);
+}
+
+static void
+on_gone (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  event_base_loopbreak (((struct replica *)context)->base);
+}
+
+static void
+on_beat (evutil_socket_t fd, short what, void *context)
+{
+  struct replica *replica = context;
+  struct timeval wait = marjoram_clock_timeval (SERVE_ON_MS);
+
+  (void)fd;
+  (void)what;
+  if (!replica->acknowledged)
+    {
+      call_keeper (replica, "heartbeat");
+      return;
+    }
+  note (replica, "acknowledged", NULL);
+  event_del (replica->beat);
+  call_keeper (replica, "deregister");
+  event_base_once (replica->base, -1, EV_TIMEOUT, on_gone, replica, &wait);
+}
+
+static void
+on_term (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  ((struct replica *)context)->leaving = true;
+}
+
+/* ---- Requests.  ---- */
+
+static void
+add_head (struct marjoram_header_list *headers, const char *id, bool is_signed)
+{
+  marjoram_header_list_add (headers, "Marjoramproxy-Attempt-Id", id);
+  if (is_signed)
+    marjoram_header_list_add (headers, "Marjoramproxy-Response-Seal", "seal");
+}
+
+static void
+reply (struct replica *replica, uint64_t call, int status, const char *id,
+       const char *body)
+{
+  struct marjoram_header_list headers = { 0 };
+
+  add_head (&headers, id, status != 503);
+  if (status == 503 || status == 421)
+    marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
+  marjoram_http_server_head (replica->server, call, status, &headers,
+                             (int64_t)strlen (body));
+  marjoram_http_server_data (replica->server, call, body, strlen (body));
+  marjoram_http_server_end (replica->server, call);
+  marjoram_header_list_clear (&headers);
+}
+
+static void
+on_event (evutil_socket_t fd, short what, void *context)
+{
+  struct stream *stream = context;
+  marjoram_http_server *server = stream->replica->server;
+  struct timeval wait = marjoram_clock_timeval (EVENT_MS);
+  char text[64];
+  int size;
+
+  (void)fd;
+  (void)what;
+  size = snprintf (text, sizeof text, "id: %d\ndata: part-%d\n\n",
+                   stream->next, stream->next);
+  if (stream->cut && stream->next == 3)
+    {
+      marjoram_http_server_data (server, stream->call, text, (size_t)size / 2);
+      marjoram_http_server_cut (server, stream->call);
+    }
+  else
+    {
+      marjoram_http_server_data (server, stream->call, text, (size_t)size);
+      if (stream->next++ < stream->last)
+        {
+          evtimer_add (stream->timer, &wait);
+          return;
+        }
+      marjoram_http_server_end (server, stream->call);
+    }
+  event_free (stream->timer);
+  free (stream);
+}
+
+static void
+start_stream (struct replica *replica, uint64_t call, const char *id,
+              const char *last_event, bool cut)
+{
+  struct marjoram_header_list headers = { 0 };
+  struct stream *stream = marjoram_alloc (sizeof *stream);
+  struct timeval wait = marjoram_clock_timeval (EVENT_MS);
+
+  add_head (&headers, id, true);
+  marjoram_header_list_add (&headers, "Content-Type", "text/event-stream");
+  marjoram_http_server_head (replica->server, call, 200, &headers, -1);
+  marjoram_header_list_clear (&headers);
+  stream->replica = replica;
+  stream->call = call;
+  stream->next = last_event ? atoi (last_event) + 1 : 1;
+  stream->last = EVENTS;
+  stream->cut = cut && !last_event;
+  stream->timer = evtimer_new (replica->base, on_event, stream);
+  evtimer_add (stream->timer, &wait);
+}
+
+static bool
+asks_for (const struct marjoram_http_request *request, const char *fault)
+{
+  return strstr (request->target, fault) != NULL;
+}
+
+static void
+run (struct replica *replica, uint64_t call,
+     const struct marjoram_http_request *request, const char *id)
+{
+  const struct marjoram_header_list *headers = &request->headers;
+
+  note (replica, "run", id);
+  if (asks_for (request, "hang"))
+    return;
+  if (asks_for (request, "break"))
+    marjoram_http_server_cut (replica->server, call);
+  else if (asks_for (request, "fail"))
+    reply (replica, call, 500, id, "failed");
+  else if (asks_for (request, "stray"))
+    reply (replica, call, 200, "another", "not yours");
+  else if (asks_for (request, "/stream/"))
+    start_stream (replica, call, id,
+                  marjoram_header_list_get (headers, "Last-Event-Id"),
+                  asks_for (request, "cut"));
+  else
+    reply (replica, call, 200, id, replica->id);
+}
+
+static void
+on_request (void *context, uint64_t call,
+            struct marjoram_http_request *request)
+{
+  struct replica *replica = context;
+  const struct marjoram_header_list *headers = &request->headers;
+  const char *id
+      = marjoram_header_list_get (headers, "Marjoramproxy-Attempt-Id");
+  const char *target
+      = marjoram_header_list_get (headers, "Marjoramproxy-Target-Instance");
+
+  if (!id)
+    reply (replica, call, strcmp (request->target, "/health") ? 400 : 200, "",
+           "");
+  else if (target && strcmp (target, replica->id) != 0)
+    reply (replica, call, 421, id, "");
+  else if (marjoram_header_list_get (headers, "Marjoramproxy-Hold"))
+    note (replica, "smuggled", id);
+  else if (asks_for (request, "full"))
+    reply (replica, call, 503, id, "");
+  else
+    run (replica, call, request, id);
+  marjoram_http_request_destroy (request);
+}
+
+static void
+on_left (void *context, uint64_t call)
+{
+  (void)call;
+  note (context, "caller-left", NULL);
+}
+
+static void
+on_rejected (void *context, int status, const char *why)
+{
+  (void)status;
+  note (context, "rejected", why);
+}
+
+static const struct marjoram_http_server_ops ops
+    = { .request = on_request, .gone = on_left, .rejected = on_rejected };
+
+/* ---- Start.  ---- */
+
+static void
+add_keepers (struct replica *replica, char *list)
+{
+  char *rest = list;
+  char *one;
+
+  while ((one = strsep (&rest, ",")) && replica->keeper_count < KEEPERS_MAX)
+    replica->keepers[replica->keeper_count++] = one;
+}
+
+static bool
+read_options (struct replica *replica, int argc, char **argv)
+{
+  static const struct option options[]
+      = { { "address", required_argument, NULL, 'a' },
+          { "id", required_argument, NULL, 'i' },
+          { "service", required_argument, NULL, 's' },
+          { "zone", required_argument, NULL, 'z' },
+          { "keepers", required_argument, NULL, 'k' },
+          { "log", required_argument, NULL, 'l' },
+          { NULL, 0, NULL, 0 } };
+  int option;
+
+  replica->log = -1;
+  while ((option = getopt_long (argc, argv, "", options, NULL)) != -1)
+    switch (option)
+      {
+      case 'a':
+        replica->address = optarg;
+        break;
+      case 'i':
+        replica->id = optarg;
+        break;
+      case 's':
+        replica->service = optarg;
+        break;
+      case 'z':
+        replica->zone = optarg;
+        break;
+      case 'k':
+        add_keepers (replica, optarg);
+        break;
+      case 'l':
+        replica->log
+            = open (optarg, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+        break;
+      default:
+        return false;
+      }
+  return replica->address && replica->id && replica->service && replica->zone
+         && replica->keeper_count > 0 && replica->log >= 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct replica replica = { .clock = marjoram_clock_system () };
+  struct timeval every = marjoram_clock_timeval (BEAT_MS);
+  struct marjoram_error err = { 0 };
+
+  if (!read_options (&replica, argc, argv))
+    {
+      fprintf (stderr, "usage: fake_replica --address IP:PORT --id ID "
+                       "--service NAME --zone ZONE --keepers IP:PORT,... "
+                       "--log FILE\n");
+      return EXIT_FAILURE;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  replica.base = event_base_new ();
+  replica.born = marjoram_clock_wall (replica.clock);
+  replica.server = marjoram_http_server_create (
+      replica.base, replica.clock, replica.address, &ops, &replica, &err);
+  if (!replica.server)
+    {
+      fprintf (stderr, "fake_replica: %s\n", err.message);
+      return EXIT_FAILURE;
+    }
+  replica.beat = event_new (replica.base, -1, EV_PERSIST, on_beat, &replica);
+  event_add (replica.beat, &every);
+  event_add (evsignal_new (replica.base, SIGTERM, on_term, &replica), NULL);
+  note (&replica, "start", NULL);
+  event_base_dispatch (replica.base);
+  note (&replica, "stop", NULL);
+  return EXIT_SUCCESS;
+}
--- a/test/lib_call.c
+++ b/test/lib_call.c
@@ -130,11 +130,12 @@
   evhttp_connection_free_on_completion (call->connection);
   evhttp_request_set_header_cb (request, head_came);
   evhttp_request_set_chunked_cb (request, part_came);
-  evhttp_add_header (headers, "Host", source->address);
   evhttp_add_header (headers, "Connection", "close");
   for (size_t i = 0; i < source->header_count; i++)
     evhttp_add_header (headers, source->headers[i].name,
                        source->headers[i].value);
+  if (!evhttp_find_header (headers, "Host"))
+    evhttp_add_header (headers, "Host", source->address);
   evbuffer_add (evhttp_request_get_output_buffer (request), source->body,
                 source->size);
   if (evhttp_make_request (call->connection, request, command (source->method),
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -125,6 +125,7 @@
             const struct marjoram_forward *forward)
 {
   struct gateway_fixture *f = context;
+  const struct marjoram_header *headers = forward->headers.items;
 
   if (!f->link_up)
     return false;
@@ -132,6 +133,11 @@
   f->seen.attempt = forward->request;
   f->seen.budget_ms = forward->budget_ms;
   snprintf (f->seen.host, sizeof f->seen.host, "%s", host);
+  f->seen.last_event[0] = '\0';
+  for (size_t i = 0; i < forward->headers.count; i++)
+    if (strcmp (headers[i].name, "Last-Event-Id") == 0)
+      snprintf (f->seen.last_event, sizeof f->seen.last_event, "%s",
+                headers[i].value);
   return true;
 }
 
@@ -252,7 +258,7 @@
       fprintf (stderr, "%s\n", err.message);
       abort ();
     }
-  marjoram_gateway_set_table (f->gateway, f->table);
+  marjoram_gateway_set_table (f->gateway, 0, f->table);
 }
 
 uint64_t
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -17,6 +17,7 @@
   int forwards;
   char host[64];
   int64_t budget_ms;
+  char last_event[MARJORAM_ID_MAX]; /* of the last forward; "" if none */
   int heads;
   int status;
   int64_t length;
--- /dev/null
+++ b/test/scenarios/gateway.lua
@@ -0,0 +1,185 @@
+-- Verbs for the roles entry and keeper, over stand-ins of the platform's
+-- upstreams: two regions, each with a keeper and entry hosts, a third keeper.
+
+local folder = system.folder
+local octets = system.address:match ("^127%.%d+%.(%d+%.%d+)$")
+local programs = {}
+local LIMIT_MS = 20000
+replicas, entries, keepers = {}, {}, {}
+attempt_number = 0
+
+local function ip (index)
+  return "127." .. (100 + index) .. "." .. octets
+end
+
+local function write (path, text)
+  local file = assert (io.open (path, "w"))
+  file:write (text)
+  file:close ()
+end
+
+function read_file (path)
+  local file = io.open (path)
+  local text = file and file:read ("a") or ""
+  if file then file:close () end
+  return text
+end
+
+local function settings (host)
+  local seeds = {}
+  for i = 1, 3 do seeds[i] = ip (i) .. ":8146" end
+  local text = "[gateway]\nrole = " .. host.role .. "\nname = " .. host.name
+    .. "\nip = " .. host.ip .. "\nzone = " .. host.zone .. "\nregion = "
+    .. host.region .. "\n"
+  if host.role == "keeper" then
+    text = text .. "data_folder = " .. folder .. "/data-" .. host.name
+      .. "\nfirst_start = " .. (host.fresh and "yes" or "no")
+      .. "\n[listen]\ncontrol = " .. host.ip .. ":8146\nlookup = " .. host.ip
+      .. ":8143\n"
+  else
+    text = text .. "[listen]\nentry = " .. host.ip .. ":8144\nready = "
+      .. host.ip .. ":8140\n"
+  end
+  return text .. "link = " .. host.ip .. ":7660\nmetrics = " .. host.ip
+    .. ":7661\n[limits]\ndrain_limit_ms = 8000\n[seeds]\nkeepers = "
+    .. table.concat (seeds, ", ") .. "\n[zones]\nza = ra\nzb = rb\n"
+end
+
+function start_host (host)
+  local path = folder .. "/" .. host.name .. ".ini"
+  write (path, settings (host))
+  host.log = folder .. "/" .. host.name .. ".log"
+  host.pid = system.spawn ({ system.programs .. "/marjoramd", "--settings",
+                             path }, host.log)
+end
+
+function add_host (role, index, zone)
+  local host = { role = role, name = role .. index, ip = ip (index),
+                 zone = zone, region = "r" .. zone:sub (2),
+                 fresh = role == "keeper" and index <= 3 }
+  programs[#programs + 1] = host
+  local list = role == "keeper" and keepers or entries
+  list[#list + 1] = host
+  start_host (host)
+  return host
+end
+
+function add_replica (id, service, zone, index)
+  local list = {}
+  for i, keeper in ipairs (keepers) do list[i] = keeper.ip .. ":8146" end
+  local replica = { id = id, address = ip (index) .. ":8080",
+                    runs = folder .. "/" .. id .. ".runs" }
+  replica.pid = system.spawn (
+    { system.programs .. "/fake_replica", "--address", replica.address, "--id",
+      id, "--service", service, "--zone", zone, "--keepers",
+      table.concat (list, ","), "--log", replica.runs },
+    folder .. "/" .. id .. ".log")
+  replicas[id] = replica
+  return replica
+end
+
+local function finished (call)
+  local whole, status, body
+  wait_until (function ()
+    whole, status, body = system.answer (call)
+    return whole ~= nil
+  end, "an answer", LIMIT_MS)
+  return whole, status, body
+end
+
+function ask (address, method, path, body, headers)
+  local call = system.call { address = address, method = method, path = path,
+                             body = body, headers = headers or {},
+                             timeout = 10000 }
+  return finished (call)
+end
+
+-- A caller's request, as a call under way.
+function begin (host, path, headers)
+  attempt_number = attempt_number + 1
+  local all = { ["Host"] = "a.example",
+                ["Marjoramproxy-Attempt-Id"] = "id-" .. attempt_number,
+                ["Marjoramproxy-Deadline-Ms"] = "4000" }
+  for name, value in pairs (headers or {}) do all[name] = value end
+  return system.call { address = host.ip .. ":8144", method = "POST",
+                       path = path, body = "hello", headers = all,
+                       timeout = 10000 }
+end
+
+function request (host, path, headers)
+  return finished (begin (host, path, headers))
+end
+
+end_of = finished
+
+function config (version, routes)
+  local list = {}
+  for i, route in ipairs (routes) do
+    list[i] = string.format (
+      '{"name":"r%d","host":"a.example","path_prefix":"%s","kind":"%s",'
+      .. '"timeout_ms":%d,"target_latency_ms":500,"max_attempts":2,'
+      .. '"resumable":%s,"service":"%s","home_regions":[%s]}', i, route[1],
+      route[2], route.timeout or 4000, tostring (route.resumable or false),
+      route.service or "app", route.home and '"' .. route.home .. '"' or "")
+  end
+  return string.format (
+    '{"version":%d,"routes":[%s],"services":[{"name":"app",'
+    .. '"health_path":"/health"},{"name":"other","health_path":"/health"}],'
+    .. '"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,'
+    .. '"header_timeout_ms":3000,"idle_timeout_ms":15000}}', version,
+    table.concat (list, ","))
+end
+
+function set_config (keeper, text)
+  return ask (keeper.ip .. ":8146", "POST", "/-/config/replace", text)
+end
+
+usual_routes = {
+  { "/get/", "idempotent" }, { "/flip/", "non_idempotent" },
+  { "/stream/", "streaming", resumable = true },
+  { "/once/stream/", "streaming" }, { "/home/", "idempotent", home = "rb" },
+}
+
+function is_ready (host)
+  local _, status = ask (host.ip .. ":8140", "GET", "/-/ready")
+  return status == 200
+end
+
+function metric (host, name)
+  local _, _, body = ask (host.ip .. ":7661", "GET", "/metrics")
+  return tonumber (body:match ("\nmarjoram_" .. name .. "_total (%d+)")) or 0
+end
+
+function run_count (id)
+  local count = 0
+  for line in read_file (replicas[id].runs):gmatch ("[^\n]+") do
+    if line:match ("^run ") then count = count + 1 end
+  end
+  return count
+end
+
+-- Three keepers, two entry hosts in za, one in zb, a replica of "app" in each,
+-- the usual routes in force at all hosts.
+function open_gateway ()
+  add_host ("keeper", 1, "za")
+  add_host ("keeper", 2, "zb")
+  add_host ("keeper", 3, "zb")
+  add_host ("entry", 4, "za")
+  add_host ("entry", 5, "za")
+  add_host ("entry", 6, "zb")
+  wait_until (function ()
+    local _, status = set_config (keepers[1], config (3, usual_routes))
+    return status == 200
+  end, "the first configuration", LIMIT_MS)
+  add_replica ("a1", "app", "za", 11)
+  add_replica ("b1", "app", "zb", 12)
+  for _, host in ipairs (entries) do
+    wait_until (function () return is_ready (host) end, "a ready host")
+    for _, path in ipairs { "/get/warm", "/home/warm" } do
+      wait_until (function ()
+        local _, status = request (host, path)
+        return status == 200
+      end, "a served request")
+    end
+  end
+end
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -237,6 +237,30 @@
 }
 END_TEST
 
+/* An operator shortens a route's timeout.  A request that comes while the
+   change is spreading must not be cut by it in the middle of its answer.  */
+START_TEST (shorter_timeout_counts_after_a_while)
+{
+  struct marjoram_route_table shorter = *f.table;
+  struct marjoram_route_rule routes[8];
+
+  memcpy (routes, f.table->routes.items,
+          f.table->routes.count * sizeof *routes);
+  for (size_t i = 0; i < f.table->routes.count; i++)
+    routes[i].timeout_ms = 400;
+  shorter.routes.items = routes;
+  marjoram_gateway_set_table (f.gateway, 1000, &shorter);
+  gateway_fixture_call (&f, 1100, "/flip/x");
+  marjoram_gateway_tick (f.gateway, 2000);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, 2610);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  gateway_fixture_call (&f, 3100, "/flip/x");
+  marjoram_gateway_tick (f.gateway, 3510);
+  ck_assert_int_eq (f.seen.refusals, 2);
+}
+END_TEST
+
 START_TEST (caller_that_leaves_ends_the_work)
 {
   uint64_t call = gateway_fixture_call (&f, 0, "/ask/x");
@@ -268,6 +292,19 @@
 }
 END_TEST
 
+/* A stream that runs in another region breaks after its first event. Forwarded
+   again it must go on there, and not begin anew.  */
+START_TEST (far_stream_goes_on)
+{
+  gateway_fixture_call (&f, 0, "/home/x");
+  gateway_fixture_head (&f, 120, 200, NULL, true, false);
+  gateway_fixture_data (&f, 120, "id: 1\ndata: a\n\n");
+  gateway_fixture_end (&f, 130, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.forwards, 2);
+  ck_assert_str_eq (f.seen.last_event, "1");
+}
+END_TEST
+
 START_TEST (refusal_of_the_other_region_is_passed_on)
 {
   const struct marjoram_no_answer why
@@ -345,8 +382,10 @@
   tcase_add_test (c, silent_upstream_is_left);
   tcase_add_test (c, silence_ends_nothing_that_may_not_repeat);
   tcase_add_test (c, timeout_is_answered_on_time);
+  tcase_add_test (c, shorter_timeout_counts_after_a_while);
   tcase_add_test (c, caller_that_leaves_ends_the_work);
   tcase_add_test (c, residency_sends_it_across);
+  tcase_add_test (c, far_stream_goes_on);
   tcase_add_test (c, refusal_of_the_other_region_is_passed_on);
   tcase_add_test (c, forwarded_request_does_not_cross_again);
   tcase_add_test (c, lost_link_is_no_refusal);
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -357,6 +357,26 @@
 }
 END_TEST
 
+/* The only upstream of a region breaks off several answers.  Requests go on to
+   it, as there is no other; where there is one, they go there.  */
+START_TEST (doubted_upstream_is_better_than_none)
+{
+  struct marjoram_call_facts facts = prompt (7, 10, 8, 10);
+  struct marjoram_place_query query = ask_for (&facts, 1);
+
+  hear (0, "1");
+  for (int i = 0; i < 4; i++)
+    {
+      ck_assert_int_eq (place (i, &query).outcome, MARJORAM_PLACE_FOUND);
+      marjoram_placement_ended (placement, i, next_attempt,
+                                MARJORAM_ATTEMPT_BROKEN);
+    }
+  hear (10, "2");
+  for (int i = 0; i < 4; i++)
+    ck_assert_str_eq (place (20 + i, &query).upstream->news.id, "2");
+}
+END_TEST
+
 START_TEST (plain_requests_go_to_the_least_loaded)
 {
   struct marjoram_call_facts facts = { 0 };
@@ -417,6 +437,7 @@
   tcase_add_test (c, restored_zone_is_cold_at_first);
   tcase_add_test (c, only_the_own_region);
   tcase_add_test (c, unreached_and_wrong_ones_are_left_alone);
+  tcase_add_test (c, doubted_upstream_is_better_than_none);
   tcase_add_test (c, plain_requests_go_to_the_least_loaded);
   tcase_add_test (c, other_hosts_loads_count);
   suite_add_tcase (s, c);
