--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -97,8 +97,11 @@
   pid_t pid = (pid_t)luaL_checkinteger (lua, 1);
   int status;
 
+  int number = signal_number (luaL_checkstring (lua, 2));
+
+  luaL_argcheck (lua, number != 0, 2, "unknown signal");
   if (!process_ended (pid, &status))
-    kill (pid, signal_number (luaL_checkstring (lua, 2)));
+    kill (pid, number);
   return 0;
 }
 
