--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -61,12 +61,13 @@
   const char *name;
   const struct marjoram_ini_key *keys; /* null: a list */
   size_t key_count;
+  bool required;
 } kinds[] = {
-  { "gateway", gateway_keys, COUNT (gateway_keys) },
-  { "listen", listen_keys, COUNT (listen_keys) },
-  { "limits", limit_keys, COUNT (limit_keys) },
-  { "seeds", NULL, 0 },
-  { "zones", NULL, 0 },
+  { "gateway", gateway_keys, COUNT (gateway_keys), true },
+  { "listen", listen_keys, COUNT (listen_keys), true },
+  { "limits", limit_keys, COUNT (limit_keys), false },
+  { "seeds", NULL, 0, false },
+  { "zones", NULL, 0, false },
 };
 
 static const struct marjoram_ini_section *
@@ -216,7 +217,10 @@
       const struct marjoram_ini_section *section
           = find_section (file, kinds[i].name);
 
-      if (kinds[i].keys)
+      if (!section && kinds[i].required)
+        marjoram_faults_add (faults, file->path, 0,
+                             "section [%s] is missing; add it", kinds[i].name);
+      else if (kinds[i].keys)
         marjoram_ini_read (file, section ? section : &absent, kinds[i].keys,
                            kinds[i].key_count, settings, faults);
     }
--- /dev/null
+++ b/test/test_http.c
@@ -0,0 +1,574 @@
+/* Connections to callers and to upstreams, over loopback: what the parser must
+   not let pass, and how an attempt is told to have ended.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "http_client.h"
+#include "http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  LIMIT_MS = 5000,
+  TEXT_MAX = 4096
+};
+
+static struct event_base *base;
+static marjoram_http_server *server;
+static char server_address[64];
+static struct bufferevent *raw; /* to the server */
+static char got[TEXT_MAX];      /* from it */
+static bool raw_closed;
+static int requests;
+static int gone;
+static uint64_t last_call;
+static char last_target[256];
+static char last_body[256];
+static int rejected;
+
+/* ---- A server that answers by itself.  ---- */
+
+static void
+on_request (void *context, uint64_t call,
+            struct marjoram_http_request *request)
+{
+  struct marjoram_header_list headers = { 0 };
+
+  (void)context;
+  requests++;
+  last_call = call;
+  snprintf (last_target, sizeof last_target, "%s", request->target);
+  snprintf (last_body, sizeof last_body, "%.*s",
+            (int)marjoram_bytes_size (request->body),
+            request->body ? (const char *)marjoram_bytes_data (request->body)
+                          : "");
+  if (strcmp (request->target, "/hold") != 0)
+    {
+      marjoram_http_server_head (server, call, 200, &headers, 2);
+      marjoram_http_server_data (server, call, "ok", 2);
+      marjoram_http_server_end (server, call);
+    }
+  marjoram_http_request_destroy (request);
+}
+
+static void
+on_gone (void *context, uint64_t call)
+{
+  (void)context;
+  (void)call;
+  gone++;
+}
+
+static void
+on_rejected (void *context, int status, const char *why)
+{
+  (void)context;
+  (void)why;
+  rejected = status;
+}
+
+static const struct marjoram_http_server_ops server_ops
+    = { .request = on_request, .gone = on_gone, .rejected = on_rejected };
+
+static void
+on_raw_read (struct bufferevent *bev, void *context)
+{
+  size_t used = strlen (got);
+
+  (void)context;
+  got[used + bufferevent_read (bev, got + used, sizeof got - used - 1)] = 0;
+}
+
+static void
+on_raw_event (struct bufferevent *bev, short events, void *context)
+{
+  (void)bev;
+  (void)context;
+  if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    raw_closed = true;
+}
+
+static void
+connect_raw (void)
+{
+  struct sockaddr_storage where;
+  int size = sizeof where;
+
+  evutil_parse_sockaddr_port (server_address, (struct sockaddr *)&where,
+                              &size);
+  raw = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (raw, on_raw_read, NULL, on_raw_event, NULL);
+  bufferevent_enable (raw, EV_READ | EV_WRITE);
+  bufferevent_socket_connect (raw, (struct sockaddr *)&where, size);
+  got[0] = 0;
+  raw_closed = false;
+}
+
+/* Turns the loop until DONE, or fails.  */
+static void
+run_until (bool (*done) (void))
+{
+  struct marjoram_clock *clock = marjoram_clock_system ();
+  int64_t end = marjoram_clock_now (clock) + LIMIT_MS;
+
+  while (!done ())
+    {
+      ck_assert_msg (marjoram_clock_now (clock) < end, "waited in vain: %s",
+                     got);
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      if (server)
+        marjoram_http_server_tick (server);
+    }
+}
+
+static bool
+two_answers (void)
+{
+  const char *first = strstr (got, "HTTP/1.1 200");
+
+  return first && strstr (first + 1, "HTTP/1.1 200") && strstr (got, "okHTTP")
+         && strlen (got) > 4 && strcmp (got + strlen (got) - 2, "ok") == 0;
+}
+
+static bool
+is_closed (void)
+{
+  return raw_closed;
+}
+
+static bool
+is_gone (void)
+{
+  return gone > 0;
+}
+
+static bool
+is_held (void)
+{
+  return requests > 0;
+}
+
+static void
+setup (void)
+{
+  struct marjoram_error err = { 0 };
+
+  signal (SIGPIPE, SIG_IGN);
+  base = event_base_new ();
+  requests = gone = rejected = 0;
+  /* A free port of a loopback address of this process's own.  */
+  for (int port = 20100; port < 20200 && !server; port++)
+    {
+      snprintf (server_address, sizeof server_address, "127.77.%d.%d:%d",
+                (int)(getpid () / 250 % 250), (int)(getpid () % 250) + 1,
+                port);
+      server = marjoram_http_server_create (base, marjoram_clock_system (),
+                                            server_address, &server_ops, NULL,
+                                            &err);
+    }
+  ck_assert_msg (server != NULL, "%s", err.message);
+  connect_raw ();
+}
+
+static void
+teardown (void)
+{
+  bufferevent_free (raw);
+  marjoram_http_server_destroy (server);
+  server = NULL;
+  event_base_free (base);
+}
+
+static void
+say (const char *text)
+{
+  bufferevent_write (raw, text, strlen (text));
+}
+
+START_TEST (kept_connection_serves_in_order)
+{
+  say ("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+       "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n");
+  run_until (two_answers);
+  ck_assert_int_eq (requests, 2);
+  ck_assert_str_eq (last_target, "/b");
+  ck_assert_str_eq (last_body, "def");
+}
+END_TEST
+
+/* Two readers that see two different lengths see two different requests: the
+   second one would be smuggled.  */
+START_TEST (ambiguous_framing_is_refused)
+{
+  static const char *const texts[] = {
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+    "Content-Length: 4\r\n\r\nabcd",
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, "
+    "chunked\r\n\r\n0\r\n\r\n",
+    "GET / HTTP/1.1\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+    "nonsense\r\n\r\n",
+  };
+
+  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
+    {
+      bufferevent_free (raw);
+      connect_raw ();
+      say (texts[i]);
+      run_until (is_closed);
+      ck_assert_msg (strstr (got, "HTTP/1.1 400") == got, "case %zu: %s", i,
+                     got);
+    }
+  ck_assert_int_eq (requests, 0);
+}
+END_TEST
+
+START_TEST (limits_are_enforced)
+{
+  const struct marjoram_http_limits limits = { 200, 10, 50, 5000 };
+  char long_head[400];
+
+  marjoram_http_server_set_limits (server, &limits);
+  say ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n");
+  run_until (is_closed);
+  ck_assert (strstr (got, "HTTP/1.1 413") == got);
+  bufferevent_free (raw);
+  connect_raw ();
+  snprintf (long_head, sizeof long_head,
+            "GET / HTTP/1.1\r\nHost: x\r\nLong: %0300d\r\n\r\n", 7);
+  say (long_head);
+  run_until (is_closed);
+  ck_assert (strstr (got, "HTTP/1.1 431") == got);
+  bufferevent_free (raw);
+  connect_raw ();
+  say ("GET / HTTP/1.1\r\nHo");
+  run_until (is_closed);
+  ck_assert (strstr (got, "HTTP/1.1 408") == got);
+  ck_assert_int_eq (rejected, 408);
+}
+END_TEST
+
+/* A caller leaves while its request is held: it is told at once, so that the
+   upstream's work can be stopped.  */
+START_TEST (caller_that_leaves_is_noticed)
+{
+  say ("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+  run_until (is_held);
+  bufferevent_free (raw);
+  run_until (is_gone);
+  connect_raw ();
+}
+END_TEST
+
+/* A host that is stopped answers what comes and closes after it.  */
+START_TEST (draining_closes_after_the_answer)
+{
+  marjoram_http_server_drain (server);
+  say ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  run_until (is_closed);
+  ck_assert (strstr (got, "Connection: close"));
+  ck_assert (strstr (got, "\r\n\r\nok"));
+}
+END_TEST
+
+START_TEST (broken_stream_does_not_look_whole)
+{
+  struct marjoram_header_list headers = { 0 };
+
+  say ("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+  run_until (is_held);
+  marjoram_http_server_head (server, last_call, 200, &headers, -1);
+  marjoram_http_server_data (server, last_call, "part", 4);
+  marjoram_http_server_cut (server, last_call);
+  run_until (is_closed);
+  ck_assert (strstr (got, "4\r\npart\r\n"));
+  ck_assert (!strstr (got, "0\r\n\r\n"));
+}
+END_TEST
+
+/* ---- The client, against an upstream that says what a test tells it.  ----
+ */
+
+static struct evconnlistener *listener;
+static char upstream_address[64];
+static const char *script; /* what it answers to each request */
+static bool reset_after;   /* resets its connection after that */
+static bool close_after;
+static int connections;
+static int ends;
+static enum marjoram_http_end last_end;
+static int heads;
+static char data[TEXT_MAX];
+
+static void
+on_upstream_read (struct bufferevent *bev, void *context)
+{
+  struct evbuffer *input = bufferevent_get_input (bev);
+  struct linger hard = { 1, 0 };
+
+  (void)context;
+  if (evbuffer_search (input, "\r\n\r\n", 4, NULL).pos < 0)
+    return;
+  evbuffer_drain (input, evbuffer_get_length (input));
+  send (bufferevent_getfd (bev), script, strlen (script), 0);
+  if (reset_after)
+    setsockopt (bufferevent_getfd (bev), SOL_SOCKET, SO_LINGER, &hard,
+                sizeof hard);
+  if (reset_after || close_after)
+    bufferevent_free (bev);
+}
+
+static void
+on_upstream_event (struct bufferevent *bev, short events, void *context)
+{
+  (void)context;
+  if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    bufferevent_free (bev);
+}
+
+static void
+on_accept (struct evconnlistener *from, evutil_socket_t fd,
+           struct sockaddr *address, int size, void *context)
+{
+  struct bufferevent *bev
+      = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+  (void)from;
+  (void)address;
+  (void)size;
+  (void)context;
+  connections++;
+  bufferevent_setcb (bev, on_upstream_read, NULL, on_upstream_event, NULL);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+}
+
+static bool
+op_head (void *context, uint64_t attempt, int status,
+         struct marjoram_header_list *headers)
+{
+  const char *id = marjoram_header_list_get (headers, "Id");
+
+  (void)context;
+  (void)attempt;
+  (void)status;
+  if (id && strcmp (id, "mine") != 0)
+    return false;
+  heads++;
+  return true;
+}
+
+static void
+op_data (void *context, uint64_t attempt, const char *bytes, size_t size)
+{
+  (void)context;
+  (void)attempt;
+  strncat (data, bytes, size);
+}
+
+static void
+op_end (void *context, uint64_t attempt, enum marjoram_http_end how)
+{
+  (void)context;
+  (void)attempt;
+  ends++;
+  last_end = how;
+}
+
+static void
+op_address (void *context, const char *address)
+{
+  (void)context;
+  (void)address;
+}
+
+static const struct marjoram_http_client_ops client_ops
+    = { .head = op_head,
+        .data = op_data,
+        .end = op_end,
+        .lost = op_address,
+        .connected = op_address };
+
+static bool
+has_ended (void)
+{
+  return ends > 0;
+}
+
+static marjoram_http_client *client;
+
+static void
+client_setup (void)
+{
+  struct sockaddr_in where = { .sin_family = AF_INET };
+  socklen_t size = sizeof where;
+
+  signal (SIGPIPE, SIG_IGN);
+  base = event_base_new ();
+  where.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listener
+      = evconnlistener_new_bind (base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE,
+                                 -1, (struct sockaddr *)&where, sizeof where);
+  getsockname (evconnlistener_get_fd (listener), (struct sockaddr *)&where,
+               &size);
+  snprintf (upstream_address, sizeof upstream_address, "127.0.0.1:%d",
+            ntohs (where.sin_port));
+  client = marjoram_http_client_create (base, marjoram_clock_system (),
+                                        &client_ops, NULL);
+  reset_after = close_after = false;
+  connections = 0;
+}
+
+static void
+client_teardown (void)
+{
+  marjoram_http_client_destroy (client);
+  if (listener)
+    evconnlistener_free (listener);
+  listener = NULL;
+  event_base_free (base);
+}
+
+static enum marjoram_http_end
+exchange (const char *answer)
+{
+  static uint64_t attempts;
+  static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  marjoram_bytes *message = marjoram_bytes_create (text, strlen (text));
+  const struct marjoram_http_send out
+      = { ++attempts, upstream_address, message, false, false };
+
+  script = answer;
+  ends = heads = 0;
+  data[0] = 0;
+  marjoram_http_client_send (client, &out);
+  marjoram_bytes_release (message);
+  run_until (has_ended);
+  return last_end;
+}
+
+START_TEST (connection_is_kept)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+
+  ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_COMPLETE);
+  ck_assert_str_eq (data, "hi");
+  ck_assert_int_eq (connections, 1);
+}
+END_TEST
+
+/* An answer without a length is whole if its connection ends in order, and not
+   if it is reset: a part of a panel must not pass for a panel.  */
+START_TEST (answer_without_length)
+{
+  static const char answer[] = "HTTP/1.1 200 OK\r\n\r\nhalf";
+
+  close_after = true;
+  ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_COMPLETE);
+  ck_assert_str_eq (data, "half");
+  reset_after = true;
+  ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_BROKEN);
+}
+END_TEST
+
+START_TEST (cut_answers_are_broken)
+{
+  close_after = true;
+  ck_assert_int_eq (
+      exchange ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+      MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (exchange ("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\n4\r\nhalf\r\n"),
+                    MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (exchange (""), MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (exchange ("what is this\r\n\r\n"), MARJORAM_HTTP_BROKEN);
+}
+END_TEST
+
+/* A late second answer to an earlier request stands where this one's is due,
+   and this one's follows.  */
+START_TEST (stray_answer_is_skipped)
+{
+  ck_assert_int_eq (
+      exchange ("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nnot"
+                "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 3\r\n\r\nyes"),
+      MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (heads, 1);
+  ck_assert_str_eq (data, "yes");
+}
+END_TEST
+
+/* Bytes after a whole answer belong to nobody: the connection is not used
+   again.  */
+START_TEST (extra_bytes_end_the_connection)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiextra";
+
+  ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_COMPLETE);
+  ck_assert_str_eq (data, "hi");
+  exchange (answer);
+  ck_assert_int_eq (connections, 2);
+}
+END_TEST
+
+START_TEST (interim_answer_is_no_answer)
+{
+  ck_assert_int_eq (
+      exchange ("HTTP/1.1 100 Continue\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"),
+      MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (heads, 1);
+  ck_assert_str_eq (data, "hi");
+}
+END_TEST
+
+/* Nobody listens: not a byte was sent, so it surely did not run.  */
+START_TEST (refused_connection_is_unsent)
+{
+  evconnlistener_free (listener);
+  listener = NULL;
+  ck_assert_int_eq (exchange (""), MARJORAM_HTTP_UNSENT);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("http");
+  TCase *c = tcase_create ("server");
+  TCase *d = tcase_create ("client");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, kept_connection_serves_in_order);
+  tcase_add_test (c, ambiguous_framing_is_refused);
+  tcase_add_test (c, limits_are_enforced);
+  tcase_add_test (c, caller_that_leaves_is_noticed);
+  tcase_add_test (c, draining_closes_after_the_answer);
+  tcase_add_test (c, broken_stream_does_not_look_whole);
+  suite_add_tcase (s, c);
+  tcase_add_checked_fixture (d, client_setup, client_teardown);
+  tcase_add_test (d, connection_is_kept);
+  tcase_add_test (d, answer_without_length);
+  tcase_add_test (d, cut_answers_are_broken);
+  tcase_add_test (d, stray_answer_is_skipped);
+  tcase_add_test (d, extra_bytes_end_the_connection);
+  tcase_add_test (d, interim_answer_is_no_answer);
+  tcase_add_test (d, refused_connection_is_unsent);
+  suite_add_tcase (s, d);
+  return s;
+}
