An engine that answers later than expected is expected to; request lines tell what decided

Ruled out: backlog and age of its news (63 ms, 0.7 s). Request lines now carry the estimate, the backlog, candidates and the age of the news.

--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -34,6 +34,7 @@
   int64_t useful_by; /* for the first event or the answer */
   int64_t first_at;  /* 0 until the first event or the answer's head */
   int64_t waited_ms; /* as estimated when it was sent last */
+  struct marjoram_place place; /* the last choice, without its upstream */
 
   /* Of its route, as it was when it was sent last.  */
   bool stream;
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -353,6 +353,10 @@
       return;
     }
   marjoram_placement_choose (gateway->placement, now, &query, &chosen);
+  exchange->place = chosen;
+  exchange->place.upstream = NULL;
+  exchange->waited_ms = chosen.wait_ms;
+  query.expected_ms = chosen.wait_ms;
   if (chosen.outcome == MARJORAM_PLACE_FOUND)
     send_to (gateway, exchange, now, &chosen, &query);
   else if (!cross (gateway, exchange, route, now,
--- a/src/placement.c
+++ b/src/placement.c
@@ -10,6 +10,9 @@
 #define FIRST_SPEED 40.0
 /* Share that a new observation has in a mean of speed or time.  */
 #define LEARN 0.1
+/* The same of how late an engine's first events are: it must show within a few
+   requests, and be forgotten as soon.  */
+#define LEARN_LATE 0.3
 /* Share of unread tokens of a lower priority that delay an urgent request: it
    is admitted before those that wait, not before those being read.  */
 #define LOWER_SHARE 0.3
@@ -64,6 +67,7 @@
   spot->memory = marjoram_engine_memory_create ();
   spot->born = MARJORAM_BORN_UNKNOWN;
   TAILQ_INIT (&spot->told);
+  TAILQ_INIT (&spot->unanswered);
   HASH_ADD_KEYPTR (hh, placement->spots, spot->id, strlen (spot->id), spot);
   return spot;
 }
@@ -268,6 +272,8 @@
   attempt->service = marjoram_strdup (query->service->name);
   attempt->started_at = now;
   attempt->urgent = query->priority == 0;
+  attempt->expected_ms = query->expected_ms;
+  TAILQ_INSERT_TAIL (&spot->unanswered, attempt, link);
   if (query->service->has_engine)
     {
       attempt->unread = marjoram_spot_unread (spot, query->facts);
@@ -310,6 +316,17 @@
   *mean += LEARN * (value - *mean);
 }
 
+/* An engine that is slower than all that is known of it explains shows it only
+   by its answers.  */
+static void
+note_late (struct marjoram_placed_attempt *attempt, int64_t now)
+{
+  double late = (double)(now - attempt->started_at - attempt->expected_ms);
+
+  attempt->spot->late_ms
+      += LEARN_LATE * ((late > 0 ? late : 0) - attempt->spot->late_ms);
+}
+
 void
 marjoram_placement_answering (marjoram_placement *placement, int64_t now,
                               uint64_t number)
@@ -321,6 +338,8 @@
   if (!attempt || attempt->answering)
     return;
   attempt->answering = true;
+  TAILQ_REMOVE (&attempt->spot->unanswered, attempt, link);
+  note_late (attempt, now);
   speed = marjoram_placement_speed (placement, attempt->service);
   tokens = attempt->unread + attempt->ahead;
   if (tokens >= SPEED_TOKENS_MIN && now > attempt->started_at)
@@ -373,6 +392,8 @@
   if (!attempt)
     return;
   spot = attempt->spot;
+  if (!attempt->answering)
+    TAILQ_REMOVE (&spot->unanswered, attempt, link);
   mark_read (attempt);
   spot->own.running--;
   spot->own.held -= attempt->held;
--- a/src/placement.h
+++ b/src/placement.h
@@ -40,6 +40,7 @@
   /* When the first event, or the whole answer, is of use at the latest; a wait
      beyond it is refused.  */
   int64_t useful_ms;
+  int64_t expected_ms; /* for an attempt that starts: the wait of its place */
   const char *tried[MARJORAM_TRIED_MAX];
   size_t tried_count;
   bool again; /* an upstream that was tried is better than none */
@@ -56,8 +57,13 @@
 {
   enum marjoram_place_outcome outcome;
   const struct marjoram_registered *upstream; /* FOUND */
-  int64_t wait_ms;  /* FOUND: to the first event, as estimated */
-  int64_t retry_ms; /* else: when it is worth to come again */
+  int64_t wait_ms;  /* to the first event, as estimated; 0 if NONE */
+  int64_t retry_ms; /* unless FOUND: when it is worth to come again */
+  /* What decided, for the log.  */
+  int candidates;      /* upstreams of the service in the region */
+  int usable;          /* of these, neither paused nor cold nor gone */
+  int64_t backlog_ms;  /* prompts ahead at the one that was looked at */
+  int64_t news_age_ms; /* of the word of the upstream heard longest ago */
 };
 
 marjoram_placement *
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -176,6 +176,19 @@
                / (1 - busy);
 }
 
+/* How much later than expected the engine is now: as it was lately, or as its
+   oldest request that has no answer yet is already.  */
+static double
+late_ms (const struct marjoram_spot *spot, int64_t now)
+{
+  const struct marjoram_placed_attempt *oldest
+      = TAILQ_FIRST (&spot->unanswered);
+  double overdue
+      = oldest ? (double)(now - oldest->started_at - oldest->expected_ms) : 0;
+
+  return overdue > spot->late_ms ? overdue : spot->late_ms;
+}
+
 static struct estimate
 estimate_engine (marjoram_placement *placement, struct marjoram_spot *spot,
                  const struct marjoram_place_query *query, int64_t now)
@@ -192,7 +205,7 @@
   spot->capacity = query->service->engine.kv_capacity;
   estimate.backlog_ms = ahead_ms;
   estimate.wait_ms
-      = ahead_ms + unread_ms
+      = ahead_ms + unread_ms + late_ms (spot, now)
         + queue_ms (&load, query->service->engine.slots, speed->request_ms);
   estimate.cost_ms = estimate.wait_ms + (READ_WEIGHT - 1) * unread_ms
                      + harm_ms (&load, speed, query->facts, unread_ms);
@@ -284,7 +297,8 @@
    callers got was 0.06 lower on six days.  */
 static void
 choose_both (marjoram_placement *placement, int64_t now,
-             const struct marjoram_place_query *query, struct choice *cheapest,
+             const struct marjoram_place_query *query,
+             struct marjoram_place *place, struct choice *cheapest,
              struct choice *in_time)
 {
   struct marjoram_registered *upstream;
@@ -297,10 +311,14 @@
 
     if (!is_candidate (placement, upstream, query, now))
       continue;
+    place->candidates++;
+    if (now - upstream->heard_at > place->news_age_ms)
+      place->news_age_ms = now - upstream->heard_at;
     spot = marjoram_spot_find (placement, upstream->news.id);
     check_life (spot, upstream);
     if (!may_use (placement, spot, upstream, query, now))
       continue;
+    place->usable++;
     estimate = estimate_spot (placement, spot, upstream, query, now);
     if (was_tried (query, spot->id))
       estimate.cost_ms += (double)query->useful_ms;
@@ -322,7 +340,7 @@
   memset (place, 0, sizeof *place);
   place->outcome = MARJORAM_PLACE_NONE;
   place->retry_ms = RETRY_SOON_MS;
-  choose_both (placement, now, query, &cheapest, &in_time);
+  choose_both (placement, now, query, place, &cheapest, &in_time);
   if (!cheapest.upstream)
     return;
   if (in_time.upstream
@@ -331,6 +349,7 @@
     taken = &in_time;
   place->upstream = taken->upstream;
   place->wait_ms = (int64_t)taken->estimate.wait_ms;
+  place->backlog_ms = (int64_t)taken->estimate.backlog_ms;
   place->outcome = is_in_time (&taken->estimate, query) ? MARJORAM_PLACE_FOUND
                                                         : MARJORAM_PLACE_BUSY;
   if (place->outcome == MARJORAM_PLACE_BUSY)
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -51,12 +51,16 @@
   int unreached;
   int broken;
   double failure_share;
+  double late_ms; /* by which first events came later than expected, a mean */
+  TAILQ_HEAD (, marjoram_placed_attempt) unanswered; /* the oldest first */
   bool tell_lost;
   UT_hash_handle hh;
 };
 
 struct marjoram_placed_attempt
 {
+  TAILQ_ENTRY (marjoram_placed_attempt)
+  link; /* of the spot, until answering */
   uint64_t number;
   struct marjoram_spot *spot;
   char *service;
@@ -65,6 +69,7 @@
   int64_t ahead; /* unread tokens before it, when it was sent */
   int64_t held;
   int64_t answer;
+  int64_t expected_ms; /* to its first event, when it was sent */
   bool urgent;
   bool answering;
   UT_hash_handle hh;
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -139,10 +139,13 @@
 {
   struct marjoram_place chosen;
 
+  struct marjoram_place_query started = *query;
+
   marjoram_placement_choose (placement, now, query, &chosen);
+  started.expected_ms = chosen.wait_ms;
   if (chosen.outcome == MARJORAM_PLACE_FOUND)
     marjoram_placement_started (placement, now, ++next_attempt,
-                                chosen.upstream->news.id, query);
+                                chosen.upstream->news.id, &started);
   return chosen;
 }
 
@@ -327,6 +330,33 @@
 }
 END_TEST
 
+/* An engine turns slow; nothing that it says of itself shows it.  The one
+   request that waits there without an answer does, and so do the late first
+   events after that: callers must not be sent there while another is free.  */
+START_TEST (slow_engine_is_avoided)
+{
+  struct marjoram_call_facts facts = prompt (7, 4000, 8, 100);
+  struct marjoram_place_query query = ask_for (&facts, 1);
+  char slow[MARJORAM_ID_MAX];
+  struct marjoram_place chosen;
+
+  hear (0, "1");
+  hear (0, "2");
+  chosen = place (0, &query);
+  snprintf (slow, sizeof slow, "%s", chosen.upstream->news.id);
+  marjoram_placement_answering (placement, 110, 1);
+  marjoram_placement_ended (placement, 120, 1, MARJORAM_ATTEMPT_SERVED);
+  /* It keeps the part, so the next one goes there, and waits.  */
+  ck_assert_str_eq (place (200, &query).upstream->news.id, slow);
+  ck_assert_str_ne (place (1200, &query).upstream->news.id, slow);
+  marjoram_placement_answering (placement, 1300, 3);
+  marjoram_placement_ended (placement, 1400, 3, MARJORAM_ATTEMPT_SERVED);
+  marjoram_placement_answering (placement, 2200, 2);
+  marjoram_placement_ended (placement, 2300, 2, MARJORAM_ATTEMPT_SERVED);
+  ck_assert_str_ne (place (2400, &query).upstream->news.id, slow);
+}
+END_TEST
+
 START_TEST (only_the_own_region)
 {
   struct marjoram_call_facts facts = prompt (7, 10, 8, 10);
@@ -435,6 +465,7 @@
   tcase_add_test (c, cold_upstream_is_fed_by_one_host);
   tcase_add_test (c, broken_connections_mean_cold_until_news);
   tcase_add_test (c, restored_zone_is_cold_at_first);
+  tcase_add_test (c, slow_engine_is_avoided);
   tcase_add_test (c, only_the_own_region);
   tcase_add_test (c, unreached_and_wrong_ones_are_left_alone);
   tcase_add_test (c, doubted_upstream_is_better_than_none);
