--- a/test/test_event_stream.c
+++ b/test/test_event_stream.c
@@ -34,7 +34,8 @@
   size_t size = evbuffer_get_length (out);
 
   ck_assert_uint_eq (size, strlen (text));
-  ck_assert_mem_eq (evbuffer_pullup (out, -1), text, size);
+  if (size > 0)
+    ck_assert_mem_eq (evbuffer_pullup (out, -1), text, size);
 }
 
 START_TEST (only_whole_events_pass)
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -179,13 +179,21 @@
   connect_raw ();
 }
 
+/* What was freed while a callback waited is let go of by the loop.  */
+static void
+free_base (void)
+{
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  event_base_free (base);
+}
+
 static void
 teardown (void)
 {
   bufferevent_free (raw);
   marjoram_http_server_destroy (server);
   server = NULL;
-  event_base_free (base);
+  free_base ();
 }
 
 static void
@@ -313,6 +321,17 @@
 static int heads;
 static char data[TEXT_MAX];
 
+/* The connection that was accepted last; one is open at a time.  */
+static struct bufferevent *accepted;
+
+static void
+close_accepted (void)
+{
+  if (accepted)
+    bufferevent_free (accepted);
+  accepted = NULL;
+}
+
 static void
 on_upstream_read (struct bufferevent *bev, void *context)
 {
@@ -328,31 +347,32 @@
     setsockopt (bufferevent_getfd (bev), SOL_SOCKET, SO_LINGER, &hard,
                 sizeof hard);
   if (reset_after || close_after)
-    bufferevent_free (bev);
+    close_accepted ();
 }
 
 static void
 on_upstream_event (struct bufferevent *bev, short events, void *context)
 {
+  (void)bev;
   (void)context;
   if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-    bufferevent_free (bev);
+    close_accepted ();
 }
 
 static void
 on_accept (struct evconnlistener *from, evutil_socket_t fd,
            struct sockaddr *address, int size, void *context)
 {
-  struct bufferevent *bev
-      = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
-
   (void)from;
   (void)address;
   (void)size;
   (void)context;
   connections++;
-  bufferevent_setcb (bev, on_upstream_read, NULL, on_upstream_event, NULL);
-  bufferevent_enable (bev, EV_READ | EV_WRITE);
+  close_accepted ();
+  accepted = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (accepted, on_upstream_read, NULL, on_upstream_event,
+                     NULL);
+  bufferevent_enable (accepted, EV_READ | EV_WRITE);
 }
 
 static bool
@@ -435,10 +455,11 @@
 client_teardown (void)
 {
   marjoram_http_client_destroy (client);
+  close_accepted ();
   if (listener)
     evconnlistener_free (listener);
   listener = NULL;
-  event_base_free (base);
+  free_base ();
 }
 
 static enum marjoram_http_end
