--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -229,6 +229,14 @@
   marjoram_http_client_cancel (self->client, attempt);
 }
 
+static bool
+op_reaches (void *context, const char *host)
+{
+  struct entry_role *self = context;
+
+  return marjoram_host_links_reaches (self->parts->links, host);
+}
+
 static bool
 op_forward (void *context, const char *host,
             const struct marjoram_forward *forward)
@@ -257,6 +265,7 @@
   .reply_none = op_reply_none,
   .send = op_send,
   .cancel = op_cancel,
+  .reaches = op_reaches,
   .forward = op_forward,
   .cancel_forward = op_cancel_forward,
 };
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -39,6 +39,8 @@
                       const struct marjoram_no_answer *why);
   void (*send) (void *context, const struct marjoram_http_send *send);
   void (*cancel) (void *context, uint64_t attempt);
+  /* Whether a request could be forwarded to HOST now.  */
+  bool (*reaches) (void *context, const char *host);
   /* False if HOST can't be reached now.  */
   bool (*forward) (void *context, const char *host,
                    const struct marjoram_forward *forward);
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -269,7 +269,8 @@
 
     if (!offer || !marjoram_host_list_serves (host, now)
         || strcmp (host->beat.region, gateway->region) == 0
-        || !marjoram_route_allows (route, host->beat.region))
+        || !marjoram_route_allows (route, host->beat.region)
+        || !gateway->ops->reaches (gateway->context, host->beat.name))
       continue;
     /* Within a gain worth crossing for, spread over hosts by the request.  */
     cost = (int64_t)offer->wait_ms
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -162,11 +162,44 @@
                   beat->age_ms);
 }
 
+/* An entry host of another region needs this one's offers to choose where to
+   forward; it may be one that this host does not dial itself.  All others need
+   only a sign of life.  */
+static void
+answer_beat (marjoram_host_links *links, const struct marjoram_host_beat *beat,
+             uint64_t session)
+{
+  const struct marjoram_heartbeat echo = { .sequence = beat->sequence };
+  struct marjoram_host_beat own;
+
+  if (links->settings->role == MARJORAM_ROLE_ENTRY && beat->entry
+      && beat->entry[0] && beat->region
+      && strcmp (beat->region, links->settings->region) != 0)
+    {
+      make_beat (links, &own);
+      marjoram_peer_reply (links->peer, beat->name, session,
+                           MARJORAM_FRAME_HOST_BEAT, &own);
+      return;
+    }
+  marjoram_peer_reply (links->peer, beat->name, session,
+                       MARJORAM_FRAME_HEARTBEAT, &echo);
+}
+
+static void
+hear_answer (marjoram_host_links *links, const char *host,
+             struct marjoram_host_beat *beat)
+{
+  if (!beat->name || strcmp (beat->name, host) != 0)
+    return;
+  beat->age_ms = 0;
+  if (marjoram_host_list_hear (links->hosts, now_of (links), beat, true))
+    log_host (beat);
+}
+
 static void
 hear_beat (marjoram_host_links *links, const char *host, uint64_t number,
            struct marjoram_host_beat *beat)
 {
-  const struct marjoram_heartbeat echo = { .sequence = beat->sequence };
   struct session *session = find_session (links, host);
   bool first = !session || session->number != number;
 
@@ -182,8 +215,7 @@
   beat->age_ms = 0;
   if (marjoram_host_list_hear (links->hosts, now_of (links), beat, true))
     log_host (beat);
-  marjoram_peer_reply (links->peer, host, number, MARJORAM_FRAME_HEARTBEAT,
-                       &echo);
+  answer_beat (links, beat, number);
   links->ops->beat (links->context, host, number, first, beat);
 }
 
@@ -283,10 +315,11 @@
     link->heard_at = now_of (links);
   if (type == MARJORAM_FRAME_HOST_BEAT && session != 0)
     hear_beat (links, host, session, message);
+  else if (type == MARJORAM_FRAME_HOST_BEAT)
+    hear_answer (links, host, message);
   else if (type == MARJORAM_FRAME_HOST_LIST)
     hear_list (links, message);
-  else if (type != MARJORAM_FRAME_HEARTBEAT
-           && type != MARJORAM_FRAME_HOST_BEAT)
+  else if (type != MARJORAM_FRAME_HEARTBEAT)
     {
       links->ops->frame (links->context, host, session, type, message);
       return;
@@ -418,12 +451,18 @@
 /* ---- Sending.  ---- */
 
 bool
-marjoram_host_links_send (marjoram_host_links *links, const char *host,
-                          enum marjoram_frame_type type, const void *message)
+marjoram_host_links_reaches (marjoram_host_links *links, const char *host)
 {
   struct link *link = find_link (links, host);
 
-  if (!link || !link->up)
+  return link && link->up;
+}
+
+bool
+marjoram_host_links_send (marjoram_host_links *links, const char *host,
+                          enum marjoram_frame_type type, const void *message)
+{
+  if (!marjoram_host_links_reaches (links, host))
     return false;
   marjoram_peer_send (links->peer, host, type, message);
   return true;
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -37,7 +37,10 @@
     marjoram_host_links *links,
     const struct marjoram_gateway_settings *settings);
 
-/* False if there is no link to HOST that was heard lately.  */
+/* Whether this host's own link to HOST is up.  */
+bool marjoram_host_links_reaches (marjoram_host_links *links,
+                                  const char *host);
+/* False if it is not.  */
 bool marjoram_host_links_send (marjoram_host_links *links, const char *host,
                                enum marjoram_frame_type type,
                                const void *message);
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -120,6 +120,14 @@
   ((struct gateway_fixture *)context)->seen.cancels++;
 }
 
+static bool
+op_reaches (void *context, const char *host)
+{
+  const struct gateway_fixture *f = context;
+
+  return f->link_up && strcmp (host, f->unreached) != 0;
+}
+
 static bool
 op_forward (void *context, const char *host,
             const struct marjoram_forward *forward)
@@ -156,6 +164,7 @@
   .reply_none = op_none,
   .send = op_send,
   .cancel = op_cancel,
+  .reaches = op_reaches,
   .forward = op_forward,
   .cancel_forward = op_cancel_forward,
 };
@@ -219,6 +228,7 @@
   f->hosts = marjoram_host_list_create ();
   f->metrics = marjoram_metrics_create ();
   f->link_up = true;
+  f->unreached = "far2";
   options.metrics = f->metrics;
   options.place = (struct marjoram_placement_options){
     .registry = f->registry,
@@ -234,6 +244,7 @@
   add_upstream (f, "p1", "app", "10.0.0.3:80");
   add_host (f, "h1", "r1");
   add_host (f, "far1", "r2");
+  add_host (f, "far2", "r2");
 }
 
 void
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -36,12 +36,14 @@
   marjoram_metrics *metrics;
   struct marjoram_route_table *table;
   struct gateway_seen seen;
-  bool link_up; /* to hosts of other regions */
+  bool link_up;          /* to hosts of other regions */
+  const char *unreached; /* the one of them to which there is no link */
   uint64_t calls;
 };
 
 /* Region r1, with upstreams u1 (lm, 10.0.0.1:80), u2 (lm, 10.0.0.2:80) and p1
-   (app, 10.0.0.3:80), and host far1 in region r2.  Routes: /flip/ and /get/ to
+   (app, 10.0.0.3:80), and hosts far1 and far2 in region r2, of
+   which only far1 is reached.  Routes: /flip/ and /get/ to
    app, /ask/ (resumable) and /digest/ to lm, /home/ to lm in r2 only.  */
 void gateway_fixture_open (struct gateway_fixture *f);
 void gateway_fixture_close (struct gateway_fixture *f);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -305,6 +305,21 @@
 }
 END_TEST
 
+/* In a large system a host has links to a few hosts of each other region only.
+   All requests that must cross have to go to one of these, whichever has
+   offers to make; sent to others they would be refused beside free engines. */
+START_TEST (only_reached_hosts_are_crossed_to)
+{
+  for (int i = 0; i < 20; i++)
+    {
+      gateway_fixture_call (&f, i, "/home/x");
+      ck_assert_str_eq (f.seen.host, "far1");
+    }
+  ck_assert_int_eq (f.seen.forwards, 20);
+  ck_assert_int_eq (f.seen.refusals, 0);
+}
+END_TEST
+
 START_TEST (refusal_of_the_other_region_is_passed_on)
 {
   const struct marjoram_no_answer why
@@ -386,6 +401,7 @@
   tcase_add_test (c, caller_that_leaves_ends_the_work);
   tcase_add_test (c, residency_sends_it_across);
   tcase_add_test (c, far_stream_goes_on);
+  tcase_add_test (c, only_reached_hosts_are_crossed_to);
   tcase_add_test (c, refusal_of_the_other_region_is_passed_on);
   tcase_add_test (c, forwarded_request_does_not_cross_again);
   tcase_add_test (c, lost_link_is_no_refusal);
