A timeout that a later configuration lengthens holds at once

Ruled out there: stops of hosts (28 s on), the callers' deadline (4 s). Test: longer_timeout_holds_at_once, fails without.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -222,7 +222,7 @@
 }
 
 static void
-set_times (struct marjoram_exchange *exchange, int64_t timeout_ms)
+set_due (struct marjoram_exchange *exchange, int64_t timeout_ms)
 {
   int64_t patience = exchange->facts.patience_ms;
 
@@ -233,6 +233,21 @@
     exchange->due_at = exchange->received_at + patience - DEADLINE_MARGIN_MS;
 }
 
+/* Whether a configuration that came since gives the request more time.  */
+static bool
+has_more_time (const marjoram_gateway *gateway,
+               struct marjoram_exchange *exchange, int64_t now)
+{
+  const char *host
+      = marjoram_header_list_get (&exchange->request->headers, "Host");
+  const struct marjoram_route_rule *route = marjoram_route_table_find (
+      gateway->table, host ? host : "", exchange->request->target);
+
+  if (route)
+    set_due (exchange, timeout_of (gateway, host, exchange, route));
+  return now < exchange->due_at;
+}
+
 void
 marjoram_gateway_receive (marjoram_gateway *gateway, int64_t now,
                           uint64_t call, struct marjoram_http_request *request,
@@ -276,7 +291,7 @@
                       STATUS_BAD_REQUEST, 0);
       return;
     }
-  set_times (exchange, timeout_of (gateway, host, exchange, route));
+  set_due (exchange, timeout_of (gateway, host, exchange, route));
   if (!forwarded)
     marjoram_repeat_budget_request (
         gateway->budget, now,
@@ -317,7 +332,7 @@
 
   HASH_ITER (by_call, gateway->by_call, exchange, next)
   {
-    if (now >= exchange->due_at)
+    if (now >= exchange->due_at && !has_more_time (gateway, exchange, now))
       time_out (gateway, exchange, now);
     else if (exchange->attempt && now >= exchange->silent_at)
       give_up_silent (gateway, exchange, now);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -261,6 +261,29 @@
 }
 END_TEST
 
+/* Two operators race: one shortens a timeout, the other's change, which comes
+   in the middle of an answer, has the longer one again.  The answer must not
+   be cut by a timeout that no longer holds.  */
+START_TEST (longer_timeout_holds_at_once)
+{
+  struct marjoram_route_table shorter = *f.table;
+  struct marjoram_route_rule routes[8];
+
+  memcpy (routes, f.table->routes.items,
+          f.table->routes.count * sizeof *routes);
+  for (size_t i = 0; i < f.table->routes.count; i++)
+    routes[i].timeout_ms = 400;
+  shorter.routes.items = routes;
+  marjoram_gateway_set_table (f.gateway, 1000, &shorter);
+  gateway_fixture_call (&f, 5000, "/flip/x");
+  marjoram_gateway_set_table (f.gateway, 5200, f.table);
+  marjoram_gateway_tick (f.gateway, 5410);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, 6510);
+  ck_assert_int_eq (f.seen.refusals, 1);
+}
+END_TEST
+
 START_TEST (caller_that_leaves_ends_the_work)
 {
   uint64_t call = gateway_fixture_call (&f, 0, "/ask/x");
@@ -398,6 +421,7 @@
   tcase_add_test (c, silence_ends_nothing_that_may_not_repeat);
   tcase_add_test (c, timeout_is_answered_on_time);
   tcase_add_test (c, shorter_timeout_counts_after_a_while);
+  tcase_add_test (c, longer_timeout_holds_at_once);
   tcase_add_test (c, caller_that_leaves_ends_the_work);
   tcase_add_test (c, residency_sends_it_across);
   tcase_add_test (c, far_stream_goes_on);
