--- /dev/null
+++ b/src/entry_answer.c
@@ -0,0 +1,213 @@
+#include "entry_private.h"
+
+#include "cleanup.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  MSEC_PER_SEC = 1000,
+  NUMBER_TEXT_MAX = 32
+};
+
+/* ---- Answers to callers and to other hosts.  ---- */
+
+static struct marjoram_inbound *
+find_inbound (struct marjoram_entry *self, uint64_t call)
+{
+  struct marjoram_inbound *inbound;
+
+  HASH_FIND (hh, self->inbound, &call, sizeof call, inbound);
+  return inbound;
+}
+
+void
+marjoram_entry_forget_inbound (struct marjoram_entry *self,
+                               struct marjoram_inbound *inbound)
+{
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+  HASH_DELETE (hh, self->inbound, inbound);
+  free (inbound->host);
+  free (inbound);
+}
+
+static void
+reply (struct marjoram_entry *self, const struct marjoram_inbound *inbound,
+       enum marjoram_frame_type type, const void *message)
+{
+  marjoram_host_links_reply (self->parts->links, inbound->host,
+                             inbound->session, type, message);
+}
+
+static void
+op_reply_head (void *context, uint64_t call, int status,
+               const struct marjoram_header_list *headers, int64_t length)
+{
+  struct marjoram_entry *self = context;
+  struct marjoram_inbound *inbound = find_inbound (self, call);
+
+  if (!(call & MARJORAM_FORWARDED_CALL))
+    marjoram_http_server_head (self->server, call, status, headers, length);
+  else if (inbound)
+    {
+      const struct marjoram_head head
+          = { .request = inbound->request,
+              .status = (uint64_t)status,
+              .headers = { headers->items, headers->count } };
+
+      reply (self, inbound, MARJORAM_FRAME_HEAD, &head);
+    }
+}
+
+static void
+op_reply_data (void *context, uint64_t call, const void *bytes, size_t size)
+{
+  struct marjoram_entry *self = context;
+  struct marjoram_inbound *inbound = find_inbound (self, call);
+
+  if (!(call & MARJORAM_FORWARDED_CALL))
+    marjoram_http_server_data (self->server, call, bytes, size);
+  else if (inbound && size > 0)
+    {
+      struct marjoram_data data = { inbound->request, inbound->offset,
+                                    marjoram_bytes_create (bytes, size) };
+
+      inbound->offset += size;
+      reply (self, inbound, MARJORAM_FRAME_DATA, &data);
+      marjoram_bytes_release (data.bytes);
+    }
+}
+
+static void
+end_inbound (struct marjoram_entry *self, uint64_t call,
+             enum marjoram_outcome outcome, enum marjoram_reason reason,
+             int64_t retry_ms)
+{
+  struct marjoram_inbound *inbound = find_inbound (self, call);
+  struct marjoram_end end
+      = { .outcome = outcome, .reason = reason, .retry_ms = retry_ms };
+
+  if (!inbound)
+    return;
+  end.request = inbound->request;
+  end.length = inbound->offset;
+  reply (self, inbound, MARJORAM_FRAME_END, &end);
+  marjoram_entry_forget_inbound (self, inbound);
+}
+
+static void
+op_reply_end (void *context, uint64_t call)
+{
+  struct marjoram_entry *self = context;
+
+  if (call & MARJORAM_FORWARDED_CALL)
+    end_inbound (self, call, MARJORAM_OUTCOME_DONE, MARJORAM_REASON_NONE, 0);
+  else
+    marjoram_http_server_end (self->server, call);
+}
+
+static void
+op_reply_cut (void *context, uint64_t call)
+{
+  struct marjoram_entry *self = context;
+
+  if (call & MARJORAM_FORWARDED_CALL)
+    end_inbound (self, call, MARJORAM_OUTCOME_UNKNOWN,
+                 MARJORAM_REASON_UPSTREAM_FAILED, 0);
+  else
+    marjoram_http_server_cut (self->server, call);
+}
+
+void
+marjoram_entry_refuse_call (struct marjoram_entry *self, uint64_t call,
+                            const struct marjoram_no_answer *why)
+{
+  const char *reason = marjoram_reason_name (why->reason);
+  struct marjoram_header_list headers = { 0 };
+  char retry[NUMBER_TEXT_MAX];
+
+  marjoram_header_list_add (&headers, "Content-Type", "text/plain");
+  if (why->retry_ms > 0 && why->outcome == MARJORAM_OUTCOME_NOT_RUN)
+    {
+      snprintf (retry, sizeof retry, "%.3f",
+                (double)why->retry_ms / MSEC_PER_SEC);
+      marjoram_header_list_add (&headers, "Retry-After", retry);
+    }
+  marjoram_http_server_head (self->server, call, why->status, &headers,
+                             (int64_t)strlen (reason));
+  marjoram_http_server_data (self->server, call, reason, strlen (reason));
+  marjoram_http_server_end (self->server, call);
+  marjoram_header_list_clear (&headers);
+}
+
+static void
+op_reply_none (void *context, uint64_t call,
+               const struct marjoram_no_answer *why)
+{
+  struct marjoram_entry *self = context;
+
+  if (call & MARJORAM_FORWARDED_CALL)
+    end_inbound (self, call, why->outcome, why->reason, why->retry_ms);
+  else
+    marjoram_entry_refuse_call (self, call, why);
+}
+
+/* ---- Requests to upstreams and to other hosts.  ---- */
+
+static void
+op_send (void *context, const struct marjoram_http_send *send)
+{
+  struct marjoram_entry *self = context;
+
+  marjoram_http_client_send (self->client, send);
+}
+
+static void
+op_cancel (void *context, uint64_t attempt)
+{
+  struct marjoram_entry *self = context;
+
+  marjoram_http_client_cancel (self->client, attempt);
+}
+
+static bool
+op_reaches (void *context, const char *host)
+{
+  struct marjoram_entry *self = context;
+
+  return marjoram_host_links_reaches (self->parts->links, host);
+}
+
+static bool
+op_forward (void *context, const char *host,
+            const struct marjoram_forward *forward)
+{
+  struct marjoram_entry *self = context;
+
+  return marjoram_host_links_send (self->parts->links, host,
+                                   MARJORAM_FRAME_FORWARD, forward);
+}
+
+static void
+op_cancel_forward (void *context, const char *host, uint64_t attempt)
+{
+  struct marjoram_entry *self = context;
+  const struct marjoram_cancel cancel = { attempt };
+
+  marjoram_host_links_send (self->parts->links, host, MARJORAM_FRAME_CANCEL,
+                            &cancel);
+}
+
+const struct marjoram_gateway_ops marjoram_entry_gateway_ops = {
+  .reply_head = op_reply_head,
+  .reply_data = op_reply_data,
+  .reply_end = op_reply_end,
+  .reply_cut = op_reply_cut,
+  .reply_none = op_reply_none,
+  .send = op_send,
+  .cancel = op_cancel,
+  .reaches = op_reaches,
+  .forward = op_forward,
+  .cancel_forward = op_cancel_forward,
+};
--- /dev/null
+++ b/src/entry_frame.c
@@ -0,0 +1,185 @@
+#include "entry_private.h"
+
+#include "cleanup.h"
+#include "event_log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  STATUS_UNAVAILABLE = 503
+};
+
+static void
+take_give (struct marjoram_entry *self,
+           const struct marjoram_config_give *give)
+{
+  struct marjoram_state *state = marjoram_wire_unpack (
+      &marjoram_state_layout, marjoram_bytes_data (give->state),
+      marjoram_bytes_size (give->state), NULL);
+
+  if (state)
+    marjoram_entry_take_state (self, state);
+  marjoram_state_destroy (state);
+}
+
+static void
+take_news (struct marjoram_entry *self, const char *host, uint64_t session,
+           const struct marjoram_news_batch *batch)
+{
+  const struct marjoram_news_item *items = batch->items.items;
+  int64_t now = marjoram_entry_now (self);
+
+  for (size_t i = 0; i < batch->items.count; i++)
+    {
+      struct marjoram_upstream_news news;
+      enum marjoram_hearing hearing;
+
+      if (!marjoram_registry_unpack (&items[i], &news))
+        continue;
+      hearing = marjoram_registry_hear (self->registry, now, &news,
+                                        items[i].age_ms);
+      if (hearing == MARJORAM_HEARING_CHANGED)
+        marjoram_event (MARJORAM_EVENT_UPSTREAM,
+                        "id=%s state=%d service=%s address=%s zone=%s "
+                        "born=%" PRId64 " seq=%" PRId64 " cold_ms=%" PRId64
+                        " age_ms=%" PRId64 " keeper=%s",
+                        news.id, (int)news.state, news.service, news.address,
+                        news.zone, news.born, news.sequence, news.cold_ms,
+                        items[i].age_ms, host);
+    }
+  if (batch->ticket)
+    {
+      const struct marjoram_news_seen seen = { batch->ticket };
+
+      marjoram_host_links_reply (self->parts->links, host, session,
+                                 MARJORAM_FRAME_NEWS_SEEN, &seen);
+    }
+}
+
+static struct marjoram_http_request *
+make_request (const struct marjoram_forward *forward)
+{
+  const struct marjoram_header *headers = forward->headers.items;
+  struct marjoram_http_request *request = marjoram_alloc (sizeof *request);
+
+  request->method = marjoram_strdup (forward->method);
+  request->target = marjoram_strdup (forward->path);
+  request->has_body = forward->stream || forward->body;
+  request->body = forward->body ? marjoram_bytes_retain (forward->body) : NULL;
+  for (size_t i = 0; i < forward->headers.count; i++)
+    if (headers[i].name && headers[i].value)
+      marjoram_header_list_add (&request->headers, headers[i].name,
+                                headers[i].value);
+  return request;
+}
+
+static void
+take_forward (struct marjoram_entry *self, const char *host, uint64_t session,
+              const struct marjoram_forward *forward)
+{
+  struct marjoram_inbound *inbound;
+
+  if (!forward->method || !forward->path)
+    return;
+  inbound = marjoram_alloc (sizeof *inbound);
+  inbound->call = MARJORAM_FORWARDED_CALL | ++self->next_call;
+  inbound->host = marjoram_strdup (host);
+  inbound->session = session;
+  inbound->request = forward->request;
+  HASH_ADD (hh, self->inbound, call, sizeof inbound->call, inbound);
+  marjoram_gateway_receive (self->gateway, marjoram_entry_now (self),
+                            inbound->call, make_request (forward), true,
+                            forward->budget_ms);
+}
+
+void
+marjoram_entry_take_cancel (struct marjoram_entry *self, const char *host,
+                            uint64_t session, uint64_t request)
+{
+  struct marjoram_inbound *inbound;
+  struct marjoram_inbound *next;
+
+  HASH_ITER (hh, self->inbound, inbound, next)
+  {
+    uint64_t call = inbound->call;
+
+    if (inbound->session != session || strcmp (inbound->host, host) != 0
+        || (request != 0 && inbound->request != request))
+      continue;
+    marjoram_entry_forget_inbound (self, inbound);
+    marjoram_gateway_gone (self->gateway, marjoram_entry_now (self), call);
+  }
+}
+
+static void
+take_head (struct marjoram_entry *self, const struct marjoram_head *head)
+{
+  struct marjoram_header_list headers
+      = { head->headers.items, head->headers.count, head->headers.count };
+
+  marjoram_gateway_head (self->gateway, marjoram_entry_now (self),
+                         head->request, (int)head->status, &headers);
+}
+
+static void
+take_end (struct marjoram_entry *self, const struct marjoram_end *end)
+{
+  const struct marjoram_no_answer why
+      = { (enum marjoram_outcome)end->outcome,
+          end->reason < MARJORAM_REASON_COUNT
+              ? (enum marjoram_reason)end->reason
+              : MARJORAM_REASON_UPSTREAM_FAILED,
+          STATUS_UNAVAILABLE, end->retry_ms };
+
+  if (end->outcome == MARJORAM_OUTCOME_DONE)
+    marjoram_gateway_end (self->gateway, marjoram_entry_now (self),
+                          end->request, MARJORAM_HTTP_COMPLETE);
+  else
+    marjoram_gateway_forward_refused (self->gateway, marjoram_entry_now (self),
+                                      end->request, &why);
+}
+
+void
+marjoram_entry_take_frame (struct marjoram_entry *self, const char *host,
+                           uint64_t session, enum marjoram_frame_type type,
+                           void *message)
+{
+  const struct marjoram_data *data = message;
+  const struct marjoram_cancel *cancel = message;
+
+  switch (type)
+    {
+    case MARJORAM_FRAME_CONFIG_GIVE:
+      take_give (self, message);
+      break;
+    case MARJORAM_FRAME_NEWS:
+      take_news (self, host, session, message);
+      break;
+    case MARJORAM_FRAME_LOADS:
+      marjoram_placement_hear (marjoram_gateway_placement (self->gateway),
+                               marjoram_entry_now (self), host, message);
+      break;
+    case MARJORAM_FRAME_FORWARD:
+      take_forward (self, host, session, message);
+      break;
+    case MARJORAM_FRAME_CANCEL:
+      marjoram_entry_take_cancel (self, host, session, cancel->request);
+      break;
+    case MARJORAM_FRAME_HEAD:
+      take_head (self, message);
+      break;
+    case MARJORAM_FRAME_DATA:
+      marjoram_gateway_data (self->gateway, marjoram_entry_now (self),
+                             data->request, marjoram_bytes_data (data->bytes),
+                             marjoram_bytes_size (data->bytes));
+      break;
+    case MARJORAM_FRAME_END:
+      take_end (self, message);
+      break;
+    default:
+      break;
+    }
+  marjoram_wire_destroy (marjoram_frame_layout (type), message);
+}
--- /dev/null
+++ b/src/entry_private.h
@@ -0,0 +1,71 @@
+/* The parts of the role entry: entry_role.c (tasks, configuration, course),
+   entry_answer.c (what the gateway does to callers, upstreams and other hosts)
+   and entry_frame.c (what other hosts tell).  */
+#ifndef MARJORAM_ENTRY_PRIVATE_H
+#define MARJORAM_ENTRY_PRIVATE_H
+
+#include "agreed.h"
+#include "gateway.h"
+#include "role.h"
+
+#include <uthash.h>
+
+/* Calls that come from other hosts have numbers apart from callers'.  */
+#define MARJORAM_FORWARDED_CALL (UINT64_C (1) << 63)
+
+/* A request that another host forwarded here.  */
+struct marjoram_inbound
+{
+  uint64_t call;
+  char *host;
+  uint64_t session;
+  uint64_t request; /* the other host's number */
+  uint64_t offset;  /* bytes of the answer's body that were sent */
+  UT_hash_handle hh;
+};
+
+struct marjoram_entry
+{
+  struct marjoram_role role;
+  const struct marjoram_role_parts *parts;
+  marjoram_registry *registry;
+  marjoram_gateway *gateway;
+  marjoram_http_server *server;
+  marjoram_http_client *client;
+  struct marjoram_route_table *table;
+  struct marjoram_route_table *former; /* the gateway's */
+  struct marjoram_names evacuated;
+  uint64_t config_number;
+  struct marjoram_inbound *inbound;
+  uint64_t next_call;
+  int64_t reported_at;
+  int64_t client_ticked_at;
+  int64_t stopped_at;
+  bool closed;
+  struct marjoram_array offers; /* of struct marjoram_host_offer */
+};
+
+int64_t marjoram_entry_now (const struct marjoram_entry *self);
+
+/* entry_answer.c */
+extern const struct marjoram_gateway_ops marjoram_entry_gateway_ops;
+void marjoram_entry_forget_inbound (struct marjoram_entry *self,
+                                    struct marjoram_inbound *inbound);
+/* Answers a caller that its request did not run, or that this is not known. */
+void marjoram_entry_refuse_call (struct marjoram_entry *self, uint64_t call,
+                                 const struct marjoram_no_answer *why);
+
+/* entry_frame.c */
+/* Takes MESSAGE.  */
+void marjoram_entry_take_frame (struct marjoram_entry *self, const char *host,
+                                uint64_t session,
+                                enum marjoram_frame_type type, void *message);
+/* The host gives up its REQUEST, or, if 0, all that came on SESSION.  */
+void marjoram_entry_take_cancel (struct marjoram_entry *self, const char *host,
+                                 uint64_t session, uint64_t request);
+
+/* entry_role.c */
+void marjoram_entry_take_state (struct marjoram_entry *self,
+                                const struct marjoram_state *state);
+
+#endif
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -1,4 +1,4 @@
-#include "registrar.h"
+#include "registrar_private.h"
 
 #include "cleanup.h"
 #include "event_log.h"
@@ -11,54 +11,11 @@
 
 enum
 {
-  STATUS_OK = 200,
-  STATUS_BAD_REQUEST = 400,
-  STATUS_NOT_FOUND = 404,
-  STATUS_UNAVAILABLE = 503,
-  /* Callers of a keeper go on to another one after a second.  */
-  ANSWER_WITHIN_MS = 900,
   /* A leave is confirmed by all hosts in reach, or not waited for any longer:
      a host that is frozen or cut off hears it when it is back.  */
   CONFIRM_WITHIN_MS = 600,
   /* Renewals wait this long for others, to go out together.  */
-  GATHER_MS = 200,
-  EVACUATE_TRIES = 8 /* lost races against other operators */
-};
-
-enum wait_kind
-{
-  WAIT_LEAVE,
-  WAIT_CONFIG,
-  WAIT_READ,
-  WAIT_EVACUATION
-};
-
-/* A call that waits for other hosts.  Calls and what answers them share one
-   row of numbers.  */
-struct waiting
-{
-  uint64_t number; /* the ticket or the register's request */
-  uint64_t ask;
-  enum wait_kind kind;
-  int64_t deadline;
-  size_t missing; /* LEAVE: hosts that have not confirmed */
-  char zone[MARJORAM_ID_MAX];
-  bool evacuated;
-  int tries;
-  uint64_t version;
-  UT_hash_handle hh;
-};
-
-struct marjoram_registrar
-{
-  struct marjoram_registrar_options options;
-  const struct marjoram_registrar_ops *ops;
-  void *context;
-  struct waiting *waiting;
-  uint64_t next_number;
-  int64_t gathered_at;                /* 0 if nothing waits to be told */
-  struct marjoram_route_table *table; /* of the state TABLE_NUMBER */
-  uint64_t table_number;
+  GATHER_MS = 200
 };
 
 marjoram_registrar *
@@ -74,8 +31,9 @@
   return registrar;
 }
 
-static void
-forget (marjoram_registrar *registrar, struct waiting *waiting)
+void
+marjoram_registrar_forget (marjoram_registrar *registrar,
+                           struct marjoram_waiting *waiting)
 {
   /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registrar->waiting, waiting);
@@ -85,32 +43,33 @@
 void
 marjoram_registrar_destroy (marjoram_registrar *registrar)
 {
-  struct waiting *waiting;
-  struct waiting *next;
+  struct marjoram_waiting *waiting;
+  struct marjoram_waiting *next;
 
   if (!registrar)
     return;
   HASH_ITER (hh, registrar->waiting, waiting, next)
   {
-    forget (registrar, waiting);
+    marjoram_registrar_forget (registrar, waiting);
   }
   marjoram_route_table_destroy (registrar->table);
   free (registrar);
 }
 
-static void
-answer (marjoram_registrar *registrar, uint64_t ask, int status,
-        const char *body)
+void
+marjoram_registrar_answer (marjoram_registrar *registrar, uint64_t ask,
+                           int status, const char *body)
 {
   registrar->ops->answer (registrar->context, ask, status, body,
                           body ? strlen (body) : 0);
 }
 
-static struct waiting *
-wait_for (marjoram_registrar *registrar, int64_t now, uint64_t ask,
-          enum wait_kind kind, int64_t within_ms)
+struct marjoram_waiting *
+marjoram_registrar_wait (marjoram_registrar *registrar, int64_t now,
+                         uint64_t ask, enum marjoram_wait_kind kind,
+                         int64_t within_ms)
 {
-  struct waiting *waiting = marjoram_alloc (sizeof *waiting);
+  struct marjoram_waiting *waiting = marjoram_alloc (sizeof *waiting);
 
   waiting->number = ++registrar->next_number;
   waiting->ask = ask;
@@ -120,10 +79,10 @@
   return waiting;
 }
 
-static struct waiting *
-find (marjoram_registrar *registrar, uint64_t number)
+struct marjoram_waiting *
+marjoram_registrar_find (marjoram_registrar *registrar, uint64_t number)
 {
-  struct waiting *waiting;
+  struct marjoram_waiting *waiting;
 
   HASH_FIND (hh, registrar->waiting, &number, sizeof number, waiting);
   return waiting;
@@ -172,14 +131,14 @@
 confirm_leave (marjoram_registrar *registrar, int64_t now, uint64_t ask,
                const char *id)
 {
-  struct waiting *waiting
-      = wait_for (registrar, now, ask, WAIT_LEAVE, CONFIRM_WITHIN_MS);
+  struct marjoram_waiting *waiting = marjoram_registrar_wait (
+      registrar, now, ask, MARJORAM_WAIT_LEAVE, CONFIRM_WITHIN_MS);
 
   waiting->missing = tell_one (registrar, now, id, waiting->number);
   if (waiting->missing > 0)
     return;
-  forget (registrar, waiting);
-  answer (registrar, ask, STATUS_OK, "{}");
+  marjoram_registrar_forget (registrar, waiting);
+  marjoram_registrar_answer (registrar, ask, MARJORAM_STATUS_OK, "{}");
 }
 
 static bool
@@ -196,15 +155,17 @@
                              news->zone);
 }
 
-static void
-reject (marjoram_registrar *registrar, uint64_t ask, const char *target,
-        const struct marjoram_error *err)
+void
+marjoram_registrar_reject (marjoram_registrar *registrar, uint64_t ask,
+                           const char *target,
+                           const struct marjoram_error *err)
 {
   marjoram_metrics_add (registrar->options.metrics,
                         MARJORAM_METRIC_REJECTED_INPUT, 1);
   marjoram_event (MARJORAM_EVENT_REJECT, "call=%.80s status=%d why=\"%s\"",
-                  target, STATUS_BAD_REQUEST, err->message);
-  answer (registrar, ask, STATUS_BAD_REQUEST, err->message);
+                  target, MARJORAM_STATUS_BAD_REQUEST, err->message);
+  marjoram_registrar_answer (registrar, ask, MARJORAM_STATUS_BAD_REQUEST,
+                             err->message);
 }
 
 static void
@@ -229,7 +190,7 @@
     tell_one (registrar, now, news->id, 0);
   else if (hearing == MARJORAM_HEARING_RENEWED && !registrar->gathered_at)
     registrar->gathered_at = now;
-  answer (registrar, ask, STATUS_OK, "{}");
+  marjoram_registrar_answer (registrar, ask, MARJORAM_STATUS_OK, "{}");
 }
 
 void
@@ -291,221 +252,15 @@
 void
 marjoram_registrar_seen (marjoram_registrar *registrar, uint64_t ticket)
 {
-  struct waiting *waiting = find (registrar, ticket);
+  struct marjoram_waiting *waiting
+      = marjoram_registrar_find (registrar, ticket);
 
-  if (!waiting || waiting->kind != WAIT_LEAVE || --waiting->missing > 0)
+  if (!waiting || waiting->kind != MARJORAM_WAIT_LEAVE
+      || --waiting->missing > 0)
     return;
-  answer (registrar, waiting->ask, STATUS_OK, "{}");
-  forget (registrar, waiting);
-}
-
-/* ---- Operators.  ---- */
-
-static uint64_t
-held_version (const struct marjoram_state *state, const char *name)
-{
-  const struct marjoram_file *file
-      = state ? marjoram_state_file (state, name) : NULL;
-
-  return file ? file->version : 0;
-}
-
-/* The register answers a change id that it has seen before; a resend, to any
-   keeper, has the same.  */
-static void
-change_id (const struct marjoram_file *file, char id[MARJORAM_NAME_MAX])
-{
-  marjoram_auto_free char *digest
-      = marjoram_digest (file->text, strlen (file->text));
-
-  snprintf (id, MARJORAM_NAME_MAX, "%.8s-%" PRIu64 "-%.24s", file->name,
-            file->version, digest);
-}
-
-static void
-apply (marjoram_registrar *registrar, const struct waiting *waiting,
-       const struct marjoram_file *file)
-{
-  char id[MARJORAM_NAME_MAX];
-
-  change_id (file, id);
-  registrar->ops->apply (registrar->context, waiting->number, id, file);
-}
-
-/* A version that is not above the one held changes nothing, and is
-   acknowledged: it holds, or was overtaken.  */
-static void
-set_config (marjoram_registrar *registrar, int64_t now, uint64_t ask,
-            const char *body, size_t size)
-{
-  struct marjoram_error err = { 0 };
-  struct marjoram_route_table *table
-      = registrar->options.dialect->ops->read_config (body, size, &err);
-  bool valid = table && marjoram_route_table_check (table, &err);
-  uint64_t version = table ? table->version : 0;
-  struct marjoram_file file
-      = { (char *)MARJORAM_FILE_ROUTES, version, NULL, (char *)body };
-  struct waiting *waiting;
-
-  marjoram_route_table_destroy (table);
-  if (!valid)
-    {
-      reject (registrar, ask, "configuration", &err);
-      return;
-    }
-  if (version <= held_version (registrar->ops->state (registrar->context),
-                               MARJORAM_FILE_ROUTES))
-    {
-      marjoram_event (MARJORAM_EVENT_CONFIG,
-                      "version=%" PRIu64 " taken=no reason=not-above-held",
-                      version);
-      answer (registrar, ask, STATUS_OK, "{}");
-      return;
-    }
-  waiting = wait_for (registrar, now, ask, WAIT_CONFIG, ANSWER_WITHIN_MS);
-  waiting->version = version;
-  apply (registrar, waiting, &file);
-}
-
-static bool
-is_evacuated (const struct marjoram_state *state, const char *zone)
-{
-  struct marjoram_names zones = marjoram_agreed_evacuations (state);
-  bool found = marjoram_agreed_is_evacuated (&zones, zone);
-
-  marjoram_names_clear (&zones);
-  return found;
-}
-
-static void
-try_evacuate (marjoram_registrar *registrar, struct waiting *waiting)
-{
-  struct marjoram_file file;
-
-  waiting->tries++;
-  marjoram_agreed_evacuate (registrar->ops->state (registrar->context),
-                            waiting->zone, waiting->evacuated, &file);
-  apply (registrar, waiting, &file);
-  marjoram_wire_clear (&marjoram_file_layout, &file);
-}
-
-/* The state is confirmed first: a keeper that lags might hold the order for
-   obeyed by a state that another order has changed since.  */
-static void
-evacuate (marjoram_registrar *registrar, int64_t now, uint64_t ask,
-          const struct marjoram_ask *what)
-{
-  struct waiting *waiting;
-
-  if (!registrar->options.knows_zone (registrar->options.context, what->zone))
-    {
-      struct marjoram_error err;
-
-      marjoram_error_set (&err, MARJORAM_ERROR_INVALID,
-                          "unknown zone \"%s\"; name one of the settings",
-                          what->zone);
-      reject (registrar, ask, "evacuation", &err);
-      return;
-    }
-  waiting = wait_for (registrar, now, ask, WAIT_EVACUATION, ANSWER_WITHIN_MS);
-  snprintf (waiting->zone, sizeof waiting->zone, "%s", what->zone);
-  waiting->evacuated = what->kind == MARJORAM_ASK_EVACUATE;
-  registrar->ops->read (registrar->context, waiting->number);
-}
-
-static void
-end_evacuation (marjoram_registrar *registrar, struct waiting *waiting,
-                int status)
-{
-  marjoram_event (MARJORAM_EVENT_CONFIG,
-                  "zone=%s evacuated=%d status=%d tries=%d", waiting->zone,
-                  waiting->evacuated, status, waiting->tries);
-  marjoram_metrics_add (registrar->options.metrics,
-                        MARJORAM_METRIC_EVACUATIONS, status == STATUS_OK);
-  answer (registrar, waiting->ask, status, "{}");
-  forget (registrar, waiting);
-}
-
-static void
-go_on_evacuating (marjoram_registrar *registrar, struct waiting *waiting,
-                  const struct marjoram_apply_answer *what)
-{
-  const struct marjoram_state *state
-      = registrar->ops->state (registrar->context);
-
-  const bool known = what->outcome == MARJORAM_APPLY_DECIDED && state;
-
-  if (known && is_evacuated (state, waiting->zone) == waiting->evacuated)
-    end_evacuation (registrar, waiting, STATUS_OK);
-  else if (known && waiting->tries < EVACUATE_TRIES)
-    try_evacuate (registrar, waiting);
-  else
-    end_evacuation (registrar, waiting, STATUS_UNAVAILABLE);
-}
-
-static void
-end_config (marjoram_registrar *registrar, struct waiting *waiting,
-            const struct marjoram_apply_answer *what)
-{
-  int status = STATUS_OK;
-
-  if (what->outcome != MARJORAM_APPLY_DECIDED)
-    status = STATUS_UNAVAILABLE;
-  else if (what->result == MARJORAM_CHANGE_INVALID)
-    status = STATUS_BAD_REQUEST;
-  marjoram_event (MARJORAM_EVENT_CONFIG,
-                  "version=%" PRIu64 " taken=%s status=%d number=%" PRIu64
-                  " held=%" PRIu64 " why=\"%s\"",
-                  waiting->version,
-                  what->result == MARJORAM_CHANGE_ACCEPTED ? "yes" : "no",
-                  status, what->number, what->version,
-                  what->message ? what->message : "");
-  marjoram_metrics_add (registrar->options.metrics, MARJORAM_METRIC_CONFIGS,
-                        status == STATUS_OK);
-  answer (registrar, waiting->ask, status, "{}");
-  forget (registrar, waiting);
-}
-
-static void
-end_read (marjoram_registrar *registrar, struct waiting *waiting,
-          const struct marjoram_apply_answer *what)
-{
-  const struct marjoram_state *state
-      = registrar->ops->state (registrar->context);
-  const struct marjoram_file *file
-      = state ? marjoram_state_file (state, MARJORAM_FILE_ROUTES) : NULL;
-
-  if (what->outcome == MARJORAM_APPLY_DECIDED && file)
-    answer (registrar, waiting->ask, STATUS_OK, file->text);
-  else
-    answer (registrar, waiting->ask, STATUS_UNAVAILABLE, "{}");
-  forget (registrar, waiting);
-}
-
-void
-marjoram_registrar_decided (marjoram_registrar *registrar, int64_t now,
-                            uint64_t request,
-                            const struct marjoram_apply_answer *what)
-{
-  struct waiting *waiting = find (registrar, request);
-
-  (void)now;
-  if (!waiting)
-    return;
-  switch (waiting->kind)
-    {
-    case WAIT_CONFIG:
-      end_config (registrar, waiting, what);
-      break;
-    case WAIT_READ:
-      end_read (registrar, waiting, what);
-      break;
-    case WAIT_EVACUATION:
-      go_on_evacuating (registrar, waiting, what);
-      break;
-    case WAIT_LEAVE:
-      break;
-    }
+  marjoram_registrar_answer (registrar, waiting->ask, MARJORAM_STATUS_OK,
+                             "{}");
+  marjoram_registrar_forget (registrar, waiting);
 }
 
 /* ---- Calls.  ---- */
@@ -594,12 +349,13 @@
                     count, lookup.table ? lookup.table->version : 0);
   if (count == 0)
     {
-      answer (registrar, ask, STATUS_UNAVAILABLE, NULL);
+      marjoram_registrar_answer (registrar, ask, MARJORAM_STATUS_UNAVAILABLE,
+                                 NULL);
       return;
     }
   body = registrar->options.dialect->ops->write_lookup (
       addresses, count, registrar->options.lookup_valid_s);
-  answer (registrar, ask, STATUS_OK, body);
+  marjoram_registrar_answer (registrar, ask, MARJORAM_STATUS_OK, body);
 }
 
 void
@@ -615,7 +371,7 @@
       || (what.kind == MARJORAM_ASK_NEWS
           && !check_news (registrar, &what.news, &err)))
     {
-      reject (registrar, ask, target, &err);
+      marjoram_registrar_reject (registrar, ask, target, &err);
       return;
     }
   switch (what.kind)
@@ -627,22 +383,25 @@
       take_news (registrar, now, ask, &what.news);
       break;
     case MARJORAM_ASK_CONFIG_SET:
-      set_config (registrar, now, ask, body, size);
+      marjoram_registrar_set_config (registrar, now, ask, body, size);
       break;
     case MARJORAM_ASK_CONFIG_GET:
-      registrar->ops->read (
-          registrar->context,
-          wait_for (registrar, now, ask, WAIT_READ, ANSWER_WITHIN_MS)->number);
+      registrar->ops->read (registrar->context,
+                            marjoram_registrar_wait (registrar, now, ask,
+                                                     MARJORAM_WAIT_READ,
+                                                     MARJORAM_ANSWER_WITHIN_MS)
+                                ->number);
       break;
     case MARJORAM_ASK_EVACUATE:
     case MARJORAM_ASK_RESTORE:
-      evacuate (registrar, now, ask, &what);
+      marjoram_registrar_evacuate (registrar, now, ask, &what);
       break;
     case MARJORAM_ASK_READY:
-      answer (registrar, ask, STATUS_OK, NULL);
+      marjoram_registrar_answer (registrar, ask, MARJORAM_STATUS_OK, NULL);
       break;
     case MARJORAM_ASK_UNKNOWN:
-      answer (registrar, ask, STATUS_NOT_FOUND, NULL);
+      marjoram_registrar_answer (registrar, ask, MARJORAM_STATUS_NOT_FOUND,
+                                 NULL);
       break;
     }
 }
@@ -653,17 +412,19 @@
 void
 marjoram_registrar_tick (marjoram_registrar *registrar, int64_t now)
 {
-  struct waiting *waiting;
-  struct waiting *next;
+  struct marjoram_waiting *waiting;
+  struct marjoram_waiting *next;
 
   tell_gathered (registrar, now);
   HASH_ITER (hh, registrar->waiting, waiting, next)
   {
     if (now < waiting->deadline)
       continue;
-    answer (registrar, waiting->ask,
-            waiting->kind == WAIT_LEAVE ? STATUS_OK : STATUS_UNAVAILABLE,
-            "{}");
-    forget (registrar, waiting);
+    marjoram_registrar_answer (registrar, waiting->ask,
+                               waiting->kind == MARJORAM_WAIT_LEAVE
+                                   ? MARJORAM_STATUS_OK
+                                   : MARJORAM_STATUS_UNAVAILABLE,
+                               "{}");
+    marjoram_registrar_forget (registrar, waiting);
   }
 }
--- /dev/null
+++ b/src/registrar_order.c
@@ -0,0 +1,228 @@
+#include "registrar_private.h"
+
+#include "cleanup.h"
+#include "event_log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  EVACUATE_TRIES = 8 /* lost races against other operators */
+};
+
+static uint64_t
+held_version (const struct marjoram_state *state, const char *name)
+{
+  const struct marjoram_file *file
+      = state ? marjoram_state_file (state, name) : NULL;
+
+  return file ? file->version : 0;
+}
+
+/* The register answers a change id that it has seen before; a resend, to any
+   keeper, has the same.  */
+static void
+change_id (const struct marjoram_file *file, char id[MARJORAM_NAME_MAX])
+{
+  marjoram_auto_free char *digest
+      = marjoram_digest (file->text, strlen (file->text));
+
+  snprintf (id, MARJORAM_NAME_MAX, "%.8s-%" PRIu64 "-%.24s", file->name,
+            file->version, digest);
+}
+
+static void
+apply (marjoram_registrar *registrar, const struct marjoram_waiting *waiting,
+       const struct marjoram_file *file)
+{
+  char id[MARJORAM_NAME_MAX];
+
+  change_id (file, id);
+  registrar->ops->apply (registrar->context, waiting->number, id, file);
+}
+
+/* A version that is not above the one held changes nothing, and is
+   acknowledged: it holds, or was overtaken.  */
+void
+marjoram_registrar_set_config (marjoram_registrar *registrar, int64_t now,
+                               uint64_t ask, const char *body, size_t size)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_route_table *table
+      = registrar->options.dialect->ops->read_config (body, size, &err);
+  bool valid = table && marjoram_route_table_check (table, &err);
+  uint64_t version = table ? table->version : 0;
+  struct marjoram_file file
+      = { (char *)MARJORAM_FILE_ROUTES, version, NULL, (char *)body };
+  struct marjoram_waiting *waiting;
+
+  marjoram_route_table_destroy (table);
+  if (!valid)
+    {
+      marjoram_registrar_reject (registrar, ask, "configuration", &err);
+      return;
+    }
+  if (version <= held_version (registrar->ops->state (registrar->context),
+                               MARJORAM_FILE_ROUTES))
+    {
+      marjoram_event (MARJORAM_EVENT_CONFIG,
+                      "version=%" PRIu64 " taken=no reason=not-above-held",
+                      version);
+      marjoram_registrar_answer (registrar, ask, MARJORAM_STATUS_OK, "{}");
+      return;
+    }
+  waiting = marjoram_registrar_wait (registrar, now, ask, MARJORAM_WAIT_CONFIG,
+                                     MARJORAM_ANSWER_WITHIN_MS);
+  waiting->version = version;
+  apply (registrar, waiting, &file);
+}
+
+static bool
+is_evacuated (const struct marjoram_state *state, const char *zone)
+{
+  struct marjoram_names zones = marjoram_agreed_evacuations (state);
+  bool found = marjoram_agreed_is_evacuated (&zones, zone);
+
+  marjoram_names_clear (&zones);
+  return found;
+}
+
+static void
+try_evacuate (marjoram_registrar *registrar, struct marjoram_waiting *waiting)
+{
+  struct marjoram_file file;
+
+  waiting->tries++;
+  marjoram_agreed_evacuate (registrar->ops->state (registrar->context),
+                            waiting->zone, waiting->evacuated, &file);
+  apply (registrar, waiting, &file);
+  marjoram_wire_clear (&marjoram_file_layout, &file);
+}
+
+/* The state is confirmed first: a keeper that lags might hold the order for
+   obeyed by a state that another order has changed since.  */
+void
+marjoram_registrar_evacuate (marjoram_registrar *registrar, int64_t now,
+                             uint64_t ask, const struct marjoram_ask *what)
+{
+  struct marjoram_waiting *waiting;
+
+  if (!registrar->options.knows_zone (registrar->options.context, what->zone))
+    {
+      struct marjoram_error err;
+
+      marjoram_error_set (&err, MARJORAM_ERROR_INVALID,
+                          "unknown zone \"%s\"; name one of the settings",
+                          what->zone);
+      marjoram_registrar_reject (registrar, ask, "evacuation", &err);
+      return;
+    }
+  waiting
+      = marjoram_registrar_wait (registrar, now, ask, MARJORAM_WAIT_EVACUATION,
+                                 MARJORAM_ANSWER_WITHIN_MS);
+  snprintf (waiting->zone, sizeof waiting->zone, "%s", what->zone);
+  waiting->evacuated = what->kind == MARJORAM_ASK_EVACUATE;
+  registrar->ops->read (registrar->context, waiting->number);
+}
+
+static void
+end_evacuation (marjoram_registrar *registrar,
+                struct marjoram_waiting *waiting, int status)
+{
+  marjoram_event (MARJORAM_EVENT_CONFIG,
+                  "zone=%s evacuated=%d status=%d tries=%d", waiting->zone,
+                  waiting->evacuated, status, waiting->tries);
+  marjoram_metrics_add (registrar->options.metrics,
+                        MARJORAM_METRIC_EVACUATIONS,
+                        status == MARJORAM_STATUS_OK);
+  marjoram_registrar_answer (registrar, waiting->ask, status, "{}");
+  marjoram_registrar_forget (registrar, waiting);
+}
+
+static void
+go_on_evacuating (marjoram_registrar *registrar,
+                  struct marjoram_waiting *waiting,
+                  const struct marjoram_apply_answer *what)
+{
+  const struct marjoram_state *state
+      = registrar->ops->state (registrar->context);
+
+  const bool known = what->outcome == MARJORAM_APPLY_DECIDED && state;
+
+  if (known && is_evacuated (state, waiting->zone) == waiting->evacuated)
+    end_evacuation (registrar, waiting, MARJORAM_STATUS_OK);
+  else if (known && waiting->tries < EVACUATE_TRIES)
+    try_evacuate (registrar, waiting);
+  else
+    end_evacuation (registrar, waiting, MARJORAM_STATUS_UNAVAILABLE);
+}
+
+static void
+end_config (marjoram_registrar *registrar, struct marjoram_waiting *waiting,
+            const struct marjoram_apply_answer *what)
+{
+  int status = MARJORAM_STATUS_OK;
+
+  if (what->outcome != MARJORAM_APPLY_DECIDED)
+    status = MARJORAM_STATUS_UNAVAILABLE;
+  else if (what->result == MARJORAM_CHANGE_INVALID)
+    status = MARJORAM_STATUS_BAD_REQUEST;
+  marjoram_event (MARJORAM_EVENT_CONFIG,
+                  "version=%" PRIu64 " taken=%s status=%d number=%" PRIu64
+                  " held=%" PRIu64 " why=\"%s\"",
+                  waiting->version,
+                  what->result == MARJORAM_CHANGE_ACCEPTED ? "yes" : "no",
+                  status, what->number, what->version,
+                  what->message ? what->message : "");
+  marjoram_metrics_add (registrar->options.metrics, MARJORAM_METRIC_CONFIGS,
+                        status == MARJORAM_STATUS_OK);
+  marjoram_registrar_answer (registrar, waiting->ask, status, "{}");
+  marjoram_registrar_forget (registrar, waiting);
+}
+
+static void
+end_read (marjoram_registrar *registrar, struct marjoram_waiting *waiting,
+          const struct marjoram_apply_answer *what)
+{
+  const struct marjoram_state *state
+      = registrar->ops->state (registrar->context);
+  const struct marjoram_file *file
+      = state ? marjoram_state_file (state, MARJORAM_FILE_ROUTES) : NULL;
+
+  if (what->outcome == MARJORAM_APPLY_DECIDED && file)
+    marjoram_registrar_answer (registrar, waiting->ask, MARJORAM_STATUS_OK,
+                               file->text);
+  else
+    marjoram_registrar_answer (registrar, waiting->ask,
+                               MARJORAM_STATUS_UNAVAILABLE, "{}");
+  marjoram_registrar_forget (registrar, waiting);
+}
+
+void
+marjoram_registrar_decided (marjoram_registrar *registrar, int64_t now,
+                            uint64_t request,
+                            const struct marjoram_apply_answer *what)
+{
+  struct marjoram_waiting *waiting
+      = marjoram_registrar_find (registrar, request);
+
+  (void)now;
+  if (!waiting)
+    return;
+  switch (waiting->kind)
+    {
+    case MARJORAM_WAIT_CONFIG:
+      end_config (registrar, waiting, what);
+      break;
+    case MARJORAM_WAIT_READ:
+      end_read (registrar, waiting, what);
+      break;
+    case MARJORAM_WAIT_EVACUATION:
+      go_on_evacuating (registrar, waiting, what);
+      break;
+    case MARJORAM_WAIT_LEAVE:
+      break;
+    }
+}
--- /dev/null
+++ b/src/registrar_private.h
@@ -0,0 +1,81 @@
+/* The parts of a registrar: registrar.c (upstreams' news, look-ups, calls) and
+   registrar_order.c (operators' orders).  */
+#ifndef MARJORAM_REGISTRAR_PRIVATE_H
+#define MARJORAM_REGISTRAR_PRIVATE_H
+
+#include "registrar.h"
+
+#include <uthash.h>
+
+enum
+{
+  MARJORAM_STATUS_OK = 200,
+  MARJORAM_STATUS_BAD_REQUEST = 400,
+  MARJORAM_STATUS_NOT_FOUND = 404,
+  MARJORAM_STATUS_UNAVAILABLE = 503,
+  /* Callers of a keeper go on to another one after a second.  */
+  MARJORAM_ANSWER_WITHIN_MS = 900
+};
+
+enum marjoram_wait_kind
+{
+  MARJORAM_WAIT_LEAVE,
+  MARJORAM_WAIT_CONFIG,
+  MARJORAM_WAIT_READ,
+  MARJORAM_WAIT_EVACUATION
+};
+
+/* A call that waits for other hosts.  Calls and what answers them share one
+   row of numbers.  */
+struct marjoram_waiting
+{
+  uint64_t number; /* the ticket or the register's request */
+  uint64_t ask;
+  enum marjoram_wait_kind kind;
+  int64_t deadline;
+  size_t missing; /* LEAVE: hosts that have not confirmed */
+  char zone[MARJORAM_ID_MAX];
+  bool evacuated;
+  int tries;
+  uint64_t version;
+  UT_hash_handle hh;
+};
+
+struct marjoram_registrar
+{
+  struct marjoram_registrar_options options;
+  const struct marjoram_registrar_ops *ops;
+  void *context;
+  struct marjoram_waiting *waiting;
+  uint64_t next_number;
+  int64_t gathered_at;                /* 0 if nothing waits to be told */
+  struct marjoram_route_table *table; /* of the state TABLE_NUMBER */
+  uint64_t table_number;
+};
+
+void marjoram_registrar_forget (marjoram_registrar *registrar,
+                                struct marjoram_waiting *waiting);
+/* BODY is text, or null.  */
+void marjoram_registrar_answer (marjoram_registrar *registrar, uint64_t ask,
+                                int status, const char *body);
+struct marjoram_waiting *
+marjoram_registrar_wait (marjoram_registrar *registrar, int64_t now,
+                         uint64_t ask, enum marjoram_wait_kind kind,
+                         int64_t within_ms);
+/* Null if nothing waits under NUMBER.  */
+struct marjoram_waiting *
+marjoram_registrar_find (marjoram_registrar *registrar, uint64_t number);
+/* Answers and logs input that could not be read.  */
+void marjoram_registrar_reject (marjoram_registrar *registrar, uint64_t ask,
+                                const char *target,
+                                const struct marjoram_error *err);
+
+/* registrar_order.c */
+void marjoram_registrar_set_config (marjoram_registrar *registrar, int64_t now,
+                                    uint64_t ask, const char *body,
+                                    size_t size);
+void marjoram_registrar_evacuate (marjoram_registrar *registrar, int64_t now,
+                                  uint64_t ask,
+                                  const struct marjoram_ask *what);
+
+#endif
