--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -4,6 +4,7 @@
 
 #include "cleanup.h"
 #include "event_log.h"
+#include "gateway_report.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -295,6 +296,21 @@
                               NULL, 0);
 }
 
+static json_t *
+role_report (struct marjoram_role *role, int64_t now)
+{
+  struct marjoram_entry *self = self_of (role);
+
+  return json_pack (
+      "{s:s, s:b, s:I, s:I, s:I, s:o, s:o}", "role", "entry", "ready",
+      is_ready (self), "config_version",
+      (json_int_t)(self->table ? self->table->version : 0), "config_number",
+      (json_int_t)self->config_number, "requests_open",
+      (json_int_t)marjoram_gateway_open (self->gateway), "evacuated",
+      marjoram_gateway_report_zones (&self->evacuated), "upstreams",
+      marjoram_gateway_report_upstreams (self->registry, now));
+}
+
 static struct marjoram_repeat_terms
 repeat_terms (const struct marjoram_entry *self)
 {
@@ -400,6 +416,7 @@
   .link_lost = role_link_lost,
   .fill_beat = role_fill_beat,
   .ask = role_ask,
+  .report = role_report,
   .reload = role_reload,
   .tick = role_tick,
   .stop = role_stop,
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -2,6 +2,7 @@
 
 #include "cleanup.h"
 #include "event_log.h"
+#include "gateway_report.h"
 #include "role.h"
 
 #include <event2/thread.h>
@@ -27,6 +28,8 @@
 
 #define METRICS_PATH "/metrics"
 #define METRICS_TYPE "text/plain; version=0.0.4"
+#define STATUS_PATH "/status"
+#define STATUS_TYPE "application/json"
 
 struct marjoram_gateway_daemon
 {
@@ -116,21 +119,45 @@
 
 /* ---- Calls.  ---- */
 
+/* Malloc'd.  */
+static char *
+status_text (marjoram_gateway_daemon *daemon)
+{
+  const struct marjoram_gateway_settings *settings = daemon->settings;
+  int64_t now = now_of (daemon);
+  json_t *report = daemon->role->ops->report (daemon->role, now);
+  char *text;
+
+  json_object_set_new (report, "name", json_string (settings->name));
+  json_object_set_new (report, "zone", json_string (settings->zone));
+  json_object_set_new (report, "stopping", json_boolean (daemon->stopping_at));
+  json_object_set_new (report, "hosts",
+                       marjoram_gateway_report_hosts (daemon->hosts, now));
+  text = json_dumps (report, JSON_COMPACT);
+  json_decref (report);
+  return text;
+}
+
 static void
 on_ask (void *context, uint64_t ask, const char *method, const char *target,
         const char *body, size_t size)
 {
   marjoram_gateway_daemon *daemon = context;
   marjoram_auto_free char *text = NULL;
+  const char *type = METRICS_TYPE;
 
-  if (strcmp (target, METRICS_PATH) != 0)
+  if (strcmp (target, METRICS_PATH) == 0)
+    text = marjoram_metrics_text (daemon->metrics);
+  else if (strcmp (target, STATUS_PATH) == 0)
     {
-      daemon->role->ops->ask (daemon->role, ask, method, target, body, size);
-      return;
+      text = status_text (daemon);
+      type = STATUS_TYPE;
     }
-  text = marjoram_metrics_text (daemon->metrics);
-  marjoram_ask_server_answer (daemon->asks, ask, STATUS_OK, METRICS_TYPE, text,
-                              strlen (text));
+  if (text)
+    marjoram_ask_server_answer (daemon->asks, ask, STATUS_OK, type, text,
+                                strlen (text));
+  else
+    daemon->role->ops->ask (daemon->role, ask, method, target, body, size);
 }
 
 static const struct marjoram_ask_server_ops ask_ops = { .receive = on_ask };
--- /dev/null
+++ b/src/gateway_report.c
@@ -0,0 +1,71 @@
+#include "gateway_report.h"
+
+json_t *
+marjoram_gateway_report_hosts (marjoram_host_list *hosts, int64_t now)
+{
+  const struct marjoram_listed_host *host;
+  json_t *list = json_array ();
+
+  TAILQ_FOREACH (host, marjoram_host_list_all (hosts), link)
+  json_array_append_new (
+      list, json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:I}", "name",
+                       host->beat.name, "zone", host->beat.zone, "role",
+                       host->beat.keeper ? "keeper" : "entry", "alive",
+                       marjoram_host_list_alive (host, now), "ready",
+                       host->beat.ready, "leaving", host->beat.leaving,
+                       "heard_ms_ago", (json_int_t)(now - host->heard_at),
+                       "config_number", (json_int_t)host->beat.config_number));
+  return list;
+}
+
+json_t *
+marjoram_gateway_report_upstreams (marjoram_registry *registry, int64_t now)
+{
+  static const char *const states[] = { "ready", "leaving", "gone" };
+  const struct marjoram_registered *upstream;
+  json_t *list = json_array ();
+
+  TAILQ_FOREACH (upstream, marjoram_registry_all (registry), link)
+  json_array_append_new (
+      list,
+      json_pack ("{s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:I}", "id",
+                 upstream->news.id, "service", upstream->news.service,
+                 "address", upstream->news.address, "zone",
+                 upstream->news.zone, "state", states[upstream->news.state],
+                 "usable", marjoram_registry_usable (registry, upstream, now),
+                 "cold", now < upstream->cold_until, "heard_ms_ago",
+                 (json_int_t)(now - upstream->heard_at)));
+  return list;
+}
+
+json_t *
+marjoram_gateway_report_zones (const struct marjoram_names *zones)
+{
+  json_t *list = json_array ();
+
+  for (size_t i = 0; i < zones->count; i++)
+    json_array_append_new (list, json_string (zones->items[i]));
+  return list;
+}
+
+json_t *
+marjoram_gateway_report_keeper (const marjoram_keeper *keeper)
+{
+  const struct marjoram_state *state = marjoram_keeper_chosen (keeper);
+  const struct marjoram_keeper_member *members;
+  const char *trouble = marjoram_keeper_trouble (keeper);
+  json_t *list = json_array ();
+
+  if (!state)
+    {
+      json_decref (list);
+      return json_null ();
+    }
+  members = state->members.items;
+  for (size_t i = 0; i < state->members.count; i++)
+    json_array_append_new (list, json_string (members[i].slot));
+  return json_pack ("{s:o, s:b, s:s, s:I}", "members", list, "votes",
+                    marjoram_keeper_votes (keeper), "trouble",
+                    trouble ? trouble : "", "number",
+                    (json_int_t)state->number);
+}
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -5,6 +5,7 @@
 #include "cleanup.h"
 #include "disk.h"
 #include "event_log.h"
+#include "gateway_report.h"
 #include "keeper_care.h"
 #include "registrar.h"
 
@@ -333,6 +334,25 @@
                                 target, body, size);
 }
 
+static json_t *
+role_report (struct marjoram_role *role, int64_t now)
+{
+  struct keeper_role *self = self_of (role);
+  const struct marjoram_state *state = marjoram_keeper_chosen (self->keeper);
+  const struct marjoram_file *routes
+      = state ? marjoram_state_file (state, MARJORAM_FILE_ROUTES) : NULL;
+  struct marjoram_names zones = marjoram_agreed_evacuations (state);
+  json_t *report = json_pack (
+      "{s:s, s:I, s:o, s:o, s:o}", "role", "keeper", "config_version",
+      (json_int_t)(routes ? routes->version : 0), "evacuated",
+      marjoram_gateway_report_zones (&zones), "keeper",
+      marjoram_gateway_report_keeper (self->keeper), "upstreams",
+      marjoram_gateway_report_upstreams (self->registry, now));
+
+  marjoram_names_clear (&zones);
+  return report;
+}
+
 static void
 role_reload (struct marjoram_role *role)
 {
@@ -403,6 +423,7 @@
   .link_lost = role_link_lost,
   .fill_beat = role_fill_beat,
   .ask = role_ask,
+  .report = role_report,
   .reload = role_reload,
   .tick = role_tick,
   .stop = role_stop,
--- a/src/role.h
+++ b/src/role.h
@@ -9,6 +9,8 @@
 #include "host_links.h"
 #include "metrics.h"
 
+#include <jansson.h>
+
 struct marjoram_role;
 
 struct marjoram_role_ops
@@ -26,6 +28,8 @@
   /* A call to the host's own interface, other than for metrics.  */
   void (*ask) (struct marjoram_role *role, uint64_t ask, const char *method,
                const char *target, const char *body, size_t size);
+  /* What operators see of the role; a new object.  */
+  json_t *(*report) (struct marjoram_role *role, int64_t now);
   void (*reload) (struct marjoram_role *role);
   void (*tick) (struct marjoram_role *role, int64_t now);
   /* The first signal to stop: no new work.  */
