--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -70,15 +70,6 @@
   { "zones", NULL, 0, false },
 };
 
-static const struct marjoram_ini_section *
-find_section (const struct marjoram_ini_file *file, const char *kind)
-{
-  for (size_t i = 0; i < file->section_count; i++)
-    if (strcmp (file->sections[i].kind, kind) == 0)
-      return &file->sections[i];
-  return NULL;
-}
-
 static bool
 known_kind (const char *name)
 {
@@ -105,7 +96,8 @@
 read_seeds (struct marjoram_gateway_settings *settings,
             const struct marjoram_ini_file *file, marjoram_faults *faults)
 {
-  const struct marjoram_ini_section *section = find_section (file, "seeds");
+  const struct marjoram_ini_section *section
+      = marjoram_ini_section (file, "seeds");
   const struct marjoram_ini_entry *entry
       = section ? marjoram_ini_find (section, "keepers") : NULL;
   struct marjoram_names names;
@@ -138,7 +130,8 @@
 read_zones (struct marjoram_gateway_settings *settings,
             const struct marjoram_ini_file *file, marjoram_faults *faults)
 {
-  const struct marjoram_ini_section *section = find_section (file, "zones");
+  const struct marjoram_ini_section *section
+      = marjoram_ini_section (file, "zones");
 
   if (!section)
     {
@@ -163,7 +156,8 @@
 require (const struct marjoram_ini_file *file, marjoram_faults *faults,
          const char *role, const char *key, const char *value)
 {
-  const struct marjoram_ini_section *section = find_section (file, "listen");
+  const struct marjoram_ini_section *section
+      = marjoram_ini_section (file, "listen");
 
   if (!value)
     marjoram_faults_add (faults, file->path, section ? section->line : 0,
@@ -215,7 +209,7 @@
   for (size_t i = 0; i < COUNT (kinds); i++)
     {
       const struct marjoram_ini_section *section
-          = find_section (file, kinds[i].name);
+          = marjoram_ini_section (file, kinds[i].name);
 
       if (!section && kinds[i].required)
         marjoram_faults_add (faults, file->path, 0,
@@ -289,7 +283,7 @@
   if (!text)
     return false;
   file = marjoram_ini_parse (path, text, size, ignored);
-  return find_section (file, "gateway") != NULL;
+  return marjoram_ini_section (file, "gateway") != NULL;
 }
 
 const char *
--- a/src/ini_file.c
+++ b/src/ini_file.c
@@ -254,6 +254,15 @@
   marjoram_ini_destroy (*file);
 }
 
+const struct marjoram_ini_section *
+marjoram_ini_section (const struct marjoram_ini_file *file, const char *kind)
+{
+  for (size_t i = 0; i < file->section_count; i++)
+    if (strcmp (file->sections[i].kind, kind) == 0)
+      return &file->sections[i];
+  return NULL;
+}
+
 const struct marjoram_ini_entry *
 marjoram_ini_find (const struct marjoram_ini_section *section, const char *key)
 {
--- a/src/ini_file.h
+++ b/src/ini_file.h
@@ -48,6 +48,9 @@
 void marjoram_ini_destroy (struct marjoram_ini_file *file);
 void marjoram_ini_cleanup (struct marjoram_ini_file **file);
 
+/* The first section of KIND, or null.  */
+const struct marjoram_ini_section *
+marjoram_ini_section (const struct marjoram_ini_file *file, const char *kind);
 /* The first entry of KEY, or null.  */
 const struct marjoram_ini_entry *
 marjoram_ini_find (const struct marjoram_ini_section *section,
--- a/src/settings.c
+++ b/src/settings.c
@@ -96,15 +96,6 @@
   { "keepers", keeper_keys, COUNT (keeper_keys), false },
 };
 
-static const struct marjoram_ini_section *
-find_section (const struct marjoram_ini_file *file, const char *kind)
-{
-  for (size_t i = 0; i < file->section_count; i++)
-    if (strcmp (file->sections[i].kind, kind) == 0)
-      return &file->sections[i];
-  return NULL;
-}
-
 static bool
 known_kind (const char *name)
 {
@@ -121,7 +112,7 @@
     {
       const struct marjoram_ini_section *section = &file->sections[i];
       const struct marjoram_ini_section *first
-          = find_section (file, section->kind);
+          = marjoram_ini_section (file, section->kind);
 
       if (!known_kind (section->kind) || *section->name)
         marjoram_faults_add (faults, file->path, section->line,
@@ -175,7 +166,8 @@
 read_seeds (struct marjoram_settings *settings,
             const struct marjoram_ini_file *file, marjoram_faults *faults)
 {
-  const struct marjoram_ini_section *section = find_section (file, "peers");
+  const struct marjoram_ini_section *section
+      = marjoram_ini_section (file, "peers");
 
   if (!section)
     return;
@@ -194,7 +186,7 @@
   for (size_t i = 0; i < COUNT (kinds); i++)
     {
       const struct marjoram_ini_section *section
-          = find_section (file, kinds[i].name);
+          = marjoram_ini_section (file, kinds[i].name);
 
       if (!kinds[i].keys)
         continue;
@@ -211,7 +203,8 @@
 check_addresses (const struct marjoram_settings *settings,
                  const struct marjoram_ini_file *file, marjoram_faults *faults)
 {
-  const struct marjoram_ini_section *section = find_section (file, "listen");
+  const struct marjoram_ini_section *section
+      = marjoram_ini_section (file, "listen");
   const char *const addresses[]
       = { settings->entry_address, settings->peer_address,
           settings->control_address };
@@ -231,8 +224,10 @@
 check_keeper (const struct marjoram_settings *settings,
               const struct marjoram_ini_file *file, marjoram_faults *faults)
 {
-  const struct marjoram_ini_section *host = find_section (file, "host");
-  const struct marjoram_ini_section *keepers = find_section (file, "keepers");
+  const struct marjoram_ini_section *host
+      = marjoram_ini_section (file, "host");
+  const struct marjoram_ini_section *keepers
+      = marjoram_ini_section (file, "keepers");
 
   if (!host)
     return;
@@ -286,8 +281,8 @@
   if (!settings->secret)
     marjoram_faults_add (
         faults, file->path,
-        marjoram_ini_line (find_section (file, "host"), "secret_file"), "%s",
-        err.message);
+        marjoram_ini_line (marjoram_ini_section (file, "host"), "secret_file"),
+        "%s", err.message);
 }
 
 static void
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -5,6 +5,11 @@
 
 #include <string.h>
 
+enum
+{
+  ROUTES_MAX = 8
+};
+
 static struct gateway_fixture f;
 
 static void
@@ -237,18 +242,27 @@
 }
 END_TEST
 
+/* The table in force with TIMEOUT_MS for all its routes, kept in ROUTES.  */
+static struct marjoram_route_table
+with_timeout (struct marjoram_route_rule routes[ROUTES_MAX],
+              int64_t timeout_ms)
+{
+  struct marjoram_route_table table = *f.table;
+
+  memcpy (routes, f.table->routes.items, table.routes.count * sizeof *routes);
+  for (size_t i = 0; i < table.routes.count; i++)
+    routes[i].timeout_ms = timeout_ms;
+  table.routes.items = routes;
+  return table;
+}
+
 /* An operator shortens a route's timeout.  A request that comes while the
    change is spreading must not be cut by it in the middle of its answer.  */
 START_TEST (shorter_timeout_counts_after_a_while)
 {
-  struct marjoram_route_table shorter = *f.table;
-  struct marjoram_route_rule routes[8];
-
-  memcpy (routes, f.table->routes.items,
-          f.table->routes.count * sizeof *routes);
-  for (size_t i = 0; i < f.table->routes.count; i++)
-    routes[i].timeout_ms = 400;
-  shorter.routes.items = routes;
+  struct marjoram_route_rule routes[ROUTES_MAX];
+  const struct marjoram_route_table shorter = with_timeout (routes, 400);
+
   marjoram_gateway_set_table (f.gateway, 1000, &shorter);
   gateway_fixture_call (&f, 1100, "/flip/x");
   marjoram_gateway_tick (f.gateway, 2000);
@@ -266,14 +280,9 @@
    be cut by a timeout that no longer holds.  */
 START_TEST (longer_timeout_holds_at_once)
 {
-  struct marjoram_route_table shorter = *f.table;
-  struct marjoram_route_rule routes[8];
-
-  memcpy (routes, f.table->routes.items,
-          f.table->routes.count * sizeof *routes);
-  for (size_t i = 0; i < f.table->routes.count; i++)
-    routes[i].timeout_ms = 400;
-  shorter.routes.items = routes;
+  struct marjoram_route_rule routes[ROUTES_MAX];
+  const struct marjoram_route_table shorter = with_timeout (routes, 400);
+
   marjoram_gateway_set_table (f.gateway, 1000, &shorter);
   gateway_fixture_call (&f, 5000, "/flip/x");
   marjoram_gateway_set_table (f.gateway, 5200, f.table);
