Requests of a host's first seconds wait for what it is about to learn

Cause: after all hosts lost power, the first ones up refused 77 requests for want of a configuration and 37 for want of upstreams that came within half a second, and links to keepers came up a second late: the connection request was lost while the keeper was off, and sent again after a second. Ruled out: keepers (up 0.5 s before). Now such requests wait up to 500 ms in a host's first four seconds, and a link is dialled anew after 500 ms. Tests: young_host_waits_for_its_configuration, young_host_does_not_wait_for_long.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -456,8 +456,8 @@
     .metrics = self->parts->metrics,
   };
 
-  self->gateway
-      = marjoram_gateway_create (&options, &marjoram_entry_gateway_ops, self);
+  self->gateway = marjoram_gateway_create (
+      &options, &marjoram_entry_gateway_ops, self, marjoram_entry_now (self));
 }
 
 struct marjoram_role *
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -20,12 +20,18 @@
   DEADLINE_MARGIN_MS = 20,
   /* How long after a change the former timeouts count too: well within the
      three seconds in which a change must be in force.  */
-  CHANGE_MS = 2000
+  CHANGE_MS = 2000,
+  /* A host that has just started knows nothing: its keepers tell it within
+     half a second, and upstreams, if the keepers have just started too, with
+     their next heartbeat.  Requests of its first seconds wait that long.  */
+  YOUNG_MS = 4000,
+  YOUNG_WAIT_MS = 500
 };
 
 marjoram_gateway *
 marjoram_gateway_create (const struct marjoram_gateway_options *options,
-                         const struct marjoram_gateway_ops *ops, void *context)
+                         const struct marjoram_gateway_ops *ops, void *context,
+                         int64_t now)
 {
   marjoram_gateway *gateway = marjoram_alloc (sizeof *gateway);
 
@@ -35,6 +41,7 @@
   gateway->context = context;
   gateway->placement = marjoram_placement_create (&options->place);
   gateway->budget = marjoram_repeat_budget_create (&options->repeats);
+  gateway->created_at = now;
   return gateway;
 }
 
@@ -248,19 +255,78 @@
   return now < exchange->due_at;
 }
 
+bool
+marjoram_exchange_may_wait (const marjoram_gateway *gateway,
+                            const struct marjoram_exchange *exchange,
+                            int64_t now)
+{
+  return now < gateway->created_at + YOUNG_MS && !exchange->forwarded
+         && exchange->arrivals == 0
+         && now < exchange->received_at + YOUNG_WAIT_MS;
+}
+
+/* Finds the route and sends the request, or refuses it; or leaves it waiting,
+   where it may.  */
+static void
+admit (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+       int64_t now)
+{
+  const char *host
+      = marjoram_header_list_get (&exchange->request->headers, "Host");
+  const struct marjoram_route_rule *route;
+
+  if (!gateway->table)
+    {
+      if (!marjoram_exchange_may_wait (gateway, exchange, now))
+        refuse_at_once (gateway, exchange, now, MARJORAM_REASON_NO_CONFIG,
+                        STATUS_UNAVAILABLE, NO_CONFIG_RETRY_MS);
+      return;
+    }
+  route = marjoram_route_table_find (gateway->table, host ? host : "",
+                                     exchange->request->target);
+  if (!route)
+    {
+      refuse_at_once (gateway, exchange, now, MARJORAM_REASON_UNKNOWN_MODEL,
+                      STATUS_NOT_FOUND, 0);
+      return;
+    }
+  set_due (exchange, timeout_of (gateway, host, exchange, route));
+  marjoram_exchange_send (gateway, exchange, now);
+}
+
+static void
+count_request (marjoram_gateway *gateway,
+               const struct marjoram_exchange *exchange, int64_t now)
+{
+  const char *host
+      = marjoram_header_list_get (&exchange->request->headers, "Host");
+  const struct marjoram_route_rule *route
+      = gateway->table ? marjoram_route_table_find (
+            gateway->table, host ? host : "", exchange->request->target)
+                       : NULL;
+  const char *service
+      = route ? marjoram_route_pick_service (route, exchange->facts.id) : NULL;
+
+  marjoram_metrics_add (gateway->options.metrics,
+                        exchange->forwarded ? MARJORAM_METRIC_FORWARDED_IN
+                                            : MARJORAM_METRIC_REQUESTS,
+                        1);
+  if (service && !exchange->forwarded)
+    marjoram_repeat_budget_request (gateway->budget, now, service);
+}
+
 void
 marjoram_gateway_receive (marjoram_gateway *gateway, int64_t now,
                           uint64_t call, struct marjoram_http_request *request,
                           bool forwarded, int64_t patience_ms)
 {
   struct marjoram_exchange *exchange = marjoram_alloc (sizeof *exchange);
-  const char *host = marjoram_header_list_get (&request->headers, "Host");
-  const struct marjoram_route_rule *route;
 
   exchange->call = call;
   exchange->request = request;
   exchange->forwarded = forwarded;
   exchange->received_at = now;
+  exchange->due_at = INT64_MAX;
   exchange->silent_at = INT64_MAX;
   exchange->body = evbuffer_new ();
   gateway->options.dialect->ops->read_call (&request->headers,
@@ -268,35 +334,14 @@
   if (patience_ms > 0)
     exchange->facts.patience_ms = patience_ms;
   HASH_ADD (by_call, gateway->by_call, call, sizeof exchange->call, exchange);
-  marjoram_metrics_add (
-      gateway->options.metrics,
-      forwarded ? MARJORAM_METRIC_FORWARDED_IN : MARJORAM_METRIC_REQUESTS, 1);
-  if (!gateway->table)
-    {
-      refuse_at_once (gateway, exchange, now, MARJORAM_REASON_NO_CONFIG,
-                      STATUS_UNAVAILABLE, NO_CONFIG_RETRY_MS);
-      return;
-    }
-  route = marjoram_route_table_find (gateway->table, host ? host : "",
-                                     request->target);
-  if (!route)
-    {
-      refuse_at_once (gateway, exchange, now, MARJORAM_REASON_UNKNOWN_MODEL,
-                      STATUS_NOT_FOUND, 0);
-      return;
-    }
+  count_request (gateway, exchange, now);
   if (!*exchange->facts.id)
     {
       refuse_at_once (gateway, exchange, now, MARJORAM_REASON_BAD_REQUEST,
                       STATUS_BAD_REQUEST, 0);
       return;
     }
-  set_due (exchange, timeout_of (gateway, host, exchange, route));
-  if (!forwarded)
-    marjoram_repeat_budget_request (
-        gateway->budget, now,
-        marjoram_route_pick_service (route, exchange->facts.id));
-  marjoram_exchange_send (gateway, exchange, now);
+  admit (gateway, exchange, now);
 }
 
 /* ---- Time.  ---- */
@@ -332,7 +377,10 @@
 
   HASH_ITER (by_call, gateway->by_call, exchange, next)
   {
-    if (now >= exchange->due_at && !has_more_time (gateway, exchange, now))
+    if (exchange->state == MARJORAM_EXCHANGE_WAITS)
+      admit (gateway, exchange, now);
+    else if (now >= exchange->due_at
+             && !has_more_time (gateway, exchange, now))
       time_out (gateway, exchange, now);
     else if (exchange->attempt && now >= exchange->silent_at)
       give_up_silent (gateway, exchange, now);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -57,8 +57,8 @@
 
 marjoram_gateway *
 marjoram_gateway_create (const struct marjoram_gateway_options *options,
-                         const struct marjoram_gateway_ops *ops,
-                         void *context);
+                         const struct marjoram_gateway_ops *ops, void *context,
+                         int64_t now);
 void marjoram_gateway_destroy (marjoram_gateway *gateway);
 marjoram_placement *marjoram_gateway_placement (marjoram_gateway *gateway);
 marjoram_repeat_budget *marjoram_gateway_budget (marjoram_gateway *gateway);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -16,6 +16,7 @@
 
 enum marjoram_exchange_state
 {
+  MARJORAM_EXCHANGE_WAITS,   /* for a configuration or a first upstream */
   MARJORAM_EXCHANGE_OPEN,    /* nothing was told to the caller yet */
   MARJORAM_EXCHANGE_HEAD,    /* a stream's head has come, no event yet */
   MARJORAM_EXCHANGE_STREAMS, /* head and events go to the caller */
@@ -79,6 +80,7 @@
   const struct marjoram_route_table *table;
   const struct marjoram_route_table *former; /* null if none */
   int64_t table_since;
+  int64_t created_at;
   marjoram_placement *placement;
   marjoram_repeat_budget *budget;
   struct marjoram_exchange *by_call;
@@ -96,6 +98,12 @@
                                struct marjoram_exchange *exchange, int64_t now,
                                bool whole);
 
+/* Whether a request that has no place yet may wait for one; it is then tried
+   again with each tick.  */
+bool marjoram_exchange_may_wait (const marjoram_gateway *gateway,
+                                 const struct marjoram_exchange *exchange,
+                                 int64_t now);
+
 /* gateway_send.c */
 /* Sends the exchange to an upstream or another region, or refuses it.  */
 void marjoram_exchange_send (marjoram_gateway *gateway,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -34,6 +34,8 @@
 static void
 start_attempt (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
 {
+  if (exchange->state == MARJORAM_EXCHANGE_WAITS)
+    exchange->state = MARJORAM_EXCHANGE_OPEN;
   exchange->attempt = ++gateway->next_attempt;
   HASH_ADD (by_attempt, gateway->by_attempt, attempt, sizeof exchange->attempt,
             exchange);
@@ -318,6 +320,27 @@
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
 
+static bool
+may_wait (const marjoram_gateway *gateway,
+          const struct marjoram_exchange *exchange, int64_t now)
+{
+  return exchange->state == MARJORAM_EXCHANGE_WAITS
+         && marjoram_exchange_may_wait (gateway, exchange, now);
+}
+
+static void
+refuse_place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+              int64_t now, const struct marjoram_place *chosen)
+{
+  bool none = chosen->outcome == MARJORAM_PLACE_NONE;
+
+  if (none && chosen->candidates == 0 && may_wait (gateway, exchange, now))
+    return;
+  refuse (gateway, exchange, now,
+          none ? MARJORAM_REASON_NO_UPSTREAM : MARJORAM_REASON_OVERLOAD,
+          chosen->retry_ms);
+}
+
 static void
 take_terms (struct marjoram_exchange *exchange,
             const struct marjoram_route_table *table,
@@ -347,8 +370,8 @@
   make_query (exchange, service, now, &query);
   if (!marjoram_route_allows (route, gateway->region))
     {
-      if (!cross (gateway, exchange, route, now,
-                  patience_left (exchange, now)))
+      if (!cross (gateway, exchange, route, now, patience_left (exchange, now))
+          && !may_wait (gateway, exchange, now))
         refuse (gateway, exchange, now, MARJORAM_REASON_RESIDENCY,
                 REFUSED_RETRY_MS);
       return;
@@ -364,10 +387,7 @@
                    chosen.outcome == MARJORAM_PLACE_NONE
                        ? patience_left (exchange, now)
                        : query.useful_ms))
-    refuse (gateway, exchange, now,
-            chosen.outcome == MARJORAM_PLACE_NONE ? MARJORAM_REASON_NO_UPSTREAM
-                                                  : MARJORAM_REASON_OVERLOAD,
-            chosen.retry_ms);
+    refuse_place (gateway, exchange, now, &chosen);
 }
 
 /* The route is looked up at each sending, so that a request that is sent again
--- a/src/peer.c
+++ b/src/peer.c
@@ -22,6 +22,10 @@
   NONCE_SIZE = 16,
   PROOF_TEXT_MAX = 512,
   HANDSHAKE_SEC = 3,
+  /* A machine that is off answers nothing, and the system asks again only
+     after one and then three seconds, while it may long be back.  Some round
+     trips between regions.  */
+  CONNECT_MSEC = 500,
   REDIAL_MSEC = 300,
   /* A frame before the proof can't be larger than a hello.  */
   HANDSHAKE_FRAME_MAX = 1024,
@@ -400,6 +404,7 @@
       int one = 1;
 
       setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+      set_handshake_timeout (session->bev, true);
       send_hello (session);
     }
   else
@@ -427,6 +432,7 @@
 static void
 dial_now (struct dial *dial)
 {
+  struct timeval limit = marjoram_clock_timeval (CONNECT_MSEC);
   struct sockaddr_storage address;
   int size = sizeof address;
 
@@ -435,6 +441,7 @@
       != 0)
     return;
   dial->session = session_create (dial->peer, dial, -1);
+  bufferevent_set_timeouts (dial->session->bev, NULL, &limit);
   if (bufferevent_socket_connect (dial->session->bev,
                                   (struct sockaddr *)&address, size)
       != 0)
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -7,6 +7,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  LONG_AGO_MS = -60000
+};
+
 #define ROUTE(name, kind, service, rest)                                      \
   "{\"name\":\"" name "\",\"host\":\"a.example\",\"path_prefix\":\"/" name    \
   "/\",\"kind\":\"" kind "\",\"service\":\"" service "\"," rest "}"
@@ -217,6 +222,12 @@
 
 void
 gateway_fixture_open (struct gateway_fixture *f)
+{
+  gateway_fixture_open_at (f, LONG_AGO_MS);
+}
+
+void
+gateway_fixture_open_at (struct gateway_fixture *f, int64_t created_at)
 {
   struct marjoram_gateway_options options = {
     .dialect = marjoram_platform_dialect (),
@@ -238,7 +249,7 @@
     .region_of = region_of,
     .is_evacuated = is_evacuated,
   };
-  f->gateway = marjoram_gateway_create (&options, &ops, f);
+  f->gateway = marjoram_gateway_create (&options, &ops, f, created_at);
   add_upstream (f, "u1", "lm", "10.0.0.1:80");
   add_upstream (f, "u2", "lm", "10.0.0.2:80");
   add_upstream (f, "p1", "app", "10.0.0.3:80");
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -46,6 +46,8 @@
    which only far1 is reached.  Routes: /flip/ and /get/ to
    app, /ask/ (resumable) and /digest/ to lm, /home/ to lm in r2 only.  */
 void gateway_fixture_open (struct gateway_fixture *f);
+/* The same, with a gateway that starts at CREATED_AT, not long ago.  */
+void gateway_fixture_open_at (struct gateway_fixture *f, int64_t created_at);
 void gateway_fixture_close (struct gateway_fixture *f);
 /* Puts the routes in force; until then there are none.  */
 void gateway_fixture_configure (struct gateway_fixture *f);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -72,6 +72,36 @@
 }
 END_TEST
 
+/* All hosts have just lost power and come back.  A caller that reaches one
+   before its keepers have told it anything is served half a second later,
+   instead of being sent away, with its one retry, to another host that knows
+   as little; and no later than that it gets its answer.  */
+START_TEST (young_host_waits_for_its_configuration)
+{
+  gateway_fixture_close (&f);
+  gateway_fixture_open_at (&f, 0);
+  gateway_fixture_call (&f, 100, "/get/x");
+  marjoram_gateway_tick (f.gateway, 300);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  gateway_fixture_configure (&f);
+  marjoram_gateway_tick (f.gateway, 350);
+  ck_assert_int_eq (f.seen.sends, 1);
+  serve (360, "ok");
+  ck_assert_str_eq (f.seen.body, "ok");
+}
+END_TEST
+
+START_TEST (young_host_does_not_wait_for_long)
+{
+  gateway_fixture_close (&f);
+  gateway_fixture_open_at (&f, 0);
+  gateway_fixture_call (&f, 100, "/get/x");
+  marjoram_gateway_tick (f.gateway, 610);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+}
+END_TEST
+
 START_TEST (no_route)
 {
   gateway_fixture_call (&f, 0, "/none/x");
@@ -417,6 +447,8 @@
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, request_is_served);
   tcase_add_test (c, nothing_is_known_yet);
+  tcase_add_test (c, young_host_waits_for_its_configuration);
+  tcase_add_test (c, young_host_does_not_wait_for_long);
   tcase_add_test (c, no_route);
   tcase_add_test (c, what_may_not_repeat_is_not_sent_again);
   tcase_add_test (c, what_did_not_run_is_sent_again);
