Hosts hear of their own region's upstreams only, and of other hosts when they change

Causes: each keeper told every host of all upstreams, and of all hosts every second: 4.3 MB/s of a keeper at 100 machines, growing with their number to the power 1.74, and most of the bytes between regions.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -186,7 +186,11 @@
     return;
   table = marjoram_agreed_routes (state, self->parts->dialect, &err);
   self->config_number = state->number;
-  if (table)
+  /* A state may be new in other things; the routes that it repeats must not
+     take the place of the former ones, whose timeouts still count.  */
+  if (table && self->table && table->version == self->table->version)
+    marjoram_route_table_destroy (table);
+  else if (table)
     set_table (self, table);
   else if (err.kind != MARJORAM_ERROR_NONE)
     marjoram_event (MARJORAM_EVENT_CONFIG,
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -17,7 +17,9 @@
   /* Five beats and a round trip between regions without a sign.  */
   SILENT_MS = 1500,
   PLAN_MS = 500,
-  LIST_MS = 1000, /* how often a keeper tells of all hosts */
+  /* How often a keeper tells of all hosts, which takes bytes by the square of
+     their number; what changes is told at once.  host_list.c counts on it.  */
+  LIST_MS = 5000,
   /* Links of one host to entry hosts of each other region.  */
   FAR_LINKS = 4
 };
@@ -185,6 +187,17 @@
                        MARJORAM_FRAME_HEARTBEAT, &echo);
 }
 
+static void
+tell_changed (marjoram_host_links *links, struct marjoram_host_beat *beat)
+{
+  struct marjoram_host_beat told = *beat;
+  const struct marjoram_host_beats list = { { &told, 1 } };
+
+  told.offers = (struct marjoram_array){ NULL, 0 };
+  if (links->settings->role == MARJORAM_ROLE_KEEPER)
+    marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
+}
+
 static void
 hear_answer (marjoram_host_links *links, const char *host,
              struct marjoram_host_beat *beat)
@@ -214,7 +227,12 @@
   session->number = number;
   beat->age_ms = 0;
   if (marjoram_host_list_hear (links->hosts, now_of (links), beat, true))
-    log_host (beat);
+    {
+      log_host (beat);
+      tell_changed (links, beat);
+    }
+  if (first && links->settings->role == MARJORAM_ROLE_KEEPER)
+    links->listed_at = 0;
   answer_beat (links, beat, number);
   links->ops->beat (links->context, host, number, first, beat);
 }
@@ -479,15 +497,35 @@
     marjoram_peer_reply (links->peer, host, session, type, message);
 }
 
-size_t
+void
 marjoram_host_links_tell (marjoram_host_links *links,
                           enum marjoram_frame_type type, const void *message)
 {
   struct session *session;
+
+  TAILQ_FOREACH (session, &links->sessions, next)
+  marjoram_peer_reply (links->peer, session->host, session->number, type,
+                       message);
+}
+
+size_t
+marjoram_host_links_tell_in (marjoram_host_links *links, const char *region,
+                             enum marjoram_frame_type type,
+                             const void *message)
+{
+  struct session *session;
   size_t count = 0;
 
   TAILQ_FOREACH (session, &links->sessions, next)
   {
+    const struct marjoram_listed_host *host
+        = marjoram_host_list_find (links->hosts, session->host);
+
+    if (!host
+        || (region
+                ? strcmp (host->beat.region, region) != 0 || host->beat.keeper
+                : !host->beat.keeper))
+      continue;
     marjoram_peer_reply (links->peer, session->host, session->number, type,
                          message);
     count++;
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -49,10 +49,16 @@
                                 uint64_t session,
                                 enum marjoram_frame_type type,
                                 const void *message);
-/* To all hosts that have a session with this one; returns how many.  */
-size_t marjoram_host_links_tell (marjoram_host_links *links,
-                                 enum marjoram_frame_type type,
-                                 const void *message);
+/* To all hosts that have a session with this one.  */
+void marjoram_host_links_tell (marjoram_host_links *links,
+                               enum marjoram_frame_type type,
+                               const void *message);
+/* The same, to the entry hosts of REGION, or to keepers if it is null; returns
+   how many.  */
+size_t marjoram_host_links_tell_in (marjoram_host_links *links,
+                                    const char *region,
+                                    enum marjoram_frame_type type,
+                                    const void *message);
 /* To the entry hosts of this host's region, over its own links.  */
 void marjoram_host_links_tell_region (marjoram_host_links *links,
                                       enum marjoram_frame_type type,
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -10,8 +10,8 @@
   /* Beats come every 300 ms, so that four in a row are missing.  A dead host
      is then out of look-ups within two seconds.  */
   ALIVE_MS = 1300,
-  /* Told by others, a beat is older by their own interval.  */
-  ALIVE_TOLD_MS = 3000,
+  /* Told by others, a beat is older by their own interval of five seconds.  */
+  ALIVE_TOLD_MS = 7000,
   FORGET_MS = 60000
 };
 
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -162,13 +162,63 @@
                               "application/json", body, size);
 }
 
+/* The part of BATCH that concerns REGION; of one that only its leave was heard
+   the zone is not known, so that it concerns all.  */
+static void
+pick_region (const struct marjoram_gateway_settings *settings,
+             const char *region, const struct marjoram_news_batch *batch,
+             struct marjoram_news_batch *part)
+{
+  const struct marjoram_news_item *items = batch->items.items;
+  struct marjoram_news_item *picked
+      = marjoram_alloc (batch->items.count * sizeof *picked);
+
+  part->ticket = batch->ticket;
+  part->items.items = picked;
+  part->items.count = 0;
+  for (size_t i = 0; i < batch->items.count; i++)
+    {
+      const char *in
+          = marjoram_gateway_settings_region (settings, items[i].zone);
+
+      if (!in || strcmp (in, region) == 0)
+        picked[part->items.count++] = items[i];
+    }
+}
+
+static bool
+was_told (const struct marjoram_gateway_settings *settings, size_t zone)
+{
+  for (size_t i = 0; i < zone; i++)
+    if (strcmp (settings->zones[i].region, settings->zones[zone].region) == 0)
+      return true;
+  return false;
+}
+
+/* Hosts use upstreams of their own region only, and hear of no others: that
+   saves most of the bytes between regions.  Keepers hear of all.  */
 static size_t
 reg_tell (void *context, const struct marjoram_news_batch *batch)
 {
   struct keeper_role *self = context;
+  const struct marjoram_gateway_settings *settings = self->parts->settings;
+  size_t told = marjoram_host_links_tell_in (self->parts->links, NULL,
+                                             MARJORAM_FRAME_NEWS, batch);
 
-  return marjoram_host_links_tell (self->parts->links, MARJORAM_FRAME_NEWS,
-                                   batch);
+  for (size_t i = 0; i < settings->zone_count; i++)
+    {
+      const char *region = settings->zones[i].region;
+      struct marjoram_news_batch part;
+
+      if (was_told (settings, i))
+        continue;
+      pick_region (settings, region, batch, &part);
+      if (part.items.count > 0)
+        told += marjoram_host_links_tell_in (self->parts->links, region,
+                                             MARJORAM_FRAME_NEWS, &part);
+      free (part.items.items);
+    }
+  return told;
 }
 
 static void
