--- a/src/registrar.c
+++ b/src/registrar.c
@@ -14,8 +14,13 @@
   /* A leave is confirmed by all hosts in reach, or not waited for any longer:
      a host that is frozen or cut off hears it when it is back.  */
   CONFIRM_WITHIN_MS = 600,
-  /* Renewals wait this long for others, to go out together.  */
-  GATHER_MS = 200
+  /* Renewals wait this long for others, to go out together; longer the more
+     upstreams there are, so that their bytes grow with the number of hosts and
+     not with its square.  Two seconds at a thousand: a host passes an upstream
+     over as silent after six.  */
+  GATHER_MS = 200,
+  GATHER_PER_UPSTREAM_MS = 2,
+  GATHER_MAX_MS = 2000
 };
 
 marjoram_registrar *
@@ -236,12 +241,25 @@
   pack_since (registrar, now, INT64_MIN, batch);
 }
 
+static int64_t
+gather_ms (marjoram_registrar *registrar)
+{
+  int64_t msec
+      = GATHER_PER_UPSTREAM_MS
+        * (int64_t)marjoram_registry_count (registrar->options.registry);
+
+  if (msec > GATHER_MAX_MS)
+    return GATHER_MAX_MS;
+  return msec > GATHER_MS ? msec : GATHER_MS;
+}
+
 static void
 tell_gathered (marjoram_registrar *registrar, int64_t now)
 {
   struct marjoram_news_batch batch;
 
-  if (!registrar->gathered_at || now < registrar->gathered_at + GATHER_MS)
+  if (!registrar->gathered_at
+      || now < registrar->gathered_at + gather_ms (registrar))
     return;
   pack_since (registrar, now, registrar->gathered_at, &batch);
   registrar->gathered_at = 0;
--- a/src/registry.c
+++ b/src/registry.c
@@ -175,6 +175,12 @@
   return renew (upstream, now, news, age_ms);
 }
 
+size_t
+marjoram_registry_count (const marjoram_registry *registry)
+{
+  return HASH_COUNT (registry->by_id);
+}
+
 /* An upstream is passed over as silent only if others were heard meanwhile: a
    host that is cut off from the keepers hears of none and serves on.  */
 bool
--- a/src/registry.h
+++ b/src/registry.h
@@ -43,6 +43,7 @@
 marjoram_registry_find (const marjoram_registry *registry, const char *id);
 struct marjoram_registered_list *
 marjoram_registry_all (marjoram_registry *registry);
+size_t marjoram_registry_count (const marjoram_registry *registry);
 /* Whether new work may go there: ready, not about to end, and not silent
    while others are heard.  */
 bool marjoram_registry_usable (const marjoram_registry *registry,
