--- a/src/ctl.c
+++ b/src/ctl.c
@@ -7,11 +7,10 @@
 #include "control_client.h"
 #include "control_proof.h"
 #include "ini_key.h"
+#include "plain_get.h"
 #include "secret.h"
 #include "settings.h"
 
-#include <event2/buffer.h>
-#include <event2/event.h>
 #include <event2/http.h>
 #include <string.h>
 
@@ -20,8 +19,7 @@
   STATUS_OK = 200,
   PATH_TEXT_MAX = 1024,
   ADDRESS_TEXT_MAX = 64,
-  OPERANDS_MAX = MARJORAM_FILES_MAX,
-  MSEC_PER_SEC = 1000
+  OPERANDS_MAX = MARJORAM_FILES_MAX
 };
 
 /* One run of a command.  */
@@ -261,71 +259,24 @@
   return query (run, "/control/upstreams");
 }
 
-/* One plain GET, answered by the loop of its own base.  */
-struct plain_get
-{
-  struct event_base *base;
-  int status; /* 0 if no answer came */
-  char *body; /* malloc'd */
-};
-
-static void
-on_plain_answer (struct evhttp_request *answer, void *context)
-{
-  struct plain_get *get = context;
-
-  if (answer && evhttp_request_get_response_code (answer) > 0)
-    {
-      struct evbuffer *input = evhttp_request_get_input_buffer (answer);
-      size_t size = evbuffer_get_length (input);
-
-      get->status = evhttp_request_get_response_code (answer);
-      get->body = marjoram_alloc (size + 1);
-      evbuffer_remove (input, get->body, size);
-    }
-  event_base_loopbreak (get->base);
-}
-
-static void
-get_plainly (struct plain_get *get, const char *ip, uint16_t port,
-             const char *path, int64_t timeout_ms)
-{
-  const struct timeval timeout
-      = { timeout_ms / MSEC_PER_SEC, timeout_ms % MSEC_PER_SEC * 1000 };
-  struct evhttp_connection *connection;
-  struct evhttp_request *request;
-
-  get->base = event_base_new ();
-  connection = evhttp_connection_base_new (get->base, NULL, ip, port);
-  evhttp_connection_set_timeout_tv (connection, &timeout);
-  request = evhttp_request_new (on_plain_answer, get);
-  evhttp_add_header (evhttp_request_get_output_headers (request), "Host", ip);
-  if (evhttp_make_request (connection, request, EVHTTP_REQ_GET, path) == 0)
-    event_base_dispatch (get->base);
-  evhttp_connection_free (connection);
-  event_base_free (get->base);
-}
-
 /* A host in the role entry or keeper, by its metrics address; these pages need
    no secret.  */
 static enum marjoram_ctl_status
 run_gateway (struct run *run)
 {
-  char ip[MARJORAM_IP_MAX];
-  uint16_t port;
-  struct plain_get get = { NULL, 0, NULL };
+  marjoram_auto_free char *body = NULL;
   json_t *report;
+  int status;
 
-  if (!marjoram_address_split (run->args[0], ip, &port))
+  if (!marjoram_plain_get (run->args[0], "/status", run->options->timeout_ms,
+                           &status, &body))
     return complain (run, MARJORAM_CTL_USAGE,
                      "gateway takes a host's metrics address, IP:port");
-  get_plainly (&get, ip, port, "/status", run->options->timeout_ms);
-  report = get.body ? json_loads (get.body, 0, NULL) : NULL;
-  free (get.body);
-  if (get.status == 0)
+  report = body ? json_loads (body, 0, NULL) : NULL;
+  if (status == 0)
     return complain (run, MARJORAM_CTL_UNREACHABLE,
                      "the host was not reached; check its metrics address");
-  if (get.status != STATUS_OK || !report)
+  if (status != STATUS_OK || !report)
     {
       json_decref (report);
       return complain (run, MARJORAM_CTL_REFUSED,
--- /dev/null
+++ b/src/plain_get.c
@@ -0,0 +1,60 @@
+#include "plain_get.h"
+
+#include "address.h"
+#include "cleanup.h"
+#include "clock.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+struct exchange
+{
+  struct event_base *base;
+  int status;
+  char *body;
+};
+
+static void
+on_answer (struct evhttp_request *answer, void *context)
+{
+  struct exchange *exchange = context;
+
+  if (answer && evhttp_request_get_response_code (answer) > 0)
+    {
+      struct evbuffer *input = evhttp_request_get_input_buffer (answer);
+      size_t size = evbuffer_get_length (input);
+
+      exchange->status = evhttp_request_get_response_code (answer);
+      exchange->body = marjoram_alloc (size + 1);
+      evbuffer_remove (input, exchange->body, size);
+    }
+  event_base_loopbreak (exchange->base);
+}
+
+bool
+marjoram_plain_get (const char *address, const char *path, int64_t timeout_ms,
+                    int *status, char **body)
+{
+  struct exchange exchange = { NULL, 0, NULL };
+  struct timeval timeout = marjoram_clock_timeval (timeout_ms);
+  struct evhttp_connection *connection;
+  struct evhttp_request *request;
+  char ip[MARJORAM_IP_MAX];
+  uint16_t port;
+
+  if (!marjoram_address_split (address, ip, &port))
+    return false;
+  exchange.base = event_base_new ();
+  connection = evhttp_connection_base_new (exchange.base, NULL, ip, port);
+  evhttp_connection_set_timeout_tv (connection, &timeout);
+  request = evhttp_request_new (on_answer, &exchange);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Host", ip);
+  if (evhttp_make_request (connection, request, EVHTTP_REQ_GET, path) == 0)
+    event_base_dispatch (exchange.base);
+  evhttp_connection_free (connection);
+  event_base_free (exchange.base);
+  *status = exchange.status;
+  *body = exchange.body;
+  return true;
+}
