Settings files are read in one place

Cause: both kinds of settings read, measured and parsed their file by the same lines, a third copy only looked for a section, and the size limit stood twice. Change: marjoram_ini_load does it, with one limit. No check is changed and behaviour is the same; test_settings, test_gateway_settings and test_platform cover both.

--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -8,7 +8,6 @@
 
 enum
 {
-  SETTINGS_FILE_MAX = 256 * 1024, /* bytes */
   PATH_TEXT_MAX = 4096,
   MINUTE_MS = 60 * 1000,
   HOUR_MS = 60 * MINUTE_MS,
@@ -230,21 +229,13 @@
 {
   marjoram_auto (marjoram_faults_cleanup) marjoram_faults *found
       = marjoram_faults_create ();
-  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file = NULL;
+  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file
+      = marjoram_ini_load (path, found);
   struct marjoram_gateway_settings *settings
       = marjoram_alloc (sizeof *settings);
-  struct marjoram_error reading;
-  size_t size;
-  marjoram_auto_free char *text
-      = marjoram_file_read (path, SETTINGS_FILE_MAX, &size, &reading);
 
-  if (text)
-    {
-      file = marjoram_ini_parse (path, text, size, found);
-      fill (settings, file, found);
-    }
-  else
-    marjoram_faults_add (found, path, 0, "%s", reading.message);
+  if (file)
+    fill (settings, file, found);
   if (marjoram_faults_report (found, faults, err))
     return settings;
   marjoram_gateway_settings_destroy (settings);
@@ -275,15 +266,10 @@
 {
   marjoram_auto (marjoram_faults_cleanup) marjoram_faults *ignored
       = marjoram_faults_create ();
-  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file = NULL;
-  size_t size;
-  marjoram_auto_free char *text
-      = marjoram_file_read (path, SETTINGS_FILE_MAX, &size, NULL);
-
-  if (!text)
-    return false;
-  file = marjoram_ini_parse (path, text, size, ignored);
-  return marjoram_ini_section (file, "gateway") != NULL;
+  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file
+      = marjoram_ini_load (path, ignored);
+
+  return file && marjoram_ini_section (file, "gateway") != NULL;
 }
 
 const char *
--- a/src/ini_file.c
+++ b/src/ini_file.c
@@ -313,3 +313,17 @@
   free (data);
   return NULL;
 }
+
+struct marjoram_ini_file *
+marjoram_ini_load (const char *path, marjoram_faults *faults)
+{
+  struct marjoram_error err;
+  size_t size;
+  marjoram_auto_free char *text
+      = marjoram_file_read (path, MARJORAM_INI_SETTINGS_MAX, &size, &err);
+
+  if (text)
+    return marjoram_ini_parse (path, text, size, faults);
+  marjoram_faults_add (faults, path, 0, "%s", err.message);
+  return NULL;
+}
--- a/src/ini_file.h
+++ b/src/ini_file.h
@@ -13,7 +13,10 @@
   /* inih cuts longer texts in brackets and longer keys without a word; they
      are refused before it sees them.  */
   MARJORAM_INI_WORD_MAX = 48,
-  MARJORAM_INI_LINE_MAX = 8000
+  MARJORAM_INI_LINE_MAX = 8000,
+  /* Bytes of a settings file, some hundred times what one needs: a wrong path
+     is told before it fills memory.  */
+  MARJORAM_INI_SETTINGS_MAX = 256 * 1024
 };
 
 struct marjoram_ini_entry
@@ -45,6 +48,10 @@
 struct marjoram_ini_file *marjoram_ini_parse (const char *path,
                                               const char *text, size_t size,
                                               marjoram_faults *faults);
+/* Reads a process's settings file.  Null, with the cause in FAULTS, if it
+   can't be read or is too large.  */
+struct marjoram_ini_file *marjoram_ini_load (const char *path,
+                                             marjoram_faults *faults);
 void marjoram_ini_destroy (struct marjoram_ini_file *file);
 void marjoram_ini_cleanup (struct marjoram_ini_file **file);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -12,7 +12,6 @@
 
 enum
 {
-  SETTINGS_FILE_MAX = 256 * 1024,
   PATH_TEXT_MAX = 4096,
   REQUESTS_MAX = 1000 * 1000,
   HEADERS_BYTES_MAX = 256 * 1024,
@@ -311,20 +310,12 @@
 {
   marjoram_auto (marjoram_faults_cleanup) marjoram_faults *found
       = marjoram_faults_create ();
-  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file = NULL;
+  marjoram_auto (marjoram_ini_cleanup) struct marjoram_ini_file *file
+      = marjoram_ini_load (path, found);
   struct marjoram_settings *settings = marjoram_alloc (sizeof *settings);
-  struct marjoram_error reading;
-  size_t size;
-  marjoram_auto_free char *text
-      = marjoram_file_read (path, SETTINGS_FILE_MAX, &size, &reading);
 
-  if (text)
-    {
-      file = marjoram_ini_parse (path, text, size, found);
-      fill (settings, file, found);
-    }
-  else
-    marjoram_faults_add (found, path, 0, "%s", reading.message);
+  if (file)
+    fill (settings, file, found);
   if (marjoram_faults_report (found, faults, err))
     return settings;
   marjoram_settings_destroy (settings);
