Entry hosts refuse requests that crash upstreams

Ruled out: suspect.c as it is, which runs suspects one at a time: an engine dies with up to 64 requests, which would then wait for one another. Change: crash_list counts deaths by the request's digest, an answer clears, three deaths convict (400, not run); hosts of a region tell one another, keepers other regions and newcomers. The digest has one copy, digest.c. The routes of lib_gateway.c are written readably.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -335,6 +335,22 @@
   marjoram_repeat_budget_set (marjoram_gateway_budget (self->gateway), &terms);
 }
 
+/* Hosts of this region hear it at once; keepers pass it on to the others.  */
+static void
+report_crashes (struct marjoram_entry *self)
+{
+  struct marjoram_crash_report crashes;
+
+  if (!marjoram_crash_list_take_report (
+          marjoram_gateway_crashes (self->gateway), &crashes))
+    return;
+  marjoram_host_links_tell_region (self->parts->links, MARJORAM_FRAME_CRASHES,
+                                   &crashes);
+  marjoram_host_links_tell_keepers (self->parts->links, MARJORAM_FRAME_CRASHES,
+                                    &crashes);
+  marjoram_wire_clear (&marjoram_crash_report_layout, &crashes);
+}
+
 static void
 report (struct marjoram_entry *self, int64_t now)
 {
@@ -348,6 +364,7 @@
   marjoram_host_links_tell_region (self->parts->links, MARJORAM_FRAME_LOADS,
                                    &loads);
   marjoram_wire_clear (&marjoram_load_report_layout, &loads);
+  report_crashes (self);
 }
 
 static void
--- a/src/frame.c
+++ b/src/frame.c
@@ -208,6 +208,7 @@
   [MARJORAM_FRAME_NEWS] = &marjoram_news_batch_layout,
   [MARJORAM_FRAME_NEWS_SEEN] = &marjoram_news_seen_layout,
   [MARJORAM_FRAME_LOADS] = &marjoram_load_report_layout,
+  [MARJORAM_FRAME_CRASHES] = &marjoram_crash_report_layout,
 };
 
 const struct marjoram_layout *
--- a/src/frame.h
+++ b/src/frame.h
@@ -33,6 +33,7 @@
   MARJORAM_FRAME_NEWS,      /* struct marjoram_news_batch */
   MARJORAM_FRAME_NEWS_SEEN, /* struct marjoram_news_seen */
   MARJORAM_FRAME_LOADS,     /* struct marjoram_load_report */
+  MARJORAM_FRAME_CRASHES,   /* struct marjoram_crash_report */
   MARJORAM_FRAME_COUNT
 };
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -41,6 +41,7 @@
   gateway->context = context;
   gateway->placement = marjoram_placement_create (&options->place);
   gateway->budget = marjoram_repeat_budget_create (&options->repeats);
+  gateway->crashes = marjoram_crash_list_create ();
   gateway->created_at = now;
   return gateway;
 }
@@ -57,6 +58,12 @@
   return gateway->budget;
 }
 
+marjoram_crash_list *
+marjoram_gateway_crashes (marjoram_gateway *gateway)
+{
+  return gateway->crashes;
+}
+
 void
 marjoram_gateway_set_table (marjoram_gateway *gateway, int64_t now,
                             const struct marjoram_route_table *table)
@@ -72,6 +79,20 @@
   return HASH_CNT (by_call, gateway->by_call);
 }
 
+const char *
+marjoram_exchange_digest (struct marjoram_exchange *exchange)
+{
+  const struct marjoram_http_request *request = exchange->request;
+  const char *host = marjoram_header_list_get (&request->headers, "Host");
+  const char *const texts[]
+      = { host ? host : "", request->method, request->target };
+
+  if (!*exchange->digest)
+    marjoram_digest_request (texts, sizeof texts / sizeof *texts,
+                             request->body, exchange->digest);
+  return exchange->digest;
+}
+
 /* ---- Ends.  ---- */
 
 static void
@@ -101,6 +122,7 @@
   }
   marjoram_placement_destroy (gateway->placement);
   marjoram_repeat_budget_destroy (gateway->budget);
+  marjoram_crash_list_destroy (gateway->crashes);
   free (gateway->region);
   free (gateway);
 }
@@ -164,6 +186,9 @@
 
   marjoram_metrics_add (
       metrics, whole ? MARJORAM_METRIC_ANSWERED : MARJORAM_METRIC_UNKNOWN, 1);
+  if (whole)
+    marjoram_crash_list_answered (gateway->crashes,
+                                  marjoram_exchange_digest (exchange));
   marjoram_metrics_time (metrics, MARJORAM_TIMING_WHOLE,
                          now - exchange->received_at);
   log_end (exchange, now, whole ? "done" : "cut", "none", exchange->status);
@@ -386,6 +411,7 @@
       give_up_silent (gateway, exchange, now);
   }
   marjoram_placement_tick (gateway->placement, now);
+  marjoram_crash_list_tick (gateway->crashes, now);
 }
 
 void
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -7,6 +7,7 @@
 #ifndef MARJORAM_GATEWAY_H
 #define MARJORAM_GATEWAY_H
 
+#include "crash_list.h"
 #include "host_list.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -62,6 +63,7 @@
 void marjoram_gateway_destroy (marjoram_gateway *gateway);
 marjoram_placement *marjoram_gateway_placement (marjoram_gateway *gateway);
 marjoram_repeat_budget *marjoram_gateway_budget (marjoram_gateway *gateway);
+marjoram_crash_list *marjoram_gateway_crashes (marjoram_gateway *gateway);
 /* Puts TABLE in force, which stays the caller's until another one is, and as
    the former one until the one after that.  */
 void marjoram_gateway_set_table (marjoram_gateway *gateway, int64_t now,
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -368,6 +368,24 @@
   marjoram_exchange_send (gateway, exchange, now);
 }
 
+/* It may be this request that took the upstream down.  */
+static void
+note_death (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now)
+{
+  const struct marjoram_registered *upstream = marjoram_registry_find (
+      gateway->options.place.registry, exchange->upstream);
+  const char *digest = marjoram_exchange_digest (exchange);
+
+  marjoram_crash_list_died (gateway->crashes, now, digest, exchange->upstream,
+                            upstream ? upstream->news.born : 0);
+  if (marjoram_crash_list_convicts (gateway->crashes, now, digest))
+    marjoram_event (MARJORAM_EVENT_ATTEMPT,
+                    "id=%s convicted=yes digest=%s upstream=%s service=%s",
+                    exchange->facts.id, digest, exchange->upstream,
+                    exchange->service);
+}
+
 void
 marjoram_gateway_end (marjoram_gateway *gateway, int64_t now, uint64_t attempt,
                       enum marjoram_http_end how)
@@ -385,6 +403,8 @@
       end_unsent (gateway, exchange, now);
       break;
     case MARJORAM_HTTP_BROKEN:
+      if (*exchange->upstream)
+        note_death (gateway, exchange, now);
       end_broken (gateway, exchange, now);
       break;
     }
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -103,3 +103,17 @@
                          MARJORAM_PLACED_MAX, &placed_part_layout) },
 };
 LAYOUT (marjoram_load_report_layout, marjoram_load_report, load_report_fields);
+
+static const struct marjoram_field crash_item_fields[] = {
+  TEXT (marjoram_crash_item, digest),
+  { MARJORAM_WIRE_STRING (struct marjoram_crash_item, life,
+                          MARJORAM_LIFE_MAX) },
+};
+static LAYOUT (crash_item_layout, marjoram_crash_item, crash_item_fields);
+
+static const struct marjoram_field crash_report_fields[] = {
+  { MARJORAM_WIRE_ARRAY (struct marjoram_crash_report, items,
+                         MARJORAM_CRASHES_MAX, &crash_item_layout) },
+};
+LAYOUT (marjoram_crash_report_layout, marjoram_crash_report,
+        crash_report_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -10,7 +10,10 @@
   MARJORAM_HOST_OFFERS_MAX = 64,
   MARJORAM_NEWS_MAX = 4096,
   MARJORAM_LOADS_MAX = 4096,
-  MARJORAM_PLACED_MAX = 4096
+  MARJORAM_PLACED_MAX = 4096,
+  MARJORAM_CRASHES_MAX = 4096,
+  /* Bytes of an upstream's id with the time of its start, NUL included.  */
+  MARJORAM_LIFE_MAX = 128
 };
 
 /* What a host's region can do for requests of other regions.  */
@@ -99,10 +102,23 @@
   struct marjoram_array placed; /* of struct marjoram_placed_part */
 };
 
+/* A request that was at an upstream when it died, or was answered since.  */
+struct marjoram_crash_item
+{
+  char *digest;
+  char *life; /* the upstream, with the time of its start; "" if answered */
+};
+
+struct marjoram_crash_report
+{
+  struct marjoram_array items; /* of struct marjoram_crash_item */
+};
+
 extern const struct marjoram_layout marjoram_host_beat_layout;
 extern const struct marjoram_layout marjoram_host_beats_layout;
 extern const struct marjoram_layout marjoram_news_batch_layout;
 extern const struct marjoram_layout marjoram_news_seen_layout;
 extern const struct marjoram_layout marjoram_load_report_layout;
+extern const struct marjoram_layout marjoram_crash_report_layout;
 
 #endif
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -3,6 +3,8 @@
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
 #define MARJORAM_GATEWAY_PRIVATE_H
 
+#include "crash_list.h"
+#include "digest.h"
 #include "event_stream.h"
 #include "gateway.h"
 
@@ -36,6 +38,7 @@
   int64_t first_at;  /* 0 until the first event or the answer's head */
   int64_t waited_ms; /* as estimated when it was sent last */
   struct marjoram_place place; /* the last choice, without its upstream */
+  char digest[MARJORAM_DIGEST_TEXT + 1]; /* "" until it is asked for */
 
   /* Of its route, as it was when it was sent last.  */
   bool stream;
@@ -83,6 +86,7 @@
   int64_t created_at;
   marjoram_placement *placement;
   marjoram_repeat_budget *budget;
+  marjoram_crash_list *crashes;
   struct marjoram_exchange *by_call;
   struct marjoram_exchange *by_attempt;
   uint64_t next_attempt;
@@ -98,6 +102,9 @@
                                struct marjoram_exchange *exchange, int64_t now,
                                bool whole);
 
+/* Of the request, the same when its caller sends it again.  */
+const char *marjoram_exchange_digest (struct marjoram_exchange *exchange);
+
 /* Whether a request that has no place yet may wait for one; it is then tried
    again with each tick.  */
 bool marjoram_exchange_may_wait (const marjoram_gateway *gateway,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -11,7 +11,10 @@
 
 enum
 {
+  /* For a request that crashes upstreams: the caller is not to come again.  */
+  STATUS_BAD_REQUEST = 400,
   STATUS_NOT_FOUND = 404,
+  STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   /* There and back between two regions, with a margin for the hosts.  */
   CROSSING_MS = 130,
@@ -315,7 +318,7 @@
   const bool ran = exchange->runs > 0;
   const struct marjoram_no_answer why
       = { ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN, reason,
-          ran ? 502 : STATUS_UNAVAILABLE, retry_ms };
+          ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE, retry_ms };
 
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
@@ -390,6 +393,29 @@
     refuse_place (gateway, exchange, now, &chosen);
 }
 
+/* Whether it was refused, as it has taken down one upstream after the other,
+   and would the next one, with all that runs there.  */
+static bool
+refuse_crashing (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+                 int64_t now)
+{
+  struct marjoram_no_answer why
+      = { MARJORAM_OUTCOME_NOT_RUN, MARJORAM_REASON_CONVICTED,
+          STATUS_BAD_REQUEST, 0 };
+
+  if (marjoram_crash_list_count (gateway->crashes) == 0
+      || !marjoram_crash_list_convicts (gateway->crashes, now,
+                                        marjoram_exchange_digest (exchange)))
+    return false;
+  if (exchange->runs > 0)
+    {
+      why.outcome = MARJORAM_OUTCOME_UNKNOWN;
+      why.status = STATUS_BAD_GATEWAY;
+    }
+  marjoram_exchange_refuse (gateway, exchange, now, &why);
+  return true;
+}
+
 /* The route is looked up at each sending, so that a request that is sent again
    goes by the configuration that is in force then.  */
 void
@@ -413,12 +439,14 @@
           = { exchange->runs > 0 ? MARJORAM_OUTCOME_UNKNOWN
                                  : MARJORAM_OUTCOME_NOT_RUN,
               MARJORAM_REASON_CONFIG_CHANGED,
-              exchange->runs > 0 ? 502 : STATUS_NOT_FOUND, 0 };
+              exchange->runs > 0 ? STATUS_BAD_GATEWAY : STATUS_NOT_FOUND, 0 };
 
       marjoram_exchange_refuse (gateway, exchange, now, &why);
       return;
     }
   take_terms (exchange, table, route, service);
+  if (refuse_crashing (gateway, exchange, now))
+    return;
   if (exchange->unreached >= UNREACHED_MAX)
     {
       refuse (gateway, exchange, now, MARJORAM_REASON_NO_UPSTREAM,
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -533,10 +533,10 @@
   return count;
 }
 
-void
-marjoram_host_links_tell_region (marjoram_host_links *links,
-                                 enum marjoram_frame_type type,
-                                 const void *message)
+/* Entry hosts of this region, or keepers.  */
+static void
+tell_linked (marjoram_host_links *links, bool keepers,
+             enum marjoram_frame_type type, const void *message)
 {
   const char *region = links->settings->region;
   struct link *link;
@@ -546,12 +546,29 @@
     const struct marjoram_listed_host *host
         = marjoram_host_list_find (links->hosts, link->host);
 
-    if (link->up && host && host->beat.entry[0]
-        && strcmp (host->beat.region, region) == 0)
-      marjoram_peer_send (links->peer, link->host, type, message);
+    if (!link->up || !host || host->beat.keeper != keepers
+        || (!keepers && strcmp (host->beat.region, region) != 0))
+      continue;
+    marjoram_peer_send (links->peer, link->host, type, message);
   }
 }
 
+void
+marjoram_host_links_tell_region (marjoram_host_links *links,
+                                 enum marjoram_frame_type type,
+                                 const void *message)
+{
+  tell_linked (links, false, type, message);
+}
+
+void
+marjoram_host_links_tell_keepers (marjoram_host_links *links,
+                                  enum marjoram_frame_type type,
+                                  const void *message)
+{
+  tell_linked (links, true, type, message);
+}
+
 /* ---- The task.  ---- */
 
 void
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -63,6 +63,10 @@
 void marjoram_host_links_tell_region (marjoram_host_links *links,
                                       enum marjoram_frame_type type,
                                       const void *message);
+/* To the keepers, over its own links.  */
+void marjoram_host_links_tell_keepers (marjoram_host_links *links,
+                                       enum marjoram_frame_type type,
+                                       const void *message);
 /* Sends beats now, as what they tell has changed.  */
 void marjoram_host_links_beat (marjoram_host_links *links, int64_t now);
 /* At least every 50 ms.  */
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -3,6 +3,7 @@
 #include "role.h"
 
 #include "cleanup.h"
+#include "crash_list.h"
 #include "disk.h"
 #include "event_log.h"
 #include "gateway_report.h"
@@ -38,6 +39,7 @@
   marjoram_disk *disk;
   marjoram_keeper *keeper;
   marjoram_keeper_care *care;
+  marjoram_crash_list *crashes; /* for hosts that have just started */
   int64_t cared_at;
   int64_t ticked_at;
   int64_t given_at;
@@ -297,6 +299,35 @@
   free (batch.items.items);
 }
 
+static void
+give_crashes (struct keeper_role *self, const char *host, uint64_t session)
+{
+  struct marjoram_crash_report all;
+
+  if (marjoram_crash_list_count (self->crashes) == 0)
+    return;
+  marjoram_crash_list_all (self->crashes, &all);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_CRASHES, &all);
+  marjoram_wire_clear (&marjoram_crash_report_layout, &all);
+}
+
+/* The sender has told the hosts of its own region.  A keeper passes it on in
+   its own region only, so that no host hears it from each keeper.  */
+static void
+hear_crashes (struct keeper_role *self, const char *host,
+              const struct marjoram_crash_report *report)
+{
+  const char *region = self->parts->settings->region;
+  const struct marjoram_listed_host *sender
+      = marjoram_host_list_find (self->parts->hosts, host);
+
+  marjoram_crash_list_hear (self->crashes, now_of (self), report);
+  if (sender && strcmp (sender->beat.region, region) != 0)
+    marjoram_host_links_tell_in (self->parts->links, region,
+                                 MARJORAM_FRAME_CRASHES, report);
+}
+
 static void
 role_beat (struct marjoram_role *role, const char *host, uint64_t session,
            bool first, const struct marjoram_host_beat *beat)
@@ -308,7 +339,10 @@
   if (beat->config_number > 0)
     marjoram_keeper_heard (self->keeper, beat->config_number);
   if (first)
-    give_news (self, host, session);
+    {
+      give_news (self, host, session);
+      give_crashes (self, host, session);
+    }
   if (beat->keeper || !state || beat->config_number >= state->number)
     return;
   if (!first && now < self->given_at + GIVE_AGAIN_MS)
@@ -341,6 +375,8 @@
     }
   else if (type == MARJORAM_FRAME_NEWS_SEEN)
     marjoram_registrar_seen (self->registrar, seen->ticket);
+  else if (type == MARJORAM_FRAME_CRASHES)
+    hear_crashes (self, host, message);
   marjoram_wire_destroy (marjoram_frame_layout (type), message);
 }
 
@@ -437,6 +473,7 @@
   marjoram_keeper_tick (self->keeper, now);
   marjoram_registrar_tick (self->registrar, now);
   marjoram_registry_tick (self->registry, now);
+  marjoram_crash_list_tick (self->crashes, now);
   take_care (self, now);
 }
 
@@ -462,6 +499,7 @@
   marjoram_registrar_destroy (self->registrar);
   marjoram_registry_destroy (self->registry);
   marjoram_keeper_care_destroy (self->care);
+  marjoram_crash_list_destroy (self->crashes);
   marjoram_random_destroy (self->random);
   free (self);
 }
@@ -536,6 +574,7 @@
   self->parts = parts;
   self->random = marjoram_random_create (seed);
   self->registry = marjoram_registry_create ();
+  self->crashes = marjoram_crash_list_create ();
   self->care = marjoram_keeper_care_create (parts->settings->ip);
   create_registrar (self);
   if (create_keeper (self, err))
--- a/src/request.c
+++ b/src/request.c
@@ -1,18 +1,13 @@
 #include "request.h"
 
 #include "cleanup.h"
+#include "digest.h"
 #include "host_state.h"
 #include "log.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
-enum
-{
-  DIGEST_BYTES = 16
-};
-
 struct marjoram_requests *
 marjoram_requests_create (void)
 {
@@ -54,30 +49,12 @@
   free (host->requests);
 }
 
-/* The request as its sender means it: the same digest on a resend.  */
-static void
-digest_call (const struct marjoram_request *request, char *digest)
-{
-  const struct marjoram_call *call = request->call;
-  const char *const texts[] = { call->work, call->method, call->path };
-  crypto_generichash_state hash;
-  uint8_t code[DIGEST_BYTES];
-
-  crypto_generichash_init (&hash, NULL, 0, sizeof code);
-  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
-    crypto_generichash_update (&hash, (const uint8_t *)texts[i],
-                               strlen (texts[i]) + 1);
-  crypto_generichash_update (&hash, marjoram_bytes_data (call->body),
-                             marjoram_bytes_size (call->body));
-  crypto_generichash_final (&hash, code, sizeof code);
-  sodium_bin2hex (digest, 2 * DIGEST_BYTES + 1, code, sizeof code);
-}
-
 struct marjoram_request *
 marjoram_request_create (marjoram_host *host, int64_t now,
                          const struct marjoram_origin_ops *origin,
                          struct marjoram_call *call)
 {
+  const char *const texts[] = { call->work, call->method, call->path };
   struct marjoram_request *request = marjoram_alloc (sizeof *request);
 
   request->origin = origin;
@@ -85,7 +62,8 @@
   request->arrived = now;
   request->remote_zone = -1;
   STAILQ_INIT (&request->pieces);
-  digest_call (request, request->digest);
+  marjoram_digest_request (texts, sizeof texts / sizeof *texts, call->body,
+                           request->digest);
   TAILQ_INSERT_TAIL (&host->requests->all, request, all);
   host->requests->count++;
   return request;
--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -244,6 +244,8 @@
   note (replica, "run", id);
   if (asks_for (request, "hang"))
     return;
+  if (asks_for (request, "crash"))
+    _exit (EXIT_FAILURE);
   if (asks_for (request, "break"))
     marjoram_http_server_cut (replica->server, call);
   else if (asks_for (request, "fail"))
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -12,48 +12,32 @@
   LONG_AGO_MS = -60000
 };
 
-#define ROUTE(name, kind, service, rest)                                      \
-  "{\"name\":\"" name "\",\"host\":\"a.example\",\"path_prefix\":\"/" name    \
-  "/\",\"kind\":\"" kind "\",\"service\":\"" service "\"," rest "}"
-
-static const char config[] = "{\"version\":3,\"routes\":[" ROUTE (
-    "flip", "non_idempotent", "app",
-    "\"timeout_ms\":1500,\"target_latency_ms\":300,"
-    "\"max_attempts\":1") "," ROUTE ("get", "idempotent", "app",
-                                     "\"timeout_ms\":1500,\"target_latency_"
-                                     "ms\":300,"
-                                     "\"max_attempts\":2") "," ROUTE ("ask",
-                                                                      "streami"
-                                                                      "ng",
-                                                                      "lm",
-                                                                      "\"timeo"
-                                                                      "ut_"
-                                                                      "ms\":"
-                                                                      "8000,"
-                                                                      "\"targe"
-                                                                      "t_"
-                                                                      "latency"
-                                                                      "_ms\":"
-                                                                      "800,"
-                                                                      "\"max_"
-                                                                      "attempt"
-                                                                      "s\":2,"
-                                                                      "\"resum"
-                                                                      "able\":"
-                                                                      "true") "," ROUTE ("digest",
-                                                                                         "streaming",
-                                                                                         "lm",
-                                                                                         "\"timeout_ms\":5000,\"target_latency_ms\":1000,"
-                                                                                         "\"max_attempts\":1,\"resumable\":false") "," ROUTE ("home",
-                                                                                                                                              "streaming",
-                                                                                                                                              "lm",
-                                                                                                                                              "\"timeout_ms\":5000,\"target_latency_ms\":1000,"
-                                                                                                                                              "\"max_attempts\":2,\"resumable\":true,"
-                                                                                                                                              "\"home_regions\":[\"r2\"]") "],\"services\":[{\"name\":\"lm\",\"health_path\":\"/h\","
-                                                                                                                                                                           "\"engine\":{\"slots\":64,\"kv_capacity\":250000}},"
-                                                                                                                                                                           "{\"name\":\"app\",\"health_path\":\"/h\"}],"
-                                                                                                                                                                           "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-                                                                                                                                                                           "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+/* clang-format off */
+static const char config[] =
+  "{\"version\":3,\"routes\":["
+  "{\"name\":\"flip\",\"host\":\"a.example\",\"path_prefix\":\"/flip/\","
+  " \"kind\":\"non_idempotent\",\"service\":\"app\",\"timeout_ms\":1500,"
+  " \"target_latency_ms\":300,\"max_attempts\":1},"
+  "{\"name\":\"get\",\"host\":\"a.example\",\"path_prefix\":\"/get/\","
+  " \"kind\":\"idempotent\",\"service\":\"app\",\"timeout_ms\":1500,"
+  " \"target_latency_ms\":300,\"max_attempts\":2},"
+  "{\"name\":\"ask\",\"host\":\"a.example\",\"path_prefix\":\"/ask/\","
+  " \"kind\":\"streaming\",\"service\":\"lm\",\"timeout_ms\":8000,"
+  " \"target_latency_ms\":800,\"max_attempts\":2,\"resumable\":true},"
+  "{\"name\":\"digest\",\"host\":\"a.example\",\"path_prefix\":\"/digest/\","
+  " \"kind\":\"streaming\",\"service\":\"lm\",\"timeout_ms\":5000,"
+  " \"target_latency_ms\":1000,\"max_attempts\":1,\"resumable\":false},"
+  "{\"name\":\"home\",\"host\":\"a.example\",\"path_prefix\":\"/home/\","
+  " \"kind\":\"streaming\",\"service\":\"lm\",\"timeout_ms\":5000,"
+  " \"target_latency_ms\":1000,\"max_attempts\":2,\"resumable\":true,"
+  " \"home_regions\":[\"r2\"]}],"
+  "\"services\":["
+  "{\"name\":\"lm\",\"health_path\":\"/h\","
+  " \"engine\":{\"slots\":64,\"kv_capacity\":250000}},"
+  "{\"name\":\"app\",\"health_path\":\"/h\"}],"
+  "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+  " \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+/* clang-format on */
 
 static void
 op_head (void *context, uint64_t call, int status,
@@ -283,6 +267,18 @@
   marjoram_gateway_set_table (f->gateway, 0, f->table);
 }
 
+void
+gateway_fixture_restart (struct gateway_fixture *f, int64_t now,
+                         const char *id, int64_t born)
+{
+  struct marjoram_upstream_news news
+      = marjoram_registry_find (f->registry, id)->news;
+
+  news.born = born;
+  news.sequence = 1;
+  marjoram_registry_hear (f->registry, now, &news, 0);
+}
+
 uint64_t
 gateway_fixture_call (struct gateway_fixture *f, int64_t now, const char *path)
 {
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -51,6 +51,9 @@
 void gateway_fixture_close (struct gateway_fixture *f);
 /* Puts the routes in force; until then there are none.  */
 void gateway_fixture_configure (struct gateway_fixture *f);
+/* Upstream ID is heard at NOW as one that has started anew at BORN.  */
+void gateway_fixture_restart (struct gateway_fixture *f, int64_t now,
+                              const char *id, int64_t born);
 /* A caller's request for PATH at NOW; returns its number.  Its id is
    "id-NUMBER".  */
 uint64_t gateway_fixture_call (struct gateway_fixture *f, int64_t now,
--- /dev/null
+++ b/test/test_crash_list.c
@@ -0,0 +1,182 @@
+/* Requests that crash upstreams, and how hosts tell one another.  */
+#include "suite.h"
+
+#include "crash_list.h"
+
+#include <stdio.h>
+
+/* Two digests that differ.  */
+#define KILLER "0123456789abcdef0123456789abcdef"
+#define INNOCENT "fedcba9876543210fedcba9876543210"
+
+static marjoram_crash_list *list;
+
+static void
+setup (void)
+{
+  list = marjoram_crash_list_create ();
+}
+
+static void
+teardown (void)
+{
+  marjoram_crash_list_destroy (list);
+}
+
+static bool
+convicts (const char *digest)
+{
+  return marjoram_crash_list_convicts (list, 0, digest);
+}
+
+/* Passes what FROM has seen on to TO; returns how many lines.  */
+static size_t
+pass_on (marjoram_crash_list *from, marjoram_crash_list *to)
+{
+  struct marjoram_crash_report told;
+  size_t count;
+
+  if (!marjoram_crash_list_take_report (from, &told))
+    return 0;
+  count = told.items.count;
+  marjoram_crash_list_hear (to, 0, &told);
+  marjoram_wire_clear (&marjoram_crash_report_layout, &told);
+  return count;
+}
+
+/* A request that kills engines comes again and again; the engines' batch mates
+   are tried again and answered.  After the third engine the killer is known,
+   and the mates, which died with engines once or twice, are not refused.  */
+START_TEST (third_death_convicts)
+{
+  marjoram_crash_list_died (list, 0, KILLER, "u1", 5);
+  marjoram_crash_list_died (list, 0, INNOCENT, "u1", 5);
+  marjoram_crash_list_answered (list, INNOCENT);
+  marjoram_crash_list_died (list, 0, KILLER, "u2", 5);
+  ck_assert (!convicts (KILLER));
+  marjoram_crash_list_died (list, 0, KILLER, "u3", 5);
+  ck_assert (convicts (KILLER));
+  ck_assert (!convicts (INNOCENT));
+}
+END_TEST
+
+/* One death is told by every connection that was open there, and by two hosts
+   that had sent the same request: it is one death all the same.  The next
+   start of the same upstream is another.  */
+START_TEST (one_death_counts_once)
+{
+  for (int i = 0; i < 5; i++)
+    marjoram_crash_list_died (list, 0, KILLER, "u1", 5);
+  ck_assert (!convicts (KILLER));
+  marjoram_crash_list_died (list, 0, KILLER, "u1", 6);
+  marjoram_crash_list_died (list, 0, KILLER, "u1", 7);
+  ck_assert (convicts (KILLER));
+}
+END_TEST
+
+/* Callers poll with the same words.  All of a region's upstreams lose power
+   while each of them runs that request: it was answered a moment before, so it
+   is not what took them down, and callers must not be refused for it.  */
+START_TEST (what_is_often_answered_is_not_convicted)
+{
+  marjoram_crash_list_answered (list, INNOCENT);
+  marjoram_crash_list_died (list, 0, INNOCENT, "u1", 5);
+  marjoram_crash_list_died (list, 0, INNOCENT, "u2", 5);
+  marjoram_crash_list_died (list, 0, INNOCENT, "u3", 5);
+  ck_assert (!convicts (INNOCENT));
+}
+END_TEST
+
+/* The same at a host that has just started and knows of no answers: the others
+   hear its news, say that the request was answered there, and clear it.  */
+START_TEST (other_hosts_clear_what_they_have_answered)
+{
+  marjoram_crash_list *other = marjoram_crash_list_create ();
+
+  marjoram_crash_list_answered (other, INNOCENT);
+  marjoram_crash_list_died (list, 0, INNOCENT, "u1", 5);
+  marjoram_crash_list_died (list, 0, INNOCENT, "u2", 5);
+  marjoram_crash_list_died (list, 0, INNOCENT, "u3", 5);
+  ck_assert (convicts (INNOCENT));
+  ck_assert_uint_eq (pass_on (list, other), 3);
+  ck_assert (!marjoram_crash_list_convicts (other, 0, INNOCENT));
+  ck_assert_uint_gt (pass_on (other, list), 0);
+  ck_assert (!convicts (INNOCENT));
+  marjoram_crash_list_destroy (other);
+}
+END_TEST
+
+/* The killer comes to another host each time.  */
+START_TEST (deaths_at_several_hosts_add_up)
+{
+  marjoram_crash_list *other = marjoram_crash_list_create ();
+  struct marjoram_crash_report all;
+
+  marjoram_crash_list_died (list, 0, KILLER, "u1", 5);
+  marjoram_crash_list_died (list, 0, KILLER, "u2", 5);
+  marjoram_crash_list_died (other, 0, KILLER, "u3", 5);
+  ck_assert_uint_eq (pass_on (other, list), 1);
+  ck_assert (convicts (KILLER));
+  /* A host that starts now is told all at once.  */
+  marjoram_crash_list_all (list, &all);
+  marjoram_crash_list_hear (other, 0, &all);
+  ck_assert (marjoram_crash_list_convicts (other, 0, KILLER));
+  marjoram_wire_clear (&marjoram_crash_report_layout, &all);
+  marjoram_crash_list_destroy (other);
+}
+END_TEST
+
+/* What others report can't be trusted to be well formed.  */
+START_TEST (malformed_news_name_nothing)
+{
+  struct marjoram_crash_item items[]
+      = { { NULL, "u1/5" }, { "short", "u1/5" }, { KILLER, NULL } };
+  const struct marjoram_crash_report heard = { { items, 3 } };
+
+  marjoram_crash_list_hear (list, 0, &heard);
+  ck_assert_uint_eq (marjoram_crash_list_count (list), 0);
+}
+END_TEST
+
+START_TEST (old_deaths_are_forgotten)
+{
+  marjoram_crash_list_died (list, 0, KILLER, "u1", 5);
+  marjoram_crash_list_tick (list, 599999);
+  ck_assert_uint_eq (marjoram_crash_list_count (list), 1);
+  marjoram_crash_list_tick (list, 600000);
+  ck_assert_uint_eq (marjoram_crash_list_count (list), 0);
+}
+END_TEST
+
+/* Thousands of requests die with upstreams: the list stays bounded.  */
+START_TEST (list_is_bounded)
+{
+  char digest[33];
+
+  for (int i = 0; i < 10000; i++)
+    {
+      snprintf (digest, sizeof digest, "%016x%016x", i + 1, i);
+      marjoram_crash_list_died (list, 0, digest, "u1", 5);
+    }
+  ck_assert_uint_eq (marjoram_crash_list_count (list), 4096);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *all = suite_create ("crash_list");
+  TCase *tests = tcase_create ("crash_list");
+
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_test (tests, third_death_convicts);
+  tcase_add_test (tests, one_death_counts_once);
+  tcase_add_test (tests, what_is_often_answered_is_not_convicted);
+  tcase_add_test (tests, other_hosts_clear_what_they_have_answered);
+  tcase_add_test (tests, deaths_at_several_hosts_add_up);
+  tcase_add_test (tests, malformed_news_name_nothing);
+  tcase_add_test (tests, old_deaths_are_forgotten);
+  tcase_add_test (tests, list_is_bounded);
+  suite_add_tcase (all, tests);
+  return all;
+}
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -438,6 +438,47 @@
 }
 END_TEST
 
+/* A request kills each upstream that begins to run it, with all that runs
+   there, and its caller sends it again and again.  After the third upstream it
+   is refused for good, while others with the same path are served.  */
+START_TEST (crashing_request_is_refused)
+{
+  for (int64_t i = 1; i <= 3; i++)
+    {
+      gateway_fixture_restart (&f, i * 1000, "p1", i);
+      gateway_fixture_call (&f, i * 1000, "/flip/x");
+      ck_assert_int_eq (f.seen.sends, i);
+      gateway_fixture_end (&f, i * 1000 + 10, MARJORAM_HTTP_BROKEN);
+      ck_assert_int_eq (f.seen.why.status, 502);
+    }
+  gateway_fixture_restart (&f, 4000, "p1", 4);
+  gateway_fixture_call (&f, 4000, "/flip/x");
+  ck_assert_int_eq (f.seen.sends, 3);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_CONVICTED);
+  ck_assert_int_eq (f.seen.why.status, 400);
+  gateway_fixture_call (&f, 4000, "/flip/y");
+  ck_assert_int_eq (f.seen.sends, 4);
+}
+END_TEST
+
+/* The same upstream is killed by another request each time, beside which this
+   one runs: it is answered in between, so it is not refused.  */
+START_TEST (innocent_request_is_not_refused)
+{
+  for (int64_t i = 1; i <= 6; i++)
+    {
+      gateway_fixture_restart (&f, i * 1000, "p1", i);
+      gateway_fixture_call (&f, i * 1000, "/flip/x");
+      ck_assert_int_eq (f.seen.sends, i);
+      if (i % 3 == 0)
+        serve (i * 1000 + 10, "ok");
+      else
+        gateway_fixture_end (&f, i * 1000 + 10, MARJORAM_HTTP_BROKEN);
+    }
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -471,6 +512,8 @@
   tcase_add_test (c, forwarded_request_does_not_cross_again);
   tcase_add_test (c, lost_link_is_no_refusal);
   tcase_add_test (c, repeats_stay_within_the_budget);
+  tcase_add_test (c, crashing_request_is_refused);
+  tcase_add_test (c, innocent_request_is_not_refused);
   suite_add_tcase (s, c);
   return s;
 }
