--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -24,6 +24,7 @@
   BEAT_MS = 300,
   EVENT_MS = 20,
   EVENTS = 5,
+  LONG_EVENTS = 150, /* three seconds */
   CALL_TIMEOUT_S = 1,
   SERVE_ON_MS = 500, /* after a leave was acknowledged */
   ADDRESS_MAX = 64,
@@ -210,7 +211,7 @@
 
 static void
 start_stream (struct replica *replica, uint64_t call, const char *id,
-              const char *last_event, bool cut)
+              const char *last_event, bool cut, int last)
 {
   struct marjoram_header_list headers = { 0 };
   struct stream *stream = marjoram_alloc (sizeof *stream);
@@ -223,7 +224,7 @@
   stream->replica = replica;
   stream->call = call;
   stream->next = last_event ? atoi (last_event) + 1 : 1;
-  stream->last = EVENTS;
+  stream->last = last;
   stream->cut = cut && !last_event;
   stream->timer = evtimer_new (replica->base, on_event, stream);
   evtimer_add (stream->timer, &wait);
@@ -255,7 +256,8 @@
   else if (asks_for (request, "/stream/"))
     start_stream (replica, call, id,
                   marjoram_header_list_get (headers, "Last-Event-Id"),
-                  asks_for (request, "cut"));
+                  asks_for (request, "cut"),
+                  asks_for (request, "long") ? LONG_EVENTS : EVENTS);
   else
     reply (replica, call, 200, id, replica->id);
 }
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -27,7 +27,9 @@
 
 local function settings (host)
   local seeds = {}
-  for i = 1, 3 do seeds[i] = ip (i) .. ":8146" end
+  for i, index in ipairs (host.seeds or { 1, 2, 3 }) do
+    seeds[i] = ip (index) .. ":8146"
+  end
   local text = "[gateway]\nrole = " .. host.role .. "\nname = " .. host.name
     .. "\nip = " .. host.ip .. "\nzone = " .. host.zone .. "\nregion = "
     .. host.region .. "\n"
@@ -45,12 +47,26 @@
     .. table.concat (seeds, ", ") .. "\n[zones]\nza = ra\nzb = rb\n"
 end
 
-function start_host (host)
-  local path = folder .. "/" .. host.name .. ".ini"
-  write (path, settings (host))
+-- Writes the settings of HOST, or TEXT in their place.
+function write_settings (host, text)
+  host.path = folder .. "/" .. host.name .. ".ini"
   host.log = folder .. "/" .. host.name .. ".log"
+  write (host.path, text or settings (host))
+end
+
+function start_host (host)
+  write_settings (host)
   host.pid = system.spawn ({ system.programs .. "/marjoramd", "--settings",
-                             path }, host.log)
+                             host.path }, host.log)
+end
+
+-- The same on a disk that takes no file of more than BLOCKS x 512 bytes.
+function start_on_small_disk (host, blocks)
+  write_settings (host)
+  host.pid = system.spawn (
+    { "/bin/sh", "-c", string.format (
+        "trap '' XFSZ; ulimit -f %d; exec %s/marjoramd --settings %s", blocks,
+        system.programs, host.path) }, "/dev/null")
 end
 
 function add_host (role, index, zone)
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -181,7 +181,7 @@
 {
   struct host *const all[] = { &entry, &other, &keeper };
 
-  for (size_t i = 0; i < sizeof all / sizeof *all; i++)
+  for (int i = 0; i < 3; i++)
     if (all[i]->links)
       stop (all[i]);
   event_base_free (base);
