Engines copy kept parts of a prompt from a neighbour instead of reading them

Ruled out: events of the engines' memories, which would tell nothing new; copies only of what was sent 150 or 400 ms before; other weights of reading and copying; a longer queue for callers that return (all tried, none better). Change: placement_copy finds who keeps most of a prompt in each zone; an engine copies from there what it lacks (9 ms instead of 86 for 3,780 tokens). Prompts ahead at most 100 ms, which replaces the bound for the second best. lib_load plays a load on simulated engines, for test_placement_load and bench_placement.

--- /dev/null
+++ b/bench/bench_placement.c
@@ -0,0 +1,93 @@
+/* Of a hundred callers with long prompts, how many are served in time, placed
+   by the hosts or by simple rules, at four loads of four simulated engines;
+   and how many thousand tokens of shared parts the engines read again.  */
+#include "lib_load.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  ENGINES = 4,
+  HOSTS = 4,
+  SESSIONS = 83,
+  SPAN_MS = 60000,
+  SEEDS = 5,
+  THOUSAND = 1000,
+  PERCENT = 100
+};
+
+static void
+add (struct load_result *sum, const struct load_result *one)
+{
+  sum->asked += one->asked;
+  sum->in_time += one->in_time;
+  sum->refused += one->refused;
+  sum->read_again += one->read_again;
+}
+
+static struct load_result
+play (enum load_way way, double reviews_per_s, double asks_per_s)
+{
+  struct load_result sum = { 0 };
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      const struct load_terms terms = {
+        .way = way,
+        .seed = seed,
+        .engines = ENGINES,
+        .hosts = HOSTS,
+        .reviews_per_s = reviews_per_s,
+        .asks_per_s = asks_per_s,
+        .sessions = SESSIONS,
+        .span_ms = SPAN_MS,
+      };
+      struct load_result one;
+
+      load_play (&terms, &one);
+      add (&sum, &one);
+    }
+  return sum;
+}
+
+static double
+share (int64_t part, int64_t whole)
+{
+  return PERCENT * (double)part / (double)whole;
+}
+
+static void
+compare (double reviews_per_s, double asks_per_s)
+{
+  struct load_result ours
+      = play (LOAD_PLACED_COPYING, reviews_per_s, asks_per_s);
+
+  for (int way = 0; way < LOAD_PLACED_COPYING; way++)
+    {
+      struct load_result theirs
+          = play ((enum load_way)way, reviews_per_s, asks_per_s);
+
+      printf ("metric=placement_in_time_%.0f_reviews value=%.1f unit=%% "
+              "baseline=%.1f baseline_name=%s\n",
+              reviews_per_s, share (ours.in_time, ours.asked),
+              share (theirs.in_time, theirs.asked),
+              load_way_name ((enum load_way)way));
+      printf ("metric=placement_read_again_%.0f_reviews value=%" PRId64
+              " unit=ktokens baseline=%" PRId64 " baseline_name=%s\n",
+              reviews_per_s, ours.read_again / THOUSAND,
+              theirs.read_again / THOUSAND,
+              load_way_name ((enum load_way)way));
+    }
+}
+
+int
+main (void)
+{
+  compare (8, 16);
+  compare (14, 24);
+  compare (20, 30);
+  compare (25, 35);
+  return EXIT_SUCCESS;
+}
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -40,6 +40,9 @@
   const char *upstream;   /* id of the one that is meant */
   const char *last_event; /* resume after it; null: as the caller said */
   int urgency;            /* 0 (first) to 9; -1: none */
+  /* IP:port of another upstream, from which it copies what that one keeps of
+     the prompt; null: from none.  */
+  const char *copy_from;
 };
 
 /* What the headers of an upstream's answer say.  */
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -93,7 +93,7 @@
 static void
 write_headers (marjoram_gateway *gateway,
                const struct marjoram_exchange *exchange, int64_t now,
-               struct marjoram_header_list *headers)
+               const char *copy_from, struct marjoram_header_list *headers)
 {
   const struct marjoram_dialect_ops *dialect = gateway->options.dialect->ops;
   const struct marjoram_http_request *request = exchange->request;
@@ -101,6 +101,7 @@
     .patience_ms = patience_left (exchange, now),
     .upstream = exchange->upstream,
     .last_event = last_event (exchange),
+    .copy_from = copy_from,
     .urgency = !exchange->stream                  ? -1
                : exchange->priority < URGENCY_MAX ? exchange->priority
                                                   : URGENCY_MAX,
@@ -119,14 +120,15 @@
 
 static marjoram_bytes *
 write_message (marjoram_gateway *gateway,
-               const struct marjoram_exchange *exchange, int64_t now)
+               const struct marjoram_exchange *exchange, int64_t now,
+               const char *copy_from)
 {
   const struct marjoram_http_request *request = exchange->request;
   struct marjoram_header_list headers = { 0 };
   struct evbuffer *buffer = evbuffer_new ();
   marjoram_bytes *message;
 
-  write_headers (gateway, exchange, now, &headers);
+  write_headers (gateway, exchange, now, copy_from, &headers);
   evbuffer_add_printf (buffer, "%s %s HTTP/1.1\r\n", request->method,
                        request->target);
   for (size_t i = 0; i < headers.count; i++)
@@ -194,7 +196,9 @@
     exchange->silent_at = now + SILENT_MS + SILENT_FACTOR * place->wait_ms;
   send.attempt = exchange->attempt;
   send.address = place->upstream->news.address;
-  send.message = write_message (gateway, exchange, now);
+  send.message = write_message (
+      gateway, exchange, now,
+      place->copy_from ? place->copy_from->news.address : NULL);
   send.head_only = strcmp (exchange->request->method, "HEAD") == 0;
   send.careful = !exchange->repeatable;
   gateway->ops->send (gateway->context, &send);
@@ -382,8 +386,10 @@
   marjoram_placement_choose (gateway->placement, now, &query, &chosen);
   exchange->place = chosen;
   exchange->place.upstream = NULL;
+  exchange->place.copy_from = NULL;
   exchange->waited_ms = chosen.wait_ms;
   query.expected_ms = chosen.wait_ms;
+  query.copied_tokens = chosen.copied_tokens;
   if (chosen.outcome == MARJORAM_PLACE_FOUND)
     send_to (gateway, exchange, now, &chosen, &query);
   else if (!cross (gateway, exchange, route, now,
--- a/src/placement.c
+++ b/src/placement.c
@@ -166,6 +166,22 @@
   return speed;
 }
 
+/* A start of the same upstream holds nothing of before.  */
+void
+marjoram_spot_check_life (struct marjoram_spot *spot,
+                          const struct marjoram_registered *upstream)
+{
+  if (spot->born == upstream->news.born)
+    return;
+  /* What other hosts placed may be heard of before its own news.  */
+  if (spot->born != MARJORAM_BORN_UNKNOWN)
+    marjoram_engine_memory_clear (spot->memory);
+  spot->born = upstream->news.born;
+  spot->paused_until = 0;
+  spot->unreached = 0;
+  spot->broken = 0;
+}
+
 int64_t
 marjoram_spot_read_per_s (struct marjoram_spot *spot, int64_t now)
 {
@@ -203,15 +219,15 @@
     }
   return sum;
 }
+
 int64_t
-marjoram_spot_unread (const struct marjoram_spot *spot,
-                      const struct marjoram_call_facts *facts)
+marjoram_spot_kept (const struct marjoram_spot *spot,
+                    const struct marjoram_call_facts *facts)
 {
   int64_t kept = marjoram_engine_memory_kept (spot->memory, facts->parts,
                                               facts->part_count);
-  int64_t unread = facts->prompt_tokens - kept;
 
-  return unread > 0 ? unread : 0;
+  return kept < facts->prompt_tokens ? kept : facts->prompt_tokens;
 }
 
 int64_t
@@ -276,7 +292,9 @@
   TAILQ_INSERT_TAIL (&spot->unanswered, attempt, link);
   if (query->service->has_engine)
     {
-      attempt->unread = marjoram_spot_unread (spot, query->facts);
+      attempt->unread = query->facts->prompt_tokens
+                        - marjoram_spot_kept (spot, query->facts)
+                        - query->copied_tokens;
       attempt->ahead = marjoram_load_ahead (&load, query->priority);
       attempt->answer = (int64_t)marjoram_answer_tokens (query->facts);
       attempt->held = attempt->unread + attempt->answer;
--- a/src/placement.h
+++ b/src/placement.h
@@ -40,7 +40,9 @@
   /* When the first event, or the whole answer, is of use at the latest; a wait
      beyond it is refused.  */
   int64_t useful_ms;
-  int64_t expected_ms; /* for an attempt that starts: the wait of its place */
+  /* Of an attempt that starts: what its place said.  */
+  int64_t expected_ms;
+  int64_t copied_tokens;
   const char *tried[MARJORAM_TRIED_MAX];
   size_t tried_count;
   bool again; /* an upstream that was tried is better than none */
@@ -57,6 +59,10 @@
 {
   enum marjoram_place_outcome outcome;
   const struct marjoram_registered *upstream; /* FOUND */
+  /* Another engine, from which it copies what that one keeps of the prompt;
+     null if it has nothing to copy.  */
+  const struct marjoram_registered *copy_from;
+  int64_t copied_tokens;
   int64_t wait_ms;  /* to the first event, as estimated; 0 if NONE */
   int64_t retry_ms; /* unless FOUND: when it is worth to come again */
   /* What decided, for the log.  */
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -1,3 +1,4 @@
+#include "placement_copy.h"
 #include "placement_private.h"
 
 #include <string.h>
@@ -40,38 +41,18 @@
   /* Most prompts ahead of a request, as time to read them.  With a longer
      queue every answer of the engine slows down and its pauses pass what
      callers accept: without a bound the mean worth of what callers got was
-     0.10 lower on six days, with 300 ms 0.04, with 60 to 150 ms it was the
-     same.  */
-  BACKLOG_MAX_MS = 150,
+     0.10 lower on six days, with 300 ms 0.04, with 150 ms 0.005 on 24 days of
+     load; with 70 ms too many are refused, and it was as much lower.  */
+  BACKLOG_MAX_MS = 100,
   /* What one in time may cost more than the cheapest that is late; 50 was the
      same.  */
   SECOND_BEST_MS = 100,
-  /* Most prompts ahead at one that is taken though it is not the cheapest, as
-     time to read them.  With 60 the mean worth of what callers got was the
-     same, with 150 it was 0.005 lower, hardly more than two runs differ.  */
-  SECOND_BEST_BACKLOG_MS = 100,
   RETRY_SOON_MS = 250,
   MSEC_PER_SEC = 1000
 };
 
 /* ---- The choice.  ---- */
 
-/* A start of the same upstream holds nothing of before.  */
-static void
-check_life (struct marjoram_spot *spot,
-            const struct marjoram_registered *upstream)
-{
-  if (spot->born == upstream->news.born)
-    return;
-  /* What other hosts placed may be heard of before its own news.  */
-  if (spot->born != MARJORAM_BORN_UNKNOWN)
-    marjoram_engine_memory_clear (spot->memory);
-  spot->born = upstream->news.born;
-  spot->paused_until = 0;
-  spot->unreached = 0;
-  spot->broken = 0;
-}
-
 /* Connections that broke may mean that the upstream started anew under its old
    id, cold; sent at full rate before its next heartbeat says so, it would
    crash.  */
@@ -112,10 +93,11 @@
   return false;
 }
 
-static bool
-is_candidate (marjoram_placement *placement,
-              const struct marjoram_registered *upstream,
-              const struct marjoram_place_query *query, int64_t now)
+bool
+marjoram_placement_is_candidate (marjoram_placement *placement,
+                                 const struct marjoram_registered *upstream,
+                                 const struct marjoram_place_query *query,
+                                 int64_t now)
 {
   const struct marjoram_placement_options *options = &placement->options;
   const char *region;
@@ -195,13 +177,15 @@
 
 static struct estimate
 estimate_engine (marjoram_placement *placement, struct marjoram_spot *spot,
-                 const struct marjoram_place_query *query, int64_t now)
+                 const struct marjoram_place_query *query,
+                 const struct marjoram_copy *copy, int64_t now)
 {
   struct marjoram_service_speed *speed
       = marjoram_placement_speed (placement, query->service->name);
   struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
-  double unread_ms = (double)marjoram_spot_unread (spot, query->facts)
-                     / speed->tokens_per_ms;
+  double unread_ms
+      = (double)(query->facts->prompt_tokens - copy->kept - copy->tokens)
+        / speed->tokens_per_ms;
   double ahead_ms = (double)marjoram_load_ahead (&load, query->priority)
                     / speed->tokens_per_ms;
   struct estimate estimate;
@@ -209,7 +193,7 @@
   spot->capacity = query->service->engine.kv_capacity;
   estimate.backlog_ms = ahead_ms;
   estimate.wait_ms
-      = ahead_ms + unread_ms + late_ms (spot, now)
+      = ahead_ms + unread_ms + copy->ms + late_ms (spot, now)
         + queue_ms (&load, query->service->engine.slots, speed->request_ms);
   estimate.cost_ms = estimate.wait_ms + (READ_WEIGHT - 1) * unread_ms
                      + harm_ms (&load, speed, query->facts, unread_ms);
@@ -238,11 +222,12 @@
 static struct estimate
 estimate_spot (marjoram_placement *placement, struct marjoram_spot *spot,
                const struct marjoram_registered *upstream,
-               const struct marjoram_place_query *query, int64_t now)
+               const struct marjoram_place_query *query,
+               const struct marjoram_copy *copy, int64_t now)
 {
   struct estimate estimate
       = query->service->has_engine
-            ? estimate_engine (placement, spot, query, now)
+            ? estimate_engine (placement, spot, query, copy, now)
             : estimate_plain (placement, spot, upstream, query, now);
 
   estimate.cost_ms *= 1 + FAILURE_WEIGHT * spot->failure_share;
@@ -282,17 +267,20 @@
 {
   const struct marjoram_registered *upstream; /* null if none */
   struct estimate estimate;
+  struct marjoram_copy copy;
 };
 
 static void
 take_cheaper (struct choice *choice,
               const struct marjoram_registered *upstream,
-              const struct estimate *estimate)
+              const struct estimate *estimate,
+              const struct marjoram_copy *copy)
 {
   if (choice->upstream && estimate->cost_ms >= choice->estimate.cost_ms)
     return;
   choice->upstream = upstream;
   choice->estimate = *estimate;
+  choice->copy = *copy;
 }
 
 /* Where the cheapest is late, one in time takes the request if it costs little
@@ -305,31 +293,34 @@
              struct marjoram_place *place, struct choice *cheapest,
              struct choice *in_time)
 {
+  struct marjoram_copy_sources sources;
   struct marjoram_registered *upstream;
 
+  marjoram_copy_sources_find (&sources, placement, query, now);
   TAILQ_FOREACH (upstream, marjoram_registry_all (placement->options.registry),
                  link)
   {
     struct marjoram_spot *spot;
     struct estimate estimate;
+    struct marjoram_copy copy;
 
-    if (!is_candidate (placement, upstream, query, now))
+    if (!marjoram_placement_is_candidate (placement, upstream, query, now))
       continue;
     place->candidates++;
     if (now - upstream->heard_at > place->news_age_ms)
       place->news_age_ms = now - upstream->heard_at;
     spot = marjoram_spot_find (placement, upstream->news.id);
-    check_life (spot, upstream);
+    marjoram_spot_check_life (spot, upstream);
     if (!may_use (placement, spot, upstream, query, now))
       continue;
     place->usable++;
-    estimate = estimate_spot (placement, spot, upstream, query, now);
+    marjoram_copy_sources_best (&sources, spot, upstream, query, &copy);
+    estimate = estimate_spot (placement, spot, upstream, query, &copy, now);
     if (was_tried (query, spot->id))
       estimate.cost_ms += (double)query->useful_ms;
-    take_cheaper (cheapest, upstream, &estimate);
-    if (estimate.backlog_ms <= SECOND_BEST_BACKLOG_MS
-        && is_in_time (&estimate, query))
-      take_cheaper (in_time, upstream, &estimate);
+    take_cheaper (cheapest, upstream, &estimate, &copy);
+    if (is_in_time (&estimate, query))
+      take_cheaper (in_time, upstream, &estimate, &copy);
   }
 }
 
@@ -338,8 +329,8 @@
                            const struct marjoram_place_query *query,
                            struct marjoram_place *place)
 {
-  struct choice cheapest = { NULL, { 0, 0, 0 } };
-  struct choice in_time = { NULL, { 0, 0, 0 } };
+  struct choice cheapest = { 0 };
+  struct choice in_time = { 0 };
   const struct choice *taken = &cheapest;
 
   memset (place, 0, sizeof *place);
@@ -353,6 +344,8 @@
              <= cheapest.estimate.cost_ms + SECOND_BEST_MS)
     taken = &in_time;
   place->upstream = taken->upstream;
+  place->copy_from = taken->copy.from;
+  place->copied_tokens = taken->copy.tokens;
   place->wait_ms = (int64_t)taken->estimate.wait_ms;
   place->backlog_ms = (int64_t)taken->estimate.backlog_ms;
   place->outcome = is_in_time (&taken->estimate, query) ? MARJORAM_PLACE_FOUND
@@ -377,6 +370,7 @@
   const struct marjoram_call_facts nothing = { 0 };
   const struct marjoram_place_query query
       = { .service = service, .facts = &nothing, .priority = 1 };
+  const struct marjoram_copy no_copy = { 0 };
   struct marjoram_registered *upstream;
 
   memset (offer, 0, sizeof *offer);
@@ -386,12 +380,13 @@
   {
     struct marjoram_spot *spot;
 
-    if (!is_candidate (placement, upstream, &query, now))
+    if (!marjoram_placement_is_candidate (placement, upstream, &query, now))
       continue;
     spot = marjoram_spot_find (placement, upstream->news.id);
     if (now < spot->paused_until || is_cold (spot, upstream, service, now))
       continue;
     raise_offer (
-        offer, estimate_spot (placement, spot, upstream, &query, now).wait_ms);
+        offer, estimate_spot (placement, spot, upstream, &query, &no_copy, now)
+                   .wait_ms);
   }
 }
--- /dev/null
+++ b/src/placement_copy.c
@@ -0,0 +1,112 @@
+#include "placement_copy.h"
+
+#include <string.h>
+
+enum
+{
+  /* Fewer tokens are read as fast as a copy is set up, 1.3 ms.  */
+  COPY_TOKENS_MIN = 64
+};
+
+/* Until a copy begins.  */
+#define COPY_SETUP_MS 1.3
+
+static struct marjoram_copy_zone *
+find_zone (struct marjoram_copy_sources *sources, const char *zone)
+{
+  struct marjoram_copy_zone *found;
+
+  for (size_t i = 0; i < sources->zone_count; i++)
+    if (strcmp (sources->zones[i].zone, zone) == 0)
+      return &sources->zones[i];
+  if (sources->zone_count == MARJORAM_COPY_ZONES_MAX)
+    return NULL;
+  found = &sources->zones[sources->zone_count++];
+  memset (found, 0, sizeof *found);
+  found->zone = zone;
+  return found;
+}
+
+static void
+add_source (struct marjoram_copy_zone *zone,
+            const struct marjoram_registered *upstream, int64_t kept)
+{
+  const struct marjoram_copy_source source = { upstream, kept };
+
+  if (kept > zone->first.kept)
+    {
+      zone->second = zone->first;
+      zone->first = source;
+    }
+  else if (kept > zone->second.kept)
+    zone->second = source;
+}
+
+/* One whose connections broke may have started anew, and keeps nothing.  */
+static bool
+may_give (const struct marjoram_spot *spot,
+          const struct marjoram_registered *upstream, int64_t now)
+{
+  return now >= spot->paused_until && now >= spot->doubted_until
+         && (spot->lost_at == 0 || upstream->heard_at > spot->lost_at);
+}
+
+void
+marjoram_copy_sources_find (struct marjoram_copy_sources *sources,
+                            marjoram_placement *placement,
+                            const struct marjoram_place_query *query,
+                            int64_t now)
+{
+  struct marjoram_registered *upstream;
+
+  sources->zone_count = 0;
+  if (query->service->engine.copied_per_ms <= 0
+      || query->facts->part_count == 0)
+    return;
+  TAILQ_FOREACH (upstream, marjoram_registry_all (placement->options.registry),
+                 link)
+  {
+    struct marjoram_copy_zone *zone;
+    struct marjoram_spot *spot;
+
+    if (!marjoram_placement_is_candidate (placement, upstream, query, now))
+      continue;
+    spot = marjoram_spot_find (placement, upstream->news.id);
+    marjoram_spot_check_life (spot, upstream);
+    zone = find_zone (sources, upstream->news.zone);
+    if (zone && may_give (spot, upstream, now))
+      add_source (zone, upstream, marjoram_spot_kept (spot, query->facts));
+  }
+}
+
+static const struct marjoram_copy_source *
+source_for (const struct marjoram_copy_sources *sources,
+            const struct marjoram_registered *upstream)
+{
+  for (size_t i = 0; i < sources->zone_count; i++)
+    if (strcmp (sources->zones[i].zone, upstream->news.zone) == 0)
+      return sources->zones[i].first.upstream == upstream
+                 ? &sources->zones[i].second
+                 : &sources->zones[i].first;
+  return NULL;
+}
+
+void
+marjoram_copy_sources_best (const struct marjoram_copy_sources *sources,
+                            const struct marjoram_spot *spot,
+                            const struct marjoram_registered *upstream,
+                            const struct marjoram_place_query *query,
+                            struct marjoram_copy *copy)
+{
+  const struct marjoram_copy_source *source = source_for (sources, upstream);
+
+  memset (copy, 0, sizeof *copy);
+  copy->kept = marjoram_spot_kept (spot, query->facts);
+  if (!source || !source->upstream
+      || source->kept - copy->kept < COPY_TOKENS_MIN)
+    return;
+  copy->from = source->upstream;
+  copy->tokens = source->kept - copy->kept;
+  copy->ms = COPY_SETUP_MS
+             + (double)copy->tokens / query->service->engine.copied_per_ms;
+}
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -104,6 +104,9 @@
 
 struct marjoram_spot *marjoram_spot_find (marjoram_placement *placement,
                                           const char *id);
+/* Forgets what is known of a former life of UPSTREAM, whose spot SPOT is.  */
+void marjoram_spot_check_life (struct marjoram_spot *spot,
+                               const struct marjoram_registered *upstream);
 void marjoram_spot_forget_told (struct marjoram_spot *spot,
                                 struct marjoram_told_load *told);
 /* Tokens of prompts a second that this host sends there, a mean.  */
@@ -111,9 +114,13 @@
 /* What runs there, from this host and from all that told lately.  */
 struct marjoram_spot_load_sum marjoram_spot_load (struct marjoram_spot *spot,
                                                   int64_t now);
-/* Tokens of the prompt that the engine has to read.  */
-int64_t marjoram_spot_unread (const struct marjoram_spot *spot,
-                              const struct marjoram_call_facts *facts);
+/* Tokens of the prompt that the engine keeps, at most all of them.  */
+int64_t marjoram_spot_kept (const struct marjoram_spot *spot,
+                            const struct marjoram_call_facts *facts);
+/* Whether UPSTREAM, of this region, may run QUERY at all.  */
+bool marjoram_placement_is_candidate (
+    marjoram_placement *placement, const struct marjoram_registered *upstream,
+    const struct marjoram_place_query *query, int64_t now);
 /* Unread tokens that delay a request of PRIORITY.  */
 int64_t marjoram_load_ahead (const struct marjoram_spot_load_sum *load,
                              int priority);
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -42,6 +42,9 @@
   int64_t slots; /* requests in one batch */
   int64_t
       kv_capacity; /* tokens that running requests and cached parts share */
+  /* Tokens of a prompt, read by another engine, that one copies from there in
+     a ms instead of reading them; 0 if it can't.  */
+  double copied_per_ms;
 };
 
 struct marjoram_service_rule
--- /dev/null
+++ b/test/lib_load.c
@@ -0,0 +1,507 @@
+#include "lib_load.h"
+
+#include "cleanup.h"
+#include "engine_memory.h"
+#include "placement.h"
+#include "random.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+enum
+{
+  ENGINES_MAX = 64,
+  HOSTS_MAX = 16,
+  SLOTS = 64,
+  CAPACITY = 250000, /* tokens */
+  REPORT_MS = 100,
+  CLASSES = 4,
+  CLASS_TOKENS = 2520,
+  SESSION_TOKENS = 3780,
+  REVIEW_TOKENS = 2890, /* its own */
+  REVIEW_ANSWER = 49,
+  REVIEW_OBJECTIVE_MS = 1000,
+  ASK_PARTS = 12,
+  ASK_SHARED = 198,
+  ASK_TOKENS = 628,
+  ASK_ANSWER = 294,
+  ASK_OBJECTIVE_MS = 800,
+  SESSION_IDS = 1000,
+  ASK_IDS = 100000,
+  OWN_IDS = 1000000,
+  CHUNK = 4096,     /* tokens of prompts that one step reads at most */
+  EVENT_TOKENS = 7, /* of an answer */
+  PAUSE_MS = 600    /* longest between two events that is in time */
+};
+
+/* An engine of 70 billion parameters on one accelerator works in steps, each
+   of which reads a chunk of prompts and adds a token to each answer: tokens of
+   prompts that it reads, and that it copies, in a ms; ms of a step without
+   prompts.  */
+#define READ_PER_MS 44.2
+#define COPIED_PER_MS 404.0
+#define STEP_MS 3.4
+#define STEP_PER_ANSWER_MS 0.017
+
+struct job
+{
+  TAILQ_ENTRY (job) link;
+  uint64_t number;
+  int host;
+  struct marjoram_call_facts facts;
+  int64_t asked_at;
+  int64_t objective_ms;
+  double unread;  /* tokens, and copies as the tokens read in their time */
+  double in_step; /* the part of UNREAD that the step under way reads */
+  int answer;     /* tokens that are left */
+  int made;       /* tokens since the last event */
+  int64_t event_at;
+  bool answering;
+  bool paused; /* for too long, between two events */
+};
+
+struct sim_engine
+{
+  char id[16];
+  marjoram_engine_memory *memory;
+  TAILQ_HEAD (, job) jobs; /* in the order of their prompts */
+  int running;
+  double step_until; /* the end of the step under way, ms */
+};
+
+struct seen_part
+{
+  uint64_t part;
+  UT_hash_handle hh;
+};
+
+struct load
+{
+  const struct load_terms *terms;
+  struct load_result *result;
+  marjoram_random *random;
+  marjoram_registry *registry;
+  marjoram_host_list *hosts;
+  marjoram_placement *placements[HOSTS_MAX];
+  struct marjoram_service_rule service;
+  struct sim_engine engines[ENGINES_MAX];
+  struct seen_part *seen; /* read by some engine */
+  uint64_t jobs;
+  uint64_t turn;
+};
+
+const char *
+load_way_name (enum load_way way)
+{
+  static const char *const names[LOAD_WAY_COUNT]
+      = { "round-robin", "least-in-flight", "placed", "placed-copying" };
+
+  return names[way];
+}
+
+/* ---- What is known.  ---- */
+
+static const char *
+region_of (void *context, const char *zone)
+{
+  (void)context;
+  (void)zone;
+  return "r";
+}
+
+static bool
+is_evacuated (void *context, const char *zone)
+{
+  (void)context;
+  (void)zone;
+  return false;
+}
+
+static void
+hear_all (struct load *load, int64_t now)
+{
+  for (int i = 0; i < load->terms->engines; i++)
+    {
+      struct marjoram_upstream_news news
+          = { .born = 1, .sequence = now + 1, .ends_ms = -1, .slots = SLOTS };
+
+      snprintf (news.id, sizeof news.id, "%s", load->engines[i].id);
+      snprintf (news.service, sizeof news.service, "lm");
+      snprintf (news.address, sizeof news.address, "10.0.0.%d:80", i + 1);
+      snprintf (news.zone, sizeof news.zone, "z");
+      marjoram_registry_hear (load->registry, now, &news, 0);
+    }
+}
+
+static void
+open_load (struct load *load)
+{
+  struct marjoram_placement_options options = { .region = "r",
+                                                .region_of = region_of,
+                                                .is_evacuated = is_evacuated };
+
+  load->random = marjoram_random_create (load->terms->seed);
+  options.registry = load->registry = marjoram_registry_create ();
+  options.hosts = load->hosts = marjoram_host_list_create ();
+  load->service = (struct marjoram_service_rule){
+    .name = (char *)"lm",
+    .has_engine = true,
+    .engine = { .slots = SLOTS, .kv_capacity = CAPACITY },
+  };
+  if (load->terms->way == LOAD_PLACED_COPYING)
+    load->service.engine.copied_per_ms = COPIED_PER_MS;
+  for (int i = 0; i < load->terms->engines; i++)
+    {
+      struct sim_engine *engine = &load->engines[i];
+
+      snprintf (engine->id, sizeof engine->id, "e%d", i);
+      engine->memory = marjoram_engine_memory_create ();
+      TAILQ_INIT (&engine->jobs);
+    }
+  for (int i = 0; i < load->terms->hosts; i++)
+    {
+      char name[16];
+
+      snprintf (name, sizeof name, "h%d", i);
+      options.host = name;
+      load->placements[i] = marjoram_placement_create (&options);
+    }
+}
+
+static void
+close_load (struct load *load)
+{
+  struct seen_part *part;
+  struct seen_part *next;
+
+  for (int i = 0; i < load->terms->engines; i++)
+    {
+      struct sim_engine *engine = &load->engines[i];
+      struct job *job;
+
+      while ((job = TAILQ_FIRST (&engine->jobs)))
+        {
+          TAILQ_REMOVE (&engine->jobs, job, link);
+          /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+          free (job);
+        }
+      marjoram_engine_memory_destroy (engine->memory);
+    }
+  for (int i = 0; i < load->terms->hosts; i++)
+    marjoram_placement_destroy (load->placements[i]);
+  HASH_ITER (hh, load->seen, part, next)
+  {
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    HASH_DELETE (hh, load->seen, part);
+    free (part);
+  }
+  marjoram_registry_destroy (load->registry);
+  marjoram_host_list_destroy (load->hosts);
+  marjoram_random_destroy (load->random);
+}
+
+/* ---- Engines.  ---- */
+
+static bool
+was_seen (struct load *load, uint64_t id)
+{
+  struct seen_part *part;
+
+  HASH_FIND (hh, load->seen, &id, sizeof id, part);
+  if (part)
+    return true;
+  part = marjoram_alloc (sizeof *part);
+  part->part = id;
+  HASH_ADD (hh, load->seen, part, sizeof part->part, part);
+  return false;
+}
+
+/* Parts that the engine reads: those from KEPT tokens on.  */
+static void
+count_read (struct load *load, const struct job *job, int64_t kept)
+{
+  const struct marjoram_call_facts *facts = &job->facts;
+  int64_t before = 0;
+
+  for (size_t i = 0; i < facts->part_count; i++)
+    {
+      bool again = was_seen (load, facts->parts[i].id);
+
+      if (before >= kept)
+        {
+          load->result->read += facts->parts[i].tokens;
+          load->result->read_again += again ? facts->parts[i].tokens : 0;
+        }
+      before += facts->parts[i].tokens;
+    }
+}
+
+static int64_t
+kept_at (const struct sim_engine *engine, const struct job *job)
+{
+  return marjoram_engine_memory_kept (engine->memory, job->facts.parts,
+                                      job->facts.part_count);
+}
+
+static void
+start_job (struct load *load, struct sim_engine *engine,
+           const struct sim_engine *source, struct job *job)
+{
+  int64_t own = kept_at (engine, job);
+  int64_t kept = source ? kept_at (source, job) : 0;
+
+  if (kept < own)
+    kept = own;
+  load->result->copied += kept - own;
+  count_read (load, job, kept);
+  job->unread = (double)(job->facts.prompt_tokens - kept)
+                + (double)(kept - own) * READ_PER_MS / COPIED_PER_MS;
+  for (size_t i = job->facts.part_count; i > 0; i--)
+    marjoram_engine_memory_use (engine->memory, job->facts.parts[i - 1].id,
+                                job->facts.parts[i - 1].tokens, CAPACITY);
+  TAILQ_INSERT_TAIL (&engine->jobs, job, link);
+  engine->running++;
+}
+
+static void
+end_job (struct load *load, struct sim_engine *engine, struct job *job,
+         int64_t now)
+{
+  if (load->terms->way >= LOAD_PLACED)
+    marjoram_placement_ended (load->placements[job->host], now, job->number,
+                              MARJORAM_ATTEMPT_SERVED);
+  TAILQ_REMOVE (&engine->jobs, job, link);
+  engine->running--;
+  free (job);
+}
+
+static void
+first_event (struct load *load, struct job *job, int64_t now)
+{
+  job->answering = true;
+  job->event_at = now;
+  job->paused = now - job->asked_at > job->objective_ms;
+  if (load->terms->way >= LOAD_PLACED)
+    marjoram_placement_answering (load->placements[job->host], now,
+                                  job->number);
+}
+
+static void
+add_token (struct load *load, struct sim_engine *engine, struct job *job,
+           int64_t now)
+{
+  job->answer--;
+  if (++job->made == EVENT_TOKENS || job->answer == 0)
+    {
+      job->paused = job->paused || now - job->event_at > PAUSE_MS;
+      job->event_at = now;
+      job->made = 0;
+    }
+  if (job->answer > 0)
+    return;
+  if (job->paused)
+    load->result->late++;
+  else
+    load->result->in_time++;
+  end_job (load, engine, job, now);
+}
+
+static void
+end_step (struct load *load, struct sim_engine *engine, int64_t now)
+{
+  struct job *job;
+  struct job *next;
+
+  for (job = TAILQ_FIRST (&engine->jobs); job; job = next)
+    {
+      next = TAILQ_NEXT (job, link);
+      job->unread -= job->in_step;
+      job->in_step = 0;
+      if (job->answering)
+        add_token (load, engine, job, now);
+      else if (job->unread <= 0)
+        first_event (load, job, now);
+    }
+}
+
+static void
+start_step (struct sim_engine *engine, double now)
+{
+  double room = CHUNK;
+  struct job *job;
+
+  TAILQ_FOREACH (job, &engine->jobs, link)
+  {
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    if (job->answering)
+      continue;
+    job->in_step = job->unread < room ? job->unread : room;
+    room -= job->in_step;
+  }
+  engine->step_until = now + STEP_MS + STEP_PER_ANSWER_MS * engine->running
+                       + (CHUNK - room) / READ_PER_MS;
+}
+
+static void
+run_engine (struct load *load, struct sim_engine *engine, int64_t now)
+{
+  while (engine->running > 0 && engine->step_until <= (double)now)
+    {
+      end_step (load, engine, now);
+      start_step (engine, engine->step_until);
+    }
+  if (engine->running == 0)
+    engine->step_until = (double)now;
+}
+
+/* ---- Requests.  ---- */
+
+static struct job *
+make_job (struct load *load, int64_t now, bool review)
+{
+  struct job *job = marjoram_alloc (sizeof *job);
+  struct marjoram_call_facts *facts = &job->facts;
+  uint64_t drawn
+      = marjoram_random_below (load->random, (uint64_t)load->terms->sessions);
+
+  job->number = ++load->jobs;
+  job->host = (int)marjoram_random_below (load->random,
+                                          (uint64_t)load->terms->hosts);
+  job->asked_at = now;
+  job->objective_ms = review ? REVIEW_OBJECTIVE_MS : ASK_OBJECTIVE_MS;
+  snprintf (facts->id, sizeof facts->id, "%" PRIu64, job->number);
+  facts->answer_tokens_hint = review ? REVIEW_ANSWER : ASK_ANSWER;
+  job->answer = (int)facts->answer_tokens_hint;
+  if (review)
+    {
+      facts->parts[facts->part_count++]
+          = (struct marjoram_prompt_part){ 1 + drawn % CLASSES, CLASS_TOKENS };
+      facts->parts[facts->part_count++]
+          = (struct marjoram_prompt_part){ SESSION_IDS + drawn,
+                                           SESSION_TOKENS };
+    }
+  else
+    facts->parts[facts->part_count++]
+        = (struct marjoram_prompt_part){ ASK_IDS + drawn % ASK_PARTS,
+                                         ASK_SHARED };
+  facts->parts[facts->part_count++]
+      = (struct marjoram_prompt_part){ OWN_IDS + job->number,
+                                       review ? REVIEW_TOKENS : ASK_TOKENS };
+  for (size_t i = 0; i < facts->part_count; i++)
+    facts->prompt_tokens += facts->parts[i].tokens;
+  return job;
+}
+
+static struct sim_engine *
+find_engine (struct load *load, const struct marjoram_registered *upstream)
+{
+  for (int i = 0; upstream && i < load->terms->engines; i++)
+    if (strcmp (load->engines[i].id, upstream->news.id) == 0)
+      return &load->engines[i];
+  return NULL;
+}
+
+static struct sim_engine *
+choose_simply (struct load *load)
+{
+  struct sim_engine *best = &load->engines[0];
+
+  if (load->terms->way == LOAD_ROUND_ROBIN)
+    return &load->engines[load->turn++ % (uint64_t)load->terms->engines];
+  for (int i = 1; i < load->terms->engines; i++)
+    if (load->engines[i].running < best->running)
+      best = &load->engines[i];
+  return best;
+}
+
+/* Takes JOB.  */
+static void
+place_job (struct load *load, struct job *job, int64_t now)
+{
+  marjoram_placement *placement = load->placements[job->host];
+  struct marjoram_place_query query
+      = { .service = &load->service,
+          .facts = &job->facts,
+          .priority = job->objective_ms == REVIEW_OBJECTIVE_MS,
+          .useful_ms = job->objective_ms };
+  struct marjoram_place place;
+
+  if (load->terms->way < LOAD_PLACED)
+    {
+      start_job (load, choose_simply (load), NULL, job);
+      return;
+    }
+  marjoram_placement_choose (placement, now, &query, &place);
+  if (place.outcome != MARJORAM_PLACE_FOUND)
+    {
+      load->result->refused++;
+      free (job);
+      return;
+    }
+  query.expected_ms = place.wait_ms;
+  query.copied_tokens = place.copied_tokens;
+  marjoram_placement_started (placement, now, job->number,
+                              place.upstream->news.id, &query);
+  start_job (load, find_engine (load, place.upstream),
+             find_engine (load, place.copy_from), job);
+}
+
+static void
+ask (struct load *load, int64_t now, double per_s, bool review)
+{
+  enum
+  {
+    PARTS = 1000000
+  };
+
+  if ((double)marjoram_random_below (load->random, PARTS)
+      >= per_s / 1000 * PARTS)
+    return;
+  load->result->asked++;
+  place_job (load, make_job (load, now, review), now);
+}
+
+static void
+tell_hosts (struct load *load, int64_t now)
+{
+  for (int from = 0; from < load->terms->hosts; from++)
+    {
+      struct marjoram_load_report told;
+      char name[16];
+
+      snprintf (name, sizeof name, "h%d", from);
+      marjoram_placement_report (load->placements[from], now, &told);
+      for (int to = 0; to < load->terms->hosts; to++)
+        if (to != from)
+          marjoram_placement_hear (load->placements[to], now, name, &told);
+      marjoram_wire_clear (&marjoram_load_report_layout, &told);
+    }
+}
+
+void
+load_play (const struct load_terms *terms, struct load_result *result)
+{
+  struct load *load = marjoram_alloc (sizeof *load);
+
+  memset (result, 0, sizeof *result);
+  load->terms = terms;
+  load->result = result;
+  open_load (load);
+  for (int64_t now = 0; now < terms->span_ms; now++)
+    {
+      if (now % REPORT_MS == 0)
+        {
+          hear_all (load, now);
+          tell_hosts (load, now);
+        }
+      ask (load, now, terms->reviews_per_s, true);
+      ask (load, now, terms->asks_per_s, false);
+      for (int i = 0; i < terms->engines; i++)
+        run_engine (load, &load->engines[i], now);
+    }
+  close_load (load);
+  free (load);
+}
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -143,6 +143,7 @@
 
   marjoram_placement_choose (placement, now, query, &chosen);
   started.expected_ms = chosen.wait_ms;
+  started.copied_tokens = chosen.copied_tokens;
   if (chosen.outcome == MARJORAM_PLACE_FOUND)
     marjoram_placement_started (placement, now, ++next_attempt,
                                 chosen.upstream->news.id, &started);
@@ -175,6 +176,66 @@
 }
 END_TEST
 
+/* An engine keeps a long prompt and is busy with others.  The request goes to
+   its neighbour, which copies the prompt instead of reading it for a tenth of
+   a second; an engine in another zone, to which the way is long, reads.  */
+START_TEST (kept_prompt_is_copied_from_a_busy_neighbour)
+{
+  struct marjoram_service_rule copying = engine;
+  struct marjoram_call_facts first = prompt (7, 6000, 100, 10);
+  struct marjoram_call_facts other = prompt (8, 3000, 200, 1000);
+  struct marjoram_call_facts next = prompt (7, 6000, 300, 10);
+  struct marjoram_place_query query = ask_for (&first, 1);
+  struct marjoram_place chosen;
+
+  copying.engine.copied_per_ms = 400;
+  query.service = &copying;
+  hear (0, "1");
+  ck_assert_ptr_null (place (0, &query).copy_from);
+  marjoram_placement_answering (placement, 150, 1);
+  marjoram_placement_ended (placement, 200, 1, MARJORAM_ATTEMPT_SERVED);
+  query.facts = &other;
+  place (300, &query);
+  hear (300, "2");
+  hear_full (300, "lm", "3", "zb", 0, 301);
+  query.facts = &next;
+  chosen = place (310, &query);
+  ck_assert_str_eq (chosen.upstream->news.id, "2");
+  ck_assert_str_eq (chosen.copy_from->news.id, "1");
+  ck_assert_int_eq (chosen.copied_tokens, 6000);
+  ck_assert_int_lt (chosen.wait_ms, 30);
+  /* Nobody in the third one's zone has it.  */
+  query.tried[query.tried_count++] = "1";
+  query.tried[query.tried_count++] = "2";
+  chosen = place (320, &query);
+  ck_assert_str_eq (chosen.upstream->news.id, "3");
+  ck_assert_ptr_null (chosen.copy_from);
+}
+END_TEST
+
+/* The engine that kept the prompt has lost its connections: it may have
+   started anew and hold nothing, so nobody is sent to copy from it.  */
+START_TEST (nothing_is_copied_from_a_lost_engine)
+{
+  struct marjoram_service_rule copying = engine;
+  struct marjoram_call_facts first = prompt (7, 6000, 100, 10);
+  struct marjoram_place_query query = ask_for (&first, 1);
+  struct marjoram_place chosen;
+
+  copying.engine.copied_per_ms = 400;
+  query.service = &copying;
+  hear (10, "1");
+  place (10, &query);
+  marjoram_placement_ended (placement, 200, 1, MARJORAM_ATTEMPT_SERVED);
+  hear (300, "2");
+  marjoram_placement_lost (placement, 400, "10.0.0.1:80");
+  query.tried[query.tried_count++] = "1";
+  chosen = place (410, &query);
+  ck_assert_str_eq (chosen.upstream->news.id, "2");
+  ck_assert_ptr_null (chosen.copy_from);
+}
+END_TEST
+
 /* All prompts of a burst share one part.  Sent to the one engine that keeps it
    they would wait behind each other while three engines idle.  */
 START_TEST (a_hot_part_does_not_pile_up)
@@ -459,6 +520,8 @@
 
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, prompt_goes_where_its_part_is_kept);
+  tcase_add_test (c, kept_prompt_is_copied_from_a_busy_neighbour);
+  tcase_add_test (c, nothing_is_copied_from_a_lost_engine);
   tcase_add_test (c, a_hot_part_does_not_pile_up);
   tcase_add_test (c, queue_of_prompts_is_bounded);
   tcase_add_test (c, urgent_requests_pass_the_queue);
--- /dev/null
+++ b/test/test_placement_load.c
@@ -0,0 +1,87 @@
+/* What callers get of a load of long prompts, on simulated engines.  */
+#include "suite.h"
+
+#include "lib_load.h"
+
+#include <inttypes.h>
+
+/* Four engines and four hosts at a heavy hour: three quarters of what the
+   engines could read, were nothing kept.  */
+static const struct load_terms heavy = {
+  .seed = 1,
+  .engines = 4,
+  .hosts = 4,
+  .reviews_per_s = 20,
+  .asks_per_s = 30,
+  .sessions = 83,
+  .span_ms = 60000,
+};
+
+static struct load_result
+play (enum load_way way)
+{
+  struct load_terms terms = heavy;
+  struct load_result result;
+
+  terms.way = way;
+  load_play (&terms, &result);
+  return result;
+}
+
+static void
+check_more (const struct load_result *more, const struct load_result *less,
+            double factor)
+{
+  ck_assert_int_eq (more->asked, less->asked);
+  ck_assert_msg ((double)more->in_time >= factor * (double)less->in_time,
+                 "%" PRId64 " of %" PRId64 " in time, against %" PRId64,
+                 more->in_time, more->asked, less->in_time);
+}
+
+/* Sent in turn, every engine reads every prompt, and answers pause while it
+   does: half of the callers see pauses that make an answer useless.  Placed
+   where its prompt is kept, a request costs a third as much, and the rest is
+   refused before it has waited.  Measured with three seeds: 48 of 100 in time
+   in turn, 58 where fewest run, 91 placed.  */
+START_TEST (placed_requests_are_served_in_time)
+{
+  struct load_result placed = play (LOAD_PLACED);
+  struct load_result turn = play (LOAD_ROUND_ROBIN);
+  struct load_result fewest = play (LOAD_LEAST_IN_FLIGHT);
+
+  check_more (&placed, &turn, 1.5);
+  check_more (&placed, &fewest, 1.3);
+  ck_assert_int_lt (placed.late * 100, placed.asked);
+  ck_assert_int_gt (placed.in_time * 100, placed.asked * 86);
+}
+END_TEST
+
+/* The engine that keeps a prompt is often busy; its neighbours copy the prompt
+   instead of reading it again.  Measured with three seeds: 95 of 100 in time
+   instead of 91, 2 refused instead of 7, 2.4 million tokens read again instead
+   of 3.8.  */
+START_TEST (copies_serve_more_callers)
+{
+  struct load_result copying = play (LOAD_PLACED_COPYING);
+  struct load_result placed = play (LOAD_PLACED);
+
+  check_more (&copying, &placed, 1.03);
+  ck_assert_int_lt (copying.refused * 2, placed.refused);
+  ck_assert_msg (copying.read_again * 4 < placed.read_again * 3,
+                 "%" PRId64 " tokens read again, against %" PRId64,
+                 copying.read_again, placed.read_again);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *all = suite_create ("placement_load");
+  TCase *tests = tcase_create ("placement_load");
+
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, placed_requests_are_served_in_time);
+  tcase_add_test (tests, copies_serve_more_callers);
+  suite_add_tcase (all, tests);
+  return all;
+}
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -84,11 +84,16 @@
 
 START_TEST (run_is_written)
 {
-  const struct marjoram_run_facts facts = { 1500, "i-7", "12", 0 };
+  const struct marjoram_run_facts facts = { .patience_ms = 1500,
+                                            .upstream = "i-7",
+                                            .last_event = "12",
+                                            .copy_from = "10.0.0.9:80" };
   struct marjoram_header_list headers = { 0 };
 
   marjoram_header_list_add (&headers, "Last-Event-Id", "3");
   dialect->write_run (&facts, &headers);
+  ck_assert_str_eq (marjoram_header_list_get (&headers, "Kv-Fetch"),
+                    "10.0.0.9:80");
   ck_assert_str_eq (
       marjoram_header_list_get (&headers, "Marjoramproxy-Deadline-Ms"),
       "1500");
@@ -273,7 +278,8 @@
 #define LM                                                                    \
   "{\"name\":\"lm\",\"health_path\":\"/health\",\"max_connections\":370,"     \
   "\"cold_start_s\":3.0,\"cold_per_s\":2.6,"                                  \
-  "\"engine\":{\"slots\":64,\"kv_capacity\":232342}}"
+  "\"engine\":{\"slots\":64,\"kv_capacity\":232342,"                          \
+  "\"kv_token_bytes\":163840,\"link_mbps\":530000.0}}"
 #define APP                                                                   \
   "{\"name\":\"app\",\"health_path\":\"/health\",\"max_connections\":110}"
 
@@ -323,6 +329,9 @@
   ck_assert (service->has_engine);
   ck_assert_int_eq (service->cold_ms, 3000);
   ck_assert_int_eq (service->engine.kv_capacity, 232342);
+  /* 66,250 MB a second.  */
+  ck_assert (service->engine.copied_per_ms > 404.3
+             && service->engine.copied_per_ms < 404.4);
   marjoram_route_table_destroy (table);
 }
 END_TEST
