Keepers tell hosts of all others every twenty seconds, newcomers at once

Change: lists go to keepers every 5 s and to hosts every 20 s, only of hosts that the keeper itself hears alive; a newcomer gets its list at once, and the others hear of it as a change, as before (test newcomer_is_told_of_all).

--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -20,6 +20,8 @@
   TICK_MS = 25,
   /* How often the settings file is looked at; it may change without a
      signal.  */
+  /* Keepers tell hosts of all others every twenty seconds.  */
+  TOLD_VALID_MS = 27000,
   SETTINGS_LOOK_MS = 1000,
   /* Before the platform's own limit, for answers to leave the sockets.  */
   EXIT_MARGIN_MS = 400,
@@ -336,6 +338,8 @@
   marjoram_event_log_open (settings->name, daemon->clock);
   daemon->metrics = marjoram_metrics_create ();
   daemon->hosts = marjoram_host_list_create ();
+  if (settings->role == MARJORAM_ROLE_ENTRY)
+    marjoram_host_list_set_told_valid (daemon->hosts, TOLD_VALID_MS);
   daemon->asks = marjoram_ask_server_create (daemon->base, &ask_ops, daemon);
   daemon->links = marjoram_host_links_create (
       daemon->base, daemon->clock, settings, new_incarnation (daemon->clock),
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -17,9 +17,11 @@
   /* Five beats and a round trip between regions without a sign.  */
   SILENT_MS = 1500,
   PLAN_MS = 500,
-  /* How often a keeper tells of all hosts, which takes bytes by the square of
-     their number; what changes is told at once.  host_list.c counts on it.  */
+  /* How often a keeper tells other keepers of all hosts, and how often hosts:
+     the latter takes bytes by the square of their number, and they hear of
+     what changes at once.  host_list.h counts on both.  */
   LIST_MS = 5000,
+  LIST_HOSTS_MS = 20000,
   /* Links of one host to entry hosts of each other region.  */
   FAR_LINKS = 4
 };
@@ -70,6 +72,7 @@
   TAILQ_HEAD (, session) sessions;
   int64_t planned_at;
   int64_t listed_at;
+  int64_t listed_hosts_at;
 };
 
 static struct link *
@@ -214,6 +217,58 @@
     log_host (beat);
 }
 
+/* The hosts that this one hears itself; ITEMS are to be freed.  */
+static struct marjoram_host_beats
+make_list (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_listed_hosts *all = marjoram_host_list_all (links->hosts);
+  const struct marjoram_listed_host *host;
+  struct marjoram_host_beat *items;
+  struct marjoram_host_beats list = { { NULL, 0 } };
+  size_t count = 0;
+
+  TAILQ_FOREACH (host, all, link)
+  count++;
+  list.items.items = items = marjoram_alloc (count * sizeof *items);
+  TAILQ_FOREACH (host, all, link)
+  if (host->direct && marjoram_host_list_alive (host, now)
+      && list.items.count < MARJORAM_HOST_BEATS_MAX)
+    {
+      items[list.items.count] = host->beat;
+      /* Offers are told by their host itself.  */
+      items[list.items.count].offers = (struct marjoram_array){ NULL, 0 };
+      items[list.items.count++].age_ms = (uint64_t)(now - host->heard_at);
+    }
+  return list;
+}
+
+/* To a host that has just come and may know nobody.  */
+static void
+give_list (marjoram_host_links *links, const char *host, uint64_t session)
+{
+  struct marjoram_host_beats list = make_list (links, now_of (links));
+
+  marjoram_peer_reply (links->peer, host, session, MARJORAM_FRAME_HOST_LIST,
+                       &list);
+  free (list.items.items);
+}
+
+static void
+tell_list (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_host_beats list = make_list (links, now);
+
+  links->listed_at = now;
+  if (now >= links->listed_hosts_at + LIST_HOSTS_MS)
+    {
+      links->listed_hosts_at = now;
+      marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
+    }
+  else
+    marjoram_host_links_tell_in (links, NULL, MARJORAM_FRAME_HOST_LIST, &list);
+  free (list.items.items);
+}
+
 /* A host whose clock was set back starts with a lower incarnation than its
    former life had, and would be taken for that life's late word: it is told of
    the one that is known, and takes a higher one.  */
@@ -258,7 +313,7 @@
       tell_changed (links, beat);
     }
   if (first && links->settings->role == MARJORAM_ROLE_KEEPER)
-    links->listed_at = 0;
+    give_list (links, host, number);
   answer_beat (links, beat, number);
   links->ops->beat (links->context, host, number, first, beat);
 }
@@ -290,31 +345,6 @@
       log_host (&items[i]);
 }
 
-static void
-tell_list (marjoram_host_links *links, int64_t now)
-{
-  struct marjoram_listed_hosts *all = marjoram_host_list_all (links->hosts);
-  const struct marjoram_listed_host *host;
-  struct marjoram_host_beat *items;
-  struct marjoram_host_beats list = { { NULL, 0 } };
-  size_t count = 0;
-
-  links->listed_at = now;
-  TAILQ_FOREACH (host, all, link)
-  count++;
-  list.items.items = items = marjoram_alloc (count * sizeof *items);
-  TAILQ_FOREACH (host, all, link)
-  if (host->direct && list.items.count < MARJORAM_HOST_BEATS_MAX)
-    {
-      items[list.items.count] = host->beat;
-      /* Offers are told by their host itself.  */
-      items[list.items.count].offers = (struct marjoram_array){ NULL, 0 };
-      items[list.items.count++].age_ms = (uint64_t)(now - host->heard_at);
-    }
-  marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
-  free (items);
-}
-
 /* ---- What the peer task tells.  ---- */
 
 static void
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -10,13 +10,14 @@
   /* Beats come every 300 ms, so that four in a row are missing.  A dead host
      is then out of look-ups within two seconds.  */
   ALIVE_MS = 1300,
-  /* Told by others, a beat is older by their own interval of five seconds.  */
+  /* Told by others, a beat is older by their own interval.  */
   ALIVE_TOLD_MS = 7000,
   FORGET_MS = 60000
 };
 
 struct marjoram_host_list
 {
+  int64_t told_valid_ms;
   struct marjoram_listed_hosts hosts;
 };
 
@@ -26,9 +27,16 @@
   marjoram_host_list *list = marjoram_alloc (sizeof *list);
 
   TAILQ_INIT (&list->hosts);
+  list->told_valid_ms = ALIVE_TOLD_MS;
   return list;
 }
 
+void
+marjoram_host_list_set_told_valid (marjoram_host_list *list, int64_t msec)
+{
+  list->told_valid_ms = msec;
+}
+
 static void
 clear_beat (struct marjoram_host_beat *beat)
 {
@@ -130,6 +138,7 @@
     {
       host = marjoram_alloc (sizeof *host);
       host->heard_at = heard_at;
+      host->told_valid_ms = list->told_valid_ms;
       TAILQ_INSERT_TAIL (&list->hosts, host, link);
     }
   copy_beat (&host->beat, beat);
@@ -149,7 +158,8 @@
 bool
 marjoram_host_list_alive (const struct marjoram_listed_host *host, int64_t now)
 {
-  return now - host->heard_at <= (host->direct ? ALIVE_MS : ALIVE_TOLD_MS);
+  return now - host->heard_at
+         <= (host->direct ? ALIVE_MS : host->told_valid_ms);
 }
 
 bool
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -16,6 +16,7 @@
   struct marjoram_host_beat beat; /* owns its texts */
   int64_t heard_at;
   bool direct; /* its own beats come here, not only others' word of it */
+  int64_t told_valid_ms; /* how long others' word of it holds */
 };
 
 TAILQ_HEAD (marjoram_listed_hosts, marjoram_listed_host);
@@ -27,6 +28,11 @@
 
 marjoram_host_list *marjoram_host_list_create (void);
 void marjoram_host_list_destroy (marjoram_host_list *list);
+/* How long others' word of a host holds: a little more than they take to tell
+   all of them again.  By default as keepers tell one another, every five
+   seconds.  */
+void marjoram_host_list_set_told_valid (marjoram_host_list *list,
+                                        int64_t msec);
 /* A beat from its host itself (DIRECT) or as passed on.  Returns whether it
    told anything new but that the host lives.  */
 bool marjoram_host_list_hear (marjoram_host_list *list, int64_t now,
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -269,6 +269,35 @@
 }
 END_TEST
 
+static bool
+newcomer_is_known (void)
+{
+  const struct marjoram_listed_host *here
+      = marjoram_host_list_find (other.hosts, entry.ip);
+  const struct marjoram_listed_host *there
+      = marjoram_host_list_find (entry.hosts, other.ip);
+  int64_t now = marjoram_clock_now (test_clock);
+
+  return here && there && marjoram_host_list_serves (here, now)
+         && marjoram_host_list_serves (there, now);
+}
+
+/* Keepers tell of all hosts only now and then, as that takes bytes by the
+   square of their number.  A host that starts in between, in another region,
+   and those that are there hear of each other all the same at once.  */
+START_TEST (newcomer_is_told_of_all)
+{
+  int64_t began;
+
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (entry_is_listed, "the first host");
+  start (&other, 3, MARJORAM_ROLE_ENTRY, "r2", 1);
+  began = marjoram_clock_now (test_clock);
+  wait_until (newcomer_is_known, "both to know of each other");
+  ck_assert_int_lt (marjoram_clock_now (test_clock) - began, 4000);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -279,6 +308,7 @@
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, host_whose_clock_went_back_is_listed);
   tcase_add_test (tests, news_of_a_region_stay_there);
+  tcase_add_test (tests, newcomer_is_told_of_all);
   suite_add_tcase (all, tests);
   return all;
 }
