Routes as an INI file, and orders to the gateway roles by marjoramctl

What was missing: the product's own interface for routes and evacuations; operators had only a platform's calls. Change: own_dialect takes calls under /gateway/ and routes in INI form, and leaves all else to the platform's dialect; marjoramctl routes, evacuate, restore.

--- a/src/ctl.c
+++ b/src/ctl.c
@@ -1,4 +1,4 @@
-#include "ctl.h"
+#include "ctl_private.h"
 
 #include "address.h"
 #include "cleanup.h"
@@ -7,7 +7,6 @@
 #include "control_client.h"
 #include "control_proof.h"
 #include "ini_key.h"
-#include "plain_get.h"
 #include "secret.h"
 #include "settings.h"
 
@@ -17,50 +16,33 @@
 enum
 {
   STATUS_OK = 200,
-  PATH_TEXT_MAX = 1024,
-  ADDRESS_TEXT_MAX = 64,
-  OPERANDS_MAX = MARJORAM_FILES_MAX
+  PATH_TEXT_MAX = 1024
 };
 
-/* One run of a command.  */
-struct run
-{
-  const struct marjoram_ctl_options *options;
-  int arg_count; /* operands */
-  char *const *args;
-  FILE *out;
-  FILE *errors;
-  struct marjoram_control_target target;
-  const char *hosts[MARJORAM_CTL_HOSTS_MAX];
-  size_t host_count;
-  char address[ADDRESS_TEXT_MAX]; /* from the settings */
-  char *names[OPERANDS_MAX];      /* of the operands' files */
-};
-
-static enum marjoram_ctl_status
-complain (struct run *run, enum marjoram_ctl_status status, const char *text)
+enum marjoram_ctl_status
+marjoram_ctl_complain (struct marjoram_ctl_call *call,
+                       enum marjoram_ctl_status status, const char *text)
 {
-  fprintf (run->errors, "marjoramctl: %s\n", text);
+  fprintf (call->errors, "marjoramctl: %s\n", text);
   return status;
 }
 
-/* Takes over OBJECT.  */
-static void
-print_object (struct run *run, json_t *object)
+void
+marjoram_ctl_print_object (struct marjoram_ctl_call *call, json_t *object)
 {
-  if (run->options->json)
+  if (call->options->json)
     {
-      json_dumpf (object, run->out, JSON_INDENT (2));
-      fputc ('\n', run->out);
+      json_dumpf (object, call->out, JSON_INDENT (2));
+      fputc ('\n', call->out);
     }
   else
-    marjoram_ctl_print (run->out, object);
+    marjoram_ctl_print (call->out, object);
   json_decref (object);
 }
 
 /* The path of the operand that holds the file NAME.  */
 static const char *
-path_of (struct run *run, const char *name, size_t length)
+path_of (struct marjoram_ctl_call *run, const char *name, size_t length)
 {
   for (int i = 0; i < run->arg_count; i++)
     if (run->names[i] && strlen (run->names[i]) == length
@@ -71,7 +53,7 @@
 
 /* Faults name the file as it calls itself; people look for its path.  */
 static void
-print_faults (struct run *run, const char *faults)
+print_faults (struct marjoram_ctl_call *run, const char *faults)
 {
   while (*faults)
     {
@@ -91,7 +73,7 @@
 /* Prints an answer that may hold faults: those go where errors go, unless JSON
    is wanted.  Takes over OBJECT.  */
 static void
-print_answer (struct run *run, json_t *object)
+print_answer (struct marjoram_ctl_call *run, json_t *object)
 {
   const char *faults = json_string_value (json_object_get (object, "faults"));
 
@@ -100,13 +82,13 @@
       print_faults (run, faults);
       json_object_del (object, "faults");
     }
-  print_object (run, object);
+  marjoram_ctl_print_object (run, object);
 }
 
 /* Loads operand INDEX and notes the name that faults will give it.  */
 static bool
-load_operand (struct run *run, int index, struct marjoram_file *file,
-              struct marjoram_error *err)
+load_operand (struct marjoram_ctl_call *run, int index,
+              struct marjoram_file *file, struct marjoram_error *err)
 {
   if (!marjoram_config_file_load (run->args[index], file, err))
     return false;
@@ -116,7 +98,7 @@
 
 /* Reads the operands as one state.  */
 static bool
-load_files (struct run *run, struct marjoram_state *state)
+load_files (struct marjoram_ctl_call *run, struct marjoram_state *state)
 {
   struct marjoram_error err;
   bool good = true;
@@ -146,7 +128,7 @@
 }
 
 static enum marjoram_ctl_status
-run_check (struct run *run)
+run_check (struct marjoram_ctl_call *run)
 {
   marjoram_auto (marjoram_state_cleanup) struct marjoram_state *state
       = marjoram_state_copy (NULL);
@@ -161,33 +143,36 @@
       print_faults (run, faults);
       return MARJORAM_CTL_REFUSED;
     }
-  print_object (run, json_pack ("{sbsssisisisisi}", "valid", 1, "cluster",
-                                marjoram_config_cluster (config), "regions",
-                                marjoram_config_region_count (config), "zones",
-                                marjoram_config_zone_count (config), "slots",
-                                marjoram_config_slot_count (config), "works",
-                                marjoram_config_work_count (config), "callers",
-                                marjoram_config_caller_count (config)));
+  marjoram_ctl_print_object (
+      run, json_pack ("{sbsssisisisisi}", "valid", 1, "cluster",
+                      marjoram_config_cluster (config), "regions",
+                      marjoram_config_region_count (config), "zones",
+                      marjoram_config_zone_count (config), "slots",
+                      marjoram_config_slot_count (config), "works",
+                      marjoram_config_work_count (config), "callers",
+                      marjoram_config_caller_count (config)));
   marjoram_config_release (config);
   return MARJORAM_CTL_DONE;
 }
 
 static enum marjoram_ctl_status
-run_new_secret (struct run *run)
+run_new_secret (struct marjoram_ctl_call *run)
 {
   struct marjoram_error err;
 
   if (!marjoram_secret_create (run->args[0], &err))
-    return complain (run, MARJORAM_CTL_REFUSED, err.message);
-  print_object (run, json_pack ("{ss}", "secret_file", run->args[0]));
+    return marjoram_ctl_complain (run, MARJORAM_CTL_REFUSED, err.message);
+  marjoram_ctl_print_object (run,
+                             json_pack ("{ss}", "secret_file", run->args[0]));
   return MARJORAM_CTL_DONE;
 }
 
 /* Asks the first host that can be reached.  A host that may have taken the
    call is never followed by another one.  */
 static enum marjoram_control_result
-ask (struct run *run, const char *method, const char *path, const char *body,
-     struct marjoram_control_answer *answer, struct marjoram_error *err)
+ask (struct marjoram_ctl_call *run, const char *method, const char *path,
+     const char *body, struct marjoram_control_answer *answer,
+     struct marjoram_error *err)
 {
   enum marjoram_control_result result = MARJORAM_CONTROL_UNREACHED;
 
@@ -206,7 +191,8 @@
 
 /* The host's own refusal of a call.  */
 static enum marjoram_ctl_status
-refused (struct run *run, const struct marjoram_control_answer *answer)
+refused (struct marjoram_ctl_call *run,
+         const struct marjoram_control_answer *answer)
 {
   json_t *object = json_loadb (answer->body, answer->size, 0, NULL);
   const char *message = json_string_value (
@@ -220,7 +206,7 @@
 
 /* Runs a query whose answer is printed as it is.  */
 static enum marjoram_ctl_status
-query (struct run *run, const char *path)
+query (struct marjoram_ctl_call *run, const char *path)
 {
   struct marjoram_control_answer answer;
   struct marjoram_error err;
@@ -232,14 +218,15 @@
   if (result == MARJORAM_CONTROL_UNREACHED)
     return MARJORAM_CTL_UNREACHABLE;
   if (result == MARJORAM_CONTROL_UNKNOWN)
-    status = complain (run, MARJORAM_CTL_UNREACHABLE, err.message);
+    status
+        = marjoram_ctl_complain (run, MARJORAM_CTL_UNREACHABLE, err.message);
   else if (answer.status != STATUS_OK)
     status = refused (run, &answer);
   else
     {
       object = json_loadb (answer.body, answer.size, 0, NULL);
       if (object)
-        print_object (run, object);
+        marjoram_ctl_print_object (run, object);
       else
         fwrite (answer.body, 1, answer.size, run->out);
     }
@@ -248,53 +235,25 @@
 }
 
 static enum marjoram_ctl_status
-run_status (struct run *run)
+run_status (struct marjoram_ctl_call *run)
 {
   return query (run, "/control/status");
 }
 
 static enum marjoram_ctl_status
-run_upstreams (struct run *run)
+run_upstreams (struct marjoram_ctl_call *run)
 {
   return query (run, "/control/upstreams");
 }
 
-/* A host in the role entry or keeper, by its metrics address; these pages need
-   no secret.  */
-static enum marjoram_ctl_status
-run_gateway (struct run *run)
-{
-  marjoram_auto_free char *body = NULL;
-  json_t *report;
-  int status;
-
-  if (!marjoram_plain_get (run->args[0], "/status", run->options->timeout_ms,
-                           &status, &body))
-    return complain (run, MARJORAM_CTL_USAGE,
-                     "gateway takes a host's metrics address, IP:port");
-  report = body ? json_loads (body, 0, NULL) : NULL;
-  if (status == 0)
-    return complain (run, MARJORAM_CTL_UNREACHABLE,
-                     "the host was not reached; check its metrics address");
-  if (status != STATUS_OK || !report)
-    {
-      json_decref (report);
-      return complain (run, MARJORAM_CTL_REFUSED,
-                       "no status there; give [listen] metrics of a host in "
-                       "the role entry or keeper");
-    }
-  print_object (run, report);
-  return MARJORAM_CTL_DONE;
-}
-
 static enum marjoram_ctl_status
-run_counters (struct run *run)
+run_counters (struct marjoram_ctl_call *run)
 {
   return query (run, "/control/counters");
 }
 
 static enum marjoram_ctl_status
-run_explain (struct run *run)
+run_explain (struct marjoram_ctl_call *run)
 {
   const struct marjoram_ctl_options *o = run->options;
   const char *const names[]
@@ -304,8 +263,9 @@
   char path[PATH_TEXT_MAX] = "/control/explain";
 
   if (!o->caller || !o->work)
-    return complain (run, MARJORAM_CTL_USAGE,
-                     "explain needs --caller NAME and --work NAME");
+    return marjoram_ctl_complain (
+        run, MARJORAM_CTL_USAGE,
+        "explain needs --caller NAME and --work NAME");
   for (size_t i = 0; i < sizeof names / sizeof *names; i++)
     {
       marjoram_auto_free char *value = evhttp_encode_uri (values[i]);
@@ -318,7 +278,7 @@
 }
 
 static enum marjoram_ctl_status
-run_diff (struct run *run)
+run_diff (struct marjoram_ctl_call *run)
 {
   struct marjoram_file file = { 0 };
   struct marjoram_control_answer answer;
@@ -328,13 +288,14 @@
   json_t *object;
 
   if (!load_operand (run, 0, &file, &err))
-    return complain (run, MARJORAM_CTL_REFUSED, err.message);
+    return marjoram_ctl_complain (run, MARJORAM_CTL_REFUSED, err.message);
   result = ask (run, "POST", "/control/diff", file.text, &answer, &err);
   marjoram_wire_clear (&marjoram_file_layout, &file);
   if (result == MARJORAM_CONTROL_UNREACHED)
     return MARJORAM_CTL_UNREACHABLE;
   if (result == MARJORAM_CONTROL_UNKNOWN)
-    status = complain (run, MARJORAM_CTL_UNREACHABLE, err.message);
+    status
+        = marjoram_ctl_complain (run, MARJORAM_CTL_UNREACHABLE, err.message);
   else if (answer.status != STATUS_OK)
     status = refused (run, &answer);
   else
@@ -366,7 +327,7 @@
 }
 
 static void
-tell_resend (struct run *run, const char *id)
+tell_resend (struct marjoram_ctl_call *run, const char *id)
 {
   fprintf (run->errors,
            "marjoramctl: the change may yet take effect; run the same command "
@@ -378,7 +339,7 @@
 /* Sends a change under the id given, or a new one, which is printed before it
    goes out: whoever loses the answer can send it again.  */
 static enum marjoram_ctl_status
-change (struct run *run, const char *path, const char *body)
+change (struct marjoram_ctl_call *run, const char *path, const char *body)
 {
   char made[MARJORAM_NONCE_TEXT + 1];
   const char *id = run->options->change_id;
@@ -404,7 +365,7 @@
   if (result == MARJORAM_CONTROL_UNREACHED)
     return MARJORAM_CTL_UNREACHABLE;
   if (result == MARJORAM_CONTROL_UNKNOWN)
-    status = complain (run, MARJORAM_CTL_UNKNOWN, err.message);
+    status = marjoram_ctl_complain (run, MARJORAM_CTL_UNKNOWN, err.message);
   else if (answer.status != STATUS_OK)
     refused (run, &answer);
   else
@@ -421,36 +382,37 @@
 }
 
 static enum marjoram_ctl_status
-run_apply (struct run *run)
+run_apply (struct marjoram_ctl_call *run)
 {
   struct marjoram_file file = { 0 };
   struct marjoram_error err;
   enum marjoram_ctl_status status;
 
   if (!load_operand (run, 0, &file, &err))
-    return complain (run, MARJORAM_CTL_REFUSED, err.message);
+    return marjoram_ctl_complain (run, MARJORAM_CTL_REFUSED, err.message);
   status = change (run, "/control/apply", file.text);
   marjoram_wire_clear (&marjoram_file_layout, &file);
   return status;
 }
 
 static enum marjoram_ctl_status
-run_replace (struct run *run)
+run_replace (struct marjoram_ctl_call *run)
 {
   char path[PATH_TEXT_MAX];
 
   if (!marjoram_name_valid (run->args[0], false)
       || !marjoram_name_valid (run->args[1], false))
-    return complain (run, MARJORAM_CTL_USAGE,
-                     "replace-keeper needs two slots' names; give the same "
-                     "one twice after its disk was lost");
+    return marjoram_ctl_complain (
+        run, MARJORAM_CTL_USAGE,
+        "replace-keeper needs two slots' names; give the same "
+        "one twice after its disk was lost");
   snprintf (path, sizeof path, "/control/replace-keeper?old=%s&new=%s",
             run->args[0], run->args[1]);
   return change (run, path, NULL);
 }
 
 static enum marjoram_ctl_status
-run_drain (struct run *run)
+run_drain (struct marjoram_ctl_call *run)
 {
   struct marjoram_control_answer answer;
   struct marjoram_error err;
@@ -458,17 +420,19 @@
   enum marjoram_ctl_status status = MARJORAM_CTL_DONE;
 
   if (run->host_count > 1)
-    return complain (run, MARJORAM_CTL_USAGE,
-                     "drain needs just one --host: the one to drain");
+    return marjoram_ctl_complain (
+        run, MARJORAM_CTL_USAGE,
+        "drain needs just one --host: the one to drain");
   result = ask (run, "POST", "/control/drain", NULL, &answer, &err);
   if (result == MARJORAM_CONTROL_UNREACHED)
     return MARJORAM_CTL_UNREACHABLE;
   if (result == MARJORAM_CONTROL_UNKNOWN)
-    status = complain (run, MARJORAM_CTL_UNKNOWN, err.message);
+    status = marjoram_ctl_complain (run, MARJORAM_CTL_UNKNOWN, err.message);
   else if (answer.status != STATUS_OK)
     status = refused (run, &answer);
   else
-    print_object (run, json_loadb (answer.body, answer.size, 0, NULL));
+    marjoram_ctl_print_object (run,
+                               json_loadb (answer.body, answer.size, 0, NULL));
   marjoram_control_answer_clear (&answer);
   return status;
 }
@@ -479,10 +443,10 @@
   int least; /* operands */
   int most;
   bool online;
-  enum marjoram_ctl_status (*run) (struct run *run);
+  enum marjoram_ctl_status (*run) (struct marjoram_ctl_call *run);
   const char *usage;
 } commands[] = {
-  { "check", 1, OPERANDS_MAX, false, run_check,
+  { "check", 1, MARJORAM_CTL_OPERANDS_MAX, false, run_check,
     "check FILE...          check the whole set of files, offline" },
   { "diff", 1, 1, true, run_diff,
     "diff FILE              show what applying FILE would change" },
@@ -500,9 +464,16 @@
     "drain                  take no new requests, finish those in progress" },
   { "replace-keeper", 2, 2, true, run_replace,
     "replace-keeper OLD NEW keeper of slot NEW in place of OLD" },
-  { "gateway", 1, 1, false, run_gateway,
+  { "gateway", 1, 1, false, marjoram_ctl_gateway,
     "gateway ADDRESS        a host in the role entry or keeper: what it "
     "knows" },
+  { "routes", 1, 2, false, marjoram_ctl_routes,
+    "routes ADDRESS [FILE]  show the routes in force at a keeper's control "
+    "address, or put FILE in force" },
+  { "evacuate", 2, 2, false, marjoram_ctl_evacuate,
+    "evacuate ADDRESS ZONE  nothing more is sent to ZONE's upstreams" },
+  { "restore", 2, 2, false, marjoram_ctl_restore,
+    "restore ADDRESS ZONE   ends the evacuation of ZONE" },
   { "new-secret", 1, 1, false, run_new_secret,
     "new-secret FILE        make a new owner's secret" },
 };
@@ -525,7 +496,7 @@
 
 /* Address and secret from a daemon's settings, unless they were given.  */
 static enum marjoram_ctl_status
-use_settings (struct run *run, char **secret)
+use_settings (struct marjoram_ctl_call *run, char **secret)
 {
   marjoram_auto_free char *faults = NULL;
   struct marjoram_settings *settings
@@ -549,7 +520,7 @@
 }
 
 static enum marjoram_ctl_status
-use_hosts (struct run *run)
+use_hosts (struct marjoram_ctl_call *run)
 {
   for (size_t i = 0; i < run->options->host_count; i++)
     {
@@ -557,16 +528,17 @@
           = marjoram_address_parse (run->options->hosts[i]);
 
       if (!address)
-        return complain (run, MARJORAM_CTL_USAGE,
-                         "--host needs an IP number and a port, for example "
-                         "10.0.0.1:7001");
+        return marjoram_ctl_complain (
+            run, MARJORAM_CTL_USAGE,
+            "--host needs an IP number and a port, for example "
+            "10.0.0.1:7001");
       run->hosts[run->host_count++] = run->options->hosts[i];
     }
   return MARJORAM_CTL_DONE;
 }
 
 static enum marjoram_ctl_status
-run_online (struct run *run, const struct command *command)
+run_online (struct marjoram_ctl_call *run, const struct command *command)
 {
   marjoram_auto_free char *secret = NULL;
   struct marjoram_error err;
@@ -578,14 +550,15 @@
     {
       secret = marjoram_secret_read (run->options->secret_file, &err);
       if (!secret)
-        return complain (run, MARJORAM_CTL_REFUSED, err.message);
+        return marjoram_ctl_complain (run, MARJORAM_CTL_REFUSED, err.message);
     }
   if (run->options->settings)
     status = use_settings (run, &secret);
   else if (!secret || run->host_count == 0)
-    status = complain (run, MARJORAM_CTL_USAGE,
-                       "say which host: --settings FILE, or --host IP:port "
-                       "and --secret-file FILE");
+    status = marjoram_ctl_complain (
+        run, MARJORAM_CTL_USAGE,
+        "say which host: --settings FILE, or --host IP:port "
+        "and --secret-file FILE");
   if (status)
     return status;
   run->target.secret = secret;
@@ -597,19 +570,21 @@
 marjoram_ctl_run (const struct marjoram_ctl_options *options, int arg_count,
                   char *const *args, FILE *out, FILE *errors)
 {
-  struct run run = { .options = options,
-                     .arg_count = arg_count - 1,
-                     .args = args + 1,
-                     .out = out,
-                     .errors = errors };
+  struct marjoram_ctl_call run = { .options = options,
+                                   .arg_count = arg_count - 1,
+                                   .args = args + 1,
+                                   .out = out,
+                                   .errors = errors };
   const struct command *command;
   enum marjoram_ctl_status status;
 
   if (arg_count < 1)
-    return complain (&run, MARJORAM_CTL_USAGE, "no command; see --help");
+    return marjoram_ctl_complain (&run, MARJORAM_CTL_USAGE,
+                                  "no command; see --help");
   command = find_command (args[0]);
   if (!command)
-    return complain (&run, MARJORAM_CTL_USAGE, "no such command; see --help");
+    return marjoram_ctl_complain (&run, MARJORAM_CTL_USAGE,
+                                  "no such command; see --help");
   if (run.arg_count < command->least || run.arg_count > command->most)
     {
       fprintf (errors, "usage: marjoramctl [OPTION]... %s\n", command->usage);
--- /dev/null
+++ b/src/ctl_private.h
@@ -0,0 +1,48 @@
+/* What the commands of marjoramctl share: ctl.c (zone hosts), ctl_gateway.c
+   (hosts in the roles entry and keeper).  */
+#ifndef MARJORAM_CTL_PRIVATE_H
+#define MARJORAM_CTL_PRIVATE_H
+
+#include "config.h"
+#include "control_client.h"
+#include "ctl.h"
+
+#include <jansson.h>
+
+enum
+{
+  MARJORAM_CTL_ADDRESS_MAX = 64,
+  MARJORAM_CTL_OPERANDS_MAX = MARJORAM_FILES_MAX
+};
+
+/* One call of a command.  */
+struct marjoram_ctl_call
+{
+  const struct marjoram_ctl_options *options;
+  int arg_count; /* operands */
+  char *const *args;
+  FILE *out;
+  FILE *errors;
+  struct marjoram_control_target target;
+  const char *hosts[MARJORAM_CTL_HOSTS_MAX];
+  size_t host_count;
+  char address[MARJORAM_CTL_ADDRESS_MAX]; /* from the settings */
+  char *names[MARJORAM_CTL_OPERANDS_MAX]; /* of the operands' files */
+};
+
+/* Writes TEXT to the errors and returns STATUS.  */
+enum marjoram_ctl_status
+marjoram_ctl_complain (struct marjoram_ctl_call *call,
+                       enum marjoram_ctl_status status, const char *text);
+/* Takes over OBJECT.  */
+void marjoram_ctl_print_object (struct marjoram_ctl_call *call,
+                                json_t *object);
+
+/* ctl_gateway.c */
+enum marjoram_ctl_status marjoram_ctl_gateway (struct marjoram_ctl_call *call);
+enum marjoram_ctl_status marjoram_ctl_routes (struct marjoram_ctl_call *call);
+enum marjoram_ctl_status
+marjoram_ctl_evacuate (struct marjoram_ctl_call *call);
+enum marjoram_ctl_status marjoram_ctl_restore (struct marjoram_ctl_call *call);
+
+#endif
--- a/src/main_marjoramd.c
+++ b/src/main_marjoramd.c
@@ -1,6 +1,7 @@
 /* marjoramd: options only; the work is the library's.  */
 #include "daemon.h"
 #include "gateway_daemon.h"
+#include "own_dialect.h"
 #include "platform.h"
 
 #include <getopt.h>
@@ -53,7 +54,8 @@
 {
   struct marjoram_error err = { 0 };
   marjoram_gateway_daemon *daemon = marjoram_gateway_daemon_create (
-      settings, path, marjoram_platform_dialect (), &err);
+      settings, path, marjoram_own_dialect (marjoram_platform_dialect ()),
+      &err);
   bool finished;
 
   if (!daemon)
--- /dev/null
+++ b/src/own_dialect.c
@@ -0,0 +1,65 @@
+#include "own_dialect.h"
+
+#include "route_file.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const struct marjoram_dialect *other_dialect;
+static struct marjoram_dialect_ops own_ops;
+static const struct marjoram_dialect own_dialect = { &own_ops };
+
+static bool
+read_evacuation (const char *method, const char *zone,
+                 struct marjoram_ask *ask, struct marjoram_error *err)
+{
+  ask->kind = strcmp (method, "PUT") == 0      ? MARJORAM_ASK_EVACUATE
+              : strcmp (method, "DELETE") == 0 ? MARJORAM_ASK_RESTORE
+                                               : MARJORAM_ASK_UNKNOWN;
+  if (ask->kind == MARJORAM_ASK_UNKNOWN)
+    return true;
+  if (!*zone || strlen (zone) >= sizeof ask->zone)
+    return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                               "no zone; end the path with a zone's name");
+  snprintf (ask->zone, sizeof ask->zone, "%s", zone);
+  return true;
+}
+
+static bool
+read_ask (const char *method, const char *target, const char *body,
+          size_t size, struct marjoram_ask *ask, struct marjoram_error *err)
+{
+  const size_t prefix = strlen (MARJORAM_PATH_EVACUATIONS);
+
+  if (strncmp (target, MARJORAM_PATH_EVACUATIONS, prefix) == 0)
+    {
+      memset (ask, 0, sizeof *ask);
+      return read_evacuation (method, target + prefix, ask, err);
+    }
+  if (strcmp (target, MARJORAM_PATH_ROUTES) != 0)
+    return other_dialect->ops->read_ask (method, target, body, size, ask, err);
+  memset (ask, 0, sizeof *ask);
+  if (strcmp (method, "GET") == 0)
+    ask->kind = MARJORAM_ASK_CONFIG_GET;
+  else if (strcmp (method, "PUT") == 0)
+    ask->kind = MARJORAM_ASK_CONFIG_SET;
+  return true;
+}
+
+static struct marjoram_route_table *
+read_config (const char *text, size_t size, struct marjoram_error *err)
+{
+  return marjoram_route_file_is (text, size)
+             ? marjoram_route_file_read (text, size, err)
+             : other_dialect->ops->read_config (text, size, err);
+}
+
+const struct marjoram_dialect *
+marjoram_own_dialect (const struct marjoram_dialect *other)
+{
+  other_dialect = other;
+  own_ops = *other->ops;
+  own_ops.read_ask = read_ask;
+  own_ops.read_config = read_config;
+  return &own_dialect;
+}
--- a/src/plain_get.c
+++ b/src/plain_call.c
@@ -1,4 +1,4 @@
-#include "plain_get.h"
+#include "plain_call.h"
 
 #include "address.h"
 #include "cleanup.h"
@@ -7,6 +7,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <string.h>
 
 struct exchange
 {
@@ -33,24 +34,27 @@
 }
 
 bool
-marjoram_plain_get (const char *address, const char *path, int64_t timeout_ms,
-                    int *status, char **body)
+marjoram_plain_call (const struct marjoram_plain_call *call, int *status,
+                     char **body)
 {
   struct exchange exchange = { NULL, 0, NULL };
-  struct timeval timeout = marjoram_clock_timeval (timeout_ms);
+  struct timeval timeout = marjoram_clock_timeval (call->timeout_ms);
   struct evhttp_connection *connection;
   struct evhttp_request *request;
   char ip[MARJORAM_IP_MAX];
   uint16_t port;
 
-  if (!marjoram_address_split (address, ip, &port))
+  if (!marjoram_address_split (call->address, ip, &port))
     return false;
   exchange.base = event_base_new ();
   connection = evhttp_connection_base_new (exchange.base, NULL, ip, port);
   evhttp_connection_set_timeout_tv (connection, &timeout);
   request = evhttp_request_new (on_answer, &exchange);
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host", ip);
-  if (evhttp_make_request (connection, request, EVHTTP_REQ_GET, path) == 0)
+  if (call->body)
+    evbuffer_add (evhttp_request_get_output_buffer (request), call->body,
+                  strlen (call->body));
+  if (evhttp_make_request (connection, request, call->method, call->path) == 0)
     event_base_dispatch (exchange.base);
   evhttp_connection_free (connection);
   event_base_free (exchange.base);
--- /dev/null
+++ b/src/route_file.h
@@ -0,0 +1,27 @@
+/* Operators' own form of the routes: an INI file.
+
+     [routes]
+     version = 12
+     [callers]
+     head_bytes = 16384
+     [service app]
+     health_path = /health
+     [route status]
+     host = boards.example
+     prefix = /status/
+     kind = idempotent
+     services = app
+     timeout_ms = 4000  */
+#ifndef MARJORAM_ROUTE_FILE_H
+#define MARJORAM_ROUTE_FILE_H
+
+#include "route_table.h"
+
+/* Whether TEXT is in this form: it begins with a section or a comment.  */
+bool marjoram_route_file_is (const char *text, size_t size);
+/* Null with ERR set, which names the first fault's line and its remedy.  */
+struct marjoram_route_table *
+marjoram_route_file_read (const char *text, size_t size,
+                          struct marjoram_error *err);
+
+#endif
--- /dev/null
+++ b/test/test_route_file.c
@@ -0,0 +1,175 @@
+/* The operators' own form of the routes, and how keepers are asked for it. */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "own_dialect.h"
+#include "platform.h"
+#include "route_file.h"
+
+#include <string.h>
+
+#define HEAD "[routes]\nversion = 12\n"
+#define APP "[service app]\nhealth_path = /health\n"
+#define ROUTE(kind, services)                                                 \
+  "[route status]\nhost = boards.example\nprefix = /status/\nkind = " kind    \
+  "\ntimeout_ms = 4000\nservices = " services "\n"
+
+static struct marjoram_route_table *
+read (const char *text, struct marjoram_error *err)
+{
+  struct marjoram_route_table *table
+      = marjoram_route_file_read (text, strlen (text), err);
+
+  if (table && marjoram_route_table_check (table, err))
+    return table;
+  marjoram_route_table_destroy (table);
+  return NULL;
+}
+
+START_TEST (routes_are_read)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_route_table *table = read (
+      HEAD
+      "[callers]\nbody_bytes = 1000\n" APP
+      "[service lm]\nengine = yes\nengine_slots = 64\nengine_tokens = 250000\n"
+      "copied_per_ms = 404.5\ncold_ms = 3000\ncold_per_s = 2.5\n"
+      "[route ask]\nhost = boards.example\nprefix = /ask/\n"
+      "kind = resumable-stream\ntimeout_ms = 9000\nobjective_ms = 800\n"
+      "gap_ms = 600\npriority = 1\nmax_upstreams = 2\n"
+      "services = lm:9, app:1\nhomes = r1, r2\n" ROUTE ("idempotent", "app"),
+      &err);
+  const struct marjoram_route_rule *route;
+  const struct marjoram_route_target *targets;
+  const struct marjoram_service_rule *service;
+
+  ck_assert_msg (table != NULL, "%s", err.message);
+  ck_assert_uint_eq (table->version, 12);
+  ck_assert_int_eq (table->callers.body_bytes, 1000);
+  ck_assert_int_eq (table->callers.head_bytes, 16384);
+  route = marjoram_route_table_find (table, "boards.example", "/ask/now?x");
+  ck_assert (route->stream && route->resumable && !route->idempotent);
+  ck_assert_int_eq (route->timeout_ms, 9000);
+  ck_assert_int_eq (route->objective_ms, 800);
+  ck_assert_int_eq (route->gap_ms, 600);
+  ck_assert_int_eq (route->priority, 1);
+  ck_assert_int_eq (route->max_upstreams, 2);
+  ck_assert (marjoram_route_allows (route, "r2"));
+  ck_assert (!marjoram_route_allows (route, "r3"));
+  targets = route->targets.items;
+  ck_assert_uint_eq (route->targets.count, 2);
+  ck_assert_str_eq (targets[0].service, "lm");
+  ck_assert_int_eq (targets[0].weight, 9);
+  route = marjoram_route_table_find (table, "boards.example", "/status/1");
+  ck_assert (route->idempotent && !route->stream);
+  ck_assert_int_eq (route->max_upstreams, 1);
+  service = marjoram_route_table_service (table, "lm");
+  ck_assert (service->has_engine);
+  ck_assert_int_eq (service->engine.slots, 64);
+  ck_assert_int_eq (service->engine.kv_capacity, 250000);
+  ck_assert (service->engine.copied_per_ms > 404);
+  ck_assert_int_eq (service->cold_ms, 3000);
+  marjoram_route_table_destroy (table);
+}
+END_TEST
+
+START_TEST (faults_name_line_and_remedy)
+{
+  static const struct
+  {
+    const char *text;
+    const char *told;
+  } cases[] = {
+    { APP ROUTE ("idempotent", "app"), "add a section [routes]" },
+    { HEAD APP ROUTE ("sometimes", "app"), "routes:8" },
+    { HEAD APP ROUTE ("idempotent", "app:x"), "write NAME or NAME:NUMBER" },
+    { HEAD APP ROUTE ("idempotent", "nobody"), "nobody" },
+    { HEAD APP ROUTE ("idempotent", "app:0"), "weight" },
+    { HEAD APP "[engine e]\nslots = 1\n", "unknown section [engine]" },
+    { HEAD "[service app]\nhealth = /h\n", "routes:4" },
+    { HEAD APP ROUTE ("idempotent", "app") ROUTE ("idempotent", "app"),
+      "status" },
+    { "[routes]\nversion = 0\n", "routes:2" },
+    { "[routes", "routes:1" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct marjoram_error err = { 0 };
+
+      ck_assert_msg (!read (cases[i].text, &err), "accepted: %s",
+                     cases[i].text);
+      ck_assert_msg (strstr (err.message, cases[i].told) != NULL,
+                     "%s: told %s", cases[i].text, err.message);
+    }
+}
+END_TEST
+
+/* Keepers take both forms; what is neither is told to be no configuration. */
+START_TEST (both_forms_are_taken)
+{
+  static const char json[]
+      = "{\"version\":3,\"routes\":[],\"services\":[],\"limits\":{"
+        "\"max_header_bytes\":1,\"max_body_bytes\":1,"
+        "\"header_timeout_ms\":1,\"idle_timeout_ms\":1}}";
+  static const char own[] = "\n; Ours.\n" HEAD APP;
+  const struct marjoram_dialect *dialect
+      = marjoram_own_dialect (marjoram_platform_dialect ());
+  struct marjoram_error err = { 0 };
+  struct marjoram_route_table *table
+      = dialect->ops->read_config (own, strlen (own), &err);
+
+  ck_assert_uint_eq (table->version, 12);
+  marjoram_route_table_destroy (table);
+  table = dialect->ops->read_config (json, strlen (json), &err);
+  ck_assert_msg (table != NULL, "%s", err.message);
+  ck_assert_uint_eq (table->version, 3);
+  marjoram_route_table_destroy (table);
+  ck_assert_ptr_null (dialect->ops->read_config ("routes", 6, &err));
+}
+END_TEST
+
+static enum marjoram_ask_kind
+kind_of (const char *method, const char *target, struct marjoram_ask *ask)
+{
+  const struct marjoram_dialect *dialect
+      = marjoram_own_dialect (marjoram_platform_dialect ());
+
+  ck_assert (dialect->ops->read_ask (method, target, "", 0, ask, NULL));
+  return ask->kind;
+}
+
+START_TEST (own_calls_are_read)
+{
+  struct marjoram_ask ask;
+
+  ck_assert_int_eq (kind_of ("GET", "/gateway/routes", &ask),
+                    MARJORAM_ASK_CONFIG_GET);
+  ck_assert_int_eq (kind_of ("PUT", "/gateway/routes", &ask),
+                    MARJORAM_ASK_CONFIG_SET);
+  ck_assert_int_eq (kind_of ("POST", "/gateway/routes", &ask),
+                    MARJORAM_ASK_UNKNOWN);
+  ck_assert_int_eq (kind_of ("PUT", "/gateway/evacuations/za", &ask),
+                    MARJORAM_ASK_EVACUATE);
+  ck_assert_str_eq (ask.zone, "za");
+  ck_assert_int_eq (kind_of ("DELETE", "/gateway/evacuations/za", &ask),
+                    MARJORAM_ASK_RESTORE);
+  ck_assert_int_eq (kind_of ("GET", "/gateway/evacuations/za", &ask),
+                    MARJORAM_ASK_UNKNOWN);
+  ck_assert_int_eq (kind_of ("GET", "/-/ready", &ask), MARJORAM_ASK_READY);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *all = suite_create ("route_file");
+  TCase *tests = tcase_create ("route_file");
+
+  tcase_add_test (tests, routes_are_read);
+  tcase_add_test (tests, faults_name_line_and_remedy);
+  tcase_add_test (tests, both_forms_are_taken);
+  tcase_add_test (tests, own_calls_are_read);
+  suite_add_tcase (all, tests);
+  return all;
+}
