--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -41,7 +41,8 @@
   const char *id;
   const char *service;
   const char *zone;
-  const char *address;
+  const char *address; /* as it is announced */
+  const char *listen;
   char *keepers[KEEPERS_MAX];
   int keeper_count;
   int keeper; /* the one that is called next */
@@ -321,6 +322,7 @@
 {
   static const struct option options[]
       = { { "address", required_argument, NULL, 'a' },
+          { "listen", required_argument, NULL, 'n' },
           { "id", required_argument, NULL, 'i' },
           { "service", required_argument, NULL, 's' },
           { "zone", required_argument, NULL, 'z' },
@@ -336,6 +338,9 @@
       case 'a':
         replica->address = optarg;
         break;
+      case 'n':
+        replica->listen = optarg;
+        break;
       case 'i':
         replica->id = optarg;
         break;
@@ -355,8 +360,8 @@
       default:
         return false;
       }
-  return replica->address && replica->id && replica->service && replica->zone
-         && replica->keeper_count > 0 && replica->log >= 0;
+  return replica->address && replica->listen && replica->id && replica->service
+         && replica->zone && replica->keeper_count > 0 && replica->log >= 0;
 }
 
 int
@@ -368,16 +373,18 @@
 
   if (!read_options (&replica, argc, argv))
     {
-      fprintf (stderr, "usage: fake_replica --address IP:PORT --id ID "
-                       "--service NAME --zone ZONE --keepers IP:PORT,... "
-                       "--log FILE\n");
+      fprintf (
+          stderr,
+          "usage: fake_replica --address IP:PORT --listen IP:PORT --id ID "
+          "--service NAME --zone ZONE --keepers IP:PORT,... "
+          "--log FILE\n");
       return EXIT_FAILURE;
     }
   signal (SIGPIPE, SIG_IGN);
   replica.base = event_base_new ();
   replica.born = marjoram_clock_wall (replica.clock);
   replica.server = marjoram_http_server_create (
-      replica.base, replica.clock, replica.address, &ops, &replica, &err);
+      replica.base, replica.clock, replica.listen, &ops, &replica, &err);
   if (!replica.server)
     {
       fprintf (stderr, "fake_replica: %s\n", err.message);
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -80,16 +80,28 @@
   return host
 end
 
-function add_replica (id, service, zone, index)
+function start_replica (replica)
   local list = {}
   for i, keeper in ipairs (keepers) do list[i] = keeper.ip .. ":8146" end
-  local replica = { id = id, address = ip (index) .. ":8080",
-                    runs = folder .. "/" .. id .. ".runs" }
   replica.pid = system.spawn (
-    { system.programs .. "/fake_replica", "--address", replica.address, "--id",
-      id, "--service", service, "--zone", zone, "--keepers",
+    { system.programs .. "/fake_replica", "--address", replica.address,
+      "--listen", replica.listen, "--id", replica.id, "--service",
+      replica.service, "--zone", replica.zone, "--keepers",
       table.concat (list, ","), "--log", replica.runs },
-    folder .. "/" .. id .. ".log")
+    folder .. "/" .. replica.id .. ".log")
+end
+
+-- With REPLICA_RELAYS a relay stands before it, for faults of connections.
+function add_replica (id, service, zone, index)
+  local replica = { id = id, service = service, zone = zone,
+                    address = ip (index) .. ":8080",
+                    listen = ip (index) .. ":8080",
+                    runs = folder .. "/" .. id .. ".runs" }
+  if REPLICA_RELAYS then
+    replica.listen = ip (index) .. ":8081"
+    replica.relay = assert (system.relay (replica.address, replica.listen))
+  end
+  start_replica (replica)
   replicas[id] = replica
   return replica
 end
