Keepers pass on only the renewals that upstreams told them

Cause: a keeper told hosts and keepers of all upstreams heard of since its last turn, those that another keeper had just told it included: each renewal reached each host once for each keeper, and each keeper once for each of the others.

--- a/src/host_links.c
+++ b/src/host_links.c
@@ -265,7 +265,8 @@
       marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
     }
   else
-    marjoram_host_links_tell_in (links, NULL, MARJORAM_FRAME_HOST_LIST, &list);
+    marjoram_host_links_tell_in (links, true, NULL, MARJORAM_FRAME_HOST_LIST,
+                                 &list);
   free (list.items.items);
 }
 
@@ -581,8 +582,8 @@
 }
 
 size_t
-marjoram_host_links_tell_in (marjoram_host_links *links, const char *region,
-                             enum marjoram_frame_type type,
+marjoram_host_links_tell_in (marjoram_host_links *links, bool keepers,
+                             const char *region, enum marjoram_frame_type type,
                              const void *message)
 {
   struct session *session;
@@ -593,10 +594,8 @@
     const struct marjoram_listed_host *host
         = marjoram_host_list_find (links->hosts, session->host);
 
-    if (!host
-        || (region
-                ? strcmp (host->beat.region, region) != 0 || host->beat.keeper
-                : !host->beat.keeper))
+    if (!host || host->beat.keeper != keepers
+        || (region && strcmp (host->beat.region, region) != 0))
       continue;
     marjoram_peer_reply (links->peer, session->host, session->number, type,
                          message);
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -53,9 +53,9 @@
 void marjoram_host_links_tell (marjoram_host_links *links,
                                enum marjoram_frame_type type,
                                const void *message);
-/* The same, to the entry hosts of REGION, or to keepers if it is null; returns
-   how many.  */
-size_t marjoram_host_links_tell_in (marjoram_host_links *links,
+/* The same, to the keepers, or to the entry hosts, of REGION, or of all
+   regions if it is null; returns how many.  */
+size_t marjoram_host_links_tell_in (marjoram_host_links *links, bool keepers,
                                     const char *region,
                                     enum marjoram_frame_type type,
                                     const void *message);
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -114,7 +114,7 @@
                   state->number, routes ? routes->version : 0,
                   state->members.count, state->next_members.count > 0);
   self->chosen_at = now_of (self);
-  marjoram_host_links_tell_in (self->parts->links,
+  marjoram_host_links_tell_in (self->parts->links, false,
                                self->parts->settings->region,
                                MARJORAM_FRAME_CONFIG_GIVE, &give);
   marjoram_bytes_release (give.state);
@@ -216,14 +216,13 @@
 }
 
 /* Hosts use upstreams of their own region only, and hear of no others: that
-   saves most of the bytes between regions.  Keepers hear of all.  */
+   saves most of the bytes between regions.  */
 static size_t
-reg_tell (void *context, const struct marjoram_news_batch *batch)
+tell_regions (struct keeper_role *self,
+              const struct marjoram_news_batch *batch, bool keepers_too)
 {
-  struct keeper_role *self = context;
   const struct marjoram_gateway_settings *settings = self->parts->settings;
-  size_t told = marjoram_host_links_tell_in (self->parts->links, NULL,
-                                             MARJORAM_FRAME_NEWS, batch);
+  size_t told = 0;
 
   for (size_t i = 0; i < settings->zone_count; i++)
     {
@@ -234,13 +233,34 @@
         continue;
       pick_region (settings, region, batch, &part);
       if (part.items.count > 0)
-        told += marjoram_host_links_tell_in (self->parts->links, region,
+        told += marjoram_host_links_tell_in (self->parts->links, false, region,
+                                             MARJORAM_FRAME_NEWS, &part);
+      if (part.items.count > 0 && keepers_too)
+        told += marjoram_host_links_tell_in (self->parts->links, true, region,
                                              MARJORAM_FRAME_NEWS, &part);
       free (part.items.items);
     }
   return told;
 }
 
+/* Of what changes all keepers hear: a late word of an upstream's former life,
+   or one from before its leave, may come to any of them.  */
+static size_t
+reg_tell (void *context, const struct marjoram_news_batch *batch)
+{
+  struct keeper_role *self = context;
+  size_t told = marjoram_host_links_tell_in (self->parts->links, true, NULL,
+                                             MARJORAM_FRAME_NEWS, batch);
+
+  return told + tell_regions (self, batch, false);
+}
+
+static void
+reg_renew (void *context, const struct marjoram_news_batch *batch)
+{
+  tell_regions (context, batch, true);
+}
+
 static void
 reg_apply (void *context, uint64_t request, const char *change_id,
            const struct marjoram_file *file)
@@ -270,6 +290,7 @@
 static const struct marjoram_registrar_ops registrar_ops = {
   .answer = reg_answer,
   .tell = reg_tell,
+  .renew = reg_renew,
   .apply = reg_apply,
   .read = reg_read,
   .state = reg_state,
@@ -347,7 +368,7 @@
 
   marjoram_crash_list_hear (self->crashes, now_of (self), report);
   if (sender && strcmp (sender->beat.region, region) != 0)
-    marjoram_host_links_tell_in (self->parts->links, region,
+    marjoram_host_links_tell_in (self->parts->links, false, region,
                                  MARJORAM_FRAME_CRASHES, report);
 }
 
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -173,6 +173,16 @@
                              err->message);
 }
 
+static void
+note_spoken (marjoram_registrar *registrar, int64_t now, const char *id)
+{
+  struct marjoram_registered *upstream
+      = marjoram_registry_find (registrar->options.registry, id);
+
+  if (upstream)
+    upstream->spoke_at = now;
+}
+
 static void
 take_news (marjoram_registrar *registrar, int64_t now, uint64_t ask,
            const struct marjoram_upstream_news *news)
@@ -181,6 +191,7 @@
       = marjoram_registry_hear (registrar->options.registry, now, news, 0);
 
   log_news (news, hearing);
+  note_spoken (registrar, now, news->id);
   marjoram_metrics_add (registrar->options.metrics,
                         hearing == MARJORAM_HEARING_STALE
                             ? MARJORAM_METRIC_NEWS_STALE
@@ -214,6 +225,8 @@
     }
 }
 
+/* Those that spoke to this keeper since SINCE, or, if that is INT64_MIN, all:
+   what other keepers heard they tell themselves.  */
 static void
 pack_since (marjoram_registrar *registrar, int64_t now, int64_t since,
             struct marjoram_news_batch *batch)
@@ -230,7 +243,7 @@
   batch->items.items = items = marjoram_alloc (count * sizeof *items);
   batch->items.count = 0;
   TAILQ_FOREACH (upstream, all, link)
-  if (upstream->heard_at >= since && batch->items.count < MARJORAM_NEWS_MAX)
+  if (upstream->spoke_at >= since && batch->items.count < MARJORAM_NEWS_MAX)
     marjoram_registry_pack (upstream, now, &items[batch->items.count++]);
 }
 
@@ -263,7 +276,7 @@
     return;
   pack_since (registrar, now, registrar->gathered_at, &batch);
   registrar->gathered_at = 0;
-  registrar->ops->tell (registrar->context, &batch);
+  registrar->ops->renew (registrar->context, &batch);
   free (batch.items.items);
 }
 
--- a/src/registrar.h
+++ b/src/registrar.h
@@ -18,6 +18,9 @@
                   size_t size);
   /* Sends BATCH to all hosts in reach; returns to how many.  */
   size_t (*tell) (void *context, const struct marjoram_news_batch *batch);
+  /* Sends BATCH, of upstreams that say nothing new but that they live, to
+     those hosts that use them.  */
+  void (*renew) (void *context, const struct marjoram_news_batch *batch);
   /* Put a file into the register, or confirm the newest state; answered by
      marjoram_registrar_decided with REQUEST.  */
   void (*apply) (void *context, uint64_t request, const char *change_id,
--- a/src/registry.c
+++ b/src/registry.c
@@ -111,6 +111,7 @@
   if (news->state != MARJORAM_NEWS_GONE && !wins_address (registry, news))
     return MARJORAM_HEARING_STALE;
   upstream = marjoram_alloc (sizeof *upstream);
+  upstream->spoke_at = INT64_MIN;
   take (upstream, now, news, age_ms);
   TAILQ_INSERT_TAIL (&registry->list, upstream, link);
   HASH_ADD_STR (registry->by_id, news.id, upstream);
--- a/src/registry.h
+++ b/src/registry.h
@@ -17,6 +17,7 @@
   TAILQ_ENTRY (marjoram_registered) link;
   struct marjoram_upstream_news news; /* the newest; its spans as they came */
   int64_t heard_at;                   /* when a keeper heard it */
+  int64_t spoke_at; /* when it spoke to this host itself; INT64_MIN: never */
   int64_t cold_until;
   int64_t ends_at; /* INT64_MAX if it is not known to end */
   UT_hash_handle hh;
