--- a/src/host_links.c
+++ b/src/host_links.c
@@ -19,7 +19,8 @@
   PLAN_MS = 500,
   /* How often a keeper tells other keepers of all hosts, and how often hosts:
      the latter takes bytes by the square of their number, and they hear of
-     what changes at once.  host_list.h counts on both.  */
+     what changes at once.  host_list.h
+     and gateway_daemon.c count on them.  */
   LIST_MS = 5000,
   LIST_HOSTS_MS = 20000,
   /* Links of one host to entry hosts of each other region.  */
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -36,7 +36,8 @@
 /* Requests of the caretaker have numbers that the registrar never uses.  */
 #define CARE_REQUEST UINT64_MAX
 
-/* When a host was given the state last.  */
+/* When a host was given the state last.  There are as many as hosts were ever
+   seen.  */
 struct given
 {
   int64_t at;
@@ -372,10 +373,11 @@
                                  MARJORAM_FRAME_CRASHES, report);
 }
 
-/* Whether HOST, which lacks the state, is to be given it now.  */
+/* Whether HOST, which lacks the state, is to be given it now; if so, that is
+   noted.  */
 static bool
-is_due (struct keeper_role *self, const char *host, bool first,
-        const struct marjoram_host_beat *beat)
+take_turn (struct keeper_role *self, const char *host, bool first,
+           const struct marjoram_host_beat *beat)
 {
   bool near = strcmp (beat->region, self->parts->settings->region) == 0;
   int64_t now = now_of (self);
@@ -412,7 +414,7 @@
     }
   if (beat->keeper || !state || beat->config_number >= state->number)
     return;
-  if (is_due (self, host, first, beat))
+  if (take_turn (self, host, first, beat))
     give_state (self, host, session);
 }
 
