--- /dev/null
+++ b/src/host_beats.c
@@ -0,0 +1,272 @@
+#include "host_links_private.h"
+
+#include "cleanup.h"
+#include "event_log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  BEAT_MS = 300,     /* host_list.c counts on it */
+  BEAT_FAR_MS = 600, /* to entry hosts of other regions */
+  /* How often a keeper tells other keepers of all hosts, and how often hosts:
+     the latter takes bytes by the square of their number, and they hear of
+     what changes at once.  host_list.c and gateway_daemon.c count on
+     them.  */
+  LIST_MS = 5000,
+  LIST_HOSTS_MS = 20000
+};
+
+static void
+make_beat (marjoram_host_links *links, struct marjoram_host_beat *beat)
+{
+  const struct marjoram_gateway_settings *settings = links->settings;
+
+  *beat = (struct marjoram_host_beat){
+    .name = settings->ip,
+    .zone = settings->zone,
+    .region = settings->region,
+    .entry = settings->role == MARJORAM_ROLE_ENTRY ? settings->entry_address
+                                                   : (char *)"",
+    .keeper = settings->role == MARJORAM_ROLE_KEEPER,
+    .incarnation = links->incarnation,
+    .sequence = ++links->sequence,
+  };
+  links->ops->fill_beat (links->context, beat);
+}
+
+static bool
+is_far (marjoram_host_links *links, const char *name)
+{
+  const struct marjoram_listed_host *host
+      = marjoram_host_list_find (links->hosts, name);
+
+  return host && !host->beat.keeper
+         && strcmp (host->beat.region, links->settings->region) != 0;
+}
+
+void
+marjoram_host_links_send_beats (marjoram_host_links *links, int64_t now,
+                                bool all)
+{
+  struct marjoram_host_beat beat;
+  struct marjoram_host_link *link;
+  bool made = false;
+
+  TAILQ_FOREACH (link, &links->links, next)
+  {
+    int64_t every = is_far (links, link->host) ? BEAT_FAR_MS : BEAT_MS;
+
+    if (!link->up || (!all && now < link->sent_at + every))
+      continue;
+    if (!made)
+      make_beat (links, &beat);
+    made = true;
+    link->sent_at = now;
+    marjoram_peer_send (links->peer, link->host, MARJORAM_FRAME_HOST_BEAT,
+                        &beat);
+  }
+}
+
+void
+marjoram_host_links_beat (marjoram_host_links *links, int64_t now)
+{
+  marjoram_host_links_send_beats (links, now, true);
+}
+
+static void
+log_host (const struct marjoram_host_beat *beat)
+{
+  marjoram_event (MARJORAM_EVENT_HOST,
+                  "name=%s zone=%s ready=%d leaving=%d keeper=%d "
+                  "incarnation=%" PRIu64 " config=%" PRIu64 " age_ms=%" PRIu64,
+                  beat->name, beat->zone, beat->ready, beat->leaving,
+                  beat->keeper, beat->incarnation, beat->config_number,
+                  beat->age_ms);
+}
+
+/* An entry host of another region needs this one's offers to choose where to
+   forward; it may be one that this host does not dial itself.  All others need
+   only a sign of life.  */
+static void
+answer_beat (marjoram_host_links *links, const struct marjoram_host_beat *beat,
+             uint64_t session)
+{
+  const struct marjoram_heartbeat echo = { .sequence = beat->sequence };
+  struct marjoram_host_beat own;
+
+  if (links->settings->role == MARJORAM_ROLE_ENTRY && beat->entry
+      && beat->entry[0] && beat->region
+      && strcmp (beat->region, links->settings->region) != 0)
+    {
+      make_beat (links, &own);
+      marjoram_peer_reply (links->peer, beat->name, session,
+                           MARJORAM_FRAME_HOST_BEAT, &own);
+      return;
+    }
+  marjoram_peer_reply (links->peer, beat->name, session,
+                       MARJORAM_FRAME_HEARTBEAT, &echo);
+}
+
+static void
+tell_changed (marjoram_host_links *links, struct marjoram_host_beat *beat)
+{
+  struct marjoram_host_beat told = *beat;
+  const struct marjoram_host_beats list = { { &told, 1 } };
+
+  told.offers = (struct marjoram_array){ NULL, 0 };
+  if (links->settings->role == MARJORAM_ROLE_KEEPER)
+    marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
+}
+
+void
+marjoram_host_links_hear_answer (marjoram_host_links *links, const char *host,
+                                 struct marjoram_host_beat *beat)
+{
+  if (!beat->name || strcmp (beat->name, host) != 0)
+    return;
+  beat->age_ms = 0;
+  if (marjoram_host_list_hear (links->hosts, marjoram_host_links_now (links),
+                               beat, true))
+    log_host (beat);
+}
+
+/* The hosts that this one hears itself; ITEMS are to be freed.  */
+static struct marjoram_host_beats
+make_list (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_listed_hosts *all = marjoram_host_list_all (links->hosts);
+  const struct marjoram_listed_host *host;
+  struct marjoram_host_beat *items;
+  struct marjoram_host_beats list = { { NULL, 0 } };
+  size_t count = 0;
+
+  TAILQ_FOREACH (host, all, link)
+  count++;
+  list.items.items = items = marjoram_alloc (count * sizeof *items);
+  TAILQ_FOREACH (host, all, link)
+  if (host->direct && marjoram_host_list_alive (host, now)
+      && list.items.count < MARJORAM_HOST_BEATS_MAX)
+    {
+      items[list.items.count] = host->beat;
+      /* Offers are told by their host itself.  */
+      items[list.items.count].offers = (struct marjoram_array){ NULL, 0 };
+      items[list.items.count++].age_ms = (uint64_t)(now - host->heard_at);
+    }
+  return list;
+}
+
+/* To a host that has just come and may know nobody.  */
+static void
+give_list (marjoram_host_links *links, const char *host, uint64_t session)
+{
+  struct marjoram_host_beats list
+      = make_list (links, marjoram_host_links_now (links));
+
+  marjoram_peer_reply (links->peer, host, session, MARJORAM_FRAME_HOST_LIST,
+                       &list);
+  free (list.items.items);
+}
+
+void
+marjoram_host_links_tell_list (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_host_beats list;
+
+  if (now < links->listed_at + LIST_MS)
+    return;
+  list = make_list (links, now);
+  links->listed_at = now;
+  if (now >= links->listed_hosts_at + LIST_HOSTS_MS)
+    {
+      links->listed_hosts_at = now;
+      marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
+    }
+  else
+    marjoram_host_links_tell_in (links, true, NULL, MARJORAM_FRAME_HOST_LIST,
+                                 &list);
+  free (list.items.items);
+}
+
+/* A host whose clock was set back starts with a lower incarnation than its
+   former life had, and would be taken for that life's late word: it is told of
+   the one that is known, and takes a higher one.  */
+static void
+answer_older (marjoram_host_links *links, const char *host, uint64_t number,
+              const struct marjoram_host_beat *beat)
+{
+  const struct marjoram_listed_host *known
+      = marjoram_host_list_find (links->hosts, host);
+  struct marjoram_host_beat told;
+  const struct marjoram_host_beats list = { { &told, 1 } };
+
+  if (!known || known->beat.incarnation <= beat->incarnation)
+    return;
+  told = known->beat;
+  told.offers = (struct marjoram_array){ NULL, 0 };
+  marjoram_peer_reply (links->peer, host, number, MARJORAM_FRAME_HOST_LIST,
+                       &list);
+}
+
+void
+marjoram_host_links_hear_beat (marjoram_host_links *links, const char *host,
+                               uint64_t number,
+                               struct marjoram_host_beat *beat)
+{
+  struct marjoram_host_session *session
+      = marjoram_host_links_session (links, host);
+  bool first = !session || session->number != number;
+
+  if (!beat->name || strcmp (beat->name, host) != 0 || !beat->zone
+      || !beat->region)
+    return;
+  if (!session)
+    {
+      session = marjoram_alloc (sizeof *session);
+      session->host = marjoram_strdup (host);
+      TAILQ_INSERT_TAIL (&links->sessions, session, next);
+    }
+  session->number = number;
+  beat->age_ms = 0;
+  answer_older (links, host, number, beat);
+  if (marjoram_host_list_hear (links->hosts, marjoram_host_links_now (links),
+                               beat, true))
+    {
+      log_host (beat);
+      tell_changed (links, beat);
+    }
+  if (first && links->settings->role == MARJORAM_ROLE_KEEPER)
+    give_list (links, host, number);
+  answer_beat (links, beat, number);
+  links->ops->beat (links->context, host, number, first, beat);
+}
+
+/* The next beat, not one at once: two hosts with one IP number by mistake
+   would else outbid each other without a pause.  */
+static void
+outlive (marjoram_host_links *links, const struct marjoram_host_beat *former)
+{
+  if (former->incarnation <= links->incarnation)
+    return;
+  marjoram_event (MARJORAM_EVENT_HOST,
+                  "host=%s state=outlived former=%" PRIu64
+                  " incarnation=%" PRIu64,
+                  former->name, former->incarnation, former->incarnation + 1);
+  links->incarnation = former->incarnation + 1;
+}
+
+void
+marjoram_host_links_hear_list (marjoram_host_links *links,
+                               const struct marjoram_host_beats *list)
+{
+  const struct marjoram_host_beat *items = list->items.items;
+
+  for (size_t i = 0; i < list->items.count; i++)
+    if (items[i].name && strcmp (items[i].name, links->settings->ip) == 0)
+      outlive (links, &items[i]);
+    else if (marjoram_host_list_hear (links->hosts,
+                                      marjoram_host_links_now (links),
+                                      &items[i], false))
+      log_host (&items[i]);
+}
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -1,4 +1,4 @@
-#include "host_links.h"
+#include "host_links_private.h"
 
 #include "address.h"
 #include "cleanup.h"
@@ -12,17 +12,9 @@
 
 enum
 {
-  BEAT_MS = 300,     /* host_list.c counts on it */
-  BEAT_FAR_MS = 600, /* to entry hosts of other regions */
   /* Five beats and a round trip between regions without a sign.  */
   SILENT_MS = 1500,
   PLAN_MS = 500,
-  /* How often a keeper tells other keepers of all hosts, and how often hosts:
-     the latter takes bytes by the square of their number, and they hear of
-     what changes at once.  host_list.h
-     and gateway_daemon.c count on them.  */
-  LIST_MS = 5000,
-  LIST_HOSTS_MS = 20000,
   /* Links of one host to entry hosts of each other region.  */
   FAR_LINKS = 4
 };
@@ -36,50 +28,10 @@
    the settings hold no secret.  */
 static const char no_secret[] = "links-are-not-authenticated-here";
 
-/* A host that this one dials.  */
-struct link
+struct marjoram_host_link *
+marjoram_host_links_find (marjoram_host_links *links, const char *host)
 {
-  TAILQ_ENTRY (link) next;
-  char *host;
-  bool up;
-  bool seed;
-  bool wanted;
-  int64_t heard_at;
-  int64_t sent_at;
-};
-
-/* A host that dialled this one.  */
-struct session
-{
-  TAILQ_ENTRY (session) next;
-  char *host;
-  uint64_t number;
-};
-
-struct marjoram_host_links
-{
-  const struct marjoram_gateway_settings *settings;
-  struct marjoram_settings peer_settings;
-  struct marjoram_clock *clock;
-  marjoram_counters *counters;
-  marjoram_peer *peer;
-  marjoram_host_list *hosts;
-  const struct marjoram_host_links_ops *ops;
-  void *context;
-  uint64_t incarnation;
-  uint64_t sequence;
-  uint16_t port;
-  TAILQ_HEAD (, link) links;
-  TAILQ_HEAD (, session) sessions;
-  int64_t planned_at;
-  int64_t listed_at;
-  int64_t listed_hosts_at;
-};
-
-static struct link *
-find_link (marjoram_host_links *links, const char *host)
-{
-  struct link *link;
+  struct marjoram_host_link *link;
 
   TAILQ_FOREACH (link, &links->links, next)
   if (strcmp (link->host, host) == 0)
@@ -87,10 +39,10 @@
   return NULL;
 }
 
-static struct session *
-find_session (marjoram_host_links *links, const char *host)
+struct marjoram_host_session *
+marjoram_host_links_session (marjoram_host_links *links, const char *host)
 {
-  struct session *session;
+  struct marjoram_host_session *session;
 
   TAILQ_FOREACH (session, &links->sessions, next)
   if (strcmp (session->host, host) == 0)
@@ -98,264 +50,20 @@
   return NULL;
 }
 
-static int64_t
-now_of (const marjoram_host_links *links)
+int64_t
+marjoram_host_links_now (const marjoram_host_links *links)
 {
   return marjoram_clock_now (links->clock);
 }
 
-/* ---- Beats.  ---- */
-
-static void
-make_beat (marjoram_host_links *links, struct marjoram_host_beat *beat)
-{
-  const struct marjoram_gateway_settings *settings = links->settings;
-
-  *beat = (struct marjoram_host_beat){
-    .name = settings->ip,
-    .zone = settings->zone,
-    .region = settings->region,
-    .entry = settings->role == MARJORAM_ROLE_ENTRY ? settings->entry_address
-                                                   : (char *)"",
-    .keeper = settings->role == MARJORAM_ROLE_KEEPER,
-    .incarnation = links->incarnation,
-    .sequence = ++links->sequence,
-  };
-  links->ops->fill_beat (links->context, beat);
-}
-
-static bool
-is_far (marjoram_host_links *links, const char *name)
-{
-  const struct marjoram_listed_host *host
-      = marjoram_host_list_find (links->hosts, name);
-
-  return host && !host->beat.keeper
-         && strcmp (host->beat.region, links->settings->region) != 0;
-}
-
-static void
-send_beats (marjoram_host_links *links, int64_t now, bool all)
-{
-  struct marjoram_host_beat beat;
-  struct link *link;
-  bool made = false;
-
-  TAILQ_FOREACH (link, &links->links, next)
-  {
-    int64_t every = is_far (links, link->host) ? BEAT_FAR_MS : BEAT_MS;
-
-    if (!link->up || (!all && now < link->sent_at + every))
-      continue;
-    if (!made)
-      make_beat (links, &beat);
-    made = true;
-    link->sent_at = now;
-    marjoram_peer_send (links->peer, link->host, MARJORAM_FRAME_HOST_BEAT,
-                        &beat);
-  }
-}
-
-void
-marjoram_host_links_beat (marjoram_host_links *links, int64_t now)
-{
-  send_beats (links, now, true);
-}
-
-static void
-log_host (const struct marjoram_host_beat *beat)
-{
-  marjoram_event (MARJORAM_EVENT_HOST,
-                  "name=%s zone=%s ready=%d leaving=%d keeper=%d "
-                  "incarnation=%" PRIu64 " config=%" PRIu64 " age_ms=%" PRIu64,
-                  beat->name, beat->zone, beat->ready, beat->leaving,
-                  beat->keeper, beat->incarnation, beat->config_number,
-                  beat->age_ms);
-}
-
-/* An entry host of another region needs this one's offers to choose where to
-   forward; it may be one that this host does not dial itself.  All others need
-   only a sign of life.  */
-static void
-answer_beat (marjoram_host_links *links, const struct marjoram_host_beat *beat,
-             uint64_t session)
-{
-  const struct marjoram_heartbeat echo = { .sequence = beat->sequence };
-  struct marjoram_host_beat own;
-
-  if (links->settings->role == MARJORAM_ROLE_ENTRY && beat->entry
-      && beat->entry[0] && beat->region
-      && strcmp (beat->region, links->settings->region) != 0)
-    {
-      make_beat (links, &own);
-      marjoram_peer_reply (links->peer, beat->name, session,
-                           MARJORAM_FRAME_HOST_BEAT, &own);
-      return;
-    }
-  marjoram_peer_reply (links->peer, beat->name, session,
-                       MARJORAM_FRAME_HEARTBEAT, &echo);
-}
-
-static void
-tell_changed (marjoram_host_links *links, struct marjoram_host_beat *beat)
-{
-  struct marjoram_host_beat told = *beat;
-  const struct marjoram_host_beats list = { { &told, 1 } };
-
-  told.offers = (struct marjoram_array){ NULL, 0 };
-  if (links->settings->role == MARJORAM_ROLE_KEEPER)
-    marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
-}
-
-static void
-hear_answer (marjoram_host_links *links, const char *host,
-             struct marjoram_host_beat *beat)
-{
-  if (!beat->name || strcmp (beat->name, host) != 0)
-    return;
-  beat->age_ms = 0;
-  if (marjoram_host_list_hear (links->hosts, now_of (links), beat, true))
-    log_host (beat);
-}
-
-/* The hosts that this one hears itself; ITEMS are to be freed.  */
-static struct marjoram_host_beats
-make_list (marjoram_host_links *links, int64_t now)
-{
-  struct marjoram_listed_hosts *all = marjoram_host_list_all (links->hosts);
-  const struct marjoram_listed_host *host;
-  struct marjoram_host_beat *items;
-  struct marjoram_host_beats list = { { NULL, 0 } };
-  size_t count = 0;
-
-  TAILQ_FOREACH (host, all, link)
-  count++;
-  list.items.items = items = marjoram_alloc (count * sizeof *items);
-  TAILQ_FOREACH (host, all, link)
-  if (host->direct && marjoram_host_list_alive (host, now)
-      && list.items.count < MARJORAM_HOST_BEATS_MAX)
-    {
-      items[list.items.count] = host->beat;
-      /* Offers are told by their host itself.  */
-      items[list.items.count].offers = (struct marjoram_array){ NULL, 0 };
-      items[list.items.count++].age_ms = (uint64_t)(now - host->heard_at);
-    }
-  return list;
-}
-
-/* To a host that has just come and may know nobody.  */
-static void
-give_list (marjoram_host_links *links, const char *host, uint64_t session)
-{
-  struct marjoram_host_beats list = make_list (links, now_of (links));
-
-  marjoram_peer_reply (links->peer, host, session, MARJORAM_FRAME_HOST_LIST,
-                       &list);
-  free (list.items.items);
-}
-
-static void
-tell_list (marjoram_host_links *links, int64_t now)
-{
-  struct marjoram_host_beats list = make_list (links, now);
-
-  links->listed_at = now;
-  if (now >= links->listed_hosts_at + LIST_HOSTS_MS)
-    {
-      links->listed_hosts_at = now;
-      marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
-    }
-  else
-    marjoram_host_links_tell_in (links, true, NULL, MARJORAM_FRAME_HOST_LIST,
-                                 &list);
-  free (list.items.items);
-}
-
-/* A host whose clock was set back starts with a lower incarnation than its
-   former life had, and would be taken for that life's late word: it is told of
-   the one that is known, and takes a higher one.  */
-static void
-answer_older (marjoram_host_links *links, const char *host, uint64_t number,
-              const struct marjoram_host_beat *beat)
-{
-  const struct marjoram_listed_host *known
-      = marjoram_host_list_find (links->hosts, host);
-  struct marjoram_host_beat told;
-  const struct marjoram_host_beats list = { { &told, 1 } };
-
-  if (!known || known->beat.incarnation <= beat->incarnation)
-    return;
-  told = known->beat;
-  told.offers = (struct marjoram_array){ NULL, 0 };
-  marjoram_peer_reply (links->peer, host, number, MARJORAM_FRAME_HOST_LIST,
-                       &list);
-}
-
-static void
-hear_beat (marjoram_host_links *links, const char *host, uint64_t number,
-           struct marjoram_host_beat *beat)
-{
-  struct session *session = find_session (links, host);
-  bool first = !session || session->number != number;
-
-  if (!beat->name || strcmp (beat->name, host) != 0 || !beat->zone
-      || !beat->region)
-    return;
-  if (!session)
-    {
-      session = marjoram_alloc (sizeof *session);
-      session->host = marjoram_strdup (host);
-      TAILQ_INSERT_TAIL (&links->sessions, session, next);
-    }
-  session->number = number;
-  beat->age_ms = 0;
-  answer_older (links, host, number, beat);
-  if (marjoram_host_list_hear (links->hosts, now_of (links), beat, true))
-    {
-      log_host (beat);
-      tell_changed (links, beat);
-    }
-  if (first && links->settings->role == MARJORAM_ROLE_KEEPER)
-    give_list (links, host, number);
-  answer_beat (links, beat, number);
-  links->ops->beat (links->context, host, number, first, beat);
-}
-
-/* The next beat, not one at once: two hosts with one IP number by mistake
-   would else outbid each other without a pause.  */
-static void
-outlive (marjoram_host_links *links, const struct marjoram_host_beat *former)
-{
-  if (former->incarnation <= links->incarnation)
-    return;
-  marjoram_event (MARJORAM_EVENT_HOST,
-                  "host=%s state=outlived former=%" PRIu64
-                  " incarnation=%" PRIu64,
-                  former->name, former->incarnation, former->incarnation + 1);
-  links->incarnation = former->incarnation + 1;
-}
-
-static void
-hear_list (marjoram_host_links *links, const struct marjoram_host_beats *list)
-{
-  const struct marjoram_host_beat *items = list->items.items;
-
-  for (size_t i = 0; i < list->items.count; i++)
-    if (items[i].name && strcmp (items[i].name, links->settings->ip) == 0)
-      outlive (links, &items[i]);
-    else if (marjoram_host_list_hear (links->hosts, now_of (links), &items[i],
-                                      false))
-      log_host (&items[i]);
-}
-
 /* ---- What the peer task tells.  ---- */
 
 static void
 on_link_up (void *context, const char *host, uint64_t incarnation)
 {
   marjoram_host_links *links = context;
-  struct link *link = find_link (links, host);
-  int64_t now = now_of (links);
+  struct marjoram_host_link *link = marjoram_host_links_find (links, host);
+  int64_t now = marjoram_host_links_now (links);
 
   (void)incarnation;
   if (!link)
@@ -364,20 +72,20 @@
   link->heard_at = now;
   link->sent_at = 0;
   marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=up", host);
-  send_beats (links, now, false);
+  marjoram_host_links_send_beats (links, now, false);
 }
 
 static void
 on_link_down (void *context, const char *host)
 {
   marjoram_host_links *links = context;
-  struct link *link = find_link (links, host);
+  struct marjoram_host_link *link = marjoram_host_links_find (links, host);
 
   if (!link || !link->up)
     return;
   link->up = false;
   marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=lost silent_ms=%" PRId64,
-                  host, now_of (links) - link->heard_at);
+                  host, marjoram_host_links_now (links) - link->heard_at);
   links->ops->link_lost (links->context, host);
 }
 
@@ -385,7 +93,8 @@
 on_closed (void *context, const char *host, uint64_t number)
 {
   marjoram_host_links *links = context;
-  struct session *session = find_session (links, host);
+  struct marjoram_host_session *session
+      = marjoram_host_links_session (links, host);
 
   links->ops->session_closed (links->context, host, number);
   if (!session || session->number != number)
@@ -400,17 +109,18 @@
           uint64_t incarnation, enum marjoram_frame_type type, void *message)
 {
   marjoram_host_links *links = context;
-  struct link *link = session == 0 ? find_link (links, host) : NULL;
+  struct marjoram_host_link *link
+      = session == 0 ? marjoram_host_links_find (links, host) : NULL;
 
   (void)incarnation;
   if (link)
-    link->heard_at = now_of (links);
+    link->heard_at = marjoram_host_links_now (links);
   if (type == MARJORAM_FRAME_HOST_BEAT && session != 0)
-    hear_beat (links, host, session, message);
+    marjoram_host_links_hear_beat (links, host, session, message);
   else if (type == MARJORAM_FRAME_HOST_BEAT)
-    hear_answer (links, host, message);
+    marjoram_host_links_hear_answer (links, host, message);
   else if (type == MARJORAM_FRAME_HOST_LIST)
-    hear_list (links, message);
+    marjoram_host_links_hear_list (links, message);
   else if (type != MARJORAM_FRAME_HEARTBEAT)
     {
       links->ops->frame (links->context, host, session, type, message);
@@ -429,7 +139,7 @@
 static void
 want (marjoram_host_links *links, const char *host, bool seed)
 {
-  struct link *link = find_link (links, host);
+  struct marjoram_host_link *link = marjoram_host_links_find (links, host);
   char address[MARJORAM_IP_MAX + 8];
 
   if (strcmp (host, links->settings->ip) == 0)
@@ -447,7 +157,7 @@
 }
 
 static void
-drop (marjoram_host_links *links, struct link *link)
+drop (marjoram_host_links *links, struct marjoram_host_link *link)
 {
   TAILQ_REMOVE (&links->links, link, next);
   marjoram_peer_connect (links->peer, link->host, NULL, false);
@@ -497,8 +207,8 @@
 plan (marjoram_host_links *links, int64_t now)
 {
   const struct marjoram_listed_host *host;
-  struct link *link;
-  struct link *next;
+  struct marjoram_host_link *link;
+  struct marjoram_host_link *next;
 
   links->planned_at = now;
   TAILQ_FOREACH (link, &links->links, next)
@@ -520,7 +230,7 @@
 static void
 hang_up_silent (marjoram_host_links *links, int64_t now)
 {
-  struct link *link;
+  struct marjoram_host_link *link;
 
   TAILQ_FOREACH (link, &links->links, next)
   if (link->up && now - link->heard_at > SILENT_MS)
@@ -531,12 +241,11 @@
 marjoram_host_links_tick (marjoram_host_links *links, int64_t now)
 {
   hang_up_silent (links, now);
-  send_beats (links, now, false);
+  marjoram_host_links_send_beats (links, now, false);
   if (now >= links->planned_at + PLAN_MS)
     plan (links, now);
-  if (links->settings->role == MARJORAM_ROLE_KEEPER
-      && now >= links->listed_at + LIST_MS)
-    tell_list (links, now);
+  if (links->settings->role == MARJORAM_ROLE_KEEPER)
+    marjoram_host_links_tell_list (links, now);
   marjoram_host_list_tick (links->hosts, now);
 }
 
@@ -545,7 +254,7 @@
 bool
 marjoram_host_links_reaches (marjoram_host_links *links, const char *host)
 {
-  struct link *link = find_link (links, host);
+  struct marjoram_host_link *link = marjoram_host_links_find (links, host);
 
   return link && link->up;
 }
@@ -575,7 +284,7 @@
 marjoram_host_links_tell (marjoram_host_links *links,
                           enum marjoram_frame_type type, const void *message)
 {
-  struct session *session;
+  struct marjoram_host_session *session;
 
   TAILQ_FOREACH (session, &links->sessions, next)
   marjoram_peer_reply (links->peer, session->host, session->number, type,
@@ -587,7 +296,7 @@
                              const char *region, enum marjoram_frame_type type,
                              const void *message)
 {
-  struct session *session;
+  struct marjoram_host_session *session;
   size_t count = 0;
 
   TAILQ_FOREACH (session, &links->sessions, next)
@@ -611,7 +320,7 @@
              enum marjoram_frame_type type, const void *message)
 {
   const char *region = links->settings->region;
-  struct link *link;
+  struct marjoram_host_link *link;
 
   TAILQ_FOREACH (link, &links->links, next)
   {
@@ -648,7 +357,7 @@
     marjoram_host_links *links,
     const struct marjoram_gateway_settings *settings)
 {
-  struct link *link;
+  struct marjoram_host_link *link;
 
   links->settings = settings;
   TAILQ_FOREACH (link, &links->links, next)
@@ -712,8 +421,8 @@
 void
 marjoram_host_links_destroy (marjoram_host_links *links)
 {
-  struct link *link;
-  struct session *session;
+  struct marjoram_host_link *link;
+  struct marjoram_host_session *session;
 
   if (!links)
     return;
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -1,30 +1,17 @@
 /* The role of a keeper: agrees on the configuration with the other keepers,
    hears upstreams and operators, tells all hosts.  */
-#include "role.h"
+#include "keeper_role_private.h"
 
 #include "cleanup.h"
-#include "crash_list.h"
-#include "disk.h"
 #include "event_log.h"
 #include "gateway_report.h"
-#include "keeper_care.h"
-#include "registrar.h"
 
 #include <inttypes.h>
 #include <sodium.h>
 #include <string.h>
-#include <uthash.h>
 
 enum
 {
-  /* A host that says it lacks the state is sent it again after this long.  */
-  GIVE_AGAIN_MS = 1000,
-  /* A keeper gives the state to the hosts of its own region at once, to others
-     only if they lack it still after so long, as their own keepers may be
-     gone: it takes two round trips between regions for those to have it.  Of a
-     deployment with two keepers in each of three regions each host gets two
-     copies instead of six.  */
-  GIVE_FAR_MS = 500,
   CARE_EVERY_MS = 200,
   TICK_KEEPER_MS = 100,
   /* After the signal to stop, for answers to leave the sockets.  */
@@ -36,35 +23,8 @@
 /* Requests of the caretaker have numbers that the registrar never uses.  */
 #define CARE_REQUEST UINT64_MAX
 
-/* When a host was given the state last.  There are as many as hosts were ever
-   seen.  */
-struct given
-{
-  int64_t at;
-  UT_hash_handle hh;
-  char host[];
-};
-
-struct keeper_role
-{
-  struct marjoram_role role;
-  const struct marjoram_role_parts *parts;
-  marjoram_registry *registry;
-  marjoram_registrar *registrar;
-  marjoram_random *random;
-  marjoram_disk *disk;
-  marjoram_keeper *keeper;
-  marjoram_keeper_care *care;
-  marjoram_crash_list *crashes; /* for hosts that have just started */
-  int64_t cared_at;
-  int64_t ticked_at;
-  int64_t chosen_at; /* when the newest state was */
-  struct given *given;
-  int64_t stopped_at;
-};
-
-static int64_t
-now_of (const struct keeper_role *self)
+int64_t
+marjoram_keeper_role_now (const struct marjoram_keeper_role *self)
 {
   return marjoram_clock_now (self->parts->clock);
 }
@@ -75,7 +35,7 @@
 op_send (void *context, const char *slot,
          const struct marjoram_keeper_message *message)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
   marjoram_host_links_send (self->parts->links, slot, MARJORAM_FRAME_KEEPER,
                             message);
@@ -84,28 +44,15 @@
 static void
 op_persist (void *context, uint64_t ticket, marjoram_bytes *record)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
   marjoram_disk_write (self->disk, ticket, record);
 }
 
-static marjoram_bytes *
-pack_state (const struct marjoram_state *state)
-{
-  struct marjoram_state *copy = marjoram_state_copy (state);
-  marjoram_bytes *packed;
-
-  marjoram_state_forget_changes (copy);
-  packed = marjoram_wire_pack (&marjoram_state_layout, copy);
-  marjoram_state_destroy (copy);
-  return packed;
-}
-
 static void
 op_chosen (void *context, const struct marjoram_state *state)
 {
-  struct keeper_role *self = context;
-  struct marjoram_config_give give = { pack_state (state) };
+  struct marjoram_keeper_role *self = context;
   const struct marjoram_file *routes
       = marjoram_state_file (state, MARJORAM_FILE_ROUTES);
 
@@ -114,23 +61,19 @@
                   " members=%zu changing=%d",
                   state->number, routes ? routes->version : 0,
                   state->members.count, state->next_members.count > 0);
-  self->chosen_at = now_of (self);
-  marjoram_host_links_tell_in (self->parts->links, false,
-                               self->parts->settings->region,
-                               MARJORAM_FRAME_CONFIG_GIVE, &give);
-  marjoram_bytes_release (give.state);
+  marjoram_keeper_tell_state (self, state);
 }
 
 static void
 op_answered (void *context, uint64_t request,
              const struct marjoram_apply_answer *answer)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
   if (request != CARE_REQUEST)
     {
-      marjoram_registrar_decided (self->registrar, now_of (self), request,
-                                  answer);
+      marjoram_registrar_decided (
+          self->registrar, marjoram_keeper_role_now (self), request, answer);
       return;
     }
   marjoram_event (MARJORAM_EVENT_KEEPER,
@@ -161,12 +104,13 @@
 static void
 on_written (void *context, uint64_t ticket, bool ok)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
   if (!ok)
     marjoram_event (MARJORAM_EVENT_KEEPER, "state=disk-failed ticket=%" PRIu64,
                     ticket);
-  marjoram_keeper_persisted (self->keeper, now_of (self), ticket, ok);
+  marjoram_keeper_persisted (self->keeper, marjoram_keeper_role_now (self),
+                             ticket, ok);
 }
 
 static const struct marjoram_disk_ops disk_ops = { .written = on_written };
@@ -177,113 +121,47 @@
 reg_answer (void *context, uint64_t ask, int status, const char *body,
             size_t size)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
   marjoram_ask_server_answer (self->parts->asks, ask, status,
                               "application/json", body, size);
 }
 
-/* The part of BATCH that concerns REGION; of one that only its leave was heard
-   the zone is not known, so that it concerns all.  */
-static void
-pick_region (const struct marjoram_gateway_settings *settings,
-             const char *region, const struct marjoram_news_batch *batch,
-             struct marjoram_news_batch *part)
-{
-  const struct marjoram_news_item *items = batch->items.items;
-  struct marjoram_news_item *picked
-      = marjoram_alloc (batch->items.count * sizeof *picked);
-
-  part->ticket = batch->ticket;
-  part->items.items = picked;
-  part->items.count = 0;
-  for (size_t i = 0; i < batch->items.count; i++)
-    {
-      const char *in
-          = marjoram_gateway_settings_region (settings, items[i].zone);
-
-      if (!in || strcmp (in, region) == 0)
-        picked[part->items.count++] = items[i];
-    }
-}
-
-static bool
-was_told (const struct marjoram_gateway_settings *settings, size_t zone)
-{
-  for (size_t i = 0; i < zone; i++)
-    if (strcmp (settings->zones[i].region, settings->zones[zone].region) == 0)
-      return true;
-  return false;
-}
-
-/* Hosts use upstreams of their own region only, and hear of no others: that
-   saves most of the bytes between regions.  */
-static size_t
-tell_regions (struct keeper_role *self,
-              const struct marjoram_news_batch *batch, bool keepers_too)
-{
-  const struct marjoram_gateway_settings *settings = self->parts->settings;
-  size_t told = 0;
-
-  for (size_t i = 0; i < settings->zone_count; i++)
-    {
-      const char *region = settings->zones[i].region;
-      struct marjoram_news_batch part;
-
-      if (was_told (settings, i))
-        continue;
-      pick_region (settings, region, batch, &part);
-      if (part.items.count > 0)
-        told += marjoram_host_links_tell_in (self->parts->links, false, region,
-                                             MARJORAM_FRAME_NEWS, &part);
-      if (part.items.count > 0 && keepers_too)
-        told += marjoram_host_links_tell_in (self->parts->links, true, region,
-                                             MARJORAM_FRAME_NEWS, &part);
-      free (part.items.items);
-    }
-  return told;
-}
-
-/* Of what changes all keepers hear: a late word of an upstream's former life,
-   or one from before its leave, may come to any of them.  */
 static size_t
 reg_tell (void *context, const struct marjoram_news_batch *batch)
 {
-  struct keeper_role *self = context;
-  size_t told = marjoram_host_links_tell_in (self->parts->links, true, NULL,
-                                             MARJORAM_FRAME_NEWS, batch);
-
-  return told + tell_regions (self, batch, false);
+  return marjoram_keeper_tell_news (context, batch);
 }
 
 static void
 reg_renew (void *context, const struct marjoram_news_batch *batch)
 {
-  tell_regions (context, batch, true);
+  marjoram_keeper_tell_renewals (context, batch);
 }
 
 static void
 reg_apply (void *context, uint64_t request, const char *change_id,
            const struct marjoram_file *file)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
-  marjoram_keeper_apply (self->keeper, now_of (self), request, change_id,
-                         file);
+  marjoram_keeper_apply (self->keeper, marjoram_keeper_role_now (self),
+                         request, change_id, file);
 }
 
 static void
 reg_read (void *context, uint64_t request)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
-  marjoram_keeper_read (self->keeper, now_of (self), request);
+  marjoram_keeper_read (self->keeper, marjoram_keeper_role_now (self),
+                        request);
 }
 
 static const struct marjoram_state *
 reg_state (void *context)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
   return marjoram_keeper_chosen (self->keeper);
 }
@@ -300,7 +178,7 @@
 static bool
 knows_zone (void *context, const char *zone)
 {
-  struct keeper_role *self = context;
+  struct marjoram_keeper_role *self = context;
 
   return marjoram_gateway_settings_region (self->parts->settings, zone)
          != NULL;
@@ -308,124 +186,36 @@
 
 /* ---- The role's operations.  ---- */
 
-static struct keeper_role *
+static struct marjoram_keeper_role *
 self_of (struct marjoram_role *role)
 {
-  return (struct keeper_role *)role;
-}
-
-static void
-give_state (struct keeper_role *self, const char *host, uint64_t session)
-{
-  const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
-  struct marjoram_config_give give;
-
-  if (!state)
-    return;
-  give.state = pack_state (state);
-  marjoram_host_links_reply (self->parts->links, host, session,
-                             MARJORAM_FRAME_CONFIG_GIVE, &give);
-  marjoram_bytes_release (give.state);
-}
-
-/* Of all upstreams to a keeper, of those of its region to a host.  */
-static void
-give_news (struct keeper_role *self, const char *host, uint64_t session,
-           const struct marjoram_host_beat *beat)
-{
-  struct marjoram_news_batch all;
-  struct marjoram_news_batch part;
-
-  marjoram_registrar_all (self->registrar, now_of (self), &all);
-  pick_region (self->parts->settings, beat->region, &all, &part);
-  marjoram_host_links_reply (self->parts->links, host, session,
-                             MARJORAM_FRAME_NEWS, beat->keeper ? &all : &part);
-  free (part.items.items);
-  free (all.items.items);
-}
-
-static void
-give_crashes (struct keeper_role *self, const char *host, uint64_t session)
-{
-  struct marjoram_crash_report all;
-
-  if (marjoram_crash_list_count (self->crashes) == 0)
-    return;
-  marjoram_crash_list_all (self->crashes, &all);
-  marjoram_host_links_reply (self->parts->links, host, session,
-                             MARJORAM_FRAME_CRASHES, &all);
-  marjoram_wire_clear (&marjoram_crash_report_layout, &all);
-}
-
-/* The sender has told the hosts of its own region.  A keeper passes it on in
-   its own region only, so that no host hears it from each keeper.  */
-static void
-hear_crashes (struct keeper_role *self, const char *host,
-              const struct marjoram_crash_report *report)
-{
-  const char *region = self->parts->settings->region;
-  const struct marjoram_listed_host *sender
-      = marjoram_host_list_find (self->parts->hosts, host);
-
-  marjoram_crash_list_hear (self->crashes, now_of (self), report);
-  if (sender && strcmp (sender->beat.region, region) != 0)
-    marjoram_host_links_tell_in (self->parts->links, false, region,
-                                 MARJORAM_FRAME_CRASHES, report);
-}
-
-/* Whether HOST, which lacks the state, is to be given it now; if so, that is
-   noted.  */
-static bool
-take_turn (struct keeper_role *self, const char *host, bool first,
-           const struct marjoram_host_beat *beat)
-{
-  bool near = strcmp (beat->region, self->parts->settings->region) == 0;
-  int64_t now = now_of (self);
-  struct given *given;
-
-  if (!near && (first || now < self->chosen_at + GIVE_FAR_MS))
-    return false;
-  HASH_FIND_STR (self->given, host, given);
-  if (!given)
-    {
-      given = marjoram_alloc (sizeof *given + strlen (host) + 1);
-      memcpy (given->host, host, strlen (host) + 1);
-      HASH_ADD_STR (self->given, host, given);
-    }
-  else if (!first && now < given->at + GIVE_AGAIN_MS)
-    return false;
-  given->at = now;
-  return true;
+  return (struct marjoram_keeper_role *)role;
 }
 
 static void
 role_beat (struct marjoram_role *role, const char *host, uint64_t session,
            bool first, const struct marjoram_host_beat *beat)
 {
-  struct keeper_role *self = self_of (role);
+  struct marjoram_keeper_role *self = self_of (role);
   const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
 
   if (beat->config_number > 0)
     marjoram_keeper_heard (self->keeper, beat->config_number);
   if (first)
-    {
-      give_news (self, host, session, beat);
-      give_crashes (self, host, session);
-    }
+    marjoram_keeper_welcome (self, host, session, beat);
   if (beat->keeper || !state || beat->config_number >= state->number)
     return;
-  if (take_turn (self, host, first, beat))
-    give_state (self, host, session);
+  marjoram_keeper_give_state (self, host, session, first, beat);
 }
 
 static void
 role_frame (struct marjoram_role *role, const char *host, uint64_t session,
             enum marjoram_frame_type type, void *message)
 {
-  struct keeper_role *self = self_of (role);
+  struct marjoram_keeper_role *self = self_of (role);
   const struct marjoram_news_batch *batch = message;
   const struct marjoram_news_seen *seen = message;
-  int64_t now = now_of (self);
+  int64_t now = marjoram_keeper_role_now (self);
 
   if (type == MARJORAM_FRAME_KEEPER)
     marjoram_keeper_receive (self->keeper, now, host, message);
@@ -443,7 +233,7 @@
   else if (type == MARJORAM_FRAME_NEWS_SEEN)
     marjoram_registrar_seen (self->registrar, seen->ticket);
   else if (type == MARJORAM_FRAME_CRASHES)
-    hear_crashes (self, host, message);
+    marjoram_keeper_hear_crashes (self, host, message);
   marjoram_wire_destroy (marjoram_frame_layout (type), message);
 }
 
@@ -466,7 +256,7 @@
 static void
 role_fill_beat (struct marjoram_role *role, struct marjoram_host_beat *beat)
 {
-  struct keeper_role *self = self_of (role);
+  struct marjoram_keeper_role *self = self_of (role);
   const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
 
   beat->ready = self->stopped_at == 0;
@@ -478,19 +268,20 @@
 role_ask (struct marjoram_role *role, uint64_t ask, const char *method,
           const char *target, const char *body, size_t size)
 {
-  struct keeper_role *self = self_of (role);
+  struct marjoram_keeper_role *self = self_of (role);
 
   if (self->stopped_at)
     reg_answer (self, ask, STATUS_UNAVAILABLE, NULL, 0);
   else
-    marjoram_registrar_receive (self->registrar, now_of (self), ask, method,
+    marjoram_registrar_receive (self->registrar,
+                                marjoram_keeper_role_now (self), ask, method,
                                 target, body, size);
 }
 
 static json_t *
 role_report (struct marjoram_role *role, int64_t now)
 {
-  struct keeper_role *self = self_of (role);
+  struct marjoram_keeper_role *self = self_of (role);
   const struct marjoram_state *state = marjoram_keeper_chosen (self->keeper);
   const struct marjoram_file *routes
       = state ? marjoram_state_file (state, MARJORAM_FILE_ROUTES) : NULL;
@@ -513,7 +304,7 @@
 }
 
 static void
-take_care (struct keeper_role *self, int64_t now)
+take_care (struct marjoram_keeper_role *self, int64_t now)
 {
   struct marjoram_keeper_change change;
 
@@ -533,7 +324,7 @@
 static void
 role_tick (struct marjoram_role *role, int64_t now)
 {
-  struct keeper_role *self = self_of (role);
+  struct marjoram_keeper_role *self = self_of (role);
 
   if (now < self->ticked_at + TICK_KEEPER_MS / 2)
     return;
@@ -560,9 +351,7 @@
 static void
 role_destroy (struct marjoram_role *role)
 {
-  struct keeper_role *self = self_of (role);
-  struct given *given;
-  struct given *next;
+  struct marjoram_keeper_role *self = self_of (role);
 
   marjoram_keeper_destroy (self->keeper);
   marjoram_disk_destroy (self->disk);
@@ -571,12 +360,7 @@
   marjoram_keeper_care_destroy (self->care);
   marjoram_crash_list_destroy (self->crashes);
   marjoram_random_destroy (self->random);
-  HASH_ITER (hh, self->given, given, next)
-  {
-    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
-    HASH_DELETE (hh, self->given, given);
-    free (given);
-  }
+  marjoram_keeper_forget_given (self);
   free (self);
 }
 
@@ -596,7 +380,7 @@
 };
 
 static bool
-create_keeper (struct keeper_role *self, struct marjoram_error *err)
+create_keeper (struct marjoram_keeper_role *self, struct marjoram_error *err)
 {
   const struct marjoram_gateway_settings *settings = self->parts->settings;
   struct marjoram_keeper_options options = { 0 };
@@ -623,7 +407,7 @@
 }
 
 static void
-create_registrar (struct keeper_role *self)
+create_registrar (struct marjoram_keeper_role *self)
 {
   const struct marjoram_registrar_options options = {
     .dialect = self->parts->dialect,
@@ -642,7 +426,7 @@
 marjoram_keeper_role_create (const struct marjoram_role_parts *parts,
                              struct marjoram_error *err)
 {
-  struct keeper_role *self = marjoram_alloc (sizeof *self);
+  struct marjoram_keeper_role *self = marjoram_alloc (sizeof *self);
   uint64_t seed;
 
   randombytes_buf (&seed, sizeof seed);
--- /dev/null
+++ b/src/keeper_tell.c
@@ -0,0 +1,249 @@
+#include "keeper_role_private.h"
+
+#include "cleanup.h"
+
+#include <string.h>
+#include <uthash.h>
+
+enum
+{
+  /* A host that says it lacks the state is sent it again after this long.  */
+  GIVE_AGAIN_MS = 1000,
+  /* A keeper gives the state to the hosts of its own region at once, to others
+     only if they lack it still after so long, as their own keepers may be
+     gone: it takes two round trips between regions for those to have it.  Of a
+     deployment with two keepers in each of three regions each host gets two
+     copies instead of six.  */
+  GIVE_FAR_MS = 500
+};
+
+/* When a host was given the state last.  There are as many as hosts were ever
+   seen.  */
+struct marjoram_given
+{
+  int64_t at;
+  UT_hash_handle hh;
+  char host[];
+};
+
+/* ---- The state.  ---- */
+
+static marjoram_bytes *
+pack_state (const struct marjoram_state *state)
+{
+  struct marjoram_state *copy = marjoram_state_copy (state);
+  marjoram_bytes *packed;
+
+  marjoram_state_forget_changes (copy);
+  packed = marjoram_wire_pack (&marjoram_state_layout, copy);
+  marjoram_state_destroy (copy);
+  return packed;
+}
+
+void
+marjoram_keeper_tell_state (struct marjoram_keeper_role *self,
+                            const struct marjoram_state *state)
+{
+  struct marjoram_config_give give = { pack_state (state) };
+
+  self->chosen_at = marjoram_keeper_role_now (self);
+  marjoram_host_links_tell_in (self->parts->links, false,
+                               self->parts->settings->region,
+                               MARJORAM_FRAME_CONFIG_GIVE, &give);
+  marjoram_bytes_release (give.state);
+}
+
+/* Whether HOST, which lacks the state, is to be given it now; if so, that is
+   noted.  */
+static bool
+take_turn (struct marjoram_keeper_role *self, const char *host, bool first,
+           const struct marjoram_host_beat *beat)
+{
+  bool near = strcmp (beat->region, self->parts->settings->region) == 0;
+  int64_t now = marjoram_keeper_role_now (self);
+  struct marjoram_given *given;
+
+  if (!near && (first || now < self->chosen_at + GIVE_FAR_MS))
+    return false;
+  HASH_FIND_STR (self->given, host, given);
+  if (!given)
+    {
+      given = marjoram_alloc (sizeof *given + strlen (host) + 1);
+      memcpy (given->host, host, strlen (host) + 1);
+      HASH_ADD_STR (self->given, host, given);
+    }
+  else if (!first && now < given->at + GIVE_AGAIN_MS)
+    return false;
+  given->at = now;
+  return true;
+}
+
+void
+marjoram_keeper_give_state (struct marjoram_keeper_role *self,
+                            const char *host, uint64_t session, bool first,
+                            const struct marjoram_host_beat *beat)
+{
+  const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
+  struct marjoram_config_give give;
+
+  if (!state || !take_turn (self, host, first, beat))
+    return;
+  give.state = pack_state (state);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_CONFIG_GIVE, &give);
+  marjoram_bytes_release (give.state);
+}
+
+void
+marjoram_keeper_forget_given (struct marjoram_keeper_role *self)
+{
+  struct marjoram_given *given;
+  struct marjoram_given *next;
+
+  HASH_ITER (hh, self->given, given, next)
+  {
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    HASH_DELETE (hh, self->given, given);
+    free (given);
+  }
+}
+
+/* ---- News of upstreams.  ---- */
+
+/* The part of BATCH that concerns REGION; of one that only its leave was heard
+   the zone is not known, so that it concerns all.  */
+static void
+pick_region (const struct marjoram_gateway_settings *settings,
+             const char *region, const struct marjoram_news_batch *batch,
+             struct marjoram_news_batch *part)
+{
+  const struct marjoram_news_item *items = batch->items.items;
+  struct marjoram_news_item *picked
+      = marjoram_alloc (batch->items.count * sizeof *picked);
+
+  part->ticket = batch->ticket;
+  part->items.items = picked;
+  part->items.count = 0;
+  for (size_t i = 0; i < batch->items.count; i++)
+    {
+      const char *in
+          = marjoram_gateway_settings_region (settings, items[i].zone);
+
+      if (!in || strcmp (in, region) == 0)
+        picked[part->items.count++] = items[i];
+    }
+}
+
+static bool
+was_told (const struct marjoram_gateway_settings *settings, size_t zone)
+{
+  for (size_t i = 0; i < zone; i++)
+    if (strcmp (settings->zones[i].region, settings->zones[zone].region) == 0)
+      return true;
+  return false;
+}
+
+/* Hosts use upstreams of their own region only, and hear of no others: that
+   saves most of the bytes between regions.  */
+static size_t
+tell_regions (struct marjoram_keeper_role *self,
+              const struct marjoram_news_batch *batch, bool keepers_too)
+{
+  const struct marjoram_gateway_settings *settings = self->parts->settings;
+  size_t told = 0;
+
+  for (size_t i = 0; i < settings->zone_count; i++)
+    {
+      const char *region = settings->zones[i].region;
+      struct marjoram_news_batch part;
+
+      if (was_told (settings, i))
+        continue;
+      pick_region (settings, region, batch, &part);
+      if (part.items.count > 0)
+        told += marjoram_host_links_tell_in (self->parts->links, false, region,
+                                             MARJORAM_FRAME_NEWS, &part);
+      if (part.items.count > 0 && keepers_too)
+        told += marjoram_host_links_tell_in (self->parts->links, true, region,
+                                             MARJORAM_FRAME_NEWS, &part);
+      free (part.items.items);
+    }
+  return told;
+}
+
+/* Of what changes all keepers hear: a late word of an upstream's former life,
+   or one from before its leave, may come to any of them.  */
+size_t
+marjoram_keeper_tell_news (struct marjoram_keeper_role *self,
+                           const struct marjoram_news_batch *batch)
+{
+  size_t told = marjoram_host_links_tell_in (self->parts->links, true, NULL,
+                                             MARJORAM_FRAME_NEWS, batch);
+
+  return told + tell_regions (self, batch, false);
+}
+
+void
+marjoram_keeper_tell_renewals (struct marjoram_keeper_role *self,
+                               const struct marjoram_news_batch *batch)
+{
+  tell_regions (self, batch, true);
+}
+
+/* Of all upstreams to a keeper, of those of its region to a host.  */
+static void
+give_news (struct marjoram_keeper_role *self, const char *host,
+           uint64_t session, const struct marjoram_host_beat *beat)
+{
+  struct marjoram_news_batch all;
+  struct marjoram_news_batch part;
+
+  marjoram_registrar_all (self->registrar, marjoram_keeper_role_now (self),
+                          &all);
+  pick_region (self->parts->settings, beat->region, &all, &part);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_NEWS, beat->keeper ? &all : &part);
+  free (part.items.items);
+  free (all.items.items);
+}
+
+static void
+give_crashes (struct marjoram_keeper_role *self, const char *host,
+              uint64_t session)
+{
+  struct marjoram_crash_report all;
+
+  if (marjoram_crash_list_count (self->crashes) == 0)
+    return;
+  marjoram_crash_list_all (self->crashes, &all);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_CRASHES, &all);
+  marjoram_wire_clear (&marjoram_crash_report_layout, &all);
+}
+
+/* The sender has told the hosts of its own region.  A keeper passes it on in
+   its own region only, so that no host hears it from each keeper.  */
+void
+marjoram_keeper_hear_crashes (struct marjoram_keeper_role *self,
+                              const char *host,
+                              const struct marjoram_crash_report *report)
+{
+  const char *region = self->parts->settings->region;
+  const struct marjoram_listed_host *sender
+      = marjoram_host_list_find (self->parts->hosts, host);
+
+  marjoram_crash_list_hear (self->crashes, marjoram_keeper_role_now (self),
+                            report);
+  if (sender && strcmp (sender->beat.region, region) != 0)
+    marjoram_host_links_tell_in (self->parts->links, false, region,
+                                 MARJORAM_FRAME_CRASHES, report);
+}
+
+void
+marjoram_keeper_welcome (struct marjoram_keeper_role *self, const char *host,
+                         uint64_t session,
+                         const struct marjoram_host_beat *beat)
+{
+  give_news (self, host, session, beat);
+  give_crashes (self, host, session);
+}
