A silent stream is left only for a place, and only if its upstream is silent to all

The lines say failed=upstream-silent retry=yes, then reason=overload status=502. Stops, reloads and configurations beside it had no part in it. Ruled out: the engine's end, the caller's patience, the drain's limit. Change: an upstream that answers any request of the host within 800 ms isn't silent; a stream is left only if another place takes it; the second host of a forwarded request leaves that to the first. Request lines say which bound ended or refused a request, events passed, quiet time and longest pause. Three tests fail without the change.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -25,7 +25,12 @@
      half a second, and upstreams, if the keepers have just started too, with
      their next heartbeat.  Requests of its first seconds wait that long.  */
   YOUNG_MS = 4000,
-  YOUNG_WAIT_MS = 500
+  YOUNG_WAIT_MS = 500,
+  /* A batch of an engine takes some 10 ms; one that passes nothing on to any
+     of this host's requests for this long has stopped.  */
+  UPSTREAM_SILENT_MS = 800,
+  /* How long a silent request is left alone before it is looked at again.  */
+  SILENT_AGAIN_MS = 200
 };
 
 marjoram_gateway *
@@ -127,9 +132,28 @@
   free (gateway);
 }
 
+/* The bound that decided the end; "none" where there was none.  */
+static const char *
+limit_name (const struct marjoram_exchange *exchange,
+            enum marjoram_reason reason)
+{
+  if (reason == MARJORAM_REASON_DEADLINE)
+    return exchange->is_due_by_caller ? "caller-patience" : "route-timeout";
+  if (reason == MARJORAM_REASON_OVERLOAD)
+    return marjoram_place_limit_name (exchange->place.limit);
+  return "none";
+}
+
+/* Since events last went to the caller; -1 if none did.  */
+static int64_t
+quiet_ms (const struct marjoram_exchange *exchange, int64_t now)
+{
+  return exchange->last_at ? now - exchange->last_at : -1;
+}
+
 static void
 log_end (const struct marjoram_exchange *exchange, int64_t now,
-         const char *outcome, const char *reason, int status)
+         const char *outcome, enum marjoram_reason reason, int status)
 {
   int64_t first_ms
       = exchange->first_at ? exchange->first_at - exchange->received_at : -1;
@@ -139,13 +163,17 @@
       "id=%s outcome=%s reason=%s status=%d ms=%" PRId64 " first_ms=%" PRId64
       " estimate_ms=%" PRId64 " backlog_ms=%" PRId64 " copied=%" PRId64
       " candidates=%d usable=%d news_age_ms=%" PRId64
+      " limit=%s events=%d quiet_ms=%" PRId64 " pause_ms=%" PRId64
       " route=%s service=%s config=%" PRIu64
       " upstream=%s host=%s arrivals=%d unreached=%d forwarded=%d",
-      *exchange->facts.id ? exchange->facts.id : "-", outcome, reason, status,
-      now - exchange->received_at, first_ms, exchange->waited_ms,
-      exchange->place.backlog_ms, exchange->place.copied_tokens,
-      exchange->place.candidates, exchange->place.usable,
-      exchange->place.news_age_ms, *exchange->route ? exchange->route : "-",
+      *exchange->facts.id ? exchange->facts.id : "-", outcome,
+      marjoram_reason_name (reason), status, now - exchange->received_at,
+      first_ms, exchange->waited_ms, exchange->place.backlog_ms,
+      exchange->place.copied_tokens, exchange->place.candidates,
+      exchange->place.usable, exchange->place.news_age_ms,
+      limit_name (exchange, reason), exchange->events_passed,
+      quiet_ms (exchange, now), exchange->pause_ms,
+      *exchange->route ? exchange->route : "-",
       *exchange->service ? exchange->service : "-", exchange->config,
       *exchange->upstream ? exchange->upstream : "-",
       *exchange->host ? exchange->host : "-", exchange->arrivals,
@@ -168,8 +196,8 @@
                             : MARJORAM_METRIC_UNKNOWN,
                         1);
   marjoram_metrics_refused (metrics, why->reason);
-  log_end (exchange, now, marjoram_outcome_name (why->outcome),
-           marjoram_reason_name (why->reason), why->status);
+  log_end (exchange, now, marjoram_outcome_name (why->outcome), why->reason,
+           why->status);
   if (exchange->state == MARJORAM_EXCHANGE_STREAMS)
     gateway->ops->reply_cut (gateway->context, call);
   else
@@ -191,7 +219,8 @@
                                   marjoram_exchange_digest (exchange));
   marjoram_metrics_time (metrics, MARJORAM_TIMING_WHOLE,
                          now - exchange->received_at);
-  log_end (exchange, now, whole ? "done" : "cut", "none", exchange->status);
+  log_end (exchange, now, whole ? "done" : "cut", MARJORAM_REASON_NONE,
+           exchange->status);
   destroy (gateway, exchange);
 }
 
@@ -217,7 +246,8 @@
                                   MARJORAM_ATTEMPT_CANCELLED);
   marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_CALLER_LEFT,
                         1);
-  log_end (exchange, now, "caller-left", "none", exchange->status);
+  log_end (exchange, now, "caller-left", MARJORAM_REASON_NONE,
+           exchange->status);
   destroy (gateway, exchange);
 }
 
@@ -259,9 +289,9 @@
   int64_t patience = exchange->facts.patience_ms;
 
   exchange->due_at = exchange->received_at + timeout_ms;
-  if (patience > 0
-      && exchange->received_at + patience - DEADLINE_MARGIN_MS
-             < exchange->due_at)
+  exchange->is_due_by_caller
+      = patience > 0 && patience - DEADLINE_MARGIN_MS < timeout_ms;
+  if (exchange->is_due_by_caller)
     exchange->due_at = exchange->received_at + patience - DEADLINE_MARGIN_MS;
 }
 
@@ -384,10 +414,32 @@
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
 
+/* An engine under load may put a request off for seconds and go on with it,
+   while it answers others: one that answers anybody is not dead.  And one that
+   is dead is left only for a place that takes the request, as what is cut
+   without one is lost for sure.  Streams were cut so, in the middle, at hosts
+   that stopped in good order.  Where a request came from another host, that
+   one decides.  */
+static bool
+is_worth_leaving (marjoram_gateway *gateway,
+                  const struct marjoram_exchange *exchange, int64_t now)
+{
+  int64_t heard_at
+      = marjoram_placement_heard_at (gateway->placement, exchange->attempt);
+
+  return !exchange->forwarded && now >= heard_at + UPSTREAM_SILENT_MS
+         && marjoram_exchange_has_other_place (gateway, exchange, now);
+}
+
 static void
 give_up_silent (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
                 int64_t now)
 {
+  if (!is_worth_leaving (gateway, exchange, now))
+    {
+      exchange->silent_at = now + SILENT_AGAIN_MS;
+      return;
+    }
   marjoram_exchange_drop_attempt (gateway, exchange, now,
                                   MARJORAM_ATTEMPT_SILENT);
   marjoram_exchange_retry (gateway, exchange, now,
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -236,6 +236,17 @@
   evbuffer_drain (exchange->body, size);
 }
 
+static void
+note_events (struct marjoram_exchange *exchange, int64_t now, size_t events)
+{
+  int64_t pause = exchange->last_at ? now - exchange->last_at : 0;
+
+  if (pause > exchange->pause_ms)
+    exchange->pause_ms = pause;
+  exchange->last_at = now;
+  exchange->events_passed += (int)events;
+}
+
 void
 marjoram_gateway_data (marjoram_gateway *gateway, int64_t now,
                        uint64_t attempt, const void *data, size_t size)
@@ -245,6 +256,7 @@
 
   if (!exchange || exchange->refused)
     return;
+  marjoram_placement_heard (gateway->placement, now, attempt);
   if (!exchange->stream || !is_success (exchange))
     {
       evbuffer_add (exchange->body, data, size);
@@ -255,6 +267,7 @@
   if (events == 0)
     return;
   note_first (gateway, exchange, now);
+  note_events (exchange, now, events);
   if (exchange->repeatable)
     exchange->silent_at = now + STREAM_SILENT_MS;
   flush_stream (gateway, exchange);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -33,10 +33,14 @@
   bool forwarded;
   enum marjoram_exchange_state state;
   int64_t received_at;
-  int64_t due_at;    /* the route's timeout, or the caller's patience */
-  int64_t useful_by; /* for the first event or the answer */
-  int64_t first_at;  /* 0 until the first event or the answer's head */
-  int64_t waited_ms; /* as estimated when it was sent last */
+  int64_t due_at;        /* the route's timeout, or the caller's patience */
+  int64_t useful_by;     /* for the first event or the answer */
+  int64_t first_at;      /* 0 until the first event or the answer's head */
+  int64_t last_at;       /* when events last went to the caller; 0 if never */
+  int64_t pause_ms;      /* the longest between two of them */
+  int events_passed;     /* to the caller */
+  bool is_due_by_caller; /* its patience ends before the route's timeout */
+  int64_t waited_ms;     /* as estimated when it was sent last */
   struct marjoram_place place; /* the last choice, without its upstream */
   char digest[MARJORAM_DIGEST_TEXT + 1]; /* "" until it is asked for */
 
@@ -115,6 +119,12 @@
 /* Sends the exchange to an upstream or another region, or refuses it.  */
 void marjoram_exchange_send (marjoram_gateway *gateway,
                              struct marjoram_exchange *exchange, int64_t now);
+/* Whether an upstream that was not tried yet would take the exchange now; or
+   another region, as long as the caller was told nothing.  */
+bool
+marjoram_exchange_has_other_place (marjoram_gateway *gateway,
+                                   const struct marjoram_exchange *exchange,
+                                   int64_t now);
 /* Stops the attempt that is under way; HOW goes to the placement.  */
 void marjoram_exchange_drop_attempt (marjoram_gateway *gateway,
                                      struct marjoram_exchange *exchange,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -295,6 +295,18 @@
   return best;
 }
 
+static bool
+may_cross (marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
+           const struct marjoram_route_rule *route, int64_t now,
+           int64_t most_wait_ms)
+{
+  int64_t wait_ms = 0;
+
+  return !exchange->forwarded && !exchange->crossed
+         && choose_far (gateway, exchange, route, now, &wait_ms)
+         && wait_ms + CROSSING_MS <= most_wait_ms;
+}
+
 /* Whether it was forwarded, as no place here is in time.  */
 static bool
 cross (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
@@ -422,6 +434,34 @@
   return true;
 }
 
+bool
+marjoram_exchange_has_other_place (marjoram_gateway *gateway,
+                                   const struct marjoram_exchange *exchange,
+                                   int64_t now)
+{
+  const char *host
+      = marjoram_header_list_get (&exchange->request->headers, "Host");
+  const struct marjoram_route_rule *route = marjoram_route_table_find (
+      gateway->table, host ? host : "", exchange->request->target);
+  const struct marjoram_service_rule *service
+      = marjoram_route_table_service (gateway->table, exchange->service);
+  struct marjoram_place_query query;
+  struct marjoram_place chosen;
+
+  if (!route || !service)
+    return false;
+  make_query (exchange, service, now, &query);
+  query.again = false;
+  if (marjoram_route_allows (route, gateway->region))
+    {
+      marjoram_placement_choose (gateway->placement, now, &query, &chosen);
+      if (chosen.outcome == MARJORAM_PLACE_FOUND)
+        return true;
+    }
+  return exchange->state != MARJORAM_EXCHANGE_STREAMS
+         && may_cross (gateway, exchange, route, now, query.useful_ms);
+}
+
 /* The route is looked up at each sending, so that a request that is sent again
    goes by the configuration that is in force then.  */
 void
--- a/src/placement.c
+++ b/src/placement.c
@@ -366,6 +366,25 @@
   mark_read (attempt);
 }
 
+void
+marjoram_placement_heard (marjoram_placement *placement, int64_t now,
+                          uint64_t number)
+{
+  struct marjoram_placed_attempt *attempt = find_attempt (placement, number);
+
+  if (attempt)
+    attempt->spot->heard_at = now;
+}
+
+int64_t
+marjoram_placement_heard_at (marjoram_placement *placement, uint64_t number)
+{
+  const struct marjoram_placed_attempt *attempt
+      = find_attempt (placement, number);
+
+  return attempt ? attempt->spot->heard_at : 0;
+}
+
 static void
 pause_spot (struct marjoram_spot *spot, int64_t until)
 {
--- a/src/placement.h
+++ b/src/placement.h
@@ -55,6 +55,15 @@
   MARJORAM_PLACE_BUSY  /* all would answer too late */
 };
 
+/* The bound that an upstream's wait is beyond.  */
+enum marjoram_place_limit
+{
+  MARJORAM_PLACE_LIMIT_NONE,
+  MARJORAM_PLACE_LIMIT_USEFUL, /* it would answer too late to be of use */
+  MARJORAM_PLACE_LIMIT_BACKLOG /* too many prompts ahead */
+};
+const char *marjoram_place_limit_name (enum marjoram_place_limit limit);
+
 struct marjoram_place
 {
   enum marjoram_place_outcome outcome;
@@ -66,9 +75,10 @@
   int64_t wait_ms;  /* to the first event, as estimated; 0 if NONE */
   int64_t retry_ms; /* unless FOUND: when it is worth to come again */
   /* What decided, for the log.  */
-  int candidates;      /* upstreams of the service in the region */
-  int usable;          /* of these, neither paused nor cold nor gone */
-  int64_t backlog_ms;  /* prompts ahead at the one that was looked at */
+  int candidates;     /* upstreams of the service in the region */
+  int usable;         /* of these, neither paused nor cold nor gone */
+  int64_t backlog_ms; /* prompts ahead at the one that was looked at */
+  enum marjoram_place_limit limit; /* of BUSY: which bound it is beyond */
   int64_t news_age_ms; /* of the word of the upstream heard longest ago */
 };
 
@@ -94,6 +104,13 @@
 /* Its first event came, or its answer's head.  */
 void marjoram_placement_answering (marjoram_placement *placement, int64_t now,
                                    uint64_t attempt);
+/* Bytes of its answer came.  */
+void marjoram_placement_heard (marjoram_placement *placement, int64_t now,
+                               uint64_t attempt);
+/* When the upstream of ATTEMPT last answered anything to this host, whichever
+   attempt it was for; 0 if it never did, or ATTEMPT is at no upstream.  */
+int64_t marjoram_placement_heard_at (marjoram_placement *placement,
+                                     uint64_t attempt);
 enum marjoram_attempt_end
 {
   MARJORAM_ATTEMPT_SERVED,
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -260,13 +260,32 @@
    down all its answers.  An idle one is always tried: what was learned while
    it was slow would else turn callers away for good, as only answers can show
    that it is fast again.  */
+static enum marjoram_place_limit
+limit_of (const struct estimate *estimate,
+          const struct marjoram_place_query *query)
+{
+  if (estimate->idle)
+    return MARJORAM_PLACE_LIMIT_NONE;
+  if (estimate->wait_ms > (double)query->useful_ms)
+    return MARJORAM_PLACE_LIMIT_USEFUL;
+  if (estimate->backlog_ms > BACKLOG_MAX_MS)
+    return MARJORAM_PLACE_LIMIT_BACKLOG;
+  return MARJORAM_PLACE_LIMIT_NONE;
+}
+
 static bool
 is_in_time (const struct estimate *estimate,
             const struct marjoram_place_query *query)
 {
-  return estimate->idle
-         || (estimate->wait_ms <= (double)query->useful_ms
-             && estimate->backlog_ms <= BACKLOG_MAX_MS);
+  return limit_of (estimate, query) == MARJORAM_PLACE_LIMIT_NONE;
+}
+
+const char *
+marjoram_place_limit_name (enum marjoram_place_limit limit)
+{
+  static const char *const names[] = { "none", "objective", "backlog" };
+
+  return names[limit];
 }
 
 struct choice
@@ -354,8 +373,10 @@
   place->copied_tokens = taken->copy.tokens;
   place->wait_ms = (int64_t)taken->estimate.wait_ms;
   place->backlog_ms = (int64_t)taken->estimate.backlog_ms;
-  place->outcome = is_in_time (&taken->estimate, query) ? MARJORAM_PLACE_FOUND
-                                                        : MARJORAM_PLACE_BUSY;
+  place->limit = limit_of (&taken->estimate, query);
+  place->outcome = place->limit == MARJORAM_PLACE_LIMIT_NONE
+                       ? MARJORAM_PLACE_FOUND
+                       : MARJORAM_PLACE_BUSY;
   if (place->outcome == MARJORAM_PLACE_BUSY)
     place->retry_ms = place->wait_ms + RETRY_SOON_MS;
 }
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -44,6 +44,7 @@
   int64_t doubted_until; /* used only where there is no other */
   int64_t lost_at;       /* 0 if its connections never broke */
   int64_t wrong_at;      /* another one had its address */
+  int64_t heard_at;      /* bytes of any answer to this host; 0 if none */
   int64_t cold_until;
   int64_t cold_sent_at;
   double read_sum; /* tokens of prompts sent there, fading */
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  LONG_AGO_MS = -60000
+  LONG_AGO_MS = -60000,
+  FORWARDED_PATIENCE_MS = 3000
 };
 
 /* clang-format off */
@@ -279,8 +280,20 @@
   marjoram_registry_hear (f->registry, now, &news, 0);
 }
 
-uint64_t
-gateway_fixture_call (struct gateway_fixture *f, int64_t now, const char *path)
+void
+gateway_fixture_leave (struct gateway_fixture *f, int64_t now, const char *id)
+{
+  struct marjoram_upstream_news news
+      = marjoram_registry_find (f->registry, id)->news;
+
+  news.state = MARJORAM_NEWS_LEAVING;
+  news.sequence++;
+  marjoram_registry_hear (f->registry, now, &news, 0);
+}
+
+static uint64_t
+receive (struct gateway_fixture *f, int64_t now, const char *path,
+         bool forwarded)
 {
   struct marjoram_http_request *request = marjoram_alloc (sizeof *request);
   char id[32];
@@ -295,10 +308,24 @@
   marjoram_header_list_add (&request->headers, "Marjoramproxy-Deadline-Ms",
                             "3000");
   marjoram_header_list_add (&request->headers, "Marjoramproxy-Hold", "x");
-  marjoram_gateway_receive (f->gateway, now, f->calls, request, false, 0);
+  marjoram_gateway_receive (f->gateway, now, f->calls, request, forwarded,
+                            forwarded ? FORWARDED_PATIENCE_MS : 0);
   return f->calls;
 }
 
+uint64_t
+gateway_fixture_call (struct gateway_fixture *f, int64_t now, const char *path)
+{
+  return receive (f, now, path, false);
+}
+
+uint64_t
+gateway_fixture_forwarded (struct gateway_fixture *f, int64_t now,
+                           const char *path)
+{
+  return receive (f, now, path, true);
+}
+
 bool
 gateway_fixture_head (struct gateway_fixture *f, int64_t now, int status,
                       const char *id, bool is_signed, bool not_run)
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -54,6 +54,12 @@
 /* Upstream ID is heard at NOW as one that has started anew at BORN.  */
 void gateway_fixture_restart (struct gateway_fixture *f, int64_t now,
                               const char *id, int64_t born);
+/* Upstream ID says at NOW that it leaves.  */
+void gateway_fixture_leave (struct gateway_fixture *f, int64_t now,
+                            const char *id);
+/* The same as gateway_fixture_call, from a host of another region.  */
+uint64_t gateway_fixture_forwarded (struct gateway_fixture *f, int64_t now,
+                                    const char *path);
 /* A caller's request for PATH at NOW; returns its number.  Its id is
    "id-NUMBER".  */
 uint64_t gateway_fixture_call (struct gateway_fixture *f, int64_t now,
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -3,6 +3,7 @@
 
 #include "lib_gateway.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -250,6 +251,69 @@
 }
 END_TEST
 
+/* An engine is full: it puts a stream off for two seconds, and answers others
+   meanwhile.  Taken for dead, its caller's stream would be cut in the middle,
+   or read again elsewhere for nothing.  */
+START_TEST (busy_upstream_is_not_silent)
+{
+  uint64_t attempts[3];
+  char addresses[3][MARJORAM_ID_MAX];
+  size_t silent;
+
+  for (size_t i = 0; i < 3; i++)
+    {
+      gateway_fixture_call (&f, 0, "/ask/x");
+      attempts[i] = f.seen.attempt;
+      snprintf (addresses[i], sizeof addresses[i], "%s", f.seen.address);
+      gateway_fixture_head (&f, 10, 200, NULL, true, false);
+      gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+    }
+  /* Of three streams, two are at the same one of two upstreams.  */
+  silent = strcmp (addresses[1], addresses[2]) == 0 ? 1 : 0;
+  for (size_t i = 0; i < 3; i++)
+    if (i != silent)
+      marjoram_gateway_data (f.gateway, 1500, attempts[i],
+                             "id: 2\ndata: b\n\n", 16);
+  marjoram_gateway_tick (f.gateway, 1600);
+  ck_assert_int_eq (f.seen.cancels, 0);
+  marjoram_gateway_data (f.gateway, 2200, attempts[silent],
+                         "id: 2\ndata: c\n\n", 16);
+  ck_assert (strstr (f.seen.body, "data: c"));
+}
+END_TEST
+
+/* The same, with no other upstream that would take the stream: what comes
+   late is delivered, where a cut would have lost it for sure.  */
+START_TEST (silent_upstream_is_kept_if_there_is_no_other)
+{
+  gateway_fixture_leave (&f, 0, "u2");
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  for (int64_t now = 1600; now < 2400; now += 25)
+    marjoram_gateway_tick (f.gateway, now);
+  ck_assert_int_eq (f.seen.cancels, 0);
+  ck_assert_int_eq (f.seen.forwards, 0);
+  gateway_fixture_data (&f, 2400, "id: 2\ndata: b\n\n");
+  gateway_fixture_end (&f, 2410, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.ends, 1);
+  ck_assert (strstr (f.seen.body, "data: b"));
+}
+END_TEST
+
+/* A stream comes from a host of another region, which alone may send it on
+   elsewhere; ended here for silence, it is lost.  */
+START_TEST (forwarded_stream_is_not_left_for_silence)
+{
+  gateway_fixture_forwarded (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  marjoram_gateway_tick (f.gateway, 1600);
+  ck_assert_int_eq (f.seen.cancels, 0);
+  ck_assert_int_eq (f.seen.cuts, 0);
+}
+END_TEST
+
 /* A request that can't be repeated is never given up for silence: its answer
    may yet come, and is delivered up to the timeout.  */
 START_TEST (silence_ends_nothing_that_may_not_repeat)
@@ -500,6 +564,9 @@
   tcase_add_test (c, stream_goes_on_elsewhere);
   tcase_add_test (c, stream_that_cannot_go_on_is_cut);
   tcase_add_test (c, silent_upstream_is_left);
+  tcase_add_test (c, busy_upstream_is_not_silent);
+  tcase_add_test (c, silent_upstream_is_kept_if_there_is_no_other);
+  tcase_add_test (c, forwarded_stream_is_not_left_for_silence);
   tcase_add_test (c, silence_ends_nothing_that_may_not_repeat);
   tcase_add_test (c, timeout_is_answered_on_time);
   tcase_add_test (c, shorter_timeout_counts_after_a_while);
