Look-ups name no host outside a name's homes

Its callers brought their bodies there, to be refused (503 after 0.7 s). Ruled out: hosts that were not heard of; the order of the drain. Change: a name with routes bound to homes is answered with hosts of the caller's region or of a home, or with nobody. Test: lookup_names_nobody_outside_the_homes.

--- a/src/host_list.h
+++ b/src/host_list.h
@@ -57,13 +57,12 @@
   MARJORAM_REACH_ZONE,
   MARJORAM_REACH_REGION,
   MARJORAM_REACH_ALLOWED,
-  MARJORAM_REACH_ALL,
   MARJORAM_REACH_COUNT
 };
 
 /* The hosts that a caller of ZONE in REGION may connect to: of its zone, else
-   of its region, else of the regions that are ALLOWED, else all; REACH tells
-   which.  Borrowed.  */
+   of its region, else of the regions that are ALLOWED; REACH tells which.
+   Borrowed.  */
 size_t marjoram_host_list_lookup (marjoram_host_list *list, int64_t now,
                                   const char *zone, const char *region,
                                   marjoram_region_allowed allowed,
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -312,12 +312,13 @@
 }
 
 static const char *const reach_names[MARJORAM_REACH_COUNT]
-    = { "zone", "region", "allowed", "all" };
+    = { "zone", "region", "allowed" };
 
 struct lookup
 {
   const struct marjoram_route_table *table; /* null before any */
   const char *host;
+  bool is_bound;     /* some routes of HOST have homes */
   size_t most_homes; /* of the routes of HOST, in one region */
 };
 
@@ -330,12 +331,16 @@
 }
 
 /* Routes of one host may have different homes, and a look-up does not tell
-   which route it is for: the regions that most of them call home.  */
+   which route it is for: the regions that most of them call home.  Where no
+   host of a home serves, nobody is named: the caller would bring its body to a
+   region that must not get it, and be refused there.  */
 static bool
-is_home_of_most (void *context, const char *region)
+may_be_named (void *context, const char *region)
 {
   const struct lookup *lookup = context;
 
+  if (!lookup->is_bound)
+    return true;
   return lookup->most_homes > 0
          && homes_in (lookup, region) == lookup->most_homes;
 }
@@ -361,14 +366,18 @@
          const struct marjoram_ask *what)
 {
   const char *addresses[MARJORAM_LOOKUP_MAX];
-  struct lookup lookup = { table_in_force (registrar), what->host, 0 };
+  struct lookup lookup
+      = { .table = table_in_force (registrar), .host = what->host };
   enum marjoram_lookup_reach reach;
   size_t count;
   marjoram_auto_free char *body = NULL;
 
+  lookup.is_bound
+      = lookup.table
+        && marjoram_route_table_has_homes (lookup.table, what->host);
   find_most_homes (registrar, now, &lookup);
   count = marjoram_host_list_lookup (registrar->options.hosts, now, what->zone,
-                                     what->region, is_home_of_most, &lookup,
+                                     what->region, may_be_named, &lookup,
                                      addresses, &reach);
   marjoram_metrics_add (registrar->options.metrics, MARJORAM_METRIC_LOOKUPS,
                         1);
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -209,6 +209,17 @@
   return count;
 }
 
+bool
+marjoram_route_table_has_homes (const struct marjoram_route_table *table,
+                                const char *host)
+{
+  for (size_t i = 0; i < table->routes.count; i++)
+    if (ROUTES (table)[i].homes.count > 0
+        && same_host (ROUTES (table)[i].host, host))
+      return true;
+  return false;
+}
+
 bool
 marjoram_route_may_repeat (const struct marjoram_route_rule *route)
 {
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -99,6 +99,9 @@
 /* How many routes of HOST that are bound to homes have REGION among them.  */
 size_t marjoram_route_table_homes (const struct marjoram_route_table *table,
                                    const char *host, const char *region);
+/* Whether any route of HOST is bound to homes.  */
+bool marjoram_route_table_has_homes (const struct marjoram_route_table *table,
+                                     const char *host);
 /* Whether a second upstream may run it after a first one may have.  */
 bool marjoram_route_may_repeat (const struct marjoram_route_rule *route);
 
--- a/test/test_registrar.c
+++ b/test/test_registrar.c
@@ -436,6 +436,39 @@
 }
 END_TEST
 
+/* All hosts of the caller's region and of the routes' homes are restarted at
+   once.  Named a host of a third region, the caller would bring its request,
+   with its body, where it must not go, only to be refused there.  */
+START_TEST (lookup_names_nobody_outside_the_homes)
+{
+  static const char routes[]
+      = "{\"version\":1,\"routes\":["
+        "{\"name\":\"r\",\"host\":\"a\",\"path_prefix\":\"/r/\",\"kind\":"
+        "\"idempotent\",\"timeout_ms\":9,\"service\":\"app\","
+        "\"home_regions\":[\"r2\",\"r1\"]},"
+        "{\"name\":\"t\",\"host\":\"b\",\"path_prefix\":\"/t/\",\"kind\":"
+        "\"idempotent\",\"timeout_ms\":9,\"service\":\"app\"}],"
+        "\"services\":[{\"name\":\"app\",\"health_path\":\"/h\"}],"
+        "\"limits\":{\"max_header_bytes\":1,\"max_body_bytes\":1,"
+        "\"header_timeout_ms\":1,\"idle_timeout_ms\":1}}";
+  struct marjoram_host_beat host = { .name = (char *)"10.0.0.3",
+                                     .zone = (char *)"r3",
+                                     .region = (char *)"r3",
+                                     .entry = (char *)"10.0.0.3",
+                                     .ready = true,
+                                     .incarnation = 1,
+                                     .sequence = 1 };
+
+  ask (0, "POST", "/-/config/replace", routes);
+  decide (1, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  marjoram_host_list_hear (hosts, 0, &host, true);
+  ask (10, "GET", "/-/resolve?name=a&region=r1&zone=za", "");
+  ck_assert_int_eq (status, 503);
+  ask (10, "GET", "/-/resolve?name=b&region=r1&zone=za", "");
+  ck_assert_str_eq (body, "{\"addresses\":[\"10.0.0.3\"],\"ttl_s\":2}");
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -456,6 +489,7 @@
   tcase_add_test (c, evacuations_race);
   tcase_add_test (c, lookups);
   tcase_add_test (c, lookup_without_own_region_names_homes);
+  tcase_add_test (c, lookup_names_nobody_outside_the_homes);
   suite_add_tcase (s, c);
   return s;
 }
