Requests wait at their host for a place that comes in time

Cause: a request was placed or refused the moment it came; an engine with 100 ms of prompts ahead refused, though the answer was of use for a second. Change: wait_queue, by rank and time left; waits only while a place is expected in time by what this host's share of the engines reads, else refused at once. A request that another region refused waits here again; the other host hears how long an answer is of use. Crossing needs a shorter wait there than here. Ruled out by an earlier trial: longer queues at the engines (every answer slows down).

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -79,6 +79,8 @@
 take_forward (struct marjoram_entry *self, const char *host, uint64_t session,
               const struct marjoram_forward *forward)
 {
+  const struct marjoram_forwarded told
+      = { forward->budget_ms, forward->useful_ms };
   struct marjoram_inbound *inbound;
 
   if (!forward->method || !forward->path)
@@ -90,8 +92,7 @@
   inbound->request = forward->request;
   HASH_ADD (hh, self->inbound, call, sizeof inbound->call, inbound);
   marjoram_gateway_receive (self->gateway, marjoram_entry_now (self),
-                            inbound->call, make_request (forward), true,
-                            forward->budget_ms);
+                            inbound->call, make_request (forward), &told);
 }
 
 void
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -47,7 +47,7 @@
   if (!self->closed)
     {
       marjoram_gateway_receive (self->gateway, marjoram_entry_now (self), call,
-                                request, false, 0);
+                                request, NULL);
       return;
     }
   /* Taken now, a long answer would be cut when the drain reaches its limit. */
--- a/src/frame.c
+++ b/src/frame.c
@@ -99,6 +99,7 @@
   { MARJORAM_WIRE_BOOL (struct marjoram_forward, stream) },
   { MARJORAM_WIRE_BOOL (struct marjoram_forward, claim_here) },
   { MARJORAM_WIRE_BOOL (struct marjoram_forward, homeless) },
+  { MARJORAM_WIRE_INT (struct marjoram_forward, useful_ms) },
 };
 LAYOUT (forward_layout, marjoram_forward, forward_fields);
 
--- a/src/frame.h
+++ b/src/frame.h
@@ -122,6 +122,8 @@
   bool stream;
   bool claim_here; /* the receiver's zone guards the key */
   bool homeless;   /* the sender's zone has no upstream for it */
+  /* Left until a first event is late; 0 if this is not known.  */
+  int64_t useful_ms;
 };
 
 struct marjoram_head
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -47,6 +47,7 @@
   gateway->placement = marjoram_placement_create (&options->place);
   gateway->budget = marjoram_repeat_budget_create (&options->repeats);
   gateway->crashes = marjoram_crash_list_create ();
+  gateway->queue = marjoram_wait_queue_create ();
   gateway->created_at = now;
   return gateway;
 }
@@ -104,6 +105,7 @@
 destroy (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
 {
   HASH_DELETE (by_call, gateway->by_call, exchange);
+  marjoram_wait_queue_remove (gateway->queue, &exchange->waiter);
   marjoram_http_request_destroy (exchange->request);
   marjoram_header_list_clear (&exchange->headers);
   marjoram_event_stream_destroy (exchange->events);
@@ -128,6 +130,7 @@
   marjoram_placement_destroy (gateway->placement);
   marjoram_repeat_budget_destroy (gateway->budget);
   marjoram_crash_list_destroy (gateway->crashes);
+  marjoram_wait_queue_destroy (gateway->queue);
   free (gateway->region);
   free (gateway);
 }
@@ -373,21 +376,23 @@
 void
 marjoram_gateway_receive (marjoram_gateway *gateway, int64_t now,
                           uint64_t call, struct marjoram_http_request *request,
-                          bool forwarded, int64_t patience_ms)
+                          const struct marjoram_forwarded *forwarded)
 {
   struct marjoram_exchange *exchange = marjoram_alloc (sizeof *exchange);
 
   exchange->call = call;
   exchange->request = request;
-  exchange->forwarded = forwarded;
+  exchange->forwarded = forwarded != NULL;
   exchange->received_at = now;
   exchange->due_at = INT64_MAX;
   exchange->silent_at = INT64_MAX;
   exchange->body = evbuffer_new ();
   gateway->options.dialect->ops->read_call (&request->headers,
                                             &exchange->facts);
-  if (patience_ms > 0)
-    exchange->facts.patience_ms = patience_ms;
+  if (forwarded && forwarded->patience_ms > 0)
+    exchange->facts.patience_ms = forwarded->patience_ms;
+  if (forwarded && forwarded->useful_ms > 0)
+    exchange->told_useful_by = now + forwarded->useful_ms;
   HASH_ADD (by_call, gateway->by_call, call, sizeof exchange->call, exchange);
   count_request (gateway, exchange, now);
   if (!*exchange->facts.id)
@@ -454,7 +459,7 @@
 
   HASH_ITER (by_call, gateway->by_call, exchange, next)
   {
-    if (exchange->state == MARJORAM_EXCHANGE_WAITS)
+    if (exchange->state == MARJORAM_EXCHANGE_WAITS && !exchange->waiter.waits)
       admit (gateway, exchange, now);
     else if (now >= exchange->due_at
              && !has_more_time (gateway, exchange, now))
@@ -462,6 +467,7 @@
     else if (exchange->attempt && now >= exchange->silent_at)
       give_up_silent (gateway, exchange, now);
   }
+  marjoram_gateway_try_waiting (gateway, now);
   marjoram_placement_tick (gateway->placement, now);
   marjoram_crash_list_tick (gateway->crashes, now);
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -69,12 +69,19 @@
 void marjoram_gateway_set_table (marjoram_gateway *gateway, int64_t now,
                                  const struct marjoram_route_table *table);
 
-/* Takes REQUEST.  FORWARDED: it comes from a host of another region, and
-   PATIENCE_MS is what is left of its caller's; else 0.  */
+/* What the host that forwarded a request says of it.  */
+struct marjoram_forwarded
+{
+  int64_t patience_ms; /* left of its caller's */
+  int64_t useful_ms;   /* left until a first event is late; 0: not known */
+};
+
+/* Takes REQUEST.  FORWARDED is null unless it comes from a host of another
+   region.  */
 void marjoram_gateway_receive (marjoram_gateway *gateway, int64_t now,
                                uint64_t call,
                                struct marjoram_http_request *request,
-                               bool forwarded, int64_t patience_ms);
+                               const struct marjoram_forwarded *forwarded);
 void marjoram_gateway_gone (marjoram_gateway *gateway, int64_t now,
                             uint64_t call);
 
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -442,6 +442,12 @@
                                  MARJORAM_ATTEMPT_REFUSED);
   exchange->runs--;
   exchange->arrivals--;
+  if (exchange->runs == 0 && now < exchange->useful_by
+      && marjoram_exchange_may_run_here (gateway, exchange))
+    {
+      marjoram_exchange_send (gateway, exchange, now);
+      return;
+    }
   answer.outcome = exchange->runs > 0 ? MARJORAM_OUTCOME_UNKNOWN
                                       : MARJORAM_OUTCOME_NOT_RUN;
   answer.status = exchange->runs > 0 ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE;
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -7,6 +7,7 @@
 #include "digest.h"
 #include "event_stream.h"
 #include "gateway.h"
+#include "wait_queue.h"
 
 #include <sys/queue.h>
 #include <uthash.h>
@@ -33,8 +34,10 @@
   bool forwarded;
   enum marjoram_exchange_state state;
   int64_t received_at;
-  int64_t due_at;        /* the route's timeout, or the caller's patience */
-  int64_t useful_by;     /* for the first event or the answer */
+  int64_t due_at;         /* the route's timeout, or the caller's patience */
+  int64_t useful_by;      /* for the first event or the answer */
+  int64_t told_useful_by; /* by the host that forwarded it; 0 if not */
+  struct marjoram_waiter waiter;
   int64_t first_at;      /* 0 until the first event or the answer's head */
   int64_t last_at;       /* when events last went to the caller; 0 if never */
   int64_t pause_ms;      /* the longest between two of them */
@@ -91,6 +94,7 @@
   marjoram_placement *placement;
   marjoram_repeat_budget *budget;
   marjoram_crash_list *crashes;
+  marjoram_wait_queue *queue;
   struct marjoram_exchange *by_call;
   struct marjoram_exchange *by_attempt;
   uint64_t next_attempt;
@@ -125,6 +129,9 @@
 marjoram_exchange_has_other_place (marjoram_gateway *gateway,
                                    const struct marjoram_exchange *exchange,
                                    int64_t now);
+/* Whether its residency allows this host's region.  */
+bool marjoram_exchange_may_run_here (const marjoram_gateway *gateway,
+                                     const struct marjoram_exchange *exchange);
 /* Stops the attempt that is under way; HOW goes to the placement.  */
 void marjoram_exchange_drop_attempt (marjoram_gateway *gateway,
                                      struct marjoram_exchange *exchange,
@@ -136,6 +143,20 @@
                                     int64_t now,
                                     enum marjoram_attempt_end how);
 
+/* gateway_wait.c */
+/* Whether the exchange waits for a place, which CHOSEN says it lacks now;
+   false if one would come too late.  */
+bool marjoram_exchange_wait (marjoram_gateway *gateway,
+                             struct marjoram_exchange *exchange, int64_t now,
+                             const struct marjoram_place *chosen);
+/* Time until a place of PLACE's service would come to a request whose turn is
+   TURN.  */
+int64_t marjoram_gateway_wait_ms (const marjoram_gateway *gateway,
+                                  const char *service, int64_t turn,
+                                  const struct marjoram_place *place);
+/* Tries those that wait, in their order.  */
+void marjoram_gateway_try_waiting (marjoram_gateway *gateway, int64_t now);
+
 /* gateway_answer.c */
 /* After an attempt that failed: sends again where that is allowed, else ends
    the exchange.  REASON tells what was wrong with the attempt, NOT_RUN that it
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -37,6 +37,7 @@
 static void
 start_attempt (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
 {
+  marjoram_wait_queue_remove (gateway->queue, &exchange->waiter);
   if (exchange->state == MARJORAM_EXCHANGE_WAITS)
     exchange->state = MARJORAM_EXCHANGE_OPEN;
   exchange->attempt = ++gateway->next_attempt;
@@ -237,6 +238,8 @@
   forward.headers.count = headers.count;
   forward.body = request->body;
   forward.budget_ms = patience_left (exchange, now);
+  forward.useful_ms
+      = exchange->useful_by > now ? exchange->useful_by - now : 0;
   forward.config_number = exchange->config;
   forward.stream = request->has_body;
   if (gateway->ops->forward (gateway->context, host, &forward))
@@ -372,12 +375,36 @@
   exchange->objective_ms = route->objective_ms;
   exchange->config = table->version;
   exchange->useful_by
-      = exchange->received_at
-        + (route->objective_ms > 0 ? route->objective_ms : route->timeout_ms);
+      = exchange->told_useful_by
+            ? exchange->told_useful_by
+            : exchange->received_at
+                  + (route->objective_ms > 0 ? route->objective_ms
+                                             : route->timeout_ms);
   snprintf (exchange->route, sizeof exchange->route, "%s", route->name);
   snprintf (exchange->service, sizeof exchange->service, "%s", service);
 }
 
+/* The longest wait for which it is worth to leave the region: where no
+   upstream is left here, any that the caller bears; else only one that is
+   shorter than the wait here.  */
+static int64_t
+most_wait_elsewhere (const marjoram_gateway *gateway,
+                     const struct marjoram_exchange *exchange, int64_t now,
+                     const struct marjoram_place *chosen, int64_t useful_ms)
+{
+  int64_t here_ms;
+
+  if (chosen->outcome == MARJORAM_PLACE_NONE)
+    return patience_left (exchange, now);
+  here_ms
+      = marjoram_gateway_wait_ms (
+            gateway, exchange->service,
+            marjoram_wait_queue_turn (exchange->priority, exchange->useful_by),
+            chosen)
+        + chosen->wait_ms;
+  return here_ms < useful_ms ? here_ms : useful_ms;
+}
+
 static void
 place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
        const struct marjoram_route_rule *route,
@@ -405,9 +432,9 @@
   if (chosen.outcome == MARJORAM_PLACE_FOUND)
     send_to (gateway, exchange, now, &chosen, &query);
   else if (!cross (gateway, exchange, route, now,
-                   chosen.outcome == MARJORAM_PLACE_NONE
-                       ? patience_left (exchange, now)
-                       : query.useful_ms))
+                   most_wait_elsewhere (gateway, exchange, now, &chosen,
+                                        query.useful_ms))
+           && !marjoram_exchange_wait (gateway, exchange, now, &chosen))
     refuse_place (gateway, exchange, now, &chosen);
 }
 
@@ -434,15 +461,32 @@
   return true;
 }
 
+static const struct marjoram_route_rule *
+find_route (const marjoram_gateway *gateway,
+            const struct marjoram_exchange *exchange)
+{
+  const char *host
+      = marjoram_header_list_get (&exchange->request->headers, "Host");
+
+  return marjoram_route_table_find (gateway->table, host ? host : "",
+                                    exchange->request->target);
+}
+
+bool
+marjoram_exchange_may_run_here (const marjoram_gateway *gateway,
+                                const struct marjoram_exchange *exchange)
+{
+  const struct marjoram_route_rule *route = find_route (gateway, exchange);
+
+  return route && marjoram_route_allows (route, gateway->region);
+}
+
 bool
 marjoram_exchange_has_other_place (marjoram_gateway *gateway,
                                    const struct marjoram_exchange *exchange,
                                    int64_t now)
 {
-  const char *host
-      = marjoram_header_list_get (&exchange->request->headers, "Host");
-  const struct marjoram_route_rule *route = marjoram_route_table_find (
-      gateway->table, host ? host : "", exchange->request->target);
+  const struct marjoram_route_rule *route = find_route (gateway, exchange);
   const struct marjoram_service_rule *service
       = marjoram_route_table_service (gateway->table, exchange->service);
   struct marjoram_place_query query;
@@ -469,10 +513,7 @@
                         struct marjoram_exchange *exchange, int64_t now)
 {
   const struct marjoram_route_table *table = gateway->table;
-  const char *host
-      = marjoram_header_list_get (&exchange->request->headers, "Host");
-  const struct marjoram_route_rule *route = marjoram_route_table_find (
-      table, host ? host : "", exchange->request->target);
+  const struct marjoram_route_rule *route = find_route (gateway, exchange);
   const char *service;
   const struct marjoram_service_rule *rule;
 
--- /dev/null
+++ b/src/gateway_wait.c
@@ -0,0 +1,87 @@
+#include "gateway_private.h"
+
+enum
+{
+  /* Most waiting requests that are tried for a place at once: each is compared
+     with all upstreams, and those further back have more time.  */
+  TRIES_MAX = 16,
+  /* A stream that broke off waits this long for a place to go on; callers wait
+     two seconds for an event at least, and a prompt has to be read again.  */
+  RESUME_WAIT_MS = 800,
+  /* Until an upstream's first event is with the caller, beside the reading of
+     the prompt: a batch, and the way back.  */
+  ANSWER_MS = 60
+};
+
+static int64_t
+read_ms (const struct marjoram_place *place, double tokens_per_ms)
+{
+  return tokens_per_ms > 0
+             ? (int64_t)((double)place->unread_tokens / tokens_per_ms)
+             : 0;
+}
+
+int64_t
+marjoram_gateway_wait_ms (const marjoram_gateway *gateway, const char *service,
+                          int64_t turn, const struct marjoram_place *place)
+{
+  int64_t ahead = marjoram_wait_queue_ahead (gateway->queue, service, turn);
+
+  if (place->tokens_per_ms <= 0)
+    return place->over_ms;
+  return place->over_ms + (int64_t)((double)ahead / place->tokens_per_ms);
+}
+
+static int64_t
+last_start (const struct marjoram_exchange *exchange, int64_t now,
+            const struct marjoram_place *chosen)
+{
+  if (exchange->state == MARJORAM_EXCHANGE_STREAMS)
+    return exchange->last_at + RESUME_WAIT_MS;
+  (void)now;
+  return exchange->useful_by - ANSWER_MS
+         - read_ms (chosen, chosen->engine_tokens_per_ms);
+}
+
+/* Under bursts, a request that is refused the moment it comes is a lottery: an
+   engine has too many prompts ahead for some hundred ms, while the answer
+   would be of use a second later.  */
+bool
+marjoram_exchange_wait (marjoram_gateway *gateway,
+                        struct marjoram_exchange *exchange, int64_t now,
+                        const struct marjoram_place *chosen)
+{
+  struct marjoram_waiter *waiter = &exchange->waiter;
+
+  if (chosen->outcome != MARJORAM_PLACE_BUSY || chosen->tokens_per_ms <= 0)
+    return false;
+  if (waiter->waits)
+    return now < waiter->start_by;
+  waiter->owner = exchange;
+  waiter->service = exchange->service;
+  waiter->start_by = last_start (exchange, now, chosen);
+  waiter->turn
+      = marjoram_wait_queue_turn (exchange->priority, waiter->start_by);
+  waiter->tokens = chosen->unread_tokens;
+  if (now
+          + marjoram_gateway_wait_ms (gateway, exchange->service, waiter->turn,
+                                      chosen)
+      >= waiter->start_by)
+    return false;
+  marjoram_wait_queue_add (gateway->queue, waiter);
+  return true;
+}
+
+void
+marjoram_gateway_try_waiting (marjoram_gateway *gateway, int64_t now)
+{
+  struct marjoram_waiter *waiter = marjoram_wait_queue_first (gateway->queue);
+
+  for (int i = 0; waiter && i < TRIES_MAX; i++)
+    {
+      struct marjoram_waiter *next = marjoram_wait_queue_next (waiter);
+
+      marjoram_exchange_send (gateway, waiter->owner, now);
+      waiter = next;
+    }
+}
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -263,6 +263,19 @@
   return best ? best->beat.name : NULL;
 }
 
+size_t
+marjoram_host_list_serving (marjoram_host_list *list, int64_t now,
+                            const char *region)
+{
+  const struct marjoram_listed_host *host;
+  size_t count = 0;
+
+  TAILQ_FOREACH (host, &list->hosts, link)
+  count += marjoram_host_list_serves (host, now)
+           && strcmp (host->beat.region, region) == 0;
+  return count;
+}
+
 size_t
 marjoram_host_list_entries (marjoram_host_list *list)
 {
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -77,6 +77,9 @@
 const struct marjoram_host_offer *
 marjoram_listed_host_offer (const struct marjoram_listed_host *host,
                             const char *service);
+/* Entry hosts of REGION that take requests.  */
+size_t marjoram_host_list_serving (marjoram_host_list *list, int64_t now,
+                                   const char *region);
 /* Entry hosts that were heard of lately, alive or not.  */
 size_t marjoram_host_list_entries (marjoram_host_list *list);
 /* Forgets those that were silent for long.  */
--- a/src/placement.h
+++ b/src/placement.h
@@ -74,6 +74,14 @@
   int64_t copied_tokens;
   int64_t wait_ms;  /* to the first event, as estimated; 0 if NONE */
   int64_t retry_ms; /* unless FOUND: when it is worth to come again */
+  /* Of the upstream that was looked at, a model engine: tokens of the prompt
+     that it has to read, and by how much its backlog is over its bound.  */
+  int64_t unread_tokens;
+  int64_t over_ms;
+  /* What this host's share of all usable engines reads, and what one of them
+     does; 0 for a service without engines.  */
+  double tokens_per_ms;
+  double engine_tokens_per_ms;
   /* What decided, for the log.  */
   int candidates;     /* upstreams of the service in the region */
   int usable;         /* of these, neither paused nor cold nor gone */
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -132,6 +132,7 @@
   double wait_ms;    /* to the first event or the answer */
   double cost_ms;    /* WAIT_MS and what the choice costs others */
   double backlog_ms; /* to read the prompts ahead of it */
+  int64_t unread;    /* tokens of its prompt to be read */
   bool idle;         /* nothing that is known of runs there */
 };
 
@@ -184,15 +185,15 @@
   struct marjoram_service_speed *speed
       = marjoram_placement_speed (placement, query->service->name);
   struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
-  double unread_ms
-      = (double)(query->facts->prompt_tokens - copy->kept - copy->tokens)
-        / speed->tokens_per_ms;
+  int64_t unread = query->facts->prompt_tokens - copy->kept - copy->tokens;
+  double unread_ms = (double)unread / speed->tokens_per_ms;
   double ahead_ms = (double)marjoram_load_ahead (&load, query->priority)
                     / speed->tokens_per_ms;
   struct estimate estimate;
 
   spot->capacity = query->service->engine.kv_capacity;
   estimate.backlog_ms = ahead_ms;
+  estimate.unread = unread;
   estimate.idle = load.running == 0;
   estimate.wait_ms
       = ahead_ms + unread_ms + copy->ms + late_ms (spot, now)
@@ -349,6 +350,22 @@
   }
 }
 
+/* The hosts of a region that take requests share its engines about equally. */
+static void
+note_speed (marjoram_placement *placement, int64_t now,
+            const struct marjoram_place_query *query,
+            struct marjoram_place *place)
+{
+  size_t hosts = marjoram_host_list_serving (placement->options.hosts, now,
+                                             placement->region);
+
+  place->engine_tokens_per_ms
+      = marjoram_placement_speed (placement, query->service->name)
+            ->tokens_per_ms;
+  place->tokens_per_ms = place->engine_tokens_per_ms * place->usable
+                         / (double)(hosts > 0 ? hosts : 1);
+}
+
 void
 marjoram_placement_choose (marjoram_placement *placement, int64_t now,
                            const struct marjoram_place_query *query,
@@ -377,6 +394,11 @@
   place->outcome = place->limit == MARJORAM_PLACE_LIMIT_NONE
                        ? MARJORAM_PLACE_FOUND
                        : MARJORAM_PLACE_BUSY;
+  place->unread_tokens = taken->estimate.unread;
+  if (taken->estimate.backlog_ms > BACKLOG_MAX_MS)
+    place->over_ms = (int64_t)taken->estimate.backlog_ms - BACKLOG_MAX_MS;
+  if (query->service->has_engine)
+    note_speed (placement, now, query, place);
   if (place->outcome == MARJORAM_PLACE_BUSY)
     place->retry_ms = place->wait_ms + RETRY_SOON_MS;
 }
--- /dev/null
+++ b/src/wait_queue.c
@@ -0,0 +1,94 @@
+#include "wait_queue.h"
+
+#include "cleanup.h"
+
+#include <string.h>
+
+enum
+{
+  /* How much less time a request must have left to go before one that is more
+     urgent by one rank: some answers' time, and less than the objectives of a
+     second and more that waiting requests have.  */
+  RANK_MS = 400
+};
+
+struct marjoram_wait_queue
+{
+  TAILQ_HEAD (waiter_list, marjoram_waiter) waiters; /* by turn */
+};
+
+marjoram_wait_queue *
+marjoram_wait_queue_create (void)
+{
+  marjoram_wait_queue *queue = marjoram_alloc (sizeof *queue);
+
+  TAILQ_INIT (&queue->waiters);
+  return queue;
+}
+
+void
+marjoram_wait_queue_destroy (marjoram_wait_queue *queue)
+{
+  free (queue);
+}
+
+int64_t
+marjoram_wait_queue_turn (int priority, int64_t start_by)
+{
+  return start_by + (int64_t)priority * RANK_MS;
+}
+
+void
+marjoram_wait_queue_add (marjoram_wait_queue *queue,
+                         struct marjoram_waiter *waiter)
+{
+  struct marjoram_waiter *after;
+
+  waiter->waits = true;
+  TAILQ_FOREACH_REVERSE (after, &queue->waiters, waiter_list, link)
+  if (after->turn <= waiter->turn)
+    {
+      TAILQ_INSERT_AFTER (&queue->waiters, after, waiter, link);
+      return;
+    }
+  TAILQ_INSERT_HEAD (&queue->waiters, waiter, link);
+}
+
+void
+marjoram_wait_queue_remove (marjoram_wait_queue *queue,
+                            struct marjoram_waiter *waiter)
+{
+  if (!waiter->waits)
+    return;
+  waiter->waits = false;
+  TAILQ_REMOVE (&queue->waiters, waiter, link);
+}
+
+struct marjoram_waiter *
+marjoram_wait_queue_first (const marjoram_wait_queue *queue)
+{
+  return TAILQ_FIRST (&queue->waiters);
+}
+
+struct marjoram_waiter *
+marjoram_wait_queue_next (const struct marjoram_waiter *waiter)
+{
+  return TAILQ_NEXT (waiter, link);
+}
+
+int64_t
+marjoram_wait_queue_ahead (const marjoram_wait_queue *queue,
+                           const char *service, int64_t turn)
+{
+  const struct marjoram_waiter *waiter;
+  int64_t tokens = 0;
+
+  TAILQ_FOREACH (waiter, &queue->waiters, link)
+  {
+    if (waiter->turn >= turn)
+      break;
+    if (strcmp (waiter->service, service) == 0)
+      tokens += waiter->tokens;
+  }
+  return tokens;
+}
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -293,12 +293,20 @@
 
 static uint64_t
 receive (struct gateway_fixture *f, int64_t now, const char *path,
-         bool forwarded)
+         bool forwarded, int tokens)
 {
+  const struct marjoram_forwarded told = { FORWARDED_PATIENCE_MS, 0 };
   struct marjoram_http_request *request = marjoram_alloc (sizeof *request);
   char id[32];
+  char usage[64];
 
   snprintf (id, sizeof id, "id-%llu", (unsigned long long)++f->calls);
+  if (tokens > 0)
+    {
+      snprintf (usage, sizeof usage, "%d,50", tokens);
+      marjoram_header_list_add (&request->headers, "Marjoramproxy-Token-Usage",
+                                usage);
+    }
   request->method = marjoram_strdup ("POST");
   request->target = marjoram_strdup (path);
   request->has_body = true;
@@ -308,22 +316,29 @@
   marjoram_header_list_add (&request->headers, "Marjoramproxy-Deadline-Ms",
                             "3000");
   marjoram_header_list_add (&request->headers, "Marjoramproxy-Hold", "x");
-  marjoram_gateway_receive (f->gateway, now, f->calls, request, forwarded,
-                            forwarded ? FORWARDED_PATIENCE_MS : 0);
+  marjoram_gateway_receive (f->gateway, now, f->calls, request,
+                            forwarded ? &told : NULL);
   return f->calls;
 }
 
 uint64_t
 gateway_fixture_call (struct gateway_fixture *f, int64_t now, const char *path)
 {
-  return receive (f, now, path, false);
+  return receive (f, now, path, false, 0);
+}
+
+uint64_t
+gateway_fixture_prompt (struct gateway_fixture *f, int64_t now,
+                        const char *path, int tokens)
+{
+  return receive (f, now, path, false, tokens);
 }
 
 uint64_t
 gateway_fixture_forwarded (struct gateway_fixture *f, int64_t now,
                            const char *path)
 {
-  return receive (f, now, path, true);
+  return receive (f, now, path, true, 0);
 }
 
 bool
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -57,6 +57,9 @@
 /* Upstream ID says at NOW that it leaves.  */
 void gateway_fixture_leave (struct gateway_fixture *f, int64_t now,
                             const char *id);
+/* The same as gateway_fixture_call, with a prompt of TOKENS of its own.  */
+uint64_t gateway_fixture_prompt (struct gateway_fixture *f, int64_t now,
+                                 const char *path, int tokens);
 /* The same as gateway_fixture_call, from a host of another region.  */
 uint64_t gateway_fixture_forwarded (struct gateway_fixture *f, int64_t now,
                                     const char *path);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -314,6 +314,66 @@
 }
 END_TEST
 
+/* A burst: both engines have 250 ms of prompts to read when a further caller
+   comes, to whom an answer is of use for a second.  Refused, it would come
+   back to the same; so it waits, and is sent as soon as an engine has read. */
+START_TEST (request_waits_for_a_place)
+{
+  uint64_t attempts[2];
+
+  f.link_up = false;
+  for (int i = 0; i < 2; i++)
+    {
+      gateway_fixture_prompt (&f, 0, "/digest/x", 10000);
+      attempts[i] = f.seen.attempt;
+    }
+  gateway_fixture_prompt (&f, 10, "/digest/y", 4000);
+  ck_assert_int_eq (f.seen.sends, 2);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, 200);
+  ck_assert_int_eq (f.seen.sends, 2);
+  f.seen.attempt = attempts[1];
+  gateway_fixture_head (&f, 250, 200, "id-2", true, false);
+  gateway_fixture_data (&f, 250, "id: 1\ndata: a\n\n");
+  marjoram_gateway_tick (f.gateway, 275);
+  ck_assert_int_eq (f.seen.sends, 3);
+  ck_assert_int_eq (f.seen.refusals, 0);
+}
+END_TEST
+
+/* The same burst, ten times as large: a place can't come in time, so the
+   caller is told at once, with a time to come back, and not after a vain wait.
+ */
+START_TEST (request_that_would_wait_in_vain_is_refused_at_once)
+{
+  f.link_up = false;
+  for (int i = 0; i < 2; i++)
+    gateway_fixture_prompt (&f, 0, "/digest/x", 100000);
+  gateway_fixture_prompt (&f, 10, "/digest/y", 4000);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_OVERLOAD);
+  ck_assert_int_gt (f.seen.why.retry_ms, 0);
+}
+END_TEST
+
+/* A place was expected in time and did not come, as an engine is slower than
+   thought: the request is refused while its caller can still come back.  */
+START_TEST (waiting_ends_when_a_place_is_of_no_use)
+{
+  f.link_up = false;
+  for (int i = 0; i < 2; i++)
+    gateway_fixture_prompt (&f, 0, "/digest/x", 10000);
+  gateway_fixture_prompt (&f, 10, "/digest/y", 4000);
+  marjoram_gateway_tick (f.gateway, 700);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, 1000);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.sends, 2);
+}
+END_TEST
+
 /* A request that can't be repeated is never given up for silence: its answer
    may yet come, and is delivered up to the timeout.  */
 START_TEST (silence_ends_nothing_that_may_not_repeat)
@@ -463,6 +523,7 @@
    refused, and is not sent on: no loops.  */
 START_TEST (forwarded_request_does_not_cross_again)
 {
+  const struct marjoram_forwarded told = { 500, 0 };
   struct marjoram_http_request *request
       = calloc (1, sizeof (struct marjoram_http_request));
 
@@ -471,7 +532,7 @@
   marjoram_header_list_add (&request->headers, "Host", "a.example");
   marjoram_header_list_add (&request->headers, "Marjoramproxy-Attempt-Id",
                             "id-f");
-  marjoram_gateway_receive (f.gateway, 0, 77, request, true, 500);
+  marjoram_gateway_receive (f.gateway, 0, 77, request, &told);
   ck_assert_int_eq (f.seen.forwards, 0);
   ck_assert_int_eq (f.seen.refusals, 1);
 }
@@ -567,6 +628,9 @@
   tcase_add_test (c, busy_upstream_is_not_silent);
   tcase_add_test (c, silent_upstream_is_kept_if_there_is_no_other);
   tcase_add_test (c, forwarded_stream_is_not_left_for_silence);
+  tcase_add_test (c, request_waits_for_a_place);
+  tcase_add_test (c, request_that_would_wait_in_vain_is_refused_at_once);
+  tcase_add_test (c, waiting_ends_when_a_place_is_of_no_use);
   tcase_add_test (c, silence_ends_nothing_that_may_not_repeat);
   tcase_add_test (c, timeout_is_answered_on_time);
   tcase_add_test (c, shorter_timeout_counts_after_a_while);
