--- a/src/peer.c
+++ b/src/peer.c
@@ -25,8 +25,13 @@
   /* A machine that is off answers nothing, and the system asks again only
      after one and then three seconds, while it may long be back.  Some round
      trips between regions.  */
+  CONNECT_FIRST_MSEC = 250,
   CONNECT_MSEC = 500,
-  REDIAL_MSEC = 300,
+  /* Pause before dialling again, doubled each time.  Hosts that lost power
+     together come back within some hundred ms of each other, and serve nobody
+     until they have reached a keeper.  */
+  REDIAL_FIRST_MSEC = 50,
+  REDIAL_MSEC = 400,
   /* A frame before the proof can't be larger than a hello.  */
   HANDSHAKE_FRAME_MAX = 1024,
   /* What may wait for a reader that takes nothing.  */
@@ -63,6 +68,7 @@
   char *slot;
   char *address;
   struct session *session;
+  int failures; /* in a row */
   struct event *timer;
   UT_hash_handle hh;
 };
@@ -81,11 +87,23 @@
   uint64_t next_session;
 };
 
+static int
+doubled (int first_msec, int most_msec, int times)
+{
+  int msec = first_msec;
+
+  while (times-- > 0 && msec < most_msec)
+    msec *= 2;
+  return msec < most_msec ? msec : most_msec;
+}
+
 static void
 redial_later (struct dial *dial)
 {
-  struct timeval delay = marjoram_clock_timeval (REDIAL_MSEC);
+  struct timeval delay = marjoram_clock_timeval (
+      doubled (REDIAL_FIRST_MSEC, REDIAL_MSEC, dial->failures));
 
+  dial->failures++;
   evtimer_add (dial->timer, &delay);
 }
 
@@ -286,6 +304,7 @@
   set_handshake_timeout (session->bev, false);
   if (session->dial)
     {
+      session->dial->failures = 0;
       send_proof (session);
       peer->ops->link_up (peer->context, session->slot, session->incarnation);
     }
@@ -432,7 +451,8 @@
 static void
 dial_now (struct dial *dial)
 {
-  struct timeval limit = marjoram_clock_timeval (CONNECT_MSEC);
+  struct timeval limit = marjoram_clock_timeval (
+      doubled (CONNECT_FIRST_MSEC, CONNECT_MSEC, dial->failures));
   struct sockaddr_storage address;
   int size = sizeof address;
 
