--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -156,8 +156,7 @@
   for (size_t i = 0; i < before.count; i++)
     if (self->table && !marjoram_agreed_is_evacuated (&zones, before.items[i]))
       marjoram_placement_restored (marjoram_gateway_placement (self->gateway),
-                                   marjoram_entry_now (self), before.items[i],
-                                   self->table);
+                                   marjoram_entry_now (self), before.items[i]);
   marjoram_names_clear (&before);
 }
 
--- a/src/placement.c
+++ b/src/placement.c
@@ -476,23 +476,19 @@
   marjoram_spot_find (placement, upstream)->cold_until = now + cold_ms;
 }
 
+/* What is kept back from a cold upstream is lost to callers, so this lasts
+   only until its next heartbeat, a second on average less than a cold start
+   does, says whether it is cold.  */
 void
 marjoram_placement_restored (marjoram_placement *placement, int64_t now,
-                             const char *zone,
-                             const struct marjoram_route_table *table)
+                             const char *zone)
 {
   struct marjoram_registered *upstream;
 
   TAILQ_FOREACH (upstream, marjoram_registry_all (placement->options.registry),
                  link)
-  {
-    const struct marjoram_service_rule *service
-        = marjoram_route_table_service (table, upstream->news.service);
-
-    if (strcmp (upstream->news.zone, zone) == 0 && service)
-      marjoram_spot_find (placement, upstream->news.id)->cold_until
-          = now + service->cold_ms;
-  }
+  if (strcmp (upstream->news.zone, zone) == 0)
+    marjoram_spot_find (placement, upstream->news.id)->lost_at = now;
 }
 
 /* Upstreams that the registry has forgotten are forgotten here too, once
--- a/src/placement.h
+++ b/src/placement.h
@@ -140,10 +140,10 @@
 /* The answer of an upstream says that it stays cold for COLD_MS.  */
 void marjoram_placement_cold (marjoram_placement *placement, int64_t now,
                               const char *upstream, int64_t cold_ms);
-/* An evacuation of ZONE has ended: its upstreams may be cold.  */
+/* An evacuation of ZONE has ended: its upstreams may be cold, until they are
+   heard to be not.  */
 void marjoram_placement_restored (marjoram_placement *placement, int64_t now,
-                                  const char *zone,
-                                  const struct marjoram_route_table *table);
+                                  const char *zone);
 
 /* For the other hosts of the region: what runs from here, and what was placed
    since the last report.  To be cleared by the caller.  */
