--- a/src/dialect.h
+++ b/src/dialect.h
@@ -20,6 +20,13 @@
   int64_t tokens;
 };
 
+/* Items are malloc'd.  */
+struct marjoram_prompt_parts
+{
+  struct marjoram_prompt_part *items;
+  size_t count;
+};
+
 /* What the headers of a caller's request say.  Counts are 0 if not given.  */
 struct marjoram_call_facts
 {
@@ -124,11 +131,17 @@
   /* The body of an answer to LOOKUP, malloc'd.  */
   char *(*write_lookup) (const char *const *addresses, size_t count,
                          int64_t valid_s);
+  /* An engine's answer to KEPT_TARGET: the parts of prompts that it keeps.
+     False if it can't be read; parts that can't are left out.  */
+  bool (*read_kept) (const char *body, size_t size,
+                     struct marjoram_prompt_parts *parts);
 };
 
 struct marjoram_dialect
 {
   const struct marjoram_dialect_ops *ops;
+  /* The path that asks an engine what it keeps.  */
+  const char *kept_target;
 };
 
 #endif
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -5,6 +5,7 @@
 #define MARJORAM_ENTRY_PRIVATE_H
 
 #include "agreed.h"
+#include "engine_survey.h"
 #include "gateway.h"
 #include "role.h"
 
@@ -32,6 +33,8 @@
   marjoram_gateway *gateway;
   marjoram_http_server *server;
   marjoram_http_client *client;
+  marjoram_engine_survey *survey;
+  int64_t created_at;
   struct marjoram_route_table *table;
   struct marjoram_route_table *former; /* the gateway's */
   struct marjoram_names evacuated;
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -20,6 +20,10 @@
   /* When a refused caller may come again: at once, to another host.  */
   DRAINING_RETRY_MS = 20,
   CLIENT_TICK_MS = 100,
+  /* How long after its start a host asks the engines that it hears of what
+     they keep; what comes later starts empty, or other hosts tell of it.  All
+     upstreams send heartbeats within a second or two.  */
+  SURVEY_MS = 4000,
   STATUS_OK = 200,
   STATUS_NOT_FOUND = 404,
   STATUS_UNAVAILABLE = 503
@@ -366,6 +370,49 @@
   report_crashes (self);
 }
 
+static void
+engine_kept (void *context, const char *engine,
+             const struct marjoram_prompt_part *parts, size_t count)
+{
+  struct marjoram_entry *self = context;
+
+  marjoram_placement_keeps (marjoram_gateway_placement (self->gateway), engine,
+                            parts, count);
+}
+
+static const struct marjoram_engine_survey_ops survey_ops
+    = { .kept = engine_kept };
+
+static bool
+is_to_be_asked (struct marjoram_entry *self,
+                const struct marjoram_registered *upstream)
+{
+  const struct marjoram_service_rule *service
+      = marjoram_route_table_service (self->table, upstream->news.service);
+  const char *region = marjoram_gateway_settings_region (self->parts->settings,
+                                                         upstream->news.zone);
+
+  return service && service->has_engine
+         && upstream->news.state == MARJORAM_NEWS_READY && region
+         && strcmp (region, self->parts->settings->region) == 0;
+}
+
+/* Once all hosts were lost, nobody knows what the engines keep.  */
+static void
+survey_engines (struct marjoram_entry *self, int64_t now)
+{
+  struct marjoram_registered *upstream;
+
+  marjoram_engine_survey_tick (self->survey);
+  if (!self->table || self->parts->settings->first_start
+      || now > self->created_at + SURVEY_MS)
+    return;
+  TAILQ_FOREACH (upstream, marjoram_registry_all (self->registry), link)
+  if (is_to_be_asked (self, upstream))
+    marjoram_engine_survey_ask (self->survey, upstream->news.id,
+                                upstream->news.address);
+}
+
 static void
 role_tick (struct marjoram_role *role, int64_t now)
 {
@@ -373,6 +420,7 @@
 
   marjoram_gateway_tick (self->gateway, now);
   report (self, now);
+  survey_engines (self, now);
   if (now >= self->client_ticked_at + CLIENT_TICK_MS)
     {
       self->client_ticked_at = now;
@@ -419,6 +467,7 @@
     marjoram_entry_forget_inbound (self, inbound);
   }
   marjoram_gateway_destroy (self->gateway);
+  marjoram_engine_survey_destroy (self->survey);
   marjoram_http_client_destroy (self->client);
   marjoram_http_server_destroy (self->server);
   marjoram_route_table_destroy (self->table);
@@ -492,6 +541,9 @@
   create_gateway (self);
   self->client = marjoram_http_client_create (parts->base, parts->clock,
                                               &client_ops, self);
+  self->survey = marjoram_engine_survey_create (
+      parts->base, parts->clock, parts->dialect, &survey_ops, self);
+  self->created_at = marjoram_entry_now (self);
   self->server = marjoram_http_server_create (parts->base, parts->clock,
                                               parts->settings->entry_address,
                                               &server_ops, self, err);
--- a/src/own_dialect.c
+++ b/src/own_dialect.c
@@ -7,7 +7,7 @@
 
 static const struct marjoram_dialect *other_dialect;
 static struct marjoram_dialect_ops own_ops;
-static const struct marjoram_dialect own_dialect = { &own_ops };
+static struct marjoram_dialect own_dialect = { .ops = &own_ops };
 
 static bool
 read_evacuation (const char *method, const char *zone,
@@ -58,6 +58,7 @@
 marjoram_own_dialect (const struct marjoram_dialect *other)
 {
   other_dialect = other;
+  own_dialect.kept_target = other->kept_target;
   own_ops = *other->ops;
   own_ops.read_ask = read_ask;
   own_ops.read_config = read_config;
--- a/src/placement.c
+++ b/src/placement.c
@@ -491,6 +491,18 @@
     marjoram_spot_find (placement, upstream->news.id)->lost_at = now;
 }
 
+void
+marjoram_placement_keeps (marjoram_placement *placement, const char *upstream,
+                          const struct marjoram_prompt_part *parts,
+                          size_t count)
+{
+  struct marjoram_spot *spot = marjoram_spot_find (placement, upstream);
+
+  for (size_t i = 0; i < count; i++)
+    marjoram_engine_memory_use (spot->memory, parts[i].id, parts[i].tokens,
+                                INT64_MAX);
+}
+
 /* Upstreams that the registry has forgotten are forgotten here too, once
    nothing of this host runs there.  */
 void
--- a/src/placement.h
+++ b/src/placement.h
@@ -145,6 +145,12 @@
 void marjoram_placement_restored (marjoram_placement *placement, int64_t now,
                                   const char *zone);
 
+/* UPSTREAM says that it keeps PARTS.  */
+void marjoram_placement_keeps (marjoram_placement *placement,
+                               const char *upstream,
+                               const struct marjoram_prompt_part *parts,
+                               size_t count);
+
 /* For the other hosts of the region: what runs from here, and what was placed
    since the last report.  To be cleared by the caller.  */
 void marjoram_placement_report (marjoram_placement *placement, int64_t now,
--- /dev/null
+++ b/test/test_engine_survey.c
@@ -0,0 +1,199 @@
+/* What engines keep, asked over loopback from a stand-in.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "engine_survey.h"
+#include "http_server.h"
+#include "platform.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  LIMIT_MS = 5000
+};
+
+static struct event_base *base;
+static marjoram_http_server *engine;
+static marjoram_engine_survey *survey;
+static char address[64];
+static const char *answer;
+static int asked;
+static int told;
+static size_t told_count;
+static struct marjoram_prompt_part first_told;
+
+static void
+on_request (void *context, uint64_t call,
+            struct marjoram_http_request *request)
+{
+  struct marjoram_header_list headers = { 0 };
+
+  (void)context;
+  ck_assert_str_eq (request->target, "/-/kv-list");
+  asked++;
+  marjoram_http_server_head (engine, call, 200, &headers,
+                             (int64_t)strlen (answer));
+  marjoram_http_server_data (engine, call, answer, strlen (answer));
+  marjoram_http_server_end (engine, call);
+  marjoram_http_request_destroy (request);
+}
+
+static void
+on_gone (void *context, uint64_t call)
+{
+  (void)context;
+  (void)call;
+}
+
+static void
+on_rejected (void *context, int status, const char *why)
+{
+  (void)context;
+  (void)status;
+  (void)why;
+}
+
+static const struct marjoram_http_server_ops server_ops
+    = { .request = on_request, .gone = on_gone, .rejected = on_rejected };
+
+static void
+on_kept (void *context, const char *id,
+         const struct marjoram_prompt_part *parts, size_t count)
+{
+  (void)context;
+  ck_assert_str_eq (id, "e1");
+  told++;
+  told_count = count;
+  if (count > 0)
+    first_told = parts[0];
+}
+
+static const struct marjoram_engine_survey_ops survey_ops
+    = { .kept = on_kept };
+
+static void
+setup (void)
+{
+  struct marjoram_error err = { 0 };
+
+  signal (SIGPIPE, SIG_IGN);
+  base = event_base_new ();
+  asked = told = 0;
+  for (int port = 20200; port < 20300 && !engine; port++)
+    {
+      snprintf (address, sizeof address, "127.78.%d.%d:%d",
+                (int)(getpid () / 250 % 250), (int)(getpid () % 250) + 1,
+                port);
+      engine = marjoram_http_server_create (base, marjoram_clock_system (),
+                                            address, &server_ops, NULL, &err);
+    }
+  ck_assert_msg (engine != NULL, "%s", err.message);
+  survey = marjoram_engine_survey_create (base, marjoram_clock_system (),
+                                          marjoram_platform_dialect (),
+                                          &survey_ops, NULL);
+}
+
+static void
+teardown (void)
+{
+  marjoram_engine_survey_destroy (survey);
+  marjoram_http_server_destroy (engine);
+  engine = NULL;
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  event_base_free (base);
+}
+
+static void
+run_until (bool (*done) (void))
+{
+  struct marjoram_clock *clock = marjoram_clock_system ();
+  int64_t end = marjoram_clock_now (clock) + LIMIT_MS;
+
+  while (!done ())
+    {
+      ck_assert (marjoram_clock_now (clock) < end);
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      marjoram_engine_survey_tick (survey);
+    }
+}
+
+static bool
+is_told (void)
+{
+  return told > 0;
+}
+
+static bool
+is_over (void)
+{
+  return marjoram_engine_survey_open (survey) == 0;
+}
+
+/* All hosts lost power.  The engines still keep what they have read; a host
+   that does not ask them sends each prompt to another engine, which reads its
+   shared parts again.  */
+START_TEST (engine_tells_what_it_keeps)
+{
+  answer = "{\"epoch\":1,\"next\":9,\"held\":[[\"\",\"5c1e07a2\",800,\"m\"],"
+           "[\"\",\"91bd3f06\",410,\"m\"]]}";
+  marjoram_engine_survey_ask (survey, "e1", address);
+  marjoram_engine_survey_ask (survey, "e1", address);
+  run_until (is_told);
+  ck_assert_int_eq (asked, 1);
+  ck_assert_uint_eq (told_count, 2);
+  ck_assert_uint_eq (first_told.id, 0x5c1e07a2);
+  ck_assert_int_eq (first_told.tokens, 800);
+}
+END_TEST
+
+/* Entries of another type, ids that are none: they name nothing, the others
+   hold.  An answer that can't be read says nothing.  */
+START_TEST (malformed_answers_say_nothing)
+{
+  answer = "{\"held\":[[\"\",\"zz\",800,\"m\"],7,[\"\",\"1f\",\"x\"],"
+           "[\"\",\"1f\",0],[\"\",\"2f\",5,\"m\"]]}";
+  marjoram_engine_survey_ask (survey, "e1", address);
+  run_until (is_told);
+  ck_assert_uint_eq (told_count, 1);
+  ck_assert_uint_eq (first_told.id, 0x2f);
+}
+END_TEST
+
+START_TEST (answer_without_a_list_says_nothing)
+{
+  answer = "[]";
+  marjoram_engine_survey_ask (survey, "e1", address);
+  run_until (is_over);
+  ck_assert_int_eq (told, 0);
+}
+END_TEST
+
+/* The engine has gone: the host goes on as if it kept nothing.  */
+START_TEST (unreachable_engine_is_left_alone)
+{
+  marjoram_http_server_destroy (engine);
+  engine = NULL;
+  marjoram_engine_survey_ask (survey, "e1", address);
+  run_until (is_over);
+  ck_assert_int_eq (told, 0);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("engine_survey");
+  TCase *c = tcase_create ("engine_survey");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, engine_tells_what_it_keeps);
+  tcase_add_test (c, malformed_answers_say_nothing);
+  tcase_add_test (c, answer_without_a_list_says_nothing);
+  tcase_add_test (c, unreachable_engine_is_left_alone);
+  suite_add_tcase (s, c);
+  return s;
+}
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -150,6 +150,24 @@
   return chosen;
 }
 
+/* A host that has just started hears from an engine that it keeps a part: the
+   part's prompts go there, and are not read again elsewhere.  */
+START_TEST (prompt_goes_where_an_engine_says_it_is_kept)
+{
+  const struct marjoram_prompt_part kept = { 7, 4000 };
+  struct marjoram_call_facts facts = prompt (7, 4000, 100, 500);
+  struct marjoram_place_query query = ask_for (&facts, 1);
+
+  hear (0, "1");
+  hear (0, "2");
+  hear (0, "3");
+  marjoram_placement_keeps (placement, "2", &kept, 1);
+  ck_assert_str_eq (place (10, &query).upstream->news.id, "2");
+  marjoram_placement_keeps (placement, "3", &kept, 1);
+  ck_assert_int_lt (place (20, &query).wait_ms, 40);
+}
+END_TEST
+
 START_TEST (prompt_goes_where_its_part_is_kept)
 {
   struct marjoram_call_facts first = prompt (7, 4000, 100, 500);
@@ -560,6 +578,7 @@
   TCase *c = tcase_create ("placement");
 
   tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, prompt_goes_where_an_engine_says_it_is_kept);
   tcase_add_test (c, prompt_goes_where_its_part_is_kept);
   tcase_add_test (c, kept_prompt_is_copied_from_a_busy_neighbour);
   tcase_add_test (c, nothing_is_copied_from_a_lost_engine);
