A zone that is just being evacuated serves what nothing else may run

Change: where nothing in the region is left and no other region takes a request, the zone's upstreams still do for two seconds after the host heard of it (leaving_zones); not for evacuations that are older than the host.

--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -7,6 +7,7 @@
 #include "agreed.h"
 #include "engine_survey.h"
 #include "gateway.h"
+#include "leaving_zones.h"
 #include "role.h"
 
 #include <uthash.h>
@@ -38,6 +39,8 @@
   struct marjoram_route_table *table;
   struct marjoram_route_table *former; /* the gateway's */
   struct marjoram_names evacuated;
+  struct marjoram_leaving_zones leaving; /* of these, the newest */
+  bool knows_evacuations; /* a state was heard since the start */
   uint64_t config_number;
   struct marjoram_inbound *inbound;
   uint64_t next_call;
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -150,6 +150,18 @@
   marjoram_http_server_set_limits (self->server, &limits);
 }
 
+/* How long those of the first state that is heard have been evacuated is not
+   known.  */
+static void
+note_leaving (struct marjoram_entry *self, const struct marjoram_names *before)
+{
+  for (size_t i = 0; self->knows_evacuations && i < self->evacuated.count; i++)
+    if (!marjoram_agreed_is_evacuated (before, self->evacuated.items[i]))
+      marjoram_leaving_zones_add (&self->leaving, marjoram_entry_now (self),
+                                  self->evacuated.items[i]);
+  self->knows_evacuations = true;
+}
+
 /* Zones whose evacuation has ended may have cold upstreams.  */
 static void
 set_evacuated (struct marjoram_entry *self, struct marjoram_names zones)
@@ -157,6 +169,7 @@
   struct marjoram_names before = self->evacuated;
 
   self->evacuated = zones;
+  note_leaving (self, &before);
   for (size_t i = 0; i < before.count; i++)
     if (self->table && !marjoram_agreed_is_evacuated (&zones, before.items[i]))
       marjoram_placement_restored (marjoram_gateway_placement (self->gateway),
@@ -509,6 +522,15 @@
   return marjoram_agreed_is_evacuated (&self->evacuated, zone);
 }
 
+static bool
+is_leaving (void *context, const char *zone)
+{
+  struct marjoram_entry *self = context;
+
+  return marjoram_leaving_zones_has (&self->leaving, marjoram_entry_now (self),
+                                     zone);
+}
+
 static void
 create_gateway (struct marjoram_entry *self)
 {
@@ -520,6 +542,7 @@
                .region = self->parts->settings->region,
                .region_of = region_of,
                .is_evacuated = is_evacuated,
+               .is_leaving = is_leaving,
                .context = self },
     .repeats = repeat_terms (self),
     .metrics = self->parts->metrics,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -438,6 +438,33 @@
   return here_ms < useful_ms ? here_ms : useful_ms;
 }
 
+static void
+choose (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+        int64_t now, struct marjoram_place_query *query,
+        struct marjoram_place *chosen)
+{
+  marjoram_placement_choose (gateway->placement, now, query, chosen);
+  exchange->place = *chosen;
+  exchange->place.upstream = NULL;
+  exchange->place.copy_from = NULL;
+  exchange->waited_ms = chosen->wait_ms;
+  query->expected_ms = chosen->wait_ms;
+  query->copied_tokens = chosen->copied_tokens;
+}
+
+/* The last zone of a region is evacuated while no other region that may run a
+   request can be reached: for a short while its upstreams still take it.  */
+static bool
+find_last_resort (marjoram_gateway *gateway,
+                  struct marjoram_exchange *exchange, int64_t now,
+                  struct marjoram_place_query *query,
+                  struct marjoram_place *chosen)
+{
+  query->last_resort = true;
+  choose (gateway, exchange, now, query, chosen);
+  return chosen->outcome == MARJORAM_PLACE_FOUND;
+}
+
 static void
 place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
        const struct marjoram_route_rule *route,
@@ -455,20 +482,18 @@
                 REFUSED_RETRY_MS);
       return;
     }
-  marjoram_placement_choose (gateway->placement, now, &query, &chosen);
-  exchange->place = chosen;
-  exchange->place.upstream = NULL;
-  exchange->place.copy_from = NULL;
-  exchange->waited_ms = chosen.wait_ms;
-  query.expected_ms = chosen.wait_ms;
-  query.copied_tokens = chosen.copied_tokens;
+  choose (gateway, exchange, now, &query, &chosen);
   if (chosen.outcome == MARJORAM_PLACE_FOUND
       && marjoram_exchange_is_its_turn (gateway, exchange, &chosen))
     send_to (gateway, exchange, now, &chosen, &query);
-  else if (!cross (gateway, exchange, route, now,
-                   most_wait_elsewhere (gateway, exchange, now, &chosen,
-                                        query.useful_ms))
-           && !marjoram_exchange_wait (gateway, exchange, now, &chosen))
+  else if (cross (gateway, exchange, route, now,
+                  most_wait_elsewhere (gateway, exchange, now, &chosen,
+                                       query.useful_ms)))
+    return;
+  else if (chosen.candidates == 0
+           && find_last_resort (gateway, exchange, now, &query, &chosen))
+    send_to (gateway, exchange, now, &chosen, &query);
+  else if (!marjoram_exchange_wait (gateway, exchange, now, &chosen))
     refuse_place (gateway, exchange, now, &chosen);
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -24,6 +24,9 @@
   /* Region of a zone; null if the zone is unknown.  */
   const char *(*region_of) (void *context, const char *zone);
   bool (*is_evacuated) (void *context, const char *zone);
+  /* Whether the evacuation of ZONE began just now, so that its upstreams may
+     still be sent what nothing else may run.  */
+  bool (*is_leaving) (void *context, const char *zone);
   void *context;
 };
 
@@ -45,7 +48,8 @@
   int64_t copied_tokens;
   const char *tried[MARJORAM_TRIED_MAX];
   size_t tried_count;
-  bool again; /* an upstream that was tried is better than none */
+  bool again;       /* an upstream that was tried is better than none */
+  bool last_resort; /* so is one of a zone that is just being evacuated */
 };
 
 enum marjoram_place_outcome
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -106,8 +106,11 @@
       || !marjoram_registry_usable (options->registry, upstream, now))
     return false;
   region = options->region_of (options->context, upstream->news.zone);
-  return region && strcmp (region, placement->region) == 0
-         && !options->is_evacuated (options->context, upstream->news.zone);
+  if (!region || strcmp (region, placement->region) != 0)
+    return false;
+  return !options->is_evacuated (options->context, upstream->news.zone)
+         || (query->last_resort
+             && options->is_leaving (options->context, upstream->news.zone));
 }
 
 /* The same for all hosts, so that they agree where a shared part is kept: by
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -169,9 +169,19 @@
 static bool
 is_evacuated (void *context, const char *zone)
 {
-  (void)context;
+  const struct gateway_fixture *f = context;
+
+  (void)zone;
+  return f->evacuated;
+}
+
+static bool
+is_leaving (void *context, const char *zone)
+{
+  const struct gateway_fixture *f = context;
+
   (void)zone;
-  return false;
+  return f->leaving;
 }
 
 static void
@@ -233,6 +243,8 @@
     .region = "r1",
     .region_of = region_of,
     .is_evacuated = is_evacuated,
+    .is_leaving = is_leaving,
+    .context = f,
   };
   f->gateway = marjoram_gateway_create (&options, &ops, f, created_at);
   add_upstream (f, "u1", "lm", "10.0.0.1:80");
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -37,6 +37,8 @@
   struct marjoram_route_table *table;
   struct gateway_seen seen;
   bool link_up;          /* to hosts of other regions */
+  bool evacuated;        /* the zone of the region's upstreams */
+  bool leaving;          /* the same, just now */
   const char *unreached; /* the one of them to which there is no link */
   uint64_t calls;
 };
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -516,6 +516,28 @@
 /* In a large system a host has links to a few hosts of each other region only.
    All requests that must cross have to go to one of these, whichever has
    offers to make; sent to others they would be refused beside free engines. */
+/* The only zone of a region is evacuated while the link to the other region is
+   cut.  What nothing else may run is served for the short while in which
+   operators still expect it, then refused at once.  */
+START_TEST (leaving_zone_serves_what_nothing_else_may)
+{
+  f.link_up = false;
+  f.evacuated = true;
+  f.leaving = true;
+  gateway_fixture_call (&f, 0, "/ask/x");
+  ck_assert_int_eq (f.seen.sends, 1);
+  f.leaving = false;
+  gateway_fixture_call (&f, 10, "/ask/x");
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  f.leaving = true;
+  f.link_up = true;
+  gateway_fixture_call (&f, 10, "/ask/x");
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_int_eq (f.seen.forwards, 1);
+}
+END_TEST
+
 /* Two hosts of another region share its upstreams.  If all that crosses goes
    to one of them, it waits there in a long queue while the other has none.  */
 START_TEST (crossing_requests_spread_over_the_hosts)
@@ -679,6 +701,7 @@
   tcase_add_test (c, caller_that_leaves_ends_the_work);
   tcase_add_test (c, residency_sends_it_across);
   tcase_add_test (c, far_stream_goes_on);
+  tcase_add_test (c, leaving_zone_serves_what_nothing_else_may);
   tcase_add_test (c, crossing_requests_spread_over_the_hosts);
   tcase_add_test (c, only_reached_hosts_are_crossed_to);
   tcase_add_test (c, refusal_of_the_other_region_is_passed_on);
