Refused callers come back after as long as a shortage has lasted

What has lasted for a while will last about as long again. Change: Retry-After is the longer of the expected wait and the time for which the service's requests have been refused already, 4 s at most.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -48,6 +48,7 @@
   gateway->budget = marjoram_repeat_budget_create (&options->repeats);
   gateway->crashes = marjoram_crash_list_create ();
   gateway->queue = marjoram_wait_queue_create ();
+  gateway->shortages = marjoram_shortages_create ();
   gateway->created_at = now;
   return gateway;
 }
@@ -131,6 +132,7 @@
   marjoram_repeat_budget_destroy (gateway->budget);
   marjoram_crash_list_destroy (gateway->crashes);
   marjoram_wait_queue_destroy (gateway->queue);
+  marjoram_shortages_destroy (gateway->shortages);
   free (gateway->region);
   free (gateway);
 }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -7,6 +7,7 @@
 #include "digest.h"
 #include "event_stream.h"
 #include "gateway.h"
+#include "shortage.h"
 #include "wait_queue.h"
 
 #include <sys/queue.h>
@@ -95,6 +96,7 @@
   marjoram_repeat_budget *budget;
   marjoram_crash_list *crashes;
   marjoram_wait_queue *queue;
+  marjoram_shortages *shortages;
   struct marjoram_exchange *by_call;
   struct marjoram_exchange *by_attempt;
   uint64_t next_attempt;
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -393,7 +393,8 @@
     return;
   refuse (gateway, exchange, now,
           none ? MARJORAM_REASON_NO_UPSTREAM : MARJORAM_REASON_OVERLOAD,
-          chosen->retry_ms);
+          marjoram_shortages_refuse (gateway->shortages, now,
+                                     exchange->service, chosen->retry_ms));
 }
 
 static void
--- /dev/null
+++ b/src/shortage.c
@@ -0,0 +1,88 @@
+#include "shortage.h"
+
+#include "cleanup.h"
+
+#include <string.h>
+#include <uthash.h>
+
+enum
+{
+  /* Without a refusal for this long, a shortage is over: some answers' time.
+   */
+  PAUSE_MS = 500,
+  /* Longest time to send a caller away for; callers wait 3 s and more in all,
+     and come back within a third of what they have left.  */
+  AGAIN_MAX_MS = 4000
+};
+
+struct shortage
+{
+  char *service;
+  int64_t since;
+  int64_t last;
+  UT_hash_handle hh;
+};
+
+struct marjoram_shortages
+{
+  struct shortage *by_service;
+};
+
+marjoram_shortages *
+marjoram_shortages_create (void)
+{
+  return marjoram_alloc (sizeof (marjoram_shortages));
+}
+
+void
+marjoram_shortages_destroy (marjoram_shortages *shortages)
+{
+  struct shortage *shortage;
+  struct shortage *next;
+
+  if (!shortages)
+    return;
+  HASH_ITER (hh, shortages->by_service, shortage, next)
+  {
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    HASH_DELETE (hh, shortages->by_service, shortage);
+    free (shortage->service);
+    free (shortage);
+  }
+  free (shortages);
+}
+
+static struct shortage *
+find (marjoram_shortages *shortages, int64_t now, const char *service)
+{
+  struct shortage *shortage;
+
+  HASH_FIND_STR (shortages->by_service, service, shortage);
+  if (shortage)
+    return shortage;
+  shortage = marjoram_alloc (sizeof *shortage);
+  shortage->service = marjoram_strdup (service);
+  shortage->since = shortage->last = now;
+  HASH_ADD_KEYPTR (hh, shortages->by_service, shortage->service,
+                   strlen (shortage->service), shortage);
+  return shortage;
+}
+
+/* What has lasted for some time will last about as long again.  A caller that
+   is sent away for less comes back into the same shortage, and has used up its
+   retry.  */
+int64_t
+marjoram_shortages_refuse (marjoram_shortages *shortages, int64_t now,
+                           const char *service, int64_t at_least_ms)
+{
+  struct shortage *shortage = find (shortages, now, service);
+  int64_t lasted;
+
+  if (now > shortage->last + PAUSE_MS)
+    shortage->since = now;
+  shortage->last = now;
+  lasted = now - shortage->since;
+  if (lasted > AGAIN_MAX_MS)
+    lasted = AGAIN_MAX_MS;
+  return lasted > at_least_ms ? lasted : at_least_ms;
+}
--- /dev/null
+++ b/test/test_shortage.c
@@ -0,0 +1,59 @@
+/* When refused callers come again.  */
+#include "suite.h"
+
+#include "shortage.h"
+
+static marjoram_shortages *shortages;
+
+static void
+setup (void)
+{
+  shortages = marjoram_shortages_create ();
+}
+
+static void
+teardown (void)
+{
+  marjoram_shortages_destroy (shortages);
+}
+
+/* A region is evacuated for eight seconds.  Callers that are told to come back
+   after 250 ms are refused twice, and gone; those that are told to come back
+   after as long as it has lasted already find it over.  */
+START_TEST (long_shortage_sends_callers_away_for_longer)
+{
+  ck_assert_int_eq (marjoram_shortages_refuse (shortages, 0, "lm", 250), 250);
+  for (int64_t now = 0; now < 3000; now += 100)
+    marjoram_shortages_refuse (shortages, now, "lm", 250);
+  ck_assert_int_eq (marjoram_shortages_refuse (shortages, 3000, "lm", 250),
+                    3000);
+  for (int64_t now = 3000; now < 9000; now += 100)
+    marjoram_shortages_refuse (shortages, now, "lm", 250);
+  ck_assert_int_eq (marjoram_shortages_refuse (shortages, 9000, "lm", 250),
+                    4000);
+}
+END_TEST
+
+START_TEST (shortage_ends_without_refusals)
+{
+  for (int64_t now = 0; now < 3000; now += 100)
+    marjoram_shortages_refuse (shortages, now, "lm", 250);
+  ck_assert_int_eq (marjoram_shortages_refuse (shortages, 4000, "lm", 250),
+                    250);
+  ck_assert_int_eq (marjoram_shortages_refuse (shortages, 4000, "app", 90),
+                    90);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("shortage");
+  TCase *c = tcase_create ("shortage");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, long_shortage_sends_callers_away_for_longer);
+  tcase_add_test (c, shortage_ends_without_refusals);
+  suite_add_tcase (s, c);
+  return s;
+}
