--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -2,6 +2,9 @@
 
 enum
 {
+  /* Most requests that wait at once: a second of a host's share at the largest
+     load, some hundred KB of prompts.  More could not be served in time.  */
+  WAITERS_MAX = 400,
   /* Most waiting requests that are tried for a place at once: each is compared
      with all upstreams, and those further back have more time.  */
   TRIES_MAX = 16,
@@ -67,10 +70,12 @@
 {
   struct marjoram_waiter *waiter = &exchange->waiter;
 
-  if (chosen->outcome == MARJORAM_PLACE_NONE || chosen->tokens_per_ms <= 0)
-    return false;
+  /* All upstreams may be paused for a moment; none at all won't come back.  */
   if (waiter->waits)
-    return now < waiter->start_by;
+    return now < waiter->start_by && chosen->candidates > 0;
+  if (chosen->outcome == MARJORAM_PLACE_NONE || chosen->tokens_per_ms <= 0
+      || marjoram_wait_queue_count (gateway->queue) >= WAITERS_MAX)
+    return false;
   waiter->owner = exchange;
   waiter->service = exchange->service;
   waiter->start_by = last_start (exchange, chosen);
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -17,6 +17,7 @@
 struct marjoram_wait_queue
 {
   TAILQ_HEAD (waiter_list, marjoram_waiter) waiters; /* by turn */
+  size_t count;
 };
 
 marjoram_wait_queue *
@@ -47,6 +48,7 @@
   struct marjoram_waiter *after;
 
   waiter->waits = true;
+  queue->count++;
   TAILQ_FOREACH_REVERSE (after, &queue->waiters, waiter_list, link)
   if (after->turn <= waiter->turn)
     {
@@ -63,6 +65,7 @@
   if (!waiter->waits)
     return;
   waiter->waits = false;
+  queue->count--;
   TAILQ_REMOVE (&queue->waiters, waiter, link);
 }
 
@@ -78,6 +81,12 @@
   return TAILQ_NEXT (waiter, link);
 }
 
+size_t
+marjoram_wait_queue_count (const marjoram_wait_queue *queue)
+{
+  return queue->count;
+}
+
 int64_t
 marjoram_wait_queue_ahead (const marjoram_wait_queue *queue,
                            const char *service, int64_t turn)
