--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -473,6 +473,7 @@
 {
   struct marjoram_place_query query;
   struct marjoram_place chosen;
+  bool found;
 
   make_query (exchange, service, now, &query);
   if (!marjoram_route_allows (route, gateway->region))
@@ -484,15 +485,16 @@
       return;
     }
   choose (gateway, exchange, now, &query, &chosen);
-  if (chosen.outcome == MARJORAM_PLACE_FOUND
-      && marjoram_exchange_is_its_turn (gateway, exchange, &chosen))
-    send_to (gateway, exchange, now, &chosen, &query);
-  else if (cross (gateway, exchange, route, now,
-                  most_wait_elsewhere (gateway, exchange, now, &chosen,
-                                       query.useful_ms)))
+  found = chosen.outcome == MARJORAM_PLACE_FOUND
+          && marjoram_exchange_is_its_turn (gateway, exchange, &chosen);
+  if (!found
+      && cross (gateway, exchange, route, now,
+                most_wait_elsewhere (gateway, exchange, now, &chosen,
+                                     query.useful_ms)))
     return;
-  else if (chosen.candidates == 0
-           && find_last_resort (gateway, exchange, now, &query, &chosen))
+  if (!found && chosen.candidates == 0)
+    found = find_last_resort (gateway, exchange, now, &query, &chosen);
+  if (found)
     send_to (gateway, exchange, now, &chosen, &query);
   else if (!marjoram_exchange_wait (gateway, exchange, now, &chosen))
     refuse_place (gateway, exchange, now, &chosen);
