--- a/bench/ablation.sh
+++ b/bench/ablation.sh
@@ -32,13 +32,17 @@
 out=$1
 mkdir -p "$out"
 
-# Copies the sources, and sets CONSTANT ($3) of FILE ($2) to VALUE ($4).
+# Copies the sources, and sets CONSTANT ($3) of FILE ($2) to VALUE ($4).  Times
+# are kept, so that little is built anew; the file that was changed before and
+# is restored now must be.
 make_copy ()
 {
-  rm -rf "$1/src" "$1/platform" "$1/deploy"
   mkdir -p "$1/journal"
-  cp -r "$tree/src" "$tree/platform" "$tree/deploy" "$tree/CMakeLists.txt" \
+  rm -rf "$1/src" "$1/platform" "$1/deploy"
+  cp -rp "$tree/src" "$tree/platform" "$tree/deploy" "$tree/CMakeLists.txt" \
     "$tree/Makefile" "$1"
+  [ ! -f "$1/changed" ] || touch "$1/$(cat "$1/changed")"
+  echo "${2:-CMakeLists.txt}" > "$1/changed"
   [ -d "$1/.git" ] || git -C "$1" init -q
   [ -n "${2:-}" ] || return 0
   grep -Eq "(#define|^ +) ?$3( =)? " "$1/$2" || {
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -17,7 +17,7 @@
 struct marjoram_wait_queue
 {
   TAILQ_HEAD (waiter_list, marjoram_waiter) waiters; /* by turn */
-  size_t count;
+  int64_t count;
 };
 
 marjoram_wait_queue *
@@ -81,7 +81,7 @@
   return TAILQ_NEXT (waiter, link);
 }
 
-size_t
+int64_t
 marjoram_wait_queue_count (const marjoram_wait_queue *queue)
 {
   return queue->count;
--- a/src/wait_queue.h
+++ b/src/wait_queue.h
@@ -9,7 +9,6 @@
 #define MARJORAM_WAIT_QUEUE_H
 
 #include <stdbool.h>
-#include <stddef.h>
 #include <stdint.h>
 #include <sys/queue.h>
 
@@ -42,7 +41,7 @@
 marjoram_wait_queue_first (const marjoram_wait_queue *queue);
 struct marjoram_waiter *
 marjoram_wait_queue_next (const struct marjoram_waiter *waiter);
-size_t marjoram_wait_queue_count (const marjoram_wait_queue *queue);
+int64_t marjoram_wait_queue_count (const marjoram_wait_queue *queue);
 /* Tokens of prompts for SERVICE that go before TURN.  */
 int64_t marjoram_wait_queue_ahead (const marjoram_wait_queue *queue,
                                    const char *service, int64_t turn);
