--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -3,7 +3,7 @@
 enum
 {
   /* Most requests that wait at once: a second of a host's share at the largest
-     load, some hundred KB of prompts.  More could not be served in time.  */
+     load, some MB of prompts.  More could not be served in time.  */
   WAITERS_MAX = 400,
   /* Most waiting requests that are tried for a place at once: each is compared
      with all upstreams, and those further back have more time.  */
