An answer's slowness among prompts no longer weighs on where a request goes

It sent long answers away from engines that keep their prompts. Removed, with the mean of prompts read that hosts told each other for it.

--- a/bench/ablation.sh
+++ b/bench/ablation.sh
@@ -12,7 +12,6 @@
 queue-ranks       src/wait_queue.c         RANK_MS             0
 backlog-bound     src/placement_choose.c   BACKLOG_MAX_MS      100000
 prompt-harm       src/placement_choose.c   PROMPT_HARM         0.0
-answer-harm       src/placement_choose.c   ANSWER_HARM         0.0
 read-weight       src/placement_choose.c   READ_WEIGHT         1.0
 failure-share     src/placement_choose.c   FAILURE_WEIGHT      0.0
 second-best       src/placement_choose.c   SECOND_BEST_MS      0
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -373,7 +373,7 @@
   if (now < self->reported_at + REPORT_MS)
     return;
   self->reported_at = now;
-  marjoram_placement_report (marjoram_gateway_placement (self->gateway), now,
+  marjoram_placement_report (marjoram_gateway_placement (self->gateway),
                              &loads);
   marjoram_host_links_tell_region (self->parts->links, MARJORAM_FRAME_LOADS,
                                    &loads);
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -84,7 +84,6 @@
   COUNT (marjoram_load_item, urgent_tokens),
   COUNT (marjoram_load_item, held_tokens),
   COUNT (marjoram_load_item, answer_tokens),
-  COUNT (marjoram_load_item, read_per_s),
   FLAG (marjoram_load_item, lost),
 };
 static LAYOUT (load_item_layout, marjoram_load_item, load_item_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -83,9 +83,8 @@
   uint64_t urgent_tokens; /* the part of these at the most urgent priority */
   uint64_t held_tokens;   /* of running requests, in the engine's memory */
   uint64_t
-      answer_tokens;   /* that running requests still have to get, at most */
-  uint64_t read_per_s; /* tokens of prompts sent there, a mean */
-  bool lost;           /* its connections broke: it may have restarted */
+      answer_tokens; /* that running requests still have to get, at most */
+  bool lost;         /* its connections broke: it may have restarted */
 };
 
 /* A part of a prompt that was just sent to an upstream.  */
--- a/src/placement.c
+++ b/src/placement.c
@@ -2,7 +2,6 @@
 
 #include "cleanup.h"
 
-#include <math.h>
 #include <string.h>
 
 /* Tokens of a prompt that an engine reads in a ms, until it has shown its own
@@ -30,12 +29,9 @@
   /* Broken answers in a row, above which it is not one request's fault.  */
   BROKEN_IN_ROW = 3,
   DOUBT_MS = 500,
-  /* Span of the mean of prompts read: some requests' length.  */
-  READ_MEAN_MS = 2000,
   /* A report of a host that is silent for longer counts no more; twenty
      reports.  */
   REPORT_VALID_MS = 2000,
-  MSEC_PER_SEC = 1000,
   /* Shortest prompt that tells an engine's speed, in tokens.  */
   SPEED_TOKENS_MIN = 1500
 };
@@ -182,24 +178,12 @@
   spot->broken = 0;
 }
 
-int64_t
-marjoram_spot_read_per_s (struct marjoram_spot *spot, int64_t now)
-{
-  int64_t passed = now - spot->read_at;
-
-  spot->read_at = now;
-  spot->read_sum *= exp (-(double)passed / READ_MEAN_MS);
-  return (int64_t)(spot->read_sum * MSEC_PER_SEC / READ_MEAN_MS);
-}
-
 struct marjoram_spot_load_sum
 marjoram_spot_load (struct marjoram_spot *spot, int64_t now)
 {
   struct marjoram_spot_load_sum sum = spot->own;
   struct marjoram_told_load *told = TAILQ_FIRST (&spot->told);
 
-  sum.per_s = marjoram_spot_read_per_s (spot, now);
-
   while (told)
     {
       struct marjoram_told_load *next = TAILQ_NEXT (told, link);
@@ -213,7 +197,6 @@
           sum.urgent += told->load.urgent;
           sum.held += told->load.held;
           sum.answer += told->load.answer;
-          sum.per_s += told->load.per_s;
         }
       told = next;
     }
@@ -298,8 +281,6 @@
       attempt->ahead = marjoram_load_ahead (&load, query->priority);
       attempt->answer = (int64_t)marjoram_answer_tokens (query->facts);
       attempt->held = attempt->unread + attempt->answer;
-      marjoram_spot_read_per_s (spot, now);
-      spot->read_sum += (double)attempt->unread;
       use_parts (placement, spot, query, now);
     }
   spot->own.running++;
--- a/src/placement.h
+++ b/src/placement.h
@@ -157,7 +157,7 @@
 
 /* For the other hosts of the region: what runs from here, and what was placed
    since the last report.  To be cleared by the caller.  */
-void marjoram_placement_report (marjoram_placement *placement, int64_t now,
+void marjoram_placement_report (marjoram_placement *placement,
                                 struct marjoram_load_report *report);
 void marjoram_placement_hear (marjoram_placement *placement, int64_t now,
                               const char *host,
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -11,19 +11,12 @@
 /* How much a mean failure share of 1 multiplies an upstream's cost.  */
 #define FAILURE_WEIGHT 4.0
 /* Prompts are read in chunks between the tokens of all running requests, so a
-   long prompt holds up long answers, and long answers are slow among many
-   prompts.  Weights of that harm against the request's own wait: without them
-   the mean worth of what callers got was 0.02 lower on six days of a site of
-   nine engines (0.683 to 0.702), and no higher at twice these.  */
+   long prompt holds up long answers.  Weight of that harm against the
+   request's own wait: without it the mean worth of what callers got was 0.014
+   lower on five days of a site of eighteen engines, two seeds each.  */
 #define PROMPT_HARM 0.1
-#define ANSWER_HARM 0.6
-/* Tokens of an answer for which PROMPT_HARM counts once.  */
+/* Tokens of answers for which it counts once.  */
 #define LONG_ANSWER 300.0
-/* An engine's time for one token of each running request, without prompts.  */
-#define STEP_MS 4.0
-/* Share of an engine's time for prompts, above which more makes no
-   difference.  */
-#define BUSY_MAX 0.9
 
 enum
 {
@@ -150,21 +143,12 @@
   return (double)(load->running - slots + 1) * request_ms / (double)slots;
 }
 
-/* What a request costs others at an engine with LOAD, as time: its UNREAD_MS
-   for the answers there, and its own answer among the prompts there.  */
+/* What reading a prompt for UNREAD_MS costs the answers of an engine with
+   LOAD, as time.  */
 static double
-harm_ms (const struct marjoram_spot_load_sum *load,
-         const struct marjoram_service_speed *speed,
-         const struct marjoram_call_facts *facts, double unread_ms)
+harm_ms (const struct marjoram_spot_load_sum *load, double unread_ms)
 {
-  double answers = (double)load->answer / LONG_ANSWER;
-  double busy = (double)load->per_s / MSEC_PER_SEC / speed->tokens_per_ms;
-
-  if (busy > BUSY_MAX)
-    busy = BUSY_MAX;
-  return PROMPT_HARM * unread_ms * answers
-         + ANSWER_HARM * marjoram_answer_tokens (facts) * STEP_MS * busy
-               / (1 - busy);
+  return PROMPT_HARM * unread_ms * (double)load->answer / LONG_ANSWER;
 }
 
 /* How much later than expected the engine is now: as it was lately, or as its
@@ -202,7 +186,7 @@
       = ahead_ms + unread_ms + copy->ms + late_ms (spot, now)
         + queue_ms (&load, query->service->engine.slots, speed->request_ms);
   estimate.cost_ms = estimate.wait_ms + (READ_WEIGHT - 1) * unread_ms
-                     + harm_ms (&load, speed, query->facts, unread_ms);
+                     + harm_ms (&load, unread_ms);
   return estimate;
 }
 
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -16,7 +16,6 @@
   int64_t urgent;  /* the part of UNREAD that goes before other requests */
   int64_t held;    /* tokens that running requests keep in memory */
   int64_t answer;  /* tokens that running requests may still get */
-  int64_t per_s;   /* tokens of prompts sent there, a mean */
 };
 
 /* What another host has running at a spot.  */
@@ -47,8 +46,6 @@
   int64_t heard_at;      /* bytes of any answer to this host; 0 if none */
   int64_t cold_until;
   int64_t cold_sent_at;
-  double read_sum; /* tokens of prompts sent there, fading */
-  int64_t read_at; /* when READ_SUM was brought up to date */
   int unreached;
   int broken;
   double failure_share;
@@ -110,8 +107,6 @@
                                const struct marjoram_registered *upstream);
 void marjoram_spot_forget_told (struct marjoram_spot *spot,
                                 struct marjoram_told_load *told);
-/* Tokens of prompts a second that this host sends there, a mean.  */
-int64_t marjoram_spot_read_per_s (struct marjoram_spot *spot, int64_t now);
 /* What runs there, from this host and from all that told lately.  */
 struct marjoram_spot_load_sum marjoram_spot_load (struct marjoram_spot *spot,
                                                   int64_t now);
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -7,8 +7,7 @@
 /* ---- Reports between hosts.  ---- */
 
 static size_t
-add_item (int64_t now, struct marjoram_load_report *report,
-          struct marjoram_spot *spot)
+add_item (struct marjoram_load_report *report, struct marjoram_spot *spot)
 {
   struct marjoram_load_item *items = report->items.items;
 
@@ -22,7 +21,6 @@
     .urgent_tokens = (uint64_t)spot->own.urgent,
     .held_tokens = (uint64_t)spot->own.held,
     .answer_tokens = (uint64_t)spot->own.answer,
-    .read_per_s = (uint64_t)marjoram_spot_read_per_s (spot, now),
     .lost = spot->tell_lost,
   };
   spot->tell_lost = false;
@@ -41,7 +39,7 @@
 }
 
 void
-marjoram_placement_report (marjoram_placement *placement, int64_t now,
+marjoram_placement_report (marjoram_placement *placement,
                            struct marjoram_load_report *report)
 {
   size_t spots = HASH_COUNT (placement->spots);
@@ -59,7 +57,7 @@
   {
     if ((spot->own.running > 0 || spot->tell_lost)
         && report->items.count < MARJORAM_LOADS_MAX)
-      add_item (now, report, spot);
+      add_item (report, spot);
   }
   STAILQ_FOREACH (placed, &placement->placed, link)
   {
@@ -67,7 +65,7 @@
       break;
     out[report->placed.count++] = (struct marjoram_placed_part){
       placed->part.id, (uint64_t)placed->part.tokens,
-      add_item (now, report, marjoram_spot_find (placement, placed->upstream))
+      add_item (report, marjoram_spot_find (placement, placed->upstream))
     };
   }
   marjoram_placement_forget_placed (placement);
@@ -89,11 +87,11 @@
       TAILQ_INSERT_TAIL (&spot->told, told, link);
     }
   told->at = now;
-  told->load = (struct marjoram_spot_load_sum){
-    (int64_t)item->running,       (int64_t)item->unread_tokens,
-    (int64_t)item->urgent_tokens, (int64_t)item->held_tokens,
-    (int64_t)item->answer_tokens, (int64_t)item->read_per_s
-  };
+  told->load = (struct marjoram_spot_load_sum){ (int64_t)item->running,
+                                                (int64_t)item->unread_tokens,
+                                                (int64_t)item->urgent_tokens,
+                                                (int64_t)item->held_tokens,
+                                                (int64_t)item->answer_tokens };
   if (item->lost)
     spot->lost_at = now;
 }
--- a/test/lib_load.c
+++ b/test/lib_load.c
@@ -473,7 +473,7 @@
       char name[16];
 
       snprintf (name, sizeof name, "h%d", from);
-      marjoram_placement_report (load->placements[from], now, &told);
+      marjoram_placement_report (load->placements[from], &told);
       for (int to = 0; to < load->terms->hosts; to++)
         if (to != from)
           marjoram_placement_hear (load->placements[to], now, name, &told);
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -558,7 +558,7 @@
 
   hear (0, "1");
   place (0, &query);
-  marjoram_placement_report (placement, 10, &report);
+  marjoram_placement_report (placement, &report);
   marjoram_placement_hear (other, 10, "h1", &report);
   marjoram_wire_clear (&marjoram_load_report_layout, &report);
   marjoram_placement_choose (other, 20, &query, &chosen);
