--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -258,7 +258,7 @@
   return false;
 }
 
-/* Whether the exchange may be forwarded to HOST; its region's OFFER then.  */
+/* What HOST offers for the exchange; null if it can't be forwarded there.  */
 static const struct marjoram_host_offer *
 offer_of (marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
           const struct marjoram_route_rule *route,
--- a/src/peer.c
+++ b/src/peer.c
@@ -25,11 +25,11 @@
   /* A machine that is off answers nothing, and the system asks again only
      after one and then three seconds, while it may long be back.  Some round
      trips between regions.  */
-  CONNECT_FIRST_MSEC = 250,
+  CONNECT_FIRST_MSEC = 250, /* one round trip and a half; then doubled */
   CONNECT_MSEC = 500,
   /* Pause before dialling again, doubled each time.  Hosts that lost power
      together come back within some hundred ms of each other, and serve nobody
-     until they have reached a keeper.  */
+     until they have reached a keeper: half a second sooner so.  */
   REDIAL_FIRST_MSEC = 50,
   REDIAL_MSEC = 400,
   /* A frame before the proof can't be larger than a hello.  */
