--- /dev/null
+++ b/src/compress.c
@@ -0,0 +1,92 @@
+#include "compress.h"
+
+#include "cleanup.h"
+
+#include <stdlib.h>
+#include <zstd.h>
+
+enum
+{
+  LEVEL = 3,
+  /* Bytes back in which repetitions are found, as a power of two: the largest
+     state and its base together.  */
+  WINDOW_LOG = 25
+};
+
+static void
+free_writer (ZSTD_CCtx **writer)
+{
+  ZSTD_freeCCtx (*writer);
+}
+
+static void
+free_reader (ZSTD_DCtx **reader)
+{
+  ZSTD_freeDCtx (*reader);
+}
+
+static void
+set_base (ZSTD_CCtx *writer, const marjoram_bytes *base)
+{
+  if (!base)
+    return;
+  ZSTD_CCtx_setParameter (writer, ZSTD_c_windowLog, WINDOW_LOG);
+  ZSTD_CCtx_setParameter (writer, ZSTD_c_enableLongDistanceMatching, 1);
+  ZSTD_CCtx_refPrefix (writer, marjoram_bytes_data (base),
+                       marjoram_bytes_size (base));
+}
+
+marjoram_bytes *
+marjoram_compress (const marjoram_bytes *data, const marjoram_bytes *base)
+{
+  marjoram_auto (free_writer) ZSTD_CCtx *writer = ZSTD_createCCtx ();
+  size_t room = ZSTD_compressBound (marjoram_bytes_size (data));
+  marjoram_auto_free void *out = marjoram_alloc (room);
+  size_t size;
+
+  if (!writer)
+    abort ();
+  ZSTD_CCtx_setParameter (writer, ZSTD_c_compressionLevel, LEVEL);
+  ZSTD_CCtx_setParameter (writer, ZSTD_c_checksumFlag, 1);
+  set_base (writer, base);
+  size = ZSTD_compress2 (writer, out, room, marjoram_bytes_data (data),
+                         marjoram_bytes_size (data));
+  /* With room for the worst case only memory can be lacking.  */
+  if (ZSTD_isError (size))
+    abort ();
+  return marjoram_bytes_create (out, size);
+}
+
+marjoram_bytes *
+marjoram_decompress (const marjoram_bytes *data, const marjoram_bytes *base,
+                     size_t limit, struct marjoram_error *err)
+{
+  marjoram_auto (free_reader) ZSTD_DCtx *reader = ZSTD_createDCtx ();
+  unsigned long long size = ZSTD_getFrameContentSize (
+      marjoram_bytes_data (data), marjoram_bytes_size (data));
+  marjoram_auto_free void *out = NULL;
+  size_t got;
+
+  if (!reader)
+    abort ();
+  if (size > limit) /* an unknown size is the largest number */
+    {
+      marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                          "compressed bytes are not ours or over the limit; "
+                          "check that all hosts run the same release");
+      return NULL;
+    }
+  out = marjoram_alloc (size + 1);
+  ZSTD_DCtx_setParameter (reader, ZSTD_d_windowLogMax, WINDOW_LOG);
+  if (base)
+    ZSTD_DCtx_refPrefix (reader, marjoram_bytes_data (base),
+                         marjoram_bytes_size (base));
+  got = ZSTD_decompressDCtx (reader, out, size, marjoram_bytes_data (data),
+                             marjoram_bytes_size (data));
+  if (!ZSTD_isError (got) && got == size)
+    return marjoram_bytes_create (out, size);
+  marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                      "compressed bytes can't be read: %s; ask for them again",
+                      ZSTD_getErrorName (got));
+  return NULL;
+}
