--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -12,13 +12,18 @@
 };
 
 static void
-take_give (struct marjoram_entry *self,
+take_give (struct marjoram_entry *self, const char *host,
            const struct marjoram_config_give *give)
 {
   struct marjoram_state *state = marjoram_wire_unpack (
       &marjoram_state_layout, marjoram_bytes_data (give->state),
       marjoram_bytes_size (give->state), NULL);
 
+  marjoram_event (MARJORAM_EVENT_CONFIG,
+                  "state=given number=%" PRIu64 " held=%" PRIu64
+                  " bytes=%zu keeper=%s",
+                  state ? state->number : 0, self->config_number,
+                  marjoram_bytes_size (give->state), host);
   if (state)
     marjoram_entry_take_state (self, state);
   marjoram_state_destroy (state);
@@ -153,7 +158,7 @@
   switch (type)
     {
     case MARJORAM_FRAME_CONFIG_GIVE:
-      take_give (self, message);
+      take_give (self, host, message);
       break;
     case MARJORAM_FRAME_NEWS:
       take_news (self, host, session, message);
