Relays that share a link's rate

A slow link couldn't be played: relays only delayed. Those of one link now queue first in, first out in each direction, on whichever connection, as the answers of live upstreams were seen to wait behind other bytes. libevent's rate limit groups were not taken: they share the rate among connections, so that a small answer would pass a copy on another connection (by its manual; not run).

--- a/test/lib_relay.c
+++ b/test/lib_relay.c
@@ -15,7 +15,17 @@
 enum
 {
   BACKLOG = 1024,
-  WATCH_MS = 20
+  WATCH_MS = 20,
+  USEC_PER_SEC = 1000000,
+  USEC_PER_MS = 1000
+};
+
+/* A queue for each direction, first in, first out, that takes all that is
+   sent: what comes waits behind what came before, on whichever connection.  */
+struct relay_link
+{
+  int64_t bytes_per_second;
+  int64_t free_us[2]; /* when all before is through: to the host, from it */
 };
 
 struct pair;
@@ -59,6 +69,8 @@
   int target_size;
   enum relay_mode mode;
   int64_t delay_ms;
+  struct relay_link *link; /* or null */
+  bool link_at_target;     /* the link's host is the target */
   uint64_t connections;
   uint64_t bytes;
   LIST_HEAD (pairs, pair) pairs;
@@ -215,24 +227,64 @@
   arm (pair);
 }
 
+/* When SIZE bytes that go TO a side now are through the link, if any.  */
+static int64_t
+through_ms (const struct side *to, size_t size)
+{
+  const struct relay *relay = to->pair->relay;
+  struct relay_link *link = relay->link;
+  bool to_target = to == &to->pair->side[1];
+  int64_t now_us = now_ms () * USEC_PER_MS;
+  int64_t *free_us;
+
+  if (!link)
+    return now_ms ();
+  free_us = &link->free_us[to_target == relay->link_at_target ? 0 : 1];
+  if (*free_us < now_us)
+    *free_us = now_us;
+  *free_us += (int64_t)size * USEC_PER_SEC / link->bytes_per_second;
+  return *free_us / USEC_PER_MS;
+}
+
+/* In the order of sending in each direction, by the time between the two: a
+   slow direction doesn't hold the other back.  */
+static void
+enqueue (struct pair *pair, struct parcel *parcel)
+{
+  struct parcel *before = NULL;
+  struct parcel *queued;
+
+  STAILQ_FOREACH (queued, &pair->parcels, entries)
+  {
+    if (queued->to == parcel->to || queued->due <= parcel->due)
+      before = queued;
+  }
+  if (before)
+    STAILQ_INSERT_AFTER (&pair->parcels, before, parcel, entries);
+  else
+    STAILQ_INSERT_HEAD (&pair->parcels, parcel, entries);
+}
+
 /* Takes all of FROM's input, or its end, on its way to the other side.  */
 static void
 take (struct side *from, bool end)
 {
   struct pair *pair = from->pair;
   struct parcel *parcel = marjoram_alloc (sizeof *parcel);
+  size_t size = 0;
 
-  *parcel = (struct parcel){ .due = now_ms () + pair->relay->delay_ms,
-                             .to = other (from) };
+  *parcel = (struct parcel){ .to = other (from) };
   if (!end)
     {
       parcel->bytes = evbuffer_new ();
       evbuffer_add_buffer (parcel->bytes,
                            bufferevent_get_input (from->stream));
-      pair->relay->bytes += evbuffer_get_length (parcel->bytes);
+      size = evbuffer_get_length (parcel->bytes);
+      pair->relay->bytes += size;
     }
-  STAILQ_INSERT_TAIL (&pair->parcels, parcel, entries);
-  if (!pair->relay->delay_ms && STAILQ_FIRST (&pair->parcels) == parcel)
+  parcel->due = through_ms (parcel->to, size) + pair->relay->delay_ms;
+  enqueue (pair, parcel);
+  if (parcel->due <= now_ms () && STAILQ_FIRST (&pair->parcels) == parcel)
     deliver (-1, 0, pair);
   else
     arm (pair);
@@ -414,6 +466,28 @@
   relay->delay_ms = ms;
 }
 
+struct relay_link *
+relay_link_create (int64_t bytes_per_second)
+{
+  struct relay_link *link = marjoram_alloc (sizeof *link);
+
+  *link = (struct relay_link){ .bytes_per_second = bytes_per_second };
+  return link;
+}
+
+void
+relay_link_destroy (struct relay_link *link)
+{
+  free (link);
+}
+
+void
+relay_set_link (struct relay *relay, struct relay_link *link, bool at_target)
+{
+  relay->link = link;
+  relay->link_at_target = at_target;
+}
+
 void
 relay_silence (struct relay *relay)
 {
--- a/test/lib_relay.h
+++ b/test/lib_relay.h
@@ -9,6 +9,9 @@
 #include <stdint.h>
 
 struct relay;
+/* The link of one host, which carries so many bytes a second in each
+   direction; relays that share it stand for the host's connections.  */
+struct relay_link;
 
 enum relay_mode
 {
@@ -25,6 +28,13 @@
 void relay_set_mode (struct relay *relay, enum relay_mode mode);
 /* What passes from now on arrives MS later.  */
 void relay_set_delay (struct relay *relay, int64_t ms);
+struct relay_link *relay_link_create (int64_t bytes_per_second);
+/* Once no relay uses it.  */
+void relay_link_destroy (struct relay_link *link);
+/* What passes from now on goes through LINK, whose host is the target, or else
+   the one that connects.  */
+void relay_set_link (struct relay *relay, struct relay_link *link,
+                     bool at_target);
 /* The present connections stay open and carry nothing, for good.  */
 void relay_silence (struct relay *relay);
 /* The present connections carry nothing until they are released; then they
--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -41,6 +41,7 @@
 static int64_t limit_ms;
 static int64_t allowed_ms = LIMIT_MS;
 static struct event *pause_end;
+static struct relay_link *slow_link; /* the one of this scenario, or null */
 
 static int64_t
 now_ms (void)
@@ -134,13 +135,31 @@
   return 1;
 }
 
-/* relay_set (relay, word, milliseconds).  */
+/* Puts RELAY on the scenario's one slow link.  */
+static void
+slow_down (struct relay *relay, lua_Integer bytes_per_second, bool at_target)
+{
+  if (!slow_link)
+    slow_link = relay_link_create (bytes_per_second);
+  relay_set_link (relay, slow_link, at_target);
+}
+
+/* relay_set (relay, word, milliseconds or bytes per second).  "rate" puts it
+   on the one slow link of the scenario, as a connection that the link's host
+   makes, "rate_in" as one that it takes; the first rate given holds.  */
 static int
 verb_relay_set (lua_State *lua)
 {
+  enum
+  {
+    DELAY = RELAY_REFUSE + 1,
+    RATE,
+    RATE_IN,
+    CHANGES
+  };
   static const char *const words[]
-      = { "pass",  "hold",    "refuse", "delay", "silence",
-          "stall", "release", "drop",   NULL };
+      = { "pass",    "hold",  "refuse",  "delay", "rate", "rate_in",
+          "silence", "stall", "release", "drop",  NULL };
   static void (*const changes[]) (struct relay *)
       = { relay_silence, relay_stall, relay_release, relay_drop };
   struct relay *changed = lua_touserdata (lua, 1);
@@ -148,10 +167,12 @@
 
   if (word <= RELAY_REFUSE)
     relay_set_mode (changed, (enum relay_mode)word);
-  else if (word == RELAY_REFUSE + 1)
+  else if (word == DELAY)
     relay_set_delay (changed, luaL_checkinteger (lua, 3));
+  else if (word < CHANGES)
+    slow_down (changed, luaL_checkinteger (lua, 3), word == RATE_IN);
   else
-    changes[word - RELAY_REFUSE - 2](changed);
+    changes[word - CHANGES](changed);
   return 0;
 }
 
