Hosts ask for the agreed state, once, in pieces, by difference

Callers saw streams without an end, and refusals, while an operator's changes added 1,400 routes each. Cause: each keeper pushed the whole state to each host that lacked it, and again each second though the first copy was on its way; some ten copies of 0.3 to 0.9 MB filled a host's link of 10 Mbit/s for seconds, what engines and other hosts sent waited behind them, and the host took live ones for dead. Class: sending again by a fixed clock without regard to what is under way (a congestion collapse).

Change: keepers tell a number; a host asks one keeper at a time, its own region's first, for pieces of 16 KiB, compressed against the state that it holds, and rests after each for as long as it took. One that holds nothing does not rest. Not mended by this: keepers among themselves (a third growth is agreed on after half a minute).

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -11,24 +11,66 @@
   STATUS_UNAVAILABLE = 503
 };
 
+/* ---- The agreed state.  ---- */
+
+static void
+op_ask (void *context, const char *keeper,
+        const struct marjoram_state_ask *ask)
+{
+  struct marjoram_entry *self = context;
+
+  marjoram_host_links_send (self->parts->links, keeper,
+                            MARJORAM_FRAME_STATE_ASK, ask);
+}
+
 static void
-take_give (struct marjoram_entry *self, const char *host,
-           const struct marjoram_config_give *give)
+op_fetched (void *context, const struct marjoram_state *state,
+            const struct marjoram_fetch_facts *facts)
 {
-  struct marjoram_state *state = marjoram_wire_unpack (
-      &marjoram_state_layout, marjoram_bytes_data (give->state),
-      marjoram_bytes_size (give->state), NULL);
+  struct marjoram_entry *self = context;
 
   marjoram_event (MARJORAM_EVENT_CONFIG,
-                  "state=given number=%" PRIu64 " held=%" PRIu64
-                  " bytes=%zu keeper=%s",
-                  state ? state->number : 0, self->config_number,
-                  marjoram_bytes_size (give->state), host);
-  if (state)
-    marjoram_entry_take_state (self, state);
-  marjoram_state_destroy (state);
+                  "state=fetched number=%" PRIu64 " base=%" PRIu64
+                  " bytes=%zu pieces=%d ms=%" PRId64 " keeper=%s",
+                  state->number, facts->base, facts->bytes, facts->pieces,
+                  facts->ms, facts->keeper);
+  marjoram_entry_take_state (self, state);
+}
+
+static void
+op_failed (void *context, const struct marjoram_fetch_facts *facts,
+           const struct marjoram_error *err)
+{
+  (void)context;
+  marjoram_event (MARJORAM_EVENT_CONFIG,
+                  "state=unreadable base=%" PRIu64 " bytes=%zu keeper=%s "
+                  "why=\"%s\"",
+                  facts->base, facts->bytes, facts->keeper, err->message);
+}
+
+const struct marjoram_state_fetch_ops marjoram_entry_fetch_ops
+    = { .ask = op_ask, .fetched = op_fetched, .failed = op_failed };
+
+static bool
+is_near (struct marjoram_entry *self, const char *host)
+{
+  const struct marjoram_listed_host *listed
+      = marjoram_host_list_find (self->parts->hosts, host);
+
+  return listed
+         && strcmp (listed->beat.region, self->parts->settings->region) == 0;
 }
 
+static void
+take_state_news (struct marjoram_entry *self, const char *host,
+                 const struct marjoram_state_news *news)
+{
+  marjoram_state_fetch_heard (self->fetch, marjoram_entry_now (self), host,
+                              is_near (self, host), news->number);
+}
+
+/* ---- Upstreams and requests.  ---- */
+
 static void
 take_news (struct marjoram_entry *self, const char *host, uint64_t session,
            const struct marjoram_news_batch *batch)
@@ -157,8 +199,12 @@
 
   switch (type)
     {
-    case MARJORAM_FRAME_CONFIG_GIVE:
-      take_give (self, host, message);
+    case MARJORAM_FRAME_STATE_NEWS:
+      take_state_news (self, host, message);
+      break;
+    case MARJORAM_FRAME_STATE_PIECE:
+      marjoram_state_fetch_piece (self->fetch, marjoram_entry_now (self), host,
+                                  message);
       break;
     case MARJORAM_FRAME_NEWS:
       take_news (self, host, session, message);
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -9,6 +9,7 @@
 #include "gateway.h"
 #include "leaving_zones.h"
 #include "role.h"
+#include "state_fetch.h"
 
 #include <uthash.h>
 
@@ -35,6 +36,7 @@
   marjoram_http_server *server;
   marjoram_http_client *client;
   marjoram_engine_survey *survey;
+  marjoram_state_fetch *fetch;
   int64_t created_at;
   struct marjoram_route_table *table;
   struct marjoram_route_table *former; /* the gateway's */
@@ -62,6 +64,7 @@
                                  const struct marjoram_no_answer *why);
 
 /* entry_frame.c */
+extern const struct marjoram_state_fetch_ops marjoram_entry_fetch_ops;
 /* Takes MESSAGE.  */
 void marjoram_entry_take_frame (struct marjoram_entry *self, const char *host,
                                 uint64_t session,
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -257,6 +257,7 @@
 {
   struct marjoram_entry *self = self_of (role);
 
+  marjoram_state_fetch_lost (self->fetch, host);
   marjoram_gateway_link_lost (self->gateway, marjoram_entry_now (self), host);
 }
 
@@ -432,6 +433,7 @@
   struct marjoram_entry *self = self_of (role);
 
   marjoram_gateway_tick (self->gateway, now);
+  marjoram_state_fetch_tick (self->fetch, now);
   report (self, now);
   survey_engines (self, now);
   if (now >= self->client_ticked_at + CLIENT_TICK_MS)
@@ -481,6 +483,7 @@
   }
   marjoram_gateway_destroy (self->gateway);
   marjoram_engine_survey_destroy (self->survey);
+  marjoram_state_fetch_destroy (self->fetch);
   marjoram_http_client_destroy (self->client);
   marjoram_http_server_destroy (self->server);
   marjoram_route_table_destroy (self->table);
@@ -566,6 +569,7 @@
                                               &client_ops, self);
   self->survey = marjoram_engine_survey_create (
       parts->base, parts->clock, parts->dialect, &survey_ops, self);
+  self->fetch = marjoram_state_fetch_create (&marjoram_entry_fetch_ops, self);
   self->created_at = marjoram_entry_now (self);
   self->server = marjoram_http_server_create (parts->base, parts->clock,
                                               parts->settings->entry_address,
--- a/src/frame.c
+++ b/src/frame.c
@@ -210,6 +210,9 @@
   [MARJORAM_FRAME_NEWS_SEEN] = &marjoram_news_seen_layout,
   [MARJORAM_FRAME_LOADS] = &marjoram_load_report_layout,
   [MARJORAM_FRAME_CRASHES] = &marjoram_crash_report_layout,
+  [MARJORAM_FRAME_STATE_NEWS] = &marjoram_state_news_layout,
+  [MARJORAM_FRAME_STATE_ASK] = &marjoram_state_ask_layout,
+  [MARJORAM_FRAME_STATE_PIECE] = &marjoram_state_piece_layout,
 };
 
 const struct marjoram_layout *
--- a/src/frame.h
+++ b/src/frame.h
@@ -28,12 +28,15 @@
   MARJORAM_FRAME_APPLY,
   MARJORAM_FRAME_APPLIED,
   MARJORAM_FRAME_RENEWALS,
-  MARJORAM_FRAME_HOST_BEAT, /* struct marjoram_host_beat */
-  MARJORAM_FRAME_HOST_LIST, /* struct marjoram_host_beats */
-  MARJORAM_FRAME_NEWS,      /* struct marjoram_news_batch */
-  MARJORAM_FRAME_NEWS_SEEN, /* struct marjoram_news_seen */
-  MARJORAM_FRAME_LOADS,     /* struct marjoram_load_report */
-  MARJORAM_FRAME_CRASHES,   /* struct marjoram_crash_report */
+  MARJORAM_FRAME_HOST_BEAT,   /* struct marjoram_host_beat */
+  MARJORAM_FRAME_HOST_LIST,   /* struct marjoram_host_beats */
+  MARJORAM_FRAME_NEWS,        /* struct marjoram_news_batch */
+  MARJORAM_FRAME_NEWS_SEEN,   /* struct marjoram_news_seen */
+  MARJORAM_FRAME_LOADS,       /* struct marjoram_load_report */
+  MARJORAM_FRAME_CRASHES,     /* struct marjoram_crash_report */
+  MARJORAM_FRAME_STATE_NEWS,  /* struct marjoram_state_news */
+  MARJORAM_FRAME_STATE_ASK,   /* struct marjoram_state_ask */
+  MARJORAM_FRAME_STATE_PIECE, /* struct marjoram_state_piece */
   MARJORAM_FRAME_COUNT
 };
 
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -116,3 +116,26 @@
 };
 LAYOUT (marjoram_crash_report_layout, marjoram_crash_report,
         crash_report_fields);
+
+static const struct marjoram_field state_news_fields[] = {
+  COUNT (marjoram_state_news, number),
+};
+LAYOUT (marjoram_state_news_layout, marjoram_state_news, state_news_fields);
+
+static const struct marjoram_field state_ask_fields[] = {
+  COUNT (marjoram_state_ask, number),
+  COUNT (marjoram_state_ask, base),
+  COUNT (marjoram_state_ask, base_digest),
+  COUNT (marjoram_state_ask, offset),
+};
+LAYOUT (marjoram_state_ask_layout, marjoram_state_ask, state_ask_fields);
+
+static const struct marjoram_field state_piece_fields[] = {
+  COUNT (marjoram_state_piece, number),
+  COUNT (marjoram_state_piece, base),
+  COUNT (marjoram_state_piece, size),
+  COUNT (marjoram_state_piece, offset),
+  { MARJORAM_WIRE_BYTES (struct marjoram_state_piece, bytes,
+                         MARJORAM_STATE_PIECE_MAX) },
+};
+LAYOUT (marjoram_state_piece_layout, marjoram_state_piece, state_piece_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -13,7 +13,10 @@
   MARJORAM_PLACED_MAX = 4096,
   MARJORAM_CRASHES_MAX = 4096,
   /* Bytes of an upstream's id with the time of its start, NUL included.  */
-  MARJORAM_LIFE_MAX = 128
+  MARJORAM_LIFE_MAX = 128,
+  /* Bytes of the agreed state in one message.  What follows it on a link waits
+     no longer than these take, some ms on a slow one.  */
+  MARJORAM_STATE_PIECE_MAX = 16 * 1024
 };
 
 /* What a host's region can do for requests of other regions.  */
@@ -113,11 +116,39 @@
   struct marjoram_array items; /* of struct marjoram_crash_item */
 };
 
+/* A keeper's word to a host that holds a lower state.  */
+struct marjoram_state_news
+{
+  uint64_t number; /* of the newest state that the keeper holds */
+};
+
+/* A host's wish for the next piece of a state.  */
+struct marjoram_state_ask
+{
+  uint64_t number;      /* of the state */
+  uint64_t base;        /* of the one that the host holds; 0 if none */
+  uint64_t base_digest; /* of that one's bytes */
+  uint64_t offset;      /* of the piece */
+};
+
+/* A part of a compressed state.  */
+struct marjoram_state_piece
+{
+  uint64_t number;
+  uint64_t base; /* the state against which it is compressed; 0: whole */
+  uint64_t size; /* of all pieces together */
+  uint64_t offset;
+  marjoram_bytes *bytes;
+};
+
 extern const struct marjoram_layout marjoram_host_beat_layout;
 extern const struct marjoram_layout marjoram_host_beats_layout;
 extern const struct marjoram_layout marjoram_news_batch_layout;
 extern const struct marjoram_layout marjoram_news_seen_layout;
 extern const struct marjoram_layout marjoram_load_report_layout;
 extern const struct marjoram_layout marjoram_crash_report_layout;
+extern const struct marjoram_layout marjoram_state_news_layout;
+extern const struct marjoram_layout marjoram_state_ask_layout;
+extern const struct marjoram_layout marjoram_state_piece_layout;
 
 #endif
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -61,7 +61,7 @@
                   " members=%zu changing=%d",
                   state->number, routes ? routes->version : 0,
                   state->members.count, state->next_members.count > 0);
-  marjoram_keeper_tell_state (self, state);
+  marjoram_keeper_tell_state (self);
 }
 
 static void
@@ -197,15 +197,12 @@
            bool first, const struct marjoram_host_beat *beat)
 {
   struct marjoram_keeper_role *self = self_of (role);
-  const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
 
   if (beat->config_number > 0)
     marjoram_keeper_heard (self->keeper, beat->config_number);
   if (first)
     marjoram_keeper_welcome (self, host, session, beat);
-  if (beat->keeper || !state || beat->config_number >= state->number)
-    return;
-  marjoram_keeper_give_state (self, host, session, first, beat);
+  marjoram_keeper_offer_state (self, host, session, beat);
 }
 
 static void
@@ -234,6 +231,8 @@
     marjoram_registrar_seen (self->registrar, seen->ticket);
   else if (type == MARJORAM_FRAME_CRASHES)
     marjoram_keeper_hear_crashes (self, host, message);
+  else if (type == MARJORAM_FRAME_STATE_ASK)
+    marjoram_keeper_give_state (self, host, session, message);
   marjoram_wire_destroy (marjoram_frame_layout (type), message);
 }
 
@@ -360,7 +359,7 @@
   marjoram_keeper_care_destroy (self->care);
   marjoram_crash_list_destroy (self->crashes);
   marjoram_random_destroy (self->random);
-  marjoram_keeper_forget_given (self);
+  marjoram_state_giver_destroy (self->giver);
   free (self);
 }
 
@@ -435,6 +434,7 @@
   self->random = marjoram_random_create (seed);
   self->registry = marjoram_registry_create ();
   self->crashes = marjoram_crash_list_create ();
+  self->giver = marjoram_state_giver_create ();
   self->care = marjoram_keeper_care_create (
       parts->settings->ip, (size_t)parts->settings->disk_losses);
   create_registrar (self);
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -8,8 +8,7 @@
 #include "keeper_care.h"
 #include "registrar.h"
 #include "role.h"
-
-struct marjoram_given;
+#include "state_giver.h"
 
 struct marjoram_keeper_role
 {
@@ -24,17 +23,15 @@
   marjoram_crash_list *crashes; /* for hosts that have just started */
   int64_t cared_at;
   int64_t ticked_at;
-  int64_t chosen_at;            /* when the newest state was */
-  struct marjoram_given *given; /* by host */
+  marjoram_state_giver *giver;
   int64_t stopped_at;
 };
 
 int64_t marjoram_keeper_role_now (const struct marjoram_keeper_role *self);
 
 /* keeper_tell.c */
-/* STATE is the newest one: to the hosts of this region at once.  */
-void marjoram_keeper_tell_state (struct marjoram_keeper_role *self,
-                                 const struct marjoram_state *state);
+/* There is a new state: to the hosts of this region at once.  */
+void marjoram_keeper_tell_state (struct marjoram_keeper_role *self);
 /* News that tell something new, to all keepers and the hosts of the upstreams'
    regions; returns to how many.  */
 size_t marjoram_keeper_tell_news (struct marjoram_keeper_role *self,
@@ -46,16 +43,17 @@
 void marjoram_keeper_welcome (struct marjoram_keeper_role *self,
                               const char *host, uint64_t session,
                               const struct marjoram_host_beat *beat);
-/* Gives the state to HOST, which lacks it by its BEAT, if it is its turn.
-   FIRST: its session is new.  */
+/* Tells HOST of the newest state, if by its BEAT it lacks it.  */
+void marjoram_keeper_offer_state (struct marjoram_keeper_role *self,
+                                  const char *host, uint64_t session,
+                                  const struct marjoram_host_beat *beat);
+/* Gives HOST the piece of the state that it asks for.  */
 void marjoram_keeper_give_state (struct marjoram_keeper_role *self,
                                  const char *host, uint64_t session,
-                                 bool first,
-                                 const struct marjoram_host_beat *beat);
+                                 const struct marjoram_state_ask *ask);
 /* A host's report, for the hosts of this region too.  */
 void marjoram_keeper_hear_crashes (struct marjoram_keeper_role *self,
                                    const char *host,
                                    const struct marjoram_crash_report *report);
-void marjoram_keeper_forget_given (struct marjoram_keeper_role *self);
 
 #endif
--- a/src/keeper_tell.c
+++ b/src/keeper_tell.c
@@ -3,109 +3,60 @@
 #include "cleanup.h"
 
 #include <string.h>
-#include <uthash.h>
-
-enum
-{
-  /* A host that says it lacks the state is sent it again after this long.  */
-  GIVE_AGAIN_MS = 1000,
-  /* A keeper gives the state to the hosts of its own region at once, to others
-     only if they lack it still after so long, as their own keepers may be
-     gone: it takes two round trips between regions for those to have it.  Of a
-     deployment with two keepers in each of three regions each host gets two
-     copies instead of six.  */
-  GIVE_FAR_MS = 500
-};
-
-/* When a host was given the state last.  There are as many as hosts were ever
-   seen.  */
-struct marjoram_given
-{
-  int64_t at;
-  UT_hash_handle hh;
-  char host[];
-};
 
 /* ---- The state.  ---- */
 
-static marjoram_bytes *
-pack_state (const struct marjoram_state *state)
+static void
+hold_newest (struct marjoram_keeper_role *self)
 {
-  struct marjoram_state *copy = marjoram_state_copy (state);
-  marjoram_bytes *packed;
+  const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
 
-  marjoram_state_forget_changes (copy);
-  packed = marjoram_wire_pack (&marjoram_state_layout, copy);
-  marjoram_state_destroy (copy);
-  return packed;
+  if (state)
+    marjoram_state_giver_set (self->giver, state);
 }
 
+/* Hosts are told of the number alone and ask for what they lack.  Given
+   unasked, by each keeper and again while the first copy was on its way, a
+   large state filled the hosts' links for seconds: answers waited behind it,
+   and streams were cut as silent.  */
 void
-marjoram_keeper_tell_state (struct marjoram_keeper_role *self,
-                            const struct marjoram_state *state)
+marjoram_keeper_tell_state (struct marjoram_keeper_role *self)
 {
-  struct marjoram_config_give give = { pack_state (state) };
+  struct marjoram_state_news news;
 
-  self->chosen_at = marjoram_keeper_role_now (self);
+  hold_newest (self);
+  news.number = marjoram_state_giver_number (self->giver);
   marjoram_host_links_tell_in (self->parts->links, false,
                                self->parts->settings->region,
-                               MARJORAM_FRAME_CONFIG_GIVE, &give);
-  marjoram_bytes_release (give.state);
+                               MARJORAM_FRAME_STATE_NEWS, &news);
 }
 
-/* Whether HOST, which lacks the state, is to be given it now; if so, that is
-   noted.  */
-static bool
-take_turn (struct marjoram_keeper_role *self, const char *host, bool first,
-           const struct marjoram_host_beat *beat)
+void
+marjoram_keeper_offer_state (struct marjoram_keeper_role *self,
+                             const char *host, uint64_t session,
+                             const struct marjoram_host_beat *beat)
 {
-  bool near = strcmp (beat->region, self->parts->settings->region) == 0;
-  int64_t now = marjoram_keeper_role_now (self);
-  struct marjoram_given *given;
-
-  if (!near && (first || now < self->chosen_at + GIVE_FAR_MS))
-    return false;
-  HASH_FIND_STR (self->given, host, given);
-  if (!given)
-    {
-      given = marjoram_alloc (sizeof *given + strlen (host) + 1);
-      memcpy (given->host, host, strlen (host) + 1);
-      HASH_ADD_STR (self->given, host, given);
-    }
-  else if (!first && now < given->at + GIVE_AGAIN_MS)
-    return false;
-  given->at = now;
-  return true;
+  struct marjoram_state_news news;
+
+  hold_newest (self);
+  news.number = marjoram_state_giver_number (self->giver);
+  if (!beat->keeper && beat->config_number < news.number)
+    marjoram_host_links_reply (self->parts->links, host, session,
+                               MARJORAM_FRAME_STATE_NEWS, &news);
 }
 
 void
 marjoram_keeper_give_state (struct marjoram_keeper_role *self,
-                            const char *host, uint64_t session, bool first,
-                            const struct marjoram_host_beat *beat)
+                            const char *host, uint64_t session,
+                            const struct marjoram_state_ask *ask)
 {
-  const struct marjoram_state *state = marjoram_keeper_state (self->keeper);
-  struct marjoram_config_give give;
+  struct marjoram_state_piece piece = { 0 };
 
-  if (!state || !take_turn (self, host, first, beat))
+  if (!marjoram_state_giver_answer (self->giver, ask, &piece))
     return;
-  give.state = pack_state (state);
   marjoram_host_links_reply (self->parts->links, host, session,
-                             MARJORAM_FRAME_CONFIG_GIVE, &give);
-  marjoram_bytes_release (give.state);
-}
-
-void
-marjoram_keeper_forget_given (struct marjoram_keeper_role *self)
-{
-  struct marjoram_given *given;
-  struct marjoram_given *next;
-
-  HASH_ITER (hh, self->given, given, next)
-  {
-    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
-    HASH_DELETE (hh, self->given, given);
-    free (given);
-  }
+                             MARJORAM_FRAME_STATE_PIECE, &piece);
+  marjoram_wire_clear (&marjoram_state_piece_layout, &piece);
 }
 
 /* ---- News of upstreams.  ---- */
--- /dev/null
+++ b/test/test_state_transfer.c
@@ -0,0 +1,391 @@
+/* How the agreed state comes from keepers to an entry host.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "state_fetch.h"
+#include "state_giver.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  ROUTE_MAX = 320,
+  TICK_MS = 25,
+  KEEPERS = 6,
+  NEAR_KEEPERS = 2,
+  SECOND_MS = 1000,
+  /* A keeper's word comes again with each beat of the host.  */
+  BEAT_MS = 300
+};
+
+/* A host between keepers, with at most one piece under way to it.  */
+struct world
+{
+  marjoram_state_giver *givers[KEEPERS];
+  marjoram_state_fetch *fetch;
+  int64_t now;
+  int64_t piece_ms; /* that a piece takes to come */
+  int asked;        /* the keeper with the last ask; -1: it is answered */
+  struct marjoram_state_ask ask;
+  int64_t ask_at;
+  int asks;
+  size_t bytes; /* of all pieces that came */
+  int at_once;  /* most asks that were unanswered at a time */
+  uint64_t number;
+  struct marjoram_fetch_facts facts;
+  char keeper[16]; /* of the last fetch */
+  int failures;
+};
+
+static struct world w;
+
+static void
+op_ask (void *context, const char *keeper,
+        const struct marjoram_state_ask *ask)
+{
+  (void)context;
+  w.asks++;
+  w.at_once = w.asked >= 0 ? 2 : 1;
+  w.asked = keeper[1] - '0';
+  w.ask = *ask;
+  w.ask_at = w.now;
+}
+
+static void
+op_fetched (void *context, const struct marjoram_state *state,
+            const struct marjoram_fetch_facts *facts)
+{
+  (void)context;
+  w.number = state->number;
+  w.facts = *facts;
+  snprintf (w.keeper, sizeof w.keeper, "%s", facts->keeper);
+}
+
+static void
+op_failed (void *context, const struct marjoram_fetch_facts *facts,
+           const struct marjoram_error *err)
+{
+  (void)context;
+  (void)facts;
+  (void)err;
+  w.failures++;
+}
+
+static const struct marjoram_state_fetch_ops ops
+    = { .ask = op_ask, .fetched = op_fetched, .failed = op_failed };
+
+/* State NUMBER with ROUTES routes whose names, as real ones, share little; the
+   first has TIMEOUT.  */
+static struct marjoram_state *
+make_state (uint64_t number, int routes, int timeout)
+{
+  struct marjoram_state *state = marjoram_state_copy (NULL);
+  size_t room = (size_t)routes * ROUTE_MAX + 1;
+  marjoram_auto_free char *text = marjoram_alloc (room);
+  struct marjoram_file file = { .name = (char *)"routes", .text = text };
+  size_t size = 0;
+
+  for (int i = 0; i < routes; i++)
+    size += (size_t)snprintf (
+        text + size, room - size,
+        "{\"name\":\"r-%x\",\"host\":\"%x.example\",\"path_prefix\":\"/%x/\","
+        "\"kind\":\"idempotent\",\"timeout_ms\":%d,\"service\":\"app\"}",
+        (unsigned)i * 2654435761U, (unsigned)i * 2246822519U,
+        (unsigned)i * 3266489917U, i == 0 ? timeout : 4000);
+  file.version = number;
+  file.digest = (char *)"";
+  marjoram_state_set_file (state, &file);
+  state->number = number;
+  return state;
+}
+
+/* All keepers hold it.  */
+static void
+choose (uint64_t number, int routes, int timeout)
+{
+  struct marjoram_state *state = make_state (number, routes, timeout);
+
+  for (int i = 0; i < KEEPERS; i++)
+    marjoram_state_giver_set (w.givers[i], state);
+  marjoram_state_destroy (state);
+}
+
+static const char *
+name_of (int keeper)
+{
+  static char name[16];
+
+  snprintf (name, sizeof name, "k%d", keeper);
+  return name;
+}
+
+static void
+offer (int keeper)
+{
+  marjoram_state_fetch_heard (w.fetch, w.now, name_of (keeper),
+                              keeper < NEAR_KEEPERS,
+                              marjoram_state_giver_number (w.givers[keeper]));
+}
+
+static void
+answer (void)
+{
+  struct marjoram_state_piece piece = { 0 };
+  int keeper = w.asked;
+
+  w.asked = -1;
+  ck_assert (marjoram_state_giver_answer (w.givers[keeper], &w.ask, &piece));
+  w.bytes += marjoram_bytes_size (piece.bytes);
+  marjoram_state_fetch_piece (w.fetch, w.now, name_of (keeper), &piece);
+  marjoram_wire_clear (&marjoram_state_piece_layout, &piece);
+}
+
+/* KEEPERS of them live, the first of them given.  */
+static void
+run (int64_t ms, int first, int keepers)
+{
+  for (int64_t end = w.now + ms; w.now < end; w.now += TICK_MS)
+    {
+      if (w.now % BEAT_MS == 0)
+        for (int i = first; i < first + keepers; i++)
+          offer (i);
+      if (w.asked >= 0 && w.now >= w.ask_at + w.piece_ms)
+        answer ();
+      marjoram_state_fetch_tick (w.fetch, w.now);
+    }
+}
+
+static void
+setup (void)
+{
+  memset (&w, 0, sizeof w);
+  w.asked = -1;
+  w.now = BEAT_MS;
+  for (int i = 0; i < KEEPERS; i++)
+    w.givers[i] = marjoram_state_giver_create ();
+  w.fetch = marjoram_state_fetch_create (&ops, NULL);
+}
+
+static void
+teardown (void)
+{
+  for (int i = 0; i < KEEPERS; i++)
+    marjoram_state_giver_destroy (w.givers[i]);
+  marjoram_state_fetch_destroy (w.fetch);
+}
+
+/* Streams were cut while the configuration grew: a host with a slow link got
+   the whole state from each of six keepers, again each second while the first
+   copy was on its way, and what engines and other hosts sent waited behind it
+   until they were taken for dead.  However often keepers offer a state and
+   however slow the link is, it comes once, one piece at a time.  */
+START_TEST (state_is_on_its_way_once)
+{
+  size_t size;
+
+  choose (1, 10, 500);
+  run (SECOND_MS, 0, KEEPERS);
+  ck_assert_uint_eq (w.number, 1);
+  choose (2, 4200, 500);
+  w.bytes = 0;
+  w.piece_ms = 400;
+  run (60 * SECOND_MS, 0, KEEPERS);
+  ck_assert_uint_eq (w.number, 2);
+  size = w.facts.bytes;
+  ck_assert_uint_gt (size, 2 * MARJORAM_STATE_PIECE_MAX);
+  ck_assert_uint_eq (w.bytes, size);
+  ck_assert_int_eq (w.at_once, 1);
+  ck_assert_int_eq (w.failures, 0);
+}
+END_TEST
+
+/* The same with the pieces at a slow link's own time: requests keep half of
+   it.  */
+START_TEST (host_rests_as_long_as_a_piece_took)
+{
+  int64_t began;
+
+  choose (1, 10, 500);
+  run (SECOND_MS, 0, 1);
+  choose (2, 4200, 500);
+  w.piece_ms = 100;
+  began = w.now;
+  while (w.number != 2)
+    run (TICK_MS, 0, 1);
+  ck_assert_int_ge (w.now - began,
+                    (int64_t)(w.facts.pieces - 1) * 2 * w.piece_ms);
+}
+END_TEST
+
+/* A host that has just started serves nobody: it takes the state as fast as it
+   comes.  */
+START_TEST (new_host_does_not_rest)
+{
+  int64_t began = w.now;
+
+  choose (2, 4200, 500);
+  w.piece_ms = 100;
+  while (w.number != 2)
+    run (TICK_MS, 0, 1);
+  ck_assert_int_le (w.now - began,
+                    (int64_t)w.facts.pieces * w.piece_ms + 2 * TICK_MS);
+}
+END_TEST
+
+START_TEST (one_changed_route_costs_little)
+{
+  choose (1, 5600, 500);
+  run (10 * SECOND_MS, 0, 1);
+  w.bytes = 0;
+  choose (2, 5600, 800);
+  run (SECOND_MS, 0, 1);
+  ck_assert_uint_eq (w.number, 2);
+  ck_assert_uint_eq (w.facts.base, 1);
+  ck_assert_uint_lt (w.bytes, 1000);
+}
+END_TEST
+
+/* Keepers of the own region are the near ones; others are asked only if these
+   don't have it.  */
+START_TEST (far_keeper_is_asked_if_no_near_one_offers)
+{
+  choose (1, 10, 500);
+  offer (NEAR_KEEPERS);
+  ck_assert_int_eq (w.asks, 0);
+  w.now += BEAT_MS;
+  offer (NEAR_KEEPERS);
+  ck_assert_int_eq (w.asks, 1);
+}
+END_TEST
+
+START_TEST (near_keeper_is_asked_at_once)
+{
+  choose (1, 10, 500);
+  offer (NEAR_KEEPERS);
+  offer (0);
+  ck_assert_int_eq (w.asks, 1);
+  ck_assert_int_eq (w.asked, 0);
+}
+END_TEST
+
+/* The keeper that a host takes the state from dies in the middle of it.  */
+START_TEST (another_keeper_goes_on)
+{
+  choose (2, 4200, 500);
+  w.piece_ms = 100;
+  offer (0);
+  run (150, 0, 0);
+  ck_assert_int_gt (w.asks, 1);
+  w.asked = -1;
+  marjoram_state_fetch_lost (w.fetch, "k0");
+  run (5 * SECOND_MS, 1, 1);
+  ck_assert_uint_eq (w.number, 2);
+  ck_assert_str_eq (w.keeper, "k1");
+}
+END_TEST
+
+/* Its link says nothing, but no piece comes either.  */
+START_TEST (stalled_keeper_is_left)
+{
+  choose (2, 10, 500);
+  offer (0);
+  w.asked = -1;
+  run (4 * SECOND_MS, 1, 1);
+  ck_assert_uint_eq (w.number, 2);
+  ck_assert_str_eq (w.keeper, "k1");
+}
+END_TEST
+
+/* Changes follow each other faster than the state comes.  */
+START_TEST (newer_states_do_not_starve_a_fetch)
+{
+  choose (1, 4200, 500);
+  run (5 * SECOND_MS, 0, KEEPERS);
+  w.piece_ms = 50;
+  for (uint64_t number = 2; number < 12; number++)
+    {
+      choose (number, 4200 + (int)number * 200, 500);
+      run (BEAT_MS, 0, KEEPERS);
+      ck_assert_uint_ge (w.number, number - 1);
+    }
+  run (2 * SECOND_MS, 0, KEEPERS);
+  ck_assert_uint_eq (w.number, 11);
+}
+END_TEST
+
+/* A host that missed more than keepers hold gets the state whole.  */
+START_TEST (old_host_gets_it_whole)
+{
+  choose (1, 10, 500);
+  run (SECOND_MS, 0, 1);
+  for (uint64_t number = 2; number < 12; number++)
+    choose (number, 10, (int)number);
+  run (SECOND_MS, 0, 1);
+  ck_assert_uint_eq (w.number, 11);
+  ck_assert_uint_eq (w.facts.base, 0);
+}
+END_TEST
+
+/* A keeper whose state of the same number is another one must not give a
+   difference from it.  */
+START_TEST (another_base_is_not_used)
+{
+  struct marjoram_state *other = make_state (1, 10, 999);
+  struct marjoram_state *next = make_state (2, 10, 500);
+
+  marjoram_state_giver_set (w.givers[0], other);
+  marjoram_state_giver_set (w.givers[0], next);
+  choose (1, 10, 500);
+  run (SECOND_MS, 1, 1);
+  ck_assert_uint_eq (w.number, 1);
+  run (SECOND_MS, 0, 1);
+  ck_assert_uint_eq (w.number, 2);
+  ck_assert_uint_eq (w.facts.base, 0);
+  ck_assert_int_eq (w.failures, 0);
+  marjoram_state_destroy (other);
+  marjoram_state_destroy (next);
+}
+END_TEST
+
+/* Bytes that can't be read are never taken, and asked for again.  */
+START_TEST (damaged_piece_is_not_taken)
+{
+  struct marjoram_state_piece piece
+      = { .number = 1, .size = 4, .bytes = marjoram_bytes_create ("oops", 4) };
+
+  choose (1, 10, 500);
+  offer (0);
+  w.asked = -1;
+  marjoram_state_fetch_piece (w.fetch, w.now, "k0", &piece);
+  ck_assert_int_eq (w.failures, 1);
+  ck_assert_uint_eq (w.number, 0);
+  run (SECOND_MS, 0, 1);
+  ck_assert_uint_eq (w.number, 1);
+  marjoram_bytes_release (piece.bytes);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("state_transfer");
+  TCase *c = tcase_create ("state_transfer");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, state_is_on_its_way_once);
+  tcase_add_test (c, host_rests_as_long_as_a_piece_took);
+  tcase_add_test (c, new_host_does_not_rest);
+  tcase_add_test (c, one_changed_route_costs_little);
+  tcase_add_test (c, far_keeper_is_asked_if_no_near_one_offers);
+  tcase_add_test (c, near_keeper_is_asked_at_once);
+  tcase_add_test (c, another_keeper_goes_on);
+  tcase_add_test (c, stalled_keeper_is_left);
+  tcase_add_test (c, newer_states_do_not_starve_a_fetch);
+  tcase_add_test (c, old_host_gets_it_whole);
+  tcase_add_test (c, another_base_is_not_used);
+  tcase_add_test (c, damaged_piece_is_not_taken);
+  suite_add_tcase (s, c);
+  return s;
+}
