A configuration's routes are compared by sorting them

Keepers checked each route against each before it: 72 ms for 5,600 routes and 1,491 ms for 20,000, in which their event loop stood. The test passes before and after: the message names the same routes.

--- a/src/route_table.c
+++ b/src/route_table.c
@@ -90,10 +90,9 @@
 }
 
 static bool
-check_place (const struct marjoram_route_table *table, size_t index,
-             struct marjoram_error *err)
+check_prefix (const struct marjoram_route_rule *route,
+              struct marjoram_error *err)
 {
-  const struct marjoram_route_rule *route = &ROUTES (table)[index];
   size_t length = strlen (route->prefix);
 
   if (length == 0 || route->prefix[0] != '/'
@@ -102,13 +101,42 @@
                                "the prefix of route %s must begin and end "
                                "with a slash; mend it",
                                route->name);
-  for (size_t i = 0; i < index; i++)
-    if (strcasecmp (ROUTES (table)[i].host, route->host) == 0
-        && strcmp (ROUTES (table)[i].prefix, route->prefix) == 0)
+  return true;
+}
+
+static int
+compare_place (const void *a, const void *b)
+{
+  const struct marjoram_route_rule *one
+      = *(const struct marjoram_route_rule *const *)a;
+  const struct marjoram_route_rule *other
+      = *(const struct marjoram_route_rule *const *)b;
+  int order = strcasecmp (one->host, other->host);
+
+  if (order == 0)
+    order = strcmp (one->prefix, other->prefix);
+  /* As they stand in the file, for the message.  */
+  return order != 0 ? order : (one > other) - (one < other);
+}
+
+static bool
+check_unique (const struct marjoram_route_table *table,
+              struct marjoram_error *err)
+{
+  size_t count = table->routes.count;
+  marjoram_auto_free const struct marjoram_route_rule **sorted
+      = marjoram_alloc (count * sizeof (void *));
+
+  for (size_t i = 0; i < count; i++)
+    sorted[i] = &ROUTES (table)[i];
+  qsort ((void *)sorted, count, sizeof *sorted, compare_place);
+  for (size_t i = 1; i < count; i++)
+    if (strcasecmp (sorted[i - 1]->host, sorted[i]->host) == 0
+        && strcmp (sorted[i - 1]->prefix, sorted[i]->prefix) == 0)
       return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
                                  "routes %s and %s have the same host and "
                                  "prefix; remove one",
-                                 ROUTES (table)[i].name, route->name);
+                                 sorted[i - 1]->name, sorted[i]->name);
   return true;
 }
 
@@ -125,10 +153,10 @@
                                    "route %s has no timeout; give it one "
                                    "above 0 ms",
                                    route->name);
-      if (!check_place (table, i, err) || !check_targets (table, route, err))
+      if (!check_prefix (route, err) || !check_targets (table, route, err))
         return false;
     }
-  return true;
+  return check_unique (table, err);
 }
 
 static bool
--- a/test/test_route_file.c
+++ b/test/test_route_file.c
@@ -105,6 +105,28 @@
 }
 END_TEST
 
+/* Hosts are compared without regard to case, prefixes with it, wherever in the
+   file the routes stand; the message names them in the file's order.  */
+START_TEST (two_routes_of_one_place_are_refused)
+{
+#define PLACE(name, host, prefix)                                             \
+  "[route " name "]\nhost = " host "\nprefix = " prefix "\n"                  \
+  "kind = idempotent\ntimeout_ms = 4000\nservices = app\n"
+  static const char same[] = HEAD APP PLACE ("z", "b.example", "/x/")
+      PLACE ("m", "c.example", "/x/") PLACE ("a", "B.example", "/x/");
+  static const char apart[] = HEAD APP PLACE ("z", "b.example", "/x/")
+      PLACE ("m", "c.example", "/x/") PLACE ("a", "B.example", "/X/");
+  struct marjoram_error err = { 0 };
+  struct marjoram_route_table *table = read (apart, &err);
+
+  ck_assert_msg (table != NULL, "%s", err.message);
+  marjoram_route_table_destroy (table);
+  ck_assert (!read (same, &err));
+  ck_assert_msg (strstr (err.message, "routes z and a have the same host"),
+                 "%s", err.message);
+}
+END_TEST
+
 /* Keepers take both forms; what is neither is told to be no configuration. */
 START_TEST (both_forms_are_taken)
 {
@@ -168,6 +190,7 @@
 
   tcase_add_test (tests, routes_are_read);
   tcase_add_test (tests, faults_name_line_and_remedy);
+  tcase_add_test (tests, two_routes_of_one_place_are_refused);
   tcase_add_test (tests, both_forms_are_taken);
   tcase_add_test (tests, own_calls_are_read);
   suite_add_tcase (all, tests);
