A host knows how far behind its own hearing is

Where a host's own link is full, or its event loop stands still, all that it hears comes late, and each limit of silence is judged as if the others were dead: nothing told the two apart.

Each beat is answered at once and in order, so that one beat at a time is timed on each link; the lag of a link is the greater of its last round trip and the age of the beat that is timed, and the host's own lag the least of its links. It is 0 where fewer than two links have been answered (one late link may be its peer's fault), and where nothing at all has come for a second (a cut, not a jam: the lag stays 3 s and more there). It is held for 0.8 s after its top, as connections recover one after the other, and never more than 3 s. Weighed: a smoothed lag; it would be carried on after the jam. A list of all unanswered beats; no sooner right by more than a beat's interval, which the hold covers.

--- /dev/null
+++ b/test/test_own_lag.c
@@ -0,0 +1,226 @@
+/* How far behind a host's own hearing is.  */
+#include "suite.h"
+
+#include "own_lag.h"
+
+enum
+{
+  LINKS = 3,
+  BEAT_MS = 300,
+  TICK_MS = 25,
+  ROUND_TRIP_MS = 2,
+  QUIET_MS = 5000
+};
+
+/* A peer, as this host's link to it sees it.  */
+struct peer
+{
+  struct marjoram_link_lag lag;
+  int64_t heard_at;
+  int64_t asked_at[64]; /* of beats without an answer yet */
+  int asked;
+  bool gone;
+};
+
+static struct peer peers[LINKS];
+static struct marjoram_own_lag own;
+static int64_t now;
+
+static void
+setup (void)
+{
+  now = 0;
+  own = (struct marjoram_own_lag){ 0 };
+  for (int i = 0; i < LINKS; i++)
+    {
+      peers[i] = (struct peer){ 0 };
+      marjoram_link_lag_start (&peers[i].lag);
+    }
+}
+
+static void
+send_beat (struct peer *peer)
+{
+  marjoram_link_lag_sent (&peer->lag, now);
+  peer->asked_at[peer->asked++] = now;
+}
+
+/* Takes the answers that are LATE_MS under way.  */
+static void
+hear (struct peer *peer, int64_t late_ms)
+{
+  int taken = 0;
+
+  while (taken < peer->asked && peer->asked_at[taken] + late_ms <= now)
+    {
+      marjoram_link_lag_answered (&peer->lag, now);
+      peer->heard_at = now;
+      taken++;
+    }
+  for (int i = taken; i < peer->asked; i++)
+    peer->asked_at[i - taken] = peer->asked_at[i];
+  peer->asked -= taken;
+}
+
+static void
+look (void)
+{
+  marjoram_own_lag_begin (&own);
+  for (int i = 0; i < LINKS; i++)
+    marjoram_own_lag_add (&own, now, &peers[i].lag, peers[i].heard_at);
+  marjoram_own_lag_end (&own, now);
+}
+
+/* MS pass, in which all answers come LATE_MS late; PARTS says that parts of
+   large frames come all the time.  */
+static void
+pass (int64_t ms, int64_t late_ms, bool parts)
+{
+  for (int64_t end = now + ms; now < end; now += TICK_MS)
+    {
+      for (int i = 0; i < LINKS; i++)
+        {
+          if (!peers[i].gone)
+            hear (&peers[i], late_ms);
+          if (now % BEAT_MS == 0)
+            send_beat (&peers[i]);
+        }
+      if (parts)
+        peers[0].heard_at = now;
+      look ();
+    }
+}
+
+START_TEST (host_that_hears_well_has_no_lag)
+{
+  ck_assert_int_eq (own.ms, 0);
+  pass (QUIET_MS, ROUND_TRIP_MS, false);
+  ck_assert_int_le (own.ms, TICK_MS);
+}
+END_TEST
+
+/* The host's own link is full for three seconds: what engines and hosts send
+   waits behind copies of the state.  Taken by the clock, all of them are
+   silent meanwhile, and the host leaves live ones.  The lag is known but for a
+   beat's interval, and is not carried on after the jam.  */
+START_TEST (full_link_makes_all_late)
+{
+  const int64_t known_ms = 2000 - BEAT_MS - TICK_MS;
+
+  pass (QUIET_MS, ROUND_TRIP_MS, false);
+  pass (2000, QUIET_MS, true);
+  ck_assert_int_ge (own.ms, known_ms);
+  pass (1000, 2000, true);
+  ck_assert_int_ge (own.ms, known_ms);
+  pass (1300, ROUND_TRIP_MS, false);
+  ck_assert_int_le (own.ms, TICK_MS);
+}
+END_TEST
+
+/* After a jam one connection recovers at once; the others' lost packets are
+   sent again some hundred ms later.  Judged by the first, all others would be
+   silent at that moment.  */
+START_TEST (lag_is_held_until_others_recover)
+{
+  pass (QUIET_MS, ROUND_TRIP_MS, false);
+  pass (2000, QUIET_MS, true);
+  hear (&peers[0], ROUND_TRIP_MS);
+  send_beat (&peers[0]);
+  now += TICK_MS;
+  hear (&peers[0], ROUND_TRIP_MS);
+  look ();
+  ck_assert_int_ge (own.ms, 2000 - BEAT_MS - TICK_MS);
+}
+END_TEST
+
+/* The event loop stands still for two seconds; then the first link is read,
+   and the others' bytes still wait in the sockets.  */
+START_TEST (stalled_loop_makes_all_late)
+{
+  pass (QUIET_MS - QUIET_MS % BEAT_MS + TICK_MS, ROUND_TRIP_MS, false);
+  ck_assert_int_gt (peers[0].asked, 0);
+  now += 2000;
+  hear (&peers[0], ROUND_TRIP_MS);
+  look ();
+  ck_assert_int_ge (own.ms, 2000 - TICK_MS);
+}
+END_TEST
+
+/* A peer dies, and another's own link is full: the host's own hearing is as
+   good as before.  */
+START_TEST (late_peers_dont_make_the_host_late)
+{
+  pass (QUIET_MS, ROUND_TRIP_MS, false);
+  peers[0].gone = true;
+  peers[1].gone = true;
+  pass (QUIET_MS, ROUND_TRIP_MS, true);
+  ck_assert_int_le (own.ms, TICK_MS);
+}
+END_TEST
+
+/* The host is cut off from all others: no beat is answered, and nothing else
+   comes.  Taken for lateness, it would keep its dead links for seconds.  */
+START_TEST (cut_off_host_is_not_late)
+{
+  pass (QUIET_MS, ROUND_TRIP_MS, false);
+  pass (1500, QUIET_MS, false);
+  ck_assert_int_eq (own.ms, 0);
+}
+END_TEST
+
+/* All links but one are down, and its peer is slow: whose fault it is can't be
+   told, so nothing is put down to this host.  */
+START_TEST (single_link_tells_nothing)
+{
+  pass (QUIET_MS, ROUND_TRIP_MS, false);
+  marjoram_link_lag_start (&peers[1].lag);
+  marjoram_link_lag_start (&peers[2].lag);
+  peers[0].gone = true;
+  peers[1].gone = true;
+  peers[2].gone = true;
+  pass (2000, QUIET_MS, true);
+  ck_assert_int_eq (own.ms, 0);
+}
+END_TEST
+
+/* A link comes up in the middle of a jam and has not been answered yet: it is
+   no proof that the jam is over.  */
+START_TEST (new_link_hides_no_lag)
+{
+  pass (QUIET_MS, ROUND_TRIP_MS, false);
+  pass (2000, QUIET_MS, true);
+  marjoram_link_lag_start (&peers[2].lag);
+  peers[2].asked = 0;
+  pass (1000, QUIET_MS, true);
+  ck_assert_int_ge (own.ms, 2000);
+}
+END_TEST
+
+/* However late the host is, what gives no sign for long enough is dead.  */
+START_TEST (lag_is_bounded)
+{
+  pass (QUIET_MS, ROUND_TRIP_MS, false);
+  pass (2 * QUIET_MS, 10 * QUIET_MS, true);
+  ck_assert_int_eq (own.ms, 3000);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *all = suite_create ("own_lag");
+  TCase *tests = tcase_create ("own_lag");
+
+  tcase_add_checked_fixture (tests, setup, NULL);
+  tcase_add_test (tests, host_that_hears_well_has_no_lag);
+  tcase_add_test (tests, full_link_makes_all_late);
+  tcase_add_test (tests, lag_is_held_until_others_recover);
+  tcase_add_test (tests, stalled_loop_makes_all_late);
+  tcase_add_test (tests, late_peers_dont_make_the_host_late);
+  tcase_add_test (tests, cut_off_host_is_not_late);
+  tcase_add_test (tests, single_link_tells_nothing);
+  tcase_add_test (tests, new_link_hides_no_lag);
+  tcase_add_test (tests, lag_is_bounded);
+  suite_add_tcase (all, tests);
+  return all;
+}
