Links aren't silent where the host itself is late

Requests that were forwarded ended unknown when the host that sent them on hung up links to live hosts: its own link was full, the answers of beats waited behind copies of the state, and after 1.5 s all links counted as silent, up to 25 at one host in one second.

The host's own lag is taken off the silence of a link; the line of a lost link tells it. A host that is cut off from all others still hangs up after 1.5 s.

--- a/src/host_beats.c
+++ b/src/host_beats.c
@@ -64,6 +64,7 @@
       make_beat (links, &beat);
     made = true;
     link->sent_at = now;
+    marjoram_link_lag_sent (&link->lag, now);
     marjoram_peer_send (links->peer, link->host, MARJORAM_FRAME_HOST_BEAT,
                         &beat);
   }
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -71,6 +71,7 @@
   link->up = true;
   link->heard_at = now;
   link->sent_at = 0;
+  marjoram_link_lag_start (&link->lag);
   marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=up", host);
   marjoram_host_links_send_beats (links, now, false);
 }
@@ -84,8 +85,10 @@
   if (!link || !link->up)
     return;
   link->up = false;
-  marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=lost silent_ms=%" PRId64,
-                  host, marjoram_host_links_now (links) - link->heard_at);
+  marjoram_event (MARJORAM_EVENT_LINK,
+                  "host=%s state=lost silent_ms=%" PRId64 " lag_ms=%" PRId64,
+                  host, marjoram_host_links_now (links) - link->heard_at,
+                  marjoram_host_links_lag (links));
   links->ops->link_lost (links->context, host);
 }
 
@@ -117,6 +120,18 @@
   free (session);
 }
 
+/* Beats are answered in their order.  */
+static void
+note_answer (marjoram_host_links *links, struct marjoram_host_link *link,
+             enum marjoram_frame_type type)
+{
+  const int64_t now = marjoram_host_links_now (links);
+
+  link->heard_at = now;
+  if (type == MARJORAM_FRAME_HEARTBEAT || type == MARJORAM_FRAME_HOST_BEAT)
+    marjoram_link_lag_answered (&link->lag, now);
+}
+
 static void
 on_frame (void *context, const char *host, uint64_t session,
           uint64_t incarnation, enum marjoram_frame_type type, void *message)
@@ -127,7 +142,7 @@
 
   (void)incarnation;
   if (link)
-    link->heard_at = marjoram_host_links_now (links);
+    note_answer (links, link, type);
   if (type == MARJORAM_FRAME_HOST_BEAT && session != 0)
     marjoram_host_links_hear_beat (links, host, session, message);
   else if (type == MARJORAM_FRAME_HOST_BEAT)
@@ -239,21 +254,37 @@
     }
 }
 
+static void
+look_at_lag (marjoram_host_links *links, int64_t now)
+{
+  const struct marjoram_host_link *link;
+
+  marjoram_own_lag_begin (&links->own_lag);
+  TAILQ_FOREACH (link, &links->links, next)
+  if (link->up)
+    marjoram_own_lag_add (&links->own_lag, now, &link->lag, link->heard_at);
+  marjoram_own_lag_end (&links->own_lag, now);
+}
+
 /* Something between two hosts may lose track of an open connection while new
-   ones work: only silence shows it.  */
+   ones work: only silence shows it.  Where this host itself hears late, all
+   links look silent; hung up, they would take the requests that were forwarded
+   over them along, and come up no sooner than what is under way on them.  */
 static void
 hang_up_silent (marjoram_host_links *links, int64_t now)
 {
+  const int64_t lag = marjoram_host_links_lag (links);
   struct marjoram_host_link *link;
 
   TAILQ_FOREACH (link, &links->links, next)
-  if (link->up && now - link->heard_at > SILENT_MS)
+  if (link->up && now - link->heard_at - lag > SILENT_MS)
     marjoram_peer_hang_up (links->peer, link->host);
 }
 
 void
 marjoram_host_links_tick (marjoram_host_links *links, int64_t now)
 {
+  look_at_lag (links, now);
   hang_up_silent (links, now);
   marjoram_host_links_send_beats (links, now, false);
   if (now >= links->planned_at + PLAN_MS)
@@ -273,6 +304,12 @@
   return link && link->up;
 }
 
+int64_t
+marjoram_host_links_lag (const marjoram_host_links *links)
+{
+  return links->own_lag.ms;
+}
+
 bool
 marjoram_host_links_send (marjoram_host_links *links, const char *host,
                           enum marjoram_frame_type type, const void *message)
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -40,6 +40,9 @@
 /* Whether this host's own link to HOST is up.  */
 bool marjoram_host_links_reaches (marjoram_host_links *links,
                                   const char *host);
+/* How far behind this host's own hearing was at the last tick, in ms
+   (own_lag.h): whoever judges silence takes it off.  */
+int64_t marjoram_host_links_lag (const marjoram_host_links *links);
 /* False if it is not.  */
 bool marjoram_host_links_send (marjoram_host_links *links, const char *host,
                                enum marjoram_frame_type type,
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -4,6 +4,7 @@
 #define MARJORAM_HOST_LINKS_PRIVATE_H
 
 #include "host_links.h"
+#include "own_lag.h"
 
 #include <sys/queue.h>
 
@@ -17,6 +18,7 @@
   bool wanted;
   int64_t heard_at;
   int64_t sent_at;
+  struct marjoram_link_lag lag;
 };
 
 /* A host that dialled this one.  */
@@ -42,6 +44,7 @@
   uint16_t port;
   TAILQ_HEAD (, marjoram_host_link) links;
   TAILQ_HEAD (, marjoram_host_session) sessions;
+  struct marjoram_own_lag own_lag;
   int64_t planned_at;
   int64_t listed_at;
   int64_t listed_hosts_at;
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -20,7 +20,8 @@
   TEXT_MAX = 64,
   PORT = 7760,
   BEHIND_RELAY = 11, /* index of the address of a host behind a relay */
-  LARGE_BYTES = 300000
+  LARGE_BYTES = 300000,
+  SETTLE_MS = 700
 };
 
 /* One host with its task.  */
@@ -42,6 +43,7 @@
 static struct host entry;
 static struct host other;
 static struct relay *relay; /* null unless a test puts one */
+static struct relay *other_relay;
 
 static void
 on_frame (void *context, const char *name, uint64_t session,
@@ -107,14 +109,21 @@
             process % 250 + 1);
 }
 
-/* HOST's keeper is the only seed.  It listens for links at the address of
+static bool
+is_keeper (const struct host *host)
+{
+  return host->links && host->settings.role == MARJORAM_ROLE_KEEPER;
+}
+
+/* The seeds of an entry host are the keepers that have started.  HOST
+   listens for links at the address of
    LISTEN_INDEX, its own unless a relay stands there.  */
 static void
 start_at (struct host *host, int index, int listen_index,
           enum marjoram_gateway_role role, const char *region,
           uint64_t incarnation)
 {
-  static char *seeds[1];
+  static char *seeds[2];
   struct marjoram_error err = { 0 };
   char listen_ip[IP_MAX];
 
@@ -126,6 +135,7 @@
   snprintf (host->entry_address, sizeof host->entry_address, "%s:80",
             host->ip);
   seeds[0] = keeper.ip;
+  seeds[1] = other.ip;
   host->settings = (struct marjoram_gateway_settings){
     .role = (int)role,
     .name = host->ip,
@@ -135,7 +145,7 @@
     .link_address = host->link_address,
     .entry_address = role == MARJORAM_ROLE_ENTRY ? host->entry_address : NULL,
     .seeds = seeds,
-    .seed_count = role == MARJORAM_ROLE_ENTRY ? 1 : 0,
+    .seed_count = role == MARJORAM_ROLE_ENTRY ? 1 + is_keeper (&other) : 0,
   };
   host->hosts = marjoram_host_list_create ();
   host->links = marjoram_host_links_create (base, test_clock, &host->settings,
@@ -213,7 +223,9 @@
     if (all[i]->links)
       stop (all[i]);
   relay_destroy (relay);
+  relay_destroy (other_relay);
   relay = NULL;
+  other_relay = NULL;
   event_base_free (base);
 }
 
@@ -328,17 +340,54 @@
 }
 END_TEST
 
-/* The keeper's links then go through a relay, at the keeper's address.  */
-static void
-put_relay_before_keeper (void)
+/* Starts a keeper whose links go through a relay, at its address.  */
+static struct relay *
+start_behind_relay (struct host *host, int index)
 {
   char address[TEXT_MAX];
+  struct relay *before;
 
+  start_at (host, index, BEHIND_RELAY + index, MARJORAM_ROLE_KEEPER, "r1", 1);
+  snprintf (address, sizeof address, "%s:%d", host->ip, PORT);
+  before = relay_create (base, address, host->link_address);
+  ck_assert (before != NULL);
+  return before;
+}
+
+static void
+put_relay_before_keeper (void)
+{
   stop (&keeper);
-  start_at (&keeper, 1, BEHIND_RELAY, MARJORAM_ROLE_KEEPER, "r1", 1);
-  snprintf (address, sizeof address, "%s:%d", keeper.ip, PORT);
-  relay = relay_create (base, address, keeper.link_address);
-  ck_assert (relay != NULL);
+  relay = start_behind_relay (&keeper, 1);
+}
+
+static bool
+both_are_reached (void)
+{
+  return marjoram_host_links_reaches (entry.links, keeper.ip)
+         && marjoram_host_links_reaches (entry.links, other.ip);
+}
+
+static bool
+has_settled (void)
+{
+  static int64_t since;
+
+  if (since == 0)
+    since = marjoram_clock_now (test_clock);
+  return marjoram_clock_now (test_clock) > since + SETTLE_MS;
+}
+
+/* An entry host with links to two keepers, each through a relay, some beats
+   after they came up.  */
+static void
+start_behind_relays (void)
+{
+  put_relay_before_keeper ();
+  other_relay = start_behind_relay (&other, 3);
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (both_are_reached, "links to both keepers");
+  wait_until (has_settled, "some beats");
 }
 
 static void
@@ -369,6 +418,43 @@
 }
 END_TEST
 
+/* A host's own path is full for seconds: a large frame comes on one link, and
+   what others answer waits behind it.  The host took all the others for
+   silent after 1.5 s, hung up, and cut what was forwarded over them, while
+   each answered at once.  */
+START_TEST (link_is_not_silent_where_the_host_is_late)
+{
+  start_behind_relays ();
+  relay_set_rate (relay, LARGE_BYTES / 3);
+  /* There and back.  */
+  relay_set_delay (other_relay, 1000);
+  tell_large_frame ();
+  wait_until (entry_has_a_frame, "the large frame");
+  ck_assert_int_eq (entry.lost, 0);
+}
+END_TEST
+
+static bool
+both_are_lost (void)
+{
+  return entry.lost == 2;
+}
+
+/* A host is cut off from all others: this is not its own lateness, and it
+   notices as soon as ever, to dial anew.  */
+START_TEST (links_of_a_cut_off_host_are_silent)
+{
+  int64_t began;
+
+  start_behind_relays ();
+  began = marjoram_clock_now (test_clock);
+  relay_set_mode (relay, RELAY_HOLD);
+  relay_set_mode (other_relay, RELAY_HOLD);
+  wait_until (both_are_lost, "both links to be lost");
+  ck_assert_int_lt (marjoram_clock_now (test_clock) - began, 2000);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -381,6 +467,8 @@
   tcase_add_test (tests, news_of_a_region_stay_there);
   tcase_add_test (tests, newcomer_is_told_of_all);
   tcase_add_test (tests, link_on_which_a_large_frame_comes_is_not_silent);
+  tcase_add_test (tests, link_is_not_silent_where_the_host_is_late);
+  tcase_add_test (tests, links_of_a_cut_off_host_are_silent);
   suite_add_tcase (all, tests);
   return all;
 }
