Live upstreams aren't left where the host itself is late

Callers' streams ended without an end (outcome=unknown reason=overload limit=backlog events=1 quiet_ms=2175) though the engines had run them whole: the host's own link was full, the answers waited there, and after 0.8 to 1.5 s of silence the host left one live engine after the other, until there was no place to go on.

An upstream's silence is judged by the time up to which the host has heard: its own lag is taken off, from each limit in the gateway. The line of an attempt tells the lag. Ruled out: engines that put requests off; these are told apart already by what they answer to others.

--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -199,6 +199,14 @@
                             &cancel);
 }
 
+static int64_t
+op_lag_ms (void *context)
+{
+  const struct marjoram_entry *self = context;
+
+  return marjoram_host_links_lag (self->parts->links);
+}
+
 const struct marjoram_gateway_ops marjoram_entry_gateway_ops = {
   .reply_head = op_reply_head,
   .reply_data = op_reply_data,
@@ -210,4 +218,5 @@
   .reaches = op_reaches,
   .forward = op_forward,
   .cancel_forward = op_cancel_forward,
+  .lag_ms = op_lag_ms,
 };
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -421,6 +421,17 @@
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
 
+/* The time up to which this host has heard what was sent to it.  Where its own
+   link is full, answers of live engines wait there for seconds.  Judged by the
+   clock, these are left one after the other, until there is no place to go on
+   and the callers' streams end without an end.  The lag has a bound, so that
+   upstreams that are dead are found all the same.  */
+static int64_t
+heard_until (const marjoram_gateway *gateway, int64_t now)
+{
+  return now - gateway->ops->lag_ms (gateway->context);
+}
+
 /* An engine under load may put a request off for seconds and go on with it,
    while it answers others: one that answers anybody is not dead.  And one that
    is dead is left only for a place that takes the request, as what is cut
@@ -434,7 +445,8 @@
   int64_t heard_at
       = marjoram_placement_heard_at (gateway->placement, exchange->attempt);
 
-  return !exchange->forwarded && now >= heard_at + UPSTREAM_SILENT_MS
+  return !exchange->forwarded
+         && heard_until (gateway, now) >= heard_at + UPSTREAM_SILENT_MS
          && marjoram_exchange_has_other_place (gateway, exchange, now);
 }
 
@@ -444,7 +456,7 @@
 {
   if (!is_worth_leaving (gateway, exchange, now))
     {
-      exchange->silent_at = now + SILENT_AGAIN_MS;
+      exchange->silent_at = heard_until (gateway, now) + SILENT_AGAIN_MS;
       return;
     }
   marjoram_exchange_drop_attempt (gateway, exchange, now,
@@ -466,7 +478,8 @@
     else if (now >= exchange->due_at
              && !has_more_time (gateway, exchange, now))
       time_out (gateway, exchange, now);
-    else if (exchange->attempt && now >= exchange->silent_at)
+    else if (exchange->attempt
+             && heard_until (gateway, now) >= exchange->silent_at)
       give_up_silent (gateway, exchange, now);
   }
   marjoram_gateway_try_waiting (gateway, now);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -46,6 +46,9 @@
   bool (*forward) (void *context, const char *host,
                    const struct marjoram_forward *forward);
   void (*cancel_forward) (void *context, const char *host, uint64_t attempt);
+  /* How far behind this host's own hearing is (own_lag.h): upstreams may have
+     answered all that long ago.  */
+  int64_t (*lag_ms) (void *context);
 };
 
 struct marjoram_gateway_options
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -66,17 +66,19 @@
 }
 
 static void
-log_attempt (const struct marjoram_exchange *exchange,
+log_attempt (const marjoram_gateway *gateway,
+             const struct marjoram_exchange *exchange,
              enum marjoram_reason reason, const char *refused)
 {
   marjoram_event (MARJORAM_EVENT_ATTEMPT,
                   "id=%s failed=%s retry=%s service=%s upstream=%s host=%s "
-                  "status=%d arrivals=%d runs=%d",
+                  "status=%d arrivals=%d runs=%d lag_ms=%" PRId64,
                   exchange->facts.id, marjoram_reason_name (reason),
                   refused ? refused : "yes", exchange->service,
                   *exchange->upstream ? exchange->upstream : "-",
                   *exchange->host ? exchange->host : "-", exchange->status,
-                  exchange->arrivals, exchange->runs);
+                  exchange->arrivals, exchange->runs,
+                  gateway->ops->lag_ms (gateway->context));
 }
 
 static void
@@ -97,7 +99,7 @@
 send_again (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
             int64_t now, enum marjoram_reason reason)
 {
-  log_attempt (exchange, reason, NULL);
+  log_attempt (gateway, exchange, reason, NULL);
   marjoram_metrics_add (gateway->options.metrics,
                         exchange->state == MARJORAM_EXCHANGE_STREAMS
                             ? MARJORAM_METRIC_RESUMED
@@ -132,7 +134,7 @@
       send_again (gateway, exchange, now, reason);
       return;
     }
-  log_attempt (exchange, reason, refused);
+  log_attempt (gateway, exchange, reason, refused);
   give_up (gateway, exchange, now, reason);
 }
 
@@ -377,7 +379,7 @@
   exchange->runs--;
   exchange->arrivals--;
   exchange->unreached++;
-  log_attempt (exchange, MARJORAM_REASON_NO_UPSTREAM, NULL);
+  log_attempt (gateway, exchange, MARJORAM_REASON_NO_UPSTREAM, NULL);
   marjoram_exchange_send (gateway, exchange, now);
 }
 
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -62,7 +62,7 @@
   uint64_t attempt; /* 0 if none */
   char upstream[MARJORAM_ID_MAX];
   char host[MARJORAM_HOST_NAME_MAX]; /* forwarded there; "" if not */
-  int64_t silent_at; /* when its silence ends it; INT64_MAX: never */
+  int64_t silent_at; /* when its silence ends it, as heard; INT64_MAX: never */
   int status;
   struct marjoram_header_list headers; /* of the answer */
   bool is_signed;                      /* by the upstream */
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -146,6 +146,12 @@
   op_cancel (context, attempt);
 }
 
+static int64_t
+op_lag_ms (void *context)
+{
+  return ((const struct gateway_fixture *)context)->lag_ms;
+}
+
 static const struct marjoram_gateway_ops ops = {
   .reply_head = op_head,
   .reply_data = op_data,
@@ -157,6 +163,7 @@
   .reaches = op_reaches,
   .forward = op_forward,
   .cancel_forward = op_cancel_forward,
+  .lag_ms = op_lag_ms,
 };
 
 static const char *
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -37,6 +37,7 @@
   struct marjoram_route_table *table;
   struct gateway_seen seen;
   bool link_up;          /* to hosts of other regions */
+  int64_t lag_ms;        /* of this host's own hearing */
   bool evacuated;        /* the zone of the region's upstreams */
   bool leaving;          /* the same, just now */
   const char *unreached; /* the one of them to which there is no link */
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -251,6 +251,55 @@
 }
 END_TEST
 
+/* The host's own link is full for three seconds; engines answer, their answers
+   wait.  The host left live engines, found no other place, and its callers'
+   streams ended without an end.  */
+START_TEST (late_host_leaves_no_live_upstream)
+{
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  for (int64_t now = 25; now < 3000; now += 25)
+    {
+      f.lag_ms = now - 10;
+      marjoram_gateway_tick (f.gateway, now);
+    }
+  ck_assert_int_eq (f.seen.cancels, 0);
+  gateway_fixture_data (&f, 3000, "id: 2\ndata: b\n\n");
+  gateway_fixture_end (&f, 3000, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_int_eq (f.seen.ends, 1);
+}
+END_TEST
+
+/* The same before the first event: the answer to a request that was sent in
+   the jam waits too.  */
+START_TEST (late_host_waits_for_a_first_event)
+{
+  gateway_fixture_call (&f, 0, "/ask/x");
+  f.lag_ms = 2000;
+  for (int64_t now = 25; now < 2500; now += 25)
+    marjoram_gateway_tick (f.gateway, now);
+  ck_assert_int_eq (f.seen.cancels, 0);
+}
+END_TEST
+
+/* An upstream dies while the host is late: it is found by the lag later than
+   else, and not once the lag is over only.  */
+START_TEST (late_host_finds_dead_upstreams)
+{
+  f.lag_ms = 1000;
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  marjoram_gateway_tick (f.gateway, 2400);
+  ck_assert_int_eq (f.seen.cancels, 0);
+  marjoram_gateway_tick (f.gateway, 2600);
+  ck_assert_int_eq (f.seen.cancels, 1);
+  ck_assert_int_eq (f.seen.sends, 2);
+}
+END_TEST
+
 /* An engine is full: it puts a stream off for two seconds, and answers others
    meanwhile.  Taken for dead, its caller's stream would be cut in the middle,
    or read again elsewhere for nothing.  */
@@ -687,6 +736,9 @@
   tcase_add_test (c, stream_goes_on_elsewhere);
   tcase_add_test (c, stream_that_cannot_go_on_is_cut);
   tcase_add_test (c, silent_upstream_is_left);
+  tcase_add_test (c, late_host_leaves_no_live_upstream);
+  tcase_add_test (c, late_host_waits_for_a_first_event);
+  tcase_add_test (c, late_host_finds_dead_upstreams);
   tcase_add_test (c, busy_upstream_is_not_silent);
   tcase_add_test (c, silent_upstream_is_kept_if_there_is_no_other);
   tcase_add_test (c, forwarded_stream_is_not_left_for_silence);
