Upstreams aren't out of reach where the host itself is late

A stream that was left for a silent upstream found the next ones unreachable (failed=no-upstream), though they took connections at once: the word of it waited in the host's own full link for longer than the 0.6 s that a connection may take.

The host's own lag is taken off that time too. Refusals that the system tells (nobody listens) come as before.

--- a/src/engine_survey.c
+++ b/src/engine_survey.c
@@ -216,7 +216,8 @@
 void
 marjoram_engine_survey_tick (marjoram_engine_survey *survey)
 {
-  marjoram_http_client_tick (survey->client);
+  /* A host that has just started knows of no lag.  */
+  marjoram_http_client_tick (survey->client, 0);
 }
 
 size_t
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -437,7 +437,8 @@
   if (now >= self->client_ticked_at + CLIENT_TICK_MS)
     {
       self->client_ticked_at = now;
-      marjoram_http_client_tick (self->client);
+      marjoram_http_client_tick (self->client,
+                                 marjoram_host_links_lag (self->parts->links));
       marjoram_http_server_tick (self->server);
       marjoram_registry_tick (self->registry, now);
     }
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -409,28 +409,31 @@
     }
 }
 
+/* HEARD_UNTIL is the time up to which this host has heard: where its own link
+   is full, the word that a connection is made waits there, and each upstream
+   would be out of reach.  */
 static void
-give_up_connecting (marjoram_http_client *client, int64_t now)
+give_up_connecting (marjoram_http_client *client, int64_t heard_until)
 {
   struct connection *connection;
   struct connection *next;
 
   HASH_ITER (hh, client->busy, connection, next)
   {
-    if (connection->connect_by != 0 && now >= connection->connect_by)
+    if (connection->connect_by != 0 && heard_until >= connection->connect_by)
       bufferevent_trigger_event (connection->bev, BEV_EVENT_TIMEOUT,
                                  BEV_TRIG_DEFER_CALLBACKS);
   }
 }
 
 void
-marjoram_http_client_tick (marjoram_http_client *client)
+marjoram_http_client_tick (marjoram_http_client *client, int64_t lag_ms)
 {
   int64_t now = marjoram_clock_now (client->clock);
   struct pool *pool;
   struct pool *next;
 
-  give_up_connecting (client, now);
+  give_up_connecting (client, now - lag_ms);
   HASH_ITER (hh, client->pools, pool, next) { close_unused (pool, now); }
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -58,7 +58,9 @@
 /* Closes the unused connections to ADDRESS.  */
 void marjoram_http_client_forget (marjoram_http_client *client,
                                   const char *address);
-/* Closes connections that were unused for long; at least every 250 ms.  */
-void marjoram_http_client_tick (marjoram_http_client *client);
+/* Closes connections that were unused for long, and gives up those that are
+   not made in time; at least every 250 ms.  LAG_MS: how far behind this host's
+   own hearing is (own_lag.h).  */
+void marjoram_http_client_tick (marjoram_http_client *client, int64_t lag_ms);
 
 #endif
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -19,7 +19,9 @@
 enum
 {
   LIMIT_MS = 5000,
-  TEXT_MAX = 4096
+  TEXT_MAX = 4096,
+  QUEUE = 4,            /* a listener, and connections that fill its queue */
+  CONNECT_LATE_MS = 700 /* above the limit for a connection */
 };
 
 static struct event_base *base;
@@ -462,8 +464,8 @@
   free_base ();
 }
 
-static enum marjoram_http_end
-exchange (const char *answer)
+static void
+start_exchange (const char *answer)
 {
   static uint64_t attempts;
   static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -476,6 +478,12 @@
   data[0] = 0;
   marjoram_http_client_send (client, &out);
   marjoram_bytes_release (message);
+}
+
+static enum marjoram_http_end
+exchange (const char *answer)
+{
+  start_exchange (answer);
   run_until (has_ended);
   return last_end;
 }
@@ -567,6 +575,50 @@
 }
 END_TEST
 
+/* Takes the port of the listener, so that connections to it are neither made
+   nor refused: its queue is full, and nobody takes from it.  */
+static void
+fill_queue (int filler[QUEUE])
+{
+  struct sockaddr_storage where;
+  int size = sizeof where;
+  const int one = 1;
+
+  evutil_parse_sockaddr_port (upstream_address, (struct sockaddr *)&where,
+                              &size);
+  evconnlistener_free (listener);
+  listener = NULL;
+  for (int i = 0; i < QUEUE; i++)
+    filler[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  setsockopt (filler[0], SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  ck_assert_int_eq (
+      bind (filler[0], (struct sockaddr *)&where, (socklen_t)size), 0);
+  ck_assert_int_eq (listen (filler[0], 0), 0);
+  for (int i = 1; i < QUEUE; i++)
+    connect (filler[i], (struct sockaddr *)&where, (socklen_t)size);
+}
+
+/* The host's own link is full: an upstream takes a connection at once, and the
+   word of it waits with all else.  After 0.6 s the host took one upstream
+   after the other for unreachable, and refused its callers.  */
+START_TEST (late_host_waits_for_a_connection)
+{
+  int filler[QUEUE];
+
+  fill_queue (filler);
+  start_exchange ("");
+  usleep (CONNECT_LATE_MS * 1000);
+  marjoram_http_client_tick (client, CONNECT_LATE_MS);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  ck_assert_int_eq (ends, 0);
+  marjoram_http_client_tick (client, 0);
+  run_until (has_ended);
+  ck_assert_int_eq (last_end, MARJORAM_HTTP_UNSENT);
+  for (int i = 0; i < QUEUE; i++)
+    close (filler[i]);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -590,6 +642,7 @@
   tcase_add_test (d, extra_bytes_end_the_connection);
   tcase_add_test (d, interim_answer_is_no_answer);
   tcase_add_test (d, refused_connection_is_unsent);
+  tcase_add_test (d, late_host_waits_for_a_connection);
   suite_add_tcase (s, d);
   return s;
 }
