A loop that stood still is late, also between two beats

Where the event loop stood still just after all beats were answered, no link showed a lag: the first look at the links could come before what had waited in the sockets was read (some dozen sockets are read at a turn), and all links and upstreams looked silent for as long as the loop had stood.

The time since the last look counts as lag too, with the same bound and hold.

--- a/src/own_lag.c
+++ b/src/own_lag.c
@@ -72,12 +72,24 @@
     own->least_ms = ms;
 }
 
+/* Since the last look.  An event loop that stood still has not read yet what
+   came meanwhile, and all seem silent since then; where no beat was under way,
+   no link shows it.  */
+static int64_t
+gap (const struct marjoram_own_lag *own, int64_t now)
+{
+  return own->looked_at != 0 ? now - own->looked_at : 0;
+}
+
 void
 marjoram_own_lag_end (struct marjoram_own_lag *own, int64_t now)
 {
   bool is_known = own->links >= LINKS_MIN && now <= own->heard_at + HEARS_MS;
   int64_t ms = is_known ? own->least_ms : 0;
 
+  if (gap (own, now) > ms)
+    ms = gap (own, now);
+  own->looked_at = now;
   if (ms > LAG_MAX_MS)
     ms = LAG_MAX_MS;
   if (is_known && ms < own->ms && now <= own->ms_at + HOLD_MS)
--- a/src/own_lag.h
+++ b/src/own_lag.h
@@ -34,7 +34,8 @@
   int64_t least_ms;
   int64_t heard_at; /* something, on any of them */
 
-  int64_t ms; /* the result; 0 at first */
+  int64_t looked_at; /* the last time; 0: never */
+  int64_t ms;        /* the result; 0 at first */
   int64_t ms_at;
 };
 
