--- a/test/test_http.c
+++ b/test/test_http.c
@@ -595,7 +595,7 @@
       bind (filler[0], (struct sockaddr *)&where, (socklen_t)size), 0);
   ck_assert_int_eq (listen (filler[0], 0), 0);
   for (int i = 1; i < QUEUE; i++)
-    connect (filler[i], (struct sockaddr *)&where, (socklen_t)size);
+    (void)connect (filler[i], (struct sockaddr *)&where, (socklen_t)size);
 }
 
 /* The host's own link is full: an upstream takes a connection at once, and the
