--- a/bench/bench_keeper.c
+++ b/bench/bench_keeper.c
@@ -1,9 +1,12 @@
 /* Agreement among three keepers with real stores on one disk, messages passed
    on at once: what an apply costs in syncs, how a restart and the disk's size
    go with the number of changes, and what a customer costs in the state.  The
-   baseline rewrites and syncs every file at every host for each change.  */
+   baseline rewrites and syncs every file at every host for each change.  Then
+   six keepers on connections as between regions: what one changed route costs
+   in bytes between them and in processor time, by the number of routes.  */
 #include "cleanup.h"
 #include "keeper.h"
+#include "lib_keeper_net.h"
 #include "store.h"
 
 #include <fcntl.h>
@@ -25,6 +28,11 @@
   BASELINE = 20,
   RESTARTS = 5,
   CUSTOMERS = 2600,
+  REGION_KEEPERS = 6,
+  ROUTE_CHANGES = 5,
+  ONE_WAY_MS = 55,
+  BYTES_PER_S = 600 * 1000,
+  AGREE_MS = 60000,
   TICK_MS = 100,
   PATH_SIZE = 256
 };
@@ -438,6 +446,89 @@
   free (text);
 }
 
+static void
+print_routes (const char *what, int routes, double value, const char *unit,
+              double baseline, const char *baseline_name)
+{
+  char metric[PATH_SIZE];
+
+  snprintf (metric, sizeof metric, "route_change_%s_%d", what, routes);
+  print (metric, value, unit, baseline, baseline_name);
+}
+
+/* Of the changes, their costs together.  */
+struct route_changes
+{
+  int64_t took_ms;
+  int answered;
+  int agreed;
+};
+
+static void
+change_route (struct keeper_net *net, int routes, int changed,
+              struct route_changes *sum)
+{
+  marjoram_auto_free char *text = keeper_net_routes (routes, changed);
+  int64_t took
+      = keeper_net_change (net, changed % REGION_KEEPERS, text, AGREE_MS);
+
+  sum->answered += took >= 0;
+  sum->took_ms += took < 0 ? AGREE_MS : took;
+  sum->agreed += keeper_net_agree (net, AGREE_MS);
+}
+
+static void
+print_route_changes (const struct keeper_net *net, int routes,
+                     const struct route_changes *sum, clock_t cpu)
+{
+  marjoram_auto_free char *text = keeper_net_routes (routes, -1);
+
+  print_routes ("bytes", routes,
+                (double)keeper_net_bytes (net) / ROUTE_CHANGES, "bytes",
+                (double)strlen (text), "text");
+  print_routes ("cpu", routes,
+                (double)cpu * 1e3 / CLOCKS_PER_SEC / ROUTE_CHANGES, "ms", 0,
+                "none");
+  print_routes ("answer", routes, (double)sum->took_ms / ROUTE_CHANGES, "ms",
+                4.0 * ONE_WAY_MS, "two_round_trips");
+  print_routes ("answered", routes, sum->answered, "changes", ROUTE_CHANGES,
+                "all");
+  print_routes ("agreed", routes, sum->agreed, "changes", ROUTE_CHANGES,
+                "all");
+}
+
+/* One route changed among ROUTES, mean of ROUTE_CHANGES; with the greetings of
+   the time until all hold it.  */
+static void
+measure_route_change (int routes)
+{
+  static const struct keeper_net_options options
+      = { REGION_KEEPERS, ONE_WAY_MS, BYTES_PER_S };
+  struct keeper_net *net = keeper_net_create (&options);
+  struct route_changes first = { 0 }, sum = { 0 };
+  clock_t cpu;
+
+  if (!keeper_net_agree (net, AGREE_MS))
+    fail ("a first state");
+  change_route (net, routes, 0, &first);
+  keeper_net_run (net, AGREE_MS);
+  keeper_net_forget (net);
+  cpu = clock ();
+  for (int i = 1; i <= ROUTE_CHANGES; i++)
+    change_route (net, routes, i, &sum);
+  print_route_changes (net, routes, &sum, clock () - cpu);
+  keeper_net_destroy (net);
+}
+
+static void
+measure_route_changes (void)
+{
+  static const int routes[] = { 100, 1400, 5600, 20000 };
+
+  for (size_t i = 0; i < sizeof routes / sizeof *routes; i++)
+    measure_route_change (routes[i]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -445,6 +536,7 @@
   struct net net;
   double baseline;
 
+  measure_route_changes ();
   if (argc > 1)
     snprintf (folder, sizeof folder, "%s/keeper-XXXXXX", argv[1]);
   if (!mkdtemp (folder))
--- /dev/null
+++ b/test/lib_keeper_net.c
@@ -0,0 +1,391 @@
+#include "lib_keeper_net.h"
+
+#include "cleanup.h"
+#include "keeper_message.h"
+#include "random.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum
+{
+  KEEPERS_MAX = 7,
+  TICK_MS = 100,
+  DISK_MS = 5,
+  FRAME_HEADER = 5,
+  ROUTE_MAX = 400,
+  NAME_SIZE = 32
+};
+
+struct flight
+{
+  STAILQ_ENTRY (flight) link;
+  int64_t arrives_at;
+  marjoram_bytes *packed;
+};
+
+STAILQ_HEAD (flights, flight);
+
+struct connection
+{
+  struct flights flights;
+  int64_t busy_until;
+  uint64_t waiting; /* bytes */
+  int large;
+};
+
+struct node
+{
+  struct keeper_net *net;
+  int index;
+  char slot[NAME_SIZE];
+  char store_id[NAME_SIZE];
+  marjoram_keeper *keeper;
+  uint64_t ticket;
+  int64_t written_at; /* 0 while nothing is written */
+  bool cut;
+  bool stalled;
+};
+
+struct keeper_net
+{
+  struct keeper_net_options options;
+  struct node nodes[KEEPERS_MAX];
+  struct connection connections[KEEPERS_MAX][KEEPERS_MAX];
+  marjoram_random *random;
+  int64_t now;
+  uint64_t version;
+  uint64_t bytes;
+  uint64_t most_waiting;
+  uint64_t answered; /* the last request */
+  bool decided;
+};
+
+static void
+depart (struct keeper_net *net, struct connection *connection,
+        struct flight *flight)
+{
+  uint64_t size = marjoram_bytes_size (flight->packed) + FRAME_HEADER;
+  int64_t start
+      = connection->busy_until > net->now ? connection->busy_until : net->now;
+  int64_t rate = net->options.bytes_per_s;
+
+  connection->busy_until = start + (rate ? (int64_t)size * 1000 / rate : 0);
+  flight->arrives_at = connection->busy_until + net->options.one_way_ms;
+  connection->waiting += size;
+  if (connection->waiting > net->most_waiting)
+    net->most_waiting = connection->waiting;
+  connection->large += size > KEEPER_NET_LARGE;
+  net->bytes += size;
+  STAILQ_INSERT_TAIL (&connection->flights, flight, link);
+}
+
+static void
+on_send (void *context, const char *slot,
+         const struct marjoram_keeper_message *message)
+{
+  struct node *node = context;
+  struct keeper_net *net = node->net;
+  int to = slot[1] - '0';
+  struct flight *flight;
+
+  if (node->cut || net->nodes[to].cut)
+    return;
+  flight = marjoram_alloc (sizeof *flight);
+  flight->packed = marjoram_wire_pack (&marjoram_keeper_layout, message);
+  depart (net, &net->connections[node->index][to], flight);
+}
+
+static void
+on_persist (void *context, uint64_t ticket, marjoram_bytes *record)
+{
+  struct node *node = context;
+
+  marjoram_bytes_release (record);
+  node->ticket = ticket;
+  node->written_at = node->net->now + DISK_MS;
+}
+
+static void
+on_chosen (void *context, const struct marjoram_state *state)
+{
+  (void)context;
+  (void)state;
+}
+
+static void
+on_answered (void *context, uint64_t request,
+             const struct marjoram_apply_answer *answer)
+{
+  struct node *node = context;
+
+  node->net->answered = request;
+  node->net->decided = answer->outcome == MARJORAM_APPLY_DECIDED
+                       && answer->result == MARJORAM_CHANGE_ACCEPTED;
+}
+
+static bool
+on_valid (void *context, const struct marjoram_state *state,
+          struct marjoram_error *err)
+{
+  (void)context;
+  (void)state;
+  (void)err;
+  return true;
+}
+
+static const struct marjoram_keeper_ops ops
+    = { on_send, on_persist, on_chosen, on_answered, on_valid };
+
+static void
+start_node (struct keeper_net *net, int index)
+{
+  static const char *const first[KEEPERS_MAX]
+      = { "k0", "k1", "k2", "k3", "k4", "k5", "k6" };
+  struct node *node = &net->nodes[index];
+  struct marjoram_keeper_options options
+      = { .slot = node->slot,
+          .store_id = node->store_id,
+          .first = first,
+          .first_count = (size_t)net->options.keepers,
+          .incarnation = 1 };
+
+  node->net = net;
+  node->index = index;
+  snprintf (node->slot, sizeof node->slot, "k%d", index);
+  snprintf (node->store_id, sizeof node->store_id, "store-%d", index);
+  node->keeper
+      = marjoram_keeper_create (&options, &ops, node, net->random, NULL);
+  for (int to = 0; to < KEEPERS_MAX; to++)
+    STAILQ_INIT (&net->connections[index][to].flights);
+}
+
+struct keeper_net *
+keeper_net_create (const struct keeper_net_options *options)
+{
+  struct keeper_net *net = marjoram_alloc (sizeof *net);
+
+  net->options = *options;
+  net->random = marjoram_random_create (1);
+  for (int i = 0; i < options->keepers; i++)
+    start_node (net, i);
+  return net;
+}
+
+static struct flight *
+take_flight (struct connection *connection)
+{
+  struct flight *flight = STAILQ_FIRST (&connection->flights);
+
+  STAILQ_REMOVE_HEAD (&connection->flights, link);
+  connection->waiting -= marjoram_bytes_size (flight->packed) + FRAME_HEADER;
+  return flight;
+}
+
+static void
+free_flight (struct flight *flight)
+{
+  marjoram_bytes_release (flight->packed);
+  free (flight);
+}
+
+static void
+clear_connection (struct connection *connection)
+{
+  while (!STAILQ_EMPTY (&connection->flights))
+    free_flight (take_flight (connection));
+  connection->busy_until = 0;
+}
+
+void
+keeper_net_destroy (struct keeper_net *net)
+{
+  for (int i = 0; i < net->options.keepers; i++)
+    {
+      marjoram_keeper_destroy (net->nodes[i].keeper);
+      for (int j = 0; j < net->options.keepers; j++)
+        clear_connection (&net->connections[i][j]);
+    }
+  marjoram_random_destroy (net->random);
+  free (net);
+}
+
+static void
+deliver (struct keeper_net *net, int from, int to)
+{
+  struct connection *connection = &net->connections[from][to];
+  struct flight *flight;
+
+  while ((flight = STAILQ_FIRST (&connection->flights))
+         && flight->arrives_at <= net->now && !net->nodes[to].stalled)
+    {
+      struct marjoram_keeper_message *message;
+
+      take_flight (connection);
+      message = marjoram_wire_unpack (
+          &marjoram_keeper_layout, marjoram_bytes_data (flight->packed),
+          marjoram_bytes_size (flight->packed), NULL);
+      marjoram_keeper_receive (net->nodes[to].keeper, net->now,
+                               net->nodes[from].slot, message);
+      marjoram_wire_destroy (&marjoram_keeper_layout, message);
+      free_flight (flight);
+    }
+}
+
+static void
+run_node (struct keeper_net *net, struct node *node)
+{
+  for (int from = 0; from < net->options.keepers; from++)
+    deliver (net, from, node->index);
+  if (node->written_at && node->written_at <= net->now)
+    {
+      node->written_at = 0;
+      marjoram_keeper_persisted (node->keeper, net->now, node->ticket, true);
+    }
+  /* Not all at the same moment.  */
+  if ((net->now + (int64_t)node->index * 7) % TICK_MS == 0)
+    marjoram_keeper_tick (node->keeper, net->now);
+}
+
+void
+keeper_net_run (struct keeper_net *net, int64_t ms)
+{
+  for (int64_t end = net->now + ms; net->now < end;)
+    {
+      net->now++;
+      for (int i = 0; i < net->options.keepers; i++)
+        run_node (net, &net->nodes[i]);
+    }
+}
+
+static uint64_t
+routes_version (const struct marjoram_state *state)
+{
+  const struct marjoram_file *file = marjoram_state_file (state, "routes");
+
+  return file ? file->version : 0;
+}
+
+static bool
+is_agreed (const struct keeper_net *net)
+{
+  for (int i = 0; i < net->options.keepers; i++)
+    {
+      const struct marjoram_state *state
+          = marjoram_keeper_state (net->nodes[i].keeper);
+
+      if (!state || !marjoram_keeper_votes (net->nodes[i].keeper)
+          || state->number
+                 != marjoram_keeper_state (net->nodes[0].keeper)->number
+          || routes_version (state) != net->version)
+        return false;
+    }
+  return true;
+}
+
+bool
+keeper_net_agree (struct keeper_net *net, int64_t limit_ms)
+{
+  int64_t end = net->now + limit_ms;
+
+  while (!is_agreed (net) && net->now < end)
+    keeper_net_run (net, 1);
+  return is_agreed (net);
+}
+
+int64_t
+keeper_net_change (struct keeper_net *net, int at, const char *text,
+                   int64_t limit_ms)
+{
+  char id[NAME_SIZE];
+  struct marjoram_file file
+      = { (char *)"routes", ++net->version, NULL, (char *)text };
+  int64_t start = net->now;
+
+  snprintf (id, sizeof id, "change-%llu", (unsigned long long)net->version);
+  marjoram_keeper_apply (net->nodes[at].keeper, net->now, net->version, id,
+                         &file);
+  while (net->answered != net->version && net->now < start + limit_ms)
+    keeper_net_run (net, 1);
+  if (net->answered != net->version || !net->decided)
+    return -1;
+  return net->now - start;
+}
+
+const struct marjoram_state *
+keeper_net_state (const struct keeper_net *net, int index)
+{
+  return marjoram_keeper_chosen (net->nodes[index].keeper);
+}
+
+void
+keeper_net_cut (struct keeper_net *net, int index, bool cut)
+{
+  net->nodes[index].cut = cut;
+  if (cut)
+    keeper_net_break (net, index);
+}
+
+void
+keeper_net_break (struct keeper_net *net, int index)
+{
+  for (int from = 0; from < net->options.keepers; from++)
+    clear_connection (&net->connections[from][index]);
+}
+
+void
+keeper_net_stall (struct keeper_net *net, int index, bool stalled)
+{
+  net->nodes[index].stalled = stalled;
+}
+
+void
+keeper_net_forget (struct keeper_net *net)
+{
+  net->bytes = 0;
+  net->most_waiting = 0;
+  for (int i = 0; i < net->options.keepers; i++)
+    for (int j = 0; j < net->options.keepers; j++)
+      net->connections[i][j].large = 0;
+}
+
+uint64_t
+keeper_net_bytes (const struct keeper_net *net)
+{
+  return net->bytes;
+}
+
+int
+keeper_net_large (const struct keeper_net *net, int from, int to)
+{
+  return net->connections[from][to].large;
+}
+
+uint64_t
+keeper_net_most_waiting (const struct keeper_net *net)
+{
+  return net->most_waiting;
+}
+
+char *
+keeper_net_routes (int count, int changed)
+{
+  size_t room = (size_t)count * ROUTE_MAX + ROUTE_MAX;
+  char *text = marjoram_alloc (room);
+  size_t size = 0;
+
+  for (int i = 0; i < count; i++)
+    size += (size_t)snprintf (
+        text + size, room - size,
+        "{\"name\":\"route-%08x\",\"path\":\"/v1/%08x/\",\"models\":"
+        "[\"model-%04x\",\"model-%04x\"],\"regions\":[\"north\",\"south\"],"
+        "\"owner\":\"team-%06x\",\"token\":\"%08x%08x%08x%08x\","
+        "\"timeout_ms\":%d}\n",
+        (unsigned)i * 2654435761U, (unsigned)i * 2246822519U,
+        (unsigned)i * 40503U & 0xffff, (unsigned)i * 30011U & 0xffff,
+        (unsigned)i * 97U, (unsigned)i * 3266489917U, (unsigned)i * 668265263U,
+        (unsigned)i * 374761393U, (unsigned)i * 2654435769U,
+        i == changed ? 500 : 4000);
+  return text;
+}
