Keepers keep one large message on its way to another, not a pile of copies

Operators' third growth was never acknowledged and keepers held up to 160 MB: each half second a value was sent again to all that had not answered, though the first copy was still in the connection; a keeper that stood still was kept one for each. A large message is now dropped, as if lost, while the one before may be on its way: until a greeting that was sent after it, over the same connection or a later one, is answered. When that answer comes, what was held back is asked for again at once. No limit of time is needed: after a broken connection the next one carries the next greeting.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -514,6 +514,7 @@
   marjoram_keeper_check_met (keeper);
   if (now >= keeper->greet_at)
     marjoram_keeper_greet_all (keeper);
+  marjoram_keeper_greet_busy (keeper);
   expire_requests (keeper);
   advance_attempt (keeper);
   settle (keeper);
--- a/src/keeper_mail.c
+++ b/src/keeper_mail.c
@@ -46,6 +46,28 @@
   return envelope;
 }
 
+/* One large message is on its way to a peer at a time; a further one is
+   dropped here, as if lost, and its sender asks again.  Without this a
+   connection slower than the repetition carries ever more copies, changes are
+   not answered and memory grows.  The greeting that follows a large message on
+   the same connection is answered only after it, and after a broken connection
+   over the next one; so this holds back no longer than the peer is silent.  */
+static bool
+may_go (marjoram_keeper *keeper, struct marjoram_keeper_peer *peer,
+        const struct marjoram_keeper_message *message)
+{
+  if (marjoram_bytes_size (message->value) <= MARJORAM_KEEPER_SMALL)
+    return true;
+  if (!peer)
+    return false;
+  peer->held_back = marjoram_keeper_peer_is_busy (peer);
+  if (peer->held_back)
+    return false;
+  peer->large_at = keeper->now;
+  peer->asked_large = false;
+  return true;
+}
+
 static void
 transmit (marjoram_keeper *keeper,
           const struct marjoram_keeper_envelope *envelope)
@@ -63,7 +85,7 @@
     .reads = MARJORAM_KEEPER_SAME,
     .held = marjoram_value_mark (keeper->acceptor.value),
   };
-  const struct marjoram_keeper_peer *peer
+  struct marjoram_keeper_peer *peer
       = envelope->store_id
             ? marjoram_keeper_peers_find (&keeper->peers, envelope->store_id)
             : marjoram_keeper_peers_slot (&keeper->peers, envelope->slot, 0);
@@ -76,7 +98,8 @@
     }
   if (envelope->value)
     marjoram_keeper_wrap (keeper, peer, envelope->value, &message);
-  keeper->ops->send (keeper->context, envelope->slot, &message);
+  if (may_go (keeper, peer, &message))
+    keeper->ops->send (keeper->context, envelope->slot, &message);
 }
 
 /* Takes over LETTER.  */
@@ -191,10 +214,28 @@
     marjoram_keeper_greet (keeper, targets[i], NULL);
 }
 
+/* Not at the moment of the large message itself: an answer to an earlier
+   greeting of that moment could be taken for one to this.  */
+void
+marjoram_keeper_greet_busy (marjoram_keeper *keeper)
+{
+  struct marjoram_keeper_peer *peer;
+
+  TAILQ_FOREACH (peer, &keeper->peers, link)
+  {
+    if (!peer->slot || peer->asked_large || keeper->now <= peer->large_at
+        || !marjoram_keeper_peer_is_busy (peer))
+      continue;
+    peer->asked_large = true;
+    marjoram_keeper_greet (keeper, peer->slot, peer->seen.store_id);
+  }
+}
+
 static void
 offer_state (marjoram_keeper *keeper, struct marjoram_keeper_peer *peer)
 {
   if (peer->number >= marjoram_value_number (keeper->chosen)
+      || marjoram_keeper_peer_is_busy (peer)
       || (peer->learned_at != INT64_MIN
           && keeper->now < peer->learned_at + MARJORAM_KEEPER_LEARN_AGAIN_MS))
     return;
@@ -205,6 +246,20 @@
                   &keeper->chosen_ballot, NULL, keeper->chosen));
 }
 
+/* PEER has answered our greeting of the time ECHO.  */
+static void
+take_echo (marjoram_keeper *keeper, struct marjoram_keeper_peer *peer,
+           int64_t echo)
+{
+  if (!peer->knows_us || echo <= peer->echo)
+    return;
+  peer->echo = echo;
+  if (!peer->held_back || marjoram_keeper_peer_is_busy (peer))
+    return;
+  peer->held_back = false;
+  keeper->resend_at = keeper->now;
+}
+
 void
 marjoram_keeper_on_greet (marjoram_keeper *keeper,
                           const struct marjoram_keeper_envelope *envelope)
@@ -215,8 +270,8 @@
   if (envelope->kind == MARJORAM_KEEPER_GREET)
     send_greeting (keeper, envelope->slot, envelope->store_id,
                    MARJORAM_KEEPER_GREETED, envelope->echo);
-  else if (peer && peer->knows_us && envelope->echo > peer->echo)
-    peer->echo = envelope->echo;
+  else if (peer)
+    take_echo (keeper, peer, envelope->echo);
   if (peer)
     offer_state (keeper, peer);
 }
--- a/src/keeper_parcel.c
+++ b/src/keeper_parcel.c
@@ -8,9 +8,7 @@
 
 enum
 {
-  HELD_VALUES = 6,
-  /* Bytes; what fits into a few packets goes as it is.  */
-  SMALL = 4096
+  HELD_VALUES = 6
 };
 
 static void
@@ -110,7 +108,7 @@
 {
   message->form = MARJORAM_KEEPER_PLAIN;
   message->value = marjoram_value_packed (value);
-  if (marjoram_bytes_size (message->value) > SMALL && peer
+  if (marjoram_bytes_size (message->value) > MARJORAM_KEEPER_SMALL && peer
       && peer->reads >= MARJORAM_KEEPER_SAME)
     wrap_against (keeper, &peer->held, value, message);
 }
--- a/src/keeper_peer.c
+++ b/src/keeper_peer.c
@@ -77,6 +77,7 @@
   peer->heard_at = INT64_MIN;
   peer->echo = INT64_MIN;
   peer->learned_at = INT64_MIN;
+  peer->large_at = INT64_MIN;
   TAILQ_INSERT_TAIL (peers, peer, link);
   return peer;
 }
@@ -100,6 +101,8 @@
       peer->seen.incarnation = message->incarnation;
       peer->knows_us = false;
       peer->echo = INT64_MIN;
+      peer->large_at = INT64_MIN;
+      peer->held_back = false;
       peer->number = 0;
     }
   if (message->writes > peer->seen.writes)
@@ -134,6 +137,12 @@
   return peer;
 }
 
+bool
+marjoram_keeper_peer_is_busy (const struct marjoram_keeper_peer *peer)
+{
+  return peer->large_at != INT64_MIN && peer->echo <= peer->large_at;
+}
+
 void
 marjoram_keeper_peers_save (const struct marjoram_keeper_peers *peers,
                             struct marjoram_keeper_record *record)
--- a/src/keeper_peer.h
+++ b/src/keeper_peer.h
@@ -19,6 +19,9 @@
   bool knows_us;      /* it has met this life of our store */
   uint64_t reads;     /* the last form of a value that it reads */
   struct marjoram_value_mark held; /* what it accepted last */
+  int64_t large_at; /* when the last large message went; INT64_MIN */
+  bool asked_large; /* greeted since, to learn that it has come */
+  bool held_back;   /* a further one was not sent while it was on its way */
 };
 
 TAILQ_HEAD (marjoram_keeper_peers, marjoram_keeper_peer);
@@ -43,6 +46,10 @@
 struct marjoram_keeper_peer *
 marjoram_keeper_peers_answered (const struct marjoram_keeper_peers *peers,
                                 const char *slot, int64_t since);
+/* Whether the last large message to PEER may still be on its way: no greeting
+   that was sent after it, over the same connection or a later one, has been
+   answered.  */
+bool marjoram_keeper_peer_is_busy (const struct marjoram_keeper_peer *peer);
 /* Puts the stores seen into RECORD, to be cleared with it, and takes them in
    again.  */
 void marjoram_keeper_peers_save (const struct marjoram_keeper_peers *peers,
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -27,7 +27,10 @@
   MARJORAM_KEEPER_BATCH_MAX = 64,
   /* A disk that was full, or refused a write, may take the next one.  */
   MARJORAM_KEEPER_REWRITE_MS = 500,
-  MARJORAM_KEEPER_TARGETS_MAX = 64
+  MARJORAM_KEEPER_TARGETS_MAX = 64,
+  /* Bytes; what fits into a few packets is not worth holding back or
+     compressing.  */
+  MARJORAM_KEEPER_SMALL = 4096
 };
 
 /* A message as it waits, for the disk or for this keeper itself.  */
@@ -123,6 +126,8 @@
 void marjoram_keeper_greet (marjoram_keeper *keeper, const char *slot,
                             const char *store_id);
 void marjoram_keeper_greet_all (marjoram_keeper *keeper);
+/* Greets those that were sent a large message since they were greeted.  */
+void marjoram_keeper_greet_busy (marjoram_keeper *keeper);
 
 /* The value whose members this keeper goes by, null before any.  */
 marjoram_value *marjoram_keeper_current (const marjoram_keeper *keeper);
