--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -1,6 +1,7 @@
 /* The parts of a keeper, shared by keeper.c (the owner's calls), keeper_mail.c
-   (messages), keeper_accept.c (votes, disk, what is chosen) and
-   keeper_propose.c (attempts to replace the value).  */
+   (messages), keeper_parcel.c (values in messages), keeper_accept.c (votes,
+   disk, what is chosen) and keeper_propose.c (attempts to replace the value).
+ */
 #ifndef MARJORAM_KEEPER_PRIVATE_H
 #define MARJORAM_KEEPER_PRIVATE_H
 
@@ -26,7 +27,10 @@
   MARJORAM_KEEPER_BATCH_MAX = 64,
   /* A disk that was full, or refused a write, may take the next one.  */
   MARJORAM_KEEPER_REWRITE_MS = 500,
-  MARJORAM_KEEPER_TARGETS_MAX = 64
+  MARJORAM_KEEPER_TARGETS_MAX = 64,
+  /* Bytes; what fits into a few packets is not worth holding back or
+     compressing.  */
+  MARJORAM_KEEPER_SMALL = 4096
 };
 
 /* A message as it waits, for the disk or for this keeper itself.  */
@@ -60,7 +64,9 @@
   struct marjoram_acceptor acceptor;
   marjoram_value *chosen; /* the highest known to be chosen */
   struct marjoram_ballot chosen_ballot;
+  marjoram_value *former;    /* chosen before it; others may hold it still */
   marjoram_value *announced; /* the one given to the owner */
+  marjoram_bytes *nothing;   /* no bytes, for values that need none */
   uint64_t announce_after;
 
   uint64_t base;     /* writes on disk when this life began */
@@ -97,6 +103,16 @@
 marjoram_keeper_envelope_destroy (struct marjoram_keeper_envelope *envelope);
 void
 marjoram_keeper_envelopes_clear (struct marjoram_keeper_envelopes *envelopes);
+/* keeper_parcel.c: puts VALUE into MESSAGE, as briefly as PEER can read it.
+   MESSAGE borrows from VALUE; PEER may be null.  */
+void marjoram_keeper_wrap (const marjoram_keeper *keeper,
+                           const struct marjoram_keeper_peer *peer,
+                           marjoram_value *value,
+                           struct marjoram_keeper_message *message);
+/* The value in MESSAGE; null if it can't be read here.  */
+marjoram_value *
+marjoram_keeper_unwrap (const marjoram_keeper *keeper,
+                        const struct marjoram_keeper_message *message);
 /* Sends ENVELOPE and takes it over.  */
 void marjoram_keeper_post (marjoram_keeper *keeper,
                            struct marjoram_keeper_envelope *envelope);
@@ -110,6 +126,8 @@
 void marjoram_keeper_greet (marjoram_keeper *keeper, const char *slot,
                             const char *store_id);
 void marjoram_keeper_greet_all (marjoram_keeper *keeper);
+/* Greets those that were sent a large message since they were greeted.  */
+void marjoram_keeper_greet_busy (marjoram_keeper *keeper);
 
 /* The value whose members this keeper goes by, null before any.  */
 marjoram_value *marjoram_keeper_current (const marjoram_keeper *keeper);
