--- a/src/route_table.c
+++ b/src/route_table.c
@@ -129,7 +129,7 @@
 
   for (size_t i = 0; i < count; i++)
     sorted[i] = &ROUTES (table)[i];
-  qsort ((void *)sorted, count, sizeof *sorted, compare_place);
+  qsort ((void *)sorted, count, sizeof (void *), compare_place);
   for (size_t i = 1; i < count; i++)
     if (strcasecmp (sorted[i - 1]->host, sorted[i]->host) == 0
         && strcmp (sorted[i - 1]->prefix, sorted[i]->prefix) == 0)
--- a/test/test_state_transfer.c
+++ b/test/test_state_transfer.c
@@ -14,11 +14,12 @@
   TICK_MS = 25,
   KEEPERS = 6,
   NEAR_KEEPERS = 2,
-  SECOND_MS = 1000,
   /* A keeper's word comes again with each beat of the host.  */
   BEAT_MS = 300
 };
 
+#define SECONDS(count) ((count)*INT64_C (1000))
+
 /* A host between keepers, with at most one piece under way to it.  */
 struct world
 {
@@ -185,15 +186,15 @@
   size_t size;
 
   choose (1, 10, 500);
-  run (SECOND_MS, 0, KEEPERS);
+  run (SECONDS (1), 0, KEEPERS);
   ck_assert_uint_eq (w.number, 1);
   choose (2, 4200, 500);
   w.bytes = 0;
   w.piece_ms = 400;
-  run (60 * SECOND_MS, 0, KEEPERS);
+  run (SECONDS (60), 0, KEEPERS);
   ck_assert_uint_eq (w.number, 2);
   size = w.facts.bytes;
-  ck_assert_uint_gt (size, 2 * MARJORAM_STATE_PIECE_MAX);
+  ck_assert_uint_gt (size, (size_t)2 * MARJORAM_STATE_PIECE_MAX);
   ck_assert_uint_eq (w.bytes, size);
   ck_assert_int_eq (w.at_once, 1);
   ck_assert_int_eq (w.failures, 0);
@@ -207,7 +208,7 @@
   int64_t began;
 
   choose (1, 10, 500);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   choose (2, 4200, 500);
   w.piece_ms = 100;
   began = w.now;
@@ -236,10 +237,10 @@
 START_TEST (one_changed_route_costs_little)
 {
   choose (1, 5600, 500);
-  run (10 * SECOND_MS, 0, 1);
+  run (SECONDS (10), 0, 1);
   w.bytes = 0;
   choose (2, 5600, 800);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_uint_eq (w.facts.base, 1);
   ck_assert_uint_lt (w.bytes, 1000);
@@ -279,7 +280,7 @@
   ck_assert_int_gt (w.asks, 1);
   w.asked = -1;
   marjoram_state_fetch_lost (w.fetch, "k0");
-  run (5 * SECOND_MS, 1, 1);
+  run (SECONDS (5), 1, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_str_eq (w.keeper, "k1");
 }
@@ -291,7 +292,7 @@
   choose (2, 10, 500);
   offer (0);
   w.asked = -1;
-  run (4 * SECOND_MS, 1, 1);
+  run (SECONDS (4), 1, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_str_eq (w.keeper, "k1");
 }
@@ -301,7 +302,7 @@
 START_TEST (newer_states_do_not_starve_a_fetch)
 {
   choose (1, 4200, 500);
-  run (5 * SECOND_MS, 0, KEEPERS);
+  run (SECONDS (5), 0, KEEPERS);
   w.piece_ms = 50;
   for (uint64_t number = 2; number < 12; number++)
     {
@@ -309,7 +310,7 @@
       run (BEAT_MS, 0, KEEPERS);
       ck_assert_uint_ge (w.number, number - 1);
     }
-  run (2 * SECOND_MS, 0, KEEPERS);
+  run (SECONDS (2), 0, KEEPERS);
   ck_assert_uint_eq (w.number, 11);
 }
 END_TEST
@@ -318,10 +319,10 @@
 START_TEST (old_host_gets_it_whole)
 {
   choose (1, 10, 500);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   for (uint64_t number = 2; number < 12; number++)
     choose (number, 10, (int)number);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   ck_assert_uint_eq (w.number, 11);
   ck_assert_uint_eq (w.facts.base, 0);
 }
@@ -337,9 +338,9 @@
   marjoram_state_giver_set (w.givers[0], other);
   marjoram_state_giver_set (w.givers[0], next);
   choose (1, 10, 500);
-  run (SECOND_MS, 1, 1);
+  run (SECONDS (1), 1, 1);
   ck_assert_uint_eq (w.number, 1);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_uint_eq (w.facts.base, 0);
   ck_assert_int_eq (w.failures, 0);
@@ -360,7 +361,7 @@
   marjoram_state_fetch_piece (w.fetch, w.now, "k0", &piece);
   ck_assert_int_eq (w.failures, 1);
   ck_assert_uint_eq (w.number, 0);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   ck_assert_uint_eq (w.number, 1);
   marjoram_bytes_release (piece.bytes);
 }
