--- a/test/test_state_transfer.c
+++ b/test/test_state_transfer.c
@@ -229,8 +229,8 @@
   w.piece_ms = 100;
   while (w.number != 2)
     run (TICK_MS, 0, 1);
-  ck_assert_int_le (w.now - began,
-                    (int64_t)w.facts.pieces * w.piece_ms + 2 * TICK_MS);
+  ck_assert_int_le (w.now - began, (int64_t)w.facts.pieces * w.piece_ms
+                                       + (int64_t)2 * TICK_MS);
 }
 END_TEST
 
