Tests: requests that are there when a host closes get no answer

Eight tests of the server show ways to it, without the mend: a request in the socket, a connection in the backlog (at the call, and at a later close of the listener), a request in the input buffer, two that came together during a drain, a request that arrives 50 ms after the close, a connection that is due for its idle timeout; and a connection whose answer's head went out before the drain is never closed, so that the host would wait for its limit. A ninth bounds how long silent connections hold a host up, and passes.

--- a/test/test_http.c
+++ b/test/test_http.c
@@ -19,6 +19,7 @@
 enum
 {
   LIMIT_MS = 5000,
+  GRACE_MS = 200, /* for requests under way to a host that closes */
   TEXT_MAX = 4096
 };
 
@@ -292,6 +293,192 @@
 }
 END_TEST
 
+/* ---- A host that is stopped closes what is idle.  ---- */
+
+#define PLAIN "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+/* Puts TEXT into the server's socket without a turn of the loop.  */
+static void
+send_now (const char *text)
+{
+  ssize_t size = (ssize_t)strlen (text);
+
+  ck_assert_int_eq (send (bufferevent_getfd (raw), text, (size_t)size, 0),
+                    size);
+}
+
+static bool
+is_accepted (void)
+{
+  return marjoram_http_server_connections (server) > 0;
+}
+
+static bool
+is_empty (void)
+{
+  return marjoram_http_server_connections (server) == 0;
+}
+
+static void
+run_for (int64_t ms)
+{
+  struct marjoram_clock *clock = marjoram_clock_system ();
+  int64_t end = marjoram_clock_now (clock) + ms;
+
+  while (marjoram_clock_now (clock) < end)
+    {
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      marjoram_http_server_tick (server);
+    }
+}
+
+static void
+assert_last_answer (void)
+{
+  run_until (is_closed);
+  ck_assert_msg (strstr (got, "\r\n\r\nok"), "no answer: %s", got);
+  ck_assert_msg (strstr (got, "Connection: close"), "not closed: %s", got);
+}
+
+/* A caller's kept connection was closed without an answer to its request, two
+   seconds after the host was told to stop.  The request had arrived in the
+   turn of the loop in which idle connections were closed: it lay in the
+   socket, unread, so the connection counted as idle, and the request was read
+   and thrown away once our side was shut.  */
+START_TEST (request_in_the_socket_is_answered)
+{
+  run_until (is_accepted);
+  marjoram_http_server_drain (server);
+  send_now (PLAIN);
+  marjoram_http_server_close_idle (server);
+  assert_last_answer ();
+}
+END_TEST
+
+/* A caller has connected and sent its request before the host closes its
+   listener, and is reset: the connection was whole for the system and waited
+   to be accepted.  */
+START_TEST (connection_not_yet_accepted_is_answered)
+{
+  marjoram_http_server_drain (server);
+  send_now (PLAIN);
+  marjoram_http_server_close_idle (server);
+  assert_last_answer ();
+}
+END_TEST
+
+/* The same at any later moment at which the listener is closed.  The loop
+   stands still while the caller comes.  */
+START_TEST (connection_of_the_last_moment_is_answered)
+{
+  bufferevent_free (raw);
+  run_until (is_empty);
+  marjoram_http_server_drain (server);
+  marjoram_http_server_close_idle (server);
+  connect_raw ();
+  usleep (GRACE_MS * 1000);
+  send_now (PLAIN);
+  marjoram_http_server_tick (server);
+  assert_last_answer ();
+}
+END_TEST
+
+/* A caller sends two requests at once; the second had been read and waited for
+   its turn when idle connections were closed, and was thrown away.  */
+START_TEST (request_in_the_buffer_is_answered)
+{
+  struct marjoram_header_list headers = { 0 };
+
+  say ("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n" PLAIN);
+  run_until (is_held);
+  marjoram_http_server_head (server, last_call, 200, &headers, 0);
+  marjoram_http_server_end (server, last_call);
+  marjoram_http_server_drain (server);
+  marjoram_http_server_close_idle (server);
+  assert_last_answer ();
+  ck_assert_int_eq (requests, 2);
+}
+END_TEST
+
+/* Two requests that were sent at once before the host was told to stop: the
+   answer to the first one closed the connection, and the second, which had
+   come with it, was thrown away.  */
+START_TEST (draining_answers_what_came_together)
+{
+  marjoram_http_server_drain (server);
+  say (PLAIN PLAIN);
+  assert_last_answer ();
+  ck_assert_int_eq (requests, 2);
+}
+END_TEST
+
+/* A request is on its way to the host while that closes idle connections: it
+   arrives a moment later, and is thrown away.  */
+START_TEST (request_under_way_is_answered)
+{
+  run_until (is_accepted);
+  marjoram_http_server_drain (server);
+  marjoram_http_server_close_idle (server);
+  run_for (GRACE_MS / 4);
+  ck_assert (!raw_closed);
+  send_now (PLAIN);
+  assert_last_answer ();
+}
+END_TEST
+
+/* What stays silent does not hold the host up.  */
+START_TEST (silent_connection_is_closed_soon)
+{
+  struct marjoram_clock *clock = marjoram_clock_system ();
+  int64_t start = marjoram_clock_now (clock);
+
+  run_until (is_accepted);
+  marjoram_http_server_drain (server);
+  marjoram_http_server_close_idle (server);
+  run_until (is_closed);
+  ck_assert_int_lt (marjoram_clock_now (clock) - start, GRACE_MS * 3);
+  bufferevent_free (raw);
+  run_until (is_empty);
+  connect_raw ();
+}
+END_TEST
+
+/* A stopped host did not end before its limit: the head of a long answer had
+   gone out before the signal, without a word of closing, and its connection
+   stayed open after the answer's end, as nobody closed idle ones any more.  */
+START_TEST (connection_is_closed_after_an_old_answer)
+{
+  struct marjoram_header_list headers = { 0 };
+
+  say ("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+  run_until (is_held);
+  marjoram_http_server_head (server, last_call, 200, &headers, 2);
+  marjoram_http_server_drain (server);
+  marjoram_http_server_close_idle (server);
+  run_for (GRACE_MS * 2);
+  marjoram_http_server_data (server, last_call, "ok", 2);
+  marjoram_http_server_end (server, last_call);
+  run_until (is_closed);
+  ck_assert (strstr (got, "\r\n\r\nok"));
+}
+END_TEST
+
+/* On any day a connection that was idle for long is closed; a request that had
+   arrived in that moment was thrown away.  The loop stands still meanwhile. */
+START_TEST (request_at_the_idle_timeout_is_answered)
+{
+  const struct marjoram_http_limits limits = { 1000, 1000, 5000, 50 };
+
+  marjoram_http_server_set_limits (server, &limits);
+  run_until (is_accepted);
+  usleep (60 * 1000);
+  send_now (PLAIN);
+  marjoram_http_server_tick (server);
+  run_until (is_closed);
+  ck_assert_msg (strstr (got, "\r\n\r\nok"), "no answer: %s", got);
+}
+END_TEST
+
 START_TEST (broken_stream_does_not_look_whole)
 {
   struct marjoram_header_list headers = { 0 };
@@ -580,6 +767,15 @@
   tcase_add_test (c, limits_are_enforced);
   tcase_add_test (c, caller_that_leaves_is_noticed);
   tcase_add_test (c, draining_closes_after_the_answer);
+  tcase_add_test (c, request_in_the_socket_is_answered);
+  tcase_add_test (c, connection_not_yet_accepted_is_answered);
+  tcase_add_test (c, connection_of_the_last_moment_is_answered);
+  tcase_add_test (c, request_in_the_buffer_is_answered);
+  tcase_add_test (c, draining_answers_what_came_together);
+  tcase_add_test (c, request_under_way_is_answered);
+  tcase_add_test (c, silent_connection_is_closed_soon);
+  tcase_add_test (c, connection_is_closed_after_an_old_answer);
+  tcase_add_test (c, request_at_the_idle_timeout_is_answered);
   tcase_add_test (c, broken_stream_does_not_look_whole);
   suite_add_tcase (s, c);
   tcase_add_checked_fixture (d, client_setup, client_teardown);
