Scenario gateway-drain-kept: callers that keep connections until a host is gone

100 callers keep connections to a real entry host and send all the time, with pauses of up to 20 ms, through SIGTERM until nobody listens; test/lib_steady counts what became of their requests.

--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -9,6 +9,7 @@
 #include "lib_call.h"
 #include "lib_process.h"
 #include "lib_relay.h"
+#include "lib_steady.h"
 #include "random.h"
 
 #include <event2/event.h>
@@ -258,6 +259,55 @@
   return 0;
 }
 
+/* Steady callers.  */
+
+/* steady {address, start, number, callers, pause}: the callers.  */
+static int
+verb_steady (lua_State *lua)
+{
+  struct steady_terms terms = { 0 };
+
+  terms.address = text_field (lua, "address", NULL);
+  terms.start = text_field (lua, "start", NULL);
+  terms.number = text_field (lua, "number", NULL);
+  luaL_argcheck (lua, terms.address && terms.start && terms.number, 1,
+                 "no address, start or number");
+  lua_getfield (lua, 1, "callers");
+  terms.callers = (int)luaL_checkinteger (lua, -1);
+  lua_getfield (lua, 1, "pause");
+  terms.pause_ms = luaL_checkinteger (lua, -1);
+  lua_pushlightuserdata (lua, steady_start (base, source, &terms));
+  return 1;
+}
+
+/* steady_counts (callers): a table.  */
+static int
+verb_steady_counts (lua_State *lua)
+{
+  const struct steady_counts *counts = steady_counts (lua_touserdata (lua, 1));
+
+  lua_newtable (lua);
+  lua_pushinteger (lua, counts->served);
+  lua_setfield (lua, -2, "served");
+  lua_pushinteger (lua, counts->refused);
+  lua_setfield (lua, -2, "refused");
+  lua_pushinteger (lua, counts->lost);
+  lua_setfield (lua, -2, "lost");
+  lua_pushinteger (lua, counts->idle);
+  lua_setfield (lua, -2, "idle");
+  lua_pushinteger (lua, counts->away);
+  lua_setfield (lua, -2, "away");
+  return 1;
+}
+
+/* steady_end (callers).  */
+static int
+verb_steady_end (lua_State *lua)
+{
+  steady_destroy (lua_touserdata (lua, 1));
+  return 0;
+}
+
 /* Texts.  */
 
 /* digest (method, path, body): what a stand-in calls this request.  */
@@ -429,6 +479,9 @@
                                   { "header", verb_header },
                                   { "received", verb_received },
                                   { "hang_up", verb_hang_up },
+                                  { "steady", verb_steady },
+                                  { "steady_counts", verb_steady_counts },
+                                  { "steady_end", verb_steady_end },
                                   { "digest", verb_digest },
                                   { "right_answer", verb_right_answer },
                                   { "json", verb_json },
