A host that closes answers what is there, and what comes just then

Closing idle connections did not look whether a request lay in the socket, or in the buffer behind an answer; closing the listener reset what waited in its backlog; a request on its way met our close. Each loses requests by itself (tests).

Now each is looked at before it is closed, the backlog is taken first, and for 200 ms after the call the listener and idle connections stay, so that what comes is refused as not run. Two requests that came together are both answered before a draining host closes. A connection whose answer's head went out before the signal is closed after it, and no longer waits for the drain's limit.

What is left: a request sent after our close has gone out (the caller's bytes cross it), and a connection made between the last look at the backlog and its close, a few microseconds. What a caller sends after an answer that said Connection: close is not read.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -465,7 +465,7 @@
 
   (void)now;
   return self->closed && marjoram_gateway_open (self->gateway) == 0
-         && marjoram_http_server_connections (self->server) == 0;
+         && marjoram_http_server_is_closed (self->server);
 }
 
 static void
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -4,6 +4,7 @@
 #include "http_reader.h"
 #include "socket_option.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -23,6 +24,10 @@
   /* After our last byte, for the caller to read it: closing with unread bytes
      resets the connection and may take the answer away.  */
   LINGER_MS = 1000,
+  /* From the call to close what is idle to the closing itself: a request that
+     a caller sent just before may be on a link between regions (some 55 ms
+     one way) and behind other bytes there.  */
+  GRACE_MS = 200,
   DEFAULT_HEAD_BYTES = 16 * 1024,
   DEFAULT_BODY_BYTES = 4 * 1024 * 1024,
   DEFAULT_HEAD_TIMEOUT_MS = 3000,
@@ -72,6 +77,8 @@
   struct connection *busy; /* by call */
   uint64_t next_call;
   bool draining;
+  bool closing;
+  int64_t closing_since;
 };
 
 void
@@ -120,6 +127,21 @@
     server->ops->gone (server->context, call);
 }
 
+/* Whether bytes have come that were not looked at.  To close in spite of them
+   takes a request away from a caller that sent it in time: it is read and
+   thrown away, and its connection ends without an answer.  */
+static bool
+has_bytes (const struct connection *connection)
+{
+  struct evbuffer *input = bufferevent_get_input (connection->bev);
+  char byte;
+
+  return evbuffer_get_length (input) > 0
+         || recv (bufferevent_getfd (connection->bev), &byte, sizeof byte,
+                  MSG_PEEK | MSG_DONTWAIT)
+                > 0;
+}
+
 /* ---- Reading a request.  ---- */
 
 static bool
@@ -267,6 +289,16 @@
     connection->keep_alive = false;
 }
 
+/* A caller that sends ahead without an end must not hold the host up: once the
+   listener is closed, each answer is the last one.  */
+static bool
+is_last_answer (const struct connection *connection)
+{
+  const marjoram_http_server *server = connection->server;
+
+  return server->draining && (!server->listener || !has_bytes (connection));
+}
+
 void
 marjoram_http_server_head (marjoram_http_server *server, uint64_t call,
                            int status,
@@ -285,7 +317,7 @@
   for (size_t i = 0; i < headers->count; i++)
     evbuffer_add_printf (output, "%s: %s\r\n", headers->items[i].name,
                          headers->items[i].value);
-  if (server->draining)
+  if (is_last_answer (connection))
     connection->keep_alive = false;
   write_framing (connection, output, status, length);
   if (!connection->keep_alive)
@@ -456,15 +488,10 @@
 }
 
 static void
-on_accept (struct evconnlistener *listener, evutil_socket_t fd,
-           struct sockaddr *address, int size, void *context)
+add_connection (marjoram_http_server *server, evutil_socket_t fd)
 {
-  marjoram_http_server *server = context;
   struct connection *connection = marjoram_alloc (sizeof *connection);
 
-  (void)listener;
-  (void)address;
-  (void)size;
   marjoram_socket_tune (fd);
   connection->server = server;
   connection->body = evbuffer_new ();
@@ -483,6 +510,16 @@
   server->connection_count++;
 }
 
+static void
+on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+           struct sockaddr *address, int size, void *context)
+{
+  (void)listener;
+  (void)address;
+  (void)size;
+  add_connection (context, fd);
+}
+
 /* ---- The task.  ---- */
 
 marjoram_http_server *
@@ -548,19 +585,50 @@
 void
 marjoram_http_server_close_idle (marjoram_http_server *server)
 {
-  struct connection *connection;
-  struct connection *next;
+  server->closing = true;
+  server->closing_since = marjoram_clock_now (server->clock);
+}
 
-  if (server->listener)
-    evconnlistener_free (server->listener);
-  server->listener = NULL;
-  for (connection = TAILQ_FIRST (&server->connections); connection;
-       connection = next)
+/* Takes what waits at the listener; whether nothing does any more.  */
+static bool
+accept_waiting (marjoram_http_server *server)
+{
+  int listener = evconnlistener_get_fd (server->listener);
+  int fd;
+
+  do
     {
-      next = TAILQ_NEXT (connection, link);
-      if (connection->state == STATE_IDLE)
-        close_when_written (connection);
+      fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd >= 0)
+        add_connection (server, fd);
     }
+  while (fd >= 0 || errno == EINTR || errno == ECONNABORTED);
+  return errno == EAGAIN;
+}
+
+/* Closing a listener resets the connections that wait there, which their
+   callers take for accepted and may have sent a request on.  Without a free
+   descriptor they wait for the next tick.  */
+static void
+close_listener (marjoram_http_server *server)
+{
+  if (!accept_waiting (server))
+    return;
+  evconnlistener_free (server->listener);
+  server->listener = NULL;
+}
+
+static bool
+is_idle_too_long (const struct connection *connection, int64_t now)
+{
+  const marjoram_http_server *server = connection->server;
+  int64_t since = connection->since;
+
+  if (now - since > server->limits.idle_timeout_ms)
+    return true;
+  if (since < server->closing_since)
+    since = server->closing_since;
+  return server->closing && now - since >= GRACE_MS;
 }
 
 static void
@@ -574,7 +642,8 @@
       reject (connection, 408, "slow-sender");
       write_rejection (connection);
     }
-  else if (connection->state == STATE_IDLE && age > limits->idle_timeout_ms)
+  else if (connection->state == STATE_IDLE
+           && is_idle_too_long (connection, now) && !has_bytes (connection))
     close_when_written (connection);
   else if ((connection->state == STATE_LINGER
             || connection->state == STATE_CLOSING)
@@ -595,6 +664,9 @@
       next = TAILQ_NEXT (connection, link);
       check_time (connection, now);
     }
+  if (server->closing && server->listener
+      && now - server->closing_since >= GRACE_MS)
+    close_listener (server);
 }
 
 size_t
@@ -602,3 +674,9 @@
 {
   return server->connection_count;
 }
+
+bool
+marjoram_http_server_is_closed (const marjoram_http_server *server)
+{
+  return !server->listener && server->connection_count == 0;
+}
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -66,10 +66,15 @@
 /* Ends the connection so that the answer can't be taken for whole.  */
 void marjoram_http_server_cut (marjoram_http_server *server, uint64_t call);
 
-/* Each further answer closes its connection.  */
+/* Each further answer closes its connection, unless the next request has come
+   already.  */
 void marjoram_http_server_drain (marjoram_http_server *server);
-/* No new connections; those without a request are closed.  */
+/* Closes the listener and, one by one, connections without a request, after a
+   short grace for requests that are under way; all that arrive before their
+   connection is closed are still handed out.  */
 void marjoram_http_server_close_idle (marjoram_http_server *server);
+/* Whether nobody can come any more and nobody is left.  */
+bool marjoram_http_server_is_closed (const marjoram_http_server *server);
 /* Enforces the limits on time; at least every 250 ms.  */
 void marjoram_http_server_tick (marjoram_http_server *server);
 size_t marjoram_http_server_connections (const marjoram_http_server *server);
