Test: a kept connection that its upstream has closed is used again

The attempt ends as broken: what must not run twice is answered as perhaps run, and the upstream is counted as one that may have died of the request.

--- a/test/test_http.c
+++ b/test/test_http.c
@@ -682,6 +682,23 @@
 }
 END_TEST
 
+/* A request was sent over a kept connection that its upstream had closed: the
+   end lay in the socket, unread, so the connection counted as good.  Where a
+   request must not run twice its caller was told that it may have run, and the
+   upstream was suspected to have died of it.  The loop stands still
+   meanwhile.  */
+START_TEST (closed_connection_is_not_used)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+
+  ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_COMPLETE);
+  close_accepted ();
+  ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (connections, 2);
+}
+END_TEST
+
 /* An answer without a length is whole if its connection ends in order, and not
    if it is reset: a part of a panel must not pass for a panel.  */
 START_TEST (answer_without_length)
@@ -783,6 +800,7 @@
   suite_add_tcase (s, c);
   tcase_add_checked_fixture (d, client_setup, client_teardown);
   tcase_add_test (d, connection_is_kept);
+  tcase_add_test (d, closed_connection_is_not_used);
   tcase_add_test (d, answer_without_length);
   tcase_add_test (d, cut_answers_are_broken);
   tcase_add_test (d, stray_answer_is_skipped);
