A kept connection that its upstream has closed is not used again

Callers of what must not run twice could be told that their request may have run, and an upstream be counted as dead of it, when the upstream closed its kept connection in the turn of the loop in which the client took it. The socket is now looked at before: if anything is there, an end included, a new connection is made.

What is left: an end that crosses the request. That can't be told from a request that ran, and is answered as before: repeated where it may be, else as perhaps run.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -4,11 +4,13 @@
 #include "http_reader.h"
 #include "socket_option.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 #include <uthash.h>
 
 enum
@@ -193,6 +195,20 @@
                 == 0;
 }
 
+/* An upstream that closes a kept connection may have done so in this turn of
+   the loop: its end is in the socket, and a request sent now is not answered,
+   though it has not run.  What must not run twice could not be sent again.  */
+static bool
+is_quiet (const struct connection *connection)
+{
+  char byte;
+
+  return recv (bufferevent_getfd (connection->bev), &byte, sizeof byte,
+               MSG_PEEK | MSG_DONTWAIT)
+             < 0
+         && errno == EAGAIN;
+}
+
 static void
 finish (struct connection *connection)
 {
@@ -352,7 +368,7 @@
   int64_t now = marjoram_clock_now (client->clock);
 
   if (!connection || !is_fresh (connection, now, send->careful)
-      || !is_clean (connection))
+      || !is_clean (connection) || !is_quiet (connection))
     {
       connect_and_send (client, pool, send);
       return;
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -693,6 +693,8 @@
       = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
 
   ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_COMPLETE);
+  /* Freeing it closes it only in a later turn.  */
+  shutdown (bufferevent_getfd (accepted), SHUT_RDWR);
   close_accepted ();
   ck_assert_int_eq (exchange (answer), MARJORAM_HTTP_COMPLETE);
   ck_assert_int_eq (connections, 2);
