A zone's host closes the connections that it refuses, and looks before it ends

Callers that kept connections to a draining host were refused on them until it ended with their last requests in its sockets. Each answer of a draining host now closes its connection; the listener is closed once nothing waits there; after the linger the loop turns eight times more, for what has come, before the host ends.

What is left: callers that always wait at the listener keep it open until the end, and idle connections are closed then without a word.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -16,7 +16,10 @@
 {
   TICK_MSEC = 50,
   /* After the last request, for answers to leave the sockets.  */
-  LINGER_MSEC = 300
+  LINGER_MSEC = 300,
+  /* At the end, for requests that have come to be read, refused and written:
+     one each for the socket, the inbox and the answer, and some more.  */
+  LAST_TURNS = 8
 };
 
 struct marjoram_daemon
@@ -285,13 +288,18 @@
 }
 
 static void
-control_drain (void *context)
+drain (marjoram_daemon *daemon)
 {
-  marjoram_daemon *daemon = context;
-
+  marjoram_front_drain (daemon->front);
   marjoram_host_drain (daemon->host, marjoram_clock_now (daemon->clock));
 }
 
+static void
+control_drain (void *context)
+{
+  drain (context);
+}
+
 static void
 control_unproved (void *context)
 {
@@ -345,7 +353,7 @@
   /* An operator may have drained it before.  */
   if (daemon->drained)
     stop_later (daemon);
-  marjoram_host_drain (daemon->host, marjoram_clock_now (daemon->clock));
+  drain (daemon);
 }
 
 static void
@@ -525,6 +533,8 @@
                 daemon->settings->entry_address,
                 daemon->settings->peer_address);
   event_base_dispatch (daemon->base);
+  for (int i = 0; i < LAST_TURNS && !daemon->cut; i++)
+    event_base_loop (daemon->base, EVLOOP_NONBLOCK);
   marjoram_log (MARJORAM_LOG_NOTICE, "stopped");
   return !daemon->cut;
 }
--- a/src/front.c
+++ b/src/front.c
@@ -12,6 +12,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -22,6 +23,7 @@
   /* How often held requests are checked for callers that went away: evhttp
      does not tell, as it reads nothing meanwhile.  */
   WATCH_MSEC = 250,
+  CLOSING_MSEC = 1, /* between looks at the listener that is to be closed */
   /* What may wait for a caller that reads nothing.  */
   OUTPUT_MAX = 32 * 1024 * 1024,
   MSEC_PER_SEC = 1000
@@ -49,6 +51,8 @@
   struct event *watch;
   struct pending *pending;
   uint64_t next_number;
+  bool draining;
+  struct event *closing; /* looks whether the listener may be closed */
 };
 
 static struct pending *
@@ -95,6 +99,24 @@
                 (retry_ms + MSEC_PER_SEC - 1) / MSEC_PER_SEC);
 }
 
+static void
+say_close (struct evhttp_request *request)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+
+  if (!evhttp_find_header (headers, "Connection"))
+    evhttp_add_header (headers, "Connection", "close");
+}
+
+/* A caller that keeps its connection sends on it until the host ends, and the
+   last request is cut without an answer.  */
+static void
+close_if_draining (const marjoram_front *front, struct evhttp_request *request)
+{
+  if (front->draining)
+    say_close (request);
+}
+
 static void
 reply_json (struct evhttp_request *request, int status, json_t *body)
 {
@@ -140,8 +162,7 @@
 
   marjoram_counters_add (front->counters, MARJORAM_COUNTER_BAD_HTTP, 1);
   marjoram_counters_refused (front->counters, reason);
-  evhttp_add_header (evhttp_request_get_output_headers (request), "Connection",
-                     "close");
+  say_close (request);
   reply_refusal (request, &refusal, message);
 }
 
@@ -235,6 +256,7 @@
   if (!pending)
     return;
   add_answer_headers (pending, head, info);
+  close_if_draining (front, pending->request);
   if (length >= 0)
     add_number (headers_of (pending), "Content-Length", length);
   pending->started = true;
@@ -325,6 +347,7 @@
     return;
   request = pending->request;
   pending_destroy (pending);
+  close_if_draining (front, request);
   reply_refusal (request, refusal, marjoram_reason_remedy (refusal->reason));
 }
 
@@ -451,6 +474,7 @@
   const char *uri = evhttp_request_get_uri (request);
   struct marjoram_error err = { 0 };
 
+  close_if_draining (front, request);
   if (!marjoram_intake_framing (request, &err))
     refuse_input (front, request, MARJORAM_REASON_BAD_REQUEST, err.message);
   else if (is_work (uri))
@@ -473,6 +497,44 @@
                   "no such path; see docs/CALLERS.md");
 }
 
+/* ---- The listener's end.  ---- */
+
+static bool
+has_waiting (const marjoram_front *front)
+{
+  struct pollfd listener
+      = { .fd = evhttp_bound_socket_get_fd (front->socket), .events = POLLIN };
+
+  return poll (&listener, 1, 0) > 0;
+}
+
+/* Closing a listener resets the connections that wait there, which their
+   callers take for accepted and may have sent a request on: evhttp accepts
+   them first, in the next turn of the loop.  */
+static void
+close_listener (marjoram_front *front)
+{
+  struct timeval soon = marjoram_clock_timeval (CLOSING_MSEC);
+
+  if (!front->socket)
+    return;
+  if (has_waiting (front))
+    {
+      event_add (front->closing, &soon);
+      return;
+    }
+  evhttp_del_accept_socket (front->http, front->socket);
+  front->socket = NULL;
+}
+
+static void
+on_closing (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  close_listener (context);
+}
+
 /* ---- Callers that went away.  ---- */
 
 static bool
@@ -547,6 +609,7 @@
   evhttp_set_gencb (front->http, on_request, front);
   front->watch = event_new (base, -1, EV_PERSIST, on_watch, front);
   event_add (front->watch, &period);
+  front->closing = event_new (base, -1, 0, on_closing, front);
   if (listen_on (front, settings->entry_address))
     return front;
   marjoram_error_set (err, MARJORAM_ERROR_IO,
@@ -567,6 +630,7 @@
     return;
   HASH_ITER (hh, front->pending, pending, next) { cut (pending); }
   event_free (front->watch);
+  event_free (front->closing);
   evhttp_free (front->http);
   free (front);
 }
@@ -574,9 +638,13 @@
 void
 marjoram_front_stop_listening (marjoram_front *front)
 {
-  if (front->socket)
-    evhttp_del_accept_socket (front->http, front->socket);
-  front->socket = NULL;
+  close_listener (front);
+}
+
+void
+marjoram_front_drain (marjoram_front *front)
+{
+  front->draining = true;
 }
 
 size_t
--- a/src/front.h
+++ b/src/front.h
@@ -41,7 +41,9 @@
 void marjoram_front_cut (marjoram_front *front, uint64_t call);
 void marjoram_front_refuse (marjoram_front *front, uint64_t call,
                             const struct marjoram_refusal *refusal);
-/* Takes no new connections.  */
+/* Each further answer closes its connection.  */
+void marjoram_front_drain (marjoram_front *front);
+/* Takes no new connections, once those that wait to be accepted are.  */
 void marjoram_front_stop_listening (marjoram_front *front);
 /* Answers that are still being written out.  */
 size_t marjoram_front_pending (const marjoram_front *front);
