--- a/src/http_server.c
+++ b/src/http_server.c
@@ -24,6 +24,8 @@
   /* After our last byte, for the caller to read it: closing with unread bytes
      resets the connection and may take the answer away.  */
   LINGER_MS = 1000,
+  /* A caller that takes no byte of its last answer for so long has gone.  */
+  STALLED_MS = 5000,
   /* From the call to close what is idle to the closing itself: a request that
      a caller sent just before may be on a link between regions (some 55 ms
      one way) and behind other bytes there.  */
@@ -50,7 +52,8 @@
   struct bufferevent *bev;
   marjoram_http_reader *reader;
   enum state state;
-  int64_t since; /* when STATE began */
+  int64_t since; /* when STATE began; CLOSING: when bytes last went */
+  size_t unsent; /* CLOSING: bytes of the answer that have not gone yet */
   struct evbuffer *body;
   struct marjoram_http_request *whole; /* read, not yet handed out */
   int reject;                          /* status; 0 if none */
@@ -631,6 +634,24 @@
   return server->closing && now - since >= GRACE_MS;
 }
 
+/* Whether nobody waits for the rest of a closing connection any more.  A
+   caller on a slow link takes its last answer for longer than a connection
+   lingers; closed meanwhile, the answer would end in the middle.  */
+static bool
+is_over (struct connection *connection, int64_t now)
+{
+  size_t unsent
+      = evbuffer_get_length (bufferevent_get_output (connection->bev));
+  int64_t limit = connection->state == STATE_LINGER ? LINGER_MS : STALLED_MS;
+
+  if (connection->state == STATE_CLOSING && unsent != connection->unsent)
+    {
+      connection->unsent = unsent;
+      connection->since = now;
+    }
+  return now - connection->since > limit;
+}
+
 static void
 check_time (struct connection *connection, int64_t now)
 {
@@ -647,7 +668,7 @@
     close_when_written (connection);
   else if ((connection->state == STATE_LINGER
             || connection->state == STATE_CLOSING)
-           && age > LINGER_MS)
+           && is_over (connection, now))
     destroy (connection);
 }
 
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -24,7 +24,8 @@
   CONNECT_LATE_MS = 700, /* above the limit for a connection */
   GRACE_MS = 200,        /* for requests under way to a host that closes */
   SOON_MS = 600,         /* a grace, a tick and a caller that closes */
-  LATE_MS = 400          /* well after a grace */
+  LATE_MS = 400,         /* well after a grace */
+  LARGE_BYTES = 9 * 1024 * 1024 /* more than sockets hold */
 };
 
 static struct event_base *base;
@@ -468,6 +469,48 @@
 }
 END_TEST
 
+static size_t large_got;
+
+static void
+on_large_read (struct bufferevent *bev, void *context)
+{
+  struct evbuffer *input = bufferevent_get_input (bev);
+
+  (void)context;
+  large_got += evbuffer_get_length (input);
+  evbuffer_drain (input, evbuffer_get_length (input));
+}
+
+/* The last answer of a stopped host went to a caller on a slow link.  The host
+   closed the connection one second after it had made the answer's end, and the
+   caller got the first part of it.  As long as the caller takes bytes, it gets
+   them all.  */
+START_TEST (slow_caller_gets_the_whole_last_answer)
+{
+  struct marjoram_header_list headers = { 0 };
+  char *body = marjoram_alloc (LARGE_BYTES);
+  const struct timeval second = { 1, 0 };
+  struct ev_token_bucket_cfg *slow
+      = ev_token_bucket_cfg_new (LARGE_BYTES / 3, LARGE_BYTES / 3,
+                                 LARGE_BYTES / 3, LARGE_BYTES / 3, &second);
+
+  say ("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+  run_until (is_held);
+  marjoram_http_server_drain (server);
+  bufferevent_setcb (raw, on_large_read, NULL, on_raw_event, NULL);
+  bufferevent_set_rate_limit (raw, slow);
+  large_got = 0;
+  marjoram_http_server_head (server, last_call, 200, &headers, LARGE_BYTES);
+  marjoram_http_server_data (server, last_call, body, LARGE_BYTES);
+  marjoram_http_server_end (server, last_call);
+  run_until (is_closed);
+  ck_assert_uint_gt (large_got, LARGE_BYTES);
+  bufferevent_set_rate_limit (raw, NULL);
+  ev_token_bucket_cfg_free (slow);
+  free (body);
+}
+END_TEST
+
 /* On any day a connection that was idle for long is closed; a request that had
    arrived in that moment was thrown away.  The loop stands still meanwhile. */
 START_TEST (request_at_the_idle_timeout_is_answered)
@@ -849,6 +892,7 @@
   tcase_add_test (c, request_under_way_is_answered);
   tcase_add_test (c, silent_connection_is_closed_soon);
   tcase_add_test (c, connection_is_closed_after_an_old_answer);
+  tcase_add_test (c, slow_caller_gets_the_whole_last_answer);
   tcase_add_test (c, request_at_the_idle_timeout_is_answered);
   tcase_add_test (c, broken_stream_does_not_look_whole);
   suite_add_tcase (s, c);
