Failing test: a zone's host gets a large state again and again

Requests failed at a host with a slow link while a large change was spread in its zone: it asked again after 500 ms though the answer was on its way.

--- a/test/test_spread.c
+++ b/test/test_spread.c
@@ -19,7 +19,12 @@
   NEAR_MS = 5,
   FAR_MS = 50,
   HEARTBEAT_MS = 1000,
-  SEEDS = 9
+  SEEDS = 9,
+  /* A message but for the state in it, with the frame's own bytes.  */
+  MESSAGE_SIZE = 64,
+  /* A state that takes three seconds on a slow link.  */
+  SLOW_BYTES_PER_MS = 40,
+  LARGE_TEXT = 3000 * SLOW_BYTES_PER_MS
 };
 
 enum flight_kind
@@ -49,6 +54,10 @@
   int64_t heartbeat_at;
   uint64_t reader;
   bool cut;
+  int64_t bytes_per_ms; /* of its link, for what comes to it; 0: no limit */
+  int64_t link_free;    /* when the last of what is on its way has come */
+  int64_t longest_wait; /* of a message, for others before it */
+  size_t given;         /* bytes of states */
 };
 
 struct world
@@ -71,9 +80,25 @@
   return a->index % ZONE_HOSTS == b->index % ZONE_HOSTS;
 }
 
+/* When a message of SIZE bytes that reaches the slow link of HOST at AT has
+   come.  */
+static int64_t
+pass_link (struct host *host, int64_t at, size_t size)
+{
+  int64_t begins = host->link_free > at ? host->link_free : at;
+
+  if (host->bytes_per_ms == 0)
+    return at;
+  if (begins - at > host->longest_wait)
+    host->longest_wait = begins - at;
+  host->link_free = begins + (int64_t)size / host->bytes_per_ms;
+  return host->link_free;
+}
+
 static void
 send (struct host *from, struct host *to, struct flight flight)
 {
+  size_t size = marjoram_bytes_size (flight.bytes);
   struct world *world = from->world;
   bool near = from->index / ZONE_HOSTS == to->index / ZONE_HOSTS;
 
@@ -83,7 +108,9 @@
       marjoram_bytes_release (flight.bytes);
       return;
     }
-  flight.at = world->now + (near ? NEAR_MS : FAR_MS);
+  to->given += size;
+  flight.at = pass_link (to, world->now + (near ? NEAR_MS : FAR_MS),
+                         size + MESSAGE_SIZE);
   flight.from = from->index;
   flight.to = to->index;
   ck_assert_uint_lt (world->flight_count, FLIGHTS_MAX);
@@ -274,6 +301,34 @@
   marjoram_state_destroy (state);
 }
 
+/* As that of make_state, with another file, large and the same in all, of a
+   text that hardly compresses.  */
+static struct marjoram_state *
+make_large_state (uint64_t number)
+{
+  struct marjoram_state *state = make_state (number);
+  marjoram_random *random = marjoram_random_create (1);
+  marjoram_auto_free char *text = marjoram_alloc (LARGE_TEXT + 1);
+  struct marjoram_file file = { (char *)"large", 1, NULL, text };
+
+  for (int i = 0; i < LARGE_TEXT; i++)
+    text[i] = (char)(' ' + marjoram_random_below (random, '~' - ' '));
+  file.digest = marjoram_digest (text, LARGE_TEXT);
+  marjoram_state_set_file (state, &file);
+  free (file.digest);
+  marjoram_random_destroy (random);
+  return state;
+}
+
+static void
+choose_large (struct world *world, int index, uint64_t number)
+{
+  struct marjoram_state *state = make_large_state (number);
+
+  marjoram_spread_local (world->hosts[index].spread, world->now, state);
+  marjoram_state_destroy (state);
+}
+
 static int
 count_at (const struct world *world, uint64_t number)
 {
@@ -368,6 +423,86 @@
 }
 END_TEST
 
+static int64_t
+run_until (struct world *world, const struct host *host, uint64_t number,
+           int64_t limit_ms)
+{
+  int64_t start_ms = world->now;
+
+  while (host->reader < number && world->now < start_ms + limit_ms)
+    run (world, STEP_MS);
+  return world->now - start_ms;
+}
+
+static struct host *
+make_slow (struct world *world)
+{
+  struct host *host = &world->hosts[HOSTS - 1];
+
+  host->bytes_per_ms = SLOW_BYTES_PER_MS;
+  return host;
+}
+
+static void
+report (const char *what, const struct host *host, int64_t took)
+{
+  printf ("%s: %lld ms, %zu bytes, longest wait %lld ms\n", what,
+          (long long)took, host->given, (long long)host->longest_wait);
+  /* Else it is lost if the test fails.  */
+  fflush (stdout);
+}
+
+/* Requests failed at a host with a slow link while a large change was spread:
+   the host asked again each half second although the state was still on its
+   way, so that copy after copy filled the link, and what others sent waited
+   behind them for longer than a link may be silent.  A state that takes three
+   seconds comes once, and no message waits for more than a part of it.  */
+START_TEST (slow_host_gets_a_large_state_once)
+{
+  struct world *world = make_world (5, 0);
+  struct host *host = make_slow (world);
+  int64_t took;
+
+  choose (world, 0, 1);
+  run (world, 5000);
+  host->given = 0;
+  choose_large (world, 0, 2);
+  took = run_until (world, host, 2, 20000);
+  run (world, 5000);
+  report ("large state", host, took);
+  ck_assert_uint_eq (host->reader, 2);
+  ck_assert_int_lt (took, 10000);
+  ck_assert_uint_lt (host->given, LARGE_TEXT + LARGE_TEXT / 10);
+  ck_assert_int_lt (host->longest_wait, 1000);
+  destroy_world (world);
+}
+END_TEST
+
+/* The same while small changes follow the large one faster than it comes: the
+   host still ends with the newest, after two copies at most.  */
+START_TEST (slow_host_keeps_up_with_changes)
+{
+  struct world *world = make_world (6, 0);
+  struct host *host = make_slow (world);
+  int64_t took;
+
+  choose (world, 0, 1);
+  run (world, 5000);
+  host->given = 0;
+  for (uint64_t number = 2; number <= 9; number++)
+    {
+      choose_large (world, 0, number);
+      run (world, 500);
+    }
+  took = run_until (world, host, 9, 20000);
+  report ("and changes", host, took);
+  ck_assert_uint_eq (host->reader, 9);
+  ck_assert_uint_lt (host->given, 2 * LARGE_TEXT + LARGE_TEXT / 10);
+  ck_assert_int_lt (host->longest_wait, 1000);
+  destroy_world (world);
+}
+END_TEST
+
 struct answer
 {
   marjoram_bytes *state;
@@ -493,6 +628,8 @@
   tcase_add_loop_test (c, reaches_all_hosts, 0, SEEDS);
   tcase_add_test (c, restarted_host_serves_only_by_the_highest);
   tcase_add_test (c, cut_off_zone_serves_and_catches_up);
+  tcase_add_test (c, slow_host_gets_a_large_state_once);
+  tcase_add_test (c, slow_host_keeps_up_with_changes);
   tcase_add_test (c, waits_for_what_it_has_heard_of);
   tcase_add_test (c, gives_what_is_lacking_and_checks_it);
   suite_add_tcase (s, c);
