--- a/src/agree.c
+++ b/src/agree.c
@@ -64,20 +64,20 @@
 
 static void
 spread_ask (void *context, const char *slot,
-            const struct marjoram_config_ask *ask)
+            const struct marjoram_state_ask *ask)
 {
   marjoram_host *host = context;
 
-  marjoram_link_send_any (host, slot, MARJORAM_FRAME_CONFIG_ASK, ask);
+  marjoram_link_send_any (host, slot, MARJORAM_FRAME_STATE_ASK, ask);
 }
 
 static void
-spread_give (void *context, const char *slot,
-             const struct marjoram_config_give *give)
+spread_piece (void *context, const char *slot,
+              const struct marjoram_state_piece *piece)
 {
   marjoram_host *host = context;
 
-  marjoram_link_send_any (host, slot, MARJORAM_FRAME_CONFIG_GIVE, give);
+  marjoram_link_send_any (host, slot, MARJORAM_FRAME_STATE_PIECE, piece);
 }
 
 static void
@@ -89,7 +89,7 @@
 }
 
 static const struct marjoram_spread_ops spread_ops
-    = { spread_ask, spread_give, spread_adopted };
+    = { spread_ask, spread_piece, spread_adopted };
 
 marjoram_spread *
 marjoram_host_create_spread (marjoram_host *host, int64_t now)
@@ -137,7 +137,7 @@
 }
 
 /* A state that does not fit into one frame could be agreed on, but not be
-   given to any host.  */
+   taken by any host.  */
 static bool
 fits_frame (const struct marjoram_state *state, struct marjoram_error *err)
 {
--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -8,7 +8,10 @@
 
 enum
 {
-  STATUS_UNAVAILABLE = 503
+  STATUS_UNAVAILABLE = 503,
+  /* Far above what a piece of the state takes on a full link; then the next
+     keeper that offers it is asked.  */
+  STALLED_MS = 2000
 };
 
 /* ---- The agreed state.  ---- */
@@ -48,6 +51,9 @@
                   facts->base, facts->bytes, facts->keeper, err->message);
 }
 
+const struct marjoram_state_fetch_options marjoram_entry_fetch_options
+    = { .stalled_ms = STALLED_MS, .stalled_max_ms = STALLED_MS };
+
 const struct marjoram_state_fetch_ops marjoram_entry_fetch_ops
     = { .ask = op_ask, .fetched = op_fetched, .failed = op_failed };
 
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -64,6 +64,7 @@
                                  const struct marjoram_no_answer *why);
 
 /* entry_frame.c */
+extern const struct marjoram_state_fetch_options marjoram_entry_fetch_options;
 extern const struct marjoram_state_fetch_ops marjoram_entry_fetch_ops;
 /* Takes MESSAGE.  */
 void marjoram_entry_take_frame (struct marjoram_entry *self, const char *host,
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -569,7 +569,8 @@
                                               &client_ops, self);
   self->survey = marjoram_engine_survey_create (
       parts->base, parts->clock, parts->dialect, &survey_ops, self);
-  self->fetch = marjoram_state_fetch_create (&marjoram_entry_fetch_ops, self);
+  self->fetch = marjoram_state_fetch_create (&marjoram_entry_fetch_options,
+                                             &marjoram_entry_fetch_ops, self);
   self->created_at = marjoram_entry_now (self);
   self->server = marjoram_http_server_create (parts->base, parts->clock,
                                               parts->settings->entry_address,
--- a/src/frame.c
+++ b/src/frame.c
@@ -147,17 +147,8 @@
 };
 LAYOUT (revoked_layout, marjoram_revoked, revoked_fields);
 
-static const struct marjoram_field config_ask_fields[] = {
-  { MARJORAM_WIRE_ARRAY (struct marjoram_config_ask, have, MARJORAM_FILES_MAX,
-                         &marjoram_file_layout) },
-};
-LAYOUT (config_ask_layout, marjoram_config_ask, config_ask_fields);
-
-static const struct marjoram_field config_give_fields[] = {
-  { MARJORAM_WIRE_BYTES (struct marjoram_config_give, state,
-                         MARJORAM_FRAME_MAX) },
-};
-LAYOUT (config_give_layout, marjoram_config_give, config_give_fields);
+static const struct marjoram_layout reserved_layout
+    = { "marjoram_reserved", sizeof (struct marjoram_reserved), NULL, 0 };
 
 static const struct marjoram_field apply_fields[] = {
   { MARJORAM_WIRE_UINT (struct marjoram_apply, request) },
@@ -199,8 +190,8 @@
   [MARJORAM_FRAME_ORDER] = &marjoram_order_layout,
   [MARJORAM_FRAME_SUSPECT] = &marjoram_suspect_layout,
   [MARJORAM_FRAME_OFFERS] = &marjoram_offers_layout,
-  [MARJORAM_FRAME_CONFIG_ASK] = &config_ask_layout,
-  [MARJORAM_FRAME_CONFIG_GIVE] = &config_give_layout,
+  [MARJORAM_FRAME_RESERVED_ASK] = &reserved_layout,
+  [MARJORAM_FRAME_RESERVED_GIVE] = &reserved_layout,
   [MARJORAM_FRAME_APPLY] = &apply_layout,
   [MARJORAM_FRAME_APPLIED] = &applied_layout,
   [MARJORAM_FRAME_RENEWALS] = &renewals_layout,
--- a/src/frame.h
+++ b/src/frame.h
@@ -23,8 +23,10 @@
   MARJORAM_FRAME_ORDER,
   MARJORAM_FRAME_SUSPECT,
   MARJORAM_FRAME_OFFERS,
-  MARJORAM_FRAME_CONFIG_ASK,
-  MARJORAM_FRAME_CONFIG_GIVE,
+  /* Not sent, and passed over: types are numbers on the wire, and hosts of
+     different releases may meet.  */
+  MARJORAM_FRAME_RESERVED_ASK,
+  MARJORAM_FRAME_RESERVED_GIVE,
   MARJORAM_FRAME_APPLY,
   MARJORAM_FRAME_APPLIED,
   MARJORAM_FRAME_RENEWALS,
@@ -48,7 +50,7 @@
   MARJORAM_RENEWALS_MAX = 1024,
   MARJORAM_HEADERS_MAX = 64,
   MARJORAM_HEADER_VALUE_MAX = 8192, /* bytes */
-  /* Of the operators' files together, to be given to a host in one frame.  */
+  /* Of the operators' files together, as a state is taken from one frame.  */
   MARJORAM_STATE_MAX = 16 * 1024 * 1024
 };
 
@@ -176,15 +178,10 @@
   bool known;         /* started, and the rest of its answer follows */
 };
 
-struct marjoram_config_ask
+/* Of a reserved type; its fields are not read.  */
+struct marjoram_reserved
 {
-  struct marjoram_array have; /* of struct marjoram_file without text */
-};
-
-struct marjoram_config_give
-{
-  marjoram_bytes *state; /* marjoram_state_layout; files that the asker has
-                            come without text */
+  uint64_t none;
 };
 
 struct marjoram_apply
--- a/src/host_peer.c
+++ b/src/host_peer.c
@@ -44,8 +44,10 @@
   struct marjoram_link *link = marjoram_link_find (host, slot);
 
   host->now = now;
-  if (link)
-    link->up = false;
+  if (!link)
+    return;
+  link->up = false;
+  marjoram_spread_lost (host->spread, now, slot);
 }
 
 void
@@ -57,7 +59,10 @@
   host->now = now;
   HASH_FIND_STR (host->senders, slot, sender);
   if (sender && sender->session == session)
-    sender->session = 0;
+    {
+      sender->session = 0;
+      marjoram_spread_lost (host->spread, now, slot);
+    }
   marjoram_relay_session_closed (host, now, slot, session);
 }
 
@@ -162,11 +167,11 @@
     case MARJORAM_FRAME_OFFERS:
       take_offers (host, now, slot, message);
       break;
-    case MARJORAM_FRAME_CONFIG_ASK:
+    case MARJORAM_FRAME_STATE_ASK:
       marjoram_spread_receive_ask (host->spread, now, slot, message);
       break;
-    case MARJORAM_FRAME_CONFIG_GIVE:
-      marjoram_spread_receive_give (host->spread, now, slot, message);
+    case MARJORAM_FRAME_STATE_PIECE:
+      marjoram_spread_receive_piece (host->spread, now, slot, message);
       break;
     case MARJORAM_FRAME_APPLY:
       marjoram_apply_frame (host, now, slot, session, message);
--- a/src/spread.c
+++ b/src/spread.c
@@ -2,6 +2,8 @@
 
 #include "cleanup.h"
 #include "log.h"
+#include "state_fetch.h"
+#include "state_giver.h"
 
 #include <string.h>
 #include <uthash.h>
@@ -14,15 +16,20 @@
   /* It waits longer for a state that it has heard of: whoever told of it may
      be gone, but usually others have it.  */
   HEARD_WAIT_MS = 10000,
-  /* One ask at a time, so that a change is not fetched from every neighbour
-     at once.  */
-  ASK_AGAIN_MS = 500
+  /* Within which a piece of the state is to come at first; and at most.  */
+  STALLED_MS = 500,
+  STALLED_MAX_MS = 4000,
+  /* After a state that can't be taken; doubled each time, up to the second, so
+     that a host at fault doesn't fill the link with it.  */
+  REFUSED_WAIT_MS = 500,
+  REFUSED_WAIT_MAX_MS = 8000
 };
 
 /* A host that was heard since this one's start.  */
 struct heard
 {
   UT_hash_handle hh;
+  uint64_t number; /* that it told last; 0: its link broke since */
   char slot[MARJORAM_NAME_MAX + 1];
 };
 
@@ -35,79 +42,43 @@
   size_t keeper_count;
   struct heard *heard;
   uint64_t highest_heard;
-  char teller[MARJORAM_NAME_MAX + 1]; /* who told of it last */
+  struct heard *teller; /* whom to ask; null: nobody */
+  marjoram_state_fetch *fetch;
+  marjoram_state_giver *giver;
+  int64_t now; /* of the event in progress */
   int64_t started;
-  int64_t asked;
-  uint64_t asked_for; /* the number that was last asked for */
+  int64_t refused_until; /* nobody is asked before */
+  int64_t refused_wait_ms;
   bool ready;
 };
 
-marjoram_spread *
-marjoram_spread_create (const struct marjoram_spread_options *options,
-                        const struct marjoram_spread_ops *ops, void *context,
-                        int64_t now)
-{
-  marjoram_spread *spread = marjoram_alloc (sizeof *spread);
-
-  spread->ops = ops;
-  spread->context = context;
-  spread->started = now;
-  spread->asked = now - ASK_AGAIN_MS;
-  spread->keeper_count = options->keeper_count;
-  spread->keepers = marjoram_alloc (options->keeper_count * sizeof (char *));
-  for (size_t i = 0; i < options->keeper_count; i++)
-    spread->keepers[i] = marjoram_strdup (options->keepers[i]);
-  return spread;
-}
-
-void
-marjoram_spread_destroy (marjoram_spread *spread)
-{
-  struct heard *heard;
-
-  if (!spread)
-    return;
-  heard = spread->heard;
-  HASH_CLEAR (hh, spread->heard);
-  while (heard)
-    {
-      struct heard *next = heard->hh.next;
-
-      free (heard);
-      heard = next;
-    }
-  for (size_t i = 0; i < spread->keeper_count; i++)
-    free (spread->keepers[i]);
-  free (spread->keepers);
-  marjoram_state_destroy (spread->state);
-  free (spread);
-}
-
 static uint64_t
 own_number (const marjoram_spread *spread)
 {
   return spread->state ? spread->state->number : 0;
 }
 
-static bool
-was_heard (const marjoram_spread *spread, const char *slot)
+static struct heard *
+find_heard (const marjoram_spread *spread, const char *slot)
 {
   struct heard *heard;
 
   HASH_FIND_STR (spread->heard, slot, heard);
-  return heard != NULL;
+  return heard;
 }
 
-static void
+/* Null if SLOT is no name.  */
+static struct heard *
 note_heard (marjoram_spread *spread, const char *slot)
 {
-  struct heard *heard;
+  struct heard *heard = find_heard (spread, slot);
 
-  if (was_heard (spread, slot) || strlen (slot) > MARJORAM_NAME_MAX)
-    return;
+  if (heard || strlen (slot) > MARJORAM_NAME_MAX)
+    return heard;
   heard = marjoram_alloc (sizeof *heard);
   memcpy (heard->slot, slot, strlen (slot) + 1);
   HASH_ADD_STR (spread->heard, slot, heard);
+  return heard;
 }
 
 /* The keepers are those of the state, or, before any, of the settings, which
@@ -122,11 +93,11 @@
     {
       members = spread->state->members.items;
       for (size_t i = 0; i < spread->state->members.count; i++)
-        count += was_heard (spread, members[i].slot);
+        count += find_heard (spread, members[i].slot) != NULL;
       return 2 * count > spread->state->members.count;
     }
   for (size_t i = 0; i < spread->keeper_count; i++)
-    count += was_heard (spread, spread->keepers[i]);
+    count += find_heard (spread, spread->keepers[i]) != NULL;
   return 2 * count > spread->keeper_count;
 }
 
@@ -142,168 +113,239 @@
   spread->ready = waited >= START_WAIT_MS || heard_majority (spread);
 }
 
-/* Whether no answer is awaited.  */
-static bool
-may_ask (const marjoram_spread *spread, int64_t now)
+/* ---- Fetching.  ---- */
+
+static void
+send_ask (void *context, const char *slot,
+          const struct marjoram_state_ask *ask)
 {
-  return own_number (spread) >= spread->asked_for
-         || now - spread->asked >= ASK_AGAIN_MS;
+  marjoram_spread *spread = context;
+
+  spread->ops->send_ask (spread->context, slot, ask);
 }
 
-static void
-send_ask (marjoram_spread *spread, int64_t now, const char *slot)
+/* Every text is checked against its digest.  */
+static bool
+is_whole (void *context, const struct marjoram_state *state,
+          struct marjoram_error *err)
 {
-  struct marjoram_config_ask ask = { 0 };
-  struct marjoram_file have[MARJORAM_FILES_MAX];
-  const struct marjoram_file *file;
+  const struct marjoram_file *file = state->files.items;
 
-  memset (have, 0, sizeof have);
-  if (spread->state)
+  (void)context;
+  for (size_t i = 0; i < state->files.count; i++)
     {
-      file = spread->state->files.items;
-      ask.have.items = have;
-      ask.have.count = spread->state->files.count;
-      for (size_t i = 0; i < ask.have.count; i++)
-        {
-          have[i] = file[i];
-          have[i].text = NULL;
-        }
+      marjoram_auto_free char *digest = NULL;
+
+      if (file[i].name && file[i].digest && file[i].text)
+        digest = marjoram_digest (file[i].text, strlen (file[i].text));
+      if (!digest || strcmp (digest, file[i].digest) != 0)
+        return marjoram_error_set (err, MARJORAM_ERROR_CORRUPT,
+                                   "file %s of state %llu is not whole; if "
+                                   "this goes on, restart the host that gave "
+                                   "it",
+                                   file[i].name ? file[i].name
+                                                : "without name",
+                                   (unsigned long long)state->number);
     }
-  spread->asked = now;
-  spread->asked_for = spread->highest_heard;
-  spread->ops->send_ask (spread->context, slot, &ask);
+  return true;
+}
+
+static void
+take (marjoram_spread *spread, struct marjoram_state *state)
+{
+  marjoram_state_destroy (spread->state);
+  spread->state = state;
+  marjoram_state_giver_set (spread->giver, state);
+  marjoram_state_fetch_hold (spread->fetch, spread->now, state);
+  spread->ops->adopted (spread->context, state);
+  check_ready (spread, spread->now);
+}
+
+static void
+take_fetched (void *context, const struct marjoram_state *state,
+              const struct marjoram_fetch_facts *facts)
+{
+  marjoram_spread *spread = context;
+
+  marjoram_log (MARJORAM_LOG_INFO,
+                "state %llu came from %s: %zu bytes in %d pieces, %lld ms, "
+                "against state %llu",
+                (unsigned long long)state->number, facts->keeper, facts->bytes,
+                facts->pieces, (long long)facts->ms,
+                (unsigned long long)facts->base);
+  spread->refused_wait_ms = REFUSED_WAIT_MS;
+  take (spread, marjoram_state_copy (state));
+}
+
+static void
+refuse (void *context, const struct marjoram_fetch_facts *facts,
+        const struct marjoram_error *err)
+{
+  marjoram_spread *spread = context;
+
+  marjoram_log (MARJORAM_LOG_WARNING,
+                "a state from %s is not taken (%s); asking again in %lld ms",
+                facts->keeper, err->message,
+                (long long)spread->refused_wait_ms);
+  spread->refused_until = spread->now + spread->refused_wait_ms;
+  spread->refused_wait_ms *= 2;
+  if (spread->refused_wait_ms > REFUSED_WAIT_MAX_MS)
+    spread->refused_wait_ms = REFUSED_WAIT_MAX_MS;
+}
+
+static const struct marjoram_state_fetch_ops fetch_ops = {
+  .ask = send_ask, .valid = is_whole, .fetched = take_fetched, .failed = refuse
+};
+
+/* SLOT can be asked for the state NUMBER.  */
+static void
+offer (marjoram_spread *spread, const char *slot, uint64_t number)
+{
+  if (number > own_number (spread) && spread->now >= spread->refused_until)
+    marjoram_state_fetch_heard (spread->fetch, spread->now, slot, true,
+                                number);
 }
 
 void
 marjoram_spread_heard (marjoram_spread *spread, int64_t now, const char *slot,
                        uint64_t number)
 {
-  note_heard (spread, slot);
-  if (number >= spread->highest_heard && strlen (slot) <= MARJORAM_NAME_MAX)
+  struct heard *heard = note_heard (spread, slot);
+
+  spread->now = now;
+  if (!heard)
+    return;
+  heard->number = number;
+  if (number >= spread->highest_heard)
     {
       spread->highest_heard = number;
-      memcpy (spread->teller, slot, strlen (slot) + 1);
+      spread->teller = heard;
     }
-  if (number > own_number (spread) && may_ask (spread, now))
-    send_ask (spread, now, slot);
+  offer (spread, slot, number);
   check_ready (spread, now);
 }
 
-static bool
-has_file (const struct marjoram_config_ask *ask,
-          const struct marjoram_file *file)
+/* Of those that can be asked, one that told of the highest number; null if
+   there is none.  */
+static struct heard *
+best_teller (const marjoram_spread *spread)
 {
-  const struct marjoram_file *have = ask->have.items;
-
-  for (size_t i = 0; i < ask->have.count; i++)
-    if (have[i].name && have[i].digest
-        && strcmp (have[i].name, file->name) == 0
-        && strcmp (have[i].digest, file->digest) == 0)
-      return true;
-  return false;
+  struct heard *best = NULL;
+
+  for (struct heard *heard = spread->heard; heard; heard = heard->hh.next)
+    if (heard->number > (best ? best->number : 0))
+      best = heard;
+  return best;
 }
 
 void
-marjoram_spread_receive_ask (marjoram_spread *spread, int64_t now,
-                             const char *slot,
-                             const struct marjoram_config_ask *ask)
+marjoram_spread_lost (marjoram_spread *spread, int64_t now, const char *slot)
 {
-  struct marjoram_state *copy;
-  struct marjoram_config_give give;
-  struct marjoram_file *file;
+  struct heard *heard = find_heard (spread, slot);
 
-  (void)now;
-  if (!spread->state)
+  spread->now = now;
+  if (!heard)
     return;
-  /* The results of changes are the keepers' alone, and larger than most
-     files.  */
-  copy = marjoram_state_copy (spread->state);
-  marjoram_state_forget_changes (copy);
-  file = copy->files.items;
-  for (size_t i = 0; i < copy->files.count; i++)
-    if (has_file (ask, &file[i]))
-      {
-        free (file[i].text);
-        file[i].text = NULL;
-      }
-  give.state = marjoram_wire_pack (&marjoram_state_layout, copy);
-  spread->ops->send_give (spread->context, slot, &give);
-  marjoram_bytes_release (give.state);
-  marjoram_state_destroy (copy);
+  heard->number = 0;
+  marjoram_state_fetch_lost (spread->fetch, slot);
+  if (spread->teller == heard)
+    spread->teller = best_teller (spread);
+  if (spread->teller)
+    offer (spread, spread->teller->slot, spread->teller->number);
 }
 
-/* Texts that were left out, as this host has them, are filled in; every text
-   is checked against its digest.  */
-static bool
-complete (const marjoram_spread *spread, struct marjoram_state *state)
+void
+marjoram_spread_receive_piece (marjoram_spread *spread, int64_t now,
+                               const char *slot,
+                               const struct marjoram_state_piece *piece)
 {
-  struct marjoram_file *file = state->files.items;
+  spread->now = now;
+  marjoram_state_fetch_piece (spread->fetch, now, slot, piece);
+}
 
-  for (size_t i = 0; i < state->files.count; i++)
-    {
-      const struct marjoram_file *own;
-      marjoram_auto_free char *digest = NULL;
+/* ---- Giving.  ---- */
 
-      if (!file[i].name || !file[i].digest)
-        return false;
-      own = spread->state ? marjoram_state_file (spread->state, file[i].name)
-                          : NULL;
-      if (!file[i].text && own)
-        file[i].text = marjoram_strdup (own->text);
-      if (!file[i].text)
-        return false;
-      digest = marjoram_digest (file[i].text, strlen (file[i].text));
-      if (strcmp (digest, file[i].digest) != 0)
-        return false;
-    }
-  return true;
+void
+marjoram_spread_receive_ask (marjoram_spread *spread, int64_t now,
+                             const char *slot,
+                             const struct marjoram_state_ask *ask)
+{
+  struct marjoram_state_piece piece = { 0 };
+
+  spread->now = now;
+  if (!marjoram_state_giver_answer (spread->giver, ask, &piece))
+    return;
+  spread->ops->send_piece (spread->context, slot, &piece);
+  marjoram_wire_clear (&marjoram_state_piece_layout, &piece);
 }
 
-static void
-take (marjoram_spread *spread, int64_t now, struct marjoram_state *state)
+/* ---- Life.  ---- */
+
+marjoram_spread *
+marjoram_spread_create (const struct marjoram_spread_options *options,
+                        const struct marjoram_spread_ops *ops, void *context,
+                        int64_t now)
 {
-  marjoram_state_destroy (spread->state);
-  spread->state = state;
-  spread->ops->adopted (spread->context, state);
-  check_ready (spread, now);
+  const struct marjoram_state_fetch_options fetch
+      = { .stalled_ms = STALLED_MS, .stalled_max_ms = STALLED_MAX_MS };
+  marjoram_spread *spread = marjoram_alloc (sizeof *spread);
+
+  spread->ops = ops;
+  spread->context = context;
+  spread->now = now;
+  spread->started = now;
+  spread->refused_until = now;
+  spread->refused_wait_ms = REFUSED_WAIT_MS;
+  spread->fetch = marjoram_state_fetch_create (&fetch, &fetch_ops, spread);
+  spread->giver = marjoram_state_giver_create ();
+  spread->keeper_count = options->keeper_count;
+  spread->keepers = marjoram_alloc (options->keeper_count * sizeof (char *));
+  for (size_t i = 0; i < options->keeper_count; i++)
+    spread->keepers[i] = marjoram_strdup (options->keepers[i]);
+  return spread;
 }
 
 void
-marjoram_spread_receive_give (marjoram_spread *spread, int64_t now,
-                              const char *slot,
-                              const struct marjoram_config_give *give)
+marjoram_spread_destroy (marjoram_spread *spread)
 {
-  struct marjoram_state *state = marjoram_wire_unpack (
-      &marjoram_state_layout, marjoram_bytes_data (give->state),
-      marjoram_bytes_size (give->state), NULL);
+  struct heard *heard;
 
-  /* Never a lower number: a late or doubled message changes nothing.  */
-  if (state && state->number > own_number (spread) && complete (spread, state))
+  if (!spread)
+    return;
+  heard = spread->heard;
+  HASH_CLEAR (hh, spread->heard);
+  while (heard)
     {
-      take (spread, now, state);
-      return;
+      struct heard *next = heard->hh.next;
+
+      free (heard);
+      heard = next;
     }
-  if (state && state->number > own_number (spread))
-    marjoram_log (MARJORAM_LOG_WARNING,
-                  "state %llu from %s is not whole; asking again",
-                  (unsigned long long)state->number, slot);
-  marjoram_state_destroy (state);
+  for (size_t i = 0; i < spread->keeper_count; i++)
+    free (spread->keepers[i]);
+  free (spread->keepers);
+  marjoram_state_fetch_destroy (spread->fetch);
+  marjoram_state_giver_destroy (spread->giver);
+  marjoram_state_destroy (spread->state);
+  free (spread);
 }
 
 void
 marjoram_spread_local (marjoram_spread *spread, int64_t now,
                        const struct marjoram_state *state)
 {
+  spread->now = now;
   if (state->number > own_number (spread))
-    take (spread, now, marjoram_state_copy (state));
+    take (spread, marjoram_state_copy (state));
 }
 
 void
 marjoram_spread_tick (marjoram_spread *spread, int64_t now)
 {
-  /* The ask or its answer was lost.  */
-  if (spread->highest_heard > own_number (spread) && may_ask (spread, now))
-    send_ask (spread, now, spread->teller);
+  spread->now = now;
+  marjoram_state_fetch_tick (spread->fetch, now);
+  if (spread->teller)
+    offer (spread, spread->teller->slot, spread->teller->number);
   check_ready (spread, now);
 }
 
--- a/src/spread.h
+++ b/src/spread.h
@@ -1,11 +1,11 @@
 /* How the agreed state reaches every host: hosts compare numbers with each
-   heartbeat, and one that has the lower number asks for what it lacks.  A lost
-   message so costs a heartbeat and no repair, and a number never goes down.
+   heartbeat, and one that has the lower number asks one of the others for what
+   it lacks, piece by piece (see state_fetch.h).  A number never goes down.
    Pure decisions.  */
 #ifndef MARJORAM_SPREAD_H
 #define MARJORAM_SPREAD_H
 
-#include "frame.h"
+#include "gateway_message.h"
 #include "state.h"
 
 typedef struct marjoram_spread marjoram_spread;
@@ -13,9 +13,9 @@
 struct marjoram_spread_ops
 {
   void (*send_ask) (void *context, const char *slot,
-                    const struct marjoram_config_ask *ask);
-  void (*send_give) (void *context, const char *slot,
-                     const struct marjoram_config_give *give);
+                    const struct marjoram_state_ask *ask);
+  void (*send_piece) (void *context, const char *slot,
+                      const struct marjoram_state_piece *piece);
   /* STATE is taken; its number is higher than that of any before.  */
   void (*adopted) (void *context, const struct marjoram_state *state);
 };
@@ -38,13 +38,18 @@
                             const char *slot, uint64_t number);
 void marjoram_spread_receive_ask (marjoram_spread *spread, int64_t now,
                                   const char *slot,
-                                  const struct marjoram_config_ask *ask);
-void marjoram_spread_receive_give (marjoram_spread *spread, int64_t now,
-                                   const char *slot,
-                                   const struct marjoram_config_give *give);
+                                  const struct marjoram_state_ask *ask);
+void marjoram_spread_receive_piece (marjoram_spread *spread, int64_t now,
+                                    const char *slot,
+                                    const struct marjoram_state_piece *piece);
+/* A session with the host in SLOT broke, and what was under way over it is
+   lost.  */
+void marjoram_spread_lost (marjoram_spread *spread, int64_t now,
+                           const char *slot);
 /* The keeper on this host knows STATE to be chosen.  */
 void marjoram_spread_local (marjoram_spread *spread, int64_t now,
                             const struct marjoram_state *state);
+/* At least every 50 ms.  */
 void marjoram_spread_tick (marjoram_spread *spread, int64_t now);
 
 /* Whether this host may serve by what it has: it has heard a majority of the
--- a/src/state_fetch.c
+++ b/src/state_fetch.c
@@ -11,9 +11,12 @@
   /* A host asks a keeper of another region only if none of its own has said in
      this time that it holds the state; it is told again with each beat.  */
   FAR_MS = 300,
-  /* A piece that takes longer is asked for anew, of the next keeper that
-     offers the state.  Far above what a piece takes on a full link.  */
-  STALLED_MS = 2000,
+  /* A piece is waited for so many times as long as the one before took.  */
+  PATIENCE = 4,
+  /* After so many asks without a piece the wait is doubled.  Till then it is
+     taken that a message was lost; if the link is full, each ask costs a piece
+     more.  */
+  ASKS_MAX = 3,
   /* Most rest after a piece: a slow answer of a busy keeper isn't the link's
      fault.  */
   REST_MAX_MS = 200,
@@ -25,6 +28,7 @@
 {
   const struct marjoram_state_fetch_ops *ops;
   void *context;
+  struct marjoram_state_fetch_options options;
   struct marjoram_packed_state held;
   bool whole; /* the difference could not be read: ask for all of it */
 
@@ -37,18 +41,24 @@
   struct evbuffer *in; /* the pieces that came */
   int pieces;
   int64_t started_at;
+  int64_t wanted_at; /* when the next piece was first asked for */
   int64_t asked_at;
-  int64_t ask_at; /* when the next piece is to be asked for; 0: it is */
+  int64_t patience_ms; /* within which a piece is to come */
+  int asks;            /* for the next piece */
+  int64_t ask_at;      /* when the next piece is to be asked for; 0: it is */
 };
 
 marjoram_state_fetch *
-marjoram_state_fetch_create (const struct marjoram_state_fetch_ops *ops,
-                             void *context)
+marjoram_state_fetch_create (
+    const struct marjoram_state_fetch_options *options,
+    const struct marjoram_state_fetch_ops *ops, void *context)
 {
   marjoram_state_fetch *fetch = marjoram_alloc (sizeof *fetch);
 
   fetch->ops = ops;
   fetch->context = context;
+  fetch->options = *options;
+  fetch->patience_ms = options->stalled_ms;
   fetch->in = evbuffer_new ();
   return fetch;
 }
@@ -82,6 +92,8 @@
           .base_digest = whole ? 0 : fetch->held.digest,
           .offset = evbuffer_get_length (fetch->in) };
 
+  if (fetch->asks++ == 0)
+    fetch->wanted_at = now;
   fetch->asked_at = now;
   fetch->ask_at = 0;
   fetch->ops->ask (fetch->context, fetch->keeper, &message);
@@ -96,22 +108,43 @@
   fetch->pieces = 0;
 }
 
+/* Another keeper goes on where the one before it stopped.  Begun anew after
+   each break, a large state would never come over a link that breaks now and
+   then, and fill it.  */
 static void
 start (marjoram_state_fetch *fetch, int64_t now, const char *keeper,
        uint64_t number)
 {
+  const bool goes_on
+      = evbuffer_get_length (fetch->in) > 0 && number >= fetch->number;
+
   stop (fetch);
   fetch->keeper = marjoram_strdup (keeper);
-  fetch->started_at = now;
-  begin (fetch, number);
+  if (!goes_on)
+    {
+      fetch->started_at = now;
+      begin (fetch, number);
+    }
   ask (fetch, now);
 }
 
+static void
+set_patience (marjoram_state_fetch *fetch, int64_t ms)
+{
+  const struct marjoram_state_fetch_options *options = &fetch->options;
+
+  if (ms < options->stalled_ms)
+    ms = options->stalled_ms;
+  if (ms > options->stalled_max_ms)
+    ms = options->stalled_max_ms;
+  fetch->patience_ms = ms;
+}
+
 static bool
 is_under_way (const marjoram_state_fetch *fetch, int64_t now)
 {
   return fetch->keeper
-         && (fetch->ask_at > 0 || now < fetch->asked_at + STALLED_MS);
+         && (fetch->ask_at > 0 || now < fetch->asked_at + fetch->patience_ms);
 }
 
 void
@@ -127,6 +160,8 @@
     }
   if (is_under_way (fetch, now) || (!near && now < fetch->offered_at + FAR_MS))
     return;
+  if (fetch->asks >= ASKS_MAX)
+    set_patience (fetch, 2 * fetch->patience_ms);
   start (fetch, now, keeper, number);
 }
 
@@ -140,8 +175,22 @@
   return facts;
 }
 
-/* The state in the pieces that came; null with ERR set if they can't be
-   read.  */
+/* Never a lower number, which another host may have sent as a higher one.  */
+static bool
+may_take (const struct marjoram_state_fetch *fetch,
+          const struct marjoram_state *state, struct marjoram_error *err)
+{
+  if (state->number <= fetch->held.number)
+    return marjoram_error_set (
+        err, MARJORAM_ERROR_CORRUPT,
+        "state %llu came as %llu; if this goes on, restart the host that gave "
+        "it",
+        (unsigned long long)state->number, (unsigned long long)fetch->number);
+  return !fetch->ops->valid || fetch->ops->valid (fetch->context, state, err);
+}
+
+/* The state in the pieces that came; null with ERR set if it can't be
+   taken.  */
 static struct marjoram_state *
 unpack (marjoram_state_fetch *fetch, struct marjoram_packed_state *packed,
         struct marjoram_error *err)
@@ -155,7 +204,11 @@
 
   if (bytes)
     *packed = marjoram_packed_state_read (bytes, &state, err);
-  return state;
+  if (!state || may_take (fetch, state, err))
+    return state;
+  marjoram_packed_state_clear (packed);
+  marjoram_state_destroy (state);
+  return NULL;
 }
 
 static void
@@ -167,6 +220,7 @@
   struct marjoram_state *state = unpack (fetch, &packed, &err);
 
   evbuffer_drain (fetch->in, evbuffer_get_length (fetch->in));
+  fetch->patience_ms = fetch->options.stalled_ms;
   if (!state)
     {
       fetch->whole = true;
@@ -174,19 +228,21 @@
       stop (fetch);
       return;
     }
-  if (state->number > fetch->held.number)
-    {
-      marjoram_packed_state_clear (&fetch->held);
-      fetch->held = packed;
-      fetch->whole = false;
-      fetch->ops->fetched (fetch->context, state, &facts);
-    }
-  else
-    marjoram_packed_state_clear (&packed);
+  marjoram_packed_state_clear (&fetch->held);
+  fetch->held = packed;
+  fetch->whole = false;
+  fetch->ops->fetched (fetch->context, state, &facts);
   marjoram_state_destroy (state);
   stop (fetch);
 }
 
+static bool
+goes_together (const struct marjoram_state_fetch *fetch,
+               const struct marjoram_state_piece *piece)
+{
+  return piece->size == fetch->size && piece->base == fetch->base;
+}
+
 /* Whether PIECE is the one that was asked for.  The first one may be of a
    higher state, if the keeper no longer holds the one that was named.  */
 static bool
@@ -197,15 +253,26 @@
   return piece->number == fetch->number
          && piece->offset == evbuffer_get_length (fetch->in)
          && marjoram_bytes_size (piece->bytes) > 0
-         && (fetch->size == 0 || piece->size == fetch->size)
+         && (fetch->size == 0 || goes_together (fetch, piece))
          && (piece->base == 0 || piece->base == fetch->held.number);
 }
 
+/* Whether the keeper goes on with another pack than the one before it: it may
+   lack the base, or be of another make.  */
+static bool
+is_of_another_pack (const struct marjoram_state_fetch *fetch,
+                    const struct marjoram_state_piece *piece)
+{
+  return fetch->size > 0 && piece->number == fetch->number
+         && piece->offset == evbuffer_get_length (fetch->in)
+         && !goes_together (fetch, piece);
+}
+
 /* A host without any state serves nobody, and does not rest.  */
 static void
 rest (marjoram_state_fetch *fetch, int64_t now)
 {
-  int64_t took = now - fetch->asked_at;
+  int64_t took = now - fetch->wanted_at;
 
   if (fetch->held.number == 0)
     {
@@ -215,17 +282,27 @@
   fetch->ask_at = now + (took < REST_MAX_MS ? took : REST_MAX_MS);
 }
 
+/* One that was late and then asked for of another keeper is as good.  */
 void
 marjoram_state_fetch_piece (marjoram_state_fetch *fetch, int64_t now,
                             const char *keeper,
                             const struct marjoram_state_piece *piece)
 {
-  if (!fetch->keeper || strcmp (fetch->keeper, keeper) != 0
-      || fetch->ask_at > 0 || !is_next (fetch, piece))
+  if (!fetch->keeper || fetch->ask_at > 0)
+    return;
+  if (strcmp (fetch->keeper, keeper) == 0 && is_of_another_pack (fetch, piece))
+    {
+      begin (fetch, fetch->number);
+      ask (fetch, now);
+      return;
+    }
+  if (!is_next (fetch, piece))
     return;
   fetch->base = piece->base;
   fetch->size = piece->size;
   fetch->pieces++;
+  set_patience (fetch, PATIENCE * (now - fetch->wanted_at));
+  fetch->asks = 0;
   evbuffer_add (fetch->in, marjoram_bytes_data (piece->bytes),
                 marjoram_bytes_size (piece->bytes));
   if (evbuffer_get_length (fetch->in) >= fetch->size)
@@ -234,11 +311,32 @@
     rest (fetch, now);
 }
 
+/* A difference from the state that was held before can't be read any more.  */
+void
+marjoram_state_fetch_hold (marjoram_state_fetch *fetch, int64_t now,
+                           const struct marjoram_state *state)
+{
+  if (state->number <= fetch->held.number)
+    return;
+  marjoram_packed_state_clear (&fetch->held);
+  fetch->held = marjoram_packed_state_make (state);
+  fetch->whole = false;
+  begin (fetch, fetch->number);
+  fetch->asks = 0;
+  if (fetch->number <= state->number)
+    stop (fetch);
+  else if (fetch->keeper)
+    ask (fetch, now);
+}
+
 void
 marjoram_state_fetch_lost (marjoram_state_fetch *fetch, const char *keeper)
 {
   if (fetch->keeper && strcmp (fetch->keeper, keeper) == 0)
-    stop (fetch);
+    {
+      stop (fetch);
+      fetch->asks = 0;
+    }
 }
 
 void
--- a/test/lib_hosts.c
+++ b/test/lib_hosts.c
@@ -1,7 +1,10 @@
 #include "lib_hosts.h"
 
 #include "cleanup.h"
+#include "compress.h"
+#include "gateway_message.h"
 #include "log.h"
+#include "state_packed.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -585,7 +588,10 @@
            int slot_count)
 {
   struct marjoram_state *state = marjoram_state_copy (NULL);
-  struct marjoram_config_give give;
+  struct marjoram_heartbeat heartbeat
+      = { .incarnation = 1, .config_number = number };
+  struct marjoram_state_piece piece = { .number = number };
+  struct marjoram_packed_state packed;
   char text[4096];
 
   state->number = number;
@@ -594,10 +600,16 @@
   add_file (state, "sites", 1, text);
   add_file (state, "works", 1, works);
   add_file (state, "callers", number, callers);
-  give.state = marjoram_wire_pack (&marjoram_state_layout, state);
+  packed = marjoram_packed_state_make (state);
+  piece.bytes = marjoram_compress (packed.bytes, NULL);
+  piece.size = marjoram_bytes_size (piece.bytes);
   for (int i = 0; i < hosts->count; i++)
-    test_forge (hosts, i, "b-9", 1, MARJORAM_FRAME_CONFIG_GIVE, &give);
-  marjoram_bytes_release (give.state);
+    {
+      test_forge (hosts, i, "b-9", 0, MARJORAM_FRAME_HEARTBEAT, &heartbeat);
+      test_forge (hosts, i, "b-9", 0, MARJORAM_FRAME_STATE_PIECE, &piece);
+    }
+  marjoram_bytes_release (piece.bytes);
+  marjoram_packed_state_clear (&packed);
   marjoram_state_destroy (state);
 }
 
--- a/test/test_spread.c
+++ b/test/test_spread.c
@@ -3,8 +3,11 @@
 #include "suite.h"
 
 #include "cleanup.h"
+#include "compress.h"
+#include "frame.h"
 #include "random.h"
 #include "spread.h"
+#include "state_packed.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -31,13 +34,14 @@
 {
   FLIGHT_NUMBER,
   FLIGHT_ASK,
-  FLIGHT_GIVE
+  FLIGHT_PIECE
 };
 
 struct flight
 {
   int64_t at;
   uint64_t number;
+  struct marjoram_state_ask ask;
   marjoram_bytes *bytes;
   enum flight_kind kind;
   int from, to;
@@ -138,25 +142,26 @@
 }
 
 static void
-on_ask (void *context, const char *slot, const struct marjoram_config_ask *ask)
+on_ask (void *context, const char *slot, const struct marjoram_state_ask *ask)
 {
   struct host *host = context;
 
-  (void)ask;
-  send (host, find (host, slot), (struct flight){ .kind = FLIGHT_ASK });
+  send (host, find (host, slot),
+        (struct flight){ .kind = FLIGHT_ASK, .ask = *ask });
 }
 
 static void
-on_give (void *context, const char *slot,
-         const struct marjoram_config_give *give)
+on_piece (void *context, const char *slot,
+          const struct marjoram_state_piece *piece)
 {
   struct host *host = context;
+  marjoram_bytes *bytes
+      = marjoram_wire_pack (&marjoram_state_piece_layout, piece);
 
   host->world->gives++;
-  host->world->give_bytes += marjoram_bytes_size (give->state);
+  host->world->give_bytes += marjoram_bytes_size (bytes);
   send (host, find (host, slot),
-        (struct flight){ .kind = FLIGHT_GIVE,
-                         .bytes = marjoram_bytes_retain (give->state) });
+        (struct flight){ .kind = FLIGHT_PIECE, .bytes = bytes });
 }
 
 static void
@@ -169,7 +174,7 @@
   tell (host);
 }
 
-static const struct marjoram_spread_ops ops = { on_ask, on_give, on_adopted };
+static const struct marjoram_spread_ops ops = { on_ask, on_piece, on_adopted };
 
 static void
 start (struct host *host)
@@ -182,20 +187,30 @@
   host->reader = 0;
 }
 
+static void
+deliver_piece (struct host *host, const char *from, marjoram_bytes *bytes)
+{
+  struct marjoram_state_piece *piece = marjoram_wire_unpack (
+      &marjoram_state_piece_layout, marjoram_bytes_data (bytes),
+      marjoram_bytes_size (bytes), NULL);
+
+  ck_assert_ptr_nonnull (piece);
+  marjoram_spread_receive_piece (host->spread, host->world->now, from, piece);
+  marjoram_wire_destroy (&marjoram_state_piece_layout, piece);
+}
+
 static void
 deliver (struct world *world, struct flight *flight)
 {
   struct host *host = &world->hosts[flight->to];
   const char *from = world->hosts[flight->from].slot;
-  struct marjoram_config_give give = { flight->bytes };
-  struct marjoram_config_ask ask = { { NULL, 0 } };
 
   if (flight->kind == FLIGHT_NUMBER)
     marjoram_spread_heard (host->spread, world->now, from, flight->number);
-  else if (flight->kind == FLIGHT_GIVE)
-    marjoram_spread_receive_give (host->spread, world->now, from, &give);
+  else if (flight->kind == FLIGHT_PIECE)
+    deliver_piece (host, from, flight->bytes);
   else
-    marjoram_spread_receive_ask (host->spread, world->now, from, &ask);
+    marjoram_spread_receive_ask (host->spread, world->now, from, &flight->ask);
   marjoram_bytes_release (flight->bytes);
 }
 
@@ -505,27 +520,32 @@
 
 struct answer
 {
-  marjoram_bytes *state;
+  struct marjoram_state_ask ask; /* the last */
+  int asks;
+  marjoram_bytes *piece; /* the last, packed */
   uint64_t adopted;
 };
 
 static void
 keep_ask (void *context, const char *slot,
-          const struct marjoram_config_ask *ask)
+          const struct marjoram_state_ask *ask)
 {
-  (void)context;
+  struct answer *answer = context;
+
   (void)slot;
-  (void)ask;
+  answer->ask = *ask;
+  answer->asks++;
 }
 
 static void
-keep_give (void *context, const char *slot,
-           const struct marjoram_config_give *give)
+keep_piece (void *context, const char *slot,
+            const struct marjoram_state_piece *piece)
 {
   struct answer *answer = context;
 
   (void)slot;
-  answer->state = marjoram_bytes_retain (give->state);
+  marjoram_bytes_release (answer->piece);
+  answer->piece = marjoram_wire_pack (&marjoram_state_piece_layout, piece);
 }
 
 static void
@@ -536,58 +556,223 @@
   answer->adopted = state->number;
 }
 
-/* Only what the asker lacks travels, and no results of changes; a text that
-   does not fit its digest, or that neither side has, is not taken.  */
-START_TEST (gives_what_is_lacking_and_checks_it)
+static const struct marjoram_spread_ops kept
+    = { keep_ask, keep_piece, keep_adopted };
+static const struct marjoram_spread_options no_keepers = { NULL, 0 };
+
+/* A whole state in one piece, as another host might send it as NUMBER.  */
+static void
+forge (marjoram_spread *spread, int64_t now, uint64_t number,
+       const struct marjoram_state *state)
+{
+  struct marjoram_packed_state packed = marjoram_packed_state_make (state);
+  struct marjoram_state_piece piece = { .number = number };
+
+  piece.bytes = marjoram_compress (packed.bytes, NULL);
+  piece.size = marjoram_bytes_size (piece.bytes);
+  marjoram_spread_heard (spread, now, "a", number);
+  marjoram_spread_receive_piece (spread, now, "a", &piece);
+  marjoram_bytes_release (piece.bytes);
+  marjoram_packed_state_clear (&packed);
+}
+
+/* What the last answer is, taken with BASE; null if it is no difference from
+   that.  */
+static struct marjoram_state *
+read_answer (const struct answer *answer, const struct marjoram_state *base)
+{
+  struct marjoram_packed_state packed = marjoram_packed_state_make (base);
+  struct marjoram_state_piece *piece = marjoram_wire_unpack (
+      &marjoram_state_piece_layout, marjoram_bytes_data (answer->piece),
+      marjoram_bytes_size (answer->piece), NULL);
+  marjoram_bytes *bytes = marjoram_decompress (piece->bytes, packed.bytes,
+                                               MARJORAM_STATE_MAX, NULL);
+  struct marjoram_state *state = NULL;
+
+  marjoram_packed_state_clear (&packed);
+  if (piece->base == base->number && bytes)
+    packed = marjoram_packed_state_read (bytes, &state, NULL);
+  marjoram_packed_state_clear (&packed);
+  marjoram_wire_destroy (&marjoram_state_piece_layout, piece);
+  return state;
+}
+
+/* Only what the asker lacks travels, and no results of changes.  */
+START_TEST (gives_what_is_lacking)
 {
-  static const struct marjoram_spread_ops kept
-      = { keep_ask, keep_give, keep_adopted };
-  const struct marjoram_spread_options options = { NULL, 0 };
   struct answer answer = { 0 };
-  struct marjoram_state *old = make_state (1), *new = make_state (2);
-  struct marjoram_config_ask ask = { old->files };
-  struct marjoram_config_give give;
-  struct marjoram_file *files;
-  marjoram_spread *a = marjoram_spread_create (&options, &kept, &answer, 0);
-  marjoram_spread *b;
+  struct marjoram_state *old = make_large_state (1);
+  struct marjoram_state *new = make_large_state (2);
+  struct marjoram_state *given;
+  marjoram_spread *a = marjoram_spread_create (&no_keepers, &kept, &answer, 0);
+  marjoram_spread *b = marjoram_spread_create (&no_keepers, &kept, &answer, 0);
 
+  marjoram_spread_local (a, 0, old);
   marjoram_spread_local (a, 0, new);
-  marjoram_spread_receive_ask (a, 0, "b", &ask);
-  marjoram_state_destroy (new);
-  new = marjoram_wire_unpack (&marjoram_state_layout,
-                              marjoram_bytes_data (answer.state),
-                              marjoram_bytes_size (answer.state), NULL);
-  files = new->files.items;
-  ck_assert_ptr_null (files[0].text);
-  ck_assert_ptr_nonnull (files[1].text);
-  ck_assert_uint_eq (new->changes.count, 0);
-
-  give.state = answer.state;
-  answer.adopted = 0;
-  b = marjoram_spread_create (&options, &kept, &answer, 0);
-  marjoram_spread_receive_give (b, 0, "a", &give);
-  ck_assert_uint_eq (answer.adopted, 0); /* lacks a text */
   marjoram_spread_local (b, 0, old);
-  marjoram_spread_receive_give (b, 0, "a", &give);
-  ck_assert_uint_eq (answer.adopted, 2);
-  give.state = marjoram_wire_pack (&marjoram_state_layout, old);
-  marjoram_spread_receive_give (b, 0, "late", &give); /* and lower */
-  ck_assert_uint_eq (marjoram_spread_state (b)->number, 2);
-  marjoram_bytes_release (give.state);
-
+  marjoram_spread_heard (b, 0, "a", 2);
+  ck_assert_int_eq (answer.asks, 1);
+  marjoram_spread_receive_ask (a, 0, "b", &answer.ask);
+  ck_assert_uint_lt (marjoram_bytes_size (answer.piece), 1000);
+  given = read_answer (&answer, old);
+  ck_assert_ptr_nonnull (given);
+  ck_assert_uint_eq (given->number, 2);
+  ck_assert_uint_eq (given->files.count, 3);
+  ck_assert_uint_eq (given->changes.count, 0);
+  ck_assert_uint_gt (new->changes.count, 0);
+
+  marjoram_bytes_release (answer.piece);
+  marjoram_spread_destroy (a);
   marjoram_spread_destroy (b);
-  b = marjoram_spread_create (&options, &kept, &answer, 0);
+  marjoram_state_destroy (old);
+  marjoram_state_destroy (new);
+  marjoram_state_destroy (given);
+}
+END_TEST
+
+/* A text that does not fit its digest, or that neither side has, is not taken;
+   nor is a lower state under a higher number.  Nothing of a faulty state is
+   taken for held: the host gets the next one whole.  */
+START_TEST (checks_what_is_given)
+{
+  struct answer answer = { 0 };
+  struct marjoram_state *old = make_state (1), *new = make_state (2);
+  struct marjoram_state *faulty = make_state (2);
+  struct marjoram_file *files = faulty->files.items;
+  marjoram_spread *b = marjoram_spread_create (&no_keepers, &kept, &answer, 0);
+
+  files[1].text[0] ^= 1;
+  forge (b, 0, 2, faulty);
+  ck_assert_uint_eq (answer.adopted, 0);
   marjoram_spread_local (b, 0, old);
+  forge (b, 1000, 2, faulty);
+  ck_assert_uint_eq (answer.adopted, 1);
+  free (files[0].text);
+  files[0].text = NULL;
   files[1].text[0] ^= 1;
-  give.state = marjoram_wire_pack (&marjoram_state_layout, new);
-  marjoram_spread_receive_give (b, 0, "a", &give);
+  forge (b, 10000, 2, faulty);
   ck_assert_uint_eq (answer.adopted, 1);
-  marjoram_bytes_release (give.state);
-  marjoram_bytes_release (answer.state);
-  marjoram_spread_destroy (a);
+  ck_assert_int_eq (answer.asks, 3);
+  ck_assert_uint_eq (answer.ask.base, 0);
+  forge (b, 20000, 2, new);
+  ck_assert_uint_eq (answer.adopted, 2);
+  forge (b, 30000, 3, old); /* late, and lower */
+  ck_assert_int_eq (answer.asks, 5);
+  ck_assert_uint_eq (marjoram_spread_state (b)->number, 2);
+  ck_assert_uint_eq (answer.adopted, 2);
+
   marjoram_spread_destroy (b);
   marjoram_state_destroy (old);
   marjoram_state_destroy (new);
+  marjoram_state_destroy (faulty);
+}
+END_TEST
+
+/* A difference from a state that the host does not hold, or holds no more, is
+   not taken; what it asks for next is from the one that it holds.  */
+START_TEST (takes_no_difference_from_another_state)
+{
+  struct answer of_a = { 0 }, of_b = { 0 };
+  struct marjoram_state *first = make_state (1), *second = make_state (2);
+  struct marjoram_state *third = make_state (3);
+  struct marjoram_state_piece *piece;
+  marjoram_spread *a = marjoram_spread_create (&no_keepers, &kept, &of_a, 0);
+  marjoram_spread *b = marjoram_spread_create (&no_keepers, &kept, &of_b, 0);
+
+  marjoram_spread_local (a, 0, first);
+  marjoram_spread_local (a, 0, third);
+  marjoram_spread_local (b, 0, first);
+  marjoram_spread_heard (b, 0, "a", 3);
+  ck_assert_uint_eq (of_b.ask.base, 1);
+  marjoram_spread_receive_ask (a, 0, "b", &of_b.ask);
+  marjoram_spread_local (b, 0, second);
+  ck_assert_uint_eq (of_b.ask.base, 2);
+  piece = marjoram_wire_unpack (&marjoram_state_piece_layout,
+                                marjoram_bytes_data (of_a.piece),
+                                marjoram_bytes_size (of_a.piece), NULL);
+  marjoram_spread_receive_piece (b, 0, "a", piece);
+  ck_assert_uint_eq (of_b.adopted, 2);
+  marjoram_wire_destroy (&marjoram_state_piece_layout, piece);
+  marjoram_spread_receive_ask (a, 0, "b", &of_b.ask);
+  piece = marjoram_wire_unpack (&marjoram_state_piece_layout,
+                                marjoram_bytes_data (of_a.piece),
+                                marjoram_bytes_size (of_a.piece), NULL);
+  marjoram_spread_receive_piece (b, 0, "a", piece);
+  ck_assert_uint_eq (of_b.adopted, 3);
+
+  marjoram_wire_destroy (&marjoram_state_piece_layout, piece);
+  marjoram_bytes_release (of_a.piece);
+  marjoram_spread_destroy (a);
+  marjoram_spread_destroy (b);
+  marjoram_state_destroy (first);
+  marjoram_state_destroy (second);
+  marjoram_state_destroy (third);
+}
+END_TEST
+
+/* The host that is asked is gone: another that told of the state is asked at
+   once; and while the only one's link is gone, nobody.  */
+START_TEST (another_is_asked_at_once_if_the_link_breaks)
+{
+  struct answer answer = { 0 };
+  marjoram_spread *spread
+      = marjoram_spread_create (&no_keepers, &kept, &answer, 0);
+
+  marjoram_spread_heard (spread, 0, "a", 2);
+  marjoram_spread_heard (spread, 0, "b", 2);
+  ck_assert_int_eq (answer.asks, 1);
+  marjoram_spread_lost (spread, 10, "a");
+  ck_assert_int_eq (answer.asks, 2);
+  marjoram_spread_lost (spread, 20, "b");
+  marjoram_spread_tick (spread, 5000);
+  ck_assert_int_eq (answer.asks, 2);
+  marjoram_spread_heard (spread, 6000, "a", 2);
+  ck_assert_int_eq (answer.asks, 3);
+  marjoram_spread_destroy (spread);
+}
+END_TEST
+
+/* No piece comes although the link lives, as a full one may be far behind:
+   asking again by a fixed clock would fill it for good.  */
+START_TEST (asks_again_after_doubled_waits)
+{
+  struct answer answer = { 0 };
+  marjoram_spread *spread
+      = marjoram_spread_create (&no_keepers, &kept, &answer, 0);
+
+  marjoram_spread_heard (spread, 0, "a", 2);
+  for (int64_t now = 0; now < 20000; now += 50)
+    {
+      if (now % HEARTBEAT_MS == 0)
+        marjoram_spread_heard (spread, now, "a", 2);
+      marjoram_spread_tick (spread, now);
+    }
+  /* After 0.5, 1, 1.5, 2.5, 4.5, 8.5, 12.5 and 16.5 s, or with the next tick.
+   */
+  ck_assert_int_le (answer.asks, 9);
+  ck_assert_int_ge (answer.asks, 8);
+  marjoram_spread_destroy (spread);
+}
+END_TEST
+
+/* A state that can't be taken, as that of a host at fault, is not fetched
+   again and again: that would fill the link too.  */
+START_TEST (faulty_state_is_asked_for_ever_less_often)
+{
+  struct answer answer = { 0 };
+  struct marjoram_state *faulty = make_state (2);
+  struct marjoram_file *files = faulty->files.items;
+  marjoram_spread *spread
+      = marjoram_spread_create (&no_keepers, &kept, &answer, 0);
+
+  files[1].text[0] ^= 1;
+  for (int64_t now = 0; now < 16000; now += 50)
+    forge (spread, now, 2, faulty);
+  /* At 0, 0.5, 1.5, 3.5, 7.5 and 15.5 s.  */
+  ck_assert_int_eq (answer.asks, 6);
+  ck_assert_uint_eq (answer.adopted, 0);
+  marjoram_spread_destroy (spread);
+  marjoram_state_destroy (faulty);
 }
 END_TEST
 
@@ -596,8 +781,6 @@
    give the higher one, it serves after ten seconds all the same.  */
 START_TEST (waits_for_what_it_has_heard_of)
 {
-  static const struct marjoram_spread_ops kept
-      = { keep_ask, keep_give, keep_adopted };
   static const char *const keepers[] = { "h0", "h12", "h24" };
   const struct marjoram_spread_options options = { keepers, 3 };
   struct answer answer = { 0 };
@@ -631,7 +814,12 @@
   tcase_add_test (c, slow_host_gets_a_large_state_once);
   tcase_add_test (c, slow_host_keeps_up_with_changes);
   tcase_add_test (c, waits_for_what_it_has_heard_of);
-  tcase_add_test (c, gives_what_is_lacking_and_checks_it);
+  tcase_add_test (c, gives_what_is_lacking);
+  tcase_add_test (c, checks_what_is_given);
+  tcase_add_test (c, takes_no_difference_from_another_state);
+  tcase_add_test (c, another_is_asked_at_once_if_the_link_breaks);
+  tcase_add_test (c, asks_again_after_doubled_waits);
+  tcase_add_test (c, faulty_state_is_asked_for_ever_less_often);
   suite_add_tcase (s, c);
   return s;
 }
--- a/test/test_state_transfer.c
+++ b/test/test_state_transfer.c
@@ -14,11 +14,12 @@
   TICK_MS = 25,
   KEEPERS = 6,
   NEAR_KEEPERS = 2,
-  SECOND_MS = 1000,
   /* A keeper's word comes again with each beat of the host.  */
   BEAT_MS = 300
 };
 
+static const int64_t SECOND_MS = 1000;
+
 /* A host between keepers, with at most one piece under way to it.  */
 struct world
 {
@@ -75,6 +76,9 @@
 static const struct marjoram_state_fetch_ops ops
     = { .ask = op_ask, .fetched = op_fetched, .failed = op_failed };
 
+static const struct marjoram_state_fetch_options options
+    = { .stalled_ms = 2000, .stalled_max_ms = 2000 };
+
 /* State NUMBER with ROUTES routes whose names, as real ones, share little; the
    first has TIMEOUT.  */
 static struct marjoram_state *
@@ -164,7 +168,7 @@
   w.now = BEAT_MS;
   for (int i = 0; i < KEEPERS; i++)
     w.givers[i] = marjoram_state_giver_create ();
-  w.fetch = marjoram_state_fetch_create (&ops, NULL);
+  w.fetch = marjoram_state_fetch_create (&options, &ops, NULL);
 }
 
 static void
@@ -193,7 +197,7 @@
   run (60 * SECOND_MS, 0, KEEPERS);
   ck_assert_uint_eq (w.number, 2);
   size = w.facts.bytes;
-  ck_assert_uint_gt (size, 2 * MARJORAM_STATE_PIECE_MAX);
+  ck_assert_uint_gt (size, (size_t)2 * MARJORAM_STATE_PIECE_MAX);
   ck_assert_uint_eq (w.bytes, size);
   ck_assert_int_eq (w.at_once, 1);
   ck_assert_int_eq (w.failures, 0);
@@ -228,8 +232,8 @@
   w.piece_ms = 100;
   while (w.number != 2)
     run (TICK_MS, 0, 1);
-  ck_assert_int_le (w.now - began,
-                    (int64_t)w.facts.pieces * w.piece_ms + 2 * TICK_MS);
+  ck_assert_int_le (w.now - began, (int64_t)w.facts.pieces * w.piece_ms
+                                       + (int64_t)2 * TICK_MS);
 }
 END_TEST
 
@@ -285,6 +289,63 @@
 }
 END_TEST
 
+/* The same: what has come is not sent again, else links that break now and
+   then would carry a large state over and over.  */
+START_TEST (break_costs_no_piece_that_came)
+{
+  choose (2, 4200, 500);
+  w.piece_ms = 100;
+  offer (0);
+  run (350, 0, 0);
+  ck_assert_uint_gt (w.bytes, MARJORAM_STATE_PIECE_MAX);
+  w.asked = -1;
+  marjoram_state_fetch_lost (w.fetch, "k0");
+  run (5 * SECOND_MS, 1, 1);
+  ck_assert_uint_eq (w.number, 2);
+  ck_assert_uint_eq (w.bytes, w.facts.bytes);
+}
+END_TEST
+
+/* The next keeper lacks the base, and so packs the state in another way.  */
+START_TEST (pieces_of_two_packs_are_not_mixed)
+{
+  struct marjoram_state *state = make_state (2, 4200, 500);
+
+  choose (1, 10, 500);
+  run (SECOND_MS, 0, 1);
+  marjoram_state_giver_set (w.givers[0], state);
+  marjoram_state_giver_destroy (w.givers[1]);
+  w.givers[1] = marjoram_state_giver_create ();
+  marjoram_state_giver_set (w.givers[1], state);
+  marjoram_state_destroy (state);
+  offer (0);
+  w.piece_ms = 100;
+  run (350, 0, 0);
+  ck_assert_uint_gt (w.bytes, MARJORAM_STATE_PIECE_MAX);
+  w.asked = -1;
+  marjoram_state_fetch_lost (w.fetch, "k0");
+  run (5 * SECOND_MS, 1, 1);
+  ck_assert_uint_eq (w.number, 2);
+  ck_assert_uint_eq (w.facts.base, 0);
+  ck_assert_int_eq (w.failures, 0);
+}
+END_TEST
+
+/* A piece is late on a full link, and another keeper has been asked for it:
+   waiting for that one's would make the link fuller.  */
+START_TEST (late_piece_is_taken)
+{
+  choose (2, 10, 500);
+  offer (0);
+  w.now += 3 * SECOND_MS;
+  offer (1);
+  ck_assert_int_eq (w.asks, 2);
+  w.asked = 0;
+  answer ();
+  ck_assert_uint_eq (w.number, 2);
+}
+END_TEST
+
 /* Its link says nothing, but no piece comes either.  */
 START_TEST (stalled_keeper_is_left)
 {
@@ -381,6 +442,9 @@
   tcase_add_test (c, far_keeper_is_asked_if_no_near_one_offers);
   tcase_add_test (c, near_keeper_is_asked_at_once);
   tcase_add_test (c, another_keeper_goes_on);
+  tcase_add_test (c, break_costs_no_piece_that_came);
+  tcase_add_test (c, pieces_of_two_packs_are_not_mixed);
+  tcase_add_test (c, late_piece_is_taken);
   tcase_add_test (c, stalled_keeper_is_left);
   tcase_add_test (c, newer_states_do_not_starve_a_fetch);
   tcase_add_test (c, old_host_gets_it_whole);
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -2,6 +2,7 @@
 #include "suite.h"
 
 #include "cleanup.h"
+#include "frame.h"
 #include "wire.h"
 
 #include <string.h>
@@ -95,6 +96,32 @@
 }
 END_TEST
 
+/* While a release is rolled out, hosts of two of them are linked: types have
+   the same numbers in both, and what only the earlier one uses is passed
+   over; a frame that can't be read would close the link.  */
+START_TEST (frames_of_an_earlier_release_are_passed_over)
+{
+  struct sample sample = { (char *)"name", 1, true, NULL, { NULL, 0 } };
+  marjoram_bytes *packed = marjoram_wire_pack (&sample_layout, &sample);
+
+  ck_assert_int_eq (MARJORAM_FRAME_OFFERS, 15);
+  ck_assert_int_eq (MARJORAM_FRAME_APPLY, 18);
+  ck_assert_int_eq (MARJORAM_FRAME_HOST_BEAT, 21);
+  ck_assert_int_eq (MARJORAM_FRAME_STATE_PIECE, 29);
+  for (enum marjoram_frame_type type = MARJORAM_FRAME_RESERVED_ASK;
+       type <= MARJORAM_FRAME_RESERVED_GIVE; type++)
+    {
+      const struct marjoram_layout *layout = marjoram_frame_layout (type);
+      void *read = marjoram_wire_unpack (layout, marjoram_bytes_data (packed),
+                                         marjoram_bytes_size (packed), NULL);
+
+      ck_assert_ptr_nonnull (read);
+      marjoram_wire_destroy (layout, read);
+    }
+  marjoram_bytes_release (packed);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -103,6 +130,7 @@
 
   tcase_add_test (c, returns_what_was_packed);
   tcase_add_test (c, refuses_length_bomb);
+  tcase_add_test (c, frames_of_an_earlier_release_are_passed_over);
   tcase_add_test (c, refuses_deep_nesting);
   tcase_add_test (c, refuses_string_over_its_limit);
   suite_add_tcase (s, c);
