--- a/src/host_peer.c
+++ b/src/host_peer.c
@@ -50,6 +50,16 @@
   marjoram_spread_lost (host->spread, now, slot);
 }
 
+void
+marjoram_host_link_heard (marjoram_host *host, int64_t now, const char *slot)
+{
+  struct marjoram_link *link = marjoram_link_find (host, slot);
+
+  host->now = now;
+  if (link)
+    link->heard = now;
+}
+
 void
 marjoram_host_session_closed (marjoram_host *host, int64_t now,
                               const char *slot, uint64_t session)
@@ -129,6 +139,8 @@
   host->now = now;
   if (session)
     marjoram_sender_of (host, slot, incarnation)->session = session;
+  else
+    marjoram_host_link_heard (host, now, slot);
   switch (type)
     {
     case MARJORAM_FRAME_HEARTBEAT:
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -4,11 +4,13 @@
 #include "http_reader.h"
 #include "socket_option.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 #include <uthash.h>
 
 enum
@@ -193,6 +195,20 @@
                 == 0;
 }
 
+/* An upstream that closes a kept connection may have done so in this turn of
+   the loop: its end is in the socket, and a request sent now is not answered,
+   though it has not run.  What must not run twice could not be sent again.  */
+static bool
+is_quiet (const struct connection *connection)
+{
+  char byte;
+
+  return recv (bufferevent_getfd (connection->bev), &byte, sizeof byte,
+               MSG_PEEK | MSG_DONTWAIT)
+             < 0
+         && errno == EAGAIN;
+}
+
 static void
 finish (struct connection *connection)
 {
@@ -352,7 +368,7 @@
   int64_t now = marjoram_clock_now (client->clock);
 
   if (!connection || !is_fresh (connection, now, send->careful)
-      || !is_clean (connection))
+      || !is_clean (connection) || !is_quiet (connection))
     {
       connect_and_send (client, pool, send);
       return;
@@ -409,28 +425,31 @@
     }
 }
 
+/* HEARD_UNTIL is the time up to which this host has heard: where its own link
+   is full, the word that a connection is made waits there, and each upstream
+   would be out of reach.  */
 static void
-give_up_connecting (marjoram_http_client *client, int64_t now)
+give_up_connecting (marjoram_http_client *client, int64_t heard_until)
 {
   struct connection *connection;
   struct connection *next;
 
   HASH_ITER (hh, client->busy, connection, next)
   {
-    if (connection->connect_by != 0 && now >= connection->connect_by)
+    if (connection->connect_by != 0 && heard_until >= connection->connect_by)
       bufferevent_trigger_event (connection->bev, BEV_EVENT_TIMEOUT,
                                  BEV_TRIG_DEFER_CALLBACKS);
   }
 }
 
 void
-marjoram_http_client_tick (marjoram_http_client *client)
+marjoram_http_client_tick (marjoram_http_client *client, int64_t lag_ms)
 {
   int64_t now = marjoram_clock_now (client->clock);
   struct pool *pool;
   struct pool *next;
 
-  give_up_connecting (client, now);
+  give_up_connecting (client, now - lag_ms);
   HASH_ITER (hh, client->pools, pool, next) { close_unused (pool, now); }
 }
 
--- a/test/lib_relay.c
+++ b/test/lib_relay.c
@@ -446,6 +446,17 @@
   arm (pair);
 }
 
+void
+relay_destroy (struct relay *relay)
+{
+  if (!relay)
+    return;
+  each_pair (relay, pair_destroy);
+  stop_listening (relay);
+  event_free (relay->watch);
+  free (relay);
+}
+
 void
 relay_set_mode (struct relay *relay, enum relay_mode mode)
 {
--- a/test/lib_relay.h
+++ b/test/lib_relay.h
@@ -24,6 +24,7 @@
    listen.  */
 struct relay *relay_create (struct event_base *base, const char *address,
                             const char *target);
+void relay_destroy (struct relay *relay);
 /* Listens again as soon as the system lets go of the port.  */
 void relay_set_mode (struct relay *relay, enum relay_mode mode);
 /* What passes from now on arrives MS later.  */
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -3,8 +3,10 @@
 
 #include "cleanup.h"
 #include "host_links.h"
+#include "lib_relay.h"
 
 #include <event2/event.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,7 +18,10 @@
   TICK_MS = 20,
   IP_MAX = 32,
   TEXT_MAX = 64,
-  PORT = 7760
+  PORT = 7760,
+  BEHIND_RELAY = 11, /* index of the address of a host behind a relay */
+  LARGE_BYTES = 300000,
+  SETTLE_MS = 700
 };
 
 /* One host with its task.  */
@@ -29,6 +34,7 @@
   marjoram_host_list *hosts;
   marjoram_host_links *links;
   int frames; /* of other kinds than beats, that came */
+  int lost;   /* links */
 };
 
 static struct event_base *base;
@@ -36,6 +42,9 @@
 static struct host keeper;
 static struct host entry;
 static struct host other;
+static struct relay *relay; /* null unless a test puts one */
+static struct relay *other_relay;
+static struct relay_link *full_path; /* null unless a test makes one */
 
 static void
 on_frame (void *context, const char *name, uint64_t session,
@@ -71,8 +80,10 @@
 static void
 on_lost (void *context, const char *name)
 {
-  (void)context;
+  struct host *host = context;
+
   (void)name;
+  host->lost++;
 }
 
 static void
@@ -89,23 +100,43 @@
         .link_lost = on_lost,
         .fill_beat = fill_beat };
 
-/* HOST's keeper is the only seed.  */
+/* An IP number of this process.  */
 static void
-start (struct host *host, int index, enum marjoram_gateway_role role,
-       const char *region, uint64_t incarnation)
+name_ip (char ip[IP_MAX], int index)
 {
-  static char *seeds[1];
-  struct marjoram_error err = { 0 };
   int process = getpid ();
 
+  snprintf (ip, IP_MAX, "127.%d.%d.%d", 60 + index, process / 250 % 250,
+            process % 250 + 1);
+}
+
+static bool
+is_keeper (const struct host *host)
+{
+  return host->links && host->settings.role == MARJORAM_ROLE_KEEPER;
+}
+
+/* The seeds of an entry host are the keepers that have started.  HOST
+   listens for links at the address of
+   LISTEN_INDEX, its own unless a relay stands there.  */
+static void
+start_at (struct host *host, int index, int listen_index,
+          enum marjoram_gateway_role role, const char *region,
+          uint64_t incarnation)
+{
+  static char *seeds[2];
+  struct marjoram_error err = { 0 };
+  char listen_ip[IP_MAX];
+
   memset (host, 0, sizeof *host);
-  snprintf (host->ip, sizeof host->ip, "127.%d.%d.%d", 60 + index,
-            process / 250 % 250, process % 250 + 1);
-  snprintf (host->link_address, sizeof host->link_address, "%s:%d", host->ip,
+  name_ip (host->ip, index);
+  name_ip (listen_ip, listen_index);
+  snprintf (host->link_address, sizeof host->link_address, "%s:%d", listen_ip,
             PORT);
   snprintf (host->entry_address, sizeof host->entry_address, "%s:80",
             host->ip);
   seeds[0] = keeper.ip;
+  seeds[1] = other.ip;
   host->settings = (struct marjoram_gateway_settings){
     .role = (int)role,
     .name = host->ip,
@@ -115,7 +146,7 @@
     .link_address = host->link_address,
     .entry_address = role == MARJORAM_ROLE_ENTRY ? host->entry_address : NULL,
     .seeds = seeds,
-    .seed_count = role == MARJORAM_ROLE_ENTRY ? 1 : 0,
+    .seed_count = role == MARJORAM_ROLE_ENTRY ? 1 + is_keeper (&other) : 0,
   };
   host->hosts = marjoram_host_list_create ();
   host->links = marjoram_host_links_create (base, test_clock, &host->settings,
@@ -124,6 +155,13 @@
   ck_assert_msg (host->links != NULL, "%s", err.message);
 }
 
+static void
+start (struct host *host, int index, enum marjoram_gateway_role role,
+       const char *region, uint64_t incarnation)
+{
+  start_at (host, index, index, role, region, incarnation);
+}
+
 static void
 stop (struct host *host)
 {
@@ -171,6 +209,7 @@
 static void
 setup (void)
 {
+  signal (SIGPIPE, SIG_IGN);
   base = event_base_new ();
   test_clock = marjoram_clock_system ();
   start (&keeper, 1, MARJORAM_ROLE_KEEPER, "r1", 1);
@@ -184,6 +223,12 @@
   for (int i = 0; i < 3; i++)
     if (all[i]->links)
       stop (all[i]);
+  relay_destroy (relay);
+  relay_destroy (other_relay);
+  relay_link_destroy (full_path);
+  full_path = NULL;
+  relay = NULL;
+  other_relay = NULL;
   event_base_free (base);
 }
 
@@ -298,6 +343,129 @@
 }
 END_TEST
 
+/* Starts a keeper whose links go through a relay, at its address.  */
+static struct relay *
+start_behind_relay (struct host *host, int index)
+{
+  char address[TEXT_MAX];
+  struct relay *before;
+
+  start_at (host, index, BEHIND_RELAY + index, MARJORAM_ROLE_KEEPER, "r1", 1);
+  snprintf (address, sizeof address, "%s:%d", host->ip, PORT);
+  before = relay_create (base, address, host->link_address);
+  ck_assert (before != NULL);
+  return before;
+}
+
+static void
+put_relay_before_keeper (void)
+{
+  stop (&keeper);
+  relay = start_behind_relay (&keeper, 1);
+}
+
+static bool
+both_are_reached (void)
+{
+  return marjoram_host_links_reaches (entry.links, keeper.ip)
+         && marjoram_host_links_reaches (entry.links, other.ip);
+}
+
+static bool
+has_settled (void)
+{
+  static int64_t since;
+
+  if (since == 0)
+    since = marjoram_clock_now (test_clock);
+  return marjoram_clock_now (test_clock) > since + SETTLE_MS;
+}
+
+/* An entry host with links to two keepers, each through a relay, some beats
+   after they came up.  */
+static void
+start_behind_relays (void)
+{
+  put_relay_before_keeper ();
+  other_relay = start_behind_relay (&other, 3);
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (both_are_reached, "links to both keepers");
+  wait_until (has_settled, "some beats");
+}
+
+/* A large frame from the keeper takes three seconds to come.  */
+static void
+make_path_full (void)
+{
+  full_path = relay_link_create (LARGE_BYTES / 3);
+  relay_set_link (relay, full_path, true);
+}
+
+static void
+tell_large_frame (void)
+{
+  struct marjoram_data message = { 0 };
+  uint8_t *bytes = marjoram_alloc (LARGE_BYTES);
+
+  message.bytes = marjoram_bytes_create (bytes, LARGE_BYTES);
+  marjoram_host_links_tell (keeper.links, MARJORAM_FRAME_DATA, &message);
+  marjoram_bytes_release (message.bytes);
+  free (bytes);
+}
+
+/* A host's path is so full that one large frame takes three seconds to come.
+   The host took the link over which it came for silent after half of it, and
+   hung up: the requests that were forwarded over it were cut, and the frame
+   was sent again from its start.  Only whole frames counted as signs.  */
+START_TEST (link_on_which_a_large_frame_comes_is_not_silent)
+{
+  put_relay_before_keeper ();
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (entry_is_listed, "the host");
+  make_path_full ();
+  tell_large_frame ();
+  wait_until (entry_has_a_frame, "the large frame");
+  ck_assert_int_eq (entry.lost, 0);
+}
+END_TEST
+
+/* A host's own path is full for seconds: a large frame comes on one link, and
+   what others answer waits behind it.  The host took all the others for
+   silent after 1.5 s, hung up, and cut what was forwarded over them, while
+   each answered at once.  */
+START_TEST (link_is_not_silent_where_the_host_is_late)
+{
+  start_behind_relays ();
+  make_path_full ();
+  /* There and back.  */
+  relay_set_delay (other_relay, 1000);
+  tell_large_frame ();
+  wait_until (entry_has_a_frame, "the large frame");
+  ck_assert_int_eq (entry.lost, 0);
+}
+END_TEST
+
+static bool
+both_are_lost (void)
+{
+  return entry.lost == 2;
+}
+
+/* A host is cut off from all others: this is not its own lateness, and it
+   notices as soon as ever, to dial anew.  */
+START_TEST (links_of_a_cut_off_host_are_silent)
+{
+  int64_t began;
+
+  start_behind_relays ();
+  began = marjoram_clock_now (test_clock);
+  relay_set_mode (relay, RELAY_HOLD);
+  relay_set_mode (other_relay, RELAY_HOLD);
+  wait_until (both_are_lost, "both links to be lost");
+  ck_assert_int_lt (marjoram_clock_now (test_clock) - began, 2000);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -309,6 +477,9 @@
   tcase_add_test (tests, host_whose_clock_went_back_is_listed);
   tcase_add_test (tests, news_of_a_region_stay_there);
   tcase_add_test (tests, newcomer_is_told_of_all);
+  tcase_add_test (tests, link_on_which_a_large_frame_comes_is_not_silent);
+  tcase_add_test (tests, link_is_not_silent_where_the_host_is_late);
+  tcase_add_test (tests, links_of_a_cut_off_host_are_silent);
   suite_add_tcase (all, tests);
   return all;
 }
--- a/test/test_state_transfer.c
+++ b/test/test_state_transfer.c
@@ -18,7 +18,7 @@
   BEAT_MS = 300
 };
 
-static const int64_t SECOND_MS = 1000;
+#define SECONDS(count) ((count)*INT64_C (1000))
 
 /* A host between keepers, with at most one piece under way to it.  */
 struct world
@@ -189,12 +189,12 @@
   size_t size;
 
   choose (1, 10, 500);
-  run (SECOND_MS, 0, KEEPERS);
+  run (SECONDS (1), 0, KEEPERS);
   ck_assert_uint_eq (w.number, 1);
   choose (2, 4200, 500);
   w.bytes = 0;
   w.piece_ms = 400;
-  run (60 * SECOND_MS, 0, KEEPERS);
+  run (SECONDS (60), 0, KEEPERS);
   ck_assert_uint_eq (w.number, 2);
   size = w.facts.bytes;
   ck_assert_uint_gt (size, (size_t)2 * MARJORAM_STATE_PIECE_MAX);
@@ -211,7 +211,7 @@
   int64_t began;
 
   choose (1, 10, 500);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   choose (2, 4200, 500);
   w.piece_ms = 100;
   began = w.now;
@@ -240,10 +240,10 @@
 START_TEST (one_changed_route_costs_little)
 {
   choose (1, 5600, 500);
-  run (10 * SECOND_MS, 0, 1);
+  run (SECONDS (10), 0, 1);
   w.bytes = 0;
   choose (2, 5600, 800);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_uint_eq (w.facts.base, 1);
   ck_assert_uint_lt (w.bytes, 1000);
@@ -283,7 +283,7 @@
   ck_assert_int_gt (w.asks, 1);
   w.asked = -1;
   marjoram_state_fetch_lost (w.fetch, "k0");
-  run (5 * SECOND_MS, 1, 1);
+  run (SECONDS (5), 1, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_str_eq (w.keeper, "k1");
 }
@@ -300,7 +300,7 @@
   ck_assert_uint_gt (w.bytes, MARJORAM_STATE_PIECE_MAX);
   w.asked = -1;
   marjoram_state_fetch_lost (w.fetch, "k0");
-  run (5 * SECOND_MS, 1, 1);
+  run (SECONDS (5), 1, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_uint_eq (w.bytes, w.facts.bytes);
 }
@@ -312,7 +312,7 @@
   struct marjoram_state *state = make_state (2, 4200, 500);
 
   choose (1, 10, 500);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   marjoram_state_giver_set (w.givers[0], state);
   marjoram_state_giver_destroy (w.givers[1]);
   w.givers[1] = marjoram_state_giver_create ();
@@ -324,7 +324,7 @@
   ck_assert_uint_gt (w.bytes, MARJORAM_STATE_PIECE_MAX);
   w.asked = -1;
   marjoram_state_fetch_lost (w.fetch, "k0");
-  run (5 * SECOND_MS, 1, 1);
+  run (SECONDS (5), 1, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_uint_eq (w.facts.base, 0);
   ck_assert_int_eq (w.failures, 0);
@@ -337,7 +337,7 @@
 {
   choose (2, 10, 500);
   offer (0);
-  w.now += 3 * SECOND_MS;
+  w.now += SECONDS (3);
   offer (1);
   ck_assert_int_eq (w.asks, 2);
   w.asked = 0;
@@ -352,7 +352,7 @@
   choose (2, 10, 500);
   offer (0);
   w.asked = -1;
-  run (4 * SECOND_MS, 1, 1);
+  run (SECONDS (4), 1, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_str_eq (w.keeper, "k1");
 }
@@ -362,7 +362,7 @@
 START_TEST (newer_states_do_not_starve_a_fetch)
 {
   choose (1, 4200, 500);
-  run (5 * SECOND_MS, 0, KEEPERS);
+  run (SECONDS (5), 0, KEEPERS);
   w.piece_ms = 50;
   for (uint64_t number = 2; number < 12; number++)
     {
@@ -370,7 +370,7 @@
       run (BEAT_MS, 0, KEEPERS);
       ck_assert_uint_ge (w.number, number - 1);
     }
-  run (2 * SECOND_MS, 0, KEEPERS);
+  run (SECONDS (2), 0, KEEPERS);
   ck_assert_uint_eq (w.number, 11);
 }
 END_TEST
@@ -379,10 +379,10 @@
 START_TEST (old_host_gets_it_whole)
 {
   choose (1, 10, 500);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   for (uint64_t number = 2; number < 12; number++)
     choose (number, 10, (int)number);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   ck_assert_uint_eq (w.number, 11);
   ck_assert_uint_eq (w.facts.base, 0);
 }
@@ -398,9 +398,9 @@
   marjoram_state_giver_set (w.givers[0], other);
   marjoram_state_giver_set (w.givers[0], next);
   choose (1, 10, 500);
-  run (SECOND_MS, 1, 1);
+  run (SECONDS (1), 1, 1);
   ck_assert_uint_eq (w.number, 1);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   ck_assert_uint_eq (w.number, 2);
   ck_assert_uint_eq (w.facts.base, 0);
   ck_assert_int_eq (w.failures, 0);
@@ -421,7 +421,7 @@
   marjoram_state_fetch_piece (w.fetch, w.now, "k0", &piece);
   ck_assert_int_eq (w.failures, 1);
   ck_assert_uint_eq (w.number, 0);
-  run (SECOND_MS, 0, 1);
+  run (SECONDS (1), 0, 1);
   ck_assert_uint_eq (w.number, 1);
   marjoram_bytes_release (piece.bytes);
 }
