A host that hears late does not take the other hosts for dead

The own lag was taken off the silence of links and upstreams, and not off that of hosts in the list of those that live, whose limit is shorter still (1.3 s against 1.5 s). Found by reading. When it acts: a host's own link fills within a second, and beats wait there. Then nothing is forwarded to another region (gateway_send.c, offer_of), each host that is late takes itself for the one that feeds a cold upstream (placement_choose.c, may_feed), and a keeper that is late leaves live hosts out of look-ups. The test failed with the rule alone undone and passes with it (plain build; test_host_links and test_gateway too). Not shown: a scenario with a full link. Dead hosts are found later by the lag, 3 s at most, where the host itself is late.

--- a/src/host_links.c
+++ b/src/host_links.c
@@ -264,6 +264,7 @@
   if (link->up)
     marjoram_own_lag_add (&links->own_lag, now, &link->lag, link->heard_at);
   marjoram_own_lag_end (&links->own_lag, now);
+  marjoram_host_list_set_late (links->hosts, links->own_lag.ms);
 }
 
 /* Something between two hosts may lose track of an open connection while new
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -37,6 +37,19 @@
   list->told_valid_ms = msec;
 }
 
+/* Where this host's own link is full or its loop stood still, all beats come
+   late, and the live look dead: nothing could be forwarded, and each host that
+   is late would take itself for the one that feeds a cold upstream.  The lag
+   has a bound, so that the dead are found all the same.  */
+void
+marjoram_host_list_set_late (marjoram_host_list *list, int64_t late_ms)
+{
+  struct marjoram_listed_host *host;
+
+  TAILQ_FOREACH (host, &list->hosts, link)
+  host->late_ms = late_ms;
+}
+
 static void
 clear_beat (struct marjoram_host_beat *beat)
 {
@@ -158,7 +171,7 @@
 bool
 marjoram_host_list_alive (const struct marjoram_listed_host *host, int64_t now)
 {
-  return now - host->heard_at
+  return now - host->heard_at - host->late_ms
          <= (host->direct ? ALIVE_MS : host->told_valid_ms);
 }
 
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -17,6 +17,7 @@
   int64_t heard_at;
   bool direct; /* its own beats come here, not only others' word of it */
   int64_t told_valid_ms; /* how long others' word of it holds */
+  int64_t late_ms;       /* how far behind this host's own hearing is */
 };
 
 TAILQ_HEAD (marjoram_listed_hosts, marjoram_listed_host);
@@ -33,6 +34,8 @@
    seconds.  */
 void marjoram_host_list_set_told_valid (marjoram_host_list *list,
                                         int64_t msec);
+/* This host hears all beats LATE_MS late, until the next word of it.  */
+void marjoram_host_list_set_late (marjoram_host_list *list, int64_t late_ms);
 /* A beat from its host itself (DIRECT) or as passed on.  Returns whether it
    told anything new but that the host lives.  */
 bool marjoram_host_list_hear (marjoram_host_list *list, int64_t now,
--- a/test/test_host_list.c
+++ b/test/test_host_list.c
@@ -147,6 +147,21 @@
 }
 END_TEST
 
+/* The links of a region's hosts were full for seconds, and beats waited there:
+   each host took all others for dead, forwarded nothing, and fed each cold
+   upstream as if it were the only one to do so.  */
+START_TEST (late_host_takes_nobody_for_dead)
+{
+  hear (0, "h1", "z1", "r1");
+  hear (2000, "h2", "z1", "r1");
+  marjoram_host_list_set_late (list, 1500);
+  ck_assert_uint_eq (look_up (2000, "z1", "r1"), 2);
+  ck_assert_uint_eq (look_up (2900, "z1", "r1"), 1);
+  marjoram_host_list_set_late (list, 0);
+  ck_assert_uint_eq (look_up (2000, "z1", "r1"), 1);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -160,6 +175,7 @@
   tcase_add_test (c, older_beats_are_ignored);
   tcase_add_test (c, one_owner_among_the_living_of_a_region);
   tcase_add_test (c, dead_entries_count_for_a_while);
+  tcase_add_test (c, late_host_takes_nobody_for_dead);
   suite_add_tcase (s, c);
   return s;
 }
