--- a/test/fuzz.h
+++ b/test/fuzz.h
@@ -33,7 +33,7 @@
   return marjoram_random_below (in->random, (uint32_t)limit);
 }
 
-static void
+static inline void
 load_input (struct input *in, const char *path)
 {
   size_t size;
