--- a/src/keeper_tell.c
+++ b/src/keeper_tell.c
@@ -16,9 +16,9 @@
 }
 
 /* Hosts are told of the number alone and ask for what they lack.  Given
-   unasked, by each keeper and again while the first copy was on its way, a
-   large state filled the hosts' links for seconds: answers waited behind it,
-   and streams were cut as silent.  */
+   unasked, a large state would be on its way to a host from several keepers
+   at once, fill its link for seconds, and hold up the answers of upstreams
+   until these seem dead and streams are cut.  */
 void
 marjoram_keeper_tell_state (struct marjoram_keeper_role *self)
 {
