--- a/src/claim.c
+++ b/src/claim.c
@@ -479,7 +479,7 @@
   if (!attempt->decided && claims->now >= attempt->deadline)
     marjoram_claims_give_up (claims, attempt);
   if (!attempt->decided)
-    marjoram_claims_ask_again (claims, attempt);
+    marjoram_claims_ask (claims, attempt);
   marjoram_claims_clean_up (claims, attempt);
 }
 
--- a/src/claim_attempt.c
+++ b/src/claim_attempt.c
@@ -442,14 +442,9 @@
 }
 
 void
-marjoram_claims_ask (marjoram_claims *claims, struct marjoram_attempt *attempt)
+marjoram_claims_ask (marjoram_claims *claims,
+                     const struct marjoram_attempt *attempt)
 {
-  if (attempt->asked_in != attempt->phase || attempt->ask_wait_ms == 0)
-    attempt->ask_wait_ms = ASK_VOTES_MS;
-  else
-    attempt->ask_wait_ms *= 2;
-  attempt->asked_in = attempt->phase;
-  attempt->ask_at = claims->now + attempt->ask_wait_ms;
   marjoram_claims_send_all (claims,
                             attempt->phase == MARJORAM_ATTEMPT_ASKING
                                 ? MARJORAM_CLAIM_ASK
@@ -457,14 +452,6 @@
                             &attempt->entry, 0);
 }
 
-void
-marjoram_claims_ask_again (marjoram_claims *claims,
-                           struct marjoram_attempt *attempt)
-{
-  if (attempt->asked_in != attempt->phase || claims->now >= attempt->ask_at)
-    marjoram_claims_ask (claims, attempt);
-}
-
 /* Refused attempts leave nothing behind.  */
 void
 marjoram_claims_clean_up (marjoram_claims *claims,
--- a/src/claim_attempt.h
+++ b/src/claim_attempt.h
@@ -17,9 +17,6 @@
   HELD_MAX = 8, /* attempts of one key told in an answer */
   FINISH_TRIES = 8,
   FINISH_RESEND_MS = 200,
-  /* Votes are asked for again after this, then after doubled waits: a vote
-     that comes late on a full link must not bring an ask with each tick.  */
-  ASK_VOTES_MS = 50,
   STATE_BYTES = 256 * 1024 /* of kept answers in one message */
 };
 
@@ -52,11 +49,8 @@
   bool decided;
   int64_t deadline;
   struct marjoram_claim_answers answers;
-  uint64_t *voters;                     /* incarnation of each slot's vote */
-  enum marjoram_attempt_phase asked_in; /* the phase of the last ask */
-  int64_t ask_at; /* the votes are not asked for again before */
-  int64_t ask_wait_ms;
-  uint64_t told; /* FINISH: peers that know */
+  uint64_t *voters; /* incarnation of each slot's vote */
+  uint64_t told;    /* FINISH: peers that know */
   int tries;
   int64_t resend;
   UT_hash_handle hh;
@@ -150,10 +144,7 @@
 void marjoram_claims_consult (marjoram_claims *claims,
                               struct marjoram_attempt *attempt);
 void marjoram_claims_ask (marjoram_claims *claims,
-                          struct marjoram_attempt *attempt);
-/* Likewise, if it is time to.  */
-void marjoram_claims_ask_again (marjoram_claims *claims,
-                                struct marjoram_attempt *attempt);
+                          const struct marjoram_attempt *attempt);
 void marjoram_claims_clean_up (marjoram_claims *claims,
                                struct marjoram_attempt *attempt);
 struct marjoram_attempt *
