--- a/src/claim.c
+++ b/src/claim.c
@@ -318,7 +318,7 @@
 {
   struct marjoram_claim_message m;
 
-  if (!marjoram_claim_recovery_wants (&claims->recovery, claims->now, peer))
+  if (!marjoram_claim_recovery_wants (&claims->recovery, peer))
     return;
   m = marjoram_claims_message (claims, MARJORAM_CLAIM_RECOVER, NULL, 0);
   m.since = claims->recovery.peers[peer].cursor;
@@ -356,15 +356,6 @@
     try_recovery (claims);
 }
 
-static void
-learn_incarnation (marjoram_claims *claims, int slot, uint64_t value)
-{
-  if (value <= claims->known[slot].value)
-    return;
-  claims->known[slot].value = value;
-  marjoram_claim_recovery_met (&claims->recovery, slot);
-}
-
 static void
 learn_incarnations (marjoram_claims *claims, int from,
                     const struct marjoram_claim_message *m)
@@ -372,8 +363,10 @@
   const struct marjoram_claim_incarnation *known = m->known.items;
 
   for (size_t i = 0; i < m->known.count; i++)
-    learn_incarnation (claims, (int)i, known[i].value);
-  learn_incarnation (claims, from, m->incarnation);
+    if (known[i].value > claims->known[i].value)
+      claims->known[i].value = known[i].value;
+  if (m->incarnation > claims->known[from].value)
+    claims->known[from].value = m->incarnation;
   if (m->horizon > claims->issue_floor)
     claims->issue_floor = m->horizon;
 }
--- a/src/claim_recovery.c
+++ b/src/claim_recovery.c
@@ -2,13 +2,6 @@
 
 #include <string.h>
 
-enum
-{
-  /* Far above the round trip inside a zone.  */
-  ASK_AGAIN_MS = 100,
-  ASK_AGAIN_MAX_MS = 1600
-};
-
 void
 marjoram_claim_recovery_init (struct marjoram_claim_recovery *recovery,
                               int slot_count, int self)
@@ -20,14 +13,6 @@
   recovery->done = slot_count == 1;
 }
 
-void
-marjoram_claim_recovery_met (struct marjoram_claim_recovery *recovery,
-                             int peer)
-{
-  recovery->peers[peer].ask_at = 0;
-  recovery->peers[peer].wait_ms = 0;
-}
-
 bool
 marjoram_claim_recovery_hear (struct marjoram_claim_recovery *recovery,
                               int from,
@@ -43,8 +28,6 @@
   peer->horizon = part->horizon;
   peer->recovered = part->recovered;
   peer->complete = !part->more;
-  if (part->more)
-    marjoram_claim_recovery_met (recovery, from);
   return true;
 }
 
@@ -121,32 +104,16 @@
   return true;
 }
 
-/* An answer can be of some hundred KB, and on its way over a full link for
-   seconds.  Asked for anew with each tick, its copies would keep that link
-   full and requests waiting.  */
-static void
-note_asked (struct marjoram_claim_peer *peer, int64_t now)
-{
-  peer->wait_ms = peer->wait_ms > 0 ? 2 * peer->wait_ms : ASK_AGAIN_MS;
-  if (peer->wait_ms > ASK_AGAIN_MAX_MS)
-    peer->wait_ms = ASK_AGAIN_MAX_MS;
-  peer->ask_at = now + peer->wait_ms;
-}
-
 bool
 marjoram_claim_recovery_wants (struct marjoram_claim_recovery *recovery,
-                               int64_t now, int peer)
+                               int peer)
 {
   struct marjoram_claim_peer *p = &recovery->peers[peer];
 
-  if (recovery->done || peer == recovery->self || now < p->ask_at)
+  if (recovery->done || peer == recovery->self)
     return false;
   /* It may have recovered since, and then has more to give.  */
   if (p->complete && !p->recovered)
-    *p = (struct marjoram_claim_peer){ .incarnation = p->incarnation,
-                                       .wait_ms = p->wait_ms };
-  if (p->complete)
-    return false;
-  note_asked (p, now);
-  return true;
+    *p = (struct marjoram_claim_peer){ .incarnation = p->incarnation };
+  return !p->complete;
 }
--- a/src/claim_recovery.h
+++ b/src/claim_recovery.h
@@ -11,10 +11,8 @@
   uint64_t incarnation;
   int64_t horizon;
   uint64_t cursor;
-  bool complete;   /* all its records have come */
-  bool recovered;  /* it had recovered itself when it answered */
-  int64_t ask_at;  /* it is not asked before */
-  int64_t wait_ms; /* after the last ask; 0: the next one is the first */
+  bool complete;  /* all its records have come */
+  bool recovered; /* it had recovered itself when it answered */
 };
 
 struct marjoram_claim_recovery
@@ -40,12 +38,8 @@
 marjoram_claim_recovery_try (struct marjoram_claim_recovery *recovery,
                              const struct marjoram_claim_incarnation *known,
                              bool patient, int64_t *horizon);
-/* Whether PEER is to be asked now, from its cursor on; if so, it is taken for
-   asked.  */
+/* Whether PEER is to be asked, from its cursor on.  */
 bool marjoram_claim_recovery_wants (struct marjoram_claim_recovery *recovery,
-                                    int64_t now, int peer);
-/* PEER has restarted, and did not get what it was asked before.  */
-void marjoram_claim_recovery_met (struct marjoram_claim_recovery *recovery,
-                                  int peer);
+                                    int peer);
 
 #endif
