--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -39,6 +39,7 @@
   int64_t useful_by;      /* for the first event or the answer */
   int64_t told_useful_by; /* by the host that forwarded it; 0 if not */
   struct marjoram_waiter waiter;
+  int64_t waits_since;   /* if it does */
   int64_t first_at;      /* 0 until the first event or the answer's head */
   int64_t last_at;       /* when events last went to the caller; 0 if never */
   int64_t pause_ms;      /* the longest between two of them */
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -363,6 +363,121 @@
 }
 END_TEST
 
+/* A stream's upstream falls silent and is left for another one, which can't be
+   reached; meanwhile both have long prompts to read.  No event had come for
+   longer than a stream waited, and it was cut at once, though its caller had a
+   second left and a place came in time.  */
+START_TEST (stream_left_for_silence_waits_for_a_place)
+{
+  uint64_t stream;
+
+  f.link_up = false;
+  gateway_fixture_prompt (&f, 0, "/ask/x", 2000);
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  marjoram_gateway_tick (f.gateway, 1600);
+  ck_assert_int_eq (f.seen.sends, 2);
+  stream = f.seen.attempt;
+  for (int i = 0; i < 2; i++)
+    gateway_fixture_prompt (&f, 1700, "/digest/y", 30000);
+  ck_assert_int_eq (f.seen.sends, 4);
+  marjoram_gateway_end (f.gateway, 1900, stream, MARJORAM_HTTP_UNSENT);
+  ck_assert_int_eq (f.seen.cuts, 0);
+  gateway_fixture_head (&f, 2200, 200, NULL, true, false);
+  gateway_fixture_data (&f, 2200, "id: 1\ndata: z\n\n");
+  marjoram_gateway_tick (f.gateway, 2300);
+  ck_assert_int_eq (f.seen.sends, 5);
+  ck_assert (sent ("/ask/x"));
+  ck_assert (sent ("Last-Event-Id: 1\r\n"));
+  ck_assert_int_eq (f.seen.cuts, 0);
+}
+END_TEST
+
+/* A stream whose upstream dies at 100, while both have long prompts ahead, the
+   attempts 2 and 3.  */
+static void
+break_stream_without_place (void)
+{
+  f.link_up = false;
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  for (int i = 0; i < 2; i++)
+    gateway_fixture_prompt (&f, 20, "/digest/y", 30000);
+  f.seen.attempt = 1;
+  gateway_fixture_end (&f, 100, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 3);
+  ck_assert_int_eq (f.seen.cuts, 0);
+}
+
+/* The same, and no place comes: the stream is cut when its caller would not
+   get an event any more, and not later.  */
+START_TEST (broken_stream_waits_no_longer_than_its_caller)
+{
+  break_stream_without_place ();
+  for (int64_t now = 125; now < 2900; now += 25)
+    marjoram_gateway_tick (f.gateway, now);
+  ck_assert_int_eq (f.seen.cuts, 0);
+  marjoram_gateway_tick (f.gateway, 2990);
+  ck_assert_int_eq (f.seen.cuts, 1);
+}
+END_TEST
+
+/* A stream has waited in vain for a second when a newcomer with less time left
+   arrives: the place that then comes is the newcomer's.  Streams that go first
+   for as long as they wait would keep all others from places.  */
+START_TEST (broken_stream_goes_first_for_a_while_only)
+{
+  break_stream_without_place ();
+  for (int64_t now = 125; now < 1000; now += 25)
+    marjoram_gateway_tick (f.gateway, now);
+  ck_assert_int_eq (f.seen.sends, 3);
+  gateway_fixture_prompt (&f, 1000, "/digest/z", 6000);
+  ck_assert_int_eq (f.seen.sends, 3);
+  f.seen.attempt = 2;
+  gateway_fixture_head (&f, 1010, 200, "id-2", true, false);
+  gateway_fixture_data (&f, 1010, "id: 1\ndata: y\n\n");
+  marjoram_gateway_tick (f.gateway, 1025);
+  ck_assert_int_eq (f.seen.sends, 4);
+  ck_assert (sent ("/digest/z"));
+  ck_assert_int_eq (f.seen.cuts, 0);
+}
+END_TEST
+
+/* A stream breaks off, and for a moment neither upstream takes a connection:
+   both are left alone for some hundred ms.  The stream was cut meanwhile.  */
+START_TEST (broken_stream_waits_for_paused_upstreams)
+{
+  f.link_up = false;
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  gateway_fixture_end (&f, 100, MARJORAM_HTTP_BROKEN);
+  gateway_fixture_end (&f, 110, MARJORAM_HTTP_UNSENT);
+  gateway_fixture_end (&f, 120, MARJORAM_HTTP_UNSENT);
+  ck_assert_int_eq (f.seen.sends, 3);
+  ck_assert_int_eq (f.seen.cuts, 0);
+  marjoram_gateway_tick (f.gateway, 500);
+  ck_assert_int_eq (f.seen.sends, 4);
+  ck_assert (sent ("Last-Event-Id: 1\r\n"));
+}
+END_TEST
+
+/* All upstreams of a service are gone: no wait helps, and the caller is told
+   at once, to ask elsewhere.  */
+START_TEST (broken_stream_without_upstreams_is_cut_at_once)
+{
+  f.link_up = false;
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  gateway_fixture_leave (&f, 20, "u1");
+  gateway_fixture_leave (&f, 20, "u2");
+  gateway_fixture_end (&f, 30, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.cuts, 1);
+}
+END_TEST
+
 /* A burst: both engines have 250 ms of prompts to read when a further caller
    comes, to whom an answer is of use for a second.  Refused, it would come
    back to the same; so it waits, and is sent as soon as an engine has read. */
@@ -740,6 +855,11 @@
   tcase_add_test (c, late_host_waits_for_a_first_event);
   tcase_add_test (c, late_host_finds_dead_upstreams);
   tcase_add_test (c, busy_upstream_is_not_silent);
+  tcase_add_test (c, stream_left_for_silence_waits_for_a_place);
+  tcase_add_test (c, broken_stream_waits_no_longer_than_its_caller);
+  tcase_add_test (c, broken_stream_goes_first_for_a_while_only);
+  tcase_add_test (c, broken_stream_waits_for_paused_upstreams);
+  tcase_add_test (c, broken_stream_without_upstreams_is_cut_at_once);
   tcase_add_test (c, silent_upstream_is_kept_if_there_is_no_other);
   tcase_add_test (c, forwarded_stream_is_not_left_for_silence);
   tcase_add_test (c, request_waits_for_a_place);
