--- a/src/state_giver.h
+++ b/src/state_giver.h
@@ -1,7 +1,7 @@
-/* A keeper's side of bringing the agreed state to entry hosts: a host asks for
-   the newest state piece by piece, compressed against the one that it holds.
-   The giver keeps nothing of a host, so that a host may go on with any keeper.
-   Pure decisions.  */
+/* How the agreed state is given to a host, by a keeper or by another host of
+   its zone: the host asks for the newest state piece by piece, compressed
+   against the one that it holds.  The giver keeps nothing of a host, so that a
+   host may go on with any other.  Pure decisions.  */
 #ifndef MARJORAM_STATE_GIVER_H
 #define MARJORAM_STATE_GIVER_H
 
--- a/src/state_packed.h
+++ b/src/state_packed.h
@@ -1,5 +1,5 @@
-/* The agreed state as bytes, as it goes to entry hosts, with what names these
-   bytes for sure.  */
+/* The agreed state as bytes, as it goes to hosts, with a digest that tells
+   these bytes from any others under the same number.  */
 #ifndef MARJORAM_STATE_PACKED_H
 #define MARJORAM_STATE_PACKED_H
 
