--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -409,9 +409,7 @@
          && strcmp (region, self->parts->settings->region) == 0;
 }
 
-/* Once all hosts were lost, nobody knows what the engines keep.  Without
-   asking, the mean worth of what callers got in all was 0.005 lower on five
-   days that end so, six seeds each, most of it in the seconds after.  */
+/* Once all hosts were lost, nobody knows what the engines keep.  */
 static void
 survey_engines (struct marjoram_entry *self, int64_t now)
 {
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -307,9 +307,8 @@
 
 /* The host to cross to: of the region that may run the request with the least
    wait, any one.  All hosts of a region share its upstreams, so that what one
-   of them offers the others can do too; with the host of the best offer, one
-   had all that crossed waiting, at 70,000 tokens of prompts, and its neighbour
-   nothing.  */
+   of them offers the others can do too; all that crosses would else queue at
+   the host of the best offer.  */
 static const struct marjoram_listed_host *
 choose_far (marjoram_gateway *gateway,
             const struct marjoram_exchange *exchange,
@@ -454,8 +453,7 @@
 }
 
 /* The last zone of a region is evacuated while no other region that may run a
-   request can be reached: for a short while its upstreams still take it.  The
-   mean worth of what callers got was 0.02 higher on such a day, four seeds. */
+   request can be reached: for a short while its upstreams still take it.  */
 static bool
 find_last_resort (marjoram_gateway *gateway,
                   struct marjoram_exchange *exchange, int64_t now,
--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -2,8 +2,8 @@
 
 enum
 {
-  /* Most requests that wait at once: a second of a host's share at the largest
-     load, some MB of prompts.  More could not be served in time.  */
+  /* Most requests that wait at once, some MB of prompts: more could not be
+     served in time.  */
   WAITERS_MAX = 400,
   /* Most waiting requests that are tried for a place at once: each is compared
      with all upstreams, and those further back have more time.  */
@@ -113,9 +113,7 @@
 
 /* Under bursts, a request that is refused the moment it comes is a lottery: an
    engine has too many prompts ahead for some hundred ms, while the answer
-   would be of use a second later.  Without waiting, the mean worth of what
-   callers got was 0.03 lower on five days of load and faults, two seeds each
-   (0.651 against 0.682).  */
+   would be of use a second later.  */
 bool
 marjoram_exchange_wait (marjoram_gateway *gateway,
                         struct marjoram_exchange *exchange, int64_t now,
--- a/src/placement.c
+++ b/src/placement.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Tokens of a prompt that an engine reads in a ms, until it has shown its own
-   speed; of the order of the engines in use.  */
+   speed.  */
 #define FIRST_SPEED 40.0
 /* Share that a new observation has in a mean of speed or time.  */
 #define LEARN 0.1
@@ -29,8 +29,7 @@
   /* Broken answers in a row, above which it is not one request's fault.  */
   BROKEN_IN_ROW = 3,
   DOUBT_MS = 500,
-  /* A report of a host that is silent for longer counts no more; twenty
-     reports.  */
+  /* A report of a host that is silent for longer counts no more.  */
   REPORT_VALID_MS = 2000,
   /* Shortest prompt that tells an engine's speed, in tokens.  */
   SPEED_TOKENS_MIN = 1500
@@ -458,9 +457,7 @@
 }
 
 /* What is kept back from a cold upstream is lost to callers, so this lasts
-   only until its next heartbeat says whether it is cold.  With the whole time
-   of a cold start, the mean worth of what callers got was 0.006 lower on five
-   days, three seeds each.  */
+   only until its next heartbeat says whether it is cold.  */
 void
 marjoram_placement_restored (marjoram_placement *placement, int64_t now,
                              const char *zone)
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -5,15 +5,13 @@
 #include <xxhash.h>
 
 /* Reading a part once more takes memory from other parts beside the time, so
-   unread tokens weigh more than the tokens of others ahead.  Between 1 and 2.5
-   the worth of what callers got did not differ.  */
+   unread tokens weigh more than the tokens of others ahead.  */
 #define READ_WEIGHT 2.0
 /* How much a mean failure share of 1 multiplies an upstream's cost.  */
 #define FAILURE_WEIGHT 4.0
 /* Prompts are read in chunks between the tokens of all running requests, so a
-   long prompt holds up long answers.  Weight of that harm against the
-   request's own wait: without it the mean worth of what callers got was 0.014
-   lower on five days of a site of eighteen engines, two seeds each.  */
+   long prompt delays long answers.  Weight of that delay against the request's
+   own wait.  */
 #define PROMPT_HARM 0.1
 /* Tokens of answers for which it counts once.  */
 #define LONG_ANSWER 300.0
@@ -31,14 +29,10 @@
   /* The same of one whose answers broke several times in a row: any other
      comes first, but it is better than none.  */
   DOUBT_COST_MS = 1000,
-  /* Most prompts ahead of a request, as time to read them.  With a longer
-     queue every answer of the engine slows down and its pauses pass what
-     callers accept: without a bound the mean worth of what callers got was
-     0.10 lower on six days, with 300 ms 0.04, with 150 ms 0.005 on 24 days of
-     load; with 70 ms too many are refused, and it was as much lower.  */
+  /* Most prompts ahead of a request, as time to read them: a longer queue
+     stretches the pauses of all running answers beyond what callers accept. */
   BACKLOG_MAX_MS = 100,
-  /* What one in time may cost more than the cheapest that is late; 50 was the
-     same.  */
+  /* What one in time may cost more than the cheapest that is late.  */
   SECOND_BEST_MS = 100,
   RETRY_SOON_MS = 250,
   MSEC_PER_SEC = 1000
@@ -298,8 +292,7 @@
 
 /* Where the cheapest is late, one in time takes the request if it costs little
    more.  At a greater cost it would read again what the cheapest keeps, and
-   drop other parts for it: with any that is in time the mean worth of what
-   callers got was 0.06 lower on six days.  */
+   drop other parts for it.  */
 static void
 choose_both (marjoram_placement *placement, int64_t now,
              const struct marjoram_place_query *query,
--- a/src/placement_copy.c
+++ b/src/placement_copy.c
@@ -4,7 +4,7 @@
 
 enum
 {
-  /* Fewer tokens are read as fast as a copy is set up, 1.3 ms.  */
+  /* Fewer tokens are read as fast as a copy is set up.  */
   COPY_TOKENS_MIN = 64
 };
 
--- a/src/placement_copy.h
+++ b/src/placement_copy.h
@@ -1,9 +1,7 @@
 /* What an engine may copy of a prompt from another engine of its zone instead
-   of reading it.  A part of 3,780 tokens is copied in 9 ms and read in 86, so
-   a request need not wait for the engine that keeps its prompt, and engines
-   don't read once more what another one keeps.  On 24 days of heavy load or
-   trouble on two sites, of nine and twelve engines, the mean worth of what
-   callers got rose by 0.03 (0.639 to 0.670, 0.652 to 0.683).  */
+   of reading it.  Copying takes a tenth of the time of reading, so a request
+   need not wait for the engine that keeps its prompt, and engines don't read
+   once more what another one keeps.  */
 #ifndef MARJORAM_PLACEMENT_COPY_H
 #define MARJORAM_PLACEMENT_COPY_H
 
--- a/src/shortage.c
+++ b/src/shortage.c
@@ -70,8 +70,7 @@
 
 /* What has lasted for some time will last about as long again.  A caller that
    is sent away for less comes back into the same shortage, and has used up its
-   retry: on a day whose largest zone is evacuated, the mean worth of what
-   callers got was 0.02 lower with 250 ms for all, four seeds.  */
+   retry.  */
 int64_t
 marjoram_shortages_refuse (marjoram_shortages *shortages, int64_t now,
                            const char *service, int64_t at_least_ms)
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -8,10 +8,7 @@
 {
   /* How much less time a request must have left to go before one that is more
      urgent by one rank: so much that the urgent ones of a burst go first, and
-     less than the objectives of a second and more that waiting requests have.
-     With 1,200 ms the mean worth of what callers got was 0.02 higher than with
-     400 ms on a day whose largest zone was evacuated, and within the spread
-     (0.004) on four others; 1,000 ms itself was not compared.  */
+     less than the objectives that waiting requests have.  */
   RANK_MS = 1000
 };
 
