Repeats over all hosts stay within the bound when load moves between them

Change: beats to keepers carry what a host requested and repeated, keepers keep sums by difference, and a host that repeats much asks for them and stops at 0.85 of the whole bound. Out of touch its own part alone counts, as before.

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -221,6 +221,10 @@
       marjoram_placement_hear (marjoram_gateway_placement (self->gateway),
                                marjoram_entry_now (self), host, message);
       break;
+    case MARJORAM_FRAME_REPEAT_SUMS:
+      marjoram_repeat_budget_hear (marjoram_gateway_budget (self->gateway),
+                                   marjoram_entry_now (self), message);
+      break;
     case MARJORAM_FRAME_CRASHES:
       marjoram_crash_list_hear (marjoram_gateway_crashes (self->gateway),
                                 marjoram_entry_now (self), message);
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -278,6 +278,10 @@
   beat->ready = is_ready (self);
   beat->leaving = self->stopped_at != 0;
   beat->config_number = self->config_number;
+  beat->uses.items = self->uses;
+  beat->uses.count = marjoram_repeat_budget_uses (
+      marjoram_gateway_budget (self->gateway), marjoram_entry_now (self),
+      self->uses, MARJORAM_REPEAT_USES_MAX);
   if (!self->table)
     return;
   services = self->table->services.items;
--- a/src/frame.h
+++ b/src/frame.h
@@ -39,6 +39,7 @@
   MARJORAM_FRAME_STATE_NEWS,  /* struct marjoram_state_news */
   MARJORAM_FRAME_STATE_ASK,   /* struct marjoram_state_ask */
   MARJORAM_FRAME_STATE_PIECE, /* struct marjoram_state_piece */
+  MARJORAM_FRAME_REPEAT_SUMS, /* struct marjoram_repeat_sums */
   MARJORAM_FRAME_COUNT
 };
 
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -31,6 +31,21 @@
 };
 static LAYOUT (host_offer_layout, marjoram_host_offer, host_offer_fields);
 
+static const struct marjoram_field repeat_use_fields[] = {
+  TEXT (marjoram_repeat_use, service),
+  COUNT (marjoram_repeat_use, requests),
+  COUNT (marjoram_repeat_use, repeats),
+  FLAG (marjoram_repeat_use, asks),
+};
+static LAYOUT (repeat_use_layout, marjoram_repeat_use, repeat_use_fields);
+
+static const struct marjoram_field repeat_sums_fields[] = {
+  COUNT (marjoram_repeat_sums, hosts),
+  { MARJORAM_WIRE_ARRAY (struct marjoram_repeat_sums, items,
+                         MARJORAM_REPEAT_USES_MAX, &repeat_use_layout) },
+};
+LAYOUT (marjoram_repeat_sums_layout, marjoram_repeat_sums, repeat_sums_fields);
+
 static const struct marjoram_field host_beat_fields[] = {
   TEXT (marjoram_host_beat, name),
   TEXT (marjoram_host_beat, zone),
@@ -45,6 +60,8 @@
   COUNT (marjoram_host_beat, age_ms),
   { MARJORAM_WIRE_ARRAY (struct marjoram_host_beat, offers,
                          MARJORAM_HOST_OFFERS_MAX, &host_offer_layout) },
+  { MARJORAM_WIRE_ARRAY (struct marjoram_host_beat, uses,
+                         MARJORAM_REPEAT_USES_MAX, &repeat_use_layout) },
 };
 LAYOUT (marjoram_host_beat_layout, marjoram_host_beat, host_beat_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -8,6 +8,7 @@
 {
   MARJORAM_HOST_BEATS_MAX = 1024,
   MARJORAM_HOST_OFFERS_MAX = 64,
+  MARJORAM_REPEAT_USES_MAX = 64,
   MARJORAM_NEWS_MAX = 4096,
   MARJORAM_LOADS_MAX = 4096,
   MARJORAM_PLACED_MAX = 4096,
@@ -27,6 +28,22 @@
   uint64_t wait_ms;   /* at the least loaded, before its own prompt */
 };
 
+/* What hosts did for one service in the window of the repeat budget.  */
+struct marjoram_repeat_use
+{
+  char *service;
+  uint64_t requests; /* of callers */
+  uint64_t repeats;
+  bool asks; /* the host needs to know the sum over all hosts */
+};
+
+/* The sum over the hosts that a keeper hears.  */
+struct marjoram_repeat_sums
+{
+  uint64_t hosts;
+  struct marjoram_array items; /* of struct marjoram_repeat_use */
+};
+
 /* A host's own word of itself, and as others pass it on.  */
 struct marjoram_host_beat
 {
@@ -42,6 +59,8 @@
   uint64_t config_number;       /* of the state that it has in force */
   uint64_t age_ms;              /* since the sender heard it; 0 from itself */
   struct marjoram_array offers; /* of struct marjoram_host_offer */
+  /* Of struct marjoram_repeat_use; told to keepers only.  */
+  struct marjoram_array uses;
 };
 
 struct marjoram_host_beats
@@ -142,6 +161,7 @@
 };
 
 extern const struct marjoram_layout marjoram_host_beat_layout;
+extern const struct marjoram_layout marjoram_repeat_sums_layout;
 extern const struct marjoram_layout marjoram_host_beats_layout;
 extern const struct marjoram_layout marjoram_news_batch_layout;
 extern const struct marjoram_layout marjoram_news_seen_layout;
--- a/src/host_beats.c
+++ b/src/host_beats.c
@@ -46,11 +46,21 @@
          && strcmp (host->beat.region, links->settings->region) != 0;
 }
 
+static bool
+is_keeper (marjoram_host_links *links, const char *name)
+{
+  const struct marjoram_listed_host *host
+      = marjoram_host_list_find (links->hosts, name);
+
+  return host && host->beat.keeper;
+}
+
 void
 marjoram_host_links_send_beats (marjoram_host_links *links, int64_t now,
                                 bool all)
 {
   struct marjoram_host_beat beat;
+  struct marjoram_host_beat plain;
   struct marjoram_host_link *link;
   bool made = false;
 
@@ -61,12 +71,16 @@
     if (!link->up || (!all && now < link->sent_at + every))
       continue;
     if (!made)
-      make_beat (links, &beat);
+      {
+        make_beat (links, &beat);
+        plain = beat;
+        plain.uses = (struct marjoram_array){ NULL, 0 };
+      }
     made = true;
     link->sent_at = now;
     marjoram_link_lag_sent (&link->lag, now);
     marjoram_peer_send (links->peer, link->host, MARJORAM_FRAME_HOST_BEAT,
-                        &beat);
+                        is_keeper (links, link->host) ? &beat : &plain);
   }
 }
 
@@ -102,6 +116,7 @@
       && strcmp (beat->region, links->settings->region) != 0)
     {
       make_beat (links, &own);
+      own.uses = (struct marjoram_array){ NULL, 0 };
       marjoram_peer_reply (links->peer, beat->name, session,
                            MARJORAM_FRAME_HOST_BEAT, &own);
       return;
@@ -117,6 +132,7 @@
   const struct marjoram_host_beats list = { { &told, 1 } };
 
   told.offers = (struct marjoram_array){ NULL, 0 };
+  told.uses = (struct marjoram_array){ NULL, 0 };
   if (links->settings->role == MARJORAM_ROLE_KEEPER)
     marjoram_host_links_tell (links, MARJORAM_FRAME_HOST_LIST, &list);
 }
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -118,6 +118,7 @@
   target->region = marjoram_strdup (source->region);
   target->entry = marjoram_strdup (source->entry ? source->entry : "");
   copy_offers (&target->offers, &source->offers);
+  target->uses = (struct marjoram_array){ NULL, 0 };
 }
 
 static bool
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -203,6 +203,7 @@
   if (first)
     marjoram_keeper_welcome (self, host, session, beat);
   marjoram_keeper_offer_state (self, host, session, beat);
+  marjoram_keeper_tell_repeats (self, host, session, beat);
 }
 
 static void
@@ -360,6 +361,7 @@
   marjoram_crash_list_destroy (self->crashes);
   marjoram_random_destroy (self->random);
   marjoram_state_giver_destroy (self->giver);
+  marjoram_repeat_sums_list_destroy (self->repeats);
   free (self);
 }
 
@@ -435,6 +437,7 @@
   self->registry = marjoram_registry_create ();
   self->crashes = marjoram_crash_list_create ();
   self->giver = marjoram_state_giver_create ();
+  self->repeats = marjoram_repeat_sums_list_create ();
   self->care = marjoram_keeper_care_create (
       parts->settings->ip, (size_t)parts->settings->disk_losses);
   create_registrar (self);
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -7,6 +7,7 @@
 #include "disk.h"
 #include "keeper_care.h"
 #include "registrar.h"
+#include "repeat_sums.h"
 #include "role.h"
 #include "state_giver.h"
 
@@ -24,6 +25,7 @@
   int64_t cared_at;
   int64_t ticked_at;
   marjoram_state_giver *giver;
+  marjoram_repeat_sums_list *repeats;
   int64_t stopped_at;
 };
 
@@ -51,6 +53,10 @@
 void marjoram_keeper_give_state (struct marjoram_keeper_role *self,
                                  const char *host, uint64_t session,
                                  const struct marjoram_state_ask *ask);
+/* Counts what HOST repeated, and tells it what all hosts did, if it asks.  */
+void marjoram_keeper_tell_repeats (struct marjoram_keeper_role *self,
+                                   const char *host, uint64_t session,
+                                   const struct marjoram_host_beat *beat);
 /* A host's report, for the hosts of this region too.  */
 void marjoram_keeper_hear_crashes (struct marjoram_keeper_role *self,
                                    const char *host,
--- a/src/keeper_tell.c
+++ b/src/keeper_tell.c
@@ -198,3 +198,21 @@
   give_news (self, host, session, beat);
   give_crashes (self, host, session);
 }
+
+void
+marjoram_keeper_tell_repeats (struct marjoram_keeper_role *self,
+                              const char *host, uint64_t session,
+                              const struct marjoram_host_beat *beat)
+{
+  struct marjoram_repeat_use items[MARJORAM_REPEAT_USES_MAX];
+  struct marjoram_repeat_sums sums = { 0, { items, 0 } };
+
+  if (beat->uses.count == 0)
+    return;
+  marjoram_repeat_sums_list_hear (
+      self->repeats, marjoram_keeper_role_now (self), host, &beat->uses);
+  marjoram_repeat_sums_list_answer (self->repeats, &beat->uses, &sums);
+  if (sums.items.count > 0)
+    marjoram_host_links_reply (self->parts->links, host, session,
+                               MARJORAM_FRAME_REPEAT_SUMS, &sums);
+}
--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -9,15 +9,33 @@
 {
   /* The window is counted in steps; repeats are counted for one step more than
      it has, so that no span of its length holds more.  */
-  STEPS = 10
+  STEPS = 10,
+  /* Keepers' sums are renewed with each beat; after three that were missed a
+     host goes by its own part alone.  */
+  SUMS_VALID_MS = 1000
 };
 
+/* Part of the bound that hosts may spend before they hear of each other's
+   repeats.  */
+#define RESERVE 0.15
+/* Part of its own bound, or of the bound of all hosts, above which a host asks
+   for the sums.  */
+#define ASK_SHARE 0.3
+
 struct account
 {
   char *service;
   int64_t step; /* number of the newest step */
   uint32_t requests[STEPS + 1];
   uint32_t repeats[STEPS + 1];
+  /* Over all hosts that a keeper hears.  */
+  struct marjoram_repeat_use sums; /* without the text */
+  uint64_t sums_hosts;
+  int64_t sums_at; /* INT64_MIN / 2: never */
+  uint64_t taken;  /* by this host since the sums */
+  /* As of the last repeat that was asked for.  */
+  double own_bound;
+  double spent_share; /* of the bound of all hosts */
   UT_hash_handle hh;
 };
 
@@ -73,6 +91,7 @@
       account = marjoram_alloc (sizeof *account);
       account->service = marjoram_strdup (service);
       account->step = step;
+      account->sums_at = INT64_MIN / 2;
       HASH_ADD_KEYPTR (hh, budget->accounts, account->service,
                        strlen (account->service), account);
     }
@@ -95,24 +114,108 @@
   account->requests[account->step % (STEPS + 1)]++;
 }
 
+/* The oldest step is only partly in the window.  */
+static uint64_t
+count_requests (const struct account *account)
+{
+  uint64_t count = 0;
+
+  for (int i = 0; i <= STEPS; i++)
+    count += account->requests[i];
+  return count - account->requests[(account->step + 1) % (STEPS + 1)];
+}
+
+static uint64_t
+count_repeats (const struct account *account)
+{
+  uint64_t count = 0;
+
+  for (int i = 0; i <= STEPS; i++)
+    count += account->repeats[i];
+  return count;
+}
+
+/* Which part of the bound all hosts have spent, by the last sums.  Hosts that
+   the keeper does not hear have the rest of the allowance.  */
+static double
+spent_share (const marjoram_repeat_budget *budget,
+             const struct account *account, size_t hosts)
+{
+  const struct marjoram_repeat_use *sums = &account->sums;
+  double heard = hosts ? (double)account->sums_hosts / (double)hosts : 1;
+  double bound = budget->terms.ratio * (double)sums->requests
+                 + budget->terms.allowance * (heard < 1 ? heard : 1);
+
+  return bound > 0 ? (double)(sums->repeats + account->taken + 1) / bound : 0;
+}
+
 bool
 marjoram_repeat_budget_take (marjoram_repeat_budget *budget, int64_t now,
                              const char *service, size_t hosts)
 {
   struct account *account = open_account (budget, service, now);
-  double allowed = budget->terms.allowance / (double)(hosts ? hosts : 1);
-  double repeats = 1;
 
-  for (int i = 0; i <= STEPS; i++)
-    {
-      allowed += budget->terms.ratio * account->requests[i];
-      repeats += account->repeats[i];
-    }
-  /* The oldest step is only partly in the window.  */
-  allowed -= budget->terms.ratio
-             * account->requests[(account->step + 1) % (STEPS + 1)];
-  if (repeats > allowed)
+  account->own_bound
+      = budget->terms.allowance / (double)(hosts ? hosts : 1)
+        + budget->terms.ratio * (double)count_requests (account);
+  account->spent_share = spent_share (budget, account, hosts);
+  if ((double)(count_repeats (account) + 1) > account->own_bound
+      || (now <= account->sums_at + SUMS_VALID_MS
+          && account->spent_share > 1 - RESERVE))
     return false;
   account->repeats[account->step % (STEPS + 1)]++;
+  account->taken++;
   return true;
 }
+
+size_t
+marjoram_repeat_budget_uses (marjoram_repeat_budget *budget, int64_t now,
+                             struct marjoram_repeat_use *items, size_t max)
+{
+  struct account *account;
+  struct account *next;
+  size_t count = 0;
+
+  HASH_ITER (hh, budget->accounts, account, next)
+  {
+    struct marjoram_repeat_use *use = &items[count];
+
+    if (count == max)
+      break;
+    open_account (budget, account->service, now);
+    use->service = account->service;
+    use->requests = count_requests (account);
+    use->repeats = count_repeats (account);
+    use->asks = use->repeats > 0
+                && ((double)use->repeats >= ASK_SHARE * account->own_bound
+                    || account->spent_share > ASK_SHARE);
+    count += use->requests > 0 || use->repeats > 0;
+  }
+  return count;
+}
+
+/* Of several keepers' sums those over the most hosts hold.  */
+void
+marjoram_repeat_budget_hear (marjoram_repeat_budget *budget, int64_t now,
+                             const struct marjoram_repeat_sums *sums)
+{
+  const struct marjoram_repeat_use *items = sums->items.items;
+
+  for (size_t i = 0; i < sums->items.count; i++)
+    {
+      struct account *account;
+
+      if (!items[i].service)
+        continue;
+      HASH_FIND_STR (budget->accounts, items[i].service, account);
+      if (!account
+          || (sums->hosts < account->sums_hosts
+              && now <= account->sums_at + SUMS_VALID_MS))
+        continue;
+      account->sums = items[i];
+      account->sums.service = NULL;
+      account->sums_hosts = sums->hosts;
+      account->sums_at = now;
+      account->taken = 0;
+    }
+}
--- a/test/test_repeat_budget.c
+++ b/test/test_repeat_budget.c
@@ -1,7 +1,12 @@
 /* The budget of second sendings.  */
 #include "suite.h"
 
+#include "cleanup.h"
+
 #include "repeat_budget.h"
+#include "repeat_sums.h"
+
+#include <stdio.h>
 
 enum
 {
@@ -50,6 +55,155 @@
 }
 END_TEST
 
+enum
+{
+  MOVING_HOSTS = 80,
+  /* Requests a second of the half of the hosts that callers use.  */
+  MOVING_RATE = 1000,
+  MOVES_AT_MS = 13000,
+  FAILS_AT_MS = 8000,
+  DAY_MS = 24000,
+  STEP_MS = 10,
+  BEAT_MS = 300
+};
+
+/* Counts by STEP_MS of the day, summed over the hosts.  */
+struct moving_day
+{
+  marjoram_repeat_budget *budgets[MOVING_HOSTS];
+  marjoram_repeat_sums_list *keeper;
+  int requests[DAY_MS / STEP_MS];
+  int repeats[DAY_MS / STEP_MS];
+};
+
+static void
+play_request (struct moving_day *day, int64_t now, int number)
+{
+  int half = now < MOVES_AT_MS ? 0 : MOVING_HOSTS / 2;
+  int host = half + number % (MOVING_HOSTS / 2);
+  bool fails = now >= FAILS_AT_MS && number / MOVING_HOSTS % 2 == 0;
+  marjoram_repeat_budget *budget = day->budgets[host];
+
+  marjoram_repeat_budget_request (budget, now, "lm");
+  day->requests[now / STEP_MS]++;
+  if (fails && marjoram_repeat_budget_take (budget, now, "lm", MOVING_HOSTS))
+    day->repeats[now / STEP_MS]++;
+}
+
+static void
+play_beat (struct moving_day *day, int64_t now, int host)
+{
+  struct marjoram_repeat_use uses[MARJORAM_REPEAT_USES_MAX];
+  struct marjoram_repeat_use answered[MARJORAM_REPEAT_USES_MAX];
+  struct marjoram_array told = { uses, 0 };
+  struct marjoram_repeat_sums sums = { 0, { answered, 0 } };
+  char name[16];
+
+  told.count = marjoram_repeat_budget_uses (day->budgets[host], now, uses,
+                                            MARJORAM_REPEAT_USES_MAX);
+  snprintf (name, sizeof name, "h-%d", host);
+  marjoram_repeat_sums_list_hear (day->keeper, now, name, &told);
+  marjoram_repeat_sums_list_answer (day->keeper, &told, &sums);
+  marjoram_repeat_budget_hear (day->budgets[host], now, &sums);
+}
+
+static void
+play_moving_day (struct moving_day *day)
+{
+  int next = 0;
+
+  for (int64_t now = 0; now < DAY_MS; now += STEP_MS)
+    {
+      for (int i = 0; i < MOVING_RATE * STEP_MS / 1000; i++)
+        play_request (day, now, next++);
+      for (int i = 0; i < MOVING_HOSTS; i++)
+        if ((now / STEP_MS + i) % (BEAT_MS / STEP_MS) == 0)
+          play_beat (day, now, i);
+    }
+}
+
+static int
+count_window (const int *counts, int64_t from_ms)
+{
+  int sum = 0;
+
+  for (int64_t at = from_ms; at < from_ms + WINDOW_MS; at += STEP_MS)
+    sum += at >= 0 && at < DAY_MS ? counts[at / STEP_MS] : 0;
+  return sum;
+}
+
+/* Guards against hosts that lost their callers spending shares of old requests
+   beside hosts that gained them.  */
+START_TEST (load_that_moves_between_hosts_stays_within_the_bound)
+{
+  struct moving_day *day = marjoram_alloc (sizeof *day);
+
+  day->keeper = marjoram_repeat_sums_list_create ();
+  for (int i = 0; i < MOVING_HOSTS; i++)
+    day->budgets[i] = marjoram_repeat_budget_create (&terms);
+  play_moving_day (day);
+  for (int64_t from = 0; from + WINDOW_MS <= DAY_MS; from += STEP_MS)
+    {
+      int repeats = count_window (day->repeats, from);
+      double bound
+          = terms.ratio * count_window (day->requests, from) + terms.allowance;
+
+      ck_assert_msg (repeats <= bound, "%d repeats from %d ms, allowed %g",
+                     repeats, (int)from, bound);
+    }
+  ck_assert_int_gt (count_window (day->repeats, FAILS_AT_MS), 1700);
+  for (int i = 0; i < MOVING_HOSTS; i++)
+    marjoram_repeat_budget_destroy (day->budgets[i]);
+  marjoram_repeat_sums_list_destroy (day->keeper);
+  free (day);
+}
+END_TEST
+
+/* Guards against a host that is told of too few others, or of none, being held
+   back: then its own part counts.  */
+START_TEST (sums_that_are_old_do_not_bind)
+{
+  marjoram_repeat_budget *budget = marjoram_repeat_budget_create (&terms);
+  struct marjoram_repeat_use full = { (char *)"lm", 0, 1000, false };
+  const struct marjoram_repeat_sums sums = { 1, { &full, 1 } };
+
+  ck_assert (marjoram_repeat_budget_take (budget, 0, "lm", 1));
+  marjoram_repeat_budget_hear (budget, 100, &sums);
+  ck_assert (!marjoram_repeat_budget_take (budget, 200, "lm", 1));
+  ck_assert (marjoram_repeat_budget_take (budget, 1200, "lm", 1));
+  marjoram_repeat_budget_destroy (budget);
+}
+END_TEST
+
+START_TEST (sums_follow_what_hosts_tell_and_forget_the_silent)
+{
+  marjoram_repeat_sums_list *list = marjoram_repeat_sums_list_create ();
+  struct marjoram_repeat_use first = { (char *)"lm", 10, 4, true };
+  struct marjoram_repeat_use second = { (char *)"lm", 20, 5, false };
+  struct marjoram_repeat_use answered[MARJORAM_REPEAT_USES_MAX];
+  struct marjoram_repeat_sums sums = { 0, { answered, 0 } };
+  struct marjoram_array a = { &first, 1 };
+  struct marjoram_array b = { &second, 1 };
+
+  marjoram_repeat_sums_list_hear (list, 0, "a", &a);
+  marjoram_repeat_sums_list_hear (list, 0, "b", &b);
+  marjoram_repeat_sums_list_answer (list, &b, &sums);
+  ck_assert_uint_eq (sums.items.count, 0);
+  first.repeats = 6;
+  marjoram_repeat_sums_list_hear (list, 9000, "a", &a);
+  marjoram_repeat_sums_list_answer (list, &a, &sums);
+  ck_assert_uint_eq (sums.items.count, 1);
+  ck_assert_uint_eq (sums.hosts, 2);
+  ck_assert_uint_eq (answered[0].requests, 30);
+  ck_assert_uint_eq (answered[0].repeats, 11);
+  marjoram_repeat_sums_list_hear (list, 10001, "a", &a);
+  marjoram_repeat_sums_list_answer (list, &a, &sums);
+  ck_assert_uint_eq (sums.hosts, 1);
+  ck_assert_uint_eq (answered[0].requests, 10);
+  marjoram_repeat_sums_list_destroy (list);
+}
+END_TEST
+
 START_TEST (services_have_their_own)
 {
   marjoram_repeat_budget *budget = marjoram_repeat_budget_create (&terms);
@@ -72,6 +226,9 @@
   TCase *c = tcase_create ("repeat_budget");
 
   tcase_add_test (c, sum_of_all_hosts_stays_within_the_bound);
+  tcase_add_test (c, load_that_moves_between_hosts_stays_within_the_bound);
+  tcase_add_test (c, sums_that_are_old_do_not_bind);
+  tcase_add_test (c, sums_follow_what_hosts_tell_and_forget_the_silent);
   tcase_add_test (c, services_have_their_own);
   suite_add_tcase (s, c);
   return s;
