Reports, hosts and services are found by hash; loads told are kept as sums

What other hosts have running at an upstream is a sum that each report's difference changes; the oldest reporter expires first. Hosts stand in a hash beside their list; which hosts serve a region, own a key or offer something is collected every 100 ms or on a change, not at each request. A choice walks the upstreams of its service only.

--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -8,7 +8,6 @@
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
-#include <xxhash.h>
 
 enum
 {
@@ -277,9 +276,7 @@
 claim (const struct marjoram_exchange *exchange,
        const struct marjoram_listed_host *host)
 {
-  return XXH3_64bits_withSeed (
-      host->beat.name, strlen (host->beat.name),
-      XXH3_64bits (exchange->facts.id, strlen (exchange->facts.id)));
+  return marjoram_listed_host_claim (host, exchange->facts.id);
 }
 
 static const char *
@@ -288,20 +285,21 @@
                const struct marjoram_route_rule *route, int64_t now,
                int64_t *wait_ms)
 {
-  const struct marjoram_listed_host *host;
+  const struct marjoram_host_view *offering
+      = marjoram_host_list_offering (gateway->options.place.hosts, now);
   const char *best = NULL;
 
-  TAILQ_FOREACH (host, marjoram_host_list_all (gateway->options.place.hosts),
-                 link)
-  {
-    const struct marjoram_host_offer *offer
-        = offer_of (gateway, exchange, route, host, now);
-
-    if (!offer || (best && (int64_t)offer->wait_ms >= *wait_ms))
-      continue;
-    best = host->beat.region;
-    *wait_ms = (int64_t)offer->wait_ms;
-  }
+  for (size_t i = 0; i < offering->count; i++)
+    {
+      const struct marjoram_listed_host *host = offering->hosts[i];
+      const struct marjoram_host_offer *offer
+          = offer_of (gateway, exchange, route, host, now);
+
+      if (!offer || (best && (int64_t)offer->wait_ms >= *wait_ms))
+        continue;
+      best = host->beat.region;
+      *wait_ms = (int64_t)offer->wait_ms;
+    }
   return best;
 }
 
@@ -316,17 +314,21 @@
             int64_t *wait_ms)
 {
   const char *region = choose_region (gateway, exchange, route, now, wait_ms);
-  const struct marjoram_listed_host *host;
+  const struct marjoram_host_view *offering
+      = marjoram_host_list_offering (gateway->options.place.hosts, now);
   const struct marjoram_listed_host *best = NULL;
 
   if (!region)
     return NULL;
-  TAILQ_FOREACH (host, marjoram_host_list_all (gateway->options.place.hosts),
-                 link)
-  if (strcmp (host->beat.region, region) == 0
-      && offer_of (gateway, exchange, route, host, now)
-      && (!best || claim (exchange, host) > claim (exchange, best)))
-    best = host;
+  for (size_t i = 0; i < offering->count; i++)
+    {
+      const struct marjoram_listed_host *host = offering->hosts[i];
+
+      if (strcmp (host->beat.region, region) == 0
+          && offer_of (gateway, exchange, route, host, now)
+          && (!best || claim (exchange, host) > claim (exchange, best)))
+        best = host;
+    }
   return best;
 }
 
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -12,13 +12,43 @@
   ALIVE_MS = 1300,
   /* Told by others, a beat is older by their own interval.  */
   ALIVE_TOLD_MS = 7000,
-  FORGET_MS = 60000
+  FORGET_MS = 60000,
+  /* For how long a view holds while no host is heard to change: a host that
+     falls silent is still in it for so long.  */
+  VIEW_MS = 100
+};
+
+/* The owner of a key among the hosts of a view.  */
+struct owner
+{
+  char *key;
+  const struct marjoram_listed_host *host;
+  UT_hash_handle hh;
+};
+
+/* Some of the hosts, collected now and then, so that what is asked for each
+   request does not walk all hosts.  */
+struct view
+{
+  char *region; /* that serve there; null: that offer something */
+  struct marjoram_host_view it;
+  size_t room;
+  int64_t made_at;
+  uint64_t changes; /* of the list, when it was made */
+  struct owner *owners;
+  UT_hash_handle hh;
 };
 
 struct marjoram_host_list
 {
-  int64_t told_valid_ms;
+  int64_t told_valid_ms; /* how long others' word of a host holds */
+  int64_t late_ms;       /* how far behind this host's own hearing is */
   struct marjoram_listed_hosts hosts;
+  struct marjoram_listed_host *by_name;
+  size_t entries;
+  uint64_t changes; /* of which hosts there are and what they say */
+  struct view *regions;
+  struct view offering;
 };
 
 marjoram_host_list *
@@ -44,10 +74,7 @@
 void
 marjoram_host_list_set_late (marjoram_host_list *list, int64_t late_ms)
 {
-  struct marjoram_listed_host *host;
-
-  TAILQ_FOREACH (host, &list->hosts, link)
-  host->late_ms = late_ms;
+  list->late_ms = late_ms;
 }
 
 static void
@@ -56,19 +83,63 @@
   marjoram_wire_clear (&marjoram_host_beat_layout, beat);
 }
 
+static bool
+is_entry (const struct marjoram_host_beat *beat)
+{
+  return beat->entry && beat->entry[0];
+}
+
 static void
 forget (marjoram_host_list *list, struct marjoram_listed_host *host)
 {
+  list->changes++;
+  list->entries -= is_entry (&host->beat);
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+  HASH_DELETE (hh, list->by_name, host);
   TAILQ_REMOVE (&list->hosts, host, link);
   clear_beat (&host->beat);
   free (host);
 }
 
+static void
+clear_owners (struct view *view)
+{
+  struct owner *owner;
+  struct owner *next;
+
+  HASH_ITER (hh, view->owners, owner, next)
+  {
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    HASH_DELETE (hh, view->owners, owner);
+    free (owner->key);
+    free (owner);
+  }
+}
+
+static void
+clear_view (struct view *view)
+{
+  clear_owners (view);
+  free (view->it.hosts);
+}
+
 void
 marjoram_host_list_destroy (marjoram_host_list *list)
 {
+  struct view *view;
+  struct view *next;
+
   if (!list)
     return;
+  HASH_ITER (hh, list->regions, view, next)
+  {
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    HASH_DELETE (hh, list->regions, view);
+    clear_view (view);
+    free (view->region);
+    free (view);
+  }
+  clear_view (&list->offering);
   while (!TAILQ_EMPTY (&list->hosts))
     /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
     forget (list, TAILQ_FIRST (&list->hosts));
@@ -80,10 +151,8 @@
 {
   struct marjoram_listed_host *host;
 
-  TAILQ_FOREACH (host, &list->hosts, link)
-  if (strcmp (host->beat.name, name) == 0)
-    return host;
-  return NULL;
+  HASH_FIND_STR (list->by_name, name, host);
+  return host;
 }
 
 const struct marjoram_listed_host *
@@ -108,6 +177,32 @@
     }
 }
 
+static bool
+is_same (const char *known, const char *told)
+{
+  return strcmp (known, told ? told : "") == 0;
+}
+
+/* Most beats repeat all texts of the one before.  */
+static bool
+renew_beat (struct marjoram_host_beat *known,
+            const struct marjoram_host_beat *beat)
+{
+  if (known->offers.count > 0 || beat->offers.count > 0
+      || !is_same (known->zone, beat->zone)
+      || !is_same (known->region, beat->region)
+      || !is_same (known->entry, beat->entry))
+    return false;
+  known->keeper = beat->keeper;
+  known->ready = beat->ready;
+  known->leaving = beat->leaving;
+  known->incarnation = beat->incarnation;
+  known->sequence = beat->sequence;
+  known->config_number = beat->config_number;
+  known->age_ms = beat->age_ms;
+  return true;
+}
+
 static void
 copy_beat (struct marjoram_host_beat *target,
            const struct marjoram_host_beat *source)
@@ -130,6 +225,48 @@
   return beat->sequence < known->sequence;
 }
 
+static struct marjoram_listed_host *
+add (marjoram_host_list *list, const struct marjoram_host_beat *beat,
+     int64_t heard_at)
+{
+  struct marjoram_listed_host *host = marjoram_alloc (sizeof *host);
+
+  host->heard_at = heard_at;
+  host->list = list;
+  host->name_hash = XXH3_64bits (beat->name, strlen (beat->name));
+  copy_beat (&host->beat, beat);
+  TAILQ_INSERT_TAIL (&list->hosts, host, link);
+  HASH_ADD_KEYPTR (hh, list->by_name, host->beat.name,
+                   strlen (host->beat.name), host);
+  return host;
+}
+
+/* The name, which is the key of the hash, stays in place.  */
+static void
+replace_beat (struct marjoram_listed_host *host,
+              const struct marjoram_host_beat *beat)
+{
+  char *name = host->beat.name;
+
+  if (renew_beat (&host->beat, beat))
+    return;
+  host->beat.name = NULL;
+  clear_beat (&host->beat);
+  copy_beat (&host->beat, beat);
+  free (host->beat.name);
+  host->beat.name = name;
+}
+
+/* Whether BEAT may put its host, of which HOST is known, into a view or out of
+   one.  */
+static bool
+changes_views (const struct marjoram_listed_host *host, int64_t now,
+               const struct marjoram_host_beat *beat)
+{
+  return !marjoram_host_list_alive (host, now)
+         || (host->beat.offers.count > 0) != (beat->offers.count > 0);
+}
+
 bool
 marjoram_host_list_hear (marjoram_host_list *list, int64_t now,
                          const struct marjoram_host_beat *beat, bool direct)
@@ -146,16 +283,15 @@
   changed = !host || host->beat.incarnation != beat->incarnation
             || host->beat.ready != beat->ready
             || host->beat.leaving != beat->leaving;
+  list->changes += changed || changes_views (host, now, beat);
   if (host)
-    clear_beat (&host->beat);
-  else
     {
-      host = marjoram_alloc (sizeof *host);
-      host->heard_at = heard_at;
-      host->told_valid_ms = list->told_valid_ms;
-      TAILQ_INSERT_TAIL (&list->hosts, host, link);
+      list->entries -= is_entry (&host->beat);
+      replace_beat (host, beat);
     }
-  copy_beat (&host->beat, beat);
+  else
+    host = add (list, beat, heard_at);
+  list->entries += is_entry (&host->beat);
   if (heard_at > host->heard_at)
     host->heard_at = heard_at;
   if (direct)
@@ -172,8 +308,8 @@
 bool
 marjoram_host_list_alive (const struct marjoram_listed_host *host, int64_t now)
 {
-  return now - host->heard_at - host->late_ms
-         <= (host->direct ? ALIVE_MS : host->told_valid_ms);
+  return now - host->heard_at - host->list->late_ms
+         <= (host->direct ? ALIVE_MS : host->list->told_valid_ms);
 }
 
 bool
@@ -254,51 +390,133 @@
   return NULL;
 }
 
-static uint64_t
-claim (const char *name, const char *key)
+/* ---- Views.  ---- */
+
+static bool
+is_in_view (const struct view *view, const struct marjoram_listed_host *host,
+            int64_t now)
+{
+  if (view->region ? strcmp (host->beat.region, view->region) != 0
+                   : host->beat.offers.count == 0)
+    return false;
+  return marjoram_host_list_serves (host, now);
+}
+
+static void
+make_view (const marjoram_host_list *list, struct view *view, int64_t now)
+{
+  struct marjoram_listed_host *host;
+
+  clear_owners (view);
+  if (view->room < HASH_COUNT (list->by_name))
+    {
+      free (view->it.hosts);
+      view->room = HASH_COUNT (list->by_name);
+      view->it.hosts = marjoram_alloc (view->room * sizeof *view->it.hosts);
+    }
+  view->it.count = 0;
+  TAILQ_FOREACH (host, &list->hosts, link)
+  if (is_in_view (view, host, now))
+    view->it.hosts[view->it.count++] = host;
+  view->made_at = now;
+  view->changes = list->changes;
+}
+
+static void
+renew_view (const marjoram_host_list *list, struct view *view, int64_t now)
+{
+  if (view->changes != list->changes || now < view->made_at
+      || now >= view->made_at + VIEW_MS)
+    make_view (list, view, now);
+}
+
+static struct view *
+region_view (marjoram_host_list *list, int64_t now, const char *region)
+{
+  struct view *view;
+
+  HASH_FIND_STR (list->regions, region, view);
+  if (!view)
+    {
+      view = marjoram_alloc (sizeof *view);
+      view->region = marjoram_strdup (region);
+      view->changes = list->changes - 1;
+      HASH_ADD_KEYPTR (hh, list->regions, view->region, strlen (view->region),
+                       view);
+    }
+  renew_view (list, view, now);
+  return view;
+}
+
+const struct marjoram_host_view *
+marjoram_host_list_offering (marjoram_host_list *list, int64_t now)
+{
+  renew_view (list, &list->offering, now);
+  return &list->offering.it;
+}
+
+const struct marjoram_host_view *
+marjoram_host_list_of_region (marjoram_host_list *list, int64_t now,
+                              const char *region)
+{
+  return &region_view (list, now, region)->it;
+}
+
+uint64_t
+marjoram_listed_host_claim (const struct marjoram_listed_host *host,
+                            const char *key)
+{
+  return XXH3_64bits_withSeed (key, strlen (key), host->name_hash);
+}
+
+static const struct marjoram_listed_host *
+find_owner (const struct view *view, const char *key)
 {
-  return XXH3_64bits_withSeed (key, strlen (key),
-                               XXH3_64bits (name, strlen (name)));
+  const struct marjoram_listed_host *best = NULL;
+  uint64_t most = 0;
+
+  for (size_t i = 0; i < view->it.count; i++)
+    {
+      uint64_t claim = marjoram_listed_host_claim (view->it.hosts[i], key);
+
+      if (best && claim <= most)
+        continue;
+      best = view->it.hosts[i];
+      most = claim;
+    }
+  return best;
 }
 
 const char *
 marjoram_host_list_owner (marjoram_host_list *list, int64_t now,
                           const char *region, const char *key)
 {
-  const struct marjoram_listed_host *host;
-  const struct marjoram_listed_host *best = NULL;
+  struct view *view = region_view (list, now, region);
+  struct owner *owner;
 
-  TAILQ_FOREACH (host, &list->hosts, link)
-  if (marjoram_host_list_serves (host, now)
-      && strcmp (host->beat.region, region) == 0
-      && (!best
-          || claim (host->beat.name, key) > claim (best->beat.name, key)))
-    best = host;
-  return best ? best->beat.name : NULL;
+  HASH_FIND_STR (view->owners, key, owner);
+  if (!owner)
+    {
+      owner = marjoram_alloc (sizeof *owner);
+      owner->key = marjoram_strdup (key);
+      owner->host = find_owner (view, key);
+      HASH_ADD_KEYPTR (hh, view->owners, owner->key, strlen (owner->key),
+                       owner);
+    }
+  return owner->host ? owner->host->beat.name : NULL;
 }
 
 size_t
 marjoram_host_list_serving (marjoram_host_list *list, int64_t now,
                             const char *region)
 {
-  const struct marjoram_listed_host *host;
-  size_t count = 0;
-
-  TAILQ_FOREACH (host, &list->hosts, link)
-  count += marjoram_host_list_serves (host, now)
-           && strcmp (host->beat.region, region) == 0;
-  return count;
+  return region_view (list, now, region)->it.count;
 }
 
 size_t
 marjoram_host_list_entries (marjoram_host_list *list)
 {
-  const struct marjoram_listed_host *host;
-  size_t count = 0;
-
-  TAILQ_FOREACH (host, &list->hosts, link)
-  count += host->beat.entry[0] != '\0';
-  return count;
+  return list->entries;
 }
 
 void
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -7,6 +7,7 @@
 
 #include <stdbool.h>
 #include <sys/queue.h>
+#include <uthash.h>
 
 typedef struct marjoram_host_list marjoram_host_list;
 
@@ -16,8 +17,9 @@
   struct marjoram_host_beat beat; /* owns its texts */
   int64_t heard_at;
   bool direct; /* its own beats come here, not only others' word of it */
-  int64_t told_valid_ms; /* how long others' word of it holds */
-  int64_t late_ms;       /* how far behind this host's own hearing is */
+  const marjoram_host_list *list;
+  uint64_t name_hash; /* for rendezvous hashing */
+  UT_hash_handle hh;
 };
 
 TAILQ_HEAD (marjoram_listed_hosts, marjoram_listed_host);
@@ -76,6 +78,22 @@
    hashing; null if there is none.  */
 const char *marjoram_host_list_owner (marjoram_host_list *list, int64_t now,
                                       const char *region, const char *key);
+/* Hosts that serve, of any region, and that have told this one themselves what
+   their regions offer.  Valid until the next call with LIST.  */
+struct marjoram_host_view
+{
+  struct marjoram_listed_host **hosts;
+  size_t count;
+};
+const struct marjoram_host_view *
+marjoram_host_list_offering (marjoram_host_list *list, int64_t now);
+/* The same, of hosts of REGION that serve.  */
+const struct marjoram_host_view *
+marjoram_host_list_of_region (marjoram_host_list *list, int64_t now,
+                              const char *region);
+/* The claim of the host to KEY in rendezvous hashing.  */
+uint64_t marjoram_listed_host_claim (const struct marjoram_listed_host *host,
+                                     const char *key);
 /* What HOST's region offers for SERVICE; null if nothing.  */
 const struct marjoram_host_offer *
 marjoram_listed_host_offer (const struct marjoram_listed_host *host,
--- a/src/placement.c
+++ b/src/placement.c
@@ -29,8 +29,6 @@
   /* Broken answers in a row, above which it is not one request's fault.  */
   BROKEN_IN_ROW = 3,
   DOUBT_MS = 500,
-  /* A report of a host that is silent for longer counts no more.  */
-  REPORT_VALID_MS = 2000,
   /* Shortest prompt that tells an engine's speed, in tokens.  */
   SPEED_TOKENS_MIN = 1500
 };
@@ -44,6 +42,7 @@
   placement->host = marjoram_strdup (options->host);
   placement->region = marjoram_strdup (options->region);
   STAILQ_INIT (&placement->placed);
+  TAILQ_INIT (&placement->reporters_by_age);
   return placement;
 }
 
@@ -61,29 +60,16 @@
   spot->id = marjoram_strdup (id);
   spot->memory = marjoram_engine_memory_create ();
   spot->born = MARJORAM_BORN_UNKNOWN;
-  TAILQ_INIT (&spot->told);
   TAILQ_INIT (&spot->unanswered);
   HASH_ADD_KEYPTR (hh, placement->spots, spot->id, strlen (spot->id), spot);
   return spot;
 }
 
-void
-marjoram_spot_forget_told (struct marjoram_spot *spot,
-                           struct marjoram_told_load *told)
-{
-  TAILQ_REMOVE (&spot->told, told, link);
-  free (told->host);
-  free (told);
-}
-
 static void
 forget_spot (marjoram_placement *placement, struct marjoram_spot *spot)
 {
   /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, placement->spots, spot);
-  while (!TAILQ_EMPTY (&spot->told))
-    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
-    marjoram_spot_forget_told (spot, TAILQ_FIRST (&spot->told));
   marjoram_engine_memory_destroy (spot->memory);
   free (spot->id);
   free (spot);
@@ -106,7 +92,6 @@
   while ((placed = STAILQ_FIRST (&placement->placed)))
     {
       STAILQ_REMOVE_HEAD (&placement->placed, link);
-      free (placed->upstream);
       free (placed);
     }
 }
@@ -127,6 +112,11 @@
   {
     forget_attempt (placement, attempt);
   }
+  marjoram_placement_forget_placed (placement);
+  while (!TAILQ_EMPTY (&placement->reporters_by_age))
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    marjoram_reporter_destroy (placement,
+                               TAILQ_FIRST (&placement->reporters_by_age));
   HASH_ITER (hh, placement->spots, spot, next_spot)
   {
     forget_spot (placement, spot);
@@ -138,7 +128,6 @@
     free (speed->service);
     free (speed);
   }
-  marjoram_placement_forget_placed (placement);
   free (placement->host);
   free (placement->region);
   free (placement);
@@ -162,9 +151,9 @@
 }
 
 /* A start of the same upstream holds nothing of before.  */
-void
-marjoram_spot_check_life (struct marjoram_spot *spot,
-                          const struct marjoram_registered *upstream)
+static void
+check_life (struct marjoram_spot *spot,
+            const struct marjoram_registered *upstream)
 {
   if (spot->born == upstream->news.born)
     return;
@@ -177,28 +166,27 @@
   spot->broken = 0;
 }
 
+struct marjoram_spot *
+marjoram_spot_of (marjoram_placement *placement,
+                  const struct marjoram_registered *upstream)
+{
+  struct marjoram_spot *spot
+      = marjoram_spot_find (placement, upstream->news.id);
+
+  check_life (spot, upstream);
+  return spot;
+}
+
 struct marjoram_spot_load_sum
-marjoram_spot_load (struct marjoram_spot *spot, int64_t now)
+marjoram_spot_load (const struct marjoram_spot *spot)
 {
   struct marjoram_spot_load_sum sum = spot->own;
-  struct marjoram_told_load *told = TAILQ_FIRST (&spot->told);
 
-  while (told)
-    {
-      struct marjoram_told_load *next = TAILQ_NEXT (told, link);
-
-      if (now - told->at > REPORT_VALID_MS)
-        marjoram_spot_forget_told (spot, told);
-      else
-        {
-          sum.running += told->load.running;
-          sum.unread += told->load.unread;
-          sum.urgent += told->load.urgent;
-          sum.held += told->load.held;
-          sum.answer += told->load.answer;
-        }
-      told = next;
-    }
+  sum.running += spot->told.running;
+  sum.unread += spot->told.unread;
+  sum.urgent += spot->told.urgent;
+  sum.held += spot->told.held;
+  sum.answer += spot->told.answer;
   return sum;
 }
 
@@ -237,7 +225,7 @@
   struct marjoram_placed_item *placed = marjoram_alloc (sizeof *placed);
 
   marjoram_engine_memory_use (spot->memory, part->id, part->tokens, capacity);
-  placed->upstream = marjoram_strdup (spot->id);
+  placed->spot = spot;
   placed->part = *part;
   STAILQ_INSERT_TAIL (&placement->placed, placed, link);
 }
@@ -246,9 +234,9 @@
    used last.  */
 static void
 use_parts (marjoram_placement *placement, struct marjoram_spot *spot,
-           const struct marjoram_place_query *query, int64_t now)
+           const struct marjoram_place_query *query)
 {
-  struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
+  struct marjoram_spot_load_sum load = marjoram_spot_load (spot);
   int64_t capacity = query->service->engine.kv_capacity - load.held;
 
   for (size_t i = query->facts->part_count; i > 0; i--)
@@ -263,8 +251,10 @@
 {
   struct marjoram_spot *spot = marjoram_spot_find (placement, upstream);
   struct marjoram_placed_attempt *attempt = marjoram_alloc (sizeof *attempt);
-  struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
+  struct marjoram_spot_load_sum load;
 
+  marjoram_placement_forget_reports (placement, now);
+  load = marjoram_spot_load (spot);
   attempt->number = number;
   attempt->spot = spot;
   attempt->service = marjoram_strdup (query->service->name);
@@ -280,7 +270,7 @@
       attempt->ahead = marjoram_load_ahead (&load, query->priority);
       attempt->answer = (int64_t)marjoram_answer_tokens (query->facts);
       attempt->held = attempt->unread + attempt->answer;
-      use_parts (placement, spot, query, now);
+      use_parts (placement, spot, query);
     }
   spot->own.running++;
   spot->own.unread += attempt->unread;
@@ -482,19 +472,28 @@
                                 INT64_MAX);
 }
 
+static bool
+is_in_use (const struct marjoram_placement *placement,
+           const struct marjoram_spot *spot)
+{
+  return spot->own.running > 0 || spot->tellers > 0
+         || marjoram_registry_find (placement->options.registry, spot->id);
+}
+
 /* Upstreams that the registry has forgotten are forgotten here too, once
-   nothing of this host runs there.  */
+   nothing runs there and nothing more is to be told of them.  */
 void
 marjoram_placement_tick (marjoram_placement *placement, int64_t now)
 {
   struct marjoram_spot *spot;
   struct marjoram_spot *next;
 
-  (void)now;
+  marjoram_placement_forget_reports (placement, now);
+  if (!STAILQ_EMPTY (&placement->placed))
+    return;
   HASH_ITER (hh, placement->spots, spot, next)
   {
-    if (spot->own.running == 0
-        && !marjoram_registry_find (placement->options.registry, spot->id))
+    if (!is_in_use (placement, spot))
       forget_spot (placement, spot);
   }
 }
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -89,8 +89,7 @@
   const struct marjoram_placement_options *options = &placement->options;
   const char *region;
 
-  if (strcmp (upstream->news.service, query->service->name) != 0
-      || !marjoram_registry_usable (options->registry, upstream, now))
+  if (!marjoram_registry_usable (options->registry, upstream, now))
     return false;
   region = options->region_of (options->context, upstream->news.zone);
   if (!region || strcmp (region, placement->region) != 0)
@@ -165,7 +164,7 @@
 {
   struct marjoram_service_speed *speed
       = marjoram_placement_speed (placement, query->service->name);
-  struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
+  struct marjoram_spot_load_sum load = marjoram_spot_load (spot);
   int64_t unread = query->facts->prompt_tokens - copy->kept - copy->tokens;
   double unread_ms = (double)unread / speed->tokens_per_ms;
   double ahead_ms = (double)marjoram_load_ahead (&load, query->priority)
@@ -187,11 +186,11 @@
 static struct estimate
 estimate_plain (marjoram_placement *placement, struct marjoram_spot *spot,
                 const struct marjoram_registered *upstream,
-                const struct marjoram_place_query *query, int64_t now)
+                const struct marjoram_place_query *query)
 {
   struct marjoram_service_speed *speed
       = marjoram_placement_speed (placement, query->service->name);
-  struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
+  struct marjoram_spot_load_sum load = marjoram_spot_load (spot);
   int64_t slots = upstream->news.slots > 0 ? upstream->news.slots : 1;
   struct estimate estimate = { 0 };
 
@@ -213,7 +212,7 @@
   struct estimate estimate
       = query->service->has_engine
             ? estimate_engine (placement, spot, query, copy, now)
-            : estimate_plain (placement, spot, upstream, query, now);
+            : estimate_plain (placement, spot, upstream, query);
 
   estimate.cost_ms *= 1 + FAILURE_WEIGHT * spot->failure_share;
   estimate.cost_ms += (double)spread (spot, query->facts);
@@ -299,12 +298,16 @@
              struct marjoram_place *place, struct choice *cheapest,
              struct choice *in_time)
 {
+  struct marjoram_registered_list *upstreams = marjoram_registry_of_service (
+      placement->options.registry, query->service->name);
   struct marjoram_copy_sources sources;
   struct marjoram_registered *upstream;
 
+  if (!upstreams)
+    return;
+  marjoram_placement_forget_reports (placement, now);
   marjoram_copy_sources_find (&sources, placement, query, now);
-  TAILQ_FOREACH (upstream, marjoram_registry_all (placement->options.registry),
-                 link)
+  TAILQ_FOREACH (upstream, upstreams, service_link)
   {
     struct marjoram_spot *spot;
     struct estimate estimate;
@@ -315,8 +318,7 @@
     place->candidates++;
     if (now - upstream->heard_at > place->news_age_ms)
       place->news_age_ms = now - upstream->heard_at;
-    spot = marjoram_spot_find (placement, upstream->news.id);
-    marjoram_spot_check_life (spot, upstream);
+    spot = marjoram_spot_of (placement, upstream);
     if (!may_use (placement, spot, upstream, query, now))
       continue;
     place->usable++;
@@ -400,18 +402,22 @@
   const struct marjoram_place_query query
       = { .service = service, .facts = &nothing, .priority = 1 };
   const struct marjoram_copy no_copy = { 0 };
+  struct marjoram_registered_list *upstreams = marjoram_registry_of_service (
+      placement->options.registry, service->name);
   struct marjoram_registered *upstream;
 
   memset (offer, 0, sizeof *offer);
   offer->service = service->name;
-  TAILQ_FOREACH (upstream, marjoram_registry_all (placement->options.registry),
-                 link)
+  if (!upstreams)
+    return;
+  marjoram_placement_forget_reports (placement, now);
+  TAILQ_FOREACH (upstream, upstreams, service_link)
   {
     struct marjoram_spot *spot;
 
     if (!marjoram_placement_is_candidate (placement, upstream, &query, now))
       continue;
-    spot = marjoram_spot_find (placement, upstream->news.id);
+    spot = marjoram_spot_of (placement, upstream);
     if (now < spot->paused_until || is_cold (spot, upstream, service, now))
       continue;
     raise_offer (
--- a/src/placement_copy.c
+++ b/src/placement_copy.c
@@ -57,22 +57,22 @@
                             const struct marjoram_place_query *query,
                             int64_t now)
 {
+  struct marjoram_registered_list *upstreams = marjoram_registry_of_service (
+      placement->options.registry, query->service->name);
   struct marjoram_registered *upstream;
 
   sources->zone_count = 0;
-  if (query->service->engine.copied_per_ms <= 0
+  if (!upstreams || query->service->engine.copied_per_ms <= 0
       || query->facts->part_count == 0)
     return;
-  TAILQ_FOREACH (upstream, marjoram_registry_all (placement->options.registry),
-                 link)
+  TAILQ_FOREACH (upstream, upstreams, service_link)
   {
     struct marjoram_copy_zone *zone;
     struct marjoram_spot *spot;
 
     if (!marjoram_placement_is_candidate (placement, upstream, query, now))
       continue;
-    spot = marjoram_spot_find (placement, upstream->news.id);
-    marjoram_spot_check_life (spot, upstream);
+    spot = marjoram_spot_of (placement, upstream);
     zone = find_zone (sources, upstream->news.zone);
     if (zone && may_give (spot, upstream, now))
       add_source (zone, upstream, marjoram_spot_kept (spot, query->facts));
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -18,15 +18,27 @@
   int64_t answer;  /* tokens that running requests may still get */
 };
 
-/* What another host has running at a spot.  */
+struct marjoram_spot;
+
+/* What another host has running at a spot, by its last report.  */
 struct marjoram_told_load
 {
-  TAILQ_ENTRY (marjoram_told_load) link;
-  char *host;
-  int64_t at;
+  struct marjoram_spot *spot;
   struct marjoram_spot_load_sum load;
 };
 
+/* Another host of the region.  */
+struct marjoram_reporter
+{
+  TAILQ_ENTRY (marjoram_reporter) link; /* by time, the oldest report first */
+  char *host;
+  int64_t at; /* of its last report */
+  struct marjoram_told_load *loads;
+  size_t count;
+  size_t room; /* loads that fit */
+  UT_hash_handle hh;
+};
+
 /* Of a spot that was told of before its upstream's own news came.  */
 #define MARJORAM_BORN_UNKNOWN INT64_MIN
 
@@ -35,7 +47,8 @@
 {
   char *id;
   struct marjoram_spot_load_sum own;
-  TAILQ_HEAD (, marjoram_told_load) told;
+  struct marjoram_spot_load_sum told; /* by all other hosts together */
+  size_t tellers;                     /* reports that name it */
   marjoram_engine_memory *memory;
   int64_t capacity; /* tokens, of the engine's memory; 0 until it is known */
   int64_t born;     /* of the life that MEMORY is of */
@@ -52,6 +65,8 @@
   double late_ms; /* by which first events came later than expected, a mean */
   TAILQ_HEAD (, marjoram_placed_attempt) unanswered; /* the oldest first */
   bool tell_lost;
+  uint64_t report; /* number of the report that names it at ITEM */
+  size_t item;
   UT_hash_handle hh;
 };
 
@@ -85,7 +100,7 @@
 struct marjoram_placed_item
 {
   STAILQ_ENTRY (marjoram_placed_item) link;
-  char *upstream;
+  struct marjoram_spot *spot;
   struct marjoram_prompt_part part;
 };
 
@@ -98,18 +113,26 @@
   struct marjoram_placed_attempt *attempts;
   struct marjoram_service_speed *speeds;
   STAILQ_HEAD (, marjoram_placed_item) placed; /* since the last report */
+  uint64_t reports;                            /* made */
+  struct marjoram_reporter *reporters;
+  TAILQ_HEAD (, marjoram_reporter) reporters_by_age;
 };
 
 struct marjoram_spot *marjoram_spot_find (marjoram_placement *placement,
                                           const char *id);
-/* Forgets what is known of a former life of UPSTREAM, whose spot SPOT is.  */
-void marjoram_spot_check_life (struct marjoram_spot *spot,
-                               const struct marjoram_registered *upstream);
-void marjoram_spot_forget_told (struct marjoram_spot *spot,
-                                struct marjoram_told_load *told);
-/* What runs there, from this host and from all that told lately.  */
-struct marjoram_spot_load_sum marjoram_spot_load (struct marjoram_spot *spot,
-                                                  int64_t now);
+/* The spot of UPSTREAM, with nothing of a former life of it.  */
+struct marjoram_spot *
+marjoram_spot_of (marjoram_placement *placement,
+                  const struct marjoram_registered *upstream);
+/* What runs there, from this host and from all that told lately: to be called
+   after marjoram_placement_forget_reports.  */
+struct marjoram_spot_load_sum
+marjoram_spot_load (const struct marjoram_spot *spot);
+/* Takes off what hosts told that have been silent for long.  */
+void marjoram_placement_forget_reports (marjoram_placement *placement,
+                                        int64_t now);
+void marjoram_reporter_destroy (marjoram_placement *placement,
+                                struct marjoram_reporter *reporter);
 /* Tokens of the prompt that the engine keeps, at most all of them.  */
 int64_t marjoram_spot_kept (const struct marjoram_spot *spot,
                             const struct marjoram_call_facts *facts);
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -4,16 +4,22 @@
 
 #include <string.h>
 
-/* ---- Reports between hosts.  ---- */
+enum
+{
+  /* A report of a host that is silent for longer counts no more.  */
+  REPORT_VALID_MS = 2000
+};
+
+/* ---- This host's own.  ---- */
 
 static size_t
-add_item (struct marjoram_load_report *report, struct marjoram_spot *spot)
+add_item (marjoram_placement *placement, struct marjoram_load_report *report,
+          struct marjoram_spot *spot)
 {
   struct marjoram_load_item *items = report->items.items;
 
-  for (size_t i = 0; i < report->items.count; i++)
-    if (strcmp (items[i].upstream, spot->id) == 0)
-      return i;
+  if (spot->report == placement->reports)
+    return spot->item;
   items[report->items.count] = (struct marjoram_load_item){
     .upstream = marjoram_strdup (spot->id),
     .running = (uint64_t)spot->own.running,
@@ -24,7 +30,9 @@
     .lost = spot->tell_lost,
   };
   spot->tell_lost = false;
-  return report->items.count++;
+  spot->report = placement->reports;
+  spot->item = report->items.count++;
+  return spot->item;
 }
 
 static size_t
@@ -53,11 +61,12 @@
   report->items.items
       = marjoram_alloc (spots * sizeof (struct marjoram_load_item));
   report->placed.items = out;
+  placement->reports++;
   HASH_ITER (hh, placement->spots, spot, next)
   {
     if ((spot->own.running > 0 || spot->tell_lost)
         && report->items.count < MARJORAM_LOADS_MAX)
-      add_item (report, spot);
+      add_item (placement, report, spot);
   }
   STAILQ_FOREACH (placed, &placement->placed, link)
   {
@@ -65,56 +74,109 @@
       break;
     out[report->placed.count++] = (struct marjoram_placed_part){
       placed->part.id, (uint64_t)placed->part.tokens,
-      add_item (report, marjoram_spot_find (placement, placed->upstream))
+      add_item (placement, report, placed->spot)
     };
   }
   marjoram_placement_forget_placed (placement);
 }
 
+/* ---- Other hosts'.  ---- */
+
 static void
-hear_load (struct marjoram_spot *spot, int64_t now, const char *host,
-           const struct marjoram_load_item *item)
+add_load (struct marjoram_spot_load_sum *sum,
+          const struct marjoram_spot_load_sum *load, int64_t sign)
+{
+  sum->running += sign * load->running;
+  sum->unread += sign * load->unread;
+  sum->urgent += sign * load->urgent;
+  sum->held += sign * load->held;
+  sum->answer += sign * load->answer;
+}
+
+static void
+take_off_loads (struct marjoram_reporter *reporter)
+{
+  for (size_t i = 0; i < reporter->count; i++)
+    {
+      struct marjoram_told_load *told = &reporter->loads[i];
+
+      add_load (&told->spot->told, &told->load, -1);
+      told->spot->tellers--;
+    }
+  reporter->count = 0;
+}
+
+void
+marjoram_reporter_destroy (marjoram_placement *placement,
+                           struct marjoram_reporter *reporter)
+{
+  take_off_loads (reporter);
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+  HASH_DELETE (hh, placement->reporters, reporter);
+  TAILQ_REMOVE (&placement->reporters_by_age, reporter, link);
+  free (reporter->loads);
+  free (reporter->host);
+  free (reporter);
+}
+
+void
+marjoram_placement_forget_reports (marjoram_placement *placement, int64_t now)
+{
+  struct marjoram_reporter *oldest;
+
+  while ((oldest = TAILQ_FIRST (&placement->reporters_by_age))
+         && now - oldest->at > REPORT_VALID_MS)
+    marjoram_reporter_destroy (placement, oldest);
+}
+
+static struct marjoram_reporter *
+find_reporter (marjoram_placement *placement, const char *host)
 {
-  struct marjoram_told_load *told;
+  struct marjoram_reporter *reporter;
 
-  TAILQ_FOREACH (told, &spot->told, link)
-  if (strcmp (told->host, host) == 0)
-    break;
-  if (!told)
+  HASH_FIND_STR (placement->reporters, host, reporter);
+  if (reporter)
     {
-      told = marjoram_alloc (sizeof *told);
-      told->host = marjoram_strdup (host);
-      TAILQ_INSERT_TAIL (&spot->told, told, link);
+      TAILQ_REMOVE (&placement->reporters_by_age, reporter, link);
+      TAILQ_INSERT_TAIL (&placement->reporters_by_age, reporter, link);
+      return reporter;
     }
-  told->at = now;
+  reporter = marjoram_alloc (sizeof *reporter);
+  reporter->host = marjoram_strdup (host);
+  HASH_ADD_KEYPTR (hh, placement->reporters, reporter->host,
+                   strlen (reporter->host), reporter);
+  TAILQ_INSERT_TAIL (&placement->reporters_by_age, reporter, link);
+  return reporter;
+}
+
+static void
+make_room (struct marjoram_reporter *reporter, size_t count)
+{
+  if (count <= reporter->room)
+    return;
+  free (reporter->loads);
+  reporter->loads = marjoram_alloc (count * sizeof *reporter->loads);
+  reporter->room = count;
+}
+
+static void
+hear_load (struct marjoram_reporter *reporter, struct marjoram_spot *spot,
+           int64_t now, const struct marjoram_load_item *item)
+{
+  struct marjoram_told_load *told = &reporter->loads[reporter->count++];
+
+  told->spot = spot;
   told->load = (struct marjoram_spot_load_sum){ (int64_t)item->running,
                                                 (int64_t)item->unread_tokens,
                                                 (int64_t)item->urgent_tokens,
                                                 (int64_t)item->held_tokens,
                                                 (int64_t)item->answer_tokens };
+  add_load (&spot->told, &told->load, 1);
+  spot->tellers++;
   if (item->lost)
     spot->lost_at = now;
 }
 
-static void
-forget_reports_of (marjoram_placement *placement, const char *host)
-{
-  struct marjoram_spot *spot;
-  struct marjoram_spot *next;
-
-  HASH_ITER (hh, placement->spots, spot, next)
-  {
-    struct marjoram_told_load *told;
-
-    TAILQ_FOREACH (told, &spot->told, link)
-    if (strcmp (told->host, host) == 0)
-      {
-        marjoram_spot_forget_told (spot, told);
-        break;
-      }
-  }
-}
-
 static void
 hear_placed (struct marjoram_spot *spot,
              const struct marjoram_placed_part *placed)
@@ -133,17 +195,24 @@
 {
   const struct marjoram_load_item *items = report->items.items;
   const struct marjoram_placed_part *placed = report->placed.items;
+  struct marjoram_reporter *reporter = find_reporter (placement, host);
+  marjoram_auto_free size_t *named
+      = marjoram_alloc ((report->items.count + 1) * sizeof *named);
 
   /* A report names all that runs from its host: what it leaves out is over. */
-  forget_reports_of (placement, host);
+  reporter->at = now;
+  take_off_loads (reporter);
+  make_room (reporter, report->items.count);
   for (size_t i = 0; i < report->items.count; i++)
-    if (items[i].upstream)
-      hear_load (marjoram_spot_find (placement, items[i].upstream), now, host,
-                 &items[i]);
+    {
+      named[i] = reporter->count;
+      if (items[i].upstream)
+        hear_load (reporter, marjoram_spot_find (placement, items[i].upstream),
+                   now, &items[i]);
+    }
   for (size_t i = 0; i < report->placed.count; i++)
     if (placed[i].upstream < report->items.count
         && items[placed[i].upstream].upstream)
-      hear_placed (
-          marjoram_spot_find (placement, items[placed[i].upstream].upstream),
-          &placed[i]);
+      hear_placed (reporter->loads[named[placed[i].upstream]].spot,
+                   &placed[i]);
 }
--- a/src/registry.c
+++ b/src/registry.c
@@ -15,8 +15,16 @@
   FORGET_MS = 60000
 };
 
+struct marjoram_registered_service
+{
+  char *name;
+  struct marjoram_registered_list upstreams;
+  UT_hash_handle hh;
+};
+
 struct marjoram_registry
 {
+  struct marjoram_registered_service *services;
   struct marjoram_registered_list list;
   struct marjoram_registered *by_id;
   int64_t heard_at; /* the latest of all */
@@ -32,9 +40,56 @@
   return registry;
 }
 
+static struct marjoram_registered_service *
+find_service (marjoram_registry *registry, const char *name)
+{
+  struct marjoram_registered_service *service;
+
+  HASH_FIND_STR (registry->services, name, service);
+  if (service)
+    return service;
+  service = marjoram_alloc (sizeof *service);
+  service->name = marjoram_strdup (name);
+  TAILQ_INIT (&service->upstreams);
+  HASH_ADD_KEYPTR (hh, registry->services, service->name,
+                   strlen (service->name), service);
+  return service;
+}
+
+static void
+leave_service (marjoram_registry *registry,
+               struct marjoram_registered *upstream)
+{
+  struct marjoram_registered_service *service = upstream->service;
+
+  upstream->service = NULL;
+  if (!service)
+    return;
+  TAILQ_REMOVE (&service->upstreams, upstream, service_link);
+  if (!TAILQ_EMPTY (&service->upstreams))
+    return;
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+  HASH_DELETE (hh, registry->services, service);
+  free (service->name);
+  free (service);
+}
+
+static void
+join_service (marjoram_registry *registry,
+              struct marjoram_registered *upstream)
+{
+  if (upstream->service
+      && strcmp (upstream->service->name, upstream->news.service) == 0)
+    return;
+  leave_service (registry, upstream);
+  upstream->service = find_service (registry, upstream->news.service);
+  TAILQ_INSERT_TAIL (&upstream->service->upstreams, upstream, service_link);
+}
+
 static void
 forget (marjoram_registry *registry, struct marjoram_registered *upstream)
 {
+  leave_service (registry, upstream);
   /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registry->by_id, upstream);
   TAILQ_REMOVE (&registry->list, upstream, link);
@@ -66,9 +121,18 @@
   return &registry->list;
 }
 
+struct marjoram_registered_list *
+marjoram_registry_of_service (marjoram_registry *registry, const char *service)
+{
+  struct marjoram_registered_service *found;
+
+  HASH_FIND_STR (registry->services, service, found);
+  return found ? &found->upstreams : NULL;
+}
+
 static void
-take (struct marjoram_registered *upstream, int64_t now,
-      const struct marjoram_upstream_news *news, int64_t age_ms)
+take (marjoram_registry *registry, struct marjoram_registered *upstream,
+      int64_t now, const struct marjoram_upstream_news *news, int64_t age_ms)
 {
   int64_t heard_at = now - age_ms;
 
@@ -77,6 +141,7 @@
   upstream->cold_until = news->cold_ms > 0 ? heard_at + news->cold_ms : 0;
   upstream->ends_at
       = news->ends_ms >= 0 ? heard_at + news->ends_ms : INT64_MAX;
+  join_service (registry, upstream);
 }
 
 /* A heartbeat that was held up may name an address that a later start has
@@ -112,7 +177,7 @@
     return MARJORAM_HEARING_STALE;
   upstream = marjoram_alloc (sizeof *upstream);
   upstream->spoke_at = INT64_MIN;
-  take (upstream, now, news, age_ms);
+  take (registry, upstream, now, news, age_ms);
   TAILQ_INSERT_TAIL (&registry->list, upstream, link);
   HASH_ADD_STR (registry->by_id, news.id, upstream);
   return MARJORAM_HEARING_CHANGED;
@@ -132,8 +197,8 @@
 /* Within one life a state only goes forward, so that heartbeats which overtake
    each other don't take a leave back.  */
 static enum marjoram_hearing
-renew (struct marjoram_registered *upstream, int64_t now,
-       const struct marjoram_upstream_news *news, int64_t age_ms)
+renew (marjoram_registry *registry, struct marjoram_registered *upstream,
+       int64_t now, const struct marjoram_upstream_news *news, int64_t age_ms)
 {
   enum marjoram_news_state before = upstream->news.state;
   bool moved = strcmp (upstream->news.address, news->address) != 0
@@ -142,7 +207,7 @@
   if (before == MARJORAM_NEWS_GONE
       || news->sequence <= upstream->news.sequence)
     return MARJORAM_HEARING_STALE;
-  take (upstream, now, news, age_ms);
+  take (registry, upstream, now, news, age_ms);
   if (upstream->news.state < before)
     upstream->news.state = before;
   return upstream->news.state != before || moved || news->cold_ms > 0
@@ -170,10 +235,10 @@
     {
       if (!wins_address (registry, news))
         return MARJORAM_HEARING_STALE;
-      take (upstream, now, news, age_ms);
+      take (registry, upstream, now, news, age_ms);
       return MARJORAM_HEARING_CHANGED;
     }
-  return renew (upstream, now, news, age_ms);
+  return renew (registry, upstream, now, news, age_ms);
 }
 
 size_t
--- a/src/registry.h
+++ b/src/registry.h
@@ -11,10 +11,15 @@
 
 typedef struct marjoram_registry marjoram_registry;
 
+/* The upstreams of one service.  */
+struct marjoram_registered_service;
+
 /* Times are of the local monotonic clock.  */
 struct marjoram_registered
 {
   TAILQ_ENTRY (marjoram_registered) link;
+  TAILQ_ENTRY (marjoram_registered) service_link;
+  struct marjoram_registered_service *service;
   struct marjoram_upstream_news news; /* the newest; its spans as they came */
   int64_t heard_at;                   /* when a keeper heard it */
   int64_t spoke_at; /* when it spoke to this host itself; INT64_MIN: never */
@@ -44,6 +49,10 @@
 marjoram_registry_find (const marjoram_registry *registry, const char *id);
 struct marjoram_registered_list *
 marjoram_registry_all (marjoram_registry *registry);
+/* The upstreams of SERVICE, linked by SERVICE_LINK; null if there are none. */
+struct marjoram_registered_list *
+marjoram_registry_of_service (marjoram_registry *registry,
+                              const char *service);
 size_t marjoram_registry_count (const marjoram_registry *registry);
 /* Whether new work may go there: ready, not about to end, and not silent
    while others are heard.  */
