Frames that go to many are packed once; links, sessions and look-ups by hash

Beats to hosts of the own region carry no offers, and what a region offers is counted every 100 ms, not at each beat. The four links to each other region come from one pass.

--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -51,6 +51,7 @@
   int64_t stopped_at;
   bool closed;
   struct marjoram_array offers; /* of struct marjoram_host_offer */
+  int64_t offered_at;
   struct marjoram_repeat_use uses[MARJORAM_REPEAT_USES_MAX];
 };
 
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -13,6 +13,7 @@
 enum
 {
   REPORT_MS = 100, /* loads to the other hosts of the region */
+  OFFER_MS = 100,  /* for how long one count of what is offered holds */
   /* How long requests are still taken after the signal to stop: callers keep
      an address for two seconds, and what is taken must end before the limit
      of the drain.  */
@@ -182,6 +183,8 @@
 
   self->former = self->table;
   self->table = table;
+  self->offered_at = 0;
+  self->offers.count = 0;
   marjoram_gateway_set_table (self->gateway, marjoram_entry_now (self), table);
   marjoram_route_table_destroy (old);
   set_limits (self);
@@ -267,23 +270,17 @@
   return self->table && !self->stopped_at;
 }
 
+/* Texts of the offers are borrowed from the table.  */
 static void
-role_fill_beat (struct marjoram_role *role, struct marjoram_host_beat *beat)
+renew_offers (struct marjoram_entry *self)
 {
-  struct marjoram_entry *self = self_of (role);
   const struct marjoram_service_rule *services;
   struct marjoram_host_offer *offers;
   size_t count;
 
-  beat->ready = is_ready (self);
-  beat->leaving = self->stopped_at != 0;
-  beat->config_number = self->config_number;
-  beat->uses.items = self->uses;
-  beat->uses.count = marjoram_repeat_budget_uses (
-      marjoram_gateway_budget (self->gateway), marjoram_entry_now (self),
-      self->uses, MARJORAM_REPEAT_USES_MAX);
-  if (!self->table)
+  if (!self->table || marjoram_entry_now (self) < self->offered_at + OFFER_MS)
     return;
+  self->offered_at = marjoram_entry_now (self);
   services = self->table->services.items;
   count = self->table->services.count;
   if (count > MARJORAM_HOST_OFFERS_MAX)
@@ -296,11 +293,25 @@
       struct marjoram_host_offer *offer = &offers[self->offers.count];
 
       marjoram_placement_offer (marjoram_gateway_placement (self->gateway),
-                                marjoram_entry_now (self), &services[i],
-                                offer);
+                                self->offered_at, &services[i], offer);
       self->offers.count += offer->upstreams > 0;
     }
+}
+
+static void
+role_fill_beat (struct marjoram_role *role, struct marjoram_host_beat *beat)
+{
+  struct marjoram_entry *self = self_of (role);
+
+  renew_offers (self);
+  beat->ready = is_ready (self);
+  beat->leaving = self->stopped_at != 0;
+  beat->config_number = self->config_number;
   beat->offers = self->offers;
+  beat->uses.items = self->uses;
+  beat->uses.count = marjoram_repeat_budget_uses (
+      marjoram_gateway_budget (self->gateway), marjoram_entry_now (self),
+      self->uses, MARJORAM_REPEAT_USES_MAX);
 }
 
 static void
--- a/src/host_beats.c
+++ b/src/host_beats.c
@@ -36,52 +36,87 @@
   links->ops->fill_beat (links->context, beat);
 }
 
-static bool
-is_far (marjoram_host_links *links, const char *name)
+/* Who hears a beat: entry hosts of other regions choose by the offers where to
+   forward, keepers sum up what was repeated, and hosts of the own region need
+   neither.  */
+enum audience
+{
+  AUDIENCE_NEAR,
+  AUDIENCE_FAR,
+  AUDIENCE_KEEPER,
+  AUDIENCE_COUNT
+};
+
+static enum audience
+audience_of (const marjoram_host_links *links, const char *name)
 {
   const struct marjoram_listed_host *host
       = marjoram_host_list_find (links->hosts, name);
 
-  return host && !host->beat.keeper
-         && strcmp (host->beat.region, links->settings->region) != 0;
+  if (!host)
+    return AUDIENCE_NEAR;
+  if (host->beat.keeper)
+    return AUDIENCE_KEEPER;
+  return strcmp (host->beat.region, links->settings->region) == 0
+             ? AUDIENCE_NEAR
+             : AUDIENCE_FAR;
 }
 
-static bool
-is_keeper (marjoram_host_links *links, const char *name)
+/* This host's beat as packed for each audience, as far as one is needed.  */
+struct packed_beats
 {
-  const struct marjoram_listed_host *host
-      = marjoram_host_list_find (links->hosts, name);
+  struct marjoram_host_beat beat; /* without a name until it is made */
+  marjoram_bytes *frames[AUDIENCE_COUNT];
+};
+
+static const marjoram_bytes *
+pack_beat (marjoram_host_links *links, struct packed_beats *packed,
+           enum audience audience)
+{
+  struct marjoram_host_beat beat;
+
+  if (packed->frames[audience])
+    return packed->frames[audience];
+  if (!packed->beat.name)
+    make_beat (links, &packed->beat);
+  beat = packed->beat;
+  if (audience != AUDIENCE_FAR)
+    beat.offers = (struct marjoram_array){ NULL, 0 };
+  if (audience != AUDIENCE_KEEPER)
+    beat.uses = (struct marjoram_array){ NULL, 0 };
+  packed->frames[audience]
+      = marjoram_frame_pack (MARJORAM_FRAME_HOST_BEAT, &beat);
+  return packed->frames[audience];
+}
 
-  return host && host->beat.keeper;
+static void
+send_beat (marjoram_host_links *links, struct marjoram_host_link *link,
+           int64_t now, const marjoram_bytes *frame)
+{
+  link->sent_at = now;
+  marjoram_link_lag_sent (&link->lag, now);
+  marjoram_peer_send_packed (links->peer, link->host, frame);
 }
 
 void
 marjoram_host_links_send_beats (marjoram_host_links *links, int64_t now,
                                 bool all)
 {
-  struct marjoram_host_beat beat;
-  struct marjoram_host_beat plain;
+  struct packed_beats packed = { 0 };
   struct marjoram_host_link *link;
-  bool made = false;
 
   TAILQ_FOREACH (link, &links->links, next)
   {
-    int64_t every = is_far (links, link->host) ? BEAT_FAR_MS : BEAT_MS;
+    enum audience audience;
 
-    if (!link->up || (!all && now < link->sent_at + every))
+    if (!link->up || (!all && now < link->sent_at + BEAT_MS))
       continue;
-    if (!made)
-      {
-        make_beat (links, &beat);
-        plain = beat;
-        plain.uses = (struct marjoram_array){ NULL, 0 };
-      }
-    made = true;
-    link->sent_at = now;
-    marjoram_link_lag_sent (&link->lag, now);
-    marjoram_peer_send (links->peer, link->host, MARJORAM_FRAME_HOST_BEAT,
-                        is_keeper (links, link->host) ? &beat : &plain);
+    audience = audience_of (links, link->host);
+    if (all || audience != AUDIENCE_FAR || now >= link->sent_at + BEAT_FAR_MS)
+      send_beat (links, link, now, pack_beat (links, &packed, audience));
   }
+  for (int i = 0; i < AUDIENCE_COUNT; i++)
+    marjoram_bytes_release (packed.frames[i]);
 }
 
 void
@@ -239,11 +274,7 @@
       || !beat->region)
     return;
   if (!session)
-    {
-      session = marjoram_alloc (sizeof *session);
-      session->host = marjoram_strdup (host);
-      TAILQ_INSERT_TAIL (&links->sessions, session, next);
-    }
+    session = marjoram_host_links_add_session (links, host);
   session->number = number;
   beat->age_ms = 0;
   answer_older (links, host, number, beat);
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -8,7 +8,6 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/queue.h>
-#include <xxhash.h>
 
 enum
 {
@@ -16,7 +15,8 @@
   SILENT_MS = 1500,
   PLAN_MS = 500,
   /* Links of one host to entry hosts of each other region.  */
-  FAR_LINKS = 4
+  FAR_LINKS = 4,
+  REGIONS_MAX = 64 /* to which a host links */
 };
 
 /* Of two sessions of one host the later one holds.  Incarnations are times of
@@ -33,10 +33,8 @@
 {
   struct marjoram_host_link *link;
 
-  TAILQ_FOREACH (link, &links->links, next)
-  if (strcmp (link->host, host) == 0)
-    return link;
-  return NULL;
+  HASH_FIND_STR (links->by_host, host, link);
+  return link;
 }
 
 struct marjoram_host_session *
@@ -44,10 +42,41 @@
 {
   struct marjoram_host_session *session;
 
-  TAILQ_FOREACH (session, &links->sessions, next)
-  if (strcmp (session->host, host) == 0)
-    return session;
-  return NULL;
+  HASH_FIND_STR (links->sessions_by_host, host, session);
+  return session;
+}
+
+struct marjoram_host_session *
+marjoram_host_links_add_session (marjoram_host_links *links, const char *host)
+{
+  struct marjoram_host_session *session = marjoram_alloc (sizeof *session);
+
+  session->host = marjoram_strdup (host);
+  TAILQ_INSERT_TAIL (&links->sessions, session, next);
+  HASH_ADD_KEYPTR (hh, links->sessions_by_host, session->host,
+                   strlen (session->host), session);
+  return session;
+}
+
+static void
+forget_session (marjoram_host_links *links,
+                struct marjoram_host_session *session)
+{
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+  HASH_DELETE (hh, links->sessions_by_host, session);
+  TAILQ_REMOVE (&links->sessions, session, next);
+  free (session->host);
+  free (session);
+}
+
+static void
+forget_link (marjoram_host_links *links, struct marjoram_host_link *link)
+{
+  /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+  HASH_DELETE (hh, links->by_host, link);
+  TAILQ_REMOVE (&links->links, link, next);
+  free (link->host);
+  free (link);
 }
 
 int64_t
@@ -113,11 +142,8 @@
       = marjoram_host_links_session (links, host);
 
   links->ops->session_closed (links->context, host, number);
-  if (!session || session->number != number)
-    return;
-  TAILQ_REMOVE (&links->sessions, session, next);
-  free (session->host);
-  free (session);
+  if (session && session->number == number)
+    forget_session (links, session);
 }
 
 /* Beats are answered in their order.  */
@@ -178,6 +204,8 @@
       link = marjoram_alloc (sizeof *link);
       link->host = marjoram_strdup (host);
       TAILQ_INSERT_TAIL (&links->links, link, next);
+      HASH_ADD_KEYPTR (hh, links->by_host, link->host, strlen (link->host),
+                       link);
       snprintf (address, sizeof address, "%s:%u", host, links->port);
       marjoram_peer_connect (links->peer, host, address, true);
     }
@@ -188,48 +216,75 @@
 static void
 drop (marjoram_host_links *links, struct marjoram_host_link *link)
 {
-  TAILQ_REMOVE (&links->links, link, next);
   marjoram_peer_connect (links->peer, link->host, NULL, false);
-  free (link->host);
-  free (link);
+  forget_link (links, link);
 }
 
 /* Of the entry hosts of another region this one links to a few, other hosts to
    others: those with the highest claims by rendezvous hashing.  */
-static bool
-is_among_far (marjoram_host_links *links,
-              const struct marjoram_listed_host *candidate, int64_t now)
+static void
+want_among (marjoram_host_links *links, const struct marjoram_host_view *far)
+{
+  const struct marjoram_listed_host *best[FAR_LINKS];
+  uint64_t claims[FAR_LINKS];
+  int count = 0;
+
+  for (size_t i = 0; i < far->count; i++)
+    {
+      uint64_t claim
+          = marjoram_listed_host_claim (far->hosts[i], links->settings->ip);
+      int place = count;
+
+      while (place > 0 && claims[place - 1] < claim)
+        place--;
+      if (place == FAR_LINKS)
+        continue;
+      if (count < FAR_LINKS)
+        count++;
+      for (int k = count - 1; k > place; k--)
+        {
+          best[k] = best[k - 1];
+          claims[k] = claims[k - 1];
+        }
+      best[place] = far->hosts[i];
+      claims[place] = claim;
+    }
+  for (int i = 0; i < count; i++)
+    want (links, best[i]->beat.name, false);
+}
+
+/* Each other region once, that of the first of its hosts in the list.  */
+static void
+want_far (marjoram_host_links *links, int64_t now)
 {
-  const char *own = links->settings->ip;
+  const char *regions[REGIONS_MAX];
+  size_t count = 0;
   const struct marjoram_listed_host *host;
-  uint64_t claim = XXH3_64bits_withSeed (
-      own, strlen (own),
-      XXH3_64bits (candidate->beat.name, strlen (candidate->beat.name)));
-  int better = 0;
 
   TAILQ_FOREACH (host, marjoram_host_list_all (links->hosts), link)
-  if (host != candidate && marjoram_host_list_serves (host, now)
-      && strcmp (host->beat.region, candidate->beat.region) == 0
-      && XXH3_64bits_withSeed (
-             own, strlen (own),
-             XXH3_64bits (host->beat.name, strlen (host->beat.name)))
-             > claim)
-    better++;
-  return better < FAR_LINKS;
+  {
+    const char *region = host->beat.region;
+    size_t i = 0;
+
+    if (strcmp (region, links->settings->region) == 0)
+      continue;
+    while (i < count && strcmp (regions[i], region) != 0)
+      i++;
+    if (i < count || count == REGIONS_MAX)
+      continue;
+    regions[count++] = region;
+    want_among (links,
+                marjoram_host_list_of_region (links->hosts, now, region));
+  }
 }
 
 static bool
-is_needed (marjoram_host_links *links, const struct marjoram_listed_host *host,
-           int64_t now)
+is_needed (const marjoram_host_links *links,
+           const struct marjoram_listed_host *host)
 {
-  if (host->beat.keeper)
-    return true;
-  if (links->settings->role == MARJORAM_ROLE_KEEPER)
-    return false;
-  if (strcmp (host->beat.region, links->settings->region) == 0)
-    return true;
-  return marjoram_host_list_serves (host, now)
-         && is_among_far (links, host, now);
+  return host->beat.keeper
+         || (links->settings->role == MARJORAM_ROLE_ENTRY
+             && strcmp (host->beat.region, links->settings->region) == 0);
 }
 
 static void
@@ -243,8 +298,10 @@
   TAILQ_FOREACH (link, &links->links, next)
   link->wanted = link->seed;
   TAILQ_FOREACH (host, marjoram_host_list_all (links->hosts), link)
-  if (is_needed (links, host, now))
+  if (is_needed (links, host))
     want (links, host->beat.name, false);
+  if (links->settings->role == MARJORAM_ROLE_ENTRY)
+    want_far (links, now);
   for (link = TAILQ_FIRST (&links->links); link; link = next)
     {
       next = TAILQ_NEXT (link, next);
@@ -336,11 +393,13 @@
 marjoram_host_links_tell (marjoram_host_links *links,
                           enum marjoram_frame_type type, const void *message)
 {
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
+      = marjoram_frame_pack (type, message);
   struct marjoram_host_session *session;
 
   TAILQ_FOREACH (session, &links->sessions, next)
-  marjoram_peer_reply (links->peer, session->host, session->number, type,
-                       message);
+  marjoram_peer_reply_packed (links->peer, session->host, session->number,
+                              frame);
 }
 
 size_t
@@ -348,6 +407,8 @@
                              const char *region, enum marjoram_frame_type type,
                              const void *message)
 {
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
+      = marjoram_frame_pack (type, message);
   struct marjoram_host_session *session;
   size_t count = 0;
 
@@ -359,8 +420,8 @@
     if (!host || host->beat.keeper != keepers
         || (region && strcmp (host->beat.region, region) != 0))
       continue;
-    marjoram_peer_reply (links->peer, session->host, session->number, type,
-                         message);
+    marjoram_peer_reply_packed (links->peer, session->host, session->number,
+                                frame);
     count++;
   }
   return count;
@@ -371,6 +432,8 @@
 tell_linked (marjoram_host_links *links, bool keepers,
              enum marjoram_frame_type type, const void *message)
 {
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
+      = marjoram_frame_pack (type, message);
   const char *region = links->settings->region;
   struct marjoram_host_link *link;
 
@@ -382,7 +445,7 @@
     if (!link->up || !host || host->beat.keeper != keepers
         || (!keepers && strcmp (host->beat.region, region) != 0))
       continue;
-    marjoram_peer_send (links->peer, link->host, type, message);
+    marjoram_peer_send_packed (links->peer, link->host, frame);
   }
 }
 
@@ -480,17 +543,9 @@
     return;
   marjoram_peer_destroy (links->peer);
   while ((link = TAILQ_FIRST (&links->links)))
-    {
-      TAILQ_REMOVE (&links->links, link, next);
-      free (link->host);
-      free (link);
-    }
+    forget_link (links, link);
   while ((session = TAILQ_FIRST (&links->sessions)))
-    {
-      TAILQ_REMOVE (&links->sessions, session, next);
-      free (session->host);
-      free (session);
-    }
+    forget_session (links, session);
   clear_settings (links);
   marjoram_counters_destroy (links->counters);
   free (links);
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -7,6 +7,7 @@
 #include "own_lag.h"
 
 #include <sys/queue.h>
+#include <uthash.h>
 
 /* A host that this one dials.  */
 struct marjoram_host_link
@@ -19,6 +20,7 @@
   int64_t heard_at;
   int64_t sent_at;
   struct marjoram_link_lag lag;
+  UT_hash_handle hh;
 };
 
 /* A host that dialled this one.  */
@@ -27,6 +29,7 @@
   TAILQ_ENTRY (marjoram_host_session) next;
   char *host;
   uint64_t number;
+  UT_hash_handle hh;
 };
 
 struct marjoram_host_links
@@ -43,7 +46,9 @@
   uint64_t sequence;
   uint16_t port;
   TAILQ_HEAD (, marjoram_host_link) links;
+  struct marjoram_host_link *by_host;
   TAILQ_HEAD (, marjoram_host_session) sessions;
+  struct marjoram_host_session *sessions_by_host;
   struct marjoram_own_lag own_lag;
   int64_t planned_at;
   int64_t listed_at;
@@ -55,6 +60,8 @@
 marjoram_host_links_find (marjoram_host_links *links, const char *host);
 struct marjoram_host_session *
 marjoram_host_links_session (marjoram_host_links *links, const char *host);
+struct marjoram_host_session *
+marjoram_host_links_add_session (marjoram_host_links *links, const char *host);
 int64_t marjoram_host_links_now (const marjoram_host_links *links);
 
 /* host_beats.c */
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -28,10 +28,19 @@
 
 /* Some of the hosts, collected now and then, so that what is asked for each
    request does not walk all hosts.  */
+enum view_kind
+{
+  VIEW_REGION, /* hosts that serve there */
+  VIEW_ZONE,
+  VIEW_OFFERING /* that offer something */
+};
+
 struct view
 {
-  char *region; /* that serve there; null: that offer something */
+  enum view_kind kind;
+  char *name; /* of the region or zone */
   struct marjoram_host_view it;
+  size_t next; /* with which a look-up begins */
   size_t room;
   int64_t made_at;
   uint64_t changes; /* of the list, when it was made */
@@ -48,6 +57,7 @@
   size_t entries;
   uint64_t changes; /* of which hosts there are and what they say */
   struct view *regions;
+  struct view *zones;
   struct view offering;
 };
 
@@ -58,6 +68,7 @@
 
   TAILQ_INIT (&list->hosts);
   list->told_valid_ms = ALIVE_TOLD_MS;
+  list->offering.kind = VIEW_OFFERING;
   return list;
 }
 
@@ -123,22 +134,29 @@
   free (view->it.hosts);
 }
 
-void
-marjoram_host_list_destroy (marjoram_host_list *list)
+static void
+destroy_views (struct view **views)
 {
   struct view *view;
   struct view *next;
 
-  if (!list)
-    return;
-  HASH_ITER (hh, list->regions, view, next)
+  HASH_ITER (hh, *views, view, next)
   {
     /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
-    HASH_DELETE (hh, list->regions, view);
+    HASH_DELETE (hh, *views, view);
     clear_view (view);
-    free (view->region);
+    free (view->name);
     free (view);
   }
+}
+
+void
+marjoram_host_list_destroy (marjoram_host_list *list)
+{
+  if (!list)
+    return;
+  destroy_views (&list->regions);
+  destroy_views (&list->zones);
   clear_view (&list->offering);
   while (!TAILQ_EMPTY (&list->hosts))
     /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
@@ -320,85 +338,27 @@
          && marjoram_host_list_alive (host, now);
 }
 
-/* Which hosts are asked for; null: any.  */
-struct wish
-{
-  const char *zone;
-  const char *region;
-  marjoram_region_allowed allowed;
-  void *context;
-};
-
-static bool
-fits (const struct marjoram_listed_host *host, const struct wish *wish)
-{
-  if (wish->zone && strcmp (host->beat.zone, wish->zone) != 0)
-    return false;
-  if (wish->region && strcmp (host->beat.region, wish->region) != 0)
-    return false;
-  return !wish->allowed || wish->allowed (wish->context, host->beat.region);
-}
-
-static size_t
-collect (marjoram_host_list *list, int64_t now, const struct wish *wish,
-         const char *addresses[MARJORAM_LOOKUP_MAX])
-{
-  const struct marjoram_listed_host *host;
-  size_t count = 0;
-
-  TAILQ_FOREACH (host, &list->hosts, link)
-  if (count < MARJORAM_LOOKUP_MAX && marjoram_host_list_serves (host, now)
-      && fits (host, wish))
-    addresses[count++] = host->beat.entry;
-  return count;
-}
-
-/* While all hosts of a region are restarted in turn, its callers go where
-   their requests may run, before they go where those would only be passed on.
- */
-size_t
-marjoram_host_list_lookup (marjoram_host_list *list, int64_t now,
-                           const char *zone, const char *region,
-                           marjoram_region_allowed allowed, void *context,
-                           const char *addresses[MARJORAM_LOOKUP_MAX],
-                           enum marjoram_lookup_reach *reach)
-{
-  const struct wish wishes[MARJORAM_REACH_COUNT] = {
-    [MARJORAM_REACH_ZONE] = { .zone = zone },
-    [MARJORAM_REACH_REGION] = { .region = region },
-    [MARJORAM_REACH_ALLOWED] = { .allowed = allowed, .context = context },
-  };
-  size_t count = 0;
-
-  for (int i = 0; count == 0 && i < MARJORAM_REACH_COUNT; i++)
-    {
-      *reach = (enum marjoram_lookup_reach)i;
-      count = collect (list, now, &wishes[i], addresses);
-    }
-  return count;
-}
-
-const struct marjoram_host_offer *
-marjoram_listed_host_offer (const struct marjoram_listed_host *host,
-                            const char *service)
-{
-  const struct marjoram_host_offer *offers = host->beat.offers.items;
-
-  for (size_t i = 0; i < host->beat.offers.count; i++)
-    if (strcmp (offers[i].service, service) == 0 && offers[i].upstreams > 0)
-      return &offers[i];
-  return NULL;
-}
-
 /* ---- Views.  ---- */
 
 static bool
 is_in_view (const struct view *view, const struct marjoram_listed_host *host,
             int64_t now)
 {
-  if (view->region ? strcmp (host->beat.region, view->region) != 0
-                   : host->beat.offers.count == 0)
-    return false;
+  switch (view->kind)
+    {
+    case VIEW_REGION:
+      if (strcmp (host->beat.region, view->name) != 0)
+        return false;
+      break;
+    case VIEW_ZONE:
+      if (strcmp (host->beat.zone, view->name) != 0)
+        return false;
+      break;
+    case VIEW_OFFERING:
+      if (host->beat.offers.count == 0)
+        return false;
+      break;
+    }
   return marjoram_host_list_serves (host, now);
 }
 
@@ -431,23 +391,30 @@
 }
 
 static struct view *
-region_view (marjoram_host_list *list, int64_t now, const char *region)
+find_view (const marjoram_host_list *list, struct view **views,
+           enum view_kind kind, const char *name, int64_t now)
 {
   struct view *view;
 
-  HASH_FIND_STR (list->regions, region, view);
+  HASH_FIND_STR (*views, name, view);
   if (!view)
     {
       view = marjoram_alloc (sizeof *view);
-      view->region = marjoram_strdup (region);
+      view->kind = kind;
+      view->name = marjoram_strdup (name);
       view->changes = list->changes - 1;
-      HASH_ADD_KEYPTR (hh, list->regions, view->region, strlen (view->region),
-                       view);
+      HASH_ADD_KEYPTR (hh, *views, view->name, strlen (view->name), view);
     }
   renew_view (list, view, now);
   return view;
 }
 
+static struct view *
+region_view (marjoram_host_list *list, int64_t now, const char *region)
+{
+  return find_view (list, &list->regions, VIEW_REGION, region, now);
+}
+
 const struct marjoram_host_view *
 marjoram_host_list_offering (marjoram_host_list *list, int64_t now)
 {
@@ -519,6 +486,82 @@
   return list->entries;
 }
 
+/* ---- Look-ups.  ---- */
+
+/* Of more hosts than one answer holds, each is named in turn.  */
+static size_t
+name_hosts (struct view *view, int64_t now,
+            const char *addresses[MARJORAM_LOOKUP_MAX])
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < view->it.count && count < MARJORAM_LOOKUP_MAX; i++)
+    {
+      const struct marjoram_listed_host *host
+          = view->it.hosts[(view->next + i) % view->it.count];
+
+      if (marjoram_host_list_serves (host, now))
+        addresses[count++] = host->beat.entry;
+    }
+  if (view->it.count > 0)
+    view->next = (view->next + count) % view->it.count;
+  return count;
+}
+
+static size_t
+name_allowed (marjoram_host_list *list, int64_t now,
+              marjoram_region_allowed allowed, void *context,
+              const char *addresses[MARJORAM_LOOKUP_MAX])
+{
+  const struct marjoram_listed_host *host;
+  size_t count = 0;
+
+  TAILQ_FOREACH (host, &list->hosts, link)
+  if (count < MARJORAM_LOOKUP_MAX && marjoram_host_list_serves (host, now)
+      && (!allowed || allowed (context, host->beat.region)))
+    addresses[count++] = host->beat.entry;
+  return count;
+}
+
+/* While all hosts of a region are restarted in turn, its callers go where
+   their requests may run, before they go where those would only be passed on.
+ */
+size_t
+marjoram_host_list_lookup (marjoram_host_list *list, int64_t now,
+                           const char *zone, const char *region,
+                           marjoram_region_allowed allowed, void *context,
+                           const char *addresses[MARJORAM_LOOKUP_MAX],
+                           enum marjoram_lookup_reach *reach)
+{
+  size_t count = 0;
+
+  *reach = MARJORAM_REACH_ZONE;
+  if (zone)
+    count = name_hosts (find_view (list, &list->zones, VIEW_ZONE, zone, now),
+                        now, addresses);
+  if (count > 0)
+    return count;
+  *reach = MARJORAM_REACH_REGION;
+  if (region)
+    count = name_hosts (region_view (list, now, region), now, addresses);
+  if (count > 0)
+    return count;
+  *reach = MARJORAM_REACH_ALLOWED;
+  return name_allowed (list, now, allowed, context, addresses);
+}
+
+const struct marjoram_host_offer *
+marjoram_listed_host_offer (const struct marjoram_listed_host *host,
+                            const char *service)
+{
+  const struct marjoram_host_offer *offers = host->beat.offers.items;
+
+  for (size_t i = 0; i < host->beat.offers.count; i++)
+    if (strcmp (offers[i].service, service) == 0 && offers[i].upstreams > 0)
+      return &offers[i];
+  return NULL;
+}
+
 void
 marjoram_host_list_tick (marjoram_host_list *list, int64_t now)
 {
--- a/src/peer.c
+++ b/src/peer.c
@@ -59,6 +59,7 @@
   uint8_t own_nonce[NONCE_SIZE];
   uint8_t nonce[NONCE_SIZE];
   TAILQ_ENTRY (session) next;
+  UT_hash_handle hh; /* of those that other ends opened, by number */
 };
 
 /* A slot to which a session is kept open.  */
@@ -84,6 +85,7 @@
   struct evconnlistener *listener;
   struct dial *dials;
   TAILQ_HEAD (, session) accepted;
+  struct session *by_number; /* the same */
   uint64_t next_session;
 };
 
@@ -122,6 +124,7 @@
     }
   else
     {
+      HASH_DELETE (hh, peer->by_number, session);
       TAILQ_REMOVE (&peer->accepted, session, next);
       if (open)
         peer->ops->closed (peer->context, session->slot, session->number);
@@ -132,17 +135,24 @@
 }
 
 static void
-session_write (struct session *session, enum marjoram_frame_type type,
-               const void *message)
+session_write_packed (struct session *session, const marjoram_bytes *frame)
 {
   struct evbuffer *output = bufferevent_get_output (session->bev);
-  marjoram_bytes *frame = marjoram_frame_pack (type, message);
 
   marjoram_counters_add (session->peer->counters,
                          MARJORAM_COUNTER_PEER_BYTES_OUT,
                          marjoram_bytes_size (frame));
   evbuffer_add (output, marjoram_bytes_data (frame),
                 marjoram_bytes_size (frame));
+}
+
+static void
+session_write (struct session *session, enum marjoram_frame_type type,
+               const void *message)
+{
+  marjoram_bytes *frame = marjoram_frame_pack (type, message);
+
+  session_write_packed (session, frame);
   marjoram_bytes_release (frame);
 }
 
@@ -498,6 +508,7 @@
   (void)size;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   TAILQ_INSERT_TAIL (&peer->accepted, session, next);
+  HASH_ADD (hh, peer->by_number, number, sizeof session->number, session);
 }
 
 /* ---- The task.  ---- */
@@ -609,34 +620,74 @@
   evtimer_add (dial->timer, &at_once);
 }
 
+static struct session *
+find_dialled (marjoram_peer *peer, const char *slot)
+{
+  struct dial *dial = find_dial (peer, slot);
+
+  return dial && dial->session && dial->session->state == SESSION_OPEN
+             ? dial->session
+             : NULL;
+}
+
+static struct session *
+find_accepted (marjoram_peer *peer, const char *slot, uint64_t number)
+{
+  struct session *session;
+
+  HASH_FIND (hh, peer->by_number, &number, sizeof number, session);
+  return session && session->state == SESSION_OPEN
+                 && strcmp (session->slot, slot) == 0
+             ? session
+             : NULL;
+}
+
+void
+marjoram_peer_send_packed (marjoram_peer *peer, const char *slot,
+                           const marjoram_bytes *frame)
+{
+  struct session *session = find_dialled (peer, slot);
+
+  if (!session)
+    return;
+  session_write_packed (session, frame);
+  check_output (session);
+}
+
+void
+marjoram_peer_reply_packed (marjoram_peer *peer, const char *slot,
+                            uint64_t number, const marjoram_bytes *frame)
+{
+  struct session *session = find_accepted (peer, slot, number);
+
+  if (!session)
+    return;
+  session_write_packed (session, frame);
+  check_output (session);
+}
+
 void
 marjoram_peer_send (marjoram_peer *peer, const char *slot,
                     enum marjoram_frame_type type, const void *message)
 {
-  struct dial *dial = find_dial (peer, slot);
+  struct session *session = find_dialled (peer, slot);
 
-  if (!dial || !dial->session || dial->session->state != SESSION_OPEN)
+  if (!session)
     return;
-  session_write (dial->session, type, message);
-  check_output (dial->session);
+  session_write (session, type, message);
+  check_output (session);
 }
 
 void
-marjoram_peer_reply (marjoram_peer *peer, const char *slot, uint64_t session,
+marjoram_peer_reply (marjoram_peer *peer, const char *slot, uint64_t number,
                      enum marjoram_frame_type type, const void *message)
 {
-  struct session *accepted;
-
-  TAILQ_FOREACH (accepted, &peer->accepted, next)
-  {
-    if (accepted->number == session && accepted->state == SESSION_OPEN
-        && strcmp (accepted->slot, slot) == 0)
-      {
-        session_write (accepted, type, message);
-        check_output (accepted);
-        return;
-      }
-  }
+  struct session *session = find_accepted (peer, slot, number);
+
+  if (!session)
+    return;
+  session_write (session, type, message);
+  check_output (session);
 }
 
 void
--- a/src/peer.h
+++ b/src/peer.h
@@ -49,6 +49,13 @@
 void marjoram_peer_reply (marjoram_peer *peer, const char *slot,
                           uint64_t session, enum marjoram_frame_type type,
                           const void *message);
+/* The same for a frame that goes to many, packed once by
+   marjoram_frame_pack.  */
+void marjoram_peer_send_packed (marjoram_peer *peer, const char *slot,
+                                const marjoram_bytes *frame);
+void marjoram_peer_reply_packed (marjoram_peer *peer, const char *slot,
+                                 uint64_t session,
+                                 const marjoram_bytes *frame);
 /* Closes this host's session to SLOT and dials anew.  */
 void marjoram_peer_hang_up (marjoram_peer *peer, const char *slot);
 
--- /dev/null
+++ b/test/test_growth.c
@@ -0,0 +1,303 @@
+/* What a host does for one request or one frame must not grow with the number
+   of hosts.  The modules under test are compiled to call the function below at
+   each step, so that the counts repeat on any machine.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "placement.h"
+#include "repeat_sums.h"
+
+#include <stdio.h>
+
+enum
+{
+  UPSTREAMS = 16,
+  ITEMS = 4, /* upstreams that one report names */
+  SIZES = 3
+};
+
+static const int sizes[SIZES] = { 10, 100, 1000 };
+
+/* How many times the steps at the smallest size those at the others may be:
+   chains of a hash vary a little.  */
+static const double growth = 1.25;
+
+static uint64_t steps;
+
+void __sanitizer_cov_trace_pc (void);
+
+void
+__sanitizer_cov_trace_pc (void)
+{
+  steps++;
+}
+
+struct fleet
+{
+  int hosts;
+  marjoram_registry *registry;
+  marjoram_host_list *list;
+  marjoram_placement *placement;
+  marjoram_repeat_sums_list *sums;
+  struct marjoram_service_rule service;
+  struct marjoram_call_facts facts;
+  int64_t now;
+};
+
+static const char *
+region_of (void *context, const char *zone)
+{
+  (void)context;
+  (void)zone;
+  return "r";
+}
+
+static bool
+never (void *context, const char *zone)
+{
+  (void)context;
+  (void)zone;
+  return false;
+}
+
+static void
+hear_upstream (struct fleet *fleet, int number)
+{
+  struct marjoram_upstream_news news = { 0 };
+
+  snprintf (news.id, sizeof news.id, "u-%d", number);
+  snprintf (news.service, sizeof news.service, "lm");
+  snprintf (news.address, sizeof news.address, "10.0.0.1:%d", number + 1);
+  snprintf (news.zone, sizeof news.zone, "z");
+  news.state = MARJORAM_NEWS_READY;
+  news.sequence = fleet->now + 1;
+  news.slots = 64;
+  news.ends_ms = -1;
+  marjoram_registry_hear (fleet->registry, fleet->now, &news, 0);
+}
+
+static void
+hear_beat (struct fleet *fleet, int number)
+{
+  char name[16];
+  const struct marjoram_host_beat beat
+      = { .name = name,
+          .zone = (char *)"z",
+          .region = (char *)"r",
+          .entry = (char *)"10.0.0.1:1",
+          .ready = true,
+          .incarnation = 1,
+          .sequence = (uint64_t)fleet->now + 1 };
+
+  snprintf (name, sizeof name, "h-%d", number);
+  marjoram_host_list_hear (fleet->list, fleet->now, &beat, true);
+}
+
+static void
+hear_report (struct fleet *fleet, int number)
+{
+  struct marjoram_load_item items[ITEMS];
+  char ids[ITEMS][16];
+  const struct marjoram_load_report report = { { items, ITEMS }, { NULL, 0 } };
+  char name[16];
+
+  snprintf (name, sizeof name, "h-%d", number);
+  for (int i = 0; i < ITEMS; i++)
+    {
+      snprintf (ids[i], sizeof ids[i], "u-%d", (number + i) % UPSTREAMS);
+      items[i] = (struct marjoram_load_item){ .upstream = ids[i],
+                                              .answer_tokens = 1 };
+    }
+  marjoram_placement_hear (fleet->placement, fleet->now, name, &report);
+}
+
+static void
+hear_repeats (struct fleet *fleet, int number)
+{
+  struct marjoram_repeat_use use = { (char *)"lm", 10, 1, true };
+  struct marjoram_repeat_use answered[MARJORAM_REPEAT_USES_MAX];
+  const struct marjoram_array uses = { &use, 1 };
+  struct marjoram_repeat_sums sums = { 0, { answered, 0 } };
+  char name[16];
+
+  snprintf (name, sizeof name, "h-%d", number);
+  marjoram_repeat_sums_list_hear (fleet->sums, fleet->now, name, &uses);
+  marjoram_repeat_sums_list_answer (fleet->sums, &uses, &sums);
+}
+
+static void
+choose (struct fleet *fleet, int number)
+{
+  const struct marjoram_place_query query = { .service = &fleet->service,
+                                              .facts = &fleet->facts,
+                                              .priority = 1,
+                                              .useful_ms = 1000 };
+  struct marjoram_place place;
+
+  (void)number;
+  marjoram_placement_choose (fleet->placement, fleet->now, &query, &place);
+  ck_assert_int_eq (place.outcome, MARJORAM_PLACE_FOUND);
+}
+
+static void
+find_owner (struct fleet *fleet, int number)
+{
+  (void)number;
+  ck_assert_ptr_nonnull (
+      marjoram_host_list_owner (fleet->list, fleet->now, "r", "u-1"));
+}
+
+static void
+look_up (struct fleet *fleet, int number)
+{
+  const char *addresses[MARJORAM_LOOKUP_MAX];
+  enum marjoram_lookup_reach reach;
+
+  (void)number;
+  marjoram_host_list_lookup (fleet->list, fleet->now, "z", "r", NULL, NULL,
+                             addresses, &reach);
+}
+
+static void
+hear_all (struct fleet *fleet)
+{
+  for (int i = 0; i < fleet->hosts; i++)
+    {
+      hear_beat (fleet, i);
+      hear_report (fleet, i);
+      hear_repeats (fleet, i);
+    }
+}
+
+static struct fleet *
+fleet_create (int hosts)
+{
+  struct fleet *fleet = marjoram_alloc (sizeof *fleet);
+  const struct marjoram_placement_options options = { .host = "h-0",
+                                                      .region = "r",
+                                                      .region_of = region_of,
+                                                      .is_evacuated = never,
+                                                      .is_leaving = never };
+  struct marjoram_placement_options own = options;
+
+  fleet->hosts = hosts;
+  fleet->registry = marjoram_registry_create ();
+  fleet->list = marjoram_host_list_create ();
+  fleet->sums = marjoram_repeat_sums_list_create ();
+  own.registry = fleet->registry;
+  own.hosts = fleet->list;
+  fleet->placement = marjoram_placement_create (&own);
+  fleet->service.name = (char *)"lm";
+  fleet->service.has_engine = true;
+  fleet->service.engine.slots = 64;
+  fleet->service.engine.kv_capacity = 200000;
+  fleet->facts.prompt_tokens = 100;
+  fleet->now = 1000;
+  for (int i = 0; i < UPSTREAMS; i++)
+    hear_upstream (fleet, i);
+  hear_all (fleet);
+  fleet->now += 10;
+  hear_all (fleet);
+  return fleet;
+}
+
+static void
+fleet_destroy (struct fleet *fleet)
+{
+  marjoram_placement_destroy (fleet->placement);
+  marjoram_repeat_sums_list_destroy (fleet->sums);
+  marjoram_host_list_destroy (fleet->list);
+  marjoram_registry_destroy (fleet->registry);
+  free (fleet);
+}
+
+/* Mean steps of ten, after one that renews what is collected now and then.  */
+static double
+count (struct fleet *fleet, void (*act) (struct fleet *fleet, int number))
+{
+  const int times = 10;
+
+  act (fleet, 0);
+  steps = 0;
+  for (int i = 0; i < times; i++)
+    act (fleet, i);
+  return (double)steps / times;
+}
+
+static void
+check_growth (const char *what, void (*act) (struct fleet *fleet, int number))
+{
+  double first = 0;
+
+  for (int i = 0; i < SIZES; i++)
+    {
+      struct fleet *fleet = fleet_create (sizes[i]);
+      double now = count (fleet, act);
+
+      if (i == 0)
+        first = now;
+      printf ("%s, %d hosts: %.0f steps\n", what, sizes[i], now);
+      ck_assert_msg (now > 0 && now <= growth * first,
+                     "%s: %g steps with %d hosts, %g with %d", what, now,
+                     sizes[i], first, sizes[0]);
+      fleet_destroy (fleet);
+    }
+}
+
+START_TEST (a_beat_costs_the_same_in_any_fleet)
+{
+  check_growth ("beat", hear_beat);
+}
+END_TEST
+
+START_TEST (a_report_costs_the_same_in_any_fleet)
+{
+  check_growth ("report", hear_report);
+}
+END_TEST
+
+START_TEST (a_choice_costs_the_same_in_any_fleet)
+{
+  check_growth ("choice", choose);
+}
+END_TEST
+
+START_TEST (the_owner_of_a_key_costs_the_same_in_any_fleet)
+{
+  check_growth ("owner", find_owner);
+}
+END_TEST
+
+START_TEST (sums_of_repeats_cost_the_same_in_any_fleet)
+{
+  check_growth ("repeats", hear_repeats);
+}
+END_TEST
+
+/* An answer names 64 hosts at most, so that the smallest fleet costs less.  */
+START_TEST (a_look_up_costs_no_more_than_its_answer)
+{
+  struct fleet *full = fleet_create (2 * MARJORAM_LOOKUP_MAX);
+  struct fleet *large = fleet_create (sizes[SIZES - 1]);
+
+  ck_assert_double_le (count (large, look_up), growth * count (full, look_up));
+  fleet_destroy (full);
+  fleet_destroy (large);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("growth");
+  TCase *c = tcase_create ("growth");
+
+  tcase_add_test (c, a_beat_costs_the_same_in_any_fleet);
+  tcase_add_test (c, a_report_costs_the_same_in_any_fleet);
+  tcase_add_test (c, a_choice_costs_the_same_in_any_fleet);
+  tcase_add_test (c, the_owner_of_a_key_costs_the_same_in_any_fleet);
+  tcase_add_test (c, sums_of_repeats_cost_the_same_in_any_fleet);
+  tcase_add_test (c, a_look_up_costs_no_more_than_its_answer);
+  suite_add_tcase (s, c);
+  return s;
+}
