In large fleets loads go by way of collectors

Cause: each host reported all that runs from it to all hosts of its region ten times a second, some 95,000 messages a second in a region of 98 hosts, so that a host's work and bytes grew with the fleet. Above 48 hosts of a region the upstreams are in eight groups, each with a collector by rendezvous hashing; a host tells it what changes, within 50 ms, and it tells all hosts the changed sums each 100 ms: with 98 hosts some 9,000 messages a second. Smaller regions report to all as before, which is fresher.

Ruled out by arithmetic: one relay for a region (20 KB/s to each of 97 hosts are 16 of 10 Mbit/s), whole reports passed on in one message (20 KB each), an owner that is asked for each choice (left for later: it changes who decides).

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -225,6 +225,13 @@
       marjoram_repeat_budget_hear (marjoram_gateway_budget (self->gateway),
                                    marjoram_entry_now (self), message);
       break;
+    case MARJORAM_FRAME_LOAD_CHANGES:
+      marjoram_load_collector_hear (self->collector, marjoram_entry_now (self),
+                                    host, message);
+      break;
+    case MARJORAM_FRAME_LOAD_SUMS:
+      marjoram_entry_take_sums (self, host, message);
+      break;
     case MARJORAM_FRAME_CRASHES:
       marjoram_crash_list_hear (marjoram_gateway_crashes (self->gateway),
                                 marjoram_entry_now (self), message);
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -1,13 +1,16 @@
 /* The parts of the role entry: entry_role.c (tasks, configuration, course),
-   entry_answer.c (what the gateway does to callers, upstreams and other hosts)
-   and entry_frame.c (what other hosts tell).  */
+   entry_loads.c (what runs, to the hosts of the region), entry_answer.c (what
+   the gateway does to callers, upstreams and other hosts) and entry_frame.c
+   (what other hosts tell).  */
 #ifndef MARJORAM_ENTRY_PRIVATE_H
 #define MARJORAM_ENTRY_PRIVATE_H
 
+#include "address.h"
 #include "agreed.h"
 #include "engine_survey.h"
 #include "gateway.h"
 #include "leaving_zones.h"
+#include "load_collector.h"
 #include "role.h"
 #include "state_fetch.h"
 
@@ -47,6 +50,12 @@
   struct marjoram_inbound *inbound;
   uint64_t next_call;
   int64_t reported_at;
+  /* Of loads by collectors.  */
+  marjoram_load_collector *collector;
+  bool collects;
+  char collectors[MARJORAM_LOAD_GROUPS][MARJORAM_IP_MAX]; /* as last told */
+  int64_t whole_at;
+  int64_t summed_at;
   int64_t client_ticked_at;
   int64_t stopped_at;
   bool closed;
@@ -76,6 +85,13 @@
 void marjoram_entry_take_cancel (struct marjoram_entry *self, const char *host,
                                  uint64_t session, uint64_t request);
 
+/* entry_loads.c */
+/* Tells other hosts of the region what runs from here.  */
+void marjoram_entry_report_loads (struct marjoram_entry *self, int64_t now);
+/* The sums that HOST collected.  */
+void marjoram_entry_take_sums (struct marjoram_entry *self, const char *host,
+                               const struct marjoram_load_report *sums);
+
 /* entry_role.c */
 void marjoram_entry_take_state (struct marjoram_entry *self,
                                 const struct marjoram_state *state);
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -12,8 +12,7 @@
 
 enum
 {
-  REPORT_MS = 100, /* loads to the other hosts of the region */
-  OFFER_MS = 100,  /* for how long one count of what is offered holds */
+  OFFER_MS = 100, /* for how long one count of what is offered holds */
   /* How long requests are still taken after the signal to stop: callers keep
      an address for two seconds, and what is taken must end before the limit
      of the drain.  */
@@ -365,38 +364,6 @@
   marjoram_repeat_budget_set (marjoram_gateway_budget (self->gateway), &terms);
 }
 
-/* Hosts of this region hear it at once; keepers pass it on to the others.  */
-static void
-report_crashes (struct marjoram_entry *self)
-{
-  struct marjoram_crash_report crashes;
-
-  if (!marjoram_crash_list_take_report (
-          marjoram_gateway_crashes (self->gateway), &crashes))
-    return;
-  marjoram_host_links_tell_region (self->parts->links, MARJORAM_FRAME_CRASHES,
-                                   &crashes);
-  marjoram_host_links_tell_keepers (self->parts->links, MARJORAM_FRAME_CRASHES,
-                                    &crashes);
-  marjoram_wire_clear (&marjoram_crash_report_layout, &crashes);
-}
-
-static void
-report (struct marjoram_entry *self, int64_t now)
-{
-  struct marjoram_load_report loads;
-
-  if (now < self->reported_at + REPORT_MS)
-    return;
-  self->reported_at = now;
-  marjoram_placement_report (marjoram_gateway_placement (self->gateway),
-                             &loads);
-  marjoram_host_links_tell_region (self->parts->links, MARJORAM_FRAME_LOADS,
-                                   &loads);
-  marjoram_wire_clear (&marjoram_load_report_layout, &loads);
-  report_crashes (self);
-}
-
 static void
 engine_kept (void *context, const char *engine,
              const struct marjoram_prompt_part *parts, size_t count)
@@ -447,7 +414,7 @@
 
   marjoram_gateway_tick (self->gateway, now);
   marjoram_state_fetch_tick (self->fetch, now);
-  report (self, now);
+  marjoram_entry_report_loads (self, now);
   survey_engines (self, now);
   if (now >= self->client_ticked_at + CLIENT_TICK_MS)
     {
@@ -498,6 +465,7 @@
   marjoram_gateway_destroy (self->gateway);
   marjoram_engine_survey_destroy (self->survey);
   marjoram_state_fetch_destroy (self->fetch);
+  marjoram_load_collector_destroy (self->collector);
   marjoram_http_client_destroy (self->client);
   marjoram_http_server_destroy (self->server);
   marjoram_route_table_destroy (self->table);
@@ -585,6 +553,7 @@
       parts->base, parts->clock, parts->dialect, &survey_ops, self);
   self->fetch = marjoram_state_fetch_create (&marjoram_entry_fetch_options,
                                              &marjoram_entry_fetch_ops, self);
+  self->collector = marjoram_load_collector_create ();
   self->created_at = marjoram_entry_now (self);
   self->server = marjoram_http_server_create (parts->base, parts->clock,
                                               parts->settings->entry_address,
--- a/src/frame.h
+++ b/src/frame.h
@@ -40,6 +40,10 @@
   MARJORAM_FRAME_STATE_ASK,   /* struct marjoram_state_ask */
   MARJORAM_FRAME_STATE_PIECE, /* struct marjoram_state_piece */
   MARJORAM_FRAME_REPEAT_SUMS, /* struct marjoram_repeat_sums */
+  /* Struct marjoram_load_report: a host's changes to a collector, and a
+     collector's sums to all hosts.  */
+  MARJORAM_FRAME_LOAD_CHANGES,
+  MARJORAM_FRAME_LOAD_SUMS,
   MARJORAM_FRAME_COUNT
 };
 
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -117,6 +117,7 @@
                          MARJORAM_LOADS_MAX, &load_item_layout) },
   { MARJORAM_WIRE_ARRAY (struct marjoram_load_report, placed,
                          MARJORAM_PLACED_MAX, &placed_part_layout) },
+  FLAG (marjoram_load_report, whole),
 };
 LAYOUT (marjoram_load_report_layout, marjoram_load_report, load_report_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -121,6 +121,7 @@
 {
   struct marjoram_array items;  /* of struct marjoram_load_item */
   struct marjoram_array placed; /* of struct marjoram_placed_part */
+  bool whole; /* what it leaves out is over; of frame LOADS always so */
 };
 
 /* A request that was at an upstream when it died, or was answered since.  */
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -536,16 +536,15 @@
 void
 marjoram_host_links_destroy (marjoram_host_links *links)
 {
-  struct marjoram_host_link *link;
-  struct marjoram_host_session *session;
-
   if (!links)
     return;
   marjoram_peer_destroy (links->peer);
-  while ((link = TAILQ_FIRST (&links->links)))
-    forget_link (links, link);
-  while ((session = TAILQ_FIRST (&links->sessions)))
-    forget_session (links, session);
+  while (!TAILQ_EMPTY (&links->links))
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    forget_link (links, TAILQ_FIRST (&links->links));
+  while (!TAILQ_EMPTY (&links->sessions))
+    /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
+    forget_session (links, TAILQ_FIRST (&links->sessions));
   clear_settings (links);
   marjoram_counters_destroy (links->counters);
   free (links);
--- a/src/placement.c
+++ b/src/placement.c
@@ -60,6 +60,7 @@
   spot->id = marjoram_strdup (id);
   spot->memory = marjoram_engine_memory_create ();
   spot->born = MARJORAM_BORN_UNKNOWN;
+  spot->group = marjoram_load_group (id);
   TAILQ_INIT (&spot->unanswered);
   HASH_ADD_KEYPTR (hh, placement->spots, spot->id, strlen (spot->id), spot);
   return spot;
@@ -178,15 +179,14 @@
 }
 
 struct marjoram_spot_load_sum
-marjoram_spot_load (const struct marjoram_spot *spot)
+marjoram_spot_load (const struct marjoram_spot *spot, int64_t now)
 {
   struct marjoram_spot_load_sum sum = spot->own;
+  const struct marjoram_spot_load_sum collected
+      = marjoram_spot_collected (spot, now);
 
-  sum.running += spot->told.running;
-  sum.unread += spot->told.unread;
-  sum.urgent += spot->told.urgent;
-  sum.held += spot->told.held;
-  sum.answer += spot->told.answer;
+  marjoram_load_add (&sum, &spot->told, 1);
+  marjoram_load_add (&sum, &collected, 1);
   return sum;
 }
 
@@ -234,9 +234,9 @@
    used last.  */
 static void
 use_parts (marjoram_placement *placement, struct marjoram_spot *spot,
-           const struct marjoram_place_query *query)
+           const struct marjoram_place_query *query, int64_t now)
 {
-  struct marjoram_spot_load_sum load = marjoram_spot_load (spot);
+  struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
   int64_t capacity = query->service->engine.kv_capacity - load.held;
 
   for (size_t i = query->facts->part_count; i > 0; i--)
@@ -254,7 +254,7 @@
   struct marjoram_spot_load_sum load;
 
   marjoram_placement_forget_reports (placement, now);
-  load = marjoram_spot_load (spot);
+  load = marjoram_spot_load (spot, now);
   attempt->number = number;
   attempt->spot = spot;
   attempt->service = marjoram_strdup (query->service->name);
@@ -270,7 +270,7 @@
       attempt->ahead = marjoram_load_ahead (&load, query->priority);
       attempt->answer = (int64_t)marjoram_answer_tokens (query->facts);
       attempt->held = attempt->unread + attempt->answer;
-      use_parts (placement, spot, query);
+      use_parts (placement, spot, query, now);
     }
   spot->own.running++;
   spot->own.unread += attempt->unread;
--- a/src/placement.h
+++ b/src/placement.h
@@ -162,6 +162,27 @@
 void marjoram_placement_hear (marjoram_placement *placement, int64_t now,
                               const char *host,
                               const struct marjoram_load_report *report);
+/* ---- In large fleets, instead of reports to all hosts (load_collector.h).
+   ---- */
+
+enum
+{
+  /* Groups of upstreams, each with one collector.  More groups spread the work
+     of collecting, fewer take fewer messages.  */
+  MARJORAM_LOAD_GROUPS = 8
+};
+
+/* What has changed here since the last call, by group of upstreams; all that
+   runs from here where WHOLE is set.  To be cleared by the caller.  */
+void marjoram_placement_report_changes (
+    marjoram_placement *placement, int64_t now,
+    const bool whole[MARJORAM_LOAD_GROUPS],
+    struct marjoram_load_report reports[MARJORAM_LOAD_GROUPS]);
+/* The sums of a collector, this host's own loads included, of those GROUPS
+   that it collects.  */
+void marjoram_placement_hear_sums (marjoram_placement *placement, int64_t now,
+                                   const bool groups[MARJORAM_LOAD_GROUPS],
+                                   const struct marjoram_load_report *report);
 void marjoram_placement_tick (marjoram_placement *placement, int64_t now);
 
 #endif
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -164,7 +164,7 @@
 {
   struct marjoram_service_speed *speed
       = marjoram_placement_speed (placement, query->service->name);
-  struct marjoram_spot_load_sum load = marjoram_spot_load (spot);
+  struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
   int64_t unread = query->facts->prompt_tokens - copy->kept - copy->tokens;
   double unread_ms = (double)unread / speed->tokens_per_ms;
   double ahead_ms = (double)marjoram_load_ahead (&load, query->priority)
@@ -186,11 +186,11 @@
 static struct estimate
 estimate_plain (marjoram_placement *placement, struct marjoram_spot *spot,
                 const struct marjoram_registered *upstream,
-                const struct marjoram_place_query *query)
+                const struct marjoram_place_query *query, int64_t now)
 {
   struct marjoram_service_speed *speed
       = marjoram_placement_speed (placement, query->service->name);
-  struct marjoram_spot_load_sum load = marjoram_spot_load (spot);
+  struct marjoram_spot_load_sum load = marjoram_spot_load (spot, now);
   int64_t slots = upstream->news.slots > 0 ? upstream->news.slots : 1;
   struct estimate estimate = { 0 };
 
@@ -212,7 +212,7 @@
   struct estimate estimate
       = query->service->has_engine
             ? estimate_engine (placement, spot, query, copy, now)
-            : estimate_plain (placement, spot, upstream, query);
+            : estimate_plain (placement, spot, upstream, query, now);
 
   estimate.cost_ms *= 1 + FAILURE_WEIGHT * spot->failure_share;
   estimate.cost_ms += (double)spread (spot, query->facts);
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -1,6 +1,7 @@
 /* The parts of a placement, shared by placement.c (what is known, and the
-   course of attempts), placement_choose.c (the choice) and placement_report.c
-   (what hosts of a region tell each other).  */
+   course of attempts), placement_choose.c (the choice), placement_report.c
+   (what hosts of a region tell each other) and placement_collect.c (the same
+   by collectors).  */
 #ifndef MARJORAM_PLACEMENT_PRIVATE_H
 #define MARJORAM_PLACEMENT_PRIVATE_H
 
@@ -49,6 +50,12 @@
   struct marjoram_spot_load_sum own;
   struct marjoram_spot_load_sum told; /* by all other hosts together */
   size_t tellers;                     /* reports that name it */
+  int group;
+  struct marjoram_spot_load_sum collected; /* by all hosts and this one */
+  /* This host's own as the collector was told it, and before that.  */
+  struct marjoram_spot_load_sum reported;
+  struct marjoram_spot_load_sum reported_before;
+  int64_t reported_at;
   marjoram_engine_memory *memory;
   int64_t capacity; /* tokens, of the engine's memory; 0 until it is known */
   int64_t born;     /* of the life that MEMORY is of */
@@ -114,6 +121,7 @@
   struct marjoram_service_speed *speeds;
   STAILQ_HEAD (, marjoram_placed_item) placed; /* since the last report */
   uint64_t reports;                            /* made */
+  int64_t collected_at[MARJORAM_LOAD_GROUPS];  /* 0: nothing is */
   struct marjoram_reporter *reporters;
   TAILQ_HEAD (, marjoram_reporter) reporters_by_age;
 };
@@ -127,10 +135,27 @@
 /* What runs there, from this host and from all that told lately: to be called
    after marjoram_placement_forget_reports.  */
 struct marjoram_spot_load_sum
-marjoram_spot_load (const struct marjoram_spot *spot);
+marjoram_spot_load (const struct marjoram_spot *spot, int64_t now);
 /* Takes off what hosts told that have been silent for long.  */
 void marjoram_placement_forget_reports (marjoram_placement *placement,
                                         int64_t now);
+/* placement_collect.c */
+/* The same of what collectors told.  */
+void marjoram_placement_forget_sums (marjoram_placement *placement,
+                                     int64_t now);
+/* What other hosts run at SPOT by its collector.  */
+struct marjoram_spot_load_sum
+marjoram_spot_collected (const struct marjoram_spot *spot, int64_t now);
+int marjoram_load_group (const char *upstream);
+void marjoram_load_add (struct marjoram_spot_load_sum *sum,
+                        const struct marjoram_spot_load_sum *load,
+                        int64_t sign);
+struct marjoram_spot_load_sum
+marjoram_load_of_item (const struct marjoram_load_item *item);
+/* An item of a report on SPOT, which owns its text.  */
+struct marjoram_load_item marjoram_spot_item (struct marjoram_spot *spot);
+void marjoram_spot_hear_placed (struct marjoram_spot *spot,
+                                const struct marjoram_placed_part *placed);
 void marjoram_reporter_destroy (marjoram_placement *placement,
                                 struct marjoram_reporter *reporter);
 /* Tokens of the prompt that the engine keeps, at most all of them.  */
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -10,17 +10,31 @@
   REPORT_VALID_MS = 2000
 };
 
-/* ---- This host's own.  ---- */
+void
+marjoram_load_add (struct marjoram_spot_load_sum *sum,
+                   const struct marjoram_spot_load_sum *load, int64_t sign)
+{
+  sum->running += sign * load->running;
+  sum->unread += sign * load->unread;
+  sum->urgent += sign * load->urgent;
+  sum->held += sign * load->held;
+  sum->answer += sign * load->answer;
+}
 
-static size_t
-add_item (marjoram_placement *placement, struct marjoram_load_report *report,
-          struct marjoram_spot *spot)
+struct marjoram_spot_load_sum
+marjoram_load_of_item (const struct marjoram_load_item *item)
 {
-  struct marjoram_load_item *items = report->items.items;
+  return (struct marjoram_spot_load_sum){ (int64_t)item->running,
+                                          (int64_t)item->unread_tokens,
+                                          (int64_t)item->urgent_tokens,
+                                          (int64_t)item->held_tokens,
+                                          (int64_t)item->answer_tokens };
+}
 
-  if (spot->report == placement->reports)
-    return spot->item;
-  items[report->items.count] = (struct marjoram_load_item){
+struct marjoram_load_item
+marjoram_spot_item (struct marjoram_spot *spot)
+{
+  const struct marjoram_load_item item = {
     .upstream = marjoram_strdup (spot->id),
     .running = (uint64_t)spot->own.running,
     .unread_tokens = (uint64_t)spot->own.unread,
@@ -29,7 +43,22 @@
     .answer_tokens = (uint64_t)spot->own.answer,
     .lost = spot->tell_lost,
   };
+
   spot->tell_lost = false;
+  return item;
+}
+
+/* ---- This host's own.  ---- */
+
+static size_t
+add_item (marjoram_placement *placement, struct marjoram_load_report *report,
+          struct marjoram_spot *spot)
+{
+  struct marjoram_load_item *items = report->items.items;
+
+  if (spot->report == placement->reports)
+    return spot->item;
+  items[report->items.count] = marjoram_spot_item (spot);
   spot->report = placement->reports;
   spot->item = report->items.count++;
   return spot->item;
@@ -82,17 +111,6 @@
 
 /* ---- Other hosts'.  ---- */
 
-static void
-add_load (struct marjoram_spot_load_sum *sum,
-          const struct marjoram_spot_load_sum *load, int64_t sign)
-{
-  sum->running += sign * load->running;
-  sum->unread += sign * load->unread;
-  sum->urgent += sign * load->urgent;
-  sum->held += sign * load->held;
-  sum->answer += sign * load->answer;
-}
-
 static void
 take_off_loads (struct marjoram_reporter *reporter)
 {
@@ -100,7 +118,7 @@
     {
       struct marjoram_told_load *told = &reporter->loads[i];
 
-      add_load (&told->spot->told, &told->load, -1);
+      marjoram_load_add (&told->spot->told, &told->load, -1);
       told->spot->tellers--;
     }
   reporter->count = 0;
@@ -127,6 +145,7 @@
   while ((oldest = TAILQ_FIRST (&placement->reporters_by_age))
          && now - oldest->at > REPORT_VALID_MS)
     marjoram_reporter_destroy (placement, oldest);
+  marjoram_placement_forget_sums (placement, now);
 }
 
 static struct marjoram_reporter *
@@ -166,20 +185,16 @@
   struct marjoram_told_load *told = &reporter->loads[reporter->count++];
 
   told->spot = spot;
-  told->load = (struct marjoram_spot_load_sum){ (int64_t)item->running,
-                                                (int64_t)item->unread_tokens,
-                                                (int64_t)item->urgent_tokens,
-                                                (int64_t)item->held_tokens,
-                                                (int64_t)item->answer_tokens };
-  add_load (&spot->told, &told->load, 1);
+  told->load = marjoram_load_of_item (item);
+  marjoram_load_add (&spot->told, &told->load, 1);
   spot->tellers++;
   if (item->lost)
     spot->lost_at = now;
 }
 
-static void
-hear_placed (struct marjoram_spot *spot,
-             const struct marjoram_placed_part *placed)
+void
+marjoram_spot_hear_placed (struct marjoram_spot *spot,
+                           const struct marjoram_placed_part *placed)
 {
   /* Until this host has sent there itself, it does not know the size.  */
   int64_t capacity = spot->capacity > 0 ? spot->capacity : INT64_MAX;
@@ -213,6 +228,6 @@
   for (size_t i = 0; i < report->placed.count; i++)
     if (placed[i].upstream < report->items.count
         && items[placed[i].upstream].upstream)
-      hear_placed (reporter->loads[named[placed[i].upstream]].spot,
-                   &placed[i]);
+      marjoram_spot_hear_placed (
+          reporter->loads[named[placed[i].upstream]].spot, &placed[i]);
 }
--- a/test/test_growth.c
+++ b/test/test_growth.c
@@ -4,6 +4,7 @@
 #include "suite.h"
 
 #include "cleanup.h"
+#include "load_collector.h"
 #include "placement.h"
 #include "repeat_sums.h"
 
@@ -39,6 +40,7 @@
   marjoram_host_list *list;
   marjoram_placement *placement;
   marjoram_repeat_sums_list *sums;
+  marjoram_load_collector *collector;
   struct marjoram_service_rule service;
   struct marjoram_call_facts facts;
   int64_t now;
@@ -94,11 +96,14 @@
 }
 
 static void
-hear_report (struct fleet *fleet, int number)
+hear_from (struct fleet *fleet, int number,
+           void (*hear) (struct fleet *fleet, const char *host,
+                         const struct marjoram_load_report *report))
 {
   struct marjoram_load_item items[ITEMS];
   char ids[ITEMS][16];
-  const struct marjoram_load_report report = { { items, ITEMS }, { NULL, 0 } };
+  const struct marjoram_load_report report
+      = { { items, ITEMS }, { NULL, 0 }, true };
   char name[16];
 
   snprintf (name, sizeof name, "h-%d", number);
@@ -106,9 +111,36 @@
     {
       snprintf (ids[i], sizeof ids[i], "u-%d", (number + i) % UPSTREAMS);
       items[i] = (struct marjoram_load_item){ .upstream = ids[i],
+                                              .running = 1,
                                               .answer_tokens = 1 };
     }
-  marjoram_placement_hear (fleet->placement, fleet->now, name, &report);
+  hear (fleet, name, &report);
+}
+
+static void
+hear_as_placement (struct fleet *fleet, const char *host,
+                   const struct marjoram_load_report *report)
+{
+  marjoram_placement_hear (fleet->placement, fleet->now, host, report);
+}
+
+static void
+hear_as_collector (struct fleet *fleet, const char *host,
+                   const struct marjoram_load_report *report)
+{
+  marjoram_load_collector_hear (fleet->collector, fleet->now, host, report);
+}
+
+static void
+hear_report (struct fleet *fleet, int number)
+{
+  hear_from (fleet, number, hear_as_placement);
+}
+
+static void
+collect_report (struct fleet *fleet, int number)
+{
+  hear_from (fleet, number, hear_as_collector);
 }
 
 static void
@@ -165,6 +197,7 @@
     {
       hear_beat (fleet, i);
       hear_report (fleet, i);
+      collect_report (fleet, i);
       hear_repeats (fleet, i);
     }
 }
@@ -184,6 +217,7 @@
   fleet->registry = marjoram_registry_create ();
   fleet->list = marjoram_host_list_create ();
   fleet->sums = marjoram_repeat_sums_list_create ();
+  fleet->collector = marjoram_load_collector_create ();
   own.registry = fleet->registry;
   own.hosts = fleet->list;
   fleet->placement = marjoram_placement_create (&own);
@@ -206,6 +240,7 @@
 {
   marjoram_placement_destroy (fleet->placement);
   marjoram_repeat_sums_list_destroy (fleet->sums);
+  marjoram_load_collector_destroy (fleet->collector);
   marjoram_host_list_destroy (fleet->list);
   marjoram_registry_destroy (fleet->registry);
   free (fleet);
@@ -256,6 +291,12 @@
 }
 END_TEST
 
+START_TEST (a_report_to_a_collector_costs_the_same_in_any_fleet)
+{
+  check_growth ("collected report", collect_report);
+}
+END_TEST
+
 START_TEST (a_choice_costs_the_same_in_any_fleet)
 {
   check_growth ("choice", choose);
@@ -294,6 +335,7 @@
 
   tcase_add_test (c, a_beat_costs_the_same_in_any_fleet);
   tcase_add_test (c, a_report_costs_the_same_in_any_fleet);
+  tcase_add_test (c, a_report_to_a_collector_costs_the_same_in_any_fleet);
   tcase_add_test (c, a_choice_costs_the_same_in_any_fleet);
   tcase_add_test (c, the_owner_of_a_key_costs_the_same_in_any_fleet);
   tcase_add_test (c, sums_of_repeats_cost_the_same_in_any_fleet);
--- /dev/null
+++ b/test/test_load_collector.c
@@ -0,0 +1,303 @@
+/* What collectors sum up for a region, and what placements make of it.  */
+#include "suite.h"
+
+#include "cleanup.h"
+#include "load_collector.h"
+#include "placement.h"
+
+#include <string.h>
+
+static marjoram_load_collector *collector;
+
+static void
+setup (void)
+{
+  collector = marjoram_load_collector_create ();
+}
+
+static void
+teardown (void)
+{
+  marjoram_load_collector_destroy (collector);
+}
+
+static void
+tell (int64_t now, const char *host, const char *upstream, uint64_t running,
+      bool whole)
+{
+  struct marjoram_load_item item
+      = { .upstream = (char *)upstream, .running = running };
+  struct marjoram_placed_part part = { 7, 100, 0 };
+  const struct marjoram_load_report report
+      = { { &item, 1 }, { &part, running > 0 ? 1 : 0 }, whole };
+
+  marjoram_load_collector_hear (collector, now, host, &report);
+}
+
+/* What is told of UPSTREAM at NOW; -1 if nothing.  */
+static int64_t
+told (int64_t now, const char *upstream)
+{
+  struct marjoram_load_report report;
+  const struct marjoram_load_item *items;
+  int64_t running = -1;
+
+  marjoram_load_collector_take (collector, now, &report);
+  items = report.items.items;
+  for (size_t i = 0; i < report.items.count; i++)
+    if (strcmp (items[i].upstream, upstream) == 0)
+      running = (int64_t)items[i].running;
+  marjoram_wire_clear (&marjoram_load_report_layout, &report);
+  return running;
+}
+
+START_TEST (sums_follow_changes)
+{
+  tell (1000, "a", "u", 2, false);
+  tell (1000, "b", "u", 3, false);
+  ck_assert_int_eq (told (1100, "u"), 5);
+  ck_assert_int_eq (told (1200, "u"), -1);
+  tell (1250, "a", "u", 1, false);
+  ck_assert_int_eq (told (1300, "u"), 4);
+  tell (1350, "a", "u", 0, false);
+  tell (1350, "b", "u", 0, false);
+  ck_assert_int_eq (told (1400, "u"), 0);
+  ck_assert_int_eq (told (2500, "u"), -1);
+}
+END_TEST
+
+START_TEST (a_whole_report_ends_what_it_leaves_out)
+{
+  tell (1000, "a", "u", 2, false);
+  tell (1000, "a", "v", 3, true);
+  ck_assert_int_eq (told (1100, "u"), 0);
+  tell (1150, "a", "v", 3, false);
+  ck_assert_int_eq (told (1200, "v"), 3);
+}
+END_TEST
+
+/* Guards against a host that died holding places at upstreams for good.  */
+START_TEST (a_silent_host_is_taken_off)
+{
+  tell (1000, "a", "u", 2, false);
+  tell (2000, "b", "u", 1, false);
+  ck_assert_int_eq (told (2100, "u"), 3);
+  ck_assert_int_eq (told (3100, "u"), 1);
+}
+END_TEST
+
+/* Guards against a host that missed some sums being wrong for long.  */
+START_TEST (all_sums_are_told_now_and_then)
+{
+  tell (1000, "a", "u", 2, false);
+  ck_assert_int_eq (told (1100, "u"), 2);
+  tell (2050, "a", "v", 1, false);
+  ck_assert_int_eq (told (2150, "u"), 2);
+}
+END_TEST
+
+/* ---- Two hosts that place by way of the collector.  ---- */
+
+static const bool all_groups[MARJORAM_LOAD_GROUPS]
+    = { true, true, true, true, true, true, true, true };
+static const bool no_groups[MARJORAM_LOAD_GROUPS] = { false };
+
+struct pair
+{
+  marjoram_registry *registry;
+  marjoram_host_list *list;
+  marjoram_placement *placements[2];
+  struct marjoram_service_rule service;
+  struct marjoram_call_facts facts;
+  uint64_t attempts;
+};
+
+static const char *
+region_of (void *context, const char *zone)
+{
+  (void)context;
+  (void)zone;
+  return "r";
+}
+
+static bool
+never (void *context, const char *zone)
+{
+  (void)context;
+  (void)zone;
+  return false;
+}
+
+static struct pair *
+pair_create (void)
+{
+  struct pair *pair = marjoram_alloc (sizeof *pair);
+  struct marjoram_upstream_news news = { .id = "u",
+                                         .service = "lm",
+                                         .address = "10.0.0.1:1",
+                                         .zone = "z",
+                                         .state = MARJORAM_NEWS_READY,
+                                         .sequence = 1,
+                                         .ends_ms = -1,
+                                         .slots = 64 };
+
+  pair->registry = marjoram_registry_create ();
+  pair->list = marjoram_host_list_create ();
+  marjoram_registry_hear (pair->registry, 1000, &news, 0);
+  pair->service.name = (char *)"lm";
+  pair->service.has_engine = true;
+  pair->service.engine.slots = 64;
+  pair->service.engine.kv_capacity = 200000;
+  pair->facts.prompt_tokens = 8000;
+  for (int i = 0; i < 2; i++)
+    {
+      const struct marjoram_placement_options options
+          = { .registry = pair->registry,
+              .hosts = pair->list,
+              .host = i == 0 ? "a" : "b",
+              .region = "r",
+              .region_of = region_of,
+              .is_evacuated = never,
+              .is_leaving = never };
+
+      pair->placements[i] = marjoram_placement_create (&options);
+    }
+  return pair;
+}
+
+static void
+pair_destroy (struct pair *pair)
+{
+  for (int i = 0; i < 2; i++)
+    marjoram_placement_destroy (pair->placements[i]);
+  marjoram_host_list_destroy (pair->list);
+  marjoram_registry_destroy (pair->registry);
+  free (pair);
+}
+
+static struct marjoram_place_query
+query_of (struct pair *pair)
+{
+  return (struct marjoram_place_query){ .service = &pair->service,
+                                        .facts = &pair->facts,
+                                        .priority = 1,
+                                        .useful_ms = 5000 };
+}
+
+static void
+start (struct pair *pair, int host, int64_t now)
+{
+  const struct marjoram_place_query query = query_of (pair);
+
+  marjoram_placement_started (pair->placements[host], now, ++pair->attempts,
+                              "u", &query);
+}
+
+/* Prompts ahead at the engine, as HOST sees them.  */
+static int64_t
+backlog (struct pair *pair, int host, int64_t now)
+{
+  const struct marjoram_place_query query = query_of (pair);
+  struct marjoram_place place;
+
+  marjoram_placement_choose (pair->placements[host], now, &query, &place);
+  return place.backlog_ms;
+}
+
+static void
+report (struct pair *pair, int host, int64_t now)
+{
+  struct marjoram_load_report reports[MARJORAM_LOAD_GROUPS];
+
+  marjoram_placement_report_changes (pair->placements[host], now, no_groups,
+                                     reports);
+  for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
+    {
+      if (reports[i].items.count > 0)
+        marjoram_load_collector_hear (collector, now, host == 0 ? "a" : "b",
+                                      &reports[i]);
+      marjoram_wire_clear (&marjoram_load_report_layout, &reports[i]);
+    }
+}
+
+static void
+sum_up (struct pair *pair, int64_t now)
+{
+  struct marjoram_load_report sums;
+
+  if (marjoram_load_collector_take (collector, now, &sums))
+    for (int i = 0; i < 2; i++)
+      marjoram_placement_hear_sums (pair->placements[i], now, all_groups,
+                                    &sums);
+  marjoram_wire_clear (&marjoram_load_report_layout, &sums);
+}
+
+START_TEST (loads_reach_the_other_host_and_count_once_at_their_own)
+{
+  struct pair *pair = pair_create ();
+  int64_t own;
+
+  start (pair, 0, 1000);
+  own = backlog (pair, 0, 1000);
+  ck_assert_int_gt (own, 0);
+  report (pair, 0, 1050);
+  sum_up (pair, 1100);
+  ck_assert_int_eq (backlog (pair, 1, 1100), own);
+  ck_assert_int_eq (backlog (pair, 0, 1300), own);
+  pair_destroy (pair);
+}
+END_TEST
+
+/* Guards against a host that sends to an engine and then sees it emptier than
+   before, as the sums don't hold that request yet.  */
+START_TEST (a_request_just_sent_is_not_taken_off)
+{
+  struct pair *pair = pair_create ();
+  int64_t one;
+
+  start (pair, 0, 1000);
+  one = backlog (pair, 0, 1000);
+  start (pair, 1, 1000);
+  report (pair, 1, 1050);
+  sum_up (pair, 1100);
+  ck_assert_int_ge (backlog (pair, 0, 1100), 2 * one - 1);
+  report (pair, 0, 1110);
+  ck_assert_int_ge (backlog (pair, 0, 1120), 2 * one - 1);
+  sum_up (pair, 1200);
+  ck_assert_int_ge (backlog (pair, 0, 1400), 2 * one - 1);
+  ck_assert_int_le (backlog (pair, 0, 1400), 2 * one + 1);
+  pair_destroy (pair);
+}
+END_TEST
+
+/* Guards against sums of a collector that died counting for good.  */
+START_TEST (sums_of_a_silent_collector_are_forgotten)
+{
+  struct pair *pair = pair_create ();
+
+  start (pair, 0, 1000);
+  report (pair, 0, 1050);
+  sum_up (pair, 1100);
+  ck_assert_int_gt (backlog (pair, 1, 3000), 0);
+  ck_assert_int_eq (backlog (pair, 1, 3200), 0);
+  pair_destroy (pair);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("load_collector");
+  TCase *c = tcase_create ("load_collector");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, sums_follow_changes);
+  tcase_add_test (c, a_whole_report_ends_what_it_leaves_out);
+  tcase_add_test (c, a_silent_host_is_taken_off);
+  tcase_add_test (c, all_sums_are_told_now_and_then);
+  tcase_add_test (c, loads_reach_the_other_host_and_count_once_at_their_own);
+  tcase_add_test (c, a_request_just_sent_is_not_taken_off);
+  tcase_add_test (c, sums_of_a_silent_collector_are_forgotten);
+  suite_add_tcase (s, c);
+  return s;
+}
