--- a/src/host_list.c
+++ b/src/host_list.c
@@ -372,7 +372,8 @@
     {
       free (view->it.hosts);
       view->room = HASH_COUNT (list->by_name);
-      view->it.hosts = marjoram_alloc (view->room * sizeof *view->it.hosts);
+      view->it.hosts = marjoram_alloc (
+          view->room * sizeof (struct marjoram_listed_host *));
     }
   view->it.count = 0;
   TAILQ_FOREACH (host, &list->hosts, link)
--- a/src/load_collector.c
+++ b/src/load_collector.c
@@ -144,6 +144,7 @@
   struct reporter *oldest;
 
   while ((oldest = TAILQ_FIRST (&collector->by_age))
+         /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
          && now - oldest->heard_at > REPORTER_VALID_MS)
     forget_reporter (collector, oldest);
 }
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -143,6 +143,7 @@
   struct marjoram_reporter *oldest;
 
   while ((oldest = TAILQ_FIRST (&placement->reporters_by_age))
+         /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
          && now - oldest->at > REPORT_VALID_MS)
     marjoram_reporter_destroy (placement, oldest);
   marjoram_placement_forget_sums (placement, now);
--- a/src/repeat_sums.c
+++ b/src/repeat_sums.c
@@ -161,6 +161,7 @@
   struct reporter *oldest;
 
   while ((oldest = TAILQ_FIRST (&list->by_age))
+         /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
          && now - oldest->heard_at > FORGET_MS)
     forget (list, oldest);
 }
