Hosts of large regions beat to each other less often

Above 32 serving hosts of a region the pause between beats grows with their number, so that a host sends some 107 beats a second whatever the fleet; the time after which a near host counts as dead grows with it, and a broken connection counts as death until the next beat. Keepers and other regions hear beats as often as before.

--- a/src/host_beats.c
+++ b/src/host_beats.c
@@ -10,6 +10,9 @@
 {
   BEAT_MS = 300,     /* host_list.c counts on it */
   BEAT_FAR_MS = 600, /* to entry hosts of other regions */
+  /* Most hosts of a region that beat to each other every BEAT_MS; more of them
+     do so less often, so that what a host sends does not grow.  */
+  NEAR_HOSTS = 32,
   /* How often a keeper tells other keepers of all hosts, and how often hosts:
      the latter takes bytes by the square of their number, and they hear of
      what changes at once.  host_list.c and gateway_daemon.c count on
@@ -89,6 +92,42 @@
   return packed->frames[audience];
 }
 
+void
+marjoram_host_links_pace (marjoram_host_links *links, int64_t now)
+{
+  const char *region = links->settings->region;
+  int64_t hosts;
+
+  links->near_ms = BEAT_MS;
+  if (links->settings->role != MARJORAM_ROLE_ENTRY)
+    return;
+  hosts = (int64_t)marjoram_host_list_serving (links->hosts, now, region);
+  if (hosts > NEAR_HOSTS)
+    links->near_ms = BEAT_MS * hosts / NEAR_HOSTS;
+  marjoram_host_list_set_beat (links->hosts, region, links->near_ms);
+}
+
+static int64_t
+pause_of (const marjoram_host_links *links, enum audience audience)
+{
+  switch (audience)
+    {
+    case AUDIENCE_NEAR:
+      return links->near_ms;
+    case AUDIENCE_FAR:
+      return BEAT_FAR_MS;
+    default:
+      return BEAT_MS;
+    }
+}
+
+int64_t
+marjoram_host_links_beat_ms (const marjoram_host_links *links,
+                             const char *host)
+{
+  return pause_of (links, audience_of (links, host));
+}
+
 static void
 send_beat (marjoram_host_links *links, struct marjoram_host_link *link,
            int64_t now, const marjoram_bytes *frame)
@@ -112,7 +151,7 @@
     if (!link->up || (!all && now < link->sent_at + BEAT_MS))
       continue;
     audience = audience_of (links, link->host);
-    if (all || audience != AUDIENCE_FAR || now >= link->sent_at + BEAT_FAR_MS)
+    if (all || now >= link->sent_at + pause_of (links, audience))
       send_beat (links, link, now, pack_beat (links, &packed, audience));
   }
   for (int i = 0; i < AUDIENCE_COUNT; i++)
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -13,6 +13,8 @@
 {
   /* Five beats and a round trip between regions without a sign.  */
   SILENT_MS = 1500,
+  /* The same where beats are rare: a lost packet is sent again meanwhile.  */
+  SILENT_BEATS_PERCENT = 250,
   PLAN_MS = 500,
   /* Links of one host to entry hosts of each other region.  */
   FAR_LINKS = 4,
@@ -114,6 +116,8 @@
   if (!link || !link->up)
     return;
   link->up = false;
+  marjoram_host_list_lost (links->hosts, marjoram_host_links_now (links),
+                           host);
   marjoram_event (MARJORAM_EVENT_LINK,
                   "host=%s state=lost silent_ms=%" PRId64 " lag_ms=%" PRId64,
                   host, marjoram_host_links_now (links) - link->heard_at,
@@ -324,6 +328,16 @@
   marjoram_host_list_set_late (links->hosts, links->own_lag.ms);
 }
 
+static int64_t
+silent_ms (const marjoram_host_links *links,
+           const struct marjoram_host_link *link)
+{
+  const int64_t beats_ms = marjoram_host_links_beat_ms (links, link->host)
+                           * SILENT_BEATS_PERCENT / 100;
+
+  return beats_ms > SILENT_MS ? beats_ms : SILENT_MS;
+}
+
 /* Something between two hosts may lose track of an open connection while new
    ones work: only silence shows it.  Where this host itself hears late, all
    links look silent; hung up, they would take the requests that were forwarded
@@ -335,13 +349,14 @@
   struct marjoram_host_link *link;
 
   TAILQ_FOREACH (link, &links->links, next)
-  if (link->up && now - link->heard_at - lag > SILENT_MS)
+  if (link->up && now - link->heard_at - lag > silent_ms (links, link))
     marjoram_peer_hang_up (links->peer, link->host);
 }
 
 void
 marjoram_host_links_tick (marjoram_host_links *links, int64_t now)
 {
+  marjoram_host_links_pace (links, now);
   look_at_lag (links, now);
   hang_up_silent (links, now);
   marjoram_host_links_send_beats (links, now, false);
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -50,6 +50,7 @@
   TAILQ_HEAD (, marjoram_host_session) sessions;
   struct marjoram_host_session *sessions_by_host;
   struct marjoram_own_lag own_lag;
+  int64_t near_ms; /* between beats to entry hosts of the own region */
   int64_t planned_at;
   int64_t listed_at;
   int64_t listed_hosts_at;
@@ -65,6 +66,11 @@
 int64_t marjoram_host_links_now (const marjoram_host_links *links);
 
 /* host_beats.c */
+/* Sets how often near hosts hear this one, by how many they are.  */
+void marjoram_host_links_pace (marjoram_host_links *links, int64_t now);
+/* How often HOST hears this one.  */
+int64_t marjoram_host_links_beat_ms (const marjoram_host_links *links,
+                                     const char *host);
 /* This host's own beat, where it is due, or on ALL links.  */
 void marjoram_host_links_send_beats (marjoram_host_links *links, int64_t now,
                                      bool all);
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -10,6 +10,9 @@
   /* Beats come every 300 ms, so that four in a row are missing.  A dead host
      is then out of look-ups within two seconds.  */
   ALIVE_MS = 1300,
+  /* The same where beats come less often.  */
+  ALIVE_BEATS = 4,
+  ALIVE_MARGIN_MS = 100,
   /* Told by others, a beat is older by their own interval.  */
   ALIVE_TOLD_MS = 7000,
   FORGET_MS = 60000,
@@ -52,6 +55,8 @@
 {
   int64_t told_valid_ms; /* how long others' word of a host holds */
   int64_t late_ms;       /* how far behind this host's own hearing is */
+  const char *region;    /* whose entry hosts beat every BEAT_MS; null: none */
+  int64_t beat_ms;
   struct marjoram_listed_hosts hosts;
   struct marjoram_listed_host *by_name;
   size_t entries;
@@ -250,6 +255,7 @@
   struct marjoram_listed_host *host = marjoram_alloc (sizeof *host);
 
   host->heard_at = heard_at;
+  host->lost_at = INT64_MIN;
   host->list = list;
   host->name_hash = XXH3_64bits (beat->name, strlen (beat->name));
   copy_beat (&host->beat, beat);
@@ -323,11 +329,46 @@
   return &list->hosts;
 }
 
+void
+marjoram_host_list_set_beat (marjoram_host_list *list, const char *region,
+                             int64_t beat_ms)
+{
+  list->region = region;
+  list->beat_ms = beat_ms;
+}
+
+void
+marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
+                         const char *name)
+{
+  struct marjoram_listed_host *host = find (list, name);
+
+  if (!host || !host->direct)
+    return;
+  host->lost_at = now;
+  list->changes++;
+}
+
+/* How long HOST may be silent.  */
+static int64_t
+valid_ms (const struct marjoram_listed_host *host)
+{
+  const marjoram_host_list *list = host->list;
+  int64_t beats_ms = list->beat_ms * ALIVE_BEATS + ALIVE_MARGIN_MS;
+
+  if (!host->direct)
+    return list->told_valid_ms;
+  if (host->beat.keeper || !list->region || beats_ms < ALIVE_MS
+      || strcmp (host->beat.region, list->region) != 0)
+    return ALIVE_MS;
+  return beats_ms;
+}
+
 bool
 marjoram_host_list_alive (const struct marjoram_listed_host *host, int64_t now)
 {
-  return now - host->heard_at - host->list->late_ms
-         <= (host->direct ? ALIVE_MS : host->list->told_valid_ms);
+  return host->heard_at > host->lost_at
+         && now - host->heard_at - host->list->late_ms <= valid_ms (host);
 }
 
 bool
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -16,7 +16,8 @@
   TAILQ_ENTRY (marjoram_listed_host) link;
   struct marjoram_host_beat beat; /* owns its texts */
   int64_t heard_at;
-  bool direct; /* its own beats come here, not only others' word of it */
+  bool direct;     /* its own beats come here, not only others' word of it */
+  int64_t lost_at; /* the connection to it; INT64_MIN: never */
   const marjoram_host_list *list;
   uint64_t name_hash; /* for rendezvous hashing */
   UT_hash_handle hh;
@@ -36,6 +37,13 @@
    seconds.  */
 void marjoram_host_list_set_told_valid (marjoram_host_list *list,
                                         int64_t msec);
+/* Entry hosts of REGION, borrowed, beat only every BEAT_MS.  */
+void marjoram_host_list_set_beat (marjoram_host_list *list, const char *region,
+                                  int64_t beat_ms);
+/* The connection to NAME broke: if its own beats come here, it counts as dead
+   until the next one.  */
+void marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
+                              const char *name);
 /* This host hears all beats LATE_MS late, until the next word of it.  */
 void marjoram_host_list_set_late (marjoram_host_list *list, int64_t late_ms);
 /* A beat from its host itself (DIRECT) or as passed on.  Returns whether it
