In large regions a request looks at a sample of the upstreams

Cause: with a hundred hosts that decide alone, all see the same cheapest engine until they hear of each other.

--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -34,6 +34,11 @@
   BACKLOG_MAX_MS = 100,
   /* What one in time may cost more than the cheapest that is late.  */
   SECOND_BEST_MS = 100,
+  /* Hosts of a region that may each look at all upstreams: more of them would
+     send to the same one before they hear of each other.  */
+  SAMPLE_HOSTS = 8,
+  /* Fewest upstreams that a sample of a request is to hold, in the mean.  */
+  SAMPLE_MIN = 4,
   RETRY_SOON_MS = 250,
   MSEC_PER_SEC = 1000
 };
@@ -289,14 +294,52 @@
   choice->copy = *copy;
 }
 
+/* Which upstreams a request looks at, a share of them by its id.  */
+struct sample
+{
+  uint64_t seed;
+  uint64_t below; /* of hashes of upstreams */
+};
+
+static const struct sample all_upstreams = { 0, UINT64_MAX };
+
+static struct sample
+take_sample (marjoram_placement *placement, int64_t now,
+             const struct marjoram_place_query *query)
+{
+  const double hosts = (double)marjoram_host_list_serving (
+      placement->options.hosts, now, placement->region);
+  const double upstreams = (double)marjoram_registry_service_count (
+      placement->options.registry, query->service->name);
+  double share = hosts > SAMPLE_HOSTS ? SAMPLE_HOSTS / hosts : 1;
+  const char *id = query->facts->id;
+
+  if (share * upstreams < SAMPLE_MIN)
+    share = upstreams > SAMPLE_MIN ? SAMPLE_MIN / upstreams : 1;
+  if (share >= 1)
+    return all_upstreams;
+  return (struct sample){ XXH3_64bits (id, strlen (id)),
+                          (uint64_t)(share * (double)UINT64_MAX) };
+}
+
+/* One that keeps most of the prompt is always looked at.  */
+static bool
+is_in_sample (const struct sample *sample, const struct marjoram_spot *spot,
+              const struct marjoram_place_query *query, int64_t kept)
+{
+  return sample->below == UINT64_MAX || 2 * kept > query->facts->prompt_tokens
+         || XXH3_64bits_withSeed (spot->id, strlen (spot->id), sample->seed)
+                < sample->below;
+}
+
 /* Where the cheapest is late, one in time takes the request if it costs little
    more.  At a greater cost it would read again what the cheapest keeps, and
    drop other parts for it.  */
 static void
 choose_both (marjoram_placement *placement, int64_t now,
              const struct marjoram_place_query *query,
-             struct marjoram_place *place, struct choice *cheapest,
-             struct choice *in_time)
+             const struct sample *sample, struct marjoram_place *place,
+             struct choice *cheapest, struct choice *in_time)
 {
   struct marjoram_registered_list *upstreams = marjoram_registry_of_service (
       placement->options.registry, query->service->name);
@@ -323,6 +366,8 @@
       continue;
     place->usable++;
     marjoram_copy_sources_best (&sources, spot, upstream, query, &copy);
+    if (!is_in_sample (sample, spot, query, copy.kept))
+      continue;
     estimate = estimate_spot (placement, spot, upstream, query, &copy, now);
     if (was_tried (query, spot->id))
       estimate.cost_ms += (double)query->useful_ms;
@@ -356,11 +401,20 @@
   struct choice cheapest = { 0 };
   struct choice in_time = { 0 };
   const struct choice *taken = &cheapest;
+  struct sample sample;
 
   memset (place, 0, sizeof *place);
   place->outcome = MARJORAM_PLACE_NONE;
   place->retry_ms = RETRY_SOON_MS;
-  choose_both (placement, now, query, place, &cheapest, &in_time);
+  sample = take_sample (placement, now, query);
+  choose_both (placement, now, query, &sample, place, &cheapest, &in_time);
+  if (!in_time.upstream && sample.below != UINT64_MAX)
+    {
+      place->candidates = 0;
+      place->usable = 0;
+      choose_both (placement, now, query, &all_upstreams, place, &cheapest,
+                   &in_time);
+    }
   if (!cheapest.upstream)
     return;
   if (in_time.upstream
--- a/src/registry.c
+++ b/src/registry.c
@@ -19,6 +19,7 @@
 {
   char *name;
   struct marjoram_registered_list upstreams;
+  size_t count;
   UT_hash_handle hh;
 };
 
@@ -66,6 +67,7 @@
   if (!service)
     return;
   TAILQ_REMOVE (&service->upstreams, upstream, service_link);
+  service->count--;
   if (!TAILQ_EMPTY (&service->upstreams))
     return;
   /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
@@ -84,6 +86,7 @@
   leave_service (registry, upstream);
   upstream->service = find_service (registry, upstream->news.service);
   TAILQ_INSERT_TAIL (&upstream->service->upstreams, upstream, service_link);
+  upstream->service->count++;
 }
 
 static void
@@ -130,6 +133,16 @@
   return found ? &found->upstreams : NULL;
 }
 
+size_t
+marjoram_registry_service_count (const marjoram_registry *registry,
+                                 const char *service)
+{
+  struct marjoram_registered_service *found;
+
+  HASH_FIND_STR (registry->services, service, found);
+  return found ? found->count : 0;
+}
+
 static void
 take (marjoram_registry *registry, struct marjoram_registered *upstream,
       int64_t now, const struct marjoram_upstream_news *news, int64_t age_ms)
--- a/src/registry.h
+++ b/src/registry.h
@@ -53,6 +53,8 @@
 struct marjoram_registered_list *
 marjoram_registry_of_service (marjoram_registry *registry,
                               const char *service);
+size_t marjoram_registry_service_count (const marjoram_registry *registry,
+                                        const char *service);
 size_t marjoram_registry_count (const marjoram_registry *registry);
 /* Whether new work may go there: ready, not about to end, and not silent
    while others are heard.  */
