--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -383,6 +383,8 @@
   host = choose_far (gateway, exchange, route, now, &offer);
   if (!host)
     return false;
+  query.engines = (int)offer.upstreams < chosen->usable ? (int)offer.upstreams
+                                                        : chosen->usable;
   query.here_ms
       = marjoram_placement_backlog (gateway->placement, exchange->service);
   query.there_ms = (double)offer.backlog_ms;
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -55,7 +55,7 @@
 {
   int64_t told_valid_ms; /* how long others' word of a host holds */
   int64_t late_ms;       /* how far behind this host's own hearing is */
-  const char *region;    /* whose entry hosts beat every BEAT_MS; null: none */
+  char *region;          /* whose entry hosts beat every BEAT_MS; null: none */
   int64_t beat_ms;
   struct marjoram_listed_hosts hosts;
   struct marjoram_listed_host *by_name;
@@ -162,6 +162,7 @@
     return;
   destroy_views (&list->regions);
   destroy_views (&list->zones);
+  free (list->region);
   clear_view (&list->offering);
   while (!TAILQ_EMPTY (&list->hosts))
     /* The list macros mislead it.  NOLINTNEXTLINE(clang-analyzer-*) */
@@ -333,7 +334,11 @@
 marjoram_host_list_set_beat (marjoram_host_list *list, const char *region,
                              int64_t beat_ms)
 {
-  list->region = region;
+  if (!list->region || strcmp (list->region, region) != 0)
+    {
+      free (list->region);
+      list->region = marjoram_strdup (region);
+    }
   list->beat_ms = beat_ms;
 }
 
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -37,7 +37,7 @@
    seconds.  */
 void marjoram_host_list_set_told_valid (marjoram_host_list *list,
                                         int64_t msec);
-/* Entry hosts of REGION, borrowed, beat only every BEAT_MS.  */
+/* Entry hosts of REGION beat only every BEAT_MS.  */
 void marjoram_host_list_set_beat (marjoram_host_list *list, const char *region,
                                   int64_t beat_ms);
 /* The connection to NAME broke: if its own beats come here, it counts as dead
--- a/src/spill.h
+++ b/src/spill.h
@@ -11,6 +11,7 @@
 struct marjoram_spill_query
 {
   const char *id;   /* of the request */
+  int engines;      /* of the region that has fewer */
   double here_ms;   /* mean time to read the prompts ahead, over the engines */
   double there_ms;  /* the same in the other region */
   double unread_ms; /* to read what is not kept of the request's prompt here */
--- a/test/test_host_list.c
+++ b/test/test_host_list.c
@@ -1,6 +1,7 @@
 /* Which hosts live, take callers, and own a task.  */
 #include "suite.h"
 
+#include "cleanup.h"
 #include "host_list.h"
 
 #include <string.h>
@@ -162,6 +163,32 @@
 }
 END_TEST
 
+/* Guards against a reload of the settings, which frees the text, taking the
+   region away from the list.  */
+START_TEST (region_outlives_the_settings)
+{
+  char *region = marjoram_strdup ("za");
+
+  marjoram_host_list_set_beat (list, region, 900);
+  free (region);
+  region = marjoram_strdup ("xx");
+  hear (0, "h", "z1", "za");
+  ck_assert_uint_eq (marjoram_host_list_serving (list, 3000, "za"), 1);
+  ck_assert_uint_eq (marjoram_host_list_serving (list, 4000, "za"), 0);
+  free (region);
+}
+END_TEST
+
+START_TEST (a_broken_connection_counts_as_death_until_the_next_beat)
+{
+  hear (0, "h", "z1", "za");
+  marjoram_host_list_lost (list, 100, "h");
+  ck_assert_uint_eq (marjoram_host_list_serving (list, 100, "za"), 0);
+  hear (300, "h", "z1", "za");
+  ck_assert_uint_eq (marjoram_host_list_serving (list, 300, "za"), 1);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -176,6 +203,8 @@
   tcase_add_test (c, one_owner_among_the_living_of_a_region);
   tcase_add_test (c, dead_entries_count_for_a_while);
   tcase_add_test (c, late_host_takes_nobody_for_dead);
+  tcase_add_test (c, region_outlives_the_settings);
+  tcase_add_test (c, a_broken_connection_counts_as_death_until_the_next_beat);
   suite_add_tcase (s, c);
   return s;
 }
--- a/test/test_spill.c
+++ b/test/test_spill.c
@@ -11,6 +11,7 @@
 busy (const char *id)
 {
   return (struct marjoram_spill_query){ .id = id,
+                                        .engines = 64,
                                         .here_ms = 90,
                                         .there_ms = 10,
                                         .unread_ms = 70,
@@ -56,6 +57,15 @@
 }
 END_TEST
 
+START_TEST (the_mean_of_few_engines_is_not_trusted)
+{
+  struct marjoram_spill_query query = busy ("");
+
+  query.engines = 2;
+  ck_assert_int_eq (count_spilled (query), 0);
+}
+END_TEST
+
 START_TEST (short_prompts_stay)
 {
   struct marjoram_spill_query query = busy ("");
@@ -117,6 +127,7 @@
 {
   char id[16];
   const struct marjoram_spill_query query = { .id = id,
+                                              .engines = ENGINES,
                                               .here_ms = regions[0].mean_ms,
                                               .there_ms = regions[1].told_ms,
                                               .unread_ms = PROMPT_MS,
@@ -212,6 +223,7 @@
 
   tcase_add_test (c, the_share_grows_with_the_difference);
   tcase_add_test (c, a_calm_region_keeps_its_requests);
+  tcase_add_test (c, the_mean_of_few_engines_is_not_trusted);
   tcase_add_test (c, short_prompts_stay);
   tcase_add_test (c, what_would_be_late_there_stays);
   tcase_add_test (c, answers_keep_their_pace_while_another_region_is_idle);
