--- a/test/test_spill.c
+++ b/test/test_spill.c
@@ -61,6 +61,8 @@
 {
   struct marjoram_spill_query query = busy ("");
 
+  query.here_ms = 80;
+  ck_assert_int_gt (count_spilled (query), 0);
   query.engines = 2;
   ck_assert_int_eq (count_spilled (query), 0);
 }
