--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -280,11 +280,25 @@
   return marjoram_listed_host_claim (host, exchange->facts.id);
 }
 
+/* What makes one region better than another: its least loaded upstream is free
+   sooner, or its engines have less to read in the mean.  */
+enum region_order
+{
+  BY_WAIT,
+  BY_BACKLOG
+};
+
+static uint64_t
+rank_of (const struct marjoram_host_offer *offer, enum region_order order)
+{
+  return order == BY_WAIT ? offer->wait_ms : offer->backlog_ms;
+}
+
 static const char *
 choose_region (marjoram_gateway *gateway,
                const struct marjoram_exchange *exchange,
                const struct marjoram_route_rule *route, int64_t now,
-               struct marjoram_host_offer *found)
+               enum region_order order, struct marjoram_host_offer *found)
 {
   const struct marjoram_host_view *offering
       = marjoram_host_list_offering (gateway->options.place.hosts, now);
@@ -296,10 +310,7 @@
       const struct marjoram_host_offer *offer
           = offer_of (gateway, exchange, route, host, now);
 
-      if (!offer
-          || (best
-              && offer->wait_ms + offer->backlog_ms
-                     >= found->wait_ms + found->backlog_ms))
+      if (!offer || (best && rank_of (offer, order) >= rank_of (found, order)))
         continue;
       best = host->beat.region;
       *found = *offer;
@@ -315,9 +326,10 @@
 choose_far (marjoram_gateway *gateway,
             const struct marjoram_exchange *exchange,
             const struct marjoram_route_rule *route, int64_t now,
-            struct marjoram_host_offer *offer)
+            enum region_order order, struct marjoram_host_offer *offer)
 {
-  const char *region = choose_region (gateway, exchange, route, now, offer);
+  const char *region
+      = choose_region (gateway, exchange, route, now, order, offer);
   const struct marjoram_host_view *offering
       = marjoram_host_list_offering (gateway->options.place.hosts, now);
   const struct marjoram_listed_host *best = NULL;
@@ -344,7 +356,7 @@
   struct marjoram_host_offer offer = { 0 };
 
   return !exchange->forwarded && !exchange->crossed
-         && choose_far (gateway, exchange, route, now, &offer)
+         && choose_far (gateway, exchange, route, now, BY_WAIT, &offer)
          && (int64_t)offer.wait_ms + CROSSING_MS <= most_wait_ms;
 }
 
@@ -359,7 +371,7 @@
 
   if (exchange->forwarded || exchange->crossed)
     return false;
-  host = choose_far (gateway, exchange, route, now, &offer);
+  host = choose_far (gateway, exchange, route, now, BY_WAIT, &offer);
   if (!host || (int64_t)offer.wait_ms + CROSSING_MS > most_wait_ms)
     return false;
   exchange->waited_ms = (int64_t)offer.wait_ms + CROSSING_MS;
@@ -380,7 +392,7 @@
   if (exchange->forwarded || exchange->crossed || exchange->runs > 0
       || chosen->engine_tokens_per_ms <= 0)
     return false;
-  host = choose_far (gateway, exchange, route, now, &offer);
+  host = choose_far (gateway, exchange, route, now, BY_BACKLOG, &offer);
   if (!host)
     return false;
   query.engines = (int)offer.upstreams < chosen->usable ? (int)offer.upstreams
