Collectors agree also at the collector; a margin after an upstream's cold time

A host is not in its own list of hosts, so that a collector took another one for it: it was without the sums of its group and the others without its loads. It now weighs its own claim too (test first). The same holds for the host that is to feed a cold upstream: none ever takes itself for it. Not changed here, as it changes what all sites do; listed.

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -55,11 +55,15 @@
 static const char *
 collector_of (const struct marjoram_entry *self, int64_t now, int group)
 {
+  const struct marjoram_gateway_settings *settings = self->parts->settings;
   char key[GROUP_KEY_MAX];
 
   snprintf (key, sizeof key, "loads-%d", group);
-  return marjoram_host_list_owner (self->parts->hosts, now,
-                                   self->parts->settings->region, key);
+  if (!marjoram_entry_is_ready (self))
+    return marjoram_host_list_owner (self->parts->hosts, now, settings->region,
+                                     key);
+  return marjoram_host_list_owner_with (self->parts->hosts, now,
+                                        settings->region, key, settings->ip);
 }
 
 static bool
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -93,6 +93,8 @@
                                const struct marjoram_load_report *sums);
 
 /* entry_role.c */
+/* Whether it takes callers' requests, as its beats say.  */
+bool marjoram_entry_is_ready (const struct marjoram_entry *self);
 void marjoram_entry_take_state (struct marjoram_entry *self,
                                 const struct marjoram_state *state);
 
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -263,8 +263,8 @@
   marjoram_gateway_link_lost (self->gateway, marjoram_entry_now (self), host);
 }
 
-static bool
-is_ready (const struct marjoram_entry *self)
+bool
+marjoram_entry_is_ready (const struct marjoram_entry *self)
 {
   return self->table && !self->stopped_at;
 }
@@ -303,7 +303,7 @@
   struct marjoram_entry *self = self_of (role);
 
   renew_offers (self);
-  beat->ready = is_ready (self);
+  beat->ready = marjoram_entry_is_ready (self);
   beat->leaving = self->stopped_at != 0;
   beat->config_number = self->config_number;
   beat->offers = self->offers;
@@ -324,7 +324,7 @@
   if (self->parts->dialect->ops->read_ask (method, target, body, size, &what,
                                            NULL)
       && what.kind == MARJORAM_ASK_READY)
-    status = is_ready (self) ? STATUS_OK : STATUS_UNAVAILABLE;
+    status = marjoram_entry_is_ready (self) ? STATUS_OK : STATUS_UNAVAILABLE;
   marjoram_ask_server_answer (self->parts->asks, ask, status, "text/plain",
                               NULL, 0);
 }
@@ -336,7 +336,7 @@
 
   return json_pack (
       "{s:s, s:b, s:I, s:I, s:I, s:o, s:o}", "role", "entry", "ready",
-      is_ready (self), "config_version",
+      marjoram_entry_is_ready (self), "config_version",
       (json_int_t)(self->table ? self->table->version : 0), "config_number",
       (json_int_t)self->config_number, "requests_open",
       (json_int_t)marjoram_gateway_open (self->gateway), "evacuated",
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -520,6 +520,23 @@
   return owner->host ? owner->host->beat.name : NULL;
 }
 
+static uint64_t
+claim_of (const char *host, const char *key)
+{
+  return XXH3_64bits_withSeed (key, strlen (key),
+                               XXH3_64bits (host, strlen (host)));
+}
+
+const char *
+marjoram_host_list_owner_with (marjoram_host_list *list, int64_t now,
+                               const char *region, const char *key,
+                               const char *own)
+{
+  const char *owner = marjoram_host_list_owner (list, now, region, key);
+
+  return owner && claim_of (owner, key) > claim_of (own, key) ? owner : own;
+}
+
 size_t
 marjoram_host_list_serving (marjoram_host_list *list, int64_t now,
                             const char *region)
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -106,6 +106,10 @@
 const struct marjoram_host_offer *
 marjoram_listed_host_offer (const struct marjoram_listed_host *host,
                             const char *service);
+/* The same among these hosts and OWN, a host that is not in the list.  */
+const char *marjoram_host_list_owner_with (marjoram_host_list *list,
+                                           int64_t now, const char *region,
+                                           const char *key, const char *own);
 /* Entry hosts of REGION that take requests.  */
 size_t marjoram_host_list_serving (marjoram_host_list *list, int64_t now,
                                    const char *region);
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -26,6 +26,9 @@
   /* A heartbeat this much younger than a broken connection was sent after it,
      and tells whether its sender is cold.  */
   NEWS_DELAY_MS = 300,
+  /* An upstream may be cold for a little longer than its heartbeats say, and
+     all that wait for it are sent at once when it is taken for warm.  */
+  COLD_MARGIN_MS = 100,
   /* What a warm upstream must have to wait for a cold one to be chosen.  */
   COLD_COST_MS = 100,
   /* The same of one whose answers broke several times in a row: any other
@@ -57,7 +60,8 @@
 {
   if (service->cold_per_s <= 0)
     return false;
-  if (now < upstream->cold_until || now < spot->cold_until)
+  if ((upstream->cold_until > 0 && now < upstream->cold_until + COLD_MARGIN_MS)
+      || now < spot->cold_until)
     return true;
   return spot->lost_at != 0
          && upstream->heard_at <= spot->lost_at + NEWS_DELAY_MS;
--- a/test/test_host_list.c
+++ b/test/test_host_list.c
@@ -4,6 +4,7 @@
 #include "cleanup.h"
 #include "host_list.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static marjoram_host_list *list;
@@ -163,6 +164,44 @@
 }
 END_TEST
 
+/* Guards against a host that never takes itself for the owner, as its own
+   beats don't come to it.  */
+START_TEST (all_hosts_agree_on_an_owner_with_themselves)
+{
+  const char *names[] = { "h1", "h2", "h3" };
+  const char *owners[3];
+
+  for (int k = 0; k < 20; k++)
+    {
+      char key[8];
+
+      snprintf (key, sizeof key, "k%d", k);
+      for (int own = 0; own < 3; own++)
+        {
+          marjoram_host_list *others = marjoram_host_list_create ();
+
+          for (int i = 0; i < 3; i++)
+            {
+              struct marjoram_host_beat made = beat (names[i], "z", "r", 1);
+
+              if (i != own)
+                marjoram_host_list_hear (others, 0, &made, true);
+            }
+          owners[own] = names[0];
+          for (int i = 0; i < 3; i++)
+            if (strcmp (marjoram_host_list_owner_with (others, 0, "r", key,
+                                                       names[own]),
+                        names[i])
+                == 0)
+              owners[own] = names[i];
+          marjoram_host_list_destroy (others);
+        }
+      ck_assert_str_eq (owners[0], owners[1]);
+      ck_assert_str_eq (owners[0], owners[2]);
+    }
+}
+END_TEST
+
 /* Guards against a reload of the settings, which frees the text, taking the
    region away from the list.  */
 START_TEST (region_outlives_the_settings)
@@ -204,6 +243,7 @@
   tcase_add_test (c, dead_entries_count_for_a_while);
   tcase_add_test (c, late_host_takes_nobody_for_dead);
   tcase_add_test (c, region_outlives_the_settings);
+  tcase_add_test (c, all_hosts_agree_on_an_owner_with_themselves);
   tcase_add_test (c, a_broken_connection_counts_as_death_until_the_next_beat);
   suite_add_tcase (s, c);
   return s;
