--- /dev/null
+++ b/src/gateway_cross.c
@@ -0,0 +1,220 @@
+#include "gateway_private.h"
+
+#include "spill.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  /* There and back between two regions, with a margin for the hosts.  */
+  CROSSING_MS = 130
+};
+
+static bool
+forward_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now, const char *host)
+{
+  struct marjoram_http_request *request = exchange->request;
+  const struct marjoram_run_facts facts
+      = { .last_event = marjoram_exchange_last_event (exchange),
+          .urgency = -1 };
+  struct marjoram_forward forward = { 0 };
+  struct marjoram_header_list headers = { 0 };
+
+  for (size_t i = 0; i < request->headers.count; i++)
+    if (!marjoram_header_list_is_hop (&request->headers,
+                                      request->headers.items[i].name))
+      marjoram_header_list_add (&headers, request->headers.items[i].name,
+                                request->headers.items[i].value);
+  gateway->options.dialect->ops->write_run (&facts, &headers);
+  if (headers.count > MARJORAM_HEADERS_MAX)
+    {
+      marjoram_header_list_clear (&headers);
+      return false;
+    }
+  marjoram_exchange_start_attempt (gateway, exchange);
+  forward.request = exchange->attempt;
+  forward.id = exchange->facts.id;
+  forward.method = request->method;
+  forward.path = request->target;
+  forward.headers.items = headers.items;
+  forward.headers.count = headers.count;
+  forward.body = request->body;
+  forward.budget_ms = marjoram_exchange_patience (exchange, now);
+  forward.useful_ms
+      = exchange->useful_by > now ? exchange->useful_by - now : 0;
+  forward.config_number = exchange->config;
+  forward.stream = request->has_body;
+  if (gateway->ops->forward (gateway->context, host, &forward))
+    {
+      snprintf (exchange->host, sizeof exchange->host, "%s", host);
+      exchange->upstream[0] = '\0';
+      exchange->crossed = true;
+      exchange->arrivals++;
+      exchange->runs++;
+      marjoram_metrics_add (gateway->options.metrics,
+                            MARJORAM_METRIC_FORWARDED_OUT, 1);
+      marjoram_header_list_clear (&headers);
+      return true;
+    }
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 MARJORAM_ATTEMPT_CANCELLED);
+  marjoram_header_list_clear (&headers);
+  return false;
+}
+
+/* What HOST offers for the exchange; null if it can't be forwarded there.  */
+static const struct marjoram_host_offer *
+offer_of (marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
+          const struct marjoram_route_rule *route,
+          const struct marjoram_listed_host *host, int64_t now)
+{
+  if (!marjoram_host_list_serves (host, now)
+      || strcmp (host->beat.region, gateway->region) == 0
+      || !marjoram_route_allows (route, host->beat.region)
+      || !gateway->ops->reaches (gateway->context, host->beat.name))
+    return NULL;
+  return marjoram_listed_host_offer (host, exchange->service);
+}
+
+/* The same request prefers the same host, and requests spread evenly.  */
+static uint64_t
+claim (const struct marjoram_exchange *exchange,
+       const struct marjoram_listed_host *host)
+{
+  return marjoram_listed_host_claim (host, exchange->facts.id);
+}
+
+/* What makes one region better than another: its least loaded upstream is free
+   sooner, or its engines have less to read in the mean.  */
+enum region_order
+{
+  BY_WAIT,
+  BY_BACKLOG
+};
+
+static uint64_t
+rank_of (const struct marjoram_host_offer *offer, enum region_order order)
+{
+  return order == BY_WAIT ? offer->wait_ms : offer->backlog_ms;
+}
+
+static const char *
+choose_region (marjoram_gateway *gateway,
+               const struct marjoram_exchange *exchange,
+               const struct marjoram_route_rule *route, int64_t now,
+               enum region_order order, struct marjoram_host_offer *found)
+{
+  const struct marjoram_host_view *offering
+      = marjoram_host_list_offering (gateway->options.place.hosts, now);
+  const char *best = NULL;
+
+  for (size_t i = 0; i < offering->count; i++)
+    {
+      const struct marjoram_listed_host *host = offering->hosts[i];
+      const struct marjoram_host_offer *offer
+          = offer_of (gateway, exchange, route, host, now);
+
+      if (!offer || (best && rank_of (offer, order) >= rank_of (found, order)))
+        continue;
+      best = host->beat.region;
+      *found = *offer;
+    }
+  return best;
+}
+
+/* The host to cross to: of the region that may run the request with the least
+   wait, any one.  All hosts of a region share its upstreams, so that what one
+   of them offers the others can do too; all that crosses would else queue at
+   the host of the best offer.  */
+static const struct marjoram_listed_host *
+choose_far (marjoram_gateway *gateway,
+            const struct marjoram_exchange *exchange,
+            const struct marjoram_route_rule *route, int64_t now,
+            enum region_order order, struct marjoram_host_offer *offer)
+{
+  const char *region
+      = choose_region (gateway, exchange, route, now, order, offer);
+  const struct marjoram_host_view *offering
+      = marjoram_host_list_offering (gateway->options.place.hosts, now);
+  const struct marjoram_listed_host *best = NULL;
+
+  if (!region)
+    return NULL;
+  for (size_t i = 0; i < offering->count; i++)
+    {
+      const struct marjoram_listed_host *host = offering->hosts[i];
+
+      if (strcmp (host->beat.region, region) == 0
+          && offer_of (gateway, exchange, route, host, now)
+          && (!best || claim (exchange, host) > claim (exchange, best)))
+        best = host;
+    }
+  return best;
+}
+
+bool
+marjoram_exchange_may_cross (marjoram_gateway *gateway,
+                             const struct marjoram_exchange *exchange,
+                             const struct marjoram_route_rule *route,
+                             int64_t now, int64_t most_wait_ms)
+{
+  struct marjoram_host_offer offer = { 0 };
+
+  return !exchange->forwarded && !exchange->crossed
+         && choose_far (gateway, exchange, route, now, BY_WAIT, &offer)
+         && (int64_t)offer.wait_ms + CROSSING_MS <= most_wait_ms;
+}
+
+bool
+marjoram_exchange_cross (marjoram_gateway *gateway,
+                         struct marjoram_exchange *exchange,
+                         const struct marjoram_route_rule *route, int64_t now,
+                         int64_t most_wait_ms)
+{
+  const struct marjoram_listed_host *host;
+  struct marjoram_host_offer offer = { 0 };
+
+  if (exchange->forwarded || exchange->crossed)
+    return false;
+  host = choose_far (gateway, exchange, route, now, BY_WAIT, &offer);
+  if (!host || (int64_t)offer.wait_ms + CROSSING_MS > most_wait_ms)
+    return false;
+  exchange->waited_ms = (int64_t)offer.wait_ms + CROSSING_MS;
+  return forward_to (gateway, exchange, now, host->beat.name);
+}
+
+bool
+marjoram_exchange_spill (marjoram_gateway *gateway,
+                         struct marjoram_exchange *exchange,
+                         const struct marjoram_route_rule *route, int64_t now,
+                         const struct marjoram_place *chosen,
+                         int64_t useful_ms)
+{
+  const struct marjoram_listed_host *host;
+  struct marjoram_host_offer offer = { 0 };
+  struct marjoram_spill_query query = { .id = exchange->facts.id };
+
+  if (exchange->forwarded || exchange->crossed || exchange->runs > 0
+      || chosen->engine_tokens_per_ms <= 0)
+    return false;
+  host = choose_far (gateway, exchange, route, now, BY_BACKLOG, &offer);
+  if (!host)
+    return false;
+  query.engines = (int)offer.upstreams < chosen->usable ? (int)offer.upstreams
+                                                        : chosen->usable;
+  query.here_ms
+      = marjoram_placement_backlog (gateway->placement, exchange->service);
+  query.there_ms = (double)offer.backlog_ms;
+  query.unread_ms
+      = (double)chosen->unread_tokens / chosen->engine_tokens_per_ms;
+  query.prompt_ms
+      = (double)exchange->facts.prompt_tokens / chosen->engine_tokens_per_ms;
+  query.there_first_ms = (int64_t)offer.wait_ms + CROSSING_MS;
+  query.useful_ms = useful_ms;
+  if (!marjoram_spill_wanted (&query))
+    return false;
+  exchange->waited_ms = query.there_first_ms + (int64_t)query.prompt_ms;
+  return forward_to (gateway, exchange, now, host->beat.name);
+}
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -1,5 +1,6 @@
 /* The parts of a gateway, shared by gateway.c (requests and their ends),
-   gateway_send.c (choice and sending) and gateway_answer.c (answers).  */
+   gateway_send.c (choice and sending), gateway_cross.c (other regions) and
+   gateway_answer.c (answers).  */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
 #define MARJORAM_GATEWAY_PRIVATE_H
 
@@ -146,6 +147,35 @@
                                     int64_t now,
                                     enum marjoram_attempt_end how);
 
+/* A new attempt of the exchange, which gets a number.  */
+void marjoram_exchange_start_attempt (marjoram_gateway *gateway,
+                                      struct marjoram_exchange *exchange);
+/* How long its caller still waits, in ms.  */
+int64_t marjoram_exchange_patience (const struct marjoram_exchange *exchange,
+                                    int64_t now);
+/* After which event the next upstream goes on; null: as the caller said.  */
+const char *
+marjoram_exchange_last_event (const struct marjoram_exchange *exchange);
+
+/* gateway_cross.c: to a host of another region.  */
+/* Whether one would answer within MOST_WAIT_MS.  */
+bool marjoram_exchange_may_cross (marjoram_gateway *gateway,
+                                  const struct marjoram_exchange *exchange,
+                                  const struct marjoram_route_rule *route,
+                                  int64_t now, int64_t most_wait_ms);
+/* Whether it was forwarded to one, as no place here is in time.  */
+bool marjoram_exchange_cross (marjoram_gateway *gateway,
+                              struct marjoram_exchange *exchange,
+                              const struct marjoram_route_rule *route,
+                              int64_t now, int64_t most_wait_ms);
+/* Whether it was forwarded, though CHOSEN is a place here, as this region is
+   busier than another.  */
+bool marjoram_exchange_spill (marjoram_gateway *gateway,
+                              struct marjoram_exchange *exchange,
+                              const struct marjoram_route_rule *route,
+                              int64_t now, const struct marjoram_place *chosen,
+                              int64_t useful_ms);
+
 /* gateway_wait.c */
 /* Whether the exchange waits for a place, which CHOSEN says it lacks now;
    false if one would come too late.  */
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -2,7 +2,6 @@
 
 #include "cleanup.h"
 #include "event_log.h"
-#include "spill.h"
 
 #include <event2/buffer.h>
 #include <inttypes.h>
@@ -17,8 +16,6 @@
   STATUS_NOT_FOUND = 404,
   STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
-  /* There and back between two regions, with a margin for the hosts.  */
-  CROSSING_MS = 130,
   /* An upstream that gives no sign for this long beyond its estimated wait is
      taken for dead, where another may go on.  */
   SILENT_MS = 900,
@@ -32,8 +29,9 @@
 
 /* ---- Attempts.  ---- */
 
-static void
-start_attempt (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
+void
+marjoram_exchange_start_attempt (marjoram_gateway *gateway,
+                                 struct marjoram_exchange *exchange)
 {
   marjoram_wait_queue_remove (gateway->queue, &exchange->waiter);
   if (exchange->state == MARJORAM_EXCHANGE_WAITS)
@@ -75,15 +73,16 @@
 
 /* ---- The message.  ---- */
 
-static int64_t
-patience_left (const struct marjoram_exchange *exchange, int64_t now)
+int64_t
+marjoram_exchange_patience (const struct marjoram_exchange *exchange,
+                            int64_t now)
 {
   return exchange->due_at - now;
 }
 
 /* After which event the next upstream goes on; null: as the caller said.  */
-static const char *
-last_event (const struct marjoram_exchange *exchange)
+const char *
+marjoram_exchange_last_event (const struct marjoram_exchange *exchange)
 {
   return exchange->events ? marjoram_event_stream_last (exchange->events)
                           : NULL;
@@ -97,9 +96,9 @@
   const struct marjoram_dialect_ops *dialect = gateway->options.dialect->ops;
   const struct marjoram_http_request *request = exchange->request;
   const struct marjoram_run_facts facts = {
-    .patience_ms = patience_left (exchange, now),
+    .patience_ms = marjoram_exchange_patience (exchange, now),
     .upstream = exchange->upstream,
-    .last_event = last_event (exchange),
+    .last_event = marjoram_exchange_last_event (exchange),
     .copy_from = copy_from,
     .urgency = !exchange->stream                  ? -1
                : exchange->priority < URGENCY_MAX ? exchange->priority
@@ -168,7 +167,7 @@
   query->priority = exchange->priority;
   query->useful_ms = exchange->useful_by - now;
   if (query->useful_ms < USEFUL_MIN_MS)
-    query->useful_ms = patience_left (exchange, now);
+    query->useful_ms = marjoram_exchange_patience (exchange, now);
   query->again = true;
   for (size_t i = 0; i < exchange->tried_count; i++)
     query->tried[query->tried_count++] = exchange->tried[i];
@@ -185,7 +184,7 @@
             place->upstream->news.id);
   exchange->host[0] = '\0';
   exchange->waited_ms = place->wait_ms;
-  start_attempt (gateway, exchange);
+  marjoram_exchange_start_attempt (gateway, exchange);
   marjoram_placement_started (gateway->placement, now, exchange->attempt,
                               exchange->upstream, query);
   remember_tried (exchange, exchange->upstream);
@@ -204,214 +203,6 @@
   marjoram_bytes_release (send.message);
 }
 
-/* ---- To a host of another region.  ---- */
-
-static bool
-forward_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-            int64_t now, const char *host)
-{
-  struct marjoram_http_request *request = exchange->request;
-  const struct marjoram_run_facts facts
-      = { .last_event = last_event (exchange), .urgency = -1 };
-  struct marjoram_forward forward = { 0 };
-  struct marjoram_header_list headers = { 0 };
-
-  for (size_t i = 0; i < request->headers.count; i++)
-    if (!marjoram_header_list_is_hop (&request->headers,
-                                      request->headers.items[i].name))
-      marjoram_header_list_add (&headers, request->headers.items[i].name,
-                                request->headers.items[i].value);
-  gateway->options.dialect->ops->write_run (&facts, &headers);
-  if (headers.count > MARJORAM_HEADERS_MAX)
-    {
-      marjoram_header_list_clear (&headers);
-      return false;
-    }
-  start_attempt (gateway, exchange);
-  forward.request = exchange->attempt;
-  forward.id = exchange->facts.id;
-  forward.method = request->method;
-  forward.path = request->target;
-  forward.headers.items = headers.items;
-  forward.headers.count = headers.count;
-  forward.body = request->body;
-  forward.budget_ms = patience_left (exchange, now);
-  forward.useful_ms
-      = exchange->useful_by > now ? exchange->useful_by - now : 0;
-  forward.config_number = exchange->config;
-  forward.stream = request->has_body;
-  if (gateway->ops->forward (gateway->context, host, &forward))
-    {
-      snprintf (exchange->host, sizeof exchange->host, "%s", host);
-      exchange->upstream[0] = '\0';
-      exchange->crossed = true;
-      exchange->arrivals++;
-      exchange->runs++;
-      marjoram_metrics_add (gateway->options.metrics,
-                            MARJORAM_METRIC_FORWARDED_OUT, 1);
-      marjoram_header_list_clear (&headers);
-      return true;
-    }
-  marjoram_exchange_end_attempt (gateway, exchange, now,
-                                 MARJORAM_ATTEMPT_CANCELLED);
-  marjoram_header_list_clear (&headers);
-  return false;
-}
-
-/* What HOST offers for the exchange; null if it can't be forwarded there.  */
-static const struct marjoram_host_offer *
-offer_of (marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
-          const struct marjoram_route_rule *route,
-          const struct marjoram_listed_host *host, int64_t now)
-{
-  if (!marjoram_host_list_serves (host, now)
-      || strcmp (host->beat.region, gateway->region) == 0
-      || !marjoram_route_allows (route, host->beat.region)
-      || !gateway->ops->reaches (gateway->context, host->beat.name))
-    return NULL;
-  return marjoram_listed_host_offer (host, exchange->service);
-}
-
-/* The same request prefers the same host, and requests spread evenly.  */
-static uint64_t
-claim (const struct marjoram_exchange *exchange,
-       const struct marjoram_listed_host *host)
-{
-  return marjoram_listed_host_claim (host, exchange->facts.id);
-}
-
-/* What makes one region better than another: its least loaded upstream is free
-   sooner, or its engines have less to read in the mean.  */
-enum region_order
-{
-  BY_WAIT,
-  BY_BACKLOG
-};
-
-static uint64_t
-rank_of (const struct marjoram_host_offer *offer, enum region_order order)
-{
-  return order == BY_WAIT ? offer->wait_ms : offer->backlog_ms;
-}
-
-static const char *
-choose_region (marjoram_gateway *gateway,
-               const struct marjoram_exchange *exchange,
-               const struct marjoram_route_rule *route, int64_t now,
-               enum region_order order, struct marjoram_host_offer *found)
-{
-  const struct marjoram_host_view *offering
-      = marjoram_host_list_offering (gateway->options.place.hosts, now);
-  const char *best = NULL;
-
-  for (size_t i = 0; i < offering->count; i++)
-    {
-      const struct marjoram_listed_host *host = offering->hosts[i];
-      const struct marjoram_host_offer *offer
-          = offer_of (gateway, exchange, route, host, now);
-
-      if (!offer || (best && rank_of (offer, order) >= rank_of (found, order)))
-        continue;
-      best = host->beat.region;
-      *found = *offer;
-    }
-  return best;
-}
-
-/* The host to cross to: of the region that may run the request with the least
-   wait, any one.  All hosts of a region share its upstreams, so that what one
-   of them offers the others can do too; all that crosses would else queue at
-   the host of the best offer.  */
-static const struct marjoram_listed_host *
-choose_far (marjoram_gateway *gateway,
-            const struct marjoram_exchange *exchange,
-            const struct marjoram_route_rule *route, int64_t now,
-            enum region_order order, struct marjoram_host_offer *offer)
-{
-  const char *region
-      = choose_region (gateway, exchange, route, now, order, offer);
-  const struct marjoram_host_view *offering
-      = marjoram_host_list_offering (gateway->options.place.hosts, now);
-  const struct marjoram_listed_host *best = NULL;
-
-  if (!region)
-    return NULL;
-  for (size_t i = 0; i < offering->count; i++)
-    {
-      const struct marjoram_listed_host *host = offering->hosts[i];
-
-      if (strcmp (host->beat.region, region) == 0
-          && offer_of (gateway, exchange, route, host, now)
-          && (!best || claim (exchange, host) > claim (exchange, best)))
-        best = host;
-    }
-  return best;
-}
-
-static bool
-may_cross (marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
-           const struct marjoram_route_rule *route, int64_t now,
-           int64_t most_wait_ms)
-{
-  struct marjoram_host_offer offer = { 0 };
-
-  return !exchange->forwarded && !exchange->crossed
-         && choose_far (gateway, exchange, route, now, BY_WAIT, &offer)
-         && (int64_t)offer.wait_ms + CROSSING_MS <= most_wait_ms;
-}
-
-/* Whether it was forwarded, as no place here is in time.  */
-static bool
-cross (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-       const struct marjoram_route_rule *route, int64_t now,
-       int64_t most_wait_ms)
-{
-  const struct marjoram_listed_host *host;
-  struct marjoram_host_offer offer = { 0 };
-
-  if (exchange->forwarded || exchange->crossed)
-    return false;
-  host = choose_far (gateway, exchange, route, now, BY_WAIT, &offer);
-  if (!host || (int64_t)offer.wait_ms + CROSSING_MS > most_wait_ms)
-    return false;
-  exchange->waited_ms = (int64_t)offer.wait_ms + CROSSING_MS;
-  return forward_to (gateway, exchange, now, host->beat.name);
-}
-
-/* Whether it was forwarded, though CHOSEN is a place here, as this region is
-   busier than another.  */
-static bool
-spill (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-       const struct marjoram_route_rule *route, int64_t now,
-       const struct marjoram_place *chosen, int64_t useful_ms)
-{
-  const struct marjoram_listed_host *host;
-  struct marjoram_host_offer offer = { 0 };
-  struct marjoram_spill_query query = { .id = exchange->facts.id };
-
-  if (exchange->forwarded || exchange->crossed || exchange->runs > 0
-      || chosen->engine_tokens_per_ms <= 0)
-    return false;
-  host = choose_far (gateway, exchange, route, now, BY_BACKLOG, &offer);
-  if (!host)
-    return false;
-  query.engines = (int)offer.upstreams < chosen->usable ? (int)offer.upstreams
-                                                        : chosen->usable;
-  query.here_ms
-      = marjoram_placement_backlog (gateway->placement, exchange->service);
-  query.there_ms = (double)offer.backlog_ms;
-  query.unread_ms
-      = (double)chosen->unread_tokens / chosen->engine_tokens_per_ms;
-  query.prompt_ms
-      = (double)exchange->facts.prompt_tokens / chosen->engine_tokens_per_ms;
-  query.there_first_ms = (int64_t)offer.wait_ms + CROSSING_MS;
-  query.useful_ms = useful_ms;
-  if (!marjoram_spill_wanted (&query))
-    return false;
-  exchange->waited_ms = query.there_first_ms + (int64_t)query.prompt_ms;
-  return forward_to (gateway, exchange, now, host->beat.name);
-}
-
 /* ---- The choice.  ---- */
 
 static void
@@ -480,7 +271,7 @@
   int64_t here_ms;
 
   if (chosen->outcome == MARJORAM_PLACE_NONE)
-    return patience_left (exchange, now);
+    return marjoram_exchange_patience (exchange, now);
   here_ms
       = marjoram_gateway_wait_ms (
             gateway, exchange->service,
@@ -529,7 +320,8 @@
   make_query (exchange, service, now, &query);
   if (!marjoram_route_allows (route, gateway->region))
     {
-      if (!cross (gateway, exchange, route, now, patience_left (exchange, now))
+      if (!marjoram_exchange_cross (gateway, exchange, route, now,
+                                    marjoram_exchange_patience (exchange, now))
           && !may_wait (gateway, exchange, now))
         refuse (gateway, exchange, now, MARJORAM_REASON_RESIDENCY,
                 REFUSED_RETRY_MS);
@@ -538,12 +330,15 @@
   choose (gateway, exchange, now, &query, &chosen);
   found = chosen.outcome == MARJORAM_PLACE_FOUND
           && marjoram_exchange_is_its_turn (gateway, exchange, &chosen);
-  if (found && spill (gateway, exchange, route, now, &chosen, query.useful_ms))
+  if (found
+      && marjoram_exchange_spill (gateway, exchange, route, now, &chosen,
+                                  query.useful_ms))
     return;
   if (!found
-      && cross (gateway, exchange, route, now,
-                most_wait_elsewhere (gateway, exchange, now, &chosen,
-                                     query.useful_ms)))
+      && marjoram_exchange_cross (gateway, exchange, route, now,
+                                  most_wait_elsewhere (gateway, exchange, now,
+                                                       &chosen,
+                                                       query.useful_ms)))
     return;
   if (!found && chosen.candidates == 0)
     found = find_last_resort (gateway, exchange, now, &query, &chosen);
@@ -618,7 +413,8 @@
         return true;
     }
   return exchange->state != MARJORAM_EXCHANGE_STREAMS
-         && may_cross (gateway, exchange, route, now, query.useful_ms);
+         && marjoram_exchange_may_cross (gateway, exchange, route, now,
+                                         query.useful_ms);
 }
 
 /* The route is looked up at each sending, so that a request that is sent again
