--- a/test/test_host_list.c
+++ b/test/test_host_list.c
@@ -173,7 +173,7 @@
 
   for (int k = 0; k < 20; k++)
     {
-      char key[8];
+      char key[16];
 
       snprintf (key, sizeof key, "k%d", k);
       for (int own = 0; own < 3; own++)
