Lines and counters of repeats: refused forwards, denials, the budget's figures

A request that another region refused was sent on to an upstream of its own region without a line or a count, and a denied repeat didn't say how much was spent, so that the hypotheses of the incident could not be told apart. Logic is as before.

--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -59,7 +59,11 @@
   if (!marjoram_repeat_budget_take (
           gateway->budget, now, exchange->service,
           marjoram_host_list_entry_count (gateway->options.place.hosts)))
-    return "budget-used";
+    {
+      marjoram_metrics_add (gateway->options.metrics,
+                            MARJORAM_METRIC_REPEATS_DENIED, 1);
+      return "budget-used";
+    }
   return NULL;
 }
 
@@ -68,15 +72,21 @@
              const struct marjoram_exchange *exchange,
              enum marjoram_reason reason, const char *denial)
 {
+  struct marjoram_repeat_usage usage;
+
+  marjoram_repeat_budget_get_usage (gateway->budget, exchange->service,
+                                    &usage);
   marjoram_event (MARJORAM_EVENT_ATTEMPT,
                   "id=%s failed=%s retry=%s service=%s upstream=%s host=%s "
-                  "status=%d arrivals=%d runs=%d lag_ms=%" PRId64,
+                  "status=%d arrivals=%d runs=%d lag_ms=%" PRId64
+                  " repeats=%" PRIu64 " repeats_allowed=%.1f",
                   exchange->metadata.id, marjoram_reason_name (reason),
                   denial ? denial : "yes", exchange->service,
                   *exchange->upstream ? exchange->upstream : "-",
                   *exchange->host ? exchange->host : "-", exchange->status,
                   exchange->attempts_sent, exchange->attempts_maybe_run,
-                  gateway->ops->lag_ms (gateway->context));
+                  gateway->ops->lag_ms (gateway->context), usage.repeats,
+                  usage.allowed);
 }
 
 static void
@@ -442,11 +452,14 @@
     }
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  MARJORAM_ATTEMPT_REFUSED);
+  marjoram_metrics_add (gateway->options.metrics,
+                        MARJORAM_METRIC_FORWARDS_REFUSED, 1);
   exchange->attempts_maybe_run--;
   exchange->attempts_sent--;
   if (exchange->attempts_maybe_run == 0 && now < exchange->target_at
       && marjoram_exchange_may_run_here (gateway, exchange))
     {
+      log_attempt (gateway, exchange, why->reason, NULL);
       marjoram_exchange_send (gateway, exchange, now);
       return;
     }
--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -168,6 +168,18 @@
   return true;
 }
 
+void
+marjoram_repeat_budget_get_usage (const marjoram_repeat_budget *budget,
+                                  const char *service,
+                                  struct marjoram_repeat_usage *usage)
+{
+  const struct account *account;
+
+  HASH_FIND_STR (budget->accounts, service, account);
+  usage->repeats = account ? count_repeats (account) : 0;
+  usage->allowed = account ? account->own_bound : 0;
+}
+
 size_t
 marjoram_repeat_budget_report (marjoram_repeat_budget *budget, int64_t now,
                                struct marjoram_repeat_use *items, size_t max)
--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -37,6 +37,17 @@
    permits one for SERVICE.  */
 bool marjoram_repeat_budget_take (marjoram_repeat_budget *budget, int64_t now,
                                   const char *service, size_t hosts);
+/* Usage of a service as of the last call of marjoram_repeat_budget_take.  */
+struct marjoram_repeat_usage
+{
+  uint64_t repeats; /* of this host in the window */
+  double allowed;   /* for this host in the window */
+};
+
+/* Zero for a service without repeats.  */
+void marjoram_repeat_budget_get_usage (const marjoram_repeat_budget *budget,
+                                       const char *service,
+                                       struct marjoram_repeat_usage *usage);
 /* Writes this host's usage, reported to keepers, of at most MAX services into
    ITEMS, which borrow their texts.  Returns their number.  */
 size_t marjoram_repeat_budget_report (marjoram_repeat_budget *budget,
