Tests of the bound on repeats, failing: arrivals elsewhere, restarts, shares

test_repeat_arrivals plays nine real gateways in three regions whose upstreams refuse; test_repeat_shares plays budgets alone under random loads. Both check every window of the sum over all hosts against the rule, with the requests of that window, the one before or the one half a window before.

--- /dev/null
+++ b/test/lib_fleet.c
@@ -0,0 +1,653 @@
+#include "lib_fleet.h"
+
+#include "cleanup.h"
+#include "gateway.h"
+#include "lib_repeat_bound.h"
+#include "platform.h"
+#include "random.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum
+{
+  RUN_MAX_MS = 60000,
+  REQUESTS_MAX = 100000,
+  UPSTREAM_LINK_MS = 1,
+  REGION_LINK_MS = 55,
+  REFUSE_MS = 1,
+  SERVE_MS = 60,
+  TICK_MS = 25,
+  HEARTBEAT_MS = 300,
+  CALLER_TIMEOUT_MS = 4000,
+  STATUS_OK = 200,
+  STATUS_UNAVAILABLE = 503,
+  FORWARDED_CALL = 1 << 30
+};
+
+/* clang-format off */
+static const char config[] =
+  "{\"version\":1,\"routes\":["
+  "{\"name\":\"ask\",\"host\":\"a.example\",\"path_prefix\":\"/ask/\","
+  " \"kind\":\"idempotent\",\"service\":\"lm\",\"timeout_ms\":4000,"
+  " \"target_latency_ms\":1000,\"max_attempts\":2}],"
+  "\"services\":["
+  "{\"name\":\"lm\",\"health_path\":\"/h\","
+  " \"engine\":{\"slots\":64,\"kv_capacity\":250000}}],"
+  "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+  " \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+/* clang-format on */
+
+struct node
+{
+  struct fleet *fleet;
+  int index;
+  int region;
+  uint64_t start; /* number of restarts, to drop events of former runs */
+  char name[32];
+  char region_name[16];
+  marjoram_gateway *gateway;
+  marjoram_registry *registry;
+  marjoram_host_list *hosts;
+  marjoram_metrics *metrics;
+  uint64_t calls;
+};
+
+/* A request on its way to a node, or the answer to one of its attempts.  */
+enum event_kind
+{
+  EVENT_ARRIVAL,
+  EVENT_ANSWER,
+  EVENT_FORWARD,
+  EVENT_FORWARD_REFUSED
+};
+
+struct event
+{
+  STAILQ_ENTRY (event) link;
+  enum event_kind kind;
+  int node; /* that receives it */
+  uint64_t start;
+  uint64_t attempt;
+  int from; /* EVENT_FORWARD: the forwarding node */
+  uint64_t from_start;
+  int id;
+  int status;
+  bool refuses; /* the upstream may refuse */
+  struct marjoram_request_failure why;
+  struct marjoram_forwarded limits;
+};
+
+STAILQ_HEAD (events, event);
+
+/* A forwarded request that a node is processing.  */
+struct inbound
+{
+  bool open;
+  int from;
+  uint64_t from_start;
+  uint64_t attempt;
+  int id;
+};
+
+struct fleet
+{
+  struct marjoram_repeat_limits limits;
+  struct node nodes[FLEET_HOSTS];
+  double rates[FLEET_REGIONS];
+  double due[FLEET_REGIONS]; /* fractions of requests */
+  double refusals;
+  int64_t now;
+  marjoram_random *random;
+  struct marjoram_route_table *table;
+  struct events *events; /* by ms */
+  int next_id;
+  uint64_t next_call;
+  struct inbound *inbound; /* by call */
+  uint8_t *arrived;        /* by id */
+  struct repeat_bound *bound;
+  int *served; /* by ms */
+  int *refused;
+};
+
+static void
+schedule (struct fleet *fleet, int64_t delay_ms, const struct event *what)
+{
+  int64_t at = fleet->now + delay_ms;
+  struct event *event;
+
+  if (at >= RUN_MAX_MS)
+    return;
+  event = marjoram_alloc (sizeof *event);
+  *event = *what;
+  STAILQ_INSERT_TAIL (&fleet->events[at], event, link);
+}
+
+/* ---- Operations of the gateways. ---- */
+
+static struct inbound *
+find_inbound (struct fleet *fleet, uint64_t call)
+{
+  return call & FORWARDED_CALL ? &fleet->inbound[call & ~FORWARDED_CALL]
+                               : NULL;
+}
+
+static void
+op_head (void *context, uint64_t call, int status,
+         const struct marjoram_header_list *headers, int64_t length)
+{
+  const struct node *node = context;
+  struct inbound *inbound = find_inbound (node->fleet, call);
+
+  (void)headers;
+  (void)length;
+  if (!inbound)
+    node->fleet->served[node->fleet->now] += status == STATUS_OK;
+}
+
+static void
+op_data (void *context, uint64_t call, const void *data, size_t size)
+{
+  (void)context;
+  (void)call;
+  (void)data;
+  (void)size;
+}
+
+static void
+answer_forward (struct fleet *fleet, const struct inbound *inbound,
+                enum event_kind kind,
+                const struct marjoram_request_failure *why)
+{
+  struct event event = { .kind = kind,
+                         .node = inbound->from,
+                         .start = inbound->from_start,
+                         .attempt = inbound->attempt,
+                         .id = inbound->id,
+                         .status = STATUS_OK };
+
+  if (why)
+    event.why = *why;
+  schedule (fleet, REGION_LINK_MS, &event);
+}
+
+static void
+op_end (void *context, uint64_t call)
+{
+  const struct node *node = context;
+  const struct inbound *inbound = find_inbound (node->fleet, call);
+
+  if (inbound)
+    answer_forward (node->fleet, inbound, EVENT_ANSWER, NULL);
+}
+
+static void
+op_abort (void *context, uint64_t call)
+{
+  (void)context;
+  (void)call;
+}
+
+static void
+op_failure (void *context, uint64_t call,
+            const struct marjoram_request_failure *why)
+{
+  const struct node *node = context;
+  const struct inbound *inbound = find_inbound (node->fleet, call);
+
+  if (inbound)
+    answer_forward (node->fleet, inbound, EVENT_FORWARD_REFUSED, why);
+  else
+    node->fleet->refused[node->fleet->now]++;
+}
+
+static int
+read_id (const char *text)
+{
+  const char *id = strstr (text, "id-");
+
+  return id ? atoi (id + 3) : 0;
+}
+
+static void
+op_send (void *context, const struct marjoram_http_send *send)
+{
+  const struct node *node = context;
+  marjoram_auto_free char *text
+      = strndup ((const char *)marjoram_bytes_data (send->message),
+                 marjoram_bytes_size (send->message));
+  const int upstream = atoi (strchr (send->address, ':') + 1);
+  const struct event event
+      = { .kind = EVENT_ARRIVAL,
+          .node = node->index,
+          .start = node->start,
+          .attempt = send->attempt,
+          .id = read_id (text),
+          .refuses = node->region < FLEET_REGIONS - 1
+                     || upstream < FLEET_UPSTREAMS_PER_REGION };
+
+  schedule (node->fleet, UPSTREAM_LINK_MS, &event);
+}
+
+static void
+op_cancel (void *context, uint64_t attempt)
+{
+  (void)context;
+  (void)attempt;
+}
+
+static bool
+op_reaches (void *context, const char *host)
+{
+  (void)context;
+  (void)host;
+  return true;
+}
+
+static bool
+op_forward (void *context, const char *host,
+            const struct marjoram_forward *forward)
+{
+  const struct node *node = context;
+  struct event event
+      = { .kind = EVENT_FORWARD,
+          .from = node->index,
+          .from_start = node->start,
+          .attempt = forward->request,
+          .id = read_id (forward->id),
+          .limits = { forward->budget_ms, forward->time_left_ms } };
+
+  event.node = atoi (host + 1);
+  event.start = node->fleet->nodes[event.node].start;
+  schedule (node->fleet, REGION_LINK_MS, &event);
+  return true;
+}
+
+static void
+op_cancel_forward (void *context, const char *host, uint64_t attempt)
+{
+  (void)context;
+  (void)host;
+  (void)attempt;
+}
+
+static int64_t
+op_lag_ms (void *context)
+{
+  (void)context;
+  return 0;
+}
+
+static const struct marjoram_gateway_ops ops = {
+  .reply_head = op_head,
+  .reply_data = op_data,
+  .reply_end = op_end,
+  .reply_abort = op_abort,
+  .reply_failure = op_failure,
+  .send = op_send,
+  .cancel = op_cancel,
+  .reaches = op_reaches,
+  .forward = op_forward,
+  .cancel_forward = op_cancel_forward,
+  .lag_ms = op_lag_ms,
+};
+
+/* ---- Nodes. ---- */
+
+static const char *
+region_of (void *context, const char *zone)
+{
+  (void)context;
+  return zone;
+}
+
+static bool
+is_evacuated (void *context, const char *zone)
+{
+  (void)context;
+  (void)zone;
+  return false;
+}
+
+static void
+update_upstreams (struct node *node)
+{
+  for (int i = 1; i <= FLEET_UPSTREAMS_PER_REGION; i++)
+    {
+      struct marjoram_upstream_heartbeat heartbeat
+          = { .started_at = 1, .ends_ms = -1, .slots = 64 };
+
+      heartbeat.sequence = node->fleet->now + 1;
+      snprintf (heartbeat.id, sizeof heartbeat.id, "u%d-%d", node->region, i);
+      snprintf (heartbeat.service, sizeof heartbeat.service, "lm");
+      snprintf (heartbeat.address, sizeof heartbeat.address, "10.%d.0.1:%d",
+                node->region, i);
+      snprintf (heartbeat.zone, sizeof heartbeat.zone, "%s",
+                node->region_name);
+      marjoram_registry_update (node->registry, node->fleet->now, &heartbeat,
+                                0);
+    }
+}
+
+/* As in production, a host is not in its own list.  */
+static void
+send_heartbeat (struct node *node)
+{
+  struct marjoram_host_offer offer = { 0 };
+  struct marjoram_host_beat heartbeat
+      = { .name = node->name,
+          .zone = node->region_name,
+          .region = node->region_name,
+          .entry = node->name,
+          .ready = true,
+          .incarnation = node->start + 1,
+          .sequence = (uint64_t)node->fleet->now + 1,
+          .offers = { &offer, 1 } };
+
+  marjoram_placement_offer (
+      marjoram_gateway_placement (node->gateway), node->fleet->now,
+      marjoram_route_table_service (node->fleet->table, "lm"), &offer);
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    if (i != node->index)
+      marjoram_host_list_update (node->fleet->nodes[i].hosts, node->fleet->now,
+                                 &heartbeat, true);
+}
+
+static void
+start_node (struct node *node)
+{
+  struct marjoram_gateway_options options
+      = { .dialect = marjoram_platform_dialect (),
+          .repeats = node->fleet->limits };
+
+  node->start++;
+  node->registry = marjoram_registry_create ();
+  node->hosts = marjoram_host_list_create ();
+  node->metrics = marjoram_metrics_create ();
+  options.metrics = node->metrics;
+  options.place
+      = (struct marjoram_placement_options){ .registry = node->registry,
+                                             .hosts = node->hosts,
+                                             .host = node->name,
+                                             .region = node->region_name,
+                                             .region_of = region_of,
+                                             .is_evacuated = is_evacuated,
+                                             .is_leaving = is_evacuated,
+                                             .context = node };
+  node->gateway
+      = marjoram_gateway_create (&options, &ops, node, node->fleet->now);
+  marjoram_gateway_set_table (node->gateway, node->fleet->now,
+                              node->fleet->table);
+  update_upstreams (node);
+}
+
+static void
+stop_node (struct node *node)
+{
+  marjoram_gateway_destroy (node->gateway);
+  marjoram_registry_destroy (node->registry);
+  marjoram_host_list_destroy (node->hosts);
+  marjoram_metrics_destroy (node->metrics);
+}
+
+static struct marjoram_http_request *
+make_request (int id)
+{
+  struct marjoram_http_request *request = marjoram_alloc (sizeof *request);
+  char text[32];
+
+  request->method = marjoram_strdup ("POST");
+  request->target = marjoram_strdup ("/ask/x");
+  marjoram_header_list_add (&request->headers, "Host", "a.example");
+  snprintf (text, sizeof text, "id-%d", id);
+  marjoram_header_list_add (&request->headers, "Marjoramproxy-Attempt-Id",
+                            text);
+  snprintf (text, sizeof text, "%d", CALLER_TIMEOUT_MS);
+  marjoram_header_list_add (&request->headers, "Marjoramproxy-Deadline-Ms",
+                            text);
+  return request;
+}
+
+static void
+send_request (struct fleet *fleet, int region)
+{
+  int host
+      = (int)marjoram_random_below (fleet->random, FLEET_HOSTS_PER_REGION);
+  struct node *node = &fleet->nodes[region * FLEET_HOSTS_PER_REGION + host];
+
+  if (fleet->next_id + 1 >= REQUESTS_MAX)
+    abort ();
+  repeat_bound_add_request (fleet->bound, fleet->now);
+  marjoram_gateway_receive (node->gateway, fleet->now, ++fleet->next_call,
+                            make_request (++fleet->next_id), NULL);
+}
+
+/* ---- Events. ---- */
+
+static void
+process_arrival (struct fleet *fleet, const struct event *event)
+{
+  const bool refused
+      = event->refuses
+        && marjoram_random_unit (fleet->random) < fleet->refusals;
+  struct event answer = *event;
+
+  if (fleet->arrived[event->id])
+    repeat_bound_add_repeat (fleet->bound, fleet->now);
+  fleet->arrived[event->id] = 1;
+  answer.kind = EVENT_ANSWER;
+  answer.status = refused ? STATUS_UNAVAILABLE : STATUS_OK;
+  schedule (fleet, (refused ? REFUSE_MS : SERVE_MS) + UPSTREAM_LINK_MS,
+            &answer);
+}
+
+static void
+process_answer (struct node *node, const struct event *event)
+{
+  struct marjoram_header_list headers = { 0 };
+  char id[32];
+
+  snprintf (id, sizeof id, "id-%d", event->id);
+  marjoram_header_list_add (&headers, "Marjoramproxy-Attempt-Id", id);
+  if (event->status == STATUS_OK)
+    marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "s");
+  else
+    marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
+  marjoram_gateway_head (node->gateway, node->fleet->now, event->attempt,
+                         event->status, &headers);
+  marjoram_gateway_end (node->gateway, node->fleet->now, event->attempt,
+                        MARJORAM_HTTP_COMPLETE);
+  marjoram_header_list_clear (&headers);
+}
+
+static void
+process_forward (struct node *node, const struct event *event)
+{
+  const uint64_t call = ++node->fleet->next_call;
+
+  if (call >= REQUESTS_MAX)
+    abort ();
+  node->fleet->inbound[call]
+      = (struct inbound){ true, event->from, event->from_start, event->attempt,
+                          event->id };
+  marjoram_gateway_receive (node->gateway, node->fleet->now,
+                            call | FORWARDED_CALL, make_request (event->id),
+                            &event->limits);
+}
+
+static void
+process_event (struct fleet *fleet, const struct event *event)
+{
+  struct node *node = &fleet->nodes[event->node];
+
+  if (event->kind == EVENT_ARRIVAL)
+    process_arrival (fleet, event);
+  else if (event->start != node->start)
+    return;
+  else if (event->kind == EVENT_ANSWER)
+    process_answer (node, event);
+  else if (event->kind == EVENT_FORWARD)
+    process_forward (node, event);
+  else
+    marjoram_gateway_forward_refused (node->gateway, fleet->now,
+                                      event->attempt, &event->why);
+}
+
+/* ---- Interface. ---- */
+
+struct fleet *
+fleet_create (const struct marjoram_repeat_limits *limits, uint64_t seed)
+{
+  struct fleet *fleet = marjoram_alloc (sizeof *fleet);
+  struct marjoram_error err = { 0 };
+
+  fleet->limits = *limits;
+  fleet->random = marjoram_random_create (seed);
+  fleet->table = marjoram_platform_dialect ()->ops->read_config (
+      config, strlen (config), &err);
+  if (!fleet->table)
+    {
+      fprintf (stderr, "%s\n", err.message);
+      abort ();
+    }
+  fleet->events = marjoram_alloc (RUN_MAX_MS * sizeof *fleet->events);
+  for (int i = 0; i < RUN_MAX_MS; i++)
+    STAILQ_INIT (&fleet->events[i]);
+  fleet->inbound = marjoram_alloc (REQUESTS_MAX * sizeof *fleet->inbound);
+  fleet->arrived = marjoram_alloc (REQUESTS_MAX);
+  fleet->bound = repeat_bound_create (limits, RUN_MAX_MS);
+  fleet->served = marjoram_alloc (RUN_MAX_MS * sizeof (int));
+  fleet->refused = marjoram_alloc (RUN_MAX_MS * sizeof (int));
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    {
+      struct node *node = &fleet->nodes[i];
+
+      node->fleet = fleet;
+      node->index = i;
+      node->region = i / FLEET_HOSTS_PER_REGION;
+      snprintf (node->name, sizeof node->name, "h%d", i);
+      snprintf (node->region_name, sizeof node->region_name, "r%d",
+                node->region);
+      start_node (node);
+    }
+  return fleet;
+}
+
+void
+fleet_destroy (struct fleet *fleet)
+{
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    stop_node (&fleet->nodes[i]);
+  for (int i = 0; i < RUN_MAX_MS; i++)
+    while (!STAILQ_EMPTY (&fleet->events[i]))
+      {
+        struct event *event = STAILQ_FIRST (&fleet->events[i]);
+
+        STAILQ_REMOVE_HEAD (&fleet->events[i], link);
+        free (event);
+      }
+  marjoram_route_table_destroy (fleet->table);
+  marjoram_random_destroy (fleet->random);
+  repeat_bound_destroy (fleet->bound);
+  free (fleet->events);
+  free (fleet->inbound);
+  free (fleet->arrived);
+  free (fleet->served);
+  free (fleet->refused);
+  free (fleet);
+}
+
+void
+fleet_set_rate (struct fleet *fleet, int region, double per_s)
+{
+  fleet->rates[region] = per_s;
+}
+
+void
+fleet_set_refusals (struct fleet *fleet, double share)
+{
+  fleet->refusals = share;
+}
+
+static void
+process_events (struct fleet *fleet)
+{
+  struct events *due = &fleet->events[fleet->now];
+
+  while (!STAILQ_EMPTY (due))
+    {
+      struct event *event = STAILQ_FIRST (due);
+
+      STAILQ_REMOVE_HEAD (due, link);
+      process_event (fleet, event);
+      free (event);
+    }
+}
+
+static void
+tick_nodes (struct fleet *fleet)
+{
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    {
+      struct node *node = &fleet->nodes[i];
+
+      if (fleet->now % HEARTBEAT_MS == 0)
+        {
+          update_upstreams (node);
+          send_heartbeat (node);
+        }
+      if (fleet->now % TICK_MS == 0)
+        {
+          marjoram_host_list_tick (node->hosts, fleet->now);
+          marjoram_gateway_tick (node->gateway, fleet->now);
+        }
+    }
+}
+
+void
+fleet_run_until (struct fleet *fleet, int64_t until_ms)
+{
+  for (; fleet->now < until_ms; fleet->now++)
+    {
+      process_events (fleet);
+      tick_nodes (fleet);
+      for (int i = 0; i < FLEET_REGIONS; i++)
+        {
+          fleet->due[i] += fleet->rates[i] / 1000;
+          for (; fleet->due[i] >= 1; fleet->due[i]--)
+            send_request (fleet, i);
+        }
+    }
+}
+
+void
+fleet_restart_hosts (struct fleet *fleet)
+{
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    {
+      stop_node (&fleet->nodes[i]);
+      start_node (&fleet->nodes[i]);
+    }
+}
+
+struct fleet_counts
+fleet_count (const struct fleet *fleet, int64_t from_ms, int64_t until_ms)
+{
+  struct fleet_counts counts
+      = { 0, 0, repeat_bound_count (fleet->bound, from_ms, until_ms) };
+
+  for (int64_t at = from_ms; at < until_ms; at++)
+    {
+      counts.served += fleet->served[at];
+      counts.refused += fleet->refused[at];
+    }
+  return counts;
+}
+
+double
+fleet_excess (const struct fleet *fleet, int64_t *from_ms)
+{
+  return repeat_bound_excess (fleet->bound, from_ms);
+}
