--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -204,9 +204,9 @@
 }
 
 static int
-read_id (const char *text)
+read_id (const void *text, size_t size)
 {
-  const char *id = strstr (text, "id-");
+  const char *id = memmem (text, size, "id-", 3);
 
   return id ? atoi (id + 3) : 0;
 }
@@ -215,16 +215,14 @@
 op_send (void *context, const struct marjoram_http_send *send)
 {
   const struct node *node = context;
-  marjoram_auto_free char *text
-      = strndup ((const char *)marjoram_bytes_data (send->message),
-                 marjoram_bytes_size (send->message));
   const int upstream = atoi (strchr (send->address, ':') + 1);
   const struct event event
       = { .kind = EVENT_ARRIVAL,
           .node = node->index,
           .start = node->start,
           .attempt = send->attempt,
-          .id = read_id (text),
+          .id = read_id (marjoram_bytes_data (send->message),
+                         marjoram_bytes_size (send->message)),
           .refuses = node->region < FLEET_REGIONS - 1
                      || upstream < FLEET_UPSTREAMS_PER_REGION };
 
@@ -256,7 +254,7 @@
           .from = node->index,
           .from_start = node->start,
           .attempt = forward->request,
-          .id = read_id (forward->id),
+          .id = read_id (forward->id, strlen (forward->id)),
           .limits = { forward->budget_ms, forward->time_left_ms } };
 
   event.node = atoi (host + 1);
