A request refused by another region's upstreams counts as sent

Callers saw: while most upstreams of a model refuse, the service got more than twice the arrivals beyond the first of each request that the bound allows. Cause: a forward that was refused was taken for one that reached nobody. It was taken off the request's sendings and the request went to this region's upstreams without the budget being asked, though the other region's upstreams had received it. Change: a refusal says whether any upstream received the request (unreached; a peer that doesn't say so counts as having reached one). If one did, sending it here is a repeat like any other. The budget is taken where a request is sent, to an upstream or to another region, so that no way of sending it once more goes round it, and at the time of the sending, not of the decision.

--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -81,12 +81,13 @@
 
 static void
 finish_inbound (struct marjoram_entry *self, uint64_t call,
-                enum marjoram_outcome outcome, enum marjoram_reason reason,
-                int64_t retry_ms)
+                const struct marjoram_request_failure *how)
 {
   struct marjoram_inbound *inbound = find_inbound (self, call);
-  struct marjoram_end end
-      = { .outcome = outcome, .reason = reason, .retry_ms = retry_ms };
+  struct marjoram_end end = { .outcome = how->outcome,
+                              .reason = how->reason,
+                              .retry_ms = how->retry_ms,
+                              .unreached = how->unreached };
 
   if (!inbound)
     return;
@@ -99,11 +100,12 @@
 static void
 op_reply_end (void *context, uint64_t call)
 {
+  static const struct marjoram_request_failure done
+      = { .outcome = MARJORAM_OUTCOME_DONE };
   struct marjoram_entry *self = context;
 
   if (call & MARJORAM_FORWARDED_CALL)
-    finish_inbound (self, call, MARJORAM_OUTCOME_DONE, MARJORAM_REASON_NONE,
-                    0);
+    finish_inbound (self, call, &done);
   else
     marjoram_http_server_end (self->server, call);
 }
@@ -111,11 +113,13 @@
 static void
 op_reply_abort (void *context, uint64_t call)
 {
+  static const struct marjoram_request_failure cut
+      = { .outcome = MARJORAM_OUTCOME_UNKNOWN,
+          .reason = MARJORAM_REASON_UPSTREAM_FAILED };
   struct marjoram_entry *self = context;
 
   if (call & MARJORAM_FORWARDED_CALL)
-    finish_inbound (self, call, MARJORAM_OUTCOME_UNKNOWN,
-                    MARJORAM_REASON_UPSTREAM_FAILED, 0);
+    finish_inbound (self, call, &cut);
   else
     marjoram_http_server_abort (self->server, call);
 }
@@ -149,7 +153,7 @@
   struct marjoram_entry *self = context;
 
   if (call & MARJORAM_FORWARDED_CALL)
-    finish_inbound (self, call, why->outcome, why->reason, why->retry_ms);
+    finish_inbound (self, call, why);
   else
     marjoram_entry_reject_call (self, call, why);
 }
--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -191,11 +191,13 @@
 handle_end (struct marjoram_entry *self, const struct marjoram_end *end)
 {
   const struct marjoram_request_failure why
-      = { (enum marjoram_outcome)end->outcome,
-          end->reason < MARJORAM_REASON_COUNT
-              ? (enum marjoram_reason)end->reason
-              : MARJORAM_REASON_UPSTREAM_FAILED,
-          STATUS_UNAVAILABLE, end->retry_ms };
+      = { .outcome = (enum marjoram_outcome)end->outcome,
+          .reason = end->reason < MARJORAM_REASON_COUNT
+                        ? (enum marjoram_reason)end->reason
+                        : MARJORAM_REASON_UPSTREAM_FAILED,
+          .status = STATUS_UNAVAILABLE,
+          .retry_ms = end->retry_ms,
+          .unreached = end->unreached };
 
   if (end->outcome == MARJORAM_OUTCOME_DONE)
     marjoram_gateway_end (self->gateway, marjoram_entry_now (self),
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -44,8 +44,10 @@
 {
   struct marjoram_entry *self = context;
   const struct marjoram_request_failure why
-      = { MARJORAM_OUTCOME_NOT_RUN, MARJORAM_REASON_DRAINING,
-          STATUS_UNAVAILABLE, DRAINING_RETRY_MS };
+      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+          .reason = MARJORAM_REASON_DRAINING,
+          .status = STATUS_UNAVAILABLE,
+          .retry_ms = DRAINING_RETRY_MS };
 
   if (!self->closed)
     {
--- a/src/frame.c
+++ b/src/frame.c
@@ -126,6 +126,7 @@
   { MARJORAM_WIRE_UINT (struct marjoram_end, length) },
   { MARJORAM_WIRE_INT (struct marjoram_end, retry_ms) },
   { MARJORAM_WIRE_UINT (struct marjoram_end, crashes) },
+  { MARJORAM_WIRE_BOOL (struct marjoram_end, unreached) },
 };
 LAYOUT (end_layout, marjoram_end, end_fields);
 
--- a/src/frame.h
+++ b/src/frame.h
@@ -161,6 +161,8 @@
   uint64_t length;  /* of the complete body, if the request succeeded */
   int64_t retry_ms;
   uint64_t crashes; /* upstreams that crashed while processing the request */
+  /* No upstream received the request.  Entry hosts of gateway roles only.  */
+  bool unreached;
 };
 
 /* Cancels a forwarded request.  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -194,8 +194,10 @@
                           const struct marjoram_request_failure *why)
 {
   marjoram_metrics *metrics = gateway->options.metrics;
+  struct marjoram_request_failure failure = *why;
   uint64_t call = exchange->call;
 
+  failure.unreached = exchange->attempts_sent == 0;
   marjoram_exchange_drop_attempt (gateway, exchange, now,
                                   MARJORAM_ATTEMPT_CANCELLED);
   marjoram_metrics_add (metrics,
@@ -209,7 +211,7 @@
   if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
     gateway->ops->reply_abort (gateway->context, call);
   else
-    gateway->ops->reply_failure (gateway->context, call, why);
+    gateway->ops->reply_failure (gateway->context, call, &failure);
   destroy (gateway, exchange);
 }
 
@@ -267,7 +269,10 @@
                 int64_t retry_ms)
 {
   const struct marjoram_request_failure why
-      = { MARJORAM_OUTCOME_NOT_RUN, reason, status, retry_ms };
+      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+          .reason = reason,
+          .status = status,
+          .retry_ms = retry_ms };
 
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
@@ -422,9 +427,9 @@
 {
   bool ran = exchange->attempts_maybe_run > 0;
   const struct marjoram_request_failure why
-      = { ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
-          MARJORAM_REASON_DEADLINE,
-          ran ? STATUS_GATEWAY_TIMEOUT : STATUS_UNAVAILABLE, 0 };
+      = { .outcome = ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
+          .reason = MARJORAM_REASON_DEADLINE,
+          .status = ran ? STATUS_GATEWAY_TIMEOUT : STATUS_UNAVAILABLE };
 
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -27,6 +27,7 @@
   enum marjoram_reason reason;
   int status;       /* HTTP status for the caller */
   int64_t retry_ms; /* Retry-After; 0: omitted */
+  bool unreached;   /* no upstream received the request; set by the gateway */
 };
 
 struct marjoram_gateway_ops
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -56,14 +56,8 @@
   if (exchange->attempts_maybe_run >= exchange->max_upstreams
       || exchange->attempts_sent >= exchange->max_upstreams + EXTRA_ATTEMPTS)
     return "upstreams-used";
-  if (!marjoram_repeat_budget_take (
-          gateway->budget, now, exchange->service,
-          marjoram_host_list_entry_count (gateway->options.place.hosts)))
-    {
-      marjoram_metrics_add (gateway->options.metrics,
-                            MARJORAM_METRIC_REPEATS_DENIED, 1);
-      return "budget-used";
-    }
+  if (!marjoram_exchange_may_repeat (gateway, exchange, now))
+    return "budget-used";
   return NULL;
 }
 
@@ -114,6 +108,7 @@
                             : MARJORAM_METRIC_REPEATS,
                         1);
   reset_answer (exchange);
+  exchange->repeat_taken = false;
   marjoram_exchange_send (gateway, exchange, now);
 }
 
@@ -123,9 +118,10 @@
 {
   bool ran = exchange->attempts_maybe_run > 0;
   const struct marjoram_request_failure why
-      = { ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN, reason,
-          ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
-          ran ? 0 : REFUSED_RETRY_MS };
+      = { .outcome = ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
+          .reason = reason,
+          .status = ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
+          .retry_ms = ran ? 0 : REFUSED_RETRY_MS };
 
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
@@ -435,6 +431,44 @@
     }
 }
 
+/* Whether this region may serve a request that another one refused without
+   running it.  */
+static bool
+may_serve_refused (const marjoram_gateway *gateway,
+                   const struct marjoram_exchange *exchange, int64_t now)
+{
+  return exchange->attempts_maybe_run == 0 && now < exchange->target_at
+         && marjoram_exchange_may_run_here (gateway, exchange);
+}
+
+/* Sends a request that another region refused to this region's upstreams.  If
+   upstreams there received it, that is a repeat.  Returns whether it was
+   sent.  */
+static bool
+send_refused_here (marjoram_gateway *gateway,
+                   struct marjoram_exchange *exchange, int64_t now,
+                   const struct marjoram_request_failure *why)
+{
+  const char *denial;
+
+  if (!may_serve_refused (gateway, exchange, now))
+    return false;
+  if (why->unreached)
+    {
+      log_attempt (gateway, exchange, why->reason, NULL);
+      marjoram_exchange_send (gateway, exchange, now);
+      return true;
+    }
+  denial = retry_denial (gateway, exchange, now, true);
+  if (denial)
+    {
+      log_attempt (gateway, exchange, why->reason, denial);
+      return false;
+    }
+  retry (gateway, exchange, now, why->reason);
+  return true;
+}
+
 void
 marjoram_gateway_forward_refused (marjoram_gateway *gateway, int64_t now,
                                   uint64_t attempt,
@@ -455,14 +489,10 @@
   marjoram_metrics_add (gateway->options.metrics,
                         MARJORAM_METRIC_FORWARDS_REFUSED, 1);
   exchange->attempts_maybe_run--;
-  exchange->attempts_sent--;
-  if (exchange->attempts_maybe_run == 0 && now < exchange->target_at
-      && marjoram_exchange_may_run_here (gateway, exchange))
-    {
-      log_attempt (gateway, exchange, why->reason, NULL);
-      marjoram_exchange_send (gateway, exchange, now);
-      return;
-    }
+  if (why->unreached)
+    exchange->attempts_sent--;
+  if (send_refused_here (gateway, exchange, now, why))
+    return;
   answer.outcome = exchange->attempts_maybe_run > 0 ? MARJORAM_OUTCOME_UNKNOWN
                                                     : MARJORAM_OUTCOME_NOT_RUN;
   answer.status = exchange->attempts_maybe_run > 0 ? STATUS_BAD_GATEWAY
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -22,6 +22,8 @@
   struct marjoram_forward forward = { 0 };
   struct marjoram_header_list headers = { 0 };
 
+  if (!marjoram_exchange_take_repeat (gateway, exchange, now))
+    return false;
   for (size_t i = 0; i < request->headers.count; i++)
     if (!marjoram_header_list_is_hop_by_hop (&request->headers,
                                              request->headers.items[i].name))
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -1,7 +1,7 @@
 /* Internal interface of the gateway modules: gateway.c (admission, completion
    and timeouts), gateway_send.c (placement and sending), gateway_forward.c
-   (forwarding to other regions), gateway_wait.c (queueing) and
-   gateway_answer.c (answers and retries).  */
+   (forwarding to other regions), gateway_wait.c (queueing), gateway_repeat.c
+   (repeat budget) and gateway_answer.c (answers and retries).  */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
 #define MARJORAM_GATEWAY_PRIVATE_H
 
@@ -81,6 +81,7 @@
   int attempts_maybe_run; /* attempts that may have run or still run */
   int failed_connections;
   bool forwarded_out;
+  bool repeat_taken; /* from the budget, for the next or current attempt */
   UT_hash_handle by_call;
   UT_hash_handle by_attempt;
 };
@@ -198,6 +199,18 @@
                                   const struct marjoram_place *place);
 void marjoram_gateway_retry_queued (marjoram_gateway *gateway, int64_t now);
 
+/* gateway_repeat.c */
+/* Whether the repeat budget has room for sending the exchange once more.  */
+bool marjoram_exchange_may_repeat (marjoram_gateway *gateway,
+                                   const struct marjoram_exchange *exchange,
+                                   int64_t now);
+/* To be called before each attempt.  If the exchange was sent before, takes a
+   repeat from the budget, unless one is already taken for this attempt.
+   Returns false if the budget is exhausted.  */
+bool marjoram_exchange_take_repeat (marjoram_gateway *gateway,
+                                    struct marjoram_exchange *exchange,
+                                    int64_t now);
+
 /* gateway_answer.c */
 /* Handles a failed attempt: retries where that is allowed, otherwise ends the
    exchange with REASON.  NOT_RUN states that the attempt certainly did not
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -146,6 +146,22 @@
   return message;
 }
 
+/* ---- Refusals. ---- */
+
+static void
+refuse (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+        int64_t now, enum marjoram_reason reason, int64_t retry_ms)
+{
+  const bool ran = exchange->attempts_maybe_run > 0;
+  const struct marjoram_request_failure why
+      = { .outcome = ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
+          .reason = reason,
+          .status = ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
+          .retry_ms = retry_ms };
+
+  marjoram_exchange_refuse (gateway, exchange, now, &why);
+}
+
 /* ---- Sending to an upstream of this region. ---- */
 
 static void
@@ -181,6 +197,12 @@
 {
   struct marjoram_http_send send = { 0 };
 
+  if (!marjoram_exchange_take_repeat (gateway, exchange, now))
+    {
+      refuse (gateway, exchange, now, MARJORAM_REASON_RETRY_BUDGET,
+              REFUSED_RETRY_MS);
+      return;
+    }
   snprintf (exchange->upstream, sizeof exchange->upstream, "%s",
             place->upstream->heartbeat.id);
   exchange->host[0] = '\0';
@@ -207,18 +229,6 @@
 
 /* ---- Placement. ---- */
 
-static void
-refuse (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-        int64_t now, enum marjoram_reason reason, int64_t retry_ms)
-{
-  const bool ran = exchange->attempts_maybe_run > 0;
-  const struct marjoram_request_failure why
-      = { ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN, reason,
-          ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE, retry_ms };
-
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
-}
-
 static bool
 may_wait (const marjoram_gateway *gateway,
           const struct marjoram_exchange *exchange, int64_t now)
@@ -358,9 +368,9 @@
 refuse_crashing (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
                  int64_t now)
 {
-  struct marjoram_request_failure why
-      = { MARJORAM_OUTCOME_NOT_RUN, MARJORAM_REASON_CONVICTED,
-          STATUS_BAD_REQUEST, 0 };
+  struct marjoram_request_failure why = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+                                          .reason = MARJORAM_REASON_CONVICTED,
+                                          .status = STATUS_BAD_REQUEST };
 
   if (marjoram_crash_list_count (gateway->crashes) == 0
       || !marjoram_crash_list_is_blocked (gateway->crashes, now,
@@ -438,12 +448,12 @@
   if (!rule)
     {
       const struct marjoram_request_failure why
-          = { exchange->attempts_maybe_run > 0 ? MARJORAM_OUTCOME_UNKNOWN
-                                               : MARJORAM_OUTCOME_NOT_RUN,
-              MARJORAM_REASON_CONFIG_CHANGED,
-              exchange->attempts_maybe_run > 0 ? STATUS_BAD_GATEWAY
-                                               : STATUS_NOT_FOUND,
-              0 };
+          = { .outcome = exchange->attempts_maybe_run > 0
+                             ? MARJORAM_OUTCOME_UNKNOWN
+                             : MARJORAM_OUTCOME_NOT_RUN,
+              .reason = MARJORAM_REASON_CONFIG_CHANGED,
+              .status = exchange->attempts_maybe_run > 0 ? STATUS_BAD_GATEWAY
+                                                         : STATUS_NOT_FOUND };
 
       marjoram_exchange_refuse (gateway, exchange, now, &why);
       return;
--- a/src/relay.c
+++ b/src/relay.c
@@ -37,9 +37,12 @@
 reply_end (marjoram_host *host, struct marjoram_request *request,
            int64_t retry_ms)
 {
-  struct marjoram_end end
-      = { request->peer_number, request->outcome, request->reason,
-          request->delivered,   retry_ms,         request->crashes };
+  struct marjoram_end end = { .request = request->peer_number,
+                              .outcome = request->outcome,
+                              .reason = request->reason,
+                              .length = request->delivered,
+                              .retry_ms = retry_ms,
+                              .crashes = request->crashes };
 
   if (request->peer_session)
     host->ops->reply (host->context, request->peer, request->peer_session,
@@ -116,8 +119,10 @@
 reply_not_run (marjoram_host *host, const char *slot, uint64_t session,
                uint64_t number, enum marjoram_reason reason)
 {
-  struct marjoram_end end = { number, MARJORAM_OUTCOME_NOT_RUN, reason,
-                              0,      MARJORAM_RETRY_AFTER_MS,  0 };
+  struct marjoram_end end = { .request = number,
+                              .outcome = MARJORAM_OUTCOME_NOT_RUN,
+                              .reason = reason,
+                              .retry_ms = MARJORAM_RETRY_AFTER_MS };
 
   marjoram_counters_add_refusal (host->counters, reason);
   host->ops->reply (host->context, slot, session, MARJORAM_FRAME_END, &end);
--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -33,7 +33,7 @@
   uint64_t sums_hosts;
   int64_t sums_at; /* INT64_MIN / 2: none yet */
   uint64_t taken;  /* repeats of this host since then */
-  /* As of the last call of marjoram_repeat_budget_take.  */
+  /* As of the last call of marjoram_repeat_budget_allows.  */
   double own_bound;
   double spent_share; /* of the total bound */
   UT_hash_handle hh;
@@ -150,8 +150,8 @@
 }
 
 bool
-marjoram_repeat_budget_take (marjoram_repeat_budget *budget, int64_t now,
-                             const char *service, size_t hosts)
+marjoram_repeat_budget_allows (marjoram_repeat_budget *budget, int64_t now,
+                               const char *service, size_t hosts)
 {
   struct account *account = get_account (budget, service, now);
 
@@ -159,10 +159,20 @@
       = budget->terms.allowance / (double)(hosts ? hosts : 1)
         + budget->terms.ratio * (double)count_requests (account);
   account->spent_share = spent_share (budget, account, hosts);
-  if ((double)(count_repeats (account) + 1) > account->own_bound
-      || (now <= account->sums_at + SUMS_VALID_MS
-          && account->spent_share > 1 - RESERVE))
+  return (double)(count_repeats (account) + 1) <= account->own_bound
+         && (now > account->sums_at + SUMS_VALID_MS
+             || account->spent_share <= 1 - RESERVE);
+}
+
+bool
+marjoram_repeat_budget_take (marjoram_repeat_budget *budget, int64_t now,
+                             const char *service, size_t hosts)
+{
+  struct account *account;
+
+  if (!marjoram_repeat_budget_allows (budget, now, service, hosts))
     return false;
+  account = get_account (budget, service, now);
   account->repeats[account->step % (STEPS + 1)]++;
   account->taken++;
   return true;
--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -33,11 +33,15 @@
 /* Records a caller's request for SERVICE.  */
 void marjoram_repeat_budget_add_request (marjoram_repeat_budget *budget,
                                          int64_t now, const char *service);
-/* Records a repeat and returns true if the budget of this host, one of HOSTS,
-   permits one for SERVICE.  */
+/* Whether the budget of this host, one of HOSTS, permits a repeat for
+   SERVICE.  */
+bool marjoram_repeat_budget_allows (marjoram_repeat_budget *budget,
+                                    int64_t now, const char *service,
+                                    size_t hosts);
+/* Records a repeat and returns true if the budget permits one.  */
 bool marjoram_repeat_budget_take (marjoram_repeat_budget *budget, int64_t now,
                                   const char *service, size_t hosts);
-/* Usage of a service as of the last call of marjoram_repeat_budget_take.  */
+/* Usage of a service as of the last call of marjoram_repeat_budget_allows.  */
 struct marjoram_repeat_usage
 {
   uint64_t repeats; /* of this host in the window */
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -709,7 +709,10 @@
 START_TEST (refusal_of_other_region_is_relayed)
 {
   const struct marjoram_request_failure why
-      = { MARJORAM_OUTCOME_NOT_RUN, MARJORAM_REASON_OVERLOAD, 503, 400 };
+      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+          .reason = MARJORAM_REASON_OVERLOAD,
+          .status = 503,
+          .retry_ms = 400 };
 
   gateway_fixture_call (&f, 0, "/home/x");
   marjoram_gateway_forward_refused (f.gateway, 110, f.seen.attempt, &why);
@@ -719,6 +722,45 @@
 }
 END_TEST
 
+static void
+refuse_forward (const char *path, bool unreached)
+{
+  const struct marjoram_request_failure why
+      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+          .reason = MARJORAM_REASON_UPSTREAM_REFUSED,
+          .status = 503,
+          .unreached = unreached };
+  const int forwards = f.seen.forwards;
+
+  f.evacuated = true;
+  gateway_fixture_call (&f, 100, path);
+  ck_assert_int_eq (f.seen.forwards, forwards + 1);
+  f.evacuated = false;
+  marjoram_gateway_forward_refused (f.gateway, 110, f.seen.attempt, &why);
+}
+
+/* Guards against sending a request on without a budget after upstreams of
+   another region refused it.  */
+START_TEST (refused_forward_counts_if_it_reached_an_upstream)
+{
+  int sends;
+
+  for (int i = 0; i < 50; i++)
+    {
+      gateway_fixture_call (&f, i, "/get/x");
+      gateway_fixture_end (&f, i, MARJORAM_HTTP_BROKEN);
+      if (marjoram_gateway_request_count (f.gateway) > 0)
+        gateway_fixture_end (&f, i, MARJORAM_HTTP_BROKEN);
+    }
+  sends = f.seen.sends;
+  refuse_forward ("/get/x", false);
+  ck_assert_int_eq (f.seen.sends, sends);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  refuse_forward ("/get/x", true);
+  ck_assert_int_eq (f.seen.sends, sends + 1);
+}
+END_TEST
+
 /* Guards against forwarding loops between regions.  */
 START_TEST (forwarded_request_is_not_forwarded_again)
 {
@@ -846,6 +888,7 @@
   tcase_add_test (c, forwarded_requests_spread_over_hosts);
   tcase_add_test (c, only_reachable_hosts_get_forwards);
   tcase_add_test (c, refusal_of_other_region_is_relayed);
+  tcase_add_test (c, refused_forward_counts_if_it_reached_an_upstream);
   tcase_add_test (c, forwarded_request_is_not_forwarded_again);
   tcase_add_test (c, lost_link_leaves_outcome_unknown);
   tcase_add_test (c, repeats_stay_within_the_budget);
