A host's share of the repeats fits every window; sums by keepers are gone

Callers saw: nothing yet; a service could get more repeats than the bound while load moved between hosts or ended, and more so without keepers. Cause: each host permitted a ratio of the requests of its own last ten seconds. Hosts whose load rises and falls at different seconds together spent requests of more than one window. Sums by keepers were to stop that, but are as old as a heartbeat and two links, are gone when keepers are, and held back 15 % of the bound. Change: the bound admits the requests of a window or of the one before it, so also the mean of both, and a mean of sums is a sum of means. A host permits, for each window that may hold the repeat, the ratio of half its requests in that window and in the one before, and its part of the allowance. Repeats of half a second more count, for the time to their arrival. What the hosts permit adds up to less than the bound without anybody's word, so the exchange of sums goes: the module repeat_sums, a field of heartbeats to keepers, a frame (its number stays reserved). The tests of the sums (expired_sums_do_not_bind, sums_follow_reports_and_expire, sums_of_repeats_cost_the_same_in_any_fleet) go with what they tested; in the place of the last, a repeat's cost is counted.

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -232,11 +232,6 @@
           marjoram_gateway_placement (self->gateway),
           marjoram_entry_now (self), host, message);
       break;
-    case MARJORAM_FRAME_REPEAT_SUMS:
-      marjoram_repeat_budget_apply_sums (
-          marjoram_gateway_budget (self->gateway), marjoram_entry_now (self),
-          message);
-      break;
     case MARJORAM_FRAME_LOAD_CHANGES:
       marjoram_load_collector_apply_report (
           self->collector, marjoram_entry_now (self), host, message);
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -63,7 +63,6 @@
   bool closed;
   struct marjoram_array offers; /* of struct marjoram_host_offer */
   int64_t offers_updated_at;
-  struct marjoram_repeat_use uses[MARJORAM_REPEAT_USES_MAX];
 };
 
 int64_t marjoram_entry_now (const struct marjoram_entry *self);
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -321,10 +321,6 @@
   heartbeat->leaving = self->stopped_at != 0;
   heartbeat->config_number = self->config_number;
   heartbeat->offers = self->offers;
-  heartbeat->uses.items = self->uses;
-  heartbeat->uses.count = marjoram_repeat_budget_report (
-      marjoram_gateway_budget (self->gateway), marjoram_entry_now (self),
-      self->uses, MARJORAM_REPEAT_USES_MAX);
 }
 
 static void
--- a/src/frame.c
+++ b/src/frame.c
@@ -205,7 +205,7 @@
   [MARJORAM_FRAME_STATE_NEWS] = &marjoram_state_news_layout,
   [MARJORAM_FRAME_STATE_ASK] = &marjoram_state_ask_layout,
   [MARJORAM_FRAME_STATE_PIECE] = &marjoram_state_piece_layout,
-  [MARJORAM_FRAME_REPEAT_SUMS] = &marjoram_repeat_sums_layout,
+  [MARJORAM_FRAME_RESERVED_30] = &reserved_layout,
   [MARJORAM_FRAME_LOAD_CHANGES] = &marjoram_load_report_layout,
   [MARJORAM_FRAME_LOAD_SUMS] = &marjoram_load_report_layout,
 };
--- a/src/frame.h
+++ b/src/frame.h
@@ -39,7 +39,7 @@
   MARJORAM_FRAME_STATE_NEWS,  /* struct marjoram_state_news */
   MARJORAM_FRAME_STATE_ASK,   /* struct marjoram_state_ask */
   MARJORAM_FRAME_STATE_PIECE, /* struct marjoram_state_piece */
-  MARJORAM_FRAME_REPEAT_SUMS, /* struct marjoram_repeat_sums */
+  MARJORAM_FRAME_RESERVED_30,
   /* struct marjoram_load_report: changes from a host to a collector, and
      totals from a collector to all hosts.  */
   MARJORAM_FRAME_LOAD_CHANGES,
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -32,21 +32,6 @@
 };
 static LAYOUT (host_offer_layout, marjoram_host_offer, host_offer_fields);
 
-static const struct marjoram_field repeat_use_fields[] = {
-  STRING (marjoram_repeat_use, service),
-  UINT (marjoram_repeat_use, requests),
-  UINT (marjoram_repeat_use, repeats),
-  BOOL (marjoram_repeat_use, wants_sums),
-};
-static LAYOUT (repeat_use_layout, marjoram_repeat_use, repeat_use_fields);
-
-static const struct marjoram_field repeat_sums_fields[] = {
-  UINT (marjoram_repeat_sums, hosts),
-  { MARJORAM_WIRE_ARRAY (struct marjoram_repeat_sums, items,
-                         MARJORAM_REPEAT_USES_MAX, &repeat_use_layout) },
-};
-LAYOUT (marjoram_repeat_sums_layout, marjoram_repeat_sums, repeat_sums_fields);
-
 static const struct marjoram_field host_beat_fields[] = {
   STRING (marjoram_host_beat, name),
   STRING (marjoram_host_beat, zone),
@@ -61,8 +46,6 @@
   UINT (marjoram_host_beat, age_ms),
   { MARJORAM_WIRE_ARRAY (struct marjoram_host_beat, offers,
                          MARJORAM_HOST_OFFERS_MAX, &host_offer_layout) },
-  { MARJORAM_WIRE_ARRAY (struct marjoram_host_beat, uses,
-                         MARJORAM_REPEAT_USES_MAX, &repeat_use_layout) },
 };
 LAYOUT (marjoram_host_beat_layout, marjoram_host_beat, host_beat_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -8,7 +8,6 @@
 {
   MARJORAM_HOST_BEATS_MAX = 1024,
   MARJORAM_HOST_OFFERS_MAX = 64,
-  MARJORAM_REPEAT_USES_MAX = 64,
   MARJORAM_NEWS_MAX = 4096,
   MARJORAM_LOADS_MAX = 4096,
   MARJORAM_PLACED_MAX = 4096,
@@ -32,22 +31,6 @@
   uint64_t backlog_ms;
 };
 
-/* Usage of one service in the window of the repeat budget.  */
-struct marjoram_repeat_use
-{
-  char *service;
-  uint64_t requests; /* from callers */
-  uint64_t repeats;
-  bool wants_sums; /* requests the sums over all hosts */
-};
-
-/* Sums over the hosts from which a keeper has reports.  */
-struct marjoram_repeat_sums
-{
-  uint64_t hosts;
-  struct marjoram_array items; /* struct marjoram_repeat_use */
-};
-
 /* A host's heartbeat, sent by itself or relayed by other hosts.  */
 struct marjoram_host_beat
 {
@@ -64,8 +47,6 @@
   uint64_t age_ms;              /* since the sender received it; 0 if its
                                    own */
   struct marjoram_array offers; /* struct marjoram_host_offer */
-  /* struct marjoram_repeat_use; sent to keepers only */
-  struct marjoram_array uses;
 };
 
 struct marjoram_host_beats
@@ -168,7 +149,6 @@
 };
 
 extern const struct marjoram_layout marjoram_host_beat_layout;
-extern const struct marjoram_layout marjoram_repeat_sums_layout;
 extern const struct marjoram_layout marjoram_host_beats_layout;
 extern const struct marjoram_layout marjoram_news_batch_layout;
 extern const struct marjoram_layout marjoram_news_seen_layout;
--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -41,13 +41,11 @@
 }
 
 /* Recipients of a heartbeat.  Only entry hosts of other regions need offers,
-   by which they choose where to forward; only keepers need the uses of the
-   repeat budget, which they sum up.  */
+   by which they choose where to forward.  */
 enum audience
 {
   AUDIENCE_LOCAL,
   AUDIENCE_REMOTE,
-  AUDIENCE_KEEPER,
   AUDIENCE_COUNT
 };
 
@@ -57,10 +55,8 @@
   const struct marjoram_listed_host *host
       = marjoram_host_list_find (links->hosts, name);
 
-  if (!host)
+  if (!host || host->heartbeat.keeper)
     return AUDIENCE_LOCAL;
-  if (host->heartbeat.keeper)
-    return AUDIENCE_KEEPER;
   return strcmp (host->heartbeat.region, links->settings->region) == 0
              ? AUDIENCE_LOCAL
              : AUDIENCE_REMOTE;
@@ -86,8 +82,6 @@
   heartbeat = packed->heartbeat;
   if (audience != AUDIENCE_REMOTE)
     heartbeat.offers = (struct marjoram_array){ NULL, 0 };
-  if (audience != AUDIENCE_KEEPER)
-    heartbeat.uses = (struct marjoram_array){ NULL, 0 };
   packed->frames[audience]
       = marjoram_frame_pack (MARJORAM_FRAME_HOST_BEAT, &heartbeat);
   return packed->frames[audience];
@@ -197,7 +191,6 @@
       && strcmp (heartbeat->region, links->settings->region) != 0)
     {
       make_heartbeat (links, &own);
-      own.uses = (struct marjoram_array){ NULL, 0 };
       marjoram_peer_reply (links->peer, heartbeat->name, session,
                            MARJORAM_FRAME_HOST_BEAT, &own);
       return;
@@ -214,7 +207,6 @@
   const struct marjoram_host_beats list = { { &copy, 1 } };
 
   copy.offers = (struct marjoram_array){ NULL, 0 };
-  copy.uses = (struct marjoram_array){ NULL, 0 };
   if (links->settings->role == MARJORAM_ROLE_KEEPER)
     marjoram_host_links_broadcast (links, MARJORAM_FRAME_HOST_LIST, &list);
 }
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -238,7 +238,6 @@
   target->region = marjoram_strdup (source->region);
   target->entry = marjoram_strdup (source->entry ? source->entry : "");
   copy_offers (&target->offers, &source->offers);
-  target->uses = (struct marjoram_array){ NULL, 0 };
 }
 
 static bool
--- a/src/keeper_publish.c
+++ b/src/keeper_publish.c
@@ -200,21 +200,3 @@
   send_upstreams (self, host, session, heartbeat);
   send_crashes (self, host, session);
 }
-
-void
-marjoram_keeper_exchange_retries (struct marjoram_keeper_role *self,
-                                  const char *host, uint64_t session,
-                                  const struct marjoram_host_beat *heartbeat)
-{
-  struct marjoram_repeat_use items[MARJORAM_REPEAT_USES_MAX];
-  struct marjoram_repeat_sums sums = { 0, { items, 0 } };
-
-  if (heartbeat->uses.count == 0)
-    return;
-  marjoram_repeat_sums_list_update (
-      self->repeats, marjoram_keeper_role_now (self), host, &heartbeat->uses);
-  marjoram_repeat_sums_list_query (self->repeats, &heartbeat->uses, &sums);
-  if (sums.items.count > 0)
-    marjoram_host_links_reply (self->parts->links, host, session,
-                               MARJORAM_FRAME_REPEAT_SUMS, &sums);
-}
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -203,7 +203,6 @@
   if (first)
     marjoram_keeper_send_snapshot (self, host, session, heartbeat);
   marjoram_keeper_announce_state_to (self, host, session, heartbeat);
-  marjoram_keeper_exchange_retries (self, host, session, heartbeat);
 }
 
 static void
@@ -365,7 +364,6 @@
   marjoram_crash_list_destroy (self->crashes);
   marjoram_random_destroy (self->random);
   marjoram_state_sender_destroy (self->state_sender);
-  marjoram_repeat_sums_list_destroy (self->repeats);
   free (self);
 }
 
@@ -441,7 +439,6 @@
   self->registry = marjoram_registry_create ();
   self->crashes = marjoram_crash_list_create ();
   self->state_sender = marjoram_state_sender_create ();
-  self->repeats = marjoram_repeat_sums_list_create ();
   self->repair = marjoram_keeper_repair_create (
       parts->settings->ip, (size_t)parts->settings->disk_losses);
   create_registrar (self);
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -7,7 +7,6 @@
 #include "disk.h"
 #include "keeper_repair.h"
 #include "registrar.h"
-#include "repeat_sums.h"
 #include "role.h"
 #include "state_sender.h"
 
@@ -25,7 +24,6 @@
   int64_t repair_ticked_at;
   int64_t ticked_at;
   marjoram_state_sender *state_sender;
-  marjoram_repeat_sums_list *repeats;
   int64_t stopped_at;
 };
 
@@ -57,12 +55,6 @@
 void marjoram_keeper_send_state_piece (struct marjoram_keeper_role *self,
                                        const char *host, uint64_t session,
                                        const struct marjoram_state_ask *ask);
-/* Adds the retries that HOST reports, and replies with the totals over all
-   hosts if it asks for them.  */
-void
-marjoram_keeper_exchange_retries (struct marjoram_keeper_role *self,
-                                  const char *host, uint64_t session,
-                                  const struct marjoram_host_beat *heartbeat);
 /* Stores a host's crash report and forwards it to the hosts of this region. */
 void
 marjoram_keeper_forward_crashes (struct marjoram_keeper_role *self,
--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -3,15 +3,13 @@
    hosts.  Each host spends only its own share, so the bound holds without
    coordination, also during a network partition.
 
-   If load moves between hosts, both the former hosts and the new ones may
-   spend their shares in one window.  A host with high usage therefore requests
-   the sums over all hosts from the keepers and stops when the total bound is
-   nearly reached.  */
+   The total bound admits the requests of the window itself or of the one
+   before it.  Each host counts half of both.  All hosts apply the same weights
+   to the same window, so their shares add up to less than the bound, even if
+   load moves between hosts or ends.  */
 #ifndef MARJORAM_REPEAT_BUDGET_H
 #define MARJORAM_REPEAT_BUDGET_H
 
-#include "gateway_message.h"
-
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -41,26 +39,17 @@
 /* Records a repeat and returns true if the budget permits one.  */
 bool marjoram_repeat_budget_take (marjoram_repeat_budget *budget, int64_t now,
                                   const char *service, size_t hosts);
-/* Usage of a service as of the last call of marjoram_repeat_budget_allows.  */
+/* Usage of a service as of the last call of marjoram_repeat_budget_allows, for
+   the interval with the least room.  */
 struct marjoram_repeat_usage
 {
-  uint64_t repeats; /* of this host in the window */
-  double allowed;   /* for this host in the window */
+  uint64_t repeats; /* of this host */
+  double allowed;   /* for this host */
 };
 
 /* Zero for a service without repeats.  */
 void marjoram_repeat_budget_get_usage (const marjoram_repeat_budget *budget,
                                        const char *service,
                                        struct marjoram_repeat_usage *usage);
-/* Writes this host's usage, reported to keepers, of at most MAX services into
-   ITEMS, which borrow their texts.  Returns their number.  */
-size_t marjoram_repeat_budget_report (marjoram_repeat_budget *budget,
-                                      int64_t now,
-                                      struct marjoram_repeat_use *items,
-                                      size_t max);
-/* Applies the sums received from a keeper.  */
-void
-marjoram_repeat_budget_apply_sums (marjoram_repeat_budget *budget, int64_t now,
-                                   const struct marjoram_repeat_sums *sums);
 
 #endif
