A host that starts has no part of the allowance for one window

Callers saw: nothing yet; a service could get more repeats than the bound when hosts start again while upstreams fail. Cause: what a host has spent is in its memory only. After a restart it took its part of the allowance a second time in one window; while it knew of no other host yet, all of it. Change: until no window holds anything of before the start, a host permits the ratio of the requests that it got since, and nothing of the allowance. The same where the window's length is changed, as counts of other steps can't be read on.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -372,7 +372,8 @@
   struct marjoram_entry *self = entry_from_role (role);
   const struct marjoram_repeat_limits terms = repeat_terms (self);
 
-  marjoram_repeat_budget_set (marjoram_gateway_budget (self->gateway), &terms);
+  marjoram_repeat_budget_set (marjoram_gateway_budget (self->gateway),
+                              marjoram_entry_now (self), &terms);
 }
 
 static void
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -47,7 +47,7 @@
   gateway->ops = ops;
   gateway->context = context;
   gateway->placement = marjoram_placement_create (&options->place);
-  gateway->budget = marjoram_repeat_budget_create (&options->repeats);
+  gateway->budget = marjoram_repeat_budget_create (&options->repeats, now);
   gateway->crashes = marjoram_crash_list_create ();
   gateway->queue = marjoram_wait_queue_create ();
   gateway->shortages = marjoram_shortages_create ();
--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -33,26 +33,40 @@
 struct marjoram_repeat_budget
 {
   struct marjoram_repeat_limits terms;
+  int64_t allowance_from; /* when the allowance starts to apply */
   struct account *accounts;
 };
 
+static int64_t
+step_ms (const marjoram_repeat_budget *budget)
+{
+  return budget->terms.window_ms / STEPS;
+}
+
+static void
+start (marjoram_repeat_budget *budget, int64_t now,
+       const struct marjoram_repeat_limits *terms)
+{
+  budget->terms = *terms;
+  budget->allowance_from = now + REPEAT_STEPS * step_ms (budget);
+}
+
 marjoram_repeat_budget *
-marjoram_repeat_budget_create (const struct marjoram_repeat_limits *terms)
+marjoram_repeat_budget_create (const struct marjoram_repeat_limits *terms,
+                               int64_t now)
 {
   marjoram_repeat_budget *budget = marjoram_alloc (sizeof *budget);
 
-  budget->terms = *terms;
+  start (budget, now, terms);
   return budget;
 }
 
-void
-marjoram_repeat_budget_destroy (marjoram_repeat_budget *budget)
+static void
+clear (marjoram_repeat_budget *budget)
 {
   struct account *account;
   struct account *next;
 
-  if (!budget)
-    return;
   HASH_ITER (hh, budget->accounts, account, next)
   {
     /* False positive in list macros.  NOLINTNEXTLINE(clang-analyzer-*) */
@@ -60,14 +74,28 @@
     free (account->service);
     free (account);
   }
+}
+
+void
+marjoram_repeat_budget_destroy (marjoram_repeat_budget *budget)
+{
+  if (!budget)
+    return;
+  clear (budget);
   free (budget);
 }
 
 void
-marjoram_repeat_budget_set (marjoram_repeat_budget *budget,
+marjoram_repeat_budget_set (marjoram_repeat_budget *budget, int64_t now,
                             const struct marjoram_repeat_limits *terms)
 {
-  budget->terms = *terms;
+  if (terms->window_ms == budget->terms.window_ms)
+    {
+      budget->terms = *terms;
+      return;
+    }
+  clear (budget);
+  start (budget, now, terms);
 }
 
 static void
@@ -90,7 +118,7 @@
 static struct account *
 get_account (marjoram_repeat_budget *budget, const char *service, int64_t now)
 {
-  int64_t step = now / (budget->terms.window_ms / STEPS);
+  int64_t step = now / step_ms (budget);
   struct account *account;
 
   HASH_FIND_STR (budget->accounts, service, account);
@@ -135,9 +163,12 @@
    lie in it.  */
 static void
 update_usage (const marjoram_repeat_budget *budget, struct account *account,
-              size_t hosts)
+              int64_t now, size_t hosts)
 {
-  const double share = budget->terms.allowance / (double)(hosts ? hosts : 1);
+  const double share
+      = now < budget->allowance_from
+            ? 0
+            : budget->terms.allowance / (double)(hosts ? hosts : 1);
   double least_room = 0;
   uint64_t requests = 0;
   uint64_t repeats = 0;
@@ -165,7 +196,7 @@
 {
   struct account *account = get_account (budget, service, now);
 
-  update_usage (budget, account, hosts);
+  update_usage (budget, account, now, hosts);
   return (double)(account->usage.repeats + 1) <= account->usage.allowed;
 }
 
--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -6,7 +6,11 @@
    The total bound admits the requests of the window itself or of the one
    before it.  Each host counts half of both.  All hosts apply the same weights
    to the same window, so their shares add up to less than the bound, even if
-   load moves between hosts or ends.  */
+   load moves between hosts or ends.
+
+   A host that has just started does not know what it spent before.  Until no
+   window includes that, it has no part of the allowance, only a ratio of the
+   requests received since.  */
 #ifndef MARJORAM_REPEAT_BUDGET_H
 #define MARJORAM_REPEAT_BUDGET_H
 
@@ -24,9 +28,11 @@
 };
 
 marjoram_repeat_budget *
-marjoram_repeat_budget_create (const struct marjoram_repeat_limits *terms);
+marjoram_repeat_budget_create (const struct marjoram_repeat_limits *terms,
+                               int64_t now);
 void marjoram_repeat_budget_destroy (marjoram_repeat_budget *budget);
-void marjoram_repeat_budget_set (marjoram_repeat_budget *budget,
+/* A new window length starts the counts anew.  */
+void marjoram_repeat_budget_set (marjoram_repeat_budget *budget, int64_t now,
                                  const struct marjoram_repeat_limits *terms);
 /* Records a caller's request for SERVICE.  */
 void marjoram_repeat_budget_add_request (marjoram_repeat_budget *budget,
--- a/test/test_growth.c
+++ b/test/test_growth.c
@@ -214,7 +214,7 @@
   fleet->hosts = hosts;
   fleet->registry = marjoram_registry_create ();
   fleet->list = marjoram_host_list_create ();
-  fleet->budget = marjoram_repeat_budget_create (&limits);
+  fleet->budget = marjoram_repeat_budget_create (&limits, 0);
   fleet->collector = marjoram_load_collector_create ();
   own.registry = fleet->registry;
   own.hosts = fleet->list;
--- a/test/test_repeat_budget.c
+++ b/test/test_repeat_budget.c
@@ -8,7 +8,8 @@
 enum
 {
   HOSTS = 9,
-  WINDOW_MS = 10000
+  WINDOW_MS = 10000,
+  LONG_AGO_MS = -60000
 };
 
 static const struct marjoram_repeat_limits terms = { 0.2, 58, WINDOW_MS };
@@ -23,7 +24,7 @@
   int64_t requests = 0;
 
   for (int i = 0; i < HOSTS; i++)
-    budgets[i] = marjoram_repeat_budget_create (&terms);
+    budgets[i] = marjoram_repeat_budget_create (&terms, LONG_AGO_MS);
   for (int64_t now = 0; now < 60000; now += 10)
     for (int i = 0; i < HOSTS; i++)
       {
@@ -111,7 +112,7 @@
   struct load_shift *shift = marjoram_alloc (sizeof *shift);
 
   for (int i = 0; i < MOVING_HOSTS; i++)
-    shift->budgets[i] = marjoram_repeat_budget_create (&terms);
+    shift->budgets[i] = marjoram_repeat_budget_create (&terms, LONG_AGO_MS);
   simulate_load_shift (shift);
   for (int64_t from = 0; from + WINDOW_MS <= RUN_MS; from += STEP_MS)
     {
@@ -131,7 +132,8 @@
 
 START_TEST (services_have_separate_budgets)
 {
-  marjoram_repeat_budget *budget = marjoram_repeat_budget_create (&terms);
+  marjoram_repeat_budget *budget
+      = marjoram_repeat_budget_create (&terms, LONG_AGO_MS);
   int taken = 0;
 
   while (marjoram_repeat_budget_take (budget, 0, "lm", 1))
@@ -144,6 +146,48 @@
 }
 END_TEST
 
+static int
+take_all (marjoram_repeat_budget *budget, int64_t now)
+{
+  int taken = 0;
+
+  while (marjoram_repeat_budget_take (budget, now, "lm", 1))
+    taken++;
+  return taken;
+}
+
+/* Guards against a restarted host spending the allowance again.  */
+START_TEST (allowance_applies_one_window_after_the_start)
+{
+  marjoram_repeat_budget *budget = marjoram_repeat_budget_create (&terms, 0);
+
+  ck_assert_int_eq (take_all (budget, 0), 0);
+  for (int i = 0; i < 100; i++)
+    marjoram_repeat_budget_add_request (budget, 1000, "lm");
+  ck_assert_int_eq (take_all (budget, 1000), 10);
+  ck_assert_int_eq (take_all (budget, WINDOW_MS), 0);
+  ck_assert_int_eq (take_all (budget, 2 * WINDOW_MS + 1000), 58);
+  marjoram_repeat_budget_destroy (budget);
+}
+END_TEST
+
+/* Guards against counts of one step length being read as of another.  */
+START_TEST (new_window_length_starts_anew)
+{
+  marjoram_repeat_budget *budget
+      = marjoram_repeat_budget_create (&terms, LONG_AGO_MS);
+  struct marjoram_repeat_limits longer = terms;
+
+  longer.window_ms *= 2;
+  marjoram_repeat_budget_set (budget, 0, &terms);
+  ck_assert_int_eq (take_all (budget, 0), 58);
+  marjoram_repeat_budget_set (budget, 100, &longer);
+  ck_assert_int_eq (take_all (budget, 2 * WINDOW_MS), 0);
+  ck_assert_int_eq (take_all (budget, 3 * WINDOW_MS), 58);
+  marjoram_repeat_budget_destroy (budget);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -153,6 +197,8 @@
   tcase_add_test (c, sum_of_all_hosts_stays_within_the_bound);
   tcase_add_test (c, load_that_moves_between_hosts_stays_within_the_bound);
   tcase_add_test (c, services_have_separate_budgets);
+  tcase_add_test (c, allowance_applies_one_window_after_the_start);
+  tcase_add_test (c, new_window_length_starts_anew);
   suite_add_tcase (s, c);
   return s;
 }
--- a/test/test_repeat_shares.c
+++ b/test/test_repeat_shares.c
@@ -15,6 +15,7 @@
   /* Hosts of one region, with the same load.  */
   GROUP = 3,
   RUN_MS = 60000,
+  LONG_AGO_MS = -60000,
   STEP_MS = 10,
   /* Longest time from the decision to repeat to the arrival.  */
   ARRIVAL_MS = 150,
@@ -83,7 +84,7 @@
   if (host->restarts_at > 0)
     {
       marjoram_repeat_budget_destroy (host->budget);
-      host->budget = marjoram_repeat_budget_create (&limits);
+      host->budget = marjoram_repeat_budget_create (&limits, now);
     }
   host->restarts_at = now + random_ms (run, 1000, 15000);
 }
@@ -133,7 +134,8 @@
   run->bound = repeat_bound_create (&limits, RUN_MS);
   run->hosts_known = HOSTS;
   for (int i = 0; i < HOSTS; i++)
-    run->hosts[i].budget = marjoram_repeat_budget_create (&limits);
+    run->hosts[i].budget
+        = marjoram_repeat_budget_create (&limits, LONG_AGO_MS);
   return run;
 }
 
