The allowance of repeats is divided among all hosts that may spend it

Callers saw: nothing yet; a service could get more repeats than the bound where hosts are cut off from each other for more than a minute while upstreams fail. Cause: the hosts that a host hears of were taken for all that spend. A host isn't in its own list, so nine hosts took an eighth each; and a list drops a host after a minute of silence, though it goes on spending on its side of a cut. Change: a host counts itself, and a lower number takes effect after an hour. The number is set on each tick, not at a repeat, so that it is known from before a cut. Not covered: a host that starts while it is cut off knows only what it hears, one window after its start.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -493,6 +493,7 @@
              && input_time (gateway, now) >= exchange->idle_deadline)
       check_idle (gateway, exchange, now);
   }
+  marjoram_gateway_update_hosts (gateway, now);
   marjoram_gateway_retry_queued (gateway, now);
   marjoram_placement_tick (gateway->placement, now);
   marjoram_crash_list_expire (gateway->crashes, now);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -200,6 +200,8 @@
 void marjoram_gateway_retry_queued (marjoram_gateway *gateway, int64_t now);
 
 /* gateway_repeat.c */
+/* Divides the repeat budget by the number of entry hosts known now.  */
+void marjoram_gateway_update_hosts (marjoram_gateway *gateway, int64_t now);
 /* Whether the repeat budget has room for sending the exchange once more.  */
 bool marjoram_exchange_may_repeat (marjoram_gateway *gateway,
                                    const struct marjoram_exchange *exchange,
--- a/src/gateway_repeat.c
+++ b/src/gateway_repeat.c
@@ -1,9 +1,15 @@
 #include "gateway_private.h"
 
-static size_t
-count_hosts (const marjoram_gateway *gateway)
+void
+marjoram_gateway_update_hosts (marjoram_gateway *gateway, int64_t now)
 {
-  return marjoram_host_list_entry_count (gateway->options.place.hosts);
+  marjoram_host_list *hosts = gateway->options.place.hosts;
+  const bool listed
+      = marjoram_host_list_find (hosts, gateway->options.place.host) != NULL;
+
+  marjoram_repeat_budget_set_hosts (gateway->budget, now,
+                                    marjoram_host_list_entry_count (hosts)
+                                        + (listed ? 0 : 1));
 }
 
 bool
@@ -11,8 +17,7 @@
                               const struct marjoram_exchange *exchange,
                               int64_t now)
 {
-  if (marjoram_repeat_budget_allows (gateway->budget, now, exchange->service,
-                                     count_hosts (gateway)))
+  if (marjoram_repeat_budget_allows (gateway->budget, now, exchange->service))
     return true;
   marjoram_metrics_add (gateway->options.metrics,
                         MARJORAM_METRIC_REPEATS_DENIED, 1);
@@ -27,7 +32,7 @@
     return true;
   if (!marjoram_exchange_may_repeat (gateway, exchange, now))
     return false;
-  exchange->repeat_taken = marjoram_repeat_budget_take (
-      gateway->budget, now, exchange->service, count_hosts (gateway));
+  exchange->repeat_taken
+      = marjoram_repeat_budget_take (gateway->budget, now, exchange->service);
   return exchange->repeat_taken;
 }
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -114,7 +114,8 @@
 /* Number of serving entry hosts of REGION.  */
 size_t marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                          const char *region);
-/* Number of known entry hosts, alive or not.  */
+/* Number of known entry hosts, alive or not.  A host is usually not in its own
+   list.  */
 size_t marjoram_host_list_entry_count (marjoram_host_list *list);
 /* Drops hosts that have been silent for long.  */
 void marjoram_host_list_tick (marjoram_host_list *list, int64_t now);
--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -13,7 +13,10 @@
   REPEAT_STEPS = STEPS + ARRIVAL_STEPS + 1,
   /* Steps of the window before that surely lie in it.  */
   BEFORE_STEPS = STEPS - ARRIVAL_STEPS - 1,
-  REQUEST_STEPS = REPEAT_STEPS + BEFORE_STEPS
+  REQUEST_STEPS = REPEAT_STEPS + BEFORE_STEPS,
+  /* Hosts that are no longer known keep their shares of the allowance for this
+     long.  */
+  HOSTS_VALID_MS = 3600 * 1000
 };
 
 /* Weight of a request in the window or in the one before it.  */
@@ -34,6 +37,8 @@
 {
   struct marjoram_repeat_limits terms;
   int64_t allowance_from; /* when the allowance starts to apply */
+  size_t hosts;           /* that share the allowance */
+  int64_t hosts_at;       /* when at least as many were last known */
   struct account *accounts;
 };
 
@@ -58,6 +63,8 @@
   marjoram_repeat_budget *budget = marjoram_alloc (sizeof *budget);
 
   start (budget, now, terms);
+  budget->hosts = 1;
+  budget->hosts_at = now;
   return budget;
 }
 
@@ -98,6 +105,16 @@
   start (budget, now, terms);
 }
 
+void
+marjoram_repeat_budget_set_hosts (marjoram_repeat_budget *budget, int64_t now,
+                                  size_t hosts)
+{
+  if (hosts < budget->hosts && now < budget->hosts_at + HOSTS_VALID_MS)
+    return;
+  budget->hosts = hosts > 0 ? hosts : 1;
+  budget->hosts_at = now;
+}
+
 static void
 advance (struct account *account, int64_t step)
 {
@@ -163,12 +180,11 @@
    lie in it.  */
 static void
 update_usage (const marjoram_repeat_budget *budget, struct account *account,
-              int64_t now, size_t hosts)
+              int64_t now)
 {
-  const double share
-      = now < budget->allowance_from
-            ? 0
-            : budget->terms.allowance / (double)(hosts ? hosts : 1);
+  const double share = now < budget->allowance_from
+                           ? 0
+                           : budget->terms.allowance / (double)budget->hosts;
   double least_room = 0;
   uint64_t requests = 0;
   uint64_t repeats = 0;
@@ -192,21 +208,21 @@
 
 bool
 marjoram_repeat_budget_allows (marjoram_repeat_budget *budget, int64_t now,
-                               const char *service, size_t hosts)
+                               const char *service)
 {
   struct account *account = get_account (budget, service, now);
 
-  update_usage (budget, account, now, hosts);
+  update_usage (budget, account, now);
   return (double)(account->usage.repeats + 1) <= account->usage.allowed;
 }
 
 bool
 marjoram_repeat_budget_take (marjoram_repeat_budget *budget, int64_t now,
-                             const char *service, size_t hosts)
+                             const char *service)
 {
   struct account *account;
 
-  if (!marjoram_repeat_budget_allows (budget, now, service, hosts))
+  if (!marjoram_repeat_budget_allows (budget, now, service))
     return false;
   account = get_account (budget, service, now);
   account->repeats[account->step % REPEAT_STEPS]++;
--- a/src/repeat_budget.h
+++ b/src/repeat_budget.h
@@ -8,6 +8,10 @@
    to the same window, so their shares add up to less than the bound, even if
    load moves between hosts or ends.
 
+   The allowance is divided by the number of hosts.  A host that is cut off
+   from others keeps its share after it has dropped them from its list, since
+   they may still spend theirs.
+
    A host that has just started does not know what it spent before.  Until no
    window includes that, it has no part of the allowance, only a ratio of the
    requests received since.  */
@@ -37,14 +41,16 @@
 /* Records a caller's request for SERVICE.  */
 void marjoram_repeat_budget_add_request (marjoram_repeat_budget *budget,
                                          int64_t now, const char *service);
-/* Whether the budget of this host, one of HOSTS, permits a repeat for
-   SERVICE.  */
+/* Sets the number of known hosts, this one included.  A lower number takes
+   effect after an hour.  To be called regularly.  */
+void marjoram_repeat_budget_set_hosts (marjoram_repeat_budget *budget,
+                                       int64_t now, size_t hosts);
+/* Whether the budget of this host permits a repeat for SERVICE.  */
 bool marjoram_repeat_budget_allows (marjoram_repeat_budget *budget,
-                                    int64_t now, const char *service,
-                                    size_t hosts);
+                                    int64_t now, const char *service);
 /* Records a repeat and returns true if the budget permits one.  */
 bool marjoram_repeat_budget_take (marjoram_repeat_budget *budget, int64_t now,
-                                  const char *service, size_t hosts);
+                                  const char *service);
 /* Usage of a service as of the last call of marjoram_repeat_budget_allows, for
    the interval with the least room.  */
 struct marjoram_repeat_usage
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -223,14 +223,8 @@
   marjoram_host_list_update (f->hosts, 0, &heartbeat, true);
 }
 
-void
-gateway_fixture_open (struct gateway_fixture *f)
-{
-  gateway_fixture_open_at (f, LONG_AGO_MS);
-}
-
-void
-gateway_fixture_open_at (struct gateway_fixture *f, int64_t created_at)
+static void
+open_fixture (struct gateway_fixture *f, int64_t created_at, bool listed)
 {
   struct marjoram_gateway_options options = {
     .dialect = marjoram_platform_dialect (),
@@ -258,11 +252,30 @@
   add_upstream (f, "u1", "lm", "10.0.0.1:80");
   add_upstream (f, "u2", "lm", "10.0.0.2:80");
   add_upstream (f, "p1", "app", "10.0.0.3:80");
-  add_host (f, "h1", "r1");
+  if (listed)
+    add_host (f, "h1", "r1");
   add_host (f, "far1", "r2");
   add_host (f, "far2", "r2");
 }
 
+void
+gateway_fixture_open (struct gateway_fixture *f)
+{
+  open_fixture (f, LONG_AGO_MS, true);
+}
+
+void
+gateway_fixture_open_at (struct gateway_fixture *f, int64_t created_at)
+{
+  open_fixture (f, created_at, true);
+}
+
+void
+gateway_fixture_open_unlisted (struct gateway_fixture *f)
+{
+  open_fixture (f, LONG_AGO_MS, false);
+}
+
 void
 gateway_fixture_close (struct gateway_fixture *f)
 {
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -51,6 +51,9 @@
 void gateway_fixture_open (struct gateway_fixture *f);
 /* Like gateway_fixture_open, for a gateway started at CREATED_AT.  */
 void gateway_fixture_open_at (struct gateway_fixture *f, int64_t created_at);
+/* Like gateway_fixture_open, for a gateway whose host is not in its own list
+   of hosts, as in production.  */
+void gateway_fixture_open_unlisted (struct gateway_fixture *f);
 void gateway_fixture_close (struct gateway_fixture *f);
 /* Activates the routes; before, there is no configuration.  */
 void gateway_fixture_configure (struct gateway_fixture *f);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -791,6 +791,7 @@
 /* Guards against retries multiplying the load of a failing service.  */
 START_TEST (repeats_stay_within_the_budget)
 {
+  marjoram_gateway_tick (f.gateway, 0);
   for (int i = 0; i < 100; i++)
     {
       gateway_fixture_call (&f, i, "/get/x");
@@ -798,8 +799,27 @@
       if (marjoram_gateway_request_count (f.gateway) > 0)
         gateway_fixture_end (&f, i, MARJORAM_HTTP_BROKEN);
     }
-  /* 20 % of the requests and this host's half of the allowance of 10.  */
-  ck_assert_int_le (f.seen.sends, 100 + 20 + 5);
+  /* 20 % of the requests and this host's third of the allowance of 10.  */
+  ck_assert_int_le (f.seen.sends, 100 + 20 + 3);
+}
+END_TEST
+
+/* Guards against shares that add up to more than the allowance, as a host is
+   not in its own list.  */
+START_TEST (host_counts_itself_among_the_shares)
+{
+  const int unlisted = 2;
+  struct gateway_fixture alone;
+  int repeats = 0;
+
+  gateway_fixture_open_unlisted (&alone);
+  gateway_fixture_configure (&alone);
+  marjoram_gateway_tick (alone.gateway, 0);
+  while (marjoram_repeat_budget_take (marjoram_gateway_budget (alone.gateway),
+                                      0, "app"))
+    repeats++;
+  ck_assert_int_eq (repeats, 10 / (unlisted + 1));
+  gateway_fixture_close (&alone);
 }
 END_TEST
 
@@ -892,6 +912,7 @@
   tcase_add_test (c, forwarded_request_is_not_forwarded_again);
   tcase_add_test (c, lost_link_leaves_outcome_unknown);
   tcase_add_test (c, repeats_stay_within_the_budget);
+  tcase_add_test (c, host_counts_itself_among_the_shares);
   tcase_add_test (c, crashing_request_is_refused);
   tcase_add_test (c, innocent_request_is_not_refused);
   suite_add_tcase (s, c);
--- a/test/test_growth.c
+++ b/test/test_growth.c
@@ -150,8 +150,7 @@
 {
   (void)number;
   marjoram_repeat_budget_add_request (fleet->budget, fleet->now, "lm");
-  marjoram_repeat_budget_take (fleet->budget, fleet->now, "lm",
-                               (size_t)fleet->hosts);
+  marjoram_repeat_budget_take (fleet->budget, fleet->now, "lm");
 }
 
 static void
@@ -215,6 +214,7 @@
   fleet->registry = marjoram_registry_create ();
   fleet->list = marjoram_host_list_create ();
   fleet->budget = marjoram_repeat_budget_create (&limits, 0);
+  marjoram_repeat_budget_set_hosts (fleet->budget, 0, (size_t)hosts);
   fleet->collector = marjoram_load_collector_create ();
   own.registry = fleet->registry;
   own.hosts = fleet->list;
--- a/test/test_repeat_budget.c
+++ b/test/test_repeat_budget.c
@@ -14,6 +14,16 @@
 
 static const struct marjoram_repeat_limits terms = { 0.2, 58, WINDOW_MS };
 
+static marjoram_repeat_budget *
+create_budget (size_t hosts)
+{
+  marjoram_repeat_budget *budget
+      = marjoram_repeat_budget_create (&terms, LONG_AGO_MS);
+
+  marjoram_repeat_budget_set_hosts (budget, LONG_AGO_MS, hosts);
+  return budget;
+}
+
 /* Guards against exceeding the total bound in any window when hosts without
    contact repeat every request.  */
 START_TEST (sum_of_all_hosts_stays_within_the_bound)
@@ -24,7 +34,7 @@
   int64_t requests = 0;
 
   for (int i = 0; i < HOSTS; i++)
-    budgets[i] = marjoram_repeat_budget_create (&terms, LONG_AGO_MS);
+    budgets[i] = create_budget (HOSTS);
   for (int64_t now = 0; now < 60000; now += 10)
     for (int i = 0; i < HOSTS; i++)
       {
@@ -33,7 +43,7 @@
           continue;
         marjoram_repeat_budget_add_request (budgets[i], now, "lm");
         requests++;
-        if (marjoram_repeat_budget_take (budgets[i], now, "lm", HOSTS))
+        if (marjoram_repeat_budget_take (budgets[i], now, "lm"))
           at[taken++] = now;
       }
   for (size_t first = 0, last = 0; last < taken; last++)
@@ -81,7 +91,7 @@
 
   marjoram_repeat_budget_add_request (budget, now, "lm");
   shift->requests[now / STEP_MS]++;
-  if (fails && marjoram_repeat_budget_take (budget, now, "lm", MOVING_HOSTS))
+  if (fails && marjoram_repeat_budget_take (budget, now, "lm"))
     shift->repeats[now / STEP_MS]++;
 }
 
@@ -112,7 +122,7 @@
   struct load_shift *shift = marjoram_alloc (sizeof *shift);
 
   for (int i = 0; i < MOVING_HOSTS; i++)
-    shift->budgets[i] = marjoram_repeat_budget_create (&terms, LONG_AGO_MS);
+    shift->budgets[i] = create_budget (MOVING_HOSTS);
   simulate_load_shift (shift);
   for (int64_t from = 0; from + WINDOW_MS <= RUN_MS; from += STEP_MS)
     {
@@ -136,12 +146,12 @@
       = marjoram_repeat_budget_create (&terms, LONG_AGO_MS);
   int taken = 0;
 
-  while (marjoram_repeat_budget_take (budget, 0, "lm", 1))
+  while (marjoram_repeat_budget_take (budget, 0, "lm"))
     taken++;
   ck_assert_int_eq (taken, 58);
-  ck_assert (marjoram_repeat_budget_take (budget, 0, "app", 1));
-  ck_assert (!marjoram_repeat_budget_take (budget, 9000, "lm", 1));
-  ck_assert (marjoram_repeat_budget_take (budget, 12000, "lm", 1));
+  ck_assert (marjoram_repeat_budget_take (budget, 0, "app"));
+  ck_assert (!marjoram_repeat_budget_take (budget, 9000, "lm"));
+  ck_assert (marjoram_repeat_budget_take (budget, 12000, "lm"));
   marjoram_repeat_budget_destroy (budget);
 }
 END_TEST
@@ -151,7 +161,7 @@
 {
   int taken = 0;
 
-  while (marjoram_repeat_budget_take (budget, now, "lm", 1))
+  while (marjoram_repeat_budget_take (budget, now, "lm"))
     taken++;
   return taken;
 }
@@ -166,7 +176,26 @@
     marjoram_repeat_budget_add_request (budget, 1000, "lm");
   ck_assert_int_eq (take_all (budget, 1000), 10);
   ck_assert_int_eq (take_all (budget, WINDOW_MS), 0);
-  ck_assert_int_eq (take_all (budget, 2 * WINDOW_MS + 1000), 58);
+  ck_assert_int_eq (take_all (budget, 21000), 58);
+  marjoram_repeat_budget_destroy (budget);
+}
+END_TEST
+
+/* Guards against larger shares when hosts that are cut off are dropped from
+   the list.  */
+START_TEST (share_of_dropped_hosts_is_kept_for_an_hour)
+{
+  const int64_t hour_ms = 3600000;
+  marjoram_repeat_budget *budget = create_budget (9);
+
+  marjoram_repeat_budget_set_hosts (budget, 0, 9);
+  marjoram_repeat_budget_set_hosts (budget, 70000, 1);
+  ck_assert_int_eq (take_all (budget, 70000), 6);
+  marjoram_repeat_budget_set_hosts (budget, 80000, 29);
+  marjoram_repeat_budget_set_hosts (budget, 80000, 1);
+  ck_assert_int_eq (take_all (budget, 100000), 2);
+  marjoram_repeat_budget_set_hosts (budget, 80000 + hour_ms, 1);
+  ck_assert_int_eq (take_all (budget, 100000 + hour_ms), 58);
   marjoram_repeat_budget_destroy (budget);
 }
 END_TEST
@@ -182,8 +211,8 @@
   marjoram_repeat_budget_set (budget, 0, &terms);
   ck_assert_int_eq (take_all (budget, 0), 58);
   marjoram_repeat_budget_set (budget, 100, &longer);
-  ck_assert_int_eq (take_all (budget, 2 * WINDOW_MS), 0);
-  ck_assert_int_eq (take_all (budget, 3 * WINDOW_MS), 58);
+  ck_assert_int_eq (take_all (budget, 20000), 0);
+  ck_assert_int_eq (take_all (budget, 30000), 58);
   marjoram_repeat_budget_destroy (budget);
 }
 END_TEST
@@ -198,6 +227,7 @@
   tcase_add_test (c, load_that_moves_between_hosts_stays_within_the_bound);
   tcase_add_test (c, services_have_separate_budgets);
   tcase_add_test (c, allowance_applies_one_window_after_the_start);
+  tcase_add_test (c, share_of_dropped_hosts_is_kept_for_an_hour);
   tcase_add_test (c, new_window_length_starts_anew);
   suite_add_tcase (s, c);
   return s;
--- a/test/test_repeat_shares.c
+++ b/test/test_repeat_shares.c
@@ -85,6 +85,7 @@
     {
       marjoram_repeat_budget_destroy (host->budget);
       host->budget = marjoram_repeat_budget_create (&limits, now);
+      marjoram_repeat_budget_set_hosts (host->budget, now, run->hosts_known);
     }
   host->restarts_at = now + random_ms (run, 1000, 15000);
 }
@@ -99,8 +100,7 @@
       repeat_bound_add_request (run->bound, now);
       marjoram_repeat_budget_add_request (host->budget, now, "lm");
       if (!run->fails
-          || !marjoram_repeat_budget_take (host->budget, now, "lm",
-                                           run->hosts_known))
+          || !marjoram_repeat_budget_take (host->budget, now, "lm"))
         continue;
       run->repeats++;
       repeat_bound_add_repeat (run->bound,
@@ -134,8 +134,12 @@
   run->bound = repeat_bound_create (&limits, RUN_MS);
   run->hosts_known = HOSTS;
   for (int i = 0; i < HOSTS; i++)
-    run->hosts[i].budget
-        = marjoram_repeat_budget_create (&limits, LONG_AGO_MS);
+    {
+      run->hosts[i].budget
+          = marjoram_repeat_budget_create (&limits, LONG_AGO_MS);
+      marjoram_repeat_budget_set_hosts (run->hosts[i].budget, LONG_AGO_MS,
+                                        HOSTS);
+    }
   return run;
 }
 
@@ -185,6 +189,9 @@
 
   play (run, 0, RUN_MS / 2);
   run->hosts_known = HOSTS / 3;
+  for (int i = 0; i < HOSTS; i++)
+    marjoram_repeat_budget_set_hosts (run->hosts[i].budget, RUN_MS / 2,
+                                      run->hosts_known);
   play (run, RUN_MS / 2, RUN_MS);
   close_run (run);
 }
