Keepers that start again are told which requests crash upstreams

Callers saw: nothing yet; a request that had crashed three upstreams could crash more after all keepers and then an entry host had started again. A host that starts is told by the keepers, but keepers that started themselves knew nothing, and nobody told them. Change: when a link to a keeper comes up, one host of each region, by rendezvous hashing, sends it all crashes that it knows. Not covered: all entry hosts and all keepers starting at once forget it.

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -39,6 +39,31 @@
   marjoram_wire_clear (&marjoram_crash_report_layout, &crashes);
 }
 
+void
+marjoram_entry_send_crashes (struct marjoram_entry *self, const char *host)
+{
+  const struct marjoram_gateway_settings *settings = self->parts->settings;
+  const marjoram_crash_list *list
+      = marjoram_gateway_crash_list (self->gateway);
+  const struct marjoram_listed_host *listed
+      = marjoram_host_list_find (self->parts->hosts, host);
+  const char *sender;
+  struct marjoram_crash_report all;
+
+  if (marjoram_crash_list_count (list) == 0 || !listed
+      || !listed->heartbeat.keeper)
+    return;
+  sender = marjoram_host_list_owner_with (
+      self->parts->hosts, marjoram_entry_now (self), settings->region, host,
+      settings->ip);
+  if (strcmp (sender, settings->ip) != 0)
+    return;
+  marjoram_crash_list_export (list, &all);
+  marjoram_host_links_send (self->parts->links, host, MARJORAM_FRAME_CRASHES,
+                            &all);
+  marjoram_wire_clear (&marjoram_crash_report_layout, &all);
+}
+
 static void
 broadcast_loads (struct marjoram_entry *self)
 {
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -91,6 +91,10 @@
 /* entry_loads.c */
 /* Sends this host's load to the other hosts of the region when due.  */
 void marjoram_entry_report_loads (struct marjoram_entry *self, int64_t now);
+/* Sends all known crashes to HOST if it is a keeper, which may have restarted,
+   and this host is the one of its region that does so.  */
+void marjoram_entry_send_crashes (struct marjoram_entry *self,
+                                  const char *host);
 void marjoram_entry_apply_sums (struct marjoram_entry *self, const char *host,
                                 const struct marjoram_load_report *sums);
 
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -91,6 +91,15 @@
     daemon->role->ops->session_closed (daemon->role, host, session);
 }
 
+static void
+on_link_up (void *context, const char *host)
+{
+  marjoram_gateway_daemon *daemon = context;
+
+  if (daemon->role)
+    daemon->role->ops->link_up (daemon->role, host);
+}
+
 static void
 on_link_lost (void *context, const char *host)
 {
@@ -114,6 +123,7 @@
   .frame = on_frame,
   .heartbeat = on_heartbeat,
   .session_closed = on_session_closed,
+  .link_up = on_link_up,
   .link_lost = on_link_lost,
   .fill_heartbeat = fill_heartbeat,
 };
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -107,6 +107,7 @@
   marjoram_link_lag_start (&link->lag);
   marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=up", host);
   marjoram_host_links_send_heartbeats (links, now, false);
+  links->ops->link_up (links->context, host);
 }
 
 static void
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -22,6 +22,8 @@
   void (*heartbeat) (void *context, const char *host, uint64_t session,
                      bool first, const struct marjoram_host_beat *heartbeat);
   void (*session_closed) (void *context, const char *host, uint64_t session);
+  /* This host's own link to HOST is up; HOST may have restarted.  */
+  void (*link_up) (void *context, const char *host);
   void (*link_lost) (void *context, const char *host);
   /* Fills in the variable parts of this host's heartbeat; offers remain owned
      by the callee.  */
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -245,6 +245,13 @@
   (void)session;
 }
 
+static void
+role_link_up (struct marjoram_role *role, const char *host)
+{
+  (void)role;
+  (void)host;
+}
+
 static void
 role_link_lost (struct marjoram_role *role, const char *host)
 {
@@ -371,6 +378,7 @@
   .frame = role_frame,
   .heartbeat = role_heartbeat,
   .session_closed = role_session_closed,
+  .link_up = role_link_up,
   .link_lost = role_link_lost,
   .fill_heartbeat = role_fill_heartbeat,
   .api_request = role_api_request,
--- a/src/role.h
+++ b/src/role.h
@@ -22,6 +22,7 @@
                      const struct marjoram_host_beat *heartbeat);
   void (*session_closed) (struct marjoram_role *role, const char *host,
                           uint64_t session);
+  void (*link_up) (struct marjoram_role *role, const char *host);
   void (*link_lost) (struct marjoram_role *role, const char *host);
   void (*fill_heartbeat) (struct marjoram_role *role,
                           struct marjoram_host_beat *heartbeat);
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -77,6 +77,13 @@
   (void)session;
 }
 
+static void
+on_link_up (void *context, const char *name)
+{
+  (void)context;
+  (void)name;
+}
+
 static void
 on_link_lost (void *context, const char *name)
 {
@@ -97,6 +104,7 @@
     = { .frame = on_frame,
         .heartbeat = on_heartbeat,
         .session_closed = on_session_closed,
+        .link_up = on_link_up,
         .link_lost = on_link_lost,
         .fill_heartbeat = fill_heartbeat };
 
