--- a/src/gateway.c
+++ b/src/gateway.c
@@ -44,6 +44,7 @@
 
   gateway->options = *options;
   gateway->region = marjoram_strdup (options->place.region);
+  gateway->host = marjoram_strdup (options->place.host);
   gateway->ops = ops;
   gateway->context = context;
   gateway->placement = marjoram_placement_create (&options->place);
@@ -136,6 +137,7 @@
   marjoram_wait_queue_destroy (gateway->queue);
   marjoram_shortages_destroy (gateway->shortages);
   free (gateway->region);
+  free (gateway->host);
   free (gateway);
 }
 
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -90,6 +90,7 @@
 {
   struct marjoram_gateway_options options;
   char *region; /* copied, since settings may be reloaded */
+  char *host;   /* likewise */
   const struct marjoram_gateway_ops *ops;
   void *context;
   const struct marjoram_route_table *table;
