--- a/src/gateway_repeat.c
+++ b/src/gateway_repeat.c
@@ -4,8 +4,7 @@
 marjoram_gateway_update_hosts (marjoram_gateway *gateway, int64_t now)
 {
   marjoram_host_list *hosts = gateway->options.place.hosts;
-  const bool listed
-      = marjoram_host_list_find (hosts, gateway->host) != NULL;
+  const bool listed = marjoram_host_list_find (hosts, gateway->host) != NULL;
 
   marjoram_repeat_budget_set_hosts (gateway->budget, now,
                                     marjoram_host_list_entry_count (hosts)
