A host counts itself among those that share its region's engines

Callers saw: requests that wait at a host although its region can't read them in time; with two hosts in a region each counted on all of its engines. Change: the count takes in the host itself, listed or not.

--- a/src/host_list.c
+++ b/src/host_list.c
@@ -549,6 +549,19 @@
   return region_view (list, now, region)->result.count;
 }
 
+size_t
+marjoram_host_list_serving_count_with (marjoram_host_list *list, int64_t now,
+                                       const char *region, const char *own)
+{
+  const struct marjoram_listed_host *listed
+      = marjoram_host_list_find (list, own);
+  const bool counted = listed && marjoram_host_list_serves (listed, now)
+                       && strcmp (listed->heartbeat.region, region) == 0;
+
+  return marjoram_host_list_serving_count (list, now, region)
+         + (counted ? 0 : 1);
+}
+
 size_t
 marjoram_host_list_entry_count (marjoram_host_list *list)
 {
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -114,6 +114,10 @@
 /* Number of serving entry hosts of REGION.  */
 size_t marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                          const char *region);
+/* The same with host OWN, whether it is in the list or not.  */
+size_t marjoram_host_list_serving_count_with (marjoram_host_list *list,
+                                              int64_t now, const char *region,
+                                              const char *own);
 /* Number of known entry hosts, alive or not.  A host is usually not in its own
    list.  */
 size_t marjoram_host_list_entry_count (marjoram_host_list *list);
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -403,14 +403,14 @@
                 const struct marjoram_place_query *query,
                 struct marjoram_place *place)
 {
-  size_t hosts = marjoram_host_list_serving_count (placement->options.hosts,
-                                                   now, placement->region);
+  size_t hosts = marjoram_host_list_serving_count_with (
+      placement->options.hosts, now, placement->region, placement->host);
 
   place->engine_tokens_per_ms
       = marjoram_placement_service_stats (placement, query->service->name)
             ->tokens_per_ms;
-  place->tokens_per_ms = place->engine_tokens_per_ms * place->usable
-                         / (double)(hosts > 0 ? hosts : 1);
+  place->tokens_per_ms
+      = place->engine_tokens_per_ms * place->usable / (double)hosts;
 }
 
 void
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -594,6 +594,25 @@
 }
 END_TEST
 
+/* Guards against hosts of a region counting on more of its engines than there
+   are, as a host is not in its own list.  */
+START_TEST (host_counts_itself_among_the_shares_of_engines)
+{
+  struct marjoram_call_metadata metadata = prompt (7, 4000, 100, 500);
+  struct marjoram_place_query query = make_query (&metadata, 1);
+  marjoram_placement *unlisted = create ("h2");
+  struct marjoram_place chosen;
+
+  receive_heartbeat (0, "1");
+  receive_heartbeat (0, "2");
+  marjoram_placement_choose (unlisted, 10, &query, &chosen);
+  ck_assert_int_eq (chosen.usable, 2);
+  ck_assert_double_eq_tol (chosen.tokens_per_ms, chosen.engine_tokens_per_ms,
+                           0.001);
+  marjoram_placement_destroy (unlisted);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -618,6 +637,7 @@
   tcase_add_test (c, slow_responses_do_not_block_a_service);
   tcase_add_test (c, plain_requests_go_to_the_least_loaded);
   tcase_add_test (c, load_of_other_hosts_counts);
+  tcase_add_test (c, host_counts_itself_among_the_shares_of_engines);
   suite_add_tcase (s, c);
   return s;
 }
