--- a/src/repeat_budget.c
+++ b/src/repeat_budget.c
@@ -174,10 +174,10 @@
       ->repeats[(account->step + REPEAT_STEPS - steps_ago) % REPEAT_STEPS];
 }
 
-/* Finds the interval with the least room for repeats.  A window may begin in
-   any of the last steps.  All repeats of that step count, since they may
-   arrive after the window begins; of the window before, only steps that surely
-   lie in it.  */
+/* Finds the window with the least room for repeats; it may begin in any of the
+   last steps.  All repeats taken since that step count, as they may arrive
+   after the window begins.  Requests of the window before count only in steps
+   that surely lie in it.  */
 static void
 update_usage (const marjoram_repeat_budget *budget, struct account *account,
               int64_t now)
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -85,7 +85,6 @@
 /* A forwarded request that a node is processing.  */
 struct inbound
 {
-  bool open;
   int from;
   uint64_t from_start;
   uint64_t attempt;
@@ -468,7 +467,7 @@
   if (call >= REQUESTS_MAX)
     abort ();
   node->fleet->inbound[call]
-      = (struct inbound){ true, event->from, event->from_start, event->attempt,
+      = (struct inbound){ event->from, event->from_start, event->attempt,
                           event->id };
   marjoram_gateway_receive (node->gateway, node->fleet->now,
                             call | FORWARDED_CALL, make_request (event->id),
