--- a/src/route_file.c
+++ b/src/route_file.c
@@ -17,6 +17,8 @@
   UPSTREAMS_MAX = 8, /* per request */
   TOKENS_MAX = 1000 * 1000 * 1000,
   SLOTS_MAX = 100000,
+  KEYS_TEXT_MAX = 64 * 1024, /* all keys of one customer */
+  RATE_MAX = 1000 * 1000 * 1000,
   DECIMAL = 10
 };
 
@@ -41,16 +43,31 @@
   int64_t gap_ms;
   int priority;
   int max_upstreams;
+  bool public;
   struct marjoram_names services;
   struct marjoram_names homes;
 };
 
+struct customer_section
+{
+  char *keys; /* text, since errors for name lists show the values */
+  int priority;
+  int unit;
+  double rate_per_s;
+  double burst;
+  int64_t plain_tokens;
+  struct marjoram_names homes;
+};
+
+static const char *const unit_names[] = { "requests", "tokens", NULL };
+
 struct routes_section
 {
   int64_t version;
 };
 
 #define ROUTE_OFFSET(member) offsetof (struct route_section, member)
+#define CUSTOMER_OFFSET(member) offsetof (struct customer_section, member)
 #define SERVICE_OFFSET(member) offsetof (struct marjoram_service_rule, member)
 #define CALLERS_OFFSET(member) offsetof (struct marjoram_caller_rule, member)
 #define COUNT(array) (sizeof (array) / sizeof *(array))
@@ -80,6 +97,24 @@
   { "services", MARJORAM_INI_TEXT, ROUTE_OFFSET (services), NULL, 1,
     PATH_TEXT_MAX, NULL },
   { "homes", MARJORAM_INI_NAME_LIST, ROUTE_OFFSET (homes), "", 0, 0, NULL },
+  { "public", MARJORAM_INI_BOOL, ROUTE_OFFSET (public), "no", 0, 0, NULL },
+};
+
+/* A rate of 0 means no quota.  */
+static const struct marjoram_ini_key customer_keys[] = {
+  { "keys", MARJORAM_INI_TEXT, CUSTOMER_OFFSET (keys), "", 1, KEYS_TEXT_MAX,
+    NULL },
+  { "priority", MARJORAM_INI_INT, CUSTOMER_OFFSET (priority), "0", 0,
+    PRIORITY_MAX, NULL },
+  { "unit", MARJORAM_INI_ENUM, CUSTOMER_OFFSET (unit), "requests", 0, 0,
+    unit_names },
+  { "rate_per_s", MARJORAM_INI_DOUBLE, CUSTOMER_OFFSET (rate_per_s), "0", 0,
+    RATE_MAX, NULL },
+  { "burst", MARJORAM_INI_DOUBLE, CUSTOMER_OFFSET (burst), "0", 0, RATE_MAX,
+    NULL },
+  { "plain_tokens", MARJORAM_INI_INT64, CUSTOMER_OFFSET (plain_tokens), "0", 0,
+    TOKENS_MAX, NULL },
+  { "homes", MARJORAM_INI_NAME_LIST, CUSTOMER_OFFSET (homes), "", 0, 0, NULL },
 };
 
 static const struct marjoram_ini_key service_keys[] = {
@@ -190,6 +225,7 @@
   route->gap_ms = values.gap_ms;
   route->priority = values.priority;
   route->max_upstreams = values.max_upstreams;
+  route->public = values.public;
   route->homes = values.homes;
   memset (&values.homes, 0, sizeof values.homes);
   read_targets (context, section, route);
@@ -206,6 +242,30 @@
   service->name = marjoram_strdup (section->name);
 }
 
+static void
+read_customer (const struct parse_context *context,
+               const struct marjoram_ini_section *section,
+               struct marjoram_customer_rule *customer)
+{
+  struct customer_section values = { 0 };
+
+  marjoram_ini_read (context->file, section, customer_keys,
+                     COUNT (customer_keys), &values, context->faults);
+  customer->name = marjoram_strdup (section->name);
+  if (values.keys)
+    customer->keys = marjoram_names_parse (values.keys);
+  customer->has_priority
+      = marjoram_ini_find_entry (section, "priority") != NULL;
+  customer->priority = values.priority;
+  customer->unit = values.unit;
+  customer->rate_per_s = values.rate_per_s;
+  customer->burst = values.burst;
+  customer->plain_tokens = values.plain_tokens;
+  customer->homes = values.homes;
+  memset (&values.homes, 0, sizeof values.homes);
+  marjoram_ini_clear (customer_keys, COUNT (customer_keys), &values);
+}
+
 static void
 read_global_sections (const struct parse_context *context)
 {
@@ -237,16 +297,19 @@
   struct marjoram_route_table *table = context->table;
   struct marjoram_route_rule *routes = table->routes.items;
   struct marjoram_service_rule *services = table->services.items;
+  struct marjoram_customer_rule *customers = table->customers.items;
 
   if (strcmp (section->kind, "route") == 0)
     read_route (context, section, &routes[table->routes.count++]);
   else if (strcmp (section->kind, "service") == 0)
     read_service (context, section, &services[table->services.count++]);
+  else if (strcmp (section->kind, "customer") == 0)
+    read_customer (context, section, &customers[table->customers.count++]);
   else if (strcmp (section->kind, "routes") != 0
            && strcmp (section->kind, "callers") != 0)
     marjoram_faults_add (context->faults, context->file->path, section->line,
                          "unknown section [%s]; remove it or use one of: "
-                         "routes callers service route",
+                         "routes callers service route customer",
                          section->kind);
 }
 
@@ -260,6 +323,8 @@
                                         * sizeof (struct marjoram_route_rule));
   table->services.items = marjoram_alloc (
       file->section_count * sizeof (struct marjoram_service_rule));
+  table->customers.items = marjoram_alloc (
+      file->section_count * sizeof (struct marjoram_customer_rule));
   read_global_sections (&context);
   for (size_t i = 0; i < file->section_count; i++)
     read_section (&context, &file->sections[i]);
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -10,6 +10,8 @@
   ((const struct marjoram_route_rule *)(table)->routes.items)
 #define SERVICES(table)                                                       \
   ((const struct marjoram_service_rule *)(table)->services.items)
+#define CUSTOMERS(table)                                                      \
+  ((const struct marjoram_customer_rule *)(table)->customers.items)
 #define TARGETS(route)                                                        \
   ((const struct marjoram_route_target *)(route)->targets.items)
 
@@ -27,18 +29,30 @@
   marjoram_names_clear (&route->homes);
 }
 
+static void
+clear_customer (struct marjoram_customer_rule *customer)
+{
+  free (customer->name);
+  marjoram_names_clear (&customer->keys);
+  marjoram_names_clear (&customer->homes);
+}
+
 void
 marjoram_route_table_destroy (struct marjoram_route_table *table)
 {
   struct marjoram_route_rule *routes;
   struct marjoram_service_rule *services;
+  struct marjoram_customer_rule *customers;
 
   if (!table)
     return;
   routes = table->routes.items;
   services = table->services.items;
+  customers = table->customers.items;
   for (size_t i = 0; i < table->routes.count; i++)
     clear_route (&routes[i]);
+  for (size_t i = 0; i < table->customers.count; i++)
+    clear_customer (&customers[i]);
   for (size_t i = 0; i < table->services.count; i++)
     {
       free (services[i].name);
@@ -46,6 +60,7 @@
     }
   free (routes);
   free (services);
+  free (customers);
   free (table);
 }
 
@@ -140,6 +155,106 @@
   return true;
 }
 
+static bool
+check_customer (const struct marjoram_customer_rule *customer,
+                struct marjoram_error *err)
+{
+  if (!*customer->name)
+    return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                               "a customer has an empty name; name it");
+  if (customer->rate_per_s < 0 || customer->burst < 0
+      || customer->plain_tokens < 0)
+    return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                               "customer %s has a rate, burst or token count "
+                               "below 0; use 0 for no limit",
+                               customer->name);
+  for (size_t i = 0; i < customer->keys.count; i++)
+    if (!*customer->keys.items[i])
+      return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                                 "key %zu of customer %s is empty; remove it",
+                                 i + 1, customer->name);
+  return true;
+}
+
+struct owned_key
+{
+  const char *key;
+  const struct marjoram_customer_rule *owner;
+};
+
+static int
+compare_keys (const void *a, const void *b)
+{
+  return strcmp (((const struct owned_key *)a)->key,
+                 ((const struct owned_key *)b)->key);
+}
+
+static size_t
+count_keys (const struct marjoram_route_table *table)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < table->customers.count; i++)
+    count += CUSTOMERS (table)[i].keys.count;
+  return count;
+}
+
+static bool
+check_unique_keys (const struct marjoram_route_table *table,
+                   struct marjoram_error *err)
+{
+  size_t count = 0;
+  marjoram_auto_free struct owned_key *keys
+      = marjoram_alloc ((count_keys (table) + 1) * sizeof *keys);
+
+  for (size_t i = 0; i < table->customers.count; i++)
+    {
+      const struct marjoram_customer_rule *customer = &CUSTOMERS (table)[i];
+
+      for (size_t j = 0; j < customer->keys.count; j++)
+        keys[count++]
+            = (struct owned_key){ customer->keys.items[j], customer };
+    }
+  qsort (keys, count, sizeof *keys, compare_keys);
+  for (size_t i = 1; i < count; i++)
+    if (keys[i - 1].owner != keys[i].owner
+        && strcmp (keys[i - 1].key, keys[i].key) == 0)
+      return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                                 "customers %s and %s share a key; give each "
+                                 "its own",
+                                 keys[i - 1].owner->name, keys[i].owner->name);
+  return true;
+}
+
+static int
+compare_names (const void *a, const void *b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+static bool
+check_customers (const struct marjoram_route_table *table,
+                 struct marjoram_error *err)
+{
+  const size_t count = table->customers.count;
+  marjoram_auto_free const char **names
+      = marjoram_alloc ((count + 1) * sizeof (char *));
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!check_customer (&CUSTOMERS (table)[i], err))
+        return false;
+      names[i] = CUSTOMERS (table)[i].name;
+    }
+  qsort ((void *)names, count, sizeof (char *), compare_names);
+  for (size_t i = 1; i < count; i++)
+    if (strcmp (names[i - 1], names[i]) == 0)
+      return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                                 "two customers have the name %s; rename one",
+                                 names[i]);
+  return check_unique_keys (table, err);
+}
+
 bool
 marjoram_route_table_check (const struct marjoram_route_table *table,
                             struct marjoram_error *err)
@@ -156,7 +271,7 @@
       if (!check_prefix (route, err) || !check_targets (table, route, err))
         return false;
     }
-  return check_unique (table, err);
+  return check_unique (table, err) && check_customers (table, err);
 }
 
 static bool
@@ -213,14 +328,53 @@
   return NULL;
 }
 
+static bool
+homes_allow (const struct marjoram_names *homes, const char *region)
+{
+  for (size_t i = 0; i < homes->count; i++)
+    if (strcmp (homes->items[i], region) == 0)
+      return true;
+  return homes->count == 0;
+}
+
 bool
 marjoram_route_allows (const struct marjoram_route_rule *route,
                        const char *region)
 {
-  for (size_t i = 0; i < route->homes.count; i++)
-    if (strcmp (route->homes.items[i], region) == 0)
-      return true;
-  return route->homes.count == 0;
+  return homes_allow (&route->homes, region);
+}
+
+const struct marjoram_customer_rule *
+marjoram_route_table_customer (const struct marjoram_route_table *table,
+                               const char *name)
+{
+  for (size_t i = 0; i < table->customers.count; i++)
+    if (strcmp (CUSTOMERS (table)[i].name, name) == 0)
+      return &CUSTOMERS (table)[i];
+  return NULL;
+}
+
+bool
+marjoram_customer_allows (const struct marjoram_customer_rule *customer,
+                          const char *region)
+{
+  return homes_allow (&customer->homes, region);
+}
+
+bool
+marjoram_customer_has_quota (const struct marjoram_customer_rule *customer)
+{
+  return customer->rate_per_s > 0;
+}
+
+int64_t
+marjoram_customer_cost (const struct marjoram_customer_rule *customer,
+                        int64_t prompt_tokens, int64_t answer_tokens)
+{
+  if (customer->unit == MARJORAM_QUOTA_REQUESTS)
+    return 1;
+  return prompt_tokens + answer_tokens > 0 ? prompt_tokens + answer_tokens
+                                           : customer->plain_tokens;
 }
 
 size_t
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -1,5 +1,6 @@
-/* Configured routes: which requests go to which services, with which limits.
-   Each configuration version has one immutable table.  */
+/* Configured routes and customers: which requests go to which services, with
+   which limits, and who may send them.  Each configuration version has one
+   immutable table.  */
 #ifndef MARJORAM_ROUTE_TABLE_H
 #define MARJORAM_ROUTE_TABLE_H
 
@@ -26,6 +27,7 @@
   bool stream;  /* responses are event streams */
   bool idempotent;
   bool resumable; /* a broken stream may continue on another upstream */
+  bool public;    /* needs no customer's key */
   int64_t timeout_ms;
   int64_t objective_ms; /* for the whole response, or the first event of a
                            stream */
@@ -59,6 +61,27 @@
   struct marjoram_engine_rule engine;
 };
 
+enum marjoram_quota_unit
+{
+  MARJORAM_QUOTA_REQUESTS,
+  MARJORAM_QUOTA_TOKENS
+};
+
+/* Who may send requests, identified by a key.  If a table has customers, only
+   public routes accept requests without a key.  */
+struct marjoram_customer_rule
+{
+  char *name;
+  struct marjoram_names keys; /* secret: must not be logged or forwarded */
+  bool has_priority;
+  int priority;                /* replaces the routes' priority */
+  int unit;                    /* enum marjoram_quota_unit */
+  double rate_per_s;           /* units over all hosts; 0: unlimited */
+  double burst;                /* units in addition to the rate */
+  int64_t plain_tokens;        /* cost of a request without token counts */
+  struct marjoram_names homes; /* regions; empty means all */
+};
+
 struct marjoram_caller_rule
 {
   int64_t head_bytes;
@@ -70,14 +93,16 @@
 struct marjoram_route_table
 {
   uint64_t version;
-  struct marjoram_array routes;   /* of struct marjoram_route_rule */
-  struct marjoram_array services; /* of struct marjoram_service_rule */
+  struct marjoram_array routes;    /* of struct marjoram_route_rule */
+  struct marjoram_array services;  /* of struct marjoram_service_rule */
+  struct marjoram_array customers; /* of struct marjoram_customer_rule */
   struct marjoram_caller_rule callers;
 };
 
 void marjoram_route_table_destroy (struct marjoram_route_table *table);
 /* Validates TABLE: all referenced services exist, no two routes have the same
-   host and prefix, weights do not add up to 0, and timeouts are positive.  */
+   host and prefix, weights do not add up to 0, timeouts are positive, and no
+   two customers share a name or a key.  Errors do not contain keys.  */
 bool marjoram_route_table_check (const struct marjoram_route_table *table,
                                  struct marjoram_error *err);
 /* The route of HOST, with or without a port, with the longest prefix of
@@ -95,6 +120,18 @@
                              const char *key);
 bool marjoram_route_allows (const struct marjoram_route_rule *route,
                             const char *region);
+/* NULL if there is none.  */
+const struct marjoram_customer_rule *
+marjoram_route_table_customer (const struct marjoram_route_table *table,
+                               const char *name);
+bool marjoram_customer_allows (const struct marjoram_customer_rule *customer,
+                               const char *region);
+bool
+marjoram_customer_has_quota (const struct marjoram_customer_rule *customer);
+/* Units of the customer's quota that a request uses.  Token counts are 0 if
+   the request does not state them.  */
+int64_t marjoram_customer_cost (const struct marjoram_customer_rule *customer,
+                                int64_t prompt_tokens, int64_t answer_tokens);
 /* Number of routes of HOST restricted to home regions that include REGION.  */
 size_t
 marjoram_route_table_count_homes (const struct marjoram_route_table *table,
