--- a/src/host_consensus.c
+++ b/src/host_consensus.c
@@ -171,8 +171,11 @@
 }
 
 static const struct marjoram_keeper_ops keeper_ops
-    = { keeper_send, keeper_persist, keeper_chosen, keeper_answered,
-        keeper_valid };
+    = { .send = keeper_send,
+        .persist = keeper_persist,
+        .chosen = keeper_chosen,
+        .answered = keeper_answered,
+        .valid = keeper_valid };
 
 bool
 marjoram_host_create_keeper (marjoram_host *host,
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -83,6 +83,12 @@
       if (envelope->value)
         marjoram_keeper_learn (keeper, &envelope->ballot, envelope->value);
       break;
+    case MARJORAM_KEEPER_CONFIRM:
+      marjoram_keeper_on_confirm (keeper, envelope);
+      break;
+    case MARJORAM_KEEPER_CONFIRMED:
+      marjoram_keeper_on_confirmed (keeper, envelope);
+      break;
     }
 }
 
@@ -108,10 +114,8 @@
     marjoram_keeper_start_attempt (keeper);
 }
 
-/* Processes the keeper's messages to itself, then delivers the chosen state
-   and starts the next write.  */
-static void
-process_pending (marjoram_keeper *keeper)
+void
+marjoram_keeper_process_pending (marjoram_keeper *keeper)
 {
   start_attempt_if_needed (keeper);
   while (!STAILQ_EMPTY (&keeper->inbox))
@@ -174,6 +178,7 @@
   if (!keeper)
     return;
   marjoram_attempt_stop (&keeper->attempt);
+  marjoram_voters_clear (&keeper->confirm.votes);
   marjoram_keeper_requests_clear (&keeper->requests);
   marjoram_keeper_envelopes_clear (&keeper->pending_replies);
   marjoram_keeper_envelopes_clear (&keeper->inbox);
@@ -218,7 +223,7 @@
   marjoram_keeper_requests_add_file (&keeper->requests, request, change_id,
                                      file, now);
   marjoram_keeper_answer_decided (keeper);
-  process_pending (keeper);
+  marjoram_keeper_process_pending (keeper);
 }
 
 static bool
@@ -249,7 +254,7 @@
                                         old, new, now);
   marjoram_keeper_send_heartbeat (keeper, new, NULL);
   marjoram_keeper_answer_decided (keeper);
-  process_pending (keeper);
+  marjoram_keeper_process_pending (keeper);
 }
 
 void
@@ -279,7 +284,7 @@
 {
   keeper->now = now;
   marjoram_keeper_requests_add_read (&keeper->requests, request, now);
-  process_pending (keeper);
+  marjoram_keeper_process_pending (keeper);
 }
 
 static bool
@@ -338,7 +343,12 @@
   marjoram_value *value = NULL;
 
   keeper->now = now;
-  if (!message->store_id || message->kind > MARJORAM_KEEPER_LEARN)
+  if (!message->store_id || message->kind > MARJORAM_KEEPER_CONFIRMED)
+    return;
+  /* Answers the previous incarnation, whose clock may have been another.  */
+  if (message->kind == MARJORAM_KEEPER_CONFIRMED
+      && (!names_our_store (keeper, message)
+          || message->seen_incarnation != keeper->incarnation))
     return;
   if (message->value)
     {
@@ -357,11 +367,12 @@
           from, message->store_id, message->kind, &message->ballot,
           &message->accepted, value);
       envelope->echo = message->echo;
+      envelope->held_number = message->held_number;
       dispatch (keeper, envelope);
       marjoram_keeper_envelope_destroy (envelope);
     }
   marjoram_value_release (value);
-  process_pending (keeper);
+  marjoram_keeper_process_pending (keeper);
 }
 
 void
@@ -392,7 +403,7 @@
       STAILQ_REMOVE_HEAD (&keeper->pending_replies, link);
       marjoram_keeper_send_envelope (keeper, reply);
     }
-  process_pending (keeper);
+  marjoram_keeper_process_pending (keeper);
 }
 
 static const char *
@@ -524,7 +535,7 @@
   marjoram_keeper_probe_busy_peers (keeper);
   expire_requests (keeper);
   advance_attempt (keeper);
-  process_pending (keeper);
+  marjoram_keeper_process_pending (keeper);
 }
 
 void
@@ -563,8 +574,8 @@
   return peer ? peer->seen.store_id : NULL;
 }
 
-static bool
-is_member (const marjoram_keeper *keeper)
+bool
+marjoram_keeper_is_member (const marjoram_keeper *keeper)
 {
   const marjoram_value *value = marjoram_keeper_current_value (keeper);
   const struct marjoram_state *state;
@@ -581,7 +592,8 @@
 bool
 marjoram_keeper_votes (const marjoram_keeper *keeper)
 {
-  return marjoram_keeper_may_vote (keeper) && is_member (keeper);
+  return marjoram_keeper_may_vote (keeper)
+         && marjoram_keeper_is_member (keeper);
 }
 
 const char *
@@ -600,7 +612,7 @@
                  "vote; run "
                  "\"marjoramctl replace-keeper SLOT SLOT\""
                : "not bootstrapped yet: all initial keepers must be up";
-  if (!is_member (keeper))
+  if (!marjoram_keeper_is_member (keeper))
     return "this store is not a member: no vote; run \"marjoramctl "
            "replace-keeper OLD SLOT\" if it should be one";
   if (!keeper->confirmed)
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -50,6 +50,10 @@
   /* Whether STATE is a valid configuration.  */
   bool (*valid) (void *context, const struct marjoram_state *state,
                  struct marjoram_error *err);
+  /* Null if marjoram_keeper_confirm is not used.  After STARTED_AT, the time
+     of the call of marjoram_keeper_confirm, a majority has confirmed that no
+     state after NUMBER had been chosen.  */
+  void (*confirmed) (void *context, int64_t started_at, uint64_t number);
 };
 
 struct marjoram_keeper_options
@@ -94,6 +98,10 @@
    timeout.  */
 void marjoram_keeper_read (marjoram_keeper *keeper, int64_t now,
                            uint64_t request);
+/* Asks the other keepers whether a newer state was chosen.  Cheaper than a
+   read, since it needs neither a ballot nor a disk.  Replaces the previous
+   call if that is not completed; there is no answer without a majority.  */
+void marjoram_keeper_confirm (marjoram_keeper *keeper, int64_t now);
 void marjoram_keeper_receive (marjoram_keeper *keeper, int64_t now,
                               const char *from,
                               const struct marjoram_keeper_message *message);
@@ -118,6 +126,8 @@
                                            const char *slot, int64_t age_ms);
 /* Whether this keeper's store is a voting member.  */
 bool marjoram_keeper_votes (const marjoram_keeper *keeper);
+/* Whether this keeper's store is a member, voting or not.  */
+bool marjoram_keeper_is_member (const marjoram_keeper *keeper);
 /* Why this keeper can't vote, with the remedy, for status output; null if it
    can.  */
 const char *marjoram_keeper_no_vote_reason (const marjoram_keeper *keeper);
--- a/src/keeper_message.c
+++ b/src/keeper_message.c
@@ -43,6 +43,7 @@
   VALUE_HASH (struct marjoram_keeper_message, base_hash),
   { MARJORAM_WIRE_UINT (struct marjoram_keeper_message, max_encoding) },
   VALUE_HASH (struct marjoram_keeper_message, accepted_hash),
+  { MARJORAM_WIRE_UINT (struct marjoram_keeper_message, held_number) },
 };
 const struct marjoram_layout marjoram_keeper_message_layout
     = { "marjoram_keeper_message", sizeof (struct marjoram_keeper_message),
--- a/src/keeper_message.h
+++ b/src/keeper_message.h
@@ -15,7 +15,9 @@
   MARJORAM_KEEPER_ACCEPT,   /* ballot, value */
   MARJORAM_KEEPER_ACCEPTED, /* ballot */
   MARJORAM_KEEPER_CHOSEN,   /* ballot whose value is chosen */
-  MARJORAM_KEEPER_LEARN     /* ballot and value that is chosen */
+  MARJORAM_KEEPER_LEARN,    /* ballot and value that is chosen */
+  MARJORAM_KEEPER_CONFIRM,  /* echo */
+  MARJORAM_KEEPER_CONFIRMED /* echo of the CONFIRM, held number */
 };
 
 /* Encoding of a value in a message.  A peer that does not announce the
@@ -52,6 +54,9 @@
   uint64_t max_encoding; /* the highest encoding that the sender can read */
   struct marjoram_value_hash
       accepted_hash; /* hash of its last accepted value */
+  /* CONFIRMED: the highest number of a state that the sender has accepted or
+     knows to be chosen.  */
+  uint64_t held_number;
 };
 
 /* What was last seen of a store.  */
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -1,6 +1,7 @@
 /* Internals of a keeper, shared by keeper.c (public calls), keeper_transport.c
    (messages), keeper_encoding.c (encoding of values), keeper_accept.c
-   (acceptor, disk, learning) and keeper_propose.c (proposer).  */
+   (acceptor, disk, learning), keeper_propose.c (proposer) and keeper_confirm.c
+   (confirmation that a state is the newest).  */
 #ifndef MARJORAM_KEEPER_PRIVATE_H
 #define MARJORAM_KEEPER_PRIVATE_H
 
@@ -41,6 +42,7 @@
   char *store_id; /* of the other keeper; null if unknown */
   uint64_t kind;
   int64_t echo;
+  uint64_t held_number;
   struct marjoram_ballot ballot;
   struct marjoram_ballot accepted;
   marjoram_value *value;
@@ -48,6 +50,15 @@
 
 STAILQ_HEAD (marjoram_keeper_envelopes, marjoram_keeper_envelope);
 
+/* One round of confirmation.  */
+struct marjoram_keeper_confirm
+{
+  bool active;
+  int64_t started_at;
+  uint64_t number;             /* the highest in the answers */
+  struct marjoram_array votes; /* keepers that have answered */
+};
+
 struct marjoram_keeper
 {
   const struct marjoram_keeper_ops *ops;
@@ -86,6 +97,7 @@
       pending_replies;                    /* waiting for a disk write */
   struct marjoram_keeper_envelopes inbox; /* from this keeper to itself */
 
+  struct marjoram_keeper_confirm confirm;
   struct marjoram_attempt attempt;
   uint64_t round; /* the highest ballot round seen */
   int failures;
@@ -183,6 +195,15 @@
 marjoram_keeper_on_accepted (marjoram_keeper *keeper,
                              const struct marjoram_keeper_envelope *envelope);
 void
+marjoram_keeper_on_confirm (marjoram_keeper *keeper,
+                            const struct marjoram_keeper_envelope *envelope);
+void
+marjoram_keeper_on_confirmed (marjoram_keeper *keeper,
+                              const struct marjoram_keeper_envelope *envelope);
+/* Processes the keeper's messages to itself, then delivers the chosen state
+   and starts the next write.  */
+void marjoram_keeper_process_pending (marjoram_keeper *keeper);
+void
 marjoram_keeper_on_chosen (marjoram_keeper *keeper,
                            const struct marjoram_keeper_envelope *envelope);
 
--- a/src/keeper_transport.c
+++ b/src/keeper_transport.c
@@ -83,6 +83,7 @@
     .accepted = envelope->accepted,
     .max_encoding = MARJORAM_KEEPER_REFERENCE,
     .accepted_hash = marjoram_value_hash (keeper->acceptor.value),
+    .held_number = envelope->held_number,
   };
   struct marjoram_keeper_peer *peer
       = envelope->store_id
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -61,6 +61,8 @@
   uint64_t peak_queued;
   uint64_t answered; /* number of the last answered request */
   bool decided;
+  uint64_t confirmed; /* number of the last confirmation; 0 if none */
+  int confirmed_by;
 };
 
 static void
@@ -144,8 +146,22 @@
   return true;
 }
 
-static const struct marjoram_keeper_ops ops
-    = { on_send, on_persist, on_chosen, on_answered, on_valid };
+static void
+on_confirmed (void *context, int64_t started_at, uint64_t number)
+{
+  struct node *node = context;
+
+  (void)started_at;
+  node->net->confirmed = number;
+  node->net->confirmed_by = node->index;
+}
+
+static const struct marjoram_keeper_ops ops = { .send = on_send,
+                                                .persist = on_persist,
+                                                .chosen = on_chosen,
+                                                .answered = on_answered,
+                                                .valid = on_valid,
+                                                .confirmed = on_confirmed };
 
 static void
 start_node (struct keeper_net *net, int index)
@@ -407,3 +423,15 @@
         i == changed ? 500 : 4000);
   return text;
 }
+
+uint64_t
+keeper_net_confirm (struct keeper_net *net, int at, int64_t limit_ms)
+{
+  const int64_t end = net->now + limit_ms;
+
+  net->confirmed = 0;
+  marjoram_keeper_confirm (net->nodes[at].keeper, net->now);
+  while (net->now < end && (net->confirmed == 0 || net->confirmed_by != at))
+    keeper_net_run (net, 1);
+  return net->confirmed_by == at ? net->confirmed : 0;
+}
--- a/test/lib_keeper_net.h
+++ b/test/lib_keeper_net.h
@@ -31,6 +31,10 @@
 const struct marjoram_state *keeper_net_state (const struct keeper_net *net,
                                                int index);
 
+/* Confirms the state of keeper AT and runs until that is completed.  Returns
+   the confirmed number, 0 if LIMIT_MS pass before.  */
+uint64_t keeper_net_confirm (struct keeper_net *net, int at, int64_t limit_ms);
+
 /* Partitions keeper INDEX from all others, or reconnects it.  */
 void keeper_net_partition (struct keeper_net *net, int index, bool cut);
 /* Drops all messages in flight to keeper INDEX, as when its connections
--- a/test/test_fuzz_message.c
+++ b/test/test_fuzz_message.c
@@ -119,8 +119,11 @@
   static const struct marjoram_orders_ops orders_ops
       = { order_sent, order_lease };
   static const struct marjoram_keeper_ops keeper_ops
-      = { keeper_sent, keeper_persist, keeper_chosen, keeper_answered,
-          keeper_valid };
+      = { .send = keeper_sent,
+          .persist = keeper_persist,
+          .chosen = keeper_chosen,
+          .answered = keeper_answered,
+          .valid = keeper_valid };
   static const struct marjoram_claims_options claims_options
       = { 3, 0, 5, HOUR_MS, HOUR_MS, 1000 };
   static const struct marjoram_orders_options orders_options
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -273,6 +273,62 @@
 }
 END_TEST
 
+START_TEST (a_state_is_confirmed_in_one_round_trip)
+{
+  struct keeper_net *net = create_bootstrapped (&between_regions);
+  const uint64_t number = keeper_net_state (net, 0)->number;
+
+  ck_assert_uint_eq (keeper_net_confirm (net, 0, 120), number);
+  ck_assert_int_ge (change (net, 0, 10, -1), 0);
+  ck_assert_uint_gt (keeper_net_confirm (net, 0, 120), number);
+  keeper_net_destroy (net);
+}
+END_TEST
+
+/* Guards against a keeper that missed a change and vouches for its own older
+   state.  */
+START_TEST (a_late_keeper_learns_that_a_newer_state_was_chosen)
+{
+  struct keeper_net *net = create_bootstrapped (&between_regions);
+  const uint64_t number = keeper_net_state (net, 5)->number;
+
+  keeper_net_partition (net, 5, true);
+  ck_assert_int_ge (change (net, 0, 10, -1), 0);
+  ck_assert_uint_eq (keeper_net_confirm (net, 5, 3000), 0);
+  keeper_net_partition (net, 5, false);
+  ck_assert_uint_eq (keeper_net_state (net, 5)->number, number);
+  ck_assert_uint_gt (keeper_net_confirm (net, 5, 120), number);
+  keeper_net_destroy (net);
+}
+END_TEST
+
+START_TEST (a_minority_confirms_nothing)
+{
+  struct keeper_net *net = create_bootstrapped (&between_regions);
+
+  for (int i = 0; i < KEEPERS / 2; i++)
+    keeper_net_partition (net, i, true);
+  ck_assert_uint_eq (keeper_net_confirm (net, KEEPERS - 1, 3000), 0);
+  keeper_net_partition (net, 0, false);
+  ck_assert_uint_gt (keeper_net_confirm (net, KEEPERS - 1, 120), 0);
+  keeper_net_destroy (net);
+}
+END_TEST
+
+/* Guards against an answer that a keeper gave before a change and that arrives
+   after it, for another round.  */
+START_TEST (answers_to_an_earlier_round_do_not_count)
+{
+  struct keeper_net *net = create_bootstrapped (&between_regions);
+
+  ck_assert_uint_eq (keeper_net_confirm (net, 0, 100), 0);
+  for (int i = 1; i < KEEPERS; i++)
+    keeper_net_partition (net, i, true);
+  ck_assert_uint_eq (keeper_net_confirm (net, 0, 3000), 0);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -290,6 +346,10 @@
   tcase_add_test (c, partitioned_keeper_gets_the_latest_state);
   tcase_add_test (c, keepers_of_the_earlier_release_get_plain_values);
   tcase_add_test (c, many_routes_at_once_are_answered);
+  tcase_add_test (c, a_state_is_confirmed_in_one_round_trip);
+  tcase_add_test (c, a_late_keeper_learns_that_a_newer_state_was_chosen);
+  tcase_add_test (c, a_minority_confirms_nothing);
+  tcase_add_test (c, answers_to_an_earlier_round_do_not_count);
   suite_add_tcase (s, c);
   return s;
 }
--- a/test/test_keeper_repair.c
+++ b/test/test_keeper_repair.c
@@ -112,8 +112,11 @@
   return true;
 }
 
-static const struct marjoram_keeper_ops ops
-    = { on_send, on_persist, on_chosen, on_answered, on_valid };
+static const struct marjoram_keeper_ops ops = { .send = on_send,
+                                                .persist = on_persist,
+                                                .chosen = on_chosen,
+                                                .answered = on_answered,
+                                                .valid = on_valid };
 
 /* Starts the machine; FIRST_START only if the whole deployment is new.  */
 static void
--- a/test/test_register.c
+++ b/test/test_register.c
@@ -295,8 +295,11 @@
   return true;
 }
 
-static const struct marjoram_keeper_ops ops
-    = { on_send, on_persist, on_chosen, on_answered, on_valid };
+static const struct marjoram_keeper_ops ops = { .send = on_send,
+                                                .persist = on_persist,
+                                                .chosen = on_chosen,
+                                                .answered = on_answered,
+                                                .valid = on_valid };
 
 static void
 start (struct net *net, int index)
