--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -141,3 +141,29 @@
                          MARJORAM_STATE_PIECE_MAX) },
 };
 LAYOUT (marjoram_state_piece_layout, marjoram_state_piece, state_piece_fields);
+
+static const struct marjoram_field lease_ask_fields[] = {
+  INT (marjoram_lease_ask, asked_at),
+};
+LAYOUT (marjoram_lease_ask_layout, marjoram_lease_ask, lease_ask_fields);
+
+static const struct marjoram_field lease_grant_fields[] = {
+  INT (marjoram_lease_grant, asked_at),
+  UINT (marjoram_lease_grant, number),
+};
+LAYOUT (marjoram_lease_grant_layout, marjoram_lease_grant, lease_grant_fields);
+
+static const struct marjoram_field quota_ask_fields[] = {
+  STRING (marjoram_quota_ask, customer),  INT (marjoram_quota_ask, asked_at),
+  INT (marjoram_quota_ask, units),        INT (marjoram_quota_ask, given_back),
+  BOOL (marjoram_quota_ask, from_keeper),
+};
+LAYOUT (marjoram_quota_ask_layout, marjoram_quota_ask, quota_ask_fields);
+
+static const struct marjoram_field quota_grant_fields[] = {
+  STRING (marjoram_quota_grant, customer),
+  INT (marjoram_quota_grant, asked_at),
+  INT (marjoram_quota_grant, units),
+  INT (marjoram_quota_grant, wait_ms),
+};
+LAYOUT (marjoram_quota_grant_layout, marjoram_quota_grant, quota_grant_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -148,6 +148,41 @@
   marjoram_bytes *bytes;
 };
 
+/* Asks a keeper whether the host's configuration is the newest.  */
+struct marjoram_lease_ask
+{
+  int64_t asked_at; /* the host's clock in ms; echoed */
+};
+
+struct marjoram_lease_grant
+{
+  int64_t asked_at;
+  uint64_t number; /* no state after it had been chosen at ASKED_AT */
+};
+
+/* Asks a keeper for units of a customer's quota.  */
+struct marjoram_quota_ask
+{
+  char *customer;
+  int64_t asked_at;   /* the sender's clock in ms; echoed */
+  int64_t units;      /* wanted */
+  int64_t given_back; /* units that were granted earlier and not spent */
+  bool from_keeper;   /* for its share, not for a request */
+};
+
+struct marjoram_quota_grant
+{
+  char *customer;
+  int64_t asked_at;
+  int64_t units;
+  int64_t wait_ms; /* until the rest is available at this keeper; 0 if nothing
+                      is missing */
+};
+
+extern const struct marjoram_layout marjoram_lease_ask_layout;
+extern const struct marjoram_layout marjoram_lease_grant_layout;
+extern const struct marjoram_layout marjoram_quota_ask_layout;
+extern const struct marjoram_layout marjoram_quota_grant_layout;
 extern const struct marjoram_layout marjoram_host_beat_layout;
 extern const struct marjoram_layout marjoram_host_beats_layout;
 extern const struct marjoram_layout marjoram_news_batch_layout;
