--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -23,6 +23,11 @@
   SETTINGS_CHECK_MS = 1000,
   /* Time left before the drain limit for socket buffers to be written.  */
   EXIT_MARGIN_MS = 400,
+  /* After the role has finished: time for its last frames to be written, on a
+     link that is stuck, and to reach other regions.  Closing a socket that has
+     unread input discards what is in flight.  */
+  FLUSH_MAX_MS = 1000,
+  LINGER_MS = 150,
   STATUS_OK = 200
 };
 
@@ -48,6 +53,8 @@
   struct event *tick;
   struct event *signals[SIGNALS];
   int64_t stopping_at; /* 0 until the first signal */
+  int64_t finished_at; /* the role; 0 if it has not finished */
+  int64_t flushed_at;  /* the links, after that; 0 if they are not */
   bool drain_incomplete;
 };
 
@@ -222,6 +229,19 @@
 
 /* ---- Run and shutdown. ---- */
 
+/* Whether the frames that were sent before the role finished have left.  */
+static bool
+has_flushed_links (marjoram_gateway_daemon *daemon, int64_t now)
+{
+  if (daemon->finished_at == 0)
+    daemon->finished_at = now;
+  if (daemon->flushed_at == 0
+      && (marjoram_host_links_unsent_bytes (daemon->links) == 0
+          || now >= daemon->finished_at + FLUSH_MAX_MS))
+    daemon->flushed_at = now;
+  return daemon->flushed_at != 0 && now >= daemon->flushed_at + LINGER_MS;
+}
+
 static void
 check_stopped (marjoram_gateway_daemon *daemon, int64_t now)
 {
@@ -230,7 +250,8 @@
   if (daemon->stopping_at == 0)
     return;
   daemon->drain_incomplete = !daemon->role->ops->finished (daemon->role, now);
-  if (!daemon->drain_incomplete || now >= daemon->stopping_at + limit)
+  if ((!daemon->drain_incomplete && has_flushed_links (daemon, now))
+      || now >= daemon->stopping_at + limit)
     event_base_loopbreak (daemon->base);
 }
 
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -390,6 +390,12 @@
   return links->own_lag.ms;
 }
 
+size_t
+marjoram_host_links_unsent_bytes (const marjoram_host_links *links)
+{
+  return marjoram_peer_unsent_bytes (links->peer);
+}
+
 bool
 marjoram_host_links_send (marjoram_host_links *links, const char *host,
                           enum marjoram_frame_type type, const void *message)
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -46,6 +46,8 @@
    Subtract it from the age of received data before comparing with a timeout.
  */
 int64_t marjoram_host_links_lag (const marjoram_host_links *links);
+/* Bytes of frames that were not yet written to a socket.  */
+size_t marjoram_host_links_unsent_bytes (const marjoram_host_links *links);
 /* Sends over this host's own link to HOST; returns false if it is not up.  */
 bool marjoram_host_links_send (marjoram_host_links *links, const char *host,
                                enum marjoram_frame_type type,
--- a/src/peer.c
+++ b/src/peer.c
@@ -158,12 +158,18 @@
   marjoram_bytes_release (frame);
 }
 
+static size_t
+unsent_bytes (const struct session *session)
+{
+  return evbuffer_get_length (bufferevent_get_output (session->bev));
+}
+
 /* Closes the session if the peer does not read its output, to bound memory.
    Closing is deferred to the event loop, as callers still use the session.  */
 static void
 check_output (struct session *session)
 {
-  if (evbuffer_get_length (bufferevent_get_output (session->bev)) > OUTPUT_MAX)
+  if (unsent_bytes (session) > OUTPUT_MAX)
     bufferevent_trigger_event (session->bev, BEV_EVENT_ERROR,
                                BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -703,6 +709,22 @@
   check_output (session);
 }
 
+size_t
+marjoram_peer_unsent_bytes (const marjoram_peer *peer)
+{
+  const struct connection *connection;
+  const struct session *session;
+  size_t size = 0;
+
+  TAILQ_FOREACH (session, &peer->accepted, next)
+  size += unsent_bytes (session);
+  for (connection = peer->connections; connection;
+       connection = connection->hh.next)
+    if (connection->session)
+      size += unsent_bytes (connection->session);
+  return size;
+}
+
 void
 marjoram_peer_reconnect (marjoram_peer *peer, const char *slot)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -57,6 +57,8 @@
 void marjoram_peer_reply_packed (marjoram_peer *peer, const char *slot,
                                  uint64_t session,
                                  const marjoram_bytes *frame);
+/* Bytes that were passed to this module but not yet written to a socket.  */
+size_t marjoram_peer_unsent_bytes (const marjoram_peer *peer);
 void marjoram_peer_reconnect (marjoram_peer *peer, const char *slot);
 
 #endif
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -432,6 +432,26 @@
 }
 END_TEST
 
+static bool
+keeper_has_sent_all (void)
+{
+  return marjoram_host_links_unsent_bytes (keeper.links) == 0;
+}
+
+/* A host that ends in the turn in which it finishes a forwarded stream must
+   know that its last frames are not written yet.  */
+START_TEST (unsent_frames_are_reported_until_they_are_written)
+{
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (entry_is_listed, "the host");
+  wait_until (keeper_has_sent_all, "a quiet link");
+  send_large_frame ();
+  ck_assert_uint_ge (marjoram_host_links_unsent_bytes (keeper.links),
+                     LARGE_BYTES);
+  wait_until (keeper_has_sent_all, "the frame to be written");
+}
+END_TEST
+
 /* While the host's own network path is saturated, acknowledgements on all
    links are delayed.  Healthy links must not be closed.  */
 START_TEST (receive_lag_does_not_close_links)
@@ -478,6 +498,7 @@
   tcase_add_test (tests, region_messages_stay_in_region);
   tcase_add_test (tests, new_host_is_listed_at_once);
   tcase_add_test (tests, link_receiving_large_frame_is_not_silent);
+  tcase_add_test (tests, unsent_frames_are_reported_until_they_are_written);
   tcase_add_test (tests, receive_lag_does_not_close_links);
   tcase_add_test (tests, partition_closes_links_in_time);
   suite_add_tcase (all, tests);
