--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -1,5 +1,6 @@
 #include "gateway_private.h"
 
+#include "session_home.h"
 #include "spill.h"
 
 #include <stdio.h>
@@ -8,7 +9,8 @@
 enum
 {
   /* Round trip between two regions, plus margin.  */
-  REGION_RTT_MS = 130
+  REGION_RTT_MS = 130,
+  SESSION_REGIONS_MAX = 16
 };
 
 static bool
@@ -131,23 +133,19 @@
   return best;
 }
 
-/* Chooses the best region and then a host in it by rendezvous hashing.  All
-   hosts of a region share its upstreams, so requests are spread over them
-   instead of all queueing at the host with the best offer.  */
+/* The host of REGION that the exchange is forwarded to.  All hosts of a region
+   share its upstreams, so requests are spread over them instead of all
+   queueing at the host with the best offer.  */
 static const struct marjoram_listed_host *
-choose_remote_host (marjoram_gateway *gateway,
-                    const struct marjoram_exchange *exchange,
-                    const struct marjoram_route_rule *route, int64_t now,
-                    enum region_order order, struct marjoram_host_offer *offer)
+choose_host (marjoram_gateway *gateway,
+             const struct marjoram_exchange *exchange,
+             const struct marjoram_route_rule *route, int64_t now,
+             const char *region)
 {
-  const char *region
-      = choose_region (gateway, exchange, route, now, order, offer);
   const struct marjoram_host_slice *offering
       = marjoram_host_list_offering (gateway->options.place.hosts, now);
   const struct marjoram_listed_host *best = NULL;
 
-  if (!region)
-    return NULL;
   for (size_t i = 0; i < offering->count; i++)
     {
       const struct marjoram_listed_host *host = offering->hosts[i];
@@ -161,6 +159,18 @@
   return best;
 }
 
+static const struct marjoram_listed_host *
+choose_remote_host (marjoram_gateway *gateway,
+                    const struct marjoram_exchange *exchange,
+                    const struct marjoram_route_rule *route, int64_t now,
+                    enum region_order order, struct marjoram_host_offer *offer)
+{
+  const char *region
+      = choose_region (gateway, exchange, route, now, order, offer);
+
+  return region ? choose_host (gateway, exchange, route, now, region) : NULL;
+}
+
 bool
 marjoram_exchange_may_forward (marjoram_gateway *gateway,
                                const struct marjoram_exchange *exchange,
@@ -192,6 +202,113 @@
   return forward_to (gateway, exchange, now, host->heartbeat.name);
 }
 
+/* Regions that may serve the exchange, this one first, with the offer of one
+   host of each other region.  */
+struct session_regions
+{
+  struct marjoram_session_region items[SESSION_REGIONS_MAX];
+  struct marjoram_host_offer offers[SESSION_REGIONS_MAX];
+  size_t count;
+};
+
+static bool
+has_region (const struct session_regions *regions, const char *name)
+{
+  for (size_t i = 0; i < regions->count; i++)
+    if (strcmp (regions->items[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+static void
+find_regions (marjoram_gateway *gateway,
+              const struct marjoram_exchange *exchange,
+              const struct marjoram_route_rule *route, int64_t now,
+              int local_engines, struct session_regions *regions)
+{
+  const struct marjoram_host_slice *offering
+      = marjoram_host_list_offering (gateway->options.place.hosts, now);
+
+  regions->count = 1;
+  regions->items[0]
+      = (struct marjoram_session_region){ gateway->region,
+                                          (uint64_t)local_engines };
+  for (size_t i = 0;
+       i < offering->count && regions->count < SESSION_REGIONS_MAX; i++)
+    {
+      const struct marjoram_listed_host *host = offering->hosts[i];
+      const struct marjoram_host_offer *offer;
+
+      if (has_region (regions, host->heartbeat.region))
+        continue;
+      offer = find_offer (gateway, exchange, route, host, now);
+      if (!offer)
+        continue;
+      regions->offers[regions->count] = *offer;
+      regions->items[regions->count++]
+          = (struct marjoram_session_region){ host->heartbeat.region,
+                                              offer->upstreams };
+    }
+}
+
+/* Tokens of the chosen place's prefill that other requests share: all but the
+   last part, which belongs to this request.  */
+static int64_t
+shared_prefill_tokens (const struct marjoram_exchange *exchange,
+                       const struct marjoram_place *chosen)
+{
+  const struct marjoram_call_metadata *metadata = &exchange->metadata;
+
+  return chosen->prefill_tokens
+         - metadata->parts[metadata->part_count - 1].tokens;
+}
+
+bool
+marjoram_exchange_follow_session (marjoram_gateway *gateway,
+                                  struct marjoram_exchange *exchange,
+                                  const struct marjoram_route_rule *route,
+                                  int64_t now,
+                                  const struct marjoram_place *chosen,
+                                  int64_t time_left_ms)
+{
+  const struct marjoram_call_metadata *metadata = &exchange->metadata;
+  struct marjoram_session_home_query query = { 0 };
+  const struct marjoram_listed_host *host;
+  struct session_regions regions;
+  size_t home;
+
+  if (exchange->forwarded || exchange->forwarded_out
+      || exchange->attempts_maybe_run > 0 || chosen->engine_tokens_per_ms <= 0
+      || metadata->part_count < 2)
+    return false;
+  query.shared_ms = (double)shared_prefill_tokens (exchange, chosen)
+                    / chosen->engine_tokens_per_ms;
+  query.time_left_ms = time_left_ms;
+  if (!marjoram_session_home_is_better (&query))
+    return false;
+  find_regions (gateway, exchange, route, now, chosen->usable, &regions);
+  home = marjoram_session_home_find (
+      metadata->parts[metadata->part_count - 2].id, regions.items,
+      regions.count);
+  if (home == 0 || home == regions.count)
+    return false;
+  query.prompt_ms
+      = (double)metadata->prompt_tokens / chosen->engine_tokens_per_ms;
+  query.local_ms
+      = marjoram_placement_backlog (gateway->placement, exchange->service);
+  query.remote_ms = (double)regions.offers[home].backlog_ms;
+  query.remote_first_ms
+      = (int64_t)regions.offers[home].wait_ms + REGION_RTT_MS;
+  if (!marjoram_session_home_is_better (&query))
+    return false;
+  host = choose_host (gateway, exchange, route, now, regions.items[home].name);
+  if (!host)
+    return false;
+  exchange->estimated_wait_ms
+      = query.remote_first_ms + (int64_t)query.prompt_ms;
+  return forward_to (gateway, exchange, now, host->heartbeat.name);
+}
+
 bool
 marjoram_exchange_spill (marjoram_gateway *gateway,
                          struct marjoram_exchange *exchange,
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -184,6 +184,15 @@
                                 struct marjoram_exchange *exchange,
                                 const struct marjoram_route_rule *route,
                                 int64_t now, int64_t max_wait_ms);
+/* Forwards the exchange to its session's home region, although CHOSEN is a
+   place in this region, where that is better.  Returns whether it was
+   forwarded.  */
+bool marjoram_exchange_follow_session (marjoram_gateway *gateway,
+                                       struct marjoram_exchange *exchange,
+                                       const struct marjoram_route_rule *route,
+                                       int64_t now,
+                                       const struct marjoram_place *chosen,
+                                       int64_t time_left_ms);
 /* Forwards the exchange, although CHOSEN is a place in this region, if another
    region is less loaded.  Returns whether it was forwarded.  */
 bool marjoram_exchange_spill (marjoram_gateway *gateway,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -349,8 +349,10 @@
   found = chosen.outcome == MARJORAM_PLACE_FOUND
           && marjoram_exchange_is_next (gateway, exchange, &chosen);
   if (found
-      && marjoram_exchange_spill (gateway, exchange, route, now, &chosen,
-                                  query.time_left_ms))
+      && (marjoram_exchange_follow_session (gateway, exchange, route, now,
+                                            &chosen, query.time_left_ms)
+          || marjoram_exchange_spill (gateway, exchange, route, now, &chosen,
+                                      query.time_left_ms)))
     return;
   if (!found
       && marjoram_exchange_forward (gateway, exchange, route, now,
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -430,6 +430,24 @@
   return f->calls;
 }
 
+uint64_t
+gateway_fixture_session (struct gateway_fixture *f, int64_t now,
+                         const char *path, uint64_t session, int shared)
+{
+  struct marjoram_http_request *request = make_request (f, path);
+  char text[128];
+
+  snprintf (text, sizeof text, "%d,50", shared + 500);
+  marjoram_header_list_add (&request->headers, "Marjoramproxy-Token-Usage",
+                            text);
+  snprintf (text, sizeof text, "%llx:%d,%llx:500", (unsigned long long)session,
+            shared, (unsigned long long)(1000000 + f->calls));
+  marjoram_header_list_add (&request->headers, "Marjoramproxy-Prompt-Prefix",
+                            text);
+  marjoram_gateway_receive (f->gateway, now, f->calls, request, NULL);
+  return f->calls;
+}
+
 uint64_t
 gateway_fixture_keyed (struct gateway_fixture *f, int64_t now,
                        const char *path, const char *credential)
@@ -460,10 +478,11 @@
 gateway_fixture_grant (struct gateway_fixture *f, int64_t now, int64_t units,
                        int64_t wait_ms)
 {
-  const struct marjoram_quota_grant grant = { .customer = (char *)"limited",
-                                              .asked_at = f->seen.asked_at,
-                                              .units = units,
-                                              .wait_ms = wait_ms };
+  const struct marjoram_quota_grant grant
+      = { .customer = (char *)"limited",
+          .asked_at = f->seen.asked_at,
+          .units = units,
+          .wait_ms = wait_ms };
 
   marjoram_quota_pool_granted (marjoram_gateway_quota_pool (f->gateway), now,
                                "keeper", &grant);
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -91,6 +91,11 @@
 /* Like gateway_fixture_call, with a prompt of TOKENS tokens.  */
 uint64_t gateway_fixture_prompt (struct gateway_fixture *f, int64_t now,
                                  const char *path, int tokens);
+/* Like gateway_fixture_call, with a prompt of a part of SHARED tokens that the
+   requests of SESSION share and an own part of 500 tokens.  */
+uint64_t gateway_fixture_session (struct gateway_fixture *f, int64_t now,
+                                  const char *path, uint64_t session,
+                                  int shared);
 /* Like gateway_fixture_call, forwarded by another region.  */
 uint64_t gateway_fixture_forwarded (struct gateway_fixture *f, int64_t now,
                                     const char *path);
