--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -355,13 +355,16 @@
   struct marjoram_entry *self = entry_from_role (role);
 
   return json_pack (
-      "{s:s, s:b, s:I, s:I, s:I, s:o, s:o}", "role", "entry", "ready",
+      "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o}", "role", "entry", "ready",
       marjoram_entry_is_ready (self), "config_version",
       (json_int_t)(self->table ? self->table->version : 0), "config_number",
       (json_int_t)self->config_number, "requests_open",
       (json_int_t)marjoram_gateway_request_count (self->gateway), "evacuated",
       marjoram_gateway_report_zones (&self->evacuated), "upstreams",
-      marjoram_gateway_report_upstreams (self->registry, now));
+      marjoram_gateway_report_upstreams (self->registry, now), "customers",
+      marjoram_gateway_report_customers (
+          marjoram_gateway_key_lease (self->gateway),
+          marjoram_gateway_quota_pool (self->gateway), now));
 }
 
 static struct marjoram_repeat_limits
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -165,5 +165,6 @@
   INT (marjoram_quota_grant, asked_at),
   INT (marjoram_quota_grant, units),
   INT (marjoram_quota_grant, wait_ms),
+  INT (marjoram_quota_grant, asked_units),
 };
 LAYOUT (marjoram_quota_grant_layout, marjoram_quota_grant, quota_grant_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -174,6 +174,7 @@
 {
   char *customer;
   int64_t asked_at;
+  int64_t asked_units;
   int64_t units;
   int64_t wait_ms; /* until the rest is available at this keeper; 0 if nothing
                       is missing */
--- a/src/gateway_report.c
+++ b/src/gateway_report.c
@@ -71,3 +71,45 @@
                     trouble ? trouble : "", "number",
                     (json_int_t)state->number);
 }
+
+static void
+add_pool (void *context, const char *customer, int64_t held, int64_t needed)
+{
+  json_array_append_new (context,
+                         json_pack ("{s:s, s:I, s:I}", "customer", customer,
+                                    "units_held", (json_int_t)held,
+                                    "units_awaited", (json_int_t)needed));
+}
+
+json_t *
+marjoram_gateway_report_customers (const marjoram_key_lease *lease,
+                                   const marjoram_quota_pool *pool,
+                                   int64_t now)
+{
+  const int64_t left_ms = marjoram_key_lease_left_ms (lease, now);
+  json_t *quotas = json_array ();
+
+  marjoram_quota_pool_visit (pool, add_pool, quotas);
+  return json_pack (
+      "{s:b, s:o, s:o}", "keys_accepted",
+      marjoram_key_lease_is_valid (lease, now), "key_lease_left_ms",
+      left_ms == INT64_MAX ? json_null () : json_integer (left_ms), "quotas",
+      quotas);
+}
+
+static void
+add_share (void *context, const char *customer, int64_t units, int64_t limit)
+{
+  json_array_append_new (
+      context, json_pack ("{s:s, s:I, s:I}", "customer", customer, "units",
+                          (json_int_t)units, "limit", (json_int_t)limit));
+}
+
+json_t *
+marjoram_gateway_report_shares (const marjoram_quota_shares *shares)
+{
+  json_t *list = json_array ();
+
+  marjoram_quota_shares_visit (shares, add_share, list);
+  return list;
+}
--- a/src/gateway_report.h
+++ b/src/gateway_report.h
@@ -6,6 +6,9 @@
 #include "host_list.h"
 #include "ini_key.h"
 #include "keeper.h"
+#include "key_lease.h"
+#include "quota_pool.h"
+#include "quota_share.h"
 #include "registry.h"
 
 #include <jansson.h>
@@ -17,5 +20,11 @@
 /* Slots of the members, and the reason if this keeper may not vote; JSON null
    if KEEPER has no state yet.  */
 json_t *marjoram_gateway_report_keeper (const marjoram_keeper *keeper);
+/* Lease on keys and quotas in use at an entry host.  */
+json_t *marjoram_gateway_report_customers (const marjoram_key_lease *lease,
+                                           const marjoram_quota_pool *pool,
+                                           int64_t now);
+/* A keeper's shares of the quotas.  */
+json_t *marjoram_gateway_report_shares (const marjoram_quota_shares *shares);
 
 #endif
--- a/src/keeper_admission.c
+++ b/src/keeper_admission.c
@@ -4,9 +4,8 @@
 
 #include "address.h"
 #include "cleanup.h"
-#include "event_log.h"
+#include "gateway_report.h"
 
-#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -202,8 +201,9 @@
                                      const struct marjoram_quota_ask *ask)
 {
   const int64_t now = marjoram_keeper_role_now (admission->role);
-  struct marjoram_quota_grant grant
-      = { .customer = ask->customer, .asked_at = ask->asked_at };
+  struct marjoram_quota_grant grant = { .customer = ask->customer,
+                                        .asked_at = ask->asked_at,
+                                        .asked_units = ask->units };
 
   if (!ask->customer || !may_grant_units (admission, now))
     return;
@@ -285,3 +285,9 @@
       admission->shares, admission->role->parts->settings->quota_allowance);
   admission->shares_number = 0;
 }
+
+json_t *
+marjoram_keeper_admission_report (const marjoram_keeper_admission *admission)
+{
+  return marjoram_gateway_report_shares (admission->shares);
+}
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -314,11 +314,12 @@
       = state ? marjoram_state_file (state, MARJORAM_FILE_ROUTES) : NULL;
   struct marjoram_names zones = marjoram_state_files_evacuations (state);
   json_t *report = json_pack (
-      "{s:s, s:I, s:o, s:o, s:o}", "role", "keeper", "config_version",
+      "{s:s, s:I, s:o, s:o, s:o, s:o}", "role", "keeper", "config_version",
       (json_int_t)(routes ? routes->version : 0), "evacuated",
       marjoram_gateway_report_zones (&zones), "keeper",
       marjoram_gateway_report_keeper (self->keeper), "upstreams",
-      marjoram_gateway_report_upstreams (self->registry, now));
+      marjoram_gateway_report_upstreams (self->registry, now), "quotas",
+      marjoram_keeper_admission_report (self->admission));
 
   marjoram_names_clear (&zones);
   return report;
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -86,6 +86,9 @@
                                    const struct marjoram_quota_grant *grant);
 void marjoram_keeper_admission_tick (marjoram_keeper_admission *admission,
                                      int64_t now);
+/* This keeper's shares of the quotas, for status output; a new reference.  */
+json_t *
+marjoram_keeper_admission_report (const marjoram_keeper_admission *admission);
 /* The settings have changed.  */
 void marjoram_keeper_admission_reload (marjoram_keeper_admission *admission);
 
--- a/src/quota_pool.c
+++ b/src/quota_pool.c
@@ -10,16 +10,19 @@
 
 enum
 {
-  /* A keeper that does not answer within this time is passed over for
-     SILENT_MS.  The farthest answers within about 120 ms.  */
-  ANSWER_TIMEOUT_MS = 300,
+  /* A keeper that does not answer within ANSWER_TIMEOUT_FACTOR times its usual
+     time, within the bounds, is passed over for SILENT_MS.  The farthest
+     answers within about 120 ms.  */
+  ANSWER_TIMEOUT_MIN_MS = 60,
+  ANSWER_TIMEOUT_MAX_MS = 300,
+  ANSWER_TIMEOUT_FACTOR = 3,
   SILENT_MS = 1000,
   /* How long a keeper is not asked again after it had too few units.  */
   EMPTY_MIN_MS = 20,
   EMPTY_MAX_MS = 200,
   /* How long a request may wait for units in total: two answers of the
      farthest keeper, or one more keeper after one that did not answer.  */
-  WAIT_MAX_MS = 250,
+  WAIT_MAX_MS = 350,
   WAIT_SILENT_MAX_MS = 600,
   /* Units that would become void within this time are given back.  */
   GIVE_BACK_MS = 60,
@@ -30,6 +33,9 @@
   ACCOUNT_IDLE_MS = 10000
 };
 
+/* Weight of a new sample in the usual time of an answer.  */
+static const double ANSWER_SMOOTHING = 0.2;
+
 /* Units granted at the same time.  */
 struct lot
 {
@@ -38,14 +44,24 @@
   int64_t valid_until;
 };
 
-/* What is known of one keeper's share.  */
+/* A keeper, for all customers.  */
+struct keeper
+{
+  char name[MARJORAM_ID_MAX];
+  double answer_ms; /* usual time to an answer; 0 if not known */
+  int64_t silent_until;
+  UT_hash_handle hh;
+};
+
+/* What is known of a customer's share at one keeper.  */
 struct source
 {
-  char keeper[MARJORAM_ID_MAX];
-  int64_t asked_at; /* 0: no answer is outstanding */
+  struct keeper *keeper;
+  int asks;         /* answers that are outstanding */
+  int64_t asked_at; /* of the first of them, at the earliest */
+  int64_t asked;    /* units that they may bring */
   int64_t empty_until;
   int64_t wait_ms; /* while EMPTY_UNTIL has not passed */
-  bool silent;     /* EMPTY_UNTIL was set because it did not answer */
 };
 
 struct marjoram_quota_account
@@ -67,6 +83,7 @@
   const struct marjoram_quota_pool_ops *ops;
   void *context;
   struct marjoram_quota_account *accounts;
+  struct keeper *keepers;
   struct marjoram_quota_account *unserved; /* of the latest waiting claim */
 };
 
@@ -178,6 +195,8 @@
 {
   struct marjoram_quota_account *account;
   struct marjoram_quota_account *next;
+  struct keeper *keeper;
+  struct keeper *next_keeper;
 
   if (!pool)
     return;
@@ -185,41 +204,80 @@
   {
     remove_account (pool, account);
   }
+  HASH_ITER (hh, pool->keepers, keeper, next_keeper)
+  {
+    /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
+    HASH_DELETE (hh, pool->keepers, keeper);
+    free (keeper);
+  }
   free (pool);
 }
 
 /* ---- Sources.  ---- */
 
+static struct keeper *
+get_keeper (marjoram_quota_pool *pool, const char *name)
+{
+  struct keeper *keeper;
+
+  HASH_FIND_STR (pool->keepers, name, keeper);
+  if (keeper)
+    return keeper;
+  keeper = marjoram_alloc (sizeof *keeper);
+  snprintf (keeper->name, sizeof keeper->name, "%s", name);
+  keeper->silent_until = INT64_MIN;
+  HASH_ADD_STR (pool->keepers, name, keeper);
+  return keeper;
+}
+
 static struct source *
-find_source (struct marjoram_quota_account *account, const char *keeper)
+find_source (struct marjoram_quota_account *account, const char *name)
 {
   for (size_t i = 0; i < account->source_count; i++)
-    if (strcmp (account->sources[i].keeper, keeper) == 0)
+    if (strcmp (account->sources[i].keeper->name, name) == 0)
       return &account->sources[i];
   return NULL;
 }
 
+/* Returns null if too many keepers are in use.  */
 static struct source *
-get_source (struct marjoram_quota_account *account, const char *keeper,
-            int64_t now)
+get_source (marjoram_quota_pool *pool, struct marjoram_quota_account *account,
+            const char *name, int64_t now)
 {
-  struct source *source = find_source (account, keeper);
+  struct source *source = find_source (account, name);
 
   if (source)
     return source;
   for (size_t i = 0; i < account->source_count; i++)
-    if (!account->sources[i].asked_at
+    if (account->sources[i].asks == 0
         && now >= account->sources[i].empty_until)
       source = &account->sources[i];
   if (account->source_count < MARJORAM_QUOTA_KEEPERS_MAX)
     source = &account->sources[account->source_count++];
   if (!source)
     return NULL;
-  *source = (struct source){ .empty_until = INT64_MIN };
-  snprintf (source->keeper, sizeof source->keeper, "%s", keeper);
+  *source = (struct source){ .keeper = get_keeper (pool, name),
+                             .empty_until = INT64_MIN };
   return source;
 }
 
+static int64_t
+answer_timeout (const struct keeper *keeper)
+{
+  const int64_t ms = (int64_t)(ANSWER_TIMEOUT_FACTOR * keeper->answer_ms);
+
+  if (keeper->answer_ms <= 0 || ms > ANSWER_TIMEOUT_MAX_MS)
+    return ANSWER_TIMEOUT_MAX_MS;
+  return ms > ANSWER_TIMEOUT_MIN_MS ? ms : ANSWER_TIMEOUT_MIN_MS;
+}
+
+static void
+forget_asks (struct source *source)
+{
+  source->asks = 0;
+  source->asked = 0;
+}
+
 static void
 expire_asks (struct marjoram_quota_account *account, int64_t now)
 {
@@ -227,11 +285,11 @@
     {
       struct source *source = &account->sources[i];
 
-      if (!source->asked_at || now < source->asked_at + ANSWER_TIMEOUT_MS)
+      if (source->asks == 0
+          || now < source->asked_at + answer_timeout (source->keeper))
         continue;
-      source->asked_at = 0;
-      source->silent = true;
-      source->empty_until = now + SILENT_MS;
+      forget_asks (source);
+      source->keeper->silent_until = now + SILENT_MS;
     }
 }
 
@@ -242,19 +300,22 @@
   const struct marjoram_quota_ask message
       = { .customer = account->customer, .asked_at = now, .units = units };
 
-  source->asked_at = now;
-  pool->ops->ask (pool->context, source->keeper, &message);
+  if (source->asks++ == 0)
+    source->asked_at = now;
+  source->asked += units;
+  pool->ops->ask (pool->context, source->keeper->name, &message);
 }
 
-/* What is still to be obtained, and where.  */
+/* Where the units of a customer may be obtained.  */
 struct plan
 {
-  struct source *usable[MARJORAM_QUOTA_KEEPERS_MAX];
+  struct source *usable[MARJORAM_QUOTA_KEEPERS_MAX]; /* nearest first */
   size_t usable_count;
-  size_t asked_count;  /* answers are outstanding */
-  size_t silent_count; /* did not answer */
-  int64_t wait_ms;     /* of the keeper that has the rest first */
-  bool nearest_empty;
+  int64_t asked;      /* units of outstanding asks */
+  bool silent;        /* a keeper did not answer */
+  int64_t wait_ms;    /* of the keeper that has the rest first */
+  bool empty;         /* a keeper had too few units */
+  bool nearest_empty; /* the nearest of those that answer */
 };
 
 static void
@@ -263,40 +324,46 @@
 {
   const char *names[MARJORAM_QUOTA_KEEPERS_MAX];
   size_t count = pool->ops->keepers (pool->context, names);
+  bool is_nearest = true;
 
   memset (plan, 0, sizeof *plan);
   plan->wait_ms = RETRY_MAX_MS;
+  plan->silent = count == 0;
   for (size_t i = 0; i < count; i++)
     {
-      struct source *source = get_source (account, names[i], now);
+      struct source *source = get_source (pool, account, names[i], now);
 
       if (!source)
         continue;
-      if (source->asked_at)
-        plan->asked_count++;
-      else if (now >= source->empty_until)
+      plan->asked += source->asked;
+      if (now < source->keeper->silent_until)
+        {
+          plan->silent = true;
+          continue;
+        }
+      if (now >= source->empty_until)
         plan->usable[plan->usable_count++] = source;
-      else if (source->silent)
-        plan->silent_count++;
-      else if (source->wait_ms < plan->wait_ms)
-        plan->wait_ms = source->wait_ms;
-      if (i == 0)
-        plan->nearest_empty = !source->asked_at && now < source->empty_until;
+      else
+        {
+          plan->empty = true;
+          plan->nearest_empty |= is_nearest;
+          if (source->wait_ms < plan->wait_ms)
+            plan->wait_ms = source->wait_ms;
+        }
+      is_nearest = false;
     }
-  if (count == 0)
-    plan->silent_count = 1;
 }
 
-/* Asks for MISSING units.  Returns whether an answer is outstanding.  */
+/* Asks for the units that the account lacks, as far as they are not asked for
+   already.  Returns whether an answer is outstanding.  */
 static bool
 ask_for (marjoram_quota_pool *pool, struct marjoram_quota_account *account,
-         int64_t now, int64_t missing, struct plan *plan)
+         int64_t now, const struct plan *plan)
 {
-  make_plan (pool, account, now, plan);
-  if (plan->asked_count > 0)
-    return true;
-  if (plan->usable_count == 0)
-    return false;
+  const int64_t missing = account->needed - account->held - plan->asked;
+
+  if (missing <= 0 || plan->usable_count == 0)
+    return plan->asked > 0;
   if (!plan->nearest_empty)
     {
       ask (pool, account, plan->usable[0], now, missing);
@@ -353,25 +420,6 @@
   pool->ops->settled (pool->context, now, claim, result, retry_ms);
 }
 
-static int64_t
-wait_max (const struct marjoram_quota_account *account, int64_t now)
-{
-  for (size_t i = 0; i < account->source_count; i++)
-    if (account->sources[i].silent && now < account->sources[i].empty_until)
-      return WAIT_SILENT_MAX_MS;
-  return WAIT_MAX_MS;
-}
-
-/* Whether a claim may wait for an answer that is outstanding.  */
-static bool
-is_asking (const struct marjoram_quota_account *account)
-{
-  for (size_t i = 0; i < account->source_count; i++)
-    if (account->sources[i].asked_at)
-      return true;
-  return false;
-}
-
 /* Serves waiting claims in order, and asks for what the first one lacks.  */
 static void
 serve (marjoram_quota_pool *pool, struct marjoram_quota_account *account,
@@ -392,18 +440,14 @@
           settle (pool, now, claim, MARJORAM_QUOTA_PAID, 0);
           continue;
         }
-      if (is_asking (account) && now < claim->started_at + WAIT_SILENT_MAX_MS)
-        break;
-      if (now < claim->started_at + wait_max (account, now)
-          && ask_for (pool, account, now, account->needed - account->held,
-                      &plan))
-        break;
       make_plan (pool, account, now, &plan);
+      if (now < claim->started_at
+                    + (plan.silent ? WAIT_SILENT_MAX_MS : WAIT_MAX_MS)
+          && ask_for (pool, account, now, &plan))
+        break;
       stop_waiting (account, claim);
       settle (pool, now, claim,
-              plan.wait_ms == RETRY_MAX_MS && plan.silent_count > 0
-                  ? MARJORAM_QUOTA_UNKNOWN
-                  : MARJORAM_QUOTA_DENIED,
+              !plan.empty ? MARJORAM_QUOTA_UNKNOWN : MARJORAM_QUOTA_DENIED,
               retry_after (&plan));
     }
   account->claim_count--;
@@ -462,6 +506,24 @@
   detach (claim);
 }
 
+static void
+answered (struct source *source, int64_t now,
+          const struct marjoram_quota_grant *grant)
+{
+  struct keeper *keeper = source->keeper;
+  const double ms = (double)(now - grant->asked_at);
+
+  keeper->silent_until = INT64_MIN;
+  keeper->answer_ms += keeper->answer_ms > 0
+                           ? ANSWER_SMOOTHING * (ms - keeper->answer_ms)
+                           : ms;
+  source->asked -= grant->asked_units;
+  if (source->asks <= 1 || source->asked <= 0)
+    forget_asks (source);
+  else
+    source->asks--;
+}
+
 void
 marjoram_quota_pool_granted (marjoram_quota_pool *pool, int64_t now,
                              const char *keeper,
@@ -474,9 +536,7 @@
   source = account ? find_source (account, keeper) : NULL;
   if (!source || grant->asked_at > now || grant->units < 0)
     return;
-  if (source->asked_at == grant->asked_at)
-    source->asked_at = 0;
-  source->silent = false;
+  answered (source, now, grant);
   source->empty_until = now;
   if (grant->wait_ms > 0)
     {
@@ -514,6 +574,18 @@
     pool->ops->ask (pool->context, names[0], &message);
 }
 
+void
+marjoram_quota_pool_visit (const marjoram_quota_pool *pool,
+                           void (*visit) (void *context, const char *customer,
+                                          int64_t held, int64_t needed),
+                           void *context)
+{
+  const struct marjoram_quota_account *account;
+
+  for (account = pool->accounts; account; account = account->hh.next)
+    visit (context, account->customer, account->held, account->needed);
+}
+
 void
 marjoram_quota_pool_tick (marjoram_quota_pool *pool, int64_t now)
 {
--- a/src/quota_pool.h
+++ b/src/quota_pool.h
@@ -75,6 +75,13 @@
 void marjoram_quota_pool_granted (marjoram_quota_pool *pool, int64_t now,
                                   const char *keeper,
                                   const struct marjoram_quota_grant *grant);
+/* Calls VISIT for each customer with recent requests: units held, and units
+   that requests wait for.  */
+void marjoram_quota_pool_visit (const marjoram_quota_pool *pool,
+                                void (*visit) (void *context,
+                                               const char *customer,
+                                               int64_t held, int64_t needed),
+                                void *context);
 /* To be called at least every 50 ms.  */
 void marjoram_quota_pool_tick (marjoram_quota_pool *pool, int64_t now);
 
--- a/src/quota_share.c
+++ b/src/quota_share.c
@@ -194,3 +194,17 @@
   share->borrowed_at = now;
   return (int64_t)(share->limit - share->level);
 }
+
+void
+marjoram_quota_shares_visit (const marjoram_quota_shares *shares,
+                             void (*visit) (void *context,
+                                            const char *customer,
+                                            int64_t units, int64_t limit),
+                             void *context)
+{
+  const struct share *share;
+
+  for (share = shares->shares; share; share = share->hh.next)
+    visit (context, share->customer, (int64_t)share->level,
+           (int64_t)share->limit);
+}
--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -48,6 +48,12 @@
    What is over the limit is lost.  */
 void marjoram_quota_shares_add (marjoram_quota_shares *shares, int64_t now,
                                 const char *customer, int64_t units);
+/* Calls VISIT for each share: units at the last use, and the limit.  */
+void marjoram_quota_shares_visit (const marjoram_quota_shares *shares,
+                                  void (*visit) (void *context,
+                                                 const char *customer,
+                                                 int64_t units, int64_t limit),
+                                  void *context);
 /* Units of CUSTOMER that are worth borrowing now, 0 if this share does not run
    short.  Records that they are requested.  */
 int64_t marjoram_quota_shares_borrow (marjoram_quota_shares *shares,
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -481,6 +481,7 @@
   const struct marjoram_quota_grant grant
       = { .customer = (char *)"limited",
           .asked_at = f->seen.asked_at,
+          .asked_units = f->seen.asked_units,
           .units = units,
           .wait_ms = wait_ms };
 
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -58,6 +58,7 @@
   int customer;
   int64_t asked_at;
   int64_t units;
+  int64_t asked_units;
   int64_t given_back;
   int64_t wait_ms;
 };
@@ -242,7 +243,8 @@
   struct message grant = { .from = keeper->node.index,
                            .to = m->from,
                            .customer = m->customer,
-                           .asked_at = m->asked_at };
+                           .asked_at = m->asked_at,
+                           .asked_units = m->units };
 
   if (m->from_keeper && m->units < 0) /* lent to this keeper */
     {
@@ -275,6 +277,7 @@
   const struct marjoram_quota_grant grant
       = { .customer = rules[m->customer].name,
           .asked_at = m->asked_at,
+          .asked_units = m->asked_units,
           .units = m->units,
           .wait_ms = m->wait_ms };
 
