--- a/src/gateway_customer.c
+++ b/src/gateway_customer.c
@@ -11,7 +11,11 @@
   STATUS_UNAVAILABLE = 503,
   /* Retry-After of a host whose lease on keys has ended.  The caller reaches
      another host; this one asks again within that time.  */
-  NO_LEASE_RETRY_MS = 300
+  NO_LEASE_RETRY_MS = 300,
+  /* For STARTUP_MS after its start a host may not have a lease yet.  Requests
+     received in that period wait up to LEASE_WAIT_MS for it.  */
+  STARTUP_MS = 4000,
+  LEASE_WAIT_MS = 1200
 };
 
 static void
@@ -70,6 +74,14 @@
   return gateway->customers;
 }
 
+static bool
+may_wait_for_lease (const marjoram_gateway *gateway,
+                    const struct marjoram_exchange *exchange, int64_t now)
+{
+  return now < gateway->created_at + STARTUP_MS
+         && now < exchange->received_at + LEASE_WAIT_MS;
+}
+
 /* Finds the customer of a caller's key.  False if the request was refused or
    has to wait.  */
 static bool
@@ -80,7 +92,7 @@
 
   if (!marjoram_key_lease_is_valid (gateway->lease, now))
     {
-      if (!marjoram_exchange_may_wait (gateway, exchange, now))
+      if (!may_wait_for_lease (gateway, exchange, now))
         refuse (gateway, exchange, now, MARJORAM_REASON_CONFIG_UNCONFIRMED,
                 STATUS_UNAVAILABLE, NO_LEASE_RETRY_MS);
       return false;
