--- a/src/gateway.c
+++ b/src/gateway.c
@@ -25,7 +25,8 @@
   CONFIG_CHANGE_GRACE_MS = 2000,
   /* For STARTUP_MS after its start a host may not have its configuration or
      its upstreams yet.  Requests received in that period wait up to
-     STARTUP_WAIT_MS for them.  */
+     STARTUP_WAIT_MS for them: keepers report within that time, and upstreams
+     with their next heartbeat if the keepers have just started too.  */
   STARTUP_MS = 4000,
   STARTUP_WAIT_MS = 500,
   /* An upstream that sends no data for any request of this host for this long
@@ -481,9 +482,10 @@
 }
 
 /* An upstream that sends data for any request is alive, even if it delays this
-   one.  A stalled upstream is abandoned only if another place accepts the
-   request, since a stream that is cut without one is lost.  For a forwarded
-   request the forwarding host decides.  */
+   one: a loaded engine may set a request aside for seconds and resume it.  A
+   stalled upstream is abandoned only if another place accepts the request,
+   since a stream that is cut without one is lost.  For a forwarded request the
+   forwarding host decides.  */
 static bool
 should_abandon (marjoram_gateway *gateway,
                 const struct marjoram_exchange *exchange, int64_t now)
--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -2,11 +2,12 @@
 
 enum
 {
-  /* Maximum number of queued requests; limits their memory, and more could not
-     be served in time.  */
+  /* Maximum number of queued requests; limits their memory to some MB of
+     prompts, and more could not be served in time.  */
   QUEUE_MAX = 400,
   /* Maximum number of queued requests for which placement is retried per tick,
-     since each is compared with all upstreams.  */
+     since each is compared with all upstreams; those further back have more
+     time.  */
   RETRIES_PER_TICK_MAX = 16,
   /* Period in which an interrupted stream precedes other requests.  After it,
      the stream is ordered by its deadline, so that it cannot starve them.  */
--- a/src/placement.c
+++ b/src/placement.c
@@ -19,13 +19,16 @@
 {
   /* Initial estimate of a request's duration.  */
   INITIAL_REQUEST_MS = 20,
-  /* Backoff after an upstream reports that it is at capacity.  */
+  /* Backoff after an upstream reports that it is at capacity: about the
+     duration of a request.  */
   CAPACITY_BACKOFF_MS = 50,
   /* Backoff after a connection failure, doubled on each failure up to
-     CONNECT_BACKOFF_DOUBLINGS times.  */
+     CONNECT_BACKOFF_DOUBLINGS times.  Starts low, so that an upstream that
+     restarts within a second or two is found soon.  */
   CONNECT_BACKOFF_MS = 300,
   CONNECT_BACKOFF_DOUBLINGS = 4,
-  /* Consecutive broken responses after which the upstream is suspected.  */
+  /* Consecutive broken responses after which the upstream is suspected: too
+     many to be the fault of one request.  */
   BROKEN_RESPONSES_MAX = 3,
   SUSPECT_MS = 500,
   /* Minimum prefill tokens, of a request and the queue ahead of it, from which
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -29,8 +29,10 @@
   /* Safety margin added to the cold period that a heartbeat reports: once it
      ends, all waiting requests are sent at once.  */
   COLD_MARGIN_MS = 100,
+  /* Wait at a warm upstream above which a cold one is preferred.  */
   COLD_COST_MS = 100,
-  /* High enough that any other upstream is preferred.  */
+  /* For an upstream with several broken responses in a row.  High enough that
+     any other is preferred; it is still better than none.  */
   SUSPECT_COST_MS = 1000,
   /* Maximum prefill backlog ahead of a request; longer queues stall running
      responses.  */
@@ -39,7 +41,8 @@
      would repeat prefill and evict other cached parts.  */
   DEADLINE_COST_MS = 100,
   /* Hosts per region above which each request considers only a sample of the
-     upstreams, to avoid herding on the least loaded one.  */
+     upstreams: more would all send to the least loaded one before they hear of
+     each other's requests.  */
   SAMPLE_HOSTS = 8,
   /* Minimum mean number of upstreams in a sample.  */
   SAMPLE_MIN = 4,
--- a/src/shortage.c
+++ b/src/shortage.c
@@ -7,10 +7,12 @@
 
 enum
 {
-  /* A shortage ends after this long without rejections.  */
+  /* A shortage ends after this long without rejections: the time of some
+     responses.  */
   SHORTAGE_END_MS = 500,
   /* Upper limit of the part of the delay that follows from the duration of the
-     shortage.  */
+     shortage.  Callers wait 3 s or more in total and return within a third of
+     the time they have left.  */
   RETRY_MAX_MS = 4000
 };
 
--- a/src/spill.c
+++ b/src/spill.c
@@ -10,12 +10,15 @@
 
 enum
 {
-  /* Mean backlog below which responses are not delayed.  */
+  /* Mean backlog below which responses are not delayed: engines then prefill
+     less than half of the time.  */
   BACKLOG_MIN_MS = 30,
   DIFFERENCE_MIN_MS = 10,
-  /* Standard deviation of one engine's backlog.  */
+  /* Standard deviation of one engine's backlog: the mean of few engines is
+     mostly noise.  */
   BACKLOG_DEVIATION_MS = 80,
-  /* Prompts with less uncached prefill time are not moved.  */
+  /* Prompts with less uncached prefill time are not moved, since they delay
+     nobody.  */
   PROMPT_MIN_MS = 25
 };
 
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -7,8 +7,9 @@
 enum
 {
   /* Time by which the latest useful start of a request of the next lower
-     priority must be earlier for it to go first.  Longer than a burst, shorter
-     than the latency targets.  */
+     priority must be earlier for it to go first.  Longer than a burst, so that
+     the urgent requests of a burst go first; not above the latency targets of
+     the requests that wait.  */
   PRIORITY_STEP_MS = 1000
 };
 
