--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -107,7 +107,7 @@
 {
   struct sim_host hosts[HOSTS];
   struct sim_keeper keepers[KEEPERS];
-  char names[KEEPERS][8];
+  char names[KEEPERS][16];
   struct message *queue;
   size_t queued;
   struct request *requests;
