--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -374,9 +374,10 @@
   keeper->shares = marjoram_quota_shares_create (ALLOWANCE);
   if (w->way == OWNED)
     {
+      const int owner = keeper->node.index;
+      const bool owns = owner < CUSTOMERS;
       const struct marjoram_route_table owned
-          = { .customers = { &rules[keeper->node.index],
-                             keeper->node.index < CUSTOMERS } };
+          = { .customers = { owns ? &rules[owner] : NULL, owns } };
 
       marjoram_quota_shares_configure (keeper->shares, w->now, &owned, 1);
     }
