--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -284,6 +284,7 @@
   query.shared_ms = (double)shared_prefill_tokens (exchange, chosen)
                     / chosen->engine_tokens_per_ms;
   query.time_left_ms = time_left_ms;
+  /* No home is better for this little; saves looking at all regions.  */
   if (!marjoram_session_home_is_better (&query))
     return false;
   find_regions (gateway, exchange, route, now, chosen->usable, &regions);
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -1,6 +1,7 @@
 #include "route_table.h"
 
 #include "cleanup.h"
+#include "state.h"
 
 #include <string.h>
 #include <strings.h>
@@ -159,9 +160,16 @@
 check_customer (const struct marjoram_customer_rule *customer,
                 struct marjoram_error *err)
 {
-  if (!*customer->name)
+  const size_t length = strlen (customer->name);
+
+  if (length == 0)
     return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
                                "a customer has an empty name; name it");
+  if (length >= MARJORAM_NAME_MAX)
+    return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
+                               "customer %.32s... has a name of %zu bytes; "
+                               "use %d at most",
+                               customer->name, length, MARJORAM_NAME_MAX - 1);
   if (customer->rate_per_s < 0 || customer->burst < 0
       || customer->plain_tokens < 0)
     return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
--- a/test/test_customer.c
+++ b/test/test_customer.c
@@ -99,6 +99,10 @@
       "bytes" },
     { "{\"name\":\"c1\",\"api_keys\":\"SECRET\"}", "api_keys" },
     { "{\"api_keys\":[\"SECRET\"]}", "name" },
+    { "{\"name\":\"long-name-"
+      "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+      "\",\"api_keys\":[\"SECRET\"]}",
+      "long-name-" },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
