--- a/test/test_customer.c
+++ b/test/test_customer.c
@@ -7,6 +7,7 @@
 #include "key_lease.h"
 #include "lib_gateway.h"
 #include "platform.h"
+#include "quota_share.h"
 #include "route_file.h"
 
 #include <stdio.h>
@@ -501,6 +502,21 @@
 }
 END_TEST
 
+/* Guards against units of different seconds that add up to more than a window
+   may hold.  */
+START_TEST (units_that_are_not_spent_in_time_are_void)
+{
+  gateway_fixture_keyed (&f, SOON, "/get/x", "Bearer key-quota");
+  gateway_fixture_grant (&f, SOON + 2, 600, 0);
+  gateway_fixture_keyed (&f, SOON + MARJORAM_QUOTA_VALID_MS - 1, "/get/x",
+                         "Bearer key-quota");
+  ck_assert_int_eq (f.seen.asks, 1);
+  gateway_fixture_keyed (&f, SOON + MARJORAM_QUOTA_VALID_MS, "/get/x",
+                         "Bearer key-quota");
+  ck_assert_int_eq (f.seen.asks, 2);
+}
+END_TEST
+
 START_TEST (a_caller_that_leaves_while_waiting_is_forgotten)
 {
   uint64_t call
@@ -560,6 +576,7 @@
   tcase_add_test (quotas,
                   a_forwarded_request_is_charged_where_it_was_received);
   tcase_add_test (quotas, units_of_a_refused_request_serve_the_next);
+  tcase_add_test (quotas, units_that_are_not_spent_in_time_are_void);
   tcase_add_test (quotas, a_caller_that_leaves_while_waiting_is_forgotten);
   suite_add_tcase (s, quotas);
   return s;
