The log says how old the last renewal of an expired lease was

The line of an expired lease now has the age of its last renewal and what that left. Nothing else changes; EXPIRED of marjoram_members_tick gets the upstream instead of its name.

--- a/src/host.c
+++ b/src/host.c
@@ -82,13 +82,19 @@
 /* ---- Timers.  ---- */
 
 static void
-upstream_expired (void *context, const char *name)
+upstream_expired (void *context, int64_t now,
+                  const struct marjoram_upstream *upstream)
 {
   marjoram_host *host = context;
 
   marjoram_counters_add (host->counters, MARJORAM_COUNTER_UPSTREAMS_EXPIRED,
                          1);
-  marjoram_log (MARJORAM_LOG_NOTICE, "upstream %s: lease expired", name);
+  marjoram_log (MARJORAM_LOG_NOTICE,
+                "upstream %s: lease expired %lld ms after its last renewal, "
+                "which left it %lld ms",
+                upstream->announcement->name,
+                (long long)(now - upstream->reported),
+                (long long)(upstream->expires - upstream->reported));
 }
 
 /* Sends SLOT the capacity that this zone offers to its zone and the usage of
--- a/src/member.c
+++ b/src/member.c
@@ -452,8 +452,7 @@
 
 void
 marjoram_members_tick (marjoram_members *members, int64_t now,
-                       void (*expired) (void *context, const char *name),
-                       void *context)
+                       marjoram_members_expired *expired, void *context)
 {
   for (size_t i = members->count; i-- > 0;)
     {
@@ -465,7 +464,7 @@
         {
           member->expiry_reported = true;
           if (expired)
-            expired (context, member->announcement.name);
+            expired (context, now, &member->view);
         }
       if (now >= member->view.expires + EXPIRED_RETENTION_MS
           && member->view.in_flight == 0)
--- a/src/member.h
+++ b/src/member.h
@@ -122,11 +122,13 @@
    announced.  */
 void marjoram_members_mark_dead (marjoram_members *members, int64_t now,
                                  const char *name);
-/* Removes long-expired upstreams, and calls EXPIRED for each upstream whose
-   lease has just ended.  */
+typedef void
+marjoram_members_expired (void *context, int64_t now,
+                          const struct marjoram_upstream *upstream);
+/* Removes long-expired upstreams, and calls EXPIRED, which may be null, for
+   each upstream whose lease has just ended.  */
 void marjoram_members_tick (marjoram_members *members, int64_t now,
-                            void (*expired) (void *context, const char *name),
-                            void *context);
+                            marjoram_members_expired *expired, void *context);
 
 /* Number of live entry hosts that are not draining, including this one.  */
 int marjoram_members_count_hosts (const marjoram_members *members,
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -112,9 +112,11 @@
 END_TEST
 
 static void
-count_expired (void *context, const char *name)
+count_expired (void *context, int64_t now,
+               const struct marjoram_upstream *upstream)
 {
-  ck_assert_str_eq (name, "lm-1");
+  ck_assert_str_eq (upstream->announcement->name, "lm-1");
+  ck_assert_int_ge (now, upstream->expires);
   ++*(int *)context;
 }
 
