Renewals are passed on within a quarter of the shortest lease

Cause: a host passed renewals on once a second, with what is left of the lease. Of a lease of 1.5 s that left 0.7 to 1.5 s for a second and more; one of 1 s was over before each second batch.

Change: a batch is due within a quarter of the shortest lease in it, a second at most. Why it works: a copy of a lease now has three quarters of it for the next batch, so an upstream that renews at a third of it may be late by another third. Leases of 4 s and more are renewed as before.

--- a/src/host_state.h
+++ b/src/host_state.h
@@ -113,6 +113,7 @@
   struct marjoram_sender *senders;
   struct marjoram_renewed *renewed;
   int64_t renewals_sent;
+  int64_t renewals_due;             /* of the next batch, if RENEWED has any */
   struct marjoram_relayed *relayed; /* apply requests forwarded to a keeper */
   uint64_t next_relayed;
 
@@ -196,8 +197,10 @@
    spread load; NULL if none.  */
 struct marjoram_link *marjoram_link_to_zone (marjoram_host *host, int zone);
 
-/* renewals.c: lease renewals of upstreams, sent to the zone once a second.  */
-void marjoram_renewals_add (marjoram_host *host, const char *upstream);
+/* renewals.c: lease renewals of upstreams, sent to the zone once a second, or
+   more often for short leases.  */
+void marjoram_renewals_add (marjoram_host *host, int64_t now,
+                            const char *upstream);
 void marjoram_renewals_tick (marjoram_host *host, int64_t now);
 void marjoram_renewals_apply (marjoram_host *host, int64_t now,
                               const struct marjoram_renewals *renewals);
--- a/src/host_upstream.c
+++ b/src/host_upstream.c
@@ -77,7 +77,7 @@
       || (result == MARJORAM_ANNOUNCE_RENEWED && send_full))
     marjoram_host_send_zone (host, MARJORAM_FRAME_UPSTREAM, announcement);
   else if (result == MARJORAM_ANNOUNCE_RENEWED)
-    marjoram_renewals_add (host, announcement->name);
+    marjoram_renewals_add (host, now, announcement->name);
   marjoram_host_deliver_claim_results (host, now);
   return result;
 }
--- a/src/renewals.c
+++ b/src/renewals.c
@@ -6,7 +6,11 @@
 
 enum
 {
-  RENEWAL_INTERVAL_MS = 1000,
+  RENEWAL_INTERVAL_MAX_MS = 1000,
+  /* Batches that the other hosts get within the shortest lease in them.  They
+     hold a lease no longer than this host does, so an interval of a whole
+     lease would let it end there between two batches.  */
+  BATCHES_PER_LEASE = 4,
   /* Every 16th announcement is broadcast in full, for hosts that have dropped
      the upstream.  */
   FULL_ANNOUNCEMENT_EVERY = 16
@@ -19,16 +23,36 @@
   UT_hash_handle hh;
 };
 
+/* Brings the next batch forward for an upstream with a short lease.  */
+static void
+set_batch_due (marjoram_host *host, const struct marjoram_upstream *upstream)
+{
+  int64_t interval_ms
+      = (upstream->expires - upstream->reported) / BATCHES_PER_LEASE;
+  int64_t due;
+
+  if (interval_ms > RENEWAL_INTERVAL_MAX_MS)
+    interval_ms = RENEWAL_INTERVAL_MAX_MS;
+  due = host->renewals_sent + interval_ms;
+  if (!host->renewed || due < host->renewals_due)
+    host->renewals_due = due;
+}
+
 void
-marjoram_renewals_add (marjoram_host *host, const char *upstream)
+marjoram_renewals_add (marjoram_host *host, int64_t now, const char *name)
 {
+  const struct marjoram_upstream *upstream
+      = marjoram_members_find (host->members, now, name);
   struct marjoram_renewed *renewed;
 
-  HASH_FIND_STR (host->renewed, upstream, renewed);
+  if (!upstream)
+    return;
+  set_batch_due (host, upstream);
+  HASH_FIND_STR (host->renewed, name, renewed);
   if (renewed)
     return;
   renewed = marjoram_alloc (sizeof *renewed);
-  renewed->name = marjoram_strdup (upstream);
+  renewed->name = marjoram_strdup (name);
   HASH_ADD_KEYPTR (hh, host->renewed, renewed->name, strlen (renewed->name),
                    renewed);
 }
@@ -76,7 +100,7 @@
   struct marjoram_renewed *renewed;
   struct marjoram_renewed *next;
 
-  if (!host->renewed || now - host->renewals_sent < RENEWAL_INTERVAL_MS)
+  if (!host->renewed || now < host->renewals_due)
     return;
   host->renewals_sent = now;
   HASH_ITER (hh, host->renewed, renewed, next)
--- a/test/lib_hosts.c
+++ b/test/lib_hosts.c
@@ -13,6 +13,7 @@
 enum
 {
   STEP_MS = 50,
+  LONG_LEASE_MS = 60000,
   START_MS = 1000000
 };
 
@@ -627,9 +628,10 @@
   configure (hosts, number, default_callers, HOSTS_MAX / 2);
 }
 
-void
-test_announce (struct test_hosts *hosts, int host, const char *name,
-               const char *zone, int port, uint64_t incarnation, bool leaving)
+static void
+announce (struct test_hosts *hosts, int host, const char *name,
+          const char *zone, int port, uint64_t incarnation, bool leaving,
+          int64_t lease_ms)
 {
   struct marjoram_work_name names[2] = { { (char *)"m" }, { (char *)"s" } };
   struct marjoram_announcement a = { 0 };
@@ -644,12 +646,27 @@
   a.engine = true;
   a.leaving = leaving;
   a.slots = 8;
-  a.lease_ms = 60000;
+  a.lease_ms = (uint64_t)lease_ms;
   a.works.items = names;
   a.works.count = 2;
   marjoram_host_announce (hosts->nodes[host].host, hosts->now, &a);
 }
 
+void
+test_announce (struct test_hosts *hosts, int host, const char *name,
+               const char *zone, int port, uint64_t incarnation, bool leaving)
+{
+  announce (hosts, host, name, zone, port, incarnation, leaving,
+            LONG_LEASE_MS);
+}
+
+void
+test_announce_lease (struct test_hosts *hosts, int host, const char *name,
+                     const char *zone, int port, int64_t lease_ms)
+{
+  announce (hosts, host, name, zone, port, 1, false, lease_ms);
+}
+
 /* ---- Requests and runs.  ---- */
 
 uint64_t
--- a/test/lib_hosts.h
+++ b/test/lib_hosts.h
@@ -64,6 +64,9 @@
 void test_announce (struct test_hosts *hosts, int host, const char *name,
                     const char *zone, int port, uint64_t incarnation,
                     bool leaving);
+/* The same with a lease of LEASE_MS instead of a minute.  */
+void test_announce_lease (struct test_hosts *hosts, int host, const char *name,
+                          const char *zone, int port, int64_t lease_ms);
 /* Sends a request and returns its call number, for test_reply.  With a KEY it
    is not idempotent.  */
 uint64_t test_send (struct test_hosts *hosts, int host, const char *caller,
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -5,6 +5,7 @@
 
 #include "lib_hosts.h"
 #include "log.h"
+#include "member.h"
 #include "report.h"
 
 #include <stdio.h>
@@ -214,6 +215,42 @@
 }
 END_TEST
 
+/* Guards against a lease that ends at the other hosts of a zone while the
+   upstream renews it in time, every second renewal late by a third of it.  */
+START_TEST (short_lease_holds_at_all_hosts)
+{
+  static const int leases[]
+      = { MARJORAM_LEASE_MIN_MS, 1500, 3000, MARJORAM_LEASE_MAX_MS };
+  const int lease_ms = leases[_i];
+  int64_t due = test_now (hosts);
+  int64_t end = due + 8 * lease_ms;
+  int64_t step_ms = lease_ms / 20;
+  bool late = false;
+
+  for (; test_now (hosts) < end; test_advance_clock (hosts, step_ms))
+    {
+      if (test_now (hosts) >= due)
+        {
+          test_announce_lease (hosts, 0, "u", "a", 9000, lease_ms);
+          test_deliver (hosts);
+          due = test_now (hosts) + (late ? 2 : 1) * (lease_ms / 3);
+          late = !late;
+        }
+      for (int host = 1; host < 3; host++)
+        {
+          uint64_t call = send_request (host, "free", NULL, false);
+
+          ck_assert_msg (
+              !test_reply (hosts, call)->refused,
+              "host %d refused a request %d ms before the end: %s", host,
+              (int)(end - test_now (hosts)),
+              marjoram_reason_name (test_reply (hosts, call)->reason));
+          test_answer (hosts, last_run (), "answer");
+        }
+    }
+}
+END_TEST
+
 /* Only another zone runs the model.  Requests beyond that zone's offered
    capacity must queue there instead of being refused.  */
 START_TEST (work_without_local_upstream_queues_remotely)
@@ -842,6 +879,7 @@
   tcase_add_test (c, residency_is_checked_at_receipt);
   tcase_add_test (c, receiver_does_not_forward);
   tcase_add_test (c, renewals_extend_lease_at_all_hosts);
+  tcase_add_loop_test (c, short_lease_holds_at_all_hosts, 0, 4);
   tcase_add_test (c, work_without_local_upstream_queues_remotely);
   tcase_add_test (c, receiver_does_not_retry);
   tcase_add_test (c, incomplete_answer_is_rejected);
