Keepers count ballots and time the writes of their store

Keepers now count how their ballots end, keep a histogram of writes, and log slow writes (also while they hang), ballots that fail or are slow, and the opening of the store, whose syncs block a start. The simulated keepers of the tests have slow disks, seeds and reads. No decision changes.

--- a/bench/bench_keeper.c
+++ b/bench/bench_keeper.c
@@ -509,7 +509,9 @@
 measure_route_change (int routes)
 {
   static const struct keeper_net_options options
-      = { REGION_KEEPERS, ONE_WAY_MS, BYTES_PER_S };
+      = { .keepers = REGION_KEEPERS,
+          .one_way_ms = ONE_WAY_MS,
+          .bytes_per_s = BYTES_PER_S };
   struct keeper_net *net = keeper_net_create (&options);
   struct route_changes first = { 0 }, totals = { 0 };
   clock_t cpu;
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -520,7 +520,7 @@
     }
   else if (keeper->now
            >= keeper->started_at + MARJORAM_KEEPER_ATTEMPT_TIMEOUT_MS)
-    marjoram_keeper_fail_attempt (keeper);
+    marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_TIMED_OUT);
   else if (keeper->now >= keeper->resend_at)
     marjoram_keeper_send_phase (keeper);
 }
@@ -538,6 +538,12 @@
   marjoram_keeper_process_pending (keeper);
 }
 
+int64_t
+marjoram_keeper_write_age_ms (const marjoram_keeper *keeper, int64_t now)
+{
+  return keeper->writing ? now - keeper->write_started_at : 0;
+}
+
 void
 marjoram_keeper_observe_number (marjoram_keeper *keeper, uint64_t number)
 {
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -33,6 +33,15 @@
   const char *message; /* text for the operator */
 };
 
+/* How an attempt to have a value chosen, or to read the chosen one, ended.  */
+enum marjoram_ballot_end
+{
+  MARJORAM_BALLOT_COMPLETED,
+  MARJORAM_BALLOT_OUTDATED, /* a keeper has promised a higher ballot */
+  MARJORAM_BALLOT_TIMED_OUT,
+  MARJORAM_BALLOT_END_COUNT
+};
+
 struct marjoram_keeper_ops
 {
   /* Sends MESSAGE, packed with marjoram_keeper_message_layout, to the keeper
@@ -54,6 +63,10 @@
      of the call of marjoram_keeper_confirm, a majority has confirmed that no
      state after NUMBER had been chosen.  */
   void (*confirmed) (void *context, int64_t started_at, uint64_t number);
+  /* Null if not used.  This keeper's attempt with the ballot of ROUND ended
+     after AGE_MS.  */
+  void (*ballot_ended) (void *context, enum marjoram_ballot_end end,
+                        uint64_t round, int64_t age_ms);
 };
 
 struct marjoram_keeper_options
@@ -112,6 +125,9 @@
 void marjoram_keeper_observe_number (marjoram_keeper *keeper, uint64_t number);
 /* To be called at least every 100 ms.  */
 void marjoram_keeper_tick (marjoram_keeper *keeper, int64_t now);
+/* How long the write in progress has taken, in ms; 0 if there is none.  */
+int64_t marjoram_keeper_write_age_ms (const marjoram_keeper *keeper,
+                                      int64_t now);
 /* The latest chosen state that was delivered: one on this disk or, after a
    failed write, the latest one known; null before any.  */
 const struct marjoram_state *
--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -38,6 +38,7 @@
       || (keeper->write_failed && keeper->now < keeper->write_retry_at))
     return;
   keeper->writing = true;
+  keeper->write_started_at = keeper->now;
   keeper->ops->persist (keeper->context, keeper->sequence,
                         pack_record (keeper));
 }
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -84,6 +84,7 @@
   uint64_t sequence; /* of the latest change in memory */
   uint64_t durable;  /* of the latest durable change */
   bool writing;
+  int64_t write_started_at;
   bool write_failed; /* the last write failed: memory is ahead of the disk */
   int64_t write_retry_at;
   bool rolled_back;   /* the store was restored from an older copy */
@@ -165,7 +166,8 @@
    received before the attempt started.  */
 void marjoram_keeper_answer_reads (marjoram_keeper *keeper);
 void marjoram_keeper_start_attempt (marjoram_keeper *keeper);
-void marjoram_keeper_fail_attempt (marjoram_keeper *keeper);
+void marjoram_keeper_fail_attempt (marjoram_keeper *keeper,
+                                   enum marjoram_ballot_end end);
 /* Sends the current phase's request to each target that has not answered
    it.  */
 void marjoram_keeper_send_phase (marjoram_keeper *keeper);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -48,14 +48,26 @@
   marjoram_keeper_send_phase (keeper);
 }
 
+/* Ends the current attempt.  */
+static void
+stop_attempt (marjoram_keeper *keeper, enum marjoram_ballot_end end)
+{
+  if (keeper->ops->ballot_ended)
+    keeper->ops->ballot_ended (keeper->context, end,
+                               keeper->attempt.ballot.round,
+                               keeper->now - keeper->started_at);
+  marjoram_attempt_stop (&keeper->attempt);
+}
+
 void
-marjoram_keeper_fail_attempt (marjoram_keeper *keeper)
+marjoram_keeper_fail_attempt (marjoram_keeper *keeper,
+                              enum marjoram_ballot_end end)
 {
   int doublings = keeper->failures < MARJORAM_KEEPER_BACKOFF_DOUBLINGS
                       ? keeper->failures
                       : MARJORAM_KEEPER_BACKOFF_DOUBLINGS;
 
-  marjoram_attempt_stop (&keeper->attempt);
+  stop_attempt (keeper, end);
   keeper->failures++;
   keeper->retry_at
       = keeper->now + 1
@@ -229,7 +241,7 @@
       return;
     }
   marjoram_value_release (value);
-  marjoram_attempt_stop (attempt);
+  stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED);
   keeper->retry_at = keeper->now + MARJORAM_KEEPER_BACKOFF_MS;
   marjoram_keeper_answer_reads (keeper);
 }
@@ -249,7 +261,7 @@
           keeper, marjoram_keeper_envelope_create (targets[i], NULL,
                                                    MARJORAM_KEEPER_CHOSEN,
                                                    &ballot, NULL, NULL));
-  marjoram_attempt_stop (&keeper->attempt);
+  stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED);
   keeper->failures = 0;
   marjoram_keeper_learn (keeper, &ballot, value);
   marjoram_value_release (value);
@@ -303,5 +315,5 @@
 {
   if (is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_PREPARE)
       || is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_ACCEPT))
-    marjoram_keeper_fail_attempt (keeper);
+    marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_OUTDATED);
 }
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -16,6 +16,8 @@
   KEEPER_TICK_MS = 100,
   /* Time for answers to leave the sockets after a stop signal.  */
   LINGER_MS = 300,
+  /* Writes and attempts that take longer are logged.  */
+  SLOW_MS = 500,
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503
 };
@@ -46,6 +48,8 @@
 {
   struct marjoram_keeper_role *self = context;
 
+  self->write_started_at = marjoram_keeper_role_now (self);
+  self->write_reported = false;
   marjoram_disk_write (self->disk, ticket, record);
 }
 
@@ -101,9 +105,35 @@
   marjoram_keeper_admission_confirmed (self->admission, started_at, number);
 }
 
+static void
+op_ballot_ended (void *context, enum marjoram_ballot_end end, uint64_t round,
+                 int64_t age_ms)
+{
+  static const struct
+  {
+    const char *word;
+    enum marjoram_metric metric;
+  } ends[MARJORAM_BALLOT_END_COUNT] = {
+    [MARJORAM_BALLOT_COMPLETED]
+    = { "completed", MARJORAM_METRIC_BALLOTS_COMPLETED },
+    [MARJORAM_BALLOT_OUTDATED]
+    = { "outdated", MARJORAM_METRIC_BALLOTS_OUTDATED },
+    [MARJORAM_BALLOT_TIMED_OUT]
+    = { "timed-out", MARJORAM_METRIC_BALLOTS_TIMED_OUT },
+  };
+  struct marjoram_keeper_role *self = context;
+
+  marjoram_metrics_add (self->parts->metrics, ends[end].metric, 1);
+  if (end != MARJORAM_BALLOT_COMPLETED || age_ms >= SLOW_MS)
+    marjoram_event (MARJORAM_EVENT_KEEPER,
+                    "state=ballot round=%" PRIu64 " end=%s ms=%" PRId64, round,
+                    ends[end].word, age_ms);
+}
+
 static const struct marjoram_keeper_ops keeper_ops = {
   .send = op_send,
   .confirmed = op_confirmed,
+  .ballot_ended = op_ballot_ended,
   .persist = op_persist,
   .chosen = op_chosen,
   .answered = op_answered,
@@ -114,7 +144,14 @@
 on_written (void *context, uint64_t ticket, bool ok)
 {
   struct marjoram_keeper_role *self = context;
-
+  int64_t took_ms = marjoram_keeper_role_now (self) - self->write_started_at;
+
+  marjoram_metrics_observe (self->parts->metrics, MARJORAM_TIMING_WRITE,
+                            took_ms);
+  if (took_ms >= SLOW_MS)
+    marjoram_event (MARJORAM_EVENT_KEEPER,
+                    "state=slow-write ticket=%" PRIu64 " ms=%" PRId64, ticket,
+                    took_ms);
   if (!ok)
     marjoram_event (MARJORAM_EVENT_KEEPER, "state=disk-failed ticket=%" PRIu64,
                     ticket);
@@ -349,6 +386,19 @@
   marjoram_keeper_repair_apply (&change, self->keeper, now, REPAIR_REQUEST);
 }
 
+/* Reports a write while it hangs.  */
+static void
+check_write (struct marjoram_keeper_role *self, int64_t now)
+{
+  int64_t age_ms = marjoram_keeper_write_age_ms (self->keeper, now);
+
+  if (age_ms < SLOW_MS || self->write_reported)
+    return;
+  self->write_reported = true;
+  marjoram_event (MARJORAM_EVENT_KEEPER, "state=write-pending ms=%" PRId64,
+                  age_ms);
+}
+
 static void
 role_tick (struct marjoram_role *role, int64_t now)
 {
@@ -363,6 +413,7 @@
   marjoram_keeper_admission_tick (self->admission, now);
   marjoram_crash_list_expire (self->crashes, now);
   tick_repair (self, now);
+  check_write (self, now);
 }
 
 static void
@@ -410,15 +461,32 @@
   .destroy = role_destroy,
 };
 
+/* The syncs of an opening block the process, so it is announced before.  */
+static bool
+open_disk (struct marjoram_keeper_role *self, struct marjoram_error *err)
+{
+  int64_t started_at = marjoram_keeper_role_now (self);
+
+  marjoram_event (MARJORAM_EVENT_KEEPER, "state=opening-store folder=%s",
+                  self->parts->settings->data_folder);
+  marjoram_event_log_flush ();
+  self->disk = marjoram_disk_create (self->parts->base,
+                                     self->parts->settings->data_folder,
+                                     &disk_ops, self, err);
+  if (!self->disk)
+    return false;
+  marjoram_event (MARJORAM_EVENT_KEEPER, "state=opened-store ms=%" PRId64,
+                  marjoram_keeper_role_now (self) - started_at);
+  return true;
+}
+
 static bool
 create_keeper (struct marjoram_keeper_role *self, struct marjoram_error *err)
 {
   const struct marjoram_gateway_settings *settings = self->parts->settings;
   struct marjoram_keeper_options options = { 0 };
 
-  self->disk = marjoram_disk_create (self->parts->base, settings->data_folder,
-                                     &disk_ops, self, err);
-  if (!self->disk)
+  if (!open_disk (self, err))
     return false;
   options.slot = settings->ip;
   options.store_id = marjoram_disk_id (self->disk);
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -27,6 +27,8 @@
   marjoram_crash_list *crashes; /* sent to hosts that have just started */
   int64_t repair_ticked_at;
   int64_t ticked_at;
+  int64_t write_started_at;
+  bool write_reported; /* as pending */
   marjoram_state_sender *state_sender;
   marjoram_keeper_admission *admission;
   int64_t stopped_at;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -46,12 +46,16 @@
   [MARJORAM_METRIC_EVACUATIONS] = "evacuations",
   [MARJORAM_METRIC_UPSTREAMS_LOST] = "upstreams_lost",
   [MARJORAM_METRIC_LINKS_LOST] = "links_lost",
+  [MARJORAM_METRIC_BALLOTS_COMPLETED] = "ballots_completed",
+  [MARJORAM_METRIC_BALLOTS_OUTDATED] = "ballots_outdated",
+  [MARJORAM_METRIC_BALLOTS_TIMED_OUT] = "ballots_timed_out",
 };
 
 static const char *const timing_names[MARJORAM_TIMING_COUNT] = {
   [MARJORAM_TIMING_FIRST] = "first_answer_ms",
   [MARJORAM_TIMING_TOTAL] = "whole_answer_ms",
   [MARJORAM_TIMING_ESTIMATE] = "estimate_error_ms",
+  [MARJORAM_TIMING_WRITE] = "store_write_ms",
 };
 
 marjoram_metrics *
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -32,6 +32,9 @@
   MARJORAM_METRIC_EVACUATIONS,
   MARJORAM_METRIC_UPSTREAMS_LOST,
   MARJORAM_METRIC_LINKS_LOST,
+  MARJORAM_METRIC_BALLOTS_COMPLETED,
+  MARJORAM_METRIC_BALLOTS_OUTDATED,
+  MARJORAM_METRIC_BALLOTS_TIMED_OUT,
   MARJORAM_METRIC_COUNT
 };
 
@@ -41,6 +44,7 @@
   MARJORAM_TIMING_FIRST,    /* time to the first event or the response */
   MARJORAM_TIMING_TOTAL,    /* time to the end of the response */
   MARJORAM_TIMING_ESTIMATE, /* absolute error of the estimated wait */
+  MARJORAM_TIMING_WRITE,    /* a write of a keeper's store, with its syncs */
   MARJORAM_TIMING_COUNT
 };
 
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -12,10 +12,11 @@
 {
   KEEPERS_MAX = 7,
   TICK_MS = 100,
-  DISK_MS = 5,
+  FAST_WRITE_MS = 5,
   FRAME_HEADER = 5,
   ROUTE_MAX = 400,
-  NAME_SIZE = 32
+  NAME_SIZE = 32,
+  FIRST_READ = 1 << 30 /* request numbers below are changes */
 };
 
 struct packet
@@ -57,6 +58,8 @@
   marjoram_random *random;
   int64_t now;
   uint64_t version;
+  uint64_t reads;
+  int ballots[MARJORAM_BALLOT_END_COUNT];
   uint64_t bytes;
   uint64_t peak_queued;
   uint64_t answered; /* number of the last answered request */
@@ -112,10 +115,11 @@
 on_persist (void *context, uint64_t ticket, marjoram_bytes *record)
 {
   struct node *node = context;
+  int64_t write_ms = node->net->options.write_ms;
 
   marjoram_bytes_release (record);
   node->ticket = ticket;
-  node->written_at = node->net->now + DISK_MS;
+  node->written_at = node->net->now + (write_ms ? write_ms : FAST_WRITE_MS);
 }
 
 static void
@@ -133,7 +137,8 @@
 
   node->net->answered = request;
   node->net->decided = answer->outcome == MARJORAM_APPLY_DECIDED
-                       && answer->result == MARJORAM_CHANGE_ACCEPTED;
+                       && (request >= FIRST_READ
+                           || answer->result == MARJORAM_CHANGE_ACCEPTED);
 }
 
 static bool
@@ -156,12 +161,25 @@
   node->net->confirmed_by = node->index;
 }
 
-static const struct marjoram_keeper_ops ops = { .send = on_send,
-                                                .persist = on_persist,
-                                                .chosen = on_chosen,
-                                                .answered = on_answered,
-                                                .valid = on_valid,
-                                                .confirmed = on_confirmed };
+static void
+on_ballot_ended (void *context, enum marjoram_ballot_end end, uint64_t round,
+                 int64_t age_ms)
+{
+  struct node *node = context;
+
+  (void)round;
+  (void)age_ms;
+  node->net->ballots[end]++;
+}
+
+static const struct marjoram_keeper_ops ops
+    = { .send = on_send,
+        .persist = on_persist,
+        .chosen = on_chosen,
+        .answered = on_answered,
+        .valid = on_valid,
+        .confirmed = on_confirmed,
+        .ballot_ended = on_ballot_ended };
 
 static void
 start_node (struct keeper_net *net, int index)
@@ -192,7 +210,7 @@
   struct keeper_net *net = marjoram_alloc (sizeof *net);
 
   net->options = *options;
-  net->random = marjoram_random_create (1);
+  net->random = marjoram_random_create (options->seed ? options->seed : 1);
   for (int i = 0; i < options->keepers; i++)
     start_node (net, i);
   return net;
@@ -322,6 +340,16 @@
   return is_agreed (net);
 }
 
+static int64_t
+wait_answer (struct keeper_net *net, uint64_t request, int64_t limit_ms)
+{
+  int64_t start = net->now;
+
+  while (net->answered != request && net->now < start + limit_ms)
+    keeper_net_run (net, 1);
+  return net->answered == request && net->decided ? net->now - start : -1;
+}
+
 int64_t
 keeper_net_change (struct keeper_net *net, int at, const char *text,
                    int64_t limit_ms)
@@ -329,16 +357,26 @@
   char id[NAME_SIZE];
   struct marjoram_file file
       = { (char *)"routes", ++net->version, NULL, (char *)text };
-  int64_t start = net->now;
 
   snprintf (id, sizeof id, "change-%llu", (unsigned long long)net->version);
   marjoram_keeper_apply (net->nodes[at].keeper, net->now, net->version, id,
                          &file);
-  while (net->answered != net->version && net->now < start + limit_ms)
-    keeper_net_run (net, 1);
-  if (net->answered != net->version || !net->decided)
-    return -1;
-  return net->now - start;
+  return wait_answer (net, net->version, limit_ms);
+}
+
+int64_t
+keeper_net_read (struct keeper_net *net, int at, int64_t limit_ms)
+{
+  uint64_t request = FIRST_READ + ++net->reads;
+
+  marjoram_keeper_read (net->nodes[at].keeper, net->now, request);
+  return wait_answer (net, request, limit_ms);
+}
+
+int
+keeper_net_ballots (const struct keeper_net *net, enum marjoram_ballot_end end)
+{
+  return net->ballots[end];
 }
 
 const struct marjoram_state *
--- a/test/lib_keeper_net.h
+++ b/test/lib_keeper_net.h
@@ -1,6 +1,5 @@
 /* Simulation of keepers on ordered connections of limited bandwidth, for tests
-   and benchmarks of the cost of consensus.  Disks are fast and the clock is
-   simulated.  */
+   and benchmarks of the cost of consensus.  The clock is simulated.  */
 #ifndef MARJORAM_TEST_LIB_KEEPER_NET_H
 #define MARJORAM_TEST_LIB_KEEPER_NET_H
 
@@ -13,6 +12,8 @@
   int keepers;
   int64_t one_way_ms;
   int64_t bytes_per_s; /* of each connection; 0: unlimited */
+  int64_t write_ms;    /* of each disk; 0: 5 ms */
+  uint64_t seed;       /* 0: 1 */
 };
 
 struct keeper_net *
@@ -27,6 +28,12 @@
    within LIMIT_MS.  */
 int64_t keeper_net_change (struct keeper_net *net, int at, const char *text,
                            int64_t limit_ms);
+/* Reads the state at keeper AT and runs until that is answered.  Returns the
+   time taken, or -1 if it is not confirmed within LIMIT_MS.  */
+int64_t keeper_net_read (struct keeper_net *net, int at, int64_t limit_ms);
+/* How many attempts of all keepers ended so.  */
+int keeper_net_ballots (const struct keeper_net *net,
+                        enum marjoram_ballot_end end);
 /* The latest state that the keeper knows to be chosen; null before any.  */
 const struct marjoram_state *keeper_net_state (const struct keeper_net *net,
                                                int index);
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -23,9 +23,11 @@
 };
 
 static const struct keeper_net_options between_regions
-    = { KEEPERS, 55, BYTES_PER_S };
-static const struct keeper_net_options slower = { 3, 55, SLOWER_BYTES_PER_S };
-static const struct keeper_net_options very_slow = { 3, 55, SLOW_BYTES_PER_S };
+    = { .keepers = KEEPERS, .one_way_ms = 55, .bytes_per_s = BYTES_PER_S };
+static const struct keeper_net_options slower
+    = { .keepers = 3, .one_way_ms = 55, .bytes_per_s = SLOWER_BYTES_PER_S };
+static const struct keeper_net_options very_slow
+    = { .keepers = 3, .one_way_ms = 55, .bytes_per_s = SLOW_BYTES_PER_S };
 
 /* Creates keepers and waits until they are bootstrapped.  */
 static struct keeper_net *
