A keeper leaves a ballot the time that disks need

Cause: a ballot needs up to four writes of a majority's disks; the others started their own after fixed times, so that ballots outdated one another before any was complete.

Change: a keeper that has voted for another's ballot waits three of its own writes after each message of it, eight in all, before it starts one; a ballot's limit is eight writes at least. Why it works: the wait is as long as what it waits for, and ends with the value; the limit keeps a busy keeper from starving another.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -110,7 +110,8 @@
 start_attempt_if_needed (marjoram_keeper *keeper)
 {
   if (keeper->attempt.phase == MARJORAM_PHASE_IDLE
-      && keeper->now >= keeper->retry_at && attempt_needed (keeper))
+      && keeper->now >= keeper->retry_at && attempt_needed (keeper)
+      && !marjoram_keeper_must_defer (keeper))
     marjoram_keeper_start_attempt (keeper);
 }
 
@@ -380,6 +381,7 @@
                            uint64_t ticket, bool ok)
 {
   keeper->now = now;
+  keeper->write_ms = marjoram_keeper_write_age_ms (keeper, now);
   keeper->writing = false;
   if (ok)
     {
@@ -510,16 +512,26 @@
   return true;
 }
 
+static int64_t
+attempt_timeout_ms (const marjoram_keeper *keeper)
+{
+  int64_t writes_ms = MARJORAM_KEEPER_ATTEMPT_WRITES
+                      * marjoram_keeper_expected_write_ms (keeper);
+
+  return writes_ms > MARJORAM_KEEPER_ATTEMPT_TIMEOUT_MS
+             ? writes_ms
+             : MARJORAM_KEEPER_ATTEMPT_TIMEOUT_MS;
+}
+
 static void
 advance_attempt (marjoram_keeper *keeper)
 {
   if (keeper->attempt.phase == MARJORAM_PHASE_IDLE)
     {
-      if (recovery_due (keeper))
+      if (!marjoram_keeper_must_defer (keeper) && recovery_due (keeper))
         marjoram_keeper_start_attempt (keeper);
     }
-  else if (keeper->now
-           >= keeper->started_at + MARJORAM_KEEPER_ATTEMPT_TIMEOUT_MS)
+  else if (keeper->now >= keeper->started_at + attempt_timeout_ms (keeper))
     marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_TIMED_OUT);
   else if (keeper->now >= keeper->resend_at)
     marjoram_keeper_send_phase (keeper);
--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -143,6 +143,7 @@
   marjoram_value_retain (value);
   marjoram_value_release (keeper->previous_chosen);
   keeper->previous_chosen = keeper->chosen;
+  marjoram_keeper_rival_ended (keeper);
   keeper->chosen = value;
   keeper->chosen_ballot = *ballot;
   keeper->deliver_after = ++keeper->sequence;
@@ -178,6 +179,7 @@
     }
   if (marjoram_ballot_compare (&before, &acceptor->promised) != 0)
     keeper->sequence++;
+  marjoram_keeper_note_vote (keeper, envelope->slot);
   marjoram_keeper_send_when_durable (
       keeper, marjoram_keeper_envelope_create (
                   envelope->slot, envelope->store_id, MARJORAM_KEEPER_PROMISE,
@@ -203,6 +205,7 @@
     }
   if (!repeated)
     keeper->sequence++;
+  marjoram_keeper_note_vote (keeper, envelope->slot);
   marjoram_keeper_send_when_durable (
       keeper, marjoram_keeper_envelope_create (
                   envelope->slot, envelope->store_id, MARJORAM_KEEPER_ACCEPTED,
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -20,6 +20,13 @@
   MARJORAM_KEEPER_STATE_RESEND_MS = 2000,
   MARJORAM_KEEPER_RESEND_MS = 500,
   MARJORAM_KEEPER_ATTEMPT_TIMEOUT_MS = 10000,
+  /* An attempt takes up to four writes, as the promise and the acceptance may
+     each wait for a write in progress.  It is given twice that.  */
+  MARJORAM_KEEPER_ATTEMPT_WRITES = 8,
+  /* How many writes a keeper leaves to another's attempt after each message of
+     it, and in all.  */
+  MARJORAM_KEEPER_DEFER_WRITES = 3,
+  MARJORAM_KEEPER_DEFER_WRITES_MAX = 8,
   MARJORAM_KEEPER_BACKOFF_MS = 30,
   MARJORAM_KEEPER_BACKOFF_DOUBLINGS = 6,
   MARJORAM_KEEPER_RECOVERY_DELAY_MS = 1000,
@@ -85,6 +92,7 @@
   uint64_t durable;  /* of the latest durable change */
   bool writing;
   int64_t write_started_at;
+  int64_t write_ms;  /* duration of the last write */
   bool write_failed; /* the last write failed: memory is ahead of the disk */
   int64_t write_retry_at;
   bool rolled_back;   /* the store was restored from an older copy */
@@ -105,6 +113,9 @@
   int64_t started_at;
   int64_t resend_at;
   int64_t retry_at;
+  /* First and last vote for another keeper's current attempt; 0 if none.  */
+  int64_t rival_since;
+  int64_t rival_at;
   int64_t recover_at; /* 0 if there is no unfinished work */
   int64_t heartbeat_at;
 };
@@ -165,6 +176,14 @@
 /* A majority has confirmed the chosen state: answers the reads that were
    received before the attempt started.  */
 void marjoram_keeper_answer_reads (marjoram_keeper *keeper);
+/* keeper_defer.c: when an attempt is left to another keeper.  */
+/* The duration to expect of a write, in ms.  */
+int64_t marjoram_keeper_expected_write_ms (const marjoram_keeper *keeper);
+/* This keeper voted for a ballot of the keeper in SLOT.  */
+void marjoram_keeper_note_vote (marjoram_keeper *keeper, const char *slot);
+/* The attempt voted for has ended.  */
+void marjoram_keeper_rival_ended (marjoram_keeper *keeper);
+bool marjoram_keeper_must_defer (const marjoram_keeper *keeper);
 void marjoram_keeper_start_attempt (marjoram_keeper *keeper);
 void marjoram_keeper_fail_attempt (marjoram_keeper *keeper,
                                    enum marjoram_ballot_end end);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -42,6 +42,7 @@
   struct marjoram_keeper_request *request;
 
   marjoram_attempt_start (&keeper->attempt, &ballot);
+  marjoram_keeper_rival_ended (keeper);
   keeper->started_at = keeper->now;
   TAILQ_FOREACH (request, &keeper->requests, link)
   request->in_attempt = request->read;
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -16,7 +16,9 @@
   FRAME_HEADER = 5,
   ROUTE_MAX = 400,
   NAME_SIZE = 32,
-  FIRST_READ = 1 << 30 /* request numbers below are changes */
+  /* Request numbers below are changes of the file "routes".  */
+  FIRST_READ = 1 << 28,
+  FIRST_OWN = 1 << 29 /* changes of each keeper's own file */
 };
 
 struct packet
@@ -59,11 +61,13 @@
   int64_t now;
   uint64_t version;
   uint64_t reads;
+  uint64_t rounds; /* of keeper_net_change_all */
   int ballots[MARJORAM_BALLOT_END_COUNT];
   uint64_t bytes;
   uint64_t peak_queued;
   uint64_t answered; /* number of the last answered request */
   bool decided;
+  int accepted;       /* changes, since the last keeper_net_change_all */
   uint64_t confirmed; /* number of the last confirmation; 0 if none */
   int confirmed_by;
 };
@@ -136,8 +140,10 @@
   struct node *node = context;
 
   node->net->answered = request;
+  node->net->accepted += answer->outcome == MARJORAM_APPLY_DECIDED
+                         && answer->result == MARJORAM_CHANGE_ACCEPTED;
   node->net->decided = answer->outcome == MARJORAM_APPLY_DECIDED
-                       && (request >= FIRST_READ
+                       && (request > FIRST_READ
                            || answer->result == MARJORAM_CHANGE_ACCEPTED);
 }
 
@@ -364,6 +370,29 @@
   return wait_answer (net, net->version, limit_ms);
 }
 
+int64_t
+keeper_net_change_all (struct keeper_net *net, int64_t limit_ms)
+{
+  int64_t start = net->now;
+
+  net->accepted = 0;
+  net->rounds++;
+  for (int i = 0; i < net->options.keepers; i++)
+    {
+      char id[NAME_SIZE];
+      struct marjoram_file file
+          = { net->nodes[i].slot, net->rounds, NULL, (char *)"text" };
+
+      snprintf (id, sizeof id, "%s-%llu", net->nodes[i].slot,
+                (unsigned long long)net->rounds);
+      marjoram_keeper_apply (net->nodes[i].keeper, net->now, FIRST_OWN, id,
+                             &file);
+    }
+  while (net->accepted < net->options.keepers && net->now < start + limit_ms)
+    keeper_net_run (net, 1);
+  return net->accepted == net->options.keepers ? net->now - start : -1;
+}
+
 int64_t
 keeper_net_read (struct keeper_net *net, int at, int64_t limit_ms)
 {
--- a/test/lib_keeper_net.h
+++ b/test/lib_keeper_net.h
@@ -28,6 +28,9 @@
    within LIMIT_MS.  */
 int64_t keeper_net_change (struct keeper_net *net, int at, const char *text,
                            int64_t limit_ms);
+/* Changes a file of its own at every keeper at once and runs until all changes
+   are accepted.  Returns the time taken, or -1 after LIMIT_MS.  */
+int64_t keeper_net_change_all (struct keeper_net *net, int64_t limit_ms);
 /* Reads the state at keeper AT and runs until that is answered.  Returns the
    time taken, or -1 if it is not confirmed within LIMIT_MS.  */
 int64_t keeper_net_read (struct keeper_net *net, int at, int64_t limit_ms);
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -331,6 +331,49 @@
 }
 END_TEST
 
+/* Guards against keepers with slow disks that outdate one another's attempts
+   before any is completed.  */
+START_TEST (slow_disks_delay_decisions_but_do_not_prevent_them)
+{
+  static const int writes_ms[] = { 600, 1200, 2000 };
+
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      const struct keeper_net_options options = { .keepers = seed % 2 ? 3 : 5,
+                                                  .one_way_ms = 55,
+                                                  .write_ms = writes_ms[_i],
+                                                  .seed = seed };
+      struct keeper_net *net = create_bootstrapped (&options);
+
+      ck_assert_int_ge (change (net, 0, 10, -1), 0);
+      ck_assert_int_ge (change (net, 1, 10, 3), 0);
+      ck_assert (keeper_net_wait_agreement (net, WAIT_LIMIT_MS));
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
+/* Guards against a keeper that leaves every attempt to others and never gets
+   to its own change.  */
+START_TEST (changes_at_all_keepers_are_answered)
+{
+  static const int writes_ms[] = { 5, 200, 600 };
+
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      const struct keeper_net_options options = {
+        .keepers = 3, .one_way_ms = 55, .write_ms = writes_ms[_i], .seed = seed
+      };
+      struct keeper_net *net = create_bootstrapped (&options);
+
+      for (int i = 0; i < 5; i++)
+        ck_assert_int_ge (keeper_net_change_all (net, WAIT_LIMIT_MS), 0);
+      ck_assert (keeper_net_wait_agreement (net, WAIT_LIMIT_MS));
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -352,6 +395,9 @@
   tcase_add_test (c, a_late_keeper_learns_that_a_newer_state_was_chosen);
   tcase_add_test (c, a_minority_confirms_nothing);
   tcase_add_test (c, answers_to_an_earlier_round_do_not_count);
+  tcase_add_loop_test (c, slow_disks_delay_decisions_but_do_not_prevent_them,
+                       0, 3);
+  tcase_add_loop_test (c, changes_at_all_keepers_are_answered, 0, 3);
   suite_add_tcase (s, c);
   return s;
 }
