Reads of the configuration need no ballot and no disk

What callers saw: an operator's read, or an evacuation that begins with one, refused with 503 after 0.9 s while all keepers were in reach (gateway-path with 400 ms a sync).

Cause: a read ran a ballot, whose promises are written to disk, one or two writes of 0.8 s or more then, against a limit of 0.9 s.

Change: a read is answered by a round of confirmation, as leases on keys are: a majority says that it holds nothing newer than the chosen state. Where some keeper has accepted a newer value, or nobody answers in 0.3 s, it runs a ballot as before. Rounds are numbered, so that two can begin in one millisecond; a later round also serves the lease rounds. Why it is as strict: what a keeper has accepted only grows, and a newer state was accepted by a majority of the members, of which each majority that answers after the read holds one.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -30,21 +30,44 @@
     }
 }
 
-void
-marjoram_keeper_answer_reads (marjoram_keeper *keeper)
+/* Returns a read that the round of confirmation ROUND confirms or, if ROUND is
+   0, one that the attempt does; null if there is none.  */
+static struct marjoram_keeper_request *
+find_confirmed_read (marjoram_keeper *keeper, uint64_t round)
+{
+  struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (request->read
+      && (round > 0 ? request->after_round < round : request->in_attempt))
+    return request;
+  return NULL;
+}
+
+/* Searches from the start each time, since the owner may add and complete
+   requests when it gets an answer.  */
+static void
+answer_reads (marjoram_keeper *keeper, uint64_t round)
 {
   const struct marjoram_apply_answer response
       = { .outcome = MARJORAM_APPLY_DECIDED, .message = "confirmed" };
-  struct marjoram_keeper_request *request = TAILQ_FIRST (&keeper->requests);
+  struct marjoram_keeper_request *request;
 
-  while (request)
-    {
-      struct marjoram_keeper_request *next = TAILQ_NEXT (request, link);
+  while ((request = find_confirmed_read (keeper, round)) != NULL)
+    complete (keeper, request, &response);
+}
 
-      if (request->read && request->in_attempt)
-        complete (keeper, request, &response);
-      request = next;
-    }
+void
+marjoram_keeper_answer_attempt_reads (marjoram_keeper *keeper)
+{
+  answer_reads (keeper, 0);
+}
+
+void
+marjoram_keeper_answer_confirmed_reads (marjoram_keeper *keeper,
+                                        uint64_t round)
+{
+  answer_reads (keeper, round);
 }
 
 static void
@@ -98,8 +121,8 @@
   const struct marjoram_keeper_request *request;
 
   TAILQ_FOREACH (request, &keeper->requests, link)
-  if (request->read || request->file.name
-      || marjoram_keeper_ready_store (keeper, request)
+  if ((request->read && request->needs_ballot) || request->file.name
+      || (!request->read && marjoram_keeper_ready_store (keeper, request))
       || (keeper->chosen
           && marjoram_value_state (keeper->chosen)->next_members.count > 0))
     return true;
@@ -284,7 +307,8 @@
 marjoram_keeper_read (marjoram_keeper *keeper, int64_t now, uint64_t request)
 {
   keeper->now = now;
-  marjoram_keeper_requests_add_read (&keeper->requests, request, now);
+  marjoram_keeper_start_read (keeper, marjoram_keeper_requests_add_read (
+                                          &keeper->requests, request, now));
   marjoram_keeper_process_pending (keeper);
 }
 
@@ -545,6 +569,7 @@
   if (now >= keeper->heartbeat_at)
     marjoram_keeper_broadcast_heartbeat (keeper);
   marjoram_keeper_probe_busy_peers (keeper);
+  marjoram_keeper_tick_reads (keeper);
   expire_requests (keeper);
   advance_attempt (keeper);
   marjoram_keeper_process_pending (keeper);
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -108,12 +108,13 @@
                             const char *slot);
 /* Linearizable read: answered DECIDED once a majority has confirmed, after
    this call, that marjoram_keeper_chosen_state is the latest state; NOT_RUN on
-   timeout.  */
+   timeout.  Needs a ballot, and with it disks, only while a newer state is
+   accepted somewhere and not known to be chosen.  */
 void marjoram_keeper_read (marjoram_keeper *keeper, int64_t now,
                            uint64_t request);
-/* Asks the other keepers whether a newer state was chosen.  Cheaper than a
-   read, since it needs neither a ballot nor a disk.  Replaces the previous
-   call if that is not completed; there is no answer without a majority.  */
+/* Asks the other keepers whether a newer state was chosen.  Replaces the
+   previous round, also one of a read, if that is not completed; there is no
+   answer without a majority.  */
 void marjoram_keeper_confirm (marjoram_keeper *keeper, int64_t now);
 void marjoram_keeper_receive (marjoram_keeper *keeper, int64_t now,
                               const char *from,
--- a/src/keeper_admission.c
+++ b/src/keeper_admission.c
@@ -145,7 +145,8 @@
       = marjoram_keeper_chosen_state (admission->role->keeper);
   struct lease_waiter *waiter;
 
-  if (started_at != admission->round_at)
+  /* A read of the configuration may have started a later round instead.  */
+  if (started_at < admission->round_at)
     return;
   admission->in_round = false;
   if (state && number <= state->number)
--- a/src/keeper_confirm.c
+++ b/src/keeper_confirm.c
@@ -24,11 +24,11 @@
   size_t count;
 
   keeper->now = now;
-  /* The time identifies the round.  */
-  if (!keeper->chosen || now == confirm->started_at)
+  if (!keeper->chosen)
     return;
   marjoram_voters_clear (&confirm->votes);
   confirm->active = true;
+  confirm->round++;
   confirm->started_at = now;
   confirm->number = 0;
   count = marjoram_keeper_targets (keeper, targets);
@@ -38,7 +38,7 @@
           = marjoram_keeper_envelope_create (
               targets[i], NULL, MARJORAM_KEEPER_CONFIRM, NULL, NULL, NULL);
 
-      envelope->echo = now;
+      envelope->echo = (int64_t)confirm->round;
       marjoram_keeper_send_envelope (keeper, envelope);
     }
   marjoram_keeper_process_pending (keeper);
@@ -61,13 +61,51 @@
   marjoram_keeper_send_envelope (keeper, reply);
 }
 
+/* Whether there are reads received after round ROUND had started.  */
+static bool
+has_reads_after (const marjoram_keeper *keeper, uint64_t round)
+{
+  const struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (request->read && request->after_round >= round)
+    return true;
+  return false;
+}
+
+/* A newer value was accepted, which may or may not be chosen.  */
+static void
+require_ballots (marjoram_keeper *keeper, uint64_t round)
+{
+  struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (request->read && request->after_round < round)
+    request->needs_ballot = true;
+}
+
+/* The reads that arrived during the round need another one at once; those that
+   it left unanswered get theirs with the next tick.  */
+static void
+complete_reads (marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_confirm *confirm = &keeper->confirm;
+
+  if (confirm->number <= marjoram_value_number (keeper->chosen))
+    marjoram_keeper_answer_confirmed_reads (keeper, confirm->round);
+  else
+    require_ballots (keeper, confirm->round);
+  if (has_reads_after (keeper, confirm->round))
+    marjoram_keeper_confirm (keeper, keeper->now);
+}
+
 void
 marjoram_keeper_on_confirmed (marjoram_keeper *keeper,
                               const struct marjoram_keeper_envelope *envelope)
 {
   struct marjoram_keeper_confirm *confirm = &keeper->confirm;
 
-  if (!confirm->active || envelope->echo != confirm->started_at
+  if (!confirm->active || envelope->echo != (int64_t)confirm->round
       || !keeper->chosen)
     return;
   if (!marjoram_voters_find (&confirm->votes, envelope->slot))
@@ -78,6 +116,41 @@
                         marjoram_value_state (keeper->chosen)))
     return;
   confirm->active = false;
-  keeper->ops->confirmed (keeper->context, confirm->started_at,
-                          confirm->number);
+  if (keeper->ops->confirmed)
+    keeper->ops->confirmed (keeper->context, confirm->started_at,
+                            confirm->number);
+  complete_reads (keeper);
+}
+
+/* ---- Reads.  ---- */
+
+void
+marjoram_keeper_start_read (marjoram_keeper *keeper,
+                            struct marjoram_keeper_request *request)
+{
+  request->after_round = keeper->confirm.round;
+  request->needs_ballot = !keeper->chosen;
+  if (!keeper->confirm.active)
+    marjoram_keeper_confirm (keeper, keeper->now);
+}
+
+/* Repeats a round whose messages were lost.  An attempt also succeeds where a
+   value was accepted that nobody completes, and among keepers of an earlier
+   release, which do not answer a round.  */
+void
+marjoram_keeper_tick_reads (marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_confirm *confirm = &keeper->confirm;
+  struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (request->read
+      && keeper->now
+             >= request->received_at + MARJORAM_KEEPER_CONFIRM_ROUND_MS)
+    request->needs_ballot = true;
+  if (has_reads_after (keeper, 0)
+      && (!confirm->active
+          || keeper->now
+                 >= confirm->started_at + MARJORAM_KEEPER_CONFIRM_ROUND_MS))
+    marjoram_keeper_confirm (keeper, keeper->now);
 }
--- a/src/keeper_message.h
+++ b/src/keeper_message.h
@@ -44,7 +44,9 @@
   uint64_t seen_incarnation;
   uint64_t seen_writes;
   uint64_t number; /* of the latest chosen state delivered by the sender */
-  int64_t echo; /* sender's clock in ms; in a reply, that of the heartbeat */
+  /* HEARTBEAT: the sender's clock in ms; CONFIRM: the number of its round; in
+     a reply, that of the message replied to.  */
+  int64_t echo;
   struct marjoram_ballot ballot;
   struct marjoram_ballot accepted;
   marjoram_bytes *value; /* marjoram_state_layout, in ENCODING */
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -27,6 +27,9 @@
      it, and in all.  */
   MARJORAM_KEEPER_DEFER_WRITES = 3,
   MARJORAM_KEEPER_DEFER_WRITES_MAX = 8,
+  /* A round of confirmation is repeated after this, and a read that is not
+     confirmed by then also starts an attempt.  */
+  MARJORAM_KEEPER_CONFIRM_ROUND_MS = 300,
   MARJORAM_KEEPER_BACKOFF_MS = 30,
   MARJORAM_KEEPER_BACKOFF_DOUBLINGS = 6,
   MARJORAM_KEEPER_RECOVERY_DELAY_MS = 1000,
@@ -61,6 +64,7 @@
 struct marjoram_keeper_confirm
 {
   bool active;
+  uint64_t round; /* counts the rounds started */
   int64_t started_at;
   uint64_t number;             /* the highest in the answers */
   struct marjoram_array votes; /* keepers that have answered */
@@ -175,7 +179,15 @@
 
 /* A majority has confirmed the chosen state: answers the reads that were
    received before the attempt started.  */
-void marjoram_keeper_answer_reads (marjoram_keeper *keeper);
+void marjoram_keeper_answer_attempt_reads (marjoram_keeper *keeper);
+/* The same for the reads received before the round of confirmation ROUND
+   started.  */
+void marjoram_keeper_answer_confirmed_reads (marjoram_keeper *keeper,
+                                             uint64_t round);
+/* keeper_confirm.c: reads without a ballot.  */
+void marjoram_keeper_start_read (marjoram_keeper *keeper,
+                                 struct marjoram_keeper_request *request);
+void marjoram_keeper_tick_reads (marjoram_keeper *keeper);
 /* keeper_defer.c: when an attempt is left to another keeper.  */
 /* The duration to expect of a write, in ms.  */
 int64_t marjoram_keeper_expected_write_ms (const marjoram_keeper *keeper);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -244,7 +244,7 @@
   marjoram_value_release (value);
   stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED);
   keeper->retry_at = keeper->now + MARJORAM_KEEPER_BACKOFF_MS;
-  marjoram_keeper_answer_reads (keeper);
+  marjoram_keeper_answer_attempt_reads (keeper);
 }
 
 /* Peers are notified first: learning may release the values that name them. */
@@ -266,7 +266,7 @@
   keeper->failures = 0;
   marjoram_keeper_learn (keeper, &ballot, value);
   marjoram_value_release (value);
-  marjoram_keeper_answer_reads (keeper);
+  marjoram_keeper_answer_attempt_reads (keeper);
 }
 
 static bool
--- a/src/keeper_request.c
+++ b/src/keeper_request.c
@@ -47,7 +47,7 @@
   request->new = marjoram_strdup (new);
 }
 
-void
+struct marjoram_keeper_request *
 marjoram_keeper_requests_add_read (struct marjoram_keeper_requests *requests,
                                    uint64_t id, int64_t now)
 {
@@ -56,6 +56,7 @@
 
   request->deadline = now + MARJORAM_KEEPER_READ_TIMEOUT_MS;
   request->read = true;
+  return request;
 }
 
 static void
--- a/src/keeper_request.h
+++ b/src/keeper_request.h
@@ -11,7 +11,7 @@
 {
   MARJORAM_ANSWER_TEXT_MAX = 512,
   MARJORAM_KEEPER_APPLY_TIMEOUT_MS = 10000,
-  /* Allows for two round trips to the farthest keepers, with a disk sync in
+  /* Allows for two round trips to the farthest keepers, with a write in
      each.  */
   MARJORAM_KEEPER_READ_TIMEOUT_MS = 900,
   MARJORAM_KEEPER_REPLACE_TIMEOUT_MS = 20000
@@ -30,6 +30,8 @@
   bool sent;       /* part of a value that was proposed: may still be chosen */
   bool read;       /* a read: no file and no membership change */
   bool in_attempt; /* READ: received before the current attempt started */
+  bool needs_ballot;    /* READ: to be confirmed by an attempt too */
+  uint64_t after_round; /* READ: the last confirmation begun before it */
 };
 
 TAILQ_HEAD (marjoram_keeper_requests, marjoram_keeper_request);
@@ -38,7 +40,7 @@
 void marjoram_keeper_requests_add_file (
     struct marjoram_keeper_requests *requests, uint64_t request,
     const char *change_id, const struct marjoram_file *file, int64_t now);
-void
+struct marjoram_keeper_request *
 marjoram_keeper_requests_add_read (struct marjoram_keeper_requests *requests,
                                    uint64_t request, int64_t now);
 /* OLD is null to add a member.  */
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -374,6 +374,42 @@
 }
 END_TEST
 
+/* Guards against reads that fail because a disk is slow.  */
+START_TEST (reads_do_not_wait_for_disks)
+{
+  const struct keeper_net_options options
+      = { .keepers = 3, .one_way_ms = 55, .write_ms = 600 };
+  struct keeper_net *net = create_bootstrapped (&options);
+
+  for (int i = 0; i < options.keepers; i++)
+    {
+      int64_t elapsed_ms = keeper_net_read (net, i, WAIT_LIMIT_MS);
+
+      ck_assert_int_ge (elapsed_ms, 0);
+      ck_assert_int_le (elapsed_ms, 2 * options.one_way_ms + 10);
+    }
+  keeper_net_destroy (net);
+}
+END_TEST
+
+/* Guards against a keeper that missed a change and answers a read with its own
+   older state.  */
+START_TEST (reads_of_a_late_keeper_are_not_older)
+{
+  struct keeper_net *net = create_bootstrapped (&between_regions);
+  uint64_t number;
+
+  keeper_net_partition (net, 5, true);
+  ck_assert_int_ge (change (net, 0, 10, -1), 0);
+  number = keeper_net_state (net, 0)->number;
+  ck_assert_int_eq (keeper_net_read (net, 5, 3000), -1);
+  keeper_net_partition (net, 5, false);
+  ck_assert_int_ge (keeper_net_read (net, 5, 3000), 0);
+  ck_assert_uint_ge (keeper_net_state (net, 5)->number, number);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -398,6 +434,8 @@
   tcase_add_loop_test (c, slow_disks_delay_decisions_but_do_not_prevent_them,
                        0, 3);
   tcase_add_loop_test (c, changes_at_all_keepers_are_answered, 0, 3);
+  tcase_add_test (c, reads_do_not_wait_for_disks);
+  tcase_add_test (c, reads_of_a_late_keeper_are_not_older);
   suite_add_tcase (s, c);
   return s;
 }
