An operator's change is not refused while slow disks decide it

Cause: the keeper's limit of 0.9 s for an answer knew neither how long disks take nor that the keeper itself had stood still.

Change: the limit of a change, a read or an evacuation grows by eight writes as long as they take now, and every limit by the host's own receive lag. The keeper's own limit of 10 s still ends each. With fast disks and a running loop the limit is as before (undecided_order_is_unavailable is unchanged); a keeper that is cut off from the others has no slow writes and refuses as soon as before.

Tests, failing before (registrar.c as it was: status 503): order_waits_for_slow_disks, order_survives_a_stall_of_the_host.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -453,10 +453,12 @@
   while (request)
     {
       struct marjoram_keeper_request *next = TAILQ_NEXT (request, link);
+      int64_t writes_ms
+          = request->read ? marjoram_keeper_decision_ms (keeper) : 0;
       struct marjoram_apply_answer response;
       char text[MARJORAM_ANSWER_TEXT_MAX];
 
-      if (keeper->now >= request->deadline)
+      if (keeper->now >= request->deadline + writes_ms)
         {
           marjoram_keeper_request_expire (
               request, timeout_reason (keeper, request), &response, text);
@@ -539,8 +541,7 @@
 static int64_t
 attempt_timeout_ms (const marjoram_keeper *keeper)
 {
-  int64_t writes_ms = MARJORAM_KEEPER_ATTEMPT_WRITES
-                      * marjoram_keeper_expected_write_ms (keeper);
+  int64_t writes_ms = marjoram_keeper_decision_ms (keeper);
 
   return writes_ms > MARJORAM_KEEPER_ATTEMPT_TIMEOUT_MS
              ? writes_ms
--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -16,6 +16,13 @@
   return age_ms > keeper->write_ms ? age_ms : keeper->write_ms;
 }
 
+int64_t
+marjoram_keeper_decision_ms (const marjoram_keeper *keeper)
+{
+  return MARJORAM_KEEPER_ATTEMPT_WRITES
+         * marjoram_keeper_expected_write_ms (keeper);
+}
+
 void
 marjoram_keeper_note_vote (marjoram_keeper *keeper, const char *slot)
 {
--- a/src/keeper_request.h
+++ b/src/keeper_request.h
@@ -11,8 +11,8 @@
 {
   MARJORAM_ANSWER_TEXT_MAX = 512,
   MARJORAM_KEEPER_APPLY_TIMEOUT_MS = 10000,
-  /* Allows for two round trips to the farthest keepers, with a write in
-     each.  */
+  /* Allows for two round trips to the farthest keepers; the writes of slow
+     disks are added.  */
   MARJORAM_KEEPER_READ_TIMEOUT_MS = 900,
   MARJORAM_KEEPER_REPLACE_TIMEOUT_MS = 20000
 };
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -453,6 +453,18 @@
     }
 }
 
+static bool
+is_expired (const marjoram_registrar *registrar, int64_t now,
+            const struct marjoram_pending_request *pending)
+{
+  int64_t deadline
+      = pending->deadline + registrar->ops->lag_ms (registrar->context);
+
+  if (pending->kind != MARJORAM_PENDING_LEAVE)
+    deadline += registrar->ops->decision_ms (registrar->context);
+  return now >= deadline;
+}
+
 /* Completes expired requests.  Deregistrations succeed even if some hosts did
    not acknowledge in time; the outcome of operator commands is unknown and
    clients retry them.  */
@@ -465,7 +477,7 @@
   send_renewals (registrar, now);
   HASH_ITER (hh, registrar->pending, pending, next)
   {
-    if (now < pending->deadline)
+    if (!is_expired (registrar, now, pending))
       continue;
     marjoram_registrar_respond (registrar, pending->request_id,
                                 pending->kind == MARJORAM_PENDING_LEAVE
--- a/src/registrar.h
+++ b/src/registrar.h
@@ -28,6 +28,12 @@
   void (*read) (void *context, uint64_t request);
   /* The latest state known to be committed; NULL if none.  */
   const struct marjoram_state *(*state) (void *context);
+  /* How much longer than usual a decision may take, as disks are slow, in
+     ms.  */
+  int64_t (*decision_ms) (void *context);
+  /* This host's receive lag (own_receive_lag.h), in ms: answers that arrived
+     in time may not have been read yet.  */
+  int64_t (*lag_ms) (void *context);
 };
 
 struct marjoram_registrar_options
--- a/src/registrar_private.h
+++ b/src/registrar_private.h
@@ -13,7 +13,8 @@
   MARJORAM_STATUS_BAD_REQUEST = 400,
   MARJORAM_STATUS_NOT_FOUND = 404,
   MARJORAM_STATUS_UNAVAILABLE = 503,
-  /* Response deadline; clients try another keeper after a second.  */
+  /* Response deadline unless a decision is known to take longer; clients try
+     another keeper after a second.  */
   MARJORAM_RESPONSE_TIMEOUT_MS = 900
 };
 
--- a/test/test_registrar.c
+++ b/test/test_registrar.c
@@ -37,6 +37,8 @@
 static size_t connected_hosts;
 static uint64_t request; /* last apply or read request */
 static int reads;
+static int64_t decision_ms; /* of the register */
+static int64_t lag_ms;      /* of this host */
 static char change_id[MARJORAM_NAME_MAX + 1];
 static struct marjoram_file applied;
 
@@ -100,12 +102,29 @@
   return state;
 }
 
-static const struct marjoram_registrar_ops ops = { .respond = op_respond,
-                                                   .broadcast = op_broadcast,
-                                                   .renew = op_renew,
-                                                   .apply = op_apply,
-                                                   .read = op_read,
-                                                   .state = op_state };
+static int64_t
+op_decision_ms (void *context)
+{
+  (void)context;
+  return decision_ms;
+}
+
+static int64_t
+op_lag_ms (void *context)
+{
+  (void)context;
+  return lag_ms;
+}
+
+static const struct marjoram_registrar_ops ops
+    = { .respond = op_respond,
+        .broadcast = op_broadcast,
+        .renew = op_renew,
+        .apply = op_apply,
+        .read = op_read,
+        .state = op_state,
+        .decision_ms = op_decision_ms,
+        .lag_ms = op_lag_ms };
 
 static bool
 knows_zone (void *context, const char *zone)
@@ -127,6 +146,8 @@
   options.metrics = metrics = marjoram_metrics_create ();
   registrar = marjoram_registrar_create (&options, &ops, NULL);
   state = NULL;
+  decision_ms = 0;
+  lag_ms = 0;
   last_request_id = 0;
   batches_sent = 0;
   renewals = 0;
@@ -319,6 +340,34 @@
 }
 END_TEST
 
+/* Guards against refusing a change that slow disks decide a little later.  */
+START_TEST (order_waits_for_slow_disks)
+{
+  decision_ms = 4000;
+  send_request (0, "POST", "/-/config/replace", CONFIG ("7", "app"));
+  marjoram_registrar_tick (registrar, 4850);
+  ck_assert_int_eq (status, NONE);
+  complete_request (4860, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  ck_assert_int_eq (status, 200);
+  send_request (5000, "POST", "/-/config/replace", CONFIG ("8", "app"));
+  marjoram_registrar_tick (registrar, 9950);
+  ck_assert_int_eq (status, 503);
+}
+END_TEST
+
+/* Guards against counting the time for which this host stood still against an
+   answer that has already arrived.  */
+START_TEST (order_survives_a_stall_of_the_host)
+{
+  send_request (0, "POST", "/-/config/replace", CONFIG ("7", "app"));
+  lag_ms = 1200;
+  marjoram_registrar_tick (registrar, 1250);
+  ck_assert_int_eq (status, NONE);
+  complete_request (1260, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_ACCEPTED);
+  ck_assert_int_eq (status, 200);
+}
+END_TEST
+
 START_TEST (read_needs_a_majority)
 {
   send_request (0, "GET", "/-/config/read", "");
@@ -480,6 +529,8 @@
   tcase_add_test (c, outdated_versions_change_nothing);
   tcase_add_test (c, faulty_configuration_is_refused);
   tcase_add_test (c, undecided_order_is_unavailable);
+  tcase_add_test (c, order_waits_for_slow_disks);
+  tcase_add_test (c, order_survives_a_stall_of_the_host);
   tcase_add_test (c, read_needs_a_majority);
   tcase_add_test (c, concurrent_evacuations_both_apply);
   tcase_add_test (c, lookups);
