A start syncs the store and its folder only, and says what it waits for

Cause: five syncs one after another before the process serves anybody, 3.0 s at 600 ms.

Change: the marker of a used folder is synced with the first record instead of at the start. It guards records against a store that is missing, and a store without a record has made no promise, so nothing is lost that it could guard. Both kinds of host log the opening of the store and its time, zone hosts also slow writes.

Tests: opening_syncs_the_store_only and first_record_syncs_the_marker, which failed before ("store.new . in-use .").

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -405,11 +405,19 @@
 
   if (settings->keeper)
     {
+      int64_t started_at = marjoram_clock_now (daemon->clock);
+
+      /* The syncs of an opening block the process.  */
+      marjoram_log (MARJORAM_LOG_NOTICE, "opening the store in %s",
+                    settings->data_folder);
       daemon->disk = marjoram_disk_create (daemon->base, settings->data_folder,
                                            &marjoram_inbox_disk_ops,
                                            daemon->inbox, err);
       if (!daemon->disk)
         return false;
+      marjoram_log (
+          MARJORAM_LOG_NOTICE, "opened the store in %lld ms",
+          (long long)(marjoram_clock_now (daemon->clock) - started_at));
     }
   daemon->peer = marjoram_peer_create (
       daemon->base, settings, incarnation, daemon->counters,
--- a/src/host_peer.c
+++ b/src/host_peer.c
@@ -3,6 +3,11 @@
 #include "cleanup.h"
 #include "log.h"
 
+enum
+{
+  SLOW_WRITE_MS = 500
+};
+
 /* Sends all known upstreams to a host of this zone that was disconnected or
    has just started.  */
 static void
@@ -203,7 +208,16 @@
 marjoram_host_persisted (marjoram_host *host, int64_t now, uint64_t ticket,
                          bool ok)
 {
+  int64_t took_ms;
+
   host->now = now;
-  if (host->keeper)
-    marjoram_keeper_persisted (host->keeper, now, ticket, ok);
+  if (!host->keeper)
+    return;
+  took_ms = marjoram_keeper_write_age_ms (host->keeper, now);
+  if (took_ms >= SLOW_WRITE_MS)
+    marjoram_log (MARJORAM_LOG_WARNING,
+                  "a write to the data folder took %lld ms; see that its disk "
+                  "is fast enough",
+                  (long long)took_ms);
+  marjoram_keeper_persisted (host->keeper, now, ticket, ok);
 }
--- a/src/store.c
+++ b/src/store.c
@@ -73,6 +73,7 @@
 {
   char *folder;
   int folder_fd;
+  bool marker_synced;
   struct content content;
 };
 
@@ -305,16 +306,29 @@
          | randombytes_random ();
 }
 
+/* The marker is created after the store, so that a crash between the two
+   leaves no marker without a store.  */
 static bool
 create_marker (marjoram_store *store, struct marjoram_error *err)
 {
   auto_file int fd = openat (store->folder_fd, marker_name,
                              O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
 
-  if (fd < 0)
-    return io_error (store, "create", marker_name, err);
-  if (fsync (fd) != 0 || fsync (store->folder_fd) != 0)
+  return fd >= 0 || io_error (store, "create", marker_name, err);
+}
+
+/* Before the first record there is nothing to lose, so this is left to the
+   first write: the process stands still while it opens the store.  The sync of
+   the folder that ends each write covers the marker's name.  */
+static bool
+sync_marker (marjoram_store *store, struct marjoram_error *err)
+{
+  auto_file int fd = openat (store->folder_fd, marker_name,
+                             O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+
+  if (fd < 0 || fsync (fd) != 0)
     return io_error (store, "sync", marker_name, err);
+  store->marker_synced = true;
   return true;
 }
 
@@ -352,6 +366,8 @@
 {
   if (!open_folder (store, err) || !load_or_create (store, err))
     return false;
+  store->marker_synced
+      = store->content.record && file_exists (store, marker_name);
   store->content.incarnation = next_incarnation (store->content.incarnation);
   return save (store, &store->content, err) && create_marker (store, err);
 }
@@ -413,7 +429,8 @@
                                "the configuration files",
                                marjoram_bytes_size (record));
   next.record = (marjoram_bytes *)record;
-  if (!save (store, &next, err))
+  if ((!store->marker_synced && !sync_marker (store, err))
+      || !save (store, &next, err))
     return false;
   marjoram_bytes_release (store->content.record);
   store->content.record = marjoram_bytes_retain (next.record);
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 enum
@@ -19,6 +20,39 @@
 
 static char folder[PATH_SIZE];
 static struct marjoram_error err;
+static char synced[PATH_SIZE]; /* names of what was synced, in order */
+
+static void
+record_sync (int fd)
+{
+  char link[PATH_SIZE];
+  char target[2 * PATH_SIZE] = "";
+  const char *name;
+  size_t used = strlen (synced);
+
+  snprintf (link, sizeof link, "/proc/self/fd/%d", fd);
+  if (readlink (link, target, sizeof target - 1) < 0)
+    return;
+  name = strrchr (target, '/') + 1;
+  if (strcmp (target, folder) == 0)
+    name = ".";
+  snprintf (synced + used, sizeof synced - used, "%s ", name);
+}
+
+/* Replace those of the C library.  */
+int
+fsync (int fd)
+{
+  record_sync (fd);
+  return (int)syscall (SYS_fsync, fd);
+}
+
+int
+fdatasync (int fd)
+{
+  record_sync (fd);
+  return (int)syscall (SYS_fdatasync, fd);
+}
 
 static const char *
 path (const char *name)
@@ -35,6 +69,7 @@
   strcpy (folder, "/tmp/marjoram-store-XXXXXX");
   ck_assert_ptr_nonnull (mkdtemp (folder));
   memset (&err, 0, sizeof err);
+  synced[0] = 0;
 }
 
 static void
@@ -155,6 +190,39 @@
 }
 END_TEST
 
+/* Guards against a host that says nothing for seconds after its start, as it
+   syncs more than its store's file and folder.  */
+START_TEST (opening_syncs_the_store_only)
+{
+  marjoram_store *store = marjoram_store_open (folder, &err);
+
+  ck_assert_str_eq (synced, "store.new . ");
+  write_record (store, "the record");
+  marjoram_store_close (store);
+  synced[0] = 0;
+  marjoram_store_close (marjoram_store_open (folder, &err));
+  ck_assert_str_eq (synced, "store.new . ");
+}
+END_TEST
+
+/* Guards against a first record that is acknowledged while a power failure may
+   still take the marker, also after a start that wrote none.  */
+START_TEST (first_record_syncs_the_marker)
+{
+  marjoram_store *store;
+
+  marjoram_store_close (marjoram_store_open (folder, &err));
+  store = marjoram_store_open (folder, &err);
+  synced[0] = 0;
+  write_record (store, "the record");
+  ck_assert_str_eq (synced, "in-use store.new . ");
+  synced[0] = 0;
+  write_record (store, "the next");
+  ck_assert_str_eq (synced, "store.new . ");
+  marjoram_store_close (store);
+}
+END_TEST
+
 START_TEST (refuses_a_folder_whose_store_is_missing)
 {
   marjoram_store_close (marjoram_store_open (folder, &err));
@@ -266,6 +334,8 @@
   tcase_add_test (c, keeps_id_and_record_and_grows_incarnation);
   tcase_add_test (c, refuses_a_folder_in_use);
   tcase_add_test (c, detects_every_bit_flip_and_truncation);
+  tcase_add_test (c, opening_syncs_the_store_only);
+  tcase_add_test (c, first_record_syncs_the_marker);
   tcase_add_test (c, refuses_a_folder_whose_store_is_missing);
   tcase_add_test (c, keeps_the_earlier_record_when_a_write_is_interrupted);
   tcase_add_test (c, size_does_not_grow_with_writes);
