A request that waited in vain at an upstream spares the next ones the wait

Cause: a host reckons the wait from the mean of its own requests and a load report up to some two seconds old; long requests of its neighbours are in neither, and what a request that waited in vain had shown was not kept.

Change: the time that a request waited until its deadline is the least wait at that upstream while it is full, for 2 s or until a request is answered there, and until its next report it counts as full. Why it works: who can wait longer still may; who can't is refused at once or sent elsewhere; a free slot in the next report lifts it.

Test: no_request_waits_where_one_waited_in_vain, which failed before.

--- a/src/chooser.c
+++ b/src/chooser.c
@@ -153,8 +153,33 @@
       chooser, marjoram_pools_get (chooser->pools, query->work), query, false);
 }
 
+/* Returns true if a request has waited there in vain since the last report,
+   which then came before the upstream was full.  */
+static bool
+waited_since_report (const struct marjoram_upstream *upstream, int64_t now)
+{
+  return marjoram_upstream_least_wait_ms (upstream, now) > 0
+         && upstream->waited_at >= upstream->reported;
+}
+
+/* The wait for a slot of a full upstream.  The mean is of this host's own
+   requests; those of other hosts may be much longer, which shows only when
+   requests wait in vain.  */
+static double
+slot_wait_ms (const struct marjoram_pool *pool,
+              const struct marjoram_candidate *candidate, double load,
+              int64_t now)
+{
+  double slots = slot_count (candidate->upstream);
+  double expected_ms = (load - slots + 1) / slots * pool->mean_ms
+                       * candidate->latency->factor;
+
+  return fmax (expected_ms, (double)marjoram_upstream_least_wait_ms (
+                                candidate->upstream, now));
+}
+
 static void
-estimate_candidate (const marjoram_chooser *chooser,
+estimate_candidate (const marjoram_chooser *chooser, int64_t now,
                     const struct marjoram_pool *pool,
                     const struct marjoram_candidate *candidate,
                     const struct marjoram_query *query, bool cached,
@@ -170,10 +195,9 @@
 
   pick->upstream = upstream;
   pick->cached = cached;
-  pick->has_free_slot = load < slots;
-  pick->wait_ms = pick->has_free_slot
-                      ? 0
-                      : (load - slots + 1) / slots * pool->mean_ms * factor;
+  pick->has_free_slot = load < slots && !waited_since_report (upstream, now);
+  pick->wait_ms
+      = pick->has_free_slot ? 0 : slot_wait_ms (pool, candidate, load, now);
   pick->total_ms = pick->wait_ms
                    + unloaded_ms (chooser, pool, query, cached)
                          * (1 + BATCH_SLOWDOWN * fill) * factor;
@@ -244,8 +268,8 @@
 
   if (!is_usable (selection, candidate->upstream))
     return;
-  estimate_candidate (selection->chooser, selection->pool, candidate,
-                      selection->query, cached, &pick);
+  estimate_candidate (selection->chooser, selection->now, selection->pool,
+                      candidate, selection->query, cached, &pick);
   cost = pick.cost
          * (1 + slow_start_penalty (candidate->upstream, selection->now));
   if (!is_better (selection, &pick, cost))
@@ -397,8 +421,8 @@
       capacity->load += load;
       capacity->free += fmax (0, slots - load);
       capacity->wait_ms = fmin (
-          capacity->wait_ms, fmax (0, load - slots + 1) / slots * pool->mean_ms
-                                 * candidate->latency->factor);
+          capacity->wait_ms,
+          load < slots ? 0 : slot_wait_ms (pool, candidate, load, now));
     }
   capacity->factor
       = capacity->upstreams ? capacity->factor / capacity->upstreams : 1;
@@ -479,8 +503,8 @@
   selection.suspect = is_suspect (chooser, now, query);
   for (int i = 0; i < pool->count; i++)
     {
-      estimate_candidate (chooser, pool, &pool->candidates[i], query, false,
-                          &pick);
+      estimate_candidate (chooser, now, pool, &pool->candidates[i], query,
+                          false, &pick);
       visit (context, &pick, is_usable (&selection, pick.upstream));
     }
 }
--- a/src/member.c
+++ b/src/member.c
@@ -12,6 +12,9 @@
   /* Retention of expired upstreams, so that delayed announcements are
      recognized as stale.  */
   EXPIRED_RETENTION_MS = 10 * 60 * 1000,
+  /* How long a request that waited in vain keeps others from waiting as
+     long: after this one is tried again.  */
+  WAITED_VALID_MS = 2000,
   EJECT_FAILURES = 3,
   EJECT_MS = 2000,
   EJECT_DOUBLINGS = 5,
@@ -369,6 +372,25 @@
   member->view.started++;
 }
 
+void
+marjoram_members_request_waited (marjoram_members *members, int64_t now,
+                                 const char *name, int64_t waited_ms)
+{
+  struct member *member = find_member (members, name);
+
+  if (!member)
+    return;
+  member->view.waited_ms = waited_ms;
+  member->view.waited_at = now;
+}
+
+int64_t
+marjoram_upstream_least_wait_ms (const struct marjoram_upstream *upstream,
+                                 int64_t now)
+{
+  return now < upstream->waited_at + WAITED_VALID_MS ? upstream->waited_ms : 0;
+}
+
 void
 marjoram_members_request_ended (marjoram_members *members, int64_t now,
                                 const char *name, bool failed)
@@ -383,6 +405,7 @@
   if (!failed)
     {
       member->view.failures = 0;
+      member->view.waited_ms = 0;
       return;
     }
   member->view.failures++;
--- a/src/member.h
+++ b/src/member.h
@@ -70,7 +70,10 @@
   unsigned failures;  /* consecutive */
   unsigned ejections; /* since it last restarted or returned */
   int64_t ejected_until;
-  bool dead; /* detected as dead, and no announcement since */
+  bool dead;         /* detected as dead, and no announcement since */
+  int64_t waited_ms; /* how long a request of this host last waited there in
+                        vain, until its deadline; 0 if none */
+  int64_t waited_at; /* end of that wait */
 };
 
 marjoram_members *marjoram_members_create (const char *zone, int self);
@@ -110,6 +113,15 @@
 marjoram_members_at (const marjoram_members *members, size_t index);
 void marjoram_members_request_started (marjoram_members *members,
                                        const char *name);
+/* A request waited at the upstream for WAITED_MS until its deadline without
+   being answered.  */
+void marjoram_members_request_waited (marjoram_members *members, int64_t now,
+                                      const char *name, int64_t waited_ms);
+/* How long a request must be expected to wait for a slot at a full UPSTREAM
+   after others have waited in vain, in ms; 0 if none has lately.  */
+int64_t
+marjoram_upstream_least_wait_ms (const struct marjoram_upstream *upstream,
+                                 int64_t now);
 void marjoram_members_request_ended (marjoram_members *members, int64_t now,
                                      const char *name, bool failed);
 /* Ejects the upstream for a time that doubles with each ejection.  Returns
--- a/src/request.c
+++ b/src/request.c
@@ -184,9 +184,15 @@
                  && request->state != MARJORAM_REQUEST_WAITING
                  && request->state != MARJORAM_REQUEST_RESERVING;
 
+  bool local = request->state == MARJORAM_REQUEST_LOCAL && request->attempt;
+
   if (request->call->idempotent || !running)
     {
       marjoram_attempt_cancel (host, now, request);
+      /* Last, as the end of an attempt makes room.  */
+      if (local)
+        marjoram_members_request_waited (host->members, now, request->upstream,
+                                         now - request->attempt_started);
       marjoram_request_refuse (host, now, request,
                                running ? MARJORAM_OUTCOME_UNKNOWN
                                        : MARJORAM_OUTCOME_NOT_RUN,
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -251,6 +251,33 @@
 }
 END_TEST
 
+/* Guards against letting request after request wait at a full upstream until
+   its deadline: after the first the others must be refused at once.  */
+START_TEST (no_request_waits_where_one_waited_in_vain)
+{
+  enum
+  {
+    SLOTS = 8,
+    SHORT_MS = 400
+  };
+  uint64_t call;
+
+  announce_upstream (0, "u", 9000);
+  for (int i = 0; i < SLOTS; i++)
+    send_request (0, "free", NULL, false);
+  call = test_send (hosts, 0, "free", "body", NULL, false, SHORT_MS);
+  test_advance_clock (hosts, SHORT_MS + 50);
+  expect_refusal (call, MARJORAM_OUTCOME_UNKNOWN, MARJORAM_REASON_DEADLINE);
+  call = test_send (hosts, 0, "free", "body", NULL, false, SHORT_MS);
+  expect_refusal (call, MARJORAM_OUTCOME_NOT_RUN, MARJORAM_REASON_OVERLOAD);
+  call = send_request (0, "free", NULL, false);
+  ck_assert (!test_reply (hosts, call)->refused);
+  test_answer (hosts, test_run (hosts, 0), "answer");
+  call = test_send (hosts, 0, "free", "body", NULL, false, SHORT_MS);
+  ck_assert (!test_reply (hosts, call)->refused);
+}
+END_TEST
+
 /* Only another zone runs the model.  Requests beyond that zone's offered
    capacity must queue there instead of being refused.  */
 START_TEST (work_without_local_upstream_queues_remotely)
@@ -880,6 +907,7 @@
   tcase_add_test (c, receiver_does_not_forward);
   tcase_add_test (c, renewals_extend_lease_at_all_hosts);
   tcase_add_loop_test (c, short_lease_holds_at_all_hosts, 0, 4);
+  tcase_add_test (c, no_request_waits_where_one_waited_in_vain);
   tcase_add_test (c, work_without_local_upstream_queues_remotely);
   tcase_add_test (c, receiver_does_not_retry);
   tcase_add_test (c, incomplete_answer_is_rejected);
