Test of reads: a late keeper is asked before it has caught up

The mutant keeper-read-ignores-newer survived: the read that failed under the partition had left a ballot behind, by which the keeper caught up. That read is a test of its own now.

--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -392,6 +392,17 @@
 }
 END_TEST
 
+/* Guards against a read at a keeper without a majority.  */
+START_TEST (a_minority_answers_no_read)
+{
+  struct keeper_net *net = create_bootstrapped (&between_regions);
+
+  keeper_net_partition (net, 5, true);
+  ck_assert_int_eq (keeper_net_read (net, 5, 3000), -1);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against a keeper that missed a change and answers a read with its own
    older state.  */
 START_TEST (reads_of_a_late_keeper_are_not_older)
@@ -402,7 +413,6 @@
   keeper_net_partition (net, 5, true);
   ck_assert_int_ge (change (net, 0, 10, -1), 0);
   number = keeper_net_state (net, 0)->number;
-  ck_assert_int_eq (keeper_net_read (net, 5, 3000), -1);
   keeper_net_partition (net, 5, false);
   ck_assert_int_ge (keeper_net_read (net, 5, 3000), 0);
   ck_assert_uint_ge (keeper_net_state (net, 5)->number, number);
@@ -435,6 +445,7 @@
                        0, 3);
   tcase_add_loop_test (c, changes_at_all_keepers_are_answered, 0, 3);
   tcase_add_test (c, reads_do_not_wait_for_disks);
+  tcase_add_test (c, a_minority_answers_no_read);
   tcase_add_test (c, reads_of_a_late_keeper_are_not_older);
   suite_add_tcase (s, c);
   return s;
