A host that stood still reads renewals before it drops leases

What callers saw: 503 no-upstream right after a pause of their host, while upstreams renew their leases (scenario leaving beside pauses of 1.2 s).

Cause: the first event after a pause compares leases with the clock, before the renewals that arrived meanwhile are read.

Change: a gap of 300 ms between two events is a stall; leases that were valid before it go on for 0.5 s, at most until twice what the last renewal granted.

Tests: stalled_host_knows_its_upstreams, lease_outlives_a_stall_of_the_host_for_a_moment; the first fails with the mutant host-drops-leases-in-a-stall.

--- a/src/host.c
+++ b/src/host.c
@@ -9,6 +9,9 @@
 enum
 {
   SUSPECT_RETENTION_MS = 3600000,
+  /* Between two events, of which ticks are some; the event loop stood still
+     then.  */
+  STALL_MIN_MS = 300,
   OFFER_INTERVAL_MS = 1000
 };
 
@@ -159,9 +162,23 @@
   host->ops->drained (host->context);
 }
 
+void
+marjoram_host_note_time (marjoram_host *host, int64_t now)
+{
+  int64_t before = host->noted_at;
+
+  host->noted_at = now;
+  if (before == 0 || now - before < STALL_MIN_MS)
+    return;
+  marjoram_log (MARJORAM_LOG_WARNING, "stood still for %lld ms",
+                (long long)(now - before));
+  marjoram_members_stalled (host->members, before, now);
+}
+
 void
 marjoram_host_tick (marjoram_host *host, int64_t now, int64_t wall)
 {
+  marjoram_host_note_time (host, now);
   host->now = now;
   host->wall_offset = wall - now;
   marjoram_members_tick (host->members, now, upstream_expired, host);
--- a/src/host_state.h
+++ b/src/host_state.h
@@ -112,6 +112,7 @@
   struct marjoram_requests *requests;
   struct marjoram_sender *senders;
   struct marjoram_renewed *renewed;
+  int64_t noted_at; /* last event; 0 before any */
   int64_t renewals_sent;
   int64_t renewals_due;             /* of the next batch, if RENEWED has any */
   struct marjoram_relayed *relayed; /* apply requests forwarded to a keeper */
--- a/src/inbox.c
+++ b/src/inbox.c
@@ -102,6 +102,16 @@
   return event;
 }
 
+/* The time of an event that the host is about to get.  */
+static int64_t
+event_time (const marjoram_inbox *inbox)
+{
+  int64_t now = marjoram_inbox_now (inbox);
+
+  marjoram_host_note_time (inbox->host, now);
+  return now;
+}
+
 /* Defines deliver_NAME, which runs BODY with HOST, NOW and EVENT, and the
    operations NAME_message.  */
 #define DELIVER(name, body)                                                   \
@@ -111,7 +121,7 @@
     struct event_message *event = (struct event_message *)message;            \
     const marjoram_inbox *inbox = context;                                    \
     marjoram_host *host = inbox->host;                                        \
-    int64_t now = marjoram_inbox_now (inbox);                                 \
+    int64_t now = event_time (inbox);                                         \
                                                                               \
     body;                                                                     \
   }                                                                           \
@@ -146,7 +156,7 @@
 {
   const marjoram_inbox *inbox = context;
 
-  return marjoram_host_announce (inbox->host, marjoram_inbox_now (inbox),
+  return marjoram_host_announce (inbox->host, event_time (inbox),
                                  announcement);
 }
 
--- a/src/member.c
+++ b/src/member.c
@@ -12,6 +12,9 @@
   /* Retention of expired upstreams, so that delayed announcements are
      recognized as stale.  */
   EXPIRED_RETENTION_MS = 10 * 60 * 1000,
+  /* Time for an upstream that stood still as well to renew its lease, and for
+     the host that it announces itself to to pass that on.  */
+  STALL_GRACE_MS = 500,
   /* How long a request that waited in vain keeps others from waiting as
      long: after this one is tried again.  */
   WAITED_VALID_MS = 2000,
@@ -301,6 +304,7 @@
   else
     member = add_member (members, now, announcement);
   member->view.expires = now + lease_duration (announcement, from_peer);
+  member->view.lease_end = member->view.expires;
   member->view.reported = now;
   member->view.started = 0;
   member->view.finished = 0;
@@ -495,6 +499,27 @@
     }
 }
 
+static void
+extend_lease (struct marjoram_upstream *upstream, int64_t now)
+{
+  int64_t granted_ms = upstream->lease_end - upstream->reported;
+  int64_t end = now + STALL_GRACE_MS;
+
+  if (end > upstream->lease_end + granted_ms)
+    end = upstream->lease_end + granted_ms;
+  if (end > upstream->expires)
+    upstream->expires = end;
+}
+
+void
+marjoram_members_stalled (marjoram_members *members, int64_t before,
+                          int64_t now)
+{
+  for (size_t i = 0; i < members->count; i++)
+    if (members->list[i]->view.expires > before)
+      extend_lease (&members->list[i]->view, now);
+}
+
 void
 marjoram_members_record_heartbeat (marjoram_members *members, int64_t now,
                                    int ordinal, uint64_t incarnation,
--- a/src/member.h
+++ b/src/member.h
@@ -62,6 +62,7 @@
 {
   const struct marjoram_announcement *announcement;
   int64_t expires;    /* end of the lease by this host's clock */
+  int64_t lease_end;  /* the same without the time added after a stall */
   int64_t since;      /* time of its first announcement, or of its return */
   int64_t reported;   /* time of the last load report */
   unsigned in_flight; /* requests of this host there */
@@ -134,6 +135,11 @@
    announced.  */
 void marjoram_members_mark_dead (marjoram_members *members, int64_t now,
                                  const char *name);
+/* This host stood still from BEFORE to NOW: leases that ended meanwhile go on
+   for a moment, at most twice as long as granted, in which renewals that
+   arrived are read.  */
+void marjoram_members_stalled (marjoram_members *members, int64_t before,
+                               int64_t now);
 typedef void
 marjoram_members_expired (void *context, int64_t now,
                           const struct marjoram_upstream *upstream);
--- a/test/lib_hosts.c
+++ b/test/lib_hosts.c
@@ -484,6 +484,14 @@
     }
 }
 
+void
+test_stall (struct test_hosts *hosts, int64_t msec)
+{
+  hosts->now += msec;
+  for (int i = 0; i < hosts->count; i++)
+    marjoram_host_note_time (hosts->nodes[i].host, hosts->now);
+}
+
 void
 test_cut (struct test_hosts *hosts, int a, int b, bool cut)
 {
--- a/test/lib_hosts.h
+++ b/test/lib_hosts.h
@@ -91,6 +91,8 @@
 void test_deliver (struct test_hosts *hosts);
 /* Advances the clock in steps of 50 ms, delivering frames after each.  */
 void test_advance_clock (struct test_hosts *hosts, int64_t msec);
+/* Advances the clock by MSEC at once: no host ticks meanwhile.  */
+void test_stall (struct test_hosts *hosts, int64_t msec);
 /* Disconnects hosts A and B if CUT: their sessions break and frames between
    them are dropped.  Otherwise reconnects them.  */
 void test_cut (struct test_hosts *hosts, int a, int b, bool cut);
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -251,6 +251,20 @@
 }
 END_TEST
 
+/* Guards against refusing what arrives right after this host stood still,
+   before the renewals that arrived meanwhile are read.  */
+START_TEST (stalled_host_knows_its_upstreams)
+{
+  uint64_t call;
+
+  test_announce_lease (hosts, 0, "u", "a", 9000, 1500);
+  test_advance_clock (hosts, 400);
+  test_stall (hosts, 1300);
+  call = send_request (1, "free", NULL, false);
+  ck_assert (!test_reply (hosts, call)->refused);
+}
+END_TEST
+
 /* Guards against letting request after request wait at a full upstream until
    its deadline: after the first the others must be refused at once.  */
 START_TEST (no_request_waits_where_one_waited_in_vain)
@@ -907,6 +921,7 @@
   tcase_add_test (c, receiver_does_not_forward);
   tcase_add_test (c, renewals_extend_lease_at_all_hosts);
   tcase_add_loop_test (c, short_lease_holds_at_all_hosts, 0, 4);
+  tcase_add_test (c, stalled_host_knows_its_upstreams);
   tcase_add_test (c, no_request_waits_where_one_waited_in_vain);
   tcase_add_test (c, work_without_local_upstream_queues_remotely);
   tcase_add_test (c, receiver_does_not_retry);
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -111,6 +111,23 @@
 }
 END_TEST
 
+/* Guards against taking an upstream for silent because this host stood still,
+   and against keeping a silent one for more than twice its lease.  */
+START_TEST (lease_outlives_a_stall_of_the_host_for_a_moment)
+{
+  announce (0, 1, 1);
+  marjoram_members_stalled (members, LEASE_MS - 400, LEASE_MS + 300);
+  ck_assert (usable (members, LEASE_MS + 300, "lm-1"));
+  ck_assert (!usable (members, LEASE_MS + 900, "lm-1"));
+  marjoram_members_stalled (members, LEASE_MS + 900, LEASE_MS + 1200);
+  ck_assert (!usable (members, LEASE_MS + 1200, "lm-1"));
+  announce (2 * LEASE_MS, 1, 2);
+  for (int64_t now = 2 * LEASE_MS; now < 4 * LEASE_MS; now += LEASE_MS / 2)
+    marjoram_members_stalled (members, now, now + LEASE_MS / 2);
+  ck_assert (!usable (members, 4 * LEASE_MS, "lm-1"));
+}
+END_TEST
+
 static void
 count_expired (void *context, int64_t now,
                const struct marjoram_upstream *upstream)
@@ -281,6 +298,7 @@
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, orders_announcements);
   tcase_add_test (c, repeated_announcement_does_not_extend_lease);
+  tcase_add_test (c, lease_outlives_a_stall_of_the_host_for_a_moment);
   tcase_add_test (c, expiry_is_reported_once);
   tcase_add_test (c, leave_overrides_late_renewal);
   tcase_add_test (c, leave_during_partition);
