One constant for stalls; a read's round of confirmation has 0.4 s

The zone's hosts and keepers named the same limit twice; it stands in clock.h now. A read repeated its round after 0.3 s, sooner than the rounds for leases, so that it would have replaced one of theirs that takes 0.3 to 0.4 s. The line of an expired lease gives what the renewal left without the time added in a stall.

--- a/src/clock.h
+++ b/src/clock.h
@@ -7,6 +7,13 @@
 #include <sys/time.h>
 #include <time.h>
 
+enum
+{
+  /* An event loop that is not ticked for this long has stalled; ticks are at
+     most 100 ms apart.  */
+  MARJORAM_STALL_MIN_MS = 300
+};
+
 struct marjoram_clock;
 
 struct marjoram_clock_ops
--- a/src/host.c
+++ b/src/host.c
@@ -1,6 +1,7 @@
 #include "host_state.h"
 
 #include "cleanup.h"
+#include "clock.h"
 #include "log.h"
 
 #include <stdio.h>
@@ -9,9 +10,6 @@
 enum
 {
   SUSPECT_RETENTION_MS = 3600000,
-  /* Between two events, of which ticks are some; the event loop stood still
-     then.  */
-  STALL_MIN_MS = 300,
   OFFER_INTERVAL_MS = 1000
 };
 
@@ -97,7 +95,7 @@
                 "which left it %lld ms",
                 upstream->announcement->name,
                 (long long)(now - upstream->reported),
-                (long long)(upstream->expires - upstream->reported));
+                (long long)(upstream->lease_end - upstream->reported));
 }
 
 /* Sends SLOT the capacity that this zone offers to its zone and the usage of
@@ -168,9 +166,9 @@
   int64_t before = host->noted_at;
 
   host->noted_at = now;
-  if (before == 0 || now - before < STALL_MIN_MS)
+  if (before == 0 || now - before < MARJORAM_STALL_MIN_MS)
     return;
-  marjoram_log (MARJORAM_LOG_WARNING, "stood still for %lld ms",
+  marjoram_log (MARJORAM_LOG_WARNING, "the event loop stood still for %lld ms",
                 (long long)(now - before));
   marjoram_members_stalled (host->members, before, now);
 }
--- a/src/host.h
+++ b/src/host.h
@@ -194,8 +194,8 @@
 
 void marjoram_host_persisted (marjoram_host *host, int64_t now,
                               uint64_t ticket, bool ok);
-/* An event is about to be processed.  Detects that the event loop stood still
-   before it.  */
+/* An event is about to be processed.  Detects a stall of the event loop before
+   it.  */
 void marjoram_host_note_time (marjoram_host *host, int64_t now);
 /* Must be called at least every 100 ms.  */
 void marjoram_host_tick (marjoram_host *host, int64_t now, int64_t wall);
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -1,6 +1,7 @@
 #include "keeper_private.h"
 
 #include "cleanup.h"
+#include "clock.h"
 
 #include <string.h>
 
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -124,13 +124,6 @@
 /* A host reported a configuration with this number: a keeper with an empty
    disk then never takes part in bootstrapping.  */
 void marjoram_keeper_observe_number (marjoram_keeper *keeper, uint64_t number);
-enum
-{
-  /* The event loop of a keeper that is not ticked for this long stood
-     still.  */
-  MARJORAM_STALL_MIN_MS = 300
-};
-
 /* To be called at least every 100 ms.  */
 void marjoram_keeper_tick (marjoram_keeper *keeper, int64_t now);
 /* How long the write in progress has taken, in ms; 0 if there is none.  */
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -29,7 +29,7 @@
   MARJORAM_KEEPER_DEFER_WRITES_MAX = 8,
   /* A round of confirmation is repeated after this, and a read that is not
      confirmed by then also starts an attempt.  */
-  MARJORAM_KEEPER_CONFIRM_ROUND_MS = 300,
+  MARJORAM_KEEPER_CONFIRM_ROUND_MS = 400,
   MARJORAM_KEEPER_BACKOFF_MS = 30,
   MARJORAM_KEEPER_BACKOFF_DOUBLINGS = 6,
   MARJORAM_KEEPER_RECOVERY_DELAY_MS = 1000,
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -1,6 +1,7 @@
 #include "registrar_private.h"
 
 #include "cleanup.h"
+#include "clock.h"
 #include "event_log.h"
 
 #include <inttypes.h>
