--- a/test/test_host.c
+++ b/test/test_host.c
@@ -219,9 +219,9 @@
    upstream renews it in time, every second renewal late by a third of it.  */
 START_TEST (short_lease_holds_at_all_hosts)
 {
-  static const int leases[]
+  static const int64_t leases[]
       = { MARJORAM_LEASE_MIN_MS, 1500, 3000, MARJORAM_LEASE_MAX_MS };
-  const int lease_ms = leases[_i];
+  const int64_t lease_ms = leases[_i];
   int64_t due = test_now (hosts);
   int64_t end = due + 8 * lease_ms;
   int64_t step_ms = lease_ms / 20;
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -115,16 +115,19 @@
    and against keeping a silent one for more than twice its lease.  */
 START_TEST (lease_outlives_a_stall_of_the_host_for_a_moment)
 {
+  const int64_t lease_ms = LEASE_MS;
+  int64_t now = 2 * lease_ms;
+
   announce (0, 1, 1);
-  marjoram_members_stalled (members, LEASE_MS - 400, LEASE_MS + 300);
-  ck_assert (usable (members, LEASE_MS + 300, "lm-1"));
-  ck_assert (!usable (members, LEASE_MS + 900, "lm-1"));
-  marjoram_members_stalled (members, LEASE_MS + 900, LEASE_MS + 1200);
-  ck_assert (!usable (members, LEASE_MS + 1200, "lm-1"));
-  announce (2 * LEASE_MS, 1, 2);
-  for (int64_t now = 2 * LEASE_MS; now < 4 * LEASE_MS; now += LEASE_MS / 2)
-    marjoram_members_stalled (members, now, now + LEASE_MS / 2);
-  ck_assert (!usable (members, 4 * LEASE_MS, "lm-1"));
+  marjoram_members_stalled (members, lease_ms - 400, lease_ms + 300);
+  ck_assert (usable (members, lease_ms + 300, "lm-1"));
+  ck_assert (!usable (members, lease_ms + 900, "lm-1"));
+  marjoram_members_stalled (members, lease_ms + 900, lease_ms + 1200);
+  ck_assert (!usable (members, lease_ms + 1200, "lm-1"));
+  announce (now, 1, 2);
+  for (; now < 4 * lease_ms; now += lease_ms / 2)
+    marjoram_members_stalled (members, now, now + lease_ms / 2);
+  ck_assert (!usable (members, now, "lm-1"));
 }
 END_TEST
 
