A restarted upstream's 404 does not prove that a request did not run

What callers saw: not-run (upstream-silent) for a request that had run, so that a caller may send it again.

Cause: a host that gets no byte for 2 s asks for the answer by the request's id and believes a 404 of whatever process answers; one that restarted knows nothing of what ran before.

Change: an attempt remembers the upstream's incarnation, and the 404 counts only while the upstream is known by it. Why it works: the upstream announces its new incarnation when it starts, long before 2 s have passed; one that restarts just before it is asked is still believed (docs/PROOFS.md).

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -92,6 +92,7 @@
   snprintf (request->address, sizeof request->address, "%s",
             upstream->announcement->address);
   request->can_resume = upstream->announcement->engine;
+  request->upstream_incarnation = upstream->announcement->incarnation;
   marjoram_members_request_started (host->members, request->upstream);
   marjoram_suspects_started (host->suspects, now, request->upstream,
                              request->digest);
--- a/src/host_upstream.c
+++ b/src/host_upstream.c
@@ -133,6 +133,20 @@
   host->ops->probe (host->context, request->upstream, request->address);
 }
 
+/* Whether the upstream is still the process that the request was sent to.  One
+   that restarted does not know what ran before.  */
+static bool
+runs_since_start (const marjoram_host *host,
+                  const struct marjoram_request *request)
+{
+  const struct marjoram_upstream *upstream
+      = marjoram_members_get (host->members, request->upstream);
+
+  return upstream
+         && upstream->announcement->incarnation
+                == request->upstream_incarnation;
+}
+
 void
 marjoram_host_run_failed (marjoram_host *host, int64_t now, uint64_t attempt,
                           enum marjoram_run_failure failure)
@@ -172,7 +186,10 @@
       request->progress = now;
       break;
     case MARJORAM_RUN_NOT_STARTED:
-      marjoram_request_failed (host, now, request, MARJORAM_OUTCOME_NOT_RUN,
+      marjoram_request_failed (host, now, request,
+                               runs_since_start (host, request)
+                                   ? MARJORAM_OUTCOME_NOT_RUN
+                                   : MARJORAM_OUTCOME_UNKNOWN,
                                MARJORAM_REASON_UPSTREAM_SILENT, 0, false);
       break;
     }
--- a/src/member.c
+++ b/src/member.c
@@ -313,6 +313,14 @@
   return is_new ? MARJORAM_ANNOUNCE_NEW : MARJORAM_ANNOUNCE_RENEWED;
 }
 
+const struct marjoram_upstream *
+marjoram_members_get (const marjoram_members *members, const char *name)
+{
+  const struct member *member = find_member (members, name);
+
+  return member ? &member->view : NULL;
+}
+
 const struct marjoram_upstream *
 marjoram_members_find (const marjoram_members *members, int64_t now,
                        const char *name)
--- a/src/member.h
+++ b/src/member.h
@@ -92,6 +92,9 @@
 marjoram_members_announce (marjoram_members *members, int64_t now,
                            const struct marjoram_announcement *announcement,
                            bool from_peer);
+/* Returns null only if the upstream is unknown.  */
+const struct marjoram_upstream *
+marjoram_members_get (const marjoram_members *members, const char *name);
 /* Returns null if the upstream is unknown, leaving, expired or dead.  */
 const struct marjoram_upstream *
 marjoram_members_find (const marjoram_members *members, int64_t now,
--- a/src/request.h
+++ b/src/request.h
@@ -69,6 +69,7 @@
      plain service would handle the resume as a new request, and its response
      would be taken for the caller's answer.  */
   bool can_resume;
+  uint64_t upstream_incarnation; /* when the attempt began */
   char *remote_slot;
   uint64_t remote_incarnation;
   uint64_t remote_session; /* of the link when the request was sent */
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -769,6 +769,26 @@
 }
 END_TEST
 
+/* Guards against a restarted upstream's word that it never started a run.  */
+START_TEST (restarted_upstream_proves_nothing)
+{
+  uint64_t incarnation = (uint64_t)_i + 1;
+  uint64_t call;
+
+  announce_upstream (0, "u", 9000);
+  call = send_request (0, "free", NULL, false);
+  test_announce (hosts, 0, "u", "a", 9000, incarnation, false);
+  test_advance_clock (hosts, 2200);
+  ck_assert_int_eq (last_run ()->resumes, 1);
+  test_fail (hosts, last_run (), MARJORAM_RUN_NOT_STARTED);
+  ck_assert (test_reply (hosts, call)->refused);
+  ck_assert_str_eq (marjoram_outcome_name (test_reply (hosts, call)->outcome),
+                    marjoram_outcome_name (incarnation == 1
+                                               ? MARJORAM_OUTCOME_NOT_RUN
+                                               : MARJORAM_OUTCOME_UNKNOWN));
+}
+END_TEST
+
 static bool
 is_alive (int64_t now, const char *slot)
 {
@@ -941,6 +961,7 @@
   tcase_add_test (c, revoked_forward_does_not_start);
   tcase_add_test (c, deadline_leaves_non_idempotent_work_running);
   tcase_add_test (c, silent_connection_is_resumed_by_id);
+  tcase_add_loop_test (c, restarted_upstream_proves_nothing, 0, 2);
   tcase_add_test (c, link_receiving_partial_frames_is_not_silent);
   tcase_add_test (c, newer_residency_rule_applies_to_retry);
   tcase_add_loop_test (c, empty_frames_are_harmless, 0, MARJORAM_FRAME_COUNT);
