--- a/src/request.c
+++ b/src/request.c
@@ -189,7 +189,7 @@
   if (request->call->idempotent || !running)
     {
       marjoram_attempt_cancel (host, now, request);
-      /* Last, as the end of an attempt makes room.  */
+      /* After the cancellation, which clears the wait.  */
       if (local)
         marjoram_members_request_waited (host->members, now, request->upstream,
                                          now - request->attempt_started);
