No walk of all upstreams per heartbeat, broken connection, tick or report

Cause: a new upstream was compared by address with all known ones, a broken connection searched all, each tick walked all records and looked up each endpoint by name, and each report of load changes (20 a second) walked all endpoints.

Change: upstreams are indexed by address; records leave in order of age; endpoints are checked for removal 16 a tick; reports walk the endpoints with requests or changed load only; a collector's totals are cleared by group.

The bound of the tests is twice the steps with 100 upstreams.

--- a/src/placement.c
+++ b/src/placement.c
@@ -33,7 +33,9 @@
   SUSPECT_MS = 500,
   /* Minimum prefill tokens, of a request and the queue ahead of it, from which
      prefill speed is measured.  */
-  SPEED_TOKENS_MIN = 1500
+  SPEED_TOKENS_MIN = 1500,
+  /* Endpoints checked for removal per tick.  */
+  CHECKS_PER_TICK = 16
 };
 
 marjoram_placement *
@@ -45,6 +47,10 @@
   placement->host = marjoram_strdup (options->host);
   placement->region = marjoram_strdup (options->region);
   STAILQ_INIT (&placement->placed);
+  TAILQ_INIT (&placement->checked);
+  TAILQ_INIT (&placement->active);
+  for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
+    TAILQ_INIT (&placement->collected[i]);
   TAILQ_INIT (&placement->reporters_by_age);
   return placement;
 }
@@ -65,15 +71,39 @@
   TAILQ_INIT (&endpoint->unanswered);
   HASH_ADD_KEYPTR (hh, placement->endpoints, endpoint->id,
                    strlen (endpoint->id), endpoint);
+  TAILQ_INSERT_TAIL (&placement->checked, endpoint, checked_link);
   return endpoint;
 }
 
+void
+marjoram_endpoint_set_active (marjoram_placement *placement,
+                              struct marjoram_endpoint *endpoint)
+{
+  if (endpoint->is_active)
+    return;
+  endpoint->is_active = true;
+  TAILQ_INSERT_TAIL (&placement->active, endpoint, active_link);
+}
+
+void
+marjoram_endpoint_set_idle (marjoram_placement *placement,
+                            struct marjoram_endpoint *endpoint)
+{
+  if (!endpoint->is_active)
+    return;
+  endpoint->is_active = false;
+  TAILQ_REMOVE (&placement->active, endpoint, active_link);
+}
+
 static void
 destroy_endpoint (marjoram_placement *placement,
                   struct marjoram_endpoint *endpoint)
 {
   /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, placement->endpoints, endpoint);
+  TAILQ_REMOVE (&placement->checked, endpoint, checked_link);
+  marjoram_endpoint_set_idle (placement, endpoint);
+  marjoram_endpoint_clear_collected (placement, endpoint);
   marjoram_engine_cache_destroy (endpoint->cache);
   free (endpoint->id);
   free (endpoint);
@@ -286,6 +316,7 @@
       attempt->held = attempt->prefill_tokens + attempt->answer;
       record_parts (placement, endpoint, query, now);
     }
+  marjoram_endpoint_set_active (placement, endpoint);
   endpoint->own.running++;
   endpoint->own.prefill_tokens += attempt->prefill_tokens;
   endpoint->own.urgent += attempt->urgent ? attempt->prefill_tokens : 0;
@@ -445,18 +476,21 @@
 marjoram_placement_connection_lost (marjoram_placement *placement, int64_t now,
                                     const char *address)
 {
+  struct marjoram_registered_list *upstreams
+      = marjoram_registry_of_address (placement->options.registry, address);
   struct marjoram_registered *upstream;
 
-  TAILQ_FOREACH (upstream, marjoram_registry_all (placement->options.registry),
-                 link)
-  if (strcmp (upstream->heartbeat.address, address) == 0
-      && upstream->heartbeat.state == MARJORAM_UPSTREAM_READY)
+  if (!upstreams)
+    return;
+  TAILQ_FOREACH (upstream, upstreams, address_link)
+  if (upstream->heartbeat.state == MARJORAM_UPSTREAM_READY)
     {
       struct marjoram_endpoint *endpoint
           = marjoram_endpoint_find_or_add (placement, upstream->heartbeat.id);
 
       endpoint->disconnected_at = now;
       endpoint->report_disconnect = true;
+      marjoram_endpoint_set_active (placement, endpoint);
     }
 }
 
@@ -511,15 +545,20 @@
 void
 marjoram_placement_tick (marjoram_placement *placement, int64_t now)
 {
-  struct marjoram_endpoint *endpoint;
-  struct marjoram_endpoint *next;
+  size_t checks = HASH_COUNT (placement->endpoints);
 
   marjoram_placement_expire_reports (placement, now);
   if (!STAILQ_EMPTY (&placement->placed))
     return;
-  HASH_ITER (hh, placement->endpoints, endpoint, next)
-  {
-    if (!is_in_use (placement, endpoint))
-      destroy_endpoint (placement, endpoint);
-  }
-}
+  if (checks > CHECKS_PER_TICK)
+    checks = CHECKS_PER_TICK;
+  for (; checks > 0; checks--)
+    {
+      struct marjoram_endpoint *endpoint = TAILQ_FIRST (&placement->checked);
+
+      TAILQ_REMOVE (&placement->checked, endpoint, checked_link);
+      TAILQ_INSERT_TAIL (&placement->checked, endpoint, checked_link);
+      if (!is_in_use (placement, endpoint))
+        destroy_endpoint (placement, endpoint);
+    }
+}
--- a/src/placement_collect.c
+++ b/src/placement_collect.c
@@ -62,13 +62,10 @@
   size_t items[MARJORAM_LOAD_GROUPS] = { 0 };
   size_t parts[MARJORAM_LOAD_GROUPS] = { 0 };
   const struct marjoram_placed_item *placed;
-  struct marjoram_endpoint *endpoint;
-  struct marjoram_endpoint *next;
+  const struct marjoram_endpoint *endpoint;
 
-  HASH_ITER (hh, placement->endpoints, endpoint, next)
-  {
-    items[endpoint->group]++;
-  }
+  TAILQ_FOREACH (endpoint, &placement->active, active_link)
+  items[endpoint->group]++;
   STAILQ_FOREACH (placed, &placement->placed, link)
   parts[placed->endpoint->group]++;
   for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
@@ -103,6 +100,21 @@
   marjoram_placement_clear_placed (placement);
 }
 
+void
+marjoram_placement_remove_idle (marjoram_placement *placement)
+{
+  struct marjoram_endpoint *endpoint = TAILQ_FIRST (&placement->active);
+
+  while (endpoint)
+    {
+      struct marjoram_endpoint *next = TAILQ_NEXT (endpoint, active_link);
+
+      if (is_idle (&endpoint->own) && !has_changed (endpoint))
+        marjoram_endpoint_set_idle (placement, endpoint);
+      endpoint = next;
+    }
+}
+
 void
 marjoram_placement_report_changes (
     marjoram_placement *placement, int64_t now,
@@ -110,11 +122,10 @@
     struct marjoram_load_report reports[MARJORAM_LOAD_GROUPS])
 {
   struct marjoram_endpoint *endpoint;
-  struct marjoram_endpoint *next;
 
   placement->report_count++;
   init_reports (placement, whole, reports);
-  HASH_ITER (hh, placement->endpoints, endpoint, next)
+  TAILQ_FOREACH (endpoint, &placement->active, active_link)
   {
     struct marjoram_load_report *report = &reports[endpoint->group];
 
@@ -124,6 +135,7 @@
       add_item (placement, now, report, endpoint);
   }
   add_placed (placement, now, reports);
+  marjoram_placement_remove_idle (placement);
 }
 
 /* ---- Totals from collectors.  ---- */
@@ -158,17 +170,37 @@
   };
 }
 
+void
+marjoram_endpoint_clear_collected (marjoram_placement *placement,
+                                   struct marjoram_endpoint *endpoint)
+{
+  if (!endpoint->is_collected)
+    return;
+  endpoint->is_collected = false;
+  TAILQ_REMOVE (&placement->collected[endpoint->group], endpoint,
+                collected_link);
+  memset (&endpoint->collected, 0, sizeof endpoint->collected);
+}
+
 static void
-clear_group (marjoram_placement *placement, int group)
+set_collected (marjoram_placement *placement,
+               struct marjoram_endpoint *endpoint,
+               const struct marjoram_load_item *item)
 {
-  struct marjoram_endpoint *endpoint;
-  struct marjoram_endpoint *next;
+  endpoint->collected = marjoram_load_from_item (item);
+  if (endpoint->is_collected)
+    return;
+  endpoint->is_collected = true;
+  TAILQ_INSERT_TAIL (&placement->collected[endpoint->group], endpoint,
+                     collected_link);
+}
 
-  HASH_ITER (hh, placement->endpoints, endpoint, next)
-  {
-    if (endpoint->group == group)
-      memset (&endpoint->collected, 0, sizeof endpoint->collected);
-  }
+static void
+clear_group (marjoram_placement *placement, int group)
+{
+  while (!TAILQ_EMPTY (&placement->collected[group]))
+    marjoram_endpoint_clear_collected (
+        placement, TAILQ_FIRST (&placement->collected[group]));
 }
 
 void
@@ -215,7 +247,7 @@
 
       if (!endpoint || !groups[endpoint->group])
         continue;
-      endpoint->collected = marjoram_load_from_item (&items[i]);
+      set_collected (placement, endpoint, &items[i]);
       if (items[i].lost)
         endpoint->disconnected_at = now;
     }
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -46,6 +46,12 @@
 /* Placement state of one upstream, in addition to the registry entry.  */
 struct marjoram_endpoint
 {
+  TAILQ_ENTRY (marjoram_endpoint) checked_link; /* in CHECKED */
+  TAILQ_ENTRY (marjoram_endpoint) active_link;  /* in ACTIVE, if IS_ACTIVE */
+  TAILQ_ENTRY (marjoram_endpoint)
+  collected_link; /* in COLLECTED, if IS_COLLECTED */
+  bool is_active;
+  bool is_collected;
   char *id;
   struct marjoram_endpoint_load own;
   struct marjoram_endpoint_load others; /* total of other hosts */
@@ -114,12 +120,20 @@
   struct marjoram_prompt_part part;
 };
 
+TAILQ_HEAD (marjoram_endpoint_list, marjoram_endpoint);
+
 struct marjoram_placement
 {
   struct marjoram_placement_options options;
   char *host; /* this host's name; owned */
   char *region;
   struct marjoram_endpoint *endpoints;
+  struct marjoram_endpoint_list checked; /* least recently checked first */
+  /* Endpoints with requests of this host, or with load that changed since the
+     last report.  */
+  struct marjoram_endpoint_list active;
+  /* Endpoints with load in the totals of a group's collector.  */
+  struct marjoram_endpoint_list collected[MARJORAM_LOAD_GROUPS];
   struct marjoram_placed_attempt *attempts;
   struct marjoram_service_stats *service_stats;
   STAILQ_HEAD (, marjoram_placed_item)
@@ -141,6 +155,18 @@
 struct marjoram_endpoint_load
 marjoram_endpoint_total_load (const struct marjoram_endpoint *endpoint,
                               int64_t now);
+/* Includes ENDPOINT in the next load report.  */
+void marjoram_endpoint_set_active (marjoram_placement *placement,
+                                   struct marjoram_endpoint *endpoint);
+void marjoram_endpoint_set_idle (marjoram_placement *placement,
+                                 struct marjoram_endpoint *endpoint);
+size_t marjoram_placement_active_count (const marjoram_placement *placement);
+/* Removes endpoints from ACTIVE that the last report left without requests and
+   without changes.  */
+void marjoram_placement_remove_idle (marjoram_placement *placement);
+/* Removes the collector's total from ENDPOINT.  */
+void marjoram_endpoint_clear_collected (marjoram_placement *placement,
+                                        struct marjoram_endpoint *endpoint);
 /* Drops reports of hosts that have timed out.  */
 void marjoram_placement_expire_reports (marjoram_placement *placement,
                                         int64_t now);
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -64,6 +64,17 @@
   return endpoint->item_index;
 }
 
+size_t
+marjoram_placement_active_count (const marjoram_placement *placement)
+{
+  const struct marjoram_endpoint *endpoint;
+  size_t count = 0;
+
+  TAILQ_FOREACH (endpoint, &placement->active, active_link)
+  count++;
+  return count;
+}
+
 static size_t
 count_placed (const marjoram_placement *placement)
 {
@@ -79,7 +90,7 @@
 marjoram_placement_report (marjoram_placement *placement,
                            struct marjoram_load_report *report)
 {
-  size_t endpoints = HASH_COUNT (placement->endpoints);
+  size_t endpoints = marjoram_placement_active_count (placement);
   size_t parts = count_placed (placement);
   struct marjoram_placed_part *out = marjoram_alloc (parts * sizeof *out);
   struct marjoram_endpoint *endpoint;
@@ -91,12 +102,13 @@
       = marjoram_alloc (endpoints * sizeof (struct marjoram_load_item));
   report->placed.items = out;
   placement->report_count++;
-  HASH_ITER (hh, placement->endpoints, endpoint, next)
-  {
-    if ((endpoint->own.running > 0 || endpoint->report_disconnect)
-        && report->items.count < MARJORAM_LOADS_MAX)
-      add_item (placement, report, endpoint);
-  }
+  for (endpoint = TAILQ_FIRST (&placement->active);
+       endpoint && report->items.count < MARJORAM_LOADS_MAX; endpoint = next)
+    {
+      next = TAILQ_NEXT (endpoint, active_link);
+      if (endpoint->own.running > 0 || endpoint->report_disconnect)
+        add_item (placement, report, endpoint);
+    }
   STAILQ_FOREACH (placed, &placement->placed, link)
   {
     if (report->placed.count == parts)
@@ -107,6 +119,7 @@
     };
   }
   marjoram_placement_clear_placed (placement);
+  marjoram_placement_remove_idle (placement);
 }
 
 /* ---- Reports from other hosts.  ---- */
--- a/src/registry.c
+++ b/src/registry.c
@@ -23,10 +23,19 @@
   UT_hash_handle hh;
 };
 
+struct marjoram_registered_address
+{
+  char *name;
+  struct marjoram_registered_list upstreams;
+  UT_hash_handle hh;
+};
+
 struct marjoram_registry
 {
   struct marjoram_registered_service *services;
+  struct marjoram_registered_address *addresses;
   struct marjoram_registered_list list;
+  struct marjoram_registered_list by_age; /* least recently updated first */
   struct marjoram_registered *by_id;
   int64_t received_at; /* latest heartbeat of any upstream */
 };
@@ -37,6 +46,7 @@
   marjoram_registry *registry = marjoram_alloc (sizeof *registry);
 
   TAILQ_INIT (&registry->list);
+  TAILQ_INIT (&registry->by_age);
   registry->received_at = INT64_MIN / 2;
   return registry;
 }
@@ -90,11 +100,60 @@
   upstream->service->count++;
 }
 
+static struct marjoram_registered_address *
+find_or_add_address (marjoram_registry *registry, const char *name)
+{
+  struct marjoram_registered_address *address;
+
+  HASH_FIND_STR (registry->addresses, name, address);
+  if (address)
+    return address;
+  address = marjoram_alloc (sizeof *address);
+  address->name = marjoram_strdup (name);
+  TAILQ_INIT (&address->upstreams);
+  HASH_ADD_KEYPTR (hh, registry->addresses, address->name,
+                   strlen (address->name), address);
+  return address;
+}
+
+static void
+leave_address (marjoram_registry *registry,
+               struct marjoram_registered *upstream)
+{
+  struct marjoram_registered_address *address = upstream->address;
+
+  upstream->address = NULL;
+  if (!address)
+    return;
+  TAILQ_REMOVE (&address->upstreams, upstream, address_link);
+  if (!TAILQ_EMPTY (&address->upstreams))
+    return;
+  /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
+  HASH_DELETE (hh, registry->addresses, address);
+  free (address->name);
+  free (address);
+}
+
+static void
+join_address (marjoram_registry *registry,
+              struct marjoram_registered *upstream)
+{
+  if (upstream->address
+      && strcmp (upstream->address->name, upstream->heartbeat.address) == 0)
+    return;
+  leave_address (registry, upstream);
+  upstream->address
+      = find_or_add_address (registry, upstream->heartbeat.address);
+  TAILQ_INSERT_TAIL (&upstream->address->upstreams, upstream, address_link);
+}
+
 static void
 remove_upstream (marjoram_registry *registry,
                  struct marjoram_registered *upstream)
 {
   leave_service (registry, upstream);
+  leave_address (registry, upstream);
+  TAILQ_REMOVE (&registry->by_age, upstream, age_link);
   /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registry->by_id, upstream);
   TAILQ_REMOVE (&registry->list, upstream, link);
@@ -135,6 +194,15 @@
   return found ? &found->upstreams : NULL;
 }
 
+struct marjoram_registered_list *
+marjoram_registry_of_address (marjoram_registry *registry, const char *address)
+{
+  struct marjoram_registered_address *found;
+
+  HASH_FIND_STR (registry->addresses, address, found);
+  return found ? &found->upstreams : NULL;
+}
+
 size_t
 marjoram_registry_service_count (const marjoram_registry *registry,
                                  const char *service)
@@ -160,6 +228,9 @@
   upstream->ends_at
       = heartbeat->ends_ms >= 0 ? received_at + heartbeat->ends_ms : INT64_MAX;
   join_service (registry, upstream);
+  join_address (registry, upstream);
+  TAILQ_REMOVE (&registry->by_age, upstream, age_link);
+  TAILQ_INSERT_TAIL (&registry->by_age, upstream, age_link);
 }
 
 /* A delayed heartbeat may carry an address that a later instance has taken
@@ -168,12 +239,15 @@
 claim_address (marjoram_registry *registry,
                const struct marjoram_upstream_heartbeat *heartbeat)
 {
+  struct marjoram_registered_list *others
+      = marjoram_registry_of_address (registry, heartbeat->address);
   struct marjoram_registered *other;
 
-  TAILQ_FOREACH (other, &registry->list, link)
+  if (!others)
+    return true;
+  TAILQ_FOREACH (other, others, address_link)
   {
     if (other->heartbeat.state == MARJORAM_UPSTREAM_GONE
-        || strcmp (other->heartbeat.address, heartbeat->address) != 0
         || strcmp (other->heartbeat.id, heartbeat->id) == 0)
       continue;
     if (heartbeat->started_at < other->heartbeat.started_at)
@@ -197,6 +271,7 @@
     return MARJORAM_REGISTRY_STALE;
   upstream = marjoram_alloc (sizeof *upstream);
   upstream->direct_received_at = INT64_MIN;
+  TAILQ_INSERT_TAIL (&registry->by_age, upstream, age_link);
   store_heartbeat (registry, upstream, now, heartbeat, age_ms);
   TAILQ_INSERT_TAIL (&registry->list, upstream, link);
   HASH_ADD_STR (registry->by_id, heartbeat.id, upstream);
@@ -283,20 +358,24 @@
          && now - upstream->received_at < FORGET_MS;
 }
 
+static bool
+is_forgotten (const marjoram_registry *registry,
+              const struct marjoram_registered *upstream, int64_t now)
+{
+  return now - upstream->received_at > FORGET_MS
+         && registry->received_at - upstream->received_at > SILENT_MS;
+}
+
+/* Relayed heartbeats have different ages, so a record may be kept for the
+   difference longer behind one that was received later.  */
 void
 marjoram_registry_tick (marjoram_registry *registry, int64_t now)
 {
-  struct marjoram_registered *upstream = TAILQ_FIRST (&registry->list);
-
-  while (upstream)
-    {
-      struct marjoram_registered *next = TAILQ_NEXT (upstream, link);
+  struct marjoram_registered *upstream;
 
-      if (now - upstream->received_at > FORGET_MS
-          && registry->received_at - upstream->received_at > SILENT_MS)
-        remove_upstream (registry, upstream);
-      upstream = next;
-    }
+  while ((upstream = TAILQ_FIRST (&registry->by_age))
+         && is_forgotten (registry, upstream, now))
+    remove_upstream (registry, upstream);
 }
 
 static int64_t
--- a/src/registry.h
+++ b/src/registry.h
@@ -13,13 +13,18 @@
 
 /* The upstreams of one service.  */
 struct marjoram_registered_service;
+/* The upstreams that have reported one address.  */
+struct marjoram_registered_address;
 
 /* Times are in ms of the local monotonic clock.  */
 struct marjoram_registered
 {
   TAILQ_ENTRY (marjoram_registered) link;
   TAILQ_ENTRY (marjoram_registered) service_link;
+  TAILQ_ENTRY (marjoram_registered) address_link;
+  TAILQ_ENTRY (marjoram_registered) age_link;
   struct marjoram_registered_service *service;
+  struct marjoram_registered_address *address; /* of its latest heartbeat */
   struct marjoram_upstream_heartbeat
       heartbeat;              /* latest heartbeat, durations as received */
   int64_t received_at;        /* when a keeper received the heartbeat */
@@ -55,6 +60,11 @@
 struct marjoram_registered_list *
 marjoram_registry_of_service (marjoram_registry *registry,
                               const char *service);
+/* The upstreams that reported ADDRESS last, linked by ADDRESS_LINK; NULL if
+   there are none.  */
+struct marjoram_registered_list *
+marjoram_registry_of_address (marjoram_registry *registry,
+                              const char *address);
 size_t marjoram_registry_service_count (const marjoram_registry *registry,
                                         const char *service);
 size_t marjoram_registry_count (const marjoram_registry *registry);
--- a/test/test_growth.c
+++ b/test/test_growth.c
@@ -23,6 +23,17 @@
    slightly.  */
 static const double growth = 1.25;
 
+enum
+{
+  UPSTREAM_SIZES = 4
+};
+
+static const int upstream_counts[UPSTREAM_SIZES] = { 100, 1000, 10000, 20000 };
+
+/* Maximum ratio of steps to those with the fewest upstreams; includes the
+   amortized growth of hash tables.  */
+static const double upstream_growth = 2;
+
 static uint64_t steps;
 
 void __sanitizer_cov_trace_pc (void);
@@ -313,6 +324,115 @@
 }
 END_TEST
 
+/* Steps of ACT in a region with UPSTREAMS upstreams, each known to the
+   placement.  */
+static double
+count_with_upstreams (int upstreams,
+                      void (*act) (struct fleet *fleet, int number))
+{
+  struct fleet *fleet = fleet_create (sizes[0]);
+  double mean;
+
+  for (int i = 0; i < upstreams; i++)
+    receive_upstream (fleet, i);
+  choose (fleet, 0);
+  fleet->now += 10;
+  mean = count (fleet, act);
+  fleet_destroy (fleet);
+  return mean;
+}
+
+static void
+check_upstream_growth (const char *what,
+                       void (*act) (struct fleet *fleet, int number))
+{
+  double first = count_with_upstreams (upstream_counts[0], act);
+
+  for (int i = 1; i < UPSTREAM_SIZES; i++)
+    {
+      double steps_now = count_with_upstreams (upstream_counts[i], act);
+
+      printf ("%s, %d upstreams: %.0f steps\n", what, upstream_counts[i],
+              steps_now);
+      ck_assert_msg (steps_now <= upstream_growth * first,
+                     "%s: %g steps with %d upstreams, %g with %d", what,
+                     steps_now, upstream_counts[i], first, upstream_counts[0]);
+    }
+}
+
+static void
+add_upstream (struct fleet *fleet, int number)
+{
+  receive_upstream (fleet, 1000000 + number);
+}
+
+static void
+renew_upstream (struct fleet *fleet, int number)
+{
+  fleet->now++;
+  receive_upstream (fleet, number);
+}
+
+static void
+lose_connection (struct fleet *fleet, int number)
+{
+  char address[MARJORAM_ID_MAX];
+
+  snprintf (address, sizeof address, "10.0.0.1:%d", number + 1);
+  marjoram_placement_connection_lost (fleet->placement, fleet->now, address);
+}
+
+static void
+tick (struct fleet *fleet, int number)
+{
+  (void)number;
+  marjoram_registry_tick (fleet->registry, fleet->now);
+  marjoram_placement_tick (fleet->placement, fleet->now);
+}
+
+static void
+report_changes (struct fleet *fleet, int number)
+{
+  const bool whole[MARJORAM_LOAD_GROUPS] = { 0 };
+  struct marjoram_load_report reports[MARJORAM_LOAD_GROUPS];
+
+  (void)number;
+  marjoram_placement_report_changes (fleet->placement, fleet->now, whole,
+                                     reports);
+  for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
+    marjoram_wire_clear (&marjoram_load_report_layout, &reports[i]);
+}
+
+START_TEST (a_new_upstream_costs_the_same_in_any_fleet)
+{
+  check_upstream_growth ("new upstream", add_upstream);
+}
+END_TEST
+
+START_TEST (a_renewal_costs_the_same_in_any_fleet)
+{
+  check_upstream_growth ("renewal", renew_upstream);
+}
+END_TEST
+
+START_TEST (a_broken_connection_costs_the_same_in_any_fleet)
+{
+  check_upstream_growth ("broken connection", lose_connection);
+}
+END_TEST
+
+START_TEST (a_tick_costs_the_same_in_any_fleet)
+{
+  check_upstream_growth ("tick", tick);
+}
+END_TEST
+
+START_TEST (a_report_of_changes_costs_the_same_in_any_fleet)
+{
+  check_upstream_growth ("report of changes", report_changes);
+}
+END_TEST
+
 /* A response holds at most 64 hosts, so the smallest fleet is no baseline.  */
 START_TEST (a_look_up_costs_no_more_than_its_answer)
 {
@@ -337,6 +457,11 @@
   tcase_add_test (c, a_choice_costs_the_same_in_any_fleet);
   tcase_add_test (c, the_owner_of_a_key_costs_the_same_in_any_fleet);
   tcase_add_test (c, a_repeat_costs_the_same_in_any_fleet);
+  tcase_add_test (c, a_new_upstream_costs_the_same_in_any_fleet);
+  tcase_add_test (c, a_renewal_costs_the_same_in_any_fleet);
+  tcase_add_test (c, a_broken_connection_costs_the_same_in_any_fleet);
+  tcase_add_test (c, a_tick_costs_the_same_in_any_fleet);
+  tcase_add_test (c, a_report_of_changes_costs_the_same_in_any_fleet);
   tcase_add_test (c, a_look_up_costs_no_more_than_its_answer);
   suite_add_tcase (s, c);
   return s;
