--- a/src/engine_survey.c
+++ b/src/engine_survey.c
@@ -14,7 +14,9 @@
   STATUS_OK = 200,
   MESSAGE_MAX = 512,
   /* Response size limit in bytes.  */
-  ANSWER_MAX = 1024 * 1024
+  ANSWER_MAX = 1024 * 1024,
+  /* Queries sent between two ticks.  */
+  QUERIES_PER_TICK = 4
 };
 
 struct query
@@ -37,6 +39,7 @@
   struct query *by_engine;
   uint64_t next_number;
   size_t pending;
+  int sent; /* since the last tick */
 };
 
 static struct query *
@@ -190,8 +193,9 @@
   char message[MESSAGE_MAX];
   int size;
 
-  if (was_queried (survey, engine))
+  if (survey->sent == QUERIES_PER_TICK || was_queried (survey, engine))
     return;
+  survey->sent++;
   size = snprintf (message, sizeof message,
                    "GET %s HTTP/1.1\r\nHost: %s\r\n"
                    "Connection: close\r\n\r\n",
@@ -213,6 +217,7 @@
 void
 marjoram_engine_survey_tick (marjoram_engine_survey *survey)
 {
+  survey->sent = 0;
   /* No lag has been measured yet on a newly started host.  */
   marjoram_http_client_tick (survey->client, 0);
 }
--- a/src/engine_survey.h
+++ b/src/engine_survey.h
@@ -22,8 +22,9 @@
     const struct marjoram_dialect *dialect,
     const struct marjoram_engine_survey_ops *ops, void *context);
 void marjoram_engine_survey_destroy (marjoram_engine_survey *survey);
-/* Queries ENGINE at ADDRESS (IP:port) unless it was queried before.  A failed
-   query is not repeated; the engine's cache is then taken to be empty.  */
+/* Queries ENGINE at ADDRESS (IP:port) unless it was queried before, or too
+   many queries were sent since the last tick.  A failed query is not repeated;
+   the engine's cache is then taken to be empty.  */
 void marjoram_engine_survey_query (marjoram_engine_survey *survey,
                                    const char *engine, const char *address);
 size_t marjoram_engine_survey_pending (const marjoram_engine_survey *survey);
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -26,6 +26,9 @@
      prompts.  All upstreams send heartbeats within two seconds; those that
      appear later have empty caches or are reported by other hosts.  */
   SURVEY_PERIOD_MS = 4000,
+  /* Engines of a service in a region above which none is queried: one host
+     uses only a small share of them.  */
+  SURVEY_ENGINES_MAX = 256,
   STATUS_OK = 200,
   STATUS_NOT_FOUND = 404,
   STATUS_UNAVAILABLE = 503
@@ -410,34 +413,43 @@
 static const struct marjoram_engine_survey_ops survey_ops
     = { .cached = survey_cached };
 
-static bool
-should_survey (struct marjoram_entry *self,
-               const struct marjoram_registered *upstream)
+static void
+survey_service (struct marjoram_entry *self,
+                const struct marjoram_service_rule *service)
 {
-  const struct marjoram_service_rule *service = marjoram_route_table_service (
-      self->table, upstream->heartbeat.service);
-  const char *region = marjoram_gateway_settings_region (
-      self->parts->settings, upstream->heartbeat.zone);
+  struct marjoram_registered_list *upstreams
+      = marjoram_registry_of_service (self->registry, service->name);
+  struct marjoram_registered *upstream;
+
+  if (!service->has_engine || !upstreams
+      || marjoram_registry_service_count (self->registry, service->name)
+             > SURVEY_ENGINES_MAX)
+    return;
+  TAILQ_FOREACH (upstream, upstreams, service_link)
+  {
+    const char *region = marjoram_gateway_settings_region (
+        self->parts->settings, upstream->heartbeat.zone);
 
-  return service && service->has_engine
-         && upstream->heartbeat.state == MARJORAM_UPSTREAM_READY && region
-         && strcmp (region, self->parts->settings->region) == 0;
+    if (upstream->heartbeat.state == MARJORAM_UPSTREAM_READY && region
+        && strcmp (region, self->parts->settings->region) == 0)
+      marjoram_engine_survey_query (self->survey, upstream->heartbeat.id,
+                                    upstream->heartbeat.address);
+  }
 }
 
 /* After a restart of all hosts, no host knows the engines' caches.  */
 static void
 survey_engines (struct marjoram_entry *self, int64_t now)
 {
-  struct marjoram_registered *upstream;
+  const struct marjoram_service_rule *services;
 
   marjoram_engine_survey_tick (self->survey);
   if (!self->table || self->parts->settings->first_start
       || now > self->created_at + SURVEY_PERIOD_MS)
     return;
-  TAILQ_FOREACH (upstream, marjoram_registry_all (self->registry), link)
-  if (should_survey (self, upstream))
-    marjoram_engine_survey_query (self->survey, upstream->heartbeat.id,
-                                  upstream->heartbeat.address);
+  services = self->table->services.items;
+  for (size_t i = 0; i < self->table->services.count; i++)
+    survey_service (self, &services[i]);
 }
 
 static void
--- a/test/test_engine_survey.c
+++ b/test/test_engine_survey.c
@@ -181,6 +181,31 @@
 }
 END_TEST
 
+/* Guards against a host that opens a connection to each engine at once.  */
+START_TEST (queries_are_paced)
+{
+  enum
+  {
+    ENGINES = 1000,
+    PER_TICK_MAX = 4
+  };
+  char id[16];
+
+  answer = "[]";
+  for (int i = 0; i < ENGINES; i++)
+    {
+      snprintf (id, sizeof id, "e%d", i);
+      marjoram_engine_survey_query (survey, id, address);
+    }
+  ck_assert_uint_le (marjoram_engine_survey_pending (survey), PER_TICK_MAX);
+  run_until (is_over);
+  ck_assert_int_le (query_count, PER_TICK_MAX);
+  marjoram_engine_survey_query (survey, "another", address);
+  run_until (is_over);
+  ck_assert_int_eq (query_count, PER_TICK_MAX + 1);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -192,6 +217,7 @@
   tcase_add_test (c, malformed_entries_are_skipped);
   tcase_add_test (c, response_without_list_is_ignored);
   tcase_add_test (c, unreachable_engine_ends_query);
+  tcase_add_test (c, queries_are_paced);
   suite_add_tcase (s, c);
   return s;
 }
