A host of a large fleet follows one keeper; heartbeats state their interval

Cause: each keeper sent each host its whole list at each new session and every 20 s, and each change of each host; all keepers exchanged lists of all hosts each 5 s. With 985 hosts and 24 keepers that is 24 x 985 copies of some 100 KB and 24 messages a change and host. A host beats a keeper as rarely as the hosts of its region, each 3.1 s with 328 of them, while a keeper takes it for dead after 1.3 s.

Change: a host that knows more than 128 entry hosts, or none yet, says in its heartbeats which one keeper it follows, the nearest it has a link to; the others send it no lists and no changes, and keepers exchange only the hosts that follow them. Lists go in pages, so none ends at 1,024 hosts. A heartbeat states its interval; who hears it allows for four. Keepers are sent 1,000 heartbeats a second at most by the hosts of a region, and by all hosts.

test_host_links: of two keepers one is followed beyond 128 hosts, the other after it is gone; test_host_list: a host that states 1 s lives 4.1 s.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -255,12 +255,12 @@
 
 static void
 role_heartbeat (struct marjoram_role *role, const char *host, uint64_t session,
-                bool first, const struct marjoram_host_beat *heartbeat)
+                bool joins, const struct marjoram_host_beat *heartbeat)
 {
   (void)role;
   (void)host;
   (void)session;
-  (void)first;
+  (void)joins;
   (void)heartbeat;
 }
 
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -79,13 +79,13 @@
 }
 
 static void
-on_heartbeat (void *context, const char *host, uint64_t session, bool first,
+on_heartbeat (void *context, const char *host, uint64_t session, bool joins,
               const struct marjoram_host_beat *heartbeat)
 {
   marjoram_gateway_daemon *daemon = context;
 
   if (daemon->role)
-    daemon->role->ops->heartbeat (daemon->role, host, session, first,
+    daemon->role->ops->heartbeat (daemon->role, host, session, joins,
                                   heartbeat);
 }
 
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -46,6 +46,8 @@
   UINT (marjoram_host_beat, age_ms),
   { MARJORAM_WIRE_ARRAY (struct marjoram_host_beat, offers,
                          MARJORAM_HOST_OFFERS_MAX, &host_offer_layout) },
+  UINT (marjoram_host_beat, follow),
+  UINT (marjoram_host_beat, interval_ms),
 };
 LAYOUT (marjoram_host_beat_layout, marjoram_host_beat, host_beat_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -31,6 +31,15 @@
   uint64_t backlog_ms;
 };
 
+/* From which keepers a host takes lists of hosts and changes of upstreams.  A
+   keeper notifies the hosts that follow it.  */
+enum marjoram_follow
+{
+  MARJORAM_FOLLOW_ALL,    /* all keepers, the receiver among them */
+  MARJORAM_FOLLOW_ONLY,   /* the receiver alone */
+  MARJORAM_FOLLOW_ANOTHER /* another keeper alone */
+};
+
 /* A host's heartbeat, sent by itself or relayed by other hosts.  */
 struct marjoram_host_beat
 {
@@ -47,6 +56,9 @@
   uint64_t age_ms;              /* since the sender received it; 0 if its
                                    own */
   struct marjoram_array offers; /* struct marjoram_host_offer */
+  uint64_t follow;              /* enum marjoram_follow; 0 if relayed */
+  uint64_t interval_ms;         /* between heartbeats to the receiver; 0 if
+                                   relayed or not stated */
 };
 
 struct marjoram_host_beats
--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -14,6 +14,10 @@
   /* Regions with more hosts use a proportionally longer interval, which bounds
      the heartbeats that a host sends per second.  */
   FULL_RATE_HOSTS = 32,
+  /* Heartbeats per second that a keeper receives from the hosts of its region,
+     and from all hosts, before they use longer intervals.  */
+  KEEPER_HEARTBEATS_PER_S = 1000,
+  MSEC_PER_SEC = 1000,
   /* How often a keeper sends its list of hosts to keepers and to all hosts.
      The latter traffic grows with the square of the number of hosts; changes
      are sent at once.  host_list.c and gateway_daemon.c depend on these.  */
@@ -46,20 +50,28 @@
 {
   AUDIENCE_LOCAL,
   AUDIENCE_REMOTE,
+  AUDIENCE_HOME, /* the keeper that this host follows */
+  AUDIENCE_NEAR_KEEPER,
+  AUDIENCE_FAR_KEEPER,
   AUDIENCE_COUNT
 };
 
 static enum audience
-audience_of (const marjoram_host_links *links, const char *name)
+audience_of (const marjoram_host_links *links,
+             const struct marjoram_host_link *link)
 {
   const struct marjoram_listed_host *host
-      = marjoram_host_list_find (links->hosts, name);
+      = marjoram_host_list_find (links->hosts, link->host);
+  const bool is_local
+      = host && strcmp (host->heartbeat.region, links->settings->region) == 0;
 
-  if (!host || host->heartbeat.keeper)
+  if (links->settings->role != MARJORAM_ROLE_ENTRY)
     return AUDIENCE_LOCAL;
-  return strcmp (host->heartbeat.region, links->settings->region) == 0
-             ? AUDIENCE_LOCAL
-             : AUDIENCE_REMOTE;
+  if (host && !host->heartbeat.keeper)
+    return is_local ? AUDIENCE_LOCAL : AUDIENCE_REMOTE;
+  if (link->is_home)
+    return AUDIENCE_HOME;
+  return is_local || !host ? AUDIENCE_NEAR_KEEPER : AUDIENCE_FAR_KEEPER;
 }
 
 /* This host's heartbeat, packed on demand for each audience.  */
@@ -69,9 +81,12 @@
   marjoram_bytes *frames[AUDIENCE_COUNT];
 };
 
+static int64_t interval_for (const marjoram_host_links *links,
+                             enum audience audience);
+
 static const marjoram_bytes *
 pack_heartbeat (marjoram_host_links *links, struct packed_heartbeats *packed,
-                enum audience audience)
+                const struct marjoram_host_link *link, enum audience audience)
 {
   struct marjoram_host_beat heartbeat;
 
@@ -81,12 +96,25 @@
     make_heartbeat (links, &packed->heartbeat);
   heartbeat = packed->heartbeat;
   if (audience != AUDIENCE_REMOTE)
-    heartbeat.offers = (struct marjoram_array){ NULL, 0 };
+    {
+      heartbeat.offers = (struct marjoram_array){ NULL, 0 };
+      heartbeat.interval_ms = (uint64_t)interval_for (links, audience);
+    }
+  if (audience >= AUDIENCE_HOME)
+    heartbeat.follow = marjoram_host_links_follow (links, link);
   packed->frames[audience]
       = marjoram_frame_pack (MARJORAM_FRAME_HOST_BEAT, &heartbeat);
   return packed->frames[audience];
 }
 
+static int64_t
+keeper_interval_ms (int64_t hosts)
+{
+  int64_t msec = hosts * MSEC_PER_SEC / KEEPER_HEARTBEATS_PER_S;
+
+  return msec > HEARTBEAT_MS ? msec : HEARTBEAT_MS;
+}
+
 void
 marjoram_host_links_update_interval (marjoram_host_links *links, int64_t now)
 {
@@ -94,6 +122,8 @@
   int64_t hosts;
 
   links->local_interval_ms = HEARTBEAT_MS;
+  links->near_keeper_interval_ms = HEARTBEAT_MS;
+  links->far_keeper_interval_ms = HEARTBEAT_MS;
   if (links->settings->role != MARJORAM_ROLE_ENTRY)
     return;
   hosts
@@ -102,6 +132,9 @@
     links->local_interval_ms = HEARTBEAT_MS * hosts / FULL_RATE_HOSTS;
   marjoram_host_list_set_heartbeat_interval (links->hosts, region,
                                              links->local_interval_ms);
+  links->near_keeper_interval_ms = keeper_interval_ms (hosts);
+  links->far_keeper_interval_ms = keeper_interval_ms (
+      (int64_t)marjoram_host_list_entry_count (links->hosts));
 }
 
 static int64_t
@@ -113,6 +146,11 @@
       return links->local_interval_ms;
     case AUDIENCE_REMOTE:
       return REMOTE_HEARTBEAT_MS;
+    case AUDIENCE_HOME:
+    case AUDIENCE_NEAR_KEEPER:
+      return links->near_keeper_interval_ms;
+    case AUDIENCE_FAR_KEEPER:
+      return links->far_keeper_interval_ms;
     default:
       return HEARTBEAT_MS;
     }
@@ -120,9 +158,9 @@
 
 int64_t
 marjoram_host_links_heartbeat_interval (const marjoram_host_links *links,
-                                        const char *host)
+                                        const struct marjoram_host_link *link)
 {
-  return interval_for (links, audience_of (links, host));
+  return interval_for (links, audience_of (links, link));
 }
 
 static void
@@ -148,10 +186,10 @@
 
     if (!link->up || (!all && now < link->sent_at + HEARTBEAT_MS))
       continue;
-    audience = audience_of (links, link->host);
+    audience = audience_of (links, link);
     if (all || now >= link->sent_at + interval_for (links, audience))
       send_own_heartbeat (links, link, now,
-                          pack_heartbeat (links, &packed, audience));
+                          pack_heartbeat (links, &packed, link, audience));
   }
   for (int i = 0; i < AUDIENCE_COUNT; i++)
     marjoram_bytes_release (packed.frames[i]);
@@ -163,6 +201,15 @@
   marjoram_host_links_send_heartbeats (links, now, true);
 }
 
+/* Removes what a host states to the receiver of its heartbeat only.  */
+static void
+clear_direct_terms (struct marjoram_host_beat *relayed)
+{
+  relayed->offers = (struct marjoram_array){ NULL, 0 };
+  relayed->follow = MARJORAM_FOLLOW_ALL;
+  relayed->interval_ms = 0;
+}
+
 static void
 log_host (const struct marjoram_host_beat *heartbeat)
 {
@@ -199,16 +246,22 @@
                        MARJORAM_FRAME_HEARTBEAT, &echo);
 }
 
+/* Keepers hear of a host in its own heartbeats too; those that don't are told
+   by a keeper that the host follows.  */
 static void
-broadcast_change (marjoram_host_links *links,
-                  struct marjoram_host_beat *heartbeat)
+publish_change (marjoram_host_links *links,
+                const struct marjoram_host_session *session,
+                const struct marjoram_host_beat *heartbeat)
 {
   struct marjoram_host_beat copy = *heartbeat;
   const struct marjoram_host_beats list = { { &copy, 1 } };
 
-  copy.offers = (struct marjoram_array){ NULL, 0 };
-  if (links->settings->role == MARJORAM_ROLE_KEEPER)
-    marjoram_host_links_broadcast (links, MARJORAM_FRAME_HOST_LIST, &list);
+  if (links->settings->role != MARJORAM_ROLE_KEEPER)
+    return;
+  clear_direct_terms (&copy);
+  marjoram_host_links_send_to_followers (
+      links, marjoram_host_session_follows (session), MARJORAM_FRAME_HOST_LIST,
+      &list);
 }
 
 void
@@ -224,10 +277,19 @@
     log_host (heartbeat);
 }
 
-/* Lists the hosts whose heartbeats this host receives directly.  The caller
-   frees ITEMS.  */
+static bool
+follows (marjoram_host_links *links, const char *host)
+{
+  const struct marjoram_host_session *session
+      = marjoram_host_links_session (links, host);
+
+  return session && marjoram_host_session_follows (session);
+}
+
+/* Lists the hosts whose heartbeats this host receives directly, or those of
+   them that follow it.  The caller frees ITEMS.  */
 static struct marjoram_host_beats
-make_list (marjoram_host_links *links, int64_t now)
+make_list (marjoram_host_links *links, int64_t now, bool only_followers)
 {
   struct marjoram_listed_hosts *all = marjoram_host_list_all (links->hosts);
   const struct marjoram_listed_host *host;
@@ -240,45 +302,82 @@
   list.items.items = items = marjoram_alloc (count * sizeof *items);
   TAILQ_FOREACH (host, all, link)
   if (host->direct && marjoram_host_list_alive (host, now)
-      && list.items.count < MARJORAM_HOST_BEATS_MAX)
+      && (!only_followers || follows (links, host->heartbeat.name)))
     {
       items[list.items.count] = host->heartbeat;
-      /* Offers are sent only by their own host.  */
-      items[list.items.count].offers = (struct marjoram_array){ NULL, 0 };
+      clear_direct_terms (&items[list.items.count]);
       items[list.items.count++].age_ms = (uint64_t)(now - host->received_at);
     }
   return list;
 }
 
+/* The part of LIST after the SENT hosts that fits into one frame; returns
+   false after the last.  */
+static bool
+next_page (const struct marjoram_host_beats *list, size_t *sent,
+           struct marjoram_host_beats *page)
+{
+  struct marjoram_host_beat *items = list->items.items;
+  size_t count = list->items.count - *sent;
+
+  if (count > MARJORAM_HOST_BEATS_MAX)
+    count = MARJORAM_HOST_BEATS_MAX;
+  page->items = (struct marjoram_array){ items + *sent, count };
+  *sent += count;
+  return count > 0;
+}
+
 static void
 send_list (marjoram_host_links *links, const char *host, uint64_t session)
 {
   struct marjoram_host_beats list
-      = make_list (links, marjoram_host_links_now (links));
+      = make_list (links, marjoram_host_links_now (links), false);
+  struct marjoram_host_beats page;
+  size_t sent = 0;
 
-  marjoram_peer_reply (links->peer, host, session, MARJORAM_FRAME_HOST_LIST,
-                       &list);
+  while (next_page (&list, &sent, &page))
+    marjoram_peer_reply (links->peer, host, session, MARJORAM_FRAME_HOST_LIST,
+                         &page);
+  free (list.items.items);
+}
+
+static void
+publish_to_followers (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_host_beats list = make_list (links, now, false);
+  struct marjoram_host_beats page;
+  size_t sent = 0;
+
+  while (next_page (&list, &sent, &page))
+    marjoram_host_links_send_to_followers (links, false,
+                                           MARJORAM_FRAME_HOST_LIST, &page);
+  free (list.items.items);
+}
+
+static void
+publish_to_keepers (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_host_beats list = make_list (links, now, true);
+  struct marjoram_host_beats page;
+  size_t sent = 0;
+
+  while (next_page (&list, &sent, &page))
+    marjoram_host_links_multicast (links, true, NULL, MARJORAM_FRAME_HOST_LIST,
+                                   &page);
   free (list.items.items);
 }
 
 void
 marjoram_host_links_publish_list (marjoram_host_links *links, int64_t now)
 {
-  struct marjoram_host_beats list;
-
   if (now < links->list_sent_at + LIST_INTERVAL_MS)
     return;
-  list = make_list (links, now);
   links->list_sent_at = now;
-  if (now >= links->list_broadcast_at + LIST_BROADCAST_INTERVAL_MS)
-    {
-      links->list_broadcast_at = now;
-      marjoram_host_links_broadcast (links, MARJORAM_FRAME_HOST_LIST, &list);
-    }
-  else
-    marjoram_host_links_multicast (links, true, NULL, MARJORAM_FRAME_HOST_LIST,
-                                   &list);
-  free (list.items.items);
+  publish_to_keepers (links, now);
+  if (now < links->list_broadcast_at + LIST_BROADCAST_INTERVAL_MS)
+    return;
+  links->list_broadcast_at = now;
+  publish_to_followers (links, now);
 }
 
 /* A host that restarts after its clock was set back has a lower incarnation
@@ -297,7 +396,7 @@
   if (!known || known->heartbeat.incarnation <= heartbeat->incarnation)
     return;
   copy = known->heartbeat;
-  copy.offers = (struct marjoram_array){ NULL, 0 };
+  clear_direct_terms (&copy);
   marjoram_peer_reply (links->peer, host, number, MARJORAM_FRAME_HOST_LIST,
                        &list);
 }
@@ -310,25 +409,31 @@
   struct marjoram_host_session *session
       = marjoram_host_links_session (links, host);
   bool first = !session || session->number != number;
+  bool joins;
 
   if (!heartbeat->name || strcmp (heartbeat->name, host) != 0
       || !heartbeat->zone || !heartbeat->region)
     return;
   if (!session)
     session = marjoram_host_links_add_session (links, host);
+  joins = heartbeat->follow != MARJORAM_FOLLOW_ANOTHER
+          && (first || !marjoram_host_session_follows (session));
   session->number = number;
+  session->follow = heartbeat->follow < MARJORAM_FOLLOW_ANOTHER
+                        ? (enum marjoram_follow)heartbeat->follow
+                        : MARJORAM_FOLLOW_ANOTHER;
   heartbeat->age_ms = 0;
   report_higher_incarnation (links, host, number, heartbeat);
   if (marjoram_host_list_update (links->hosts, marjoram_host_links_now (links),
                                  heartbeat, true))
     {
       log_host (heartbeat);
-      broadcast_change (links, heartbeat);
+      publish_change (links, session, heartbeat);
     }
-  if (first && links->settings->role == MARJORAM_ROLE_KEEPER)
+  if (joins && links->settings->role == MARJORAM_ROLE_KEEPER)
     send_list (links, host, number);
   reply_to_heartbeat (links, heartbeat, number);
-  links->ops->heartbeat (links->context, host, number, first, heartbeat);
+  links->ops->heartbeat (links->context, host, number, joins, heartbeat);
 }
 
 /* Adopts an incarnation above that of a previous run of this host.  It takes
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -106,6 +106,7 @@
   link->sent_at = 0;
   marjoram_link_lag_start (&link->lag);
   marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=up", host);
+  marjoram_host_links_choose_home (links, now);
   marjoram_host_links_send_heartbeats (links, now, false);
   links->ops->link_up (links->context, host);
 }
@@ -125,6 +126,8 @@
                   "host=%s state=lost silent_ms=%" PRId64 " lag_ms=%" PRId64,
                   host, marjoram_host_links_now (links) - link->received_at,
                   marjoram_host_links_lag (links));
+  if (link->is_home)
+    marjoram_host_links_choose_home (links, marjoram_host_links_now (links));
   links->ops->link_lost (links->context, host);
 }
 
@@ -337,7 +340,7 @@
                  const struct marjoram_host_link *link)
 {
   const int64_t interval_based_ms
-      = marjoram_host_links_heartbeat_interval (links, link->host)
+      = marjoram_host_links_heartbeat_interval (links, link)
         * SILENT_INTERVALS_PERCENT / 100;
 
   return interval_based_ms > SILENCE_TIMEOUT_MS ? interval_based_ms
@@ -363,6 +366,7 @@
 void
 marjoram_host_links_tick (marjoram_host_links *links, int64_t now)
 {
+  marjoram_host_links_choose_home_if_due (links, now);
   marjoram_host_links_update_interval (links, now);
   measure_lag (links, now);
   reconnect_silent (links, now);
@@ -457,6 +461,29 @@
   return count;
 }
 
+void
+marjoram_host_links_send_to_followers (marjoram_host_links *links,
+                                       bool keepers,
+                                       enum marjoram_frame_type type,
+                                       const void *message)
+{
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
+      = marjoram_frame_pack (type, message);
+  struct marjoram_host_session *session;
+
+  TAILQ_FOREACH (session, &links->sessions, next)
+  {
+    const struct marjoram_listed_host *host
+        = marjoram_host_list_find (links->hosts, session->host);
+
+    if (host && host->heartbeat.keeper
+            ? keepers
+            : marjoram_host_session_follows (session))
+      marjoram_peer_reply_packed (links->peer, session->host, session->number,
+                                  frame);
+  }
+}
+
 /* Sends to the keepers, or to the entry hosts of this region.  */
 static void
 send_to_linked (marjoram_host_links *links, bool keepers,
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -17,10 +17,10 @@
      this host's own link.  Takes ownership of MESSAGE.  */
   void (*frame) (void *context, const char *host, uint64_t session,
                  enum marjoram_frame_type type, void *message);
-  /* Receives a heartbeat on a session that HOST opened; FIRST if it is the
-     first on this session.  */
+  /* Receives a heartbeat on a session that HOST opened; JOINS if it is the
+     first one since which HOST follows this host.  */
   void (*heartbeat) (void *context, const char *host, uint64_t session,
-                     bool first, const struct marjoram_host_beat *heartbeat);
+                     bool joins, const struct marjoram_host_beat *heartbeat);
   void (*session_closed) (void *context, const char *host, uint64_t session);
   /* This host's own link to HOST is up; HOST may have restarted.  */
   void (*link_up) (void *context, const char *host);
@@ -69,6 +69,12 @@
                                       const char *region,
                                       enum marjoram_frame_type type,
                                       const void *message);
+/* Sends to the entry hosts that follow this host and, if KEEPERS, to all
+   keepers that have opened a session.  */
+void marjoram_host_links_send_to_followers (marjoram_host_links *links,
+                                            bool keepers,
+                                            enum marjoram_frame_type type,
+                                            const void *message);
 /* Send to the entry hosts of this host's region, or to the keepers, over its
    own links.  */
 void marjoram_host_links_send_to_region (marjoram_host_links *links,
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -17,6 +17,7 @@
   bool up;
   bool seed;
   bool wanted;
+  bool is_home; /* to the keeper that this host follows */
   int64_t received_at;
   int64_t sent_at;
   struct marjoram_link_lag lag;
@@ -29,6 +30,7 @@
   TAILQ_ENTRY (marjoram_host_session) next;
   char *host;
   uint64_t number;
+  enum marjoram_follow follow; /* as stated in its last heartbeat */
   UT_hash_handle hh;
 };
 
@@ -50,7 +52,10 @@
   TAILQ_HEAD (, marjoram_host_session) sessions;
   struct marjoram_host_session *sessions_by_host;
   struct marjoram_own_lag own_lag;
-  int64_t local_interval_ms; /* of heartbeats in the own region */
+  int64_t local_interval_ms;       /* of heartbeats in the own region */
+  int64_t near_keeper_interval_ms; /* to keepers of the own region */
+  int64_t far_keeper_interval_ms;  /* to keepers of other regions */
+  int64_t home_chosen_at;
   int64_t planned_at;
   int64_t list_sent_at;
   int64_t list_broadcast_at;
@@ -65,13 +70,28 @@
 marjoram_host_links_add_session (marjoram_host_links *links, const char *host);
 int64_t marjoram_host_links_now (const marjoram_host_links *links);
 
+/* keeper_home.c */
+/* Selects the keeper that this entry host follows.  */
+void marjoram_host_links_choose_home (marjoram_host_links *links, int64_t now);
+/* The same, unless it was done a short time ago.  */
+void marjoram_host_links_choose_home_if_due (marjoram_host_links *links,
+                                             int64_t now);
+/* From which keepers this host takes lists and changes, as stated to the
+   keeper at the other end of LINK.  */
+enum marjoram_follow
+marjoram_host_links_follow (const marjoram_host_links *links,
+                            const struct marjoram_host_link *link);
+/* Whether lists of hosts and changes are sent to the host of SESSION.  */
+bool
+marjoram_host_session_follows (const struct marjoram_host_session *session);
+
 /* host_heartbeats.c */
 /* Sets the heartbeat interval within the own region by its host count.  */
 void marjoram_host_links_update_interval (marjoram_host_links *links,
                                           int64_t now);
 int64_t
 marjoram_host_links_heartbeat_interval (const marjoram_host_links *links,
-                                        const char *host);
+                                        const struct marjoram_host_link *link);
 /* Sends heartbeats on links where they are due, or on ALL links.  */
 void marjoram_host_links_send_heartbeats (marjoram_host_links *links,
                                           int64_t now, bool all);
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -225,6 +225,8 @@
   known->sequence = heartbeat->sequence;
   known->config_number = heartbeat->config_number;
   known->age_ms = heartbeat->age_ms;
+  known->follow = heartbeat->follow;
+  known->interval_ms = heartbeat->interval_ms;
   return true;
 }
 
@@ -292,11 +294,22 @@
                 != (heartbeat->offers.count > 0);
 }
 
+/* A relayed heartbeat does not state how often this host is sent one.  */
+static void
+keep_direct_terms (const struct marjoram_listed_host *host,
+                   struct marjoram_host_beat *relayed)
+{
+  relayed->follow = host->heartbeat.follow;
+  relayed->interval_ms = host->heartbeat.interval_ms;
+}
+
 bool
 marjoram_host_list_update (marjoram_host_list *list, int64_t now,
-                           const struct marjoram_host_beat *heartbeat,
+                           const struct marjoram_host_beat *received,
                            bool direct)
 {
+  struct marjoram_host_beat merged = *received;
+  const struct marjoram_host_beat *heartbeat = &merged;
   int64_t received_at = now - (int64_t)heartbeat->age_ms;
   struct marjoram_listed_host *host;
   bool changed;
@@ -306,6 +319,8 @@
   host = find (list, heartbeat->name);
   if (host && is_older (heartbeat, &host->heartbeat))
     return false;
+  if (host && !direct)
+    keep_direct_terms (host, &merged);
   changed = !host || host->heartbeat.incarnation != heartbeat->incarnation
             || host->heartbeat.ready != heartbeat->ready
             || host->heartbeat.leaving != heartbeat->leaving;
@@ -361,11 +376,15 @@
 max_silence_ms (const struct marjoram_listed_host *host)
 {
   const marjoram_host_list *list = host->list;
+  const int64_t stated_ms = (int64_t)host->heartbeat.interval_ms;
   int64_t heartbeats_ms
-      = list->heartbeat_ms * ALIVE_HEARTBEATS + ALIVE_MARGIN_MS;
+      = (stated_ms > 0 ? stated_ms : list->heartbeat_ms) * ALIVE_HEARTBEATS
+        + ALIVE_MARGIN_MS;
 
   if (!host->direct)
     return list->relayed_valid_ms;
+  if (stated_ms > 0)
+    return heartbeats_ms > ALIVE_MS ? heartbeats_ms : ALIVE_MS;
   if (host->heartbeat.keeper || !list->region || heartbeats_ms < ALIVE_MS
       || strcmp (host->heartbeat.region, list->region) != 0)
     return ALIVE_MS;
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -249,13 +249,13 @@
 
 static void
 role_heartbeat (struct marjoram_role *role, const char *host, uint64_t session,
-                bool first, const struct marjoram_host_beat *heartbeat)
+                bool joins, const struct marjoram_host_beat *heartbeat)
 {
   struct marjoram_keeper_role *self = self_of (role);
 
   if (heartbeat->config_number > 0)
     marjoram_keeper_observe_number (self->keeper, heartbeat->config_number);
-  if (first)
+  if (joins)
     marjoram_keeper_send_snapshot (self, host, session, heartbeat);
   marjoram_keeper_announce_state_to (self, host, session, heartbeat);
 }
--- a/src/role.h
+++ b/src/role.h
@@ -18,7 +18,7 @@
                  uint64_t session, enum marjoram_frame_type type,
                  void *message);
   void (*heartbeat) (struct marjoram_role *role, const char *host,
-                     uint64_t session, bool first,
+                     uint64_t session, bool joins,
                      const struct marjoram_host_beat *heartbeat);
   void (*session_closed) (struct marjoram_role *role, const char *host,
                           uint64_t session);
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -59,13 +59,13 @@
 }
 
 static void
-on_heartbeat (void *context, const char *name, uint64_t session, bool first,
+on_heartbeat (void *context, const char *name, uint64_t session, bool joins,
               const struct marjoram_host_beat *heartbeat)
 {
   (void)context;
   (void)name;
   (void)session;
-  (void)first;
+  (void)joins;
   (void)heartbeat;
 }
 
@@ -486,6 +486,90 @@
 }
 END_TEST
 
+/* Makes HOST believe that COUNT further entry hosts exist.  */
+static void
+pretend_hosts (struct host *host, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      char name[IP_MAX];
+      const struct marjoram_host_beat heartbeat
+          = { .name = name,
+              .zone = (char *)"r2",
+              .region = (char *)"r2",
+              .entry = (char *)"10.9.0.1:80",
+              .incarnation = 1,
+              .sequence = 1 };
+
+      snprintf (name, sizeof name, "10.9.%d.%d", i / 250, i % 250 + 1);
+      marjoram_host_list_update (host->hosts, marjoram_clock_now (test_clock),
+                                 &heartbeat, false);
+    }
+}
+
+/* The keepers that notify ENTRY, counted as it stated last.  */
+static int
+followed_keepers (void)
+{
+  const struct host *const keepers[] = { &keeper, &other };
+  int count = 0;
+
+  for (int i = 0; i < 2; i++)
+    {
+      const struct marjoram_listed_host *listed
+          = keepers[i]->links
+                ? marjoram_host_list_find (keepers[i]->hosts, entry.ip)
+                : NULL;
+
+      count += listed && listed->heartbeat.sequence > 0
+               && listed->heartbeat.follow != MARJORAM_FOLLOW_ANOTHER;
+    }
+  return count;
+}
+
+static bool
+lists_entry (const struct host *host)
+{
+  return !host->links || marjoram_host_list_find (host->hosts, entry.ip);
+}
+
+static bool
+both_list_entry (void)
+{
+  return lists_entry (&keeper) && lists_entry (&other);
+}
+
+static bool
+both_keepers_are_followed (void)
+{
+  return followed_keepers () == 2;
+}
+
+static bool
+one_keeper_is_followed (void)
+{
+  return both_list_entry () && followed_keepers () == 1;
+}
+
+/* Guards against each keeper sending each host all lists and changes.  */
+START_TEST (host_of_large_fleet_follows_one_keeper)
+{
+  struct host *home;
+
+  start (&other, 3, MARJORAM_ROLE_KEEPER, "r1", 1);
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (both_keepers_are_followed, "a small fleet to follow all");
+  pretend_hosts (&entry, 200);
+  wait_until (one_keeper_is_followed, "one keeper to be followed");
+  home = marjoram_host_list_find (keeper.hosts, entry.ip)->heartbeat.follow
+                 == MARJORAM_FOLLOW_ONLY
+             ? &keeper
+             : &other;
+  stop (home);
+  wait_until (one_keeper_is_followed, "the other keeper to be followed");
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -501,6 +585,7 @@
   tcase_add_test (tests, unsent_frames_are_reported_until_they_are_written);
   tcase_add_test (tests, receive_lag_does_not_close_links);
   tcase_add_test (tests, partition_closes_links_in_time);
+  tcase_add_test (tests, host_of_large_fleet_follows_one_keeper);
   suite_add_tcase (all, tests);
   return all;
 }
--- a/test/test_host_list.c
+++ b/test/test_host_list.c
@@ -90,6 +90,25 @@
 }
 END_TEST
 
+/* Guards against a host of a large fleet that counts as dead between two of
+   its heartbeats.  */
+START_TEST (host_is_alive_for_the_interval_that_it_states)
+{
+  struct marjoram_host_beat heartbeat = make_heartbeat ("h1", "z1", "r1", 1);
+
+  heartbeat.interval_ms = 1000;
+  marjoram_host_list_update (list, 0, &heartbeat, true);
+  ck_assert_uint_eq (look_up (3900, "z1", "r1"), 1);
+  ck_assert_uint_eq (look_up (4200, "z1", "r1"), 0);
+  marjoram_host_list_update (list, 5000, &heartbeat, true);
+  heartbeat.interval_ms = 0;
+  heartbeat.sequence = 2;
+  marjoram_host_list_update (list, 5000, &heartbeat, false);
+  ck_assert_uint_eq (look_up (8900, "z1", "r1"), 1);
+  ck_assert_uint_eq (look_up (9200, "z1", "r1"), 0);
+}
+END_TEST
+
 /* Guards against lookups that return a host which is shutting down.  */
 START_TEST (leaving_host_is_omitted_at_once)
 {
@@ -236,6 +255,7 @@
   tcase_add_test (c, own_zone_first_then_region_then_home);
   tcase_add_test (c, dead_host_is_omitted_in_time);
   tcase_add_test (c, leaving_host_is_omitted_at_once);
+  tcase_add_test (c, host_is_alive_for_the_interval_that_it_states);
   tcase_add_test (c, older_heartbeats_are_ignored);
   tcase_add_test (c, one_owner_among_live_hosts_of_a_region);
   tcase_add_test (c, dead_entries_count_for_a_while);
