--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -9,6 +9,9 @@
   MARJORAM_HOST_BEATS_MAX = 1024,
   MARJORAM_HOST_OFFERS_MAX = 64,
   MARJORAM_NEWS_MAX = 4096,
+  /* Items that a sender puts into one message.  Bounds the time for which
+     other messages on the link wait behind it.  */
+  MARJORAM_NEWS_PAGE = 512,
   MARJORAM_LOADS_MAX = 4096,
   MARJORAM_PLACED_MAX = 4096,
   MARJORAM_CRASHES_MAX = 4096,
--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -259,9 +259,11 @@
   if (links->settings->role != MARJORAM_ROLE_KEEPER)
     return;
   clear_direct_terms (&copy);
-  marjoram_host_links_send_to_followers (
-      links, marjoram_host_session_follows (session), MARJORAM_FRAME_HOST_LIST,
-      &list);
+  marjoram_host_links_multicast (links, MARJORAM_TO_FOLLOWERS, NULL,
+                                 MARJORAM_FRAME_HOST_LIST, &list);
+  if (marjoram_host_session_follows (session))
+    marjoram_host_links_multicast (links, MARJORAM_TO_KEEPERS, NULL,
+                                   MARJORAM_FRAME_HOST_LIST, &list);
 }
 
 void
@@ -349,8 +351,8 @@
   size_t sent = 0;
 
   while (next_page (&list, &sent, &page))
-    marjoram_host_links_send_to_followers (links, false,
-                                           MARJORAM_FRAME_HOST_LIST, &page);
+    marjoram_host_links_multicast (links, MARJORAM_TO_FOLLOWERS, NULL,
+                                   MARJORAM_FRAME_HOST_LIST, &page);
   free (list.items.items);
 }
 
@@ -362,8 +364,8 @@
   size_t sent = 0;
 
   while (next_page (&list, &sent, &page))
-    marjoram_host_links_multicast (links, true, NULL, MARJORAM_FRAME_HOST_LIST,
-                                   &page);
+    marjoram_host_links_multicast (links, MARJORAM_TO_KEEPERS, NULL,
+                                   MARJORAM_FRAME_HOST_LIST, &page);
   free (list.items.items);
 }
 
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -435,8 +435,29 @@
                               frame);
 }
 
+static bool
+is_recipient (const struct marjoram_host_session *session,
+              const struct marjoram_listed_host *host,
+              enum marjoram_recipients recipients)
+{
+  if (!host || host->heartbeat.keeper != (recipients == MARJORAM_TO_KEEPERS))
+    return false;
+  switch (recipients)
+    {
+    case MARJORAM_TO_FOLLOWERS:
+      return session->follow != MARJORAM_FOLLOW_ANOTHER;
+    case MARJORAM_TO_SOLE_FOLLOWERS:
+      return session->follow == MARJORAM_FOLLOW_ONLY;
+    case MARJORAM_TO_JOINT_FOLLOWERS:
+      return session->follow == MARJORAM_FOLLOW_ALL;
+    default:
+      return true;
+    }
+}
+
 size_t
-marjoram_host_links_multicast (marjoram_host_links *links, bool keepers,
+marjoram_host_links_multicast (marjoram_host_links *links,
+                               enum marjoram_recipients recipients,
                                const char *region,
                                enum marjoram_frame_type type,
                                const void *message)
@@ -451,7 +472,7 @@
     const struct marjoram_listed_host *host
         = marjoram_host_list_find (links->hosts, session->host);
 
-    if (!host || host->heartbeat.keeper != keepers
+    if (!is_recipient (session, host, recipients)
         || (region && strcmp (host->heartbeat.region, region) != 0))
       continue;
     marjoram_peer_reply_packed (links->peer, session->host, session->number,
@@ -461,29 +482,6 @@
   return count;
 }
 
-void
-marjoram_host_links_send_to_followers (marjoram_host_links *links,
-                                       bool keepers,
-                                       enum marjoram_frame_type type,
-                                       const void *message)
-{
-  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
-      = marjoram_frame_pack (type, message);
-  struct marjoram_host_session *session;
-
-  TAILQ_FOREACH (session, &links->sessions, next)
-  {
-    const struct marjoram_listed_host *host
-        = marjoram_host_list_find (links->hosts, session->host);
-
-    if (host && host->heartbeat.keeper
-            ? keepers
-            : marjoram_host_session_follows (session))
-      marjoram_peer_reply_packed (links->peer, session->host, session->number,
-                                  frame);
-  }
-}
-
 /* Sends to the keepers, or to the entry hosts of this region.  */
 static void
 send_to_linked (marjoram_host_links *links, bool keepers,
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -62,19 +62,23 @@
 void marjoram_host_links_broadcast (marjoram_host_links *links,
                                     enum marjoram_frame_type type,
                                     const void *message);
-/* Sends to the keepers (if KEEPERS) or the entry hosts that have opened a
-   session to this one, in REGION or, if it is NULL, in all regions.  Returns
-   the number of recipients.  */
-size_t marjoram_host_links_multicast (marjoram_host_links *links, bool keepers,
+/* Recipients among the hosts that have opened a session to this one.  */
+enum marjoram_recipients
+{
+  MARJORAM_TO_ENTRY_HOSTS,
+  MARJORAM_TO_KEEPERS,
+  MARJORAM_TO_FOLLOWERS,      /* entry hosts that follow this keeper */
+  MARJORAM_TO_SOLE_FOLLOWERS, /* those that follow no other keeper */
+  MARJORAM_TO_JOINT_FOLLOWERS /* those that follow all keepers */
+};
+
+/* Sends to RECIPIENTS in REGION or, if it is NULL, in all regions.  Returns
+   their number.  */
+size_t marjoram_host_links_multicast (marjoram_host_links *links,
+                                      enum marjoram_recipients recipients,
                                       const char *region,
                                       enum marjoram_frame_type type,
                                       const void *message);
-/* Sends to the entry hosts that follow this host and, if KEEPERS, to all
-   keepers that have opened a session.  */
-void marjoram_host_links_send_to_followers (marjoram_host_links *links,
-                                            bool keepers,
-                                            enum marjoram_frame_type type,
-                                            const void *message);
 /* Send to the entry hosts of this host's region, or to the keepers, over its
    own links.  */
 void marjoram_host_links_send_to_region (marjoram_host_links *links,
--- a/src/keeper_publish.c
+++ b/src/keeper_publish.c
@@ -26,7 +26,7 @@
 
   load_newest_state (self);
   announcement.number = marjoram_state_sender_number (self->state_sender);
-  marjoram_host_links_multicast (self->parts->links, false,
+  marjoram_host_links_multicast (self->parts->links, MARJORAM_TO_ENTRY_HOSTS,
                                  self->parts->settings->region,
                                  MARJORAM_FRAME_STATE_NEWS, &announcement);
 }
@@ -94,14 +94,47 @@
   return false;
 }
 
+/* The part of BATCH after the SENT items that fits into one frame; returns
+   false after the last.  */
+static bool
+next_page (const struct marjoram_news_batch *batch, size_t *sent,
+           struct marjoram_news_batch *page)
+{
+  struct marjoram_news_item *items = batch->items.items;
+  size_t count = batch->items.count - *sent;
+
+  if (count > MARJORAM_NEWS_PAGE)
+    count = MARJORAM_NEWS_PAGE;
+  *page = (struct marjoram_news_batch){ batch->ticket,
+                                        { items + *sent, count } };
+  *sent += count;
+  return count > 0;
+}
+
+static size_t
+multicast_pages (struct marjoram_keeper_role *self,
+                 enum marjoram_recipients recipients, const char *region,
+                 const struct marjoram_news_batch *batch)
+{
+  struct marjoram_news_batch page;
+  size_t sent = 0;
+  size_t count = 0;
+
+  while (next_page (batch, &sent, &page))
+    count = marjoram_host_links_multicast (self->parts->links, recipients,
+                                           region, MARJORAM_FRAME_NEWS, &page);
+  return count;
+}
+
 /* Hosts only use upstreams of their own region, so updates stay within it,
    which saves most of the traffic between regions.  */
 static size_t
 publish_to_regions (struct marjoram_keeper_role *self,
-                    const struct marjoram_news_batch *batch, bool to_keepers)
+                    const struct marjoram_news_batch *batch,
+                    enum marjoram_recipients recipients)
 {
   const struct marjoram_gateway_settings *settings = self->parts->settings;
-  size_t recipients = 0;
+  size_t count = 0;
 
   for (size_t i = 0; i < settings->zone_count; i++)
     {
@@ -111,34 +144,54 @@
       if (region_done (settings, i))
         continue;
       filter_region (settings, region, batch, &part);
-      if (part.items.count > 0)
-        recipients += marjoram_host_links_multicast (
-            self->parts->links, false, region, MARJORAM_FRAME_NEWS, &part);
-      if (part.items.count > 0 && to_keepers)
-        recipients += marjoram_host_links_multicast (
-            self->parts->links, true, region, MARJORAM_FRAME_NEWS, &part);
+      count += multicast_pages (self, recipients, region, &part);
       free (part.items.items);
     }
-  return recipients;
+  return count;
 }
 
 /* Changes go to all keepers: a delayed message from an earlier incarnation of
-   an upstream, or from before it left, may reach any of them.  */
+   an upstream, or from before it left, may reach any of them.  A change that
+   has to be acknowledged goes to all hosts, others to those that follow this
+   keeper: the other keepers pass them on to theirs.  */
 size_t
 marjoram_keeper_publish_changes (struct marjoram_keeper_role *self,
                                  const struct marjoram_news_batch *batch)
 {
-  size_t recipients = marjoram_host_links_multicast (
-      self->parts->links, true, NULL, MARJORAM_FRAME_NEWS, batch);
+  size_t recipients = multicast_pages (self, MARJORAM_TO_KEEPERS, NULL, batch);
 
-  return recipients + publish_to_regions (self, batch, false);
+  return recipients
+         + publish_to_regions (self, batch,
+                               batch->ticket ? MARJORAM_TO_ENTRY_HOSTS
+                                             : MARJORAM_TO_FOLLOWERS);
 }
 
+void
+marjoram_keeper_relay_changes (struct marjoram_keeper_role *self,
+                               const struct marjoram_news_batch *batch)
+{
+  publish_to_regions (self, batch, MARJORAM_TO_SOLE_FOLLOWERS);
+}
+
+/* Hosts that follow one keeper are sent summaries instead.  */
 void
 marjoram_keeper_publish_renewals (struct marjoram_keeper_role *self,
                                   const struct marjoram_news_batch *batch)
 {
-  publish_to_regions (self, batch, true);
+  publish_to_regions (self, batch, MARJORAM_TO_KEEPERS);
+  publish_to_regions (self, batch, MARJORAM_TO_JOINT_FOLLOWERS);
+}
+
+static void
+send_pages (struct marjoram_keeper_role *self, const char *host,
+            uint64_t session, const struct marjoram_news_batch *batch)
+{
+  struct marjoram_news_batch page;
+  size_t sent = 0;
+
+  while (next_page (batch, &sent, &page))
+    marjoram_host_links_reply (self->parts->links, host, session,
+                               MARJORAM_FRAME_NEWS, &page);
 }
 
 /* Sends all upstreams to a keeper, and those of its region to a host.  */
@@ -152,9 +205,7 @@
   marjoram_registrar_snapshot (self->registrar,
                                marjoram_keeper_role_now (self), &all);
   filter_region (self->parts->settings, heartbeat->region, &all, &part);
-  marjoram_host_links_reply (self->parts->links, host, session,
-                             MARJORAM_FRAME_NEWS,
-                             heartbeat->keeper ? &all : &part);
+  send_pages (self, host, session, heartbeat->keeper ? &all : &part);
   free (part.items.items);
   free (all.items.items);
 }
@@ -188,8 +239,8 @@
   marjoram_crash_list_apply (self->crashes, marjoram_keeper_role_now (self),
                              report);
   if (sender && strcmp (sender->heartbeat.region, region) != 0)
-    marjoram_host_links_multicast (self->parts->links, false, region,
-                                   MARJORAM_FRAME_CRASHES, report);
+    marjoram_host_links_multicast (self->parts->links, MARJORAM_TO_ENTRY_HOSTS,
+                                   region, MARJORAM_FRAME_CRASHES, report);
 }
 
 void
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -179,6 +179,12 @@
   return marjoram_keeper_publish_changes (context, batch);
 }
 
+static void
+reg_relay (void *context, const struct marjoram_news_batch *batch)
+{
+  marjoram_keeper_relay_changes (context, batch);
+}
+
 static void
 reg_renew (void *context, const struct marjoram_news_batch *batch)
 {
@@ -223,6 +229,7 @@
 static const struct marjoram_registrar_ops registrar_ops = {
   .respond = reg_respond,
   .broadcast = reg_broadcast,
+  .relay = reg_relay,
   .renew = reg_renew,
   .apply = reg_apply,
   .read = reg_read,
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -44,6 +44,10 @@
 size_t
 marjoram_keeper_publish_changes (struct marjoram_keeper_role *self,
                                  const struct marjoram_news_batch *batch);
+/* Passes changes that another keeper sent on to the hosts of the upstreams'
+   regions that hear of them from this keeper alone.  */
+void marjoram_keeper_relay_changes (struct marjoram_keeper_role *self,
+                                    const struct marjoram_news_batch *batch);
 /* Sends registration renewals to the keepers and hosts in the upstreams'
    regions.  */
 void
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -20,7 +20,11 @@
      which hosts treat an upstream as silent.  */
   RENEW_INTERVAL_MS = 200,
   RENEW_PER_UPSTREAM_MS = 2,
-  RENEW_INTERVAL_MAX_MS = 2000
+  RENEW_INTERVAL_MAX_MS = 2000,
+  /* A change that follows another within this time is sent with those after
+     it.  */
+  CHANGE_INTERVAL_MS = 100,
+  CHANGES_MIN = 16 /* initial capacity of a list of changes */
 };
 
 marjoram_registrar *
@@ -33,6 +37,7 @@
   registrar->options = *options;
   registrar->ops = ops;
   registrar->context = context;
+  registrar->changes_sent_at = INT64_MIN / 2;
   return registrar;
 }
 
@@ -58,6 +63,8 @@
     marjoram_registrar_remove_pending (registrar, pending);
   }
   marjoram_route_table_destroy (registrar->table);
+  free (registrar->changed.ids);
+  free (registrar->relayed.ids);
   free (registrar);
 }
 
@@ -148,6 +155,69 @@
   marjoram_registrar_respond (registrar, request_id, MARJORAM_STATUS_OK, "{}");
 }
 
+static void
+reserve_change (struct marjoram_changed_upstreams *changes)
+{
+  const size_t used = changes->count * sizeof *changes->ids;
+  void *larger;
+
+  if (changes->count < changes->allocated)
+    return;
+  changes->allocated = changes->count > 0 ? 2 * changes->count : CHANGES_MIN;
+  larger = marjoram_alloc (changes->allocated * sizeof *changes->ids);
+  if (used > 0)
+    memcpy (larger, changes->ids, used);
+  free (changes->ids);
+  changes->ids = larger;
+}
+
+static void
+add_change (struct marjoram_changed_upstreams *changes, const char *id)
+{
+  reserve_change (changes);
+  snprintf (changes->ids[changes->count++], MARJORAM_ID_MAX, "%s", id);
+}
+
+/* Packs the upstreams of CHANGES.  The caller frees the items.  */
+static void
+take_changes (marjoram_registrar *registrar, int64_t now,
+              struct marjoram_changed_upstreams *changes,
+              struct marjoram_news_batch *batch)
+{
+  struct marjoram_news_item *items
+      = marjoram_alloc (changes->count * sizeof *items);
+
+  *batch = (struct marjoram_news_batch){ 0, { items, 0 } };
+  for (size_t i = 0; i < changes->count; i++)
+    {
+      const struct marjoram_registered *upstream = marjoram_registry_find (
+          registrar->options.registry, changes->ids[i]);
+
+      if (upstream)
+        marjoram_registry_pack (upstream, now, &items[batch->items.count++]);
+    }
+  changes->count = 0;
+}
+
+static void
+send_changes (marjoram_registrar *registrar, int64_t now)
+{
+  struct marjoram_news_batch batch;
+
+  if (registrar->changed.count + registrar->relayed.count == 0
+      || now < registrar->changes_sent_at + CHANGE_INTERVAL_MS)
+    return;
+  registrar->changes_sent_at = now;
+  take_changes (registrar, now, &registrar->changed, &batch);
+  if (batch.items.count > 0)
+    registrar->ops->broadcast (registrar->context, &batch);
+  free (batch.items.items);
+  take_changes (registrar, now, &registrar->relayed, &batch);
+  if (batch.items.count > 0)
+    registrar->ops->relay (registrar->context, &batch);
+  free (batch.items.items);
+}
+
 static bool
 check_heartbeat (const marjoram_registrar *registrar,
                  const struct marjoram_upstream_heartbeat *heartbeat,
@@ -206,7 +276,10 @@
       return;
     }
   if (result == MARJORAM_REGISTRY_CHANGED)
-    broadcast_one (registrar, now, heartbeat->id, 0);
+    {
+      add_change (&registrar->changed, heartbeat->id);
+      send_changes (registrar, now);
+    }
   else if (result == MARJORAM_REGISTRY_RENEWED && !registrar->renewals_since)
     registrar->renewals_since = now;
   marjoram_registrar_respond (registrar, request_id, MARJORAM_STATUS_OK, "{}");
@@ -222,10 +295,14 @@
     {
       struct marjoram_upstream_heartbeat heartbeat;
 
-      if (marjoram_registry_unpack (&items[i], &heartbeat))
-        marjoram_registry_update (registrar->options.registry, now, &heartbeat,
-                                  items[i].age_ms);
+      if (marjoram_registry_unpack (&items[i], &heartbeat)
+          && marjoram_registry_update (registrar->options.registry, now,
+                                       &heartbeat, items[i].age_ms)
+                 == MARJORAM_REGISTRY_CHANGED
+          && batch->ticket == 0)
+        add_change (&registrar->relayed, heartbeat.id);
     }
+  send_changes (registrar, now);
 }
 
 /* Packs the upstreams heard directly since SINCE, or all if SINCE is
@@ -246,8 +323,7 @@
   batch->items.items = items = marjoram_alloc (count * sizeof *items);
   batch->items.count = 0;
   TAILQ_FOREACH (upstream, all, link)
-  if (upstream->direct_received_at >= since
-      && batch->items.count < MARJORAM_NEWS_MAX)
+  if (upstream->direct_received_at >= since)
     marjoram_registry_pack (upstream, now, &items[batch->items.count++]);
 }
 
@@ -493,6 +569,7 @@
   struct marjoram_pending_request *next;
 
   postpone_deadlines (registrar, now);
+  send_changes (registrar, now);
   send_renewals (registrar, now);
   HASH_ITER (hh, registrar->pending, pending, next)
   {
--- a/src/registrar.h
+++ b/src/registrar.h
@@ -18,6 +18,9 @@
                    const char *body, size_t size);
   /* Sends BATCH to all connected hosts; returns their number.  */
   size_t (*broadcast) (void *context, const struct marjoram_news_batch *batch);
+  /* Sends BATCH of changes that another keeper has sent to the hosts that hear
+     of changes from this keeper alone.  */
+  void (*relay) (void *context, const struct marjoram_news_batch *batch);
   /* Sends BATCH of liveness-only updates to the hosts that use these
      upstreams.  */
   void (*renew) (void *context, const struct marjoram_news_batch *batch);
--- a/src/registrar_private.h
+++ b/src/registrar_private.h
@@ -42,6 +42,14 @@
   UT_hash_handle hh;
 };
 
+/* Upstreams whose changes have not been sent yet.  */
+struct marjoram_changed_upstreams
+{
+  char (*ids)[MARJORAM_ID_MAX];
+  size_t count;
+  size_t allocated;
+};
+
 struct marjoram_registrar
 {
   struct marjoram_registrar_options options;
@@ -51,6 +59,9 @@
   uint64_t next_number;
   int64_t ticked_at;      /* last tick; 0 before any */
   int64_t renewals_since; /* first renewal in the pending batch; 0 if none */
+  struct marjoram_changed_upstreams changed; /* heard by this keeper */
+  struct marjoram_changed_upstreams relayed; /* by other keepers */
+  int64_t changes_sent_at;
   struct marjoram_route_table *table; /* parsed from state TABLE_NUMBER */
   uint64_t table_number;
 };
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -301,10 +301,10 @@
   start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
   start (&other, 3, MARJORAM_ROLE_ENTRY, "r2", 1);
   wait_until (both_are_listed, "both hosts");
-  ck_assert_uint_eq (marjoram_host_links_multicast (keeper.links, false, "r1",
-                                                    MARJORAM_FRAME_NEWS_SEEN,
-                                                    &message),
-                     1);
+  ck_assert_uint_eq (
+      marjoram_host_links_multicast (keeper.links, MARJORAM_TO_ENTRY_HOSTS,
+                                     "r1", MARJORAM_FRAME_NEWS_SEEN, &message),
+      1);
   wait_until (entry_has_a_frame, "the message for its region");
   ck_assert_int_eq (other.frames, 0);
   /* The broadcast arrives after it on the same links.  */
@@ -312,10 +312,10 @@
                                  &message);
   wait_until (both_have_a_frame, "the broadcast");
   ck_assert_int_eq (other.frames, 1);
-  ck_assert_uint_eq (marjoram_host_links_multicast (keeper.links, true, NULL,
-                                                    MARJORAM_FRAME_NEWS_SEEN,
-                                                    &message),
-                     0);
+  ck_assert_uint_eq (
+      marjoram_host_links_multicast (keeper.links, MARJORAM_TO_KEEPERS, NULL,
+                                     MARJORAM_FRAME_NEWS_SEEN, &message),
+      0);
 }
 END_TEST
 
--- a/test/test_registrar.c
+++ b/test/test_registrar.c
@@ -33,7 +33,10 @@
 static size_t renewed_count; /* upstreams in the last batch of renewals */
 static char renewed[64];     /* first upstream of the last batch of renewals */
 static size_t batches_sent;
-static uint64_t ticket; /* ticket of the last batch */
+static size_t items_sent;
+static size_t batches_relayed;
+static size_t relayed_count; /* items of these */
+static uint64_t ticket;      /* ticket of the last batch */
 static size_t connected_hosts;
 static uint64_t request; /* last apply or read request */
 static int reads;
@@ -69,10 +72,19 @@
 {
   (void)context;
   batches_sent++;
+  items_sent += batch->items.count;
   ticket = batch->ticket;
   return connected_hosts;
 }
 
+static void
+op_relay (void *context, const struct marjoram_news_batch *batch)
+{
+  (void)context;
+  batches_relayed++;
+  relayed_count += batch->items.count;
+}
+
 static void
 op_apply (void *context, uint64_t number, const char *id,
           const struct marjoram_file *file)
@@ -111,6 +123,7 @@
 static const struct marjoram_registrar_ops ops
     = { .respond = op_respond,
         .broadcast = op_broadcast,
+        .relay = op_relay,
         .renew = op_renew,
         .apply = op_apply,
         .read = op_read,
@@ -140,6 +153,9 @@
   decision_ms = 0;
   last_request_id = 0;
   batches_sent = 0;
+  items_sent = 0;
+  batches_relayed = 0;
+  relayed_count = 0;
   renewals = 0;
   renewed_count = 0;
   ticket = 0;
@@ -236,6 +252,84 @@
 }
 END_TEST
 
+static void
+register_upstream (int64_t now, int number)
+{
+  char target[64];
+  char text[256];
+
+  snprintf (target, sizeof target, "/-/instances/u%d/heartbeat", number);
+  snprintf (text, sizeof text,
+            "{\"service\":\"app\",\"address\":\"10.0.%d.%d:80\","
+            "\"zone\":\"za\",\"state\":\"ready\",\"seq\":1}",
+            number / 250, number % 250 + 1);
+  send_request (now, "POST", target, text);
+  ck_assert_int_eq (status, 200);
+}
+
+/* Registers COUNT upstreams within two seconds; returns the batches sent.  */
+static size_t
+batches_for (int count)
+{
+  const int64_t period_ms = 2000;
+
+  for (int i = 0; i < count; i++)
+    {
+      int64_t now = 100000 * (int64_t)count + period_ms * i / count;
+
+      register_upstream (now, i);
+      marjoram_registrar_tick (registrar, now);
+    }
+  marjoram_registrar_tick (registrar, 100000 * (int64_t)count + 2 * period_ms);
+  ck_assert_uint_eq (items_sent, (size_t)count);
+  return batches_sent;
+}
+
+/* Guards against a message to each host for each upstream when a whole fleet
+   starts.  */
+START_TEST (changes_in_short_order_share_messages)
+{
+  static const int counts[] = { 100, 1000, 10000 };
+
+  for (size_t i = 0; i < sizeof counts / sizeof *counts; i++)
+    {
+      size_t batches;
+
+      if (i > 0)
+        {
+          teardown ();
+          setup ();
+        }
+      batches = batches_for (counts[i]);
+      printf ("%d upstreams: %zu batches\n", counts[i], batches);
+      ck_assert_uint_le (batches, 22);
+    }
+}
+END_TEST
+
+/* Guards against hosts that follow this keeper alone missing a change that
+   another keeper heard, and against relaying it again.  */
+START_TEST (changes_of_other_keepers_are_relayed_once)
+{
+  struct marjoram_news_item item = { .id = (char *)"far",
+                                     .service = (char *)"app",
+                                     .address = (char *)"10.0.0.8:80",
+                                     .zone = (char *)"zb",
+                                     .sequence = 1,
+                                     .ends_ms = -1 };
+  const struct marjoram_news_batch batch = { 0, { &item, 1 } };
+
+  marjoram_registrar_apply_batch (registrar, 1000, &batch);
+  ck_assert_uint_eq (relayed_count, 1);
+  marjoram_registrar_apply_batch (registrar, 2000, &batch);
+  item.sequence = 2;
+  marjoram_registrar_apply_batch (registrar, 3000, &batch);
+  marjoram_registrar_tick (registrar, 4000);
+  ck_assert_uint_eq (relayed_count, 1);
+  ck_assert_uint_eq (batches_sent, 0);
+}
+END_TEST
+
 START_TEST (malformed_heartbeats_are_rejected)
 {
   send_request (0, "POST", "/-/instances/u1/heartbeat", "{\"service\":1}");
@@ -533,6 +627,8 @@
 
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, heartbeat_is_stored_and_broadcast);
+  tcase_add_test (c, changes_in_short_order_share_messages);
+  tcase_add_test (c, changes_of_other_keepers_are_relayed_once);
   tcase_add_test (c, renewals_of_other_keepers_are_not_forwarded);
   tcase_add_test (c, malformed_heartbeats_are_rejected);
   tcase_add_test (c, leave_is_confirmed_before_it_is_answered);
