Summaries renew a region's upstreams at the hosts that follow one keeper

Cause: each heartbeat of an upstream went by name to all hosts of its region, at most each 2 s: by arithmetic 170 MB a second with 9,998 upstreams and 985 hosts, and 2,169 records a second to update at each host of the largest region.

Change: once a second a keeper sends the hosts that follow it alone one message: all were heard within so many ms, how many, a digest of them and their state, and by name those that have just become silent. Keepers still tell each other of each renewal within a region. The silence of an upstream that another keeper heard last is put down to that keeper while it is out of reach, up to 20 s. A keeper that has just started sends no summaries for 8 s, in which heartbeats and other keepers' lists arrive.

Weighed: leases a keeper for the upstreams that it hears itself; an upstream may turn to any keeper with each heartbeat, and each turn would be a message to all hosts. Deltas by number without a digest: a host that lacks an upstream would not know.

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -110,6 +110,8 @@
                         heartbeat.started_at, heartbeat.sequence,
                         heartbeat.cold_ms, items[i].age_ms, host);
     }
+  if (batch->is_last)
+    marjoram_registry_unvouch_before (self->registry, batch->asked_at);
   if (batch->ticket)
     {
       const struct marjoram_news_seen seen = { batch->ticket };
@@ -119,6 +121,27 @@
     }
 }
 
+static void
+handle_liveness (struct marjoram_entry *self, const char *host,
+                 const struct marjoram_liveness *summary)
+{
+  const int64_t now = marjoram_entry_now (self);
+  const struct marjoram_news_ask ask = { now };
+
+  if (summary->silent.count > 0)
+    marjoram_event (MARJORAM_EVENT_UPSTREAM,
+                    "state=summary live=%" PRIu64 " silent=%zu keeper=%s",
+                    summary->count, summary->silent.count, host);
+  if (!marjoram_liveness_apply (&self->liveness, self->registry, now, summary))
+    return;
+  marjoram_event (
+      MARJORAM_EVENT_UPSTREAM,
+      "state=differs keeper=%s its_count=%" PRIu64 " own_count=%" PRIu64, host,
+      summary->count, marjoram_registry_digest (self->registry).count);
+  marjoram_host_links_send (self->parts->links, host, MARJORAM_FRAME_NEWS_ASK,
+                            &ask);
+}
+
 static struct marjoram_http_request *
 make_request (const struct marjoram_forward *forward)
 {
@@ -246,6 +269,9 @@
     case MARJORAM_FRAME_NEWS:
       handle_upstream_batch (self, host, session, message);
       break;
+    case MARJORAM_FRAME_LIVENESS:
+      handle_liveness (self, host, message);
+      break;
     case MARJORAM_FRAME_LOADS:
       marjoram_placement_apply_report (
           marjoram_gateway_placement (self->gateway),
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -11,6 +11,7 @@
 #include "engine_survey.h"
 #include "gateway.h"
 #include "leaving_zones.h"
+#include "liveness.h"
 #include "load_collector.h"
 #include "role.h"
 #include "state_fetch.h"
@@ -56,6 +57,7 @@
   marjoram_load_collector *collector;
   bool using_collectors;
   /* Addresses to which each group was last reported.  */
+  struct marjoram_liveness_check liveness;
   char collectors[MARJORAM_LOAD_GROUPS][MARJORAM_IP_MAX];
   int64_t full_report_at;
   int64_t sums_sent_at;
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -457,6 +457,8 @@
 {
   struct marjoram_entry *self = entry_from_role (role);
 
+  marjoram_registry_use_summaries (
+      self->registry, marjoram_host_links_follows_one (self->parts->links));
   marjoram_gateway_tick (self->gateway, now);
   marjoram_state_fetch_tick (self->fetch, now);
   marjoram_entry_renew_lease (self, now);
--- a/src/frame.c
+++ b/src/frame.c
@@ -212,6 +212,8 @@
   [MARJORAM_FRAME_LEASE_GRANT] = &marjoram_lease_grant_layout,
   [MARJORAM_FRAME_QUOTA_ASK] = &marjoram_quota_ask_layout,
   [MARJORAM_FRAME_QUOTA_GRANT] = &marjoram_quota_grant_layout,
+  [MARJORAM_FRAME_NEWS_ASK] = &marjoram_news_ask_layout,
+  [MARJORAM_FRAME_LIVENESS] = &marjoram_liveness_layout,
 };
 
 const struct marjoram_layout *
--- a/src/frame.h
+++ b/src/frame.h
@@ -48,6 +48,8 @@
   MARJORAM_FRAME_LEASE_GRANT, /* struct marjoram_lease_grant */
   MARJORAM_FRAME_QUOTA_ASK,   /* struct marjoram_quota_ask */
   MARJORAM_FRAME_QUOTA_GRANT, /* struct marjoram_quota_grant */
+  MARJORAM_FRAME_NEWS_ASK,    /* struct marjoram_news_ask */
+  MARJORAM_FRAME_LIVENESS,    /* struct marjoram_liveness */
   MARJORAM_FRAME_COUNT
 };
 
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -72,6 +72,8 @@
   UINT (marjoram_news_batch, ticket),
   { MARJORAM_WIRE_ARRAY (struct marjoram_news_batch, items, MARJORAM_NEWS_MAX,
                          &news_item_layout) },
+  INT (marjoram_news_batch, asked_at),
+  BOOL (marjoram_news_batch, is_last),
 };
 LAYOUT (marjoram_news_batch_layout, marjoram_news_batch, news_batch_fields);
 
@@ -80,6 +82,26 @@
 };
 LAYOUT (marjoram_news_seen_layout, marjoram_news_seen, news_seen_fields);
 
+static const struct marjoram_field news_ask_fields[] = {
+  INT (marjoram_news_ask, asked_at),
+};
+LAYOUT (marjoram_news_ask_layout, marjoram_news_ask, news_ask_fields);
+
+static const struct marjoram_field silent_item_fields[] = {
+  STRING (marjoram_silent_item, id),
+  INT (marjoram_silent_item, age_ms),
+};
+static LAYOUT (silent_item_layout, marjoram_silent_item, silent_item_fields);
+
+static const struct marjoram_field liveness_fields[] = {
+  INT (marjoram_liveness, within_ms),
+  UINT (marjoram_liveness, count),
+  UINT (marjoram_liveness, digest),
+  { MARJORAM_WIRE_ARRAY (struct marjoram_liveness, silent, MARJORAM_SILENT_MAX,
+                         &silent_item_layout) },
+};
+LAYOUT (marjoram_liveness_layout, marjoram_liveness, liveness_fields);
+
 static const struct marjoram_field load_item_fields[] = {
   STRING (marjoram_load_item, upstream),
   UINT (marjoram_load_item, running),
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -12,6 +12,7 @@
   /* Items that a sender puts into one message.  Bounds the time for which
      other messages on the link wait behind it.  */
   MARJORAM_NEWS_PAGE = 512,
+  MARJORAM_SILENT_MAX = 4096,
   MARJORAM_LOADS_MAX = 4096,
   MARJORAM_PLACED_MAX = 4096,
   MARJORAM_CRASHES_MAX = 4096,
@@ -90,6 +91,31 @@
 {
   uint64_t ticket;             /* acknowledged by NEWS_SEEN; 0: none */
   struct marjoram_array items; /* struct marjoram_news_item */
+  int64_t asked_at;            /* of the NEWS_ASK that it answers; else 0 */
+  bool is_last;                /* of the batches of an answer */
+};
+
+/* Asks a keeper for all upstreams of the sender's region.  */
+struct marjoram_news_ask
+{
+  int64_t asked_at; /* the sender's clock in ms; echoed */
+};
+
+/* An upstream that has just become silent.  */
+struct marjoram_silent_item
+{
+  char *id;
+  int64_t age_ms; /* of its last heartbeat */
+};
+
+/* Renews all upstreams of the receiver's region that are not silent.  */
+struct marjoram_liveness
+{
+  int64_t within_ms;            /* all were heard within this time */
+  uint64_t count;               /* of the upstreams that are renewed */
+  uint64_t digest;              /* of these upstreams and their state */
+  struct marjoram_array silent; /* struct marjoram_silent_item; those since the
+                                   last summary */
 };
 
 struct marjoram_news_seen
@@ -203,6 +229,8 @@
 extern const struct marjoram_layout marjoram_host_beats_layout;
 extern const struct marjoram_layout marjoram_news_batch_layout;
 extern const struct marjoram_layout marjoram_news_seen_layout;
+extern const struct marjoram_layout marjoram_news_ask_layout;
+extern const struct marjoram_layout marjoram_liveness_layout;
 extern const struct marjoram_layout marjoram_load_report_layout;
 extern const struct marjoram_layout marjoram_crash_report_layout;
 extern const struct marjoram_layout marjoram_state_news_layout;
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -482,6 +482,17 @@
   return count;
 }
 
+bool
+marjoram_host_links_has_sole_followers (marjoram_host_links *links)
+{
+  const struct marjoram_host_session *session;
+
+  TAILQ_FOREACH (session, &links->sessions, next)
+  if (session->follow == MARJORAM_FOLLOW_ONLY)
+    return true;
+  return false;
+}
+
 /* Sends to the keepers, or to the entry hosts of this region.  */
 static void
 send_to_linked (marjoram_host_links *links, bool keepers,
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -79,6 +79,9 @@
                                       const char *region,
                                       enum marjoram_frame_type type,
                                       const void *message);
+bool marjoram_host_links_has_sole_followers (marjoram_host_links *links);
+/* Whether this host takes lists and changes from one keeper only.  */
+bool marjoram_host_links_follows_one (const marjoram_host_links *links);
 /* Send to the entry hosts of this host's region, or to the keepers, over its
    own links.  */
 void marjoram_host_links_send_to_region (marjoram_host_links *links,
--- a/src/keeper_home.c
+++ b/src/keeper_home.c
@@ -91,8 +91,8 @@
 }
 
 /* A host that has no list yet takes the first from one keeper only.  */
-static bool
-follows_one (const marjoram_host_links *links)
+bool
+marjoram_host_links_follows_one (const marjoram_host_links *links)
 {
   return TAILQ_EMPTY (marjoram_host_list_all (links->hosts))
          || marjoram_host_list_entry_count (links->hosts)
@@ -103,7 +103,8 @@
 marjoram_host_links_follow (const marjoram_host_links *links,
                             const struct marjoram_host_link *link)
 {
-  if (links->settings->role != MARJORAM_ROLE_ENTRY || !follows_one (links))
+  if (links->settings->role != MARJORAM_ROLE_ENTRY
+      || !marjoram_host_links_follows_one (links))
     return MARJORAM_FOLLOW_ALL;
   return link->is_home ? MARJORAM_FOLLOW_ONLY : MARJORAM_FOLLOW_ANOTHER;
 }
--- a/src/keeper_publish.c
+++ b/src/keeper_publish.c
@@ -1,9 +1,20 @@
 #include "keeper_role_private.h"
 
 #include "cleanup.h"
+#include "event_log.h"
+#include "liveness.h"
 
+#include <inttypes.h>
 #include <string.h>
 
+enum
+{
+  LIVENESS_INTERVAL_MS = 1000,
+  /* After a start, when upstreams and other keepers may not have reported yet.
+   */
+  LIVENESS_UNKNOWN_MS = 8000
+};
+
 /* ---- State.  ---- */
 
 static void
@@ -105,8 +116,8 @@
 
   if (count > MARJORAM_NEWS_PAGE)
     count = MARJORAM_NEWS_PAGE;
-  *page = (struct marjoram_news_batch){ batch->ticket,
-                                        { items + *sent, count } };
+  *page = (struct marjoram_news_batch){ .ticket = batch->ticket,
+                                        .items = { items + *sent, count } };
   *sent += count;
   return count > 0;
 }
@@ -194,22 +205,101 @@
                                MARJORAM_FRAME_NEWS, &page);
 }
 
-/* Sends all upstreams to a keeper, and those of its region to a host.  */
+/* Packs all upstreams of REGION.  The caller frees the items.  */
 static void
-send_upstreams (struct marjoram_keeper_role *self, const char *host,
-                uint64_t session, const struct marjoram_host_beat *heartbeat)
+pack_region (struct marjoram_keeper_role *self, const char *region,
+             struct marjoram_news_batch *batch)
 {
   struct marjoram_news_batch all;
-  struct marjoram_news_batch part;
 
   marjoram_registrar_snapshot (self->registrar,
                                marjoram_keeper_role_now (self), &all);
-  filter_region (self->parts->settings, heartbeat->region, &all, &part);
-  send_pages (self, host, session, heartbeat->keeper ? &all : &part);
-  free (part.items.items);
+  filter_region (self->parts->settings, region, &all, batch);
   free (all.items.items);
 }
 
+/* Sends all upstreams to a keeper, and those of its region to a host.  */
+static void
+send_upstreams (struct marjoram_keeper_role *self, const char *host,
+                uint64_t session, const struct marjoram_host_beat *heartbeat)
+{
+  struct marjoram_news_batch batch;
+
+  if (heartbeat->keeper)
+    marjoram_registrar_snapshot (self->registrar,
+                                 marjoram_keeper_role_now (self), &batch);
+  else
+    pack_region (self, heartbeat->region, &batch);
+  send_pages (self, host, session, &batch);
+  free (batch.items.items);
+}
+
+static bool
+knows_liveness (const struct marjoram_keeper_role *self)
+{
+  return marjoram_keeper_role_now (self)
+         >= self->created_at + LIVENESS_UNKNOWN_MS;
+}
+
+void
+marjoram_keeper_answer_news_ask (struct marjoram_keeper_role *self,
+                                 const char *host, uint64_t session,
+                                 const struct marjoram_news_ask *ask)
+{
+  const struct marjoram_listed_host *listed
+      = marjoram_host_list_find (self->parts->hosts, host);
+  const struct marjoram_news_batch end
+      = { .asked_at = ask->asked_at, .is_last = true };
+  struct marjoram_news_batch batch;
+
+  if (!listed || !knows_liveness (self))
+    return;
+  pack_region (self, listed->heartbeat.region, &batch);
+  marjoram_event (MARJORAM_EVENT_UPSTREAM, "state=snapshot host=%s count=%zu",
+                  host, batch.items.count);
+  send_pages (self, host, session, &batch);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_NEWS, &end);
+  free (batch.items.items);
+}
+
+static bool
+is_own_region (void *context, const char *zone)
+{
+  const struct marjoram_keeper_role *self = context;
+  const char *region
+      = marjoram_gateway_settings_region (self->parts->settings, zone);
+
+  return region && strcmp (region, self->parts->settings->region) == 0;
+}
+
+/* Changes precede the summary, so that a host knows all that it renews.  */
+void
+marjoram_keeper_publish_liveness (struct marjoram_keeper_role *self,
+                                  int64_t now)
+{
+  const char *region = self->parts->settings->region;
+  const struct marjoram_liveness_scope scope
+      = { self->registry, self->parts->hosts, is_own_region, self };
+  struct marjoram_liveness summary;
+
+  if (now < self->liveness_sent_at + LIVENESS_INTERVAL_MS
+      || !knows_liveness (self)
+      || !marjoram_host_links_has_sole_followers (self->parts->links))
+    return;
+  self->liveness_sent_at = now;
+  marjoram_registrar_send_changes (self->registrar, now);
+  marjoram_liveness_build (&scope, now, &summary);
+  if (summary.silent.count > 0)
+    marjoram_event (MARJORAM_EVENT_UPSTREAM,
+                    "state=summary live=%" PRIu64 " silent=%zu", summary.count,
+                    summary.silent.count);
+  marjoram_host_links_multicast (self->parts->links,
+                                 MARJORAM_TO_SOLE_FOLLOWERS, region,
+                                 MARJORAM_FRAME_LIVENESS, &summary);
+  marjoram_wire_clear (&marjoram_liveness_layout, &summary);
+}
+
 static void
 send_crashes (struct marjoram_keeper_role *self, const char *host,
               uint64_t session)
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -280,7 +280,7 @@
     marjoram_keeper_receive (self->keeper, now, host, message);
   else if (type == MARJORAM_FRAME_NEWS)
     {
-      marjoram_registrar_apply_batch (self->registrar, now, batch);
+      marjoram_registrar_apply_batch (self->registrar, now, host, batch);
       if (batch->ticket)
         {
           const struct marjoram_news_seen reply = { batch->ticket };
@@ -291,6 +291,8 @@
     }
   else if (type == MARJORAM_FRAME_NEWS_SEEN)
     marjoram_registrar_acknowledged (self->registrar, seen->ticket);
+  else if (type == MARJORAM_FRAME_NEWS_ASK)
+    marjoram_keeper_answer_news_ask (self, host, session, message);
   else if (type == MARJORAM_FRAME_CRASHES)
     marjoram_keeper_forward_crashes (self, host, message);
   else if (type == MARJORAM_FRAME_STATE_ASK)
@@ -425,6 +427,7 @@
   self->ticked_at = now;
   marjoram_keeper_tick (self->keeper, now);
   marjoram_registrar_tick (self->registrar, now);
+  marjoram_keeper_publish_liveness (self, now);
   marjoram_registry_tick (self->registry, now);
   marjoram_keeper_admission_tick (self->admission, now);
   marjoram_crash_list_expire (self->crashes, now);
@@ -547,6 +550,7 @@
   randombytes_buf (&seed, sizeof seed);
   self->role.ops = &role_ops;
   self->parts = parts;
+  self->created_at = marjoram_keeper_role_now (self);
   self->random = marjoram_random_create (seed);
   self->registry = marjoram_registry_create ();
   self->crashes = marjoram_crash_list_create ();
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -26,6 +26,8 @@
   marjoram_keeper_repair *repair;
   marjoram_crash_list *crashes; /* sent to hosts that have just started */
   int64_t repair_ticked_at;
+  int64_t created_at;
+  int64_t liveness_sent_at;
   int64_t ticked_at;
   int64_t write_started_at;
   bool write_reported; /* as pending */
@@ -53,6 +55,13 @@
 void
 marjoram_keeper_publish_renewals (struct marjoram_keeper_role *self,
                                   const struct marjoram_news_batch *batch);
+/* Sends a summary of the upstreams of this region to the hosts that follow
+   this keeper alone, if it is due.  */
+void marjoram_keeper_publish_liveness (struct marjoram_keeper_role *self,
+                                       int64_t now);
+void marjoram_keeper_answer_news_ask (struct marjoram_keeper_role *self,
+                                      const char *host, uint64_t session,
+                                      const struct marjoram_news_ask *ask);
 /* Sends the known upstreams and crash reports to a host with a new session. */
 void
 marjoram_keeper_send_snapshot (struct marjoram_keeper_role *self,
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -54,7 +54,8 @@
    id; the full request rate could crash it, so it counts as cold until a later
    heartbeat arrives.  */
 static bool
-is_cold (const struct marjoram_endpoint *endpoint,
+is_cold (const marjoram_placement *placement,
+         const struct marjoram_endpoint *endpoint,
          const struct marjoram_registered *upstream,
          const struct marjoram_service_rule *service, int64_t now)
 {
@@ -64,7 +65,7 @@
       || now < endpoint->cold_until)
     return true;
   return endpoint->disconnected_at != 0
-         && upstream->received_at
+         && marjoram_registry_heard_at (placement->options.registry, upstream)
                 <= endpoint->disconnected_at + HEARTBEAT_DELAY_MS;
 }
 
@@ -241,7 +242,7 @@
 
   estimate.cost_ms *= 1 + FAILURE_WEIGHT * endpoint->failure_share;
   estimate.cost_ms += (double)tie_breaker_ms (endpoint, query->metadata);
-  if (is_cold (endpoint, upstream, query->service, now))
+  if (is_cold (placement, endpoint, upstream, query->service, now))
     estimate.cost_ms += COLD_COST_MS;
   if (now < endpoint->suspected_until)
     estimate.cost_ms += SUSPECT_COST_MS;
@@ -255,11 +256,12 @@
 {
   if (now < endpoint->paused_until
       || (endpoint->address_conflict_at != 0
-          && upstream->received_at <= endpoint->address_conflict_at))
+          && marjoram_registry_heard_at (placement->options.registry, upstream)
+                 <= endpoint->address_conflict_at))
     return false;
   if (was_tried (query, endpoint->id) && !query->allow_tried)
     return false;
-  return !is_cold (endpoint, upstream, query->service, now)
+  return !is_cold (placement, endpoint, upstream, query->service, now)
          || may_send_to_cold (placement, endpoint, query->service, now);
 }
 
@@ -377,12 +379,15 @@
     struct marjoram_endpoint *endpoint;
     struct estimate estimate;
     struct marjoram_copy copy;
+    int64_t heard_at;
 
     if (!marjoram_placement_is_candidate (placement, upstream, query, now))
       continue;
     place->candidates++;
-    if (now - upstream->received_at > place->heartbeat_age_ms)
-      place->heartbeat_age_ms = now - upstream->received_at;
+    heard_at
+        = marjoram_registry_heard_at (placement->options.registry, upstream);
+    if (now - heard_at > place->heartbeat_age_ms)
+      place->heartbeat_age_ms = now - heard_at;
     endpoint = marjoram_endpoint_of (placement, upstream);
     if (!is_usable (placement, endpoint, upstream, query, now))
       continue;
@@ -506,7 +511,7 @@
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
     if (now < endpoint->paused_until
-        || is_cold (endpoint, upstream, service, now))
+        || is_cold (placement, endpoint, upstream, service, now))
       continue;
     estimate = estimate_endpoint (placement, endpoint, upstream, &query,
                                   &no_copy, now);
--- a/src/placement_copy.c
+++ b/src/placement_copy.c
@@ -43,12 +43,15 @@
 
 /* An engine whose connections broke may have restarted with an empty cache. */
 static bool
-may_copy_from (const struct marjoram_endpoint *endpoint,
+may_copy_from (const marjoram_placement *placement,
+               const struct marjoram_endpoint *endpoint,
                const struct marjoram_registered *upstream, int64_t now)
 {
   return now >= endpoint->paused_until && now >= endpoint->suspected_until
          && (endpoint->disconnected_at == 0
-             || upstream->received_at > endpoint->disconnected_at);
+             || marjoram_registry_heard_at (placement->options.registry,
+                                            upstream)
+                    > endpoint->disconnected_at);
 }
 
 void
@@ -74,7 +77,7 @@
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
     zone = find_or_add_zone (sources, upstream->heartbeat.zone);
-    if (zone && may_copy_from (endpoint, upstream, now))
+    if (zone && may_copy_from (placement, endpoint, upstream, now))
       add_source (zone, upstream,
                   marjoram_endpoint_cached_tokens (endpoint, query->metadata));
   }
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -131,7 +131,8 @@
   const struct marjoram_registered *upstream
       = marjoram_registry_find (registrar->options.registry, id);
   struct marjoram_news_item item;
-  struct marjoram_news_batch batch = { ticket, { &item, 1 } };
+  struct marjoram_news_batch batch
+      = { .ticket = ticket, .items = { &item, 1 } };
 
   if (!upstream)
     return 0;
@@ -187,7 +188,7 @@
   struct marjoram_news_item *items
       = marjoram_alloc (changes->count * sizeof *items);
 
-  *batch = (struct marjoram_news_batch){ 0, { items, 0 } };
+  *batch = (struct marjoram_news_batch){ .items = { items, 0 } };
   for (size_t i = 0; i < changes->count; i++)
     {
       const struct marjoram_registered *upstream = marjoram_registry_find (
@@ -199,14 +200,11 @@
   changes->count = 0;
 }
 
-static void
-send_changes (marjoram_registrar *registrar, int64_t now)
+void
+marjoram_registrar_send_changes (marjoram_registrar *registrar, int64_t now)
 {
   struct marjoram_news_batch batch;
 
-  if (registrar->changed.count + registrar->relayed.count == 0
-      || now < registrar->changes_sent_at + CHANGE_INTERVAL_MS)
-    return;
   registrar->changes_sent_at = now;
   take_changes (registrar, now, &registrar->changed, &batch);
   if (batch.items.count > 0)
@@ -218,6 +216,14 @@
   free (batch.items.items);
 }
 
+static void
+send_changes (marjoram_registrar *registrar, int64_t now)
+{
+  if (registrar->changed.count + registrar->relayed.count > 0
+      && now >= registrar->changes_sent_at + CHANGE_INTERVAL_MS)
+    marjoram_registrar_send_changes (registrar, now);
+}
+
 static bool
 check_heartbeat (const marjoram_registrar *registrar,
                  const struct marjoram_upstream_heartbeat *heartbeat,
@@ -245,6 +251,30 @@
                               MARJORAM_STATUS_BAD_REQUEST, err->message);
 }
 
+/* Applies HEARTBEAT, which keeper VIA passed on, or "" if this one heard it.
+   Returns whether hosts have to be told: also of one that they take for
+   silent.  */
+static enum marjoram_registry_result
+update_registry (marjoram_registrar *registrar, int64_t now,
+                 const struct marjoram_upstream_heartbeat *heartbeat,
+                 int64_t age_ms, const char *via)
+{
+  enum marjoram_registry_result result = marjoram_registry_update (
+      registrar->options.registry, now, heartbeat, age_ms);
+  struct marjoram_registered *upstream
+      = marjoram_registry_find (registrar->options.registry, heartbeat->id);
+
+  if (!upstream || result == MARJORAM_REGISTRY_STALE)
+    return result;
+  snprintf (upstream->via, sizeof upstream->via, "%s", via);
+  upstream->limbo_until = 0;
+  if (upstream->silent_since == 0
+      || !marjoram_registered_is_live (upstream, now))
+    return result;
+  upstream->silent_since = 0;
+  return MARJORAM_REGISTRY_CHANGED;
+}
+
 static void
 record_contact (marjoram_registrar *registrar, int64_t now, const char *id)
 {
@@ -260,8 +290,8 @@
                    uint64_t request_id,
                    const struct marjoram_upstream_heartbeat *heartbeat)
 {
-  enum marjoram_registry_result result = marjoram_registry_update (
-      registrar->options.registry, now, heartbeat, 0);
+  enum marjoram_registry_result result
+      = update_registry (registrar, now, heartbeat, 0, "");
 
   log_heartbeat (heartbeat, result);
   record_contact (registrar, now, heartbeat->id);
@@ -287,6 +317,7 @@
 
 void
 marjoram_registrar_apply_batch (marjoram_registrar *registrar, int64_t now,
+                                const char *keeper,
                                 const struct marjoram_news_batch *batch)
 {
   const struct marjoram_news_item *items = batch->items.items;
@@ -296,8 +327,8 @@
       struct marjoram_upstream_heartbeat heartbeat;
 
       if (marjoram_registry_unpack (&items[i], &heartbeat)
-          && marjoram_registry_update (registrar->options.registry, now,
-                                       &heartbeat, items[i].age_ms)
+          && update_registry (registrar, now, &heartbeat, items[i].age_ms,
+                              keeper)
                  == MARJORAM_REGISTRY_CHANGED
           && batch->ticket == 0)
         add_change (&registrar->relayed, heartbeat.id);
--- a/src/registrar.h
+++ b/src/registrar.h
@@ -64,10 +64,13 @@
 void marjoram_registrar_request_completed (
     marjoram_registrar *registrar, int64_t now, uint64_t request,
     const struct marjoram_apply_answer *answer);
-/* Applies a batch from another keeper.  */
+/* Applies a batch from KEEPER, another one.  */
 void marjoram_registrar_apply_batch (marjoram_registrar *registrar,
-                                     int64_t now,
+                                     int64_t now, const char *keeper,
                                      const struct marjoram_news_batch *batch);
+/* Sends the changes that wait for others.  */
+void marjoram_registrar_send_changes (marjoram_registrar *registrar,
+                                      int64_t now);
 /* Builds a batch of all upstreams, for a newly connected host.  The caller
    releases it with free (items); the items borrow their strings.  */
 void marjoram_registrar_snapshot (marjoram_registrar *registrar, int64_t now,
--- a/src/registry.c
+++ b/src/registry.c
@@ -4,6 +4,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -12,7 +13,12 @@
   SILENT_MS = 6000,
   /* Records outlive delayed heartbeats, so that outdated ones are
      recognized.  */
-  FORGET_MS = 60000
+  FORGET_MS = 60000,
+  /* Time for which an upstream whose keeper is unreachable counts as alive
+     without heartbeats.  */
+  LIMBO_MAX_MS = 20000,
+  /* Records checked for removal per tick.  */
+  CHECKS_PER_TICK = 16
 };
 
 struct marjoram_registered_service
@@ -35,9 +41,12 @@
   struct marjoram_registered_service *services;
   struct marjoram_registered_address *addresses;
   struct marjoram_registered_list list;
-  struct marjoram_registered_list by_age; /* least recently updated first */
+  struct marjoram_registered_list checked; /* least recently checked first */
   struct marjoram_registered *by_id;
   int64_t received_at; /* latest heartbeat of any upstream */
+  bool uses_summaries;
+  int64_t vouched_at; /* all vouched upstreams were alive then */
+  struct marjoram_registry_digest digest;
 };
 
 marjoram_registry *
@@ -46,8 +55,9 @@
   marjoram_registry *registry = marjoram_alloc (sizeof *registry);
 
   TAILQ_INIT (&registry->list);
-  TAILQ_INIT (&registry->by_age);
+  TAILQ_INIT (&registry->checked);
   registry->received_at = INT64_MIN / 2;
+  registry->vouched_at = INT64_MIN / 2;
   return registry;
 }
 
@@ -147,13 +157,40 @@
   TAILQ_INSERT_TAIL (&upstream->address->upstreams, upstream, address_link);
 }
 
+uint64_t
+marjoram_registered_digest (const struct marjoram_registered *upstream)
+{
+  const struct marjoram_upstream_heartbeat *heartbeat = &upstream->heartbeat;
+  const uint64_t instance = XXH3_64bits_withSeed (
+      heartbeat->id, strlen (heartbeat->id), (uint64_t)heartbeat->started_at);
+
+  return XXH3_64bits_withSeed (&instance, sizeof instance,
+                               (uint64_t)heartbeat->state);
+}
+
+/* Sets whether UPSTREAM is vouched for and brings the digest up to date.  */
+static void
+set_vouched (marjoram_registry *registry, struct marjoram_registered *upstream,
+             bool vouched)
+{
+  registry->digest.sum -= upstream->digest;
+  registry->digest.count -= upstream->is_vouched;
+  upstream->is_vouched
+      = vouched && upstream->heartbeat.state != MARJORAM_UPSTREAM_GONE;
+  upstream->digest
+      = upstream->is_vouched ? marjoram_registered_digest (upstream) : 0;
+  registry->digest.sum += upstream->digest;
+  registry->digest.count += upstream->is_vouched;
+}
+
 static void
 remove_upstream (marjoram_registry *registry,
                  struct marjoram_registered *upstream)
 {
+  set_vouched (registry, upstream, false);
   leave_service (registry, upstream);
   leave_address (registry, upstream);
-  TAILQ_REMOVE (&registry->by_age, upstream, age_link);
+  TAILQ_REMOVE (&registry->checked, upstream, checked_link);
   /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registry->by_id, upstream);
   TAILQ_REMOVE (&registry->list, upstream, link);
@@ -229,8 +266,6 @@
       = heartbeat->ends_ms >= 0 ? received_at + heartbeat->ends_ms : INT64_MAX;
   join_service (registry, upstream);
   join_address (registry, upstream);
-  TAILQ_REMOVE (&registry->by_age, upstream, age_link);
-  TAILQ_INSERT_TAIL (&registry->by_age, upstream, age_link);
 }
 
 /* A delayed heartbeat may carry an address that a later instance has taken
@@ -253,7 +288,10 @@
     if (heartbeat->started_at < other->heartbeat.started_at)
       return false;
     if (heartbeat->started_at > other->heartbeat.started_at)
-      other->heartbeat.state = MARJORAM_UPSTREAM_GONE;
+      {
+        other->heartbeat.state = MARJORAM_UPSTREAM_GONE;
+        set_vouched (registry, other, false);
+      }
   }
   return true;
 }
@@ -271,7 +309,7 @@
     return MARJORAM_REGISTRY_STALE;
   upstream = marjoram_alloc (sizeof *upstream);
   upstream->direct_received_at = INT64_MIN;
-  TAILQ_INSERT_TAIL (&registry->by_age, upstream, age_link);
+  TAILQ_INSERT_TAIL (&registry->checked, upstream, checked_link);
   store_heartbeat (registry, upstream, now, heartbeat, age_ms);
   TAILQ_INSERT_TAIL (&registry->list, upstream, link);
   HASH_ADD_STR (registry->by_id, heartbeat.id, upstream);
@@ -313,10 +351,10 @@
              : MARJORAM_REGISTRY_RENEWED;
 }
 
-enum marjoram_registry_result
-marjoram_registry_update (marjoram_registry *registry, int64_t now,
-                          const struct marjoram_upstream_heartbeat *heartbeat,
-                          int64_t age_ms)
+static enum marjoram_registry_result
+apply_heartbeat (marjoram_registry *registry, int64_t now,
+                 const struct marjoram_upstream_heartbeat *heartbeat,
+                 int64_t age_ms)
 {
   struct marjoram_registered *upstream
       = marjoram_registry_find (registry, heartbeat->id);
@@ -339,43 +377,142 @@
   return renew (registry, upstream, now, heartbeat, age_ms);
 }
 
+enum marjoram_registry_result
+marjoram_registry_update (marjoram_registry *registry, int64_t now,
+                          const struct marjoram_upstream_heartbeat *heartbeat,
+                          int64_t age_ms)
+{
+  enum marjoram_registry_result result
+      = apply_heartbeat (registry, now, heartbeat, age_ms);
+  struct marjoram_registered *upstream
+      = marjoram_registry_find (registry, heartbeat->id);
+
+  /* A snapshot may name an upstream with the heartbeat that is known.  */
+  if (!upstream || heartbeat->started_at != upstream->heartbeat.started_at
+      || heartbeat->sequence < upstream->heartbeat.sequence)
+    return result;
+  upstream->named_at = now;
+  set_vouched (registry, upstream, age_ms <= MARJORAM_VOUCHED_AGE_MS);
+  return result;
+}
+
 size_t
 marjoram_registry_count (const marjoram_registry *registry)
 {
   return HASH_COUNT (registry->by_id);
 }
 
+int64_t
+marjoram_registry_heard_at (const marjoram_registry *registry,
+                            const struct marjoram_registered *upstream)
+{
+  return upstream->is_vouched && registry->vouched_at > upstream->received_at
+             ? registry->vouched_at
+             : upstream->received_at;
+}
+
 /* Silence only counts relative to other upstreams: a host partitioned from the
-   keepers receives no heartbeats and continues to use all upstreams.  */
+   keepers receives no heartbeats and continues to use all upstreams.  With
+   summaries, silent upstreams are named.  */
+static bool
+is_silent (const marjoram_registry *registry,
+           const struct marjoram_registered *upstream)
+{
+  return !(registry->uses_summaries && upstream->is_vouched)
+         && upstream->received_at <= registry->received_at - SILENT_MS;
+}
+
 bool
 marjoram_registry_usable (const marjoram_registry *registry,
                           const struct marjoram_registered *upstream,
                           int64_t now)
 {
   return upstream->heartbeat.state == MARJORAM_UPSTREAM_READY
-         && upstream->ends_at == INT64_MAX
-         && upstream->received_at > registry->received_at - SILENT_MS
-         && now - upstream->received_at < FORGET_MS;
+         && upstream->ends_at == INT64_MAX && !is_silent (registry, upstream)
+         && now - marjoram_registry_heard_at (registry, upstream) < FORGET_MS;
 }
 
 static bool
 is_forgotten (const marjoram_registry *registry,
               const struct marjoram_registered *upstream, int64_t now)
 {
-  return now - upstream->received_at > FORGET_MS
-         && registry->received_at - upstream->received_at > SILENT_MS;
+  const int64_t heard_at = marjoram_registry_heard_at (registry, upstream);
+
+  return now - heard_at > FORGET_MS
+         && registry->received_at - heard_at > SILENT_MS;
 }
 
-/* Relayed heartbeats have different ages, so a record may be kept for the
-   difference longer behind one that was received later.  */
 void
 marjoram_registry_tick (marjoram_registry *registry, int64_t now)
+{
+  size_t checks = marjoram_registry_count (registry);
+
+  if (checks > CHECKS_PER_TICK)
+    checks = CHECKS_PER_TICK;
+  for (; checks > 0; checks--)
+    {
+      struct marjoram_registered *upstream = TAILQ_FIRST (&registry->checked);
+
+      TAILQ_REMOVE (&registry->checked, upstream, checked_link);
+      TAILQ_INSERT_TAIL (&registry->checked, upstream, checked_link);
+      if (is_forgotten (registry, upstream, now))
+        remove_upstream (registry, upstream);
+    }
+}
+
+/* ---- Renewal by summaries.  ---- */
+
+void
+marjoram_registry_use_summaries (marjoram_registry *registry, bool use)
+{
+  registry->uses_summaries = use;
+}
+
+void
+marjoram_registry_vouch (marjoram_registry *registry, int64_t now,
+                         int64_t within_ms)
+{
+  registry->vouched_at = now - within_ms;
+  registry->received_at = now;
+}
+
+void
+marjoram_registry_set_silent (marjoram_registry *registry, int64_t now,
+                              const char *id, int64_t age_ms)
+{
+  struct marjoram_registered *upstream = marjoram_registry_find (registry, id);
+
+  if (!upstream)
+    return;
+  if (now - age_ms > upstream->received_at)
+    upstream->received_at = now - age_ms;
+  set_vouched (registry, upstream, false);
+}
+
+void
+marjoram_registry_unvouch_before (marjoram_registry *registry, int64_t since)
 {
   struct marjoram_registered *upstream;
 
-  while ((upstream = TAILQ_FIRST (&registry->by_age))
-         && is_forgotten (registry, upstream, now))
-    remove_upstream (registry, upstream);
+  TAILQ_FOREACH (upstream, &registry->list, link)
+  if (upstream->named_at < since)
+    set_vouched (registry, upstream, false);
+}
+
+struct marjoram_registry_digest
+marjoram_registry_digest (const marjoram_registry *registry)
+{
+  return registry->digest;
+}
+
+bool
+marjoram_registered_is_live (const struct marjoram_registered *upstream,
+                             int64_t now)
+{
+  const int64_t age_ms = now - upstream->received_at;
+
+  return age_ms <= MARJORAM_VOUCHED_AGE_MS
+         || (age_ms <= LIMBO_MAX_MS && now < upstream->limbo_until);
 }
 
 static int64_t
@@ -389,6 +526,11 @@
                         int64_t now, struct marjoram_news_item *item)
 {
   const struct marjoram_upstream_heartbeat *heartbeat = &upstream->heartbeat;
+  int64_t age_ms = now - upstream->received_at;
+
+  if (age_ms > MARJORAM_VOUCHED_AGE_MS
+      && marjoram_registered_is_live (upstream, now))
+    age_ms = MARJORAM_VOUCHED_AGE_MS;
 
   *item = (struct marjoram_news_item){
     .id = (char *)heartbeat->id,
@@ -402,7 +544,7 @@
     .ends_ms = upstream->ends_at == INT64_MAX
                    ? -1
                    : remaining_ms (upstream->ends_at, now),
-    .age_ms = now - upstream->received_at,
+    .age_ms = age_ms,
     .slots = heartbeat->slots,
   };
 }
--- a/src/registry.h
+++ b/src/registry.h
@@ -3,6 +3,7 @@
 #ifndef MARJORAM_REGISTRY_H
 #define MARJORAM_REGISTRY_H
 
+#include "address.h"
 #include "dialect.h"
 #include "gateway_message.h"
 
@@ -22,7 +23,7 @@
   TAILQ_ENTRY (marjoram_registered) link;
   TAILQ_ENTRY (marjoram_registered) service_link;
   TAILQ_ENTRY (marjoram_registered) address_link;
-  TAILQ_ENTRY (marjoram_registered) age_link;
+  TAILQ_ENTRY (marjoram_registered) checked_link;
   struct marjoram_registered_service *service;
   struct marjoram_registered_address *address; /* of its latest heartbeat */
   struct marjoram_upstream_heartbeat
@@ -32,11 +33,37 @@
                               none */
   int64_t cold_until;
   int64_t ends_at; /* INT64_MAX if unknown */
+  /* At a host: whether its keeper's summaries renew it, and when it was named
+     last.  */
+  bool is_vouched;
+  int64_t named_at;
+  uint64_t digest; /* part of it in the digest of the registry */
+  /* At a keeper: the keeper that passed on the latest heartbeat, "" if this
+     one heard it; until when its silence is put down to that keeper; and since
+     when hosts are told that it is silent, 0 if they are not.  */
+  char via[MARJORAM_IP_MAX];
+  int64_t limbo_until;
+  int64_t silent_since;
   UT_hash_handle hh;
 };
 
 TAILQ_HEAD (marjoram_registered_list, marjoram_registered);
 
+enum
+{
+  /* Age of the last heartbeat up to which summaries renew an upstream.
+     Upstreams repeat heartbeats each two seconds, and keepers pass them on
+     within two.  */
+  MARJORAM_VOUCHED_AGE_MS = 5000
+};
+
+/* Identifies a set of upstreams and their state.  */
+struct marjoram_registry_digest
+{
+  uint64_t count;
+  uint64_t sum;
+};
+
 enum marjoram_registry_result
 {
   MARJORAM_REGISTRY_STALE,   /* outdated, or from an earlier instance */
@@ -73,9 +100,38 @@
 bool marjoram_registry_usable (const marjoram_registry *registry,
                                const struct marjoram_registered *upstream,
                                int64_t now);
-/* Drops upstreams that have been silent or gone for long.  */
+/* Drops upstreams that have been silent or gone for long; checks some of them
+   with each call.  */
 void marjoram_registry_tick (marjoram_registry *registry, int64_t now);
 
+/* ---- Renewal by summaries.  ---- */
+
+/* Whether a keeper's summaries renew upstreams; if not, each is renewed by its
+   own heartbeats.  */
+void marjoram_registry_use_summaries (marjoram_registry *registry, bool use);
+/* A keeper heard all vouched upstreams within the last WITHIN_MS.  */
+void marjoram_registry_vouch (marjoram_registry *registry, int64_t now,
+                              int64_t within_ms);
+/* ID is no longer vouched for; its last heartbeat is AGE_MS old.  */
+void marjoram_registry_set_silent (marjoram_registry *registry, int64_t now,
+                                   const char *id, int64_t age_ms);
+/* Ends the vouching for upstreams that were last named before SINCE.  */
+void marjoram_registry_unvouch_before (marjoram_registry *registry,
+                                       int64_t since);
+/* Of the vouched upstreams.  */
+struct marjoram_registry_digest
+marjoram_registry_digest (const marjoram_registry *registry);
+/* The part of one upstream in a digest.  */
+uint64_t
+marjoram_registered_digest (const struct marjoram_registered *upstream);
+/* The latest time at which UPSTREAM is known to have been alive.  */
+int64_t
+marjoram_registry_heard_at (const marjoram_registry *registry,
+                            const struct marjoram_registered *upstream);
+/* At a keeper: whether UPSTREAM counts as heard lately.  */
+bool marjoram_registered_is_live (const struct marjoram_registered *upstream,
+                                  int64_t now);
+
 /* Conversion from and to messages between hosts; a packed item borrows the
    record's strings.  */
 void marjoram_registry_pack (const struct marjoram_registered *upstream,
--- a/test/test_registrar.c
+++ b/test/test_registrar.c
@@ -240,11 +240,11 @@
                                      .zone = (char *)"zb",
                                      .sequence = 1,
                                      .ends_ms = -1 };
-  const struct marjoram_news_batch batch = { 0, { &item, 1 } };
+  const struct marjoram_news_batch batch = { .items = { &item, 1 } };
 
   heartbeat (0, "ready", 1);
   heartbeat (1000, "ready", 2);
-  marjoram_registrar_apply_batch (registrar, 1050, &batch);
+  marjoram_registrar_apply_batch (registrar, 1050, "k2", &batch);
   marjoram_registrar_tick (registrar, 3100);
   ck_assert_int_eq (renewals, 1);
   ck_assert_uint_eq (renewed_count, 1);
@@ -317,13 +317,13 @@
                                      .zone = (char *)"zb",
                                      .sequence = 1,
                                      .ends_ms = -1 };
-  const struct marjoram_news_batch batch = { 0, { &item, 1 } };
+  const struct marjoram_news_batch batch = { .items = { &item, 1 } };
 
-  marjoram_registrar_apply_batch (registrar, 1000, &batch);
+  marjoram_registrar_apply_batch (registrar, 1000, "k2", &batch);
   ck_assert_uint_eq (relayed_count, 1);
-  marjoram_registrar_apply_batch (registrar, 2000, &batch);
+  marjoram_registrar_apply_batch (registrar, 2000, "k2", &batch);
   item.sequence = 2;
-  marjoram_registrar_apply_batch (registrar, 3000, &batch);
+  marjoram_registrar_apply_batch (registrar, 3000, "k2", &batch);
   marjoram_registrar_tick (registrar, 4000);
   ck_assert_uint_eq (relayed_count, 1);
   ck_assert_uint_eq (batches_sent, 0);
