A keeper names a keeper of the upstream's zone for its later heartbeats

Cause: upstreams chose any keeper for each heartbeat, so that with 24 keepers in three regions most crossed zones and two thirds of the renewals that keepers pass on crossed regions.

Change: the response names a ready keeper of the upstream's zone, by rendezvous hashing of its id; none if the zone has no keeper.

test_registrar: 100 upstreams of a zone are shared by its two keepers, at least 25 each; all go to the other one once one is silent.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -135,6 +135,9 @@
   /* The body of a LOOKUP response, malloc'd.  */
   char *(*write_lookup) (const char *const *addresses, size_t count,
                          int64_t valid_s);
+  /* The body of a HEARTBEAT response, malloc'd.  KEEPER (IP:port) is to
+     receive the upstream's later heartbeats; NULL for any.  */
+  char *(*write_heartbeat_response) (const char *keeper);
   /* Parses the cached prompt parts in an engine's response.  Skips invalid
      parts; false if the body is malformed.  */
   bool (*read_cached_prompts) (const char *body, size_t size,
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -35,6 +35,7 @@
 {
   VIEW_REGION, /* serving hosts of a region */
   VIEW_ZONE,
+  VIEW_KEEPERS, /* ready keepers of a zone */
   VIEW_OFFERING /* hosts with offers */
 };
 
@@ -63,6 +64,7 @@
   uint64_t changes; /* number of changes that may affect views */
   struct view *regions;
   struct view *zones;
+  struct view *keepers; /* keyed by zone */
   struct view offering;
 };
 
@@ -162,6 +164,7 @@
     return;
   destroy_views (&list->regions);
   destroy_views (&list->zones);
+  destroy_views (&list->keepers);
   free (list->region);
   clear_view (&list->offering);
   while (!TAILQ_EMPTY (&list->hosts))
@@ -423,6 +426,11 @@
       if (strcmp (host->heartbeat.zone, view->name) != 0)
         return false;
       break;
+    case VIEW_KEEPERS:
+      return host->heartbeat.keeper && host->heartbeat.ready
+             && !host->heartbeat.leaving
+             && strcmp (host->heartbeat.zone, view->name) == 0
+             && marjoram_host_list_alive (host, now);
     case VIEW_OFFERING:
       if (host->heartbeat.offers.count == 0)
         return false;
@@ -561,6 +569,20 @@
   return owner && weight_of (owner, key) > weight_of (own, key) ? owner : own;
 }
 
+const char *
+marjoram_host_list_keeper (marjoram_host_list *list, int64_t now,
+                           const char *zone, const char *key, const char *own)
+{
+  const struct marjoram_listed_host *best = find_owner (
+      find_view (list, &list->keepers, VIEW_KEEPERS, zone, now), key);
+
+  if (!best)
+    return own;
+  return own && weight_of (own, key) >= marjoram_listed_host_weight (best, key)
+             ? own
+             : best->heartbeat.name;
+}
+
 size_t
 marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                   const char *region)
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -527,16 +527,21 @@
 static void
 create_registrar (struct marjoram_keeper_role *self)
 {
-  const struct marjoram_registrar_options options = {
+  struct marjoram_registrar_options options = {
     .dialect = self->parts->dialect,
     .registry = self->registry,
     .hosts = self->parts->hosts,
     .metrics = self->parts->metrics,
     .lookup_valid_s = self->parts->settings->lookup_valid_s,
+    .host = self->parts->settings->ip,
+    .zone = self->parts->settings->zone,
     .knows_zone = knows_zone,
     .context = self,
   };
+  char ip[MARJORAM_IP_MAX];
 
+  marjoram_address_split (self->parts->settings->control_address, ip,
+                          &options.heartbeat_port);
   self->registrar = marjoram_registrar_create (&options, &registrar_ops, self);
 }
 
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -285,6 +285,29 @@
     upstream->direct_received_at = now;
 }
 
+/* Names a keeper of the upstream's zone for its later heartbeats: they stay in
+   the zone, also when it is cut off, and each keeper gets an equal share.  */
+static void
+respond_to_heartbeat (marjoram_registrar *registrar, int64_t now,
+                      uint64_t request_id,
+                      const struct marjoram_upstream_heartbeat *heartbeat)
+{
+  const struct marjoram_registrar_options *options = &registrar->options;
+  const bool in_own_zone = strcmp (heartbeat->zone, options->zone) == 0;
+  const char *keeper = marjoram_host_list_keeper (
+      options->hosts, now, heartbeat->zone, heartbeat->id,
+      in_own_zone ? options->host : NULL);
+  char address[MARJORAM_IP_MAX + 8];
+  marjoram_auto_free char *body = NULL;
+
+  if (keeper)
+    snprintf (address, sizeof address, "%s:%u", keeper,
+              options->heartbeat_port);
+  body = options->dialect->ops->write_heartbeat_response (keeper ? address
+                                                                 : NULL);
+  marjoram_registrar_respond (registrar, request_id, MARJORAM_STATUS_OK, body);
+}
+
 static void
 process_heartbeat (marjoram_registrar *registrar, int64_t now,
                    uint64_t request_id,
@@ -312,7 +335,7 @@
     }
   else if (result == MARJORAM_REGISTRY_RENEWED && !registrar->renewals_since)
     registrar->renewals_since = now;
-  marjoram_registrar_respond (registrar, request_id, MARJORAM_STATUS_OK, "{}");
+  respond_to_heartbeat (registrar, now, request_id, heartbeat);
 }
 
 void
--- a/src/registrar.h
+++ b/src/registrar.h
@@ -43,6 +43,10 @@
   marjoram_host_list *hosts;   /* borrowed */
   marjoram_metrics *metrics;   /* borrowed */
   int64_t lookup_valid_s;
+  /* This keeper, and the port at which each keeper takes heartbeats.  */
+  const char *host; /* IP */
+  const char *zone;
+  uint16_t heartbeat_port;
   bool (*knows_zone) (void *context, const char *zone);
   void *context;
 };
--- a/test/test_registrar.c
+++ b/test/test_registrar.c
@@ -143,6 +143,9 @@
   struct marjoram_registrar_options options
       = { .dialect = marjoram_platform_dialect (),
           .lookup_valid_s = 2,
+          .host = "10.0.0.1",
+          .zone = "za",
+          .heartbeat_port = 8146,
           .knows_zone = knows_zone };
 
   options.registry = registry = marjoram_registry_create ();
@@ -330,6 +333,55 @@
 }
 END_TEST
 
+static void
+list_keeper (int64_t now, const char *name, const char *zone)
+{
+  struct marjoram_host_beat keeper = { .name = (char *)name,
+                                       .zone = (char *)zone,
+                                       .region = (char *)"r",
+                                       .keeper = true,
+                                       .ready = true,
+                                       .incarnation = 1,
+                                       .sequence = (uint64_t)now + 1 };
+
+  marjoram_host_list_update (hosts, now, &keeper, true);
+}
+
+/* Upstreams of zone za that were told to send their heartbeats to HOST.  */
+static int
+count_sent_to (int64_t now, const char *host)
+{
+  char wanted[64];
+  int count = 0;
+
+  snprintf (wanted, sizeof wanted, "{\"heartbeat_address\":\"%s:8146\"}",
+            host);
+  for (int i = 0; i < 100; i++)
+    {
+      register_upstream (now, i);
+      count += strcmp (body, wanted) == 0;
+    }
+  return count;
+}
+
+/* Guards against heartbeats that cross zones, and against one keeper getting
+   most of them.  */
+START_TEST (heartbeats_are_shared_by_keepers_of_the_zone)
+{
+  int own;
+  int near;
+
+  list_keeper (1000, "10.0.0.2", "za");
+  list_keeper (1000, "10.0.0.3", "zb");
+  own = count_sent_to (1100, "10.0.0.1");
+  near = count_sent_to (1100, "10.0.0.2");
+  ck_assert_int_eq (own + near, 100);
+  ck_assert_int_ge (own, 25);
+  ck_assert_int_ge (near, 25);
+  ck_assert_int_eq (count_sent_to (9000, "10.0.0.1"), 100);
+}
+END_TEST
+
 START_TEST (malformed_heartbeats_are_rejected)
 {
   send_request (0, "POST", "/-/instances/u1/heartbeat", "{\"service\":1}");
@@ -629,6 +681,7 @@
   tcase_add_test (c, heartbeat_is_stored_and_broadcast);
   tcase_add_test (c, changes_in_short_order_share_messages);
   tcase_add_test (c, changes_of_other_keepers_are_relayed_once);
+  tcase_add_test (c, heartbeats_are_shared_by_keepers_of_the_zone);
   tcase_add_test (c, renewals_of_other_keepers_are_not_forwarded);
   tcase_add_test (c, malformed_heartbeats_are_rejected);
   tcase_add_test (c, leave_is_confirmed_before_it_is_answered);
