Keepers tell which hosts have died; near hosts of a large fleet beat each other less

Cause: each host of a region with n hosts sent 107 heartbeats a second to the others, 21 MB a second in a fleet of 985 by arithmetic, half of it between zones, and still found one that loses power after 12 s with n = 328; keepers of other regions hear each host rarely.

Change: a keeper tells the hosts that follow it and the keepers of other regions which hosts of its region have died, 1.4 s after their last heartbeat, or when their connection closes; hosts that follow one keeper send each other 27 heartbeats a second instead of 107, which remain for when no keeper can be reached.

test_host_list: a death is reported once, and holds until the next heartbeat.

--- a/src/frame.c
+++ b/src/frame.c
@@ -214,6 +214,7 @@
   [MARJORAM_FRAME_QUOTA_GRANT] = &marjoram_quota_grant_layout,
   [MARJORAM_FRAME_NEWS_ASK] = &marjoram_news_ask_layout,
   [MARJORAM_FRAME_LIVENESS] = &marjoram_liveness_layout,
+  [MARJORAM_FRAME_LOST_HOSTS] = &marjoram_lost_hosts_layout,
 };
 
 const struct marjoram_layout *
--- a/src/frame.h
+++ b/src/frame.h
@@ -50,6 +50,7 @@
   MARJORAM_FRAME_QUOTA_GRANT, /* struct marjoram_quota_grant */
   MARJORAM_FRAME_NEWS_ASK,    /* struct marjoram_news_ask */
   MARJORAM_FRAME_LIVENESS,    /* struct marjoram_liveness */
+  MARJORAM_FRAME_LOST_HOSTS,  /* struct marjoram_lost_hosts */
   MARJORAM_FRAME_COUNT
 };
 
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -58,6 +58,18 @@
 };
 LAYOUT (marjoram_host_beats_layout, marjoram_host_beats, host_beats_fields);
 
+static const struct marjoram_field lost_host_fields[] = {
+  STRING (marjoram_lost_host, name),
+  UINT (marjoram_lost_host, incarnation),
+};
+static LAYOUT (lost_host_layout, marjoram_lost_host, lost_host_fields);
+
+static const struct marjoram_field lost_hosts_fields[] = {
+  { MARJORAM_WIRE_ARRAY (struct marjoram_lost_hosts, items,
+                         MARJORAM_HOST_BEATS_MAX, &lost_host_layout) },
+};
+LAYOUT (marjoram_lost_hosts_layout, marjoram_lost_hosts, lost_hosts_fields);
+
 static const struct marjoram_field news_item_fields[] = {
   STRING (marjoram_news_item, id),      STRING (marjoram_news_item, service),
   STRING (marjoram_news_item, address), STRING (marjoram_news_item, zone),
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -70,6 +70,18 @@
   struct marjoram_array items; /* struct marjoram_host_beat */
 };
 
+/* A host that a keeper has found dead.  */
+struct marjoram_lost_host
+{
+  char *name;
+  uint64_t incarnation;
+};
+
+struct marjoram_lost_hosts
+{
+  struct marjoram_array items; /* struct marjoram_lost_host */
+};
+
 /* State of one upstream as received by a keeper.  Times are relative, since
    the clocks of two hosts may differ.  */
 struct marjoram_news_item
@@ -227,6 +239,7 @@
 extern const struct marjoram_layout marjoram_quota_grant_layout;
 extern const struct marjoram_layout marjoram_host_beat_layout;
 extern const struct marjoram_layout marjoram_host_beats_layout;
+extern const struct marjoram_layout marjoram_lost_hosts_layout;
 extern const struct marjoram_layout marjoram_news_batch_layout;
 extern const struct marjoram_layout marjoram_news_seen_layout;
 extern const struct marjoram_layout marjoram_news_ask_layout;
--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -8,12 +8,14 @@
 
 enum
 {
-  /* host_list.c depends on it.  */
-  HEARTBEAT_MS = 300,
+  HEARTBEAT_MS = MARJORAM_HOST_HEARTBEAT_MS,
   REMOTE_HEARTBEAT_MS = 600, /* to entry hosts of other regions */
   /* Regions with more hosts use a proportionally longer interval, which bounds
      the heartbeats that a host sends per second.  */
   FULL_RATE_HOSTS = 32,
+  /* The same for hosts that are told by a keeper which hosts have died.  */
+  FULL_RATE_HOSTS_FOLLOWING = 8,
+  LOST_INTERVAL_MS = 200, /* between checks for hosts that have died */
   /* Heartbeats per second that a keeper receives from the hosts of its region,
      and from all hosts, before they use longer intervals.  */
   KEEPER_HEARTBEATS_PER_S = 1000,
@@ -128,8 +130,13 @@
     return;
   hosts
       = (int64_t)marjoram_host_list_serving_count (links->hosts, now, region);
-  if (hosts > FULL_RATE_HOSTS)
+  if (marjoram_host_links_follows_one (links))
+    links->local_interval_ms
+        = HEARTBEAT_MS * hosts / FULL_RATE_HOSTS_FOLLOWING;
+  else if (hosts > FULL_RATE_HOSTS)
     links->local_interval_ms = HEARTBEAT_MS * hosts / FULL_RATE_HOSTS;
+  if (links->local_interval_ms < HEARTBEAT_MS)
+    links->local_interval_ms = HEARTBEAT_MS;
   marjoram_host_list_set_heartbeat_interval (links->hosts, region,
                                              links->local_interval_ms);
   links->near_keeper_interval_ms = keeper_interval_ms (hosts);
@@ -382,6 +389,58 @@
   publish_to_followers (links, now);
 }
 
+void
+marjoram_host_links_publish_lost (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_lost_hosts lost;
+  struct marjoram_lost_hosts page;
+  struct marjoram_lost_host *items;
+
+  if (now < links->lost_checked_at + LOST_INTERVAL_MS)
+    return;
+  links->lost_checked_at = now;
+  marjoram_host_list_take_lost (links->hosts, now, links->settings->region,
+                                &lost);
+  items = lost.items.items;
+  for (size_t sent = 0; sent < lost.items.count; sent += page.items.count)
+    {
+      size_t count = lost.items.count - sent;
+
+      if (count > MARJORAM_HOST_BEATS_MAX)
+        count = MARJORAM_HOST_BEATS_MAX;
+      page.items = (struct marjoram_array){ items + sent, count };
+      marjoram_host_links_multicast (links, MARJORAM_TO_SOLE_FOLLOWERS, NULL,
+                                     MARJORAM_FRAME_LOST_HOSTS, &page);
+      marjoram_host_links_multicast (links, MARJORAM_TO_KEEPERS, NULL,
+                                     MARJORAM_FRAME_LOST_HOSTS, &page);
+    }
+  if (lost.items.count > 0)
+    marjoram_event (MARJORAM_EVENT_HOST, "state=lost hosts=%zu first=%s",
+                    lost.items.count, items[0].name);
+  free (items);
+}
+
+/* Keepers of a region judge its hosts for those of others, which hear each
+   host less often.  */
+void
+marjoram_host_links_process_lost (marjoram_host_links *links,
+                                  const char *keeper,
+                                  const struct marjoram_lost_hosts *lost)
+{
+  const struct marjoram_lost_host *items = lost->items.items;
+  const struct marjoram_listed_host *sender
+      = marjoram_host_list_find (links->hosts, keeper);
+
+  if (links->settings->role == MARJORAM_ROLE_KEEPER
+      && (!sender
+          || strcmp (sender->heartbeat.region, links->settings->region) == 0))
+    return;
+  for (size_t i = 0; i < lost->items.count; i++)
+    if (items[i].name && strcmp (items[i].name, links->settings->ip) != 0)
+      marjoram_host_list_lost (links->hosts, marjoram_host_links_now (links),
+                               items[i].name, items[i].incarnation);
+}
+
 /* A host that restarts after its clock was set back has a lower incarnation
    than before, and its heartbeats would be rejected as stale.  Sends it the
    known incarnation, so that it adopts a higher one.  */
@@ -459,6 +518,7 @@
 {
   const struct marjoram_host_beat *items = list->items.items;
 
+  links->has_list = true;
   for (size_t i = 0; i < list->items.count; i++)
     if (items[i].name && strcmp (items[i].name, links->settings->ip) == 0)
       supersede (links, &items[i]);
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -144,6 +144,19 @@
     link->received_at = marjoram_host_links_now (links);
 }
 
+/* A host that sends heartbeats at the full rate is soon heard again, or found
+   dead by its silence.  */
+static void
+record_closed (marjoram_host_links *links, const char *host)
+{
+  const struct marjoram_listed_host *listed
+      = marjoram_host_list_find (links->hosts, host);
+
+  if (listed && listed->heartbeat.interval_ms > MARJORAM_HOST_HEARTBEAT_MS)
+    marjoram_host_list_connection_lost (links->hosts,
+                                        marjoram_host_links_now (links), host);
+}
+
 static void
 on_closed (void *context, const char *host, uint64_t number)
 {
@@ -152,8 +165,11 @@
       = marjoram_host_links_session (links, host);
 
   links->ops->session_closed (links->context, host, number);
-  if (session && session->number == number)
-    session_destroy (links, session);
+  if (!session || session->number != number)
+    return;
+  if (links->settings->role == MARJORAM_ROLE_KEEPER)
+    record_closed (links, host);
+  session_destroy (links, session);
 }
 
 /* Any heartbeat received on a link acknowledges the oldest one sent on it, as
@@ -186,6 +202,8 @@
     marjoram_host_links_process_reply (links, host, message);
   else if (type == MARJORAM_FRAME_HOST_LIST)
     marjoram_host_links_process_list (links, message);
+  else if (type == MARJORAM_FRAME_LOST_HOSTS)
+    marjoram_host_links_process_lost (links, host, message);
   else if (type != MARJORAM_FRAME_HEARTBEAT)
     {
       links->ops->frame (links->context, host, session, type, message);
@@ -374,7 +392,10 @@
   if (now >= links->planned_at + PLAN_INTERVAL_MS)
     plan_links (links, now);
   if (links->settings->role == MARJORAM_ROLE_KEEPER)
-    marjoram_host_links_publish_list (links, now);
+    {
+      marjoram_host_links_publish_lost (links, now);
+      marjoram_host_links_publish_list (links, now);
+    }
   marjoram_host_list_tick (links->hosts, now);
 }
 
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -56,9 +56,11 @@
   int64_t near_keeper_interval_ms; /* to keepers of the own region */
   int64_t far_keeper_interval_ms;  /* to keepers of other regions */
   int64_t home_chosen_at;
+  bool has_list; /* a keeper has sent a list of hosts */
   int64_t planned_at;
   int64_t list_sent_at;
   int64_t list_broadcast_at;
+  int64_t lost_checked_at;
 };
 
 /* The link to HOST or the session from it; NULL if there is none.  */
@@ -106,6 +108,13 @@
                                         struct marjoram_host_beat *heartbeat);
 void marjoram_host_links_process_list (marjoram_host_links *links,
                                        const struct marjoram_host_beats *list);
+/* Tells other keepers and the hosts that follow this keeper which hosts of its
+   region have died.  */
+void marjoram_host_links_publish_lost (marjoram_host_links *links,
+                                       int64_t now);
+void marjoram_host_links_process_lost (marjoram_host_links *links,
+                                       const char *keeper,
+                                       const struct marjoram_lost_hosts *lost);
 /* Sends a keeper's host list to the recipients to whom it is due.  */
 void marjoram_host_links_publish_list (marjoram_host_links *links,
                                        int64_t now);
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -374,6 +374,18 @@
   list->changes++;
 }
 
+void
+marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
+                         const char *name, uint64_t incarnation)
+{
+  struct marjoram_listed_host *host = find (list, name);
+
+  if (!host || host->heartbeat.incarnation > incarnation)
+    return;
+  host->lost_at = now;
+  list->changes++;
+}
+
 /* Silence in ms after which HOST counts as dead.  */
 static int64_t
 max_silence_ms (const struct marjoram_listed_host *host)
@@ -686,6 +698,36 @@
   return NULL;
 }
 
+static bool
+is_newly_lost (struct marjoram_listed_host *host, int64_t now,
+               const char *region)
+{
+  const bool was_reported = host->is_reported;
+
+  if (!host->direct || !is_entry (&host->heartbeat)
+      || strcmp (host->heartbeat.region, region) != 0)
+    return false;
+  host->is_reported = !marjoram_host_list_alive (host, now);
+  return host->is_reported && !was_reported;
+}
+
+void
+marjoram_host_list_take_lost (marjoram_host_list *list, int64_t now,
+                              const char *region,
+                              struct marjoram_lost_hosts *lost)
+{
+  struct marjoram_lost_host *items
+      = marjoram_alloc (HASH_COUNT (list->by_name) * sizeof *items);
+  struct marjoram_listed_host *host;
+
+  lost->items = (struct marjoram_array){ items, 0 };
+  TAILQ_FOREACH (host, &list->hosts, link)
+  if (is_newly_lost (host, now, region))
+    items[lost->items.count++]
+        = (struct marjoram_lost_host){ host->heartbeat.name,
+                                       host->heartbeat.incarnation };
+}
+
 void
 marjoram_host_list_tick (marjoram_host_list *list, int64_t now)
 {
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -16,8 +16,9 @@
   TAILQ_ENTRY (marjoram_listed_host) link;
   struct marjoram_host_beat heartbeat; /* owns its strings */
   int64_t received_at;
-  bool direct;     /* heartbeats arrive directly, not only relayed */
-  int64_t lost_at; /* last loss of the connection; INT64_MIN if never */
+  bool direct;      /* heartbeats arrive directly, not only relayed */
+  int64_t lost_at;  /* when it was last found dead; INT64_MIN if never */
+  bool is_reported; /* as dead, at a keeper */
   const marjoram_host_list *list;
   uint64_t name_hash; /* for rendezvous hashing */
   UT_hash_handle hh;
@@ -27,7 +28,8 @@
 
 enum
 {
-  MARJORAM_LOOKUP_MAX = 64 /* addresses per response */
+  MARJORAM_LOOKUP_MAX = 64,        /* addresses per response */
+  MARJORAM_HOST_HEARTBEAT_MS = 300 /* shortest interval of hosts' heartbeats */
 };
 
 marjoram_host_list *marjoram_host_list_create (void);
@@ -44,6 +46,10 @@
    as dead until the next one.  */
 void marjoram_host_list_connection_lost (marjoram_host_list *list, int64_t now,
                                          const char *name);
+/* A keeper has found NAME dead: it counts as dead until its next heartbeat,
+   unless it has restarted since INCARNATION.  */
+void marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
+                              const char *name, uint64_t incarnation);
 /* Sets the receive lag of this host, allowed for in all liveness checks.  */
 void marjoram_host_list_set_lag (marjoram_host_list *list, int64_t lag_ms);
 /* Processes a heartbeat received from its host (DIRECT) or relayed.  Returns
@@ -126,6 +132,12 @@
 /* Number of known entry hosts, alive or not.  A host is usually not in its own
    list.  */
 size_t marjoram_host_list_entry_count (marjoram_host_list *list);
+/* Lists the entry hosts of REGION that have died since the last call; their
+   heartbeats arrive directly.  The caller frees ITEMS, which borrow their
+   strings.  */
+void marjoram_host_list_take_lost (marjoram_host_list *list, int64_t now,
+                                   const char *region,
+                                   struct marjoram_lost_hosts *lost);
 /* Drops hosts that have been silent for long.  */
 void marjoram_host_list_tick (marjoram_host_list *list, int64_t now);
 
--- a/src/keeper_home.c
+++ b/src/keeper_home.c
@@ -94,7 +94,7 @@
 bool
 marjoram_host_links_follows_one (const marjoram_host_links *links)
 {
-  return TAILQ_EMPTY (marjoram_host_list_all (links->hosts))
+  return !links->has_list
          || marjoram_host_list_entry_count (links->hosts)
                 > FOLLOW_ALL_HOSTS_MAX;
 }
--- a/test/test_host_list.c
+++ b/test/test_host_list.c
@@ -109,6 +109,42 @@
 }
 END_TEST
 
+/* Guards against a large fleet that learns of a host's death from its silence
+   only.  */
+START_TEST (dead_host_is_reported_once)
+{
+  struct marjoram_lost_hosts lost;
+  struct marjoram_lost_host *items;
+
+  receive_heartbeat (0, "h1", "z1", "r1");
+  receive_heartbeat (0, "h2", "z1", "r1");
+  receive_heartbeat (1000, "h2", "z1", "r1");
+  marjoram_host_list_take_lost (list, 1000, "r1", &lost);
+  ck_assert_uint_eq (lost.items.count, 0);
+  free (lost.items.items);
+  marjoram_host_list_take_lost (list, 1500, "r1", &lost);
+  ck_assert_uint_eq (lost.items.count, 1);
+  items = lost.items.items;
+  ck_assert_str_eq (items[0].name, "h1");
+  free (items);
+  marjoram_host_list_take_lost (list, 1600, "r1", &lost);
+  ck_assert_uint_eq (lost.items.count, 0);
+  free (lost.items.items);
+}
+END_TEST
+
+START_TEST (reported_host_is_dead_until_its_heartbeat)
+{
+  receive_heartbeat (0, "h1", "z1", "r1");
+  marjoram_host_list_lost (list, 100, "h1", 0);
+  ck_assert_uint_eq (look_up (110, "z1", "r1"), 1);
+  marjoram_host_list_lost (list, 100, "h1", 1);
+  ck_assert_uint_eq (look_up (110, "z1", "r1"), 0);
+  receive_heartbeat (120, "h1", "z1", "r1");
+  ck_assert_uint_eq (look_up (130, "z1", "r1"), 1);
+}
+END_TEST
+
 /* Guards against lookups that return a host which is shutting down.  */
 START_TEST (leaving_host_is_omitted_at_once)
 {
@@ -256,6 +292,8 @@
   tcase_add_test (c, dead_host_is_omitted_in_time);
   tcase_add_test (c, leaving_host_is_omitted_at_once);
   tcase_add_test (c, host_is_alive_for_the_interval_that_it_states);
+  tcase_add_test (c, dead_host_is_reported_once);
+  tcase_add_test (c, reported_host_is_dead_until_its_heartbeat);
   tcase_add_test (c, older_heartbeats_are_ignored);
   tcase_add_test (c, one_owner_among_live_hosts_of_a_region);
   tcase_add_test (c, dead_entries_count_for_a_while);
