Requests that share a part of their prompts look at the same sample of engines

Cause: in a region of more than eight hosts a request looked at a sample of the engines that its id chose, so that a shared part met at one engine only after reports had told where it is cached.

Change: the part chooses the sample, as it does the tie-breaker; requests without parts keep theirs.

test_placement: 40 hosts, 400 engines, 100 parts: four hosts without reports agree on each part's engine, 100 of 100, and use at least 50 engines; with the sample chosen by request id (the mutant) the test fails.

--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -18,6 +18,9 @@
    applies in full.  */
 #define INTERFERENCE_ANSWER_TOKENS 300.0
 
+/* Makes the sample independent of the tie-breaker.  */
+#define SAMPLE_SEED UINT64_C (0x9e3779b97f4a7c15)
+
 enum
 {
   /* Range of the deterministic tie-breaker that sends a shared prompt part to
@@ -115,22 +118,26 @@
                                      upstream->heartbeat.zone));
 }
 
-/* Tie-breaker that is the same on all hosts.  Hashes the last part that
-   requests share.  */
+/* The last part of the prompt that requests share, or the request's id if it
+   has no parts.  */
+static uint64_t
+shared_key (const struct marjoram_call_metadata *metadata)
+{
+  const size_t index = metadata->part_count > 1 ? metadata->part_count - 2 : 0;
+
+  return metadata->part_count > 0
+             ? metadata->parts[index].id
+             : XXH3_64bits (metadata->id, strlen (metadata->id));
+}
+
+/* Tie-breaker that is the same on all hosts.  */
 static int64_t
 tie_breaker_ms (const struct marjoram_endpoint *endpoint,
                 const struct marjoram_call_metadata *metadata)
 {
-  uint64_t key;
-  size_t index = metadata->part_count > 1 ? metadata->part_count - 2 : 0;
-
-  if (metadata->part_count > 0)
-    key = metadata->parts[index].id;
-  else
-    key = XXH3_64bits (metadata->id, strlen (metadata->id));
-  return (
-      int64_t)(XXH3_64bits_withSeed (endpoint->id, strlen (endpoint->id), key)
-               % TIE_BREAKER_MS);
+  return (int64_t)(XXH3_64bits_withSeed (endpoint->id, strlen (endpoint->id),
+                                         shared_key (metadata))
+                   % TIE_BREAKER_MS);
 }
 
 struct estimate
@@ -316,7 +323,9 @@
   choice->copy = *copy;
 }
 
-/* Pseudo-random subset of upstreams, selected by request id.  */
+/* Pseudo-random subset of upstreams, the same on all hosts for requests that
+   share a part of their prompts: these meet at the same upstream without being
+   told where the part is cached.  */
 struct sample
 {
   uint64_t seed;
@@ -334,13 +343,12 @@
   const double upstreams = (double)marjoram_registry_service_count (
       placement->options.registry, query->service->name);
   double share = hosts > SAMPLE_HOSTS ? SAMPLE_HOSTS / hosts : 1;
-  const char *id = query->metadata->id;
 
   if (share * upstreams < SAMPLE_MIN)
     share = upstreams > SAMPLE_MIN ? SAMPLE_MIN / upstreams : 1;
   if (share >= 1)
     return all_upstreams;
-  return (struct sample){ XXH3_64bits (id, strlen (id)),
+  return (struct sample){ shared_key (query->metadata) ^ SAMPLE_SEED,
                           (uint64_t)(share * (double)UINT64_MAX) };
 }
 
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -170,6 +170,74 @@
 }
 END_TEST
 
+enum
+{
+  MANY_HOSTS = 40,
+  MANY_ENGINES = 400,
+  SHARED_PARTS = 100,
+  DECIDERS = 4
+};
+
+static void
+receive_large_region (void)
+{
+  char name[MARJORAM_ID_MAX];
+
+  for (int i = 0; i < MANY_HOSTS; i++)
+    {
+      snprintf (name, sizeof name, "host-%d", i);
+      receive_host_heartbeat (0, name);
+    }
+  for (int i = 0; i < MANY_ENGINES; i++)
+    {
+      snprintf (name, sizeof name, "%d", i);
+      receive_heartbeat (0, name);
+    }
+}
+
+/* The number of engine that HOST chooses for a prompt with PART.  */
+static int
+choose_at (marjoram_placement *host, uint64_t part, uint64_t own)
+{
+  const struct marjoram_call_metadata metadata = prompt (part, 4000, own, 500);
+  const struct marjoram_place_query query = make_query (&metadata, 1);
+  struct marjoram_place chosen;
+
+  marjoram_placement_choose (host, 10, &query, &chosen);
+  ck_assert_int_eq (chosen.outcome, MARJORAM_PLACE_FOUND);
+  return atoi (chosen.upstream->heartbeat.id);
+}
+
+/* Guards against hosts of a large region that each send a shared part to
+   another engine until they hear of each other.  */
+START_TEST (hosts_agree_on_an_engine_without_reports)
+{
+  marjoram_placement *deciders[DECIDERS];
+  bool used[MANY_ENGINES] = { false };
+  int agreed = 0;
+  int engines = 0;
+
+  receive_large_region ();
+  for (int i = 0; i < DECIDERS; i++)
+    deciders[i] = create ((const char *[]){ "h1", "h2", "h3", "h4" }[i]);
+  for (uint64_t part = 1; part <= SHARED_PARTS; part++)
+    {
+      const int first = choose_at (deciders[0], part, 1000 * part);
+      int same = 0;
+
+      for (uint64_t i = 1; i < DECIDERS; i++)
+        same += choose_at (deciders[i], part, 1000 * part + i) == first;
+      agreed += same == DECIDERS - 1;
+      engines += !used[first];
+      used[first] = true;
+    }
+  for (int i = 0; i < DECIDERS; i++)
+    marjoram_placement_destroy (deciders[i]);
+  ck_assert_int_eq (agreed, SHARED_PARTS);
+  ck_assert_int_ge (engines, SHARED_PARTS / 2);
+}
+END_TEST
+
 START_TEST (prompt_goes_to_engine_caching_its_part)
 {
   struct marjoram_call_metadata first = prompt (7, 4000, 100, 500);
@@ -621,6 +689,7 @@
 
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, prompt_goes_to_engine_reporting_it_cached);
+  tcase_add_test (c, hosts_agree_on_an_engine_without_reports);
   tcase_add_test (c, prompt_goes_to_engine_caching_its_part);
   tcase_add_test (c, cached_prompt_is_copied_from_busy_engine);
   tcase_add_test (c, nothing_is_copied_after_connection_loss);
