A host of a large region links with load collectors only, not with all near hosts

Cause: each host dialled and was dialled by every host of its region, 654 links with 328 of them, each with heartbeats both ways, though only the eight collectors of load reports are sent anything. Descriptors would end at some 2,000 hosts a region.

Change: a host that follows a keeper links with collectors only, collectors with all; near hosts are alive until a keeper tells that they died, and keepers tell their followers who is alive again. Crash reports reach such hosts by way of their keeper.

test_host_links: two links at most with 200, 1,000 and 2,000 hosts of the region (before, one for each).

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -183,6 +183,19 @@
                                    now, groups, sums);
 }
 
+bool
+marjoram_entry_shares_loads (const struct marjoram_entry *self,
+                             const char *host)
+{
+  if (!self->using_collectors)
+    return true;
+  for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
+    if (strcmp (self->collectors[i], host) == 0
+        || is_local_host (self, self->collectors[i]))
+      return true;
+  return false;
+}
+
 /* ---- Choice of the reporting mode.  ---- */
 
 static bool
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -109,6 +109,9 @@
 
 /* entry_loads.c */
 /* Sends this host's load to the other hosts of the region when due.  */
+/* Whether load reports go to or come from HOST, of this region.  */
+bool marjoram_entry_shares_loads (const struct marjoram_entry *self,
+                                  const char *host);
 void marjoram_entry_report_loads (struct marjoram_entry *self, int64_t now);
 /* Sends all known crashes to HOST if it is a keeper, which may have restarted,
    and this host is the one of its region that does so.  */
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -256,6 +256,12 @@
 
 /* ---- Role operations.  ---- */
 
+static bool
+role_needs_link (struct marjoram_role *role, const char *host)
+{
+  return marjoram_entry_shares_loads (entry_from_role (role), host);
+}
+
 static void
 role_heartbeat (struct marjoram_role *role, const char *host, uint64_t session,
                 bool joins, const struct marjoram_host_beat *heartbeat)
@@ -542,6 +548,7 @@
   .session_closed = role_session_closed,
   .link_up = role_link_up,
   .link_lost = role_link_lost,
+  .needs_link = role_needs_link,
   .fill_heartbeat = role_fill_heartbeat,
   .api_request = role_api_request,
   .report = role_report,
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -117,6 +117,15 @@
     daemon->role->ops->link_lost (daemon->role, host);
 }
 
+static bool
+needs_link (void *context, const char *host)
+{
+  marjoram_gateway_daemon *daemon = context;
+
+  return daemon->role && daemon->role->ops->needs_link
+         && daemon->role->ops->needs_link (daemon->role, host);
+}
+
 static void
 fill_heartbeat (void *context, struct marjoram_host_beat *heartbeat)
 {
@@ -132,6 +141,7 @@
   .session_closed = on_session_closed,
   .link_up = on_link_up,
   .link_lost = on_link_lost,
+  .needs_link = needs_link,
   .fill_heartbeat = fill_heartbeat,
 };
 
--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -15,7 +15,7 @@
   FULL_RATE_HOSTS = 32,
   /* The same for hosts that are told by a keeper which hosts have died.  */
   FULL_RATE_HOSTS_FOLLOWING = 8,
-  LOST_INTERVAL_MS = 200, /* between checks for hosts that have died */
+  EVENTS_INTERVAL_MS = 200, /* between checks for hosts that have died */
   /* Heartbeats per second that a keeper receives from the hosts of its region,
      and from all hosts, before they use longer intervals.  */
   KEEPER_HEARTBEATS_PER_S = 1000,
@@ -389,35 +389,61 @@
   publish_to_followers (links, now);
 }
 
-void
-marjoram_host_links_publish_lost (marjoram_host_links *links, int64_t now)
+static void
+publish_lost (marjoram_host_links *links,
+              const struct marjoram_lost_hosts *lost)
 {
-  struct marjoram_lost_hosts lost;
+  struct marjoram_lost_host *items = lost->items.items;
   struct marjoram_lost_hosts page;
-  struct marjoram_lost_host *items;
 
-  if (now < links->lost_checked_at + LOST_INTERVAL_MS)
-    return;
-  links->lost_checked_at = now;
-  marjoram_host_list_take_lost (links->hosts, now, links->settings->region,
-                                &lost);
-  items = lost.items.items;
-  for (size_t sent = 0; sent < lost.items.count; sent += page.items.count)
+  for (size_t sent = 0; sent < lost->items.count; sent += page.items.count)
     {
-      size_t count = lost.items.count - sent;
+      size_t count = lost->items.count - sent;
 
       if (count > MARJORAM_HOST_BEATS_MAX)
         count = MARJORAM_HOST_BEATS_MAX;
       page.items = (struct marjoram_array){ items + sent, count };
-      marjoram_host_links_multicast (links, MARJORAM_TO_SOLE_FOLLOWERS, NULL,
+      marjoram_host_links_multicast (links, MARJORAM_TO_SOLE_FOLLOWERS,
+                                     links->settings->region,
                                      MARJORAM_FRAME_LOST_HOSTS, &page);
       marjoram_host_links_multicast (links, MARJORAM_TO_KEEPERS, NULL,
                                      MARJORAM_FRAME_LOST_HOSTS, &page);
     }
-  if (lost.items.count > 0)
-    marjoram_event (MARJORAM_EVENT_HOST, "state=lost hosts=%zu first=%s",
-                    lost.items.count, items[0].name);
-  free (items);
+}
+
+static void
+publish_found (marjoram_host_links *links,
+               const struct marjoram_host_beats *found)
+{
+  struct marjoram_host_beat *items = found->items.items;
+  struct marjoram_host_beats page;
+  size_t sent = 0;
+
+  for (size_t i = 0; i < found->items.count; i++)
+    clear_direct_terms (&items[i]);
+  while (next_page (found, &sent, &page))
+    marjoram_host_links_multicast (links, MARJORAM_TO_SOLE_FOLLOWERS,
+                                   links->settings->region,
+                                   MARJORAM_FRAME_HOST_LIST, &page);
+}
+
+void
+marjoram_host_links_publish_events (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_host_events events;
+
+  if (now < links->events_taken_at + EVENTS_INTERVAL_MS)
+    return;
+  links->events_taken_at = now;
+  marjoram_host_list_take_events (links->hosts, now, links->settings->region,
+                                  &events);
+  publish_lost (links, &events.lost);
+  publish_found (links, &events.found);
+  if (events.lost.items.count + events.found.items.count > 0)
+    marjoram_event (MARJORAM_EVENT_HOST, "state=judged lost=%zu found=%zu",
+                    events.lost.items.count, events.found.items.count);
+  free (events.lost.items.items);
+  free (events.found.items.items);
 }
 
 /* Keepers of a region judge its hosts for those of others, which hear each
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -144,15 +144,15 @@
     link->received_at = marjoram_host_links_now (links);
 }
 
-/* A host that sends heartbeats at the full rate is soon heard again, or found
-   dead by its silence.  */
+/* Hosts that follow all keepers find out by themselves.  */
 static void
-record_closed (marjoram_host_links *links, const char *host)
+record_closed (marjoram_host_links *links, const char *host,
+               enum marjoram_follow follow)
 {
   const struct marjoram_listed_host *listed
       = marjoram_host_list_find (links->hosts, host);
 
-  if (listed && listed->heartbeat.interval_ms > MARJORAM_HOST_HEARTBEAT_MS)
+  if (listed && follow != MARJORAM_FOLLOW_ALL)
     marjoram_host_list_connection_lost (links->hosts,
                                         marjoram_host_links_now (links), host);
 }
@@ -168,7 +168,7 @@
   if (!session || session->number != number)
     return;
   if (links->settings->role == MARJORAM_ROLE_KEEPER)
-    record_closed (links, host);
+    record_closed (links, host, session->follow);
   session_destroy (links, session);
 }
 
@@ -245,6 +245,7 @@
 static void
 drop_link (marjoram_host_links *links, struct marjoram_host_link *link)
 {
+  link->up = false; /* not lost */
   marjoram_peer_connect (links->peer, link->host, NULL, false);
   link_destroy (links, link);
 }
@@ -307,13 +308,37 @@
   }
 }
 
+static bool
+is_near (const marjoram_host_links *links,
+         const struct marjoram_listed_host *host)
+{
+  return strcmp (host->heartbeat.region, links->settings->region) == 0;
+}
+
 static bool
 is_required (const marjoram_host_links *links,
              const struct marjoram_listed_host *host)
 {
   return host->heartbeat.keeper
          || (links->settings->role == MARJORAM_ROLE_ENTRY
-             && strcmp (host->heartbeat.region, links->settings->region) == 0);
+             && is_near (links, host)
+             && (!marjoram_host_links_follows_one (links)
+                 || links->ops->needs_link (links->context,
+                                            host->heartbeat.name)));
+}
+
+/* Requests are forwarded to other regions only, so that a link to a near host
+   can be dropped while it is up.  */
+static bool
+may_drop (const marjoram_host_links *links,
+          const struct marjoram_host_link *link)
+{
+  const struct marjoram_listed_host *host
+      = marjoram_host_list_find (links->hosts, link->host);
+
+  return !link->up
+         || (host && !host->heartbeat.keeper && is_near (links, host)
+             && marjoram_host_links_follows_one (links));
 }
 
 static void
@@ -334,8 +359,8 @@
   for (link = TAILQ_FIRST (&links->links); link; link = next)
     {
       next = TAILQ_NEXT (link, next);
-      /* Links that are up are kept, as requests may be in progress.  */
-      if (!link->wanted && !link->up)
+      /* Links that are up are kept if requests may be in progress.  */
+      if (!link->wanted && may_drop (links, link))
         drop_link (links, link);
     }
 }
@@ -386,6 +411,9 @@
 {
   marjoram_host_links_choose_home_if_due (links, now);
   marjoram_host_links_update_interval (links, now);
+  marjoram_host_list_set_told_of_losses (
+      links->hosts, links->settings->role == MARJORAM_ROLE_ENTRY
+                        && marjoram_host_links_follows_one (links));
   measure_lag (links, now);
   reconnect_silent (links, now);
   marjoram_host_links_send_heartbeats (links, now, false);
@@ -393,7 +421,7 @@
     plan_links (links, now);
   if (links->settings->role == MARJORAM_ROLE_KEEPER)
     {
-      marjoram_host_links_publish_lost (links, now);
+      marjoram_host_links_publish_events (links, now);
       marjoram_host_links_publish_list (links, now);
     }
   marjoram_host_list_tick (links->hosts, now);
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -25,6 +25,9 @@
   /* This host's own link to HOST is up; HOST may have restarted.  */
   void (*link_up) (void *context, const char *host);
   void (*link_lost) (void *context, const char *host);
+  /* Whether this entry host exchanges messages with HOST, an entry host of its
+     region.  */
+  bool (*needs_link) (void *context, const char *host);
   /* Fills in the variable parts of this host's heartbeat; offers remain owned
      by the callee.  */
   void (*fill_heartbeat) (void *context, struct marjoram_host_beat *heartbeat);
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -60,7 +60,7 @@
   int64_t planned_at;
   int64_t list_sent_at;
   int64_t list_broadcast_at;
-  int64_t lost_checked_at;
+  int64_t events_taken_at;
 };
 
 /* The link to HOST or the session from it; NULL if there is none.  */
@@ -109,9 +109,9 @@
 void marjoram_host_links_process_list (marjoram_host_links *links,
                                        const struct marjoram_host_beats *list);
 /* Tells other keepers and the hosts that follow this keeper which hosts of its
-   region have died.  */
-void marjoram_host_links_publish_lost (marjoram_host_links *links,
-                                       int64_t now);
+   region have died, and the latter which are alive again.  */
+void marjoram_host_links_publish_events (marjoram_host_links *links,
+                                         int64_t now);
 void marjoram_host_links_process_lost (marjoram_host_links *links,
                                        const char *keeper,
                                        const struct marjoram_lost_hosts *lost);
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -56,7 +56,8 @@
 {
   int64_t relayed_valid_ms;
   int64_t lag_ms; /* receive lag of this host */
-  char *region;   /* region whose entry hosts use HEARTBEAT_MS; NULL if none */
+  bool is_told_of_losses;
+  char *region; /* region whose entry hosts use HEARTBEAT_MS; NULL if none */
   int64_t heartbeat_ms;
   struct marjoram_listed_hosts hosts;
   struct marjoram_listed_host *by_name;
@@ -95,6 +96,12 @@
   list->lag_ms = lag_ms;
 }
 
+void
+marjoram_host_list_set_told_of_losses (marjoram_host_list *list, bool told)
+{
+  list->is_told_of_losses = told;
+}
+
 static void
 clear_heartbeat (struct marjoram_host_beat *heartbeat)
 {
@@ -396,7 +403,9 @@
       = (stated_ms > 0 ? stated_ms : list->heartbeat_ms) * ALIVE_HEARTBEATS
         + ALIVE_MARGIN_MS;
 
-  if (!host->direct)
+  if (!host->direct
+      || (list->is_told_of_losses && !host->heartbeat.keeper && list->region
+          && strcmp (host->heartbeat.region, list->region) == 0))
     return list->relayed_valid_ms;
   if (stated_ms > 0)
     return heartbeats_ms > ALIVE_MS ? heartbeats_ms : ALIVE_MS;
@@ -698,34 +707,43 @@
   return NULL;
 }
 
-static bool
-is_newly_lost (struct marjoram_listed_host *host, int64_t now,
-               const char *region)
+static void
+add_event (struct marjoram_listed_host *host, int64_t now,
+           struct marjoram_host_events *events)
 {
-  const bool was_reported = host->is_reported;
+  const bool is_alive = marjoram_host_list_alive (host, now);
+  struct marjoram_lost_host *lost = events->lost.items.items;
+  struct marjoram_host_beat *found = events->found.items.items;
 
-  if (!host->direct || !is_entry (&host->heartbeat)
-      || strcmp (host->heartbeat.region, region) != 0)
-    return false;
-  host->is_reported = !marjoram_host_list_alive (host, now);
-  return host->is_reported && !was_reported;
+  if (is_alive != host->is_reported)
+    return;
+  host->is_reported = !is_alive;
+  if (is_alive)
+    found[events->found.items.count++] = host->heartbeat;
+  else
+    lost[events->lost.items.count++]
+        = (struct marjoram_lost_host){ host->heartbeat.name,
+                                       host->heartbeat.incarnation };
 }
 
 void
-marjoram_host_list_take_lost (marjoram_host_list *list, int64_t now,
-                              const char *region,
-                              struct marjoram_lost_hosts *lost)
+marjoram_host_list_take_events (marjoram_host_list *list, int64_t now,
+                                const char *region,
+                                struct marjoram_host_events *events)
 {
-  struct marjoram_lost_host *items
-      = marjoram_alloc (HASH_COUNT (list->by_name) * sizeof *items);
+  const size_t most = HASH_COUNT (list->by_name);
   struct marjoram_listed_host *host;
 
-  lost->items = (struct marjoram_array){ items, 0 };
+  events->lost.items = (struct marjoram_array){
+    marjoram_alloc (most * sizeof (struct marjoram_lost_host)), 0
+  };
+  events->found.items = (struct marjoram_array){
+    marjoram_alloc (most * sizeof (struct marjoram_host_beat)), 0
+  };
   TAILQ_FOREACH (host, &list->hosts, link)
-  if (is_newly_lost (host, now, region))
-    items[lost->items.count++]
-        = (struct marjoram_lost_host){ host->heartbeat.name,
-                                       host->heartbeat.incarnation };
+  if (host->direct && is_entry (&host->heartbeat)
+      && strcmp (host->heartbeat.region, region) == 0)
+    add_event (host, now, events);
 }
 
 void
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -50,6 +50,10 @@
    unless it has restarted since INCARNATION.  */
 void marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
                               const char *name, uint64_t incarnation);
+/* Whether a keeper tells this host which hosts of its region have died.  Those
+   need not send it heartbeats then.  */
+void marjoram_host_list_set_told_of_losses (marjoram_host_list *list,
+                                            bool told);
 /* Sets the receive lag of this host, allowed for in all liveness checks.  */
 void marjoram_host_list_set_lag (marjoram_host_list *list, int64_t lag_ms);
 /* Processes a heartbeat received from its host (DIRECT) or relayed.  Returns
@@ -132,12 +136,19 @@
 /* Number of known entry hosts, alive or not.  A host is usually not in its own
    list.  */
 size_t marjoram_host_list_entry_count (marjoram_host_list *list);
-/* Lists the entry hosts of REGION that have died since the last call; their
-   heartbeats arrive directly.  The caller frees ITEMS, which borrow their
-   strings.  */
-void marjoram_host_list_take_lost (marjoram_host_list *list, int64_t now,
-                                   const char *region,
-                                   struct marjoram_lost_hosts *lost);
+/* Entry hosts that have died, or are alive again.  */
+struct marjoram_host_events
+{
+  struct marjoram_lost_hosts lost;
+  struct marjoram_host_beats found;
+};
+
+/* Lists the changes since the last call among the hosts of REGION whose
+   heartbeats arrive directly.  The caller frees the items of both, which
+   borrow their strings.  */
+void marjoram_host_list_take_events (marjoram_host_list *list, int64_t now,
+                                     const char *region,
+                                     struct marjoram_host_events *events);
 /* Drops hosts that have been silent for long.  */
 void marjoram_host_list_tick (marjoram_host_list *list, int64_t now);
 
--- a/src/keeper_publish.c
+++ b/src/keeper_publish.c
@@ -314,9 +314,9 @@
   marjoram_wire_clear (&marjoram_crash_report_layout, &all);
 }
 
-/* The sender has notified the hosts of its own region.  A keeper forwards the
-   report in its own region only, so that hosts don't get a copy from each
-   keeper.  */
+/* Each keeper tells its followers, so that a host does not get a copy from
+   each keeper.  A sender has notified the hosts of its own region itself,
+   unless they follow one keeper.  */
 void
 marjoram_keeper_forward_crashes (struct marjoram_keeper_role *self,
                                  const char *host,
@@ -328,8 +328,12 @@
 
   marjoram_crash_list_apply (self->crashes, marjoram_keeper_role_now (self),
                              report);
-  if (sender && strcmp (sender->heartbeat.region, region) != 0)
-    marjoram_host_links_multicast (self->parts->links, MARJORAM_TO_ENTRY_HOSTS,
+  if (sender)
+    marjoram_host_links_multicast (self->parts->links,
+                                   strcmp (sender->heartbeat.region, region)
+                                           == 0
+                                       ? MARJORAM_TO_SOLE_FOLLOWERS
+                                       : MARJORAM_TO_FOLLOWERS,
                                    region, MARJORAM_FRAME_CRASHES, report);
 }
 
--- a/src/role.h
+++ b/src/role.h
@@ -24,6 +24,9 @@
                           uint64_t session);
   void (*link_up) (struct marjoram_role *role, const char *host);
   void (*link_lost) (struct marjoram_role *role, const char *host);
+  /* Whether an entry host exchanges messages with HOST, of its region; NULL
+     for a role that exchanges none.  */
+  bool (*needs_link) (struct marjoram_role *role, const char *host);
   void (*fill_heartbeat) (struct marjoram_role *role,
                           struct marjoram_host_beat *heartbeat);
   /* A request to the host's HTTP API, other than for metrics.  */
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -3,7 +3,7 @@
 #include "suite.h"
 
 #include "cleanup.h"
-#include "host_links.h"
+#include "host_links_private.h"
 #include "lib_relay.h"
 
 #include <event2/event.h>
@@ -100,12 +100,21 @@
   heartbeat->ready = true;
 }
 
+static bool
+needs_link (void *context, const char *host)
+{
+  (void)context;
+  (void)host;
+  return false;
+}
+
 static const struct marjoram_host_links_ops ops
     = { .frame = on_frame,
         .heartbeat = on_heartbeat,
         .session_closed = on_session_closed,
         .link_up = on_link_up,
         .link_lost = on_link_lost,
+        .needs_link = needs_link,
         .fill_heartbeat = fill_heartbeat };
 
 /* A loopback address that is unique to this process.  */
@@ -486,17 +495,17 @@
 }
 END_TEST
 
-/* Makes HOST believe that COUNT further entry hosts exist.  */
+/* Makes HOST believe that COUNT further entry hosts exist in REGION.  */
 static void
-pretend_hosts (struct host *host, int count)
+pretend_hosts (struct host *host, int count, const char *region)
 {
   for (int i = 0; i < count; i++)
     {
       char name[IP_MAX];
       const struct marjoram_host_beat heartbeat
           = { .name = name,
-              .zone = (char *)"r2",
-              .region = (char *)"r2",
+              .zone = (char *)region,
+              .region = (char *)region,
               .entry = (char *)"10.9.0.1:80",
               .incarnation = 1,
               .sequence = 1 };
@@ -559,7 +568,7 @@
   start (&other, 3, MARJORAM_ROLE_KEEPER, "r1", 1);
   start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
   wait_until (both_keepers_are_followed, "a small fleet to follow all");
-  pretend_hosts (&entry, 200);
+  pretend_hosts (&entry, 200, "r2");
   wait_until (one_keeper_is_followed, "one keeper to be followed");
   home = marjoram_host_list_find (keeper.hosts, entry.ip)->heartbeat.follow
                  == MARJORAM_FOLLOW_ONLY
@@ -570,6 +579,36 @@
 }
 END_TEST
 
+static size_t
+count_links (const struct host *host)
+{
+  const struct marjoram_host_link *link;
+  size_t count = 0;
+
+  TAILQ_FOREACH (link, &host->links->links, next)
+  count++;
+  return count;
+}
+
+/* Guards against links, and heartbeats on them, that grow with the number of
+   hosts in the region.  */
+START_TEST (host_of_large_region_links_with_those_that_it_needs)
+{
+  static const int counts[] = { 200, 1000, 2000 };
+
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (entry_is_listed, "the host");
+  for (size_t i = 0; i < sizeof counts / sizeof *counts; i++)
+    {
+      pretend_hosts (&entry, counts[i], "r1");
+      for (int64_t later = 1000; later <= 2000; later += 500)
+        marjoram_host_links_tick (entry.links,
+                                  marjoram_clock_now (test_clock) + later);
+      ck_assert_uint_le (count_links (&entry), 2);
+    }
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -586,6 +625,7 @@
   tcase_add_test (tests, receive_lag_does_not_close_links);
   tcase_add_test (tests, partition_closes_links_in_time);
   tcase_add_test (tests, host_of_large_fleet_follows_one_keeper);
+  tcase_add_test (tests, host_of_large_region_links_with_those_that_it_needs);
   suite_add_tcase (all, tests);
   return all;
 }
--- a/test/test_host_list.c
+++ b/test/test_host_list.c
@@ -111,25 +111,48 @@
 
 /* Guards against a large fleet that learns of a host's death from its silence
    only.  */
-START_TEST (dead_host_is_reported_once)
+START_TEST (deaths_and_recoveries_are_reported_once)
 {
-  struct marjoram_lost_hosts lost;
-  struct marjoram_lost_host *items;
+  const struct
+  {
+    int64_t heartbeat_at; /* of h1; h2 sends one each time */
+    int64_t now;
+    size_t lost;
+    size_t found;
+  } steps[] = { { 1000, 1000, 0, 0 },
+                { 1000, 2500, 1, 0 },
+                { 1000, 2600, 0, 0 },
+                { 2700, 2700, 0, 1 },
+                { 2700, 2800, 0, 0 } };
+
+  for (size_t i = 0; i < sizeof steps / sizeof *steps; i++)
+    {
+      struct marjoram_host_events events;
+
+      receive_heartbeat (steps[i].heartbeat_at, "h1", "z1", "r1");
+      receive_heartbeat (steps[i].now, "h2", "z1", "r1");
+      marjoram_host_list_take_events (list, steps[i].now, "r1", &events);
+      ck_assert_uint_eq (events.lost.items.count, steps[i].lost);
+      ck_assert_uint_eq (events.found.items.count, steps[i].found);
+      free (events.lost.items.items);
+      free (events.found.items.items);
+    }
+}
+END_TEST
 
+/* Guards against near hosts that count as dead because they send no
+   heartbeats to a host that is told of deaths by a keeper.  */
+START_TEST (host_is_alive_until_its_death_is_reported)
+{
+  marjoram_host_list_set_heartbeat_interval (list, "r1", 300);
+  marjoram_host_list_set_relayed_valid (list, 27000);
+  marjoram_host_list_set_told_of_losses (list, true);
   receive_heartbeat (0, "h1", "z1", "r1");
-  receive_heartbeat (0, "h2", "z1", "r1");
-  receive_heartbeat (1000, "h2", "z1", "r1");
-  marjoram_host_list_take_lost (list, 1000, "r1", &lost);
-  ck_assert_uint_eq (lost.items.count, 0);
-  free (lost.items.items);
-  marjoram_host_list_take_lost (list, 1500, "r1", &lost);
-  ck_assert_uint_eq (lost.items.count, 1);
-  items = lost.items.items;
-  ck_assert_str_eq (items[0].name, "h1");
-  free (items);
-  marjoram_host_list_take_lost (list, 1600, "r1", &lost);
-  ck_assert_uint_eq (lost.items.count, 0);
-  free (lost.items.items);
+  receive_heartbeat (0, "h2", "z2", "r2");
+  ck_assert_uint_eq (look_up (20000, "z1", "r1"), 1);
+  ck_assert_uint_eq (look_up (20000, "z2", "r9"), 0);
+  marjoram_host_list_lost (list, 20000, "h1", 1);
+  ck_assert_uint_eq (look_up (20000, "z1", "r9"), 0);
 }
 END_TEST
 
@@ -292,7 +315,8 @@
   tcase_add_test (c, dead_host_is_omitted_in_time);
   tcase_add_test (c, leaving_host_is_omitted_at_once);
   tcase_add_test (c, host_is_alive_for_the_interval_that_it_states);
-  tcase_add_test (c, dead_host_is_reported_once);
+  tcase_add_test (c, deaths_and_recoveries_are_reported_once);
+  tcase_add_test (c, host_is_alive_until_its_death_is_reported);
   tcase_add_test (c, reported_host_is_dead_until_its_heartbeat);
   tcase_add_test (c, older_heartbeats_are_ignored);
   tcase_add_test (c, one_owner_among_live_hosts_of_a_region);
