The log counts the frames that a host sends, by type and by how far they go

Each 10 s one line for each type that was sent, with bytes within the zone, to the region's other zones and to other regions, so that one run tells which message costs what.

--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -177,7 +177,7 @@
 {
   link->sent_at = now;
   marjoram_link_lag_sent (&link->lag, now);
-  marjoram_peer_send_packed (links->peer, link->host, frame);
+  marjoram_host_links_write (links, link->host, 0, frame);
 }
 
 void
@@ -245,12 +245,12 @@
       && strcmp (heartbeat->region, links->settings->region) != 0)
     {
       make_heartbeat (links, &own);
-      marjoram_peer_reply (links->peer, heartbeat->name, session,
-                           MARJORAM_FRAME_HOST_BEAT, &own);
+      marjoram_host_links_reply (links, heartbeat->name, session,
+                                 MARJORAM_FRAME_HOST_BEAT, &own);
       return;
     }
-  marjoram_peer_reply (links->peer, heartbeat->name, session,
-                       MARJORAM_FRAME_HEARTBEAT, &echo);
+  marjoram_host_links_reply (links, heartbeat->name, session,
+                             MARJORAM_FRAME_HEARTBEAT, &echo);
 }
 
 /* Keepers hear of a host in its own heartbeats too; those that don't are told
@@ -345,8 +345,8 @@
   size_t sent = 0;
 
   while (next_page (&list, &sent, &page))
-    marjoram_peer_reply (links->peer, host, session, MARJORAM_FRAME_HOST_LIST,
-                         &page);
+    marjoram_host_links_reply (links, host, session, MARJORAM_FRAME_HOST_LIST,
+                               &page);
   free (list.items.items);
 }
 
@@ -484,8 +484,8 @@
     return;
   copy = known->heartbeat;
   clear_direct_terms (&copy);
-  marjoram_peer_reply (links->peer, host, number, MARJORAM_FRAME_HOST_LIST,
-                       &list);
+  marjoram_host_links_reply (links, host, number, MARJORAM_FRAME_HOST_LIST,
+                             &list);
 }
 
 void
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -4,6 +4,7 @@
 #define MARJORAM_HOST_LINKS_PRIVATE_H
 
 #include "host_links.h"
+#include "link_traffic.h"
 #include "own_receive_lag.h"
 
 #include <sys/queue.h>
@@ -61,6 +62,8 @@
   int64_t list_sent_at;
   int64_t list_broadcast_at;
   int64_t events_taken_at;
+  struct marjoram_link_traffic traffic;
+  int64_t traffic_logged_at;
 };
 
 /* The link to HOST or the session from it; NULL if there is none.  */
@@ -70,6 +73,10 @@
 marjoram_host_links_session (marjoram_host_links *links, const char *host);
 struct marjoram_host_session *
 marjoram_host_links_add_session (marjoram_host_links *links, const char *host);
+/* Sends a packed frame over the session NUMBER from HOST, or over the link to
+   HOST if NUMBER is 0.  */
+void marjoram_host_links_write (marjoram_host_links *links, const char *host,
+                                uint64_t number, const marjoram_bytes *frame);
 int64_t marjoram_host_links_now (const marjoram_host_links *links);
 
 /* keeper_home.c */
