--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -9,6 +9,8 @@
 enum
 {
   STATUS_UNAVAILABLE = 503,
+  /* Upstreams of a batch that are logged one by one.  */
+  LOGGED_ITEMS_MAX = 8,
   /* Time without a piece before the state is requested from the next keeper
      that announced it.  Far above the transfer time of a piece on a busy
      link.  */
@@ -90,6 +92,7 @@
 {
   const struct marjoram_news_item *items = batch->items.items;
   int64_t now = marjoram_entry_now (self);
+  size_t changed = 0;
 
   for (size_t i = 0; i < batch->items.count; i++)
     {
@@ -100,7 +103,9 @@
         continue;
       result = marjoram_registry_update (self->registry, now, &heartbeat,
                                          items[i].age_ms);
-      if (result == MARJORAM_REGISTRY_CHANGED)
+      changed += result == MARJORAM_REGISTRY_CHANGED;
+      if (result == MARJORAM_REGISTRY_CHANGED
+          && batch->items.count <= LOGGED_ITEMS_MAX)
         marjoram_event (MARJORAM_EVENT_UPSTREAM,
                         "id=%s state=%d service=%s address=%s zone=%s "
                         "born=%" PRId64 " seq=%" PRId64 " cold_ms=%" PRId64
@@ -110,6 +115,10 @@
                         heartbeat.started_at, heartbeat.sequence,
                         heartbeat.cold_ms, items[i].age_ms, host);
     }
+  if (changed > 0 && batch->items.count > LOGGED_ITEMS_MAX)
+    marjoram_event (MARJORAM_EVENT_UPSTREAM,
+                    "state=batch count=%zu changed=%zu keeper=%s",
+                    batch->items.count, changed, host);
   if (batch->is_last)
     marjoram_registry_unvouch_before (self->registry, batch->asked_at);
   if (batch->ticket)
