--- a/src/host_links.c
+++ b/src/host_links.c
@@ -19,7 +19,8 @@
   SILENT_INTERVALS_PERCENT = 250,
   PLAN_INTERVAL_MS = 500,
   LINKS_PER_REGION = 4,
-  REGIONS_MAX = 64 /* other regions to which a host links */
+  TRAFFIC_INTERVAL_MS = 10000, /* between log lines on frames sent */
+  REGIONS_MAX = 64             /* other regions to which a host links */
 };
 
 /* Disables the incarnation check of the peer module, so that a newer session
@@ -406,6 +407,15 @@
     marjoram_peer_reconnect (links->peer, link->host);
 }
 
+static void
+log_traffic (marjoram_host_links *links, int64_t now)
+{
+  if (now < links->traffic_logged_at + TRAFFIC_INTERVAL_MS)
+    return;
+  links->traffic_logged_at = now;
+  marjoram_link_traffic_log (&links->traffic);
+}
+
 void
 marjoram_host_links_tick (marjoram_host_links *links, int64_t now)
 {
@@ -425,10 +435,38 @@
       marjoram_host_links_publish_list (links, now);
     }
   marjoram_host_list_tick (links->hosts, now);
+  log_traffic (links, now);
 }
 
 /* ---- Sending.  ---- */
 
+static enum marjoram_locality
+locality_of (const marjoram_host_links *links, const char *name)
+{
+  const struct marjoram_listed_host *host
+      = marjoram_host_list_find (links->hosts, name);
+
+  if (!host)
+    return MARJORAM_LOCALITY_UNKNOWN;
+  if (strcmp (host->heartbeat.zone, links->settings->zone) == 0)
+    return MARJORAM_LOCALITY_ZONE;
+  return is_near (links, host) ? MARJORAM_LOCALITY_REGION
+                               : MARJORAM_LOCALITY_OTHER;
+}
+
+void
+marjoram_host_links_write (marjoram_host_links *links, const char *host,
+                           uint64_t number, const marjoram_bytes *frame)
+{
+  marjoram_link_traffic_add (&links->traffic, marjoram_frame_type_of (frame),
+                             locality_of (links, host),
+                             marjoram_bytes_size (frame));
+  if (number == 0)
+    marjoram_peer_send_packed (links->peer, host, frame);
+  else
+    marjoram_peer_reply_packed (links->peer, host, number, frame);
+}
+
 bool
 marjoram_host_links_is_up (marjoram_host_links *links, const char *host)
 {
@@ -455,7 +493,7 @@
 {
   if (!marjoram_host_links_is_up (links, host))
     return false;
-  marjoram_peer_send (links->peer, host, type, message);
+  marjoram_host_links_reply (links, host, 0, type, message);
   return true;
 }
 
@@ -464,10 +502,10 @@
                            uint64_t session, enum marjoram_frame_type type,
                            const void *message)
 {
-  if (session == 0)
-    marjoram_peer_send (links->peer, host, type, message);
-  else
-    marjoram_peer_reply (links->peer, host, session, type, message);
+  marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
+      = marjoram_frame_pack (type, message);
+
+  marjoram_host_links_write (links, host, session, frame);
 }
 
 void
@@ -480,8 +518,7 @@
   struct marjoram_host_session *session;
 
   TAILQ_FOREACH (session, &links->sessions, next)
-  marjoram_peer_reply_packed (links->peer, session->host, session->number,
-                              frame);
+  marjoram_host_links_write (links, session->host, session->number, frame);
 }
 
 static bool
@@ -524,8 +561,7 @@
     if (!is_recipient (session, host, recipients)
         || (region && strcmp (host->heartbeat.region, region) != 0))
       continue;
-    marjoram_peer_reply_packed (links->peer, session->host, session->number,
-                                frame);
+    marjoram_host_links_write (links, session->host, session->number, frame);
     count++;
   }
   return count;
@@ -560,7 +596,7 @@
     if (!link->up || !host || host->heartbeat.keeper != keepers
         || (!keepers && strcmp (host->heartbeat.region, region) != 0))
       continue;
-    marjoram_peer_send_packed (links->peer, link->host, frame);
+    marjoram_host_links_write (links, link->host, 0, frame);
   }
 }
 
