--- a/src/frame.c
+++ b/src/frame.c
@@ -231,14 +231,6 @@
   return (enum marjoram_frame_type)data[MARJORAM_FRAME_HEADER - 1];
 }
 
-enum marjoram_frame_type
-marjoram_frame_type_of (const marjoram_bytes *frame)
-{
-  const char *data = (const char *)marjoram_bytes_data (frame);
-
-  return (enum marjoram_frame_type)data[MARJORAM_FRAME_HEADER - 1];
-}
-
 marjoram_bytes *
 marjoram_frame_pack (enum marjoram_frame_type type, const void *message)
 {
--- a/src/frame.h
+++ b/src/frame.h
@@ -224,8 +224,6 @@
 marjoram_frame_layout (enum marjoram_frame_type type);
 /* The type of a packed frame.  */
 enum marjoram_frame_type marjoram_frame_type_of (const marjoram_bytes *frame);
-/* The type of a packed frame.  */
-enum marjoram_frame_type marjoram_frame_type_of (const marjoram_bytes *frame);
 /* Returns a complete frame, header included.  */
 marjoram_bytes *marjoram_frame_pack (enum marjoram_frame_type type,
                                      const void *message);
