Hosts of a large fleet tell other regions less, and hear of deaths there

Cause: with offers to four hosts of each other region each 0.6 s, answered in full, 985 hosts send 6.6 MB a second between regions by arithmetic; heartbeats to the 16 keepers of other regions 2.7 MB.

Change: a host that follows one keeper links with two hosts of each other region and tells them each 2 s; far keepers are sent 500 heartbeats a second in all. Keepers pass deaths in other regions on to their followers, once each. Such a host does not log what it is told of others one by one.

--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -10,6 +10,8 @@
 {
   HEARTBEAT_MS = MARJORAM_HOST_HEARTBEAT_MS,
   REMOTE_HEARTBEAT_MS = 600, /* to entry hosts of other regions */
+  /* The same from a host that is told by a keeper which hosts have died.  */
+  REMOTE_HEARTBEAT_FOLLOWING_MS = 2000,
   /* Regions with more hosts use a proportionally longer interval, which bounds
      the heartbeats that a host sends per second.  */
   FULL_RATE_HOSTS = 32,
@@ -17,8 +19,9 @@
   FULL_RATE_HOSTS_FOLLOWING = 8,
   EVENTS_INTERVAL_MS = 200, /* between checks for hosts that have died */
   /* Heartbeats per second that a keeper receives from the hosts of its region,
-     and from all hosts, before they use longer intervals.  */
-  KEEPER_HEARTBEATS_PER_S = 1000,
+     and from those of others, before they use longer intervals.  */
+  NEAR_HEARTBEATS_PER_S = 1000,
+  FAR_HEARTBEATS_PER_S = 500,
   MSEC_PER_SEC = 1000,
   /* How often a keeper sends its list of hosts to keepers and to all hosts.
      The latter traffic grows with the square of the number of hosts; changes
@@ -98,10 +101,9 @@
     make_heartbeat (links, &packed->heartbeat);
   heartbeat = packed->heartbeat;
   if (audience != AUDIENCE_REMOTE)
-    {
-      heartbeat.offers = (struct marjoram_array){ NULL, 0 };
-      heartbeat.interval_ms = (uint64_t)interval_for (links, audience);
-    }
+    heartbeat.offers = (struct marjoram_array){ NULL, 0 };
+  if (audience != AUDIENCE_REMOTE || marjoram_host_links_follows_one (links))
+    heartbeat.interval_ms = (uint64_t)interval_for (links, audience);
   if (audience >= AUDIENCE_HOME)
     heartbeat.follow = marjoram_host_links_follow (links, link);
   packed->frames[audience]
@@ -110,9 +112,9 @@
 }
 
 static int64_t
-keeper_interval_ms (int64_t hosts)
+keeper_interval_ms (int64_t hosts, int64_t heartbeats_per_s)
 {
-  int64_t msec = hosts * MSEC_PER_SEC / KEEPER_HEARTBEATS_PER_S;
+  int64_t msec = hosts * MSEC_PER_SEC / heartbeats_per_s;
 
   return msec > HEARTBEAT_MS ? msec : HEARTBEAT_MS;
 }
@@ -139,9 +141,11 @@
     links->local_interval_ms = HEARTBEAT_MS;
   marjoram_host_list_set_heartbeat_interval (links->hosts, region,
                                              links->local_interval_ms);
-  links->near_keeper_interval_ms = keeper_interval_ms (hosts);
+  links->near_keeper_interval_ms
+      = keeper_interval_ms (hosts, NEAR_HEARTBEATS_PER_S);
   links->far_keeper_interval_ms = keeper_interval_ms (
-      (int64_t)marjoram_host_list_entry_count (links->hosts));
+      (int64_t)marjoram_host_list_entry_count (links->hosts),
+      FAR_HEARTBEATS_PER_S);
 }
 
 static int64_t
@@ -152,7 +156,9 @@
     case AUDIENCE_LOCAL:
       return links->local_interval_ms;
     case AUDIENCE_REMOTE:
-      return REMOTE_HEARTBEAT_MS;
+      return marjoram_host_links_follows_one (links)
+                 ? REMOTE_HEARTBEAT_FOLLOWING_MS
+                 : REMOTE_HEARTBEAT_MS;
     case AUDIENCE_HOME:
     case AUDIENCE_NEAR_KEEPER:
       return links->near_keeper_interval_ms;
@@ -447,24 +453,32 @@
 }
 
 /* Keepers of a region judge its hosts for those of others, which hear each
-   host less often.  */
+   host less often and pass on what they did not know.  */
 void
 marjoram_host_links_process_lost (marjoram_host_links *links,
                                   const char *keeper,
                                   const struct marjoram_lost_hosts *lost)
 {
+  const int64_t now = marjoram_host_links_now (links);
   const struct marjoram_lost_host *items = lost->items.items;
   const struct marjoram_listed_host *sender
       = marjoram_host_list_find (links->hosts, keeper);
+  marjoram_auto_free struct marjoram_lost_host *news
+      = marjoram_alloc (lost->items.count * sizeof *news);
+  struct marjoram_lost_hosts relayed = { { news, 0 } };
 
   if (links->settings->role == MARJORAM_ROLE_KEEPER
       && (!sender
           || strcmp (sender->heartbeat.region, links->settings->region) == 0))
     return;
   for (size_t i = 0; i < lost->items.count; i++)
-    if (items[i].name && strcmp (items[i].name, links->settings->ip) != 0)
-      marjoram_host_list_lost (links->hosts, marjoram_host_links_now (links),
-                               items[i].name, items[i].incarnation);
+    if (items[i].name && strcmp (items[i].name, links->settings->ip) != 0
+        && marjoram_host_list_lost (links->hosts, now, items[i].name,
+                                    items[i].incarnation))
+      news[relayed.items.count++] = items[i];
+  if (links->settings->role == MARJORAM_ROLE_KEEPER && relayed.items.count > 0)
+    marjoram_host_links_multicast (links, MARJORAM_TO_SOLE_FOLLOWERS, NULL,
+                                   MARJORAM_FRAME_LOST_HOSTS, &relayed);
 }
 
 /* A host that restarts after its clock was set back has a lower incarnation
@@ -550,6 +564,7 @@
       supersede (links, &items[i]);
     else if (marjoram_host_list_update (links->hosts,
                                         marjoram_host_links_now (links),
-                                        &items[i], false))
+                                        &items[i], false)
+             && !marjoram_host_links_follows_one (links))
       log_host (&items[i]);
 }
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -19,6 +19,8 @@
   SILENT_INTERVALS_PERCENT = 250,
   PLAN_INTERVAL_MS = 500,
   LINKS_PER_REGION = 4,
+  /* The same for a host that is told by a keeper which hosts have died.  */
+  LINKS_PER_REGION_FOLLOWING = 2,
   TRAFFIC_INTERVAL_MS = 10000, /* between log lines on frames sent */
   REGIONS_MAX = 64             /* other regions to which a host links */
 };
@@ -259,6 +261,9 @@
 {
   const struct marjoram_listed_host *best[LINKS_PER_REGION];
   uint64_t weights[LINKS_PER_REGION];
+  const int most = marjoram_host_links_follows_one (links)
+                       ? LINKS_PER_REGION_FOLLOWING
+                       : LINKS_PER_REGION;
   int count = 0;
 
   for (size_t i = 0; i < remote->count; i++)
@@ -269,9 +274,9 @@
 
       while (rank > 0 && weights[rank - 1] < weight)
         rank--;
-      if (rank == LINKS_PER_REGION)
+      if (rank == most)
         continue;
-      if (count < LINKS_PER_REGION)
+      if (count < most)
         count++;
       for (int k = count - 1; k > rank; k--)
         {
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -381,16 +381,18 @@
   list->changes++;
 }
 
-void
+bool
 marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
                          const char *name, uint64_t incarnation)
 {
   struct marjoram_listed_host *host = find (list, name);
 
-  if (!host || host->heartbeat.incarnation > incarnation)
-    return;
+  if (!host || host->heartbeat.incarnation > incarnation
+      || !marjoram_host_list_alive (host, now))
+    return false;
   host->lost_at = now;
   list->changes++;
+  return true;
 }
 
 /* Silence in ms after which HOST counts as dead.  */
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -47,8 +47,9 @@
 void marjoram_host_list_connection_lost (marjoram_host_list *list, int64_t now,
                                          const char *name);
 /* A keeper has found NAME dead: it counts as dead until its next heartbeat,
-   unless it has restarted since INCARNATION.  */
-void marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
+   unless it has restarted since INCARNATION.  Returns whether it counted as
+   alive.  */
+bool marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
                               const char *name, uint64_t incarnation);
 /* Whether a keeper tells this host which hosts of its region have died.  Those
    need not send it heartbeats then.  */
