--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -495,9 +495,11 @@
 }
 END_TEST
 
-/* Makes HOST believe that COUNT further entry hosts exist in REGION.  */
+/* Makes HOST believe that COUNT further entry hosts exist in REGION, which
+   send it heartbeats if DIRECT.  */
 static void
-pretend_hosts (struct host *host, int count, const char *region)
+pretend_hosts_at (struct host *host, int count, const char *region,
+                  bool direct)
 {
   for (int i = 0; i < count; i++)
     {
@@ -508,14 +510,21 @@
               .region = (char *)region,
               .entry = (char *)"10.9.0.1:80",
               .incarnation = 1,
-              .sequence = 1 };
+              .sequence = 1,
+              .interval_ms = LIMIT_MS };
 
       snprintf (name, sizeof name, "10.9.%d.%d", i / 250, i % 250 + 1);
       marjoram_host_list_update (host->hosts, marjoram_clock_now (test_clock),
-                                 &heartbeat, false);
+                                 &heartbeat, direct);
     }
 }
 
+static void
+pretend_hosts (struct host *host, int count, const char *region)
+{
+  pretend_hosts_at (host, count, region, false);
+}
+
 /* The keepers that notify ENTRY, counted as it stated last.  */
 static int
 followed_keepers (void)
@@ -579,6 +588,27 @@
 }
 END_TEST
 
+enum
+{
+  FLEET_HOSTS = 2500
+};
+
+static bool
+entry_knows_the_fleet (void)
+{
+  return marjoram_host_list_entry_count (entry.hosts) >= FLEET_HOSTS;
+}
+
+/* Guards against lists that end at the largest number of hosts that a message
+   may hold.  */
+START_TEST (list_of_large_fleet_is_complete)
+{
+  pretend_hosts_at (&keeper, FLEET_HOSTS, "r2", true);
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (entry_knows_the_fleet, "the whole list");
+}
+END_TEST
+
 static size_t
 count_links (const struct host *host)
 {
@@ -626,6 +656,7 @@
   tcase_add_test (tests, partition_closes_links_in_time);
   tcase_add_test (tests, host_of_large_fleet_follows_one_keeper);
   tcase_add_test (tests, host_of_large_region_links_with_those_that_it_needs);
+  tcase_add_test (tests, list_of_large_fleet_is_complete);
   suite_add_tcase (all, tests);
   return all;
 }
