Upstreams of a zone whose hosts are all dead are the last choice

Cause: upstreams that lose power with their zone become silent after some 6 s, and each host finds each of them by itself, by a connection that takes 600 ms to fail: quick with 14 of them in the zone, never with 2,169.

Change: an upstream of another zone whose known hosts, two at least, entry hosts and keepers, are all dead costs 10 s more than any other and does not count in offers. The upstream is still used if it is the only one.

test_placement: a cached prompt leaves the dark zone and returns with its first heartbeat.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -593,6 +593,7 @@
                .hosts = self->parts->hosts,
                .host = self->parts->settings->ip,
                .region = self->parts->settings->region,
+               .zone = self->parts->settings->zone,
                .region_of = region_of,
                .is_evacuated = is_evacuated,
                .is_leaving = is_leaving,
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -18,7 +18,10 @@
   FORGET_MS = 60000,
   /* Lifetime of an unchanged view; a host that falls silent may stay in it for
      this long.  */
-  VIEW_MS = 100
+  VIEW_MS = 100,
+  /* Dead hosts that show the loss of a zone; fewer may have failed by
+     themselves.  */
+  DARK_ZONE_HOSTS_MIN = 2
 };
 
 /* Cached owner of a key among the hosts of a view.  */
@@ -36,6 +39,7 @@
   VIEW_REGION, /* serving hosts of a region */
   VIEW_ZONE,
   VIEW_KEEPERS, /* ready keepers of a zone */
+  VIEW_ALIVE,   /* all live hosts of a zone */
   VIEW_OFFERING /* hosts with offers */
 };
 
@@ -46,6 +50,7 @@
   struct marjoram_host_slice result;
   size_t next; /* index at which the next lookup starts */
   size_t capacity;
+  size_t known; /* VIEW_ALIVE: hosts of the zone, alive or dead */
   int64_t built_at;
   uint64_t changes; /* CHANGES of the list when the view was built */
   struct owner *owners;
@@ -66,6 +71,7 @@
   struct view *regions;
   struct view *zones;
   struct view *keepers; /* keyed by zone */
+  struct view *alive;   /* the same */
   struct view offering;
 };
 
@@ -172,6 +178,7 @@
   destroy_views (&list->regions);
   destroy_views (&list->zones);
   destroy_views (&list->keepers);
+  destroy_views (&list->alive);
   free (list->region);
   clear_view (&list->offering);
   while (!TAILQ_EMPTY (&list->hosts))
@@ -454,6 +461,9 @@
              && !host->heartbeat.leaving
              && strcmp (host->heartbeat.zone, view->name) == 0
              && marjoram_host_list_alive (host, now);
+    case VIEW_ALIVE:
+      return strcmp (host->heartbeat.zone, view->name) == 0
+             && marjoram_host_list_alive (host, now);
     case VIEW_OFFERING:
       if (host->heartbeat.offers.count == 0)
         return false;
@@ -476,9 +486,14 @@
           view->capacity * sizeof (struct marjoram_listed_host *));
     }
   view->result.count = 0;
+  view->known = 0;
   TAILQ_FOREACH (host, &list->hosts, link)
-  if (is_in_view (view, host, now))
-    view->result.hosts[view->result.count++] = host;
+  {
+    view->known += view->kind == VIEW_ALIVE
+                   && strcmp (host->heartbeat.zone, view->name) == 0;
+    if (is_in_view (view, host, now))
+      view->result.hosts[view->result.count++] = host;
+  }
   view->built_at = now;
   view->changes = list->changes;
 }
@@ -606,6 +621,16 @@
              : best->heartbeat.name;
 }
 
+bool
+marjoram_host_list_is_zone_dark (marjoram_host_list *list, int64_t now,
+                                 const char *zone)
+{
+  const struct view *view
+      = find_view (list, &list->alive, VIEW_ALIVE, zone, now);
+
+  return view->known >= DARK_ZONE_HOSTS_MIN && view->result.count == 0;
+}
+
 size_t
 marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                   const char *region)
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -127,6 +127,10 @@
 const char *marjoram_host_list_keeper (marjoram_host_list *list, int64_t now,
                                        const char *zone, const char *key,
                                        const char *own);
+/* Whether hosts of ZONE are known, entry hosts and keepers, and all are dead,
+   as when the zone has lost power or is cut off.  */
+bool marjoram_host_list_is_zone_dark (marjoram_host_list *list, int64_t now,
+                                      const char *zone);
 /* Number of serving entry hosts of REGION.  */
 size_t marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                          const char *region);
--- a/src/placement.c
+++ b/src/placement.c
@@ -46,6 +46,7 @@
   placement->options = *options;
   placement->host = marjoram_strdup (options->host);
   placement->region = marjoram_strdup (options->region);
+  placement->zone = options->zone ? marjoram_strdup (options->zone) : NULL;
   STAILQ_INIT (&placement->placed);
   TAILQ_INIT (&placement->checked);
   TAILQ_INIT (&placement->active);
@@ -164,6 +165,7 @@
   }
   free (placement->host);
   free (placement->region);
+  free (placement->zone);
   free (placement);
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -18,6 +18,7 @@
   marjoram_host_list *hosts;   /* borrowed */
   const char *host;            /* this host's name */
   const char *region;
+  const char *zone; /* of this host; NULL if unknown */
   /* Region of a zone; NULL if the zone is unknown.  */
   const char *(*region_of) (void *context, const char *zone);
   bool (*is_evacuated) (void *context, const char *zone);
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -37,6 +37,10 @@
   /* For an upstream with several broken responses in a row.  High enough that
      any other is preferred; it is still better than none.  */
   SUSPECT_COST_MS = 1000,
+  /* For one in a zone whose hosts are all dead.  Higher than the cost of any
+     other that is usable; its upstreams become silent only seconds later.  */
+  DARK_ZONE_COST_MS = 10000,
+  ZONES_MAX = 16, /* of a region; those beyond are looked up each time */
   /* Maximum prefill backlog ahead of a request; longer queues stall running
      responses.  */
   BACKLOG_MAX_MS = 100,
@@ -365,6 +369,34 @@
                 < sample->below;
 }
 
+/* Zones of the region whose hosts are all dead.  */
+struct dark_zones
+{
+  const char *names[ZONES_MAX];
+  bool dark[ZONES_MAX];
+  size_t count;
+};
+
+static bool
+is_dark (struct dark_zones *zones, const marjoram_placement *placement,
+         const char *zone, int64_t now)
+{
+  bool dark;
+
+  for (size_t i = 0; i < zones->count; i++)
+    if (strcmp (zones->names[i], zone) == 0)
+      return zones->dark[i];
+  dark = (!placement->zone || strcmp (zone, placement->zone) != 0)
+         && marjoram_host_list_is_zone_dark (placement->options.hosts, now,
+                                             zone);
+  if (zones->count < ZONES_MAX)
+    {
+      zones->names[zones->count] = zone;
+      zones->dark[zones->count++] = dark;
+    }
+  return dark;
+}
+
 /* Finds the upstream of least cost and the one of least cost that meets the
    deadline.  */
 static void
@@ -377,6 +409,7 @@
       placement->options.registry, query->service->name);
   struct marjoram_copy_sources sources;
   struct marjoram_registered *upstream;
+  struct dark_zones zones = { .count = 0 };
 
   if (!upstreams)
     return;
@@ -407,6 +440,12 @@
         = estimate_endpoint (placement, endpoint, upstream, query, &copy, now);
     if (was_tried (query, endpoint->id))
       estimate.cost_ms += (double)query->time_left_ms;
+    if (is_dark (&zones, placement, upstream->heartbeat.zone, now))
+      {
+        estimate.cost_ms += DARK_ZONE_COST_MS;
+        keep_cheaper (cheapest, upstream, &estimate, &copy);
+        continue;
+      }
     keep_cheaper (cheapest, upstream, &estimate, &copy);
     if (meets_deadline (&estimate, query))
       keep_cheaper (in_time, upstream, &estimate, &copy);
@@ -503,6 +542,7 @@
   struct marjoram_registered *upstream;
   struct marjoram_service_stats *stats
       = marjoram_placement_service_stats (placement, service->name);
+  struct dark_zones zones = { .count = 0 };
   double backlog_ms = 0;
 
   memset (offer, 0, sizeof *offer);
@@ -515,7 +555,8 @@
     struct marjoram_endpoint *endpoint;
     struct estimate estimate;
 
-    if (!marjoram_placement_is_candidate (placement, upstream, &query, now))
+    if (!marjoram_placement_is_candidate (placement, upstream, &query, now)
+        || is_dark (&zones, placement, upstream->heartbeat.zone, now))
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
     if (now < endpoint->paused_until
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -127,6 +127,7 @@
   struct marjoram_placement_options options;
   char *host; /* this host's name; owned */
   char *region;
+  char *zone; /* NULL if unknown */
   struct marjoram_endpoint *endpoints;
   struct marjoram_endpoint_list checked; /* least recently checked first */
   /* Endpoints with requests of this host, or with load that changed since the
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -170,6 +170,62 @@
 }
 END_TEST
 
+/* Guards against connecting to one upstream after another of a zone that has
+   lost power, until each has become silent.  */
+START_TEST (upstreams_of_dark_zone_are_the_last_choice)
+{
+  const struct marjoram_prompt_part cached = { 7, 4000 };
+  const struct marjoram_call_metadata metadata = prompt (7, 4000, 100, 500);
+  const struct marjoram_place_query query = make_query (&metadata, 1);
+  struct marjoram_host_beat dead = { .name = (char *)"dead-1",
+                                     .zone = (char *)"zb",
+                                     .region = (char *)"r1",
+                                     .entry = (char *)"dead-1",
+                                     .ready = true,
+                                     .incarnation = 1,
+                                     .sequence = 1 };
+  struct marjoram_place chosen;
+
+  receive_upstream (0, "lm", "1", "za", 0, 1);
+  receive_upstream (0, "lm", "2", "zb", 0, 1);
+  marjoram_placement_add_cached (placement, "2", &cached, 1);
+  marjoram_host_list_update (hosts, 0, &dead, true);
+  marjoram_placement_choose (placement, 2000, &query, &chosen);
+  ck_assert_str_eq (chosen.upstream->heartbeat.id, "2");
+  dead.name = (char *)"dead-2";
+  dead.entry = (char *)"";
+  dead.keeper = true;
+  marjoram_host_list_update (hosts, 0, &dead, true);
+  marjoram_placement_choose (placement, 2200, &query, &chosen);
+  ck_assert_str_eq (chosen.upstream->heartbeat.id, "1");
+  dead.sequence = 2;
+  marjoram_host_list_update (hosts, 2400, &dead, true);
+  marjoram_placement_choose (placement, 2600, &query, &chosen);
+  ck_assert_str_eq (chosen.upstream->heartbeat.id, "2");
+}
+END_TEST
+
+/* They are better than none.  */
+START_TEST (upstream_of_dark_zone_is_used_if_it_is_the_only_one)
+{
+  const struct marjoram_call_metadata metadata = prompt (7, 4000, 100, 500);
+  const struct marjoram_place_query query = make_query (&metadata, 1);
+  struct marjoram_host_beat dead = { .name = (char *)"dead-1",
+                                     .zone = (char *)"zb",
+                                     .region = (char *)"r1",
+                                     .incarnation = 1,
+                                     .sequence = 1 };
+  struct marjoram_place chosen;
+
+  receive_upstream (0, "lm", "2", "zb", 0, 1);
+  marjoram_host_list_update (hosts, 0, &dead, true);
+  dead.name = (char *)"dead-2";
+  marjoram_host_list_update (hosts, 0, &dead, true);
+  marjoram_placement_choose (placement, 2000, &query, &chosen);
+  ck_assert_int_eq (chosen.outcome, MARJORAM_PLACE_FOUND);
+}
+END_TEST
+
 enum
 {
   MANY_HOSTS = 40,
@@ -690,6 +746,8 @@
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, prompt_goes_to_engine_reporting_it_cached);
   tcase_add_test (c, hosts_agree_on_an_engine_without_reports);
+  tcase_add_test (c, upstreams_of_dark_zone_are_the_last_choice);
+  tcase_add_test (c, upstream_of_dark_zone_is_used_if_it_is_the_only_one);
   tcase_add_test (c, prompt_goes_to_engine_caching_its_part);
   tcase_add_test (c, cached_prompt_is_copied_from_busy_engine);
   tcase_add_test (c, nothing_is_copied_after_connection_loss);
