--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -15,7 +15,7 @@
   /* Update interval of the offers in heartbeats.  Each update goes over all
      upstreams, so it grows with their number.  */
   OFFERS_INTERVAL_MS = 100,
-  OFFERS_UPSTREAMS_PER_MS = 10,
+  OFFERS_UPSTREAMS_PER_MS = 2,
   /* How long requests are still accepted after the signal to stop.  Callers
      cache addresses for two seconds, and accepted requests must complete
      within the drain timeout.  */
@@ -256,6 +256,12 @@
 
 /* ---- Role operations.  ---- */
 
+static bool
+role_is_busy (struct marjoram_role *role)
+{
+  return marjoram_gateway_request_count (entry_from_role (role)->gateway) > 0;
+}
+
 static bool
 role_needs_link (struct marjoram_role *role, const char *host)
 {
@@ -548,6 +554,7 @@
   .session_closed = role_session_closed,
   .link_up = role_link_up,
   .link_lost = role_link_lost,
+  .is_busy = role_is_busy,
   .needs_link = role_needs_link,
   .fill_heartbeat = role_fill_heartbeat,
   .api_request = role_api_request,
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -18,6 +18,7 @@
 {
   SIGNALS = 3, /* SIGTERM, SIGINT, SIGHUP */
   TICK_MS = 25,
+  IDLE_TICK_MS = 50, /* while no request is in progress */
   /* Validity of host state relayed by keepers, which send it every 20 s.  */
   RELAYED_VALID_MS = 27000,
   SETTINGS_CHECK_MS = 1000,
@@ -265,6 +266,17 @@
     event_base_loopbreak (daemon->base);
 }
 
+static void
+schedule_tick (marjoram_gateway_daemon *daemon)
+{
+  const struct marjoram_role_ops *ops = daemon->role->ops;
+  const bool is_idle = ops->is_busy && !ops->is_busy (daemon->role);
+  const struct timeval period
+      = marjoram_clock_timeval (is_idle ? IDLE_TICK_MS : TICK_MS);
+
+  event_add (daemon->tick, &period);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
@@ -278,6 +290,7 @@
   check_settings_file (daemon, now);
   check_stopped (daemon, now);
   marjoram_event_log_flush ();
+  schedule_tick (daemon);
 }
 
 static void
@@ -353,7 +366,7 @@
   static const int numbers[SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
   struct timeval period = marjoram_clock_timeval (TICK_MS);
 
-  daemon->tick = event_new (daemon->base, -1, EV_PERSIST, on_tick, daemon);
+  daemon->tick = event_new (daemon->base, -1, 0, on_tick, daemon);
   event_add (daemon->tick, &period);
   for (size_t i = 0; i < SIGNALS; i++)
     {
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -16,6 +16,7 @@
   /* For relayed heartbeats, which are sent less often.  */
   ALIVE_RELAYED_MS = 7000,
   FORGET_MS = 60000,
+  CHECK_INTERVAL_MS = 1000,
   /* Lifetime of an unchanged view; a host that falls silent may stay in it for
      this long.  */
   VIEW_MS = 100,
@@ -60,7 +61,8 @@
 struct marjoram_host_list
 {
   int64_t relayed_valid_ms;
-  int64_t lag_ms; /* receive lag of this host */
+  int64_t checked_at; /* for hosts to be forgotten */
+  int64_t lag_ms;     /* receive lag of this host */
   bool is_told_of_losses;
   char *region; /* region whose entry hosts use HEARTBEAT_MS; NULL if none */
   int64_t heartbeat_ms;
@@ -797,6 +799,9 @@
 {
   struct marjoram_listed_host *host = TAILQ_FIRST (&list->hosts);
 
+  if (now < list->checked_at + CHECK_INTERVAL_MS)
+    return;
+  list->checked_at = now;
   while (host)
     {
       struct marjoram_listed_host *next = TAILQ_NEXT (host, link);
--- a/src/role.h
+++ b/src/role.h
@@ -24,6 +24,9 @@
                           uint64_t session);
   void (*link_up) (struct marjoram_role *role, const char *host);
   void (*link_lost) (struct marjoram_role *role, const char *host);
+  /* Whether requests are in progress, so that ticks must not be rare; NULL for
+     a role that is always busy.  */
+  bool (*is_busy) (struct marjoram_role *role);
   /* Whether an entry host exchanges messages with HOST, of its region; NULL
      for a role that exchanges none.  */
   bool (*needs_link) (struct marjoram_role *role, const char *host);
