Idle hosts report no loads; large regions use collectors from the start

Change: hosts that are alive count, ready or not; a host without a configuration reports nothing, and an empty report follows only one that was not.

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -64,15 +64,20 @@
   marjoram_wire_clear (&marjoram_crash_report_layout, &all);
 }
 
+/* Idle hosts need not repeat that they are.  */
 static void
 broadcast_loads (struct marjoram_entry *self)
 {
   struct marjoram_load_report loads;
+  bool is_empty;
 
   marjoram_placement_report (marjoram_gateway_placement (self->gateway),
                              &loads);
-  marjoram_host_links_send_to_region (self->parts->links, MARJORAM_FRAME_LOADS,
-                                      &loads);
+  is_empty = loads.items.count == 0 && loads.placed.count == 0;
+  if (!is_empty || self->has_reported_loads)
+    marjoram_host_links_send_to_region (self->parts->links,
+                                        MARJORAM_FRAME_LOADS, &loads);
+  self->has_reported_loads = !is_empty;
   marjoram_wire_clear (&marjoram_load_report_layout, &loads);
 }
 
@@ -187,6 +192,8 @@
 marjoram_entry_shares_loads (const struct marjoram_entry *self,
                              const char *host)
 {
+  if (!self->table)
+    return false;
   if (!self->using_collectors)
     return true;
   for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
@@ -201,7 +208,7 @@
 static bool
 update_reporting_mode (struct marjoram_entry *self, int64_t now)
 {
-  const size_t hosts = marjoram_host_list_serving_count (
+  const size_t hosts = marjoram_host_list_live_count (
       self->parts->hosts, now, self->parts->settings->region);
 
   if (hosts > DIRECT_REPORT_MAX_HOSTS)
@@ -216,6 +223,8 @@
 {
   const bool using_collectors = update_reporting_mode (self, now);
 
+  if (!self->table)
+    return;
   send_sums (self, now);
   if (now
       < self->reported_at
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -58,6 +58,7 @@
   bool using_collectors;
   /* Addresses to which each group was last reported.  */
   struct marjoram_liveness_check liveness;
+  bool has_reported_loads; /* to the hosts of the region, last time */
   char collectors[MARJORAM_LOAD_GROUPS][MARJORAM_IP_MAX];
   int64_t full_report_at;
   int64_t sums_sent_at;
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -38,6 +38,7 @@
 enum view_kind
 {
   VIEW_REGION, /* serving hosts of a region */
+  VIEW_LIVE,   /* live entry hosts of a region, ready or not */
   VIEW_ZONE,
   VIEW_KEEPERS, /* ready keepers of a zone */
   VIEW_ALIVE,   /* all live hosts of a zone */
@@ -71,6 +72,7 @@
   size_t entries;
   uint64_t changes; /* number of changes that may affect views */
   struct view *regions;
+  struct view *live; /* keyed by region */
   struct view *zones;
   struct view *keepers; /* keyed by zone */
   struct view *alive;   /* the same */
@@ -178,6 +180,7 @@
   if (!list)
     return;
   destroy_views (&list->regions);
+  destroy_views (&list->live);
   destroy_views (&list->zones);
   destroy_views (&list->keepers);
   destroy_views (&list->alive);
@@ -454,6 +457,10 @@
       if (strcmp (host->heartbeat.region, view->name) != 0)
         return false;
       break;
+    case VIEW_LIVE:
+      return strcmp (host->heartbeat.region, view->name) == 0
+             && is_entry (&host->heartbeat)
+             && marjoram_host_list_alive (host, now);
     case VIEW_ZONE:
       if (strcmp (host->heartbeat.zone, view->name) != 0)
         return false;
@@ -640,6 +647,13 @@
   return region_view (list, now, region)->result.count;
 }
 
+size_t
+marjoram_host_list_live_count (marjoram_host_list *list, int64_t now,
+                               const char *region)
+{
+  return find_view (list, &list->live, VIEW_LIVE, region, now)->result.count;
+}
+
 size_t
 marjoram_host_list_serving_count_with (marjoram_host_list *list, int64_t now,
                                        const char *region, const char *own)
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -134,7 +134,11 @@
 /* Number of serving entry hosts of REGION.  */
 size_t marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                          const char *region);
-/* The same with host OWN, whether it is in the list or not.  */
+/* Number of live entry hosts of REGION, ready or not.  */
+size_t marjoram_host_list_live_count (marjoram_host_list *list, int64_t now,
+                                      const char *region);
+/* The number of serving ones with host OWN, whether it is in the list or not.
+ */
 size_t marjoram_host_list_serving_count_with (marjoram_host_list *list,
                                               int64_t now, const char *region,
                                               const char *own);
