Longer intervals of heartbeats hold once stated; remote links don't wait for readiness

Change: the old interval holds until a heartbeat has stated the new one; in a large fleet links with other regions go to live hosts, ready or not.

test_host_links: two links with another region whose 200 hosts are not ready.

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -208,8 +208,9 @@
 static bool
 update_reporting_mode (struct marjoram_entry *self, int64_t now)
 {
-  const size_t hosts = marjoram_host_list_live_count (
-      self->parts->hosts, now, self->parts->settings->region);
+  const size_t hosts = marjoram_host_list_live (self->parts->hosts, now,
+                                                self->parts->settings->region)
+                           ->count;
 
   if (hosts > DIRECT_REPORT_MAX_HOSTS)
     self->using_collectors = true;
--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -179,13 +179,26 @@
 static void
 send_own_heartbeat (marjoram_host_links *links,
                     struct marjoram_host_link *link, int64_t now,
-                    const marjoram_bytes *frame)
+                    const marjoram_bytes *frame, int64_t interval_ms)
 {
   link->sent_at = now;
+  link->stated_ms = interval_ms;
   marjoram_link_lag_sent (&link->lag, now);
   marjoram_host_links_write (links, link->host, 0, frame);
 }
 
+/* A longer interval holds once a heartbeat has stated it: until then the host
+   would be taken for dead.  */
+static int64_t
+pause_ms (const marjoram_host_links *links,
+          const struct marjoram_host_link *link, enum audience audience)
+{
+  const int64_t interval_ms = interval_for (links, audience);
+
+  return link->stated_ms > 0 && link->stated_ms < interval_ms ? link->stated_ms
+                                                              : interval_ms;
+}
+
 void
 marjoram_host_links_send_heartbeats (marjoram_host_links *links, int64_t now,
                                      bool all)
@@ -200,9 +213,10 @@
     if (!link->up || (!all && now < link->sent_at + HEARTBEAT_MS))
       continue;
     audience = audience_of (links, link);
-    if (all || now >= link->sent_at + interval_for (links, audience))
+    if (all || now >= link->sent_at + pause_ms (links, link, audience))
       send_own_heartbeat (links, link, now,
-                          pack_heartbeat (links, &packed, link, audience));
+                          pack_heartbeat (links, &packed, link, audience),
+                          interval_for (links, audience));
   }
   for (int i = 0; i < AUDIENCE_COUNT; i++)
     marjoram_bytes_release (packed.frames[i]);
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -107,6 +107,7 @@
   link->up = true;
   link->received_at = now;
   link->sent_at = 0;
+  link->stated_ms = 0;
   marjoram_link_lag_start (&link->lag);
   marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=up", host);
   marjoram_host_links_choose_home (links, now);
@@ -290,6 +291,16 @@
     require_link (links, best[i]->heartbeat.name, false);
 }
 
+/* Links that are up are kept.  In a large fleet that starts, all hosts would
+   link with the few that are ready first.  */
+static const struct marjoram_host_slice *
+linkable_hosts (marjoram_host_links *links, int64_t now, const char *region)
+{
+  return marjoram_host_links_follows_one (links)
+             ? marjoram_host_list_live (links->hosts, now, region)
+             : marjoram_host_list_of_region (links->hosts, now, region);
+}
+
 static void
 require_remote_links (marjoram_host_links *links, int64_t now)
 {
@@ -309,8 +320,7 @@
     if (i < count || count == REGIONS_MAX)
       continue;
     regions[count++] = region;
-    require_links_in_region (
-        links, marjoram_host_list_of_region (links->hosts, now, region));
+    require_links_in_region (links, linkable_hosts (links, now, region));
   }
 }
 
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -22,6 +22,7 @@
   bool is_witness; /* to a second keeper that watches this host */
   int64_t received_at;
   int64_t sent_at;
+  int64_t stated_ms; /* interval that the last heartbeat stated; 0 if none */
   struct marjoram_link_lag lag;
   UT_hash_handle hh;
 };
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -38,7 +38,7 @@
 enum view_kind
 {
   VIEW_REGION, /* serving hosts of a region */
-  VIEW_LIVE,   /* live entry hosts of a region, ready or not */
+  VIEW_LIVE, /* entry hosts of a region, ready or not, without leaving ones */
   VIEW_ZONE,
   VIEW_KEEPERS, /* ready keepers of a zone */
   VIEW_ALIVE,   /* all live hosts of a zone */
@@ -459,7 +459,7 @@
       break;
     case VIEW_LIVE:
       return strcmp (host->heartbeat.region, view->name) == 0
-             && is_entry (&host->heartbeat)
+             && is_entry (&host->heartbeat) && !host->heartbeat.leaving
              && marjoram_host_list_alive (host, now);
     case VIEW_ZONE:
       if (strcmp (host->heartbeat.zone, view->name) != 0)
@@ -554,6 +554,13 @@
   return &region_view (list, now, region)->result;
 }
 
+const struct marjoram_host_slice *
+marjoram_host_list_live (marjoram_host_list *list, int64_t now,
+                         const char *region)
+{
+  return &find_view (list, &list->live, VIEW_LIVE, region, now)->result;
+}
+
 uint64_t
 marjoram_listed_host_weight (const struct marjoram_listed_host *host,
                              const char *key)
@@ -647,13 +654,6 @@
   return region_view (list, now, region)->result.count;
 }
 
-size_t
-marjoram_host_list_live_count (marjoram_host_list *list, int64_t now,
-                               const char *region)
-{
-  return find_view (list, &list->live, VIEW_LIVE, region, now)->result.count;
-}
-
 size_t
 marjoram_host_list_serving_count_with (marjoram_host_list *list, int64_t now,
                                        const char *region, const char *own)
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -110,6 +110,10 @@
 const struct marjoram_host_slice *
 marjoram_host_list_of_region (marjoram_host_list *list, int64_t now,
                               const char *region);
+/* The same for all live hosts of REGION that are not leaving, ready or not. */
+const struct marjoram_host_slice *
+marjoram_host_list_live (marjoram_host_list *list, int64_t now,
+                         const char *region);
 /* Weight of HOST for KEY in rendezvous hashing.  */
 uint64_t marjoram_listed_host_weight (const struct marjoram_listed_host *host,
                                       const char *key);
@@ -134,10 +138,7 @@
 /* Number of serving entry hosts of REGION.  */
 size_t marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                          const char *region);
-/* Number of live entry hosts of REGION, ready or not.  */
-size_t marjoram_host_list_live_count (marjoram_host_list *list, int64_t now,
-                                      const char *region);
-/* The number of serving ones with host OWN, whether it is in the list or not.
+/* The same with host OWN, whether it is in the list or not.
  */
 size_t marjoram_host_list_serving_count_with (marjoram_host_list *list,
                                               int64_t now, const char *region,
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -508,12 +508,12 @@
           = { .name = name,
               .zone = (char *)region,
               .region = (char *)region,
-              .entry = (char *)"10.9.0.1:80",
+              .entry = (char *)"127.9.0.1:80",
               .incarnation = 1,
               .sequence = 1,
               .interval_ms = LIMIT_MS };
 
-      snprintf (name, sizeof name, "10.9.%d.%d", i / 250, i % 250 + 1);
+      snprintf (name, sizeof name, "127.9.%d.%d", i / 250, i % 250 + 1);
       marjoram_host_list_update (host->hosts, marjoram_clock_now (test_clock),
                                  &heartbeat, direct);
     }
@@ -640,6 +640,23 @@
 }
 END_TEST
 
+/* Guards against all hosts of a fleet that starts linking with the hosts of
+   other regions that are ready first.  */
+START_TEST (remote_links_do_not_wait_for_readiness)
+{
+  size_t links;
+
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (entry_is_listed, "the host");
+  pretend_hosts (&entry, 200, "r2");
+  marjoram_host_links_tick (entry.links,
+                            marjoram_clock_now (test_clock) + 1000);
+  links = count_links (&entry);
+  ck_assert_uint_gt (links, 1);
+  ck_assert_uint_le (links, 4);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -658,6 +675,7 @@
   tcase_add_test (tests, host_of_large_fleet_follows_one_keeper);
   tcase_add_test (tests, host_of_large_region_links_with_those_that_it_needs);
   tcase_add_test (tests, list_of_large_fleet_is_complete);
+  tcase_add_test (tests, remote_links_do_not_wait_for_readiness);
   suite_add_tcase (all, tests);
   return all;
 }
