A load collector sends 1,000 messages a second at most

Cause: each of a region's eight collectors told all its hosts the changed totals each 100 ms: with 328 hosts 26,000 messages a second in the region, 78,000 in the fleet by arithmetic, most of all frames once requests come, for engines that are hardly used.

Change: the interval grows with the hosts, 328 ms with 328 of them, 1 s at most; unchanged up to 100 hosts a region.

test_load_collector: 1,000 messages a second at most with 50 to 1,000 hosts. Not changed: the 200 ms after which a host takes its last report to be in the totals, so that for some 130 ms it may count its own new request off those of others.

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -9,10 +9,8 @@
 {
   REPORT_INTERVAL_MS = 100, /* load reports to the other hosts of the region */
   /* With collectors: hosts send load changes to the collectors, which send
-     totals to all hosts.  Both delays together are close to
-     REPORT_INTERVAL_MS.  */
+     totals to all hosts.  */
   CHANGES_INTERVAL_MS = 50,
-  SUMS_INTERVAL_MS = 100,
   /* For full reports, in case a collector missed changes.  */
   FULL_REPORT_INTERVAL_MS = 1000,
   /* Hosts of a region, including this one.  Above DIRECT_REPORT_MAX_HOSTS they
@@ -154,12 +152,22 @@
     }
 }
 
+static size_t
+region_hosts (const struct marjoram_entry *self, int64_t now)
+{
+  return marjoram_host_list_live (self->parts->hosts, now,
+                                  self->parts->settings->region)
+      ->count;
+}
+
 static void
 send_sums (struct marjoram_entry *self, int64_t now)
 {
   struct marjoram_load_report sums;
 
-  if (now < self->sums_sent_at + SUMS_INTERVAL_MS)
+  if (now
+      < self->sums_sent_at
+            + marjoram_load_collector_interval_ms (region_hosts (self, now)))
     return;
   self->sums_sent_at = now;
   if (marjoram_load_collector_take_report (self->collector, now, &sums))
@@ -208,9 +216,7 @@
 static bool
 update_reporting_mode (struct marjoram_entry *self, int64_t now)
 {
-  const size_t hosts = marjoram_host_list_live (self->parts->hosts, now,
-                                                self->parts->settings->region)
-                           ->count;
+  const size_t hosts = region_hosts (self, now);
 
   if (hosts > DIRECT_REPORT_MAX_HOSTS)
     self->using_collectors = true;
--- a/src/load_collector.c
+++ b/src/load_collector.c
@@ -11,7 +11,14 @@
   /* Hosts send a whole report at least once a second.  */
   REPORTER_VALID_MS = 2000,
   /* Interval of whole reports, for hosts that missed some changes.  */
-  WHOLE_MS = 1000
+  WHOLE_MS = 1000,
+  INTERVAL_MS = 100,
+  /* Messages per second that a collector sends, one to each host at a time,
+     before its interval grows.  */
+  MESSAGES_PER_S = 1000,
+  /* Well below the time for which totals are valid.  */
+  INTERVAL_MAX_MS = 1000,
+  MSEC_PER_SEC = 1000
 };
 
 struct load
@@ -394,3 +401,13 @@
   remove_idle (collector);
   return report->whole || report->items.count > 0;
 }
+
+int64_t
+marjoram_load_collector_interval_ms (size_t hosts)
+{
+  const int64_t msec = (int64_t)hosts * MSEC_PER_SEC / MESSAGES_PER_S;
+
+  if (msec > INTERVAL_MAX_MS)
+    return INTERVAL_MAX_MS;
+  return msec > INTERVAL_MS ? msec : INTERVAL_MS;
+}
--- a/src/load_collector.h
+++ b/src/load_collector.h
@@ -24,4 +24,8 @@
                                           int64_t now,
                                           struct marjoram_load_report *report);
 
+/* Interval in ms at which a collector sends totals in a region of HOSTS hosts.
+ */
+int64_t marjoram_load_collector_interval_ms (size_t hosts);
+
 #endif
--- a/test/test_load_collector.c
+++ b/test/test_load_collector.c
@@ -286,6 +286,23 @@
 }
 END_TEST
 
+/* Guards against messages of a collector that grow with the square of the
+   region's hosts.  */
+START_TEST (messages_per_second_are_bounded)
+{
+  static const size_t hosts[] = { 50, 98, 328, 656, 1000 };
+
+  for (size_t i = 0; i < sizeof hosts / sizeof *hosts; i++)
+    {
+      const int64_t msec = marjoram_load_collector_interval_ms (hosts[i]);
+
+      ck_assert_int_ge (msec, 100);
+      ck_assert_int_le (msec, 1000);
+      ck_assert_int_le ((int64_t)hosts[i] * 1000 / msec, 1000);
+    }
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -300,6 +317,7 @@
   tcase_add_test (c, load_is_shared_and_not_counted_twice);
   tcase_add_test (c, request_just_sent_is_not_subtracted);
   tcase_add_test (c, totals_of_silent_collector_expire);
+  tcase_add_test (c, messages_per_second_are_bounded);
   suite_add_tcase (s, c);
   return s;
 }
