A host keeps its home keeper until it is lost or a nearer one is there

Change: the first, any seed, is kept for 0.5 s after its list, then the nearest is chosen among all, and kept.

--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -589,6 +589,8 @@
 {
   const struct marjoram_host_beat *items = list->items.items;
 
+  if (!links->has_list)
+    links->list_received_at = marjoram_host_links_now (links);
   links->has_list = true;
   for (size_t i = 0; i < list->items.count; i++)
     if (items[i].name && strcmp (items[i].name, links->settings->ip) == 0)
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -60,6 +60,8 @@
   int64_t keeper_interval_ms;  /* to others */
   int64_t home_chosen_at;
   bool has_list; /* a keeper has sent a list of hosts */
+  int64_t list_received_at;
+  bool is_settled; /* the home was chosen among all keepers */
   int64_t planned_at;
   int64_t list_sent_at;
   int64_t list_broadcast_at;
--- a/src/keeper_home.c
+++ b/src/keeper_home.c
@@ -11,7 +11,9 @@
 {
   /* Known entry hosts above which a host follows one keeper only.  */
   FOLLOW_ALL_HOSTS_MAX = 128,
-  CHOICE_INTERVAL_MS = 200
+  CHOICE_INTERVAL_MS = 200,
+  /* Time after the first list in which links with the keepers come up.  */
+  SETTLE_MS = 500
 };
 
 /* Higher is nearer; 0 if HOST is not known yet.  */
@@ -93,6 +95,45 @@
     marjoram_event (MARJORAM_EVENT_HOST, "home_keeper=%s", link->host);
 }
 
+static struct marjoram_host_link *
+current_home (marjoram_host_links *links)
+{
+  struct marjoram_host_link *link;
+
+  TAILQ_FOREACH (link, &links->links, next)
+  if (link->is_home)
+    return link->up ? link : NULL;
+  return NULL;
+}
+
+/* Each new home sends all lists, so the first one, any seed, is kept until
+   links with all keepers had time to come up, and the next one until it is
+   lost or a nearer one is there.  */
+static struct marjoram_host_link *
+find_home (marjoram_host_links *links, int64_t now)
+{
+  struct marjoram_host_link *nearest = find_nearest (links, NULL);
+  struct marjoram_host_link *current = current_home (links);
+  const bool is_settling
+      = !links->has_list || now < links->list_received_at + SETTLE_MS;
+
+  if (!current || !nearest)
+    return nearest;
+  if (is_settling)
+    return current;
+  if (!links->is_settled)
+    {
+      links->is_settled = true;
+      return nearest;
+    }
+  return nearness (links,
+                   marjoram_host_list_find (links->hosts, nearest->host))
+                 > nearness (links, marjoram_host_list_find (links->hosts,
+                                                             current->host))
+             ? nearest
+             : current;
+}
+
 /* The witness is in another zone, as a zone's hosts and keepers may die at
    once.  */
 void
@@ -105,7 +146,7 @@
   if (links->settings->role != MARJORAM_ROLE_ENTRY)
     return;
   links->home_chosen_at = now;
-  home = find_nearest (links, NULL);
+  home = find_home (links, now);
   witness = home ? find_nearest (links, zone_of (links, home)) : NULL;
   TAILQ_FOREACH (link, &links->links, next)
   set_role (link, link == home, link == witness);
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -252,8 +252,7 @@
 }
 
 /* Applies HEARTBEAT, which keeper VIA passed on, or "" if this one heard it.
-   Returns whether hosts have to be told: also of one that they take for
-   silent.  */
+   An upstream that hosts take for silent counts as changed.  */
 static enum marjoram_registry_result
 update_registry (marjoram_registrar *registrar, int64_t now,
                  const struct marjoram_upstream_heartbeat *heartbeat,
