--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -50,15 +50,15 @@
   struct marjoram_leaving_zones leaving; /* evacuated most recently */
   bool evacuations_known; /* a state was received since startup */
   uint64_t config_number;
+  struct marjoram_liveness_check liveness;
   struct marjoram_inbound *inbound;
   uint64_t next_call;
   int64_t reported_at;
   /* Load reports through collectors.  */
   marjoram_load_collector *collector;
   bool using_collectors;
-  /* Addresses to which each group was last reported.  */
-  struct marjoram_liveness_check liveness;
   bool has_reported_loads; /* to the hosts of the region, last time */
+  /* Addresses to which each group was last reported.  */
   char collectors[MARJORAM_LOAD_GROUPS][MARJORAM_IP_MAX];
   int64_t full_report_at;
   int64_t sums_sent_at;
