Keepers of a dark zone count as dead; its upstreams stay the last choice until heard

Change: keepers tell of dead keepers as of dead hosts, and a host takes the loss of its own link to a keeper for its death until it is up again; upstreams of a zone that was dark are the last choice until they are heard.

test_placement: the cached prompt returns with the upstream's heartbeat, not with the zone's first host.

--- a/src/host_links.c
+++ b/src/host_links.c
@@ -94,6 +94,15 @@
 
 /* ---- Peer callbacks.  ---- */
 
+static bool
+is_known_keeper (const marjoram_host_links *links, const char *host)
+{
+  const struct marjoram_listed_host *listed
+      = marjoram_host_list_find (links->hosts, host);
+
+  return listed && listed->heartbeat.keeper;
+}
+
 static void
 on_link_up (void *context, const char *host, uint64_t incarnation)
 {
@@ -110,11 +119,28 @@
   link->stated_ms = 0;
   marjoram_link_lag_start (&link->lag);
   marjoram_event (MARJORAM_EVENT_LINK, "host=%s state=up", host);
+  if (links->settings->role == MARJORAM_ROLE_ENTRY
+      && is_known_keeper (links, host))
+    marjoram_host_list_heard (links->hosts, now, host);
   marjoram_host_links_choose_home (links, now);
   marjoram_host_links_send_heartbeats (links, now, false);
   links->ops->link_up (links->context, host);
 }
 
+/* An entry host hears of keepers from keepers only, so its own link tells it
+   sooner whether one is alive.  */
+static void
+record_link_lost (marjoram_host_links *links, const char *host)
+{
+  const int64_t now = marjoram_host_links_now (links);
+
+  if (links->settings->role == MARJORAM_ROLE_ENTRY
+      && is_known_keeper (links, host))
+    marjoram_host_list_lost (links->hosts, now, host, UINT64_MAX);
+  else
+    marjoram_host_list_connection_lost (links->hosts, now, host);
+}
+
 static void
 on_link_down (void *context, const char *host)
 {
@@ -124,8 +150,7 @@
   if (!link || !link->up)
     return;
   link->up = false;
-  marjoram_host_list_connection_lost (links->hosts,
-                                      marjoram_host_links_now (links), host);
+  record_link_lost (links, host);
   marjoram_event (MARJORAM_EVENT_LINK,
                   "host=%s state=lost silent_ms=%" PRId64 " lag_ms=%" PRId64,
                   host, marjoram_host_links_now (links) - link->received_at,
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -52,7 +52,9 @@
   struct marjoram_host_slice result;
   size_t next; /* index at which the next lookup starts */
   size_t capacity;
-  size_t known; /* VIEW_ALIVE: hosts of the zone, alive or dead */
+  /* VIEW_ALIVE: hosts of the zone, alive or dead, and when all were dead.  */
+  size_t known;
+  int64_t dark_at;
   int64_t built_at;
   uint64_t changes; /* CHANGES of the list when the view was built */
   struct owner *owners;
@@ -381,6 +383,18 @@
   list->heartbeat_ms = heartbeat_ms;
 }
 
+void
+marjoram_host_list_heard (marjoram_host_list *list, int64_t now,
+                          const char *name)
+{
+  struct marjoram_listed_host *host = find (list, name);
+
+  if (!host)
+    return;
+  list->changes += !marjoram_host_list_alive (host, now);
+  host->received_at = now;
+}
+
 void
 marjoram_host_list_connection_lost (marjoram_host_list *list, int64_t now,
                                     const char *name)
@@ -528,6 +542,7 @@
       view->kind = kind;
       view->name = marjoram_strdup (name);
       view->changes = list->changes - 1;
+      view->dark_at = INT64_MIN;
       HASH_ADD_KEYPTR (hh, *views, view->name, strlen (view->name), view);
     }
   refresh_view (list, view, now);
@@ -637,14 +652,15 @@
              : best->heartbeat.name;
 }
 
-bool
-marjoram_host_list_is_zone_dark (marjoram_host_list *list, int64_t now,
+int64_t
+marjoram_host_list_zone_dark_at (marjoram_host_list *list, int64_t now,
                                  const char *zone)
 {
-  const struct view *view
-      = find_view (list, &list->alive, VIEW_ALIVE, zone, now);
+  struct view *view = find_view (list, &list->alive, VIEW_ALIVE, zone, now);
 
-  return view->known >= DARK_ZONE_HOSTS_MIN && view->result.count == 0;
+  if (view->known >= DARK_ZONE_HOSTS_MIN && view->result.count == 0)
+    view->dark_at = now;
+  return view->dark_at;
 }
 
 size_t
@@ -803,8 +819,7 @@
     marjoram_alloc (most * sizeof (struct marjoram_host_beat)), 0
   };
   TAILQ_FOREACH (host, &list->hosts, link)
-  if (host->direct && is_entry (&host->heartbeat)
-      && strcmp (host->heartbeat.region, region) == 0)
+  if (host->direct && strcmp (host->heartbeat.region, region) == 0)
     add_event (host, now, events);
 }
 
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -42,6 +42,9 @@
 void marjoram_host_list_set_heartbeat_interval (marjoram_host_list *list,
                                                 const char *region,
                                                 int64_t heartbeat_ms);
+/* NAME has shown that it is alive other than by a heartbeat.  */
+void marjoram_host_list_heard (marjoram_host_list *list, int64_t now,
+                               const char *name);
 /* The connection to NAME broke: if its heartbeats arrive directly, it counts
    as dead until the next one.  */
 void marjoram_host_list_connection_lost (marjoram_host_list *list, int64_t now,
@@ -131,10 +134,11 @@
 const char *marjoram_host_list_keeper (marjoram_host_list *list, int64_t now,
                                        const char *zone, const char *key,
                                        const char *own);
-/* Whether hosts of ZONE are known, entry hosts and keepers, and all are dead,
-   as when the zone has lost power or is cut off.  */
-bool marjoram_host_list_is_zone_dark (marjoram_host_list *list, int64_t now,
-                                      const char *zone);
+/* The last time at which hosts of ZONE were known, entry hosts and keepers,
+   and all were dead, as when the zone has lost power or is cut off; INT64_MIN
+   if never.  */
+int64_t marjoram_host_list_zone_dark_at (marjoram_host_list *list, int64_t now,
+                                         const char *zone);
 /* Number of serving entry hosts of REGION.  */
 size_t marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                          const char *region);
@@ -146,7 +150,7 @@
 /* Number of known entry hosts, alive or not.  A host is usually not in its own
    list.  */
 size_t marjoram_host_list_entry_count (marjoram_host_list *list);
-/* Entry hosts that have died, or are alive again.  */
+/* Hosts that have died, or are alive again.  */
 struct marjoram_host_events
 {
   struct marjoram_lost_hosts lost;
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -37,8 +37,8 @@
   /* For an upstream with several broken responses in a row.  High enough that
      any other is preferred; it is still better than none.  */
   SUSPECT_COST_MS = 1000,
-  /* For one in a zone whose hosts are all dead.  Higher than the cost of any
-     other that is usable; its upstreams become silent only seconds later.  */
+  /* For one not heard since all hosts of its zone were dead.  Higher than the
+     cost of any other that is usable; it becomes silent only seconds later. */
   DARK_ZONE_COST_MS = 10000,
   ZONES_MAX = 16, /* of a region; those beyond are looked up each time */
   /* Maximum prefill backlog ahead of a request; longer queues stall running
@@ -369,32 +369,42 @@
                 < sample->below;
 }
 
-/* Zones of the region whose hosts are all dead.  */
+/* When the region's zones were last dark; INT64_MIN if never.  */
 struct dark_zones
 {
   const char *names[ZONES_MAX];
-  bool dark[ZONES_MAX];
+  int64_t dark_at[ZONES_MAX];
   size_t count;
 };
 
-static bool
-is_dark (struct dark_zones *zones, const marjoram_placement *placement,
-         const char *zone, int64_t now)
+static int64_t
+zone_dark_at (struct dark_zones *zones, const marjoram_placement *placement,
+              const char *zone, int64_t now)
 {
-  bool dark;
+  int64_t dark_at = INT64_MIN;
 
   for (size_t i = 0; i < zones->count; i++)
     if (strcmp (zones->names[i], zone) == 0)
-      return zones->dark[i];
-  dark = (!placement->zone || strcmp (zone, placement->zone) != 0)
-         && marjoram_host_list_is_zone_dark (placement->options.hosts, now,
-                                             zone);
+      return zones->dark_at[i];
+  if (!placement->zone || strcmp (zone, placement->zone) != 0)
+    dark_at = marjoram_host_list_zone_dark_at (placement->options.hosts, now,
+                                               zone);
   if (zones->count < ZONES_MAX)
     {
       zones->names[zones->count] = zone;
-      zones->dark[zones->count++] = dark;
+      zones->dark_at[zones->count++] = dark_at;
     }
-  return dark;
+  return dark_at;
+}
+
+/* Whether UPSTREAM has not been heard since its zone was dark: it may have
+   died with the zone, and another one may have its address.  */
+static bool
+is_dark (struct dark_zones *zones, const marjoram_placement *placement,
+         const struct marjoram_registered *upstream, int64_t now)
+{
+  return marjoram_registry_heard_at (placement->options.registry, upstream)
+         <= zone_dark_at (zones, placement, upstream->heartbeat.zone, now);
 }
 
 /* Finds the upstream of least cost and the one of least cost that meets the
@@ -440,7 +450,7 @@
         = estimate_endpoint (placement, endpoint, upstream, query, &copy, now);
     if (was_tried (query, endpoint->id))
       estimate.cost_ms += (double)query->time_left_ms;
-    if (is_dark (&zones, placement, upstream->heartbeat.zone, now))
+    if (is_dark (&zones, placement, upstream, now))
       {
         estimate.cost_ms += DARK_ZONE_COST_MS;
         keep_cheaper (cheapest, upstream, &estimate, &copy);
@@ -556,7 +566,7 @@
     struct estimate estimate;
 
     if (!marjoram_placement_is_candidate (placement, upstream, &query, now)
-        || is_dark (&zones, placement, upstream->heartbeat.zone, now))
+        || is_dark (&zones, placement, upstream, now))
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
     if (now < endpoint->paused_until
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -201,6 +201,9 @@
   dead.sequence = 2;
   marjoram_host_list_update (hosts, 2400, &dead, true);
   marjoram_placement_choose (placement, 2600, &query, &chosen);
+  ck_assert_str_eq (chosen.upstream->heartbeat.id, "1");
+  receive_upstream (2700, "lm", "2", "zb", 0, 2);
+  marjoram_placement_choose (placement, 2800, &query, &chosen);
   ck_assert_str_eq (chosen.upstream->heartbeat.id, "2");
 }
 END_TEST
