Links with other regions that are no longer wanted are dropped when idle

Change: in a large fleet a link without requests in progress is dropped once it is not among the chosen ones.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -262,6 +262,12 @@
   return marjoram_gateway_request_count (entry_from_role (role)->gateway) > 0;
 }
 
+static bool
+role_uses_link (struct marjoram_role *role, const char *host)
+{
+  return marjoram_gateway_forwards_to (entry_from_role (role)->gateway, host);
+}
+
 static bool
 role_needs_link (struct marjoram_role *role, const char *host)
 {
@@ -556,6 +562,7 @@
   .link_lost = role_link_lost,
   .is_busy = role_is_busy,
   .needs_link = role_needs_link,
+  .uses_link = role_uses_link,
   .fill_heartbeat = role_fill_heartbeat,
   .api_request = role_api_request,
   .report = role_report,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -101,6 +101,21 @@
   gateway->customers = NULL;
 }
 
+bool
+marjoram_gateway_forwards_to (const marjoram_gateway *gateway,
+                              const char *host)
+{
+  const struct marjoram_exchange *exchange;
+  const struct marjoram_exchange *next;
+
+  HASH_ITER (by_call, gateway->by_call, exchange, next)
+  {
+    if (strcmp (exchange->host, host) == 0)
+      return true;
+  }
+  return false;
+}
+
 size_t
 marjoram_gateway_request_count (const marjoram_gateway *gateway)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -124,6 +124,9 @@
 
 /* Enforces deadlines and timeouts; to be called at least every 25 ms.  */
 void marjoram_gateway_tick (marjoram_gateway *gateway, int64_t now);
+/* Whether a request that was forwarded to HOST is in progress.  */
+bool marjoram_gateway_forwards_to (const marjoram_gateway *gateway,
+                                   const char *host);
 size_t marjoram_gateway_request_count (const marjoram_gateway *gateway);
 
 #endif
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -127,6 +127,15 @@
          && daemon->role->ops->needs_link (daemon->role, host);
 }
 
+static bool
+uses_link (void *context, const char *host)
+{
+  marjoram_gateway_daemon *daemon = context;
+
+  return daemon->role && daemon->role->ops->uses_link
+         && daemon->role->ops->uses_link (daemon->role, host);
+}
+
 static void
 fill_heartbeat (void *context, struct marjoram_host_beat *heartbeat)
 {
@@ -143,6 +152,7 @@
   .link_up = on_link_up,
   .link_lost = on_link_lost,
   .needs_link = needs_link,
+  .uses_link = uses_link,
   .fill_heartbeat = fill_heartbeat,
 };
 
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -368,8 +368,7 @@
                                             host->heartbeat.name)));
 }
 
-/* Requests are forwarded to other regions only, so that a link to a near host
-   can be dropped while it is up.  */
+/* A link with requests in progress is kept.  */
 static bool
 may_drop (const marjoram_host_links *links,
           const struct marjoram_host_link *link)
@@ -378,8 +377,9 @@
       = marjoram_host_list_find (links->hosts, link->host);
 
   return !link->up
-         || (host && !host->heartbeat.keeper && is_near (links, host)
-             && marjoram_host_links_follows_one (links));
+         || (host && !host->heartbeat.keeper
+             && marjoram_host_links_follows_one (links)
+             && !links->ops->uses_link (links->context, link->host));
 }
 
 static void
@@ -400,7 +400,6 @@
   for (link = TAILQ_FIRST (&links->links); link; link = next)
     {
       next = TAILQ_NEXT (link, next);
-      /* Links that are up are kept if requests may be in progress.  */
       if (!link->wanted && may_drop (links, link))
         drop_link (links, link);
     }
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -28,6 +28,8 @@
   /* Whether this entry host exchanges messages with HOST, an entry host of its
      region.  */
   bool (*needs_link) (void *context, const char *host);
+  /* Whether requests that this host forwarded to HOST are in progress.  */
+  bool (*uses_link) (void *context, const char *host);
   /* Fills in the variable parts of this host's heartbeat; offers remain owned
      by the callee.  */
   void (*fill_heartbeat) (void *context, struct marjoram_host_beat *heartbeat);
--- a/src/role.h
+++ b/src/role.h
@@ -30,6 +30,9 @@
   /* Whether an entry host exchanges messages with HOST, of its region; NULL
      for a role that exchanges none.  */
   bool (*needs_link) (struct marjoram_role *role, const char *host);
+  /* Whether requests that this host forwarded to HOST are in progress; NULL
+     for a role that forwards none.  */
+  bool (*uses_link) (struct marjoram_role *role, const char *host);
   void (*fill_heartbeat) (struct marjoram_role *role,
                           struct marjoram_host_beat *heartbeat);
   /* A request to the host's HTTP API, other than for metrics.  */
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -101,7 +101,7 @@
 }
 
 static bool
-needs_link (void *context, const char *host)
+no_link (void *context, const char *host)
 {
   (void)context;
   (void)host;
@@ -114,7 +114,8 @@
         .session_closed = on_session_closed,
         .link_up = on_link_up,
         .link_lost = on_link_lost,
-        .needs_link = needs_link,
+        .needs_link = no_link,
+        .uses_link = no_link,
         .fill_heartbeat = fill_heartbeat };
 
 /* A loopback address that is unique to this process.  */
