--- a/src/gateway.c
+++ b/src/gateway.c
@@ -32,8 +32,6 @@
   /* An upstream that sends no data for any request of this host for this long
      is considered stalled.  A batch of an engine takes about 10 ms.  */
   UPSTREAM_STALL_MS = 800,
-  /* The same for one to which no connection can be opened either.  */
-  UPSTREAM_DEAD_MS = 1500,
   /* Interval between checks of an attempt that is idle but not abandoned.  */
   IDLE_CHECK_MS = 200
 };
@@ -510,32 +508,16 @@
   int64_t data_received_at = marjoram_placement_last_received_at (
       gateway->placement, exchange->attempt);
 
-  return !exchange->forwarded && exchange->repeatable
+  return !exchange->forwarded
          && input_time (gateway, now) >= data_received_at + UPSTREAM_STALL_MS
          && marjoram_exchange_has_other_place (gateway, exchange, now);
 }
 
-/* An upstream that has lost power resets no connection, and TCP takes seconds
-   to find out.  A stream from it is lost; its caller may come again in time if
-   it is told soon.  */
-static bool
-is_dead (marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
-         int64_t now)
-{
-  return input_time (gateway, now)
-             >= marjoram_placement_last_received_at (gateway->placement,
-                                                     exchange->attempt)
-                    + UPSTREAM_DEAD_MS
-         && marjoram_placement_is_unreachable (gateway->placement,
-                                               exchange->attempt);
-}
-
 static void
 check_idle (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
             int64_t now)
 {
-  if (!should_abandon (gateway, exchange, now)
-      && !is_dead (gateway, exchange, now))
+  if (!should_abandon (gateway, exchange, now))
     {
       exchange->idle_deadline = input_time (gateway, now) + IDLE_CHECK_MS;
       return;
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -275,7 +275,8 @@
     return;
   record_first (gateway, exchange, now);
   record_events (exchange, now, events);
-  exchange->idle_deadline = now + STREAM_IDLE_MS;
+  if (exchange->repeatable)
+    exchange->idle_deadline = now + STREAM_IDLE_MS;
   flush_stream (gateway, exchange);
 }
 
--- a/src/placement.c
+++ b/src/placement.c
@@ -404,18 +404,6 @@
   return attempt ? attempt->endpoint->last_received_at : 0;
 }
 
-bool
-marjoram_placement_is_unreachable (marjoram_placement *placement,
-                                   uint64_t number)
-{
-  const struct marjoram_placed_attempt *attempt
-      = find_attempt (placement, number);
-
-  return attempt
-         && attempt->endpoint->unreached_at
-                > attempt->endpoint->last_received_at;
-}
-
 static void
 pause_endpoint (struct marjoram_endpoint *endpoint, int64_t until)
 {
@@ -436,7 +424,6 @@
       endpoint->address_conflict_at = now;
       break;
     case MARJORAM_ATTEMPT_UNREACHED:
-      endpoint->unreached_at = now;
       pause_endpoint (
           endpoint, now + (CONNECT_BACKOFF_MS << endpoint->connect_failures));
       if (endpoint->connect_failures < CONNECT_BACKOFF_DOUBLINGS)
--- a/src/placement.h
+++ b/src/placement.h
@@ -128,10 +128,6 @@
    attempt; 0 if it never did or ATTEMPT is unknown.  */
 int64_t marjoram_placement_last_received_at (marjoram_placement *placement,
                                              uint64_t attempt);
-/* Whether a connection to the upstream of attempt NUMBER has failed since it
-   last sent data to this host.  */
-bool marjoram_placement_is_unreachable (marjoram_placement *placement,
-                                        uint64_t number);
 enum marjoram_attempt_end
 {
   MARJORAM_ATTEMPT_SERVED,
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -68,7 +68,6 @@
   int64_t
       instance_started_at; /* start time of the instance that CACHE models */
   int64_t paused_until;
-  int64_t unreached_at;    /* last failure to connect; 0 if none */
   int64_t suspected_until; /* used only if there is no alternative */
   int64_t disconnected_at; /* 0 if its connections never broke */
   int64_t address_conflict_at;
