Collectors of large regions leave out lightly used engines and cached parts

Change: in a region of more than 100 hosts a collector tells an engine's load only above two requests, and not which parts it caches: requests that share a part meet at the same engines without that. Plain upstreams are told as before.

test_load_collector: two requests are not told, three are, then none; 98 hosts as before.

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -163,13 +163,13 @@
 static void
 send_sums (struct marjoram_entry *self, int64_t now)
 {
+  const size_t hosts = region_hosts (self, now);
   struct marjoram_load_report sums;
 
-  if (now
-      < self->sums_sent_at
-            + marjoram_load_collector_interval_ms (region_hosts (self, now)))
+  if (now < self->sums_sent_at + marjoram_load_collector_interval_ms (hosts))
     return;
   self->sums_sent_at = now;
+  marjoram_load_collector_set_hosts (self->collector, hosts);
   if (marjoram_load_collector_take_report (self->collector, now, &sums))
     {
       marjoram_host_links_send_to_region (self->parts->links,
--- a/src/load_collector.c
+++ b/src/load_collector.c
@@ -18,7 +18,13 @@
   MESSAGES_PER_S = 1000,
   /* Well below the time for which totals are valid.  */
   INTERVAL_MAX_MS = 1000,
-  MSEC_PER_SEC = 1000
+  MSEC_PER_SEC = 1000,
+  /* Hosts of a region above which lightly used engines and cached parts are
+     not told: requests that share a part meet at the same engines anyway, and
+     each byte is sent to each host.  */
+  BRIEF_HOSTS = 100,
+  /* Requests that an engine runs beside others without noticeable delay.  */
+  LIGHT_RUNNING_MAX = 2
 };
 
 struct load
@@ -38,6 +44,7 @@
   size_t reporter_count; /* hosts with load there */
   bool changed;
   bool lost;
+  bool is_told;           /* hosts were last told of a load */
   uint64_t report_number; /* last report with it, at ITEM_INDEX */
   size_t item_index;
   UT_hash_handle hh;
@@ -70,6 +77,7 @@
 
 struct marjoram_load_collector
 {
+  bool is_brief;
   struct total *totals;
   struct reporter *reporters;
   TAILQ_HEAD (, reporter) by_age; /* oldest report first */
@@ -269,7 +277,7 @@
 {
   struct placed *placed;
 
-  if (collector->placed_count == MARJORAM_PLACED_MAX)
+  if (collector->is_brief || collector->placed_count == MARJORAM_PLACED_MAX)
     return;
   placed = marjoram_alloc (sizeof *placed);
   placed->total = total;
@@ -330,6 +338,33 @@
   return total->item_index;
 }
 
+/* Loads of plain upstreams, which hold no tokens, are always told.  */
+static bool
+is_light (const struct total *total)
+{
+  return total->load.running == 0
+         || (total->load.held > 0 && total->load.running <= LIGHT_RUNNING_MAX);
+}
+
+/* In a brief report an engine that is no longer told of gets an item without
+   load.  */
+static void
+add_brief_item (marjoram_load_collector *collector,
+                struct marjoram_load_report *report, struct total *total)
+{
+  const struct load load = total->load;
+  const bool is_told = !is_light (total);
+
+  total->changed = false;
+  if (!is_told && !total->is_told && !total->lost)
+    return;
+  if (!is_told)
+    memset (&total->load, 0, sizeof total->load);
+  add_item (collector, report, total);
+  total->load = load;
+  total->is_told = is_told;
+}
+
 static void
 add_totals (marjoram_load_collector *collector,
             struct marjoram_load_report *report)
@@ -341,7 +376,12 @@
   {
     if ((total->changed || (report->whole && total->reporter_count > 0))
         && report->items.count < MARJORAM_LOADS_MAX)
-      add_item (collector, report, total);
+      {
+        if (collector->is_brief)
+          add_brief_item (collector, report, total);
+        else
+          add_item (collector, report, total);
+      }
   }
 }
 
@@ -402,6 +442,13 @@
   return report->whole || report->items.count > 0;
 }
 
+void
+marjoram_load_collector_set_hosts (marjoram_load_collector *collector,
+                                   size_t hosts)
+{
+  collector->is_brief = hosts > BRIEF_HOSTS;
+}
+
 int64_t
 marjoram_load_collector_interval_ms (size_t hosts)
 {
--- a/src/load_collector.h
+++ b/src/load_collector.h
@@ -24,6 +24,9 @@
                                           int64_t now,
                                           struct marjoram_load_report *report);
 
+/* Sets the number of hosts of the region, which decides how much is told.  */
+void marjoram_load_collector_set_hosts (marjoram_load_collector *collector,
+                                        size_t hosts);
 /* Interval in ms at which a collector sends totals in a region of HOSTS hosts.
  */
 int64_t marjoram_load_collector_interval_ms (size_t hosts);
--- a/test/test_load_collector.c
+++ b/test/test_load_collector.c
@@ -97,6 +97,40 @@
 }
 END_TEST
 
+static void
+report_engine (int64_t now, const char *upstream, uint64_t running)
+{
+  struct marjoram_load_item item = { .upstream = (char *)upstream,
+                                     .running = running,
+                                     .held_tokens = 1000 * running };
+  const struct marjoram_load_report report
+      = { { &item, 1 }, { NULL, 0 }, false };
+
+  marjoram_load_collector_apply_report (collector, now, "a", &report);
+}
+
+/* Guards against totals that fill the collector's link in a large region whose
+   engines are hardly used.  */
+START_TEST (lightly_used_engines_of_large_regions_are_not_told)
+{
+  marjoram_load_collector_set_hosts (collector, 328);
+  report_engine (1000, "engine", 2);
+  report_load (1000, "b", "plain", 1, false);
+  ck_assert_int_eq (reported_running (1100, "engine"), -1);
+  report_engine (1150, "engine", 3);
+  ck_assert_int_eq (reported_running (1200, "engine"), 3);
+  report_engine (1250, "engine", 2);
+  ck_assert_int_eq (reported_running (1300, "engine"), 0);
+  report_engine (1350, "engine", 1);
+  ck_assert_int_eq (reported_running (1400, "engine"), -1);
+  report_load (1450, "b", "plain", 2, false);
+  ck_assert_int_eq (reported_running (1500, "plain"), 2);
+  marjoram_load_collector_set_hosts (collector, 98);
+  report_engine (1550, "engine", 2);
+  ck_assert_int_eq (reported_running (1600, "engine"), 2);
+}
+END_TEST
+
 /* ---- Two hosts that report through a collector.  ---- */
 
 static const bool all_groups[MARJORAM_LOAD_GROUPS]
@@ -318,6 +352,7 @@
   tcase_add_test (c, request_just_sent_is_not_subtracted);
   tcase_add_test (c, totals_of_silent_collector_expire);
   tcase_add_test (c, messages_per_second_are_bounded);
+  tcase_add_test (c, lightly_used_engines_of_large_regions_are_not_told);
   suite_add_tcase (s, c);
   return s;
 }
