Heartbeats: one function sends lists in pages, intervals stand before their use

No change of behaviour: publish_to_followers and publish_to_keepers were alike but for the recipients; interval_for needed a declaration ahead of it.

--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -79,6 +79,27 @@
   return link->is_witness ? AUDIENCE_WITNESS : AUDIENCE_KEEPER;
 }
 
+static int64_t
+interval_for (const marjoram_host_links *links, enum audience audience)
+{
+  switch (audience)
+    {
+    case AUDIENCE_LOCAL:
+      return links->local_interval_ms;
+    case AUDIENCE_REMOTE:
+      return marjoram_host_links_follows_one (links)
+                 ? REMOTE_HEARTBEAT_FOLLOWING_MS
+                 : REMOTE_HEARTBEAT_MS;
+    case AUDIENCE_HOME:
+    case AUDIENCE_WITNESS:
+      return links->watcher_interval_ms;
+    case AUDIENCE_KEEPER:
+      return links->keeper_interval_ms;
+    default:
+      return HEARTBEAT_MS;
+    }
+}
+
 /* This host's heartbeat, packed on demand for each audience.  */
 struct packed_heartbeats
 {
@@ -86,9 +107,6 @@
   marjoram_bytes *frames[AUDIENCE_COUNT];
 };
 
-static int64_t interval_for (const marjoram_host_links *links,
-                             enum audience audience);
-
 static const marjoram_bytes *
 pack_heartbeat (marjoram_host_links *links, struct packed_heartbeats *packed,
                 const struct marjoram_host_link *link, enum audience audience)
@@ -148,27 +166,6 @@
       OTHER_HEARTBEATS_PER_S);
 }
 
-static int64_t
-interval_for (const marjoram_host_links *links, enum audience audience)
-{
-  switch (audience)
-    {
-    case AUDIENCE_LOCAL:
-      return links->local_interval_ms;
-    case AUDIENCE_REMOTE:
-      return marjoram_host_links_follows_one (links)
-                 ? REMOTE_HEARTBEAT_FOLLOWING_MS
-                 : REMOTE_HEARTBEAT_MS;
-    case AUDIENCE_HOME:
-    case AUDIENCE_WITNESS:
-      return links->watcher_interval_ms;
-    case AUDIENCE_KEEPER:
-      return links->keeper_interval_ms;
-    default:
-      return HEARTBEAT_MS;
-    }
-}
-
 int64_t
 marjoram_host_links_heartbeat_interval (const marjoram_host_links *links,
                                         const struct marjoram_host_link *link)
@@ -370,28 +367,18 @@
   free (list.items.items);
 }
 
+/* Sends RECIPIENTS the hosts that this one hears, or those of them that follow
+   it.  */
 static void
-publish_to_followers (marjoram_host_links *links, int64_t now)
+publish_pages (marjoram_host_links *links, int64_t now, bool only_followers,
+               enum marjoram_recipients recipients)
 {
-  struct marjoram_host_beats list = make_list (links, now, false);
+  struct marjoram_host_beats list = make_list (links, now, only_followers);
   struct marjoram_host_beats page;
   size_t sent = 0;
 
   while (next_page (&list, &sent, &page))
-    marjoram_host_links_multicast (links, MARJORAM_TO_FOLLOWERS, NULL,
-                                   MARJORAM_FRAME_HOST_LIST, &page);
-  free (list.items.items);
-}
-
-static void
-publish_to_keepers (marjoram_host_links *links, int64_t now)
-{
-  struct marjoram_host_beats list = make_list (links, now, true);
-  struct marjoram_host_beats page;
-  size_t sent = 0;
-
-  while (next_page (&list, &sent, &page))
-    marjoram_host_links_multicast (links, MARJORAM_TO_KEEPERS, NULL,
+    marjoram_host_links_multicast (links, recipients, NULL,
                                    MARJORAM_FRAME_HOST_LIST, &page);
   free (list.items.items);
 }
@@ -402,11 +389,11 @@
   if (now < links->list_sent_at + LIST_INTERVAL_MS)
     return;
   links->list_sent_at = now;
-  publish_to_keepers (links, now);
+  publish_pages (links, now, true, MARJORAM_TO_KEEPERS);
   if (now < links->list_broadcast_at + LIST_BROADCAST_INTERVAL_MS)
     return;
   links->list_broadcast_at = now;
-  publish_to_followers (links, now);
+  publish_pages (links, now, false, MARJORAM_TO_FOLLOWERS);
 }
 
 static void
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -142,8 +142,7 @@
 /* Number of serving entry hosts of REGION.  */
 size_t marjoram_host_list_serving_count (marjoram_host_list *list, int64_t now,
                                          const char *region);
-/* The same with host OWN, whether it is in the list or not.
- */
+/* The same with host OWN, whether it is in the list or not.  */
 size_t marjoram_host_list_serving_count_with (marjoram_host_list *list,
                                               int64_t now, const char *region,
                                               const char *own);
