A stalled upstream is abandoned only if the request may be sent again

Change: it is abandoned only if nothing denies the repeat: attempts, time, budget.

test_gateway: with three upstreams the stream goes on after its last attempt stalls for 1.5 s; it was cut before.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -498,9 +498,9 @@
 
 /* An upstream that sends data for any request is alive, even if it delays this
    one: a loaded engine may set a request aside for seconds and resume it.  A
-   stalled upstream is abandoned only if another place accepts the request,
-   since a stream that is cut without one is lost.  For a forwarded request the
-   forwarding host decides.  */
+   stalled upstream is abandoned only if the request may be sent once more and
+   another place accepts it, since a stream that is cut otherwise is lost.  For
+   a forwarded request the forwarding host decides.  */
 static bool
 should_abandon (marjoram_gateway *gateway,
                 const struct marjoram_exchange *exchange, int64_t now)
@@ -508,8 +508,8 @@
   int64_t data_received_at = marjoram_placement_last_received_at (
       gateway->placement, exchange->attempt);
 
-  return !exchange->forwarded
-         && input_time (gateway, now) >= data_received_at + UPSTREAM_STALL_MS
+  return input_time (gateway, now) >= data_received_at + UPSTREAM_STALL_MS
+         && marjoram_exchange_may_retry (gateway, exchange, now)
          && marjoram_exchange_has_other_place (gateway, exchange, now);
 }
 
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -61,6 +61,14 @@
   return NULL;
 }
 
+bool
+marjoram_exchange_may_retry (marjoram_gateway *gateway,
+                             const struct marjoram_exchange *exchange,
+                             int64_t now)
+{
+  return retry_denial (gateway, exchange, now, false) == NULL;
+}
+
 static void
 log_attempt (const marjoram_gateway *gateway,
              const struct marjoram_exchange *exchange,
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -270,6 +270,10 @@
                                       const char *region);
 
 /* gateway_answer.c */
+/* Whether a request that may have run may be sent to another upstream.  */
+bool marjoram_exchange_may_retry (marjoram_gateway *gateway,
+                                  const struct marjoram_exchange *exchange,
+                                  int64_t now);
 /* Handles a failed attempt: retries where that is allowed, otherwise ends the
    exchange with REASON.  NOT_RUN states that the attempt certainly did not
    run.  */
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -326,6 +326,31 @@
 }
 END_TEST
 
+/* Guards against cutting a slow stream that may not be sent again.  */
+START_TEST (stalled_upstream_is_kept_after_the_last_repeat)
+{
+  struct marjoram_upstream_heartbeat third
+      = marjoram_registry_find (f.registry, "u1")->heartbeat;
+
+  snprintf (third.id, sizeof third.id, "u3");
+  snprintf (third.address, sizeof third.address, "10.0.0.3:80");
+  marjoram_registry_update (f.registry, 0, &third, 0);
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  gateway_fixture_end (&f, 20, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 2);
+  gateway_fixture_head (&f, 30, 200, NULL, true, false);
+  gateway_fixture_data (&f, 30, "id: 2\ndata: b\n\n");
+  for (int64_t now = 1600; now < 2400; now += 25)
+    marjoram_gateway_tick (f.gateway, now);
+  ck_assert_int_eq (f.seen.cuts, 0);
+  gateway_fixture_data (&f, 2400, "id: 3\ndata: c\n\n");
+  gateway_fixture_end (&f, 2410, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.ends, 1);
+}
+END_TEST
+
 START_TEST (stalled_upstream_is_kept_without_alternative)
 {
   gateway_fixture_leave (&f, 0, "u2");
@@ -891,6 +916,7 @@
   tcase_add_test (c, broken_stream_goes_first_for_a_limited_time);
   tcase_add_test (c, broken_stream_waits_for_paused_upstreams);
   tcase_add_test (c, broken_stream_without_upstreams_is_cut_at_once);
+  tcase_add_test (c, stalled_upstream_is_kept_after_the_last_repeat);
   tcase_add_test (c, stalled_upstream_is_kept_without_alternative);
   tcase_add_test (c, forwarded_stream_is_not_abandoned);
   tcase_add_test (c, request_waits_for_a_place);
