Log the rate limits that upstreams state in their responses

No line told whether hosts had read the limit, so the logs could not tell hosts that ignore it from hosts that each keep it alone, or from paths around the choice of an upstream.

Now a host logs each change of what an upstream's responses state (event=upstream rate_limit=) and counts them (upstream_rate_limits).

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -61,6 +61,9 @@
   bool not_run;
   bool wrong_upstream; /* another upstream now has the address */
   int64_t cold_ms;     /* remaining warm-up time; -1 if not given */
+  /* Requests per second that the responder accepts from all hosts together;
+     negative if it states no limit.  */
+  double rate_limit;
 };
 
 enum marjoram_upstream_state
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -195,6 +195,24 @@
                             error < 0 ? -error : error);
 }
 
+/* Records what the upstream's response states about the upstream.  */
+static void
+record_statements (marjoram_gateway *gateway,
+                   const struct marjoram_exchange *exchange, int64_t now,
+                   const struct marjoram_response_metadata *metadata)
+{
+  if (metadata->cold_ms > 0)
+    marjoram_placement_set_cold (gateway->placement, now, exchange->upstream,
+                                 metadata->cold_ms);
+  if (!marjoram_placement_set_rate_limit (
+          gateway->placement, exchange->attempt, metadata->rate_limit))
+    return;
+  marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_RATE_LIMITS,
+                        1);
+  marjoram_event (MARJORAM_EVENT_UPSTREAM, "id=%s service=%s rate_limit=%.3f",
+                  exchange->upstream, exchange->service, metadata->rate_limit);
+}
+
 bool
 marjoram_gateway_head (marjoram_gateway *gateway, int64_t now,
                        uint64_t attempt, int status,
@@ -212,9 +230,8 @@
                             MARJORAM_METRIC_STRAY_ANSWERS, 1);
       return false;
     }
-  if (metadata.cold_ms > 0 && *exchange->upstream)
-    marjoram_placement_set_cold (gateway->placement, now, exchange->upstream,
-                                 metadata.cold_ms);
+  if (*exchange->upstream)
+    record_statements (gateway, exchange, now, &metadata);
   exchange->status = status;
   exchange->is_signed = metadata.signed_by_upstream;
   exchange->refused = metadata.not_run;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -38,6 +38,7 @@
   [MARJORAM_METRIC_FORWARDED_IN] = "gateway_forwarded_in",
   [MARJORAM_METRIC_FORWARDS_REFUSED] = "gateway_forwards_refused",
   [MARJORAM_METRIC_STRAY_ANSWERS] = "gateway_stray_answers",
+  [MARJORAM_METRIC_RATE_LIMITS] = "upstream_rate_limits",
   [MARJORAM_METRIC_REJECTED_INPUT] = "rejected_input",
   [MARJORAM_METRIC_UPSTREAM_HEARTBEATS] = "upstream_news",
   [MARJORAM_METRIC_UPSTREAM_HEARTBEATS_STALE] = "upstream_news_stale",
--- a/src/placement.c
+++ b/src/placement.c
@@ -69,6 +69,7 @@
   endpoint->cache = marjoram_engine_cache_create ();
   endpoint->instance_started_at = MARJORAM_START_UNKNOWN;
   endpoint->group = marjoram_load_group (id);
+  endpoint->rate_limit = -1;
   TAILQ_INIT (&endpoint->unanswered);
   HASH_ADD_KEYPTR (hh, placement->endpoints, endpoint->id,
                    strlen (endpoint->id), endpoint);
@@ -504,6 +505,22 @@
       = now + cold_ms;
 }
 
+bool
+marjoram_placement_set_rate_limit (marjoram_placement *placement,
+                                   uint64_t number, double rate_limit)
+{
+  const struct marjoram_placed_attempt *attempt
+      = find_attempt (placement, number);
+  double before;
+
+  if (!attempt)
+    return false;
+  before = attempt->endpoint->rate_limit;
+  attempt->endpoint->rate_limit = rate_limit;
+  return before < 0 ? rate_limit >= 0
+                    : rate_limit < before || rate_limit > before;
+}
+
 /* Marks the zone's upstreams as disconnected, so that they count as cold only
    until their next heartbeat.  */
 void
--- a/src/placement.h
+++ b/src/placement.h
@@ -149,6 +149,10 @@
 /* A response from UPSTREAM reports that it stays cold for COLD_MS.  */
 void marjoram_placement_set_cold (marjoram_placement *placement, int64_t now,
                                   const char *upstream, int64_t cold_ms);
+/* The response to ATTEMPT states that its upstream accepts RATE_LIMIT requests
+   per second; negative: no limit.  Returns whether that is new.  */
+bool marjoram_placement_set_rate_limit (marjoram_placement *placement,
+                                        uint64_t attempt, double rate_limit);
 /* The evacuation of ZONE ended: its upstreams are treated as cold until their
    next heartbeat.  */
 void marjoram_placement_zone_restored (marjoram_placement *placement,
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -74,6 +74,7 @@
   int64_t last_received_at; /* last response data to this host; 0 if none */
   int64_t cold_until;
   int64_t cold_sent_at; /* last request sent; limits the rate while cold */
+  double rate_limit;    /* requests per second; negative: none */
   int connect_failures;
   int broken_responses;
   double failure_share;
