Failing test: hosts together exceed the rate limit that an upstream states

Nine hosts with real gateways, whose load reports now reach one another as in production; upstreams state limits of 0.5 to 8 requests a second. The bound is the users': in any 4 s, from 5 s after the first statement, one and a half times the limit and 5 requests, counted for hosts that passed on a response with it half a second before.

--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -2,10 +2,12 @@
 
 #include "cleanup.h"
 #include "gateway.h"
+#include "lib_rate_bound.h"
 #include "lib_repeat_bound.h"
 #include "platform.h"
 #include "random.h"
 
+#include <float.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +23,8 @@
   SERVE_MS = 60,
   TICK_MS = 25,
   HEARTBEAT_MS = 300,
+  LOAD_REPORT_MS = 100,
+  FLEET_UPSTREAMS = FLEET_REGIONS * FLEET_UPSTREAMS_PER_REGION,
   CALLER_TIMEOUT_MS = 4000,
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503,
@@ -75,7 +79,9 @@
   uint64_t from_start;
   int id;
   int status;
-  bool refuses; /* the upstream may refuse */
+  int upstream;
+  bool forwarded; /* EVENT_ANSWER: from the host that it was forwarded to */
+  bool refuses;   /* the upstream may refuse */
   struct marjoram_request_failure why;
   struct marjoram_forwarded limits;
 };
@@ -109,6 +115,8 @@
   struct repeat_bound *bound;
   int *served; /* by ms */
   int *refused;
+  double rate_limits[FLEET_UPSTREAMS]; /* negative: none */
+  struct rate_bound *rate_bounds[FLEET_UPSTREAMS];
 };
 
 static void
@@ -165,6 +173,7 @@
                          .start = inbound->from_start,
                          .attempt = inbound->attempt,
                          .id = inbound->id,
+                         .forwarded = true,
                          .status = STATUS_OK };
 
   if (why)
@@ -210,6 +219,13 @@
   return id ? atoi (id + 3) : 0;
 }
 
+/* UPSTREAM counts from 1.  */
+static int
+index_of (int region, int upstream)
+{
+  return region * FLEET_UPSTREAMS_PER_REGION + upstream - 1;
+}
+
 static void
 op_send (void *context, const struct marjoram_http_send *send)
 {
@@ -222,6 +238,7 @@
           .attempt = send->attempt,
           .id = read_id (marjoram_bytes_data (send->message),
                          marjoram_bytes_size (send->message)),
+          .upstream = index_of (node->region, upstream),
           .refuses = node->region < FLEET_REGIONS - 1
                      || upstream < FLEET_UPSTREAMS_PER_REGION };
 
@@ -431,6 +448,8 @@
         && marjoram_random_unit (fleet->random) < fleet->refusals;
   struct event answer = *event;
 
+  rate_bound_add_request (fleet->rate_bounds[event->upstream], fleet->now,
+                          event->node);
   if (fleet->arrived[event->id])
     repeat_bound_add_repeat (fleet->bound, fleet->now);
   fleet->arrived[event->id] = 1;
@@ -440,6 +459,21 @@
             &answer);
 }
 
+static void
+add_rate_limit (struct node *node, const struct event *event,
+                struct marjoram_header_list *headers)
+{
+  const double rate_limit = node->fleet->rate_limits[event->upstream];
+  char text[32];
+
+  if (rate_limit < 0)
+    return;
+  snprintf (text, sizeof text, "%.3f", rate_limit);
+  marjoram_header_list_add (headers, "Server-Limit", text);
+  rate_bound_add_told (node->fleet->rate_bounds[event->upstream],
+                       node->fleet->now, node->index);
+}
+
 static void
 process_answer (struct node *node, const struct event *event)
 {
@@ -452,6 +486,8 @@
     marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "s");
   else
     marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
+  if (!event->forwarded)
+    add_rate_limit (node, event, &headers);
   marjoram_gateway_head (node->gateway, node->fleet->now, event->attempt,
                          event->status, &headers);
   marjoram_gateway_end (node->gateway, node->fleet->now, event->attempt,
@@ -517,6 +553,11 @@
   fleet->bound = repeat_bound_create (limits, RUN_MAX_MS);
   fleet->served = marjoram_alloc (RUN_MAX_MS * sizeof (int));
   fleet->refused = marjoram_alloc (RUN_MAX_MS * sizeof (int));
+  for (int i = 0; i < FLEET_UPSTREAMS; i++)
+    {
+      fleet->rate_limits[i] = -1;
+      fleet->rate_bounds[i] = rate_bound_create (RUN_MAX_MS, FLEET_HOSTS);
+    }
   for (int i = 0; i < FLEET_HOSTS; i++)
     {
       struct node *node = &fleet->nodes[i];
@@ -548,6 +589,8 @@
   marjoram_route_table_destroy (fleet->table);
   marjoram_random_destroy (fleet->random);
   repeat_bound_destroy (fleet->bound);
+  for (int i = 0; i < FLEET_UPSTREAMS; i++)
+    rate_bound_destroy (fleet->rate_bounds[i]);
   free (fleet->events);
   free (fleet->inbound);
   free (fleet->arrived);
@@ -568,6 +611,33 @@
   fleet->refusals = share;
 }
 
+void
+fleet_set_rate_limit (struct fleet *fleet, int region, int upstream,
+                      double rate_limit)
+{
+  const int index = index_of (region, upstream);
+
+  fleet->rate_limits[index] = rate_limit;
+  rate_bound_set_limit (fleet->rate_bounds[index], fleet->now, rate_limit);
+}
+
+/* Reports the load of NODE to the other hosts of its region.  */
+static void
+send_load_report (struct node *node)
+{
+  struct fleet *fleet = node->fleet;
+  struct marjoram_load_report report;
+
+  marjoram_placement_report (marjoram_gateway_placement (node->gateway),
+                             &report);
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    if (i != node->index && fleet->nodes[i].region == node->region)
+      marjoram_placement_apply_report (
+          marjoram_gateway_placement (fleet->nodes[i].gateway), fleet->now,
+          node->name, &report);
+  marjoram_wire_clear (&marjoram_load_report_layout, &report);
+}
+
 static void
 process_events (struct fleet *fleet)
 {
@@ -595,6 +665,8 @@
           update_upstreams (node);
           send_heartbeat (node);
         }
+      if (fleet->now % LOAD_REPORT_MS == 0)
+        send_load_report (node);
       if (fleet->now % TICK_MS == 0)
         {
           marjoram_host_list_tick (node->hosts, fleet->now);
@@ -619,14 +691,46 @@
     }
 }
 
+void
+fleet_restart_host (struct fleet *fleet, int host)
+{
+  stop_node (&fleet->nodes[host]);
+  start_node (&fleet->nodes[host]);
+  for (int i = 0; i < FLEET_UPSTREAMS; i++)
+    rate_bound_clear_told (fleet->rate_bounds[i], host);
+}
+
 void
 fleet_restart_hosts (struct fleet *fleet)
 {
   for (int i = 0; i < FLEET_HOSTS; i++)
+    fleet_restart_host (fleet, i);
+}
+
+int
+fleet_arrivals (const struct fleet *fleet, int region, int upstream,
+                int64_t from_ms, int64_t until_ms)
+{
+  return rate_bound_count (fleet->rate_bounds[index_of (region, upstream)],
+                           from_ms, until_ms);
+}
+
+double
+fleet_rate_excess (const struct fleet *fleet, int64_t *from_ms)
+{
+  double most = -DBL_MAX;
+
+  for (int i = 0; i < FLEET_UPSTREAMS; i++)
     {
-      stop_node (&fleet->nodes[i]);
-      start_node (&fleet->nodes[i]);
+      int64_t from;
+      double excess = rate_bound_excess (fleet->rate_bounds[i], &from);
+
+      if (excess <= most)
+        continue;
+      most = excess;
+      *from_ms = from;
     }
+  return most;
 }
 
 struct fleet_counts
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -1,6 +1,7 @@
 /* Entry hosts of several regions in virtual time: each runs a real gateway,
    links and upstreams are simulated.  Counts the arrivals of requests at
-   upstreams and checks them against the bound on repeats.  */
+   upstreams and checks them against the bound on repeats and against the rate
+   limits that upstreams state.  */
 #ifndef MARJORAM_TEST_LIB_FLEET_H
 #define MARJORAM_TEST_LIB_FLEET_H
 
@@ -35,8 +36,20 @@
    upstream of the last region never does.  */
 void fleet_set_refusals (struct fleet *fleet, double share);
 void fleet_run_until (struct fleet *fleet, int64_t until_ms);
+/* Responses of UPSTREAM, from 1, of REGION state RATE_LIMIT requests per
+   second; negative: no limit.  */
+void fleet_set_rate_limit (struct fleet *fleet, int region, int upstream,
+                           double rate_limit);
 /* All hosts lose their memory.  */
 void fleet_restart_hosts (struct fleet *fleet);
+/* HOST loses its memory.  */
+void fleet_restart_host (struct fleet *fleet, int host);
+/* Requests that arrived at UPSTREAM of REGION.  */
+int fleet_arrivals (const struct fleet *fleet, int region, int upstream,
+                    int64_t from_ms, int64_t until_ms);
+/* The largest number of requests beyond a rate limit in any window of any
+   upstream; its start is stored in FROM_MS.  Negative if the bound holds.  */
+double fleet_rate_excess (const struct fleet *fleet, int64_t *from_ms);
 struct fleet_counts fleet_count (const struct fleet *fleet, int64_t from_ms,
                                  int64_t until_ms);
 /* Repeats that the hosts have permitted since their last start.  */
