Hosts together keep the rate limits that upstreams state

Upstreams that named a limit of 1 to 1.6 requests a second got 38 to 54 in 4 s where 11 to 15 were allowed. Callers were served, the upstreams in need were not spared.

Cause: nothing read what a response states of its upstream's rate.

Class: a bound on the sum over all hosts that each host decides about alone. So it is divided: equal parts of as many hosts as the limit has whole requests a second, by rendezvous hashing; what is known of a limit goes with the load reports and is numbered, so that late or cut-off hosts cannot bring back an old one.

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -70,7 +70,7 @@
   bool is_empty;
 
   marjoram_placement_report (marjoram_gateway_placement (self->gateway),
-                             &loads);
+                             marjoram_entry_now (self), &loads);
   is_empty = loads.items.count == 0 && loads.placed.count == 0;
   if (!is_empty || self->has_reported_loads)
     marjoram_host_links_send_to_region (self->parts->links,
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -205,7 +205,7 @@
     marjoram_placement_set_cold (gateway->placement, now, exchange->upstream,
                                  metadata->cold_ms);
   if (!marjoram_placement_set_rate_limit (
-          gateway->placement, exchange->attempt, metadata->rate_limit))
+          gateway->placement, now, exchange->attempt, metadata->rate_limit))
     return;
   marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_RATE_LIMITS,
                         1);
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -122,6 +122,8 @@
   UINT (marjoram_load_item, held_tokens),
   UINT (marjoram_load_item, answer_tokens),
   BOOL (marjoram_load_item, lost),
+  UINT (marjoram_load_item, rate_number),
+  INT (marjoram_load_item, rate_limit),
 };
 static LAYOUT (load_item_layout, marjoram_load_item, load_item_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -147,6 +147,9 @@
   uint64_t held_tokens;    /* of running requests, in engine memory */
   uint64_t answer_tokens;  /* upper bound of what is still to be generated */
   bool lost;               /* connections broke; may have restarted */
+  /* What is known of the upstream's rate limit (upstream_rate.h).  */
+  uint64_t rate_number;
+  int64_t rate_limit; /* requests per 1,000 s; negative: none */
 };
 
 /* A prompt prefix block that was just sent to an upstream.  */
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -638,6 +638,20 @@
   return owner && weight_of (owner, key) > weight_of (own, key) ? owner : own;
 }
 
+size_t
+marjoram_host_list_rank (marjoram_host_list *list, int64_t now,
+                         const char *region, const char *key, const char *own)
+{
+  const struct marjoram_host_slice *serving
+      = marjoram_host_list_of_region (list, now, region);
+  const uint64_t weight = weight_of (own, key);
+  size_t rank = 0;
+
+  for (size_t i = 0; i < serving->count; i++)
+    rank += marjoram_listed_host_weight (serving->hosts[i], key) > weight;
+  return rank;
+}
+
 const char *
 marjoram_host_list_keeper (marjoram_host_list *list, int64_t now,
                            const char *zone, const char *key, const char *own)
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -129,6 +129,11 @@
 const char *marjoram_host_list_owner_with (marjoram_host_list *list,
                                            int64_t now, const char *region,
                                            const char *key, const char *own);
+/* Number of serving hosts of REGION that precede OWN, which need not be in the
+   list, for KEY by rendezvous hashing.  */
+size_t marjoram_host_list_rank (marjoram_host_list *list, int64_t now,
+                                const char *region, const char *key,
+                                const char *own);
 /* The ready keeper of ZONE that owns KEY by rendezvous hashing, with keeper
    OWN as a further candidate unless it is NULL; NULL if there is none.  */
 const char *marjoram_host_list_keeper (marjoram_host_list *list, int64_t now,
--- a/src/load_collector.c
+++ b/src/load_collector.c
@@ -44,6 +44,9 @@
   size_t reporter_count; /* hosts with load there */
   bool changed;
   bool lost;
+  /* What hosts told last of its rate limit, until they are told.  */
+  uint64_t rate_number;
+  int64_t rate_limit;
   bool is_told;           /* hosts were last told of a load */
   uint64_t report_number; /* last report with it, at ITEM_INDEX */
   size_t item_index;
@@ -253,6 +256,18 @@
   HASH_ADD_PTR (reporter->shares, total, share);
 }
 
+/* Keeps what supersedes the other, as in upstream_rate.h.  */
+static void
+apply_rate (struct total *total, const struct marjoram_load_item *item)
+{
+  if (item->rate_number < total->rate_number
+      || (item->rate_number == total->rate_number
+          && (uint64_t)item->rate_limit >= (uint64_t)total->rate_limit))
+    return;
+  total->rate_number = item->rate_number;
+  total->rate_limit = item->rate_limit;
+}
+
 static void
 apply_item (struct reporter *reporter, struct total *total,
             const struct marjoram_load_item *item)
@@ -269,6 +284,7 @@
     add_share (reporter, total, &load);
   total->changed = true;
   total->lost = total->lost || item->lost;
+  apply_rate (total, item);
 }
 
 static void
@@ -330,8 +346,11 @@
     .held_tokens = total->load.held,
     .answer_tokens = total->load.answer,
     .lost = total->lost,
+    .rate_number = total->rate_number,
+    .rate_limit = total->rate_limit,
   };
   total->lost = false;
+  total->rate_number = 0;
   total->changed = false;
   total->report_number = collector->report_count;
   total->item_index = report->items.count++;
@@ -356,7 +375,7 @@
   const bool is_told = !is_light (total);
 
   total->changed = false;
-  if (!is_told && !total->is_told && !total->lost)
+  if (!is_told && !total->is_told && !total->lost && total->rate_number == 0)
     return;
   if (!is_told)
     memset (&total->load, 0, sizeof total->load);
--- a/src/placement.c
+++ b/src/placement.c
@@ -69,7 +69,6 @@
   endpoint->cache = marjoram_engine_cache_create ();
   endpoint->instance_started_at = MARJORAM_START_UNKNOWN;
   endpoint->group = marjoram_load_group (id);
-  endpoint->rate_limit = -1;
   TAILQ_INIT (&endpoint->unanswered);
   HASH_ADD_KEYPTR (hh, placement->endpoints, endpoint->id,
                    strlen (endpoint->id), endpoint);
@@ -107,6 +106,7 @@
   marjoram_endpoint_set_idle (placement, endpoint);
   marjoram_endpoint_clear_collected (placement, endpoint);
   marjoram_engine_cache_destroy (endpoint->cache);
+  marjoram_upstream_rate_destroy (endpoint->rate);
   free (endpoint->id);
   free (endpoint);
 }
@@ -203,6 +203,8 @@
   endpoint->paused_until = 0;
   endpoint->connect_failures = 0;
   endpoint->broken_responses = 0;
+  if (endpoint->rate)
+    marjoram_upstream_rate_reset (endpoint->rate);
 }
 
 struct marjoram_endpoint *
@@ -326,6 +328,8 @@
   endpoint->own.held += attempt->held;
   endpoint->own.answer += attempt->answer;
   endpoint->cold_sent_at = now;
+  if (endpoint->rate)
+    marjoram_upstream_rate_take (endpoint->rate, now);
   HASH_ADD (hh, placement->attempts, number, sizeof attempt->number, attempt);
 }
 
@@ -506,19 +510,23 @@
 }
 
 bool
-marjoram_placement_set_rate_limit (marjoram_placement *placement,
+marjoram_placement_set_rate_limit (marjoram_placement *placement, int64_t now,
                                    uint64_t number, double rate_limit)
 {
   const struct marjoram_placed_attempt *attempt
       = find_attempt (placement, number);
-  double before;
+  struct marjoram_endpoint *endpoint = attempt ? attempt->endpoint : NULL;
 
-  if (!attempt)
+  if (!endpoint || (!endpoint->rate && rate_limit < 0))
+    return false;
+  if (!endpoint->rate)
+    endpoint->rate = marjoram_upstream_rate_create ();
+  if (!marjoram_upstream_rate_state (endpoint->rate, now, attempt->started_at,
+                                     rate_limit))
     return false;
-  before = attempt->endpoint->rate_limit;
-  attempt->endpoint->rate_limit = rate_limit;
-  return before < 0 ? rate_limit >= 0
-                    : rate_limit < before || rate_limit > before;
+  endpoint->report_rate = true;
+  marjoram_endpoint_set_active (placement, endpoint);
+  return true;
 }
 
 /* Marks the zone's upstreams as disconnected, so that they count as cold only
--- a/src/placement.h
+++ b/src/placement.h
@@ -63,7 +63,8 @@
 {
   MARJORAM_PLACE_LIMIT_NONE,
   MARJORAM_PLACE_LIMIT_DEADLINE, /* response would be too late */
-  MARJORAM_PLACE_LIMIT_BACKLOG   /* too many queued prompts */
+  MARJORAM_PLACE_LIMIT_BACKLOG,  /* too many queued prompts */
+  MARJORAM_PLACE_LIMIT_RATE      /* rate limits stated by all upstreams */
 };
 const char *marjoram_place_limit_name (enum marjoram_place_limit limit);
 
@@ -86,10 +87,12 @@
   double tokens_per_ms;
   double engine_tokens_per_ms;
   /* Inputs of the decision, for logging.  */
-  int candidates;     /* upstreams of the service in this region */
-  int usable;         /* those that may be sent requests now */
-  int64_t backlog_ms; /* queued prompts at the chosen upstream */
-  enum marjoram_place_limit limit; /* for BUSY: the limit exceeded */
+  int candidates;       /* upstreams of the service in this region */
+  int usable;           /* those that may be sent requests now */
+  int rate_limited;     /* those ruled out by their rate limit alone */
+  int64_t rate_wait_ms; /* until the first of them accepts a request */
+  int64_t backlog_ms;   /* queued prompts at the chosen upstream */
+  enum marjoram_place_limit limit; /* unless FOUND: the limit exceeded */
   int64_t heartbeat_age_ms;        /* age of the oldest heartbeat considered */
 };
 
@@ -150,9 +153,11 @@
 void marjoram_placement_set_cold (marjoram_placement *placement, int64_t now,
                                   const char *upstream, int64_t cold_ms);
 /* The response to ATTEMPT states that its upstream accepts RATE_LIMIT requests
-   per second; negative: no limit.  Returns whether that is new.  */
+   per second from all hosts together; negative: no limit.  Returns whether
+   that is new.  */
 bool marjoram_placement_set_rate_limit (marjoram_placement *placement,
-                                        uint64_t attempt, double rate_limit);
+                                        int64_t now, uint64_t attempt,
+                                        double rate_limit);
 /* The evacuation of ZONE ended: its upstreams are treated as cold until their
    next heartbeat.  */
 void marjoram_placement_zone_restored (marjoram_placement *placement,
@@ -167,7 +172,7 @@
 /* Builds a report for the region's other hosts: all requests running from this
    host, and the prompt parts placed since the last report.  The caller clears
    REPORT.  */
-void marjoram_placement_report (marjoram_placement *placement,
+void marjoram_placement_report (marjoram_placement *placement, int64_t now,
                                 struct marjoram_load_report *report);
 void
 marjoram_placement_apply_report (marjoram_placement *placement, int64_t now,
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -276,6 +276,23 @@
          || may_send_to_cold (placement, endpoint, query->service, now);
 }
 
+/* Whether ENDPOINT may be sent a request within its rate limit; if not, PLACE
+   notes it.  */
+static bool
+is_within_rate (marjoram_placement *placement,
+                struct marjoram_endpoint *endpoint, int64_t now,
+                struct marjoram_place *place)
+{
+  const int64_t wait_ms
+      = marjoram_endpoint_rate_wait_ms (placement, endpoint, now);
+
+  if (wait_ms == 0)
+    return true;
+  if (place->rate_limited++ == 0 || wait_ms < place->rate_wait_ms)
+    place->rate_wait_ms = wait_ms;
+  return false;
+}
+
 /* The limit that rules out an upstream for QUERY.  Idle upstreams are never
    ruled out: the estimates of a formerly slow one improve only through new
    requests.  */
@@ -302,7 +319,8 @@
 const char *
 marjoram_place_limit_name (enum marjoram_place_limit limit)
 {
-  static const char *const names[] = { "none", "objective", "backlog" };
+  static const char *const names[]
+      = { "none", "objective", "backlog", "rate" };
 
   return names[limit];
 }
@@ -440,7 +458,8 @@
     if (now - heard_at > place->heartbeat_age_ms)
       place->heartbeat_age_ms = now - heard_at;
     endpoint = marjoram_endpoint_of (placement, upstream);
-    if (!is_usable (placement, endpoint, upstream, query, now))
+    if (!is_usable (placement, endpoint, upstream, query, now)
+        || !is_within_rate (placement, endpoint, now, place))
       continue;
     place->usable++;
     marjoram_copy_sources_best (&sources, endpoint, upstream, query, &copy);
@@ -478,6 +497,14 @@
       = place->engine_tokens_per_ms * place->usable / (double)hosts;
 }
 
+static void
+set_rate_limited (struct marjoram_place *place)
+{
+  place->limit = MARJORAM_PLACE_LIMIT_RATE;
+  if (place->rate_wait_ms > place->retry_ms)
+    place->retry_ms = place->rate_wait_ms;
+}
+
 void
 marjoram_placement_choose (marjoram_placement *placement, int64_t now,
                            const struct marjoram_place_query *query,
@@ -497,11 +524,16 @@
     {
       place->candidates = 0;
       place->usable = 0;
+      place->rate_limited = 0;
       find_choices (placement, now, query, &all_upstreams, place, &cheapest,
                     &in_time);
     }
   if (!cheapest.upstream)
-    return;
+    {
+      if (place->rate_limited > 0)
+        set_rate_limited (place);
+      return;
+    }
   if (in_time.upstream
       && in_time.estimate.cost_ms
              <= cheapest.estimate.cost_ms + DEADLINE_COST_MS)
@@ -570,6 +602,7 @@
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
     if (now < endpoint->paused_until
+        || marjoram_endpoint_is_rate_limited (endpoint)
         || is_cold (placement, endpoint, upstream, service, now))
       continue;
     estimate = estimate_endpoint (placement, endpoint, upstream, &query,
--- a/src/placement_collect.c
+++ b/src/placement_collect.c
@@ -31,7 +31,7 @@
 static bool
 has_changed (const struct marjoram_endpoint *endpoint)
 {
-  return endpoint->report_disconnect
+  return endpoint->report_disconnect || endpoint->report_rate
          || memcmp (&endpoint->own, &endpoint->reported, sizeof endpoint->own)
                 != 0;
 }
@@ -124,6 +124,7 @@
   struct marjoram_endpoint *endpoint;
 
   placement->report_count++;
+  marjoram_placement_renew_rates (placement, now);
   init_reports (placement, whole, reports);
   TAILQ_FOREACH (endpoint, &placement->active, active_link)
   {
@@ -250,6 +251,7 @@
       set_collected (placement, endpoint, &items[i]);
       if (items[i].lost)
         endpoint->disconnected_at = now;
+      marjoram_endpoint_learn_rate (placement, endpoint, now, &items[i]);
     }
   for (size_t i = 0; i < report->placed.count; i++)
     if (placed[i].upstream < report->items.count
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -1,11 +1,13 @@
 /* Internals shared by placement.c (state and attempt lifecycle),
-   placement_choose.c (selection), placement_report.c (load reports between
-   hosts) and placement_collect.c (load reports through collectors).  */
+   placement_choose.c (selection), placement_rate.c (rate limits),
+   placement_report.c (load reports between hosts) and placement_collect.c
+   (load reports through collectors).  */
 #ifndef MARJORAM_PLACEMENT_PRIVATE_H
 #define MARJORAM_PLACEMENT_PRIVATE_H
 
 #include "engine_cache.h"
 #include "placement.h"
+#include "upstream_rate.h"
 
 #include <uthash.h>
 
@@ -74,7 +76,9 @@
   int64_t last_received_at; /* last response data to this host; 0 if none */
   int64_t cold_until;
   int64_t cold_sent_at; /* last request sent; limits the rate while cold */
-  double rate_limit;    /* requests per second; negative: none */
+  marjoram_upstream_rate *rate; /* null until a limit is known */
+  bool report_rate;             /* in the next load report */
+  int64_t sharers_checked_at;
   int connect_failures;
   int broken_responses;
   double failure_share;
@@ -141,6 +145,7 @@
   STAILQ_HEAD (, marjoram_placed_item)
   placed; /* placed since the last report */
   uint64_t report_count;
+  int64_t rates_reported_at;
   int64_t collected_at[MARJORAM_LOAD_GROUPS]; /* 0 if no totals are held */
   struct marjoram_reporter *reporters;
   TAILQ_HEAD (, marjoram_reporter) reporters_by_age;
@@ -188,6 +193,24 @@
 /* Builds the report item for ENDPOINT; the item owns its string.  */
 struct marjoram_load_item
 marjoram_endpoint_report_item (struct marjoram_endpoint *endpoint);
+/* Adds what is known of ENDPOINT's rate limit to its report item.  */
+void marjoram_endpoint_add_rate (struct marjoram_endpoint *endpoint,
+                                 struct marjoram_load_item *item);
+/* Includes the known rate limits in the next load report, if they are due.  */
+void marjoram_placement_renew_rates (marjoram_placement *placement,
+                                     int64_t now);
+/* Applies what another host's report item tells of ENDPOINT's rate limit.  */
+void marjoram_endpoint_learn_rate (marjoram_placement *placement,
+                                   struct marjoram_endpoint *endpoint,
+                                   int64_t now,
+                                   const struct marjoram_load_item *item);
+bool
+marjoram_endpoint_is_rate_limited (const struct marjoram_endpoint *endpoint);
+/* Time in ms until this host may send ENDPOINT a request within its rate
+   limit; 0 if it may now.  */
+int64_t marjoram_endpoint_rate_wait_ms (marjoram_placement *placement,
+                                        struct marjoram_endpoint *endpoint,
+                                        int64_t now);
 void
 marjoram_endpoint_apply_placed (struct marjoram_endpoint *endpoint,
                                 const struct marjoram_placed_part *placed);
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -34,7 +34,7 @@
 struct marjoram_load_item
 marjoram_endpoint_report_item (struct marjoram_endpoint *endpoint)
 {
-  const struct marjoram_load_item item = {
+  struct marjoram_load_item item = {
     .upstream = marjoram_strdup (endpoint->id),
     .running = (uint64_t)endpoint->own.running,
     .prefill_tokens = (uint64_t)endpoint->own.prefill_tokens,
@@ -45,6 +45,8 @@
   };
 
   endpoint->report_disconnect = false;
+  if (endpoint->report_rate)
+    marjoram_endpoint_add_rate (endpoint, &item);
   return item;
 }
 
@@ -87,10 +89,10 @@
 }
 
 void
-marjoram_placement_report (marjoram_placement *placement,
+marjoram_placement_report (marjoram_placement *placement, int64_t now,
                            struct marjoram_load_report *report)
 {
-  size_t endpoints = marjoram_placement_active_count (placement);
+  size_t endpoints;
   size_t parts = count_placed (placement);
   struct marjoram_placed_part *out = marjoram_alloc (parts * sizeof *out);
   struct marjoram_endpoint *endpoint;
@@ -98,6 +100,8 @@
   const struct marjoram_placed_item *placed;
 
   memset (report, 0, sizeof *report);
+  marjoram_placement_renew_rates (placement, now);
+  endpoints = marjoram_placement_active_count (placement);
   report->items.items
       = marjoram_alloc (endpoints * sizeof (struct marjoram_load_item));
   report->placed.items = out;
@@ -106,7 +110,8 @@
        endpoint && report->items.count < MARJORAM_LOADS_MAX; endpoint = next)
     {
       next = TAILQ_NEXT (endpoint, active_link);
-      if (endpoint->own.running > 0 || endpoint->report_disconnect)
+      if (endpoint->own.running > 0 || endpoint->report_disconnect
+          || endpoint->report_rate)
         add_item (placement, report, endpoint);
     }
   STAILQ_FOREACH (placed, &placement->placed, link)
@@ -193,7 +198,8 @@
 }
 
 static void
-add_reported_load (struct marjoram_reporter *reporter,
+add_reported_load (marjoram_placement *placement,
+                   struct marjoram_reporter *reporter,
                    struct marjoram_endpoint *endpoint, int64_t now,
                    const struct marjoram_load_item *item)
 {
@@ -205,6 +211,7 @@
   endpoint->reporter_count++;
   if (item->lost)
     endpoint->disconnected_at = now;
+  marjoram_endpoint_learn_rate (placement, endpoint, now, item);
 }
 
 void
@@ -238,7 +245,7 @@
       load_index[i] = reporter->count;
       if (items[i].upstream)
         add_reported_load (
-            reporter,
+            placement, reporter,
             marjoram_endpoint_find_or_add (placement, items[i].upstream), now,
             &items[i]);
     }
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -629,7 +629,7 @@
   struct marjoram_load_report report;
 
   marjoram_placement_report (marjoram_gateway_placement (node->gateway),
-                             &report);
+                             fleet->now, &report);
   for (int i = 0; i < FLEET_HOSTS; i++)
     if (i != node->index && fleet->nodes[i].region == node->region)
       marjoram_placement_apply_report (
--- a/test/lib_load.c
+++ b/test/lib_load.c
@@ -480,7 +480,7 @@
       char name[16];
 
       snprintf (name, sizeof name, "h%d", from);
-      marjoram_placement_report (load->placements[from], &report);
+      marjoram_placement_report (load->placements[from], now, &report);
       for (int to = 0; to < load->terms->hosts; to++)
         if (to != from)
           marjoram_placement_apply_report (load->placements[to], now, name,
--- a/test/test_load_collector.c
+++ b/test/test_load_collector.c
@@ -52,6 +52,55 @@
   return running;
 }
 
+static void
+report_rate (int64_t now, const char *host, const char *upstream,
+             uint64_t number, int64_t rate_limit)
+{
+  struct marjoram_load_item item = { .upstream = (char *)upstream,
+                                     .rate_number = number,
+                                     .rate_limit = rate_limit };
+  const struct marjoram_load_report report
+      = { { &item, 1 }, { NULL, 0 }, false };
+
+  marjoram_load_collector_apply_report (collector, now, host, &report);
+}
+
+/* Number of what is told at NOW of the rate limit of the only upstream; 0 if
+   nothing is told.  Its limit is stored in RATE_LIMIT.  */
+static uint64_t
+told_rate (int64_t now, int64_t *rate_limit)
+{
+  struct marjoram_load_report report;
+  const struct marjoram_load_item *items;
+  uint64_t number = 0;
+
+  marjoram_load_collector_take_report (collector, now, &report);
+  items = report.items.items;
+  if (report.items.count > 0)
+    {
+      number = items[0].rate_number;
+      *rate_limit = items[0].rate_limit;
+    }
+  marjoram_wire_clear (&marjoram_load_report_layout, &report);
+  return number;
+}
+
+/* Guards against hosts of a large region that are not told of rate limits.  */
+START_TEST (collector_tells_the_newest_rate_limit)
+{
+  int64_t limit = 0;
+
+  marjoram_load_collector_set_hosts (collector, 328);
+  report_rate (1000, "a", "u", 2, 1500);
+  report_rate (1000, "b", "u", 3, -1);
+  report_rate (1000, "c", "u", 3, 700);
+  report_rate (1000, "d", "u", 2, 100);
+  ck_assert_uint_eq (told_rate (1100, &limit), 3);
+  ck_assert_int_eq (limit, 700);
+  ck_assert_uint_eq (told_rate (1200, &limit), 0);
+}
+END_TEST
+
 START_TEST (totals_follow_changes)
 {
   report_load (1000, "a", "u", 2, false);
@@ -344,6 +393,7 @@
   TCase *c = tcase_create ("load_collector");
 
   tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, collector_tells_the_newest_rate_limit);
   tcase_add_test (c, totals_follow_changes);
   tcase_add_test (c, whole_report_clears_omitted_load);
   tcase_add_test (c, load_of_silent_host_expires);
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -708,7 +708,7 @@
 
   receive_heartbeat (0, "1");
   choose_and_start (0, &query);
-  marjoram_placement_report (placement, &report);
+  marjoram_placement_report (placement, 5, &report);
   marjoram_placement_apply_report (other, 10, "h1", &report);
   marjoram_wire_clear (&marjoram_load_report_layout, &report);
   marjoram_placement_choose (other, 20, &query, &chosen);
--- a/test/test_rate_limit.c
+++ b/test/test_rate_limit.c
@@ -4,6 +4,7 @@
 
 #include "lib_fleet.h"
 #include "random.h"
+#include "upstream_rate.h"
 
 enum
 {
@@ -105,6 +106,71 @@
 }
 END_TEST
 
+/* Guards against a limit that a host keeps for good because it was not told of
+   the end.  */
+START_TEST (host_that_missed_the_end_of_a_limit_is_told)
+{
+  marjoram_upstream_rate *cut_off = marjoram_upstream_rate_create ();
+  marjoram_upstream_rate *other = marjoram_upstream_rate_create ();
+  struct marjoram_rate_fact fact;
+
+  ck_assert (marjoram_upstream_rate_state (other, 1000, 900, 2));
+  fact = marjoram_upstream_rate_fact (other);
+  ck_assert (!marjoram_upstream_rate_learn (cut_off, 1100, &fact));
+  ck_assert (marjoram_upstream_rate_is_limited (cut_off));
+  ck_assert (!marjoram_upstream_rate_state (other, 2000, 950, -1));
+  ck_assert (marjoram_upstream_rate_state (other, 2000, 1950, -1));
+  fact = marjoram_upstream_rate_fact (cut_off);
+  ck_assert (marjoram_upstream_rate_learn (other, 9000, &fact));
+  ck_assert (!marjoram_upstream_rate_is_limited (other));
+  fact = marjoram_upstream_rate_fact (other);
+  marjoram_upstream_rate_learn (cut_off, 9100, &fact);
+  ck_assert (!marjoram_upstream_rate_is_limited (cut_off));
+  marjoram_upstream_rate_destroy (cut_off);
+  marjoram_upstream_rate_destroy (other);
+}
+END_TEST
+
+static int
+count_sent (marjoram_upstream_rate *rate, int64_t from_ms, int64_t until_ms)
+{
+  int sent = 0;
+
+  for (int64_t now = from_ms; now < until_ms; now++)
+    while (marjoram_upstream_rate_wait_ms (rate, now) == 0)
+      {
+        marjoram_upstream_rate_take (rate, now);
+        sent++;
+      }
+  return sent;
+}
+
+/* Guards against parts that exceed a limit in sum in a region of many hosts,
+   or use little of it.  */
+START_TEST (parts_of_many_hosts_add_up)
+{
+  static const double rates[] = { 0.5, 1, 2.5, 40, 300 };
+  const double limit = rates[_i];
+  const size_t hosts = 100;
+  size_t sharers = hosts;
+  int sent = 0;
+
+  for (size_t host = 0; host < sharers; host++)
+    {
+      marjoram_upstream_rate *rate = marjoram_upstream_rate_create ();
+
+      marjoram_upstream_rate_state (rate, 0, 0, limit);
+      sharers = marjoram_upstream_rate_sharers (rate, hosts);
+      marjoram_upstream_rate_set_sharers (rate, 0, sharers, true);
+      count_sent (rate, 0, 6000);
+      sent += count_sent (rate, 6000, 10000);
+      marjoram_upstream_rate_destroy (rate);
+    }
+  ck_assert_int_le (sent, (int)(1.5 * limit * 4 + 5));
+  ck_assert_int_ge (sent, (int)(0.9 * limit * 4));
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -115,6 +181,8 @@
   tcase_add_test (tests, hosts_together_keep_stated_rate_limits);
   tcase_add_test (tests, limited_upstream_gets_what_it_accepts);
   tcase_add_loop_test (tests, changing_rate_limits_are_kept, 0, SEEDS);
+  tcase_add_test (tests, host_that_missed_the_end_of_a_limit_is_told);
+  tcase_add_loop_test (tests, parts_of_many_hosts_add_up, 0, 5);
   suite_add_tcase (all, tests);
   return all;
 }
