Log why upstreams are not usable: own failed connections, cold, reported by others

In second1, entry hosts whose own connections all worked refused requests with usable=0, beside hosts that had lost all upstreams; the lines did not tell whether an upstream was ruled out by this host's own connections, by another host's report of a lost one, or as cold. A request's line now has unreachable=, cold= and reported_lost= beside rate_limited=. What another host reported is kept apart from what this host saw. No decision changes; unit tests of the placement pass as before.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -212,7 +212,8 @@
       "id=%s outcome=%s reason=%s status=%d ms=%" PRId64 " first_ms=%" PRId64
       " objective_ms=%" PRId64 " estimate_ms=%" PRId64 " backlog_ms=%" PRId64
       " copied=%" PRId64
-      " candidates=%d usable=%d rate_limited=%d news_age_ms=%" PRId64
+      " candidates=%d usable=%d unreachable=%d cold=%d reported_lost=%d "
+      "rate_limited=%d news_age_ms=%" PRId64
       " limit=%s events=%d quiet_ms=%" PRId64 " pause_ms=%" PRId64
       " route=%s service=%s customer=%s config=%" PRIu64
       " upstream=%s host=%s arrivals=%d unreached=%d forwarded=%d",
@@ -221,10 +222,13 @@
       first_ms, exchange->objective_ms, exchange->estimated_wait_ms,
       exchange->place.backlog_ms, exchange->place.copied_tokens,
       exchange->place.candidates, exchange->place.usable,
-      exchange->place.rate_limited, exchange->place.heartbeat_age_ms,
-      limit_name (exchange, reason), exchange->events_sent,
-      since_last_event_ms (exchange, now), exchange->longest_gap_ms,
-      *exchange->route ? exchange->route : "-",
+      exchange->place.excluded[MARJORAM_EXCLUDED_UNREACHABLE],
+      exchange->place.excluded[MARJORAM_EXCLUDED_COLD],
+      exchange->place.excluded[MARJORAM_EXCLUDED_REPORTED_LOST],
+      exchange->place.excluded[MARJORAM_EXCLUDED_RATE],
+      exchange->place.heartbeat_age_ms, limit_name (exchange, reason),
+      exchange->events_sent, since_last_event_ms (exchange, now),
+      exchange->longest_gap_ms, *exchange->route ? exchange->route : "-",
       *exchange->service ? exchange->service : "-",
       *exchange->customer ? exchange->customer : "-", exchange->config,
       *exchange->upstream ? exchange->upstream : "-",
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -247,8 +247,9 @@
   if (none && chosen->candidates == 0 && may_wait (gateway, exchange, now))
     return;
   refuse (gateway, exchange, now,
-          none && chosen->rate_limited == 0 ? MARJORAM_REASON_NO_UPSTREAM
-                                            : MARJORAM_REASON_OVERLOAD,
+          none && chosen->excluded[MARJORAM_EXCLUDED_RATE] == 0
+              ? MARJORAM_REASON_NO_UPSTREAM
+              : MARJORAM_REASON_OVERLOAD,
           marjoram_shortages_retry_ms (gateway->shortages, now,
                                        exchange->service, chosen->retry_ms));
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -68,6 +68,21 @@
 };
 const char *marjoram_place_limit_name (enum marjoram_place_limit limit);
 
+/* Why an upstream is not usable.  */
+enum marjoram_place_exclusion
+{
+  MARJORAM_EXCLUDED_NOT,
+  MARJORAM_EXCLUDED_PAUSED,        /* at capacity a moment ago */
+  MARJORAM_EXCLUDED_UNREACHABLE,   /* connections from this host fail */
+  MARJORAM_EXCLUDED_REPLACED,      /* another upstream has its address */
+  MARJORAM_EXCLUDED_TRIED,         /* by this request */
+  MARJORAM_EXCLUDED_COLD,          /* and fed by another host */
+  MARJORAM_EXCLUDED_REPORTED_LOST, /* the same, for a connection that another
+                                      host lost */
+  MARJORAM_EXCLUDED_RATE,          /* no part of its rate limit is left */
+  MARJORAM_EXCLUDED_COUNT
+};
+
 struct marjoram_place
 {
   enum marjoram_place_outcome outcome;
@@ -87,10 +102,10 @@
   double tokens_per_ms;
   double engine_tokens_per_ms;
   /* Inputs of the decision, for logging.  */
-  int candidates;       /* upstreams of the service in this region */
-  int usable;           /* those that may be sent requests now */
-  int rate_limited;     /* those ruled out by their rate limit alone */
-  int64_t rate_wait_ms; /* until the first of them accepts a request */
+  int candidates; /* upstreams of the service in this region */
+  int usable;     /* those that may be sent requests now */
+  int excluded[MARJORAM_EXCLUDED_COUNT]; /* numbers of the others */
+  int64_t rate_wait_ms; /* until one excluded for its rate accepts a request */
   int64_t backlog_ms;   /* queued prompts at the chosen upstream */
   enum marjoram_place_limit limit; /* unless FOUND: the limit exceeded */
   int64_t heartbeat_age_ms;        /* age of the oldest heartbeat considered */
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -57,23 +57,45 @@
   MSEC_PER_SEC = 1000
 };
 
+/* Whether UPSTREAM has not been heard since LOST_AT, when a connection to it
+   broke; 0: none did.  */
+static bool
+is_unheard_since (const marjoram_placement *placement,
+                  const struct marjoram_registered *upstream, int64_t lost_at)
+{
+  return lost_at != 0
+         && marjoram_registry_heard_at (placement->options.registry, upstream)
+                <= lost_at + HEARTBEAT_DELAY_MS;
+}
+
 /* Broken connections may mean that the upstream restarted cold under the same
    id; the full request rate could crash it, so it counts as cold until a later
    heartbeat arrives.  */
+static enum marjoram_place_exclusion
+coldness (const marjoram_placement *placement,
+          const struct marjoram_endpoint *endpoint,
+          const struct marjoram_registered *upstream,
+          const struct marjoram_service_rule *service, int64_t now)
+{
+  if (service->cold_per_s <= 0)
+    return MARJORAM_EXCLUDED_NOT;
+  if ((upstream->cold_until > 0 && now < upstream->cold_until + COLD_MARGIN_MS)
+      || now < endpoint->cold_until
+      || is_unheard_since (placement, upstream, endpoint->disconnected_at))
+    return MARJORAM_EXCLUDED_COLD;
+  return is_unheard_since (placement, upstream, endpoint->reported_lost_at)
+             ? MARJORAM_EXCLUDED_REPORTED_LOST
+             : MARJORAM_EXCLUDED_NOT;
+}
+
 static bool
 is_cold (const marjoram_placement *placement,
          const struct marjoram_endpoint *endpoint,
          const struct marjoram_registered *upstream,
          const struct marjoram_service_rule *service, int64_t now)
 {
-  if (service->cold_per_s <= 0)
-    return false;
-  if ((upstream->cold_until > 0 && now < upstream->cold_until + COLD_MARGIN_MS)
-      || now < endpoint->cold_until)
-    return true;
-  return endpoint->disconnected_at != 0
-         && marjoram_registry_heard_at (placement->options.registry, upstream)
-                <= endpoint->disconnected_at + HEARTBEAT_DELAY_MS;
+  return coldness (placement, endpoint, upstream, service, now)
+         != MARJORAM_EXCLUDED_NOT;
 }
 
 /* A cold upstream accepts a limited total request rate, so only the host that
@@ -260,35 +282,51 @@
   return estimate;
 }
 
-static bool
-is_usable (marjoram_placement *placement, struct marjoram_endpoint *endpoint,
-           const struct marjoram_registered *upstream,
-           const struct marjoram_place_query *query, int64_t now)
+/* Whether and why ENDPOINT may not be sent a request now.  */
+static enum marjoram_place_exclusion
+find_exclusion (marjoram_placement *placement,
+                struct marjoram_endpoint *endpoint,
+                const struct marjoram_registered *upstream,
+                const struct marjoram_place_query *query, int64_t now)
 {
-  if (now < endpoint->paused_until
-      || (endpoint->address_conflict_at != 0
-          && marjoram_registry_heard_at (placement->options.registry, upstream)
-                 <= endpoint->address_conflict_at))
-    return false;
+  enum marjoram_place_exclusion cold;
+
+  if (now < endpoint->paused_until)
+    return endpoint->connect_failures > 0 ? MARJORAM_EXCLUDED_UNREACHABLE
+                                          : MARJORAM_EXCLUDED_PAUSED;
+  if (endpoint->address_conflict_at != 0
+      && marjoram_registry_heard_at (placement->options.registry, upstream)
+             <= endpoint->address_conflict_at)
+    return MARJORAM_EXCLUDED_REPLACED;
   if (was_tried (query, endpoint->id) && !query->allow_tried)
-    return false;
-  return !is_cold (placement, endpoint, upstream, query->service, now)
-         || may_send_to_cold (placement, endpoint, query->service, now);
+    return MARJORAM_EXCLUDED_TRIED;
+  cold = coldness (placement, endpoint, upstream, query->service, now);
+  if (cold != MARJORAM_EXCLUDED_NOT
+      && !may_send_to_cold (placement, endpoint, query->service, now))
+    return cold;
+  return marjoram_endpoint_rate_wait_ms (placement, endpoint, now) > 0
+             ? MARJORAM_EXCLUDED_RATE
+             : MARJORAM_EXCLUDED_NOT;
 }
 
-/* Whether ENDPOINT may be sent a request within its rate limit; if not, PLACE
-   notes it.  */
+/* Whether ENDPOINT may be sent a request now; if not, PLACE notes why.  */
 static bool
-is_within_rate (marjoram_placement *placement,
-                struct marjoram_endpoint *endpoint, int64_t now,
-                struct marjoram_place *place)
+is_usable (marjoram_placement *placement, struct marjoram_endpoint *endpoint,
+           const struct marjoram_registered *upstream,
+           const struct marjoram_place_query *query, int64_t now,
+           struct marjoram_place *place)
 {
-  const int64_t wait_ms
-      = marjoram_endpoint_rate_wait_ms (placement, endpoint, now);
+  const enum marjoram_place_exclusion why
+      = find_exclusion (placement, endpoint, upstream, query, now);
+  int64_t wait_ms;
 
-  if (wait_ms == 0)
+  if (why == MARJORAM_EXCLUDED_NOT)
     return true;
-  if (place->rate_limited++ == 0 || wait_ms < place->rate_wait_ms)
+  place->excluded[why]++;
+  if (why != MARJORAM_EXCLUDED_RATE)
+    return false;
+  wait_ms = marjoram_endpoint_rate_wait_ms (placement, endpoint, now);
+  if (place->rate_wait_ms == 0 || wait_ms < place->rate_wait_ms)
     place->rate_wait_ms = wait_ms;
   return false;
 }
@@ -458,8 +496,7 @@
     if (now - heard_at > place->heartbeat_age_ms)
       place->heartbeat_age_ms = now - heard_at;
     endpoint = marjoram_endpoint_of (placement, upstream);
-    if (!is_usable (placement, endpoint, upstream, query, now)
-        || !is_within_rate (placement, endpoint, now, place))
+    if (!is_usable (placement, endpoint, upstream, query, now, place))
       continue;
     place->usable++;
     marjoram_copy_sources_best (&sources, endpoint, upstream, query, &copy);
@@ -524,13 +561,13 @@
     {
       place->candidates = 0;
       place->usable = 0;
-      place->rate_limited = 0;
+      memset (place->excluded, 0, sizeof place->excluded);
       find_choices (placement, now, query, &all_upstreams, place, &cheapest,
                     &in_time);
     }
   if (!cheapest.upstream)
     {
-      if (place->rate_limited > 0)
+      if (place->excluded[MARJORAM_EXCLUDED_RATE] > 0)
         set_rate_limited (place);
       return;
     }
--- a/src/placement_collect.c
+++ b/src/placement_collect.c
@@ -250,7 +250,7 @@
         continue;
       set_collected (placement, endpoint, &items[i]);
       if (items[i].lost)
-        endpoint->disconnected_at = now;
+        endpoint->reported_lost_at = now;
       marjoram_endpoint_learn_rate (placement, endpoint, now, &items[i]);
     }
   for (size_t i = 0; i < report->placed.count; i++)
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -70,8 +70,9 @@
   int64_t
       instance_started_at; /* start time of the instance that CACHE models */
   int64_t paused_until;
-  int64_t suspected_until; /* used only if there is no alternative */
-  int64_t disconnected_at; /* 0 if its connections never broke */
+  int64_t suspected_until;  /* used only if there is no alternative */
+  int64_t disconnected_at;  /* 0 if its connections never broke */
+  int64_t reported_lost_at; /* the same at another host, by its report */
   int64_t address_conflict_at;
   int64_t last_received_at; /* last response data to this host; 0 if none */
   int64_t cold_until;
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -210,7 +210,7 @@
   marjoram_load_add (&endpoint->others, &entry->load, 1);
   endpoint->reporter_count++;
   if (item->lost)
-    endpoint->disconnected_at = now;
+    endpoint->reported_lost_at = now;
   marjoram_endpoint_learn_rate (placement, endpoint, now, item);
 }
 
