Failing tests: hosts without connections to upstreams refuse callers

Two of three hosts of each of three regions lose their connections to all upstreams for 14 s, reset or silent; callers and other hosts reach them. Bound, the users': from 5 s after the cut at most 10 first attempts and one in 50 fail there; hosts that keep their connections are held to the same.

--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -24,8 +24,10 @@
   TICK_MS = 25,
   HEARTBEAT_MS = 300,
   LOAD_REPORT_MS = 100,
-  FLEET_UPSTREAMS = FLEET_REGIONS * FLEET_UPSTREAMS_PER_REGION,
   CALLER_TIMEOUT_MS = 4000,
+  HOST_LINK_MS = 1, /* within a region */
+  CONNECT_TIMEOUT_MS = 600,
+  KEPT_CONNECTIONS = 2, /* of a host to an upstream */
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503,
   FORWARDED_CALL = 1 << 30
@@ -39,11 +41,17 @@
   " \"target_latency_ms\":1000,\"max_attempts\":2}],"
   "\"services\":["
   "{\"name\":\"lm\",\"health_path\":\"/h\","
+  " \"cold_start_s\":3.0,\"cold_per_s\":2.5,"
   " \"engine\":{\"slots\":64,\"kv_capacity\":250000}}],"
   "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
   " \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 /* clang-format on */
 
+enum
+{
+  FLEET_UPSTREAMS = FLEET_REGIONS * FLEET_UPSTREAMS_PER_REGION
+};
+
 struct node
 {
   struct fleet *fleet;
@@ -57,6 +65,10 @@
   marjoram_host_list *hosts;
   marjoram_metrics *metrics;
   uint64_t calls;
+  enum fleet_cut cut;
+  int kept[FLEET_UPSTREAMS]; /* connections open since before the cut */
+  int *served;               /* by ms */
+  int *refused;
 };
 
 /* A request on its way to a node, or the answer to one of its attempts.  */
@@ -64,6 +76,7 @@
 {
   EVENT_ARRIVAL,
   EVENT_ANSWER,
+  EVENT_UNSENT,
   EVENT_FORWARD,
   EVENT_FORWARD_REFUSED
 };
@@ -91,6 +104,7 @@
 /* A forwarded request that a node is processing.  */
 struct inbound
 {
+  int node;
   int from;
   uint64_t from_start;
   uint64_t attempt;
@@ -113,8 +127,6 @@
   struct inbound *inbound; /* by call */
   uint8_t *arrived;        /* by id */
   struct repeat_bound *bound;
-  int *served; /* by ms */
-  int *refused;
   double rate_limits[FLEET_UPSTREAMS]; /* negative: none */
   struct rate_bound *rate_bounds[FLEET_UPSTREAMS];
 };
@@ -145,13 +157,13 @@
 op_head (void *context, uint64_t call, int status,
          const struct marjoram_header_list *headers, int64_t length)
 {
-  const struct node *node = context;
+  struct node *node = context;
   struct inbound *inbound = find_inbound (node->fleet, call);
 
   (void)headers;
   (void)length;
   if (!inbound)
-    node->fleet->served[node->fleet->now] += status == STATUS_OK;
+    node->served[node->fleet->now] += status == STATUS_OK;
 }
 
 static void
@@ -163,6 +175,12 @@
   (void)size;
 }
 
+static int64_t
+link_ms (const struct node *a, const struct node *b)
+{
+  return a->region == b->region ? HOST_LINK_MS : REGION_LINK_MS;
+}
+
 static void
 answer_forward (struct fleet *fleet, const struct inbound *inbound,
                 enum event_kind kind,
@@ -178,7 +196,10 @@
 
   if (why)
     event.why = *why;
-  schedule (fleet, REGION_LINK_MS, &event);
+  schedule (
+      fleet,
+      link_ms (&fleet->nodes[inbound->node], &fleet->nodes[inbound->from]),
+      &event);
 }
 
 static void
@@ -202,13 +223,13 @@
 op_failure (void *context, uint64_t call,
             const struct marjoram_request_failure *why)
 {
-  const struct node *node = context;
+  struct node *node = context;
   const struct inbound *inbound = find_inbound (node->fleet, call);
 
   if (inbound)
     answer_forward (node->fleet, inbound, EVENT_FORWARD_REFUSED, why);
   else
-    node->fleet->refused[node->fleet->now]++;
+    node->refused[node->fleet->now]++;
 }
 
 static int
@@ -226,10 +247,29 @@
   return region * FLEET_UPSTREAMS_PER_REGION + upstream - 1;
 }
 
+/* A send of a host that is cut off: the first ones go out on connections that
+   are still open.  */
+static void
+send_in_cut (struct node *node, const struct event *event)
+{
+  struct event unsent = *event;
+
+  if (node->cut == FLEET_CUT_SILENT && node->kept[event->upstream] > 0)
+    {
+      node->kept[event->upstream]--;
+      return;
+    }
+  unsent.kind = EVENT_UNSENT;
+  schedule (node->fleet,
+            node->cut == FLEET_CUT_RESET ? UPSTREAM_LINK_MS
+                                         : CONNECT_TIMEOUT_MS,
+            &unsent);
+}
+
 static void
 op_send (void *context, const struct marjoram_http_send *send)
 {
-  const struct node *node = context;
+  struct node *node = context;
   const int upstream = atoi (strchr (send->address, ':') + 1);
   const struct event event
       = { .kind = EVENT_ARRIVAL,
@@ -242,7 +282,10 @@
           .refuses = node->region < FLEET_REGIONS - 1
                      || upstream < FLEET_UPSTREAMS_PER_REGION };
 
-  schedule (node->fleet, UPSTREAM_LINK_MS, &event);
+  if (node->cut == FLEET_CUT_NONE)
+    schedule (node->fleet, UPSTREAM_LINK_MS, &event);
+  else
+    send_in_cut (node, &event);
 }
 
 static void
@@ -275,7 +318,8 @@
 
   event.node = atoi (host + 1);
   event.start = node->fleet->nodes[event.node].start;
-  schedule (node->fleet, REGION_LINK_MS, &event);
+  schedule (node->fleet, link_ms (node, &node->fleet->nodes[event.node]),
+            &event);
   return true;
 }
 
@@ -495,6 +539,36 @@
   marjoram_header_list_clear (&headers);
 }
 
+static void
+report_loss (struct node *node, int upstream)
+{
+  char address[32];
+
+  snprintf (address, sizeof address, "10.%d.0.1:%d", node->region,
+            upstream % FLEET_UPSTREAMS_PER_REGION + 1);
+  marjoram_placement_connection_lost (
+      marjoram_gateway_placement (node->gateway), node->fleet->now, address);
+}
+
+static void
+process_unsent (struct node *node, const struct event *event)
+{
+  report_loss (node, event->upstream);
+  marjoram_gateway_end (node->gateway, node->fleet->now, event->attempt,
+                        MARJORAM_HTTP_UNSENT);
+}
+
+/* The answer to a request that was sent before the cut.  */
+static void
+process_lost_answer (struct node *node, const struct event *event)
+{
+  if (node->cut == FLEET_CUT_SILENT)
+    return;
+  report_loss (node, event->upstream);
+  marjoram_gateway_end (node->gateway, node->fleet->now, event->attempt,
+                        MARJORAM_HTTP_BROKEN);
+}
+
 static void
 process_forward (struct node *node, const struct event *event)
 {
@@ -503,8 +577,8 @@
   if (call >= REQUESTS_MAX)
     abort ();
   node->fleet->inbound[call]
-      = (struct inbound){ event->from, event->from_start, event->attempt,
-                          event->id };
+      = (struct inbound){ node->index, event->from, event->from_start,
+                          event->attempt, event->id };
   marjoram_gateway_receive (node->gateway, node->fleet->now,
                             call | FORWARDED_CALL, make_request (event->id),
                             &event->limits);
@@ -519,8 +593,13 @@
     process_arrival (fleet, event);
   else if (event->start != node->start)
     return;
+  else if (event->kind == EVENT_ANSWER && !event->forwarded
+           && node->cut != FLEET_CUT_NONE)
+    process_lost_answer (node, event);
   else if (event->kind == EVENT_ANSWER)
     process_answer (node, event);
+  else if (event->kind == EVENT_UNSENT)
+    process_unsent (node, event);
   else if (event->kind == EVENT_FORWARD)
     process_forward (node, event);
   else
@@ -551,8 +630,6 @@
   fleet->inbound = marjoram_alloc (REQUESTS_MAX * sizeof *fleet->inbound);
   fleet->arrived = marjoram_alloc (REQUESTS_MAX);
   fleet->bound = repeat_bound_create (limits, RUN_MAX_MS);
-  fleet->served = marjoram_alloc (RUN_MAX_MS * sizeof (int));
-  fleet->refused = marjoram_alloc (RUN_MAX_MS * sizeof (int));
   for (int i = 0; i < FLEET_UPSTREAMS; i++)
     {
       fleet->rate_limits[i] = -1;
@@ -563,6 +640,8 @@
       struct node *node = &fleet->nodes[i];
 
       node->fleet = fleet;
+      node->served = marjoram_alloc (RUN_MAX_MS * sizeof (int));
+      node->refused = marjoram_alloc (RUN_MAX_MS * sizeof (int));
       node->index = i;
       node->region = i / FLEET_HOSTS_PER_REGION;
       snprintf (node->name, sizeof node->name, "h%d", i);
@@ -577,7 +656,11 @@
 fleet_destroy (struct fleet *fleet)
 {
   for (int i = 0; i < FLEET_HOSTS; i++)
-    stop_node (&fleet->nodes[i]);
+    {
+      stop_node (&fleet->nodes[i]);
+      free (fleet->nodes[i].served);
+      free (fleet->nodes[i].refused);
+    }
   for (int i = 0; i < RUN_MAX_MS; i++)
     while (!STAILQ_EMPTY (&fleet->events[i]))
       {
@@ -594,8 +677,6 @@
   free (fleet->events);
   free (fleet->inbound);
   free (fleet->arrived);
-  free (fleet->served);
-  free (fleet->refused);
   free (fleet);
 }
 
@@ -733,16 +814,44 @@
   return most;
 }
 
+void
+fleet_cut_host (struct fleet *fleet, int host, enum fleet_cut cut)
+{
+  struct node *node = &fleet->nodes[host];
+
+  node->cut = cut;
+  for (int i = 0; i < FLEET_UPSTREAMS; i++)
+    node->kept[i] = KEPT_CONNECTIONS;
+}
+
+struct fleet_counts
+fleet_count_host (const struct fleet *fleet, int host, int64_t from_ms,
+                  int64_t until_ms)
+{
+  const struct node *node = &fleet->nodes[host];
+  struct fleet_counts counts = { 0 };
+
+  for (int64_t at = from_ms; at < until_ms; at++)
+    {
+      counts.served += node->served[at];
+      counts.refused += node->refused[at];
+    }
+  return counts;
+}
+
 struct fleet_counts
 fleet_count (const struct fleet *fleet, int64_t from_ms, int64_t until_ms)
 {
   struct fleet_counts counts
       = { 0, 0, repeat_bound_count (fleet->bound, from_ms, until_ms) };
 
-  for (int64_t at = from_ms; at < until_ms; at++)
+  for (int i = 0; i < FLEET_HOSTS; i++)
     {
-      counts.served += fleet->served[at];
-      counts.refused += fleet->refused[at];
+      const struct fleet_counts host
+          = fleet_count_host (fleet, i, from_ms, until_ms);
+
+      counts.served += host.served;
+      counts.refused += host.refused;
     }
   return counts;
 }
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -20,6 +20,14 @@
 
 struct fleet;
 
+/* How connections of a host to upstreams fail.  */
+enum fleet_cut
+{
+  FLEET_CUT_NONE,
+  FLEET_CUT_RESET, /* open ones are reset, new ones refused */
+  FLEET_CUT_SILENT /* open ones fall silent, new ones time out */
+};
+
 struct fleet_counts
 {
   int served;
@@ -40,6 +48,12 @@
    second; negative: no limit.  */
 void fleet_set_rate_limit (struct fleet *fleet, int region, int upstream,
                            double rate_limit);
+/* HOST loses its connections to all upstreams, or gets them back.  Links
+   between hosts work.  */
+void fleet_cut_host (struct fleet *fleet, int host, enum fleet_cut cut);
+/* First attempts of callers at HOST.  */
+struct fleet_counts fleet_count_host (const struct fleet *fleet, int host,
+                                      int64_t from_ms, int64_t until_ms);
 /* All hosts lose their memory.  */
 void fleet_restart_hosts (struct fleet *fleet);
 /* HOST loses its memory.  */
