A host's lost connection does not rule an upstream out at hosts that hear it

Cause: a host tells the others of each connection that it lost, failed attempts to connect included, and they take the upstream for restarted and cold until its next heartbeat; a host that is cut off tries again and again, so that this never ends. One observer's failure was told as the subject's state.

Now only connections that were open and broke are reported, and a report counts no more once this host has received data from the upstream since. What a report was for, an upstream that restarts cold under its id, breaks the receivers' own connections too.

--- a/src/engine_survey.c
+++ b/src/engine_survey.c
@@ -127,10 +127,11 @@
 }
 
 static void
-on_lost (void *context, const char *address)
+on_lost (void *context, const char *address, bool was_open)
 {
   (void)context;
   (void)address;
+  (void)was_open;
 }
 
 static void
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -122,17 +122,17 @@
 }
 
 static void
-client_lost (void *context, const char *address)
+client_lost (void *context, const char *address, bool was_open)
 {
   struct marjoram_entry *self = context;
 
   marjoram_metrics_add (self->parts->metrics, MARJORAM_METRIC_UPSTREAMS_LOST,
                         1);
-  marjoram_event (MARJORAM_EVENT_UPSTREAM, "address=%s state=connection-lost",
-                  address);
+  marjoram_event (MARJORAM_EVENT_UPSTREAM, "address=%s state=%s", address,
+                  was_open ? "connection-lost" : "connect-failed");
   marjoram_placement_connection_lost (
       marjoram_gateway_placement (self->gateway), marjoram_entry_now (self),
-      address);
+      address, was_open);
 }
 
 static void
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -103,9 +103,10 @@
   marjoram_http_client *client = connection->client;
   char *address = marjoram_strdup (connection->pool->address);
   uint64_t attempt = connection->attempt;
+  const bool was_open = connection->connect_deadline == 0;
 
   destroy (connection);
-  client->ops->lost (client->context, address);
+  client->ops->lost (client->context, address, was_open);
   if (attempt)
     client->ops->end (client->context, attempt, outcome);
   free (address);
--- a/src/placement.c
+++ b/src/placement.c
@@ -481,7 +481,7 @@
 
 void
 marjoram_placement_connection_lost (marjoram_placement *placement, int64_t now,
-                                    const char *address)
+                                    const char *address, bool was_open)
 {
   struct marjoram_registered_list *upstreams
       = marjoram_registry_of_address (placement->options.registry, address);
@@ -496,6 +496,8 @@
           = marjoram_endpoint_find_or_add (placement, upstream->heartbeat.id);
 
       endpoint->disconnected_at = now;
+      if (!was_open)
+        continue;
       endpoint->report_disconnect = true;
       marjoram_endpoint_set_active (placement, endpoint);
     }
@@ -529,6 +531,14 @@
   return true;
 }
 
+int64_t
+marjoram_endpoint_reported_lost_at (const struct marjoram_endpoint *endpoint)
+{
+  return endpoint->last_received_at > endpoint->reported_lost_at
+             ? 0
+             : endpoint->reported_lost_at;
+}
+
 /* Marks the zone's upstreams as disconnected, so that they count as cold only
    until their next heartbeat.  */
 void
--- a/src/placement.h
+++ b/src/placement.h
@@ -160,10 +160,13 @@
 void marjoram_placement_attempt_ended (marjoram_placement *placement,
                                        int64_t now, uint64_t attempt,
                                        enum marjoram_attempt_end outcome);
-/* Connections to ADDRESS broke: the upstream may have restarted with a cold
-   cache.  */
+/* A connection to ADDRESS broke or, unless WAS_OPEN, could not be opened: the
+   upstream may have restarted with a cold cache.  Only broken ones are
+   reported to other hosts: that this host cannot open one says nothing about
+   theirs.  */
 void marjoram_placement_connection_lost (marjoram_placement *placement,
-                                         int64_t now, const char *address);
+                                         int64_t now, const char *address,
+                                         bool was_open);
 /* A response from UPSTREAM reports that it stays cold for COLD_MS.  */
 void marjoram_placement_set_cold (marjoram_placement *placement, int64_t now,
                                   const char *upstream, int64_t cold_ms);
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -83,7 +83,8 @@
       || now < endpoint->cold_until
       || is_unheard_since (placement, upstream, endpoint->disconnected_at))
     return MARJORAM_EXCLUDED_COLD;
-  return is_unheard_since (placement, upstream, endpoint->reported_lost_at)
+  return is_unheard_since (placement, upstream,
+                           marjoram_endpoint_reported_lost_at (endpoint))
              ? MARJORAM_EXCLUDED_REPORTED_LOST
              : MARJORAM_EXCLUDED_NOT;
 }
--- a/src/placement_copy.c
+++ b/src/placement_copy.c
@@ -47,11 +47,17 @@
                const struct marjoram_endpoint *endpoint,
                const struct marjoram_registered *upstream, int64_t now)
 {
+  const int64_t reported_lost_at
+      = marjoram_endpoint_reported_lost_at (endpoint);
+  const int64_t lost_at = endpoint->disconnected_at > reported_lost_at
+                              ? endpoint->disconnected_at
+                              : reported_lost_at;
+
   return now >= endpoint->paused_until && now >= endpoint->suspected_until
-         && (endpoint->disconnected_at == 0
+         && (lost_at == 0
              || marjoram_registry_heard_at (placement->options.registry,
                                             upstream)
-                    > endpoint->disconnected_at);
+                    > lost_at);
 }
 
 void
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -163,6 +163,11 @@
 struct marjoram_endpoint_load
 marjoram_endpoint_total_load (const struct marjoram_endpoint *endpoint,
                               int64_t now);
+/* When another host last lost a connection to ENDPOINT, by its report; 0 if
+   never.  Data that this host has received since shows that only the other
+   host's connection broke.  */
+int64_t
+marjoram_endpoint_reported_lost_at (const struct marjoram_endpoint *endpoint);
 /* Includes ENDPOINT in the next load report.  */
 void marjoram_endpoint_set_active (marjoram_placement *placement,
                                    struct marjoram_endpoint *endpoint);
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -540,20 +540,21 @@
 }
 
 static void
-report_loss (struct node *node, int upstream)
+report_loss (struct node *node, int upstream, bool was_open)
 {
   char address[32];
 
   snprintf (address, sizeof address, "10.%d.0.1:%d", node->region,
             upstream % FLEET_UPSTREAMS_PER_REGION + 1);
   marjoram_placement_connection_lost (
-      marjoram_gateway_placement (node->gateway), node->fleet->now, address);
+      marjoram_gateway_placement (node->gateway), node->fleet->now, address,
+      was_open);
 }
 
 static void
 process_unsent (struct node *node, const struct event *event)
 {
-  report_loss (node, event->upstream);
+  report_loss (node, event->upstream, false);
   marjoram_gateway_end (node->gateway, node->fleet->now, event->attempt,
                         MARJORAM_HTTP_UNSENT);
 }
@@ -564,7 +565,7 @@
 {
   if (node->cut == FLEET_CUT_SILENT)
     return;
-  report_loss (node, event->upstream);
+  report_loss (node, event->upstream, true);
   marjoram_gateway_end (node->gateway, node->fleet->now, event->attempt,
                         MARJORAM_HTTP_BROKEN);
 }
--- a/test/test_growth.c
+++ b/test/test_growth.c
@@ -379,7 +379,8 @@
   char address[MARJORAM_ID_MAX];
 
   snprintf (address, sizeof address, "10.0.0.1:%d", number + 1);
-  marjoram_placement_connection_lost (fleet->placement, fleet->now, address);
+  marjoram_placement_connection_lost (fleet->placement, fleet->now, address,
+                                      true);
 }
 
 static void
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -640,11 +640,19 @@
   (void)address;
 }
 
+static void
+on_client_lost (void *context, const char *address, bool was_open)
+{
+  (void)context;
+  (void)address;
+  (void)was_open;
+}
+
 static const struct marjoram_http_client_ops client_ops
     = { .head = on_client_head,
         .data = on_client_data,
         .end = on_client_end,
-        .lost = on_client_address,
+        .lost = on_client_lost,
         .connected = on_client_address };
 
 static bool
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -378,7 +378,7 @@
   marjoram_placement_attempt_ended (placement, 200, 1,
                                     MARJORAM_ATTEMPT_SERVED);
   receive_heartbeat (300, "2");
-  marjoram_placement_connection_lost (placement, 400, "10.0.0.1:80");
+  marjoram_placement_connection_lost (placement, 400, "10.0.0.1:80", true);
   query.tried[query.tried_count++] = "1";
   chosen = choose_and_start (410, &query);
   ck_assert_str_eq (chosen.upstream->heartbeat.id, "2");
@@ -496,7 +496,7 @@
   int sent = 0;
 
   receive_heartbeat (0, "1");
-  marjoram_placement_connection_lost (placement, 100, "10.0.0.1:80");
+  marjoram_placement_connection_lost (placement, 100, "10.0.0.1:80", true);
   for (int64_t now = 110; now < 1110; now += 20)
     {
       struct marjoram_call_metadata metadata
@@ -525,6 +525,38 @@
 }
 END_TEST
 
+/* Guards against hosts that take an upstream for restarted because another
+   host lost its way to it.  */
+START_TEST (reported_loss_does_not_outweigh_own_data)
+{
+  marjoram_placement *other = create ("h2");
+  const struct marjoram_call_metadata metadata = prompt (7, 10, 8, 10);
+  const struct marjoram_place_query query = make_query (&metadata, 1);
+  struct marjoram_load_report report;
+  struct marjoram_place chosen;
+
+  receive_host_heartbeat (0, "h2");
+  receive_heartbeat (0, "1");
+  ck_assert_int_eq (choose_and_start (10, &query).outcome,
+                    MARJORAM_PLACE_FOUND);
+  marjoram_placement_connection_lost (other, 400, "10.0.0.1:80", false);
+  marjoram_placement_report (other, 410, &report);
+  ck_assert_uint_eq (report.items.count, 0);
+  marjoram_wire_clear (&marjoram_load_report_layout, &report);
+  marjoram_placement_connection_lost (other, 420, "10.0.0.1:80", true);
+  marjoram_placement_report (other, 430, &report);
+  marjoram_placement_apply_report (placement, 440, "h2", &report);
+  marjoram_wire_clear (&marjoram_load_report_layout, &report);
+  choose_and_start (450, &query);
+  marjoram_placement_choose (placement, 460, &query, &chosen);
+  ck_assert_int_eq (chosen.excluded[MARJORAM_EXCLUDED_REPORTED_LOST], 1);
+  marjoram_placement_data_received (placement, 470, 1);
+  marjoram_placement_choose (placement, 480, &query, &chosen);
+  ck_assert_int_eq (chosen.outcome, MARJORAM_PLACE_FOUND);
+  marjoram_placement_destroy (other);
+}
+END_TEST
+
 /* Guards against sending at full rate to a restored zone that may be cold, and
    against throttling it after its next heartbeat.  */
 START_TEST (restored_zone_is_cold_until_heartbeat)
@@ -759,6 +791,7 @@
   tcase_add_test (c, urgent_requests_bypass_the_queue);
   tcase_add_test (c, cold_upstream_gets_requests_from_one_host);
   tcase_add_test (c, disconnected_upstream_is_cold_until_heartbeat);
+  tcase_add_test (c, reported_loss_does_not_outweigh_own_data);
   tcase_add_test (c, restored_zone_is_cold_until_heartbeat);
   tcase_add_test (c, slow_engine_is_avoided);
   tcase_add_test (c, only_the_local_region_is_used);
