--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -30,15 +30,22 @@
   KEPT_CONNECTIONS = 2, /* of a host to an upstream */
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503,
-  FORWARDED_CALL = 1 << 30
+  FORWARDED_CALL = 1 << 30,
+  TARGET_MAX = 16 /* bytes of a request's target, including the NUL */
 };
 
 /* clang-format off */
+#define HOME_ROUTE(region)                                                    \
+  "{\"name\":\"home" region "\",\"host\":\"a.example\","                      \
+  " \"path_prefix\":\"/home" region "/\",\"kind\":\"idempotent\","             \
+  " \"service\":\"lm\",\"timeout_ms\":4000,\"target_latency_ms\":1000,"        \
+  " \"max_attempts\":2,\"home_regions\":[\"r" region "\"]}"
 static const char config[] =
   "{\"version\":1,\"routes\":["
   "{\"name\":\"ask\",\"host\":\"a.example\",\"path_prefix\":\"/ask/\","
   " \"kind\":\"idempotent\",\"service\":\"lm\",\"timeout_ms\":4000,"
-  " \"target_latency_ms\":1000,\"max_attempts\":2}],"
+  " \"target_latency_ms\":1000,\"max_attempts\":2},"
+  HOME_ROUTE ("0") "," HOME_ROUTE ("1") "," HOME_ROUTE ("2") "],"
   "\"services\":["
   "{\"name\":\"lm\",\"health_path\":\"/h\","
   " \"cold_start_s\":3.0,\"cold_per_s\":2.5,"
@@ -92,6 +99,7 @@
   uint64_t from_start;
   int id;
   int status;
+  char target[TARGET_MAX]; /* EVENT_FORWARD */
   int upstream;
   bool forwarded; /* EVENT_ANSWER: from the host that it was forwarded to */
   bool refuses;   /* the upstream may refuse */
@@ -118,6 +126,7 @@
   double rates[FLEET_REGIONS];
   double due[FLEET_REGIONS]; /* fractions of requests */
   double refusals;
+  double home_share;
   int64_t now;
   marjoram_random *random;
   struct marjoram_route_table *table;
@@ -316,6 +325,7 @@
           .id = read_id (forward->id, strlen (forward->id)),
           .limits = { forward->budget_ms, forward->time_left_ms } };
 
+  snprintf (event.target, sizeof event.target, "%s", forward->path);
   event.node = atoi (host + 1);
   event.start = node->fleet->nodes[event.node].start;
   schedule (node->fleet, link_ms (node, &node->fleet->nodes[event.node]),
@@ -451,13 +461,13 @@
 }
 
 static struct marjoram_http_request *
-make_request (int id)
+make_request (const char *target, int id)
 {
   struct marjoram_http_request *request = marjoram_alloc (sizeof *request);
   char text[32];
 
   request->method = marjoram_strdup ("POST");
-  request->target = marjoram_strdup ("/ask/x");
+  request->target = marjoram_strdup (target);
   marjoram_header_list_add (&request->headers, "Host", "a.example");
   snprintf (text, sizeof text, "id-%d", id);
   marjoram_header_list_add (&request->headers, "Marjoramproxy-Attempt-Id",
@@ -474,12 +484,15 @@
   int host
       = (int)marjoram_random_below (fleet->random, FLEET_HOSTS_PER_REGION);
   struct node *node = &fleet->nodes[region * FLEET_HOSTS_PER_REGION + host];
+  char target[TARGET_MAX] = "/ask/x";
 
   if (fleet->next_id + 1 >= REQUESTS_MAX)
     abort ();
+  if (marjoram_random_unit (fleet->random) < fleet->home_share)
+    snprintf (target, sizeof target, "/home%d/x", region);
   repeat_bound_add_request (fleet->bound, fleet->now);
   marjoram_gateway_receive (node->gateway, fleet->now, ++fleet->next_call,
-                            make_request (++fleet->next_id), NULL);
+                            make_request (target, ++fleet->next_id), NULL);
 }
 
 /* ---- Events. ---- */
@@ -580,9 +593,9 @@
   node->fleet->inbound[call]
       = (struct inbound){ node->index, event->from, event->from_start,
                           event->attempt, event->id };
-  marjoram_gateway_receive (node->gateway, node->fleet->now,
-                            call | FORWARDED_CALL, make_request (event->id),
-                            &event->limits);
+  marjoram_gateway_receive (
+      node->gateway, node->fleet->now, call | FORWARDED_CALL,
+      make_request (event->target, event->id), &event->limits);
 }
 
 static void
@@ -687,6 +700,12 @@
   fleet->rates[region] = per_s;
 }
 
+void
+fleet_set_home_share (struct fleet *fleet, double share)
+{
+  fleet->home_share = share;
+}
+
 void
 fleet_set_refusals (struct fleet *fleet, double share)
 {
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -40,6 +40,9 @@
 void fleet_destroy (struct fleet *fleet);
 /* Callers send PER_S requests per second to the hosts of REGION.  */
 void fleet_set_rate (struct fleet *fleet, int region, double per_s);
+/* This share of requests, instead of none, is for routes whose only home is
+   the caller's region.  */
+void fleet_set_home_share (struct fleet *fleet, double share);
 /* Upstreams refuse this share of their arrivals, without running them; one
    upstream of the last region never does.  */
 void fleet_set_refusals (struct fleet *fleet, double share);
--- a/test/test_upstream_cut.c
+++ b/test/test_upstream_cut.c
@@ -31,6 +31,7 @@
 
   for (int i = 0; i < FLEET_REGIONS; i++)
     fleet_set_rate (fleet, i, 60);
+  fleet_set_home_share (fleet, 0.5);
   fleet_run_until (fleet, CALM_MS);
   for (int i = 0; i < FLEET_HOSTS; i++)
     if (is_cut (i))
