A host without connections to upstreams relays requests to a host of its region

Callers of hosts that had lost their connections to all upstreams were refused: 171 of 349 first attempts served, 319 of 353 at the others.

All requests that found an upstream's pause over tried it together, at 600 ms each, and a host went on to offer upstreams that it could not reach. Ruled out as the only cause: reports of lost connections; with these fixed the test still failed for routes with a home.

Now, where a host's own connections fail, it forwards to a host of its region that offers the service; upstreams whose last connect failed are not offered, and one request at a time tries them.

--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -372,6 +372,7 @@
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  MARJORAM_ATTEMPT_BROKEN);
   exchange->forwarded_out = false;
+  exchange->relayed = false;
   marjoram_exchange_retry (gateway, exchange, now,
                            MARJORAM_REASON_UPSTREAM_FAILED, false);
 }
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -14,8 +14,8 @@
 };
 
 static bool
-forward_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-            int64_t now, const char *host)
+send_to_host (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+              int64_t now, const char *host)
 {
   struct marjoram_http_request *request = exchange->request;
   const struct marjoram_run_metadata metadata
@@ -55,7 +55,6 @@
     {
       snprintf (exchange->host, sizeof exchange->host, "%s", host);
       exchange->upstream[0] = '\0';
-      exchange->forwarded_out = true;
       exchange->attempts_sent++;
       exchange->attempts_maybe_run++;
       marjoram_metrics_add (gateway->options.metrics,
@@ -69,6 +68,16 @@
   return false;
 }
 
+static bool
+forward_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now, const char *host)
+{
+  if (!send_to_host (gateway, exchange, now, host))
+    return false;
+  exchange->forwarded_out = true;
+  return true;
+}
+
 /* HOST's offer for the exchange's service; null if the exchange cannot be
    forwarded to HOST.  */
 static const struct marjoram_host_offer *
@@ -95,6 +104,67 @@
   return marjoram_listed_host_weight (host, exchange->metadata.id);
 }
 
+/* ---- Within this region.  ---- */
+
+static bool
+may_relay_to (marjoram_gateway *gateway,
+              const struct marjoram_exchange *exchange,
+              const struct marjoram_listed_host *host, int64_t now)
+{
+  return strcmp (host->heartbeat.region, gateway->region) == 0
+         && strcmp (host->heartbeat.name, gateway->host) != 0
+         && marjoram_host_list_serves (host, now)
+         && marjoram_listed_host_offer (host, exchange->service)
+         && gateway->ops->reaches (gateway->context, host->heartbeat.name);
+}
+
+/* Requests are spread over the hosts that offer the service.  */
+static const struct marjoram_listed_host *
+choose_relay (marjoram_gateway *gateway,
+              const struct marjoram_exchange *exchange, int64_t now)
+{
+  const struct marjoram_host_slice *offering
+      = marjoram_host_list_offering (gateway->options.place.hosts, now);
+  const struct marjoram_listed_host *best = NULL;
+
+  for (size_t i = 0; i < offering->count; i++)
+    {
+      const struct marjoram_listed_host *host = offering->hosts[i];
+
+      if (may_relay_to (gateway, exchange, host, now)
+          && (!best
+              || host_weight (exchange, host) > host_weight (exchange, best)))
+        best = host;
+    }
+  return best;
+}
+
+bool
+marjoram_exchange_may_relay (marjoram_gateway *gateway,
+                             const struct marjoram_exchange *exchange,
+                             int64_t now)
+{
+  return !exchange->forwarded && !exchange->relayed
+         && choose_relay (gateway, exchange, now);
+}
+
+bool
+marjoram_exchange_relay (marjoram_gateway *gateway,
+                         struct marjoram_exchange *exchange, int64_t now)
+{
+  const struct marjoram_listed_host *host;
+
+  if (exchange->forwarded || exchange->relayed)
+    return false;
+  host = choose_relay (gateway, exchange, now);
+  if (!host || !send_to_host (gateway, exchange, now, host->heartbeat.name))
+    return false;
+  exchange->relayed = true;
+  return true;
+}
+
+/* ---- To other regions.  ---- */
+
 /* Orders regions by the wait at their least loaded upstream or by the mean
    backlog of their upstreams.  */
 enum region_order
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -86,8 +86,9 @@
   int attempts_sent;      /* attempts that may have reached an upstream */
   int attempts_maybe_run; /* attempts that may have run or still run */
   int failed_connections;
-  bool forwarded_out;
-  bool repeat_taken; /* from the budget, for the next or current attempt */
+  bool forwarded_out; /* to another region */
+  bool relayed;       /* to another host of this region */
+  bool repeat_taken;  /* from the budget, for the next or current attempt */
   UT_hash_handle by_call;
   UT_hash_handle by_attempt;
 };
@@ -184,6 +185,14 @@
                                 struct marjoram_exchange *exchange,
                                 const struct marjoram_route_rule *route,
                                 int64_t now, int64_t max_wait_ms);
+/* Whether another host of this region would serve the exchange.  */
+bool marjoram_exchange_may_relay (marjoram_gateway *gateway,
+                                  const struct marjoram_exchange *exchange,
+                                  int64_t now);
+/* Forwards the exchange to a host of this region that reaches upstreams of its
+   service, for a host that does not.  Returns whether it was forwarded.  */
+bool marjoram_exchange_relay (marjoram_gateway *gateway,
+                              struct marjoram_exchange *exchange, int64_t now);
 /* Forwards the exchange to its session's home region, although CHOSEN is a
    place in this region, where that is better.  Returns whether it was
    forwarded.  */
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -24,6 +24,8 @@
      used.  */
   TARGET_MIN_MS = 5,
   FAILED_CONNECTIONS_MAX = 4,
+  /* Failed connections after which another host of the region is asked.  */
+  RELAY_AFTER_FAILED = 2,
   REFUSED_RETRY_MS = 250,
   URGENCY_MAX = 9
 };
@@ -326,6 +328,16 @@
   return chosen->outcome == MARJORAM_PLACE_FOUND;
 }
 
+/* Whether this host's own connections keep the exchange from an upstream.  */
+static bool
+lacks_connections (const struct marjoram_exchange *exchange,
+                   const struct marjoram_place *chosen)
+{
+  return exchange->failed_connections >= RELAY_AFTER_FAILED
+         || (chosen->outcome == MARJORAM_PLACE_NONE
+             && chosen->excluded[MARJORAM_EXCLUDED_UNREACHABLE] > 0);
+}
+
 static void
 place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
        const struct marjoram_route_rule *route,
@@ -348,6 +360,9 @@
       return;
     }
   choose (gateway, exchange, now, &query, &chosen);
+  if (lacks_connections (exchange, &chosen)
+      && marjoram_exchange_relay (gateway, exchange, now))
+    return;
   found = chosen.outcome == MARJORAM_PLACE_FOUND
           && marjoram_exchange_is_next (gateway, exchange, &chosen);
   if (found
@@ -434,7 +449,9 @@
                                        gateway->region))
     {
       marjoram_placement_choose (gateway->placement, now, &query, &chosen);
-      if (chosen.outcome == MARJORAM_PLACE_FOUND)
+      if (chosen.outcome == MARJORAM_PLACE_FOUND
+          || (lacks_connections (exchange, &chosen)
+              && marjoram_exchange_may_relay (gateway, exchange, now)))
         return true;
     }
   return exchange->state != MARJORAM_EXCHANGE_STREAMING
--- a/src/placement.c
+++ b/src/placement.c
@@ -27,6 +27,9 @@
      restarts within a second or two is found soon.  */
   CONNECT_BACKOFF_MS = 300,
   CONNECT_BACKOFF_DOUBLINGS = 4,
+  /* Time for which one request tries an upstream whose connections failed,
+     before another one does: that of a connect that times out.  */
+  TRIAL_MS = 600,
   /* Consecutive broken responses after which the upstream is suspected: too
      many to be the fault of one request.  */
   BROKEN_RESPONSES_MAX = 3,
@@ -291,6 +294,13 @@
                  capacity > 0 ? capacity : 0);
 }
 
+static void
+pause_endpoint (struct marjoram_endpoint *endpoint, int64_t until)
+{
+  if (until > endpoint->paused_until)
+    endpoint->paused_until = until;
+}
+
 void
 marjoram_placement_attempt_started (marjoram_placement *placement, int64_t now,
                                     uint64_t number, const char *upstream,
@@ -328,6 +338,8 @@
   endpoint->own.held += attempt->held;
   endpoint->own.answer += attempt->answer;
   endpoint->cold_sent_at = now;
+  if (endpoint->connect_failures > 0)
+    pause_endpoint (endpoint, now + TRIAL_MS);
   if (endpoint->rate)
     marjoram_upstream_rate_take (endpoint->rate, now);
   HASH_ADD (hh, placement->attempts, number, sizeof attempt->number, attempt);
@@ -409,13 +421,6 @@
   return attempt ? attempt->endpoint->last_received_at : 0;
 }
 
-static void
-pause_endpoint (struct marjoram_endpoint *endpoint, int64_t until)
-{
-  if (until > endpoint->paused_until)
-    endpoint->paused_until = until;
-}
-
 static void
 record_failure (struct marjoram_endpoint *endpoint, int64_t now,
                 enum marjoram_attempt_end outcome)
@@ -463,6 +468,8 @@
   endpoint->own.answer -= attempt->answer;
   if (outcome == MARJORAM_ATTEMPT_SERVED)
     {
+      if (endpoint->connect_failures > 0)
+        endpoint->paused_until = now;
       endpoint->connect_failures = 0;
       endpoint->broken_responses = 0;
       update_mean (
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -519,7 +519,9 @@
   }
 }
 
-/* Assumes that the serving hosts of a region share its engines equally.  */
+/* Assumes that the hosts of a region that reach its engines share them
+ * equally.
+ */
 static void
 set_throughput (marjoram_placement *placement, int64_t now,
                 const struct marjoram_place_query *query,
@@ -639,7 +641,7 @@
         || is_dark (&zones, placement, upstream, now))
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
-    if (now < endpoint->paused_until
+    if (now < endpoint->paused_until || endpoint->connect_failures > 0
         || marjoram_endpoint_is_rate_limited (endpoint)
         || is_cold (placement, endpoint, upstream, service, now))
       continue;
