Hosts without connections to engines have no share of them

A host reckons how long a request waits in its queue as if all serving hosts of the region shared the engines. Where three of four hosts have lost theirs and relay to the fourth, that one counted on a quarter and refused what it could serve in time.

Now hosts that offer nothing have no share. test_placement hosts_without_engines_have_no_share_of_them: before, a third of one engine among three hosts, of which one had none; now a half.

--- a/src/host_list.c
+++ b/src/host_list.c
@@ -37,7 +37,8 @@
    whole list.  */
 enum view_kind
 {
-  VIEW_REGION, /* serving hosts of a region */
+  VIEW_REGION,  /* serving hosts of a region */
+  VIEW_SHARING, /* those of them with offers */
   VIEW_LIVE, /* entry hosts of a region, ready or not, without leaving ones */
   VIEW_ZONE,
   VIEW_KEEPERS, /* ready keepers of a zone */
@@ -74,7 +75,8 @@
   size_t entries;
   uint64_t changes; /* number of changes that may affect views */
   struct view *regions;
-  struct view *live; /* keyed by region */
+  struct view *sharing; /* keyed by region */
+  struct view *live;    /* keyed by region */
   struct view *zones;
   struct view *keepers; /* keyed by zone */
   struct view *alive;   /* the same */
@@ -182,6 +184,7 @@
   if (!list)
     return;
   destroy_views (&list->regions);
+  destroy_views (&list->sharing);
   destroy_views (&list->live);
   destroy_views (&list->zones);
   destroy_views (&list->keepers);
@@ -471,6 +474,11 @@
       if (strcmp (host->heartbeat.region, view->name) != 0)
         return false;
       break;
+    case VIEW_SHARING:
+      if (strcmp (host->heartbeat.region, view->name) != 0
+          || host->heartbeat.offers.count == 0)
+        return false;
+      break;
     case VIEW_LIVE:
       return strcmp (host->heartbeat.region, view->name) == 0
              && is_entry (&host->heartbeat) && !host->heartbeat.leaving
@@ -697,6 +705,19 @@
          + (counted ? 0 : 1);
 }
 
+size_t
+marjoram_host_list_sharing_count_with (marjoram_host_list *list, int64_t now,
+                                       const char *region, const char *own)
+{
+  const struct marjoram_host_slice *sharing
+      = &find_view (list, &list->sharing, VIEW_SHARING, region, now)->result;
+  size_t others = 0;
+
+  for (size_t i = 0; i < sharing->count; i++)
+    others += strcmp (sharing->hosts[i]->heartbeat.name, own) != 0;
+  return others + 1;
+}
+
 size_t
 marjoram_host_list_entry_count (marjoram_host_list *list)
 {
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -151,6 +151,11 @@
 size_t marjoram_host_list_serving_count_with (marjoram_host_list *list,
                                               int64_t now, const char *region,
                                               const char *own);
+/* Number of serving hosts of REGION that offer anything, that is, whose
+   connections to upstreams work, and host OWN.  */
+size_t marjoram_host_list_sharing_count_with (marjoram_host_list *list,
+                                              int64_t now, const char *region,
+                                              const char *own);
 /* Number of known entry hosts, alive or not.  A host is usually not in its own
    list.  */
 size_t marjoram_host_list_entry_count (marjoram_host_list *list);
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -519,15 +519,14 @@
   }
 }
 
-/* Assumes that the hosts of a region that reach its engines share them
- * equally.
- */
+/* Assumes that the hosts of a region share its engines equally.  Hosts without
+   connections to them have no share.  */
 static void
 set_throughput (marjoram_placement *placement, int64_t now,
                 const struct marjoram_place_query *query,
                 struct marjoram_place *place)
 {
-  size_t hosts = marjoram_host_list_serving_count_with (
+  size_t hosts = marjoram_host_list_sharing_count_with (
       placement->options.hosts, now, placement->region, placement->host);
 
   place->engine_tokens_per_ms
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -53,20 +53,29 @@
   return marjoram_placement_create (&options);
 }
 
+/* A host that offers nothing reaches no upstreams.  */
 static void
-receive_host_heartbeat (int64_t now, const char *name)
+receive_host (int64_t now, const char *name, bool offers)
 {
+  struct marjoram_host_offer offer = { .service = (char *)"lm" };
   struct marjoram_host_beat heartbeat = { .name = (char *)name,
                                           .zone = (char *)"za",
                                           .region = (char *)"r1",
                                           .entry = (char *)name,
                                           .ready = true,
                                           .incarnation = 1,
-                                          .sequence = (uint64_t)now + 1 };
+                                          .sequence = (uint64_t)now + 1,
+                                          .offers = { &offer, offers } };
 
   marjoram_host_list_update (hosts, now, &heartbeat, true);
 }
 
+static void
+receive_host_heartbeat (int64_t now, const char *name)
+{
+  receive_host (now, name, true);
+}
+
 static void
 setup (void)
 {
@@ -772,6 +781,23 @@
 }
 END_TEST
 
+/* Guards against a host that lets too few requests wait because it counts
+   hosts that have lost their connections to the engines.  */
+START_TEST (hosts_without_engines_have_no_share_of_them)
+{
+  const struct marjoram_call_metadata metadata = prompt (7, 4000, 100, 500);
+  const struct marjoram_place_query query = make_query (&metadata, 1);
+  struct marjoram_place chosen;
+
+  receive_heartbeat (0, "1");
+  receive_host (0, "h2", false);
+  receive_host (0, "h3", true);
+  marjoram_placement_choose (placement, 10, &query, &chosen);
+  ck_assert_double_eq_tol (2 * chosen.tokens_per_ms,
+                           chosen.engine_tokens_per_ms, 0.001);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -801,6 +827,7 @@
   tcase_add_test (c, plain_requests_go_to_the_least_loaded);
   tcase_add_test (c, load_of_other_hosts_counts);
   tcase_add_test (c, host_counts_itself_among_the_shares_of_engines);
+  tcase_add_test (c, hosts_without_engines_have_no_share_of_them);
   suite_add_tcase (s, c);
   return s;
 }
