Hosts together spare upstreams that tolerate few refusals

A host came back to a full upstream after 50 ms, each host by itself: with three hosts up to 60 refusals a second.

While a service's responses say so, a host lowers its number of requests at an upstream to what ran there when it refused, and raises it by one after a pause that makes the trials of all hosts half of what is tolerated.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -64,6 +64,9 @@
   /* Requests per second that the responder accepts from all hosts together;
      negative if it states no limit.  */
   double rate_limit;
+  /* Refusals per second for want of room that the responder tolerates, from
+     all hosts together, without failing; negative if it states none.  */
+  double refusals_tolerated;
 };
 
 enum marjoram_upstream_state
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -213,7 +213,7 @@
       " objective_ms=%" PRId64 " estimate_ms=%" PRId64 " backlog_ms=%" PRId64
       " copied=%" PRId64
       " candidates=%d usable=%d unreachable=%d cold=%d reported_lost=%d "
-      "rate_limited=%d news_age_ms=%" PRId64
+      "rate_limited=%d full=%d news_age_ms=%" PRId64
       " limit=%s events=%d quiet_ms=%" PRId64 " pause_ms=%" PRId64
       " route=%s service=%s customer=%s config=%" PRIu64
       " upstream=%s host=%s arrivals=%d unreached=%d forwarded=%d",
@@ -226,6 +226,7 @@
       exchange->place.excluded[MARJORAM_EXCLUDED_COLD],
       exchange->place.excluded[MARJORAM_EXCLUDED_REPORTED_LOST],
       exchange->place.excluded[MARJORAM_EXCLUDED_RATE],
+      exchange->place.excluded[MARJORAM_EXCLUDED_ROOM],
       exchange->place.heartbeat_age_ms, limit_name (exchange, reason),
       exchange->events_sent, since_last_event_ms (exchange, now),
       exchange->longest_gap_ms, *exchange->route ? exchange->route : "-",
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -204,6 +204,12 @@
   if (metadata->cold_ms > 0)
     marjoram_placement_set_cold (gateway->placement, now, exchange->upstream,
                                  metadata->cold_ms);
+  if (marjoram_placement_set_refusals_tolerated (gateway->placement, now,
+                                                 exchange->attempt,
+                                                 metadata->refusals_tolerated))
+    marjoram_event (
+        MARJORAM_EVENT_UPSTREAM, "id=%s service=%s refusals_tolerated=%.3f",
+        exchange->upstream, exchange->service, metadata->refusals_tolerated);
   if (!marjoram_placement_set_rate_limit (
           gateway->placement, now, exchange->attempt, metadata->rate_limit))
     return;
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -240,18 +240,25 @@
          && marjoram_exchange_may_wait (gateway, exchange, now);
 }
 
+/* Whether upstreams are there and only their own limits rule them out.  */
+static bool
+is_limited (const struct marjoram_place *chosen)
+{
+  return chosen->excluded[MARJORAM_EXCLUDED_RATE] > 0
+         || chosen->excluded[MARJORAM_EXCLUDED_ROOM] > 0;
+}
+
 static void
 refuse_place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
               int64_t now, const struct marjoram_place *chosen)
 {
-  bool none = chosen->outcome == MARJORAM_PLACE_NONE;
+  const bool none = chosen->outcome == MARJORAM_PLACE_NONE;
 
   if (none && chosen->candidates == 0 && may_wait (gateway, exchange, now))
     return;
   refuse (gateway, exchange, now,
-          none && chosen->excluded[MARJORAM_EXCLUDED_RATE] == 0
-              ? MARJORAM_REASON_NO_UPSTREAM
-              : MARJORAM_REASON_OVERLOAD,
+          none && !is_limited (chosen) ? MARJORAM_REASON_NO_UPSTREAM
+                                       : MARJORAM_REASON_OVERLOAD,
           marjoram_shortages_retry_ms (gateway->shortages, now,
                                        exchange->service, chosen->retry_ms));
 }
--- a/src/placement.c
+++ b/src/placement.c
@@ -186,6 +186,7 @@
   stats->service = marjoram_strdup (service);
   stats->tokens_per_ms = INITIAL_TOKENS_PER_MS;
   stats->request_ms = INITIAL_REQUEST_MS;
+  stats->refusals_tolerated = -1;
   HASH_ADD_KEYPTR (hh, placement->service_stats, stats->service,
                    strlen (stats->service), stats);
   return stats;
@@ -206,6 +207,7 @@
   endpoint->paused_until = 0;
   endpoint->connect_failures = 0;
   endpoint->broken_responses = 0;
+  endpoint->room.is_known = false;
   if (endpoint->rate)
     marjoram_upstream_rate_reset (endpoint->rate);
 }
@@ -340,6 +342,7 @@
   endpoint->cold_sent_at = now;
   if (endpoint->connect_failures > 0)
     pause_endpoint (endpoint, now + TRIAL_MS);
+  marjoram_upstream_room_take (&endpoint->room, now, endpoint->own.running);
   if (endpoint->rate)
     marjoram_upstream_rate_take (endpoint->rate, now);
   HASH_ADD (hh, placement->attempts, number, sizeof attempt->number, attempt);
@@ -479,6 +482,9 @@
     }
   else
     record_failure (endpoint, now, outcome);
+  if (outcome == MARJORAM_ATTEMPT_REFUSED)
+    marjoram_upstream_room_refused (&endpoint->room, now,
+                                    endpoint->own.running);
   if (outcome != MARJORAM_ATTEMPT_CANCELLED
       && outcome != MARJORAM_ATTEMPT_REFUSED)
     update_mean (&endpoint->failure_share,
@@ -538,6 +544,30 @@
   return true;
 }
 
+bool
+marjoram_placement_set_refusals_tolerated (marjoram_placement *placement,
+                                           int64_t now, uint64_t number,
+                                           double per_s)
+{
+  const struct marjoram_placed_attempt *attempt
+      = find_attempt (placement, number);
+  struct marjoram_service_stats *stats;
+
+  if (!attempt)
+    return false;
+  stats = marjoram_placement_service_stats (placement, attempt->service);
+  if (stats->refusals_tolerated < 0 ? per_s < 0
+                                    : !(per_s < stats->refusals_tolerated
+                                        || per_s > stats->refusals_tolerated))
+    return false;
+  /* A late response to an older request does not end the statement.  */
+  if (per_s < 0 && attempt->started_at <= stats->tolerance_stated_at)
+    return false;
+  stats->refusals_tolerated = per_s;
+  stats->tolerance_stated_at = now;
+  return true;
+}
+
 int64_t
 marjoram_endpoint_reported_lost_at (const struct marjoram_endpoint *endpoint)
 {
--- a/src/placement.h
+++ b/src/placement.h
@@ -80,6 +80,7 @@
   MARJORAM_EXCLUDED_REPORTED_LOST, /* the same, for a connection that another
                                       host lost */
   MARJORAM_EXCLUDED_RATE,          /* no part of its rate limit is left */
+  MARJORAM_EXCLUDED_ROOM,          /* it would refuse, and tolerates few */
   MARJORAM_EXCLUDED_COUNT
 };
 
@@ -176,6 +177,12 @@
 bool marjoram_placement_set_rate_limit (marjoram_placement *placement,
                                         int64_t now, uint64_t attempt,
                                         double rate_limit);
+/* The response to ATTEMPT states that the upstreams of its service tolerate
+   PER_S refusals per second; negative: no such statement.  Returns whether
+   that is new.  */
+bool marjoram_placement_set_refusals_tolerated (marjoram_placement *placement,
+                                                int64_t now, uint64_t attempt,
+                                                double per_s);
 /* The evacuation of ZONE ended: its upstreams are treated as cold until their
    next heartbeat.  */
 void marjoram_placement_zone_restored (marjoram_placement *placement,
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -283,6 +283,27 @@
   return estimate;
 }
 
+/* False if ENDPOINT is likely to refuse a request and tolerates few refusals.
+ */
+static bool
+has_room (marjoram_placement *placement,
+          const struct marjoram_endpoint *endpoint,
+          const struct marjoram_place_query *query, int64_t now)
+{
+  const double tolerated
+      = marjoram_placement_service_stats (placement, query->service->name)
+            ->refusals_tolerated;
+
+  return tolerated < 0
+         || marjoram_upstream_room_has (
+             &endpoint->room, now, endpoint->own.running,
+             marjoram_upstream_room_interval_ms (
+                 marjoram_host_list_serving_count_with (
+                     placement->options.hosts, now, placement->region,
+                     placement->host),
+                 tolerated));
+}
+
 /* Whether and why ENDPOINT may not be sent a request now.  */
 static enum marjoram_place_exclusion
 find_exclusion (marjoram_placement *placement,
@@ -305,6 +326,8 @@
   if (cold != MARJORAM_EXCLUDED_NOT
       && !may_send_to_cold (placement, endpoint, query->service, now))
     return cold;
+  if (!has_room (placement, endpoint, query, now))
+    return MARJORAM_EXCLUDED_ROOM;
   return marjoram_endpoint_rate_wait_ms (placement, endpoint, now) > 0
              ? MARJORAM_EXCLUDED_RATE
              : MARJORAM_EXCLUDED_NOT;
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -8,6 +8,7 @@
 #include "engine_cache.h"
 #include "placement.h"
 #include "upstream_rate.h"
+#include "upstream_room.h"
 
 #include <uthash.h>
 
@@ -80,6 +81,7 @@
   marjoram_upstream_rate *rate; /* null until a limit is known */
   bool report_rate;             /* in the next load report */
   int64_t sharers_checked_at;
+  struct marjoram_upstream_room room;
   int connect_failures;
   int broken_responses;
   double failure_share;
@@ -115,6 +117,9 @@
   char *service;
   double tokens_per_ms;
   double request_ms;
+  /* Refusals per second that each upstream tolerates; negative: not stated. */
+  double refusals_tolerated;
+  int64_t tolerance_stated_at; /* last change */
   double backlog_ms; /* mean prefill backlog of the region's engines */
   UT_hash_handle hh;
 };
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -120,17 +120,19 @@
   dialect->read_answer (421, &headers, &facts);
   ck_assert (facts.not_run && facts.wrong_upstream);
   ck_assert_int_eq (facts.cold_ms, -1);
-  ck_assert (facts.rate_limit < 0);
+  ck_assert (facts.rate_limit < 0 && facts.refusals_tolerated < 0);
   dialect->read_answer (503, &headers, &facts);
   ck_assert (!facts.not_run && !facts.signed_by_upstream);
   marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
   marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "x");
   marjoram_header_list_add (&headers, "Marjoramproxy-Cold-Ms", "700");
   marjoram_header_list_add (&headers, "Server-Limit", "1.25");
+  marjoram_header_list_add (&headers, "Server-Brittle", "7");
   dialect->read_answer (503, &headers, &facts);
   ck_assert (facts.not_run && facts.signed_by_upstream);
   ck_assert_int_eq (facts.cold_ms, 700);
   ck_assert_double_eq (facts.rate_limit, 1.25);
+  ck_assert_double_eq (facts.refusals_tolerated, 7);
   marjoram_header_list_clear (&headers);
 }
 END_TEST
