Rate limits are compared in the unit in which hosts tell them

Found by reading. A limit with more than three decimals was rounded on the way to other hosts; there each response then seemed to state another limit, which was numbered anew and told to all, without end. Limits are kept as requests per 1,000 s, as they are told. test_placement rate_limit_with_many_decimals_is_told_once failed before.

--- a/src/placement_rate.c
+++ b/src/placement_rate.c
@@ -6,8 +6,7 @@
      that have started or were cut off since.  */
   RATE_REPORT_MS = 1000,
   /* How often the division of a limit follows the list of hosts.  */
-  SHARERS_CHECK_MS = 100,
-  LIMIT_SCALE = 1000 /* of a limit in a load report */
+  SHARERS_CHECK_MS = 100
 };
 
 void
@@ -34,8 +33,7 @@
       = marjoram_upstream_rate_fact (endpoint->rate);
 
   item->rate_number = fact.number;
-  item->rate_limit
-      = fact.limit < 0 ? -1 : (int64_t)(fact.limit * LIMIT_SCALE + 0.5);
+  item->rate_limit = fact.limit;
   endpoint->report_rate = false;
 }
 
@@ -45,8 +43,7 @@
                               const struct marjoram_load_item *item)
 {
   const struct marjoram_rate_fact fact
-      = { item->rate_number,
-          item->rate_limit < 0 ? -1 : (double)item->rate_limit / LIMIT_SCALE };
+      = { item->rate_number, item->rate_limit < 0 ? -1 : item->rate_limit };
 
   if (fact.number == 0)
     return;
--- a/src/upstream_rate.c
+++ b/src/upstream_rate.c
@@ -4,15 +4,16 @@
 
 #include <stdlib.h>
 
-/* Lowest limit that is kept.  Only responses show that a limit has ended, so
-   some request has to be sent now and then.  */
+/* Lowest limit that is kept, in requests per second.  Only responses show that
+   a limit has ended, so some request has to be sent now and then.  */
 #define LIMIT_MIN 0.2
 /* Requests per second of a part, in units that may be saved up for a burst. */
 #define BURST_SECONDS 0.25
 
 enum
 {
-  MSEC_PER_SEC = 1000
+  MSEC_PER_SEC = 1000,
+  LIMIT_SCALE = 1000 /* of limits, to requests per second */
 };
 
 struct marjoram_upstream_rate
@@ -55,10 +56,13 @@
 
 /* ---- Units.  ---- */
 
+/* In requests per second.  */
 static double
 effective_limit (const marjoram_upstream_rate *rate)
 {
-  return rate->fact.limit > LIMIT_MIN ? rate->fact.limit : LIMIT_MIN;
+  const double per_s = (double)rate->fact.limit / LIMIT_SCALE;
+
+  return per_s > LIMIT_MIN ? per_s : LIMIT_MIN;
 }
 
 static double
@@ -100,27 +104,23 @@
   rate->known_since = now;
 }
 
-static bool
-is_same_limit (double a, double b)
-{
-  return a < 0 ? b < 0 : !(a < b || b < a);
-}
-
 bool
 marjoram_upstream_rate_state (marjoram_upstream_rate *rate, int64_t now,
-                              int64_t sent_at, double limit)
+                              int64_t sent_at, double limit_per_s)
 {
-  const struct marjoram_rate_fact fact = { rate->fact.number + 1, limit };
+  const struct marjoram_rate_fact fact
+      = { rate->fact.number + 1,
+          limit_per_s < 0 ? -1 : (int64_t)(limit_per_s * LIMIT_SCALE + 0.5) };
 
-  if (is_same_limit (limit, rate->fact.limit)
-      || (limit < 0 && sent_at <= rate->known_since))
+  if (fact.limit == rate->fact.limit
+      || (fact.limit < 0 && sent_at <= rate->known_since))
     return false;
   set_fact (rate, now, &fact);
   return true;
 }
 
 static bool
-is_lower_limit (double a, double b)
+is_lower_limit (int64_t a, int64_t b)
 {
   return a >= 0 && (b < 0 || a < b);
 }
--- a/src/upstream_rate.h
+++ b/src/upstream_rate.h
@@ -25,15 +25,15 @@
 struct marjoram_rate_fact
 {
   uint64_t number; /* 0: nothing is known */
-  double limit;    /* requests per second; negative: no limit */
+  int64_t limit;   /* requests per 1,000 s; negative: no limit */
 };
 
 marjoram_upstream_rate *marjoram_upstream_rate_create (void);
 void marjoram_upstream_rate_destroy (marjoram_upstream_rate *rate);
-/* A response to a request sent at SENT_AT states LIMIT; negative: none.
-   Returns whether that changes what is known.  */
+/* A response to a request sent at SENT_AT states LIMIT_PER_S requests per
+   second; negative: no limit.  Returns whether that changes what is known.  */
 bool marjoram_upstream_rate_state (marjoram_upstream_rate *rate, int64_t now,
-                                   int64_t sent_at, double limit);
+                                   int64_t sent_at, double limit_per_s);
 /* Another host tells FACT.  Returns whether that host lacks what is known
    here.  */
 bool marjoram_upstream_rate_learn (marjoram_upstream_rate *rate, int64_t now,
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -566,6 +566,27 @@
 }
 END_TEST
 
+/* Guards against hosts that take each other's word of one limit for another,
+   and tell it again for each response.  */
+START_TEST (rate_limit_with_many_decimals_is_told_once)
+{
+  marjoram_placement *other = create ("h2");
+  const struct marjoram_call_metadata metadata = prompt (7, 10, 8, 10);
+  const struct marjoram_place_query query = make_query (&metadata, 1);
+  struct marjoram_load_report report;
+
+  receive_heartbeat (0, "1");
+  choose_and_start (10, &query);
+  marjoram_placement_attempt_started (other, 10, 1, "1", &query);
+  ck_assert (marjoram_placement_set_rate_limit (placement, 20, 1, 1.23456));
+  marjoram_placement_report (placement, 30, &report);
+  marjoram_placement_apply_report (other, 40, "h1", &report);
+  marjoram_wire_clear (&marjoram_load_report_layout, &report);
+  ck_assert (!marjoram_placement_set_rate_limit (other, 50, 1, 1.23456));
+  marjoram_placement_destroy (other);
+}
+END_TEST
+
 /* Guards against sending at full rate to a restored zone that may be cold, and
    against throttling it after its next heartbeat.  */
 START_TEST (restored_zone_is_cold_until_heartbeat)
@@ -818,6 +839,7 @@
   tcase_add_test (c, cold_upstream_gets_requests_from_one_host);
   tcase_add_test (c, disconnected_upstream_is_cold_until_heartbeat);
   tcase_add_test (c, reported_loss_does_not_outweigh_own_data);
+  tcase_add_test (c, rate_limit_with_many_decimals_is_told_once);
   tcase_add_test (c, restored_zone_is_cold_until_heartbeat);
   tcase_add_test (c, slow_engine_is_avoided);
   tcase_add_test (c, only_the_local_region_is_used);
