--- a/src/http_client.h
+++ b/src/http_client.h
@@ -41,7 +41,7 @@
                 size_t size);
   void (*end) (void *context, uint64_t attempt,
                enum marjoram_http_outcome outcome);
-  /* Called when a connection to ADDRESS is reset or closed unexpectedly, or
+  /* Called when a connection to ADDRESS is reset or closed unexpectedly or,
      unless WAS_OPEN, could not be opened.  The upstream may have restarted. */
   void (*lost) (void *context, const char *address, bool was_open);
   void (*connected) (void *context, const char *address);
--- a/src/placement.c
+++ b/src/placement.c
@@ -544,6 +544,13 @@
   return true;
 }
 
+/* Whether A and B, negative if nothing is stated, state the same.  */
+static bool
+is_same_statement (double a, double b)
+{
+  return a < 0 ? b < 0 : !(a < b || b < a);
+}
+
 bool
 marjoram_placement_set_refusals_tolerated (marjoram_placement *placement,
                                            int64_t now, uint64_t number,
@@ -556,9 +563,7 @@
   if (!attempt)
     return false;
   stats = marjoram_placement_service_stats (placement, attempt->service);
-  if (stats->refusals_tolerated < 0 ? per_s < 0
-                                    : !(per_s < stats->refusals_tolerated
-                                        || per_s > stats->refusals_tolerated))
+  if (is_same_statement (per_s, stats->refusals_tolerated))
     return false;
   /* A late response to an older request does not end the statement.  */
   if (per_s < 0 && attempt->started_at <= stats->tolerance_stated_at)
--- a/src/upstream_rate.c
+++ b/src/upstream_rate.c
@@ -7,7 +7,7 @@
 /* Lowest limit that is kept, in requests per second.  Only responses show that
    a limit has ended, so some request has to be sent now and then.  */
 #define LIMIT_MIN 0.2
-/* Requests per second of a part, in units that may be saved up for a burst. */
+/* Time of which a part's unused requests may be saved up for a burst.  */
 #define BURST_SECONDS 0.25
 
 enum
--- a/test/test_upstream_cut.c
+++ b/test/test_upstream_cut.c
@@ -56,6 +56,17 @@
   return sum;
 }
 
+static void
+check_failures (const struct fleet_counts *counts, const char *where)
+{
+  const int attempts = counts->served + counts->refused;
+
+  ck_assert_int_gt (counts->served, 0);
+  ck_assert_msg (counts->refused <= FAILURES_MAX + attempts / FAILURE_SHARE,
+                 "%d of %d first attempts refused at %s", counts->refused,
+                 attempts, where);
+}
+
 /* Guards against callers of a host without connections to upstreams being
    refused while hosts beside it could serve them.  */
 START_TEST (callers_of_a_host_without_upstreams_are_served)
@@ -65,12 +76,7 @@
 
   fleet_run_until (fleet, CALM_MS + CUT_MS);
   at_cut = count (fleet, true, CALM_MS + CONTACT_MS, CALM_MS + CUT_MS);
-  ck_assert_int_gt (at_cut.served, 0);
-  ck_assert_msg (at_cut.refused
-                     <= FAILURES_MAX
-                            + (at_cut.served + at_cut.refused) / FAILURE_SHARE,
-                 "%d of %d first attempts refused at cut hosts",
-                 at_cut.refused, at_cut.served + at_cut.refused);
+  check_failures (&at_cut, "cut hosts");
   fleet_destroy (fleet);
 }
 END_TEST
@@ -84,11 +90,7 @@
 
   fleet_run_until (fleet, CALM_MS + CUT_MS);
   others = count (fleet, false, CALM_MS, CALM_MS + CUT_MS);
-  ck_assert_msg (others.refused
-                     <= FAILURES_MAX
-                            + (others.served + others.refused) / FAILURE_SHARE,
-                 "%d of %d first attempts refused at hosts with upstreams",
-                 others.refused, others.served + others.refused);
+  check_failures (&others, "hosts with upstreams");
   fleet_destroy (fleet);
 }
 END_TEST
