--- a/src/host_list.c
+++ b/src/host_list.c
@@ -692,14 +692,25 @@
   return region_view (list, now, region)->result.count;
 }
 
+/* Host OWN if it is in the list and serves in REGION; NULL otherwise.  */
+static const struct marjoram_listed_host *
+find_own (const marjoram_host_list *list, int64_t now, const char *region,
+          const char *own)
+{
+  const struct marjoram_listed_host *listed
+      = marjoram_host_list_find (list, own);
+
+  return listed && marjoram_host_list_serves (listed, now)
+                 && strcmp (listed->heartbeat.region, region) == 0
+             ? listed
+             : NULL;
+}
+
 size_t
 marjoram_host_list_serving_count_with (marjoram_host_list *list, int64_t now,
                                        const char *region, const char *own)
 {
-  const struct marjoram_listed_host *listed
-      = marjoram_host_list_find (list, own);
-  const bool counted = listed && marjoram_host_list_serves (listed, now)
-                       && strcmp (listed->heartbeat.region, region) == 0;
+  const bool counted = find_own (list, now, region, own) != NULL;
 
   return marjoram_host_list_serving_count (list, now, region)
          + (counted ? 0 : 1);
@@ -709,13 +720,13 @@
 marjoram_host_list_sharing_count_with (marjoram_host_list *list, int64_t now,
                                        const char *region, const char *own)
 {
-  const struct marjoram_host_slice *sharing
-      = &find_view (list, &list->sharing, VIEW_SHARING, region, now)->result;
-  size_t others = 0;
+  const struct marjoram_listed_host *listed
+      = find_own (list, now, region, own);
+  const bool counted = listed && listed->heartbeat.offers.count > 0;
+  const struct view *sharing
+      = find_view (list, &list->sharing, VIEW_SHARING, region, now);
 
-  for (size_t i = 0; i < sharing->count; i++)
-    others += strcmp (sharing->hosts[i]->heartbeat.name, own) != 0;
-  return others + 1;
+  return sharing->result.count + (counted ? 0 : 1);
 }
 
 size_t
