--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -32,7 +32,7 @@
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503,
   FORWARDED_CALL = 1 << 30,
-  TARGET_MAX = 16 /* bytes of a request's target, including the NUL */
+  TARGET_MAX = 32 /* bytes of a request's target, including the NUL */
 };
 
 /* clang-format off */
