Log how an answer was framed and what was left of an unfinished event

The lines of a stream that was broken off and told complete did not show how its answer was framed, nor that its last event was unfinished.

--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -115,7 +115,7 @@
 marjoram_event_stream_finish (marjoram_event_stream *stream,
                               struct evbuffer *out)
 {
-  evbuffer_add_buffer (out, stream->incomplete);
+  evbuffer_add_buffer_reference (out, stream->incomplete);
 }
 
 void
@@ -131,3 +131,9 @@
 {
   return *stream->last_id ? stream->last_id : NULL;
 }
+
+size_t
+marjoram_event_stream_unfinished (const marjoram_event_stream *stream)
+{
+  return evbuffer_get_length (stream->incomplete);
+}
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -21,6 +21,8 @@
 /* Prepares for data from another upstream.  Discards the incomplete event;
    events that were already forwarded will be discarded as well.  */
 void marjoram_event_stream_resume (marjoram_event_stream *stream);
+/* Bytes received of an event whose end has not been received.  */
+size_t marjoram_event_stream_unfinished (const marjoram_event_stream *stream);
 /* Returns the id of the last forwarded event, or null.  */
 const char *
 marjoram_event_stream_last_id (const marjoram_event_stream *stream);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -192,6 +192,24 @@
   return "none";
 }
 
+const char *
+marjoram_framing_name (enum marjoram_framing framing)
+{
+  static const char *const names[] = { [MARJORAM_FRAMING_NONE] = "none",
+                                       [MARJORAM_FRAMING_LENGTH] = "length",
+                                       [MARJORAM_FRAMING_CHUNKS] = "chunks",
+                                       [MARJORAM_FRAMING_CLOSE] = "close" };
+
+  return names[framing];
+}
+
+size_t
+marjoram_exchange_unfinished (const struct marjoram_exchange *exchange)
+{
+  return exchange->events ? marjoram_event_stream_unfinished (exchange->events)
+                          : 0;
+}
+
 /* Time since the last event was sent to the caller; -1 if none was.  */
 static int64_t
 since_last_event_ms (const struct marjoram_exchange *exchange, int64_t now)
@@ -214,8 +232,8 @@
       " copied=%" PRId64
       " candidates=%d usable=%d unreachable=%d cold=%d reported_lost=%d "
       "rate_limited=%d full=%d news_age_ms=%" PRId64
-      " limit=%s events=%d quiet_ms=%" PRId64 " pause_ms=%" PRId64
-      " route=%s service=%s customer=%s config=%" PRIu64
+      " limit=%s framing=%s unfinished=%zu events=%d quiet_ms=%" PRId64
+      " pause_ms=%" PRId64 " route=%s service=%s customer=%s config=%" PRIu64
       " upstream=%s host=%s arrivals=%d unreached=%d forwarded=%d",
       *exchange->metadata.id ? exchange->metadata.id : "-", outcome,
       marjoram_reason_name (reason), status, now - exchange->received_at,
@@ -228,8 +246,10 @@
       exchange->place.excluded[MARJORAM_EXCLUDED_RATE],
       exchange->place.excluded[MARJORAM_EXCLUDED_ROOM],
       exchange->place.heartbeat_age_ms, limit_name (exchange, reason),
-      exchange->events_sent, since_last_event_ms (exchange, now),
-      exchange->longest_gap_ms, *exchange->route ? exchange->route : "-",
+      marjoram_framing_name (exchange->framing),
+      marjoram_exchange_unfinished (exchange), exchange->events_sent,
+      since_last_event_ms (exchange, now), exchange->longest_gap_ms,
+      *exchange->route ? exchange->route : "-",
       *exchange->service ? exchange->service : "-",
       *exchange->customer ? exchange->customer : "-", exchange->config,
       *exchange->upstream ? exchange->upstream : "-",
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -78,23 +78,26 @@
 
   marjoram_repeat_budget_get_usage (gateway->budget, exchange->service,
                                     &usage);
-  marjoram_event (MARJORAM_EVENT_ATTEMPT,
-                  "id=%s failed=%s retry=%s service=%s upstream=%s host=%s "
-                  "status=%d arrivals=%d runs=%d lag_ms=%" PRId64
-                  " repeats=%" PRIu64 " repeats_allowed=%.1f",
-                  exchange->metadata.id, marjoram_reason_name (reason),
-                  denial ? denial : "yes", exchange->service,
-                  *exchange->upstream ? exchange->upstream : "-",
-                  *exchange->host ? exchange->host : "-", exchange->status,
-                  exchange->attempts_sent, exchange->attempts_maybe_run,
-                  gateway->ops->lag_ms (gateway->context), usage.repeats,
-                  usage.allowed);
+  marjoram_event (
+      MARJORAM_EVENT_ATTEMPT,
+      "id=%s failed=%s retry=%s service=%s upstream=%s host=%s "
+      "status=%d framing=%s unfinished=%zu arrivals=%d runs=%d "
+      "lag_ms=%" PRId64 " repeats=%" PRIu64 " repeats_allowed=%.1f",
+      exchange->metadata.id, marjoram_reason_name (reason),
+      denial ? denial : "yes", exchange->service,
+      *exchange->upstream ? exchange->upstream : "-",
+      *exchange->host ? exchange->host : "-", exchange->status,
+      marjoram_framing_name (exchange->framing),
+      marjoram_exchange_unfinished (exchange), exchange->attempts_sent,
+      exchange->attempts_maybe_run, gateway->ops->lag_ms (gateway->context),
+      usage.repeats, usage.allowed);
 }
 
 static void
 reset_answer (struct marjoram_exchange *exchange)
 {
   exchange->status = 0;
+  exchange->framing = MARJORAM_FRAMING_NONE;
   exchange->refused = false;
   exchange->is_signed = false;
   marjoram_header_list_clear (&exchange->headers);
@@ -219,6 +222,16 @@
                   exchange->upstream, exchange->service, metadata->rate_limit);
 }
 
+static enum marjoram_framing
+read_framing (const struct marjoram_header_list *headers)
+{
+  if (marjoram_header_list_has_token (headers, "Transfer-Encoding", "chunked"))
+    return MARJORAM_FRAMING_CHUNKS;
+  if (marjoram_header_list_get (headers, "Content-Length"))
+    return MARJORAM_FRAMING_LENGTH;
+  return MARJORAM_FRAMING_CLOSE;
+}
+
 bool
 marjoram_gateway_head (marjoram_gateway *gateway, int64_t now,
                        uint64_t attempt, int status,
@@ -237,7 +250,10 @@
       return false;
     }
   if (*exchange->upstream)
-    record_statements (gateway, exchange, now, &metadata);
+    {
+      exchange->framing = read_framing (headers);
+      record_statements (gateway, exchange, now, &metadata);
+    }
   exchange->status = status;
   exchange->is_signed = metadata.signed_by_upstream;
   exchange->refused = metadata.not_run;
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -30,6 +30,15 @@
   MARJORAM_EXCHANGE_STREAMING, /* head and events are relayed */
 };
 
+/* What shows that the body of an upstream's answer is complete.  */
+enum marjoram_framing
+{
+  MARJORAM_FRAMING_NONE, /* no answer of an upstream yet */
+  MARJORAM_FRAMING_LENGTH,
+  MARJORAM_FRAMING_CHUNKS,
+  MARJORAM_FRAMING_CLOSE /* nothing but the end of the connection */
+};
+
 /* One request and the state of its answer.  */
 struct marjoram_exchange
 {
@@ -74,6 +83,7 @@
   int64_t idle_deadline; /* compared with input_time; INT64_MAX: none */
   int status;
   struct marjoram_header_list headers; /* of the answer */
+  enum marjoram_framing framing;       /* as received from the upstream */
   bool is_signed;
   bool refused; /* reported as not run */
   bool wrong_upstream;
@@ -128,6 +138,10 @@
                                struct marjoram_exchange *exchange, int64_t now,
                                bool whole);
 
+const char *marjoram_framing_name (enum marjoram_framing framing);
+/* Bytes of an event whose end has not been received.  */
+size_t marjoram_exchange_unfinished (const struct marjoram_exchange *exchange);
+
 /* Digest of the request; equal for identical requests.  */
 const char *marjoram_exchange_digest (struct marjoram_exchange *exchange);
 
