--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -61,7 +61,8 @@
   uint64_t call;
   int next;
   int last;
-  bool cut; /* cut the connection within the third event */
+  bool cut;  /* cut the connection within the third event */
+  bool half; /* end the answer in order within the third event */
   struct event *timer;
 };
 
@@ -194,10 +195,13 @@
   (void)what;
   size = snprintf (text, sizeof text, "id: %d\ndata: part-%d\n\n",
                    stream->next, stream->next);
-  if (stream->cut && stream->next == 3)
+  if ((stream->cut || stream->half) && stream->next == 3)
     {
       marjoram_http_server_data (server, stream->call, text, (size_t)size / 2);
-      marjoram_http_server_abort (server, stream->call);
+      if (stream->cut)
+        marjoram_http_server_abort (server, stream->call);
+      else
+        marjoram_http_server_end (server, stream->call);
     }
   else
     {
@@ -215,7 +219,7 @@
 
 static void
 start_stream (struct replica *replica, uint64_t call, const char *id,
-              const char *last_event, bool cut, int last)
+              const char *last_event, const char *target)
 {
   struct marjoram_header_list headers = { 0 };
   struct stream *stream = marjoram_alloc (sizeof *stream);
@@ -228,8 +232,9 @@
   stream->replica = replica;
   stream->call = call;
   stream->next = last_event ? atoi (last_event) + 1 : 1;
-  stream->last = last;
-  stream->cut = cut && !last_event;
+  stream->last = strstr (target, "long") ? LONG_EVENTS : EVENTS;
+  stream->cut = strstr (target, "cut") && !last_event;
+  stream->half = strstr (target, "half") && !last_event;
   stream->timer = evtimer_new (replica->base, on_event, stream);
   evtimer_add (stream->timer, &wait);
 }
@@ -266,8 +271,7 @@
   else if (target_contains (request, "/stream/"))
     start_stream (replica, call, id,
                   marjoram_header_list_get (headers, "Last-Event-Id"),
-                  target_contains (request, "cut"),
-                  target_contains (request, "long") ? LONG_EVENTS : EVENTS);
+                  request->target);
   else
     reply (replica, call, 200, id, replica->id);
 }
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -530,6 +530,25 @@
   return taken;
 }
 
+bool
+gateway_fixture_success (struct gateway_fixture *f, int64_t now,
+                         const char *name, const char *value)
+{
+  struct marjoram_header_list headers = { 0 };
+  char id[32];
+  bool taken;
+
+  snprintf (id, sizeof id, "id-%llu", (unsigned long long)f->calls);
+  marjoram_header_list_add (&headers, "Marjoramproxy-Attempt-Id", id);
+  marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "s");
+  if (name)
+    marjoram_header_list_add (&headers, name, value);
+  taken = marjoram_gateway_head (f->gateway, now, f->seen.attempt, 200,
+                                 &headers);
+  marjoram_header_list_clear (&headers);
+  return taken;
+}
+
 void
 gateway_fixture_data (struct gateway_fixture *f, int64_t now, const char *text)
 {
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -107,6 +107,10 @@
    last call is used.  */
 bool gateway_fixture_head (struct gateway_fixture *f, int64_t now, int status,
                            const char *id, bool is_signed, bool not_run);
+/* Answers the last attempt with a signed success of status 200, with a header
+   NAME unless that is null.  */
+bool gateway_fixture_success (struct gateway_fixture *f, int64_t now,
+                              const char *name, const char *value);
 void gateway_fixture_data (struct gateway_fixture *f, int64_t now,
                            const char *text);
 void gateway_fixture_end (struct gateway_fixture *f, int64_t now,
--- a/test/lib_relay.c
+++ b/test/lib_relay.c
@@ -8,6 +8,7 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <errno.h>
+#include <string.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -71,6 +72,7 @@
   int64_t delay_ms;
   struct relay_link *link; /* or NULL */
   bool link_at_target;     /* the link belongs to the target */
+  bool downgrades;         /* requests to HTTP/1.0 */
   uint64_t connections;
   uint64_t bytes;
   LIST_HEAD (pairs, pair) pairs;
@@ -265,6 +267,21 @@
     STAILQ_INSERT_HEAD (&pair->parcels, parcel, entries);
 }
 
+static void
+downgrade_requests (struct evbuffer *bytes)
+{
+  static const char version[] = " HTTP/1.1\r\n";
+  const size_t minor = strlen (" HTTP/1.");
+  struct evbuffer_ptr at
+      = evbuffer_search (bytes, version, strlen (version), NULL);
+
+  while (at.pos >= 0)
+    {
+      evbuffer_pullup (bytes, -1)[(size_t)at.pos + minor] = '0';
+      at = evbuffer_search (bytes, version, strlen (version), NULL);
+    }
+}
+
 /* Queues all input of FROM, or its end of file, for the other side.  */
 static void
 forward_input (struct side *from, bool end)
@@ -279,6 +296,8 @@
       parcel->bytes = evbuffer_new ();
       evbuffer_add_buffer (parcel->bytes,
                            bufferevent_get_input (from->stream));
+      if (pair->relay->downgrades && from == &pair->side[0])
+        downgrade_requests (parcel->bytes);
       size = evbuffer_get_length (parcel->bytes);
       pair->relay->bytes += size;
     }
@@ -548,3 +567,9 @@
 {
   return relay->bytes;
 }
+
+void
+relay_downgrade (struct relay *relay)
+{
+  relay->downgrades = true;
+}
--- a/test/lib_relay.h
+++ b/test/lib_relay.h
@@ -35,6 +35,9 @@
    otherwise to the connecting host.  */
 void relay_set_link (struct relay *relay, struct relay_link *link,
                      bool at_target);
+/* Rewrites requests to HTTP/1.0, whose answers of unknown length end with
+   their connection.  A request line must arrive in one piece.  */
+void relay_downgrade (struct relay *relay);
 /* Keeps existing connections open but delivers no further data on them.  */
 void relay_silence (struct relay *relay);
 /* Buffers data on existing connections until relay_release.  */
--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -160,10 +160,11 @@
     CHANGES
   };
   static const char *const words[]
-      = { "pass",    "hold",  "refuse",  "delay", "rate", "rate_in",
-          "silence", "stall", "release", "drop",  NULL };
+      = { "pass",    "hold",  "refuse",  "delay", "rate",      "rate_in",
+          "silence", "stall", "release", "drop",  "downgrade", NULL };
   static void (*const changes[]) (struct relay *)
-      = { relay_silence, relay_stall, relay_release, relay_drop };
+      = { relay_silence, relay_stall, relay_release, relay_drop,
+          relay_downgrade };
   struct relay *changed = lua_touserdata (lua, 1);
   int word = luaL_checkoption (lua, 2, NULL, words);
 
