An answer that ends within an event is broken off, whatever its framing says

Callers got streams whose last event was missing, framed as complete. An upstream's answer without a length or chunks ends with its connection, and a crash closes that as well; an answer in chunks may be ended by an upstream that broke off. The gateway took the end of the input for the end of the answer: it passed on what was left of the event under way and ended its own answer in order.

The end of an answer now counts only between two events: what is left of an event is kept back, and the attempt has failed as with a reset connection, so that the stream is resumed after its last event or cut. If the connection alone ended the answer, it also counts as a crash of the upstream, and before the first event it proves nothing. Comments and empty lines after the last event are passed on. An answer of another type than text/event-stream has no events and is passed on as it came.

--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -111,11 +111,32 @@
   return events;
 }
 
-void
+/* Whether TEXT has a line that is neither empty nor a comment.  */
+static bool
+has_field (const char *text, size_t size)
+{
+  bool at_line_start = true;
+
+  for (size_t i = 0; i < size; i++)
+    {
+      const bool is_line_end = text[i] == '\n' || text[i] == '\r';
+
+      if (at_line_start && !is_line_end && text[i] != ':')
+        return true;
+      at_line_start = is_line_end;
+    }
+  return false;
+}
+
+bool
 marjoram_event_stream_finish (marjoram_event_stream *stream,
                               struct evbuffer *out)
 {
-  evbuffer_add_buffer_reference (out, stream->incomplete);
+  if (has_field ((const char *)evbuffer_pullup (stream->incomplete, -1),
+                 evbuffer_get_length (stream->incomplete)))
+    return false;
+  evbuffer_add_buffer (out, stream->incomplete);
+  return true;
 }
 
 void
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -15,8 +15,10 @@
 size_t marjoram_event_stream_feed (marjoram_event_stream *stream,
                                    const void *data, size_t size,
                                    struct evbuffer *out);
-/* Signals a regular end of stream.  Moves the remaining data to OUT.  */
-void marjoram_event_stream_finish (marjoram_event_stream *stream,
+/* Signals the end of an answer.  Returns false if it lies within an event,
+   whose bytes are kept; otherwise moves comments after the last event to OUT.
+ */
+bool marjoram_event_stream_finish (marjoram_event_stream *stream,
                                    struct evbuffer *out);
 /* Prepares for data from another upstream.  Discards the incomplete event;
    events that were already forwarded will be discarded as well.  */
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -6,6 +6,7 @@
 #include <event2/buffer.h>
 #include <inttypes.h>
 #include <string.h>
+#include <strings.h>
 
 enum
 {
@@ -180,6 +181,16 @@
   return status / 100 != SUCCESS;
 }
 
+/* Whether an answer to a streaming route consists of events.  */
+static bool
+is_event_stream (const struct marjoram_header_list *headers)
+{
+  static const char type[] = "text/event-stream";
+  const char *text = marjoram_header_list_get (headers, "Content-Type");
+
+  return !text || strncasecmp (text, type, strlen (type)) == 0;
+}
+
 static void
 record_first (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
               int64_t now)
@@ -261,7 +272,9 @@
   if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
     return true;
   copy_headers (gateway, exchange, headers);
-  if (exchange->stream && is_success (exchange))
+  exchange->has_events
+      = exchange->stream && is_success (exchange) && is_event_stream (headers);
+  if (exchange->has_events)
     {
       exchange->state = MARJORAM_EXCHANGE_HEAD;
       if (!exchange->events)
@@ -311,7 +324,7 @@
   if (!exchange || exchange->refused)
     return;
   marjoram_placement_data_received (gateway->placement, now, attempt);
-  if (!exchange->stream || !is_success (exchange))
+  if (!exchange->has_events || !is_success (exchange))
     {
       evbuffer_add (exchange->body, data, size);
       return;
@@ -349,7 +362,6 @@
 {
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  MARJORAM_ATTEMPT_SERVED);
-  marjoram_event_stream_finish (exchange->events, exchange->body);
   flush_stream (gateway, exchange);
   gateway->ops->reply_end (gateway->context, exchange->call);
   marjoram_exchange_finish (gateway, exchange, now, true);
@@ -399,6 +411,53 @@
                            MARJORAM_REASON_UPSTREAM_FAILED, false);
 }
 
+/* Counts the loss of the connection to the upstream that runs this request as
+   a crash of the upstream.  */
+static void
+record_crash (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+              int64_t now)
+{
+  const struct marjoram_registered *upstream = marjoram_registry_find (
+      gateway->options.place.registry, exchange->upstream);
+  const char *digest = marjoram_exchange_digest (exchange);
+
+  marjoram_crash_list_add_crash (
+      gateway->crashes, now, digest, exchange->upstream,
+      upstream ? upstream->heartbeat.started_at : 0);
+  if (marjoram_crash_list_is_blocked (gateway->crashes, now, digest))
+    marjoram_event (MARJORAM_EVENT_ATTEMPT,
+                    "id=%s convicted=yes digest=%s upstream=%s service=%s",
+                    exchange->metadata.id, digest, exchange->upstream,
+                    exchange->service);
+}
+
+/* Whether the connection ended the answer before the stream's first event, so
+   that nothing shows that the upstream had no event to send.  */
+static bool
+is_closed_without_events (const struct marjoram_exchange *exchange)
+{
+  return exchange->framing == MARJORAM_FRAMING_CLOSE
+         && exchange->events_sent == 0 && !*exchange->metadata.last_event;
+}
+
+/* Whether a stream of events ended before its upstream had sent all of it,
+   although its framing says that it is complete.  */
+static bool
+is_broken_off (struct marjoram_exchange *exchange)
+{
+  return !marjoram_event_stream_finish (exchange->events, exchange->body)
+         || is_closed_without_events (exchange);
+}
+
+static void
+end_broken_off (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+                int64_t now)
+{
+  if (exchange->framing == MARJORAM_FRAMING_CLOSE)
+    record_crash (gateway, exchange, now);
+  end_broken (gateway, exchange, now);
+}
+
 static void
 end_complete (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
               int64_t now)
@@ -412,7 +471,9 @@
   /* A success without the upstream's signature may be a stray answer.  */
   else if (is_success (exchange) && !exchange->is_signed)
     end_broken (gateway, exchange, now);
-  else if (exchange->stream && is_success (exchange))
+  else if (exchange->has_events && is_broken_off (exchange))
+    end_broken_off (gateway, exchange, now);
+  else if (exchange->has_events)
     end_stream (gateway, exchange, now);
   else
     {
@@ -435,26 +496,6 @@
   marjoram_exchange_send (gateway, exchange, now);
 }
 
-/* Counts the loss of the connection to the upstream that runs this request as
-   a crash of the upstream.  */
-static void
-record_crash (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-              int64_t now)
-{
-  const struct marjoram_registered *upstream = marjoram_registry_find (
-      gateway->options.place.registry, exchange->upstream);
-  const char *digest = marjoram_exchange_digest (exchange);
-
-  marjoram_crash_list_add_crash (
-      gateway->crashes, now, digest, exchange->upstream,
-      upstream ? upstream->heartbeat.started_at : 0);
-  if (marjoram_crash_list_is_blocked (gateway->crashes, now, digest))
-    marjoram_event (MARJORAM_EVENT_ATTEMPT,
-                    "id=%s convicted=yes digest=%s upstream=%s service=%s",
-                    exchange->metadata.id, digest, exchange->upstream,
-                    exchange->service);
-}
-
 void
 marjoram_gateway_end (marjoram_gateway *gateway, int64_t now, uint64_t attempt,
                       enum marjoram_http_outcome how)
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -87,6 +87,7 @@
   bool is_signed;
   bool refused; /* reported as not run */
   bool wrong_upstream;
+  bool has_events;       /* the answer is a stream of events */
   struct evbuffer *body; /* answer body or complete events */
   marjoram_event_stream *events;
 
--- a/test/test_event_stream.c
+++ b/test/test_event_stream.c
@@ -68,11 +68,20 @@
 }
 END_TEST
 
-START_TEST (finish_flushes_remaining_data)
+START_TEST (unfinished_event_is_not_forwarded)
 {
   feed ("id: 1\ndata: a\n\ndata: last");
-  marjoram_event_stream_finish (stream, out);
-  expect ("id: 1\ndata: a\n\ndata: last");
+  ck_assert (!marjoram_event_stream_finish (stream, out));
+  expect ("id: 1\ndata: a\n\n");
+  ck_assert_uint_eq (marjoram_event_stream_unfinished (stream), 10);
+}
+END_TEST
+
+START_TEST (finish_flushes_comments)
+{
+  feed ("id: 1\ndata: a\n\n\r\n: bye\n:");
+  ck_assert (marjoram_event_stream_finish (stream, out));
+  expect ("id: 1\ndata: a\n\n\r\n: bye\n:");
 }
 END_TEST
 
@@ -86,7 +95,8 @@
   tcase_add_test (c, only_complete_events_are_forwarded);
   tcase_add_test (c, resumed_stream_has_no_duplicates);
   tcase_add_test (c, crlf_line_endings_are_accepted);
-  tcase_add_test (c, finish_flushes_remaining_data);
+  tcase_add_test (c, unfinished_event_is_not_forwarded);
+  tcase_add_test (c, finish_flushes_comments);
   suite_add_tcase (s, c);
   return s;
 }
