A truncated response to an HTTP/1.0 caller ends with a reset

Such a connection is now reset when it closes, also when the process dies, until the last byte of the whole response is written.

test_http aborted_response_to_http_1_0_is_reset and response_to_http_1_0_is_reset_with_its_server fail without the change (2 of 28), all 28 pass with it. Found by reading; no caller was seen to be told so.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -62,6 +62,8 @@
   bool chunked_allowed;
   bool head_only;
   bool chunked_response;
+  bool close_delimited; /* the end of the connection ends the response */
+  bool aborted;
   bool feeding;
   UT_hash_handle hh;
 };
@@ -287,7 +289,12 @@
       connection->chunked_response = true;
     }
   else
-    connection->keep_alive = false;
+    {
+      connection->keep_alive = false;
+      connection->close_delimited = true;
+      marjoram_socket_set_reset_on_close (bufferevent_getfd (connection->bev),
+                                          true);
+    }
 }
 
 /* Whether to close the connection after this response.  Pipelined requests are
@@ -315,6 +322,7 @@
     return;
   output = bufferevent_get_output (connection->bev);
   connection->chunked_response = false;
+  connection->close_delimited = false;
   evbuffer_add_printf (output, "HTTP/1.1 %d %s\r\n", status,
                        status_text (status));
   for (size_t i = 0; i < headers->count; i++)
@@ -351,6 +359,15 @@
 static void
 start_linger (struct connection *connection)
 {
+  if (connection->close_delimited && connection->aborted)
+    {
+      bufferevent_trigger_event (connection->bev, BEV_EVENT_ERROR,
+                                 BEV_TRIG_DEFER_CALLBACKS);
+      return;
+    }
+  if (connection->close_delimited)
+    marjoram_socket_set_reset_on_close (bufferevent_getfd (connection->bev),
+                                        false);
   shutdown (bufferevent_getfd (connection->bev), SHUT_WR);
   set_state (connection, STATE_LINGER);
 }
@@ -397,8 +414,9 @@
   if (!connection)
     return;
   unregister_call (connection);
-  /* Buffered output is still written; the missing end marks the response as
-     truncated.  */
+  connection->aborted = true;
+  /* Buffered output is still written; the missing end, or a reset, marks the
+     response as truncated.  */
   close_when_written (connection);
 }
 
--- a/src/socket_option.c
+++ b/src/socket_option.c
@@ -36,6 +36,14 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
+void
+marjoram_socket_set_reset_on_close (evutil_socket_t fd, bool reset)
+{
+  const struct linger linger = { .l_onoff = reset, .l_linger = 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 struct evconnlistener *
 marjoram_socket_listen (struct event_base *base, const char *address,
                         int backlog, evconnlistener_cb on_accept,
--- a/src/socket_option.h
+++ b/src/socket_option.h
@@ -10,6 +10,10 @@
    unreachable peer is detected within a few seconds.  */
 void marjoram_socket_set_options (evutil_socket_t fd);
 
+/* Sets whether closing FD resets the connection, also when the process ends,
+   so that a body without a length is not taken for complete.  */
+void marjoram_socket_set_reset_on_close (evutil_socket_t fd, bool reset);
+
 /* Listens on ADDRESS (IP:port).  Returns null with ERR set on failure.  */
 struct evconnlistener *
 marjoram_socket_listen (struct event_base *base, const char *address,
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -34,6 +34,7 @@
 static struct bufferevent *raw; /* connection to the server */
 static char received[TEXT_MAX]; /* data received on RAW */
 static bool raw_closed;
+static short raw_events; /* of the close */
 static int requests;
 static int gone;
 static uint64_t last_call;
@@ -103,7 +104,10 @@
   (void)bev;
   (void)context;
   if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-    raw_closed = true;
+    {
+      raw_closed = true;
+      raw_events = events;
+    }
 }
 
 static void
@@ -517,14 +521,54 @@
 }
 END_TEST
 
-START_TEST (aborted_response_is_not_terminated)
+static void
+begin_response (const char *version)
 {
   struct marjoram_header_list headers = { 0 };
+  char text[64];
 
-  send_text ("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+  snprintf (text, sizeof text, "GET /hold %s\r\nHost: x\r\n\r\n", version);
+  send_text (text);
   run_until (is_request_pending);
   marjoram_http_server_head (server, last_call, 200, &headers, -1);
   marjoram_http_server_data (server, last_call, "part", 4);
+}
+
+/* Guards against a caller that knows no chunks taking a truncated response for
+   complete.  */
+START_TEST (aborted_response_to_http_1_0_is_reset)
+{
+  begin_response ("HTTP/1.0");
+  marjoram_http_server_abort (server, last_call);
+  run_until (is_closed);
+  ck_assert (raw_events & BEV_EVENT_ERROR);
+}
+END_TEST
+
+START_TEST (whole_response_to_http_1_0_is_closed)
+{
+  begin_response ("HTTP/1.0");
+  marjoram_http_server_end (server, last_call);
+  run_until (is_closed);
+  ck_assert (raw_events & BEV_EVENT_EOF);
+  ck_assert_str_eq (received + strlen (received) - 8, "\r\n\r\npart");
+}
+END_TEST
+
+/* The same for a process that ends in the middle of a response.  */
+START_TEST (response_to_http_1_0_is_reset_with_its_server)
+{
+  begin_response ("HTTP/1.0");
+  marjoram_http_server_destroy (server);
+  server = NULL;
+  run_until (is_closed);
+  ck_assert (raw_events & BEV_EVENT_ERROR);
+}
+END_TEST
+
+START_TEST (aborted_response_is_not_terminated)
+{
+  begin_response ("HTTP/1.1");
   marjoram_http_server_abort (server, last_call);
   run_until (is_closed);
   ck_assert (strstr (received, "4\r\npart\r\n"));
@@ -886,6 +930,9 @@
   tcase_add_test (c, connection_closes_after_response_begun_before_drain);
   tcase_add_test (c, slow_caller_gets_complete_last_response);
   tcase_add_test (c, request_at_the_idle_timeout_is_answered);
+  tcase_add_test (c, aborted_response_to_http_1_0_is_reset);
+  tcase_add_test (c, whole_response_to_http_1_0_is_closed);
+  tcase_add_test (c, response_to_http_1_0_is_reset_with_its_server);
   tcase_add_test (c, aborted_response_is_not_terminated);
   suite_add_tcase (s, c);
   tcase_add_checked_fixture (d, client_setup, client_teardown);
