Events that end with mixed line ends, or CR alone, are seen

An event that ends with another pair, which the standard of event streams allows, was held back until a later one and, at the end of the answer, would now count as unfinished. Lines may end with LF, CRLF or CR, in any mix; the id of an event is read by the same lines.

--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -31,16 +31,45 @@
   free (stream);
 }
 
-/* Returns the size of the first complete event with its empty line, or 0.  */
+static bool
+is_line_end (char c)
+{
+  return c == '\n' || c == '\r';
+}
+
+/* Returns the size of the first complete event with its empty line, or 0.
+   Lines end with LF, CRLF or CR.  The last byte of TEXT may be the first half
+   of a CRLF, unless the line before ended with a CR alone.  */
 static size_t
-event_size (struct evbuffer *buffer)
+event_size (const char *text, size_t size)
 {
-  struct evbuffer_ptr lf = evbuffer_search (buffer, "\n\n", 2, NULL);
-  struct evbuffer_ptr crlf = evbuffer_search (buffer, "\r\n\r\n", 4, NULL);
+  bool has_line = false;
+  bool after_cr = false; /* the line before ended with a CR alone */
+  size_t line = 0;
+  size_t at = 0;
+
+  while (at < size)
+    {
+      const bool is_last = at + 1 == size;
+      const bool is_empty = at == line;
+      bool is_crlf;
 
-  if (crlf.pos >= 0 && (lf.pos < 0 || crlf.pos < lf.pos))
-    return (size_t)crlf.pos + 4;
-  return lf.pos >= 0 ? (size_t)lf.pos + 2 : 0;
+      if (!is_line_end (text[at]))
+        {
+          at++;
+          continue;
+        }
+      if (text[at] == '\r' && is_last && !after_cr)
+        return 0;
+      is_crlf = text[at] == '\r' && !is_last && text[at + 1] == '\n';
+      after_cr = text[at] == '\r' && !is_crlf;
+      at += is_crlf ? 2 : 1;
+      line = at;
+      if (is_empty && has_line)
+        return at;
+      has_line = has_line || !is_empty;
+    }
+  return 0;
 }
 
 /* Stores the value of the event's id field in ID, or "" if it has none.  */
@@ -52,25 +81,21 @@
   id[0] = '\0';
   while (event < end)
     {
-      const char *line_end = memchr (event, '\n', (size_t)(end - event));
-      size_t length = (size_t)((line_end ? line_end : end) - event);
+      const char *line_end = event;
 
-      if (length > 3 && memcmp (event, "id:", 3) == 0)
+      while (line_end < end && !is_line_end (*line_end))
+        line_end++;
+      if (line_end - event > 3 && memcmp (event, "id:", 3) == 0)
         {
           const char *value = event + 3;
-          size_t value_size = length - 3;
-
-          while (value_size > 0 && *value == ' ')
-            {
-              value++;
-              value_size--;
-            }
-          while (value_size > 0 && value[value_size - 1] == '\r')
-            value_size--;
-          if (value_size < MARJORAM_ID_MAX)
-            snprintf (id, MARJORAM_ID_MAX, "%.*s", (int)value_size, value);
+
+          while (value < line_end && *value == ' ')
+            value++;
+          if (line_end - value < MARJORAM_ID_MAX)
+            snprintf (id, MARJORAM_ID_MAX, "%.*s", (int)(line_end - value),
+                      value);
         }
-      event = line_end ? line_end + 1 : end;
+      event = line_end + 1;
     }
 }
 
@@ -88,16 +113,18 @@
                             size_t size, struct evbuffer *out)
 {
   size_t events = 0;
+  const char *text;
   size_t length;
 
   evbuffer_add (stream->incomplete, data, size);
-  while ((length = event_size (stream->incomplete)) > 0)
+  while (
+      (text = (const char *)evbuffer_pullup (stream->incomplete, -1))
+      && (length = event_size (text, evbuffer_get_length (stream->incomplete)))
+             > 0)
     {
       char id[MARJORAM_ID_MAX];
 
-      read_id ((const char *)evbuffer_pullup (stream->incomplete,
-                                              (ev_ssize_t)length),
-               length, id);
+      read_id (text, length, id);
       if (is_repeated (stream, id))
         {
           evbuffer_drain (stream->incomplete, length);
@@ -119,11 +146,9 @@
 
   for (size_t i = 0; i < size; i++)
     {
-      const bool is_line_end = text[i] == '\n' || text[i] == '\r';
-
-      if (at_line_start && !is_line_end && text[i] != ':')
+      if (at_line_start && !is_line_end (text[i]) && text[i] != ':')
         return true;
-      at_line_start = is_line_end;
+      at_line_start = is_line_end (text[i]);
     }
   return false;
 }
--- a/test/test_event_stream.c
+++ b/test/test_event_stream.c
@@ -68,6 +68,35 @@
 }
 END_TEST
 
+/* Guards against events that end with mixed line ends being held back until
+   the next one, or for unfinished at the end.  */
+START_TEST (mixed_line_endings_are_accepted)
+{
+  static const char *const events[]
+      = { "id: 1\r\ndata: a\n\r\n", "id: 1\ndata: a\r\n\n",
+          "id: 1\rdata: a\r\r", "id: 1\ndata: a\n\n" };
+
+  ck_assert_uint_eq (feed (events[_i]), 1);
+  ck_assert_str_eq (marjoram_event_stream_last_id (stream), "1");
+  expect (events[_i]);
+  ck_assert (marjoram_event_stream_finish (stream, out));
+}
+END_TEST
+
+START_TEST (events_are_split_alike_byte_by_byte)
+{
+  static const char text[]
+      = "\r\nid: 1\r\ndata: a\r\n\r\nid: 2\rdata: b\r\r:c\n\nid: 3\n\n";
+  size_t events = 0;
+
+  for (size_t i = 0; i < strlen (text); i++)
+    events += marjoram_event_stream_feed (stream, text + i, 1, out);
+  ck_assert_uint_eq (events, 4);
+  ck_assert_str_eq (marjoram_event_stream_last_id (stream), "3");
+  expect (text);
+}
+END_TEST
+
 START_TEST (unfinished_event_is_not_forwarded)
 {
   feed ("id: 1\ndata: a\n\ndata: last");
@@ -95,6 +124,8 @@
   tcase_add_test (c, only_complete_events_are_forwarded);
   tcase_add_test (c, resumed_stream_has_no_duplicates);
   tcase_add_test (c, crlf_line_endings_are_accepted);
+  tcase_add_loop_test (c, mixed_line_endings_are_accepted, 0, 4);
+  tcase_add_test (c, events_are_split_alike_byte_by_byte);
   tcase_add_test (c, unfinished_event_is_not_forwarded);
   tcase_add_test (c, finish_flushes_comments);
   suite_add_tcase (s, c);
