Read and log the build of upstreams and which attempt began a resumed stream

The lines of a stream that went on at another build showed neither build, nor that its caller had taken it up, nor what it named. Heartbeats' version is read as the build, optional, and goes on to hosts and keepers; a change of it alone counts as a change, in the digest of the registry too. Resumes is read from requests. Lines of requests and attempts say build=, last_event=, resumes= and events=. Nothing is decided by them yet.

test_registry has a test of its own for the way between hosts, test_platform checks both fields and refuses a version that is no text. Other tests as before.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -38,6 +38,9 @@
   struct marjoram_prompt_part parts[MARJORAM_PROMPT_PARTS_MAX];
   size_t part_count;
   char last_event[MARJORAM_ID_MAX]; /* resume after this event; "" if none */
+  /* Id of the caller's attempt that brought the first event of the stream that
+     is resumed; "" if none.  */
+  char resumes[MARJORAM_ID_MAX];
 };
 
 /* Added to the caller's headers in a request to an upstream.  */
@@ -82,6 +85,7 @@
   char service[MARJORAM_ID_MAX];
   char address[MARJORAM_ID_MAX]; /* IP:port, for requests */
   char zone[MARJORAM_ID_MAX];
+  char build[MARJORAM_ID_MAX]; /* version of its software; "" if not given */
   enum marjoram_upstream_state state;
   int64_t started_at; /* start time in ms since the epoch; 0 if not given */
   int64_t sequence;   /* increases with each heartbeat since its start */
--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -108,10 +108,11 @@
           && batch->items.count <= LOGGED_ITEMS_MAX)
         marjoram_event (MARJORAM_EVENT_UPSTREAM,
                         "id=%s state=%d service=%s address=%s zone=%s "
-                        "born=%" PRId64 " seq=%" PRId64 " cold_ms=%" PRId64
-                        " age_ms=%" PRId64 " keeper=%s",
+                        "build=%s born=%" PRId64 " seq=%" PRId64
+                        " cold_ms=%" PRId64 " age_ms=%" PRId64 " keeper=%s",
                         heartbeat.id, (int)heartbeat.state, heartbeat.service,
                         heartbeat.address, heartbeat.zone,
+                        *heartbeat.build ? heartbeat.build : "-",
                         heartbeat.started_at, heartbeat.sequence,
                         heartbeat.cold_ms, items[i].age_ms, host);
     }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -234,7 +234,8 @@
       "rate_limited=%d full=%d news_age_ms=%" PRId64
       " limit=%s framing=%s unfinished=%zu events=%d quiet_ms=%" PRId64
       " pause_ms=%" PRId64 " route=%s service=%s customer=%s config=%" PRIu64
-      " upstream=%s host=%s arrivals=%d unreached=%d forwarded=%d",
+      " upstream=%s build=%s host=%s arrivals=%d unreached=%d forwarded=%d"
+      " last_event=%s resumes=%s",
       *exchange->metadata.id ? exchange->metadata.id : "-", outcome,
       marjoram_reason_name (reason), status, now - exchange->received_at,
       first_ms, exchange->objective_ms, exchange->estimated_wait_ms,
@@ -253,8 +254,11 @@
       *exchange->service ? exchange->service : "-",
       *exchange->customer ? exchange->customer : "-", exchange->config,
       *exchange->upstream ? exchange->upstream : "-",
+      *exchange->build ? exchange->build : "-",
       *exchange->host ? exchange->host : "-", exchange->attempts_sent,
-      exchange->failed_connections, exchange->forwarded);
+      exchange->failed_connections, exchange->forwarded,
+      *exchange->metadata.last_event ? exchange->metadata.last_event : "-",
+      *exchange->metadata.resumes ? exchange->metadata.resumes : "-");
 }
 
 void
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -81,17 +81,18 @@
                                     &usage);
   marjoram_event (
       MARJORAM_EVENT_ATTEMPT,
-      "id=%s failed=%s retry=%s service=%s upstream=%s host=%s "
-      "status=%d framing=%s unfinished=%zu arrivals=%d runs=%d "
+      "id=%s failed=%s retry=%s service=%s upstream=%s build=%s host=%s "
+      "status=%d framing=%s unfinished=%zu events=%d arrivals=%d runs=%d "
       "lag_ms=%" PRId64 " repeats=%" PRIu64 " repeats_allowed=%.1f",
       exchange->metadata.id, marjoram_reason_name (reason),
       denial ? denial : "yes", exchange->service,
       *exchange->upstream ? exchange->upstream : "-",
+      *exchange->build ? exchange->build : "-",
       *exchange->host ? exchange->host : "-", exchange->status,
       marjoram_framing_name (exchange->framing),
-      marjoram_exchange_unfinished (exchange), exchange->attempts_sent,
-      exchange->attempts_maybe_run, gateway->ops->lag_ms (gateway->context),
-      usage.repeats, usage.allowed);
+      marjoram_exchange_unfinished (exchange), exchange->events_sent,
+      exchange->attempts_sent, exchange->attempts_maybe_run,
+      gateway->ops->lag_ms (gateway->context), usage.repeats, usage.allowed);
 }
 
 static void
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -55,6 +55,7 @@
     {
       snprintf (exchange->host, sizeof exchange->host, "%s", host);
       exchange->upstream[0] = '\0';
+      exchange->build[0] = '\0';
       exchange->attempts_sent++;
       exchange->attempts_maybe_run++;
       marjoram_metrics_add (gateway->options.metrics,
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -76,7 +76,7 @@
   UINT (marjoram_news_item, state),     INT (marjoram_news_item, started_at),
   INT (marjoram_news_item, sequence),   INT (marjoram_news_item, cold_ms),
   INT (marjoram_news_item, ends_ms),    INT (marjoram_news_item, age_ms),
-  INT (marjoram_news_item, slots),
+  INT (marjoram_news_item, slots),      STRING (marjoram_news_item, build),
 };
 static LAYOUT (news_item_layout, marjoram_news_item, news_item_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -99,6 +99,7 @@
   int64_t ends_ms; /* remaining when sent; -1: no known end */
   int64_t age_ms;  /* since a keeper received it */
   int64_t slots;
+  char *build;
 };
 
 struct marjoram_news_batch
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -79,6 +79,7 @@
   /* The current attempt.  */
   uint64_t attempt; /* 0 if none */
   char upstream[MARJORAM_ID_MAX];
+  char build[MARJORAM_ID_MAX];       /* of UPSTREAM when it was sent */
   char host[MARJORAM_HOST_NAME_MAX]; /* "" if not forwarded */
   int64_t idle_deadline; /* compared with input_time; INT64_MAX: none */
   int status;
--- a/src/gateway_report.c
+++ b/src/gateway_report.c
@@ -30,11 +30,12 @@
   json_array_append_new (
       list,
       json_pack (
-          "{s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:I}", "id",
+          "{s:s, s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:I}", "id",
           upstream->heartbeat.id, "service", upstream->heartbeat.service,
           "address", upstream->heartbeat.address, "zone",
-          upstream->heartbeat.zone, "state", states[upstream->heartbeat.state],
-          "usable", marjoram_registry_usable (registry, upstream, now), "cold",
+          upstream->heartbeat.zone, "build", upstream->heartbeat.build,
+          "state", states[upstream->heartbeat.state], "usable",
+          marjoram_registry_usable (registry, upstream, now), "cold",
           now < upstream->cold_until, "heard_ms_ago",
           (json_int_t)(now
                        - marjoram_registry_heard_at (registry, upstream))));
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -208,6 +208,8 @@
     }
   snprintf (exchange->upstream, sizeof exchange->upstream, "%s",
             place->upstream->heartbeat.id);
+  snprintf (exchange->build, sizeof exchange->build, "%s",
+            place->upstream->heartbeat.build);
   exchange->host[0] = '\0';
   exchange->estimated_wait_ms = place->wait_ms;
   marjoram_exchange_start_attempt (gateway, exchange);
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -114,13 +114,14 @@
     return;
   marjoram_event (
       MARJORAM_EVENT_UPSTREAM,
-      "id=%s state=%s taken=%s service=%s address=%s zone=%s "
+      "id=%s state=%s taken=%s service=%s address=%s zone=%s build=%s "
       "born=%" PRId64 " seq=%" PRId64 " cold_ms=%" PRId64 " ends_ms=%" PRId64,
       heartbeat->id, state_names[heartbeat->state],
       result == MARJORAM_REGISTRY_STALE ? "no" : "yes",
       *heartbeat->service ? heartbeat->service : "-",
       *heartbeat->address ? heartbeat->address : "-",
-      *heartbeat->zone ? heartbeat->zone : "-", heartbeat->started_at,
+      *heartbeat->zone ? heartbeat->zone : "-",
+      *heartbeat->build ? heartbeat->build : "-", heartbeat->started_at,
       heartbeat->sequence, heartbeat->cold_ms, heartbeat->ends_ms);
 }
 
--- a/src/registry.c
+++ b/src/registry.c
@@ -164,8 +164,12 @@
   const uint64_t instance = XXH3_64bits_withSeed (
       heartbeat->id, strlen (heartbeat->id), (uint64_t)heartbeat->started_at);
 
-  return XXH3_64bits_withSeed (&instance, sizeof instance,
-                               (uint64_t)heartbeat->state);
+  const uint64_t state = XXH3_64bits_withSeed (&instance, sizeof instance,
+                                               (uint64_t)heartbeat->state);
+
+  return *heartbeat->build ? XXH3_64bits_withSeed (
+             heartbeat->build, strlen (heartbeat->build), state)
+                           : state;
 }
 
 /* Sets whether UPSTREAM is vouched for and brings the digest up to date.  */
@@ -336,9 +340,10 @@
        int64_t age_ms)
 {
   enum marjoram_upstream_state before = upstream->heartbeat.state;
-  bool moved
+  bool differs
       = strcmp (upstream->heartbeat.address, heartbeat->address) != 0
-        || strcmp (upstream->heartbeat.service, heartbeat->service) != 0;
+        || strcmp (upstream->heartbeat.service, heartbeat->service) != 0
+        || strcmp (upstream->heartbeat.build, heartbeat->build) != 0;
 
   if (before == MARJORAM_UPSTREAM_GONE
       || heartbeat->sequence <= upstream->heartbeat.sequence)
@@ -346,7 +351,8 @@
   store_heartbeat (registry, upstream, now, heartbeat, age_ms);
   if (upstream->heartbeat.state < before)
     upstream->heartbeat.state = before;
-  return upstream->heartbeat.state != before || moved || heartbeat->cold_ms > 0
+  return upstream->heartbeat.state != before || differs
+                 || heartbeat->cold_ms > 0
              ? MARJORAM_REGISTRY_CHANGED
              : MARJORAM_REGISTRY_RENEWED;
 }
@@ -546,6 +552,7 @@
                    : remaining_ms (upstream->ends_at, now),
     .age_ms = age_ms,
     .slots = heartbeat->slots,
+    .build = (char *)heartbeat->build,
   };
 }
 
@@ -567,6 +574,7 @@
       || !copy_id (heartbeat->service, item->service)
       || !copy_id (heartbeat->address, item->address)
       || !copy_id (heartbeat->zone, item->zone)
+      || !copy_id (heartbeat->build, item->build ? item->build : "")
       || item->state > MARJORAM_UPSTREAM_GONE || item->age_ms < 0)
     return false;
   heartbeat->state = (enum marjoram_upstream_state)item->state;
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -30,6 +30,7 @@
                             "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
   marjoram_header_list_add (&headers, "Marjoramproxy-Length-Hint", "50");
   marjoram_header_list_add (&headers, "Last-Event-Id", "12");
+  marjoram_header_list_add (&headers, "Resumes", "9c41cf");
   dialect->read_call (&headers, &facts);
   ck_assert_str_eq (facts.id, "9c41d0");
   ck_assert_int_eq (facts.caller_timeout_ms, 4000);
@@ -40,6 +41,7 @@
   ck_assert_uint_eq (facts.parts[1].id, 0x91bd3f06);
   ck_assert_int_eq (facts.parts[1].tokens, 410);
   ck_assert_str_eq (facts.last_event, "12");
+  ck_assert_str_eq (facts.resumes, "9c41cf");
   marjoram_header_list_clear (&headers);
 }
 END_TEST
@@ -167,6 +169,7 @@
   ck_assert_int_eq (call.kind, MARJORAM_API_HEARTBEAT);
   ck_assert_str_eq (call.heartbeat.id, "i-7f");
   ck_assert_str_eq (call.heartbeat.address, "10.0.0.9:8080");
+  ck_assert_str_eq (call.heartbeat.build, "v1");
   ck_assert_int_eq (call.heartbeat.state, MARJORAM_UPSTREAM_READY);
   ck_assert_int_eq (call.heartbeat.started_at, 1700000000123);
   ck_assert_int_eq (call.heartbeat.sequence, 4);
@@ -206,6 +209,8 @@
     "\"state\":\"ready\",\"seq\":1,\"cold_remaining_ms\":\"x\"}",
     "{\"service\":\"lm\",\"address\":\"10.0.0.9:80\",\"zone\":\"za\","
     "\"state\":\"ready\",\"seq\":1e300}",
+    "{\"service\":\"lm\",\"address\":\"10.0.0.9:80\",\"zone\":\"za\","
+    "\"state\":\"ready\",\"seq\":1,\"version\":1.1}",
     "\xff\xfe",
   };
   struct marjoram_api_request call;
--- a/test/test_registry.c
+++ b/test/test_registry.c
@@ -173,6 +173,33 @@
 }
 END_TEST
 
+/* Guards against a new build that is known by no other field reaching no other
+   host.  */
+START_TEST (build_alone_is_a_change)
+{
+  struct marjoram_upstream_heartbeat made
+      = heartbeat ("a", 1, 1, MARJORAM_UPSTREAM_READY);
+  struct marjoram_upstream_heartbeat received;
+  struct marjoram_news_item item;
+  uint64_t digest;
+
+  snprintf (made.build, sizeof made.build, "v1");
+  marjoram_registry_update (registry, 0, &made, 0);
+  digest = marjoram_registry_digest (registry).sum;
+  snprintf (made.build, sizeof made.build, "v1.1");
+  made.sequence = 2;
+  ck_assert_int_eq (marjoram_registry_update (registry, 100, &made, 0),
+                    MARJORAM_REGISTRY_CHANGED);
+  ck_assert_uint_ne (marjoram_registry_digest (registry).sum, digest);
+  marjoram_registry_pack (marjoram_registry_find (registry, "a"), 200, &item);
+  ck_assert (marjoram_registry_unpack (&item, &received));
+  ck_assert_str_eq (received.build, "v1.1");
+  item.build = NULL; /* as sent by hosts that don't know it */
+  ck_assert (marjoram_registry_unpack (&item, &received));
+  ck_assert_str_eq (received.build, "");
+}
+END_TEST
+
 START_TEST (old_records_are_dropped)
 {
   struct marjoram_upstream_heartbeat other
@@ -202,6 +229,7 @@
   tcase_add_test (c, silence_counts_relative_to_others);
   tcase_add_test (c, ending_upstream_is_not_usable);
   tcase_add_test (c, durations_survive_transfer);
+  tcase_add_test (c, build_alone_is_a_change);
   tcase_add_test (c, old_records_are_dropped);
   suite_add_tcase (s, c);
   return s;
