--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -41,6 +41,7 @@
   const char *id;
   const char *service;
   const char *zone;
+  const char *version;
   const char *address; /* announced address */
   const char *listen;
   char *keepers[KEEPERS_MAX];
@@ -110,9 +111,9 @@
   evbuffer_add_printf (
       evhttp_request_get_output_buffer (request),
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-      "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+      "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
       "\"cold_remaining_ms\":0,\"seq\":%d,\"born\":%" PRId64 "}",
-      replica->service, replica->address, replica->zone,
+      replica->service, replica->address, replica->zone, replica->version,
       replica->leaving ? "draining" : "ready", ++replica->sequence,
       replica->started_at);
   snprintf (path, sizeof path, "/-/instances/%s/%s", replica->id, what);
@@ -253,6 +254,7 @@
   const struct marjoram_header_list *headers = &request->headers;
 
   log_event (replica, "run", id);
+  log_event (replica, replica->version, id);
   if (marjoram_header_list_get (headers, "Marjoramproxy-Tenant"))
     log_event (replica, "customer",
                marjoram_header_list_get (headers, "Marjoramproxy-Tenant"));
@@ -340,12 +342,14 @@
           { "id", required_argument, NULL, 'i' },
           { "service", required_argument, NULL, 's' },
           { "zone", required_argument, NULL, 'z' },
+          { "version", required_argument, NULL, 'v' },
           { "keepers", required_argument, NULL, 'k' },
           { "log", required_argument, NULL, 'l' },
           { NULL, 0, NULL, 0 } };
   int option;
 
   replica->log = -1;
+  replica->version = "v1";
   while ((option = getopt_long (argc, argv, "", options, NULL)) != -1)
     switch (option)
       {
@@ -364,6 +368,9 @@
       case 'z':
         replica->zone = optarg;
         break;
+      case 'v':
+        replica->version = optarg;
+        break;
       case 'k':
         add_keepers (replica, optarg);
         break;
@@ -390,8 +397,8 @@
       fprintf (
           stderr,
           "usage: fake_replica --address IP:PORT --listen IP:PORT --id ID "
-          "--service NAME --zone ZONE --keepers IP:PORT,... "
-          "--log FILE\n");
+          "--service NAME --zone ZONE [--version VERSION] "
+          "--keepers IP:PORT,... --log FILE\n");
       return EXIT_FAILURE;
     }
   signal (SIGPIPE, SIG_IGN);
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -381,6 +381,27 @@
   marjoram_registry_update (f->registry, now, &heartbeat, 0);
 }
 
+void
+gateway_fixture_build (struct gateway_fixture *f, int64_t now, const char *id,
+                       int64_t started_at, const char *build)
+{
+  struct marjoram_upstream_heartbeat heartbeat
+      = marjoram_registry_find (f->registry, id)->heartbeat;
+
+  heartbeat.started_at = started_at;
+  heartbeat.sequence++;
+  snprintf (heartbeat.build, sizeof heartbeat.build, "%s", build);
+  marjoram_registry_update (f->registry, now, &heartbeat, 0);
+}
+
+void
+gateway_fixture_break (struct gateway_fixture *f, int64_t now)
+{
+  marjoram_placement_connection_lost (marjoram_gateway_placement (f->gateway),
+                                      now, f->seen.address, true);
+  gateway_fixture_end (f, now, MARJORAM_HTTP_BROKEN);
+}
+
 void
 gateway_fixture_leave (struct gateway_fixture *f, int64_t now, const char *id)
 {
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -85,6 +85,13 @@
 /* Upstream ID reports at NOW that it was restarted at STARTED_AT.  */
 void gateway_fixture_restart (struct gateway_fixture *f, int64_t now,
                               const char *id, int64_t started_at);
+/* Upstream ID, started at STARTED_AT, reports at NOW that its software has
+   version BUILD.  */
+void gateway_fixture_build (struct gateway_fixture *f, int64_t now,
+                            const char *id, int64_t started_at,
+                            const char *build);
+/* The connection of the last attempt breaks.  */
+void gateway_fixture_break (struct gateway_fixture *f, int64_t now);
 /* Upstream ID reports at NOW that it is leaving.  */
 void gateway_fixture_leave (struct gateway_fixture *f, int64_t now,
                             const char *id);
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -116,15 +116,18 @@
   replica.pid = system.spawn (
     { system.programs .. "/fake_replica", "--address", replica.address,
       "--listen", replica.listen, "--id", replica.id, "--service",
-      replica.service, "--zone", replica.zone, "--keepers",
+      replica.service, "--zone", replica.zone, "--version",
+      replica.version, "--keepers",
       table.concat (list, ","), "--log", replica.runs },
     folder .. "/" .. replica.id .. ".log")
 end
 
+-- VERSIONS, if set, has the software versions of replicas, "v1" by default.
 -- With REPLICA_RELAYS, the replica is reached through a relay for fault
 -- injection, attached to the slow link, if any, unless APART.
 function add_replica (id, service, zone, index, apart)
   local replica = { id = id, service = service, zone = zone,
+                    version = VERSIONS and VERSIONS[id] or "v1",
                     address = ip (index) .. ":8080",
                     listen = ip (index) .. ":8080",
                     runs = folder .. "/" .. id .. ".runs" }
@@ -224,6 +227,18 @@
   return count
 end
 
+-- The versions of the replicas that ran attempt ID, in order of the replicas.
+function versions_of (id)
+  local found = {}
+  for _, name in ipairs (sorted (replicas)) do
+    for version, run in read_file (replicas[name].runs):gmatch (
+      "(v[%d.]+) replica=%S+ id=(%S+)") do
+      if run == id then found[#found + 1] = version end
+    end
+  end
+  return found
+end
+
 -- Starts three keepers, two entry hosts in za, one in zb and a replica of
 -- "app" in each zone, and waits until all hosts serve usual_routes.
 function open_gateway ()
