A stream that breaks off goes on only at the build that began it

Callers got events of two software versions in one answer: a stream that was sent again, after a broken connection, a stall, or by another region or host, took any upstream of its service, as nobody knew builds.

With its first event a stream is bound to the build of the upstream that sent it. Placement counts only upstreams of that build as candidates; one whose connections broke may have started again with another build, so it counts when it has been heard since, and the build of an upstream that is another instance than the one that got the request is not known. Forwards name the build, heads of their answers say it, and offers to other regions say which builds there are, as a set of bits. Without an upstream of its build the stream is cut at once (reason other-build, or build-unknown), and a stalled one is kept.

The gateway's double answers forwards by the new call, with no build unless a test sets one.

--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -54,7 +54,9 @@
       const struct marjoram_head head
           = { .request = inbound->request,
               .status = (uint64_t)status,
-              .headers = { headers->items, headers->count } };
+              .headers = { headers->items, headers->count },
+              .build
+              = (char *)marjoram_gateway_build_of (self->gateway, call) };
 
       reply (self, inbound, MARJORAM_FRAME_HEAD, &head);
     }
--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -174,7 +174,8 @@
                 uint64_t session, const struct marjoram_forward *forward)
 {
   const struct marjoram_forwarded limits_from_peer
-      = { forward->budget_ms, forward->time_left_ms, forward->caller };
+      = { forward->budget_ms, forward->time_left_ms, forward->caller,
+          forward->build };
   struct marjoram_inbound *inbound;
 
   if (!forward->method || !forward->path)
@@ -216,8 +217,9 @@
   struct marjoram_header_list headers
       = { head->headers.items, head->headers.count, head->headers.count };
 
-  marjoram_gateway_head (self->gateway, marjoram_entry_now (self),
-                         head->request, (int)head->status, &headers);
+  marjoram_gateway_forward_head (self->gateway, marjoram_entry_now (self),
+                                 head->request, (int)head->status, &headers,
+                                 head->build);
 }
 
 static void
--- a/src/frame.c
+++ b/src/frame.c
@@ -1,5 +1,6 @@
 #include "frame.h"
 
+#include "dialect.h"
 #include "gateway_message.h"
 
 #include "claim.h"
@@ -100,6 +101,7 @@
   { MARJORAM_WIRE_BOOL (struct marjoram_forward, claim_here) },
   { MARJORAM_WIRE_BOOL (struct marjoram_forward, no_local_upstream) },
   { MARJORAM_WIRE_INT (struct marjoram_forward, time_left_ms) },
+  { MARJORAM_WIRE_STRING (struct marjoram_forward, build, MARJORAM_ID_MAX) },
 };
 LAYOUT (forward_layout, marjoram_forward, forward_fields);
 
@@ -109,6 +111,7 @@
   { MARJORAM_WIRE_ARRAY (struct marjoram_head, headers, MARJORAM_HEADERS_MAX,
                          &header_layout) },
   { MARJORAM_WIRE_STRING (struct marjoram_head, upstream, MARJORAM_NAME_MAX) },
+  { MARJORAM_WIRE_STRING (struct marjoram_head, build, MARJORAM_ID_MAX) },
 };
 LAYOUT (head_layout, marjoram_head, head_fields);
 
--- a/src/frame.h
+++ b/src/frame.h
@@ -142,6 +142,7 @@
                            */
   /* Remaining time until the first event is late; 0 if unknown.  */
   int64_t time_left_ms;
+  char *build; /* at whose upstreams the stream goes on; null: any */
 };
 
 struct marjoram_head
@@ -150,6 +151,7 @@
   uint64_t status;
   struct marjoram_array headers;
   char *upstream;
+  char *build; /* of the upstream; null if not known */
 };
 
 struct marjoram_data
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -92,6 +92,7 @@
   int64_t caller_timeout_ms; /* until the caller's deadline */
   int64_t time_left_ms;      /* until the first event is due; 0: unknown */
   const char *customer;      /* null if none */
+  const char *build;         /* at which the stream goes on; null: any */
 };
 
 /* Takes ownership of REQUEST.  FORWARDED is null for a caller's request and
@@ -113,6 +114,16 @@
                             uint64_t attempt, const void *data, size_t size);
 void marjoram_gateway_end (marjoram_gateway *gateway, int64_t now,
                            uint64_t attempt, enum marjoram_http_outcome how);
+/* The head of an answer from the host to which ATTEMPT was forwarded, whose
+   upstream has BUILD; null if that host doesn't know.  */
+bool marjoram_gateway_forward_head (marjoram_gateway *gateway, int64_t now,
+                                    uint64_t attempt, int status,
+                                    struct marjoram_header_list *headers,
+                                    const char *build);
+/* The build that sent the events of CALL's stream; null if it has none or the
+   build is not known.  */
+const char *marjoram_gateway_build_of (const marjoram_gateway *gateway,
+                                       uint64_t call);
 /* The other host returned an error instead of an answer.  */
 void
 marjoram_gateway_forward_refused (marjoram_gateway *gateway, int64_t now,
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -51,6 +51,7 @@
       = exchange->target_at > now ? exchange->target_at - now : 0;
   forward.config_number = exchange->config;
   forward.stream = request->has_body;
+  forward.build = (char *)marjoram_exchange_required_build (exchange);
   if (gateway->ops->forward (gateway->context, host, &forward))
     {
       snprintf (exchange->host, sizeof exchange->host, "%s", host);
@@ -79,6 +80,18 @@
   return true;
 }
 
+/* HOST's offer for the exchange's service and build, or null.  */
+static const struct marjoram_host_offer *
+usable_offer (const struct marjoram_exchange *exchange,
+              const struct marjoram_listed_host *host)
+{
+  const struct marjoram_host_offer *offer
+      = marjoram_listed_host_offer (host, exchange->service);
+
+  return offer && marjoram_exchange_accepts_offer (exchange, offer) ? offer
+                                                                    : NULL;
+}
+
 /* HOST's offer for the exchange's service; null if the exchange cannot be
    forwarded to HOST.  */
 static const struct marjoram_host_offer *
@@ -93,7 +106,7 @@
                                            host->heartbeat.region)
       || !gateway->ops->reaches (gateway->context, host->heartbeat.name))
     return NULL;
-  return marjoram_listed_host_offer (host, exchange->service);
+  return usable_offer (exchange, host);
 }
 
 /* Rendezvous hashing: the same request prefers the same host, and requests
@@ -115,7 +128,7 @@
   return strcmp (host->heartbeat.region, gateway->region) == 0
          && strcmp (host->heartbeat.name, gateway->host) != 0
          && marjoram_host_list_serves (host, now)
-         && marjoram_listed_host_offer (host, exchange->service)
+         && usable_offer (exchange, host)
          && gateway->ops->reaches (gateway->context, host->heartbeat.name);
 }
 
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -29,6 +29,7 @@
   UINT (marjoram_host_offer, upstreams),
   UINT (marjoram_host_offer, wait_ms),
   UINT (marjoram_host_offer, backlog_ms),
+  UINT (marjoram_host_offer, builds),
 };
 static LAYOUT (host_offer_layout, marjoram_host_offer, host_offer_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -2,6 +2,7 @@
 #ifndef MARJORAM_GATEWAY_MESSAGE_H
 #define MARJORAM_GATEWAY_MESSAGE_H
 
+#include "build_set.h"
 #include "wire.h"
 
 enum
@@ -33,6 +34,7 @@
   /* Mean time to process queued prompts, averaged over all warm upstreams and
      over time.  */
   uint64_t backlog_ms;
+  marjoram_build_set builds; /* of the warm upstreams */
 };
 
 /* From which keepers a host takes lists of hosts and changes of upstreams.  A
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -1,8 +1,8 @@
 /* Internal interface of the gateway modules: gateway.c (admission, completion
    and timeouts), gateway_send.c (placement and sending), gateway_forward.c
    (forwarding to other regions), gateway_wait.c (queueing), gateway_repeat.c
-   (repeat budget), gateway_customer.c (keys of customers) and gateway_answer.c
-   (answers and retries).  */
+   (repeat budget), gateway_customer.c (keys of customers), gateway_build.c
+   (builds of streams) and gateway_answer.c (answers and retries).  */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
 #define MARJORAM_GATEWAY_PRIVATE_H
 
@@ -39,6 +39,14 @@
   MARJORAM_FRAMING_CLOSE /* nothing but the end of the connection */
 };
 
+/* At which upstreams a stream may go on.  */
+enum marjoram_build_rule
+{
+  MARJORAM_BUILD_ANY,  /* all: the caller has no event yet */
+  MARJORAM_BUILD_SAME, /* those of the build that began it */
+  MARJORAM_BUILD_NONE  /* none: the build that began it is not known */
+};
+
 /* One request and the state of its answer.  */
 struct marjoram_exchange
 {
@@ -76,10 +84,16 @@
   char service[MARJORAM_ID_MAX];
   uint64_t config;
 
+  enum marjoram_build_rule build_rule;
+  char required_build[MARJORAM_ID_MAX]; /* MARJORAM_BUILD_SAME */
+
   /* The current attempt.  */
   uint64_t attempt; /* 0 if none */
   char upstream[MARJORAM_ID_MAX];
-  char build[MARJORAM_ID_MAX];       /* of UPSTREAM when it was sent */
+  int64_t upstream_started_at;
+  /* Of UPSTREAM when it was sent, or as told by HOST.  */
+  char build[MARJORAM_ID_MAX];
+  bool forward_has_build;            /* HOST told the build */
   char host[MARJORAM_HOST_NAME_MAX]; /* "" if not forwarded */
   int64_t idle_deadline; /* compared with input_time; INT64_MAX: none */
   int status;
@@ -226,6 +240,22 @@
                               int64_t now, const struct marjoram_place *chosen,
                               int64_t time_left_ms);
 
+/* gateway_build.c */
+/* The build of the upstreams at which the exchange may go on; null: not
+   bound to one.  */
+const char *
+marjoram_exchange_required_build (const struct marjoram_exchange *exchange);
+/* Binds the exchange to BUILD, or to no upstream if it is null.  */
+void marjoram_exchange_require_build (struct marjoram_exchange *exchange,
+                                      const char *build);
+/* To be called when events of the current attempt go to the caller: binds the
+   exchange to the build that sent them.  */
+void marjoram_exchange_keep_build (const marjoram_gateway *gateway,
+                                   struct marjoram_exchange *exchange);
+/* Whether OFFER may be of upstreams at which the exchange may go on.  */
+bool marjoram_exchange_accepts_offer (const struct marjoram_exchange *exchange,
+                                      const struct marjoram_host_offer *offer);
+
 /* gateway_wait.c */
 /* Queues the exchange, or keeps it queued, until an upstream has room for it.
    Returns false if that would be too late for it.  */
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -189,6 +189,7 @@
   if (query->time_left_ms < TARGET_MIN_MS)
     query->time_left_ms = marjoram_exchange_time_left (exchange, now);
   query->allow_tried = true;
+  query->build = marjoram_exchange_required_build (exchange);
   for (size_t i = 0; i < exchange->tried_count; i++)
     query->tried[query->tried_count++] = exchange->tried[i];
 }
@@ -208,6 +209,7 @@
     }
   snprintf (exchange->upstream, sizeof exchange->upstream, "%s",
             place->upstream->heartbeat.id);
+  exchange->upstream_started_at = place->upstream->heartbeat.started_at;
   snprintf (exchange->build, sizeof exchange->build, "%s",
             place->upstream->heartbeat.build);
   exchange->host[0] = '\0';
@@ -250,6 +252,17 @@
          || chosen->excluded[MARJORAM_EXCLUDED_ROOM] > 0;
 }
 
+static enum marjoram_reason
+refusal_reason (const struct marjoram_place *chosen)
+{
+  if (chosen->outcome != MARJORAM_PLACE_NONE || is_limited (chosen))
+    return MARJORAM_REASON_OVERLOAD;
+  return chosen->candidates == 0
+                 && chosen->excluded[MARJORAM_EXCLUDED_BUILD] > 0
+             ? MARJORAM_REASON_OTHER_BUILD
+             : MARJORAM_REASON_NO_UPSTREAM;
+}
+
 static void
 refuse_place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
               int64_t now, const struct marjoram_place *chosen)
@@ -258,9 +271,7 @@
 
   if (none && chosen->candidates == 0 && may_wait (gateway, exchange, now))
     return;
-  refuse (gateway, exchange, now,
-          none && !is_limited (chosen) ? MARJORAM_REASON_NO_UPSTREAM
-                                       : MARJORAM_REASON_OVERLOAD,
+  refuse (gateway, exchange, now, refusal_reason (chosen),
           marjoram_shortages_retry_ms (gateway->shortages, now,
                                        exchange->service, chosen->retry_ms));
 }
@@ -450,7 +461,7 @@
   struct marjoram_place_query query;
   struct marjoram_place chosen;
 
-  if (!route || !service)
+  if (!route || !service || exchange->build_rule == MARJORAM_BUILD_NONE)
     return false;
   make_query (exchange, service, now, &query);
   query.allow_tried = false;
@@ -502,6 +513,12 @@
                        service);
   if (refuse_crashing (gateway, exchange, now))
     return;
+  if (exchange->build_rule == MARJORAM_BUILD_NONE)
+    {
+      refuse (gateway, exchange, now, MARJORAM_REASON_BUILD_UNKNOWN,
+              REFUSED_RETRY_MS);
+      return;
+    }
   if (exchange->failed_connections >= FAILED_CONNECTIONS_MAX)
     {
       refuse (gateway, exchange, now, MARJORAM_REASON_NO_UPSTREAM,
--- a/src/placement.h
+++ b/src/placement.h
@@ -49,6 +49,8 @@
   size_t tried_count;
   bool allow_tried; /* allow upstreams that were already tried */
   bool last_resort; /* allow zones whose evacuation has just begun */
+  /* Only upstreams of this build; null: of any.  */
+  const char *build;
 };
 
 enum marjoram_place_outcome
@@ -81,6 +83,8 @@
                                       host lost */
   MARJORAM_EXCLUDED_RATE,          /* no part of its rate limit is left */
   MARJORAM_EXCLUDED_ROOM,          /* it would refuse, and tolerates few */
+  MARJORAM_EXCLUDED_BUILD,         /* another build, or not sure to be the
+                                      required one; no candidate */
   MARJORAM_EXCLUDED_COUNT
 };
 
@@ -120,6 +124,12 @@
                                 const struct marjoram_place_query *query,
                                 struct marjoram_place *place);
 
+/* Whether UPSTREAM was heard since connections to it broke, here or at another
+   host, so that it has not restarted unnoticed.  */
+bool
+marjoram_placement_is_confirmed (marjoram_placement *placement,
+                                 const struct marjoram_registered *upstream);
+
 /* Capacity this region offers to others: the number of warm upstreams of
    SERVICE, and the wait at the least loaded one.  OFFER borrows its strings.
  */
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -1,3 +1,4 @@
+#include "build_set.h"
 #include "placement_copy.h"
 #include "placement_private.h"
 
@@ -68,6 +69,28 @@
                 <= lost_at + HEARTBEAT_DELAY_MS;
 }
 
+bool
+marjoram_placement_is_confirmed (marjoram_placement *placement,
+                                 const struct marjoram_registered *upstream)
+{
+  const struct marjoram_endpoint *endpoint
+      = marjoram_endpoint_of (placement, upstream);
+
+  return !is_unheard_since (placement, upstream, endpoint->disconnected_at)
+         && !is_unheard_since (placement, upstream,
+                               marjoram_endpoint_reported_lost_at (endpoint));
+}
+
+static bool
+has_required_build (marjoram_placement *placement,
+                    const struct marjoram_registered *upstream,
+                    const struct marjoram_place_query *query)
+{
+  return !query->build
+         || (strcmp (upstream->heartbeat.build, query->build) == 0
+             && marjoram_placement_is_confirmed (placement, upstream));
+}
+
 /* Broken connections may mean that the upstream restarted cold under the same
    id; the full request rate could crash it, so it counts as cold until a later
    heartbeat arrives.  */
@@ -514,6 +537,11 @@
 
     if (!marjoram_placement_is_candidate (placement, upstream, query, now))
       continue;
+    if (!has_required_build (placement, upstream, query))
+      {
+        place->excluded[MARJORAM_EXCLUDED_BUILD]++;
+        continue;
+      }
     place->candidates++;
     heard_at
         = marjoram_registry_heard_at (placement->options.registry, upstream);
@@ -543,7 +571,8 @@
 }
 
 /* Assumes that the hosts of a region share its engines equally.  Hosts without
-   connections to them have no share.  */
+   connections to them have no share.  Engines of other builds serve the
+   requests that are queued with this one.  */
 static void
 set_throughput (marjoram_placement *placement, int64_t now,
                 const struct marjoram_place_query *query,
@@ -556,7 +585,9 @@
       = marjoram_placement_service_stats (placement, query->service->name)
             ->tokens_per_ms;
   place->tokens_per_ms
-      = place->engine_tokens_per_ms * place->usable / (double)hosts;
+      = place->engine_tokens_per_ms
+        * (place->usable + place->excluded[MARJORAM_EXCLUDED_BUILD])
+        / (double)hosts;
 }
 
 static void
@@ -670,6 +701,7 @@
     estimate = estimate_endpoint (placement, endpoint, upstream, &query,
                                   &no_copy, now);
     add_to_offer (offer, estimate.wait_ms);
+    offer->builds |= marjoram_build_set_of (upstream->heartbeat.build);
     backlog_ms += estimate.backlog_ms;
   }
   if (offer->upstreams == 0)
--- a/src/reason.c
+++ b/src/reason.c
@@ -76,6 +76,13 @@
   [MARJORAM_REASON_QUOTA_UNKNOWN]
   = { "quota-unknown", 503,
       "come back after Retry-After; no keeper has answered for the quota" },
+  [MARJORAM_REASON_OTHER_BUILD]
+  = { "other-build", 503,
+      "start the stream anew; no upstream of the build that began it is "
+      "known" },
+  [MARJORAM_REASON_BUILD_UNKNOWN]
+  = { "build-unknown", 503,
+      "start the stream anew; which build began it is not known" },
 };
 
 const char *
--- a/src/request_claim.c
+++ b/src/request_claim.c
@@ -79,7 +79,7 @@
       = { (char *)"Content-Type",
           kept->content_type ? kept->content_type : (char *)"text/plain" };
   struct marjoram_head head
-      = { 0, kept->status, { &type, 1 }, (char *)MARJORAM_REPLAYED };
+      = { 0, kept->status, { &type, 1 }, (char *)MARJORAM_REPLAYED, NULL };
 
   marjoram_counters_add (host->counters, MARJORAM_COUNTER_REPLAYED, 1);
   request->state = MARJORAM_REQUEST_LOCAL;
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -106,6 +106,7 @@
   struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
 
   seen->sends++;
+  seen->forwarded = false;
   seen->attempt = send->attempt;
   seen->fresh_only = send->fresh_only;
   snprintf (seen->address, sizeof seen->address, "%s", send->address);
@@ -139,6 +140,10 @@
   if (!f->link_up)
     return false;
   f->seen.forwards++;
+  f->seen.forwarded = true;
+  f->seen.has_build = forward->build != NULL;
+  snprintf (f->seen.build, sizeof f->seen.build, "%s",
+            forward->build ? forward->build : "");
   f->seen.attempt = forward->request;
   f->seen.budget_ms = forward->budget_ms;
   snprintf (f->seen.host, sizeof f->seen.host, "%s", host);
@@ -241,22 +246,37 @@
 }
 
 static void
-add_host (struct gateway_fixture *f, const char *name, const char *region)
+report_host (struct gateway_fixture *f, const char *name, const char *region,
+             const char *build, uint64_t sequence)
 {
-  struct marjoram_host_offer offers[]
-      = { { (char *)"lm", 2, 5, 0 }, { (char *)"app", 1, 5, 0 } };
+  const marjoram_build_set builds = marjoram_build_set_of (build);
+  struct marjoram_host_offer offers[] = { { (char *)"lm", 2, 5, 0, builds },
+                                          { (char *)"app", 1, 5, 0, builds } };
   struct marjoram_host_beat heartbeat = { .name = (char *)name,
                                           .zone = (char *)region,
                                           .region = (char *)region,
                                           .entry = (char *)name,
                                           .ready = true,
                                           .incarnation = 1,
-                                          .sequence = 1,
+                                          .sequence = sequence,
                                           .offers = { offers, 2 } };
 
   marjoram_host_list_update (f->hosts, 0, &heartbeat, true);
 }
 
+static void
+add_host (struct gateway_fixture *f, const char *name, const char *region)
+{
+  report_host (f, name, region, "", 1);
+}
+
+void
+gateway_fixture_offer (struct gateway_fixture *f, const char *name,
+                       const char *build)
+{
+  report_host (f, name, "r2", build, 2);
+}
+
 static void
 open_fixture (struct gateway_fixture *f, int64_t created_at, bool listed,
               int64_t key_lease_ms)
@@ -273,6 +293,7 @@
   f->metrics = marjoram_metrics_create ();
   f->link_up = true;
   f->unreachable_host = "far2";
+  f->far_build = "";
   options.metrics = f->metrics;
   options.place = (struct marjoram_placement_options){
     .registry = f->registry,
@@ -436,7 +457,8 @@
 receive (struct gateway_fixture *f, int64_t now, const char *path,
          bool forwarded, int tokens)
 {
-  const struct marjoram_forwarded limits = { FORWARDED_PATIENCE_MS, 0, NULL };
+  const struct marjoram_forwarded limits
+      = { FORWARDED_PATIENCE_MS, 0, NULL, NULL };
   struct marjoram_http_request *request = make_request (f, path);
   char usage[64];
 
@@ -483,12 +505,24 @@
   return f->calls;
 }
 
+uint64_t
+gateway_fixture_forwarded_build (struct gateway_fixture *f, int64_t now,
+                                 const char *path, const char *build)
+{
+  const struct marjoram_forwarded limits
+      = { FORWARDED_PATIENCE_MS, 0, NULL, build };
+
+  marjoram_gateway_receive (f->gateway, now, f->calls + 1,
+                            make_request (f, path), &limits);
+  return f->calls;
+}
+
 uint64_t
 gateway_fixture_forwarded_for (struct gateway_fixture *f, int64_t now,
                                const char *path, const char *customer)
 {
   const struct marjoram_forwarded limits
-      = { FORWARDED_PATIENCE_MS, 0, customer };
+      = { FORWARDED_PATIENCE_MS, 0, customer, NULL };
 
   marjoram_gateway_receive (f->gateway, now, f->calls + 1,
                             make_request (f, path), &limits);
@@ -530,6 +564,17 @@
   return receive (f, now, path, true, 0);
 }
 
+static bool
+answer_head (struct gateway_fixture *f, int64_t now, int status,
+             struct marjoram_header_list *headers)
+{
+  return f->seen.forwarded
+             ? marjoram_gateway_forward_head (f->gateway, now, f->seen.attempt,
+                                              status, headers, f->far_build)
+             : marjoram_gateway_head (f->gateway, now, f->seen.attempt, status,
+                                      headers);
+}
+
 bool
 gateway_fixture_head (struct gateway_fixture *f, int64_t now, int status,
                       const char *id, bool is_signed, bool not_run)
@@ -545,8 +590,7 @@
     marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "s");
   if (not_run)
     marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
-  taken = marjoram_gateway_head (f->gateway, now, f->seen.attempt, status,
-                                 &headers);
+  taken = answer_head (f, now, status, &headers);
   marjoram_header_list_clear (&headers);
   return taken;
 }
@@ -564,8 +608,7 @@
   marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "s");
   if (name)
     marjoram_header_list_add (&headers, name, value);
-  taken = marjoram_gateway_head (f->gateway, now, f->seen.attempt, 200,
-                                 &headers);
+  taken = answer_head (f, now, 200, &headers);
   marjoram_header_list_clear (&headers);
   return taken;
 }
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -15,11 +15,14 @@
   bool fresh_only;
   int cancels;
   int forwards;
+  bool forwarded; /* the last attempt was forwarded */
   char host[64];
   int64_t budget_ms;
   char last_event[MARJORAM_ID_MAX]; /* of the last forward */
   char customer[MARJORAM_ID_MAX];   /* likewise */
-  int asks;                         /* for quota, to the only keeper */
+  bool has_build;                   /* likewise, named a build */
+  char build[MARJORAM_ID_MAX];
+  int asks; /* for quota, to the only keeper */
   int64_t asked_at;
   int64_t asked_units;
   int heads;
@@ -46,6 +49,7 @@
   bool evacuated;               /* the upstreams' zone is being evacuated */
   bool leaving;                 /* the evacuation has just begun */
   const char *unreachable_host; /* host of r2 without a link */
+  const char *far_build;        /* of r2's upstreams; null: not told */
   uint64_t calls;
 };
 
@@ -90,6 +94,13 @@
 void gateway_fixture_build (struct gateway_fixture *f, int64_t now,
                             const char *id, int64_t started_at,
                             const char *build);
+/* Host NAME of r2 offers upstreams of BUILD.  */
+void gateway_fixture_offer (struct gateway_fixture *f, const char *name,
+                            const char *build);
+/* Like gateway_fixture_forwarded, for a stream that goes on at BUILD.  */
+uint64_t gateway_fixture_forwarded_build (struct gateway_fixture *f,
+                                          int64_t now, const char *path,
+                                          const char *build);
 /* The connection of the last attempt breaks.  */
 void gateway_fixture_break (struct gateway_fixture *f, int64_t now);
 /* Upstream ID reports at NOW that it is leaving.  */
--- a/test/lib_hosts.c
+++ b/test/lib_hosts.c
@@ -724,7 +724,7 @@
 test_head (struct test_hosts *hosts, struct test_run *run)
 {
   struct marjoram_header type = { (char *)"Content-Type", (char *)"text/x" };
-  struct marjoram_head head = { 0, 200, { &type, 1 }, NULL };
+  struct marjoram_head head = { 0, 200, { &type, 1 }, NULL, NULL };
 
   marjoram_host_run_head (hosts->nodes[run->host].host, hosts->now,
                           run->attempt, &head);
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -351,7 +351,7 @@
       uint64_t number = i + 1;
       uint64_t call = send_request (0, "free", NULL, false);
       char slot[] = { 'b', '-', (char)('1' + last_run ()->host - 3), 0 };
-      struct marjoram_head head = { number, 200, { NULL, 0 }, NULL };
+      struct marjoram_head head = { number, 200, { NULL, 0 }, NULL, NULL };
       struct marjoram_data data = { number, cases[i].offset, NULL };
       struct marjoram_end end
           = { .request = number, .length = cases[i].length };
