A stream that its caller takes up goes on only at the build that began it

Callers got events of two software versions over their tries: a stream that was taken up, at whichever host, was placed like a new one, as no host read which attempt began it.

With a stream's first event its host records the build under the id of the caller's attempt, and has three keepers record it, of different regions as far as there are any, chosen by rendezvous hashing of the id. A host that gets the stream binds it to the build of its own record or asks these keepers, 400 ms at most. If none knows, or an id has two builds, the stream is refused at once with 503 (build-unknown): a guess would mix builds. A caller that names no attempt goes on only where the service has a single build. Only streams that may be resumed are recorded; a record lives until 30 s after the stream's deadline and is told anew when the stream is taken up. Weighed: telling all hosts (n times the traffic); hosts as owners (they die more often, and in large fleets hosts have no links to each other).

--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -228,4 +228,6 @@
   .lag_ms = op_lag_ms,
   .keepers = marjoram_entry_keepers,
   .ask_quota = marjoram_entry_ask_quota,
+  .tell_origin = marjoram_entry_tell_origin,
+  .ask_origin = marjoram_entry_ask_origin,
 };
--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -261,6 +261,15 @@
                                  marjoram_entry_now (self), host, grant);
 }
 
+static void
+handle_stream_answer (struct marjoram_entry *self,
+                      const struct marjoram_stream_answer *answer)
+{
+  if (answer->id)
+    marjoram_gateway_origin_answered (self->gateway, marjoram_entry_now (self),
+                                      answer->id, answer->build);
+}
+
 void
 marjoram_entry_handle_frame (struct marjoram_entry *self, const char *host,
                              uint64_t session, enum marjoram_frame_type type,
@@ -302,6 +311,9 @@
     case MARJORAM_FRAME_QUOTA_GRANT:
       handle_quota (self, host, message);
       break;
+    case MARJORAM_FRAME_STREAM_ANSWER:
+      handle_stream_answer (self, message);
+      break;
     case MARJORAM_FRAME_CRASHES:
       marjoram_crash_list_apply (marjoram_gateway_crash_list (self->gateway),
                                  marjoram_entry_now (self), message);
--- a/src/entry_keepers.c
+++ b/src/entry_keepers.c
@@ -28,9 +28,9 @@
   return strcmp (host->heartbeat.region, settings->region) == 0 ? 1 : 2;
 }
 
-static bool
-is_usable_keeper (const struct marjoram_entry *self,
-                  const struct marjoram_listed_host *host)
+bool
+marjoram_entry_is_usable_keeper (const struct marjoram_entry *self,
+                                 const struct marjoram_listed_host *host)
 {
   return host->heartbeat.keeper && !host->heartbeat.leaving
          && marjoram_host_links_is_up (self->parts->links,
@@ -50,7 +50,8 @@
   for (int near = 0; near <= 2; near++)
     TAILQ_FOREACH (host, marjoram_host_list_all (self->parts->hosts), link)
   if (self->keeper_count < MARJORAM_QUOTA_KEEPERS_MAX
-      && is_usable_keeper (self, host) && distance (self, host) == near)
+      && marjoram_entry_is_usable_keeper (self, host)
+      && distance (self, host) == near)
     snprintf (self->keepers[self->keeper_count++], MARJORAM_IP_MAX, "%s",
               host->heartbeat.name);
 }
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -1,8 +1,8 @@
 /* Internals of the entry role: entry_role.c (tasks, configuration,
    life cycle), entry_loads.c (load reports to the hosts of the region),
    entry_answer.c (the gateway's operations on callers, upstreams and other
-   hosts), entry_keepers.c (leases and quotas) and entry_frame.c (frames
-   received from other hosts).  */
+   hosts), entry_keepers.c (leases and quotas), entry_origin.c (builds that
+   began streams) and entry_frame.c (frames received from other hosts).  */
 #ifndef MARJORAM_ENTRY_PRIVATE_H
 #define MARJORAM_ENTRY_PRIVATE_H
 
@@ -103,11 +103,20 @@
                                const char *names[MARJORAM_QUOTA_KEEPERS_MAX]);
 void marjoram_entry_ask_quota (void *context, const char *keeper,
                                const struct marjoram_quota_ask *ask);
+/* Whether HOST is a keeper that can be reached and is not leaving.  */
+bool marjoram_entry_is_usable_keeper (const struct marjoram_entry *self,
+                                      const struct marjoram_listed_host *host);
 /* Asks a keeper for a lease on the customers' keys when that is due.  */
 void marjoram_entry_renew_lease (struct marjoram_entry *self, int64_t now);
 /* Logs whether keys are accepted, if that has changed.  */
 void marjoram_entry_log_lease (struct marjoram_entry *self, int64_t now);
 
+/* entry_origin.c */
+/* Operations of the gateway, see there.  */
+void marjoram_entry_tell_origin (void *context, const char *id,
+                                 const char *build, int64_t keep_ms);
+size_t marjoram_entry_ask_origin (void *context, const char *id);
+
 /* entry_loads.c */
 /* Sends this host's load to the other hosts of the region when due.  */
 /* Whether load reports go to or come from HOST, of this region.  */
--- a/src/frame.c
+++ b/src/frame.c
@@ -218,6 +218,9 @@
   [MARJORAM_FRAME_NEWS_ASK] = &marjoram_news_ask_layout,
   [MARJORAM_FRAME_LIVENESS] = &marjoram_liveness_layout,
   [MARJORAM_FRAME_LOST_HOSTS] = &marjoram_lost_hosts_layout,
+  [MARJORAM_FRAME_STREAM_BEGUN] = &marjoram_stream_begun_layout,
+  [MARJORAM_FRAME_STREAM_ASK] = &marjoram_stream_ask_layout,
+  [MARJORAM_FRAME_STREAM_ANSWER] = &marjoram_stream_answer_layout,
 };
 
 const struct marjoram_layout *
--- a/src/frame.h
+++ b/src/frame.h
@@ -44,13 +44,16 @@
      totals from a collector to all hosts.  */
   MARJORAM_FRAME_LOAD_CHANGES,
   MARJORAM_FRAME_LOAD_SUMS,
-  MARJORAM_FRAME_LEASE_ASK,   /* struct marjoram_lease_ask */
-  MARJORAM_FRAME_LEASE_GRANT, /* struct marjoram_lease_grant */
-  MARJORAM_FRAME_QUOTA_ASK,   /* struct marjoram_quota_ask */
-  MARJORAM_FRAME_QUOTA_GRANT, /* struct marjoram_quota_grant */
-  MARJORAM_FRAME_NEWS_ASK,    /* struct marjoram_news_ask */
-  MARJORAM_FRAME_LIVENESS,    /* struct marjoram_liveness */
-  MARJORAM_FRAME_LOST_HOSTS,  /* struct marjoram_lost_hosts */
+  MARJORAM_FRAME_LEASE_ASK,     /* struct marjoram_lease_ask */
+  MARJORAM_FRAME_LEASE_GRANT,   /* struct marjoram_lease_grant */
+  MARJORAM_FRAME_QUOTA_ASK,     /* struct marjoram_quota_ask */
+  MARJORAM_FRAME_QUOTA_GRANT,   /* struct marjoram_quota_grant */
+  MARJORAM_FRAME_NEWS_ASK,      /* struct marjoram_news_ask */
+  MARJORAM_FRAME_LIVENESS,      /* struct marjoram_liveness */
+  MARJORAM_FRAME_LOST_HOSTS,    /* struct marjoram_lost_hosts */
+  MARJORAM_FRAME_STREAM_BEGUN,  /* struct marjoram_stream_begun */
+  MARJORAM_FRAME_STREAM_ASK,    /* struct marjoram_stream_ask */
+  MARJORAM_FRAME_STREAM_ANSWER, /* struct marjoram_stream_answer */
   MARJORAM_FRAME_COUNT
 };
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -56,6 +56,7 @@
   gateway->lease = marjoram_key_lease_create (options->key_lease_ms);
   gateway->quotas
       = marjoram_quota_pool_create (&marjoram_gateway_quota_ops, gateway);
+  gateway->origins = marjoram_stream_origins_create ();
   gateway->created_at = now;
   return gateway;
 }
@@ -175,6 +176,7 @@
   marjoram_key_lease_destroy (gateway->lease);
   marjoram_quota_pool_destroy (gateway->quotas);
   marjoram_customer_index_destroy (gateway->customers);
+  marjoram_stream_origins_destroy (gateway->origins);
   free (gateway->region);
   free (gateway->host);
   free (gateway);
@@ -439,6 +441,8 @@
   if (!marjoram_exchange_identify (gateway, exchange, route, now))
     return;
   set_deadline (exchange, effective_timeout (gateway, host, exchange, route));
+  if (!marjoram_exchange_find_origin (gateway, exchange, route, now))
+    return;
   if (!marjoram_exchange_pay (gateway, exchange, now))
     return;
   marjoram_exchange_send (gateway, exchange, now);
@@ -585,6 +589,7 @@
   marjoram_gateway_retry_queued (gateway, now);
   marjoram_placement_tick (gateway->placement, now);
   marjoram_crash_list_expire (gateway->crashes, now);
+  marjoram_stream_origins_expire (gateway->origins, now);
 }
 
 void
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -60,6 +60,13 @@
                      const char *names[MARJORAM_QUOTA_KEEPERS_MAX]);
   void (*ask_quota) (void *context, const char *keeper,
                      const struct marjoram_quota_ask *ask);
+  /* Has keepers record that BUILD began the stream of caller's attempt ID, for
+     KEEP_MS.  */
+  void (*tell_origin) (void *context, const char *id, const char *build,
+                       int64_t keep_ms);
+  /* Asks the keepers that would have a record of ID; returns how many.  Each
+     answer is passed to marjoram_gateway_origin_answered.  */
+  size_t (*ask_origin) (void *context, const char *id);
 };
 
 struct marjoram_gateway_options
@@ -120,6 +127,10 @@
                                     uint64_t attempt, int status,
                                     struct marjoram_header_list *headers,
                                     const char *build);
+/* A keeper's answer: the build that began the stream of caller's attempt ID;
+   null if that keeper doesn't know.  */
+void marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
+                                       const char *id, const char *build);
 /* The build that sent the events of CALL's stream; null if it has none or the
    build is not known.  */
 const char *marjoram_gateway_build_of (const marjoram_gateway *gateway,
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -336,7 +336,7 @@
     return;
   record_first (gateway, exchange, now);
   record_events (exchange, now, events);
-  marjoram_exchange_keep_build (gateway, exchange);
+  marjoram_exchange_keep_build (gateway, exchange, now);
   if (exchange->repeatable)
     exchange->idle_deadline = now + STREAM_IDLE_MS;
   flush_stream (gateway, exchange);
--- a/src/gateway_build.c
+++ b/src/gateway_build.c
@@ -44,12 +44,15 @@
 }
 
 void
-marjoram_exchange_keep_build (const marjoram_gateway *gateway,
-                              struct marjoram_exchange *exchange)
+marjoram_exchange_keep_build (marjoram_gateway *gateway,
+                              struct marjoram_exchange *exchange, int64_t now)
 {
-  if (exchange->build_rule != MARJORAM_BUILD_SAME)
-    marjoram_exchange_require_build (
-        exchange, knows_build (gateway, exchange) ? exchange->build : NULL);
+  if (exchange->build_rule == MARJORAM_BUILD_SAME)
+    return;
+  marjoram_exchange_require_build (
+      exchange, knows_build (gateway, exchange) ? exchange->build : NULL);
+  if (exchange->build_rule == MARJORAM_BUILD_SAME)
+    marjoram_exchange_record_origin (gateway, exchange, now);
 }
 
 bool
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -207,3 +207,23 @@
   INT (marjoram_quota_grant, asked_units),
 };
 LAYOUT (marjoram_quota_grant_layout, marjoram_quota_grant, quota_grant_fields);
+
+static const struct marjoram_field stream_begun_fields[] = {
+  STRING (marjoram_stream_begun, id),
+  STRING (marjoram_stream_begun, build),
+  INT (marjoram_stream_begun, keep_ms),
+};
+LAYOUT (marjoram_stream_begun_layout, marjoram_stream_begun,
+        stream_begun_fields);
+
+static const struct marjoram_field stream_ask_fields[] = {
+  STRING (marjoram_stream_ask, id),
+};
+LAYOUT (marjoram_stream_ask_layout, marjoram_stream_ask, stream_ask_fields);
+
+static const struct marjoram_field stream_answer_fields[] = {
+  STRING (marjoram_stream_answer, id),
+  STRING (marjoram_stream_answer, build),
+};
+LAYOUT (marjoram_stream_answer_layout, marjoram_stream_answer,
+        stream_answer_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -241,6 +241,29 @@
                       is missing */
 };
 
+/* BUILD sent the first event of the stream of a caller's attempt.  */
+struct marjoram_stream_begun
+{
+  char *id; /* of the attempt */
+  char *build;
+  int64_t keep_ms;
+};
+
+/* Asks a keeper which build began a stream.  */
+struct marjoram_stream_ask
+{
+  char *id;
+};
+
+struct marjoram_stream_answer
+{
+  char *id;
+  char *build; /* null if the keeper doesn't know */
+};
+
+extern const struct marjoram_layout marjoram_stream_begun_layout;
+extern const struct marjoram_layout marjoram_stream_ask_layout;
+extern const struct marjoram_layout marjoram_stream_answer_layout;
 extern const struct marjoram_layout marjoram_lease_ask_layout;
 extern const struct marjoram_layout marjoram_lease_grant_layout;
 extern const struct marjoram_layout marjoram_quota_ask_layout;
--- /dev/null
+++ b/src/gateway_origin.c
@@ -0,0 +1,142 @@
+/* Streams that callers take up again: the build that began one is looked up at
+   this host and, if it did not serve the stream, at keepers.  */
+#include "gateway_private.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  STATUS_UNAVAILABLE = 503,
+  /* Time for the keepers' answers: a round trip to another region, and the
+     time for which a busy keeper may be late.  */
+  ANSWER_TIMEOUT_MS = 400,
+  /* Time after a stream's deadline for which its build is kept, for callers
+     that come back late.  */
+  KEEP_AFTER_DEADLINE_MS = 30000,
+  RETRY_MS = 250
+};
+
+static void
+keep_origin (marjoram_gateway *gateway,
+             const struct marjoram_exchange *exchange, int64_t now,
+             const char *id)
+{
+  const int64_t keep_ms
+      = marjoram_exchange_time_left (exchange, now) + KEEP_AFTER_DEADLINE_MS;
+
+  marjoram_stream_origins_add (gateway->origins, now, id,
+                               exchange->required_build, keep_ms);
+  gateway->ops->tell_origin (gateway->context, id, exchange->required_build,
+                             keep_ms);
+}
+
+void
+marjoram_exchange_record_origin (marjoram_gateway *gateway,
+                                 const struct marjoram_exchange *exchange,
+                                 int64_t now)
+{
+  if (exchange->repeatable && !exchange->forwarded && *exchange->metadata.id)
+    keep_origin (gateway, exchange, now, exchange->metadata.id);
+}
+
+static void
+refuse_unknown (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+                int64_t now)
+{
+  const struct marjoram_request_failure why
+      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+          .reason = MARJORAM_REASON_BUILD_UNKNOWN,
+          .status = STATUS_UNAVAILABLE,
+          .retry_ms = RETRY_MS };
+
+  marjoram_exchange_refuse (gateway, exchange, now, &why);
+}
+
+/* A caller that does not name the attempt that began the stream: its build is
+   known only if the service has a single one.  */
+static const char *
+only_build (const marjoram_gateway *gateway,
+            const struct marjoram_route_rule *route,
+            const struct marjoram_exchange *exchange)
+{
+  const char *service
+      = marjoram_route_pick_service (route, exchange->metadata.id);
+
+  return service ? marjoram_registry_only_build (
+             gateway->options.place.registry, service)
+                 : NULL;
+}
+
+static bool
+is_taken_up (const struct marjoram_exchange *exchange,
+             const struct marjoram_route_rule *route)
+{
+  return route->stream && exchange->build_rule == MARJORAM_BUILD_ANY
+         && exchange->attempts_sent == 0
+         && (*exchange->metadata.resumes || *exchange->metadata.last_event);
+}
+
+bool
+marjoram_exchange_find_origin (marjoram_gateway *gateway,
+                               struct marjoram_exchange *exchange,
+                               const struct marjoram_route_rule *route,
+                               int64_t now)
+{
+  const char *build;
+
+  if (!is_taken_up (exchange, route))
+    return true;
+  build = *exchange->metadata.resumes ? marjoram_stream_origins_find (
+              gateway->origins, now, exchange->metadata.resumes)
+                                      : only_build (gateway, route, exchange);
+  if (build)
+    {
+      marjoram_exchange_require_build (exchange, build);
+      return true;
+    }
+  if (*exchange->metadata.resumes && !exchange->origin_asked)
+    {
+      exchange->origin_asked = true;
+      exchange->origin_asked_at = now;
+      exchange->origins_awaited = gateway->ops->ask_origin (
+          gateway->context, exchange->metadata.resumes);
+    }
+  if (exchange->origins_awaited > 0
+      && now < exchange->origin_asked_at + ANSWER_TIMEOUT_MS)
+    return false;
+  refuse_unknown (gateway, exchange, now);
+  return false;
+}
+
+static void
+apply_origin (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+              int64_t now, const char *build)
+{
+  if (build)
+    {
+      marjoram_exchange_require_build (exchange, build);
+      keep_origin (gateway, exchange, now, exchange->metadata.resumes);
+    }
+  else
+    exchange->origins_awaited--;
+  if (build || exchange->origins_awaited == 0)
+    marjoram_exchange_admit (gateway, exchange, now);
+}
+
+void
+marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
+                                  const char *id, const char *build)
+{
+  struct marjoram_exchange *exchange;
+  struct marjoram_exchange *next;
+
+  HASH_ITER (by_call, gateway->by_call, exchange, next)
+  {
+    if (exchange->origins_awaited > 0
+        && exchange->state == MARJORAM_EXCHANGE_WAITING
+        && exchange->build_rule == MARJORAM_BUILD_ANY
+        && strcmp (exchange->metadata.resumes, id) == 0)
+      apply_origin (gateway, exchange, now, build);
+  }
+}
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -2,7 +2,8 @@
    and timeouts), gateway_send.c (placement and sending), gateway_forward.c
    (forwarding to other regions), gateway_wait.c (queueing), gateway_repeat.c
    (repeat budget), gateway_customer.c (keys of customers), gateway_build.c
-   (builds of streams) and gateway_answer.c (answers and retries).  */
+   (builds of streams), gateway_origin.c (streams that are taken up again) and
+   gateway_answer.c (answers and retries).  */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
 #define MARJORAM_GATEWAY_PRIVATE_H
 
@@ -12,6 +13,7 @@
 #include "event_stream.h"
 #include "gateway.h"
 #include "shortage.h"
+#include "stream_origin.h"
 #include "wait_queue.h"
 
 #include <sys/queue.h>
@@ -79,13 +81,15 @@
   bool repeatable;
   int priority;
   int max_upstreams;
+  enum marjoram_build_rule build_rule;
   int64_t objective_ms;
   char route[MARJORAM_ID_MAX];
   char service[MARJORAM_ID_MAX];
   uint64_t config;
 
-  enum marjoram_build_rule build_rule;
   char required_build[MARJORAM_ID_MAX]; /* MARJORAM_BUILD_SAME */
+  int64_t origin_asked_at;
+  size_t origins_awaited; /* keepers that have not answered */
 
   /* The current attempt.  */
   uint64_t attempt; /* 0 if none */
@@ -93,7 +97,6 @@
   int64_t upstream_started_at;
   /* Of UPSTREAM when it was sent, or as told by HOST.  */
   char build[MARJORAM_ID_MAX];
-  bool forward_has_build;            /* HOST told the build */
   char host[MARJORAM_HOST_NAME_MAX]; /* "" if not forwarded */
   int64_t idle_deadline; /* compared with input_time; INT64_MAX: none */
   int status;
@@ -102,8 +105,9 @@
   bool is_signed;
   bool refused; /* reported as not run */
   bool wrong_upstream;
-  bool has_events;       /* the answer is a stream of events */
-  struct evbuffer *body; /* answer body or complete events */
+  bool has_events;        /* the answer is a stream of events */
+  bool forward_has_build; /* HOST told the build */
+  struct evbuffer *body;  /* answer body or complete events */
   marjoram_event_stream *events;
 
   /* Totals over all attempts.  */
@@ -115,6 +119,7 @@
   bool forwarded_out; /* to another region */
   bool relayed;       /* to another host of this region */
   bool repeat_taken;  /* from the budget, for the next or current attempt */
+  bool origin_asked;  /* of keepers */
   UT_hash_handle by_call;
   UT_hash_handle by_attempt;
 };
@@ -137,6 +142,7 @@
   marjoram_shortages *shortages;
   marjoram_key_lease *lease;
   marjoram_quota_pool *quotas;
+  marjoram_stream_origins *origins;   /* of streams of this host's callers */
   marjoram_customer_index *customers; /* of TABLE; null until needed */
   struct marjoram_exchange *by_call;
   struct marjoram_exchange *by_attempt;
@@ -250,12 +256,26 @@
                                       const char *build);
 /* To be called when events of the current attempt go to the caller: binds the
    exchange to the build that sent them.  */
-void marjoram_exchange_keep_build (const marjoram_gateway *gateway,
-                                   struct marjoram_exchange *exchange);
+void marjoram_exchange_keep_build (marjoram_gateway *gateway,
+                                   struct marjoram_exchange *exchange,
+                                   int64_t now);
 /* Whether OFFER may be of upstreams at which the exchange may go on.  */
 bool marjoram_exchange_accepts_offer (const struct marjoram_exchange *exchange,
                                       const struct marjoram_host_offer *offer);
 
+/* gateway_origin.c */
+/* Records and tells keepers which build began the exchange's stream, to which
+   the exchange has just been bound.  */
+void marjoram_exchange_record_origin (marjoram_gateway *gateway,
+                                      const struct marjoram_exchange *exchange,
+                                      int64_t now);
+/* Binds a stream that its caller takes up again to the build that began it.
+   Returns false if the request was refused or has to wait for keepers.  */
+bool marjoram_exchange_find_origin (marjoram_gateway *gateway,
+                                    struct marjoram_exchange *exchange,
+                                    const struct marjoram_route_rule *route,
+                                    int64_t now);
+
 /* gateway_wait.c */
 /* Queues the exchange, or keeps it queued, until an upstream has room for it.
    Returns false if that would be too late for it.  */
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -18,6 +18,8 @@
   LINGER_MS = 300,
   /* Writes and attempts that take longer are logged.  */
   SLOW_MS = 500,
+  /* Between two lines that records of streams were dropped.  */
+  FULL_LOG_INTERVAL_MS = 1000,
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503
 };
@@ -267,6 +269,37 @@
   marjoram_keeper_announce_state_to (self, host, session, heartbeat);
 }
 
+/* ---- Origins of streams.  ---- */
+
+static void
+add_origin (struct marjoram_keeper_role *self, int64_t now,
+            const struct marjoram_stream_begun *begun)
+{
+  if (!begun->id || !begun->build || begun->keep_ms <= 0
+      || marjoram_stream_origins_add (self->origins, now, begun->id,
+                                      begun->build, begun->keep_ms)
+      || now < self->origins_full_at + FULL_LOG_INTERVAL_MS)
+    return;
+  self->origins_full_at = now;
+  marjoram_event (MARJORAM_EVENT_KEEPER, "state=stream-origins-full count=%zu",
+                  marjoram_stream_origins_count (self->origins));
+}
+
+static void
+answer_origin (struct marjoram_keeper_role *self, int64_t now,
+               const char *host, uint64_t session,
+               const struct marjoram_stream_ask *ask)
+{
+  struct marjoram_stream_answer answer = { .id = ask->id };
+
+  if (!ask->id)
+    return;
+  answer.build
+      = (char *)marjoram_stream_origins_find (self->origins, now, ask->id);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_STREAM_ANSWER, &answer);
+}
+
 static void
 role_frame (struct marjoram_role *role, const char *host, uint64_t session,
             enum marjoram_frame_type type, void *message)
@@ -303,6 +336,10 @@
   else if (type == MARJORAM_FRAME_QUOTA_ASK)
     marjoram_keeper_admission_ask_quota (self->admission, host, session,
                                          message);
+  else if (type == MARJORAM_FRAME_STREAM_BEGUN)
+    add_origin (self, now, message);
+  else if (type == MARJORAM_FRAME_STREAM_ASK)
+    answer_origin (self, now, host, session, message);
   else if (type == MARJORAM_FRAME_QUOTA_GRANT)
     marjoram_keeper_admission_granted (self->admission, message);
   marjoram_wire_destroy (marjoram_frame_layout (type), message);
@@ -431,6 +468,7 @@
   marjoram_registry_tick (self->registry, now);
   marjoram_keeper_admission_tick (self->admission, now);
   marjoram_crash_list_expire (self->crashes, now);
+  marjoram_stream_origins_expire (self->origins, now);
   tick_repair (self, now);
   check_write (self, now);
 }
@@ -459,6 +497,7 @@
   marjoram_registry_destroy (self->registry);
   marjoram_keeper_repair_destroy (self->repair);
   marjoram_crash_list_destroy (self->crashes);
+  marjoram_stream_origins_destroy (self->origins);
   marjoram_random_destroy (self->random);
   marjoram_state_sender_destroy (self->state_sender);
   free (self);
@@ -559,6 +598,8 @@
   self->random = marjoram_random_create (seed);
   self->registry = marjoram_registry_create ();
   self->crashes = marjoram_crash_list_create ();
+  self->origins = marjoram_stream_origins_create ();
+  self->origins_full_at = INT64_MIN / 2;
   self->state_sender = marjoram_state_sender_create ();
   self->repair = marjoram_keeper_repair_create (
       parts->settings->ip, (size_t)parts->settings->disk_losses);
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -11,6 +11,7 @@
 #include "registrar.h"
 #include "role.h"
 #include "state_sender.h"
+#include "stream_origin.h"
 
 typedef struct marjoram_keeper_admission marjoram_keeper_admission;
 
@@ -25,6 +26,8 @@
   marjoram_keeper *keeper;
   marjoram_keeper_repair *repair;
   marjoram_crash_list *crashes; /* sent to hosts that have just started */
+  marjoram_stream_origins *origins;
+  int64_t origins_full_at; /* last log line */
   int64_t repair_ticked_at;
   int64_t created_at;
   int64_t liveness_sent_at;
--- a/src/registry.c
+++ b/src/registry.c
@@ -254,6 +254,26 @@
   return found ? found->count : 0;
 }
 
+const char *
+marjoram_registry_only_build (const marjoram_registry *registry,
+                              const char *service)
+{
+  const struct marjoram_registered *upstream;
+  struct marjoram_registered_service *found;
+  const char *build = NULL;
+
+  HASH_FIND_STR (registry->services, service, found);
+  if (!found)
+    return NULL;
+  TAILQ_FOREACH (upstream, &found->upstreams, service_link)
+  {
+    if (build && strcmp (build, upstream->heartbeat.build) != 0)
+      return NULL;
+    build = upstream->heartbeat.build;
+  }
+  return build;
+}
+
 static void
 store_heartbeat (marjoram_registry *registry,
                  struct marjoram_registered *upstream, int64_t now,
--- a/src/registry.h
+++ b/src/registry.h
@@ -94,6 +94,10 @@
                               const char *address);
 size_t marjoram_registry_service_count (const marjoram_registry *registry,
                                         const char *service);
+/* The build of all upstreams of SERVICE that were heard within the last
+   minute; null if there are several or none.  */
+const char *marjoram_registry_only_build (const marjoram_registry *registry,
+                                          const char *service);
 size_t marjoram_registry_count (const marjoram_registry *registry);
 /* Whether UPSTREAM accepts new requests: ready, not shutting down, and not
    silent while heartbeats of others arrive.  */
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -354,6 +354,24 @@
   return 0;
 }
 
+static void
+op_tell_origin (void *context, const char *id, const char *build,
+                int64_t keep_ms)
+{
+  (void)context;
+  (void)id;
+  (void)build;
+  (void)keep_ms;
+}
+
+static size_t
+op_ask_origin (void *context, const char *id)
+{
+  (void)context;
+  (void)id;
+  return 0;
+}
+
 static const struct marjoram_gateway_ops ops = {
   .reply_head = op_head,
   .reply_data = op_data,
@@ -366,6 +384,8 @@
   .forward = op_forward,
   .cancel_forward = op_cancel_forward,
   .lag_ms = op_lag_ms,
+  .tell_origin = op_tell_origin,
+  .ask_origin = op_ask_origin,
 };
 
 /* ---- Nodes. ---- */
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -190,6 +190,27 @@
   seen->asked_units = ask->units;
 }
 
+static void
+op_tell_origin (void *context, const char *id, const char *build,
+                int64_t keep_ms)
+{
+  struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
+
+  seen->told++;
+  snprintf (seen->told_id, sizeof seen->told_id, "%s", id);
+  snprintf (seen->told_build, sizeof seen->told_build, "%s", build);
+  seen->keep_ms = keep_ms;
+}
+
+static size_t
+op_ask_origin (void *context, const char *id)
+{
+  struct gateway_fixture *f = context;
+
+  snprintf (f->seen.asked_id, sizeof f->seen.asked_id, "%s", id);
+  return f->keepers;
+}
+
 static const struct marjoram_gateway_ops ops = {
   .reply_head = op_head,
   .reply_data = op_data,
@@ -204,6 +225,8 @@
   .lag_ms = op_lag_ms,
   .keepers = op_keepers,
   .ask_quota = op_ask_quota,
+  .tell_origin = op_tell_origin,
+  .ask_origin = op_ask_origin,
 };
 
 static const char *
@@ -294,6 +317,7 @@
   f->link_up = true;
   f->unreachable_host = "far2";
   f->far_build = "";
+  f->keepers = 3;
   options.metrics = f->metrics;
   options.place = (struct marjoram_placement_options){
     .registry = f->registry,
@@ -517,6 +541,19 @@
   return f->calls;
 }
 
+uint64_t
+gateway_fixture_take_up (struct gateway_fixture *f, int64_t now,
+                         const char *path, const char *resumes)
+{
+  struct marjoram_http_request *request = make_request (f, path);
+
+  marjoram_header_list_add (&request->headers, "Last-Event-Id", "2");
+  if (resumes)
+    marjoram_header_list_add (&request->headers, "Resumes", resumes);
+  marjoram_gateway_receive (f->gateway, now, f->calls, request, NULL);
+  return f->calls;
+}
+
 uint64_t
 gateway_fixture_forwarded_for (struct gateway_fixture *f, int64_t now,
                                const char *path, const char *customer)
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -25,6 +25,11 @@
   int asks; /* for quota, to the only keeper */
   int64_t asked_at;
   int64_t asked_units;
+  int told; /* origins of streams, to keepers */
+  char told_id[MARJORAM_ID_MAX];
+  char told_build[MARJORAM_ID_MAX];
+  int64_t keep_ms;
+  char asked_id[MARJORAM_ID_MAX]; /* "" if no origin was asked for */
   int heads;
   int status;
   int64_t length;
@@ -49,6 +54,7 @@
   bool evacuated;               /* the upstreams' zone is being evacuated */
   bool leaving;                 /* the evacuation has just begun */
   const char *unreachable_host; /* host of r2 without a link */
+  size_t keepers;               /* that answer for origins of streams */
   const char *far_build;        /* of r2's upstreams; null: not told */
   uint64_t calls;
 };
@@ -101,6 +107,10 @@
 uint64_t gateway_fixture_forwarded_build (struct gateway_fixture *f,
                                           int64_t now, const char *path,
                                           const char *build);
+/* Receives a request that takes the stream of attempt RESUMES up after its
+   second event; RESUMES may be null.  */
+uint64_t gateway_fixture_take_up (struct gateway_fixture *f, int64_t now,
+                                  const char *path, const char *resumes);
 /* The connection of the last attempt breaks.  */
 void gateway_fixture_break (struct gateway_fixture *f, int64_t now);
 /* Upstream ID reports at NOW that it is leaving.  */
--- /dev/null
+++ b/test/test_stream_origin.c
@@ -0,0 +1,279 @@
+/* Tests of the records which build began a stream, and of streams that callers
+   take up again.  */
+#include "suite.h"
+
+#include "lib_gateway.h"
+#include "stream_origin.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* ---- Records.  ---- */
+
+static marjoram_stream_origins *origins;
+
+static void
+origins_setup (void)
+{
+  origins = marjoram_stream_origins_create ();
+}
+
+static void
+origins_teardown (void)
+{
+  marjoram_stream_origins_destroy (origins);
+}
+
+START_TEST (record_ends_with_its_time)
+{
+  ck_assert (marjoram_stream_origins_add (origins, 0, "a", "v1", 1000));
+  ck_assert (marjoram_stream_origins_add (origins, 0, "b", "v2", 500));
+  ck_assert_str_eq (marjoram_stream_origins_find (origins, 999, "a"), "v1");
+  ck_assert_str_eq (marjoram_stream_origins_find (origins, 499, "b"), "v2");
+  ck_assert_ptr_null (marjoram_stream_origins_find (origins, 500, "b"));
+  ck_assert_ptr_null (marjoram_stream_origins_find (origins, 0, "c"));
+  marjoram_stream_origins_expire (origins, 500);
+  ck_assert_uint_eq (marjoram_stream_origins_count (origins), 1);
+  marjoram_stream_origins_expire (origins, 1000);
+  ck_assert_uint_eq (marjoram_stream_origins_count (origins), 0);
+}
+END_TEST
+
+START_TEST (record_is_extended_when_told_again)
+{
+  marjoram_stream_origins_add (origins, 0, "a", "v1", 1000);
+  marjoram_stream_origins_add (origins, 900, "a", "v1", 1000);
+  marjoram_stream_origins_add (origins, 950, "a", "v1", 100);
+  ck_assert_str_eq (marjoram_stream_origins_find (origins, 1800, "a"), "v1");
+}
+END_TEST
+
+/* Guards against a guess where callers use one id for two streams.  */
+START_TEST (id_with_two_builds_has_none)
+{
+  marjoram_stream_origins_add (origins, 0, "a", "v1", 1000);
+  marjoram_stream_origins_add (origins, 1, "a", "v2", 1000);
+  marjoram_stream_origins_add (origins, 2, "a", "v1", 1000);
+  ck_assert_ptr_null (marjoram_stream_origins_find (origins, 3, "a"));
+}
+END_TEST
+
+START_TEST (records_are_bounded)
+{
+  char id[32];
+
+  for (int i = 0; i < MARJORAM_STREAM_ORIGINS_MAX; i++)
+    {
+      snprintf (id, sizeof id, "%d", i);
+      ck_assert (marjoram_stream_origins_add (origins, i, id, "v1", 300000));
+    }
+  ck_assert (!marjoram_stream_origins_add (origins, 70000, "new", "v1", 1000));
+  ck_assert_uint_eq (marjoram_stream_origins_count (origins),
+                     MARJORAM_STREAM_ORIGINS_MAX);
+  ck_assert_ptr_null (marjoram_stream_origins_find (origins, 70000, "0"));
+  ck_assert_str_eq (marjoram_stream_origins_find (origins, 70000, "1"), "v1");
+}
+END_TEST
+
+/* ---- Taking up.  ---- */
+
+static struct gateway_fixture f;
+
+static void
+setup (void)
+{
+  gateway_fixture_open (&f);
+  gateway_fixture_configure (&f);
+  gateway_fixture_build (&f, 0, "u1", 1, "v1");
+  gateway_fixture_build (&f, 0, "u2", 1, "v1.1");
+}
+
+static void
+teardown (void)
+{
+  gateway_fixture_close (&f);
+}
+
+static bool
+went_to (const char *address)
+{
+  return f.seen.sends > 0 && strcmp (f.seen.address, address) == 0;
+}
+
+START_TEST (first_event_records_the_build)
+{
+  const char *build;
+
+  gateway_fixture_call (&f, 0, "/ask/x");
+  build = went_to ("10.0.0.1:80") ? "v1" : "v1.1";
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  ck_assert_int_eq (f.seen.told, 0);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  gateway_fixture_data (&f, 20, "id: 2\ndata: a\n\n");
+  ck_assert_int_eq (f.seen.told, 1);
+  ck_assert_str_eq (f.seen.told_id, "id-1");
+  ck_assert_str_eq (f.seen.told_build, build);
+  ck_assert_int_ge (f.seen.keep_ms, 30000);
+}
+END_TEST
+
+/* Streams that may not be taken up need no record.  */
+START_TEST (other_streams_are_not_recorded)
+{
+  gateway_fixture_call (&f, 0, "/digest/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  ck_assert_int_eq (f.seen.told, 0);
+}
+END_TEST
+
+/* Guards against a stream that is taken up going on at another build.  */
+START_TEST (stream_goes_on_at_the_build_that_keepers_know)
+{
+  const char *const builds[] = { "v1", "v1.1" };
+  const char *const addresses[] = { "10.0.0.1:80", "10.0.0.2:80" };
+
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_str_eq (f.seen.asked_id, "first");
+  marjoram_gateway_origin_answered (f.gateway, 2, "first", NULL);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_origin_answered (f.gateway, 3, "other", "v2");
+  ck_assert_int_eq (f.seen.sends, 0);
+  marjoram_gateway_origin_answered (f.gateway, 4, "first", builds[_i]);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert (went_to (addresses[_i]));
+  ck_assert_str_eq (f.seen.told_id, "first");
+  marjoram_gateway_origin_answered (f.gateway, 5, "first", builds[_i]);
+  ck_assert_int_eq (f.seen.sends, 1);
+}
+END_TEST
+
+START_TEST (host_that_began_it_asks_nobody)
+{
+  gateway_fixture_call (&f, 0, "/ask/x");
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  marjoram_gateway_caller_disconnected (f.gateway, 20, f.calls);
+  f.seen.address[0] = '\0';
+  gateway_fixture_take_up (&f, 30, "/ask/x", "id-1");
+  ck_assert_str_eq (f.seen.asked_id, "");
+  ck_assert_int_eq (f.seen.sends, 2);
+  ck_assert (went_to (strcmp (f.seen.told_build, "v1") == 0 ? "10.0.0.1:80"
+                                                            : "10.0.0.2:80"));
+}
+END_TEST
+
+static void
+assert_refused (void)
+{
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_BUILD_UNKNOWN);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.why.status, 503);
+}
+
+/* Guards against a guess when no keeper knows.  */
+START_TEST (stream_of_unknown_build_is_refused)
+{
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  for (int i = 0; i < 3; i++)
+    {
+      ck_assert_int_eq (f.seen.refusals, 0);
+      marjoram_gateway_origin_answered (f.gateway, 2, "first", NULL);
+    }
+  assert_refused ();
+}
+END_TEST
+
+START_TEST (stream_is_refused_when_no_keeper_answers)
+{
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  marjoram_gateway_tick (f.gateway, 375);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, 400);
+  assert_refused ();
+}
+END_TEST
+
+START_TEST (stream_is_refused_at_once_without_keepers)
+{
+  f.keepers = 0;
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  assert_refused ();
+}
+END_TEST
+
+/* Guards against waiting for a build that is gone.  */
+START_TEST (stream_of_a_build_that_is_gone_is_refused)
+{
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  marjoram_gateway_origin_answered (f.gateway, 2, "first", "v0");
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_OTHER_BUILD);
+}
+END_TEST
+
+/* A caller that names no attempt goes on only where there is one build.  */
+START_TEST (unnamed_stream_needs_a_single_build)
+{
+  gateway_fixture_take_up (&f, 0, "/ask/x", NULL);
+  assert_refused ();
+  gateway_fixture_build (&f, 10, "u2", 1, "v1");
+  gateway_fixture_take_up (&f, 20, "/ask/x", NULL);
+  ck_assert_int_eq (f.seen.sends, 1);
+}
+END_TEST
+
+/* Guards against going on at another build after one more break.  */
+START_TEST (stream_that_was_taken_up_keeps_its_build)
+{
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  marjoram_gateway_origin_answered (f.gateway, 2, "first", "v1");
+  gateway_fixture_break (&f, 5);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_int_eq (f.seen.refusals, 1);
+}
+END_TEST
+
+START_TEST (taken_up_stream_names_its_build_to_other_regions)
+{
+  gateway_fixture_offer (&f, "far1", "v1");
+  gateway_fixture_take_up (&f, 0, "/home/x", "first");
+  marjoram_gateway_origin_answered (f.gateway, 2, "first", "v1");
+  ck_assert_int_eq (f.seen.forwards, 1);
+  ck_assert (f.seen.has_build);
+  ck_assert_str_eq (f.seen.build, "v1");
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("stream_origin");
+  TCase *records = tcase_create ("records");
+  TCase *c = tcase_create ("taking up");
+
+  tcase_add_checked_fixture (records, origins_setup, origins_teardown);
+  tcase_add_test (records, record_ends_with_its_time);
+  tcase_add_test (records, record_is_extended_when_told_again);
+  tcase_add_test (records, id_with_two_builds_has_none);
+  tcase_add_test (records, records_are_bounded);
+  suite_add_tcase (s, records);
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_test (c, first_event_records_the_build);
+  tcase_add_test (c, other_streams_are_not_recorded);
+  tcase_add_loop_test (c, stream_goes_on_at_the_build_that_keepers_know, 0, 2);
+  tcase_add_test (c, host_that_began_it_asks_nobody);
+  tcase_add_test (c, stream_of_unknown_build_is_refused);
+  tcase_add_test (c, stream_is_refused_when_no_keeper_answers);
+  tcase_add_test (c, stream_is_refused_at_once_without_keepers);
+  tcase_add_test (c, stream_of_a_build_that_is_gone_is_refused);
+  tcase_add_test (c, unnamed_stream_needs_a_single_build);
+  tcase_add_test (c, stream_that_was_taken_up_keeps_its_build);
+  tcase_add_test (c, taken_up_stream_names_its_build_to_other_regions);
+  suite_add_tcase (s, c);
+  return s;
+}
