--- a/src/placement_copy.c
+++ b/src/placement_copy.c
@@ -10,35 +10,45 @@
 
 #define COPY_SETUP_MS 1.3
 
-static struct marjoram_copy_zone *
-find_or_add_zone (struct marjoram_copy_sources *sources, const char *zone)
+static bool
+is_in_group (const struct marjoram_copy_group *group,
+             const struct marjoram_registered *upstream)
+{
+  return strcmp (group->zone, upstream->heartbeat.zone) == 0
+         && strcmp (group->build, upstream->heartbeat.build) == 0;
+}
+
+static struct marjoram_copy_group *
+find_or_add_group (struct marjoram_copy_sources *sources,
+                   const struct marjoram_registered *upstream)
 {
-  struct marjoram_copy_zone *found;
+  struct marjoram_copy_group *found;
 
-  for (size_t i = 0; i < sources->zone_count; i++)
-    if (strcmp (sources->zones[i].zone, zone) == 0)
-      return &sources->zones[i];
-  if (sources->zone_count == MARJORAM_COPY_ZONES_MAX)
+  for (size_t i = 0; i < sources->group_count; i++)
+    if (is_in_group (&sources->groups[i], upstream))
+      return &sources->groups[i];
+  if (sources->group_count == MARJORAM_COPY_GROUPS_MAX)
     return NULL;
-  found = &sources->zones[sources->zone_count++];
+  found = &sources->groups[sources->group_count++];
   memset (found, 0, sizeof *found);
-  found->zone = zone;
+  found->zone = upstream->heartbeat.zone;
+  found->build = upstream->heartbeat.build;
   return found;
 }
 
 static void
-add_source (struct marjoram_copy_zone *zone,
+add_source (struct marjoram_copy_group *group,
             const struct marjoram_registered *upstream, int64_t cached)
 {
   const struct marjoram_copy_source source = { upstream, cached };
 
-  if (cached > zone->first.cached)
+  if (cached > group->first.cached)
     {
-      zone->second = zone->first;
-      zone->first = source;
+      group->second = group->first;
+      group->first = source;
     }
-  else if (cached > zone->second.cached)
-    zone->second = source;
+  else if (cached > group->second.cached)
+    group->second = source;
 }
 
 /* An engine whose connections broke may have restarted with an empty cache. */
@@ -70,21 +80,21 @@
       placement->options.registry, query->service->name);
   struct marjoram_registered *upstream;
 
-  sources->zone_count = 0;
+  sources->group_count = 0;
   if (!upstreams || query->service->engine.copied_per_ms <= 0
       || query->metadata->part_count == 0)
     return;
   TAILQ_FOREACH (upstream, upstreams, service_link)
   {
-    struct marjoram_copy_zone *zone;
+    struct marjoram_copy_group *group;
     struct marjoram_endpoint *endpoint;
 
     if (!marjoram_placement_is_candidate (placement, upstream, query, now))
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
-    zone = find_or_add_zone (sources, upstream->heartbeat.zone);
-    if (zone && may_copy_from (placement, endpoint, upstream, now))
-      add_source (zone, upstream,
+    group = find_or_add_group (sources, upstream);
+    if (group && may_copy_from (placement, endpoint, upstream, now))
+      add_source (group, upstream,
                   marjoram_endpoint_cached_tokens (endpoint, query->metadata));
   }
 }
@@ -93,11 +103,11 @@
 source_for (const struct marjoram_copy_sources *sources,
             const struct marjoram_registered *upstream)
 {
-  for (size_t i = 0; i < sources->zone_count; i++)
-    if (strcmp (sources->zones[i].zone, upstream->heartbeat.zone) == 0)
-      return sources->zones[i].first.upstream == upstream
-                 ? &sources->zones[i].second
-                 : &sources->zones[i].first;
+  for (size_t i = 0; i < sources->group_count; i++)
+    if (is_in_group (&sources->groups[i], upstream))
+      return sources->groups[i].first.upstream == upstream
+                 ? &sources->groups[i].second
+                 : &sources->groups[i].first;
   return NULL;
 }
 
--- a/src/placement_copy.h
+++ b/src/placement_copy.h
@@ -1,6 +1,7 @@
-/* Copying cached prompt parts between engines of one zone.  Copying is about
-   ten times faster than prefill, so a request need not wait for the engine
-   that has its prompt cached.  */
+/* Copying cached prompt parts between engines of one zone and build; what
+   another build cached need not fit.  Copying is about ten times faster than
+   prefill, so a request need not wait for the engine that has its prompt
+   cached.  */
 #ifndef MARJORAM_PLACEMENT_COPY_H
 #define MARJORAM_PLACEMENT_COPY_H
 
@@ -8,8 +9,8 @@
 
 enum
 {
-  MARJORAM_COPY_ZONES_MAX
-  = 16 /* per region; zones beyond the limit do not copy */
+  MARJORAM_COPY_GROUPS_MAX
+  = 32 /* per region; groups beyond the limit do not copy */
 };
 
 struct marjoram_copy_source
@@ -18,19 +19,21 @@
   int64_t cached;                             /* cached tokens of the prompt */
 };
 
-struct marjoram_copy_zone
+/* The engines of one zone and build.  */
+struct marjoram_copy_group
 {
   const char *zone;
+  const char *build;
   struct marjoram_copy_source first; /* caches the most */
   struct marjoram_copy_source second;
 };
 
-/* Engines that cache most of one prompt, by zone; valid until the next
+/* Engines that cache most of one prompt, by group; valid until the next
    event.  */
 struct marjoram_copy_sources
 {
-  struct marjoram_copy_zone zones[MARJORAM_COPY_ZONES_MAX];
-  size_t zone_count;
+  struct marjoram_copy_group groups[MARJORAM_COPY_GROUPS_MAX];
+  size_t group_count;
 };
 
 /* Cached and copied tokens of a prompt at one engine.  */
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -395,6 +395,41 @@
 }
 END_TEST
 
+static void
+set_build (int64_t now, const char *id, const char *build)
+{
+  struct marjoram_upstream_heartbeat heartbeat
+      = marjoram_registry_find (registry, id)->heartbeat;
+
+  heartbeat.sequence++;
+  snprintf (heartbeat.build, sizeof heartbeat.build, "%s", build);
+  marjoram_registry_update (registry, now, &heartbeat, 0);
+}
+
+/* Guards against a run that goes on from what another build cached.  */
+START_TEST (nothing_is_copied_from_another_build)
+{
+  struct marjoram_service_rule copying = engine;
+  struct marjoram_call_metadata first = prompt (7, 6000, 100, 10);
+  struct marjoram_place_query query = make_query (&first, 1);
+  struct marjoram_place chosen;
+
+  copying.engine.copied_per_ms = 400;
+  query.service = &copying;
+  receive_heartbeat (10, "1");
+  choose_and_start (10, &query);
+  marjoram_placement_attempt_ended (placement, 200, 1,
+                                    MARJORAM_ATTEMPT_SERVED);
+  receive_heartbeat (300, "2");
+  query.tried[query.tried_count++] = "1";
+  set_build (310, "1", "v1");
+  set_build (310, "2", _i == 0 ? "v1" : "v1.1");
+  chosen = choose_and_start (410, &query);
+  ck_assert_str_eq (chosen.upstream->heartbeat.id, "2");
+  ck_assert (_i == 0 ? chosen.copy_from != NULL : chosen.copy_from == NULL);
+}
+END_TEST
+
 /* Guards against queueing all prompts that share a part on the engine that
    caches it while others are idle.  */
 START_TEST (shared_part_is_spread_over_idle_engines)
@@ -833,6 +868,7 @@
   tcase_add_test (c, prompt_goes_to_engine_caching_its_part);
   tcase_add_test (c, cached_prompt_is_copied_from_busy_engine);
   tcase_add_test (c, nothing_is_copied_after_connection_loss);
+  tcase_add_loop_test (c, nothing_is_copied_from_another_build, 0, 2);
   tcase_add_test (c, shared_part_is_spread_over_idle_engines);
   tcase_add_test (c, queue_of_prompts_is_bounded);
   tcase_add_test (c, urgent_requests_bypass_the_queue);
