A stream may go on at an upstream of its build that has just said that it leaves

While a build is being replaced, its last upstreams say that they leave and serve on for 3 s and more; a stream that broke off, or was taken up, in that time was refused though they could go on with it. Where no other place is left, a stream that is bound to a build may now go to such an upstream for 1.5 s after its word. Nothing else is sent there.

--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -335,8 +335,8 @@
   query->copied_tokens = chosen->copied_tokens;
 }
 
-/* Allows upstreams of a zone that is being evacuated, for requests that no
-   other region can serve.  */
+/* Allows upstreams of a zone that is being evacuated, and leaving ones of a
+   required build, for requests that no other region can serve.  */
 static bool
 find_last_resort (marjoram_gateway *gateway,
                   struct marjoram_exchange *exchange, int64_t now,
--- a/src/placement.h
+++ b/src/placement.h
@@ -48,7 +48,9 @@
   const char *tried[MARJORAM_TRIED_MAX];
   size_t tried_count;
   bool allow_tried; /* allow upstreams that were already tried */
-  bool last_resort; /* allow zones whose evacuation has just begun */
+  /* Allow zones whose evacuation has just begun and, for a required build,
+     upstreams that have just said that they leave.  */
+  bool last_resort;
   /* Only upstreams of this build; null: of any.  */
   const char *build;
 };
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -157,7 +157,10 @@
   const struct marjoram_placement_options *options = &placement->options;
   const char *region;
 
-  if (!marjoram_registry_usable (options->registry, upstream, now))
+  if (!marjoram_registry_usable (options->registry, upstream, now)
+      && !(query->last_resort && query->build
+           && marjoram_registry_still_serves (options->registry, upstream,
+                                              now)))
     return false;
   region = options->region_of (options->context, upstream->heartbeat.zone);
   if (!region || strcmp (region, placement->region) != 0)
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -230,7 +230,8 @@
 int64_t marjoram_endpoint_cached_tokens (
     const struct marjoram_endpoint *endpoint,
     const struct marjoram_call_metadata *metadata);
-/* Whether UPSTREAM is usable, in this region and not in an evacuated zone.  */
+/* Whether UPSTREAM is usable, or good as the last resort of QUERY, in this
+   region and not in an evacuated zone.  */
 bool marjoram_placement_is_candidate (
     marjoram_placement *placement, const struct marjoram_registered *upstream,
     const struct marjoram_place_query *query, int64_t now);
--- a/src/registry.c
+++ b/src/registry.c
@@ -18,7 +18,9 @@
      without heartbeats.  */
   LIMBO_MAX_MS = 20000,
   /* Records checked for removal per tick.  */
-  CHECKS_PER_TICK = 16
+  CHECKS_PER_TICK = 16,
+  /* Well below the 3 s for which leaving upstreams serve on.  */
+  STILL_SERVES_MS = 1500
 };
 
 struct marjoram_registered_service
@@ -333,6 +335,7 @@
     return MARJORAM_REGISTRY_STALE;
   upstream = marjoram_alloc (sizeof *upstream);
   upstream->direct_received_at = INT64_MIN;
+  upstream->leaving_at = INT64_MIN;
   TAILQ_INSERT_TAIL (&registry->checked, upstream, checked_link);
   store_heartbeat (registry, upstream, now, heartbeat, age_ms);
   TAILQ_INSERT_TAIL (&registry->list, upstream, link);
@@ -371,6 +374,9 @@
   store_heartbeat (registry, upstream, now, heartbeat, age_ms);
   if (upstream->heartbeat.state < before)
     upstream->heartbeat.state = before;
+  if (before == MARJORAM_UPSTREAM_READY
+      && upstream->heartbeat.state == MARJORAM_UPSTREAM_LEAVING)
+    upstream->leaving_at = upstream->received_at;
   return upstream->heartbeat.state != before || differs
                  || heartbeat->cold_ms > 0
              ? MARJORAM_REGISTRY_CHANGED
@@ -398,6 +404,7 @@
       if (!claim_address (registry, heartbeat))
         return MARJORAM_REGISTRY_STALE;
       store_heartbeat (registry, upstream, now, heartbeat, age_ms);
+      upstream->leaving_at = INT64_MIN;
       return MARJORAM_REGISTRY_CHANGED;
     }
   return renew (registry, upstream, now, heartbeat, age_ms);
@@ -458,6 +465,17 @@
          && now - marjoram_registry_heard_at (registry, upstream) < FORGET_MS;
 }
 
+bool
+marjoram_registry_still_serves (const marjoram_registry *registry,
+                                const struct marjoram_registered *upstream,
+                                int64_t now)
+{
+  return upstream->heartbeat.state == MARJORAM_UPSTREAM_LEAVING
+         && upstream->leaving_at != INT64_MIN
+         && now < upstream->leaving_at + STILL_SERVES_MS
+         && upstream->ends_at == INT64_MAX && !is_silent (registry, upstream);
+}
+
 static bool
 is_forgotten (const marjoram_registry *registry,
               const struct marjoram_registered *upstream, int64_t now)
--- a/src/registry.h
+++ b/src/registry.h
@@ -33,6 +33,9 @@
                               none */
   int64_t cold_until;
   int64_t ends_at; /* INT64_MAX if unknown */
+  /* When it said that it leaves; INT64_MIN if it does not, or had said so
+     before it was known here.  */
+  int64_t leaving_at;
   /* At a host: whether its keeper's summaries renew it, and when it was named
      last.  */
   bool is_vouched;
@@ -104,6 +107,12 @@
 bool marjoram_registry_usable (const marjoram_registry *registry,
                                const struct marjoram_registered *upstream,
                                int64_t now);
+/* Whether UPSTREAM has only just said that it leaves, and still serves for a
+   while what no other upstream can.  */
+bool
+marjoram_registry_still_serves (const marjoram_registry *registry,
+                                const struct marjoram_registered *upstream,
+                                int64_t now);
 /* Drops upstreams that have been silent or gone for long; checks some of them
    with each call.  */
 void marjoram_registry_tick (marjoram_registry *registry, int64_t now);
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -216,6 +216,23 @@
 }
 END_TEST
 
+/* Guards against refusing a stream while upstreams of its build still serve,
+   and against sending them anything else.  */
+START_TEST (stream_goes_on_at_a_leaving_upstream)
+{
+  gateway_fixture_leave (&f, 0, "u1");
+  gateway_fixture_take_up (&f, 1400, "/ask/x", "first");
+  marjoram_gateway_origin_answered (f.gateway, 1402, "first", "v1");
+  ck_assert (went_to ("10.0.0.1:80"));
+  gateway_fixture_call (&f, 1410, "/ask/x");
+  ck_assert (went_to ("10.0.0.2:80"));
+  gateway_fixture_take_up (&f, 1600, "/ask/x", "second");
+  marjoram_gateway_origin_answered (f.gateway, 1602, "second", "v1");
+  ck_assert_int_eq (f.seen.sends, 2);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_OTHER_BUILD);
+}
+END_TEST
+
 /* A caller that names no attempt goes on only where there is one build.  */
 START_TEST (unnamed_stream_needs_a_single_build)
 {
@@ -271,6 +288,7 @@
   tcase_add_test (c, stream_is_refused_when_no_keeper_answers);
   tcase_add_test (c, stream_is_refused_at_once_without_keepers);
   tcase_add_test (c, stream_of_a_build_that_is_gone_is_refused);
+  tcase_add_test (c, stream_goes_on_at_a_leaving_upstream);
   tcase_add_test (c, unnamed_stream_needs_a_single_build);
   tcase_add_test (c, stream_that_was_taken_up_keeps_its_build);
   tcase_add_test (c, taken_up_stream_names_its_build_to_other_regions);
