--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -248,27 +248,6 @@
          != NULL;
 }
 
-/* ---- The role's operations.  ---- */
-
-static struct marjoram_keeper_role *
-self_of (struct marjoram_role *role)
-{
-  return (struct marjoram_keeper_role *)role;
-}
-
-static void
-role_heartbeat (struct marjoram_role *role, const char *host, uint64_t session,
-                bool joins, const struct marjoram_host_beat *heartbeat)
-{
-  struct marjoram_keeper_role *self = self_of (role);
-
-  if (heartbeat->config_number > 0)
-    marjoram_keeper_observe_number (self->keeper, heartbeat->config_number);
-  if (joins)
-    marjoram_keeper_send_snapshot (self, host, session, heartbeat);
-  marjoram_keeper_announce_state_to (self, host, session, heartbeat);
-}
-
 /* ---- Origins of streams.  ---- */
 
 static void
@@ -300,6 +279,27 @@
                              MARJORAM_FRAME_STREAM_ANSWER, &answer);
 }
 
+/* ---- The role's operations.  ---- */
+
+static struct marjoram_keeper_role *
+self_of (struct marjoram_role *role)
+{
+  return (struct marjoram_keeper_role *)role;
+}
+
+static void
+role_heartbeat (struct marjoram_role *role, const char *host, uint64_t session,
+                bool joins, const struct marjoram_host_beat *heartbeat)
+{
+  struct marjoram_keeper_role *self = self_of (role);
+
+  if (heartbeat->config_number > 0)
+    marjoram_keeper_observe_number (self->keeper, heartbeat->config_number);
+  if (joins)
+    marjoram_keeper_send_snapshot (self, host, session, heartbeat);
+  marjoram_keeper_announce_state_to (self, host, session, heartbeat);
+}
+
 static void
 role_frame (struct marjoram_role *role, const char *host, uint64_t session,
             enum marjoram_frame_type type, void *message)
