Log the parts of the prompt and the events of an attempt that failed

A line of an attempt whose upstream ended did not tell what its request had in common with others, nor whether this attempt's answer had begun: events= counts all attempts of the request. No decision changes.

--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -5,6 +5,7 @@
 
 #include <event2/buffer.h>
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 
@@ -21,7 +22,8 @@
   EXTRA_ATTEMPTS = 2,
   /* Idle timeout of resumable streams: above the pauses of a busy engine and
      below the 2 s after which callers give up.  */
-  STREAM_IDLE_MS = 1500
+  STREAM_IDLE_MS = 1500,
+  PARTS_TEXT_MAX = 160 /* bytes of a log line */
 };
 
 static struct marjoram_exchange *
@@ -70,20 +72,38 @@
   return retry_denial (gateway, exchange, now, false) == NULL;
 }
 
+/* Writes the ids of all parts of the prompt but the last, which no other
+   request has, in hexadecimal; as many as fit.  */
+static void
+write_shared_parts (const struct marjoram_exchange *exchange, char *text,
+                    size_t size)
+{
+  const struct marjoram_call_metadata *metadata = &exchange->metadata;
+  size_t used = 0;
+
+  snprintf (text, size, "-");
+  for (size_t i = 0; i + 1 < metadata->part_count && used < size; i++)
+    used += (size_t)snprintf (text + used, size - used, "%s%" PRIx64,
+                              i > 0 ? "," : "", metadata->parts[i].id);
+}
+
 static void
 log_attempt (const marjoram_gateway *gateway,
              const struct marjoram_exchange *exchange,
              enum marjoram_reason reason, const char *denial)
 {
   struct marjoram_repeat_usage usage;
+  char parts[PARTS_TEXT_MAX];
 
   marjoram_repeat_budget_get_usage (gateway->budget, exchange->service,
                                     &usage);
+  write_shared_parts (exchange, parts, sizeof parts);
   marjoram_event (
       MARJORAM_EVENT_ATTEMPT,
       "id=%s failed=%s retry=%s service=%s upstream=%s build=%s host=%s "
       "status=%d framing=%s unfinished=%zu events=%d arrivals=%d runs=%d "
-      "lag_ms=%" PRId64 " repeats=%" PRIu64 " repeats_allowed=%.1f",
+      "lag_ms=%" PRId64 " repeats=%" PRIu64 " repeats_allowed=%.1f "
+      "attempt_events=%d parts=%s",
       exchange->metadata.id, marjoram_reason_name (reason),
       denial ? denial : "yes", exchange->service,
       *exchange->upstream ? exchange->upstream : "-",
@@ -92,7 +112,8 @@
       marjoram_framing_name (exchange->framing),
       marjoram_exchange_unfinished (exchange), exchange->events_sent,
       exchange->attempts_sent, exchange->attempts_maybe_run,
-      gateway->ops->lag_ms (gateway->context), usage.repeats, usage.allowed);
+      gateway->ops->lag_ms (gateway->context), usage.repeats, usage.allowed,
+      exchange->attempt_events, parts);
 }
 
 static void
@@ -313,6 +334,7 @@
     exchange->longest_gap_ms = gap_ms;
   exchange->last_event_at = now;
   exchange->events_sent += (int)events;
+  exchange->attempt_events += (int)events;
 }
 
 void
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -92,7 +92,8 @@
   size_t origins_awaited; /* keepers that have not answered */
 
   /* The current attempt.  */
-  uint64_t attempt; /* 0 if none */
+  uint64_t attempt;   /* 0 if none */
+  int attempt_events; /* received */
   char upstream[MARJORAM_ID_MAX];
   int64_t upstream_started_at;
   /* Of UPSTREAM when it was sent, or as told by HOST.  */
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -40,6 +40,7 @@
   if (exchange->state == MARJORAM_EXCHANGE_WAITING)
     exchange->state = MARJORAM_EXCHANGE_OPEN;
   exchange->attempt = ++gateway->next_attempt;
+  exchange->attempt_events = 0;
   HASH_ADD (by_attempt, gateway->by_attempt, attempt, sizeof exchange->attempt,
             exchange);
   marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_ATTEMPTS, 1);
