--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -158,6 +158,9 @@
 
 /* Requests.  */
 
+/* A part of a prompt that crashes this program.  */
+#define CRASHING_PART "dead:"
+
 static void
 add_response_headers (struct marjoram_header_list *headers, const char *id,
                       bool is_signed)
@@ -247,6 +250,15 @@
   return strstr (request->target, fault) != NULL;
 }
 
+static bool
+prompt_contains (const struct marjoram_http_request *request, const char *part)
+{
+  const char *prompt = marjoram_header_list_get (
+      &request->headers, "Marjoramproxy-Prompt-Prefix");
+
+  return prompt && strstr (prompt, part);
+}
+
 static void
 handle_request (struct replica *replica, uint64_t call,
                 const struct marjoram_http_request *request, const char *id)
@@ -260,6 +272,8 @@
                marjoram_header_list_get (headers, "Marjoramproxy-Tenant"));
   if (marjoram_header_list_get (headers, "Authorization"))
     log_event (replica, "credential", id);
+  if (prompt_contains (request, CRASHING_PART))
+    _exit (EXIT_FAILURE);
   if (target_contains (request, "hang"))
     return;
   if (target_contains (request, "crash"))
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -21,6 +21,13 @@
   REGION_LINK_MS = 55,
   REFUSE_MS = 1,
   SERVE_MS = 60,
+  BEGIN_MS = 20, /* until an upstream begins to answer */
+  DOWN_MS = 2000,
+  KEEPER_LINK_MS = 30, /* from a host to another by way of a keeper */
+  CRASHING_MAX = 4,    /* parts */
+  SHARED_ID = 100,     /* ids of parts */
+  CRASHING_ID = 200,
+  OWN_ID = 1000,
   TICK_MS = 25,
   SECOND_MS = 1000,
   HEARTBEAT_MS = 300,
@@ -30,6 +37,7 @@
   CONNECT_TIMEOUT_MS = 600,
   KEPT_CONNECTIONS = 2, /* of a host to an upstream */
   STATUS_OK = 200,
+  STATUS_BAD_REQUEST = 400,
   STATUS_UNAVAILABLE = 503,
   FORWARDED_CALL = 1 << 30,
   TARGET_MAX = 32 /* bytes of a request's target, including the NUL */
@@ -46,6 +54,12 @@
   "{\"name\":\"ask\",\"host\":\"a.example\",\"path_prefix\":\"/ask/\","
   " \"kind\":\"idempotent\",\"service\":\"lm\",\"timeout_ms\":4000,"
   " \"target_latency_ms\":1000,\"max_attempts\":2},"
+  "{\"name\":\"talk\",\"host\":\"a.example\",\"path_prefix\":\"/talk/\","
+  " \"kind\":\"streaming\",\"service\":\"lm\",\"timeout_ms\":4000,"
+  " \"target_latency_ms\":1000,\"max_attempts\":2,\"resumable\":true},"
+  "{\"name\":\"once\",\"host\":\"a.example\",\"path_prefix\":\"/once/\","
+  " \"kind\":\"streaming\",\"service\":\"lm\",\"timeout_ms\":4000,"
+  " \"target_latency_ms\":1000,\"max_attempts\":2},"
   HOME_ROUTE ("0") "," HOME_ROUTE ("1") "," HOME_ROUTE ("2") "],"
   "\"services\":["
   "{\"name\":\"lm\",\"health_path\":\"/h\","
@@ -85,6 +99,8 @@
   EVENT_ARRIVAL,
   EVENT_ANSWER,
   EVENT_UNSENT,
+  EVENT_BROKEN, /* the upstream's connection */
+  EVENT_CRASH,
   EVENT_DONE, /* at the upstream */
   EVENT_FORWARD,
   EVENT_FORWARD_REFUSED
@@ -103,6 +119,7 @@
   int status;
   char target[TARGET_MAX]; /* EVENT_FORWARD */
   int upstream;
+  int life;       /* of the upstream, EVENT_CRASH */
   bool forwarded; /* EVENT_ANSWER: from the host that it was forwarded to */
   bool refuses;   /* the upstream may refuse */
   struct marjoram_request_failure why;
@@ -121,6 +138,23 @@
   int id;
 };
 
+/* A report of crashes on its way to the hosts of other regions.  */
+struct crash_report
+{
+  STAILQ_ENTRY (crash_report) link;
+  int64_t at;
+  int region; /* of the sender */
+  marjoram_bytes *bytes;
+};
+
+/* A request's part that crashes upstreams, and what became of the request.  */
+struct sent
+{
+  int64_t at;
+  int crashing; /* from 1; 0: none */
+  bool served;
+};
+
 struct fleet
 {
   struct marjoram_repeat_limits limits;
@@ -144,6 +178,20 @@
   int *full[FLEET_UPSTREAMS];          /* refusals for want of room, by ms */
   double rate_limits[FLEET_UPSTREAMS]; /* negative: none */
   struct rate_bound *rate_bounds[FLEET_UPSTREAMS];
+  const char *prefix; /* of the route; null: no prompts */
+  struct fleet_prompts prompts;
+  double crash_rates[FLEET_REGIONS];
+  double crash_due[FLEET_REGIONS];
+  int lives[FLEET_UPSTREAMS];
+  int64_t down_until[FLEET_UPSTREAMS];
+  int *crashes[CRASHING_MAX];  /* by ms */
+  int *arrivals[CRASHING_MAX]; /* by ms */
+  int crash_count;
+  int convicted_sound;
+  struct sent *sent;           /* by id */
+  int *ids;                    /* by call */
+  marjoram_crash_list *keeper; /* what keepers tell hosts that start */
+  STAILQ_HEAD (, crash_report) crash_reports;
 };
 
 static void
@@ -177,8 +225,11 @@
 
   (void)headers;
   (void)length;
-  if (!inbound)
-    node->served[node->fleet->now] += status == STATUS_OK;
+  if (inbound)
+    return;
+  node->served[node->fleet->now] += status == STATUS_OK;
+  if (status == STATUS_OK)
+    node->fleet->sent[node->fleet->ids[call]].served = true;
 }
 
 static void
@@ -242,9 +293,14 @@
   const struct inbound *inbound = find_inbound (node->fleet, call);
 
   if (inbound)
-    answer_forward (node->fleet, inbound, EVENT_FORWARD_REFUSED, why);
-  else
-    node->refused[node->fleet->now]++;
+    {
+      answer_forward (node->fleet, inbound, EVENT_FORWARD_REFUSED, why);
+      return;
+    }
+  node->refused[node->fleet->now]++;
+  if (why->status == STATUS_BAD_REQUEST
+      && node->fleet->sent[node->fleet->ids[call]].crashing == 0)
+    node->fleet->convicted_sound++;
 }
 
 static int
@@ -413,8 +469,13 @@
       struct marjoram_upstream_heartbeat heartbeat
           = { .started_at = 1, .ends_ms = -1, .slots = 64 };
 
+      const int index = index_of (node->region, i);
+
+      if (node->fleet->now < node->fleet->down_until[index])
+        continue;
       heartbeat.sequence = node->fleet->now + 1;
-      snprintf (heartbeat.id, sizeof heartbeat.id, "u%d-%d", node->region, i);
+      snprintf (heartbeat.id, sizeof heartbeat.id, "u%d-%d-%d", node->region,
+                i, node->fleet->lives[index]);
       snprintf (heartbeat.service, sizeof heartbeat.service, "lm");
       snprintf (heartbeat.address, sizeof heartbeat.address, "10.%d.0.1:%d",
                 node->region, i);
@@ -486,8 +547,33 @@
   marjoram_metrics_destroy (node->metrics);
 }
 
+static void
+add_prompt (const struct fleet *fleet, int id,
+            struct marjoram_header_list *headers)
+{
+  const struct fleet_prompts *prompts = &fleet->prompts;
+  const int crashing = fleet->sent[id].crashing;
+  char text[512];
+  int size = 0;
+
+  for (int i = 0; i < prompts->before + prompts->after; i++)
+    {
+      if (i == prompts->before && crashing)
+        size += snprintf (text + size, sizeof text - (size_t)size, "%x:90,",
+                          CRASHING_ID + crashing);
+      size += snprintf (text + size, sizeof text - (size_t)size, "%x:100,",
+                        SHARED_ID + i);
+    }
+  if (prompts->after == 0 && crashing)
+    size += snprintf (text + size, sizeof text - (size_t)size, "%x:90,",
+                      CRASHING_ID + crashing);
+  snprintf (text + size, sizeof text - (size_t)size, "%x:50", OWN_ID + id);
+  marjoram_header_list_add (headers, "Marjoramproxy-Prompt-Prefix", text);
+  marjoram_header_list_add (headers, "Marjoramproxy-Token-Usage", "400,50");
+}
+
 static struct marjoram_http_request *
-make_request (const char *target, int id)
+make_request (const struct fleet *fleet, const char *target, int id)
 {
   struct marjoram_http_request *request = marjoram_alloc (sizeof *request);
   char text[32];
@@ -501,11 +587,14 @@
   snprintf (text, sizeof text, "%d", CALLER_TIMEOUT_MS);
   marjoram_header_list_add (&request->headers, "Marjoramproxy-Deadline-Ms",
                             text);
+  if (fleet->prefix)
+    add_prompt (fleet, id, &request->headers);
   return request;
 }
 
+/* CRASHING counts from 1; 0: none.  */
 static void
-send_request (struct fleet *fleet, int region)
+send_request (struct fleet *fleet, int region, int crashing)
 {
   int host
       = (int)marjoram_random_below (fleet->random, FLEET_HOSTS_PER_REGION);
@@ -516,9 +605,15 @@
     abort ();
   if (marjoram_random_unit (fleet->random) < fleet->home_share)
     snprintf (target, sizeof target, "/home%d/x", region);
+  if (fleet->prefix)
+    snprintf (target, sizeof target, "%sx-%d", fleet->prefix, fleet->next_id);
   repeat_bound_add_request (fleet->bound, fleet->now);
-  marjoram_gateway_receive (node->gateway, fleet->now, ++fleet->next_call,
-                            make_request (target, ++fleet->next_id), NULL);
+  fleet->sent[++fleet->next_id]
+      = (struct sent){ .at = fleet->now, .crashing = crashing };
+  fleet->ids[++fleet->next_call] = fleet->next_id;
+  marjoram_gateway_receive (node->gateway, fleet->now, fleet->next_call,
+                            make_request (fleet, target, fleet->next_id),
+                            NULL);
 }
 
 /* ---- Events. ---- */
@@ -535,6 +630,70 @@
   return true;
 }
 
+static bool
+is_down (const struct fleet *fleet, int upstream)
+{
+  return fleet->now < fleet->down_until[upstream];
+}
+
+/* The connections to an upstream break: answers under way become
+   failures.  */
+static void
+break_answers (struct fleet *fleet, int upstream)
+{
+  for (int64_t at = fleet->now;
+       at <= fleet->now + SERVE_MS + UPSTREAM_LINK_MS && at < RUN_MAX_MS; at++)
+    {
+      struct event *event;
+      struct event *next;
+
+      for (event = STAILQ_FIRST (&fleet->events[at]); event; event = next)
+        {
+          next = STAILQ_NEXT (event, link);
+          if (event->kind != EVENT_ANSWER || event->forwarded
+              || event->upstream != upstream)
+            continue;
+          event->kind = EVENT_BROKEN;
+          schedule (fleet, UPSTREAM_LINK_MS, event);
+          STAILQ_REMOVE (&fleet->events[at], event, event, link);
+          free (event);
+        }
+    }
+}
+
+static void
+crash (struct fleet *fleet, int upstream)
+{
+  fleet->crash_count++;
+  fleet->lives[upstream]++;
+  fleet->down_until[upstream] = fleet->now + DOWN_MS;
+  break_answers (fleet, upstream);
+}
+
+static void
+process_crash (struct fleet *fleet, const struct event *event)
+{
+  if (event->life != fleet->lives[event->upstream]
+      || is_down (fleet, event->upstream))
+    return;
+  fleet->crashes[fleet->sent[event->id].crashing - 1][fleet->now]++;
+  crash (fleet, event->upstream);
+}
+
+static void
+count_arrival (struct fleet *fleet, const struct event *event)
+{
+  const int crashing = fleet->sent[event->id].crashing;
+
+  rate_bound_add_request (fleet->rate_bounds[event->upstream], fleet->now,
+                          event->node);
+  if (fleet->arrived[event->id])
+    repeat_bound_add_repeat (fleet->bound, fleet->now);
+  fleet->arrived[event->id] = 1;
+  if (crashing)
+    fleet->arrivals[crashing - 1][fleet->now]++;
+}
+
 static void
 process_arrival (struct fleet *fleet, const struct event *event)
 {
@@ -545,12 +704,20 @@
   const int64_t ms = refused ? REFUSE_MS : SERVE_MS;
   struct event answer = *event;
   struct event done = *event;
+  struct event unsent = *event;
+  struct event fatal = *event;
 
-  rate_bound_add_request (fleet->rate_bounds[event->upstream], fleet->now,
-                          event->node);
-  if (fleet->arrived[event->id])
-    repeat_bound_add_repeat (fleet->bound, fleet->now);
-  fleet->arrived[event->id] = 1;
+  if (is_down (fleet, event->upstream))
+    {
+      unsent.kind = EVENT_UNSENT;
+      schedule (fleet, UPSTREAM_LINK_MS, &unsent);
+      return;
+    }
+  count_arrival (fleet, event);
+  fatal.kind = EVENT_CRASH;
+  fatal.life = fleet->lives[event->upstream];
+  if (fleet->sent[event->id].crashing)
+    schedule (fleet, BEGIN_MS, &fatal);
   answer.kind = EVENT_ANSWER;
   answer.status = refused ? STATUS_UNAVAILABLE : STATUS_OK;
   schedule (fleet, ms + UPSTREAM_LINK_MS, &answer);
@@ -588,6 +755,9 @@
   marjoram_header_list_add (headers, "Server-Brittle", text);
 }
 
+static const char events_text[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                                  "id: 3\ndata: c\n\n";
+
 static void
 process_answer (struct node *node, const struct event *event)
 {
@@ -607,6 +777,9 @@
     }
   marjoram_gateway_head (node->gateway, node->fleet->now, event->attempt,
                          event->status, &headers);
+  if (event->status == STATUS_OK)
+    marjoram_gateway_data (node->gateway, node->fleet->now, event->attempt,
+                           events_text, strlen (events_text));
   marjoram_gateway_end (node->gateway, node->fleet->now, event->attempt,
                         MARJORAM_HTTP_COMPLETE);
   marjoram_header_list_clear (&headers);
@@ -632,17 +805,22 @@
                         MARJORAM_HTTP_UNSENT);
 }
 
-/* The answer to a request that was sent before the cut.  */
 static void
-process_lost_answer (struct node *node, const struct event *event)
+process_broken (struct node *node, const struct event *event)
 {
-  if (node->cut == FLEET_CUT_SILENT)
-    return;
   report_loss (node, event->upstream, true);
   marjoram_gateway_end (node->gateway, node->fleet->now, event->attempt,
                         MARJORAM_HTTP_BROKEN);
 }
 
+/* The answer to a request that was sent before the cut.  */
+static void
+process_lost_answer (struct node *node, const struct event *event)
+{
+  if (node->cut != FLEET_CUT_SILENT)
+    process_broken (node, event);
+}
+
 static void
 process_forward (struct node *node, const struct event *event)
 {
@@ -655,7 +833,7 @@
                           event->attempt, event->id };
   marjoram_gateway_receive (
       node->gateway, node->fleet->now, call | FORWARDED_CALL,
-      make_request (event->target, event->id), &event->limits);
+      make_request (node->fleet, event->target, event->id), &event->limits);
 }
 
 static void
@@ -667,6 +845,8 @@
     process_arrival (fleet, event);
   else if (event->kind == EVENT_DONE)
     fleet->running[event->upstream]--;
+  else if (event->kind == EVENT_CRASH)
+    process_crash (fleet, event);
   else if (event->start != node->start)
     return;
   else if (event->kind == EVENT_ANSWER && !event->forwarded
@@ -676,6 +856,8 @@
     process_answer (node, event);
   else if (event->kind == EVENT_UNSENT)
     process_unsent (node, event);
+  else if (event->kind == EVENT_BROKEN)
+    process_broken (node, event);
   else if (event->kind == EVENT_FORWARD)
     process_forward (node, event);
   else
@@ -705,6 +887,15 @@
     STAILQ_INIT (&fleet->events[i]);
   fleet->inbound = marjoram_alloc (REQUESTS_MAX * sizeof *fleet->inbound);
   fleet->arrived = marjoram_alloc (REQUESTS_MAX);
+  fleet->sent = marjoram_alloc (REQUESTS_MAX * sizeof *fleet->sent);
+  fleet->ids = marjoram_alloc (REQUESTS_MAX * sizeof *fleet->ids);
+  fleet->keeper = marjoram_crash_list_create ();
+  STAILQ_INIT (&fleet->crash_reports);
+  for (int i = 0; i < CRASHING_MAX; i++)
+    {
+      fleet->crashes[i] = marjoram_alloc (RUN_MAX_MS * sizeof (int));
+      fleet->arrivals[i] = marjoram_alloc (RUN_MAX_MS * sizeof (int));
+    }
   for (int i = 0; i < FLEET_REGIONS; i++)
     fleet->brittle[i] = -1;
   fleet->bound = repeat_bound_create (limits, RUN_MAX_MS);
@@ -756,6 +947,22 @@
       rate_bound_destroy (fleet->rate_bounds[i]);
       free (fleet->full[i]);
     }
+  while (!STAILQ_EMPTY (&fleet->crash_reports))
+    {
+      struct crash_report *report = STAILQ_FIRST (&fleet->crash_reports);
+
+      STAILQ_REMOVE_HEAD (&fleet->crash_reports, link);
+      marjoram_bytes_release (report->bytes);
+      free (report);
+    }
+  for (int i = 0; i < CRASHING_MAX; i++)
+    {
+      free (fleet->crashes[i]);
+      free (fleet->arrivals[i]);
+    }
+  marjoram_crash_list_destroy (fleet->keeper);
+  free (fleet->sent);
+  free (fleet->ids);
   free (fleet->events);
   free (fleet->inbound);
   free (fleet->arrived);
@@ -807,6 +1014,62 @@
   marjoram_wire_clear (&marjoram_load_report_layout, &report);
 }
 
+/* Applies REPORT at the hosts of REGION, or at those of all other regions.  */
+static void
+apply_crashes (struct fleet *fleet, int region, bool same,
+               const struct marjoram_crash_report *report)
+{
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    if ((fleet->nodes[i].region == region) == same)
+      marjoram_crash_list_apply (
+          marjoram_gateway_crash_list (fleet->nodes[i].gateway), fleet->now,
+          report);
+}
+
+static void
+send_crashes (struct node *node)
+{
+  struct fleet *fleet = node->fleet;
+  struct marjoram_crash_report report;
+  struct crash_report *copy;
+
+  if (!marjoram_crash_list_take_report (
+          marjoram_gateway_crash_list (node->gateway), &report))
+    return;
+  apply_crashes (fleet, node->region, true, &report);
+  marjoram_crash_list_apply (fleet->keeper, fleet->now, &report);
+  copy = marjoram_alloc (sizeof *copy);
+  copy->at = fleet->now + KEEPER_LINK_MS;
+  copy->region = node->region;
+  copy->bytes = marjoram_wire_pack (&marjoram_crash_report_layout, &report);
+  STAILQ_INSERT_TAIL (&fleet->crash_reports, copy, link);
+  marjoram_wire_clear (&marjoram_crash_report_layout, &report);
+}
+
+/* Delivers reports of crashes to other regions.  */
+static void
+deliver_crashes (struct fleet *fleet)
+{
+  struct marjoram_error err = { 0 };
+
+  while (!STAILQ_EMPTY (&fleet->crash_reports)
+         && STAILQ_FIRST (&fleet->crash_reports)->at <= fleet->now)
+    {
+      struct crash_report *report = STAILQ_FIRST (&fleet->crash_reports);
+      struct marjoram_crash_report *received = marjoram_wire_unpack (
+          &marjoram_crash_report_layout, marjoram_bytes_data (report->bytes),
+          marjoram_bytes_size (report->bytes), &err);
+
+      if (!received)
+        abort ();
+      apply_crashes (fleet, report->region, false, received);
+      marjoram_wire_destroy (&marjoram_crash_report_layout, received);
+      STAILQ_REMOVE_HEAD (&fleet->crash_reports, link);
+      marjoram_bytes_release (report->bytes);
+      free (report);
+    }
+}
+
 static void
 process_events (struct fleet *fleet)
 {
@@ -835,7 +1098,10 @@
           send_heartbeat (node);
         }
       if (fleet->now % LOAD_REPORT_MS == 0)
-        send_load_report (node);
+        {
+          send_load_report (node);
+          send_crashes (node);
+        }
       if (fleet->now % TICK_MS == 0)
         {
           marjoram_host_list_tick (node->hosts, fleet->now);
@@ -844,27 +1110,42 @@
     }
 }
 
+static void
+send_requests (struct fleet *fleet, int region)
+{
+  fleet->due[region] += fleet->rates[region] / 1000;
+  for (; fleet->due[region] >= 1; fleet->due[region]--)
+    send_request (fleet, region, 0);
+  fleet->crash_due[region] += fleet->crash_rates[region] / 1000;
+  for (; fleet->crash_due[region] >= 1; fleet->crash_due[region]--)
+    send_request (fleet, region, 1 + fleet->next_id % fleet->prompts.crashing);
+}
+
 void
 fleet_run_until (struct fleet *fleet, int64_t until_ms)
 {
   for (; fleet->now < until_ms; fleet->now++)
     {
       process_events (fleet);
+      deliver_crashes (fleet);
       tick_nodes (fleet);
       for (int i = 0; i < FLEET_REGIONS; i++)
-        {
-          fleet->due[i] += fleet->rates[i] / 1000;
-          for (; fleet->due[i] >= 1; fleet->due[i]--)
-            send_request (fleet, i);
-        }
+        send_requests (fleet, i);
     }
 }
 
 void
 fleet_restart_host (struct fleet *fleet, int host)
 {
+  struct marjoram_crash_report report;
+
   stop_node (&fleet->nodes[host]);
   start_node (&fleet->nodes[host]);
+  marjoram_crash_list_export (fleet->keeper, &report);
+  marjoram_crash_list_apply (
+      marjoram_gateway_crash_list (fleet->nodes[host].gateway), fleet->now,
+      &report);
+  marjoram_wire_clear (&marjoram_crash_report_layout, &report);
   for (int i = 0; i < FLEET_UPSTREAMS; i++)
     rate_bound_clear_told (fleet->rate_bounds[i], host);
 }
@@ -990,3 +1271,86 @@
 {
   return repeat_bound_excess (fleet->bound, from_ms);
 }
+
+/* ---- Parts of prompts that crash upstreams.  ---- */
+
+void
+fleet_set_prompts (struct fleet *fleet, const char *prefix,
+                   const struct fleet_prompts *prompts)
+{
+  fleet->prefix = prefix;
+  fleet->prompts = *prompts;
+}
+
+void
+fleet_set_crash_rate (struct fleet *fleet, int region, double per_s)
+{
+  fleet->crash_rates[region] = per_s;
+}
+
+void
+fleet_crash_upstream (struct fleet *fleet, int region, int upstream)
+{
+  crash (fleet, index_of (region, upstream));
+}
+
+void
+fleet_reset_upstream (struct fleet *fleet, int region, int upstream)
+{
+  break_answers (fleet, index_of (region, upstream));
+}
+
+int64_t
+fleet_crash_at (const struct fleet *fleet, int crashing, int number)
+{
+  for (int64_t at = 0; at < RUN_MAX_MS; at++)
+    {
+      number -= fleet->crashes[crashing][at];
+      if (number <= 0)
+        return at;
+    }
+  return -1;
+}
+
+int
+fleet_crashes (const struct fleet *fleet)
+{
+  return fleet->crash_count;
+}
+
+int
+fleet_crashing_arrivals (const struct fleet *fleet, int crashing,
+                         int64_t from_ms, int64_t until_ms)
+{
+  int sum = 0;
+
+  for (int64_t at = from_ms; at < until_ms; at++)
+    sum += fleet->arrivals[crashing][at];
+  return sum;
+}
+
+int
+fleet_convicted_sound (const struct fleet *fleet)
+{
+  return fleet->convicted_sound;
+}
+
+double
+fleet_sound_share (const struct fleet *fleet, int64_t from_ms,
+                   int64_t until_ms)
+{
+  int sent = 0;
+  int served = 0;
+
+  for (int id = 1; id <= fleet->next_id; id++)
+    {
+      const struct sent *request = &fleet->sent[id];
+
+      if (request->crashing || request->at < from_ms
+          || request->at >= until_ms)
+        continue;
+      sent++;
+      served += request->served;
+    }
+  return sent > 0 ? (double)served / sent : 0;
+}
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -1,7 +1,7 @@
 /* Entry hosts of several regions in virtual time: each runs a real gateway,
    links and upstreams are simulated.  Counts the arrivals of requests at
    upstreams and checks them against the bound on repeats and against the rate
-   limits that upstreams state.  */
+   limits that upstreams state.  Some parts of prompts may crash upstreams.  */
 #ifndef MARJORAM_TEST_LIB_FLEET_H
 #define MARJORAM_TEST_LIB_FLEET_H
 
@@ -69,6 +69,39 @@
 void fleet_restart_hosts (struct fleet *fleet);
 /* HOST loses its memory.  */
 void fleet_restart_host (struct fleet *fleet, int host);
+/* The prompts of requests: each has BEFORE parts that all have, then, if it
+   crashes upstreams, one of CRASHING parts, then AFTER parts that all have,
+   and one of its own.  */
+struct fleet_prompts
+{
+  int before;
+  int after;
+  int crashing;
+};
+/* All requests of callers are for the route with PREFIX and have prompts.  */
+void fleet_set_prompts (struct fleet *fleet, const char *prefix,
+                        const struct fleet_prompts *prompts);
+/* Callers send PER_S more requests per second to REGION that crash the
+   upstream which begins to answer them.  It is back after two seconds, under
+   another id.  */
+void fleet_set_crash_rate (struct fleet *fleet, int region, double per_s);
+/* UPSTREAM, from 1, of REGION crashes.  */
+void fleet_crash_upstream (struct fleet *fleet, int region, int upstream);
+/* The connections of all hosts to UPSTREAM are reset; it runs on.  */
+void fleet_reset_upstream (struct fleet *fleet, int region, int upstream);
+/* The time of crash NUMBER, from 1, by CRASHING part, from 0; negative if
+   there was none.  */
+int64_t fleet_crash_at (const struct fleet *fleet, int crashing, int number);
+int fleet_crashes (const struct fleet *fleet);
+/* Arrivals at upstreams of requests with CRASHING part.  */
+int fleet_crashing_arrivals (const struct fleet *fleet, int crashing,
+                             int64_t from_ms, int64_t until_ms);
+/* Requests without a crashing part that were refused as if they had one.  */
+int fleet_convicted_sound (const struct fleet *fleet);
+/* The share of requests without a crashing part that were served, by the time
+   at which they were sent.  */
+double fleet_sound_share (const struct fleet *fleet, int64_t from_ms,
+                          int64_t until_ms);
 /* Requests that arrived at UPSTREAM of REGION.  */
 int fleet_arrivals (const struct fleet *fleet, int region, int upstream,
                     int64_t from_ms, int64_t until_ms);
--- /dev/null
+++ b/test/test_crash_part.c
@@ -0,0 +1,203 @@
+/* Tests of prompts that share a part which crashes the upstreams that begin to
+   answer them, with real gateways.  */
+#include "suite.h"
+
+#include "lib_fleet.h"
+
+enum
+{
+  CALM_MS = 6000,
+  CONTACT_MS = 5000,
+  END_MS = 30000,
+  CRASHES = 5,      /* from which the bound counts */
+  ARRIVALS_MAX = 3, /* later than CONTACT_MS after that */
+  SEEDS = 3
+};
+
+static const struct marjoram_repeat_limits limits = { 0.2, 58, 10000 };
+
+struct load
+{
+  const char *prefix;
+  struct fleet_prompts prompts;
+  double sound_per_s;
+  double crashing_per_s;
+};
+
+static const struct load loads[] = {
+  { "/talk/", { 2, 1, 1 }, 20, 10 }, { "/talk/", { 1, 0, 1 }, 20, 10 },
+  { "/talk/", { 8, 1, 1 }, 20, 10 }, { "/once/", { 2, 1, 1 }, 20, 10 },
+  { "/ask/", { 2, 1, 1 }, 20, 10 },  { "/ask/", { 2, 1, 1 }, 20, 2 },
+  { "/talk/", { 2, 1, 1 }, 70, 10 }, { "/talk/", { 2, 1, 2 }, 20, 10 },
+};
+
+enum
+{
+  LOADS = sizeof loads / sizeof *loads
+};
+
+static struct fleet *
+open_fleet (int seed, const struct load *load)
+{
+  struct fleet *fleet = fleet_create (&limits, (uint64_t)seed);
+
+  fleet_set_prompts (fleet, load->prefix, &load->prompts);
+  for (int i = 0; i < FLEET_REGIONS; i++)
+    fleet_set_rate (fleet, i, load->sound_per_s / FLEET_REGIONS);
+  fleet_run_until (fleet, CALM_MS);
+  return fleet;
+}
+
+static void
+set_crash_rate (struct fleet *fleet, double per_s)
+{
+  for (int i = 0; i < FLEET_REGIONS; i++)
+    fleet_set_crash_rate (fleet, i, per_s / FLEET_REGIONS);
+}
+
+static void
+check_arrivals (const struct fleet *fleet, int crashing)
+{
+  const int64_t fifth_at = fleet_crash_at (fleet, crashing, CRASHES);
+  int arrivals;
+
+  if (fifth_at < 0)
+    return;
+  arrivals = fleet_crashing_arrivals (fleet, crashing, fifth_at + CONTACT_MS,
+                                      END_MS);
+  ck_assert_msg (arrivals <= ARRIVALS_MAX,
+                 "part %d: %d requests with it arrived after %d crashes, "
+                 "%d crashes in all",
+                 crashing, arrivals, CRASHES, fleet_crashes (fleet));
+}
+
+/* Checks requests without the part from twice the time in which hosts learn of
+   crashes.  */
+static void
+check_sound (const struct fleet *fleet)
+{
+  const double before = fleet_sound_share (fleet, CALM_MS / 2, CALM_MS);
+  const double after
+      = fleet_sound_share (fleet, END_MS - CALM_MS, END_MS - CALM_MS / 2);
+
+  ck_assert_msg (after >= before / 2, "%.2f served before, %.2f after", before,
+                 after);
+  ck_assert_int_eq (fleet_convicted_sound (fleet), 0);
+}
+
+/* Guards against requests that share a crashing part, no two alike, crashing
+   upstream after upstream.  */
+START_TEST (part_that_crashes_upstreams_is_refused)
+{
+  const struct load *load = &loads[_i % LOADS];
+  struct fleet *fleet = open_fleet (_i / LOADS + 1, load);
+
+  set_crash_rate (fleet, load->crashing_per_s);
+  fleet_run_until (fleet, END_MS);
+  for (int i = 0; i < load->prompts.crashing; i++)
+    check_arrivals (fleet, i);
+  check_sound (fleet);
+  fleet_destroy (fleet);
+}
+END_TEST
+
+/* Guards against hosts of a region not knowing what has crashed upstreams of
+   another one.  */
+START_TEST (part_is_refused_in_a_region_that_it_comes_to_later)
+{
+  struct fleet *fleet = open_fleet (_i + 1, &loads[0]);
+
+  fleet_set_crash_rate (fleet, 0, 10);
+  fleet_run_until (fleet, CALM_MS + 6000);
+  fleet_set_crash_rate (fleet, 0, 0);
+  fleet_set_crash_rate (fleet, 1, 10);
+  fleet_run_until (fleet, END_MS);
+  check_arrivals (fleet, 0);
+  check_sound (fleet);
+  fleet_destroy (fleet);
+}
+END_TEST
+
+/* Guards against hosts that start again sending what is refused elsewhere.  */
+START_TEST (part_is_refused_by_hosts_that_start_again)
+{
+  struct fleet *fleet = open_fleet (_i + 1, &loads[0]);
+
+  set_crash_rate (fleet, 10);
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    {
+      fleet_run_until (fleet, CALM_MS + (i + 1) * 1500);
+      fleet_restart_host (fleet, i);
+    }
+  fleet_run_until (fleet, END_MS);
+  check_arrivals (fleet, 0);
+  check_sound (fleet);
+  fleet_destroy (fleet);
+}
+END_TEST
+
+static void
+crash_region (struct fleet *fleet, int region)
+{
+  for (int i = 1; i <= FLEET_UPSTREAMS_PER_REGION; i++)
+    fleet_crash_upstream (fleet, region, i);
+}
+
+/* Guards against refusing prompts that ran where many upstreams crashed.  */
+START_TEST (upstreams_that_crash_at_once_convict_no_part)
+{
+  struct fleet *fleet = open_fleet (_i + 1, &loads[0]);
+
+  for (int i = 0; i < 12; i++)
+    {
+      crash_region (fleet, i % FLEET_REGIONS);
+      if (i % 2)
+        crash_region (fleet, (i + 1) % FLEET_REGIONS);
+      fleet_run_until (fleet, CALM_MS + (i + 1) * 1500);
+    }
+  fleet_run_until (fleet, END_MS);
+  check_sound (fleet);
+  fleet_destroy (fleet);
+}
+END_TEST
+
+/* Guards against taking connections that are reset for crashes.  */
+START_TEST (resets_by_upstreams_that_live_on_convict_no_part)
+{
+  struct fleet *fleet = open_fleet (_i + 1, &loads[0]);
+
+  for (int64_t at = CALM_MS; at < CALM_MS + 15000; at += 50)
+    {
+      const int upstream = (int)(at / 50);
+
+      fleet_reset_upstream (
+          fleet, upstream % FLEET_REGIONS,
+          upstream / FLEET_REGIONS % FLEET_UPSTREAMS_PER_REGION + 1);
+      fleet_run_until (fleet, at + 50);
+    }
+  fleet_run_until (fleet, END_MS);
+  check_sound (fleet);
+  fleet_destroy (fleet);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *suite = suite_create ("crash_part");
+  TCase *tcase = tcase_create ("fleet");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, part_that_crashes_upstreams_is_refused, 0,
+                       LOADS * SEEDS);
+  tcase_add_loop_test (
+      tcase, part_is_refused_in_a_region_that_it_comes_to_later, 0, SEEDS);
+  tcase_add_loop_test (tcase, part_is_refused_by_hosts_that_start_again, 0,
+                       SEEDS);
+  tcase_add_loop_test (tcase, upstreams_that_crash_at_once_convict_no_part, 0,
+                       SEEDS);
+  tcase_add_loop_test (tcase, resets_by_upstreams_that_live_on_convict_no_part,
+                       0, SEEDS);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
