Read up to 64 parts of a prompt, and always the last one

Cause: of a prompt's parts the first eight were read, and what stood eighth passed for the last one, which belongs to the request. A shared part of a longer prompt was unknown, and the session's home and the tokens that requests share were taken from the wrong part. Change: 64 parts are kept, the last slot always for the last part; a request of more has a log line with their number (parts_ignored).

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -9,8 +9,9 @@
 
 enum
 {
-  MARJORAM_ID_MAX = 96,         /* bytes, including the NUL */
-  MARJORAM_PROMPT_PARTS_MAX = 8 /* further parts are ignored */
+  MARJORAM_ID_MAX = 96, /* bytes, including the NUL */
+  /* Parts of a prompt that are kept: the first ones and the last one.  */
+  MARJORAM_PROMPT_PARTS_MAX = 64
 };
 
 /* A part of a prompt that requests may share.  */
@@ -37,6 +38,7 @@
   int64_t answer_tokens_hint;
   struct marjoram_prompt_part parts[MARJORAM_PROMPT_PARTS_MAX];
   size_t part_count;
+  size_t parts_ignored;             /* between the last two of PARTS */
   char last_event[MARJORAM_ID_MAX]; /* resume after this event; "" if none */
   /* Id of the caller's attempt that brought the first event of the stream that
      is resumed; "" if none.  */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -499,6 +499,9 @@
     exchange->forwarded_target_at = now + forwarded->time_left_ms;
   HASH_ADD (by_call, gateway->by_call, call, sizeof exchange->call, exchange);
   count_request (gateway, exchange, now);
+  if (exchange->metadata.parts_ignored > 0)
+    marjoram_event (MARJORAM_EVENT_REQUEST, "id=%s parts_ignored=%zu",
+                    exchange->metadata.id, exchange->metadata.parts_ignored);
   if (!*exchange->metadata.id)
     {
       refuse_at_once (gateway, exchange, now, MARJORAM_REASON_BAD_REQUEST,
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -46,6 +46,35 @@
 }
 END_TEST
 
+/* Guards against a part in the middle of a long prompt being taken for the
+   last one.  */
+START_TEST (long_prompts_keep_their_last_part)
+{
+  static const int counts[]
+      = { 9, MARJORAM_PROMPT_PARTS_MAX, MARJORAM_PROMPT_PARTS_MAX + 1, 500 };
+  const int count = counts[_i];
+  const size_t kept = count < MARJORAM_PROMPT_PARTS_MAX
+                          ? (size_t)count
+                          : (size_t)MARJORAM_PROMPT_PARTS_MAX;
+  struct marjoram_header_list headers = { 0 };
+  struct marjoram_call_metadata facts;
+  char text[8192] = "";
+
+  for (int i = 1; i <= count; i++)
+    snprintf (text + strlen (text), sizeof text - strlen (text), "%s%x:%d",
+              i > 1 ? "," : "", i, i * 10);
+  marjoram_header_list_add (&headers, "Marjoramproxy-Prompt-Prefix", text);
+  dialect->read_call (&headers, &facts);
+  ck_assert_uint_eq (facts.part_count, kept);
+  ck_assert_uint_eq (facts.parts_ignored, (size_t)count - kept);
+  for (size_t i = 0; i + 1 < kept; i++)
+    ck_assert_uint_eq (facts.parts[i].id, i + 1);
+  ck_assert_uint_eq (facts.parts[kept - 1].id, (uint64_t)count);
+  ck_assert_int_eq (facts.parts[kept - 1].tokens, count * 10);
+  marjoram_header_list_clear (&headers);
+}
+END_TEST
+
 START_TEST (malformed_request_headers_are_ignored)
 {
   static const char *const prompts[] = { "", ":", "x:1", "1:", "1:-5", "1;2" };
@@ -458,6 +487,7 @@
 
   tcase_add_checked_fixture (tcase, setup, NULL);
   tcase_add_test (tcase, request_headers_are_parsed);
+  tcase_add_loop_test (tcase, long_prompts_keep_their_last_part, 0, 4);
   tcase_add_test (tcase, malformed_request_headers_are_ignored);
   tcase_add_test (tcase, internal_headers_are_not_forwarded_to_upstreams);
   tcase_add_test (tcase, upstream_headers_are_written);
