Parts of prompts that crash upstreams are found and refused

Cause: crashes counted against whole requests (digest of host, method, target, body). No two of these are alike, so none came to three crashes, and what they share was counted nowhere. The class: a unit of blame that is not the unit of fault.

Change (crash_part): a part is a suspect when a request with it had not begun to be answered as its upstream crashed. Two events of an answer, or its end, clear all its parts, at all hosts. A row of four crashes without an answer between them convicts, each by a request sent after the former crash; three, if the part was at eight crashes in all. Of parts that explain the same crashes the one at most of them is at fault, or the one with fewer requests for each crash; its crashes no longer count against others. An upstream that is heard, or answers, after its connections broke has not crashed. Requests with a convicted part are refused at once, also those that wait here or at an upstream; hosts tell one another and keepers as they do of requests, and hosts that start are told. After a minute, two, four, and so on, one request is let through as a trial. Blame is by service. An upstream that the registry no longer knows keeps the start time with which it was sent the request.

Added to it: parts that few requests share, answers of 600 ms, 25 to 200 requests a second with the part (all upstreams down most of the time), upstreams that crash in turn, resets that half of the requests meet.

--- a/src/crash_list.c
+++ b/src/crash_list.c
@@ -1,6 +1,7 @@
 #include "crash_list.h"
 
 #include "cleanup.h"
+#include "crash_part.h"
 #include "digest.h"
 
 #include <inttypes.h>
@@ -49,6 +50,7 @@
   STAILQ_HEAD (, report_item) report_items;
   size_t report_item_count;
   uint64_t answered[ANSWERED_SLOTS];
+  marjoram_crash_parts *parts;
 };
 
 marjoram_crash_list *
@@ -58,9 +60,16 @@
 
   TAILQ_INIT (&list->entries);
   STAILQ_INIT (&list->report_items);
+  list->parts = marjoram_crash_parts_create ();
   return list;
 }
 
+marjoram_crash_parts *
+marjoram_crash_list_parts (marjoram_crash_list *list)
+{
+  return list->parts;
+}
+
 /* ---- Entries.  ---- */
 
 static struct entry *
@@ -99,6 +108,7 @@
     remove_entry (list, TAILQ_FIRST (&list->entries));
   while (!STAILQ_EMPTY (&list->report_items))
     remove_report_item (list);
+  marjoram_crash_parts_destroy (list->parts);
   free (list);
 }
 
@@ -244,6 +254,7 @@
     if (items[i].digest
         && strlen (items[i].digest) == MARJORAM_DIGEST_HEX_LENGTH)
       apply_item (list, now, &items[i]);
+  marjoram_crash_parts_apply (list->parts, now, &received->parts);
 }
 
 static void
@@ -260,15 +271,17 @@
 }
 
 bool
-marjoram_crash_list_take_report (marjoram_crash_list *list,
+marjoram_crash_list_take_report (marjoram_crash_list *list, int64_t now,
                                  struct marjoram_crash_report *out)
 {
   const struct report_item *report_item;
+  const bool has_parts
+      = marjoram_crash_parts_take_report (list->parts, now, &out->parts);
 
   out->items.count = 0;
   out->items.items = NULL;
   if (list->report_item_count == 0)
-    return false;
+    return has_parts;
   out->items.items = marjoram_alloc (list->report_item_count
                                      * sizeof (struct marjoram_crash_item));
   STAILQ_FOREACH (report_item, &list->report_items, link)
@@ -279,7 +292,7 @@
 }
 
 void
-marjoram_crash_list_export (const marjoram_crash_list *list,
+marjoram_crash_list_export (const marjoram_crash_list *list, int64_t now,
                             struct marjoram_crash_report *out)
 {
   const struct entry *entry;
@@ -293,6 +306,7 @@
   TAILQ_FOREACH (entry, &list->entries, link)
   for (size_t i = 0; i < entry->count; i++)
     add_item (out, entry->digest, entry->instances[i]);
+  marjoram_crash_parts_export (list->parts, now, &out->parts);
 }
 
 void
@@ -307,10 +321,11 @@
       next = TAILQ_NEXT (entry, link);
       remove_entry (list, entry);
     }
+  marjoram_crash_parts_tick (list->parts, now);
 }
 
 size_t
 marjoram_crash_list_count (const marjoram_crash_list *list)
 {
-  return HASH_COUNT (list->table);
+  return HASH_COUNT (list->table) + marjoram_crash_parts_count (list->parts);
 }
--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -28,7 +28,8 @@
   struct marjoram_crash_report crashes;
 
   if (!marjoram_crash_list_take_report (
-          marjoram_gateway_crash_list (self->gateway), &crashes))
+          marjoram_gateway_crash_list (self->gateway),
+          marjoram_entry_now (self), &crashes))
     return;
   marjoram_host_links_send_to_region (self->parts->links,
                                       MARJORAM_FRAME_CRASHES, &crashes);
@@ -56,7 +57,7 @@
       settings->ip);
   if (strcmp (sender, settings->ip) != 0)
     return;
-  marjoram_crash_list_export (list, &all);
+  marjoram_crash_list_export (list, marjoram_entry_now (self), &all);
   marjoram_host_links_send (self->parts->links, host, MARJORAM_FRAME_CRASHES,
                             &all);
   marjoram_wire_clear (&marjoram_crash_report_layout, &all);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -591,7 +591,7 @@
   marjoram_gateway_update_hosts (gateway, now);
   marjoram_gateway_retry_queued (gateway, now);
   marjoram_placement_tick (gateway->placement, now);
-  marjoram_crash_list_expire (gateway->crashes, now);
+  marjoram_gateway_tick_crashes (gateway, now);
   marjoram_stream_origins_expire (gateway->origins, now);
 }
 
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -286,6 +286,7 @@
     {
       exchange->framing = read_framing (headers);
       record_statements (gateway, exchange, now, &metadata);
+      marjoram_exchange_check_alive (gateway, exchange, now);
     }
   exchange->status = status;
   exchange->is_signed = metadata.signed_by_upstream;
@@ -358,6 +359,7 @@
     return;
   record_first (gateway, exchange, now);
   record_events (exchange, now, events);
+  marjoram_exchange_record_begin (gateway, exchange, now, false);
   marjoram_exchange_keep_build (gateway, exchange, now);
   if (exchange->repeatable)
     exchange->idle_deadline = now + STREAM_IDLE_MS;
@@ -372,6 +374,7 @@
 {
   size_t size = evbuffer_get_length (exchange->body);
 
+  marjoram_exchange_record_begin (gateway, exchange, now, true);
   gateway->ops->reply_head (gateway->context, exchange->call, exchange->status,
                             &exchange->headers, (int64_t)size);
   gateway->ops->reply_data (gateway->context, exchange->call,
@@ -384,6 +387,7 @@
 end_stream (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
             int64_t now)
 {
+  marjoram_exchange_record_begin (gateway, exchange, now, true);
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  MARJORAM_ATTEMPT_SERVED);
   flush_stream (gateway, exchange);
@@ -435,26 +439,6 @@
                            MARJORAM_REASON_UPSTREAM_FAILED, false);
 }
 
-/* Counts the loss of the connection to the upstream that runs this request as
-   a crash of the upstream.  */
-static void
-record_crash (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-              int64_t now)
-{
-  const struct marjoram_registered *upstream = marjoram_registry_find (
-      gateway->options.place.registry, exchange->upstream);
-  const char *digest = marjoram_exchange_digest (exchange);
-
-  marjoram_crash_list_add_crash (
-      gateway->crashes, now, digest, exchange->upstream,
-      upstream ? upstream->heartbeat.started_at : 0);
-  if (marjoram_crash_list_is_blocked (gateway->crashes, now, digest))
-    marjoram_event (MARJORAM_EVENT_ATTEMPT,
-                    "id=%s convicted=yes digest=%s upstream=%s service=%s",
-                    exchange->metadata.id, digest, exchange->upstream,
-                    exchange->service);
-}
-
 /* Whether the connection ended the answer before the stream's first event, so
    that nothing shows that the upstream had no event to send.  */
 static bool
@@ -478,7 +462,7 @@
                 int64_t now)
 {
   if (exchange->framing == MARJORAM_FRAMING_CLOSE)
-    record_crash (gateway, exchange, now);
+    marjoram_exchange_record_crash (gateway, exchange, now);
   end_broken (gateway, exchange, now);
 }
 
@@ -538,7 +522,7 @@
       break;
     case MARJORAM_HTTP_BROKEN:
       if (*exchange->upstream)
-        record_crash (gateway, exchange, now);
+        marjoram_exchange_record_crash (gateway, exchange, now);
       end_broken (gateway, exchange, now);
       break;
     }
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -37,7 +37,7 @@
       marjoram_header_list_clear (&headers);
       return false;
     }
-  marjoram_exchange_start_attempt (gateway, exchange);
+  marjoram_exchange_start_attempt (gateway, exchange, now);
   forward.request = exchange->attempt;
   forward.id = exchange->metadata.id;
   forward.caller = *exchange->customer ? exchange->customer : NULL;
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -151,9 +151,19 @@
 };
 static LAYOUT (crash_item_layout, marjoram_crash_item, crash_item_fields);
 
+static const struct marjoram_field part_item_fields[] = {
+  UINT (marjoram_part_item, kind),      UINT (marjoram_part_item, id),
+  STRING (marjoram_part_item, service), UINT (marjoram_part_item, instance),
+  UINT (marjoram_part_item, requests),  INT (marjoram_part_item, sent_ago_ms),
+  INT (marjoram_part_item, ago_ms),
+};
+static LAYOUT (part_item_layout, marjoram_part_item, part_item_fields);
+
 static const struct marjoram_field crash_report_fields[] = {
   { MARJORAM_WIRE_ARRAY (struct marjoram_crash_report, items,
                          MARJORAM_CRASHES_MAX, &crash_item_layout) },
+  { MARJORAM_WIRE_ARRAY (struct marjoram_crash_report, parts,
+                         MARJORAM_CRASHES_MAX, &part_item_layout) },
 };
 LAYOUT (marjoram_crash_report_layout, marjoram_crash_report,
         crash_report_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -179,9 +179,30 @@
   char *instance; /* upstream id and start time; "" if answered */
 };
 
+enum marjoram_part_item_kind
+{
+  MARJORAM_PART_CRASHED,  /* was present as an upstream crashed */
+  MARJORAM_PART_ANSWERED, /* an answer to a request with it has begun */
+  MARJORAM_PART_ALIVE,    /* no part: INSTANCE has not crashed */
+  MARJORAM_PART_TRIED     /* a request with it was let through as a trial */
+};
+
+/* What is known of a part of prompts; see crash_part.h.  */
+struct marjoram_part_item
+{
+  uint64_t kind; /* enum marjoram_part_item_kind */
+  uint64_t id;
+  char *service;
+  uint64_t instance;
+  uint64_t requests;   /* more that were present at crashes */
+  int64_t sent_ago_ms; /* the request that was there */
+  int64_t ago_ms;      /* the crash or the answer */
+};
+
 struct marjoram_crash_report
 {
   struct marjoram_array items; /* struct marjoram_crash_item */
+  struct marjoram_array parts; /* struct marjoram_part_item */
 };
 
 /* Sent by a keeper to a host that holds an older state.  */
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -2,8 +2,9 @@
    and timeouts), gateway_send.c (placement and sending), gateway_forward.c
    (forwarding to other regions), gateway_wait.c (queueing), gateway_repeat.c
    (repeat budget), gateway_customer.c (keys of customers), gateway_build.c
-   (builds of streams), gateway_origin.c (streams that are taken up again) and
-   gateway_answer.c (answers and retries).  */
+   (builds of streams), gateway_origin.c (streams that are taken up again),
+   gateway_crash.c (requests that crash upstreams) and gateway_answer.c
+   (answers and retries).  */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
 #define MARJORAM_GATEWAY_PRIVATE_H
 
@@ -21,7 +22,18 @@
 
 enum
 {
-  MARJORAM_HOST_NAME_MAX = 64
+  MARJORAM_HOST_NAME_MAX = 64,
+  /* Upstreams that are watched after a crash; the oldest yields, and counts as
+     crashed.  */
+  MARJORAM_BROKEN_MAX = 256
+};
+
+/* An upstream whose connections broke.  */
+struct marjoram_broken_upstream
+{
+  char id[MARJORAM_ID_MAX]; /* "" for an unused slot */
+  int64_t started_at;
+  int64_t at;
 };
 
 enum marjoram_exchange_state
@@ -94,6 +106,8 @@
   /* The current attempt.  */
   uint64_t attempt;   /* 0 if none */
   int attempt_events; /* received */
+  bool attempt_begun; /* the upstream has begun to answer */
+  int64_t attempt_sent_at;
   char upstream[MARJORAM_ID_MAX];
   int64_t upstream_started_at;
   /* Of UPSTREAM when it was sent, or as told by HOST.  */
@@ -139,6 +153,10 @@
   marjoram_placement *placement;
   marjoram_repeat_budget *budget;
   marjoram_crash_list *crashes;
+  uint64_t convictions_seen; /* of parts */
+  struct marjoram_broken_upstream broken[MARJORAM_BROKEN_MAX];
+  size_t next_broken;
+  bool has_broken;
   marjoram_wait_queue *queue;
   marjoram_shortages *shortages;
   marjoram_key_lease *lease;
@@ -201,7 +219,8 @@
                                     enum marjoram_attempt_end how);
 
 void marjoram_exchange_start_attempt (marjoram_gateway *gateway,
-                                      struct marjoram_exchange *exchange);
+                                      struct marjoram_exchange *exchange,
+                                      int64_t now);
 /* Time until the exchange's deadline, in ms.  */
 int64_t marjoram_exchange_time_left (const struct marjoram_exchange *exchange,
                                      int64_t now);
@@ -277,6 +296,34 @@
                                     const struct marjoram_route_rule *route,
                                     int64_t now);
 
+/* gateway_crash.c */
+/* Counts the loss of the connection to the upstream that runs this request as
+   a crash of the upstream.  */
+void marjoram_exchange_record_crash (marjoram_gateway *gateway,
+                                     struct marjoram_exchange *exchange,
+                                     int64_t now);
+/* To be called as events of the current attempt arrive, and at the end of an
+   answer (WHOLE).  Once the answer has begun, its prompt crashes nothing.  */
+void marjoram_exchange_record_begin (marjoram_gateway *gateway,
+                                     struct marjoram_exchange *exchange,
+                                     int64_t now, bool whole);
+/* Refuses a request that crashed several upstreams, or that has a part in its
+   prompt that did.  Returns whether it was refused.  */
+bool marjoram_exchange_refuse_crashing (marjoram_gateway *gateway,
+                                        struct marjoram_exchange *exchange,
+                                        int64_t now);
+/* To be called before each attempt at an upstream.  Returns false if the
+   request was refused, as a part of its prompt is convicted.  */
+bool marjoram_exchange_take_trial (marjoram_gateway *gateway,
+                                   struct marjoram_exchange *exchange,
+                                   int64_t now);
+/* To be called as an upstream begins to answer: if the exchange was sent after
+   the upstream's other connections broke, it has not crashed.  */
+void marjoram_exchange_check_alive (marjoram_gateway *gateway,
+                                    const struct marjoram_exchange *exchange,
+                                    int64_t now);
+void marjoram_gateway_tick_crashes (marjoram_gateway *gateway, int64_t now);
+
 /* gateway_wait.c */
 /* Queues the exchange, or keeps it queued, until an upstream has room for it.
    Returns false if that would be too late for it.  */
@@ -295,7 +342,8 @@
 void marjoram_gateway_retry_queued (marjoram_gateway *gateway, int64_t now);
 
 /* gateway_repeat.c */
-/* Divides the repeat budget by the number of entry hosts known now.  */
+/* Tells the repeat budget and the list of crashes how many entry hosts are
+   known now.  */
 void marjoram_gateway_update_hosts (marjoram_gateway *gateway, int64_t now);
 /* Whether the repeat budget has room for sending the exchange once more.  */
 bool marjoram_exchange_may_repeat (marjoram_gateway *gateway,
--- a/src/gateway_repeat.c
+++ b/src/gateway_repeat.c
@@ -5,10 +5,12 @@
 {
   marjoram_host_list *hosts = gateway->options.place.hosts;
   const bool listed = marjoram_host_list_find (hosts, gateway->host) != NULL;
+  const size_t count
+      = marjoram_host_list_entry_count (hosts) + (listed ? 0 : 1);
 
-  marjoram_repeat_budget_set_hosts (gateway->budget, now,
-                                    marjoram_host_list_entry_count (hosts)
-                                        + (listed ? 0 : 1));
+  marjoram_repeat_budget_set_hosts (gateway->budget, now, count);
+  marjoram_crash_parts_set_hosts (marjoram_crash_list_parts (gateway->crashes),
+                                  gateway->host, count);
 }
 
 bool
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -11,8 +11,6 @@
 
 enum
 {
-  /* For requests that crash upstreams: tells the caller not to retry.  */
-  STATUS_BAD_REQUEST = 400,
   STATUS_NOT_FOUND = 404,
   STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
@@ -34,13 +32,16 @@
 
 void
 marjoram_exchange_start_attempt (marjoram_gateway *gateway,
-                                 struct marjoram_exchange *exchange)
+                                 struct marjoram_exchange *exchange,
+                                 int64_t now)
 {
   marjoram_wait_queue_remove (gateway->queue, &exchange->waiter);
   if (exchange->state == MARJORAM_EXCHANGE_WAITING)
     exchange->state = MARJORAM_EXCHANGE_OPEN;
   exchange->attempt = ++gateway->next_attempt;
   exchange->attempt_events = 0;
+  exchange->attempt_begun = false;
+  exchange->attempt_sent_at = now;
   HASH_ADD (by_attempt, gateway->by_attempt, attempt, sizeof exchange->attempt,
             exchange);
   marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_ATTEMPTS, 1);
@@ -202,6 +203,8 @@
 {
   struct marjoram_http_send send = { 0 };
 
+  if (!marjoram_exchange_take_trial (gateway, exchange, now))
+    return;
   if (!marjoram_exchange_take_repeat (gateway, exchange, now))
     {
       refuse (gateway, exchange, now, MARJORAM_REASON_RETRY_BUDGET,
@@ -215,7 +218,7 @@
             place->upstream->heartbeat.build);
   exchange->host[0] = '\0';
   exchange->estimated_wait_ms = place->wait_ms;
-  marjoram_exchange_start_attempt (gateway, exchange);
+  marjoram_exchange_start_attempt (gateway, exchange, now);
   marjoram_placement_attempt_started (
       gateway->placement, now, exchange->attempt, exchange->upstream, query);
   add_tried (exchange, exchange->upstream);
@@ -406,29 +409,6 @@
     refuse_place (gateway, exchange, now, &chosen);
 }
 
-/* Refuses a request that crashed several upstreams.  Returns whether it was
-   refused.  */
-static bool
-refuse_crashing (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-                 int64_t now)
-{
-  struct marjoram_request_failure why = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
-                                          .reason = MARJORAM_REASON_CONVICTED,
-                                          .status = STATUS_BAD_REQUEST };
-
-  if (marjoram_crash_list_count (gateway->crashes) == 0
-      || !marjoram_crash_list_is_blocked (gateway->crashes, now,
-                                          marjoram_exchange_digest (exchange)))
-    return false;
-  if (exchange->attempts_maybe_run > 0)
-    {
-      why.outcome = MARJORAM_OUTCOME_UNKNOWN;
-      why.status = STATUS_BAD_GATEWAY;
-    }
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
-  return true;
-}
-
 static const struct marjoram_route_rule *
 find_route (const marjoram_gateway *gateway,
             const struct marjoram_exchange *exchange)
@@ -512,7 +492,7 @@
   copy_route_settings (exchange, table, route,
                        marjoram_exchange_customer (gateway, exchange),
                        service);
-  if (refuse_crashing (gateway, exchange, now))
+  if (marjoram_exchange_refuse_crashing (gateway, exchange, now))
     return;
   if (exchange->build_rule == MARJORAM_BUILD_NONE)
     {
--- a/src/keeper_publish.c
+++ b/src/keeper_publish.c
@@ -308,7 +308,8 @@
 
   if (marjoram_crash_list_count (self->crashes) == 0)
     return;
-  marjoram_crash_list_export (self->crashes, &all);
+  marjoram_crash_list_export (self->crashes, marjoram_keeper_role_now (self),
+                              &all);
   marjoram_host_links_reply (self->parts->links, host, session,
                              MARJORAM_FRAME_CRASHES, &all);
   marjoram_wire_clear (&marjoram_crash_report_layout, &all);
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -21,13 +21,14 @@
   REGION_LINK_MS = 55,
   REFUSE_MS = 1,
   SERVE_MS = 60,
-  BEGIN_MS = 20, /* until an upstream begins to answer */
+  BEGIN_PART = 3, /* of the time of an answer, until it begins */
   DOWN_MS = 2000,
   KEEPER_LINK_MS = 30, /* from a host to another by way of a keeper */
   CRASHING_MAX = 4,    /* parts */
   SHARED_ID = 100,     /* ids of parts */
   CRASHING_ID = 200,
-  OWN_ID = 1000,
+  SESSION_ID = 1000,
+  OWN_ID = 10000,
   TICK_MS = 25,
   SECOND_MS = 1000,
   HEARTBEAT_MS = 300,
@@ -152,6 +153,7 @@
 {
   int64_t at;
   int crashing; /* from 1; 0: none */
+  int session;
   bool served;
 };
 
@@ -178,6 +180,7 @@
   int *full[FLEET_UPSTREAMS];          /* refusals for want of room, by ms */
   double rate_limits[FLEET_UPSTREAMS]; /* negative: none */
   struct rate_bound *rate_bounds[FLEET_UPSTREAMS];
+  int64_t serve_ms;
   const char *prefix; /* of the route; null: no prompts */
   struct fleet_prompts prompts;
   double crash_rates[FLEET_REGIONS];
@@ -567,7 +570,8 @@
   if (prompts->after == 0 && crashing)
     size += snprintf (text + size, sizeof text - (size_t)size, "%x:90,",
                       CRASHING_ID + crashing);
-  snprintf (text + size, sizeof text - (size_t)size, "%x:50", OWN_ID + id);
+  snprintf (text + size, sizeof text - (size_t)size, "%x:70,%x:50",
+            SESSION_ID + fleet->sent[id].session, OWN_ID + id);
   marjoram_header_list_add (headers, "Marjoramproxy-Prompt-Prefix", text);
   marjoram_header_list_add (headers, "Marjoramproxy-Token-Usage", "400,50");
 }
@@ -610,6 +614,9 @@
   repeat_bound_add_request (fleet->bound, fleet->now);
   fleet->sent[++fleet->next_id]
       = (struct sent){ .at = fleet->now, .crashing = crashing };
+  if (fleet->prompts.sessions > 0)
+    fleet->sent[fleet->next_id].session = (int)marjoram_random_below (
+        fleet->random, (uint32_t)fleet->prompts.sessions);
   fleet->ids[++fleet->next_call] = fleet->next_id;
   marjoram_gateway_receive (node->gateway, fleet->now, fleet->next_call,
                             make_request (fleet, target, fleet->next_id),
@@ -642,7 +649,9 @@
 break_answers (struct fleet *fleet, int upstream)
 {
   for (int64_t at = fleet->now;
-       at <= fleet->now + SERVE_MS + UPSTREAM_LINK_MS && at < RUN_MAX_MS; at++)
+       at <= fleet->now + fleet->serve_ms + UPSTREAM_LINK_MS
+       && at < RUN_MAX_MS;
+       at++)
     {
       struct event *event;
       struct event *next;
@@ -701,7 +710,7 @@
       = is_full (fleet, event)
         || (event->refuses
             && marjoram_random_unit (fleet->random) < fleet->refusals);
-  const int64_t ms = refused ? REFUSE_MS : SERVE_MS;
+  const int64_t ms = refused ? REFUSE_MS : fleet->serve_ms;
   struct event answer = *event;
   struct event done = *event;
   struct event unsent = *event;
@@ -717,7 +726,7 @@
   fatal.kind = EVENT_CRASH;
   fatal.life = fleet->lives[event->upstream];
   if (fleet->sent[event->id].crashing)
-    schedule (fleet, BEGIN_MS, &fatal);
+    schedule (fleet, fleet->serve_ms / BEGIN_PART, &fatal);
   answer.kind = EVENT_ANSWER;
   answer.status = refused ? STATUS_UNAVAILABLE : STATUS_OK;
   schedule (fleet, ms + UPSTREAM_LINK_MS, &answer);
@@ -874,6 +883,7 @@
   struct marjoram_error err = { 0 };
 
   fleet->limits = *limits;
+  fleet->serve_ms = SERVE_MS;
   fleet->random = marjoram_random_create (seed);
   fleet->table = marjoram_platform_dialect ()->ops->read_config (
       config, strlen (config), &err);
@@ -1034,7 +1044,7 @@
   struct crash_report *copy;
 
   if (!marjoram_crash_list_take_report (
-          marjoram_gateway_crash_list (node->gateway), &report))
+          marjoram_gateway_crash_list (node->gateway), fleet->now, &report))
     return;
   apply_crashes (fleet, node->region, true, &report);
   marjoram_crash_list_apply (fleet->keeper, fleet->now, &report);
@@ -1141,7 +1151,7 @@
 
   stop_node (&fleet->nodes[host]);
   start_node (&fleet->nodes[host]);
-  marjoram_crash_list_export (fleet->keeper, &report);
+  marjoram_crash_list_export (fleet->keeper, fleet->now, &report);
   marjoram_crash_list_apply (
       marjoram_gateway_crash_list (fleet->nodes[host].gateway), fleet->now,
       &report);
@@ -1282,6 +1292,12 @@
   fleet->prompts = *prompts;
 }
 
+void
+fleet_set_serve_ms (struct fleet *fleet, int64_t ms)
+{
+  fleet->serve_ms = ms;
+}
+
 void
 fleet_set_crash_rate (struct fleet *fleet, int region, double per_s)
 {
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -71,16 +71,19 @@
 void fleet_restart_host (struct fleet *fleet, int host);
 /* The prompts of requests: each has BEFORE parts that all have, then, if it
    crashes upstreams, one of CRASHING parts, then AFTER parts that all have,
-   and one of its own.  */
+   then one of SESSIONS parts, and one of its own.  */
 struct fleet_prompts
 {
   int before;
   int after;
   int crashing;
+  int sessions;
 };
 /* All requests of callers are for the route with PREFIX and have prompts.  */
 void fleet_set_prompts (struct fleet *fleet, const char *prefix,
                         const struct fleet_prompts *prompts);
+/* Upstreams answer after MS.  */
+void fleet_set_serve_ms (struct fleet *fleet, int64_t ms);
 /* Callers send PER_S more requests per second to REGION that crash the
    upstream which begins to answer them.  It is back after two seconds, under
    another id.  */
--- a/test/test_crash_list.c
+++ b/test/test_crash_list.c
@@ -35,7 +35,7 @@
   struct marjoram_crash_report report;
   size_t count;
 
-  if (!marjoram_crash_list_take_report (from, &report))
+  if (!marjoram_crash_list_take_report (from, 0, &report))
     return 0;
   count = report.items.count;
   marjoram_crash_list_apply (to, 0, &report);
@@ -114,7 +114,7 @@
   ck_assert_uint_eq (send_report (other, list), 1);
   ck_assert (convicts (CRASHING));
   /* A host that has just started receives all entries.  */
-  marjoram_crash_list_export (list, &all);
+  marjoram_crash_list_export (list, 0, &all);
   marjoram_crash_list_apply (other, 0, &all);
   ck_assert (marjoram_crash_list_is_blocked (other, 0, CRASHING));
   marjoram_wire_clear (&marjoram_crash_report_layout, &all);
@@ -127,7 +127,7 @@
 {
   struct marjoram_crash_item items[]
       = { { NULL, "u1/5" }, { "short", "u1/5" }, { CRASHING, NULL } };
-  const struct marjoram_crash_report heard = { { items, 3 } };
+  const struct marjoram_crash_report heard = { .items = { items, 3 } };
 
   marjoram_crash_list_apply (list, 0, &heard);
   ck_assert_uint_eq (marjoram_crash_list_count (list), 0);
--- a/test/test_crash_part.c
+++ b/test/test_crash_part.c
@@ -11,7 +11,7 @@
   END_MS = 30000,
   CRASHES = 5,      /* from which the bound counts */
   ARRIVALS_MAX = 3, /* later than CONTACT_MS after that */
-  SEEDS = 3
+  SEEDS = 5
 };
 
 static const struct marjoram_repeat_limits limits = { 0.2, 58, 10000 };
@@ -22,15 +22,30 @@
   struct fleet_prompts prompts;
   double sound_per_s;
   double crashing_per_s;
+  int64_t serve_ms;
 };
 
+/* Parts that few requests share are many.  */
 static const struct load loads[] = {
-  { "/talk/", { 2, 1, 1 }, 20, 10 }, { "/talk/", { 1, 0, 1 }, 20, 10 },
-  { "/talk/", { 8, 1, 1 }, 20, 10 }, { "/once/", { 2, 1, 1 }, 20, 10 },
-  { "/ask/", { 2, 1, 1 }, 20, 10 },  { "/ask/", { 2, 1, 1 }, 20, 2 },
-  { "/talk/", { 2, 1, 1 }, 70, 10 }, { "/talk/", { 2, 1, 2 }, 20, 10 },
+  { "/talk/", { 2, 1, 1, 400 }, 20, 10, 60 },
+  { "/talk/", { 1, 0, 1, 400 }, 20, 10, 60 },
+  { "/talk/", { 8, 1, 1, 400 }, 20, 10, 60 },
+  { "/once/", { 2, 1, 1, 400 }, 20, 10, 60 },
+  { "/ask/", { 2, 1, 1, 400 }, 20, 10, 60 },
+  { "/ask/", { 2, 1, 1, 400 }, 20, 2, 60 },
+  { "/talk/", { 2, 1, 1, 40 }, 70, 10, 60 },
+  { "/talk/", { 2, 1, 2, 400 }, 20, 10, 60 },
+  { "/talk/", { 2, 1, 1, 100 }, 100, 10, 600 },
+  { "/once/", { 2, 1, 1, 400 }, 100, 4, 600 },
+  { "/talk/", { 2, 1, 1, 20 }, 20, 25, 600 },
+  { "/talk/", { 2, 1, 1, 20 }, 20, 60, 600 },
+  { "/talk/", { 2, 1, 1, 20 }, 20, 200, 60 },
 };
 
+/* A load at which many requests run when an upstream crashes.  */
+static const struct load long_answers
+    = { "/talk/", { 2, 1, 1, 100 }, 100, 0, 600 };
+
 enum
 {
   LOADS = sizeof loads / sizeof *loads
@@ -42,6 +57,7 @@
   struct fleet *fleet = fleet_create (&limits, (uint64_t)seed);
 
   fleet_set_prompts (fleet, load->prefix, &load->prompts);
+  fleet_set_serve_ms (fleet, load->serve_ms);
   for (int i = 0; i < FLEET_REGIONS; i++)
     fleet_set_rate (fleet, i, load->sound_per_s / FLEET_REGIONS);
   fleet_run_until (fleet, CALM_MS);
@@ -146,7 +162,7 @@
 /* Guards against refusing prompts that ran where many upstreams crashed.  */
 START_TEST (upstreams_that_crash_at_once_convict_no_part)
 {
-  struct fleet *fleet = open_fleet (_i + 1, &loads[0]);
+  struct fleet *fleet = open_fleet (_i + 1, &long_answers);
 
   for (int i = 0; i < 12; i++)
     {
@@ -161,19 +177,53 @@
 }
 END_TEST
 
+/* Guards against refusing prompts that ran where upstreams crashed one after
+   the other.  */
+START_TEST (upstreams_that_crash_in_turn_convict_no_part)
+{
+  struct fleet *fleet = open_fleet (_i + 1, &long_answers);
+
+  for (int i = 0; i < 18; i++)
+    {
+      fleet_crash_upstream (fleet, i % FLEET_REGIONS,
+                            i / FLEET_REGIONS % FLEET_UPSTREAMS_PER_REGION
+                                + 1);
+      fleet_run_until (fleet, CALM_MS + (i + 1) * 1000);
+    }
+  fleet_run_until (fleet, END_MS);
+  check_sound (fleet);
+  fleet_destroy (fleet);
+}
+END_TEST
+
+struct resets
+{
+  const struct load *load;
+  int64_t pause_ms; /* between resets, of another upstream each */
+};
+
+static const struct resets resets[]
+    = { { &loads[0], 50 }, { &long_answers, 100 } };
+
+enum
+{
+  RESETS = sizeof resets / sizeof *resets
+};
+
 /* Guards against taking connections that are reset for crashes.  */
 START_TEST (resets_by_upstreams_that_live_on_convict_no_part)
 {
-  struct fleet *fleet = open_fleet (_i + 1, &loads[0]);
+  const int64_t pause_ms = resets[_i % RESETS].pause_ms;
+  struct fleet *fleet = open_fleet (_i / RESETS + 1, resets[_i % RESETS].load);
 
-  for (int64_t at = CALM_MS; at < CALM_MS + 15000; at += 50)
+  for (int64_t at = CALM_MS; at < CALM_MS + 15000; at += pause_ms)
     {
-      const int upstream = (int)(at / 50);
+      const int upstream = (int)(at / pause_ms);
 
       fleet_reset_upstream (
           fleet, upstream % FLEET_REGIONS,
           upstream / FLEET_REGIONS % FLEET_UPSTREAMS_PER_REGION + 1);
-      fleet_run_until (fleet, at + 50);
+      fleet_run_until (fleet, at + pause_ms);
     }
   fleet_run_until (fleet, END_MS);
   check_sound (fleet);
@@ -196,8 +246,10 @@
                        SEEDS);
   tcase_add_loop_test (tcase, upstreams_that_crash_at_once_convict_no_part, 0,
                        SEEDS);
+  tcase_add_loop_test (tcase, upstreams_that_crash_in_turn_convict_no_part, 0,
+                       SEEDS);
   tcase_add_loop_test (tcase, resets_by_upstreams_that_live_on_convict_no_part,
-                       0, SEEDS);
+                       0, RESETS * SEEDS);
   suite_add_tcase (suite, tcase);
   return suite;
 }
