--- a/src/crash_part.c
+++ b/src/crash_part.c
@@ -50,7 +50,7 @@
   /* Crashes that are remembered; the oldest yields.  */
   CRASHES_MAX = 128,
   WORD_BITS = 64,
-  /* Suspects; the least recently updated one that is not convicted yields.  */
+  /* Suspects and convicted parts.  */
   SUSPECTS_MAX = 4096,
   /* Slots of the direct-mapped cache of parts answered lately.  */
   ANSWERED_SLOTS = 4096,
@@ -97,6 +97,7 @@
   enum marjoram_part_item_kind kind;
   uint64_t key;
   uint64_t id;
+  bool convicted;
   char service[MARJORAM_ID_MAX];
   struct marjoram_part_crash crash; /* or the time of the answer */
   int64_t due;
@@ -189,13 +190,15 @@
   free (suspect);
 }
 
+/* Makes room: of those that one crash counts against the least recently
+   updated one yields, as one crash brings many suspects.  */
 static void
 evict_suspect (marjoram_crash_parts *list)
 {
   struct suspect *suspect;
 
   TAILQ_FOREACH (suspect, &list->suspects, link)
-  if (!suspect->convicted)
+  if (!suspect->convicted && suspect->row_length <= 1)
     break;
   remove_suspect (list, suspect ? suspect : TAILQ_FIRST (&list->suspects));
   list->evicted_suspects++;
@@ -287,7 +290,18 @@
              && crash_count (suspect) >= CROWD_LIMIT);
 }
 
-/* CRASH no longer counts against SUSPECT, who is removed if none does.  */
+/* To be called after crashes were dropped: acquits or removes SUSPECT if too
+   few or none are left.  */
+static void
+review (marjoram_crash_parts *list, struct suspect *suspect)
+{
+  if (!is_enough (suspect))
+    acquit (list, suspect);
+  if (suspect->row_length == 0 && crash_count (suspect) == 0)
+    remove_suspect (list, suspect);
+}
+
+/* CRASH no longer counts against SUSPECT.  */
 static void
 drop_crash (marjoram_crash_parts *list, struct suspect *suspect, size_t crash)
 {
@@ -295,10 +309,24 @@
     return;
   set_present (suspect, crash, false);
   remove_from_row (suspect, list->crashes[crash].instance);
-  if (!is_enough (suspect))
-    acquit (list, suspect);
-  if (crash_count (suspect) == 0)
-    remove_suspect (list, suspect);
+  review (list, suspect);
+}
+
+/* What crashed before TIME no longer counts against SUSPECT.  */
+static void
+drop_crashes_before (marjoram_crash_parts *list, struct suspect *suspect,
+                     int64_t time)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < CRASHES_MAX; i++)
+    if (list->crashes[i].at < time)
+      set_present (suspect, i, false);
+  for (size_t i = 0; i < suspect->row_length; i++)
+    if (suspect->row[i].crashed_at >= time)
+      suspect->row[kept++] = suspect->row[i];
+  suspect->row_length = kept;
+  review (list, suspect);
 }
 
 /* CRASH no longer counts against anybody, or against nobody but the
@@ -381,6 +409,7 @@
 
   item->key = suspect->key;
   item->id = suspect->id;
+  item->convicted = suspect->convicted;
   item->crash = *crash;
   snprintf (item->service, sizeof item->service, "%s", suspect->service);
 }
@@ -446,19 +475,13 @@
 note_answer (marjoram_crash_parts *list, uint64_t key, int64_t at)
 {
   struct answered *slot = &list->answered[key % ANSWERED_SLOTS];
+  struct suspect *suspect = find_suspect (list, key);
 
   if (slot->key != key || slot->at < at)
     *slot = (struct answered){ key, at };
-  if (!find_suspect (list, key))
-    return false;
-  for (size_t i = 0; i < CRASHES_MAX; i++)
-    {
-      struct suspect *suspect = find_suspect (list, key);
-
-      if (suspect && list->crashes[i].at < at + ANSWERED_MS)
-        drop_crash (list, suspect, i);
-    }
-  return true;
+  if (suspect)
+    drop_crashes_before (list, suspect, at + ANSWERED_MS);
+  return suspect != NULL;
 }
 
 void
@@ -606,7 +629,7 @@
    hardly more of its requests are than there are crashes; of a sound part that
    many requests share, many are.  */
 static int
-compare (const struct suspect *a, const struct suspect *b)
+compare_suspects (const struct suspect *a, const struct suspect *b)
 {
   const uint64_t count_a = crash_count (a);
   const uint64_t count_b = crash_count (b);
@@ -648,21 +671,24 @@
 
   TAILQ_FOREACH (other, &list->suspects, link)
   if (other != suspect && !other->convicted && is_beside (other, suspect)
-      && compare (other, suspect) >= is_last)
+      && compare_suspects (other, suspect) >= is_last)
     return true;
   return false;
 }
 
-/* A suspect to be convicted next; null if there is none.  */
-static struct suspect *
-find_culprit (const marjoram_crash_parts *list, int64_t now)
+/* Stores suspects to be convicted, as many as may be.  Returns how many.  */
+static size_t
+find_culprits (const marjoram_crash_parts *list, int64_t now,
+               struct suspect *culprits[CONVICTED_MAX])
 {
   struct suspect *suspect;
+  size_t count = 0;
 
   TAILQ_FOREACH (suspect, &list->suspects, link)
-  if (is_ripe (suspect, now) && !has_rival (list, suspect))
-    return suspect;
-  return NULL;
+  if (list->convicted_count + count < CONVICTED_MAX && is_ripe (suspect, now)
+      && !has_rival (list, suspect))
+    culprits[count++] = suspect;
+  return count;
 }
 
 static void
@@ -678,19 +704,28 @@
                   " requests=%" PRIu64,
                   suspect->id, suspect->service, crash_count (suspect),
                   suspect->requests);
+}
+
+static void
+explain_crashes_of (marjoram_crash_parts *list, const struct suspect *suspect)
+{
   for (size_t i = 0; i < CRASHES_MAX; i++)
     if (was_at (suspect, i))
       explain (list, i);
 }
 
+/* Parts that can't be told apart are convicted together, before they explain
+   one another's crashes.  */
 static void
 judge (marjoram_crash_parts *list, int64_t now)
 {
-  struct suspect *culprit;
+  struct suspect *culprits[CONVICTED_MAX];
+  const size_t count = find_culprits (list, now, culprits);
 
-  while (list->convicted_count < CONVICTED_MAX
-         && (culprit = find_culprit (list, now)))
-    convict (list, now, culprit);
+  for (size_t i = 0; i < count; i++)
+    convict (list, now, culprits[i]);
+  for (size_t i = 0; i < count; i++)
+    explain_crashes_of (list, culprits[i]);
 }
 
 void
@@ -809,6 +844,12 @@
   suspect = add_presence (list, now, item->id, item->service, &seen, &is_new);
   suspect->reported_at = now;
   suspect->requests += item->requests;
+  if (item->convicted && !suspect->convicted
+      && list->convicted_count < CONVICTED_MAX)
+    {
+      convict (list, now, suspect);
+      explain_crashes_of (list, suspect);
+    }
 }
 
 static void
@@ -818,7 +859,8 @@
   struct suspect *suspect
       = find_suspect (list, key_of (item->service, item->id));
 
-  if (suspect && suspect->convicted && now >= suspect->trial_at)
+  if (suspect && suspect->convicted
+      && suspect->trial_at < now + suspect->trial_pause_ms)
     begin_trial (suspect, now);
 }
 
@@ -908,6 +950,7 @@
         .service = marjoram_strdup (item->service),
         .instance = item->crash.instance,
         .requests = take_unreported (list, item->key),
+        .convicted = item->convicted,
         .sent_ago_ms = now - item->crash.sent_at,
         .ago_ms = now - item->crash.crashed_at
       };
@@ -943,6 +986,7 @@
       .service = marjoram_strdup (suspect->service),
       .instance = suspect->row[i].instance,
       .requests = i == 0 ? suspect->requests : 0,
+      .convicted = suspect->convicted,
       .sent_ago_ms = now - suspect->row[i].sent_at,
       .ago_ms = now - suspect->row[i].crashed_at
     };
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -152,10 +152,10 @@
 static LAYOUT (crash_item_layout, marjoram_crash_item, crash_item_fields);
 
 static const struct marjoram_field part_item_fields[] = {
-  UINT (marjoram_part_item, kind),      UINT (marjoram_part_item, id),
-  STRING (marjoram_part_item, service), UINT (marjoram_part_item, instance),
-  UINT (marjoram_part_item, requests),  INT (marjoram_part_item, sent_ago_ms),
-  INT (marjoram_part_item, ago_ms),
+  UINT (marjoram_part_item, kind),       UINT (marjoram_part_item, id),
+  STRING (marjoram_part_item, service),  UINT (marjoram_part_item, instance),
+  UINT (marjoram_part_item, requests),   BOOL (marjoram_part_item, convicted),
+  INT (marjoram_part_item, sent_ago_ms), INT (marjoram_part_item, ago_ms),
 };
 static LAYOUT (part_item_layout, marjoram_part_item, part_item_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -194,7 +194,8 @@
   uint64_t id;
   char *service;
   uint64_t instance;
-  uint64_t requests;   /* more that were present at crashes */
+  uint64_t requests; /* more that were present at crashes */
+  bool convicted;
   int64_t sent_ago_ms; /* the request that was there */
   int64_t ago_ms;      /* the crash or the answer */
 };
