test_part_suspect: requests that were on their way at the former crash; test_refused_part: failures with a body

A mutant that takes the time of the crash for that of the sending survived: crashes were 40 ms apart in all. test_refused_part handed the fixture an empty body, which the sanitizer refuses.

--- a/test/test_part_suspect.c
+++ b/test/test_part_suspect.c
@@ -140,6 +140,24 @@
 }
 END_TEST
 
+/* Guards against blaming a part of requests that were on their way when the
+   first upstream crashed.  */
+START_TEST (requests_sent_before_the_former_crash_do_not_count)
+{
+  const uint64_t id = SOUND;
+  const struct marjoram_shared_parts parts = { "lm", &id, 1 };
+
+  for (int i = 1; i <= 6; i++)
+    {
+      const int64_t now = INT64_C (1000) * i;
+      const struct marjoram_part_crash seen = { instance (i), 900, now };
+
+      marjoram_crash_parts_add_crash (here, now, &parts, &seen);
+    }
+  ck_assert (!blocks (here, 7000, SOUND));
+}
+END_TEST
+
 /* Guards against upstream after upstream being lost while all crash at
    once.  */
 START_TEST (three_crowds_of_crashes_convict)
@@ -395,6 +413,7 @@
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_test (tcase, row_of_crashes_convicts);
   tcase_add_test (tcase, crashes_at_once_count_as_one);
+  tcase_add_test (tcase, requests_sent_before_the_former_crash_do_not_count);
   tcase_add_test (tcase, three_crowds_of_crashes_convict);
   tcase_add_test (tcase, answer_clears_a_part_at_all_hosts);
   tcase_add_test (tcase, host_that_knows_an_answer_tells_it);
--- a/test/test_refused_part.c
+++ b/test/test_refused_part.c
@@ -131,6 +131,7 @@
       request (now + 500, SOUND);
       gateway_fixture_head (&f, now + 510, statuses[i], NULL, true,
                             statuses[i] == STATUS_UNAVAILABLE);
+      gateway_fixture_data (&f, now + 510, "no");
       gateway_fixture_end (&f, now + 510, MARJORAM_HTTP_COMPLETE);
     }
   crash (13000, SOUND, "");
