--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -70,7 +70,7 @@
   for (size_t i = 0; i + 1 < kept; i++)
     ck_assert_uint_eq (facts.parts[i].id, i + 1);
   ck_assert_uint_eq (facts.parts[kept - 1].id, (uint64_t)count);
-  ck_assert_int_eq (facts.parts[kept - 1].tokens, count * 10);
+  ck_assert_int_eq (facts.parts[kept - 1].tokens, INT64_C (10) * count);
   marjoram_header_list_clear (&headers);
 }
 END_TEST
