Log what refused attempts state in Retry-After, and for how long their upstream is left alone

The lines of a refused attempt did not tell apart whether an upstream's Retry-After is not read, is cut short, or is not looked at on some ways: they now have retry_after_ms, paused_ms, forwarded and queued. No decision changes.

--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -2,6 +2,7 @@
 
 #include "cleanup.h"
 #include "event_log.h"
+#include "retry_after.h"
 
 #include <event2/buffer.h>
 #include <inttypes.h>
@@ -23,7 +24,8 @@
   /* Idle timeout of resumable streams: above the pauses of a busy engine and
      below the 2 s after which callers give up.  */
   STREAM_IDLE_MS = 1500,
-  PARTS_TEXT_MAX = 160 /* bytes of a log line */
+  PARTS_TEXT_MAX = 160, /* bytes of a log line */
+  NUMBER_TEXT_MAX = 24  /* likewise */
 };
 
 static struct marjoram_exchange *
@@ -87,14 +89,26 @@
                               i > 0 ? "," : "", metadata->parts[i].id);
 }
 
+static void
+write_retry_after (const struct marjoram_exchange *exchange, char *text,
+                   size_t size)
+{
+  if (exchange->retry_after_ms >= 0)
+    snprintf (text, size, "%" PRId64, exchange->retry_after_ms);
+  else
+    snprintf (text, size, "%s", exchange->has_retry_after ? "invalid" : "-");
+}
+
 static void
 log_attempt (const marjoram_gateway *gateway,
-             const struct marjoram_exchange *exchange,
+             const struct marjoram_exchange *exchange, int64_t now,
              enum marjoram_reason reason, const char *denial)
 {
   struct marjoram_repeat_usage usage;
   char parts[PARTS_TEXT_MAX];
+  char retry_after[NUMBER_TEXT_MAX];
 
+  write_retry_after (exchange, retry_after, sizeof retry_after);
   marjoram_repeat_budget_get_usage (gateway->budget, exchange->service,
                                     &usage);
   write_shared_parts (exchange, parts, sizeof parts);
@@ -103,7 +117,8 @@
       "id=%s failed=%s retry=%s service=%s upstream=%s build=%s host=%s "
       "status=%d framing=%s unfinished=%zu events=%d arrivals=%d runs=%d "
       "lag_ms=%" PRId64 " repeats=%" PRIu64 " repeats_allowed=%.1f "
-      "attempt_events=%d parts=%s",
+      "attempt_events=%d retry_after_ms=%s paused_ms=%" PRId64 " forwarded=%d "
+      "queued=%d parts=%s",
       exchange->metadata.id, marjoram_reason_name (reason),
       denial ? denial : "yes", exchange->service,
       *exchange->upstream ? exchange->upstream : "-",
@@ -113,7 +128,10 @@
       marjoram_exchange_unfinished (exchange), exchange->events_sent,
       exchange->attempts_sent, exchange->attempts_maybe_run,
       gateway->ops->lag_ms (gateway->context), usage.repeats, usage.allowed,
-      exchange->attempt_events, parts);
+      exchange->attempt_events, retry_after,
+      marjoram_placement_paused_ms (gateway->placement, now,
+                                    exchange->upstream),
+      exchange->forwarded, exchange->queued_since != 0, parts);
 }
 
 static void
@@ -123,6 +141,8 @@
   exchange->framing = MARJORAM_FRAMING_NONE;
   exchange->refused = false;
   exchange->is_signed = false;
+  exchange->has_retry_after = false;
+  exchange->retry_after_ms = -1;
   marjoram_header_list_clear (&exchange->headers);
   evbuffer_drain (exchange->body, evbuffer_get_length (exchange->body));
   if (exchange->events)
@@ -135,7 +155,7 @@
 retry (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
        int64_t now, enum marjoram_reason reason)
 {
-  log_attempt (gateway, exchange, reason, NULL);
+  log_attempt (gateway, exchange, now, reason, NULL);
   marjoram_metrics_add (gateway->options.metrics,
                         exchange->state == MARJORAM_EXCHANGE_STREAMING
                             ? MARJORAM_METRIC_RESUMED
@@ -172,7 +192,7 @@
       retry (gateway, exchange, now, reason);
       return;
     }
-  log_attempt (gateway, exchange, reason, denial);
+  log_attempt (gateway, exchange, now, reason, denial);
   fail (gateway, exchange, now, reason);
 }
 
@@ -265,6 +285,17 @@
   return MARJORAM_FRAMING_CLOSE;
 }
 
+static void
+read_retry_after (struct marjoram_exchange *exchange,
+                  const struct marjoram_header_list *headers)
+{
+  const char *text = marjoram_header_list_get (headers, "Retry-After");
+
+  exchange->has_retry_after = text != NULL;
+  exchange->retry_after_ms = -1;
+  marjoram_retry_after_parse (text, &exchange->retry_after_ms);
+}
+
 bool
 marjoram_gateway_head (marjoram_gateway *gateway, int64_t now,
                        uint64_t attempt, int status,
@@ -292,6 +323,7 @@
   exchange->is_signed = metadata.signed_by_upstream;
   exchange->refused = metadata.not_run;
   exchange->wrong_upstream = metadata.wrong_upstream;
+  read_retry_after (exchange, headers);
   if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
     return true;
   copy_headers (gateway, exchange, headers);
@@ -500,7 +532,7 @@
   exchange->attempts_maybe_run--;
   exchange->attempts_sent--;
   exchange->failed_connections++;
-  log_attempt (gateway, exchange, MARJORAM_REASON_NO_UPSTREAM, NULL);
+  log_attempt (gateway, exchange, now, MARJORAM_REASON_NO_UPSTREAM, NULL);
   marjoram_exchange_send (gateway, exchange, now);
 }
 
@@ -552,14 +584,14 @@
     return false;
   if (why->unreached)
     {
-      log_attempt (gateway, exchange, why->reason, NULL);
+      log_attempt (gateway, exchange, now, why->reason, NULL);
       marjoram_exchange_send (gateway, exchange, now);
       return true;
     }
   denial = retry_denial (gateway, exchange, now, true);
   if (denial)
     {
-      log_attempt (gateway, exchange, why->reason, denial);
+      log_attempt (gateway, exchange, now, why->reason, denial);
       return false;
     }
   retry (gateway, exchange, now, why->reason);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -120,6 +120,8 @@
   bool is_signed;
   bool refused; /* reported as not run */
   bool wrong_upstream;
+  bool has_retry_after;   /* the answer has the header */
+  int64_t retry_after_ms; /* -1 if it has none, or an invalid one */
   bool has_events;        /* the answer is a stream of events */
   bool forward_has_build; /* HOST told the build */
   struct evbuffer *body;  /* answer body or complete events */
--- a/src/placement.c
+++ b/src/placement.c
@@ -303,6 +303,18 @@
     endpoint->paused_until = until;
 }
 
+int64_t
+marjoram_placement_paused_ms (marjoram_placement *placement, int64_t now,
+                              const char *upstream)
+{
+  const struct marjoram_endpoint *endpoint;
+
+  HASH_FIND_STR (placement->endpoints, upstream, endpoint);
+  return endpoint && now < endpoint->paused_until
+             ? endpoint->paused_until - now
+             : 0;
+}
+
 void
 marjoram_placement_attempt_started (marjoram_placement *placement, int64_t now,
                                     uint64_t number, const char *upstream,
--- a/src/placement.h
+++ b/src/placement.h
@@ -159,6 +159,10 @@
    attempt; 0 if it never did or ATTEMPT is unknown.  */
 int64_t marjoram_placement_last_received_at (marjoram_placement *placement,
                                              uint64_t attempt);
+/* Time in ms for which UPSTREAM gets no requests from this host; 0 if it may
+   get one, or is unknown.  */
+int64_t marjoram_placement_paused_ms (marjoram_placement *placement,
+                                      int64_t now, const char *upstream);
 enum marjoram_attempt_end
 {
   MARJORAM_ATTEMPT_SERVED,
