--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -160,6 +160,9 @@
 
 /* A part of a prompt that crashes this program.  */
 #define CRASHING_PART "dead:"
+/* In a target, before the id of the program that refuses it.  */
+#define SHED "shed-"
+#define SHED_RETRY_AFTER "3" /* seconds */
 
 static void
 add_response_headers (struct marjoram_header_list *headers, const char *id,
@@ -170,13 +173,16 @@
     marjoram_header_list_add (headers, "Marjoramproxy-Response-Seal", "seal");
 }
 
+/* RETRY_AFTER is the value of Retry-After; null: none.  */
 static void
-reply (struct replica *replica, uint64_t call, int status, const char *id,
-       const char *body)
+reply_later (struct replica *replica, uint64_t call, int status,
+             const char *id, const char *body, const char *retry_after)
 {
   struct marjoram_header_list headers = { 0 };
 
   add_response_headers (&headers, id, status != 503);
+  if (retry_after)
+    marjoram_header_list_add (&headers, "Retry-After", retry_after);
   if (status == 503 || status == 421)
     marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
   marjoram_http_server_head (replica->server, call, status, &headers,
@@ -186,6 +192,13 @@
   marjoram_header_list_clear (&headers);
 }
 
+static void
+reply (struct replica *replica, uint64_t call, int status, const char *id,
+       const char *body)
+{
+  reply_later (replica, call, status, id, body, NULL);
+}
+
 static void
 on_event (evutil_socket_t fd, short what, void *context)
 {
@@ -259,6 +272,23 @@
   return prompt && strstr (prompt, part);
 }
 
+/* Whether the target tells this program to refuse it for some time.  */
+static bool
+is_to_shed (const struct replica *replica,
+            const struct marjoram_http_request *request)
+{
+  const char *name = strstr (request->target, SHED);
+
+  return name && strcmp (name + strlen (SHED), replica->id) == 0;
+}
+
+static void
+shed (struct replica *replica, uint64_t call, const char *id)
+{
+  log_event (replica, "shed", id);
+  reply_later (replica, call, 503, id, "", SHED_RETRY_AFTER);
+}
+
 static void
 handle_request (struct replica *replica, uint64_t call,
                 const struct marjoram_http_request *request, const char *id)
@@ -312,6 +342,8 @@
     log_event (replica, "smuggled", id);
   else if (target_contains (request, "full"))
     reply (replica, call, 503, id, "");
+  else if (is_to_shed (replica, request))
+    shed (replica, call, id);
   else
     handle_request (replica, call, request, id);
   marjoram_http_request_destroy (request);
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -4,8 +4,10 @@
 #include "gateway.h"
 #include "lib_rate_bound.h"
 #include "lib_repeat_bound.h"
+#include "lib_retry_bound.h"
 #include "platform.h"
 #include "random.h"
+#include "retry_after.h"
 
 #include <float.h>
 #include <stdio.h>
@@ -123,6 +125,7 @@
   int life;       /* of the upstream, EVENT_CRASH */
   bool forwarded; /* EVENT_ANSWER: from the host that it was forwarded to */
   bool refuses;   /* the upstream may refuse */
+  const char *retry_after; /* EVENT_ANSWER; null: not stated */
   struct marjoram_request_failure why;
   struct marjoram_forwarded limits;
 };
@@ -180,7 +183,11 @@
   int *full[FLEET_UPSTREAMS];          /* refusals for want of room, by ms */
   double rate_limits[FLEET_UPSTREAMS]; /* negative: none */
   struct rate_bound *rate_bounds[FLEET_UPSTREAMS];
+  const struct fleet_shedding *shedding[FLEET_UPSTREAMS]; /* null: none */
+  int64_t started_at[FLEET_UPSTREAMS];
+  struct retry_bound *retries;
   int64_t serve_ms;
+  const char *route;  /* its prefix; null: varying ones */
   const char *prefix; /* of the route; null: no prompts */
   struct fleet_prompts prompts;
   double crash_rates[FLEET_REGIONS];
@@ -469,10 +476,11 @@
 {
   for (int i = 1; i <= FLEET_UPSTREAMS_PER_REGION; i++)
     {
-      struct marjoram_upstream_heartbeat heartbeat
-          = { .started_at = 1, .ends_ms = -1, .slots = 64 };
-
       const int index = index_of (node->region, i);
+      struct marjoram_upstream_heartbeat heartbeat
+          = { .started_at = node->fleet->started_at[index],
+              .ends_ms = -1,
+              .slots = 64 };
 
       if (node->fleet->now < node->fleet->down_until[index])
         continue;
@@ -609,6 +617,8 @@
     abort ();
   if (marjoram_random_unit (fleet->random) < fleet->home_share)
     snprintf (target, sizeof target, "/home%d/x", region);
+  if (fleet->route)
+    snprintf (target, sizeof target, "%sx", fleet->route);
   if (fleet->prefix)
     snprintf (target, sizeof target, "%sx-%d", fleet->prefix, fleet->next_id);
   repeat_bound_add_request (fleet->bound, fleet->now);
@@ -637,6 +647,28 @@
   return true;
 }
 
+/* The Retry-After with which the upstream refuses a request; null if it does
+   not.  */
+static const char *
+shed (struct fleet *fleet, const struct event *event)
+{
+  const struct fleet_shedding *shedding = fleet->shedding[event->upstream];
+  const char *text;
+  int64_t ms;
+
+  if (!shedding || marjoram_random_unit (fleet->random) >= shedding->share)
+    return NULL;
+  text
+      = shedding->other_share > 0
+                && marjoram_random_unit (fleet->random) < shedding->other_share
+            ? shedding->other_retry_after
+            : shedding->retry_after;
+  if (marjoram_retry_after_parse (text, &ms))
+    retry_bound_ask (fleet->retries, fleet->now, event->node, event->upstream,
+                     ms);
+  return text;
+}
+
 static bool
 is_down (const struct fleet *fleet, int upstream)
 {
@@ -696,6 +728,8 @@
 
   rate_bound_add_request (fleet->rate_bounds[event->upstream], fleet->now,
                           event->node);
+  retry_bound_add_request (fleet->retries, fleet->now, event->node,
+                           event->upstream);
   if (fleet->arrived[event->id])
     repeat_bound_add_repeat (fleet->bound, fleet->now);
   fleet->arrived[event->id] = 1;
@@ -706,8 +740,10 @@
 static void
 process_arrival (struct fleet *fleet, const struct event *event)
 {
+  const bool down = is_down (fleet, event->upstream);
+  const char *retry_after = down ? NULL : shed (fleet, event);
   const bool refused
-      = is_full (fleet, event)
+      = retry_after || is_full (fleet, event)
         || (event->refuses
             && marjoram_random_unit (fleet->random) < fleet->refusals);
   const int64_t ms = refused ? REFUSE_MS : fleet->serve_ms;
@@ -716,7 +752,7 @@
   struct event unsent = *event;
   struct event fatal = *event;
 
-  if (is_down (fleet, event->upstream))
+  if (down)
     {
       unsent.kind = EVENT_UNSENT;
       schedule (fleet, UPSTREAM_LINK_MS, &unsent);
@@ -729,6 +765,7 @@
     schedule (fleet, fleet->serve_ms / BEGIN_PART, &fatal);
   answer.kind = EVENT_ANSWER;
   answer.status = refused ? STATUS_UNAVAILABLE : STATUS_OK;
+  answer.retry_after = retry_after;
   schedule (fleet, ms + UPSTREAM_LINK_MS, &answer);
   if (refused)
     return;
@@ -783,6 +820,8 @@
     {
       add_rate_limit (node, event, &headers);
       add_brittle (node, &headers);
+      if (event->retry_after)
+        marjoram_header_list_add (&headers, "Retry-After", event->retry_after);
     }
   marjoram_gateway_head (node->gateway, node->fleet->now, event->attempt,
                          event->status, &headers);
@@ -909,6 +948,9 @@
   for (int i = 0; i < FLEET_REGIONS; i++)
     fleet->brittle[i] = -1;
   fleet->bound = repeat_bound_create (limits, RUN_MAX_MS);
+  fleet->retries = retry_bound_create ();
+  for (int i = 0; i < FLEET_UPSTREAMS; i++)
+    fleet->started_at[i] = 1;
   for (int i = 0; i < FLEET_UPSTREAMS; i++)
     {
       fleet->full[i] = marjoram_alloc (RUN_MAX_MS * sizeof (int));
@@ -952,6 +994,7 @@
   marjoram_route_table_destroy (fleet->table);
   marjoram_random_destroy (fleet->random);
   repeat_bound_destroy (fleet->bound);
+  retry_bound_destroy (fleet->retries);
   for (int i = 0; i < FLEET_UPSTREAMS; i++)
     {
       rate_bound_destroy (fleet->rate_bounds[i]);
@@ -1007,6 +1050,37 @@
   rate_bound_set_limit (fleet->rate_bounds[index], fleet->now, rate_limit);
 }
 
+void
+fleet_set_shedding (struct fleet *fleet, int region, int upstream,
+                    const struct fleet_shedding *shedding)
+{
+  fleet->shedding[index_of (region, upstream)] = shedding;
+}
+
+struct fleet_retry_counts
+fleet_count_retries (const struct fleet *fleet)
+{
+  return (struct fleet_retry_counts){ retry_bound_asked (fleet->retries),
+                                      retry_bound_broken (fleet->retries),
+                                      retry_bound_worst (fleet->retries) };
+}
+
+void
+fleet_restart_upstream (struct fleet *fleet, int region, int upstream)
+{
+  const int index = index_of (region, upstream);
+
+  fleet->started_at[index]++;
+  break_answers (fleet, index);
+  retry_bound_excuse_upstream (fleet->retries, index);
+}
+
+void
+fleet_set_route (struct fleet *fleet, const char *prefix)
+{
+  fleet->route = prefix;
+}
+
 /* Reports the load of NODE to the other hosts of its region.  */
 static void
 send_load_report (struct node *node)
@@ -1158,6 +1232,7 @@
   marjoram_wire_clear (&marjoram_crash_report_layout, &report);
   for (int i = 0; i < FLEET_UPSTREAMS; i++)
     rate_bound_clear_told (fleet->rate_bounds[i], host);
+  retry_bound_excuse_host (fleet->retries, host);
 }
 
 void
@@ -1229,6 +1304,7 @@
   struct node *node = &fleet->nodes[host];
 
   node->cut = cut;
+  retry_bound_excuse_host (fleet->retries, host);
   for (int i = 0; i < FLEET_UPSTREAMS; i++)
     node->kept[i] = KEPT_CONNECTIONS;
 }
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -1,7 +1,8 @@
 /* Entry hosts of several regions in virtual time: each runs a real gateway,
    links and upstreams are simulated.  Counts the arrivals of requests at
    upstreams and checks them against the bound on repeats and against the rate
-   limits that upstreams state.  Some parts of prompts may crash upstreams.  */
+   limits and times of Retry-After that upstreams state.  Some parts of prompts
+   may crash upstreams.  */
 #ifndef MARJORAM_TEST_LIB_FLEET_H
 #define MARJORAM_TEST_LIB_FLEET_H
 
@@ -59,6 +60,31 @@
    of room in any second.  */
 int fleet_refusal_peak (const struct fleet *fleet, int region, int64_t from_ms,
                         int64_t until_ms);
+/* How an upstream refuses requests.  */
+struct fleet_shedding
+{
+  double share; /* of its arrivals */
+  const char *retry_after;
+  double other_share; /* of the refusals; with OTHER_RETRY_AFTER */
+  const char *other_retry_after;
+};
+/* UPSTREAM, from 1, of REGION refuses requests; null: it no longer does.
+   SHEDDING is borrowed.  */
+void fleet_set_shedding (struct fleet *fleet, int region, int upstream,
+                         const struct fleet_shedding *shedding);
+/* How often upstreams asked a host to stay away, after how many of these too
+   many requests arrived, and the most that did.  */
+struct fleet_retry_counts
+{
+  int asked;
+  int broken;
+  int worst;
+};
+struct fleet_retry_counts fleet_count_retries (const struct fleet *fleet);
+/* UPSTREAM, from 1, of REGION starts again under its id.  */
+void fleet_restart_upstream (struct fleet *fleet, int region, int upstream);
+/* All requests of callers are for the route with PREFIX.  */
+void fleet_set_route (struct fleet *fleet, const char *prefix);
 /* HOST loses its connections to all upstreams, or gets them back.  Links
    between hosts work.  */
 void fleet_cut_host (struct fleet *fleet, int host, enum fleet_cut cut);
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -663,3 +663,17 @@
 {
   marjoram_gateway_end (f->gateway, now, f->seen.attempt, how);
 }
+
+void
+gateway_fixture_refuse (struct gateway_fixture *f, int64_t now, int status,
+                        const char *retry_after)
+{
+  struct marjoram_header_list headers = { 0 };
+
+  marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
+  if (retry_after)
+    marjoram_header_list_add (&headers, "Retry-After", retry_after);
+  answer_head (f, now, status, &headers);
+  gateway_fixture_end (f, now, MARJORAM_HTTP_COMPLETE);
+  marjoram_header_list_clear (&headers);
+}
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -139,6 +139,10 @@
    NAME unless that is null.  */
 bool gateway_fixture_success (struct gateway_fixture *f, int64_t now,
                               const char *name, const char *value);
+/* The last attempt's upstream refuses it without running it, with STATUS and
+   the header Retry-After unless RETRY_AFTER is null.  */
+void gateway_fixture_refuse (struct gateway_fixture *f, int64_t now,
+                             int status, const char *retry_after);
 void gateway_fixture_data (struct gateway_fixture *f, int64_t now,
                            const char *text);
 void gateway_fixture_end (struct gateway_fixture *f, int64_t now,
