Upstreams that answer 503 with Retry-After get nothing from the host until then

What callers saw: an upstream that refused everything for eight seconds was offered request after request, 24 to 26 of one host in the 3 s for which it had asked that host to wait, and while others were idle callers were refused, as the budget of repeats was used up.

Cause: no code read an upstream's Retry-After. A refusal paused an upstream for a constant 50 ms, and since it ran nothing it was then the first choice again.

Evidence: in test_upstream_retry_after and with real processes (gateway-retry-after) the new fields of the attempt lines say retry_after_ms=3000 paused_ms=50, for new and repeated requests alike; nothing ends a longer pause, as there is none. In the record 353 attempts were refused by four upstreams in 5 s, the least time between two of a host being 50 ms.

Change: an endpoint keeps the time until which its upstream wants nothing. Only a restart of the upstream ends it; a shorter time, an answer to an earlier request, heartbeats and a gap in them do not. Placement looks at it for every way by which a request reaches an upstream; offers to other regions and copies of prompts leave such upstreams out. Afterwards one request goes each 100 ms until one is answered, and refusals in a row wait twice as long each, 2 s at most. If all upstreams have told the time, a request is forwarded or else refused at once, with that time and a spread of up to a second; an interrupted stream waits only if it can still be served. A 421, an answer that names another upstream, and one of a former instance tell nothing; 429 does.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -233,7 +233,8 @@
       " objective_ms=%" PRId64 " estimate_ms=%" PRId64 " backlog_ms=%" PRId64
       " copied=%" PRId64
       " candidates=%d usable=%d unreachable=%d cold=%d reported_lost=%d "
-      "rate_limited=%d full=%d other_build=%d news_age_ms=%" PRId64
+      "rate_limited=%d retry_after=%d full=%d other_build=%d "
+      "news_age_ms=%" PRId64
       " limit=%s framing=%s unfinished=%zu events=%d quiet_ms=%" PRId64
       " pause_ms=%" PRId64 " route=%s service=%s customer=%s config=%" PRIu64
       " upstream=%s build=%s host=%s arrivals=%d unreached=%d forwarded=%d"
@@ -247,6 +248,7 @@
       exchange->place.excluded[MARJORAM_EXCLUDED_COLD],
       exchange->place.excluded[MARJORAM_EXCLUDED_REPORTED_LOST],
       exchange->place.excluded[MARJORAM_EXCLUDED_RATE],
+      exchange->place.excluded[MARJORAM_EXCLUDED_RETRY_AFTER],
       exchange->place.excluded[MARJORAM_EXCLUDED_ROOM],
       exchange->place.excluded[MARJORAM_EXCLUDED_BUILD],
       exchange->place.heartbeat_age_ms, limit_name (exchange, reason),
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -12,6 +12,7 @@
 
 enum
 {
+  STATUS_TOO_MANY_REQUESTS = 429,
   STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   STATUS_SERVER_ERROR = 500,
@@ -251,12 +252,52 @@
                             error < 0 ? -error : error);
 }
 
+/* Whether the response is of the upstream that the request was sent to, not of
+   another one that has its address.  */
+static bool
+is_from_upstream (const struct marjoram_exchange *exchange,
+                  const struct marjoram_response_metadata *metadata)
+{
+  return !metadata->wrong_upstream
+         && (!*metadata->upstream
+             || strcmp (metadata->upstream, exchange->upstream) == 0);
+}
+
+static void
+record_retry_after (marjoram_gateway *gateway,
+                    const struct marjoram_exchange *exchange, int64_t now)
+{
+  const char *change;
+
+  if (exchange->status != STATUS_UNAVAILABLE
+      && exchange->status != STATUS_TOO_MANY_REQUESTS)
+    return;
+  if (exchange->has_retry_after && exchange->retry_after_ms < 0)
+    change = "invalid";
+  else if (exchange->retry_after_ms > 0
+           && marjoram_placement_set_retry_after (gateway->placement, now,
+                                                  exchange->attempt,
+                                                  exchange->retry_after_ms))
+    change = "kept";
+  else
+    return;
+  marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_RETRY_AFTERS,
+                        1);
+  marjoram_event (MARJORAM_EVENT_UPSTREAM,
+                  "id=%s service=%s retry_after=%s retry_after_ms=%" PRId64,
+                  exchange->upstream, exchange->service, change,
+                  exchange->retry_after_ms);
+}
+
 /* Records what the upstream's response states about the upstream.  */
 static void
 record_statements (marjoram_gateway *gateway,
                    const struct marjoram_exchange *exchange, int64_t now,
                    const struct marjoram_response_metadata *metadata)
 {
+  if (!is_from_upstream (exchange, metadata))
+    return;
+  record_retry_after (gateway, exchange, now);
   if (metadata->cold_ms > 0)
     marjoram_placement_set_cold (gateway->placement, now, exchange->upstream,
                                  metadata->cold_ms);
@@ -313,17 +354,17 @@
                             MARJORAM_METRIC_STRAY_ANSWERS, 1);
       return false;
     }
+  exchange->status = status;
+  exchange->is_signed = metadata.signed_by_upstream;
+  exchange->refused = metadata.not_run;
+  exchange->wrong_upstream = metadata.wrong_upstream;
+  read_retry_after (exchange, headers);
   if (*exchange->upstream)
     {
       exchange->framing = read_framing (headers);
       record_statements (gateway, exchange, now, &metadata);
       marjoram_exchange_check_alive (gateway, exchange, now);
     }
-  exchange->status = status;
-  exchange->is_signed = metadata.signed_by_upstream;
-  exchange->refused = metadata.not_run;
-  exchange->wrong_upstream = metadata.wrong_upstream;
-  read_retry_after (exchange, headers);
   if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
     return true;
   copy_headers (gateway, exchange, headers);
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -253,6 +253,7 @@
 is_limited (const struct marjoram_place *chosen)
 {
   return chosen->excluded[MARJORAM_EXCLUDED_RATE] > 0
+         || chosen->excluded[MARJORAM_EXCLUDED_RETRY_AFTER] > 0
          || chosen->excluded[MARJORAM_EXCLUDED_ROOM] > 0;
 }
 
--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -83,6 +83,16 @@
          == 0;
 }
 
+/* Whether all upstreams have stated, by Retry-After, that they take requests
+   only after LATEST.  */
+static bool
+is_known_too_late (const struct marjoram_place *chosen, int64_t now,
+                   int64_t latest)
+{
+  return chosen->excluded[MARJORAM_EXCLUDED_RETRY_AFTER] == chosen->candidates
+         && now + chosen->retry_wait_ms >= latest;
+}
+
 static bool
 keep_waiting (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
               int64_t now, const struct marjoram_place *chosen)
@@ -100,7 +110,8 @@
     }
   /* Paused upstreams become usable again; a service without any does not get
      one in time.  */
-  return now < waiter->start_by && chosen->candidates > 0;
+  return now < waiter->start_by && chosen->candidates > 0
+         && !is_known_too_late (chosen, now, waiter->start_by);
 }
 
 /* Whether CHOSEN leaves a chance that a place becomes free.  If all upstreams
@@ -127,6 +138,7 @@
   if (waiter->queued)
     return keep_waiting (gateway, exchange, now, chosen);
   if (!may_get_place (exchange, chosen)
+      || is_known_too_late (chosen, now, latest_start (exchange, chosen))
       || marjoram_wait_queue_count (gateway->queue) >= QUEUE_MAX)
     return false;
   waiter->owner = exchange;
--- a/src/placement.c
+++ b/src/placement.c
@@ -208,6 +208,7 @@
   endpoint->connect_failures = 0;
   endpoint->broken_responses = 0;
   endpoint->room.is_known = false;
+  marjoram_endpoint_clear_retry (endpoint);
   if (endpoint->rate)
     marjoram_upstream_rate_reset (endpoint->rate);
 }
@@ -308,11 +309,15 @@
                               const char *upstream)
 {
   const struct marjoram_endpoint *endpoint;
+  int64_t paused_ms;
+  int64_t retry_ms;
 
   HASH_FIND_STR (placement->endpoints, upstream, endpoint);
-  return endpoint && now < endpoint->paused_until
-             ? endpoint->paused_until - now
-             : 0;
+  if (!endpoint)
+    return 0;
+  paused_ms = now < endpoint->paused_until ? endpoint->paused_until - now : 0;
+  retry_ms = marjoram_endpoint_retry_wait_ms (endpoint, now);
+  return paused_ms > retry_ms ? paused_ms : retry_ms;
 }
 
 void
@@ -331,6 +336,7 @@
   attempt->endpoint = endpoint;
   attempt->service = marjoram_strdup (query->service->name);
   attempt->started_at = now;
+  attempt->instance_started_at = endpoint->instance_started_at;
   attempt->urgent = query->priority == 0;
   attempt->expected_ms = query->expected_ms;
   TAILQ_INSERT_TAIL (&endpoint->unanswered, attempt, link);
@@ -352,6 +358,7 @@
   endpoint->own.held += attempt->held;
   endpoint->own.answer += attempt->answer;
   endpoint->cold_sent_at = now;
+  endpoint->retry_tried_at = now;
   if (endpoint->connect_failures > 0)
     pause_endpoint (endpoint, now + TRIAL_MS);
   marjoram_upstream_room_take (&endpoint->room, now, endpoint->own.running);
@@ -360,8 +367,9 @@
   HASH_ADD (hh, placement->attempts, number, sizeof attempt->number, attempt);
 }
 
-static struct marjoram_placed_attempt *
-find_attempt (marjoram_placement *placement, uint64_t number)
+struct marjoram_placed_attempt *
+marjoram_placement_find_attempt (marjoram_placement *placement,
+                                 uint64_t number)
 {
   struct marjoram_placed_attempt *attempt;
 
@@ -399,7 +407,8 @@
 marjoram_placement_response_started (marjoram_placement *placement,
                                      int64_t now, uint64_t number)
 {
-  struct marjoram_placed_attempt *attempt = find_attempt (placement, number);
+  struct marjoram_placed_attempt *attempt
+      = marjoram_placement_find_attempt (placement, number);
   struct marjoram_service_stats *stats;
   int64_t tokens;
 
@@ -420,10 +429,13 @@
 marjoram_placement_data_received (marjoram_placement *placement, int64_t now,
                                   uint64_t number)
 {
-  struct marjoram_placed_attempt *attempt = find_attempt (placement, number);
+  struct marjoram_placed_attempt *attempt
+      = marjoram_placement_find_attempt (placement, number);
 
-  if (attempt)
-    attempt->endpoint->last_received_at = now;
+  if (!attempt)
+    return;
+  attempt->endpoint->last_received_at = now;
+  marjoram_attempt_end_trial (attempt);
 }
 
 int64_t
@@ -431,7 +443,7 @@
                                      uint64_t number)
 {
   const struct marjoram_placed_attempt *attempt
-      = find_attempt (placement, number);
+      = marjoram_placement_find_attempt (placement, number);
 
   return attempt ? attempt->endpoint->last_received_at : 0;
 }
@@ -469,7 +481,8 @@
                                   uint64_t number,
                                   enum marjoram_attempt_end outcome)
 {
-  struct marjoram_placed_attempt *attempt = find_attempt (placement, number);
+  struct marjoram_placed_attempt *attempt
+      = marjoram_placement_find_attempt (placement, number);
   struct marjoram_endpoint *endpoint;
 
   if (!attempt)
@@ -481,6 +494,8 @@
   endpoint->own.running--;
   endpoint->own.held -= attempt->held;
   endpoint->own.answer -= attempt->answer;
+  if (outcome == MARJORAM_ATTEMPT_SERVED || outcome == MARJORAM_ATTEMPT_FAILED)
+    marjoram_attempt_end_trial (attempt);
   if (outcome == MARJORAM_ATTEMPT_SERVED)
     {
       if (endpoint->connect_failures > 0)
@@ -541,7 +556,7 @@
                                    uint64_t number, double rate_limit)
 {
   const struct marjoram_placed_attempt *attempt
-      = find_attempt (placement, number);
+      = marjoram_placement_find_attempt (placement, number);
   struct marjoram_endpoint *endpoint = attempt ? attempt->endpoint : NULL;
 
   if (!endpoint || (!endpoint->rate && rate_limit < 0))
@@ -569,7 +584,7 @@
                                            double per_s)
 {
   const struct marjoram_placed_attempt *attempt
-      = find_attempt (placement, number);
+      = marjoram_placement_find_attempt (placement, number);
   struct marjoram_service_stats *stats;
 
   if (!attempt)
@@ -625,9 +640,10 @@
 
 static bool
 is_in_use (const struct marjoram_placement *placement,
-           const struct marjoram_endpoint *endpoint)
+           const struct marjoram_endpoint *endpoint, int64_t now)
 {
   return endpoint->own.running > 0 || endpoint->reporter_count > 0
+         || now < endpoint->retry_at
          || marjoram_registry_find (placement->options.registry, endpoint->id);
 }
 
@@ -649,7 +665,7 @@
 
       TAILQ_REMOVE (&placement->checked, endpoint, checked_link);
       TAILQ_INSERT_TAIL (&placement->checked, endpoint, checked_link);
-      if (!is_in_use (placement, endpoint))
+      if (!is_in_use (placement, endpoint, now))
         destroy_endpoint (placement, endpoint);
     }
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -66,9 +66,10 @@
 enum marjoram_place_limit
 {
   MARJORAM_PLACE_LIMIT_NONE,
-  MARJORAM_PLACE_LIMIT_DEADLINE, /* response would be too late */
-  MARJORAM_PLACE_LIMIT_BACKLOG,  /* too many queued prompts */
-  MARJORAM_PLACE_LIMIT_RATE      /* rate limits stated by all upstreams */
+  MARJORAM_PLACE_LIMIT_DEADLINE,   /* response would be too late */
+  MARJORAM_PLACE_LIMIT_BACKLOG,    /* too many queued prompts */
+  MARJORAM_PLACE_LIMIT_RATE,       /* rate limits stated by all upstreams */
+  MARJORAM_PLACE_LIMIT_RETRY_AFTER /* stated by all upstreams */
 };
 const char *marjoram_place_limit_name (enum marjoram_place_limit limit);
 
@@ -84,6 +85,7 @@
   MARJORAM_EXCLUDED_REPORTED_LOST, /* the same, for a connection that another
                                       host lost */
   MARJORAM_EXCLUDED_RATE,          /* no part of its rate limit is left */
+  MARJORAM_EXCLUDED_RETRY_AFTER,   /* it told this host to wait */
   MARJORAM_EXCLUDED_ROOM,          /* it would refuse, and tolerates few */
   MARJORAM_EXCLUDED_BUILD,         /* another build, or not sure to be the
                                       required one; no candidate */
@@ -112,8 +114,11 @@
   int candidates; /* upstreams of the service in this region */
   int usable;     /* those that may be sent requests now */
   int excluded[MARJORAM_EXCLUDED_COUNT]; /* numbers of the others */
-  int64_t rate_wait_ms; /* until one excluded for its rate accepts a request */
-  int64_t backlog_ms;   /* queued prompts at the chosen upstream */
+  /* Until the first of those excluded for their rate limit, or for their
+     Retry-After, accepts a request; 0 if there is none.  */
+  int64_t rate_wait_ms;
+  int64_t retry_wait_ms;
+  int64_t backlog_ms;              /* queued prompts at the chosen upstream */
   enum marjoram_place_limit limit; /* unless FOUND: the limit exceeded */
   int64_t heartbeat_age_ms;        /* age of the oldest heartbeat considered */
 };
@@ -199,6 +204,12 @@
 bool marjoram_placement_set_refusals_tolerated (marjoram_placement *placement,
                                                 int64_t now, uint64_t attempt,
                                                 double per_s);
+/* The upstream of ATTEMPT refused it and tells this host to wait for
+   RETRY_AFTER_MS.  That holds until then or until the upstream restarts, also
+   if it states less later.  Returns whether that is later than known.  */
+bool marjoram_placement_set_retry_after (marjoram_placement *placement,
+                                         int64_t now, uint64_t attempt,
+                                         int64_t retry_after_ms);
 /* The evacuation of ZONE ended: its upstreams are treated as cold until their
    next heartbeat.  */
 void marjoram_placement_zone_restored (marjoram_placement *placement,
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -55,6 +55,8 @@
   /* Minimum mean number of upstreams in a sample.  */
   SAMPLE_MIN = 4,
   RETRY_MIN_MS = 250,
+  /* Longest time over which the return of refused callers is spread.  */
+  RETURN_SPREAD_MS = 1000,
   MSEC_PER_SEC = 1000
 };
 
@@ -339,6 +341,8 @@
 {
   enum marjoram_place_exclusion cold;
 
+  if (marjoram_endpoint_retry_wait_ms (endpoint, now) > 0)
+    return MARJORAM_EXCLUDED_RETRY_AFTER;
   if (now < endpoint->paused_until)
     return endpoint->connect_failures > 0 ? MARJORAM_EXCLUDED_UNREACHABLE
                                           : MARJORAM_EXCLUDED_PAUSED;
@@ -359,6 +363,14 @@
              : MARJORAM_EXCLUDED_NOT;
 }
 
+/* KEPT is 0 if there is none yet.  */
+static void
+keep_shorter (int64_t *kept, int64_t wait_ms)
+{
+  if (*kept == 0 || wait_ms < *kept)
+    *kept = wait_ms;
+}
+
 /* Whether ENDPOINT may be sent a request now; if not, PLACE notes why.  */
 static bool
 is_usable (marjoram_placement *placement, struct marjoram_endpoint *endpoint,
@@ -368,16 +380,16 @@
 {
   const enum marjoram_place_exclusion why
       = find_exclusion (placement, endpoint, upstream, query, now);
-  int64_t wait_ms;
 
   if (why == MARJORAM_EXCLUDED_NOT)
     return true;
   place->excluded[why]++;
-  if (why != MARJORAM_EXCLUDED_RATE)
-    return false;
-  wait_ms = marjoram_endpoint_rate_wait_ms (placement, endpoint, now);
-  if (place->rate_wait_ms == 0 || wait_ms < place->rate_wait_ms)
-    place->rate_wait_ms = wait_ms;
+  if (why == MARJORAM_EXCLUDED_RATE)
+    keep_shorter (&place->rate_wait_ms,
+                  marjoram_endpoint_rate_wait_ms (placement, endpoint, now));
+  if (why == MARJORAM_EXCLUDED_RETRY_AFTER)
+    keep_shorter (&place->retry_wait_ms,
+                  marjoram_endpoint_retry_wait_ms (endpoint, now));
   return false;
 }
 
@@ -408,7 +420,7 @@
 marjoram_place_limit_name (enum marjoram_place_limit limit)
 {
   static const char *const names[]
-      = { "none", "objective", "backlog", "rate" };
+      = { "none", "objective", "backlog", "rate", "retry-after" };
 
   return names[limit];
 }
@@ -593,12 +605,41 @@
         / (double)hosts;
 }
 
+/* Time after the end of a Retry-After at which the caller is to come back.
+   Callers that were refused in the meantime would all come at its end, and
+   have to be refused again.  */
+static int64_t
+return_spread_ms (const struct marjoram_place_query *query, int64_t wait_ms)
+{
+  const int64_t spread_ms
+      = wait_ms < RETURN_SPREAD_MS ? wait_ms : RETURN_SPREAD_MS;
+  const char *id = query->metadata->id;
+
+  return (int64_t)(XXH3_64bits (id, strlen (id)) % (uint64_t)(spread_ms + 1));
+}
+
+/* Sets the limit that rules out all upstreams, and the delay before a retry,
+   if they have stated any.  */
 static void
-set_rate_limited (struct marjoram_place *place)
+set_stated_limit (struct marjoram_place *place,
+                  const struct marjoram_place_query *query)
 {
-  place->limit = MARJORAM_PLACE_LIMIT_RATE;
-  if (place->rate_wait_ms > place->retry_ms)
-    place->retry_ms = place->rate_wait_ms;
+  int64_t wait_ms = 0;
+
+  if (place->excluded[MARJORAM_EXCLUDED_RATE] > 0)
+    {
+      place->limit = MARJORAM_PLACE_LIMIT_RATE;
+      wait_ms = place->rate_wait_ms;
+    }
+  if (place->excluded[MARJORAM_EXCLUDED_RETRY_AFTER] > 0
+      && (wait_ms == 0 || place->retry_wait_ms < wait_ms))
+    {
+      place->limit = MARJORAM_PLACE_LIMIT_RETRY_AFTER;
+      wait_ms = place->retry_wait_ms
+                + return_spread_ms (query, place->retry_wait_ms);
+    }
+  if (wait_ms > place->retry_ms)
+    place->retry_ms = wait_ms;
 }
 
 void
@@ -620,14 +661,15 @@
     {
       place->candidates = 0;
       place->usable = 0;
+      place->rate_wait_ms = 0;
+      place->retry_wait_ms = 0;
       memset (place->excluded, 0, sizeof place->excluded);
       find_choices (placement, now, query, &all_upstreams, place, &cheapest,
                     &in_time);
     }
   if (!cheapest.upstream)
     {
-      if (place->excluded[MARJORAM_EXCLUDED_RATE] > 0)
-        set_rate_limited (place);
+      set_stated_limit (place, query);
       return;
     }
   if (in_time.upstream
@@ -698,6 +740,7 @@
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
     if (now < endpoint->paused_until || endpoint->connect_failures > 0
+        || marjoram_endpoint_retry_wait_ms (endpoint, now) > 0
         || marjoram_endpoint_is_rate_limited (endpoint)
         || is_cold (placement, endpoint, upstream, service, now))
       continue;
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -1,7 +1,7 @@
 /* Internals shared by placement.c (state and attempt lifecycle),
    placement_choose.c (selection), placement_rate.c (rate limits),
-   placement_report.c (load reports between hosts) and placement_collect.c
-   (load reports through collectors).  */
+   placement_retry.c (Retry-After), placement_report.c (load reports between
+   hosts) and placement_collect.c (load reports through collectors).  */
 #ifndef MARJORAM_PLACEMENT_PRIVATE_H
 #define MARJORAM_PLACEMENT_PRIVATE_H
 
@@ -78,6 +78,10 @@
   int64_t last_received_at; /* last response data to this host; 0 if none */
   int64_t cold_until;
   int64_t cold_sent_at; /* last request sent; limits the rate while cold */
+  /* This host sends nothing before, as the upstream answered Retry-After.  */
+  int64_t retry_at;
+  int64_t retry_tried_at;       /* last request sent */
+  int retry_refusals;           /* with Retry-After, in a row */
   marjoram_upstream_rate *rate; /* null until a limit is known */
   bool report_rate;             /* in the next load report */
   int64_t sharers_checked_at;
@@ -101,6 +105,7 @@
   struct marjoram_endpoint *endpoint;
   char *service;
   int64_t started_at;
+  int64_t instance_started_at; /* of the endpoint, when it was sent */
   int64_t prefill_tokens;
   int64_t queued; /* prefill tokens queued ahead when it was sent */
   int64_t held;
@@ -222,6 +227,20 @@
 int64_t marjoram_endpoint_rate_wait_ms (marjoram_placement *placement,
                                         struct marjoram_endpoint *endpoint,
                                         int64_t now);
+/* Time in ms until this host may send ENDPOINT a request after a Retry-After;
+   0 if it may now.  */
+int64_t
+marjoram_endpoint_retry_wait_ms (const struct marjoram_endpoint *endpoint,
+                                 int64_t now);
+void marjoram_endpoint_clear_retry (struct marjoram_endpoint *endpoint);
+/* The upstream has begun to answer ATTEMPT, so that it accepts requests again
+   if ATTEMPT was sent after its Retry-After.  */
+void
+marjoram_attempt_end_trial (const struct marjoram_placed_attempt *attempt);
+/* Null if NUMBER is unknown.  */
+struct marjoram_placed_attempt *
+marjoram_placement_find_attempt (marjoram_placement *placement,
+                                 uint64_t number);
 void
 marjoram_endpoint_apply_placed (struct marjoram_endpoint *endpoint,
                                 const struct marjoram_placed_part *placed);
--- /dev/null
+++ b/src/placement_retry.c
@@ -0,0 +1,82 @@
+#include "placement_private.h"
+
+enum
+{
+  /* Interval between requests to an upstream whose Retry-After has passed,
+     until one of them is answered: all hosts that it turned away may come
+     back at the same moment.  */
+  TRIAL_INTERVAL_MS = 100,
+  /* Minimum wait after a refusal, doubled with each one in a row up to
+     BACKOFF_MAX_MS: an upstream that refuses everything runs nothing, and
+     would otherwise be the first choice each time that it has waited.  */
+  BACKOFF_MS = 100,
+  BACKOFF_MAX_MS = 2000
+};
+
+static int64_t
+backoff_ms (int refusals)
+{
+  int64_t ms = BACKOFF_MS;
+
+  for (int i = 1; i < refusals && ms < BACKOFF_MAX_MS; i++)
+    ms *= 2;
+  return ms < BACKOFF_MAX_MS ? ms : BACKOFF_MAX_MS;
+}
+
+int64_t
+marjoram_endpoint_retry_wait_ms (const struct marjoram_endpoint *endpoint,
+                                 int64_t now)
+{
+  const int64_t next_trial_at = endpoint->retry_tried_at + TRIAL_INTERVAL_MS;
+
+  if (now < endpoint->retry_at)
+    return endpoint->retry_at - now;
+  return endpoint->retry_refusals > 0 && now < next_trial_at
+             ? next_trial_at - now
+             : 0;
+}
+
+void
+marjoram_endpoint_clear_retry (struct marjoram_endpoint *endpoint)
+{
+  endpoint->retry_at = 0;
+  endpoint->retry_tried_at = 0;
+  endpoint->retry_refusals = 0;
+}
+
+void
+marjoram_attempt_end_trial (const struct marjoram_placed_attempt *attempt)
+{
+  if (attempt->started_at >= attempt->endpoint->retry_at)
+    attempt->endpoint->retry_refusals = 0;
+}
+
+bool
+marjoram_placement_set_retry_after (marjoram_placement *placement, int64_t now,
+                                    uint64_t number, int64_t retry_after_ms)
+{
+  struct marjoram_placed_attempt *attempt
+      = marjoram_placement_find_attempt (placement, number);
+  const struct marjoram_registered *upstream;
+  struct marjoram_endpoint *endpoint;
+  int64_t wait_ms;
+
+  if (!attempt)
+    return false;
+  endpoint = attempt->endpoint;
+  upstream
+      = marjoram_registry_find (placement->options.registry, endpoint->id);
+  if (upstream)
+    marjoram_endpoint_of (placement, upstream);
+  if (endpoint->instance_started_at != attempt->instance_started_at)
+    return false;
+  if (attempt->started_at >= endpoint->retry_at)
+    endpoint->retry_refusals++;
+  wait_ms = backoff_ms (endpoint->retry_refusals);
+  if (retry_after_ms > wait_ms)
+    wait_ms = retry_after_ms;
+  if (now + wait_ms <= endpoint->retry_at)
+    return false;
+  endpoint->retry_at = now + wait_ms;
+  return true;
+}
