Refusals of requests that may not be repeated tell when an upstream is free again

What callers saw: a request that an upstream had refused, and that the budget of repeats did not let go on, was answered with Retry-After 0.25 s, also while all upstreams had asked for 3 s, so that the caller came back in vain.

Change: the delay is that of a placement at that moment: 0.25 s if one is free. Test first: refusal_without_repeat_tells_the_time_left got 250 ms, of 2899 and more.

--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -17,7 +17,6 @@
   STATUS_UNAVAILABLE = 503,
   STATUS_SERVER_ERROR = 500,
   SUCCESS = 2, /* status class 2xx */
-  REFUSED_RETRY_MS = 250,
   RETRY_TIME_MIN_MS = 30,
   /* Attempts allowed beyond max_upstreams, for upstreams that refused without
      running the request.  */
@@ -176,7 +175,8 @@
       = { .outcome = ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
           .reason = reason,
           .status = ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
-          .retry_ms = ran ? 0 : REFUSED_RETRY_MS };
+          .retry_ms
+          = ran ? 0 : marjoram_exchange_retry_ms (gateway, exchange, now) };
 
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -206,6 +206,11 @@
 marjoram_exchange_has_other_place (marjoram_gateway *gateway,
                                    const struct marjoram_exchange *exchange,
                                    int64_t now);
+/* Delay in ms before the caller of an exchange that is refused now should
+   retry.  */
+int64_t marjoram_exchange_retry_ms (marjoram_gateway *gateway,
+                                    const struct marjoram_exchange *exchange,
+                                    int64_t now);
 /* Whether the route's residency rules allow this host's region.  */
 bool marjoram_exchange_may_run_here (const marjoram_gateway *gateway,
                                      const struct marjoram_exchange *exchange);
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -461,6 +461,24 @@
                                            query.time_left_ms);
 }
 
+int64_t
+marjoram_exchange_retry_ms (marjoram_gateway *gateway,
+                            const struct marjoram_exchange *exchange,
+                            int64_t now)
+{
+  const struct marjoram_service_rule *service
+      = marjoram_route_table_service (gateway->table, exchange->service);
+  struct marjoram_place_query query;
+  struct marjoram_place chosen;
+
+  if (!service || !marjoram_exchange_may_run_here (gateway, exchange))
+    return REFUSED_RETRY_MS;
+  make_query (exchange, service, now, &query);
+  marjoram_placement_choose (gateway->placement, now, &query, &chosen);
+  return chosen.outcome == MARJORAM_PLACE_FOUND ? REFUSED_RETRY_MS
+                                                : chosen.retry_ms;
+}
+
 /* Looks up the route on each attempt, so that a retry follows the current
    configuration.  */
 void
--- a/test/test_upstream_retry_after.c
+++ b/test/test_upstream_retry_after.c
@@ -260,6 +260,34 @@
 }
 END_TEST
 
+/* Guards against telling the caller of a request that may not be repeated to
+   come back while all upstreams refuse.  */
+START_TEST (refusal_without_repeat_tells_the_time_left)
+{
+  int64_t now = 0;
+  int sends;
+
+  f.link_up = false;
+  do
+    {
+      now += 100;
+      sends = f.seen.sends;
+      gateway_fixture_call (&f, now, "/digest/x");
+      for (int i = sends; i < f.seen.sends; i++)
+        gateway_fixture_refuse (&f, now + 1, 503, NULL);
+    }
+  while (f.seen.sends > sends + 1);
+  gateway_fixture_call (&f, now + 100, "/digest/x");
+  gateway_fixture_refuse (&f, now + 101, 503, "3");
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_UPSTREAM_REFUSED);
+  ck_assert_int_lt (f.seen.why.retry_ms, 1000);
+  gateway_fixture_call (&f, now + 200, "/digest/x");
+  gateway_fixture_refuse (&f, now + 201, 503, "3");
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_UPSTREAM_REFUSED);
+  ck_assert_int_ge (f.seen.why.retry_ms, 2899);
+}
+END_TEST
+
 /* Guards against refused callers that come back all at once.  */
 START_TEST (refused_callers_come_back_spread_out)
 {
@@ -491,6 +519,7 @@
   suite_add_tcase (all, fleet);
   tcase_add_checked_fixture (host, setup, teardown);
   tcase_add_test (host, request_is_refused_at_once_with_the_time_left);
+  tcase_add_test (host, refusal_without_repeat_tells_the_time_left);
   tcase_add_test (host, refused_callers_come_back_spread_out);
   tcase_add_test (host, request_goes_to_another_region);
   tcase_add_test (host, shorter_time_does_not_end_a_longer_one);
