--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -162,6 +162,8 @@
 #define CRASHING_PART "dead:"
 /* In a target, before the id of the program that refuses it.  */
 #define SHED "shed-"
+/* Likewise, of the program whose answer says that it leaves.  */
+#define LEAVING "leaving-"
 #define SHED_RETRY_AFTER "3" /* seconds */
 
 static void
@@ -173,16 +175,16 @@
     marjoram_header_list_add (headers, "Marjoramproxy-Response-Seal", "seal");
 }
 
-/* RETRY_AFTER is the value of Retry-After; null: none.  */
+/* With a header NAME, unless that is null.  */
 static void
-reply_later (struct replica *replica, uint64_t call, int status,
-             const char *id, const char *body, const char *retry_after)
+reply_with (struct replica *replica, uint64_t call, int status, const char *id,
+            const char *body, const char *name, const char *value)
 {
   struct marjoram_header_list headers = { 0 };
 
   add_response_headers (&headers, id, status != 503);
-  if (retry_after)
-    marjoram_header_list_add (&headers, "Retry-After", retry_after);
+  if (name)
+    marjoram_header_list_add (&headers, name, value);
   if (status == 503 || status == 421)
     marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
   marjoram_http_server_head (replica->server, call, status, &headers,
@@ -196,7 +198,7 @@
 reply (struct replica *replica, uint64_t call, int status, const char *id,
        const char *body)
 {
-  reply_later (replica, call, status, id, body, NULL);
+  reply_with (replica, call, status, id, body, NULL, NULL);
 }
 
 static void
@@ -272,21 +274,21 @@
   return prompt && strstr (prompt, part);
 }
 
-/* Whether the target tells this program to refuse it for some time.  */
+/* Whether the target ends with FAULT and the id of this program.  */
 static bool
-is_to_shed (const struct replica *replica,
-            const struct marjoram_http_request *request)
+is_target_of (const struct replica *replica,
+              const struct marjoram_http_request *request, const char *fault)
 {
-  const char *name = strstr (request->target, SHED);
+  const char *name = strstr (request->target, fault);
 
-  return name && strcmp (name + strlen (SHED), replica->id) == 0;
+  return name && strcmp (name + strlen (fault), replica->id) == 0;
 }
 
 static void
 shed (struct replica *replica, uint64_t call, const char *id)
 {
   log_event (replica, "shed", id);
-  reply_later (replica, call, 503, id, "", SHED_RETRY_AFTER);
+  reply_with (replica, call, 503, id, "", "Retry-After", SHED_RETRY_AFTER);
 }
 
 static void
@@ -312,6 +314,8 @@
     marjoram_http_server_abort (replica->server, call);
   else if (target_contains (request, "fail"))
     reply (replica, call, 500, id, "failed");
+  else if (is_target_of (replica, request, LEAVING))
+    reply_with (replica, call, 200, id, replica->id, "Server-Leaving", "1");
   else if (target_contains (request, "stray"))
     reply (replica, call, 200, "another", "not yours");
   else if (target_contains (request, "/stream/"))
@@ -342,7 +346,7 @@
     log_event (replica, "smuggled", id);
   else if (target_contains (request, "full"))
     reply (replica, call, 503, id, "");
-  else if (is_to_shed (replica, request))
+  else if (is_target_of (replica, request, SHED))
     shed (replica, call, id);
   else
     handle_request (replica, call, request, id);
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -38,6 +38,7 @@
   CALLER_TIMEOUT_MS = 4000,
   HOST_LINK_MS = 1, /* within a region */
   CONNECT_TIMEOUT_MS = 600,
+  LEAVING_MS = 3000,    /* for requests that callers sent before */
   KEPT_CONNECTIONS = 2, /* of a host to an upstream */
   STATUS_OK = 200,
   STATUS_BAD_REQUEST = 400,
@@ -186,6 +187,10 @@
   const struct fleet_shedding *shedding[FLEET_UPSTREAMS]; /* null: none */
   int64_t started_at[FLEET_UPSTREAMS];
   struct retry_bound *retries;
+  bool leaving[FLEET_UPSTREAMS];
+  /* When an answer first told a host that an upstream leaves; 0: none did.  */
+  int64_t leaving_told_at[FLEET_HOSTS][FLEET_UPSTREAMS];
+  struct fleet_leaving_counts leaving_counts;
   int64_t serve_ms;
   const char *route;  /* its prefix; null: varying ones */
   const char *prefix; /* of the route; null: no prompts */
@@ -721,6 +726,15 @@
   crash (fleet, event->upstream);
 }
 
+static void
+count_late_to_leaving (struct fleet *fleet, const struct event *event)
+{
+  const int64_t told_at = fleet->leaving_told_at[event->node][event->upstream];
+
+  if (told_at != 0 && fleet->sent[event->id].at > told_at + LEAVING_MS)
+    fleet->leaving_counts.late++;
+}
+
 static void
 count_arrival (struct fleet *fleet, const struct event *event)
 {
@@ -730,6 +744,7 @@
                           event->node);
   retry_bound_add_request (fleet->retries, fleet->now, event->node,
                            event->upstream);
+  count_late_to_leaving (fleet, event);
   if (fleet->arrived[event->id])
     repeat_bound_add_repeat (fleet->bound, fleet->now);
   fleet->arrived[event->id] = 1;
@@ -801,6 +816,21 @@
   marjoram_header_list_add (headers, "Server-Brittle", text);
 }
 
+static void
+add_leaving (struct node *node, const struct event *event,
+             struct marjoram_header_list *headers)
+{
+  struct fleet *fleet = node->fleet;
+  int64_t *told_at = &fleet->leaving_told_at[node->index][event->upstream];
+
+  if (!fleet->leaving[event->upstream])
+    return;
+  marjoram_header_list_add (headers, "Server-Leaving", "1");
+  fleet->leaving_counts.told++;
+  if (*told_at == 0)
+    *told_at = fleet->now;
+}
+
 static const char events_text[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
                                   "id: 3\ndata: c\n\n";
 
@@ -820,6 +850,7 @@
     {
       add_rate_limit (node, event, &headers);
       add_brittle (node, &headers);
+      add_leaving (node, event, &headers);
       if (event->retry_after)
         marjoram_header_list_add (&headers, "Retry-After", event->retry_after);
     }
@@ -1065,12 +1096,27 @@
                                       retry_bound_worst (fleet->retries) };
 }
 
+void
+fleet_set_leaving (struct fleet *fleet, int region, int upstream, bool leaving)
+{
+  fleet->leaving[index_of (region, upstream)] = leaving;
+}
+
+struct fleet_leaving_counts
+fleet_count_leaving (const struct fleet *fleet)
+{
+  return fleet->leaving_counts;
+}
+
 void
 fleet_restart_upstream (struct fleet *fleet, int region, int upstream)
 {
   const int index = index_of (region, upstream);
 
   fleet->started_at[index]++;
+  fleet->leaving[index] = false;
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    fleet->leaving_told_at[i][index] = 0;
   break_answers (fleet, index);
   retry_bound_excuse_upstream (fleet->retries, index);
 }
@@ -1233,6 +1279,8 @@
   for (int i = 0; i < FLEET_UPSTREAMS; i++)
     rate_bound_clear_told (fleet->rate_bounds[i], host);
   retry_bound_excuse_host (fleet->retries, host);
+  memset (fleet->leaving_told_at[host], 0,
+          sizeof fleet->leaving_told_at[host]);
 }
 
 void
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -81,6 +81,18 @@
   int worst;
 };
 struct fleet_retry_counts fleet_count_retries (const struct fleet *fleet);
+/* Whether all answers of UPSTREAM, from 1, of REGION say that it leaves.  Its
+   heartbeats say that it is ready.  */
+void fleet_set_leaving (struct fleet *fleet, int region, int upstream,
+                        bool leaving);
+/* Answers that said so to a host, and requests that reached the upstream from
+   that host although their callers sent them long after it.  */
+struct fleet_leaving_counts
+{
+  int told;
+  int late;
+};
+struct fleet_leaving_counts fleet_count_leaving (const struct fleet *fleet);
 /* UPSTREAM, from 1, of REGION starts again under its id.  */
 void fleet_restart_upstream (struct fleet *fleet, int region, int upstream);
 /* All requests of callers are for the route with PREFIX.  */
