Upstreams whose answers say that they leave get no new requests

What callers would see: requests to an upstream that is about to end, while others are idle.

Cause: Server-Leaving was not read; only heartbeats told of leaving, which come to a host by way of keepers, later or not at all.

Change: the first answer of an upstream that says so, a refusal and a failure as well, takes it out at this host until it starts again under its id. Its heartbeats, or a gap of up to ten minutes in them, do not bring it back. A stream that is bound to its build may go on there for 1.5 s, as after a heartbeat. What runs there goes on. A 421, an answer that names another upstream or request, and one of a former instance tell nothing. The header is not passed on to callers, who would take it for the host's.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -65,6 +65,7 @@
   bool signed_by_upstream;
   bool not_run;
   bool wrong_upstream; /* another upstream now has the address */
+  bool leaving;        /* the responder accepts no new requests */
   int64_t cold_ms;     /* remaining warm-up time; -1 if not given */
   /* Requests per second that the responder accepts from all hosts together;
      negative if it states no limit.  */
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -298,6 +298,15 @@
   if (!is_from_upstream (exchange, metadata))
     return;
   record_retry_after (gateway, exchange, now);
+  if (metadata->leaving
+      && marjoram_placement_set_leaving (gateway->placement, now,
+                                         exchange->attempt))
+    {
+      marjoram_metrics_add (gateway->options.metrics,
+                            MARJORAM_METRIC_LEAVING_ANSWERS, 1);
+      marjoram_event (MARJORAM_EVENT_UPSTREAM, "id=%s service=%s leaving=told",
+                      exchange->upstream, exchange->service);
+    }
   if (metadata->cold_ms > 0)
     marjoram_placement_set_cold (gateway->placement, now, exchange->upstream,
                                  metadata->cold_ms);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -40,6 +40,7 @@
   [MARJORAM_METRIC_STRAY_ANSWERS] = "gateway_stray_answers",
   [MARJORAM_METRIC_RATE_LIMITS] = "upstream_rate_limits",
   [MARJORAM_METRIC_RETRY_AFTERS] = "upstream_retry_afters",
+  [MARJORAM_METRIC_LEAVING_ANSWERS] = "upstream_leaving_answers",
   [MARJORAM_METRIC_REJECTED_INPUT] = "rejected_input",
   [MARJORAM_METRIC_UPSTREAM_HEARTBEATS] = "upstream_news",
   [MARJORAM_METRIC_UPSTREAM_HEARTBEATS_STALE] = "upstream_news_stale",
--- a/src/placement.c
+++ b/src/placement.c
@@ -600,6 +600,19 @@
   return true;
 }
 
+bool
+marjoram_placement_set_leaving (marjoram_placement *placement, int64_t now,
+                                uint64_t number)
+{
+  const struct marjoram_placed_attempt *attempt
+      = marjoram_placement_find_attempt (placement, number);
+
+  return attempt
+         && marjoram_registry_set_leaving (placement->options.registry, now,
+                                           attempt->endpoint->id,
+                                           attempt->instance_started_at);
+}
+
 int64_t
 marjoram_endpoint_reported_lost_at (const struct marjoram_endpoint *endpoint)
 {
--- a/src/placement.h
+++ b/src/placement.h
@@ -210,6 +210,10 @@
 bool marjoram_placement_set_retry_after (marjoram_placement *placement,
                                          int64_t now, uint64_t attempt,
                                          int64_t retry_after_ms);
+/* The response to ATTEMPT states that its upstream leaves.  Returns whether
+   that is new.  */
+bool marjoram_placement_set_leaving (marjoram_placement *placement,
+                                     int64_t now, uint64_t attempt);
 /* The evacuation of ZONE ended: its upstreams are treated as cold until their
    next heartbeat.  */
 void marjoram_placement_zone_restored (marjoram_placement *placement,
--- a/src/registry.c
+++ b/src/registry.c
@@ -14,6 +14,9 @@
   /* Records outlive delayed heartbeats, so that outdated ones are
      recognized.  */
   FORGET_MS = 60000,
+  /* For upstreams whose answers said that they leave: no heartbeat would tell
+     it again.  */
+  FORGET_LEAVING_MS = 600000,
   /* Time for which an upstream whose keeper is unreachable counts as alive
      without heartbeats.  */
   LIMBO_MAX_MS = 20000,
@@ -375,7 +378,8 @@
   if (upstream->heartbeat.state < before)
     upstream->heartbeat.state = before;
   if (before == MARJORAM_UPSTREAM_READY
-      && upstream->heartbeat.state == MARJORAM_UPSTREAM_LEAVING)
+      && upstream->heartbeat.state == MARJORAM_UPSTREAM_LEAVING
+      && !upstream->is_told_leaving)
     upstream->leaving_at = upstream->received_at;
   return upstream->heartbeat.state != before || differs
                  || heartbeat->cold_ms > 0
@@ -405,6 +409,7 @@
         return MARJORAM_REGISTRY_STALE;
       store_heartbeat (registry, upstream, now, heartbeat, age_ms);
       upstream->leaving_at = INT64_MIN;
+      upstream->is_told_leaving = false;
       return MARJORAM_REGISTRY_CHANGED;
     }
   return renew (registry, upstream, now, heartbeat, age_ms);
@@ -461,16 +466,34 @@
                           int64_t now)
 {
   return upstream->heartbeat.state == MARJORAM_UPSTREAM_READY
-         && upstream->ends_at == INT64_MAX && !is_silent (registry, upstream)
+         && !upstream->is_told_leaving && upstream->ends_at == INT64_MAX
+         && !is_silent (registry, upstream)
          && now - marjoram_registry_heard_at (registry, upstream) < FORGET_MS;
 }
 
+bool
+marjoram_registry_set_leaving (marjoram_registry *registry, int64_t now,
+                               const char *id, int64_t started_at)
+{
+  struct marjoram_registered *upstream = marjoram_registry_find (registry, id);
+
+  if (!upstream || upstream->heartbeat.started_at != started_at
+      || upstream->is_told_leaving)
+    return false;
+  upstream->is_told_leaving = true;
+  if (upstream->heartbeat.state == MARJORAM_UPSTREAM_READY)
+    upstream->leaving_at = now;
+  return true;
+}
+
 bool
 marjoram_registry_still_serves (const marjoram_registry *registry,
                                 const struct marjoram_registered *upstream,
                                 int64_t now)
 {
-  return upstream->heartbeat.state == MARJORAM_UPSTREAM_LEAVING
+  return (upstream->heartbeat.state == MARJORAM_UPSTREAM_LEAVING
+          || (upstream->is_told_leaving
+              && upstream->heartbeat.state == MARJORAM_UPSTREAM_READY))
          && upstream->leaving_at != INT64_MIN
          && now < upstream->leaving_at + STILL_SERVES_MS
          && upstream->ends_at == INT64_MAX && !is_silent (registry, upstream);
@@ -482,7 +505,8 @@
 {
   const int64_t heard_at = marjoram_registry_heard_at (registry, upstream);
 
-  return now - heard_at > FORGET_MS
+  return now - heard_at
+             > (upstream->is_told_leaving ? FORGET_LEAVING_MS : FORGET_MS)
          && registry->received_at - heard_at > SILENT_MS;
 }
 
--- a/src/registry.h
+++ b/src/registry.h
@@ -36,6 +36,7 @@
   /* When it said that it leaves; INT64_MIN if it does not, or had said so
      before it was known here.  */
   int64_t leaving_at;
+  bool is_told_leaving; /* by an answer of this instance */
   /* At a host: whether its keeper's summaries renew it, and when it was named
      last.  */
   bool is_vouched;
@@ -107,6 +108,12 @@
 bool marjoram_registry_usable (const marjoram_registry *registry,
                                const struct marjoram_registered *upstream,
                                int64_t now);
+/* An answer of the instance of upstream ID that started at STARTED_AT, to this
+   host or another one, says that it leaves.  That holds until it starts again,
+   whatever its heartbeats say, and is not passed on by
+   marjoram_registry_pack.  Returns whether that is new.  */
+bool marjoram_registry_set_leaving (marjoram_registry *registry, int64_t now,
+                                    const char *id, int64_t started_at);
 /* Whether UPSTREAM has only just said that it leaves, and still serves for a
    while what no other upstream can.  */
 bool
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -153,14 +153,15 @@
   ck_assert_int_eq (facts.cold_ms, -1);
   ck_assert (facts.rate_limit < 0 && facts.refusals_tolerated < 0);
   dialect->read_answer (503, &headers, &facts);
-  ck_assert (!facts.not_run && !facts.signed_by_upstream);
+  ck_assert (!facts.not_run && !facts.signed_by_upstream && !facts.leaving);
   marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
   marjoram_header_list_add (&headers, "Marjoramproxy-Response-Seal", "x");
   marjoram_header_list_add (&headers, "Marjoramproxy-Cold-Ms", "700");
   marjoram_header_list_add (&headers, "Server-Limit", "1.25");
   marjoram_header_list_add (&headers, "Server-Brittle", "7");
+  marjoram_header_list_add (&headers, "server-leaving", "1");
   dialect->read_answer (503, &headers, &facts);
-  ck_assert (facts.not_run && facts.signed_by_upstream);
+  ck_assert (facts.not_run && facts.signed_by_upstream && facts.leaving);
   ck_assert_int_eq (facts.cold_ms, 700);
   ck_assert_double_eq (facts.rate_limit, 1.25);
   ck_assert_double_eq (facts.refusals_tolerated, 7);
@@ -168,6 +169,17 @@
 }
 END_TEST
 
+/* Guards against callers that take an upstream's word for that of the host
+   they are connected to.  */
+START_TEST (words_of_upstreams_are_not_forwarded_to_callers)
+{
+  ck_assert (!dialect->passes_to_caller ("marjoramproxy-not-executed"));
+  ck_assert (!dialect->passes_to_caller ("Server-Leaving"));
+  ck_assert (dialect->passes_to_caller ("Marjoramproxy-Response-Seal"));
+  ck_assert (dialect->passes_to_caller ("X-Anything"));
+}
+END_TEST
+
 /* ---- API calls.  ---- */
 
 static bool
@@ -492,6 +504,7 @@
   tcase_add_test (tcase, internal_headers_are_not_forwarded_to_upstreams);
   tcase_add_test (tcase, upstream_headers_are_written);
   tcase_add_test (tcase, response_headers_are_parsed);
+  tcase_add_test (tcase, words_of_upstreams_are_not_forwarded_to_callers);
   tcase_add_test (tcase, heartbeat_is_parsed);
   tcase_add_test (tcase, invalid_heartbeats_are_rejected);
   tcase_add_test (tcase, deregistration_body_is_optional);
--- a/test/test_registry.c
+++ b/test/test_registry.c
@@ -200,6 +200,50 @@
 }
 END_TEST
 
+/* Guards against heartbeats, or a gap in them, that make an upstream usable
+   again after its answers said that it leaves.  */
+START_TEST (told_leaving_holds_until_a_restart)
+{
+  struct marjoram_upstream_heartbeat other
+      = heartbeat ("b", 1, 1, MARJORAM_UPSTREAM_READY);
+
+  snprintf (other.address, sizeof other.address, "10.0.0.8:80");
+  receive_heartbeat (0, "a", 5, 1, MARJORAM_UPSTREAM_READY);
+  ck_assert (!marjoram_registry_set_leaving (registry, 10, "a", 4));
+  ck_assert (!marjoram_registry_set_leaving (registry, 10, "b", 5));
+  ck_assert (usable ("a", 20));
+  ck_assert (marjoram_registry_set_leaving (registry, 30, "a", 5));
+  ck_assert (!marjoram_registry_set_leaving (registry, 40, "a", 5));
+  ck_assert (!usable ("a", 50));
+  receive_heartbeat (100, "a", 5, 2, MARJORAM_UPSTREAM_READY);
+  ck_assert (!usable ("a", 110));
+  for (int64_t now = 1000; now < 120000; now += 1000)
+    {
+      other.sequence = now;
+      marjoram_registry_update (registry, now, &other, 0);
+      marjoram_registry_tick (registry, now);
+    }
+  receive_heartbeat (120000, "a", 5, 3, MARJORAM_UPSTREAM_READY);
+  ck_assert (!usable ("a", 120001));
+  receive_heartbeat (121000, "a", 6, 1, MARJORAM_UPSTREAM_READY);
+  ck_assert (usable ("a", 121001));
+}
+END_TEST
+
+START_TEST (told_leaving_upstream_serves_on_for_a_while)
+{
+  const struct marjoram_registered *upstream;
+
+  receive_heartbeat (0, "a", 5, 1, MARJORAM_UPSTREAM_READY);
+  upstream = marjoram_registry_find (registry, "a");
+  ck_assert (!marjoram_registry_still_serves (registry, upstream, 10));
+  marjoram_registry_set_leaving (registry, 100, "a", 5);
+  ck_assert (marjoram_registry_still_serves (registry, upstream, 1000));
+  receive_heartbeat (1200, "a", 5, 2, MARJORAM_UPSTREAM_LEAVING);
+  ck_assert (!marjoram_registry_still_serves (registry, upstream, 1700));
+}
+END_TEST
+
 START_TEST (old_records_are_dropped)
 {
   struct marjoram_upstream_heartbeat other
@@ -230,6 +274,8 @@
   tcase_add_test (c, ending_upstream_is_not_usable);
   tcase_add_test (c, durations_survive_transfer);
   tcase_add_test (c, build_alone_is_a_change);
+  tcase_add_test (c, told_leaving_holds_until_a_restart);
+  tcase_add_test (c, told_leaving_upstream_serves_on_for_a_while);
   tcase_add_test (c, old_records_are_dropped);
   suite_add_tcase (s, c);
   return s;
