Hosts tell each other which upstreams leave or turn requests away

What callers saw: each host of a region had a request of its own refused by an upstream that had asked its neighbours to wait, and took a repeat from the budget for it.

Change: a load report, also one by way of collectors, says of an upstream whose answers told the host something new that it leaves, or how much of its Retry-After is left, and of which instance. Leaving is a fact and counts at all hosts. A Retry-After was told to one host only: for others the upstream costs 200 ms more until then, so that it stays the last choice and is not taken out for what one host sent.

--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -125,6 +125,9 @@
   BOOL (marjoram_load_item, lost),
   UINT (marjoram_load_item, rate_number),
   INT (marjoram_load_item, rate_limit),
+  BOOL (marjoram_load_item, leaving),
+  UINT (marjoram_load_item, retry_ms),
+  INT (marjoram_load_item, started_at),
 };
 static LAYOUT (load_item_layout, marjoram_load_item, load_item_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -153,6 +153,10 @@
   /* What is known of the upstream's rate limit (upstream_rate.h).  */
   uint64_t rate_number;
   int64_t rate_limit; /* requests per 1,000 s; negative: none */
+  /* What answers of the instance that started at STARTED_AT have said.  */
+  bool leaving;
+  uint64_t retry_ms; /* left of a Retry-After to the reporting host */
+  int64_t started_at;
 };
 
 /* A prompt prefix block that was just sent to an upstream.  */
--- a/src/load_collector.c
+++ b/src/load_collector.c
@@ -1,6 +1,7 @@
 #include "load_collector.h"
 
 #include "cleanup.h"
+#include "retry_after.h"
 
 #include <string.h>
 #include <sys/queue.h>
@@ -47,6 +48,10 @@
   /* What hosts told last of its rate limit, until they are told.  */
   uint64_t rate_number;
   int64_t rate_limit;
+  /* What answers of the instance that started at STARTED_AT said, likewise. */
+  bool leaving;
+  int64_t retry_at;
+  int64_t started_at;
   bool is_told;           /* hosts were last told of a load */
   uint64_t report_number; /* last report with it, at ITEM_INDEX */
   size_t item_index;
@@ -269,7 +274,28 @@
 }
 
 static void
-apply_item (struct reporter *reporter, struct total *total,
+apply_statements (struct total *total, int64_t now,
+                  const struct marjoram_load_item *item)
+{
+  int64_t retry_at;
+
+  if (item->retry_ms > MARJORAM_RETRY_AFTER_MAX_MS
+      || (!item->leaving && item->retry_ms == 0))
+    return;
+  retry_at = now + (int64_t)item->retry_ms;
+  if (item->started_at != total->started_at)
+    {
+      total->leaving = false;
+      total->retry_at = 0;
+    }
+  total->started_at = item->started_at;
+  total->leaving = total->leaving || item->leaving;
+  if (item->retry_ms > 0 && retry_at > total->retry_at)
+    total->retry_at = retry_at;
+}
+
+static void
+apply_item (struct reporter *reporter, struct total *total, int64_t now,
             const struct marjoram_load_item *item)
 {
   const struct load load
@@ -285,6 +311,7 @@
   total->changed = true;
   total->lost = total->lost || item->lost;
   apply_rate (total, item);
+  apply_statements (total, now, item);
 }
 
 static void
@@ -318,7 +345,7 @@
   for (size_t i = 0; i < report->items.count; i++)
     if (items[i].upstream)
       apply_item (reporter, find_or_add_total (collector, items[i].upstream),
-                  &items[i]);
+                  now, &items[i]);
   for (size_t i = 0; i < report->placed.count; i++)
     if (placed[i].upstream < report->items.count
         && items[placed[i].upstream].upstream)
@@ -331,7 +358,7 @@
 /* ---- Reports to hosts.  ---- */
 
 static size_t
-add_item (marjoram_load_collector *collector,
+add_item (marjoram_load_collector *collector, int64_t now,
           struct marjoram_load_report *report, struct total *total)
 {
   struct marjoram_load_item *items = report->items.items;
@@ -348,9 +375,14 @@
     .lost = total->lost,
     .rate_number = total->rate_number,
     .rate_limit = total->rate_limit,
+    .leaving = total->leaving,
+    .retry_ms = total->retry_at > now ? (uint64_t)(total->retry_at - now) : 0,
+    .started_at = total->started_at,
   };
   total->lost = false;
   total->rate_number = 0;
+  total->leaving = false;
+  total->retry_at = 0;
   total->changed = false;
   total->report_number = collector->report_count;
   total->item_index = report->items.count++;
@@ -365,27 +397,35 @@
          || (total->load.held > 0 && total->load.running <= LIGHT_RUNNING_MAX);
 }
 
+/* Whether hosts have to be told something else than a load.  */
+static bool
+has_news (const struct total *total)
+{
+  return total->lost || total->rate_number != 0 || total->leaving
+         || total->retry_at != 0;
+}
+
 /* In a brief report an engine that is no longer told of gets an item without
    load.  */
 static void
-add_brief_item (marjoram_load_collector *collector,
+add_brief_item (marjoram_load_collector *collector, int64_t now,
                 struct marjoram_load_report *report, struct total *total)
 {
   const struct load load = total->load;
   const bool is_told = !is_light (total);
 
   total->changed = false;
-  if (!is_told && !total->is_told && !total->lost && total->rate_number == 0)
+  if (!is_told && !total->is_told && !has_news (total))
     return;
   if (!is_told)
     memset (&total->load, 0, sizeof total->load);
-  add_item (collector, report, total);
+  add_item (collector, now, report, total);
   total->load = load;
   total->is_told = is_told;
 }
 
 static void
-add_totals (marjoram_load_collector *collector,
+add_totals (marjoram_load_collector *collector, int64_t now,
             struct marjoram_load_report *report)
 {
   struct total *total;
@@ -397,15 +437,15 @@
         && report->items.count < MARJORAM_LOADS_MAX)
       {
         if (collector->is_brief)
-          add_brief_item (collector, report, total);
+          add_brief_item (collector, now, report, total);
         else
-          add_item (collector, report, total);
+          add_item (collector, now, report, total);
       }
   }
 }
 
 static void
-add_placed (marjoram_load_collector *collector,
+add_placed (marjoram_load_collector *collector, int64_t now,
             struct marjoram_load_report *report)
 {
   struct marjoram_placed_part *parts = report->placed.items;
@@ -416,9 +456,10 @@
     if (report->items.count == MARJORAM_LOADS_MAX
         && placed->total->report_number != collector->report_count)
       continue;
-    parts[report->placed.count++] = (struct marjoram_placed_part){
-      placed->part, placed->tokens, add_item (collector, report, placed->total)
-    };
+    parts[report->placed.count++]
+        = (struct marjoram_placed_part){ placed->part, placed->tokens,
+                                         add_item (collector, now, report,
+                                                   placed->total) };
   }
   clear_placed (collector);
 }
@@ -455,8 +496,8 @@
                                         * sizeof (struct marjoram_load_item));
   report->placed.items = marjoram_alloc (
       collector->placed_count * sizeof (struct marjoram_placed_part));
-  add_totals (collector, report);
-  add_placed (collector, report);
+  add_totals (collector, now, report);
+  add_placed (collector, now, report);
   remove_idle (collector);
   return report->whole || report->items.count > 0;
 }
--- a/src/placement.c
+++ b/src/placement.c
@@ -607,10 +607,14 @@
   const struct marjoram_placed_attempt *attempt
       = marjoram_placement_find_attempt (placement, number);
 
-  return attempt
-         && marjoram_registry_set_leaving (placement->options.registry, now,
-                                           attempt->endpoint->id,
-                                           attempt->instance_started_at);
+  if (!attempt
+      || !marjoram_registry_set_leaving (placement->options.registry, now,
+                                         attempt->endpoint->id,
+                                         attempt->instance_started_at))
+    return false;
+  attempt->endpoint->report_leaving = true;
+  marjoram_endpoint_set_active (placement, attempt->endpoint);
+  return true;
 }
 
 int64_t
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -38,6 +38,8 @@
   /* For an upstream with several broken responses in a row.  High enough that
      any other is preferred; it is still better than none.  */
   SUSPECT_COST_MS = 1000,
+  /* For one that told another host to wait: it may refuse this one as well. */
+  OTHERS_RETRY_COST_MS = 200,
   /* For one not heard since all hosts of its zone were dead.  Higher than the
      cost of any other that is usable; it becomes silent only seconds later. */
   DARK_ZONE_COST_MS = 10000,
@@ -308,6 +310,8 @@
     estimate.cost_ms += COLD_COST_MS;
   if (now < endpoint->suspected_until)
     estimate.cost_ms += SUSPECT_COST_MS;
+  if (now < endpoint->others_retry_at)
+    estimate.cost_ms += OTHERS_RETRY_COST_MS;
   return estimate;
 }
 
--- a/src/placement_collect.c
+++ b/src/placement_collect.c
@@ -31,7 +31,7 @@
 static bool
 has_changed (const struct marjoram_endpoint *endpoint)
 {
-  return endpoint->report_disconnect || endpoint->report_rate
+  return marjoram_endpoint_has_news (endpoint)
          || memcmp (&endpoint->own, &endpoint->reported, sizeof endpoint->own)
                 != 0;
 }
@@ -45,7 +45,7 @@
 
   if (endpoint->report_number == placement->report_count)
     return endpoint->item_index;
-  items[report->items.count] = marjoram_endpoint_report_item (endpoint);
+  items[report->items.count] = marjoram_endpoint_report_item (endpoint, now);
   endpoint->report_number = placement->report_count;
   endpoint->item_index = report->items.count++;
   endpoint->previously_reported = endpoint->reported;
@@ -249,9 +249,7 @@
       if (!endpoint || !groups[endpoint->group])
         continue;
       set_collected (placement, endpoint, &items[i]);
-      if (items[i].lost)
-        endpoint->reported_lost_at = now;
-      marjoram_endpoint_learn_rate (placement, endpoint, now, &items[i]);
+      marjoram_endpoint_apply_news (placement, endpoint, now, &items[i]);
     }
   for (size_t i = 0; i < report->placed.count; i++)
     if (placed[i].upstream < report->items.count
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -80,8 +80,12 @@
   int64_t cold_sent_at; /* last request sent; limits the rate while cold */
   /* This host sends nothing before, as the upstream answered Retry-After.  */
   int64_t retry_at;
-  int64_t retry_tried_at;       /* last request sent */
-  int retry_refusals;           /* with Retry-After, in a row */
+  int64_t retry_tried_at;  /* last request sent */
+  int retry_refusals;      /* with Retry-After, in a row */
+  int64_t others_retry_at; /* the same at another host, by its report */
+  /* What its answers said to this host, for the next load report.  */
+  bool report_retry;
+  bool report_leaving;
   marjoram_upstream_rate *rate; /* null until a limit is known */
   bool report_rate;             /* in the next load report */
   int64_t sharers_checked_at;
@@ -208,7 +212,16 @@
 marjoram_load_from_item (const struct marjoram_load_item *item);
 /* Builds the report item for ENDPOINT; the item owns its string.  */
 struct marjoram_load_item
-marjoram_endpoint_report_item (struct marjoram_endpoint *endpoint);
+marjoram_endpoint_report_item (struct marjoram_endpoint *endpoint,
+                               int64_t now);
+/* Whether ENDPOINT belongs into the next load report, whatever its load.  */
+bool marjoram_endpoint_has_news (const struct marjoram_endpoint *endpoint);
+/* Applies what another host's report item says of ENDPOINT besides its load.
+ */
+void marjoram_endpoint_apply_news (marjoram_placement *placement,
+                                   struct marjoram_endpoint *endpoint,
+                                   int64_t now,
+                                   const struct marjoram_load_item *item);
 /* Adds what is known of ENDPOINT's rate limit to its report item.  */
 void marjoram_endpoint_add_rate (struct marjoram_endpoint *endpoint,
                                  struct marjoram_load_item *item);
@@ -233,6 +246,14 @@
 marjoram_endpoint_retry_wait_ms (const struct marjoram_endpoint *endpoint,
                                  int64_t now);
 void marjoram_endpoint_clear_retry (struct marjoram_endpoint *endpoint);
+/* Adds what answers of ENDPOINT said to this host to its report item.  */
+void marjoram_endpoint_add_statements (struct marjoram_endpoint *endpoint,
+                                       int64_t now,
+                                       struct marjoram_load_item *item);
+/* Applies what answers of ENDPOINT said to another host.  */
+void marjoram_endpoint_learn_statements (
+    marjoram_placement *placement, struct marjoram_endpoint *endpoint,
+    int64_t now, const struct marjoram_load_item *item);
 /* The upstream has begun to answer ATTEMPT, so that it accepts requests again
    if ATTEMPT was sent after its Retry-After.  */
 void
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -32,7 +32,7 @@
 }
 
 struct marjoram_load_item
-marjoram_endpoint_report_item (struct marjoram_endpoint *endpoint)
+marjoram_endpoint_report_item (struct marjoram_endpoint *endpoint, int64_t now)
 {
   struct marjoram_load_item item = {
     .upstream = marjoram_strdup (endpoint->id),
@@ -47,20 +47,29 @@
   endpoint->report_disconnect = false;
   if (endpoint->report_rate)
     marjoram_endpoint_add_rate (endpoint, &item);
+  marjoram_endpoint_add_statements (endpoint, now, &item);
   return item;
 }
 
+bool
+marjoram_endpoint_has_news (const struct marjoram_endpoint *endpoint)
+{
+  return endpoint->report_disconnect || endpoint->report_rate
+         || endpoint->report_retry || endpoint->report_leaving;
+}
+
 /* ---- Reports from this host.  ---- */
 
 static size_t
-add_item (marjoram_placement *placement, struct marjoram_load_report *report,
+add_item (marjoram_placement *placement, int64_t now,
+          struct marjoram_load_report *report,
           struct marjoram_endpoint *endpoint)
 {
   struct marjoram_load_item *items = report->items.items;
 
   if (endpoint->report_number == placement->report_count)
     return endpoint->item_index;
-  items[report->items.count] = marjoram_endpoint_report_item (endpoint);
+  items[report->items.count] = marjoram_endpoint_report_item (endpoint, now);
   endpoint->report_number = placement->report_count;
   endpoint->item_index = report->items.count++;
   return endpoint->item_index;
@@ -110,9 +119,8 @@
        endpoint && report->items.count < MARJORAM_LOADS_MAX; endpoint = next)
     {
       next = TAILQ_NEXT (endpoint, active_link);
-      if (endpoint->own.running > 0 || endpoint->report_disconnect
-          || endpoint->report_rate)
-        add_item (placement, report, endpoint);
+      if (endpoint->own.running > 0 || marjoram_endpoint_has_news (endpoint))
+        add_item (placement, now, report, endpoint);
     }
   STAILQ_FOREACH (placed, &placement->placed, link)
   {
@@ -120,7 +128,7 @@
       break;
     out[report->placed.count++] = (struct marjoram_placed_part){
       placed->part.id, (uint64_t)placed->part.tokens,
-      add_item (placement, report, placed->endpoint)
+      add_item (placement, now, report, placed->endpoint)
     };
   }
   marjoram_placement_clear_placed (placement);
@@ -197,6 +205,17 @@
   reporter->allocated = count;
 }
 
+void
+marjoram_endpoint_apply_news (marjoram_placement *placement,
+                              struct marjoram_endpoint *endpoint, int64_t now,
+                              const struct marjoram_load_item *item)
+{
+  if (item->lost)
+    endpoint->reported_lost_at = now;
+  marjoram_endpoint_learn_rate (placement, endpoint, now, item);
+  marjoram_endpoint_learn_statements (placement, endpoint, now, item);
+}
+
 static void
 add_reported_load (marjoram_placement *placement,
                    struct marjoram_reporter *reporter,
@@ -209,9 +228,7 @@
   entry->load = marjoram_load_from_item (item);
   marjoram_load_add (&endpoint->others, &entry->load, 1);
   endpoint->reporter_count++;
-  if (item->lost)
-    endpoint->reported_lost_at = now;
-  marjoram_endpoint_learn_rate (placement, endpoint, now, item);
+  marjoram_endpoint_apply_news (placement, endpoint, now, item);
 }
 
 void
--- a/src/placement_retry.c
+++ b/src/placement_retry.c
@@ -1,4 +1,5 @@
 #include "placement_private.h"
+#include "retry_after.h"
 
 enum
 {
@@ -42,6 +43,38 @@
   endpoint->retry_at = 0;
   endpoint->retry_tried_at = 0;
   endpoint->retry_refusals = 0;
+  endpoint->others_retry_at = 0;
+}
+
+void
+marjoram_endpoint_add_statements (struct marjoram_endpoint *endpoint,
+                                  int64_t now, struct marjoram_load_item *item)
+{
+  item->leaving = endpoint->report_leaving;
+  if (endpoint->report_retry && now < endpoint->retry_at)
+    item->retry_ms = (uint64_t)(endpoint->retry_at - now);
+  if (item->leaving || item->retry_ms > 0)
+    item->started_at = endpoint->instance_started_at;
+  endpoint->report_leaving = false;
+  endpoint->report_retry = false;
+}
+
+void
+marjoram_endpoint_learn_statements (marjoram_placement *placement,
+                                    struct marjoram_endpoint *endpoint,
+                                    int64_t now,
+                                    const struct marjoram_load_item *item)
+{
+  const int64_t retry_ms = item->retry_ms < MARJORAM_RETRY_AFTER_MAX_MS
+                               ? (int64_t)item->retry_ms
+                               : MARJORAM_RETRY_AFTER_MAX_MS;
+
+  if (item->leaving)
+    marjoram_registry_set_leaving (placement->options.registry, now,
+                                   endpoint->id, item->started_at);
+  if (retry_ms > 0 && item->started_at == endpoint->instance_started_at
+      && now + retry_ms > endpoint->others_retry_at)
+    endpoint->others_retry_at = now + retry_ms;
 }
 
 void
@@ -78,5 +111,7 @@
   if (now + wait_ms <= endpoint->retry_at)
     return false;
   endpoint->retry_at = now + wait_ms;
+  endpoint->report_retry = true;
+  marjoram_endpoint_set_active (placement, endpoint);
   return true;
 }
--- a/test/test_load_collector.c
+++ b/test/test_load_collector.c
@@ -101,6 +101,61 @@
 }
 END_TEST
 
+static void
+report_statements (int64_t now, const char *host, bool leaving,
+                   uint64_t retry_ms, int64_t started_at)
+{
+  struct marjoram_load_item item = { .upstream = (char *)"u",
+                                     .leaving = leaving,
+                                     .retry_ms = retry_ms,
+                                     .started_at = started_at };
+  const struct marjoram_load_report report
+      = { { &item, 1 }, { NULL, 0 }, false };
+
+  marjoram_load_collector_apply_report (collector, now, host, &report);
+}
+
+/* The item that is told at NOW; without UPSTREAM, zero if there is none.  */
+static struct marjoram_load_item
+told_item (int64_t now)
+{
+  struct marjoram_load_report report;
+  struct marjoram_load_item item = { 0 };
+
+  marjoram_load_collector_take_report (collector, now, &report);
+  if (report.items.count > 0)
+    item = *(struct marjoram_load_item *)report.items.items;
+  marjoram_wire_clear (&marjoram_load_report_layout, &report);
+  item.upstream = NULL;
+  return item;
+}
+
+/* Guards against hosts of a large region that are not told what answers of
+   upstreams said to others, or that are told of a former instance.  */
+START_TEST (collector_tells_what_answers_said)
+{
+  struct marjoram_load_item item;
+
+  marjoram_load_collector_set_hosts (collector, 328);
+  report_statements (1000, "a", false, 3000, 7);
+  report_statements (1010, "b", false, 500, 7);
+  report_statements (1020, "c", false, UINT64_MAX, 7);
+  item = told_item (1100);
+  ck_assert_uint_eq (item.retry_ms, 2900);
+  ck_assert (!item.leaving);
+  ck_assert_int_eq (item.started_at, 7);
+  item = told_item (1200);
+  ck_assert_uint_eq (item.retry_ms, 0);
+  report_statements (1300, "a", true, 2000, 7);
+  report_statements (1310, "b", true, 0, 8);
+  item = told_item (1400);
+  ck_assert (item.leaving);
+  ck_assert_uint_eq (item.retry_ms, 0);
+  ck_assert_int_eq (item.started_at, 8);
+  ck_assert (!told_item (1500).leaving);
+}
+END_TEST
+
 START_TEST (totals_follow_changes)
 {
   report_load (1000, "a", "u", 2, false);
@@ -394,6 +449,7 @@
 
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, collector_tells_the_newest_rate_limit);
+  tcase_add_test (c, collector_tells_what_answers_said);
   tcase_add_test (c, totals_follow_changes);
   tcase_add_test (c, whole_report_clears_omitted_load);
   tcase_add_test (c, load_of_silent_host_expires);
--- a/test/test_upstream_leaving.c
+++ b/test/test_upstream_leaving.c
@@ -122,6 +122,23 @@
 }
 END_TEST
 
+/* Guards against requests of hosts that have not asked the upstream yet.  */
+START_TEST (one_answer_tells_all_hosts_of_the_region)
+{
+  struct fleet *fleet = open_fleet (_i, &cases[0]);
+  struct fleet_leaving_counts counts;
+
+  for (int i = 0; i < FLEET_REGIONS; i++)
+    fleet_set_rate (fleet, i, 2);
+  fleet_run_until (fleet, END_MS);
+  counts = fleet_count_leaving (fleet);
+  fleet_destroy (fleet);
+  /* One more may be under way when the first is answered.  */
+  ck_assert_int_ge (counts.told, 1);
+  ck_assert_int_le (counts.told, 2);
+}
+END_TEST
+
 /* ---- One host.  ---- */
 
 static struct gateway_fixture f;
@@ -276,6 +293,8 @@
                        CASES * SEEDS);
   tcase_add_loop_test (
       fleet, leaving_upstreams_get_no_requests_beside_restarts, 0, CASES);
+  tcase_add_loop_test (fleet, one_answer_tells_all_hosts_of_the_region, 0,
+                       SEEDS);
   suite_add_tcase (all, fleet);
   tcase_add_checked_fixture (host, setup, teardown);
   tcase_add_test (host, only_a_restart_brings_it_back);
--- a/test/test_upstream_retry_after.c
+++ b/test/test_upstream_retry_after.c
@@ -214,6 +214,24 @@
 }
 END_TEST
 
+/* Guards against each host of a region having a request refused by the same
+   upstream, while others accept them.  */
+START_TEST (hosts_prefer_upstreams_that_turned_nobody_away)
+{
+  const struct shedding_case *one = &cases[1];
+  struct fleet *fleet = open_fleet (_i, one);
+  struct fleet_retry_counts counts;
+
+  set_shedding (fleet, one, &one->shedding);
+  fleet_run_until (fleet, CALM_MS + SHED_MS);
+  counts = fleet_count_retries (fleet);
+  fleet_destroy (fleet);
+  /* Two upstreams ask three times; one more request may be under way each
+     time.  */
+  ck_assert_int_le (counts.asked, 2 * 3 * 2);
+}
+END_TEST
+
 /* ---- One host.  ---- */
 
 static struct gateway_fixture f;
@@ -516,6 +534,8 @@
   tcase_set_timeout (fleet, 60);
   tcase_add_loop_test (fleet, hosts_wait_as_upstreams_ask, 0, CASES * SEEDS);
   tcase_add_loop_test (fleet, hosts_wait_while_others_restart, 0, CASES);
+  tcase_add_loop_test (fleet, hosts_prefer_upstreams_that_turned_nobody_away,
+                       0, SEEDS);
   suite_add_tcase (all, fleet);
   tcase_add_checked_fixture (host, setup, teardown);
   tcase_add_test (host, request_is_refused_at_once_with_the_time_left);
