Calls to upstreams read Retry-After as requests do

What an operator would see: an order is given again before the 1.5 s that an engine asked for (a fraction was cut off), or never again (a huge value overflowed, which is undefined), or a negative time was believed.

Cause: strtoll times 1000. Change: the one reader, retry_after.h.

--- a/src/upstream_call.c
+++ b/src/upstream_call.c
@@ -3,17 +3,13 @@
 #include "address.h"
 #include "cleanup.h"
 #include "clock.h"
+#include "retry_after.h"
 
 #include <event2/buffer.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
 
-enum
-{
-  MSEC_PER_SEC = 1000
-};
-
 struct upstream_call
 {
   marjoram_upstream_calls *calls;
@@ -104,12 +100,15 @@
 }
 
 static int64_t
-retry_after (struct evhttp_request *request)
+retry_after_ms (struct evhttp_request *request)
 {
-  const char *text = evhttp_find_header (
-      evhttp_request_get_input_headers (request), "Retry-After");
+  int64_t ms = 0;
 
-  return text ? strtoll (text, NULL, 10) * MSEC_PER_SEC : 0;
+  marjoram_retry_after_parse (
+      evhttp_find_header (evhttp_request_get_input_headers (request),
+                          "Retry-After"),
+      &ms);
+  return ms;
 }
 
 static void
@@ -121,7 +120,7 @@
   if (call->starting)
     return;
   call->done (call->context, status, call->timed_out,
-              status ? retry_after (request) : 0);
+              status ? retry_after_ms (request) : 0);
   marjoram_upstream_call_free_later (call->calls->base, call->connection);
   upstream_call_destroy (call);
 }
--- a/src/upstream_call.h
+++ b/src/upstream_call.h
@@ -11,7 +11,8 @@
 typedef struct marjoram_upstream_calls marjoram_upstream_calls;
 
 /* STATUS is 0 if there was no response; TIMED_OUT then tells a timeout from
-   other failures.  RETRY_MS is the value of Retry-After, or 0.  */
+   other failures.  RETRY_MS is the value of Retry-After (retry_after.h), or 0
+   if there is none or an invalid one.  */
 typedef void marjoram_upstream_call_done (void *context, int status,
                                           bool timed_out, int64_t retry_ms);
 
