Orders are not given again before the time that an engine states

What an operator would see: an engine that answers an order with 503 and Retry-After of two minutes and a half gets it again after one.

Cause: the limit of the own backoff was applied after the stated time, and cut it. It is applied before now. Test before: stated_time_is_kept, again after 60,000 ms of 150,000.

--- a/src/model_placement.c
+++ b/src/model_placement.c
@@ -341,10 +341,10 @@
     load->failures++;
   wait = (int64_t)RETRY_MIN_MS << (load->failures - 1);
   wait += marjoram_random_below (placement->random, (uint32_t)wait);
-  if (wait < retry_ms)
-    wait = retry_ms + marjoram_random_below (placement->random, RETRY_MIN_MS);
   if (wait > RETRY_MAX_MS)
     wait = RETRY_MAX_MS;
+  if (wait < retry_ms)
+    wait = retry_ms + marjoram_random_below (placement->random, RETRY_MIN_MS);
   load->number = 0;
   load->not_before = now + wait;
 }
--- a/test/test_model_placement.c
+++ b/test/test_model_placement.c
@@ -212,6 +212,36 @@
 }
 END_TEST
 
+/* Guards against a stated time that the limit of the own backoff cuts.  */
+START_TEST (stated_time_is_kept)
+{
+  const int64_t stated_ms = 150000;
+  int64_t answered_at[ORDERS_MAX] = { 0 };
+  int answered = 0;
+
+  for (int i = 0; i < 1200; i++)
+    {
+      for (int engine = 0; engine < ENGINES; engine++)
+        announce (engine, NULL);
+      advance (STEP_MS);
+      for (; answered < recorded_count; answered++)
+        {
+          ck_assert_int_lt (answered, ORDERS_MAX);
+          answered_at[answered] = now;
+          marjoram_model_placement_answered (placement, now,
+                                             recorded_orders[answered].number,
+                                             503, stated_ms);
+        }
+    }
+  ck_assert_int_gt (answered, 0);
+  for (int i = 0; i < answered; i++)
+    for (int j = 0; j < i; j++)
+      if (recorded_orders[i].engine == recorded_orders[j].engine
+          && strcmp (recorded_orders[i].model, recorded_orders[j].model) == 0)
+        ck_assert_int_ge (answered_at[i] - answered_at[j], stated_ms);
+}
+END_TEST
+
 /* Guards against a host that was suspended past its lease sending an order
    under that lease.  */
 START_TEST (resumed_holder_sends_no_order_on_expired_lease)
@@ -243,6 +273,7 @@
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, loads_at_most_two_models_at_once);
   tcase_add_test (c, refused_loads_back_off);
+  tcase_add_test (c, stated_time_is_kept);
   tcase_add_test (c, resumed_holder_sends_no_order_on_expired_lease);
   suite_add_tcase (s, c);
   return s;
