Limit the Keep-Alive timeout that upstreams state

What an operator would see: none yet; a huge value overflowed, which is undefined. Test before: stated_idle_timeouts_are_limited ended under UBSan for two of three values.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -20,6 +20,8 @@
   CONNECT_TIMEOUT_MS = 600,
   /* Idle timeout for upstreams that send no Keep-Alive timeout.  */
   IDLE_TIMEOUT_DEFAULT_MS = 4000,
+  /* Longest Keep-Alive timeout that is used.  */
+  IDLE_TIMEOUT_MAX_S = 3600,
   /* Subtracted from the upstream's Keep-Alive timeout, so that a request does
      not cross the upstream's close.  */
   IDLE_TIMEOUT_MARGIN_MS = 400,
@@ -124,6 +126,10 @@
   if (!timeout)
     return IDLE_TIMEOUT_DEFAULT_MS;
   seconds = strtol (timeout + strlen ("timeout="), NULL, 10);
+  if (seconds < 0)
+    seconds = 0;
+  if (seconds > IDLE_TIMEOUT_MAX_S)
+    seconds = IDLE_TIMEOUT_MAX_S;
   return seconds * SECOND_MS - IDLE_TIMEOUT_MARGIN_MS;
 }
 
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -776,6 +776,31 @@
 }
 END_TEST
 
+/* Guards against an overflow of the time that an upstream states.  */
+START_TEST (stated_idle_timeouts_are_limited)
+{
+  static const struct
+  {
+    const char *response;
+    int connections;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9223372036854775807\r\n"
+      "Content-Length: 2\r\n\r\nhi",
+      1 },
+    { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
+      "Content-Length: 2\r\n\r\nhi",
+      2 },
+    { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=-9223372036854775807\r\n"
+      "Content-Length: 2\r\n\r\nhi",
+      2 },
+  };
+
+  for (int i = 0; i < 2; i++)
+    ck_assert_int_eq (exchange (cases[_i].response), MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (connections, cases[_i].connections);
+}
+END_TEST
+
 /* A pooled connection must not be used if the upstream has closed it, even if
    the event loop has not processed the close yet.  */
 START_TEST (closed_connection_is_not_reused)
@@ -937,6 +962,7 @@
   suite_add_tcase (s, c);
   tcase_add_checked_fixture (d, client_setup, client_teardown);
   tcase_add_test (d, connection_is_reused);
+  tcase_add_loop_test (d, stated_idle_timeouts_are_limited, 0, 3);
   tcase_add_test (d, closed_connection_is_not_reused);
   tcase_add_test (d, response_without_length);
   tcase_add_test (d, truncated_responses_are_broken);
