--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -395,6 +395,84 @@
 }
 END_TEST
 
+/* An upstream refuses a request that is sent to it now, and tells this host to
+   wait.  */
+static void
+refuse_with_retry_after (int64_t now, const struct marjoram_place_query *query,
+                         int64_t retry_after_ms)
+{
+  choose_and_start (now, query);
+  ck_assert (marjoram_placement_set_retry_after (placement, now, next_attempt,
+                                                 retry_after_ms));
+  marjoram_placement_attempt_ended (placement, now, next_attempt,
+                                    MARJORAM_ATTEMPT_REFUSED);
+}
+
+/* Guards against a copy from an engine that told this host to wait.  */
+START_TEST (nothing_is_copied_during_retry_after)
+{
+  struct marjoram_service_rule copying = engine;
+  struct marjoram_call_metadata first = prompt (7, 6000, 100, 10);
+  struct marjoram_place_query query = make_query (&first, 1);
+  struct marjoram_place chosen;
+
+  copying.engine.copied_per_ms = 400;
+  query.service = &copying;
+  receive_heartbeat (10, "1");
+  choose_and_start (10, &query);
+  marjoram_placement_attempt_ended (placement, 200, 1,
+                                    MARJORAM_ATTEMPT_SERVED);
+  refuse_with_retry_after (210, &query, 1000);
+  receive_heartbeat (300, "2");
+  chosen = choose_and_start (410, &query);
+  ck_assert_str_eq (chosen.upstream->heartbeat.id, "2");
+  ck_assert_ptr_null (chosen.copy_from);
+}
+END_TEST
+
+/* Guards against other regions sending requests that can't be placed here.  */
+START_TEST (nothing_is_offered_during_retry_after)
+{
+  struct marjoram_call_metadata first = prompt (7, 600, 100, 10);
+  struct marjoram_place_query query = make_query (&first, 1);
+  struct marjoram_host_offer offer;
+
+  receive_heartbeat (10, "1");
+  marjoram_placement_offer (placement, 20, &engine, &offer);
+  ck_assert_uint_eq (offer.upstreams, 1);
+  refuse_with_retry_after (30, &query, 1000);
+  marjoram_placement_offer (placement, 500, &engine, &offer);
+  ck_assert_uint_eq (offer.upstreams, 0);
+  marjoram_placement_offer (placement, 1100, &engine, &offer);
+  ck_assert_uint_eq (offer.upstreams, 1);
+}
+END_TEST
+
+/* Guards against a gap in the heartbeats that ends the time.  */
+START_TEST (retry_after_outlives_the_registry_entry)
+{
+  struct marjoram_call_metadata first = prompt (7, 600, 100, 10);
+  struct marjoram_place_query query = make_query (&first, 1);
+  struct marjoram_place chosen;
+
+  receive_heartbeat (10, "1");
+  refuse_with_retry_after (30, &query, 300000);
+  for (int64_t now = 1000; now < 100000; now += 1000)
+    {
+      receive_upstream (now, "app", "2", "za", 0, now + 1);
+      marjoram_registry_tick (registry, now);
+      marjoram_placement_tick (placement, now);
+    }
+  ck_assert_ptr_null (marjoram_registry_find (registry, "1"));
+  receive_heartbeat (100000, "1");
+  marjoram_placement_choose (placement, 100010, &query, &chosen);
+  ck_assert_int_eq (chosen.outcome, MARJORAM_PLACE_NONE);
+  ck_assert_int_eq (chosen.excluded[MARJORAM_EXCLUDED_RETRY_AFTER], 1);
+  ck_assert_int_eq (chosen.limit, MARJORAM_PLACE_LIMIT_RETRY_AFTER);
+  ck_assert_int_eq (chosen.retry_wait_ms, 200020);
+}
+END_TEST
+
 static void
 set_build (int64_t now, const char *id, const char *build)
 {
@@ -868,6 +946,9 @@
   tcase_add_test (c, prompt_goes_to_engine_caching_its_part);
   tcase_add_test (c, cached_prompt_is_copied_from_busy_engine);
   tcase_add_test (c, nothing_is_copied_after_connection_loss);
+  tcase_add_test (c, nothing_is_copied_during_retry_after);
+  tcase_add_test (c, nothing_is_offered_during_retry_after);
+  tcase_add_test (c, retry_after_outlives_the_registry_entry);
   tcase_add_loop_test (c, nothing_is_copied_from_another_build, 0, 2);
   tcase_add_test (c, shared_part_is_spread_over_idle_engines);
   tcase_add_test (c, queue_of_prompts_is_bounded);
