--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -93,10 +93,12 @@
 write_retry_after (const struct marjoram_exchange *exchange, char *text,
                    size_t size)
 {
-  if (exchange->retry_after_ms >= 0)
-    snprintf (text, size, "%" PRId64, exchange->retry_after_ms);
+  if (!exchange->has_retry_after)
+    snprintf (text, size, "-");
+  else if (exchange->retry_after_ms < 0)
+    snprintf (text, size, "invalid");
   else
-    snprintf (text, size, "%s", exchange->has_retry_after ? "invalid" : "-");
+    snprintf (text, size, "%" PRId64, exchange->retry_after_ms);
 }
 
 static void
@@ -142,7 +144,6 @@
   exchange->refused = false;
   exchange->is_signed = false;
   exchange->has_retry_after = false;
-  exchange->retry_after_ms = -1;
   marjoram_header_list_clear (&exchange->headers);
   evbuffer_drain (exchange->body, evbuffer_get_length (exchange->body));
   if (exchange->events)
@@ -267,26 +268,37 @@
 record_retry_after (marjoram_gateway *gateway,
                     const struct marjoram_exchange *exchange, int64_t now)
 {
-  const char *change;
+  const bool is_valid = exchange->retry_after_ms >= 0;
 
-  if (exchange->status != STATUS_UNAVAILABLE
-      && exchange->status != STATUS_TOO_MANY_REQUESTS)
+  if (!exchange->has_retry_after
+      || (exchange->status != STATUS_UNAVAILABLE
+          && exchange->status != STATUS_TOO_MANY_REQUESTS))
     return;
-  if (exchange->has_retry_after && exchange->retry_after_ms < 0)
-    change = "invalid";
-  else if (exchange->retry_after_ms > 0
-           && marjoram_placement_set_retry_after (gateway->placement, now,
+  if (is_valid
+      && (exchange->retry_after_ms == 0
+          || !marjoram_placement_set_retry_after (gateway->placement, now,
                                                   exchange->attempt,
-                                                  exchange->retry_after_ms))
-    change = "kept";
-  else
+                                                  exchange->retry_after_ms)))
     return;
   marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_RETRY_AFTERS,
                         1);
   marjoram_event (MARJORAM_EVENT_UPSTREAM,
                   "id=%s service=%s retry_after=%s retry_after_ms=%" PRId64,
-                  exchange->upstream, exchange->service, change,
-                  exchange->retry_after_ms);
+                  exchange->upstream, exchange->service,
+                  is_valid ? "kept" : "invalid", exchange->retry_after_ms);
+}
+
+static void
+record_leaving (marjoram_gateway *gateway,
+                const struct marjoram_exchange *exchange, int64_t now)
+{
+  if (!marjoram_placement_set_leaving (gateway->placement, now,
+                                       exchange->attempt))
+    return;
+  marjoram_metrics_add (gateway->options.metrics,
+                        MARJORAM_METRIC_LEAVING_ANSWERS, 1);
+  marjoram_event (MARJORAM_EVENT_UPSTREAM, "id=%s service=%s leaving=told",
+                  exchange->upstream, exchange->service);
 }
 
 /* Records what the upstream's response states about the upstream.  */
@@ -298,15 +310,8 @@
   if (!is_from_upstream (exchange, metadata))
     return;
   record_retry_after (gateway, exchange, now);
-  if (metadata->leaving
-      && marjoram_placement_set_leaving (gateway->placement, now,
-                                         exchange->attempt))
-    {
-      marjoram_metrics_add (gateway->options.metrics,
-                            MARJORAM_METRIC_LEAVING_ANSWERS, 1);
-      marjoram_event (MARJORAM_EVENT_UPSTREAM, "id=%s service=%s leaving=told",
-                      exchange->upstream, exchange->service);
-    }
+  if (metadata->leaving)
+    record_leaving (gateway, exchange, now);
   if (metadata->cold_ms > 0)
     marjoram_placement_set_cold (gateway->placement, now, exchange->upstream,
                                  metadata->cold_ms);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -121,7 +121,7 @@
   bool refused; /* reported as not run */
   bool wrong_upstream;
   bool has_retry_after;   /* the answer has the header */
-  int64_t retry_after_ms; /* -1 if it has none, or an invalid one */
+  int64_t retry_after_ms; /* -1 if it cannot be read */
   bool has_events;        /* the answer is a stream of events */
   bool forward_has_build; /* HOST told the build */
   struct evbuffer *body;  /* answer body or complete events */
--- a/src/placement.c
+++ b/src/placement.c
@@ -358,7 +358,7 @@
   endpoint->own.held += attempt->held;
   endpoint->own.answer += attempt->answer;
   endpoint->cold_sent_at = now;
-  endpoint->retry_tried_at = now;
+  endpoint->retry.tried_at = now;
   if (endpoint->connect_failures > 0)
     pause_endpoint (endpoint, now + TRIAL_MS);
   marjoram_upstream_room_take (&endpoint->room, now, endpoint->own.running);
@@ -660,7 +660,7 @@
            const struct marjoram_endpoint *endpoint, int64_t now)
 {
   return endpoint->own.running > 0 || endpoint->reporter_count > 0
-         || now < endpoint->retry_at
+         || now < endpoint->retry.at
          || marjoram_registry_find (placement->options.registry, endpoint->id);
 }
 
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -310,7 +310,7 @@
     estimate.cost_ms += COLD_COST_MS;
   if (now < endpoint->suspected_until)
     estimate.cost_ms += SUSPECT_COST_MS;
-  if (now < endpoint->others_retry_at)
+  if (now < endpoint->retry.others_at)
     estimate.cost_ms += OTHERS_RETRY_COST_MS;
   return estimate;
 }
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -46,6 +46,16 @@
  * hosts' reports. */
 #define MARJORAM_START_UNKNOWN INT64_MIN
 
+/* Retry-After of an upstream's answers.  */
+struct marjoram_endpoint_retry
+{
+  int64_t at;        /* this host sends nothing before */
+  int64_t tried_at;  /* last request sent */
+  int64_t others_at; /* AT of another host, by its report */
+  int refusals;      /* with Retry-After, in a row */
+  bool report;       /* in the next load report */
+};
+
 /* Placement state of one upstream, in addition to the registry entry.  */
 struct marjoram_endpoint
 {
@@ -78,16 +88,10 @@
   int64_t last_received_at; /* last response data to this host; 0 if none */
   int64_t cold_until;
   int64_t cold_sent_at; /* last request sent; limits the rate while cold */
-  /* This host sends nothing before, as the upstream answered Retry-After.  */
-  int64_t retry_at;
-  int64_t retry_tried_at;  /* last request sent */
-  int retry_refusals;      /* with Retry-After, in a row */
-  int64_t others_retry_at; /* the same at another host, by its report */
-  /* What its answers said to this host, for the next load report.  */
-  bool report_retry;
-  bool report_leaving;
+  struct marjoram_endpoint_retry retry;
   marjoram_upstream_rate *rate; /* null until a limit is known */
   bool report_rate;             /* in the next load report */
+  bool report_leaving;          /* likewise: its answers say that it leaves */
   int64_t sharers_checked_at;
   struct marjoram_upstream_room room;
   int connect_failures;
--- a/src/placement_report.c
+++ b/src/placement_report.c
@@ -55,7 +55,7 @@
 marjoram_endpoint_has_news (const struct marjoram_endpoint *endpoint)
 {
   return endpoint->report_disconnect || endpoint->report_rate
-         || endpoint->report_retry || endpoint->report_leaving;
+         || endpoint->retry.report || endpoint->report_leaving;
 }
 
 /* ---- Reports from this host.  ---- */
--- a/src/placement_retry.c
+++ b/src/placement_retry.c
@@ -1,6 +1,8 @@
 #include "placement_private.h"
 #include "retry_after.h"
 
+#include <string.h>
+
 enum
 {
   /* Interval between requests to an upstream whose Retry-After has passed,
@@ -28,11 +30,11 @@
 marjoram_endpoint_retry_wait_ms (const struct marjoram_endpoint *endpoint,
                                  int64_t now)
 {
-  const int64_t next_trial_at = endpoint->retry_tried_at + TRIAL_INTERVAL_MS;
+  const int64_t next_trial_at = endpoint->retry.tried_at + TRIAL_INTERVAL_MS;
 
-  if (now < endpoint->retry_at)
-    return endpoint->retry_at - now;
-  return endpoint->retry_refusals > 0 && now < next_trial_at
+  if (now < endpoint->retry.at)
+    return endpoint->retry.at - now;
+  return endpoint->retry.refusals > 0 && now < next_trial_at
              ? next_trial_at - now
              : 0;
 }
@@ -40,10 +42,7 @@
 void
 marjoram_endpoint_clear_retry (struct marjoram_endpoint *endpoint)
 {
-  endpoint->retry_at = 0;
-  endpoint->retry_tried_at = 0;
-  endpoint->retry_refusals = 0;
-  endpoint->others_retry_at = 0;
+  memset (&endpoint->retry, 0, sizeof endpoint->retry);
 }
 
 void
@@ -51,12 +50,12 @@
                                   int64_t now, struct marjoram_load_item *item)
 {
   item->leaving = endpoint->report_leaving;
-  if (endpoint->report_retry && now < endpoint->retry_at)
-    item->retry_ms = (uint64_t)(endpoint->retry_at - now);
+  if (endpoint->retry.report && now < endpoint->retry.at)
+    item->retry_ms = (uint64_t)(endpoint->retry.at - now);
   if (item->leaving || item->retry_ms > 0)
     item->started_at = endpoint->instance_started_at;
   endpoint->report_leaving = false;
-  endpoint->report_retry = false;
+  endpoint->retry.report = false;
 }
 
 void
@@ -73,15 +72,15 @@
     marjoram_registry_set_leaving (placement->options.registry, now,
                                    endpoint->id, item->started_at);
   if (retry_ms > 0 && item->started_at == endpoint->instance_started_at
-      && now + retry_ms > endpoint->others_retry_at)
-    endpoint->others_retry_at = now + retry_ms;
+      && now + retry_ms > endpoint->retry.others_at)
+    endpoint->retry.others_at = now + retry_ms;
 }
 
 void
 marjoram_attempt_end_trial (const struct marjoram_placed_attempt *attempt)
 {
-  if (attempt->started_at >= attempt->endpoint->retry_at)
-    attempt->endpoint->retry_refusals = 0;
+  if (attempt->started_at >= attempt->endpoint->retry.at)
+    attempt->endpoint->retry.refusals = 0;
 }
 
 bool
@@ -103,15 +102,15 @@
     marjoram_endpoint_of (placement, upstream);
   if (endpoint->instance_started_at != attempt->instance_started_at)
     return false;
-  if (attempt->started_at >= endpoint->retry_at)
-    endpoint->retry_refusals++;
-  wait_ms = backoff_ms (endpoint->retry_refusals);
+  if (attempt->started_at >= endpoint->retry.at)
+    endpoint->retry.refusals++;
+  wait_ms = backoff_ms (endpoint->retry.refusals);
   if (retry_after_ms > wait_ms)
     wait_ms = retry_after_ms;
-  if (now + wait_ms <= endpoint->retry_at)
+  if (now + wait_ms <= endpoint->retry.at)
     return false;
-  endpoint->retry_at = now + wait_ms;
-  endpoint->report_retry = true;
+  endpoint->retry.at = now + wait_ms;
+  endpoint->retry.report = true;
   marjoram_endpoint_set_active (placement, endpoint);
   return true;
 }
