Scaffolding for optional decisions under load: settings, dialect term, frames

Nothing decides by it yet. Settings have a section [load], all off by default; the dialect translates the platform's terms of service, and a configuration whose streams allow pauses of at most 500 ms enables three of the five.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -5,6 +5,7 @@
 #define MARJORAM_DIALECT_H
 
 #include "header_list.h"
+#include "load_features.h"
 #include "route_table.h"
 
 enum
@@ -155,6 +156,10 @@
      parts; false if the body is malformed.  */
   bool (*read_cached_prompts) (const char *body, size_t size,
                                struct marjoram_prompt_parts *parts);
+  /* Enables in FEATURES what the platform's TERM of service needs; unknown
+     terms need nothing.  */
+  void (*read_term) (const char *term,
+                     struct marjoram_load_features *features);
 };
 
 struct marjoram_dialect
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -412,6 +412,23 @@
 }
 
 /* Ends before the revocation period, as a margin for differing clock rates. */
+static struct marjoram_load_features
+load_features (const struct marjoram_entry *self)
+{
+  const struct marjoram_gateway_settings *settings = self->parts->settings;
+  struct marjoram_load_features features = settings->load;
+
+  for (size_t i = 0; i < settings->load_terms.count; i++)
+    {
+      struct marjoram_load_features needed = { 0 };
+
+      self->parts->dialect->ops->read_term (settings->load_terms.items[i],
+                                            &needed);
+      marjoram_load_features_add (&features, &needed);
+    }
+  return features;
+}
+
 static int64_t
 key_lease_ms (const struct marjoram_entry *self)
 {
@@ -423,11 +440,13 @@
 {
   struct marjoram_entry *self = entry_from_role (role);
   const struct marjoram_repeat_limits terms = repeat_terms (self);
+  const struct marjoram_load_features load = load_features (self);
 
   marjoram_repeat_budget_set (marjoram_gateway_budget (self->gateway),
                               marjoram_entry_now (self), &terms);
   marjoram_key_lease_set_period (marjoram_gateway_key_lease (self->gateway),
                                  key_lease_ms (self));
+  marjoram_gateway_set_load (self->gateway, &load);
 }
 
 static void
@@ -614,6 +633,7 @@
                .context = self },
     .repeats = repeat_terms (self),
     .key_lease_ms = key_lease_ms (self),
+    .load = load_features (self),
     .metrics = self->parts->metrics,
   };
 
--- a/src/frame.c
+++ b/src/frame.c
@@ -221,6 +221,9 @@
   [MARJORAM_FRAME_STREAM_BEGUN] = &marjoram_stream_begun_layout,
   [MARJORAM_FRAME_STREAM_ASK] = &marjoram_stream_ask_layout,
   [MARJORAM_FRAME_STREAM_ANSWER] = &marjoram_stream_answer_layout,
+  [MARJORAM_FRAME_ROOM_REPORT] = &marjoram_room_report_layout,
+  [MARJORAM_FRAME_ROOM_SUMS] = &marjoram_room_report_layout,
+  [MARJORAM_FRAME_DARK_UPSTREAMS] = &marjoram_dark_report_layout,
 };
 
 const struct marjoram_layout *
--- a/src/frame.h
+++ b/src/frame.h
@@ -54,6 +54,11 @@
   MARJORAM_FRAME_STREAM_BEGUN,  /* struct marjoram_stream_begun */
   MARJORAM_FRAME_STREAM_ASK,    /* struct marjoram_stream_ask */
   MARJORAM_FRAME_STREAM_ANSWER, /* struct marjoram_stream_answer */
+  /* struct marjoram_room_report: use of a region's capacity by customer, from
+     a host to a collector, and sums from the collector to all hosts.  */
+  MARJORAM_FRAME_ROOM_REPORT,
+  MARJORAM_FRAME_ROOM_SUMS,
+  MARJORAM_FRAME_DARK_UPSTREAMS, /* struct marjoram_dark_report */
   MARJORAM_FRAME_COUNT
 };
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -36,6 +36,18 @@
   IDLE_CHECK_MS = 200
 };
 
+static void
+update_features (marjoram_gateway *gateway)
+{
+  struct marjoram_load_features needed = { 0 };
+
+  if (gateway->table)
+    needed = marjoram_load_features_of_table (gateway->table);
+  gateway->features = gateway->options.load;
+  marjoram_load_features_add (&gateway->features, &needed);
+  marjoram_placement_set_features (gateway->placement, &gateway->features);
+}
+
 marjoram_gateway *
 marjoram_gateway_create (const struct marjoram_gateway_options *options,
                          const struct marjoram_gateway_ops *ops, void *context,
@@ -58,6 +70,7 @@
       = marjoram_quota_pool_create (&marjoram_gateway_quota_ops, gateway);
   gateway->origins = marjoram_stream_origins_create ();
   gateway->created_at = now;
+  update_features (gateway);
   return gateway;
 }
 
@@ -91,6 +104,20 @@
   return gateway->lease;
 }
 
+void
+marjoram_gateway_set_load (marjoram_gateway *gateway,
+                           const struct marjoram_load_features *load)
+{
+  gateway->options.load = *load;
+  update_features (gateway);
+}
+
+const struct marjoram_load_features *
+marjoram_gateway_features (const marjoram_gateway *gateway)
+{
+  return &gateway->features;
+}
+
 void
 marjoram_gateway_set_table (marjoram_gateway *gateway, int64_t now,
                             const struct marjoram_route_table *table)
@@ -98,6 +125,7 @@
   gateway->previous_table = gateway->table;
   gateway->table = table;
   gateway->table_set_at = now;
+  update_features (gateway);
   marjoram_customer_index_destroy (gateway->customers);
   gateway->customers = NULL;
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -14,6 +14,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "key_lease.h"
+#include "load_features.h"
 #include "metrics.h"
 #include "placement.h"
 #include "quota_pool.h"
@@ -75,6 +76,7 @@
   struct marjoram_placement_options place;
   struct marjoram_repeat_limits repeats;
   int64_t key_lease_ms; /* see key_lease.h; 0: keys need no lease */
+  struct marjoram_load_features load; /* enabled by the settings */
   marjoram_metrics *metrics;
 };
 
@@ -88,6 +90,12 @@
 marjoram_crash_list *marjoram_gateway_crash_list (marjoram_gateway *gateway);
 marjoram_key_lease *marjoram_gateway_key_lease (marjoram_gateway *gateway);
 marjoram_quota_pool *marjoram_gateway_quota_pool (marjoram_gateway *gateway);
+/* Replaces the features that the settings enable, after a reload.  */
+void marjoram_gateway_set_load (marjoram_gateway *gateway,
+                                const struct marjoram_load_features *load);
+/* Those that the settings or the configuration in force enable.  */
+const struct marjoram_load_features *
+marjoram_gateway_features (const marjoram_gateway *gateway);
 /* Activates TABLE.  The caller keeps ownership; TABLE must stay valid until
    two later tables have been set.  */
 void marjoram_gateway_set_table (marjoram_gateway *gateway, int64_t now,
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -240,3 +240,29 @@
 };
 LAYOUT (marjoram_stream_answer_layout, marjoram_stream_answer,
         stream_answer_fields);
+
+static const struct marjoram_field room_item_fields[] = {
+  STRING (marjoram_room_item, service), STRING (marjoram_room_item, customer),
+  UINT (marjoram_room_item, used),      UINT (marjoram_room_item, wanted),
+  UINT (marjoram_room_item, waiting),
+};
+static LAYOUT (room_item_layout, marjoram_room_item, room_item_fields);
+
+static const struct marjoram_field room_report_fields[] = {
+  { MARJORAM_WIRE_ARRAY (struct marjoram_room_report, items,
+                         MARJORAM_ROOM_ITEMS_MAX, &room_item_layout) },
+  UINT (marjoram_room_report, hosts),
+};
+LAYOUT (marjoram_room_report_layout, marjoram_room_report, room_report_fields);
+
+static const struct marjoram_field dark_item_fields[] = {
+  STRING (marjoram_dark_item, upstream),
+  INT (marjoram_dark_item, started_at),
+};
+static LAYOUT (dark_item_layout, marjoram_dark_item, dark_item_fields);
+
+static const struct marjoram_field dark_report_fields[] = {
+  { MARJORAM_WIRE_ARRAY (struct marjoram_dark_report, items, MARJORAM_DARK_MAX,
+                         &dark_item_layout) },
+};
+LAYOUT (marjoram_dark_report_layout, marjoram_dark_report, dark_report_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -16,6 +16,8 @@
   MARJORAM_SILENT_MAX = 4096,
   MARJORAM_LOADS_MAX = 4096,
   MARJORAM_PLACED_MAX = 4096,
+  MARJORAM_ROOM_ITEMS_MAX = 4096,
+  MARJORAM_DARK_MAX = 1024,
   MARJORAM_CRASHES_MAX = 4096,
   /* Bytes of an upstream id with its start time, including the NUL.  */
   MARJORAM_INSTANCE_MAX = 128,
@@ -286,6 +288,37 @@
   char *build; /* null if the keeper doesn't know */
 };
 
+/* Use of a region's capacity for a service by one customer: at one host, or
+   summed over the region's hosts.  */
+struct marjoram_room_item
+{
+  char *service;
+  char *customer;
+  uint64_t used;    /* work started, decaying sum; see room_share.h */
+  uint64_t wanted;  /* work asked for, likewise */
+  uint64_t waiting; /* queued requests that are within the customer's part */
+};
+
+struct marjoram_room_report
+{
+  struct marjoram_array items; /* struct marjoram_room_item */
+  uint64_t hosts;              /* number of hosts that the report covers */
+};
+
+/* An upstream that stopped answering a host.  */
+struct marjoram_dark_item
+{
+  char *upstream;
+  int64_t started_at; /* of the instance */
+};
+
+struct marjoram_dark_report
+{
+  struct marjoram_array items; /* struct marjoram_dark_item */
+};
+
+extern const struct marjoram_layout marjoram_room_report_layout;
+extern const struct marjoram_layout marjoram_dark_report_layout;
 extern const struct marjoram_layout marjoram_stream_begun_layout;
 extern const struct marjoram_layout marjoram_stream_ask_layout;
 extern const struct marjoram_layout marjoram_stream_answer_layout;
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -150,6 +150,7 @@
   void *context;
   const struct marjoram_route_table *table;
   const struct marjoram_route_table *previous_table; /* null if none */
+  struct marjoram_load_features features;
   int64_t table_set_at;
   int64_t created_at;
   marjoram_placement *placement;
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -61,6 +61,20 @@
     DISK_LOSSES_MAX, NULL },
 };
 
+static const struct marjoram_ini_key load_keys[] = {
+  { "share_room", MARJORAM_INI_BOOL, FIELD (load.share_room), "no", 0, 0,
+    NULL },
+  { "check_upstreams", MARJORAM_INI_BOOL, FIELD (load.check_upstreams), "no",
+    0, 0, NULL },
+  { "measured_waits", MARJORAM_INI_BOOL, FIELD (load.measured_waits), "no", 0,
+    0, NULL },
+  { "engine_memory", MARJORAM_INI_BOOL, FIELD (load.engine_memory), "no", 0, 0,
+    NULL },
+  { "engine_speed", MARJORAM_INI_BOOL, FIELD (load.engine_speed), "no", 0, 0,
+    NULL },
+  { "terms", MARJORAM_INI_NAME_LIST, FIELD (load_terms), "", 0, 0, NULL },
+};
+
 #define COUNT(array) (sizeof (array) / sizeof *(array))
 
 static const struct section_kind
@@ -73,6 +87,7 @@
   { "gateway", gateway_keys, COUNT (gateway_keys), true },
   { "listen", listen_keys, COUNT (listen_keys), true },
   { "limits", limit_keys, COUNT (limit_keys), false },
+  { "load", load_keys, COUNT (load_keys), false },
   { "seeds", NULL, 0, false },
   { "zones", NULL, 0, false },
 };
@@ -93,7 +108,7 @@
     if (!is_known_section (file->sections[i].kind))
       marjoram_faults_add (faults, file->path, file->sections[i].line,
                            "unknown section [%s]; remove it or use one of: "
-                           "gateway listen limits seeds zones",
+                           "gateway listen limits load seeds zones",
                            file->sections[i].kind);
 }
 
@@ -264,6 +279,7 @@
     return;
   marjoram_ini_clear (gateway_keys, COUNT (gateway_keys), settings);
   marjoram_ini_clear (listen_keys, COUNT (listen_keys), settings);
+  marjoram_ini_clear (load_keys, COUNT (load_keys), settings);
   for (size_t i = 0; i < settings->seed_count; i++)
     free (settings->seeds[i]);
   for (size_t i = 0; i < settings->zone_count; i++)
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -4,6 +4,7 @@
 #define MARJORAM_GATEWAY_SETTINGS_H
 
 #include "error.h"
+#include "load_features.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -48,6 +49,9 @@
                              by all hosts; 0: no limit */
   double quota_allowance; /* units over a quota that may be spent at once */
   int64_t disk_losses;    /* simultaneous losses of keeper disks to survive */
+  /* [load] */
+  struct marjoram_load_features load;
+  struct marjoram_names load_terms; /* the platform's terms of service */
   /* [seeds]: IP addresses of keepers */
   char **seeds;
   size_t seed_count;
--- /dev/null
+++ b/src/load_features.c
@@ -0,0 +1,42 @@
+#include "load_features.h"
+
+enum
+{
+  /* Longest interval between events for which a stream cannot tolerate an
+     engine that is slow, stops answering or preempts it: each of these costs
+     half a second or more.  */
+  SMOOTH_GAP_MS = 500
+};
+
+void
+marjoram_load_features_add (struct marjoram_load_features *features,
+                            const struct marjoram_load_features *more)
+{
+  features->share_room |= more->share_room;
+  features->check_upstreams |= more->check_upstreams;
+  features->measured_waits |= more->measured_waits;
+  features->engine_memory |= more->engine_memory;
+  features->engine_speed |= more->engine_speed;
+}
+
+static bool
+has_smooth_streams (const struct marjoram_route_table *table)
+{
+  const struct marjoram_route_rule *routes = table->routes.items;
+
+  for (size_t i = 0; i < table->routes.count; i++)
+    if (routes[i].stream && routes[i].gap_ms > 0
+        && routes[i].gap_ms <= SMOOTH_GAP_MS)
+      return true;
+  return false;
+}
+
+struct marjoram_load_features
+marjoram_load_features_of_table (const struct marjoram_route_table *table)
+{
+  const bool smooth = has_smooth_streams (table);
+
+  return (struct marjoram_load_features){ .check_upstreams = smooth,
+                                          .engine_memory = smooth,
+                                          .engine_speed = smooth };
+}
--- a/src/placement.c
+++ b/src/placement.c
@@ -59,6 +59,13 @@
   return placement;
 }
 
+void
+marjoram_placement_set_features (marjoram_placement *placement,
+                                 const struct marjoram_load_features *features)
+{
+  placement->features = *features;
+}
+
 struct marjoram_endpoint *
 marjoram_endpoint_find_or_add (marjoram_placement *placement, const char *id)
 {
--- a/src/placement.h
+++ b/src/placement.h
@@ -7,6 +7,7 @@
 
 #include "gateway_message.h"
 #include "host_list.h"
+#include "load_features.h"
 #include "registry.h"
 #include "route_table.h"
 
@@ -127,6 +128,10 @@
 marjoram_placement_create (const struct marjoram_placement_options *options);
 void marjoram_placement_destroy (marjoram_placement *placement);
 
+void marjoram_placement_set_features (
+    marjoram_placement *placement,
+    const struct marjoram_load_features *features);
+
 void marjoram_placement_choose (marjoram_placement *placement, int64_t now,
                                 const struct marjoram_place_query *query,
                                 struct marjoram_place *place);
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -149,6 +149,7 @@
 struct marjoram_placement
 {
   struct marjoram_placement_options options;
+  struct marjoram_load_features features;
   char *host; /* this host's name; owned */
   char *region;
   char *zone; /* NULL if unknown */
--- a/test/test_gateway_settings.c
+++ b/test/test_gateway_settings.c
@@ -53,6 +53,24 @@
 }
 END_TEST
 
+START_TEST (load_is_read_and_off_by_default)
+{
+  struct marjoram_error err = { 0 };
+  struct marjoram_gateway_settings *settings = load (ENTRY, NULL, &err);
+
+  ck_assert (!settings->load.share_room && !settings->load.engine_speed);
+  ck_assert_uint_eq (settings->load_terms.count, 0);
+  marjoram_gateway_settings_destroy (settings);
+  settings
+      = load (ENTRY "[load]\nshare_room = yes\nterms = a,b\n", NULL, &err);
+  ck_assert_msg (settings != NULL, "%s", err.message);
+  ck_assert (settings->load.share_room && !settings->load.check_upstreams);
+  ck_assert_uint_eq (settings->load_terms.count, 2);
+  ck_assert_str_eq (settings->load_terms.items[1], "b");
+  marjoram_gateway_settings_destroy (settings);
+}
+END_TEST
+
 START_TEST (faults_are_reported)
 {
   static const struct
@@ -70,6 +88,7 @@
     { HEAD ("entry") "[listen]\nlink = here\nentry = 10.0.0.1:80\n"
                      "ready = 10.0.0.1:81\n" TAIL,
       "write an IP number and a port" },
+    { ENTRY "[load]\nshare_room = perhaps\n", "yes" },
     { ENTRY "[extra]\na = b\n", "unknown section [extra]" },
     { ENTRY "[limits]\nrepeat_ratio = 7\n", "write a number from 0 to 1" },
     { ENTRY "[limits]\ndrain_limit_ms = soon\n", "write a whole number" },
@@ -106,6 +125,7 @@
   TCase *c = tcase_create ("gateway_settings");
 
   tcase_add_test (c, entry_is_read);
+  tcase_add_test (c, load_is_read_and_off_by_default);
   tcase_add_test (c, faults_are_reported);
   suite_add_tcase (s, c);
   return s;
