--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -72,6 +72,8 @@
     NULL },
   { "engine_speed", MARJORAM_INI_BOOL, FIELD (load.engine_speed), "no", 0, 0,
     NULL },
+  { "balance_regions", MARJORAM_INI_BOOL, FIELD (load.balance_regions), "no",
+    0, 0, NULL },
   { "terms", MARJORAM_INI_NAME_LIST, FIELD (load_terms), "", 0, 0, NULL },
 };
 
--- a/src/load_features.c
+++ b/src/load_features.c
@@ -17,6 +17,7 @@
   features->measured_waits |= more->measured_waits;
   features->engine_memory |= more->engine_memory;
   features->engine_speed |= more->engine_speed;
+  features->balance_regions |= more->balance_regions;
 }
 
 static bool
--- a/src/load_features.h
+++ b/src/load_features.h
@@ -13,6 +13,7 @@
   bool measured_waits;  /* queue requests by the measured drain rate */
   bool engine_memory;   /* admit requests by the memory that they will hold */
   bool engine_speed;    /* learn the speed of each engine */
+  bool balance_regions; /* limit forwarding by what other regions accept */
 };
 
 /* Enables in FEATURES all that are enabled in MORE.  */
--- a/test/test_load_features.c
+++ b/test/test_load_features.c
@@ -19,7 +19,7 @@
 {
   return features->share_room || features->check_upstreams
          || features->measured_waits || features->engine_memory
-         || features->engine_speed;
+         || features->engine_speed || features->balance_regions;
 }
 
 START_TEST (other_configurations_enable_nothing)
@@ -55,7 +55,7 @@
   ops->read_term ("pressure", &features);
   ck_assert (features.share_room && features.check_upstreams
              && features.measured_waits && features.engine_memory
-             && features.engine_speed);
+             && features.engine_speed && features.balance_regions);
 }
 END_TEST
 
