--- a/src/account.c
+++ b/src/account.c
@@ -14,10 +14,21 @@
   PERCENT = 100
 };
 
+enum outcome
+{
+  OUTCOME_IN_TIME,
+  OUTCOME_LATE,
+  OUTCOME_REFUSED, /* not run */
+  OUTCOME_CALLER_LEFT,
+  OUTCOME_FAILED,
+  OUTCOME_COUNT
+};
+
 struct group
 {
   char *key;
   size_t requests;
+  size_t outcomes[OUTCOME_COUNT];
   int64_t total_ms;
   double first_arrival;
   double last_arrival;
@@ -29,6 +40,7 @@
   char *by;
   const char *field_names[FIELDS_MAX];
   size_t field_count;
+  bool counts_outcomes;
   size_t requests;
   size_t served; /* within the objective */
   struct group *groups;
@@ -90,6 +102,19 @@
          && marjoram_log_line_number (line, "status", 0) / 100 == 2;
 }
 
+static enum outcome
+outcome_of (const struct marjoram_log_line *line)
+{
+  const char *outcome = marjoram_log_line_get (line, "outcome");
+
+  if (served_successfully (line))
+    return is_late (line) ? OUTCOME_LATE : OUTCOME_IN_TIME;
+  if (outcome && strcmp (outcome, "not-run") == 0)
+    return OUTCOME_REFUSED;
+  return outcome && strcmp (outcome, "caller-left") == 0 ? OUTCOME_CALLER_LEFT
+                                                         : OUTCOME_FAILED;
+}
+
 static void
 write_cause (const struct marjoram_log_line *line, char *text, size_t size)
 {
@@ -164,6 +189,7 @@
                       const struct marjoram_log_line *line)
 {
   const char *event = marjoram_log_line_get (line, "event");
+  const enum outcome outcome = outcome_of (line);
   char key[KEY_MAX_BYTES] = "";
   struct group *group;
   double at = arrival_time (line);
@@ -172,14 +198,14 @@
       || marjoram_log_line_number (line, "forwarded", 0) != 0)
     return;
   account->requests++;
-  if (served_successfully (line) && !is_late (line))
-    {
-      account->served++;
-      return;
-    }
+  if (outcome == OUTCOME_IN_TIME)
+    account->served++;
+  if (outcome == OUTCOME_IN_TIME && !account->counts_outcomes)
+    return;
   write_key (account, line, key);
   group = find_group (account, key, at);
   group->requests++;
+  group->outcomes[outcome]++;
   group->total_ms += marjoram_log_line_number (line, "ms", 0);
   if (at < group->first_arrival)
     group->first_arrival = at;
@@ -187,6 +213,12 @@
     group->last_arrival = at;
 }
 
+void
+marjoram_account_count_outcomes (marjoram_account *account)
+{
+  account->counts_outcomes = true;
+}
+
 size_t
 marjoram_account_requests (const marjoram_account *account)
 {
@@ -201,17 +233,14 @@
   return strcmp (a->key, b->key);
 }
 
-void
-marjoram_account_print (marjoram_account *account, FILE *out)
+static void
+print_causes (const marjoram_account *account, FILE *out)
 {
-  struct group *group;
-  struct group *next;
+  const struct group *group;
+  const struct group *next;
 
-  fprintf (out, "%zu requests, %zu served in time\n", account->requests,
-           account->served);
   fprintf (out, "%9s %6s %8s %14s %14s  group\n", "requests", "share",
            "mean ms", "first arrival", "last arrival");
-  HASH_SORT (account->groups, compare_groups);
   HASH_ITER (hh, account->groups, group, next)
   {
     fprintf (out, "%9zu %5.1f%% %8" PRId64 " %14.3f %14.3f  %s\n",
@@ -221,3 +250,36 @@
              group->last_arrival, group->key);
   }
 }
+
+static void
+print_outcomes (const marjoram_account *account, FILE *out)
+{
+  const struct group *group;
+  const struct group *next;
+
+  fprintf (out, "%9s %8s %9s %9s %9s %9s %9s  group\n", "requests", "in time",
+           "late", "refused", "left", "failed", "mean ms");
+  HASH_ITER (hh, account->groups, group, next)
+  {
+    fprintf (out, "%9zu %7.1f%% %9zu %9zu %9zu %9zu %9" PRId64 "  %s\n",
+             group->requests,
+             PERCENT * (double)group->outcomes[OUTCOME_IN_TIME]
+                 / (double)group->requests,
+             group->outcomes[OUTCOME_LATE], group->outcomes[OUTCOME_REFUSED],
+             group->outcomes[OUTCOME_CALLER_LEFT],
+             group->outcomes[OUTCOME_FAILED],
+             group->total_ms / (int64_t)group->requests, group->key);
+  }
+}
+
+void
+marjoram_account_print (marjoram_account *account, FILE *out)
+{
+  fprintf (out, "%zu requests, %zu served in time\n", account->requests,
+           account->served);
+  HASH_SORT (account->groups, compare_groups);
+  if (account->counts_outcomes)
+    print_outcomes (account, out);
+  else
+    print_causes (account, out);
+}
--- a/src/account.h
+++ b/src/account.h
@@ -20,7 +20,12 @@
 void marjoram_account_add (marjoram_account *account,
                            const struct marjoram_log_line *line);
 size_t marjoram_account_requests (const marjoram_account *account);
-/* Prints the groups as a table, largest first.  */
+/* Also counts requests that were served in time, so that groups can be
+   compared by the share of their requests that was served.  To be set before
+   the first line is added.  */
+void marjoram_account_count_outcomes (marjoram_account *account);
+/* Prints the groups as a table, largest first: their failed and late requests
+   or, with marjoram_account_count_outcomes, the outcomes of all.  */
 void marjoram_account_print (marjoram_account *account, FILE *out);
 
 #endif
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -43,6 +43,7 @@
   /* account */
   const char *by; /* fields to group by; null: cause and route */
   const char *id; /* print the log lines of this request instead */
+  bool outcomes;  /* count those served in time as well */
 };
 
 /* Runs the command ARGS[0] with its operands.  Output goes to OUT, error
--- a/src/ctl_account.c
+++ b/src/ctl_account.c
@@ -126,7 +126,10 @@
 marjoram_ctl_account (struct marjoram_ctl_call *call)
 {
   static const char default_fields[] = "cause,route";
-  const char *fields = call->options->by ? call->options->by : default_fields;
+  static const char default_outcome_fields[] = "customer,route";
+  const char *fields = call->options->by         ? call->options->by
+                       : call->options->outcomes ? default_outcome_fields
+                                                 : default_fields;
   marjoram_account *account = marjoram_account_create (fields);
   struct found_lines found = { 0 };
   enum marjoram_ctl_status status = MARJORAM_CTL_DONE;
@@ -136,6 +139,8 @@
         call, MARJORAM_CTL_USAGE,
         "--by takes one to six field names, for example cause,route or "
         "second,upstream");
+  if (call->options->outcomes)
+    marjoram_account_count_outcomes (account);
   for (int i = 0; i < call->arg_count && status == MARJORAM_CTL_DONE; i++)
     status = parse_log_file (call, call->args[i], account, &found);
   if (status == MARJORAM_CTL_DONE && call->options->id)
--- a/src/main_marjoramctl.c
+++ b/src/main_marjoramctl.c
@@ -22,6 +22,7 @@
   OPTION_PROMPT_TOKENS,
   OPTION_BY,
   OPTION_ID,
+  OPTION_OUTCOMES,
   OPTION_HELP,
   OPTION_VERSION
 };
@@ -40,6 +41,7 @@
   { "prompt-tokens", required_argument, NULL, OPTION_PROMPT_TOKENS },
   { "by", required_argument, NULL, OPTION_BY },
   { "id", required_argument, NULL, OPTION_ID },
+  { "outcomes", no_argument, NULL, OPTION_OUTCOMES },
   { "help", no_argument, NULL, OPTION_HELP },
   { "version", no_argument, NULL, OPTION_VERSION },
   { NULL, 0, NULL, 0 },
@@ -67,6 +69,8 @@
           "                        the request to explain\n"
           "  --by FIELD,...        for account: fields to group by "
           "(cause,route)\n"
+          "  --outcomes            for account: all outcomes by customer and "
+          "route\n"
           "  --id ID               for account: show all lines of one "
           "request\n"
           "  --help, --version\n"
@@ -143,6 +147,9 @@
     case OPTION_ID:
       options->id = optarg;
       return -1;
+    case OPTION_OUTCOMES:
+      options->outcomes = true;
+      return -1;
     case OPTION_HELP:
       print_help ();
       return MARJORAM_CTL_DONE;
--- a/test/test_account.c
+++ b/test/test_account.c
@@ -53,9 +53,8 @@
 /* Runs the command on two logs.  The first has event log lines only if
    WITH_EVENTS is set.  */
 static enum marjoram_ctl_status
-run (const char *by, const char *id, bool with_events)
+run_with (const struct marjoram_ctl_options *options, bool with_events)
 {
-  struct marjoram_ctl_options options = { .by = by, .id = id };
   char first_path[64];
   char second_path[64];
   char *const args[] = { (char *)"account", first_path, second_path };
@@ -69,7 +68,7 @@
             (int)getpid ());
   write_file (first_path, with_events ? first_log : "not an event line\n");
   write_file (second_path, second_log);
-  status = marjoram_ctl_run (&options, 3, args, out, errors);
+  status = marjoram_ctl_run (options, 3, args, out, errors);
   fclose (out);
   fclose (errors);
   unlink (first_path);
@@ -77,6 +76,14 @@
   return status;
 }
 
+static enum marjoram_ctl_status
+run (const char *by, const char *id, bool with_events)
+{
+  const struct marjoram_ctl_options options = { .by = by, .id = id };
+
+  return run_with (&options, with_events);
+}
+
 START_TEST (requests_are_grouped_by_cause)
 {
   ck_assert_int_eq (run (NULL, NULL, true), MARJORAM_CTL_DONE);
@@ -99,6 +106,22 @@
 }
 END_TEST
 
+/* Guards against customers that look equal because only what was not served
+   is counted.  */
+START_TEST (outcomes_include_requests_served_in_time)
+{
+  const struct marjoram_ctl_options options
+      = { .by = "route", .outcomes = true };
+
+  ck_assert_int_eq (run_with (&options, true), MARJORAM_CTL_DONE);
+  ck_assert (strstr (output, "5 requests, 1 served in time"));
+  ck_assert (strstr (output, "        4    25.0%         1         2"
+                             "         0         0       275  ask"));
+  ck_assert (strstr (output, "        1     0.0%         0         0"
+                             "         0         1        40  get"));
+}
+END_TEST
+
 /* Lines of a forwarded request are merged from two logs in order of time.  */
 START_TEST (request_is_traced_across_hosts)
 {
@@ -142,6 +165,7 @@
 
   tcase_add_test (c, requests_are_grouped_by_cause);
   tcase_add_test (c, requests_are_grouped_by_other_fields);
+  tcase_add_test (c, outcomes_include_requests_served_in_time);
   tcase_add_test (c, request_is_traced_across_hosts);
   tcase_add_test (c, file_without_event_lines_is_rejected);
   tcase_add_test (c, quoted_values_may_contain_spaces);
