Limit requests forwarded to other regions by what they accept

Hosts of a region decide alone on reports that are 50 to 200 ms old, so that together they exceed what another region has left. With balance_regions each host limits the forwarded requests for a region and service that have no first event yet (forward_window.c), forwards requests that would be refused otherwise, and counts refusals although another region has capacity. Without it decisions are as before.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -386,8 +386,9 @@
 role_report (struct marjoram_role *role, int64_t now)
 {
   struct marjoram_entry *self = entry_from_role (role);
+  json_t *report;
 
-  return json_pack (
+  report = json_pack (
       "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o}", "role", "entry", "ready",
       marjoram_entry_is_ready (self), "config_version",
       (json_int_t)(self->table ? self->table->version : 0), "config_number",
@@ -398,6 +399,12 @@
       marjoram_gateway_report_customers (
           marjoram_gateway_key_lease (self->gateway),
           marjoram_gateway_quota_pool (self->gateway), now));
+  if (marjoram_gateway_features (self->gateway)->balance_regions)
+    json_object_set_new (
+        report, "forward_windows",
+        marjoram_gateway_report_windows (
+            marjoram_gateway_forward_windows (self->gateway)));
+  return report;
 }
 
 static struct marjoram_repeat_limits
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -65,6 +65,7 @@
   gateway->crashes = marjoram_crash_list_create ();
   gateway->queue = marjoram_wait_queue_create ();
   gateway->shortages = marjoram_shortages_create ();
+  gateway->windows = marjoram_forward_windows_create ();
   gateway->lease = marjoram_key_lease_create (options->key_lease_ms);
   gateway->quotas
       = marjoram_quota_pool_create (&marjoram_gateway_quota_ops, gateway);
@@ -98,6 +99,12 @@
   return gateway->quotas;
 }
 
+const marjoram_forward_windows *
+marjoram_gateway_forward_windows (const marjoram_gateway *gateway)
+{
+  return gateway->windows;
+}
+
 marjoram_key_lease *
 marjoram_gateway_key_lease (marjoram_gateway *gateway)
 {
@@ -175,6 +182,7 @@
                                exchange->attempts_maybe_run > 0);
   HASH_DELETE (by_call, gateway->by_call, exchange);
   marjoram_wait_queue_remove (gateway->queue, &exchange->waiter);
+  marjoram_forwarded_request_cancelled (&exchange->forward);
   marjoram_http_request_destroy (exchange->request);
   marjoram_header_list_clear (&exchange->headers);
   marjoram_event_stream_destroy (exchange->events);
@@ -201,6 +209,7 @@
   marjoram_crash_list_destroy (gateway->crashes);
   marjoram_wait_queue_destroy (gateway->queue);
   marjoram_shortages_destroy (gateway->shortages);
+  marjoram_forward_windows_destroy (gateway->windows);
   marjoram_key_lease_destroy (gateway->lease);
   marjoram_quota_pool_destroy (gateway->quotas);
   marjoram_customer_index_destroy (gateway->customers);
@@ -304,6 +313,7 @@
   uint64_t call = exchange->call;
 
   failure.unreached = exchange->attempts_sent == 0;
+  marjoram_exchange_count_refusal (gateway, exchange, now, why);
   marjoram_exchange_drop_attempt (gateway, exchange, now,
                                   MARJORAM_ATTEMPT_CANCELLED);
   marjoram_metrics_add (metrics,
@@ -620,6 +630,7 @@
   marjoram_quota_pool_tick (gateway->quotas, now);
   marjoram_gateway_update_hosts (gateway, now);
   marjoram_gateway_retry_queued (gateway, now);
+  marjoram_forward_windows_tick (gateway->windows, now);
   marjoram_placement_tick (gateway->placement, now);
   marjoram_gateway_tick_crashes (gateway, now);
   marjoram_stream_origins_expire (gateway->origins, now);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -10,6 +10,7 @@
 #define MARJORAM_GATEWAY_H
 
 #include "crash_list.h"
+#include "forward_window.h"
 #include "host_list.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -90,6 +91,8 @@
 marjoram_crash_list *marjoram_gateway_crash_list (marjoram_gateway *gateway);
 marjoram_key_lease *marjoram_gateway_key_lease (marjoram_gateway *gateway);
 marjoram_quota_pool *marjoram_gateway_quota_pool (marjoram_gateway *gateway);
+const marjoram_forward_windows *
+marjoram_gateway_forward_windows (const marjoram_gateway *gateway);
 /* Replaces the features that the settings enable, after a reload.  */
 void marjoram_gateway_set_load (marjoram_gateway *gateway,
                                 const struct marjoram_load_features *load);
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -243,6 +243,7 @@
 
   marjoram_placement_response_started (gateway->placement, now,
                                        exchange->attempt);
+  marjoram_forwarded_request_began (&exchange->forward, now);
   if (exchange->first_event_at)
     return;
   exchange->first_event_at = now;
@@ -668,6 +669,7 @@
       end_broken (gateway, exchange, now);
       return;
     }
+  marjoram_exchange_forward_refused (gateway, exchange, now, why);
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  MARJORAM_ATTEMPT_REFUSED);
   marjoram_metrics_add (gateway->options.metrics,
@@ -681,5 +683,8 @@
                                                     : MARJORAM_OUTCOME_NOT_RUN;
   answer.status = exchange->attempts_maybe_run > 0 ? STATUS_BAD_GATEWAY
                                                    : STATUS_UNAVAILABLE;
+  if (gateway->features.balance_regions && answer.retry_ms == 0
+      && answer.outcome == MARJORAM_OUTCOME_NOT_RUN)
+    answer.retry_ms = marjoram_exchange_retry_ms (gateway, exchange, now);
   marjoram_exchange_refuse (gateway, exchange, now, &answer);
 }
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -10,6 +10,11 @@
 {
   /* Round trip between two regions, plus margin.  */
   REGION_RTT_MS = 130,
+  /* Forwarded requests count as late after this many times the expected
+     time, since a wait varies about as much as it takes.  */
+  LATE_FACTOR = 2,
+  /* Speed at which a small host sends a request's body.  */
+  BODY_BYTES_PER_MS = 1250,
   SESSION_REGIONS_MAX = 16
 };
 
@@ -70,16 +75,6 @@
   return false;
 }
 
-static bool
-forward_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-            int64_t now, const char *host)
-{
-  if (!send_to_host (gateway, exchange, now, host))
-    return false;
-  exchange->forwarded_out = true;
-  return true;
-}
-
 /* HOST's offer for the exchange's service and build, or null.  */
 static const struct marjoram_host_offer *
 usable_offer (const struct marjoram_exchange *exchange,
@@ -179,39 +174,144 @@
 
 /* ---- To other regions.  ---- */
 
-/* Orders regions by the wait at their least loaded upstream or by the mean
-   backlog of their upstreams.  */
+/* Orders regions by the time until the first event or by the mean backlog of
+   their upstreams.  */
 enum region_order
 {
   BY_WAIT,
   BY_BACKLOG
 };
 
-static uint64_t
-load_of (const struct marjoram_host_offer *offer, enum region_order order)
+struct region_choice
+{
+  enum region_order order;
+  bool optional;      /* the exchange may still be served here in time */
+  bool any_window;    /* regions whose windows are full, too */
+  const char *home;   /* of the exchange's session; null if not known */
+  const char *except; /* null: none */
+};
+
+static bool
+is_balanced (const marjoram_gateway *gateway)
+{
+  return gateway->features.balance_regions;
+}
+
+/* Cost in ms of moving the exchange to REGION: the prefill of tokens that are
+   not cached there, and the transfer of its body.  Parts before the session's
+   are shared by sessions of all regions.  0 without balance_regions.  */
+static double
+move_ms (const marjoram_gateway *gateway,
+         const struct marjoram_exchange *exchange, const char *region,
+         const char *home)
+{
+  const struct marjoram_call_metadata *metadata = &exchange->metadata;
+  const size_t parts = metadata->part_count;
+  const double tokens_per_ms = exchange->place.engine_tokens_per_ms;
+  int64_t tokens = metadata->prompt_tokens;
+  double ms;
+
+  if (!is_balanced (gateway))
+    return 0;
+  if (parts >= 2)
+    {
+      tokens = metadata->parts[parts - 1].tokens;
+      if (!home || strcmp (region, home) != 0)
+        tokens += metadata->parts[parts - 2].tokens;
+    }
+  ms = (double)marjoram_bytes_size (exchange->request->body)
+       / BODY_BYTES_PER_MS;
+  return tokens_per_ms > 0 ? ms + (double)tokens / tokens_per_ms : ms;
+}
+
+/* Whether the window of REGION has room for the exchange.  One that may run
+   only in other regions is counted but not limited, since it cannot wait
+   here.  */
+static bool
+has_window_room (const marjoram_gateway *gateway,
+                 const struct marjoram_exchange *exchange,
+                 const struct marjoram_route_rule *route, int64_t now,
+                 const char *region, const struct region_choice *choice)
 {
-  return order == BY_WAIT ? offer->wait_ms : offer->backlog_ms;
+  const struct marjoram_forward_need need
+      = { choice->optional,
+          move_ms (gateway, exchange, region, choice->home) };
+
+  return !is_balanced (gateway) || choice->any_window
+         || marjoram_forward_windows_has_room (gateway->windows, now, region,
+                                               exchange->service, &need)
+         || !marjoram_exchange_allows_region (gateway, exchange, route,
+                                              gateway->region);
+}
+
+/* Forwards the exchange to HOST.  Its first event is expected after
+   exchange->estimated_wait_ms.  */
+static bool
+forward_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+            int64_t now, const struct marjoram_listed_host *host,
+            const struct region_choice *choice)
+{
+  const char *region = host->heartbeat.region;
+  const int64_t expected_ms = exchange->estimated_wait_ms;
+  const int64_t due_ms
+      = exchange->target_at - now > expected_ms
+                && exchange->target_at - now < LATE_FACTOR * expected_ms
+            ? exchange->target_at - now
+            : LATE_FACTOR * expected_ms;
+  const struct marjoram_forward_need need
+      = { choice->optional,
+          move_ms (gateway, exchange, region, choice->home) };
+
+  if (!send_to_host (gateway, exchange, now, host->heartbeat.name))
+    return false;
+  exchange->forwarded_out = true;
+  if (is_balanced (gateway))
+    marjoram_forward_windows_sent (gateway->windows, now, region,
+                                   exchange->service, &need, now + due_ms,
+                                   &exchange->forward);
+  return true;
+}
+
+static double
+load_of (const marjoram_gateway *gateway,
+         const struct marjoram_exchange *exchange,
+         const struct marjoram_host_offer *offer, const char *region,
+         const struct region_choice *choice)
+{
+  return choice->order == BY_WAIT
+             ? (double)offer->wait_ms
+                   + move_ms (gateway, exchange, region, choice->home)
+             : (double)offer->backlog_ms;
 }
 
 static const char *
 choose_region (marjoram_gateway *gateway,
                const struct marjoram_exchange *exchange,
                const struct marjoram_route_rule *route, int64_t now,
-               enum region_order order, struct marjoram_host_offer *found)
+               const struct region_choice *choice,
+               struct marjoram_host_offer *found)
 {
   const struct marjoram_host_slice *offering
       = marjoram_host_list_offering (gateway->options.place.hosts, now);
   const char *best = NULL;
+  double least = 0;
 
   for (size_t i = 0; i < offering->count; i++)
     {
       const struct marjoram_listed_host *host = offering->hosts[i];
+      const char *region = host->heartbeat.region;
       const struct marjoram_host_offer *offer
           = find_offer (gateway, exchange, route, host, now);
+      double load;
 
-      if (!offer || (best && load_of (offer, order) >= load_of (found, order)))
+      if (!offer || (choice->except && strcmp (region, choice->except) == 0))
+        continue;
+      load = load_of (gateway, exchange, offer, region, choice);
+      if ((best && load >= least)
+          || !has_window_room (gateway, exchange, route, now, region, choice))
         continue;
-      best = host->heartbeat.region;
+      best = region;
+      least = load;
       *found = *offer;
     }
   return best;
@@ -243,49 +343,6 @@
   return best;
 }
 
-static const struct marjoram_listed_host *
-choose_remote_host (marjoram_gateway *gateway,
-                    const struct marjoram_exchange *exchange,
-                    const struct marjoram_route_rule *route, int64_t now,
-                    enum region_order order, struct marjoram_host_offer *offer)
-{
-  const char *region
-      = choose_region (gateway, exchange, route, now, order, offer);
-
-  return region ? choose_host (gateway, exchange, route, now, region) : NULL;
-}
-
-bool
-marjoram_exchange_may_forward (marjoram_gateway *gateway,
-                               const struct marjoram_exchange *exchange,
-                               const struct marjoram_route_rule *route,
-                               int64_t now, int64_t max_wait_ms)
-{
-  struct marjoram_host_offer offer = { 0 };
-
-  return !exchange->forwarded && !exchange->forwarded_out
-         && choose_remote_host (gateway, exchange, route, now, BY_WAIT, &offer)
-         && (int64_t)offer.wait_ms + REGION_RTT_MS <= max_wait_ms;
-}
-
-bool
-marjoram_exchange_forward (marjoram_gateway *gateway,
-                           struct marjoram_exchange *exchange,
-                           const struct marjoram_route_rule *route,
-                           int64_t now, int64_t max_wait_ms)
-{
-  const struct marjoram_listed_host *host;
-  struct marjoram_host_offer offer = { 0 };
-
-  if (exchange->forwarded || exchange->forwarded_out)
-    return false;
-  host = choose_remote_host (gateway, exchange, route, now, BY_WAIT, &offer);
-  if (!host || (int64_t)offer.wait_ms + REGION_RTT_MS > max_wait_ms)
-    return false;
-  exchange->estimated_wait_ms = (int64_t)offer.wait_ms + REGION_RTT_MS;
-  return forward_to (gateway, exchange, now, host->heartbeat.name);
-}
-
 /* Regions that may serve the exchange, this one first, with the offer of one
    host of each other region.  */
 struct session_regions
@@ -335,6 +392,145 @@
     }
 }
 
+/* The home region of the exchange's session; null if there is none or it does
+   not matter.  */
+static const char *
+find_home (marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
+           const struct marjoram_route_rule *route, int64_t now)
+{
+  const struct marjoram_call_metadata *metadata = &exchange->metadata;
+  struct session_regions regions;
+  size_t home;
+
+  if (!is_balanced (gateway) || metadata->part_count < 2)
+    return NULL;
+  find_regions (gateway, exchange, route, now, exchange->place.usable,
+                &regions);
+  home = marjoram_session_home_find (
+      metadata->parts[metadata->part_count - 2].id, regions.items,
+      regions.count);
+  return home < regions.count ? regions.items[home].name : NULL;
+}
+
+static const struct marjoram_listed_host *
+choose_remote_host (marjoram_gateway *gateway,
+                    const struct marjoram_exchange *exchange,
+                    const struct marjoram_route_rule *route, int64_t now,
+                    const struct region_choice *choice,
+                    struct marjoram_host_offer *offer)
+{
+  const char *region
+      = choose_region (gateway, exchange, route, now, choice, offer);
+
+  return region ? choose_host (gateway, exchange, route, now, region) : NULL;
+}
+
+/* The host of another region that would answer first.  Null if none would
+   within MAX_WAIT_MS; otherwise sets EXPECTED_MS.  */
+static const struct marjoram_listed_host *
+find_in_time (marjoram_gateway *gateway,
+              const struct marjoram_exchange *exchange,
+              const struct marjoram_route_rule *route, int64_t now,
+              int64_t max_wait_ms, const struct region_choice *choice,
+              int64_t *expected_ms)
+{
+  struct marjoram_host_offer offer = { 0 };
+  const struct marjoram_listed_host *host
+      = choose_remote_host (gateway, exchange, route, now, choice, &offer);
+
+  if (!host)
+    return NULL;
+  *expected_ms = (int64_t)offer.wait_ms + REGION_RTT_MS
+                 + (int64_t)move_ms (gateway, exchange, host->heartbeat.region,
+                                     choice->home);
+  return *expected_ms <= max_wait_ms ? host : NULL;
+}
+
+static bool
+was_forwarded (const struct marjoram_exchange *exchange)
+{
+  return exchange->forwarded || exchange->forwarded_out
+         || *exchange->refused_region;
+}
+
+bool
+marjoram_exchange_may_forward (marjoram_gateway *gateway,
+                               const struct marjoram_exchange *exchange,
+                               const struct marjoram_route_rule *route,
+                               int64_t now, int64_t max_wait_ms)
+{
+  struct region_choice choice = { .order = BY_WAIT };
+  int64_t expected_ms;
+
+  if (was_forwarded (exchange))
+    return false;
+  choice.home = find_home (gateway, exchange, route, now);
+  return find_in_time (gateway, exchange, route, now, max_wait_ms, &choice,
+                       &expected_ms);
+}
+
+/* Counts a request that is not forwarded, if only full windows prevented
+   it.  */
+static void
+count_limited (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+               const struct marjoram_route_rule *route, int64_t now,
+               int64_t max_wait_ms, struct region_choice choice)
+{
+  int64_t expected_ms;
+
+  choice.any_window = true;
+  if (!is_balanced (gateway) || exchange->forward_limited
+      || !find_in_time (gateway, exchange, route, now, max_wait_ms, &choice,
+                        &expected_ms))
+    return;
+  exchange->forward_limited = true;
+  marjoram_metrics_add (gateway->options.metrics,
+                        MARJORAM_METRIC_FORWARDS_LIMITED, 1);
+}
+
+static bool
+forward_in_time (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+                 const struct marjoram_route_rule *route, int64_t now,
+                 int64_t max_wait_ms, bool optional)
+{
+  const struct marjoram_listed_host *host;
+  struct region_choice choice = { .order = BY_WAIT, .optional = optional };
+  int64_t expected_ms;
+
+  if (was_forwarded (exchange))
+    return false;
+  choice.home = find_home (gateway, exchange, route, now);
+  host = find_in_time (gateway, exchange, route, now, max_wait_ms, &choice,
+                       &expected_ms);
+  if (!host)
+    {
+      count_limited (gateway, exchange, route, now, max_wait_ms, choice);
+      return false;
+    }
+  exchange->estimated_wait_ms = expected_ms;
+  return forward_to (gateway, exchange, now, host, &choice);
+}
+
+bool
+marjoram_exchange_forward (marjoram_gateway *gateway,
+                           struct marjoram_exchange *exchange,
+                           const struct marjoram_route_rule *route,
+                           int64_t now, int64_t max_wait_ms)
+{
+  return forward_in_time (gateway, exchange, route, now, max_wait_ms, true);
+}
+
+bool
+marjoram_exchange_forward_instead (marjoram_gateway *gateway,
+                                   struct marjoram_exchange *exchange,
+                                   const struct marjoram_route_rule *route,
+                                   int64_t now, int64_t max_wait_ms)
+{
+  return is_balanced (gateway)
+         && forward_in_time (gateway, exchange, route, now, max_wait_ms,
+                             false);
+}
+
 /* Tokens of the chosen place's prefill that other requests share: all but the
    last part, which belongs to this request.  */
 static int64_t
@@ -358,12 +554,12 @@
   const struct marjoram_call_metadata *metadata = &exchange->metadata;
   struct marjoram_session_home_query query = { 0 };
   const struct marjoram_listed_host *host;
+  struct region_choice choice = { .optional = true };
   struct session_regions regions;
   size_t home;
 
-  if (exchange->forwarded || exchange->forwarded_out
-      || exchange->attempts_maybe_run > 0 || chosen->engine_tokens_per_ms <= 0
-      || metadata->part_count < 2)
+  if (was_forwarded (exchange) || exchange->attempts_maybe_run > 0
+      || chosen->engine_tokens_per_ms <= 0 || metadata->part_count < 2)
     return false;
   query.shared_ms = (double)shared_prefill_tokens (exchange, chosen)
                     / chosen->engine_tokens_per_ms;
@@ -386,12 +582,15 @@
       = (int64_t)regions.offers[home].wait_ms + REGION_RTT_MS;
   if (!marjoram_session_home_is_better (&query))
     return false;
+  choice.home = regions.items[home].name;
+  if (!has_window_room (gateway, exchange, route, now, choice.home, &choice))
+    return false;
   host = choose_host (gateway, exchange, route, now, regions.items[home].name);
   if (!host)
     return false;
   exchange->estimated_wait_ms
       = query.remote_first_ms + (int64_t)query.prompt_ms;
-  return forward_to (gateway, exchange, now, host->heartbeat.name);
+  return forward_to (gateway, exchange, now, host, &choice);
 }
 
 bool
@@ -404,12 +603,13 @@
   const struct marjoram_listed_host *host;
   struct marjoram_host_offer offer = { 0 };
   struct marjoram_spill_query query = { .id = exchange->metadata.id };
+  const struct region_choice choice
+      = { .order = BY_BACKLOG, .optional = true };
 
-  if (exchange->forwarded || exchange->forwarded_out
-      || exchange->attempts_maybe_run > 0 || chosen->engine_tokens_per_ms <= 0)
+  if (was_forwarded (exchange) || exchange->attempts_maybe_run > 0
+      || chosen->engine_tokens_per_ms <= 0)
     return false;
-  host
-      = choose_remote_host (gateway, exchange, route, now, BY_BACKLOG, &offer);
+  host = choose_remote_host (gateway, exchange, route, now, &choice, &offer);
   if (!host)
     return false;
   query.engines = (int)offer.upstreams < chosen->usable ? (int)offer.upstreams
@@ -427,5 +627,85 @@
     return false;
   exchange->estimated_wait_ms
       = query.remote_first_ms + (int64_t)query.prompt_ms;
-  return forward_to (gateway, exchange, now, host->heartbeat.name);
+  return forward_to (gateway, exchange, now, host, &choice);
+}
+
+/* ---- What becomes of forwarded requests, with balance_regions.  ---- */
+
+/* Whether a refusal for REASON is for want of capacity.  */
+static bool
+is_for_capacity (enum marjoram_reason reason)
+{
+  return reason == MARJORAM_REASON_OVERLOAD
+         || reason == MARJORAM_REASON_NO_UPSTREAM
+         || reason == MARJORAM_REASON_UPSTREAM_REFUSED
+         || reason == MARJORAM_REASON_RETRY_BUDGET
+         || reason == MARJORAM_REASON_DEADLINE;
+}
+
+void
+marjoram_exchange_forward_refused (marjoram_gateway *gateway,
+                                   struct marjoram_exchange *exchange,
+                                   int64_t now,
+                                   const struct marjoram_request_failure *why)
+{
+  const struct marjoram_listed_host *host;
+
+  if (!is_balanced (gateway) || !exchange->forwarded_out)
+    return;
+  if (is_for_capacity (why->reason))
+    marjoram_forwarded_request_refused (&exchange->forward, now);
+  host
+      = marjoram_host_list_find (gateway->options.place.hosts, exchange->host);
+  snprintf (exchange->refused_region, sizeof exchange->refused_region, "%s",
+            host ? host->heartbeat.region : "?");
+}
+
+void
+marjoram_exchange_forward_ended (struct marjoram_exchange *exchange,
+                                 int64_t now, enum marjoram_attempt_end how)
+{
+  if (how == MARJORAM_ATTEMPT_BROKEN || how == MARJORAM_ATTEMPT_TIMED_OUT
+      || how == MARJORAM_ATTEMPT_FAILED)
+    marjoram_forwarded_request_lost (&exchange->forward, now);
+  else
+    marjoram_forwarded_request_cancelled (&exchange->forward);
+}
+
+/* Whether a region that has not refused the exchange would answer it in
+   time.  */
+static bool
+has_room_elsewhere (marjoram_gateway *gateway,
+                    const struct marjoram_exchange *exchange,
+                    const struct marjoram_route_rule *route, int64_t now)
+{
+  const struct region_choice choice
+      = { .order = BY_WAIT,
+          .home = find_home (gateway, exchange, route, now),
+          .except = exchange->refused_region };
+  int64_t expected_ms;
+
+  return find_in_time (gateway, exchange, route, now,
+                       exchange->target_at - now, &choice, &expected_ms);
+}
+
+void
+marjoram_exchange_count_refusal (marjoram_gateway *gateway,
+                                 const struct marjoram_exchange *exchange,
+                                 int64_t now,
+                                 const struct marjoram_request_failure *why)
+{
+  const char *host
+      = marjoram_header_list_get (&exchange->request->headers, "Host");
+  const struct marjoram_route_rule *route;
+
+  if (!is_balanced (gateway) || exchange->forwarded || !gateway->table
+      || !is_for_capacity (why->reason)
+      || exchange->state == MARJORAM_EXCHANGE_STREAMING)
+    return;
+  route = marjoram_route_table_find (gateway->table, host ? host : "",
+                                     exchange->request->target);
+  if (route && has_room_elsewhere (gateway, exchange, route, now))
+    marjoram_metrics_add (gateway->options.metrics,
+                          MARJORAM_METRIC_REFUSED_WITH_ROOM, 1);
 }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -12,6 +12,7 @@
 #include "customer_index.h"
 #include "digest.h"
 #include "event_stream.h"
+#include "forward_window.h"
 #include "gateway.h"
 #include "shortage.h"
 #include "stream_origin.h"
@@ -134,9 +135,14 @@
   int attempts_maybe_run; /* attempts that may have run or still run */
   int failed_connections;
   bool forwarded_out; /* to another region */
-  bool relayed;       /* to another host of this region */
-  bool repeat_taken;  /* from the budget, for the next or current attempt */
-  bool origin_asked;  /* of keepers */
+  /* With balance_regions: while forwarded to another region and not begun.  */
+  struct marjoram_forwarded_request forward;
+  bool forward_limited; /* by a window, at least once */
+  char
+      refused_region[MARJORAM_HOST_NAME_MAX]; /* that refused it; "" if none */
+  bool relayed;      /* to another host of this region */
+  bool repeat_taken; /* from the budget, for the next or current attempt */
+  bool origin_asked; /* of keepers */
   UT_hash_handle by_call;
   UT_hash_handle by_attempt;
 };
@@ -162,6 +168,7 @@
   bool has_broken;
   marjoram_wait_queue *queue;
   marjoram_shortages *shortages;
+  marjoram_forward_windows *windows;
   marjoram_key_lease *lease;
   marjoram_quota_pool *quotas;
   marjoram_stream_origins *origins;   /* of streams of this host's callers */
@@ -249,6 +256,25 @@
                                 struct marjoram_exchange *exchange,
                                 const struct marjoram_route_rule *route,
                                 int64_t now, int64_t max_wait_ms);
+/* With balance_regions: forwards an exchange that would be refused otherwise.
+   Returns whether it was forwarded.  */
+bool marjoram_exchange_forward_instead (
+    marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+    const struct marjoram_route_rule *route, int64_t now, int64_t max_wait_ms);
+/* To be called as the region that the exchange was forwarded to refuses it,
+   which states that it has not run.  */
+void marjoram_exchange_forward_refused (
+    marjoram_gateway *gateway, struct marjoram_exchange *exchange, int64_t now,
+    const struct marjoram_request_failure *why);
+/* To be called as an attempt ends.  */
+void marjoram_exchange_forward_ended (struct marjoram_exchange *exchange,
+                                      int64_t now,
+                                      enum marjoram_attempt_end how);
+/* To be called as the exchange is refused: counts refusals although another
+   region has capacity.  */
+void marjoram_exchange_count_refusal (
+    marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
+    int64_t now, const struct marjoram_request_failure *why);
 /* Whether another host of this region would serve the exchange.  */
 bool marjoram_exchange_may_relay (marjoram_gateway *gateway,
                                   const struct marjoram_exchange *exchange,
--- a/src/gateway_report.c
+++ b/src/gateway_report.c
@@ -99,6 +99,25 @@
       quotas);
 }
 
+static void
+add_window (void *context, const char *region, const char *service,
+            int64_t limit, int64_t in_flight)
+{
+  json_array_append_new (
+      context, json_pack ("{s:s, s:s, s:I, s:I}", "region", region, "service",
+                          service, "limit", (json_int_t)limit, "in_flight",
+                          (json_int_t)in_flight));
+}
+
+json_t *
+marjoram_gateway_report_windows (const marjoram_forward_windows *windows)
+{
+  json_t *list = json_array ();
+
+  marjoram_forward_windows_visit (windows, add_window, list);
+  return list;
+}
+
 static void
 add_share (void *context, const char *customer, int64_t units, int64_t limit)
 {
--- a/src/gateway_report.h
+++ b/src/gateway_report.h
@@ -3,6 +3,7 @@
 #ifndef MARJORAM_GATEWAY_REPORT_H
 #define MARJORAM_GATEWAY_REPORT_H
 
+#include "forward_window.h"
 #include "host_list.h"
 #include "ini_key.h"
 #include "keeper.h"
@@ -24,6 +25,9 @@
 json_t *marjoram_gateway_report_customers (const marjoram_key_lease *lease,
                                            const marjoram_quota_pool *pool,
                                            int64_t now);
+/* Requests forwarded to each region and service, and their limits.  */
+json_t *
+marjoram_gateway_report_windows (const marjoram_forward_windows *windows);
 /* A keeper's shares of the quotas.  */
 json_t *marjoram_gateway_report_shares (const marjoram_quota_shares *shares);
 
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -56,6 +56,7 @@
     return;
   marjoram_placement_attempt_ended (gateway->placement, now, exchange->attempt,
                                     how);
+  marjoram_exchange_forward_ended (exchange, now, how);
   HASH_DELETE (by_attempt, gateway->by_attempt, exchange);
   exchange->attempt = 0;
   exchange->idle_deadline = INT64_MAX;
@@ -326,6 +327,16 @@
   return here_ms < time_left_ms ? here_ms : time_left_ms;
 }
 
+/* Longest wait in another region that is better than a refusal.  */
+static int64_t
+max_useful_wait (const struct marjoram_exchange *exchange, int64_t now,
+                 const struct marjoram_place *chosen, int64_t time_left_ms)
+{
+  return chosen->outcome == MARJORAM_PLACE_NONE
+             ? marjoram_exchange_time_left (exchange, now)
+             : time_left_ms;
+}
+
 static void
 choose (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
         int64_t now, struct marjoram_place_query *query,
@@ -406,7 +417,10 @@
     found = find_last_resort (gateway, exchange, now, &query, &chosen);
   if (found)
     send_to (gateway, exchange, now, &chosen, &query);
-  else if (!marjoram_exchange_wait (gateway, exchange, now, &chosen))
+  else if (!marjoram_exchange_wait (gateway, exchange, now, &chosen)
+           && !marjoram_exchange_forward_instead (
+               gateway, exchange, route, now,
+               max_useful_wait (exchange, now, &chosen, query.time_left_ms)))
     refuse_place (gateway, exchange, now, &chosen);
 }
 
