Forward requests that a region can't serve to one that can

A request that its region would refuse is forwarded first, also after its upstreams have refused it, if the other region's offer leaves time even if the wait there doubles meanwhile. What another region refused is not forwarded again and is told when to come back. lib_fleet gets streams, upstreams that queue, and regions that are cut off.

--- a/src/forward_window.c
+++ b/src/forward_window.c
@@ -9,11 +9,13 @@
 
 enum
 {
-  KEY_MAX = 256, /* bytes, with the NUL */
-  LIMIT_MIN = 1, /* request */
-  /* Pause after a refusal at the lowest limit.  Callers that are refused come
-     back after this time at the earliest.  */
-  PROBE_MS = 250,
+  KEY_MAX = 256,     /* bytes, with the NUL */
+  LIMIT_MIN = 1,     /* request */
+  THRESHOLD_MIN = 4, /* requests */
+  /* Pauses after refusals at the lowest limit, doubled with each in a row.
+     Callers that are refused come back after the first at the earliest.  */
+  PROBE_MIN_MS = 250,
+  PROBE_MAX_MS = 1000,
   /* Idle windows are forgotten after this time, which bounds their number.  */
   FORGET_MS = 10000
 };
@@ -25,6 +27,11 @@
 #define COSTLY_SHARE 0.75
 /* Weight of a new sample in the mean cost.  */
 #define COST_SMOOTHING 0.1
+/* Weight of a new sample in the mean time beyond the expected one, and in its
+   mean deviation, and the deviations after which a request is late.  */
+#define EXCESS_SMOOTHING 0.125
+#define DEVIATION_SMOOTHING 0.25
+#define DEVIATIONS_MAX 4
 /* Differences in cost below this are not significant.  */
 #define COST_TOLERANCE_MS 1.0
 
@@ -41,9 +48,13 @@
   double limit;
   double threshold; /* below it each request that begins adds one */
   double mean_move_ms;
+  bool has_times; /* EXCESS_MS and DEVIATION_MS are known */
+  double excess_ms;
+  double deviation_ms;
   int64_t halved_at;
   int64_t heard_at; /* last first event or refusal */
   int64_t used_at;  /* last request sent or ended */
+  int64_t probe_ms; /* pause after the next refusal at the lowest limit */
   int64_t probe_at; /* no request before */
   UT_hash_handle hh;
 };
@@ -121,6 +132,7 @@
   window->threshold = MARJORAM_FORWARD_LIMIT_MAX;
   window->mean_move_ms = move_ms;
   window->halved_at = INT64_MIN;
+  window->probe_ms = PROBE_MIN_MS;
   window->heard_at = now;
   TAILQ_INIT (&window->requests);
   HASH_ADD_STR (windows->by_key, key, window);
@@ -138,7 +150,7 @@
     share = OPTIONAL_SHARE;
   else if (need->move_ms > mean_move_ms + COST_TOLERANCE_MS)
     share = COSTLY_SHARE;
-  return fmax (LIMIT_MIN, floor (limit * share));
+  return fmax (LIMIT_MIN, ceil (floor (limit) * share));
 }
 
 bool
@@ -156,6 +168,43 @@
                     window->limit, window->mean_move_ms, need));
 }
 
+static void
+forget_times (struct marjoram_forward_window *window)
+{
+  window->has_times = false;
+  window->excess_ms = 0;
+  window->deviation_ms = 0;
+}
+
+static void
+learn_time (struct marjoram_forward_window *window,
+            const struct marjoram_forwarded_request *request, int64_t now)
+{
+  const double excess_ms
+      = (double)(now - request->sent_at - request->expected_ms);
+  const double error_ms = excess_ms - window->excess_ms;
+
+  if (!window->has_times)
+    {
+      window->has_times = true;
+      window->excess_ms = excess_ms;
+      window->deviation_ms = fabs (excess_ms) / 2;
+      return;
+    }
+  window->excess_ms += EXCESS_SMOOTHING * error_ms;
+  window->deviation_ms
+      += DEVIATION_SMOOTHING * (fabs (error_ms) - window->deviation_ms);
+}
+
+/* Time by which requests begin, but for few.  */
+static int64_t
+usual_ms (const struct marjoram_forward_window *window, int64_t expected_ms)
+{
+  const double ms = (double)expected_ms + fmax (window->excess_ms, 0);
+
+  return (int64_t)(ms + fmax (ms, DEVIATIONS_MAX * window->deviation_ms));
+}
+
 /* After a time without requests nothing is known of the region.  */
 static void
 restart_if_unused (struct marjoram_forward_window *window, int64_t now)
@@ -164,16 +213,16 @@
       || now < window->heard_at + MARJORAM_FORWARD_SILENCE_MS)
     return;
   window->limit = fmin (window->limit, MARJORAM_FORWARD_LIMIT_START);
-  window->threshold = MARJORAM_FORWARD_LIMIT_MAX;
   window->peak = window->last_peak = 0;
   window->heard_at = now;
+  forget_times (window);
 }
 
 void
 marjoram_forward_windows_sent (marjoram_forward_windows *windows, int64_t now,
                                const char *region, const char *service,
                                const struct marjoram_forward_need *need,
-                               int64_t due_at,
+                               int64_t expected_ms, int64_t time_left_ms,
                                struct marjoram_forwarded_request *request)
 {
   struct marjoram_forward_window *window
@@ -186,7 +235,10 @@
         += COST_SMOOTHING * (need->move_ms - window->mean_move_ms);
   request->window = window;
   request->sent_at = now;
-  request->due_at = due_at;
+  request->expected_ms = expected_ms;
+  request->usual_at = now + usual_ms (window, expected_ms);
+  request->due_at = now + time_left_ms > request->usual_at ? now + time_left_ms
+                                                           : request->usual_at;
   request->late = false;
   window->in_flight++;
   if (window->in_flight > window->peak)
@@ -213,7 +265,7 @@
   if (sent_at < window->halved_at)
     return;
   window->limit = fmax (LIMIT_MIN, window->limit / 2);
-  window->threshold = fmax (window->limit, MARJORAM_FORWARD_LIMIT_START);
+  window->threshold = fmax (window->limit, THRESHOLD_MIN);
   window->halved_at = now;
 }
 
@@ -236,7 +288,7 @@
   const int64_t peak
       = window->peak > window->last_peak ? window->peak : window->last_peak;
 
-  return 2 * (double)peak >= floor (window->limit);
+  return (double)peak >= ceil (floor (window->limit) * OPTIONAL_SHARE);
 }
 
 static void
@@ -260,13 +312,25 @@
     return;
   window->heard_at = window->used_at = now;
   count_round (window, now, request->sent_at);
+  learn_time (window, request, now);
   if (request->late || now > request->due_at)
     halve (window, now, request->sent_at);
-  else
-    grow (window);
+  else if (now <= request->usual_at)
+    {
+      window->probe_ms = PROBE_MIN_MS;
+      grow (window);
+    }
   remove_request (request);
 }
 
+static void
+pause_probes (struct marjoram_forward_window *window, int64_t now)
+{
+  window->probe_at = now + window->probe_ms;
+  if (window->probe_ms < PROBE_MAX_MS)
+    window->probe_ms *= 2;
+}
+
 void
 marjoram_forwarded_request_refused (struct marjoram_forwarded_request *request,
                                     int64_t now)
@@ -277,8 +341,8 @@
     return;
   window->heard_at = window->used_at = now;
   halve (window, now, request->sent_at);
-  if (window->limit < LIMIT_MIN + 1)
-    window->probe_at = now + PROBE_MS;
+  if (window->limit < LIMIT_MIN + 1 && now >= window->probe_at)
+    pause_probes (window, now);
   remove_request (request);
 }
 
@@ -314,15 +378,16 @@
     }
 }
 
-/* Whether requests have been under way to a region that has said nothing for
-   long.  */
+/* Whether a region has said nothing for long, although a request should have
+   begun.  */
 static bool
 is_silent (const struct marjoram_forward_window *window, int64_t now)
 {
   const struct marjoram_forwarded_request *oldest
       = TAILQ_FIRST (&window->requests);
 
-  return oldest && now >= oldest->sent_at + MARJORAM_FORWARD_SILENCE_MS
+  return oldest && now > oldest->usual_at
+         && now >= oldest->sent_at + MARJORAM_FORWARD_SILENCE_MS
          && now >= window->heard_at + MARJORAM_FORWARD_SILENCE_MS;
 }
 
@@ -339,6 +404,8 @@
       {
         window->limit = LIMIT_MIN;
         window->threshold = MARJORAM_FORWARD_LIMIT_MAX;
+        window->halved_at = now;
+        forget_times (window);
       }
     restart_if_unused (window, now);
     if (window->in_flight == 0 && now >= window->used_at + FORGET_MS)
--- a/src/forward_window.h
+++ b/src/forward_window.h
@@ -21,10 +21,10 @@
 
 enum
 {
-  MARJORAM_FORWARD_LIMIT_START = 4, /* requests */
+  MARJORAM_FORWARD_LIMIT_START = 8, /* requests */
   MARJORAM_FORWARD_LIMIT_MAX = 1024,
-  /* Time without a first event or a refusal after which requests that are
-     under way count as unanswered.  */
+  /* Time without a first event or a refusal after which a region where a
+     request should have begun counts as silent.  */
   MARJORAM_FORWARD_SILENCE_MS = 1000
 };
 
@@ -35,7 +35,10 @@
   TAILQ_ENTRY (marjoram_forwarded_request) link;
   struct marjoram_forward_window *window; /* null: not counted */
   int64_t sent_at;
-  int64_t due_at; /* time by which its first event is expected */
+  int64_t expected_ms; /* by the region's offer */
+  int64_t usual_at;    /* by then most requests have begun */
+  int64_t due_at;      /* its caller needs the first event; not before the
+                          usual time */
   bool late;
 };
 
@@ -59,12 +62,15 @@
 bool marjoram_forward_windows_has_room (
     const marjoram_forward_windows *windows, int64_t now, const char *region,
     const char *service, const struct marjoram_forward_need *need);
-/* REQUEST was forwarded; its first event is expected by DUE_AT.  Requests are
-   counted also when there was no room.  */
-void marjoram_forward_windows_sent (
-    marjoram_forward_windows *windows, int64_t now, const char *region,
-    const char *service, const struct marjoram_forward_need *need,
-    int64_t due_at, struct marjoram_forwarded_request *request);
+/* REQUEST was forwarded; by the region's offer its first event is expected
+   after EXPECTED_MS, and its caller needs it within TIME_LEFT_MS.  Requests
+   are counted also when there was no room.  */
+void
+marjoram_forward_windows_sent (marjoram_forward_windows *windows, int64_t now,
+                               const char *region, const char *service,
+                               const struct marjoram_forward_need *need,
+                               int64_t expected_ms, int64_t time_left_ms,
+                               struct marjoram_forwarded_request *request);
 
 /* Each of these ends the counting of REQUEST and does nothing if it is not
    counted.  */
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -10,9 +10,6 @@
 {
   /* Round trip between two regions, plus margin.  */
   REGION_RTT_MS = 130,
-  /* Forwarded requests count as late after this many times the expected
-     time, since a wait varies about as much as it takes.  */
-  LATE_FACTOR = 2,
   /* Speed at which a small host sends a request's body.  */
   BODY_BYTES_PER_MS = 1250,
   SESSION_REGIONS_MAX = 16
@@ -244,20 +241,14 @@
                                               gateway->region);
 }
 
-/* Forwards the exchange to HOST.  Its first event is expected after
-   exchange->estimated_wait_ms.  */
+/* Forwards the exchange to HOST, where by its offer the exchange begins after
+   EXPECTED_MS.  */
 static bool
 forward_to (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
             int64_t now, const struct marjoram_listed_host *host,
-            const struct region_choice *choice)
+            const struct region_choice *choice, int64_t expected_ms)
 {
   const char *region = host->heartbeat.region;
-  const int64_t expected_ms = exchange->estimated_wait_ms;
-  const int64_t due_ms
-      = exchange->target_at - now > expected_ms
-                && exchange->target_at - now < LATE_FACTOR * expected_ms
-            ? exchange->target_at - now
-            : LATE_FACTOR * expected_ms;
   const struct marjoram_forward_need need
       = { choice->optional,
           move_ms (gateway, exchange, region, choice->home) };
@@ -266,9 +257,9 @@
     return false;
   exchange->forwarded_out = true;
   if (is_balanced (gateway))
-    marjoram_forward_windows_sent (gateway->windows, now, region,
-                                   exchange->service, &need, now + due_ms,
-                                   &exchange->forward);
+    marjoram_forward_windows_sent (
+        gateway->windows, now, region, exchange->service, &need, expected_ms,
+        exchange->target_at - now, &exchange->forward);
   return true;
 }
 
@@ -426,7 +417,9 @@
 }
 
 /* The host of another region that would answer first.  Null if none would
-   within MAX_WAIT_MS; otherwise sets EXPECTED_MS.  */
+   within MAX_WAIT_MS; otherwise EXPECTED_MS is the time by its offer.  With
+   balance_regions the wait there may double while the exchange is on its way,
+   since other hosts send to the same region.  */
 static const struct marjoram_listed_host *
 find_in_time (marjoram_gateway *gateway,
               const struct marjoram_exchange *exchange,
@@ -437,13 +430,15 @@
   struct marjoram_host_offer offer = { 0 };
   const struct marjoram_listed_host *host
       = choose_remote_host (gateway, exchange, route, now, choice, &offer);
+  int64_t margin_ms;
 
   if (!host)
     return NULL;
   *expected_ms = (int64_t)offer.wait_ms + REGION_RTT_MS
                  + (int64_t)move_ms (gateway, exchange, host->heartbeat.region,
                                      choice->home);
-  return *expected_ms <= max_wait_ms ? host : NULL;
+  margin_ms = is_balanced (gateway) ? (int64_t)offer.wait_ms : 0;
+  return *expected_ms + margin_ms <= max_wait_ms ? host : NULL;
 }
 
 static bool
@@ -508,7 +503,7 @@
       return false;
     }
   exchange->estimated_wait_ms = expected_ms;
-  return forward_to (gateway, exchange, now, host, &choice);
+  return forward_to (gateway, exchange, now, host, &choice, expected_ms);
 }
 
 bool
@@ -517,7 +512,12 @@
                            const struct marjoram_route_rule *route,
                            int64_t now, int64_t max_wait_ms)
 {
-  return forward_in_time (gateway, exchange, route, now, max_wait_ms, true);
+  /* A wait here that is more than half of the time left, as estimated, may
+     turn out to be too long.  */
+  const bool optional = 2 * max_wait_ms <= exchange->target_at - now;
+
+  return forward_in_time (gateway, exchange, route, now, max_wait_ms,
+                          optional);
 }
 
 bool
@@ -590,7 +590,8 @@
     return false;
   exchange->estimated_wait_ms
       = query.remote_first_ms + (int64_t)query.prompt_ms;
-  return forward_to (gateway, exchange, now, host, &choice);
+  return forward_to (gateway, exchange, now, host, &choice,
+                     exchange->estimated_wait_ms);
 }
 
 bool
@@ -627,7 +628,8 @@
     return false;
   exchange->estimated_wait_ms
       = query.remote_first_ms + (int64_t)query.prompt_ms;
-  return forward_to (gateway, exchange, now, host, &choice);
+  return forward_to (gateway, exchange, now, host, &choice,
+                     exchange->estimated_wait_ms);
 }
 
 /* ---- What becomes of forwarded requests, with balance_regions.  ---- */
@@ -695,16 +697,15 @@
                                  int64_t now,
                                  const struct marjoram_request_failure *why)
 {
-  const char *host
-      = marjoram_header_list_get (&exchange->request->headers, "Host");
   const struct marjoram_route_rule *route;
 
   if (!is_balanced (gateway) || exchange->forwarded || !gateway->table
       || !is_for_capacity (why->reason)
-      || exchange->state == MARJORAM_EXCHANGE_STREAMING)
+      || exchange->state == MARJORAM_EXCHANGE_STREAMING
+      || exchange->attempts_maybe_run > 0
+      || !marjoram_exchange_may_repeat (gateway, exchange, now))
     return;
-  route = marjoram_route_table_find (gateway->table, host ? host : "",
-                                     exchange->request->target);
+  route = marjoram_exchange_route (gateway, exchange);
   if (route && has_room_elsewhere (gateway, exchange, route, now))
     marjoram_metrics_add (gateway->options.metrics,
                           MARJORAM_METRIC_REFUSED_WITH_ROOM, 1);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -219,6 +219,10 @@
 int64_t marjoram_exchange_retry_ms (marjoram_gateway *gateway,
                                     const struct marjoram_exchange *exchange,
                                     int64_t now);
+/* The route of the exchange's request; null if there is none.  */
+const struct marjoram_route_rule *
+marjoram_exchange_route (const marjoram_gateway *gateway,
+                         const struct marjoram_exchange *exchange);
 /* Whether the route's residency rules allow this host's region.  */
 bool marjoram_exchange_may_run_here (const marjoram_gateway *gateway,
                                      const struct marjoram_exchange *exchange);
@@ -271,7 +275,7 @@
                                       int64_t now,
                                       enum marjoram_attempt_end how);
 /* To be called as the exchange is refused: counts refusals although another
-   region has capacity.  */
+   region has capacity and the exchange may be sent there.  */
 void marjoram_exchange_count_refusal (
     marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
     int64_t now, const struct marjoram_request_failure *why);
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -435,6 +435,13 @@
                                     exchange->request->target);
 }
 
+const struct marjoram_route_rule *
+marjoram_exchange_route (const marjoram_gateway *gateway,
+                         const struct marjoram_exchange *exchange)
+{
+  return find_route (gateway, exchange);
+}
+
 bool
 marjoram_exchange_may_run_here (const marjoram_gateway *gateway,
                                 const struct marjoram_exchange *exchange)
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -6,6 +6,8 @@
 #ifndef MARJORAM_TEST_LIB_FLEET_H
 #define MARJORAM_TEST_LIB_FLEET_H
 
+#include "load_features.h"
+#include "metrics.h"
 #include "repeat_budget.h"
 
 #include <stdbool.h>
@@ -41,6 +43,22 @@
 void fleet_destroy (struct fleet *fleet);
 /* Callers send PER_S requests per second to the hosts of REGION.  */
 void fleet_set_rate (struct fleet *fleet, int region, double per_s);
+/* All hosts have these optional functions, instead of none.  */
+void fleet_set_load (struct fleet *fleet,
+                     const struct marjoram_load_features *load);
+/* Messages between hosts of REGION and others get lost, or arrive again.
+   Hosts notice lost links after some time.  */
+void fleet_cut_region (struct fleet *fleet, int region, bool cut);
+/* Upstreams of REGION, with their room, queue requests instead of refusing
+   them.  */
+void fleet_set_queueing (struct fleet *fleet, int region, bool queues);
+/* Answers are streams, whose first event is sent after the time of
+   fleet_set_serve_ms and the rest after MS in the mean.  0: answers are sent
+   whole.  */
+void fleet_set_stream_ms (struct fleet *fleet, int64_t ms);
+/* Sum of METRIC over the hosts of REGION since their last start.  */
+uint64_t fleet_metric (const struct fleet *fleet, int region,
+                       enum marjoram_metric metric);
 /* This share of requests, instead of none, is for routes whose only home is
    the caller's region.  */
 void fleet_set_home_share (struct fleet *fleet, double share);
