Leave forwarded requests time for the way and for one batch

Requests that had waited here were forwarded with hardly more time left than the round trip takes; the other region refused them on arrival, which closed the window of a region that had just come back. The other host is now told the time left without the round trip, and a request is forwarded only if one batch fits as well.

--- a/src/forward_window.c
+++ b/src/forward_window.c
@@ -22,7 +22,7 @@
 
 /* Growth of the limit with each request that begins in time, above the limit
    at which one was refused: it doubles within some round trips.  */
-#define GROWTH 0.125
+#define GROWTH 0.25
 #define OPTIONAL_SHARE 0.5
 #define COSTLY_SHARE 0.75
 /* Weight of a new sample in the mean cost.  */
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -10,14 +10,32 @@
 {
   /* Round trip between two regions, plus margin.  */
   REGION_RTT_MS = 130,
+  /* Allowance for one engine batch, as for requests that are queued here.  */
+  RESPONSE_OVERHEAD_MS = 60,
   /* Speed at which a small host sends a request's body.  */
   BODY_BYTES_PER_MS = 1250,
   SESSION_REGIONS_MAX = 16
 };
 
+/* Time in ms that HOST has for the first event.  With balance_regions a host
+   of another region gets less by the time on the way, so that it refuses what
+   would reach the caller too late.  0: not stated.  */
+static int64_t
+time_left_for (const marjoram_gateway *gateway,
+               const struct marjoram_exchange *exchange, int64_t now,
+               bool other_region)
+{
+  const int64_t left_ms = exchange->target_at - now;
+
+  if (other_region && gateway->features.balance_regions
+      && left_ms > REGION_RTT_MS)
+    return left_ms - REGION_RTT_MS;
+  return left_ms > 0 ? left_ms : 0;
+}
+
 static bool
 send_to_host (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-              int64_t now, const char *host)
+              int64_t now, const char *host, bool other_region)
 {
   struct marjoram_http_request *request = exchange->request;
   const struct marjoram_run_metadata metadata
@@ -49,8 +67,7 @@
   forward.headers.count = headers.count;
   forward.body = request->body;
   forward.budget_ms = marjoram_exchange_time_left (exchange, now);
-  forward.time_left_ms
-      = exchange->target_at > now ? exchange->target_at - now : 0;
+  forward.time_left_ms = time_left_for (gateway, exchange, now, other_region);
   forward.config_number = exchange->config;
   forward.stream = request->has_body;
   forward.build = (char *)marjoram_exchange_required_build (exchange);
@@ -163,7 +180,8 @@
   if (exchange->forwarded || exchange->relayed)
     return false;
   host = choose_relay (gateway, exchange, now);
-  if (!host || !send_to_host (gateway, exchange, now, host->heartbeat.name))
+  if (!host
+      || !send_to_host (gateway, exchange, now, host->heartbeat.name, false))
     return false;
   exchange->relayed = true;
   return true;
@@ -253,7 +271,7 @@
       = { choice->optional,
           move_ms (gateway, exchange, region, choice->home) };
 
-  if (!send_to_host (gateway, exchange, now, host->heartbeat.name))
+  if (!send_to_host (gateway, exchange, now, host->heartbeat.name, true))
     return false;
   exchange->forwarded_out = true;
   if (is_balanced (gateway))
@@ -437,7 +455,9 @@
   *expected_ms = (int64_t)offer.wait_ms + REGION_RTT_MS
                  + (int64_t)move_ms (gateway, exchange, host->heartbeat.region,
                                      choice->home);
-  margin_ms = is_balanced (gateway) ? (int64_t)offer.wait_ms : 0;
+  margin_ms = is_balanced (gateway)
+                  ? (int64_t)offer.wait_ms + RESPONSE_OVERHEAD_MS
+                  : 0;
   return *expected_ms + margin_ms <= max_wait_ms ? host : NULL;
 }
 
