--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -182,25 +182,6 @@
   marjoram_exchange_refuse (gateway, exchange, now, &why);
 }
 
-/* With balance_regions: forwards a request that this region's upstreams have
-   refused without running it.  Returns whether it was forwarded.  */
-static bool
-retry_elsewhere (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-                 int64_t now)
-{
-  const struct marjoram_route_rule *route
-      = marjoram_exchange_route (gateway, exchange);
-
-  if (!gateway->features.balance_regions || !route
-      || exchange->attempts_maybe_run > 0
-      || exchange->state == MARJORAM_EXCHANGE_STREAMING)
-    return false;
-  reset_answer (exchange);
-  exchange->repeat_taken = false;
-  return marjoram_exchange_forward_instead (gateway, exchange, route, now,
-                                            exchange->target_at - now);
-}
-
 void
 marjoram_exchange_retry (marjoram_gateway *gateway,
                          struct marjoram_exchange *exchange, int64_t now,
@@ -214,8 +195,6 @@
       return;
     }
   log_attempt (gateway, exchange, now, reason, denial);
-  if (not_run && retry_elsewhere (gateway, exchange, now))
-    return;
   fail (gateway, exchange, now, reason);
 }
 
