--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -12,6 +12,7 @@
 #include "customer_index.h"
 #include "digest.h"
 #include "event_stream.h"
+#include "forward_window.h"
 #include "gateway.h"
 #include "shortage.h"
 #include "stream_origin.h"
@@ -67,13 +68,16 @@
   uint64_t call;
   struct marjoram_http_request *request;
   struct marjoram_call_metadata metadata;
-  bool forwarded; /* received from another region */
+  bool forwarded;       /* received from another region */
+  bool forward_limited; /* by a window, at least once */
   enum marjoram_exchange_state state;
   int64_t received_at;
   int64_t deadline_at;         /* route timeout or caller's deadline */
   int64_t target_at;           /* latency target for the first event */
   int64_t forwarded_target_at; /* set by the forwarding host; 0 if none */
   struct marjoram_waiter waiter;
+  /* With balance_regions: while forwarded to another region and not begun.  */
+  struct marjoram_forwarded_request forward;
   int64_t queued_since;
   int64_t first_event_at; /* or answer head; 0: none yet */
   int64_t last_event_at;  /* sent to the caller; 0: none */
@@ -113,6 +117,8 @@
   /* Of UPSTREAM when it was sent, or as told by HOST.  */
   char build[MARJORAM_ID_MAX];
   char host[MARJORAM_HOST_NAME_MAX]; /* "" if not forwarded */
+  /* The region that refused it, with balance_regions; "" if none.  */
+  char refused_region[MARJORAM_HOST_NAME_MAX];
   int64_t idle_deadline; /* compared with input_time; INT64_MAX: none */
   int status;
   struct marjoram_header_list headers; /* of the answer */
@@ -162,6 +168,7 @@
   bool has_broken;
   marjoram_wait_queue *queue;
   marjoram_shortages *shortages;
+  marjoram_forward_windows *windows;
   marjoram_key_lease *lease;
   marjoram_quota_pool *quotas;
   marjoram_stream_origins *origins;   /* of streams of this host's callers */
@@ -212,6 +219,10 @@
 int64_t marjoram_exchange_retry_ms (marjoram_gateway *gateway,
                                     const struct marjoram_exchange *exchange,
                                     int64_t now);
+/* The route of the exchange's request; null if there is none.  */
+const struct marjoram_route_rule *
+marjoram_exchange_route (const marjoram_gateway *gateway,
+                         const struct marjoram_exchange *exchange);
 /* Whether the route's residency rules allow this host's region.  */
 bool marjoram_exchange_may_run_here (const marjoram_gateway *gateway,
                                      const struct marjoram_exchange *exchange);
@@ -249,6 +260,25 @@
                                 struct marjoram_exchange *exchange,
                                 const struct marjoram_route_rule *route,
                                 int64_t now, int64_t max_wait_ms);
+/* With balance_regions: forwards an exchange that would be refused otherwise.
+   Returns whether it was forwarded.  */
+bool marjoram_exchange_forward_instead (
+    marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+    const struct marjoram_route_rule *route, int64_t now, int64_t max_wait_ms);
+/* To be called as the region that the exchange was forwarded to refuses it,
+   which states that it has not run.  */
+void marjoram_exchange_forward_refused (
+    marjoram_gateway *gateway, struct marjoram_exchange *exchange, int64_t now,
+    const struct marjoram_request_failure *why);
+/* To be called as an attempt ends.  */
+void marjoram_exchange_forward_ended (struct marjoram_exchange *exchange,
+                                      int64_t now,
+                                      enum marjoram_attempt_end how);
+/* To be called as the exchange is refused: counts refusals although another
+   region has capacity and the exchange may be sent there.  */
+void marjoram_exchange_count_refusal (
+    marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
+    int64_t now, const struct marjoram_request_failure *why);
 /* Whether another host of this region would serve the exchange.  */
 bool marjoram_exchange_may_relay (marjoram_gateway *gateway,
                                   const struct marjoram_exchange *exchange,
