Share a region's capacity between customers

Change: hosts keep decaying sums of the work started and wanted by customer, a collector of the region adds them up, and requests of customers that use more than their weighted share queue behind the others while the region is short.

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -305,6 +305,12 @@
     case MARJORAM_FRAME_LOAD_SUMS:
       marjoram_entry_apply_sums (self, host, message);
       break;
+    case MARJORAM_FRAME_ROOM_REPORT:
+      marjoram_entry_apply_room_report (self, host, message);
+      break;
+    case MARJORAM_FRAME_ROOM_SUMS:
+      marjoram_entry_apply_room_sums (self, host, message);
+      break;
     case MARJORAM_FRAME_LEASE_GRANT:
       handle_lease (self, message);
       break;
--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -82,10 +82,9 @@
 
 /* ---- Reports through collectors.  ---- */
 
-/* The collector of GROUP, by rendezvous hashing over the serving hosts; null
-   if there is none.  */
-static const char *
-find_collector (const struct marjoram_entry *self, int64_t now, int group)
+const char *
+marjoram_entry_find_collector (const struct marjoram_entry *self, int64_t now,
+                               int group)
 {
   const struct marjoram_gateway_settings *settings = self->parts->settings;
   char key[GROUP_KEY_MAX];
@@ -140,7 +139,7 @@
     self->full_report_at = now;
   for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
     {
-      hosts[i] = find_collector (self, now, i);
+      hosts[i] = marjoram_entry_find_collector (self, now, i);
       full[i] = (hosts[i] && update_collector (self, i, hosts[i])) || full_due;
     }
   marjoram_placement_report_changes (
@@ -153,8 +152,8 @@
     }
 }
 
-static size_t
-region_hosts (const struct marjoram_entry *self, int64_t now)
+size_t
+marjoram_entry_region_hosts (const struct marjoram_entry *self, int64_t now)
 {
   return marjoram_host_list_live (self->parts->hosts, now,
                                   self->parts->settings->region)
@@ -164,7 +163,7 @@
 static void
 send_sums (struct marjoram_entry *self, int64_t now)
 {
-  const size_t hosts = region_hosts (self, now);
+  const size_t hosts = marjoram_entry_region_hosts (self, now);
   struct marjoram_load_report sums;
 
   if (now < self->sums_sent_at + marjoram_load_collector_interval_ms (hosts))
@@ -189,7 +188,7 @@
 
   for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
     {
-      const char *collector = find_collector (self, now, i);
+      const char *collector = marjoram_entry_find_collector (self, now, i);
 
       groups[i] = collector && strcmp (collector, host) == 0;
     }
@@ -217,7 +216,7 @@
 static bool
 update_reporting_mode (struct marjoram_entry *self, int64_t now)
 {
-  const size_t hosts = region_hosts (self, now);
+  const size_t hosts = marjoram_entry_region_hosts (self, now);
 
   if (hosts > DIRECT_REPORT_MAX_HOSTS)
     self->using_collectors = true;
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -1,8 +1,8 @@
 /* Internals of the entry role: entry_role.c (tasks, configuration,
    life cycle), entry_loads.c (load reports to the hosts of the region),
    entry_answer.c (the gateway's operations on callers, upstreams and other
-   hosts), entry_keepers.c (leases and quotas), entry_origin.c (builds that
-   began streams) and entry_frame.c (frames received from other hosts).  */
+   hosts), entry_room.c (use of capacity by customer), entry_keepers.c (leases
+   and quotas), entry_origin.c (builds that began streams) and entry_frame.c (frames received from other hosts).  */
 #ifndef MARJORAM_ENTRY_PRIVATE_H
 #define MARJORAM_ENTRY_PRIVATE_H
 
@@ -14,6 +14,7 @@
 #include "liveness.h"
 #include "load_collector.h"
 #include "role.h"
+#include "room_collector.h"
 #include "state_fetch.h"
 
 #include <uthash.h>
@@ -62,6 +63,10 @@
   char collectors[MARJORAM_LOAD_GROUPS][MARJORAM_IP_MAX];
   int64_t full_report_at;
   int64_t sums_sent_at;
+  /* Use of capacity by customer, through the collector of group 0.  */
+  marjoram_room_collector *room_collector;
+  int64_t room_reported_at;
+  int64_t room_sums_sent_at;
   int64_t client_ticked_at;
   int64_t stopped_at;
   bool closed;
@@ -117,7 +122,25 @@
                                  const char *build, int64_t keep_ms);
 size_t marjoram_entry_ask_origin (void *context, const char *id);
 
+/* entry_room.c */
+/* Sends reports and sums of the use of capacity by customer when due.  */
+void marjoram_entry_report_room (struct marjoram_entry *self, int64_t now);
+/* A report from HOST to this collector, and sums from collector HOST.  */
+void marjoram_entry_apply_room_report (struct marjoram_entry *self,
+                                       const char *host,
+                                       const struct marjoram_room_report *what);
+void marjoram_entry_apply_room_sums (struct marjoram_entry *self,
+                                     const char *host,
+                                     const struct marjoram_room_report *sums);
+
 /* entry_loads.c */
+/* The collector of GROUP, by rendezvous hashing over the serving hosts; null
+   if there is none.  */
+const char *marjoram_entry_find_collector (const struct marjoram_entry *self,
+                                           int64_t now, int group);
+/* Serving hosts of this host's region, and this one.  */
+size_t marjoram_entry_region_hosts (const struct marjoram_entry *self,
+                                    int64_t now);
 /* Sends this host's load to the other hosts of the region when due.  */
 /* Whether load reports go to or come from HOST, of this region.  */
 bool marjoram_entry_shares_loads (const struct marjoram_entry *self,
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -388,7 +388,8 @@
   struct marjoram_entry *self = entry_from_role (role);
 
   return json_pack (
-      "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o}", "role", "entry", "ready",
+      "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o, s:o}", "role", "entry",
+      "ready",
       marjoram_entry_is_ready (self), "config_version",
       (json_int_t)(self->table ? self->table->version : 0), "config_number",
       (json_int_t)self->config_number, "requests_open",
@@ -397,7 +398,10 @@
       marjoram_gateway_report_upstreams (self->registry, now), "customers",
       marjoram_gateway_report_customers (
           marjoram_gateway_key_lease (self->gateway),
-          marjoram_gateway_quota_pool (self->gateway), now));
+          marjoram_gateway_quota_pool (self->gateway), now),
+      "room",
+      marjoram_gateway_report_room (
+          marjoram_gateway_room_share (self->gateway), now));
 }
 
 static struct marjoram_repeat_limits
@@ -512,6 +516,7 @@
   marjoram_state_fetch_tick (self->fetch, now);
   marjoram_entry_renew_lease (self, now);
   marjoram_entry_report_loads (self, now);
+  marjoram_entry_report_room (self, now);
   survey_engines (self, now);
   if (now >= self->client_ticked_at + CLIENT_TICK_MS)
     {
@@ -563,6 +568,7 @@
   marjoram_engine_survey_destroy (self->survey);
   marjoram_state_fetch_destroy (self->fetch);
   marjoram_load_collector_destroy (self->collector);
+  marjoram_room_collector_destroy (self->room_collector);
   marjoram_http_client_destroy (self->client);
   marjoram_http_server_destroy (self->server);
   marjoram_route_table_destroy (self->table);
@@ -658,6 +664,7 @@
   self->fetch = marjoram_state_fetch_create (&marjoram_entry_fetch_options,
                                              &marjoram_entry_fetch_ops, self);
   self->collector = marjoram_load_collector_create ();
+  self->room_collector = marjoram_room_collector_create ();
   self->created_at = marjoram_entry_now (self);
   self->server = marjoram_http_server_create (parts->base, parts->clock,
                                               parts->settings->entry_address,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -65,6 +65,7 @@
   gateway->crashes = marjoram_crash_list_create ();
   gateway->queue = marjoram_wait_queue_create ();
   gateway->shortages = marjoram_shortages_create ();
+  gateway->room = marjoram_room_share_create ();
   gateway->lease = marjoram_key_lease_create (options->key_lease_ms);
   gateway->quotas
       = marjoram_quota_pool_create (&marjoram_gateway_quota_ops, gateway);
@@ -98,6 +99,12 @@
   return gateway->quotas;
 }
 
+marjoram_room_share *
+marjoram_gateway_room_share (marjoram_gateway *gateway)
+{
+  return gateway->room;
+}
+
 marjoram_key_lease *
 marjoram_gateway_key_lease (marjoram_gateway *gateway)
 {
@@ -126,6 +133,7 @@
   gateway->table = table;
   gateway->table_set_at = now;
   update_features (gateway);
+  marjoram_room_share_set_table (gateway->room, table);
   marjoram_customer_index_destroy (gateway->customers);
   gateway->customers = NULL;
 }
@@ -201,6 +209,7 @@
   marjoram_crash_list_destroy (gateway->crashes);
   marjoram_wait_queue_destroy (gateway->queue);
   marjoram_shortages_destroy (gateway->shortages);
+  marjoram_room_share_destroy (gateway->room);
   marjoram_key_lease_destroy (gateway->lease);
   marjoram_quota_pool_destroy (gateway->quotas);
   marjoram_customer_index_destroy (gateway->customers);
@@ -266,7 +275,7 @@
       " limit=%s framing=%s unfinished=%zu events=%d quiet_ms=%" PRId64
       " pause_ms=%" PRId64 " route=%s service=%s customer=%s config=%" PRIu64
       " upstream=%s build=%s host=%s arrivals=%d unreached=%d forwarded=%d"
-      " last_event=%s resumes=%s",
+      " last_event=%s resumes=%s share=%s part=%d",
       *exchange->metadata.id ? exchange->metadata.id : "-", outcome,
       marjoram_reason_name (reason), status, now - exchange->received_at,
       first_ms, exchange->objective_ms, exchange->estimated_wait_ms,
@@ -291,7 +300,10 @@
       *exchange->host ? exchange->host : "-", exchange->attempts_sent,
       exchange->failed_connections, exchange->forwarded,
       *exchange->metadata.last_event ? exchange->metadata.last_event : "-",
-      *exchange->metadata.resumes ? exchange->metadata.resumes : "-");
+      *exchange->metadata.resumes ? exchange->metadata.resumes : "-",
+      marjoram_exchange_room_name (exchange),
+      exchange->room.verdict == MARJORAM_ROOM_UNKNOWN ? -1
+                                                      : exchange->room.part);
 }
 
 void
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -20,6 +20,7 @@
 #include "quota_pool.h"
 #include "reason.h"
 #include "repeat_budget.h"
+#include "room_share.h"
 
 typedef struct marjoram_gateway marjoram_gateway;
 
@@ -90,6 +91,8 @@
 marjoram_crash_list *marjoram_gateway_crash_list (marjoram_gateway *gateway);
 marjoram_key_lease *marjoram_gateway_key_lease (marjoram_gateway *gateway);
 marjoram_quota_pool *marjoram_gateway_quota_pool (marjoram_gateway *gateway);
+/* Use of the region's capacity by customer.  */
+marjoram_room_share *marjoram_gateway_room_share (marjoram_gateway *gateway);
 /* Replaces the features that the settings enable, after a reload.  */
 void marjoram_gateway_set_load (marjoram_gateway *gateway,
                                 const struct marjoram_load_features *load);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -1,8 +1,8 @@
 /* Internal interface of the gateway modules: gateway.c (admission, completion
    and timeouts), gateway_send.c (placement and sending), gateway_forward.c
    (forwarding to other regions), gateway_wait.c (queueing), gateway_repeat.c
-   (repeat budget), gateway_customer.c (keys of customers), gateway_build.c
-   (builds of streams), gateway_origin.c (streams that are taken up again),
+   (repeat budget), gateway_customer.c (keys of customers), gateway_room.c
+   (capacity shared between customers), gateway_build.c (builds of streams), gateway_origin.c (streams that are taken up again),
    gateway_crash.c (requests that crash upstreams) and gateway_answer.c
    (answers and retries).  */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
@@ -13,6 +13,7 @@
 #include "digest.h"
 #include "event_stream.h"
 #include "gateway.h"
+#include "room_share.h"
 #include "shortage.h"
 #include "stream_origin.h"
 #include "wait_queue.h"
@@ -61,6 +62,22 @@
   MARJORAM_BUILD_NONE  /* none: the build that began it is not known */
 };
 
+/* Whether a customer uses more than its share of the region's capacity.  */
+enum marjoram_room_verdict
+{
+  MARJORAM_ROOM_UNKNOWN, /* not determined, or capacity is not shared */
+  MARJORAM_ROOM_WITHIN,
+  MARJORAM_ROOM_OVER
+};
+
+/* What a request takes of its customer's share.  */
+struct marjoram_room_claim
+{
+  int64_t work; /* 0 until it was counted as wanted */
+  enum marjoram_room_verdict verdict;
+  int part; /* per cent of the share in use; -1: unknown */
+};
+
 /* One request and the state of its answer.  */
 struct marjoram_exchange
 {
@@ -87,6 +104,7 @@
   struct marjoram_key_digest key;
   struct marjoram_quota_claim quota; /* what it takes of its customer's */
   char customer[MARJORAM_ID_MAX];    /* name; "" if none or not known yet */
+  struct marjoram_room_claim room;
 
   /* Route parameters as of the last attempt.  */
   bool stream;
@@ -162,6 +180,7 @@
   bool has_broken;
   marjoram_wait_queue *queue;
   marjoram_shortages *shortages;
+  marjoram_room_share *room;
   marjoram_key_lease *lease;
   marjoram_quota_pool *quotas;
   marjoram_stream_origins *origins;   /* of streams of this host's callers */
@@ -349,6 +368,49 @@
                                   const struct marjoram_place *place);
 void marjoram_gateway_retry_queued (marjoram_gateway *gateway, int64_t now);
 
+/* gateway_room.c */
+/* Counts the exchange as wanted, once, and determines whether its customer is
+   over its share.  */
+void marjoram_exchange_judge_room (marjoram_gateway *gateway,
+                                   struct marjoram_exchange *exchange,
+                                   int64_t now,
+                                   const struct marjoram_service_rule *service,
+                                   const struct marjoram_place *chosen);
+/* Whether the exchange has to leave the place CHOSEN to requests of customers
+   that are not over.  */
+bool marjoram_exchange_yields_room (marjoram_gateway *gateway,
+                                    const struct marjoram_exchange *exchange,
+                                    int64_t now,
+                                    const struct marjoram_place *chosen);
+/* To be called as the exchange is sent to an upstream, and as the attempt
+   ended.  */
+void marjoram_exchange_use_room (marjoram_gateway *gateway,
+                                 const struct marjoram_exchange *exchange,
+                                 int64_t now);
+void marjoram_exchange_return_room (marjoram_gateway *gateway,
+                                    const struct marjoram_exchange *exchange,
+                                    int64_t now,
+                                    enum marjoram_attempt_end how);
+/* Added to the queue's sort key: puts requests of customers that are over
+   behind all others.  */
+int64_t marjoram_exchange_room_key (const struct marjoram_exchange *exchange);
+/* Queued requests with which the exchange may still be queued, of at most
+   LIMIT in all.  */
+int64_t marjoram_exchange_queue_max (const struct marjoram_exchange *exchange,
+                                     int64_t limit);
+/* Retry-After of an exchange that is refused for lack of capacity, USUAL_MS if
+   its customer doesn't matter.  Counts the refusal.  */
+int64_t
+marjoram_exchange_room_retry_ms (marjoram_gateway *gateway,
+                                 const struct marjoram_exchange *exchange,
+                                 int64_t now, int64_t usual_ms);
+/* "within", "over" or "-", for the log.  */
+const char *
+marjoram_exchange_room_name (const struct marjoram_exchange *exchange);
+/* Sorts the queue anew by which customers are over, and counts the requests
+   that wait of those that are not.  */
+void marjoram_gateway_sort_queue (marjoram_gateway *gateway, int64_t now);
+
 /* gateway_repeat.c */
 /* Tells the repeat budget and the list of crashes how many entry hosts are
    known now.  */
--- a/src/gateway_report.h
+++ b/src/gateway_report.h
@@ -10,6 +10,7 @@
 #include "quota_pool.h"
 #include "quota_share.h"
 #include "registry.h"
+#include "room_share.h"
 
 #include <jansson.h>
 
@@ -24,6 +25,9 @@
 json_t *marjoram_gateway_report_customers (const marjoram_key_lease *lease,
                                            const marjoram_quota_pool *pool,
                                            int64_t now);
+/* Use of the region's capacity by each customer in use; empty if capacity is
+   not shared.  */
+json_t *marjoram_gateway_report_room (marjoram_room_share *share, int64_t now);
 /* A keeper's shares of the quotas.  */
 json_t *marjoram_gateway_report_shares (const marjoram_quota_shares *shares);
 
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -56,6 +56,7 @@
     return;
   marjoram_placement_attempt_ended (gateway->placement, now, exchange->attempt,
                                     how);
+  marjoram_exchange_return_room (gateway, exchange, now, how);
   HASH_DELETE (by_attempt, gateway->by_attempt, exchange);
   exchange->attempt = 0;
   exchange->idle_deadline = INT64_MAX;
@@ -221,6 +222,7 @@
   marjoram_exchange_start_attempt (gateway, exchange, now);
   marjoram_placement_attempt_started (
       gateway->placement, now, exchange->attempt, exchange->upstream, query);
+  marjoram_exchange_use_room (gateway, exchange, now);
   add_tried (exchange, exchange->upstream);
   exchange->attempts_sent++;
   exchange->attempts_maybe_run++;
@@ -277,8 +279,11 @@
   if (none && chosen->candidates == 0 && may_wait (gateway, exchange, now))
     return;
   refuse (gateway, exchange, now, refusal_reason (chosen),
-          marjoram_shortages_retry_ms (gateway->shortages, now,
-                                       exchange->service, chosen->retry_ms));
+          marjoram_exchange_room_retry_ms (
+              gateway, exchange, now,
+              marjoram_shortages_retry_ms (gateway->shortages, now,
+                                           exchange->service,
+                                           chosen->retry_ms)));
 }
 
 static void
@@ -371,6 +376,7 @@
   struct marjoram_place_query query;
   struct marjoram_place chosen;
   bool found;
+  bool yields;
 
   make_query (exchange, service, now, &query);
   if (!marjoram_exchange_allows_region (gateway, exchange, route,
@@ -388,7 +394,9 @@
   if (lacks_connections (exchange, &chosen)
       && marjoram_exchange_relay (gateway, exchange, now))
     return;
-  found = chosen.outcome == MARJORAM_PLACE_FOUND
+  marjoram_exchange_judge_room (gateway, exchange, now, service, &chosen);
+  yields = marjoram_exchange_yields_room (gateway, exchange, now, &chosen);
+  found = chosen.outcome == MARJORAM_PLACE_FOUND && !yields
           && marjoram_exchange_is_next (gateway, exchange, &chosen);
   if (found
       && (marjoram_exchange_follow_session (gateway, exchange, route, now,
--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -65,7 +65,8 @@
   return marjoram_wait_queue_sort_key (
       exchange->priority, is_interrupted (exchange)
                               ? exchange->last_event_at + RESUME_FIRST_MS
-                              : latest_start (exchange, chosen));
+                              : latest_start (exchange, chosen))
+         + marjoram_exchange_room_key (exchange);
 }
 
 bool
@@ -139,7 +140,8 @@
     return keep_waiting (gateway, exchange, now, chosen);
   if (!may_get_place (exchange, chosen)
       || is_known_too_late (chosen, now, latest_start (exchange, chosen))
-      || marjoram_wait_queue_count (gateway->queue) >= QUEUE_MAX)
+      || marjoram_wait_queue_count (gateway->queue)
+             >= marjoram_exchange_queue_max (exchange, QUEUE_MAX))
     return false;
   waiter->owner = exchange;
   waiter->service = exchange->service;
@@ -159,8 +161,10 @@
 void
 marjoram_gateway_retry_queued (marjoram_gateway *gateway, int64_t now)
 {
-  struct marjoram_waiter *waiter = marjoram_wait_queue_first (gateway->queue);
+  struct marjoram_waiter *waiter;
 
+  marjoram_gateway_sort_queue (gateway, now);
+  waiter = marjoram_wait_queue_first (gateway->queue);
   for (int i = 0; waiter && i < RETRIES_PER_TICK_MAX; i++)
     {
       struct marjoram_waiter *next = marjoram_wait_queue_next (waiter);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -37,6 +37,7 @@
   [MARJORAM_METRIC_FORWARDED_OUT] = "gateway_forwarded_out",
   [MARJORAM_METRIC_FORWARDED_IN] = "gateway_forwarded_in",
   [MARJORAM_METRIC_FORWARDS_REFUSED] = "gateway_forwards_refused",
+  [MARJORAM_METRIC_OVER_SHARE_REFUSED] = "gateway_over_share_refused",
   [MARJORAM_METRIC_STRAY_ANSWERS] = "gateway_stray_answers",
   [MARJORAM_METRIC_RATE_LIMITS] = "upstream_rate_limits",
   [MARJORAM_METRIC_RETRY_AFTERS] = "upstream_retry_afters",
