Keep shares while some hosts are not heard of

Change: while sums do not cover all hosts, a service with limited customers counts as short and shares grow less. A place at an idle upstream is given to customers that are over after one tick instead of 100 ms.

--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -152,8 +152,8 @@
     }
 }
 
-size_t
-marjoram_entry_region_hosts (const struct marjoram_entry *self, int64_t now)
+static size_t
+region_hosts (const struct marjoram_entry *self, int64_t now)
 {
   return marjoram_host_list_live (self->parts->hosts, now,
                                   self->parts->settings->region)
@@ -163,7 +163,7 @@
 static void
 send_sums (struct marjoram_entry *self, int64_t now)
 {
-  const size_t hosts = marjoram_entry_region_hosts (self, now);
+  const size_t hosts = region_hosts (self, now);
   struct marjoram_load_report sums;
 
   if (now < self->sums_sent_at + marjoram_load_collector_interval_ms (hosts))
@@ -216,7 +216,7 @@
 static bool
 update_reporting_mode (struct marjoram_entry *self, int64_t now)
 {
-  const size_t hosts = marjoram_entry_region_hosts (self, now);
+  const size_t hosts = region_hosts (self, now);
 
   if (hosts > DIRECT_REPORT_MAX_HOSTS)
     self->using_collectors = true;
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -138,9 +138,6 @@
    if there is none.  */
 const char *marjoram_entry_find_collector (const struct marjoram_entry *self,
                                            int64_t now, int group);
-/* Serving hosts of this host's region, and this one.  */
-size_t marjoram_entry_region_hosts (const struct marjoram_entry *self,
-                                    int64_t now);
 /* Sends this host's load to the other hosts of the region when due.  */
 /* Whether load reports go to or come from HOST, of this region.  */
 bool marjoram_entry_shares_loads (const struct marjoram_entry *self,
--- a/src/entry_room.c
+++ b/src/entry_room.c
@@ -42,6 +42,23 @@
   marjoram_wire_clear (&marjoram_room_report_layout, &report);
 }
 
+static size_t
+count_hosts (const struct marjoram_entry *self, int64_t now)
+{
+  const struct marjoram_gateway_settings *settings = self->parts->settings;
+
+  return marjoram_host_list_serving_count_with (
+      self->parts->hosts, now, settings->region, settings->ip);
+}
+
+static void
+apply_sums (struct marjoram_entry *self, int64_t now,
+            const struct marjoram_room_report *sums)
+{
+  marjoram_room_share_apply (marjoram_gateway_room_share (self->gateway), now,
+                             sums, count_hosts (self, now));
+}
+
 static void
 send_sums (struct marjoram_entry *self, int64_t now)
 {
@@ -50,8 +67,7 @@
   marjoram_room_collector_take (self->room_collector, now, &sums);
   marjoram_host_links_send_to_region (self->parts->links,
                                       MARJORAM_FRAME_ROOM_SUMS, &sums);
-  marjoram_room_share_apply (marjoram_gateway_room_share (self->gateway), now,
-                             &sums);
+  apply_sums (self, now, &sums);
   marjoram_wire_clear (&marjoram_room_report_layout, &sums);
 }
 
@@ -71,7 +87,7 @@
 
   if (!is_enabled (self))
     return;
-  hosts = marjoram_entry_region_hosts (self, now);
+  hosts = count_hosts (self, now);
   urgent = marjoram_room_share_is_urgent (
       marjoram_gateway_room_share (self->gateway), now);
   if (now >= self->room_reported_at + marjoram_room_interval_ms (hosts, urgent))
@@ -109,6 +125,5 @@
   /* Of two hosts that both take themselves for the collector, the one counts
      to which this host reports.  */
   if (is_enabled (self) && collector && strcmp (collector, host) == 0)
-    marjoram_room_share_apply (marjoram_gateway_room_share (self->gateway),
-                               now, sums);
+    apply_sums (self, now, sums);
 }
--- a/src/gateway_room.c
+++ b/src/gateway_room.c
@@ -85,6 +85,17 @@
                                          exchange->customer);
 }
 
+/* For how long the upstream of CHOSEN is busy with other requests.  */
+static int64_t
+busy_ms (const struct marjoram_place *chosen)
+{
+  if (chosen->engine_tokens_per_ms <= 0)
+    return 0;
+  return chosen->wait_ms
+         - (int64_t)((double)chosen->prefill_tokens
+                     / chosen->engine_tokens_per_ms);
+}
+
 bool
 marjoram_exchange_yields_room (marjoram_gateway *gateway,
                                const struct marjoram_exchange *exchange,
@@ -94,7 +105,7 @@
     return false;
   if (chosen->outcome == MARJORAM_PLACE_FOUND)
     return marjoram_room_share_holds (gateway->room, now, exchange->service,
-                                      exchange->customer, chosen->backlog_ms);
+                                      exchange->customer, busy_ms (chosen));
   marjoram_room_share_found_none (gateway->room, exchange->service);
   return false;
 }
--- a/src/room_share.c
+++ b/src/room_share.c
@@ -9,6 +9,9 @@
 /* Part of the capacity in use by which shares may exceed it, so that they grow
    again after part of the capacity was not used.  */
 #define HEADROOM 0.05
+/* The same while some hosts are not heard of: shares of the others must not
+   grow fast into the capacity that these use.  */
+#define PARTIAL_HEADROOM 0.02
 /* Part of its share by which a customer has to want more than that for it to
    be over.  The sums of few requests vary by as much.  */
 #define TOLERANCE 0.2
@@ -27,9 +30,9 @@
   SHORT_MS = 500,
   /* For which a host that receives no more sums takes a shortage to last.  */
   FROZEN_SHORT_MS = 10000,
-  /* In which a place that is free and not taken by requests of customers that
-     are not over, at any host, is given to others.  Some ticks of a host.  */
-  HOLD_MAX_MS = 100,
+  /* After which a place at an idle upstream that no request takes of customers
+     that are not over is given to others.  One tick.  */
+  HOLD_MAX_MS = 25,
   /* Work ahead at an upstream for which it needs no other yet: the host asks
      again after a tick.  */
   BUSY_MIN_MS = 25,
@@ -89,6 +92,7 @@
   struct weight *weights;
   double mean_weight;
   int64_t sums_at; /* INT64_MIN: none received */
+  bool is_partial; /* the sums don't cover all hosts */
 };
 
 double
@@ -421,6 +425,7 @@
   marjoram_auto_free struct demand *demands
       = marjoram_alloc ((count + 1) * sizeof *demands);
   struct user *user;
+  const double headroom = share->is_partial ? PARTIAL_HEADROOM : HEADROOM;
   double capacity = 0;
   size_t i = 0;
 
@@ -431,7 +436,7 @@
                                       own_weight (share, user) };
     }
   service->level = count > 1
-                       ? find_level (demands, count, capacity * (1 + HEADROOM))
+                       ? find_level (demands, count, capacity * (1 + headroom))
                        : INFINITY;
   service->level_at = now;
   for (user = service->users; user; user = user->hh.next)
@@ -577,6 +582,9 @@
 is_short (const marjoram_room_share *share, const struct service *service,
           int64_t now)
 {
+  /* Requests may wait at a host that is not heard of.  */
+  if (share->is_partial && has_sums (share, now) && isfinite (service->level))
+    return true;
   if (service->is_frozen && now <= share->sums_at + FROZEN_SHORT_MS)
     return true;
   return service->waiting_seen_at != INT64_MIN
@@ -747,13 +755,15 @@
 
 void
 marjoram_room_share_apply (marjoram_room_share *share, int64_t now,
-                           const struct marjoram_room_report *sums)
+                           const struct marjoram_room_report *sums,
+                           size_t hosts)
 {
   const struct marjoram_room_item *items = sums->items.items;
   struct service *service;
 
   clear_region (share, now);
   share->sums_at = now;
+  share->is_partial = sums->hosts < hosts;
   for (size_t i = 0; i < sums->items.count; i++)
     if (items[i].service && items[i].customer)
       apply_item (share, now, &items[i]);
--- a/src/room_share.h
+++ b/src/room_share.h
@@ -93,9 +93,11 @@
    Forgets customers that have no requests.  */
 void marjoram_room_share_report (marjoram_room_share *share, int64_t now,
                                  struct marjoram_room_report *report);
-/* Applies the collector's sums, which include this host's own.  */
+/* Applies the collector's sums, which include this host's own.  The region has
+   HOSTS hosts.  */
 void marjoram_room_share_apply (marjoram_room_share *share, int64_t now,
-                                const struct marjoram_room_report *sums);
+                                const struct marjoram_room_report *sums,
+                                size_t hosts);
 
 /* State of one customer in use, for display.  */
 struct marjoram_room_state
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -1384,7 +1384,7 @@
     if (fleet->nodes[i].region == region && !fleet->nodes[i].room_cut)
       marjoram_room_share_apply (
           marjoram_gateway_room_share (fleet->nodes[i].gateway), fleet->now,
-          &sums);
+          &sums, FLEET_HOSTS_PER_REGION);
   marjoram_wire_clear (&marjoram_room_report_layout, &sums);
 }
 
