--- a/src/room_share.c
+++ b/src/room_share.c
@@ -531,9 +531,11 @@
   double part;
   double retry_ms;
 
-  if (!user || !is_over (share, service, user, now))
+  if (!user)
     return 0;
   part = share_of (share, service, user, now);
+  if (demand_of (share, user, now) <= part * (1 + TOLERANCE))
+    return 0;
   if (part <= 0)
     return RETRY_MAX_MS;
   retry_ms = MARJORAM_ROOM_DECAY_MS
--- a/src/room_share.h
+++ b/src/room_share.h
@@ -84,7 +84,7 @@
 int marjoram_room_share_part (marjoram_room_share *share, int64_t now,
                               const char *service, const char *customer);
 /* Time in ms after which a refused request of CUSTOMER may expect capacity; 0
-   if the customer is not over.  */
+   if the customer wants no more than its share.  */
 int64_t marjoram_room_share_retry_ms (marjoram_room_share *share, int64_t now,
                                       const char *service,
                                       const char *customer);
