Pace limited customers in large regions

Change: where a host's portion of a share is a few requests a second, it starts them at that rate. A shortage lasts until newer sums or their expiry; sums that cover less than half of the hosts are not applied.

--- a/src/room_share.c
+++ b/src/room_share.c
@@ -18,6 +18,10 @@
 /* Weight of a new sample in a host's portion of a customer's demand, which is
    that of few requests.  */
 #define PORTION_SMOOTHING 0.2
+/* Rate at which one host starts requests of a limited customer, as a multiple
+   of its portion of the share.  Slightly more, since the region's use limits
+   it too.  */
+#define PACE 1.1
 /* Of a host in a large region, from which few of a customer's requests
    come.  */
 #define PORTION_MIN 0.002
@@ -28,6 +32,13 @@
   /* After the last request of a customer that is not over was seen waiting.
      Longer than the collector's interval.  */
   SHORT_MS = 500,
+  /* Work that a host may start at once is what it may start in this time.  */
+  BURST_MS = 250,
+  /* Requests that a host may start in a second up to which it is limited by
+     its own portion as well.  With more, the region's use is enough.  */
+  PACED_REQUESTS_MAX = 5,
+  /* Longer than the collector's longest interval.  */
+  OVERDUE_MS = 700,
   /* For which a host that receives no more sums takes a shortage to last.  */
   FROZEN_SHORT_MS = 10000,
   /* After which a place at an idle upstream that no request takes of customers
@@ -61,6 +72,9 @@
   double region_wanted;
   double portion;   /* of the region's demand, that came to this host */
   bool is_limited;  /* wanted more than its share, as of the last division */
+  double credit;    /* work that this host may start, while limited */
+  int64_t credit_at;
+  double last_work; /* of a request */
   int waiting;    /* queued requests at this host that are not over */
   double queued;  /* their work */
   int64_t refused_at;
@@ -72,6 +86,7 @@
   char *name;
   struct user *users;
   int64_t waiting_seen_at; /* at any host; INT64_MIN: never */
+  bool was_waiting;        /* anywhere, by the last sums */
   int64_t held_since;      /* while a place is free; 0: none is */
   double level;            /* share of weight 1; INFINITY: all are satisfied */
   int64_t level_at;        /* INT64_MIN: to be determined */
@@ -312,8 +327,11 @@
                               const char *service, const char *customer,
                               int64_t work)
 {
-  add_to_sum (&find_or_add_user (share, service, customer)->used, now,
-              (double)work);
+  struct user *user = find_or_add_user (share, service, customer);
+
+  add_to_sum (&user->used, now, (double)work);
+  user->credit -= (double)work;
+  user->last_work = (double)work;
 }
 
 void
@@ -321,8 +339,10 @@
                                  const char *service, const char *customer,
                                  int64_t work)
 {
-  add_to_sum (&find_or_add_user (share, service, customer)->used, now,
-              -(double)work);
+  struct user *user = find_or_add_user (share, service, customer);
+
+  add_to_sum (&user->used, now, -(double)work);
+  user->credit += (double)work;
 }
 
 /* ---- Use and shares.  ---- */
@@ -418,6 +438,22 @@
   return share->sums_at == INT64_MIN ? 1 : user->weight;
 }
 
+/* Hosts that have started more than their portion wait for longer, so that not
+   all of them start a request at once.  */
+static void
+limit (const marjoram_room_share *share, const struct service *service,
+       struct user *user, int64_t now)
+{
+  const double part = service->level * own_weight (share, user);
+  const bool was_limited = user->is_limited;
+
+  user->is_limited = demand_of (share, user, now) > part * (1 + TOLERANCE);
+  if (!user->is_limited || was_limited)
+    return;
+  user->credit = part * user->portion - sum_at (&user->used, now);
+  user->credit_at = now;
+}
+
 static void
 divide (const marjoram_room_share *share, struct service *service, int64_t now)
 {
@@ -440,9 +476,7 @@
                        : INFINITY;
   service->level_at = now;
   for (user = service->users; user; user = user->hh.next)
-    user->is_limited
-        = demand_of (share, user, now)
-          > service->level * own_weight (share, user) * (1 + TOLERANCE);
+    limit (share, service, user, now);
 }
 
 /* When the sums have expired, the last shares are kept if they limited any
@@ -469,21 +503,46 @@
           const struct user *user, int64_t now)
 {
   update_level (share, service, now);
-  if (!service->is_frozen)
-    return service->level * own_weight (share, user);
-  return user->is_limited ? service->level * user->weight * user->portion
-                          : INFINITY;
+  if (service->is_frozen && !user->is_limited)
+    return INFINITY;
+  return service->level * own_weight (share, user);
+}
+
+/* Whether this host has started its portion of share PART.  Many hosts that
+   looked at the region's use alone would start a request each as soon as it
+   falls below the share.  */
+static bool
+is_spent (const struct service *service, struct user *user, double part,
+          int64_t now)
+{
+  const double pace = service->is_frozen ? 1 : PACE;
+  const double rate = part * user->portion * pace / MARJORAM_ROOM_DECAY_MS;
+
+  if (!service->is_frozen
+      && part * user->portion > PACED_REQUESTS_MAX * user->last_work)
+    return false;
+  user->credit = fmin (rate * BURST_MS,
+                       user->credit + rate * (double)(now - user->credit_at));
+  user->credit_at = now;
+  return user->credit <= user->queued;
 }
 
 static bool
 is_over (const marjoram_room_share *share, struct service *service,
-         const struct user *user, int64_t now)
+         struct user *user, int64_t now)
 {
   const double part = share_of (share, service, user, now);
   const double portion = has_sums (share, now) ? user->portion : 1;
 
+  if (isinf (part))
+    return false;
+  if (service->is_frozen)
+    return is_spent (service, user, part, now);
+  if (demand_of (share, user, now) <= part * (1 + TOLERANCE))
+    return false;
   return used_by (share, user, now) + user->queued / portion > part
-         && demand_of (share, user, now) > part * (1 + TOLERANCE);
+         || (user->is_limited && has_sums (share, now)
+             && is_spent (service, user, part, now));
 }
 
 bool
@@ -491,7 +550,7 @@
                              const char *service_name, const char *customer)
 {
   struct service *service = find_service (share, service_name);
-  const struct user *user = service ? find_user (service, customer) : NULL;
+  struct user *user = service ? find_user (service, customer) : NULL;
 
   return user && is_over (share, service, user, now);
 }
@@ -581,11 +640,15 @@
 }
 
 static bool
-is_short (const marjoram_room_share *share, const struct service *service,
+is_short (const marjoram_room_share *share, struct service *service,
           int64_t now)
 {
+  update_level (share, service, now);
   /* Requests may wait at a host that is not heard of.  */
-  if (share->is_partial && has_sums (share, now) && isfinite (service->level))
+  if (has_sums (share, now)
+      && (service->was_waiting
+          || (isfinite (service->level)
+              && (share->is_partial || now > share->sums_at + OVERDUE_MS))))
     return true;
   if (service->is_frozen && now <= share->sums_at + FROZEN_SHORT_MS)
     return true;
@@ -597,7 +660,7 @@
 marjoram_room_share_is_short (marjoram_room_share *share, int64_t now,
                               const char *service_name)
 {
-  const struct service *service = find_service (share, service_name);
+  struct service *service = find_service (share, service_name);
 
   return service && is_short (share, service, now);
 }
@@ -605,7 +668,7 @@
 bool
 marjoram_room_share_is_urgent (marjoram_room_share *share, int64_t now)
 {
-  const struct service *service;
+  struct service *service;
 
   for (service = share->services; service; service = service->hh.next)
     if (is_short (share, service, now))
@@ -727,6 +790,7 @@
 
   for (service = share->services; service; service = service->hh.next)
     {
+      service->was_waiting = false;
       for (user = service->users; user; user = user->hh.next)
         {
           user->used_then = sum_at (&user->used, now);
@@ -752,7 +816,12 @@
   user->portion += PORTION_SMOOTHING * (portion - user->portion);
   user->portion = fmax (PORTION_MIN, user->portion);
   if (item->waiting > 0)
-    find_service (share, item->service)->waiting_seen_at = now;
+    {
+      struct service *service = find_service (share, item->service);
+
+      service->waiting_seen_at = now;
+      service->was_waiting = true;
+    }
 }
 
 void
@@ -763,6 +832,9 @@
   const struct marjoram_room_item *items = sums->items.items;
   struct service *service;
 
+  /* A collector that has just begun.  */
+  if (sums->hosts * 2 < hosts)
+    return;
   clear_region (share, now);
   share->sums_at = now;
   share->is_partial = sums->hosts < hosts;
@@ -780,7 +852,7 @@
     void *context)
 {
   struct service *service;
-  const struct user *user;
+  struct user *user;
 
   for (service = share->services; service; service = service->hh.next)
     for (user = service->users; user; user = user->hh.next)
