Serve customers that keep within their shares first

Change: shares do not exceed the capacity in use while satisfied customers wait; requests of customers that want more than their share go behind others of the same priority, as those of the next lower priority do; places at an upstream that is about to become idle are given away, so that it does not. /status names the collector.

--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -2,7 +2,8 @@
    life cycle), entry_loads.c (load reports to the hosts of the region),
    entry_answer.c (the gateway's operations on callers, upstreams and other
    hosts), entry_room.c (use of capacity by customer), entry_keepers.c (leases
-   and quotas), entry_origin.c (builds that began streams) and entry_frame.c (frames received from other hosts).  */
+   and quotas), entry_origin.c (builds that began streams) and entry_frame.c
+   (frames received from other hosts).  */
 #ifndef MARJORAM_ENTRY_PRIVATE_H
 #define MARJORAM_ENTRY_PRIVATE_H
 
@@ -125,10 +126,15 @@
 /* entry_room.c */
 /* Sends reports and sums of the use of capacity by customer when due.  */
 void marjoram_entry_report_room (struct marjoram_entry *self, int64_t now);
+/* The host to which this one reports, for display; "" if there is none or
+   capacity is not shared.  */
+const char *marjoram_entry_room_collector (const struct marjoram_entry *self,
+                                           int64_t now);
 /* A report from HOST to this collector, and sums from collector HOST.  */
-void marjoram_entry_apply_room_report (struct marjoram_entry *self,
-                                       const char *host,
-                                       const struct marjoram_room_report *what);
+void
+marjoram_entry_apply_room_report (struct marjoram_entry *self,
+                                  const char *host,
+                                  const struct marjoram_room_report *what);
 void marjoram_entry_apply_room_sums (struct marjoram_entry *self,
                                      const char *host,
                                      const struct marjoram_room_report *sums);
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -388,9 +388,8 @@
   struct marjoram_entry *self = entry_from_role (role);
 
   return json_pack (
-      "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o, s:o}", "role", "entry",
-      "ready",
-      marjoram_entry_is_ready (self), "config_version",
+      "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:s}", "role", "entry",
+      "ready", marjoram_entry_is_ready (self), "config_version",
       (json_int_t)(self->table ? self->table->version : 0), "config_number",
       (json_int_t)self->config_number, "requests_open",
       (json_int_t)marjoram_gateway_request_count (self->gateway), "evacuated",
@@ -401,7 +400,8 @@
           marjoram_gateway_quota_pool (self->gateway), now),
       "room",
       marjoram_gateway_report_room (
-          marjoram_gateway_room_share (self->gateway), now));
+          marjoram_gateway_room_share (self->gateway), now),
+      "room_collector", marjoram_entry_room_collector (self, now));
 }
 
 static struct marjoram_repeat_limits
--- a/src/entry_room.c
+++ b/src/entry_room.c
@@ -90,7 +90,8 @@
   hosts = count_hosts (self, now);
   urgent = marjoram_room_share_is_urgent (
       marjoram_gateway_room_share (self->gateway), now);
-  if (now >= self->room_reported_at + marjoram_room_interval_ms (hosts, urgent))
+  if (now
+      >= self->room_reported_at + marjoram_room_interval_ms (hosts, urgent))
     {
       self->room_reported_at = now;
       send_report (self, now);
@@ -105,6 +106,15 @@
     }
 }
 
+const char *
+marjoram_entry_room_collector (const struct marjoram_entry *self, int64_t now)
+{
+  const char *collector
+      = is_enabled (self) ? find_collector (self, now) : NULL;
+
+  return collector ? collector : "";
+}
+
 void
 marjoram_entry_apply_room_report (struct marjoram_entry *self,
                                   const char *host,
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -2,9 +2,10 @@
    and timeouts), gateway_send.c (placement and sending), gateway_forward.c
    (forwarding to other regions), gateway_wait.c (queueing), gateway_repeat.c
    (repeat budget), gateway_customer.c (keys of customers), gateway_room.c
-   (capacity shared between customers), gateway_build.c (builds of streams), gateway_origin.c (streams that are taken up again),
-   gateway_crash.c (requests that crash upstreams) and gateway_answer.c
-   (answers and retries).  */
+   (capacity shared between customers), gateway_build.c (builds of streams),
+   gateway_origin.c (streams that are taken up again), gateway_crash.c
+   (requests that crash upstreams) and gateway_answer.c (answers and retries).
+ */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
 #define MARJORAM_GATEWAY_PRIVATE_H
 
@@ -67,6 +68,7 @@
 {
   MARJORAM_ROOM_UNKNOWN, /* not determined, or capacity is not shared */
   MARJORAM_ROOM_WITHIN,
+  MARJORAM_ROOM_LIMITED, /* within its share, and wants more than that */
   MARJORAM_ROOM_OVER
 };
 
@@ -75,7 +77,8 @@
 {
   int64_t work; /* 0 until it was counted as wanted */
   enum marjoram_room_verdict verdict;
-  int part; /* per cent of the share in use; -1: unknown */
+  int part;         /* per cent of the share in use; -1: unknown */
+  int64_t sort_key; /* part of the waiter's */
 };
 
 /* One request and the state of its answer.  */
--- a/src/gateway_report.c
+++ b/src/gateway_report.c
@@ -119,13 +119,13 @@
 static void
 add_room (void *context, const struct marjoram_room_state *state)
 {
-  json_array_append_new (
-      context,
-      json_pack ("{s:s, s:s, s:f, s:f, s:f, s:i, s:b, s:b}", "service",
-                 state->service, "customer", state->customer, "weight",
-                 state->weight, "used", state->used, "wanted", state->wanted,
-                 "part", state->part, "over", state->is_over, "short",
-                 state->is_short));
+  json_array_append_new (context,
+                         json_pack ("{s:s, s:s, s:f, s:f, s:f, s:i, s:b, s:b}",
+                                    "service", state->service, "customer",
+                                    state->customer, "weight", state->weight,
+                                    "used", state->used, "wanted",
+                                    state->wanted, "part", state->part, "over",
+                                    state->is_over, "short", state->is_short));
 }
 
 json_t *
--- a/src/gateway_room.c
+++ b/src/gateway_room.c
@@ -16,6 +16,10 @@
 
 /* Added to sort keys, which are times: later than any of the others.  */
 #define OVER_SORT_KEY (INT64_C (1) << 50)
+/* Requests of customers that want more than their share go behind those of the
+   same priority of customers that do not, as those of the next lower priority
+   do.  */
+#define LIMITED_SORT_KEY marjoram_wait_queue_sort_key (1, 0)
 
 static bool
 is_enabled (const marjoram_gateway *gateway)
@@ -47,16 +51,41 @@
   return exchange->state == MARJORAM_EXCHANGE_STREAMING;
 }
 
+static int64_t
+sort_key_of (const struct marjoram_exchange *exchange)
+{
+  switch (exchange->room.verdict)
+    {
+    case MARJORAM_ROOM_OVER:
+      return OVER_SORT_KEY;
+    case MARJORAM_ROOM_LIMITED:
+      return LIMITED_SORT_KEY;
+    default:
+      return 0;
+    }
+}
+
+static enum marjoram_room_verdict
+find_verdict (marjoram_gateway *gateway,
+              const struct marjoram_exchange *exchange, int64_t now)
+{
+  if (is_exempt (exchange))
+    return MARJORAM_ROOM_WITHIN;
+  if (marjoram_room_share_is_over (gateway->room, now, exchange->service,
+                                   exchange->customer))
+    return MARJORAM_ROOM_OVER;
+  return marjoram_room_share_is_limited (gateway->room, exchange->service,
+                                         exchange->customer)
+             ? MARJORAM_ROOM_LIMITED
+             : MARJORAM_ROOM_WITHIN;
+}
+
 static void
 update_verdict (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
                 int64_t now)
 {
-  const bool over = !is_exempt (exchange)
-                    && marjoram_room_share_is_over (gateway->room, now,
-                                                    exchange->service,
-                                                    exchange->customer);
-
-  exchange->room.verdict = over ? MARJORAM_ROOM_OVER : MARJORAM_ROOM_WITHIN;
+  exchange->room.verdict = find_verdict (gateway, exchange, now);
+  exchange->room.sort_key = sort_key_of (exchange);
 }
 
 void
@@ -70,6 +99,7 @@
   if (!is_enabled (gateway))
     {
       room->verdict = MARJORAM_ROOM_UNKNOWN;
+      room->sort_key = 0;
       return;
     }
   if (room->work == 0)
@@ -99,7 +129,8 @@
 bool
 marjoram_exchange_yields_room (marjoram_gateway *gateway,
                                const struct marjoram_exchange *exchange,
-                               int64_t now, const struct marjoram_place *chosen)
+                               int64_t now,
+                               const struct marjoram_place *chosen)
 {
   if (exchange->room.verdict != MARJORAM_ROOM_OVER)
     return false;
@@ -126,7 +157,8 @@
                                int64_t now, enum marjoram_attempt_end how)
 {
   if (is_enabled (gateway) && exchange->room.work > 0 && !*exchange->host
-      && (how == MARJORAM_ATTEMPT_REFUSED || how == MARJORAM_ATTEMPT_UNREACHED))
+      && (how == MARJORAM_ATTEMPT_REFUSED
+          || how == MARJORAM_ATTEMPT_UNREACHED))
     marjoram_room_share_return_used (gateway->room, now, exchange->service,
                                      exchange->customer, exchange->room.work);
 }
@@ -134,7 +166,7 @@
 int64_t
 marjoram_exchange_room_key (const struct marjoram_exchange *exchange)
 {
-  return exchange->room.verdict == MARJORAM_ROOM_OVER ? OVER_SORT_KEY : 0;
+  return exchange->room.sort_key;
 }
 
 /* Leaves part of the queue to customers that are not over.  */
@@ -180,6 +212,7 @@
 {
   static const char *const names[] = { [MARJORAM_ROOM_UNKNOWN] = "-",
                                        [MARJORAM_ROOM_WITHIN] = "within",
+                                       [MARJORAM_ROOM_LIMITED] = "within",
                                        [MARJORAM_ROOM_OVER] = "over" };
 
   return names[exchange->room.verdict];
@@ -194,18 +227,16 @@
               int64_t now)
 {
   struct marjoram_exchange *exchange = waiter->owner;
-  const bool was_over = waiter->sort_key >= OVER_SORT_KEY;
-  bool is_over;
+  const int64_t old_key = exchange->room.sort_key;
 
   update_verdict (gateway, exchange, now);
-  is_over = exchange->room.verdict == MARJORAM_ROOM_OVER;
-  if (!is_over)
+  if (exchange->room.verdict != MARJORAM_ROOM_OVER)
     marjoram_room_share_add_waiting (gateway->room, now, exchange->service,
                                      exchange->customer, exchange->room.work);
-  if (is_over == was_over)
+  if (exchange->room.sort_key == old_key)
     return;
   marjoram_wait_queue_remove (gateway->queue, waiter);
-  waiter->sort_key += is_over ? OVER_SORT_KEY : -OVER_SORT_KEY;
+  waiter->sort_key += exchange->room.sort_key - old_key;
   marjoram_wait_queue_add (gateway->queue, waiter);
 }
 
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -278,12 +278,12 @@
 
   if (none && chosen->candidates == 0 && may_wait (gateway, exchange, now))
     return;
-  refuse (gateway, exchange, now, refusal_reason (chosen),
-          marjoram_exchange_room_retry_ms (
-              gateway, exchange, now,
-              marjoram_shortages_retry_ms (gateway->shortages, now,
-                                           exchange->service,
-                                           chosen->retry_ms)));
+  refuse (
+      gateway, exchange, now, refusal_reason (chosen),
+      marjoram_exchange_room_retry_ms (
+          gateway, exchange, now,
+          marjoram_shortages_retry_ms (gateway->shortages, now,
+                                       exchange->service, chosen->retry_ms)));
 }
 
 static void
--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -62,10 +62,11 @@
 sort_key_of (const struct marjoram_exchange *exchange,
              const struct marjoram_place *chosen)
 {
-  return marjoram_wait_queue_sort_key (
-      exchange->priority, is_interrupted (exchange)
-                              ? exchange->last_event_at + RESUME_FIRST_MS
-                              : latest_start (exchange, chosen))
+  return marjoram_wait_queue_sort_key (exchange->priority,
+                                       is_interrupted (exchange)
+                                           ? exchange->last_event_at
+                                                 + RESUME_FIRST_MS
+                                           : latest_start (exchange, chosen))
          + marjoram_exchange_room_key (exchange);
 }
 
--- a/src/room_collector.c
+++ b/src/room_collector.c
@@ -245,8 +245,8 @@
   expire_reporters (collector, now);
   memset (sums, 0, sizeof *sums);
   sums->hosts = HASH_COUNT (collector->reporters);
-  sums->items.items = items = marjoram_alloc (
-      (HASH_COUNT (collector->totals) + 1) * sizeof *items);
+  sums->items.items = items
+      = marjoram_alloc ((HASH_COUNT (collector->totals) + 1) * sizeof *items);
   for (total = collector->totals;
        total && sums->items.count < MARJORAM_ROOM_ITEMS_MAX;
        total = total->hh.next)
--- a/src/room_collector.h
+++ b/src/room_collector.h
@@ -24,7 +24,7 @@
    which its collector sends sums: short ones while the region is URGENT.  */
 int64_t marjoram_room_interval_ms (size_t hosts, bool urgent);
 /* Whether requests of customers that are not over wait at some host.  */
-bool marjoram_room_collector_is_urgent (
-    const marjoram_room_collector *collector);
+bool
+marjoram_room_collector_is_urgent (const marjoram_room_collector *collector);
 
 #endif
--- a/src/room_share.c
+++ b/src/room_share.c
@@ -44,9 +44,9 @@
   /* After which a place at an idle upstream that no request takes of customers
      that are not over is given to others.  One tick.  */
   HOLD_MAX_MS = 25,
-  /* Work ahead at an upstream for which it needs no other yet: the host asks
-     again after a tick.  */
-  BUSY_MIN_MS = 25,
+  /* Work ahead at an upstream for which it needs no other yet, so that it does
+     not become idle while hosts wait for a tick and for news of its load.  */
+  BUSY_MIN_MS = 75,
   REFUSED_WAITS_MS = 300, /* for which a refused request counts as waiting */
   RETRY_MIN_MS = 250,
   RETRY_MAX_MS = 4000,
@@ -65,18 +65,18 @@
 {
   char *customer;
   double weight;
-  struct sum used;     /* at this host */
-  struct sum wanted;   /* likewise */
-  double used_then;    /* at this host, as the last sums arrived */
-  double region_used;  /* as of the last sums */
+  struct sum used;    /* at this host */
+  struct sum wanted;  /* likewise */
+  double used_then;   /* at this host, as the last sums arrived */
+  double region_used; /* as of the last sums */
   double region_wanted;
-  double portion;   /* of the region's demand, that came to this host */
-  bool is_limited;  /* wanted more than its share, as of the last division */
-  double credit;    /* work that this host may start, while limited */
+  double portion;  /* of the region's demand, that came to this host */
+  bool is_limited; /* wanted more than its share, as of the last division */
+  double credit;   /* work that this host may start, while limited */
   int64_t credit_at;
   double last_work; /* of a request */
-  int waiting;    /* queued requests at this host that are not over */
-  double queued;  /* their work */
+  int waiting;      /* queued requests at this host that are not over */
+  double queued;    /* their work */
   int64_t refused_at;
   UT_hash_handle hh;
 };
@@ -87,6 +87,7 @@
   struct user *users;
   int64_t waiting_seen_at; /* at any host; INT64_MIN: never */
   bool was_waiting;        /* anywhere, by the last sums */
+  bool satisfied_wait;     /* likewise, customers that are not limited */
   int64_t held_since;      /* while a place is free; 0: none is */
   double level;            /* share of weight 1; INFINITY: all are satisfied */
   int64_t level_at;        /* INT64_MIN: to be determined */
@@ -461,7 +462,9 @@
   marjoram_auto_free struct demand *demands
       = marjoram_alloc ((count + 1) * sizeof *demands);
   struct user *user;
-  const double headroom = share->is_partial ? PARTIAL_HEADROOM : HEADROOM;
+  const double headroom = service->satisfied_wait ? 0
+                          : share->is_partial     ? PARTIAL_HEADROOM
+                                                  : HEADROOM;
   double capacity = 0;
   size_t i = 0;
 
@@ -485,8 +488,7 @@
 update_level (const marjoram_room_share *share, struct service *service,
               int64_t now)
 {
-  const bool is_stale
-      = share->sums_at != INT64_MIN && !has_sums (share, now);
+  const bool is_stale = share->sums_at != INT64_MIN && !has_sums (share, now);
 
   service->is_frozen
       = is_stale && (service->is_frozen || isfinite (service->level));
@@ -555,6 +557,16 @@
   return user && is_over (share, service, user, now);
 }
 
+bool
+marjoram_room_share_is_limited (const marjoram_room_share *share,
+                                const char *service_name, const char *customer)
+{
+  const struct service *service = find_service (share, service_name);
+  const struct user *user = service ? find_user (service, customer) : NULL;
+
+  return user && user->is_limited;
+}
+
 static int
 part_of (const marjoram_room_share *share, struct service *service,
          const struct user *user, int64_t now)
@@ -729,8 +741,8 @@
 is_forgotten (const struct service *service, const struct user *user,
               int64_t now)
 {
-  return !is_in_use (user, now) && !service->is_frozen
-         && user->region_used < 1 && user->region_wanted < 1;
+  return !is_in_use (user, now) && !service->is_frozen && user->region_used < 1
+         && user->region_wanted < 1;
 }
 
 static size_t
@@ -791,6 +803,7 @@
   for (service = share->services; service; service = service->hh.next)
     {
       service->was_waiting = false;
+      service->satisfied_wait = false;
       for (user = service->users; user; user = user->hh.next)
         {
           user->used_then = sum_at (&user->used, now);
@@ -821,6 +834,7 @@
 
       service->waiting_seen_at = now;
       service->was_waiting = true;
+      service->satisfied_wait = service->satisfied_wait || !user->is_limited;
     }
 }
 
--- a/src/room_share.h
+++ b/src/room_share.h
@@ -66,14 +66,18 @@
    use and what waits.  */
 bool marjoram_room_share_is_over (marjoram_room_share *share, int64_t now,
                                   const char *service, const char *customer);
+/* Whether CUSTOMER wanted more than its share as of the last sums.  */
+bool marjoram_room_share_is_limited (const marjoram_room_share *share,
+                                     const char *service,
+                                     const char *customer);
 bool marjoram_room_share_is_short (marjoram_room_share *share, int64_t now,
                                    const char *service);
 /* Whether any service is short, so that reports are urgent.  */
 bool marjoram_room_share_is_urgent (marjoram_room_share *share, int64_t now);
 /* Whether a request of a customer that is over, for which there is a place,
-   has to leave it to others.  BUSY_MS is for how long the upstream is busy with
-   what it has.  A place that stays free after that, although others could take
-   it, is given away.  */
+   has to leave it to others.  BUSY_MS is for how long the upstream is busy
+   with what it has.  A place that stays free after that, although others could
+   take it, is given away.  */
 bool marjoram_room_share_holds (marjoram_room_share *share, int64_t now,
                                 const char *service, const char *customer,
                                 int64_t busy_ms);
--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -25,6 +25,7 @@
   EVENT_MS = 20,
   EVENTS = 5,
   LONG_EVENTS = 150, /* 3 s of events */
+  PACED_MS = 25,     /* for each of these requests, one after the other */
   CALL_TIMEOUT_S = 1,
   SHUTDOWN_DELAY_MS = 500, /* after draining was acknowledged */
   ADDRESS_MAX = 64,
@@ -49,6 +50,7 @@
   int keeper; /* index of the current keeper */
   int sequence;
   int64_t started_at;
+  int64_t free_at; /* after the paced requests */
   bool leaving;
   bool acknowledged;
   int log;
@@ -258,6 +260,42 @@
   evtimer_add (stream->timer, &wait);
 }
 
+/* A request that is processed after others.  */
+struct paced
+{
+  struct replica *replica;
+  uint64_t call;
+  char id[PATH_MAX_BYTES];
+};
+
+static void
+on_paced (evutil_socket_t fd, short what, void *context)
+{
+  struct paced *paced = context;
+
+  (void)fd;
+  (void)what;
+  reply (paced->replica, paced->call, 200, paced->id, paced->replica->id);
+  free (paced);
+}
+
+static void
+reply_in_turn (struct replica *replica, uint64_t call, const char *id)
+{
+  const int64_t now = marjoram_clock_now (replica->clock);
+  struct paced *paced = marjoram_alloc (sizeof *paced);
+  struct timeval wait;
+
+  if (replica->free_at < now)
+    replica->free_at = now;
+  replica->free_at += PACED_MS;
+  wait = marjoram_clock_timeval (replica->free_at - now);
+  paced->replica = replica;
+  paced->call = call;
+  snprintf (paced->id, sizeof paced->id, "%s", id);
+  event_base_once (replica->base, -1, EV_TIMEOUT, on_paced, paced, &wait);
+}
+
 static bool
 target_contains (const struct marjoram_http_request *request,
                  const char *fault)
@@ -310,7 +348,9 @@
     return;
   if (target_contains (request, "crash"))
     _exit (EXIT_FAILURE);
-  if (target_contains (request, "break"))
+  if (target_contains (request, "paced"))
+    reply_in_turn (replica, call, id);
+  else if (target_contains (request, "break"))
     marjoram_http_server_abort (replica->server, call);
   else if (target_contains (request, "fail"))
     reply (replica, call, 500, id, "failed");
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -240,8 +240,8 @@
   int64_t free_at[FLEET_UPSTREAMS]; /* after the last prompt */
   uint8_t *busy[FLEET_UPSTREAMS];   /* by ms */
   struct sent *sent;                /* by id */
-  int *ids;                    /* by call */
-  marjoram_crash_list *keeper; /* what keepers tell hosts that start */
+  int *ids;                         /* by call */
+  marjoram_crash_list *keeper;      /* what keepers tell hosts that start */
   STAILQ_HEAD (, crash_report) crash_reports;
 };
 
@@ -688,10 +688,9 @@
   if (fleet->prefix)
     snprintf (target, sizeof target, "%sx-%d", fleet->prefix, fleet->next_id);
   repeat_bound_add_request (fleet->bound, fleet->now);
-  fleet->sent[++fleet->next_id] = (struct sent){ .at = fleet->now,
-                                                 .crashing = crashing,
-                                                 .region = region,
-                                                 .customer = -1 };
+  fleet->sent[++fleet->next_id] = (struct sent){
+    .at = fleet->now, .crashing = crashing, .region = region, .customer = -1
+  };
   if (fleet->prompts.sessions > 0)
     fleet->sent[fleet->next_id].session = (int)marjoram_random_below (
         fleet->random, (uint32_t)fleet->prompts.sessions);
@@ -1372,11 +1371,11 @@
   struct marjoram_room_report sums;
 
   if (fleet->now < room->begins_at
-      || fleet->now < room->sent_at
-                          + marjoram_room_interval_ms (
-                              FLEET_HOSTS_PER_REGION,
-                              marjoram_room_collector_is_urgent (
-                                  room->collector)))
+      || fleet->now
+             < room->sent_at
+                   + marjoram_room_interval_ms (
+                       FLEET_HOSTS_PER_REGION,
+                       marjoram_room_collector_is_urgent (room->collector)))
     return;
   room->sent_at = fleet->now;
   marjoram_room_collector_take (room->collector, fleet->now, &sums);
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -69,8 +69,9 @@
   if QUOTA_ALLOWANCE then
     limits = limits .. "quota_allowance = " .. QUOTA_ALLOWANCE .. "\n"
   end
+  local load = LOAD_SETTINGS and "[load]\n" .. LOAD_SETTINGS or ""
   return text .. "link = " .. host.ip .. ":" .. port .. "\nmetrics = "
-    .. host.ip .. ":7661\n[limits]\ndrain_limit_ms = 8000\n" .. limits .. "[seeds]\nkeepers = "
+    .. host.ip .. ":7661\n" .. load .. "[limits]\ndrain_limit_ms = 8000\n" .. limits .. "[seeds]\nkeepers = "
     .. table.concat (seeds, ", ") .. "\n[zones]\nza = ra\nzb = rb\n"
 end
 
@@ -177,7 +178,8 @@
 
 end_of = finished
 
--- CUSTOMERS, if set, is the JSON text of all customers.
+-- CUSTOMERS, if set, is the JSON text of all customers, and ENGINE that of the
+-- engines of the service "app".
 function config (version, routes)
   local list = {}
   for i, route in ipairs (routes) do
@@ -192,10 +194,11 @@
   end
   return string.format (
     '{"version":%d,"routes":[%s],"services":[{"name":"app",'
-    .. '"health_path":"/health"},{"name":"other","health_path":"/health"}],'
+    .. '"health_path":"/health"%s},{"name":"other","health_path":"/health"}],'
     .. '"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,'
     .. '"header_timeout_ms":3000,"idle_timeout_ms":15000}%s}', version,
     table.concat (list, ","),
+    ENGINE and ',"engine":' .. ENGINE or "",
     CUSTOMERS and ',"tenants":[' .. CUSTOMERS .. "]" or "")
 end
 
--- a/test/test_customer_flood.c
+++ b/test/test_customer_flood.c
@@ -84,8 +84,7 @@
       outcome.before[i] = fleet_customer_share (fleet, 0, i, 0, CALM_MS);
       outcome.during[i]
           = fleet_customer_share (fleet, 0, i, CALM_MS, FLOOD_MS);
-      outcome.after[i]
-          = fleet_customer_share (fleet, 0, i, AFTER_MS, RUN_MS);
+      outcome.after[i] = fleet_customer_share (fleet, 0, i, AFTER_MS, RUN_MS);
     }
   outcome.busy = fleet_busy_share (fleet, 0, CALM_MS + 500, FLOOD_MS);
   outcome.loud_retry_ms
@@ -186,10 +185,10 @@
   TCase *tc = tcase_create ("customer_flood");
 
   tcase_set_timeout (tc, 120);
-  tcase_add_loop_test (tc, flood_takes_nothing_from_others, 0, 3);
-  tcase_add_loop_test (tc, flood_with_collector_killed, 0, 3);
-  tcase_add_loop_test (tc, flood_with_host_cut_off, 0, 3);
-  tcase_add_loop_test (tc, flood_harms_others_without_shares, 0, 3);
+  tcase_add_loop_test (tc, flood_takes_nothing_from_others, 0, 4);
+  tcase_add_loop_test (tc, flood_with_collector_killed, 0, 4);
+  tcase_add_loop_test (tc, flood_with_host_cut_off, 0, 4);
+  tcase_add_loop_test (tc, flood_harms_others_without_shares, 0, 4);
   suite_add_tcase (s, tc);
   return s;
 }
--- a/test/test_room_share.c
+++ b/test/test_room_share.c
@@ -44,10 +44,9 @@
 
   ck_assert_uint_le (count, sizeof items / sizeof *items);
   for (size_t i = 0; i < count; i++)
-    items[i] = (struct marjoram_room_item){ (char *)"lm",
-                                            (char *)uses[i].customer,
-                                            uses[i].used, uses[i].wanted,
-                                            waiting };
+    items[i]
+        = (struct marjoram_room_item){ (char *)"lm", (char *)uses[i].customer,
+                                       uses[i].used, uses[i].wanted, waiting };
   marjoram_room_share_apply (share, now, &sums, 1);
 }
 
@@ -60,15 +59,12 @@
 /* Guards against shares that ignore the quotas.  */
 START_TEST (shares_follow_quotas)
 {
-  struct marjoram_customer_rule rules[]
-      = { { .name = "large",
-            .unit = MARJORAM_QUOTA_TOKENS,
-            .rate_per_s = 3000 },
-          { .name = "small",
-            .unit = MARJORAM_QUOTA_TOKENS,
-            .rate_per_s = 1000 },
-          { .name = "counted", .rate_per_s = 5 },
-          { .name = "free" } };
+  struct marjoram_customer_rule rules[] = {
+    { .name = "large", .unit = MARJORAM_QUOTA_TOKENS, .rate_per_s = 3000 },
+    { .name = "small", .unit = MARJORAM_QUOTA_TOKENS, .rate_per_s = 1000 },
+    { .name = "counted", .rate_per_s = 5 },
+    { .name = "free" }
+  };
   struct marjoram_route_table table = { .customers = { rules, 4 } };
   const struct use even[] = { { "large", 500, 2000 }, { "small", 500, 2000 } };
   const struct use fair[] = { { "large", 750, 2000 }, { "small", 250, 2000 } };
@@ -76,8 +72,8 @@
   const struct use unknown[] = { { "large", 300, 4000 },
                                  { "small", 100, 4000 },
                                  { "free", 600, 4000 } };
-  const struct use counted[] = { { "small", 400, 4000 },
-                                 { "counted", 600, 4000 } };
+  const struct use counted[]
+      = { { "small", 400, 4000 }, { "counted", 600, 4000 } };
 
   marjoram_room_share_set_table (share, &table);
   apply (1000, even, 2, 1);
@@ -435,8 +431,9 @@
 static void
 arrive (struct region *region, int64_t now, int customer, int hosts)
 {
-  struct host *host = &region->hosts[marjoram_random_below (
-      region->random, (uint32_t)hosts)];
+  struct host *host
+      = &region
+             ->hosts[marjoram_random_below (region->random, (uint32_t)hosts)];
   struct waiting *waiting = marjoram_alloc (sizeof *waiting);
 
   waiting->customer = customer;
@@ -499,8 +496,7 @@
   {
     const char *name = name_of (waiting->customer);
 
-    waiting->over
-        = marjoram_room_share_is_over (host->share, now, "lm", name);
+    waiting->over = marjoram_room_share_is_over (host->share, now, "lm", name);
     if (!waiting->over)
       marjoram_room_share_add_waiting (host->share, now, "lm", name, WORK);
   }
