--- a/test/test_room_share.c
+++ b/test/test_room_share.c
@@ -307,8 +307,8 @@
 
   for (int i = 0; i < 48; i++)
     {
-      char service[16];
-      char customer[16];
+      char service[32];
+      char customer[32];
 
       snprintf (service, sizeof service, "model-%d", i / 16);
       snprintf (customer, sizeof customer, "customer-%d", i % 16);
