--- a/src/entry_loads.c
+++ b/src/entry_loads.c
@@ -82,10 +82,9 @@
 
 /* ---- Reports through collectors.  ---- */
 
-/* The collector of GROUP, by rendezvous hashing over the serving hosts; null
-   if there is none.  */
-static const char *
-find_collector (const struct marjoram_entry *self, int64_t now, int group)
+const char *
+marjoram_entry_find_collector (const struct marjoram_entry *self, int64_t now,
+                               int group)
 {
   const struct marjoram_gateway_settings *settings = self->parts->settings;
   char key[GROUP_KEY_MAX];
@@ -140,7 +139,7 @@
     self->full_report_at = now;
   for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
     {
-      hosts[i] = find_collector (self, now, i);
+      hosts[i] = marjoram_entry_find_collector (self, now, i);
       full[i] = (hosts[i] && update_collector (self, i, hosts[i])) || full_due;
     }
   marjoram_placement_report_changes (
@@ -189,7 +188,7 @@
 
   for (int i = 0; i < MARJORAM_LOAD_GROUPS; i++)
     {
-      const char *collector = find_collector (self, now, i);
+      const char *collector = marjoram_entry_find_collector (self, now, i);
 
       groups[i] = collector && strcmp (collector, host) == 0;
     }
--- a/src/gateway_report.h
+++ b/src/gateway_report.h
@@ -11,6 +11,7 @@
 #include "quota_pool.h"
 #include "quota_share.h"
 #include "registry.h"
+#include "room_share.h"
 
 #include <jansson.h>
 
@@ -28,6 +29,9 @@
 /* Requests forwarded to each region and service, and their limits.  */
 json_t *
 marjoram_gateway_report_windows (const marjoram_forward_windows *windows);
+/* Use of the region's capacity by each customer in use; empty if capacity is
+   not shared.  */
+json_t *marjoram_gateway_report_room (marjoram_room_share *share, int64_t now);
 /* A keeper's shares of the quotas.  */
 json_t *marjoram_gateway_report_shares (const marjoram_quota_shares *shares);
 
