--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -391,9 +391,6 @@
   report = json_pack (
       "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o}", "role", "entry", "ready",
       marjoram_entry_is_ready (self), "config_version",
-  return json_pack (
-      "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:s}", "role", "entry",
-      "ready", marjoram_entry_is_ready (self), "config_version",
       (json_int_t)(self->table ? self->table->version : 0), "config_number",
       (json_int_t)self->config_number, "requests_open",
       (json_int_t)marjoram_gateway_request_count (self->gateway), "evacuated",
@@ -407,12 +404,17 @@
         report, "forward_windows",
         marjoram_gateway_report_windows (
             marjoram_gateway_forward_windows (self->gateway)));
+  if (marjoram_gateway_features (self->gateway)->share_room)
+    {
+      json_object_set_new (
+          report, "room",
+          marjoram_gateway_report_room (
+              marjoram_gateway_room_share (self->gateway), now));
+      json_object_set_new (
+          report, "room_collector",
+          json_string (marjoram_entry_room_collector (self, now)));
+    }
   return report;
-          marjoram_gateway_quota_pool (self->gateway), now),
-      "room",
-      marjoram_gateway_report_room (
-          marjoram_gateway_room_share (self->gateway), now),
-      "room_collector", marjoram_entry_room_collector (self, now));
 }
 
 static struct marjoram_repeat_limits
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -104,6 +104,8 @@
 marjoram_gateway_forward_windows (const marjoram_gateway *gateway)
 {
   return gateway->windows;
+}
+
 marjoram_room_share *
 marjoram_gateway_room_share (marjoram_gateway *gateway)
 {
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -615,8 +615,8 @@
       = { .dialect = marjoram_platform_dialect (),
           .repeats = node->fleet->limits,
           .load = node->fleet->load };
-          .load = { .share_room = node->fleet->shares_room } };
 
+  options.load.share_room |= node->fleet->shares_room;
   node->start++;
   node->registry = marjoram_registry_create ();
   node->hosts = marjoram_host_list_create ();
@@ -930,7 +930,6 @@
         || (event->refuses
             && marjoram_random_unit (fleet->random) < fleet->refusals);
   int64_t ms = REFUSE_MS;
-  int64_t ms = refused ? REFUSE_MS : fleet->serve_ms;
   struct event answer = *event;
   struct event done = *event;
   struct event unsent = *event;
@@ -943,14 +942,14 @@
       return;
     }
   count_arrival (fleet, event);
-  if (fleet->has_customers && !refused)
-    ms = process_prompt (fleet, event->upstream);
   fatal.kind = EVENT_CRASH;
   fatal.life = fleet->lives[event->upstream];
   if (fleet->sent[event->id].crashing)
     schedule (fleet, fleet->serve_ms / BEGIN_PART, &fatal);
   if (!refused)
-    ms = begin_stream (fleet, event, queue_time_ms (fleet, event));
+    ms = fleet->has_customers
+             ? process_prompt (fleet, event->upstream)
+             : begin_stream (fleet, event, queue_time_ms (fleet, event));
   answer.kind = EVENT_ANSWER;
   answer.status = refused ? STATUS_UNAVAILABLE : STATUS_OK;
   answer.retry_after = retry_after;
@@ -1491,6 +1490,8 @@
                                             other->name);
         marjoram_gateway_link_lost (node->gateway, fleet->now, other->name);
       }
+}
+
 /* ---- Use of capacity by customer, as entry hosts report it.  ---- */
 
 static void
