--- a/test/test_customer_flood.c
+++ b/test/test_customer_flood.c
@@ -166,6 +166,36 @@
 }
 END_TEST
 
+/* Guards against a flood that is forwarded to other regions and takes capacity
+   from the same customers there.  */
+START_TEST (forwarded_flood_takes_nothing_from_others)
+{
+  struct fleet *fleet = fleet_create_shared (&limits, (uint64_t)_i + 1, true);
+
+  for (int region = 0; region < FLEET_REGIONS; region++)
+    for (int i = 0; i < FLEET_CUSTOMERS; i++)
+      fleet_set_customer_rate (fleet, region, i, QUIET_PER_S,
+                               FLEET_HOSTS_PER_REGION);
+  fleet_run_until (fleet, CALM_MS);
+  fleet_set_customer_rate (fleet, 0, LOUD, FLOOD_FACTOR * QUIET_PER_S,
+                           FLEET_HOSTS_PER_REGION);
+  fleet_run_until (fleet, FLOOD_MS);
+  for (int region = 0; region < FLEET_REGIONS; region++)
+    for (int i = 0; i < FLEET_CUSTOMERS; i++)
+      if (i != LOUD)
+        {
+          const double share = fleet_customer_share (fleet, region, i, CALM_MS,
+                                                     FLOOD_MS - TAIL_MS);
+
+          if (getenv ("MARJORAM_TEST_VERBOSE"))
+            printf ("region %d, customer %d: %.3f\n", region, i, share);
+          ck_assert_msg (share >= 0.95, "region %d, customer %d: %.3f", region,
+                         i, share);
+        }
+  fleet_destroy (fleet);
+}
+END_TEST
+
 /* Guards against a load under which the other tests pass anyway.  */
 START_TEST (flood_harms_others_without_shares)
 {
@@ -188,6 +218,7 @@
   tcase_add_loop_test (tc, flood_takes_nothing_from_others, 0, 4);
   tcase_add_loop_test (tc, flood_with_collector_killed, 0, 4);
   tcase_add_loop_test (tc, flood_with_host_cut_off, 0, 4);
+  tcase_add_loop_test (tc, forwarded_flood_takes_nothing_from_others, 0, 4);
   tcase_add_loop_test (tc, flood_harms_others_without_shares, 0, 4);
   suite_add_tcase (s, tc);
   return s;
