gateway: measure the wait of queued requests

Cause: the expected wait followed from the engines' prefill speed, while slots and memory were the limit, so that requests were held until their objective had passed and were then refused. Change: queue_rate.c measures the work started while a service is short; with measured_waits a request is queued only if it starts early enough by that rate, is refused as soon as it no longer does, and Retry-After follows the rate. Offers to other regions count the wait. Off: as before.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -346,8 +346,8 @@
     {
       struct marjoram_host_offer *offer = &offers[self->offers.count];
 
-      marjoram_placement_offer (marjoram_gateway_placement (self->gateway),
-                                self->offers_updated_at, &services[i], offer);
+      marjoram_gateway_offer (self->gateway, self->offers_updated_at,
+                              &services[i], offer);
       self->offers.count += offer->upstreams > 0;
     }
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -33,7 +33,8 @@
      is considered stalled.  A batch of an engine takes about 10 ms.  */
   UPSTREAM_STALL_MS = 800,
   /* Interval between checks of an attempt that is idle but not abandoned.  */
-  IDLE_CHECK_MS = 200
+  IDLE_CHECK_MS = 200,
+  WAIT_TEXT_MAX = 128 /* bytes of a log line */
 };
 
 static void
@@ -64,6 +65,7 @@
   gateway->budget = marjoram_repeat_budget_create (&options->repeats, now);
   gateway->crashes = marjoram_crash_list_create ();
   gateway->queue = marjoram_wait_queue_create ();
+  gateway->queue_rates = marjoram_queue_rates_create ();
   gateway->shortages = marjoram_shortages_create ();
   gateway->lease = marjoram_key_lease_create (options->key_lease_ms);
   gateway->quotas
@@ -200,6 +202,7 @@
   marjoram_repeat_budget_destroy (gateway->budget);
   marjoram_crash_list_destroy (gateway->crashes);
   marjoram_wait_queue_destroy (gateway->queue);
+  marjoram_queue_rates_destroy (gateway->queue_rates);
   marjoram_shortages_destroy (gateway->shortages);
   marjoram_key_lease_destroy (gateway->lease);
   marjoram_quota_pool_destroy (gateway->quotas);
@@ -248,13 +251,16 @@
 }
 
 static void
-log_end (const struct marjoram_exchange *exchange, int64_t now,
+log_end (const marjoram_gateway *gateway,
+         const struct marjoram_exchange *exchange, int64_t now,
          const char *outcome, enum marjoram_reason reason, int status)
 {
+  char wait[WAIT_TEXT_MAX];
   int64_t first_ms = exchange->first_event_at
                          ? exchange->first_event_at - exchange->received_at
                          : -1;
 
+  marjoram_exchange_write_wait (gateway, exchange, now, wait, sizeof wait);
   marjoram_event (
       MARJORAM_EVENT_REQUEST,
       "id=%s outcome=%s reason=%s status=%d ms=%" PRId64 " first_ms=%" PRId64
@@ -266,7 +272,7 @@
       " limit=%s framing=%s unfinished=%zu events=%d quiet_ms=%" PRId64
       " pause_ms=%" PRId64 " route=%s service=%s customer=%s config=%" PRIu64
       " upstream=%s build=%s host=%s arrivals=%d unreached=%d forwarded=%d"
-      " last_event=%s resumes=%s",
+      " last_event=%s resumes=%s%s",
       *exchange->metadata.id ? exchange->metadata.id : "-", outcome,
       marjoram_reason_name (reason), status, now - exchange->received_at,
       first_ms, exchange->objective_ms, exchange->estimated_wait_ms,
@@ -291,7 +297,7 @@
       *exchange->host ? exchange->host : "-", exchange->attempts_sent,
       exchange->failed_connections, exchange->forwarded,
       *exchange->metadata.last_event ? exchange->metadata.last_event : "-",
-      *exchange->metadata.resumes ? exchange->metadata.resumes : "-");
+      *exchange->metadata.resumes ? exchange->metadata.resumes : "-", wait);
 }
 
 void
@@ -304,6 +310,8 @@
   uint64_t call = exchange->call;
 
   failure.unreached = exchange->attempts_sent == 0;
+  exchange->wait.retry_ms = failure.retry_ms;
+  marjoram_exchange_record_wait_end (gateway, exchange, now);
   marjoram_exchange_drop_attempt (gateway, exchange, now,
                                   MARJORAM_ATTEMPT_CANCELLED);
   marjoram_metrics_add (metrics,
@@ -312,8 +320,8 @@
                             : MARJORAM_METRIC_UNKNOWN,
                         1);
   marjoram_metrics_add_refusal (metrics, why->reason);
-  log_end (exchange, now, marjoram_outcome_name (why->outcome), why->reason,
-           why->status);
+  log_end (gateway, exchange, now, marjoram_outcome_name (why->outcome),
+           why->reason, why->status);
   if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
     gateway->ops->reply_abort (gateway->context, call);
   else
@@ -335,8 +343,8 @@
                                     marjoram_exchange_digest (exchange));
   marjoram_metrics_observe (metrics, MARJORAM_TIMING_TOTAL,
                             now - exchange->received_at);
-  log_end (exchange, now, whole ? "done" : "cut", MARJORAM_REASON_NONE,
-           exchange->status);
+  log_end (gateway, exchange, now, whole ? "done" : "cut",
+           MARJORAM_REASON_NONE, exchange->status);
   destroy (gateway, exchange, now);
 }
 
@@ -362,7 +370,8 @@
                                   MARJORAM_ATTEMPT_CANCELLED);
   marjoram_metrics_add (gateway->options.metrics, MARJORAM_METRIC_CALLER_LEFT,
                         1);
-  log_end (exchange, now, "caller-left", MARJORAM_REASON_NONE,
+  marjoram_exchange_record_wait_end (gateway, exchange, now);
+  log_end (gateway, exchange, now, "caller-left", MARJORAM_REASON_NONE,
            exchange->status);
   destroy (gateway, exchange, now);
 }
@@ -408,6 +417,8 @@
 {
   int64_t caller_timeout = exchange->metadata.caller_timeout_ms;
 
+  exchange->wait.tried_ms
+      = marjoram_queue_tried_ms (timeout_ms, caller_timeout);
   exchange->deadline_at = exchange->received_at + timeout_ms;
   exchange->is_caller_deadline
       = caller_timeout > 0 && caller_timeout - DEADLINE_MARGIN_MS < timeout_ms;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -158,5 +158,10 @@
 bool marjoram_gateway_forwards_to (const marjoram_gateway *gateway,
                                    const char *host);
 size_t marjoram_gateway_request_count (const marjoram_gateway *gateway);
+/* Like marjoram_placement_offer, with the wait in this host's queue if waits
+   are measured.  */
+void marjoram_gateway_offer (marjoram_gateway *gateway, int64_t now,
+                             const struct marjoram_service_rule *service,
+                             struct marjoram_host_offer *offer);
 
 #endif
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -491,6 +491,7 @@
                                      ? MARJORAM_ATTEMPT_WRONG_UPSTREAM
                                      : MARJORAM_ATTEMPT_REFUSED);
   exchange->attempts_maybe_run--;
+  marjoram_exchange_record_not_started (gateway, exchange);
   marjoram_exchange_retry (gateway, exchange, now,
                            MARJORAM_REASON_UPSTREAM_REFUSED, true);
 }
@@ -587,6 +588,7 @@
   exchange->attempts_maybe_run--;
   exchange->attempts_sent--;
   exchange->failed_connections++;
+  marjoram_exchange_record_not_started (gateway, exchange);
   log_attempt (gateway, exchange, now, MARJORAM_REASON_NO_UPSTREAM, NULL);
   marjoram_exchange_send (gateway, exchange, now);
 }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -3,6 +3,7 @@
    (forwarding to other regions), gateway_wait.c (queueing), gateway_repeat.c
    (repeat budget), gateway_customer.c (keys of customers), gateway_build.c
    (builds of streams), gateway_origin.c (streams that are taken up again),
+   gateway_rate.c (measured waits),
    gateway_crash.c (requests that crash upstreams) and gateway_answer.c
    (answers and retries).  */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
@@ -13,6 +14,7 @@
 #include "digest.h"
 #include "event_stream.h"
 #include "gateway.h"
+#include "queue_rate.h"
 #include "shortage.h"
 #include "stream_origin.h"
 #include "wait_queue.h"
@@ -61,6 +63,18 @@
   MARJORAM_BUILD_NONE  /* none: the build that began it is not known */
 };
 
+/* What measured waits need to know about a request.  */
+struct marjoram_wait_record
+{
+  int64_t tried_ms;       /* by the caller, before this try */
+  int64_t response_ms;    /* from a start to the first event, as of the last
+                             placement */
+  int64_t started_tokens; /* recorded for the current attempt */
+  int64_t retry_ms;       /* Retry-After given */
+  bool too_late;          /* queued, and to be refused */
+  bool refused_early;     /* by the measured rate, instead of waiting */
+};
+
 /* One request and the state of its answer.  */
 struct marjoram_exchange
 {
@@ -75,6 +89,7 @@
   int64_t forwarded_target_at; /* set by the forwarding host; 0 if none */
   struct marjoram_waiter waiter;
   int64_t queued_since;
+  struct marjoram_wait_record wait;
   int64_t first_event_at; /* or answer head; 0: none yet */
   int64_t last_event_at;  /* sent to the caller; 0: none */
   int64_t longest_gap_ms; /* between events */
@@ -161,6 +176,7 @@
   size_t next_broken;
   bool has_broken;
   marjoram_wait_queue *queue;
+  marjoram_queue_rates *queue_rates;
   marjoram_shortages *shortages;
   marjoram_key_lease *lease;
   marjoram_quota_pool *quotas;
@@ -349,6 +365,69 @@
                                   const struct marjoram_place *place);
 void marjoram_gateway_retry_queued (marjoram_gateway *gateway, int64_t now);
 
+/* gateway_rate.c.  Unless measured waits are enabled, these do nothing,
+   return false, or the value passed in.  */
+bool marjoram_gateway_measures_waits (const marjoram_gateway *gateway);
+/* To be called when the exchange cannot be placed.  */
+void marjoram_exchange_record_short (marjoram_gateway *gateway,
+                                     struct marjoram_exchange *exchange,
+                                     int64_t now,
+                                     const struct marjoram_place *chosen);
+/* What the exchange counts in the queue, in tokens.  */
+int64_t marjoram_exchange_work (const marjoram_gateway *gateway,
+                                const struct marjoram_place *chosen);
+/* To be called before the exchange is sent to an upstream, and if the upstream
+   did not run it.  */
+void marjoram_exchange_record_start (marjoram_gateway *gateway,
+                                     struct marjoram_exchange *exchange,
+                                     const struct marjoram_place *chosen);
+void marjoram_exchange_record_not_started (marjoram_gateway *gateway,
+                                           struct marjoram_exchange *exchange);
+/* To be called at the end of an exchange.  */
+void
+marjoram_exchange_record_wait_end (marjoram_gateway *gateway,
+                                   const struct marjoram_exchange *exchange,
+                                   int64_t now);
+/* Time by which a request that its caller has tried before precedes others of
+   its priority.  */
+int64_t
+marjoram_exchange_precedence_ms (const marjoram_gateway *gateway,
+                                 const struct marjoram_exchange *exchange);
+/* Expected time until the exchange starts with SORT_KEY; negative: no rate is
+   known.  */
+int64_t
+marjoram_exchange_measured_wait_ms (const marjoram_gateway *gateway,
+                                    const struct marjoram_exchange *exchange,
+                                    int64_t now, int64_t sort_key);
+/* Whether the rate is known, and then in MAY_JOIN whether the exchange, of
+   which WAITER is complete, will start early enough to be queued.  */
+bool marjoram_exchange_check_join (marjoram_gateway *gateway,
+                                   struct marjoram_exchange *exchange,
+                                   int64_t now, bool *may_join);
+/* Latest start of a queued exchange; LATEST if no rate is known.  */
+int64_t
+marjoram_exchange_latest_start (const marjoram_gateway *gateway,
+                                const struct marjoram_exchange *exchange,
+                                int64_t now, int64_t latest);
+/* Time left for the first event; longer than TIME_LEFT_MS for a queued
+   exchange that may be late.  */
+int64_t
+marjoram_exchange_place_time_ms (const marjoram_gateway *gateway,
+                                 const struct marjoram_exchange *exchange,
+                                 int64_t now, int64_t time_left_ms);
+/* Refuses or forwards queued requests that cannot start early enough any more,
+   the last in order first.  */
+void marjoram_gateway_refuse_too_late (marjoram_gateway *gateway, int64_t now);
+/* Retry-After in ms of an exchange that is refused for want of capacity, at
+   least AT_LEAST_MS if the caller's time allows.  */
+int64_t marjoram_exchange_return_ms (marjoram_gateway *gateway,
+                                     const struct marjoram_exchange *exchange,
+                                     int64_t now, int64_t at_least_ms);
+/* Fields of a request's log line, with a leading space; "" if disabled.  */
+void marjoram_exchange_write_wait (const marjoram_gateway *gateway,
+                                   const struct marjoram_exchange *exchange,
+                                   int64_t now, char *text, size_t size);
+
 /* gateway_repeat.c */
 /* Tells the repeat budget and the list of crashes how many entry hosts are
    known now.  */
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -179,7 +179,8 @@
 }
 
 static void
-make_query (const struct marjoram_exchange *exchange,
+make_query (const marjoram_gateway *gateway,
+            const struct marjoram_exchange *exchange,
             const struct marjoram_service_rule *service, int64_t now,
             struct marjoram_place_query *query)
 {
@@ -190,6 +191,8 @@
   query->time_left_ms = exchange->target_at - now;
   if (query->time_left_ms < TARGET_MIN_MS)
     query->time_left_ms = marjoram_exchange_time_left (exchange, now);
+  query->time_left_ms = marjoram_exchange_place_time_ms (
+      gateway, exchange, now, query->time_left_ms);
   query->allow_tried = true;
   query->build = marjoram_exchange_required_build (exchange);
   for (size_t i = 0; i < exchange->tried_count; i++)
@@ -218,6 +221,7 @@
             place->upstream->heartbeat.build);
   exchange->host[0] = '\0';
   exchange->estimated_wait_ms = place->wait_ms;
+  marjoram_exchange_record_start (gateway, exchange, place);
   marjoram_exchange_start_attempt (gateway, exchange, now);
   marjoram_placement_attempt_started (
       gateway->placement, now, exchange->attempt, exchange->upstream, query);
@@ -273,12 +277,14 @@
               int64_t now, const struct marjoram_place *chosen)
 {
   const bool none = chosen->outcome == MARJORAM_PLACE_NONE;
+  int64_t retry_ms;
 
   if (none && chosen->candidates == 0 && may_wait (gateway, exchange, now))
     return;
+  retry_ms = marjoram_shortages_retry_ms (gateway->shortages, now,
+                                          exchange->service, chosen->retry_ms);
   refuse (gateway, exchange, now, refusal_reason (chosen),
-          marjoram_shortages_retry_ms (gateway->shortages, now,
-                                       exchange->service, chosen->retry_ms));
+          marjoram_exchange_return_ms (gateway, exchange, now, retry_ms));
 }
 
 static void
@@ -313,16 +319,18 @@
                  const struct marjoram_exchange *exchange, int64_t now,
                  const struct marjoram_place *chosen, int64_t time_left_ms)
 {
+  const int64_t sort_key
+      = marjoram_wait_queue_sort_key (exchange->priority, exchange->target_at);
   int64_t here_ms;
 
   if (chosen->outcome == MARJORAM_PLACE_NONE)
     return marjoram_exchange_time_left (exchange, now);
   here_ms
-      = marjoram_gateway_wait_ms (gateway, exchange->service,
-                                  marjoram_wait_queue_sort_key (
-                                      exchange->priority, exchange->target_at),
-                                  chosen)
-        + chosen->wait_ms;
+      = marjoram_exchange_measured_wait_ms (gateway, exchange, now, sort_key);
+  if (here_ms < 0)
+    here_ms = marjoram_gateway_wait_ms (gateway, exchange->service, sort_key,
+                                        chosen);
+  here_ms += chosen->wait_ms;
   return here_ms < time_left_ms ? here_ms : time_left_ms;
 }
 
@@ -372,7 +380,7 @@
   struct marjoram_place chosen;
   bool found;
 
-  make_query (exchange, service, now, &query);
+  make_query (gateway, exchange, service, now, &query);
   if (!marjoram_exchange_allows_region (gateway, exchange, route,
                                         gateway->region))
     {
@@ -445,7 +453,7 @@
 
   if (!route || !service || exchange->build_rule == MARJORAM_BUILD_NONE)
     return false;
-  make_query (exchange, service, now, &query);
+  make_query (gateway, exchange, service, now, &query);
   query.allow_tried = false;
   if (marjoram_exchange_allows_region (gateway, exchange, route,
                                        gateway->region))
@@ -473,10 +481,12 @@
 
   if (!service || !marjoram_exchange_may_run_here (gateway, exchange))
     return REFUSED_RETRY_MS;
-  make_query (exchange, service, now, &query);
+  make_query (gateway, exchange, service, now, &query);
   marjoram_placement_choose (gateway->placement, now, &query, &chosen);
-  return chosen.outcome == MARJORAM_PLACE_FOUND ? REFUSED_RETRY_MS
-                                                : chosen.retry_ms;
+  return marjoram_exchange_return_ms (gateway, exchange, now,
+                                      chosen.outcome == MARJORAM_PLACE_FOUND
+                                          ? REFUSED_RETRY_MS
+                                          : chosen.retry_ms);
 }
 
 /* Looks up the route on each attempt, so that a retry follows the current
--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -59,13 +59,16 @@
 }
 
 static int64_t
-sort_key_of (const struct marjoram_exchange *exchange,
+sort_key_of (const marjoram_gateway *gateway,
+             const struct marjoram_exchange *exchange,
              const struct marjoram_place *chosen)
 {
-  return marjoram_wait_queue_sort_key (
-      exchange->priority, is_interrupted (exchange)
-                              ? exchange->last_event_at + RESUME_FIRST_MS
-                              : latest_start (exchange, chosen));
+  return marjoram_wait_queue_sort_key (exchange->priority,
+                                       is_interrupted (exchange)
+                                           ? exchange->last_event_at
+                                                 + RESUME_FIRST_MS
+                                           : latest_start (exchange, chosen))
+         - marjoram_exchange_precedence_ms (gateway, exchange);
 }
 
 bool
@@ -77,7 +80,7 @@
 
   if (exchange->waiter.queued || chosen->tokens_per_ms <= 0)
     return true;
-  sort_key = sort_key_of (exchange, chosen);
+  sort_key = sort_key_of (gateway, exchange, chosen);
   return marjoram_wait_queue_tokens_before (gateway->queue, exchange->service,
                                             sort_key)
          == 0;
@@ -100,6 +103,7 @@
   struct marjoram_waiter *waiter = &exchange->waiter;
   const int64_t deadline_key
       = marjoram_wait_queue_sort_key (exchange->priority, waiter->start_by);
+  int64_t latest;
 
   if (is_interrupted (exchange) && waiter->sort_key < deadline_key
       && now >= exchange->queued_since + RESUME_FIRST_MS)
@@ -108,10 +112,12 @@
       waiter->sort_key = deadline_key;
       marjoram_wait_queue_add (gateway->queue, waiter);
     }
+  latest = marjoram_exchange_latest_start (gateway, exchange, now,
+                                           waiter->start_by);
   /* Paused upstreams become usable again; a service without any does not get
      one in time.  */
-  return now < waiter->start_by && chosen->candidates > 0
-         && !is_known_too_late (chosen, now, waiter->start_by);
+  return now < latest && chosen->candidates > 0
+         && !is_known_too_late (chosen, now, latest);
 }
 
 /* Whether CHOSEN leaves a chance that a place becomes free.  If all upstreams
@@ -134,7 +140,9 @@
                         const struct marjoram_place *chosen)
 {
   struct marjoram_waiter *waiter = &exchange->waiter;
+  bool may_join;
 
+  marjoram_exchange_record_short (gateway, exchange, now, chosen);
   if (waiter->queued)
     return keep_waiting (gateway, exchange, now, chosen);
   if (!may_get_place (exchange, chosen)
@@ -144,9 +152,16 @@
   waiter->owner = exchange;
   waiter->service = exchange->service;
   waiter->start_by = latest_start (exchange, chosen);
-  waiter->sort_key = sort_key_of (exchange, chosen);
+  waiter->sort_key = sort_key_of (gateway, exchange, chosen);
   exchange->queued_since = now;
-  waiter->tokens = chosen->prefill_tokens;
+  waiter->tokens = marjoram_exchange_work (gateway, chosen);
+  if (!is_interrupted (exchange)
+      && marjoram_exchange_check_join (gateway, exchange, now, &may_join))
+    {
+      if (may_join)
+        marjoram_wait_queue_add (gateway->queue, waiter);
+      return may_join;
+    }
   if (now
           + marjoram_gateway_wait_ms (gateway, exchange->service,
                                       waiter->sort_key, chosen)
@@ -168,4 +183,5 @@
       marjoram_exchange_send (gateway, waiter->owner, now);
       waiter = next;
     }
+  marjoram_gateway_refuse_too_late (gateway, now);
 }
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -24,6 +24,10 @@
   MARJORAM_METRIC_FORWARDED_IN,
   MARJORAM_METRIC_FORWARDS_REFUSED,
   MARJORAM_METRIC_STRAY_ANSWERS,
+  /* Not started, although they waited for more than half of their objective;
+     refused at once or soon because of the measured rate.  */
+  MARJORAM_METRIC_WAITED_IN_VAIN,
+  MARJORAM_METRIC_REFUSED_EARLY,
   MARJORAM_METRIC_RATE_LIMITS,
   MARJORAM_METRIC_RETRY_AFTERS,
   MARJORAM_METRIC_LEAVING_ANSWERS,
--- a/src/placement.h
+++ b/src/placement.h
@@ -154,6 +154,10 @@
 double marjoram_placement_backlog (marjoram_placement *placement,
                                    const char *service);
 
+/* Mean duration of the requests of SERVICE at its upstreams in ms.  */
+double marjoram_placement_request_ms (marjoram_placement *placement,
+                                      const char *service);
+
 /* Lifecycle of one attempt at UPSTREAM; each attempt is started and ended
    exactly once.  */
 void
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -704,6 +704,13 @@
   return marjoram_placement_service_stats (placement, service)->backlog_ms;
 }
 
+double
+marjoram_placement_request_ms (marjoram_placement *placement,
+                               const char *service)
+{
+  return marjoram_placement_service_stats (placement, service)->request_ms;
+}
+
 static void
 add_to_offer (struct marjoram_host_offer *offer, double wait_ms)
 {
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -13,9 +13,11 @@
   PRIORITY_STEP_MS = 1000
 };
 
+TAILQ_HEAD (waiter_list, marjoram_waiter);
+
 struct marjoram_wait_queue
 {
-  TAILQ_HEAD (waiter_list, marjoram_waiter) waiters; /* sorted by sort_key */
+  struct waiter_list waiters; /* sorted by sort_key */
   int64_t count;
 };
 
@@ -80,6 +82,18 @@
   return TAILQ_NEXT (waiter, link);
 }
 
+struct marjoram_waiter *
+marjoram_wait_queue_last (const marjoram_wait_queue *queue)
+{
+  return TAILQ_LAST (&queue->waiters, waiter_list);
+}
+
+struct marjoram_waiter *
+marjoram_wait_queue_previous (const struct marjoram_waiter *waiter)
+{
+  return TAILQ_PREV (waiter, waiter_list, link);
+}
+
 int64_t
 marjoram_wait_queue_count (const marjoram_wait_queue *queue)
 {
--- a/src/wait_queue.h
+++ b/src/wait_queue.h
@@ -42,6 +42,11 @@
 marjoram_wait_queue_first (const marjoram_wait_queue *queue);
 struct marjoram_waiter *
 marjoram_wait_queue_next (const struct marjoram_waiter *waiter);
+/* Iterate from the end of the queue; null before the first.  */
+struct marjoram_waiter *
+marjoram_wait_queue_last (const marjoram_wait_queue *queue);
+struct marjoram_waiter *
+marjoram_wait_queue_previous (const struct marjoram_waiter *waiter);
 int64_t marjoram_wait_queue_count (const marjoram_wait_queue *queue);
 /* Sum of the tokens queued for SERVICE before SORT_KEY.  */
 int64_t marjoram_wait_queue_tokens_before (const marjoram_wait_queue *queue,
