--- a/src/gateway_rate.c
+++ b/src/gateway_rate.c
@@ -197,20 +197,15 @@
                 >= objective_of (exchange);
 }
 
-/* Whether a late answer is better for the caller than a refusal: it will not
-   try again, or has been held for so long that it would find no time to.  */
-static bool
-may_be_late (const struct marjoram_exchange *exchange, int64_t now)
-{
-  return is_return (exchange) || has_waited_long (exchange, now);
-}
-
+/* A caller that has been held for long is served late rather than refused.
+   Others are served in time or told at once when to retry: room for a late
+   answer is room that another request could use in time.  */
 static int64_t
 latest_useful (const marjoram_gateway *gateway,
                const struct marjoram_exchange *exchange, int64_t now)
 {
-  return may_be_late (exchange, now) ? latest_late (gateway, exchange)
-                                     : latest_in_time (exchange);
+  return has_waited_long (exchange, now) ? latest_late (gateway, exchange)
+                                         : latest_in_time (exchange);
 }
 
 bool
@@ -259,7 +254,7 @@
   int64_t time_ms;
 
   if (!exchange->waiter.queued || is_interrupted (exchange)
-      || !knows_rate (gateway, exchange, now) || !may_be_late (exchange, now))
+      || !knows_rate (gateway, exchange, now) || !has_waited_long (exchange, now))
     return time_left_ms;
   time_ms = objective_of (exchange);
   if (time_ms > exchange->deadline_at - now)
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -202,6 +202,7 @@
   double wait_ms;         /* until the first event or the response */
   double cost_ms;         /* WAIT_MS plus the cost to other requests */
   double backlog_ms;      /* prefill time of queued prompts */
+  double queue_ms;        /* until an engine has a free slot */
   int64_t prefill_tokens; /* prompt tokens to prefill */
   bool idle;              /* no known request is running there */
 };
@@ -257,13 +258,15 @@
         / stats->tokens_per_ms;
   struct estimate estimate;
 
+  estimate.queue_ms
+      = queue_ms (&load, query->service->engine.slots, stats->request_ms);
   endpoint->capacity = query->service->engine.kv_capacity;
   estimate.backlog_ms = ahead_ms;
   estimate.prefill_tokens = prefill_tokens;
   estimate.idle = load.running == 0;
   estimate.wait_ms
       = ahead_ms + prefill_ms + copy->ms + delay_ms (endpoint, now)
-        + queue_ms (&load, query->service->engine.slots, stats->request_ms);
+        + estimate.queue_ms;
   estimate.cost_ms = estimate.wait_ms + (PREFILL_WEIGHT - 1) * prefill_ms
                      + interference_ms (&load, prefill_ms);
   return estimate;
@@ -397,27 +400,40 @@
   return false;
 }
 
+/* Whether requests should rather wait at this host, which starts them in order
+   of urgency and knows how long that takes, than for a slot of the engine.  */
+static bool
+is_queue_long (const marjoram_placement *placement,
+               const struct estimate *estimate)
+{
+  return placement->features.measured_waits
+         && estimate->queue_ms > BACKLOG_MAX_MS;
+}
+
 /* The limit that rules out an upstream for QUERY.  Idle upstreams are never
    ruled out: the estimates of a formerly slow one improve only through new
    requests.  */
 static enum marjoram_place_limit
-limit_of (const struct estimate *estimate,
+limit_of (const marjoram_placement *placement,
+          const struct estimate *estimate,
           const struct marjoram_place_query *query)
 {
   if (estimate->idle)
     return MARJORAM_PLACE_LIMIT_NONE;
   if (estimate->wait_ms > (double)query->time_left_ms)
     return MARJORAM_PLACE_LIMIT_DEADLINE;
-  if (estimate->backlog_ms > BACKLOG_MAX_MS)
+  if (estimate->backlog_ms > BACKLOG_MAX_MS
+      || is_queue_long (placement, estimate))
     return MARJORAM_PLACE_LIMIT_BACKLOG;
   return MARJORAM_PLACE_LIMIT_NONE;
 }
 
 static bool
-meets_deadline (const struct estimate *estimate,
+meets_deadline (const marjoram_placement *placement,
+                const struct estimate *estimate,
                 const struct marjoram_place_query *query)
 {
-  return limit_of (estimate, query) == MARJORAM_PLACE_LIMIT_NONE;
+  return limit_of (placement, estimate, query) == MARJORAM_PLACE_LIMIT_NONE;
 }
 
 const char *
@@ -584,7 +600,7 @@
         continue;
       }
     keep_cheaper (cheapest, upstream, &estimate, &copy);
-    if (meets_deadline (&estimate, query))
+    if (meets_deadline (placement, &estimate, query))
       keep_cheaper (in_time, upstream, &estimate, &copy);
   }
 }
@@ -685,13 +701,15 @@
   place->copied_tokens = chosen->copy.tokens;
   place->wait_ms = (int64_t)chosen->estimate.wait_ms;
   place->backlog_ms = (int64_t)chosen->estimate.backlog_ms;
-  place->limit = limit_of (&chosen->estimate, query);
+  place->limit = limit_of (placement, &chosen->estimate, query);
   place->outcome = place->limit == MARJORAM_PLACE_LIMIT_NONE
                        ? MARJORAM_PLACE_FOUND
                        : MARJORAM_PLACE_BUSY;
   place->prefill_tokens = chosen->estimate.prefill_tokens;
   if (chosen->estimate.backlog_ms > BACKLOG_MAX_MS)
     place->excess_ms = (int64_t)chosen->estimate.backlog_ms - BACKLOG_MAX_MS;
+  if (is_queue_long (placement, &chosen->estimate))
+    place->excess_ms += (int64_t)chosen->estimate.queue_ms - BACKLOG_MAX_MS;
   if (query->service->has_engine)
     set_throughput (placement, now, query, place);
   if (place->outcome == MARJORAM_PLACE_BUSY)
