--- a/src/gateway_rate.c
+++ b/src/gateway_rate.c
@@ -151,8 +151,13 @@
              const struct marjoram_exchange *exchange, int64_t now,
              int64_t sort_key, int64_t tokens_ahead)
 {
+  /* A queued request is refused only if that is certain.  */
   const struct marjoram_queue_query query
-      = { exchange->service, class_of (exchange), sort_key, tokens_ahead };
+      = { .service = exchange->service,
+          .class = class_of (exchange),
+          .sort_key = sort_key,
+          .tokens_ahead = tokens_ahead,
+          .is_lenient = exchange->waiter.queued };
 
   return marjoram_queue_rates_wait_ms (gateway->queue_rates, now, &query);
 }
--- a/src/queue_rate.c
+++ b/src/queue_rate.c
@@ -386,7 +386,9 @@
   sums = sum_window (service, now);
   if (!is_known (sums))
     return -1;
-  per_ms = sums->all_tokens * scale (service, sums) * benefit_of_doubt (sums);
+  per_ms = sums->all_tokens * scale (service, sums);
+  if (query->is_lenient)
+    per_ms *= benefit_of_doubt (sums);
   if (per_ms <= 0)
     return MARJORAM_QUEUE_WAIT_MAX_MS;
   wait_ms = solve_wait (service, now, query, sums, per_ms);
--- a/src/queue_rate.h
+++ b/src/queue_rate.h
@@ -34,6 +34,9 @@
   struct marjoram_queue_class class;
   int64_t sort_key;
   int64_t tokens_ahead; /* queued before SORT_KEY */
+  /* Whether the request gets the benefit of the doubt that few samples
+     leave.  */
+  bool is_lenient;
 };
 
 struct marjoram_retry_query
@@ -77,8 +80,7 @@
 double marjoram_queue_rates_per_s (const marjoram_queue_rates *rates,
                                    int64_t now, const char *service);
 /* Time in ms until a request is expected to start, at most
-   MARJORAM_QUEUE_WAIT_MAX_MS; negative: no rate is known.  The benefit of the
-   doubt that few samples leave goes to the request.  */
+   MARJORAM_QUEUE_WAIT_MAX_MS; negative: no rate is known.  */
 int64_t
 marjoram_queue_rates_wait_ms (const marjoram_queue_rates *rates, int64_t now,
                               const struct marjoram_queue_query *query);
