gateway: wait on until the rate is known; use free slots at any cost

Cause: at the start of a burst no rate is known before the first starts, so that urgent requests were refused in vain at their objective; a free slot of an engine with a higher cost stayed unused while requests waited.

--- a/src/gateway_rate.c
+++ b/src/gateway_rate.c
@@ -12,6 +12,9 @@
   /* Part of its objective for which a request may wait and still be refused:
      its caller has time left to try again.  */
   VAIN_PART = 2,
+  /* Time within which the rate of a shortage becomes known; until then no
+     request is refused that has waited in vain.  */
+  RATE_KNOWN_MS = 2000,
   SERVICES_MAX = 16 /* with queued requests; others are not checked */
 };
 
@@ -243,9 +246,15 @@
                                 const struct marjoram_exchange *exchange,
                                 int64_t now, int64_t latest)
 {
-  if (is_interrupted (exchange) || !knows_rate (gateway, exchange, now))
+  const int64_t late = latest_late (gateway, exchange);
+
+  if (is_interrupted (exchange) || !marjoram_gateway_measures_waits (gateway))
     return latest;
-  return exchange->wait.too_late ? now : latest_late (gateway, exchange);
+  if (knows_rate (gateway, exchange, now))
+    return exchange->wait.too_late ? now : late;
+  if (latest < exchange->queued_since + RATE_KNOWN_MS)
+    latest = exchange->queued_since + RATE_KNOWN_MS;
+  return latest < late ? latest : late;
 }
 
 /* The objective is not shortened by the wait: an engine takes requests whose
@@ -259,7 +268,8 @@
   int64_t time_ms;
 
   if (!exchange->waiter.queued || is_interrupted (exchange)
-      || !knows_rate (gateway, exchange, now) || !has_waited_long (exchange, now))
+      || !marjoram_gateway_measures_waits (gateway)
+      || !has_waited_long (exchange, now))
     return time_left_ms;
   time_ms = objective_of (exchange);
   if (time_ms > exchange->deadline_at - now)
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -692,9 +692,11 @@
       set_stated_limit (place, query);
       return;
     }
+  /* A free slot is used at any cost: other requests wait for one.  */
   if (in_time.upstream
-      && in_time.estimate.cost_ms
-             <= cheapest.estimate.cost_ms + DEADLINE_COST_MS)
+      && (is_queue_long (placement, &cheapest.estimate)
+          || in_time.estimate.cost_ms
+                 <= cheapest.estimate.cost_ms + DEADLINE_COST_MS))
     chosen = &in_time;
   place->upstream = chosen->upstream;
   place->copy_from = chosen->copy.from;
