--- a/src/queue_rate.c
+++ b/src/queue_rate.c
@@ -387,7 +387,7 @@
   if (!is_known (sums))
     return -1;
   per_ms = sums->all_tokens * scale (service, sums);
-  if (query->is_lenient)
+  if (query->is_lenient || sums->measured_ms < WINDOW_MS / 2)
     per_ms *= benefit_of_doubt (sums);
   if (per_ms <= 0)
     return MARJORAM_QUEUE_WAIT_MAX_MS;
