queue_rate: tried time orders equals in priority; a starved priority gets through

Cause: the time for which a caller had tried counted in full, so that less urgent callers that came back outranked urgent ones.

--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -71,6 +71,7 @@
                              placement */
   int64_t started_tokens; /* recorded for the current attempt */
   int64_t retry_ms;       /* Retry-After given */
+  bool arrived;           /* its arrival was recorded */
   bool too_late;          /* queued, and to be refused */
   bool refused_early;     /* by the measured rate, instead of waiting */
 };
@@ -357,6 +358,7 @@
 /* Whether no queued request for the same service precedes it.  */
 bool marjoram_exchange_is_next (const marjoram_gateway *gateway,
                                 const struct marjoram_exchange *exchange,
+                                int64_t now,
                                 const struct marjoram_place *chosen);
 /* Estimated wait in ms of a request with SORT_KEY for a place at an upstream
    of SERVICE.  */
@@ -380,6 +382,7 @@
    did not run it.  */
 void marjoram_exchange_record_start (marjoram_gateway *gateway,
                                      struct marjoram_exchange *exchange,
+                                     int64_t now,
                                      const struct marjoram_place *chosen);
 void marjoram_exchange_record_not_started (marjoram_gateway *gateway,
                                            struct marjoram_exchange *exchange);
@@ -392,7 +395,8 @@
    its priority.  */
 int64_t
 marjoram_exchange_precedence_ms (const marjoram_gateway *gateway,
-                                 const struct marjoram_exchange *exchange);
+                                 const struct marjoram_exchange *exchange,
+                                 int64_t now);
 /* Expected time until the exchange starts with SORT_KEY; negative: no rate is
    known.  */
 int64_t
--- a/src/gateway_rate.c
+++ b/src/gateway_rate.c
@@ -67,21 +67,6 @@
          - excluded[MARJORAM_EXCLUDED_REPORTED_LOST];
 }
 
-void
-marjoram_exchange_record_short (marjoram_gateway *gateway,
-                                struct marjoram_exchange *exchange,
-                                int64_t now,
-                                const struct marjoram_place *chosen)
-{
-  if (!marjoram_gateway_measures_waits (gateway))
-    return;
-  exchange->wait.response_ms = chosen->wait_ms - chosen->excess_ms;
-  if (!exchange->waiter.queued)
-    exchange->wait.too_late = false;
-  marjoram_queue_rates_short (gateway->queue_rates, now, exchange->service,
-                              count_serving (chosen));
-}
-
 int64_t
 marjoram_exchange_work (const marjoram_gateway *gateway,
                         const struct marjoram_place *chosen)
@@ -95,16 +80,50 @@
 /* The sort key that a request of this kind has when it arrives, less the time
    at which it does.  */
 static int64_t
-lead_of (const struct marjoram_exchange *exchange)
+lead_of (const marjoram_gateway *gateway,
+         const struct marjoram_exchange *exchange, int64_t now)
 {
   return marjoram_wait_queue_sort_key (
              exchange->priority, exchange->target_at - RESPONSE_OVERHEAD_MS)
-         - exchange->wait.tried_ms - exchange->received_at;
+         - marjoram_exchange_precedence_ms (gateway, exchange, now)
+         - exchange->received_at;
+}
+
+static void
+record_arrival (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+                int64_t now, const struct marjoram_place *chosen)
+{
+  const struct marjoram_queue_class class = class_of (exchange);
+
+  if (exchange->wait.arrived || is_interrupted (exchange))
+    return;
+  exchange->wait.arrived = true;
+  marjoram_queue_rates_arrived (gateway->queue_rates, exchange->service,
+                                &class,
+                                marjoram_exchange_work (gateway, chosen),
+                                lead_of (gateway, exchange, now));
+}
+
+void
+marjoram_exchange_record_short (marjoram_gateway *gateway,
+                                struct marjoram_exchange *exchange,
+                                int64_t now,
+                                const struct marjoram_place *chosen)
+{
+  if (!marjoram_gateway_measures_waits (gateway))
+    return;
+  exchange->wait.response_ms = chosen->wait_ms - chosen->excess_ms;
+  if (!exchange->waiter.queued)
+    exchange->wait.too_late = false;
+  record_arrival (gateway, exchange, now, chosen);
+  marjoram_queue_rates_short (gateway->queue_rates, now, exchange->service,
+                              count_serving (chosen));
 }
 
 void
 marjoram_exchange_record_start (marjoram_gateway *gateway,
                                 struct marjoram_exchange *exchange,
+                                int64_t now,
                                 const struct marjoram_place *chosen)
 {
   const struct marjoram_queue_class class = class_of (exchange);
@@ -115,11 +134,9 @@
   if (!marjoram_gateway_measures_waits (gateway))
     return;
   exchange->wait.started_tokens = tokens;
+  record_arrival (gateway, exchange, now, chosen);
   marjoram_queue_rates_started (gateway->queue_rates, exchange->service,
                                 &class, tokens);
-  if (!is_interrupted (exchange))
-    marjoram_queue_rates_arrived (gateway->queue_rates, exchange->service,
-                                  &class, lead_of (exchange));
 }
 
 void
@@ -140,12 +157,14 @@
 
 int64_t
 marjoram_exchange_precedence_ms (const marjoram_gateway *gateway,
-                                 const struct marjoram_exchange *exchange)
+                                 const struct marjoram_exchange *exchange,
+                                 int64_t now)
 {
-  return marjoram_gateway_measures_waits (gateway)
-                 && !is_interrupted (exchange)
-             ? exchange->wait.tried_ms
-             : 0;
+  if (!marjoram_gateway_measures_waits (gateway) || is_interrupted (exchange))
+    return 0;
+  return marjoram_queue_rates_precedence_ms (
+      gateway->queue_rates, now, exchange->service, exchange->priority,
+      exchange->wait.tried_ms);
 }
 
 /* Expected wait of the exchange behind TOKENS_AHEAD.  */
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -221,7 +221,7 @@
             place->upstream->heartbeat.build);
   exchange->host[0] = '\0';
   exchange->estimated_wait_ms = place->wait_ms;
-  marjoram_exchange_record_start (gateway, exchange, place);
+  marjoram_exchange_record_start (gateway, exchange, now, place);
   marjoram_exchange_start_attempt (gateway, exchange, now);
   marjoram_placement_attempt_started (
       gateway->placement, now, exchange->attempt, exchange->upstream, query);
@@ -397,7 +397,7 @@
       && marjoram_exchange_relay (gateway, exchange, now))
     return;
   found = chosen.outcome == MARJORAM_PLACE_FOUND
-          && marjoram_exchange_is_next (gateway, exchange, &chosen);
+          && marjoram_exchange_is_next (gateway, exchange, now, &chosen);
   if (found
       && (marjoram_exchange_follow_session (gateway, exchange, route, now,
                                             &chosen, query.time_left_ms)
--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -60,7 +60,7 @@
 
 static int64_t
 sort_key_of (const marjoram_gateway *gateway,
-             const struct marjoram_exchange *exchange,
+             const struct marjoram_exchange *exchange, int64_t now,
              const struct marjoram_place *chosen)
 {
   return marjoram_wait_queue_sort_key (exchange->priority,
@@ -68,19 +68,19 @@
                                            ? exchange->last_event_at
                                                  + RESUME_FIRST_MS
                                            : latest_start (exchange, chosen))
-         - marjoram_exchange_precedence_ms (gateway, exchange);
+         - marjoram_exchange_precedence_ms (gateway, exchange, now);
 }
 
 bool
 marjoram_exchange_is_next (const marjoram_gateway *gateway,
                            const struct marjoram_exchange *exchange,
-                           const struct marjoram_place *chosen)
+                           int64_t now, const struct marjoram_place *chosen)
 {
   int64_t sort_key;
 
   if (exchange->waiter.queued || chosen->tokens_per_ms <= 0)
     return true;
-  sort_key = sort_key_of (gateway, exchange, chosen);
+  sort_key = sort_key_of (gateway, exchange, now, chosen);
   return marjoram_wait_queue_tokens_before (gateway->queue, exchange->service,
                                             sort_key)
          == 0;
@@ -152,7 +152,7 @@
   waiter->owner = exchange;
   waiter->service = exchange->service;
   waiter->start_by = latest_start (exchange, chosen);
-  waiter->sort_key = sort_key_of (gateway, exchange, chosen);
+  waiter->sort_key = sort_key_of (gateway, exchange, now, chosen);
   exchange->queued_since = now;
   waiter->tokens = marjoram_exchange_work (gateway, chosen);
   if (!is_interrupted (exchange)
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -264,9 +264,8 @@
   estimate.backlog_ms = ahead_ms;
   estimate.prefill_tokens = prefill_tokens;
   estimate.idle = load.running == 0;
-  estimate.wait_ms
-      = ahead_ms + prefill_ms + copy->ms + delay_ms (endpoint, now)
-        + estimate.queue_ms;
+  estimate.wait_ms = ahead_ms + prefill_ms + copy->ms
+                     + delay_ms (endpoint, now) + estimate.queue_ms;
   estimate.cost_ms = estimate.wait_ms + (PREFILL_WEIGHT - 1) * prefill_ms
                      + interference_ms (&load, prefill_ms);
   return estimate;
@@ -414,8 +413,7 @@
    ruled out: the estimates of a formerly slow one improve only through new
    requests.  */
 static enum marjoram_place_limit
-limit_of (const marjoram_placement *placement,
-          const struct estimate *estimate,
+limit_of (const marjoram_placement *placement, const struct estimate *estimate,
           const struct marjoram_place_query *query)
 {
   if (estimate->idle)
--- a/src/queue_rate.c
+++ b/src/queue_rate.c
@@ -24,6 +24,11 @@
   /* Below these a rate is noise.  */
   MEASURED_MIN_MS = 300,
   STARTS_MIN = 8,
+  /* Just below what a step of priority is worth (wait_queue.h).  */
+  PRECEDENCE_MAX_MS = 1000,
+  /* A priority is starved if its started share is below this part of that of
+     all work.  */
+  STARVED_PART = 2,
   /* Callers that state their time after some transit have not tried yet.  */
   TRIED_MIN_MS = 50,
   /* A caller retries earlier than after this part of its time.  */
@@ -39,7 +44,8 @@
   int64_t measured_ms; /* of shortage */
   double upstream_ms;  /* the same, times the upstreams */
   int64_t starts;
-  int64_t tokens[CLASSES];
+  int64_t tokens[CLASSES]; /* started */
+  int64_t wanted[CLASSES]; /* arrived */
 };
 
 /* Sums over the window.  */
@@ -48,8 +54,10 @@
   int64_t measured_ms;
   double upstream_ms;
   int64_t starts;
-  double tokens[CLASSES];
+  double tokens[CLASSES]; /* started */
   double all_tokens;
+  double wanted[CLASSES]; /* arrived */
+  double all_wanted;
 };
 
 struct service
@@ -63,6 +71,7 @@
   /* Since the last report.  */
   int64_t starts;
   int64_t tokens[CLASSES];
+  int64_t wanted[CLASSES];
   double lead_ms[CLASSES];
   bool has_lead[CLASSES];
   /* When the callers refused so far will have been served, by priority.  */
@@ -162,6 +171,7 @@
 {
   service->starts = 0;
   memset (service->tokens, 0, sizeof service->tokens);
+  memset (service->wanted, 0, sizeof service->wanted);
 }
 
 static void
@@ -173,7 +183,10 @@
   bucket->upstream_ms += (double)elapsed_ms * service->upstreams;
   bucket->starts += service->starts;
   for (int i = 0; i < CLASSES; i++)
-    bucket->tokens[i] += service->tokens[i];
+    {
+      bucket->tokens[i] += service->tokens[i];
+      bucket->wanted[i] += service->wanted[i];
+    }
 }
 
 /* The time until the first start belongs to the requests that ran before the
@@ -240,12 +253,13 @@
 void
 marjoram_queue_rates_arrived (marjoram_queue_rates *rates, const char *name,
                               const struct marjoram_queue_class *class,
-                              int64_t lead_ms)
+                              int64_t tokens, int64_t lead_ms)
 {
   struct service *service = find_or_add (rates, name);
   const int index = index_of (class);
   double *lead = &service->lead_ms[index];
 
+  service->wanted[index] += tokens;
   if (service->has_lead[index])
     *lead += LEAD_SMOOTHING * ((double)lead_ms - *lead);
   else
@@ -273,10 +287,16 @@
       sums->upstream_ms += bucket->upstream_ms;
       sums->starts += bucket->starts;
       for (int j = 0; j < CLASSES; j++)
-        sums->tokens[j] += (double)bucket->tokens[j];
+        {
+          sums->tokens[j] += (double)bucket->tokens[j];
+          sums->wanted[j] += (double)bucket->wanted[j];
+        }
     }
   for (int j = 0; j < CLASSES; j++)
-    sums->all_tokens += sums->tokens[j];
+    {
+      sums->all_tokens += sums->tokens[j];
+      sums->all_wanted += sums->wanted[j];
+    }
   return sums;
 }
 
@@ -396,6 +416,35 @@
                                               : MARJORAM_QUEUE_WAIT_MAX_MS;
 }
 
+/* ---- Order. ---- */
+
+static bool
+is_starved (const struct sums *sums, int priority)
+{
+  const int index = 2 * priority;
+  const double tokens = sums->tokens[index] + sums->tokens[index + 1];
+  const double wanted = sums->wanted[index] + sums->wanted[index + 1];
+
+  return is_known (sums)
+         && STARVED_PART * tokens * sums->all_wanted
+                < wanted * sums->all_tokens;
+}
+
+int64_t
+marjoram_queue_rates_precedence_ms (const marjoram_queue_rates *rates,
+                                    int64_t now, const char *name,
+                                    int priority, int64_t tried_ms)
+{
+  struct service *service = find (rates, name);
+
+  if (tried_ms <= 0)
+    return 0;
+  if (service
+      && is_starved (sum_window (service, now), limit_priority (priority)))
+    return tried_ms;
+  return PRECEDENCE_MAX_MS * tried_ms / (tried_ms + PRECEDENCE_MAX_MS);
+}
+
 /* ---- Retries. ---- */
 
 /* Tokens per ms that more urgent requests leave; 0 if not known.  */
--- a/src/queue_rate.h
+++ b/src/queue_rate.h
@@ -69,11 +69,12 @@
                                    const char *service,
                                    const struct marjoram_queue_class *class,
                                    int64_t tokens);
-/* Records that a request of CLASS arrived with a sort key LEAD_MS ahead.  */
+/* Records that a request of CLASS and TOKENS arrived with a sort key LEAD_MS
+   ahead.  */
 void marjoram_queue_rates_arrived (marjoram_queue_rates *rates,
                                    const char *service,
                                    const struct marjoram_queue_class *class,
-                                   int64_t lead_ms);
+                                   int64_t tokens, int64_t lead_ms);
 
 /* Tokens started per second, with the upstreams of now; negative: not
    known.  */
@@ -92,6 +93,14 @@
 marjoram_queue_rates_retry_ms (marjoram_queue_rates *rates, int64_t now,
                                const struct marjoram_retry_query *query);
 
+/* Time by which the sort key of a request of PRIORITY is lowered whose caller
+   has tried for TRIED_MS: more for a longer time, but too little to outrank a
+   higher priority, unless much less of the work of PRIORITY is started than of
+   all work.  */
+int64_t marjoram_queue_rates_precedence_ms (const marjoram_queue_rates *rates,
+                                            int64_t now, const char *service,
+                                            int priority, int64_t tried_ms);
+
 /* For how long a caller has tried that has TIME_LEFT_MS of ROUTE_MS left; 0 if
    this is its first try or TIME_LEFT_MS is not stated.  */
 int64_t marjoram_queue_tried_ms (int64_t route_ms, int64_t time_left_ms);
--- a/test/lib_demand.c
+++ b/test/lib_demand.c
@@ -61,19 +61,20 @@
 };
 
 /* One try of a caller; its index is the call.  */
-struct try
-{
-  enum demand_kind kind;
-  int first;  /* the caller's first try; 0: this is it */
-  int second; /* the caller's second try; 0: none */
-  int host;
-  int64_t at;
-  int64_t time_left_ms;
-  bool started; /* reached an engine */
-  enum result result;
-  int64_t ended_at;
-  int64_t retry_ms;
-};
+struct
+try
+  {
+    enum demand_kind kind;
+    int first;  /* the caller's first try; 0: this is it */
+    int second; /* the caller's second try; 0: none */
+    int host;
+    int64_t at;
+    int64_t time_left_ms;
+    bool started; /* reached an engine */
+    enum result result;
+    int64_t ended_at;
+    int64_t retry_ms;
+  };
 
 enum event_kind
 {
@@ -94,7 +95,7 @@
   uint64_t start; /* of the host */
   uint64_t attempt;
   int engine;
-  int life; /* of the engine */
+  int life;   /* of the engine */
   int number; /* of the try */
 };
 STAILQ_HEAD (events, event);
@@ -501,8 +502,8 @@
 {
   for (int i = 0; i < DEMAND_KINDS; i++)
     {
-      const struct try made
-          = { .kind = (enum demand_kind)i, .time_left_ms = kinds[i].timeout_ms };
+      const struct try made = { .kind = (enum demand_kind)i,
+                                .time_left_ms = kinds[i].timeout_ms };
 
       if (marjoram_random_unit (demand->random) < demand->rates[i] / 1000)
         send_try (demand, &made);
@@ -639,8 +640,9 @@
             event->kind == EVENT_BROKEN);
       }
       marjoram_gateway_end (node->gateway, demand->now, event->attempt,
-                            event->kind == EVENT_BROKEN ? MARJORAM_HTTP_BROKEN
-                                                        : MARJORAM_HTTP_UNSENT);
+                            event->kind == EVENT_BROKEN
+                                ? MARJORAM_HTTP_BROKEN
+                                : MARJORAM_HTTP_UNSENT);
       break;
     case EVENT_RETURN:
       come_back (demand, event->number);
@@ -757,8 +759,8 @@
   int waiting = 0;
 
   for (int i = 1; i <= demand->try_count; i++)
-    waiting += demand->tries[i].result == RESULT_NONE
-               && !demand->tries[i].started;
+    waiting
+        += demand->tries[i].result == RESULT_NONE && !demand->tries[i].started;
   return waiting;
 }
 
