gateway: requests that have been sent keep their rules with measured waits

Cause: a request that may have run is not told when to retry, and an interrupted stream would be lost. Change: they may queue at engines as before, and are served late rather than refused. A priority is starved below a quarter of the share of all work.

--- a/src/gateway_rate.c
+++ b/src/gateway_rate.c
@@ -224,15 +224,17 @@
                 >= objective_of (exchange);
 }
 
-/* A caller that has been held for long is served late rather than refused.
-   Others are served in time or told at once when to retry: room for a late
-   answer is room that another request could use in time.  */
+/* A caller that has been held for long, or whose request may have run, is
+   served late rather than refused.  Others are served in time or told at once
+   when to retry: room for a late answer is room that another request could use
+   in time.  */
 static int64_t
 latest_useful (const marjoram_gateway *gateway,
                const struct marjoram_exchange *exchange, int64_t now)
 {
-  return has_waited_long (exchange, now) ? latest_late (gateway, exchange)
-                                         : latest_in_time (exchange);
+  return exchange->attempts_maybe_run > 0 || has_waited_long (exchange, now)
+             ? latest_late (gateway, exchange)
+             : latest_in_time (exchange);
 }
 
 bool
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -194,6 +194,8 @@
   query->time_left_ms = marjoram_exchange_place_time_ms (
       gateway, exchange, now, query->time_left_ms);
   query->allow_tried = true;
+  /* A request that has been sent is not told when to retry.  */
+  query->allow_engine_queue = exchange->attempts_sent > 0;
   query->build = marjoram_exchange_required_build (exchange);
   for (size_t i = 0; i < exchange->tried_count; i++)
     query->tried[query->tried_count++] = exchange->tried[i];
--- a/src/placement.h
+++ b/src/placement.h
@@ -52,6 +52,8 @@
   /* Allow zones whose evacuation has just begun and, for a required build,
      upstreams that have just said that they leave.  */
   bool last_resort;
+  /* Allow engines whose slots are taken, also if waits are measured.  */
+  bool allow_engine_queue;
   /* Only upstreams of this build; null: of any.  */
   const char *build;
 };
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -47,6 +47,10 @@
   /* Maximum prefill backlog ahead of a request; longer queues stall running
      responses.  */
   BACKLOG_MAX_MS = 100,
+  /* Maximum wait for a slot of an engine if waits are measured: the time in
+     which hosts learn from each other that slots have become free, so that
+     none is idle.  */
+  QUEUE_MAX_MS = 100,
   /* Extra cost accepted for an upstream that meets the deadline.  A higher one
      would repeat prefill and evict other cached parts.  */
   DEADLINE_COST_MS = 100,
@@ -403,10 +407,11 @@
    of urgency and knows how long that takes, than for a slot of the engine.  */
 static bool
 is_queue_long (const marjoram_placement *placement,
-               const struct estimate *estimate)
+               const struct estimate *estimate,
+               const struct marjoram_place_query *query)
 {
-  return placement->features.measured_waits
-         && estimate->queue_ms > BACKLOG_MAX_MS;
+  return placement->features.measured_waits && !query->allow_engine_queue
+         && estimate->queue_ms > QUEUE_MAX_MS;
 }
 
 /* The limit that rules out an upstream for QUERY.  Idle upstreams are never
@@ -421,7 +426,7 @@
   if (estimate->wait_ms > (double)query->time_left_ms)
     return MARJORAM_PLACE_LIMIT_DEADLINE;
   if (estimate->backlog_ms > BACKLOG_MAX_MS
-      || is_queue_long (placement, estimate))
+      || is_queue_long (placement, estimate, query))
     return MARJORAM_PLACE_LIMIT_BACKLOG;
   return MARJORAM_PLACE_LIMIT_NONE;
 }
@@ -692,7 +697,7 @@
     }
   /* A free slot is used at any cost: other requests wait for one.  */
   if (in_time.upstream
-      && (is_queue_long (placement, &cheapest.estimate)
+      && (is_queue_long (placement, &cheapest.estimate, query)
           || in_time.estimate.cost_ms
                  <= cheapest.estimate.cost_ms + DEADLINE_COST_MS))
     chosen = &in_time;
@@ -708,8 +713,8 @@
   place->prefill_tokens = chosen->estimate.prefill_tokens;
   if (chosen->estimate.backlog_ms > BACKLOG_MAX_MS)
     place->excess_ms = (int64_t)chosen->estimate.backlog_ms - BACKLOG_MAX_MS;
-  if (is_queue_long (placement, &chosen->estimate))
-    place->excess_ms += (int64_t)chosen->estimate.queue_ms - BACKLOG_MAX_MS;
+  if (is_queue_long (placement, &chosen->estimate, query))
+    place->excess_ms += (int64_t)chosen->estimate.queue_ms - QUEUE_MAX_MS;
   if (query->service->has_engine)
     set_throughput (placement, now, query, place);
   if (place->outcome == MARJORAM_PLACE_BUSY)
--- a/src/queue_rate.c
+++ b/src/queue_rate.c
@@ -28,7 +28,7 @@
   PRECEDENCE_MAX_MS = 1000,
   /* A priority is starved if its started share is below this part of that of
      all work.  */
-  STARVED_PART = 2,
+  STARVED_PART = 4,
   /* Callers that state their time after some transit have not tried yet.  */
   TRIED_MIN_MS = 50,
   /* A caller retries earlier than after this part of its time.  */
