test: queue rate, measured waits under load; callers return with time to spare

Cause: callers that return when their request is only just in time meet others that were told the same. Change: half of the objective is added to Retry-After, within a third of the caller's time.

--- a/src/gateway_rate.c
+++ b/src/gateway_rate.c
@@ -15,6 +15,9 @@
   /* Time within which the rate of a shortage becomes known; until then no
      request is refused that has waited in vain.  */
   RATE_KNOWN_MS = 2000,
+  /* Part of its objective that a returning caller's request may wait less than
+     is useful: others come back at the same time.  */
+  MARGIN_PART = 2,
   SERVICES_MAX = 16 /* with queued requests; others are not checked */
 };
 
@@ -404,7 +407,8 @@
   wait_ms = marjoram_exchange_measured_wait_ms (gateway, exchange, now,
                                                 exchange->waiter.sort_key);
   if (wait_ms >= 0)
-    query.excess_ms = now + wait_ms - latest_in_time (exchange);
+    query.excess_ms = now + wait_ms - latest_in_time (exchange)
+                      + objective_of (exchange) / MARGIN_PART;
   return marjoram_queue_rates_retry_ms (gateway->queue_rates, now, &query);
 }
 
--- a/src/queue_rate.c
+++ b/src/queue_rate.c
@@ -437,7 +437,7 @@
 {
   struct service *service = find (rates, name);
 
-  if (tried_ms <= 0)
+  if (tried_ms < MARJORAM_QUEUE_RETRY_MIN_MS)
     return 0;
   if (service
       && is_starved (sum_window (service, now), limit_priority (priority)))
--- a/src/queue_rate.h
+++ b/src/queue_rate.h
@@ -96,7 +96,7 @@
 /* Time by which the sort key of a request of PRIORITY is lowered whose caller
    has tried for TRIED_MS: more for a longer time, but too little to outrank a
    higher priority, unless much less of the work of PRIORITY is started than of
-   all work.  */
+   all work; 0 if the caller comes back sooner than any refusal says.  */
 int64_t marjoram_queue_rates_precedence_ms (const marjoram_queue_rates *rates,
                                             int64_t now, const char *service,
                                             int priority, int64_t tried_ms);
--- a/test/lib_demand.c
+++ b/test/lib_demand.c
@@ -20,6 +20,8 @@
   HEARTBEAT_MS = 300,
   LOAD_REPORT_MS = 100,
   LINK_MS = 1,
+  IMPATIENT_MS = 20,
+  PEAK_MS = 250,
   FIRST_MS = 10, /* from a slot to the first event */
   TIME_LEFT_PART = 3,
   STATUS_OK = 200
@@ -67,6 +69,7 @@
     enum demand_kind kind;
     int first;  /* the caller's first try; 0: this is it */
     int second; /* the caller's second try; 0: none */
+  bool impatient;
     int host;
     int64_t at;
     int64_t time_left_ms;
@@ -125,7 +128,8 @@
 {
   struct demand_options options;
   int64_t now;
-  marjoram_random *random;
+  marjoram_random *arrivals; /* the same whatever becomes of them */
+  marjoram_random *returns;
   struct marjoram_route_table *table;
   struct node nodes[HOSTS_MAX];
   struct engine engines[ENGINES_MAX];
@@ -133,6 +137,7 @@
   struct try *tries;
   int try_count;
   double rates[DEMAND_KINDS];
+  double impatient;
   int64_t idle_since; /* 0: not idle */
   int64_t idle_ms;
 };
@@ -222,7 +227,9 @@
   try->retry_ms = why->retry_ms;
   if (wait_ms > left_ms / TIME_LEFT_PART)
     wait_ms = left_ms / TIME_LEFT_PART;
-  if (try->first == 0 && left_ms > 0)
+  if (try->impatient)
+    wait_ms = IMPATIENT_MS;
+  if ((try->first == 0 || try->impatient) && left_ms > IMPATIENT_MS)
     schedule (demand, wait_ms, &back);
 }
 
@@ -476,8 +483,9 @@
     abort ();
   *try = *made;
   try->at = demand->now;
-  try->host = (int)marjoram_random_below (demand->random,
-                                          (uint32_t)demand->options.hosts);
+  try->host = (int)marjoram_random_below (
+      try->first ? demand->returns : demand->arrivals,
+      (uint32_t)demand->options.hosts);
   if (try->first)
     demand->tries[try->first].second = number;
   marjoram_gateway_receive (demand->nodes[try->host].gateway, demand->now,
@@ -491,7 +499,8 @@
   const struct try *before = &demand->tries[first];
   const struct try back
       = { .kind = before->kind,
-          .first = first,
+          .first = before->first ? before->first : first,
+          .impatient = before->impatient,
           .time_left_ms = before->at + before->time_left_ms - demand->now };
 
   send_try (demand, &back);
@@ -502,11 +511,15 @@
 {
   for (int i = 0; i < DEMAND_KINDS; i++)
     {
-      const struct try made = { .kind = (enum demand_kind)i,
+      struct try made = { .kind = (enum demand_kind)i,
                                 .time_left_ms = kinds[i].timeout_ms };
 
-      if (marjoram_random_unit (demand->random) < demand->rates[i] / 1000)
-        send_try (demand, &made);
+      if (marjoram_random_unit (demand->arrivals) >= demand->rates[i] / 1000)
+        continue;
+      made.impatient
+          = i == DEMAND_SHORT
+            && marjoram_random_unit (demand->arrivals) < demand->impatient;
+      send_try (demand, &made);
     }
 }
 
@@ -659,7 +672,8 @@
   struct marjoram_error err = { 0 };
 
   demand->options = *options;
-  demand->random = marjoram_random_create (options->seed);
+  demand->arrivals = marjoram_random_create (options->seed);
+  demand->returns = marjoram_random_create (options->seed + 1);
   demand->table = marjoram_platform_dialect ()->ops->read_config (
       config, strlen (config), &err);
   if (!demand->table)
@@ -713,7 +727,8 @@
   for (int i = 0; i < RUN_MAX_MS; i++)
     clear_events (&demand->events[i]);
   marjoram_route_table_destroy (demand->table);
-  marjoram_random_destroy (demand->random);
+  marjoram_random_destroy (demand->arrivals);
+  marjoram_random_destroy (demand->returns);
   free (demand->tries);
   free (demand->events);
   free (demand);
@@ -799,6 +814,51 @@
     }
 }
 
+void
+demand_set_impatient (struct demand *demand, double share)
+{
+  demand->impatient = share;
+}
+
+double
+demand_impatient_share (const struct demand *demand, int64_t from_ms,
+                        int64_t until_ms)
+{
+  int sent = 0;
+  int served = 0;
+
+  for (int i = 1; i <= demand->try_count; i++)
+    {
+      const struct try *try = &demand->tries[i];
+      const struct try *first = try->first ? &demand->tries[try->first] : try;
+
+      if (!try->impatient || first->at < from_ms || first->at >= until_ms)
+        continue;
+      sent += first == try;
+      served += try->result == RESULT_IN_TIME || try->result == RESULT_LATE;
+    }
+  return sent > 0 ? (double)served / sent : 0;
+}
+
+int
+demand_return_peak (const struct demand *demand, int64_t from_ms,
+                    int64_t until_ms)
+{
+  int peak = 0;
+
+  for (int64_t from = from_ms; from < until_ms; from += PEAK_MS)
+    {
+      int count = 0;
+
+      for (int i = 1; i <= demand->try_count; i++)
+        count += demand->tries[i].first != 0 && demand->tries[i].at >= from
+                 && demand->tries[i].at < from + PEAK_MS;
+      if (count > peak)
+        peak = count;
+    }
+  return peak;
+}
+
 static void
 count_try (const struct try *try, struct demand_counts *counts)
 {
@@ -832,7 +892,8 @@
       const struct try *first = &demand->tries[i];
       const struct try *last = first;
 
-      if (first->first || first->kind != kind || first->at < from_ms
+      if (first->first || first->impatient || first->kind != kind
+          || first->at < from_ms
           || first->at >= until_ms)
         continue;
       count_try (first, &counts);
--- a/test/lib_demand.h
+++ b/test/lib_demand.h
@@ -55,6 +55,12 @@
 /* Callers send PER_S requests of KIND per second.  */
 void demand_set_rate (struct demand *demand, enum demand_kind kind,
                       double per_s);
+/* Of the callers of DEMAND_SHORT this share retries 20 ms after each refusal,
+   until its time has passed; demand_count omits these.  */
+void demand_set_impatient (struct demand *demand, double share);
+/* Share of the impatient callers served whose first try was in a period.  */
+double demand_impatient_share (const struct demand *demand, int64_t from_ms,
+                               int64_t until_ms);
 void demand_run_until (struct demand *demand, int64_t until_ms);
 struct demand_counts demand_count (const struct demand *demand,
                                    enum demand_kind kind, int64_t from_ms,
@@ -63,10 +69,13 @@
 void demand_crash_engine (struct demand *demand, int engine);
 /* HOST, from 0, starts again and knows nothing; its requests break off.  */
 void demand_restart_host (struct demand *demand, int host);
-/* The largest time in ms for which a slot of an engine was free while requests
-   of KIND that had waited for longer were queued at hosts.  */
+/* The longest time in ms for which a slot of an engine was free while requests
+   waited at hosts.  */
 int64_t demand_idle_ms (const struct demand *demand);
-/* Requests waiting in the queues of hosts.  */
+/* The largest number of retries in any 250 ms of a period.  */
+int demand_return_peak (const struct demand *demand, int64_t from_ms,
+                        int64_t until_ms);
+/* Requests that arrived before and are not served or refused.  */
 int demand_waiting (const struct demand *demand);
 /* Wait that HOST offers to other regions.  */
 int64_t demand_offered_wait_ms (const struct demand *demand, int host);
