--- a/test/test_measured_waits.c
+++ b/test/test_measured_waits.c
@@ -20,9 +20,13 @@
   ENGINES = 4,
   SERVE_MS = 400,
   START_MS = 5000,
+  SHORT_MS = 15000, /* a shortage from the beginning is full by then */
   /* By then all callers have been served or refused.  */
   AFTER_MS = 17000,
-  TICK_MS = 25
+  TICK_MS = 25,
+  /* Until a host tries an engine that crashed: others report their load there
+     every 100 ms.  */
+  NOTICED_MS = 150
 };
 
 static const uint64_t seeds[] = { 7, 8, 9 };
@@ -369,6 +373,28 @@
 }
 END_TEST
 
+/* Guards against requests that learn only at their objective that the rate
+   fell: the last ones in order are refused within two ticks after the hosts
+   have noticed.  */
+START_TEST (lower_rate_refuses_the_last_at_once)
+{
+  struct demand *demand = open_demand (true, 7);
+  int64_t before;
+  int64_t after;
+
+  demand_set_rate (demand, DEMAND_SHORT, 1.5 * ROOM_PER_S);
+  demand_run_until (demand, SHORT_MS);
+  before = demand_waiting (demand);
+  demand_set_rate (demand, DEMAND_SHORT, 0);
+  demand_crash_engine (demand, 0);
+  demand_crash_engine (demand, 1);
+  demand_run_until (demand, SHORT_MS + NOTICED_MS + 2 * TICK_MS);
+  after = demand_waiting (demand);
+  ck_assert_int_lt (4 * after, 3 * before);
+  demand_destroy (demand);
+}
+END_TEST
+
 /* Guards against a host that, without a rate, holds its requests or refuses
    them all.  */
 START_TEST (host_restarts_in_a_shortage)
@@ -524,6 +550,7 @@
   tcase_add_test (c, urgent_requests_that_take_all_room);
   tcase_add_test (c, impatient_callers_cost_others_nothing);
   tcase_add_test (c, engines_crash_and_the_rate_halves);
+  tcase_add_test (c, lower_rate_refuses_the_last_at_once);
   tcase_add_test (c, host_restarts_in_a_shortage);
   tcase_add_test (h, offers_count_the_queue);
   tcase_add_test (h, stalled_service_refuses_at_once);
