--- a/src/event_log.c
+++ b/src/event_log.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  TEXT_MAX_BYTES = 640,
+  TEXT_MAX_BYTES = 1024,
   BUFFER_BYTES = 64 * 1024,
   /* Rate limit of each kind of event.  A host with a quarter of a core serves
      at most some hundred requests per second, each with a line.  */
--- a/test/lib_demand.c
+++ b/test/lib_demand.c
@@ -138,6 +138,7 @@
   int try_count;
   double rates[DEMAND_KINDS];
   double impatient;
+  int settled;        /* none up to this try is waiting */
   int64_t idle_since; /* 0: not idle */
   int64_t idle_ms;
 };
@@ -768,14 +769,19 @@
   return false;
 }
 
+static bool
+is_waiting (const struct try *try)
+{
+  return try->result == RESULT_NONE && !try->started;
+}
+
 int
 demand_waiting (const struct demand *demand)
 {
   int waiting = 0;
 
-  for (int i = 1; i <= demand->try_count; i++)
-    waiting
-        += demand->tries[i].result == RESULT_NONE && !demand->tries[i].started;
+  for (int i = demand->settled + 1; i <= demand->try_count; i++)
+    waiting += is_waiting (&demand->tries[i]);
   return waiting;
 }
 
@@ -784,6 +790,9 @@
 {
   if (demand->now % TICK_MS != 0)
     return;
+  while (demand->settled < demand->try_count
+         && !is_waiting (&demand->tries[demand->settled + 1]))
+    demand->settled++;
   if (!has_free_slot (demand) || demand_waiting (demand) == 0)
     demand->idle_since = 0;
   else if (demand->idle_since == 0)
