--- a/src/metrics.h
+++ b/src/metrics.h
@@ -27,6 +27,10 @@
   MARJORAM_METRIC_REFUSED_WITH_ROOM,
   MARJORAM_METRIC_OVER_SHARE_REFUSED,
   MARJORAM_METRIC_STRAY_ANSWERS,
+  /* Not started, although they waited for more than half of their objective;
+     refused at once or soon because of the measured rate.  */
+  MARJORAM_METRIC_WAITED_IN_VAIN,
+  MARJORAM_METRIC_REFUSED_EARLY,
   MARJORAM_METRIC_RATE_LIMITS,
   MARJORAM_METRIC_RETRY_AFTERS,
   MARJORAM_METRIC_LEAVING_ANSWERS,
--- a/src/placement.h
+++ b/src/placement.h
@@ -52,6 +52,8 @@
   /* Allow zones whose evacuation has just begun and, for a required build,
      upstreams that have just said that they leave.  */
   bool last_resort;
+  /* Allow engines whose slots are taken, also if waits are measured.  */
+  bool allow_engine_queue;
   /* Only upstreams of this build; null: of any.  */
   const char *build;
 };
@@ -154,6 +156,10 @@
 double marjoram_placement_backlog (marjoram_placement *placement,
                                    const char *service);
 
+/* Mean duration of the requests of SERVICE at its upstreams in ms.  */
+double marjoram_placement_request_ms (marjoram_placement *placement,
+                                      const char *service);
+
 /* Lifecycle of one attempt at UPSTREAM; each attempt is started and ended
    exactly once.  */
 void
