Check upstreams that stop answering by new connections

Streams at an engine that goes dark (no answer, no reset) wait until TCP gives up, about 5 s. An upstream from which this host waits for answers and that has sent nothing for 300 ms is now checked with up to two connections; if neither is answered and no data arrives for 800 ms, its attempts end as broken, it gets no requests until it is heard again, and the hosts of the region are notified. A check that opens, is refused or reset shows that the upstream is alive. There is no verdict while most upstreams in use seem dark, or by hearsay. Off unless check_upstreams.

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -318,6 +318,11 @@
       marjoram_crash_list_apply (marjoram_gateway_crash_list (self->gateway),
                                  marjoram_entry_now (self), message);
       break;
+    case MARJORAM_FRAME_DARK_UPSTREAMS:
+      if (is_in_same_region (self, host))
+        marjoram_gateway_dark_reported (self->gateway,
+                                        marjoram_entry_now (self), message);
+      break;
     case MARJORAM_FRAME_FORWARD:
       handle_forward (self, host, session, message);
       break;
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -2,11 +2,13 @@
    life cycle), entry_loads.c (load reports to the hosts of the region),
    entry_answer.c (the gateway's operations on callers, upstreams and other
    hosts), entry_keepers.c (leases and quotas), entry_origin.c (builds that
-   began streams) and entry_frame.c (frames received from other hosts).  */
+   began streams), entry_check.c (checks of upstreams) and entry_frame.c
+   (frames received from other hosts).  */
 #ifndef MARJORAM_ENTRY_PRIVATE_H
 #define MARJORAM_ENTRY_PRIVATE_H
 
 #include "address.h"
+#include "connect_probe.h"
 #include "state_files.h"
 #include "engine_survey.h"
 #include "gateway.h"
@@ -42,6 +44,7 @@
   marjoram_http_server *server;
   marjoram_http_client *client;
   marjoram_engine_survey *survey;
+  marjoram_connect_probes *probes;
   marjoram_state_fetch *fetch;
   int64_t created_at;
   struct marjoram_route_table *table;
@@ -117,6 +120,14 @@
                                  const char *build, int64_t keep_ms);
 size_t marjoram_entry_ask_origin (void *context, const char *id);
 
+/* entry_check.c */
+/* Operations of the gateway, see there.  */
+void marjoram_entry_open_probe (void *context, uint64_t probe,
+                                const char *address, int64_t timeout_ms);
+void marjoram_entry_report_dark (void *context,
+                                 const struct marjoram_dark_report *report);
+extern const struct marjoram_connect_probes_ops marjoram_entry_probe_ops;
+
 /* entry_loads.c */
 /* Sends this host's load to the other hosts of the region when due.  */
 /* Whether load reports go to or come from HOST, of this region.  */
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -386,8 +386,7 @@
 role_report (struct marjoram_role *role, int64_t now)
 {
   struct marjoram_entry *self = entry_from_role (role);
-
-  return json_pack (
+  json_t *report = json_pack (
       "{s:s, s:b, s:I, s:I, s:I, s:o, s:o, s:o}", "role", "entry", "ready",
       marjoram_entry_is_ready (self), "config_version",
       (json_int_t)(self->table ? self->table->version : 0), "config_number",
@@ -398,6 +397,11 @@
       marjoram_gateway_report_customers (
           marjoram_gateway_key_lease (self->gateway),
           marjoram_gateway_quota_pool (self->gateway), now));
+
+  if (marjoram_gateway_features (self->gateway)->check_upstreams)
+    json_object_set_new (report, "dark_upstreams",
+                         marjoram_gateway_report_dark (self->gateway, now));
+  return report;
 }
 
 static struct marjoram_repeat_limits
@@ -508,6 +512,8 @@
 
   marjoram_registry_use_summaries (
       self->registry, marjoram_host_links_follows_one (self->parts->links));
+  marjoram_connect_probes_tick (self->probes,
+                                marjoram_host_links_lag (self->parts->links));
   marjoram_gateway_tick (self->gateway, now);
   marjoram_state_fetch_tick (self->fetch, now);
   marjoram_entry_renew_lease (self, now);
@@ -561,6 +567,7 @@
   }
   marjoram_gateway_destroy (self->gateway);
   marjoram_engine_survey_destroy (self->survey);
+  marjoram_connect_probes_destroy (self->probes);
   marjoram_state_fetch_destroy (self->fetch);
   marjoram_load_collector_destroy (self->collector);
   marjoram_http_client_destroy (self->client);
@@ -653,6 +660,8 @@
   create_gateway (self);
   self->client = marjoram_http_client_create (parts->base, parts->clock,
                                               &client_ops, self);
+  self->probes = marjoram_connect_probes_create (
+      parts->base, parts->clock, &marjoram_entry_probe_ops, self);
   self->survey = marjoram_engine_survey_create (
       parts->base, parts->clock, parts->dialect, &survey_ops, self);
   self->fetch = marjoram_state_fetch_create (&marjoram_entry_fetch_options,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -205,6 +205,7 @@
   marjoram_quota_pool_destroy (gateway->quotas);
   marjoram_customer_index_destroy (gateway->customers);
   marjoram_stream_origins_destroy (gateway->origins);
+  marjoram_gateway_destroy_checks (gateway);
   free (gateway->region);
   free (gateway->host);
   free (gateway);
@@ -605,6 +606,7 @@
   struct marjoram_exchange *exchange;
   struct marjoram_exchange *next;
 
+  marjoram_gateway_check_upstreams (gateway, now);
   HASH_ITER (by_call, gateway->by_call, exchange, next)
   {
     if (exchange->state == MARJORAM_EXCHANGE_WAITING
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -20,6 +20,7 @@
 #include "quota_pool.h"
 #include "reason.h"
 #include "repeat_budget.h"
+#include "upstream_check.h"
 
 typedef struct marjoram_gateway marjoram_gateway;
 
@@ -68,6 +69,15 @@
   /* Asks the keepers that would have a record of ID; returns how many.  Each
      answer is passed to marjoram_gateway_origin_answered.  */
   size_t (*ask_origin) (void *context, const char *id);
+  /* As in struct marjoram_upstream_checks_ops; the result is passed to
+     marjoram_gateway_probed.  Like REPORT_DARK, only used if upstreams are
+     checked.  */
+  void (*open_probe) (void *context, uint64_t probe, const char *address,
+                      int64_t timeout_ms);
+  /* Notifies the hosts of the region of upstreams that have stopped
+     answering.  */
+  void (*report_dark) (void *context,
+                       const struct marjoram_dark_report *report);
 };
 
 struct marjoram_gateway_options
@@ -152,6 +162,23 @@
 void marjoram_gateway_link_lost (marjoram_gateway *gateway, int64_t now,
                                  const char *host);
 
+/* ---- Upstreams that stop answering (upstream_check.h).  ---- */
+
+void marjoram_gateway_probed (marjoram_gateway *gateway, int64_t now,
+                              uint64_t probe,
+                              enum marjoram_probe_result result);
+/* A host of this region sent REPORT.  */
+void
+marjoram_gateway_dark_reported (marjoram_gateway *gateway, int64_t now,
+                                const struct marjoram_dark_report *report);
+/* Calls VISIT for each upstream that counts as dark, SILENT_MS since its
+   verdict.  */
+void marjoram_gateway_visit_dark (
+    marjoram_gateway *gateway, int64_t now,
+    void (*visit) (void *context,
+                   const struct marjoram_checked_upstream *upstream),
+    void *context);
+
 /* Enforces deadlines and timeouts; to be called at least every 25 ms.  */
 void marjoram_gateway_tick (marjoram_gateway *gateway, int64_t now);
 /* Whether a request that was forwarded to HOST is in progress.  */
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -376,6 +376,7 @@
   if (*exchange->upstream)
     {
       exchange->framing = read_framing (headers);
+      marjoram_placement_head_received (gateway->placement, now, attempt);
       record_statements (gateway, exchange, now, &metadata);
       marjoram_exchange_check_alive (gateway, exchange, now);
     }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -3,8 +3,8 @@
    (forwarding to other regions), gateway_wait.c (queueing), gateway_repeat.c
    (repeat budget), gateway_customer.c (keys of customers), gateway_build.c
    (builds of streams), gateway_origin.c (streams that are taken up again),
-   gateway_crash.c (requests that crash upstreams) and gateway_answer.c
-   (answers and retries).  */
+   gateway_crash.c (requests that crash upstreams), gateway_check.c (upstreams
+   that stop answering) and gateway_answer.c (answers and retries).  */
 #ifndef MARJORAM_GATEWAY_PRIVATE_H
 #define MARJORAM_GATEWAY_PRIVATE_H
 
@@ -169,6 +169,8 @@
   struct marjoram_exchange *by_call;
   struct marjoram_exchange *by_attempt;
   uint64_t next_attempt;
+  marjoram_upstream_checks *checks; /* null until upstreams are checked */
+  struct marjoram_dark_report dark; /* verdicts of this tick */
 };
 
 /* gateway.c */
@@ -332,6 +334,12 @@
                                     int64_t now);
 void marjoram_gateway_tick_crashes (marjoram_gateway *gateway, int64_t now);
 
+/* gateway_check.c */
+/* Checks upstreams that are silent, if that is enabled, and ends the attempts
+   at those that are dark.  */
+void marjoram_gateway_check_upstreams (marjoram_gateway *gateway, int64_t now);
+void marjoram_gateway_destroy_checks (marjoram_gateway *gateway);
+
 /* gateway_wait.c */
 /* Queues the exchange, or keeps it queued, until an upstream has room for it.
    Returns false if that would be too late for it.  */
--- a/src/gateway_report.c
+++ b/src/gateway_report.c
@@ -115,3 +115,20 @@
   marjoram_quota_shares_visit (shares, add_share, list);
   return list;
 }
+
+static void
+add_dark (void *context, const struct marjoram_checked_upstream *upstream)
+{
+  json_array_append_new (context, json_pack ("{s:s, s:I}", "id", upstream->id,
+                                             "dark_ms",
+                                             (json_int_t)upstream->silent_ms));
+}
+
+json_t *
+marjoram_gateway_report_dark (marjoram_gateway *gateway, int64_t now)
+{
+  json_t *list = json_array ();
+
+  marjoram_gateway_visit_dark (gateway, now, add_dark, list);
+  return list;
+}
--- a/src/gateway_report.h
+++ b/src/gateway_report.h
@@ -3,6 +3,7 @@
 #ifndef MARJORAM_GATEWAY_REPORT_H
 #define MARJORAM_GATEWAY_REPORT_H
 
+#include "gateway.h"
 #include "host_list.h"
 #include "ini_key.h"
 #include "keeper.h"
@@ -27,4 +28,7 @@
 /* A keeper's shares of the quotas.  */
 json_t *marjoram_gateway_report_shares (const marjoram_quota_shares *shares);
 
+/* Upstreams that count as dark, and for how long.  */
+json_t *marjoram_gateway_report_dark (marjoram_gateway *gateway, int64_t now);
+
 #endif
--- a/src/placement.h
+++ b/src/placement.h
@@ -10,6 +10,7 @@
 #include "load_features.h"
 #include "registry.h"
 #include "route_table.h"
+#include "upstream_check.h"
 
 typedef struct marjoram_placement marjoram_placement;
 
@@ -90,6 +91,7 @@
   MARJORAM_EXCLUDED_ROOM,          /* it would refuse, and tolerates few */
   MARJORAM_EXCLUDED_BUILD,         /* another build, or not sure to be the
                                       required one; no candidate */
+  MARJORAM_EXCLUDED_DARK,          /* it has stopped answering */
   MARJORAM_EXCLUDED_COUNT
 };
 
@@ -169,6 +171,24 @@
    attempt; 0 if it never did or ATTEMPT is unknown.  */
 int64_t marjoram_placement_last_received_at (marjoram_placement *placement,
                                              uint64_t attempt);
+/* ---- Upstreams that stop answering (upstream_check.h).  ---- */
+
+void marjoram_placement_set_silence (marjoram_placement *placement,
+                                     const char *upstream,
+                                     enum marjoram_silence silence);
+/* The head of an answer to ATTEMPT arrived.  */
+void marjoram_placement_head_received (marjoram_placement *placement,
+                                       int64_t now, uint64_t attempt);
+/* Upper limit of the number of upstreams at which requests of this host run.
+ */
+size_t marjoram_placement_awaited_max (const marjoram_placement *placement);
+/* Stores up to MAX of them in FOUND, whose strings are borrowed until the next
+   call of any function; returns their number.  */
+size_t
+marjoram_placement_find_awaited (marjoram_placement *placement,
+                                 struct marjoram_awaited_upstream *found,
+                                 size_t max);
+
 /* Time in ms for which UPSTREAM gets no requests from this host; 0 if it may
    get one, or is unknown.  */
 int64_t marjoram_placement_paused_ms (marjoram_placement *placement,
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -308,7 +308,8 @@
   estimate.cost_ms += (double)tie_breaker_ms (endpoint, query->metadata);
   if (is_cold (placement, endpoint, upstream, query->service, now))
     estimate.cost_ms += COLD_COST_MS;
-  if (now < endpoint->suspected_until)
+  if (now < endpoint->suspected_until
+      || endpoint->silence == MARJORAM_SILENCE_SUSPECTED)
     estimate.cost_ms += SUSPECT_COST_MS;
   if (now < endpoint->retry.others_at)
     estimate.cost_ms += OTHERS_RETRY_COST_MS;
@@ -345,6 +346,8 @@
 {
   enum marjoram_place_exclusion cold;
 
+  if (endpoint->silence == MARJORAM_SILENCE_DARK)
+    return MARJORAM_EXCLUDED_DARK;
   if (marjoram_endpoint_retry_wait_ms (endpoint, now) > 0)
     return MARJORAM_EXCLUDED_RETRY_AFTER;
   if (now < endpoint->paused_until)
@@ -744,6 +747,7 @@
       continue;
     endpoint = marjoram_endpoint_of (placement, upstream);
     if (now < endpoint->paused_until || endpoint->connect_failures > 0
+        || endpoint->silence == MARJORAM_SILENCE_DARK
         || marjoram_endpoint_retry_wait_ms (endpoint, now) > 0
         || marjoram_endpoint_is_rate_limited (endpoint)
         || is_cold (placement, endpoint, upstream, service, now))
--- a/src/placement_copy.c
+++ b/src/placement_copy.c
@@ -64,6 +64,7 @@
                               : reported_lost_at;
 
   return now >= endpoint->paused_until && now >= endpoint->suspected_until
+         && endpoint->silence == MARJORAM_SILENCE_NONE
          && marjoram_endpoint_retry_wait_ms (endpoint, now) == 0
          && (lost_at == 0
              || marjoram_registry_heard_at (placement->options.registry,
--- a/src/placement_private.h
+++ b/src/placement_private.h
@@ -1,6 +1,7 @@
 /* Internals shared by placement.c (state and attempt lifecycle),
    placement_choose.c (selection), placement_rate.c (rate limits),
-   placement_retry.c (Retry-After), placement_report.c (load reports between
+   placement_retry.c (Retry-After), placement_silence.c (upstreams that stop
+   answering), placement_report.c (load reports between
    hosts) and placement_collect.c (load reports through collectors).  */
 #ifndef MARJORAM_PLACEMENT_PRIVATE_H
 #define MARJORAM_PLACEMENT_PRIVATE_H
@@ -86,6 +87,8 @@
   int64_t reported_lost_at; /* the same at another host, by its report */
   int64_t address_conflict_at;
   int64_t last_received_at; /* last response data to this host; 0 if none */
+  int64_t head_received_at; /* last response head, likewise */
+  enum marjoram_silence silence;
   int64_t cold_until;
   int64_t cold_sent_at; /* last request sent; limits the rate while cold */
   struct marjoram_endpoint_retry retry;
