--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -213,6 +213,32 @@
   return f->keepers;
 }
 
+static void
+op_open_probe (void *context, uint64_t probe, const char *address,
+               int64_t timeout_ms)
+{
+  struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
+
+  (void)timeout_ms;
+  if (seen->probes == GATEWAY_PROBES_MAX)
+    abort ();
+  seen->probe[seen->probes].number = probe;
+  snprintf (seen->probe[seen->probes].address,
+            sizeof seen->probe[seen->probes].address, "%s", address);
+  seen->probes++;
+}
+
+static void
+op_report_dark (void *context, const struct marjoram_dark_report *report)
+{
+  struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
+  const struct marjoram_dark_item *items = report->items.items;
+
+  seen->dark_reports++;
+  seen->dark_items += report->items.count;
+  snprintf (seen->dark, sizeof seen->dark, "%s", items[0].upstream);
+}
+
 static const struct marjoram_gateway_ops ops = {
   .reply_head = op_head,
   .reply_data = op_data,
@@ -229,6 +255,8 @@
   .ask_quota = op_ask_quota,
   .tell_origin = op_tell_origin,
   .ask_origin = op_ask_origin,
+  .open_probe = op_open_probe,
+  .report_dark = op_report_dark,
 };
 
 static const char *
@@ -359,6 +387,14 @@
   open_fixture (f, LONG_AGO_MS, false, 0);
 }
 
+void
+gateway_fixture_check_upstreams (struct gateway_fixture *f, bool check)
+{
+  const struct marjoram_load_features load = { .check_upstreams = check };
+
+  marjoram_gateway_set_load (f->gateway, &load);
+}
+
 void
 gateway_fixture_open_leased (struct gateway_fixture *f, int64_t lease_ms)
 {
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -5,6 +5,18 @@
 
 #include "gateway.h"
 
+enum
+{
+  GATEWAY_PROBES_MAX = 64
+};
+
+/* A connection that was opened to check an upstream.  */
+struct gateway_probe
+{
+  uint64_t number;
+  char address[MARJORAM_ID_MAX];
+};
+
 /* Recorded operations.  */
 struct gateway_seen
 {
@@ -38,6 +50,11 @@
   int cuts;
   int refusals;
   struct marjoram_request_failure why;
+  int probes;
+  struct gateway_probe probe[GATEWAY_PROBES_MAX];
+  int dark_reports;           /* to the region */
+  char dark[MARJORAM_ID_MAX]; /* of the last report's first item */
+  size_t dark_items;          /* of all reports */
 };
 
 struct gateway_fixture
@@ -72,6 +89,8 @@
 void gateway_fixture_close (struct gateway_fixture *f);
 /* Activates the routes; before, there is no configuration.  */
 void gateway_fixture_configure (struct gateway_fixture *f);
+/* Switches the check of upstreams that stop answering on or off.  */
+void gateway_fixture_check_upstreams (struct gateway_fixture *f, bool check);
 /* Like gateway_fixture_open, with a lease period for keys.  */
 void gateway_fixture_open_leased (struct gateway_fixture *f, int64_t lease_ms);
 /* Activates the routes, a public route /open/, and customers: c1 (key-1,
