Compare and confirm verdicts on dark upstreams; test them under load

A host that uses one upstream has nothing to compare it with, so a connection to another one is the control; upstreams that another host reports too do not count as this host's fault, so that a host that used mostly upstreams of a lost zone need not wait for TCP. Attempts ended by a verdict no longer raise the upstream's failure share, which kept it unused once it was back (0 arrivals in 4 s of the load test before).

--- a/src/gateway_check.c
+++ b/src/gateway_check.c
@@ -17,6 +17,15 @@
   gateway->ops->open_probe (gateway->context, probe, address, timeout_ms);
 }
 
+static const char *
+op_other (void *context, const char *id)
+{
+  marjoram_gateway *gateway = context;
+
+  return marjoram_placement_find_other (gateway->placement, id,
+                                        ++gateway->compared);
+}
+
 static void
 op_silence (void *context, const char *id, enum marjoram_silence silence)
 {
@@ -64,8 +73,9 @@
   add_dark (gateway, upstream);
 }
 
-static const struct marjoram_upstream_checks_ops ops
-    = { .open = op_open, .event = op_event, .silence = op_silence };
+static const struct marjoram_upstream_checks_ops ops = {
+  .open = op_open, .event = op_event, .other = op_other, .silence = op_silence
+};
 
 /* ---- Verdicts.  ---- */
 
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -171,6 +171,7 @@
   uint64_t next_attempt;
   marjoram_upstream_checks *checks; /* null until upstreams are checked */
   struct marjoram_dark_report dark; /* verdicts of this tick */
+  uint64_t compared; /* checks for which another upstream was named */
 };
 
 /* gateway.c */
--- a/src/placement.c
+++ b/src/placement.c
@@ -519,8 +519,11 @@
   if (outcome == MARJORAM_ATTEMPT_REFUSED)
     marjoram_upstream_room_refused (&endpoint->room, now,
                                     endpoint->own.running);
+  /* What a verdict ended must not count against the upstream once it is
+     back.  */
   if (outcome != MARJORAM_ATTEMPT_CANCELLED
-      && outcome != MARJORAM_ATTEMPT_REFUSED)
+      && outcome != MARJORAM_ATTEMPT_REFUSED
+      && endpoint->silence != MARJORAM_SILENCE_DARK)
     update_mean (&endpoint->failure_share,
                  outcome == MARJORAM_ATTEMPT_SERVED ? 0 : 1);
   destroy_attempt (placement, attempt);
--- a/src/placement.h
+++ b/src/placement.h
@@ -176,6 +176,11 @@
 void marjoram_placement_set_silence (marjoram_placement *placement,
                                      const char *upstream,
                                      enum marjoram_silence silence);
+/* The address of an upstream of this region other than ID that is ready and
+   not silent, a different one for each NUMBER if there are several; null if
+   there is none.  */
+const char *marjoram_placement_find_other (marjoram_placement *placement,
+                                           const char *id, uint64_t number);
 /* The head of an answer to ATTEMPT arrived.  */
 void marjoram_placement_head_received (marjoram_placement *placement,
                                        int64_t now, uint64_t attempt);
--- a/src/placement_silence.c
+++ b/src/placement_silence.c
@@ -19,6 +19,42 @@
     }
 }
 
+/* Whether UPSTREAM may stand for those that are alive.  */
+static bool
+is_sound (const marjoram_placement *placement,
+          const struct marjoram_registered *upstream)
+{
+  const struct marjoram_placement_options *options = &placement->options;
+  const char *region
+      = options->region_of (options->context, upstream->heartbeat.zone);
+  const struct marjoram_endpoint *endpoint;
+
+  HASH_FIND_STR (placement->endpoints, upstream->heartbeat.id, endpoint);
+  return upstream->heartbeat.state == MARJORAM_UPSTREAM_READY && region
+         && strcmp (region, placement->region) == 0
+         && (!endpoint || endpoint->silence == MARJORAM_SILENCE_NONE);
+}
+
+const char *
+marjoram_placement_find_other (marjoram_placement *placement, const char *id,
+                               uint64_t number)
+{
+  struct marjoram_registered_list *all
+      = marjoram_registry_all (placement->options.registry);
+  const struct marjoram_registered *upstream;
+  uint64_t count = 0;
+  uint64_t index = 0;
+
+  TAILQ_FOREACH (upstream, all, link)
+  count += is_sound (placement, upstream)
+           && strcmp (upstream->heartbeat.id, id) != 0;
+  TAILQ_FOREACH (upstream, all, link)
+  if (is_sound (placement, upstream)
+      && strcmp (upstream->heartbeat.id, id) != 0 && index++ == number % count)
+    return upstream->heartbeat.address;
+  return NULL;
+}
+
 void
 marjoram_placement_head_received (marjoram_placement *placement, int64_t now,
                                   uint64_t number)
--- a/src/upstream_check.c
+++ b/src/upstream_check.c
@@ -67,11 +67,13 @@
   enum check_state state;
   int64_t begun_at;     /* check */
   int64_t dark_at;      /* verdict, CHECK_DARK */
+  int64_t withheld_at;  /* verdict; 0: never */
   int64_t next_at;      /* earliest next check */
   int64_t told_until;   /* by another host that it is dark */
   int64_t beat_trusted; /* last time that a heartbeat cleared it; 0: never */
   enum marjoram_silence silence;
   struct probe probes[PROBES];
+  bool is_compared; /* with a connection to another one, in this check */
   UT_hash_handle hh;
 };
 
@@ -81,6 +83,8 @@
   void *context;
   struct upstream *upstreams;
   uint64_t next_probe;
+  struct probe control;        /* a connection to an upstream not in doubt */
+  int64_t control_answered_at; /* 0: never */
   int64_t ticked_at;
   int64_t stalled_until; /* 0: never */
   int64_t input_at;      /* time up to which input has been processed */
@@ -177,7 +181,7 @@
 {
   const struct upstream *upstream;
   const struct upstream *next;
-  int count = 0;
+  int count = checks->control.state == PROBE_PENDING;
 
   HASH_ITER (hh, checks->upstreams, upstream, next)
   {
@@ -196,12 +200,12 @@
 }
 
 static void
-open_probe (marjoram_upstream_checks *checks, struct upstream *upstream,
+open_probe (marjoram_upstream_checks *checks, const char *address,
             struct probe *probe)
 {
   probe->number = ++checks->next_probe;
   probe->state = PROBE_PENDING;
-  checks->ops->open (checks->context, probe->number, upstream->address,
+  checks->ops->open (checks->context, probe->number, address,
                      PROBE_TIMEOUT_MS);
 }
 
@@ -227,8 +231,9 @@
   upstream->state = CHECK_RUNNING;
   upstream->begun_at = now;
   upstream->probes[1].state = PROBE_NONE;
+  upstream->is_compared = false;
   report (checks, upstream, MARJORAM_CHECK_BEGUN);
-  open_probe (checks, upstream, &upstream->probes[0]);
+  open_probe (checks, upstream->address, &upstream->probes[0]);
 }
 
 /* Whether UPSTREAM is silent and not known to be alive, or got its verdict
@@ -242,27 +247,65 @@
   return upstream->waiting > 0 && silent_ms (checks, upstream) >= SILENT_MS;
 }
 
-/* Whether more than half of the upstreams in use seem dark at once: those that
-   do, and those that were heard since the check of UPSTREAM began.  With one
-   upstream in use there is nothing to compare it with; a host without any
-   network is then known by its receive lag.  */
-static bool
-is_own_fault (const marjoram_upstream_checks *checks,
+/* Upstreams in use: those that seem dark, and those that were heard since a
+   check began.  */
+struct in_use
+{
+  int dark;
+  int alive;
+};
+
+static struct in_use
+count_in_use (const marjoram_upstream_checks *checks,
               const struct upstream *upstream, int64_t now)
 {
   const struct upstream *other;
   const struct upstream *next;
-  int dark = 0;
-  int alive = 0;
+  struct in_use count
+      = { .alive = checks->control_answered_at >= upstream->begun_at };
 
   HASH_ITER (hh, checks->upstreams, other, next)
   {
     if (other->heard_at >= upstream->begun_at)
-      alive++;
-    else if (seems_dark (checks, other, now))
-      dark++;
+      count.alive++;
+    else if (seems_dark (checks, other, now) && !is_told (other, now))
+      count.dark++;
   }
-  return dark > 1 && dark > alive;
+  return count;
+}
+
+/* Opens a connection to another upstream if none in use was heard since the
+   check of UPSTREAM began.  */
+static void
+compare (marjoram_upstream_checks *checks, struct upstream *upstream,
+         int64_t now)
+{
+  const char *address;
+
+  if (count_in_use (checks, upstream, now).alive > 0
+      || count_checks (checks) >= CHECKS_MAX)
+    return;
+  upstream->is_compared = checks->control.state == PROBE_PENDING;
+  if (upstream->is_compared)
+    return;
+  address = checks->ops->other (checks->context, upstream->id);
+  if (!address)
+    return;
+  upstream->is_compared = true;
+  open_probe (checks, address, &checks->control);
+}
+
+/* Whether more than half of the upstreams in use seem dark at once.  If
+   UPSTREAM is the only one that there is, nothing can be compared with it; a
+   host without any network is then known by its receive lag.  */
+static bool
+is_own_fault (const marjoram_upstream_checks *checks,
+              const struct upstream *upstream, int64_t now)
+{
+  const struct in_use count = count_in_use (checks, upstream, now);
+
+  return !is_told (upstream, now) && count.dark > count.alive
+         && (count.dark > 1 || upstream->is_compared);
 }
 
 static void
@@ -272,6 +315,7 @@
   if (is_own_fault (checks, upstream, now))
     {
       end_check (upstream, now + CHECK_INTERVAL_MS);
+      upstream->withheld_at = now;
       report (checks, upstream, MARJORAM_CHECK_WITHHELD);
       return;
     }
@@ -301,8 +345,10 @@
     }
   else if (upstream->probes[1].state == PROBE_NONE)
     {
-      if (now >= upstream->begun_at + SECOND_PROBE_MS)
-        open_probe (checks, upstream, &upstream->probes[1]);
+      if (now < upstream->begun_at + SECOND_PROBE_MS)
+        return;
+      open_probe (checks, upstream->address, &upstream->probes[1]);
+      compare (checks, upstream, now);
     }
   else if (is_unanswered (upstream) && silent_ms (checks, upstream) >= DARK_MS)
     judge (checks, upstream, now);
@@ -311,6 +357,18 @@
     end_check (upstream, now);
 }
 
+/* Whether another host confirms the verdict that was withheld a moment ago. */
+static bool
+is_confirmed (const marjoram_upstream_checks *checks,
+              const struct upstream *upstream, int64_t now)
+{
+  return is_told (upstream, now) && upstream->waiting > 0
+         && upstream->withheld_at != 0
+         && now < upstream->withheld_at + RECENT_MS
+         && upstream->heard_at < upstream->begun_at
+         && silent_ms (checks, upstream) >= DARK_MS;
+}
+
 /* Whether a check is wanted, if it may begin.  */
 static bool
 is_doubtful (const marjoram_upstream_checks *checks,
@@ -428,11 +486,13 @@
       if (may_begin (checks, upstream, now))
         {
           upstream->next_at = now + CHECK_INTERVAL_MS;
-          open_probe (checks, upstream, &upstream->probes[0]);
+          open_probe (checks, upstream->address, &upstream->probes[0]);
         }
     }
   else if (upstream->state == CHECK_RUNNING)
     continue_check (checks, upstream, now);
+  else if (is_confirmed (checks, upstream, now))
+    judge (checks, upstream, now);
   else if (is_doubtful (checks, upstream, now)
            && may_begin (checks, upstream, now))
     begin_check (checks, upstream, now);
@@ -510,6 +570,14 @@
   struct upstream *upstream;
   struct upstream *next;
 
+  if (checks->control.state == PROBE_PENDING
+      && checks->control.number == number)
+    {
+      checks->control.state = PROBE_NONE;
+      if (result == MARJORAM_PROBE_OPEN || result == MARJORAM_PROBE_REFUSED)
+        checks->control_answered_at = now;
+      return;
+    }
   HASH_ITER (hh, checks->upstreams, upstream, next)
   {
     for (int i = 0; i < PROBES; i++)
--- a/src/upstream_check.h
+++ b/src/upstream_check.h
@@ -7,10 +7,14 @@
    An upstream that has sent nothing for a while, although this host waits for
    its answers, is checked with up to two connections.  One that opens, or is
    refused or reset, shows that it is alive, however slow.  An upstream is dark
-   if neither is answered and no data arrives meanwhile.  No verdict is given
-   while most upstreams in use seem dark at once, as then the fault is likely
-   to be at this host.  What another host reports leads to a check, never to a
-   verdict.
+   if neither is answered and no data arrives meanwhile.  What another host
+   reports leads to a check, never to a verdict by itself.
+
+   No verdict is given while most upstreams in use seem dark at once, as then
+   the fault is likely to be at this host; if no other is in use, a connection
+   to another one is the comparison.  Upstreams that another host reports too
+   do not count here: as a zone is lost, hosts that use few of its upstreams
+   confirm what others must doubt.
 
    Pure decision logic: events and the time are passed in, operations are
    called back.  */
@@ -79,6 +83,9 @@
                 int64_t timeout_ms);
   void (*event) (void *context, enum marjoram_check_event event,
                  const struct marjoram_checked_upstream *upstream);
+  /* The address of an upstream other than ID that should be alive; null if
+     there is none.  */
+  const char *(*other) (void *context, const char *id);
   /* Called when that changes.  */
   void (*silence) (void *context, const char *id,
                    enum marjoram_silence silence);
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -107,7 +107,8 @@
   EVENT_CRASH,
   EVENT_DONE, /* at the upstream */
   EVENT_FORWARD,
-  EVENT_FORWARD_REFUSED
+  EVENT_FORWARD_REFUSED,
+  EVENT_PROBED /* ATTEMPT is the number of the connection */
 };
 
 struct event
@@ -129,6 +130,7 @@
   const char *retry_after; /* EVENT_ANSWER; null: not stated */
   struct marjoram_request_failure why;
   struct marjoram_forwarded limits;
+  enum marjoram_probe_result result; /* EVENT_PROBED */
 };
 
 STAILQ_HEAD (events, event);
@@ -159,6 +161,8 @@
   int crashing; /* from 1; 0: none */
   int session;
   bool served;
+  bool was_lost;   /* at a dark upstream */
+  int64_t lost_at; /* 0 if sent elsewhere or ended since */
 };
 
 struct fleet
@@ -199,6 +203,12 @@
   double crash_due[FLEET_REGIONS];
   int lives[FLEET_UPSTREAMS];
   int64_t down_until[FLEET_UPSTREAMS];
+  struct marjoram_load_features load;
+  int64_t dark_since[FLEET_UPSTREAMS]; /* 0: it is not dark */
+  int64_t slow_ms[FLEET_UPSTREAMS];    /* 0: as usual */
+  int64_t worst_lost_ms;
+  int lost;
+  int failed_elsewhere;
   int *crashes[CRASHING_MAX];  /* by ms */
   int *arrivals[CRASHING_MAX]; /* by ms */
   int crash_count;
@@ -247,6 +257,24 @@
     node->fleet->sent[node->fleet->ids[call]].served = true;
 }
 
+/* The request was sent elsewhere, or has ended.  */
+static void
+end_loss (struct fleet *fleet, int id)
+{
+  struct sent *sent = &fleet->sent[id];
+
+  if (sent->lost_at != 0 && fleet->now - sent->lost_at > fleet->worst_lost_ms)
+    fleet->worst_lost_ms = fleet->now - sent->lost_at;
+  sent->lost_at = 0;
+}
+
+static void
+fail_request (struct fleet *fleet, int id)
+{
+  end_loss (fleet, id);
+  fleet->failed_elsewhere += !fleet->sent[id].was_lost;
+}
+
 static void
 op_data (void *context, uint64_t call, const void *data, size_t size)
 {
@@ -296,8 +324,10 @@
 static void
 op_abort (void *context, uint64_t call)
 {
-  (void)context;
-  (void)call;
+  const struct node *node = context;
+
+  if (!find_inbound (node->fleet, call))
+    fail_request (node->fleet, node->fleet->ids[call]);
 }
 
 static void
@@ -313,6 +343,7 @@
       return;
     }
   node->refused[node->fleet->now]++;
+  fail_request (node->fleet, node->fleet->ids[call]);
   if (why->status == STATUS_BAD_REQUEST
       && node->fleet->sent[node->fleet->ids[call]].crashing == 0)
     node->fleet->convicted_sound++;
@@ -352,6 +383,35 @@
             &unsent);
 }
 
+/* An attempt at UPSTREAM, which is dark, is lost.  */
+static void
+lose (struct fleet *fleet, int id)
+{
+  struct sent *sent = &fleet->sent[id];
+
+  fleet->lost += !sent->was_lost;
+  sent->was_lost = true;
+  if (sent->lost_at == 0)
+    sent->lost_at = fleet->now;
+}
+
+/* A send to a dark upstream: the first ones go out on connections that are
+   still open.  */
+static void
+send_to_dark (struct node *node, const struct event *event)
+{
+  struct event unsent = *event;
+
+  if (node->kept[event->upstream] > 0)
+    {
+      node->kept[event->upstream]--;
+      lose (node->fleet, event->id);
+      return;
+    }
+  unsent.kind = EVENT_UNSENT;
+  schedule (node->fleet, CONNECT_TIMEOUT_MS, &unsent);
+}
+
 static void
 op_send (void *context, const struct marjoram_http_send *send)
 {
@@ -368,7 +428,9 @@
           .refuses = node->region < FLEET_REGIONS - 1
                      || upstream < FLEET_UPSTREAMS_PER_REGION };
 
-  if (node->cut == FLEET_CUT_NONE)
+  if (node->fleet->dark_since[event.upstream] != 0)
+    send_to_dark (node, &event);
+  else if (node->cut == FLEET_CUT_NONE)
     schedule (node->fleet, UPSTREAM_LINK_MS, &event);
   else
     send_in_cut (node, &event);
@@ -443,6 +505,41 @@
   return 0;
 }
 
+static void
+op_open_probe (void *context, uint64_t probe, const char *address,
+               int64_t timeout_ms)
+{
+  const struct node *node = context;
+  const struct fleet *fleet = node->fleet;
+  const int upstream
+      = index_of (node->region, atoi (strchr (address, ':') + 1));
+  const bool silent
+      = fleet->dark_since[upstream] != 0 || node->cut == FLEET_CUT_SILENT;
+  const bool refused = node->cut == FLEET_CUT_RESET
+                       || fleet->now < fleet->down_until[upstream];
+  const struct event event = { .kind = EVENT_PROBED,
+                               .node = node->index,
+                               .start = node->start,
+                               .attempt = probe,
+                               .result = silent    ? MARJORAM_PROBE_NO_ANSWER
+                                         : refused ? MARJORAM_PROBE_REFUSED
+                                                   : MARJORAM_PROBE_OPEN };
+
+  schedule (node->fleet, silent ? timeout_ms : 2 * UPSTREAM_LINK_MS, &event);
+}
+
+static void
+op_report_dark (void *context, const struct marjoram_dark_report *report)
+{
+  const struct node *node = context;
+  struct fleet *fleet = node->fleet;
+
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    if (i != node->index && fleet->nodes[i].region == node->region)
+      marjoram_gateway_dark_reported (fleet->nodes[i].gateway, fleet->now,
+                                      report);
+}
+
 static const struct marjoram_gateway_ops ops = {
   .reply_head = op_head,
   .reply_data = op_data,
@@ -457,6 +554,8 @@
   .lag_ms = op_lag_ms,
   .tell_origin = op_tell_origin,
   .ask_origin = op_ask_origin,
+  .open_probe = op_open_probe,
+  .report_dark = op_report_dark,
 };
 
 /* ---- Nodes. ---- */
@@ -487,7 +586,8 @@
               .ends_ms = -1,
               .slots = 64 };
 
-      if (node->fleet->now < node->fleet->down_until[index])
+      if (node->fleet->now < node->fleet->down_until[index]
+          || node->fleet->dark_since[index] != 0)
         continue;
       heartbeat.sequence = node->fleet->now + 1;
       snprintf (heartbeat.id, sizeof heartbeat.id, "u%d-%d-%d", node->region,
@@ -531,7 +631,8 @@
 {
   struct marjoram_gateway_options options
       = { .dialect = marjoram_platform_dialect (),
-          .repeats = node->fleet->limits };
+          .repeats = node->fleet->limits,
+          .load = node->fleet->load };
 
   node->start++;
   node->registry = marjoram_registry_create ();
@@ -761,7 +862,8 @@
       = retry_after || is_full (fleet, event)
         || (event->refuses
             && marjoram_random_unit (fleet->random) < fleet->refusals);
-  const int64_t ms = refused ? REFUSE_MS : fleet->serve_ms;
+  const int64_t slow_ms = fleet->slow_ms[event->upstream];
+  const int64_t ms = refused ? REFUSE_MS : slow_ms ? slow_ms : fleet->serve_ms;
   struct event answer = *event;
   struct event done = *event;
   struct event unsent = *event;
@@ -773,7 +875,13 @@
       schedule (fleet, UPSTREAM_LINK_MS, &unsent);
       return;
     }
+  if (fleet->dark_since[event->upstream] != 0)
+    {
+      lose (fleet, event->id);
+      return;
+    }
   count_arrival (fleet, event);
+  end_loss (fleet, event->id);
   fatal.kind = EVENT_CRASH;
   fatal.life = fleet->lives[event->upstream];
   if (fleet->sent[event->id].crashing)
@@ -915,11 +1023,23 @@
       make_request (node->fleet, event->target, event->id), &event->limits);
 }
 
+/* Whether the upstream of the answer fell silent before it was sent.  */
+static bool
+is_lost (const struct fleet *fleet, const struct event *event)
+{
+  const int64_t since = fleet->dark_since[event->upstream];
+
+  return event->kind == EVENT_ANSWER && !event->forwarded && since != 0
+         && fleet->now >= since + UPSTREAM_LINK_MS;
+}
+
 static void
 process_event (struct fleet *fleet, const struct event *event)
 {
   struct node *node = &fleet->nodes[event->node];
 
+  if (is_lost (fleet, event))
+    return;
   if (event->kind == EVENT_ARRIVAL)
     process_arrival (fleet, event);
   else if (event->kind == EVENT_DONE)
@@ -939,6 +1059,9 @@
     process_broken (node, event);
   else if (event->kind == EVENT_FORWARD)
     process_forward (node, event);
+  else if (event->kind == EVENT_PROBED)
+    marjoram_gateway_probed (node->gateway, fleet->now, event->attempt,
+                             event->result);
   else
     marjoram_gateway_forward_refused (node->gateway, fleet->now,
                                       event->attempt, &event->why);
@@ -1357,6 +1480,99 @@
     node->kept[i] = KEPT_CONNECTIONS;
 }
 
+void
+fleet_set_load (struct fleet *fleet, const struct marjoram_load_features *load)
+{
+  fleet->load = *load;
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    marjoram_gateway_set_load (fleet->nodes[i].gateway, load);
+}
+
+/* The answers under way at UPSTREAM, which has just fallen silent, are lost
+   from now on.  */
+static void
+lose_answers (struct fleet *fleet, int upstream)
+{
+  for (int64_t at = fleet->now + UPSTREAM_LINK_MS; at < RUN_MAX_MS; at++)
+    {
+      const struct event *event;
+
+      STAILQ_FOREACH (event, &fleet->events[at], link)
+      if (event->kind == EVENT_ANSWER && !event->forwarded
+          && event->upstream == upstream)
+        lose (fleet, event->id);
+    }
+}
+
+/* Removes what UPSTREAM still had to do as it fell silent.  */
+static void
+drop_answers (struct fleet *fleet, int upstream)
+{
+  for (int64_t at = fleet->now; at < RUN_MAX_MS; at++)
+    {
+      struct event *event;
+      struct event *next;
+
+      for (event = STAILQ_FIRST (&fleet->events[at]); event; event = next)
+        {
+          next = STAILQ_NEXT (event, link);
+          if (event->kind != EVENT_ANSWER || event->forwarded
+              || event->upstream != upstream)
+            continue;
+          STAILQ_REMOVE (&fleet->events[at], event, event, link);
+          free (event);
+        }
+    }
+}
+
+void
+fleet_set_dark (struct fleet *fleet, int region, int upstream, bool dark)
+{
+  const int index = index_of (region, upstream);
+
+  if (dark == (fleet->dark_since[index] != 0))
+    return;
+  if (!dark)
+    {
+      drop_answers (fleet, index);
+      fleet->dark_since[index] = 0;
+      return;
+    }
+  fleet->dark_since[index] = fleet->now;
+  lose_answers (fleet, index);
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    fleet->nodes[i].kept[index] = KEPT_CONNECTIONS;
+}
+
+void
+fleet_set_slow (struct fleet *fleet, int region, int upstream, int64_t ms)
+{
+  fleet->slow_ms[index_of (region, upstream)] = ms;
+}
+
+struct fleet_dark_counts
+fleet_count_dark (const struct fleet *fleet)
+{
+  struct fleet_dark_counts counts = { .lost = fleet->lost,
+                                      .worst_ms = fleet->worst_lost_ms,
+                                      .elsewhere = fleet->failed_elsewhere };
+
+  for (int id = 1; id <= fleet->next_id; id++)
+    counts.waiting += fleet->sent[id].lost_at != 0;
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    {
+      const marjoram_metrics *metrics = fleet->nodes[i].metrics;
+
+      counts.verdicts
+          += marjoram_metrics_get (metrics, MARJORAM_METRIC_UPSTREAMS_DARK);
+      counts.attempts += marjoram_metrics_get (
+          metrics, MARJORAM_METRIC_DARK_ATTEMPTS_ENDED);
+      counts.checks
+          += marjoram_metrics_get (metrics, MARJORAM_METRIC_UPSTREAM_CHECKS);
+    }
+  return counts;
+}
+
 struct fleet_counts
 fleet_count_host (const struct fleet *fleet, int host, int64_t from_ms,
                   int64_t until_ms)
--- a/test/lib_fleet.h
+++ b/test/lib_fleet.h
@@ -6,6 +6,7 @@
 #ifndef MARJORAM_TEST_LIB_FLEET_H
 #define MARJORAM_TEST_LIB_FLEET_H
 
+#include "load_features.h"
 #include "repeat_budget.h"
 
 #include <stdbool.h>
@@ -100,6 +101,31 @@
 /* HOST loses its connections to all upstreams, or gets them back.  Links
    between hosts work.  */
 void fleet_cut_host (struct fleet *fleet, int host, enum fleet_cut cut);
+/* Switches optional decisions on at all hosts.  */
+void fleet_set_load (struct fleet *fleet,
+                     const struct marjoram_load_features *load);
+/* UPSTREAM, from 1, of REGION falls silent as a machine without power does: it
+   answers neither requests nor new connections and sends no heartbeats; or it
+   is back, without what it ran.  */
+void fleet_set_dark (struct fleet *fleet, int region, int upstream, bool dark);
+/* UPSTREAM, from 1, of REGION sends the first data of an answer after MS
+   instead of the usual time; 0: the usual time.  */
+void fleet_set_slow (struct fleet *fleet, int region, int upstream,
+                     int64_t ms);
+/* Requests whose attempt was lost at a dark upstream.  */
+struct fleet_dark_counts
+{
+  int lost;
+  int waiting; /* of these, neither sent elsewhere nor ended yet */
+  /* Longest time from the loss, which is when the upstream fell silent or the
+     request was sent to it, until it was sent elsewhere or ended.  */
+  int64_t worst_ms;
+  int elsewhere; /* requests that failed but never were at a dark upstream */
+  uint64_t verdicts; /* at all hosts */
+  uint64_t attempts; /* ended by verdicts */
+  uint64_t checks;
+};
+struct fleet_dark_counts fleet_count_dark (const struct fleet *fleet);
 /* First attempts of callers at HOST.  */
 struct fleet_counts fleet_count_host (const struct fleet *fleet, int host,
                                       int64_t from_ms, int64_t until_ms);
--- a/test/test_upstream_check.c
+++ b/test/test_upstream_check.c
@@ -135,8 +135,20 @@
     sim->suspected_at = now;
 }
 
-static const struct marjoram_upstream_checks_ops ops
-    = { .open = op_open, .event = op_event, .silence = op_silence };
+static const char *
+op_other (void *context, const char *id)
+{
+  (void)context;
+  for (int i = 0; i < sim_count; i++)
+    if (strcmp (sims[i].id, id) != 0
+        && sims[i].silence == MARJORAM_SILENCE_NONE)
+      return sims[i].address;
+  return NULL;
+}
+
+static const struct marjoram_upstream_checks_ops ops = {
+  .open = op_open, .event = op_event, .other = op_other, .silence = op_silence
+};
 
 static void
 setup (void)
@@ -266,16 +278,35 @@
 }
 END_TEST
 
-/* Guards against no verdict on the only upstream in use, which cannot be
-   compared with others.  */
+/* Guards against no verdict on the only upstream in use, or the only one.  */
 START_TEST (only_upstream_in_use_may_be_dark)
 {
   struct sim *dark = add ();
 
+  if (_i == 1)
+    add ()->awaited = false;
   run_ms (1000);
   go_dark (dark);
   run_ms (1000);
   ck_assert_int_ne (dark->dark_at, 0);
+  ck_assert_int_eq (sims[1].opened, _i); /* for comparison */
+}
+END_TEST
+
+/* Guards against verdicts of a host that uses one upstream and has lost its
+   connections to all.  */
+START_TEST (only_upstream_in_use_is_compared_with_another)
+{
+  struct sim *used = add ();
+  struct sim *other = add ();
+
+  other->awaited = false;
+  run_ms (1000);
+  go_dark (used);
+  go_dark (other);
+  run_ms (5000);
+  ck_assert_int_eq (used->dark_at, 0);
+  ck_assert_int_gt (used->events[MARJORAM_CHECK_WITHHELD], 1);
 }
 END_TEST
 
@@ -425,6 +456,32 @@
 }
 END_TEST
 
+/* Guards against streams at upstreams of a lost zone waiting for TCP at hosts
+   that used mostly these, although other hosts could tell.  */
+START_TEST (other_hosts_confirm_what_this_one_doubts)
+{
+  for (int i = 0; i < 10; i++)
+    add ();
+  run_ms (1000);
+  for (int i = 0; i < 7; i++)
+    go_dark (&sims[i]);
+  run_ms (_i == 0 ? 700 : 1000);
+  for (int i = 0; i < 6; i++)
+    {
+      ck_assert_int_eq (sims[i].dark_at, 0);
+      marjoram_upstream_checks_told (checks, now, sims[i].id, 1);
+    }
+  run_ms (250);
+  for (int i = 0; i < 6; i++)
+    {
+      ck_assert_int_ne (sims[i].dark_at, 0);
+      ck_assert_int_ge (sims[i].dark_at - sims[i].heard_at, 800);
+    }
+  ck_assert_int_eq (sims[6].silence == MARJORAM_SILENCE_DARK,
+                    sims[6].dark_at != 0);
+}
+END_TEST
+
 START_TEST (half_of_the_upstreams_may_go_dark)
 {
   for (int i = 0; i < 10; i++)
@@ -767,7 +824,8 @@
 
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_loop_test (c, dark_upstream_is_found_within_a_second, 0, 8);
-  tcase_add_test (c, only_upstream_in_use_may_be_dark);
+  tcase_add_loop_test (c, only_upstream_in_use_may_be_dark, 0, 2);
+  tcase_add_test (c, only_upstream_in_use_is_compared_with_another);
   tcase_add_test (c, silent_upstream_is_avoided_at_once);
   tcase_add_loop_test (c, slow_upstream_that_answers_connections_is_never_dark,
                        0, 2);
@@ -777,6 +835,7 @@
   tcase_add_test (c, lagging_host_gives_no_verdict);
   tcase_add_test (c, stalled_host_gives_no_verdict);
   tcase_add_test (c, host_that_sees_most_upstreams_silent_gives_no_verdict);
+  tcase_add_loop_test (c, other_hosts_confirm_what_this_one_doubts, 0, 2);
   tcase_add_test (c, half_of_the_upstreams_may_go_dark);
   tcase_add_test (c, connections_that_this_host_cannot_open_are_no_evidence);
   tcase_add_test (c, hearsay_alone_is_no_verdict);
