--- a/src/gateway_check.c
+++ b/src/gateway_check.c
@@ -34,12 +34,10 @@
   marjoram_placement_set_silence (gateway->placement, id, silence);
 }
 
-/* Keeps a verdict until the end of the tick, when all are known.  */
 static void
-add_dark (marjoram_gateway *gateway,
+add_dark (struct marjoram_array *items,
           const struct marjoram_checked_upstream *upstream)
 {
-  struct marjoram_array *items = &gateway->dark.items;
   struct marjoram_dark_item *item;
 
   if (items->count == MARJORAM_DARK_MAX)
@@ -70,7 +68,9 @@
   if (event != MARJORAM_CHECK_DARK)
     return;
   marjoram_metrics_add (metrics, MARJORAM_METRIC_UPSTREAMS_DARK, 1);
-  add_dark (gateway, upstream);
+  add_dark (&gateway->dark.items, upstream);
+  if (!upstream->is_told)
+    add_dark (&gateway->dark_news.items, upstream);
 }
 
 static const struct marjoram_upstream_checks_ops ops = {
@@ -115,6 +115,15 @@
   }
 }
 
+static void
+clear_verdicts (marjoram_gateway *gateway)
+{
+  marjoram_wire_clear (&marjoram_dark_report_layout, &gateway->dark);
+  marjoram_wire_clear (&marjoram_dark_report_layout, &gateway->dark_news);
+  memset (&gateway->dark, 0, sizeof gateway->dark);
+  memset (&gateway->dark_news, 0, sizeof gateway->dark_news);
+}
+
 /* All verdicts of a tick are in force before the first request is repeated,
    so that none is sent to another upstream that is dark.  */
 static void
@@ -124,11 +133,11 @@
 
   if (gateway->dark.items.count == 0)
     return;
-  gateway->ops->report_dark (gateway->context, &gateway->dark);
+  if (gateway->dark_news.items.count > 0)
+    gateway->ops->report_dark (gateway->context, &gateway->dark_news);
   for (size_t i = 0; i < gateway->dark.items.count; i++)
     end_attempts (gateway, now, items[i].upstream);
-  marjoram_wire_clear (&marjoram_dark_report_layout, &gateway->dark);
-  memset (&gateway->dark, 0, sizeof gateway->dark);
+  clear_verdicts (gateway);
 }
 
 /* ---- Checks.  ---- */
@@ -189,7 +198,7 @@
 marjoram_gateway_destroy_checks (marjoram_gateway *gateway)
 {
   marjoram_upstream_checks_destroy (gateway->checks);
-  marjoram_wire_clear (&marjoram_dark_report_layout, &gateway->dark);
+  clear_verdicts (gateway);
 }
 
 void
@@ -217,7 +226,8 @@
 
       if (upstream && upstream->heartbeat.started_at == items[i].started_at)
         marjoram_upstream_checks_told (gateway->checks, now, items[i].upstream,
-                                       items[i].started_at);
+                                       items[i].started_at,
+                                       upstream->heartbeat.address);
     }
 }
 
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -169,8 +169,9 @@
   struct marjoram_exchange *by_call;
   struct marjoram_exchange *by_attempt;
   uint64_t next_attempt;
-  marjoram_upstream_checks *checks; /* null until upstreams are checked */
-  struct marjoram_dark_report dark; /* verdicts of this tick */
+  marjoram_upstream_checks *checks;      /* null until upstreams are checked */
+  struct marjoram_dark_report dark;      /* verdicts of this tick */
+  struct marjoram_dark_report dark_news; /* those that no host has told */
   uint64_t compared; /* checks for which another upstream was named */
 };
 
--- a/src/upstream_check.c
+++ b/src/upstream_check.c
@@ -160,7 +160,8 @@
       = { .id = upstream->id,
           .started_at = upstream->started_at,
           .silent_ms = silent_ms (checks, upstream),
-          .waiting = upstream->waiting };
+          .waiting = upstream->waiting,
+          .is_told = upstream->told_until > checks->ticked_at };
 
   checks->ops->event (checks->context, event, &what);
 }
@@ -336,7 +337,7 @@
 continue_check (marjoram_upstream_checks *checks, struct upstream *upstream,
                 int64_t now)
 {
-  if (upstream->waiting == 0)
+  if (upstream->waiting == 0 && !is_told (upstream, now))
     end_check (upstream, now);
   else if (upstream->heard_at >= upstream->begun_at)
     {
@@ -350,7 +351,9 @@
       open_probe (checks, upstream->address, &upstream->probes[1]);
       compare (checks, upstream, now);
     }
-  else if (is_unanswered (upstream) && silent_ms (checks, upstream) >= DARK_MS)
+  else if (is_unanswered (upstream)
+           && (upstream->waiting == 0
+               || silent_ms (checks, upstream) >= DARK_MS))
     judge (checks, upstream, now);
   else if (!has_pending_probe (upstream)
            && now >= upstream->begun_at + CHECK_INTERVAL_MS)
@@ -374,9 +377,9 @@
 is_doubtful (const marjoram_upstream_checks *checks,
              const struct upstream *upstream, int64_t now)
 {
-  return upstream->waiting > 0
-         && (is_told (upstream, now)
-             || silent_ms (checks, upstream) >= SILENT_MS);
+  return is_told (upstream, now)
+         || (upstream->waiting > 0
+             && silent_ms (checks, upstream) >= SILENT_MS);
 }
 
 static enum marjoram_silence
@@ -595,12 +598,14 @@
 
 void
 marjoram_upstream_checks_told (marjoram_upstream_checks *checks, int64_t now,
-                               const char *id, int64_t started_at)
+                               const char *id, int64_t started_at,
+                               const char *address)
 {
   struct upstream *upstream = find_or_add (checks, now, id, started_at);
 
   if (upstream->state == CHECK_DARK)
     return;
+  set_address (upstream, address);
   upstream->told_until = now + RECENT_MS;
   update_silence (checks, upstream, now);
 }
--- a/src/upstream_check.h
+++ b/src/upstream_check.h
@@ -72,6 +72,7 @@
   int64_t started_at;
   int64_t silent_ms; /* time without data */
   int waiting;       /* requests */
+  bool is_told;      /* by another host that it is dark */
 };
 
 struct marjoram_upstream_checks_ops
@@ -108,10 +109,11 @@
                                       int64_t now, uint64_t probe,
                                       enum marjoram_probe_result result);
 /* Another host reports that the instance of ID that started at STARTED_AT is
-   dark.  */
+   dark.  It is checked at once, also if this host waits for nothing there, as
+   otherwise the first requests would be lost.  */
 void marjoram_upstream_checks_told (marjoram_upstream_checks *checks,
                                     int64_t now, const char *id,
-                                    int64_t started_at);
+                                    int64_t started_at, const char *address);
 /* A keeper heard dark upstream ID at HEARD_AT.  */
 void marjoram_upstream_checks_heard (marjoram_upstream_checks *checks,
                                      int64_t now, const char *id,
