--- a/src/placement_silence.c
+++ b/src/placement_silence.c
@@ -19,10 +19,10 @@
     }
 }
 
-/* Whether UPSTREAM may stand for those that are alive.  */
+/* Whether UPSTREAM, other than ID, should be alive.  */
 static bool
 is_sound (const marjoram_placement *placement,
-          const struct marjoram_registered *upstream)
+          const struct marjoram_registered *upstream, const char *id)
 {
   const struct marjoram_placement_options *options = &placement->options;
   const char *region
@@ -30,7 +30,8 @@
   const struct marjoram_endpoint *endpoint;
 
   HASH_FIND_STR (placement->endpoints, upstream->heartbeat.id, endpoint);
-  return upstream->heartbeat.state == MARJORAM_UPSTREAM_READY && region
+  return strcmp (upstream->heartbeat.id, id) != 0
+         && upstream->heartbeat.state == MARJORAM_UPSTREAM_READY && region
          && strcmp (region, placement->region) == 0
          && (!endpoint || endpoint->silence == MARJORAM_SILENCE_NONE);
 }
@@ -43,14 +44,14 @@
       = marjoram_registry_all (placement->options.registry);
   const struct marjoram_registered *upstream;
   uint64_t count = 0;
-  uint64_t index = 0;
 
   TAILQ_FOREACH (upstream, all, link)
-  count += is_sound (placement, upstream)
-           && strcmp (upstream->heartbeat.id, id) != 0;
+  count += is_sound (placement, upstream, id);
+  if (count == 0)
+    return NULL;
+  number %= count;
   TAILQ_FOREACH (upstream, all, link)
-  if (is_sound (placement, upstream)
-      && strcmp (upstream->heartbeat.id, id) != 0 && index++ == number % count)
+  if (is_sound (placement, upstream, id) && number-- == 0)
     return upstream->heartbeat.address;
   return NULL;
 }
--- a/src/upstream_check.c
+++ b/src/upstream_check.c
@@ -333,17 +333,27 @@
          && upstream->probes[1].state == PROBE_UNANSWERED;
 }
 
+/* Whether the check of UPSTREAM is no longer wanted, or has taken so long that
+   its connections say nothing about now.  */
+static bool
+is_over (const struct upstream *upstream, int64_t now)
+{
+  return (upstream->waiting == 0 && !is_told (upstream, now))
+         || (!has_pending_probe (upstream)
+             && now >= upstream->begun_at + CHECK_INTERVAL_MS);
+}
+
 static void
 continue_check (marjoram_upstream_checks *checks, struct upstream *upstream,
                 int64_t now)
 {
-  if (upstream->waiting == 0 && !is_told (upstream, now))
-    end_check (upstream, now);
-  else if (upstream->heard_at >= upstream->begun_at)
+  if (upstream->heard_at >= upstream->begun_at)
     {
       end_check (upstream, now);
       report (checks, upstream, MARJORAM_CHECK_ALIVE);
     }
+  else if (is_over (upstream, now))
+    end_check (upstream, now);
   else if (upstream->probes[1].state == PROBE_NONE)
     {
       if (now < upstream->begun_at + SECOND_PROBE_MS)
@@ -355,9 +365,6 @@
            && (upstream->waiting == 0
                || silent_ms (checks, upstream) >= DARK_MS))
     judge (checks, upstream, now);
-  else if (!has_pending_probe (upstream)
-           && now >= upstream->begun_at + CHECK_INTERVAL_MS)
-    end_check (upstream, now);
 }
 
 /* Whether another host confirms the verdict that was withheld a moment ago. */
--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "http_server.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -184,7 +185,7 @@
 static void
 fill_queue (int listener, int fillers[FILLERS])
 {
-  struct sockaddr_storage addr;
+  struct sockaddr_storage addr = { 0 };
   socklen_t size = sizeof addr;
 
   if (listen (listener, 0) != 0
@@ -194,7 +195,9 @@
     {
       fillers[i] = socket (addr.ss_family,
                            SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-      connect (fillers[i], (struct sockaddr *)&addr, size);
+      if (connect (fillers[i], (struct sockaddr *)&addr, size) != 0
+          && errno != EINPROGRESS)
+        abort ();
     }
 }
 
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -37,6 +37,7 @@
   LOAD_REPORT_MS = 100,
   CALLER_TIMEOUT_MS = 4000,
   HOST_LINK_MS = 1, /* within a region */
+  CONNECT_MS = 2 * UPSTREAM_LINK_MS,
   CONNECT_TIMEOUT_MS = 600,
   LEAVING_MS = 3000,    /* for requests that callers sent before */
   KEPT_CONNECTIONS = 2, /* of a host to an upstream */
@@ -525,7 +526,7 @@
                                          : refused ? MARJORAM_PROBE_REFUSED
                                                    : MARJORAM_PROBE_OPEN };
 
-  schedule (node->fleet, silent ? timeout_ms : 2 * UPSTREAM_LINK_MS, &event);
+  schedule (node->fleet, silent ? timeout_ms : CONNECT_MS, &event);
 }
 
 static void
--- a/test/test_upstream_check.c
+++ b/test/test_upstream_check.c
@@ -8,6 +8,7 @@
 #include "upstream_check.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -574,7 +575,8 @@
   go_dark (dark);
   run_ms (100);
   tell (dark);
-  run_ms (2 * TICK_MS);
+  run_ms (TICK_MS);
+  run_ms (TICK_MS);
   ck_assert_int_eq (dark->opened, 1);
   run_ms (900);
   ck_assert_int_ge (dark->dark_at - dark->heard_at, 800);
@@ -792,7 +794,9 @@
     {
       filler[i]
           = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      connect (filler[i], (struct sockaddr *)&addr, sizeof addr);
+      ck_assert (connect (filler[i], (struct sockaddr *)&addr, sizeof addr)
+                     == 0
+                 || errno == EINPROGRESS);
     }
   marjoram_connect_probes_open (connections, 7, text, 300);
   ms = wait_for_end ();
--- a/test/test_upstream_dark.c
+++ b/test/test_upstream_dark.c
@@ -3,11 +3,13 @@
 
 #include "lib_gateway.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum
 {
   TICK_MS = 25,
+  SOON_MS = 2 * TICK_MS,
   BEGIN_MS = 10,
   PROBE_TIMEOUT_MS = 300,
   /* After the last data, or after an answer was expected.  */
@@ -77,7 +79,7 @@
 {
   static char address[MARJORAM_ID_MAX];
 
-  strcpy (address, f.seen.address);
+  snprintf (address, sizeof address, "%s", f.seen.address);
   dark = address;
 }
 
@@ -285,7 +287,7 @@
       ck_assert_str_ne (f.seen.address, dark);
     }
   dark = NULL;
-  run_until (now + 2 * TICK_MS);
+  run_until (now + SOON_MS);
   ck_assert_int_ge (f.seen.probes, 1);
   run_until (now + 2000);
   ck_assert_int_eq (f.seen.cuts, 0);
@@ -302,7 +304,7 @@
   tell (dark_id (), start_of (dark_id ()) + 1);
   tell ("nobody", 1);
   tell (NULL, 1);
-  run_until (now + 2 * TICK_MS);
+  run_until (now + SOON_MS);
   ck_assert_int_eq (f.seen.probes, 0);
 }
 END_TEST
@@ -363,7 +365,7 @@
   go_dark ();
   run_until (BEGIN_MS + DARK_WITHIN_MS);
   gateway_fixture_restart (&f, now, dark_id (), start_of (dark_id ()) + 1);
-  run_until (now + 2 * TICK_MS);
+  run_until (now + SOON_MS);
   for (int i = 0; i < 20; i++)
     {
       gateway_fixture_call (&f, now, "/digest/x");
--- a/test/test_upstream_dark_load.c
+++ b/test/test_upstream_dark_load.c
@@ -13,7 +13,8 @@
   DARK_MS = 4000,
   /* Longest wait of a stream at an upstream that goes dark.  */
   WAIT_MAX_MS = 1200,
-  PER_S = 150, /* requests of a region */
+  HALF_PER_S = 75,
+  PER_S = 2 * HALF_PER_S, /* requests of a region */
   SERVE_MS = 200,
   SLOW_MS = 1500, /* of an upstream, to its first data */
   LOST_MIN = 5,   /* requests that a test must concern */
@@ -87,7 +88,7 @@
   struct fleet *fleet = open_fleet (_i, "/once/", &enabled);
   struct fleet_dark_counts counts;
 
-  fleet_set_rate (fleet, 0, PER_S / 2);
+  fleet_set_rate (fleet, 0, HALF_PER_S);
   fleet_run_until (fleet, CALM_MS + 1000);
   for (int i = 1; i <= FLEET_UPSTREAMS_PER_REGION / 2; i++)
     fleet_set_dark (fleet, 0, i, true);
