--- a/test/test_upstream_check.c
+++ b/test/test_upstream_check.c
@@ -45,6 +45,7 @@
   bool sends; /* data each EVENT_MS */
   enum mode mode;
   int lose_probes; /* the next ones, whatever the mode */
+  int64_t late_ms; /* more until others are answered */
   int64_t heard_at;
   int64_t due_at;
   int opened; /* connections */
@@ -100,7 +101,7 @@
   sim->opened++;
   probe->upstream = (int)(sim - sims);
   probe->done = false;
-  probe->ends_at = now + ANSWER_MS;
+  probe->ends_at = now + ANSWER_MS + sim->late_ms;
   probe->result = sim->mode == MODE_REFUSED  ? MARJORAM_PROBE_REFUSED
                   : sim->mode == MODE_FAILED ? MARJORAM_PROBE_FAILED
                                              : MARJORAM_PROBE_OPEN;
@@ -376,6 +377,22 @@
 }
 END_TEST
 
+/* Guards against a verdict before the second connection has had its time.  */
+START_TEST (late_answer_to_the_second_connection_counts)
+{
+  struct sim *slow = add ();
+
+  add ();
+  run_ms (1000);
+  slow->sends = false;
+  slow->lose_probes = 1;
+  slow->late_ms = 298;
+  run_ms (1000);
+  ck_assert_int_eq (slow->dark_at, 0);
+  ck_assert_int_eq (slow->events[MARJORAM_CHECK_ALIVE], 1);
+}
+END_TEST
+
 /* Guards against a verdict on an upstream that drops new connections but
    serves those that are open, as with a full accept queue.  */
 START_TEST (data_ends_a_check)
@@ -868,6 +885,7 @@
   tcase_add_loop_test (c, slow_upstream_that_answers_connections_is_never_dark,
                        0, 2);
   tcase_add_test (c, one_lost_packet_is_no_verdict);
+  tcase_add_test (c, late_answer_to_the_second_connection_counts);
   tcase_add_test (c, data_ends_a_check);
   tcase_add_test (c, answers_that_are_not_due_are_not_missed);
   tcase_add_test (c, lagging_host_gives_no_verdict);
--- a/test/test_upstream_dark.c
+++ b/test/test_upstream_dark.c
@@ -201,6 +201,50 @@
 }
 END_TEST
 
+/* Guards against an upstream that gets nothing after its return because the
+   streams that it lost count as failures of it.  */
+START_TEST (lost_streams_do_not_count_against_an_upstream_that_is_back)
+{
+  const char *lost;
+  int back = 0;
+
+  f.link_up = false;
+  for (int i = 0; i < 20; i++)
+    gateway_fixture_call (&f, now, "/digest/x");
+  go_dark ();
+  lost = dark;
+  run_until (BEGIN_MS + DARK_WITHIN_MS);
+  ck_assert_int_gt (f.seen.refusals, 4);
+  dark = NULL;
+  run_until (BEGIN_MS + DARK_WITHIN_MS + 1200);
+  for (int i = 0; i < 20; i++)
+    {
+      gateway_fixture_prompt (&f, now, "/digest/x", 1000);
+      back += strcmp (f.seen.address, lost) == 0;
+      gateway_fixture_success (&f, now, "Transfer-Encoding", "chunked");
+      gateway_fixture_data (&f, now, "id: 1\ndata: a\n\n");
+      gateway_fixture_end (&f, now, MARJORAM_HTTP_COMPLETE);
+    }
+  ck_assert_int_gt (back, 4);
+}
+END_TEST
+
+/* Guards against a verdict on an upstream that drops new connections but has
+   sent the head of an answer.  */
+START_TEST (head_of_an_answer_is_a_sign_of_life)
+{
+  gateway_fixture_call (&f, now, "/digest/x");
+  go_dark ();
+  run_until (600);
+  ck_assert (gateway_fixture_success (&f, now, NULL, NULL));
+  run_until (600 + 700);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  ck_assert_uint_eq (metric (MARJORAM_METRIC_UPSTREAMS_DARK), 0);
+  run_until (600 + DARK_WITHIN_MS);
+  ck_assert_int_eq (f.seen.refusals, 1);
+}
+END_TEST
+
 START_TEST (requests_avoid_a_silent_upstream_before_the_verdict)
 {
   begin_stream ("/digest/x");
@@ -295,6 +339,18 @@
 }
 END_TEST
 
+/* Guards against hosts that pass reports on, each to all others.  */
+START_TEST (confirmed_report_is_not_passed_on)
+{
+  begin_stream ("/digest/x");
+  go_dark ();
+  tell (dark_id (), start_of (dark_id ()));
+  run_until (BEGIN_MS + DARK_WITHIN_MS);
+  ck_assert_int_eq (f.seen.cuts, 1);
+  ck_assert_int_eq (f.seen.dark_reports, 0);
+}
+END_TEST
+
 /* Guards against reports of an instance that has ended, or of ids that no
    upstream has.  */
 START_TEST (report_of_another_instance_is_ignored)
@@ -389,6 +445,10 @@
   tcase_add_test (c,
                   idempotent_request_goes_to_another_region_if_none_is_left);
   tcase_add_test (c, dark_upstream_gets_no_requests_until_it_answers);
+  tcase_add_test (c,
+                  lost_streams_do_not_count_against_an_upstream_that_is_back);
+  tcase_add_test (c, head_of_an_answer_is_a_sign_of_life);
+  tcase_add_test (c, confirmed_report_is_not_passed_on);
   tcase_add_test (c, requests_avoid_a_silent_upstream_before_the_verdict);
   tcase_add_test (c, stream_of_a_slow_upstream_is_kept);
   tcase_add_test (c, dark_upstream_convicts_no_request);
