--- a/test/test_upstream_dark.c
+++ b/test/test_upstream_dark.c
@@ -215,6 +215,8 @@
   lost = dark;
   run_until (BEGIN_MS + DARK_WITHIN_MS);
   ck_assert_int_gt (f.seen.refusals, 4);
+  for (uint64_t call = 1; call <= 20; call++)
+    marjoram_gateway_caller_disconnected (f.gateway, now, call);
   dark = NULL;
   run_until (BEGIN_MS + DARK_WITHIN_MS + 1200);
   for (int i = 0; i < 20; i++)
