--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -2,12 +2,14 @@
    life cycle), entry_loads.c (load reports to the hosts of the region),
    entry_answer.c (the gateway's operations on callers, upstreams and other
    hosts), entry_room.c (use of capacity by customer), entry_keepers.c (leases
-   and quotas), entry_origin.c (builds that began streams) and entry_frame.c
+   and quotas), entry_origin.c (builds that began streams), entry_check.c
+   (checks of upstreams) and entry_frame.c
    (frames received from other hosts).  */
 #ifndef MARJORAM_ENTRY_PRIVATE_H
 #define MARJORAM_ENTRY_PRIVATE_H
 
 #include "address.h"
+#include "connect_probe.h"
 #include "state_files.h"
 #include "engine_survey.h"
 #include "gateway.h"
@@ -44,6 +46,7 @@
   marjoram_http_server *server;
   marjoram_http_client *client;
   marjoram_engine_survey *survey;
+  marjoram_connect_probes *probes;
   marjoram_state_fetch *fetch;
   int64_t created_at;
   struct marjoram_route_table *table;
@@ -139,6 +142,14 @@
                                      const char *host,
                                      const struct marjoram_room_report *sums);
 
+/* entry_check.c */
+/* Operations of the gateway, see there.  */
+void marjoram_entry_open_probe (void *context, uint64_t probe,
+                                const char *address, int64_t timeout_ms);
+void marjoram_entry_report_dark (void *context,
+                                 const struct marjoram_dark_report *report);
+extern const struct marjoram_connect_probes_ops marjoram_entry_probe_ops;
+
 /* entry_loads.c */
 /* The collector of GROUP, by rendezvous hashing over the serving hosts; null
    if there is none.  */
--- a/src/gateway_report.h
+++ b/src/gateway_report.h
@@ -4,6 +4,7 @@
 #define MARJORAM_GATEWAY_REPORT_H
 
 #include "forward_window.h"
+#include "gateway.h"
 #include "host_list.h"
 #include "ini_key.h"
 #include "keeper.h"
@@ -35,4 +36,7 @@
 /* A keeper's shares of the quotas.  */
 json_t *marjoram_gateway_report_shares (const marjoram_quota_shares *shares);
 
+/* Upstreams that count as dark, and for how long.  */
+json_t *marjoram_gateway_report_dark (marjoram_gateway *gateway, int64_t now);
+
 #endif
