--- a/test/test_upstream_dark_load.c
+++ b/test/test_upstream_dark_load.c
@@ -17,7 +17,7 @@
   PER_S = 2 * HALF_PER_S, /* requests of a region */
   SERVE_MS = 200,
   SLOW_MS = 1500,       /* of an upstream, to its first data */
-  SLOW_ALONE_MS = 4000, /* before another upstream goes dark */
+  SLOW_ALONE_MS = 2000, /* before another upstream goes dark */
   LOST_MIN = 5,         /* requests that a test must concern */
   SEEDS = 6
 };
@@ -131,6 +131,8 @@
   struct fleet *fleet = open_fleet (_i, "/once/", &enabled);
   struct fleet_dark_counts counts;
 
+  /* So many that the slow one is used although others are preferred.  */
+  fleet_set_rate (fleet, 0, 2 * PER_S);
   fleet_set_slow (fleet, 0, 2, SLOW_MS);
   fleet_run_until (fleet, CALM_MS + SLOW_ALONE_MS);
   fleet_set_dark (fleet, 0, 1, true);
