--- a/src/load_features.c
+++ b/src/load_features.c
@@ -3,8 +3,7 @@
 enum
 {
   /* Longest interval between events for which a stream cannot tolerate an
-     engine that is slow, stops answering or preempts it: each of these costs
-     half a second or more.  */
+     engine that stops answering until TCP notices.  */
   SMOOTH_GAP_MS = 500
 };
 
@@ -15,8 +14,6 @@
   features->share_room |= more->share_room;
   features->check_upstreams |= more->check_upstreams;
   features->measured_waits |= more->measured_waits;
-  features->engine_memory |= more->engine_memory;
-  features->engine_speed |= more->engine_speed;
   features->balance_regions |= more->balance_regions;
 }
 
@@ -35,9 +32,6 @@
 struct marjoram_load_features
 marjoram_load_features_of_table (const struct marjoram_route_table *table)
 {
-  const bool smooth = has_smooth_streams (table);
-
-  return (struct marjoram_load_features){ .check_upstreams = smooth,
-                                          .engine_memory = smooth,
-                                          .engine_speed = smooth };
+  return (struct marjoram_load_features){ .check_upstreams
+                                          = has_smooth_streams (table) };
 }
--- a/src/load_features.h
+++ b/src/load_features.h
@@ -11,8 +11,6 @@
   bool share_room;      /* divide a region's capacity between customers */
   bool check_upstreams; /* detect upstreams that stop answering */
   bool measured_waits;  /* queue requests by the measured drain rate */
-  bool engine_memory;   /* admit requests by the memory that they will hold */
-  bool engine_speed;    /* learn the speed of each engine */
   bool balance_regions; /* limit forwarding by what other regions accept */
 };
 
