--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -675,10 +675,13 @@
 
   if (!is_balanced (gateway) || !exchange->forwarded_out)
     return;
-  if (is_for_capacity (why->reason))
-    marjoram_forwarded_request_refused (&exchange->forward, now);
   host
       = marjoram_host_list_find (gateway->options.place.hosts, exchange->host);
+  /* A host of this region, to which it was relayed.  */
+  if (host && strcmp (host->heartbeat.region, gateway->region) == 0)
+    return;
+  if (is_for_capacity (why->reason))
+    marjoram_forwarded_request_refused (&exchange->forward, now);
   snprintf (exchange->refused_region, sizeof exchange->refused_region, "%s",
             host ? host->heartbeat.region : "?");
 }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -80,8 +80,9 @@
 {
   int64_t work; /* 0 until it was counted as wanted */
   enum marjoram_room_verdict verdict;
-  int part;         /* per cent of the share in use; -1: unknown */
-  int64_t sort_key; /* part of the waiter's */
+  int part;             /* per cent of the share in use; -1: unknown */
+  int64_t sort_key;     /* part of the waiter's */
+  uint64_t sort_number; /* of the last sorting of the queue that met it */
 };
 
 /* What measured waits need to know about a request.  */
@@ -208,6 +209,7 @@
   marjoram_shortages *shortages;
   marjoram_forward_windows *windows;
   marjoram_room_share *room;
+  uint64_t room_sorts; /* of the queue, by the customers' shares */
   marjoram_key_lease *lease;
   marjoram_quota_pool *quotas;
   marjoram_stream_origins *origins;   /* of streams of this host's callers */
--- a/src/gateway_rate.c
+++ b/src/gateway_rate.c
@@ -58,13 +58,16 @@
 
 /* ---- Measurement. ---- */
 
-/* Upstreams that start requests, now or once they have room.  */
+/* Upstreams that start requests of the service, now or once they have room.
+   Those of another build than this request's serve others.  */
 static int
 count_serving (const struct marjoram_place *chosen)
 {
   const int *excluded = chosen->excluded;
 
-  return chosen->candidates - excluded[MARJORAM_EXCLUDED_UNREACHABLE]
+  return chosen->candidates + excluded[MARJORAM_EXCLUDED_BUILD]
+         - excluded[MARJORAM_EXCLUDED_UNREACHABLE]
+         - excluded[MARJORAM_EXCLUDED_DARK]
          - excluded[MARJORAM_EXCLUDED_REPLACED]
          - excluded[MARJORAM_EXCLUDED_COLD]
          - excluded[MARJORAM_EXCLUDED_REPORTED_LOST];
--- a/src/gateway_room.c
+++ b/src/gateway_room.c
@@ -80,12 +80,29 @@
              : MARJORAM_ROOM_WITHIN;
 }
 
+/* Moves the exchange in the queue, if it is there, by the change of its part
+   of the sort key.  */
+static void
+set_key (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+         int64_t sort_key)
+{
+  struct marjoram_waiter *waiter = &exchange->waiter;
+  const int64_t change = sort_key - exchange->room.sort_key;
+
+  exchange->room.sort_key = sort_key;
+  if (!waiter->queued || change == 0)
+    return;
+  marjoram_wait_queue_remove (gateway->queue, waiter);
+  waiter->sort_key += change;
+  marjoram_wait_queue_add (gateway->queue, waiter);
+}
+
 static void
 update_verdict (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
                 int64_t now)
 {
   exchange->room.verdict = find_verdict (gateway, exchange, now);
-  exchange->room.sort_key = sort_key_of (exchange);
+  set_key (gateway, exchange, sort_key_of (exchange));
 }
 
 void
@@ -99,7 +116,7 @@
   if (!is_enabled (gateway))
     {
       room->verdict = MARJORAM_ROOM_UNKNOWN;
-      room->sort_key = 0;
+      set_key (gateway, exchange, 0);
       return;
     }
   if (room->work == 0)
@@ -202,7 +219,9 @@
     }
   marjoram_room_share_add_refused (gateway->room, now, exchange->service,
                                    exchange->customer);
-  if (usual_ms > WITHIN_RETRY_MAX_MS)
+  /* A measured rate tells better when capacity is expected.  */
+  if (usual_ms > WITHIN_RETRY_MAX_MS
+      && !marjoram_gateway_measures_waits (gateway))
     return WITHIN_RETRY_MAX_MS;
   return longer (usual_ms, RETRY_MIN_MS);
 }
@@ -227,35 +246,30 @@
               int64_t now)
 {
   struct marjoram_exchange *exchange = waiter->owner;
-  const int64_t old_key = exchange->room.sort_key;
-
   update_verdict (gateway, exchange, now);
   if (exchange->room.verdict != MARJORAM_ROOM_OVER)
     marjoram_room_share_add_waiting (gateway->room, now, exchange->service,
                                      exchange->customer, exchange->room.work);
-  if (exchange->room.sort_key == old_key)
-    return;
-  marjoram_wait_queue_remove (gateway->queue, waiter);
-  waiter->sort_key += exchange->room.sort_key - old_key;
-  marjoram_wait_queue_add (gateway->queue, waiter);
 }
 
 void
 marjoram_gateway_sort_queue (marjoram_gateway *gateway, int64_t now)
 {
-  const int64_t count = marjoram_wait_queue_count (gateway->queue);
+  const uint64_t number = ++gateway->room_sorts;
   struct marjoram_waiter *waiter = marjoram_wait_queue_first (gateway->queue);
 
   if (!is_enabled (gateway))
     return;
   marjoram_room_share_clear_waiting (gateway->room);
-  /* Those that come over their share are met again behind the others, which
-     COUNT leaves out.  */
-  for (int64_t i = 0; waiter && i < count; i++)
+  while (waiter)
     {
       struct marjoram_waiter *next = marjoram_wait_queue_next (waiter);
+      struct marjoram_exchange *exchange = waiter->owner;
 
-      update_order (gateway, waiter, now);
+      /* Those that move back are met again.  */
+      if (exchange->room.sort_number != number)
+        update_order (gateway, waiter, now);
+      exchange->room.sort_number = number;
       waiter = next;
     }
 }
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -288,9 +288,10 @@
     return;
   retry_ms = marjoram_shortages_retry_ms (gateway->shortages, now,
                                           exchange->service, chosen->retry_ms);
-  retry_ms = marjoram_exchange_return_ms (gateway, exchange, now, retry_ms);
+  retry_ms
+      = marjoram_exchange_room_retry_ms (gateway, exchange, now, retry_ms);
   refuse (gateway, exchange, now, refusal_reason (chosen),
-          marjoram_exchange_room_retry_ms (gateway, exchange, now, retry_ms));
+          marjoram_exchange_return_ms (gateway, exchange, now, retry_ms));
 }
 
 static void
@@ -326,7 +327,9 @@
                  const struct marjoram_place *chosen, int64_t time_left_ms)
 {
   const int64_t sort_key
-      = marjoram_wait_queue_sort_key (exchange->priority, exchange->target_at);
+      = marjoram_wait_queue_sort_key (exchange->priority, exchange->target_at)
+        + marjoram_exchange_room_key (exchange)
+        - marjoram_exchange_precedence_ms (gateway, exchange, now);
   int64_t here_ms;
 
   if (chosen->outcome == MARJORAM_PLACE_NONE)
--- a/src/gateway_wait.c
+++ b/src/gateway_wait.c
@@ -146,17 +146,17 @@
   marjoram_exchange_record_short (gateway, exchange, now, chosen);
   if (waiter->queued)
     return keep_waiting (gateway, exchange, now, chosen);
-  if (!may_get_place (exchange, chosen)
-      || is_known_too_late (chosen, now, latest_start (exchange, chosen))
-      || marjoram_wait_queue_count (gateway->queue)
-             >= marjoram_exchange_queue_max (exchange, QUEUE_MAX))
-    return false;
   waiter->owner = exchange;
   waiter->service = exchange->service;
   waiter->start_by = latest_start (exchange, chosen);
   waiter->sort_key = sort_key_of (gateway, exchange, now, chosen);
-  exchange->queued_since = now;
   waiter->tokens = marjoram_exchange_work (gateway, chosen);
+  if (!may_get_place (exchange, chosen)
+      || is_known_too_late (chosen, now, waiter->start_by)
+      || marjoram_wait_queue_count (gateway->queue)
+             >= marjoram_exchange_queue_max (exchange, QUEUE_MAX))
+    return false;
+  exchange->queued_since = now;
   if (!is_interrupted (exchange)
       && marjoram_exchange_check_join (gateway, exchange, now, &may_join))
     {
--- a/src/queue_rate.c
+++ b/src/queue_rate.c
@@ -292,8 +292,14 @@
           sums->wanted[j] += (double)bucket->wanted[j];
         }
     }
+  /* Starts that upstreams refused are taken back, also those from before the
+     window.  */
+  if (sums->starts < 0)
+    sums->starts = 0;
   for (int j = 0; j < CLASSES; j++)
     {
+      if (sums->tokens[j] < 0)
+        sums->tokens[j] = 0;
       sums->all_tokens += sums->tokens[j];
       sums->all_wanted += sums->wanted[j];
     }
@@ -500,7 +506,10 @@
                                const struct marjoram_retry_query *query)
 {
   struct service *service = find_or_add (rates, query->service);
-  const int64_t max = query->time_left_ms / TIME_LEFT_PART;
+  /* A request that is refused just after its deadline has less than no time
+     left.  */
+  const int64_t max
+      = query->time_left_ms > 0 ? query->time_left_ms / TIME_LEFT_PART : 0;
   int64_t msec = MARJORAM_QUEUE_RETRY_MIN_MS;
 
   if (query->at_least_ms > msec)
--- a/test/test_queue_rate.c
+++ b/test/test_queue_rate.c
@@ -134,6 +134,19 @@
 }
 END_TEST
 
+/* Guards against a negative rate, by which all requests would be refused:
+   upstreams may refuse what was started before the window.  */
+START_TEST (more_refused_than_started_is_a_rate_of_zero)
+{
+  run (0, 2100, &normal, 0);
+  for (int i = 0; i < 10; i++)
+    marjoram_queue_rates_started (rates, "lm", &normal, -TOKENS);
+  marjoram_queue_rates_short (rates, 2125, "lm", UPSTREAMS);
+  marjoram_queue_rates_short (rates, 2150, "lm", UPSTREAMS);
+  ck_assert_double_eq (marjoram_queue_rates_per_s (rates, 2150, "lm"), 0);
+}
+END_TEST
+
 /* Guards against requests that are held for the 2 s in which the measured rate
    follows a loss of upstreams.  */
 START_TEST (rate_follows_lost_upstreams_at_once)
@@ -234,6 +247,20 @@
 }
 END_TEST
 
+/* Guards against a division by zero and times of years: a request may be
+   refused some ms after its deadline.  */
+START_TEST (retry_after_the_deadline_is_at_once)
+{
+  for (int64_t left_ms = -200; left_ms <= 0; left_ms++)
+    {
+      struct marjoram_retry_query query = retry_query ("late", left_ms);
+
+      query.excess_ms = 500;
+      ck_assert_int_eq (marjoram_queue_rates_retry_ms (rates, 0, &query), 1);
+    }
+}
+END_TEST
+
 START_TEST (retry_is_not_before_the_expected_room)
 {
   struct marjoram_retry_query query = retry_query ("id", 12000);
@@ -346,6 +373,8 @@
   tcase_add_test (c, urgent_arrivals_lengthen_the_wait);
   tcase_add_test (c, urgent_arrivals_that_take_all_room);
   tcase_add_test (c, retry_is_within_its_bounds);
+  tcase_add_test (c, more_refused_than_started_is_a_rate_of_zero);
+  tcase_add_test (c, retry_after_the_deadline_is_at_once);
   tcase_add_test (c, retry_is_not_before_the_expected_room);
   tcase_add_test (c, refused_callers_are_spread_by_the_rate);
   tcase_add_test (c, returned_callers_delay_nobody);
