--- a/test/test_upstream_dark_load.c
+++ b/test/test_upstream_dark_load.c
@@ -132,7 +132,7 @@
   struct fleet_dark_counts counts;
 
   /* So many that the slow one is used although others are preferred.  */
-  fleet_set_rate (fleet, 0, PER_S * 3 / 2);
+  fleet_set_rate (fleet, 0, 1.5 * PER_S);
   fleet_set_slow (fleet, 0, 2, SLOW_MS);
   fleet_run_until (fleet, CALM_MS + SLOW_ALONE_MS);
   fleet_set_dark (fleet, 0, 1, true);
