--- a/src/gateway.c
+++ b/src/gateway.c
@@ -289,7 +289,8 @@
       "rate_limited=%d retry_after=%d full=%d other_build=%d "
       "news_age_ms=%" PRId64
       " limit=%s framing=%s unfinished=%zu events=%d quiet_ms=%" PRId64
-      " pause_ms=%" PRId64 " route=%s service=%s customer=%s config=%" PRIu64
+      " pause_ms=%" PRId64
+      " route=%s service=%s customer=%s priority=%d config=%" PRIu64
       " upstream=%s build=%s host=%s arrivals=%d unreached=%d forwarded=%d"
       " last_event=%s resumes=%s share=%s part=%d%s",
       *exchange->metadata.id ? exchange->metadata.id : "-", outcome,
@@ -310,8 +311,8 @@
       since_last_event_ms (exchange, now), exchange->longest_gap_ms,
       *exchange->route ? exchange->route : "-",
       *exchange->service ? exchange->service : "-",
-      *exchange->customer ? exchange->customer : "-", exchange->config,
-      *exchange->upstream ? exchange->upstream : "-",
+      *exchange->customer ? exchange->customer : "-", exchange->priority,
+      exchange->config, *exchange->upstream ? exchange->upstream : "-",
       *exchange->build ? exchange->build : "-",
       *exchange->host ? exchange->host : "-", exchange->attempts_sent,
       exchange->failed_connections, exchange->forwarded,
