--- a/review/2/client_2.c
+++ b/review/3/client_3.c
@@ -1,4 +1,4 @@
-/* Clients and operator of case 2.  CLIENTS clients on each of two entry hosts
+/* Clients and operator of case 3.  CLIENTS clients on each of two entry hosts
    send status changes (non_idempotent), each on a connection that it keeps.
    Once a second a client asks for a screen refresh (idempotent) with a query
    of QUERY_SIZE bytes.  With TROUBLE=1 the operator empties the hosts' zone
@@ -268,7 +268,7 @@
   return true;
 }
 
-/* client_2 CONTROL FRONT...: the first two are the hosts under test.  */
+/* client_3 CONTROL FRONT...: the first two are the hosts under test.  */
 int
 main (int argc, char **argv)
 {
