Keeper: an owner may make requests from its callback for answers

Cause: complete () called ops->answered before it took the request out of the list. An evacuation that lost against another one of the same version is applied again from within that callback; marjoram_keeper_apply calls marjoram_keeper_answer_decided, which found the same request still in the list, completed it once more and freed it; the outer call freed it again. answer_decided and expire_requests also kept a pointer to the next request over the callback.

Change: the request leaves the list before the callback. Calls that the owner makes from it only add requests; the call in progress answers or proposes them, so that no attempt starts in the middle of learning a value, where it would mark reads as older than it is. Each walk searches from the start after a callback.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -5,30 +5,48 @@
 
 #include <string.h>
 
+/* Calls that the owner makes from its callback only add requests, which the
+   call in progress processes.  */
 static void
 complete (marjoram_keeper *keeper, struct marjoram_keeper_request *request,
           const struct marjoram_apply_answer *response)
 {
-  keeper->ops->answered (keeper->context, request->request, response);
+  const uint64_t number = request->request;
+
   marjoram_keeper_requests_remove (&keeper->requests, request);
+  keeper->answering = true;
+  keeper->ops->answered (keeper->context, number, response);
+  keeper->answering = false;
 }
 
+/* Returns a request that the chosen state decides, with its answer; null if
+   there is none.  */
+static struct marjoram_keeper_request *
+find_decided (marjoram_keeper *keeper, struct marjoram_apply_answer *response,
+              char *text)
+{
+  const struct marjoram_state *state = marjoram_value_state (keeper->chosen);
+  struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (marjoram_keeper_request_decided (request, state, response, text))
+    return request;
+  return NULL;
+}
+
+/* Searches from the start each time, as the functions below do, since the
+   owner may add requests when it gets an answer.  */
 void
 marjoram_keeper_answer_decided (marjoram_keeper *keeper)
 {
-  struct marjoram_keeper_request *request = TAILQ_FIRST (&keeper->requests);
+  struct marjoram_keeper_request *request;
+  struct marjoram_apply_answer response;
+  char text[MARJORAM_ANSWER_TEXT_MAX];
 
-  while (request && keeper->chosen)
-    {
-      struct marjoram_keeper_request *next = TAILQ_NEXT (request, link);
-      struct marjoram_apply_answer response;
-      char text[MARJORAM_ANSWER_TEXT_MAX];
-
-      if (marjoram_keeper_request_decided (
-              request, marjoram_value_state (keeper->chosen), &response, text))
-        complete (keeper, request, &response);
-      request = next;
-    }
+  if (keeper->answering || !keeper->chosen)
+    return;
+  while ((request = find_decided (keeper, &response, text)) != NULL)
+    complete (keeper, request, &response);
 }
 
 /* Returns a read that the round of confirmation ROUND confirms or, if ROUND is
@@ -45,8 +63,6 @@
   return NULL;
 }
 
-/* Searches from the start each time, since the owner may add and complete
-   requests when it gets an answer.  */
 static void
 answer_reads (marjoram_keeper *keeper, uint64_t round)
 {
@@ -139,10 +155,19 @@
     marjoram_keeper_start_attempt (keeper);
 }
 
+static void
+advance_requests (marjoram_keeper *keeper)
+{
+  marjoram_keeper_answer_decided (keeper);
+  start_attempt_if_needed (keeper);
+}
+
 void
 marjoram_keeper_process_pending (marjoram_keeper *keeper)
 {
-  start_attempt_if_needed (keeper);
+  if (keeper->answering)
+    return;
+  advance_requests (keeper);
   while (!STAILQ_EMPTY (&keeper->inbox))
     {
       struct marjoram_keeper_envelope *envelope
@@ -153,7 +178,7 @@
       envelope->store_id = marjoram_strdup (keeper->store_id);
       dispatch (keeper, envelope);
       marjoram_keeper_envelope_destroy (envelope);
-      start_attempt_if_needed (keeper);
+      advance_requests (keeper);
     }
   marjoram_keeper_deliver_chosen (keeper);
   marjoram_keeper_flush (keeper);
@@ -446,26 +471,39 @@
   return "no majority of the keepers answered in time";
 }
 
+static bool
+has_expired (const marjoram_keeper *keeper,
+             const struct marjoram_keeper_request *request)
+{
+  const int64_t writes_ms
+      = request->read ? marjoram_keeper_decision_ms (keeper) : 0;
+
+  return keeper->now >= request->deadline + writes_ms;
+}
+
+static struct marjoram_keeper_request *
+find_expired (const marjoram_keeper *keeper)
+{
+  struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (has_expired (keeper, request))
+    return request;
+  return NULL;
+}
+
 static void
 expire_requests (marjoram_keeper *keeper)
 {
-  struct marjoram_keeper_request *request = TAILQ_FIRST (&keeper->requests);
+  struct marjoram_keeper_request *request;
+  struct marjoram_apply_answer response;
+  char text[MARJORAM_ANSWER_TEXT_MAX];
 
-  while (request)
+  while ((request = find_expired (keeper)) != NULL)
     {
-      struct marjoram_keeper_request *next = TAILQ_NEXT (request, link);
-      int64_t writes_ms
-          = request->read ? marjoram_keeper_decision_ms (keeper) : 0;
-      struct marjoram_apply_answer response;
-      char text[MARJORAM_ANSWER_TEXT_MAX];
-
-      if (keeper->now >= request->deadline + writes_ms)
-        {
-          marjoram_keeper_request_expire (
-              request, timeout_reason (keeper, request), &response, text);
-          complete (keeper, request, &response);
-        }
-      request = next;
+      marjoram_keeper_request_expire (
+          request, timeout_reason (keeper, request), &response, text);
+      complete (keeper, request, &response);
     }
 }
 
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -53,7 +53,8 @@
   void (*persist) (void *context, uint64_t ticket, marjoram_bytes *record);
   /* STATE is known to be chosen.  Numbers increase from call to call.  */
   void (*chosen) (void *context, const struct marjoram_state *state);
-  /* Completes one apply, read or membership change; called once for each.  */
+  /* Completes one apply, read or membership change; called once for each.
+     May start others.  ANSWER is valid during the call.  */
   void (*answered) (void *context, uint64_t request,
                     const struct marjoram_apply_answer *answer);
   /* Whether STATE is a valid configuration.  */
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -107,6 +107,7 @@
 
   struct marjoram_keeper_peers peers;
   struct marjoram_keeper_requests requests;
+  bool answering; /* the owner is in its callback for an answer */
   struct marjoram_keeper_envelopes
       pending_replies;                    /* waiting for a disk write */
   struct marjoram_keeper_envelopes inbox; /* from this keeper to itself */
