Links: requests and answers of any allowed size pass between hosts

A request with more than 64 headers was never forwarded, so that one whose home is another region was refused for ever.

Cause: the limits of frames were lower than those of callers, upstreams and configurations, and packing a field above its limit ended the process.

Change: path, names and values may take the whole header section, 64 KiB, and as many fields as that holds; upstreams' heads have the same limit. Bodies of answers are sent in pieces of 64 KiB. A configuration with higher limits of callers (64 KiB, 16 MiB) or longer names of services is refused with the value; one that an earlier release accepted is capped. A message over a limit of its layout is not packed, and the host logs the field and its size instead of ending. A head that only the parser's own count ends is answered 431, not 400.

--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -8,7 +8,8 @@
 enum
 {
   MSEC_PER_SEC = 1000,
-  NUMBER_TEXT_MAX = 32
+  NUMBER_TEXT_MAX = 32,
+  PIECE_MAX = 64 * 1024 /* bytes of a body in one frame */
 };
 
 /* ---- Responses to callers and to other hosts.  ---- */
@@ -62,25 +63,37 @@
     }
 }
 
+/* Sends BYTES in frames of limited size, between which others can be sent.  */
 static void
-op_reply_data (void *context, uint64_t call, const void *bytes, size_t size)
+reply_pieces (struct marjoram_entry *self, struct marjoram_inbound *inbound,
+              const char *bytes, size_t size)
 {
-  struct marjoram_entry *self = context;
-  struct marjoram_inbound *inbound = find_inbound (self, call);
-
-  if (!(call & MARJORAM_FORWARDED_CALL))
-    marjoram_http_server_data (self->server, call, bytes, size);
-  else if (inbound && size > 0)
+  while (size > 0)
     {
+      const size_t piece = size < PIECE_MAX ? size : PIECE_MAX;
       struct marjoram_data data = { inbound->request, inbound->offset,
-                                    marjoram_bytes_create (bytes, size) };
+                                    marjoram_bytes_create (bytes, piece) };
 
-      inbound->offset += size;
       reply (self, inbound, MARJORAM_FRAME_DATA, &data);
       marjoram_bytes_release (data.bytes);
+      inbound->offset += piece;
+      bytes += piece;
+      size -= piece;
     }
 }
 
+static void
+op_reply_data (void *context, uint64_t call, const void *bytes, size_t size)
+{
+  struct marjoram_entry *self = context;
+  struct marjoram_inbound *inbound = find_inbound (self, call);
+
+  if (!(call & MARJORAM_FORWARDED_CALL))
+    marjoram_http_server_data (self->server, call, bytes, size);
+  else if (inbound)
+    reply_pieces (self, inbound, bytes, size);
+}
+
 static void
 finish_inbound (struct marjoram_entry *self, uint64_t call,
                 const struct marjoram_request_failure *how)
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -151,12 +151,20 @@
 
 /* ---- Configuration.  ---- */
 
+static size_t
+at_most (int64_t bytes, size_t max)
+{
+  return bytes < (int64_t)max ? (size_t)bytes : max;
+}
+
 static void
 set_http_limits (struct marjoram_entry *self)
 {
   const struct marjoram_caller_rule *callers = &self->table->callers;
+  /* A configuration that an earlier release accepted may have higher ones.  */
   const struct marjoram_http_limits limits
-      = { (size_t)callers->head_bytes, (size_t)callers->body_bytes,
+      = { at_most (callers->head_bytes, MARJORAM_HEAD_MAX),
+          at_most (callers->body_bytes, MARJORAM_BODY_MAX),
           callers->head_timeout_ms, callers->idle_timeout_ms };
 
   marjoram_http_server_set_limits (self->server, &limits);
--- a/src/frame.c
+++ b/src/frame.c
@@ -19,7 +19,6 @@
   ADDRESS_MAX = 64,
   DIGEST_MAX = 64,
   NONCE_MAX = 64,
-  PATH_MAX_BYTES = 2048,
   MESSAGE_MAX = 512
 };
 
@@ -70,9 +69,8 @@
 LAYOUT (renewals_layout, marjoram_renewals, renewals_fields);
 
 static const struct marjoram_field header_fields[] = {
-  { MARJORAM_WIRE_STRING (struct marjoram_header, name, MARJORAM_NAME_MAX) },
-  { MARJORAM_WIRE_STRING (struct marjoram_header, value,
-                          MARJORAM_HEADER_VALUE_MAX) },
+  { MARJORAM_WIRE_STRING (struct marjoram_header, name, MARJORAM_HEAD_MAX) },
+  { MARJORAM_WIRE_STRING (struct marjoram_header, value, MARJORAM_HEAD_MAX) },
 };
 LAYOUT (header_layout, marjoram_header, header_fields);
 
@@ -84,9 +82,9 @@
   { MARJORAM_WIRE_STRING (struct marjoram_forward, work, MARJORAM_NAME_MAX) },
   { MARJORAM_WIRE_STRING (struct marjoram_forward, method,
                           MARJORAM_NAME_MAX) },
-  { MARJORAM_WIRE_STRING (struct marjoram_forward, path, PATH_MAX_BYTES) },
+  { MARJORAM_WIRE_STRING (struct marjoram_forward, path, MARJORAM_HEAD_MAX) },
   { MARJORAM_WIRE_ARRAY (struct marjoram_forward, headers,
-                         MARJORAM_HEADERS_MAX, &header_layout) },
+                         MARJORAM_HEAD_FIELDS_MAX, &header_layout) },
   { MARJORAM_WIRE_BYTES (struct marjoram_forward, body, MARJORAM_BODY_MAX) },
   { MARJORAM_WIRE_STRING (struct marjoram_forward, digest, DIGEST_MAX) },
   { MARJORAM_WIRE_STRING (struct marjoram_forward, key, MARJORAM_KEY_MAX) },
@@ -108,8 +106,8 @@
 static const struct marjoram_field head_fields[] = {
   { MARJORAM_WIRE_UINT (struct marjoram_head, request) },
   { MARJORAM_WIRE_UINT (struct marjoram_head, status) },
-  { MARJORAM_WIRE_ARRAY (struct marjoram_head, headers, MARJORAM_HEADERS_MAX,
-                         &header_layout) },
+  { MARJORAM_WIRE_ARRAY (struct marjoram_head, headers,
+                         MARJORAM_HEAD_FIELDS_MAX, &header_layout) },
   { MARJORAM_WIRE_STRING (struct marjoram_head, upstream, MARJORAM_NAME_MAX) },
   { MARJORAM_WIRE_STRING (struct marjoram_head, build, MARJORAM_ID_MAX) },
 };
@@ -246,9 +244,15 @@
   marjoram_bytes *packed = marjoram_wire_pack (layouts[type], message);
   size_t size = marjoram_bytes_size (packed);
   uint32_t length = (uint32_t)size + 1;
-  uint8_t *frame = marjoram_alloc (size + MARJORAM_FRAME_HEADER);
+  uint8_t *frame;
   marjoram_bytes *bytes;
 
+  if (!packed || size >= MARJORAM_FRAME_MAX)
+    {
+      marjoram_bytes_release (packed);
+      return NULL;
+    }
+  frame = marjoram_alloc (size + MARJORAM_FRAME_HEADER);
   for (int i = 0; i < 4; i++)
     frame[i] = (uint8_t)(length >> (24 - 8 * i));
   frame[4] = (uint8_t)type;
--- a/src/frame.h
+++ b/src/frame.h
@@ -68,6 +68,12 @@
   MARJORAM_FRAME_MAX = 24 * 1024 * 1024,
   MARJORAM_BODY_MAX = 16 * 1024 * 1024,
   MARJORAM_RENEWALS_MAX = 1024,
+  /* Header section of a request or response, in bytes.  */
+  MARJORAM_HEAD_MAX = 64 * 1024,
+  /* More fields than a header section of that size has, at 5 bytes for the
+     shortest one.  */
+  MARJORAM_HEAD_FIELDS_MAX = MARJORAM_HEAD_MAX / 4,
+  /* Requests to zone hosts, and responses to these.  */
   MARJORAM_HEADERS_MAX = 64,
   MARJORAM_HEADER_VALUE_MAX = 8192, /* bytes */
   /* Total size of the operators' files, as a state is sent in one frame.  */
@@ -234,7 +240,8 @@
 marjoram_frame_layout (enum marjoram_frame_type type);
 /* The type of a packed frame.  */
 enum marjoram_frame_type marjoram_frame_type_of (const marjoram_bytes *frame);
-/* Returns a complete frame, header included.  */
+/* Returns a complete frame, header included; null if MESSAGE exceeds a limit
+   of its layout or of a frame.  */
 marjoram_bytes *marjoram_frame_pack (enum marjoram_frame_type type,
                                      const void *message);
 
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -52,11 +52,6 @@
       marjoram_header_list_add (&headers, request->headers.items[i].name,
                                 request->headers.items[i].value);
   gateway->options.dialect->ops->write_run (&metadata, &headers);
-  if (headers.count > MARJORAM_HEADERS_MAX)
-    {
-      marjoram_header_list_clear (&headers);
-      return false;
-    }
   marjoram_exchange_start_attempt (gateway, exchange, now);
   forward.request = exchange->attempt;
   forward.id = exchange->metadata.id;
--- a/src/host_heartbeats.c
+++ b/src/host_heartbeats.c
@@ -125,7 +125,7 @@
   if (audience >= AUDIENCE_HOME)
     heartbeat.follow = marjoram_host_links_follow (links, link);
   packed->frames[audience]
-      = marjoram_frame_pack (MARJORAM_FRAME_HOST_BEAT, &heartbeat);
+      = marjoram_host_links_pack (MARJORAM_FRAME_HOST_BEAT, &heartbeat);
   return packed->frames[audience];
 }
 
--- a/src/host_links.c
+++ b/src/host_links.c
@@ -493,10 +493,26 @@
                                : MARJORAM_LOCALITY_OTHER;
 }
 
+marjoram_bytes *
+marjoram_host_links_pack (enum marjoram_frame_type type, const void *message)
+{
+  marjoram_bytes *frame = marjoram_frame_pack (type, message);
+  struct marjoram_error err = { .message = "the frame is too large" };
+
+  if (frame)
+    return frame;
+  marjoram_wire_check (marjoram_frame_layout (type), message, &err);
+  marjoram_event (MARJORAM_EVENT_LINK, "frame=dropped type=%d why=\"%s\"",
+                  (int)type, err.message);
+  return NULL;
+}
+
 void
 marjoram_host_links_write (marjoram_host_links *links, const char *host,
                            uint64_t number, const marjoram_bytes *frame)
 {
+  if (!frame)
+    return;
   marjoram_link_traffic_add (&links->traffic, marjoram_frame_type_of (frame),
                              locality_of (links, host),
                              marjoram_bytes_size (frame));
@@ -530,21 +546,22 @@
 marjoram_host_links_send (marjoram_host_links *links, const char *host,
                           enum marjoram_frame_type type, const void *message)
 {
-  if (!marjoram_host_links_is_up (links, host))
-    return false;
-  marjoram_host_links_reply (links, host, 0, type, message);
-  return true;
+  return marjoram_host_links_is_up (links, host)
+         && marjoram_host_links_reply (links, host, 0, type, message);
 }
 
-void
+bool
 marjoram_host_links_reply (marjoram_host_links *links, const char *host,
                            uint64_t session, enum marjoram_frame_type type,
                            const void *message)
 {
   marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
-      = marjoram_frame_pack (type, message);
+      = marjoram_host_links_pack (type, message);
 
+  if (!frame)
+    return false;
   marjoram_host_links_write (links, host, session, frame);
+  return true;
 }
 
 void
@@ -553,7 +570,7 @@
                                const void *message)
 {
   marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
-      = marjoram_frame_pack (type, message);
+      = marjoram_host_links_pack (type, message);
   struct marjoram_host_session *session;
 
   TAILQ_FOREACH (session, &links->sessions, next)
@@ -588,10 +605,12 @@
                                const void *message)
 {
   marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
-      = marjoram_frame_pack (type, message);
+      = marjoram_host_links_pack (type, message);
   struct marjoram_host_session *session;
   size_t count = 0;
 
+  if (!frame)
+    return 0;
   TAILQ_FOREACH (session, &links->sessions, next)
   {
     const struct marjoram_listed_host *host
@@ -623,7 +642,7 @@
                 enum marjoram_frame_type type, const void *message)
 {
   marjoram_auto (marjoram_bytes_cleanup) marjoram_bytes *frame
-      = marjoram_frame_pack (type, message);
+      = marjoram_host_links_pack (type, message);
   const char *region = links->settings->region;
   struct marjoram_host_link *link;
 
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -53,13 +53,14 @@
 int64_t marjoram_host_links_lag (const marjoram_host_links *links);
 /* Bytes of frames that were not yet written to a socket.  */
 size_t marjoram_host_links_unsent_bytes (const marjoram_host_links *links);
-/* Sends over this host's own link to HOST; returns false if it is not up.  */
+/* Sends over this host's own link to HOST; returns false if it is not up or
+   MESSAGE exceeds a limit of its layout.  */
 bool marjoram_host_links_send (marjoram_host_links *links, const char *host,
                                enum marjoram_frame_type type,
                                const void *message);
 /* Sends over SESSION, which HOST opened, or over this host's own link if
-   SESSION is 0.  */
-void marjoram_host_links_reply (marjoram_host_links *links, const char *host,
+   SESSION is 0.  Returns false if MESSAGE exceeds a limit of its layout.  */
+bool marjoram_host_links_reply (marjoram_host_links *links, const char *host,
                                 uint64_t session,
                                 enum marjoram_frame_type type,
                                 const void *message);
--- a/src/host_links_private.h
+++ b/src/host_links_private.h
@@ -77,8 +77,11 @@
 marjoram_host_links_session (marjoram_host_links *links, const char *host);
 struct marjoram_host_session *
 marjoram_host_links_add_session (marjoram_host_links *links, const char *host);
+/* Returns null, and logs why, if MESSAGE exceeds a limit of its layout.  */
+marjoram_bytes *marjoram_host_links_pack (enum marjoram_frame_type type,
+                                          const void *message);
 /* Sends a packed frame over the session NUMBER from HOST, or over the link to
-   HOST if NUMBER is 0.  */
+   HOST if NUMBER is 0.  Does nothing if FRAME is null.  */
 void marjoram_host_links_write (marjoram_host_links *links, const char *host,
                                 uint64_t number, const marjoram_bytes *frame);
 int64_t marjoram_host_links_now (const marjoram_host_links *links);
--- a/src/http_reader.c
+++ b/src/http_reader.c
@@ -232,6 +232,10 @@
     }
   if (reader->result != MARJORAM_HTTP_READ_OK)
     return reader->result;
+  /* The parser also counts what no callback gets, such as spaces before
+     values and chunk extensions.  */
+  if (error == HPE_HEADER_OVERFLOW)
+    return MARJORAM_HTTP_HEAD_TOO_LARGE;
   return error == HPE_OK && !reader->parser.upgrade ? MARJORAM_HTTP_READ_OK
                                                     : MARJORAM_HTTP_MALFORMED;
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -153,8 +153,17 @@
                const void *message)
 {
   marjoram_bytes *frame = marjoram_frame_pack (type, message);
+  struct marjoram_error err = { .message = "the frame is too large" };
 
-  session_write_packed (session, frame);
+  if (frame)
+    session_write_packed (session, frame);
+  else
+    {
+      marjoram_wire_check (marjoram_frame_layout (type), message, &err);
+      marjoram_log (MARJORAM_LOG_WARNING, "message to %s dropped: %s",
+                    session->slot ? session->slot : "an unknown host",
+                    err.message);
+    }
   marjoram_bytes_release (frame);
 }
 
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -1,8 +1,11 @@
 #include "route_table.h"
 
 #include "cleanup.h"
+#include "dialect.h"
+#include "frame.h"
 #include "state.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <strings.h>
 #include <xxhash.h>
@@ -263,6 +266,47 @@
   return check_unique_keys (table, err);
 }
 
+static bool
+check_services (const struct marjoram_route_table *table,
+                struct marjoram_error *err)
+{
+  for (size_t i = 0; i < table->services.count; i++)
+    {
+      const char *name = SERVICES (table)[i].name;
+      const size_t length = strlen (name);
+
+      if (length >= MARJORAM_ID_MAX)
+        return marjoram_error_set (err, MARJORAM_ERROR_LIMIT,
+                                   "service %.32s... has a name of %zu bytes; "
+                                   "use %d at most",
+                                   name, length, MARJORAM_ID_MAX - 1);
+    }
+  return true;
+}
+
+static bool
+check_size (const char *what, int64_t bytes, int64_t max,
+            struct marjoram_error *err)
+{
+  if (bytes >= 0 && bytes <= max)
+    return true;
+  return marjoram_error_set (err, MARJORAM_ERROR_LIMIT,
+                             "the limit of a request's %s is %" PRId64
+                             " bytes; use 0 to %" PRId64,
+                             what, bytes, max);
+}
+
+/* Requests within the limits of callers must fit into frames between
+   hosts.  */
+static bool
+check_callers (const struct marjoram_caller_rule *callers,
+               struct marjoram_error *err)
+{
+  return check_size ("header section", callers->head_bytes, MARJORAM_HEAD_MAX,
+                     err)
+         && check_size ("body", callers->body_bytes, MARJORAM_BODY_MAX, err);
+}
+
 bool
 marjoram_route_table_check (const struct marjoram_route_table *table,
                             struct marjoram_error *err)
@@ -279,7 +323,9 @@
       if (!check_prefix (route, err) || !check_targets (table, route, err))
         return false;
     }
-  return check_unique (table, err) && check_customers (table, err);
+  return check_unique (table, err) && check_services (table, err)
+         && check_callers (&table->callers, err)
+         && check_customers (table, err);
 }
 
 static bool
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -101,8 +101,9 @@
 
 void marjoram_route_table_destroy (struct marjoram_route_table *table);
 /* Validates TABLE: all referenced services exist, no two routes have the same
-   host and prefix, weights do not add up to 0, timeouts are positive, and no
-   two customers share a name or a key.  Errors do not contain keys.  */
+   host and prefix, weights do not add up to 0, timeouts are positive, names
+   and the limits of callers fit into frames between hosts, and no two
+   customers share a name or a key.  Errors do not contain keys.  */
 bool marjoram_route_table_check (const struct marjoram_route_table *table,
                                  struct marjoram_error *err);
 /* The route of HOST, with or without a port, with the longest prefix of
--- a/src/wire.c
+++ b/src/wire.c
@@ -5,19 +5,71 @@
 #include <msgpack.h>
 #include <string.h>
 
-static void pack_struct (msgpack_packer *packer,
-                         const struct marjoram_layout *layout,
-                         const char *base);
+/* ---- Limits.  ---- */
 
-static void
-require_limit (size_t size, size_t limit)
+static size_t
+size_of (const struct marjoram_field *field, const char *member)
 {
-  if (size > limit)
-    abort ();
+  const char *text;
+
+  switch (field->kind)
+    {
+    case MARJORAM_FIELD_STRING:
+      text = *(char *const *)member;
+      return text ? strlen (text) : 0;
+    case MARJORAM_FIELD_BYTES:
+      return marjoram_bytes_size (*(marjoram_bytes *const *)member);
+    case MARJORAM_FIELD_ARRAY:
+      return ((const struct marjoram_array *)member)->count;
+    default:
+      return 0;
+    }
 }
 
+static bool
+check_items (const struct marjoram_field *field,
+             const struct marjoram_array *array, struct marjoram_error *err)
+{
+  const char *item = array->items;
+
+  for (size_t i = 0; i < array->count; i++, item += field->layout->size)
+    if (!marjoram_wire_check (field->layout, item, err))
+      return false;
+  return true;
+}
+
+bool
+marjoram_wire_check (const struct marjoram_layout *layout, const void *message,
+                     struct marjoram_error *err)
+{
+  for (size_t i = 0; i < layout->field_count; i++)
+    {
+      const struct marjoram_field *field = &layout->fields[i];
+      const char *member = (const char *)message + field->offset;
+      const size_t size = size_of (field, member);
+
+      if (size > field->limit)
+        return marjoram_error_set (
+            err, MARJORAM_ERROR_LIMIT,
+            "field %zu of message type %s has %zu %s; at most %zu are allowed",
+            i, layout->name, size,
+            field->kind == MARJORAM_FIELD_ARRAY ? "items" : "bytes",
+            field->limit);
+      if (field->kind == MARJORAM_FIELD_ARRAY
+          && !check_items (field, (const struct marjoram_array *)member, err))
+        return false;
+    }
+  return true;
+}
+
+/* ---- Packing.  ---- */
+
+static void pack_struct (msgpack_packer *packer,
+                         const struct marjoram_layout *layout,
+                         const char *base);
+
 static void
-pack_string (msgpack_packer *packer, const char *text, size_t limit)
+pack_string (msgpack_packer *packer, const char *text)
 {
   size_t size;
 
@@ -27,13 +79,12 @@
       return;
     }
   size = strlen (text);
-  require_limit (size, limit);
   msgpack_pack_str (packer, size);
   msgpack_pack_str_body (packer, text, size);
 }
 
 static void
-pack_bytes (msgpack_packer *packer, const marjoram_bytes *bytes, size_t limit)
+pack_bytes (msgpack_packer *packer, const marjoram_bytes *bytes)
 {
   size_t size = marjoram_bytes_size (bytes);
 
@@ -42,7 +93,6 @@
       msgpack_pack_nil (packer);
       return;
     }
-  require_limit (size, limit);
   msgpack_pack_bin (packer, size);
   msgpack_pack_bin_body (packer, marjoram_bytes_data (bytes), size);
 }
@@ -53,7 +103,6 @@
 {
   const char *item = array->items;
 
-  require_limit (array->count, field->limit);
   msgpack_pack_array (packer, array->count);
   for (size_t i = 0; i < array->count; i++, item += field->layout->size)
     pack_struct (packer, field->layout, item);
@@ -78,10 +127,10 @@
         msgpack_pack_false (packer);
       break;
     case MARJORAM_FIELD_STRING:
-      pack_string (packer, *(char *const *)member, field->limit);
+      pack_string (packer, *(char *const *)member);
       break;
     case MARJORAM_FIELD_BYTES:
-      pack_bytes (packer, *(marjoram_bytes *const *)member, field->limit);
+      pack_bytes (packer, *(marjoram_bytes *const *)member);
       break;
     case MARJORAM_FIELD_ARRAY:
       pack_array (packer, (const struct marjoram_array *)member, field);
@@ -105,6 +154,8 @@
   msgpack_packer packer;
   marjoram_bytes *bytes;
 
+  if (!marjoram_wire_check (layout, message, NULL))
+    return NULL;
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   pack_struct (&packer, layout, message);
--- a/src/wire.h
+++ b/src/wire.h
@@ -61,7 +61,10 @@
 #define MARJORAM_WIRE_ARRAY(type, member, limit, layout)                      \
   MARJORAM_FIELD_ARRAY, offsetof (type, member), limit, layout
 
-/* Aborts if a field exceeds its limit; callers must check limits before.  */
+/* Whether no field of MESSAGE exceeds its limit; sets ERR if one does.  */
+bool marjoram_wire_check (const struct marjoram_layout *layout,
+                          const void *message, struct marjoram_error *err);
+/* Returns null if a field exceeds its limit.  */
 marjoram_bytes *marjoram_wire_pack (const struct marjoram_layout *layout,
                                     const void *message);
 /* Returns a new message, or null with ERR set if DATA has the wrong types,
--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -38,6 +38,9 @@
   ADDRESS_MAX = 64,
   PATH_MAX_BYTES = 256,
   KEEPERS_MAX = 8,
+  HEAD_BYTES_MAX = 128 * 1024,
+  BODY_BYTES_MAX = 16 * 1024 * 1024,
+  READ_TIMEOUT_MS = 15000,
   MSEC_PER_SEC = 1000
 };
 
@@ -237,6 +240,11 @@
 /* Likewise, of the program whose answer says that it leaves.  */
 #define LEAVING "leaving-"
 #define SHED_RETRY_AFTER "3" /* seconds */
+/* Before the size in bytes of a header's value, the number of headers or the
+   size of the body that the answer has.  */
+#define VALUE "value-"
+#define FIELDS "fields-"
+#define BODY "body-"
 
 static void
 add_response_headers (struct marjoram_header_list *headers, const char *id,
@@ -399,6 +407,45 @@
   reply_with (replica, call, 503, id, "", "Retry-After", SHED_RETRY_AFTER);
 }
 
+/* The number after WHAT in the target; 0 if it is not there.  */
+static size_t
+target_size (const struct marjoram_http_request *request, const char *what)
+{
+  const char *name = strstr (request->target, what);
+
+  return name ? strtoul (name + strlen (what), NULL, 10) : 0;
+}
+
+static char *
+make_text (size_t size)
+{
+  char *text = marjoram_alloc (size + 1);
+
+  memset (text, 'x', size);
+  return text;
+}
+
+static void
+reply_sized (struct replica *replica, uint64_t call, const char *id,
+             const struct marjoram_http_request *request)
+{
+  const size_t fields = target_size (request, FIELDS);
+  const size_t size = target_size (request, BODY);
+  marjoram_auto_free char *value = make_text (target_size (request, VALUE));
+  marjoram_auto_free char *body = make_text (size);
+  struct marjoram_header_list headers = { 0 };
+
+  add_response_headers (&headers, id, true);
+  marjoram_header_list_add (&headers, "X-Value", value);
+  for (size_t i = 0; i < fields; i++)
+    marjoram_header_list_add (&headers, "X-Field", "1");
+  marjoram_http_server_head (replica->server, call, 200, &headers,
+                             (int64_t)size);
+  marjoram_http_server_data (replica->server, call, body, size);
+  marjoram_http_server_end (replica->server, call);
+  marjoram_header_list_clear (&headers);
+}
+
 static void
 handle_request (struct replica *replica, uint64_t call,
                 const struct marjoram_http_request *request, const char *id)
@@ -428,6 +475,8 @@
     reply_with (replica, call, 200, id, replica->id, "Server-Leaving", "1");
   else if (target_contains (request, "stray"))
     reply (replica, call, 200, "another", "not yours");
+  else if (target_contains (request, "sized-"))
+    reply_sized (replica, call, id, request);
   else if (target_contains (request, "/stream/"))
     start_stream (replica, call, id,
                   marjoram_header_list_get (headers, "Last-Event-Id"),
@@ -549,6 +598,8 @@
 main (int argc, char **argv)
 {
   struct replica replica = { .clock = marjoram_clock_system () };
+  const struct marjoram_http_limits limits
+      = { HEAD_BYTES_MAX, BODY_BYTES_MAX, READ_TIMEOUT_MS, READ_TIMEOUT_MS };
   struct timeval every = marjoram_clock_timeval (BEAT_MS);
   struct marjoram_error err = { 0 };
 
@@ -571,6 +622,7 @@
       fprintf (stderr, "fake_replica: %s\n", err.message);
       return EXIT_FAILURE;
     }
+  marjoram_http_server_set_limits (replica.server, &limits);
   replica.heartbeat
       = event_new (replica.base, -1, EV_PERSIST, on_heartbeat_timer, &replica);
   event_add (replica.heartbeat, &every);
--- a/test/test_header.c
+++ b/test/test_header.c
@@ -41,8 +41,8 @@
 }
 END_TEST
 
-/* Packing a header above the frame limit aborts the process, so oversized
-   headers must be detected before.  */
+/* A message with a header above the limit is not sent to other hosts, so
+   oversized headers must be detected before.  */
 START_TEST (oversized_header_does_not_fit)
 {
   char value[MARJORAM_HEADER_VALUE_MAX + 2];
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -60,6 +60,48 @@
 }
 END_TEST
 
+static void
+check_limit (const struct sample *sample, const char *wrong)
+{
+  struct marjoram_error err = { 0 };
+  marjoram_bytes *packed = marjoram_wire_pack (&sample_layout, sample);
+
+  ck_assert_int_eq (packed != NULL, wrong == NULL);
+  ck_assert_int_eq (marjoram_wire_check (&sample_layout, sample, &err),
+                    wrong == NULL);
+  if (wrong)
+    ck_assert_msg (strstr (err.message, wrong), "%s", err.message);
+  marjoram_bytes_release (packed);
+}
+
+/* Guards against a process that ends because a field exceeds its limit.  */
+START_TEST (field_over_its_limit_is_not_packed)
+{
+  static const uint8_t bytes[4096];
+  static struct item items[300];
+  struct sample at = { (char *)"12345678",
+                       0,
+                       false,
+                       marjoram_bytes_create (bytes, 16),
+                       { items, 2 } };
+  struct sample name = at;
+  struct sample body = at;
+  struct sample list = at;
+
+  check_limit (&at, NULL);
+  name.name = (char *)"123456789";
+  check_limit (&name, "9 bytes; at most 8");
+  body.body = marjoram_bytes_create (bytes, sizeof bytes);
+  check_limit (&body, "4096 bytes; at most 16");
+  list.items.count = 3;
+  check_limit (&list, "3 items; at most 2");
+  list.items.count = 300;
+  check_limit (&list, "300 items; at most 2");
+  marjoram_bytes_release (at.body);
+  marjoram_bytes_release (body.body);
+}
+END_TEST
+
 /* An array header that declares 2^32-1 elements must be rejected before memory
    is allocated for them.  */
 START_TEST (refuses_length_bomb)
@@ -128,6 +170,7 @@
   TCase *c = tcase_create ("wire");
 
   tcase_add_test (c, unpack_restores_packed_message);
+  tcase_add_test (c, field_over_its_limit_is_not_packed);
   tcase_add_test (c, refuses_length_bomb);
   tcase_add_test (c, reserved_frame_types_are_ignored);
   tcase_add_test (c, refuses_deep_nesting);
