Calls to upstreams and queries of engines: bounded answers, and a deadline

Hosts held what an upstream answered to an order, a probe or another call without a limit, and a query of an engine's cached prompts lasted as long as the engine sent bytes or kept the connection open.

Cause: evhttp's limits of heads and bodies are off unless they are set, which only the pool of upstreams did; the survey stopped storing after 1 MiB, but read on, and had no deadline.

Change: 64 KiB each for the head and the body of a call, of which only the status and Retry-After are used; 64 MiB for a report to marjoramctl; a query is given up at 1 MiB, at a refusal with a body, and after 5 s.

Measured on the code before: answers_over_the_limits_are_given_up fails for 4 of 5 sizes ("status_seen == 503", the answer was held whole), query_without_end_is_given_up for 2 of 2; now all pass under ASan and UBSan.

--- a/src/blocking_call.c
+++ b/src/blocking_call.c
@@ -9,6 +9,12 @@
 #include <event2/http.h>
 #include <string.h>
 
+enum
+{
+  HEAD_BYTES_MAX = 64 * 1024,
+  BODY_BYTES_MAX = 64 * 1024 * 1024 /* above any report */
+};
+
 struct exchange
 {
   struct event_base *base;
@@ -49,6 +55,8 @@
   exchange.base = event_base_new ();
   connection = evhttp_connection_base_new (exchange.base, NULL, ip, port);
   evhttp_connection_set_timeout_tv (connection, &timeout);
+  evhttp_connection_set_max_headers_size (connection, HEAD_BYTES_MAX);
+  evhttp_connection_set_max_body_size (connection, BODY_BYTES_MAX);
   request = evhttp_request_new (on_response, &exchange);
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host", ip);
   if (call->body)
--- a/src/engine_survey.c
+++ b/src/engine_survey.c
@@ -16,7 +16,8 @@
   /* Response size limit in bytes.  */
   ANSWER_MAX = 1024 * 1024,
   /* Queries sent between two ticks.  */
-  QUERIES_PER_TICK = 4
+  QUERIES_PER_TICK = 4,
+  QUERY_LIMIT_MS = 5000
 };
 
 struct query
@@ -25,12 +26,14 @@
   char engine[MARJORAM_ID_MAX];
   bool is_valid;         /* response is valid so far */
   struct evbuffer *body; /* NULL once completed */
+  int64_t deadline;
   UT_hash_handle by_number;
   UT_hash_handle by_engine;
 };
 
 struct marjoram_engine_survey
 {
+  struct marjoram_clock *clock;
   const struct marjoram_dialect *dialect;
   const struct marjoram_engine_survey_ops *ops;
   void *context;
@@ -70,6 +73,15 @@
   survey->pending--;
 }
 
+static void
+give_up (marjoram_engine_survey *survey, struct query *query, const char *why)
+{
+  marjoram_event (MARJORAM_EVENT_UPSTREAM, "id=%s survey=%s", query->engine,
+                  why);
+  end_query (survey, query);
+  marjoram_http_client_cancel (survey->client, query->number);
+}
+
 static bool
 on_head (void *context, uint64_t number, int status,
          struct marjoram_header_list *headers)
@@ -85,12 +97,15 @@
 static void
 on_data (void *context, uint64_t number, const char *data, size_t size)
 {
-  struct query *query = find_pending (context, number);
+  marjoram_engine_survey *survey = context;
+  struct query *query = find_pending (survey, number);
 
-  if (!query || !query->is_valid)
+  if (!query)
     return;
-  if (evbuffer_get_length (query->body) + size > ANSWER_MAX)
-    query->is_valid = false;
+  if (!query->is_valid)
+    give_up (survey, query, "refused");
+  else if (evbuffer_get_length (query->body) + size > ANSWER_MAX)
+    give_up (survey, query, "too-large");
   else
     evbuffer_add (query->body, data, size);
 }
@@ -157,6 +172,7 @@
 {
   marjoram_engine_survey *survey = marjoram_alloc (sizeof *survey);
 
+  survey->clock = clock;
   survey->dialect = dialect;
   survey->ops = ops;
   survey->context = context;
@@ -205,6 +221,7 @@
   query->number = ++survey->next_number;
   snprintf (query->engine, sizeof query->engine, "%s", engine);
   query->body = evbuffer_new ();
+  query->deadline = marjoram_clock_now (survey->clock) + QUERY_LIMIT_MS;
   HASH_ADD (by_number, survey->queries, number, sizeof query->number, query);
   HASH_ADD (by_engine, survey->by_engine, engine, strlen (query->engine),
             query);
@@ -215,10 +232,26 @@
   marjoram_bytes_release (send.message);
 }
 
+static void
+end_late_queries (marjoram_engine_survey *survey)
+{
+  const int64_t now = marjoram_clock_now (survey->clock);
+  struct query *query;
+  struct query *next;
+
+  HASH_ITER (by_number, survey->queries, query, next)
+  {
+    if (query->body && now >= query->deadline)
+      give_up (survey, query, "too-late");
+  }
+}
+
 void
 marjoram_engine_survey_tick (marjoram_engine_survey *survey)
 {
   survey->sent = 0;
+  if (survey->pending > 0)
+    end_late_queries (survey);
   /* No lag has been measured yet on a newly started host.  */
   marjoram_http_client_tick (survey->client, 0);
 }
--- a/src/upstream_call.c
+++ b/src/upstream_call.c
@@ -10,6 +10,13 @@
 #include <string.h>
 #include <sys/queue.h>
 
+enum
+{
+  /* Limits of a response, of which only the status and Retry-After count.  */
+  HEAD_BYTES_MAX = 64 * 1024,
+  BODY_BYTES_MAX = 64 * 1024
+};
+
 struct upstream_call
 {
   marjoram_upstream_calls *calls;
@@ -33,9 +40,16 @@
   char ip[MARJORAM_IP_MAX];
   uint16_t port;
 
+  struct evhttp_connection *connection;
+
   if (!marjoram_address_split (address, ip, &port))
     return NULL;
-  return evhttp_connection_base_new (base, NULL, ip, port);
+  connection = evhttp_connection_base_new (base, NULL, ip, port);
+  if (!connection)
+    return NULL;
+  evhttp_connection_set_max_headers_size (connection, HEAD_BYTES_MAX);
+  evhttp_connection_set_max_body_size (connection, BODY_BYTES_MAX);
+  return connection;
 }
 
 static void
--- a/test/test_engine_survey.c
+++ b/test/test_engine_survey.c
@@ -13,7 +13,8 @@
 
 enum
 {
-  LIMIT_MS = 5000
+  LIMIT_MS = 8000,
+  LARGE_BYTES = 2 * 1024 * 1024 /* over the limit of an answer */
 };
 
 static struct event_base *base;
@@ -21,6 +22,7 @@
 static marjoram_engine_survey *survey;
 static char address[64];
 static const char *answer;
+static bool without_end; /* more than ANSWER is announced */
 static int query_count;
 static int reported;
 static size_t reported_count;
@@ -36,9 +38,11 @@
   ck_assert_str_eq (request->target, "/-/kv-list");
   query_count++;
   marjoram_http_server_head (engine, call, 200, &headers,
-                             (int64_t)strlen (answer));
+                             without_end ? INT32_MAX
+                                         : (int64_t)strlen (answer));
   marjoram_http_server_data (engine, call, answer, strlen (answer));
-  marjoram_http_server_end (engine, call);
+  if (!without_end)
+    marjoram_http_server_end (engine, call);
   marjoram_http_request_destroy (request);
 }
 
@@ -181,6 +185,27 @@
 }
 END_TEST
 
+/* Guards against queries that last as long as an engine sends bytes or keeps
+   the connection open.  */
+START_TEST (query_without_end_is_given_up)
+{
+  const bool is_silent = _i == 1;
+  const int64_t begun = marjoram_clock_now (marjoram_clock_system ());
+
+  without_end = true;
+  answer = is_silent ? "" : marjoram_alloc (LARGE_BYTES + 1);
+  if (!is_silent)
+    memset ((char *)answer, ' ', LARGE_BYTES);
+  marjoram_engine_survey_query (survey, "e1", address);
+  run_until (is_over);
+  ck_assert_int_eq (reported, 0);
+  if (!is_silent)
+    ck_assert_int_lt (marjoram_clock_now (marjoram_clock_system ()),
+                      begun + LIMIT_MS / 2);
+  without_end = false;
+}
+END_TEST
+
 /* Guards against a host that opens a connection to each engine at once.  */
 START_TEST (queries_are_paced)
 {
@@ -212,11 +237,13 @@
   Suite *s = suite_create ("engine_survey");
   TCase *c = tcase_create ("engine_survey");
 
+  tcase_set_timeout (c, 2 * LIMIT_MS / 1000);
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, cached_parts_are_reported);
   tcase_add_test (c, malformed_entries_are_skipped);
   tcase_add_test (c, response_without_list_is_ignored);
   tcase_add_test (c, unreachable_engine_ends_query);
+  tcase_add_loop_test (c, query_without_end_is_given_up, 0, 2);
   tcase_add_test (c, queries_are_paced);
   suite_add_tcase (s, c);
   return s;
--- a/test/test_upstream_call.c
+++ b/test/test_upstream_call.c
@@ -1,12 +1,16 @@
 /* Tests of calls to upstreams, with a server of its own.  */
 #include "suite.h"
 
+#include "cleanup.h"
 #include "retry_after.h"
 #include "upstream_call.h"
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/socket.h>
 
 enum
@@ -23,10 +27,32 @@
 static int status_seen;
 static int64_t retry_ms_seen;
 
+static size_t head_bytes; /* of one header of the answer; 0: without it */
+static size_t body_bytes;
+
+static void
+add_bytes (struct evhttp_request *request)
+{
+  struct evbuffer *body = evhttp_request_get_output_buffer (request);
+  char *text = marjoram_alloc (
+      (head_bytes > body_bytes ? head_bytes : body_bytes) + 1);
+
+  memset (text, 'x', body_bytes);
+  evbuffer_add (body, text, body_bytes);
+  text[body_bytes] = '\0';
+  memset (text, 'x', head_bytes);
+  text[head_bytes] = '\0';
+  if (head_bytes > 0)
+    evhttp_add_header (evhttp_request_get_output_headers (request), "X-Long",
+                       text);
+  free (text);
+}
+
 static void
 on_request (struct evhttp_request *request, void *context)
 {
   (void)context;
+  add_bytes (request);
   if (retry_after)
     evhttp_add_header (evhttp_request_get_output_headers (request),
                        "Retry-After", retry_after);
@@ -59,6 +85,9 @@
   struct sockaddr_in where;
   socklen_t size = sizeof where;
 
+  signal (SIGPIPE, SIG_IGN);
+  head_bytes = body_bytes = 0;
+  retry_after = NULL;
   base = event_base_new ();
   server = evhttp_new (base);
   evhttp_set_gencb (server, on_request, NULL);
@@ -106,6 +135,32 @@
 }
 END_TEST
 
+/* Guards against memory that is taken up by what an upstream answers.  */
+START_TEST (answers_over_the_limits_are_given_up)
+{
+  static const struct
+  {
+    size_t head;
+    size_t body;
+    int status;
+  } cases[] = {
+    { 60 * 1024, 60 * 1024, STATUS_UNAVAILABLE },
+    { 70 * 1024, 0, 0 },
+    { 0, 70 * 1024, 0 },
+    { 4 * 1024 * 1024, 0, 0 },
+    { 0, 4 * 1024 * 1024, 0 },
+  };
+
+  head_bytes = cases[_i].head;
+  body_bytes = cases[_i].body;
+  status_seen = -1;
+  ck_assert (marjoram_upstream_call (calls, address, "/", "{}", TIMEOUT_MS,
+                                     on_done, NULL));
+  event_base_dispatch (base);
+  ck_assert_int_eq (status_seen, cases[_i].status);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -114,6 +169,7 @@
 
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_loop_test (tests, retry_after_is_read_as_elsewhere, 0, 7);
+  tcase_add_loop_test (tests, answers_over_the_limits_are_given_up, 0, 5);
   suite_add_tcase (all, tests);
   return all;
 }
