HTTP server: limits of request bodies and unread output over all callers

A host held the bodies of all requests and all output that callers did not read, limited only for each connection (4 MiB or as configured, and 16 MiB): a few dozen callers could take up its memory. An answer of 16 MiB, which upstreams may send, closed its caller's connection, as its head came on top. A caller that reads only after it has sent all got a reset instead of the 413 if that took over a second.

Cause: no total; the output limit equal to the largest answer; the connection of a rejected request closed a second after the answer, whatever still came in.

Change: totals of bodies and of output. A body over the total is rejected with 503 and Retry-After, unless it is the only one; the connection with most unread output is closed while there is too much. Input of a rejected request is read for ten seconds at most while it keeps coming, but not while draining.

Measured: sender_of_a_far_too_large_body_gets_the_answer fails on the code before (no answer) and passes now; bodies_of_all_requests_are_limited and unread_output_is_limited need the totals, which the code before has not. test_http: 34 of 34 under ASan and UBSan.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -19,11 +19,14 @@
   BACKLOG = 1024, /* connections; SYN retries after an overflow take seconds */
   /* Input buffer limit for pipelined requests, in bytes.  */
   INPUT_BUFFER_MAX = 64 * 1024,
-  /* Output buffer limit for slow callers, in bytes.  */
-  OUTPUT_BUFFER_MAX = 16 * 1024 * 1024,
+  /* Output buffer limit for slow callers, in bytes, where there is none for
+     all of them; fits an answer of 16 MiB with its head.  */
+  OUTPUT_BUFFER_MAX = 17 * 1024 * 1024,
   /* Time between shutdown and close.  Closing with unread input resets the
      connection and may discard the response.  */
   LINGER_MS = 1000,
+  /* The same while the caller goes on sending a request that was rejected.  */
+  LINGER_MAX_MS = 10000,
   /* Write timeout without progress on the last response.  */
   WRITE_STALL_TIMEOUT_MS = 5000,
   /* Delay before idle connections are closed, for requests in flight from
@@ -65,6 +68,9 @@
   bool close_delimited; /* the end of the connection ends the response */
   bool aborted;
   bool feeding;
+  size_t body_held; /* counted in the server's */
+  int64_t input_at; /* LINGER: time of the last input */
+  bool dropped;     /* its output is no longer counted, and to be closed */
   UT_hash_handle hh;
 };
 
@@ -76,6 +82,9 @@
   void *context;
   struct evconnlistener *listener;
   struct marjoram_http_limits limits;
+  struct marjoram_http_memory memory;
+  size_t bodies_held; /* bytes of requests that are read or processed */
+  size_t unsent;      /* bytes of output */
   TAILQ_HEAD (, connection) connections;
   size_t connection_count;
   struct connection *busy; /* by call */
@@ -104,15 +113,91 @@
   connection->state_since = marjoram_clock_now (connection->server->clock);
 }
 
+static void
+release_body (struct connection *connection)
+{
+  connection->server->bodies_held -= connection->body_held;
+  connection->body_held = 0;
+}
+
 static void
 unregister_call (struct connection *connection)
 {
   if (!connection->call)
     return;
+  release_body (connection);
   HASH_DELETE (hh, connection->server->busy, connection);
   connection->call = 0;
 }
 
+/* ---- Output.  ---- */
+
+static void
+on_output_changed (struct evbuffer *output,
+                   const struct evbuffer_cb_info *info, void *context)
+{
+  struct connection *connection = context;
+
+  (void)output;
+  connection->server->unsent += info->n_added - info->n_deleted;
+}
+
+static size_t
+output_size (const struct connection *connection)
+{
+  return evbuffer_get_length (bufferevent_get_output (connection->bev));
+}
+
+static void
+stop_counting_output (struct connection *connection)
+{
+  if (connection->dropped)
+    return;
+  connection->dropped = true;
+  evbuffer_remove_cb (bufferevent_get_output (connection->bev),
+                      on_output_changed, connection);
+  connection->server->unsent -= output_size (connection);
+}
+
+/* Closing is deferred to the event loop, as callers still use the
+   connection.  */
+static void
+drop (struct connection *connection)
+{
+  stop_counting_output (connection);
+  bufferevent_trigger_event (connection->bev, BEV_EVENT_ERROR,
+                             BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static struct connection *
+find_most_unsent (marjoram_http_server *server)
+{
+  struct connection *most = NULL;
+  struct connection *connection;
+
+  TAILQ_FOREACH (connection, &server->connections, link)
+  if (!connection->dropped
+      && (!most || output_size (connection) > output_size (most)))
+    most = connection;
+  return most;
+}
+
+static void
+bound_output (struct connection *connection)
+{
+  marjoram_http_server *server = connection->server;
+  const size_t limit = server->memory.output;
+  struct connection *most;
+
+  if (limit == 0 && output_size (connection) > OUTPUT_BUFFER_MAX)
+    drop (connection);
+  while (limit > 0 && server->unsent > limit
+         && (most = find_most_unsent (server)) != NULL)
+    drop (most);
+}
+
+/* ---- Connections.  ---- */
+
 static void
 destroy (struct connection *connection)
 {
@@ -120,6 +205,8 @@
   uint64_t call = connection->call;
 
   unregister_call (connection);
+  release_body (connection);
+  stop_counting_output (connection);
   TAILQ_REMOVE (&server->connections, connection, link);
   server->connection_count--;
   bufferevent_free (connection->bev);
@@ -199,10 +286,17 @@
 on_body (void *context, const char *data, size_t size)
 {
   struct connection *connection = context;
+  marjoram_http_server *server = connection->server;
 
   if (evbuffer_get_length (connection->body) + size
-      > connection->server->limits.body_bytes)
+      > server->limits.body_bytes)
     return reject (connection, 413, "body-size");
+  /* A body alone always fits.  */
+  if (server->memory.bodies > 0 && server->bodies_held > connection->body_held
+      && server->bodies_held + size > server->memory.bodies)
+    return reject (connection, 503, "memory");
+  connection->body_held += size;
+  server->bodies_held += size;
   evbuffer_add (connection->body, data, size);
   return true;
 }
@@ -343,7 +437,7 @@
   struct connection *connection = find_call (server, call);
   struct evbuffer *output;
 
-  if (!connection || size == 0 || connection->head_only)
+  if (!connection || size == 0 || connection->head_only || connection->dropped)
     return;
   output = bufferevent_get_output (connection->bev);
   if (connection->chunked_response)
@@ -351,9 +445,7 @@
   evbuffer_add (output, data, size);
   if (connection->chunked_response)
     evbuffer_add (output, "\r\n", 2);
-  if (evbuffer_get_length (output) > OUTPUT_BUFFER_MAX)
-    bufferevent_trigger_event (connection->bev, BEV_EVENT_ERROR,
-                               BEV_TRIG_DEFER_CALLBACKS);
+  bound_output (connection);
 }
 
 static void
@@ -428,10 +520,12 @@
   marjoram_http_server *server = connection->server;
   struct evbuffer *output = bufferevent_get_output (connection->bev);
 
+  release_body (connection);
   evbuffer_add_printf (output,
-                       "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+                       "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%s"
                        "Connection: close\r\n\r\n",
-                       connection->reject, status_text (connection->reject));
+                       connection->reject, status_text (connection->reject),
+                       connection->reject == 503 ? "Retry-After: 1\r\n" : "");
   server->ops->rejected (server->context, connection->reject,
                          connection->reject_reason);
   close_when_written (connection);
@@ -465,6 +559,7 @@
   if (connection->state == STATE_LINGER || connection->state == STATE_CLOSING)
     {
       evbuffer_drain (input, evbuffer_get_length (input));
+      connection->input_at = marjoram_clock_now (connection->server->clock);
       return;
     }
   if (connection->state == STATE_BUSY || evbuffer_get_length (input) == 0)
@@ -524,6 +619,8 @@
       = bufferevent_socket_new (server->base, fd, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb (connection->bev, on_read, on_written, on_event,
                      connection);
+  evbuffer_add_cb (bufferevent_get_output (connection->bev), on_output_changed,
+                   connection);
   bufferevent_setwatermark (connection->bev, EV_READ, 0, INPUT_BUFFER_MAX);
   bufferevent_enable (connection->bev, EV_READ | EV_WRITE);
   set_state (connection, STATE_IDLE);
@@ -597,6 +694,13 @@
   marjoram_http_reader_set_limit (connection->reader, limits->head_bytes);
 }
 
+void
+marjoram_http_server_set_memory (marjoram_http_server *server,
+                                 const struct marjoram_http_memory *memory)
+{
+  server->memory = *memory;
+}
+
 void
 marjoram_http_server_drain (marjoram_http_server *server)
 {
@@ -652,6 +756,16 @@
   return server->closing && now - state_since >= IDLE_CLOSE_GRACE_MS;
 }
 
+static bool
+has_lingered (const struct connection *connection, int64_t now)
+{
+  const bool is_sending = now - connection->input_at <= LINGER_MS
+                          && !connection->server->draining;
+
+  return now - connection->state_since
+         > (is_sending ? LINGER_MAX_MS : LINGER_MS);
+}
+
 /* Whether a closing connection has timed out.  While the last response is
    written, each progress restarts the timer, so that it is not truncated for
    callers on slow links.  */
@@ -660,15 +774,15 @@
 {
   size_t unsent
       = evbuffer_get_length (bufferevent_get_output (connection->bev));
-  int64_t limit
-      = connection->state == STATE_LINGER ? LINGER_MS : WRITE_STALL_TIMEOUT_MS;
 
-  if (connection->state == STATE_CLOSING && unsent != connection->unsent)
+  if (connection->state == STATE_LINGER)
+    return has_lingered (connection, now);
+  if (unsent != connection->unsent)
     {
       connection->unsent = unsent;
       connection->state_since = now;
     }
-  return now - connection->state_since > limit;
+  return now - connection->state_since > WRITE_STALL_TIMEOUT_MS;
 }
 
 static void
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -31,6 +31,13 @@
   int64_t idle_timeout_ms; /* between requests */
 };
 
+/* Sizes in bytes over all connections; 0: no limit.  */
+struct marjoram_http_memory
+{
+  size_t bodies; /* of requests that are read or processed */
+  size_t output; /* of responses that callers have not read */
+};
+
 struct marjoram_http_server_ops
 {
   /* Takes ownership of REQUEST.  CALL identifies it in the response.  */
@@ -49,6 +56,11 @@
                              const struct marjoram_http_server_ops *ops,
                              void *context, struct marjoram_error *err);
 void marjoram_http_server_destroy (marjoram_http_server *server);
+/* A request whose body would exceed MEMORY is rejected; the connection with
+   most unread output is closed while that exceeds it.  */
+void
+marjoram_http_server_set_memory (marjoram_http_server *server,
+                                 const struct marjoram_http_memory *memory);
 void
 marjoram_http_server_set_limits (marjoram_http_server *server,
                                  const struct marjoram_http_limits *limits);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -281,6 +281,69 @@
 }
 END_TEST
 
+/* Guards against memory that is taken up by the bodies of many requests.  */
+START_TEST (bodies_of_all_requests_are_limited)
+{
+  const struct marjoram_http_memory memory = { 10, 0 };
+
+  marjoram_http_server_set_memory (server, &memory);
+  send_text ("POST /hold HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\n"
+             "12345678");
+  run_until (is_request_pending);
+  for (int i = 0; i < 2; i++)
+    {
+      struct bufferevent *first = raw;
+      const char *expected = i == 0 ? "HTTP/1.1 503" : "HTTP/1.1 200";
+
+      connect_raw ();
+      send_text ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 12\r\n"
+                 "Connection: close\r\n\r\n123456789012");
+      run_until (is_closed);
+      ck_assert_msg (strstr (received, expected) == received, "%s", received);
+      bufferevent_free (raw);
+      raw = first;
+      /* Alone, the larger one is accepted too.  */
+      marjoram_http_server_abort (server, last_call);
+    }
+  ck_assert_int_eq (requests, 2);
+}
+END_TEST
+
+static void
+read_now (struct bufferevent *bev, void *context)
+{
+  (void)context;
+  bufferevent_enable (bev, EV_READ);
+}
+
+/* Guards against callers whose answer is lost as they read it only after they
+   have sent a request that is far over the limit.  */
+START_TEST (sender_of_a_far_too_large_body_gets_the_answer)
+{
+  const struct marjoram_http_limits limits = { 1000, 10, 5000, 5000 };
+  const struct timeval second = { 1, 0 };
+  const size_t rate = LARGE_BYTES / 3;
+  struct ev_token_bucket_cfg *slow
+      = ev_token_bucket_cfg_new (rate, rate, rate, rate, &second);
+  char *body = marjoram_alloc (LARGE_BYTES);
+
+  marjoram_http_server_set_limits (server, &limits);
+  bufferevent_set_rate_limit (raw, slow);
+  bufferevent_setcb (raw, on_raw_read, read_now, on_raw_event, NULL);
+  bufferevent_disable (raw, EV_READ);
+  send_text ("POST / HTTP/1.1\r\nHost: x\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n900000\r\n");
+  bufferevent_write (raw, body, LARGE_BYTES);
+  run_until (is_closed);
+  ck_assert_msg (strstr (received, "HTTP/1.1 413") == received, "%s",
+                 received);
+  ck_assert_int_eq (raw_events & BEV_EVENT_ERROR, 0);
+  bufferevent_set_rate_limit (raw, NULL);
+  ev_token_bucket_cfg_free (slow);
+  free (body);
+}
+END_TEST
+
 /* A disconnect during a pending request is reported at once, so that the
    upstream request can be cancelled.  */
 START_TEST (caller_disconnect_is_reported)
@@ -477,6 +540,58 @@
   evbuffer_drain (input, evbuffer_get_length (input));
 }
 
+static void
+send_large (uint64_t call, size_t size)
+{
+  const struct marjoram_header_list headers = { 0 };
+  char *body = marjoram_alloc (size);
+
+  marjoram_http_server_head (server, call, 200, &headers, (int64_t)size);
+  marjoram_http_server_data (server, call, body, size);
+  free (body);
+}
+
+static bool
+are_two_pending (void)
+{
+  return requests == 2;
+}
+
+/* Guards against memory that is taken up by responses which callers do not
+   read, and against others that lose theirs for it.  */
+START_TEST (unread_output_is_limited)
+{
+  const struct marjoram_http_memory memory = { 0, LARGE_BYTES };
+  struct bufferevent *first = raw;
+  uint64_t call;
+
+  marjoram_http_server_set_memory (server, &memory);
+  send_text ("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+  run_until (is_request_pending);
+  call = last_call;
+  bufferevent_disable (first, EV_READ);
+  connect_raw ();
+  send_text ("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+  run_until (are_two_pending);
+  bufferevent_setcb (raw, on_large_read, NULL, on_raw_event, NULL);
+  large_received = 0;
+  send_large (call, LARGE_BYTES - TEXT_MAX);
+  ck_assert_int_eq (gone, 0);
+  send_large (last_call, 2 * TEXT_MAX);
+  run_until (is_gone);
+  ck_assert_int_eq (gone, 1);
+  bufferevent_free (first);
+  marjoram_http_server_drain (server);
+  marjoram_http_server_end (server, last_call);
+  for (int i = 0; i < 100 && large_received < 2 * TEXT_MAX; i++)
+    {
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      usleep (1000);
+    }
+  ck_assert_uint_ge (large_received, 2 * TEXT_MAX);
+}
+END_TEST
+
 /* The last response must not be truncated for a caller that reads slowly but
    steadily.  */
 START_TEST (slow_caller_gets_complete_last_response)
@@ -943,6 +1058,9 @@
   tcase_add_test (c, pipelined_requests_are_answered_in_order);
   tcase_add_test (c, ambiguous_framing_is_refused);
   tcase_add_test (c, limits_are_enforced);
+  tcase_add_test (c, bodies_of_all_requests_are_limited);
+  tcase_add_test (c, sender_of_a_far_too_large_body_gets_the_answer);
+  tcase_add_test (c, unread_output_is_limited);
   tcase_add_test (c, caller_disconnect_is_reported);
   tcase_add_test (c, draining_closes_after_response);
   tcase_add_test (c, request_in_the_socket_is_answered);
