Gateway: answers without end are given up early, in bounded memory

Upstreams may send bytes that are no answer without end, in a head or a body. Callers waited until their deadline, and hosts held what came: answers were buffered without a limit, as was an event that does not end. A refusal, a stray answer or interim responses without end were read until the deadline.

Cause: only the header fields of one head were limited. The search for the end of an event began anew with each piece, so that a long event took time by the square of its size.

Change: - http_client: 64 KiB of head; what belongs to no body (interim and stray responses, chunk headers, trailers) is limited by the body received. - Gateway: an answer may have answer_bytes (16 MiB), an event 1 MiB, a stream twice as many events as its caller allows tokens, a refusal 64 KiB. All answers together get an eighth of memory_mb; beyond it the largest are given up.

--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -29,6 +29,7 @@
 {
   /* False positive in uthash macros.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, self->inbound, inbound);
+  self->inbound_bytes -= inbound->size;
   free (inbound->host);
   free (inbound);
 }
@@ -63,6 +64,15 @@
     }
 }
 
+/* Whether other hosts read the frames of this one too slowly to send SIZE more
+   bytes.  */
+static bool
+links_are_full (struct marjoram_entry *self, size_t size)
+{
+  return marjoram_host_links_unsent_bytes (self->parts->links) + size
+         > self->frame_bytes_max;
+}
+
 /* Sends BYTES in frames of limited size, between which others can be sent.  */
 static void
 reply_pieces (struct marjoram_entry *self, struct marjoram_inbound *inbound,
@@ -90,8 +100,34 @@
 
   if (!(call & MARJORAM_FORWARDED_CALL))
     marjoram_http_server_data (self->server, call, bytes, size);
-  else if (inbound)
-    reply_pieces (self, inbound, bytes, size);
+  else if (inbound && !inbound->overflowed)
+    {
+      inbound->overflowed = links_are_full (self, size);
+      if (!inbound->overflowed)
+        reply_pieces (self, inbound, bytes, size);
+    }
+}
+
+static const struct marjoram_request_failure overflow
+    = { .outcome = MARJORAM_OUTCOME_UNKNOWN,
+        .reason = MARJORAM_REASON_ANSWER_TOO_LARGE };
+
+void
+marjoram_entry_finish_inbound (struct marjoram_entry *self,
+                               struct marjoram_inbound *inbound,
+                               const struct marjoram_request_failure *how)
+{
+  struct marjoram_end end
+      = { .request = inbound->request, .length = inbound->offset };
+
+  if (inbound->overflowed)
+    how = &overflow;
+  end.outcome = how->outcome;
+  end.reason = how->reason;
+  end.retry_ms = how->retry_ms;
+  end.unreached = how->unreached;
+  reply (self, inbound, MARJORAM_FRAME_END, &end);
+  marjoram_entry_remove_inbound (self, inbound);
 }
 
 static void
@@ -99,17 +135,28 @@
                 const struct marjoram_request_failure *how)
 {
   struct marjoram_inbound *inbound = find_inbound (self, call);
-  struct marjoram_end end = { .outcome = how->outcome,
-                              .reason = how->reason,
-                              .retry_ms = how->retry_ms,
-                              .unreached = how->unreached };
-
-  if (!inbound)
-    return;
-  end.request = inbound->request;
-  end.length = inbound->offset;
-  reply (self, inbound, MARJORAM_FRAME_END, &end);
-  marjoram_entry_remove_inbound (self, inbound);
+
+  if (inbound)
+    marjoram_entry_finish_inbound (self, inbound, how);
+}
+
+/* Not while the gateway is in a callback for them.  */
+void
+marjoram_entry_end_overflowed (struct marjoram_entry *self)
+{
+  struct marjoram_inbound *inbound;
+  struct marjoram_inbound *next;
+
+  HASH_ITER (hh, self->inbound, inbound, next)
+  {
+    const uint64_t call = inbound->call;
+
+    if (!inbound->overflowed)
+      continue;
+    marjoram_entry_finish_inbound (self, inbound, &overflow);
+    marjoram_gateway_caller_disconnected (self->gateway,
+                                          marjoram_entry_now (self), call);
+  }
 }
 
 static void
@@ -205,8 +252,9 @@
 {
   struct marjoram_entry *self = context;
 
-  return marjoram_host_links_send (self->parts->links, host,
-                                   MARJORAM_FRAME_FORWARD, forward);
+  return !links_are_full (self, marjoram_bytes_size (forward->body))
+         && marjoram_host_links_send (self->parts->links, host,
+                                      MARJORAM_FRAME_FORWARD, forward);
 }
 
 static void
--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -9,6 +9,8 @@
 enum
 {
   STATUS_UNAVAILABLE = 503,
+  /* Retry-After of a host that holds too many bodies of requests.  */
+  FULL_RETRY_MS = 1000,
   /* Upstreams of a batch that are logged one by one.  */
   LOGGED_ITEMS_MAX = 8,
   /* Time without a piece before the state is requested from the next keeper
@@ -169,6 +171,12 @@
   return request;
 }
 
+static const struct marjoram_request_failure full
+    = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+        .reason = MARJORAM_REASON_OVERLOAD,
+        .retry_ms = FULL_RETRY_MS,
+        .unreached = true };
+
 static void
 handle_forward (struct marjoram_entry *self, const char *host,
                 uint64_t session, const struct marjoram_forward *forward)
@@ -185,7 +193,16 @@
   inbound->host = marjoram_strdup (host);
   inbound->session = session;
   inbound->request = forward->request;
+  inbound->size = marjoram_bytes_size (forward->body);
   HASH_ADD (hh, self->inbound, call, sizeof inbound->call, inbound);
+  self->inbound_bytes += inbound->size;
+  /* A body alone always fits.  */
+  if (self->inbound_bytes > self->frame_bytes_max
+      && self->inbound_bytes > inbound->size)
+    {
+      marjoram_entry_finish_inbound (self, inbound, &full);
+      return;
+    }
   marjoram_gateway_receive (self->gateway, marjoram_entry_now (self),
                             inbound->call, make_request (forward),
                             &limits_from_peer);
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -34,6 +34,8 @@
   uint64_t session;
   uint64_t request; /* id assigned by the forwarding host */
   uint64_t offset;  /* response body bytes sent so far */
+  size_t size;      /* of the request's body */
+  bool overflowed;  /* the link takes no more of its response */
   UT_hash_handle hh;
 };
 
@@ -57,6 +59,8 @@
   uint64_t config_number;
   struct marjoram_liveness_check liveness;
   struct marjoram_inbound *inbound;
+  size_t inbound_bytes;   /* bodies of these requests */
+  size_t frame_bytes_max; /* that other hosts have not read, and of INBOUND */
   uint64_t next_call;
   int64_t reported_at;
   /* Load reports through collectors.  */
@@ -89,6 +93,13 @@
 extern const struct marjoram_gateway_ops marjoram_entry_gateway_ops;
 void marjoram_entry_remove_inbound (struct marjoram_entry *self,
                                     struct marjoram_inbound *inbound);
+/* Ends the requests whose responses their hosts read too slowly.  */
+void marjoram_entry_end_overflowed (struct marjoram_entry *self);
+/* Tells the host that forwarded INBOUND how it ended, and removes it.  */
+void
+marjoram_entry_finish_inbound (struct marjoram_entry *self,
+                               struct marjoram_inbound *inbound,
+                               const struct marjoram_request_failure *how);
 /* Sends an error response to a caller; WHY tells whether its request ran.  */
 void marjoram_entry_reject_call (struct marjoram_entry *self, uint64_t call,
                                  const struct marjoram_request_failure *why);
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -32,6 +32,8 @@
   /* Engines of a service in a region above which none is queried: one host
      uses only a small share of them.  */
   SURVEY_ENGINES_MAX = 256,
+  MEMORY_SHARES = 8,
+  MEGABYTE = 1024 * 1024,
   STATUS_OK = 200,
   STATUS_NOT_FOUND = 404,
   STATUS_UNAVAILABLE = 503
@@ -157,6 +159,36 @@
   return bytes < (int64_t)max ? (size_t)bytes : max;
 }
 
+/* Each kind of data that others determine gets this part of the memory:
+   bodies of requests, answers of upstreams, responses that callers have not
+   read, and frames that other hosts have not.  */
+static size_t
+share_of_memory (const struct marjoram_entry *self)
+{
+  return (size_t)self->parts->settings->memory_mb * MEGABYTE / MEMORY_SHARES;
+}
+
+static struct marjoram_answer_limits
+answer_limits (const struct marjoram_entry *self)
+{
+  const size_t share = share_of_memory (self);
+  const struct marjoram_answer_limits limits
+      = { at_most (self->parts->settings->answer_bytes, share - MEGABYTE),
+          share };
+
+  return limits;
+}
+
+static void
+set_http_memory (struct marjoram_entry *self)
+{
+  const struct marjoram_http_memory memory
+      = { share_of_memory (self), share_of_memory (self) };
+
+  self->frame_bytes_max = share_of_memory (self);
+  marjoram_http_server_set_memory (self->server, &memory);
+}
+
 static void
 set_http_limits (struct marjoram_entry *self)
 {
@@ -468,12 +500,15 @@
   struct marjoram_entry *self = entry_from_role (role);
   const struct marjoram_repeat_limits terms = repeat_terms (self);
   const struct marjoram_load_features load = load_features (self);
+  const struct marjoram_answer_limits answers = answer_limits (self);
 
   marjoram_repeat_budget_set (marjoram_gateway_budget (self->gateway),
                               marjoram_entry_now (self), &terms);
   marjoram_key_lease_set_period (marjoram_gateway_key_lease (self->gateway),
                                  key_lease_ms (self));
   marjoram_gateway_set_load (self->gateway, &load);
+  marjoram_gateway_set_answer_limits (self->gateway, &answers);
+  set_http_memory (self);
 }
 
 static void
@@ -549,6 +584,7 @@
       marjoram_http_client_tick (self->client,
                                  marjoram_host_links_lag (self->parts->links));
       marjoram_http_server_tick (self->server);
+      marjoram_entry_end_overflowed (self);
       marjoram_registry_tick (self->registry, now);
     }
   if (self->stopped_at && !self->closed
@@ -666,6 +702,7 @@
     .repeats = repeat_terms (self),
     .key_lease_ms = key_lease_ms (self),
     .load = load_features (self),
+    .answers = answer_limits (self),
     .metrics = self->parts->metrics,
   };
 
@@ -698,7 +735,10 @@
                                               parts->settings->entry_address,
                                               &server_ops, self, err);
   if (self->server)
-    return &self->role;
+    {
+      set_http_memory (self);
+      return &self->role;
+    }
   role_destroy (&self->role);
   return NULL;
 }
--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -6,9 +6,20 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Progress of the search for the end of an event, as offsets from its
+   start.  */
+struct scan
+{
+  size_t at;     /* the next byte to look at */
+  size_t line;   /* start of its line */
+  bool has_line; /* a line that is not empty has ended */
+  bool after_cr; /* the line before ended with a CR alone */
+};
+
 struct marjoram_event_stream
 {
   struct evbuffer *incomplete; /* data of the incomplete event */
+  struct scan scan;
   char last_id[MARJORAM_ID_MAX];
   bool resumed;
 };
@@ -37,37 +48,34 @@
   return c == '\n' || c == '\r';
 }
 
-/* Returns the size of the first complete event with its empty line, or 0.
-   Lines end with LF, CRLF or CR.  The last byte of TEXT may be the first half
-   of a CRLF, unless the line before ended with a CR alone.  */
+/* Returns the size of the first complete event with its empty line, or 0 if
+   none is complete; the next call then goes on where this one ended.  Lines
+   end with LF, CRLF or CR.  The last byte of TEXT may be the first half of a
+   CRLF, unless the line before ended with a CR alone.  */
 static size_t
-event_size (const char *text, size_t size)
+find_end (struct scan *scan, const char *text, size_t size)
 {
-  bool has_line = false;
-  bool after_cr = false; /* the line before ended with a CR alone */
-  size_t line = 0;
-  size_t at = 0;
-
-  while (at < size)
+  while (scan->at < size)
     {
-      const bool is_last = at + 1 == size;
-      const bool is_empty = at == line;
+      const char c = text[scan->at];
+      const bool is_last = scan->at + 1 == size;
+      const bool is_empty = scan->at == scan->line;
       bool is_crlf;
 
-      if (!is_line_end (text[at]))
+      if (!is_line_end (c))
         {
-          at++;
+          scan->at++;
           continue;
         }
-      if (text[at] == '\r' && is_last && !after_cr)
+      if (c == '\r' && is_last && !scan->after_cr)
         return 0;
-      is_crlf = text[at] == '\r' && !is_last && text[at + 1] == '\n';
-      after_cr = text[at] == '\r' && !is_crlf;
-      at += is_crlf ? 2 : 1;
-      line = at;
-      if (is_empty && has_line)
-        return at;
-      has_line = has_line || !is_empty;
+      is_crlf = c == '\r' && !is_last && text[scan->at + 1] == '\n';
+      scan->after_cr = c == '\r' && !is_crlf;
+      scan->at += is_crlf ? 2 : 1;
+      scan->line = scan->at;
+      if (is_empty && scan->has_line)
+        return scan->at;
+      scan->has_line = scan->has_line || !is_empty;
     }
   return 0;
 }
@@ -117,13 +125,14 @@
   size_t length;
 
   evbuffer_add (stream->incomplete, data, size);
-  while (
-      (text = (const char *)evbuffer_pullup (stream->incomplete, -1))
-      && (length = event_size (text, evbuffer_get_length (stream->incomplete)))
-             > 0)
+  while ((text = (const char *)evbuffer_pullup (stream->incomplete, -1))
+         && (length = find_end (&stream->scan, text,
+                                evbuffer_get_length (stream->incomplete)))
+                > 0)
     {
       char id[MARJORAM_ID_MAX];
 
+      stream->scan = (struct scan){ 0 };
       read_id (text, length, id);
       if (is_repeated (stream, id))
         {
@@ -169,6 +178,7 @@
 {
   evbuffer_drain (stream->incomplete,
                   evbuffer_get_length (stream->incomplete));
+  stream->scan = (struct scan){ 0 };
   stream->resumed = true;
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -74,6 +74,10 @@
       = marjoram_quota_pool_create (&marjoram_gateway_quota_ops, gateway);
   gateway->origins = marjoram_stream_origins_create ();
   gateway->created_at = now;
+  if (gateway->options.answers.one == 0)
+    gateway->options.answers
+        = (struct marjoram_answer_limits){ MARJORAM_BODY_MAX,
+                                           2 * MARJORAM_BODY_MAX };
   update_features (gateway);
   return gateway;
 }
@@ -120,6 +124,13 @@
   return gateway->lease;
 }
 
+void
+marjoram_gateway_set_answer_limits (
+    marjoram_gateway *gateway, const struct marjoram_answer_limits *limits)
+{
+  gateway->options.answers = *limits;
+}
+
 void
 marjoram_gateway_set_load (marjoram_gateway *gateway,
                            const struct marjoram_load_features *load)
@@ -197,6 +208,7 @@
   marjoram_header_list_clear (&exchange->headers);
   marjoram_event_stream_destroy (exchange->events);
   evbuffer_free (exchange->body);
+  gateway->answer_bytes -= exchange->answer_held;
   free (exchange);
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -82,6 +82,13 @@
                        const struct marjoram_dark_report *report);
 };
 
+/* Sizes in bytes; all 0: the defaults.  */
+struct marjoram_answer_limits
+{
+  size_t one; /* answer, streams included */
+  size_t all; /* answers that this host holds at once */
+};
+
 struct marjoram_gateway_options
 {
   const struct marjoram_dialect *dialect;
@@ -89,6 +96,7 @@
   struct marjoram_repeat_limits repeats;
   int64_t key_lease_ms; /* see key_lease.h; 0: keys need no lease */
   struct marjoram_load_features load; /* enabled by the settings */
+  struct marjoram_answer_limits answers;
   marjoram_metrics *metrics;
 };
 
@@ -106,7 +114,9 @@
 marjoram_gateway_forward_windows (const marjoram_gateway *gateway);
 /* Use of the region's capacity by customer.  */
 marjoram_room_share *marjoram_gateway_room_share (marjoram_gateway *gateway);
-/* Replaces the features that the settings enable, after a reload.  */
+/* Replace the limits and features that the settings state, after a reload.  */
+void marjoram_gateway_set_answer_limits (
+    marjoram_gateway *gateway, const struct marjoram_answer_limits *limits);
 void marjoram_gateway_set_load (marjoram_gateway *gateway,
                                 const struct marjoram_load_features *load);
 /* Those that the settings or the configuration in force enable.  */
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -24,6 +24,15 @@
   /* Idle timeout of resumable streams: above the pauses of a busy engine and
      below the 2 s after which callers give up.  */
   STREAM_IDLE_MS = 1500,
+  EVENT_BYTES_MAX = 1024 * 1024, /* one event of a stream */
+  /* Body of a refusal, which is not passed on.  */
+  REFUSAL_BYTES_MAX = 64 * 1024,
+  /* Events of a stream beyond one for each token that the caller allows: each
+     has one at least, but there may be some without any.  */
+  EVENTS_PER_TOKEN = 2,
+  EVENTS_EXTRA = 64,
+  /* Part of the limit of all answers that remains when it is exceeded.  */
+  REMAINING_PART = 4,
   PARTS_TEXT_MAX = 160, /* bytes of a log line */
   NUMBER_TEXT_MAX = 24  /* likewise */
 };
@@ -136,18 +145,31 @@
       exchange->forwarded, exchange->queued_since != 0, parts);
 }
 
+/* To be called after each change of the exchange's body or events.  */
 static void
-reset_answer (struct marjoram_exchange *exchange)
+count_held (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
+{
+  const size_t held = evbuffer_get_length (exchange->body)
+                      + marjoram_exchange_unfinished (exchange);
+
+  gateway->answer_bytes += held - exchange->answer_held;
+  exchange->answer_held = held;
+}
+
+static void
+reset_answer (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
 {
   exchange->status = 0;
   exchange->framing = MARJORAM_FRAMING_NONE;
   exchange->refused = false;
+  exchange->refusal_bytes = 0;
   exchange->is_signed = false;
   exchange->has_retry_after = false;
   marjoram_header_list_clear (&exchange->headers);
   evbuffer_drain (exchange->body, evbuffer_get_length (exchange->body));
   if (exchange->events)
     marjoram_event_stream_resume (exchange->events);
+  count_held (gateway, exchange);
   if (exchange->state == MARJORAM_EXCHANGE_HEAD)
     exchange->state = MARJORAM_EXCHANGE_OPEN;
 }
@@ -162,7 +184,7 @@
                             ? MARJORAM_METRIC_RESUMED
                             : MARJORAM_METRIC_REPEATS,
                         1);
-  reset_answer (exchange);
+  reset_answer (gateway, exchange);
   exchange->repeat_taken = false;
   marjoram_exchange_send (gateway, exchange, now);
 }
@@ -198,7 +220,7 @@
   fail (gateway, exchange, now, reason);
 }
 
-/* ---- Answer head and data. ---- */
+/* ---- What an answer's head states. ---- */
 
 static void
 copy_headers (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
@@ -352,6 +374,67 @@
   marjoram_retry_after_parse (text, &exchange->retry_after_ms);
 }
 
+/* ---- Attempts that are given up.  ---- */
+
+static void
+end_refused (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+             int64_t now)
+{
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 exchange->wrong_upstream
+                                     ? MARJORAM_ATTEMPT_WRONG_UPSTREAM
+                                     : MARJORAM_ATTEMPT_REFUSED);
+  exchange->attempts_maybe_run--;
+  marjoram_exchange_record_not_started (gateway, exchange);
+  marjoram_exchange_retry (gateway, exchange, now,
+                           MARJORAM_REASON_UPSTREAM_REFUSED, true);
+}
+
+/* A refusal tells all with its head, so that the rest need not be awaited.  */
+static void
+skip_refusal (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+              int64_t now, size_t size)
+{
+  const uint64_t attempt = exchange->attempt;
+
+  exchange->refusal_bytes += size;
+  if (exchange->refusal_bytes <= REFUSAL_BYTES_MAX)
+    return;
+  if (!*exchange->host)
+    gateway->ops->cancel (gateway->context, attempt);
+  end_refused (gateway, exchange, now);
+}
+
+/* Gives the attempt up, whose answer is too large.  No crash: an upstream that
+   sends too much is alive.  */
+static void
+end_oversized (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+               int64_t now)
+{
+  marjoram_metrics_add (gateway->options.metrics,
+                        MARJORAM_METRIC_ANSWERS_TOO_LARGE, 1);
+  marjoram_exchange_drop_attempt (gateway, exchange, now,
+                                  MARJORAM_ATTEMPT_BROKEN);
+  exchange->forwarded_out = false;
+  exchange->relayed = false;
+  marjoram_exchange_retry (gateway, exchange, now,
+                           MARJORAM_REASON_ANSWER_TOO_LARGE, false);
+}
+
+/* Whether the answer states a length over the limit.  */
+static bool
+states_oversize (const marjoram_gateway *gateway,
+                 const struct marjoram_exchange *exchange,
+                 const struct marjoram_header_list *headers)
+{
+  const char *text = marjoram_header_list_get (headers, "Content-Length");
+
+  return text && strcmp (exchange->request->method, "HEAD") != 0
+         && strtoull (text, NULL, 10) > gateway->options.answers.one;
+}
+
+/* ---- Answer heads.  ---- */
+
 bool
 marjoram_gateway_head (marjoram_gateway *gateway, int64_t now,
                        uint64_t attempt, int status,
@@ -369,6 +452,11 @@
                             MARJORAM_METRIC_STRAY_ANSWERS, 1);
       return false;
     }
+  if (!metadata.not_run && states_oversize (gateway, exchange, headers))
+    {
+      end_oversized (gateway, exchange, now);
+      return true;
+    }
   exchange->status = status;
   exchange->is_signed = metadata.signed_by_upstream;
   exchange->refused = metadata.not_run;
@@ -397,6 +485,8 @@
   return true;
 }
 
+/* ---- Answer data.  ---- */
+
 static void
 flush_stream (marjoram_gateway *gateway, struct marjoram_exchange *exchange)
 {
@@ -413,6 +503,8 @@
   gateway->ops->reply_data (gateway->context, exchange->call,
                             evbuffer_pullup (exchange->body, -1), size);
   evbuffer_drain (exchange->body, size);
+  exchange->stream_passed += size;
+  count_held (gateway, exchange);
 }
 
 static void
@@ -427,6 +519,89 @@
   exchange->attempt_events += (int)events;
 }
 
+static struct marjoram_exchange *
+find_largest_answer (marjoram_gateway *gateway)
+{
+  struct marjoram_exchange *largest = NULL;
+  struct marjoram_exchange *exchange;
+  struct marjoram_exchange *next;
+
+  HASH_ITER (by_call, gateway->by_call, exchange, next)
+  {
+    if (exchange->attempt
+        && (!largest || exchange->answer_held > largest->answer_held))
+      largest = exchange;
+  }
+  return largest;
+}
+
+/* Gives up the largest answers if all of them together are too large.  Far
+   more than needed: many answers without end then end early instead of one by
+   one, each after taking up what the one before it had.  */
+static void
+bound_answers (marjoram_gateway *gateway, int64_t now)
+{
+  const size_t limit = gateway->options.answers.all;
+  struct marjoram_exchange *largest;
+
+  if (gateway->answer_bytes <= limit)
+    return;
+  while (gateway->answer_bytes > limit / REMAINING_PART
+         && (largest = find_largest_answer (gateway)) != NULL
+         && largest->answer_held > 0)
+    end_oversized (gateway, largest, now);
+}
+
+/* Whether the stream has more events than the answer can have tokens.  */
+static bool
+has_excess_events (const struct marjoram_exchange *exchange)
+{
+  const int64_t tokens = exchange->metadata.answer_tokens_max;
+
+  return tokens > 0
+         && exchange->events_sent > EVENTS_PER_TOKEN * tokens + EVENTS_EXTRA;
+}
+
+static bool
+is_oversized (const marjoram_gateway *gateway,
+              const struct marjoram_exchange *exchange)
+{
+  return has_excess_events (exchange)
+         || exchange->stream_passed + evbuffer_get_length (exchange->body)
+                > gateway->options.answers.one
+         || marjoram_exchange_unfinished (exchange) > EVENT_BYTES_MAX;
+}
+
+/* Adds DATA to the exchange's answer.  Returns the number of events that it
+   completes.  */
+static size_t
+add_data (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+          const void *data, size_t size)
+{
+  size_t events = 0;
+
+  if (exchange->has_events && is_success (exchange))
+    events = marjoram_event_stream_feed (exchange->events, data, size,
+                                         exchange->body);
+  else
+    evbuffer_add (exchange->body, data, size);
+  count_held (gateway, exchange);
+  return events;
+}
+
+static void
+pass_events (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+             int64_t now, size_t events)
+{
+  record_first (gateway, exchange, now);
+  record_events (exchange, now, events);
+  marjoram_exchange_record_begin (gateway, exchange, now, false);
+  marjoram_exchange_keep_build (gateway, exchange, now);
+  if (exchange->repeatable)
+    exchange->idle_deadline = now + STREAM_IDLE_MS;
+  flush_stream (gateway, exchange);
+}
+
 void
 marjoram_gateway_data (marjoram_gateway *gateway, int64_t now,
                        uint64_t attempt, const void *data, size_t size)
@@ -434,25 +609,23 @@
   struct marjoram_exchange *exchange = find_attempt (gateway, attempt);
   size_t events;
 
-  if (!exchange || exchange->refused)
+  if (!exchange)
     return;
+  if (exchange->refused)
+    {
+      skip_refusal (gateway, exchange, now, size);
+      return;
+    }
   marjoram_placement_data_received (gateway->placement, now, attempt);
-  if (!exchange->has_events || !is_success (exchange))
+  events = add_data (gateway, exchange, data, size);
+  if (is_oversized (gateway, exchange))
     {
-      evbuffer_add (exchange->body, data, size);
+      end_oversized (gateway, exchange, now);
       return;
     }
-  events = marjoram_event_stream_feed (exchange->events, data, size,
-                                       exchange->body);
-  if (events == 0)
-    return;
-  record_first (gateway, exchange, now);
-  record_events (exchange, now, events);
-  marjoram_exchange_record_begin (gateway, exchange, now, false);
-  marjoram_exchange_keep_build (gateway, exchange, now);
-  if (exchange->repeatable)
-    exchange->idle_deadline = now + STREAM_IDLE_MS;
-  flush_stream (gateway, exchange);
+  if (events > 0)
+    pass_events (gateway, exchange, now, events);
+  bound_answers (gateway, now);
 }
 
 /* ---- End of the answer. ---- */
@@ -484,20 +657,6 @@
   marjoram_exchange_finish (gateway, exchange, now, true);
 }
 
-static void
-end_refused (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-             int64_t now)
-{
-  marjoram_exchange_end_attempt (gateway, exchange, now,
-                                 exchange->wrong_upstream
-                                     ? MARJORAM_ATTEMPT_WRONG_UPSTREAM
-                                     : MARJORAM_ATTEMPT_REFUSED);
-  exchange->attempts_maybe_run--;
-  marjoram_exchange_record_not_started (gateway, exchange);
-  marjoram_exchange_retry (gateway, exchange, now,
-                           MARJORAM_REASON_UPSTREAM_REFUSED, true);
-}
-
 /* Retries a failure reported by the upstream; if that is not allowed, the
    upstream's answer is relayed.  */
 static void
@@ -611,6 +770,9 @@
     case MARJORAM_HTTP_UNSENT:
       end_unsent (gateway, exchange, now);
       break;
+    case MARJORAM_HTTP_OVERSIZED:
+      end_oversized (gateway, exchange, now);
+      break;
     case MARJORAM_HTTP_BROKEN:
       if (*exchange->upstream)
         marjoram_exchange_record_crash (gateway, exchange, now);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -162,7 +162,8 @@
   struct marjoram_header_list headers; /* of the answer */
   enum marjoram_framing framing;       /* as received from the upstream */
   bool is_signed;
-  bool refused; /* reported as not run */
+  bool refused;         /* reported as not run */
+  size_t refusal_bytes; /* of the refusal's body */
   bool wrong_upstream;
   bool has_retry_after;   /* the answer has the header */
   int64_t retry_after_ms; /* -1 if it cannot be read */
@@ -170,6 +171,8 @@
   bool forward_has_build; /* HOST told the build */
   struct evbuffer *body;  /* answer body or complete events */
   marjoram_event_stream *events;
+  size_t answer_held;   /* bytes in BODY and EVENTS */
+  size_t stream_passed; /* bytes of events, over all attempts */
 
   /* Totals over all attempts.  */
   char tried[MARJORAM_TRIED_MAX][MARJORAM_ID_MAX];
@@ -195,6 +198,7 @@
   const struct marjoram_route_table *table;
   const struct marjoram_route_table *previous_table; /* null if none */
   struct marjoram_load_features features;
+  size_t answer_bytes; /* held for all exchanges */
   int64_t table_set_at;
   int64_t created_at;
   marjoram_placement *placement;
--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -13,6 +13,10 @@
   HOUR_MS = 60 * MINUTE_MS,
   ALLOWANCE_MAX = 1000 * 1000,
   LOOKUP_VALID_MAX_S = 3600,
+  MEMORY_MIN_MB = 32,
+  MEMORY_MAX_MB = 1024 * 1024,
+  ANSWER_MIN_BYTES = 64 * 1024,
+  ANSWER_MAX_BYTES = 1024 * 1024 * 1024,
   QUOTA_ALLOWANCE_MAX = 1000 * 1000 * 1000,
   DISK_LOSSES_MAX = 5 /* requires eleven keepers */
 };
@@ -57,6 +61,10 @@
     HOUR_MS, NULL },
   { "quota_allowance", MARJORAM_INI_DOUBLE, FIELD (quota_allowance), "0", 0,
     QUOTA_ALLOWANCE_MAX, NULL },
+  { "memory_mb", MARJORAM_INI_INT64, FIELD (memory_mb), "256", MEMORY_MIN_MB,
+    MEMORY_MAX_MB, NULL },
+  { "answer_bytes", MARJORAM_INI_INT64, FIELD (answer_bytes), "16777216",
+    ANSWER_MIN_BYTES, ANSWER_MAX_BYTES, NULL },
   { "disk_losses", MARJORAM_INI_INT64, FIELD (disk_losses), "1", 0,
     DISK_LOSSES_MAX, NULL },
 };
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -48,6 +48,8 @@
   int64_t revocation_ms;  /* within which a key that was taken away is refused
                              by all hosts; 0: no limit */
   double quota_allowance; /* units over a quota that may be spent at once */
+  int64_t memory_mb;      /* of this host */
+  int64_t answer_bytes;   /* of an upstream, at most */
   int64_t disk_losses;    /* simultaneous losses of keeper disks to survive */
   /* [load] */
   struct marjoram_load_features load;
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include "cleanup.h"
+#include "frame.h"
 #include "http_reader.h"
 #include "socket_option.h"
 
@@ -27,7 +28,12 @@
   IDLE_TIMEOUT_MARGIN_MS = 400,
   /* Idle limit for requests that must not be retried.  */
   FRESH_IDLE_MS = 1000,
-  SECOND_MS = 1000
+  SECOND_MS = 1000,
+  /* Bytes received for a request besides its body: heads, chunk headers,
+     trailers, and responses to other requests.  */
+  OVERHEAD_MAX = 4 * MARJORAM_HEAD_MAX,
+  /* Those allowed for each byte of the body; a chunk of one byte has 5.  */
+  OVERHEAD_PER_BODY_BYTE = 8
 };
 
 struct connection
@@ -42,6 +48,8 @@
   int64_t idle_since;
   int64_t idle_timeout_ms;
   int64_t connect_deadline; /* 0 once connected */
+  size_t received;          /* for the current attempt */
+  size_t body_received;     /* part of it that was passed on */
   bool head_only;
   bool skip_response; /* current response belongs to another request */
   bool interim;       /* current response is 1xx */
@@ -108,7 +116,8 @@
   const bool was_open = connection->connect_deadline == 0;
 
   destroy (connection);
-  client->ops->lost (client->context, address, was_open);
+  if (outcome != MARJORAM_HTTP_OVERSIZED)
+    client->ops->lost (client->context, address, was_open);
   if (attempt)
     client->ops->end (client->context, attempt, outcome);
   free (address);
@@ -169,7 +178,10 @@
   if (!connection->attempt)
     return false;
   if (!connection->skip_response && !connection->interim)
-    client->ops->data (client->context, connection->attempt, data, size);
+    {
+      connection->body_received += size;
+      client->ops->data (client->context, connection->attempt, data, size);
+    }
   /* The callback may have cancelled this attempt.  */
   return connection->attempt != 0;
 }
@@ -233,10 +245,22 @@
   client->ops->end (client->context, attempt, MARJORAM_HTTP_COMPLETE);
 }
 
+/* Whether an upstream sends bytes that belong to no body without end.  */
+static bool
+has_excess (const struct connection *connection)
+{
+  const size_t overhead = connection->received - connection->body_received;
+
+  return overhead > OVERHEAD_MAX
+         && (overhead - OVERHEAD_MAX) / OVERHEAD_PER_BODY_BYTE
+                > connection->body_received;
+}
+
 static void
 on_read (struct bufferevent *bev, void *context)
 {
   struct connection *connection = context;
+  struct evbuffer *input = bufferevent_get_input (bev);
   enum marjoram_http_read_result result;
 
   if (!connection->attempt)
@@ -244,12 +268,14 @@
       destroy (connection);
       return;
     }
-  result = marjoram_http_reader_feed (connection->reader,
-                                      bufferevent_get_input (bev));
+  connection->received += evbuffer_get_length (input);
+  result = marjoram_http_reader_feed (connection->reader, input);
   if (connection->complete)
     finish (connection);
   else if (!connection->attempt)
     destroy (connection);
+  else if (result == MARJORAM_HTTP_HEAD_TOO_LARGE || has_excess (connection))
+    fail (connection, MARJORAM_HTTP_OVERSIZED);
   else if (result != MARJORAM_HTTP_READ_OK)
     fail (connection, MARJORAM_HTTP_BROKEN);
 }
@@ -314,6 +340,8 @@
   connection->skip_response = false;
   connection->interim = false;
   connection->close_delimited = false;
+  connection->received = 0;
+  connection->body_received = 0;
   HASH_ADD (hh, connection->client->busy, attempt, sizeof connection->attempt,
             connection);
 }
@@ -327,6 +355,7 @@
   connection->pool = pool;
   connection->reader
       = marjoram_http_reader_create (HTTP_RESPONSE, &reader_ops, connection);
+  marjoram_http_reader_set_limit (connection->reader, MARJORAM_HEAD_MAX);
   connection->bev
       = bufferevent_socket_new (client->base, -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb (connection->bev, on_read, NULL, on_event, connection);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -16,8 +16,11 @@
 {
   MARJORAM_HTTP_COMPLETE, /* complete response received */
   MARJORAM_HTTP_UNSENT,   /* not processed: no byte was sent */
-  MARJORAM_HTTP_BROKEN /* reset, closed or malformed: may have been processed
-                        */
+  MARJORAM_HTTP_BROKEN, /* reset, closed or malformed: may have been processed
+                         */
+  /* Given up, as the header section or what belongs to no body is too large:
+     may have been processed.  */
+  MARJORAM_HTTP_OVERSIZED
 };
 
 struct marjoram_http_send
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -41,6 +41,7 @@
   [MARJORAM_METRIC_REFUSED_WITH_ROOM] = "gateway_refused_with_room",
   [MARJORAM_METRIC_OVER_SHARE_REFUSED] = "gateway_over_share_refused",
   [MARJORAM_METRIC_STRAY_ANSWERS] = "gateway_stray_answers",
+  [MARJORAM_METRIC_ANSWERS_TOO_LARGE] = "gateway_answers_too_large",
   [MARJORAM_METRIC_WAITED_IN_VAIN] = "gateway_waited_in_vain",
   [MARJORAM_METRIC_REFUSED_EARLY] = "gateway_refused_early",
   [MARJORAM_METRIC_RATE_LIMITS] = "upstream_rate_limits",
--- a/src/reason.c
+++ b/src/reason.c
@@ -83,6 +83,9 @@
   [MARJORAM_REASON_BUILD_UNKNOWN]
   = { "build-unknown", 503,
       "start the stream anew; which build began it is not known" },
+  [MARJORAM_REASON_ANSWER_TOO_LARGE]
+  = { "answer-too-large", 502,
+      "ask for less, or have answer_bytes or memory_mb raised" },
 };
 
 const char *
--- a/src/reason.h
+++ b/src/reason.h
@@ -35,9 +35,10 @@
   MARJORAM_REASON_CANCELLED,        /* the caller disconnected */
   /* This host cannot tell whether its customers' keys are still valid.  */
   MARJORAM_REASON_CONFIG_UNCONFIRMED,
-  MARJORAM_REASON_QUOTA_UNKNOWN, /* no keeper answers for the quota */
-  MARJORAM_REASON_OTHER_BUILD,   /* no upstream of the stream's build */
-  MARJORAM_REASON_BUILD_UNKNOWN, /* which build began the stream */
+  MARJORAM_REASON_QUOTA_UNKNOWN,    /* no keeper answers for the quota */
+  MARJORAM_REASON_OTHER_BUILD,      /* no upstream of the stream's build */
+  MARJORAM_REASON_BUILD_UNKNOWN,    /* which build began the stream */
+  MARJORAM_REASON_ANSWER_TOO_LARGE, /* an upstream's answer, or all of them */
   MARJORAM_REASON_COUNT
 };
 
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -69,6 +69,9 @@
   if QUOTA_ALLOWANCE then
     limits = limits .. "quota_allowance = " .. QUOTA_ALLOWANCE .. "\n"
   end
+  if MEMORY_MB and host.role == "entry" then
+    limits = limits .. "memory_mb = " .. MEMORY_MB .. "\n"
+  end
   if LOAD and host.role == "entry" then
     limits = limits .. "[load]\n" .. LOAD .. "\n"
   end
@@ -85,10 +88,16 @@
   write (host.path, text or settings (host))
 end
 
+-- A sanitized program that keeps freed memory would not show what it uses.
+local KEEP_NOTHING = "ASAN_OPTIONS=quarantine_size_mb=1:malloc_context_size=0"
+
 function start_host (host)
   write_settings (host)
-  host.pid = system.spawn ({ system.programs .. "/marjoramd", "--settings",
-                             host.path }, host.log)
+  local command = { system.programs .. "/marjoramd", "--settings", host.path }
+  if MEMORY_MB then
+    command = { "/usr/bin/env", KEEP_NOTHING, table.unpack (command) }
+  end
+  host.pid = system.spawn (command, host.log)
 end
 
 -- Starts HOST with file size limited to BLOCKS x 512 bytes, to simulate a full
@@ -131,7 +140,7 @@
 function add_replica (id, service, zone, index, apart)
   local replica = { id = id, service = service, zone = zone,
                     version = VERSIONS and VERSIONS[id] or "v1",
-                    address = ip (index) .. ":8080",
+                    address = ip (index) .. ":" .. (ANNOUNCED_PORT or 8080),
                     listen = ip (index) .. ":8080",
                     runs = folder .. "/" .. id .. ".runs" }
   if REPLICA_RELAYS then
