APIs and zone hosts: a body over the limit is answered 413

Operators and callers of zone hosts saw their connection closed without an answer when a body was over the limit, and an operator whose configuration had 4 to 8 MiB a 503 however often it was sent again.

Cause: evhttp closes the connection while the sender still writes, which resets it; the keepers' API accepted bodies of twice the size of the files that a state may have, whose check then refused them as not run.

Change: the servers read such a body, without storing it, before they answer; the API's limit is that of a file.

--- a/src/api_server.c
+++ b/src/api_server.c
@@ -2,6 +2,7 @@
 
 #include "address.h"
 #include "cleanup.h"
+#include "state.h"
 
 #include <errno.h>
 #include <event2/buffer.h>
@@ -12,8 +13,6 @@
 enum
 {
   HEAD_BYTES_MAX = 16 * 1024,
-  /* Must allow for large configuration files.  */
-  BODY_BYTES_MAX = 8 * 1024 * 1024,
   CONNECTION_TIMEOUT_S = 10
 };
 
@@ -113,8 +112,10 @@
                                                 | EVHTTP_REQ_PUT
                                                 | EVHTTP_REQ_DELETE);
   evhttp_set_max_headers_size (server->http, HEAD_BYTES_MAX);
-  evhttp_set_max_body_size (server->http, BODY_BYTES_MAX);
+  evhttp_set_max_body_size (server->http, MARJORAM_FILE_TEXT_MAX);
   evhttp_set_timeout (server->http, CONNECTION_TIMEOUT_S);
+  /* Without it a sender of too large a body gets a reset, not the 413.  */
+  evhttp_set_flags (server->http, EVHTTP_SERVER_LINGERING_CLOSE);
   evhttp_set_gencb (server->http, receive, server);
   return server;
 }
--- a/src/control.c
+++ b/src/control.c
@@ -512,6 +512,7 @@
   evhttp_set_allowed_methods (control->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
   evhttp_set_max_headers_size (control->http, HEADERS_MAX_BYTES);
   evhttp_set_max_body_size (control->http, MARJORAM_FILE_TEXT_MAX);
+  evhttp_set_flags (control->http, EVHTTP_SERVER_LINGERING_CLOSE);
   evhttp_set_timeout (control->http, CONNECTION_TIMEOUT_S);
   evhttp_set_gencb (control->http, handle_request, control);
   if (bind_address (control->http, settings->control_address, err))
--- a/src/frontend.c
+++ b/src/frontend.c
@@ -607,6 +607,7 @@
   evhttp_set_max_headers_size (frontend->http,
                                (ev_ssize_t)settings->max_headers);
   evhttp_set_max_body_size (frontend->http, (ev_ssize_t)settings->max_body);
+  evhttp_set_flags (frontend->http, EVHTTP_SERVER_LINGERING_CLOSE);
   evhttp_set_timeout (frontend->http,
                       (int)(settings->read_timeout_ms / MSEC_PER_SEC) + 1);
   evhttp_set_allowed_methods (frontend->http,
