Tests: answers over each limit, bytes that belong to no body

Unit tests of: an answer at and over its limit, a stated length, many answers at once, a refusal, an event and a stream without end, a head that is no crash; and for the HTTP client eight kinds of bytes without end.

--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -888,6 +888,154 @@
 }
 END_TEST
 
+/* ---- Answers that are too large.  ---- */
+
+static void
+limit_answers (size_t one, size_t all)
+{
+  const struct marjoram_answer_limits limits = { one, all };
+
+  marjoram_gateway_set_answer_limits (f.gateway, &limits);
+}
+
+static void
+expect_given_up (int cancels)
+{
+  ck_assert_int_eq (f.seen.cancels, cancels);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_ANSWER_TOO_LARGE);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_UNKNOWN);
+  ck_assert_int_eq (f.seen.why.status, 502);
+  ck_assert_uint_eq (marjoram_gateway_request_count (f.gateway), 0);
+}
+
+/* Guards against an answer whose body is held without a limit.  */
+START_TEST (answer_over_the_limit_is_given_up)
+{
+  limit_answers (10, 100);
+  gateway_fixture_call (&f, 0, "/flip/x");
+  gateway_fixture_head (&f, 1, 200, NULL, true, false);
+  gateway_fixture_data (&f, 2, "0123456789");
+  ck_assert_int_eq (f.seen.refusals, 0);
+  gateway_fixture_data (&f, 3, "0");
+  expect_given_up (1);
+}
+END_TEST
+
+/* Guards against reading an answer that states a length over the limit.  */
+START_TEST (stated_length_over_the_limit_is_given_up)
+{
+  limit_answers (10, 100);
+  gateway_fixture_call (&f, 0, "/flip/x");
+  gateway_fixture_success (&f, 1, "Content-Length", "10");
+  ck_assert_int_eq (f.seen.refusals, 0);
+  gateway_fixture_data (&f, 1, "0123456789");
+  gateway_fixture_end (&f, 1, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.status, 200);
+  gateway_fixture_call (&f, 2, "/flip/x");
+  gateway_fixture_success (&f, 3, "Content-Length", "11");
+  expect_given_up (1);
+}
+END_TEST
+
+/* Guards against many answers that are held together without a limit, and
+   against others that are given up with the largest.  */
+START_TEST (largest_of_too_many_answers_is_given_up)
+{
+  uint64_t small;
+
+  limit_answers (100, 20);
+  gateway_fixture_call (&f, 0, "/get/small");
+  small = f.seen.attempt;
+  gateway_fixture_head (&f, 1, 200, NULL, true, false);
+  gateway_fixture_data (&f, 1, "1234");
+  gateway_fixture_call (&f, 2, "/flip/large");
+  gateway_fixture_head (&f, 3, 200, NULL, true, false);
+  gateway_fixture_data (&f, 3, "0123456789012345");
+  ck_assert_int_eq (f.seen.refusals, 0);
+  gateway_fixture_data (&f, 4, "0");
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_ANSWER_TOO_LARGE);
+  f.seen.attempt = small;
+  gateway_fixture_end (&f, 5, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.status, 200);
+  ck_assert_str_eq (f.seen.body, "1234");
+}
+END_TEST
+
+/* Guards against a head without end that convicts the request of crashing its
+   upstream.  */
+START_TEST (oversized_head_is_no_crash)
+{
+  for (int i = 0; i < 6; i++)
+    {
+      gateway_fixture_call (&f, 100 * i, "/get/x");
+      gateway_fixture_end (&f, 100 * i + 1, MARJORAM_HTTP_OVERSIZED);
+    }
+  ck_assert_uint_eq (
+      marjoram_crash_list_count (marjoram_gateway_crash_list (f.gateway)), 0);
+}
+END_TEST
+
+/* Guards against waiting for the end of a refusal's body.  */
+START_TEST (refusal_without_end_counts_as_refused)
+{
+  char text[4096];
+
+  memset (text, 'x', sizeof text);
+  text[sizeof text - 1] = '\0';
+  gateway_fixture_call (&f, 0, "/flip/x");
+  gateway_fixture_head (&f, 1, 503, NULL, true, true);
+  for (int i = 0; i < 20 && f.seen.cancels == 0; i++)
+    gateway_fixture_data (&f, 2, text);
+  ck_assert_int_eq (f.seen.cancels, 1);
+  /* A request that may run once is sent again only if it has not run.  */
+  ck_assert_int_eq (f.seen.sends + f.seen.forwards, 2);
+}
+END_TEST
+
+/* Guards against a stream that goes on for as long as its caller waits.  */
+START_TEST (stream_with_more_events_than_tokens_is_cut)
+{
+  enum
+  {
+    TOKENS = 50, /* that the fixture's prompts allow in an answer */
+    EVENTS_MAX = 2 * TOKENS + 64
+  };
+  int events = 0;
+
+  gateway_fixture_prompt (&f, 0, "/digest/x", 100);
+  gateway_fixture_success (&f, 1, "Content-Type", "text/event-stream");
+  while (f.seen.cuts == 0 && events <= 2 * EVENTS_MAX)
+    {
+      gateway_fixture_data (&f, 2, "data: a\n\n");
+      events++;
+    }
+  ck_assert_int_ge (events, TOKENS);
+  ck_assert_int_le (events, EVENTS_MAX + 2);
+}
+END_TEST
+
+/* Guards against an event that is held without a limit.  */
+START_TEST (event_without_end_is_given_up)
+{
+  enum
+  {
+    LINE = 4000,
+    LINES = 300 /* more than an event may have */
+  };
+  char line[LINE + 1];
+
+  memset (line, 'x', LINE);
+  line[LINE] = '\0';
+  gateway_fixture_call (&f, 0, "/digest/x");
+  gateway_fixture_success (&f, 1, "Content-Type", "text/event-stream");
+  for (int i = 0; i < LINES && f.seen.refusals == 0; i++)
+    gateway_fixture_data (&f, 2, line);
+  expect_given_up (1);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -896,6 +1044,13 @@
 
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, request_is_served);
+  tcase_add_test (c, answer_over_the_limit_is_given_up);
+  tcase_add_test (c, stated_length_over_the_limit_is_given_up);
+  tcase_add_test (c, largest_of_too_many_answers_is_given_up);
+  tcase_add_test (c, oversized_head_is_no_crash);
+  tcase_add_test (c, refusal_without_end_counts_as_refused);
+  tcase_add_test (c, stream_with_more_events_than_tokens_is_cut);
+  tcase_add_test (c, event_without_end_is_given_up);
   tcase_add_test (c, request_without_configuration_is_refused);
   tcase_add_test (c, starting_host_waits_for_configuration);
   tcase_add_test (c, starting_host_wait_is_bounded);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -25,7 +25,8 @@
   GRACE_MS = 200,       /* of a server that closes idle connections */
   CLOSE_MAX_MS = 600,   /* grace period, tick and close by the caller */
   AFTER_GRACE_MS = 400, /* well after the grace period */
-  LARGE_BYTES = 9 * 1024 * 1024 /* exceeds the socket buffers */
+  LARGE_BYTES = 9 * 1024 * 1024, /* exceeds the socket buffers */
+  EXCESS_BYTES = 512 * 1024      /* over what may come beside a body */
 };
 
 static struct event_base *base;
@@ -879,6 +880,36 @@
   return last_outcome;
 }
 
+/* Guards against upstreams that send bytes without end which belong to no
+   body.  */
+START_TEST (excess_bytes_are_given_up)
+{
+  static const struct
+  {
+    const char *start;
+    const char *repeated;
+  } cases[] = {
+    { "HTTP/1.1 200 O", "K" },
+    { "HTTP/1.1 200 OK\r\nX-Long: ", "v" },
+    { "HTTP/1.1 200 OK\r\n", "X: 1\r\n" },
+    { "", "\r\n" },
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;", "e" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "X: 1\r\n" },
+  };
+  const size_t size = strlen (cases[_i].repeated);
+  char *text = marjoram_alloc (strlen (cases[_i].start) + EXCESS_BYTES + 1);
+  char *end = stpcpy (text, cases[_i].start);
+
+  for (size_t used = 0; used + size <= EXCESS_BYTES; used += size)
+    end = stpcpy (end, cases[_i].repeated);
+  ck_assert_int_eq (exchange (text), MARJORAM_HTTP_OVERSIZED);
+  free (text);
+}
+END_TEST
+
 START_TEST (connection_is_reused)
 {
   static const char response[]
@@ -1079,6 +1110,7 @@
   tcase_add_test (c, aborted_response_is_not_terminated);
   suite_add_tcase (s, c);
   tcase_add_checked_fixture (d, client_setup, client_teardown);
+  tcase_add_loop_test (d, excess_bytes_are_given_up, 0, 8);
   tcase_add_test (d, connection_is_reused);
   tcase_add_loop_test (d, stated_idle_timeouts_are_limited, 0, 3);
   tcase_add_test (d, closed_connection_is_not_reused);
