Zone hosts: answers are limited over all requests

A zone host held up to 16 MiB for each request whose answer it buffers, without a total: answers without end at many upstreams could take up its memory (by reading; no caller has seen it).

Measured: test_host largest_of_too_many_answers_is_given_up; the code before has no such limit, so that its build needs the setting. test_host, test_settings, test_claim, test_documents, two-hosts, thin-path and at-most-once pass under ASan and UBSan.

--- a/src/answer.c
+++ b/src/answer.c
@@ -9,7 +9,9 @@
 enum
 {
   /* Larger answers are not stored for replay.  */
-  REPLAY_BODY_MAX = 256 * 1024
+  REPLAY_BODY_MAX = 256 * 1024,
+  /* Part of the limit of all answers that remains when it is exceeded.  */
+  REMAINING_PART = 4
 };
 
 static void
@@ -23,6 +25,7 @@
       marjoram_bytes_release (chunk->bytes);
       free (chunk);
     }
+  *request->held -= request->chunks_size;
   request->chunks_size = 0;
 }
 
@@ -34,6 +37,7 @@
   chunk->bytes = marjoram_bytes_retain (bytes);
   STAILQ_INSERT_TAIL (&request->chunks, chunk, next);
   request->chunks_size += marjoram_bytes_size (bytes);
+  *request->held += marjoram_bytes_size (bytes);
 }
 
 static marjoram_bytes *
@@ -146,6 +150,41 @@
   return !is_streamed (request) || request->granted || request->peer;
 }
 
+static struct marjoram_request *
+find_largest_answer (marjoram_host *host)
+{
+  struct marjoram_request *largest = NULL;
+  struct marjoram_request *request;
+
+  TAILQ_FOREACH (request, &host->requests->all, all)
+  if (request->attempt
+      && (!largest || request->chunks_size > largest->chunks_size))
+    largest = request;
+  return largest;
+}
+
+/* Gives up the largest answers if all of them together are too large.  Far
+   more than needed, so that many answers without end end early.  */
+static void
+bound_answers (marjoram_host *host, int64_t now)
+{
+  const size_t limit = host->settings->max_answers;
+  struct marjoram_request *largest;
+
+  if (limit == 0 || host->requests->answer_bytes <= limit)
+    return;
+  while (host->requests->answer_bytes > limit / REMAINING_PART
+         && (largest = find_largest_answer (host)) != NULL
+         && largest->chunks_size > 0)
+    {
+      marjoram_attempt_cancel (host, now, largest);
+      clear_chunks (largest);
+      marjoram_request_refuse (host, now, largest, MARJORAM_OUTCOME_UNKNOWN,
+                               MARJORAM_REASON_ANSWER_TOO_LARGE, 0);
+    }
+}
+
+/* May end requests, REQUEST too.  */
 void
 marjoram_request_data (marjoram_host *host, int64_t now,
                        struct marjoram_request *request, marjoram_bytes *bytes)
@@ -157,6 +196,7 @@
     add_chunk (request, bytes);
   if (is_streamed (request))
     deliver_bytes (host, request, bytes);
+  bound_answers (host, now);
 }
 
 static const char *
--- a/src/request.c
+++ b/src/request.c
@@ -62,6 +62,7 @@
   request->arrived = now;
   request->remote_zone = -1;
   STAILQ_INIT (&request->chunks);
+  request->held = &host->requests->answer_bytes;
   marjoram_digest_request (texts, sizeof texts / sizeof *texts, call->body,
                            request->digest);
   TAILQ_INSERT_TAIL (&host->requests->all, request, all);
--- a/src/request.h
+++ b/src/request.h
@@ -98,6 +98,7 @@
   uint64_t delivered; /* body bytes delivered to the origin */
   struct marjoram_chunk_list chunks;
   size_t chunks_size;
+  size_t *held; /* the owner's sum of all CHUNKS_SIZE */
 
   bool abandoned;  /* the caller no longer waits for the answer */
   bool answered;   /* settled: the outcome is final and has been delivered */
@@ -125,6 +126,7 @@
   struct marjoram_request *by_attempt;
   struct marjoram_request *by_claim;
   uint64_t next_attempt;
+  size_t answer_bytes; /* held for all requests */
 };
 
 struct marjoram_requests *marjoram_requests_create (void);
--- a/src/settings.c
+++ b/src/settings.c
@@ -16,6 +16,8 @@
   REQUESTS_MAX = 1000 * 1000,
   HEADERS_BYTES_MAX = 256 * 1024,
   BODY_BYTES_MAX = 16 * 1024 * 1024,
+  ANSWERS_BYTES_MIN = 1024 * 1024,
+  ANSWERS_BYTES_MAX = 1024 * 1024 * 1024,
   SECOND_MS = 1000,
   MINUTE_MS = 60 * SECOND_MS,
   HOUR_MS = 60 * MINUTE_MS
@@ -62,6 +64,8 @@
     BODY_BYTES_MAX, NULL },
   { "max_headers", MARJORAM_INI_SIZE, SETTING (max_headers), "16k", 1024,
     HEADERS_BYTES_MAX, NULL },
+  { "max_answers", MARJORAM_INI_SIZE, SETTING (max_answers), "64M",
+    ANSWERS_BYTES_MIN, ANSWERS_BYTES_MAX, NULL },
   { "read_timeout_ms", MARJORAM_INI_INT64, SETTING (read_timeout_ms), "10000",
     100, 10 * MINUTE_MS, NULL },
   { "drain_limit_ms", MARJORAM_INI_INT64, SETTING (drain_limit_ms), "300000",
--- a/src/settings.h
+++ b/src/settings.h
@@ -35,6 +35,7 @@
   /* [limits] */
   size_t max_body;    /* bytes */
   size_t max_headers; /* bytes */
+  size_t max_answers; /* bytes of all answers that are held; 0: no limit */
   int64_t read_timeout_ms;
   int64_t drain_limit_ms;
   int64_t claim_retention_ms;
--- a/test/lib_hosts.c
+++ b/test/lib_hosts.c
@@ -740,6 +740,13 @@
   marjoram_bytes_release (bytes);
 }
 
+void
+test_limit_answers (struct test_hosts *hosts, size_t bytes)
+{
+  for (int i = 0; i < HOSTS_MAX; i++)
+    hosts->nodes[i].settings.max_answers = bytes;
+}
+
 void
 test_answer (struct test_hosts *hosts, struct test_run *run, const char *body)
 {
--- a/test/lib_hosts.h
+++ b/test/lib_hosts.h
@@ -77,6 +77,8 @@
 int test_runs (const struct test_hosts *hosts);
 struct test_run *test_run (struct test_hosts *hosts, int index);
 /* Sends a complete response with BODY.  */
+/* Limits the answers that each host holds, in bytes over all requests.  */
+void test_limit_answers (struct test_hosts *hosts, size_t bytes);
 void test_answer (struct test_hosts *hosts, struct test_run *run,
                   const char *body);
 void test_head (struct test_hosts *hosts, struct test_run *run);
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -107,6 +107,35 @@
 }
 END_TEST
 
+/* Guards against answers without end that take up a host's memory, and against
+   others that end with them.  */
+START_TEST (largest_of_too_many_answers_is_given_up)
+{
+  uint64_t small;
+  uint64_t large;
+  struct test_run *small_run;
+  struct test_run *large_run;
+
+  test_limit_answers (hosts, 20);
+  announce_upstream (0, "u", 9000);
+  small = send_request (1, "free", NULL, false);
+  small_run = last_run ();
+  large = send_request (1, "free", NULL, false);
+  large_run = last_run ();
+  test_head (hosts, small_run);
+  test_data (hosts, small_run, "1234");
+  test_head (hosts, large_run);
+  test_data (hosts, large_run, "0123456789012345");
+  ck_assert (!test_reply (hosts, large)->refused);
+  test_data (hosts, large_run, "0");
+  expect_refusal (large, MARJORAM_OUTCOME_UNKNOWN,
+                  MARJORAM_REASON_ANSWER_TOO_LARGE);
+  marjoram_host_run_end (test_host (hosts, small_run->host), test_now (hosts),
+                         small_run->attempt);
+  expect_done (small, "1234");
+}
+END_TEST
+
 START_TEST (answers_from_another_zone)
 {
   uint64_t call;
@@ -932,6 +961,7 @@
 
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, answers_from_own_zone);
+  tcase_add_test (c, largest_of_too_many_answers_is_given_up);
   tcase_add_test (c, answers_from_another_zone);
   tcase_add_test (c, residency_overrides_capacity);
   tcase_add_test (c, residency_is_checked_at_receipt);
