Gateway: names of the answer limits; full links take one message more

Reading the diff: answers.one and .all say what they count now; whether links are full no longer depends on the size of one message, as a body near the share of a small host could never be forwarded.

--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -64,12 +64,12 @@
     }
 }
 
-/* Whether other hosts read the frames of this one too slowly to send SIZE more
-   bytes.  */
+/* Whether other hosts read the frames of this one too slowly.  A message alone
+   may always be sent.  */
 static bool
-links_are_full (struct marjoram_entry *self, size_t size)
+links_are_full (struct marjoram_entry *self)
 {
-  return marjoram_host_links_unsent_bytes (self->parts->links) + size
+  return marjoram_host_links_unsent_bytes (self->parts->links)
          > self->frame_bytes_max;
 }
 
@@ -102,7 +102,7 @@
     marjoram_http_server_data (self->server, call, bytes, size);
   else if (inbound && !inbound->overflowed)
     {
-      inbound->overflowed = links_are_full (self, size);
+      inbound->overflowed = links_are_full (self);
       if (!inbound->overflowed)
         reply_pieces (self, inbound, bytes, size);
     }
@@ -252,7 +252,7 @@
 {
   struct marjoram_entry *self = context;
 
-  return !links_are_full (self, marjoram_bytes_size (forward->body))
+  return !links_are_full (self)
          && marjoram_host_links_send (self->parts->links, host,
                                       MARJORAM_FRAME_FORWARD, forward);
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -74,7 +74,7 @@
       = marjoram_quota_pool_create (&marjoram_gateway_quota_ops, gateway);
   gateway->origins = marjoram_stream_origins_create ();
   gateway->created_at = now;
-  if (gateway->options.answers.one == 0)
+  if (gateway->options.answers.answer_bytes == 0)
     gateway->options.answers
         = (struct marjoram_answer_limits){ MARJORAM_BODY_MAX,
                                            2 * MARJORAM_BODY_MAX };
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -85,8 +85,8 @@
 /* Sizes in bytes; all 0: the defaults.  */
 struct marjoram_answer_limits
 {
-  size_t one; /* answer, streams included */
-  size_t all; /* answers that this host holds at once */
+  size_t answer_bytes; /* of one answer, streams included */
+  size_t total_bytes;  /* of all answers that this host holds */
 };
 
 struct marjoram_gateway_options
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -430,7 +430,7 @@
   const char *text = marjoram_header_list_get (headers, "Content-Length");
 
   return text && strcmp (exchange->request->method, "HEAD") != 0
-         && strtoull (text, NULL, 10) > gateway->options.answers.one;
+         && strtoull (text, NULL, 10) > gateway->options.answers.answer_bytes;
 }
 
 /* ---- Answer heads.  ---- */
@@ -541,7 +541,7 @@
 static void
 bound_answers (marjoram_gateway *gateway, int64_t now)
 {
-  const size_t limit = gateway->options.answers.all;
+  const size_t limit = gateway->options.answers.total_bytes;
   struct marjoram_exchange *largest;
 
   if (gateway->answer_bytes <= limit)
@@ -568,7 +568,7 @@
 {
   return has_excess_events (exchange)
          || exchange->stream_passed + evbuffer_get_length (exchange->body)
-                > gateway->options.answers.one
+                > gateway->options.answers.answer_bytes
          || marjoram_exchange_unfinished (exchange) > EVENT_BYTES_MAX;
 }
 
