--- a/src/gateway.c
+++ b/src/gateway.c
@@ -77,7 +77,7 @@
   if (gateway->options.answers.answer_bytes == 0)
     gateway->options.answers
         = (struct marjoram_answer_limits){ MARJORAM_BODY_MAX,
-                                           2 * MARJORAM_BODY_MAX };
+                                           (size_t)2 * MARJORAM_BODY_MAX };
   update_features (gateway);
   return gateway;
 }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -162,8 +162,7 @@
   struct marjoram_header_list headers; /* of the answer */
   enum marjoram_framing framing;       /* as received from the upstream */
   bool is_signed;
-  bool refused;         /* reported as not run */
-  size_t refusal_bytes; /* of the refusal's body */
+  bool refused; /* reported as not run */
   bool wrong_upstream;
   bool has_retry_after;   /* the answer has the header */
   int64_t retry_after_ms; /* -1 if it cannot be read */
@@ -172,6 +171,7 @@
   struct evbuffer *body;  /* answer body or complete events */
   marjoram_event_stream *events;
   size_t answer_held;   /* bytes in BODY and EVENTS */
+  size_t refusal_bytes; /* of the body of a refusal */
   size_t stream_passed; /* bytes of events, over all attempts */
 
   /* Totals over all attempts.  */
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -104,10 +104,10 @@
   bool confirmed;     /* a majority has seen this incarnation */
   int64_t confirm_by; /* when one peer is enough; 0 before the first event */
   bool bootstrapped;  /* a state beyond the initial one exists */
+  bool answering;     /* the owner is in its callback for an answer */
 
   struct marjoram_keeper_peers peers;
   struct marjoram_keeper_requests requests;
-  bool answering; /* the owner is in its callback for an answer */
   struct marjoram_keeper_envelopes
       pending_replies;                    /* waiting for a disk write */
   struct marjoram_keeper_envelopes inbox; /* from this keeper to itself */
--- a/test/test_engine_survey.c
+++ b/test/test_engine_survey.c
@@ -14,6 +14,7 @@
 enum
 {
   LIMIT_MS = 8000,
+  TIMEOUT_S = 16,
   LARGE_BYTES = 2 * 1024 * 1024 /* over the limit of an answer */
 };
 
@@ -237,7 +238,7 @@
   Suite *s = suite_create ("engine_survey");
   TCase *c = tcase_create ("engine_survey");
 
-  tcase_set_timeout (c, 2 * LIMIT_MS / 1000);
+  tcase_set_timeout (c, TIMEOUT_S);
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, cached_parts_are_reported);
   tcase_add_test (c, malformed_entries_are_skipped);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -967,10 +967,10 @@
    upstream.  */
 START_TEST (oversized_head_is_no_crash)
 {
-  for (int i = 0; i < 6; i++)
+  for (int64_t now = 0; now < 600; now += 100)
     {
-      gateway_fixture_call (&f, 100 * i, "/get/x");
-      gateway_fixture_end (&f, 100 * i + 1, MARJORAM_HTTP_OVERSIZED);
+      gateway_fixture_call (&f, now, "/get/x");
+      gateway_fixture_end (&f, now + 1, MARJORAM_HTTP_OVERSIZED);
     }
   ck_assert_uint_eq (
       marjoram_crash_list_count (marjoram_gateway_crash_list (f.gateway)), 0);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -26,7 +26,8 @@
   CLOSE_MAX_MS = 600,   /* grace period, tick and close by the caller */
   AFTER_GRACE_MS = 400, /* well after the grace period */
   LARGE_BYTES = 9 * 1024 * 1024, /* exceeds the socket buffers */
-  EXCESS_BYTES = 512 * 1024      /* over what may come beside a body */
+  SMALL_BYTES = 8 * 1024,
+  EXCESS_BYTES = 512 * 1024 /* over what may come beside a body */
 };
 
 static struct event_base *base;
@@ -578,18 +579,18 @@
   large_received = 0;
   send_large (call, LARGE_BYTES - TEXT_MAX);
   ck_assert_int_eq (gone, 0);
-  send_large (last_call, 2 * TEXT_MAX);
+  send_large (last_call, SMALL_BYTES);
   run_until (is_gone);
   ck_assert_int_eq (gone, 1);
   bufferevent_free (first);
   marjoram_http_server_drain (server);
   marjoram_http_server_end (server, last_call);
-  for (int i = 0; i < 100 && large_received < 2 * TEXT_MAX; i++)
+  for (int i = 0; i < 100 && large_received < SMALL_BYTES; i++)
     {
       event_base_loop (base, EVLOOP_NONBLOCK);
       usleep (1000);
     }
-  ck_assert_uint_ge (large_received, 2 * TEXT_MAX);
+  ck_assert_uint_ge (large_received, SMALL_BYTES);
 }
 END_TEST
 
--- a/test/test_upstream_call.c
+++ b/test/test_upstream_call.c
@@ -16,6 +16,10 @@
 enum
 {
   TIMEOUT_MS = 2000,
+  /* Sizes in bytes, compared with the limits of a call's answer.  */
+  BELOW = 60 * 1024,
+  OVER = 70 * 1024,
+  FAR_OVER = 4 * 1024 * 1024,
   STATUS_UNAVAILABLE = 503
 };
 
@@ -144,11 +148,11 @@
     size_t body;
     int status;
   } cases[] = {
-    { 60 * 1024, 60 * 1024, STATUS_UNAVAILABLE },
-    { 70 * 1024, 0, 0 },
-    { 0, 70 * 1024, 0 },
-    { 4 * 1024 * 1024, 0, 0 },
-    { 0, 4 * 1024 * 1024, 0 },
+    { BELOW, BELOW, STATUS_UNAVAILABLE },
+    { OVER, 0, 0 },
+    { 0, OVER, 0 },
+    { FAR_OVER, 0, 0 },
+    { 0, FAR_OVER, 0 },
   };
 
   head_bytes = cases[_i].head;
