Log what proved that an attempt did not run

Lines of attempts and requests told neither which evidence made the host say "not run" nor whether an answer named its request, so that a refusal that belongs to no request could not be told from an upstream's own, and a refusal that was passed on not from one with proof.

Both lines have attempt=, proof= (none, unsent, upstream, host) and answer_id= (own, none); the request's has maybe_run= as well. Counters: gateway_answers_without_id and gateway_refusals_without_proof. The dialect names the statuses that promise. No decision has changed.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -138,6 +138,9 @@
                      struct marjoram_header_list *headers);
   void (*read_answer) (int status, const struct marjoram_header_list *headers,
                        struct marjoram_response_metadata *metadata);
+  /* Whether STATUS tells callers that their request did not run and never
+     will.  */
+  bool (*promises_not_run) (int status);
   /* False with ERR set if the path is known but the request is malformed.  */
   bool (*read_api_request) (const char *method, const char *target,
                             const char *body, size_t size,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -304,7 +304,8 @@
       " pause_ms=%" PRId64
       " route=%s service=%s customer=%s priority=%d config=%" PRIu64
       " upstream=%s build=%s host=%s arrivals=%d unreached=%d forwarded=%d"
-      " last_event=%s resumes=%s share=%s part=%d%s",
+      " last_event=%s resumes=%s share=%s part=%d attempt=%" PRIu64
+      " maybe_run=%d proof=%s answer_id=%s%s",
       *exchange->metadata.id ? exchange->metadata.id : "-", outcome,
       marjoram_reason_name (reason), status, now - exchange->received_at,
       first_ms, exchange->objective_ms, exchange->estimated_wait_ms,
@@ -333,7 +334,9 @@
       marjoram_exchange_room_name (exchange),
       exchange->room.verdict == MARJORAM_ROOM_UNKNOWN ? -1
                                                       : exchange->room.part,
-      wait);
+      exchange->last_attempt, exchange->attempts_maybe_run,
+      marjoram_run_proof_name (exchange->proof),
+      marjoram_exchange_answer_id (exchange), wait);
 }
 
 void
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -53,6 +53,15 @@
   return exchange->status / 100 == SUCCESS;
 }
 
+/* Whether the answer names the request, for logs.  */
+const char *
+marjoram_exchange_answer_id (const struct marjoram_exchange *exchange)
+{
+  if (exchange->status == 0)
+    return "-";
+  return exchange->answer_has_id ? "own" : "none";
+}
+
 /* ---- Retries. ---- */
 
 static const char *
@@ -129,7 +138,7 @@
       "status=%d framing=%s unfinished=%zu events=%d arrivals=%d runs=%d "
       "lag_ms=%" PRId64 " repeats=%" PRIu64 " repeats_allowed=%.1f "
       "attempt_events=%d retry_after_ms=%s paused_ms=%" PRId64 " forwarded=%d "
-      "queued=%d parts=%s",
+      "queued=%d attempt=%" PRIu64 " proof=%s answer_id=%s parts=%s",
       exchange->metadata.id, marjoram_reason_name (reason),
       denial ? denial : "yes", exchange->service,
       *exchange->upstream ? exchange->upstream : "-",
@@ -142,7 +151,9 @@
       exchange->attempt_events, retry_after,
       marjoram_placement_paused_ms (gateway->placement, now,
                                     exchange->upstream),
-      exchange->forwarded, exchange->queued_since != 0, parts);
+      exchange->forwarded, exchange->queued_since != 0, exchange->last_attempt,
+      marjoram_run_proof_name (exchange->proof),
+      marjoram_exchange_answer_id (exchange), parts);
 }
 
 /* To be called after each change of the exchange's body or events.  */
@@ -385,6 +396,7 @@
                                      ? MARJORAM_ATTEMPT_WRONG_UPSTREAM
                                      : MARJORAM_ATTEMPT_REFUSED);
   exchange->attempts_maybe_run--;
+  exchange->proof = MARJORAM_PROOF_UPSTREAM;
   marjoram_exchange_record_not_started (gateway, exchange);
   marjoram_exchange_retry (gateway, exchange, now,
                            MARJORAM_REASON_UPSTREAM_REFUSED, true);
@@ -460,6 +472,10 @@
   exchange->status = status;
   exchange->is_signed = metadata.signed_by_upstream;
   exchange->refused = metadata.not_run;
+  exchange->answer_has_id = *metadata.id != '\0';
+  if (!exchange->answer_has_id && *exchange->upstream)
+    marjoram_metrics_add (gateway->options.metrics,
+                          MARJORAM_METRIC_ANSWERS_WITHOUT_ID, 1);
   exchange->wrong_upstream = metadata.wrong_upstream;
   read_retry_after (exchange, headers);
   if (*exchange->upstream)
@@ -637,6 +653,9 @@
   size_t size = evbuffer_get_length (exchange->body);
 
   marjoram_exchange_record_begin (gateway, exchange, now, true);
+  if (gateway->options.dialect->ops->promises_not_run (exchange->status))
+    marjoram_metrics_add (gateway->options.metrics,
+                          MARJORAM_METRIC_REFUSALS_WITHOUT_PROOF, 1);
   gateway->ops->reply_head (gateway->context, exchange->call, exchange->status,
                             &exchange->headers, (int64_t)size);
   gateway->ops->reply_data (gateway->context, exchange->call,
@@ -748,6 +767,7 @@
                                  MARJORAM_ATTEMPT_UNREACHED);
   exchange->attempts_maybe_run--;
   exchange->attempts_sent--;
+  exchange->proof = MARJORAM_PROOF_UNSENT;
   exchange->failed_connections++;
   marjoram_exchange_record_not_started (gateway, exchange);
   log_attempt (gateway, exchange, now, MARJORAM_REASON_NO_UPSTREAM, NULL);
@@ -840,6 +860,7 @@
   marjoram_metrics_add (gateway->options.metrics,
                         MARJORAM_METRIC_FORWARDS_REFUSED, 1);
   exchange->attempts_maybe_run--;
+  exchange->proof = MARJORAM_PROOF_HOST;
   if (why->unreached)
     exchange->attempts_sent--;
   if (send_refused_here (gateway, exchange, now, why))
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -18,6 +18,7 @@
 #include "gateway.h"
 #include "queue_rate.h"
 #include "room_share.h"
+#include "run_proof.h"
 #include "shortage.h"
 #include "stream_origin.h"
 #include "wait_queue.h"
@@ -146,9 +147,10 @@
   size_t origins_awaited; /* keepers that have not answered */
 
   /* The current attempt.  */
-  uint64_t attempt;   /* 0 if none */
-  int attempt_events; /* received */
-  bool attempt_begun; /* the upstream has begun to answer */
+  uint64_t attempt;      /* 0 if none */
+  uint64_t last_attempt; /* the current one or the one before */
+  int attempt_events;    /* received */
+  bool attempt_begun;    /* the upstream has begun to answer */
   int64_t attempt_sent_at;
   char upstream[MARJORAM_ID_MAX];
   int64_t upstream_started_at;
@@ -162,7 +164,9 @@
   struct marjoram_header_list headers; /* of the answer */
   enum marjoram_framing framing;       /* as received from the upstream */
   bool is_signed;
-  bool refused; /* reported as not run */
+  bool refused;                  /* reported as not run */
+  bool answer_has_id;            /* the answer names the request */
+  enum marjoram_run_proof proof; /* that the last attempt did not run */
   bool wrong_upstream;
   bool has_retry_after;   /* the answer has the header */
   int64_t retry_after_ms; /* -1 if it cannot be read */
@@ -596,6 +600,8 @@
                                       const char *region);
 
 /* gateway_answer.c */
+const char *
+marjoram_exchange_answer_id (const struct marjoram_exchange *exchange);
 /* Whether a request that may have run may be sent to another upstream.  */
 bool marjoram_exchange_may_retry (marjoram_gateway *gateway,
                                   const struct marjoram_exchange *exchange,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -39,6 +39,8 @@
   if (exchange->state == MARJORAM_EXCHANGE_WAITING)
     exchange->state = MARJORAM_EXCHANGE_OPEN;
   exchange->attempt = ++gateway->next_attempt;
+  exchange->last_attempt = exchange->attempt;
+  exchange->proof = MARJORAM_PROOF_NONE;
   exchange->attempt_events = 0;
   exchange->attempt_begun = false;
   exchange->attempt_sent_at = now;
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -27,6 +27,10 @@
   MARJORAM_METRIC_REFUSED_WITH_ROOM,
   MARJORAM_METRIC_OVER_SHARE_REFUSED,
   MARJORAM_METRIC_STRAY_ANSWERS,
+  MARJORAM_METRIC_ANSWERS_WITHOUT_ID,
+  /* Answers of upstreams with a status that promises that the request did not
+     run, but without proof.  */
+  MARJORAM_METRIC_REFUSALS_WITHOUT_PROOF,
   MARJORAM_METRIC_ANSWERS_TOO_LARGE,
   /* Not started, although they waited for more than half of their objective;
      refused at once or soon because of the measured rate.  */
