Failing test: requests run although they were refused, and twice

tool_promises has callers and misbehaving upstreams of a gateway that runs elsewhere: answers that come late, twice, for another request, without an id, with a refusal's status after a run, before the request was read; connections that are cut, answers that end early. It counts by the callers' ids what ran and compares that with what callers were told. gateway-promises plays it with real processes while hosts are frozen, killed and stopped, links are cut (also one way), stalled and silent, zones are evacuated and the configuration changes.

--- a/test/lib_relay.c
+++ b/test/lib_relay.c
@@ -349,7 +349,8 @@
 {
   pair->connected = true;
   bufferevent_enable (pair->side[0].stream, EV_READ);
-  bufferevent_enable (pair->side[1].stream, EV_READ);
+  if (pair->relay->mode != RELAY_HOLD_ANSWERS)
+    bufferevent_enable (pair->side[1].stream, EV_READ);
   if (bufferevent_socket_connect (pair->side[1].stream,
                                   (struct sockaddr *)&pair->relay->target,
                                   pair->relay->target_size))
@@ -381,7 +382,7 @@
     }
   LIST_INSERT_HEAD (&relay->pairs, pair, entries);
   relay->connections++;
-  if (relay->mode == RELAY_PASS)
+  if (relay->mode == RELAY_PASS || relay->mode == RELAY_HOLD_ANSWERS)
     pair_connect (pair);
 }
 
@@ -441,6 +442,13 @@
   bufferevent_disable (pair->side[1].stream, EV_READ);
 }
 
+static void
+pause_answers (struct pair *pair)
+{
+  if (!pair->closing)
+    bufferevent_disable (pair->side[1].stream, EV_READ);
+}
+
 static void
 silence_pair (struct pair *pair)
 {
@@ -485,7 +493,9 @@
       stop_listening (relay);
       return;
     }
-  for_each_pair (relay, mode == RELAY_HOLD ? pause_reading : resume_pair);
+  for_each_pair (relay, mode == RELAY_HOLD           ? pause_reading
+                        : mode == RELAY_HOLD_ANSWERS ? pause_answers
+                                                     : resume_pair);
   if (!start_listening (relay))
     schedule_watch (relay);
 }
--- a/test/lib_relay.h
+++ b/test/lib_relay.h
@@ -15,7 +15,9 @@
 enum relay_mode
 {
   RELAY_PASS,
-  RELAY_HOLD,  /* partition: data is buffered, neither side is notified */
+  RELAY_HOLD, /* partition: data is buffered, neither side is notified */
+  /* The same only for data from the target: a link that is cut one way.  */
+  RELAY_HOLD_ANSWERS,
   RELAY_REFUSE /* machine down: connections are refused */
 };
 
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -44,6 +44,25 @@
   system.relay_set (host.relay, slow and "rate_in" or "rate", LINK_RATE)
 end
 
+-- With LINK_RELAYS each host has a link port of its own, at which relays stand
+-- in for all other hosts, since hosts dial others on their own link port.
+-- link_relay (FROM, TO) is the relay of the links that FROM dials to TO.
+local OWN_PORT_BASE = 7600
+local link_relays = {}
+
+local function own_port (host)
+  return OWN_PORT_BASE + host.index
+end
+
+local function add_link_relay (from, to)
+  link_relays[from.name .. " " .. to.name] = assert (system.relay (
+    to.ip .. ":" .. own_port (from), to.ip .. ":" .. own_port (to)))
+end
+
+function link_relay (from, to)
+  return link_relays[from.name .. " " .. to.name]
+end
+
 local function settings (host)
   local seeds = {}
   for i, index in ipairs (host.seeds or { 1, 2, 3 }) do
@@ -62,6 +81,7 @@
       .. host.ip .. ":8140\n"
   end
   local port = is_slow (host) and SLOW_PORT or PORT
+  if LINK_RELAYS then port = own_port (host) end
   local limits = ""
   if REVOCATION_MS then
     limits = "revocation_ms = " .. REVOCATION_MS .. "\n"
@@ -113,12 +133,19 @@
 
 function add_host (role, index, zone)
   local host = { role = role, name = role .. index, ip = ip (index),
+                 index = index,
                  zone = zone, region = "r" .. zone:sub (2),
                  fresh = role == "keeper" and index <= 3 }
   programs[#programs + 1] = host
   local list = role == "keeper" and keepers or entries
   list[#list + 1] = host
   if SLOW_ENTRY then add_slow_relay (host) end
+  for _, other in ipairs (LINK_RELAYS and programs or {}) do
+    if other ~= host then
+      add_link_relay (host, other)
+      add_link_relay (other, host)
+    end
+  end
   start_host (host)
   return host
 end
@@ -218,6 +245,43 @@
   return ask (keeper.ip .. ":8146", "POST", "/-/config/replace", text)
 end
 
+-- The address of an upstream that another program serves.
+function upstream_address (index)
+  return ip (index) .. ":8080"
+end
+
+-- Starts tool_promises with callers of ENTRIES and UPSTREAMS ("ZONE=IP:PORT"),
+-- and OPTIONS for its command line by their names.
+function start_judge (hosts, upstreams, options)
+  local entry_list, keeper_list = {}, {}
+  for i, host in ipairs (hosts) do entry_list[i] = host.ip .. ":8144" end
+  for i, host in ipairs (keepers) do keeper_list[i] = host.ip .. ":8146" end
+  local command = { system.programs .. "/tool_promises", "--entries",
+                    table.concat (entry_list, ","), "--keepers",
+                    table.concat (keeper_list, ","), "--upstreams",
+                    table.concat (upstreams, ",") }
+  for _, name in ipairs (sorted (options)) do
+    command[#command + 1] = "--" .. name
+    command[#command + 1] = tostring (options[name])
+  end
+  local judge = { log = folder .. "/judge.log" }
+  judge.pid = system.spawn (command, judge.log)
+  return judge
+end
+
+-- Waits for the end of JUDGE, whose requests last for SECONDS, and returns its
+-- counts by name and the broken rules.
+function judged (judge, seconds)
+  wait_until (function () return system.ended (judge.pid) end, "the judge",
+              seconds * 1000 + LIMIT_MS)
+  local text, counts = read_file (judge.log), {}
+  for name, value in (text:match ("\n?(asked=[^\n]*)\n$") or ""):gmatch (
+    "(%S+)=(%d+)") do
+    counts[name] = tonumber (value)
+  end
+  return counts, text:match ("BROKEN [^\n]*")
+end
+
 usual_routes = {
   { "/get/", "idempotent" }, { "/flip/", "non_idempotent" },
   { "/stream/", "streaming", resumable = true },
--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -160,8 +160,10 @@
     CHANGES
   };
   static const char *const words[]
-      = { "pass",    "hold",  "refuse",  "delay", "rate",      "rate_in",
-          "silence", "stall", "release", "drop",  "downgrade", NULL };
+      = { "pass",  "hold",    "hold_answers", "refuse",
+          "delay", "rate",    "rate_in",      "silence",
+          "stall", "release", "drop",         "downgrade",
+          NULL };
   static void (*const changes[]) (struct relay *)
       = { relay_silence, relay_stall, relay_release, relay_drop,
           relay_downgrade };
