Gateway: a request is told not run only by a record of proofs

Every place that ended a request computed for itself whether it had run, from a counter that five places changed. A path added later, or a decrement too many, would have told a caller "not run" by default.

struct marjoram_run_record keeps the attempts: one that was sent may have run until a proof for just this attempt comes (nothing was sent, its upstream or its host stated it), once. marjoram_exchange_refuse derives outcome, status and Retry-After from it, so that no caller of it can state that a request did not run. Behaviour is unchanged; a 502 or 504 passed between hosts bears no Retry-After any more, which no caller was told.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -200,7 +200,7 @@
          int64_t now)
 {
   marjoram_quota_pool_release (gateway->quotas, now, &exchange->quota,
-                               exchange->attempts_maybe_run > 0);
+                               marjoram_exchange_may_have_run (exchange));
   HASH_DELETE (by_call, gateway->by_call, exchange);
   marjoram_wait_queue_remove (gateway->queue, &exchange->waiter);
   marjoram_forwarded_request_cancelled (&exchange->forward);
@@ -334,34 +334,60 @@
       marjoram_exchange_room_name (exchange),
       exchange->room.verdict == MARJORAM_ROOM_UNKNOWN ? -1
                                                       : exchange->room.part,
-      exchange->last_attempt, exchange->attempts_maybe_run,
-      marjoram_run_proof_name (exchange->proof),
+      exchange->runs.attempt, exchange->runs.unproven,
+      marjoram_run_proof_name (exchange->runs.proof),
       marjoram_exchange_answer_id (exchange), wait);
 }
 
+bool
+marjoram_exchange_may_have_run (const struct marjoram_exchange *exchange)
+{
+  return marjoram_run_record_may_have_run (&exchange->runs);
+}
+
+static struct marjoram_request_failure
+make_failure (const struct marjoram_exchange *exchange,
+              const struct marjoram_refusal *refusal)
+{
+  struct marjoram_request_failure failure
+      = { .outcome = marjoram_run_record_outcome (&exchange->runs),
+          .reason = refusal->reason,
+          .status = refusal->status,
+          .retry_ms = refusal->retry_ms,
+          .unreached = exchange->attempts_sent == 0 };
+
+  if (failure.outcome == MARJORAM_OUTCOME_NOT_RUN)
+    return failure;
+  failure.status = refusal->reason == MARJORAM_REASON_DEADLINE
+                       ? STATUS_GATEWAY_TIMEOUT
+                       : STATUS_BAD_GATEWAY;
+  failure.retry_ms = 0;
+  return failure;
+}
+
 void
 marjoram_exchange_refuse (marjoram_gateway *gateway,
                           struct marjoram_exchange *exchange, int64_t now,
-                          const struct marjoram_request_failure *why)
+                          const struct marjoram_refusal *refusal)
 {
   marjoram_metrics *metrics = gateway->options.metrics;
-  struct marjoram_request_failure failure = *why;
+  const struct marjoram_request_failure failure
+      = make_failure (exchange, refusal);
   uint64_t call = exchange->call;
 
-  failure.unreached = exchange->attempts_sent == 0;
-  marjoram_exchange_count_refusal (gateway, exchange, now, why);
+  marjoram_exchange_count_refusal (gateway, exchange, now, failure.reason);
   exchange->wait.retry_ms = failure.retry_ms;
   marjoram_exchange_record_wait_end (gateway, exchange, now);
   marjoram_exchange_drop_attempt (gateway, exchange, now,
                                   MARJORAM_ATTEMPT_CANCELLED);
   marjoram_metrics_add (metrics,
-                        why->outcome == MARJORAM_OUTCOME_NOT_RUN
+                        failure.outcome == MARJORAM_OUTCOME_NOT_RUN
                             ? MARJORAM_METRIC_NOT_RUN
                             : MARJORAM_METRIC_UNKNOWN,
                         1);
-  marjoram_metrics_add_refusal (metrics, why->reason);
-  log_end (gateway, exchange, now, marjoram_outcome_name (why->outcome),
-           why->reason, why->status);
+  marjoram_metrics_add_refusal (metrics, failure.reason);
+  log_end (gateway, exchange, now, marjoram_outcome_name (failure.outcome),
+           failure.reason, failure.status);
   if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
     gateway->ops->reply_abort (gateway->context, call);
   else
@@ -423,13 +449,9 @@
                 int64_t now, enum marjoram_reason reason, int status,
                 int64_t retry_ms)
 {
-  const struct marjoram_request_failure why
-      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
-          .reason = reason,
-          .status = status,
-          .retry_ms = retry_ms };
+  const struct marjoram_refusal refusal = { reason, status, retry_ms };
 
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
+  marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
 /* Hosts apply a configuration at slightly different times.  For
@@ -599,13 +621,10 @@
 time_out (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
           int64_t now)
 {
-  bool ran = exchange->attempts_maybe_run > 0;
-  const struct marjoram_request_failure why
-      = { .outcome = ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
-          .reason = MARJORAM_REASON_DEADLINE,
-          .status = ran ? STATUS_GATEWAY_TIMEOUT : STATUS_UNAVAILABLE };
+  static const struct marjoram_refusal refusal
+      = { MARJORAM_REASON_DEADLINE, STATUS_UNAVAILABLE, 0 };
 
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
+  marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
 /* Time up to which this host has processed its input.  Answers may be delayed
@@ -647,7 +666,7 @@
   marjoram_exchange_drop_attempt (gateway, exchange, now,
                                   MARJORAM_ATTEMPT_TIMED_OUT);
   marjoram_exchange_retry (gateway, exchange, now,
-                           MARJORAM_REASON_UPSTREAM_SILENT, false);
+                           MARJORAM_REASON_UPSTREAM_SILENT);
 }
 
 void
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -13,7 +13,6 @@
 enum
 {
   STATUS_TOO_MANY_REQUESTS = 429,
-  STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   STATUS_SERVER_ERROR = 500,
   SUCCESS = 2, /* status class 2xx */
@@ -64,11 +63,14 @@
 
 /* ---- Retries. ---- */
 
+/* Why the exchange may not be sent once more after its last attempt; null if
+   it may.  */
 static const char *
 retry_denial (marjoram_gateway *gateway,
-              const struct marjoram_exchange *exchange, int64_t now,
-              bool not_run)
+              const struct marjoram_exchange *exchange, int64_t now)
 {
+  const bool not_run = exchange->runs.proof != MARJORAM_PROOF_NONE;
+
   if (!not_run && !exchange->repeatable)
     return "may-have-run";
   /* Only the forwarding host retries, so that attempts do not multiply.  */
@@ -76,7 +78,7 @@
     return "first-host-decides";
   if (exchange->deadline_at - now < RETRY_TIME_MIN_MS)
     return "no-time";
-  if (exchange->attempts_maybe_run >= exchange->max_upstreams
+  if (exchange->runs.unproven >= exchange->max_upstreams
       || exchange->attempts_sent >= exchange->max_upstreams + EXTRA_ATTEMPTS)
     return "upstreams-used";
   if (!marjoram_exchange_may_repeat (gateway, exchange, now))
@@ -89,7 +91,7 @@
                              const struct marjoram_exchange *exchange,
                              int64_t now)
 {
-  return retry_denial (gateway, exchange, now, false) == NULL;
+  return retry_denial (gateway, exchange, now) == NULL;
 }
 
 /* Writes the ids of all parts of the prompt but the last, which no other
@@ -146,13 +148,13 @@
       *exchange->host ? exchange->host : "-", exchange->status,
       marjoram_framing_name (exchange->framing),
       marjoram_exchange_unfinished (exchange), exchange->events_sent,
-      exchange->attempts_sent, exchange->attempts_maybe_run,
+      exchange->attempts_sent, exchange->runs.unproven,
       gateway->ops->lag_ms (gateway->context), usage.repeats, usage.allowed,
       exchange->attempt_events, retry_after,
       marjoram_placement_paused_ms (gateway->placement, now,
                                     exchange->upstream),
-      exchange->forwarded, exchange->queued_since != 0, exchange->last_attempt,
-      marjoram_run_proof_name (exchange->proof),
+      exchange->forwarded, exchange->queued_since != 0, exchange->runs.attempt,
+      marjoram_run_proof_name (exchange->runs.proof),
       marjoram_exchange_answer_id (exchange), parts);
 }
 
@@ -204,23 +206,19 @@
 fail (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
       int64_t now, enum marjoram_reason reason)
 {
-  bool ran = exchange->attempts_maybe_run > 0;
-  const struct marjoram_request_failure why
-      = { .outcome = ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
-          .reason = reason,
-          .status = ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
-          .retry_ms
-          = ran ? 0 : marjoram_exchange_retry_ms (gateway, exchange, now) };
+  struct marjoram_refusal refusal = { reason, STATUS_UNAVAILABLE, 0 };
 
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
+  if (!marjoram_exchange_may_have_run (exchange))
+    refusal.retry_ms = marjoram_exchange_retry_ms (gateway, exchange, now);
+  marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
 void
 marjoram_exchange_retry (marjoram_gateway *gateway,
                          struct marjoram_exchange *exchange, int64_t now,
-                         enum marjoram_reason reason, bool not_run)
+                         enum marjoram_reason reason)
 {
-  const char *denial = retry_denial (gateway, exchange, now, not_run);
+  const char *denial = retry_denial (gateway, exchange, now);
 
   if (!denial)
     {
@@ -391,15 +389,15 @@
 end_refused (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
              int64_t now)
 {
+  marjoram_run_record_prove (&exchange->runs, exchange->attempt,
+                             MARJORAM_PROOF_UPSTREAM);
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  exchange->wrong_upstream
                                      ? MARJORAM_ATTEMPT_WRONG_UPSTREAM
                                      : MARJORAM_ATTEMPT_REFUSED);
-  exchange->attempts_maybe_run--;
-  exchange->proof = MARJORAM_PROOF_UPSTREAM;
   marjoram_exchange_record_not_started (gateway, exchange);
   marjoram_exchange_retry (gateway, exchange, now,
-                           MARJORAM_REASON_UPSTREAM_REFUSED, true);
+                           MARJORAM_REASON_UPSTREAM_REFUSED);
 }
 
 /* A refusal tells all with its head, so that the rest need not be awaited.  */
@@ -430,7 +428,7 @@
   exchange->forwarded_out = false;
   exchange->relayed = false;
   marjoram_exchange_retry (gateway, exchange, now,
-                           MARJORAM_REASON_ANSWER_TOO_LARGE, false);
+                           MARJORAM_REASON_ANSWER_TOO_LARGE);
 }
 
 /* Whether the answer states a length over the limit.  */
@@ -686,7 +684,7 @@
 
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  MARJORAM_ATTEMPT_FAILED);
-  denial = retry_denial (gateway, exchange, now, false);
+  denial = retry_denial (gateway, exchange, now);
   if (!denial)
     retry (gateway, exchange, now, MARJORAM_REASON_UPSTREAM_FAILED);
   else if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
@@ -704,7 +702,7 @@
   exchange->forwarded_out = false;
   exchange->relayed = false;
   marjoram_exchange_retry (gateway, exchange, now,
-                           MARJORAM_REASON_UPSTREAM_FAILED, false);
+                           MARJORAM_REASON_UPSTREAM_FAILED);
 }
 
 /* Whether the connection ended the answer before the stream's first event, so
@@ -763,11 +761,11 @@
 end_unsent (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
             int64_t now)
 {
+  marjoram_run_record_prove (&exchange->runs, exchange->attempt,
+                             MARJORAM_PROOF_UNSENT);
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  MARJORAM_ATTEMPT_UNREACHED);
-  exchange->attempts_maybe_run--;
   exchange->attempts_sent--;
-  exchange->proof = MARJORAM_PROOF_UNSENT;
   exchange->failed_connections++;
   marjoram_exchange_record_not_started (gateway, exchange);
   log_attempt (gateway, exchange, now, MARJORAM_REASON_NO_UPSTREAM, NULL);
@@ -807,7 +805,8 @@
 may_serve_refused (const marjoram_gateway *gateway,
                    const struct marjoram_exchange *exchange, int64_t now)
 {
-  return exchange->attempts_maybe_run == 0 && now < exchange->target_at
+  return !marjoram_exchange_may_have_run (exchange)
+         && now < exchange->target_at
          && marjoram_exchange_may_run_here (gateway, exchange);
 }
 
@@ -829,7 +828,7 @@
       marjoram_exchange_send (gateway, exchange, now);
       return true;
     }
-  denial = retry_denial (gateway, exchange, now, true);
+  denial = retry_denial (gateway, exchange, now);
   if (denial)
     {
       log_attempt (gateway, exchange, now, why->reason, denial);
@@ -845,7 +844,8 @@
                                   const struct marjoram_request_failure *why)
 {
   struct marjoram_exchange *exchange = find_attempt (gateway, attempt);
-  struct marjoram_request_failure answer = *why;
+  struct marjoram_refusal refusal
+      = { why->reason, STATUS_UNAVAILABLE, why->retry_ms };
 
   if (!exchange)
     return;
@@ -854,23 +854,18 @@
       end_broken (gateway, exchange, now);
       return;
     }
-  marjoram_exchange_forward_refused (gateway, exchange, now, why);
+  marjoram_run_record_prove (&exchange->runs, attempt, MARJORAM_PROOF_HOST);
+  marjoram_exchange_forward_refused (gateway, exchange, now, why->reason);
   marjoram_exchange_end_attempt (gateway, exchange, now,
                                  MARJORAM_ATTEMPT_REFUSED);
   marjoram_metrics_add (gateway->options.metrics,
                         MARJORAM_METRIC_FORWARDS_REFUSED, 1);
-  exchange->attempts_maybe_run--;
-  exchange->proof = MARJORAM_PROOF_HOST;
   if (why->unreached)
     exchange->attempts_sent--;
   if (send_refused_here (gateway, exchange, now, why))
     return;
-  answer.outcome = exchange->attempts_maybe_run > 0 ? MARJORAM_OUTCOME_UNKNOWN
-                                                    : MARJORAM_OUTCOME_NOT_RUN;
-  answer.status = exchange->attempts_maybe_run > 0 ? STATUS_BAD_GATEWAY
-                                                   : STATUS_UNAVAILABLE;
-  if (gateway->features.balance_regions && answer.retry_ms == 0
-      && answer.outcome == MARJORAM_OUTCOME_NOT_RUN)
-    answer.retry_ms = marjoram_exchange_retry_ms (gateway, exchange, now);
-  marjoram_exchange_refuse (gateway, exchange, now, &answer);
+  if (gateway->features.balance_regions && refusal.retry_ms == 0
+      && !marjoram_exchange_may_have_run (exchange))
+    refusal.retry_ms = marjoram_exchange_retry_ms (gateway, exchange, now);
+  marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
--- a/src/gateway_check.c
+++ b/src/gateway_check.c
@@ -93,7 +93,7 @@
   exchange->forwarded_out = false;
   exchange->relayed = false;
   marjoram_exchange_retry (gateway, exchange, now,
-                           MARJORAM_REASON_UPSTREAM_SILENT, false);
+                           MARJORAM_REASON_UPSTREAM_SILENT);
 }
 
 static void
--- a/src/gateway_crash.c
+++ b/src/gateway_crash.c
@@ -10,7 +10,6 @@
 {
   /* Tells the caller not to retry.  */
   STATUS_BAD_REQUEST = 400,
-  STATUS_BAD_GATEWAY = 502,
   SUCCESS = 2, /* status class 2xx */
   /* An answer with so many events has begun beyond doubt; an upstream that
      crashes as it begins may have sent one.  */
@@ -148,16 +147,10 @@
 refuse_convicted (marjoram_gateway *gateway,
                   struct marjoram_exchange *exchange, int64_t now)
 {
-  struct marjoram_request_failure why = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
-                                          .reason = MARJORAM_REASON_CONVICTED,
-                                          .status = STATUS_BAD_REQUEST };
+  static const struct marjoram_refusal refusal
+      = { MARJORAM_REASON_CONVICTED, STATUS_BAD_REQUEST, 0 };
 
-  if (exchange->attempts_maybe_run > 0)
-    {
-      why.outcome = MARJORAM_OUTCOME_UNKNOWN;
-      why.status = STATUS_BAD_GATEWAY;
-    }
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
+  marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
 bool
--- a/src/gateway_customer.c
+++ b/src/gateway_customer.c
@@ -7,7 +7,6 @@
 {
   STATUS_UNAUTHORIZED = 401,
   STATUS_TOO_MANY_REQUESTS = 429,
-  STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   /* Retry-After of a host whose lease on keys has ended.  The caller reaches
      another host; this one asks again within that time.  */
@@ -55,14 +54,9 @@
 refuse (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
         int64_t now, enum marjoram_reason reason, int status, int64_t retry_ms)
 {
-  const bool ran = exchange->attempts_maybe_run > 0;
-  const struct marjoram_request_failure why
-      = { .outcome = ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
-          .reason = reason,
-          .status = ran ? STATUS_BAD_GATEWAY : status,
-          .retry_ms = ran ? 0 : retry_ms };
+  const struct marjoram_refusal refusal = { reason, status, retry_ms };
 
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
+  marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
 /* Customers' keys of the current configuration.  */
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -72,7 +72,7 @@
       exchange->upstream[0] = '\0';
       exchange->build[0] = '\0';
       exchange->attempts_sent++;
-      exchange->attempts_maybe_run++;
+      marjoram_run_record_sent (&exchange->runs, exchange->attempt);
       marjoram_metrics_add (gateway->options.metrics,
                             MARJORAM_METRIC_FORWARDED_OUT, 1);
       marjoram_header_list_clear (&headers);
@@ -573,7 +573,7 @@
   struct session_regions regions;
   size_t home;
 
-  if (was_forwarded (exchange) || exchange->attempts_maybe_run > 0
+  if (was_forwarded (exchange) || marjoram_exchange_may_have_run (exchange)
       || chosen->engine_tokens_per_ms <= 0 || metadata->part_count < 2)
     return false;
   query.shared_ms = (double)shared_prefill_tokens (exchange, chosen)
@@ -622,7 +622,7 @@
   const struct region_choice choice
       = { .order = BY_BACKLOG, .optional = true };
 
-  if (was_forwarded (exchange) || exchange->attempts_maybe_run > 0
+  if (was_forwarded (exchange) || marjoram_exchange_may_have_run (exchange)
       || chosen->engine_tokens_per_ms <= 0)
     return false;
   host = choose_remote_host (gateway, exchange, route, now, &choice, &offer);
@@ -663,8 +663,7 @@
 void
 marjoram_exchange_forward_refused (marjoram_gateway *gateway,
                                    struct marjoram_exchange *exchange,
-                                   int64_t now,
-                                   const struct marjoram_request_failure *why)
+                                   int64_t now, enum marjoram_reason reason)
 {
   const struct marjoram_listed_host *host;
 
@@ -675,7 +674,7 @@
   /* A host of this region, to which it was relayed.  */
   if (host && strcmp (host->heartbeat.region, gateway->region) == 0)
     return;
-  if (is_for_capacity (why->reason))
+  if (is_for_capacity (reason))
     marjoram_forwarded_request_refused (&exchange->forward, now);
   snprintf (exchange->refused_region, sizeof exchange->refused_region, "%s",
             host ? host->heartbeat.region : "?");
@@ -712,15 +711,14 @@
 void
 marjoram_exchange_count_refusal (marjoram_gateway *gateway,
                                  const struct marjoram_exchange *exchange,
-                                 int64_t now,
-                                 const struct marjoram_request_failure *why)
+                                 int64_t now, enum marjoram_reason reason)
 {
   const struct marjoram_route_rule *route;
 
   if (!is_balanced (gateway) || exchange->forwarded || !gateway->table
-      || !is_for_capacity (why->reason)
+      || !is_for_capacity (reason)
       || exchange->state == MARJORAM_EXCHANGE_STREAMING
-      || exchange->attempts_maybe_run > 0
+      || marjoram_exchange_may_have_run (exchange)
       || !marjoram_exchange_may_repeat (gateway, exchange, now))
     return;
   route = marjoram_exchange_route (gateway, exchange);
--- a/src/gateway_origin.c
+++ b/src/gateway_origin.c
@@ -44,13 +44,10 @@
 refuse_unknown (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
                 int64_t now)
 {
-  const struct marjoram_request_failure why
-      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
-          .reason = MARJORAM_REASON_BUILD_UNKNOWN,
-          .status = STATUS_UNAVAILABLE,
-          .retry_ms = RETRY_MS };
+  static const struct marjoram_refusal refusal
+      = { MARJORAM_REASON_BUILD_UNKNOWN, STATUS_UNAVAILABLE, RETRY_MS };
 
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
+  marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
 /* A caller that does not name the attempt that began the stream: its build is
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -147,10 +147,9 @@
   size_t origins_awaited; /* keepers that have not answered */
 
   /* The current attempt.  */
-  uint64_t attempt;      /* 0 if none */
-  uint64_t last_attempt; /* the current one or the one before */
-  int attempt_events;    /* received */
-  bool attempt_begun;    /* the upstream has begun to answer */
+  uint64_t attempt;   /* 0 if none */
+  int attempt_events; /* received */
+  bool attempt_begun; /* the upstream has begun to answer */
   int64_t attempt_sent_at;
   char upstream[MARJORAM_ID_MAX];
   int64_t upstream_started_at;
@@ -164,9 +163,8 @@
   struct marjoram_header_list headers; /* of the answer */
   enum marjoram_framing framing;       /* as received from the upstream */
   bool is_signed;
-  bool refused;                  /* reported as not run */
-  bool answer_has_id;            /* the answer names the request */
-  enum marjoram_run_proof proof; /* that the last attempt did not run */
+  bool refused;       /* reported as not run */
+  bool answer_has_id; /* the answer names the request */
   bool wrong_upstream;
   bool has_retry_after;   /* the answer has the header */
   int64_t retry_after_ms; /* -1 if it cannot be read */
@@ -181,8 +179,8 @@
   /* Totals over all attempts.  */
   char tried[MARJORAM_TRIED_MAX][MARJORAM_ID_MAX];
   size_t tried_count;
-  int attempts_sent;      /* attempts that may have reached an upstream */
-  int attempts_maybe_run; /* attempts that may have run or still run */
+  int attempts_sent; /* attempts that may have reached an upstream */
+  struct marjoram_run_record runs;
   int failed_connections;
   bool forwarded_out; /* to another region */
   bool relayed;       /* to another host of this region */
@@ -232,10 +230,22 @@
 };
 
 /* gateway.c */
-/* Ends the exchange with an error.  */
+/* Why a request gets no answer of an upstream, and what its caller is told if
+   it did not run.  */
+struct marjoram_refusal
+{
+  enum marjoram_reason reason;
+  int status;       /* HTTP status */
+  int64_t retry_ms; /* Retry-After; 0: omitted */
+};
+
+/* Ends the exchange with an error: as REFUSAL has it if it certainly did not
+   run, otherwise with a status that promises nothing.  */
 void marjoram_exchange_refuse (marjoram_gateway *gateway,
                                struct marjoram_exchange *exchange, int64_t now,
-                               const struct marjoram_request_failure *why);
+                               const struct marjoram_refusal *refusal);
+/* Whether an attempt may have run or may still run.  */
+bool marjoram_exchange_may_have_run (const struct marjoram_exchange *exchange);
 /* Ends the exchange after its answer was sent to the caller, completely if
    WHOLE.  */
 void marjoram_exchange_finish (marjoram_gateway *gateway,
@@ -320,18 +330,20 @@
     const struct marjoram_route_rule *route, int64_t now, int64_t max_wait_ms);
 /* To be called as the region that the exchange was forwarded to refuses it,
    which states that it has not run.  */
-void marjoram_exchange_forward_refused (
-    marjoram_gateway *gateway, struct marjoram_exchange *exchange, int64_t now,
-    const struct marjoram_request_failure *why);
+void marjoram_exchange_forward_refused (marjoram_gateway *gateway,
+                                        struct marjoram_exchange *exchange,
+                                        int64_t now,
+                                        enum marjoram_reason reason);
 /* To be called as an attempt ends.  */
 void marjoram_exchange_forward_ended (struct marjoram_exchange *exchange,
                                       int64_t now,
                                       enum marjoram_attempt_end how);
 /* To be called as the exchange is refused: counts refusals although another
    region has capacity and the exchange may be sent there.  */
-void marjoram_exchange_count_refusal (
-    marjoram_gateway *gateway, const struct marjoram_exchange *exchange,
-    int64_t now, const struct marjoram_request_failure *why);
+void marjoram_exchange_count_refusal (marjoram_gateway *gateway,
+                                      const struct marjoram_exchange *exchange,
+                                      int64_t now,
+                                      enum marjoram_reason reason);
 /* Whether another host of this region would serve the exchange.  */
 bool marjoram_exchange_may_relay (marjoram_gateway *gateway,
                                   const struct marjoram_exchange *exchange,
@@ -607,10 +619,9 @@
                                   const struct marjoram_exchange *exchange,
                                   int64_t now);
 /* Handles a failed attempt: retries where that is allowed, otherwise ends the
-   exchange with REASON.  NOT_RUN states that the attempt certainly did not
-   run.  */
+   exchange with REASON.  */
 void marjoram_exchange_retry (marjoram_gateway *gateway,
                               struct marjoram_exchange *exchange, int64_t now,
-                              enum marjoram_reason reason, bool not_run);
+                              enum marjoram_reason reason);
 
 #endif
--- a/src/gateway_rate.c
+++ b/src/gateway_rate.c
@@ -241,7 +241,8 @@
 latest_useful (const marjoram_gateway *gateway,
                const struct marjoram_exchange *exchange, int64_t now)
 {
-  return exchange->attempts_maybe_run > 0 || has_waited_long (exchange, now)
+  return marjoram_exchange_may_have_run (exchange)
+                 || has_waited_long (exchange, now)
              ? latest_late (gateway, exchange)
              : latest_in_time (exchange);
 }
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -12,7 +12,6 @@
 enum
 {
   STATUS_NOT_FOUND = 404,
-  STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   /* Idle timeout before the first event, in addition to IDLE_WAIT_FACTOR times
      the estimated wait.  */
@@ -39,8 +38,6 @@
   if (exchange->state == MARJORAM_EXCHANGE_WAITING)
     exchange->state = MARJORAM_EXCHANGE_OPEN;
   exchange->attempt = ++gateway->next_attempt;
-  exchange->last_attempt = exchange->attempt;
-  exchange->proof = MARJORAM_PROOF_NONE;
   exchange->attempt_events = 0;
   exchange->attempt_begun = false;
   exchange->attempt_sent_at = now;
@@ -161,14 +158,10 @@
 refuse (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
         int64_t now, enum marjoram_reason reason, int64_t retry_ms)
 {
-  const bool ran = exchange->attempts_maybe_run > 0;
-  const struct marjoram_request_failure why
-      = { .outcome = ran ? MARJORAM_OUTCOME_UNKNOWN : MARJORAM_OUTCOME_NOT_RUN,
-          .reason = reason,
-          .status = ran ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
-          .retry_ms = retry_ms };
-
-  marjoram_exchange_refuse (gateway, exchange, now, &why);
+  const struct marjoram_refusal refusal
+      = { reason, STATUS_UNAVAILABLE, retry_ms };
+
+  marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
 /* ---- Sending to an upstream of this region. ---- */
@@ -234,7 +227,7 @@
   marjoram_exchange_use_room (gateway, exchange, now);
   add_tried (exchange, exchange->upstream);
   exchange->attempts_sent++;
-  exchange->attempts_maybe_run++;
+  marjoram_run_record_sent (&exchange->runs, exchange->attempt);
   if (exchange->repeatable)
     exchange->idle_deadline
         = now + IDLE_MS + IDLE_WAIT_FACTOR * place->wait_ms;
@@ -539,15 +532,10 @@
   rule = service ? marjoram_route_table_service (table, service) : NULL;
   if (!rule)
     {
-      const struct marjoram_request_failure why
-          = { .outcome = exchange->attempts_maybe_run > 0
-                             ? MARJORAM_OUTCOME_UNKNOWN
-                             : MARJORAM_OUTCOME_NOT_RUN,
-              .reason = MARJORAM_REASON_CONFIG_CHANGED,
-              .status = exchange->attempts_maybe_run > 0 ? STATUS_BAD_GATEWAY
-                                                         : STATUS_NOT_FOUND };
-
-      marjoram_exchange_refuse (gateway, exchange, now, &why);
+      const struct marjoram_refusal refusal
+          = { MARJORAM_REASON_CONFIG_CHANGED, STATUS_NOT_FOUND, 0 };
+
+      marjoram_exchange_refuse (gateway, exchange, now, &refusal);
       return;
     }
   if (!marjoram_exchange_check_key (gateway, exchange, now))
