Gateway: only an answer that repeats the request's id is its answer

What callers saw: requests that must run once ran twice, or ran although they were refused with 503. Cause: an answer without an id was taken for the request's own unless it was a success. A refusal (Marjoramproxy-Not-Executed, or 421) that an upstream, or something before it, wrote without having read the request, or for another one, counted as proof that it did not run, and the upstream ran it all the same.

Upstreams repeat the id, so an answer without one proves nothing, states nothing of its upstream and is not passed on. The attempt waits on for its own answer, but not until its deadline: after 250 ms, or at the end of the connection, it has failed as one that may have run. It is no crash of the upstream either.

The fixture's refusals lacked the id that upstreams send and have it now; others_cannot_tell_it in test_upstream_leaving names the request in all but one case, as it would pass for want of an id otherwise.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -684,6 +684,9 @@
     else if (now >= exchange->deadline_at
              && !extend_deadline (gateway, exchange, now))
       time_out (gateway, exchange, now);
+    else if (exchange->attempt && exchange->unnamed_until)
+      marjoram_exchange_check_unnamed (gateway, exchange,
+                                       input_time (gateway, now));
     else if (exchange->attempt
              && input_time (gateway, now) >= exchange->idle_deadline)
       check_idle (gateway, exchange, now);
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -17,6 +17,8 @@
   STATUS_SERVER_ERROR = 500,
   SUCCESS = 2, /* status class 2xx */
   RETRY_TIME_MIN_MS = 30,
+  /* Time for an upstream's own answer after one that names no request.  */
+  UNNAMED_WAIT_MS = 250,
   /* Attempts allowed beyond max_upstreams, for upstreams that refused without
      running the request.  */
   EXTRA_ATTEMPTS = 2,
@@ -52,13 +54,13 @@
   return exchange->status / 100 == SUCCESS;
 }
 
-/* Whether the answer names the request, for logs.  */
+/* Whose answer came first for the attempt, for logs.  */
 const char *
 marjoram_exchange_answer_id (const struct marjoram_exchange *exchange)
 {
-  if (exchange->status == 0)
-    return "-";
-  return exchange->answer_has_id ? "own" : "none";
+  if (exchange->unnamed_until)
+    return "none";
+  return exchange->status != 0 ? "own" : "-";
 }
 
 /* ---- Retries. ---- */
@@ -245,15 +247,28 @@
                                 headers->items[i].value);
 }
 
-/* Rejects late answers of other requests, and successes without a request id,
-   which cannot be attributed.  */
+/* Whether an answer names the request.  Upstreams repeat its id, so that any
+   other answer is late, belongs to another request, or was made by something
+   that did not read the request.  */
 static bool
-is_answer_to (const struct marjoram_exchange *exchange, int status,
+is_answer_to (const struct marjoram_exchange *exchange,
               const struct marjoram_response_metadata *metadata)
 {
-  if (*metadata->id)
-    return strcmp (metadata->id, exchange->metadata.id) == 0;
-  return status / 100 != SUCCESS;
+  return strcmp (metadata->id, exchange->metadata.id) == 0;
+}
+
+/* Records an answer that is not the exchange's own.  One without an id may be
+   all that comes, for example from a proxy before the upstream.  */
+static void
+skip_answer (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+             int64_t now, const struct marjoram_response_metadata *metadata)
+{
+  marjoram_metrics_add (gateway->options.metrics,
+                        *metadata->id ? MARJORAM_METRIC_STRAY_ANSWERS
+                                      : MARJORAM_METRIC_ANSWERS_WITHOUT_ID,
+                        1);
+  if (!*metadata->id && !exchange->unnamed_until)
+    exchange->unnamed_until = now + UNNAMED_WAIT_MS;
 }
 
 /* Whether an answer to a streaming route consists of events.  */
@@ -456,10 +471,9 @@
   if (!exchange)
     return false;
   gateway->options.dialect->ops->read_answer (status, headers, &metadata);
-  if (!is_answer_to (exchange, status, &metadata))
+  if (!is_answer_to (exchange, &metadata))
     {
-      marjoram_metrics_add (gateway->options.metrics,
-                            MARJORAM_METRIC_STRAY_ANSWERS, 1);
+      skip_answer (gateway, exchange, now, &metadata);
       return false;
     }
   if (!metadata.not_run && states_oversize (gateway, exchange, headers))
@@ -470,10 +484,7 @@
   exchange->status = status;
   exchange->is_signed = metadata.signed_by_upstream;
   exchange->refused = metadata.not_run;
-  exchange->answer_has_id = *metadata.id != '\0';
-  if (!exchange->answer_has_id && *exchange->upstream)
-    marjoram_metrics_add (gateway->options.metrics,
-                          MARJORAM_METRIC_ANSWERS_WITHOUT_ID, 1);
+  exchange->unnamed_until = 0;
   exchange->wrong_upstream = metadata.wrong_upstream;
   read_retry_after (exchange, headers);
   if (*exchange->upstream)
@@ -792,13 +803,27 @@
       end_oversized (gateway, exchange, now);
       break;
     case MARJORAM_HTTP_BROKEN:
-      if (*exchange->upstream)
+      /* What answered, although without naming the request, is alive.  */
+      if (*exchange->upstream && !exchange->unnamed_until)
         marjoram_exchange_record_crash (gateway, exchange, now);
       end_broken (gateway, exchange, now);
       break;
     }
 }
 
+void
+marjoram_exchange_check_unnamed (marjoram_gateway *gateway,
+                                 struct marjoram_exchange *exchange,
+                                 int64_t now)
+{
+  if (!exchange->unnamed_until || now < exchange->unnamed_until)
+    return;
+  marjoram_exchange_drop_attempt (gateway, exchange, now,
+                                  MARJORAM_ATTEMPT_BROKEN);
+  marjoram_exchange_retry (gateway, exchange, now,
+                           MARJORAM_REASON_UPSTREAM_FAILED);
+}
+
 /* Whether this region may serve a request that another one refused without
    running it.  */
 static bool
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -164,7 +164,9 @@
   enum marjoram_framing framing;       /* as received from the upstream */
   bool is_signed;
   bool refused;       /* reported as not run */
-  bool answer_has_id; /* the answer names the request */
+  /* Until then the attempt waits for its own answer, after one that names no
+     request; 0: none came.  */
+  int64_t unnamed_until;
   bool wrong_upstream;
   bool has_retry_after;   /* the answer has the header */
   int64_t retry_after_ms; /* -1 if it cannot be read */
@@ -614,6 +616,11 @@
 /* gateway_answer.c */
 const char *
 marjoram_exchange_answer_id (const struct marjoram_exchange *exchange);
+/* To be called on each tick while an attempt is in progress: ends one that got
+   an answer without an id, and none of its own in time.  */
+void marjoram_exchange_check_unnamed (marjoram_gateway *gateway,
+                                      struct marjoram_exchange *exchange,
+                                      int64_t now);
 /* Whether a request that may have run may be sent to another upstream.  */
 bool marjoram_exchange_may_retry (marjoram_gateway *gateway,
                                   const struct marjoram_exchange *exchange,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -40,6 +40,7 @@
   exchange->attempt = ++gateway->next_attempt;
   exchange->attempt_events = 0;
   exchange->attempt_begun = false;
+  exchange->unnamed_until = 0;
   exchange->attempt_sent_at = now;
   HASH_ADD (by_attempt, gateway->by_attempt, attempt, sizeof exchange->attempt,
             exchange);
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define ATTEMPT_ID "Marjoramproxy-Attempt-Id: "
+
 enum
 {
   LONG_AGO_MS = -60000,
@@ -115,6 +117,8 @@
   snprintf (seen->message, sizeof seen->message, "%.*s",
             (int)marjoram_bytes_size (send->message),
             (const char *)marjoram_bytes_data (send->message));
+  sscanf (strstr (seen->message, ATTEMPT_ID), ATTEMPT_ID "%31[^\r]",
+          seen->ids[send->attempt % GATEWAY_IDS_MAX]);
 }
 
 static void
@@ -639,6 +643,15 @@
   return receive (f, now, path, true, 0);
 }
 
+/* Adds the id of the last attempt's request, as upstreams do.  */
+static void
+add_own_id (const struct gateway_fixture *f,
+            struct marjoram_header_list *headers)
+{
+  marjoram_header_list_add (headers, "Marjoramproxy-Attempt-Id",
+                            f->seen.ids[f->seen.attempt % GATEWAY_IDS_MAX]);
+}
+
 static bool
 answer_head (struct gateway_fixture *f, int64_t now, int status,
              struct marjoram_header_list *headers)
@@ -670,6 +683,21 @@
   return taken;
 }
 
+bool
+gateway_fixture_nameless (struct gateway_fixture *f, int64_t now, int status,
+                          const char *name, const char *value)
+{
+  struct marjoram_header_list headers = { 0 };
+  bool taken;
+
+  marjoram_header_list_add (&headers, "Content-Length", "0");
+  if (name)
+    marjoram_header_list_add (&headers, name, value);
+  taken = answer_head (f, now, status, &headers);
+  marjoram_header_list_clear (&headers);
+  return taken;
+}
+
 bool
 gateway_fixture_success (struct gateway_fixture *f, int64_t now,
                          const char *name, const char *value)
@@ -708,6 +736,7 @@
 {
   struct marjoram_header_list headers = { 0 };
 
+  add_own_id (f, &headers);
   marjoram_header_list_add (&headers, "Marjoramproxy-Not-Executed", "1");
   if (retry_after)
     marjoram_header_list_add (&headers, "Retry-After", retry_after);
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -7,7 +7,9 @@
 
 enum
 {
-  GATEWAY_PROBES_MAX = 64
+  GATEWAY_PROBES_MAX = 64,
+  GATEWAY_IDS_MAX = 256,
+  GATEWAY_ID_MAX = 32
 };
 
 /* A connection that was opened to check an upstream.  */
@@ -24,6 +26,8 @@
   uint64_t attempt; /* of the last send or forward */
   char address[MARJORAM_ID_MAX];
   char message[4096];
+  /* Of the requests of the latest attempts at upstreams, by attempt.  */
+  char ids[GATEWAY_IDS_MAX][GATEWAY_ID_MAX];
   bool fresh_only;
   int cancels;
   int forwards;
@@ -154,6 +158,11 @@
    last call is used.  */
 bool gateway_fixture_head (struct gateway_fixture *f, int64_t now, int status,
                            const char *id, bool is_signed, bool not_run);
+/* The head of an answer without an id, with a header NAME unless that is
+   null.  */
+bool gateway_fixture_nameless (struct gateway_fixture *f, int64_t now,
+                               int status, const char *name,
+                               const char *value);
 /* Answers the last attempt with a signed success of status 200, with a header
    NAME unless that is null.  */
 bool gateway_fixture_success (struct gateway_fixture *f, int64_t now,
--- /dev/null
+++ b/test/test_promise.c
@@ -0,0 +1,178 @@
+/* Tests of what callers are told of requests that may have run: statuses that
+   promise "not run" need a proof.  */
+#include "suite.h"
+
+#include "lib_gateway.h"
+
+#include <string.h>
+
+enum
+{
+  TICK_MS = 25,
+  WAIT_MS = 300 /* for an answer that names the request */
+};
+
+static struct gateway_fixture f;
+
+static void
+setup (void)
+{
+  gateway_fixture_open (&f);
+  gateway_fixture_configure (&f);
+  f.link_up = false;
+}
+
+static void
+teardown (void)
+{
+  gateway_fixture_close (&f);
+}
+
+static void
+tick_until (int64_t from, int64_t until)
+{
+  for (int64_t now = from; now <= until; now += TICK_MS)
+    marjoram_gateway_tick (f.gateway, now);
+}
+
+/* An answer that only looks like a proof, as it names no request.  */
+struct nameless
+{
+  int status;
+  const char *name;
+};
+
+static const struct nameless nameless[]
+    = { { 503, "Marjoramproxy-Not-Executed" },
+        { 429, "Marjoramproxy-Not-Executed" },
+        { 421, NULL },
+        { 503, NULL },
+        { 408, NULL } };
+
+enum
+{
+  NAMELESS = sizeof nameless / sizeof *nameless
+};
+
+static void
+answer_nameless (int64_t now, int i)
+{
+  ck_assert (!gateway_fixture_nameless (&f, now, nameless[i].status,
+                                        nameless[i].name, "1"));
+}
+
+/* Guards against believing a refusal that may belong to another request.  */
+START_TEST (refusal_without_id_is_skipped)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  answer_nameless (10, _i);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert (gateway_fixture_head (&f, 20, 200, NULL, true, false));
+  gateway_fixture_data (&f, 20, "ran");
+  gateway_fixture_end (&f, 20, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.ends, 1);
+  ck_assert_str_eq (f.seen.body, "ran");
+}
+END_TEST
+
+/* Guards against the same, and against waiting for another answer until the
+   deadline.  */
+START_TEST (request_with_only_an_answer_without_id_may_have_run)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  answer_nameless (10, _i);
+  tick_until (10, 10 + WAIT_MS);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_int_eq (f.seen.cancels, 1);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_UNKNOWN);
+  ck_assert_int_eq (f.seen.why.status, 502);
+}
+END_TEST
+
+START_TEST (connection_that_ends_after_an_answer_without_id_may_have_run)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  answer_nameless (10, _i);
+  gateway_fixture_end (&f, 12, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.status, 502);
+}
+END_TEST
+
+START_TEST (repeatable_request_is_sent_again_after_an_answer_without_id)
+{
+  gateway_fixture_call (&f, 0, "/ask/x");
+  answer_nameless (10, _i);
+  tick_until (10, 10 + WAIT_MS);
+  ck_assert_int_eq (f.seen.cancels, 1);
+  ck_assert_int_eq (f.seen.sends, 2);
+}
+END_TEST
+
+/* Guards against blaming the request for a crash of its upstream.  */
+START_TEST (answer_without_id_is_no_crash)
+{
+  for (int i = 0; i < 5; i++)
+    {
+      const int64_t now = 1000 * i;
+
+      gateway_fixture_call (&f, now, "/flip/x");
+      ck_assert_int_eq (f.seen.sends, i + 1);
+      answer_nameless (now + 10, 0);
+      gateway_fixture_end (&f, now + 12, MARJORAM_HTTP_BROKEN);
+      ck_assert_int_eq (f.seen.why.status, 502);
+    }
+}
+END_TEST
+
+/* Guards against taking an upstream out of use for what another program, or
+   another request's answer, states.  */
+START_TEST (statement_without_id_is_not_believed)
+{
+  static const struct
+  {
+    const char *name;
+    const char *value;
+  } statements[] = { { "Retry-After", "3" },
+                     { "Server-Leaving", "1" },
+                     { "Server-Limit", "0.1" } };
+
+  gateway_fixture_call (&f, 0, "/flip/x");
+  gateway_fixture_nameless (&f, 10, 503, statements[_i].name,
+                            statements[_i].value);
+  gateway_fixture_end (&f, 12, MARJORAM_HTTP_BROKEN);
+  for (int i = 1; i <= 3; i++)
+    {
+      gateway_fixture_call (&f, 100 * i, "/flip/y");
+      ck_assert_int_eq (f.seen.sends, 1 + i);
+      ck_assert (
+          gateway_fixture_head (&f, 100 * i + 5, 200, NULL, true, false));
+      gateway_fixture_end (&f, 100 * i + 5, MARJORAM_HTTP_COMPLETE);
+    }
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *all = suite_create ("promise");
+  TCase *tests = tcase_create ("promise");
+
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_loop_test (tests, refusal_without_id_is_skipped, 0, NAMELESS);
+  tcase_add_loop_test (
+      tests, request_with_only_an_answer_without_id_may_have_run, 0, NAMELESS);
+  tcase_add_loop_test (
+      tests, connection_that_ends_after_an_answer_without_id_may_have_run, 0,
+      NAMELESS);
+  tcase_add_loop_test (
+      tests, repeatable_request_is_sent_again_after_an_answer_without_id, 0,
+      NAMELESS);
+  tcase_add_test (tests, answer_without_id_is_no_crash);
+  tcase_add_loop_test (tests, statement_without_id_is_not_believed, 0, 3);
+  suite_add_tcase (all, tests);
+  return all;
+}
--- a/test/test_upstream_leaving.c
+++ b/test/test_upstream_leaving.c
@@ -243,9 +243,9 @@
 
   gateway_fixture_call (&f, 0, "/get/x");
   marjoram_header_list_add (&headers, "Server-Leaving", "1");
-  if (_i == 0)
-    marjoram_header_list_add (&headers, "Marjoramproxy-Attempt-Id", "other");
-  else if (_i == 1)
+  marjoram_header_list_add (&headers, "Marjoramproxy-Attempt-Id",
+                            _i == 0 ? "other" : "id-1");
+  if (_i == 1)
     marjoram_header_list_add (&headers, "Marjoramproxy-Instance-Id", "p9");
   else if (_i == 2)
     gateway_fixture_restart (&f, 5, "p1", 2);
