Gateway: a status that promises is passed on only with a proof

What callers saw: 503, 429 or 408 for requests that had run. Cause: an upstream's answer without Marjoramproxy-Not-Executed was passed on with its own status, whatever that promises to callers; upstreams, and what stands before them, answer 503, 429 and 408 of their own, also after a run.

Such an answer is a failure of the upstream now, without proof: the request is sent again where it may be, else its caller is told 502 (upstream-failed) without the upstream's seal, as one of its answers may not bear another status. Which statuses promise, the dialect says. Refusals with proof are told as before. gateway_refusals_without_proof counts these answers.

--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -662,9 +662,6 @@
   size_t size = evbuffer_get_length (exchange->body);
 
   marjoram_exchange_record_begin (gateway, exchange, now, true);
-  if (gateway->options.dialect->ops->promises_not_run (exchange->status))
-    marjoram_metrics_add (gateway->options.metrics,
-                          MARJORAM_METRIC_REFUSALS_WITHOUT_PROOF, 1);
   gateway->ops->reply_head (gateway->context, exchange->call, exchange->status,
                             &exchange->headers, (int64_t)size);
   gateway->ops->reply_data (gateway->context, exchange->call,
@@ -743,12 +740,37 @@
   end_broken (gateway, exchange, now);
 }
 
+/* Whether the answer's status tells callers that the request did not run,
+   which the upstream has not stated.  */
+static bool
+promises_without_proof (const marjoram_gateway *gateway,
+                        const struct marjoram_exchange *exchange)
+{
+  return !exchange->refused
+         && gateway->options.dialect->ops->promises_not_run (exchange->status);
+}
+
+/* The upstream's answer is not passed on.  */
+static void
+end_unproven (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+              int64_t now)
+{
+  marjoram_metrics_add (gateway->options.metrics,
+                        MARJORAM_METRIC_REFUSALS_WITHOUT_PROOF, 1);
+  marjoram_exchange_end_attempt (gateway, exchange, now,
+                                 MARJORAM_ATTEMPT_FAILED);
+  marjoram_exchange_retry (gateway, exchange, now,
+                           MARJORAM_REASON_UPSTREAM_FAILED);
+}
+
 static void
 end_complete (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
               int64_t now)
 {
   if (exchange->refused)
     end_refused (gateway, exchange, now);
+  else if (promises_without_proof (gateway, exchange))
+    end_unproven (gateway, exchange, now);
   else if (exchange->status >= STATUS_SERVER_ERROR
            || (exchange->state == MARJORAM_EXCHANGE_STREAMING
                && !is_success (exchange)))
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -163,7 +163,7 @@
   struct marjoram_header_list headers; /* of the answer */
   enum marjoram_framing framing;       /* as received from the upstream */
   bool is_signed;
-  bool refused;       /* reported as not run */
+  bool refused; /* reported as not run */
   /* Until then the attempt waits for its own answer, after one that names no
      request; 0: none came.  */
   int64_t unnamed_until;
--- a/test/test_promise.c
+++ b/test/test_promise.c
@@ -155,6 +155,112 @@
 }
 END_TEST
 
+/* ---- Statuses that promise.  ---- */
+
+static const int promises[] = { 503, 429, 408 };
+
+enum
+{
+  PROMISES = sizeof promises / sizeof *promises
+};
+
+/* The last attempt's upstream has run the request and answers with a status
+   that promises the opposite.  */
+static void
+run_and_promise (int64_t now, int status)
+{
+  ck_assert (gateway_fixture_head (&f, now, status, NULL, true, false));
+  gateway_fixture_data (&f, now, "busy");
+  gateway_fixture_end (&f, now, MARJORAM_HTTP_COMPLETE);
+}
+
+static void
+check_unknown (void)
+{
+  ck_assert_int_eq (f.seen.heads, 0);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_UNKNOWN);
+  ck_assert_int_eq (f.seen.why.status, 502);
+  ck_assert_int_eq (f.seen.why.retry_ms, 0);
+}
+
+/* Guards against passing on a refusal of a request that has run.  */
+START_TEST (status_that_promises_without_proof_is_not_passed_on)
+{
+  static const char *const paths[] = { "/flip/x", "/digest/x" };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      memset (&f.seen, 0, sizeof f.seen);
+      gateway_fixture_call (&f, 0, paths[i]);
+      run_and_promise (10, promises[_i]);
+      ck_assert_int_eq (f.seen.sends, 1);
+      check_unknown ();
+    }
+}
+END_TEST
+
+START_TEST (repeatable_request_is_sent_again_after_such_a_status)
+{
+  gateway_fixture_call (&f, 0, "/ask/x");
+  run_and_promise (10, promises[_i]);
+  ck_assert_int_eq (f.seen.sends, 2);
+  run_and_promise (20, promises[_i]);
+  ck_assert_int_eq (f.seen.sends, 2);
+  check_unknown ();
+}
+END_TEST
+
+START_TEST (forwarded_request_may_have_run_after_such_a_status)
+{
+  gateway_fixture_forwarded (&f, 0, "/flip/x");
+  run_and_promise (10, promises[_i]);
+  check_unknown ();
+}
+END_TEST
+
+/* Guards against believing the host that a request was forwarded to.  */
+START_TEST (such_a_status_of_another_host_is_not_passed_on)
+{
+  f.link_up = true;
+  gateway_fixture_call (&f, 0, "/home/x");
+  ck_assert (f.seen.forwarded);
+  run_and_promise (10, promises[_i]);
+  if (f.seen.refusals == 0)
+    run_and_promise (20, promises[_i]);
+  check_unknown ();
+}
+END_TEST
+
+/* Guards against an interrupted stream that ends as refused.  */
+START_TEST (stream_that_has_begun_is_cut_by_such_a_status)
+{
+  gateway_fixture_call (&f, 0, "/ask/x");
+  ck_assert (gateway_fixture_success (&f, 10, NULL, NULL));
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+  gateway_fixture_end (&f, 12, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 2);
+  run_and_promise (20, promises[_i]);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  ck_assert_int_eq (f.seen.cuts, 1);
+}
+END_TEST
+
+/* Guards against taking refusals with proof for runs.  */
+START_TEST (refusal_with_proof_is_told_as_not_run)
+{
+  static const int statuses[] = { 503, 429, 421 };
+
+  gateway_fixture_call (&f, 0, "/flip/x");
+  for (int i = 1; i < 10 && f.seen.refusals == 0; i++)
+    gateway_fixture_refuse (&f, i, statuses[_i], NULL);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.why.status, 503);
+  ck_assert_int_gt (f.seen.why.retry_ms, 0);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -173,6 +279,18 @@
       NAMELESS);
   tcase_add_test (tests, answer_without_id_is_no_crash);
   tcase_add_loop_test (tests, statement_without_id_is_not_believed, 0, 3);
+  tcase_add_loop_test (
+      tests, status_that_promises_without_proof_is_not_passed_on, 0, PROMISES);
+  tcase_add_loop_test (tests,
+                       repeatable_request_is_sent_again_after_such_a_status, 0,
+                       PROMISES);
+  tcase_add_loop_test (
+      tests, forwarded_request_may_have_run_after_such_a_status, 0, PROMISES);
+  tcase_add_loop_test (tests, such_a_status_of_another_host_is_not_passed_on,
+                       0, PROMISES);
+  tcase_add_loop_test (tests, stream_that_has_begun_is_cut_by_such_a_status, 0,
+                       PROMISES);
+  tcase_add_loop_test (tests, refusal_with_proof_is_told_as_not_run, 0, 3);
   suite_add_tcase (all, tests);
   return all;
 }
