Gateway: an upstream gets a request again only on a new connection

What callers saw: requests that must run once ran twice, or ran although they were refused with 503; a few in some thousand. Cause: a request that one upstream refused, then another one, goes back to the first, on the kept connection that carried its refusal. If that upstream sends its answer a second time, late, the copy is at the front where the new answer is due and has the right id: the refusal is believed, and the request is told not run or sent on, while the upstream runs it.

What an upstream still has to send for a request stays on the connections that carried the request; so none of these carries it again. The copy ends a connection that is idle, and is skipped, for its id, by any other request. One more connection is opened for each such repeat only.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -405,7 +405,8 @@
   struct connection *connection = TAILQ_FIRST (&pool->idle);
   int64_t now = marjoram_clock_now (client->clock);
 
-  if (!connection || !is_fresh (connection, now, send->fresh_only)
+  if (!connection || send->new_connection
+      || !is_fresh (connection, now, send->fresh_only)
       || !is_clean (connection) || !is_socket_idle (connection))
     {
       connect_and_send (client, pool, send);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -32,6 +32,9 @@
   /* Use only a new or recently used connection.  For requests that must not
      be retried.  */
   bool fresh_only;
+  /* Use only a new connection.  For a request that the upstream got before:
+     a late copy of its answer would be taken for the answer to this one.  */
+  bool new_connection;
 };
 
 struct marjoram_http_client_ops
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -29,6 +29,7 @@
   /* Of the requests of the latest attempts at upstreams, by attempt.  */
   char ids[GATEWAY_IDS_MAX][GATEWAY_ID_MAX];
   bool fresh_only;
+  bool new_connection;
   int cancels;
   int forwards;
   bool forwarded; /* the last attempt was forwarded */
--- a/test/lib_odd_upstream.c
+++ b/test/lib_odd_upstream.c
@@ -22,6 +22,9 @@
   WORK_MAX_MS = 20,
   LATE_MAX_MS = 1500,
   COPY_MAX_MS = 300,
+  /* Refusals that come late: later than upstreams that refused are avoided. */
+  SLOW_MIN_MS = 60,
+  SLOW_MS = 60,
   EVENT_MS = 15,
   EVENTS = 3,
   OVERLAP_MS = 400, /* that a former run may last after another one began */
@@ -48,22 +51,32 @@
   const char *header; /* of the answer */
   bool closes;
   bool copies;   /* the answer comes again some time later */
-  bool late;     /* it runs after some time */
+  bool late;     /* it runs, or is refused, after some time */
+  bool slow;     /* it runs for some time */
   bool cut;      /* ends the connection instead of answering */
   bool shortens; /* the body ends before its length */
   bool mute;     /* never answers */
   bool unframed; /* the answer ends with its connection */
   bool early;    /* answers once it has the head */
   bool greets;   /* %s-less BEFORE is written as the connection opens */
+  int arrivals;  /* that it is for; the next one runs for some time */
 };
 
 static const struct behaviour plain = { .name = "serve", .runs = true };
+static const struct behaviour slow
+    = { .name = "serve-slowly", .runs = true, .slow = true };
 
 static const struct behaviour behaviours[] = {
   { .name = "refuse", .status = 503, .marked = true },
   { .name = "refuse-429", .status = 429, .marked = true },
   { .name = "refuse-421", .status = 421 },
   { .name = "refuse-again", .status = 503, .marked = true, .copies = true },
+  { .name = "refuse-twice",
+    .status = 503,
+    .marked = true,
+    .copies = true,
+    .late = true,
+    .arrivals = 2 },
   { .name = "refuse-early", .status = 503, .marked = true, .early = true },
   { .name = "nameless-503",
     .before = "HTTP/1.1 503 Busy\r\n" NOT_RUN "Content-Length: 0\r\n\r\n",
@@ -451,7 +464,9 @@
     check_overlap (run);
   run->begun = true;
   wait_for (run, on_worked,
-            marjoram_random_below (upstream->random, WORK_MAX_MS));
+            run->how->slow
+                ? SLOW_MIN_MS + SLOW_MS
+                : marjoram_random_below (upstream->random, WORK_MAX_MS));
 }
 
 /* A request that was read runs even if its connection has ended.  */
@@ -473,6 +488,19 @@
   finish (run);
 }
 
+static void
+on_late_refusal (evutil_socket_t fd, short what, void *context)
+{
+  struct run *run = context;
+
+  (void)fd;
+  (void)what;
+  if (run->connection)
+    refuse (run);
+  else
+    run_destroy (run);
+}
+
 static void
 start (struct odd_connection *connection, const struct behaviour *how)
 {
@@ -481,8 +509,15 @@
   const char *id
       = marjoram_header_list_get (headers, "Marjoramproxy-Attempt-Id");
   const char *last = marjoram_header_list_get (headers, "Last-Event-Id");
-  struct run *run = run_create (connection->upstream, connection, how, id);
+  const struct behaviour *first;
+  int arrivals;
+  struct run *run;
 
+  first = run_ledger_arrived (connection->upstream->ledger, id ? id : "", how,
+                              &arrivals);
+  if (first->arrivals > 0)
+    how = arrivals > first->arrivals ? &slow : first;
+  run = run_create (connection->upstream, connection, how, id);
   run->timer = event_new (run->upstream->base, -1, 0, on_worked, run);
   run->stream
       = strstr (marjoram_http_reader_target (connection->reader), "stream");
@@ -493,7 +528,11 @@
   connection->has_greeted = false;
   if (how->before && !how->greets)
     evbuffer_add_printf (output_of (run), how->before, run->id);
-  if (!how->runs)
+  if (!how->runs && how->late)
+    wait_for (run, on_late_refusal,
+              SLOW_MIN_MS
+                  + marjoram_random_below (run->upstream->random, SLOW_MS));
+  else if (!how->runs)
     refuse (run);
   else if (how->late)
     wait_for (run, on_late,
--- a/test/lib_run_ledger.c
+++ b/test/lib_run_ledger.c
@@ -19,7 +19,9 @@
   char id[LEDGER_ID_MAX];
   bool once;
   int runs;
-  int sealed_status; /* 0: none */
+  int arrivals;
+  const void *first_how; /* at its first arrival */
+  int sealed_status;     /* 0: none */
   bool overlapped;
   struct ledger_answer answer;
   int64_t answered_at;
@@ -123,6 +125,21 @@
     entry->sealed_status = status;
 }
 
+const void *
+run_ledger_arrived (struct run_ledger *ledger, const char *id, const void *how,
+                    int *arrivals)
+{
+  struct entry *entry = find (ledger, id);
+
+  *arrivals = 1;
+  if (!entry)
+    return how;
+  *arrivals = ++entry->arrivals;
+  if (!entry->first_how)
+    entry->first_how = how;
+  return entry->first_how;
+}
+
 void
 run_ledger_overlapped (struct run_ledger *ledger, const char *id)
 {
--- a/test/lib_run_ledger.h
+++ b/test/lib_run_ledger.h
@@ -48,6 +48,10 @@
                       const char *how);
 /* An upstream answered ID with STATUS and its seal.  */
 void run_ledger_sealed (struct run_ledger *ledger, const char *id, int status);
+/* ID arrives at an upstream, which would treat it as HOW.  Returns how it was
+   to be treated when it came first, and counts its arrivals in ARRIVALS.  */
+const void *run_ledger_arrived (struct run_ledger *ledger, const char *id,
+                                const void *how, int *arrivals);
 void run_ledger_overlapped (struct run_ledger *ledger, const char *id);
 void run_ledger_answered (struct run_ledger *ledger, int64_t now,
                           const char *id, const struct ledger_answer *answer);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -864,7 +864,7 @@
   static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
   marjoram_bytes *message = marjoram_bytes_create (text, strlen (text));
   const struct marjoram_http_send out
-      = { ++attempts, upstream_address, message, false, false };
+      = { ++attempts, upstream_address, message, false, false, false };
 
   script = response;
   ends = heads = 0;
--- a/test/test_promise.c
+++ b/test/test_promise.c
@@ -4,6 +4,7 @@
 
 #include "lib_gateway.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -261,6 +262,27 @@
 }
 END_TEST
 
+/* ---- The same upstream again.  ---- */
+
+/* Guards against taking a second copy of a refusal for the answer to the same
+   request, which its upstream got once more.  */
+START_TEST (request_goes_to_an_upstream_again_on_a_new_connection)
+{
+  char first[MARJORAM_ID_MAX];
+
+  gateway_fixture_call (&f, 0, "/digest/x");
+  ck_assert (!f.seen.new_connection);
+  snprintf (first, sizeof first, "%s", f.seen.address);
+  gateway_fixture_refuse (&f, 1, 503, NULL);
+  ck_assert_str_ne (f.seen.address, first);
+  ck_assert (!f.seen.new_connection);
+  gateway_fixture_refuse (&f, 100, 503, NULL);
+  ck_assert_int_eq (f.seen.sends, 3);
+  ck_assert_str_eq (f.seen.address, first);
+  ck_assert (f.seen.new_connection);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -291,6 +313,8 @@
   tcase_add_loop_test (tests, stream_that_has_begun_is_cut_by_such_a_status, 0,
                        PROMISES);
   tcase_add_loop_test (tests, refusal_with_proof_is_told_as_not_run, 0, 3);
+  tcase_add_test (tests,
+                  request_goes_to_an_upstream_again_on_a_new_connection);
   suite_add_tcase (all, tests);
   return all;
 }
