Gateway: a forwarded request is answered only by the host that it went to

What callers could see: "not run" for a request that another region has run. The head of a forwarded answer with status 421 was taken for the upstream's own proof, frames about an attempt were taken from any host and session, and an answer without an id ended as one with status 0. By reading and by the tests below; no run between real hosts showed it, as hosts of this release send no such heads.

Only the end of a forward states "not run". Frames are taken from the host that the attempt went to, on the link that carried it. A forward that brings another request's answer has failed.

test_promise: misdirected_answer_of_another_host_proves_nothing and nameless_answer_of_another_host_is_not_passed_on failed before; only_the_host_that_was_asked_may_answer tests the new check.

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -228,6 +228,16 @@
   }
 }
 
+/* Whether a frame about ATTEMPT comes from the host that it was forwarded to,
+   on this host's own link, on which forwards are sent.  */
+static bool
+is_reply (const struct marjoram_entry *self, const char *host,
+          uint64_t session, uint64_t attempt)
+{
+  return session == 0
+         && marjoram_gateway_is_forwarded_to (self->gateway, attempt, host);
+}
+
 static void
 handle_head (struct marjoram_entry *self, const struct marjoram_head *head)
 {
@@ -292,7 +302,9 @@
                              uint64_t session, enum marjoram_frame_type type,
                              void *message)
 {
+  const struct marjoram_head *head = message;
   const struct marjoram_data *data = message;
+  const struct marjoram_end *end = message;
   const struct marjoram_cancel *cancel = message;
 
   switch (type)
@@ -353,15 +365,19 @@
       marjoram_entry_handle_cancel (self, host, session, cancel->request);
       break;
     case MARJORAM_FRAME_HEAD:
-      handle_head (self, message);
+      if (is_reply (self, host, session, head->request))
+        handle_head (self, head);
       break;
     case MARJORAM_FRAME_DATA:
-      marjoram_gateway_data (self->gateway, marjoram_entry_now (self),
-                             data->request, marjoram_bytes_data (data->bytes),
-                             marjoram_bytes_size (data->bytes));
+      if (is_reply (self, host, session, data->request))
+        marjoram_gateway_data (self->gateway, marjoram_entry_now (self),
+                               data->request,
+                               marjoram_bytes_data (data->bytes),
+                               marjoram_bytes_size (data->bytes));
       break;
     case MARJORAM_FRAME_END:
-      handle_end (self, message);
+      if (is_reply (self, host, session, end->request))
+        handle_end (self, end);
       break;
     default:
       break;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -173,6 +173,17 @@
   return false;
 }
 
+bool
+marjoram_gateway_is_forwarded_to (const marjoram_gateway *gateway,
+                                  uint64_t attempt, const char *host)
+{
+  const struct marjoram_exchange *exchange;
+
+  HASH_FIND (by_attempt, gateway->by_attempt, &attempt, sizeof attempt,
+             exchange);
+  return exchange && *exchange->host && strcmp (exchange->host, host) == 0;
+}
+
 size_t
 marjoram_gateway_request_count (const marjoram_gateway *gateway)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -169,6 +169,9 @@
    build is not known.  */
 const char *marjoram_gateway_build_of (const marjoram_gateway *gateway,
                                        uint64_t call);
+/* Whether ATTEMPT was forwarded to HOST, which alone may answer it.  */
+bool marjoram_gateway_is_forwarded_to (const marjoram_gateway *gateway,
+                                       uint64_t attempt, const char *host);
 /* The other host returned an error instead of an answer.  */
 void
 marjoram_gateway_forward_refused (marjoram_gateway *gateway, int64_t now,
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -483,7 +483,8 @@
     }
   exchange->status = status;
   exchange->is_signed = metadata.signed_by_upstream;
-  exchange->refused = metadata.not_run;
+  /* A host to which the exchange was forwarded states that in another way.  */
+  exchange->refused = metadata.not_run && !*exchange->host;
   exchange->unnamed_until = 0;
   exchange->wrong_upstream = metadata.wrong_upstream;
   read_retry_after (exchange, headers);
@@ -834,18 +835,24 @@
 }
 
 void
-marjoram_exchange_check_unnamed (marjoram_gateway *gateway,
-                                 struct marjoram_exchange *exchange,
-                                 int64_t now)
+marjoram_exchange_end_foreign (marjoram_gateway *gateway,
+                               struct marjoram_exchange *exchange, int64_t now)
 {
-  if (!exchange->unnamed_until || now < exchange->unnamed_until)
-    return;
   marjoram_exchange_drop_attempt (gateway, exchange, now,
                                   MARJORAM_ATTEMPT_BROKEN);
   marjoram_exchange_retry (gateway, exchange, now,
                            MARJORAM_REASON_UPSTREAM_FAILED);
 }
 
+void
+marjoram_exchange_check_unnamed (marjoram_gateway *gateway,
+                                 struct marjoram_exchange *exchange,
+                                 int64_t now)
+{
+  if (exchange->unnamed_until && now >= exchange->unnamed_until)
+    marjoram_exchange_end_foreign (gateway, exchange, now);
+}
+
 /* Whether this region may serve a request that another one refused without
    running it.  */
 static bool
--- a/src/gateway_build.c
+++ b/src/gateway_build.c
@@ -89,5 +89,9 @@
       snprintf (exchange->build, sizeof exchange->build, "%s",
                 build ? build : "");
     }
-  return marjoram_gateway_head (gateway, now, attempt, status, headers);
+  if (marjoram_gateway_head (gateway, now, attempt, status, headers))
+    return true;
+  if (exchange)
+    marjoram_exchange_end_foreign (gateway, exchange, now);
+  return false;
 }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -616,6 +616,10 @@
 /* gateway_answer.c */
 const char *
 marjoram_exchange_answer_id (const struct marjoram_exchange *exchange);
+/* Ends an attempt that got no answer of its own, only others.  */
+void marjoram_exchange_end_foreign (marjoram_gateway *gateway,
+                                    struct marjoram_exchange *exchange,
+                                    int64_t now);
 /* To be called on each tick while an attempt is in progress: ends one that got
    an answer without an id, and none of its own in time.  */
 void marjoram_exchange_check_unnamed (marjoram_gateway *gateway,
--- a/test/test_promise.c
+++ b/test/test_promise.c
@@ -233,6 +233,54 @@
 }
 END_TEST
 
+/* Guards against taking the head of another host's answer for a proof.  */
+START_TEST (misdirected_answer_of_another_host_proves_nothing)
+{
+  f.link_up = true;
+  gateway_fixture_call (&f, 0, "/home/x");
+  run_and_promise (10, 421);
+  if (f.seen.refusals == 0)
+    run_and_promise (20, 421);
+  check_unknown ();
+}
+END_TEST
+
+/* Guards against an answer that belongs to no attempt of the request.  */
+START_TEST (nameless_answer_of_another_host_is_not_passed_on)
+{
+  f.link_up = true;
+  gateway_fixture_call (&f, 0, "/home/x");
+  ck_assert (f.seen.forwarded);
+  for (int i = 1; i < 5 && f.seen.refusals == 0; i++)
+    {
+      gateway_fixture_nameless (&f, 10 * i, 500, NULL, NULL);
+      gateway_fixture_end (&f, 10 * i, MARJORAM_HTTP_COMPLETE);
+    }
+  check_unknown ();
+}
+END_TEST
+
+/* Guards against believing a host that was not asked.  */
+START_TEST (only_the_host_that_was_asked_may_answer)
+{
+  uint64_t attempt;
+
+  f.link_up = true;
+  gateway_fixture_call (&f, 0, "/home/x");
+  attempt = f.seen.attempt;
+  ck_assert (
+      marjoram_gateway_is_forwarded_to (f.gateway, attempt, f.seen.host));
+  ck_assert (!marjoram_gateway_is_forwarded_to (f.gateway, attempt, "other"));
+  ck_assert (!marjoram_gateway_is_forwarded_to (f.gateway, attempt, ""));
+  ck_assert (
+      !marjoram_gateway_is_forwarded_to (f.gateway, attempt + 1, f.seen.host));
+  gateway_fixture_call (&f, 5, "/flip/x");
+  ck_assert (!f.seen.forwarded);
+  ck_assert (
+      !marjoram_gateway_is_forwarded_to (f.gateway, f.seen.attempt, ""));
+}
+END_TEST
+
 /* Guards against an interrupted stream that ends as refused.  */
 START_TEST (stream_that_has_begun_is_cut_by_such_a_status)
 {
@@ -310,6 +358,9 @@
       tests, forwarded_request_may_have_run_after_such_a_status, 0, PROMISES);
   tcase_add_loop_test (tests, such_a_status_of_another_host_is_not_passed_on,
                        0, PROMISES);
+  tcase_add_test (tests, misdirected_answer_of_another_host_proves_nothing);
+  tcase_add_test (tests, nameless_answer_of_another_host_is_not_passed_on);
+  tcase_add_test (tests, only_the_host_that_was_asked_may_answer);
   tcase_add_loop_test (tests, stream_that_has_begun_is_cut_by_such_a_status, 0,
                        PROMISES);
   tcase_add_loop_test (tests, refusal_with_proof_is_told_as_not_run, 0, 3);
