Gateway: whether a request may be sent again follows the newest configuration

What callers could see: a request that must run once runs twice, if a change of the configuration takes the permission to repeat away from its route while the request is on its way: the route's kind was read when the request was sent, the next attempt read the new one and went out all the same.

A request that may have run is not sent once more if its route does not allow it now; its caller is told 502 (config-changed).

test_promise request_that_may_not_be_repeated_any_more_is_not_sent_again failed before (2 sends).

--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -555,6 +555,12 @@
   copy_route_settings (exchange, table, route,
                        marjoram_exchange_customer (gateway, exchange),
                        service);
+  /* The configuration may have changed since the last attempt.  */
+  if (marjoram_exchange_may_have_run (exchange) && !exchange->repeatable)
+    {
+      refuse (gateway, exchange, now, MARJORAM_REASON_CONFIG_CHANGED, 0);
+      return;
+    }
   if (marjoram_exchange_refuse_crashing (gateway, exchange, now))
     return;
   if (exchange->build_rule == MARJORAM_BUILD_NONE)
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -418,12 +418,12 @@
 }
 
 static void
-configure (struct gateway_fixture *f, const char *more)
+configure (struct gateway_fixture *f, const char *start, const char *more)
 {
   struct marjoram_error err = { 0 };
   char text[8192];
 
-  snprintf (text, sizeof text, "%s%s}", config, more);
+  snprintf (text, sizeof text, "%s%s}", start, more);
   marjoram_route_table_destroy (f->previous_table);
   f->previous_table = f->table;
   f->table = marjoram_platform_dialect ()->ops->read_config (
@@ -439,7 +439,19 @@
 void
 gateway_fixture_configure (struct gateway_fixture *f)
 {
-  configure (f, "");
+  configure (f, config, "");
+}
+
+void
+gateway_fixture_configure_once (struct gateway_fixture *f)
+{
+  static const char kind[] = "\"kind\":\"idempotent\"";
+  const char *at = strstr (config, kind);
+  char text[sizeof config + 8];
+
+  snprintf (text, sizeof text, "%.*s\"kind\":\"non_idempotent\"%s",
+            (int)(at - config), config, at + strlen (kind));
+  configure (f, text, "");
 }
 
 void
@@ -448,7 +460,7 @@
   char text[2048];
 
   snprintf (text, sizeof text, customers, key);
-  configure (f, text);
+  configure (f, config, text);
 }
 
 void
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -94,6 +94,8 @@
 void gateway_fixture_close (struct gateway_fixture *f);
 /* Activates the routes; before, there is no configuration.  */
 void gateway_fixture_configure (struct gateway_fixture *f);
+/* The same, but /get/ may not be repeated any more.  */
+void gateway_fixture_configure_once (struct gateway_fixture *f);
 /* Switches the check of upstreams that stop answering on or off.  */
 void gateway_fixture_check_upstreams (struct gateway_fixture *f, bool check);
 /* Like gateway_fixture_open, with a lease period for keys.  */
--- a/test/test_promise.c
+++ b/test/test_promise.c
@@ -310,6 +310,21 @@
 }
 END_TEST
 
+/* ---- Changes of the configuration.  ---- */
+
+/* Guards against running a request twice whose route allowed that only when it
+   was sent first.  */
+START_TEST (request_that_may_not_be_repeated_any_more_is_not_sent_again)
+{
+  gateway_fixture_call (&f, 0, "/get/x");
+  ck_assert_int_eq (f.seen.sends, 1);
+  gateway_fixture_configure_once (&f);
+  gateway_fixture_end (&f, 10, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 1);
+  check_unknown ();
+}
+END_TEST
+
 /* ---- The same upstream again.  ---- */
 
 /* Guards against taking a second copy of a refusal for the answer to the same
@@ -366,6 +381,8 @@
   tcase_add_loop_test (tests, refusal_with_proof_is_told_as_not_run, 0, 3);
   tcase_add_test (tests,
                   request_goes_to_an_upstream_again_on_a_new_connection);
+  tcase_add_test (tests,
+                  request_that_may_not_be_repeated_any_more_is_not_sent_again);
   suite_add_tcase (all, tests);
   return all;
 }
