Zone hosts: only an answer to the request itself proves that it did not run

What callers could see: "not-run" for a request that its upstream runs. The refusal of an upstream (503 or 429 with Marjoram-Not-Run) was believed before it was looked at whose request the answer names; so was a 404 to the question for an answer by its id.

An answer that repeats another request's id, or none on a connection that carried a request before, proves nothing. On a new connection one without an id is still believed, as UPSTREAMS.md has it for upstreams that do not repeat it. The stand-in's refusals repeat the id.

--- a/src/upstream.c
+++ b/src/upstream.c
@@ -43,6 +43,7 @@
   bool sent;        /* part of the request was written to the socket */
   bool framed;      /* the head is valid and the end of the body detectable */
   bool unframed;    /* the response head was rejected */
+  bool own;         /* the response belongs to this request */
   bool refused;     /* the response says that the request was not run */
   bool unavailable; /* the status says that the upstream can't serve it now */
   bool reused;      /* the connection carried an earlier request */
@@ -246,14 +247,14 @@
   struct exchange *exchange = context;
   struct attempt *attempt = exchange->attempt;
 
+  exchange->own = is_own_response (exchange, request);
   if (exchange->resume
       && evhttp_request_get_response_code (request) != HTTP_OK)
     return 0;
-  exchange->refused = is_refusal (request);
+  exchange->refused = exchange->own && is_refusal (request);
   exchange->unavailable
       = is_unavailable (evhttp_request_get_response_code (request));
-  exchange->framed
-      = is_framed (request) && is_own_response (exchange, request);
+  exchange->framed = exchange->own && is_framed (request);
   exchange->unframed = !exchange->framed;
   if (exchange->refused || exchange->unavailable || exchange->unframed)
     return 0;
@@ -307,7 +308,7 @@
   marjoram_upstreams *upstreams = attempt->upstreams;
   int status = request ? evhttp_request_get_response_code (request) : 0;
 
-  if (status == HTTP_NOTFOUND)
+  if (status == HTTP_NOTFOUND && exchange->own)
     {
       fail (attempt, exchange, MARJORAM_RUN_NOT_STARTED);
       return;
--- a/test/fake_engine.c
+++ b/test/fake_engine.c
@@ -35,6 +35,9 @@
 {
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
 
+  if (*header (request, "Marjoram-Request"))
+    evhttp_add_header (headers, "Marjoram-Request",
+                       header (request, "Marjoram-Request"));
   if (not_run)
     evhttp_add_header (headers, "Marjoram-Not-Run", "yes");
   evhttp_send_reply (request, status, NULL, NULL);
