--- a/test/lib_odd_upstream.c
+++ b/test/lib_odd_upstream.c
@@ -44,13 +44,13 @@
   const char *name;
   /* Written at once; %s is the request's id.  */
   const char *before;
-  bool runs;
+  const char *header; /* of the answer */
   int status;         /* 0: 200 */
   int arrivals;       /* that it is for; the next one runs for some time */
-  bool bare;          /* the answer has neither id nor seal */
-  bool marked;        /* it states that the request was not run */
-  const char *header; /* of the answer */
-  bool closes;
+  bool runs;
+  bool bare;     /* the answer has neither id nor seal */
+  bool marked;   /* it states that the request was not run */
+  bool closes;   /* the connection, after the answer */
   bool copies;   /* the answer comes again some time later */
   bool late;     /* it runs, or is refused, after some time */
   bool slow;     /* it runs for some time */
@@ -59,7 +59,7 @@
   bool mute;     /* never answers */
   bool unframed; /* the answer ends with its connection */
   bool early;    /* answers once it has the head */
-  bool greets;   /* %s-less BEFORE is written as the connection opens */
+  bool greets;   /* writes BEFORE, which has no %s, as the connection opens */
 };
 
 static const struct behaviour plain = { .name = "serve", .runs = true };
