gateway-promises: upstreams that start anew, under the same id or another's

Upstreams drop all of their connections and start again under their id, or another one has their address and answers 421. Requests have targets of their own, so that none is convicted of the crashes of others. Runs without a connection are freed.

--- a/test/lib_judged_caller.c
+++ b/test/lib_judged_caller.c
@@ -214,9 +214,9 @@
 static void
 write_body (struct caller *caller, size_t size)
 {
-  static const char body[BODY_MAX] = "body";
+  static const char padding[BODY_MAX] = "body";
 
-  evbuffer_add (bufferevent_get_output (caller->bev), body, size);
+  evbuffer_add (bufferevent_get_output (caller->bev), padding, size);
   caller->rest -= size;
 }
 
@@ -244,11 +244,12 @@
 write_head (struct caller *caller, const struct path *path, int64_t deadline)
 {
   evbuffer_add_printf (bufferevent_get_output (caller->bev),
-                       "POST %s HTTP/1.1\r\nHost: a.example\r\n"
+                       "POST %s?%s HTTP/1.1\r\nHost: a.example\r\n"
                        "Marjoramproxy-Attempt-Id: %s\r\n"
                        "Marjoramproxy-Deadline-Ms: %" PRId64 "\r\n"
                        "Content-Length: %zu\r\n\r\n",
-                       path->name, caller->id, deadline, caller->rest);
+                       path->name, caller->id, caller->id, deadline,
+                       caller->rest);
 }
 
 static void
--- a/test/lib_odd_upstream.c
+++ b/test/lib_odd_upstream.c
@@ -22,6 +22,8 @@
   WORK_MAX_MS = 20,
   LATE_MAX_MS = 1500,
   COPY_MAX_MS = 300,
+  DEATHS_IN = 20, /* one in so many of these requests ends its upstream */
+  NAME_MAX_BYTES = 48,
   /* Refusals that come late: later than upstreams that refused are avoided. */
   SLOW_MIN_MS = 60,
   SLOW_MS = 60,
@@ -60,9 +62,13 @@
   bool unframed; /* the answer ends with its connection */
   bool early;    /* answers once it has the head */
   bool greets;   /* writes BEFORE, which has no %s, as the connection opens */
+  bool dies;     /* the upstream starts anew instead of answering, at times */
+  bool renames;  /* under another id */
 };
 
 static const struct behaviour plain = { .name = "serve", .runs = true };
+static const struct behaviour misdirected
+    = { .name = "misdirected", .status = 421 };
 static const struct behaviour slow
     = { .name = "serve-slowly", .runs = true, .slow = true };
 
@@ -118,6 +124,8 @@
   { .name = "late", .runs = true, .late = true },
   { .name = "mute", .runs = true, .mute = true },
   { .name = "again", .runs = true, .copies = true },
+  { .name = "restart", .runs = true, .dies = true },
+  { .name = "replace", .runs = true, .dies = true, .renames = true },
   { .name = "unframed", .runs = true, .unframed = true },
 };
 
@@ -134,6 +142,9 @@
   const struct odd_upstream_options *options;
   struct evconnlistener *listener;
   struct event *beat;
+  LIST_HEAD (, odd_connection) connections;
+  char id[NAME_MAX_BYTES]; /* of this incarnation */
+  int incarnation;
   int64_t started_at;
   int sequence;
   int keeper; /* index of the current keeper */
@@ -159,6 +170,7 @@
 
 struct odd_connection
 {
+  LIST_ENTRY (odd_connection) link;
   struct odd_upstream *upstream;
   struct bufferevent *bev;
   marjoram_http_reader *reader;
@@ -430,6 +442,21 @@
   wait_for (run, on_event_due, EVENT_MS);
 }
 
+/* The process ends, and another one has its address.  */
+static void
+restart (struct odd_upstream *upstream, bool renames)
+{
+  struct odd_connection *connection;
+
+  while ((connection = LIST_FIRST (&upstream->connections)))
+    connection_destroy (connection);
+  upstream->started_at = marjoram_clock_wall (marjoram_clock_system ());
+  upstream->sequence = 0;
+  if (renames)
+    snprintf (upstream->id, sizeof upstream->id, "%s-%d",
+              upstream->options->id, ++upstream->incarnation);
+}
+
 static void
 on_worked (evutil_socket_t fd, short what, void *context)
 {
@@ -440,6 +467,9 @@
   (void)what;
   if (!connection)
     run_destroy (run);
+  else if (run->how->dies
+           && marjoram_random_below (run->upstream->random, DEATHS_IN) == 0)
+    restart (run->upstream, run->how->renames);
   else if (run->how->cut)
     connection_destroy (connection);
   else if (run->stream && status_of (run) == 200 && !run->how->shortens)
@@ -572,6 +602,17 @@
   return true;
 }
 
+/* Whether the request is for another one that had this address.  */
+static bool
+is_for_another (const struct odd_connection *connection)
+{
+  const char *target = marjoram_header_list_get (
+      marjoram_http_reader_headers (connection->reader),
+      "Marjoramproxy-Target-Instance");
+
+  return target && strcmp (target, connection->upstream->id) != 0;
+}
+
 static bool
 on_complete (void *context)
 {
@@ -584,27 +625,38 @@
       evbuffer_add_printf (bufferevent_get_output (connection->bev),
                            "HTTP/1.1 200 OK\r\nMarjoramproxy-Instance-Id: "
                            "%s\r\nContent-Length: 0\r\n\r\n",
-                           connection->upstream->options->id);
+                           connection->upstream->id);
       return true;
     }
   if (connection->answered_early)
     return true;
   how = choose (connection->upstream, false);
-  start (connection, how->early ? &plain : how);
+  start (connection, is_for_another (connection) ? &misdirected
+                     : how->early                ? &plain
+                                                 : how);
   return false;
 }
 
 static const struct marjoram_http_reader_ops reader_ops
     = { .head = on_head, .body = on_body, .complete = on_complete };
 
+/* Runs that wait for nothing end with their connection.  */
 static void
 connection_destroy (struct odd_connection *connection)
 {
   struct run *run;
+  struct run *next;
 
-  LIST_FOREACH (run, &runs, link)
-  if (run->connection == connection)
-    run->connection = NULL;
+  for (run = LIST_FIRST (&runs); run; run = next)
+    {
+      next = LIST_NEXT (run, link);
+      if (run->connection != connection)
+        continue;
+      run->connection = NULL;
+      if (!event_pending (run->timer, EV_TIMEOUT, NULL))
+        run_destroy (run);
+    }
+  LIST_REMOVE (connection, link);
   bufferevent_free (connection->bev);
   marjoram_http_reader_destroy (connection->reader);
   free (connection);
@@ -662,6 +714,7 @@
   (void)address;
   (void)size;
   connection->upstream = context;
+  LIST_INSERT_HEAD (&connection->upstream->connections, connection, link);
   connection->reader
       = marjoram_http_reader_create (HTTP_REQUEST, &reader_ops, connection);
   connection->bev = bufferevent_socket_new (connection->upstream->base, fd,
@@ -728,7 +781,7 @@
       "\"cold_remaining_ms\":0,\"seq\":%d,\"born\":%" PRId64 "}",
       options->service, options->address, options->zone, ++upstream->sequence,
       upstream->started_at);
-  snprintf (path, sizeof path, "/-/instances/%s/heartbeat", options->id);
+  snprintf (path, sizeof path, "/-/instances/%s/heartbeat", upstream->id);
   evhttp_make_request (connection, request, EVHTTP_REQ_POST, path);
 }
 
@@ -746,6 +799,8 @@
   upstream->random = random;
   upstream->ledger = ledger;
   upstream->options = options;
+  LIST_INIT (&upstream->connections);
+  snprintf (upstream->id, sizeof upstream->id, "%s", options->id);
   upstream->started_at = marjoram_clock_wall (marjoram_clock_system ());
   if (evutil_parse_sockaddr_port (options->address, (struct sockaddr *)&addr,
                                   &size)
