--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -54,7 +54,6 @@
   return exchange->status / 100 == SUCCESS;
 }
 
-/* Whose answer came first for the attempt, for logs.  */
 const char *
 marjoram_exchange_answer_id (const struct marjoram_exchange *exchange)
 {
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -614,6 +614,8 @@
                                       const char *region);
 
 /* gateway_answer.c */
+/* Which id the last attempt's answer has, for logs: "own", "none", or "-" if
+   no answer came.  */
 const char *
 marjoram_exchange_answer_id (const struct marjoram_exchange *exchange);
 /* Ends an attempt that got no answer of its own, only others.  */
