--- a/test/lib_odd_upstream.c
+++ b/test/lib_odd_upstream.c
@@ -531,6 +531,20 @@
     run_destroy (run);
 }
 
+/* How the request is treated, by how it was when it came first.  */
+static const struct behaviour *
+treatment (struct odd_connection *connection, const char *id,
+           const struct behaviour *how)
+{
+  int arrivals;
+  const struct behaviour *first = run_ledger_arrived (
+      connection->upstream->ledger, id ? id : "", how, &arrivals);
+
+  if (how == &misdirected || first->arrivals == 0)
+    return how;
+  return arrivals > first->arrivals ? &slow : first;
+}
+
 static void
 start (struct odd_connection *connection, const struct behaviour *how)
 {
@@ -539,14 +553,9 @@
   const char *id
       = marjoram_header_list_get (headers, "Marjoramproxy-Attempt-Id");
   const char *last = marjoram_header_list_get (headers, "Last-Event-Id");
-  const struct behaviour *first;
-  int arrivals;
   struct run *run;
 
-  first = run_ledger_arrived (connection->upstream->ledger, id ? id : "", how,
-                              &arrivals);
-  if (first->arrivals > 0)
-    how = arrivals > first->arrivals ? &slow : first;
+  how = treatment (connection, id, how);
   run = run_create (connection->upstream, connection, how, id);
   run->timer = event_new (run->upstream->base, -1, 0, on_worked, run);
   run->stream
--- a/test/test_promise.c
+++ b/test/test_promise.c
@@ -77,8 +77,7 @@
 }
 END_TEST
 
-/* Guards against the same, and against waiting for another answer until the
-   deadline.  */
+/* Guards against waiting until the deadline after a nameless answer.  */
 START_TEST (request_with_only_an_answer_without_id_may_have_run)
 {
   gateway_fixture_call (&f, 0, "/flip/x");
@@ -129,8 +128,7 @@
 }
 END_TEST
 
-/* Guards against taking an upstream out of use for what another program, or
-   another request's answer, states.  */
+/* Guards against sparing an upstream for what a nameless answer states.  */
 START_TEST (statement_without_id_is_not_believed)
 {
   static const struct
@@ -201,7 +199,7 @@
 }
 END_TEST
 
-START_TEST (repeatable_request_is_sent_again_after_such_a_status)
+START_TEST (repeatable_request_is_sent_again_after_a_promise_without_proof)
 {
   gateway_fixture_call (&f, 0, "/ask/x");
   run_and_promise (10, promises[_i]);
@@ -212,7 +210,7 @@
 }
 END_TEST
 
-START_TEST (forwarded_request_may_have_run_after_such_a_status)
+START_TEST (forwarded_request_may_have_run_after_a_promise_without_proof)
 {
   gateway_fixture_forwarded (&f, 0, "/flip/x");
   run_and_promise (10, promises[_i]);
@@ -221,7 +219,7 @@
 END_TEST
 
 /* Guards against believing the host that a request was forwarded to.  */
-START_TEST (such_a_status_of_another_host_is_not_passed_on)
+START_TEST (promise_of_another_host_is_not_passed_on)
 {
   f.link_up = true;
   gateway_fixture_call (&f, 0, "/home/x");
@@ -282,7 +280,7 @@
 END_TEST
 
 /* Guards against an interrupted stream that ends as refused.  */
-START_TEST (stream_that_has_begun_is_cut_by_such_a_status)
+START_TEST (stream_that_has_begun_is_cut_by_a_promise_without_proof)
 {
   gateway_fixture_call (&f, 0, "/ask/x");
   ck_assert (gateway_fixture_success (&f, 10, NULL, NULL));
@@ -312,8 +310,7 @@
 
 /* ---- Changes of the configuration.  ---- */
 
-/* Guards against running a request twice whose route allowed that only when it
-   was sent first.  */
+/* Guards against repeating what only a former configuration let repeat.  */
 START_TEST (request_that_may_not_be_repeated_any_more_is_not_sent_again)
 {
   gateway_fixture_call (&f, 0, "/get/x");
@@ -327,8 +324,7 @@
 
 /* ---- The same upstream again.  ---- */
 
-/* Guards against taking a second copy of a refusal for the answer to the same
-   request, which its upstream got once more.  */
+/* Guards against a late copy of a refusal being taken for a new answer.  */
 START_TEST (request_goes_to_an_upstream_again_on_a_new_connection)
 {
   char first[MARJORAM_ID_MAX];
@@ -366,18 +362,20 @@
   tcase_add_loop_test (tests, statement_without_id_is_not_believed, 0, 3);
   tcase_add_loop_test (
       tests, status_that_promises_without_proof_is_not_passed_on, 0, PROMISES);
-  tcase_add_loop_test (tests,
-                       repeatable_request_is_sent_again_after_such_a_status, 0,
-                       PROMISES);
   tcase_add_loop_test (
-      tests, forwarded_request_may_have_run_after_such_a_status, 0, PROMISES);
-  tcase_add_loop_test (tests, such_a_status_of_another_host_is_not_passed_on,
-                       0, PROMISES);
+      tests, repeatable_request_is_sent_again_after_a_promise_without_proof, 0,
+      PROMISES);
+  tcase_add_loop_test (
+      tests, forwarded_request_may_have_run_after_a_promise_without_proof, 0,
+      PROMISES);
+  tcase_add_loop_test (tests, promise_of_another_host_is_not_passed_on, 0,
+                       PROMISES);
   tcase_add_test (tests, misdirected_answer_of_another_host_proves_nothing);
   tcase_add_test (tests, nameless_answer_of_another_host_is_not_passed_on);
   tcase_add_test (tests, only_the_host_that_was_asked_may_answer);
-  tcase_add_loop_test (tests, stream_that_has_begun_is_cut_by_such_a_status, 0,
-                       PROMISES);
+  tcase_add_loop_test (tests,
+                       stream_that_has_begun_is_cut_by_a_promise_without_proof,
+                       0, PROMISES);
   tcase_add_loop_test (tests, refusal_with_proof_is_told_as_not_run, 0, 3);
   tcase_add_test (tests,
                   request_goes_to_an_upstream_again_on_a_new_connection);
--- a/test/test_upstream_refusal.c
+++ b/test/test_upstream_refusal.c
@@ -184,7 +184,7 @@
 }
 END_TEST
 
-/* Guards against the same where the connection carried another request.  */
+/* Guards against believing what is left on a used connection.  */
 START_TEST (refusal_on_a_used_connection)
 {
   static const enum marjoram_run_failure expected[]
@@ -202,8 +202,7 @@
 }
 END_TEST
 
-/* Guards against believing that a request never started because another one
-   did not.  */
+/* Guards against taking another request for one that never started.  */
 START_TEST (answer_that_a_request_never_started)
 {
   static const enum marjoram_run_failure expected[]
