Keepers: log when a store takes each step to membership, and what a ballot lost its time to

state=store step=reached|learnt|asked|member has the times since the start, marjoram_store_membership_ms the last of them; state=ballot has deferred_ms, phase, votes and rejected_by. The decisions are unchanged.

test_store_progress, test_keeper, test_keeper_net and test_keeper_repair pass.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -149,10 +149,12 @@
 static void
 start_attempt_if_needed (marjoram_keeper *keeper)
 {
-  if (keeper->attempt.phase == MARJORAM_PHASE_IDLE
-      && keeper->now >= keeper->retry_at && attempt_needed (keeper)
-      && !marjoram_keeper_must_defer (keeper))
+  if (keeper->attempt.phase != MARJORAM_PHASE_IDLE || !attempt_needed (keeper))
+    return;
+  if (keeper->now >= keeper->retry_at && !marjoram_keeper_must_defer (keeper))
     marjoram_keeper_start_attempt (keeper);
+  else if (keeper->deferred_since == 0)
+    keeper->deferred_since = keeper->now;
 }
 
 static void
@@ -596,7 +598,7 @@
         marjoram_keeper_start_attempt (keeper);
     }
   else if (keeper->now >= keeper->started_at + attempt_timeout_ms (keeper))
-    marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_TIMED_OUT);
+    marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_TIMED_OUT, NULL);
   else if (keeper->now >= keeper->resend_at)
     marjoram_keeper_send_phase (keeper);
 }
@@ -673,10 +675,10 @@
   return peer ? peer->seen.store_id : NULL;
 }
 
-bool
-marjoram_keeper_is_member (const marjoram_keeper *keeper)
+/* Whether VALUE, which may be null, names this keeper's store as a member.  */
+static bool
+is_member_in (const marjoram_keeper *keeper, const marjoram_value *value)
 {
-  const marjoram_value *value = marjoram_keeper_current_value (keeper);
   const struct marjoram_state *state;
 
   if (!value)
@@ -688,6 +690,42 @@
                                      keeper->store_id);
 }
 
+bool
+marjoram_keeper_is_member (const marjoram_keeper *keeper)
+{
+  return is_member_in (keeper, marjoram_keeper_current_value (keeper));
+}
+
+static bool
+was_reached (const marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_peer *peer;
+
+  TAILQ_FOREACH (peer, &keeper->peers, link)
+  if (peer->slot)
+    return true;
+  return false;
+}
+
+/* A member needs no majority of the members before it, so a change that is
+   not completed does not count.  */
+enum marjoram_store_step
+marjoram_keeper_store_step (const marjoram_keeper *keeper)
+{
+  if (keeper->chosen
+      && marjoram_voters_contain (
+          &marjoram_value_state (keeper->chosen)->members, keeper->slot,
+          keeper->store_id))
+    return MARJORAM_STORE_MEMBER;
+  if (marjoram_keeper_is_member (keeper)
+      || is_member_in (keeper, keeper->chosen))
+    return MARJORAM_STORE_ASKED;
+  if (keeper->chosen)
+    return MARJORAM_STORE_LEARNT;
+  return was_reached (keeper) ? MARJORAM_STORE_REACHED
+                              : MARJORAM_STORE_STARTED;
+}
+
 bool
 marjoram_keeper_votes (const marjoram_keeper *keeper)
 {
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -8,6 +8,7 @@
 
 #include "random.h"
 #include "state.h"
+#include "store_progress.h"
 
 typedef struct marjoram_keeper marjoram_keeper;
 
@@ -42,6 +43,17 @@
   MARJORAM_BALLOT_END_COUNT
 };
 
+struct marjoram_ballot_report
+{
+  enum marjoram_ballot_end end;
+  uint64_t round;
+  bool accepting;      /* ended in the second phase */
+  size_t votes;        /* answers in that phase */
+  const char *by;      /* OUTDATED: the keeper that rejected it, or null */
+  int64_t age_ms;      /* since the attempt started */
+  int64_t deferred_ms; /* before it, for which another's was given time */
+};
+
 struct marjoram_keeper_ops
 {
   /* Sends MESSAGE, packed with marjoram_keeper_message_layout, to the keeper
@@ -64,10 +76,9 @@
      of the call of marjoram_keeper_confirm, a majority has confirmed that no
      state after NUMBER had been chosen.  */
   void (*confirmed) (void *context, int64_t started_at, uint64_t number);
-  /* Null if not used.  This keeper's attempt with the ballot of ROUND ended
-     after AGE_MS.  */
-  void (*ballot_ended) (void *context, enum marjoram_ballot_end end,
-                        uint64_t round, int64_t age_ms);
+  /* Null if not used.  An attempt of this keeper ended.  */
+  void (*ballot_ended) (void *context,
+                        const struct marjoram_ballot_report *report);
 };
 
 struct marjoram_keeper_options
@@ -144,6 +155,9 @@
    was.  */
 const char *marjoram_keeper_store_in_slot (const marjoram_keeper *keeper,
                                            const char *slot, int64_t age_ms);
+/* The latest step of this keeper's store towards membership.  */
+enum marjoram_store_step
+marjoram_keeper_store_step (const marjoram_keeper *keeper);
 /* Whether this keeper's store is a voting member.  */
 bool marjoram_keeper_votes (const marjoram_keeper *keeper);
 /* Whether this keeper's store is a member, voting or not.  */
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -122,7 +122,9 @@
   /* First and last vote for another keeper's current attempt; 0 if none.  */
   int64_t rival_since;
   int64_t rival_at;
-  int64_t recover_at; /* 0 if there is no unfinished work */
+  int64_t deferred_since; /* this keeper's next attempt; 0 if it is not */
+  int64_t deferred_ms;    /* before the current attempt */
+  int64_t recover_at;     /* 0 if there is no unfinished work */
   int64_t heartbeat_at;
 };
 
@@ -199,8 +201,10 @@
 void marjoram_keeper_rival_ended (marjoram_keeper *keeper);
 bool marjoram_keeper_must_defer (const marjoram_keeper *keeper);
 void marjoram_keeper_start_attempt (marjoram_keeper *keeper);
+/* BY is the keeper that rejected the attempt; null if none did.  */
 void marjoram_keeper_fail_attempt (marjoram_keeper *keeper,
-                                   enum marjoram_ballot_end end);
+                                   enum marjoram_ballot_end end,
+                                   const char *by);
 /* Sends the current phase's request to each target that has not answered
    it.  */
 void marjoram_keeper_send_phase (marjoram_keeper *keeper);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -43,6 +43,9 @@
 
   marjoram_attempt_start (&keeper->attempt, &ballot);
   marjoram_keeper_rival_ended (keeper);
+  keeper->deferred_ms
+      = keeper->deferred_since ? keeper->now - keeper->deferred_since : 0;
+  keeper->deferred_since = 0;
   keeper->started_at = keeper->now;
   TAILQ_FOREACH (request, &keeper->requests, link)
   request->in_attempt = request->read;
@@ -51,24 +54,33 @@
 
 /* Ends the current attempt.  */
 static void
-stop_attempt (marjoram_keeper *keeper, enum marjoram_ballot_end end)
+stop_attempt (marjoram_keeper *keeper, enum marjoram_ballot_end end,
+              const char *by)
 {
+  const struct marjoram_ballot_report report = {
+    .end = end,
+    .round = keeper->attempt.ballot.round,
+    .accepting = keeper->attempt.phase == MARJORAM_PHASE_ACCEPT,
+    .votes = keeper->attempt.votes.count,
+    .by = by,
+    .age_ms = keeper->now - keeper->started_at,
+    .deferred_ms = keeper->deferred_ms,
+  };
+
   if (keeper->ops->ballot_ended)
-    keeper->ops->ballot_ended (keeper->context, end,
-                               keeper->attempt.ballot.round,
-                               keeper->now - keeper->started_at);
+    keeper->ops->ballot_ended (keeper->context, &report);
   marjoram_attempt_stop (&keeper->attempt);
 }
 
 void
 marjoram_keeper_fail_attempt (marjoram_keeper *keeper,
-                              enum marjoram_ballot_end end)
+                              enum marjoram_ballot_end end, const char *by)
 {
   int doublings = keeper->failures < MARJORAM_KEEPER_BACKOFF_DOUBLINGS
                       ? keeper->failures
                       : MARJORAM_KEEPER_BACKOFF_DOUBLINGS;
 
-  stop_attempt (keeper, end);
+  stop_attempt (keeper, end, by);
   keeper->failures++;
   keeper->retry_at
       = keeper->now + 1
@@ -242,7 +254,7 @@
       return;
     }
   marjoram_value_release (value);
-  stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED);
+  stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED, NULL);
   keeper->retry_at = keeper->now + MARJORAM_KEEPER_BACKOFF_MS;
   marjoram_keeper_answer_attempt_reads (keeper);
 }
@@ -262,7 +274,7 @@
           keeper, marjoram_keeper_envelope_create (targets[i], NULL,
                                                    MARJORAM_KEEPER_CHOSEN,
                                                    &ballot, NULL, NULL));
-  stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED);
+  stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED, NULL);
   keeper->failures = 0;
   marjoram_keeper_learn (keeper, &ballot, value);
   marjoram_value_release (value);
@@ -316,5 +328,6 @@
 {
   if (is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_PREPARE)
       || is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_ACCEPT))
-    marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_OUTDATED);
+    marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_OUTDATED,
+                                  envelope->slot);
 }
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -108,8 +108,7 @@
 }
 
 static void
-op_ballot_ended (void *context, enum marjoram_ballot_end end, uint64_t round,
-                 int64_t age_ms)
+op_ballot_ended (void *context, const struct marjoram_ballot_report *report)
 {
   static const struct
   {
@@ -125,11 +124,16 @@
   };
   struct marjoram_keeper_role *self = context;
 
-  marjoram_metrics_add (self->parts->metrics, ends[end].metric, 1);
-  if (end != MARJORAM_BALLOT_COMPLETED || age_ms >= SLOW_MS)
-    marjoram_event (MARJORAM_EVENT_KEEPER,
-                    "state=ballot round=%" PRIu64 " end=%s ms=%" PRId64, round,
-                    ends[end].word, age_ms);
+  marjoram_metrics_add (self->parts->metrics, ends[report->end].metric, 1);
+  if (report->end != MARJORAM_BALLOT_COMPLETED
+      || report->age_ms + report->deferred_ms >= SLOW_MS)
+    marjoram_event (
+        MARJORAM_EVENT_KEEPER,
+        "state=ballot round=%" PRIu64 " end=%s ms=%" PRId64
+        " deferred_ms=%" PRId64 " phase=%s votes=%zu rejected_by=%s",
+        report->round, ends[report->end].word, report->age_ms,
+        report->deferred_ms, report->accepting ? "accept" : "prepare",
+        report->votes, report->by ? report->by : "-");
 }
 
 static const struct marjoram_keeper_ops keeper_ops = {
@@ -441,6 +445,30 @@
   marjoram_keeper_repair_apply (&change, self->keeper, now, REPAIR_REQUEST);
 }
 
+/* Reports each step of a store that is not a member yet.  */
+static void
+check_store (struct marjoram_keeper_role *self, int64_t now)
+{
+  const enum marjoram_store_step step
+      = marjoram_keeper_store_step (self->keeper);
+  int64_t ms;
+
+  if (!marjoram_store_progress_update (self->progress, now, step))
+    return;
+  ms = marjoram_store_progress_ms (self->progress, step);
+  marjoram_event (
+      MARJORAM_EVENT_KEEPER,
+      "state=store step=%s ms=%" PRId64 " reached_ms=%" PRId64
+      " learnt_ms=%" PRId64 " asked_ms=%" PRId64,
+      marjoram_store_step_name (step), ms,
+      marjoram_store_progress_ms (self->progress, MARJORAM_STORE_REACHED),
+      marjoram_store_progress_ms (self->progress, MARJORAM_STORE_LEARNT),
+      marjoram_store_progress_ms (self->progress, MARJORAM_STORE_ASKED));
+  if (step == MARJORAM_STORE_MEMBER)
+    marjoram_metrics_observe (self->parts->metrics, MARJORAM_TIMING_MEMBERSHIP,
+                              ms);
+}
+
 /* Reports a write while it hangs.  */
 static void
 check_write (struct marjoram_keeper_role *self, int64_t now)
@@ -471,6 +499,7 @@
   marjoram_stream_origins_expire (self->origins, now);
   tick_repair (self, now);
   check_write (self, now);
+  check_store (self, now);
 }
 
 static void
@@ -496,6 +525,7 @@
   marjoram_registrar_destroy (self->registrar);
   marjoram_registry_destroy (self->registry);
   marjoram_keeper_repair_destroy (self->repair);
+  marjoram_store_progress_destroy (self->progress);
   marjoram_crash_list_destroy (self->crashes);
   marjoram_stream_origins_destroy (self->origins);
   marjoram_random_destroy (self->random);
@@ -595,6 +625,7 @@
   self->role.ops = &role_ops;
   self->parts = parts;
   self->created_at = marjoram_keeper_role_now (self);
+  self->progress = marjoram_store_progress_create (self->created_at);
   self->random = marjoram_random_create (seed);
   self->registry = marjoram_registry_create ();
   self->crashes = marjoram_crash_list_create ();
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -25,6 +25,7 @@
   marjoram_disk *disk;
   marjoram_keeper *keeper;
   marjoram_keeper_repair *repair;
+  marjoram_store_progress *progress;
   marjoram_crash_list *crashes; /* sent to hosts that have just started */
   marjoram_stream_origins *origins;
   int64_t origins_full_at; /* last log line */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -70,6 +70,7 @@
   [MARJORAM_TIMING_TOTAL] = "whole_answer_ms",
   [MARJORAM_TIMING_ESTIMATE] = "estimate_error_ms",
   [MARJORAM_TIMING_WRITE] = "store_write_ms",
+  [MARJORAM_TIMING_MEMBERSHIP] = "store_membership_ms",
 };
 
 marjoram_metrics *
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -59,10 +59,11 @@
 /* Histograms of durations in milliseconds.  */
 enum marjoram_timing
 {
-  MARJORAM_TIMING_FIRST,    /* time to the first event or the response */
-  MARJORAM_TIMING_TOTAL,    /* time to the end of the response */
-  MARJORAM_TIMING_ESTIMATE, /* absolute error of the estimated wait */
-  MARJORAM_TIMING_WRITE,    /* a write of a keeper's store, with its syncs */
+  MARJORAM_TIMING_FIRST,      /* time to the first event or the response */
+  MARJORAM_TIMING_TOTAL,      /* time to the end of the response */
+  MARJORAM_TIMING_ESTIMATE,   /* absolute error of the estimated wait */
+  MARJORAM_TIMING_WRITE,      /* a write of a keeper's store, with its syncs */
+  MARJORAM_TIMING_MEMBERSHIP, /* a keeper's start until it is a member */
   MARJORAM_TIMING_COUNT
 };
 
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -168,14 +168,11 @@
 }
 
 static void
-on_ballot_ended (void *context, enum marjoram_ballot_end end, uint64_t round,
-                 int64_t age_ms)
+on_ballot_ended (void *context, const struct marjoram_ballot_report *report)
 {
   struct node *node = context;
 
-  (void)round;
-  (void)age_ms;
-  node->net->ballots[end]++;
+  node->net->ballots[report->end]++;
 }
 
 static const struct marjoram_keeper_ops ops
