--- a/test/lib_relay.c
+++ b/test/lib_relay.c
@@ -2,6 +2,7 @@
 
 #include "cleanup.h"
 #include "clock.h"
+#include "random.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -17,6 +18,11 @@
 {
   BACKLOG = 1024,
   WATCH_MS = 20,
+  /* How much later data arrives if it is lost once, and a connection opens if
+     its first packet is.  */
+  REPEATED_DATA_MS = 250,
+  REPEATED_OPEN_MS = 1000,
+  PER_MILLE = 1000,
   USEC_PER_SEC = 1000000,
   USEC_PER_MS = 1000
 };
@@ -50,6 +56,7 @@
 {
   LIST_ENTRY (pair) entries;
   struct relay *relay;
+  int64_t opens_at;    /* data sent before arrives no sooner */
   struct side side[2]; /* client, target */
   STAILQ_HEAD (parcels, parcel) parcels;
   struct event *timer;
@@ -70,6 +77,8 @@
   int target_size;
   enum relay_mode mode;
   int64_t delay_ms;
+  int loss_per_mille;
+  marjoram_random *random; /* of losses; NULL without */
   struct relay_link *link; /* or NULL */
   bool link_at_target;     /* the link belongs to the target */
   bool downgrades;         /* requests to HTTP/1.0 */
@@ -248,6 +257,27 @@
   return *free_us / USEC_PER_MS;
 }
 
+static int64_t
+loss_ms (struct relay *relay, int64_t ms)
+{
+  if (!relay->random
+      || marjoram_random_below (relay->random, PER_MILLE)
+             >= (uint32_t)relay->loss_per_mille)
+    return 0;
+  return ms;
+}
+
+static int64_t
+delivery_ms (struct pair *pair, const struct side *to, size_t size)
+{
+  struct relay *relay = pair->relay;
+  int64_t due = link_delivery_ms (to, size);
+
+  if (due < pair->opens_at)
+    due = pair->opens_at;
+  return due + relay->delay_ms + loss_ms (relay, REPEATED_DATA_MS);
+}
+
 /* Inserts PARCEL by delivery time.  Order is kept within a direction; a slow
    direction does not delay the other.  */
 static void
@@ -301,7 +331,7 @@
       size = evbuffer_get_length (parcel->bytes);
       pair->relay->bytes += size;
     }
-  parcel->due = link_delivery_ms (parcel->to, size) + pair->relay->delay_ms;
+  parcel->due = delivery_ms (pair, parcel->to, size);
   enqueue (pair, parcel);
   if (parcel->due <= now_ms () && STAILQ_FIRST (&pair->parcels) == parcel)
     deliver_due_parcels (-1, 0, pair);
@@ -369,6 +399,8 @@
   (void)address;
   (void)size;
   *pair = (struct pair){ .relay = relay };
+  if (relay->random)
+    pair->opens_at = now_ms () + loss_ms (relay, REPEATED_OPEN_MS);
   STAILQ_INIT (&pair->parcels);
   pair->timer = event_new (relay->base, -1, 0, deliver_due_parcels, pair);
   for (int i = 0; i < 2; i++)
@@ -481,6 +513,7 @@
   for_each_pair (relay, pair_destroy);
   stop_listening (relay);
   event_free (relay->watch);
+  marjoram_random_destroy (relay->random);
   free (relay);
 }
 
@@ -506,6 +539,14 @@
   relay->delay_ms = ms;
 }
 
+void
+relay_set_loss (struct relay *relay, int per_mille, uint64_t seed)
+{
+  if (!relay->random)
+    relay->random = marjoram_random_create (seed);
+  relay->loss_per_mille = per_mille;
+}
+
 struct relay_link *
 relay_link_create (int64_t bytes_per_second)
 {
--- a/test/lib_relay.h
+++ b/test/lib_relay.h
@@ -30,6 +30,10 @@
 void relay_set_mode (struct relay *relay, enum relay_mode mode);
 /* Delays subsequent data by MS milliseconds.  */
 void relay_set_delay (struct relay *relay, int64_t ms);
+/* Loses PER_MILLE of the subsequent pieces of data and of the packets that
+   open a connection.  As TCP repeats them, data arrives 250 ms later and
+   delays what follows it, and a connection carries data 1 s later.  */
+void relay_set_loss (struct relay *relay, int per_mille, uint64_t seed);
 struct relay_link *relay_link_create (int64_t bytes_per_second);
 /* Must not be called while a relay uses LINK.  */
 void relay_link_destroy (struct relay_link *link);
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -54,9 +54,14 @@
   return OWN_PORT_BASE + host.index
 end
 
+-- With LINK_DELAY_MS these links take so long one way, and with LINK_LOSS they
+-- lose so many packets per 1,000.
 local function add_link_relay (from, to)
-  link_relays[from.name .. " " .. to.name] = assert (system.relay (
-    to.ip .. ":" .. own_port (from), to.ip .. ":" .. own_port (to)))
+  local relay = assert (system.relay (to.ip .. ":" .. own_port (from),
+                                      to.ip .. ":" .. own_port (to)))
+  link_relays[from.name .. " " .. to.name] = relay
+  if LINK_DELAY_MS then system.relay_set (relay, "delay", LINK_DELAY_MS) end
+  if LINK_LOSS then system.relay_set (relay, "loss", LINK_LOSS) end
 end
 
 function link_relay (from, to)
@@ -112,9 +117,20 @@
 -- A sanitized program that keeps freed memory would not show what it uses.
 local KEEP_NOTHING = "ASAN_OPTIONS=quarantine_size_mb=1:malloc_context_size=0"
 
+-- With SYNC_MS, each sync of a keeper's disk takes so much longer.
+local function with_slow_syncs (command)
+  return { "/usr/bin/env", "LD_PRELOAD=" .. system.programs
+             .. "/libslow_sync.so", "SLOW_SYNC_MS=" .. SYNC_MS,
+           "ASAN_OPTIONS=verify_asan_link_order=0",
+           table.unpack (command) }
+end
+
 function start_host (host)
   write_settings (host)
   local command = { system.programs .. "/marjoramd", "--settings", host.path }
+  if SYNC_MS and host.role == "keeper" then
+    command = with_slow_syncs (command)
+  end
   if MEMORY_MB then
     command = { "/usr/bin/env", KEEP_NOTHING, table.unpack (command) }
   end
@@ -131,9 +147,10 @@
         system.programs, host.path) }, "/dev/null")
 end
 
-function add_host (role, index, zone)
+-- SEEDS has the indices of the keepers that the host starts from.
+function add_host (role, index, zone, seeds)
   local host = { role = role, name = role .. index, ip = ip (index),
-                 index = index,
+                 index = index, seeds = seeds,
                  zone = zone, region = "r" .. zone:sub (2),
                  fresh = role == "keeper" and index <= 3 }
   programs[#programs + 1] = host
--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -146,24 +146,25 @@
   relay_set_link (relay, slow_link, at_target);
 }
 
-/* relay_set (relay, word, milliseconds or bytes per second).  "rate" attaches
-   the relay to the slow link for outgoing connections of the link's host,
-   "rate_in" for incoming ones.  The first call sets the rate.  */
+/* relay_set (relay, word, milliseconds, bytes per second or lost packets per
+   1,000).  "rate" attaches the relay to the slow link for outgoing connections
+   of the link's host, "rate_in" for incoming ones.  The first call sets the
+   rate.  */
 static int
 verb_relay_set (lua_State *lua)
 {
   enum
   {
     DELAY = RELAY_REFUSE + 1,
+    LOSS,
     RATE,
     RATE_IN,
     CHANGES
   };
   static const char *const words[]
-      = { "pass",  "hold",    "hold_answers", "refuse",
-          "delay", "rate",    "rate_in",      "silence",
-          "stall", "release", "drop",         "downgrade",
-          NULL };
+      = { "pass",    "hold", "hold_answers", "refuse",  "delay",
+          "loss",    "rate", "rate_in",      "silence", "stall",
+          "release", "drop", "downgrade",    NULL };
   static void (*const changes[]) (struct relay *)
       = { relay_silence, relay_stall, relay_release, relay_drop,
           relay_downgrade };
@@ -174,6 +175,9 @@
     relay_set_mode (changed, (enum relay_mode)word);
   else if (word == DELAY)
     relay_set_delay (changed, luaL_checkinteger (lua, 3));
+  else if (word == LOSS)
+    relay_set_loss (changed, (int)luaL_checkinteger (lua, 3),
+                    marjoram_random_below (source, UINT32_MAX));
   else if (word < CHANGES)
     attach_to_slow_link (changed, luaL_checkinteger (lua, 3), word == RATE_IN);
   else
