Failing test: the time from a keeper's start with an empty disk to its membership

test_keeper_catch_up simulates keepers, their repair, connections that open after their handshakes and lose packets, slow disks and regular changes, at seven sites; a disk is lost and a machine, in either order, each as soon as the one before may count as back. Each start must end in membership within catch_up_s: 4 s, or 6 s where two may be lost.

--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -2,6 +2,7 @@
 
 #include "cleanup.h"
 #include "keeper_message.h"
+#include "keeper_repair.h"
 #include "random.h"
 
 #include <stdio.h>
@@ -16,11 +17,19 @@
   FRAME_HEADER = 5,
   ROUTE_MAX = 400,
   NAME_SIZE = 32,
+  REPAIR_TICK_MS = 200,
+  /* One-way times until a new connection carries messages.  */
+  HANDSHAKE_TRIPS = 5,
+  PER_MILLE = 1000,
   /* Request numbers below are changes of the file "routes".  */
   FIRST_READ = 1 << 28,
-  FIRST_OWN = 1 << 29 /* changes of each keeper's own file */
+  FIRST_OWN = 1 << 29, /* changes of each keeper's own file */
+  FIRST_REGULAR = 1 << 30
 };
 
+/* Request number of automatic repairs.  */
+#define REPAIR_REQUEST UINT64_MAX
+
 struct packet
 {
   STAILQ_ENTRY (packet) link;
@@ -33,6 +42,7 @@
 struct connection
 {
   struct packets packets;
+  int64_t opens_at; /* messages sent before are lost */
   int64_t busy_until;
   uint64_t queued_bytes;
   int large_count;
@@ -44,7 +54,12 @@
   int index;
   char slot[NAME_SIZE];
   char store_id[NAME_SIZE];
-  marjoram_keeper *keeper;
+  marjoram_keeper *keeper; /* null while it is not running */
+  marjoram_keeper_repair *repair;
+  marjoram_host_list *hosts;
+  marjoram_store_progress *progress; /* null before a start with no disk */
+  int stores;
+  uint64_t incarnation;
   uint64_t ticket;
   int64_t written_at; /* 0 if no write is pending */
   bool partitioned;
@@ -55,9 +70,11 @@
 struct keeper_net
 {
   struct keeper_net_options options;
+  int count; /* of nodes */
   struct node nodes[KEEPERS_MAX];
   struct connection connections[KEEPERS_MAX][KEEPERS_MAX];
   marjoram_random *random;
+  marjoram_random *faults; /* losses, and the keepers of regular changes */
   int64_t now;
   uint64_t version;
   uint64_t reads;
@@ -70,8 +87,21 @@
   int accepted;       /* changes, since the last keeper_net_change_all */
   uint64_t confirmed; /* number of the last confirmation; 0 if none */
   int confirmed_by;
+  bool changes_paused;
+  int regular_sent;
+  int regular_accepted;
 };
 
+static int64_t
+loss_ms (struct keeper_net *net)
+{
+  return net->options.loss_per_mille
+                 && marjoram_random_below (net->faults, PER_MILLE)
+                        < (uint32_t)net->options.loss_per_mille
+             ? KEEPER_NET_REPEAT_MS
+             : 0;
+}
+
 static void
 enqueue_packet (struct keeper_net *net, struct connection *connection,
                 struct packet *packet)
@@ -82,7 +112,8 @@
   int64_t rate = net->options.bytes_per_s;
 
   connection->busy_until = start + (rate ? (int64_t)size * 1000 / rate : 0);
-  packet->arrives_at = connection->busy_until + net->options.one_way_ms;
+  packet->arrives_at
+      = connection->busy_until + net->options.one_way_ms + loss_ms (net);
   connection->queued_bytes += size;
   if (connection->queued_bytes > net->peak_queued)
     net->peak_queued = connection->queued_bytes;
@@ -101,7 +132,8 @@
   struct marjoram_keeper_message sent = *message;
   struct packet *packet;
 
-  if (node->partitioned || net->nodes[to].partitioned
+  if (node->partitioned || net->nodes[to].partitioned || !net->nodes[to].keeper
+      || net->now < net->connections[node->index][to].opens_at
       || (net->nodes[to].earlier_release
           && message->encoding != MARJORAM_KEEPER_PLAIN))
     return;
@@ -139,6 +171,13 @@
 {
   struct node *node = context;
 
+  if (request == REPAIR_REQUEST)
+    return;
+  if (request == FIRST_REGULAR)
+    {
+      node->net->regular_accepted += answer->outcome == MARJORAM_APPLY_DECIDED;
+      return;
+    }
   node->net->answered = request;
   node->net->accepted += answer->outcome == MARJORAM_APPLY_DECIDED
                          && answer->result == MARJORAM_CHANGE_ACCEPTED;
@@ -184,8 +223,9 @@
         .confirmed = on_confirmed,
         .ballot_ended = on_ballot_ended };
 
+/* With FIRST_START, the keeper is one of those that form the first state.  */
 static void
-start_node (struct keeper_net *net, int index)
+start_node (struct keeper_net *net, int index, bool first_start)
 {
   static const char *const first[KEEPERS_MAX]
       = { "k0", "k1", "k2", "k3", "k4", "k5", "k6" };
@@ -194,15 +234,31 @@
       = { .slot = node->slot,
           .store_id = node->store_id,
           .first = first,
-          .first_count = (size_t)net->options.keepers,
-          .incarnation = 1 };
+          .first_count = first_start ? (size_t)net->options.keepers : 0,
+          .incarnation = ++node->incarnation };
+
+  if (node->stores++ == 0)
+    snprintf (node->store_id, sizeof node->store_id, "store-%d", index);
+  else
+    snprintf (node->store_id, sizeof node->store_id, "store-%d-%d", index,
+              node->stores);
+  node->keeper
+      = marjoram_keeper_create (&options, &ops, node, net->random, NULL);
+  if (net->options.losses == 0)
+    return;
+  node->repair
+      = marjoram_keeper_repair_create (node->slot, net->options.losses);
+  node->hosts = marjoram_host_list_create ();
+}
+
+static void
+init_node (struct keeper_net *net, int index)
+{
+  struct node *node = &net->nodes[index];
 
   node->net = net;
   node->index = index;
   snprintf (node->slot, sizeof node->slot, "k%d", index);
-  snprintf (node->store_id, sizeof node->store_id, "store-%d", index);
-  node->keeper
-      = marjoram_keeper_create (&options, &ops, node, net->random, NULL);
   for (int to = 0; to < KEEPERS_MAX; to++)
     STAILQ_INIT (&net->connections[index][to].packets);
 }
@@ -213,9 +269,13 @@
   struct keeper_net *net = marjoram_alloc (sizeof *net);
 
   net->options = *options;
+  net->count = options->keepers + options->spares;
   net->random = marjoram_random_create (options->seed ? options->seed : 1);
+  net->faults = marjoram_random_create (options->seed + 1);
+  for (int i = 0; i < net->count; i++)
+    init_node (net, i);
   for (int i = 0; i < options->keepers; i++)
-    start_node (net, i);
+    start_node (net, i, true);
   return net;
 }
 
@@ -245,16 +305,85 @@
   connection->busy_until = 0;
 }
 
+void
+keeper_net_stop (struct keeper_net *net, int index)
+{
+  struct node *node = &net->nodes[index];
+
+  marjoram_keeper_destroy (node->keeper);
+  marjoram_keeper_repair_destroy (node->repair);
+  marjoram_host_list_destroy (node->hosts);
+  node->keeper = NULL;
+  node->repair = NULL;
+  node->hosts = NULL;
+  node->written_at = 0;
+  for (int other = 0; other < net->count; other++)
+    {
+      clear_connection (&net->connections[index][other]);
+      clear_connection (&net->connections[other][index]);
+    }
+}
+
+static void
+open_connections (struct keeper_net *net, int index)
+{
+  for (int other = 0; other < net->count; other++)
+    {
+      int64_t opens_at = net->now + HANDSHAKE_TRIPS * net->options.one_way_ms;
+
+      for (int i = 0; i < HANDSHAKE_TRIPS; i++)
+        opens_at += loss_ms (net);
+      net->connections[index][other].opens_at = opens_at;
+      net->connections[other][index].opens_at = opens_at;
+    }
+}
+
+void
+keeper_net_start_empty (struct keeper_net *net, int index)
+{
+  struct node *node = &net->nodes[index];
+
+  start_node (net, index, false);
+  marjoram_store_progress_destroy (node->progress);
+  node->progress = marjoram_store_progress_create (net->now);
+  open_connections (net, index);
+}
+
+int64_t
+keeper_net_step_ms (const struct keeper_net *net, int index,
+                    enum marjoram_store_step step)
+{
+  return marjoram_store_progress_ms (net->nodes[index].progress, step);
+}
+
+int
+keeper_net_changes_sent (const struct keeper_net *net)
+{
+  return net->regular_sent;
+}
+
+int
+keeper_net_changes_accepted (const struct keeper_net *net)
+{
+  return net->regular_accepted;
+}
+
+void
+keeper_net_pause_changes (struct keeper_net *net, bool paused)
+{
+  net->changes_paused = paused;
+}
+
 void
 keeper_net_destroy (struct keeper_net *net)
 {
-  for (int i = 0; i < net->options.keepers; i++)
+  for (int i = 0; i < net->count; i++)
     {
-      marjoram_keeper_destroy (net->nodes[i].keeper);
-      for (int j = 0; j < net->options.keepers; j++)
-        clear_connection (&net->connections[i][j]);
+      keeper_net_stop (net, i);
+      marjoram_store_progress_destroy (net->nodes[i].progress);
     }
   marjoram_random_destroy (net->random);
+  marjoram_random_destroy (net->faults);
   free (net);
 }
 
@@ -281,10 +410,69 @@
     }
 }
 
+static bool
+is_connected (const struct keeper_net *net, int a, int b)
+{
+  return net->nodes[b].keeper && net->now >= net->connections[a][b].opens_at;
+}
+
+/* Tells NODE of the keepers that it is connected with.  */
+static void
+update_hosts (struct keeper_net *net, struct node *node)
+{
+  for (int i = 0; i < net->count; i++)
+    {
+      const struct marjoram_host_beat heartbeat
+          = { .name = net->nodes[i].slot,
+              .zone = (char *)"z",
+              .region = (char *)"r",
+              .entry = (char *)"",
+              .keeper = true,
+              .incarnation = net->nodes[i].incarnation,
+              .sequence = (uint64_t)net->now };
+
+      if (is_connected (net, node->index, i))
+        marjoram_host_list_update (node->hosts, net->now, &heartbeat, true);
+    }
+}
+
+static void
+tick_repair (struct keeper_net *net, struct node *node)
+{
+  struct marjoram_keeper_change change;
+
+  update_hosts (net, node);
+  if (marjoram_keeper_repair_tick (node->repair, net->now, node->keeper,
+                                   node->hosts, &change))
+    marjoram_keeper_repair_apply (&change, node->keeper, net->now,
+                                  REPAIR_REQUEST);
+}
+
+/* Greets the keepers to which a connection has just opened.  */
+static void
+greet_connected (struct keeper_net *net, struct node *node)
+{
+  for (int i = 0; i < net->count; i++)
+    if (i != node->index && net->nodes[i].keeper
+        && net->connections[node->index][i].opens_at == net->now)
+      marjoram_keeper_probe (node->keeper, net->now, net->nodes[i].slot);
+}
+
+static void
+run_repair (struct keeper_net *net, struct node *node)
+{
+  greet_connected (net, node);
+  if ((net->now + (int64_t)node->index * 13) % REPAIR_TICK_MS == 0)
+    tick_repair (net, node);
+  if (node->progress)
+    marjoram_store_progress_update (node->progress, net->now,
+                                    marjoram_keeper_store_step (node->keeper));
+}
+
 static void
 run_node (struct keeper_net *net, struct node *node)
 {
-  for (int from = 0; from < net->options.keepers; from++)
+  for (int from = 0; from < net->count; from++)
     deliver (net, from, node->index);
   if (node->written_at && node->written_at <= net->now)
     {
@@ -294,16 +482,38 @@
   /* Staggers the ticks of the nodes.  */
   if ((net->now + (int64_t)node->index * 7) % TICK_MS == 0)
     marjoram_keeper_tick (node->keeper, net->now);
+  if (node->repair)
+    run_repair (net, node);
+}
+
+static void
+send_regular_change (struct keeper_net *net)
+{
+  struct node *node
+      = &net->nodes[marjoram_random_below (net->faults, (uint32_t)net->count)];
+  char id[NAME_SIZE];
+  struct marjoram_file file = { (char *)"regular", 0, NULL, (char *)"text" };
+
+  if (!node->keeper)
+    return;
+  file.version = (uint64_t)++net->regular_sent;
+  snprintf (id, sizeof id, "regular-%d", net->regular_sent);
+  marjoram_keeper_apply (node->keeper, net->now, FIRST_REGULAR, id, &file);
 }
 
 void
 keeper_net_run (struct keeper_net *net, int64_t ms)
 {
+  const int64_t every_ms = net->options.change_every_ms;
+
   for (int64_t end = net->now + ms; net->now < end;)
     {
       net->now++;
-      for (int i = 0; i < net->options.keepers; i++)
-        run_node (net, &net->nodes[i]);
+      if (every_ms && !net->changes_paused && net->now % every_ms == 0)
+        send_regular_change (net);
+      for (int i = 0; i < net->count; i++)
+        if (net->nodes[i].keeper)
+          run_node (net, &net->nodes[i]);
     }
 }
 
--- a/test/lib_keeper_net.h
+++ b/test/lib_keeper_net.h
@@ -1,5 +1,6 @@
 /* Simulation of keepers on ordered connections of limited bandwidth, for tests
-   and benchmarks of the cost of consensus.  The clock is simulated.  */
+   and benchmarks of the cost of consensus, and of the time that a lost keeper
+   takes to be replaced.  The clock is simulated.  */
 #ifndef MARJORAM_TEST_LIB_KEEPER_NET_H
 #define MARJORAM_TEST_LIB_KEEPER_NET_H
 
@@ -14,6 +15,12 @@
   int64_t bytes_per_s; /* of each connection; 0: unlimited */
   int64_t write_ms;    /* of each disk; 0: 5 ms */
   uint64_t seed;       /* 0: 1 */
+  /* The fields below may be 0.  */
+  int spares;         /* keepers after the first ones, which are not running */
+  int loss_per_mille; /* of the messages, which arrive KEEPER_NET_REPEAT_MS
+                         later and delay those after them */
+  int64_t change_every_ms; /* changes at a random keeper each */
+  size_t losses; /* disks that may be lost at once, for automatic repair */
 };
 
 struct keeper_net *
@@ -54,6 +61,21 @@
    it.  */
 void keeper_net_stall (struct keeper_net *net, int index, bool stalled);
 
+/* Ends the process of keeper INDEX.  */
+void keeper_net_stop (struct keeper_net *net, int index);
+/* Starts keeper INDEX, which is not running, with an empty disk.  Its
+   connections open after the round trips of a handshake.  */
+void keeper_net_start_empty (struct keeper_net *net, int index);
+/* The time from the last start of keeper INDEX with an empty disk until it
+   took STEP, in ms; -1 if it has not.  */
+int64_t keeper_net_step_ms (const struct keeper_net *net, int index,
+                            enum marjoram_store_step step);
+/* Changes that were sent because of change_every_ms, and those accepted.  */
+int keeper_net_changes_sent (const struct keeper_net *net);
+int keeper_net_changes_accepted (const struct keeper_net *net);
+/* Stops or resumes these changes.  */
+void keeper_net_pause_changes (struct keeper_net *net, bool paused);
+
 /* Makes keeper INDEX behave as an earlier release that supports plain values
    only.  */
 void keeper_net_set_earlier_release (struct keeper_net *net, int index);
@@ -62,7 +84,8 @@
    than KEEPER_NET_LARGE_MESSAGES bytes.  */
 enum
 {
-  KEEPER_NET_LARGE = 4096
+  KEEPER_NET_LARGE = 4096,
+  KEEPER_NET_REPEAT_MS = 250
 };
 
 void keeper_net_reset_counters (struct keeper_net *net);
--- /dev/null
+++ b/test/test_keeper_catch_up.c
@@ -0,0 +1,231 @@
+/* How long a keeper that starts with an empty disk takes to become a member,
+   at the round trips, losses, write times and rates of changes that
+   deployments may have.  SEEDS in the environment sets the number of seeds. */
+#include "suite.h"
+
+#include "lib_keeper_net.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  SEEDS = 40,
+  DECIMAL = 10,
+  TIMEOUT_S = 600,
+  SETTLE_MS = 8000,
+  /* Times of a deployment: until a machine is back with an empty disk, until
+     the successor of a lost machine starts, from a start until the keeper
+     counts as back, and until a change is answered afterwards.  */
+  DISK_BACK_MS = 3000,
+  SUCCESSOR_MS = 1000,
+  RECOVER_MS = 12000,
+  CHANGE_LIMIT_MS = 6000
+};
+
+struct site
+{
+  const char *name;
+  struct keeper_net_options options;
+  int64_t catch_up_ms;
+};
+
+/* Three keepers of which one may be lost, and six with five members of which
+   two may be.  */
+static const struct site sites[] = {
+  { "one region, calm",
+    { .keepers = 3, .spares = 3, .one_way_ms = 1, .write_ms = 5, .losses = 1 },
+    4000 },
+  { "regions, calm",
+    { .keepers = 3,
+      .spares = 3,
+      .one_way_ms = 55,
+      .write_ms = 5,
+      .losses = 1 },
+    4000 },
+  { "regions, changes",
+    { .keepers = 3,
+      .spares = 3,
+      .one_way_ms = 55,
+      .write_ms = 5,
+      .losses = 1,
+      .change_every_ms = 330 },
+    4000 },
+  { "regions, losses",
+    { .keepers = 3,
+      .spares = 3,
+      .one_way_ms = 55,
+      .write_ms = 5,
+      .losses = 1,
+      .loss_per_mille = 40 },
+    4000 },
+  { "regions, losses, changes",
+    { .keepers = 3,
+      .spares = 3,
+      .one_way_ms = 55,
+      .write_ms = 15,
+      .losses = 1,
+      .loss_per_mille = 40,
+      .change_every_ms = 330 },
+    4000 },
+  { "regions, slow disks, changes",
+    { .keepers = 3,
+      .spares = 3,
+      .one_way_ms = 55,
+      .write_ms = 60,
+      .losses = 1,
+      .change_every_ms = 330 },
+    4000 },
+  { "five members, losses, changes",
+    { .keepers = 5,
+      .spares = 2,
+      .one_way_ms = 55,
+      .write_ms = 5,
+      .losses = 2,
+      .loss_per_mille = 40,
+      .change_every_ms = 330 },
+    6000 },
+};
+
+static uint64_t
+env_number (const char *name, uint64_t fallback)
+{
+  const char *text = getenv (name);
+
+  return text ? strtoull (text, NULL, DECIMAL) : fallback;
+}
+
+/* Times to each step, of all starts of a test.  */
+struct times
+{
+  size_t count;
+  int64_t highest[MARJORAM_STORE_STEP_COUNT];
+  int64_t sum[MARJORAM_STORE_STEP_COUNT];
+  size_t late;
+};
+
+static void
+add_times (struct times *times, const struct keeper_net *net, int index,
+           int64_t limit_ms)
+{
+  int64_t member_ms = keeper_net_step_ms (net, index, MARJORAM_STORE_MEMBER);
+
+  times->count++;
+  times->late += member_ms < 0 || member_ms > limit_ms;
+  for (int step = 0; step < MARJORAM_STORE_STEP_COUNT; step++)
+    {
+      int64_t ms
+          = keeper_net_step_ms (net, index, (enum marjoram_store_step)step);
+
+      if (ms < 0)
+        ms = limit_ms;
+      times->sum[step] += ms;
+      if (ms > times->highest[step])
+        times->highest[step] = ms;
+    }
+}
+
+static void
+print_times (const struct site *site, const struct times *times)
+{
+  printf ("%s: %zu starts, %zu late;", site->name, times->count, times->late);
+  for (int step = MARJORAM_STORE_REACHED; step < MARJORAM_STORE_STEP_COUNT;
+       step++)
+    printf (" %s %lld ms, at most %lld;",
+            marjoram_store_step_name ((enum marjoram_store_step)step),
+            (long long)(times->sum[step] / (int64_t)times->count),
+            (long long)times->highest[step]);
+  printf ("\n");
+  fflush (stdout);
+}
+
+/* Loses the disk of keeper INDEX, whose machine is back later.  */
+static void
+lose_disk (struct keeper_net *net, int index)
+{
+  keeper_net_stop (net, index);
+  keeper_net_run (net, DISK_BACK_MS);
+  keeper_net_start_empty (net, index);
+}
+
+/* Loses keeper INDEX for good; SUCCESSOR starts later.  */
+static void
+lose_machine (struct keeper_net *net, int index, int successor)
+{
+  keeper_net_stop (net, index);
+  keeper_net_run (net, SUCCESSOR_MS);
+  keeper_net_start_empty (net, successor);
+}
+
+/* Runs until the keeper counts as back, and notes its times.  */
+static void
+catch_up (struct keeper_net *net, const struct site *site, int index,
+          struct times *times)
+{
+  keeper_net_run (net, site->catch_up_ms);
+  add_times (times, net, index, site->catch_up_ms);
+}
+
+/* Two rounds of a lost disk and a lost machine, in either order.  */
+static void
+run_losses (const struct site *site, uint64_t seed, struct times *times)
+{
+  struct keeper_net_options options = site->options;
+  struct keeper_net *net;
+  int first = options.keepers;
+
+  options.seed = seed;
+  net = keeper_net_create (&options);
+  keeper_net_run (net, SETTLE_MS);
+  ck_assert_int_ge (keeper_net_change (net, 0, "x", CHANGE_LIMIT_MS), 0);
+  if (seed % 2)
+    {
+      lose_disk (net, (int)(seed / 2 % 2));
+      catch_up (net, site, (int)(seed / 2 % 2), times);
+      lose_machine (net, 2, first);
+      catch_up (net, site, first, times);
+    }
+  else
+    {
+      lose_machine (net, (int)(seed / 2 % 2), first);
+      catch_up (net, site, first, times);
+      lose_disk (net, 2);
+      catch_up (net, site, 2, times);
+    }
+  keeper_net_pause_changes (net, true);
+  if (times->late == 0)
+    ck_assert_msg (keeper_net_change (net, first, "y", RECOVER_MS) >= 0,
+                   "%s, seed %llu: no change is accepted", site->name,
+                   (unsigned long long)seed);
+  keeper_net_destroy (net);
+}
+
+/* Guards against a lost keeper whose successor is a member too late for the
+   next loss.  */
+START_TEST (a_lost_keeper_is_replaced_within_the_time_of_the_deployment)
+{
+  const struct site *site = &sites[_i];
+  const uint64_t seeds = env_number ("SEEDS", SEEDS);
+  struct times times = { 0 };
+
+  for (uint64_t seed = 1; seed <= seeds; seed++)
+    run_losses (site, seed, &times);
+  print_times (site, &times);
+  ck_assert_msg (times.late == 0, "%zu of %zu keepers were members too late",
+                 times.late, times.count);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("keeper_catch_up");
+  TCase *c = tcase_create ("keeper_catch_up");
+
+  tcase_set_timeout (c, TIMEOUT_S);
+  tcase_add_loop_test (
+      c, a_lost_keeper_is_replaced_within_the_time_of_the_deployment, 0,
+      sizeof sites / sizeof *sites);
+  suite_add_tcase (s, c);
+  return s;
+}
