Keepers leave another's ballot its round trips, not only its writes

Cause: a keeper that had voted for another's ballot left it the time of three disk writes, 3 ms at 1 ms a sync, where a ballot takes 220 ms between regions. A store that gave no vote did not defer at all, and a rejection by a third keeper did not count as knowledge of its ballot.

Now a keeper defers from each message of another's attempt on for two round trips (as its greetings measure them) and the writes, eight in all; also when it does not vote, or learns of the ballot by a rejection. The state of a change of members counts as such a message, as its proposer goes on. Keepers that start at the same moment don't delay one another: the highest ballot goes on. The one that was outdated most often takes the highest, so that nobody starves, and the random pause after a loss does not double any more.

Ballots are still used once, and what a vote means is unchanged; only when an attempt starts is decided differently.

--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -144,6 +144,9 @@
   marjoram_value_release (keeper->previous_chosen);
   keeper->previous_chosen = keeper->chosen;
   marjoram_keeper_rival_ended (keeper);
+  /* Its proposer goes on with an attempt that completes the change.  */
+  if (marjoram_value_state (value)->next_members.count > 0)
+    keeper->rival_since = keeper->rival_at = keeper->now;
   keeper->chosen = value;
   keeper->chosen_ballot = *ballot;
   keeper->deliver_after = ++keeper->sequence;
@@ -167,6 +170,7 @@
   struct marjoram_acceptor *acceptor = &keeper->acceptor;
   struct marjoram_ballot before = acceptor->promised;
 
+  marjoram_keeper_note_rival (keeper, envelope->slot);
   /* An empty store among hosts that have a configuration must not help to
      bootstrap a second initial state.  */
   if (!marjoram_keeper_may_vote (keeper)
@@ -179,7 +183,6 @@
     }
   if (marjoram_ballot_compare (&before, &acceptor->promised) != 0)
     keeper->sequence++;
-  marjoram_keeper_note_vote (keeper, envelope->slot);
   marjoram_keeper_send_when_durable (
       keeper, marjoram_keeper_envelope_create (
                   envelope->slot, envelope->store_id, MARJORAM_KEEPER_PROMISE,
@@ -196,6 +199,7 @@
         && marjoram_ballot_compare (&acceptor->accepted, &envelope->ballot)
                == 0;
 
+  marjoram_keeper_note_rival (keeper, envelope->slot);
   if (!marjoram_keeper_may_vote (keeper) || !envelope->value)
     return;
   if (!marjoram_acceptor_accept (acceptor, &envelope->ballot, envelope->value))
@@ -205,7 +209,6 @@
     }
   if (!repeated)
     keeper->sequence++;
-  marjoram_keeper_note_vote (keeper, envelope->slot);
   marjoram_keeper_send_when_durable (
       keeper, marjoram_keeper_envelope_create (
                   envelope->slot, envelope->store_id, MARJORAM_KEEPER_ACCEPTED,
--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -1,13 +1,23 @@
-/* Keeps keepers with slow disks from outdating one another's attempts.  An
-   attempt needs two writes at a majority.  If a write takes longer than the
-   others wait before they start an attempt of their own, each attempt is
-   outdated before it is completed, and nothing is ever chosen.  So a keeper
-   that has voted for an attempt leaves it the time of some writes; with fast
-   disks this is next to nothing.  */
+/* Keeps keepers from outdating one another's attempts.  An attempt needs two
+   round trips to a majority and two writes there.  If the others wait for less
+   before they start attempts of their own, each attempt is outdated before it
+   is completed, and nothing is ever chosen.  So a keeper that knows of
+   another's attempt leaves it the time that it needs.  Keepers that start at
+   the same moment do not delay one another: the highest ballot goes on, and
+   the others wait for it.  */
 #include "keeper_private.h"
 
 #include <string.h>
 
+enum
+{
+  /* Bounds the effect of a round trip that was measured in a stall.  */
+  ROUND_TRIP_MAX_MS = 1000,
+  /* Round trips left to an attempt after each message of it, and in all.  */
+  DEFER_ROUND_TRIPS = 2,
+  DEFER_ROUND_TRIPS_MAX = 8
+};
+
 int64_t
 marjoram_keeper_expected_write_ms (const marjoram_keeper *keeper)
 {
@@ -23,8 +33,21 @@
          * marjoram_keeper_expected_write_ms (keeper);
 }
 
+int64_t
+marjoram_keeper_round_trip_ms (const marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_peer *peer;
+  int64_t highest = 0;
+
+  TAILQ_FOREACH (peer, &keeper->peers, link)
+  if (peer->slot && peer->round_trip_ms > highest
+      && peer->last_seen_at >= keeper->now - MARJORAM_KEEPER_PEER_TIMEOUT_MS)
+    highest = peer->round_trip_ms;
+  return highest < ROUND_TRIP_MAX_MS ? highest : ROUND_TRIP_MAX_MS;
+}
+
 void
-marjoram_keeper_note_vote (marjoram_keeper *keeper, const char *slot)
+marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot)
 {
   if (strcmp (slot, keeper->slot) == 0)
     return;
@@ -40,16 +63,19 @@
   keeper->rival_at = 0;
 }
 
-/* The limit since the first vote keeps a busy keeper from starving this
+/* The limit since the first message keeps a busy keeper from starving this
    one.  */
 bool
 marjoram_keeper_must_defer (const marjoram_keeper *keeper)
 {
   int64_t write_ms = marjoram_keeper_expected_write_ms (keeper);
+  int64_t trip_ms = marjoram_keeper_round_trip_ms (keeper);
 
   return keeper->rival_since != 0
-         && keeper->now
-                < keeper->rival_at + MARJORAM_KEEPER_DEFER_WRITES * write_ms
+         && keeper->now < keeper->rival_at
+                              + MARJORAM_KEEPER_DEFER_WRITES * write_ms
+                              + DEFER_ROUND_TRIPS * trip_ms
          && keeper->now < keeper->rival_since
-                              + MARJORAM_KEEPER_DEFER_WRITES_MAX * write_ms;
+                              + MARJORAM_KEEPER_DEFER_WRITES_MAX * write_ms
+                              + DEFER_ROUND_TRIPS_MAX * trip_ms;
 }
--- a/src/keeper_peer.c
+++ b/src/keeper_peer.c
@@ -4,6 +4,12 @@
 
 #include <string.h>
 
+enum
+{
+  /* Round trips are smoothed exponentially with a weight of 1 / this.  */
+  ROUND_TRIP_DIVISOR = 4
+};
+
 struct marjoram_keeper_peer *
 marjoram_keeper_peers_find (const struct marjoram_keeper_peers *peers,
                             const char *store_id)
@@ -77,6 +83,7 @@
   peer->seen.store_id = marjoram_strdup (store_id);
   peer->last_seen_at = INT64_MIN;
   peer->echo = INT64_MIN;
+  peer->round_trip_ms = -1;
   peer->state_sent_at = INT64_MIN;
   peer->large_sent_at = INT64_MIN;
   TAILQ_INSERT_TAIL (peers, peer, link);
@@ -138,6 +145,16 @@
   return peer;
 }
 
+void
+marjoram_keeper_peer_add_round_trip (struct marjoram_keeper_peer *peer,
+                                     int64_t ms)
+{
+  if (peer->round_trip_ms < 0)
+    peer->round_trip_ms = ms;
+  else
+    peer->round_trip_ms += (ms - peer->round_trip_ms) / ROUND_TRIP_DIVISOR;
+}
+
 bool
 marjoram_keeper_peer_is_busy (const struct marjoram_keeper_peer *peer)
 {
--- a/src/keeper_peer.h
+++ b/src/keeper_peer.h
@@ -14,6 +14,7 @@
   char *slot; /* null until heard from since our start */
   int64_t last_seen_at;
   int64_t echo; /* when the last heartbeat that it answered was sent */
+  int64_t round_trip_ms;  /* smoothed; -1 before the first answer */
   int64_t state_sent_at;  /* when a state was last sent to it, or INT64_MIN */
   uint64_t number;        /* of the latest chosen state that it delivered */
   bool knows_incarnation; /* it has seen this incarnation of our store */
@@ -48,6 +49,9 @@
 struct marjoram_keeper_peer *marjoram_keeper_peers_latest_answered (
     const struct marjoram_keeper_peers *peers, const char *slot,
     int64_t since);
+/* Records that PEER answered a heartbeat MS after it was sent.  */
+void marjoram_keeper_peer_add_round_trip (struct marjoram_keeper_peer *peer,
+                                          int64_t ms);
 /* Whether the last large message to PEER may still be in flight: no heartbeat
    sent after it has been answered.  */
 bool marjoram_keeper_peer_is_busy (const struct marjoram_keeper_peer *peer);
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -31,7 +31,6 @@
      confirmed by then also starts an attempt.  */
   MARJORAM_KEEPER_CONFIRM_ROUND_MS = 400,
   MARJORAM_KEEPER_BACKOFF_MS = 30,
-  MARJORAM_KEEPER_BACKOFF_DOUBLINGS = 6,
   MARJORAM_KEEPER_RECOVERY_DELAY_MS = 1000,
   MARJORAM_KEEPER_RECOVERY_JITTER_MS = 2000,
   MARJORAM_KEEPER_BATCH_MAX = 64,
@@ -119,7 +118,7 @@
   int64_t started_at;
   int64_t resend_at;
   int64_t retry_at;
-  /* First and last vote for another keeper's current attempt; 0 if none.  */
+  /* First and last message of another keeper's attempt; 0 if none.  */
   int64_t rival_since;
   int64_t rival_at;
   int64_t deferred_since; /* this keeper's next attempt; 0 if it is not */
@@ -195,9 +194,11 @@
 /* keeper_defer.c: when an attempt is left to another keeper.  */
 /* The duration to expect of a write, in ms.  */
 int64_t marjoram_keeper_expected_write_ms (const marjoram_keeper *keeper);
-/* This keeper voted for a ballot of the keeper in SLOT.  */
-void marjoram_keeper_note_vote (marjoram_keeper *keeper, const char *slot);
-/* The attempt voted for has ended.  */
+/* The longest round trip to a keeper that was heard from lately, in ms.  */
+int64_t marjoram_keeper_round_trip_ms (const marjoram_keeper *keeper);
+/* A message of the keeper in SLOT belongs to its attempt or names one.  */
+void marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot);
+/* The other keeper's attempt has ended.  */
 void marjoram_keeper_rival_ended (marjoram_keeper *keeper);
 bool marjoram_keeper_must_defer (const marjoram_keeper *keeper);
 void marjoram_keeper_start_attempt (marjoram_keeper *keeper);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -35,12 +35,15 @@
 void
 marjoram_keeper_start_attempt (marjoram_keeper *keeper)
 {
+  /* Of keepers that start at the same moment, the one that was outdated most
+     often gets the highest ballot.  */
+  const uint64_t round = keeper->round + 1 + (uint64_t)keeper->failures;
   const struct marjoram_ballot ballot
-      = { ++keeper->round, keeper->incarnation,
+      = { round, keeper->incarnation,
           XXH3_64bits (keeper->store_id, strlen (keeper->store_id)) };
-
   struct marjoram_keeper_request *request;
 
+  keeper->round = round;
   marjoram_attempt_start (&keeper->attempt, &ballot);
   marjoram_keeper_rival_ended (keeper);
   keeper->deferred_ms
@@ -76,16 +79,11 @@
 marjoram_keeper_fail_attempt (marjoram_keeper *keeper,
                               enum marjoram_ballot_end end, const char *by)
 {
-  int doublings = keeper->failures < MARJORAM_KEEPER_BACKOFF_DOUBLINGS
-                      ? keeper->failures
-                      : MARJORAM_KEEPER_BACKOFF_DOUBLINGS;
-
   stop_attempt (keeper, end, by);
   keeper->failures++;
   keeper->retry_at
       = keeper->now + 1
-        + marjoram_random_below (keeper->random,
-                                 MARJORAM_KEEPER_BACKOFF_MS << doublings);
+        + marjoram_random_below (keeper->random, MARJORAM_KEEPER_BACKOFF_MS);
 }
 
 /* The stores that answered become the first members; an earlier initial value
@@ -277,6 +275,7 @@
   stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED, NULL);
   keeper->failures = 0;
   marjoram_keeper_learn (keeper, &ballot, value);
+  marjoram_keeper_rival_ended (keeper);
   marjoram_value_release (value);
   marjoram_keeper_answer_attempt_reads (keeper);
 }
@@ -328,6 +327,10 @@
 {
   if (is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_PREPARE)
       || is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_ACCEPT))
-    marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_OUTDATED,
-                                  envelope->slot);
+    {
+      /* It has promised the ballot of a third keeper.  */
+      marjoram_keeper_note_rival (keeper, envelope->slot);
+      marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_OUTDATED,
+                                    envelope->slot);
+    }
 }
--- a/src/keeper_transport.c
+++ b/src/keeper_transport.c
@@ -256,6 +256,7 @@
   if (!peer->knows_incarnation || echo <= peer->echo)
     return;
   peer->echo = echo;
+  marjoram_keeper_peer_add_round_trip (peer, keeper->now - echo);
   if (!peer->large_dropped || marjoram_keeper_peer_is_busy (peer))
     return;
   peer->large_dropped = false;
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -3,6 +3,7 @@
 #include "suite.h"
 
 #include "cleanup.h"
+#include "keeper_private.h"
 #include "lib_keeper_net.h"
 
 #include <stdio.h>
@@ -374,6 +375,31 @@
 }
 END_TEST
 
+/* Guards against keepers of different regions that outdate one another's
+   attempts: each takes its turn, of three round trips at most.  */
+START_TEST (far_keepers_decide_in_turn)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      const struct keeper_net_options options
+          = { .keepers = _i, .one_way_ms = 55, .write_ms = 5, .seed = seed };
+      const int64_t turn_ms
+          = 6 * options.one_way_ms
+            + MARJORAM_KEEPER_ATTEMPT_WRITES * options.write_ms;
+      struct keeper_net *net = create_bootstrapped (&options);
+
+      for (int i = 0; i < 5; i++)
+        {
+          int64_t elapsed_ms = keeper_net_change_all (net, WAIT_LIMIT_MS);
+
+          ck_assert_int_ge (elapsed_ms, 0);
+          ck_assert_int_le (elapsed_ms, options.keepers * turn_ms);
+        }
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 /* Guards against reads that fail because a disk is slow.  */
 START_TEST (reads_do_not_wait_for_disks)
 {
@@ -443,6 +469,7 @@
   tcase_add_loop_test (c, slow_disks_delay_decisions_but_do_not_prevent_them,
                        0, 3);
   tcase_add_loop_test (c, changes_at_all_keepers_are_answered, 0, 3);
+  tcase_add_loop_test (c, far_keepers_decide_in_turn, 3, 6);
   tcase_add_test (c, reads_do_not_wait_for_disks);
   tcase_add_test (c, a_minority_answers_no_read);
   tcase_add_test (c, reads_of_a_late_keeper_are_not_older);
