Keepers: a state that was lost on its way is sent again at once

Cause: keepers send the state when they hear from a store that lacks it. That is before their own link to it is up, so that the links drop the message, and another was only sent 2 s later.

The state is followed by a heartbeat. Its answer comes after the state on the same connection, so that it tells that the state arrived, by the hash that it names, or is lost; then it is sent again. Keepers greet each other when a link comes up, and forget what was sent to an earlier life of the store. A store that is no member tells what it has learnt at once, instead of with its next heartbeat, up to 1 s later: until then it was not asked.

--- a/src/keeper.h
+++ b/src/keeper.h
@@ -114,8 +114,8 @@
 void marjoram_keeper_add (marjoram_keeper *keeper, int64_t now,
                           uint64_t request, const char *change_id,
                           const char *new);
-/* Sends a heartbeat to a keeper that neither the state nor the settings
-   name.  */
+/* Sends a heartbeat at once, to a keeper that neither the state nor the
+   settings name, or to which a connection has just opened.  */
 void marjoram_keeper_probe (marjoram_keeper *keeper, int64_t now,
                             const char *slot);
 /* Linearizable read: answered DECIDED once a majority has confirmed, after
--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -125,6 +125,9 @@
   keeper->delivered = marjoram_value_retain (keeper->chosen);
   keeper->ops->chosen (keeper->context,
                        marjoram_value_state (keeper->delivered));
+  /* The members wait to hear that a store which is to be one holds it.  */
+  if (!marjoram_keeper_is_member (keeper))
+    marjoram_keeper_broadcast_heartbeat (keeper);
 }
 
 /* A value may be learned after a later one that includes it; numbers increase
--- a/src/keeper_peer.c
+++ b/src/keeper_peer.c
@@ -109,6 +109,7 @@
       peer->seen.incarnation = message->incarnation;
       peer->knows_incarnation = false;
       peer->echo = INT64_MIN;
+      peer->state_sent_at = INT64_MIN;
       peer->large_sent_at = INT64_MIN;
       peer->large_dropped = false;
       peer->number = 0;
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -358,11 +358,13 @@
   (void)session;
 }
 
+/* Only keepers are linked with.  */
 static void
 role_link_up (struct marjoram_role *role, const char *host)
 {
-  (void)role;
-  (void)host;
+  struct marjoram_keeper_role *self = self_of (role);
+
+  marjoram_keeper_probe (self->keeper, marjoram_keeper_role_now (self), host);
 }
 
 static void
--- a/src/keeper_transport.c
+++ b/src/keeper_transport.c
@@ -232,20 +232,36 @@
   }
 }
 
+/* Whether the state last sent to PEER arrived or may still do so.  Connections
+   preserve order, so an answer to the heartbeat that followed the state shows
+   that the state has arrived or is lost.  A state that has arrived may still
+   wait for the disk.  */
+static bool
+may_hold_state (const marjoram_keeper *keeper,
+                const struct marjoram_keeper_peer *peer)
+{
+  struct marjoram_value_hash hash;
+
+  if (peer->state_sent_at == INT64_MIN)
+    return false;
+  if (peer->echo < peer->state_sent_at)
+    return keeper->now < peer->state_sent_at + MARJORAM_KEEPER_STATE_RESEND_MS;
+  hash = marjoram_value_hash (keeper->chosen);
+  return marjoram_value_hash_equal (&peer->accepted_hash, &hash);
+}
+
 static void
 send_newer_state (marjoram_keeper *keeper, struct marjoram_keeper_peer *peer)
 {
   if (peer->number >= marjoram_value_number (keeper->chosen)
-      || marjoram_keeper_peer_is_busy (peer)
-      || (peer->state_sent_at != INT64_MIN
-          && keeper->now
-                 < peer->state_sent_at + MARJORAM_KEEPER_STATE_RESEND_MS))
+      || marjoram_keeper_peer_is_busy (peer) || may_hold_state (keeper, peer))
     return;
   peer->state_sent_at = keeper->now;
   marjoram_keeper_send_envelope (
       keeper, marjoram_keeper_envelope_create (
                   peer->slot, peer->seen.store_id, MARJORAM_KEEPER_LEARN,
                   &keeper->chosen_ballot, NULL, keeper->chosen));
+  marjoram_keeper_send_heartbeat (keeper, peer->slot, peer->seen.store_id);
 }
 
 /* PEER answered our heartbeat sent at time ECHO.  */
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -636,6 +636,15 @@
     clear_connection (&net->connections[from][index]);
 }
 
+void
+keeper_net_greet (struct keeper_net *net, int index)
+{
+  for (int to = 0; to < net->count; to++)
+    if (to != index)
+      marjoram_keeper_probe (net->nodes[index].keeper, net->now,
+                             net->nodes[to].slot);
+}
+
 void
 keeper_net_stall (struct keeper_net *net, int index, bool stalled)
 {
--- a/test/lib_keeper_net.h
+++ b/test/lib_keeper_net.h
@@ -57,6 +57,9 @@
 /* Drops all messages in flight to keeper INDEX, as when its connections
    break.  */
 void keeper_net_drop_inbound (struct keeper_net *net, int index);
+/* Sends a heartbeat from keeper INDEX to each other, as when connections
+   open.  */
+void keeper_net_greet (struct keeper_net *net, int index);
 /* Stops delivery to keeper INDEX while its connections stay open, or resumes
    it.  */
 void keeper_net_stall (struct keeper_net *net, int index, bool stalled);
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -375,6 +375,34 @@
 }
 END_TEST
 
+/* Guards against a state that was sent into a broken connection and is not
+   sent again for seconds: two round trips after the connection is back, the
+   keeper holds it.  */
+START_TEST (state_lost_with_a_connection_is_sent_again)
+{
+  struct keeper_net *net = create_bootstrapped (&between_regions);
+  const int last = between_regions.keepers - 1;
+
+  for (int i = 0; i < 5; i++)
+    {
+      uint64_t number;
+
+      keeper_net_partition (net, last, true);
+      ck_assert_int_ge (change (net, 0, 10, i), 0);
+      number = keeper_net_state (net, 0)->number;
+      keeper_net_partition (net, last, false);
+      /* The state goes out, and is lost.  */
+      keeper_net_greet (net, last);
+      keeper_net_run (net, 2 * between_regions.one_way_ms + 10);
+      keeper_net_drop_inbound (net, last);
+      keeper_net_greet (net, last);
+      keeper_net_run (net, 6 * between_regions.one_way_ms + 20);
+      ck_assert_uint_eq (keeper_net_state (net, last)->number, number);
+    }
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against keepers of different regions that outdate one another's
    attempts: each takes its turn, of three round trips at most.  */
 START_TEST (far_keepers_decide_in_turn)
@@ -469,6 +497,7 @@
   tcase_add_loop_test (c, slow_disks_delay_decisions_but_do_not_prevent_them,
                        0, 3);
   tcase_add_loop_test (c, changes_at_all_keepers_are_answered, 0, 3);
+  tcase_add_test (c, state_lost_with_a_connection_is_sent_again);
   tcase_add_loop_test (c, far_keepers_decide_in_turn, 3, 6);
   tcase_add_test (c, reads_do_not_wait_for_disks);
   tcase_add_test (c, a_minority_answers_no_read);
