Keepers are reached over the connection of either side

Cause: a keeper sent over its own link only. Links to a lost machine are tried again with doubled pauses and time-outs, so that they come up 0.7 to 1.8 s after it is back; the connections that it opened itself were used by it alone.

Messages between keepers go over the own link or, while that is not up, over the session that the other has opened. They may overtake each other when the own link comes up; the protocol allows for that (test_keeper reorders).

test_host_links one_direction_is_enough_to_reach_a_host: with marjoram_host_links_send as before, it times out waiting for a session; it passes now.

--- a/src/host_links.c
+++ b/src/host_links.c
@@ -550,6 +550,21 @@
          && marjoram_host_links_reply (links, host, 0, type, message);
 }
 
+bool
+marjoram_host_links_send_either (marjoram_host_links *links, const char *host,
+                                 enum marjoram_frame_type type,
+                                 const void *message)
+{
+  const struct marjoram_host_session *session;
+
+  if (marjoram_host_links_is_up (links, host))
+    return marjoram_host_links_reply (links, host, 0, type, message);
+  session = marjoram_host_links_session (links, host);
+  return session
+         && marjoram_host_links_reply (links, host, session->number, type,
+                                       message);
+}
+
 bool
 marjoram_host_links_reply (marjoram_host_links *links, const char *host,
                            uint64_t session, enum marjoram_frame_type type,
--- a/src/host_links.h
+++ b/src/host_links.h
@@ -58,6 +58,14 @@
 bool marjoram_host_links_send (marjoram_host_links *links, const char *host,
                                enum marjoram_frame_type type,
                                const void *message);
+/* Sends over this host's own link to HOST or, while that is not up, over the
+   session that HOST opened; returns false if there is neither or MESSAGE
+   exceeds a limit of its layout.  Messages may overtake each other when the
+   own link comes up.  */
+bool marjoram_host_links_send_either (marjoram_host_links *links,
+                                      const char *host,
+                                      enum marjoram_frame_type type,
+                                      const void *message);
 /* Sends over SESSION, which HOST opened, or over this host's own link if
    SESSION is 0.  Returns false if MESSAGE exceeds a limit of its layout.  */
 bool marjoram_host_links_reply (marjoram_host_links *links, const char *host,
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -41,8 +41,8 @@
 {
   struct marjoram_keeper_role *self = context;
 
-  marjoram_host_links_send (self->parts->links, slot, MARJORAM_FRAME_KEEPER,
-                            message);
+  marjoram_host_links_send_either (self->parts->links, slot,
+                                   MARJORAM_FRAME_KEEPER, message);
 }
 
 static void
--- a/test/test_host_links.c
+++ b/test/test_host_links.c
@@ -442,6 +442,26 @@
 }
 END_TEST
 
+static bool
+keeper_reaches_entry (void)
+{
+  const struct marjoram_news_seen message = { 1 };
+
+  return marjoram_host_links_send_either (keeper.links, entry.ip,
+                                          MARJORAM_FRAME_NEWS_SEEN, &message);
+}
+
+/* Guards against a host that is not reached although it has opened a
+   connection, while those to it fail.  */
+START_TEST (one_direction_is_enough_to_reach_a_host)
+{
+  start (&entry, 2, MARJORAM_ROLE_ENTRY, "r1", 1);
+  wait_until (keeper_reaches_entry, "a session");
+  ck_assert (!marjoram_host_links_is_up (keeper.links, entry.ip));
+  wait_until (entry_has_a_frame, "the frame");
+}
+END_TEST
+
 static bool
 keeper_has_sent_all (void)
 {
@@ -670,6 +690,7 @@
   tcase_add_test (tests, region_messages_stay_in_region);
   tcase_add_test (tests, new_host_is_listed_at_once);
   tcase_add_test (tests, link_receiving_large_frame_is_not_silent);
+  tcase_add_test (tests, one_direction_is_enough_to_reach_a_host);
   tcase_add_test (tests, unsent_frames_are_reported_until_they_are_written);
   tcase_add_test (tests, receive_lag_does_not_close_links);
   tcase_add_test (tests, partition_closes_links_in_time);
