Keepers with slow disks tell hosts of states that follow each other quickly

While the configuration changed faster than a keeper's disk wrote, the keeper told its hosts of no state, and the others that it held an old one; a store that is to become a member then never counts as up to date.

Cause: a chosen state was told once the write that began after it was done, but each state learnt during that write moved the mark on.

What a write holds is remembered when it starts, and told when it is done, if it is newer. It is on the disk, so that a restart brings back nothing older.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -239,6 +239,7 @@
   marjoram_value_release (keeper->chosen);
   marjoram_value_release (keeper->previous_chosen);
   marjoram_value_release (keeper->delivered);
+  marjoram_value_release (keeper->written);
   marjoram_bytes_release (keeper->empty_bytes);
   for (size_t i = 0; i < keeper->first_count; i++)
     free (keeper->first[i]);
@@ -441,6 +442,7 @@
          failed.  */
       keeper->durable = ticket;
       keeper->write_failed = false;
+      marjoram_keeper_deliver_written (keeper);
     }
   else
     {
--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -39,6 +39,8 @@
     return;
   keeper->writing = true;
   keeper->write_started_at = keeper->now;
+  marjoram_value_release (keeper->written);
+  keeper->written = marjoram_value_retain (keeper->chosen);
   keeper->ops->persist (keeper->context, keeper->sequence,
                         pack_record (keeper));
 }
@@ -113,6 +115,19 @@
         || (keeper->now >= keeper->confirm_by && confirmed_by_any (keeper));
 }
 
+static void
+deliver (marjoram_keeper *keeper, marjoram_value *value)
+{
+  marjoram_value_retain (value);
+  marjoram_value_release (keeper->delivered);
+  keeper->delivered = value;
+  keeper->ops->chosen (keeper->context,
+                       marjoram_value_state (keeper->delivered));
+  /* The members wait to hear that a store which is to be one holds it.  */
+  if (!marjoram_keeper_is_member (keeper))
+    marjoram_keeper_broadcast_heartbeat (keeper);
+}
+
 /* Delivered once durable, so that a restart can't go back to an older state.
    After a failed write the latest state is delivered anyway.  */
 void
@@ -121,13 +136,17 @@
   if (keeper->chosen == keeper->delivered
       || (keeper->durable < keeper->deliver_after && !keeper->write_failed))
     return;
-  marjoram_value_release (keeper->delivered);
-  keeper->delivered = marjoram_value_retain (keeper->chosen);
-  keeper->ops->chosen (keeper->context,
-                       marjoram_value_state (keeper->delivered));
-  /* The members wait to hear that a store which is to be one holds it.  */
-  if (!marjoram_keeper_is_member (keeper))
-    marjoram_keeper_broadcast_heartbeat (keeper);
+  deliver (keeper, keeper->chosen);
+}
+
+/* A later state may have been learnt during the write, and may always be while
+   states follow each other faster than writes.  */
+void
+marjoram_keeper_deliver_written (marjoram_keeper *keeper)
+{
+  if (marjoram_value_number (keeper->written)
+      > marjoram_value_number (keeper->delivered))
+    deliver (keeper, keeper->written);
 }
 
 /* A value may be learned after a later one that includes it; numbers increase
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -88,6 +88,7 @@
   marjoram_value
       *previous_chosen; /* chosen before CHOSEN; peers may still hold it */
   marjoram_value *delivered;   /* the one last delivered to the owner */
+  marjoram_value *written;     /* the chosen one in the latest write */
   marjoram_bytes *empty_bytes; /* zero bytes, for MARJORAM_KEEPER_REFERENCE */
   uint64_t deliver_after;
 
@@ -171,6 +172,8 @@
                             marjoram_value *value);
 /* Delivers the chosen state to the owner if it changed.  */
 void marjoram_keeper_deliver_chosen (marjoram_keeper *keeper);
+/* The same for the chosen state in the write that has completed.  */
+void marjoram_keeper_deliver_written (marjoram_keeper *keeper);
 /* Starts the next write, if one is due.  */
 void marjoram_keeper_flush (marjoram_keeper *keeper);
 bool marjoram_keeper_load (marjoram_keeper *keeper,
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -61,6 +61,7 @@
   int stores;
   uint64_t incarnation;
   uint64_t ticket;
+  int64_t write_ms;   /* 0: as in the options */
   int64_t written_at; /* 0 if no write is pending */
   bool partitioned;
   bool stalled;
@@ -151,7 +152,8 @@
 on_persist (void *context, uint64_t ticket, marjoram_bytes *record)
 {
   struct node *node = context;
-  int64_t write_ms = node->net->options.write_ms;
+  int64_t write_ms
+      = node->write_ms ? node->write_ms : node->net->options.write_ms;
 
   marjoram_bytes_release (record);
   node->ticket = ticket;
@@ -349,6 +351,22 @@
   open_connections (net, index);
 }
 
+void
+keeper_net_set_write_ms (struct keeper_net *net, int index, int64_t ms)
+{
+  net->nodes[index].write_ms = ms;
+}
+
+void
+keeper_net_replace (struct keeper_net *net, int at, int old, int new)
+{
+  char id[NAME_SIZE];
+
+  snprintf (id, sizeof id, "replace-%d-%d", old, new);
+  marjoram_keeper_replace (net->nodes[at].keeper, net->now, REPAIR_REQUEST, id,
+                           net->nodes[old].slot, net->nodes[new].slot);
+}
+
 int64_t
 keeper_net_step_ms (const struct keeper_net *net, int index,
                     enum marjoram_store_step step)
@@ -461,12 +479,8 @@
 static void
 run_repair (struct keeper_net *net, struct node *node)
 {
-  greet_connected (net, node);
   if ((net->now + (int64_t)node->index * 13) % REPAIR_TICK_MS == 0)
     tick_repair (net, node);
-  if (node->progress)
-    marjoram_store_progress_update (node->progress, net->now,
-                                    marjoram_keeper_store_step (node->keeper));
 }
 
 static void
@@ -482,8 +496,12 @@
   /* Staggers the ticks of the nodes.  */
   if ((net->now + (int64_t)node->index * 7) % TICK_MS == 0)
     marjoram_keeper_tick (node->keeper, net->now);
+  greet_connected (net, node);
   if (node->repair)
     run_repair (net, node);
+  if (node->progress)
+    marjoram_store_progress_update (node->progress, net->now,
+                                    marjoram_keeper_store_step (node->keeper));
 }
 
 static void
@@ -621,6 +639,12 @@
   return marjoram_keeper_chosen_state (net->nodes[index].keeper);
 }
 
+const struct marjoram_state *
+keeper_net_durable_state (const struct keeper_net *net, int index)
+{
+  return marjoram_keeper_durable_state (net->nodes[index].keeper);
+}
+
 void
 keeper_net_partition (struct keeper_net *net, int index, bool partitioned)
 {
--- a/test/lib_keeper_net.h
+++ b/test/lib_keeper_net.h
@@ -48,6 +48,9 @@
 const struct marjoram_state *keeper_net_state (const struct keeper_net *net,
                                                int index);
 
+/* The latest state that the keeper has on its disk; null before any.  */
+const struct marjoram_state *
+keeper_net_durable_state (const struct keeper_net *net, int index);
 /* Confirms the state of keeper AT and runs until that is completed.  Returns
    the confirmed number, 0 if LIMIT_MS pass before.  */
 uint64_t keeper_net_confirm (struct keeper_net *net, int at, int64_t limit_ms);
@@ -69,6 +72,10 @@
 /* Starts keeper INDEX, which is not running, with an empty disk.  Its
    connections open after the round trips of a handshake.  */
 void keeper_net_start_empty (struct keeper_net *net, int index);
+/* Sets the duration of the writes of keeper INDEX.  */
+void keeper_net_set_write_ms (struct keeper_net *net, int index, int64_t ms);
+/* Asks keeper AT to make keeper NEW a member in place of keeper OLD.  */
+void keeper_net_replace (struct keeper_net *net, int at, int old, int new);
 /* The time from the last start of keeper INDEX with an empty disk until it
    took STEP, in ms; -1 if it has not.  */
 int64_t keeper_net_step_ms (const struct keeper_net *net, int index,
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -375,6 +375,27 @@
 }
 END_TEST
 
+/* Guards against hosts that are told of no state by a keeper whose disk is
+   slower than states follow each other.  */
+START_TEST (slow_disk_delivers_while_changes_follow_each_other)
+{
+  const struct keeper_net_options options
+      = { .keepers = 3, .one_way_ms = 55, .change_every_ms = 330 };
+  struct keeper_net *net = create_bootstrapped (&options);
+
+  keeper_net_set_write_ms (net, 2, 600);
+  for (int i = 0; i < 5; i++)
+    {
+      uint64_t number = keeper_net_state (net, 2)->number;
+
+      /* The write in progress, and one with this state.  */
+      keeper_net_run (net, 2 * 600);
+      ck_assert_uint_ge (keeper_net_durable_state (net, 2)->number, number);
+    }
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against a state that was sent into a broken connection and is not
    sent again for seconds: two round trips after the connection is back, the
    keeper holds it.  */
@@ -497,6 +518,7 @@
   tcase_add_loop_test (c, slow_disks_delay_decisions_but_do_not_prevent_them,
                        0, 3);
   tcase_add_loop_test (c, changes_at_all_keepers_are_answered, 0, 3);
+  tcase_add_test (c, slow_disk_delivers_while_changes_follow_each_other);
   tcase_add_test (c, state_lost_with_a_connection_is_sent_again);
   tcase_add_loop_test (c, far_keepers_decide_in_turn, 3, 6);
   tcase_add_test (c, reads_do_not_wait_for_disks);
