Keepers: a new member needs the state of the time of the request, not the latest

A lost keeper's successor was not asked for while the configuration changed quickly, until the time was over after which the next loss is allowed.

Cause: a change of members waited until the store was known to hold the latest chosen state, which each of the operator's changes moves on; a store that is a round trip or a write behind is then never ready.

It must hold what was chosen when the request came, and must still answer a greeting sent after that. Why this is safe: the value that makes it a member is accepted by a majority of the members before, who hold what was chosen until then, and by one of those after; so it is read by any later quorum, with the store's votes or without.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -303,8 +303,9 @@
       reject_request (keeper, request, &err);
       return;
     }
-  marjoram_keeper_requests_add_replace (&keeper->requests, request, change_id,
-                                        old, new, now);
+  marjoram_keeper_requests_add_replace (
+      &keeper->requests, request, change_id, old, new,
+      marjoram_value_number (keeper->chosen), now);
   marjoram_keeper_send_heartbeat (keeper, new, NULL);
   marjoram_keeper_answer_decided (keeper);
   marjoram_keeper_process_pending (keeper);
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -213,8 +213,8 @@
    it.  */
 void marjoram_keeper_send_phase (marjoram_keeper *keeper);
 /* The id of the store that REQUEST would admit; null unless it has answered a
-   heartbeat sent after the request was received, and holds the latest chosen
-   state.  */
+   heartbeat sent after the request was received, and holds the state that was
+   chosen at that time.  */
 const char *
 marjoram_keeper_ready_store (const marjoram_keeper *keeper,
                              const struct marjoram_keeper_request *request);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -113,6 +113,10 @@
   return marjoram_value_retain (attempt->best);
 }
 
+/* The store needs the state of the time of the request only: it is sent what
+   is proposed afterwards as the members are, and a majority of the members
+   before it accepts the change too.  While changes come quickly, it is rarely
+   known to hold the latest one.  */
 const char *
 marjoram_keeper_ready_store (const marjoram_keeper *keeper,
                              const struct marjoram_keeper_request *request)
@@ -122,12 +126,16 @@
   if (!keeper->chosen)
     return NULL;
   if (strcmp (request->new, keeper->slot) == 0)
-    return keeper->delivered == keeper->chosen ? keeper->store_id : NULL;
+    return keeper->delivered
+                   && marjoram_value_number (keeper->delivered)
+                          >= request->floor
+               ? keeper->store_id
+               : NULL;
   /* A store last heard from before the request may be the one that was
      lost.  */
   peer = marjoram_keeper_peers_latest_answered (&keeper->peers, request->new,
                                                 request->received_at);
-  if (!peer || peer->number < marjoram_value_number (keeper->chosen))
+  if (!peer || peer->number == 0 || peer->number < request->floor)
     return NULL;
   return peer->seen.store_id;
 }
--- a/src/keeper_request.h
+++ b/src/keeper_request.h
@@ -26,6 +26,7 @@
   char *old;
   char *new;
   int64_t received_at;
+  uint64_t floor; /* membership change: the state that the store must hold */
   int64_t deadline;
   bool sent;       /* part of a value that was proposed: may still be chosen */
   bool read;       /* a read: no file and no membership change */
@@ -43,10 +44,12 @@
 struct marjoram_keeper_request *
 marjoram_keeper_requests_add_read (struct marjoram_keeper_requests *requests,
                                    uint64_t request, int64_t now);
-/* OLD is null to add a member.  */
+/* OLD is null to add a member.  FLOOR is the number of the latest chosen
+   state.  */
 void marjoram_keeper_requests_add_replace (
     struct marjoram_keeper_requests *requests, uint64_t request,
-    const char *change_id, const char *old, const char *new, int64_t now);
+    const char *change_id, const char *old, const char *new, uint64_t floor,
+    int64_t now);
 void
 marjoram_keeper_requests_remove (struct marjoram_keeper_requests *requests,
                                  struct marjoram_keeper_request *request);
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -216,6 +216,50 @@
 }
 END_TEST
 
+/* Whether a spare keeper, whose writes take WRITE_MS, becomes a member within
+   a greeting, a turn of each keeper, two decisions and two writes, while a
+   file is changed each EVERY_MS.  */
+static bool
+is_admitted_during_changes (int64_t every_ms, int64_t write_ms)
+{
+  const struct keeper_net_options options = { .keepers = 3,
+                                              .spares = 1,
+                                              .one_way_ms = 55,
+                                              .write_ms = 5,
+                                              .change_every_ms = every_ms };
+  const int64_t trip_ms = 2 * options.one_way_ms;
+  struct keeper_net *net = keeper_net_create (&options);
+  bool admitted;
+
+  keeper_net_run (net, SETTLE_MS);
+  keeper_net_stop (net, 2);
+  keeper_net_set_write_ms (net, 3, write_ms);
+  keeper_net_start_empty (net, 3);
+  keeper_net_run (net, 3 * SUCCESSOR_MS);
+  ck_assert_int_ge (keeper_net_step_ms (net, 3, MARJORAM_STORE_LEARNT), 0);
+  keeper_net_replace (net, 0, 2, 3);
+  keeper_net_run (net, trip_ms + (3 + 2) * 3 * trip_ms + 2 * write_ms);
+  admitted = keeper_net_step_ms (net, 3, MARJORAM_STORE_MEMBER) >= 0;
+  keeper_net_destroy (net);
+  return admitted;
+}
+
+/* Guards against a store that is not admitted while files change without
+   end.  */
+START_TEST (a_store_is_admitted_while_files_change_without_end)
+{
+  ck_assert (is_admitted_during_changes (40, 5));
+}
+END_TEST
+
+/* Guards against a store that is not admitted as each change outdates the
+   state that it is known to hold.  */
+START_TEST (a_store_is_admitted_though_it_is_behind)
+{
+  ck_assert (is_admitted_during_changes (330, 600));
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -226,6 +270,8 @@
   tcase_add_loop_test (
       c, a_lost_keeper_is_replaced_within_the_time_of_the_deployment, 0,
       sizeof sites / sizeof *sites);
+  tcase_add_test (c, a_store_is_admitted_while_files_change_without_end);
+  tcase_add_test (c, a_store_is_admitted_though_it_is_behind);
   suite_add_tcase (s, c);
   return s;
 }
