Keepers ask for a lost member's successor at once, within the time of the deployment

Cause: the repair was a sum of fixed times with no link to what the deployment allows. Each member waited 600 ms for each one with a lower name, the lost one included; a request was repeated after 1.5 s only, and until then a greeting that was lost was not repeated; the repair looked each 200 ms.

A member waits only for those before it that are present, each as long as two decisions take by the round trips and writes of late. It asks once, greets the store until that answers, and asks again when another change is due or the request was answered. [limits] repair_within_s (catch_up_s of the platform, 4 by default) is the time within which the successor must be a member: a silent member is replaced after half of it, 2.2 s at most as before, and a store that took longer has late=1 on its line.

--- a/src/gateway_settings.c
+++ b/src/gateway_settings.c
@@ -18,6 +18,7 @@
   ANSWER_MIN_BYTES = 64 * 1024,
   ANSWER_MAX_BYTES = 1024 * 1024 * 1024,
   QUOTA_ALLOWANCE_MAX = 1000 * 1000 * 1000,
+  REPAIR_WITHIN_MAX_S = 3600,
   DISK_LOSSES_MAX = 5 /* requires eleven keepers */
 };
 
@@ -67,6 +68,8 @@
     ANSWER_MIN_BYTES, ANSWER_MAX_BYTES, NULL },
   { "disk_losses", MARJORAM_INI_INT64, FIELD (disk_losses), "1", 0,
     DISK_LOSSES_MAX, NULL },
+  { "repair_within_s", MARJORAM_INI_DOUBLE, FIELD (repair_within_s), "4", 1,
+    REPAIR_WITHIN_MAX_S, NULL },
 };
 
 static const struct marjoram_ini_key load_keys[] = {
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -51,6 +51,8 @@
   int64_t memory_mb;      /* of this host */
   int64_t answer_bytes;   /* of an upstream, at most */
   int64_t disk_losses;    /* simultaneous losses of keeper disks to survive */
+  double repair_within_s; /* a keeper that starts with an empty disk is a
+                             member by then, and the next may be lost */
   /* [load] */
   struct marjoram_load_features load;
   struct marjoram_names load_terms; /* the platform's terms of service */
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -141,6 +141,9 @@
 /* How long the write in progress has taken, in ms; 0 if there is none.  */
 int64_t marjoram_keeper_write_age_ms (const marjoram_keeper *keeper,
                                       int64_t now);
+/* How long an attempt of one keeper, without others, takes by the round trips
+   and writes of late, in ms.  */
+int64_t marjoram_keeper_attempt_ms (const marjoram_keeper *keeper);
 /* How long the writes of a decision may take now, in ms.  */
 int64_t marjoram_keeper_decision_ms (const marjoram_keeper *keeper);
 /* The latest chosen state that was delivered: one on this disk or, after a
--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -13,6 +13,7 @@
 {
   /* Bounds the effect of a round trip that was measured in a stall.  */
   ROUND_TRIP_MAX_MS = 1000,
+  ATTEMPT_ROUND_TRIPS = 2,
   /* Round trips left to an attempt after each message of it, and in all.  */
   DEFER_ROUND_TRIPS = 2,
   DEFER_ROUND_TRIPS_MAX = 8
@@ -46,6 +47,13 @@
   return highest < ROUND_TRIP_MAX_MS ? highest : ROUND_TRIP_MAX_MS;
 }
 
+int64_t
+marjoram_keeper_attempt_ms (const marjoram_keeper *keeper)
+{
+  return ATTEMPT_ROUND_TRIPS * marjoram_keeper_round_trip_ms (keeper)
+         + marjoram_keeper_decision_ms (keeper);
+}
+
 void
 marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot)
 {
--- a/src/keeper_repair.c
+++ b/src/keeper_repair.c
@@ -11,32 +11,38 @@
   /* A store heard from within this time is present; heartbeats are sent once a
      second.  */
   PRESENT_MS = 1500,
-  /* A member silent for longer is replaced.  Longer than a restart takes, and
-     short enough to replace a machine within 4 s.  */
+  /* A member silent for longer is replaced, or for half of the time within
+     which its successor must be a member.  Longer than a restart takes.  */
   FAILED_MS = 2200,
-  /* Delay per rank of the member, so that members don't compete, and minimum
-     interval between requests, no shorter than a replacement takes.  */
-  RANK_DELAY_MS = 600,
-  REQUEST_INTERVAL_MS = 1500
+  FAILED_MIN_MS = 1000,
+  /* A replacement takes two decisions.  */
+  DECISIONS = 2
 };
 
 struct marjoram_keeper_repair
 {
   char *slot;
-  size_t members; /* target number */
-  int64_t
-      due_since; /* when the pending change was first needed; 0 if none is */
-  int64_t requested_at;
+  size_t members;    /* target number */
+  int64_t failed_ms; /* a member silent for longer is replaced */
+  /* When the change that is due was first needed; 0 if none is.  */
+  int64_t due_since;
+  bool requested; /* the change that is due, and not answered yet */
   struct marjoram_keeper_change due;
 };
 
 marjoram_keeper_repair *
-marjoram_keeper_repair_create (const char *slot, size_t losses)
+marjoram_keeper_repair_create (const char *slot, size_t losses,
+                               int64_t within_ms)
 {
   marjoram_keeper_repair *repair = marjoram_alloc (sizeof *repair);
 
   repair->slot = marjoram_strdup (slot);
   repair->members = 2 * losses + 1;
+  repair->failed_ms = within_ms / 2;
+  if (repair->failed_ms > FAILED_MS)
+    repair->failed_ms = FAILED_MS;
+  if (repair->failed_ms < FAILED_MIN_MS)
+    repair->failed_ms = FAILED_MIN_MS;
   return repair;
 }
 
@@ -59,7 +65,8 @@
 }
 
 static size_t
-count_live_members (const marjoram_keeper *keeper,
+count_live_members (const struct marjoram_keeper_repair *repair,
+                    const marjoram_keeper *keeper,
                     const struct marjoram_state *state,
                     marjoram_host_list *hosts, const char *region)
 {
@@ -73,7 +80,7 @@
 
       count += host && strcmp (host->heartbeat.region, region) == 0
                && marjoram_keeper_store_in_slot (keeper, members[i].slot,
-                                                 FAILED_MS);
+                                                 repair->failed_ms);
     }
   return count;
 }
@@ -81,7 +88,8 @@
 /* A live keeper that is not a member, from the region with the fewest members,
    so that a majority survives the loss of a region.  */
 static const char *
-find_spare (const marjoram_keeper *keeper, const struct marjoram_state *state,
+find_spare (const struct marjoram_keeper_repair *repair,
+            const marjoram_keeper *keeper, const struct marjoram_state *state,
             marjoram_host_list *hosts)
 {
   const struct marjoram_listed_host *host;
@@ -97,7 +105,8 @@
         || !marjoram_keeper_store_in_slot (keeper, host->heartbeat.name,
                                            PRESENT_MS))
       continue;
-    count = count_live_members (keeper, state, hosts, host->heartbeat.region);
+    count = count_live_members (repair, keeper, state, hosts,
+                                host->heartbeat.region);
     if (count >= fewest)
       continue;
     fewest = count;
@@ -137,9 +146,10 @@
 
   if (find_lost_disk (keeper, state, change))
     return true;
-  spare = find_spare (keeper, state, hosts);
+  spare = find_spare (repair, keeper, state, hosts);
   for (size_t i = 0; spare && i < state->members.count; i++)
-    if (!marjoram_keeper_store_in_slot (keeper, members[i].slot, FAILED_MS))
+    if (!marjoram_keeper_store_in_slot (keeper, members[i].slot,
+                                        repair->failed_ms))
       {
         set_change (change, members[i].slot, spare);
         return true;
@@ -165,16 +175,36 @@
     marjoram_keeper_probe (keeper, now, host->heartbeat.name);
 }
 
+/* Members that ask at once compete, so each waits for the time in which the
+   present ones before it replace a keeper.  */
 static int64_t
 rank_delay (const struct marjoram_keeper_repair *repair,
-            const struct marjoram_state *state)
+            const marjoram_keeper *keeper, const struct marjoram_state *state)
 {
   const struct marjoram_keeper_member *members = state->members.items;
   int64_t rank = 0;
 
   for (size_t i = 0; i < state->members.count; i++)
-    rank += strcmp (members[i].slot, repair->slot) < 0;
-  return rank * RANK_DELAY_MS;
+    {
+      const char *store = marjoram_keeper_store_in_slot (
+          keeper, members[i].slot, PRESENT_MS);
+
+      rank += store && strcmp (store, members[i].store_id) == 0
+              && strcmp (members[i].slot, repair->slot) < 0;
+    }
+  return rank * DECISIONS * marjoram_keeper_attempt_ms (keeper);
+}
+
+static void
+note_due (struct marjoram_keeper_repair *repair, int64_t now,
+          const struct marjoram_keeper_change *change)
+{
+  if (repair->due_since != 0 && strcmp (repair->due.old, change->old) == 0
+      && strcmp (repair->due.new, change->new) == 0)
+    return;
+  repair->due_since = now;
+  repair->due = *change;
+  repair->requested = false;
 }
 
 bool
@@ -193,17 +223,16 @@
       repair->due_since = 0;
       return false;
     }
-  if (repair->due_since == 0 || strcmp (repair->due.old, change->old) != 0
-      || strcmp (repair->due.new, change->new) != 0)
+  note_due (repair, now, change);
+  if (repair->requested)
     {
-      repair->due_since = now;
-      repair->due = *change;
+      /* The keeper waits for an answer to a heartbeat.  */
+      marjoram_keeper_probe (keeper, now, change->new);
+      return false;
     }
-  if (now < repair->due_since + rank_delay (repair, state)
-      || (repair->requested_at
-          && now < repair->requested_at + REQUEST_INTERVAL_MS))
+  if (now < repair->due_since + rank_delay (repair, keeper, state))
     return false;
-  repair->requested_at = now;
+  repair->requested = true;
   /* The state's number makes the id unique: a change id is decided only
      once.  */
   snprintf (change->change_id, sizeof change->change_id,
@@ -211,6 +240,12 @@
   return true;
 }
 
+void
+marjoram_keeper_repair_answered (marjoram_keeper_repair *repair)
+{
+  repair->requested = false;
+}
+
 void
 marjoram_keeper_repair_apply (const struct marjoram_keeper_change *change,
                               marjoram_keeper *keeper, int64_t now,
--- a/src/keeper_repair.h
+++ b/src/keeper_repair.h
@@ -18,12 +18,17 @@
 };
 
 /* LOSSES: number of disks that may be lost at once.  The membership has 2 *
-   LOSSES + 1 keepers, so that a majority is left.  */
+   LOSSES + 1 keepers, so that a majority is left.  WITHIN_MS: the time from
+   the start of a lost keeper, or of its successor, within which it must be a
+   member, as the next loss may follow.  */
 marjoram_keeper_repair *marjoram_keeper_repair_create (const char *slot,
-                                                       size_t losses);
+                                                       size_t losses,
+                                                       int64_t within_ms);
 void marjoram_keeper_repair_destroy (marjoram_keeper_repair *repair);
 /* Probes keepers among HOSTS that have not been heard from, and returns true
-   if CHANGE is to be requested now.  To be called at least every 200 ms.  */
+   if CHANGE is to be requested now.  To be called at least every 200 ms.  A
+   change is requested again only if another was due in between, or after
+   marjoram_keeper_repair_answered.  */
 bool marjoram_keeper_repair_tick (marjoram_keeper_repair *repair, int64_t now,
                                   marjoram_keeper *keeper,
                                   marjoram_host_list *hosts,
@@ -31,5 +36,7 @@
 void marjoram_keeper_repair_apply (const struct marjoram_keeper_change *change,
                                    marjoram_keeper *keeper, int64_t now,
                                    uint64_t request);
+/* The request of marjoram_keeper_repair_apply was completed.  */
+void marjoram_keeper_repair_answered (marjoram_keeper_repair *repair);
 
 #endif
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -12,7 +12,7 @@
 
 enum
 {
-  REPAIR_INTERVAL_MS = 200,
+  REPAIR_INTERVAL_MS = 100,
   KEEPER_TICK_MS = 100,
   /* Time for answers to leave the sockets after a stop signal.  */
   LINGER_MS = 300,
@@ -20,6 +20,7 @@
   SLOW_MS = 500,
   /* Between two lines that records of streams were dropped.  */
   FULL_LOG_INTERVAL_MS = 1000,
+  MSEC_PER_SEC = 1000,
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503
 };
@@ -86,6 +87,7 @@
                   "state=replaced outcome=%d result=%d why=\"%s\"",
                   (int)answer->outcome, (int)answer->result,
                   answer->message ? answer->message : "");
+  marjoram_keeper_repair_answered (self->repair);
 }
 
 /* Operators' files are validated before they are proposed.  */
@@ -447,6 +449,12 @@
   marjoram_keeper_repair_apply (&change, self->keeper, now, REPAIR_REQUEST);
 }
 
+static int64_t
+repair_within_ms (const struct marjoram_keeper_role *self)
+{
+  return (int64_t)(self->parts->settings->repair_within_s * MSEC_PER_SEC);
+}
+
 /* Reports each step of a store that is not a member yet.  */
 static void
 check_store (struct marjoram_keeper_role *self, int64_t now)
@@ -461,11 +469,12 @@
   marjoram_event (
       MARJORAM_EVENT_KEEPER,
       "state=store step=%s ms=%" PRId64 " reached_ms=%" PRId64
-      " learnt_ms=%" PRId64 " asked_ms=%" PRId64,
+      " learnt_ms=%" PRId64 " asked_ms=%" PRId64 " late=%d",
       marjoram_store_step_name (step), ms,
       marjoram_store_progress_ms (self->progress, MARJORAM_STORE_REACHED),
       marjoram_store_progress_ms (self->progress, MARJORAM_STORE_LEARNT),
-      marjoram_store_progress_ms (self->progress, MARJORAM_STORE_ASKED));
+      marjoram_store_progress_ms (self->progress, MARJORAM_STORE_ASKED),
+      ms > repair_within_ms (self));
   if (step == MARJORAM_STORE_MEMBER)
     marjoram_metrics_observe (self->parts->metrics, MARJORAM_TIMING_MEMBERSHIP,
                               ms);
@@ -635,7 +644,8 @@
   self->origins_full_at = INT64_MIN / 2;
   self->state_sender = marjoram_state_sender_create ();
   self->repair = marjoram_keeper_repair_create (
-      parts->settings->ip, (size_t)parts->settings->disk_losses);
+      parts->settings->ip, (size_t)parts->settings->disk_losses,
+      repair_within_ms (self));
   create_registrar (self);
   if (create_keeper (self, err))
     {
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -17,7 +17,7 @@
   FRAME_HEADER = 5,
   ROUTE_MAX = 400,
   NAME_SIZE = 32,
-  REPAIR_TICK_MS = 200,
+  REPAIR_TICK_MS = 100,
   /* One-way times until a new connection carries messages.  */
   HANDSHAKE_TRIPS = 5,
   PER_MILLE = 1000,
@@ -65,6 +65,7 @@
   int64_t written_at; /* 0 if no write is pending */
   bool partitioned;
   bool stalled;
+  bool muted;
   bool earlier_release;
 };
 
@@ -133,7 +134,8 @@
   struct marjoram_keeper_message sent = *message;
   struct packet *packet;
 
-  if (node->partitioned || net->nodes[to].partitioned || !net->nodes[to].keeper
+  if (node->partitioned || node->muted || net->nodes[to].partitioned
+      || !net->nodes[to].keeper
       || net->now < net->connections[node->index][to].opens_at
       || (net->nodes[to].earlier_release
           && message->encoding != MARJORAM_KEEPER_PLAIN))
@@ -174,7 +176,11 @@
   struct node *node = context;
 
   if (request == REPAIR_REQUEST)
-    return;
+    {
+      if (node->repair)
+        marjoram_keeper_repair_answered (node->repair);
+      return;
+    }
   if (request == FIRST_REGULAR)
     {
       node->net->regular_accepted += answer->outcome == MARJORAM_APPLY_DECIDED;
@@ -248,8 +254,8 @@
       = marjoram_keeper_create (&options, &ops, node, net->random, NULL);
   if (net->options.losses == 0)
     return;
-  node->repair
-      = marjoram_keeper_repair_create (node->slot, net->options.losses);
+  node->repair = marjoram_keeper_repair_create (
+      node->slot, net->options.losses, net->options.repair_within_ms);
   node->hosts = marjoram_host_list_create ();
 }
 
@@ -505,10 +511,9 @@
 }
 
 static void
-send_regular_change (struct keeper_net *net)
+send_regular_change (struct keeper_net *net, int at)
 {
-  struct node *node
-      = &net->nodes[marjoram_random_below (net->faults, (uint32_t)net->count)];
+  struct node *node = &net->nodes[at];
   char id[NAME_SIZE];
   struct marjoram_file file = { (char *)"regular", 0, NULL, (char *)"text" };
 
@@ -528,7 +533,8 @@
     {
       net->now++;
       if (every_ms && !net->changes_paused && net->now % every_ms == 0)
-        send_regular_change (net);
+        send_regular_change (net, (int)marjoram_random_below (
+                                      net->faults, (uint32_t)net->count));
       for (int i = 0; i < net->count; i++)
         if (net->nodes[i].keeper)
           run_node (net, &net->nodes[i]);
@@ -660,6 +666,18 @@
     clear_connection (&net->connections[from][index]);
 }
 
+void
+keeper_net_mute (struct keeper_net *net, int index, bool muted)
+{
+  net->nodes[index].muted = muted;
+}
+
+void
+keeper_net_begin_change (struct keeper_net *net, int at)
+{
+  send_regular_change (net, at);
+}
+
 void
 keeper_net_greet (struct keeper_net *net, int index)
 {
--- a/test/lib_keeper_net.h
+++ b/test/lib_keeper_net.h
@@ -21,6 +21,7 @@
                          later and delay those after them */
   int64_t change_every_ms; /* changes at a random keeper each */
   size_t losses; /* disks that may be lost at once, for automatic repair */
+  int64_t repair_within_ms;
 };
 
 struct keeper_net *
@@ -60,6 +61,10 @@
 /* Drops all messages in flight to keeper INDEX, as when its connections
    break.  */
 void keeper_net_drop_inbound (struct keeper_net *net, int index);
+/* Drops what keeper INDEX sends, or stops to do so.  */
+void keeper_net_mute (struct keeper_net *net, int index, bool muted);
+/* Applies a change at keeper AT without waiting for it.  */
+void keeper_net_begin_change (struct keeper_net *net, int at);
 /* Sends a heartbeat from keeper INDEX to each other, as when connections
    open.  */
 void keeper_net_greet (struct keeper_net *net, int index);
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -175,6 +175,7 @@
   int first = options.keepers;
 
   options.seed = seed;
+  options.repair_within_ms = site->catch_up_ms;
   net = keeper_net_create (&options);
   keeper_net_run (net, SETTLE_MS);
   ck_assert_int_ge (keeper_net_change (net, 0, "x", CHANGE_LIMIT_MS), 0);
--- a/test/test_keeper_repair.c
+++ b/test/test_keeper_repair.c
@@ -15,7 +15,8 @@
 {
   NODES = 6,
   FIRST = 3,
-  TICK_MS = 50
+  TICK_MS = 50,
+  WITHIN_MS = 4000
 };
 
 struct queued_message
@@ -141,7 +142,7 @@
   tickets[index] = 0;
   node->keeper
       = marjoram_keeper_create (&options, &ops, node, node->random, NULL);
-  node->repair = marjoram_keeper_repair_create (node->slot, losses);
+  node->repair = marjoram_keeper_repair_create (node->slot, losses, WITHIN_MS);
 }
 
 static void
@@ -318,6 +319,17 @@
 }
 END_TEST
 
+/* Guards against members that wait for the lost one to ask for its repair.  */
+START_TEST (lost_disk_of_the_first_member_is_repaired_at_once)
+{
+  bootstrap ();
+  stop (0);
+  start (0, false, true);
+  run (500);
+  ck_assert (is_member (1, "k0", "k0-1"));
+}
+END_TEST
+
 /* Guards against a dead member that is not replaced by a keeper at another
    address before the next loss.  */
 START_TEST (machine_is_replaced_at_another_address)
@@ -429,6 +441,7 @@
 
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_test (c, two_disks_lost_one_after_the_other);
+  tcase_add_test (c, lost_disk_of_the_first_member_is_repaired_at_once);
   tcase_add_test (c, machine_is_replaced_at_another_address);
   tcase_add_test (c, two_disks_lost_at_once);
   tcase_add_test (c, no_more_members_than_needed);
