Keepers: a membership change does not wait for other keepers' changes

The first attempt for a membership change does not wait; it outdates the ballot of a change of files, whose proposer then waits for it.

test_keeper_catch_up a_membership_change_does_not_wait_for_others fails before, passes now: a greeting and two attempts, whenever another keeper's change began.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -132,6 +132,20 @@
     }
 }
 
+/* Whether a membership change can be proposed for which no attempt was started
+   yet.  The next loss may be near, so its first attempt does not wait for
+   those of others.  */
+static bool
+has_urgent_change (const marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (!request->tried && marjoram_keeper_ready_store (keeper, request))
+    return true;
+  return false;
+}
+
 static bool
 attempt_needed (const marjoram_keeper *keeper)
 {
@@ -151,7 +165,8 @@
 {
   if (keeper->attempt.phase != MARJORAM_PHASE_IDLE || !attempt_needed (keeper))
     return;
-  if (keeper->now >= keeper->retry_at && !marjoram_keeper_must_defer (keeper))
+  if (keeper->now >= keeper->retry_at
+      && (!marjoram_keeper_must_defer (keeper) || has_urgent_change (keeper)))
     marjoram_keeper_start_attempt (keeper);
   else if (keeper->deferred_since == 0)
     keeper->deferred_since = keeper->now;
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -212,9 +212,9 @@
 /* Sends the current phase's request to each target that has not answered
    it.  */
 void marjoram_keeper_send_phase (marjoram_keeper *keeper);
-/* The id of the store that REQUEST would admit; null unless it has answered a
-   heartbeat sent after the request was received, and holds the state that was
-   chosen at that time.  */
+/* The id of the store that REQUEST would admit; null unless REQUEST is a
+   membership change and the store has answered a heartbeat sent after the
+   request was received, and holds the state that was chosen at that time.  */
 const char *
 marjoram_keeper_ready_store (const marjoram_keeper *keeper,
                              const struct marjoram_keeper_request *request);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -51,7 +51,11 @@
   keeper->deferred_since = 0;
   keeper->started_at = keeper->now;
   TAILQ_FOREACH (request, &keeper->requests, link)
-  request->in_attempt = request->read;
+  {
+    request->in_attempt = request->read;
+    request->tried = request->tried
+                     || marjoram_keeper_ready_store (keeper, request) != NULL;
+  }
   marjoram_keeper_send_phase (keeper);
 }
 
@@ -123,7 +127,7 @@
 {
   const struct marjoram_keeper_peer *peer;
 
-  if (!keeper->chosen)
+  if (!keeper->chosen || !request->new)
     return NULL;
   if (strcmp (request->new, keeper->slot) == 0)
     return keeper->delivered
--- a/src/keeper_request.h
+++ b/src/keeper_request.h
@@ -29,6 +29,7 @@
   uint64_t floor; /* membership change: the state that the store must hold */
   int64_t deadline;
   bool sent;       /* part of a value that was proposed: may still be chosen */
+  bool tried;      /* an attempt was started after it was ready */
   bool read;       /* a read: no file and no membership change */
   bool in_attempt; /* READ: received before the current attempt started */
   bool needs_ballot;    /* READ: to be confirmed by an attempt too */
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -261,6 +261,35 @@
 }
 END_TEST
 
+/* Guards against a membership change that waits for the changes of files of
+   all other keepers: it is decided within two attempts, whatever the others
+   do.  */
+START_TEST (a_membership_change_does_not_wait_for_others)
+{
+  static const struct keeper_net_options options
+      = { .keepers = 3, .spares = 1, .one_way_ms = 55, .write_ms = 5 };
+  const int64_t trip_ms = 2 * options.one_way_ms;
+
+  for (int64_t lead_ms = 0; lead_ms < 2 * trip_ms; lead_ms += 20)
+    {
+      struct keeper_net *net = keeper_net_create (&options);
+
+      keeper_net_run (net, SETTLE_MS);
+      keeper_net_stop (net, 2);
+      keeper_net_start_empty (net, 3);
+      keeper_net_run (net, SUCCESSOR_MS);
+      keeper_net_begin_change (net, 1);
+      keeper_net_run (net, lead_ms);
+      keeper_net_replace (net, 0, 2, 3);
+      /* A greeting, two attempts, and the message that tells the store.  */
+      keeper_net_run (net, trip_ms + 4 * trip_ms + trip_ms / 2
+                               + 10 * options.write_ms);
+      ck_assert_int_ge (keeper_net_step_ms (net, 3, MARJORAM_STORE_MEMBER), 0);
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -273,6 +302,7 @@
       sizeof sites / sizeof *sites);
   tcase_add_test (c, a_store_is_admitted_while_files_change_without_end);
   tcase_add_test (c, a_store_is_admitted_though_it_is_behind);
+  tcase_add_test (c, a_membership_change_does_not_wait_for_others);
   suite_add_tcase (s, c);
   return s;
 }
