Keepers: only a member's rejection ends an attempt

Cause: an attempt ended at the first rejection, whoever sent it. A store that is no member may have promised a ballot that no member knows of, and its vote is not needed. If a member knows of the higher ballot, that one rejects.

--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -333,12 +333,41 @@
     finish_accept (keeper);
 }
 
+static bool
+is_voter_in (const marjoram_value *value,
+             const struct marjoram_keeper_envelope *envelope)
+{
+  const struct marjoram_state *state
+      = value ? marjoram_value_state (value) : NULL;
+
+  return state
+         && (marjoram_voters_contain (&state->members, envelope->slot,
+                                      envelope->store_id)
+             || marjoram_voters_contain (&state->next_members, envelope->slot,
+                                         envelope->store_id));
+}
+
+/* Whether the sender's vote may be needed by the current attempt.  */
+static bool
+may_be_needed (const marjoram_keeper *keeper,
+               const struct marjoram_keeper_envelope *envelope)
+{
+  const marjoram_value *current = marjoram_keeper_current_value (keeper);
+
+  return !current || is_voter_in (current, envelope)
+         || is_voter_in (keeper->attempt.best, envelope)
+         || is_voter_in (keeper->attempt.proposed, envelope);
+}
+
+/* A store that is no member may have promised a ballot that no member knows
+   of.  */
 void
 marjoram_keeper_on_reject (marjoram_keeper *keeper,
                            const struct marjoram_keeper_envelope *envelope)
 {
-  if (is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_PREPARE)
-      || is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_ACCEPT))
+  if ((is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_PREPARE)
+       || is_current_phase (keeper, &envelope->ballot, MARJORAM_PHASE_ACCEPT))
+      && may_be_needed (keeper, envelope))
     {
       /* It has promised the ballot of a third keeper.  */
       marjoram_keeper_note_rival (keeper, envelope->slot);
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -290,6 +290,37 @@
 }
 END_TEST
 
+/* Guards against an attempt that ends because a store that is no member, whose
+   vote is not needed, has promised a ballot that no member knows of.  */
+START_TEST (a_store_that_is_no_member_ends_no_attempt)
+{
+  static const struct keeper_net_options options
+      = { .keepers = 3, .spares = 1, .one_way_ms = 55, .write_ms = 5 };
+  struct keeper_net *net = keeper_net_create (&options);
+
+  keeper_net_run (net, SETTLE_MS);
+  keeper_net_start_empty (net, 3);
+  keeper_net_run (net, SUCCESSOR_MS);
+  keeper_net_stop (net, 3);
+  keeper_net_start_empty (net, 3);
+  keeper_net_run (net, SUCCESSOR_MS);
+  ck_assert_int_ge (keeper_net_step_ms (net, 3, MARJORAM_STORE_LEARNT), 0);
+  /* The store promises a ballot of its own, which reaches nobody before the
+     ballot of keeper 0 is decided: that needs two round trips, and the writes
+     of both phases.  */
+  keeper_net_run (net, 30);
+  keeper_net_begin_change (net, 0);
+  keeper_net_run (net, 50);
+  keeper_net_mute (net, 3, true);
+  keeper_net_begin_change (net, 3);
+  keeper_net_run (net, 1);
+  keeper_net_mute (net, 3, false);
+  keeper_net_run (net, 4 * options.one_way_ms + 4 * options.write_ms - 51);
+  ck_assert_int_eq (keeper_net_changes_accepted (net), 1);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -303,6 +334,7 @@
   tcase_add_test (c, a_store_is_admitted_while_files_change_without_end);
   tcase_add_test (c, a_store_is_admitted_though_it_is_behind);
   tcase_add_test (c, a_membership_change_does_not_wait_for_others);
+  tcase_add_test (c, a_store_that_is_no_member_ends_no_attempt);
   suite_add_tcase (s, c);
   return s;
 }
