Keepers leave another's ballot the time of a lost packet

Where packets are lost, ballots still outdated one another: an answer that TCP repeats comes some 300 ms later, and a keeper that deferred for two round trips (220 ms) began its own by then.

A keeper defers for three round trips, the minimum timeout of TCP and three writes after each message of another's attempt, and for three such times in all, as an attempt has three messages. A keeper that ends in between costs the others that time once.

test_keeper_net lost_packet_does_not_outdate_an_attempt fails before.

--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -14,9 +14,13 @@
   /* Bounds the effect of a round trip that was measured in a stall.  */
   ROUND_TRIP_MAX_MS = 1000,
   ATTEMPT_ROUND_TRIPS = 2,
-  /* Round trips left to an attempt after each message of it, and in all.  */
-  DEFER_ROUND_TRIPS = 2,
-  DEFER_ROUND_TRIPS_MAX = 8
+  /* Time until the next message of an attempt: the answers of a majority, and
+     a lost packet, which TCP repeats after a round trip and its minimum
+     timeout.  */
+  DEFER_ROUND_TRIPS = 3,
+  RETRANSMISSION_MS = 200,
+  /* Messages of an attempt.  */
+  ATTEMPT_MESSAGES = 3
 };
 
 int64_t
@@ -76,14 +80,12 @@
 bool
 marjoram_keeper_must_defer (const marjoram_keeper *keeper)
 {
-  int64_t write_ms = marjoram_keeper_expected_write_ms (keeper);
-  int64_t trip_ms = marjoram_keeper_round_trip_ms (keeper);
+  const int64_t pause_ms
+      = MARJORAM_KEEPER_DEFER_WRITES
+            * marjoram_keeper_expected_write_ms (keeper)
+        + DEFER_ROUND_TRIPS * marjoram_keeper_round_trip_ms (keeper)
+        + RETRANSMISSION_MS;
 
-  return keeper->rival_since != 0
-         && keeper->now < keeper->rival_at
-                              + MARJORAM_KEEPER_DEFER_WRITES * write_ms
-                              + DEFER_ROUND_TRIPS * trip_ms
-         && keeper->now < keeper->rival_since
-                              + MARJORAM_KEEPER_DEFER_WRITES_MAX * write_ms
-                              + DEFER_ROUND_TRIPS_MAX * trip_ms;
+  return keeper->rival_since != 0 && keeper->now < keeper->rival_at + pause_ms
+         && keeper->now < keeper->rival_since + ATTEMPT_MESSAGES * pause_ms;
 }
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -24,9 +24,8 @@
      each wait for a write in progress.  It is given twice that.  */
   MARJORAM_KEEPER_ATTEMPT_WRITES = 8,
   /* How many writes a keeper leaves to another's attempt after each message of
-     it, and in all.  */
+     it.  */
   MARJORAM_KEEPER_DEFER_WRITES = 3,
-  MARJORAM_KEEPER_DEFER_WRITES_MAX = 8,
   /* A round of confirmation is repeated after this, and a read that is not
      confirmed by then also starts an attempt.  */
   MARJORAM_KEEPER_CONFIRM_ROUND_MS = 400,
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -449,6 +449,31 @@
 }
 END_TEST
 
+/* Guards against an attempt that another keeper outdates, as a lost packet of
+   it arrives later.  */
+START_TEST (lost_packet_does_not_outdate_an_attempt)
+{
+  const struct keeper_net_options options
+      = { .keepers = 3, .one_way_ms = 55, .write_ms = 5 };
+  struct keeper_net *net = create_bootstrapped (&options);
+  int outdated;
+
+  keeper_net_run (net, 2000);
+  outdated = keeper_net_ballots (net, MARJORAM_BALLOT_OUTDATED);
+  keeper_net_begin_change (net, 0);
+  keeper_net_run (net, options.one_way_ms + 5);
+  keeper_net_begin_change (net, 1);
+  keeper_net_stall (net, 0, true);
+  keeper_net_run (net, options.one_way_ms + KEEPER_NET_REPEAT_MS);
+  keeper_net_stall (net, 0, false);
+  keeper_net_run (net, 2000);
+  ck_assert_int_eq (keeper_net_changes_accepted (net), 2);
+  ck_assert_int_eq (keeper_net_ballots (net, MARJORAM_BALLOT_OUTDATED),
+                    outdated);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against reads that fail because a disk is slow.  */
 START_TEST (reads_do_not_wait_for_disks)
 {
@@ -521,6 +546,7 @@
   tcase_add_test (c, slow_disk_delivers_while_changes_follow_each_other);
   tcase_add_test (c, state_lost_with_a_connection_is_sent_again);
   tcase_add_loop_test (c, far_keepers_decide_in_turn, 3, 6);
+  tcase_add_test (c, lost_packet_does_not_outdate_an_attempt);
   tcase_add_test (c, reads_do_not_wait_for_disks);
   tcase_add_test (c, a_minority_answers_no_read);
   tcase_add_test (c, reads_of_a_late_keeper_are_not_older);
