Keepers propose a membership change before the changes of files

A membership change that is possible goes first. Changes of files wait for two attempts at most for each, and membership changes are as rare as losses.

--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -160,33 +160,46 @@
   return true;
 }
 
-/* Adds pending changes in order; a membership change is proposed alone.  */
-static size_t
-add_changes (marjoram_keeper *keeper, struct marjoram_state *state)
+/* Adds the first pending membership change that is possible now.  */
+static bool
+add_membership_change (marjoram_keeper *keeper, struct marjoram_state *state)
+{
+  struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  {
+    const char *store_id = marjoram_keeper_ready_store (keeper, request);
+
+    if (store_id && add_change (keeper, state, request, store_id))
+      return true;
+  }
+  return false;
+}
+
+/* Adds pending changes of files in order.  */
+static bool
+add_file_changes (marjoram_keeper *keeper, struct marjoram_state *state)
 {
   struct marjoram_keeper_request *request;
   size_t count = 0;
 
   TAILQ_FOREACH (request, &keeper->requests, link)
   {
-    const char *store_id = NULL;
-
-    if (request->read)
-      continue;
-    if (!request->file.name)
-      {
-        if (count > 0)
-          break;
-        store_id = marjoram_keeper_ready_store (keeper, request);
-        if (!store_id)
-          continue;
-      }
-    if (add_change (keeper, state, request, store_id))
+    if (request->file.name && add_change (keeper, state, request, NULL))
       count++;
-    if (count == MARJORAM_KEEPER_BATCH_MAX || state->next_members.count > 0)
+    if (count == MARJORAM_KEEPER_BATCH_MAX)
       break;
   }
-  return count;
+  return count > 0;
+}
+
+/* A membership change is proposed alone, and before changes of files that came
+   earlier: the next loss may be near.  */
+static bool
+add_changes (marjoram_keeper *keeper, struct marjoram_state *state)
+{
+  return add_membership_change (keeper, state)
+         || add_file_changes (keeper, state);
 }
 
 /* Old members are removed only once the joint membership is known to be
@@ -208,7 +221,7 @@
         }
     }
   else
-    changed = add_changes (keeper, state) > 0;
+    changed = add_changes (keeper, state);
   if (changed)
     return marjoram_value_create (state);
   marjoram_state_destroy (state);
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -290,6 +290,32 @@
 }
 END_TEST
 
+/* Guards against a membership change that waits for the changes of files that
+   its own keeper got before.  */
+START_TEST (a_membership_change_goes_before_files)
+{
+  static const struct keeper_net_options options
+      = { .keepers = 3, .spares = 1, .one_way_ms = 55, .write_ms = 5 };
+  const int64_t trip_ms = 2 * options.one_way_ms;
+  struct keeper_net *net = keeper_net_create (&options);
+
+  keeper_net_run (net, SETTLE_MS);
+  keeper_net_stop (net, 2);
+  keeper_net_start_empty (net, 3);
+  keeper_net_run (net, SUCCESSOR_MS);
+  /* Keeper 0 leaves its change until that of keeper 1 is decided.  */
+  keeper_net_begin_change (net, 1);
+  keeper_net_run (net, options.one_way_ms + 5);
+  keeper_net_begin_change (net, 0);
+  keeper_net_replace (net, 0, 2, 3);
+  /* A greeting, two attempts, and the message that tells the store.  */
+  keeper_net_run (net,
+                  trip_ms + 4 * trip_ms + trip_ms / 2 + 10 * options.write_ms);
+  ck_assert_int_ge (keeper_net_step_ms (net, 3, MARJORAM_STORE_MEMBER), 0);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against an attempt that ends because a store that is no member, whose
    vote is not needed, has promised a ballot that no member knows of.  */
 START_TEST (a_store_that_is_no_member_ends_no_attempt)
@@ -335,6 +361,7 @@
   tcase_add_test (c, a_store_is_admitted_though_it_is_behind);
   tcase_add_test (c, a_membership_change_does_not_wait_for_others);
   tcase_add_test (c, a_store_that_is_no_member_ends_no_attempt);
+  tcase_add_test (c, a_membership_change_goes_before_files);
   suite_add_tcase (s, c);
   return s;
 }
