Keepers: of simultaneous attempts, one for a membership change goes on

An attempt with a membership change, or that completes one, is 16 rounds ahead. Rounds only grow, so ballots stay unique and ordered.

--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -5,6 +5,13 @@
 #include <string.h>
 #include <xxhash.h>
 
+enum
+{
+  /* By how many rounds a membership change is ahead of other attempts.  More
+     than the number of times that one is outdated in a row, as a rule.  */
+  MEMBERSHIP_ROUNDS = 16
+};
+
 static void
 send_request (marjoram_keeper *keeper, const char *slot)
 {
@@ -32,12 +39,34 @@
       send_request (keeper, targets[i]);
 }
 
+/* Whether a membership change is in progress, or can be proposed.  */
+static bool
+has_membership_change (const marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_request *request;
+
+  if (keeper->chosen
+      && marjoram_value_state (keeper->chosen)->next_members.count > 0)
+    return true;
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (marjoram_keeper_ready_store (keeper, request))
+    return true;
+  return false;
+}
+
+/* Of keepers that start at the same moment, one with a membership change gets
+   the highest ballot, then the one that was outdated most often.  */
+static uint64_t
+next_round (const marjoram_keeper *keeper)
+{
+  return keeper->round + 1 + (uint64_t)keeper->failures
+         + (has_membership_change (keeper) ? MEMBERSHIP_ROUNDS : 0);
+}
+
 void
 marjoram_keeper_start_attempt (marjoram_keeper *keeper)
 {
-  /* Of keepers that start at the same moment, the one that was outdated most
-     often gets the highest ballot.  */
-  const uint64_t round = keeper->round + 1 + (uint64_t)keeper->failures;
+  const uint64_t round = next_round (keeper);
   const struct marjoram_ballot ballot
       = { round, keeper->incarnation,
           XXH3_64bits (keeper->store_id, strlen (keeper->store_id)) };
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -316,6 +316,37 @@
 }
 END_TEST
 
+/* Guards against a store that outdates its own admission by changes of
+   files.  */
+START_TEST (a_membership_change_wins_against_simultaneous_attempts)
+{
+  static const struct keeper_net_options options
+      = { .keepers = 3, .spares = 1, .one_way_ms = 55, .write_ms = 5 };
+  const int64_t trip_ms = 2 * options.one_way_ms;
+
+  for (int64_t lead_ms = 0; lead_ms < 2 * trip_ms; lead_ms += 10)
+    {
+      struct keeper_net *net = keeper_net_create (&options);
+
+      keeper_net_run (net, SETTLE_MS);
+      keeper_net_stop (net, 2);
+      /* Of two starts, the second has the higher incarnation.  */
+      keeper_net_start_empty (net, 3);
+      keeper_net_stop (net, 3);
+      keeper_net_start_empty (net, 3);
+      keeper_net_run (net, SUCCESSOR_MS);
+      keeper_net_replace (net, 0, 2, 3);
+      keeper_net_run (net, lead_ms);
+      keeper_net_begin_change (net, 3);
+      /* A greeting, two attempts, and the message that tells the store.  */
+      keeper_net_run (net, trip_ms + 4 * trip_ms + trip_ms / 2
+                               + 10 * options.write_ms - lead_ms);
+      ck_assert_int_ge (keeper_net_step_ms (net, 3, MARJORAM_STORE_MEMBER), 0);
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 /* Guards against an attempt that ends because a store that is no member, whose
    vote is not needed, has promised a ballot that no member knows of.  */
 START_TEST (a_store_that_is_no_member_ends_no_attempt)
@@ -362,6 +393,7 @@
   tcase_add_test (c, a_membership_change_does_not_wait_for_others);
   tcase_add_test (c, a_store_that_is_no_member_ends_no_attempt);
   tcase_add_test (c, a_membership_change_goes_before_files);
+  tcase_add_test (c, a_membership_change_wins_against_simultaneous_attempts);
   suite_add_tcase (s, c);
   return s;
 }
