Keepers say that no majority is heard, and how a configuration is had back

test_keeper_repair lost_majority_is_shown: marjoram_keeper_trouble did not exist before. No decision reads it.

--- a/src/gateway_report.c
+++ b/src/gateway_report.c
@@ -57,7 +57,7 @@
 {
   const struct marjoram_state *state = marjoram_keeper_chosen_state (keeper);
   const struct marjoram_keeper_member *members;
-  const char *trouble = marjoram_keeper_no_vote_reason (keeper);
+  const char *trouble = marjoram_keeper_trouble (keeper);
   json_t *list = json_array ();
 
   if (!state)
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -775,3 +775,38 @@
            "yet";
   return NULL;
 }
+
+bool
+marjoram_keeper_hears_majority (const marjoram_keeper *keeper, int64_t age_ms)
+{
+  const marjoram_value *value = marjoram_keeper_current_value (keeper);
+  const struct marjoram_keeper_peer *peer;
+  struct marjoram_array heard = { NULL, 0 };
+  bool majority;
+
+  if (!value)
+    return false;
+  marjoram_voters_add (&heard, keeper->slot, keeper->store_id);
+  TAILQ_FOREACH (peer, &keeper->peers, link)
+  if (peer->slot && peer->last_seen_at >= keeper->now - age_ms
+      && marjoram_keeper_peers_latest_in_slot (&keeper->peers, peer->slot, 0)
+             == peer)
+    marjoram_voters_add (&heard, peer->slot, peer->seen.store_id);
+  majority = marjoram_quorum (&heard, marjoram_value_state (value));
+  marjoram_voters_clear (&heard);
+  return majority;
+}
+
+const char *
+marjoram_keeper_trouble (const marjoram_keeper *keeper)
+{
+  const char *reason = marjoram_keeper_no_vote_reason (keeper);
+
+  if (reason
+      || marjoram_keeper_hears_majority (keeper,
+                                         MARJORAM_KEEPER_PEER_TIMEOUT_MS))
+    return reason;
+  return "no majority of the members is heard: nothing can be changed or "
+         "confirmed; start the missing ones with their data folders, or see "
+         "\"A majority of the keepers is lost\" in docs/OPERATORS.md";
+}
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -165,6 +165,13 @@
 bool marjoram_keeper_votes (const marjoram_keeper *keeper);
 /* Whether this keeper's store is a member, voting or not.  */
 bool marjoram_keeper_is_member (const marjoram_keeper *keeper);
+/* Whether a majority of the members was heard from within AGE_MS, this keeper
+   included if it is one.  Without it nothing can be changed or confirmed.  */
+bool marjoram_keeper_hears_majority (const marjoram_keeper *keeper,
+                                     int64_t age_ms);
+/* Why this keeper can't vote or can't have anything decided, with the remedy,
+   for status output; null if there is no trouble.  */
+const char *marjoram_keeper_trouble (const marjoram_keeper *keeper);
 /* Why this keeper can't vote, with the remedy, for status output; null if it
    can.  */
 const char *marjoram_keeper_no_vote_reason (const marjoram_keeper *keeper);
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -480,6 +480,25 @@
                               ms);
 }
 
+/* Reports that nothing can be decided, and when it can again.  A keeper that
+   has just started has not heard of the others yet.  */
+static void
+check_majority (struct marjoram_keeper_role *self, int64_t now)
+{
+  const int64_t limit_ms = repair_within_ms (self);
+  const bool heard = marjoram_keeper_hears_majority (self->keeper, limit_ms);
+  const char *trouble = heard ? NULL : marjoram_keeper_trouble (self->keeper);
+
+  if (now < self->created_at + limit_ms
+      || !marjoram_keeper_is_member (self->keeper)
+      || heard != self->majority_missed)
+    return;
+  self->majority_missed = !heard;
+  marjoram_event (MARJORAM_EVENT_KEEPER, "state=%s why=\"%s\"",
+                  heard ? "majority-heard" : "majority-missed",
+                  trouble ? trouble : "");
+}
+
 /* Reports a write while it hangs.  */
 static void
 check_write (struct marjoram_keeper_role *self, int64_t now)
@@ -511,6 +530,7 @@
   tick_repair (self, now);
   check_write (self, now);
   check_store (self, now);
+  check_majority (self, now);
 }
 
 static void
--- a/src/keeper_role_private.h
+++ b/src/keeper_role_private.h
@@ -34,7 +34,8 @@
   int64_t liveness_sent_at;
   int64_t ticked_at;
   int64_t write_started_at;
-  bool write_reported; /* as pending */
+  bool write_reported;  /* as pending */
+  bool majority_missed; /* as reported */
   marjoram_state_sender *state_sender;
   marjoram_keeper_admission *admission;
   int64_t stopped_at;
--- a/src/report.c
+++ b/src/report.c
@@ -133,8 +133,8 @@
       marjoram_host_ready (host), "config_number", (json_int_t)number,
       "keeper", host->keeper != NULL, "votes",
       host->keeper && marjoram_keeper_votes (host->keeper), "trouble",
-      host->keeper ? marjoram_keeper_no_vote_reason (host->keeper) : NULL,
-      "requests", (json_int_t)marjoram_host_request_count (host), "files",
+      host->keeper ? marjoram_keeper_trouble (host->keeper) : NULL, "requests",
+      (json_int_t)marjoram_host_request_count (host), "files",
       files_in_force (host), "hosts", hosts);
 }
 
--- a/test/test_keeper_repair.c
+++ b/test/test_keeper_repair.c
@@ -407,6 +407,26 @@
 }
 END_TEST
 
+/* Guards against keepers that seem well although nothing can be decided.  */
+START_TEST (lost_majority_is_shown)
+{
+  bootstrap ();
+  ck_assert_ptr_null (marjoram_keeper_trouble (nodes[2].keeper));
+  stop (0);
+  run (4000);
+  ck_assert_ptr_null (marjoram_keeper_trouble (nodes[2].keeper));
+  stop (1);
+  start (0, false, true);
+  run (4000);
+  ck_assert_ptr_nonnull (marjoram_keeper_trouble (nodes[2].keeper));
+  ck_assert_ptr_nonnull (
+      strstr (marjoram_keeper_trouble (nodes[2].keeper), "no majority"));
+  start (1, false, false);
+  run (4000);
+  ck_assert_ptr_null (marjoram_keeper_trouble (nodes[2].keeper));
+}
+END_TEST
+
 /* Guards against replacing a member that merely restarts.  */
 START_TEST (restart_changes_no_member)
 {
@@ -446,6 +466,7 @@
   tcase_add_test (c, two_disks_lost_at_once);
   tcase_add_test (c, no_more_members_than_needed);
   tcase_add_test (c, added_members_are_of_other_regions);
+  tcase_add_test (c, lost_majority_is_shown);
   tcase_add_test (c, restart_changes_no_member);
   tcase_add_test (c, all_restart);
   suite_add_tcase (s, c);
