Keepers add no member too many when two of them add one at once

Of six keepers all six became members where five are wanted, so that a change needs four votes instead of three.

Cause: two members ask for an addition each while four are members; the second is decided though the first has made them five. An addition is refused only if the slot is a member already.

An addition says to how many members it may be proposed, and is left out when a value is made from a state that has as many. It then ends as not run.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -153,7 +153,7 @@
 
   TAILQ_FOREACH (request, &keeper->requests, link)
   if ((request->read && request->needs_ballot) || request->file.name
-      || (!request->read && marjoram_keeper_ready_store (keeper, request))
+      || marjoram_keeper_ready_store (keeper, request)
       || (keeper->chosen
           && marjoram_value_state (keeper->chosen)->next_members.count > 0))
     return true;
@@ -304,11 +304,13 @@
                              MARJORAM_NAME_MAX);
 }
 
-/* OLD is null to add a member.  */
+/* OLD is null to add a member while there are fewer than MOST.  */
 static void
 change_members (marjoram_keeper *keeper, int64_t now, uint64_t request,
-                const char *change_id, const char *old, const char *new)
+                const char *change_id, const char *old, const char *new,
+                size_t most)
 {
+  struct marjoram_keeper_request *added;
   struct marjoram_error err = { 0 };
 
   keeper->now = now;
@@ -318,9 +320,10 @@
       reject_request (keeper, request, &err);
       return;
     }
-  marjoram_keeper_requests_add_replace (
-      &keeper->requests, request, change_id, old, new,
-      marjoram_value_number (keeper->chosen), now);
+  added = marjoram_keeper_requests_add_replace (&keeper->requests, request,
+                                                change_id, old, new, now);
+  added->floor = marjoram_value_number (keeper->chosen);
+  added->most = most;
   marjoram_keeper_send_heartbeat (keeper, new, NULL);
   marjoram_keeper_answer_decided (keeper);
   marjoram_keeper_process_pending (keeper);
@@ -331,14 +334,14 @@
                          uint64_t request, const char *change_id,
                          const char *old, const char *new)
 {
-  change_members (keeper, now, request, change_id, old ? old : "", new);
+  change_members (keeper, now, request, change_id, old ? old : "", new, 0);
 }
 
 void
 marjoram_keeper_add (marjoram_keeper *keeper, int64_t now, uint64_t request,
-                     const char *change_id, const char *new)
+                     const char *change_id, const char *new, size_t most)
 {
-  change_members (keeper, now, request, change_id, NULL, new);
+  change_members (keeper, now, request, change_id, NULL, new, most);
 }
 
 void
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -110,10 +110,11 @@
 void marjoram_keeper_replace (marjoram_keeper *keeper, int64_t now,
                               uint64_t request, const char *change_id,
                               const char *old, const char *new);
-/* Adds a member; completes as a replacement does.  */
+/* Adds a member while there are fewer than MOST; completes as a replacement
+   does.  */
 void marjoram_keeper_add (marjoram_keeper *keeper, int64_t now,
                           uint64_t request, const char *change_id,
-                          const char *new);
+                          const char *new, size_t most);
 /* Sends a heartbeat at once, to a keeper that neither the state nor the
    settings name, or to which a connection has just opened.  */
 void marjoram_keeper_probe (marjoram_keeper *keeper, int64_t now,
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -146,6 +146,14 @@
   return marjoram_value_retain (attempt->best);
 }
 
+/* Whether STATE has few enough members for REQUEST.  */
+static bool
+has_room (const struct marjoram_keeper_request *request,
+          const struct marjoram_state *state)
+{
+  return request->most == 0 || state->members.count < request->most;
+}
+
 /* The store needs the state of the time of the request only: it is sent what
    is proposed afterwards as the members are, and a majority of the members
    before it accepts the change too.  While changes come quickly, it is rarely
@@ -156,7 +164,8 @@
 {
   const struct marjoram_keeper_peer *peer;
 
-  if (!keeper->chosen || !request->new)
+  if (!keeper->chosen || !request->new
+      || !has_room (request, marjoram_value_state (keeper->chosen)))
     return NULL;
   if (strcmp (request->new, keeper->slot) == 0)
     return keeper->delivered
@@ -199,7 +208,8 @@
   {
     const char *store_id = marjoram_keeper_ready_store (keeper, request);
 
-    if (store_id && add_change (keeper, state, request, store_id))
+    if (store_id && has_room (request, state)
+        && add_change (keeper, state, request, store_id))
       return true;
   }
   return false;
--- a/src/keeper_repair.c
+++ b/src/keeper_repair.c
@@ -247,7 +247,8 @@
 }
 
 void
-marjoram_keeper_repair_apply (const struct marjoram_keeper_change *change,
+marjoram_keeper_repair_apply (marjoram_keeper_repair *repair,
+                              const struct marjoram_keeper_change *change,
                               marjoram_keeper *keeper, int64_t now,
                               uint64_t request)
 {
@@ -255,5 +256,6 @@
     marjoram_keeper_replace (keeper, now, request, change->change_id,
                              change->old, change->new);
   else
-    marjoram_keeper_add (keeper, now, request, change->change_id, change->new);
+    marjoram_keeper_add (keeper, now, request, change->change_id, change->new,
+                         repair->members);
 }
--- a/src/keeper_repair.h
+++ b/src/keeper_repair.h
@@ -33,7 +33,9 @@
                                   marjoram_keeper *keeper,
                                   marjoram_host_list *hosts,
                                   struct marjoram_keeper_change *change);
-void marjoram_keeper_repair_apply (const struct marjoram_keeper_change *change,
+/* Requests CHANGE.  */
+void marjoram_keeper_repair_apply (marjoram_keeper_repair *repair,
+                                   const struct marjoram_keeper_change *change,
                                    marjoram_keeper *keeper, int64_t now,
                                    uint64_t request);
 /* The request of marjoram_keeper_repair_apply was completed.  */
--- a/src/keeper_request.c
+++ b/src/keeper_request.c
@@ -34,19 +34,18 @@
   request->file.digest = marjoram_digest (file->text, strlen (file->text));
 }
 
-void
+struct marjoram_keeper_request *
 marjoram_keeper_requests_add_replace (
     struct marjoram_keeper_requests *requests, uint64_t id,
-    const char *change_id, const char *old, const char *new, uint64_t floor,
-    int64_t now)
+    const char *change_id, const char *old, const char *new, int64_t now)
 {
   struct marjoram_keeper_request *request
       = add_request (requests, id, change_id, now);
 
   request->deadline = now + MARJORAM_KEEPER_REPLACE_TIMEOUT_MS;
-  request->floor = floor;
   request->old = old ? marjoram_strdup (old) : NULL;
   request->new = marjoram_strdup (new);
+  return request;
 }
 
 struct marjoram_keeper_request *
--- a/src/keeper_request.h
+++ b/src/keeper_request.h
@@ -27,6 +27,7 @@
   char *new;
   int64_t received_at;
   uint64_t floor; /* membership change: the state that the store must hold */
+  size_t most;    /* addition: not proposed to so many members; 0: no limit */
   int64_t deadline;
   bool sent;       /* part of a value that was proposed: may still be chosen */
   bool tried;      /* an attempt was started after it was ready */
@@ -45,12 +46,10 @@
 struct marjoram_keeper_request *
 marjoram_keeper_requests_add_read (struct marjoram_keeper_requests *requests,
                                    uint64_t request, int64_t now);
-/* OLD is null to add a member.  FLOOR is the number of the latest chosen
-   state.  */
-void marjoram_keeper_requests_add_replace (
+/* OLD is null to add a member.  */
+struct marjoram_keeper_request *marjoram_keeper_requests_add_replace (
     struct marjoram_keeper_requests *requests, uint64_t request,
-    const char *change_id, const char *old, const char *new, uint64_t floor,
-    int64_t now);
+    const char *change_id, const char *old, const char *new, int64_t now);
 void
 marjoram_keeper_requests_remove (struct marjoram_keeper_requests *requests,
                                  struct marjoram_keeper_request *request);
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -446,7 +446,8 @@
                   *change.old ? "replacing" : "adding",
                   *change.old ? change.old : "-", change.new,
                   change.change_id);
-  marjoram_keeper_repair_apply (&change, self->keeper, now, REPAIR_REQUEST);
+  marjoram_keeper_repair_apply (self->repair, &change, self->keeper, now,
+                                REPAIR_REQUEST);
 }
 
 static int64_t
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -468,8 +468,8 @@
   update_hosts (net, node);
   if (marjoram_keeper_repair_tick (node->repair, net->now, node->keeper,
                                    node->hosts, &change))
-    marjoram_keeper_repair_apply (&change, node->keeper, net->now,
-                                  REPAIR_REQUEST);
+    marjoram_keeper_repair_apply (node->repair, &change, node->keeper,
+                                  net->now, REPAIR_REQUEST);
 }
 
 /* Greets the keepers to which a connection has just opened.  */
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -3,6 +3,7 @@
    deployments may have.  SEEDS in the environment sets the number of seeds. */
 #include "suite.h"
 
+#include "cleanup.h"
 #include "lib_keeper_net.h"
 
 #include <stdio.h>
@@ -20,7 +21,9 @@
   DISK_BACK_MS = 3000,
   SUCCESSOR_MS = 1000,
   RECOVER_MS = 12000,
-  CHANGE_LIMIT_MS = 6000
+  CHANGE_LIMIT_MS = 6000,
+  READ_LIMIT_MS = 2000,
+  ADDED_KEEPERS = 3
 };
 
 struct site
@@ -28,6 +31,7 @@
   const char *name;
   struct keeper_net_options options;
   int64_t catch_up_ms;
+  int routes; /* of the configuration */
 };
 
 /* Three keepers of which one may be lost, and six with five members of which
@@ -35,14 +39,16 @@
 static const struct site sites[] = {
   { "one region, calm",
     { .keepers = 3, .spares = 3, .one_way_ms = 1, .write_ms = 5, .losses = 1 },
-    4000 },
+    4000,
+    0 },
   { "regions, calm",
     { .keepers = 3,
       .spares = 3,
       .one_way_ms = 55,
       .write_ms = 5,
       .losses = 1 },
-    4000 },
+    4000,
+    0 },
   { "regions, changes",
     { .keepers = 3,
       .spares = 3,
@@ -50,7 +56,8 @@
       .write_ms = 5,
       .losses = 1,
       .change_every_ms = 330 },
-    4000 },
+    4000,
+    0 },
   { "regions, losses",
     { .keepers = 3,
       .spares = 3,
@@ -58,7 +65,8 @@
       .write_ms = 5,
       .losses = 1,
       .loss_per_mille = 40 },
-    4000 },
+    4000,
+    0 },
   { "regions, losses, changes",
     { .keepers = 3,
       .spares = 3,
@@ -67,7 +75,8 @@
       .losses = 1,
       .loss_per_mille = 40,
       .change_every_ms = 330 },
-    4000 },
+    4000,
+    0 },
   { "regions, slow disks, changes",
     { .keepers = 3,
       .spares = 3,
@@ -75,7 +84,8 @@
       .write_ms = 60,
       .losses = 1,
       .change_every_ms = 330 },
-    4000 },
+    4000,
+    0 },
   { "five members, losses, changes",
     { .keepers = 5,
       .spares = 2,
@@ -84,7 +94,19 @@
       .losses = 2,
       .loss_per_mille = 40,
       .change_every_ms = 330 },
-    6000 },
+    6000,
+    0 },
+  { "large configuration, losses, changes",
+    { .keepers = 3,
+      .spares = 3,
+      .one_way_ms = 55,
+      .bytes_per_s = 2000000,
+      .write_ms = 15,
+      .losses = 1,
+      .loss_per_mille = 40,
+      .change_every_ms = 330 },
+    4000,
+    1400 },
 };
 
 static uint64_t
@@ -166,11 +188,25 @@
   add_times (times, net, index, site->catch_up_ms);
 }
 
+/* Checks that a change is accepted, and read back at the latest keeper.  */
+static void
+check_serves (struct keeper_net *net, const struct site *site, int latest)
+{
+  ck_assert_msg (keeper_net_change (net, latest, "y", RECOVER_MS) >= 0,
+                 "%s: no change is accepted", site->name);
+  ck_assert_msg (keeper_net_read (net, latest, READ_LIMIT_MS) >= 0,
+                 "%s: the configuration is not read back", site->name);
+  ck_assert_str_eq (
+      marjoram_state_file (keeper_net_state (net, latest), "routes")->text,
+      "y");
+}
+
 /* Two rounds of a lost disk and a lost machine, in either order.  */
 static void
 run_losses (const struct site *site, uint64_t seed, struct times *times)
 {
   struct keeper_net_options options = site->options;
+  marjoram_auto_free char *text = keeper_net_routes (site->routes, -1);
   struct keeper_net *net;
   int first = options.keepers;
 
@@ -178,7 +214,7 @@
   options.repair_within_ms = site->catch_up_ms;
   net = keeper_net_create (&options);
   keeper_net_run (net, SETTLE_MS);
-  ck_assert_int_ge (keeper_net_change (net, 0, "x", CHANGE_LIMIT_MS), 0);
+  ck_assert_int_ge (keeper_net_change (net, 0, text, CHANGE_LIMIT_MS), 0);
   if (seed % 2)
     {
       lose_disk (net, (int)(seed / 2 % 2));
@@ -195,9 +231,7 @@
     }
   keeper_net_pause_changes (net, true);
   if (times->late == 0)
-    ck_assert_msg (keeper_net_change (net, first, "y", RECOVER_MS) >= 0,
-                   "%s, seed %llu: no change is accepted", site->name,
-                   (unsigned long long)seed);
+    check_serves (net, site, first);
   keeper_net_destroy (net);
 }
 
@@ -217,6 +251,37 @@
 }
 END_TEST
 
+/* Guards against members that are added late, so that two losses at once take
+   the majority.  */
+START_TEST (members_are_added_within_the_time_of_the_deployment)
+{
+  const int64_t within_ms = 6000;
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      const struct keeper_net_options options
+          = { .keepers = 3,
+              .spares = ADDED_KEEPERS,
+              .one_way_ms = 55,
+              .write_ms = 5,
+              .losses = 2,
+              .loss_per_mille = 40,
+              .change_every_ms = 330,
+              .repair_within_ms = within_ms,
+              .seed = seed };
+      struct keeper_net *net = keeper_net_create (&options);
+
+      keeper_net_run (net, SETTLE_MS);
+      for (int i = 0; i < ADDED_KEEPERS; i++)
+        keeper_net_start_empty (net, 3 + i);
+      keeper_net_run (net, within_ms);
+      ck_assert_uint_eq (keeper_net_state (net, 0)->members.count, 5);
+      ck_assert_uint_eq (keeper_net_state (net, 0)->next_members.count, 0);
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 /* Whether a spare keeper, whose writes take WRITE_MS, becomes a member within
    a greeting, a turn of each keeper, two decisions and two writes, while a
    file is changed each EVERY_MS.  */
@@ -394,6 +459,7 @@
   tcase_add_test (c, a_store_that_is_no_member_ends_no_attempt);
   tcase_add_test (c, a_membership_change_goes_before_files);
   tcase_add_test (c, a_membership_change_wins_against_simultaneous_attempts);
+  tcase_add_test (c, members_are_added_within_the_time_of_the_deployment);
   suite_add_tcase (s, c);
   return s;
 }
--- a/test/test_keeper_repair.c
+++ b/test/test_keeper_repair.c
@@ -256,7 +256,8 @@
         marjoram_keeper_tick (nodes[i].keeper, now);
         if (marjoram_keeper_repair_tick (nodes[i].repair, now, nodes[i].keeper,
                                          nodes[i].hosts, &change))
-          marjoram_keeper_repair_apply (&change, nodes[i].keeper, now, 1);
+          marjoram_keeper_repair_apply (nodes[i].repair, &change,
+                                        nodes[i].keeper, now, 1);
         deliver ();
       }
 }
