Keepers complete a membership change of a lost proposer without a wait

A change of members needs two values. If the proposer ended between them, the others went on with the second 1 to 3 s later, by the random delay for unfinished work, unless an operator's change was waiting; until then the next loss may take the majority of the members before.

A keeper with a vote that knows of the first value needs an attempt, as with a request. It leaves the proposer the time of an attempt first, as it does with each; keepers that start together do not delay one another since then, so that the random delay is not needed here.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -151,11 +151,12 @@
 {
   const struct marjoram_keeper_request *request;
 
+  if (keeper->chosen && marjoram_keeper_votes (keeper)
+      && marjoram_value_state (keeper->chosen)->next_members.count > 0)
+    return true;
   TAILQ_FOREACH (request, &keeper->requests, link)
   if ((request->read && request->needs_ballot) || request->file.name
-      || marjoram_keeper_ready_store (keeper, request)
-      || (keeper->chosen
-          && marjoram_value_state (keeper->chosen)->next_members.count > 0))
+      || marjoram_keeper_ready_store (keeper, request))
     return true;
   return false;
 }
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -251,6 +251,40 @@
 }
 END_TEST
 
+/* Guards against a membership change that stays half done for seconds after
+   its proposer ended: the others leave it the time of an attempt, then go on.
+ */
+START_TEST (a_change_of_a_lost_proposer_is_completed_at_once)
+{
+  static const struct keeper_net_options options
+      = { .keepers = 5, .spares = 1, .one_way_ms = 55, .write_ms = 5 };
+  const int64_t trip_ms = 2 * options.one_way_ms;
+  const int64_t attempt_ms = 2 * trip_ms + 4 * options.write_ms;
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct keeper_net_options seeded = options;
+      struct keeper_net *net;
+
+      seeded.seed = seed;
+      net = keeper_net_create (&seeded);
+      keeper_net_run (net, SETTLE_MS);
+      keeper_net_stop (net, 4);
+      keeper_net_start_empty (net, 5);
+      keeper_net_run (net, SUCCESSOR_MS);
+      keeper_net_replace (net, 0, 4, 5);
+      while (keeper_net_state (net, 1)->next_members.count == 0)
+        keeper_net_run (net, 1);
+      keeper_net_stop (net, 0);
+      /* The time left to the proposer, a tick, and two attempts.  */
+      keeper_net_run (net, 3 * trip_ms + 200 + 3 * options.write_ms + 100
+                               + 2 * attempt_ms);
+      ck_assert_uint_eq (keeper_net_state (net, 1)->next_members.count, 0);
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 /* Guards against members that are added late, so that two losses at once take
    the majority.  */
 START_TEST (members_are_added_within_the_time_of_the_deployment)
@@ -460,6 +494,7 @@
   tcase_add_test (c, a_membership_change_goes_before_files);
   tcase_add_test (c, a_membership_change_wins_against_simultaneous_attempts);
   tcase_add_test (c, members_are_added_within_the_time_of_the_deployment);
+  tcase_add_test (c, a_change_of_a_lost_proposer_is_completed_at_once);
   suite_add_tcase (s, c);
   return s;
 }
