Keepers: a peer that accepted a state is told again that it was chosen

Found by a soak of test_keeper, seed 13894 of 20,000 from 10,000: after all faults "k3 is at number 13, expected 14".

Cause, of: a state that has arrived was not sent again, and the hash of what the peer accepted last was taken for that. But a peer that has accepted a value need not know that it was chosen; if the first message that says so was lost, it learnt it with the next change only. No message gave a wrong answer: the keeper was one state behind.

--- a/src/keeper_transport.c
+++ b/src/keeper_transport.c
@@ -232,10 +232,10 @@
   }
 }
 
-/* Whether the state last sent to PEER arrived or may still do so.  Connections
-   preserve order, so an answer to the heartbeat that followed the state shows
-   that the state has arrived or is lost.  A state that has arrived may still
-   wait for the disk.  */
+/* Whether the state last sent to PEER may still be on its way or wait for its
+   disk.  Connections preserve order, so an answer to the heartbeat that
+   followed the state shows that the state has arrived or is lost.  A peer that
+   has accepted the value need not know that it is chosen.  */
 static bool
 may_hold_state (const marjoram_keeper *keeper,
                 const struct marjoram_keeper_peer *peer)
@@ -247,7 +247,8 @@
   if (peer->echo < peer->state_sent_at)
     return keeper->now < peer->state_sent_at + MARJORAM_KEEPER_STATE_RESEND_MS;
   hash = marjoram_value_hash (keeper->chosen);
-  return marjoram_value_hash_equal (&peer->accepted_hash, &hash);
+  return marjoram_value_hash_equal (&peer->accepted_hash, &hash)
+         && keeper->now < peer->state_sent_at + MARJORAM_KEEPER_RESEND_MS;
 }
 
 static void
--- a/test/test_keeper.c
+++ b/test/test_keeper.c
@@ -54,7 +54,7 @@
 }
 
 /* Regression seeds: soak runs failed on these.  */
-static const uint64_t regression_seeds[] = { 143387, 213326, 229332 };
+static const uint64_t regression_seeds[] = { 13894, 143387, 213326, 229332 };
 
 static int
 run_seed (uint64_t seed, struct sim_counts *sum)
