Keepers leave no time to an attempt that can't complete

A keeper that is cut off one way, hears no answers and repeats its ballot each half second made the others put off each of their changes for 1.6 s, for as long as it was cut off.

Cause, of: each message of another's attempt counted, also of one with a lower ballot than was promised since, which all reject.

--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -185,6 +185,17 @@
                   &envelope->ballot, &keeper->acceptor.promised, NULL));
 }
 
+/* An attempt with a ballot below one that was promised can't complete, so it
+   is left no time.  */
+static void
+note_attempt (marjoram_keeper *keeper,
+              const struct marjoram_keeper_envelope *envelope)
+{
+  if (marjoram_ballot_compare (&envelope->ballot, &keeper->acceptor.promised)
+      >= 0)
+    marjoram_keeper_note_rival (keeper, envelope->slot);
+}
+
 void
 marjoram_keeper_on_prepare (marjoram_keeper *keeper,
                             const struct marjoram_keeper_envelope *envelope)
@@ -192,7 +203,7 @@
   struct marjoram_acceptor *acceptor = &keeper->acceptor;
   struct marjoram_ballot before = acceptor->promised;
 
-  marjoram_keeper_note_rival (keeper, envelope->slot);
+  note_attempt (keeper, envelope);
   /* An empty store among hosts that have a configuration must not help to
      bootstrap a second initial state.  */
   if (!marjoram_keeper_may_vote (keeper)
@@ -221,7 +232,7 @@
         && marjoram_ballot_compare (&acceptor->accepted, &envelope->ballot)
                == 0;
 
-  marjoram_keeper_note_rival (keeper, envelope->slot);
+  note_attempt (keeper, envelope);
   if (!marjoram_keeper_may_vote (keeper) || !envelope->value)
     return;
   if (!marjoram_acceptor_accept (acceptor, &envelope->ballot, envelope->value))
--- a/test/test_keeper_net.c
+++ b/test/test_keeper_net.c
@@ -449,6 +449,33 @@
 }
 END_TEST
 
+/* Guards against keepers that go on leaving time to a keeper which is cut off
+   one way and repeats its ballot: it delays them once.  */
+START_TEST (keeper_cut_off_one_way_delays_others_once)
+{
+  const struct keeper_net_options options
+      = { .keepers = 3, .one_way_ms = 55, .write_ms = 5 };
+  const int64_t attempt_ms = 4 * options.one_way_ms + 4 * options.write_ms;
+  struct keeper_net *net = create_bootstrapped (&options);
+
+  keeper_net_run (net, 2000);
+  keeper_net_stall (net, 0, true);
+  keeper_net_begin_change (net, 0);
+  keeper_net_run (net, 100);
+  ck_assert_int_ge (change (net, 1, 10, 0), 0);
+  for (int i = 0; i < 5; i++)
+    {
+      int64_t elapsed_ms;
+
+      keeper_net_run (net, 300);
+      elapsed_ms = change (net, 1, 10, i);
+      ck_assert_int_ge (elapsed_ms, 0);
+      ck_assert_int_le (elapsed_ms, attempt_ms);
+    }
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against an attempt that another keeper outdates, as a lost packet of
    it arrives later.  */
 START_TEST (lost_packet_does_not_outdate_an_attempt)
@@ -546,6 +573,7 @@
   tcase_add_test (c, slow_disk_delivers_while_changes_follow_each_other);
   tcase_add_test (c, state_lost_with_a_connection_is_sent_again);
   tcase_add_loop_test (c, far_keepers_decide_in_turn, 3, 6);
+  tcase_add_test (c, keeper_cut_off_one_way_delays_others_once);
   tcase_add_test (c, lost_packet_does_not_outdate_an_attempt);
   tcase_add_test (c, reads_do_not_wait_for_disks);
   tcase_add_test (c, a_minority_answers_no_read);
