Keepers end an attempt that a later state has overtaken

Cause: an attempt whose ballot was outdated by keepers that had answered it before heard of that from them no more, as only keepers without an answer are asked again; it lasted 4.3 s, until one of the members changed, and 10 s at most. Then the keeper left others three seconds, as round trips of 1 s were counted.

Whoever learns of a state chosen by a higher ballot ends its attempt: the majority that chose it accepts no lower one. A round trip counts as 0.5 s at most.

--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -158,6 +158,11 @@
 {
   if (!marjoram_value_is_initial (value))
     keeper->bootstrapped = true;
+  /* The majority that chose it accepts no lower ballot.  Those of it that have
+     answered the attempt before would not say so.  */
+  if (keeper->attempt.phase != MARJORAM_PHASE_IDLE
+      && marjoram_ballot_compare (ballot, &keeper->attempt.ballot) > 0)
+    marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_OUTDATED, NULL);
   if (marjoram_acceptor_learn (&keeper->acceptor, ballot, value))
     keeper->sequence++;
   if (marjoram_value_number (value) <= marjoram_value_number (keeper->chosen))
--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -12,7 +12,7 @@
 enum
 {
   /* Bounds the effect of a round trip that was measured in a stall.  */
-  ROUND_TRIP_MAX_MS = 1000,
+  ROUND_TRIP_MAX_MS = 500,
   ATTEMPT_ROUND_TRIPS = 2,
   /* Time until the next message of an attempt: the answers of a majority, and
      a lost packet, which TCP repeats after a round trip and its minimum
