--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -24,7 +24,8 @@
   /* Request numbers below are changes of the file "routes".  */
   FIRST_READ = 1 << 28,
   FIRST_OWN = 1 << 29, /* changes of each keeper's own file */
-  FIRST_REGULAR = 1 << 30
+  FIRST_REGULAR = 1 << 30,
+  REGULAR_READ
 };
 
 /* Request number of automatic repairs.  */
@@ -181,6 +182,8 @@
         marjoram_keeper_repair_answered (node->repair);
       return;
     }
+  if (request == REGULAR_READ)
+    return;
   if (request == FIRST_REGULAR)
     {
       node->net->regular_accepted += answer->outcome == MARJORAM_APPLY_DECIDED;
@@ -524,10 +527,18 @@
   marjoram_keeper_apply (node->keeper, net->now, FIRST_REGULAR, id, &file);
 }
 
+void
+keeper_net_begin_read (struct keeper_net *net, int at)
+{
+  if (net->nodes[at].keeper)
+    marjoram_keeper_read (net->nodes[at].keeper, net->now, REGULAR_READ);
+}
+
 void
 keeper_net_run (struct keeper_net *net, int64_t ms)
 {
   const int64_t every_ms = net->options.change_every_ms;
+  const int64_t read_ms = net->options.read_every_ms;
 
   for (int64_t end = net->now + ms; net->now < end;)
     {
@@ -535,6 +546,9 @@
       if (every_ms && !net->changes_paused && net->now % every_ms == 0)
         send_regular_change (net, (int)marjoram_random_below (
                                       net->faults, (uint32_t)net->count));
+      if (read_ms && !net->changes_paused && net->now % read_ms == 0)
+        keeper_net_begin_read (net, (int)marjoram_random_below (
+                                        net->faults, (uint32_t)net->count));
       for (int i = 0; i < net->count; i++)
         if (net->nodes[i].keeper)
           run_node (net, &net->nodes[i]);
--- a/test/lib_keeper_net.h
+++ b/test/lib_keeper_net.h
@@ -20,6 +20,7 @@
   int loss_per_mille; /* of the messages, which arrive KEEPER_NET_REPEAT_MS
                          later and delay those after them */
   int64_t change_every_ms; /* changes at a random keeper each */
+  int64_t read_every_ms;   /* reads, the same */
   size_t losses; /* disks that may be lost at once, for automatic repair */
   int64_t repair_within_ms;
 };
@@ -42,6 +43,8 @@
 /* Reads the state at keeper AT and runs until that is answered.  Returns the
    time taken, or -1 if it is not confirmed within LIMIT_MS.  */
 int64_t keeper_net_read (struct keeper_net *net, int at, int64_t limit_ms);
+/* Reads the state at keeper AT without waiting for it.  */
+void keeper_net_begin_read (struct keeper_net *net, int at);
 /* How many attempts of all keepers ended so.  */
 int keeper_net_ballots (const struct keeper_net *net,
                         enum marjoram_ballot_end end);
