Keepers: accepting a membership change promises its proposer the next ballot

The proposer of the first is the one that goes on.

An acceptor that accepts the first value promises its proposer the next ballot with it, as if the prepare request for that had followed at once. The answer names the promised ballot, so that a keeper of an earlier release, which promises nothing, is not counted and the second value takes both phases as before. The promise is on disk before the answer is sent.

--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -232,6 +232,7 @@
                            const struct marjoram_keeper_envelope *envelope)
 {
   struct marjoram_acceptor *acceptor = &keeper->acceptor;
+  struct marjoram_ballot before = acceptor->promised;
   bool repeated
       = acceptor->value
         && marjoram_ballot_compare (&acceptor->accepted, &envelope->ballot)
@@ -245,12 +246,12 @@
       reject (keeper, envelope);
       return;
     }
-  if (!repeated)
+  if (!repeated || marjoram_ballot_compare (&before, &acceptor->promised) != 0)
     keeper->sequence++;
   marjoram_keeper_send_when_durable (
       keeper, marjoram_keeper_envelope_create (
                   envelope->slot, envelope->store_id, MARJORAM_KEEPER_ACCEPTED,
-                  &envelope->ballot, NULL, NULL));
+                  &envelope->ballot, &acceptor->promised, NULL));
 }
 
 void
--- a/src/keeper_message.h
+++ b/src/keeper_message.h
@@ -13,7 +13,7 @@
   MARJORAM_KEEPER_PROMISE,  /* ballot, accepted ballot and value */
   MARJORAM_KEEPER_REJECT,   /* requested ballot; accepted: the promised one */
   MARJORAM_KEEPER_ACCEPT,   /* ballot, value */
-  MARJORAM_KEEPER_ACCEPTED, /* ballot */
+  MARJORAM_KEEPER_ACCEPTED, /* ballot; accepted: the promised one */
   MARJORAM_KEEPER_CHOSEN,   /* ballot whose value is chosen */
   MARJORAM_KEEPER_LEARN,    /* ballot and value that is chosen */
   MARJORAM_KEEPER_CONFIRM,  /* echo */
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -104,6 +104,8 @@
   int64_t confirm_by; /* when one peer is enough; 0 before the first event */
   bool bootstrapped;  /* a state beyond the initial one exists */
   bool answering;     /* the owner is in its callback for an answer */
+  int64_t
+      first_learnt_at; /* the first state, by this store; 0 if it had one */
 
   struct marjoram_keeper_peers peers;
   struct marjoram_keeper_requests requests;
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -88,10 +88,9 @@
   marjoram_keeper_send_phase (keeper);
 }
 
-/* Ends the current attempt.  */
 static void
-stop_attempt (marjoram_keeper *keeper, enum marjoram_ballot_end end,
-              const char *by)
+report_attempt (const marjoram_keeper *keeper, enum marjoram_ballot_end end,
+                const char *by)
 {
   const struct marjoram_ballot_report report = {
     .end = end,
@@ -105,6 +104,14 @@
 
   if (keeper->ops->ballot_ended)
     keeper->ops->ballot_ended (keeper->context, &report);
+}
+
+/* Ends the current attempt.  */
+static void
+stop_attempt (marjoram_keeper *keeper, enum marjoram_ballot_end end,
+              const char *by)
+{
+  report_attempt (keeper, end, by);
   marjoram_attempt_stop (&keeper->attempt);
 }
 
@@ -295,6 +302,22 @@
       send_request (keeper, targets[i]);
 }
 
+/* Sends a message of KIND with the ballot of the current attempt to the other
+   keepers.  */
+static void
+broadcast_ballot (marjoram_keeper *keeper, enum marjoram_keeper_kind kind)
+{
+  const char *targets[MARJORAM_KEEPER_TARGETS_MAX];
+  size_t count = marjoram_keeper_targets (keeper, targets);
+
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (targets[i], keeper->slot) != 0)
+      marjoram_keeper_send_envelope (
+          keeper, marjoram_keeper_envelope_create (targets[i], NULL, kind,
+                                                   &keeper->attempt.ballot,
+                                                   NULL, NULL));
+}
+
 static void
 finish_prepare (marjoram_keeper *keeper)
 {
@@ -321,24 +344,37 @@
   marjoram_keeper_answer_attempt_reads (keeper);
 }
 
+/* Proposes the value that completes the membership change which VALUE, chosen
+   at BALLOT, began.  The ballot was promised with its acceptance.  */
+static void
+continue_change (marjoram_keeper *keeper, const struct marjoram_ballot *ballot,
+                 marjoram_value *value)
+{
+  if (keeper->attempt.ballot.round > keeper->round)
+    keeper->round = keeper->attempt.ballot.round;
+  keeper->started_at = keeper->now;
+  keeper->deferred_ms = 0;
+  marjoram_keeper_learn (keeper, ballot, value);
+  finish_prepare (keeper);
+}
+
 /* Peers are notified first: learning may release the values that name them. */
 static void
 finish_accept (marjoram_keeper *keeper)
 {
-  const char *targets[MARJORAM_KEEPER_TARGETS_MAX];
-  size_t count = marjoram_keeper_targets (keeper, targets);
   struct marjoram_ballot ballot = keeper->attempt.ballot;
   marjoram_value *value = marjoram_value_retain (keeper->attempt.proposed);
 
-  for (size_t i = 0; i < count; i++)
-    if (strcmp (targets[i], keeper->slot) != 0)
-      marjoram_keeper_send_envelope (
-          keeper, marjoram_keeper_envelope_create (targets[i], NULL,
-                                                   MARJORAM_KEEPER_CHOSEN,
-                                                   &ballot, NULL, NULL));
-  stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED, NULL);
+  broadcast_ballot (keeper, MARJORAM_KEEPER_CHOSEN);
+  report_attempt (keeper, MARJORAM_BALLOT_COMPLETED, NULL);
   keeper->failures = 0;
-  marjoram_keeper_learn (keeper, &ballot, value);
+  if (marjoram_attempt_continue (&keeper->attempt))
+    continue_change (keeper, &ballot, value);
+  else
+    {
+      marjoram_attempt_stop (&keeper->attempt);
+      marjoram_keeper_learn (keeper, &ballot, value);
+    }
   marjoram_keeper_rival_ended (keeper);
   marjoram_value_release (value);
   marjoram_keeper_answer_attempt_reads (keeper);
@@ -381,6 +417,8 @@
     return;
   marjoram_attempt_accepted (&keeper->attempt, envelope->slot,
                              envelope->store_id);
+  marjoram_attempt_promised_next (&keeper->attempt, envelope->slot,
+                                  envelope->store_id, &envelope->accepted);
   if (marjoram_attempt_chosen (&keeper->attempt))
     finish_accept (keeper);
 }
--- a/src/register.c
+++ b/src/register.c
@@ -6,6 +6,12 @@
 #include <sodium.h>
 #include <string.h>
 
+enum
+{
+  /* Leaves the lowest bit of a round as it is.  */
+  ROUNDS_TO_NEXT = 2
+};
+
 /* The hash and the compressed forms are computed on first use and cached,
    since a value is sent repeatedly and to several keepers.  */
 struct marjoram_value
@@ -215,14 +221,40 @@
   return true;
 }
 
+struct marjoram_ballot
+marjoram_ballot_next (const struct marjoram_ballot *ballot)
+{
+  struct marjoram_ballot next = *ballot;
+
+  next.round += ROUNDS_TO_NEXT;
+  return next;
+}
+
+/* Whether the accept request of BALLOT is repeated and only the promise that
+   its acceptance implied has followed it.  */
+static bool
+is_repeated (const struct marjoram_acceptor *acceptor,
+             const struct marjoram_ballot *ballot)
+{
+  const struct marjoram_ballot next = marjoram_ballot_next (ballot);
+
+  return acceptor->value
+         && marjoram_ballot_compare (&acceptor->accepted, ballot) == 0
+         && marjoram_ballot_compare (&acceptor->promised, &next) == 0;
+}
+
 bool
 marjoram_acceptor_accept (struct marjoram_acceptor *acceptor,
                           const struct marjoram_ballot *ballot,
                           marjoram_value *value)
 {
+  if (is_repeated (acceptor, ballot))
+    return true;
   if (marjoram_ballot_compare (ballot, &acceptor->promised) < 0)
     return false;
-  acceptor->promised = *ballot;
+  acceptor->promised = value->state->next_members.count > 0
+                           ? marjoram_ballot_next (ballot)
+                           : *ballot;
   set_accepted (acceptor, ballot, value);
   return true;
 }
@@ -280,6 +312,7 @@
 {
   marjoram_voters_clear (&attempt->votes);
   marjoram_voters_clear (&attempt->promised);
+  marjoram_voters_clear (&attempt->next);
   marjoram_value_release (attempt->best);
   marjoram_value_release (attempt->proposed);
   *attempt = (struct marjoram_attempt){ .phase = MARJORAM_PHASE_IDLE };
@@ -359,6 +392,17 @@
   add_vote (&attempt->votes, slot, store_id);
 }
 
+void
+marjoram_attempt_promised_next (struct marjoram_attempt *attempt,
+                                const char *slot, const char *store_id,
+                                const struct marjoram_ballot *promised)
+{
+  const struct marjoram_ballot next = marjoram_ballot_next (&attempt->ballot);
+
+  if (marjoram_ballot_compare (promised, &next) == 0)
+    add_vote (&attempt->next, slot, store_id);
+}
+
 static bool
 has_all_members (const struct marjoram_array *votes,
                  const struct marjoram_array *members)
@@ -381,3 +425,25 @@
   return marjoram_quorum (&attempt->votes, attempt->best->state)
          && marjoram_quorum (&attempt->votes, state);
 }
+
+/* The quorum that accepted the proposed value has accepted nothing between the
+   two ballots, so that its promises report this value as the highest.  */
+bool
+marjoram_attempt_continue (struct marjoram_attempt *attempt)
+{
+  const struct marjoram_ballot next = marjoram_ballot_next (&attempt->ballot);
+
+  if (!marjoram_quorum (&attempt->next, attempt->proposed->state))
+    return false;
+  marjoram_voters_clear (&attempt->votes);
+  marjoram_voters_clear (&attempt->promised);
+  marjoram_value_release (attempt->best);
+  attempt->phase = MARJORAM_PHASE_PREPARE;
+  attempt->best = attempt->proposed;
+  attempt->best_ballot = attempt->ballot;
+  attempt->proposed = NULL;
+  attempt->ballot = next;
+  attempt->votes = attempt->next;
+  attempt->next = (struct marjoram_array){ NULL, 0 };
+  return true;
+}
--- a/src/register.h
+++ b/src/register.h
@@ -19,6 +19,11 @@
 
 int marjoram_ballot_compare (const struct marjoram_ballot *a,
                              const struct marjoram_ballot *b);
+/* The ballot that an acceptor promises the proposer of BALLOT when it accepts
+   a value that begins a membership change, so that the value that completes it
+   needs no prepare phase.  */
+struct marjoram_ballot
+marjoram_ballot_next (const struct marjoram_ballot *ballot);
 
 /* An immutable, reference-counted state with its packed form.  */
 typedef struct marjoram_value marjoram_value;
@@ -74,6 +79,8 @@
    was already promised.  */
 bool marjoram_acceptor_prepare (struct marjoram_acceptor *acceptor,
                                 const struct marjoram_ballot *ballot);
+/* Accepts VALUE.  Returns false if a higher ballot was promised, other than
+   the next one with the same value.  */
 bool marjoram_acceptor_accept (struct marjoram_acceptor *acceptor,
                                const struct marjoram_ballot *ballot,
                                marjoram_value *value);
@@ -104,6 +111,7 @@
   struct marjoram_ballot ballot;
   struct marjoram_array votes;    /* received in the current phase */
   struct marjoram_array promised; /* ACCEPT: the votes of PREPARE */
+  struct marjoram_array next;     /* those that promised the next ballot */
   struct marjoram_ballot best_ballot;
   marjoram_value *best; /* accepted value with the highest ballot seen */
   marjoram_value *proposed;
@@ -133,9 +141,18 @@
                                marjoram_value *value);
 void marjoram_attempt_accepted (struct marjoram_attempt *attempt,
                                 const char *slot, const char *store_id);
+/* Records the ballot that a voter had promised when it accepted.  */
+void marjoram_attempt_promised_next (struct marjoram_attempt *attempt,
+                                     const char *slot, const char *store_id,
+                                     const struct marjoram_ballot *promised);
 /* Returns true if the proposed value is chosen: accepted by a quorum both of
    its own members and of its predecessor's.  An initial value must be accepted
    by all its members.  */
 bool marjoram_attempt_chosen (const struct marjoram_attempt *attempt);
+/* Continues with the next ballot, in the accept phase and with the proposed
+   value, which is chosen, as the value read.  Returns false and changes
+   nothing unless a quorum of its members promised that ballot when it accepted
+   the value.  */
+bool marjoram_attempt_continue (struct marjoram_attempt *attempt);
 
 #endif
--- /dev/null
+++ b/test/test_keeper_rivals.c
@@ -0,0 +1,82 @@
+/* Attempts of several keepers at once: what they leave one another, so that a
+   membership change is decided in time.  */
+#include "suite.h"
+
+#include "lib_keeper_net.h"
+
+enum
+{
+  ONE_WAY_MS = 55,
+  TRIP_MS = 2 * ONE_WAY_MS,
+  WRITE_MS = 5,
+  /* Two round trips, and a write in each phase.  */
+  ATTEMPT_MS = 2 * (TRIP_MS + WRITE_MS),
+  /* A greeting, an attempt, a round trip with a write for the second value,
+     and the message that tells the store.  */
+  ADMISSION_MS
+  = TRIP_MS + ATTEMPT_MS + (TRIP_MS + WRITE_MS) + ONE_WAY_MS + 2 * WRITE_MS,
+  /* What a keeper leaves another's attempt after a message of it.  */
+  PAUSE_MS = 3 * TRIP_MS + 200 + 3 * WRITE_MS,
+  TICK_MS = 100,
+  SETTLE_MS = 8000,
+  LEARN_MS = 1000,
+  STEP_MS = 10,
+  WAIT_LIMIT_MS = 30000
+};
+
+static struct keeper_net *
+create_settled (void)
+{
+  static const struct keeper_net_options options = {
+    .keepers = 3, .spares = 1, .one_way_ms = ONE_WAY_MS, .write_ms = WRITE_MS
+  };
+  struct keeper_net *net = keeper_net_create (&options);
+
+  keeper_net_run (net, SETTLE_MS);
+  return net;
+}
+
+/* Ends keeper 2, and starts keeper 3 to take its place.  */
+static struct keeper_net *
+create_with_successor (void)
+{
+  struct keeper_net *net = create_settled ();
+
+  keeper_net_stop (net, 2);
+  keeper_net_start_empty (net, 3);
+  keeper_net_run (net, LEARN_MS);
+  ck_assert_int_ge (keeper_net_step_ms (net, 3, MARJORAM_STORE_LEARNT), 0);
+  return net;
+}
+
+static void
+check_member (const struct keeper_net *net, int64_t lead_ms)
+{
+  ck_assert_msg (keeper_net_step_ms (net, 3, MARJORAM_STORE_MEMBER) >= 0,
+                 "lead of %lld ms: keeper 3 is no member yet",
+                 (long long)lead_ms);
+}
+
+/* Guards against a membership change whose second value asks the members to
+   promise its ballot once more.  */
+START_TEST (the_second_value_of_a_change_takes_one_round_trip)
+{
+  struct keeper_net *net = create_with_successor ();
+
+  keeper_net_replace (net, 0, 2, 3);
+  keeper_net_run (net, ADMISSION_MS);
+  check_member (net, 0);
+  keeper_net_destroy (net);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("keeper_rivals");
+  TCase *c = tcase_create ("keeper_rivals");
+
+  tcase_add_test (c, the_second_value_of_a_change_takes_one_round_trip);
+  suite_add_tcase (s, c);
+  return s;
+}
--- a/test/test_register.c
+++ b/test/test_register.c
@@ -123,6 +123,70 @@
 }
 END_TEST
 
+/* Guards against a ballot between the two of a membership change, after which
+   the second would overwrite a value that was chosen meanwhile.  */
+START_TEST (accepting_a_membership_change_promises_the_next_ballot)
+{
+  struct marjoram_acceptor acceptor = { .value = NULL };
+  const struct marjoram_ballot ballot = { 3, 1, 1 };
+  const struct marjoram_ballot between = { 3, 1, 2 };
+  const struct marjoram_ballot next = marjoram_ballot_next (&ballot);
+  marjoram_value *joint = marjoram_value_create (make_state ("abc", "ade"));
+  marjoram_value *other = marjoram_value_create (make_state ("abc", ""));
+
+  ck_assert_int_lt (marjoram_ballot_compare (&between, &next), 0);
+  ck_assert (marjoram_acceptor_accept (&acceptor, &ballot, joint));
+  ck_assert_int_eq (marjoram_ballot_compare (&acceptor.promised, &next), 0);
+  ck_assert (!marjoram_acceptor_prepare (&acceptor, &between));
+  ck_assert (!marjoram_acceptor_accept (&acceptor, &between, other));
+  /* A repeated request is answered again and changes nothing.  */
+  ck_assert (marjoram_acceptor_accept (&acceptor, &ballot, joint));
+  ck_assert_int_eq (marjoram_ballot_compare (&acceptor.accepted, &ballot), 0);
+  ck_assert_int_eq (marjoram_ballot_compare (&acceptor.promised, &next), 0);
+  ck_assert (marjoram_acceptor_accept (&acceptor, &next, other));
+  ck_assert (!marjoram_acceptor_accept (&acceptor, &ballot, joint));
+  ck_assert_int_eq (marjoram_ballot_compare (&acceptor.promised, &next), 0);
+  marjoram_value_release (acceptor.value);
+  marjoram_value_release (joint);
+  marjoram_value_release (other);
+}
+END_TEST
+
+/* Guards against a second value that is proposed though too few members
+   promised its ballot, as those of an earlier release do not.  */
+START_TEST (the_next_ballot_needs_the_promises_of_a_quorum)
+{
+  static const struct marjoram_ballot ballot = { 3, 1, 1 };
+  static const struct marjoram_ballot before = { 1, 1, 1 };
+  static const struct marjoram_ballot none = { 0, 0, 0 };
+  const struct marjoram_ballot next = marjoram_ballot_next (&ballot);
+  struct marjoram_attempt attempt = { .phase = MARJORAM_PHASE_IDLE };
+  marjoram_value *old = marjoram_value_create (make_state ("abc", ""));
+  marjoram_value *joint = marjoram_value_create (make_state ("abc", "abd"));
+
+  marjoram_attempt_start (&attempt, &ballot);
+  marjoram_attempt_promised (&attempt, "a", "a", &before, old);
+  marjoram_attempt_promised (&attempt, "b", "b", &before, old);
+  marjoram_attempt_propose (&attempt, joint);
+  marjoram_attempt_accepted (&attempt, "a", "a");
+  marjoram_attempt_promised_next (&attempt, "a", "a", &next);
+  marjoram_attempt_accepted (&attempt, "b", "b");
+  marjoram_attempt_promised_next (&attempt, "b", "b", &none);
+  marjoram_attempt_promised_next (&attempt, "d", "d", &ballot);
+  ck_assert (marjoram_attempt_chosen (&attempt));
+  ck_assert (!marjoram_attempt_continue (&attempt));
+  ck_assert_ptr_eq (attempt.proposed, joint);
+  marjoram_attempt_promised_next (&attempt, "b", "b", &next);
+  ck_assert (marjoram_attempt_continue (&attempt));
+  ck_assert_int_eq (marjoram_ballot_compare (&attempt.ballot, &next), 0);
+  ck_assert (marjoram_attempt_read (&attempt, NULL));
+  ck_assert_ptr_eq (attempt.best, joint);
+  marjoram_attempt_stop (&attempt);
+  marjoram_value_release (old);
+  marjoram_value_release (joint);
+}
+END_TEST
+
 /* An initial value must be accepted by all keepers and must not be built upon
    until it is known to be chosen.  With majorities, a keeper that lost its
    disk could help a second initial value to be chosen.  */
@@ -598,6 +662,8 @@
   tcase_add_test (c, quorum_needs_majorities_of_old_and_new);
   tcase_add_test (c, emptied_disk_does_not_count);
   tcase_add_test (c, dropping_old_members_needs_them_too);
+  tcase_add_test (c, accepting_a_membership_change_promises_the_next_ballot);
+  tcase_add_test (c, the_next_ballot_needs_the_promises_of_a_quorum);
   tcase_add_test (c, initial_value_needs_all);
   tcase_add_test (c, replacement_keeps_old_members_beside_new_ones);
   tcase_add_test (c, old_members_stay_until_the_step_is_known_chosen);
