Keepers: a value chosen at a lower ballot ends no wait for another attempt

Two members had asked for the emptied store; it learnt a value that had been chosen meanwhile, took their attempts for ended, started one of its own and outdated both.

A keeper that learnt any value forgot that it knew of another's attempt. It remembers the highest ballot of such an attempt now, and only a value or an attempt with that ballot or a higher one ends the wait.

--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -170,10 +170,10 @@
   marjoram_value_retain (value);
   marjoram_value_release (keeper->previous_chosen);
   keeper->previous_chosen = keeper->chosen;
-  marjoram_keeper_rival_ended (keeper);
+  marjoram_keeper_rival_ended (keeper, ballot);
   /* Its proposer goes on with an attempt that completes the change.  */
   if (marjoram_value_state (value)->next_members.count > 0)
-    keeper->rival_since = keeper->rival_at = keeper->now;
+    marjoram_keeper_note_rival (keeper, NULL, ballot);
   keeper->chosen = value;
   keeper->chosen_ballot = *ballot;
   keeper->deliver_after = ++keeper->sequence;
@@ -198,7 +198,7 @@
 {
   if (marjoram_ballot_compare (&envelope->ballot, &keeper->acceptor.promised)
       >= 0)
-    marjoram_keeper_note_rival (keeper, envelope->slot);
+    marjoram_keeper_note_rival (keeper, envelope->slot, &envelope->ballot);
 }
 
 void
--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -59,20 +59,28 @@
 }
 
 void
-marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot)
+marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot,
+                            const struct marjoram_ballot *ballot)
 {
-  if (strcmp (slot, keeper->slot) == 0)
+  if ((slot && strcmp (slot, keeper->slot) == 0)
+      || marjoram_ballot_compare (ballot, &keeper->rival) < 0)
     return;
-  keeper->rival_at = keeper->now;
   if (keeper->rival_since == 0)
     keeper->rival_since = keeper->now;
+  keeper->rival_at = keeper->now;
+  keeper->rival = *ballot;
 }
 
+/* A lower ballot may be chosen, or end, while that of the rival goes on.  */
 void
-marjoram_keeper_rival_ended (marjoram_keeper *keeper)
+marjoram_keeper_rival_ended (marjoram_keeper *keeper,
+                             const struct marjoram_ballot *ballot)
 {
+  if (marjoram_ballot_compare (ballot, &keeper->rival) < 0)
+    return;
   keeper->rival_since = 0;
   keeper->rival_at = 0;
+  keeper->rival = (struct marjoram_ballot){ 0 };
 }
 
 /* The limit since the first message keeps a busy keeper from starving this
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -123,6 +123,7 @@
   /* First and last message of another keeper's attempt; 0 if none.  */
   int64_t rival_since;
   int64_t rival_at;
+  struct marjoram_ballot rival; /* the highest ballot of such an attempt */
   int64_t deferred_since; /* this keeper's next attempt; 0 if it is not */
   int64_t deferred_ms;    /* before the current attempt */
   int64_t recover_at;     /* 0 if there is no unfinished work */
@@ -200,10 +201,13 @@
 int64_t marjoram_keeper_expected_write_ms (const marjoram_keeper *keeper);
 /* The longest round trip to a keeper that was heard from lately, in ms.  */
 int64_t marjoram_keeper_round_trip_ms (const marjoram_keeper *keeper);
-/* A message of the keeper in SLOT belongs to its attempt or names one.  */
-void marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot);
-/* The other keeper's attempt has ended.  */
-void marjoram_keeper_rival_ended (marjoram_keeper *keeper);
+/* A message of the keeper in SLOT, null if unknown, belongs to its attempt
+   with BALLOT, or names that of a third keeper.  */
+void marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot,
+                                 const struct marjoram_ballot *ballot);
+/* The attempt with BALLOT has ended, and so have those with lower ones.  */
+void marjoram_keeper_rival_ended (marjoram_keeper *keeper,
+                                  const struct marjoram_ballot *ballot);
 bool marjoram_keeper_must_defer (const marjoram_keeper *keeper);
 void marjoram_keeper_start_attempt (marjoram_keeper *keeper);
 /* BY is the keeper that rejected the attempt; null if none did.  */
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -74,7 +74,7 @@
 
   keeper->round = round;
   marjoram_attempt_start (&keeper->attempt, &ballot);
-  marjoram_keeper_rival_ended (keeper);
+  marjoram_keeper_rival_ended (keeper, &ballot);
   keeper->deferred_ms
       = keeper->deferred_since ? keeper->now - keeper->deferred_since : 0;
   keeper->deferred_since = 0;
@@ -375,7 +375,7 @@
       marjoram_attempt_stop (&keeper->attempt);
       marjoram_keeper_learn (keeper, &ballot, value);
     }
-  marjoram_keeper_rival_ended (keeper);
+  marjoram_keeper_rival_ended (keeper, &ballot);
   marjoram_value_release (value);
   marjoram_keeper_answer_attempt_reads (keeper);
 }
@@ -460,7 +460,7 @@
       && may_be_needed (keeper, envelope))
     {
       /* It has promised the ballot of a third keeper.  */
-      marjoram_keeper_note_rival (keeper, envelope->slot);
+      marjoram_keeper_note_rival (keeper, envelope->slot, &envelope->accepted);
       marjoram_keeper_fail_attempt (keeper, MARJORAM_BALLOT_OUTDATED,
                                     envelope->slot);
     }
--- a/test/test_keeper_rivals.c
+++ b/test/test_keeper_rivals.c
@@ -57,6 +57,28 @@
                  (long long)lead_ms);
 }
 
+/* Guards against an attempt for which others stop waiting because a lower
+   ballot is chosen meanwhile.  */
+START_TEST (a_lower_ballot_that_is_chosen_ends_no_other_attempt)
+{
+  for (int64_t lead_ms = 0; lead_ms < 2 * TRIP_MS; lead_ms += STEP_MS)
+    {
+      struct keeper_net *net = create_settled ();
+
+      keeper_net_start_empty (net, 3);
+      keeper_net_run (net, LEARN_MS);
+      keeper_net_begin_change (net, 1);
+      keeper_net_run (net, ONE_WAY_MS + STEP_MS);
+      keeper_net_begin_change (net, 2);
+      keeper_net_run (net, lead_ms);
+      keeper_net_replace (net, 0, 2, 3);
+      keeper_net_run (net, ADMISSION_MS);
+      check_member (net, lead_ms);
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 /* Guards against a membership change whose second value asks the members to
    promise its ballot once more.  */
 START_TEST (the_second_value_of_a_change_takes_one_round_trip)
@@ -76,6 +98,7 @@
   Suite *s = suite_create ("keeper_rivals");
   TCase *c = tcase_create ("keeper_rivals");
 
+  tcase_add_test (c, a_lower_ballot_that_is_chosen_ends_no_other_attempt);
   tcase_add_test (c, the_second_value_of_a_change_takes_one_round_trip);
   suite_add_tcase (s, c);
   return s;
