Keepers: a membership change waits for one that is under way

Members ask for the same change one after the other, the next one after the time in which the first should be done.

Rounds of attempts with a membership change are odd, others even, so that a ballot tells which it is without a further field. The first attempt for a membership change waits for such a one as others do, and none is urgent while the members are changing. Such an attempt gets its whole time also if another was waited for before.

test_keeper_rivals a_membership_change_ends_no_other fails before (an attempt was outdated), passes now. test_keeper passes.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -132,14 +132,24 @@
     }
 }
 
+static bool
+is_changing_members (const marjoram_keeper *keeper)
+{
+  return keeper->chosen
+         && marjoram_value_state (keeper->chosen)->next_members.count > 0;
+}
+
 /* Whether a membership change can be proposed for which no attempt was started
    yet.  The next loss may be near, so its first attempt does not wait for
-   those of others.  */
+   others, but for those with a membership change.  */
 static bool
 has_urgent_change (const marjoram_keeper *keeper)
 {
   const struct marjoram_keeper_request *request;
 
+  if (is_changing_members (keeper)
+      || marjoram_keeper_rival_changes_members (keeper))
+    return false;
   TAILQ_FOREACH (request, &keeper->requests, link)
   if (!request->tried && marjoram_keeper_ready_store (keeper, request))
     return true;
@@ -151,8 +161,7 @@
 {
   const struct marjoram_keeper_request *request;
 
-  if (keeper->chosen && marjoram_keeper_votes (keeper)
-      && marjoram_value_state (keeper->chosen)->next_members.count > 0)
+  if (is_changing_members (keeper) && marjoram_keeper_votes (keeper))
     return true;
   TAILQ_FOREACH (request, &keeper->requests, link)
   if ((request->read && request->needs_ballot) || request->file.name
@@ -164,10 +173,12 @@
 static void
 start_attempt_if_needed (marjoram_keeper *keeper)
 {
+  const bool urgent = has_urgent_change (keeper);
+
   if (keeper->attempt.phase != MARJORAM_PHASE_IDLE || !attempt_needed (keeper))
     return;
   if (keeper->now >= keeper->retry_at
-      && (!marjoram_keeper_must_defer (keeper) || has_urgent_change (keeper)))
+      && (!marjoram_keeper_must_defer (keeper) || urgent))
     marjoram_keeper_start_attempt (keeper);
   else if (keeper->deferred_since == 0)
     keeper->deferred_since = keeper->now;
--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -58,6 +58,20 @@
          + marjoram_keeper_decision_ms (keeper);
 }
 
+/* Rounds of attempts with a membership change are odd, so that others know it
+   from the ballot alone.  */
+static bool
+is_membership_change (const struct marjoram_ballot *ballot)
+{
+  return ballot->round % 2 == 1;
+}
+
+uint64_t
+marjoram_keeper_mark_round (uint64_t round, bool membership_change)
+{
+  return (round % 2 == 1) == membership_change ? round : round + 1;
+}
+
 void
 marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot,
                             const struct marjoram_ballot *ballot)
@@ -65,7 +79,9 @@
   if ((slot && strcmp (slot, keeper->slot) == 0)
       || marjoram_ballot_compare (ballot, &keeper->rival) < 0)
     return;
-  if (keeper->rival_since == 0)
+  if (keeper->rival_since == 0
+      || (is_membership_change (ballot)
+          && !is_membership_change (&keeper->rival)))
     keeper->rival_since = keeper->now;
   keeper->rival_at = keeper->now;
   keeper->rival = *ballot;
@@ -83,6 +99,12 @@
   keeper->rival = (struct marjoram_ballot){ 0 };
 }
 
+bool
+marjoram_keeper_rival_changes_members (const marjoram_keeper *keeper)
+{
+  return keeper->rival_since != 0 && is_membership_change (&keeper->rival);
+}
+
 /* The limit since the first message keeps a busy keeper from starving this
    one.  */
 bool
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -208,7 +208,13 @@
 /* The attempt with BALLOT has ended, and so have those with lower ones.  */
 void marjoram_keeper_rival_ended (marjoram_keeper *keeper,
                                   const struct marjoram_ballot *ballot);
+/* Whether another keeper's attempt is known that is for a membership
+   change.  */
+bool marjoram_keeper_rival_changes_members (const marjoram_keeper *keeper);
 bool marjoram_keeper_must_defer (const marjoram_keeper *keeper);
+/* The first round from ROUND on that is of an attempt with a membership
+   change, or of one without.  */
+uint64_t marjoram_keeper_mark_round (uint64_t round, bool membership_change);
 void marjoram_keeper_start_attempt (marjoram_keeper *keeper);
 /* BY is the keeper that rejected the attempt; null if none did.  */
 void marjoram_keeper_fail_attempt (marjoram_keeper *keeper,
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -59,8 +59,12 @@
 static uint64_t
 next_round (const marjoram_keeper *keeper)
 {
-  return keeper->round + 1 + (uint64_t)keeper->failures
-         + (has_membership_change (keeper) ? MEMBERSHIP_ROUNDS : 0);
+  const bool change = has_membership_change (keeper);
+
+  return marjoram_keeper_mark_round (keeper->round + 1
+                                         + (uint64_t)keeper->failures
+                                         + (change ? MEMBERSHIP_ROUNDS : 0),
+                                     change);
 }
 
 void
--- a/test/test_keeper_rivals.c
+++ b/test/test_keeper_rivals.c
@@ -79,6 +79,29 @@
 }
 END_TEST
 
+/* Guards against members that ask for the same change one after the other and
+   outdate one another's attempts, also between the two values of the
+   change.  */
+START_TEST (a_membership_change_ends_no_other)
+{
+  for (int64_t lead_ms = ONE_WAY_MS + WRITE_MS; lead_ms < 5 * TRIP_MS;
+       lead_ms += STEP_MS)
+    {
+      struct keeper_net *net = create_with_successor ();
+      int outdated = keeper_net_ballots (net, MARJORAM_BALLOT_OUTDATED);
+
+      keeper_net_replace (net, 0, 2, 3);
+      keeper_net_run (net, lead_ms);
+      keeper_net_replace (net, 1, 2, 3);
+      keeper_net_run (net, ADMISSION_MS);
+      check_member (net, lead_ms);
+      ck_assert_int_eq (keeper_net_ballots (net, MARJORAM_BALLOT_OUTDATED),
+                        outdated);
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 /* Guards against a membership change whose second value asks the members to
    promise its ballot once more.  */
 START_TEST (the_second_value_of_a_change_takes_one_round_trip)
@@ -99,6 +122,7 @@
   TCase *c = tcase_create ("keeper_rivals");
 
   tcase_add_test (c, a_lower_ballot_that_is_chosen_ends_no_other_attempt);
+  tcase_add_test (c, a_membership_change_ends_no_other);
   tcase_add_test (c, the_second_value_of_a_change_takes_one_round_trip);
   suite_add_tcase (s, c);
   return s;
