Keepers: an empty store reads without a ballot of its own

Without a state a store that is not of the first keepers starts no attempt: it is sent the state. The reads that it got before are then confirmed as all others are. A read also waits for an answer that a lost packet delays (three round trips and 0.2 s, 0.4 s at least) before it starts a ballot.

test_keeper_rivals an_empty_store_reads_without_a_ballot fails before (2 attempts more), passes now. test_keeper with its reads passes.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -161,6 +161,10 @@
 {
   const struct marjoram_keeper_request *request;
 
+  /* An empty store is sent the state of the others, and has nothing to build
+     on before.  */
+  if (!marjoram_keeper_current_value (keeper) && keeper->first_count == 0)
+    return false;
   if (is_changing_members (keeper) && marjoram_keeper_votes (keeper))
     return true;
   TAILQ_FOREACH (request, &keeper->requests, link)
--- a/src/keeper_accept.c
+++ b/src/keeper_accept.c
@@ -169,6 +169,8 @@
     return;
   marjoram_value_retain (value);
   marjoram_value_release (keeper->previous_chosen);
+  if (!keeper->chosen)
+    marjoram_keeper_first_learnt (keeper);
   keeper->previous_chosen = keeper->chosen;
   marjoram_keeper_rival_ended (keeper, ballot);
   /* Its proposer goes on with an attempt that completes the change.  */
--- a/src/keeper_confirm.c
+++ b/src/keeper_confirm.c
@@ -134,23 +134,44 @@
     marjoram_keeper_confirm (keeper, keeper->now);
 }
 
+/* Reads that were received before are confirmed as those after it.  */
+void
+marjoram_keeper_first_learnt (marjoram_keeper *keeper)
+{
+  struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (request->read)
+    {
+      request->received_at = keeper->now;
+      request->needs_ballot = false;
+    }
+}
+
+static int64_t
+round_limit_ms (const marjoram_keeper *keeper)
+{
+  const int64_t answer_ms = marjoram_keeper_answer_ms (keeper);
+
+  return answer_ms > MARJORAM_KEEPER_CONFIRM_ROUND_MS
+             ? answer_ms
+             : MARJORAM_KEEPER_CONFIRM_ROUND_MS;
+}
+
 /* Repeats a round whose messages were lost.  An attempt also succeeds where a
    value was accepted that nobody completes, and among keepers of an earlier
    release, which do not answer a round.  */
 void
 marjoram_keeper_tick_reads (marjoram_keeper *keeper)
 {
+  const int64_t limit_ms = round_limit_ms (keeper);
   const struct marjoram_keeper_confirm *confirm = &keeper->confirm;
   struct marjoram_keeper_request *request;
 
   TAILQ_FOREACH (request, &keeper->requests, link)
-  if (request->read
-      && keeper->now
-             >= request->received_at + MARJORAM_KEEPER_CONFIRM_ROUND_MS)
+  if (request->read && keeper->now >= request->received_at + limit_ms)
     request->needs_ballot = true;
   if (has_reads_after (keeper, 0)
-      && (!confirm->active
-          || keeper->now
-                 >= confirm->started_at + MARJORAM_KEEPER_CONFIRM_ROUND_MS))
+      && (!confirm->active || keeper->now >= confirm->started_at + limit_ms))
     marjoram_keeper_confirm (keeper, keeper->now);
 }
--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -105,16 +105,21 @@
   return keeper->rival_since != 0 && is_membership_change (&keeper->rival);
 }
 
+int64_t
+marjoram_keeper_answer_ms (const marjoram_keeper *keeper)
+{
+  return DEFER_ROUND_TRIPS * marjoram_keeper_round_trip_ms (keeper)
+         + RETRANSMISSION_MS;
+}
+
 /* The limit since the first message keeps a busy keeper from starving this
    one.  */
 bool
 marjoram_keeper_must_defer (const marjoram_keeper *keeper)
 {
-  const int64_t pause_ms
-      = MARJORAM_KEEPER_DEFER_WRITES
-            * marjoram_keeper_expected_write_ms (keeper)
-        + DEFER_ROUND_TRIPS * marjoram_keeper_round_trip_ms (keeper)
-        + RETRANSMISSION_MS;
+  const int64_t pause_ms = MARJORAM_KEEPER_DEFER_WRITES
+                               * marjoram_keeper_expected_write_ms (keeper)
+                           + marjoram_keeper_answer_ms (keeper);
 
   return keeper->rival_since != 0 && keeper->now < keeper->rival_at + pause_ms
          && keeper->now < keeper->rival_since + ATTEMPT_MESSAGES * pause_ms;
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -26,8 +26,9 @@
   /* How many writes a keeper leaves to another's attempt after each message of
      it.  */
   MARJORAM_KEEPER_DEFER_WRITES = 3,
-  /* A round of confirmation is repeated after this, and a read that is not
-     confirmed by then also starts an attempt.  */
+  /* A round of confirmation is repeated after this or, where an answer may
+     take longer, after that, and a read that is not confirmed by then also
+     starts an attempt.  */
   MARJORAM_KEEPER_CONFIRM_ROUND_MS = 400,
   MARJORAM_KEEPER_BACKOFF_MS = 30,
   MARJORAM_KEEPER_RECOVERY_DELAY_MS = 1000,
@@ -196,11 +197,15 @@
 void marjoram_keeper_start_read (marjoram_keeper *keeper,
                                  struct marjoram_keeper_request *request);
 void marjoram_keeper_tick_reads (marjoram_keeper *keeper);
+/* Notes that the first state that is known to be chosen was learnt.  */
+void marjoram_keeper_first_learnt (marjoram_keeper *keeper);
 /* keeper_defer.c: when an attempt is left to another keeper.  */
 /* The duration to expect of a write, in ms.  */
 int64_t marjoram_keeper_expected_write_ms (const marjoram_keeper *keeper);
 /* The longest round trip to a keeper that was heard from lately, in ms.  */
 int64_t marjoram_keeper_round_trip_ms (const marjoram_keeper *keeper);
+/* The time for an answer, with a lost packet on its way, in ms.  */
+int64_t marjoram_keeper_answer_ms (const marjoram_keeper *keeper);
 /* A message of the keeper in SLOT, null if unknown, belongs to its attempt
    with BALLOT, or names that of a third keeper.  */
 void marjoram_keeper_note_rival (marjoram_keeper *keeper, const char *slot,
--- a/test/test_keeper_rivals.c
+++ b/test/test_keeper_rivals.c
@@ -49,6 +49,16 @@
   return net;
 }
 
+static int
+count_attempts (const struct keeper_net *net)
+{
+  int count = 0;
+
+  for (int end = 0; end < MARJORAM_BALLOT_END_COUNT; end++)
+    count += keeper_net_ballots (net, (enum marjoram_ballot_end)end);
+  return count;
+}
+
 static void
 check_member (const struct keeper_net *net, int64_t lead_ms)
 {
@@ -102,6 +112,22 @@
 }
 END_TEST
 
+/* Guards against a store that outdates others' attempts because it is asked to
+   read before it has learnt the state.  */
+START_TEST (an_empty_store_reads_without_a_ballot)
+{
+  struct keeper_net *net = create_settled ();
+  int attempts;
+
+  keeper_net_start_empty (net, 3);
+  attempts = count_attempts (net);
+  ck_assert_int_ge (keeper_net_read (net, 3, WAIT_LIMIT_MS), 0);
+  keeper_net_run (net, LEARN_MS);
+  ck_assert_int_eq (count_attempts (net), attempts);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against a membership change whose second value asks the members to
    promise its ballot once more.  */
 START_TEST (the_second_value_of_a_change_takes_one_round_trip)
@@ -123,6 +149,7 @@
 
   tcase_add_test (c, a_lower_ballot_that_is_chosen_ends_no_other_attempt);
   tcase_add_test (c, a_membership_change_ends_no_other);
+  tcase_add_test (c, an_empty_store_reads_without_a_ballot);
   tcase_add_test (c, the_second_value_of_a_change_takes_one_round_trip);
   suite_add_tcase (s, c);
   return s;
