Keepers: lost packets do not lengthen the time that is left to a rival

A keeper leaves another's attempt three round trips, the time of a lost packet and three writes.

The shortest of the last eight round trips counts; the time of a lost packet is added anyway.

test_keeper_rivals slow_answers_do_not_lengthen_the_time_left_to_a_rival fails before, passes now. test_keeper passes.

--- a/src/keeper_defer.c
+++ b/src/keeper_defer.c
@@ -45,9 +45,10 @@
   int64_t highest = 0;
 
   TAILQ_FOREACH (peer, &keeper->peers, link)
-  if (peer->slot && peer->round_trip_ms > highest
-      && peer->last_seen_at >= keeper->now - MARJORAM_KEEPER_PEER_TIMEOUT_MS)
-    highest = peer->round_trip_ms;
+  if (peer->slot
+      && peer->last_seen_at >= keeper->now - MARJORAM_KEEPER_PEER_TIMEOUT_MS
+      && marjoram_keeper_peer_round_trip_ms (peer) > highest)
+    highest = marjoram_keeper_peer_round_trip_ms (peer);
   return highest < ROUND_TRIP_MAX_MS ? highest : ROUND_TRIP_MAX_MS;
 }
 
--- a/src/keeper_peer.c
+++ b/src/keeper_peer.c
@@ -4,12 +4,6 @@
 
 #include <string.h>
 
-enum
-{
-  /* Round trips are smoothed exponentially with a weight of 1 / this.  */
-  ROUND_TRIP_DIVISOR = 4
-};
-
 struct marjoram_keeper_peer *
 marjoram_keeper_peers_find (const struct marjoram_keeper_peers *peers,
                             const char *store_id)
@@ -83,7 +77,6 @@
   peer->seen.store_id = marjoram_strdup (store_id);
   peer->last_seen_at = INT64_MIN;
   peer->echo = INT64_MIN;
-  peer->round_trip_ms = -1;
   peer->state_sent_at = INT64_MIN;
   peer->large_sent_at = INT64_MIN;
   TAILQ_INSERT_TAIL (peers, peer, link);
@@ -150,10 +143,20 @@
 marjoram_keeper_peer_add_round_trip (struct marjoram_keeper_peer *peer,
                                      int64_t ms)
 {
-  if (peer->round_trip_ms < 0)
-    peer->round_trip_ms = ms;
-  else
-    peer->round_trip_ms += (ms - peer->round_trip_ms) / ROUND_TRIP_DIVISOR;
+  peer->round_trips_ms[peer->round_trips % MARJORAM_KEEPER_ROUND_TRIPS] = ms;
+  peer->round_trips++;
+}
+
+int64_t
+marjoram_keeper_peer_round_trip_ms (const struct marjoram_keeper_peer *peer)
+{
+  int64_t shortest = peer->round_trips > 0 ? peer->round_trips_ms[0] : 0;
+
+  for (size_t i = 1; i < peer->round_trips && i < MARJORAM_KEEPER_ROUND_TRIPS;
+       i++)
+    if (peer->round_trips_ms[i] < shortest)
+      shortest = peer->round_trips_ms[i];
+  return shortest;
 }
 
 bool
--- a/src/keeper_peer.h
+++ b/src/keeper_peer.h
@@ -7,6 +7,11 @@
 
 #include <sys/queue.h>
 
+enum
+{
+  MARJORAM_KEEPER_ROUND_TRIPS = 8 /* how many are kept of each peer */
+};
+
 struct marjoram_keeper_peer
 {
   TAILQ_ENTRY (marjoram_keeper_peer) link;
@@ -14,7 +19,9 @@
   char *slot; /* null until heard from since our start */
   int64_t last_seen_at;
   int64_t echo; /* when the last heartbeat that it answered was sent */
-  int64_t round_trip_ms;  /* smoothed; -1 before the first answer */
+  /* Round trips of the last heartbeats that it answered.  */
+  int64_t round_trips_ms[MARJORAM_KEEPER_ROUND_TRIPS];
+  size_t round_trips;     /* how many were measured, ever */
   int64_t state_sent_at;  /* when a state was last sent to it, or INT64_MIN */
   uint64_t number;        /* of the latest chosen state that it delivered */
   bool knows_incarnation; /* it has seen this incarnation of our store */
@@ -52,6 +59,10 @@
 /* Records that PEER answered a heartbeat MS after it was sent.  */
 void marjoram_keeper_peer_add_round_trip (struct marjoram_keeper_peer *peer,
                                           int64_t ms);
+/* The shortest of the latest round trips to PEER, in ms: lost packets and
+   stalls only lengthen them.  0 before the first one.  */
+int64_t
+marjoram_keeper_peer_round_trip_ms (const struct marjoram_keeper_peer *peer);
 /* Whether the last large message to PEER may still be in flight: no heartbeat
    sent after it has been answered.  */
 bool marjoram_keeper_peer_is_busy (const struct marjoram_keeper_peer *peer);
--- a/test/test_keeper_rivals.c
+++ b/test/test_keeper_rivals.c
@@ -128,6 +128,33 @@
 }
 END_TEST
 
+/* Guards against keepers that leave a rival more and more time because packets
+   were lost before.  */
+START_TEST (slow_answers_do_not_lengthen_the_time_left_to_a_rival)
+{
+  const int64_t stall_ms = 400;
+  const int samples = 4;
+  struct keeper_net *net = create_settled ();
+
+  for (int i = 0; i < samples; i++)
+    {
+      keeper_net_greet (net, 0);
+      keeper_net_run (net, ONE_WAY_MS);
+      keeper_net_stall (net, 0, true);
+      keeper_net_run (net, stall_ms);
+      keeper_net_stall (net, 0, false);
+      keeper_net_run (net, TRIP_MS);
+    }
+  keeper_net_begin_change (net, 1);
+  keeper_net_run (net, ONE_WAY_MS + 1);
+  keeper_net_stop (net, 1);
+  keeper_net_begin_change (net, 0);
+  keeper_net_run (net, PAUSE_MS + TICK_MS + ATTEMPT_MS + WRITE_MS);
+  ck_assert_int_eq (keeper_net_changes_accepted (net), 1);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against a membership change whose second value asks the members to
    promise its ballot once more.  */
 START_TEST (the_second_value_of_a_change_takes_one_round_trip)
@@ -150,6 +177,7 @@
   tcase_add_test (c, a_lower_ballot_that_is_chosen_ends_no_other_attempt);
   tcase_add_test (c, a_membership_change_ends_no_other);
   tcase_add_test (c, an_empty_store_reads_without_a_ballot);
+  tcase_add_test (c, slow_answers_do_not_lengthen_the_time_left_to_a_rival);
   tcase_add_test (c, the_second_value_of_a_change_takes_one_round_trip);
   suite_add_tcase (s, c);
   return s;
