Keepers tell that an attempt has ended without a value

A ballot that only reads proposes nothing when nothing is to be proposed, and said so to nobody: the others waited for its next message.

The other keepers are told. Earlier releases ignore the message.

test_keeper_rivals an_attempt_without_a_value_delays_others_only_while_it_lasts fails before (885 ms where 560 are allowed), passes now. test_keeper passes.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -129,6 +129,9 @@
     case MARJORAM_KEEPER_CONFIRMED:
       marjoram_keeper_on_confirmed (keeper, envelope);
       break;
+    case MARJORAM_KEEPER_ENDED:
+      marjoram_keeper_rival_ended (keeper, &envelope->ballot);
+      break;
     }
 }
 
@@ -432,7 +435,7 @@
   marjoram_value *value = NULL;
 
   keeper->now = now;
-  if (!message->store_id || message->kind > MARJORAM_KEEPER_CONFIRMED)
+  if (!message->store_id || message->kind > MARJORAM_KEEPER_ENDED)
     return;
   /* Answers the previous incarnation, whose clock may have been another.  */
   if (message->kind == MARJORAM_KEEPER_CONFIRMED
--- a/src/keeper_message.h
+++ b/src/keeper_message.h
@@ -9,15 +9,18 @@
 {
   MARJORAM_KEEPER_HEARTBEAT, /* sent once a second */
   MARJORAM_KEEPER_HEARTBEAT_REPLY,
-  MARJORAM_KEEPER_PREPARE,  /* ballot */
-  MARJORAM_KEEPER_PROMISE,  /* ballot, accepted ballot and value */
-  MARJORAM_KEEPER_REJECT,   /* requested ballot; accepted: the promised one */
-  MARJORAM_KEEPER_ACCEPT,   /* ballot, value */
-  MARJORAM_KEEPER_ACCEPTED, /* ballot; accepted: the promised one */
-  MARJORAM_KEEPER_CHOSEN,   /* ballot whose value is chosen */
-  MARJORAM_KEEPER_LEARN,    /* ballot and value that is chosen */
-  MARJORAM_KEEPER_CONFIRM,  /* echo */
-  MARJORAM_KEEPER_CONFIRMED /* echo of the CONFIRM, held number */
+  MARJORAM_KEEPER_PREPARE,   /* ballot */
+  MARJORAM_KEEPER_PROMISE,   /* ballot, accepted ballot and value */
+  MARJORAM_KEEPER_REJECT,    /* requested ballot; accepted: the promised one */
+  MARJORAM_KEEPER_ACCEPT,    /* ballot, value */
+  MARJORAM_KEEPER_ACCEPTED,  /* ballot; accepted: the promised one */
+  MARJORAM_KEEPER_CHOSEN,    /* ballot whose value is chosen */
+  MARJORAM_KEEPER_LEARN,     /* ballot and value that is chosen */
+  MARJORAM_KEEPER_CONFIRM,   /* echo */
+  MARJORAM_KEEPER_CONFIRMED, /* echo of the CONFIRM, held number */
+  /* Ballot of an attempt that ended without a value.  Unknown to earlier
+     releases, which ignore it.  */
+  MARJORAM_KEEPER_ENDED
 };
 
 /* Encoding of a value in a message.  A peer that does not announce the
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -343,6 +343,7 @@
       return;
     }
   marjoram_value_release (value);
+  broadcast_ballot (keeper, MARJORAM_KEEPER_ENDED);
   stop_attempt (keeper, MARJORAM_BALLOT_COMPLETED, NULL);
   keeper->retry_at = keeper->now + MARJORAM_KEEPER_BACKOFF_MS;
   marjoram_keeper_answer_attempt_reads (keeper);
--- a/test/test_keeper_rivals.c
+++ b/test/test_keeper_rivals.c
@@ -155,6 +155,31 @@
 }
 END_TEST
 
+/* Guards against keepers that wait for a rival whose attempt has ended without
+   a value.  */
+START_TEST (an_attempt_without_a_value_delays_others_only_while_it_lasts)
+{
+  for (int64_t lead_ms = 0; lead_ms < LEARN_MS; lead_ms += TICK_MS / 2)
+    {
+      struct keeper_net *net = create_settled ();
+      int64_t elapsed_ms;
+
+      /* The read needs a ballot in the end, as its confirmation is lost.  */
+      keeper_net_mute (net, 1, true);
+      keeper_net_begin_read (net, 1);
+      keeper_net_run (net, PAUSE_MS + TICK_MS);
+      keeper_net_mute (net, 1, false);
+      keeper_net_run (net, lead_ms);
+      elapsed_ms = keeper_net_change (net, 0, "x", WAIT_LIMIT_MS);
+      ck_assert_int_ge (elapsed_ms, 0);
+      ck_assert_msg (elapsed_ms <= 2 * ATTEMPT_MS + TICK_MS,
+                     "lead of %lld ms: answered after %lld ms",
+                     (long long)lead_ms, (long long)elapsed_ms);
+      keeper_net_destroy (net);
+    }
+}
+END_TEST
+
 /* Guards against a membership change whose second value asks the members to
    promise its ballot once more.  */
 START_TEST (the_second_value_of_a_change_takes_one_round_trip)
@@ -178,6 +203,8 @@
   tcase_add_test (c, a_membership_change_ends_no_other);
   tcase_add_test (c, an_empty_store_reads_without_a_ballot);
   tcase_add_test (c, slow_answers_do_not_lengthen_the_time_left_to_a_rival);
+  tcase_add_test (
+      c, an_attempt_without_a_value_delays_others_only_while_it_lasts);
   tcase_add_test (c, the_second_value_of_a_change_takes_one_round_trip);
   suite_add_tcase (s, c);
   return s;
