Keepers: a new store leaves ballots to the members that are to admit it

While a member is missed, a store that has started empty starts no attempt for repair_within_s after it has learnt the state, unless it is asked for the change of members itself. A spare store among members that are all heard is not kept from it.

test_keeper_rivals a_new_store_leaves_ballots_to_the_members fails before, passes now. test_keeper passes.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -159,6 +159,36 @@
   return false;
 }
 
+/* Whether a member of the chosen state is silent, or its slot has another
+   store.  */
+static bool
+misses_member (const marjoram_keeper *keeper)
+{
+  const struct marjoram_state *state = marjoram_value_state (keeper->chosen);
+  const struct marjoram_keeper_member *members = state->members.items;
+
+  for (size_t i = 0; i < state->members.count; i++)
+    {
+      const char *store = marjoram_keeper_store_in_slot (
+          keeper, members[i].slot, MARJORAM_KEEPER_PEER_TIMEOUT_MS);
+
+      if (!store || strcmp (store, members[i].store_id) != 0)
+        return true;
+    }
+  return false;
+}
+
+/* Whether this store started empty and the others are to make it a member in
+   place of one that was lost.  Its own attempts would be in the way of
+   that.  */
+static bool
+awaits_admission (const marjoram_keeper *keeper)
+{
+  return keeper->first_learnt_at != 0
+         && keeper->now < keeper->first_learnt_at + keeper->admission_ms
+         && !marjoram_keeper_is_member (keeper) && misses_member (keeper);
+}
+
 static bool
 attempt_needed (const marjoram_keeper *keeper)
 {
@@ -182,7 +212,8 @@
 {
   const bool urgent = has_urgent_change (keeper);
 
-  if (keeper->attempt.phase != MARJORAM_PHASE_IDLE || !attempt_needed (keeper))
+  if (keeper->attempt.phase != MARJORAM_PHASE_IDLE || !attempt_needed (keeper)
+      || (awaits_admission (keeper) && !urgent))
     return;
   if (keeper->now >= keeper->retry_at
       && (!marjoram_keeper_must_defer (keeper) || urgent))
@@ -245,6 +276,7 @@
   keeper->first = copy_slots (options->first, options->first_count);
   keeper->first_count = options->first_count;
   keeper->incarnation = options->incarnation;
+  keeper->admission_ms = options->admission_ms;
   keeper->empty_bytes = marjoram_bytes_create (NULL, 0);
   TAILQ_INIT (&keeper->peers);
   TAILQ_INIT (&keeper->requests);
@@ -634,7 +666,8 @@
 {
   if (keeper->attempt.phase == MARJORAM_PHASE_IDLE)
     {
-      if (!marjoram_keeper_must_defer (keeper) && recovery_due (keeper))
+      if (!awaits_admission (keeper) && !marjoram_keeper_must_defer (keeper)
+          && recovery_due (keeper))
         marjoram_keeper_start_attempt (keeper);
     }
   else if (keeper->now >= keeper->started_at + attempt_timeout_ms (keeper))
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -87,7 +87,9 @@
   const char *store_id;     /* generated when the store is created */
   const char *const *first; /* slots of the initial members */
   size_t first_count;
-  uint64_t incarnation;   /* distinguishes ballots across restarts */
+  uint64_t incarnation; /* distinguishes ballots across restarts */
+  int64_t admission_ms; /* how long a new store leaves ballots to the members,
+                           which make it one of them; 0: not at all */
   marjoram_bytes *record; /* stored record; null for a new store */
 };
 
--- a/src/keeper_confirm.c
+++ b/src/keeper_confirm.c
@@ -140,6 +140,7 @@
 {
   struct marjoram_keeper_request *request;
 
+  keeper->first_learnt_at = keeper->now;
   TAILQ_FOREACH (request, &keeper->requests, link)
   if (request->read)
     {
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -100,11 +100,12 @@
   int64_t write_ms;  /* duration of the last write */
   bool write_failed; /* the last write failed: memory is ahead of the disk */
   int64_t write_retry_at;
-  bool rolled_back;   /* the store was restored from an older copy */
-  bool confirmed;     /* a majority has seen this incarnation */
-  int64_t confirm_by; /* when one peer is enough; 0 before the first event */
-  bool bootstrapped;  /* a state beyond the initial one exists */
-  bool answering;     /* the owner is in its callback for an answer */
+  bool rolled_back;     /* the store was restored from an older copy */
+  bool confirmed;       /* a majority has seen this incarnation */
+  int64_t confirm_by;   /* when one peer is enough; 0 before the first event */
+  bool bootstrapped;    /* a state beyond the initial one exists */
+  bool answering;       /* the owner is in its callback for an answer */
+  int64_t admission_ms; /* as in the options */
   int64_t
       first_learnt_at; /* the first state, by this store; 0 if it had one */
 
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -611,6 +611,7 @@
   options.slot = settings->ip;
   options.store_id = marjoram_disk_id (self->disk);
   options.incarnation = marjoram_disk_incarnation (self->disk);
+  options.admission_ms = repair_within_ms (self);
   options.record = marjoram_disk_read (self->disk);
   /* Only on the first start of the deployment: an empty keeper that joins
      later must not help to bootstrap a second initial state.  */
--- a/test/lib_keeper_net.c
+++ b/test/lib_keeper_net.c
@@ -246,6 +246,7 @@
           .store_id = node->store_id,
           .first = first,
           .first_count = first_start ? (size_t)net->options.keepers : 0,
+          .admission_ms = net->options.repair_within_ms,
           .incarnation = ++node->incarnation };
 
   if (node->stores++ == 0)
--- a/test/test_fuzz_message.c
+++ b/test/test_fuzz_message.c
@@ -129,8 +129,11 @@
   static const struct marjoram_orders_options orders_options
       = { 3, 0, 5, 1000, 1000 };
   static const char *const first[] = { "hba-1-a", "hba-1-b", "hba-1-c" };
-  const struct marjoram_keeper_options keeper_options
-      = { "hba-1-a", "store", first, 3, 1, NULL };
+  const struct marjoram_keeper_options keeper_options = { .slot = "hba-1-a",
+                                                          .store_id = "store",
+                                                          .first = first,
+                                                          .first_count = 3,
+                                                          .incarnation = 1 };
 
   host->random = marjoram_random_create (1);
   host->claims = marjoram_claims_create (&claims_options, &claims_ops, host);
--- a/test/test_keeper_rivals.c
+++ b/test/test_keeper_rivals.c
@@ -18,6 +18,7 @@
   /* What a keeper leaves another's attempt after a message of it.  */
   PAUSE_MS = 3 * TRIP_MS + 200 + 3 * WRITE_MS,
   TICK_MS = 100,
+  ADMITTED_WITHIN_MS = 4000,
   SETTLE_MS = 8000,
   LEARN_MS = 1000,
   STEP_MS = 10,
@@ -27,9 +28,12 @@
 static struct keeper_net *
 create_settled (void)
 {
-  static const struct keeper_net_options options = {
-    .keepers = 3, .spares = 1, .one_way_ms = ONE_WAY_MS, .write_ms = WRITE_MS
-  };
+  static const struct keeper_net_options options
+      = { .keepers = 3,
+          .spares = 1,
+          .one_way_ms = ONE_WAY_MS,
+          .write_ms = WRITE_MS,
+          .repair_within_ms = ADMITTED_WITHIN_MS };
   struct keeper_net *net = keeper_net_create (&options);
 
   keeper_net_run (net, SETTLE_MS);
@@ -180,6 +184,23 @@
 }
 END_TEST
 
+/* Guards against a store that outdates its own admission by changes of files:
+   it leaves ballots to the members, but not for ever.  */
+START_TEST (a_new_store_leaves_ballots_to_the_members)
+{
+  struct keeper_net *net = create_with_successor ();
+  int attempts = count_attempts (net);
+
+  keeper_net_begin_change (net, 3);
+  keeper_net_run (net, PAUSE_MS);
+  ck_assert_int_eq (count_attempts (net), attempts);
+  ck_assert_int_eq (keeper_net_changes_accepted (net), 0);
+  keeper_net_run (net, ADMITTED_WITHIN_MS);
+  ck_assert_int_eq (keeper_net_changes_accepted (net), 1);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against a membership change whose second value asks the members to
    promise its ballot once more.  */
 START_TEST (the_second_value_of_a_change_takes_one_round_trip)
@@ -205,6 +226,7 @@
   tcase_add_test (c, slow_answers_do_not_lengthen_the_time_left_to_a_rival);
   tcase_add_test (
       c, an_attempt_without_a_value_delays_others_only_while_it_lasts);
+  tcase_add_test (c, a_new_store_leaves_ballots_to_the_members);
   tcase_add_test (c, the_second_value_of_a_change_takes_one_round_trip);
   suite_add_tcase (s, c);
   return s;
--- a/test/test_register.c
+++ b/test/test_register.c
@@ -371,8 +371,12 @@
   static const char *const first[FIRST] = { "k0", "k1", "k2" };
   struct peer *peer = &net->peers[index];
   const struct marjoram_keeper_options options
-      = { peer->slot, peer->store_id,      first,
-          FIRST,      ++peer->incarnation, peer->record };
+      = { .slot = peer->slot,
+          .store_id = peer->store_id,
+          .first = first,
+          .first_count = FIRST,
+          .incarnation = ++peer->incarnation,
+          .record = peer->record };
 
   peer->keeper
       = marjoram_keeper_create (&options, &ops, peer, net->random, NULL);
