Keepers: files wait for the answer of a store that is to be a member

Changes of files and reads wait for that answer, for as long as one may take with a lost packet.

test_keeper_rivals files_wait_for_the_answer_of_a_new_store fails before, passes now.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -189,6 +189,22 @@
          && !marjoram_keeper_is_member (keeper) && misses_member (keeper);
 }
 
+/* Whether a membership change was requested and its store has not had the time
+   to answer yet.  Changes of files would be in its way.  */
+static bool
+awaits_new_member (const marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (request->new && !request->tried
+      && !marjoram_keeper_ready_store (keeper, request)
+      && keeper->now
+             < request->received_at + marjoram_keeper_answer_ms (keeper))
+    return true;
+  return false;
+}
+
 static bool
 attempt_needed (const marjoram_keeper *keeper)
 {
@@ -200,6 +216,8 @@
     return false;
   if (is_changing_members (keeper) && marjoram_keeper_votes (keeper))
     return true;
+  if (awaits_new_member (keeper))
+    return false;
   TAILQ_FOREACH (request, &keeper->requests, link)
   if ((request->read && request->needs_ballot) || request->file.name
       || marjoram_keeper_ready_store (keeper, request))
--- a/test/test_keeper_rivals.c
+++ b/test/test_keeper_rivals.c
@@ -201,6 +201,25 @@
 }
 END_TEST
 
+/* Guards against a change of files that its keeper begins while it waits for
+   the answer of the store that is to be a member.  */
+START_TEST (files_wait_for_the_answer_of_a_new_store)
+{
+  const int64_t late_ms = 20;
+  struct keeper_net *net = create_with_successor ();
+
+  keeper_net_replace (net, 0, 2, 3);
+  keeper_net_begin_change (net, 0);
+  keeper_net_run (net, ONE_WAY_MS - 1);
+  keeper_net_stall (net, 3, true);
+  keeper_net_run (net, late_ms + 1);
+  keeper_net_stall (net, 3, false);
+  keeper_net_run (net, ADMISSION_MS - ONE_WAY_MS);
+  check_member (net, 0);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against a membership change whose second value asks the members to
    promise its ballot once more.  */
 START_TEST (the_second_value_of_a_change_takes_one_round_trip)
@@ -227,6 +246,7 @@
   tcase_add_test (
       c, an_attempt_without_a_value_delays_others_only_while_it_lasts);
   tcase_add_test (c, a_new_store_leaves_ballots_to_the_members);
+  tcase_add_test (c, files_wait_for_the_answer_of_a_new_store);
   tcase_add_test (c, the_second_value_of_a_change_takes_one_round_trip);
   suite_add_tcase (s, c);
   return s;
