Keepers: a store counts as a member for quotas once that is decided

A store that takes a lost member's place takes over its part of the customers' quotas 3 s after it counts as a member, as the one before may grant for 2.5 s after its last confirmation. It counted from its own acceptance of the change. If the decision came over 0.5 s later, two keepers could have granted the same units. Found by reading; not seen.

It counts from the state that is known to be chosen, and no longer than the latest accepted one names it.

test_keeper_catch_up a_store_is_no_member_before_that_is_decided shows the step that this follows (it passed before); gateway-quota passes. The use of the step by the quotas has no test of its own.

--- a/src/keeper_admission.c
+++ b/src/keeper_admission.c
@@ -53,6 +53,16 @@
   bool has_customers;
 };
 
+/* Whether this store is a member in the chosen state, and in the latest one
+   that it has accepted.  One that has only accepted to be a member would count
+   the time until the store before it grants nothing from too early on.  */
+static bool
+is_decided_member (const struct marjoram_keeper_role *role)
+{
+  return marjoram_keeper_is_member (role->keeper)
+         && marjoram_keeper_store_step (role->keeper) == MARJORAM_STORE_MEMBER;
+}
+
 marjoram_keeper_admission *
 marjoram_keeper_admission_create (struct marjoram_keeper_role *role)
 {
@@ -64,7 +74,7 @@
   admission->confirmed_at = INT64_MIN / 2;
   admission->round_at = INT64_MIN / 2;
   /* A member that restarts owned the same part before.  */
-  admission->is_member = marjoram_keeper_is_member (role->keeper);
+  admission->is_member = is_decided_member (role);
   admission->member_since = INT64_MIN / 2;
   admission->shares
       = marjoram_quota_shares_create (role->parts->settings->quota_allowance);
@@ -244,7 +254,7 @@
 static void
 update_member (marjoram_keeper_admission *admission, int64_t now)
 {
-  const bool is_member = marjoram_keeper_is_member (admission->role->keeper);
+  const bool is_member = is_decided_member (admission->role);
 
   if (is_member && !admission->is_member)
     admission->member_since = now;
--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -309,6 +309,33 @@
 }
 END_TEST
 
+/* Guards against a store that counts as a member, and would grant its part of
+   the quotas, when it has accepted that but it is not decided.  */
+START_TEST (a_store_is_no_member_before_that_is_decided)
+{
+  static const struct keeper_net_options options
+      = { .keepers = 3, .spares = 1, .one_way_ms = 55, .write_ms = 5 };
+  const int64_t trip_ms = 2 * options.one_way_ms;
+  struct keeper_net *net = keeper_net_create (&options);
+
+  keeper_net_run (net, SETTLE_MS);
+  keeper_net_stop (net, 2);
+  keeper_net_start_empty (net, 3);
+  keeper_net_run (net, SUCCESSOR_MS);
+  keeper_net_replace (net, 0, 2, 3);
+  /* A greeting, and a promise of each member.  */
+  keeper_net_run (net, 2 * trip_ms + 2 * options.write_ms);
+  keeper_net_partition (net, 1, true);
+  keeper_net_run (net, trip_ms);
+  ck_assert_int_ge (keeper_net_step_ms (net, 3, MARJORAM_STORE_ASKED), 0);
+  ck_assert_int_lt (keeper_net_step_ms (net, 3, MARJORAM_STORE_MEMBER), 0);
+  keeper_net_partition (net, 1, false);
+  keeper_net_run (net, SUCCESSOR_MS);
+  ck_assert_int_ge (keeper_net_step_ms (net, 3, MARJORAM_STORE_MEMBER), 0);
+  keeper_net_destroy (net);
+}
+END_TEST
+
 /* Guards against members that are added late, so that two losses at once take
    the majority.  */
 START_TEST (members_are_added_within_the_time_of_the_deployment)
@@ -518,6 +545,7 @@
   tcase_add_test (c, a_store_that_is_no_member_ends_no_attempt);
   tcase_add_test (c, a_membership_change_goes_before_files);
   tcase_add_test (c, a_membership_change_wins_against_simultaneous_attempts);
+  tcase_add_test (c, a_store_is_no_member_before_that_is_decided);
   tcase_add_test (c, members_are_added_within_the_time_of_the_deployment);
   tcase_add_test (c, a_change_of_a_lost_proposer_is_completed_at_once);
   suite_add_tcase (s, c);
