--- a/src/register.c
+++ b/src/register.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  /* Leaves the lowest bit of a round as it is.  */
+  /* Keeps the parity, by which keepers tell attempts with a membership change
+     from others.  */
   ROUNDS_TO_NEXT = 2
 };
 
--- a/test/test_keeper_rivals.c
+++ b/test/test_keeper_rivals.c
@@ -22,6 +22,9 @@
   SETTLE_MS = 8000,
   LEARN_MS = 1000,
   STEP_MS = 10,
+  /* How much later than another request one comes, at most.  */
+  LEAD_MS = 2 * TRIP_MS,
+  LONG_LEAD_MS = 5 * TRIP_MS,
   WAIT_LIMIT_MS = 30000
 };
 
@@ -75,7 +78,7 @@
    ballot is chosen meanwhile.  */
 START_TEST (a_lower_ballot_that_is_chosen_ends_no_other_attempt)
 {
-  for (int64_t lead_ms = 0; lead_ms < 2 * TRIP_MS; lead_ms += STEP_MS)
+  for (int64_t lead_ms = 0; lead_ms < LEAD_MS; lead_ms += STEP_MS)
     {
       struct keeper_net *net = create_settled ();
 
@@ -98,7 +101,7 @@
    change.  */
 START_TEST (a_membership_change_ends_no_other)
 {
-  for (int64_t lead_ms = ONE_WAY_MS + WRITE_MS; lead_ms < 5 * TRIP_MS;
+  for (int64_t lead_ms = ONE_WAY_MS + WRITE_MS; lead_ms < LONG_LEAD_MS;
        lead_ms += STEP_MS)
     {
       struct keeper_net *net = create_with_successor ();
