--- a/test/test_register.c
+++ b/test/test_register.c
@@ -657,6 +657,84 @@
 }
 END_TEST
 
+static struct
+{
+  uint64_t ticket; /* of the write in progress; 0 if none */
+  size_t acceptances;
+  struct marjoram_ballot promised; /* named by the last one */
+} lone;
+
+static void
+lone_send (void *context, const char *slot,
+           const struct marjoram_keeper_message *message)
+{
+  (void)context;
+  (void)slot;
+  if (message->kind != MARJORAM_KEEPER_ACCEPTED)
+    return;
+  lone.acceptances++;
+  lone.promised = message->accepted;
+}
+
+static void
+lone_persist (void *context, uint64_t ticket, marjoram_bytes *record)
+{
+  (void)context;
+  lone.ticket = ticket;
+  marjoram_bytes_release (record);
+}
+
+static void
+finish_lone_write (marjoram_keeper *keeper, int64_t now)
+{
+  const uint64_t ticket = lone.ticket;
+
+  ck_assert_uint_gt (ticket, 0);
+  lone.ticket = 0;
+  marjoram_keeper_persisted (keeper, now, ticket, true);
+}
+
+/* Guards against an acceptance that names a ballot which is not yet promised
+   on disk, as the value itself was learnt and written before.  */
+START_TEST (the_next_ballot_is_promised_on_disk)
+{
+  static const struct marjoram_keeper_ops lone_ops = { .send = lone_send,
+                                                       .persist = lone_persist,
+                                                       .chosen = on_chosen,
+                                                       .answered = on_answered,
+                                                       .valid = on_valid };
+  static const struct marjoram_keeper_options options
+      = { .slot = "b", .store_id = "b", .incarnation = 1 };
+  marjoram_random *random = marjoram_random_create (1);
+  marjoram_keeper *keeper
+      = marjoram_keeper_create (&options, &lone_ops, NULL, random, NULL);
+  marjoram_value *joint = marjoram_value_create (make_state ("abc", "abd"));
+  struct marjoram_keeper_message message
+      = { .kind = MARJORAM_KEEPER_LEARN,
+          .store_id = (char *)"a",
+          .incarnation = 1,
+          .seen_store_id = (char *)"b",
+          .seen_incarnation = 1,
+          .ballot = { 3, 1, 1 },
+          .value = marjoram_value_packed (joint) };
+  const struct marjoram_ballot next = marjoram_ballot_next (&message.ballot);
+
+  lone.acceptances = 0;
+  marjoram_keeper_receive (keeper, 1, "a", &message);
+  while (lone.ticket)
+    finish_lone_write (keeper, 2);
+  message.kind = MARJORAM_KEEPER_ACCEPT;
+  marjoram_keeper_receive (keeper, 3, "a", &message);
+  ck_assert_uint_eq (lone.acceptances, 0);
+  finish_lone_write (keeper, 4);
+  ck_assert_uint_eq (lone.acceptances, 1);
+  ck_assert_int_eq (marjoram_ballot_compare (&lone.promised, &next), 0);
+  marjoram_keeper_destroy (keeper);
+  marjoram_random_destroy (random);
+  marjoram_value_release (joint);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -668,6 +746,7 @@
   tcase_add_test (c, dropping_old_members_needs_them_too);
   tcase_add_test (c, accepting_a_membership_change_promises_the_next_ballot);
   tcase_add_test (c, the_next_ballot_needs_the_promises_of_a_quorum);
+  tcase_add_test (c, the_next_ballot_is_promised_on_disk);
   tcase_add_test (c, initial_value_needs_all);
   tcase_add_test (c, replacement_keeps_old_members_beside_new_ones);
   tcase_add_test (c, old_members_stay_until_the_step_is_known_chosen);
