--- a/src/keeper.c
+++ b/src/keeper.c
@@ -143,8 +143,8 @@
 }
 
 /* Whether a membership change can be proposed for which no attempt was started
-   yet.  The next loss may be near, so its first attempt does not wait for
-   others, but for those with a membership change.  */
+   yet.  The next loss may be near, so its first attempt waits only for another
+   membership change.  */
 static bool
 has_urgent_change (const marjoram_keeper *keeper)
 {
--- a/src/keeper_confirm.c
+++ b/src/keeper_confirm.c
@@ -134,7 +134,7 @@
     marjoram_keeper_confirm (keeper, keeper->now);
 }
 
-/* Reads that were received before are confirmed as those after it.  */
+/* Reads that were received before need no ballot any more.  */
 void
 marjoram_keeper_first_learnt (marjoram_keeper *keeper)
 {
--- a/src/keeper_private.h
+++ b/src/keeper_private.h
@@ -106,8 +106,7 @@
   bool bootstrapped;    /* a state beyond the initial one exists */
   bool answering;       /* the owner is in its callback for an answer */
   int64_t admission_ms; /* as in the options */
-  int64_t
-      first_learnt_at; /* the first state, by this store; 0 if it had one */
+  int64_t first_learnt_at; /* 0 if this store started with a state */
 
   struct marjoram_keeper_peers peers;
   struct marjoram_keeper_requests requests;
