--- a/test/test_keeper_catch_up.c
+++ b/test/test_keeper_catch_up.c
@@ -275,6 +275,20 @@
 }
 END_TEST
 
+/* Creates keepers that have settled, of which keeper 2 has ended and keeper 3
+   started to take its place.  */
+static struct keeper_net *
+create_with_successor (const struct keeper_net_options *options)
+{
+  struct keeper_net *net = keeper_net_create (options);
+
+  keeper_net_run (net, SETTLE_MS);
+  keeper_net_stop (net, 2);
+  keeper_net_start_empty (net, 3);
+  keeper_net_run (net, SUCCESSOR_MS);
+  return net;
+}
+
 /* Guards against a membership change that stays half done for seconds after
    its proposer ended: the others leave it the time of an attempt, then go on.
  */
@@ -316,12 +330,8 @@
   static const struct keeper_net_options options
       = { .keepers = 3, .spares = 1, .one_way_ms = 55, .write_ms = 5 };
   const int64_t trip_ms = 2 * options.one_way_ms;
-  struct keeper_net *net = keeper_net_create (&options);
+  struct keeper_net *net = create_with_successor (&options);
 
-  keeper_net_run (net, SETTLE_MS);
-  keeper_net_stop (net, 2);
-  keeper_net_start_empty (net, 3);
-  keeper_net_run (net, SUCCESSOR_MS);
   keeper_net_replace (net, 0, 2, 3);
   /* A greeting, and a promise of each member.  */
   keeper_net_run (net, 2 * trip_ms + 2 * options.write_ms);
@@ -423,12 +433,8 @@
 
   for (int64_t lead_ms = 0; lead_ms < 2 * trip_ms; lead_ms += 20)
     {
-      struct keeper_net *net = keeper_net_create (&options);
+      struct keeper_net *net = create_with_successor (&options);
 
-      keeper_net_run (net, SETTLE_MS);
-      keeper_net_stop (net, 2);
-      keeper_net_start_empty (net, 3);
-      keeper_net_run (net, SUCCESSOR_MS);
       keeper_net_begin_change (net, 1);
       keeper_net_run (net, lead_ms);
       keeper_net_replace (net, 0, 2, 3);
@@ -448,12 +454,8 @@
   static const struct keeper_net_options options
       = { .keepers = 3, .spares = 1, .one_way_ms = 55, .write_ms = 5 };
   const int64_t trip_ms = 2 * options.one_way_ms;
-  struct keeper_net *net = keeper_net_create (&options);
+  struct keeper_net *net = create_with_successor (&options);
 
-  keeper_net_run (net, SETTLE_MS);
-  keeper_net_stop (net, 2);
-  keeper_net_start_empty (net, 3);
-  keeper_net_run (net, SUCCESSOR_MS);
   /* Keeper 0 leaves its change until that of keeper 1 is decided.  */
   keeper_net_begin_change (net, 1);
   keeper_net_run (net, options.one_way_ms + 5);
