Log lines: the zones in force at a choice, the arrival and end of an order

- A request's line says which list of zones was in force when its place was chosen (zones_number, zones_age_ms, zones_evacuated), the line of a new state names the zones that it lists.
- A keeper writes a line when an order arrives: its caller, its greatest possible age (its connection was not open before, or the answer before it not sent), earlier requests of its connection, the version of the list that this keeper knows, for how long this host stood still.
The line of its end says what it built on and what the list's version is then; an order that expires has a line too.

--- a/src/api_server.h
+++ b/src/api_server.h
@@ -3,14 +3,28 @@
 #ifndef MARJORAM_API_SERVER_H
 #define MARJORAM_API_SERVER_H
 
+#include "address.h"
+#include "clock.h"
 #include "error.h"
 
 #include <event2/event.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 typedef struct marjoram_api_server marjoram_api_server;
 
+/* How a request arrived.  */
+struct marjoram_api_arrival
+{
+  char caller[MARJORAM_IP_MAX + 8]; /* IP:port; "" if unknown */
+  /* A time before which its caller can't have sent it: its connection was not
+     open, or the answer to the request before it had not been sent.  INT64_MIN
+     if unknown.  */
+  int64_t not_before;
+  int requests; /* earlier ones on its connection */
+};
+
 struct marjoram_api_server_ops
 {
   /* BODY is NUL-terminated and only valid during the call.  */
@@ -18,10 +32,10 @@
                    const char *target, const char *body, size_t size);
 };
 
-marjoram_api_server *
-marjoram_api_server_create (struct event_base *base,
-                            const struct marjoram_api_server_ops *ops,
-                            void *context);
+/* CLOCK is borrowed.  */
+marjoram_api_server *marjoram_api_server_create (
+    struct event_base *base, struct marjoram_clock *clock,
+    const struct marjoram_api_server_ops *ops, void *context);
 void marjoram_api_server_destroy (marjoram_api_server *server);
 /* Adds a listener on ADDRESS (IP:port).  Returns false with ERR set on
    failure.  */
@@ -34,5 +48,12 @@
                                   uint64_t request_id, int status,
                                   const char *type, const char *body,
                                   size_t size);
+/* How REQUEST_ID, which has not been answered, arrived.  False if its
+   connection has been closed.  */
+bool marjoram_api_server_arrival (marjoram_api_server *server,
+                                  uint64_t request_id,
+                                  struct marjoram_api_arrival *arrival);
+/* To be called at least every 100 ms.  */
+void marjoram_api_server_tick (marjoram_api_server *server);
 
 #endif
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -57,6 +57,7 @@
   struct marjoram_leaving_zones leaving; /* evacuated most recently */
   bool evacuations_known; /* a state was received since startup */
   uint64_t config_number;
+  int64_t config_at; /* when the state of that number came into force */
   struct marjoram_liveness_check liveness;
   struct marjoram_inbound *inbound;
   size_t inbound_bytes;   /* bodies of these requests */
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -254,11 +254,13 @@
 {
   struct marjoram_error err = { 0 };
   struct marjoram_route_table *table;
+  marjoram_auto_free char *zones = NULL;
 
   if (state->number <= self->config_number)
     return;
   table = marjoram_state_files_routes (state, self->parts->dialect, &err);
   self->config_number = state->number;
+  self->config_at = marjoram_entry_now (self);
   marjoram_key_lease_set_number (marjoram_gateway_key_lease (self->gateway),
                                  state->number);
   /* A new state may repeat the same routes.  They must not replace the
@@ -272,12 +274,13 @@
                     "taken=no number=%" PRIu64 " why=\"%s\"", state->number,
                     err.message);
   set_evacuated (self, marjoram_state_files_evacuations (state));
+  zones = marjoram_state_files_join (&self->evacuated);
   marjoram_event (MARJORAM_EVENT_CONFIG,
                   "state=in-force number=%" PRIu64 " version=%" PRIu64
-                  " routes=%zu evacuated=%zu",
+                  " routes=%zu evacuated=%zu zones=%s",
                   state->number, self->table ? self->table->version : 0,
                   self->table ? self->table->routes.count : 0,
-                  self->evacuated.count);
+                  self->evacuated.count, zones);
 }
 
 static struct marjoram_entry *
@@ -685,6 +688,17 @@
                                      zone);
 }
 
+static void
+zones_in_force (void *context, int64_t now,
+                struct marjoram_zones_in_force *zones)
+{
+  struct marjoram_entry *self = context;
+
+  zones->number = self->config_number;
+  zones->age_ms = self->config_number ? now - self->config_at : 0;
+  zones->evacuated = self->evacuated.count;
+}
+
 static void
 create_gateway (struct marjoram_entry *self)
 {
@@ -698,6 +712,7 @@
                .region_of = region_of,
                .is_evacuated = is_evacuated,
                .is_leaving = is_leaving,
+               .zones = zones_in_force,
                .context = self },
     .repeats = repeat_terms (self),
     .key_lease_ms = key_lease_ms (self),
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -310,7 +310,8 @@
       " copied=%" PRId64
       " candidates=%d usable=%d unreachable=%d cold=%d reported_lost=%d "
       "rate_limited=%d retry_after=%d full=%d other_build=%d "
-      "news_age_ms=%" PRId64
+      "news_age_ms=%" PRId64 " zones_number=%" PRIu64 " zones_age_ms=%" PRId64
+      " zones_evacuated=%zu"
       " limit=%s framing=%s unfinished=%zu events=%d quiet_ms=%" PRId64
       " pause_ms=%" PRId64
       " route=%s service=%s customer=%s priority=%d config=%" PRIu64
@@ -329,8 +330,9 @@
       exchange->place.excluded[MARJORAM_EXCLUDED_RETRY_AFTER],
       exchange->place.excluded[MARJORAM_EXCLUDED_ROOM],
       exchange->place.excluded[MARJORAM_EXCLUDED_BUILD],
-      exchange->place.heartbeat_age_ms, limit_name (exchange, reason),
-      marjoram_framing_name (exchange->framing),
+      exchange->place.heartbeat_age_ms, exchange->place.zones.number,
+      exchange->place.zones.age_ms, exchange->place.zones.evacuated,
+      limit_name (exchange, reason), marjoram_framing_name (exchange->framing),
       marjoram_exchange_unfinished (exchange), exchange->events_sent,
       since_last_event_ms (exchange, now), exchange->longest_gap_ms,
       *exchange->route ? exchange->route : "-",
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -297,6 +297,7 @@
   (void)what;
   marjoram_host_links_tick (daemon->links, now);
   daemon->role->ops->tick (daemon->role, now);
+  marjoram_api_server_tick (daemon->api_server);
   check_settings_file (daemon, now);
   check_stopped (daemon, now);
   marjoram_event_log_flush ();
@@ -408,7 +409,8 @@
   if (settings->role == MARJORAM_ROLE_ENTRY)
     marjoram_host_list_set_relayed_valid (daemon->hosts, RELAYED_VALID_MS);
   daemon->api_server
-      = marjoram_api_server_create (daemon->base, &api_server_ops, daemon);
+      = marjoram_api_server_create (daemon->base, daemon->clock,
+                                    &api_server_ops, daemon);
   daemon->links = marjoram_host_links_create (
       daemon->base, daemon->clock, settings, new_incarnation (daemon->clock),
       daemon->hosts, &links_ops, daemon, err);
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -226,6 +226,16 @@
   return marjoram_keeper_chosen_state (self->keeper);
 }
 
+static bool
+reg_arrival (void *context, uint64_t request_id,
+             struct marjoram_api_arrival *arrival)
+{
+  struct marjoram_keeper_role *self = context;
+
+  return marjoram_api_server_arrival (self->parts->api_server, request_id,
+                                      arrival);
+}
+
 static int64_t
 reg_decision_ms (void *context)
 {
@@ -242,6 +252,7 @@
   .apply = reg_apply,
   .read = reg_read,
   .state = reg_state,
+  .arrival = reg_arrival,
   .decision_ms = reg_decision_ms,
 };
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -14,6 +14,13 @@
 
 typedef struct marjoram_placement marjoram_placement;
 
+struct marjoram_zones_in_force
+{
+  uint64_t number; /* of the state that listed them; 0: none was received */
+  int64_t age_ms;  /* since that state came into force */
+  size_t evacuated;
+};
+
 struct marjoram_placement_options
 {
   marjoram_registry *registry; /* borrowed */
@@ -27,6 +34,9 @@
   /* Whether the evacuation of ZONE has just begun, so that its upstreams
      remain available as a last resort.  */
   bool (*is_leaving) (void *context, const char *zone);
+  /* The list of zones that is_evacuated consults, for logging; may be null. */
+  void (*zones) (void *context, int64_t now,
+                 struct marjoram_zones_in_force *zones);
   void *context;
 };
 
@@ -126,6 +136,7 @@
   int64_t backlog_ms;              /* queued prompts at the chosen upstream */
   enum marjoram_place_limit limit; /* unless FOUND: the limit exceeded */
   int64_t heartbeat_age_ms;        /* age of the oldest heartbeat considered */
+  struct marjoram_zones_in_force zones;
 };
 
 marjoram_placement *
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -679,6 +679,8 @@
   struct sample sample;
 
   memset (place, 0, sizeof *place);
+  if (placement->options.zones)
+    placement->options.zones (placement->options.context, now, &place->zones);
   place->outcome = MARJORAM_PLACE_NONE;
   place->retry_ms = RETRY_MIN_MS;
   sample = select_sample (placement, now, query);
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -629,6 +629,11 @@
   {
     if (!is_expired (registrar, now, pending))
       continue;
+    if (pending->kind != MARJORAM_PENDING_LEAVE)
+      marjoram_event (MARJORAM_EVENT_CONFIG,
+                      "request=%" PRIu64 " zone=%s status=%d reason=expired",
+                      pending->number, *pending->zone ? pending->zone : "-",
+                      MARJORAM_STATUS_UNAVAILABLE);
     marjoram_registrar_respond (registrar, pending->request_id,
                                 pending->kind == MARJORAM_PENDING_LEAVE
                                     ? MARJORAM_STATUS_OK
--- a/src/registrar.h
+++ b/src/registrar.h
@@ -3,6 +3,7 @@
 #ifndef MARJORAM_REGISTRAR_H
 #define MARJORAM_REGISTRAR_H
 
+#include "api_server.h"
 #include "state_files.h"
 #include "host_list.h"
 #include "keeper.h"
@@ -31,6 +32,9 @@
   void (*read) (void *context, uint64_t request);
   /* The latest state known to be committed; NULL if none.  */
   const struct marjoram_state *(*state) (void *context);
+  /* How REQUEST_ID arrived; false if its caller is gone.  Null: unknown.  */
+  bool (*arrival) (void *context, uint64_t request_id,
+                   struct marjoram_api_arrival *arrival);
   /* How much longer than usual a decision may take, as disks are slow, in
      ms.  */
   int64_t (*decision_ms) (void *context);
--- a/src/registrar_command.c
+++ b/src/registrar_command.c
@@ -93,6 +93,13 @@
   return found;
 }
 
+static uint64_t
+list_version (const marjoram_registrar *registrar)
+{
+  return current_version (registrar->ops->state (registrar->context),
+                          MARJORAM_FILE_EVACUATIONS);
+}
+
 static void
 try_evacuate (marjoram_registrar *registrar,
               struct marjoram_pending_request *pending)
@@ -100,12 +107,40 @@
   struct marjoram_file file;
 
   pending->attempts++;
+  pending->base = list_version (registrar);
   marjoram_state_files_evacuate (registrar->ops->state (registrar->context),
                                  pending->zone, pending->evacuated, &file);
   apply (registrar, pending, &file);
   marjoram_wire_clear (&marjoram_file_layout, &file);
 }
 
+static const char *
+order_name (bool evacuated)
+{
+  return evacuated ? "begin" : "finish";
+}
+
+static void
+log_arrival (const marjoram_registrar *registrar, int64_t now,
+             const struct marjoram_pending_request *pending)
+{
+  struct marjoram_api_arrival arrival = { .caller = "-" };
+  const bool known = registrar->ops->arrival
+                     && registrar->ops->arrival (
+                         registrar->context, pending->request_id, &arrival);
+  const int64_t age_ms = known && arrival.not_before != INT64_MIN
+                             ? now - arrival.not_before
+                             : -1;
+
+  marjoram_event (MARJORAM_EVENT_CONFIG,
+                  "order=%s zone=%s request=%" PRIu64
+                  " caller=%s age_max_ms=%" PRId64 " earlier=%d list=%" PRIu64
+                  " stalled_ms=%" PRId64,
+                  order_name (pending->evacuated), pending->zone,
+                  pending->number, arrival.caller, age_ms, arrival.requests,
+                  list_version (registrar), now - registrar->ticked_at);
+}
+
 /* Confirms the state first, since a lagging keeper could otherwise treat an
    outdated state as final.  */
 void
@@ -132,6 +167,7 @@
                                             MARJORAM_RESPONSE_TIMEOUT_MS);
   snprintf (pending->zone, sizeof pending->zone, "%s", request->zone);
   pending->evacuated = request->kind == MARJORAM_API_EVACUATE;
+  log_arrival (registrar, now, pending);
   registrar->ops->read (registrar->context, pending->number);
 }
 
@@ -140,8 +176,10 @@
                 struct marjoram_pending_request *pending, int status)
 {
   marjoram_event (MARJORAM_EVENT_CONFIG,
-                  "zone=%s evacuated=%d status=%d tries=%d", pending->zone,
-                  pending->evacuated, status, pending->attempts);
+                  "zone=%s evacuated=%d status=%d tries=%d request=%" PRIu64
+                  " built_on=%" PRIu64 " list=%" PRIu64,
+                  pending->zone, pending->evacuated, status, pending->attempts,
+                  pending->number, pending->base, list_version (registrar));
   marjoram_metrics_add (registrar->options.metrics,
                         MARJORAM_METRIC_EVACUATIONS,
                         status == MARJORAM_STATUS_OK);
--- a/src/registrar_private.h
+++ b/src/registrar_private.h
@@ -38,6 +38,7 @@
   char zone[MARJORAM_ID_MAX];
   bool evacuated;
   int attempts;
+  uint64_t base; /* EVACUATION: version of the list last built on */
   uint64_t version;
   UT_hash_handle hh;
 };
--- a/src/state_files.c
+++ b/src/state_files.c
@@ -26,6 +26,23 @@
   return false;
 }
 
+char *
+marjoram_state_files_join (const struct marjoram_names *zones)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+
+  if (!out)
+    abort ();
+  for (size_t i = 0; i < zones->count; i++)
+    fprintf (out, "%s%s", i > 0 ? "," : "", zones->items[i]);
+  if (zones->count == 0)
+    fputc ('-', out);
+  fclose (out);
+  return text;
+}
+
 void
 marjoram_state_files_evacuate (const struct marjoram_state *state,
                                const char *zone, bool evacuated,
--- a/src/state_files.h
+++ b/src/state_files.h
@@ -16,6 +16,8 @@
 marjoram_state_files_evacuations (const struct marjoram_state *state);
 bool marjoram_state_files_is_evacuated (const struct marjoram_names *zones,
                                         const char *zone);
+/* The names separated by commas, "-" if there are none, malloc'd.  */
+char *marjoram_state_files_join (const struct marjoram_names *zones);
 /* Fills FILE with the next version of the evacuations file, with ZONE added
    or, if EVACUATED is false, removed.  STATE may be null.  The caller clears
    FILE through marjoram_file_layout.  */
