--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -408,9 +408,8 @@
   daemon->hosts = marjoram_host_list_create ();
   if (settings->role == MARJORAM_ROLE_ENTRY)
     marjoram_host_list_set_relayed_valid (daemon->hosts, RELAYED_VALID_MS);
-  daemon->api_server
-      = marjoram_api_server_create (daemon->base, daemon->clock,
-                                    &api_server_ops, daemon);
+  daemon->api_server = marjoram_api_server_create (daemon->base, daemon->clock,
+                                                   &api_server_ops, daemon);
   daemon->links = marjoram_host_links_create (
       daemon->base, daemon->clock, settings, new_incarnation (daemon->clock),
       daemon->hosts, &links_ops, daemon, err);
