Orders of evacuations act only on the order that they come after

Cause: a copy of an order has neither a number nor an age. One that lay in the socket of a frozen keeper, came late, or could not be decided at once was taken as new when its keeper went on, though another keeper had acknowledged a later order for the zone. One that lost against another change was proposed again on top of it, up to eight times. Class: a late command that is applied by arrival.

Now the list of evacuated zones holds for each zone the number of the order decided last, and an order changes the zone only if it builds on that number. That is judged where the order is decided, on the state that it changes, so orders for different zones are not in each other's way and none is tried twice. An order builds on what its keeper knew before the caller can have sent it: before its connection was open, or the former answer on it was sent. If another order was decided since, the caller is redirected (307) to the same order with the number that it now comes after. A caller that still waits follows; one that has gone doesn't, and the number is out of date once another order is acknowledged. An order for what is in force gets a number too, so that nothing that builds on the one before can act after its acknowledgement. Names of zones stay as they were in the list; releases without numbers read the same zones.

--- a/src/api_server.c
+++ b/src/api_server.c
@@ -23,6 +23,7 @@
   FORGET_CONNECTION_MS = 3 * CONNECTION_TIMEOUT_S * 1000,
   FORGET_INTERVAL_MS = 1000,
   LISTENERS_MAX = 4,
+  STATUS_TEMPORARY_REDIRECT = 307,
   USEC_PER_MSEC = 1000
 };
 
@@ -331,18 +332,13 @@
   check_idle (server);
 }
 
-void
-marjoram_api_server_respond (marjoram_api_server *server, uint64_t request_id,
-                             int status, const char *type, const char *body,
-                             size_t size)
+static void
+send_response (struct pending *pending, int status, const char *type,
+               const char *body, size_t size)
 {
-  struct pending *pending = find_pending (server, request_id);
-  struct evbuffer *output;
+  struct evbuffer *output = evbuffer_new ();
 
-  if (!pending)
-    return;
-  note_answer (server, pending);
-  output = evbuffer_new ();
+  note_answer (pending->server, pending);
   evbuffer_add (output, body ? body : "", body ? size : 0);
   if (body)
     evhttp_add_header (evhttp_request_get_output_headers (pending->req),
@@ -352,6 +348,42 @@
   pending_destroy (pending);
 }
 
+void
+marjoram_api_server_respond (marjoram_api_server *server, uint64_t request_id,
+                             int status, const char *type, const char *body,
+                             size_t size)
+{
+  struct pending *pending = find_pending (server, request_id);
+
+  if (pending)
+    send_response (pending, status, type, body, size);
+}
+
+void
+marjoram_api_server_redirect (marjoram_api_server *server, uint64_t request_id,
+                              const char *location)
+{
+  struct pending *pending = find_pending (server, request_id);
+
+  if (!pending)
+    return;
+  evhttp_add_header (evhttp_request_get_output_headers (pending->req),
+                     "Location", location);
+  send_response (pending, STATUS_TEMPORARY_REDIRECT, "text/uri-list", location,
+                 strlen (location));
+}
+
+/* Whether the peer has closed the connection, read or not.  */
+static bool
+is_closed_by_peer (struct bufferevent *bev)
+{
+  char byte;
+
+  return recv (bufferevent_getfd (bev), &byte, sizeof byte,
+               MSG_PEEK | MSG_DONTWAIT)
+         == 0;
+}
+
 bool
 marjoram_api_server_arrival (marjoram_api_server *server, uint64_t request_id,
                              struct marjoram_api_arrival *arrival)
@@ -364,6 +396,8 @@
   if (!pending)
     return false;
   connection = connection_of (server, pending->req);
+  if (is_closed_by_peer (connection->bev))
+    return false;
   evhttp_connection_get_peer (evhttp_request_get_connection (pending->req),
                               &ip, &port);
   snprintf (arrival->caller, sizeof arrival->caller, "%s:%u", ip ? ip : "",
--- a/src/api_server.h
+++ b/src/api_server.h
@@ -48,8 +48,11 @@
                                   uint64_t request_id, int status,
                                   const char *type, const char *body,
                                   size_t size);
+/* Responds with status 307 and the URL LOCATION.  */
+void marjoram_api_server_redirect (marjoram_api_server *server,
+                                   uint64_t request_id, const char *location);
 /* How REQUEST_ID, which has not been answered, arrived.  False if its
-   connection has been closed.  */
+   caller has closed the connection.  */
 bool marjoram_api_server_arrival (marjoram_api_server *server,
                                   uint64_t request_id,
                                   struct marjoram_api_arrival *arrival);
--- a/src/builtin_dialect.c
+++ b/src/builtin_dialect.c
@@ -13,16 +13,18 @@
 read_evacuation (const char *method, const char *zone,
                  struct marjoram_api_request *ask, struct marjoram_error *err)
 {
+  const size_t size = strcspn (zone, "?");
+
   ask->kind = strcmp (method, "PUT") == 0      ? MARJORAM_API_EVACUATE
               : strcmp (method, "DELETE") == 0 ? MARJORAM_API_RESTORE
                                                : MARJORAM_API_UNKNOWN;
   if (ask->kind == MARJORAM_API_UNKNOWN)
     return true;
-  if (!*zone || strlen (zone) >= sizeof ask->zone)
+  if (size == 0 || size >= sizeof ask->zone)
     return marjoram_error_set (err, MARJORAM_ERROR_INVALID,
                                "the path has no valid zone name; "
                                "use " MARJORAM_PATH_EVACUATIONS "ZONE");
-  snprintf (ask->zone, sizeof ask->zone, "%s", zone);
+  snprintf (ask->zone, sizeof ask->zone, "%.*s", (int)size, zone);
   return true;
 }
 
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -12,6 +12,7 @@
 #include "connect_probe.h"
 #include "state_files.h"
 #include "engine_survey.h"
+#include "evacuation.h"
 #include "gateway.h"
 #include "leaving_zones.h"
 #include "liveness.h"
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -209,7 +209,7 @@
                       const struct marjoram_names *before)
 {
   for (size_t i = 0; self->evacuations_known && i < self->evacuated.count; i++)
-    if (!marjoram_state_files_is_evacuated (before, self->evacuated.items[i]))
+    if (!marjoram_evacuation_lists (before, self->evacuated.items[i]))
       marjoram_leaving_zones_add (&self->leaving, marjoram_entry_now (self),
                                   self->evacuated.items[i]);
   self->evacuations_known = true;
@@ -225,8 +225,7 @@
   self->evacuated = zones;
   record_leaving_zones (self, &before);
   for (size_t i = 0; i < before.count; i++)
-    if (self->table
-        && !marjoram_state_files_is_evacuated (&zones, before.items[i]))
+    if (self->table && !marjoram_evacuation_lists (&zones, before.items[i]))
       marjoram_placement_zone_restored (
           marjoram_gateway_placement (self->gateway),
           marjoram_entry_now (self), before.items[i]);
@@ -273,8 +272,8 @@
     marjoram_event (MARJORAM_EVENT_CONFIG,
                     "taken=no number=%" PRIu64 " why=\"%s\"", state->number,
                     err.message);
-  set_evacuated (self, marjoram_state_files_evacuations (state));
-  zones = marjoram_state_files_join (&self->evacuated);
+  set_evacuated (self, marjoram_evacuation_zones (state));
+  zones = marjoram_evacuation_join (&self->evacuated);
   marjoram_event (MARJORAM_EVENT_CONFIG,
                   "state=in-force number=%" PRIu64 " version=%" PRIu64
                   " routes=%zu evacuated=%zu zones=%s",
@@ -676,7 +675,7 @@
 {
   struct marjoram_entry *self = context;
 
-  return marjoram_state_files_is_evacuated (&self->evacuated, zone);
+  return marjoram_evacuation_lists (&self->evacuated, zone);
 }
 
 static bool
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -373,6 +373,24 @@
                              MARJORAM_NAME_MAX);
 }
 
+void
+marjoram_keeper_order (marjoram_keeper *keeper, int64_t now, uint64_t request,
+                       const char *change_id,
+                       const struct marjoram_evacuation_order *order)
+{
+  struct marjoram_error err = { 0 };
+
+  keeper->now = now;
+  if (!check_name (change_id, &err))
+    {
+      reject_request (keeper, request, &err);
+      return;
+    }
+  marjoram_keeper_requests_add_order (&keeper->requests, request, change_id,
+                                      order, now);
+  marjoram_keeper_process_pending (keeper);
+}
+
 /* OLD is null to add a member while there are fewer than MOST.  */
 static void
 change_members (marjoram_keeper *keeper, int64_t now, uint64_t request,
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -6,6 +6,7 @@
 #ifndef MARJORAM_KEEPER_H
 #define MARJORAM_KEEPER_H
 
+#include "evacuation.h"
 #include "random.h"
 #include "state.h"
 #include "store_progress.h"
@@ -105,6 +106,11 @@
 void marjoram_keeper_apply (marjoram_keeper *keeper, int64_t now,
                             uint64_t request, const char *change_id,
                             const struct marjoram_file *file);
+/* Decides an order for the evacuation of a zone.  CHANGE_ID is unique to this
+   copy of the order.  The version in the answer is the number of the zone.  */
+void marjoram_keeper_order (marjoram_keeper *keeper, int64_t now,
+                            uint64_t request, const char *change_id,
+                            const struct marjoram_evacuation_order *order);
 /* Replaces the member in slot OLD by the one in slot NEW; with OLD equal to
    NEW, replaces the store of a member whose disk was lost.  Completes when a
    majority of the new members holds the state on disk, so that another loss
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -200,7 +200,9 @@
   if (marjoram_state_change (state, request->change_id))
     return false;
   request->sent = true;
-  if (request->file.name)
+  if (request->order.zone)
+    marjoram_evacuation_decide (state, request->change_id, &request->order);
+  else if (request->file.name)
     marjoram_change_apply (state, request->change_id, &request->file,
                            keeper->ops->valid, keeper->context);
   else
--- a/src/keeper_request.c
+++ b/src/keeper_request.c
@@ -34,6 +34,21 @@
   request->file.digest = marjoram_digest (file->text, strlen (file->text));
 }
 
+void
+marjoram_keeper_requests_add_order (
+    struct marjoram_keeper_requests *requests, uint64_t id,
+    const char *change_id, const struct marjoram_evacuation_order *order,
+    int64_t now)
+{
+  struct marjoram_keeper_request *request
+      = add_request (requests, id, change_id, now);
+
+  request->deadline = now + MARJORAM_KEEPER_APPLY_TIMEOUT_MS;
+  request->file.name = marjoram_strdup (MARJORAM_FILE_EVACUATIONS);
+  request->order = *order;
+  request->order.zone = marjoram_strdup (order->zone);
+}
+
 struct marjoram_keeper_request *
 marjoram_keeper_requests_add_replace (
     struct marjoram_keeper_requests *requests, uint64_t id,
@@ -64,6 +79,7 @@
 free_request (struct marjoram_keeper_request *request)
 {
   marjoram_wire_clear (&marjoram_file_layout, &request->file);
+  free (request->order.zone);
   free (request->change_id);
   free (request->old);
   free (request->new);
@@ -97,6 +113,9 @@
 matches (const struct marjoram_keeper_request *request,
          const struct marjoram_change *change)
 {
+  /* The text of an order's change depends on the state before it.  */
+  if (request->order.zone)
+    return change->file && strcmp (change->file, request->file.name) == 0;
   if (request->file.name)
     return marjoram_change_matches (change, &request->file);
   return change->file && strcmp (change->file, request->new) == 0;
--- a/src/keeper_request.h
+++ b/src/keeper_request.h
@@ -2,7 +2,7 @@
 #ifndef MARJORAM_KEEPER_REQUEST_H
 #define MARJORAM_KEEPER_REQUEST_H
 
-#include "change.h"
+#include "evacuation.h"
 #include "keeper.h"
 
 #include <sys/queue.h>
@@ -23,6 +23,8 @@
   uint64_t request;
   char *change_id;
   struct marjoram_file file; /* without a name: a membership change */
+  /* With a zone: the change of FILE, which then has a name only.  */
+  struct marjoram_evacuation_order order;
   char *old;
   char *new;
   int64_t received_at;
@@ -43,6 +45,11 @@
 void marjoram_keeper_requests_add_file (
     struct marjoram_keeper_requests *requests, uint64_t request,
     const char *change_id, const struct marjoram_file *file, int64_t now);
+/* ORDER is copied.  */
+void marjoram_keeper_requests_add_order (
+    struct marjoram_keeper_requests *requests, uint64_t request,
+    const char *change_id, const struct marjoram_evacuation_order *order,
+    int64_t now);
 struct marjoram_keeper_request *
 marjoram_keeper_requests_add_read (struct marjoram_keeper_requests *requests,
                                    uint64_t request, int64_t now);
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -8,6 +8,7 @@
 
 #include <inttypes.h>
 #include <sodium.h>
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -20,6 +21,7 @@
   SLOW_MS = 500,
   /* Between two lines that records of streams were dropped.  */
   FULL_LOG_INTERVAL_MS = 1000,
+  LOCATION_MAX = 512, /* bytes */
   MSEC_PER_SEC = 1000,
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503
@@ -68,6 +70,8 @@
                   " members=%zu changing=%d",
                   state->number, routes ? routes->version : 0,
                   state->members.count, state->next_members.count > 0);
+  marjoram_registrar_state_learnt (self->registrar,
+                                   marjoram_keeper_role_now (self));
   marjoram_keeper_announce_state (self);
 }
 
@@ -218,6 +222,27 @@
                         request);
 }
 
+static void
+reg_order (void *context, uint64_t request, const char *change_id,
+           const struct marjoram_evacuation_order *order)
+{
+  struct marjoram_keeper_role *self = context;
+
+  marjoram_keeper_order (self->keeper, marjoram_keeper_role_now (self),
+                         request, change_id, order);
+}
+
+static void
+reg_redirect (void *context, uint64_t request_id, const char *target)
+{
+  struct marjoram_keeper_role *self = context;
+  char location[LOCATION_MAX];
+
+  snprintf (location, sizeof location, "http://%s%s",
+            self->parts->settings->control_address, target);
+  marjoram_api_server_redirect (self->parts->api_server, request_id, location);
+}
+
 static const struct marjoram_state *
 reg_state (void *context)
 {
@@ -251,6 +276,8 @@
   .renew = reg_renew,
   .apply = reg_apply,
   .read = reg_read,
+  .order = reg_order,
+  .redirect = reg_redirect,
   .state = reg_state,
   .arrival = reg_arrival,
   .decision_ms = reg_decision_ms,
@@ -423,7 +450,7 @@
       = marjoram_keeper_chosen_state (self->keeper);
   const struct marjoram_file *routes
       = state ? marjoram_state_file (state, MARJORAM_FILE_ROUTES) : NULL;
-  struct marjoram_names zones = marjoram_state_files_evacuations (state);
+  struct marjoram_names zones = marjoram_evacuation_zones (state);
   json_t *report = json_pack (
       "{s:s, s:I, s:o, s:o, s:o, s:o}", "role", "keeper", "config_version",
       (json_int_t)(routes ? routes->version : 0), "evacuated",
@@ -655,6 +682,7 @@
 
   marjoram_address_split (self->parts->settings->control_address, ip,
                           &options.heartbeat_port);
+  randombytes_buf (&options.nonce, sizeof options.nonce);
   self->registrar = marjoram_registrar_create (&options, &registrar_ops, self);
 }
 
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -55,6 +55,7 @@
   [MARJORAM_METRIC_LOOKUPS] = "lookups",
   [MARJORAM_METRIC_CONFIGS] = "configs",
   [MARJORAM_METRIC_EVACUATIONS] = "evacuations",
+  [MARJORAM_METRIC_ORDERS_REDIRECTED] = "orders_redirected",
   [MARJORAM_METRIC_UPSTREAMS_LOST] = "upstreams_lost",
   [MARJORAM_METRIC_UPSTREAM_CHECKS] = "upstream_checks",
   [MARJORAM_METRIC_UPSTREAMS_DARK] = "upstreams_dark",
--- a/src/registrar.c
+++ b/src/registrar.c
@@ -47,6 +47,7 @@
 {
   /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registrar->pending, pending);
+  free (pending->path);
   free (pending);
 }
 
@@ -62,6 +63,7 @@
   {
     marjoram_registrar_remove_pending (registrar, pending);
   }
+  marjoram_registrar_forget_zones (registrar);
   marjoram_route_table_destroy (registrar->table);
   free (registrar->changed.ids);
   free (registrar->relayed.ids);
@@ -571,7 +573,8 @@
       break;
     case MARJORAM_API_EVACUATE:
     case MARJORAM_API_RESTORE:
-      marjoram_registrar_evacuate (registrar, now, request_id, &request);
+      marjoram_registrar_evacuate (registrar, now, request_id, &request,
+                                   target);
       break;
     case MARJORAM_API_READY:
       marjoram_registrar_respond (registrar, request_id, MARJORAM_STATUS_OK,
@@ -623,6 +626,7 @@
   struct marjoram_pending_request *next;
 
   postpone_deadlines (registrar, now);
+  marjoram_registrar_state_learnt (registrar, now);
   send_changes (registrar, now);
   send_renewals (registrar, now);
   HASH_ITER (hh, registrar->pending, pending, next)
--- a/src/registrar.h
+++ b/src/registrar.h
@@ -4,6 +4,7 @@
 #define MARJORAM_REGISTRAR_H
 
 #include "api_server.h"
+#include "evacuation.h"
 #include "state_files.h"
 #include "host_list.h"
 #include "keeper.h"
@@ -30,9 +31,15 @@
   void (*apply) (void *context, uint64_t request, const char *change_id,
                  const struct marjoram_file *file);
   void (*read) (void *context, uint64_t request);
+  /* The same for an order on a zone.  */
+  void (*order) (void *context, uint64_t request, const char *change_id,
+                 const struct marjoram_evacuation_order *order);
+  /* Sends the caller of REQUEST_ID to TARGET (path and query) of this keeper,
+     with the same method.  */
+  void (*redirect) (void *context, uint64_t request_id, const char *target);
   /* The latest state known to be committed; NULL if none.  */
   const struct marjoram_state *(*state) (void *context);
-  /* How REQUEST_ID arrived; false if its caller is gone.  Null: unknown.  */
+  /* How REQUEST_ID arrived; false if its caller is gone.  */
   bool (*arrival) (void *context, uint64_t request_id,
                    struct marjoram_api_arrival *arrival);
   /* How much longer than usual a decision may take, as disks are slow, in
@@ -51,6 +58,7 @@
   const char *host; /* IP */
   const char *zone;
   uint16_t heartbeat_port;
+  uint64_t nonce; /* distinguishes orders across restarts and keepers */
   bool (*knows_zone) (void *context, const char *zone);
   void *context;
 };
@@ -72,6 +80,9 @@
 void marjoram_registrar_request_completed (
     marjoram_registrar *registrar, int64_t now, uint64_t request,
     const struct marjoram_apply_answer *answer);
+/* A newer state is known to be committed.  */
+void marjoram_registrar_state_learnt (marjoram_registrar *registrar,
+                                      int64_t now);
 /* Applies a batch from KEEPER, another one.  */
 void marjoram_registrar_apply_batch (marjoram_registrar *registrar,
                                      int64_t now, const char *keeper,
--- a/src/registrar_command.c
+++ b/src/registrar_command.c
@@ -5,13 +5,18 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
 {
-  EVACUATE_ATTEMPTS_MAX = 8 /* other updates may be committed first */
+  STATUS_REDIRECT = 307,
+  REDIRECT_MAX = 32 /* bytes of the query and the NUL */
 };
 
+/* In the target of a redirected order: the number that it builds on.  */
+#define AFTER_QUERY "?after="
+
 static uint64_t
 current_version (const struct marjoram_state *state, const char *name)
 {
@@ -83,71 +88,210 @@
   apply (registrar, pending, &file);
 }
 
-static bool
-is_evacuated (const struct marjoram_state *state, const char *zone)
+/* ---- Evacuations.  ---- */
+
+static struct marjoram_zone_record *
+find_zone (marjoram_registrar *registrar, const char *zone)
+{
+  struct marjoram_zone_record *record;
+
+  HASH_FIND_STR (registrar->zones, zone, record);
+  return record;
+}
+
+static struct marjoram_zone_record *
+add_zone (marjoram_registrar *registrar, const char *zone)
+{
+  struct marjoram_zone_record *record = marjoram_alloc (sizeof *record);
+
+  snprintf (record->name, sizeof record->name, "%s", zone);
+  HASH_ADD_STR (registrar->zones, name, record);
+  return record;
+}
+
+void
+marjoram_registrar_state_learnt (marjoram_registrar *registrar, int64_t now)
 {
-  struct marjoram_names zones = marjoram_state_files_evacuations (state);
-  bool found = marjoram_state_files_is_evacuated (&zones, zone);
+  const struct marjoram_state *state
+      = registrar->ops->state (registrar->context);
+  struct marjoram_names zones;
 
+  if (!state || state->number == registrar->zones_number)
+    return;
+  registrar->zones_number = state->number;
+  zones = marjoram_evacuation_ordered_zones (state);
+  for (size_t i = 0; i < zones.count; i++)
+    {
+      const uint64_t number
+          = marjoram_evacuation_number (state, zones.items[i]);
+      struct marjoram_zone_record *record
+          = find_zone (registrar, zones.items[i]);
+
+      if (!record)
+        record = add_zone (registrar, zones.items[i]);
+      if (record->number == number)
+        continue;
+      record->number = number;
+      record->learnt_at = now;
+    }
   marjoram_names_clear (&zones);
-  return found;
 }
 
+void
+marjoram_registrar_forget_zones (marjoram_registrar *registrar)
+{
+  struct marjoram_zone_record *record;
+  struct marjoram_zone_record *next;
+
+  HASH_ITER (hh, registrar->zones, record, next)
+  {
+    HASH_DELETE (hh, registrar->zones, record);
+    free (record);
+  }
+}
+
+/* The order that the caller can't have sent before: one that it was told, or
+   the last one that this keeper knew of when the caller may have sent it.  */
 static uint64_t
-list_version (const marjoram_registrar *registrar)
+find_base (marjoram_registrar *registrar, const char *target, const char *zone,
+           const struct marjoram_api_arrival *arrival)
+{
+  const char *query = strstr (target, AFTER_QUERY);
+  const struct marjoram_zone_record *record = find_zone (registrar, zone);
+
+  if (query)
+    return strtoull (query + strlen (AFTER_QUERY), NULL, 10);
+  if (!record)
+    return 0;
+  return record->learnt_at < arrival->not_before ? record->number
+                                                 : MARJORAM_ORDER_NO_BASE;
+}
+
+static int64_t
+display_base (const struct marjoram_pending_request *pending)
 {
-  return current_version (registrar->ops->state (registrar->context),
-                          MARJORAM_FILE_EVACUATIONS);
+  return pending->base == MARJORAM_ORDER_NO_BASE ? -1 : (int64_t)pending->base;
 }
 
 static void
-try_evacuate (marjoram_registrar *registrar,
-              struct marjoram_pending_request *pending)
+log_arrival (const marjoram_registrar *registrar, int64_t now,
+             const struct marjoram_pending_request *pending,
+             const struct marjoram_api_arrival *arrival)
 {
-  struct marjoram_file file;
+  const int64_t age_ms
+      = arrival->not_before == INT64_MIN ? -1 : now - arrival->not_before;
+
+  marjoram_event (
+      MARJORAM_EVENT_CONFIG,
+      "order=%s zone=%s request=%" PRIu64 " caller=%s age_max_ms=%" PRId64
+      " earlier=%d base=%" PRId64 " number=%" PRIu64 " stalled_ms=%" PRId64,
+      pending->evacuated ? "begin" : "finish", pending->zone, pending->number,
+      arrival->caller, age_ms, arrival->requests, display_base (pending),
+      marjoram_evacuation_number (registrar->ops->state (registrar->context),
+                                  pending->zone),
+      now - registrar->ticked_at);
+}
 
-  pending->attempts++;
-  pending->base = list_version (registrar);
-  marjoram_state_files_evacuate (registrar->ops->state (registrar->context),
-                                 pending->zone, pending->evacuated, &file);
-  apply (registrar, pending, &file);
-  marjoram_wire_clear (&marjoram_file_layout, &file);
+static void
+log_end (const marjoram_registrar *registrar,
+         const struct marjoram_pending_request *pending, int status,
+         const char *reason)
+{
+  marjoram_event (
+      MARJORAM_EVENT_CONFIG,
+      "zone=%s evacuated=%d status=%d reason=%s request=%" PRIu64
+      " base=%" PRId64 " number=%" PRIu64,
+      pending->zone, pending->evacuated, status, reason, pending->number,
+      display_base (pending),
+      marjoram_evacuation_number (registrar->ops->state (registrar->context),
+                                  pending->zone));
+  marjoram_metrics_add (registrar->options.metrics,
+                        MARJORAM_METRIC_EVACUATIONS,
+                        status == MARJORAM_STATUS_OK);
+}
+
+static void
+end_evacuation (marjoram_registrar *registrar,
+                struct marjoram_pending_request *pending, int status,
+                const char *reason)
+{
+  log_end (registrar, pending, status, reason);
+  marjoram_registrar_respond (registrar, pending->request_id, status, "{}");
+  marjoram_registrar_remove_pending (registrar, pending);
 }
 
-static const char *
-order_name (bool evacuated)
+/* A caller that still waits follows, which shows that it sends its order after
+   the one with NUMBER.  */
+static void
+redirect (marjoram_registrar *registrar,
+          struct marjoram_pending_request *pending, uint64_t number)
 {
-  return evacuated ? "begin" : "finish";
+  marjoram_auto_free char *target
+      = marjoram_alloc (strlen (pending->path) + REDIRECT_MAX);
+
+  sprintf (target, "%s" AFTER_QUERY "%" PRIu64, pending->path, number);
+  log_end (registrar, pending, STATUS_REDIRECT, "other-order-since");
+  marjoram_metrics_add (registrar->options.metrics,
+                        MARJORAM_METRIC_ORDERS_REDIRECTED, 1);
+  registrar->ops->redirect (registrar->context, pending->request_id, target);
+  marjoram_registrar_remove_pending (registrar, pending);
 }
 
 static void
-log_arrival (const marjoram_registrar *registrar, int64_t now,
-             const struct marjoram_pending_request *pending)
+propose (marjoram_registrar *registrar,
+         struct marjoram_pending_request *pending)
 {
-  struct marjoram_api_arrival arrival = { .caller = "-" };
-  const bool known = registrar->ops->arrival
-                     && registrar->ops->arrival (
-                         registrar->context, pending->request_id, &arrival);
-  const int64_t age_ms = known && arrival.not_before != INT64_MIN
-                             ? now - arrival.not_before
-                             : -1;
+  const struct marjoram_evacuation_order order
+      = { pending->zone, pending->evacuated, pending->base };
+  char id[MARJORAM_NAME_MAX];
 
-  marjoram_event (MARJORAM_EVENT_CONFIG,
-                  "order=%s zone=%s request=%" PRIu64
-                  " caller=%s age_max_ms=%" PRId64 " earlier=%d list=%" PRIu64
-                  " stalled_ms=%" PRId64,
-                  order_name (pending->evacuated), pending->zone,
-                  pending->number, arrival.caller, age_ms, arrival.requests,
-                  list_version (registrar), now - registrar->ticked_at);
+  snprintf (id, sizeof id, "order-%016" PRIx64 "-%" PRIu64,
+            registrar->options.nonce, pending->number);
+  pending->proposed = true;
+  registrar->ops->order (registrar->context, pending->number, id, &order);
+}
+
+static void
+continue_order (marjoram_registrar *registrar,
+                struct marjoram_pending_request *pending)
+{
+  const struct marjoram_state *state
+      = registrar->ops->state (registrar->context);
+  const uint64_t number = marjoram_evacuation_number (state, pending->zone);
+  struct marjoram_api_arrival arrival;
+
+  if (!registrar->ops->arrival (registrar->context, pending->request_id,
+                                &arrival))
+    end_evacuation (registrar, pending, MARJORAM_STATUS_UNAVAILABLE,
+                    "caller-left");
+  else if (marjoram_evacuation_in_force (state, pending->zone)
+               == pending->evacuated
+           || (pending->base != MARJORAM_ORDER_NO_BASE
+               && pending->base >= number))
+    propose (registrar, pending);
+  else
+    redirect (registrar, pending, number);
+}
+
+/* An order that was not redirected first confirms the state: meanwhile the end
+   of its connection comes, if that was on its way with it.  */
+static void
+start_order (marjoram_registrar *registrar,
+             struct marjoram_pending_request *pending, bool redirected)
+{
+  if (redirected || pending->base == MARJORAM_ORDER_NO_BASE)
+    continue_order (registrar, pending);
+  else
+    registrar->ops->read (registrar->context, pending->number);
 }
 
-/* Confirms the state first, since a lagging keeper could otherwise treat an
-   outdated state as final.  */
 void
 marjoram_registrar_evacuate (marjoram_registrar *registrar, int64_t now,
                              uint64_t request_id,
-                             const struct marjoram_api_request *request)
+                             const struct marjoram_api_request *request,
+                             const char *target)
 {
+  struct marjoram_api_arrival arrival = { .not_before = INT64_MIN };
   struct marjoram_pending_request *pending;
 
   if (!registrar->options.knows_zone (registrar->options.context,
@@ -162,29 +306,30 @@
       marjoram_registrar_reject (registrar, request_id, "evacuation", &err);
       return;
     }
+  marjoram_registrar_state_learnt (registrar, now);
+  registrar->ops->arrival (registrar->context, request_id, &arrival);
   pending = marjoram_registrar_add_pending (registrar, now, request_id,
                                             MARJORAM_PENDING_EVACUATION,
                                             MARJORAM_RESPONSE_TIMEOUT_MS);
   snprintf (pending->zone, sizeof pending->zone, "%s", request->zone);
   pending->evacuated = request->kind == MARJORAM_API_EVACUATE;
-  log_arrival (registrar, now, pending);
-  registrar->ops->read (registrar->context, pending->number);
+  pending->base = find_base (registrar, target, request->zone, &arrival);
+  pending->path = strndup (target, strcspn (target, "?"));
+  if (!pending->path)
+    abort ();
+  log_arrival (registrar, now, pending, &arrival);
+  start_order (registrar, pending, strstr (target, AFTER_QUERY) != NULL);
 }
 
 static void
-end_evacuation (marjoram_registrar *registrar,
-                struct marjoram_pending_request *pending, int status)
+end_order (marjoram_registrar *registrar,
+           struct marjoram_pending_request *pending,
+           const struct marjoram_apply_answer *answer)
 {
-  marjoram_event (MARJORAM_EVENT_CONFIG,
-                  "zone=%s evacuated=%d status=%d tries=%d request=%" PRIu64
-                  " built_on=%" PRIu64 " list=%" PRIu64,
-                  pending->zone, pending->evacuated, status, pending->attempts,
-                  pending->number, pending->base, list_version (registrar));
-  marjoram_metrics_add (registrar->options.metrics,
-                        MARJORAM_METRIC_EVACUATIONS,
-                        status == MARJORAM_STATUS_OK);
-  marjoram_registrar_respond (registrar, pending->request_id, status, "{}");
-  marjoram_registrar_remove_pending (registrar, pending);
+  if (answer->result == MARJORAM_CHANGE_ACCEPTED)
+    end_evacuation (registrar, pending, MARJORAM_STATUS_OK, "decided");
+  else
+    redirect (registrar, pending, answer->version);
 }
 
 static void
@@ -192,19 +337,18 @@
                      struct marjoram_pending_request *pending,
                      const struct marjoram_apply_answer *answer)
 {
-  const struct marjoram_state *state
-      = registrar->ops->state (registrar->context);
-
-  const bool known = answer->outcome == MARJORAM_APPLY_DECIDED && state;
-
-  if (known && is_evacuated (state, pending->zone) == pending->evacuated)
-    end_evacuation (registrar, pending, MARJORAM_STATUS_OK);
-  else if (known && pending->attempts < EVACUATE_ATTEMPTS_MAX)
-    try_evacuate (registrar, pending);
+  if (answer->outcome != MARJORAM_APPLY_DECIDED
+      || !registrar->ops->state (registrar->context))
+    end_evacuation (registrar, pending, MARJORAM_STATUS_UNAVAILABLE,
+                    "not-decided");
+  else if (pending->proposed)
+    end_order (registrar, pending, answer);
   else
-    end_evacuation (registrar, pending, MARJORAM_STATUS_UNAVAILABLE);
+    continue_order (registrar, pending);
 }
 
+/* ---- Answers of the register.  ---- */
+
 static void
 end_config (marjoram_registrar *registrar,
             struct marjoram_pending_request *pending,
--- a/src/registrar_private.h
+++ b/src/registrar_private.h
@@ -36,13 +36,25 @@
   int64_t deadline;
   size_t pending_acks; /* LEAVE: hosts yet to acknowledge */
   char zone[MARJORAM_ID_MAX];
+  /* EVACUATION: the order is to begin one; the number that it builds on;
+     whether it was proposed; the path of its target, malloc'd.  */
   bool evacuated;
-  int attempts;
-  uint64_t base; /* EVACUATION: version of the list last built on */
+  uint64_t base;
+  bool proposed;
+  char *path;
   uint64_t version;
   UT_hash_handle hh;
 };
 
+/* What this keeper knows of the orders for a zone.  */
+struct marjoram_zone_record
+{
+  char name[MARJORAM_ID_MAX];
+  uint64_t number; /* of the order decided last */
+  int64_t learnt_at;
+  UT_hash_handle hh;
+};
+
 /* Upstreams whose changes have not been sent yet.  */
 struct marjoram_changed_upstreams
 {
@@ -63,6 +75,8 @@
   struct marjoram_changed_upstreams changed; /* heard by this keeper */
   struct marjoram_changed_upstreams relayed; /* by other keepers */
   int64_t changes_sent_at;
+  struct marjoram_zone_record *zones; /* with orders in state ZONES_NUMBER */
+  uint64_t zones_number;
   struct marjoram_route_table *table; /* parsed from state TABLE_NUMBER */
   uint64_t table_number;
 };
@@ -92,6 +106,8 @@
                                     size_t size);
 void marjoram_registrar_evacuate (marjoram_registrar *registrar, int64_t now,
                                   uint64_t request_id,
-                                  const struct marjoram_api_request *request);
+                                  const struct marjoram_api_request *request,
+                                  const char *target);
+void marjoram_registrar_forget_zones (marjoram_registrar *registrar);
 
 #endif
