--- a/src/registrar_command.c
+++ b/src/registrar_command.c
@@ -273,13 +273,17 @@
     redirect (registrar, pending, number);
 }
 
-/* An order that was not redirected first confirms the state: meanwhile the end
-   of its connection comes, if that was on its way with it.  */
+/* An order that was not redirected and would change its zone first confirms
+   the state: meanwhile the end of its connection comes, if that was on its way
+   with it.  */
 static void
 start_order (marjoram_registrar *registrar,
              struct marjoram_pending_request *pending, bool redirected)
 {
-  if (redirected || pending->base == MARJORAM_ORDER_NO_BASE)
+  if (redirected || pending->base == MARJORAM_ORDER_NO_BASE
+      || marjoram_evacuation_in_force (
+             registrar->ops->state (registrar->context), pending->zone)
+             == pending->evacuated)
     continue_order (registrar, pending);
   else
     registrar->ops->read (registrar->context, pending->number);
