Streams taken up without a name go on only where a single build was for long enough

A caller that takes a stream up and names the attempt that began it goes on at that build. One that names none goes on where its service has a single build; and a host that has just started took the one build that it had heard of for the only one there was.

Cause: "only" said something of the present, by what was listed; the question is of the past. Now a registry knows since when it has heard of all upstreams: a keeper from its start plus the time after which upstreams are silent, or since what another keeper tells it; a host since what its keeper tells with its list, at most the minute for which records are kept. A service knows when its build changed last, also under the same ids. A stream without a name goes on if its service had one build since before it can have begun: its route's timeout and the 30 s in which callers come back. Else it is refused at once, as before. The field is appended to the batch of upstreams; keepers without it make hosts refuse such streams.

test_stream_origin: unnamed_stream_needs_a_single_build expected a stream to go on 10 ms after the second build had gone; that is the fault. It now expects a refusal then and going on once the time has passed; two tests are new.

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -122,6 +122,8 @@
     marjoram_event (MARJORAM_EVENT_UPSTREAM,
                     "state=batch count=%zu changed=%zu keeper=%s",
                     batch->items.count, changed, host);
+  if (batch->has_known)
+    marjoram_registry_set_known (self->registry, now - batch->known_ms);
   if (batch->is_last)
     marjoram_registry_unvouch_before (self->registry, batch->asked_at);
   if (batch->ticket)
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -87,6 +87,8 @@
                          &news_item_layout) },
   INT (marjoram_news_batch, asked_at),
   BOOL (marjoram_news_batch, is_last),
+  BOOL (marjoram_news_batch, has_known),
+  INT (marjoram_news_batch, known_ms),
 };
 LAYOUT (marjoram_news_batch_layout, marjoram_news_batch, news_batch_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -112,6 +112,10 @@
   struct marjoram_array items; /* struct marjoram_news_item */
   int64_t asked_at;            /* of the NEWS_ASK that it answers; else 0 */
   bool is_last;                /* of the batches of an answer */
+  /* After all upstreams that the sender knows: for how long it knows all that
+     there were; see marjoram_registry_known_ms.  */
+  bool has_known;
+  int64_t known_ms;
 };
 
 /* Asks a keeper for all upstreams of the sender's region.  */
--- a/src/gateway_origin.c
+++ b/src/gateway_origin.c
@@ -51,17 +51,18 @@
 }
 
 /* A caller that does not name the attempt that began the stream: its build is
-   known only if the service has a single one.  */
+   known only if the service has had a single one since before that.  */
 static const char *
 only_build (const marjoram_gateway *gateway,
             const struct marjoram_route_rule *route,
-            const struct marjoram_exchange *exchange)
+            const struct marjoram_exchange *exchange, int64_t now)
 {
+  const int64_t since = now - route->timeout_ms - KEEP_AFTER_DEADLINE_MS;
   const char *service
       = marjoram_route_pick_service (route, exchange->metadata.id);
 
   return service ? marjoram_registry_only_build (
-             gateway->options.place.registry, service)
+             gateway->options.place.registry, service, since)
                  : NULL;
 }
 
@@ -84,9 +85,10 @@
 
   if (!is_taken_up (exchange, route))
     return true;
-  build = *exchange->metadata.resumes ? marjoram_stream_origins_find (
-              gateway->origins, now, exchange->metadata.resumes)
-                                      : only_build (gateway, route, exchange);
+  build = *exchange->metadata.resumes
+              ? marjoram_stream_origins_find (gateway->origins, now,
+                                              exchange->metadata.resumes)
+              : only_build (gateway, route, exchange, now);
   if (build)
     {
       marjoram_exchange_require_build (exchange, build);
--- a/src/keeper_publish.c
+++ b/src/keeper_publish.c
@@ -223,6 +223,10 @@
 send_upstreams (struct marjoram_keeper_role *self, const char *host,
                 uint64_t session, const struct marjoram_host_beat *heartbeat)
 {
+  const struct marjoram_news_batch end
+      = { .has_known = true,
+          .known_ms = marjoram_registry_known_ms (
+              self->registry, marjoram_keeper_role_now (self)) };
   struct marjoram_news_batch batch;
 
   if (heartbeat->keeper)
@@ -231,6 +235,8 @@
   else
     pack_region (self, heartbeat->region, &batch);
   send_pages (self, host, session, &batch);
+  marjoram_host_links_reply (self->parts->links, host, session,
+                             MARJORAM_FRAME_NEWS, &end);
   free (batch.items.items);
 }
 
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -358,6 +358,8 @@
   else if (type == MARJORAM_FRAME_NEWS)
     {
       marjoram_registrar_apply_batch (self->registrar, now, host, batch);
+      if (batch->has_known)
+        marjoram_registry_set_known (self->registry, now - batch->known_ms);
       if (batch->ticket)
         {
           const struct marjoram_news_seen reply = { batch->ticket };
@@ -660,6 +662,10 @@
     }
   self->keeper = marjoram_keeper_create (&options, &keeper_ops, self,
                                          self->random, err);
+  if (settings->first_start && !options.record)
+    marjoram_registry_set_known (self->registry, INT64_MIN / 2);
+  else
+    marjoram_registry_set_known_from_start (self->registry, self->created_at);
   marjoram_bytes_release (options.record);
   return self->keeper != NULL;
 }
--- a/src/registry.c
+++ b/src/registry.c
@@ -31,6 +31,8 @@
   char *name;
   struct marjoram_registered_list upstreams;
   size_t count;
+  char *build;        /* heard last */
+  int64_t changed_at; /* a build other than the one before was heard */
   UT_hash_handle hh;
 };
 
@@ -51,6 +53,9 @@
   int64_t received_at; /* latest heartbeat of any upstream */
   bool uses_summaries;
   int64_t vouched_at; /* all vouched upstreams were alive then */
+  /* All upstreams since then are, or were, in the list; INT64_MAX: not known.
+   */
+  int64_t known_since;
   struct marjoram_registry_digest digest;
 };
 
@@ -63,6 +68,7 @@
   TAILQ_INIT (&registry->checked);
   registry->received_at = INT64_MIN / 2;
   registry->vouched_at = INT64_MIN / 2;
+  registry->known_since = INT64_MAX;
   return registry;
 }
 
@@ -76,6 +82,7 @@
     return service;
   service = marjoram_alloc (sizeof *service);
   service->name = marjoram_strdup (name);
+  service->changed_at = INT64_MIN;
   TAILQ_INIT (&service->upstreams);
   HASH_ADD_KEYPTR (hh, registry->services, service->name,
                    strlen (service->name), service);
@@ -97,6 +104,7 @@
     return;
   /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registry->services, service);
+  free (service->build);
   free (service->name);
   free (service);
 }
@@ -261,14 +269,14 @@
 
 const char *
 marjoram_registry_only_build (const marjoram_registry *registry,
-                              const char *service)
+                              const char *service, int64_t since)
 {
   const struct marjoram_registered *upstream;
   struct marjoram_registered_service *found;
   const char *build = NULL;
 
   HASH_FIND_STR (registry->services, service, found);
-  if (!found)
+  if (!found || since < registry->known_since || since < found->changed_at)
     return NULL;
   TAILQ_FOREACH (upstream, &found->upstreams, service_link)
   {
@@ -279,6 +287,41 @@
   return build;
 }
 
+void
+marjoram_registry_set_known (marjoram_registry *registry, int64_t since)
+{
+  if (since < registry->known_since)
+    registry->known_since = since;
+}
+
+void
+marjoram_registry_set_known_from_start (marjoram_registry *registry,
+                                        int64_t started_at)
+{
+  marjoram_registry_set_known (registry, started_at + SILENT_MS);
+}
+
+int64_t
+marjoram_registry_known_ms (const marjoram_registry *registry, int64_t now)
+{
+  if (registry->known_since < now - FORGET_MS)
+    return FORGET_MS;
+  return now - registry->known_since;
+}
+
+/* An upstream that starts again under its id may be of another build.  */
+static void
+note_build (struct marjoram_registered_service *service, int64_t now,
+            const char *build)
+{
+  if (service->build && strcmp (service->build, build) == 0)
+    return;
+  if (service->build)
+    service->changed_at = now;
+  free (service->build);
+  service->build = marjoram_strdup (build);
+}
+
 static void
 store_heartbeat (marjoram_registry *registry,
                  struct marjoram_registered *upstream, int64_t now,
@@ -295,6 +338,7 @@
       = heartbeat->ends_ms >= 0 ? received_at + heartbeat->ends_ms : INT64_MAX;
   join_service (registry, upstream);
   join_address (registry, upstream);
+  note_build (upstream->service, now, heartbeat->build);
 }
 
 /* A delayed heartbeat may carry an address that a later instance has taken
--- a/src/registry.h
+++ b/src/registry.h
@@ -98,10 +98,20 @@
                               const char *address);
 size_t marjoram_registry_service_count (const marjoram_registry *registry,
                                         const char *service);
-/* The build of all upstreams of SERVICE that were heard within the last
-   minute; null if there are several or none.  */
+/* The build of all upstreams that SERVICE has had since SINCE; null if there
+   were several or none, or what was there is not known for so long.  */
 const char *marjoram_registry_only_build (const marjoram_registry *registry,
-                                          const char *service);
+                                          const char *service, int64_t since);
+/* All upstreams since SINCE have been heard here, or listed by a host that
+   did. Upstreams heard by keepers from their start on are known once those are
+   silent that were there before.  */
+void marjoram_registry_set_known (marjoram_registry *registry, int64_t since);
+void marjoram_registry_set_known_from_start (marjoram_registry *registry,
+                                             int64_t started_at);
+/* For how long all upstreams are known, in ms: at most as long as records of
+   those that are gone are kept, negative if not yet.  */
+int64_t marjoram_registry_known_ms (const marjoram_registry *registry,
+                                    int64_t now);
 size_t marjoram_registry_count (const marjoram_registry *registry);
 /* Whether UPSTREAM accepts new requests: ready, not shutting down, and not
    silent while heartbeats of others arrive.  */
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -8,6 +8,13 @@
 #include <stdio.h>
 #include <string.h>
 
+enum
+{
+  /* Longer than the timeout of a route and the time for which callers come
+     back, shorter than records of upstreams are kept.  */
+  ONE_BUILD_MS = 50000
+};
+
 /* ---- Records.  ---- */
 
 static marjoram_stream_origins *origins;
@@ -233,17 +240,54 @@
 }
 END_TEST
 
-/* A caller that names no attempt goes on only where there is one build.  */
+/* A caller that names no attempt goes on only where there is one build, and
+   has been for as long as the stream may have been on its way.  */
 START_TEST (unnamed_stream_needs_a_single_build)
 {
+  marjoram_registry_set_known (f.registry, INT64_MIN / 2);
   gateway_fixture_take_up (&f, 0, "/ask/x", NULL);
   assert_refused ();
   gateway_fixture_build (&f, 10, "u2", 1, "v1");
   gateway_fixture_take_up (&f, 20, "/ask/x", NULL);
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.refusals, 2);
+  gateway_fixture_build (&f, ONE_BUILD_MS, "u1", 1, "v1");
+  gateway_fixture_build (&f, ONE_BUILD_MS, "u2", 1, "v1");
+  gateway_fixture_take_up (&f, 10 + ONE_BUILD_MS, "/ask/x", NULL);
+  ck_assert_int_eq (f.seen.sends, 1);
+}
+END_TEST
+
+/* Guards against a host that has just started and takes the build that it has
+   heard of for the only one there was.  */
+START_TEST (unnamed_stream_is_refused_by_a_host_that_knows_too_little)
+{
+  gateway_fixture_build (&f, 0, "u2", 1, "v1");
+  gateway_fixture_build (&f, ONE_BUILD_MS, "u1", 1, "v1");
+  gateway_fixture_build (&f, ONE_BUILD_MS, "u2", 1, "v1");
+  gateway_fixture_take_up (&f, ONE_BUILD_MS, "/ask/x", NULL);
+  assert_refused ();
+  marjoram_registry_set_known (f.registry, ONE_BUILD_MS - 20000);
+  gateway_fixture_take_up (&f, ONE_BUILD_MS + 10, "/ask/x", NULL);
+  ck_assert_int_eq (f.seen.refusals, 2);
+  marjoram_registry_set_known (f.registry, 0);
+  gateway_fixture_take_up (&f, ONE_BUILD_MS + 20, "/ask/x", NULL);
   ck_assert_int_eq (f.seen.sends, 1);
 }
 END_TEST
 
+/* Guards against upstreams that start again under their ids with another
+   build, so that the former one is not listed any more.  */
+START_TEST (unnamed_stream_is_refused_after_all_builds_changed_in_place)
+{
+  marjoram_registry_set_known (f.registry, INT64_MIN / 2);
+  gateway_fixture_build (&f, ONE_BUILD_MS, "u1", 2, "v3");
+  gateway_fixture_build (&f, ONE_BUILD_MS, "u2", 2, "v3");
+  gateway_fixture_take_up (&f, ONE_BUILD_MS + 10, "/ask/x", NULL);
+  assert_refused ();
+}
+END_TEST
+
 /* Guards against going on at another build after one more break.  */
 START_TEST (stream_that_was_taken_up_keeps_its_build)
 {
@@ -290,6 +334,10 @@
   tcase_add_test (c, stream_of_a_build_that_is_gone_is_refused);
   tcase_add_test (c, stream_goes_on_at_a_leaving_upstream);
   tcase_add_test (c, unnamed_stream_needs_a_single_build);
+  tcase_add_test (c,
+                  unnamed_stream_is_refused_by_a_host_that_knows_too_little);
+  tcase_add_test (c,
+                  unnamed_stream_is_refused_after_all_builds_changed_in_place);
   tcase_add_test (c, stream_that_was_taken_up_keeps_its_build);
   tcase_add_test (c, taken_up_stream_names_its_build_to_other_regions);
   suite_add_tcase (s, c);
