Orders are proposed at once, and their first attempt does not wait

An order that is sent again for what is in force needs a decision of its own, and the confirmation before each proposal needs one too while others are under way.

The confirmation isn't needed for what an order may do: that is judged where it is decided. It only gave the end of a connection that is right behind its order the time to arrive. Now an order is proposed at once, and dropped if its caller has left before it is part of a value, a round trip later. One that was answered 503 after its time goes on, so that slow disks don't keep an order from ever being decided. The first attempt for an order doesn't wait for those of other keepers and takes a higher ballot, as that of a membership change does.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -142,8 +142,9 @@
          && marjoram_value_state (keeper->chosen)->next_members.count > 0;
 }
 
-/* Whether a membership change can be proposed for which no attempt was started
-   yet.  The next loss may be near, so its first attempt waits only for another
+/* Whether a membership change can be proposed, or an order, for which no
+   attempt was started yet.  The next loss may be near, and an order's caller
+   waits for a second only, so its first attempt waits only for another
    membership change.  */
 static bool
 has_urgent_change (const marjoram_keeper *keeper)
@@ -154,7 +155,9 @@
       || marjoram_keeper_rival_changes_members (keeper))
     return false;
   TAILQ_FOREACH (request, &keeper->requests, link)
-  if (!request->tried && marjoram_keeper_ready_store (keeper, request))
+  if (!request->tried
+      && (request->order.zone
+          || marjoram_keeper_ready_store (keeper, request)))
     return true;
   return false;
 }
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -70,6 +70,9 @@
      May start others.  ANSWER is valid during the call.  */
   void (*answered) (void *context, uint64_t request,
                     const struct marjoram_apply_answer *answer);
+  /* Whether an order is still wanted, asked before it is first proposed; if
+     not, it is dropped without an answer.  Null: always.  */
+  bool (*wants) (void *context, uint64_t request);
   /* Whether STATE is a valid configuration.  */
   bool (*valid) (void *context, const struct marjoram_state *state,
                  struct marjoram_error *err);
--- a/src/keeper_propose.c
+++ b/src/keeper_propose.c
@@ -9,7 +9,9 @@
 {
   /* By how many rounds a membership change is ahead of other attempts.  More
      than the number of times that one is outdated in a row, as a rule.  */
-  MEMBERSHIP_ROUNDS = 16
+  MEMBERSHIP_ROUNDS = 16,
+  /* The same for the first attempt for an order.  */
+  ORDER_ROUNDS = 8
 };
 
 static void
@@ -54,17 +56,30 @@
   return false;
 }
 
+static bool
+has_new_order (const marjoram_keeper *keeper)
+{
+  const struct marjoram_keeper_request *request;
+
+  TAILQ_FOREACH (request, &keeper->requests, link)
+  if (request->order.zone && !request->tried)
+    return true;
+  return false;
+}
+
 /* Of keepers that start at the same moment, one with a membership change gets
-   the highest ballot, then the one that was outdated most often.  */
+   the highest ballot, then one with an order, then the one that was outdated
+   most often.  */
 static uint64_t
 next_round (const marjoram_keeper *keeper)
 {
   const bool change = has_membership_change (keeper);
 
-  return marjoram_keeper_mark_round (keeper->round + 1
-                                         + (uint64_t)keeper->failures
-                                         + (change ? MEMBERSHIP_ROUNDS : 0),
-                                     change);
+  return marjoram_keeper_mark_round (
+      keeper->round + 1 + (uint64_t)keeper->failures
+          + (change ? MEMBERSHIP_ROUNDS : 0)
+          + (has_new_order (keeper) ? ORDER_ROUNDS : 0),
+      change);
 }
 
 void
@@ -86,7 +101,7 @@
   TAILQ_FOREACH (request, &keeper->requests, link)
   {
     request->in_attempt = request->read;
-    request->tried = request->tried
+    request->tried = request->tried || request->order.zone
                      || marjoram_keeper_ready_store (keeper, request) != NULL;
   }
   marjoram_keeper_send_phase (keeper);
@@ -228,6 +243,24 @@
   return false;
 }
 
+/* By now the end of a caller's connection has come that was right behind its
+   order.  */
+static void
+drop_unwanted_orders (marjoram_keeper *keeper)
+{
+  struct marjoram_keeper_request *request = TAILQ_FIRST (&keeper->requests);
+
+  while (request && keeper->ops->wants)
+    {
+      struct marjoram_keeper_request *next = TAILQ_NEXT (request, link);
+
+      if (request->order.zone && !request->sent
+          && !keeper->ops->wants (keeper->context, request->request))
+        marjoram_keeper_requests_remove (&keeper->requests, request);
+      request = next;
+    }
+}
+
 /* Adds pending changes of files in order.  */
 static bool
 add_file_changes (marjoram_keeper *keeper, struct marjoram_state *state)
@@ -235,6 +268,7 @@
   struct marjoram_keeper_request *request;
   size_t count = 0;
 
+  drop_unwanted_orders (keeper);
   TAILQ_FOREACH (request, &keeper->requests, link)
   {
     if (request->file.name && add_change (keeper, state, request, NULL))
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -94,6 +94,14 @@
   marjoram_keeper_repair_answered (self->repair);
 }
 
+static bool
+op_wants (void *context, uint64_t request)
+{
+  struct marjoram_keeper_role *self = context;
+
+  return marjoram_registrar_wants (self->registrar, request);
+}
+
 /* Operators' files are validated before they are proposed.  */
 static bool
 op_valid (void *context, const struct marjoram_state *state,
@@ -149,6 +157,7 @@
   .persist = op_persist,
   .chosen = op_chosen,
   .answered = op_answered,
+  .wants = op_wants,
   .valid = op_valid,
 };
 
@@ -354,7 +363,10 @@
   int64_t now = marjoram_keeper_role_now (self);
 
   if (type == MARJORAM_FRAME_KEEPER)
-    marjoram_keeper_receive (self->keeper, now, host, message);
+    {
+      marjoram_keeper_receive (self->keeper, now, host, message);
+      marjoram_registrar_state_learnt (self->registrar, now);
+    }
   else if (type == MARJORAM_FRAME_NEWS)
     {
       marjoram_registrar_apply_batch (self->registrar, now, host, batch);
--- a/src/registrar.h
+++ b/src/registrar.h
@@ -80,6 +80,10 @@
 void marjoram_registrar_request_completed (
     marjoram_registrar *registrar, int64_t now, uint64_t request,
     const struct marjoram_apply_answer *answer);
+/* Whether the order with REQUEST may still be proposed: its caller waits for
+   it, or did until its time was over.  */
+bool marjoram_registrar_wants (marjoram_registrar *registrar,
+                               uint64_t request);
 /* A newer state is known to be committed.  */
 void marjoram_registrar_state_learnt (marjoram_registrar *registrar,
                                       int64_t now);
--- a/src/registrar_command.c
+++ b/src/registrar_command.c
@@ -109,34 +109,6 @@
   return record;
 }
 
-void
-marjoram_registrar_state_learnt (marjoram_registrar *registrar, int64_t now)
-{
-  const struct marjoram_state *state
-      = registrar->ops->state (registrar->context);
-  struct marjoram_names zones;
-
-  if (!state || state->number == registrar->zones_number)
-    return;
-  registrar->zones_number = state->number;
-  zones = marjoram_evacuation_ordered_zones (state);
-  for (size_t i = 0; i < zones.count; i++)
-    {
-      const uint64_t number
-          = marjoram_evacuation_number (state, zones.items[i]);
-      struct marjoram_zone_record *record
-          = find_zone (registrar, zones.items[i]);
-
-      if (!record)
-        record = add_zone (registrar, zones.items[i]);
-      if (record->number == number)
-        continue;
-      record->number = number;
-      record->learnt_at = now;
-    }
-  marjoram_names_clear (&zones);
-}
-
 void
 marjoram_registrar_forget_zones (marjoram_registrar *registrar)
 {
@@ -220,6 +192,41 @@
   marjoram_registrar_remove_pending (registrar, pending);
 }
 
+static void
+update_zones (marjoram_registrar *registrar, int64_t now,
+              const struct marjoram_state *state)
+{
+  struct marjoram_names zones = marjoram_evacuation_ordered_zones (state);
+
+  for (size_t i = 0; i < zones.count; i++)
+    {
+      const uint64_t number
+          = marjoram_evacuation_number (state, zones.items[i]);
+      struct marjoram_zone_record *record
+          = find_zone (registrar, zones.items[i]);
+
+      if (!record)
+        record = add_zone (registrar, zones.items[i]);
+      if (record->number == number)
+        continue;
+      record->number = number;
+      record->learnt_at = now;
+    }
+  marjoram_names_clear (&zones);
+}
+
+void
+marjoram_registrar_state_learnt (marjoram_registrar *registrar, int64_t now)
+{
+  const struct marjoram_state *state
+      = registrar->ops->state (registrar->context);
+
+  if (!state || state->number == registrar->zones_number)
+    return;
+  registrar->zones_number = state->number;
+  update_zones (registrar, now, state);
+}
+
 /* A caller that still waits follows, which shows that it sends its order after
    the one with NUMBER.  */
 static void
@@ -247,46 +254,39 @@
 
   snprintf (id, sizeof id, "order-%016" PRIx64 "-%" PRIu64,
             registrar->options.nonce, pending->number);
-  pending->proposed = true;
   registrar->ops->order (registrar->context, pending->number, id, &order);
 }
 
+/* An order for what is in force changes nothing, so it needs no base.  */
 static void
-continue_order (marjoram_registrar *registrar,
-                struct marjoram_pending_request *pending)
+start_order (marjoram_registrar *registrar,
+             struct marjoram_pending_request *pending)
 {
   const struct marjoram_state *state
       = registrar->ops->state (registrar->context);
   const uint64_t number = marjoram_evacuation_number (state, pending->zone);
-  struct marjoram_api_arrival arrival;
 
-  if (!registrar->ops->arrival (registrar->context, pending->request_id,
-                                &arrival))
-    end_evacuation (registrar, pending, MARJORAM_STATUS_UNAVAILABLE,
-                    "caller-left");
-  else if (marjoram_evacuation_in_force (state, pending->zone)
-               == pending->evacuated
-           || (pending->base != MARJORAM_ORDER_NO_BASE
-               && pending->base >= number))
+  if (marjoram_evacuation_in_force (state, pending->zone) == pending->evacuated
+      || (pending->base != MARJORAM_ORDER_NO_BASE && pending->base >= number))
     propose (registrar, pending);
   else
     redirect (registrar, pending, number);
 }
 
-/* An order that was not redirected and would change its zone first confirms
-   the state: meanwhile the end of its connection comes, if that was on its way
-   with it.  */
-static void
-start_order (marjoram_registrar *registrar,
-             struct marjoram_pending_request *pending, bool redirected)
+bool
+marjoram_registrar_wants (marjoram_registrar *registrar, uint64_t request)
 {
-  if (redirected || pending->base == MARJORAM_ORDER_NO_BASE
-      || marjoram_evacuation_in_force (
-             registrar->ops->state (registrar->context), pending->zone)
-             == pending->evacuated)
-    continue_order (registrar, pending);
-  else
-    registrar->ops->read (registrar->context, pending->number);
+  struct marjoram_pending_request *pending
+      = marjoram_registrar_find_pending (registrar, request);
+  struct marjoram_api_arrival arrival;
+
+  if (!pending
+      || registrar->ops->arrival (registrar->context, pending->request_id,
+                                  &arrival))
+    return true;
+  end_evacuation (registrar, pending, MARJORAM_STATUS_UNAVAILABLE,
+                  "caller-left");
+  return false;
 }
 
 void
@@ -322,7 +322,7 @@
   if (!pending->path)
     abort ();
   log_arrival (registrar, now, pending, &arrival);
-  start_order (registrar, pending, strstr (target, AFTER_QUERY) != NULL);
+  start_order (registrar, pending);
 }
 
 static void
@@ -330,25 +330,13 @@
            struct marjoram_pending_request *pending,
            const struct marjoram_apply_answer *answer)
 {
-  if (answer->result == MARJORAM_CHANGE_ACCEPTED)
-    end_evacuation (registrar, pending, MARJORAM_STATUS_OK, "decided");
-  else
-    redirect (registrar, pending, answer->version);
-}
-
-static void
-continue_evacuation (marjoram_registrar *registrar,
-                     struct marjoram_pending_request *pending,
-                     const struct marjoram_apply_answer *answer)
-{
-  if (answer->outcome != MARJORAM_APPLY_DECIDED
-      || !registrar->ops->state (registrar->context))
+  if (answer->outcome != MARJORAM_APPLY_DECIDED)
     end_evacuation (registrar, pending, MARJORAM_STATUS_UNAVAILABLE,
                     "not-decided");
-  else if (pending->proposed)
-    end_order (registrar, pending, answer);
+  else if (answer->result == MARJORAM_CHANGE_ACCEPTED)
+    end_evacuation (registrar, pending, MARJORAM_STATUS_OK, "decided");
   else
-    continue_order (registrar, pending);
+    redirect (registrar, pending, answer->version);
 }
 
 /* ---- Answers of the register.  ---- */
@@ -416,7 +404,7 @@
       end_read (registrar, pending, answer);
       break;
     case MARJORAM_PENDING_EVACUATION:
-      continue_evacuation (registrar, pending, answer);
+      end_order (registrar, pending, answer);
       break;
     case MARJORAM_PENDING_LEAVE:
       break;
--- a/src/registrar_private.h
+++ b/src/registrar_private.h
@@ -36,11 +36,10 @@
   int64_t deadline;
   size_t pending_acks; /* LEAVE: hosts yet to acknowledge */
   char zone[MARJORAM_ID_MAX];
-  /* EVACUATION: the order is to begin one; the number that it builds on;
-     whether it was proposed; the path of its target, malloc'd.  */
+  /* EVACUATION: the order is to begin one; the number that it builds on; the
+     path of its target, malloc'd.  */
   bool evacuated;
   uint64_t base;
-  bool proposed;
   char *path;
   uint64_t version;
   UT_hash_handle hh;
--- a/test/scenarios/operator.lua
+++ b/test/scenarios/operator.lua
@@ -78,15 +78,15 @@
   end
 end
 
--- Requests in the background at each entry host.
-function start_traffic (callers)
-  for _, host in ipairs (entries) do
-    host.traffic = system.steady {
-      address = host.ip .. ":8144", callers = callers, pause = 60,
-      start = "GET /get/x HTTP/1.1\r\nHost: a.example\r\n"
-        .. "Marjoramproxy-Deadline-Ms: 2000\r\n",
-      number = "Marjoramproxy-Attempt-Id" }
-  end
+-- Requests in the background at HOST, whose callers stop when it refuses a
+-- connection.
+function start_traffic (host)
+  if host.traffic then system.steady_end (host.traffic) end
+  host.traffic = system.steady {
+    address = host.ip .. ":8144", callers = 4, pause = 60,
+    start = "GET /get/x HTTP/1.1\r\nHost: a.example\r\n"
+      .. "Marjoramproxy-Deadline-Ms: 2000\r\n",
+    number = "Marjoramproxy-Attempt-Id" }
 end
 
 -- Starts so far at the upstreams of ZONE.
--- a/test/test_late_orders.c
+++ b/test/test_late_orders.c
@@ -181,6 +181,14 @@
 
   if (now < job->due_at)
     return;
+  if (!job->is_read && !job->is_decided && now >= keeper->frozen_until
+      && below (2) == 0
+      && !marjoram_registrar_wants (keeper->registrar, number))
+    {
+      TAILQ_REMOVE (&jobs, job, link);
+      free (job);
+      return;
+    }
   if (!job->is_read && !job->is_decided)
     decide (job);
   if (now < keeper->frozen_until)
--- a/test/test_registrar.c
+++ b/test/test_registrar.c
@@ -611,8 +611,7 @@
                     MARJORAM_CHANGE_ACCEPTED);
 }
 
-/* Sends an order by a caller that can't have sent it before AFTER, until it is
-   proposed or answered.  */
+/* Sends an order by a caller that can't have sent it before AFTER.  */
 static void
 send_order (int64_t now, int64_t after, const char *target)
 {
@@ -630,8 +629,6 @@
 {
   state = marjoram_state_copy (NULL);
   send_request (0, "POST", "/-/evacuations/za/begin", "");
-  ck_assert_int_eq (reads, 1);
-  complete_request (10, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_SAME);
   ck_assert_int_eq (orders, 1);
   /* Another keeper's command is committed first.  */
   decide_elsewhere ("zb", true);
@@ -743,17 +740,23 @@
 }
 END_TEST
 
-/* Guards against an order whose caller left while the state was confirmed.  */
-START_TEST (order_is_dropped_when_its_caller_has_left)
+/* Guards against an order whose caller has left before it is proposed, and
+   against dropping one that its caller gave up after its time.  */
+START_TEST (order_is_wanted_until_its_caller_leaves)
 {
   begin_za (0);
   marjoram_registrar_tick (registrar, 50);
-  sent_after = 60;
-  send_request (2000, "POST", "/-/evacuations/za/finish", "");
+  send_order (2000, 60, "/-/evacuations/za/finish");
+  ck_assert (marjoram_registrar_wants (registrar, request));
   caller_gone = true;
-  complete_request (2010, MARJORAM_APPLY_DECIDED, MARJORAM_CHANGE_SAME);
-  ck_assert_int_eq (orders, 1);
-  ck_assert (marjoram_evacuation_in_force (state, "za"));
+  ck_assert (!marjoram_registrar_wants (registrar, request));
+  caller_gone = false;
+  marjoram_registrar_tick (registrar, 2990);
+  send_order (3000, 60, "/-/evacuations/za/finish");
+  run_between (3000, 3950);
+  ck_assert_int_eq (status, 503);
+  caller_gone = true;
+  ck_assert (marjoram_registrar_wants (registrar, request));
 }
 END_TEST
 
@@ -878,7 +881,7 @@
   tcase_add_test (c, order_that_lost_is_not_proposed_again);
   tcase_add_test (c, redirected_order_that_comes_late_does_not_act);
   tcase_add_test (c, order_for_what_is_in_force_gets_a_number);
-  tcase_add_test (c, order_is_dropped_when_its_caller_has_left);
+  tcase_add_test (c, order_is_wanted_until_its_caller_leaves);
   tcase_add_test (c, lookups);
   tcase_add_test (c, lookup_without_own_region_returns_home_regions);
   tcase_add_test (c, lookup_returns_no_host_outside_home_regions);
