marjoramctl follows the redirection of an order

evacuate and restore in quick succession, at another keeper each, are redirected (5 to 8 times in 12 orders on loopback); the tool took that for a change that may still take effect and exited with an error.

--- a/src/ctl_gateway.c
+++ b/src/ctl_gateway.c
@@ -11,7 +11,9 @@
 enum
 {
   STATUS_OK = 200,
+  STATUS_REDIRECT = 307,
   STATUS_BAD_REQUEST = 400,
+  REDIRECTIONS_MAX = 2,
   PATH_MAX_BYTES = 256,
   ROUTES_MAX_BYTES = 4 * 1024 * 1024 /* bytes of a routes file */
 };
@@ -19,16 +21,51 @@
 static const char invalid_address[]
     = "the first operand is an address of a host, IP:port";
 
-/* Sends an unsigned request.  Sets BODY to the body of the response.  */
+/* The path and query of the URL in BODY; null if there is none.  */
+static char *
+redirected_path (const char *body)
+{
+  const char *host = body ? strstr (body, "://") : NULL;
+  const char *path = host ? strchr (host + 3, '/') : NULL;
+
+  return path ? marjoram_strdup (path) : NULL;
+}
+
+/* Sends an unsigned request and follows redirections, which stay at the host.
+   Sets BODY to the body of the response.  Returns false if the address is
+   invalid.  */
+static bool
+send_and_follow (struct marjoram_ctl_call *call, enum evhttp_cmd_type method,
+                 const char *path, const char *text, int *status, char **body)
+{
+  struct marjoram_blocking_call request
+      = { call->args[0], method, path, text, call->options->timeout_ms };
+  marjoram_auto_free char *next = NULL;
+
+  for (int followed = 0;; followed++)
+    {
+      if (!marjoram_blocking_call (&request, status, body))
+        return false;
+      if (*status != STATUS_REDIRECT || followed == REDIRECTIONS_MAX)
+        return true;
+      free (next);
+      next = redirected_path (*body);
+      if (!next)
+        return true;
+      free (*body);
+      *body = NULL;
+      request.path = next;
+    }
+}
+
+/* Sets BODY to the body of the response.  */
 static enum marjoram_ctl_status
 send_request (struct marjoram_ctl_call *call, enum evhttp_cmd_type method,
               const char *path, const char *text, char **body)
 {
-  const struct marjoram_blocking_call request
-      = { call->args[0], method, path, text, call->options->timeout_ms };
   int status;
 
-  if (!marjoram_blocking_call (&request, &status, body))
+  if (!send_and_follow (call, method, path, text, &status, body))
     return marjoram_ctl_error (call, MARJORAM_CTL_USAGE, invalid_address);
   if (status == 0)
     return marjoram_ctl_error (call, MARJORAM_CTL_UNREACHABLE,
