--- a/test/test_registrar.c
+++ b/test/test_registrar.c
@@ -624,6 +624,12 @@
     }
 }
 
+static const char *
+stored_list (void)
+{
+  return marjoram_state_file (state, MARJORAM_FILE_EVACUATIONS)->text;
+}
+
 /* Guards against one of two concurrent evacuations being lost.  */
 START_TEST (concurrent_evacuations_both_apply)
 {
@@ -638,12 +644,15 @@
   ck_assert_int_eq (orders, 1);
   ck_assert (marjoram_evacuation_in_force (state, "za"));
   ck_assert (marjoram_evacuation_in_force (state, "zb"));
+  ck_assert_str_eq (stored_list (), "zb,zb=1,za,za=2");
+  ck_assert_int_eq (reads, 0);
   marjoram_registrar_tick (registrar, 32);
   send_order (40, 35, "/-/evacuations/za/finish");
   decide_order (60);
   ck_assert_int_eq (status, 200);
   ck_assert (!marjoram_evacuation_in_force (state, "za"));
   ck_assert (marjoram_evacuation_in_force (state, "zb"));
+  ck_assert_str_eq (stored_list (), "zb,zb=1,za=3");
   send_request (70, "POST", "/-/evacuations/nowhere/begin", "");
   ck_assert_int_eq (status, 400);
 }
