Log lines: the connection of an attempt and whether it carried its id before

Each connection to an upstream now has a number and records the ids that it carries, up to 1,024; lines of attempts have connection=, connection_requests= and id_before=. Which connection is used is unchanged.

--- a/src/engine_survey.c
+++ b/src/engine_survey.c
@@ -228,7 +228,7 @@
   survey->pending++;
   send.attempt = query->number;
   send.message = marjoram_bytes_create (message, (size_t)size);
-  marjoram_http_client_send (survey->client, &send);
+  marjoram_http_client_send (survey->client, &send, NULL);
   marjoram_bytes_release (send.message);
 }
 
--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -223,11 +223,12 @@
 /* ---- Requests to upstreams and to other hosts.  ---- */
 
 static void
-op_send (void *context, const struct marjoram_http_send *send)
+op_send (void *context, const struct marjoram_http_send *send,
+         struct marjoram_http_path *path)
 {
   struct marjoram_entry *self = context;
 
-  marjoram_http_client_send (self->client, send);
+  marjoram_http_client_send (self->client, send, path);
 }
 
 static void
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -147,7 +147,9 @@
   size_t origins_awaited; /* keepers that have not answered */
 
   /* The current attempt.  */
-  uint64_t attempt;   /* 0 if none */
+  uint64_t attempt; /* 0 if none */
+  /* All 0 if forwarded.  */
+  struct marjoram_http_path path;
   int attempt_events; /* received */
   bool attempt_begun; /* the upstream has begun to answer */
   int64_t attempt_sent_at;
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -38,6 +38,7 @@
   if (exchange->state == MARJORAM_EXCHANGE_WAITING)
     exchange->state = MARJORAM_EXCHANGE_OPEN;
   exchange->attempt = ++gateway->next_attempt;
+  memset (&exchange->path, 0, sizeof exchange->path);
   exchange->attempt_events = 0;
   exchange->attempt_begun = false;
   exchange->unnamed_until = 0;
@@ -244,13 +245,14 @@
     exchange->idle_deadline
         = now + IDLE_MS + IDLE_WAIT_FACTOR * place->wait_ms;
   send.attempt = exchange->attempt;
+  send.id = exchange->metadata.id;
   send.address = place->upstream->heartbeat.address;
   send.message = write_message (
       gateway, exchange, now,
       place->copy_from ? place->copy_from->heartbeat.address : NULL);
   send.head_only = strcmp (exchange->request->method, "HEAD") == 0;
   send.fresh_only = !exchange->repeatable;
-  gateway->ops->send (gateway->context, &send);
+  gateway->ops->send (gateway->context, &send, &exchange->path);
   marjoram_bytes_release (send.message);
 }
 
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include "carried_ids.h"
 #include "cleanup.h"
 #include "frame.h"
 #include "http_reader.h"
@@ -43,6 +44,9 @@
   struct pool *pool;
   struct bufferevent *bev;
   marjoram_http_reader *reader;
+  uint64_t number;
+  size_t requests; /* that it has carried */
+  marjoram_carried_ids *ids;
   uint64_t attempt;        /* 0 while idle */
   marjoram_bytes *message; /* until connected */
   int64_t idle_since;
@@ -76,6 +80,7 @@
   void *context;
   struct pool *pools;
   struct connection *busy;
+  uint64_t connections; /* opened */
 };
 
 static struct pool *
@@ -103,6 +108,7 @@
     TAILQ_REMOVE (&connection->pool->idle, connection, link);
   bufferevent_free (connection->bev);
   marjoram_http_reader_destroy (connection->reader);
+  marjoram_carried_ids_destroy (connection->ids);
   marjoram_bytes_release (connection->message);
   free (connection);
 }
@@ -330,10 +336,26 @@
                           : MARJORAM_HTTP_BROKEN);
 }
 
+static void
+describe (const struct connection *connection, const char *id,
+          struct marjoram_http_path *path)
+{
+  path->connection = connection->number;
+  path->requests = connection->requests;
+  path->has_carried_id
+      = id && marjoram_carried_ids_contains (connection->ids, id);
+}
+
 static void
 start_attempt (struct connection *connection,
-               const struct marjoram_http_send *send)
+               const struct marjoram_http_send *send,
+               struct marjoram_http_path *path)
 {
+  if (path)
+    describe (connection, send->id, path);
+  connection->requests++;
+  if (send->id)
+    marjoram_carried_ids_add (connection->ids, send->id);
   connection->attempt = send->attempt;
   connection->head_only = send->head_only;
   connection->complete = false;
@@ -353,6 +375,8 @@
 
   connection->client = client;
   connection->pool = pool;
+  connection->number = ++client->connections;
+  connection->ids = marjoram_carried_ids_create ();
   connection->reader
       = marjoram_http_reader_create (HTTP_RESPONSE, &reader_ops, connection);
   marjoram_http_reader_set_limit (connection->reader, MARJORAM_HEAD_MAX);
@@ -367,7 +391,8 @@
    callback runs before marjoram_http_client_send returns.  */
 static void
 connect_and_send (marjoram_http_client *client, struct pool *pool,
-                  const struct marjoram_http_send *send)
+                  const struct marjoram_http_send *send,
+                  struct marjoram_http_path *path)
 {
   struct connection *connection = connection_create (client, pool);
   struct sockaddr_storage addr;
@@ -376,7 +401,7 @@
   connection->message = marjoram_bytes_retain (send->message);
   connection->connect_deadline
       = marjoram_clock_now (client->clock) + CONNECT_TIMEOUT_MS;
-  start_attempt (connection, send);
+  start_attempt (connection, send, path);
   if (evutil_parse_sockaddr_port (pool->address, (struct sockaddr *)&addr,
                                   &size)
           != 0
@@ -399,7 +424,8 @@
 
 void
 marjoram_http_client_send (marjoram_http_client *client,
-                           const struct marjoram_http_send *send)
+                           const struct marjoram_http_send *send,
+                           struct marjoram_http_path *path)
 {
   struct pool *pool = find_pool (client, send->address);
   struct connection *connection = TAILQ_FIRST (&pool->idle);
@@ -409,11 +435,11 @@
       || !is_fresh (connection, now, send->fresh_only)
       || !is_clean (connection) || !is_socket_idle (connection))
     {
-      connect_and_send (client, pool, send);
+      connect_and_send (client, pool, send, path);
       return;
     }
   TAILQ_REMOVE (&pool->idle, connection, link);
-  start_attempt (connection, send);
+  start_attempt (connection, send, path);
   bufferevent_write (connection->bev, marjoram_bytes_data (send->message),
                      marjoram_bytes_size (send->message));
 }
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -105,10 +105,12 @@
 }
 
 static void
-op_send (void *context, const struct marjoram_http_send *send)
+op_send (void *context, const struct marjoram_http_send *send,
+         struct marjoram_http_path *path)
 {
   struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
 
+  (void)path;
   seen->sends++;
   seen->forwarded = false;
   seen->attempt = send->attempt;
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -864,12 +864,12 @@
   static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
   marjoram_bytes *message = marjoram_bytes_create (text, strlen (text));
   const struct marjoram_http_send out
-      = { ++attempts, upstream_address, message, false, false, false };
+      = { ++attempts, upstream_address, message, false, false, false, NULL };
 
   script = response;
   ends = heads = 0;
   data[0] = 0;
-  marjoram_http_client_send (client, &out);
+  marjoram_http_client_send (client, &out, NULL);
   marjoram_bytes_release (message);
 }
 
