gateway-id-again: copies of refusals where an id comes back on its connection

Real processes: callers, upstreams that refuse with 503, 429, 408 or 421 and say so once more on the same connection as the request is under way there again, hosts between them.

tool_promises can send a refused request again under its id; its upstreams can be replaced at their address; both only on demand, so that gateway-promises and gateway-copied-refusal play as before. preload_no_path keeps one host from some addresses.

--- a/test/lib_judged_caller.c
+++ b/test/lib_judged_caller.c
@@ -23,7 +23,10 @@
   CLOSE_PERCENT = 20, /* connections that are not used again */
   PATIENCE_MS = 700,  /* beyond the deadline */
   LEAVE_MAX_MS = 300,
-  AWAY_MS = 100 /* after a connection that could not be opened */
+  AWAY_MS = 100, /* after a connection that could not be opened */
+  /* Until a refused request is sent again.  */
+  AGAIN_MIN_MS = 60,
+  AGAIN_MAX_MS = 120
 };
 
 static const struct path
@@ -48,6 +51,8 @@
   marjoram_http_reader *reader;
   struct event *timer;    /* the next step: a request, a part, a limit */
   char id[LEDGER_ID_MAX]; /* "" while no request is in progress */
+  char refused_id[LEDGER_ID_MAX]; /* to be sent again; "" if none */
+  const struct path *path;
   bool connected;
   bool responded; /* the whole response was read */
   struct ledger_answer answer;
@@ -115,6 +120,10 @@
 {
   if (caller->all->stopped)
     event_del (caller->timer);
+  else if (*caller->refused_id)
+    wait_for (caller, on_pause_end,
+              at_least_ms + AGAIN_MIN_MS
+                  + draw (caller, AGAIN_MAX_MS - AGAIN_MIN_MS));
   else
     wait_for (caller, on_pause_end,
               at_least_ms + draw (caller, caller->all->options->pause_ms));
@@ -130,6 +139,10 @@
   caller->answer.own = strstr (caller->body, own) != NULL;
   run_ledger_answered (caller->all->ledger, now_ms (), caller->id,
                        &caller->answer);
+  if (caller->all->options->again_percent > 0 && caller->answer.whole
+      && run_ledger_is_promise (caller->answer.status)
+      && draw_percent (caller, caller->all->options->again_percent))
+    snprintf (caller->refused_id, sizeof caller->refused_id, "%s", caller->id);
   caller->id[0] = '\0';
 }
 
@@ -241,35 +254,50 @@
 }
 
 static void
-write_head (struct caller *caller, const struct path *path, int64_t deadline)
+write_head (struct caller *caller, int64_t deadline)
 {
   evbuffer_add_printf (bufferevent_get_output (caller->bev),
                        "POST %s?%s HTTP/1.1\r\nHost: a.example\r\n"
                        "Marjoramproxy-Attempt-Id: %s\r\n"
                        "Marjoramproxy-Deadline-Ms: %" PRId64 "\r\n"
                        "Content-Length: %zu\r\n\r\n",
-                       path->name, caller->id, caller->id, deadline,
+                       caller->path->name, caller->id, caller->id, deadline,
                        caller->rest);
 }
 
+static void
+choose_request (struct caller *caller)
+{
+  struct judged_callers *all = caller->all;
+
+  if (*caller->refused_id)
+    {
+      snprintf (caller->id, sizeof caller->id, "%s", caller->refused_id);
+      caller->refused_id[0] = '\0';
+      run_ledger_asked_again (all->ledger, caller->id);
+      return;
+    }
+  caller->path = &paths[draw (caller, PATHS - 1)];
+  snprintf (caller->id, sizeof caller->id, "id-%" PRIu64, ++all->requests);
+  run_ledger_asked (all->ledger, caller->id, caller->path->once);
+}
+
 static void
 send_request (struct caller *caller)
 {
   struct judged_callers *all = caller->all;
-  const struct path *path = &paths[draw (caller, PATHS - 1)];
   const int64_t deadline = draw_deadline (caller);
 
   caller->answer = (struct ledger_answer){ 0 };
   caller->responded = false;
   caller->body_size = 0;
   caller->body[0] = '\0';
-  snprintf (caller->id, sizeof caller->id, "id-%" PRIu64, ++all->requests);
-  run_ledger_asked (all->ledger, caller->id, path->once);
+  choose_request (caller);
   caller->rest = (size_t)draw (caller, BODY_MAX);
   caller->limit_at = now_ms () + deadline + PATIENCE_MS;
   if (draw_percent (caller, all->options->leave_percent))
     caller->limit_at = now_ms () + draw (caller, LEAVE_MAX_MS);
-  write_head (caller, path, deadline);
+  write_head (caller, deadline);
   if (draw_percent (caller, SPLIT_PERCENT) && caller->rest > 1)
     {
       write_body (caller, caller->rest / 2);
--- a/test/lib_judged_caller.h
+++ b/test/lib_judged_caller.h
@@ -20,6 +20,7 @@
   int64_t deadline_min_ms;
   int64_t deadline_max_ms;
   int leave_percent; /* callers that leave early */
+  int again_percent; /* refused requests that are sent again under their id */
 };
 
 struct judged_callers *
--- a/test/lib_odd_upstream.c
+++ b/test/lib_odd_upstream.c
@@ -22,6 +22,10 @@
   WORK_MAX_MS = 20,
   LATE_MAX_MS = 1500,
   COPY_MAX_MS = 300,
+  /* A copy that waits for its request comes so long after it, or else after
+     its refusal.  */
+  COPY_AFTER_MS = 20,
+  COPY_AT_LAST_MS = 2000,
   DEATHS_IN = 20, /* one in so many of these requests ends its upstream */
   NAME_MAX_BYTES = 48,
   /* Refusals that come late: later than upstreams that refused are avoided. */
@@ -50,13 +54,14 @@
   int status;         /* 0: 200 */
   int arrivals;       /* that it is for; the next one runs for some time */
   bool runs;
-  bool bare;     /* the answer has neither id nor seal */
-  bool marked;   /* it states that the request was not run */
-  bool closes;   /* the connection, after the answer */
-  bool copies;   /* the answer comes again some time later */
-  bool late;     /* it runs, or is refused, after some time */
-  bool slow;     /* it runs for some time */
-  bool cut;      /* ends the connection instead of answering */
+  bool bare;   /* the answer has neither id nor seal */
+  bool marked; /* it states that the request was not run */
+  bool closes; /* the connection, after the answer */
+  bool copies; /* the answer comes again some time later */
+  bool waits;  /* the copy, until its request comes again on the connection */
+  bool late;   /* it runs, or is refused, after some time */
+  bool slow;   /* it runs for some time */
+  bool cut;    /* ends the connection instead of answering */
   bool shortens; /* the body ends before its length */
   bool mute;     /* never answers */
   bool unframed; /* the answer ends with its connection */
@@ -64,6 +69,10 @@
   bool greets;   /* writes BEFORE, which has no %s, as the connection opens */
   bool dies;     /* the upstream starts anew instead of answering, at times */
   bool renames;  /* under another id */
+  /* Another instance took the address before this connection was opened; the
+     keepers hear of it as the request comes.  */
+  bool replaced;
+  bool by_name; /* only if its name is given */
 };
 
 static const struct behaviour plain = { .name = "serve", .runs = true };
@@ -83,6 +92,41 @@
     .copies = true,
     .late = true,
     .arrivals = 2 },
+  { .name = "refuse-once-503",
+    .status = 503,
+    .marked = true,
+    .copies = true,
+    .waits = true,
+    .arrivals = 1,
+    .by_name = true },
+  { .name = "refuse-once-429",
+    .status = 429,
+    .marked = true,
+    .copies = true,
+    .waits = true,
+    .arrivals = 1,
+    .by_name = true },
+  { .name = "refuse-once-408",
+    .status = 408,
+    .marked = true,
+    .copies = true,
+    .waits = true,
+    .arrivals = 1,
+    .by_name = true },
+  { .name = "refuse-once-421",
+    .status = 421,
+    .copies = true,
+    .waits = true,
+    .arrivals = 1,
+    .by_name = true },
+  { .name = "replaced",
+    .status = 421,
+    .copies = true,
+    .waits = true,
+    .late = true,
+    .arrivals = 1,
+    .replaced = true,
+    .by_name = true },
   { .name = "refuse-early", .status = 503, .marked = true, .early = true },
   { .name = "nameless-503",
     .before = "HTTP/1.1 503 Busy\r\n" NOT_RUN "Content-Length: 0\r\n\r\n",
@@ -190,18 +234,18 @@
 /* ---- Choice.  ---- */
 
 static bool
-is_enabled (const struct odd_upstream *upstream, const char *name)
+is_enabled (const struct odd_upstream *upstream, const struct behaviour *how)
 {
   const char *list = upstream->options->behaviours;
-  const size_t size = strlen (name);
+  const size_t size = strlen (how->name);
 
   for (const char *at = list; at; at = strchr (at, ','))
     {
       at += *at == ',';
-      if (strncmp (at, name, size) == 0 && (!at[size] || at[size] == ','))
+      if (strncmp (at, how->name, size) == 0 && (!at[size] || at[size] == ','))
         return true;
     }
-  return !list;
+  return !list && !how->by_name;
 }
 
 static const struct behaviour *
@@ -214,7 +258,7 @@
       >= (uint32_t)upstream->options->percent)
     return &plain;
   for (size_t i = 0; i < BEHAVIOURS; i++)
-    if (is_enabled (upstream, behaviours[i].name))
+    if (is_enabled (upstream, &behaviours[i]))
       found[count++] = &behaviours[i];
   if (count == 0)
     return &plain;
@@ -355,7 +399,21 @@
       = run_create (run->upstream, run->connection, run->how, run->id);
 
   wait_for (copy, on_copy,
-            marjoram_random_below (run->upstream->random, COPY_MAX_MS));
+            run->how->waits
+                ? COPY_AT_LAST_MS
+                : marjoram_random_below (run->upstream->random, COPY_MAX_MS));
+}
+
+/* The copy of an answer to REQUEST that waits for it on its connection.  */
+static void
+hasten_copy (const struct run *request)
+{
+  struct run *copy;
+
+  LIST_FOREACH (copy, &runs, link)
+  if (copy != request && copy->connection == request->connection
+      && copy->how->waits && strcmp (copy->id, request->id) == 0)
+    wait_for (copy, on_copy, COPY_AFTER_MS);
 }
 
 /* ---- Runs.  ---- */
@@ -442,14 +500,22 @@
   wait_for (run, on_event_due, EVENT_MS);
 }
 
-/* The process ends, and another one has its address.  */
+/* The process ends, and another one has its address; KEPT, if not null, was
+   opened to that one.  */
 static void
-restart (struct odd_upstream *upstream, bool renames)
+restart (struct odd_upstream *upstream, bool renames,
+         const struct odd_connection *kept)
 {
   struct odd_connection *connection;
+  struct odd_connection *next;
 
-  while ((connection = LIST_FIRST (&upstream->connections)))
-    connection_destroy (connection);
+  for (connection = LIST_FIRST (&upstream->connections); connection;
+       connection = next)
+    {
+      next = LIST_NEXT (connection, link);
+      if (connection != kept)
+        connection_destroy (connection);
+    }
   upstream->started_at = marjoram_clock_wall (marjoram_clock_system ());
   upstream->sequence = 0;
   if (renames)
@@ -469,7 +535,7 @@
     run_destroy (run);
   else if (run->how->dies
            && marjoram_random_below (run->upstream->random, DEATHS_IN) == 0)
-    restart (run->upstream, run->how->renames);
+    restart (run->upstream, run->how->renames, NULL);
   else if (run->how->cut)
     connection_destroy (connection);
   else if (run->stream && status_of (run) == 200 && !run->how->shortens)
@@ -562,6 +628,12 @@
       = strstr (marjoram_http_reader_target (connection->reader), "stream");
   run->next_event = last ? atoi (last) + 1 : 1;
   connection->run = run;
+  hasten_copy (run);
+  if (how->replaced)
+    {
+      restart (run->upstream, true, connection);
+      event_active (run->upstream->beat, EV_TIMEOUT, 0);
+    }
   if (connection->has_greeted)
     run_ledger_note (run->upstream->ledger, run->id, "greet-503");
   connection->has_greeted = false;
--- a/test/lib_run_ledger.c
+++ b/test/lib_run_ledger.c
@@ -162,9 +162,8 @@
   STAILQ_INSERT_TAIL (&ledger->answered, entry, next);
 }
 
-/* Statuses that promise that the request did not run and never will.  */
-static bool
-is_promise (int status)
+bool
+run_ledger_is_promise (int status)
 {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -199,7 +198,7 @@
 {
   if (!answer->whole || answer->status == 0)
     counts->unanswered++;
-  else if (is_promise (answer->status))
+  else if (run_ledger_is_promise (answer->status))
     counts->refused++;
   else if (is_success (answer))
     counts->served++;
@@ -218,7 +217,8 @@
       counts->ran_twice++;
       report (entry, "TWICE");
     }
-  if (entry->once && entry->runs > 0 && is_promise (entry->answer.status))
+  if (entry->once && entry->runs > 0
+      && run_ledger_is_promise (entry->answer.status))
     {
       counts->ran_refused++;
       report (entry, "REFUSED");
@@ -249,6 +249,24 @@
     }
 }
 
+void
+run_ledger_asked_again (struct run_ledger *ledger, const char *id)
+{
+  struct entry *entry = find (ledger, id);
+
+  if (!entry)
+    return;
+  STAILQ_REMOVE (&ledger->answered, entry, entry, next);
+  judge (ledger, entry);
+  ledger->counts.asked_again++;
+  entry->runs = 0;
+  entry->sealed_status = 0;
+  entry->overlapped = false;
+  entry->answered_at = 0;
+  entry->answer = (struct ledger_answer){ 0 };
+  add_story (entry, "-", "asked-again");
+}
+
 const struct ledger_counts *
 run_ledger_counts (const struct run_ledger *ledger)
 {
--- a/test/lib_run_ledger.h
+++ b/test/lib_run_ledger.h
@@ -25,6 +25,7 @@
 struct ledger_counts
 {
   uint64_t asked;
+  uint64_t asked_again;    /* after a refusal, not counted in ASKED */
   uint64_t served;         /* whole answers of status 2xx */
   uint64_t refused;        /* statuses that promise: 408, 421, 429, 503 */
   uint64_t failed;         /* other statuses */
@@ -40,6 +41,10 @@
 void run_ledger_destroy (struct run_ledger *ledger);
 /* A caller sends request ID, which must run at most ONCE if set.  */
 void run_ledger_asked (struct run_ledger *ledger, const char *id, bool once);
+/* The caller of ID, which was refused, sends it again under the same id.  What
+   it was told before is judged now; what runs from now on counts for the new
+   sending.  */
+void run_ledger_asked_again (struct run_ledger *ledger, const char *id);
 /* An upstream, named WHERE, begins to run ID; HOW names its behaviour.  */
 void run_ledger_ran (struct run_ledger *ledger, const char *id,
                      const char *where, const char *how);
@@ -61,6 +66,9 @@
                        int64_t keep_ms);
 const struct ledger_counts *
 run_ledger_counts (const struct run_ledger *ledger);
+/* Whether a caller that is told STATUS is promised that its request did not
+   run and never will.  */
+bool run_ledger_is_promise (int status);
 /* Number of broken rules.  */
 uint64_t run_ledger_violations (const struct run_ledger *ledger);
 
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -117,19 +117,25 @@
 -- A sanitized program that keeps freed memory would not show what it uses.
 local KEEP_NOTHING = "ASAN_OPTIONS=quarantine_size_mb=1:malloc_context_size=0"
 
--- With SYNC_MS, each sync of a keeper's disk takes so much longer.
-local function with_slow_syncs (command)
-  return { "/usr/bin/env", "LD_PRELOAD=" .. system.programs
-             .. "/libslow_sync.so", "SLOW_SYNC_MS=" .. SYNC_MS,
-           "ASAN_OPTIONS=verify_asan_link_order=0",
+local function preloaded (library, setting, command)
+  return { "/usr/bin/env", "LD_PRELOAD=" .. system.programs .. "/" .. library,
+           setting, "ASAN_OPTIONS=verify_asan_link_order=0",
            table.unpack (command) }
 end
 
 function start_host (host)
   write_settings (host)
   local command = { system.programs .. "/marjoramd", "--settings", host.path }
+  -- With SYNC_MS, each sync of a keeper's disk takes so much longer.
   if SYNC_MS and host.role == "keeper" then
-    command = with_slow_syncs (command)
+    command = preloaded ("libslow_sync.so", "SLOW_SYNC_MS=" .. SYNC_MS,
+                         command)
+  end
+  -- NO_PATH, if set, has the addresses that a host cannot connect to, by the
+  -- host's index.
+  if NO_PATH and NO_PATH[host.index] then
+    command = preloaded ("libno_path.so", "NO_PATH_TO="
+                           .. table.concat (NO_PATH[host.index], ","), command)
   end
   if MEMORY_MB then
     command = { "/usr/bin/env", KEEP_NOTHING, table.unpack (command) }
--- a/test/tool_promises.c
+++ b/test/tool_promises.c
@@ -146,6 +146,7 @@
           { "deadline-min-ms", required_argument, NULL, 'm' },
           { "deadline-max-ms", required_argument, NULL, 'x' },
           { "leave-percent", required_argument, NULL, 'l' },
+          { "again-percent", required_argument, NULL, 'a' },
           { "seed", required_argument, NULL, 'r' },
           { "list", no_argument, NULL, 'L' },
           { NULL, 0, NULL, 0 } };
@@ -191,6 +192,9 @@
       case 'l':
         program->asked.leave_percent = atoi (optarg);
         break;
+      case 'a':
+        program->asked.again_percent = atoi (optarg);
+        break;
       case 'r':
         program->seed = strtoull (optarg, NULL, 10);
         break;
@@ -230,12 +234,12 @@
 {
   const struct ledger_counts *counts = run_ledger_counts (ledger);
 
-  printf ("asked=%" PRIu64 " served=%" PRIu64 " failed=%" PRIu64
-          " refused=%" PRIu64 " unanswered=%" PRIu64 " runs=%" PRIu64
-          " twice=%" PRIu64 " ran_refused=%" PRIu64 " overlapped=%" PRIu64
-          " mixed=%" PRIu64 "\n",
-          counts->asked, counts->served, counts->failed, counts->refused,
-          counts->unanswered, counts->runs, counts->ran_twice,
+  printf ("asked=%" PRIu64 " again=%" PRIu64 " served=%" PRIu64
+          " failed=%" PRIu64 " refused=%" PRIu64 " unanswered=%" PRIu64
+          " runs=%" PRIu64 " twice=%" PRIu64 " ran_refused=%" PRIu64
+          " overlapped=%" PRIu64 " mixed=%" PRIu64 "\n",
+          counts->asked, counts->asked_again, counts->served, counts->failed,
+          counts->refused, counts->unanswered, counts->runs, counts->ran_twice,
           counts->ran_refused, counts->ran_overlapped, counts->mixed);
   fflush (stdout);
 }
@@ -263,7 +267,8 @@
                        "[--behaviours NAME,...] [--percent N] [--callers N] "
                        "[--pause-ms N] [--seconds N] [--delay-ms N] "
                        "[--deadline-min-ms N] [--deadline-max-ms N] "
-                       "[--leave-percent N] [--seed N] [--list]\n");
+                       "[--leave-percent N] [--again-percent N] [--seed N] "
+                       "[--list]\n");
       return EXIT_FAILURE;
     }
   signal (SIGPIPE, SIG_IGN);
