A connection to an upstream carries an id once

Callers were refused with 503 although their request ran, and requests that may run once ran twice. Cause: an answer is matched to an attempt by its connection and by the request's id, which all attempts of the request share; the guard was a list of the upstreams' names that one exchange had tried. It knew nothing of another exchange with the same id at this host (two hosts that forward a request in turn, a caller that uses its id again), nor of another upstream's name at the same address, so that a request went over the connection that had carried its refusal, whose late copy ended the new attempt as not run.

Now the connections themselves know: each records the ids that it has carried, and a request takes the latest idle one that has not carried its id, or a new one. (Connection, id) then names one attempt, whoever sends it, so that an answer with the id on it, copy or not, was made for this attempt.

new_connection of the client and the gateway's look at its list of tried upstreams are gone, as the record covers them: an upstream gets a request again on any connection that did not carry it. So the check of test_promise that the third sending asks for a new connection is replaced by three: test_http that the second request with an id opens a new connection, that one is closed before an id is forgotten, test_promise that each sending names its request's id.

--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -168,16 +168,6 @@
 
 /* ---- Sending to an upstream of this region. ---- */
 
-static bool
-was_tried (const struct marjoram_exchange *exchange, const char *upstream)
-{
-  for (size_t i = 0; i < exchange->tried_count; i++)
-    if (strcmp (exchange->tried[i], upstream) == 0)
-      return true;
-  /* The list is full: it may have been.  */
-  return exchange->tried_count == MARJORAM_TRIED_MAX;
-}
-
 static void
 add_tried (struct marjoram_exchange *exchange, const char *upstream)
 {
@@ -237,7 +227,6 @@
   marjoram_placement_attempt_started (
       gateway->placement, now, exchange->attempt, exchange->upstream, query);
   marjoram_exchange_use_room (gateway, exchange, now);
-  send.new_connection = was_tried (exchange, exchange->upstream);
   add_tried (exchange, exchange->upstream);
   exchange->attempts_sent++;
   marjoram_run_record_sent (&exchange->runs, exchange->attempt);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -246,6 +246,7 @@
   connection->idle_since = marjoram_clock_now (client->clock);
   TAILQ_INSERT_HEAD (&connection->pool->idle, connection, link);
   if (!connection->reusable || connection->idle_timeout_ms <= 0
+      || marjoram_carried_ids_is_full (connection->ids)
       || !is_clean (connection))
     destroy (connection);
   client->ops->end (client->context, attempt, MARJORAM_HTTP_COMPLETE);
@@ -422,17 +423,30 @@
   return now - connection->idle_since < limit;
 }
 
+/* The most recently used idle connection that has not carried ID.  */
+static struct connection *
+find_idle (const struct pool *pool, const char *id)
+{
+  struct connection *connection;
+
+  TAILQ_FOREACH (connection, &pool->idle, link)
+  {
+    if (!id || !marjoram_carried_ids_contains (connection->ids, id))
+      return connection;
+  }
+  return NULL;
+}
+
 void
 marjoram_http_client_send (marjoram_http_client *client,
                            const struct marjoram_http_send *send,
                            struct marjoram_http_path *path)
 {
   struct pool *pool = find_pool (client, send->address);
-  struct connection *connection = TAILQ_FIRST (&pool->idle);
+  struct connection *connection = find_idle (pool, send->id);
   int64_t now = marjoram_clock_now (client->clock);
 
-  if (!connection || send->new_connection
-      || !is_fresh (connection, now, send->fresh_only)
+  if (!connection || !is_fresh (connection, now, send->fresh_only)
       || !is_clean (connection) || !is_socket_idle (connection))
     {
       connect_and_send (client, pool, send, path);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -1,6 +1,8 @@
 /* HTTP/1.1 client for upstreams.  Pools persistent connections, sends one
    request at a time on each, and reports whether a failed attempt may have
-   been processed by the upstream.  */
+   been processed by the upstream.  No connection carries two requests with the
+   same id, so that an answer's connection and id name one attempt, also if the
+   answer is late or a copy.  */
 #ifndef MARJORAM_HTTP_CLIENT_H
 #define MARJORAM_HTTP_CLIENT_H
 
@@ -32,9 +34,6 @@
   /* Use only a new or recently used connection.  For requests that must not
      be retried.  */
   bool fresh_only;
-  /* Use only a new connection.  For a request that the upstream got before:
-     a late copy of its answer would be taken for the answer to this one.  */
-  bool new_connection;
   const char *id; /* that answers repeat; null if they repeat none */
 };
 
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -115,7 +115,7 @@
   seen->forwarded = false;
   seen->attempt = send->attempt;
   seen->fresh_only = send->fresh_only;
-  seen->new_connection = send->new_connection;
+  snprintf (seen->id, sizeof seen->id, "%s", send->id ? send->id : "");
   snprintf (seen->address, sizeof seen->address, "%s", send->address);
   snprintf (seen->message, sizeof seen->message, "%.*s",
             (int)marjoram_bytes_size (send->message),
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -29,7 +29,7 @@
   /* Of the requests of the latest attempts at upstreams, by attempt.  */
   char ids[GATEWAY_IDS_MAX][GATEWAY_ID_MAX];
   bool fresh_only;
-  bool new_connection;
+  char id[MARJORAM_ID_MAX]; /* that the connection must not have carried */
   int cancels;
   int forwards;
   bool forwarded; /* the last attempt was forwarded */
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -3,6 +3,7 @@
 #include "suite.h"
 
 #include "cleanup.h"
+#include "carried_ids.h"
 #include "http_client.h"
 #include "http_server.h"
 
@@ -18,6 +19,7 @@
 
 enum
 {
+  ID_MAX = 32,
   LIMIT_MS = 5000,
   TEXT_MAX = 4096,
   BACKLOG_SOCKETS = 4,  /* a listener, and connections to fill its backlog */
@@ -823,6 +825,7 @@
 }
 
 static marjoram_http_client *client;
+static struct marjoram_http_path path; /* of the last request */
 
 static void
 client_setup (void)
@@ -858,21 +861,27 @@
 }
 
 static void
-start_exchange (const char *response)
+start_exchange_with_id (const char *response, const char *id)
 {
   static uint64_t attempts;
   static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
   marjoram_bytes *message = marjoram_bytes_create (text, strlen (text));
   const struct marjoram_http_send out
-      = { ++attempts, upstream_address, message, false, false, false, NULL };
+      = { ++attempts, upstream_address, message, false, false, id };
 
   script = response;
   ends = heads = 0;
   data[0] = 0;
-  marjoram_http_client_send (client, &out, NULL);
+  marjoram_http_client_send (client, &out, &path);
   marjoram_bytes_release (message);
 }
 
+static void
+start_exchange (const char *response)
+{
+  start_exchange_with_id (response, NULL);
+}
+
 static enum marjoram_http_outcome
 exchange (const char *response)
 {
@@ -923,6 +932,51 @@
 }
 END_TEST
 
+static void
+exchange_id (const char *id)
+{
+  static const char response[]
+      = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+
+  start_exchange_with_id (response, id);
+  run_until (is_attempt_ended);
+  ck_assert_int_eq (last_outcome, MARJORAM_HTTP_COMPLETE);
+}
+
+/* Guards against a late copy of a refusal being taken for a new answer.  */
+START_TEST (connection_carries_an_id_once)
+{
+  exchange_id ("a");
+  exchange_id ("b");
+  ck_assert_int_eq (connections, 1);
+  ck_assert_uint_eq (path.requests, 1);
+  exchange_id ("a");
+  ck_assert_int_eq (connections, 2);
+  ck_assert_uint_eq (path.requests, 0);
+  ck_assert (!path.has_carried_id);
+  exchange_id ("c");
+  ck_assert_int_eq (connections, 2);
+  exchange_id ("a");
+  ck_assert_int_eq (connections, 3);
+}
+END_TEST
+
+/* Guards against ids that a connection has carried being forgotten.  */
+START_TEST (connection_with_too_many_ids_is_closed)
+{
+  char id[ID_MAX];
+
+  for (int i = 0; i < MARJORAM_CARRIED_IDS_MAX; i++)
+    {
+      snprintf (id, sizeof id, "id-%d", i);
+      exchange_id (id);
+    }
+  ck_assert_int_eq (connections, 1);
+  exchange_id ("one more");
+  ck_assert_int_eq (connections, 2);
+}
+END_TEST
+
 /* Guards against an overflow of the time that an upstream states.  */
 START_TEST (stated_idle_timeouts_are_limited)
 {
@@ -1113,6 +1167,8 @@
   tcase_add_checked_fixture (d, client_setup, client_teardown);
   tcase_add_loop_test (d, excess_bytes_are_given_up, 0, 8);
   tcase_add_test (d, connection_is_reused);
+  tcase_add_test (d, connection_carries_an_id_once);
+  tcase_add_test (d, connection_with_too_many_ids_is_closed);
   tcase_add_loop_test (d, stated_idle_timeouts_are_limited, 0, 3);
   tcase_add_test (d, closed_connection_is_not_reused);
   tcase_add_test (d, response_without_length);
--- a/test/test_promise.c
+++ b/test/test_promise.c
@@ -324,21 +324,29 @@
 
 /* ---- The same upstream again.  ---- */
 
-/* Guards against a late copy of a refusal being taken for a new answer.  */
-START_TEST (request_goes_to_an_upstream_again_on_a_new_connection)
+/* The id in the header of the last message.  */
+static const char *
+sent_id (void)
+{
+  return f.seen.ids[f.seen.attempt % GATEWAY_IDS_MAX];
+}
+
+/* Guards against a request going over a connection that carried it before.  */
+START_TEST (each_attempt_names_its_request_to_the_connections)
 {
   char first[MARJORAM_ID_MAX];
 
   gateway_fixture_call (&f, 0, "/digest/x");
-  ck_assert (!f.seen.new_connection);
+  ck_assert_str_ne (f.seen.id, "");
+  ck_assert_str_eq (f.seen.id, sent_id ());
   snprintf (first, sizeof first, "%s", f.seen.address);
   gateway_fixture_refuse (&f, 1, 503, NULL);
   ck_assert_str_ne (f.seen.address, first);
-  ck_assert (!f.seen.new_connection);
+  ck_assert_str_eq (f.seen.id, sent_id ());
   gateway_fixture_refuse (&f, 100, 503, NULL);
   ck_assert_int_eq (f.seen.sends, 3);
   ck_assert_str_eq (f.seen.address, first);
-  ck_assert (f.seen.new_connection);
+  ck_assert_str_eq (f.seen.id, sent_id ());
 }
 END_TEST
 
@@ -377,8 +385,7 @@
                        stream_that_has_begun_is_cut_by_a_promise_without_proof,
                        0, PROMISES);
   tcase_add_loop_test (tests, refusal_with_proof_is_told_as_not_run, 0, 3);
-  tcase_add_test (tests,
-                  request_goes_to_an_upstream_again_on_a_new_connection);
+  tcase_add_test (tests, each_attempt_names_its_request_to_the_connections);
   tcase_add_test (tests,
                   request_that_may_not_be_repeated_any_more_is_not_sent_again);
   suite_add_tcase (all, tests);
