Zone hosts: copies of refusals on their upstreams' connections

A zone host closes the connection of a refusal and sends a request to an upstream once, by the upstream's name. Whether either keeps a late copy of a refusal from being believed had no test.

--- a/test/lib_relay.c
+++ b/test/lib_relay.c
@@ -23,6 +23,7 @@
   REPEATED_DATA_MS = 250,
   REPEATED_OPEN_MS = 1000,
   PER_MILLE = 1000,
+  COPY_MS = 60, /* after a refusal */
   USEC_PER_SEC = 1000000,
   USEC_PER_MS = 1000
 };
@@ -82,6 +83,7 @@
   struct relay_link *link; /* or NULL */
   bool link_at_target;     /* the link belongs to the target */
   bool downgrades;         /* requests to HTTP/1.0 */
+  bool copies_refusals;
   uint64_t connections;
   uint64_t bytes;
   LIST_HEAD (pairs, pair) pairs;
@@ -312,6 +314,29 @@
     }
 }
 
+static bool
+is_refusal (struct evbuffer *bytes)
+{
+  static const char *const starts[] = { "HTTP/1.1 503", "HTTP/1.1 429" };
+  char start[sizeof "HTTP/1.1 503"] = "";
+
+  evbuffer_copyout (bytes, start, sizeof start - 1);
+  return strcmp (start, starts[0]) == 0 || strcmp (start, starts[1]) == 0;
+}
+
+static void
+enqueue_copy (struct pair *pair, const struct parcel *parcel)
+{
+  struct parcel *copy = marjoram_alloc (sizeof *copy);
+  const size_t size = evbuffer_get_length (parcel->bytes);
+
+  *copy = (struct parcel){ .due = parcel->due + COPY_MS,
+                           .to = parcel->to,
+                           .bytes = evbuffer_new () };
+  evbuffer_add (copy->bytes, evbuffer_pullup (parcel->bytes, -1), size);
+  enqueue (pair, copy);
+}
+
 /* Queues all input of FROM, or its end of file, for the other side.  */
 static void
 forward_input (struct side *from, bool end)
@@ -333,6 +358,9 @@
     }
   parcel->due = delivery_ms (pair, parcel->to, size);
   enqueue (pair, parcel);
+  if (pair->relay->copies_refusals && parcel->bytes && from == &pair->side[1]
+      && is_refusal (parcel->bytes))
+    enqueue_copy (pair, parcel);
   if (parcel->due <= now_ms () && STAILQ_FIRST (&pair->parcels) == parcel)
     deliver_due_parcels (-1, 0, pair);
   else
@@ -624,3 +652,9 @@
 {
   relay->downgrades = true;
 }
+
+void
+relay_copy_refusals (struct relay *relay)
+{
+  relay->copies_refusals = true;
+}
--- a/test/lib_relay.h
+++ b/test/lib_relay.h
@@ -44,6 +44,9 @@
 /* Rewrites requests to HTTP/1.0, whose answers of unknown length end with
    their connection.  A request line must arrive in one piece.  */
 void relay_downgrade (struct relay *relay);
+/* Refusals of the target, answers 503 and 429 that arrive in one piece, come
+   once more some time later, on the same connection.  */
+void relay_copy_refusals (struct relay *relay);
 /* Keeps existing connections open but delivers no further data on them.  */
 void relay_silence (struct relay *relay);
 /* Buffers data on existing connections until relay_release.  */
--- a/test/scenarios/prelude.lua
+++ b/test/scenarios/prelude.lua
@@ -214,6 +214,13 @@
   between (a, b, function (link) system.relay_set (link.relay, "silence") end)
 end
 
+-- Each refusal of an upstream comes once more on its connection.
+function copy_refusals (name)
+  each_link_to (name, function (link)
+    system.relay_set (link.relay, "copy_refusals")
+  end)
+end
+
 -- Existing connections buffer data until release; new ones work.
 function stall (a, b)
   between (a, b, function (link) system.relay_set (link.relay, "stall") end)
--- a/test/test_upstream_refusal.c
+++ b/test/test_upstream_refusal.c
@@ -35,7 +35,8 @@
 static enum named named;   /* likewise */
 static bool leave_pending; /* requests other than resumed ones */
 static bool done;
-static int failure; /* -1: none */
+static int failure;             /* -1: none */
+static ev_uint16_t caller_port; /* of the last request's connection */
 
 static void
 on_request (struct evhttp_request *request, void *context)
@@ -46,7 +47,11 @@
   const bool resumed
       = strstr (evhttp_request_get_uri (request), "/v1/requests/");
 
+  char *caller = NULL;
+
   (void)context;
+  evhttp_connection_get_peer (evhttp_request_get_connection (request), &caller,
+                              &caller_port);
   if (leave_pending && !resumed)
     return;
   if (named != NAMED_NONE)
@@ -218,6 +223,29 @@
 }
 END_TEST
 
+/* Guards against a late copy of a refusal being taken for the answer to the
+   same request.  */
+START_TEST (connection_of_a_refusal_is_closed)
+{
+  ev_uint16_t first;
+
+  answer_with (STATUS_UNAVAILABLE, NAMED_OWN);
+  start (1);
+  run_loop ();
+  ck_assert_int_eq (failure, MARJORAM_RUN_REFUSED);
+  first = caller_port;
+  answer_with (STATUS_OK, NAMED_OWN);
+  start (2);
+  run_loop ();
+  ck_assert (done);
+  ck_assert_uint_ne (caller_port, first);
+  first = caller_port;
+  start (3);
+  run_loop ();
+  ck_assert_uint_eq (caller_port, first);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -229,6 +257,7 @@
   tcase_add_loop_test (tests, refusal_on_a_new_connection, 0, 3);
   tcase_add_loop_test (tests, refusal_on_a_used_connection, 0, 3);
   tcase_add_loop_test (tests, answer_that_a_request_never_started, 0, 3);
+  tcase_add_test (tests, connection_of_a_refusal_is_closed);
   suite_add_tcase (all, tests);
   return all;
 }
--- a/test/tool_scenario.c
+++ b/test/tool_scenario.c
@@ -162,12 +162,12 @@
     CHANGES
   };
   static const char *const words[]
-      = { "pass",    "hold", "hold_answers", "refuse",  "delay",
-          "loss",    "rate", "rate_in",      "silence", "stall",
-          "release", "drop", "downgrade",    NULL };
+      = { "pass",    "hold", "hold_answers", "refuse",        "delay",
+          "loss",    "rate", "rate_in",      "silence",       "stall",
+          "release", "drop", "downgrade",    "copy_refusals", NULL };
   static void (*const changes[]) (struct relay *)
-      = { relay_silence, relay_stall, relay_release, relay_drop,
-          relay_downgrade };
+      = { relay_silence, relay_stall,     relay_release,
+          relay_drop,    relay_downgrade, relay_copy_refusals };
   struct relay *changed = lua_touserdata (lua, 1);
   int word = luaL_checkoption (lua, 2, NULL, words);
 
