Hosts of a region tell one another whether they offer anything

Callers of a host whose own connections to the upstreams fail got 503, although its neighbours served: it relayed nothing to them. Cause: a relay is chosen by what hosts offer, and so is the number of those that share a region's engines; offers are left out of the heartbeats between hosts of a region. So no host was ever found to relay to, and each counted on all engines of its region.

A heartbeat now says whether its host offers nothing, also within the region; a host relays to one that does not say so. Hosts of an earlier release, whose heartbeats lack the field, count as offering.

test_placement: hosts that lack engines state so instead of having no offers; the check is the same.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -405,6 +405,7 @@
   heartbeat->leaving = self->stopped_at != 0;
   heartbeat->config_number = self->config_number;
   heartbeat->offers = self->offers;
+  heartbeat->offers_nothing = self->offers.count == 0;
 }
 
 static void
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -124,32 +124,31 @@
 
 /* ---- Within this region.  ---- */
 
+/* Hosts of one region have the same upstreams and do not tell one another what
+   they offer, only if that is nothing.  */
 static bool
 may_relay_to (marjoram_gateway *gateway,
-              const struct marjoram_exchange *exchange,
-              const struct marjoram_listed_host *host, int64_t now)
+              const struct marjoram_listed_host *host)
 {
-  return strcmp (host->heartbeat.region, gateway->region) == 0
-         && strcmp (host->heartbeat.name, gateway->host) != 0
-         && marjoram_host_list_serves (host, now)
-         && usable_offer (exchange, host)
+  return strcmp (host->heartbeat.name, gateway->host) != 0
+         && !host->heartbeat.offers_nothing
          && gateway->ops->reaches (gateway->context, host->heartbeat.name);
 }
 
-/* Requests are spread over the hosts that offer the service.  */
+/* Requests are spread over the hosts that reach upstreams.  */
 static const struct marjoram_listed_host *
 choose_relay (marjoram_gateway *gateway,
               const struct marjoram_exchange *exchange, int64_t now)
 {
-  const struct marjoram_host_slice *offering
-      = marjoram_host_list_offering (gateway->options.place.hosts, now);
+  const struct marjoram_host_slice *serving = marjoram_host_list_of_region (
+      gateway->options.place.hosts, now, gateway->region);
   const struct marjoram_listed_host *best = NULL;
 
-  for (size_t i = 0; i < offering->count; i++)
+  for (size_t i = 0; i < serving->count; i++)
     {
-      const struct marjoram_listed_host *host = offering->hosts[i];
+      const struct marjoram_listed_host *host = serving->hosts[i];
 
-      if (may_relay_to (gateway, exchange, host, now)
+      if (may_relay_to (gateway, host)
           && (!best
               || host_weight (exchange, host) > host_weight (exchange, best)))
         best = host;
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -49,6 +49,7 @@
                          MARJORAM_HOST_OFFERS_MAX, &host_offer_layout) },
   UINT (marjoram_host_beat, follow),
   UINT (marjoram_host_beat, interval_ms),
+  BOOL (marjoram_host_beat, offers_nothing),
 };
 LAYOUT (marjoram_host_beat_layout, marjoram_host_beat, host_beat_fields);
 
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -69,6 +69,9 @@
   uint64_t follow;              /* enum marjoram_follow; 0 if relayed */
   uint64_t interval_ms;         /* between heartbeats to the receiver; 0 if
                                    relayed or not stated */
+  /* It reaches no warm upstream.  Stated to hosts of its own region, too,
+     which are not told its offers.  */
+  bool offers_nothing;
 };
 
 struct marjoram_host_beats
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -38,7 +38,7 @@
 enum view_kind
 {
   VIEW_REGION,  /* serving hosts of a region */
-  VIEW_SHARING, /* those of them with offers */
+  VIEW_SHARING, /* those of them that reach upstreams */
   VIEW_LIVE, /* entry hosts of a region, ready or not, without leaving ones */
   VIEW_ZONE,
   VIEW_KEEPERS, /* ready keepers of a zone */
@@ -254,6 +254,7 @@
   known->age_ms = heartbeat->age_ms;
   known->follow = heartbeat->follow;
   known->interval_ms = heartbeat->interval_ms;
+  known->offers_nothing = heartbeat->offers_nothing;
   return true;
 }
 
@@ -318,7 +319,8 @@
 {
   return !marjoram_host_list_alive (host, now)
          || (host->heartbeat.offers.count > 0)
-                != (heartbeat->offers.count > 0);
+                != (heartbeat->offers.count > 0)
+         || host->heartbeat.offers_nothing != heartbeat->offers_nothing;
 }
 
 /* A relayed heartbeat does not state how often this host is sent one.  */
@@ -476,7 +478,7 @@
       break;
     case VIEW_SHARING:
       if (strcmp (host->heartbeat.region, view->name) != 0
-          || host->heartbeat.offers.count == 0)
+          || host->heartbeat.offers_nothing)
         return false;
       break;
     case VIEW_LIVE:
@@ -722,7 +724,7 @@
 {
   const struct marjoram_listed_host *listed
       = find_own (list, now, region, own);
-  const bool counted = listed && listed->heartbeat.offers.count > 0;
+  const bool counted = listed && !listed->heartbeat.offers_nothing;
   const struct view *sharing
       = find_view (list, &list->sharing, VIEW_SHARING, region, now);
 
--- a/test/lib_fleet.c
+++ b/test/lib_fleet.c
@@ -685,7 +685,8 @@
     }
 }
 
-/* As in production, a host is not in its own list.  */
+/* As in production, a host is not in its own list, and only hosts of other
+   regions are told its offers.  */
 static void
 send_heartbeat (struct node *node)
 {
@@ -703,11 +704,18 @@
   marjoram_placement_offer (
       marjoram_gateway_placement (node->gateway), node->fleet->now,
       marjoram_route_table_service (node->fleet->table, "lm"), &offer);
+  heartbeat.offers_nothing = offer.upstreams == 0;
   for (int i = 0; i < FLEET_HOSTS; i++)
-    if (i != node->index
-        && !is_cut (node->fleet, node->region, node->fleet->nodes[i].region))
-      marjoram_host_list_update (node->fleet->nodes[i].hosts, node->fleet->now,
-                                 &heartbeat, true);
+    {
+      const struct node *to = &node->fleet->nodes[i];
+
+      if (i == node->index || is_cut (node->fleet, node->region, to->region))
+        continue;
+      heartbeat.offers.count
+          = to->region != node->region && offer.upstreams > 0;
+      marjoram_host_list_update (to->hosts, node->fleet->now, &heartbeat,
+                                 true);
+    }
 }
 
 static void
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -57,7 +57,6 @@
 static void
 receive_host (int64_t now, const char *name, bool offers)
 {
-  struct marjoram_host_offer offer = { .service = (char *)"lm" };
   struct marjoram_host_beat heartbeat = { .name = (char *)name,
                                           .zone = (char *)"za",
                                           .region = (char *)"r1",
@@ -65,7 +64,7 @@
                                           .ready = true,
                                           .incarnation = 1,
                                           .sequence = (uint64_t)now + 1,
-                                          .offers = { &offer, offers } };
+                                          .offers_nothing = !offers };
 
   marjoram_host_list_update (hosts, now, &heartbeat, true);
 }
