Limit the idle connections that have carried an id that comes back

Each request whose id all idle connections of its upstream have carried opens another connection, and all of them were kept until their idle timeout (4 s unless the upstream states another, up to an hour). A caller that uses one id for all of its requests so took up as many connections as it sent requests, and an upstream resets those over its limit, also of other callers. Before such requests shared the idle connection.

Now the least recently used one is closed if four have carried the id. Four, as an exchange that is refused in turn then still finds connections that it did not use, without opening one each time.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -29,6 +29,9 @@
   IDLE_TIMEOUT_MARGIN_MS = 400,
   /* Idle limit for requests that must not be retried.  */
   FRESH_IDLE_MS = 1000,
+  /* Idle connections that are kept as another one is opened because all of
+     them have carried its request's id.  */
+  CARRIED_IDLE_MAX = 4,
   SECOND_MS = 1000,
   /* Bytes received for a request besides its body: heads, chunk headers,
      trailers, and responses to other requests.  */
@@ -437,6 +440,28 @@
   return NULL;
 }
 
+/* Closes the least recently used idle connection if too many have carried the
+   same id, which would else add up to all that the upstream accepts.  That of
+   a cancelled attempt is about to be closed and may be in use by its
+   reader.  */
+static void
+limit_carried (struct pool *pool)
+{
+  struct connection *connection;
+  struct connection *oldest = NULL;
+  size_t count = 0;
+
+  TAILQ_FOREACH (connection, &pool->idle, link)
+  {
+    if (connection->idle_timeout_ms <= 0)
+      continue;
+    oldest = connection;
+    count++;
+  }
+  if (count >= CARRIED_IDLE_MAX)
+    destroy (oldest);
+}
+
 void
 marjoram_http_client_send (marjoram_http_client *client,
                            const struct marjoram_http_send *send,
@@ -446,6 +471,8 @@
   struct connection *connection = find_idle (pool, send->id);
   int64_t now = marjoram_clock_now (client->clock);
 
+  if (!connection)
+    limit_carried (pool);
   if (!connection || !is_fresh (connection, now, send->fresh_only)
       || !is_clean (connection) || !is_socket_idle (connection))
     {
--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -16,7 +16,9 @@
 enum
 {
   ADDRESS_MAX = 64,
-  SETTLE_MS = 20 /* until closed connections are seen */
+  REPEATS = 40,
+  CARRIED_MAX = 5, /* connections that have carried one id */
+  SETTLE_MS = 20   /* until closed connections are seen */
 };
 
 static struct event_base *base;
@@ -209,6 +211,21 @@
 }
 END_TEST
 
+/* Guards against a caller that uses one id for all of its requests taking up
+   the connections that an upstream accepts.  */
+START_TEST (id_that_comes_back_leaves_no_connections_behind)
+{
+  for (int i = 0; i < REPEATS; i++)
+    {
+      start ("a");
+      finish (1);
+    }
+  settle ();
+  ck_assert_int_eq (accepted, REPEATS);
+  ck_assert_int_le (open_now, CARRIED_MAX);
+}
+END_TEST
+
 /* Guards against an answer to a cancelled attempt being taken for the next
    one's.  */
 START_TEST (connection_of_a_cancelled_attempt_is_not_used_again)
@@ -238,6 +255,7 @@
 
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, idle_connection_that_has_not_carried_the_id_is_used);
+  tcase_add_test (tests, id_that_comes_back_leaves_no_connections_behind);
   tcase_add_test (tests, connection_of_a_cancelled_attempt_is_not_used_again);
   suite_add_tcase (all, tests);
   return all;
