Failing test: answers about a stream's origin count for any later question

An answer of a keeper (STREAM_ANSWER) names the stream that was asked about and not the question. Late ones to a caller that has left, made before the record came to the keepers, end the wait of the next caller that takes the stream up, which is refused although its own answers would name the build.

test_stream_origin.c:206: Assertion 'f.seen.refusals == 0' failed: f.seen.refusals == 1

The refusal is truthful and the stream never goes on at another build.

--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -194,6 +194,22 @@
 }
 END_TEST
 
+/* Guards against late answers to an earlier question counting as those to a
+   later one, which keepers asked in the meantime can answer.  */
+START_TEST (answers_count_for_the_question_that_they_answer)
+{
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  marjoram_gateway_caller_disconnected (f.gateway, 190, f.calls);
+  gateway_fixture_take_up (&f, 200, "/ask/x", "first");
+  for (int i = 0; i < 3; i++)
+    marjoram_gateway_origin_answered (f.gateway, 210, "first", NULL);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_origin_answered (f.gateway, 300, "first", "v1");
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert (went_to ("10.0.0.1:80"));
+}
+END_TEST
+
 START_TEST (stream_is_refused_when_no_keeper_answers)
 {
   gateway_fixture_take_up (&f, 0, "/ask/x", "first");
@@ -329,6 +345,7 @@
   tcase_add_loop_test (c, stream_goes_on_at_the_build_that_keepers_know, 0, 2);
   tcase_add_test (c, host_that_began_it_asks_nobody);
   tcase_add_test (c, stream_of_unknown_build_is_refused);
+  tcase_add_test (c, answers_count_for_the_question_that_they_answer);
   tcase_add_test (c, stream_is_refused_when_no_keeper_answers);
   tcase_add_test (c, stream_is_refused_at_once_without_keepers);
   tcase_add_test (c, stream_of_a_build_that_is_gone_is_refused);
