Failing test: a late probe takes a restarted upstream for dead

A zone host's probe is told apart by the upstream's name only. If the upstream starts anew while the probe of its former process is out (at most 500 ms), its result ends the new process for the host: no request is sent there until its next announcement, and what runs there becomes a suspect.

test_host.c:835: Assertion '!test_reply (hosts, call)->refused' failed

--- a/test/test_host.c
+++ b/test/test_host.c
@@ -818,6 +818,26 @@
 }
 END_TEST
 
+/* Guards against a probe of a process that has ended being taken for one of
+   its successor.  */
+START_TEST (late_probe_says_nothing_of_a_restarted_upstream)
+{
+  uint64_t call;
+
+  announce_upstream (0, "u", 9000);
+  test_send (hosts, 0, "free", "one", NULL, false, DEADLINE_MS);
+  test_fail (hosts, last_run (), MARJORAM_RUN_BROKEN);
+  test_announce (hosts, 0, "u", "a", 9001, 2, false);
+  test_send (hosts, 0, "free", "two", NULL, false, DEADLINE_MS);
+  ck_assert_int_eq (test_runs (hosts), 2);
+  test_probed (hosts, 0, "u", false);
+  call = test_send (hosts, 0, "free", "three", NULL, false, DEADLINE_MS);
+  ck_assert (!test_reply (hosts, call)->refused);
+  test_advance_clock (hosts, 1000);
+  ck_assert_int_ge (test_runs (hosts), 3);
+}
+END_TEST
+
 static bool
 is_alive (int64_t now, const char *slot)
 {
@@ -992,6 +1012,7 @@
   tcase_add_test (c, deadline_leaves_non_idempotent_work_running);
   tcase_add_test (c, silent_connection_is_resumed_by_id);
   tcase_add_loop_test (c, restarted_upstream_proves_nothing, 0, 2);
+  tcase_add_test (c, late_probe_says_nothing_of_a_restarted_upstream);
   tcase_add_test (c, link_receiving_partial_frames_is_not_silent);
   tcase_add_test (c, newer_residency_rule_applies_to_retry);
   tcase_add_loop_test (c, empty_frames_are_harmless, 0, MARJORAM_FRAME_COUNT);
