--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -226,6 +226,26 @@
 }
 END_TEST
 
+/* Guards against one answer being taken for both of two requests with one id
+   that are under way at once.  */
+START_TEST (requests_with_one_id_at_once_use_two_connections)
+{
+  uint64_t first;
+
+  start ("b");
+  finish (1);
+  start ("a");
+  first = path.connection;
+  start ("a");
+  ck_assert_uint_ne (path.connection, first);
+  finish (2);
+  start ("a");
+  ck_assert_uint_eq (path.requests, 0);
+  finish (1);
+  ck_assert_int_eq (accepted, 3);
+}
+END_TEST
+
 /* Guards against an answer to a cancelled attempt being taken for the next
    one's.  */
 START_TEST (connection_of_a_cancelled_attempt_is_not_used_again)
@@ -256,6 +276,7 @@
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, idle_connection_that_has_not_carried_the_id_is_used);
   tcase_add_test (tests, id_that_comes_back_leaves_no_connections_behind);
+  tcase_add_test (tests, requests_with_one_id_at_once_use_two_connections);
   tcase_add_test (tests, connection_of_a_cancelled_attempt_is_not_used_again);
   suite_add_tcase (all, tests);
   return all;
