Another process's answer is no sign of life of one that crashed

The crash of an upstream no longer counts against a part of prompts if the upstream answers a request that was sent after it: its connections were reset, it lives on. Any answer with the request's id was taken for one, also the 421 of the process that has taken the address, as the id names the request and not who answers. So a part that crashes upstream after upstream was not convicted where each address is served again before the former process's last heartbeat is outdated.

An answer counts now as what the upstream states does: not if it is a 421 or names another upstream.

Not shown with real processes.

--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -350,14 +350,12 @@
                   exchange->upstream, exchange->service);
 }
 
-/* Records what the upstream's response states about the upstream.  */
+/* Records what a response of the exchange's upstream states about it.  */
 static void
 record_statements (marjoram_gateway *gateway,
                    const struct marjoram_exchange *exchange, int64_t now,
                    const struct marjoram_response_metadata *metadata)
 {
-  if (!is_from_upstream (exchange, metadata))
-    return;
   record_retry_after (gateway, exchange, now);
   if (metadata->leaving)
     record_leaving (gateway, exchange, now);
@@ -494,8 +492,11 @@
     {
       exchange->framing = read_framing (headers);
       marjoram_placement_head_received (gateway->placement, now, attempt);
-      record_statements (gateway, exchange, now, &metadata);
-      marjoram_exchange_check_alive (gateway, exchange, now);
+      if (is_from_upstream (exchange, &metadata))
+        {
+          record_statements (gateway, exchange, now, &metadata);
+          marjoram_exchange_check_alive (gateway, exchange, now);
+        }
     }
   if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
     return true;
