A probe's result is of the process that was probed

A zone host's probe was told apart by the upstream's name. The class is that of the answers of upstreams: a result bound to a name that more than one process has.

A probe carries the incarnation that the request was sent to; its result ends that process alone, and the requests that wait for it.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -116,11 +116,12 @@
 }
 
 static void
-op_probe (void *context, const char *upstream, const char *address)
+op_probe (void *context, const char *upstream, uint64_t incarnation,
+          const char *address)
 {
   marjoram_daemon *daemon = context;
 
-  marjoram_upstreams_probe (daemon->upstreams, upstream, address);
+  marjoram_upstreams_probe (daemon->upstreams, upstream, incarnation, address);
 }
 
 static void
--- a/src/host.h
+++ b/src/host.h
@@ -105,9 +105,10 @@
   void (*cancel) (void *context, uint64_t attempt);
   /* Sends an order to an engine; completed by marjoram_host_ordered.  */
   void (*order) (void *context, const struct marjoram_order *order);
-  /* Checks whether an upstream is alive; completed by
+  /* Checks whether an upstream's process is alive; completed by
      marjoram_host_probed.  */
-  void (*probe) (void *context, const char *upstream, const char *address);
+  void (*probe) (void *context, const char *upstream, uint64_t incarnation,
+                 const char *address);
   /* Other hosts.  Connect keeps a session to SLOT open if WANTED, else closes
      it.  Send uses the session that this host opened to SLOT and drops the
      message if there is none; reply uses the session that SLOT opened.
@@ -172,7 +173,8 @@
 void marjoram_host_ordered (marjoram_host *host, int64_t now, uint64_t number,
                             int status, int64_t retry_ms);
 void marjoram_host_probed (marjoram_host *host, int64_t now,
-                           const char *upstream, bool alive);
+                           const char *upstream, uint64_t incarnation,
+                           bool alive);
 
 /* Events of other hosts.  link_up and link_down refer to the session that this
    host opened to SLOT, session_closed to one that SLOT opened.  */
--- a/src/host_upstream.c
+++ b/src/host_upstream.c
@@ -130,7 +130,18 @@
 {
   request->state = MARJORAM_REQUEST_PROBING;
   request->progress = now;
-  host->ops->probe (host->context, request->upstream, request->address);
+  host->ops->probe (host->context, request->upstream,
+                    request->upstream_incarnation, request->address);
+}
+
+static bool
+is_incarnation (const marjoram_host *host, const char *name,
+                uint64_t incarnation)
+{
+  const struct marjoram_upstream *upstream
+      = marjoram_members_get (host->members, name);
+
+  return upstream && upstream->announcement->incarnation == incarnation;
 }
 
 /* Whether the upstream is still the process that the request was sent to.  One
@@ -139,12 +150,8 @@
 runs_since_start (const marjoram_host *host,
                   const struct marjoram_request *request)
 {
-  const struct marjoram_upstream *upstream
-      = marjoram_members_get (host->members, request->upstream);
-
-  return upstream
-         && upstream->announcement->incarnation
-                == request->upstream_incarnation;
+  return is_incarnation (host, request->upstream,
+                         request->upstream_incarnation);
 }
 
 void
@@ -198,18 +205,19 @@
 
 void
 marjoram_host_probed (marjoram_host *host, int64_t now, const char *upstream,
-                      bool alive)
+                      uint64_t incarnation, bool alive)
 {
   struct marjoram_request *request;
   struct marjoram_request *next;
 
   host->now = now;
-  if (!alive)
+  if (!alive && is_incarnation (host, upstream, incarnation))
     marjoram_host_upstream_died (host, now, upstream);
   for (request = TAILQ_FIRST (&host->requests->all); request; request = next)
     {
       next = TAILQ_NEXT (request, all);
       if (request->state != MARJORAM_REQUEST_PROBING || !request->attempt
+          || request->upstream_incarnation != incarnation
           || strcmp (request->upstream, upstream) != 0)
         continue;
       request->crashes += !alive;
--- a/src/inbox.c
+++ b/src/inbox.c
@@ -238,15 +238,17 @@
   event->value = failure;
 }
 
-DELIVER (probed,
-         marjoram_host_probed (host, now, event->name, event->value != 0));
+DELIVER (probed, marjoram_host_probed (host, now, event->name,
+                                       event->incarnation, event->value != 0));
 
 static void
-post_probed (void *context, const char *upstream, bool alive)
+post_probed (void *context, const char *upstream, uint64_t incarnation,
+             bool alive)
 {
   struct event_message *event = post (context, &probed_message);
 
   event->name = marjoram_strdup (upstream);
+  event->incarnation = incarnation;
   event->value = alive;
 }
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -513,7 +513,7 @@
 {
   marjoram_upstreams *upstreams;
   char *name;      /* of the probed upstream; null for an order */
-  uint64_t number; /* of the order */
+  uint64_t number; /* of the order, or the probed upstream's incarnation */
   TAILQ_ENTRY (control_call) next;
 };
 
@@ -550,19 +550,21 @@
   marjoram_upstreams *upstreams = call->upstreams;
 
   (void)retry_ms;
-  upstreams->ops->probed (upstreams->context, call->name,
+  upstreams->ops->probed (upstreams->context, call->name, call->number,
                           status != 0 || timed_out);
   control_call_destroy (call);
 }
 
 static bool
-is_probed (const marjoram_upstreams *upstreams, const char *name)
+is_probed (const marjoram_upstreams *upstreams, const char *name,
+           uint64_t incarnation)
 {
   const struct control_call *call;
 
   TAILQ_FOREACH (call, &upstreams->control_calls, next)
   {
-    if (call->name && strcmp (call->name, name) == 0)
+    if (call->name && call->number == incarnation
+        && strcmp (call->name, name) == 0)
       return true;
   }
   return false;
@@ -570,13 +572,13 @@
 
 void
 marjoram_upstreams_probe (marjoram_upstreams *upstreams, const char *name,
-                          const char *address)
+                          uint64_t incarnation, const char *address)
 {
   struct control_call *call;
 
-  if (is_probed (upstreams, name))
+  if (is_probed (upstreams, name, incarnation))
     return;
-  call = control_call_create (upstreams, name, 0);
+  call = control_call_create (upstreams, name, incarnation);
   if (!marjoram_upstream_call (upstreams->calls, address, "/healthz", NULL,
                                PROBE_TIMEOUT_MSEC, on_probed, call))
     on_probed (call, 0, false, 0);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -18,7 +18,8 @@
   void (*end) (void *context, uint64_t attempt);
   void (*failed) (void *context, uint64_t attempt,
                   enum marjoram_run_failure failure);
-  void (*probed) (void *context, const char *upstream, bool alive);
+  void (*probed) (void *context, const char *upstream, uint64_t incarnation,
+                  bool alive);
   void (*ordered) (void *context, uint64_t number, int status,
                    int64_t retry_ms);
 };
@@ -39,6 +40,7 @@
 void marjoram_upstreams_order (marjoram_upstreams *upstreams,
                                const struct marjoram_order *order);
 void marjoram_upstreams_probe (marjoram_upstreams *upstreams,
-                               const char *upstream, const char *address);
+                               const char *upstream, uint64_t incarnation,
+                               const char *address);
 
 #endif
--- a/test/lib_hosts.c
+++ b/test/lib_hosts.c
@@ -14,7 +14,9 @@
 {
   STEP_MS = 50,
   LONG_LEASE_MS = 60000,
-  START_MS = 1000000
+  START_MS = 1000000,
+  PROBES_MAX = 64,
+  PROBE_NAME_MAX = 32
 };
 
 static const char *const slots[HOSTS_MAX]
@@ -31,6 +33,13 @@
   TAILQ_ENTRY (frame) next;
 };
 
+/* A probe without a result.  */
+struct probe
+{
+  char upstream[PROBE_NAME_MAX];
+  uint64_t incarnation;
+};
+
 struct node
 {
   struct test_hosts *hosts;
@@ -41,7 +50,9 @@
   marjoram_random *random;
   uint64_t incarnation;
   bool wanted[HOSTS_MAX];
-  uint64_t session[HOSTS_MAX]; /* own session to each host; 0 if down */
+  uint64_t session[HOSTS_MAX];     /* own session to each host; 0 if down */
+  struct probe probes[PROBES_MAX]; /* oldest first */
+  int probe_count;
 };
 
 struct test_hosts
@@ -188,11 +199,22 @@
 }
 
 static void
-op_probe (void *context, const char *upstream, const char *address)
+op_probe (void *context, const char *upstream, uint64_t incarnation,
+          const char *address)
 {
-  (void)context;
-  (void)upstream;
+  struct node *node = context;
+  struct probe *probe;
+
   (void)address;
+  for (int i = 0; i < node->probe_count; i++)
+    if (node->probes[i].incarnation == incarnation
+        && strcmp (node->probes[i].upstream, upstream) == 0)
+      return;
+  if (node->probe_count == PROBES_MAX)
+    abort ();
+  probe = &node->probes[node->probe_count++];
+  probe->incarnation = incarnation;
+  snprintf (probe->upstream, sizeof probe->upstream, "%s", upstream);
 }
 
 static void
@@ -773,5 +795,19 @@
 test_probed (struct test_hosts *hosts, int host, const char *upstream,
              bool alive)
 {
-  marjoram_host_probed (hosts->nodes[host].host, hosts->now, upstream, alive);
+  struct node *node = &hosts->nodes[host];
+  uint64_t incarnation;
+
+  for (int i = 0; i < node->probe_count; i++)
+    {
+      if (strcmp (node->probes[i].upstream, upstream) != 0)
+        continue;
+      incarnation = node->probes[i].incarnation;
+      node->probe_count--;
+      memmove (&node->probes[i], &node->probes[i + 1],
+               (size_t)(node->probe_count - i) * sizeof node->probes[i]);
+      marjoram_host_probed (node->host, hosts->now, upstream, incarnation,
+                            alive);
+      return;
+    }
 }
--- a/test/lib_hosts.h
+++ b/test/lib_hosts.h
@@ -86,7 +86,8 @@
                 const char *body);
 void test_fail (struct test_hosts *hosts, struct test_run *run,
                 enum marjoram_run_failure failure);
-/* Reports to HOST the result of its probe of UPSTREAM.  */
+/* Reports to HOST the result of its oldest probe of UPSTREAM without one, if
+   any.  */
 void test_probed (struct test_hosts *hosts, int host, const char *upstream,
                   bool alive);
 /* Delivers queued frames until none is left, without advancing the clock.  */
