--- a/src/carried_ids.c
+++ b/src/carried_ids.c
@@ -8,7 +8,7 @@
 
 enum
 {
-  FIRST_CAPACITY = 8 /* most connections carry few requests */
+  INITIAL_CAPACITY = 8
 };
 
 struct marjoram_carried_ids
@@ -42,9 +42,11 @@
 static void
 grow (marjoram_carried_ids *ids)
 {
-  const size_t capacity = ids->capacity ? 2 * ids->capacity : FIRST_CAPACITY;
+  const size_t capacity = ids->capacity ? 2 * ids->capacity : INITIAL_CAPACITY;
 
   ids->hashes = realloc (ids->hashes, capacity * sizeof *ids->hashes);
+  if (!ids->hashes)
+    abort ();
   ids->capacity = capacity;
 }
 
--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -224,11 +224,11 @@
 
 static void
 op_send (void *context, const struct marjoram_http_send *send,
-         struct marjoram_http_path *path)
+         struct marjoram_http_connection_info *info)
 {
   struct marjoram_entry *self = context;
 
-  marjoram_http_client_send (self->client, send, path);
+  marjoram_http_client_send (self->client, send, info);
 }
 
 static void
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -47,9 +47,9 @@
   void (*reply_abort) (void *context, uint64_t call);
   void (*reply_failure) (void *context, uint64_t call,
                          const struct marjoram_request_failure *why);
-  /* Sends to an upstream; PATH receives the connection used.  */
+  /* Sends to an upstream; INFO receives the connection used.  */
   void (*send) (void *context, const struct marjoram_http_send *send,
-                struct marjoram_http_path *path);
+                struct marjoram_http_connection_info *info);
   void (*cancel) (void *context, uint64_t attempt);
   /* Whether HOST can be reached now.  */
   bool (*reaches) (void *context, const char *host);
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -142,7 +142,7 @@
       "lag_ms=%" PRId64 " repeats=%" PRIu64 " repeats_allowed=%.1f "
       "attempt_events=%d retry_after_ms=%s paused_ms=%" PRId64 " forwarded=%d "
       "queued=%d attempt=%" PRIu64 " connection=%" PRIu64
-      " connection_requests=%zu id_before=%d proof=%s answer_id=%s parts=%s",
+      " connection_requests=%zu proof=%s answer_id=%s parts=%s",
       exchange->metadata.id, marjoram_reason_name (reason),
       denial ? denial : "yes", exchange->service,
       *exchange->upstream ? exchange->upstream : "-",
@@ -156,8 +156,7 @@
       marjoram_placement_paused_ms (gateway->placement, now,
                                     exchange->upstream),
       exchange->forwarded, exchange->queued_since != 0, exchange->runs.attempt,
-      exchange->path.connection, exchange->path.requests,
-      exchange->path.has_carried_id,
+      exchange->connection.connection, exchange->connection.requests,
       marjoram_run_proof_name (exchange->runs.proof),
       marjoram_exchange_answer_id (exchange), parts);
 }
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -149,7 +149,7 @@
   /* The current attempt.  */
   uint64_t attempt; /* 0 if none */
   /* All 0 if forwarded.  */
-  struct marjoram_http_path path;
+  struct marjoram_http_connection_info connection;
   int attempt_events; /* received */
   bool attempt_begun; /* the upstream has begun to answer */
   int64_t attempt_sent_at;
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -38,7 +38,7 @@
   if (exchange->state == MARJORAM_EXCHANGE_WAITING)
     exchange->state = MARJORAM_EXCHANGE_OPEN;
   exchange->attempt = ++gateway->next_attempt;
-  memset (&exchange->path, 0, sizeof exchange->path);
+  memset (&exchange->connection, 0, sizeof exchange->connection);
   exchange->attempt_events = 0;
   exchange->attempt_begun = false;
   exchange->unnamed_until = 0;
@@ -241,7 +241,7 @@
       place->copy_from ? place->copy_from->heartbeat.address : NULL);
   send.head_only = strcmp (exchange->request->method, "HEAD") == 0;
   send.fresh_only = !exchange->repeatable;
-  gateway->ops->send (gateway->context, &send, &exchange->path);
+  gateway->ops->send (gateway->context, &send, &exchange->connection);
   marjoram_bytes_release (send.message);
 }
 
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -340,23 +340,16 @@
                           : MARJORAM_HTTP_BROKEN);
 }
 
-static void
-describe (const struct connection *connection, const char *id,
-          struct marjoram_http_path *path)
-{
-  path->connection = connection->number;
-  path->requests = connection->requests;
-  path->has_carried_id
-      = id && marjoram_carried_ids_contains (connection->ids, id);
-}
-
 static void
 start_attempt (struct connection *connection,
                const struct marjoram_http_send *send,
-               struct marjoram_http_path *path)
+               struct marjoram_http_connection_info *info)
 {
-  if (path)
-    describe (connection, send->id, path);
+  if (info)
+    {
+      info->connection = connection->number;
+      info->requests = connection->requests;
+    }
   connection->requests++;
   if (send->id)
     marjoram_carried_ids_add (connection->ids, send->id);
@@ -396,7 +389,7 @@
 static void
 connect_and_send (marjoram_http_client *client, struct pool *pool,
                   const struct marjoram_http_send *send,
-                  struct marjoram_http_path *path)
+                  struct marjoram_http_connection_info *info)
 {
   struct connection *connection = connection_create (client, pool);
   struct sockaddr_storage addr;
@@ -405,7 +398,7 @@
   connection->message = marjoram_bytes_retain (send->message);
   connection->connect_deadline
       = marjoram_clock_now (client->clock) + CONNECT_TIMEOUT_MS;
-  start_attempt (connection, send, path);
+  start_attempt (connection, send, info);
   if (evutil_parse_sockaddr_port (pool->address, (struct sockaddr *)&addr,
                                   &size)
           != 0
@@ -465,7 +458,7 @@
 void
 marjoram_http_client_send (marjoram_http_client *client,
                            const struct marjoram_http_send *send,
-                           struct marjoram_http_path *path)
+                           struct marjoram_http_connection_info *info)
 {
   struct pool *pool = find_pool (client, send->address);
   struct connection *connection = find_idle (pool, send->id);
@@ -476,11 +469,11 @@
   if (!connection || !is_fresh (connection, now, send->fresh_only)
       || !is_clean (connection) || !is_socket_idle (connection))
     {
-      connect_and_send (client, pool, send, path);
+      connect_and_send (client, pool, send, info);
       return;
     }
   TAILQ_REMOVE (&pool->idle, connection, link);
-  start_attempt (connection, send, path);
+  start_attempt (connection, send, info);
   bufferevent_write (connection->bev, marjoram_bytes_data (send->message),
                      marjoram_bytes_size (send->message));
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -38,11 +38,10 @@
 };
 
 /* The connection of an attempt.  */
-struct marjoram_http_path
+struct marjoram_http_connection_info
 {
   uint64_t connection; /* counts from 1 */
   size_t requests;     /* that it carried before */
-  bool has_carried_id; /* one of them had the same id */
 };
 
 struct marjoram_http_client_ops
@@ -65,10 +64,10 @@
     struct event_base *base, struct marjoram_clock *clock,
     const struct marjoram_http_client_ops *ops, void *context);
 void marjoram_http_client_destroy (marjoram_http_client *client);
-/* PATH may be null.  */
+/* INFO may be null.  */
 void marjoram_http_client_send (marjoram_http_client *client,
                                 const struct marjoram_http_send *send,
-                                struct marjoram_http_path *path);
+                                struct marjoram_http_connection_info *info);
 /* Closes the attempt's connection, so that the upstream can stop processing.
    No further callback is made for ATTEMPT.  */
 void marjoram_http_client_cancel (marjoram_http_client *client,
