--- a/test/lib_odd_upstream.c
+++ b/test/lib_odd_upstream.c
@@ -22,10 +22,10 @@
   WORK_MAX_MS = 20,
   LATE_MAX_MS = 1500,
   COPY_MAX_MS = 300,
-  /* A copy that waits for its request comes so long after it, or else after
-     its refusal.  */
-  COPY_AFTER_MS = 20,
-  COPY_AT_LAST_MS = 2000,
+  /* From the second arrival of a request to the copy of its first answer, if
+     that waits for it, and from that answer if it does not arrive again.  */
+  COPY_AFTER_ARRIVAL_MS = 20,
+  COPY_WITHOUT_ARRIVAL_MS = 2000,
   DEATHS_IN = 20, /* one in so many of these requests ends its upstream */
   NAME_MAX_BYTES = 48,
   /* Refusals that come late: later than upstreams that refused are avoided. */
@@ -58,10 +58,11 @@
   bool marked; /* it states that the request was not run */
   bool closes; /* the connection, after the answer */
   bool copies; /* the answer comes again some time later */
-  bool waits;  /* the copy, until its request comes again on the connection */
-  bool late;   /* it runs, or is refused, after some time */
-  bool slow;   /* it runs for some time */
-  bool cut;    /* ends the connection instead of answering */
+  /* The copy is held until the request arrives on the connection again.  */
+  bool waits;
+  bool late;     /* it runs, or is refused, after some time */
+  bool slow;     /* it runs for some time */
+  bool cut;      /* ends the connection instead of answering */
   bool shortens; /* the body ends before its length */
   bool mute;     /* never answers */
   bool unframed; /* the answer ends with its connection */
@@ -72,7 +73,7 @@
   /* Another instance took the address before this connection was opened; the
      keepers hear of it as the request comes.  */
   bool replaced;
-  bool by_name; /* only if its name is given */
+  bool only_on_demand; /* only if its name is listed */
 };
 
 static const struct behaviour plain = { .name = "serve", .runs = true };
@@ -98,27 +99,27 @@
     .copies = true,
     .waits = true,
     .arrivals = 1,
-    .by_name = true },
+    .only_on_demand = true },
   { .name = "refuse-once-429",
     .status = 429,
     .marked = true,
     .copies = true,
     .waits = true,
     .arrivals = 1,
-    .by_name = true },
+    .only_on_demand = true },
   { .name = "refuse-once-408",
     .status = 408,
     .marked = true,
     .copies = true,
     .waits = true,
     .arrivals = 1,
-    .by_name = true },
+    .only_on_demand = true },
   { .name = "refuse-once-421",
     .status = 421,
     .copies = true,
     .waits = true,
     .arrivals = 1,
-    .by_name = true },
+    .only_on_demand = true },
   { .name = "replaced",
     .status = 421,
     .copies = true,
@@ -126,7 +127,7 @@
     .late = true,
     .arrivals = 1,
     .replaced = true,
-    .by_name = true },
+    .only_on_demand = true },
   { .name = "refuse-early", .status = 503, .marked = true, .early = true },
   { .name = "nameless-503",
     .before = "HTTP/1.1 503 Busy\r\n" NOT_RUN "Content-Length: 0\r\n\r\n",
@@ -245,7 +246,7 @@
       if (strncmp (at, how->name, size) == 0 && (!at[size] || at[size] == ','))
         return true;
     }
-  return !list && !how->by_name;
+  return !list && !how->only_on_demand;
 }
 
 static const struct behaviour *
@@ -400,7 +401,7 @@
 
   wait_for (copy, on_copy,
             run->how->waits
-                ? COPY_AT_LAST_MS
+                ? COPY_WITHOUT_ARRIVAL_MS
                 : marjoram_random_below (run->upstream->random, COPY_MAX_MS));
 }
 
@@ -413,7 +414,7 @@
   LIST_FOREACH (copy, &runs, link)
   if (copy != request && copy->connection == request->connection
       && copy->how->waits && strcmp (copy->id, request->id) == 0)
-    wait_for (copy, on_copy, COPY_AFTER_MS);
+    wait_for (copy, on_copy, COPY_AFTER_ARRIVAL_MS);
 }
 
 /* ---- Runs.  ---- */
