A stopping host answers what is open before it ends

Callers saw: a host was told to stop; requests that it had taken before or up to 2 s after, and that took longer than what was left of the grace, ended with a closed connection, among them ones that may run once.

Cause: 400 ms before drain_limit_ms the loop ended and all connections were closed, whatever was open. Requests that never ran were closed as well, though a caller that is told so may send them again.

Now such requests get their final answer 400 ms (a tenth of short limits) before that: 503 with Retry-After where nothing ran, by the record of attempts, else 502, and their upstreams are told to stop. Forwarded ones are answered to their host in the same way. Upstreams and other hosts are told no more time than is left, and nothing is sent again for which there is none. A stream that has begun goes on until the process ends, as its end has no other form. Why it works: the gateway itself ends each exchange before the loop does, with the outcome that its record proves.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -496,6 +496,17 @@
   return self->parts->settings->revocation_ms * KEY_LEASE_PERCENT / 100;
 }
 
+static void
+set_drain (struct marjoram_entry *self)
+{
+  const struct marjoram_drain_window window
+      = self->stopped_at ? marjoram_drain_window_create (
+            self->stopped_at, self->parts->settings->drain_limit_ms)
+                         : marjoram_drain_window_none ();
+
+  marjoram_gateway_set_drain (self->gateway, &window);
+}
+
 static void
 role_reload (struct marjoram_role *role)
 {
@@ -511,6 +522,7 @@
   marjoram_gateway_set_load (self->gateway, &load);
   marjoram_gateway_set_answer_limits (self->gateway, &answers);
   set_http_memory (self);
+  set_drain (self);
 }
 
 static void
@@ -603,6 +615,7 @@
   struct marjoram_entry *self = entry_from_role (role);
 
   self->stopped_at = now;
+  set_drain (self);
   marjoram_http_server_drain (self->server);
 }
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -32,6 +32,9 @@
   /* An upstream that sends no data for any request of this host for this long
      is considered stalled.  A batch of an engine takes about 10 ms.  */
   UPSTREAM_STALL_MS = 800,
+  /* Retry-After of a stopping host: another host can serve the request at
+     once.  */
+  DRAINING_RETRY_MS = 20,
   /* Interval between checks of an attempt that is idle but not abandoned.  */
   IDLE_CHECK_MS = 200,
   WAIT_TEXT_MAX = 128 /* bytes of a log line */
@@ -74,6 +77,7 @@
       = marjoram_quota_pool_create (&marjoram_gateway_quota_ops, gateway);
   gateway->origins = marjoram_stream_origins_create ();
   gateway->created_at = now;
+  gateway->drain = marjoram_drain_window_none ();
   if (gateway->options.answers.answer_bytes == 0)
     gateway->options.answers
         = (struct marjoram_answer_limits){ MARJORAM_BODY_MAX,
@@ -158,6 +162,13 @@
   gateway->customers = NULL;
 }
 
+void
+marjoram_gateway_set_drain (marjoram_gateway *gateway,
+                            const struct marjoram_drain_window *window)
+{
+  gateway->drain = *window;
+}
+
 bool
 marjoram_gateway_forwards_to (const marjoram_gateway *gateway,
                               const char *host)
@@ -650,6 +661,16 @@
   return now - gateway->ops->lag_ms (gateway->context);
 }
 
+/* The end of a stream that has begun has no other form than that of its
+   connection.  */
+static bool
+is_cut_by_drain (const marjoram_gateway *gateway,
+                 const struct marjoram_exchange *exchange, int64_t now)
+{
+  return now >= gateway->drain.answer_by
+         && exchange->state != MARJORAM_EXCHANGE_STREAMING;
+}
+
 /* An upstream that sends data for any request is alive, even if it delays this
    one: a loaded engine may set a request aside for seconds and resume it.  A
    stalled upstream is abandoned only if the request may be sent once more and
@@ -691,8 +712,11 @@
   marjoram_gateway_check_upstreams (gateway, now);
   HASH_ITER (by_call, gateway->by_call, exchange, next)
   {
-    if (exchange->state == MARJORAM_EXCHANGE_WAITING
-        && !exchange->waiter.queued)
+    if (is_cut_by_drain (gateway, exchange, now))
+      refuse_at_once (gateway, exchange, now, MARJORAM_REASON_DRAINING,
+                      STATUS_UNAVAILABLE, DRAINING_RETRY_MS);
+    else if (exchange->state == MARJORAM_EXCHANGE_WAITING
+             && !exchange->waiter.queued)
       marjoram_exchange_admit (gateway, exchange, now);
     else if (now >= exchange->deadline_at
              && !extend_deadline (gateway, exchange, now))
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -10,6 +10,7 @@
 #define MARJORAM_GATEWAY_H
 
 #include "crash_list.h"
+#include "drain_window.h"
 #include "forward_window.h"
 #include "host_list.h"
 #include "http_client.h"
@@ -127,6 +128,10 @@
 void marjoram_gateway_set_table (marjoram_gateway *gateway, int64_t now,
                                  const struct marjoram_route_table *table);
 
+/* The host is stopping; WINDOW replaces a former one.  */
+void marjoram_gateway_set_drain (marjoram_gateway *gateway,
+                                 const struct marjoram_drain_window *window);
+
 /* Sent along by the host that forwarded a request.  */
 struct marjoram_forwarded
 {
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -77,7 +77,8 @@
   /* Only the forwarding host retries, so that attempts do not multiply.  */
   if (!not_run && exchange->forwarded)
     return "first-host-decides";
-  if (exchange->deadline_at - now < RETRY_TIME_MIN_MS)
+  if (marjoram_exchange_answer_time (gateway, exchange, now)
+      < RETRY_TIME_MIN_MS)
     return "no-time";
   if (exchange->runs.unproven >= exchange->max_upstreams
       || exchange->attempts_sent >= exchange->max_upstreams + EXTRA_ATTEMPTS)
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -1,6 +1,7 @@
 #include "gateway_daemon.h"
 
 #include "cleanup.h"
+#include "drain_window.h"
 #include "event_log.h"
 #include "gateway_report.h"
 #include "role.h"
@@ -22,8 +23,6 @@
   /* Validity of host state relayed by keepers, which send it every 20 s.  */
   RELAYED_VALID_MS = 27000,
   SETTINGS_CHECK_MS = 1000,
-  /* Time left before the drain limit for socket buffers to be written.  */
-  EXIT_MARGIN_MS = 400,
   /* After the role has finished: time for its last frames to be written, on a
      link that is stuck, and to reach other regions.  Closing a socket that has
      unread input discards what is in flight.  */
@@ -266,13 +265,15 @@
 static void
 check_stopped (marjoram_gateway_daemon *daemon, int64_t now)
 {
-  int64_t limit = daemon->settings->drain_limit_ms - EXIT_MARGIN_MS;
+  struct marjoram_drain_window window;
 
   if (daemon->stopping_at == 0)
     return;
+  window = marjoram_drain_window_create (daemon->stopping_at,
+                                         daemon->settings->drain_limit_ms);
   daemon->drain_incomplete = !daemon->role->ops->finished (daemon->role, now);
   if ((!daemon->drain_incomplete && has_flushed_links (daemon, now))
-      || now >= daemon->stopping_at + limit)
+      || now >= window.exit_at)
     event_base_loopbreak (daemon->base);
 }
 
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -61,7 +61,7 @@
   forward.headers.items = headers.items;
   forward.headers.count = headers.count;
   forward.body = request->body;
-  forward.budget_ms = marjoram_exchange_time_left (exchange, now);
+  forward.budget_ms = marjoram_exchange_answer_time (gateway, exchange, now);
   forward.time_left_ms = time_left_for (gateway, exchange, now, other_region);
   forward.config_number = exchange->config;
   forward.stream = request->has_body;
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -205,6 +205,7 @@
   size_t answer_bytes; /* held for all exchanges */
   int64_t table_set_at;
   int64_t created_at;
+  struct marjoram_drain_window drain;
   marjoram_placement *placement;
   marjoram_repeat_budget *budget;
   marjoram_crash_list *crashes;
@@ -308,6 +309,12 @@
 /* Time until the exchange's deadline, in ms.  */
 int64_t marjoram_exchange_time_left (const struct marjoram_exchange *exchange,
                                      int64_t now);
+/* Time in which an attempt can still be answered here, in ms: until the
+   exchange's deadline or, if that is earlier, the end of a drain.  */
+int64_t
+marjoram_exchange_answer_time (const marjoram_gateway *gateway,
+                               const struct marjoram_exchange *exchange,
+                               int64_t now);
 /* Last-Event-Id with which a stream is resumed; null: as sent by the
    caller.  */
 const char *
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -88,6 +88,18 @@
   return exchange->deadline_at - now;
 }
 
+int64_t
+marjoram_exchange_answer_time (const marjoram_gateway *gateway,
+                               const struct marjoram_exchange *exchange,
+                               int64_t now)
+{
+  const int64_t answer_by = gateway->drain.answer_by;
+
+  return (exchange->deadline_at < answer_by ? exchange->deadline_at
+                                            : answer_by)
+         - now;
+}
+
 const char *
 marjoram_exchange_last_event (const struct marjoram_exchange *exchange)
 {
@@ -103,7 +115,8 @@
   const struct marjoram_dialect_ops *dialect = gateway->options.dialect->ops;
   const struct marjoram_http_request *request = exchange->request;
   const struct marjoram_run_metadata metadata = {
-    .caller_timeout_ms = marjoram_exchange_time_left (exchange, now),
+    .caller_timeout_ms
+    = marjoram_exchange_answer_time (gateway, exchange, now),
     .upstream = exchange->upstream,
     .last_event = marjoram_exchange_last_event (exchange),
     .copy_from = copy_from,
--- a/test/fake_replica.c
+++ b/test/fake_replica.c
@@ -245,6 +245,8 @@
 #define VALUE "value-"
 #define FIELDS "fields-"
 #define BODY "body-"
+/* Before the milliseconds that the request takes.  */
+#define WORK "work-"
 
 static void
 add_response_headers (struct marjoram_header_list *headers, const char *id,
@@ -338,7 +340,7 @@
   evtimer_add (stream->timer, &wait);
 }
 
-/* A request that is processed after others.  */
+/* A request that is processed later.  */
 struct paced
 {
   struct replica *replica;
@@ -358,22 +360,29 @@
 }
 
 static void
-reply_in_turn (struct replica *replica, uint64_t call, const char *id)
+reply_after (struct replica *replica, uint64_t call, const char *id,
+             int64_t work_ms)
 {
-  const int64_t now = marjoram_clock_now (replica->clock);
   struct paced *paced = marjoram_alloc (sizeof *paced);
-  struct timeval wait;
+  struct timeval wait = marjoram_clock_timeval (work_ms);
 
-  if (replica->free_at < now)
-    replica->free_at = now;
-  replica->free_at += PACED_MS;
-  wait = marjoram_clock_timeval (replica->free_at - now);
   paced->replica = replica;
   paced->call = call;
   snprintf (paced->id, sizeof paced->id, "%s", id);
   event_base_once (replica->base, -1, EV_TIMEOUT, on_paced, paced, &wait);
 }
 
+static void
+reply_in_turn (struct replica *replica, uint64_t call, const char *id)
+{
+  const int64_t now = marjoram_clock_now (replica->clock);
+
+  if (replica->free_at < now)
+    replica->free_at = now;
+  replica->free_at += PACED_MS;
+  reply_after (replica, call, id, replica->free_at - now);
+}
+
 static bool
 target_contains (const struct marjoram_http_request *request,
                  const char *fault)
@@ -465,7 +474,9 @@
     return;
   if (target_contains (request, "crash"))
     _exit (EXIT_FAILURE);
-  if (target_contains (request, "paced"))
+  if (target_contains (request, WORK))
+    reply_after (replica, call, id, (int64_t)target_size (request, WORK));
+  else if (target_contains (request, "paced"))
     reply_in_turn (replica, call, id);
   else if (target_contains (request, "break"))
     marjoram_http_server_abort (replica->server, call);
--- /dev/null
+++ b/test/test_drain.c
@@ -0,0 +1,147 @@
+/* Tests of a gateway whose host is stopping, and of the times of its stop.  */
+#include "suite.h"
+
+#include "drain_window.h"
+#include "lib_gateway.h"
+
+#include <string.h>
+
+enum
+{
+  LIMIT_MS = 1000,
+  ANSWER_BY = 500 /* of a host that stops at 0 */
+};
+
+static struct gateway_fixture f;
+
+static void
+setup (void)
+{
+  gateway_fixture_open (&f);
+  gateway_fixture_configure (&f);
+}
+
+static void
+teardown (void)
+{
+  gateway_fixture_close (&f);
+}
+
+static void
+stop (void)
+{
+  const struct marjoram_drain_window window
+      = marjoram_drain_window_create (0, LIMIT_MS);
+
+  ck_assert_int_eq (window.answer_by, ANSWER_BY);
+  marjoram_gateway_set_drain (f.gateway, &window);
+}
+
+static void
+begin_stream (const char *path)
+{
+  gateway_fixture_call (&f, 0, path);
+  gateway_fixture_head (&f, 10, 200, NULL, true, false);
+  gateway_fixture_data (&f, 10, "id: 1\ndata: a\n\n");
+}
+
+START_TEST (times_of_a_stop_are_in_order)
+{
+  static const int64_t limits[] = { 1000, 2000, 8000, 86400000 };
+  const struct marjoram_drain_window window
+      = marjoram_drain_window_create (100, limits[_i]);
+
+  ck_assert_int_gt (window.answer_by, 100);
+  ck_assert_int_lt (window.answer_by, window.exit_at);
+  ck_assert_int_lt (window.exit_at, 100 + limits[_i]);
+}
+END_TEST
+
+/* Guards against closing the connection of a request that may have run instead
+   of saying so.  */
+START_TEST (running_request_is_answered_before_the_end)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  stop ();
+  marjoram_gateway_tick (f.gateway, ANSWER_BY - 1);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, ANSWER_BY);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.status, 502);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_UNKNOWN);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_DRAINING);
+  ck_assert_int_eq (f.seen.cancels, 1);
+}
+END_TEST
+
+/* Guards against closing the connection of a request that did not run, which
+   may then not be sent again.  */
+START_TEST (waiting_request_is_refused_before_the_end)
+{
+  gateway_fixture_close (&f);
+  gateway_fixture_open_at (&f, 0);
+  gateway_fixture_call (&f, 100, "/flip/x");
+  stop ();
+  marjoram_gateway_tick (f.gateway, ANSWER_BY);
+  ck_assert_int_eq (f.seen.why.status, 503);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_DRAINING);
+  ck_assert_int_le (f.seen.why.retry_ms, 50);
+  ck_assert_int_gt (f.seen.why.retry_ms, 0);
+}
+END_TEST
+
+/* Guards against work at an upstream, or at another host, for which no time is
+   left here.  */
+START_TEST (no_more_time_is_given_than_the_host_has)
+{
+  stop ();
+  gateway_fixture_call (&f, 100, "/get/x");
+  ck_assert (strstr (f.seen.message, "Marjoramproxy-Deadline-Ms: 400\r\n"));
+  gateway_fixture_call (&f, 100, "/home/x");
+  ck_assert (f.seen.forwarded);
+  ck_assert_int_eq (f.seen.budget_ms, ANSWER_BY - 100);
+}
+END_TEST
+
+/* Guards against a retry whose answer nobody would pass on.  */
+START_TEST (nothing_is_sent_again_at_the_end)
+{
+  gateway_fixture_call (&f, 0, "/get/x");
+  stop ();
+  gateway_fixture_end (&f, ANSWER_BY - 10, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends + f.seen.forwards, 1);
+  ck_assert_int_eq (f.seen.why.status, 502);
+}
+END_TEST
+
+/* Guards against cutting streams sooner than the process ends.  */
+START_TEST (begun_stream_goes_on_until_the_end)
+{
+  begin_stream ("/digest/x");
+  stop ();
+  marjoram_gateway_tick (f.gateway, ANSWER_BY);
+  ck_assert_int_eq (f.seen.cuts, 0);
+  ck_assert_int_eq (f.seen.cancels, 0);
+  gateway_fixture_data (&f, ANSWER_BY + 10, "id: 2\ndata: b\n\n");
+  gateway_fixture_end (&f, ANSWER_BY + 20, MARJORAM_HTTP_COMPLETE);
+  ck_assert_int_eq (f.seen.ends, 1);
+}
+END_TEST
+
+Suite *
+suite (void)
+{
+  Suite *s = suite_create ("drain");
+  TCase *c = tcase_create ("drain");
+
+  tcase_add_checked_fixture (c, setup, teardown);
+  tcase_add_loop_test (c, times_of_a_stop_are_in_order, 0, 4);
+  tcase_add_test (c, running_request_is_answered_before_the_end);
+  tcase_add_test (c, waiting_request_is_refused_before_the_end);
+  tcase_add_test (c, no_more_time_is_given_than_the_host_has);
+  tcase_add_test (c, nothing_is_sent_again_at_the_end);
+  tcase_add_test (c, begun_stream_goes_on_until_the_end);
+  suite_add_tcase (s, c);
+  return s;
+}
