A stopping host refuses late forwards, and their hosts send them elsewhere

Callers saw: requests that may run once got 502 while a host of another region was stopped in calm, as the host that they had come to had not heard of the stop and forwarded them.

Cause: the time after which a stopping host refuses requests was kept for callers alone; a forward was taken at any moment of the grace. It then ran until it was cut, or its answer was lost as the process ended as soon as nothing was in progress.

Now a forward that comes when callers' requests are refused gets the same refusal: not run, draining. The first host notes that the other is leaving, as if it had said so in a heartbeat, and sends the request to another host, at most three in turn. A stopping host stays until no forward has come for 1.5 s, within its limit, so that those that are on their way get the refusal, too. Why it works: what is refused is proven not run by the host that would have run it, so it may be sent again.

--- a/src/drain_window.c
+++ b/src/drain_window.c
@@ -2,6 +2,9 @@
 
 enum
 {
+  /* How long requests are still accepted after the signal to stop: callers
+     cache addresses for two seconds.  */
+  ACCEPT_MS = 2000,
   /* Time left before the limit for socket buffers to be written.  */
   EXIT_MARGIN_MS = 400,
   /* Time for the final answers to reach callers, at most this part of the
@@ -13,7 +16,7 @@
 struct marjoram_drain_window
 marjoram_drain_window_none (void)
 {
-  return (struct marjoram_drain_window){ INT64_MAX, INT64_MAX };
+  return (struct marjoram_drain_window){ INT64_MAX, INT64_MAX, INT64_MAX };
 }
 
 struct marjoram_drain_window
@@ -24,5 +27,6 @@
       = part_ms < ANSWER_MARGIN_MS ? part_ms : ANSWER_MARGIN_MS;
   const int64_t exit_at = stopped_at + limit_ms - EXIT_MARGIN_MS;
 
-  return (struct marjoram_drain_window){ exit_at - margin_ms, exit_at };
+  return (struct marjoram_drain_window){ stopped_at + ACCEPT_MS,
+                                         exit_at - margin_ms, exit_at };
 }
--- a/src/drain_window.h
+++ b/src/drain_window.h
@@ -9,8 +9,9 @@
    not stopping.  */
 struct marjoram_drain_window
 {
-  int64_t answer_by; /* requests without an answer get their final one */
-  int64_t exit_at;   /* the process ends, whatever is in progress */
+  int64_t accept_until; /* new requests are accepted */
+  int64_t answer_by;    /* requests without an answer get their final one */
+  int64_t exit_at;      /* the process ends, whatever is in progress */
 };
 
 /* Of a host that is not stopping.  */
--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -198,6 +198,14 @@
   inbound->size = marjoram_bytes_size (forward->body);
   HASH_ADD (hh, self->inbound, call, sizeof inbound->call, inbound);
   self->inbound_bytes += inbound->size;
+  self->forwarded_at = marjoram_entry_now (self);
+  if (self->forwarded_at >= self->drain.accept_until)
+    {
+      marjoram_metrics_add_refusal (self->parts->metrics,
+                                    MARJORAM_REASON_DRAINING);
+      marjoram_entry_finish_inbound (self, inbound, &marjoram_entry_draining);
+      return;
+    }
   /* A body alone always fits.  */
   if (self->inbound_bytes > self->frame_bytes_max
       && self->inbound_bytes > inbound->size)
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -10,6 +10,7 @@
 
 #include "address.h"
 #include "connect_probe.h"
+#include "drain_window.h"
 #include "state_files.h"
 #include "engine_survey.h"
 #include "evacuation.h"
@@ -79,6 +80,8 @@
   int64_t room_sums_sent_at;
   int64_t client_ticked_at;
   int64_t stopped_at;
+  struct marjoram_drain_window drain;
+  int64_t forwarded_at; /* the last forward came; 0 if none did */
   bool closed;
   /* Reachable keepers, nearest first.  */
   char keepers[MARJORAM_QUOTA_KEEPERS_MAX][MARJORAM_IP_MAX];
@@ -181,6 +184,8 @@
                                 const struct marjoram_load_report *sums);
 
 /* entry_role.c */
+/* What a stopping host tells of requests that it does not accept.  */
+extern const struct marjoram_request_failure marjoram_entry_draining;
 /* Whether this host accepts callers' requests, as announced in heartbeats. */
 bool marjoram_entry_is_ready (const struct marjoram_entry *self);
 void marjoram_entry_apply_state (struct marjoram_entry *self,
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -16,10 +16,9 @@
      upstreams, so it grows with their number.  */
   OFFERS_INTERVAL_MS = 100,
   OFFERS_UPSTREAMS_PER_MS = 2,
-  /* How long requests are still accepted after the signal to stop.  Callers
-     cache addresses for two seconds, and accepted requests must complete
-     within the drain timeout.  */
-  ACCEPT_AFTER_STOP_MS = 2000,
+  /* A host that forwarded a request so long ago may not have heard yet that
+     this one is stopping, and forward more.  */
+  FORWARDS_QUIET_MS = 1500,
   /* Retry-After of a draining host: another host can serve the request at
      once.  */
   DRAINING_RETRY_MS = 20,
@@ -39,6 +38,13 @@
   STATUS_UNAVAILABLE = 503
 };
 
+const struct marjoram_request_failure marjoram_entry_draining
+    = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+        .reason = MARJORAM_REASON_DRAINING,
+        .status = STATUS_UNAVAILABLE,
+        .retry_ms = DRAINING_RETRY_MS,
+        .unreached = true };
+
 int64_t
 marjoram_entry_now (const struct marjoram_entry *self)
 {
@@ -52,11 +58,6 @@
                 struct marjoram_http_request *request)
 {
   struct marjoram_entry *self = context;
-  const struct marjoram_request_failure why
-      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
-          .reason = MARJORAM_REASON_DRAINING,
-          .status = STATUS_UNAVAILABLE,
-          .retry_ms = DRAINING_RETRY_MS };
 
   if (!self->closed)
     {
@@ -68,7 +69,7 @@
   marjoram_http_request_destroy (request);
   marjoram_metrics_add_refusal (self->parts->metrics,
                                 MARJORAM_REASON_DRAINING);
-  marjoram_entry_reject_call (self, call, &why);
+  marjoram_entry_reject_call (self, call, &marjoram_entry_draining);
 }
 
 static void
@@ -499,12 +500,10 @@
 static void
 set_drain (struct marjoram_entry *self)
 {
-  const struct marjoram_drain_window window
-      = self->stopped_at ? marjoram_drain_window_create (
-            self->stopped_at, self->parts->settings->drain_limit_ms)
-                         : marjoram_drain_window_none ();
-
-  marjoram_gateway_set_drain (self->gateway, &window);
+  if (self->stopped_at)
+    self->drain = marjoram_drain_window_create (
+        self->stopped_at, self->parts->settings->drain_limit_ms);
+  marjoram_gateway_set_drain (self->gateway, &self->drain);
 }
 
 static void
@@ -601,8 +600,7 @@
       marjoram_entry_end_overflowed (self);
       marjoram_registry_tick (self->registry, now);
     }
-  if (self->stopped_at && !self->closed
-      && now >= self->stopped_at + ACCEPT_AFTER_STOP_MS)
+  if (self->stopped_at && !self->closed && now >= self->drain.accept_until)
     {
       self->closed = true;
       marjoram_http_server_close_idle (self->server);
@@ -624,8 +622,9 @@
 {
   struct marjoram_entry *self = entry_from_role (role);
 
-  (void)now;
   return self->closed && marjoram_gateway_request_count (self->gateway) == 0
+         && (!self->forwarded_at
+             || now >= self->forwarded_at + FORWARDS_QUIET_MS)
          && marjoram_http_server_is_closed (self->server);
 }
 
@@ -758,6 +757,7 @@
   self->collector = marjoram_load_collector_create ();
   self->room_collector = marjoram_room_collector_create ();
   self->created_at = marjoram_entry_now (self);
+  self->drain = marjoram_drain_window_none ();
   self->server = marjoram_http_server_create (parts->base, parts->clock,
                                               parts->settings->entry_address,
                                               &server_ops, self, err);
--- a/src/gateway_answer.c
+++ b/src/gateway_answer.c
@@ -22,6 +22,8 @@
   /* Attempts allowed beyond max_upstreams, for upstreams that refused without
      running the request.  */
   EXTRA_ATTEMPTS = 2,
+  /* Stopping hosts that a request is sent to one after the other.  */
+  LEAVING_HOSTS_MAX = 3,
   /* Idle timeout of resumable streams: above the pauses of a busy engine and
      below the 2 s after which callers give up.  */
   STREAM_IDLE_MS = 1500,
@@ -892,6 +894,27 @@
   return true;
 }
 
+/* Sends a request on that a stopping host refused.  That host's news may have
+   been overtaken by the forward.  Returns whether it was sent.  */
+static bool
+send_to_staying_host (marjoram_gateway *gateway,
+                      struct marjoram_exchange *exchange, int64_t now,
+                      const struct marjoram_request_failure *why)
+{
+  if (why->reason != MARJORAM_REASON_DRAINING || !why->unreached
+      || exchange->hosts_leaving == LEAVING_HOSTS_MAX
+      || (marjoram_exchange_may_have_run (exchange)
+          && retry_denial (gateway, exchange, now)))
+    return false;
+  exchange->hosts_leaving++;
+  exchange->forwarded_out = false;
+  exchange->relayed = false;
+  marjoram_host_list_leaves (gateway->options.place.hosts, exchange->host);
+  log_attempt (gateway, exchange, now, why->reason, NULL);
+  marjoram_exchange_send (gateway, exchange, now);
+  return true;
+}
+
 void
 marjoram_gateway_forward_refused (marjoram_gateway *gateway, int64_t now,
                                   uint64_t attempt,
@@ -916,7 +939,8 @@
                         MARJORAM_METRIC_FORWARDS_REFUSED, 1);
   if (why->unreached)
     exchange->attempts_sent--;
-  if (send_refused_here (gateway, exchange, now, why))
+  if (send_to_staying_host (gateway, exchange, now, why)
+      || send_refused_here (gateway, exchange, now, why))
     return;
   if (gateway->features.balance_regions && refusal.retry_ms == 0
       && !marjoram_exchange_may_have_run (exchange))
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -667,7 +667,8 @@
 {
   const struct marjoram_listed_host *host;
 
-  if (!is_balanced (gateway) || !exchange->forwarded_out)
+  if (!is_balanced (gateway) || !exchange->forwarded_out
+      || reason == MARJORAM_REASON_DRAINING)
     return;
   host
       = marjoram_host_list_find (gateway->options.place.hosts, exchange->host);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -184,6 +184,7 @@
   size_t tried_count;
   int attempts_sent; /* attempts that may have reached an upstream */
   int failed_connections;
+  int hosts_leaving;  /* that refused it, as they are stopping */
   bool forwarded_out; /* to another region */
   bool relayed;       /* to another host of this region */
   bool repeat_taken;  /* from the budget, for the next or current attempt */
--- a/src/host_list.c
+++ b/src/host_list.c
@@ -410,6 +410,17 @@
   list->changes++;
 }
 
+void
+marjoram_host_list_leaves (marjoram_host_list *list, const char *name)
+{
+  struct marjoram_listed_host *host = find (list, name);
+
+  if (!host || host->heartbeat.leaving)
+    return;
+  host->heartbeat.leaving = true;
+  list->changes++;
+}
+
 bool
 marjoram_host_list_lost (marjoram_host_list *list, int64_t now,
                          const char *name, uint64_t incarnation)
--- a/src/host_list.h
+++ b/src/host_list.h
@@ -49,6 +49,8 @@
    as dead until the next one.  */
 void marjoram_host_list_connection_lost (marjoram_host_list *list, int64_t now,
                                          const char *name);
+/* NAME has stated, other than by a heartbeat, that it is leaving.  */
+void marjoram_host_list_leaves (marjoram_host_list *list, const char *name);
 /* A keeper has found NAME dead: it counts as dead until its next heartbeat,
    unless it has restarted since INCARNATION.  Returns whether it counted as
    alive.  */
--- a/test/test_drain.c
+++ b/test/test_drain.c
@@ -51,6 +51,7 @@
   const struct marjoram_drain_window window
       = marjoram_drain_window_create (100, limits[_i]);
 
+  ck_assert_int_gt (window.accept_until, 100);
   ck_assert_int_gt (window.answer_by, 100);
   ck_assert_int_lt (window.answer_by, window.exit_at);
   ck_assert_int_lt (window.exit_at, 100 + limits[_i]);
@@ -129,6 +130,67 @@
 }
 END_TEST
 
+/* The host of the last forward refuses it, as it is stopping.  */
+static void
+refuse_forward (int64_t now, enum marjoram_reason reason)
+{
+  const struct marjoram_request_failure why
+      = { .outcome = MARJORAM_OUTCOME_NOT_RUN,
+          .reason = reason,
+          .status = 503,
+          .retry_ms = 20,
+          .unreached = true };
+
+  marjoram_gateway_forward_refused (f.gateway, now, f.seen.attempt, &why);
+}
+
+/* Guards against refusing a request because the host that it was forwarded to
+   is stopping and this one had not heard so.  */
+START_TEST (forward_to_a_stopping_host_goes_to_another)
+{
+  char refusing[sizeof f.seen.host];
+
+  f.unreachable_host = "";
+  gateway_fixture_call (&f, 0, "/home/x");
+  memcpy (refusing, f.seen.host, sizeof refusing);
+  refuse_forward (120, MARJORAM_REASON_DRAINING);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  ck_assert_int_eq (f.seen.forwards, 2);
+  ck_assert_str_ne (f.seen.host, refusing);
+  /* It is known from then on.  */
+  for (int i = 0; i < 20; i++)
+    {
+      gateway_fixture_call (&f, 130, "/home/x");
+      ck_assert_str_ne (f.seen.host, refusing);
+    }
+}
+END_TEST
+
+/* Guards against endless forwards while all hosts of a region stop.  */
+START_TEST (forwards_end_when_all_hosts_are_stopping)
+{
+  f.unreachable_host = "";
+  gateway_fixture_call (&f, 0, "/home/x");
+  refuse_forward (120, MARJORAM_REASON_DRAINING);
+  refuse_forward (240, MARJORAM_REASON_DRAINING);
+  ck_assert_int_eq (f.seen.forwards, 2);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.why.status, 503);
+}
+END_TEST
+
+/* A region that has no capacity left is not asked again.  */
+START_TEST (other_refusals_are_final)
+{
+  f.unreachable_host = "";
+  gateway_fixture_call (&f, 0, "/home/x");
+  refuse_forward (120, MARJORAM_REASON_OVERLOAD);
+  ck_assert_int_eq (f.seen.forwards, 1);
+  ck_assert_int_eq (f.seen.refusals, 1);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -142,6 +204,9 @@
   tcase_add_test (c, no_more_time_is_given_than_the_host_has);
   tcase_add_test (c, nothing_is_sent_again_at_the_end);
   tcase_add_test (c, begun_stream_goes_on_until_the_end);
+  tcase_add_test (c, forward_to_a_stopping_host_goes_to_another);
+  tcase_add_test (c, forwards_end_when_all_hosts_are_stopping);
+  tcase_add_test (c, other_refusals_are_final);
   suite_add_tcase (s, c);
   return s;
 }
