A stopping host starts nothing in the second half of its grace

Callers saw: a request that waits for a place, for its customer's quota or for a configuration when its host is told to stop was sent to an upstream whenever that became possible, up to the end of the grace, and one that an upstream had refused was sent to the next. What was then not answered in time was ended with 502, though it could have been served by another host.

Cause: nothing compared the time of a start with the end of the grace.

From the middle of the grace, requests of which no attempt may have run are refused at once: not run, to come again elsewhere. A stream that its caller reads, and a request that may have run and may be repeated, are still sent again while there is time, as nobody else can go on with the one and the other would get 502.

--- a/src/drain_window.h
+++ b/src/drain_window.h
@@ -10,6 +10,7 @@
 struct marjoram_drain_window
 {
   int64_t accept_until; /* new requests are accepted */
+  int64_t start_until;  /* requests that did not run yet are started */
   int64_t answer_by;    /* requests without an answer get their final one */
   int64_t exit_at;      /* the process ends, whatever is in progress */
 };
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -478,6 +478,15 @@
   marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
+void
+marjoram_exchange_refuse_draining (marjoram_gateway *gateway,
+                                   struct marjoram_exchange *exchange,
+                                   int64_t now)
+{
+  refuse_at_once (gateway, exchange, now, MARJORAM_REASON_DRAINING,
+                  STATUS_UNAVAILABLE, DRAINING_RETRY_MS);
+}
+
 /* Hosts apply a configuration at slightly different times.  For
    CONFIG_CHANGE_GRACE_MS after a change the longer of the old and the new
    timeout applies, so that a change does not cut answers in progress.  */
@@ -662,13 +671,16 @@
 }
 
 /* The end of a stream that has begun has no other form than that of its
-   connection.  */
+   connection.  What waits has not been started, and another host can.  */
 static bool
-is_cut_by_drain (const marjoram_gateway *gateway,
-                 const struct marjoram_exchange *exchange, int64_t now)
+is_ended_by_drain (const marjoram_gateway *gateway,
+                   const struct marjoram_exchange *exchange, int64_t now)
 {
-  return now >= gateway->drain.answer_by
-         && exchange->state != MARJORAM_EXCHANGE_STREAMING;
+  if (exchange->state == MARJORAM_EXCHANGE_STREAMING)
+    return false;
+  return now >= (exchange->attempt || marjoram_exchange_may_have_run (exchange)
+                     ? gateway->drain.answer_by
+                     : gateway->drain.start_until);
 }
 
 /* An upstream that sends data for any request is alive, even if it delays this
@@ -712,9 +724,8 @@
   marjoram_gateway_check_upstreams (gateway, now);
   HASH_ITER (by_call, gateway->by_call, exchange, next)
   {
-    if (is_cut_by_drain (gateway, exchange, now))
-      refuse_at_once (gateway, exchange, now, MARJORAM_REASON_DRAINING,
-                      STATUS_UNAVAILABLE, DRAINING_RETRY_MS);
+    if (is_ended_by_drain (gateway, exchange, now))
+      marjoram_exchange_refuse_draining (gateway, exchange, now);
     else if (exchange->state == MARJORAM_EXCHANGE_WAITING
              && !exchange->waiter.queued)
       marjoram_exchange_admit (gateway, exchange, now);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -248,6 +248,10 @@
 void marjoram_exchange_refuse (marjoram_gateway *gateway,
                                struct marjoram_exchange *exchange, int64_t now,
                                const struct marjoram_refusal *refusal);
+/* The same for an exchange that this host cannot serve before it ends.  */
+void marjoram_exchange_refuse_draining (marjoram_gateway *gateway,
+                                        struct marjoram_exchange *exchange,
+                                        int64_t now);
 /* Whether an attempt may have run or may still run.  */
 bool marjoram_exchange_may_have_run (const struct marjoram_exchange *exchange);
 /* Ends the exchange after its answer was sent to the caller, completely if
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -541,6 +541,16 @@
                                           : chosen.retry_ms);
 }
 
+/* Whether the exchange would be started so late in a stop of this host that
+   another host serves it more surely.  */
+static bool
+is_late_in_drain (const marjoram_gateway *gateway,
+                  const struct marjoram_exchange *exchange, int64_t now)
+{
+  return now >= gateway->drain.start_until
+         && !marjoram_exchange_may_have_run (exchange);
+}
+
 /* Looks up the route on each attempt, so that a retry follows the current
    configuration.  */
 void
@@ -576,6 +586,11 @@
     }
   if (marjoram_exchange_refuse_crashing (gateway, exchange, now))
     return;
+  if (is_late_in_drain (gateway, exchange, now))
+    {
+      marjoram_exchange_refuse_draining (gateway, exchange, now);
+      return;
+    }
   if (exchange->build_rule == MARJORAM_BUILD_NONE)
     {
       refuse (gateway, exchange, now, MARJORAM_REASON_BUILD_UNKNOWN,
--- a/test/test_drain.c
+++ b/test/test_drain.c
@@ -8,8 +8,10 @@
 
 enum
 {
-  LIMIT_MS = 1000,
-  ANSWER_BY = 500 /* of a host that stops at 0 */
+  LIMIT_MS = 1400,
+  /* Of a host that stops at 0.  */
+  START_UNTIL = 700,
+  ANSWER_BY = 860
 };
 
 static struct gateway_fixture f;
@@ -81,7 +83,7 @@
 {
   gateway_fixture_close (&f);
   gateway_fixture_open_at (&f, 0);
-  gateway_fixture_call (&f, 100, "/flip/x");
+  gateway_fixture_call (&f, ANSWER_BY - 100, "/flip/x");
   stop ();
   marjoram_gateway_tick (f.gateway, ANSWER_BY);
   ck_assert_int_eq (f.seen.why.status, 503);
@@ -92,13 +94,68 @@
 }
 END_TEST
 
+/* Guards against starting late in a stop what another host would serve.  */
+START_TEST (waiting_request_is_refused_in_the_second_half)
+{
+  gateway_fixture_close (&f);
+  gateway_fixture_open_at (&f, 0);
+  gateway_fixture_call (&f, START_UNTIL - 20, "/flip/x");
+  stop ();
+  marjoram_gateway_tick (f.gateway, START_UNTIL - 10);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, START_UNTIL);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.status, 503);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_DRAINING);
+}
+END_TEST
+
+START_TEST (queued_request_is_refused_in_the_second_half)
+{
+  f.link_up = false;
+  for (int i = 0; i < 2; i++)
+    gateway_fixture_prompt (&f, START_UNTIL - 100, "/digest/x", 10000);
+  gateway_fixture_prompt (&f, START_UNTIL - 100, "/digest/y", 4000);
+  stop ();
+  marjoram_gateway_tick (f.gateway, START_UNTIL - 10);
+  ck_assert_int_eq (f.seen.sends, 2);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, START_UNTIL);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.outcome, MARJORAM_OUTCOME_NOT_RUN);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_DRAINING);
+}
+END_TEST
+
+START_TEST (refused_request_is_not_sent_again_in_the_second_half)
+{
+  gateway_fixture_call (&f, 0, "/flip/x");
+  stop ();
+  gateway_fixture_refuse (&f, START_UNTIL, 503, NULL);
+  ck_assert_int_eq (f.seen.sends + f.seen.forwards, 1);
+  ck_assert_int_eq (f.seen.why.status, 503);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_DRAINING);
+}
+END_TEST
+
+/* A stream that its caller has begun to read has no other host.  */
+START_TEST (begun_stream_is_resumed_in_the_second_half)
+{
+  begin_stream ("/ask/x");
+  stop ();
+  gateway_fixture_end (&f, START_UNTIL, MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (f.seen.sends, 2);
+  ck_assert_int_eq (f.seen.cuts, 0);
+}
+END_TEST
+
 /* Guards against work at an upstream, or at another host, for which no time is
    left here.  */
 START_TEST (no_more_time_is_given_than_the_host_has)
 {
   stop ();
   gateway_fixture_call (&f, 100, "/get/x");
-  ck_assert (strstr (f.seen.message, "Marjoramproxy-Deadline-Ms: 400\r\n"));
+  ck_assert (strstr (f.seen.message, "Marjoramproxy-Deadline-Ms: 760\r\n"));
   gateway_fixture_call (&f, 100, "/home/x");
   ck_assert (f.seen.forwarded);
   ck_assert_int_eq (f.seen.budget_ms, ANSWER_BY - 100);
@@ -201,6 +258,10 @@
   tcase_add_loop_test (c, times_of_a_stop_are_in_order, 0, 4);
   tcase_add_test (c, running_request_is_answered_before_the_end);
   tcase_add_test (c, waiting_request_is_refused_before_the_end);
+  tcase_add_test (c, waiting_request_is_refused_in_the_second_half);
+  tcase_add_test (c, queued_request_is_refused_in_the_second_half);
+  tcase_add_test (c, refused_request_is_not_sent_again_in_the_second_half);
+  tcase_add_test (c, begun_stream_is_resumed_in_the_second_half);
   tcase_add_test (c, no_more_time_is_given_than_the_host_has);
   tcase_add_test (c, nothing_is_sent_again_at_the_end);
   tcase_add_test (c, begun_stream_goes_on_until_the_end);
