A stop counts from when its signal may have come

A host that stood still when it was told to stop took the time at which it handled the signal for the time of the signal, and believed that it had seconds more than the platform gives, which then kills it with requests in progress: they end without an answer.

Now the stop counts from the tick before the last one, after which the signal came at the earliest: the loop handles a signal after the timers that expired while it stood still. In calm that is 25 to 100 ms early. Requests are accepted by the clock and not by a flag of the tick, and the last responses are written after the loop has ended. The line of the stop says how long the signal may have been pending.

--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -59,7 +59,7 @@
 {
   struct marjoram_entry *self = context;
 
-  if (!self->closed)
+  if (marjoram_entry_now (self) < self->drain.accept_until)
     {
       marjoram_gateway_receive (self->gateway, marjoram_entry_now (self), call,
                                 request, NULL);
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -28,6 +28,8 @@
      unread input discards what is in flight.  */
   FLUSH_MAX_MS = 1000,
   LINGER_MS = 150,
+  /* After the loop has ended, to write the last responses.  */
+  FINAL_LOOP_ITERATIONS = 4,
   STATUS_OK = 200
 };
 
@@ -52,6 +54,8 @@
   struct marjoram_role *role;
   struct event *tick;
   struct event *signals[SIGNALS];
+  int64_t ticked_at;
+  int64_t ticked_before; /* the tick before that */
   int64_t stopping_at; /* 0 until the first signal */
   int64_t finished_at; /* the role; 0 if it has not finished */
   int64_t flushed_at;  /* the links, after that; 0 if they are not */
@@ -296,6 +300,8 @@
 
   (void)fd;
   (void)what;
+  daemon->ticked_before = daemon->ticked_at;
+  daemon->ticked_at = now;
   marjoram_host_links_tick (daemon->links, now);
   daemon->role->ops->tick (daemon->role, now);
   marjoram_api_server_tick (daemon->api_server);
@@ -319,10 +325,13 @@
     }
   if (daemon->stopping_at)
     return;
-  daemon->stopping_at = now;
-  marjoram_event (MARJORAM_EVENT_PROCESS, "state=stopping signal=%d",
-                  (int)number);
-  daemon->role->ops->stop (daemon->role, now);
+  /* It may have been pending since then, while the process stood still: the
+     loop handles a signal after the timers that expired meanwhile.  */
+  daemon->stopping_at = daemon->ticked_before;
+  marjoram_event (MARJORAM_EVENT_PROCESS,
+                  "state=stopping signal=%d pending_ms=%" PRId64, (int)number,
+                  now - daemon->stopping_at);
+  daemon->role->ops->stop (daemon->role, daemon->stopping_at);
   marjoram_host_links_heartbeat_now (daemon->links, now);
 }
 
@@ -378,6 +387,7 @@
   static const int numbers[SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
   struct timeval period = marjoram_clock_timeval (TICK_MS);
 
+  daemon->ticked_before = daemon->ticked_at = now_of (daemon);
   daemon->tick = event_new (daemon->base, -1, 0, on_tick, daemon);
   event_add (daemon->tick, &period);
   for (size_t i = 0; i < SIGNALS; i++)
@@ -465,6 +475,8 @@
                   daemon->role_context.incarnation);
   marjoram_event_log_flush ();
   event_base_dispatch (daemon->base);
+  for (int i = 0; i < FINAL_LOOP_ITERATIONS; i++)
+    event_base_loop (daemon->base, EVLOOP_NONBLOCK);
   marjoram_event (MARJORAM_EVENT_PROCESS, "state=stop cut=%d",
                   daemon->drain_incomplete);
   marjoram_event_log_flush ();
