--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -547,7 +547,12 @@
 is_late_in_drain (const marjoram_gateway *gateway,
                   const struct marjoram_exchange *exchange, int64_t now)
 {
-  return now >= gateway->drain.start_until
+  const int64_t ends_at = now
+                          + (int64_t)marjoram_placement_request_ms (
+                              gateway->placement, exchange->service);
+
+  return (now >= gateway->drain.start_until
+          || ends_at > gateway->drain.answer_by)
          && !marjoram_exchange_may_have_run (exchange);
 }
 
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -102,7 +102,8 @@
     limits = limits .. "[load]\n" .. LOAD .. "\n"
   end
   return text .. "link = " .. host.ip .. ":" .. port .. "\nmetrics = "
-    .. host.ip .. ":7661\n[limits]\ndrain_limit_ms = 8000\n" .. limits .. "[seeds]\nkeepers = "
+    .. host.ip .. ":7661\n[limits]\ndrain_limit_ms = "
+    .. (DRAIN_LIMIT_MS or 8000) .. "\n" .. limits .. "[seeds]\nkeepers = "
     .. table.concat (seeds, ", ") .. "\n[zones]\nza = ra\nzb = rb\n"
 end
 
--- a/test/test_drain.c
+++ b/test/test_drain.c
@@ -54,7 +54,8 @@
       = marjoram_drain_window_create (100, limits[_i]);
 
   ck_assert_int_gt (window.accept_until, 100);
-  ck_assert_int_gt (window.answer_by, 100);
+  ck_assert_int_le (window.accept_until, window.start_until);
+  ck_assert_int_le (window.start_until, window.answer_by);
   ck_assert_int_lt (window.answer_by, window.exit_at);
   ck_assert_int_lt (window.exit_at, 100 + limits[_i]);
 }
@@ -149,6 +150,32 @@
 }
 END_TEST
 
+/* Guards against starting what, by the time that the service takes, would be
+   cut off.  */
+START_TEST (request_that_takes_too_long_is_refused)
+{
+  const struct marjoram_drain_window window
+      = marjoram_drain_window_create (1000, LIMIT_MS);
+
+  for (int i = 0; i < 50; i++)
+    {
+      gateway_fixture_call (&f, 0, "/get/x");
+      gateway_fixture_success (&f, 1000, NULL, NULL);
+      gateway_fixture_end (&f, 1000, MARJORAM_HTTP_COMPLETE);
+    }
+  gateway_fixture_call (&f, 1000, "/flip/x");
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_set_drain (f.gateway, &window);
+  gateway_fixture_call (&f, 1000, "/flip/x");
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.status, 503);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_DRAINING);
+  /* Of another service, which is fast.  */
+  gateway_fixture_prompt (&f, 1000, "/ask/x", 100);
+  ck_assert_int_eq (f.seen.refusals, 1);
+}
+END_TEST
+
 /* Guards against work at an upstream, or at another host, for which no time is
    left here.  */
 START_TEST (no_more_time_is_given_than_the_host_has)
@@ -262,6 +289,7 @@
   tcase_add_test (c, queued_request_is_refused_in_the_second_half);
   tcase_add_test (c, refused_request_is_not_sent_again_in_the_second_half);
   tcase_add_test (c, begun_stream_is_resumed_in_the_second_half);
+  tcase_add_test (c, request_that_takes_too_long_is_refused);
   tcase_add_test (c, no_more_time_is_given_than_the_host_has);
   tcase_add_test (c, nothing_is_sent_again_at_the_end);
   tcase_add_test (c, begun_stream_goes_on_until_the_end);
