A zone host that has to end says how its open requests end

Callers saw: when a draining host reached drain_limit_ms, or got a second SIGTERM, the connections of all requests in progress were closed without an answer, so that a caller could not tell whether its request had run.

Cause: the process ended with the requests as they were. Forwards and callers' requests that come late are refused, as they were.

Now each request whose answer has not begun is given up as at its deadline, with reason draining: not run where nothing was sent, else unknown; one that may run once and may have started runs on until the process ends. Answers that have begun are cut, as before, and the exit status is 3, as before.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -346,6 +346,7 @@
       marjoram_log (MARJORAM_LOG_WARNING,
                     "second signal received; aborting %zu requests",
                     marjoram_host_request_count (daemon->host));
+      marjoram_host_give_up (daemon->host, marjoram_clock_now (daemon->clock));
       event_base_loopbreak (daemon->base);
       return;
     }
@@ -541,7 +542,7 @@
       daemon->settings->slot, daemon->settings->zone,
       daemon->settings->entry_address, daemon->settings->peer_address);
   event_base_dispatch (daemon->base);
-  for (int i = 0; i < FINAL_LOOP_ITERATIONS && !daemon->aborted; i++)
+  for (int i = 0; i < FINAL_LOOP_ITERATIONS; i++)
     event_base_loop (daemon->base, EVLOOP_NONBLOCK);
   marjoram_log (MARJORAM_LOG_NOTICE, "stopped");
   return !daemon->aborted;
--- a/src/host.c
+++ b/src/host.c
@@ -158,6 +158,7 @@
                   "drain limit passed; aborting %zu requests",
                   marjoram_host_request_count (host));
   host->ops->drained (host->context);
+  marjoram_requests_give_up (host, now);
 }
 
 void
@@ -214,6 +215,13 @@
   host->drain_limit = now + host->settings->drain_limit_ms;
 }
 
+void
+marjoram_host_give_up (marjoram_host *host, int64_t now)
+{
+  host->now = now;
+  marjoram_requests_give_up (host, now);
+}
+
 /* ---- Queries.  ---- */
 
 bool
--- a/src/host.h
+++ b/src/host.h
@@ -210,6 +210,8 @@
 /* Stops accepting requests.  The drained operation is called once all requests
    have ended or the configured drain limit has passed.  */
 void marjoram_host_drain (marjoram_host *host, int64_t now);
+/* Tells all callers whose answers have not begun how their requests end.  */
+void marjoram_host_give_up (marjoram_host *host, int64_t now);
 
 bool marjoram_host_ready (const marjoram_host *host);
 bool marjoram_host_draining (const marjoram_host *host);
--- a/src/request.c
+++ b/src/request.c
@@ -175,11 +175,12 @@
   request_destroy (host, request);
 }
 
-/* The deadline passed before the answer began.  The caller is told at once; a
-   non-idempotent request that may have started runs on, abandoned.  */
+/* Ends a request for REASON before its answer has begun.  The caller is told
+   at once; a non-idempotent request that may have started runs on, abandoned.
+ */
 static void
-handle_deadline (marjoram_host *host, int64_t now,
-                 struct marjoram_request *request)
+give_up (marjoram_host *host, int64_t now, struct marjoram_request *request,
+         enum marjoram_reason reason)
 {
   bool running = request->state != MARJORAM_REQUEST_CLAIMING
                  && request->state != MARJORAM_REQUEST_WAITING
@@ -191,17 +192,17 @@
     {
       marjoram_attempt_cancel (host, now, request);
       /* After the cancellation, which clears the wait.  */
-      if (local)
+      if (local && reason == MARJORAM_REASON_DEADLINE)
         marjoram_members_request_waited (host->members, now, request->upstream,
                                          now - request->attempt_started);
       marjoram_request_refuse (host, now, request,
                                running ? MARJORAM_OUTCOME_UNKNOWN
                                        : MARJORAM_OUTCOME_NOT_RUN,
-                               MARJORAM_REASON_DEADLINE, 0);
+                               reason, 0);
       return;
     }
   request->outcome = MARJORAM_OUTCOME_UNKNOWN;
-  request->reason = MARJORAM_REASON_DEADLINE;
+  request->reason = reason;
   marjoram_request_count_outcome (host, request, MARJORAM_OUTCOME_UNKNOWN);
   request->origin->fail (host, request, MARJORAM_RETRY_AFTER_MS);
   request->abandoned = true;
@@ -289,6 +290,14 @@
          && now - request->deadline >= MARJORAM_ORPHAN_MS;
 }
 
+/* Whether the request may still get an error in place of its answer.  */
+static bool
+has_no_answer (const struct marjoram_request *request)
+{
+  return !request->answered && !request->abandoned && !request->head_delivered
+         && !(request->peer && request->has_head);
+}
+
 static void
 tick_request (marjoram_host *host, int64_t now,
               struct marjoram_request *request)
@@ -310,10 +319,9 @@
                                MARJORAM_REASON_LINK_DOWN, 0);
       return;
     }
-  if (now >= request->deadline && !request->abandoned
-      && !request->head_delivered && !(request->peer && request->has_head))
+  if (now >= request->deadline && has_no_answer (request))
     {
-      handle_deadline (host, now, request);
+      give_up (host, now, request, MARJORAM_REASON_DEADLINE);
       return;
     }
   if (request->state == MARJORAM_REQUEST_LOCAL && request->attempt)
@@ -344,3 +352,17 @@
       tick_request (host, now, request);
     }
 }
+
+void
+marjoram_requests_give_up (marjoram_host *host, int64_t now)
+{
+  struct marjoram_request *request = TAILQ_FIRST (&host->requests->all);
+  struct marjoram_request *next;
+
+  for (; request; request = next)
+    {
+      next = TAILQ_NEXT (request, all);
+      if (has_no_answer (request))
+        give_up (host, now, request, MARJORAM_REASON_DRAINING);
+    }
+}
--- a/src/request.h
+++ b/src/request.h
@@ -204,6 +204,9 @@
                               enum marjoram_reason reason, int64_t retry_ms,
                               bool final);
 void marjoram_requests_tick (marjoram_host *host, int64_t now);
+/* Tells all callers whose answers have not begun how their requests end, as
+   this host ends.  */
+void marjoram_requests_give_up (marjoram_host *host, int64_t now);
 struct marjoram_request *
 marjoram_request_by_attempt (const marjoram_host *host, uint64_t attempt);
 void marjoram_request_copy_head (struct marjoram_head *copy,
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -950,6 +950,30 @@
 }
 END_TEST
 
+/* Guards against closing the connections of requests in progress instead of
+   saying whether they ran, when a draining host has to end.  */
+START_TEST (draining_host_answers_before_its_end)
+{
+  const int64_t limit_ms = 60000;
+  char key[MARJORAM_KEY_MAX];
+  uint64_t running;
+  uint64_t keyed;
+
+  announce_upstream (0, "u", 9000);
+  format_key (key, 0, 1);
+  running = send_request (0, "free", NULL, false);
+  keyed = send_request (0, "free", key, false);
+  ck_assert_int_eq (test_runs (hosts), 2);
+  marjoram_host_drain (test_host (hosts, 0),
+                       test_now (hosts) - limit_ms + 500);
+  test_advance_clock (hosts, 400);
+  ck_assert (!test_reply (hosts, running)->refused);
+  test_advance_clock (hosts, 200);
+  expect_refusal (running, MARJORAM_OUTCOME_UNKNOWN, MARJORAM_REASON_DRAINING);
+  expect_refusal (keyed, MARJORAM_OUTCOME_UNKNOWN, MARJORAM_REASON_DRAINING);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -998,6 +1022,7 @@
   tcase_add_test (c, zone_removed_during_request);
   tcase_add_test (c, host_without_configuration_refuses_requests);
   tcase_add_test (c, draining_host_finishes_its_requests);
+  tcase_add_test (c, draining_host_answers_before_its_end);
   suite_add_tcase (s, c);
   return s;
 }
