--- a/test/test_drain.c
+++ b/test/test_drain.c
@@ -250,6 +250,45 @@
 }
 END_TEST
 
+static void
+add_neighbour (const char *name)
+{
+  struct marjoram_host_offer offer
+      = { .service = (char *)"app", .wait_ms = 10, .upstreams = 1 };
+  const struct marjoram_host_beat heartbeat
+      = { .name = (char *)name,
+          .zone = (char *)"z1",
+          .region = (char *)"r1",
+          .entry = (char *)"10.0.1.1:8144",
+          .ready = true,
+          .sequence = 1,
+          .offers = { &offer, 1 } };
+
+  marjoram_host_list_update (f.hosts, 0, &heartbeat, true);
+}
+
+/* The same for a host of this region, which is asked as this one has no
+   connection to the upstream.  */
+START_TEST (request_relayed_to_a_stopping_host_goes_to_another)
+{
+  char refusing[sizeof f.seen.host];
+
+  add_neighbour ("near1");
+  add_neighbour ("near2");
+  f.unreachable_host = "";
+  gateway_fixture_call (&f, 0, "/flip/x");
+  for (int i = 0; i < 4 && !f.seen.forwarded; i++)
+    gateway_fixture_end (&f, i, MARJORAM_HTTP_UNSENT);
+  ck_assert (strncmp (f.seen.host, "near", 4) == 0);
+  memcpy (refusing, f.seen.host, sizeof refusing);
+  refuse_forward (50, MARJORAM_REASON_DRAINING);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  ck_assert_int_eq (f.seen.forwards, 2);
+  ck_assert (strncmp (f.seen.host, "near", 4) == 0);
+  ck_assert_str_ne (f.seen.host, refusing);
+}
+END_TEST
+
 /* Guards against endless forwards while all hosts of a region stop.  */
 START_TEST (forwards_end_when_all_hosts_are_stopping)
 {
@@ -294,6 +333,7 @@
   tcase_add_test (c, nothing_is_sent_again_at_the_end);
   tcase_add_test (c, begun_stream_goes_on_until_the_end);
   tcase_add_test (c, forward_to_a_stopping_host_goes_to_another);
+  tcase_add_test (c, request_relayed_to_a_stopping_host_goes_to_another);
   tcase_add_test (c, forwards_end_when_all_hosts_are_stopping);
   tcase_add_test (c, other_refusals_are_final);
   suite_add_tcase (s, c);
