--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -56,9 +56,9 @@
   struct event *signals[SIGNALS];
   int64_t ticked_at;
   int64_t ticked_before; /* the tick before that */
-  int64_t stopping_at; /* 0 until the first signal */
-  int64_t finished_at; /* the role; 0 if it has not finished */
-  int64_t flushed_at;  /* the links, after that; 0 if they are not */
+  int64_t stopping_at;   /* 0 until the first signal */
+  int64_t finished_at;   /* the role; 0 if it has not finished */
+  int64_t flushed_at;    /* the links, after that; 0 if they are not */
   bool drain_incomplete;
 };
 
