--- a/src/daemon.c
+++ b/src/daemon.c
@@ -529,6 +529,8 @@
   marjoram_inbox_destroy (daemon->inbox);
   marjoram_random_destroy (daemon->random);
   marjoram_counters_destroy (daemon->counters);
+  /* Connections of cancelled attempts are freed by the loop.  */
+  event_base_loop (daemon->base, EVLOOP_NONBLOCK);
   event_base_free (daemon->base);
   free (daemon->settings_path);
   free (daemon);
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -950,6 +950,19 @@
 }
 END_TEST
 
+/* Guards against late forwards by a host that has not heard of the drain.  */
+START_TEST (draining_host_takes_no_forward)
+{
+  struct marjoram_forward forward = forged_forward (77);
+
+  announce_upstream (0, "u", 9000);
+  forward.caller = (char *)"free";
+  marjoram_host_drain (test_host (hosts, 0), test_now (hosts));
+  test_forge (hosts, 0, "b-1", 1, MARJORAM_FRAME_FORWARD, &forward);
+  ck_assert_int_eq (test_runs (hosts), 0);
+}
+END_TEST
+
 /* Guards against closing the connections of requests in progress instead of
    saying whether they ran, when a draining host has to end.  */
 START_TEST (draining_host_answers_before_its_end)
@@ -1022,6 +1035,7 @@
   tcase_add_test (c, zone_removed_during_request);
   tcase_add_test (c, host_without_configuration_refuses_requests);
   tcase_add_test (c, draining_host_finishes_its_requests);
+  tcase_add_test (c, draining_host_takes_no_forward);
   tcase_add_test (c, draining_host_answers_before_its_end);
   suite_add_tcase (s, c);
   return s;
