A host that closes its listener completes no connection after the last accept

Cause: a listener was closed after all waiting connections had been accepted, and closing resets those that were made between the two. On such a connection a caller may have sent its request. The system call in between takes some microseconds, so that it is seen rarely.

From just before the last accept the socket drops packets that open a connection; those that are being opened are completed and accepted. A peer whose packet was dropped sends it again after 1 s and is refused, or goes elsewhere. Zone hosts had the same gap.

--- a/src/frontend.c
+++ b/src/frontend.c
@@ -5,6 +5,7 @@
 #include "clock.h"
 #include "request_parser.h"
 #include "log.h"
+#include "socket_option.h"
 
 #include <errno.h>
 #include <event2/buffer.h>
@@ -524,6 +525,8 @@
 
   if (!frontend->socket)
     return;
+  marjoram_socket_ignore_connections (
+      evhttp_bound_socket_get_fd (frontend->socket));
   if (has_backlog (frontend))
     {
       event_add (frontend->close_timer, &soon);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -732,11 +732,14 @@
 }
 
 /* Accepts pending connections first, as closing the listener would reset them
-   although their callers may have sent a request.  If accept fails, for
-   example for lack of descriptors, the next tick tries again.  */
+   although their callers may have sent a request; that holds for those that
+   are made between the two as well.  If accept fails, for example for lack of
+   descriptors, the next tick tries again.  */
 static void
 close_listener (marjoram_http_server *server)
 {
+  marjoram_socket_ignore_connections (
+      evconnlistener_get_fd (server->listener));
   if (!accept_pending (server))
     return;
   evconnlistener_free (server->listener);
--- a/src/socket_option.c
+++ b/src/socket_option.c
@@ -3,8 +3,10 @@
 #include <event2/util.h>
 
 #include <errno.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stddef.h>
 #include <string.h>
 
 enum
@@ -15,7 +17,9 @@
   /* TCP keepalive: idle time, interval and count of the probes.  */
   KEEPALIVE_IDLE_S = 2,
   KEEPALIVE_INTERVAL_S = 1,
-  KEEPALIVE_PROBES = 3
+  KEEPALIVE_PROBES = 3,
+  /* Of a TCP header.  */
+  FLAGS_OFFSET = 13
 };
 
 void
@@ -44,6 +48,20 @@
   setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
+void
+marjoram_socket_ignore_connections (evutil_socket_t fd)
+{
+  struct sock_filter code[] = {
+    BPF_STMT (BPF_LD | BPF_B | BPF_ABS, FLAGS_OFFSET),
+    BPF_JUMP (BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+    BPF_STMT (BPF_RET | BPF_K, 0),
+    BPF_STMT (BPF_RET | BPF_K, UINT32_MAX),
+  };
+  const struct sock_fprog program = { sizeof code / sizeof *code, code };
+
+  setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 struct evconnlistener *
 marjoram_socket_listen (struct event_base *base, const char *address,
                         int backlog, evconnlistener_cb on_accept,
--- a/src/socket_option.h
+++ b/src/socket_option.h
@@ -14,6 +14,10 @@
    so that a body without a length is not taken for complete.  */
 void marjoram_socket_set_reset_on_close (evutil_socket_t fd, bool reset);
 
+/* Makes a listening socket ignore new connections, whose peers will try again.
+   Those that are being opened can still be accepted.  */
+void marjoram_socket_ignore_connections (evutil_socket_t fd);
+
 /* Listens on ADDRESS (IP:port).  Returns null with ERR set on failure.  */
 struct evconnlistener *
 marjoram_socket_listen (struct event_base *base, const char *address,
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -5,11 +5,13 @@
 #include "cleanup.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "socket_option.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -455,6 +457,44 @@
 }
 END_TEST
 
+static bool
+is_ready_for (int fd, short events, int msec)
+{
+  struct pollfd polled = { .fd = fd, .events = events };
+
+  return poll (&polled, 1, msec) > 0;
+}
+
+/* Guards against resetting a connection that is made between the last accept
+   and the close of the listener, after its caller has sent a request.  */
+START_TEST (closing_listener_completes_no_connection)
+{
+  struct sockaddr_in where = { .sin_family = AF_INET };
+  socklen_t size = sizeof where;
+  int fds[BACKLOG_SOCKETS];
+
+  where.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  for (int i = 0; i < BACKLOG_SOCKETS; i++)
+    fds[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  ck_assert_int_eq (bind (fds[0], (struct sockaddr *)&where, size), 0);
+  ck_assert_int_eq (listen (fds[0], BACKLOG_SOCKETS), 0);
+  getsockname (fds[0], (struct sockaddr *)&where, &size);
+  (void)connect (fds[1], (struct sockaddr *)&where, size);
+  ck_assert (is_ready_for (fds[1], POLLOUT, GRACE_MS));
+  marjoram_socket_ignore_connections (fds[0]);
+  (void)connect (fds[2], (struct sockaddr *)&where, size);
+  ck_assert (!is_ready_for (fds[2], POLLOUT, GRACE_MS));
+  /* The one that was open already is not lost.  */
+  close (fds[3]);
+  fds[3] = accept (fds[0], NULL, NULL);
+  ck_assert_int_ge (fds[3], 0);
+  ck_assert_int_eq (write (fds[1], "x", 1), 1);
+  ck_assert (is_ready_for (fds[3], POLLIN, GRACE_MS));
+  for (int i = 0; i < BACKLOG_SOCKETS; i++)
+    close (fds[i]);
+}
+END_TEST
+
 /* A pipelined request in the input buffer must not be dropped when idle
    connections are closed.  */
 START_TEST (request_in_the_buffer_is_answered)
@@ -1098,6 +1138,7 @@
   tcase_add_test (c, request_in_the_socket_is_answered);
   tcase_add_test (c, connection_not_yet_accepted_is_answered);
   tcase_add_test (c, connection_made_before_listener_close_is_answered);
+  tcase_add_test (c, closing_listener_completes_no_connection);
   tcase_add_test (c, request_in_the_buffer_is_answered);
   tcase_add_test (c, draining_answers_pipelined_requests);
   tcase_add_test (c, request_in_grace_period_is_answered);
