A stream that a stopping host starts may last until the host ends

Cause: upstreams were told the time until the host's final answers, which streams that have begun do not get.

They are told the time until the process ends. test_drain fails without it ("Marjoramproxy-Deadline-Ms: 900").

--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -315,7 +315,7 @@
 int64_t marjoram_exchange_time_left (const struct marjoram_exchange *exchange,
                                      int64_t now);
 /* Time in which an attempt can still be answered here, in ms: until the
-   exchange's deadline or, if that is earlier, the end of a drain.  */
+   exchange's deadline or, if that is earlier, its end in a drain.  */
 int64_t
 marjoram_exchange_answer_time (const marjoram_gateway *gateway,
                                const struct marjoram_exchange *exchange,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -93,10 +93,10 @@
                                const struct marjoram_exchange *exchange,
                                int64_t now)
 {
-  const int64_t answer_by = gateway->drain.answer_by;
+  const int64_t ends_at
+      = exchange->stream ? gateway->drain.exit_at : gateway->drain.answer_by;
 
-  return (exchange->deadline_at < answer_by ? exchange->deadline_at
-                                            : answer_by)
+  return (exchange->deadline_at < ends_at ? exchange->deadline_at : ends_at)
          - now;
 }
 
