Tests of stops tell callers that stood still from requests that are lost

gateway-stop-short failed once (sanitized build, load average 17): "24 requests without an answer", closed idle 74, cut=0. What crosses the close of an idle connection is not passed on.

--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -325,6 +325,22 @@
   return count
 end
 
+-- Waits for the end of HOST.  Returns how long that took and whether this
+-- program, and with it all callers, stood still meanwhile for so long that a
+-- host that stops may close their connections as idle, just as they send.
+STANDSTILL_MS = 150
+function wait_for_end (host, limit)
+  local from, last, longest = system.now (), system.now (), 0
+  wait_until (function ()
+    longest = math.max (longest, system.now () - last)
+    last = system.now ()
+    host.status = host.status or system.ended (host.pid)
+    return host.status
+  end, "its end", limit)
+  if longest > STANDSTILL_MS then log ("callers stood still: %d ms", longest) end
+  return system.now () - from, longest > STANDSTILL_MS
+end
+
 -- The versions of the replicas that ran attempt ID, in order of the replicas.
 function versions_of (id)
   local found = {}
