--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -61,7 +61,7 @@
   forward.headers.items = headers.items;
   forward.headers.count = headers.count;
   forward.body = request->body;
-  forward.budget_ms = marjoram_exchange_time_left (exchange, now);
+  forward.budget_ms = marjoram_exchange_answer_time (gateway, exchange, now);
   forward.time_left_ms = time_left_for (gateway, exchange, now, other_region);
   forward.config_number = exchange->config;
   forward.stream = request->has_body;
@@ -666,7 +666,8 @@
 {
   const struct marjoram_listed_host *host;
 
-  if (!is_balanced (gateway) || !exchange->forwarded_out)
+  if (!is_balanced (gateway) || !exchange->forwarded_out
+      || reason == MARJORAM_REASON_DRAINING)
     return;
   host
       = marjoram_host_list_find (gateway->options.place.hosts, exchange->host);
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -186,6 +186,7 @@
   size_t tried_count;
   int attempts_sent; /* attempts that may have reached an upstream */
   int failed_connections;
+  int hosts_leaving;  /* that refused it, as they are stopping */
   bool forwarded_out; /* to another region */
   bool relayed;       /* to another host of this region */
   bool repeat_taken;  /* from the budget, for the next or current attempt */
@@ -207,6 +208,7 @@
   size_t answer_bytes; /* held for all exchanges */
   int64_t table_set_at;
   int64_t created_at;
+  struct marjoram_drain_window drain;
   marjoram_placement *placement;
   marjoram_repeat_budget *budget;
   marjoram_crash_list *crashes;
@@ -248,6 +250,10 @@
 void marjoram_exchange_refuse (marjoram_gateway *gateway,
                                struct marjoram_exchange *exchange, int64_t now,
                                const struct marjoram_refusal *refusal);
+/* The same for an exchange that this host cannot serve before it ends.  */
+void marjoram_exchange_refuse_draining (marjoram_gateway *gateway,
+                                        struct marjoram_exchange *exchange,
+                                        int64_t now);
 /* Whether an attempt may have run or may still run.  */
 bool marjoram_exchange_may_have_run (const struct marjoram_exchange *exchange);
 /* Ends the exchange after its answer was sent to the caller, completely if
@@ -310,6 +316,12 @@
 /* Time until the exchange's deadline, in ms.  */
 int64_t marjoram_exchange_time_left (const struct marjoram_exchange *exchange,
                                      int64_t now);
+/* Time in which an attempt can still be answered here, in ms: until the
+   exchange's deadline or, if that is earlier, its end in a drain.  */
+int64_t
+marjoram_exchange_answer_time (const marjoram_gateway *gateway,
+                               const struct marjoram_exchange *exchange,
+                               int64_t now);
 /* Last-Event-Id with which a stream is resumed; null: as sent by the
    caller.  */
 const char *
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -89,6 +89,18 @@
   return exchange->deadline_at - now;
 }
 
+int64_t
+marjoram_exchange_answer_time (const marjoram_gateway *gateway,
+                               const struct marjoram_exchange *exchange,
+                               int64_t now)
+{
+  const int64_t ends_at
+      = exchange->stream ? gateway->drain.exit_at : gateway->drain.answer_by;
+
+  return (exchange->deadline_at < ends_at ? exchange->deadline_at : ends_at)
+         - now;
+}
+
 const char *
 marjoram_exchange_last_event (const struct marjoram_exchange *exchange)
 {
@@ -104,7 +116,8 @@
   const struct marjoram_dialect_ops *dialect = gateway->options.dialect->ops;
   const struct marjoram_http_request *request = exchange->request;
   const struct marjoram_run_metadata metadata = {
-    .caller_timeout_ms = marjoram_exchange_time_left (exchange, now),
+    .caller_timeout_ms
+    = marjoram_exchange_answer_time (gateway, exchange, now),
     .upstream = exchange->upstream,
     .last_event = marjoram_exchange_last_event (exchange),
     .copy_from = copy_from,
@@ -519,6 +532,21 @@
                                           : chosen.retry_ms);
 }
 
+/* Whether the exchange would be started so late in a stop of this host that
+   another host serves it more surely.  */
+static bool
+is_late_in_drain (const marjoram_gateway *gateway,
+                  const struct marjoram_exchange *exchange, int64_t now)
+{
+  const int64_t ends_at = now
+                          + (int64_t)marjoram_placement_request_ms (
+                              gateway->placement, exchange->service);
+
+  return (now >= gateway->drain.start_until
+          || ends_at > gateway->drain.answer_by)
+         && !marjoram_exchange_may_have_run (exchange);
+}
+
 /* Looks up the route on each attempt, so that a retry follows the current
    configuration.  */
 void
@@ -554,6 +582,11 @@
     }
   if (marjoram_exchange_refuse_crashing (gateway, exchange, now))
     return;
+  if (is_late_in_drain (gateway, exchange, now))
+    {
+      marjoram_exchange_refuse_draining (gateway, exchange, now);
+      return;
+    }
   if (exchange->build_rule == MARJORAM_BUILD_NONE)
     {
       refuse (gateway, exchange, now, MARJORAM_REASON_BUILD_UNKNOWN,
--- a/test/test_host.c
+++ b/test/test_host.c
@@ -970,6 +970,43 @@
 }
 END_TEST
 
+/* Guards against late forwards by a host that has not heard of the drain.  */
+START_TEST (draining_host_takes_no_forward)
+{
+  struct marjoram_forward forward = forged_forward (77);
+
+  announce_upstream (0, "u", 9000);
+  forward.caller = (char *)"free";
+  marjoram_host_drain (test_host (hosts, 0), test_now (hosts));
+  test_forge (hosts, 0, "b-1", 1, MARJORAM_FRAME_FORWARD, &forward);
+  ck_assert_int_eq (test_runs (hosts), 0);
+}
+END_TEST
+
+/* Guards against closing the connections of requests in progress instead of
+   saying whether they ran, when a draining host has to end.  */
+START_TEST (draining_host_answers_before_its_end)
+{
+  const int64_t limit_ms = 60000;
+  char key[MARJORAM_KEY_MAX];
+  uint64_t running;
+  uint64_t keyed;
+
+  announce_upstream (0, "u", 9000);
+  format_key (key, 0, 1);
+  running = send_request (0, "free", NULL, false);
+  keyed = send_request (0, "free", key, false);
+  ck_assert_int_eq (test_runs (hosts), 2);
+  marjoram_host_drain (test_host (hosts, 0),
+                       test_now (hosts) - limit_ms + 500);
+  test_advance_clock (hosts, 400);
+  ck_assert (!test_reply (hosts, running)->refused);
+  test_advance_clock (hosts, 200);
+  expect_refusal (running, MARJORAM_OUTCOME_UNKNOWN, MARJORAM_REASON_DRAINING);
+  expect_refusal (keyed, MARJORAM_OUTCOME_UNKNOWN, MARJORAM_REASON_DRAINING);
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -1019,6 +1056,8 @@
   tcase_add_test (c, zone_removed_during_request);
   tcase_add_test (c, host_without_configuration_refuses_requests);
   tcase_add_test (c, draining_host_finishes_its_requests);
+  tcase_add_test (c, draining_host_takes_no_forward);
+  tcase_add_test (c, draining_host_answers_before_its_end);
   suite_add_tcase (s, c);
   return s;
 }
