Streams without a name go on only if all keepers know of one build

What callers saw: a host whose links to the keepers were held, silenced or cut one way for seconds, or to one keeper alone, went on with streams of a build that had joined meanwhile at an upstream of the old one; so did, with no cut at all, any host of a region that has another build than the one where the stream began. Only callers that name no attempt.

Cause: only_build rested on the host's own list, which has what the host has heard of in its own region, and nothing that came after the first list moved known_since. The class: absence of evidence taken for evidence of absence.

Change: a host that sees a single build asks all keepers, after the request has come. An upstream reports to one keeper, which may be any; so each keeper says how many have to say the same: those that it hears. A keeper that is lost counts until its upstreams have had time to turn to others, and as long as some have not; one that hears no majority says that it doesn't know. A host that gets fewer answers than that refuses at once, or after 400 ms.

Why it works: a stream's host had heard of the stream's upstream from a keeper before the stream began, so that keeper's answer, which is younger, counts it.

--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -291,6 +291,7 @@
   .ask_quota = marjoram_entry_ask_quota,
   .tell_origin = marjoram_entry_tell_origin,
   .ask_origin = marjoram_entry_ask_origin,
+  .ask_only_build = marjoram_entry_ask_only_build,
   .open_probe = marjoram_entry_open_probe,
   .report_dark = marjoram_entry_report_dark,
 };
--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -9,6 +9,7 @@
 enum
 {
   STATUS_UNAVAILABLE = 503,
+  DECIMAL = 10,
   /* Retry-After of a host that holds too many bodies of requests.  */
   FULL_RETRY_MS = 1000,
   /* Upstreams of a batch that are logged one by one.  */
@@ -294,7 +295,11 @@
 handle_stream_answer (struct marjoram_entry *self,
                       const struct marjoram_stream_answer *answer)
 {
-  if (answer->id)
+  if (answer->id && answer->keepers > 0)
+    marjoram_gateway_only_build_answered (
+        self->gateway, marjoram_entry_now (self),
+        strtoull (answer->id, NULL, DECIMAL), answer->build, answer->keepers);
+  else if (answer->id)
     marjoram_gateway_origin_answered (self->gateway, marjoram_entry_now (self),
                                       answer->id, answer->build);
 }
--- a/src/entry_origin.c
+++ b/src/entry_origin.c
@@ -1,13 +1,16 @@
-/* Records of which build began which stream, at keepers.  */
+/* What keepers know of the builds of streams and services.  */
 #include "entry_private.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 enum
 {
   /* Keepers that hold a record, in different regions as far as there are any,
      so that it outlives the loss of a region.  */
-  OWNERS_MAX = 3
+  OWNERS_MAX = 3,
+  ASK_ID_MAX = 24 /* a number */
 };
 
 struct owners
@@ -95,11 +98,31 @@
                               MARJORAM_FRAME_STREAM_BEGUN, &begun);
 }
 
+/* All keepers: an upstream reports to one of them, which may be any.  */
+size_t
+marjoram_entry_ask_only_build (void *context, uint64_t call,
+                               const char *service, int64_t for_ms)
+{
+  struct marjoram_entry *self = context;
+  char id[ASK_ID_MAX];
+  const struct marjoram_stream_ask ask = { id, (char *)service, for_ms };
+  const struct marjoram_listed_host *host;
+  size_t asked = 0;
+
+  snprintf (id, sizeof id, "%" PRIu64, call);
+  TAILQ_FOREACH (host, marjoram_host_list_all (self->parts->hosts), link)
+  if (host->heartbeat.keeper)
+    asked
+        += marjoram_host_links_send (self->parts->links, host->heartbeat.name,
+                                     MARJORAM_FRAME_STREAM_ASK, &ask);
+  return asked;
+}
+
 size_t
 marjoram_entry_ask_origin (void *context, const char *id)
 {
   struct marjoram_entry *self = context;
-  const struct marjoram_stream_ask ask = { (char *)id };
+  const struct marjoram_stream_ask ask = { .id = (char *)id };
   struct owners owners;
   size_t asked = 0;
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -71,6 +71,11 @@
   /* Asks the keepers that would have a record of ID; returns how many.  Each
      answer is passed to marjoram_gateway_origin_answered.  */
   size_t (*ask_origin) (void *context, const char *id);
+  /* Asks all keepers that can be reached for the one build that SERVICE has
+     had for FOR_MS; returns how many.  Each answer is passed to
+     marjoram_gateway_only_build_answered.  */
+  size_t (*ask_only_build) (void *context, uint64_t call, const char *service,
+                            int64_t for_ms);
   /* As in struct marjoram_upstream_checks_ops; the result is passed to
      marjoram_gateway_probed.  Like REPORT_DARK, only used if upstreams are
      checked.  */
@@ -165,6 +170,12 @@
    null if that keeper doesn't know.  */
 void marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
                                        const char *id, const char *build);
+/* A keeper's answer for CALL: the one build that the service has had, which
+   KEEPERS keepers must say; null if that keeper doesn't know.  */
+void marjoram_gateway_only_build_answered (marjoram_gateway *gateway,
+                                           int64_t now, uint64_t call,
+                                           const char *build,
+                                           uint64_t keepers);
 /* The build that sent the events of CALL's stream; null if it has none or the
    build is not known.  */
 const char *marjoram_gateway_build_of (const marjoram_gateway *gateway,
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -233,12 +233,15 @@
 
 static const struct marjoram_field stream_ask_fields[] = {
   STRING (marjoram_stream_ask, id),
+  STRING (marjoram_stream_ask, service),
+  INT (marjoram_stream_ask, for_ms),
 };
 LAYOUT (marjoram_stream_ask_layout, marjoram_stream_ask, stream_ask_fields);
 
 static const struct marjoram_field stream_answer_fields[] = {
   STRING (marjoram_stream_answer, id),
   STRING (marjoram_stream_answer, build),
+  UINT (marjoram_stream_answer, keepers),
 };
 LAYOUT (marjoram_stream_answer_layout, marjoram_stream_answer,
         stream_answer_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -280,16 +280,21 @@
   int64_t keep_ms;
 };
 
-/* Asks a keeper which build began a stream.  */
+/* Asks a keeper which build began a stream or, with a service, which one build
+   that service has had.  */
 struct marjoram_stream_ask
 {
-  char *id;
+  char *id;      /* of the attempt that began it; with a service, of the ask */
+  char *service; /* null: not asked for */
+  int64_t for_ms; /* up to now, for which the service had one build only */
 };
 
 struct marjoram_stream_answer
 {
   char *id;
-  char *build; /* null if the keeper doesn't know */
+  char *build;      /* null if the keeper doesn't know */
+  uint64_t keepers; /* that must say the same of a service, the sender
+                       included; 0 if no service was asked for */
 };
 
 /* Use of a region's capacity for a service by one customer: at one host, or
--- a/src/gateway_origin.c
+++ b/src/gateway_origin.c
@@ -51,19 +51,27 @@
 }
 
 /* A caller that does not name the attempt that began the stream: its build is
-   known only if the service has had a single one since before that.  */
-static const char *
-only_build (const marjoram_gateway *gateway,
-            const struct marjoram_route_rule *route,
-            const struct marjoram_exchange *exchange, int64_t now)
+   known only if the service has had a single one since before that.  What this
+   host has not heard of may have been there, as it may be cut off or stand
+   still, so that keepers are asked too.  Returns how many.  */
+static size_t
+ask_only_build (const marjoram_gateway *gateway,
+                const struct marjoram_route_rule *route,
+                struct marjoram_exchange *exchange, int64_t now)
 {
-  const int64_t since = now - route->timeout_ms - KEEP_AFTER_DEADLINE_MS;
+  const int64_t for_ms = route->timeout_ms + KEEP_AFTER_DEADLINE_MS;
   const char *service
       = marjoram_route_pick_service (route, exchange->metadata.id);
+  const char *build
+      = service ? marjoram_registry_only_build (
+            gateway->options.place.registry, service, now - for_ms)
+                : NULL;
 
-  return service ? marjoram_registry_only_build (
-             gateway->options.place.registry, service, since)
-                 : NULL;
+  if (!build)
+    return 0;
+  snprintf (exchange->only_build, sizeof exchange->only_build, "%s", build);
+  return gateway->ops->ask_only_build (gateway->context, exchange->call,
+                                       service, for_ms);
 }
 
 static bool
@@ -75,6 +83,19 @@
          && (*exchange->metadata.resumes || *exchange->metadata.last_event);
 }
 
+static void
+ask_keepers (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+             const struct marjoram_route_rule *route, int64_t now)
+{
+  exchange->origin_asked = true;
+  exchange->origin_asked_at = now;
+  exchange->origins_awaited
+      = *exchange->metadata.resumes
+            ? gateway->ops->ask_origin (gateway->context,
+                                        exchange->metadata.resumes)
+            : ask_only_build (gateway, route, exchange, now);
+}
+
 bool
 marjoram_exchange_find_origin (marjoram_gateway *gateway,
                                struct marjoram_exchange *exchange,
@@ -85,22 +106,16 @@
 
   if (!is_taken_up (exchange, route))
     return true;
-  build = *exchange->metadata.resumes
-              ? marjoram_stream_origins_find (gateway->origins, now,
-                                              exchange->metadata.resumes)
-              : only_build (gateway, route, exchange, now);
+  build = *exchange->metadata.resumes ? marjoram_stream_origins_find (
+              gateway->origins, now, exchange->metadata.resumes)
+                                      : NULL;
   if (build)
     {
       marjoram_exchange_require_build (exchange, build);
       return true;
     }
-  if (*exchange->metadata.resumes && !exchange->origin_asked)
-    {
-      exchange->origin_asked = true;
-      exchange->origin_asked_at = now;
-      exchange->origins_awaited = gateway->ops->ask_origin (
-          gateway->context, exchange->metadata.resumes);
-    }
+  if (!exchange->origin_asked)
+    ask_keepers (gateway, exchange, route, now);
   if (exchange->origins_awaited > 0
       && now < exchange->origin_asked_at + ANSWER_TIMEOUT_MS)
     return false;
@@ -139,3 +154,37 @@
       apply_origin (gateway, exchange, now, build);
   }
 }
+
+static bool
+awaits_only_build (const struct marjoram_exchange *exchange)
+{
+  return exchange->origins_awaited > 0
+         && exchange->state == MARJORAM_EXCHANGE_WAITING
+         && exchange->build_rule == MARJORAM_BUILD_ANY
+         && !*exchange->metadata.resumes;
+}
+
+void
+marjoram_gateway_only_build_answered (marjoram_gateway *gateway, int64_t now,
+                                      uint64_t call, const char *build,
+                                      uint64_t keepers)
+{
+  struct marjoram_exchange *exchange;
+
+  HASH_FIND (by_call, gateway->by_call, &call, sizeof call, exchange);
+  if (!exchange || !awaits_only_build (exchange))
+    return;
+  if (!build || strcmp (build, exchange->only_build) != 0)
+    {
+      refuse_unknown (gateway, exchange, now);
+      return;
+    }
+  exchange->only_said++;
+  if (keepers > exchange->only_needed)
+    exchange->only_needed = keepers;
+  if (--exchange->origins_awaited > 0)
+    return;
+  if (exchange->only_said >= exchange->only_needed)
+    marjoram_exchange_require_build (exchange, exchange->only_build);
+  marjoram_exchange_admit (gateway, exchange, now);
+}
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -145,6 +145,10 @@
   char required_build[MARJORAM_ID_MAX]; /* MARJORAM_BUILD_SAME */
   int64_t origin_asked_at;
   size_t origins_awaited; /* keepers that have not answered */
+  /* For callers that name no attempt.  */
+  char only_build[MARJORAM_ID_MAX]; /* of the service, as far as known here */
+  size_t only_said;                 /* keepers that said the same */
+  uint64_t only_needed;             /* keepers that must */
 
   /* The current attempt.  */
   uint64_t attempt;   /* 0 if none */
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -5,6 +5,7 @@
 #include "cleanup.h"
 #include "event_log.h"
 #include "gateway_report.h"
+#include "only_build.h"
 
 #include <inttypes.h>
 #include <sodium.h>
@@ -21,6 +22,8 @@
   SLOW_MS = 500,
   /* Between two lines that records of streams were dropped.  */
   FULL_LOG_INTERVAL_MS = 1000,
+  /* Three heartbeats between keepers.  */
+  MAJORITY_HEARD_MS = 3500,
   LOCATION_MAX = 512, /* bytes */
   MSEC_PER_SEC = 1000,
   STATUS_OK = 200,
@@ -317,6 +320,22 @@
                   marjoram_stream_origins_count (self->origins));
 }
 
+/* A keeper that hears no majority may be cut off together with an upstream's
+   hosts, and does not know what the others hear.  */
+static void
+find_only_build (const struct marjoram_keeper_role *self, int64_t now,
+                 const struct marjoram_stream_ask *ask,
+                 struct marjoram_stream_answer *answer)
+{
+  const struct marjoram_only_build found
+      = marjoram_only_build_find (self->registry, self->parts->hosts, now,
+                                  ask->service, now - ask->for_ms);
+
+  if (marjoram_keeper_hears_majority (self->keeper, MAJORITY_HEARD_MS))
+    answer->build = (char *)found.build;
+  answer->keepers = found.keepers;
+}
+
 static void
 answer_origin (struct marjoram_keeper_role *self, int64_t now,
                const char *host, uint64_t session,
@@ -326,8 +345,11 @@
 
   if (!ask->id)
     return;
-  answer.build
-      = (char *)marjoram_stream_origins_find (self->origins, now, ask->id);
+  if (ask->service)
+    find_only_build (self, now, ask, &answer);
+  else
+    answer.build
+        = (char *)marjoram_stream_origins_find (self->origins, now, ask->id);
   marjoram_host_links_reply (self->parts->links, host, session,
                              MARJORAM_FRAME_STREAM_ANSWER, &answer);
 }
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -218,6 +218,19 @@
   return f->keepers;
 }
 
+static size_t
+op_ask_only_build (void *context, uint64_t call, const char *service,
+                   int64_t for_ms)
+{
+  struct gateway_fixture *f = context;
+
+  f->seen.only_asks++;
+  f->seen.only_call = call;
+  f->seen.only_for_ms = for_ms;
+  snprintf (f->seen.only_service, sizeof f->seen.only_service, "%s", service);
+  return f->keepers;
+}
+
 static void
 op_open_probe (void *context, uint64_t probe, const char *address,
                int64_t timeout_ms)
@@ -260,6 +273,7 @@
   .ask_quota = op_ask_quota,
   .tell_origin = op_tell_origin,
   .ask_origin = op_ask_origin,
+  .ask_only_build = op_ask_only_build,
   .open_probe = op_open_probe,
   .report_dark = op_report_dark,
 };
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -47,6 +47,10 @@
   char told_build[MARJORAM_ID_MAX];
   int64_t keep_ms;
   char asked_id[MARJORAM_ID_MAX]; /* "" if no origin was asked for */
+  int only_asks;                  /* for the one build of a service */
+  uint64_t only_call;
+  int64_t only_for_ms;
+  char only_service[MARJORAM_ID_MAX];
   int heads;
   int status;
   int64_t length;
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -240,6 +240,21 @@
 }
 END_TEST
 
+/* The keeper's answer to the last question for the one build of a service.  */
+static void
+answer_only_build (int64_t now, const char *build)
+{
+  marjoram_gateway_only_build_answered (f.gateway, now, f.seen.only_call,
+                                        build, f.keepers);
+}
+
+static void
+answer_all (int64_t now, const char *build)
+{
+  for (size_t i = 0; i < f.keepers; i++)
+    answer_only_build (now, build);
+}
+
 /* A caller that names no attempt goes on only where there is one build, and
    has been for as long as the stream may have been on its way.  */
 START_TEST (unnamed_stream_needs_a_single_build)
@@ -253,7 +268,9 @@
   ck_assert_int_eq (f.seen.refusals, 2);
   gateway_fixture_build (&f, ONE_BUILD_MS, "u1", 1, "v1");
   gateway_fixture_build (&f, ONE_BUILD_MS, "u2", 1, "v1");
+  ck_assert_int_eq (f.seen.only_asks, 0);
   gateway_fixture_take_up (&f, 10 + ONE_BUILD_MS, "/ask/x", NULL);
+  answer_all (11 + ONE_BUILD_MS, "v1");
   ck_assert_int_eq (f.seen.sends, 1);
 }
 END_TEST
@@ -271,8 +288,85 @@
   gateway_fixture_take_up (&f, ONE_BUILD_MS + 10, "/ask/x", NULL);
   ck_assert_int_eq (f.seen.refusals, 2);
   marjoram_registry_set_known (f.registry, 0);
+  ck_assert_int_eq (f.seen.only_asks, 0);
   gateway_fixture_take_up (&f, ONE_BUILD_MS + 20, "/ask/x", NULL);
+  answer_all (ONE_BUILD_MS + 21, "v1");
+  ck_assert_int_eq (f.seen.sends, 1);
+}
+END_TEST
+
+/* Leaves a single build, as far as this host knows.  */
+static void
+know_one_build (void)
+{
+  marjoram_registry_set_known (f.registry, INT64_MIN / 2);
+  gateway_fixture_build (&f, 10, "u2", 1, "v1");
+  gateway_fixture_build (&f, ONE_BUILD_MS, "u1", 1, "v1");
+  gateway_fixture_build (&f, ONE_BUILD_MS, "u2", 1, "v1");
+  gateway_fixture_take_up (&f, ONE_BUILD_MS, "/ask/x", NULL);
+}
+
+/* Guards against a host that was cut off or stood still while another build
+   joined.  */
+START_TEST (unnamed_stream_goes_on_once_all_keepers_agree)
+{
+  know_one_build ();
+  ck_assert_str_eq (f.seen.only_service, "lm");
+  ck_assert_int_ge (f.seen.only_for_ms, 30000);
+  for (size_t i = 1; i < f.keepers; i++)
+    {
+      answer_only_build (ONE_BUILD_MS + 1, "v1");
+      ck_assert_int_eq (f.seen.sends, 0);
+      ck_assert_int_eq (f.seen.refusals, 0);
+    }
+  answer_only_build (ONE_BUILD_MS + 2, "v1");
   ck_assert_int_eq (f.seen.sends, 1);
+  answer_only_build (ONE_BUILD_MS + 3, "v1");
+  ck_assert_int_eq (f.seen.sends, 1);
+}
+END_TEST
+
+START_TEST (unnamed_stream_is_refused_when_a_keeper_knows_better)
+{
+  const char *const builds[] = { NULL, "v1.1" };
+
+  know_one_build ();
+  answer_only_build (ONE_BUILD_MS + 1, "v1");
+  answer_only_build (ONE_BUILD_MS + 1, builds[_i]);
+  assert_refused ();
+}
+END_TEST
+
+/* Guards against a host that is cut off from the one keeper that has heard of
+   another build.  */
+START_TEST (unnamed_stream_is_refused_when_too_few_keepers_are_reached)
+{
+  f.keepers = 2;
+  know_one_build ();
+  for (int i = 0; i < 2; i++)
+    marjoram_gateway_only_build_answered (f.gateway, ONE_BUILD_MS + 1,
+                                          f.seen.only_call, "v1", 3);
+  assert_refused ();
+}
+END_TEST
+
+START_TEST (unnamed_stream_is_refused_when_a_keeper_does_not_answer)
+{
+  know_one_build ();
+  answer_only_build (ONE_BUILD_MS + 1, "v1");
+  answer_only_build (ONE_BUILD_MS + 1, "v1");
+  marjoram_gateway_tick (f.gateway, ONE_BUILD_MS + 375);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, ONE_BUILD_MS + 400);
+  assert_refused ();
+}
+END_TEST
+
+START_TEST (unnamed_stream_is_refused_at_once_without_keepers)
+{
+  f.keepers = 0;
+  know_one_build ();
+  assert_refused ();
 }
 END_TEST
 
@@ -338,6 +432,13 @@
                   unnamed_stream_is_refused_by_a_host_that_knows_too_little);
   tcase_add_test (c,
                   unnamed_stream_is_refused_after_all_builds_changed_in_place);
+  tcase_add_test (c, unnamed_stream_goes_on_once_all_keepers_agree);
+  tcase_add_loop_test (c, unnamed_stream_is_refused_when_a_keeper_knows_better,
+                       0, 2);
+  tcase_add_test (c,
+                  unnamed_stream_is_refused_when_too_few_keepers_are_reached);
+  tcase_add_test (c, unnamed_stream_is_refused_when_a_keeper_does_not_answer);
+  tcase_add_test (c, unnamed_stream_is_refused_at_once_without_keepers);
   tcase_add_test (c, stream_that_was_taken_up_keeps_its_build);
   tcase_add_test (c, taken_up_stream_names_its_build_to_other_regions);
   suite_add_tcase (s, c);
