A stream that is taken up waits for the heartbeat of its upstreams

What callers saw: after connections were reset, streams that they took up again were refused at once (reason=other-build), at all hosts of the region, although upstreams of their build were there; after three tries they gave up.

Cause: an upstream whose connections broke may have started again, with another build under its id, so that it doesn't count for a stream that has begun until it is heard. That it had not been heard yet was taken for another build.

Change: such a stream is held while the next heartbeat of an upstream of its build is due (2.5 s from the break: the interval of heartbeats and that of keepers' batches), and tried with each tick. Another region and an upstream that leaves go first, as before.

Interrupted streams are cut as before if no upstream of their build is heard: their callers take them up.

--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -397,6 +397,19 @@
              && chosen->excluded[MARJORAM_EXCLUDED_UNREACHABLE] > 0);
 }
 
+/* Whether a stream that is taken up is held, to be tried again with each tick:
+   the upstreams that may continue it lost their connections, and the heartbeat
+   that tells whether they started again is due.  */
+static bool
+awaits_heartbeat (const struct marjoram_exchange *exchange, int64_t now,
+                  const struct marjoram_place *chosen)
+{
+  return exchange->state == MARJORAM_EXCHANGE_WAITING
+         && !exchange->waiter.queued && chosen->candidates == 0
+         && chosen->unconfirmed > 0
+         && marjoram_exchange_time_left (exchange, now) > 0;
+}
+
 static void
 place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
        const struct marjoram_route_rule *route,
@@ -443,7 +456,8 @@
     found = find_last_resort (gateway, exchange, now, &query, &chosen);
   if (found)
     send_to (gateway, exchange, now, &chosen, &query);
-  else if (!marjoram_exchange_wait (gateway, exchange, now, &chosen)
+  else if (!awaits_heartbeat (exchange, now, &chosen)
+           && !marjoram_exchange_wait (gateway, exchange, now, &chosen)
            && !marjoram_exchange_forward_instead (
                gateway, exchange, route, now,
                max_useful_wait (exchange, now, &chosen, query.time_left_ms)))
--- a/src/placement.h
+++ b/src/placement.h
@@ -129,6 +129,9 @@
   int candidates; /* upstreams of the service in this region */
   int usable;     /* those that may be sent requests now */
   int excluded[MARJORAM_EXCLUDED_COUNT]; /* numbers of the others */
+  /* Of those excluded for their build: of the required one, if their next
+     heartbeat, which is due, shows that they have not started again.  */
+  int unconfirmed;
   /* Until the first of those excluded for their rate limit, or for their
      Retry-After, accepts a request; 0 if there is none.  */
   int64_t rate_wait_ms;
--- a/src/placement_choose.c
+++ b/src/placement_choose.c
@@ -30,6 +30,9 @@
   /* A heartbeat received at least this long after a connection broke was sent
      after it and shows whether the upstream is cold.  */
   HEARTBEAT_DELAY_MS = 300,
+  /* Time in which an upstream that has not ended is heard again: the interval
+     of its heartbeats, and of the batches in which keepers pass them on.  */
+  HEARD_AGAIN_MS = 2500,
   /* Safety margin added to the cold period that a heartbeat reports: once it
      ends, all waiting requests are sent at once.  */
   COLD_MARGIN_MS = 100,
@@ -99,6 +102,24 @@
              && marjoram_placement_is_confirmed (placement, upstream));
 }
 
+/* Whether UPSTREAM, which lacks the required build, may be shown to have it by
+   a heartbeat that is due.  */
+static bool
+may_be_confirmed (marjoram_placement *placement,
+                  const struct marjoram_registered *upstream,
+                  const struct marjoram_place_query *query, int64_t now)
+{
+  const struct marjoram_endpoint *endpoint
+      = marjoram_endpoint_of (placement, upstream);
+  const int64_t reported_at = marjoram_endpoint_reported_lost_at (endpoint);
+  const int64_t lost_at = endpoint->disconnected_at > reported_at
+                              ? endpoint->disconnected_at
+                              : reported_at;
+
+  return strcmp (upstream->heartbeat.build, query->build) == 0
+         && now < lost_at + HEARD_AGAIN_MS;
+}
+
 /* Broken connections may mean that the upstream restarted cold under the same
    id; the full request rate could crash it, so it counts as cold until a later
    heartbeat arrives.  */
@@ -581,6 +602,8 @@
     if (!has_required_build (placement, upstream, query))
       {
         place->excluded[MARJORAM_EXCLUDED_BUILD]++;
+        place->unconfirmed
+            += may_be_confirmed (placement, upstream, query, now);
         continue;
       }
     place->candidates++;
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -393,6 +393,77 @@
 }
 END_TEST
 
+/* All connections to the upstreams break; only u1 has the stream's build.  */
+static void
+take_up_after_breaks (int64_t now)
+{
+  marjoram_placement *placement = marjoram_gateway_placement (f.gateway);
+
+  marjoram_placement_connection_lost (placement, now, "10.0.0.1:80", true);
+  marjoram_placement_connection_lost (placement, now, "10.0.0.2:80", true);
+  gateway_fixture_take_up (&f, now, "/ask/x", "first");
+  marjoram_gateway_origin_answered (f.gateway, now + 2, "first", "v1");
+}
+
+/* Guards against refusing streams whose upstreams have only lost their
+   connections, as when those of a host are reset.  */
+START_TEST (stream_is_held_until_its_upstream_is_heard_again)
+{
+  take_up_after_breaks (10);
+  marjoram_gateway_tick (f.gateway, 900);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  ck_assert_int_eq (f.seen.sends, 0);
+  gateway_fixture_build (&f, 1000, "u1", 1, "v1");
+  marjoram_gateway_tick (f.gateway, 1025);
+  ck_assert_int_eq (f.seen.sends, 1);
+  ck_assert (went_to ("10.0.0.1:80"));
+}
+END_TEST
+
+/* Guards against going on at an upstream that has started again with another
+   build.  */
+START_TEST (stream_is_refused_once_its_upstream_has_started_again)
+{
+  take_up_after_breaks (10);
+  gateway_fixture_build (&f, 1000, "u1", 2, "v1.1");
+  marjoram_gateway_tick (f.gateway, 1025);
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_OTHER_BUILD);
+}
+END_TEST
+
+START_TEST (stream_is_not_held_for_an_upstream_that_stays_silent)
+{
+  take_up_after_breaks (10);
+  marjoram_gateway_tick (f.gateway, 2485);
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, 2510);
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  gateway_fixture_take_up (&f, 2520, "/ask/x", "second");
+  marjoram_gateway_origin_answered (f.gateway, 2522, "second", "v1");
+  ck_assert_int_eq (f.seen.refusals, 2);
+}
+END_TEST
+
+/* The fixture's callers wait for 3 s.  */
+START_TEST (stream_is_not_held_beyond_its_deadline)
+{
+  marjoram_placement *placement = marjoram_gateway_placement (f.gateway);
+
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  marjoram_gateway_tick (f.gateway, 0);
+  marjoram_placement_connection_lost (placement, 300, "10.0.0.1:80", true);
+  marjoram_placement_connection_lost (placement, 900, "10.0.0.1:80", true);
+  marjoram_gateway_origin_answered (f.gateway, 350, "first", "v1");
+  ck_assert_int_eq (f.seen.refusals, 0);
+  marjoram_gateway_tick (f.gateway, 3000);
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.refusals, 1);
+}
+END_TEST
+
 START_TEST (taken_up_stream_names_its_build_to_other_regions)
 {
   gateway_fixture_offer (&f, "far1", "v1");
@@ -440,6 +511,10 @@
   tcase_add_test (c, unnamed_stream_is_refused_when_a_keeper_does_not_answer);
   tcase_add_test (c, unnamed_stream_is_refused_at_once_without_keepers);
   tcase_add_test (c, stream_that_was_taken_up_keeps_its_build);
+  tcase_add_test (c, stream_is_held_until_its_upstream_is_heard_again);
+  tcase_add_test (c, stream_is_refused_once_its_upstream_has_started_again);
+  tcase_add_test (c, stream_is_not_held_for_an_upstream_that_stays_silent);
+  tcase_add_test (c, stream_is_not_held_beyond_its_deadline);
   tcase_add_test (c, taken_up_stream_names_its_build_to_other_regions);
   suite_add_tcase (s, c);
   return s;
