A stream that is taken up goes on at the service that began it

What callers saw: on a route with several services, a stream that they took up again went on at another service than the one that began it, with or without the attempt's name, as both had the same version; the same without a name after a change of the configuration had moved the route.

Cause: the service of a request is drawn by its attempt's id, which is new with each try, and the record of a stream had its build alone. What a build is called says nothing about another service.

Change: a stream is bound to the service with its build; records at hosts and keepers, their answers, and forwards of streams that may be resumed name it (new fields at the end, which former releases leave out and ignore). If the route does not allow it any more the stream is refused. A caller that names no attempt needs a route that has had one service for as long as the stream may have been on its way.

Tests changed: calls in test_stream_origin take a service beside the build; what they check is as before and more (the service is told and forwarded).

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -186,7 +186,7 @@
 {
   const struct marjoram_forwarded limits_from_peer
       = { forward->budget_ms, forward->time_left_ms, forward->caller,
-          forward->build };
+          forward->build, forward->service };
   struct marjoram_inbound *inbound;
 
   if (!forward->method || !forward->path)
@@ -295,13 +295,17 @@
 handle_stream_answer (struct marjoram_entry *self,
                       const struct marjoram_stream_answer *answer)
 {
+  const struct marjoram_stream_origin origin
+      = { answer->service, answer->build };
+
   if (answer->id && answer->keepers > 0)
     marjoram_gateway_only_build_answered (
         self->gateway, marjoram_entry_now (self),
         strtoull (answer->id, NULL, DECIMAL), answer->build, answer->keepers);
   else if (answer->id)
     marjoram_gateway_origin_answered (self->gateway, marjoram_entry_now (self),
-                                      answer->id, answer->build);
+                                      answer->id,
+                                      answer->build ? &origin : NULL);
 }
 
 void
--- a/src/entry_origin.c
+++ b/src/entry_origin.c
@@ -83,12 +83,14 @@
 }
 
 void
-marjoram_entry_tell_origin (void *context, const char *id, const char *build,
+marjoram_entry_tell_origin (void *context, const char *id,
+                            const struct marjoram_stream_origin *origin,
                             int64_t keep_ms)
 {
   struct marjoram_entry *self = context;
   const struct marjoram_stream_begun begun
-      = { (char *)id, (char *)build, keep_ms };
+      = { (char *)id, (char *)origin->build, keep_ms,
+          (char *)origin->service };
   struct owners owners;
 
   find_owners (self, id, &owners);
--- a/src/frame.c
+++ b/src/frame.c
@@ -100,6 +100,7 @@
   { MARJORAM_WIRE_BOOL (struct marjoram_forward, no_local_upstream) },
   { MARJORAM_WIRE_INT (struct marjoram_forward, time_left_ms) },
   { MARJORAM_WIRE_STRING (struct marjoram_forward, build, MARJORAM_ID_MAX) },
+  { MARJORAM_WIRE_STRING (struct marjoram_forward, service, MARJORAM_ID_MAX) },
 };
 LAYOUT (forward_layout, marjoram_forward, forward_fields);
 
--- a/src/frame.h
+++ b/src/frame.h
@@ -156,7 +156,8 @@
                            */
   /* Remaining time until the first event is late; 0 if unknown.  */
   int64_t time_left_ms;
-  char *build; /* at whose upstreams the stream goes on; null: any */
+  char *build;   /* at whose upstreams the stream goes on; null: any */
+  char *service; /* the same; null: that of its route */
 };
 
 struct marjoram_head
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -150,6 +150,7 @@
                             const struct marjoram_route_table *table)
 {
   gateway->previous_table = gateway->table;
+  gateway->previous_set_at = gateway->table_set_at;
   gateway->table = table;
   gateway->table_set_at = now;
   update_features (gateway);
@@ -607,6 +608,9 @@
   if (forwarded && forwarded->customer)
     snprintf (exchange->customer, sizeof exchange->customer, "%s",
               forwarded->customer);
+  if (forwarded && forwarded->service)
+    snprintf (exchange->required_service, sizeof exchange->required_service,
+              "%s", forwarded->service);
   if (forwarded && forwarded->build)
     marjoram_exchange_require_build (exchange, forwarded->build);
   if (!forwarded)
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -22,7 +22,9 @@
 #include "reason.h"
 #include "repeat_budget.h"
 #include "room_share.h"
+#include "stream_origin.h"
 #include "upstream_check.h"
+#include "stream_origin.h"
 
 typedef struct marjoram_gateway marjoram_gateway;
 
@@ -64,9 +66,10 @@
                      const char *names[MARJORAM_QUOTA_KEEPERS_MAX]);
   void (*ask_quota) (void *context, const char *keeper,
                      const struct marjoram_quota_ask *ask);
-  /* Has keepers record that BUILD began the stream of caller's attempt ID, for
-     KEEP_MS.  */
-  void (*tell_origin) (void *context, const char *id, const char *build,
+  /* Has keepers record that ORIGIN began the stream of caller's attempt ID,
+     for KEEP_MS.  */
+  void (*tell_origin) (void *context, const char *id,
+                       const struct marjoram_stream_origin *origin,
                        int64_t keep_ms);
   /* Asks the keepers that would have a record of ID; returns how many.  Each
      answer is passed to marjoram_gateway_origin_answered.  */
@@ -139,6 +142,7 @@
   int64_t time_left_ms;      /* until the first event is due; 0: unknown */
   const char *customer;      /* null if none */
   const char *build;         /* at which the stream goes on; null: any */
+  const char *service;       /* the same; null: that of its route */
 };
 
 /* Takes ownership of REQUEST.  FORWARDED is null for a caller's request and
@@ -166,10 +170,12 @@
                                     uint64_t attempt, int status,
                                     struct marjoram_header_list *headers,
                                     const char *build);
-/* A keeper's answer: the build that began the stream of caller's attempt ID;
-   null if that keeper doesn't know.  */
-void marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
-                                       const char *id, const char *build);
+/* A keeper's answer: what began the stream of caller's attempt ID; null if
+   that keeper doesn't know.  */
+void
+marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
+                                  const char *id,
+                                  const struct marjoram_stream_origin *origin);
 /* A keeper's answer for CALL: the one build that the service has had, which
    KEEPERS keepers must say; null if that keeper doesn't know.  */
 void marjoram_gateway_only_build_answered (marjoram_gateway *gateway,
--- a/src/gateway_build.c
+++ b/src/gateway_build.c
@@ -8,6 +8,15 @@
 #include <stdio.h>
 #include <string.h>
 
+const char *
+marjoram_exchange_service (const struct marjoram_exchange *exchange,
+                           const struct marjoram_route_rule *route)
+{
+  return *exchange->required_service
+             ? exchange->required_service
+             : marjoram_route_pick_service (route, exchange->metadata.id);
+}
+
 const char *
 marjoram_exchange_required_build (const struct marjoram_exchange *exchange)
 {
@@ -24,6 +33,15 @@
             build ? build : "");
 }
 
+void
+marjoram_exchange_require_origin (struct marjoram_exchange *exchange,
+                                  const struct marjoram_stream_origin *origin)
+{
+  marjoram_exchange_require_build (exchange, origin->build);
+  snprintf (exchange->required_service, sizeof exchange->required_service,
+            "%s", origin->service ? origin->service : "");
+}
+
 /* Whether the upstream of the current attempt is still the instance to which
    it was sent, and heard since connections to it broke: otherwise its build is
    that of a former instance.  */
@@ -47,10 +65,13 @@
 marjoram_exchange_keep_build (marjoram_gateway *gateway,
                               struct marjoram_exchange *exchange, int64_t now)
 {
+  const struct marjoram_stream_origin origin
+      = { exchange->service,
+          knows_build (gateway, exchange) ? exchange->build : NULL };
+
   if (exchange->build_rule == MARJORAM_BUILD_SAME)
     return;
-  marjoram_exchange_require_build (
-      exchange, knows_build (gateway, exchange) ? exchange->build : NULL);
+  marjoram_exchange_require_origin (exchange, &origin);
   if (exchange->build_rule == MARJORAM_BUILD_SAME)
     marjoram_exchange_record_origin (gateway, exchange, now);
 }
--- a/src/gateway_forward.c
+++ b/src/gateway_forward.c
@@ -33,6 +33,14 @@
   return left_ms > 0 ? left_ms : 0;
 }
 
+/* The service that the next host has to use, whatever its routes say: a stream
+   that may be resumed has to go on at the same one.  */
+static char *
+service_for (struct marjoram_exchange *exchange)
+{
+  return exchange->stream && exchange->repeatable ? exchange->service : NULL;
+}
+
 static bool
 send_to_host (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
               int64_t now, const char *host, bool other_region)
@@ -66,6 +74,7 @@
   forward.config_number = exchange->config;
   forward.stream = request->has_body;
   forward.build = (char *)marjoram_exchange_required_build (exchange);
+  forward.service = service_for (exchange);
   if (gateway->ops->forward (gateway->context, host, &forward))
     {
       snprintf (exchange->host, sizeof exchange->host, "%s", host);
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -227,6 +227,7 @@
   STRING (marjoram_stream_begun, id),
   STRING (marjoram_stream_begun, build),
   INT (marjoram_stream_begun, keep_ms),
+  STRING (marjoram_stream_begun, service),
 };
 LAYOUT (marjoram_stream_begun_layout, marjoram_stream_begun,
         stream_begun_fields);
@@ -242,6 +243,7 @@
   STRING (marjoram_stream_answer, id),
   STRING (marjoram_stream_answer, build),
   UINT (marjoram_stream_answer, keepers),
+  STRING (marjoram_stream_answer, service),
 };
 LAYOUT (marjoram_stream_answer_layout, marjoram_stream_answer,
         stream_answer_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -278,6 +278,7 @@
   char *id; /* of the attempt */
   char *build;
   int64_t keep_ms;
+  char *service; /* null if it is not known */
 };
 
 /* Asks a keeper which build began a stream or, with a service, which one build
@@ -295,6 +296,7 @@
   char *build;      /* null if the keeper doesn't know */
   uint64_t keepers; /* that must say the same of a service, the sender
                        included; 0 if no service was asked for */
+  char *service;    /* that began the stream; null if it is not known */
 };
 
 /* Use of a region's capacity for a service by one customer: at one host, or
--- a/src/gateway_origin.c
+++ b/src/gateway_origin.c
@@ -22,13 +22,14 @@
              const struct marjoram_exchange *exchange, int64_t now,
              const char *id)
 {
+  const struct marjoram_stream_origin origin
+      = { *exchange->required_service ? exchange->required_service : NULL,
+          exchange->required_build };
   const int64_t keep_ms
       = marjoram_exchange_time_left (exchange, now) + KEEP_AFTER_DEADLINE_MS;
 
-  marjoram_stream_origins_add (gateway->origins, now, id,
-                               exchange->required_build, keep_ms);
-  gateway->ops->tell_origin (gateway->context, id, exchange->required_build,
-                             keep_ms);
+  marjoram_stream_origins_add (gateway->origins, now, id, &origin, keep_ms);
+  gateway->ops->tell_origin (gateway->context, id, &origin, keep_ms);
 }
 
 void
@@ -50,6 +51,30 @@
   marjoram_exchange_refuse (gateway, exchange, now, &refusal);
 }
 
+/* The service of all streams that began since SINCE on ROUTE; null if there
+   may have been several.  */
+static const char *
+only_service (const marjoram_gateway *gateway,
+              const struct marjoram_exchange *exchange,
+              const struct marjoram_route_rule *route, int64_t since)
+{
+  const char *service = marjoram_route_only_service (route);
+  const char *host
+      = marjoram_header_list_get (&exchange->request->headers, "Host");
+  const struct marjoram_route_rule *previous;
+  const char *former;
+
+  if (!service || gateway->table_set_at <= since || !gateway->previous_table)
+    return service;
+  previous = marjoram_route_table_find (
+      gateway->previous_table, host ? host : "", exchange->request->target);
+  former = previous ? marjoram_route_only_service (previous) : NULL;
+  return former && gateway->previous_set_at <= since
+                 && strcmp (former, service) == 0
+             ? service
+             : NULL;
+}
+
 /* A caller that does not name the attempt that began the stream: its build is
    known only if the service has had a single one since before that.  What this
    host has not heard of may have been there, as it may be cut off or stand
@@ -60,8 +85,7 @@
                 struct marjoram_exchange *exchange, int64_t now)
 {
   const int64_t for_ms = route->timeout_ms + KEEP_AFTER_DEADLINE_MS;
-  const char *service
-      = marjoram_route_pick_service (route, exchange->metadata.id);
+  const char *service = only_service (gateway, exchange, route, now - for_ms);
   const char *build
       = service ? marjoram_registry_only_build (
             gateway->options.place.registry, service, now - for_ms)
@@ -96,24 +120,34 @@
             : ask_only_build (gateway, route, exchange, now);
 }
 
+/* Binds the exchange to ORIGIN.  Returns whether that says where it goes
+   on.  */
+static bool
+apply_origin (struct marjoram_exchange *exchange,
+              const struct marjoram_route_rule *route,
+              const struct marjoram_stream_origin *origin)
+{
+  if (!origin->service && !marjoram_route_only_service (route))
+    return false;
+  marjoram_exchange_require_origin (exchange, origin);
+  return true;
+}
+
 bool
 marjoram_exchange_find_origin (marjoram_gateway *gateway,
                                struct marjoram_exchange *exchange,
                                const struct marjoram_route_rule *route,
                                int64_t now)
 {
-  const char *build;
+  const struct marjoram_stream_origin *origin;
 
   if (!is_taken_up (exchange, route))
     return true;
-  build = *exchange->metadata.resumes ? marjoram_stream_origins_find (
-              gateway->origins, now, exchange->metadata.resumes)
-                                      : NULL;
-  if (build)
-    {
-      marjoram_exchange_require_build (exchange, build);
-      return true;
-    }
+  origin = *exchange->metadata.resumes ? marjoram_stream_origins_find (
+               gateway->origins, now, exchange->metadata.resumes)
+                                       : NULL;
+  if (origin && apply_origin (exchange, route, origin))
+    return true;
   if (!exchange->origin_asked)
     ask_keepers (gateway, exchange, route, now);
   if (exchange->origins_awaited > 0
@@ -123,47 +157,45 @@
   return false;
 }
 
+static bool
+awaits_origin (const struct marjoram_exchange *exchange)
+{
+  return exchange->origins_awaited > 0
+         && exchange->state == MARJORAM_EXCHANGE_WAITING
+         && exchange->build_rule == MARJORAM_BUILD_ANY;
+}
+
 static void
-apply_origin (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
-              int64_t now, const char *build)
+receive_origin (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
+                int64_t now, const struct marjoram_stream_origin *origin)
 {
-  if (build)
-    {
-      marjoram_exchange_require_build (exchange, build);
-      keep_origin (gateway, exchange, now, exchange->metadata.resumes);
-    }
-  else
-    exchange->origins_awaited--;
-  if (build || exchange->origins_awaited == 0)
+  const struct marjoram_route_rule *route
+      = marjoram_exchange_route (gateway, exchange);
+
+  exchange->origins_awaited--;
+  if (origin && route && apply_origin (exchange, route, origin))
+    keep_origin (gateway, exchange, now, exchange->metadata.resumes);
+  if (exchange->build_rule == MARJORAM_BUILD_SAME
+      || exchange->origins_awaited == 0)
     marjoram_exchange_admit (gateway, exchange, now);
 }
 
 void
 marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
-                                  const char *id, const char *build)
+                                  const char *id,
+                                  const struct marjoram_stream_origin *origin)
 {
   struct marjoram_exchange *exchange;
   struct marjoram_exchange *next;
 
   HASH_ITER (by_call, gateway->by_call, exchange, next)
   {
-    if (exchange->origins_awaited > 0
-        && exchange->state == MARJORAM_EXCHANGE_WAITING
-        && exchange->build_rule == MARJORAM_BUILD_ANY
+    if (awaits_origin (exchange)
         && strcmp (exchange->metadata.resumes, id) == 0)
-      apply_origin (gateway, exchange, now, build);
+      receive_origin (gateway, exchange, now, origin);
   }
 }
 
-static bool
-awaits_only_build (const struct marjoram_exchange *exchange)
-{
-  return exchange->origins_awaited > 0
-         && exchange->state == MARJORAM_EXCHANGE_WAITING
-         && exchange->build_rule == MARJORAM_BUILD_ANY
-         && !*exchange->metadata.resumes;
-}
-
 void
 marjoram_gateway_only_build_answered (marjoram_gateway *gateway, int64_t now,
                                       uint64_t call, const char *build,
@@ -172,7 +204,7 @@
   struct marjoram_exchange *exchange;
 
   HASH_FIND (by_call, gateway->by_call, &call, sizeof call, exchange);
-  if (!exchange || !awaits_only_build (exchange))
+  if (!exchange || !awaits_origin (exchange) || *exchange->metadata.resumes)
     return;
   if (!build || strcmp (build, exchange->only_build) != 0)
     {
--- a/src/gateway_private.h
+++ b/src/gateway_private.h
@@ -142,7 +142,8 @@
   char service[MARJORAM_ID_MAX];
   uint64_t config;
 
-  char required_build[MARJORAM_ID_MAX]; /* MARJORAM_BUILD_SAME */
+  char required_build[MARJORAM_ID_MAX];   /* MARJORAM_BUILD_SAME */
+  char required_service[MARJORAM_ID_MAX]; /* "": that of the route */
   int64_t origin_asked_at;
   size_t origins_awaited; /* keepers that have not answered */
   /* For callers that name no attempt.  */
@@ -205,6 +206,7 @@
   void *context;
   const struct marjoram_route_table *table;
   const struct marjoram_route_table *previous_table; /* null if none */
+  int64_t previous_set_at;
   struct marjoram_load_features features;
   size_t answer_bytes; /* held for all exchanges */
   int64_t table_set_at;
@@ -376,6 +378,10 @@
                               int64_t time_left_ms);
 
 /* gateway_build.c */
+/* The service that runs the exchange on ROUTE.  */
+const char *
+marjoram_exchange_service (const struct marjoram_exchange *exchange,
+                           const struct marjoram_route_rule *route);
 /* The build of the upstreams at which the exchange may go on; null: not
    bound to one.  */
 const char *
@@ -383,6 +389,10 @@
 /* Binds the exchange to BUILD, or to no upstream if it is null.  */
 void marjoram_exchange_require_build (struct marjoram_exchange *exchange,
                                       const char *build);
+/* The same for the service too, if ORIGIN names it.  */
+void
+marjoram_exchange_require_origin (struct marjoram_exchange *exchange,
+                                  const struct marjoram_stream_origin *origin);
 /* To be called when events of the current attempt go to the caller: binds the
    exchange to the build that sent them.  */
 void marjoram_exchange_keep_build (marjoram_gateway *gateway,
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -553,8 +553,14 @@
   const char *service;
   const struct marjoram_service_rule *rule;
 
-  service = route ? marjoram_route_pick_service (route, exchange->metadata.id)
-                  : NULL;
+  if (route && *exchange->required_service
+      && !marjoram_route_has_service (route, exchange->required_service))
+    {
+      refuse (gateway, exchange, now, MARJORAM_REASON_CONFIG_CHANGED,
+              REFUSED_RETRY_MS);
+      return;
+    }
+  service = route ? marjoram_exchange_service (exchange, route) : NULL;
   rule = service ? marjoram_route_table_service (table, service) : NULL;
   if (!rule)
     {
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -310,9 +310,12 @@
 add_origin (struct marjoram_keeper_role *self, int64_t now,
             const struct marjoram_stream_begun *begun)
 {
+  const struct marjoram_stream_origin origin
+      = { begun->service, begun->build };
+
   if (!begun->id || !begun->build || begun->keep_ms <= 0
-      || marjoram_stream_origins_add (self->origins, now, begun->id,
-                                      begun->build, begun->keep_ms)
+      || marjoram_stream_origins_add (self->origins, now, begun->id, &origin,
+                                      begun->keep_ms)
       || now < self->origins_full_at + FULL_LOG_INTERVAL_MS)
     return;
   self->origins_full_at = now;
@@ -336,6 +339,19 @@
   answer->keepers = found.keepers;
 }
 
+static void
+find_origin (const struct marjoram_keeper_role *self, int64_t now,
+             struct marjoram_stream_answer *answer)
+{
+  const struct marjoram_stream_origin *origin
+      = marjoram_stream_origins_find (self->origins, now, answer->id);
+
+  if (!origin)
+    return;
+  answer->build = (char *)origin->build;
+  answer->service = (char *)origin->service;
+}
+
 static void
 answer_origin (struct marjoram_keeper_role *self, int64_t now,
                const char *host, uint64_t session,
@@ -348,8 +364,7 @@
   if (ask->service)
     find_only_build (self, now, ask, &answer);
   else
-    answer.build
-        = (char *)marjoram_stream_origins_find (self->origins, now, ask->id);
+    find_origin (self, now, &answer);
   marjoram_host_links_reply (self->parts->links, host, session,
                              MARJORAM_FRAME_STREAM_ANSWER, &answer);
 }
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -361,6 +361,35 @@
   return best;
 }
 
+bool
+marjoram_route_has_service (const struct marjoram_route_rule *route,
+                            const char *service)
+{
+  for (size_t i = 0; i < route->targets.count; i++)
+    if (TARGETS (route)[i].weight > 0
+        && strcmp (TARGETS (route)[i].service, service) == 0)
+      return true;
+  return false;
+}
+
+const char *
+marjoram_route_only_service (const struct marjoram_route_rule *route)
+{
+  const char *only = NULL;
+
+  for (size_t i = 0; i < route->targets.count; i++)
+    {
+      const char *service = TARGETS (route)[i].service;
+
+      if (TARGETS (route)[i].weight <= 0)
+        continue;
+      if (only && strcmp (only, service) != 0)
+        return NULL;
+      only = service;
+    }
+  return only;
+}
+
 const char *
 marjoram_route_pick_service (const struct marjoram_route_rule *route,
                              const char *key)
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -114,6 +114,12 @@
 const struct marjoram_service_rule *
 marjoram_route_table_service (const struct marjoram_route_table *table,
                               const char *name);
+/* Whether requests of ROUTE may go to SERVICE.  */
+bool marjoram_route_has_service (const struct marjoram_route_rule *route,
+                                 const char *service);
+/* The service of all requests of ROUTE; null if it has several.  */
+const char *
+marjoram_route_only_service (const struct marjoram_route_rule *route);
 /* Selects a service by weight.  The same KEY always yields the same
    service.  */
 const char *
--- a/src/stream_origin.c
+++ b/src/stream_origin.c
@@ -9,9 +9,9 @@
 struct origin
 {
   TAILQ_ENTRY (origin) link;
+  struct marjoram_stream_origin began; /* owns its strings */
   int64_t ends_at;
-  bool is_ambiguous; /* two builds were recorded */
-  char *build;
+  bool is_ambiguous; /* two origins were recorded */
   UT_hash_handle hh;
   char id[];
 };
@@ -39,7 +39,8 @@
   TAILQ_REMOVE (&origins->list, origin, link);
   /* False positive in uthash macros.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, origins->by_id, origin);
-  free (origin->build);
+  free ((char *)origin->began.service);
+  free ((char *)origin->began.build);
   free (origin);
 }
 
@@ -82,20 +83,34 @@
 
 static struct origin *
 create_origin (marjoram_stream_origins *origins, const char *id,
-               const char *build)
+               const struct marjoram_stream_origin *began)
 {
   const size_t size = strlen (id) + 1;
   struct origin *origin = marjoram_alloc (sizeof *origin + size);
 
   memcpy (origin->id, id, size);
-  origin->build = marjoram_strdup (build);
+  origin->began.service
+      = began->service ? marjoram_strdup (began->service) : NULL;
+  origin->began.build = marjoram_strdup (began->build);
   HASH_ADD_KEYPTR (hh, origins->by_id, origin->id, size - 1, origin);
   return origin;
 }
 
+/* A service that is not known, as told by a host of a former release, may be
+   any.  */
+static bool
+differs (const struct marjoram_stream_origin *one,
+         const struct marjoram_stream_origin *other)
+{
+  return strcmp (one->build, other->build) != 0
+         || (one->service && other->service
+             && strcmp (one->service, other->service) != 0);
+}
+
 bool
 marjoram_stream_origins_add (marjoram_stream_origins *origins, int64_t now,
-                             const char *id, const char *build,
+                             const char *id,
+                             const struct marjoram_stream_origin *began,
                              int64_t keep_ms)
 {
   struct origin *origin = find (origins, id);
@@ -107,11 +122,11 @@
   if (is_full)
     remove_origin (origins, TAILQ_FIRST (&origins->list));
   if (!origin)
-    origin = create_origin (origins, id, build);
+    origin = create_origin (origins, id, began);
   else
     {
       origin->is_ambiguous
-          = origin->is_ambiguous || strcmp (origin->build, build) != 0;
+          = origin->is_ambiguous || differs (&origin->began, began);
       TAILQ_REMOVE (&origins->list, origin, link);
     }
   if (now + keep_ms > origin->ends_at)
@@ -120,14 +135,14 @@
   return !is_full;
 }
 
-const char *
+const struct marjoram_stream_origin *
 marjoram_stream_origins_find (marjoram_stream_origins *origins, int64_t now,
                               const char *id)
 {
   const struct origin *origin = find (origins, id);
 
   return origin && now < origin->ends_at && !origin->is_ambiguous
-             ? origin->build
+             ? &origin->began
              : NULL;
 }
 
--- a/src/stream_origin.h
+++ b/src/stream_origin.h
@@ -11,6 +11,13 @@
 
 typedef struct marjoram_stream_origins marjoram_stream_origins;
 
+/* What began a stream.  Builds of two services may have the same name.  */
+struct marjoram_stream_origin
+{
+  const char *service; /* null if it is not known */
+  const char *build;
+};
+
 enum
 {
   /* Records of one process; with more, the one that ends first goes.  */
@@ -21,15 +28,18 @@
 
 marjoram_stream_origins *marjoram_stream_origins_create (void);
 void marjoram_stream_origins_destroy (marjoram_stream_origins *origins);
-/* Records that BUILD sent the first event of the stream of caller's attempt
-   ID, for KEEP_MS.  An ID with two builds has none.  Returns whether the
+/* Records that ORIGIN sent the first event of the stream of caller's attempt
+   ID, for KEEP_MS.  An ID with two origins has none.  Returns whether the
    record is kept without dropping another one.  */
 bool marjoram_stream_origins_add (marjoram_stream_origins *origins,
                                   int64_t now, const char *id,
-                                  const char *build, int64_t keep_ms);
-/* The build that began the stream of attempt ID; null if it is not known.  */
-const char *marjoram_stream_origins_find (marjoram_stream_origins *origins,
-                                          int64_t now, const char *id);
+                                  const struct marjoram_stream_origin *origin,
+                                  int64_t keep_ms);
+/* What began the stream of attempt ID, valid until the next call; null if it
+   is not known.  */
+const struct marjoram_stream_origin *
+marjoram_stream_origins_find (marjoram_stream_origins *origins, int64_t now,
+                              const char *id);
 size_t marjoram_stream_origins_count (const marjoram_stream_origins *origins);
 /* Drops records whose time is over.  */
 void marjoram_stream_origins_expire (marjoram_stream_origins *origins,
--- a/test/lib_demand.c
+++ b/test/lib_demand.c
@@ -299,12 +299,12 @@
 }
 
 static void
-op_tell_origin (void *context, const char *id, const char *build,
-                int64_t keep_ms)
+op_tell_origin (void *context, const char *id,
+                const struct marjoram_stream_origin *origin, int64_t keep_ms)
 {
   (void)context;
   (void)id;
-  (void)build;
+  (void)origin;
   (void)keep_ms;
 }
 
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -148,6 +148,8 @@
     return false;
   f->seen.forwards++;
   f->seen.forwarded = true;
+  snprintf (f->seen.service, sizeof f->seen.service, "%s",
+            forward->service ? forward->service : "");
   f->seen.has_build = forward->build != NULL;
   snprintf (f->seen.build, sizeof f->seen.build, "%s",
             forward->build ? forward->build : "");
@@ -198,14 +200,16 @@
 }
 
 static void
-op_tell_origin (void *context, const char *id, const char *build,
-                int64_t keep_ms)
+op_tell_origin (void *context, const char *id,
+                const struct marjoram_stream_origin *origin, int64_t keep_ms)
 {
   struct gateway_seen *seen = &((struct gateway_fixture *)context)->seen;
 
   seen->told++;
   snprintf (seen->told_id, sizeof seen->told_id, "%s", id);
-  snprintf (seen->told_build, sizeof seen->told_build, "%s", build);
+  snprintf (seen->told_build, sizeof seen->told_build, "%s", origin->build);
+  snprintf (seen->told_service, sizeof seen->told_service, "%s",
+            origin->service ? origin->service : "");
   seen->keep_ms = keep_ms;
 }
 
@@ -551,7 +555,7 @@
          bool forwarded, int tokens)
 {
   const struct marjoram_forwarded limits
-      = { FORWARDED_PATIENCE_MS, 0, NULL, NULL };
+      = { .caller_timeout_ms = FORWARDED_PATIENCE_MS };
   struct marjoram_http_request *request = make_request (f, path);
   char usage[64];
 
@@ -603,7 +607,7 @@
                                  const char *path, const char *build)
 {
   const struct marjoram_forwarded limits
-      = { FORWARDED_PATIENCE_MS, 0, NULL, build };
+      = { .caller_timeout_ms = FORWARDED_PATIENCE_MS, .build = build };
 
   marjoram_gateway_receive (f->gateway, now, f->calls + 1,
                             make_request (f, path), &limits);
@@ -628,7 +632,7 @@
                                const char *path, const char *customer)
 {
   const struct marjoram_forwarded limits
-      = { FORWARDED_PATIENCE_MS, 0, customer, NULL };
+      = { .caller_timeout_ms = FORWARDED_PATIENCE_MS, .customer = customer };
 
   marjoram_gateway_receive (f->gateway, now, f->calls + 1,
                             make_request (f, path), &limits);
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -37,6 +37,7 @@
   int64_t budget_ms;
   char last_event[MARJORAM_ID_MAX]; /* of the last forward */
   char customer[MARJORAM_ID_MAX];   /* likewise */
+  char service[MARJORAM_ID_MAX];    /* likewise; "" if it named none */
   bool has_build;                   /* likewise, named a build */
   char build[MARJORAM_ID_MAX];
   int asks; /* for quota, to the only keeper */
@@ -45,6 +46,7 @@
   int told; /* origins of streams, to keepers */
   char told_id[MARJORAM_ID_MAX];
   char told_build[MARJORAM_ID_MAX];
+  char told_service[MARJORAM_ID_MAX];
   int64_t keep_ms;
   char asked_id[MARJORAM_ID_MAX]; /* "" if no origin was asked for */
   int only_asks;                  /* for the one build of a service */
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -234,6 +234,19 @@
 
 end_of = finished
 
+-- The part of a route that names its service, or its WEIGHTS by service.
+local function targets (route)
+  if not route.weights then
+    return string.format ('"service":"%s"', route.service or "app")
+  end
+  local list = {}
+  for _, service in ipairs (sorted (route.weights)) do
+    list[#list + 1] = string.format ('{"service":"%s","weight":%d}', service,
+                                     route.weights[service])
+  end
+  return '"weighted_clusters":[' .. table.concat (list, ",") .. "]"
+end
+
 -- CUSTOMERS, if set, is the JSON text of all customers, and ENGINE that of the
 -- engines of the service "app".
 function config (version, routes)
@@ -242,9 +255,9 @@
     list[i] = string.format (
       '{"name":"r%d","host":"a.example","path_prefix":"%s","kind":"%s",'
       .. '"timeout_ms":%d,"target_latency_ms":500,"max_attempts":2,'
-      .. '"resumable":%s,"service":"%s","public":%s,"home_regions":[%s]}', i,
+      .. '"resumable":%s,%s,"public":%s,"home_regions":[%s]}', i,
       route[1], route[2], route.timeout or 4000,
-      tostring (route.resumable or false), route.service or "app",
+      tostring (route.resumable or false), targets (route),
       tostring (route.public or false),
       route.home and '"' .. route.home .. '"' or "")
   end
@@ -336,6 +349,18 @@
   return found
 end
 
+-- The services of the replicas that ran attempt ID, in order of the replicas.
+function services_of (id)
+  local found = {}
+  for _, name in ipairs (sorted (replicas)) do
+    for run in read_file (replicas[name].runs):gmatch (
+      "v[%d.]+ replica=%S+ id=(%S+)") do
+      if run == id then found[#found + 1] = replicas[name].service end
+    end
+  end
+  return found
+end
+
 -- Starts three keepers, two entry hosts in za, one in zb and a replica of
 -- "app" in each zone, and waits until all hosts serve usual_routes.
 function open_gateway ()
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -791,7 +791,7 @@
 /* Guards against forwarding loops between regions.  */
 START_TEST (forwarded_request_is_not_forwarded_again)
 {
-  const struct marjoram_forwarded time_limits = { 500, 0, NULL, NULL };
+  const struct marjoram_forwarded time_limits = { .caller_timeout_ms = 500 };
   struct marjoram_http_request *request
       = calloc (1, sizeof (struct marjoram_http_request));
 
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -31,14 +31,31 @@
   marjoram_stream_origins_destroy (origins);
 }
 
+static bool
+add_origin (int64_t now, const char *id, const char *build, int64_t keep_ms)
+{
+  const struct marjoram_stream_origin origin = { "lm", build };
+
+  return marjoram_stream_origins_add (origins, now, id, &origin, keep_ms);
+}
+
+static const char *
+build_of (int64_t now, const char *id)
+{
+  const struct marjoram_stream_origin *origin
+      = marjoram_stream_origins_find (origins, now, id);
+
+  return origin ? origin->build : NULL;
+}
+
 START_TEST (record_ends_with_its_time)
 {
-  ck_assert (marjoram_stream_origins_add (origins, 0, "a", "v1", 1000));
-  ck_assert (marjoram_stream_origins_add (origins, 0, "b", "v2", 500));
-  ck_assert_str_eq (marjoram_stream_origins_find (origins, 999, "a"), "v1");
-  ck_assert_str_eq (marjoram_stream_origins_find (origins, 499, "b"), "v2");
-  ck_assert_ptr_null (marjoram_stream_origins_find (origins, 500, "b"));
-  ck_assert_ptr_null (marjoram_stream_origins_find (origins, 0, "c"));
+  ck_assert (add_origin (0, "a", "v1", 1000));
+  ck_assert (add_origin (0, "b", "v2", 500));
+  ck_assert_str_eq (build_of (999, "a"), "v1");
+  ck_assert_str_eq (build_of (499, "b"), "v2");
+  ck_assert_ptr_null (build_of (500, "b"));
+  ck_assert_ptr_null (build_of (0, "c"));
   marjoram_stream_origins_expire (origins, 500);
   ck_assert_uint_eq (marjoram_stream_origins_count (origins), 1);
   marjoram_stream_origins_expire (origins, 1000);
@@ -48,20 +65,37 @@
 
 START_TEST (record_is_extended_when_told_again)
 {
-  marjoram_stream_origins_add (origins, 0, "a", "v1", 1000);
-  marjoram_stream_origins_add (origins, 900, "a", "v1", 1000);
-  marjoram_stream_origins_add (origins, 950, "a", "v1", 100);
-  ck_assert_str_eq (marjoram_stream_origins_find (origins, 1800, "a"), "v1");
+  add_origin (0, "a", "v1", 1000);
+  add_origin (900, "a", "v1", 1000);
+  add_origin (950, "a", "v1", 100);
+  ck_assert_str_eq (build_of (1800, "a"), "v1");
 }
 END_TEST
 
 /* Guards against a guess where callers use one id for two streams.  */
 START_TEST (id_with_two_builds_has_none)
 {
-  marjoram_stream_origins_add (origins, 0, "a", "v1", 1000);
-  marjoram_stream_origins_add (origins, 1, "a", "v2", 1000);
-  marjoram_stream_origins_add (origins, 2, "a", "v1", 1000);
-  ck_assert_ptr_null (marjoram_stream_origins_find (origins, 3, "a"));
+  add_origin (0, "a", "v1", 1000);
+  add_origin (1, "a", "v2", 1000);
+  add_origin (2, "a", "v1", 1000);
+  ck_assert_ptr_null (build_of (3, "a"));
+}
+END_TEST
+
+/* Guards against a stream of one service going on at the same version of
+   another one.  */
+START_TEST (id_with_two_services_has_none)
+{
+  const struct marjoram_stream_origin unknown = { NULL, "v1" };
+  const struct marjoram_stream_origin other = { "app", "v1" };
+
+  add_origin (0, "a", "v1", 1000);
+  marjoram_stream_origins_add (origins, 1, "a", &unknown, 1000);
+  ck_assert_str_eq (build_of (2, "a"), "v1");
+  ck_assert_str_eq (marjoram_stream_origins_find (origins, 2, "a")->service,
+                    "lm");
+  marjoram_stream_origins_add (origins, 3, "a", &other, 1000);
+  ck_assert_ptr_null (build_of (4, "a"));
 }
 END_TEST
 
@@ -72,13 +106,13 @@
   for (int i = 0; i < MARJORAM_STREAM_ORIGINS_MAX; i++)
     {
       snprintf (id, sizeof id, "%d", i);
-      ck_assert (marjoram_stream_origins_add (origins, i, id, "v1", 300000));
+      ck_assert (add_origin (i, id, "v1", 300000));
     }
-  ck_assert (!marjoram_stream_origins_add (origins, 70000, "new", "v1", 1000));
+  ck_assert (!add_origin (70000, "new", "v1", 1000));
   ck_assert_uint_eq (marjoram_stream_origins_count (origins),
                      MARJORAM_STREAM_ORIGINS_MAX);
-  ck_assert_ptr_null (marjoram_stream_origins_find (origins, 70000, "0"));
-  ck_assert_str_eq (marjoram_stream_origins_find (origins, 70000, "1"), "v1");
+  ck_assert_ptr_null (build_of (70000, "0"));
+  ck_assert_str_eq (build_of (70000, "1"), "v1");
 }
 END_TEST
 
@@ -101,6 +135,17 @@
   gateway_fixture_close (&f);
 }
 
+/* A keeper's answer: the stream of ID began at BUILD of the route's service;
+   null if it doesn't know.  */
+static void
+answer (int64_t now, const char *id, const char *build)
+{
+  const struct marjoram_stream_origin origin = { "lm", build };
+
+  marjoram_gateway_origin_answered (f.gateway, now, id,
+                                    build ? &origin : NULL);
+}
+
 static bool
 went_to (const char *address)
 {
@@ -120,6 +165,7 @@
   ck_assert_int_eq (f.seen.told, 1);
   ck_assert_str_eq (f.seen.told_id, "id-1");
   ck_assert_str_eq (f.seen.told_build, build);
+  ck_assert_str_eq (f.seen.told_service, "lm");
   ck_assert_int_ge (f.seen.keep_ms, 30000);
 }
 END_TEST
@@ -143,15 +189,15 @@
   gateway_fixture_take_up (&f, 0, "/ask/x", "first");
   ck_assert_int_eq (f.seen.sends, 0);
   ck_assert_str_eq (f.seen.asked_id, "first");
-  marjoram_gateway_origin_answered (f.gateway, 2, "first", NULL);
+  answer (2, "first", NULL);
   ck_assert_int_eq (f.seen.refusals, 0);
-  marjoram_gateway_origin_answered (f.gateway, 3, "other", "v2");
+  answer (3, "other", "v2");
   ck_assert_int_eq (f.seen.sends, 0);
-  marjoram_gateway_origin_answered (f.gateway, 4, "first", builds[_i]);
+  answer (4, "first", builds[_i]);
   ck_assert_int_eq (f.seen.sends, 1);
   ck_assert (went_to (addresses[_i]));
   ck_assert_str_eq (f.seen.told_id, "first");
-  marjoram_gateway_origin_answered (f.gateway, 5, "first", builds[_i]);
+  answer (5, "first", builds[_i]);
   ck_assert_int_eq (f.seen.sends, 1);
 }
 END_TEST
@@ -188,7 +234,7 @@
   for (int i = 0; i < 3; i++)
     {
       ck_assert_int_eq (f.seen.refusals, 0);
-      marjoram_gateway_origin_answered (f.gateway, 2, "first", NULL);
+      answer (2, "first", NULL);
     }
   assert_refused ();
 }
@@ -212,11 +258,37 @@
 }
 END_TEST
 
+/* Guards against a stream of one service going on at the same version of
+   another one.  */
+START_TEST (stream_of_another_service_is_refused)
+{
+  const struct marjoram_stream_origin origin = { "app", "v1" };
+
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  marjoram_gateway_origin_answered (f.gateway, 2, "first", &origin);
+  ck_assert_int_eq (f.seen.sends, 0);
+  ck_assert_int_eq (f.seen.refusals, 1);
+  ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_CONFIG_CHANGED);
+  ck_assert_int_eq (f.seen.why.status, 503);
+}
+END_TEST
+
+/* A host of a former release tells no service.  */
+START_TEST (stream_of_an_untold_service_goes_on_at_the_only_one)
+{
+  const struct marjoram_stream_origin origin = { NULL, "v1" };
+
+  gateway_fixture_take_up (&f, 0, "/ask/x", "first");
+  marjoram_gateway_origin_answered (f.gateway, 2, "first", &origin);
+  ck_assert (went_to ("10.0.0.1:80"));
+}
+END_TEST
+
 /* Guards against waiting for a build that is gone.  */
 START_TEST (stream_of_a_build_that_is_gone_is_refused)
 {
   gateway_fixture_take_up (&f, 0, "/ask/x", "first");
-  marjoram_gateway_origin_answered (f.gateway, 2, "first", "v0");
+  answer (2, "first", "v0");
   ck_assert_int_eq (f.seen.sends, 0);
   ck_assert_int_eq (f.seen.refusals, 1);
   ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_OTHER_BUILD);
@@ -229,12 +301,12 @@
 {
   gateway_fixture_leave (&f, 0, "u1");
   gateway_fixture_take_up (&f, 1400, "/ask/x", "first");
-  marjoram_gateway_origin_answered (f.gateway, 1402, "first", "v1");
+  answer (1402, "first", "v1");
   ck_assert (went_to ("10.0.0.1:80"));
   gateway_fixture_call (&f, 1410, "/ask/x");
   ck_assert (went_to ("10.0.0.2:80"));
   gateway_fixture_take_up (&f, 1600, "/ask/x", "second");
-  marjoram_gateway_origin_answered (f.gateway, 1602, "second", "v1");
+  answer (1602, "second", "v1");
   ck_assert_int_eq (f.seen.sends, 2);
   ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_OTHER_BUILD);
 }
@@ -386,7 +458,7 @@
 START_TEST (stream_that_was_taken_up_keeps_its_build)
 {
   gateway_fixture_take_up (&f, 0, "/ask/x", "first");
-  marjoram_gateway_origin_answered (f.gateway, 2, "first", "v1");
+  answer (2, "first", "v1");
   gateway_fixture_break (&f, 5);
   ck_assert_int_eq (f.seen.sends, 1);
   ck_assert_int_eq (f.seen.refusals, 1);
@@ -402,7 +474,7 @@
   marjoram_placement_connection_lost (placement, now, "10.0.0.1:80", true);
   marjoram_placement_connection_lost (placement, now, "10.0.0.2:80", true);
   gateway_fixture_take_up (&f, now, "/ask/x", "first");
-  marjoram_gateway_origin_answered (f.gateway, now + 2, "first", "v1");
+  answer (now + 2, "first", "v1");
 }
 
 /* Guards against refusing streams whose upstreams have only lost their
@@ -442,7 +514,7 @@
   ck_assert_int_eq (f.seen.sends, 0);
   ck_assert_int_eq (f.seen.refusals, 1);
   gateway_fixture_take_up (&f, 2520, "/ask/x", "second");
-  marjoram_gateway_origin_answered (f.gateway, 2522, "second", "v1");
+  answer (2522, "second", "v1");
   ck_assert_int_eq (f.seen.refusals, 2);
 }
 END_TEST
@@ -456,7 +528,7 @@
   marjoram_gateway_tick (f.gateway, 0);
   marjoram_placement_connection_lost (placement, 300, "10.0.0.1:80", true);
   marjoram_placement_connection_lost (placement, 900, "10.0.0.1:80", true);
-  marjoram_gateway_origin_answered (f.gateway, 350, "first", "v1");
+  answer (350, "first", "v1");
   ck_assert_int_eq (f.seen.refusals, 0);
   marjoram_gateway_tick (f.gateway, 3000);
   ck_assert_int_eq (f.seen.sends, 0);
@@ -468,10 +540,11 @@
 {
   gateway_fixture_offer (&f, "far1", "v1");
   gateway_fixture_take_up (&f, 0, "/home/x", "first");
-  marjoram_gateway_origin_answered (f.gateway, 2, "first", "v1");
+  answer (2, "first", "v1");
   ck_assert_int_eq (f.seen.forwards, 1);
   ck_assert (f.seen.has_build);
   ck_assert_str_eq (f.seen.build, "v1");
+  ck_assert_str_eq (f.seen.service, "lm");
 }
 END_TEST
 
@@ -486,6 +559,7 @@
   tcase_add_test (records, record_ends_with_its_time);
   tcase_add_test (records, record_is_extended_when_told_again);
   tcase_add_test (records, id_with_two_builds_has_none);
+  tcase_add_test (records, id_with_two_services_has_none);
   tcase_add_test (records, records_are_bounded);
   suite_add_tcase (s, records);
   tcase_add_checked_fixture (c, setup, teardown);
@@ -496,6 +570,8 @@
   tcase_add_test (c, stream_of_unknown_build_is_refused);
   tcase_add_test (c, stream_is_refused_when_no_keeper_answers);
   tcase_add_test (c, stream_is_refused_at_once_without_keepers);
+  tcase_add_test (c, stream_of_another_service_is_refused);
+  tcase_add_test (c, stream_of_an_untold_service_goes_on_at_the_only_one);
   tcase_add_test (c, stream_of_a_build_that_is_gone_is_refused);
   tcase_add_test (c, stream_goes_on_at_a_leaving_upstream);
   tcase_add_test (c, unnamed_stream_needs_a_single_build);
