A host that can't reach a keeper asks another one for all upstreams

What callers saw: at a host that was cut off from one keeper alone, streams that had begun at upstreams which report to that keeper were refused (other-build), as long as the cut lasted, though the upstreams could be reached.

Cause: a host that follows all keepers hears of a change from the keeper that the upstream reports to and from no other.

Change: while the link to a keeper is down, the host asks the nearest other one for all upstreams, after 1, 2 and then every 3 s.

--- a/src/entry_keepers.c
+++ b/src/entry_keepers.c
@@ -1,5 +1,5 @@
-/* Requests of an entry host to keepers: leases on customers' keys and units of
-   customers' quotas.  */
+/* Requests of an entry host to keepers: leases on customers' keys, units of
+   customers' quotas, and upstreams that another keeper can't tell of.  */
 #include "entry_private.h"
 
 #include "event_log.h"
@@ -12,7 +12,11 @@
 {
   KEEPERS_INTERVAL_MS = 200, /* update interval of the list of keepers */
   /* A remaining lease below this is logged as lost or endangered.  */
-  LEASE_LOW_MS = 500
+  LEASE_LOW_MS = 500,
+  /* Between two questions for all upstreams.  At most half of the time after
+     which an upstream counts as silent.  */
+  NEWS_PAUSE_MIN_MS = 1000,
+  NEWS_PAUSE_MAX_MS = 3000
 };
 
 /* 0 for a keeper of this host's zone, 1 for one of its region, 2 for
@@ -68,6 +72,45 @@
   return self->keeper_count;
 }
 
+/* ---- Upstreams.  ---- */
+
+static bool
+lacks_keeper (struct marjoram_entry *self)
+{
+  const struct marjoram_listed_host *host;
+
+  TAILQ_FOREACH (host, marjoram_host_list_all (self->parts->hosts), link)
+  if (host->heartbeat.keeper
+      && !marjoram_host_links_is_up (self->parts->links, host->heartbeat.name))
+    return true;
+  return false;
+}
+
+void
+marjoram_entry_ask_news (struct marjoram_entry *self, int64_t now)
+{
+  const struct marjoram_news_ask ask = { now };
+
+  if (marjoram_host_links_follows_one (self->parts->links)
+      || !lacks_keeper (self))
+    {
+      self->news_pause_ms = 0;
+      return;
+    }
+  update_keepers (self, now);
+  if (self->keeper_count == 0
+      || now < self->news_asked_at + self->news_pause_ms)
+    return;
+  self->news_asked_at = now;
+  self->news_pause_ms = self->news_pause_ms < NEWS_PAUSE_MIN_MS
+                            ? NEWS_PAUSE_MIN_MS
+                            : 2 * self->news_pause_ms;
+  if (self->news_pause_ms > NEWS_PAUSE_MAX_MS)
+    self->news_pause_ms = NEWS_PAUSE_MAX_MS;
+  marjoram_host_links_send (self->parts->links, self->keepers[0],
+                            MARJORAM_FRAME_NEWS_ASK, &ask);
+}
+
 void
 marjoram_entry_ask_quota (void *context, const char *keeper,
                           const struct marjoram_quota_ask *ask)
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -84,6 +84,8 @@
   char keepers[MARJORAM_QUOTA_KEEPERS_MAX][MARJORAM_IP_MAX];
   size_t keeper_count;
   int64_t keepers_updated_at;
+  int64_t news_asked_at; /* while a keeper can't be reached */
+  int64_t news_pause_ms; /* after it */
   bool lease_is_low;
   struct marjoram_array offers; /* of struct marjoram_host_offer */
   int64_t offers_updated_at;
@@ -128,6 +130,10 @@
 /* Whether HOST is a keeper that can be reached and is not leaving.  */
 bool marjoram_entry_is_usable_keeper (const struct marjoram_entry *self,
                                       const struct marjoram_listed_host *host);
+/* A host that follows all keepers hears of an upstream from the one that it
+   reports to.  While a keeper can't be reached, asks another one for all
+   upstreams when that is due.  */
+void marjoram_entry_ask_news (struct marjoram_entry *self, int64_t now);
 /* Asks a keeper for a lease on the customers' keys when that is due.  */
 void marjoram_entry_renew_lease (struct marjoram_entry *self, int64_t now);
 /* Logs whether keys are accepted, if that has changed.  */
--- a/src/entry_role.c
+++ b/src/entry_role.c
@@ -577,6 +577,7 @@
   marjoram_gateway_tick (self->gateway, now);
   marjoram_state_fetch_tick (self->fetch, now);
   marjoram_entry_renew_lease (self, now);
+  marjoram_entry_ask_news (self, now);
   marjoram_entry_report_loads (self, now);
   marjoram_entry_report_room (self, now);
   survey_engines (self, now);
--- a/src/keeper_publish.c
+++ b/src/keeper_publish.c
@@ -247,6 +247,8 @@
          >= self->created_at + LIVENESS_UNKNOWN_MS;
 }
 
+/* A keeper that does not know yet which upstreams are alive names those that
+   it has heard of, but does not say that there are no others.  */
 void
 marjoram_keeper_answer_news_ask (struct marjoram_keeper_role *self,
                                  const char *host, uint64_t session,
@@ -255,10 +257,10 @@
   const struct marjoram_listed_host *listed
       = marjoram_host_list_find (self->parts->hosts, host);
   const struct marjoram_news_batch end
-      = { .asked_at = ask->asked_at, .is_last = true };
+      = { .asked_at = ask->asked_at, .is_last = knows_liveness (self) };
   struct marjoram_news_batch batch;
 
-  if (!listed || !knows_liveness (self))
+  if (!listed)
     return;
   pack_region (self, listed->heartbeat.region, &batch);
   marjoram_event (MARJORAM_EVENT_UPSTREAM, "state=snapshot host=%s count=%zu",
