--- a/src/gateway.h
+++ b/src/gateway.h
@@ -24,7 +24,6 @@
 #include "room_share.h"
 #include "stream_origin.h"
 #include "upstream_check.h"
-#include "stream_origin.h"
 
 typedef struct marjoram_gateway marjoram_gateway;
 
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -43,15 +43,15 @@
   int asks; /* for quota, to the only keeper */
   int64_t asked_at;
   int64_t asked_units;
-  int told; /* origins of streams, to keepers */
+  int told;      /* origins of streams, to keepers */
+  int only_asks; /* for the one build of a service */
   char told_id[MARJORAM_ID_MAX];
   char told_build[MARJORAM_ID_MAX];
   char told_service[MARJORAM_ID_MAX];
   int64_t keep_ms;
-  char asked_id[MARJORAM_ID_MAX]; /* "" if no origin was asked for */
-  int only_asks;                  /* for the one build of a service */
-  uint64_t only_call;
+  uint64_t only_call; /* of the last of these questions */
   int64_t only_for_ms;
+  char asked_id[MARJORAM_ID_MAX]; /* "" if no origin was asked for */
   char only_service[MARJORAM_ID_MAX];
   int heads;
   int status;
