--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -167,9 +167,12 @@
   return host
 end
 
+-- The replica reports to the keepers of REPLICA.keepers, by default to all.
 function start_replica (replica)
   local list = {}
-  for i, keeper in ipairs (keepers) do list[i] = keeper.ip .. ":8146" end
+  for i, keeper in ipairs (replica.keepers or keepers) do
+    list[i] = keeper.ip .. ":8146"
+  end
   replica.pid = system.spawn (
     { system.programs .. "/fake_replica", "--address", replica.address,
       "--listen", replica.listen, "--id", replica.id, "--service",
@@ -179,7 +182,8 @@
     folder .. "/" .. replica.id .. ".log")
 end
 
--- VERSIONS, if set, has the software versions of replicas, "v1" by default.
+-- VERSIONS, if set, has the software versions of replicas, "v1" by default, and
+-- REPORT_TO the keepers that they report to.
 -- With REPLICA_RELAYS, the replica is reached through a relay for fault
 -- injection, attached to the slow link, if any, unless APART.
 function add_replica (id, service, zone, index, apart)
@@ -187,7 +191,8 @@
                     version = VERSIONS and VERSIONS[id] or "v1",
                     address = ip (index) .. ":" .. (ANNOUNCED_PORT or 8080),
                     listen = ip (index) .. ":8080",
-                    runs = folder .. "/" .. id .. ".runs" }
+                    runs = folder .. "/" .. id .. ".runs",
+                    keepers = REPORT_TO }
   if REPLICA_RELAYS then
     replica.listen = ip (index) .. ":8081"
     replica.relay = assert (system.relay (replica.address, replica.listen))
