A service that is forgotten counts as changed

What callers saw: nothing yet; found by reading. A stream longer than a minute whose service was without upstreams for 60 s, and then had those of another build, went on there if its caller named no attempt.

Cause: the time at which a service's build changed last went with its last upstream's record, and a service that came back looked as if it had never had another build: absence of evidence taken for evidence of absence once more.

Evidence: test_registry forgotten_service_may_have_had_another_build, before: "Assertion 'marjoram_registry_only_build (registry, "lm", 69999) == NULL' failed"; with the change 13 of 13 pass.

--- a/src/registry.c
+++ b/src/registry.c
@@ -56,6 +56,7 @@
   /* All upstreams since then are, or were, in the list; INT64_MAX: not known.
    */
   int64_t known_since;
+  int64_t emptied_at; /* the last upstream of some service was dropped */
   struct marjoram_registry_digest digest;
 };
 
@@ -69,9 +70,11 @@
   registry->received_at = INT64_MIN / 2;
   registry->vouched_at = INT64_MIN / 2;
   registry->known_since = INT64_MAX;
+  registry->emptied_at = INT64_MIN;
   return registry;
 }
 
+/* A service that has lost all its upstreams may have had another build.  */
 static struct marjoram_registered_service *
 find_or_add_service (marjoram_registry *registry, const char *name)
 {
@@ -82,7 +85,7 @@
     return service;
   service = marjoram_alloc (sizeof *service);
   service->name = marjoram_strdup (name);
-  service->changed_at = INT64_MIN;
+  service->changed_at = registry->emptied_at;
   TAILQ_INIT (&service->upstreams);
   HASH_ADD_KEYPTR (hh, registry->services, service->name,
                    strlen (service->name), service);
@@ -90,7 +93,7 @@
 }
 
 static void
-leave_service (marjoram_registry *registry,
+leave_service (marjoram_registry *registry, int64_t now,
                struct marjoram_registered *upstream)
 {
   struct marjoram_registered_service *service = upstream->service;
@@ -102,6 +105,7 @@
   service->count--;
   if (!TAILQ_EMPTY (&service->upstreams))
     return;
+  registry->emptied_at = now;
   /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, registry->services, service);
   free (service->build);
@@ -110,13 +114,13 @@
 }
 
 static void
-join_service (marjoram_registry *registry,
+join_service (marjoram_registry *registry, int64_t now,
               struct marjoram_registered *upstream)
 {
   if (upstream->service
       && strcmp (upstream->service->name, upstream->heartbeat.service) == 0)
     return;
-  leave_service (registry, upstream);
+  leave_service (registry, now, upstream);
   upstream->service
       = find_or_add_service (registry, upstream->heartbeat.service);
   TAILQ_INSERT_TAIL (&upstream->service->upstreams, upstream, service_link);
@@ -201,11 +205,11 @@
 }
 
 static void
-remove_upstream (marjoram_registry *registry,
+remove_upstream (marjoram_registry *registry, int64_t now,
                  struct marjoram_registered *upstream)
 {
   set_vouched (registry, upstream, false);
-  leave_service (registry, upstream);
+  leave_service (registry, now, upstream);
   leave_address (registry, upstream);
   TAILQ_REMOVE (&registry->checked, upstream, checked_link);
   /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
@@ -220,7 +224,7 @@
   if (!registry)
     return;
   while (!TAILQ_EMPTY (&registry->list))
-    remove_upstream (registry, TAILQ_FIRST (&registry->list));
+    remove_upstream (registry, 0, TAILQ_FIRST (&registry->list));
   free (registry);
 }
 
@@ -336,7 +340,7 @@
       = heartbeat->cold_ms > 0 ? received_at + heartbeat->cold_ms : 0;
   upstream->ends_at
       = heartbeat->ends_ms >= 0 ? received_at + heartbeat->ends_ms : INT64_MAX;
-  join_service (registry, upstream);
+  join_service (registry, now, upstream);
   join_address (registry, upstream);
   note_build (upstream->service, now, heartbeat->build);
 }
@@ -568,7 +572,7 @@
       TAILQ_REMOVE (&registry->checked, upstream, checked_link);
       TAILQ_INSERT_TAIL (&registry->checked, upstream, checked_link);
       if (is_forgotten (registry, upstream, now))
-        remove_upstream (registry, upstream);
+        remove_upstream (registry, now, upstream);
     }
 }
 
--- a/test/test_registry.c
+++ b/test/test_registry.c
@@ -258,6 +258,35 @@
 }
 END_TEST
 
+static void
+receive_build (int64_t now, const char *id, const char *service,
+               const char *build)
+{
+  struct marjoram_upstream_heartbeat made
+      = heartbeat (id, 1, now + 1, MARJORAM_UPSTREAM_READY);
+
+  snprintf (made.service, sizeof made.service, "%s", service);
+  snprintf (made.address, sizeof made.address, "%s:80", id);
+  snprintf (made.build, sizeof made.build, "%s", build);
+  marjoram_registry_update (registry, now, &made, 0);
+}
+
+/* Guards against a long stream whose service was without upstreams for a
+   while, and then had those of another build.  */
+START_TEST (forgotten_service_may_have_had_another_build)
+{
+  marjoram_registry_set_known (registry, INT64_MIN / 2);
+  receive_build (0, "a", "lm", "v1");
+  receive_build (70000, "c", "app", "v1");
+  marjoram_registry_tick (registry, 70000);
+  ck_assert_uint_eq (marjoram_registry_service_count (registry, "lm"), 0);
+  receive_build (80000, "b", "lm", "v2");
+  ck_assert_ptr_null (marjoram_registry_only_build (registry, "lm", 69999));
+  ck_assert_str_eq (marjoram_registry_only_build (registry, "lm", 70000),
+                    "v2");
+}
+END_TEST
+
 Suite *
 suite (void)
 {
@@ -277,6 +306,7 @@
   tcase_add_test (c, told_leaving_holds_until_a_restart);
   tcase_add_test (c, told_leaving_upstream_serves_on_for_a_while);
   tcase_add_test (c, old_records_are_dropped);
+  tcase_add_test (c, forgotten_service_may_have_had_another_build);
   suite_add_tcase (s, c);
   return s;
 }
