--- a/src/gateway.h
+++ b/src/gateway.h
@@ -23,6 +23,7 @@
 #include "reason.h"
 #include "repeat_budget.h"
 #include "room_share.h"
+#include "stream_origin.h"
 #include "upstream_check.h"
 
 typedef struct marjoram_gateway marjoram_gateway;
@@ -67,13 +68,19 @@
                      const char *names[MARJORAM_QUOTA_KEEPERS_MAX]);
   void (*ask_quota) (void *context, const char *keeper,
                      const struct marjoram_quota_ask *ask);
-  /* Has keepers record that BUILD began the stream of caller's attempt ID, for
-     KEEP_MS.  */
-  void (*tell_origin) (void *context, const char *id, const char *build,
+  /* Has keepers record that ORIGIN began the stream of caller's attempt ID,
+     for KEEP_MS.  */
+  void (*tell_origin) (void *context, const char *id,
+                       const struct marjoram_stream_origin *origin,
                        int64_t keep_ms);
   /* Asks the keepers that would have a record of ID; returns how many.  Each
      answer is passed to marjoram_gateway_origin_answered.  */
   size_t (*ask_origin) (void *context, const char *id);
+  /* Asks all keepers that can be reached for the one build that SERVICE has
+     had for FOR_MS; returns how many.  Each answer is passed to
+     marjoram_gateway_only_build_answered.  */
+  size_t (*ask_only_build) (void *context, uint64_t call, const char *service,
+                            int64_t for_ms);
   /* As in struct marjoram_upstream_checks_ops; the result is passed to
      marjoram_gateway_probed.  Like REPORT_DARK, only used if upstreams are
      checked.  */
@@ -141,6 +148,7 @@
   int64_t time_left_ms;      /* until the first event is due; 0: unknown */
   const char *customer;      /* null if none */
   const char *build;         /* at which the stream goes on; null: any */
+  const char *service;       /* the same; null: that of its route */
 };
 
 /* Takes ownership of REQUEST.  FORWARDED is null for a caller's request and
@@ -168,10 +176,18 @@
                                     uint64_t attempt, int status,
                                     struct marjoram_header_list *headers,
                                     const char *build);
-/* A keeper's answer: the build that began the stream of caller's attempt ID;
-   null if that keeper doesn't know.  */
-void marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
-                                       const char *id, const char *build);
+/* A keeper's answer: what began the stream of caller's attempt ID; null if
+   that keeper doesn't know.  */
+void
+marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
+                                  const char *id,
+                                  const struct marjoram_stream_origin *origin);
+/* A keeper's answer for CALL: the one build that the service has had, which
+   KEEPERS keepers must say; null if that keeper doesn't know.  */
+void marjoram_gateway_only_build_answered (marjoram_gateway *gateway,
+                                           int64_t now, uint64_t call,
+                                           const char *build,
+                                           uint64_t keepers);
 /* The build that sent the events of CALL's stream; null if it has none or the
    build is not known.  */
 const char *marjoram_gateway_build_of (const marjoram_gateway *gateway,
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -228,18 +228,23 @@
   STRING (marjoram_stream_begun, id),
   STRING (marjoram_stream_begun, build),
   INT (marjoram_stream_begun, keep_ms),
+  STRING (marjoram_stream_begun, service),
 };
 LAYOUT (marjoram_stream_begun_layout, marjoram_stream_begun,
         stream_begun_fields);
 
 static const struct marjoram_field stream_ask_fields[] = {
   STRING (marjoram_stream_ask, id),
+  STRING (marjoram_stream_ask, service),
+  INT (marjoram_stream_ask, for_ms),
 };
 LAYOUT (marjoram_stream_ask_layout, marjoram_stream_ask, stream_ask_fields);
 
 static const struct marjoram_field stream_answer_fields[] = {
   STRING (marjoram_stream_answer, id),
   STRING (marjoram_stream_answer, build),
+  UINT (marjoram_stream_answer, keepers),
+  STRING (marjoram_stream_answer, service),
 };
 LAYOUT (marjoram_stream_answer_layout, marjoram_stream_answer,
         stream_answer_fields);
--- a/src/gateway_send.c
+++ b/src/gateway_send.c
@@ -401,6 +401,19 @@
              && chosen->excluded[MARJORAM_EXCLUDED_UNREACHABLE] > 0);
 }
 
+/* Whether a stream that is taken up is held, to be tried again with each tick:
+   the upstreams that may continue it lost their connections, and the heartbeat
+   that tells whether they started again is due.  */
+static bool
+awaits_heartbeat (const struct marjoram_exchange *exchange, int64_t now,
+                  const struct marjoram_place *chosen)
+{
+  return exchange->state == MARJORAM_EXCHANGE_WAITING
+         && !exchange->waiter.queued && chosen->candidates == 0
+         && chosen->unconfirmed > 0
+         && marjoram_exchange_time_left (exchange, now) > 0;
+}
+
 static void
 place (marjoram_gateway *gateway, struct marjoram_exchange *exchange,
        const struct marjoram_route_rule *route,
@@ -447,7 +460,8 @@
     found = find_last_resort (gateway, exchange, now, &query, &chosen);
   if (found)
     send_to (gateway, exchange, now, &chosen, &query);
-  else if (!marjoram_exchange_wait (gateway, exchange, now, &chosen)
+  else if (!awaits_heartbeat (exchange, now, &chosen)
+           && !marjoram_exchange_wait (gateway, exchange, now, &chosen)
            && !marjoram_exchange_forward_instead (
                gateway, exchange, route, now,
                max_useful_wait (exchange, now, &chosen, query.time_left_ms)))
@@ -558,8 +572,14 @@
   const char *service;
   const struct marjoram_service_rule *rule;
 
-  service = route ? marjoram_route_pick_service (route, exchange->metadata.id)
-                  : NULL;
+  if (route && *exchange->required_service
+      && !marjoram_route_has_service (route, exchange->required_service))
+    {
+      refuse (gateway, exchange, now, MARJORAM_REASON_CONFIG_CHANGED,
+              REFUSED_RETRY_MS);
+      return;
+    }
+  service = route ? marjoram_exchange_service (exchange, route) : NULL;
   rule = service ? marjoram_route_table_service (table, service) : NULL;
   if (!rule)
     {
--- a/test/lib_gateway.h
+++ b/test/lib_gateway.h
@@ -37,16 +37,22 @@
   int64_t budget_ms;
   char last_event[MARJORAM_ID_MAX]; /* of the last forward */
   char customer[MARJORAM_ID_MAX];   /* likewise */
+  char service[MARJORAM_ID_MAX];    /* likewise; "" if it named none */
   bool has_build;                   /* likewise, named a build */
   char build[MARJORAM_ID_MAX];
   int asks; /* for quota, to the only keeper */
   int64_t asked_at;
   int64_t asked_units;
-  int told; /* origins of streams, to keepers */
+  int told;      /* origins of streams, to keepers */
+  int only_asks; /* for the one build of a service */
   char told_id[MARJORAM_ID_MAX];
   char told_build[MARJORAM_ID_MAX];
+  char told_service[MARJORAM_ID_MAX];
   int64_t keep_ms;
+  uint64_t only_call; /* of the last of these questions */
+  int64_t only_for_ms;
   char asked_id[MARJORAM_ID_MAX]; /* "" if no origin was asked for */
+  char only_service[MARJORAM_ID_MAX];
   int heads;
   int status;
   int64_t length;
--- a/test/scenarios/gateway.lua
+++ b/test/scenarios/gateway.lua
@@ -174,9 +174,12 @@
   return host
 end
 
+-- The replica reports to the keepers of REPLICA.keepers, by default to all.
 function start_replica (replica)
   local list = {}
-  for i, keeper in ipairs (keepers) do list[i] = keeper.ip .. ":8146" end
+  for i, keeper in ipairs (replica.keepers or keepers) do
+    list[i] = keeper.ip .. ":8146"
+  end
   replica.pid = system.spawn (
     { system.programs .. "/fake_replica", "--address", replica.address,
       "--listen", replica.listen, "--id", replica.id, "--service",
@@ -186,7 +189,8 @@
     folder .. "/" .. replica.id .. ".log")
 end
 
--- VERSIONS, if set, has the software versions of replicas, "v1" by default.
+-- VERSIONS, if set, has the software versions of replicas, "v1" by default, and
+-- REPORT_TO the keepers that they report to.
 -- With REPLICA_RELAYS, the replica is reached through a relay for fault
 -- injection, attached to the slow link, if any, unless APART.
 function add_replica (id, service, zone, index, apart)
@@ -194,7 +198,8 @@
                     version = VERSIONS and VERSIONS[id] or "v1",
                     address = ip (index) .. ":" .. (ANNOUNCED_PORT or 8080),
                     listen = ip (index) .. ":8080",
-                    runs = folder .. "/" .. id .. ".runs" }
+                    runs = folder .. "/" .. id .. ".runs",
+                    keepers = REPORT_TO }
   if REPLICA_RELAYS then
     replica.listen = ip (index) .. ":8081"
     replica.relay = assert (system.relay (replica.address, replica.listen))
@@ -241,6 +246,19 @@
 
 end_of = finished
 
+-- The part of a route that names its service, or its WEIGHTS by service.
+local function targets (route)
+  if not route.weights then
+    return string.format ('"service":"%s"', route.service or "app")
+  end
+  local list = {}
+  for _, service in ipairs (sorted (route.weights)) do
+    list[#list + 1] = string.format ('{"service":"%s","weight":%d}', service,
+                                     route.weights[service])
+  end
+  return '"weighted_clusters":[' .. table.concat (list, ",") .. "]"
+end
+
 -- CUSTOMERS, if set, is the JSON text of all customers, and ENGINE that of the
 -- engines of the service "app".
 function config (version, routes)
@@ -249,9 +267,9 @@
     list[i] = string.format (
       '{"name":"r%d","host":"a.example","path_prefix":"%s","kind":"%s",'
       .. '"timeout_ms":%d,"target_latency_ms":500,"max_attempts":2,'
-      .. '"resumable":%s,"service":"%s","public":%s,"home_regions":[%s]}', i,
+      .. '"resumable":%s,%s,"public":%s,"home_regions":[%s]}', i,
       route[1], route[2], route.timeout or 4000,
-      tostring (route.resumable or false), route.service or "app",
+      tostring (route.resumable or false), targets (route),
       tostring (route.public or false),
       route.home and '"' .. route.home .. '"' or "")
   end
@@ -359,6 +377,18 @@
   return found
 end
 
+-- The services of the replicas that ran attempt ID, in order of the replicas.
+function services_of (id)
+  local found = {}
+  for _, name in ipairs (sorted (replicas)) do
+    for run in read_file (replicas[name].runs):gmatch (
+      "v[%d.]+ replica=%S+ id=(%S+)") do
+      if run == id then found[#found + 1] = replicas[name].service end
+    end
+  end
+  return found
+end
+
 -- Starts three keepers, two entry hosts in za, one in zb and a replica of
 -- "app" in each zone, and waits until all hosts serve usual_routes.
 function open_gateway ()
