Keepers' answers about a stream are of the question that they answer

Callers that took a stream up were refused with 503 (build-unknown) although keepers knew where it had begun: an answer named the stream and not the question, so that "not known" in reply to a caller that has left, made before the record came to the keepers, ended the wait of the next caller. The class is that of the upstreams' answers: a reply bound to what it is about and not to who asked.

Asks carry the call's number and answers repeat it (new fields at the end; a keeper of an earlier release leaves it out, whose answers count as before). What a keeper knows counts for all that wait for it; that it doesn't know counts for its call alone.

--- a/src/entry_frame.c
+++ b/src/entry_frame.c
@@ -312,7 +312,7 @@
         strtoull (answer->id, NULL, DECIMAL), answer->build, answer->keepers);
   else if (answer->id)
     marjoram_gateway_origin_answered (self->gateway, marjoram_entry_now (self),
-                                      answer->id,
+                                      answer->call, answer->id,
                                       answer->build ? &origin : NULL);
 }
 
--- a/src/entry_origin.c
+++ b/src/entry_origin.c
@@ -107,7 +107,7 @@
 {
   struct marjoram_entry *self = context;
   char id[ASK_ID_MAX];
-  const struct marjoram_stream_ask ask = { id, (char *)service, for_ms };
+  const struct marjoram_stream_ask ask = { id, (char *)service, for_ms, call };
   const struct marjoram_listed_host *host;
   size_t asked = 0;
 
@@ -121,10 +121,10 @@
 }
 
 size_t
-marjoram_entry_ask_origin (void *context, const char *id)
+marjoram_entry_ask_origin (void *context, uint64_t call, const char *id)
 {
   struct marjoram_entry *self = context;
-  const struct marjoram_stream_ask ask = { .id = (char *)id };
+  const struct marjoram_stream_ask ask = { .id = (char *)id, .call = call };
   struct owners owners;
   size_t asked = 0;
 
--- a/src/entry_private.h
+++ b/src/entry_private.h
@@ -147,7 +147,8 @@
 void marjoram_entry_tell_origin (void *context, const char *id,
                                  const struct marjoram_stream_origin *origin,
                                  int64_t keep_ms);
-size_t marjoram_entry_ask_origin (void *context, const char *id);
+size_t marjoram_entry_ask_origin (void *context, uint64_t call,
+                                  const char *id);
 size_t marjoram_entry_ask_only_build (void *context, uint64_t call,
                                       const char *service, int64_t for_ms);
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -73,9 +73,9 @@
   void (*tell_origin) (void *context, const char *id,
                        const struct marjoram_stream_origin *origin,
                        int64_t keep_ms);
-  /* Asks the keepers that would have a record of ID; returns how many.  Each
-     answer is passed to marjoram_gateway_origin_answered.  */
-  size_t (*ask_origin) (void *context, const char *id);
+  /* Asks the keepers that would have a record of ID, for CALL; returns how
+     many.  Each answer is passed to marjoram_gateway_origin_answered.  */
+  size_t (*ask_origin) (void *context, uint64_t call, const char *id);
   /* Asks all keepers that can be reached for the one build that SERVICE has
      had for FOR_MS; returns how many.  Each answer is passed to
      marjoram_gateway_only_build_answered.  */
@@ -176,11 +176,11 @@
                                     uint64_t attempt, int status,
                                     struct marjoram_header_list *headers,
                                     const char *build);
-/* A keeper's answer: what began the stream of caller's attempt ID; null if
-   that keeper doesn't know.  */
+/* A keeper's answer for CALL: what began the stream of caller's attempt ID;
+   null if that keeper doesn't know.  CALL is 0 if the keeper doesn't tell.  */
 void
 marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
-                                  const char *id,
+                                  uint64_t call, const char *id,
                                   const struct marjoram_stream_origin *origin);
 /* A keeper's answer for CALL: the one build that the service has had, which
    KEEPERS keepers must say; null if that keeper doesn't know.  */
--- a/src/gateway_message.c
+++ b/src/gateway_message.c
@@ -237,6 +237,7 @@
   STRING (marjoram_stream_ask, id),
   STRING (marjoram_stream_ask, service),
   INT (marjoram_stream_ask, for_ms),
+  UINT (marjoram_stream_ask, call),
 };
 LAYOUT (marjoram_stream_ask_layout, marjoram_stream_ask, stream_ask_fields);
 
@@ -245,6 +246,7 @@
   STRING (marjoram_stream_answer, build),
   UINT (marjoram_stream_answer, keepers),
   STRING (marjoram_stream_answer, service),
+  UINT (marjoram_stream_answer, call),
 };
 LAYOUT (marjoram_stream_answer_layout, marjoram_stream_answer,
         stream_answer_fields);
--- a/src/gateway_message.h
+++ b/src/gateway_message.h
@@ -291,6 +291,7 @@
   char *id;      /* of the attempt that began it; with a service, of the ask */
   char *service; /* null: not asked for */
   int64_t for_ms; /* up to now, for which the service had one build only */
+  uint64_t call;  /* that the answer repeats */
 };
 
 struct marjoram_stream_answer
@@ -300,6 +301,7 @@
   uint64_t keepers; /* that must say the same of a service, the sender
                        included; 0 if no service was asked for */
   char *service;    /* that began the stream; null if it is not known */
+  uint64_t call;    /* as asked; 0 from a keeper that does not repeat it */
 };
 
 /* Use of a region's capacity for a service by one customer: at one host, or
--- a/src/gateway_origin.c
+++ b/src/gateway_origin.c
@@ -115,7 +115,7 @@
   exchange->origin_asked_at = now;
   exchange->origins_awaited
       = *exchange->metadata.resumes
-            ? gateway->ops->ask_origin (gateway->context,
+            ? gateway->ops->ask_origin (gateway->context, exchange->call,
                                         exchange->metadata.resumes)
             : ask_only_build (gateway, route, exchange, now);
 }
@@ -182,7 +182,7 @@
 
 void
 marjoram_gateway_origin_answered (marjoram_gateway *gateway, int64_t now,
-                                  const char *id,
+                                  uint64_t call, const char *id,
                                   const struct marjoram_stream_origin *origin)
 {
   struct marjoram_exchange *exchange;
@@ -191,7 +191,8 @@
   HASH_ITER (by_call, gateway->by_call, exchange, next)
   {
     if (awaits_origin (exchange)
-        && strcmp (exchange->metadata.resumes, id) == 0)
+        && strcmp (exchange->metadata.resumes, id) == 0
+        && (origin || call == 0 || call == exchange->call))
       receive_origin (gateway, exchange, now, origin);
   }
 }
--- a/src/keeper_role.c
+++ b/src/keeper_role.c
@@ -357,7 +357,7 @@
                const char *host, uint64_t session,
                const struct marjoram_stream_ask *ask)
 {
-  struct marjoram_stream_answer answer = { .id = ask->id };
+  struct marjoram_stream_answer answer = { .id = ask->id, .call = ask->call };
 
   if (!ask->id)
     return;
--- a/test/lib_demand.c
+++ b/test/lib_demand.c
@@ -311,9 +311,10 @@
 }
 
 static size_t
-op_ask_origin (void *context, const char *id)
+op_ask_origin (void *context, uint64_t call, const char *id)
 {
   (void)context;
+  (void)call;
   (void)id;
   return 0;
 }
--- a/test/lib_gateway.c
+++ b/test/lib_gateway.c
@@ -216,10 +216,11 @@
 }
 
 static size_t
-op_ask_origin (void *context, const char *id)
+op_ask_origin (void *context, uint64_t call, const char *id)
 {
   struct gateway_fixture *f = context;
 
+  (void)call;
   snprintf (f->seen.asked_id, sizeof f->seen.asked_id, "%s", id);
   return f->keepers;
 }
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -142,7 +142,7 @@
 {
   const struct marjoram_stream_origin origin = { "lm", build };
 
-  marjoram_gateway_origin_answered (f.gateway, now, id,
+  marjoram_gateway_origin_answered (f.gateway, now, f.calls, id,
                                     build ? &origin : NULL);
 }
 
@@ -244,13 +244,16 @@
    later one, which keepers asked in the meantime can answer.  */
 START_TEST (answers_count_for_the_question_that_they_answer)
 {
+  uint64_t former;
+
   gateway_fixture_take_up (&f, 0, "/ask/x", "first");
-  marjoram_gateway_caller_disconnected (f.gateway, 190, f.calls);
+  former = f.calls;
+  marjoram_gateway_caller_disconnected (f.gateway, 190, former);
   gateway_fixture_take_up (&f, 200, "/ask/x", "first");
   for (int i = 0; i < 3; i++)
-    marjoram_gateway_origin_answered (f.gateway, 210, "first", NULL);
+    marjoram_gateway_origin_answered (f.gateway, 210, former, "first", NULL);
   ck_assert_int_eq (f.seen.refusals, 0);
-  marjoram_gateway_origin_answered (f.gateway, 300, "first", "v1");
+  answer (300, "first", "v1");
   ck_assert_int_eq (f.seen.sends, 1);
   ck_assert (went_to ("10.0.0.1:80"));
 }
@@ -281,7 +284,7 @@
   const struct marjoram_stream_origin origin = { "app", "v1" };
 
   gateway_fixture_take_up (&f, 0, "/ask/x", "first");
-  marjoram_gateway_origin_answered (f.gateway, 2, "first", &origin);
+  marjoram_gateway_origin_answered (f.gateway, 2, f.calls, "first", &origin);
   ck_assert_int_eq (f.seen.sends, 0);
   ck_assert_int_eq (f.seen.refusals, 1);
   ck_assert_int_eq (f.seen.why.reason, MARJORAM_REASON_CONFIG_CHANGED);
@@ -295,7 +298,7 @@
   const struct marjoram_stream_origin origin = { NULL, "v1" };
 
   gateway_fixture_take_up (&f, 0, "/ask/x", "first");
-  marjoram_gateway_origin_answered (f.gateway, 2, "first", &origin);
+  marjoram_gateway_origin_answered (f.gateway, 2, f.calls, "first", &origin);
   ck_assert (went_to ("10.0.0.1:80"));
 }
 END_TEST
