--- a/src/host_list.c
+++ b/src/host_list.c
@@ -318,8 +318,7 @@
                const struct marjoram_host_beat *heartbeat)
 {
   return !marjoram_host_list_alive (host, now)
-         || (host->heartbeat.offers.count > 0)
-                != (heartbeat->offers.count > 0)
+         || (host->heartbeat.offers.count > 0) != (heartbeat->offers.count > 0)
          || host->heartbeat.offers_nothing != heartbeat->offers_nothing;
 }
 
