Heads of messages are checked against the grammar of HTTP/1.1

Callers saw answers with status 000, 20 or 999, with lines that are no field passed on, and with bodies that were not the upstream's.

Cause: http_parser, as Debian builds it, accepts any number as a status, any version, blanks in names of fields, and lines that continue the one before. "Content Length: 4" or a folded "Content-Length: 4" then states no length, so that the body ends with the connection; "Transfer Encoding: chunked" makes the chunks' headers part of the body.

Change: the reader feeds the parser one header section at a time, through head_syntax, which follows RFC 9112: status from 100 to 599 with three digits, names that are tokens, no folded lines, no control bytes. An answer that fails is broken, as one that the parser rejects: nothing of it is passed on, and the request may have run. The same reader reads requests, where such lines get 400; before, "X More: 1" was taken.

--- a/src/http_reader.c
+++ b/src/http_reader.c
@@ -1,6 +1,7 @@
 #include "http_reader.h"
 
 #include "cleanup.h"
+#include "head_syntax.h"
 
 #include <string.h>
 
@@ -27,6 +28,8 @@
   struct text value;
   bool in_value;
   struct marjoram_header_list headers;
+  struct marjoram_head_syntax syntax; /* of the current message */
+  bool in_head;
   size_t head_size;
   size_t head_limit;
   enum marjoram_http_read_result result;
@@ -149,6 +152,7 @@
 
   if (finish_header (reader) != 0)
     return -1;
+  reader->in_head = false;
   if (!reader->ops->head (reader->context, &skip_body))
     {
       stop (reader, MARJORAM_HTTP_STOPPED);
@@ -167,13 +171,24 @@
   return stop (reader, MARJORAM_HTTP_STOPPED);
 }
 
+static void
+expect_head (marjoram_http_reader *reader)
+{
+  reader->in_head = true;
+  marjoram_head_syntax_start (&reader->syntax,
+                              reader->parser.type == HTTP_RESPONSE);
+}
+
+/* Pauses the parser, as what follows is a header section again.  */
 static int
 on_complete (http_parser *parser)
 {
   marjoram_http_reader *reader = reader_of (parser);
 
+  expect_head (reader);
   if (!reader->ops->complete (reader->context))
-    http_parser_pause (parser, 1);
+    reader->result = MARJORAM_HTTP_STOPPED;
+  http_parser_pause (parser, 1);
   return 0;
 }
 
@@ -199,6 +214,7 @@
   reader->ops = ops;
   reader->context = context;
   reader->head_limit = DEFAULT_HEAD_LIMIT;
+  expect_head (reader);
   return reader;
 }
 
@@ -228,7 +244,7 @@
   if (error == HPE_PAUSED)
     {
       http_parser_pause (&reader->parser, 0);
-      return MARJORAM_HTTP_STOPPED;
+      error = HPE_OK;
     }
   if (reader->result != MARJORAM_HTTP_READ_OK)
     return reader->result;
@@ -240,21 +256,49 @@
                                                     : MARJORAM_HTTP_MALFORMED;
 }
 
+/* Parses a part of DATA that is within one header section or body, after which
+   another call may be needed.  Sets USED to its size.  */
+static enum marjoram_http_read_result
+parse_part (marjoram_http_reader *reader, const char *data, size_t size,
+            size_t *used)
+{
+  enum marjoram_http_read_result result;
+
+  *used = 0;
+  if (reader->in_head)
+    size = marjoram_head_syntax_feed (&reader->syntax, data, size);
+  /* The parser would take no bytes for the end of the stream.  */
+  if (size == 0)
+    return MARJORAM_HTTP_MALFORMED;
+  *used = http_parser_execute (&reader->parser, &settings, data, size);
+  result = read_result (reader);
+  if (result == MARJORAM_HTTP_READ_OK
+      && reader->syntax.state == MARJORAM_HEAD_INVALID)
+    return MARJORAM_HTTP_MALFORMED;
+  return result;
+}
+
 enum marjoram_http_read_result
 marjoram_http_reader_feed (marjoram_http_reader *reader,
                            struct evbuffer *input)
 {
-  size_t size = evbuffer_get_length (input);
+  const size_t size = evbuffer_get_length (input);
   const char *data;
-  size_t used;
+  size_t used = 0;
 
   if (size == 0)
     return MARJORAM_HTTP_READ_OK;
   data = (const char *)evbuffer_pullup (input, -1);
   reader->result = MARJORAM_HTTP_READ_OK;
-  used = http_parser_execute (&reader->parser, &settings, data, size);
+  while (used < size && reader->result == MARJORAM_HTTP_READ_OK)
+    {
+      size_t part;
+
+      reader->result = parse_part (reader, data + used, size - used, &part);
+      used += part;
+    }
   evbuffer_drain (input, used);
-  return read_result (reader);
+  return reader->result;
 }
 
 enum marjoram_http_read_result
--- a/test/fake_flood.c
+++ b/test/fake_flood.c
@@ -1,6 +1,7 @@
-/* Fake upstream that answers each request with bytes without end.  The last
-   part of the request's path names what is sent; see kinds.  Logs how much was
-   sent when the caller closes the connection.  */
+/* Fake upstream that answers each request with bytes without end, or with a
+   broken head and the end of the connection.  The last part of the request's
+   path names what is sent; see kinds.  Logs how much was sent when the caller
+   closes the connection.  */
 #include "cleanup.h"
 #include "header_list.h"
 #include "http_reader.h"
@@ -24,12 +25,14 @@
 #define OWN                                                                   \
   "Marjoramproxy-Attempt-Id: %s\r\nMarjoramproxy-Response-Seal: s\r\n"
 #define EVENTS "Content-Type: text/event-stream\r\n"
+#define BODY "Content-Length: 4\r\n\r\nbody"
 #define CHUNKS "Transfer-Encoding: chunked\r\n"
 #define TEXT_32 "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
 #define LINES_32                                                              \
   "\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n"
 
-/* START, in which %s is the request's id, is sent once, then REPEATED.  */
+/* START, in which %s is the request's id, is sent once, then REPEATED or, if
+   that is null, the end of the connection.  */
 static const struct kind
 {
   const char *name;
@@ -71,6 +74,35 @@
     "20\r\n" LINES_32 "\r\n" },
   { "events", "HTTP/1.1 200 OK\r\n" OWN EVENTS CHUNKS "\r\n",
     "9\r\ndata: a\n\n\r\n" },
+  { "status-000", "HTTP/1.1 000 OK\r\n" OWN BODY, NULL },
+  { "status-20", "HTTP/1.1 20 OK\r\n" OWN BODY, NULL },
+  { "status-999", "HTTP/1.1 999 OK\r\n" OWN BODY, NULL },
+  { "length-sign", "HTTP/1.1 200 OK\r\n" OWN "Content-Length: +4\r\n\r\nbody",
+    NULL },
+  { "length-name", "HTTP/1.1 200 OK\r\n" OWN "Content Length: 4\r\n\r\nbo",
+    NULL },
+  { "length-folded",
+    "HTTP/1.1 200 OK\r\n" OWN "X-More: 1\r\n Content-Length: 4\r\n\r\nbo",
+    NULL },
+  { "coding-name",
+    "HTTP/1.1 200 OK\r\n" OWN
+    "Transfer Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    NULL },
+  { "line", "HTTP/1.1 200 OK\r\n" OWN "what is this\r\n" BODY, NULL },
+  { "name-blank", "HTTP/1.1 200 OK\r\n" OWN "X More: 1\r\n" BODY, NULL },
+  { "name-control", "HTTP/1.1 200 OK\r\n" OWN "X-\001More: 1\r\n" BODY, NULL },
+  { "head-cut", "HTTP/1.1 200 OK\r\n" OWN "Content-Le", NULL },
+  { "head-cut-line", "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 4\r\n", NULL },
+  { "head-cut-interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" OWN,
+    NULL },
+  { "events-name",
+    "HTTP/1.1 200 OK\r\n" OWN EVENTS "X More: 1\r\n" CHUNKS
+    "\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n",
+    NULL },
+  { "events-status",
+    "HTTP/1.1 000 OK\r\n" OWN EVENTS CHUNKS
+    "\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n",
+    NULL },
 };
 
 struct connection
@@ -108,9 +140,9 @@
 {
   struct evbuffer *output = bufferevent_get_output (connection->bev);
   const char *repeated = connection->kind->repeated;
-  const size_t size = strlen (repeated);
+  const size_t size = repeated ? strlen (repeated) : 0;
 
-  while (evbuffer_get_length (output) < READY)
+  while (repeated && evbuffer_get_length (output) < READY)
     {
       evbuffer_add (output, repeated, size);
       connection->sent += size;
@@ -172,9 +204,11 @@
 {
   struct connection *connection = context;
 
-  (void)bev;
-  if (connection->kind)
-    fill (connection);
+  if (!connection->kind)
+    return;
+  fill (connection);
+  if (evbuffer_get_length (bufferevent_get_output (bev)) == 0)
+    destroy (connection);
 }
 
 static void
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -246,6 +246,10 @@
     "GET / HTTP/1.1\r\n\r\n",
     "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
     "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: x\r\nX More: 1\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: x\r\nContent Length: 3\r\n\r\nabc",
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc",
+    "POST / HTTP/1.1\r\nHost: x\r\nX: 1\r\n Content-Length: 3\r\n\r\nabc",
     "nonsense\r\n\r\n",
   };
 
