Answers state the length of their body in one valid way or not at all

Callers saw whole answers with status 200 whose body had the headers of the upstream's chunks in it.

Cause: a Transfer-Encoding other than chunked, for example "chXnked", makes http_parser read the body until the connection ends; "gzip, chunked" is passed on without its coding.

Change: the client takes a head only if it has no Content-Length and no Transfer-Encoding, or one of them with a value that is a number, or "chunked". Other answers are broken.

--- a/src/header.c
+++ b/src/header.c
@@ -7,6 +7,11 @@
 #include <strings.h>
 #include <sys/queue.h>
 
+enum
+{
+  LENGTH_DIGITS_MAX = 18 /* those of a number of 64 bits */
+};
+
 bool
 marjoram_header_is_forwarded (const char *name)
 {
@@ -49,6 +54,25 @@
   return count;
 }
 
+bool
+marjoram_header_is_length (const char *value)
+{
+  const size_t digits = strspn (value, "0123456789");
+
+  return digits > 0 && digits <= LENGTH_DIGITS_MAX
+         && value[digits + strspn (value + digits, " \t")] == '\0';
+}
+
+bool
+marjoram_header_is_chunked (const char *value)
+{
+  static const char chunked[] = "chunked";
+  const size_t size = strlen (chunked);
+
+  return strncasecmp (value, chunked, size) == 0
+         && value[size + strspn (value + size, " \t")] == '\0';
+}
+
 bool
 marjoram_headers_fit_frame (const struct evkeyvalq *headers)
 {
--- a/src/header.h
+++ b/src/header.h
@@ -1,4 +1,5 @@
-/* Filtering and size limits of forwarded HTTP headers.  */
+/* Filtering and size limits of forwarded HTTP headers, and values that state
+   the length of a body.  */
 #ifndef MARJORAM_HEADER_H
 #define MARJORAM_HEADER_H
 
@@ -13,6 +14,10 @@
    the last one, if any.  */
 size_t marjoram_header_count (const struct evkeyvalq *headers,
                               const char *name, const char **value);
+/* Whether VALUE, of a Content-Length, is a number and nothing else.  */
+bool marjoram_header_is_length (const char *value);
+/* Whether VALUE, of a Transfer-Encoding, is the chunked coding alone.  */
+bool marjoram_header_is_chunked (const char *value);
 /* Whether the forwarded headers are within the limits of a frame.  */
 bool marjoram_headers_fit_frame (const struct evkeyvalq *headers);
 
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -3,6 +3,7 @@
 #include "carried_ids.h"
 #include "cleanup.h"
 #include "frame.h"
+#include "header.h"
 #include "http_reader.h"
 #include "socket_option.h"
 
@@ -151,6 +152,22 @@
   return seconds * SECOND_MS - IDLE_TIMEOUT_MARGIN_MS;
 }
 
+/* Whether the length of the body is stated in one way that all readers agree
+   on, or not at all.  */
+static bool
+is_framing_valid (const struct marjoram_header_list *headers)
+{
+  const char *length = marjoram_header_list_get (headers, "Content-Length");
+  const char *coding = marjoram_header_list_get (headers, "Transfer-Encoding");
+
+  if (marjoram_header_list_count (headers, "Content-Length")
+          + marjoram_header_list_count (headers, "Transfer-Encoding")
+      > 1)
+    return false;
+  return (!length || marjoram_header_is_length (length))
+         && (!coding || marjoram_header_is_chunked (coding));
+}
+
 static bool
 on_head (void *context, bool *skip_body)
 {
@@ -167,7 +184,7 @@
       = marjoram_http_reader_is_close_delimited (connection->reader);
   if (connection->interim)
     return true;
-  if (!connection->attempt)
+  if (!connection->attempt || !is_framing_valid (headers))
     return false;
   connection->reusable
       = http_should_keep_alive (parser) && !connection->close_delimited;
--- a/test/fake_flood.c
+++ b/test/fake_flood.c
@@ -84,6 +84,10 @@
   { "length-folded",
     "HTTP/1.1 200 OK\r\n" OWN "X-More: 1\r\n Content-Length: 4\r\n\r\nbo",
     NULL },
+  { "coding",
+    "HTTP/1.1 200 OK\r\n" OWN
+    "Transfer-Encoding: chXnked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    NULL },
   { "coding-name",
     "HTTP/1.1 200 OK\r\n" OWN
     "Transfer Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
@@ -95,6 +99,10 @@
   { "head-cut-line", "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 4\r\n", NULL },
   { "head-cut-interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" OWN,
     NULL },
+  { "events-coding",
+    "HTTP/1.1 200 OK\r\n" OWN EVENTS
+    "Transfer-Encoding: chXnked\r\n\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n",
+    NULL },
   { "events-name",
     "HTTP/1.1 200 OK\r\n" OWN EVENTS "X More: 1\r\n" CHUNKS
     "\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n",
--- a/test/test_broken_answer.c
+++ b/test/test_broken_answer.c
@@ -67,6 +67,16 @@
   TEXT (OK LENGTH "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
   TEXT (OK "Transfer-Encoding: chunked\r\n" LENGTH
            "\r\n4\r\nbody\r\n0\r\n\r\n"),
+  TEXT (OK "Transfer-Encoding: chXnked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+  TEXT (OK "Transfer-Encoding: chun\001ked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+  TEXT (OK "Transfer-Encoding: chunk ed\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+  TEXT (OK "Transfer-Encoding:\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+  TEXT (OK "Transfer-Encoding: identity\r\n\r\nbody"),
+  TEXT (OK "Transfer-Encoding: gzip, chunked\r\n\r\n"
+           "4\r\nbody\r\n0\r\n\r\n"),
+  TEXT (OK "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "4\r\nbody\r\n0\r\n\r\n"),
+  TEXT (OK "Transfer-Encoding: chunked, x\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
   /* Lines that are no field.  */
   TEXT (OK "Content-Length 4\r\n\r\nbody"),
   TEXT (OK "what is this\r\n\r\nbody"),
