Zone hosts check the heads of answers as entry hosts do

Callers of zone hosts saw answers with a status such as 20 or -200, and lines whose names hold blanks or control bytes passed on. A length that evhttp rejects after the head ("4x") cut an answer whose head had been passed on. A refusal in such a head proved that its request had not run.

Cause: evhttp reads a status with atoi, takes any text before a colon for a name, joins folded lines and trims a value at a NUL.

Change: the bytes of a response are checked by head_syntax as they come, before evhttp reads them, as it keeps no raw head. A head that fails is not the request's own: it is not passed on and proves nothing. A length has to be a number.

--- a/src/upstream.c
+++ b/src/upstream.c
@@ -1,6 +1,7 @@
 #include "upstream.h"
 
 #include "cleanup.h"
+#include "head_syntax.h"
 #include "header.h"
 #include "upstream_call.h"
 #include "keepalive.h"
@@ -24,6 +25,8 @@
   PROBE_TIMEOUT_MSEC = 500,
   HEADERS_BYTES_MAX = 64 * 1024,
   ADDRESS_MAX = 64,
+  HEAD_PIECE = 1024, /* bytes of a head that are checked at once */
+  INTERIM = 1,       /* status class 1xx */
   STATUS_TOO_MANY = 429,
   HTTP_BADGATEWAY = 502,
   HTTP_GATEWAYTIMEOUT = 504
@@ -43,12 +46,13 @@
   bool sent;        /* part of the request was written to the socket */
   bool framed;      /* the head is valid and the end of the body detectable */
   bool unframed;    /* the response head was rejected */
-  bool own;         /* the response belongs to this request */
+  bool own;         /* the head is valid and belongs to this request */
   bool refused;     /* the response says that the request was not run */
   bool unavailable; /* the status says that the upstream can't serve it now */
   bool reused;      /* the connection carried an earlier request */
   bool reusable;
   char id[MARJORAM_KEY_MAX + 1];
+  struct marjoram_head_syntax syntax; /* of the response */
 };
 
 struct attempt
@@ -98,6 +102,51 @@
     exchange->sent = true;
 }
 
+/* Checks the SIZE bytes of INPUT from START on, up to the end of the head.  */
+static void
+check_head (struct exchange *exchange, struct evbuffer *input, size_t start,
+            size_t size)
+{
+  char data[HEAD_PIECE];
+
+  while (size > 0 && exchange->syntax.state != MARJORAM_HEAD_END
+         && exchange->syntax.state != MARJORAM_HEAD_INVALID)
+    {
+      const size_t piece = size < sizeof data ? size : sizeof data;
+      struct evbuffer_ptr position;
+      size_t used;
+
+      evbuffer_ptr_set (input, &position, start, EVBUFFER_PTR_SET);
+      evbuffer_copyout_from (input, &position, data, piece);
+      used = marjoram_head_syntax_feed (&exchange->syntax, data, piece);
+      start += used;
+      size -= used;
+      if (exchange->syntax.state == MARJORAM_HEAD_END
+          && exchange->syntax.status / 100 == INTERIM)
+        marjoram_head_syntax_start (&exchange->syntax, true);
+    }
+}
+
+/* Sees the bytes of a response before evhttp, which keeps none of its head and
+   is not strict.  */
+static void
+on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+          void *context)
+{
+  check_head (context, buffer, info->orig_size - info->n_deleted,
+              info->n_added);
+}
+
+static void
+unwatch (struct exchange *exchange)
+{
+  struct bufferevent *bev
+      = evhttp_connection_get_bufferevent (exchange->connection);
+
+  evbuffer_remove_cb (bufferevent_get_output (bev), on_output, exchange);
+  evbuffer_remove_cb (bufferevent_get_input (bev), on_input, exchange);
+}
+
 /* Frees EXCHANGE after its request has ended; KEEP returns the connection to
    the keep-alive pool.  Otherwise the event loop frees the connection later,
    since this may be called from one of its callbacks.  */
@@ -105,10 +154,7 @@
 exchange_destroy (marjoram_upstreams *upstreams, struct exchange *exchange,
                   bool keep)
 {
-  struct evbuffer *output = bufferevent_get_output (
-      evhttp_connection_get_bufferevent (exchange->connection));
-
-  evbuffer_remove_cb (output, on_output, exchange);
+  unwatch (exchange);
   if (keep)
     marjoram_keepalive_put (upstreams->keepalive, exchange->connection,
                             exchange->address);
@@ -121,10 +167,7 @@
 static void
 exchange_cancel (marjoram_upstreams *upstreams, struct exchange *exchange)
 {
-  struct evbuffer *output = bufferevent_get_output (
-      evhttp_connection_get_bufferevent (exchange->connection));
-
-  evbuffer_remove_cb (output, on_output, exchange);
+  unwatch (exchange);
   if (exchange->request)
     evhttp_cancel_request (exchange->request);
   /* Cancelling the request does not free the connection.  */
@@ -166,8 +209,10 @@
   if (lengths + codings > 1 || !marjoram_headers_fit_frame (headers))
     return false;
   if (codings == 1)
-    return strcasecmp (value, "chunked") == 0;
-  return lengths == 1 || status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED
+    return marjoram_header_is_chunked (value);
+  if (lengths == 1)
+    return marjoram_header_is_length (value);
+  return status == HTTP_NOCONTENT || status == HTTP_NOTMODIFIED
          || evhttp_request_get_command (request) == EVHTTP_REQ_HEAD;
 }
 
@@ -247,7 +292,8 @@
   struct exchange *exchange = context;
   struct attempt *attempt = exchange->attempt;
 
-  exchange->own = is_own_response (exchange, request);
+  exchange->own = exchange->syntax.state == MARJORAM_HEAD_END
+                  && is_own_response (exchange, request);
   if (exchange->resume
       && evhttp_request_get_response_code (request) != HTTP_OK)
     return 0;
@@ -397,14 +443,15 @@
                  const char *address, const char *id)
 {
   struct exchange *exchange = marjoram_alloc (sizeof *exchange);
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (connection);
 
   exchange->attempt = attempt;
   exchange->connection = connection;
   snprintf (exchange->address, sizeof exchange->address, "%s", address);
   snprintf (exchange->id, sizeof exchange->id, "%s", id);
-  evbuffer_add_cb (
-      bufferevent_get_output (evhttp_connection_get_bufferevent (connection)),
-      on_output, exchange);
+  marjoram_head_syntax_start (&exchange->syntax, true);
+  evbuffer_add_cb (bufferevent_get_output (bev), on_output, exchange);
+  evbuffer_add_cb (bufferevent_get_input (bev), on_input, exchange);
   exchange->request = evhttp_request_new (on_done, exchange);
   evhttp_request_set_header_cb (exchange->request, on_header);
   evhttp_request_set_chunked_cb (exchange->request, on_chunk);
--- a/test/test_broken_answer.c
+++ b/test/test_broken_answer.c
@@ -1,11 +1,12 @@
-/* Tests that answers whose head is broken are not taken for answers, by entry
-   hosts.  */
+/* Tests that answers whose head is broken are not taken for answers, by the
+   hosts of both kinds.  */
 #include "suite.h"
 
 #include "cleanup.h"
 #include "clock.h"
 #include "http_client.h"
 #include "lib_script_server.h"
+#include "upstream.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -337,11 +338,149 @@
 }
 END_TEST
 
+/* ---- Zone hosts.  ---- */
+
+static marjoram_upstreams *upstreams;
+static bool ended;
+static int failure; /* -1: none */
+
+static void
+on_head (void *context, uint64_t attempt, const struct marjoram_head *head)
+{
+  (void)context;
+  (void)attempt;
+  (void)head;
+  heads++;
+}
+
+static void
+on_data (void *context, uint64_t attempt, marjoram_bytes *bytes)
+{
+  (void)context;
+  (void)attempt;
+  add_data (marjoram_bytes_data (bytes), marjoram_bytes_size (bytes));
+}
+
+static void
+on_end (void *context, uint64_t attempt)
+{
+  (void)context;
+  (void)attempt;
+  ended = true;
+  leave_soon ();
+}
+
+static void
+on_failed (void *context, uint64_t attempt, enum marjoram_run_failure what)
+{
+  (void)context;
+  (void)attempt;
+  failure = (int)what;
+  leave_soon ();
+}
+
+static const struct marjoram_upstreams_ops ops
+    = { .head = on_head, .data = on_data, .end = on_end, .failed = on_failed };
+
+static void
+zone_setup (void)
+{
+  setup ();
+  upstreams = marjoram_upstreams_create (base, &ops, NULL);
+}
+
+static void
+zone_teardown (void)
+{
+  marjoram_upstreams_destroy (upstreams);
+  teardown ();
+}
+
+static void
+run (size_t size)
+{
+  struct marjoram_array headers = { 0 };
+  char *text = marjoram_alloc (size);
+  marjoram_bytes *body = marjoram_bytes_create (text, size);
+  const struct marjoram_run what = { .address = script_server_address (server),
+                                     .id = "id",
+                                     .method = "POST",
+                                     .path = "/",
+                                     .headers = &headers,
+                                     .body = body };
+
+  heads = 0;
+  ended = false;
+  failure = -1;
+  memset (data, 0, sizeof data);
+  marjoram_upstreams_run (upstreams, 1, &what);
+  marjoram_bytes_release (body);
+  free (text);
+  run_loop ();
+}
+
+/* Guards against an answer with a broken head reaching a caller.  */
+START_TEST (broken_head_is_no_answer_to_zone_hosts)
+{
+  const struct text *text = &broken_heads[_i];
+
+  script_server_set (server, text->data, text->size, SCRIPT_CLOSE);
+  run (4);
+  ck_assert_msg (failure >= 0 && !ended && heads == 0,
+                 "%s, %d heads, body \"%s\" of %s", ended ? "ended" : "open",
+                 heads, data, text->data);
+}
+END_TEST
+
+/* Guards against proof that a request did not run being read from a broken
+   head.  */
+START_TEST (broken_refusal_proves_nothing_to_zone_hosts)
+{
+  static const char text[] = "HTTP/1.1 503 Busy\r\n" OWN "Marjoram-Not-Run: "
+                             "yes\r\nContent-Length: 0\r\n%s\r\n";
+  char answer[256];
+
+  snprintf (answer, sizeof answer, text, _i == 0 ? "" : "X More: 1\r\n");
+  script_server_set (server, answer, strlen (answer), SCRIPT_CLOSE);
+  run (4);
+  ck_assert_int_eq (failure,
+                    _i == 0 ? MARJORAM_RUN_REFUSED : MARJORAM_RUN_UNAVAILABLE);
+}
+END_TEST
+
+START_TEST (whole_answer_is_passed_on_by_zone_hosts)
+{
+  const struct text *text = &whole_answers[_i];
+
+  script_server_set (server, text->data, text->size, SCRIPT_KEEP);
+  run (4);
+  ck_assert (ended);
+  ck_assert_int_eq (heads, 1);
+  ck_assert_str_eq (data, "body");
+}
+END_TEST
+
+/* Guards against a reset during an upload being taken for the end of an answer
+   without a length.  */
+START_TEST (reset_during_an_upload_ends_no_answer_to_zone_hosts)
+{
+  static const char text[] = "HTTP/1.1 200 OK\r\n" OWN "\r\npart";
+
+  script_server_set (server, text, strlen (text), SCRIPT_RESET);
+  for (int i = 0; i < UPLOADS; i++)
+    {
+      run (UPLOAD_BYTES);
+      ck_assert (failure >= 0 && !ended && heads == 0);
+    }
+}
+END_TEST
+
 Suite *
 suite (void)
 {
   Suite *all = suite_create ("broken_answer");
   TCase *entry = tcase_create ("entry");
+  TCase *zone = tcase_create ("zone");
 
   tcase_add_checked_fixture (entry, client_setup, client_teardown);
   tcase_set_timeout (entry, 2 * LIMIT_S);
@@ -349,5 +488,15 @@
   tcase_add_loop_test (entry, whole_answer_is_passed_on, 0, WHOLE_ANSWERS);
   tcase_add_test (entry, reset_during_an_upload_ends_no_answer);
   suite_add_tcase (all, entry);
+  tcase_add_checked_fixture (zone, zone_setup, zone_teardown);
+  tcase_set_timeout (zone, 2 * LIMIT_S);
+  tcase_add_loop_test (zone, broken_head_is_no_answer_to_zone_hosts, 0,
+                       BROKEN_HEADS);
+  tcase_add_loop_test (zone, broken_refusal_proves_nothing_to_zone_hosts, 0,
+                       2);
+  tcase_add_loop_test (zone, whole_answer_is_passed_on_by_zone_hosts, 0,
+                       WHOLE_ANSWERS);
+  tcase_add_test (zone, reset_during_an_upload_ends_no_answer_to_zone_hosts);
+  suite_add_tcase (all, zone);
   return all;
 }
