--- a/test/lib_script_server.c
+++ b/test/lib_script_server.c
@@ -13,7 +13,8 @@
 
 enum
 {
-  ADDRESS_SIZE = 32
+  ADDRESS_SIZE = 32,
+  RESET_US = 10000 /* for the answer to be read before */
 };
 
 struct peer
@@ -21,6 +22,7 @@
   TAILQ_ENTRY (peer) link;
   struct script_server *server;
   struct bufferevent *bev;
+  struct event *reset;
 };
 
 struct script_server
@@ -40,23 +42,37 @@
 {
   TAILQ_REMOVE (&peer->server->peers, peer, link);
   bufferevent_free (peer->bev);
+  event_free (peer->reset);
   free (peer);
 }
 
-/* Sent at once, so that it is there when the connection is reset.  */
+static void
+on_reset (evutil_socket_t fd, short what, void *context)
+{
+  struct peer *peer = context;
+  const struct linger hard = { 1, 0 };
+
+  (void)fd;
+  (void)what;
+  setsockopt (bufferevent_getfd (peer->bev), SOL_SOCKET, SO_LINGER, &hard,
+              sizeof hard);
+  peer_destroy (peer);
+}
+
 static void
 answer (struct peer *peer)
 {
   const struct script_server *server = peer->server;
-  const int fd = bufferevent_getfd (peer->bev);
-  const struct linger hard = { 1, 0 };
+  const struct timeval soon = { 0, RESET_US };
 
-  if (send (fd, server->text, server->size, 0) < 0)
+  if (send (bufferevent_getfd (peer->bev), server->text, server->size, 0) < 0)
     perror ("send");
-  if (server->end == SCRIPT_RESET)
-    setsockopt (fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-  if (server->end != SCRIPT_KEEP)
+  if (server->end == SCRIPT_CLOSE)
     peer_destroy (peer);
+  if (server->end != SCRIPT_RESET)
+    return;
+  bufferevent_disable (peer->bev, EV_READ);
+  evtimer_add (peer->reset, &soon);
 }
 
 static void
@@ -93,6 +109,7 @@
   peer->server = server;
   peer->bev = bufferevent_socket_new (server->base, fd, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb (peer->bev, on_read, NULL, on_event, peer);
+  peer->reset = evtimer_new (server->base, on_reset, peer);
   bufferevent_enable (peer->bev, EV_READ | EV_WRITE);
   TAILQ_INSERT_TAIL (&server->peers, peer, link);
 }
--- a/test/lib_script_server.h
+++ b/test/lib_script_server.h
@@ -10,7 +10,7 @@
 {
   SCRIPT_KEEP,
   SCRIPT_CLOSE,
-  SCRIPT_RESET
+  SCRIPT_RESET /* soon, with the rest of the request unread */
 };
 
 struct script_server;
--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -17,7 +17,7 @@
   elif [ -f "api_test/$1.c" ]; then
     targets=$1
   else
-    targets="marjoramd marjoramctl fake_engine fake_replica tool_scenario \
+    targets="marjoramd marjoramctl fake_engine fake_flood fake_replica tool_scenario \
       tool_promises"
   fi
   # shellcheck disable=SC2086
