Lines of an answer's head end with CR LF

A head in which one CR was spoilt into LF ended early: what was left of it became the body, "Content-Length: 4\r\n\r\nbody" for instance, if the connection was closed. Found by spoiling each byte of a valid answer's head in turn.

Cause: both parsers take a bare LF for the end of a line, as RFC 9112 allows.

Change: head_syntax takes it so in requests only. A byte that is not valid is no longer given to the parser, which may see the end of the head in it.

--- a/src/head_syntax.c
+++ b/src/head_syntax.c
@@ -78,23 +78,32 @@
                              : MARJORAM_HEAD_REQUEST_LINE;
 }
 
+/* A line feed alone ends a line of a request only.  In a response, where a
+   spoilt CR would end the head early, it does not.  */
+static bool
+is_line_end (const struct marjoram_head_syntax *syntax, char c)
+{
+  return c == '\n' && !syntax->is_response;
+}
+
 /* Reads C, which belongs to a line unless it begins its end.  */
 static enum marjoram_head_state
-read_line (char c, enum marjoram_head_state state)
+read_line (const struct marjoram_head_syntax *syntax, char c,
+           enum marjoram_head_state state)
 {
   if (c == '\r')
     return MARJORAM_HEAD_LINE_FEED;
-  if (c == '\n')
+  if (is_line_end (syntax, c))
     return MARJORAM_HEAD_LINE;
   return is_text (c) ? state : MARJORAM_HEAD_INVALID;
 }
 
 static enum marjoram_head_state
-read_first_of_line (char c)
+read_first_of_line (const struct marjoram_head_syntax *syntax, char c)
 {
   if (c == '\r')
     return MARJORAM_HEAD_LAST_LINE_FEED;
-  if (c == '\n')
+  if (is_line_end (syntax, c))
     return MARJORAM_HEAD_END;
   return is_token (c) ? MARJORAM_HEAD_NAME : MARJORAM_HEAD_INVALID;
 }
@@ -119,14 +128,14 @@
     case MARJORAM_HEAD_STATUS_LINE:
       return read_status_line (syntax, c);
     case MARJORAM_HEAD_STATUS_END:
-      return c == '\r' || c == '\n' || c == ' '
-                 ? read_line (c, MARJORAM_HEAD_REASON)
+      return c == '\r' || c == ' '
+                 ? read_line (syntax, c, MARJORAM_HEAD_REASON)
                  : MARJORAM_HEAD_INVALID;
     case MARJORAM_HEAD_REASON:
     case MARJORAM_HEAD_VALUE:
-      return read_line (c, syntax->state);
+      return read_line (syntax, c, syntax->state);
     case MARJORAM_HEAD_LINE:
-      return read_first_of_line (c);
+      return read_first_of_line (syntax, c);
     case MARJORAM_HEAD_NAME:
       return read_name (c);
     case MARJORAM_HEAD_LINE_FEED:
@@ -144,8 +153,12 @@
 {
   size_t used = 0;
 
-  while (used < size && syntax->state != MARJORAM_HEAD_END
-         && syntax->state != MARJORAM_HEAD_INVALID)
-    syntax->state = read_byte (syntax, data[used++]);
+  while (used < size && syntax->state != MARJORAM_HEAD_END)
+    {
+      syntax->state = read_byte (syntax, data[used]);
+      if (syntax->state == MARJORAM_HEAD_INVALID)
+        break;
+      used++;
+    }
   return used;
 }
--- a/src/head_syntax.h
+++ b/src/head_syntax.h
@@ -36,8 +36,8 @@
 void marjoram_head_syntax_start (struct marjoram_head_syntax *syntax,
                                  bool is_response);
 /* Checks DATA up to the end of the header section or the first byte that is
-   invalid.  Returns the number of bytes checked.  Of a request line only the
-   end is looked for.  */
+   invalid.  Returns the number of bytes that are valid.  Of a request line
+   only the end is looked for.  */
 size_t marjoram_head_syntax_feed (struct marjoram_head_syntax *syntax,
                                   const char *data, size_t size);
 
