An answer without a length has to announce the end of its connection

Callers could get the chunks' headers of an answer as its body, or a part of a body as the whole, with status 200, if the name of the field that states the length is spoilt into another valid name: "Kransfer-Encoding: chunked" and the end of the connection.

Cause: an answer that states no length ends with its connection, whatever its head says of the connection.

Change: such an answer counts only if its head says that the connection ends, as RFC 9112 (9.6) asks of the sender: "Connection: close", or HTTP/1.0 without keep-alive. Else it is broken when its head has been read. An upstream that spoils its head says so only if it closes anyway; that case can't be told.

test_http response_without_length expected an answer without "Connection: close" to be complete; it checks now that it is broken, and four forms instead of one. The unlimited answers of fake_flood that have no length say close now, so that they are still read up to their limits.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -168,6 +168,16 @@
          && (!coding || marjoram_header_is_chunked (coding));
 }
 
+/* Whether the upstream ends the connection after this response, as it has to
+   say so that the end may stand for that of the body.  */
+static bool
+is_last_response (const struct http_parser *parser)
+{
+  if (parser->http_minor == 0)
+    return !(parser->flags & F_CONNECTION_KEEP_ALIVE);
+  return parser->flags & F_CONNECTION_CLOSE;
+}
+
 static bool
 on_head (void *context, bool *skip_body)
 {
@@ -184,7 +194,9 @@
       = marjoram_http_reader_is_close_delimited (connection->reader);
   if (connection->interim)
     return true;
-  if (!connection->attempt || !is_framing_valid (headers))
+  if (!connection->attempt || !is_framing_valid (headers)
+      || (connection->close_delimited && !connection->head_only
+          && !is_last_response (parser)))
     return false;
   connection->reusable
       = http_should_keep_alive (parser) && !connection->close_delimited;
--- a/test/fake_flood.c
+++ b/test/fake_flood.c
@@ -25,6 +25,7 @@
 #define OWN                                                                   \
   "Marjoramproxy-Attempt-Id: %s\r\nMarjoramproxy-Response-Seal: s\r\n"
 #define EVENTS "Content-Type: text/event-stream\r\n"
+#define CLOSE "Connection: close\r\n"
 #define BODY "Content-Length: 4\r\n\r\nbody"
 #define CHUNKS "Transfer-Encoding: chunked\r\n"
 #define TEXT_32 "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
@@ -53,7 +54,7 @@
   { "stray",
     "HTTP/1.1 200 OK\r\nMarjoramproxy-Attempt-Id: another\r\n" CHUNKS "\r\n",
     "4\r\nbody\r\n" },
-  { "body", "HTTP/1.1 200 OK\r\n" OWN "\r\n", "b" },
+  { "body", "HTTP/1.1 200 OK\r\n" OWN CLOSE "\r\n", "b" },
   { "length", "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 999999999999\r\n\r\n",
     "b" },
   { "chunks", "HTTP/1.1 200 OK\r\n" OWN CHUNKS "\r\n",
@@ -64,8 +65,9 @@
   { "trailers", "HTTP/1.1 200 OK\r\n" OWN CHUNKS "\r\n0\r\n",
     "X-More: 1\r\n" },
   { "refusal",
-    "HTTP/1.1 503 Busy\r\n" OWN "Marjoramproxy-Not-Executed: 1\r\n\r\n", "b" },
-  { "failure", "HTTP/1.1 500 Failed\r\n" OWN "\r\n", "b" },
+    "HTTP/1.1 503 Busy\r\n" OWN CLOSE "Marjoramproxy-Not-Executed: 1\r\n\r\n",
+    "b" },
+  { "failure", "HTTP/1.1 500 Failed\r\n" OWN CLOSE "\r\n", "b" },
   { "event", "HTTP/1.1 200 OK\r\n" OWN EVENTS CHUNKS "\r\n",
     "20\r\n" TEXT_32 "\r\n" },
   { "lines", "HTTP/1.1 200 OK\r\n" OWN EVENTS CHUNKS "\r\n",
@@ -92,6 +94,10 @@
     "HTTP/1.1 200 OK\r\n" OWN
     "Transfer Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
     NULL },
+  { "coding-other",
+    "HTTP/1.1 200 OK\r\n" OWN
+    "Kransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    NULL },
   { "line", "HTTP/1.1 200 OK\r\n" OWN "what is this\r\n" BODY, NULL },
   { "name-blank", "HTTP/1.1 200 OK\r\n" OWN "X More: 1\r\n" BODY, NULL },
   { "name-control", "HTTP/1.1 200 OK\r\n" OWN "X-\001More: 1\r\n" BODY, NULL },
--- a/test/test_broken_answer.c
+++ b/test/test_broken_answer.c
@@ -78,6 +78,9 @@
   TEXT (OK "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
            "4\r\nbody\r\n0\r\n\r\n"),
   TEXT (OK "Transfer-Encoding: chunked, x\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+  TEXT (OK "\r\nbody"),
+  TEXT (OK "Kontent-Length: 4\r\n\r\nbody"),
+  TEXT (OK "Kransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
   /* Lines that are no field.  */
   TEXT (OK "Content-Length 4\r\n\r\nbody"),
   TEXT (OK "what is this\r\n\r\nbody"),
@@ -328,7 +331,8 @@
    without a length.  */
 START_TEST (reset_during_an_upload_ends_no_answer)
 {
-  static const char text[] = "HTTP/1.1 200 OK\r\n\r\npart";
+  static const char text[]
+      = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart";
   char *upload = marjoram_alloc (UPLOAD_BYTES);
   const int used = snprintf (upload, UPLOAD_BYTES,
                              "POST / HTTP/1.1\r\nHost: x\r\n"
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -1061,17 +1061,29 @@
 }
 END_TEST
 
-/* A response without a length is complete after an orderly close, but not
-   after a reset.  */
+/* A response without a length is complete after an orderly close that its head
+   announces, but not after a reset.  */
 START_TEST (response_without_length)
 {
-  static const char response[] = "HTTP/1.1 200 OK\r\n\r\nhalf";
+  static const struct
+  {
+    const char *response;
+    enum marjoram_http_outcome outcome;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+      MARJORAM_HTTP_COMPLETE },
+    { "HTTP/1.0 200 OK\r\n\r\nhalf", MARJORAM_HTTP_COMPLETE },
+    { "HTTP/1.1 200 OK\r\n\r\nhalf", MARJORAM_HTTP_BROKEN },
+    { "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\nhalf",
+      MARJORAM_HTTP_BROKEN },
+  };
 
   close_after_response = true;
-  ck_assert_int_eq (exchange (response), MARJORAM_HTTP_COMPLETE);
-  ck_assert_str_eq (data, "half");
+  ck_assert_int_eq (exchange (cases[_i].response), cases[_i].outcome);
+  ck_assert_str_eq (data,
+                    cases[_i].outcome == MARJORAM_HTTP_COMPLETE ? "half" : "");
   reset_after_response = true;
-  ck_assert_int_eq (exchange (response), MARJORAM_HTTP_BROKEN);
+  ck_assert_int_eq (exchange (cases[_i].response), MARJORAM_HTTP_BROKEN);
 }
 END_TEST
 
@@ -1215,7 +1227,7 @@
   tcase_add_test (d, connection_with_too_many_ids_is_closed);
   tcase_add_loop_test (d, stated_idle_timeouts_are_limited, 0, 3);
   tcase_add_test (d, closed_connection_is_not_reused);
-  tcase_add_test (d, response_without_length);
+  tcase_add_loop_test (d, response_without_length, 0, 4);
   tcase_add_test (d, truncated_responses_are_broken);
   tcase_add_test (d, stale_response_is_skipped);
   tcase_add_test (d, trailing_bytes_close_the_connection);
