--- a/test/test_api_server.c
+++ b/test/test_api_server.c
@@ -237,7 +237,7 @@
   int sockets[SENDERS];
   int closed = 0;
 
-  marjoram_api_server_set_limit (server, SENDERS / 2 * BODY_BYTES);
+  marjoram_api_server_set_limit (server, (size_t)SENDERS / 2 * BODY_BYTES);
   for (int i = 0; i < SENDERS; i++)
     {
       connect_client ();
@@ -265,7 +265,7 @@
       = "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 10000\r\n\r\n";
   static const char body[BODY_BYTES];
 
-  marjoram_api_server_set_limit (server, 2 * BODY_BYTES);
+  marjoram_api_server_set_limit (server, (size_t)2 * BODY_BYTES);
   for (int i = 0; i < SENDERS; i++)
     {
       connect_client ();
--- a/test/test_broken_answer.c
+++ b/test/test_broken_answer.c
@@ -27,7 +27,7 @@
 
 #define TEXT(literal)                                                         \
   {                                                                           \
-    literal, sizeof literal - 1                                               \
+    literal, sizeof (literal) - 1                                             \
   }
 #define OWN "Marjoram-Request: id\r\n"
 #define LENGTH "Content-Length: 4\r\n"
