--- a/src/api_server.c
+++ b/src/api_server.c
@@ -29,7 +29,7 @@
 struct connection
 {
   marjoram_api_server *server;
-  struct bufferevent *bev; /* with a reference of this record */
+  struct bufferevent *bev; /* a reference, which outlives evhttp's */
   size_t received;         /* of a request that has not been read whole */
   bool is_given_up;
   int64_t not_before;  /* of its next request, as in the arrival */
--- a/src/head_syntax.c
+++ b/src/head_syntax.c
@@ -8,7 +8,7 @@
   DECIMAL = 10
 };
 
-/* 'd' stands for a digit and 's' for the first one of a status.  */
+/* 'd' stands for a digit and 's' for the first digit of the status.  */
 static const char status_line[] = "HTTP/1.d sdd";
 
 void
@@ -78,8 +78,8 @@
                              : MARJORAM_HEAD_REQUEST_LINE;
 }
 
-/* A line feed alone ends a line of a request only.  In a response, where a
-   spoilt CR would end the head early, it does not.  */
+/* A bare LF ends a line of a request only: in a response, a corrupted CR would
+   end the header section early.  */
 static bool
 is_line_end (const struct marjoram_head_syntax *syntax, char c)
 {
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -168,8 +168,9 @@
          && (!coding || marjoram_header_is_chunked (coding));
 }
 
-/* Whether the upstream ends the connection after this response, as it has to
-   say so that the end may stand for that of the body.  */
+/* Whether the head announces that the connection ends after this response.
+   Without it, a body without a length may have lost the header that stated
+   one.  */
 static bool
 is_last_response (const struct http_parser *parser)
 {
--- a/src/http_reader.c
+++ b/src/http_reader.c
@@ -179,7 +179,8 @@
                               reader->parser.type == HTTP_RESPONSE);
 }
 
-/* Pauses the parser, as what follows is a header section again.  */
+/* Pauses the parser, as the header section that follows has to be checked
+   before it is parsed.  */
 static int
 on_complete (http_parser *parser)
 {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -127,8 +127,8 @@
     }
 }
 
-/* Sees the bytes of a response before evhttp, which keeps none of its head and
-   is not strict.  */
+/* Called before evhttp reads the bytes; it accepts more than the grammar, and
+   does not keep them.  */
 static void
 on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
           void *context)
