--- a/src/api_server.c
+++ b/src/api_server.c
@@ -1,7 +1,6 @@
 #include "api_server.h"
 
 #include "cleanup.h"
-#include "event_log.h"
 #include "state.h"
 
 #include <errno.h>
@@ -19,6 +18,9 @@
 {
   HEAD_BYTES_MAX = 16 * 1024,
   CONNECTION_TIMEOUT_S = 10,
+  /* evhttp closes idle connections before, so that what is known of those
+     left can be forgotten.  */
+  FORGET_CONNECTION_MS = 3 * CONNECTION_TIMEOUT_S * 1000,
   FORGET_INTERVAL_MS = 1000,
   LISTENERS_MAX = 4,
   STATUS_TEMPORARY_REDIRECT = 307,
@@ -28,10 +30,8 @@
 /* A connection, from its acceptance on.  */
 struct connection
 {
-  marjoram_api_server *server;
-  struct bufferevent *bev; /* a reference, which outlives evhttp's */
-  size_t received;         /* of a request that has not been read whole */
-  bool is_given_up;
+  struct bufferevent *bev; /* only compared: it may have been freed */
+  int64_t active_at;
   int64_t not_before;  /* of its next request, as in the arrival */
   int requests;        /* answered */
   uint64_t request_id; /* to be answered; 0 if there is none */
@@ -54,8 +54,6 @@
   void *context;
   struct pending *pending;
   struct connection *connections;
-  size_t received; /* on all of them */
-  size_t received_max;
   uint64_t last_request_id;
   int listeners[LISTENERS_MAX];
   size_t listener_count;
@@ -90,111 +88,25 @@
   return connection;
 }
 
-static void
-set_received (struct connection *connection, size_t size)
-{
-  connection->server->received += size - connection->received;
-  connection->received = size;
-}
-
-static void on_input (struct evbuffer *input,
-                      const struct evbuffer_cb_info *info, void *context);
-
 static void
 forget_connection (marjoram_api_server *server, struct connection *connection)
 {
-  set_received (connection, 0);
-  evbuffer_remove_cb (bufferevent_get_input (connection->bev), on_input,
-                      connection);
-  bufferevent_decref (connection->bev);
   /* False positive: list macro.  NOLINTNEXTLINE(clang-analyzer-*) */
   HASH_DELETE (hh, server->connections, connection);
   free (connection);
 }
 
-/* Whether evhttp has freed the connection.  */
-static bool
-is_freed (const struct connection *connection)
-{
-  bufferevent_event_cb event = NULL;
-
-  bufferevent_getcb (connection->bev, NULL, NULL, &event, NULL);
-  return event == NULL;
-}
-
-static void
-forget_freed_connections (marjoram_api_server *server)
-{
-  struct connection *connection;
-  struct connection *next;
-
-  HASH_ITER (hh, server->connections, connection, next)
-  {
-    if (is_freed (connection))
-      forget_connection (server, connection);
-  }
-}
-
-static struct connection *
-find_largest (marjoram_api_server *server)
-{
-  struct connection *largest = server->connections;
-  struct connection *connection;
-  struct connection *next;
-
-  HASH_ITER (hh, server->connections, connection, next)
-  {
-    if (connection->received > largest->received)
-      largest = connection;
-  }
-  return largest;
-}
-
-/* Closes the connections with the largest requests if all requests that are
-   being read are too large together.  */
-static void
-bound_received (marjoram_api_server *server)
-{
-  if (server->received > server->received_max)
-    forget_freed_connections (server);
-  while (server->received > server->received_max)
-    {
-      struct connection *largest = find_largest (server);
-
-      marjoram_event (MARJORAM_EVENT_REJECT,
-                      "reason=requests-too-large bytes=%zu all=%zu",
-                      largest->received, server->received);
-      set_received (largest, 0);
-      largest->is_given_up = true;
-      /* Deferred, as evhttp may be using the connection.  */
-      bufferevent_trigger_event (largest->bev, BEV_EVENT_EOF,
-                                 BEV_TRIG_DEFER_CALLBACKS);
-    }
-}
-
-static void
-on_input (struct evbuffer *input, const struct evbuffer_cb_info *info,
-          void *context)
-{
-  struct connection *connection = context;
-
-  (void)input;
-  if (info->n_added == 0 || connection->is_given_up)
-    return;
-  set_received (connection, connection->received + info->n_added);
-  bound_received (connection->server);
-}
-
 static struct connection *
 add_connection (marjoram_api_server *server, struct bufferevent *bev,
                 int64_t not_before)
 {
-  struct connection *connection = marjoram_alloc (sizeof *connection);
+  struct connection *connection = find_connection (server, bev);
 
-  connection->server = server;
+  if (connection)
+    forget_connection (server, connection);
+  connection = marjoram_alloc (sizeof *connection);
   connection->bev = bev;
-  bufferevent_incref (bev);
-  evbuffer_add_cb (bufferevent_get_input (bev), on_input, connection);
+  connection->active_at = marjoram_clock_now (server->clock);
   connection->not_before = not_before;
   HASH_ADD_PTR (server->connections, bev, connection);
   return connection;
@@ -328,7 +240,6 @@
   marjoram_auto_free char *body = marjoram_alloc (size + 1);
   struct pending *pending = pending_create (server, req);
 
-  set_received (connection_of (server, req), 0);
   evbuffer_remove (input, body, size);
   /* The callback may send the response, which frees PENDING.  */
   server->ops->receive (server->context, pending->request_id,
@@ -347,7 +258,6 @@
   server->clock = clock;
   server->ops = ops;
   server->context = context;
-  server->received_max = SIZE_MAX;
   server->http = evhttp_new (base);
   if (!server->http)
     abort ();
@@ -364,12 +274,6 @@
   return server;
 }
 
-void
-marjoram_api_server_set_limit (marjoram_api_server *server, size_t bytes)
-{
-  server->received_max = bytes;
-}
-
 void
 marjoram_api_server_destroy (marjoram_api_server *server)
 {
@@ -423,8 +327,9 @@
 
   connection->requests++;
   connection->request_id = 0;
+  connection->active_at = marjoram_clock_now (server->clock);
   if (!has_unread_input (connection->bev))
-    connection->not_before = marjoram_clock_now (server->clock);
+    connection->not_before = connection->active_at;
   check_idle (server);
 }
 
@@ -503,14 +408,27 @@
   return true;
 }
 
-void
-marjoram_api_server_tick (marjoram_api_server *server)
+/* Connections without a request in progress, which may have been closed.  */
+static void
+forget_old_connections (marjoram_api_server *server, int64_t now)
 {
-  const int64_t now = marjoram_clock_now (server->clock);
+  struct connection *connection;
+  struct connection *next;
 
-  check_idle (server);
   if (now < server->forgot_at + FORGET_INTERVAL_MS)
     return;
   server->forgot_at = now;
-  forget_freed_connections (server);
+  HASH_ITER (hh, server->connections, connection, next)
+  {
+    if (connection->request_id == 0
+        && now >= connection->active_at + FORGET_CONNECTION_MS)
+      forget_connection (server, connection);
+  }
+}
+
+void
+marjoram_api_server_tick (marjoram_api_server *server)
+{
+  check_idle (server);
+  forget_old_connections (server, marjoram_clock_now (server->clock));
 }
--- a/src/api_server.h
+++ b/src/api_server.h
@@ -37,9 +37,6 @@
     struct event_base *base, struct marjoram_clock *clock,
     const struct marjoram_api_server_ops *ops, void *context);
 void marjoram_api_server_destroy (marjoram_api_server *server);
-/* Limits the bytes of all requests that have not been read whole.  Beyond it
-   the connections of the largest are closed.  Unlimited by default.  */
-void marjoram_api_server_set_limit (marjoram_api_server *server, size_t bytes);
 /* Adds a listener on ADDRESS (IP:port).  Returns false with ERR set on
    failure.  */
 bool marjoram_api_server_listen (marjoram_api_server *server,
--- a/src/gateway_daemon.c
+++ b/src/gateway_daemon.c
@@ -20,10 +20,6 @@
   SIGNALS = 3, /* SIGTERM, SIGINT, SIGHUP */
   TICK_MS = 25,
   IDLE_TICK_MS = 50, /* while no request is in progress */
-  MEGABYTE = 1024 * 1024,
-  /* Requests to the host's own interface take up one of these at most while
-     they are read.  */
-  API_MEMORY_SHARES = 4,
   /* Validity of host state relayed by keepers, which send it every 20 s.  */
   RELAYED_VALID_MS = 27000,
   SETTINGS_CHECK_MS = 1000,
@@ -425,9 +421,6 @@
     marjoram_host_list_set_relayed_valid (daemon->hosts, RELAYED_VALID_MS);
   daemon->api_server = marjoram_api_server_create (daemon->base, daemon->clock,
                                                    &api_server_ops, daemon);
-  marjoram_api_server_set_limit (daemon->api_server,
-                                 (size_t)settings->memory_mb * MEGABYTE
-                                     / API_MEMORY_SHARES);
   daemon->links = marjoram_host_links_create (
       daemon->base, daemon->clock, settings, new_incarnation (daemon->clock),
       daemon->hosts, &links_ops, daemon, err);
