--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -26,6 +26,8 @@
   HEARTBEAT_MS = 1200,
   ACK_MS = 1000,
   WORK_MS = 15,
+  EVENTS = 6,   /* of a stream */
+  EVENT_MS = 5, /* between two of them */
   MESSAGE_MAX = 1024 * 1024,
   ARGS_MAX = 16
 };
@@ -178,10 +180,10 @@
           && (end = strstr (message->text, "\r\n\r\n")) != NULL)
         {
           message->head = (size_t)(end - message->text) + 4;
-          message->body = header (message, "Content-Length", value,
-                                  sizeof value)
-                              ? strtoul (value, NULL, 10)
-                              : 0;
+          message->body
+              = header (message, "Content-Length", value, sizeof value)
+                    ? strtoul (value, NULL, 10)
+                    : 0;
         }
       if (message->head > 0 && message->size >= message->head + message->body)
         return message->whole = true;
@@ -244,8 +246,62 @@
   int keeper_count;
   FILE *log;
   pthread_mutex_t lock;
+  /* One in so many streams has one wrong byte in the name of its seal while
+     this file exists; null: none.  */
+  const char *spoil;
+  int spoil_every;
+  int streams;
 } replica;
 
+/* The name of the seal's header in the next stream.  */
+static const char *
+seal_name (bool *spoilt)
+{
+  struct stat ignored;
+
+  *spoilt = replica.spoil && stat (replica.spoil, &ignored) == 0
+            && ++replica.streams % replica.spoil_every == 0;
+  return *spoilt ? "Marjoramproxy-Responsg-Seal"
+                 : "Marjoramproxy-Response-Seal";
+}
+
+/* Sends the events after the one that the request names.  */
+static void
+replica_stream (int fd, const struct message *request, const char *id)
+{
+  char last[32];
+  char data[512];
+  const char *name;
+  bool spoilt;
+  int first = 1;
+
+  if (header (request, "Last-Event-Id", last, sizeof last))
+    first = atoi (last) + 1;
+  pthread_mutex_lock (&replica.lock);
+  name = seal_name (&spoilt);
+  fprintf (replica.log, "%lld run id=%s replica=%s from=%d spoilt=%s\n",
+           (long long)now_ms (), id, replica.id, first, spoilt ? "yes" : "no");
+  fflush (replica.log);
+  pthread_mutex_unlock (&replica.lock);
+  snprintf (data, sizeof data,
+            "HTTP/1.1 200 OK\r\nMarjoramproxy-Attempt-Id: %s\r\n"
+            "%s: s.%s\r\nContent-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n",
+            id, name, id);
+  send_all (fd, data, strlen (data));
+  for (int i = first; i <= EVENTS; i++)
+    {
+      char event[256];
+
+      snprintf (event, sizeof event, "id: %d\ndata: %s %d\n\n", i, id, i);
+      snprintf (data, sizeof data, "%zx\r\n%s\r\n", strlen (event), event);
+      sleep_ms (EVENT_MS);
+      if (!send_all (fd, data, strlen (data)))
+        return;
+    }
+  send_all (fd, "0\r\n\r\n", 5);
+}
+
 static void
 replica_answer (int fd, const struct message *request)
 {
@@ -253,12 +309,11 @@
   char target[256];
   char body[512];
   char *head = NULL;
-  const bool has_id = header (request, "Marjoramproxy-Attempt-Id", id,
-                              sizeof id);
-  const bool is_other
-      = header (request, "Marjoramproxy-Target-Instance", target,
-                sizeof target)
-        && strcmp (target, replica.id) != 0;
+  const bool has_id
+      = header (request, "Marjoramproxy-Attempt-Id", id, sizeof id);
+  const bool is_other = header (request, "Marjoramproxy-Target-Instance",
+                                target, sizeof target)
+                        && strcmp (target, replica.id) != 0;
 
   if (!has_id || is_other)
     {
@@ -273,6 +328,11 @@
       free (head);
       return;
     }
+  if (strstr (request->text, " /stream/"))
+    {
+      replica_stream (fd, request, id);
+      return;
+    }
   pthread_mutex_lock (&replica.lock);
   fprintf (replica.log, "%lld run id=%s service=%s replica=%s\n",
            (long long)now_ms (), id, replica.service, replica.id);
@@ -345,7 +405,8 @@
   return NULL;
 }
 
-/* ADDRESS ID SERVICE ZONE LOG KEEPER...  */
+/* ADDRESS ID SERVICE ZONE LOG KEEPER...  SPOIL=FILE in the environment: one
+   stream in twenty is spoilt while FILE exists.  */
 static int
 replica_main (int argc, char **argv)
 {
@@ -359,6 +420,8 @@
   replica.service = argv[2];
   replica.zone = argv[3];
   replica.log = fopen (argv[4], "a");
+  replica.spoil = getenv ("SPOIL");
+  replica.spoil_every = 20;
   for (int i = 5; i < argc; i++)
     replica.keepers[replica.keeper_count++] = argv[i];
   pthread_mutex_init (&replica.lock, NULL);
@@ -569,8 +632,8 @@
                 "Host: %s\r\nMarjoramproxy-Attempt-Id: %s\r\n"
                 "Marjoramproxy-Deadline-Ms: %lld\r\n",
                 argv[6], id, (long long)deadline);
-      status = call (argv[7], argv[4], argv[5], headers, "", deadline,
-                     &answer);
+      status
+          = call (argv[7], argv[4], argv[5], headers, "", deadline, &answer);
       printf ("%lld answer id=%s at=%s sent=%lld status=%d body=%.60s\n",
               (long long)now_ms (), id, argv[7], (long long)sent, status,
               status ? body_of (&answer) : "");
@@ -580,6 +643,92 @@
   return 0;
 }
 
+/* Reads until the connection or the last chunk ends.  */
+static void
+read_stream (int fd, struct message *answer)
+{
+  static const char end[] = "\r\n0\r\n\r\n";
+  const size_t length = sizeof end - 1;
+  ssize_t got;
+
+  answer->whole = false;
+  while (!answer->whole && answer->size < MESSAGE_MAX
+         && (got = recv (fd, answer->text + answer->size,
+                         MESSAGE_MAX - answer->size, 0))
+                > 0)
+    {
+      answer->size += (size_t)got;
+      answer->text[answer->size] = '\0';
+      answer->whole
+          = answer->size >= length
+            && strcmp (answer->text + answer->size - length, end) == 0;
+    }
+}
+
+/* The events that ANSWER has in order from the first on; -1 if others come
+   among them.  */
+static int
+count_events (const struct message *answer)
+{
+  const char *line = answer->text;
+  int count = 0;
+
+  while ((line = strstr (line, "id: ")) != NULL)
+    {
+      if (line > answer->text && line[-1] == '\n'
+          && atoi (line + 4) != ++count)
+        return -1;
+      line += 4;
+    }
+  return count;
+}
+
+/* MS PAUSE PREFIX DEADLINE HOST PATH ENTRY: requests streams, one after the
+   other.  */
+static int
+streams_main (int argc, char **argv)
+{
+  struct message answer = { .text = calloc (1, MESSAGE_MAX + 1) };
+  int64_t until;
+
+  if (argc != 7)
+    return 2;
+  until = now_ms () + atoll (argv[0]);
+  for (int i = 0; now_ms () < until; i++)
+    {
+      char head[512];
+      const int64_t sent = now_ms ();
+      int fd = connect_to (argv[6], ACK_MS);
+      int status = 0;
+
+      answer.size = 0;
+      answer.text[0] = '\0';
+      answer.whole = false;
+      snprintf (head, sizeof head,
+                "POST %s HTTP/1.1\r\nHost: %s\r\n"
+                "Marjoramproxy-Attempt-Id: %s%05d\r\n"
+                "Marjoramproxy-Deadline-Ms: %s\r\nContent-Length: 0\r\n\r\n",
+                argv[5], argv[4], argv[2], i, argv[3]);
+      if (fd >= 0)
+        {
+          set_timeout (fd, atoll (argv[3]));
+          if (send_all (fd, head, strlen (head)))
+            read_stream (fd, &answer);
+          close (fd);
+        }
+      sscanf (answer.text, "HTTP/1.1 %d", &status);
+      printf ("%lld stream id=%s%05d sent=%lld status=%d seal=%s whole=%s "
+              "events=%d\n",
+              (long long)now_ms (), argv[2], i, (long long)sent, status,
+              strstr (answer.text, "\r\nMarjoramproxy-Response-Seal: ") ? "yes"
+                                                                        : "no",
+              answer.whole ? "yes" : "no", count_events (&answer));
+      fflush (stdout);
+      sleep_ms (atoll (argv[1]));
+    }
+  return 0;
+}
+
 /* MS STATUS TARGET ADDRESS...: waits until all answer with STATUS.  */
 static int
 await_main (int argc, char **argv)
@@ -591,9 +740,9 @@
     return 2;
   until = now_ms () + atoll (argv[0]);
   for (int i = 3; i < argc; i++)
-    while (call (argv[i], "GET", argv[2], "Host: host\r\n", "", ACK_MS,
-                 &answer)
-           != atoi (argv[1]))
+    while (
+        call (argv[i], "GET", argv[2], "Host: host\r\n", "", ACK_MS, &answer)
+        != atoi (argv[1]))
       {
         if (now_ms () >= until)
           return 1;
@@ -609,9 +758,9 @@
   {
     const char *name;
     int (*run) (int argc, char **argv);
-  } verbs[] = { { "replica", replica_main },   { "relay", relay_main },
-                { "order", order_main },       { "requests", requests_main },
-                { "await", await_main } };
+  } verbs[] = { { "replica", replica_main }, { "relay", relay_main },
+                { "order", order_main },     { "requests", requests_main },
+                { "await", await_main },     { "streams", streams_main } };
 
   signal (SIGPIPE, SIG_IGN);
   if (argc == 2 && strcmp (argv[1], "now") == 0)
@@ -622,6 +771,7 @@
   for (size_t i = 0; argc > 1 && i < sizeof verbs / sizeof *verbs; i++)
     if (strcmp (argv[1], verbs[i].name) == 0)
       return verbs[i].run (argc - 2, argv + 2);
-  fprintf (stderr, "usage: standin replica|relay|order|requests|await|now\n");
+  fprintf (stderr,
+           "usage: standin replica|relay|order|requests|streams|await|now\n");
   return 2;
 }
